--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# Entry points of the tree; CMake does the building.
+JOBS ?= $(shell nproc)
+PACKAGES = $(shell cat packages.txt)
+SRCS = $(filter-out %_xdr.c %_svc.c %_clnt.c entry/peer.h, \
+    $(shell git ls-files '*.c' '*.h'))
+LINTED = $(filter %.c,$(SRCS))
+DESTDIR ?=
+PREFIX ?= /usr/local
+
+.PHONY: all deps build check test lint format format-check install clean
+
+all: build
+
+deps:
+	@missing=; for p in $(PACKAGES); do \
+	    dpkg -s $$p >/dev/null 2>&1 || missing="$$missing $$p"; done; \
+	if [ -n "$$missing" ]; then \
+	    apt-get update && \
+	    apt-get install -y --no-install-recommends $$missing; fi
+
+build: deps
+	cmake -S . -B build/release -DCMAKE_BUILD_TYPE=RelWithDebInfo \
+	    -DCMAKE_INSTALL_PREFIX=$(PREFIX) >/dev/null
+	cmake --build build/release -j$(JOBS) >/dev/null
+
+build-check: deps
+	cmake -S . -B build/check -DCMAKE_BUILD_TYPE=Debug -DSANITIZE=ON >/dev/null
+	cmake --build build/check -j$(JOBS) >/dev/null
+
+check: build-check
+	@ctest --test-dir build/check --output-on-failure -j4
+
+format:
+	clang-format -i $(SRCS)
+
+format-check: deps
+	clang-format --dry-run --Werror $(SRCS)
+
+lint: build-check
+	@printf '%s\n' $(LINTED) | \
+	    xargs -P$(JOBS) -n1 clang-tidy --quiet -p build/check 2>/dev/null
+
+install: build
+	DESTDIR=$(DESTDIR) cmake --install build/release
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/base/hash.c
@@ -0,0 +1,40 @@
+#include "base/hash.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <xxhash.h>
+
+uint64_t
+hash_u64(struct str s, uint64_t seed)
+{
+	return XXH3_64bits_withSeed(s.n > 0 ? s.p : "", s.n, seed);
+}
+
+void
+hash_sha256(struct str s, char out[HASH_HEX_LEN + 1])
+{
+	g_autofree char *h = g_compute_checksum_for_data(
+	    G_CHECKSUM_SHA256, (const guchar *)(s.n > 0 ? s.p : ""), s.n);
+
+	snprintf(out, HASH_HEX_LEN + 1, "%s", h);
+}
+
+void
+hash_hmac(struct str key, struct str s, char out[HASH_HEX_LEN + 1])
+{
+	g_autofree char *h = g_compute_hmac_for_data(G_CHECKSUM_SHA256,
+	    (const guchar *)(key.n > 0 ? key.p : ""), key.n,
+	    (const guchar *)(s.n > 0 ? s.p : ""), s.n);
+
+	snprintf(out, HASH_HEX_LEN + 1, "%s", h);
+}
+
+bool
+hash_same(const char a[HASH_HEX_LEN + 1], const char b[HASH_HEX_LEN + 1])
+{
+	unsigned diff = 0;
+
+	for (int i = 0; i < HASH_HEX_LEN; i++)
+		diff |= (unsigned char)a[i] ^ (unsigned char)b[i];
+	return diff == 0;
+}
--- /dev/null
+++ b/tests/base/test_base.c
@@ -0,0 +1,126 @@
+/* Tables of cases for the base package. */
+#include "base/hash.h"
+#include "base/ini.h"
+#include "base/rng.h"
+
+#include <glib.h>
+
+static void
+test_u64(void)
+{
+	static const struct {
+		const char *text;
+		bool ok;
+		uint64_t value;
+	} cases[] = {
+		{ "0", true, 0 },
+		{ "18446744073709551615", true, UINT64_MAX },
+		{ "18446744073709551616", false, 0 },
+		{ "", false, 0 },
+		{ "-1", false, 0 },
+		{ "1 ", false, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		uint64_t v = 0;
+
+		g_assert_true(
+		    str_u64(str_from(cases[i].text), &v) == cases[i].ok);
+		g_assert_cmpuint(v, ==, cases[i].value);
+	}
+}
+
+static void
+test_ini(void)
+{
+	static const struct {
+		const char *text;
+		const char *error;
+	} cases[] = {
+		{ "[a]\nk = v\n", NULL },
+		{ "[a]\nk\n", "f.ini:2: neither" },
+		{ "[a]\nk = 1\nk = 2\n", "f.ini:3: [a] k is set twice" },
+		{ "[a\n", "f.ini:1: neither" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct ini set = { 0 };
+		struct err e = { 0 };
+		int rc = ini_add(&set, "f.ini", str_from(cases[i].text), &e);
+
+		if (cases[i].error == NULL) {
+			g_assert_cmpint(rc, ==, 0);
+			g_assert_cmpstr(
+			    ini_find(&set, "a", "k")->value, ==, "v");
+		} else {
+			g_assert_cmpint(rc, ==, ERR_CONFIG);
+			g_assert_true(g_str_has_prefix(e.text, cases[i].error));
+			g_assert_cmpuint(set.n, ==, 0);
+		}
+		ini_free(&set);
+	}
+}
+
+static void
+test_ini_merge(void)
+{
+	struct ini set = { 0 };
+
+	g_assert_cmpint(
+	    ini_add(&set, "10.ini", STR("[a]\nk = 1\nl = 1\n"), NULL), ==, 0);
+	g_assert_cmpint(
+	    ini_add(&set, "20.ini", STR("[a]\nk = 2\n"), NULL), ==, 0);
+	g_assert_cmpstr(ini_find(&set, "a", "k")->file, ==, "20.ini");
+	g_assert_cmpstr(ini_find(&set, "a", "l")->value, ==, "1");
+	ini_free(&set);
+}
+
+static void
+test_rng(void)
+{
+	struct rng a;
+	struct rng b;
+
+	rng_init(&a, 7);
+	rng_init(&b, 7);
+	for (int i = 0; i < 100; i++) {
+		g_assert_cmpuint(rng_u64(&a), ==, rng_u64(&b));
+		g_assert_cmpuint(rng_below(&a, 3), <, 3);
+		g_assert_cmpfloat(rng_unit(&b), <, 1.0);
+	}
+}
+
+static void
+test_hash(void)
+{
+	char a[HASH_HEX_LEN + 1];
+	char b[HASH_HEX_LEN + 1];
+
+	hash_sha256(STR("x"), a);
+	hash_sha256(STR("y"), b);
+	g_assert_true(hash_same(a, a));
+	g_assert_false(hash_same(a, b));
+}
+
+static void
+test_err_names(void)
+{
+	for (int k = 0; k > ERR_LAST; k--) {
+		g_assert_nonnull(err_name(k));
+		g_assert_nonnull(err_remedy(k));
+		g_assert_cmpint(err_status(k), >=, 200);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/base/u64", test_u64);
+	g_test_add_func("/base/ini", test_ini);
+	g_test_add_func("/base/ini-merge", test_ini_merge);
+	g_test_add_func("/base/rng", test_rng);
+	g_test_add_func("/base/hash", test_hash);
+	g_test_add_func("/base/err-names", test_err_names);
+	return g_test_run();
+}
