--- /dev/null
+++ b/entry/metrics.c
@@ -0,0 +1,152 @@
+#include "entry/metrics.h"
+
+#define COUNTER(field, text)                                     \
+	{                                                        \
+		{ "sequoia_" #field "_total", "counter", text }, \
+		    offsetof(struct kernel_stats, field)         \
+	}
+
+/* A counter of the kernel and where it stands. */
+struct source {
+	struct metric metric;
+	size_t offset;
+};
+
+static const struct source sources[] = {
+	COUNTER(requests, "Requests that reached the kernel."),
+	COUNTER(deadline_met, "Requests answered whole by their deadline."),
+	COUNTER(calls, "Calls sent to targets."),
+	COUNTER(retries, "Calls that were retries."),
+	COUNTER(hedges, "Calls that were hedges."),
+	COUNTER(resumes, "Calls that took up a broken stream."),
+	COUNTER(lookups, "Calls that asked what an earlier call has done."),
+	COUNTER(failed_calls, "Calls that failed."),
+	COUNTER(cancelled_calls, "Calls that were cancelled."),
+	COUNTER(late_events, "Events of calls that were given up before."),
+	COUNTER(foreign_answers, "Answers that echoed another call's id."),
+	COUNTER(silent_calls, "Calls given up because nothing came."),
+	COUNTER(queued, "Calls that waited for a target."),
+	COUNTER(tokens, "Tokens generated."),
+	COUNTER(prompt_tokens, "Prompt tokens that engines reported."),
+	COUNTER(cached_tokens, "Prompt tokens found in engines' caches."),
+};
+
+#define N_SOURCES (sizeof(sources) / sizeof(sources[0]))
+
+enum own {
+	OWN_OUTCOMES,
+	OWN_ERRORS,
+	OWN_BUSY,
+	OWN_TARGETS,
+	OWN_GENERATION,
+	OWN_RECORD_BYTES,
+	OWN_READY,
+	OWN_CPU,
+	N_OWN
+};
+
+static const struct metric own[N_OWN] = {
+	[OWN_OUTCOMES] = { "sequoia_outcomes_total", "counter",
+	    "Requests by the outcome that their caller was told." },
+	[OWN_ERRORS] = { "sequoia_errors_total", "counter",
+	    "Requests by the error that their caller was told." },
+	[OWN_BUSY] = { "sequoia_requests_in_flight", "gauge",
+	    "Requests that have not ended." },
+	[OWN_TARGETS] = { "sequoia_targets", "gauge",
+	    "Targets by service and state." },
+	[OWN_GENERATION] = { "sequoia_config_generation", "gauge",
+	    "The configuration generation in force." },
+	[OWN_RECORD_BYTES] = { "sequoia_record_bytes", "gauge",
+	    "Memory of ended requests that can still be asked for." },
+	[OWN_READY] = { "sequoia_ready", "gauge",
+	    "1 when the process takes requests." },
+	[OWN_CPU] = { "sequoia_cpu_seconds_total", "counter",
+	    "Processor time that the process has used." },
+};
+
+static void
+head(const struct metric *m, struct buf *out)
+{
+	buf_printf(out, "# HELP %s %s\n# TYPE %s %s\n", m->name, m->help,
+	    m->name, m->type);
+}
+
+static void
+gauge(const struct metric *m, double v, struct buf *out)
+{
+	head(m, out);
+	buf_printf(out, "%s %.9g\n", m->name, v);
+}
+
+static void
+put_labelled(const struct kernel_stats *s, struct buf *out)
+{
+	head(&own[OWN_OUTCOMES], out);
+	for (int o = OUTCOME_COMPLETE; o <= OUTCOME_UNKNOWN; o++)
+		buf_printf(out, "%s{outcome=\"%s\"} %llu\n",
+		    own[OWN_OUTCOMES].name, outcome_name(o),
+		    (unsigned long long)s->outcomes[o]);
+	head(&own[OWN_ERRORS], out);
+	for (int k = 1; k < -ERR_LAST; k++)
+		buf_printf(out, "%s{error=\"%s\"} %llu\n", own[OWN_ERRORS].name,
+		    err_name(-k), (unsigned long long)s->errors[k]);
+}
+
+/* One line for each service and state; targets stand grouped by neither. */
+static void
+put_targets(const struct traffic_report *r, struct buf *out)
+{
+	static const char *const states[] = { "live", "leaving" };
+
+	head(&own[OWN_TARGETS], out);
+	for (size_t i = 0; i < r->n_targets; i++) {
+		size_t n[2] = { 0, 0 };
+		bool seen = false;
+
+		for (size_t j = 0; j < r->n_targets; j++) {
+			if (r->targets[j].t.service != r->targets[i].t.service)
+				continue;
+			seen = seen || j < i;
+			n[r->targets[j].t.state == TARGET_LIVE ? 0 : 1]++;
+		}
+		for (int s = 0; s < 2 && !seen; s++)
+			buf_printf(out, "%s{service=\"%s\",state=\"%s\"} %zu\n",
+			    own[OWN_TARGETS].name, r->targets[i].service,
+			    states[s], n[s]);
+	}
+}
+
+void
+metrics_write(const struct metrics_input *in, struct buf *out)
+{
+	const char *stats = (const char *)&in->report->stats;
+
+	for (size_t i = 0; i < N_SOURCES; i++) {
+		uint64_t v = *(
+		    const uint64_t *)(const void *)(stats + sources[i].offset);
+
+		head(&sources[i].metric, out);
+		buf_printf(out, "%s %llu\n", sources[i].metric.name,
+		    (unsigned long long)v);
+	}
+	put_labelled(&in->report->stats, out);
+	put_targets(in->report, out);
+	gauge(&own[OWN_BUSY], (double)in->report->busy, out);
+	gauge(&own[OWN_GENERATION], (double)in->generation, out);
+	gauge(&own[OWN_RECORD_BYTES], (double)in->record_bytes, out);
+	gauge(&own[OWN_READY], in->ready ? 1 : 0, out);
+	gauge(&own[OWN_CPU], (double)clock_cpu() / USEC_PER_SEC, out);
+}
+
+const struct metric *
+metrics_all(size_t *n)
+{
+	static struct metric all[N_SOURCES + N_OWN];
+
+	for (size_t i = 0; i < N_SOURCES; i++)
+		all[i] = sources[i].metric;
+	for (size_t i = 0; i < N_OWN; i++)
+		all[N_SOURCES + i] = own[i];
+	*n = N_SOURCES + N_OWN;
+	return all;
+}
--- /dev/null
+++ b/entry/ops.h
@@ -0,0 +1,22 @@
+/* The operators' side: health, readiness, metrics and status. */
+#ifndef ENTRY_OPS_H
+#define ENTRY_OPS_H
+
+#include "entry/record.h"
+#include "entry/settings.h"
+#include "entry/snap.h"
+#include "entry/traffic.h"
+
+struct ops;
+
+struct ops_opts {
+	const struct settings *settings;
+	struct snaps *snaps;
+	struct traffic *traffic;
+	struct records *records;
+};
+
+struct ops *ops_start(const struct ops_opts *o, struct err *e);
+void ops_stop(struct ops *ops);
+
+#endif
--- /dev/null
+++ b/entry/reply.c
@@ -0,0 +1,156 @@
+#include "entry/reply.h"
+#include "kernel/answer.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+static const char *
+reason(int status)
+{
+	return mg_get_response_code_text(NULL, status);
+}
+
+/* Sunset (RFC 8594) and Retry-After, where they apply. */
+static void
+put_headers(
+    const struct reply *r, const struct record_end *end, struct buf *out)
+{
+	time_t at = (time_t)(r->sunset / USEC_PER_SEC);
+	struct tm tm;
+	char date[40];
+
+	if (r->sunset > 0) {
+		gmtime_r(&at, &tm);
+		strftime(date, sizeof(date), "%a, %d %b %Y %H:%M:%S GMT", &tm);
+		buf_printf(out, "Sunset: %s\r\n", date);
+	}
+	if (*r->request_id != '\0')
+		buf_printf(out, "Sequoia-Request-Id: %s\r\n", r->request_id);
+	if (end == NULL)
+		return;
+	buf_printf(out, "Sequoia-Outcome: %s\r\n", outcome_name(end->outcome));
+	if (end->retry_after > 0)
+		buf_printf(out, "Retry-After: %lld\r\n",
+		    (long long)((end->retry_after + USEC_PER_SEC - 1) /
+			USEC_PER_SEC));
+	if (end->error == ERR_BAD_TOKEN)
+		buf_put(out, STR("WWW-Authenticate: Bearer\r\n"));
+}
+
+static int
+write_all(struct mg_connection *conn, struct str s)
+{
+	return mg_write(conn, s.p, s.n);
+}
+
+static int
+respond(const struct reply *r, int status, const char *type,
+    const struct record_end *end, struct str body)
+{
+	struct buf out = { 0 };
+
+	buf_printf(&out,
+	    "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n",
+	    status, reason(status), type, body.n);
+	put_headers(r, end, &out);
+	buf_put(&out, STR("\r\n"));
+	buf_put(&out, body);
+	write_all(r->conn, str_of(&out));
+	buf_free(&out);
+	return status;
+}
+
+void
+reply_complete_body(
+    const char *id, const struct record_end *end, struct buf *out)
+{
+	buf_printf(out,
+	    "{\"request_id\":\"%s\",\"outcome\":\"complete\",\"answer\":", id);
+	buf_put(out, end->body.n > 0 ? end->body : STR("{}"));
+	buf_putc(out, '}');
+}
+
+void
+reply_problem_body(
+    const char *id, const struct record_end *end, struct buf *out)
+{
+	struct buf type = { 0 };
+	json_t *o;
+
+	buf_printf(&type, "urn:sequoiacourse:error:%s", err_name(end->error));
+	o = json_pack("{s:s, s:s, s:i, s:s, s:s, s:s}", "type", type.p, "title",
+	    err_name(end->error), "status", err_status(end->error), "detail",
+	    end->detail, "outcome", outcome_name(end->outcome), "remedy",
+	    err_remedy(end->error));
+	if (*id != '\0')
+		json_object_set_new(o, "request_id", json_string(id));
+	answer_dump(o, out);
+	buf_free(&type);
+}
+
+int
+reply_end(const struct reply *r, const struct record_end *end)
+{
+	struct buf body = { 0 };
+	int status = 200;
+
+	if (end->outcome == OUTCOME_COMPLETE) {
+		reply_complete_body(r->request_id, end, &body);
+		respond(r, status, "application/json", end, str_of(&body));
+	} else {
+		status = err_status(end->error);
+		reply_problem_body(r->request_id, end, &body);
+		respond(
+		    r, status, "application/problem+json", end, str_of(&body));
+	}
+	buf_free(&body);
+	return status;
+}
+
+int
+reply_refuse(const struct reply *r, enum err_kind kind, const char *detail)
+{
+	struct record_end end = { .outcome = OUTCOME_NOT_RUN, .error = kind };
+
+	snprintf(end.detail, sizeof(end.detail), "%s", detail);
+	return reply_end(r, &end);
+}
+
+int
+reply_json(struct mg_connection *conn, int status, struct str body)
+{
+	struct reply r = { conn, "", 0 };
+
+	return respond(&r, status, "application/json", NULL, body);
+}
+
+bool
+reply_stream_head(const struct reply *r)
+{
+	struct buf out = { 0 };
+	int n;
+
+	buf_put(&out,
+	    STR("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+		"Cache-Control: no-store\r\nConnection: close\r\n"));
+	put_headers(r, NULL, &out);
+	buf_put(&out, STR("\r\n"));
+	n = write_all(r->conn, str_of(&out));
+	buf_free(&out);
+	return n > 0;
+}
+
+bool
+reply_event(const struct reply *r, size_t id, const char *kind, struct str data)
+{
+	struct buf out = { 0 };
+	int n;
+
+	buf_printf(&out, "id: %zu\nevent: %s\ndata: ", id, kind);
+	buf_put(&out, data);
+	buf_put(&out, STR("\n\n"));
+	n = write_all(r->conn, str_of(&out));
+	buf_free(&out);
+	return n > 0;
+}
--- /dev/null
+++ b/entry/sequoiad.c
@@ -0,0 +1,203 @@
+/* sequoiad: the entry process between callers and targets. */
+#include "base/log.h"
+#include "base/rng.h"
+#include "entry/control.h"
+#include "entry/ops.h"
+#include "entry/web.h"
+
+#include <argp.h>
+#include <civetweb.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+#include <urcu/urcu-memb.h>
+
+#define OPTION_BASE 1000 /* argp keys of the settings' options */
+#define DRAIN_STEP  (20 * USEC_PER_MSEC)
+
+const char *argp_program_version = "sequoiad " SEQUOIA_VERSION;
+
+struct options {
+	const char *file;
+	const char **values; /* one for each settings key; NULL: not given */
+};
+
+struct daemon {
+	struct settings settings;
+	struct records *records;
+	struct snaps *snaps;
+	struct control *control;
+	struct traffic *traffic;
+	struct web *web;
+	struct ops *ops;
+};
+
+static error_t
+parse(int key, char *arg, struct argp_state *state)
+{
+	struct options *o = state->input;
+	size_t n;
+
+	settings_keys(&n);
+	if (key >= OPTION_BASE && key < OPTION_BASE + (int)n) {
+		o->values[key - OPTION_BASE] = arg;
+		return 0;
+	}
+	if (key == ARGP_KEY_ARG) {
+		if (o->file != NULL)
+			argp_error(state, "one settings file: found %s", arg);
+		o->file = arg;
+		return 0;
+	}
+	return ARGP_ERR_UNKNOWN;
+}
+
+/* An option for each settings key. */
+static struct argp_option *
+make_options(void)
+{
+	size_t n;
+	const struct setting_key *keys = settings_keys(&n);
+	struct argp_option *v = xcalloc(n + 1, sizeof(*v));
+
+	for (size_t i = 0; i < n; i++) {
+		v[i].name = keys[i].name;
+		v[i].key = OPTION_BASE + (int)i;
+		v[i].arg = *keys[i].unit != '\0' ? keys[i].unit : "VALUE";
+		v[i].doc = keys[i].doc;
+	}
+	return v;
+}
+
+static int
+read_options(int argc, char **argv, struct settings *s)
+{
+	size_t n;
+	struct options o = { 0 };
+	struct argp_option *options = make_options();
+	struct argp argp = { options, parse, "[FILE]",
+		"Serves pipelines.  FILE holds its settings in INI form; an "
+		"option goes before the file." };
+	struct err e = { 0 };
+	int rc;
+
+	settings_keys(&n);
+	o.values = xcalloc(n, sizeof(*o.values));
+	argp_parse(&argp, argc, argv, 0, NULL, &o);
+	rc = settings_read(s, o.file, o.values, &e);
+	if (rc != 0)
+		fprintf(stderr, "sequoiad: %s\n", e.text);
+	free(o.values);
+	free(options);
+	return rc;
+}
+
+/* Signals are taken by sigwait in the main thread only. */
+static void
+block_signals(sigset_t *set)
+{
+	sigemptyset(set);
+	sigaddset(set, SIGTERM);
+	sigaddset(set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+}
+
+static int
+start(struct daemon *d)
+{
+	struct settings *s = &d->settings;
+	uint64_t incarnation = rng_entropy();
+	struct err e = { 0 };
+
+	d->records = records_new(&(struct records_opts){
+	    .node = (uint32_t)hash_u64(str_from(s->id), 0),
+	    .incarnation = (uint32_t)incarnation,
+	    .keep = s->keep,
+	    .keep_bytes = s->keep_bytes,
+	});
+	d->snaps = snaps_new();
+	d->control = control_new(&(struct control_opts){
+	    .settings = s,
+	    .snaps = d->snaps,
+	});
+	d->traffic = traffic_new(&(struct traffic_opts){
+	    .records = d->records,
+	    .domain = s->failure_domain,
+	    .seed = incarnation,
+	    .claim = control_claim,
+	    .arg = d->control,
+	});
+	d->ops = ops_start(
+	    &(struct ops_opts){ s, d->snaps, d->traffic, d->records }, &e);
+	if (d->ops != NULL)
+		d->web = web_start(
+		    &(struct web_opts){ s, d->records, d->snaps, d->traffic },
+		    &e);
+	if (d->web == NULL) {
+		fprintf(stderr, "sequoiad: %s\n", e.text);
+		return e.kind;
+	}
+	traffic_start(d->traffic);
+	control_start(d->control, d->traffic);
+	LOG(LOG_LVL_NOTICE, "started", { "listen", str_from(s->listen) },
+	    { "failure_domain", str_from(s->failure_domain) });
+	return 0;
+}
+
+/* Not ready at once, nothing new after a while, every request finished. */
+static void
+drain(struct daemon *d)
+{
+	struct conf *c = snaps_conf(d->snaps);
+
+	LOG(LOG_LVL_NOTICE, "draining", { "cause", STR("signal") });
+	snaps_publish(d->snaps, &(struct snap){ .conf = c, .draining = true });
+	conf_unref(c);
+	usleep((useconds_t)d->settings.drain);
+	traffic_drain(d->traffic);
+	usleep((useconds_t)DRAIN_STEP);
+	while (traffic_busy(d->traffic) > 0)
+		usleep((useconds_t)DRAIN_STEP);
+}
+
+static void
+stop(struct daemon *d)
+{
+	web_stop(d->web);
+	ops_stop(d->ops);
+	control_stop(d->control);
+	traffic_stop(d->traffic);
+	traffic_free(d->traffic);
+	control_free(d->control);
+	snaps_free(d->snaps);
+	records_free(d->records);
+	settings_free(&d->settings);
+	LOG(LOG_LVL_NOTICE, "stopped", { "cause", STR("signal") });
+}
+
+int
+main(int argc, char **argv)
+{
+	struct daemon d = { 0 };
+	sigset_t set;
+	int got;
+
+	if (read_options(argc, argv, &d.settings) != 0)
+		return 2;
+	log_init(
+	    "sequoiad", d.settings.id, (enum log_level)d.settings.log_level);
+	block_signals(&set);
+	urcu_memb_register_thread();
+	mg_init_library(0);
+	if (start(&d) != 0)
+		return 2;
+	sigwait(&set, &got);
+	drain(&d);
+	stop(&d);
+	mg_exit_library();
+	urcu_memb_unregister_thread();
+	return 0;
+}
--- /dev/null
+++ b/entry/snap.c
@@ -0,0 +1,71 @@
+#include "entry/snap.h"
+
+#include <stdlib.h>
+#include <urcu/urcu-memb.h>
+
+struct snaps {
+	struct snap *now;
+};
+
+static void
+free_snap(struct snap *s)
+{
+	if (s == NULL)
+		return;
+	conf_unref(s->conf);
+	free(s);
+}
+
+struct snaps *
+snaps_new(void)
+{
+	struct snaps *ss = xcalloc(1, sizeof(*ss));
+
+	ss->now = xcalloc(1, sizeof(*ss->now));
+	return ss;
+}
+
+void
+snaps_publish(struct snaps *ss, const struct snap *s)
+{
+	struct snap *fresh = xcalloc(1, sizeof(*fresh));
+	struct snap *old;
+
+	*fresh = *s;
+	if (fresh->conf != NULL)
+		conf_ref(fresh->conf);
+	old = rcu_xchg_pointer(&ss->now, fresh);
+	urcu_memb_synchronize_rcu();
+	free_snap(old);
+}
+
+struct conf *
+snaps_conf(struct snaps *ss)
+{
+	struct conf *c;
+
+	urcu_memb_read_lock();
+	c = rcu_dereference(ss->now)->conf;
+	if (c != NULL)
+		conf_ref(c);
+	urcu_memb_read_unlock();
+	return c;
+}
+
+bool
+snaps_draining(struct snaps *ss)
+{
+	bool d;
+
+	urcu_memb_read_lock();
+	d = rcu_dereference(ss->now)->draining;
+	urcu_memb_read_unlock();
+	return d;
+}
+
+void
+snaps_free(struct snaps *ss)
+{
+	free_snap(ss->now);
+	free(ss);
+}
--- /dev/null
+++ b/entry/snap.h
@@ -0,0 +1,26 @@
+/*
+ * What the control thread publishes to all others: an immutable snapshot,
+ * replaced as a whole through RCU.  Every thread that reads it registers with
+ * liburcu first.
+ */
+#ifndef ENTRY_SNAP_H
+#define ENTRY_SNAP_H
+
+#include "kernel/conf.h"
+
+struct snap {
+	struct conf *conf; /* NULL until the first configuration */
+	bool draining;
+};
+
+struct snaps;
+
+struct snaps *snaps_new(void);
+/* Publishes a copy of s; the snapshot takes its own reference on conf. */
+void snaps_publish(struct snaps *ss, const struct snap *s);
+/* The configuration in force with a reference for the caller, or NULL. */
+struct conf *snaps_conf(struct snaps *ss);
+bool snaps_draining(struct snaps *ss);
+void snaps_free(struct snaps *ss);
+
+#endif
--- /dev/null
+++ b/entry/traffic.c
@@ -0,0 +1,449 @@
+#include "entry/traffic.h"
+#include "plat/http.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu/urcu-memb.h>
+#include <urcu/wfcqueue.h>
+
+#define REPORT_INTERVAL (200 * USEC_PER_MSEC)
+#define MAX_WAIT        (200 * USEC_PER_MSEC)
+
+struct message {
+	struct cds_wfcq_node node;
+	struct event ev;
+	struct traffic_request rq;    /* EVENT_ARRIVE */
+	struct buf text;              /* answer of a claim, address of a load */
+	struct listed_target *listed; /* EVENT_TARGETS */
+	struct share *shares;         /* EVENT_SHARES */
+	char (*names)[MAX_NAME_BYTES + 1];
+	bool stop;
+};
+
+/* A call of the kernel's and the HTTP call that carries it. */
+struct carried {
+	struct traffic *t;
+	uint64_t call;
+	uint64_t http;
+};
+
+struct traffic {
+	struct traffic_opts o;
+	pthread_t thread;
+	struct cds_wfcq_head head;
+	struct cds_wfcq_tail tail;
+	struct http_loop *loop;
+	struct kernel *kernel;
+	struct actions actions;
+	GHashTable *carried; /* kernel call -> struct carried, owned */
+	bool stopping;
+	atomic_size_t busy;
+	pthread_mutex_t report_lock;
+	struct traffic_report report;
+};
+
+static void step(struct traffic *t, const struct event *ev);
+
+static void
+on_http(void *arg, const struct http_event *ev)
+{
+	struct carried *c = arg;
+	struct traffic *t = c->t;
+	struct event out = { .kind = EVENT_HEAD };
+
+	switch (ev->kind) {
+	case HTTP_HEAD:
+		out.head.call = c->call;
+		out.head.status = ev->status;
+		break;
+	case HTTP_CHUNK:
+		out.kind = EVENT_CHUNK;
+		out.chunk.call = c->call;
+		out.chunk.bytes = ev->bytes;
+		break;
+	case HTTP_END:
+		out.kind = EVENT_END;
+		out.end.call = c->call;
+		g_hash_table_remove(t->carried, &out.end.call);
+		break;
+	case HTTP_FAIL:
+		out.kind = EVENT_FAIL;
+		out.fail.call = c->call;
+		out.fail.why = ev->fail.why == HTTP_CONNECT ? FAILURE_CONNECT
+		    : ev->fail.why == HTTP_TIMEOUT          ? FAILURE_TIMEOUT
+							    : FAILURE_BROKEN;
+		g_hash_table_remove(t->carried, &out.fail.call);
+		break;
+	}
+	step(t, &out);
+}
+
+static void
+do_call(struct traffic *t, const struct action_call *a)
+{
+	struct carried *c = xcalloc(1, sizeof(*c));
+	struct buf url = { 0 };
+
+	c->t = t;
+	c->call = a->call;
+	buf_printf(&url, "http://%s%s", a->addr, a->path.p);
+	c->http = http_start(t->loop,
+	    &(struct http_opts){
+		.method = method_name(a->method),
+		.url = url.p,
+		.body = str_of(&a->body),
+		.timeout = a->once ? 0 : a->timeout,
+		.fresh = a->fresh || a->once,
+		.handler = on_http,
+		.arg = c,
+	    });
+	g_hash_table_insert(t->carried, &c->call, c);
+	buf_free(&url);
+}
+
+static void
+do_cancel(struct traffic *t, uint64_t call)
+{
+	struct carried *c = g_hash_table_lookup(t->carried, &call);
+
+	if (c == NULL)
+		return;
+	http_cancel(t->loop, c->http);
+	g_hash_table_remove(t->carried, &call);
+}
+
+static void
+do_answer(struct traffic *t, const struct action_answer *a)
+{
+	struct record_end end = {
+		.outcome = a->outcome,
+		.error = a->error,
+		.retry_after = a->retry_after,
+		.body = str_of(&a->body),
+		.trace = str_of(&a->trace),
+	};
+
+	memcpy(end.detail, a->detail, sizeof(end.detail));
+	record_finish(t->o.records, a->req, &end);
+}
+
+static void
+act(struct traffic *t, const struct action *a)
+{
+	switch (a->kind) {
+	case ACTION_CALL:
+		do_call(t, &a->call);
+		break;
+	case ACTION_CANCEL:
+		do_cancel(t, a->cancel.call);
+		break;
+	case ACTION_CLAIM:
+	case ACTION_REFUSE:
+	case ACTION_SETTLE:
+		t->o.claim(t->o.arg, a->kind, &a->claim);
+		break;
+	case ACTION_PIECE:
+		record_piece(
+		    t->o.records, a->piece.req, str_of(&a->piece.text));
+		break;
+	case ACTION_ANSWER:
+		do_answer(t, &a->answer);
+		break;
+	}
+}
+
+/* Actions never call back into step, so one list serves all. */
+static void
+step(struct traffic *t, const struct event *ev)
+{
+	kernel_step(t->kernel, clock_now(), ev, &t->actions);
+	for (size_t i = 0; i < t->actions.n; i++)
+		act(t, &t->actions.v[i]);
+	actions_clear(&t->actions);
+	atomic_store(&t->busy, kernel_busy(t->kernel));
+}
+
+static void
+free_message(struct message *m)
+{
+	buf_free(&m->rq.id);
+	buf_free(&m->rq.workspace);
+	buf_free(&m->rq.pipeline);
+	buf_free(&m->rq.key);
+	buf_free(&m->rq.body);
+	buf_free(&m->text);
+	if (m->ev.kind == EVENT_CONF)
+		conf_unref(m->ev.conf.conf);
+	free(m->listed);
+	free(m->shares);
+	free(m->names);
+	free(m);
+}
+
+static void
+post(struct traffic *t, struct message *m)
+{
+	cds_wfcq_node_init(&m->node);
+	cds_wfcq_enqueue(&t->head, &t->tail, &m->node);
+	http_wake(t->loop);
+}
+
+static void
+take_messages(struct traffic *t)
+{
+	struct cds_wfcq_node *n;
+
+	while ((n = __cds_wfcq_dequeue_blocking(&t->head, &t->tail)) != NULL) {
+		struct message *m = caa_container_of(n, struct message, node);
+
+		if (m->stop)
+			t->stopping = true;
+		else
+			step(t, &m->ev);
+		free_message(m);
+	}
+}
+
+static void
+write_report(struct traffic *t)
+{
+	const struct targets *ts = kernel_targets(t->kernel);
+	struct traffic_report r = {
+		.stats = *kernel_stats(t->kernel),
+		.targets = xcalloc(ts->n, sizeof(*r.targets)),
+		.busy = kernel_busy(t->kernel),
+		.at = clock_now(),
+	};
+
+	for (size_t i = 0; i < ts->n; i++) {
+		struct traffic_target *x = &r.targets[r.n_targets];
+
+		if (ts->v[i].state == TARGET_GONE)
+			continue;
+		x->t = ts->v[i];
+		memcpy(x->service, ts->services[x->t.service].name,
+		    sizeof(x->service));
+		r.n_targets++;
+	}
+	pthread_mutex_lock(&t->report_lock);
+	free(t->report.targets);
+	t->report = r;
+	pthread_mutex_unlock(&t->report_lock);
+}
+
+static void *
+run(void *arg)
+{
+	struct traffic *t = arg;
+	usec_t ticked = 0;
+	usec_t reported = 0;
+
+	urcu_memb_register_thread();
+	while (!t->stopping) {
+		usec_t now = clock_now();
+		usec_t wait = kernel_wake(t->kernel, now) - now;
+
+		http_run(t->loop, wait < MAX_WAIT ? wait : MAX_WAIT);
+		take_messages(t);
+		now = clock_now();
+		if (now - ticked >= DEFAULT_TICK_USEC) {
+			ticked = now;
+			step(t, &(struct event){ .kind = EVENT_TICK });
+		}
+		if (now - reported >= REPORT_INTERVAL) {
+			reported = now;
+			write_report(t);
+			records_sweep(t->o.records, now);
+		}
+	}
+	urcu_memb_unregister_thread();
+	return NULL;
+}
+
+struct traffic *
+traffic_new(const struct traffic_opts *o)
+{
+	struct traffic *t = xcalloc(1, sizeof(*t));
+
+	t->o = *o;
+	cds_wfcq_init(&t->head, &t->tail);
+	t->loop = http_new();
+	t->kernel = kernel_new(
+	    &(struct kernel_opts){ .seed = o->seed, .domain = o->domain });
+	t->carried =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
+	pthread_mutex_init(&t->report_lock, NULL);
+	return t;
+}
+
+void
+traffic_start(struct traffic *t)
+{
+	pthread_create(&t->thread, NULL, run, t);
+}
+
+void
+traffic_arrive(struct traffic *t, struct traffic_request *r)
+{
+	struct message *m = xcalloc(1, sizeof(*m));
+
+	m->rq = *r;
+	*r = (struct traffic_request){ 0 };
+	m->ev.kind = EVENT_ARRIVE;
+	m->ev.arrive = (struct event_arrive){
+		.req = m->rq.req,
+		.id = str_of(&m->rq.id),
+		.workspace = str_of(&m->rq.workspace),
+		.pipeline = str_of(&m->rq.pipeline),
+		.key = str_of(&m->rq.key),
+		.attempt = m->rq.attempt,
+		.timeout = m->rq.timeout,
+		.wall = clock_wall(),
+		.stream = m->rq.stream,
+		.body = str_of(&m->rq.body),
+	};
+	post(t, m);
+}
+
+void
+traffic_gone(struct traffic *t, uint64_t req)
+{
+	struct message *m = xcalloc(1, sizeof(*m));
+
+	m->ev.kind = EVENT_GONE;
+	m->ev.gone.req = req;
+	post(t, m);
+}
+
+void
+traffic_conf(struct traffic *t, struct conf *c)
+{
+	struct message *m = xcalloc(1, sizeof(*m));
+
+	m->ev.kind = EVENT_CONF;
+	m->ev.conf.conf = conf_ref(c);
+	post(t, m);
+}
+
+void
+traffic_targets(struct traffic *t, const struct listed_target *v, size_t n)
+{
+	struct message *m = xcalloc(1, sizeof(*m));
+
+	m->listed = xcalloc(n, sizeof(*v));
+	if (n > 0)
+		memcpy(m->listed, v, n * sizeof(*v));
+	m->ev.kind = EVENT_TARGETS;
+	m->ev.targets.v = m->listed;
+	m->ev.targets.n = n;
+	post(t, m);
+}
+
+void
+traffic_claimed(struct traffic *t, const struct event_claim *c)
+{
+	struct message *m = xcalloc(1, sizeof(*m));
+
+	buf_put(&m->text, c->answer);
+	m->ev.kind = EVENT_CLAIM;
+	m->ev.claim = *c;
+	m->ev.claim.answer = str_of(&m->text);
+	post(t, m);
+}
+
+void
+traffic_shares(
+    struct traffic *t, uint32_t sequoiads, const struct share *v, size_t n)
+{
+	struct message *m = xcalloc(1, sizeof(*m));
+
+	m->shares = xcalloc(n, sizeof(*v));
+	m->names = xcalloc(n, sizeof(*m->names));
+	for (size_t i = 0; i < n; i++) {
+		size_t len = v[i].workspace.n < MAX_NAME_BYTES
+		    ? v[i].workspace.n
+		    : MAX_NAME_BYTES;
+
+		memcpy(m->names[i], v[i].workspace.p, len);
+		m->shares[i].workspace = (struct str){ m->names[i], len };
+		m->shares[i].ppm = v[i].ppm;
+	}
+	m->ev.kind = EVENT_SHARES;
+	m->ev.shares.sequoiads = sequoiads;
+	m->ev.shares.v = m->shares;
+	m->ev.shares.n = n;
+	post(t, m);
+}
+
+void
+traffic_load(struct traffic *t, const char *addr, uint32_t load, bool leaving)
+{
+	struct message *m = xcalloc(1, sizeof(*m));
+
+	buf_put(&m->text, str_from(addr));
+	m->ev.kind = EVENT_LOAD;
+	m->ev.load.addr = str_of(&m->text);
+	m->ev.load.load = load;
+	m->ev.load.leaving = leaving;
+	post(t, m);
+}
+
+void
+traffic_drain(struct traffic *t)
+{
+	struct message *m = xcalloc(1, sizeof(*m));
+
+	m->ev.kind = EVENT_DRAIN;
+	post(t, m);
+}
+
+size_t
+traffic_busy(struct traffic *t)
+{
+	return atomic_load(&t->busy);
+}
+
+void
+traffic_report(struct traffic *t, struct traffic_report *out)
+{
+	pthread_mutex_lock(&t->report_lock);
+	*out = t->report;
+	out->targets = xcalloc(out->n_targets, sizeof(*out->targets));
+	if (out->n_targets > 0)
+		memcpy(out->targets, t->report.targets,
+		    out->n_targets * sizeof(*out->targets));
+	pthread_mutex_unlock(&t->report_lock);
+}
+
+void
+traffic_report_free(struct traffic_report *r)
+{
+	free(r->targets);
+	*r = (struct traffic_report){ 0 };
+}
+
+void
+traffic_stop(struct traffic *t)
+{
+	struct message *m = xcalloc(1, sizeof(*m));
+
+	m->stop = true;
+	post(t, m);
+	pthread_join(t->thread, NULL);
+}
+
+void
+traffic_free(struct traffic *t)
+{
+	take_messages(t);
+	g_hash_table_destroy(t->carried);
+	http_free(t->loop);
+	kernel_free(t->kernel);
+	actions_free(&t->actions);
+	free(t->report.targets);
+	pthread_mutex_destroy(&t->report_lock);
+	free(t);
+}
--- /dev/null
+++ b/plat/hosts.c
@@ -0,0 +1,133 @@
+#include "plat/hosts.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct hosts {
+	struct hosts_opts o;
+	char *url;
+	uint64_t call; /* 0: none under way */
+	int status;
+	struct buf body;
+	char digest[HASH_HEX_LEN + 1]; /* of the last list handed on */
+};
+
+static void
+copy(char *out, size_t cap, const json_t *o, const char *key)
+{
+	const char *text = json_string_value(json_object_get(o, key));
+
+	snprintf(out, cap, "%s", text != NULL ? text : "");
+}
+
+static enum target_state
+state_of(const json_t *o)
+{
+	const char *text = json_string_value(json_object_get(o, "state"));
+
+	if (text != NULL && strcmp(text, "leaving") == 0)
+		return TARGET_LEAVING;
+	return TARGET_LIVE;
+}
+
+static void
+hand_on(struct hosts *h, const json_t *list)
+{
+	size_t n = json_array_size(list);
+	struct listed_target *v = xcalloc(n, sizeof(*v));
+
+	for (size_t i = 0; i < n; i++) {
+		const json_t *x = json_array_get(list, i);
+
+		copy(v[i].service, sizeof(v[i].service), x, "service");
+		copy(v[i].addr, sizeof(v[i].addr), x, "address");
+		copy(v[i].domain, sizeof(v[i].domain), x, "failure_domain");
+		v[i].state = state_of(x);
+	}
+	h->o.changed(h->o.arg, v, n);
+	free(v);
+}
+
+static void
+take(struct hosts *h)
+{
+	char digest[HASH_HEX_LEN + 1];
+	json_t *o;
+	const json_t *list;
+
+	hash_sha256(str_of(&h->body), digest);
+	if (hash_same(digest, h->digest))
+		return;
+	o = json_loadb(h->body.p, h->body.n, 0, NULL);
+	list = json_object_get(o, "hosts");
+	if (json_is_array(list)) {
+		memcpy(h->digest, digest, sizeof(digest));
+		hand_on(h, list);
+	}
+	json_decref(o);
+}
+
+static void
+on_http(void *arg, const struct http_event *ev)
+{
+	struct hosts *h = arg;
+
+	switch (ev->kind) {
+	case HTTP_HEAD:
+		h->status = ev->status;
+		return;
+	case HTTP_CHUNK:
+		buf_put(&h->body, ev->bytes);
+		return;
+	case HTTP_END:
+		if (h->status == 200 && h->body.n > 0)
+			take(h);
+		break;
+	case HTTP_FAIL:
+		break;
+	}
+	h->call = 0;
+}
+
+struct hosts *
+hosts_new(const struct hosts_opts *o)
+{
+	struct hosts *h = xcalloc(1, sizeof(*h));
+	struct buf url = { 0 };
+
+	h->o = *o;
+	if (*o->addr != '\0') {
+		buf_printf(&url, "http://%s/hosts", o->addr);
+		h->url = url.p;
+	}
+	memset(h->digest, '0', HASH_HEX_LEN);
+	return h;
+}
+
+void
+hosts_read(struct hosts *h)
+{
+	if (h->url == NULL || h->call != 0)
+		return;
+	h->status = 0;
+	buf_clear(&h->body);
+	h->call = http_start(h->o.loop,
+	    &(struct http_opts){
+		.url = h->url,
+		.timeout = h->o.timeout,
+		.handler = on_http,
+		.arg = h,
+	    });
+}
+
+void
+hosts_free(struct hosts *h)
+{
+	if (h->call != 0)
+		http_cancel(h->o.loop, h->call);
+	buf_free(&h->body);
+	free(h->url);
+	free(h);
+}
--- /dev/null
+++ b/plat/hosts.h
@@ -0,0 +1,27 @@
+/*
+ * Client of the platform's host list: read at an interval, with an entity
+ * tag, so that an unchanged list costs little.
+ */
+#ifndef PLAT_HOSTS_H
+#define PLAT_HOSTS_H
+
+#include "kernel/event.h"
+#include "plat/http.h"
+
+struct hosts;
+
+struct hosts_opts {
+	struct http_loop *loop;
+	const char *addr; /* IP:PORT; empty: there is no host list */
+	usec_t timeout;
+	/* A reading that differs from the last one. */
+	void (*changed)(void *arg, const struct listed_target *v, size_t n);
+	void *arg;
+};
+
+struct hosts *hosts_new(const struct hosts_opts *o);
+/* Starts a reading unless one is under way. */
+void hosts_read(struct hosts *h);
+void hosts_free(struct hosts *h);
+
+#endif
--- /dev/null
+++ b/plat/http.c
@@ -0,0 +1,270 @@
+#include "plat/http.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <stdlib.h>
+
+#define IDLE_CONNECTION_SEC 20L
+#define MAX_IDLE            512L
+#define CONNECT_TIMEOUT     (1 * USEC_PER_SEC)
+
+struct transfer {
+	uint64_t id;
+	struct http_loop *loop;
+	CURL *easy;
+	struct curl_slist *headers;
+	http_handler handler;
+	void *arg;
+	struct buf body;
+	struct buf in; /* came in and is not yet handed on */
+	bool head_told;
+	bool dirty; /* stands in the loop's list of news */
+};
+
+struct http_loop {
+	CURLM *multi;
+	GHashTable *transfers; /* id -> struct transfer, owned */
+	GArray *news;          /* ids of transfers with bytes to hand on */
+	uint64_t next;
+};
+
+static void
+free_transfer(gpointer p)
+{
+	struct transfer *t = p;
+
+	curl_multi_remove_handle(t->loop->multi, t->easy);
+	curl_easy_cleanup(t->easy);
+	curl_slist_free_all(t->headers);
+	buf_free(&t->body);
+	buf_free(&t->in);
+	free(t);
+}
+
+static size_t
+on_bytes(char *p, size_t size, size_t n, void *arg)
+{
+	struct transfer *t = arg;
+
+	buf_put(&t->in, (struct str){ p, size * n });
+	if (!t->dirty) {
+		t->dirty = true;
+		g_array_append_val(t->loop->news, t->id);
+	}
+	return size * n;
+}
+
+static long
+to_ms(usec_t t)
+{
+	long ms = (long)(t / USEC_PER_MSEC);
+
+	return ms > 0 ? ms : 1;
+}
+
+static void
+set_options(struct transfer *t, const struct http_opts *o)
+{
+	CURL *e = t->easy;
+	usec_t connect =
+	    o->connect_timeout > 0 ? o->connect_timeout : CONNECT_TIMEOUT;
+
+	curl_easy_setopt(e, CURLOPT_URL, o->url);
+	curl_easy_setopt(e, CURLOPT_PRIVATE, t);
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_bytes);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, t);
+	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, to_ms(connect));
+	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, IDLE_CONNECTION_SEC);
+	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	if (o->timeout > 0)
+		curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, to_ms(o->timeout));
+	if (o->fresh) {
+		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
+	}
+	if (o->local_addr != NULL)
+		curl_easy_setopt(e, CURLOPT_INTERFACE, o->local_addr);
+	if (o->method != NULL)
+		curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, o->method);
+	if (o->body.n > 0) {
+		curl_easy_setopt(
+		    e, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)t->body.n);
+		curl_easy_setopt(e, CURLOPT_POSTFIELDS, t->body.p);
+	}
+}
+
+static void
+set_headers(struct transfer *t, const struct http_opts *o)
+{
+	t->headers = curl_slist_append(t->headers, "Expect:");
+	if (o->body.n > 0)
+		t->headers = curl_slist_append(
+		    t->headers, "Content-Type: application/json");
+	for (size_t i = 0; o->headers != NULL && o->headers[i] != NULL; i++)
+		t->headers = curl_slist_append(t->headers, o->headers[i]);
+	curl_easy_setopt(t->easy, CURLOPT_HTTPHEADER, t->headers);
+}
+
+static struct transfer *
+find(struct http_loop *l, uint64_t id)
+{
+	return g_hash_table_lookup(l->transfers, &id);
+}
+
+/* Hands on the status, once, and the bytes that came in. */
+static void
+hand_on(struct http_loop *l, uint64_t id)
+{
+	struct transfer *t = find(l, id);
+	struct http_event ev = { .kind = HTTP_HEAD };
+	struct buf in;
+	long status = 0;
+
+	if (t == NULL)
+		return;
+	t->dirty = false;
+	if (!t->head_told) {
+		t->head_told = true;
+		curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
+		ev.status = (int)status;
+		t->handler(t->arg, &ev);
+		t = find(l, id);
+	}
+	if (t == NULL || t->in.n == 0)
+		return;
+	in = t->in;
+	t->in = (struct buf){ 0 };
+	ev.kind = HTTP_CHUNK;
+	ev.bytes = str_of(&in);
+	t->handler(t->arg, &ev);
+	buf_free(&in);
+}
+
+static enum http_failure
+failure_of(CURL *e, CURLcode rc)
+{
+	curl_off_t connected = 0;
+
+	if (rc == CURLE_COULDNT_CONNECT || rc == CURLE_INTERFACE_FAILED ||
+	    rc == CURLE_URL_MALFORMAT)
+		return HTTP_CONNECT;
+	if (rc != CURLE_OPERATION_TIMEDOUT)
+		return HTTP_BROKEN;
+	curl_easy_getinfo(e, CURLINFO_PRETRANSFER_TIME_T, &connected);
+	return connected == 0 ? HTTP_CONNECT : HTTP_TIMEOUT;
+}
+
+static void
+finish(struct http_loop *l, struct transfer *t, CURLcode rc)
+{
+	uint64_t id = t->id;
+	struct http_event ev = { .kind = HTTP_END };
+
+	if (rc == CURLE_OK)
+		hand_on(l, id);
+	t = find(l, id);
+	if (t == NULL)
+		return;
+	if (rc != CURLE_OK) {
+		ev.kind = HTTP_FAIL;
+		ev.fail.why = failure_of(t->easy, rc);
+		ev.fail.text = curl_easy_strerror(rc);
+	}
+	g_hash_table_steal(l->transfers, &id);
+	t->handler(t->arg, &ev);
+	free_transfer(t);
+}
+
+/* Bytes first, so that a broken answer's last bytes are not lost. */
+static void
+handle_news(struct http_loop *l)
+{
+	CURLMsg *m;
+	int left;
+
+	for (guint i = 0; i < l->news->len; i++)
+		hand_on(l, g_array_index(l->news, uint64_t, i));
+	g_array_set_size(l->news, 0);
+	while ((m = curl_multi_info_read(l->multi, &left)) != NULL) {
+		CURLcode rc = m->data.result;
+		char *t = NULL;
+
+		if (m->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &t);
+		finish(l, (struct transfer *)(void *)t, rc);
+	}
+}
+
+struct http_loop *
+http_new(void)
+{
+	struct http_loop *l = xcalloc(1, sizeof(*l));
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	l->multi = curl_multi_init();
+	curl_multi_setopt(l->multi, CURLMOPT_MAXCONNECTS, MAX_IDLE);
+	l->transfers = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, free_transfer);
+	l->news = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	return l;
+}
+
+uint64_t
+http_start(struct http_loop *l, const struct http_opts *o)
+{
+	struct transfer *t = xcalloc(1, sizeof(*t));
+
+	t->id = ++l->next;
+	t->loop = l;
+	t->handler = o->handler;
+	t->arg = o->arg;
+	t->easy = curl_easy_init();
+	buf_put(&t->body, o->body);
+	set_options(t, o);
+	set_headers(t, o);
+	g_hash_table_insert(l->transfers, &t->id, t);
+	curl_multi_add_handle(l->multi, t->easy);
+	return t->id;
+}
+
+void
+http_cancel(struct http_loop *l, uint64_t call)
+{
+	g_hash_table_remove(l->transfers, &call);
+}
+
+void
+http_run(struct http_loop *l, usec_t wait)
+{
+	int running;
+
+	curl_multi_perform(l->multi, &running);
+	handle_news(l);
+	curl_multi_poll(l->multi, NULL, 0, (int)(wait / USEC_PER_MSEC), NULL);
+	curl_multi_perform(l->multi, &running);
+	handle_news(l);
+}
+
+void
+http_wake(struct http_loop *l)
+{
+	curl_multi_wakeup(l->multi);
+}
+
+size_t
+http_active(const struct http_loop *l)
+{
+	return g_hash_table_size(l->transfers);
+}
+
+void
+http_free(struct http_loop *l)
+{
+	g_hash_table_destroy(l->transfers);
+	g_array_free(l->news, TRUE);
+	curl_multi_cleanup(l->multi);
+	free(l);
+}
--- /dev/null
+++ b/plat/http.h
@@ -0,0 +1,67 @@
+/*
+ * An HTTP client of many calls at once on one thread, over libcurl.
+ *
+ * A loop belongs to the thread that runs it; only http_wake may be called
+ * from others.  Handlers are called from http_run, never from http_start or
+ * http_cancel.  After http_cancel no handler of that call is called.
+ */
+#ifndef PLAT_HTTP_H
+#define PLAT_HTTP_H
+
+#include "base/clock.h"
+#include "base/str.h"
+
+struct http_loop;
+
+enum http_failure {
+	HTTP_CONNECT, /* nothing was sent */
+	HTTP_BROKEN,  /* something may have been sent */
+	HTTP_TIMEOUT
+};
+
+enum http_event_kind {
+	HTTP_HEAD,  /* status is known */
+	HTTP_CHUNK, /* bytes of the body */
+	HTTP_END,   /* the answer is whole */
+	HTTP_FAIL
+};
+
+struct http_event {
+	enum http_event_kind kind;
+	union {
+		int status;
+		struct str bytes;
+		struct {
+			enum http_failure why;
+			const char *text;
+		} fail;
+	};
+};
+
+typedef void (*http_handler)(void *arg, const struct http_event *ev);
+
+struct http_opts {
+	const char *method; /* GET if NULL */
+	const char *url;
+	struct str body;            /* copied */
+	const char *const *headers; /* "Name: value", ends with NULL; or NULL */
+	usec_t timeout;             /* of the whole call; 0: none */
+	usec_t connect_timeout;     /* 0: one second */
+	bool fresh;             /* on a new connection that is not used again */
+	const char *local_addr; /* source address, or NULL */
+	http_handler handler;
+	void *arg;
+};
+
+struct http_loop *http_new(void);
+/* Starts a call; its number is never 0 and never used twice. */
+uint64_t http_start(struct http_loop *l, const struct http_opts *o);
+void http_cancel(struct http_loop *l, uint64_t call);
+/* Waits up to the given time for something to happen and handles it. */
+void http_run(struct http_loop *l, usec_t wait);
+/* Ends a wait of http_run; may be called from any thread. */
+void http_wake(struct http_loop *l);
+size_t http_active(const struct http_loop *l);
+void http_free(struct http_loop *l);
+
+#endif
--- /dev/null
+++ b/plat/kv.c
@@ -0,0 +1,452 @@
+#include "plat/kv.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_ENDPOINTS 8
+
+enum op {
+	OP_GET,
+	OP_LIST,
+	OP_CAS,
+	OP_PUT,
+	OP_DELETE,
+	OP_GRANT,
+	OP_KEEPALIVE,
+	OP_REVOKE,
+	OP_WATCH
+};
+
+struct kv {
+	struct http_loop *loop;
+	char *endpoints[MAX_ENDPOINTS];
+	size_t n_endpoints;
+	size_t at; /* the endpoint in use */
+	usec_t timeout;
+	char *local_addr;
+	uint64_t calls;
+	GHashTable *open; /* http call number -> struct pending, owned */
+};
+
+struct pending {
+	struct kv *kv;
+	uint64_t call;
+	enum op op;
+	int status;
+	struct buf body;
+	union {
+		kv_done done;
+		kv_listed listed;
+		kv_changed changed;
+	};
+	void *arg;
+};
+
+static void
+free_pending(gpointer p)
+{
+	struct pending *x = p;
+
+	buf_free(&x->body);
+	free(x);
+}
+
+static json_t *
+encoded(struct str s)
+{
+	g_autofree char *b =
+	    g_base64_encode((const guchar *)(s.n > 0 ? s.p : ""), s.n);
+
+	return json_string(b);
+}
+
+static struct buf
+decoded(const json_t *v)
+{
+	struct buf out = { 0 };
+	const char *text = json_string_value(v);
+	gsize n = 0;
+	g_autofree guchar *raw = NULL;
+
+	if (text == NULL)
+		return out;
+	raw = g_base64_decode(text, &n);
+	buf_put(&out, (struct str){ (const char *)raw, n });
+	return out;
+}
+
+/* A 64-bit number, which the service writes as a string. */
+static int64_t
+number(const json_t *o, const char *key)
+{
+	const json_t *v = json_object_get(o, key);
+
+	if (json_is_string(v))
+		return g_ascii_strtoll(json_string_value(v), NULL, 10);
+	return json_integer_value(v);
+}
+
+static json_t *
+text_number(int64_t v)
+{
+	return json_sprintf("%" PRId64, v);
+}
+
+/* Fills what a get, or the get behind a failed comparison, has found. */
+static void
+take_kvs(const json_t *o, struct kv_result *r, struct buf *value)
+{
+	const json_t *kv = json_array_get(json_object_get(o, "kvs"), 0);
+
+	if (kv == NULL)
+		return;
+	r->found = true;
+	r->mod_revision = number(kv, "mod_revision");
+	r->lease = number(kv, "lease");
+	*value = decoded(json_object_get(kv, "value"));
+	r->value = str_of(value);
+}
+
+static void
+read_result(enum op op, const json_t *o, struct kv_result *r, struct buf *value)
+{
+	const json_t *inner;
+
+	r->status = KV_OK;
+	r->revision = number(json_object_get(o, "header"), "revision");
+	switch (op) {
+	case OP_GET:
+		take_kvs(o, r, value);
+		break;
+	case OP_CAS:
+		r->mod_revision = r->revision;
+		if (json_is_true(json_object_get(o, "succeeded")))
+			break;
+		r->status = KV_CONFLICT;
+		inner = json_array_get(json_object_get(o, "responses"), 0);
+		take_kvs(json_object_get(inner, "response_range"), r, value);
+		break;
+	case OP_GRANT:
+		r->lease = number(o, "ID");
+		r->lease_ttl = number(o, "TTL") * USEC_PER_SEC;
+		break;
+	case OP_KEEPALIVE:
+		inner = json_object_get(o, "result");
+		r->lease = number(inner, "ID");
+		r->lease_ttl = number(inner, "TTL") * USEC_PER_SEC;
+		if (r->lease_ttl <= 0)
+			r->status = KV_REFUSED;
+		break;
+	case OP_PUT:
+		r->mod_revision = r->revision;
+		break;
+	case OP_LIST:
+	case OP_DELETE:
+	case OP_REVOKE:
+	case OP_WATCH:
+		break;
+	}
+}
+
+static void
+give_list(const struct pending *p, const json_t *o)
+{
+	const json_t *kvs = json_object_get(o, "kvs");
+	size_t n = json_array_size(kvs);
+	struct kv_entry *v = xcalloc(n, sizeof(*v));
+	struct buf *bufs = xcalloc(2 * n, sizeof(*bufs));
+
+	for (size_t i = 0; i < n; i++) {
+		const json_t *kv = json_array_get(kvs, i);
+
+		bufs[2 * i] = decoded(json_object_get(kv, "key"));
+		bufs[2 * i + 1] = decoded(json_object_get(kv, "value"));
+		v[i].key = str_of(&bufs[2 * i]);
+		v[i].value = str_of(&bufs[2 * i + 1]);
+		v[i].mod_revision = number(kv, "mod_revision");
+	}
+	p->listed(p->arg, KV_OK, v, n);
+	for (size_t i = 0; i < 2 * n; i++)
+		buf_free(&bufs[i]);
+	free(bufs);
+	free(v);
+}
+
+static void
+give(struct pending *p, bool whole)
+{
+	json_t *o = NULL;
+	struct kv_result r = { .status = KV_UNKNOWN };
+	struct buf value = { 0 };
+
+	if (whole && p->status == 200)
+		o = json_loadb(
+		    p->body.p, p->body.n, JSON_DISABLE_EOF_CHECK, NULL);
+	if (whole && (p->status == 429 || p->status == 400))
+		r.status = KV_REFUSED;
+	if (p->op == OP_LIST) {
+		if (o != NULL)
+			give_list(p, o);
+		else
+			p->listed(p->arg, r.status, NULL, 0);
+	} else {
+		if (o != NULL)
+			read_result(p->op, o, &r, &value);
+		p->done(p->arg, &r);
+	}
+	buf_free(&value);
+	json_decref(o);
+}
+
+static void
+give_event(const struct pending *p, const json_t *event)
+{
+	const json_t *kv = json_object_get(event, "kv");
+	const char *type = json_string_value(json_object_get(event, "type"));
+	struct buf key = decoded(json_object_get(kv, "key"));
+	struct buf value = decoded(json_object_get(kv, "value"));
+	struct kv_watched w = {
+		.deleted = type != NULL && strcmp(type, "DELETE") == 0,
+		.key = str_of(&key),
+		.value = str_of(&value),
+		.mod_revision = number(kv, "mod_revision"),
+	};
+
+	p->changed(p->arg, &w);
+	buf_free(&key);
+	buf_free(&value);
+}
+
+/* Hands on the messages of a watch that have come whole, a line each. */
+static void
+give_messages(struct kv *kv, uint64_t call)
+{
+	struct pending *p = g_hash_table_lookup(kv->open, &call);
+	struct buf all = p->body;
+	struct str rest = str_of(&all);
+	struct str line;
+
+	p->body = (struct buf){ 0 };
+	while (rest.n > 0 && memchr(rest.p, '\n', rest.n) != NULL) {
+		json_t *o;
+		const json_t *events;
+
+		str_cut(&rest, '\n', &line);
+		o = json_loadb(line.p, line.n, 0, NULL);
+		events =
+		    json_object_get(json_object_get(o, "result"), "events");
+		for (size_t i = 0; i < json_array_size(events); i++) {
+			p = g_hash_table_lookup(kv->open, &call);
+			if (p != NULL)
+				give_event(p, json_array_get(events, i));
+		}
+		json_decref(o);
+	}
+	p = g_hash_table_lookup(kv->open, &call);
+	if (p != NULL && rest.n > 0)
+		buf_put(&p->body, rest);
+	buf_free(&all);
+}
+
+static void
+on_http(void *arg, const struct http_event *ev)
+{
+	struct pending *p = arg;
+	struct kv *kv = p->kv;
+	uint64_t call = p->call;
+
+	switch (ev->kind) {
+	case HTTP_HEAD:
+		p->status = ev->status;
+		return;
+	case HTTP_CHUNK:
+		buf_put(&p->body, ev->bytes);
+		if (p->op == OP_WATCH)
+			give_messages(kv, call);
+		return;
+	case HTTP_FAIL:
+		kv->at = (kv->at + 1) % kv->n_endpoints;
+		break;
+	case HTTP_END:
+		break;
+	}
+	g_hash_table_steal(kv->open, &call);
+	if (p->op == OP_WATCH)
+		p->changed(p->arg, &(struct kv_watched){ .closed = true });
+	else
+		give(p, ev->kind == HTTP_END);
+	free_pending(p);
+}
+
+/* Sends one call; the object is released. */
+static struct pending *
+send(struct kv *kv, enum op op, const char *path, json_t *o, void *arg)
+{
+	struct pending *p = xcalloc(1, sizeof(*p));
+	struct buf url = { 0 };
+	char *text = json_dumps(o, JSON_COMPACT);
+
+	p->kv = kv;
+	p->op = op;
+	p->arg = arg;
+	buf_printf(&url, "http://%s%s", kv->endpoints[kv->at], path);
+	kv->calls++;
+	p->call = http_start(kv->loop,
+	    &(struct http_opts){
+		.method = "POST",
+		.url = url.p,
+		.body = str_from(text),
+		.timeout = op == OP_WATCH ? 0 : kv->timeout,
+		.local_addr = kv->local_addr,
+		.handler = on_http,
+		.arg = p,
+	    });
+	g_hash_table_insert(kv->open, &p->call, p);
+	free(text);
+	json_decref(o);
+	buf_free(&url);
+	return p;
+}
+
+struct kv *
+kv_new(const struct kv_opts *o)
+{
+	struct kv *kv = xcalloc(1, sizeof(*kv));
+
+	kv->loop = o->loop;
+	kv->timeout = o->timeout;
+	if (o->local_addr != NULL)
+		kv->local_addr = str_dup(str_from(o->local_addr));
+	for (size_t i = 0; i < o->n_endpoints && i < MAX_ENDPOINTS; i++)
+		kv->endpoints[kv->n_endpoints++] =
+		    str_dup(str_from(o->endpoints[i]));
+	kv->open = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, free_pending);
+	return kv;
+}
+
+void
+kv_get(struct kv *kv, struct str key, kv_done done, void *arg)
+{
+	json_t *o = json_pack("{s:o}", "key", encoded(key));
+
+	send(kv, OP_GET, "/v3/kv/range", o, arg)->done = done;
+}
+
+void
+kv_list(struct kv *kv, struct str prefix, kv_listed done, void *arg)
+{
+	struct buf end = { 0 };
+	json_t *o;
+
+	buf_put(&end, prefix);
+	end.p[end.n - 1]++;
+	o = json_pack("{s:o, s:o}", "key", encoded(prefix), "range_end",
+	    encoded(str_of(&end)));
+	buf_free(&end);
+	send(kv, OP_LIST, "/v3/kv/range", o, arg)->listed = done;
+}
+
+void
+kv_cas(struct kv *kv, const struct kv_cas_opts *c, kv_done done, void *arg)
+{
+	json_t *put = json_pack(
+	    "{s:o, s:o}", "key", encoded(c->key), "value", encoded(c->value));
+	json_t *o;
+
+	if (c->lease != 0)
+		json_object_set_new(put, "lease", text_number(c->lease));
+	o = json_pack("{s:[{s:o, s:s, s:o, s:s}], s:[{s:o}], s:[{s:{s:o}}]}",
+	    "compare", "key", encoded(c->key), "target", "MOD", "mod_revision",
+	    text_number(c->expect), "result", "EQUAL", "success", "request_put",
+	    put, "failure", "request_range", "key", encoded(c->key));
+	send(kv, OP_CAS, "/v3/kv/txn", o, arg)->done = done;
+}
+
+void
+kv_put(struct kv *kv, struct str key, struct str value, int64_t lease,
+    kv_done done, void *arg)
+{
+	json_t *o = json_pack(
+	    "{s:o, s:o}", "key", encoded(key), "value", encoded(value));
+
+	if (lease != 0)
+		json_object_set_new(o, "lease", text_number(lease));
+	send(kv, OP_PUT, "/v3/kv/put", o, arg)->done = done;
+}
+
+void
+kv_delete(struct kv *kv, struct str key, kv_done done, void *arg)
+{
+	json_t *o = json_pack("{s:o}", "key", encoded(key));
+
+	send(kv, OP_DELETE, "/v3/kv/deleterange", o, arg)->done = done;
+}
+
+void
+kv_lease_grant(struct kv *kv, usec_t ttl, kv_done done, void *arg)
+{
+	json_t *o = json_pack("{s:o}", "TTL", text_number(ttl / USEC_PER_SEC));
+
+	send(kv, OP_GRANT, "/v3/lease/grant", o, arg)->done = done;
+}
+
+void
+kv_lease_keepalive(struct kv *kv, int64_t lease, kv_done done, void *arg)
+{
+	json_t *o = json_pack("{s:o}", "ID", text_number(lease));
+
+	send(kv, OP_KEEPALIVE, "/v3/lease/keepalive", o, arg)->done = done;
+}
+
+void
+kv_lease_revoke(struct kv *kv, int64_t lease, kv_done done, void *arg)
+{
+	json_t *o = json_pack("{s:o}", "ID", text_number(lease));
+
+	send(kv, OP_REVOKE, "/v3/lease/revoke", o, arg)->done = done;
+}
+
+uint64_t
+kv_watch(
+    struct kv *kv, struct str key, int64_t from, kv_changed changed, void *arg)
+{
+	json_t *o = json_pack("{s:{s:o, s:o}}", "create_request", "key",
+	    encoded(key), "start_revision", text_number(from));
+	struct pending *p = send(kv, OP_WATCH, "/v3/watch", o, arg);
+
+	p->changed = changed;
+	return p->call;
+}
+
+void
+kv_unwatch(struct kv *kv, uint64_t watch)
+{
+	http_cancel(kv->loop, watch);
+	g_hash_table_remove(kv->open, &watch);
+}
+
+uint64_t
+kv_calls(const struct kv *kv)
+{
+	return kv->calls;
+}
+
+void
+kv_free(struct kv *kv)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, kv->open);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		http_cancel(kv->loop, ((struct pending *)p)->call);
+	g_hash_table_destroy(kv->open);
+	for (size_t i = 0; i < kv->n_endpoints; i++)
+		free(kv->endpoints[i]);
+	free(kv->local_addr);
+	free(kv);
+}
--- /dev/null
+++ b/plat/kv.h
@@ -0,0 +1,87 @@
+/*
+ * Client of the platform's key-value service: the JSON form of etcd's v3 API
+ * over HTTP.  All calls are asynchronous on an http_loop.
+ *
+ * A write whose answer is lost ends in KV_UNKNOWN: it may or may not have
+ * taken effect.
+ */
+#ifndef PLAT_KV_H
+#define PLAT_KV_H
+
+#include "base/err.h"
+#include "plat/http.h"
+
+struct kv;
+
+enum kv_status {
+	KV_OK,
+	KV_CONFLICT, /* the comparison failed; nothing was written */
+	KV_REFUSED,  /* the service said no, and nothing was written */
+	KV_UNKNOWN   /* no usable answer */
+};
+
+struct kv_result {
+	enum kv_status status;
+	int64_t revision;     /* of the store */
+	bool found;           /* of a get, or of the key behind a conflict */
+	int64_t mod_revision; /* of the key */
+	int64_t lease;        /* granted or of the key */
+	usec_t lease_ttl;
+	struct str value;
+};
+
+struct kv_entry {
+	struct str key;
+	struct str value;
+	int64_t mod_revision;
+};
+
+typedef void (*kv_done)(void *arg, const struct kv_result *r);
+typedef void (*kv_listed)(
+    void *arg, enum kv_status st, const struct kv_entry *v, size_t n);
+/* key: changed key; deleted: it is gone.  closed: the watch has ended. */
+struct kv_watched {
+	bool closed;
+	bool deleted;
+	struct str key;
+	struct str value;
+	int64_t mod_revision;
+};
+typedef void (*kv_changed)(void *arg, const struct kv_watched *w);
+
+struct kv_opts {
+	struct http_loop *loop;
+	const char *const *endpoints; /* IP:PORT, copied */
+	size_t n_endpoints;
+	usec_t timeout;         /* of one call */
+	const char *local_addr; /* source address, or NULL */
+};
+
+struct kv_cas_opts {
+	struct str key;
+	int64_t expect; /* mod revision; 0: the key must not exist */
+	struct str value;
+	int64_t lease; /* 0: none */
+};
+
+struct kv *kv_new(const struct kv_opts *o);
+void kv_get(struct kv *kv, struct str key, kv_done done, void *arg);
+/* All keys that start with the prefix. */
+void kv_list(struct kv *kv, struct str prefix, kv_listed done, void *arg);
+void kv_cas(
+    struct kv *kv, const struct kv_cas_opts *o, kv_done done, void *arg);
+void kv_put(struct kv *kv, struct str key, struct str value, int64_t lease,
+    kv_done done, void *arg);
+void kv_delete(struct kv *kv, struct str key, kv_done done, void *arg);
+void kv_lease_grant(struct kv *kv, usec_t ttl, kv_done done, void *arg);
+void kv_lease_keepalive(struct kv *kv, int64_t lease, kv_done done, void *arg);
+void kv_lease_revoke(struct kv *kv, int64_t lease, kv_done done, void *arg);
+/* Watches one key from a revision on; returns the watch's number. */
+uint64_t kv_watch(
+    struct kv *kv, struct str key, int64_t from, kv_changed changed, void *arg);
+void kv_unwatch(struct kv *kv, uint64_t watch);
+/* Calls made since start, waiting watches counted once each. */
+uint64_t kv_calls(const struct kv *kv);
+void kv_free(struct kv *kv);
+
+#endif
