Add standin, which stands in for key-value service, hosts and targets

The parts that talk to the outside need something to talk to in tests. One program serves an etcd-like store, a lagging host list and runners of all kinds of target, on loopback only, and takes faults from an admin address.

--- /dev/null
+++ b/tests/standin/engine.c
@@ -0,0 +1,592 @@
+#include "tests/standin/engine.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "base/rng.h"
+
+#define PREFIX_BYTES    ((size_t)256)
+#define TOKEN_BYTES     ((size_t)4)
+#define HIT_DIVISOR     5
+#define DEFAULT_TOKENS  16
+#define CUT_AFTER       3
+#define EVENTS_LATE     USEC_PER_SEC
+#define EVENTS_MAX      10000U
+#define EVENT_DROP_PART 10U
+#define WORD_MAX        128
+
+struct cache_event {
+	usec_t at;
+	json_int_t number;
+	bool stored;
+	char hash[HASH_HEX_LEN + 1];
+};
+
+struct engine {
+	const struct target_conf *conf;
+	GMutex lock;
+	json_int_t fence;
+	json_int_t highest;
+	char *role;
+	json_t *models;
+	json_t *wanted;
+	json_t *adapters;
+	bool ready;
+	bool loading;
+	const char *error;
+	unsigned order;
+	long fail_version;
+	/* Prefix hashes, the latest used first. */
+	GQueue *cache;
+	GArray *events;
+	json_int_t n_events;
+	struct rng rng;
+};
+
+/* A loader thread's work. */
+struct load {
+	struct engine *e;
+	unsigned order;
+	json_t *models;
+};
+
+/* A stream under way. */
+struct gen {
+	char *id;
+	char marker[WORD_MAX];
+	struct str prompt;
+	long first;
+	long most;
+	bool cached;
+};
+
+static GMutex store_lock;
+static GCond store_moved;
+static unsigned slots;
+static unsigned loading_now;
+static unsigned most_loading;
+static json_t *order_log;
+
+void
+engine_init(unsigned weight_slots)
+{
+	slots = weight_slots;
+	order_log = json_array();
+}
+
+struct engine *
+engine_new(const struct target_conf *conf)
+{
+	struct engine *e = g_new0(struct engine, 1);
+
+	e->conf = conf;
+	g_mutex_init(&e->lock);
+	e->role = g_strdup("generate");
+	e->models = json_array();
+	if (conf->model[0] != '\0')
+		json_array_append_new(e->models,
+		    json_pack("{s:s,s:s}", "name", conf->model, "version",
+			conf->version));
+	e->wanted = json_incref(e->models);
+	e->adapters = json_array();
+	e->ready = true;
+	e->error = "";
+	e->cache = g_queue_new();
+	e->events = g_array_new(FALSE, FALSE, sizeof(struct cache_event));
+	rng_init(&e->rng, conf->port);
+	return e;
+}
+
+static void
+add_event(struct engine *e, bool stored, const char *hash)
+{
+	struct cache_event ev = {
+		.at = clock_now(), .number = ++e->n_events, .stored = stored
+	};
+
+	if (rng_below(&e->rng, EVENT_DROP_PART) == 0)
+		return;
+	memcpy(ev.hash, hash, sizeof(ev.hash));
+	if (e->events->len >= EVENTS_MAX)
+		g_array_remove_range(e->events, 0, EVENTS_MAX / 2);
+	g_array_append_val(e->events, ev);
+}
+
+/* Looks a prompt up in the prefix cache and puts it there. */
+static bool
+use_cache(struct engine *e, struct str salt, struct str prompt)
+{
+	struct buf key = { 0 };
+	char hash[HASH_HEX_LEN + 1], *old;
+	GList *hit;
+
+	buf_put(&key, salt);
+	buf_putc(&key, '\0');
+	buf_put(&key, (struct str){ prompt.p, MIN(prompt.n, PREFIX_BYTES) });
+	hash_sha256(str_of(&key), hash);
+	buf_free(&key);
+	g_mutex_lock(&e->lock);
+	hit = g_queue_find_custom(e->cache, hash, (GCompareFunc)strcmp);
+	if (hit != NULL) {
+		g_queue_unlink(e->cache, hit);
+		g_queue_push_head_link(e->cache, hit);
+	} else if (e->conf->cache_prefixes > 0) {
+		g_queue_push_head(e->cache, g_strdup(hash));
+		add_event(e, true, hash);
+	}
+	if (g_queue_get_length(e->cache) > e->conf->cache_prefixes) {
+		old = g_queue_pop_tail(e->cache);
+		add_event(e, false, old);
+		g_free(old);
+	}
+	g_mutex_unlock(&e->lock);
+	return hit != NULL;
+}
+
+static bool
+has_model(const json_t *models, const char *name)
+{
+	const char *n;
+	json_t *m;
+	size_t i;
+
+	if (json_array_size(models) == 0)
+		return true;
+	json_array_foreach(models, i, m)
+	{
+		n = json_string_value(json_object_get(m, "name"));
+		if (n != NULL && name != NULL && strcmp(n, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Whether the engine can take a completion; answers if it can't. */
+static bool
+can_generate(struct engine *e, struct mg_connection *c, const json_t *body)
+{
+	const char *model = json_string_value(json_object_get(body, "model"));
+	bool ready, known;
+
+	g_mutex_lock(&e->lock);
+	ready = e->ready && strcmp(e->role, "generate") == 0;
+	known = has_model(e->models, model);
+	g_mutex_unlock(&e->lock);
+	if (!ready)
+		web_error(c, 503, "not ready");
+	else if (!known)
+		web_error(c, 404, "no such model");
+	return ready && known;
+}
+
+static struct str
+get_str(const json_t *o, const char *name)
+{
+	const json_t *v = json_object_get(o, name);
+
+	return (struct str){ json_string_value(v), json_string_length(v) };
+}
+
+static void
+find_marker(struct gen *g)
+{
+	const char *at =
+	    g->prompt.n > 0 ? strstr(g->prompt.p, "marker=") : NULL;
+	size_t n;
+
+	if (at == NULL)
+		return;
+	at += strlen("marker=");
+	n = strcspn(at, " \t\r\n\"',;}");
+	n = MIN(n, sizeof(g->marker) - 1);
+	memcpy(g->marker, at, n);
+	g->marker[n] = '\0';
+}
+
+static void
+gen_init(struct gen *g, const json_t *body)
+{
+	const json_t *resume = json_object_get(body, "resume");
+	const json_t *most = json_object_get(body, "max_tokens");
+
+	*g = (struct gen){ .prompt = get_str(body, "prompt") };
+	g->id = str_dup(get_str(body, "request_id"));
+	g->first = (long)json_integer_value(json_object_get(resume, "tokens"));
+	g->most = most ? (long)json_integer_value(most) : DEFAULT_TOKENS;
+	find_marker(g);
+}
+
+/* Under the fault, this stream goes on as a concurrent one. */
+static void
+gen_swap(struct runner *r, struct gen *g)
+{
+	json_t *a = runner_swap(
+	    r, json_pack("{s:s,s:s}", "id", g->id, "marker", g->marker));
+
+	free(g->id);
+	g->id = str_dup(get_str(a, "id"));
+	g_strlcpy(g->marker, json_string_value(json_object_get(a, "marker")),
+	    sizeof(g->marker));
+	json_decref(a);
+}
+
+static bool
+send_event(struct mg_connection *c, json_t *event)
+{
+	char *text = json_dumps(event, JSON_COMPACT);
+	struct buf b = { 0 };
+	bool sent;
+
+	buf_printf(&b, "data: %s\n\n", text);
+	sent = web_chunk(c, str_of(&b));
+	buf_free(&b);
+	free(text);
+	json_decref(event);
+	return sent;
+}
+
+static bool
+send_token(struct mg_connection *c, const struct gen *g, long n)
+{
+	json_t *text = n == 0 && g->marker[0] != '\0'
+	    ? json_sprintf("%s ", g->marker)
+	    : json_sprintf("t%ld ", n);
+
+	return send_event(c,
+	    json_pack("{s:s,s:[{s:o,s:n}]}", "id", g->id, "choices", "text",
+		text, "finish_reason"));
+}
+
+static bool
+send_end(struct runner *r, struct mg_connection *c, const struct gen *g)
+{
+	size_t cached = MIN(g->prompt.n, PREFIX_BYTES) / TOKEN_BYTES;
+	json_t *e = json_pack("{s:s,s:[{s:s,s:s}],s:{s:I,s:I,s:I},s:i}", "id",
+	    g->id, "choices", "text", "", "finish_reason", "stop", "usage",
+	    "prompt_tokens", (json_int_t)(g->prompt.n / TOKEN_BYTES),
+	    "completion_tokens", (json_int_t)MAX(g->most - g->first, 0),
+	    "cached_tokens", (json_int_t)(g->cached ? cached : 0), "load",
+	    runner_load(r));
+
+	return send_event(c, e) && web_chunk(c, STR("data: [DONE]\n\n")) &&
+	    web_chunk(c, STR(""));
+}
+
+static usec_t
+token_time(struct runner *r)
+{
+	usec_t others = (usec_t)runner_running(r) - 1;
+	usec_t percent = 100 + MAX(others, 0) * r->conf->slowdown_percent;
+
+	return runner_slowed(r, r->conf->token) * percent / 100;
+}
+
+static usec_t
+prompt_time(struct runner *r, const struct gen *g)
+{
+	usec_t t = r->conf->prompt_per_token * (g->prompt.n / TOKEN_BYTES);
+
+	if (g->cached)
+		t /= HIT_DIVISOR;
+	return runner_slowed(r, r->conf->latency + t);
+}
+
+/* Sends the tokens; false when the client is gone or the stream is cut. */
+static bool
+send_tokens(struct runner *r, struct mg_connection *c, const struct gen *g)
+{
+	usec_t at = clock_now();
+	long n;
+
+	for (n = g->first; n < g->most; n++) {
+		at += token_time(r);
+		web_sleep_until(at);
+		if (runner_silent(r, c))
+			return false;
+		if (runner_fault(r) == FAULT_CUT && n >= g->first + CUT_AFTER)
+			return false;
+		if (!send_token(c, g, n))
+			return false;
+		runner_count(r, &r->tokens, 1);
+	}
+	return true;
+}
+
+static void
+stream(struct runner *r, struct mg_connection *c, struct gen *g)
+{
+	usec_t began = clock_now();
+	bool sent;
+
+	web_sleep(prompt_time(r, g) + r->conf->network);
+	gen_swap(r, g);
+	sent = !runner_silent(r, c) && web_stream(c, "text/event-stream") &&
+	    send_tokens(r, c, g);
+	runner_leave(r, began);
+	sent = sent && send_end(r, c, g);
+	if (!sent)
+		web_drop(c);
+	if (sent)
+		runner_count(r, &r->completed, 1);
+	else if (runner_fault(r) == FAULT_CUT)
+		runner_count(r, &r->failed, 1);
+	else
+		runner_count(r, &r->cancelled, 1);
+}
+
+void
+engine_generate(struct runner *r, struct mg_connection *c, const json_t *body)
+{
+	struct gen g;
+
+	if (!can_generate(r->engine, c, body) || !runner_enter(r, c))
+		return;
+	gen_init(&g, body);
+	g.cached = use_cache(r->engine, get_str(body, "cache_salt"), g.prompt);
+	if (g.cached)
+		runner_count(r, &r->cached, 1);
+	stream(r, c, &g);
+	free(g.id);
+}
+
+/* The state as GET /v1/orders shows it, with the lock held. */
+static json_t *
+json_of_state(const struct engine *e)
+{
+	return json_pack("{s:I,s:s,s:b,s:O,s:O,s:b,s:s}", "fence", e->fence,
+	    "role", e->role, "ready", (int)e->ready, "models", e->models,
+	    "adapters", e->adapters, "loading", (int)e->loading, "error",
+	    e->error);
+}
+
+static bool
+is_current(struct engine *e, unsigned order)
+{
+	bool current;
+
+	g_mutex_lock(&e->lock);
+	current = e->order == order;
+	g_mutex_unlock(&e->lock);
+	return current;
+}
+
+/* Reads the weights, when the weight store has a slot. */
+static void
+read_weights(const struct load *l)
+{
+	g_mutex_lock(&store_lock);
+	while (loading_now >= slots)
+		g_cond_wait(&store_moved, &store_lock);
+	loading_now++;
+	most_loading = MAX(most_loading, loading_now);
+	g_mutex_unlock(&store_lock);
+	if (is_current(l->e, l->order))
+		web_sleep(l->e->conf->load_model);
+	g_mutex_lock(&store_lock);
+	loading_now--;
+	g_cond_broadcast(&store_moved);
+	g_mutex_unlock(&store_lock);
+}
+
+static bool
+has_version(const json_t *models, long version)
+{
+	json_t *m;
+	size_t i;
+
+	json_array_foreach(models, i, m)
+	{
+		const char *v =
+		    json_string_value(json_object_get(m, "version"));
+
+		if (v != NULL && version > 0 && strtol(v, NULL, 10) == version)
+			return true;
+	}
+	return false;
+}
+
+static void *
+load_models(void *arg)
+{
+	struct load *l = arg;
+	struct engine *e = l->e;
+
+	read_weights(l);
+	g_mutex_lock(&e->lock);
+	if (e->order == l->order) {
+		e->loading = false;
+		if (has_version(l->models, e->fail_version)) {
+			e->error = "load failed";
+		} else {
+			json_decref(e->models);
+			e->models = json_incref(l->models);
+			e->ready = true;
+		}
+	}
+	json_decref(l->models);
+	g_mutex_unlock(&e->lock);
+	g_free(l);
+	return NULL;
+}
+
+/* Starts loading the wanted models, with the lock held. */
+static void
+start_loading(struct engine *e)
+{
+	struct load *l = g_new0(struct load, 1);
+
+	e->ready = false;
+	e->loading = true;
+	e->error = "";
+	json_decref(e->models);
+	e->models = json_array();
+	l->e = e;
+	l->order = ++e->order;
+	l->models = json_incref(e->wanted);
+	g_thread_unref(g_thread_new("load", load_models, l));
+}
+
+/* Takes an order, with the lock held; false when the fence is too low. */
+static bool
+take_order(struct engine *e, const json_t *order)
+{
+	json_int_t fence = json_integer_value(json_object_get(order, "fence"));
+	const char *role = json_string_value(json_object_get(order, "role"));
+	json_t *models = json_object_get(order, "models");
+	json_t *adapters = json_object_get(order, "adapters");
+	bool same = models == NULL || json_equal(models, e->wanted);
+
+	if (e->conf->honours_fence && fence < e->highest)
+		return false;
+	e->fence = fence;
+	e->highest = MAX(e->highest, fence);
+	if (role != NULL) {
+		g_free(e->role);
+		e->role = g_strdup(role);
+	}
+	if (adapters != NULL) {
+		json_decref(e->adapters);
+		e->adapters = json_deep_copy(adapters);
+	}
+	if (same && (e->ready || e->loading))
+		return true;
+	if (!same) {
+		json_decref(e->wanted);
+		e->wanted = json_deep_copy(models);
+	}
+	start_loading(e);
+	return true;
+}
+
+static void
+log_order(const struct runner *r, const json_t *order, bool accepted)
+{
+	g_mutex_lock(&store_lock);
+	json_array_append_new(order_log,
+	    json_pack("{s:s,s:I,s:b}", "address", r->address, "fence",
+		json_integer_value(json_object_get(order, "fence")), "accepted",
+		(int)accepted));
+	g_mutex_unlock(&store_lock);
+}
+
+static void
+post_order(struct runner *r, struct mg_connection *c)
+{
+	struct engine *e = r->engine;
+	json_t *order = web_body(c), *state;
+	bool accepted;
+
+	if (order == NULL) {
+		web_error(c, 400, "the body is no JSON object");
+		return;
+	}
+	g_mutex_lock(&e->lock);
+	accepted = take_order(e, order);
+	state = json_of_state(e);
+	g_mutex_unlock(&e->lock);
+	log_order(r, order, accepted);
+	json_decref(order);
+	web_json(c, accepted ? 202 : 409, state);
+}
+
+static void
+get_state(struct engine *e, struct mg_connection *c)
+{
+	json_t *state;
+
+	g_mutex_lock(&e->lock);
+	state = json_of_state(e);
+	g_mutex_unlock(&e->lock);
+	web_json(c, 200, state);
+}
+
+static void
+get_events(
+    struct engine *e, struct mg_connection *c, const struct mg_request_info *ri)
+{
+	long after = web_query_num(ri, "after", 0);
+	usec_t then = clock_now() - EVENTS_LATE;
+	json_t *list = json_array();
+	unsigned i;
+
+	g_mutex_lock(&e->lock);
+	for (i = 0; i < e->events->len; i++) {
+		const struct cache_event *ev =
+		    &g_array_index(e->events, struct cache_event, i);
+
+		if (ev->number <= after || ev->at > then)
+			continue;
+		json_array_append_new(list,
+		    json_pack("{s:I,s:s,s:s}", "number", ev->number, "type",
+			ev->stored ? "stored" : "removed", "prefix", ev->hash));
+	}
+	g_mutex_unlock(&e->lock);
+	web_json(c, 200, json_pack("{s:o}", "events", list));
+}
+
+bool
+engine_handle(
+    struct runner *r, struct mg_connection *c, const struct mg_request_info *ri)
+{
+	if (web_is(ri, "POST", "/v1/orders"))
+		post_order(r, c);
+	else if (web_is(ri, "GET", "/v1/orders"))
+		get_state(r->engine, c);
+	else if (web_is(ri, "GET", "/v1/cache_events"))
+		get_events(r->engine, c, ri);
+	else if (web_is(ri, "POST", "/v1/completions"))
+		return false;
+	else
+		web_error(c, 404, "no such call");
+	return true;
+}
+
+void
+engine_fail_version(struct engine *e, long version)
+{
+	g_mutex_lock(&e->lock);
+	e->fail_version = version;
+	g_mutex_unlock(&e->lock);
+}
+
+json_t *
+engine_orders(void)
+{
+	json_t *o;
+
+	g_mutex_lock(&store_lock);
+	o = json_pack("{s:o,s:i}", "orders", json_deep_copy(order_log),
+	    "most_loading", (int)most_loading);
+	g_mutex_unlock(&store_lock);
+	return o;
+}
+
+void
+engine_reset(void)
+{
+	g_mutex_lock(&store_lock);
+	json_array_clear(order_log);
+	most_loading = loading_now;
+	g_mutex_unlock(&store_lock);
+}
--- /dev/null
+++ b/tests/standin/standin.c
@@ -0,0 +1,287 @@
+/*
+ * standin FILE.ini: stands in for everything that the system talks to, on
+ * loopback addresses only: an etcd-like key-value service, the host list and
+ * any number of targets.  Everything is in memory.  SIGTERM or SIGINT ends it.
+ *
+ * Keys of the INI file, with their defaults:
+ *   [kv]      listen = ADDRESS:PORT
+ *             calls_per_second = 0        calls beyond get 429; 0: unlimited
+ *   [hosts]   listen = ADDRESS:PORT
+ *             lag_ms = 500                a change shows after this
+ *   [admin]   listen = ADDRESS:PORT
+ *   [threads] kv = 1024, targets = 1024   connections served at once
+ *   [target NAME]
+ *             kind = encode|retrieve|rerank|generate|plain
+ *             service = NAME              in the host list
+ *             listen = ADDRESS:PORT       of the first runner
+ *             count = 1                   runners, on the ports that follow
+ *             failure_domain = a          comma list, cycled over the runners
+ *             latency_ms = 20             base time of a call
+ *             batch = 8                   calls that run at once, then FIFO
+ *             max_waiting = 64            beyond: 503 {"error":"busy"}
+ *             network_ms = 0              one-way delay before and after
+ *             load_lag_ms = 0             age of the reported load
+ *     engines (kind = generate):
+ *             token_ms = 5                at batch size 1
+ *             batch_slowdown_percent = 3  for each further call in the batch
+ *             cache_prefixes = 64         LRU of (cache_salt, 256 bytes)
+ *             prompt_us_per_token = 100   a token is 4 bytes
+ *             fencing = honoured|ignored
+ *             load_model_ms = 500
+ *             model = NAME, version = 1   loaded at the start; any if absent
+ *             weight_slots = 2            loads at once over all targets; the
+ *                                         lowest of all sections counts
+ *
+ * Calls of the admin address (query parameters; answers are JSON):
+ *   POST /kv?mode=up|down|slow|hang&slow_ms=N&lose_answers=N
+ *            &calls_per_second=N&from=ADDRESS   only for clients from there
+ *   GET  /kv       calls, writes, reads, refused, watches, most_watches,
+ *                  calls_last_second, revision
+ *   POST /hosts?set=live|leaving|gone&address=A
+ *   POST /hosts?add=A&service=S&failure_domain=D
+ *   POST /hosts?mode=up|down
+ *   POST /target?fault=none|slow|fail|fail_half|silent|refuse|swap|leaving|cut
+ *            &factor=5&fail_version=N, with any of address=, service= and
+ *            failure_domain= to say which runners; fail_version=0 ends it
+ *   GET  /targets  a list with the counters of each runner
+ *   GET  /effects?service=S   {"KEY": count}
+ *   GET  /orders   {"orders": [{address, fence, accepted}], "most_loading"}
+ *   POST /reset    the counters, effects and the order log
+ *
+ * A watch gets a progress message (no events) each second if it has asked for
+ * progress_notify, else every ten, which is how a closed one is noticed.
+ * GET /v1/cache_events?after=N of an engine answers {"events": [{"number",
+ * "type": "stored"|"removed", "prefix": SHA-256 of salt, NUL, prefix}]}; events
+ * show after a second, and one in ten is lost.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/ini.h"
+#include "tests/standin/admin.h"
+#include "tests/standin/engine.h"
+#include "tests/standin/hosts.h"
+#include "tests/standin/kv.h"
+#include "tests/standin/target.h"
+
+#define SMALL_THREADS 32U
+#define N_SERVERS     4
+
+static struct ini ini;
+
+static const char *
+text(const char *section, const char *key, const char *absent)
+{
+	const struct ini_entry *e = ini_find(&ini, section, key);
+
+	return e != NULL ? e->value : absent;
+}
+
+/* A number of the file; one that is no number ends the program. */
+static unsigned
+number(const char *section, const char *key, unsigned absent)
+{
+	const struct ini_entry *e = ini_find(&ini, section, key);
+	uint64_t n;
+
+	if (e == NULL)
+		return absent;
+	if (!str_u64(str_from(e->value), &n) || n > UINT32_MAX) {
+		fprintf(stderr, "standin: %s:%d: %s is no number\n", e->file,
+		    e->line, key);
+		exit(EXIT_FAILURE);
+	}
+	return (unsigned)n;
+}
+
+static usec_t
+msec(const char *section, const char *key, unsigned absent)
+{
+	return number(section, key, absent) * USEC_PER_MSEC;
+}
+
+static enum target_kind
+kind_of(const char *section)
+{
+	static const char *const names[] = { "encode", "retrieve", "rerank",
+		"generate", "plain" };
+	const char *kind = text(section, "kind", "");
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++)
+		if (strcmp(names[i], kind) == 0)
+			return (enum target_kind)i;
+	fprintf(stderr, "standin: [%s]: unknown kind\n", section);
+	exit(EXIT_FAILURE);
+}
+
+/* Splits "ADDRESS:PORT". */
+static void
+read_address(const char *section, struct target_conf *t)
+{
+	const char *listen = text(section, "listen", "");
+	const char *colon = strrchr(listen, ':');
+	uint64_t port = 0;
+
+	if (colon == NULL || !str_u64(str_from(colon + 1), &port) ||
+	    port == 0 || port + t->count > UINT16_MAX + 1U) {
+		fprintf(stderr, "standin: [%s]: bad listen\n", section);
+		exit(EXIT_FAILURE);
+	}
+	t->host = str_dup((struct str){ listen, (size_t)(colon - listen) });
+	t->port = (unsigned)port;
+}
+
+static void
+read_target(const char *s, struct buf *listen)
+{
+	struct target_conf *t = xcalloc(1, sizeof(*t));
+
+	t->kind = kind_of(s);
+	t->service = text(s, "service", s + strlen("target "));
+	t->count = number(s, "count", 1);
+	t->domains = text(s, "failure_domain", "a");
+	t->latency = msec(s, "latency_ms", 20);
+	t->token = msec(s, "token_ms", 5);
+	t->batch = number(s, "batch", 8);
+	t->slowdown_percent = number(s, "batch_slowdown_percent", 3);
+	t->max_waiting = number(s, "max_waiting", 64);
+	t->cache_prefixes = number(s, "cache_prefixes", 64);
+	t->prompt_per_token = number(s, "prompt_us_per_token", 100);
+	t->network = msec(s, "network_ms", 0);
+	t->load_lag = msec(s, "load_lag_ms", 0);
+	t->honours_fence =
+	    strcmp(text(s, "fencing", "honoured"), "honoured") == 0;
+	t->load_model = msec(s, "load_model_ms", 500);
+	t->model = text(s, "model", "");
+	t->version = text(s, "version", "1");
+	read_address(s, t);
+	target_add(t, listen);
+}
+
+/* Whether the entry is the first of a target's section. */
+static bool
+opens_target(size_t i)
+{
+	const struct ini_entry *e = &ini.entries[i];
+	size_t k;
+
+	if (!str_prefix(str_from(e->section), STR("target ")))
+		return false;
+	for (k = 0; k < i; k++)
+		if (strcmp(ini.entries[k].section, e->section) == 0)
+			return false;
+	return true;
+}
+
+static void
+read_targets(struct buf *listen)
+{
+	unsigned slots = UINT32_MAX, n;
+	size_t i;
+
+	for (i = 0; i < ini.n; i++) {
+		if (!opens_target(i))
+			continue;
+		read_target(ini.entries[i].section, listen);
+		n = number(ini.entries[i].section, "weight_slots", 2);
+		slots = MIN(slots, n);
+	}
+	engine_init(MAX(slots, 1U));
+}
+
+static int
+read_file(const char *path)
+{
+	struct buf b = { 0 };
+	struct err e;
+	int r = ini_slurp(path, &b, &e);
+
+	if (r == 0)
+		r = ini_add(&ini, path, str_of(&b), &e);
+	if (r != 0)
+		fprintf(stderr, "standin: %s\n", e.text);
+	buf_free(&b);
+	return r;
+}
+
+static int
+start(const char *targets, struct mg_context *ctx[N_SERVERS])
+{
+	const struct {
+		const char *listen;
+		unsigned threads;
+		web_fn fn;
+	} servers[N_SERVERS] = {
+		{ text("kv", "listen", ""), number("threads", "kv", 1024),
+		    kv_handle },
+		{ text("hosts", "listen", ""), SMALL_THREADS, hosts_handle },
+		{ text("admin", "listen", ""), SMALL_THREADS, admin_handle },
+		{ targets, number("threads", "targets", 1024), target_handle },
+	};
+	int i;
+
+	for (i = 0; i < N_SERVERS; i++) {
+		if (servers[i].listen[0] == '\0')
+			continue;
+		ctx[i] = web_start(
+		    servers[i].listen, servers[i].threads, servers[i].fn);
+		if (ctx[i] == NULL)
+			return -1;
+	}
+	return 0;
+}
+
+/* Answers may hang for ever, so that the servers are not stopped in order. */
+static void
+wait_for_end(void)
+{
+	sigset_t set;
+	int sig;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigwait(&set, &sig);
+	_exit(EXIT_SUCCESS);
+}
+
+static void
+block_signals(void)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct mg_context *ctx[N_SERVERS] = { NULL };
+	struct buf listen = { 0 };
+
+	if (argc != 2) {
+		fprintf(stderr, "usage: standin file.ini\n");
+		return EXIT_FAILURE;
+	}
+	if (read_file(argv[1]) != 0)
+		return EXIT_FAILURE;
+	block_signals();
+	kv_init(number("kv", "calls_per_second", 0));
+	hosts_init(msec("hosts", "lag_ms", 500));
+	target_init();
+	read_targets(&listen);
+	if (start(listen.p != NULL ? listen.p : "", ctx) != 0)
+		return EXIT_FAILURE;
+	printf("ready\n");
+	fflush(stdout);
+	wait_for_end();
+	buf_free(&listen);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/standin/target.c
@@ -0,0 +1,450 @@
+#include "tests/standin/target.h"
+
+#include <string.h>
+
+#include "tests/standin/engine.h"
+#include "tests/standin/hosts.h"
+#include "tests/standin/plain.h"
+#include "tests/standin/stage.h"
+
+#define SWAP_WAIT   (500 * USEC_PER_MSEC)
+#define SILENT_MOST (300 * USEC_PER_SEC)
+#define LATE_AFTER  (3 * USEC_PER_SEC)
+#define SLOW_FACTOR 5
+
+/* An answer that waits to be exchanged. */
+struct swap {
+	json_t *answer;
+	bool done;
+};
+
+static GPtrArray *runners;
+static GHashTable *by_port;
+
+static void
+add_runner(const struct target_conf *conf, unsigned i, struct str domain)
+{
+	struct runner *r = g_new0(struct runner, 1);
+	unsigned port = conf->port + i;
+
+	r->conf = conf;
+	r->address = g_strdup_printf("%s:%u", conf->host, port);
+	r->domain = str_dup(domain);
+	r->factor = 1;
+	g_mutex_init(&r->lock);
+	g_cond_init(&r->moved);
+	if (conf->kind == KIND_GENERATE)
+		r->engine = engine_new(conf);
+	g_ptr_array_add(runners, r);
+	g_hash_table_insert(by_port, GUINT_TO_POINTER(port), r);
+	hosts_add(conf->service, r->address, r->domain);
+}
+
+void
+target_init(void)
+{
+	runners = g_ptr_array_new();
+	by_port = g_hash_table_new(NULL, NULL);
+}
+
+void
+target_add(const struct target_conf *conf, struct buf *listen)
+{
+	struct str rest = str_from(conf->domains), domain;
+	unsigned i;
+
+	for (i = 0; i < conf->count; i++) {
+		if (!str_cut(&rest, ',', &domain)) {
+			rest = str_from(conf->domains);
+			str_cut(&rest, ',', &domain);
+		}
+		add_runner(conf, i, str_trim(domain));
+		buf_printf(listen, "%s%s:%u", listen->n > 0 ? "," : "",
+		    conf->host, conf->port + i);
+	}
+}
+
+const GPtrArray *
+target_runners(void)
+{
+	return runners;
+}
+
+/* Remembers the load, with the lock held. */
+static void
+note_load(struct runner *r)
+{
+	struct load_point *p = &r->loads[r->n_loads++ % LOAD_RING];
+	uint64_t load = r->given - r->done;
+
+	p->at = clock_now();
+	p->load = (unsigned)load;
+	r->most = MAX(r->most, load);
+}
+
+int
+runner_load(struct runner *r)
+{
+	usec_t then = clock_now() - r->conf->load_lag;
+	unsigned i, back, load = 0;
+
+	g_mutex_lock(&r->lock);
+	back = MIN(r->n_loads, LOAD_RING);
+	for (i = 1; i <= back; i++) {
+		const struct load_point *p =
+		    &r->loads[(r->n_loads - i) % LOAD_RING];
+
+		load = p->load;
+		if (p->at <= then)
+			break;
+		load = 0;
+	}
+	g_mutex_unlock(&r->lock);
+	return (int)load;
+}
+
+/* Why a call can't be taken, with the lock held; NULL if it can. */
+static const char *
+refusal(struct runner *r, int *status)
+{
+	uint64_t room = r->conf->batch + r->conf->max_waiting;
+
+	*status = 503;
+	if (r->fault == FAULT_LEAVING)
+		return "leaving";
+	if (r->given - r->done >= room)
+		return "busy";
+	*status = 500;
+	if (r->fault == FAULT_FAIL)
+		return "failed";
+	if (r->fault == FAULT_FAIL_HALF && r->since_fault++ % 2 == 1)
+		return "failed";
+	return NULL;
+}
+
+bool
+runner_enter(struct runner *r, struct mg_connection *c)
+{
+	usec_t left = hosts_left_for(r->address);
+	const char *why;
+	uint64_t ticket;
+	int status;
+
+	g_mutex_lock(&r->lock);
+	r->calls++;
+	if (left > LATE_AFTER)
+		r->late_calls++;
+	why = refusal(r, &status);
+	if (why == NULL) {
+		ticket = r->given++;
+		note_load(r);
+		while (ticket >= r->done + r->conf->batch)
+			g_cond_wait(&r->moved, &r->lock);
+	} else
+		r->failed++;
+	g_mutex_unlock(&r->lock);
+	if (why != NULL)
+		web_error(c, status, why);
+	return why == NULL;
+}
+
+void
+runner_leave(struct runner *r, usec_t began)
+{
+	g_mutex_lock(&r->lock);
+	r->done++;
+	r->busy += clock_now() - began;
+	note_load(r);
+	g_cond_broadcast(&r->moved);
+	g_mutex_unlock(&r->lock);
+}
+
+unsigned
+runner_running(struct runner *r)
+{
+	uint64_t n;
+
+	g_mutex_lock(&r->lock);
+	n = MIN(r->given - r->done, r->conf->batch);
+	g_mutex_unlock(&r->lock);
+	return (unsigned)n;
+}
+
+enum fault
+runner_fault(struct runner *r)
+{
+	enum fault f;
+
+	g_mutex_lock(&r->lock);
+	f = r->fault;
+	g_mutex_unlock(&r->lock);
+	return f;
+}
+
+usec_t
+runner_slowed(struct runner *r, usec_t t)
+{
+	usec_t factor;
+
+	g_mutex_lock(&r->lock);
+	factor = r->fault == FAULT_SLOW ? r->factor : 1;
+	g_mutex_unlock(&r->lock);
+	return t * factor;
+}
+
+json_t *
+runner_swap(struct runner *r, json_t *answer)
+{
+	struct swap mine = { .answer = answer }, *other;
+	gint64 until = g_get_monotonic_time() + SWAP_WAIT;
+
+	g_mutex_lock(&r->lock);
+	if (r->fault == FAULT_SWAP && r->swap != NULL) {
+		other = r->swap;
+		r->swap = NULL;
+		mine.answer = other->answer;
+		other->answer = answer;
+		other->done = true;
+		g_cond_broadcast(&r->moved);
+	} else if (r->fault == FAULT_SWAP) {
+		r->swap = &mine;
+		while (
+		    !mine.done && g_cond_wait_until(&r->moved, &r->lock, until))
+			;
+		if (!mine.done)
+			r->swap = NULL;
+	}
+	g_mutex_unlock(&r->lock);
+	return mine.answer;
+}
+
+bool
+runner_silent(struct runner *r, struct mg_connection *c)
+{
+	gint64 until = g_get_monotonic_time() + SILENT_MOST;
+	usec_t opened = web_opened(c);
+	bool was = false;
+
+	g_mutex_lock(&r->lock);
+	while (r->fault == FAULT_SILENT && opened <= r->fault_at) {
+		was = true;
+		if (!g_cond_wait_until(&r->moved, &r->lock, until))
+			break;
+	}
+	g_mutex_unlock(&r->lock);
+	if (was)
+		web_drop(c);
+	return was;
+}
+
+void
+runner_count(struct runner *r, uint64_t *counter, uint64_t n)
+{
+	g_mutex_lock(&r->lock);
+	*counter += n;
+	g_mutex_unlock(&r->lock);
+}
+
+void
+runner_answer(struct runner *r, struct mg_connection *c, json_t *answer)
+{
+	answer = runner_swap(r, answer);
+	web_sleep(r->conf->network);
+	if (runner_silent(r, c)) {
+		json_decref(answer);
+		return;
+	}
+	if (web_json(c, 200, answer))
+		runner_count(r, &r->completed, 1);
+	else
+		runner_count(r, &r->cancelled, 1);
+}
+
+static void
+answer_load(struct runner *r, struct mg_connection *c)
+{
+	bool leaving = runner_fault(r) == FAULT_LEAVING;
+
+	web_json(c, 200,
+	    json_pack(
+		"{s:i,s:b}", "load", runner_load(r), "leaving", (int)leaving));
+}
+
+static void
+work(
+    struct runner *r, struct mg_connection *c, const struct mg_request_info *ri)
+{
+	json_t *body = web_body(c);
+
+	if (body == NULL) {
+		web_error(c, 400, "the body is no JSON object");
+		return;
+	}
+	switch (r->conf->kind) {
+	case KIND_GENERATE:
+		engine_generate(r, c, body);
+		break;
+	case KIND_PLAIN:
+		plain_call(r, c, body);
+		break;
+	case KIND_ENCODE:
+	case KIND_RETRIEVE:
+	case KIND_RERANK:
+		stage_call(r, c, ri, body);
+		break;
+	}
+	json_decref(body);
+}
+
+static void
+route(
+    struct runner *r, struct mg_connection *c, const struct mg_request_info *ri)
+{
+	bool get = strcmp(ri->request_method, "GET") == 0;
+
+	if (web_is(ri, "GET", "/load"))
+		answer_load(r, c);
+	else if (r->engine != NULL && engine_handle(r, c, ri))
+		;
+	else if (get && r->conf->kind == KIND_PLAIN)
+		plain_lookup(r, c, ri);
+	else if (get)
+		web_error(c, 404, "no such call");
+	else
+		work(r, c, ri);
+}
+
+void
+target_handle(struct mg_connection *c, const struct mg_request_info *ri)
+{
+	struct runner *r =
+	    g_hash_table_lookup(by_port, GINT_TO_POINTER(ri->server_port));
+
+	if (r == NULL) {
+		web_error(c, 404, "no runner listens here");
+		return;
+	}
+	web_sleep(r->conf->network);
+	if (runner_fault(r) == FAULT_REFUSE)
+		web_drop(c);
+	else if (!runner_silent(r, c))
+		route(r, c, ri);
+}
+
+static bool
+fault_of(const char *text, enum fault *f)
+{
+	static const char *const names[] = { "none", "slow", "fail",
+		"fail_half", "silent", "refuse", "swap", "leaving", "cut" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++)
+		if (strcmp(names[i], text) == 0) {
+			*f = (enum fault)i;
+			return true;
+		}
+	return false;
+}
+
+static void
+set_fault(struct runner *r, enum fault f, long factor)
+{
+	g_mutex_lock(&r->lock);
+	r->fault = f;
+	r->fault_at = clock_now();
+	r->since_fault = 0;
+	r->factor = factor;
+	g_cond_broadcast(&r->moved);
+	g_mutex_unlock(&r->lock);
+}
+
+/* Whether an asked name is absent or is the one that the runner has. */
+static bool
+matches(const char *asked, const char *has)
+{
+	return asked[0] == '\0' || strcmp(asked, has) == 0;
+}
+
+bool
+target_set_fault(const struct mg_request_info *ri)
+{
+	char address[64], service[64], domain[64], fault[16];
+	long version = web_query_num(ri, "fail_version", -1);
+	enum fault f = FAULT_NONE;
+	bool known, any = false;
+	unsigned i;
+
+	web_query(ri, "address", address, sizeof(address));
+	web_query(ri, "service", service, sizeof(service));
+	web_query(ri, "failure_domain", domain, sizeof(domain));
+	web_query(ri, "fault", fault, sizeof(fault));
+	known = fault_of(fault, &f);
+	if (!known && (fault[0] != '\0' || version < 0))
+		return false;
+	if (address[0] == '\0' && service[0] == '\0' && domain[0] == '\0')
+		return false;
+	for (i = 0; i < runners->len; i++) {
+		struct runner *r = runners->pdata[i];
+
+		if (!matches(address, r->address) ||
+		    !matches(service, r->conf->service) ||
+		    !matches(domain, r->domain))
+			continue;
+		any = true;
+		if (known)
+			set_fault(
+			    r, f, web_query_num(ri, "factor", SLOW_FACTOR));
+		if (version >= 0 && r->engine != NULL)
+			engine_fail_version(r->engine, version);
+	}
+	return any;
+}
+
+static json_t *
+json_of_runner(struct runner *r)
+{
+	json_t *o;
+
+	g_mutex_lock(&r->lock);
+	o = json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}",
+	    "address", r->address, "service", r->conf->service,
+	    "failure_domain", r->domain, "calls", (json_int_t)r->calls,
+	    "failed", (json_int_t)r->failed, "completed",
+	    (json_int_t)r->completed, "cancelled", (json_int_t)r->cancelled,
+	    "tokens", (json_int_t)r->tokens, "cached_prompts",
+	    (json_int_t)r->cached, "busy_ms",
+	    (json_int_t)(r->busy / USEC_PER_MSEC), "in_flight",
+	    (json_int_t)(r->given - r->done), "most_in_flight",
+	    (json_int_t)r->most, "calls_after_leaving_3s",
+	    (json_int_t)r->late_calls);
+	g_mutex_unlock(&r->lock);
+	return o;
+}
+
+json_t *
+target_counters(void)
+{
+	json_t *list = json_array();
+	unsigned i;
+
+	for (i = 0; i < runners->len; i++)
+		json_array_append_new(list, json_of_runner(runners->pdata[i]));
+	return list;
+}
+
+void
+target_reset(void)
+{
+	unsigned i;
+
+	for (i = 0; i < runners->len; i++) {
+		struct runner *r = runners->pdata[i];
+
+		g_mutex_lock(&r->lock);
+		r->calls = r->failed = r->completed = r->cancelled = 0;
+		r->tokens = r->cached = r->late_calls = 0;
+		r->most = r->given - r->done;
+		r->busy = 0;
+		g_mutex_unlock(&r->lock);
+	}
+}
--- /dev/null
+++ b/tests/standin/web.c
@@ -0,0 +1,218 @@
+#include "tests/standin/web.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define BODY_MAX    ((size_t)16 << 20)
+#define READ_SIZE   ((size_t)65536)
+#define REAL_DIGITS 6
+#define IDLE_MS     "60000"
+#define BACKLOG     "1024"
+
+static int
+on_request(struct mg_connection *c)
+{
+	const struct mg_request_info *ri = mg_get_request_info(c);
+	web_fn fn = *(web_fn *)ri->user_data;
+
+	fn(c, ri);
+	return 1;
+}
+
+static int
+on_open(const struct mg_connection *c, void **data)
+{
+	usec_t *opened = xcalloc(1, sizeof(*opened));
+
+	(void)c;
+	*opened = clock_now();
+	*data = opened;
+	return 0;
+}
+
+static void
+on_closed(const struct mg_connection *c)
+{
+	free(mg_get_user_connection_data(c));
+}
+
+static int
+on_log(const struct mg_connection *c, const char *text)
+{
+	(void)c;
+	fprintf(stderr, "standin: %s\n", text);
+	return 1;
+}
+
+static bool
+loopback_only(const char *listen)
+{
+	struct str rest = str_from(listen), part;
+
+	while (str_cut(&rest, ',', &part))
+		if (!str_prefix(str_trim(part), STR("127.")))
+			return false;
+	return true;
+}
+
+struct mg_context *
+web_start(const char *listen, unsigned threads, web_fn fn)
+{
+	struct mg_callbacks cb = { .begin_request = on_request,
+		.init_connection = on_open,
+		.connection_closed = on_closed,
+		.log_message = on_log };
+	char n[16];
+	const char *options[] = { "listening_ports", listen, "num_threads", n,
+		"tcp_nodelay", "1", "enable_keep_alive", "yes",
+		"keep_alive_timeout_ms", IDLE_MS, "request_timeout_ms", IDLE_MS,
+		"listen_backlog", BACKLOG, "connection_queue", BACKLOG, NULL };
+	web_fn *data = xcalloc(1, sizeof(*data));
+	struct mg_context *ctx;
+
+	if (!loopback_only(listen)) {
+		fprintf(stderr, "standin: %s is no loopback address\n", listen);
+		free(data);
+		return NULL;
+	}
+	snprintf(n, sizeof(n), "%u", threads);
+	*data = fn;
+	ctx = mg_start(&cb, data, options);
+	if (ctx == NULL)
+		free(data);
+	return ctx;
+}
+
+json_t *
+web_body(struct mg_connection *c)
+{
+	const char *expect = mg_get_header(c, "Expect");
+	struct buf b = { 0 };
+	char *part = xcalloc(1, READ_SIZE);
+	json_t *j = NULL;
+	int n;
+
+	if (expect != NULL)
+		mg_printf(c, "HTTP/1.1 100 Continue\r\n\r\n");
+	while ((n = mg_read(c, part, READ_SIZE)) > 0 && b.n < BODY_MAX)
+		buf_put(&b, (struct str){ part, (size_t)n });
+	if (b.n > 0 && b.n < BODY_MAX)
+		j = json_loadb(b.p, b.n, JSON_ALLOW_NUL, NULL);
+	if (j != NULL && !json_is_object(j)) {
+		json_decref(j);
+		j = NULL;
+	}
+	free(part);
+	buf_free(&b);
+	return j;
+}
+
+bool
+web_json(struct mg_connection *c, int status, json_t *body)
+{
+	char *text =
+	    json_dumps(body, JSON_COMPACT | JSON_REAL_PRECISION(REAL_DIGITS));
+	struct buf b = { 0 };
+	bool sent;
+
+	buf_printf(&b,
+	    "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    status, mg_get_response_code_text(c, status), strlen(text), text);
+	sent = mg_write(c, b.p, b.n) == (int)b.n;
+	free(text);
+	json_decref(body);
+	buf_free(&b);
+	return sent;
+}
+
+void
+web_error(struct mg_connection *c, int status, const char *text)
+{
+	web_json(c, status, json_pack("{s:s}", "error", text));
+}
+
+void
+web_drop(struct mg_connection *c)
+{
+	mg_disable_connection_keep_alive(c);
+}
+
+bool
+web_stream(struct mg_connection *c, const char *type)
+{
+	return mg_printf(c,
+		   "HTTP/1.1 200 OK\r\nContent-Type: %s\r\n"
+		   "Cache-Control: no-cache\r\n"
+		   "Transfer-Encoding: chunked\r\n\r\n",
+		   type) > 0;
+}
+
+bool
+web_chunk(struct mg_connection *c, struct str s)
+{
+	struct buf b = { 0 };
+	bool sent;
+
+	buf_printf(&b, "%zx\r\n", s.n);
+	buf_put(&b, s);
+	buf_put(&b, STR("\r\n"));
+	sent = mg_write(c, b.p, b.n) == (int)b.n;
+	buf_free(&b);
+	return sent;
+}
+
+void
+web_query(
+    const struct mg_request_info *ri, const char *name, char *out, size_t cap)
+{
+	const char *q = ri->query_string;
+
+	out[0] = '\0';
+	if (q == NULL || mg_get_var(q, strlen(q), name, out, cap) < 0)
+		out[0] = '\0';
+}
+
+long
+web_query_num(const struct mg_request_info *ri, const char *name, long absent)
+{
+	char text[32];
+	uint64_t n;
+
+	web_query(ri, name, text, sizeof(text));
+	return str_u64(str_from(text), &n) ? (long)n : absent;
+}
+
+bool
+web_is(const struct mg_request_info *ri, const char *method, const char *path)
+{
+	return strcmp(ri->request_method, method) == 0 &&
+	    strcmp(ri->local_uri, path) == 0;
+}
+
+usec_t
+web_opened(const struct mg_connection *c)
+{
+	const usec_t *opened = mg_get_user_connection_data(c);
+
+	return opened != NULL ? *opened : 0;
+}
+
+void
+web_sleep(usec_t t)
+{
+	struct timespec ts = { t / USEC_PER_SEC, t % USEC_PER_SEC * 1000 };
+
+	if (t > 0)
+		while (nanosleep(&ts, &ts) < 0 && errno == EINTR)
+			;
+}
+
+void
+web_sleep_until(usec_t when)
+{
+	web_sleep(when - clock_now());
+}
