--- a/tests/standin/hosts.c
+++ b/tests/standin/hosts.c
@@ -14,7 +14,8 @@
 	char *address;
 	char *domain;
 	enum host_state shown;
-	usec_t shown_since;
+	/* When the list stopped showing it as live. */
+	usec_t left_at;
 	/* The change under way. */
 	enum host_state next;
 	usec_t due;
@@ -85,8 +86,9 @@
 
 		if (h->next == h->shown || h->due > now)
 			continue;
+		if (h->shown == HOST_LIVE)
+			h->left_at = h->due;
 		h->shown = h->next;
-		h->shown_since = h->due;
 		revision++;
 	}
 }
@@ -211,7 +213,7 @@
 	settle();
 	h = find(address);
 	if (h != NULL && h->shown != HOST_LIVE)
-		t = clock_now() - h->shown_since;
+		t = clock_now() - h->left_at;
 	g_mutex_unlock(&lock);
 	return t;
 }
--- a/tests/standin/hosts.h
+++ b/tests/standin/hosts.h
@@ -10,7 +10,8 @@
 void hosts_handle(struct mg_connection *c, const struct mg_request_info *ri);
 /* Does what a POST /hosts asks for; false when it is not understood. */
 bool hosts_change(const struct mg_request_info *ri);
-/* How long the list has been showing the address as leaving, or 0. */
+/* How long the list has shown the address as leaving or gone; 0 if it has not.
+ */
 usec_t hosts_left_for(const char *address);
 
 #endif
