--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 DESTDIR ?=
 PREFIX ?= /usr/local
 
-.PHONY: all deps build check test lint format format-check install clean
+.PHONY: all deps build check demo lint format format-check install clean
 
 all: build
 
@@ -40,6 +40,9 @@
 	@printf '%s\n' $(LINTED) | \
 	    xargs -P$(JOBS) -n1 clang-tidy --quiet -p build/check 2>/dev/null
 
+demo: build
+	@tests/demo/run.sh build/release
+
 install: build
 	DESTDIR=$(DESTDIR) cmake --install build/release
 
--- a/entry/control.h
+++ b/entry/control.h
@@ -21,7 +21,7 @@
 void control_start(struct control *c, struct traffic *t);
 /* For traffic_opts.claim; called on the traffic thread. */
 void control_claim(
-    void *arg, enum action_kind kind, const struct action_claim *c);
+    void *arg, enum action_kind kind, const struct action_claim *a);
 void control_stop(struct control *c);
 void control_free(struct control *c);
 
