--- a/plat/kv.h
+++ b/plat/kv.h
@@ -69,7 +69,7 @@
 /* All keys that start with the prefix. */
 void kv_list(struct kv *kv, struct str prefix, kv_listed done, void *arg);
 void kv_cas(
-    struct kv *kv, const struct kv_cas_opts *o, kv_done done, void *arg);
+    struct kv *kv, const struct kv_cas_opts *c, kv_done done, void *arg);
 void kv_put(struct kv *kv, struct str key, struct str value, int64_t lease,
     kv_done done, void *arg);
 void kv_delete(struct kv *kv, struct str key, kv_done done, void *arg);
