RPC between sequoiads: sealed letters and fetched documents

Cause: claims, membership and shares need messages between the processes. Change: peer.x with rpcgen's output; letters one way over UDP, queries over TCP with bounded connect and answer times, both under the fleet key's HMAC, strangers and old letters dropped and counted; the sending socket is renewed.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 DESTDIR ?=
 PREFIX ?= /usr/local
 
-.PHONY: all deps build check demo lint format format-check install clean
+.PHONY: all deps build check demo lint peer format format-check install clean
 
 all: build
 
@@ -40,6 +40,11 @@
 	@printf '%s\n' $(LINTED) | \
 	    xargs -P$(JOBS) -n1 clang-tidy --quiet -p build/check 2>/dev/null
 
+# Generates the XDR code anew.
+peer:
+	cd entry && rpcgen -C -M -h -o peer.h peer.x && \
+	    rpcgen -C -M -c -o peer_xdr.c peer.x
+
 demo: build
 	@tests/demo/run.sh build/release
 
--- /dev/null
+++ b/entry/rpc.c
@@ -0,0 +1,456 @@
+#include "entry/rpc.h"
+#include "base/hash.h"
+#include "base/rng.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <pthread.h>
+#include <rpc/rpc.h>
+#include <rpc/rpc_com.h>
+#include <rpc/svc_dg.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define DATAGRAM_BYTES 65000U
+#define MAX_QUERY      65536               /* bytes of one query's record */
+#define SOCKET_LIFE    (30 * USEC_PER_SEC) /* then another port is used */
+#define MAX_QUERY      65536               /* bytes of one query's record */
+#define POLL_MSEC      100
+#define MAX_XPRTS      1024
+
+struct rpc {
+	struct rpc_opts o;
+	pthread_t thread;
+	atomic_bool stopping;
+	SVCXPRT *udp;
+	SVCXPRT *tcp;
+	pthread_mutex_t send_lock;
+	int send_fd;
+	usec_t send_fd_at;
+	atomic_ullong sent_bytes;
+	atomic_ullong received_bytes;
+	atomic_ullong sent;
+	atomic_ullong received;
+	atomic_ullong strangers;
+	atomic_ullong fetches;
+	atomic_ullong fetch_failures;
+};
+
+/* The dispatch routine of the RPC library gets no argument of its own. */
+static struct rpc *the_rpc;
+
+static bool
+parse_addr(const char *text, struct sockaddr_in *out)
+{
+	char ip[64];
+	const char *colon = strrchr(text, ':');
+
+	if (colon == NULL || (size_t)(colon - text) >= sizeof(ip))
+		return false;
+	memcpy(ip, text, (size_t)(colon - text));
+	ip[colon - text] = '\0';
+	memset(out, 0, sizeof(*out));
+	out->sin_family = AF_INET;
+	out->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
+	return inet_pton(AF_INET, ip, &out->sin_addr) == 1;
+}
+
+/* The XDR form of no argument and no result. */
+static bool_t
+no_body(XDR *x, ...)
+{
+	(void)x;
+	return TRUE;
+}
+
+/* Encodes and seals; false when it does not fit. */
+static bool
+seal(const struct rpc *r, xdrproc_t proc, const void *v, peer_sealed *out)
+{
+	unsigned long n = xdr_sizeof(proc, (void *)v);
+	char mac[HASH_HEX_LEN + 1];
+	XDR x;
+	bool ok;
+
+	out->body.body_val = xcalloc(1, n);
+	out->body.body_len = (u_int)n;
+	xdrmem_create(&x, out->body.body_val, (u_int)n, XDR_ENCODE);
+	ok = proc(&x, (void *)v) != 0;
+	xdr_destroy(&x);
+	hash_hmac(str_from(r->o.fleet_key),
+	    (struct str){ out->body.body_val, n }, mac);
+	memcpy(out->mac, mac, sizeof(out->mac));
+	return ok;
+}
+
+/* Checks the seal and decodes; the result is freed with xdr_free. */
+static bool
+open_seal(const struct rpc *r, const peer_sealed *s, xdrproc_t proc, void *out)
+{
+	struct str body = { s->body.body_val, s->body.body_len };
+	char mac[HASH_HEX_LEN + 1];
+	char theirs[HASH_HEX_LEN + 1] = { 0 };
+	XDR x;
+	bool ok;
+
+	hash_hmac(str_from(r->o.fleet_key), body, mac);
+	memcpy(theirs, s->mac, sizeof(s->mac));
+	if (!hash_same(mac, theirs))
+		return false;
+	xdrmem_create(&x, s->body.body_val, s->body.body_len, XDR_DECODE);
+	ok = proc(&x, out) != 0;
+	xdr_destroy(&x);
+	if (!ok)
+		xdr_free(proc, out);
+	return ok;
+}
+
+static bool
+is_recent(quad_t sent_ms)
+{
+	usec_t age = clock_wall() - (usec_t)sent_ms * USEC_PER_MSEC;
+
+	return age < RPC_MAX_AGE && age > -RPC_MAX_AGE;
+}
+
+static void
+on_letter(struct rpc *r, const peer_sealed *s)
+{
+	peer_letter l = { 0 };
+
+	atomic_fetch_add(&r->received_bytes, s->body.body_len);
+	if (!open_seal(r, s, (xdrproc_t)xdr_peer_letter, &l)) {
+		atomic_fetch_add(&r->strangers, 1);
+		return;
+	}
+	if (is_recent(l.sent_ms)) {
+		atomic_fetch_add(&r->received, 1);
+		r->o.deliver(r->o.arg, &l);
+	} else {
+		atomic_fetch_add(&r->strangers, 1);
+	}
+	xdr_free((xdrproc_t)xdr_peer_letter, (char *)&l);
+}
+
+static void
+on_query(struct rpc *r, SVCXPRT *xprt, const peer_sealed *s)
+{
+	peer_query q = { 0 };
+	peer_result res = { 0 };
+	peer_sealed out = { 0 };
+
+	if (!open_seal(r, s, (xdrproc_t)xdr_peer_query, &q)) {
+		atomic_fetch_add(&r->strangers, 1);
+		svcerr_weakauth(xprt);
+		return;
+	}
+	if (!is_recent(q.sent_ms)) {
+		atomic_fetch_add(&r->strangers, 1);
+		svcerr_weakauth(xprt);
+	} else {
+		r->o.fetch(r->o.arg, &q, &res);
+		res.nonce = q.nonce;
+		if (res.detail == NULL)
+			res.detail = str_dup(STR(""));
+		if (seal(r, (xdrproc_t)xdr_peer_result, &res, &out))
+			svc_sendreply(
+			    xprt, (xdrproc_t)xdr_peer_sealed, (char *)&out);
+		else
+			svcerr_systemerr(xprt);
+		free(out.body.body_val);
+		rpc_result_free(&res);
+	}
+	xdr_free((xdrproc_t)xdr_peer_query, (char *)&q);
+}
+
+static void
+dispatch(struct svc_req *rq, SVCXPRT *xprt)
+{
+	peer_sealed s = { 0 };
+
+	if (rq->rq_proc == NULLPROC) {
+		svc_sendreply(xprt, no_body, NULL);
+		return;
+	}
+	if (rq->rq_proc != PEER_DELIVER && rq->rq_proc != PEER_FETCH) {
+		svcerr_noproc(xprt);
+		return;
+	}
+	if (!svc_getargs(xprt, (xdrproc_t)xdr_peer_sealed, (char *)&s)) {
+		atomic_fetch_add(&the_rpc->strangers, 1);
+		svcerr_decode(xprt);
+		return;
+	}
+	if (rq->rq_proc == PEER_DELIVER)
+		on_letter(the_rpc, &s);
+	else
+		on_query(the_rpc, xprt, &s);
+	svc_freeargs(xprt, (xdrproc_t)xdr_peer_sealed, (char *)&s);
+}
+
+static void *
+run(void *arg)
+{
+	struct rpc *r = arg;
+	struct pollfd *fds = xcalloc(MAX_XPRTS, sizeof(*fds));
+
+	while (!atomic_load(&r->stopping)) {
+		int n = svc_max_pollfd < MAX_XPRTS ? svc_max_pollfd : MAX_XPRTS;
+		int ready;
+
+		memcpy(fds, svc_pollfd, (size_t)n * sizeof(*fds));
+		ready = poll(fds, (nfds_t)n, POLL_MSEC);
+		if (ready > 0)
+			svc_getreq_poll(fds, ready);
+	}
+	free(fds);
+	return NULL;
+}
+
+/* A bound socket, or -1. */
+static int
+bind_socket(const struct sockaddr_in *at, int type)
+{
+	int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+	int one = 1;
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (const struct sockaddr *)at, sizeof(*at)) != 0 ||
+	    (type == SOCK_STREAM && listen(fd, SOMAXCONN) != 0)) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+static bool
+listen_both(struct rpc *r, const struct sockaddr_in *at)
+{
+	int udp = bind_socket(at, SOCK_DGRAM);
+	int tcp = udp >= 0 ? bind_socket(at, SOCK_STREAM) : -1;
+	int most = MAX_QUERY;
+
+	if (tcp < 0) {
+		if (udp >= 0)
+			close(udp);
+		return false;
+	}
+	rpc_control(RPC_SVC_CONNMAXREC_SET, &most);
+	r->udp = svc_dg_create(udp, DATAGRAM_BYTES, DATAGRAM_BYTES);
+	r->tcp = svc_vc_create(tcp, 0, 0);
+	return r->udp != NULL && r->tcp != NULL &&
+	    svc_reg(r->udp, PEER_PROGRAM, PEER_VERSION, dispatch, NULL) != 0 &&
+	    svc_reg(r->tcp, PEER_PROGRAM, PEER_VERSION, dispatch, NULL) != 0;
+}
+
+struct rpc *
+rpc_start(const struct rpc_opts *o, struct err *e)
+{
+	struct rpc *r = xcalloc(1, sizeof(*r));
+	struct sockaddr_in at;
+
+	r->o = *o;
+	r->send_fd = -1;
+	pthread_mutex_init(&r->send_lock, NULL);
+	if (!parse_addr(o->addr, &at) || !listen_both(r, &at)) {
+		err_set(e, ERR_SETTING,
+		    "[sequoiad] rpc = %s: can't listen there: write an own "
+		    "address with a free port",
+		    o->addr);
+		free(r);
+		return NULL;
+	}
+	the_rpc = r;
+	pthread_create(&r->thread, NULL, run, r);
+	return r;
+}
+
+/*
+ * The socket that letters leave from.  It is replaced now and then, so that a
+ * path that has lost track of it is not used for long.
+ */
+static int
+sending_socket(struct rpc *r)
+{
+	struct sockaddr_in at;
+	usec_t now = clock_now();
+
+	if (r->send_fd >= 0 && now - r->send_fd_at < SOCKET_LIFE)
+		return r->send_fd;
+	if (r->send_fd >= 0)
+		close(r->send_fd);
+	parse_addr(r->o.addr, &at);
+	at.sin_port = 0;
+	r->send_fd = bind_socket(&at, SOCK_DGRAM);
+	r->send_fd_at = now;
+	return r->send_fd;
+}
+
+static void
+send_sealed(struct rpc *r, const struct sockaddr_in *to, peer_sealed *s)
+{
+	struct timeval once = { 0, 0 };
+	struct sockaddr_in at = *to;
+	int fd = sending_socket(r);
+	CLIENT *c;
+
+	if (fd < 0)
+		return;
+	c = clntudp_bufcreate(&at, PEER_PROGRAM, PEER_VERSION, once, &fd,
+	    DATAGRAM_BYTES, DATAGRAM_BYTES);
+	if (c == NULL)
+		return;
+	/* A call with no time to wait only sends. */
+	clnt_call(c, PEER_DELIVER, (xdrproc_t)xdr_peer_sealed, (char *)s,
+	    no_body, NULL, once);
+	clnt_destroy(c);
+	atomic_fetch_add(&r->sent, 1);
+	atomic_fetch_add(&r->sent_bytes, s->body.body_len);
+}
+
+void
+rpc_send(struct rpc *r, const char *addr, const peer_body *body)
+{
+	struct sockaddr_in to;
+	peer_sealed s = { 0 };
+	peer_letter l = {
+		.from = (char *)r->o.id,
+		.incarnation = r->o.incarnation,
+		.rpc = (char *)r->o.addr,
+		.sent_ms = clock_wall() / USEC_PER_MSEC,
+		.body = *body,
+	};
+
+	if (!parse_addr(addr, &to))
+		return;
+	if (seal(r, (xdrproc_t)xdr_peer_letter, &l, &s)) {
+		pthread_mutex_lock(&r->send_lock);
+		send_sealed(r, &to, &s);
+		pthread_mutex_unlock(&r->send_lock);
+	}
+	free(s.body.body_val);
+}
+
+/* A connected socket, or -1 when that takes longer than the timeout. */
+static int
+connect_in_time(const struct sockaddr_in *to, usec_t timeout)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	struct pollfd p = { .fd = fd, .events = POLLOUT };
+	int bad = 0;
+	socklen_t n = sizeof(bad);
+	int one = 1;
+
+	if (fd < 0)
+		return -1;
+	if (connect(fd, (const struct sockaddr *)to, sizeof(*to)) != 0 &&
+	    errno != EINPROGRESS)
+		goto fail;
+	if (poll(&p, 1, (int)(timeout / USEC_PER_MSEC)) != 1 ||
+	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &bad, &n) != 0 || bad != 0)
+		goto fail;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) & ~O_NONBLOCK);
+	return fd;
+fail:
+	close(fd);
+	return -1;
+}
+
+static bool
+exchange(int fd, struct sockaddr_in *to, usec_t timeout, peer_sealed *ask,
+    peer_sealed *got)
+{
+	struct netbuf at = { sizeof(*to), sizeof(*to), to };
+	struct timeval tv = { timeout / USEC_PER_SEC, timeout % USEC_PER_SEC };
+	CLIENT *c = clnt_vc_create(fd, &at, PEER_PROGRAM, PEER_VERSION, 0, 0);
+	bool ok;
+
+	if (c == NULL)
+		return false;
+	ok = clnt_call(c, PEER_FETCH, (xdrproc_t)xdr_peer_sealed, (char *)ask,
+		 (xdrproc_t)xdr_peer_sealed, (char *)got, tv) == RPC_SUCCESS;
+	clnt_destroy(c);
+	return ok;
+}
+
+int
+rpc_fetch(struct rpc *r, const char *addr, const peer_query *q, usec_t timeout,
+    peer_result *out)
+{
+	struct sockaddr_in to;
+	peer_query ask = *q;
+	peer_sealed sealed = { 0 };
+	peer_sealed got = { 0 };
+	int rc = ERR_PEER;
+	int fd = -1;
+
+	memset(out, 0, sizeof(*out));
+	atomic_fetch_add(&r->fetches, 1);
+	ask.from = (char *)r->o.id;
+	ask.sent_ms = clock_wall() / USEC_PER_MSEC;
+	ask.nonce = rng_entropy();
+	if (!parse_addr(addr, &to) ||
+	    !seal(r, (xdrproc_t)xdr_peer_query, &ask, &sealed))
+		goto out;
+	fd = connect_in_time(&to, timeout);
+	if (fd < 0 || !exchange(fd, &to, timeout, &sealed, &got))
+		goto out;
+	if (!open_seal(r, &got, (xdrproc_t)xdr_peer_result, out))
+		goto out;
+	if (out->nonce == ask.nonce)
+		rc = 0;
+	else
+		rpc_result_free(out);
+out:
+	if (fd >= 0)
+		close(fd);
+	if (rc != 0)
+		atomic_fetch_add(&r->fetch_failures, 1);
+	free(sealed.body.body_val);
+	xdr_free((xdrproc_t)xdr_peer_sealed, (char *)&got);
+	return rc;
+}
+
+void
+rpc_result_free(peer_result *r)
+{
+	xdr_free((xdrproc_t)xdr_peer_result, (char *)r);
+	memset(r, 0, sizeof(*r));
+}
+
+struct rpc_counts
+rpc_counts(const struct rpc *r)
+{
+	return (struct rpc_counts){
+		.sent_bytes = r->sent_bytes,
+		.received_bytes = r->received_bytes,
+		.sent = r->sent,
+		.received = r->received,
+		.strangers = r->strangers,
+		.fetches = r->fetches,
+		.fetch_failures = r->fetch_failures,
+	};
+}
+
+void
+rpc_stop(struct rpc *r)
+{
+	atomic_store(&r->stopping, true);
+	pthread_join(r->thread, NULL);
+	svc_destroy(r->udp);
+	svc_destroy(r->tcp);
+	if (r->send_fd >= 0)
+		close(r->send_fd);
+	pthread_mutex_destroy(&r->send_lock);
+	the_rpc = NULL;
+	free(r);
+}
