--- /dev/null
+++ b/kernel/alog_seal.c
@@ -0,0 +1,57 @@
+#include "kernel/alog_seal.h"
+
+/* Writes the newest records as a segment. */
+void
+alog_seal_begin(struct alog *l)
+{
+	struct buf name = { 0 };
+	json_t *doc = alog_doc_segment(l->head);
+
+	buf_printf(&name, "%s/%s-%llu", l->key, l->writer,
+	    (unsigned long long)++l->segments);
+	l->sealed = alog_doc_entry(l->head, name.p);
+	l->sealed_written = false;
+	alog_state_dump(doc, &l->sealed_value);
+	json_decref(doc);
+	buf_free(&name);
+}
+
+/* Whether a segment waits to be written. */
+bool
+alog_seal_continue(struct alog *l)
+{
+	if (l->sealed == NULL || l->sealed_written)
+		return false;
+	l->phase = ALOG_PHASE_SEAL;
+	alog_state_send(l, ALOG_CREATE,
+	    json_string_value(json_object_get(l->sealed, "name")),
+	    &l->sealed_value);
+	return true;
+}
+
+/* Forgets a segment that a head names, deletes one that none can name. */
+void
+alog_seal_check(struct alog *l)
+{
+	if (l->sealed == NULL || !l->sealed_written ||
+	    alog_doc_can_seal(l->head, l->sealed))
+		return;
+	if (!alog_doc_lists(l->head, l->sealed))
+		alog_state_send(l, ALOG_DELETE,
+		    json_string_value(json_object_get(l->sealed, "name")),
+		    NULL);
+	json_decref(l->sealed);
+	l->sealed = NULL;
+}
+
+/*
+ * The list of segments may grow with the bound of newest, so that neither
+ * dominates the head.
+ */
+bool
+alog_seal_due(const struct alog *l)
+{
+	return l->sealed == NULL &&
+	    alog_doc_newest_bytes(l->head) >
+	    l->o.seal_bytes + alog_doc_segments_bytes(l->head);
+}
