--- /dev/null
+++ b/tests/kernel/test_alog.c
@@ -0,0 +1,548 @@
+/* Tables of cases for the append-only log, against a store in memory. */
+#include "kernel/alog.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define HEAD      "log"
+#define NO_SEAL   (64 * 1024)
+#define MAX_TAGS  64
+#define NOT_DONE  (-1)
+#define DENY_CODE 7
+#define OLD_TIME  1
+#define RECENT    1000
+
+struct value {
+	uint64_t revision;
+	GString *text;
+};
+
+struct store {
+	GHashTable *keys;
+	uint64_t revision;
+	unsigned deletes;
+};
+
+/* A process with its log; folded holds the names that it has folded. */
+struct host {
+	struct alog *log;
+	struct store *store;
+	GString *folded;
+	usec_t keep_from;
+	int result[MAX_TAGS];
+	int code;
+};
+
+static void
+value_free(gpointer p)
+{
+	struct value *v = p;
+
+	g_string_free(v->text, TRUE);
+	g_free(v);
+}
+
+static struct store
+store_new(void)
+{
+	return (struct store){ .keys = g_hash_table_new_full(g_str_hash,
+				   g_str_equal, g_free, value_free) };
+}
+
+static void
+store_free(struct store *s)
+{
+	g_hash_table_destroy(s->keys);
+}
+
+static void
+store_put(struct store *s, const char *key, struct str text)
+{
+	struct value *v = g_new0(struct value, 1);
+
+	v->revision = ++s->revision;
+	v->text = g_string_new_len(text.p, (gssize)text.n);
+	g_hash_table_replace(s->keys, g_strdup(key), v);
+}
+
+static struct alog_answer
+store_do(struct store *s, const struct alog_request *r)
+{
+	const struct value *v = g_hash_table_lookup(s->keys, r->key);
+	struct alog_answer a = { .id = r->id, .status = ALOG_OK };
+
+	switch (r->kind) {
+	case ALOG_GET:
+		if (v == NULL) {
+			a.status = ALOG_MISSING;
+			return a;
+		}
+		a.revision = v->revision;
+		a.value = (struct str){ v->text->str, v->text->len };
+		return a;
+	case ALOG_SWAP:
+	case ALOG_CREATE:
+		if ((v != NULL ? v->revision : 0) != r->revision) {
+			a.status = ALOG_CONFLICT;
+			return a;
+		}
+		g_assert_cmpuint(r->value.n, <, 1024 * 1024);
+		store_put(s, r->key, str_of(&r->value));
+		a.revision = s->revision;
+		return a;
+	case ALOG_DELETE:
+		g_assert_cmpstr(r->key, !=, HEAD);
+		s->deletes++;
+		g_hash_table_remove(s->keys, r->key);
+		return a;
+	}
+	return a;
+}
+
+static int
+admit(void *arg, const json_t *payload)
+{
+	(void)arg;
+	return json_object_get(payload, "deny") != NULL ? DENY_CODE : 0;
+}
+
+static void
+apply(void *arg, const json_t *payload, uint64_t serial)
+{
+	struct host *h = arg;
+
+	(void)serial;
+	g_string_append(
+	    h->folded, json_string_value(json_object_get(payload, "name")));
+}
+
+static json_t *
+snapshot(void *arg)
+{
+	return json_string(((struct host *)arg)->folded->str);
+}
+
+static void
+restore(void *arg, const json_t *state)
+{
+	g_string_assign(((struct host *)arg)->folded, json_string_value(state));
+}
+
+static usec_t
+keep_from(void *arg)
+{
+	return ((struct host *)arg)->keep_from;
+}
+
+static const struct alog_ops plain = { admit, apply, NULL, NULL, keep_from };
+static const struct alog_ops kept = { admit, apply, snapshot, restore, NULL };
+
+static void
+host_start(struct host *h, struct store *s, uint64_t incarnation,
+    size_t seal_bytes, const struct alog_ops *ops)
+{
+	struct alog_opts o = { .key = HEAD,
+		.incarnation = incarnation,
+		.seal_bytes = seal_bytes,
+		.batch_bytes = ALOG_MAX_PAYLOAD,
+		.ops = ops,
+		.arg = h };
+
+	*h = (struct host){ .store = s, .folded = g_string_new(NULL) };
+	for (size_t i = 0; i < MAX_TAGS; i++)
+		h->result[i] = NOT_DONE;
+	h->log = alog_new(&o);
+}
+
+static void
+host_stop(struct host *h)
+{
+	alog_free(h->log);
+	g_string_free(h->folded, TRUE);
+}
+
+static void
+take_done(struct host *h)
+{
+	struct alog_done d;
+
+	while (alog_done(h->log, &d)) {
+		g_assert_cmpint(h->result[d.tag], ==, NOT_DONE);
+		h->result[d.tag] = (int)d.result;
+		if (d.result == ALOG_DENIED)
+			h->code = d.code;
+	}
+}
+
+/*
+ * Carries out all requests.  One character of faults for each: '.' fine,
+ * 'b' lost before its effect, 'a' lost after it; fine when there is no more.
+ */
+static void
+pump(struct host *h, const char *faults)
+{
+	struct alog_request r;
+
+	while (alog_request(h->log, &r)) {
+		char fault = *faults != '\0' ? *faults++ : '.';
+		struct alog_answer a = { .id = r.id, .status = ALOG_LOST };
+
+		if (fault == 'a')
+			store_do(h->store, &r);
+		else if (fault == '.')
+			a = store_do(h->store, &r);
+		alog_answer(h->log, &a);
+		alog_request_free(&r);
+	}
+	take_done(h);
+}
+
+static void
+append(struct host *h, uint64_t tag, const char *name, uint64_t conflict,
+    usec_t time)
+{
+	json_t *p = json_pack("{s:s}", "name", name);
+
+	g_assert_cmpint(alog_append(h->log, tag, conflict, time, p), ==, 0);
+	json_decref(p);
+}
+
+static void
+test_lost(void)
+{
+	/* Requests: read, swap, then whatever the log needs. */
+	static const struct {
+		const char *faults;
+		bool rival; /* another appends between the loss and reading */
+		uint64_t requests;
+		const char *log;
+	} cases[] = {
+		{ "..", false, 2, "x" },
+		{ "b.", false, 3, "x" },
+		{ ".b", false, 4, "x" },
+		{ ".a", false, 3, "x" },
+		{ ".bba", false, 6, "x" },
+		{ ".b", true, 4, "rx" },
+		{ ".a", true, 3, "xr" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct store s = store_new();
+		struct host h, r;
+		const char *rest = cases[i].faults;
+
+		host_start(&h, &s, 1, NO_SEAL, &plain);
+		host_start(&r, &s, 2, NO_SEAL, &plain);
+		append(&h, 0, "x", 1, RECENT);
+		if (cases[i].rival) {
+			struct alog_request q[2];
+
+			pump(&r, "");
+			for (size_t j = 0; j < 2; j++) {
+				struct alog_answer a = { .status = ALOG_LOST };
+
+				g_assert_true(alog_request(h.log, &q[j]));
+				if (rest[j] != 'b')
+					a = store_do(&s, &q[j]);
+				a.id = q[j].id;
+				if (rest[j] != '.')
+					a.status = ALOG_LOST;
+				if (j == 1) {
+					append(&r, 0, "r", 2, RECENT);
+					pump(&r, "");
+				}
+				alog_answer(h.log, &a);
+				alog_request_free(&q[j]);
+			}
+			rest = "";
+		}
+		pump(&h, rest);
+		pump(&r, "");
+		g_assert_cmpint(h.result[0], ==, ALOG_ACCEPTED);
+		g_assert_cmpuint(
+		    alog_counts(h.log).requests, ==, cases[i].requests);
+		g_assert_cmpstr(h.folded->str, ==, cases[i].log);
+		host_stop(&h);
+		host_stop(&r);
+		store_free(&s);
+	}
+}
+
+static void
+test_group(void)
+{
+	struct store s = store_new();
+	struct host h;
+	json_t *deny = json_pack("{s:s, s:b}", "name", "d", "deny", 1);
+
+	host_start(&h, &s, 1, NO_SEAL, &plain);
+	pump(&h, "");
+	append(&h, 0, "a", 1, RECENT);
+	append(&h, 1, "b", 2, RECENT);
+	append(&h, 2, "c", 3, RECENT);
+	append(&h, 3, "B", 2, RECENT);
+	append(&h, 4, "w", 4, RECENT);
+	alog_append(h.log, 5, 5, RECENT, deny);
+	g_assert_true(alog_cancel(h.log, 4));
+	g_assert_false(alog_cancel(h.log, 0));
+	pump(&h, "");
+	g_assert_cmpstr(h.folded->str, ==, "abcB");
+	g_assert_cmpint(h.result[4], ==, ALOG_WITHDRAWN);
+	g_assert_cmpint(h.result[5], ==, ALOG_DENIED);
+	g_assert_cmpint(h.code, ==, DENY_CODE);
+	g_assert_cmpuint(alog_counts(h.log).swaps, ==, 3);
+	g_assert_cmpuint(alog_counts(h.log).requests, ==, 4);
+	json_decref(deny);
+	host_stop(&h);
+	store_free(&s);
+}
+
+/* What the store holds beside the head. */
+static unsigned
+n_segments(const struct store *s)
+{
+	return g_hash_table_size(s->keys) - 1;
+}
+
+static void
+append_all(struct host *h, const char *names, usec_t time, const char *faults)
+{
+	for (size_t i = 0; names[i] != '\0'; i++) {
+		char name[2] = { names[i], '\0' };
+
+		append(h, (uint64_t)(names[i] - 'a'), name, i, time);
+		pump(h, faults);
+	}
+}
+
+static void
+test_seal(void)
+{
+	static const struct {
+		const struct alog_ops *ops;
+		const char *faults; /* of each append */
+		bool reads_segments;
+	} cases[] = {
+		{ &plain, "", true },
+		{ &plain, "a", true },
+		{ &plain, "b", true },
+		{ &plain, ".a", true },
+		{ &kept, "", false },
+		{ &kept, ".a", false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct store s = store_new();
+		struct host h, late, fresh;
+
+		host_start(&h, &s, 1, 1, cases[i].ops);
+		host_start(&late, &s, 2, 1, cases[i].ops);
+		pump(&h, "");
+		append_all(&h, "a", RECENT, cases[i].faults);
+		pump(&late, "");
+		append_all(&h, "bcdefghijklmnop", RECENT, cases[i].faults);
+		g_assert_cmpstr(h.folded->str, ==, "abcdefghijklmnop");
+		g_assert_cmpuint(n_segments(&s), >, 1);
+		alog_refresh(late.log);
+		pump(&late, "");
+		g_assert_cmpstr(late.folded->str, ==, "abcdefghijklmnop");
+		host_start(&fresh, &s, 3, 1, cases[i].ops);
+		pump(&fresh, "");
+		g_assert_cmpstr(fresh.folded->str, ==, "abcdefghijklmnop");
+		g_assert_cmpuint(alog_counts(fresh.log).requests, ==,
+		    cases[i].reads_segments ? n_segments(&s) + 1 : 1);
+		host_stop(&h);
+		host_stop(&late);
+		host_stop(&fresh);
+		store_free(&s);
+	}
+}
+
+/* Old segments go off the head, then away; a host that lags passes over. */
+static void
+test_retention(void)
+{
+	struct store s = store_new();
+	struct host h, late;
+
+	host_start(&h, &s, 1, 1, &plain);
+	host_start(&late, &s, 2, 1, &plain);
+	pump(&late, "");
+	append_all(&h, "abcdef", OLD_TIME, "");
+	append_all(&h, "ghijkl", RECENT, "");
+	g_assert_cmpuint(s.deletes, ==, 0);
+	h.keep_from = RECENT;
+	append_all(&h, "m", RECENT, "");
+	g_assert_cmpuint(s.deletes, >, 0);
+	g_assert_cmpuint(n_segments(&s), >, 0);
+	alog_refresh(late.log);
+	pump(&late, "");
+	g_assert_cmpuint(alog_serial(late.log), ==, alog_serial(h.log));
+	g_assert_true(g_str_has_suffix(late.folded->str, "ghijklm"));
+	g_assert_true(g_str_has_suffix(h.folded->str, late.folded->str));
+	host_stop(&h);
+	host_stop(&late);
+	store_free(&s);
+}
+
+/* A segment whose place another writer's took is deleted. */
+static void
+test_orphan(void)
+{
+	struct store s = store_new();
+	struct host h, r;
+	struct alog_request q;
+	struct alog_answer a;
+
+	host_start(&h, &s, 1, 1, &plain);
+	host_start(&r, &s, 2, 1, &plain);
+	append_all(&h, "a", RECENT, "");
+	pump(&r, "");
+	append(&h, 1, "b", 1, RECENT);
+	g_assert_true(alog_request(h.log, &q));
+	g_assert_cmpint(q.kind, ==, ALOG_CREATE);
+	a = store_do(&s, &q);
+	append_all(&r, "z", RECENT, "");
+	alog_answer(h.log, &a);
+	pump(&h, "");
+	alog_request_free(&q);
+	g_assert_cmpstr(h.folded->str, ==, "azb");
+	g_assert_cmpuint(s.deletes, ==, 1);
+	host_stop(&h);
+	host_stop(&r);
+	store_free(&s);
+}
+
+/* A watch is worth a read; what it repeats or tells late is ignored. */
+static void
+test_watch(void)
+{
+	struct store s = store_new();
+	struct host h, r;
+	struct value *v;
+	char *old;
+
+	host_start(&h, &s, 1, NO_SEAL, &plain);
+	host_start(&r, &s, 2, NO_SEAL, &plain);
+	pump(&r, "");
+	append_all(&h, "a", RECENT, "");
+	v = g_hash_table_lookup(s.keys, HEAD);
+	old = g_strdup(v->text->str);
+	alog_watched(r.log, v->revision, str_from(old));
+	append_all(&h, "b", RECENT, "");
+	v = g_hash_table_lookup(s.keys, HEAD);
+	alog_watched(r.log, v->revision, str_from(v->text->str));
+	alog_watched(r.log, v->revision, str_from(v->text->str));
+	alog_watched(r.log, v->revision - 1, str_from(old));
+	g_assert_cmpstr(r.folded->str, ==, "ab");
+	g_assert_cmpuint(alog_counts(r.log).requests, ==, 1);
+	g_free(old);
+	host_stop(&h);
+	host_stop(&r);
+	store_free(&s);
+}
+
+#define EMPTY_HEAD                                               \
+	"{\"version\":1,\"serial\":0,\"first\":1,\"newest\":[]," \
+	"\"segments\":[]}"
+#define GAP_HEAD                                                    \
+	"{\"version\":1,\"serial\":3,\"first\":1,\"newest\":[],"    \
+	"\"segments\":[{\"name\":\"log/x\",\"first\":1,\"last\":3," \
+	"\"time\":0}]}"
+
+/* What can't be read is refused; nothing is written over it. */
+static void
+test_refuse(void)
+{
+	static const struct {
+		const char *before; /* a head that is read first */
+		const char *head;   /* NULL: it is deleted */
+		const char *error;
+	} cases[] = {
+		{ NULL, "{\"version\":2}", "version 2 can't be read" },
+		{ NULL, "nonsense", "not JSON" },
+		{ NULL, "{\"version\":1}", "fields are missing" },
+		{ NULL,
+		    "{\"version\":1,\"serial\":5,\"first\":1,\"newest\":[],"
+		    "\"segments\":[]}",
+		    "fields are missing" },
+		{ NULL, GAP_HEAD, "segment log/x, which is gone" },
+		{ EMPTY_HEAD, NULL, "its head is gone" },
+		{ "{\"version\":1,\"serial\":3,\"first\":4,\"newest\":[],"
+		  "\"segments\":[]}",
+		    EMPTY_HEAD, "went back from serial 3 to 0" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct store s = store_new();
+		struct host h;
+
+		if (cases[i].before != NULL)
+			store_put(&s, HEAD, str_from(cases[i].before));
+		host_start(&h, &s, 1, NO_SEAL, &plain);
+		if (cases[i].before != NULL)
+			pump(&h, "");
+		if (cases[i].head != NULL)
+			store_put(&s, HEAD, str_from(cases[i].head));
+		else
+			g_hash_table_remove(s.keys, HEAD);
+		alog_refresh(h.log);
+		append(&h, 0, "a", 1, RECENT);
+		pump(&h, "");
+		g_assert_nonnull(alog_error(h.log));
+		g_assert_nonnull(
+		    strstr(alog_error(h.log)->text, cases[i].error));
+		g_assert_cmpint(h.result[0], ==, ALOG_WITHDRAWN);
+		append(&h, 1, "b", 1, RECENT);
+		alog_refresh(h.log);
+		pump(&h, "");
+		g_assert_cmpint(h.result[1], ==, ALOG_WITHDRAWN);
+		g_assert_cmpuint(s.revision, ==,
+		    (cases[i].before != NULL) + (cases[i].head != NULL));
+		host_stop(&h);
+		store_free(&s);
+	}
+}
+
+/* Large payloads are refused one by one; many are spread over segments. */
+static void
+test_size(void)
+{
+	struct store s = store_new();
+	struct host h;
+	char *text = g_strnfill(ALOG_MAX_PAYLOAD, 'x');
+	json_t *big = json_pack("{s:s}", "name", text);
+	json_t *fits;
+
+	host_start(&h, &s, 1, NO_SEAL, &plain);
+	pump(&h, "");
+	g_assert_cmpint(
+	    alog_append(h.log, 0, 0, RECENT, big), ==, ERR_TOO_LARGE);
+	text[ALOG_MAX_PAYLOAD / 2] = '\0';
+	fits = json_pack("{s:s}", "name", text);
+	for (uint64_t i = 0; i < MAX_TAGS; i++)
+		g_assert_cmpint(alog_append(h.log, i, i, RECENT, fits), ==, 0);
+	pump(&h, "");
+	g_assert_cmpuint(alog_serial(h.log), ==, MAX_TAGS);
+	g_assert_null(alog_error(h.log));
+	json_decref(big);
+	json_decref(fits);
+	g_free(text);
+	host_stop(&h);
+	store_free(&s);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/alog/lost", test_lost);
+	g_test_add_func("/alog/group", test_group);
+	g_test_add_func("/alog/seal", test_seal);
+	g_test_add_func("/alog/retention", test_retention);
+	g_test_add_func("/alog/orphan", test_orphan);
+	g_test_add_func("/alog/watch", test_watch);
+	g_test_add_func("/alog/refuse", test_refuse);
+	g_test_add_func("/alog/size", test_size);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/kernel/test_claims.c
@@ -0,0 +1,227 @@
+/* Tables of cases for the claims of one shard. */
+#include "kernel/claims.h"
+#include "kernel/uuid7.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define KEY       "017f22e2-79b0-7cc3-98c4-dc0c0c07398f"
+#define MADE      (1645557742000 * USEC_PER_MSEC)
+#define RETENTION (3600 * USEC_PER_SEC)
+#define MAX_STEPS 6
+
+/* One step of a case: who asks what, and the result that must come. */
+struct ask {
+	enum claim_step step;
+	uint64_t holder;
+	uint32_t attempt;
+	enum claim_result want;
+	enum outcome outcome; /* settlements; what CLAIM_TAKEN_DONE tells */
+	uint64_t body;
+	const char *answer;
+};
+
+static struct claim
+to_claim(const struct ask *a)
+{
+	return (struct claim){
+		.step = a->step,
+		.workspace = STR("yard"),
+		.pipeline = STR("payout"),
+		.key = STR(KEY),
+		.attempt = a->attempt,
+		.body_hash = a->body,
+		.holder = a->holder,
+		.request_id = STR("r-1"),
+		.outcome = a->outcome,
+		.answer = str_from(a->answer),
+	};
+}
+
+/* Decides as the log does, through the payload, and folds what is let in. */
+static struct claim_verdict
+run(struct claims *c, const struct claim *cl)
+{
+	json_t *payload = claim_pack(cl);
+	int code = claims_ops.admit(c, payload);
+	struct alog_done d = { .result = ALOG_DENIED, .code = code };
+
+	if (code == 0) {
+		d.result = ALOG_ACCEPTED;
+		claims_ops.apply(c, payload, 1);
+	}
+	json_decref(payload);
+	return claims_verdict(c, cl, &d);
+}
+
+#define CLAIM(h, n, want)                    \
+	{                                    \
+		CLAIM_STEP_CLAIM, h, n, want \
+	}
+#define REFUSE(h, n, want)                    \
+	{                                     \
+		CLAIM_STEP_REFUSE, h, n, want \
+	}
+#define SETTLE(h, n, want, out, ans)                       \
+	{                                                  \
+		CLAIM_STEP_SETTLE, h, n, want, out, 0, ans \
+	}
+#define DONE(step, h, n, out, ans)                        \
+	{                                                 \
+		step, h, n, CLAIM_TAKEN_DONE, out, 0, ans \
+	}
+
+static void
+test_decisions(void)
+{
+	static const struct {
+		const char *name;
+		struct ask asks[MAX_STEPS];
+	} cases[] = {
+		{ "two deliveries",
+		    { CLAIM(1, 1, CLAIM_GRANTED), CLAIM(2, 1, CLAIM_TAKEN),
+			CLAIM(2, 2, CLAIM_TAKEN), REFUSE(2, 1, CLAIM_TAKEN) } },
+		{ "the same delivery again",
+		    { CLAIM(1, 1, CLAIM_GRANTED), CLAIM(1, 1, CLAIM_GRANTED),
+			SETTLE(1, 1, CLAIM_GRANTED, OUTCOME_FAILED, NULL),
+			CLAIM(1, 1, CLAIM_GRANTED) } },
+		{ "refused, then a higher attempt",
+		    { REFUSE(1, 2, CLAIM_REFUSED), REFUSE(2, 1, CLAIM_REFUSED),
+			CLAIM(1, 1, CLAIM_BARRED), CLAIM(2, 2, CLAIM_BARRED),
+			CLAIM(2, 3, CLAIM_GRANTED),
+			REFUSE(1, 2, CLAIM_REFUSED) } },
+		{ "refused by its holder",
+		    { CLAIM(1, 1, CLAIM_GRANTED), REFUSE(1, 1, CLAIM_REFUSED),
+			CLAIM(1, 1, CLAIM_BARRED),
+			CLAIM(2, 2, CLAIM_GRANTED) } },
+		{ "settled as not run",
+		    { CLAIM(1, 1, CLAIM_GRANTED),
+			SETTLE(1, 1, CLAIM_GRANTED, OUTCOME_NOT_RUN, NULL),
+			CLAIM(1, 1, CLAIM_BARRED), CLAIM(2, 2, CLAIM_GRANTED),
+			CLAIM(1, 3, CLAIM_TAKEN) } },
+		{ "settled with an answer",
+		    { CLAIM(1, 1, CLAIM_GRANTED),
+			SETTLE(1, 1, CLAIM_GRANTED, OUTCOME_COMPLETE, "{}"),
+			DONE(CLAIM_STEP_CLAIM, 2, 1, OUTCOME_COMPLETE, "{}"),
+			DONE(CLAIM_STEP_REFUSE, 2, 2, OUTCOME_COMPLETE, "{}"),
+			SETTLE(1, 1, CLAIM_GRANTED, OUTCOME_FAILED, NULL),
+			DONE(
+			    CLAIM_STEP_CLAIM, 2, 2, OUTCOME_COMPLETE, "{}") } },
+		{ "unknown, then looked up by another",
+		    { CLAIM(1, 1, CLAIM_GRANTED),
+			SETTLE(1, 1, CLAIM_GRANTED, OUTCOME_UNKNOWN, NULL),
+			CLAIM(2, 2, CLAIM_TAKEN),
+			SETTLE(2, 2, CLAIM_TAKEN, OUTCOME_NOT_RUN, NULL),
+			SETTLE(2, 2, CLAIM_GRANTED, OUTCOME_COMPLETE, "{}"),
+			DONE(
+			    CLAIM_STEP_CLAIM, 3, 2, OUTCOME_COMPLETE, "{}") } },
+		{ "another body",
+		    { CLAIM(1, 1, CLAIM_GRANTED),
+			{ CLAIM_STEP_CLAIM, 2, 2, CLAIM_REUSED, 0, 7 },
+			{ CLAIM_STEP_REFUSE, 2, 2, CLAIM_REUSED, 0, 7 } } },
+		{ "nothing to settle",
+		    { SETTLE(1, 1, CLAIM_OLD, OUTCOME_COMPLETE, NULL) } },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct claims *c = claims_new();
+
+		claims_tick(c, MADE, RETENTION);
+		for (size_t j = 0; j < MAX_STEPS; j++) {
+			const struct ask *a = &cases[i].asks[j];
+			struct claim cl = to_claim(a);
+			struct claim_verdict v;
+
+			if (a->attempt == 0)
+				break;
+			v = run(c, &cl);
+			g_test_message("%s, step %zu", cases[i].name, j + 1);
+			g_assert_cmpint(v.result, ==, a->want);
+			if (v.result != CLAIM_TAKEN_DONE)
+				continue;
+			g_assert_cmpint(v.outcome, ==, a->outcome);
+			g_assert_true(str_eq(v.answer, str_from(a->answer)));
+		}
+		claims_free(c);
+	}
+}
+
+static void
+test_retention(void)
+{
+	struct claims *c = claims_new();
+	struct ask ask = CLAIM(1, 1, CLAIM_GRANTED);
+	struct claim cl = to_claim(&ask);
+
+	claims_tick(c, MADE, RETENTION);
+	g_assert_cmpint(run(c, &cl).result, ==, CLAIM_GRANTED);
+	cl.holder = 2;
+	claims_tick(c, MADE + RETENTION, RETENTION);
+	g_assert_cmpint(run(c, &cl).result, ==, CLAIM_TAKEN);
+	claims_tick(c, MADE + RETENTION + 1, RETENTION);
+	g_assert_cmpint(run(c, &cl).result, ==, CLAIM_OLD);
+	g_assert_cmpuint(claims_count(c), ==, 1);
+	claims_tick(c, MADE + 2 * RETENTION, RETENTION);
+	g_assert_cmpuint(claims_count(c), ==, 0);
+	g_assert_cmpuint(claims_bytes(c), ==, 0);
+	g_assert_cmpint(run(c, &cl).result, ==, CLAIM_OLD);
+	claims_free(c);
+}
+
+static void
+test_memory(void)
+{
+	g_test_message("%zu bytes an entry", claims_entry_bytes());
+	g_assert_cmpuint(claims_entry_bytes(), <=, 256);
+}
+
+static void
+test_unpack(void)
+{
+	static const char *const bad[] = {
+		"{}",
+		"{\"do\":\"grant\",\"try\":1,\"body\":\"0\",\"by\":\"0\"}",
+		"{\"do\":\"claim\",\"try\":0,\"body\":\"0\",\"by\":\"0\"}",
+		"{\"do\":\"claim\",\"try\":1,\"body\":\"x\",\"by\":\"0\"}",
+		"{\"do\":\"settle\",\"try\":1,\"body\":\"0\",\"by\":\"0\"}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		json_t *o = json_loads(bad[i], 0, NULL);
+		struct claim cl;
+
+		g_assert_nonnull(o);
+		g_assert_false(claim_unpack(o, &cl));
+		json_decref(o);
+	}
+}
+
+/* A host that goes moves only its own shards. */
+static void
+test_writer(void)
+{
+	static const uint64_t ids[] = { 11, 22, 33, 44 };
+	unsigned shards[G_N_ELEMENTS(ids)] = { 0 };
+
+	for (uint32_t s = 0; s < 256; s++) {
+		uint64_t all = claims_writer(ids, G_N_ELEMENTS(ids), s);
+		uint64_t less = claims_writer(ids, G_N_ELEMENTS(ids) - 1, s);
+
+		g_assert_true(all == less || all == 44);
+		shards[all / 11 - 1]++;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+		g_assert_cmpuint(shards[i], >, 32);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/claims/decisions", test_decisions);
+	g_test_add_func("/claims/retention", test_retention);
+	g_test_add_func("/claims/memory", test_memory);
+	g_test_add_func("/claims/unpack", test_unpack);
+	g_test_add_func("/claims/writer", test_writer);
+	return g_test_run();
+}
