Explore the interleavings of the log and the claims

Cause: the log's safety must hold in every order of messages, losses, repeats and pauses. Change: test_alog_explore runs the kernel's code for two writers and three requests over a virtual store; two broken variants must be found out.

--- /dev/null
+++ b/tests/kernel/explore_writer.c
@@ -0,0 +1,347 @@
+#include "explore_writer.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define MAX_HISTORY 128
+#define RETENTION   (3600 * USEC_PER_SEC)
+
+static GHashTable *text_ids;
+static GPtrArray *texts;
+
+static const struct scenario *scenario;
+static GArray *nodes;
+static GHashTable *node_ids;
+
+/* A writer at work; numbered is for VARIANT_NUMBERED only. */
+struct writer {
+	unsigned self;
+	struct alog *log;
+	struct claims *claims;
+	struct node *out;
+	struct {
+		bool waiting[N_REQUESTS];
+		unsigned next; /* segment */
+		unsigned ids;
+		int creating; /* request, or -1 */
+		bool busy;
+	} numbered;
+};
+
+uint16_t
+intern(struct str s)
+{
+	char *text = g_strndup(s.p, s.n);
+	gpointer id;
+
+	if (texts == NULL) {
+		texts = g_ptr_array_new();
+		text_ids = g_hash_table_new(g_str_hash, g_str_equal);
+		g_ptr_array_add(texts, NULL);
+	}
+	id = g_hash_table_lookup(text_ids, text);
+	if (id != NULL) {
+		g_free(text);
+		return (uint16_t)GPOINTER_TO_UINT(id);
+	}
+	g_assert_cmpuint(texts->len, <, UINT16_MAX);
+	g_hash_table_insert(text_ids, text, GUINT_TO_POINTER(texts->len));
+	g_ptr_array_add(texts, text);
+	return (uint16_t)(texts->len - 1);
+}
+
+struct str
+interned(uint16_t id)
+{
+	if (id == 0)
+		return (struct str){ 0 };
+	return str_from(g_ptr_array_index(texts, id));
+}
+
+static struct claim
+ask_claim(const struct ask *a, unsigned i)
+{
+	static const char *const ids[N_REQUESTS] = { "r0", "r1", "r2" };
+
+	return (struct claim){ .step = a->step,
+		.workspace = STR("w"),
+		.pipeline = STR("p"),
+		.key = str_from(a->key),
+		.attempt = a->attempt,
+		.holder = a->writer + 1,
+		.request_id = str_from(ids[i]) };
+}
+
+static uint16_t
+intern_json(const json_t *o)
+{
+	char *text = json_dumps(o, JSON_COMPACT);
+	uint16_t id = intern(str_from(text));
+
+	free(text);
+	return id;
+}
+
+uint16_t
+ask_payload(const struct ask *a, unsigned i)
+{
+	struct claim cl = ask_claim(a, i);
+	json_t *o = claim_pack(&cl);
+	uint16_t id = intern_json(o);
+
+	json_decref(o);
+	return id;
+}
+
+static int
+admit(void *arg, const json_t *payload)
+{
+	return claims_ops.admit(((struct writer *)arg)->claims, payload);
+}
+
+static void
+apply(void *arg, const json_t *payload, uint64_t serial)
+{
+	struct writer *w = arg;
+
+	g_assert_cmpuint(serial, <, MAX_SERIAL);
+	for (uint64_t s = serial; s < MAX_SERIAL; s++)
+		w->out->twice |= w->out->folded[s] != 0;
+	w->out->folded[serial] = intern_json(payload);
+	claims_ops.apply(w->claims, payload, serial);
+}
+
+static usec_t
+keep_from(void *arg)
+{
+	return claims_ops.keep_from(((struct writer *)arg)->claims);
+}
+
+static void
+finish(struct writer *w, const struct alog_done *d)
+{
+	struct claim cl = ask_claim(&scenario->asks[d->tag], (unsigned)d->tag);
+
+	w->out->answered[d->tag] = true;
+	w->out->result[d->tag] = claims_verdict(w->claims, &cl, d).result;
+	if (d->result == ALOG_ACCEPTED)
+		w->out->accepted[d->tag] = d->serial;
+}
+
+static void
+emit(struct writer *w, const struct alog_request *r)
+{
+	g_assert_cmpuint(w->out->n_sent, <, MAX_OUT);
+	w->out->sent[w->out->n_sent++] = (struct sent){
+		.kind = (uint16_t)r->kind,
+		.id = (uint16_t)r->id,
+		.key = intern(str_from(r->key)),
+		.revision = (uint16_t)r->revision,
+		.value = r->value.n > 0 ? intern(str_of(&r->value)) : 0,
+	};
+}
+
+static void
+log_happens(struct writer *w, const struct happening *h)
+{
+	static const struct alog_ops ops = { admit, apply, NULL, NULL,
+		keep_from };
+	struct alog_opts o = { .key = HEAD_KEY,
+		.incarnation = w->self + 1,
+		.seal_bytes = scenario->seal ? 1 : ALOG_MAX_PAYLOAD,
+		.batch_bytes = ALOG_MAX_PAYLOAD,
+		.ops = &ops,
+		.arg = w };
+	struct alog_answer a = { .id = h->id,
+		.status = (enum alog_status)h->status,
+		.revision = h->revision,
+		.value = interned(h->value) };
+	struct alog_request r;
+	struct alog_done d;
+	struct claim cl;
+	json_t *payload;
+
+	switch ((enum happening_kind)h->kind) {
+	case HAPPENING_START:
+		w->log = alog_new(&o);
+		break;
+	case HAPPENING_ASK:
+		cl = ask_claim(&scenario->asks[h->ask], h->ask);
+		payload = claim_pack(&cl);
+		alog_append(w->log, h->ask, claims_conflict(&cl), NOW, payload);
+		json_decref(payload);
+		break;
+	case HAPPENING_ANSWER:
+		alog_answer(w->log, &a);
+		break;
+	case HAPPENING_WATCH:
+		alog_watched(w->log, h->revision, interned(h->value));
+		break;
+	}
+	while (alog_request(w->log, &r)) {
+		emit(w, &r);
+		alog_request_free(&r);
+	}
+	while (alog_done(w->log, &d))
+		finish(w, &d);
+	g_assert_null(alog_error(w->log));
+}
+
+static void
+numbered_send(
+    struct writer *w, enum alog_request_kind kind, unsigned n, uint16_t value)
+{
+	struct alog_request r = { .kind = kind, .id = ++w->numbered.ids };
+
+	r.key = g_strdup_printf("log/%u", n);
+	if (value != 0)
+		buf_put(&r.value, interned(value));
+	emit(w, &r);
+	g_free(r.key);
+	buf_free(&r.value);
+	w->numbered.busy |= kind != ALOG_DELETE;
+}
+
+/* Segment next is absent: creates it with the first record let in. */
+static void
+numbered_create(struct writer *w)
+{
+	for (unsigned i = 0; i < N_REQUESTS; i++) {
+		struct claim cl = ask_claim(&scenario->asks[i], i);
+		struct alog_done d = { .tag = i, .result = ALOG_DENIED };
+		struct claim_verdict v;
+
+		if (!w->numbered.waiting[i])
+			continue;
+		if (claims_decide(w->claims, &cl, &v)) {
+			w->numbered.creating = (int)i;
+			numbered_send(w, ALOG_CREATE, w->numbered.next,
+			    ask_payload(&scenario->asks[i], i));
+			return;
+		}
+		w->numbered.waiting[i] = false;
+		d.code = (int)v.result + 1;
+		finish(w, &d);
+	}
+}
+
+static void
+numbered_fold(struct writer *w, uint16_t value)
+{
+	json_t *payload = json_loads(interned(value).p, 0, NULL);
+
+	apply(w, payload, w->numbered.next++);
+	json_decref(payload);
+}
+
+static void
+numbered_answer(struct writer *w, const struct happening *h)
+{
+	int i = w->numbered.creating;
+	struct alog_done d = { .tag = (uint64_t)i, .result = ALOG_ACCEPTED };
+
+	w->numbered.creating = -1;
+	if (i < 0 && h->status == ALOG_OK) {
+		numbered_fold(w, h->value);
+	} else if (i < 0) {
+		numbered_create(w);
+	} else if (h->status == ALOG_OK) {
+		d.serial = w->numbered.next;
+		numbered_fold(w, ask_payload(&scenario->asks[i], (unsigned)i));
+		w->numbered.waiting[i] = false;
+		finish(w, &d);
+		if (d.serial > 1)
+			numbered_send(w, ALOG_DELETE, w->numbered.next - 2, 0);
+	}
+}
+
+/* The variant that the design set aside: one record in each segment. */
+static void
+numbered_happens(struct writer *w, const struct happening *h)
+{
+	bool waiting = false;
+
+	if (h->kind == HAPPENING_START) {
+		w->numbered.next = 1;
+		w->numbered.creating = -1;
+	} else if (h->kind == HAPPENING_ASK) {
+		w->numbered.waiting[h->ask] = true;
+	} else {
+		w->numbered.busy = false;
+		numbered_answer(w, h);
+	}
+	for (size_t i = 0; i < N_REQUESTS; i++)
+		waiting |= w->numbered.waiting[i];
+	if (waiting && !w->numbered.busy)
+		numbered_send(w, ALOG_GET, w->numbered.next, 0);
+}
+
+/* Runs a writer's whole history; out keeps the requests of the last event. */
+static void
+run(struct node *out)
+{
+	struct happening history[MAX_HISTORY];
+	struct writer w = { .out = out, .claims = claims_new() };
+	size_t n = 0;
+	int at = out->parent;
+
+	history[n++] = out->why;
+	for (; at >= 0; at = writers_node(at)->parent) {
+		g_assert_cmpuint(n, <, MAX_HISTORY);
+		history[n++] = writers_node(at)->why;
+	}
+	w.self = (unsigned)(-1 - at);
+	claims_tick(w.claims, NOW, RETENTION);
+	while (n-- > 0) {
+		out->n_sent = 0;
+		if (scenario->variant == VARIANT_NUMBERED)
+			numbered_happens(&w, &history[n]);
+		else
+			log_happens(&w, &history[n]);
+	}
+	alog_free(w.log);
+	claims_free(w.claims);
+}
+
+void
+writers_begin(const struct scenario *s)
+{
+	scenario = s;
+	nodes = g_array_new(FALSE, TRUE, sizeof(struct node));
+	node_ids = g_hash_table_new_full(
+	    g_bytes_hash, g_bytes_equal, (GDestroyNotify)g_bytes_unref, NULL);
+}
+
+void
+writers_end(void)
+{
+	g_array_free(nodes, TRUE);
+	g_hash_table_destroy(node_ids);
+}
+
+const struct node *
+writers_node(int id)
+{
+	return &g_array_index(nodes, struct node, id);
+}
+
+int
+writers_next(int parent, const struct happening *why)
+{
+	struct node node = { .parent = parent, .why = *why };
+	struct {
+		struct happening why;
+		int parent;
+	} id = { *why, parent };
+	GBytes *key = g_bytes_new(&id, sizeof(id));
+	gpointer known = g_hash_table_lookup(node_ids, key);
+
+	if (known != NULL) {
+		g_bytes_unref(key);
+		return GPOINTER_TO_INT(known) - 1;
+	}
+	run(&node);
+	g_array_append_val(nodes, node);
+	g_hash_table_insert(node_ids, key, GINT_TO_POINTER((int)nodes->len));
+	return (int)nodes->len - 1;
+}
