--- /dev/null
+++ b/kernel/conffiles.c
@@ -0,0 +1,272 @@
+#include "kernel/conffiles.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static char *
+copy(const char *c)
+{
+	return c == NULL ? NULL : str_dup(str_from(c));
+}
+
+/* The index of a name, or where it belongs. */
+static size_t
+position(const struct conffiles *f, const char *name, bool *found)
+{
+	size_t lo = 0;
+	size_t hi = f->n;
+
+	*found = false;
+	while (lo < hi) {
+		size_t mid = (lo + hi) / 2;
+		int c = strcmp(f->v[mid].name, name);
+
+		if (c == 0) {
+			*found = true;
+			return mid;
+		}
+		if (c < 0)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo;
+}
+
+struct conffile *
+conffiles_find(const struct conffiles *f, const char *name)
+{
+	bool found;
+	size_t i = position(f, name, &found);
+
+	return found ? &f->v[i] : NULL;
+}
+
+const char *
+conffiles_hash(const struct conffiles *f, const char *name)
+{
+	const struct conffile *x = conffiles_find(f, name);
+
+	return x == NULL ? "" : x->hash;
+}
+
+static void
+remove_file(struct conffiles *f, struct conffile *x)
+{
+	size_t after = f->n - (size_t)(x - f->v) - 1;
+
+	free(x->name);
+	buf_free(&x->body);
+	memmove(x, x + 1, after * sizeof(*x));
+	f->n--;
+}
+
+static struct conffile *
+insert_file(struct conffiles *f, const char *name)
+{
+	bool found;
+	size_t i = position(f, name, &found);
+	struct conffile *x;
+
+	f->v = xrealloc(f->v, f->n + 1, sizeof(*f->v));
+	x = f->v + i;
+	memmove(x + 1, x, (f->n - i) * sizeof(*x));
+	f->n++;
+	*x = (struct conffile){ .name = str_dup(str_from(name)) };
+	return x;
+}
+
+void
+conffiles_set(struct conffiles *f, const char *name, const char *hash)
+{
+	struct conffile *x = conffiles_find(f, name);
+
+	if (hash[0] == '\0') {
+		if (x != NULL)
+			remove_file(f, x);
+		return;
+	}
+	if (x == NULL)
+		x = insert_file(f, name);
+	if (strcmp(x->hash, hash) == 0)
+		return;
+	buf_clear(&x->body);
+	x->cached = false;
+	snprintf(x->hash, sizeof(x->hash), "%s", hash);
+}
+
+void
+conffile_body(struct conffile *x, struct str body)
+{
+	buf_clear(&x->body);
+	buf_put(&x->body, body);
+	x->cached = true;
+}
+
+void
+conffiles_copy(struct conffiles *to, const struct conffile *x)
+{
+	struct conffile *y;
+
+	conffiles_set(to, x->name, x->hash);
+	y = conffiles_find(to, x->name);
+	if (y != NULL && x->cached && !y->cached)
+		conffile_body(y, str_of(&x->body));
+}
+
+bool
+conffiles_put(struct conffiles *f, const char *name, struct str body)
+{
+	char hash[HASH_HEX_LEN + 1];
+	size_t n = strlen(name);
+	struct conffile *x;
+
+	if (n <= 4 || strcmp(name + n - 4, ".ini") != 0)
+		return false;
+	hash_sha256(body, hash);
+	conffiles_set(f, name, hash);
+	x = conffiles_find(f, name);
+	if (x != NULL)
+		conffile_body(x, body);
+	return true;
+}
+
+void
+conffiles_free(struct conffiles *f)
+{
+	for (size_t i = 0; i < f->n; i++) {
+		free(f->v[i].name);
+		buf_free(&f->v[i].body);
+	}
+	free(f->v);
+	*f = (struct conffiles){ 0 };
+}
+
+const struct conffile *
+conffiles_missing(const struct conffiles *f)
+{
+	for (size_t i = 0; i < f->n; i++) {
+		if (!f->v[i].cached)
+			return &f->v[i];
+	}
+	return NULL;
+}
+
+static int
+read_ini(const struct conffiles *f, struct ini *set, struct err *e)
+{
+	const struct conffile *gap = conffiles_missing(f);
+
+	if (gap != NULL)
+		return err_set(e, ERR_NOT_READY,
+		    "the body of %s (%.12s) is not here yet; fetch it from the "
+		    "key-value service or a peer",
+		    gap->name, gap->hash);
+	for (size_t i = 0; i < f->n; i++) {
+		int rc = ini_add(set, f->v[i].name, str_of(&f->v[i].body), e);
+
+		if (rc != 0)
+			return rc;
+	}
+	return 0;
+}
+
+struct conf *
+conffiles_conf(const struct conffiles *f, uint64_t generation, struct err *e)
+{
+	struct ini set = { 0 };
+	struct conf *c = NULL;
+
+	if (read_ini(f, &set, e) == 0)
+		c = conf_read(&set, generation, e);
+	ini_free(&set);
+	return c;
+}
+
+static void
+add_key(struct confkeys *out, const struct ini_entry *at, const char *before,
+    const char *after)
+{
+	out->v = xrealloc(out->v, out->n + 1, sizeof(*out->v));
+	out->v[out->n++] = (struct confkey){
+		.section = copy(at->section),
+		.key = copy(at->key),
+		.before = copy(before),
+		.after = copy(after),
+	};
+}
+
+static int
+compare_keys(const void *a, const void *b)
+{
+	const struct confkey *x = a;
+	const struct confkey *y = b;
+	int c = strcmp(x->section, y->section);
+
+	return c != 0 ? c : strcmp(x->key, y->key);
+}
+
+static void
+diff_ini(
+    const struct ini *before, const struct ini *after, struct confkeys *out)
+{
+	for (size_t i = 0; i < after->n; i++) {
+		const struct ini_entry *x = &after->entries[i];
+		const struct ini_entry *y =
+		    ini_find(before, x->section, x->key);
+
+		if (y == NULL || strcmp(x->value, y->value) != 0)
+			add_key(out, x, y == NULL ? NULL : y->value, x->value);
+	}
+	for (size_t i = 0; i < before->n; i++) {
+		const struct ini_entry *x = &before->entries[i];
+
+		if (ini_find(after, x->section, x->key) == NULL)
+			add_key(out, x, x->value, NULL);
+	}
+	if (out->n > 0)
+		qsort(out->v, out->n, sizeof(*out->v), compare_keys);
+}
+
+int
+conffiles_diff(const struct conffiles *before, const struct conffiles *after,
+    struct confkeys *out, struct err *e)
+{
+	struct ini x = { 0 };
+	struct ini y = { 0 };
+	int rc = read_ini(before, &x, e);
+
+	if (rc == 0)
+		rc = read_ini(after, &y, e);
+	if (rc == 0)
+		diff_ini(&x, &y, out);
+	ini_free(&x);
+	ini_free(&y);
+	return rc;
+}
+
+void
+confkeys_text(const struct confkeys *keys, struct buf *out)
+{
+	for (size_t i = 0; i < keys->n; i++) {
+		const struct confkey *k = &keys->v[i];
+
+		buf_printf(out, "[%s] %s: %s -> %s\n", k->section, k->key,
+		    k->before == NULL ? "(not set)" : k->before,
+		    k->after == NULL ? "(not set)" : k->after);
+	}
+}
+
+void
+confkeys_free(struct confkeys *keys)
+{
+	for (size_t i = 0; i < keys->n; i++) {
+		free(keys->v[i].section);
+		free(keys->v[i].key);
+		free(keys->v[i].before);
+		free(keys->v[i].after);
+	}
+	free(keys->v);
+	*keys = (struct confkeys){ 0 };
+}
--- /dev/null
+++ b/kernel/conffiles.h
@@ -0,0 +1,60 @@
+/*
+ * A set of the operators' INI files with the hashes of their bodies, and the
+ * keys in which two sets differ.
+ *
+ * Invariant: sorted by name (strcmp), which is the order of merging.  Hashes
+ * are SHA-256 in hex; an empty one stands for a file that is not there.
+ */
+#ifndef KERNEL_CONFFILES_H
+#define KERNEL_CONFFILES_H
+
+#include "kernel/conf.h"
+
+struct conffile {
+	char *name;
+	char hash[HASH_HEX_LEN + 1];
+	struct buf body;
+	bool cached; /* body is here */
+};
+
+struct conffiles {
+	struct conffile *v;
+	size_t n;
+};
+
+struct confkey {
+	char *section;
+	char *key;
+	char *before; /* NULL: was not set */
+	char *after;  /* NULL: is no longer set */
+};
+
+struct confkeys {
+	struct confkey *v;
+	size_t n;
+};
+
+/* Adds or replaces a file; false if the name does not end in ".ini". */
+bool conffiles_put(struct conffiles *f, const char *name, struct str body);
+struct conffile *conffiles_find(const struct conffiles *f, const char *name);
+/* Empty if there is no such file. */
+const char *conffiles_hash(const struct conffiles *f, const char *name);
+/* Sets a file's hash and drops an older body; an empty hash removes it. */
+void conffiles_set(struct conffiles *f, const char *name, const char *hash);
+void conffiles_copy(struct conffiles *to, const struct conffile *x);
+void conffile_body(struct conffile *x, struct str body);
+/* A file whose body is missing, or NULL. */
+const struct conffile *conffiles_missing(const struct conffiles *f);
+/* The merged configuration; NULL with ERR_NOT_READY or ERR_CONFIG. */
+struct conf *conffiles_conf(
+    const struct conffiles *f, uint64_t generation, struct err *e);
+void conffiles_free(struct conffiles *f);
+
+/* The keys that differ between two sets, sorted by section and key. */
+int conffiles_diff(const struct conffiles *before,
+    const struct conffiles *after, struct confkeys *out, struct err *e);
+/* One line a key: "[section] key: old -> new". */
+void confkeys_text(const struct confkeys *keys, struct buf *out);
+void confkeys_free(struct confkeys *keys);
+
+#endif
--- a/kernel/confstate.c
+++ b/kernel/confstate.c
@@ -5,163 +5,48 @@
 #include <string.h>
 #include <time.h>
 
-static char *
-copy(const char *c)
-{
-	return c == NULL ? NULL : str_dup(str_from(c));
-}
-
-static void
-copy_hash(char out[HASH_HEX_LEN + 1], const char *hash)
-{
-	snprintf(out, HASH_HEX_LEN + 1, "%s", hash);
-}
-
-/* The index of a name, or where it belongs. */
-static size_t
-position(const struct confstate_files *f, const char *name, bool *found)
-{
-	size_t lo = 0;
-	size_t hi = f->n;
-
-	*found = false;
-	while (lo < hi) {
-		size_t mid = (lo + hi) / 2;
-		int c = strcmp(f->v[mid].name, name);
-
-		if (c == 0) {
-			*found = true;
-			return mid;
-		}
-		if (c < 0)
-			lo = mid + 1;
-		else
-			hi = mid;
-	}
-	return lo;
-}
-
-static struct confstate_file *
-find_file(const struct confstate_files *f, const char *name)
-{
-	bool found;
-	size_t i = position(f, name, &found);
-
-	return found ? &f->v[i] : NULL;
-}
-
-static const char *
-hash_of(const struct confstate_files *f, const char *name)
-{
-	const struct confstate_file *x = find_file(f, name);
-
-	return x == NULL ? "" : x->hash;
-}
-
-/* Sets a file's hash, or removes the file if the hash is empty. */
-static struct confstate_file *
-set_hash(struct confstate_files *f, const char *name, const char *hash)
-{
-	bool found;
-	size_t i = position(f, name, &found);
-
-	if (hash[0] == '\0') {
-		if (found) {
-			free(f->v[i].name);
-			buf_free(&f->v[i].body);
-			f->n--;
-			memmove(
-			    &f->v[i], &f->v[i + 1], (f->n - i) * sizeof(*f->v));
-		}
-		return NULL;
-	}
-	if (!found) {
-		f->v = xrealloc(f->v, f->n + 1, sizeof(*f->v));
-		memmove(&f->v[i + 1], &f->v[i], (f->n - i) * sizeof(*f->v));
-		f->n++;
-		f->v[i] = (struct confstate_file){ .name = copy(name) };
-	}
-	if (strcmp(f->v[i].hash, hash) != 0) {
-		buf_clear(&f->v[i].body);
-		f->v[i].cached = false;
-		copy_hash(f->v[i].hash, hash);
-	}
-	return &f->v[i];
-}
-
-static void
-set_body(struct confstate_file *x, struct str body)
-{
-	buf_clear(&x->body);
-	buf_put(&x->body, body);
-	x->cached = true;
-}
-
-static void
-copy_file(struct confstate_files *to, const struct confstate_file *x)
-{
-	struct confstate_file *y = set_hash(to, x->name, x->hash);
-
-	if (x->cached && !y->cached)
-		set_body(y, str_of(&x->body));
-}
-
-bool
-confstate_put(struct confstate_files *f, const char *name, struct str body)
-{
-	char hash[HASH_HEX_LEN + 1];
-	size_t n = strlen(name);
-
-	if (n <= 4 || strcmp(name + n - 4, ".ini") != 0)
-		return false;
-	hash_sha256(body, hash);
-	set_body(set_hash(f, name, hash), body);
-	return true;
-}
-
 void
-confstate_files_free(struct confstate_files *f)
+confstate_free(struct confstate *s)
 {
-	for (size_t i = 0; i < f->n; i++) {
-		free(f->v[i].name);
-		buf_free(&f->v[i].body);
-	}
-	free(f->v);
-	*f = (struct confstate_files){ 0 };
+	conffiles_free(&s->files);
+	for (size_t i = 0; i < s->n_history; i++)
+		confrecord_free(&s->history[i]);
+	free(s->history);
+	*s = (struct confstate){ 0 };
 }
 
 static void
 drop_oldest(struct confstate *s)
 {
-	struct confstate_record *r = s->history[0];
-
-	if (r->accepted)
-		s->reach = r->generation;
-	confstate_record_free(r);
-	free(r);
+	if (s->history[0].accepted)
+		s->reach = s->history[0].generation;
+	confrecord_free(&s->history[0]);
 	s->n_history--;
 	memmove(s->history, s->history + 1, s->n_history * sizeof(*s->history));
 }
 
 static void
-remember(struct confstate *s, const struct confstate_record *r)
+remember(struct confstate *s, struct confrecord r)
 {
-	struct confstate_record *kept = xcalloc(1, sizeof(*kept));
-
-	*kept = *r;
 	if (s->n_history == CONFSTATE_HISTORY)
 		drop_oldest(s);
 	s->history =
 	    xrealloc(s->history, s->n_history + 1, sizeof(*s->history));
-	s->history[s->n_history++] = kept;
+	s->history[s->n_history++] = r;
+}
+
+static char *
+copy(const char *c)
+{
+	return str_dup(str_from(c));
 }
 
-static const struct confstate_record *
+static const struct confrecord *
 find_change(const struct confstate *s, const char *change_id)
 {
 	for (size_t i = s->n_history; i > 0; i--) {
-		if (strcmp(s->history[i - 1]->change_id, change_id) == 0)
-			return s->history[i - 1];
+		if (strcmp(s->history[i - 1].change_id, change_id) == 0)
+			return &s->history[i - 1];
 	}
 	return NULL;
 }
@@ -169,15 +54,15 @@
 int
 confstate_fold(struct confstate *s, const json_t *record, struct err *e)
 {
-	struct confstate_record r = { 0 };
-	int rc = confstate_record_read(record, &r, e);
+	struct confrecord r = { 0 };
+	int rc = confrecord_read(record, &r, e);
 
 	if (rc != 0)
 		return rc;
 	if (r.accepted ? r.generation <= s->generation
 		       : r.generation < s->generation ||
 		    find_change(s, r.change_id) != NULL) {
-		confstate_record_free(&r);
+		confrecord_free(&r);
 		return 1;
 	}
 	if (r.generation > s->generation + (r.accepted ? 1 : 0)) {
@@ -186,197 +71,164 @@
 		    "records between from the log or a peer",
 		    (unsigned long long)s->generation,
 		    (unsigned long long)r.generation);
-		confstate_record_free(&r);
+		confrecord_free(&r);
 		return rc;
 	}
 	if (r.accepted) {
 		for (size_t i = 0; i < r.n_files; i++)
-			set_hash(&s->files, r.files[i].name, r.files[i].hash);
+			conffiles_set(
+			    &s->files, r.files[i].name, r.files[i].hash);
 		s->generation = r.generation;
 	}
-	remember(s, &r);
+	remember(s, r);
 	return 0;
 }
 
-bool
-confstate_body(struct confstate *s, const char *hash, struct str body)
+json_t *
+confstate_snapshot(const struct confstate *s)
 {
-	char have[HASH_HEX_LEN + 1];
-
-	hash_sha256(body, have);
-	if (strcmp(have, hash) != 0)
-		return false;
-	for (size_t i = 0; i < s->files.n; i++) {
-		struct confstate_file *x = &s->files.v[i];
+	json_t *files = json_array();
+	json_t *history = json_array();
+	uint64_t reach = s->reach;
+	size_t from = s->n_history > CONFSTATE_SNAPSHOT_HISTORY
+	    ? s->n_history - CONFSTATE_SNAPSHOT_HISTORY
+	    : 0;
 
-		if (!x->cached && strcmp(x->hash, hash) == 0)
-			set_body(x, body);
+	for (size_t i = 0; i < from; i++) {
+		if (s->history[i].accepted)
+			reach = s->history[i].generation;
 	}
-	return true;
+	for (size_t i = 0; i < s->files.n; i++)
+		json_array_append_new(files,
+		    json_pack("{s:s,s:s}", "name", s->files.v[i].name, "sha256",
+			s->files.v[i].hash));
+	for (size_t i = from; i < s->n_history; i++)
+		json_array_append_new(
+		    history, confrecord_json(&s->history[i], false));
+	return json_pack("{s:i,s:I,s:I,s:o,s:o}", "v", CONFRECORD_VERSION,
+	    "generation", (json_int_t)s->generation, "reach", (json_int_t)reach,
+	    "files", files, "history", history);
 }
 
-static const struct confstate_file *
-missing_in(const struct confstate_files *f)
+static bool
+restore_files(const json_t *list, struct conffiles *files)
 {
-	for (size_t i = 0; i < f->n; i++) {
-		if (!f->v[i].cached)
-			return &f->v[i];
+	if (!json_is_array(list))
+		return false;
+	for (size_t i = 0; i < json_array_size(list); i++) {
+		const json_t *j = json_array_get(list, i);
+		const char *name =
+		    json_string_value(json_object_get(j, "name"));
+		const json_t *hash = json_object_get(j, "sha256");
+
+		if (name == NULL || json_string_length(hash) != HASH_HEX_LEN)
+			return false;
+		conffiles_set(files, name, json_string_value(hash));
 	}
-	return NULL;
-}
-
-const struct confstate_file *
-confstate_missing(const struct confstate *s)
-{
-	return missing_in(&s->files);
+	return true;
 }
 
 static int
-read_ini(const struct confstate_files *f, struct ini *set, struct err *e)
+restore_history(const json_t *list, struct confstate *fresh, struct err *e)
 {
-	const struct confstate_file *gap = missing_in(f);
+	size_t n = json_array_size(list);
 
-	if (gap != NULL)
-		return err_set(e, ERR_NOT_READY,
-		    "the body of %s (%.12s) is not here yet; fetch it from the "
-		    "key-value service or a peer",
-		    gap->name, gap->hash);
-	for (size_t i = 0; i < f->n; i++) {
-		int rc = ini_add(set, f->v[i].name, str_of(&f->v[i].body), e);
+	fresh->history = xcalloc(n + 1, sizeof(*fresh->history));
+	for (size_t i = 0; i < n; i++) {
+		int rc = confrecord_read(
+		    json_array_get(list, i), &fresh->history[i], e);
 
 		if (rc != 0)
 			return rc;
+		fresh->n_history++;
 	}
 	return 0;
 }
 
-static struct conf *
-read_conf(const struct confstate_files *f, uint64_t generation, struct err *e)
-{
-	struct ini set = { 0 };
-	struct conf *c = NULL;
-
-	if (read_ini(f, &set, e) == 0)
-		c = conf_read(&set, generation, e);
-	ini_free(&set);
-	return c;
-}
-
-struct conf *
-confstate_conf(const struct confstate *s, struct err *e)
-{
-	return read_conf(&s->files, s->generation, e);
-}
-
-static void
-add_key(struct confstate_keys *out, const struct ini_entry *at,
-    const char *before, const char *after)
-{
-	out->v = xrealloc(out->v, out->n + 1, sizeof(*out->v));
-	out->v[out->n++] = (struct confstate_key){
-		.section = copy(at->section),
-		.key = copy(at->key),
-		.before = copy(before),
-		.after = copy(after),
-	};
-}
-
-static int
-compare_keys(const void *a, const void *b)
+int
+confstate_restore(struct confstate *s, const json_t *snapshot, struct err *e)
 {
-	const struct confstate_key *x = a;
-	const struct confstate_key *y = b;
-	int c = strcmp(x->section, y->section);
+	struct confstate fresh = { 0 };
+	int rc = confrecord_version(snapshot, "a configuration snapshot", e);
 
-	return c != 0 ? c : strcmp(x->key, y->key);
+	if (rc != 0)
+		return rc;
+	fresh.generation = (uint64_t)json_integer_value(
+	    json_object_get(snapshot, "generation"));
+	fresh.reach =
+	    (uint64_t)json_integer_value(json_object_get(snapshot, "reach"));
+	if (fresh.generation <= s->generation)
+		return 1;
+	rc = restore_history(json_object_get(snapshot, "history"), &fresh, e);
+	if (rc == 0 &&
+	    !restore_files(json_object_get(snapshot, "files"), &fresh.files))
+		rc = err_set(e, ERR_CONFIG,
+		    "a configuration snapshot of a form that this build can't "
+		    "read; " CONFRECORD_REMEDY);
+	if (rc != 0) {
+		confstate_free(&fresh);
+		return rc;
+	}
+	for (size_t i = 0; i < s->files.n; i++) {
+		if (s->files.v[i].cached)
+			confstate_body(&fresh, s->files.v[i].hash,
+			    str_of(&s->files.v[i].body));
+	}
+	confstate_free(s);
+	*s = fresh;
+	return 0;
 }
 
-static void
-diff_ini(const struct ini *before, const struct ini *after,
-    struct confstate_keys *out)
+bool
+confstate_body(struct confstate *s, const char *hash, struct str body)
 {
-	for (size_t i = 0; i < after->n; i++) {
-		const struct ini_entry *x = &after->entries[i];
-		const struct ini_entry *y =
-		    ini_find(before, x->section, x->key);
+	char have[HASH_HEX_LEN + 1];
 
-		if (y == NULL || strcmp(x->value, y->value) != 0)
-			add_key(out, x, y == NULL ? NULL : y->value, x->value);
-	}
-	for (size_t i = 0; i < before->n; i++) {
-		const struct ini_entry *x = &before->entries[i];
+	hash_sha256(body, have);
+	if (strcmp(have, hash) != 0)
+		return false;
+	for (size_t i = 0; i < s->files.n; i++) {
+		struct conffile *x = &s->files.v[i];
 
-		if (ini_find(after, x->section, x->key) == NULL)
-			add_key(out, x, x->value, NULL);
+		if (!x->cached && strcmp(x->hash, hash) == 0)
+			conffile_body(x, body);
 	}
-	if (out->n > 0)
-		qsort(out->v, out->n, sizeof(*out->v), compare_keys);
-}
-
-int
-confstate_diff(const struct confstate_files *before,
-    const struct confstate_files *after, struct confstate_keys *out,
-    struct err *e)
-{
-	struct ini x = { 0 };
-	struct ini y = { 0 };
-	int rc = read_ini(before, &x, e);
-
-	if (rc == 0)
-		rc = read_ini(after, &y, e);
-	if (rc == 0)
-		diff_ini(&x, &y, out);
-	ini_free(&x);
-	ini_free(&y);
-	return rc;
+	return true;
 }
 
-void
-confstate_diff_text(const struct confstate_keys *keys, struct buf *out)
+const struct conffile *
+confstate_missing(const struct confstate *s)
 {
-	for (size_t i = 0; i < keys->n; i++) {
-		const struct confstate_key *k = &keys->v[i];
-
-		buf_printf(out, "[%s] %s: %s -> %s\n", k->section, k->key,
-		    k->before == NULL ? "(not set)" : k->before,
-		    k->after == NULL ? "(not set)" : k->after);
-	}
+	return conffiles_missing(&s->files);
 }
 
-void
-confstate_keys_free(struct confstate_keys *keys)
+struct conf *
+confstate_conf(const struct confstate *s, struct err *e)
 {
-	for (size_t i = 0; i < keys->n; i++) {
-		free(keys->v[i].section);
-		free(keys->v[i].key);
-		free(keys->v[i].before);
-		free(keys->v[i].after);
-	}
-	free(keys->v);
-	*keys = (struct confstate_keys){ 0 };
+	return conffiles_conf(&s->files, s->generation, e);
 }
 
 /* Names and hashes as they were at an older generation. */
 static void
-files_at(const struct confstate *s, uint64_t base, struct confstate_files *out)
+files_at(const struct confstate *s, uint64_t base, struct conffiles *out)
 {
 	for (size_t i = 0; i < s->files.n; i++)
-		copy_file(out, &s->files.v[i]);
+		conffiles_copy(out, &s->files.v[i]);
 	for (size_t i = s->n_history; i > 0; i--) {
-		const struct confstate_record *r = s->history[i - 1];
+		const struct confrecord *r = &s->history[i - 1];
 
 		if (!r->accepted || r->generation <= base)
 			continue;
 		for (size_t j = 0; j < r->n_files; j++)
-			set_hash(out, r->files[j].name, r->files[j].was);
+			conffiles_set(out, r->files[j].name, r->files[j].was);
 	}
 }
 
-static const struct confstate_record *
+static const struct confrecord *
 last_change(const struct confstate *s, const char *name)
 {
 	for (size_t i = s->n_history; i > 0; i--) {
-		const struct confstate_record *r = s->history[i - 1];
+		const struct confrecord *r = &s->history[i - 1];
 
 		for (size_t j = 0; r->accepted && j < r->n_files; j++) {
 			if (strcmp(r->files[j].name, name) == 0)
@@ -400,7 +252,7 @@
 refuse_file(const struct confstate *s, const struct confstate_apply *a,
     const char *name, struct err *e)
 {
-	const struct confstate_record *r = last_change(s, name);
+	const struct confrecord *r = last_change(s, name);
 	char when[32] = "an unknown time";
 
 	if (r != NULL)
@@ -409,24 +261,24 @@
 	    "%s was %s by %s at %s (generation %llu) after generation %llu "
 	    "that you started from, and you %s it too; run sequoiactl fetch, "
 	    "bring your change into the present file and apply again",
-	    name, hash_of(&s->files, name)[0] == '\0' ? "removed" : "changed",
+	    name,
+	    conffiles_hash(&s->files, name)[0] == '\0' ? "removed" : "changed",
 	    r == NULL ? "someone" : r->who, when,
 	    (unsigned long long)(r == NULL ? s->generation : r->generation),
 	    (unsigned long long)a->base,
-	    hash_of(a->files, name)[0] == '\0' ? "removed" : "changed");
+	    conffiles_hash(a->files, name)[0] == '\0' ? "removed" : "changed");
 }
 
 /* Takes one name into the merged set; false on a conflict. */
 static bool
 merge_name(const struct confstate *s, const struct confstate_apply *a,
-    const struct confstate_files *base, const char *name,
-    struct confstate_plan *p)
+    const struct conffiles *base, const char *name, struct confstate_plan *p)
 {
-	const char *was = hash_of(base, name);
-	const char *mine = hash_of(a->files, name);
-	const char *now = hash_of(&s->files, name);
-	struct confstate_record *r = &p->record;
-	struct confstate_change *c;
+	const char *was = conffiles_hash(base, name);
+	const char *mine = conffiles_hash(a->files, name);
+	const char *now = conffiles_hash(&s->files, name);
+	struct confrecord *r = &p->record;
+	struct confchange *c;
 
 	if (strcmp(mine, was) == 0 || strcmp(mine, now) == 0)
 		return true;
@@ -436,13 +288,13 @@
 	}
 	r->files = xrealloc(r->files, r->n_files + 1, sizeof(*r->files));
 	c = &r->files[r->n_files++];
-	*c = (struct confstate_change){ .name = copy(name) };
-	copy_hash(c->hash, mine);
-	copy_hash(c->was, now);
+	*c = (struct confchange){ .name = str_dup(str_from(name)) };
+	snprintf(c->hash, sizeof(c->hash), "%s", mine);
+	snprintf(c->was, sizeof(c->was), "%s", now);
 	if (mine[0] == '\0')
-		set_hash(&p->files, name, "");
+		conffiles_set(&p->files, name, "");
 	else
-		copy_file(&p->files, find_file(a->files, name));
+		conffiles_copy(&p->files, conffiles_find(a->files, name));
 	return true;
 }
 
@@ -450,19 +302,19 @@
 merge(const struct confstate *s, const struct confstate_apply *a,
     struct confstate_plan *p)
 {
-	struct confstate_files base = { 0 };
+	struct conffiles base = { 0 };
 	bool ok = true;
 
 	files_at(s, a->base, &base);
 	for (size_t i = 0; i < s->files.n; i++)
-		copy_file(&p->files, &s->files.v[i]);
+		conffiles_copy(&p->files, &s->files.v[i]);
 	for (size_t i = 0; ok && i < a->files->n; i++)
 		ok = merge_name(s, a, &base, a->files->v[i].name, p);
 	for (size_t i = 0; ok && i < base.n; i++) {
-		if (find_file(a->files, base.v[i].name) == NULL)
+		if (conffiles_find(a->files, base.v[i].name) == NULL)
 			ok = merge_name(s, a, &base, base.v[i].name, p);
 	}
-	confstate_files_free(&base);
+	conffiles_free(&base);
 	return ok;
 }
 
@@ -484,12 +336,15 @@
 static bool
 check_result(const struct confstate *s, struct confstate_plan *p)
 {
-	struct conf *c = read_conf(&p->files, s->generation + 1, &p->err);
+	struct conf *c;
 
+	if (p->record.n_files == 0)
+		return true;
+	c = conffiles_conf(&p->files, s->generation + 1, &p->err);
 	if (c == NULL)
 		return false;
 	conf_unref(c);
-	return confstate_diff(&s->files, &p->files, &p->record.keys, &p->err) ==
+	return conffiles_diff(&s->files, &p->files, &p->record.keys, &p->err) ==
 	    0;
 }
 
@@ -501,15 +356,15 @@
 	p->record.accepted = false;
 	p->record.generation = s->generation;
 	p->record.reason = copy(p->err.text);
-	confstate_files_free(&p->files);
+	conffiles_free(&p->files);
 }
 
 static void
-plan_already(const struct confstate_record *r, struct confstate_plan *p)
+plan_already(const struct confrecord *r, struct confstate_plan *p)
 {
-	json_t *j = confstate_record_json(r);
+	json_t *j = confrecord_json(r, true);
 
-	confstate_record_read(j, &p->record, NULL);
+	confrecord_read(j, &p->record, NULL);
 	json_decref(j);
 	p->verdict = CONFSTATE_ALREADY;
 }
@@ -518,33 +373,31 @@
 confstate_plan(const struct confstate *s, const struct confstate_apply *a,
     struct confstate_plan *p)
 {
-	const struct confstate_record *known = find_change(s, a->change_id);
+	const struct confrecord *known = find_change(s, a->change_id);
 
 	*p = (struct confstate_plan){ 0 };
 	if (known != NULL) {
 		plan_already(known, p);
 		return;
 	}
-	p->record = (struct confstate_record){
+	p->record = (struct confrecord){
 		.generation = s->generation + 1,
 		.who = copy(a->who),
 		.when = a->when,
 		.change_id = copy(a->change_id),
 		.accepted = true,
 	};
-	if (!check_base(s, a, &p->err) || !merge(s, a, p))
-		refuse(s, p);
-	else if (p->record.n_files == 0)
-		p->verdict = CONFSTATE_NOTHING;
-	else if (!check_result(s, p))
+	if (!check_base(s, a, &p->err) || !merge(s, a, p) ||
+	    !check_result(s, p))
 		refuse(s, p);
 	else
-		p->verdict = CONFSTATE_MERGED;
+		p->verdict = p->record.n_files > 0 ? CONFSTATE_MERGED
+						   : CONFSTATE_NOTHING;
 }
 
 void
 confstate_plan_free(struct confstate_plan *p)
 {
-	confstate_record_free(&p->record);
-	confstate_files_free(&p->files);
+	confrecord_free(&p->record);
+	conffiles_free(&p->files);
 }
--- a/tests/kernel/test_confstate.c
+++ b/tests/kernel/test_confstate.c
@@ -12,17 +12,17 @@
 };
 
 static void
-fill(struct confstate_files *f, const struct text_file *v)
+fill(struct conffiles *f, const struct text_file *v)
 {
 	for (int i = 0; i < 4 && v[i].name != NULL; i++)
-		confstate_put(f, v[i].name, str_from(v[i].body));
+		conffiles_put(f, v[i].name, str_from(v[i].body));
 }
 
 static void
 plan(const struct confstate *s, uint64_t base, const struct text_file *v,
     const char *change, struct confstate_plan *p)
 {
-	struct confstate_files f = { 0 };
+	struct conffiles f = { 0 };
 
 	fill(&f, v);
 	confstate_plan(s,
@@ -34,14 +34,14 @@
 		.change_id = change,
 	    },
 	    p);
-	confstate_files_free(&f);
+	conffiles_free(&f);
 }
 
 /* Appends what a plan says and gives the state its bodies. */
 static void
 take(struct confstate *s, const struct confstate_plan *p)
 {
-	json_t *j = confstate_record_json(&p->record);
+	json_t *j = confrecord_json(&p->record, true);
 
 	g_assert_cmpint(confstate_fold(s, j, NULL), ==, 0);
 	for (size_t i = 0; i < p->files.n; i++)
@@ -253,7 +253,7 @@
 	g_assert_cmpuint(t.reach, ==, 40 - CONFSTATE_SNAPSHOT_HISTORY);
 	g_assert_null(confstate_conf(&t, NULL));
 	while (confstate_missing(&t) != NULL) {
-		const struct confstate_file *m = confstate_missing(&t);
+		const struct conffile *m = confstate_missing(&t);
 
 		g_assert_false(confstate_body(&t, m->hash, STR("other")));
 		for (size_t i = 0; i < s.files.n; i++)
@@ -272,22 +272,22 @@
 static void
 test_diff(void)
 {
-	struct confstate_files a = { 0 };
-	struct confstate_files b = { 0 };
-	struct confstate_keys keys = { 0 };
+	struct conffiles a = { 0 };
+	struct conffiles b = { 0 };
+	struct confkeys keys = { 0 };
 	struct buf out = { 0 };
 
-	confstate_put(&a, "20.ini", STR("[policy]\nretries = 1\nhedge = no\n"));
-	confstate_put(&b, "10.ini", STR("[policy]\nretries = 2\n"));
-	confstate_put(&b, "20.ini", STR("[policy]\nretries = 3\n"));
-	g_assert_cmpint(confstate_diff(&a, &b, &keys, NULL), ==, 0);
-	confstate_diff_text(&keys, &out);
+	conffiles_put(&a, "20.ini", STR("[policy]\nretries = 1\nhedge = no\n"));
+	conffiles_put(&b, "10.ini", STR("[policy]\nretries = 2\n"));
+	conffiles_put(&b, "20.ini", STR("[policy]\nretries = 3\n"));
+	g_assert_cmpint(conffiles_diff(&a, &b, &keys, NULL), ==, 0);
+	confkeys_text(&keys, &out);
 	g_assert_cmpstr(out.p, ==,
 	    "[policy] hedge: no -> (not set)\n[policy] retries: 1 -> 3\n");
 	buf_free(&out);
-	confstate_keys_free(&keys);
-	confstate_files_free(&a);
-	confstate_files_free(&b);
+	confkeys_free(&keys);
+	conffiles_free(&a);
+	conffiles_free(&b);
 }
 
 int
