Kernel: plan of orders to the runners of one service

Change: orders plans readings and orders: lease checked right before sending, waits where fencing is ignored, the loading cap, a first try on one runner, a halt with a typed reason after a failure, read-back after each order.

--- /dev/null
+++ b/kernel/orders.c
@@ -0,0 +1,413 @@
+#include "kernel/orders.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define POLL_LOADING  (1 * USEC_PER_SEC)
+#define RETRY_SILENT  (2 * USEC_PER_SEC)
+#define RECHECK       (30 * USEC_PER_SEC) /* of a runner that is right */
+#define LONGEST_SLEEP (1 * USEC_PER_SEC)
+
+void
+orders_init(struct orders *o, const struct orders_opts *opts)
+{
+	*o = (struct orders){ .opts = *opts };
+	o->by_addr = g_hash_table_new(g_str_hash, g_str_equal);
+}
+
+void
+orders_free(struct orders *o)
+{
+	g_hash_table_destroy(o->by_addr);
+	free(o->v);
+	*o = (struct orders){ 0 };
+}
+
+static int
+compare_names(const void *a, const void *b)
+{
+	const char *const *x = a;
+	const char *const *y = b;
+
+	return strcmp(*x, *y);
+}
+
+void
+orders_wanted(const struct conf_service *s, struct orders_state *out)
+{
+	const char **sorted = xcalloc(s->adapters.n + 1, sizeof(char *));
+	struct buf list = { 0 };
+
+	for (size_t i = 0; i < s->adapters.n; i++)
+		sorted[i] = s->adapters.v[i];
+	qsort(sorted, s->adapters.n, sizeof(char *), compare_names);
+	for (size_t i = 0; i < s->adapters.n; i++)
+		buf_printf(&list, "%s%s", i > 0 ? " " : "", sorted[i]);
+	*out = (struct orders_state){ 0 };
+	snprintf(out->model, sizeof(out->model), "%s", s->model);
+	snprintf(out->version, sizeof(out->version), "%s", s->version);
+	snprintf(out->adapters, sizeof(out->adapters), "%.*s",
+	    STR_FMT(str_of(&list)));
+	snprintf(out->role, sizeof(out->role), "%s", s->role);
+	buf_free(&list);
+	free(sorted);
+}
+
+static bool
+same(const struct orders_state *wanted, const struct orders_state *have)
+{
+	return strcmp(wanted->model, have->model) == 0 &&
+	    strcmp(wanted->version, have->version) == 0 &&
+	    strcmp(wanted->adapters, have->adapters) == 0 &&
+	    (wanted->role[0] == '\0' || strcmp(wanted->role, have->role) == 0);
+}
+
+static void
+set_phase(struct orders *o, struct orders_runner *r, enum orders_phase phase)
+{
+	o->counts[r->phase]--;
+	o->counts[phase]++;
+	r->phase = phase;
+}
+
+static void
+set_changing(struct orders *o, struct orders_runner *r, bool changing)
+{
+	if (r->changing == changing)
+		return;
+	r->changing = changing;
+	if (changing)
+		o->changing++;
+	else
+		o->changing--;
+}
+
+/* Everything is read again before the next order. */
+static void
+forget_states(struct orders *o)
+{
+	o->unseen = o->n;
+	for (size_t i = 0; i < o->n; i++) {
+		o->v[i].asked_at = 0;
+		o->v[i].seen = false;
+		set_phase(o, &o->v[i], RUNNER_UNKNOWN);
+	}
+}
+
+void
+orders_want(struct orders *o, const struct orders_state *wanted)
+{
+	if (same(wanted, &o->wanted) && same(&o->wanted, wanted))
+		return;
+	o->wanted = *wanted;
+	o->halt = HALT_NONE;
+	o->halt_news = false;
+	forget_states(o);
+}
+
+void
+orders_tune(struct orders *o, const struct orders_opts *opts)
+{
+	o->opts = *opts;
+}
+
+void
+orders_runners(struct orders *o, const char *const *addrs, size_t n)
+{
+	struct orders_runner *v = xcalloc(n + 1, sizeof(*v));
+
+	memset(o->counts, 0, sizeof(o->counts));
+	o->changing = 0;
+	o->unseen = 0;
+	for (size_t i = 0; i < n; i++) {
+		size_t old =
+		    GPOINTER_TO_SIZE(g_hash_table_lookup(o->by_addr, addrs[i]));
+
+		if (old > 0)
+			v[i] = o->v[old - 1];
+		else
+			snprintf(v[i].addr, sizeof(v[i].addr), "%s", addrs[i]);
+		o->counts[v[i].phase]++;
+		o->changing += v[i].changing ? 1 : 0;
+		o->unseen += v[i].seen ? 0 : 1;
+	}
+	g_hash_table_remove_all(o->by_addr);
+	for (size_t i = 0; i < n; i++)
+		g_hash_table_insert(
+		    o->by_addr, v[i].addr, GSIZE_TO_POINTER(i + 1));
+	free(o->v);
+	o->v = v;
+	o->n = n;
+	o->cursor = 0;
+}
+
+void
+orders_lease(
+    struct orders *o, usec_t now, bool held, uint64_t revision, usec_t until)
+{
+	bool fresh = held && (!o->held || revision != o->fencing);
+
+	o->held = held;
+	if (!held)
+		return;
+	o->fencing = revision;
+	o->lease_until = until;
+	if (!fresh)
+		return;
+	o->quiet_until = now;
+	if (o->opts.fencing == FENCING_IGNORED)
+		o->quiet_until += o->opts.lease_ttl + o->opts.order_timeout;
+	o->halt = HALT_NONE;
+	forget_states(o);
+}
+
+static size_t
+most_changing(const struct orders *o)
+{
+	size_t most = o->n * o->opts.loading_cap / 100;
+
+	/* A state that no runner serves yet is tried on one. */
+	if (o->counts[RUNNER_RIGHT] == 0)
+		return 1;
+	return most > 0 ? most : 1;
+}
+
+/* Time after which a runner is to be read, given its phase. */
+static usec_t
+read_due(const struct orders *o, const struct orders_runner *r)
+{
+	switch (r->phase) {
+	case RUNNER_UNKNOWN:
+		return r->asked_at == 0 ? 0 : r->asked_at + RETRY_SILENT;
+	case RUNNER_READING:
+	case RUNNER_ORDERED:
+		return (r->phase == RUNNER_READING ? r->asked_at
+						   : r->ordered_at) +
+		    o->opts.order_timeout;
+	case RUNNER_LOADING:
+		return r->asked_at + POLL_LOADING;
+	case RUNNER_RIGHT:
+	case RUNNER_WRONG:
+	case RUNNER_FAILED:
+	case RUNNER_PHASES:
+		break;
+	}
+	return r->asked_at + RECHECK;
+}
+
+static bool
+may_order(const struct orders *o, const struct orders_runner *r, usec_t now)
+{
+	return r->phase == RUNNER_WRONG && o->halt == HALT_NONE &&
+	    o->unseen == 0 && now >= o->quiet_until && now >= r->settled_at &&
+	    o->changing < most_changing(o);
+}
+
+static void
+send_order(struct orders *o, struct orders_runner *r, usec_t now,
+    struct orders_action *a)
+{
+	set_phase(o, r, RUNNER_ORDERED);
+	set_changing(o, r, true);
+	r->ordered_at = now;
+	r->settled_at = now + o->opts.order_timeout;
+	a->kind = ORDERS_SEND;
+	a->wanted = o->wanted;
+	a->fencing = o->fencing;
+	a->not_after = o->lease_until;
+}
+
+static bool
+act(struct orders *o, struct orders_runner *r, usec_t now,
+    struct orders_action *a)
+{
+	usec_t due = read_due(o, r);
+
+	if (may_order(o, r, now)) {
+		send_order(o, r, now, a);
+	} else if (now >= due) {
+		a->kind = ORDERS_READ;
+		r->asked_at = now;
+		/* A loading runner stays one while it is read. */
+		if (r->phase != RUNNER_LOADING)
+			set_phase(o, r, RUNNER_READING);
+	} else {
+		if (due < a->wake_at)
+			a->wake_at = due;
+		return false;
+	}
+	snprintf(a->addr, sizeof(a->addr), "%s", r->addr);
+	return true;
+}
+
+void
+orders_next(struct orders *o, usec_t now, struct orders_action *a)
+{
+	*a = (struct orders_action){ .wake_at = now + LONGEST_SLEEP };
+	if (!o->held || now >= o->lease_until)
+		return;
+	for (size_t i = 0; i < o->n; i++) {
+		struct orders_runner *r = &o->v[o->cursor];
+
+		o->cursor = (o->cursor + 1) % o->n;
+		if (act(o, r, now, a))
+			return;
+	}
+}
+
+bool
+orders_may_send(
+    const struct orders *o, const struct orders_action *a, usec_t now)
+{
+	return o->held && o->fencing == a->fencing && now < a->not_after &&
+	    same(&o->wanted, &a->wanted);
+}
+
+static struct orders_runner *
+find(const struct orders *o, const char *addr)
+{
+	size_t i = GPOINTER_TO_SIZE(g_hash_table_lookup(o->by_addr, addr));
+
+	return i == 0 ? NULL : &o->v[i - 1];
+}
+
+static void
+halt(struct orders *o, struct orders_runner *r, enum orders_halt why)
+{
+	set_phase(o, r, RUNNER_FAILED);
+	set_changing(o, r, false);
+	if (o->halt != HALT_NONE)
+		return;
+	o->halt = why;
+	o->halt_news = true;
+	snprintf(o->halt_addr, sizeof(o->halt_addr), "%s", r->addr);
+}
+
+static void
+read_loading(struct orders *o, struct orders_runner *r, usec_t now)
+{
+	if (r->ordered_at > 0 && now - r->ordered_at > ORDERS_LOAD_MAX) {
+		halt(o, r, HALT_TIMEOUT);
+		return;
+	}
+	set_phase(o, r, RUNNER_LOADING);
+	/* Also an order of an earlier sender counts. */
+	set_changing(o, r, true);
+}
+
+static void
+read_silent(struct orders *o, struct orders_runner *r, usec_t now)
+{
+	if (r->phase != RUNNER_LOADING)
+		set_phase(o, r, RUNNER_UNKNOWN);
+	if (now - r->ordered_at > ORDERS_LOAD_MAX)
+		set_changing(o, r, false);
+}
+
+/* An order was accepted, but the runner may not have begun yet. */
+static bool
+not_begun(const struct orders *o, const struct orders_runner *r, usec_t now)
+{
+	return r->changing && now < r->ordered_at + o->opts.order_timeout;
+}
+
+void
+orders_read(struct orders *o, usec_t now, const char *addr,
+    enum orders_report report, const struct orders_state *state)
+{
+	struct orders_runner *r = find(o, addr);
+
+	if (r == NULL || r->phase == RUNNER_ORDERED)
+		return;
+	if (!r->seen) {
+		r->seen = true;
+		o->unseen--;
+	}
+	switch (report) {
+	case ORDERS_SILENT:
+		read_silent(o, r, now);
+		return;
+	case ORDERS_LOADING:
+		read_loading(o, r, now);
+		return;
+	case ORDERS_FAILED:
+		if (same(&o->wanted, state)) {
+			halt(o, r, HALT_LOAD_FAILED);
+			return;
+		}
+		break;
+	case ORDERS_READY:
+		if (same(&o->wanted, state)) {
+			set_changing(o, r, false);
+			r->settled_at = now;
+			set_phase(o, r, RUNNER_RIGHT);
+			return;
+		}
+		break;
+	}
+	if (not_begun(o, r, now)) {
+		set_phase(o, r, RUNNER_LOADING);
+		return;
+	}
+	set_changing(o, r, false);
+	set_phase(o, r, RUNNER_WRONG);
+}
+
+void
+orders_replied(
+    struct orders *o, usec_t now, const char *addr, enum orders_reply reply)
+{
+	struct orders_runner *r = find(o, addr);
+
+	if (r == NULL)
+		return;
+	if (reply != ORDERS_LOST)
+		r->settled_at = now;
+	switch (reply) {
+	case ORDERS_ACCEPTED:
+		if (r->phase == RUNNER_ORDERED)
+			set_phase(o, r, RUNNER_LOADING);
+		r->asked_at = now;
+		break;
+	case ORDERS_FENCED:
+		o->held = false;
+		set_changing(o, r, false);
+		set_phase(o, r, RUNNER_UNKNOWN);
+		break;
+	case ORDERS_REFUSED:
+		halt(o, r, HALT_REFUSED);
+		break;
+	case ORDERS_LOST:
+		set_phase(o, r, RUNNER_UNKNOWN);
+		r->asked_at = now;
+		break;
+	}
+}
+
+const char *
+orders_halt_name(enum orders_halt h)
+{
+	static const char *const names[] = {
+		[HALT_NONE] = "none",
+		[HALT_LOAD_FAILED] = "load-failed",
+		[HALT_REFUSED] = "refused",
+		[HALT_TIMEOUT] = "load-timeout",
+	};
+
+	return names[h];
+}
+
+bool
+orders_halted(struct orders *o, struct buf *line)
+{
+	if (!o->halt_news)
+		return false;
+	o->halt_news = false;
+	buf_printf(line,
+	    "orders halted: %s of %s %s on %s; %zu of %zu runners have it; "
+	    "look at the runner, then set another version or the old one",
+	    orders_halt_name(o->halt), o->wanted.model, o->wanted.version,
+	    o->halt_addr, o->counts[RUNNER_RIGHT], o->n);
+	return true;
+}
--- a/tests/kernel/test_confstate.c
+++ b/tests/kernel/test_confstate.c
@@ -69,74 +69,72 @@
 };
 
 /* The second operator started from generation 1, like the first one. */
+static const struct {
+	const char *name;
+	struct text_file ann[4];
+	struct text_file bob[4];
+	enum confstate_verdict verdict;
+	size_t files;
+	const char *error;
+} races[] = {
+	{ "different files", { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
+	    { { "10.ini", SERVICE "concurrency = 3\n" },
+		{ "20.ini", POLICY(1) } },
+	    CONFSTATE_MERGED, 2, "" },
+	{ "a new file beside a change",
+	    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
+	    { { "10.ini", SERVICE }, { "20.ini", POLICY(1) },
+		{ "30.ini", POLICY(3) } },
+	    CONFSTATE_MERGED, 3, "" },
+	{ "the same file", { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
+	    { { "10.ini", SERVICE }, { "20.ini", POLICY(3) } },
+	    CONFSTATE_REFUSED, 0,
+	    "20.ini was changed by ann at 1970-01-01T00:16:40Z "
+	    "(generation 2)*changed it too*sequoiactl fetch*" },
+	{ "changed and removed",
+	    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
+	    { { "10.ini", SERVICE } }, CONFSTATE_REFUSED, 0,
+	    "20.ini was changed by ann*you removed it too*" },
+	{ "removed and changed", { { "10.ini", SERVICE } },
+	    { { "10.ini", SERVICE }, { "20.ini", POLICY(3) } },
+	    CONFSTATE_REFUSED, 0, "20.ini was removed by ann*" },
+	{ "both the same way",
+	    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
+	    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
+	    CONFSTATE_NOTHING, 2, "" },
+	{ "the same new file",
+	    { { "10.ini", SERVICE }, { "20.ini", POLICY(1) },
+		{ "30.ini", POLICY(2) } },
+	    { { "10.ini", SERVICE }, { "20.ini", POLICY(1) },
+		{ "30.ini", POLICY(3) } },
+	    CONFSTATE_REFUSED, 0, "30.ini was changed by ann*" },
+	{ "the merged result is bad",
+	    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
+	    { { "10.ini", SERVICE }, { "20.ini", POLICY(1) },
+		{ "30.ini", "[policy]\nretrys = 1\n" } },
+	    CONFSTATE_REFUSED, 0, "30.ini:2*" },
+	{ "other files are ignored",
+	    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
+	    { { "10.ini", SERVICE }, { "20.ini", POLICY(1) },
+		{ "notes.txt", "x" } },
+	    CONFSTATE_NOTHING, 2, "" },
+};
+
 static void
 test_race(void)
 {
-	static const struct {
-		const char *name;
-		struct text_file ann[4];
-		struct text_file bob[4];
-		enum confstate_verdict verdict;
-		size_t files;
-		const char *error;
-	} cases[] = {
-		{ "different files",
-		    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
-		    { { "10.ini", SERVICE "concurrency = 3\n" },
-			{ "20.ini", POLICY(1) } },
-		    CONFSTATE_MERGED, 2, "" },
-		{ "a new file beside a change",
-		    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
-		    { { "10.ini", SERVICE }, { "20.ini", POLICY(1) },
-			{ "30.ini", POLICY(3) } },
-		    CONFSTATE_MERGED, 3, "" },
-		{ "the same file",
-		    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
-		    { { "10.ini", SERVICE }, { "20.ini", POLICY(3) } },
-		    CONFSTATE_REFUSED, 0,
-		    "20.ini was changed by ann at 1970-01-01T00:16:40Z "
-		    "(generation 2)*changed it too*sequoiactl fetch*" },
-		{ "changed and removed",
-		    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
-		    { { "10.ini", SERVICE } }, CONFSTATE_REFUSED, 0,
-		    "20.ini was changed by ann*you removed it too*" },
-		{ "removed and changed", { { "10.ini", SERVICE } },
-		    { { "10.ini", SERVICE }, { "20.ini", POLICY(3) } },
-		    CONFSTATE_REFUSED, 0, "20.ini was removed by ann*" },
-		{ "both the same way",
-		    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
-		    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
-		    CONFSTATE_NOTHING, 2, "" },
-		{ "the same new file",
-		    { { "10.ini", SERVICE }, { "20.ini", POLICY(1) },
-			{ "30.ini", POLICY(2) } },
-		    { { "10.ini", SERVICE }, { "20.ini", POLICY(1) },
-			{ "30.ini", POLICY(3) } },
-		    CONFSTATE_REFUSED, 0, "30.ini was changed by ann*" },
-		{ "the merged result is bad",
-		    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
-		    { { "10.ini", SERVICE }, { "20.ini", POLICY(1) },
-			{ "30.ini", "[policy]\nretrys = 1\n" } },
-		    CONFSTATE_REFUSED, 0, "30.ini:2*" },
-		{ "other files are ignored",
-		    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
-		    { { "10.ini", SERVICE }, { "20.ini", POLICY(1) },
-			{ "notes.txt", "x" } },
-		    CONFSTATE_NOTHING, 2, "" },
-	};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+	for (size_t i = 0; i < G_N_ELEMENTS(races); i++) {
 		struct confstate s = { 0 };
 		struct confstate_plan p;
 
-		g_test_message("%s", cases[i].name);
+		g_test_message("%s", races[i].name);
 		apply(&s, 0, first, "first");
-		apply(&s, 1, cases[i].ann, "ann");
-		plan(&s, 1, cases[i].bob, "bob", &p);
-		g_assert_cmpint(p.verdict, ==, cases[i].verdict);
+		apply(&s, 1, races[i].ann, "ann");
+		plan(&s, 1, races[i].bob, "bob", &p);
+		g_assert_cmpint(p.verdict, ==, races[i].verdict);
 		g_assert_true(
-		    g_pattern_match_simple(cases[i].error, p.err.text));
-		g_assert_cmpuint(p.files.n, ==, cases[i].files);
+		    g_pattern_match_simple(races[i].error, p.err.text));
+		g_assert_cmpuint(p.files.n, ==, races[i].files);
 		if (p.verdict != CONFSTATE_NOTHING)
 			take(&s, &p);
 		g_assert_cmpuint(
