Configuration through the append-only log; sequoiactl apply, diff, pull, show, audit

Cause: the head document of the thin path had no history and no merging. Change: plat/logio drives a log over the key-value service, plat/conflog folds the configuration and fetches bodies; sequoiad follows it by a watch; sequoiactl merges with what others applied since and takes their files over into the operator's folder. Ruled out: noting the new generation without taking over, by which the next apply of a second operator undid the first one's change (seen: generation 4 set deadline_ms back from 4500).

--- /dev/null
+++ b/ctl/fleet.h
@@ -0,0 +1,29 @@
+/* Asking sequoiads on their operators' address. */
+#ifndef CTL_FLEET_H
+#define CTL_FLEET_H
+
+#include "base/clock.h"
+#include "base/str.h"
+
+#include <jansson.h>
+
+struct fleet_request {
+	const char *method; /* GET or POST */
+	const char *addr;   /* IP:PORT */
+	const char *path;
+	const char *const *headers; /* or NULL */
+	struct str body;
+	usec_t timeout;
+};
+
+/* Carries out one call; the status, or 0 when there was no answer. */
+int fleet_call(const struct fleet_request *rq, struct buf *out);
+/* GET of a JSON document; NULL when it can't be had. */
+json_t *fleet_get(const char *addr, const char *path);
+/*
+ * Waits until every live sequoiad that the one at addr knows has the
+ * generation in force; an exit code.
+ */
+int fleet_wait(const char *addr, uint64_t generation);
+
+#endif
--- a/ctl/folder.c
+++ b/ctl/folder.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #define SUFFIX ".ini"
+#define BASE   ".generation" /* not an INI file: never applied */
 
 static bool
 is_ini(const char *name)
@@ -79,6 +80,68 @@
 	return 0;
 }
 
+int
+folder_write(const char *path, const char *name, struct str body, struct err *e)
+{
+	struct buf full = { 0 };
+	FILE *out;
+	int rc = 0;
+
+	buf_printf(&full, "%s/%s", path, name);
+	out = fopen(full.p, "we");
+	if (out == NULL || fwrite(body.p, 1, body.n, out) != body.n)
+		rc = err_set(e, ERR_IO, "%s: %s: check the folder", full.p,
+		    strerror(errno));
+	if (out != NULL && fclose(out) != 0)
+		rc = err_set(e, ERR_IO, "%s: %s: check the folder", full.p,
+		    strerror(errno));
+	buf_free(&full);
+	return rc;
+}
+
+int
+folder_remove(const char *path, const char *name, struct err *e)
+{
+	struct buf full = { 0 };
+	int rc = 0;
+
+	buf_printf(&full, "%s/%s", path, name);
+	if (remove(full.p) != 0)
+		rc = err_set(e, ERR_IO, "%s: %s: check the folder", full.p,
+		    strerror(errno));
+	buf_free(&full);
+	return rc;
+}
+
+uint64_t
+folder_base(const char *path)
+{
+	struct buf full = { 0 };
+	struct buf text = { 0 };
+	uint64_t base = 0;
+
+	buf_printf(&full, "%s/%s", path, BASE);
+	if (ini_slurp(full.p, &text, NULL) != 0 ||
+	    !str_u64(str_trim(str_of(&text)), &base))
+		base = 0;
+	buf_free(&full);
+	buf_free(&text);
+	return base;
+}
+
+void
+folder_note_base(const char *path, uint64_t generation)
+{
+	struct buf text = { 0 };
+	struct err e = { 0 };
+
+	buf_printf(&text, "%llu\n", (unsigned long long)generation);
+	if (folder_write(path, BASE, str_of(&text), &e) != 0)
+		fprintf(stderr, "sequoiactl: %s; next time say --base %llu\n",
+		    e.text, (unsigned long long)generation);
+	buf_free(&text);
+}
+
 void
 folder_free(struct folder *f)
 {
--- a/ctl/sequoiactl.c
+++ b/ctl/sequoiactl.c
@@ -1,180 +1,155 @@
 /* sequoiactl: the operators' command. */
-#include "ctl/folder.h"
-#include "kernel/conf.h"
-#include "plat/kv.h"
+#include "ctl/change.h"
 
 #include <argp.h>
-#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define CONF_KEY   STR("sequoia/config/head")
-#define KV_TIMEOUT (2 * USEC_PER_SEC)
-#define STEP       (50 * USEC_PER_MSEC)
-
 const char *argp_program_version = "sequoiactl " SEQUOIA_VERSION;
 
-enum exit_code {
-	EXIT_DONE = 0,
-	EXIT_REFUSED = 1, /* the input or the present state speaks against it */
-	EXIT_USAGE = 2,
-	EXIT_UNREACHED = 3 /* the platform or a sequoiad did not answer */
+enum option_key {
+	OPTION_KV = 'k',
+	OPTION_WHO = 'w',
+	OPTION_SEQUOIAD = 's',
+	OPTION_BASE = 256,
+	OPTION_CHANGE_ID,
+	OPTION_GENERATION,
+	OPTION_WAIT,
+	OPTION_JSON
 };
 
 struct options {
-	const char *kv;
+	struct change_opts change;
 	const char *command;
-	const char *arg;
 };
 
-/* An answer of the key-value service while it is waited for. */
-struct waiting {
-	bool done;
-	enum kv_status status;
-	bool found;
-	int64_t revision;
-	struct buf value;
+struct command {
+	const char *name;
+	bool dir; /* takes a folder */
+	int (*run)(const struct change_opts *o);
+};
+
+static const struct command commands[] = {
+	{ "check", true, change_check },
+	{ "apply", true, change_apply },
+	{ "diff", true, change_diff },
+	{ "pull", true, change_pull },
+	{ "show", false, change_show },
+	{ "audit", false, change_audit },
 };
 
 static const struct argp_option options[] = {
-	{ "kv", 'k', "IP:PORT", 0, "The key-value service", 0 },
+	{ "kv", OPTION_KV, "IP:PORT", 0, "The key-value service", 0 },
+	{ "sequoiad", OPTION_SEQUOIAD, "IP:PORT", 0,
+	    "Operators' address of a sequoiad", 0 },
+	{ "who", OPTION_WHO, "NAME", 0, "Your name for the audit trail", 0 },
+	{ "base", OPTION_BASE, "N", 0,
+	    "The generation that the folder started from", 0 },
+	{ "change-id", OPTION_CHANGE_ID, "ID", 0,
+	    "The id of a change that was not confirmed", 0 },
+	{ "generation", OPTION_GENERATION, "N", 0, "The generation to show",
+	    0 },
+	{ "wait", OPTION_WAIT, NULL, 0,
+	    "Wait until the change is in force everywhere", 0 },
+	{ "json", OPTION_JSON, NULL, 0, "Write JSON", 0 },
 	{ 0 },
 };
 
+static uint64_t
+number(struct argp_state *state, const char *arg)
+{
+	uint64_t v;
+
+	if (!str_u64(str_from(arg), &v))
+		argp_error(state, "%s: write a whole number", arg);
+	return v;
+}
+
 static error_t
 parse(int key, char *arg, struct argp_state *state)
 {
 	struct options *o = state->input;
 
 	switch (key) {
-	case 'k':
-		o->kv = arg;
+	case OPTION_KV:
+		o->change.kv = arg;
+		return 0;
+	case OPTION_SEQUOIAD:
+		o->change.sequoiad = arg;
+		return 0;
+	case OPTION_WHO:
+		o->change.who = arg;
+		return 0;
+	case OPTION_BASE:
+		o->change.base = number(state, arg);
+		return 0;
+	case OPTION_CHANGE_ID:
+		o->change.change_id = arg;
+		return 0;
+	case OPTION_GENERATION:
+		o->change.generation = number(state, arg);
+		return 0;
+	case OPTION_WAIT:
+		o->change.wait = true;
+		return 0;
+	case OPTION_JSON:
+		o->change.json = true;
 		return 0;
 	case ARGP_KEY_ARG:
 		if (o->command == NULL)
 			o->command = arg;
+		else if (o->change.dir == NULL)
+			o->change.dir = arg;
 		else
-			o->arg = arg;
+			argp_error(state, "%s: one argument too many", arg);
+		return 0;
+	case ARGP_KEY_END:
+		if (o->command == NULL)
+			argp_error(state, "write a command");
 		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
 }
 
-static void
-on_kv(void *arg, const struct kv_result *r)
-{
-	struct waiting *w = arg;
-
-	w->done = true;
-	w->status = r->status;
-	w->found = r->found;
-	w->revision = r->mod_revision;
-	buf_clear(&w->value);
-	buf_put(&w->value, r->value);
-}
-
-static int
-check(const char *path, struct folder *f, struct err *e)
-{
-	struct ini set = { 0 };
-	struct conf *c = NULL;
-	int rc = folder_read(f, path, e);
-
-	if (rc == 0)
-		rc = folder_merge(f, &set, e);
-	if (rc == 0 && (c = conf_read(&set, 0, e)) == NULL)
-		rc = e->kind;
-	conf_unref(c);
-	ini_free(&set);
-	return rc;
-}
-
-static char *
-head_text(const struct folder *f, uint64_t generation)
-{
-	json_t *files = json_object();
-	json_t *o;
-	char *text;
-
-	for (size_t i = 0; i < f->n; i++)
-		json_object_set_new(files, f->v[i].name,
-		    json_stringn(f->v[i].body.p, f->v[i].body.n));
-	o = json_pack(
-	    "{s:I, s:o}", "generation", (json_int_t)generation, "files", files);
-	text = json_dumps(o, JSON_COMPACT | JSON_SORT_KEYS);
-	json_decref(o);
-	return text;
-}
-
 static int
-apply(const struct options *o, const struct folder *f)
+run(const struct options *o)
 {
-	struct http_loop *loop = http_new();
-	struct kv *kv = kv_new(&(struct kv_opts){ .loop = loop,
-	    .endpoints = &o->kv,
-	    .n_endpoints = 1,
-	    .timeout = KV_TIMEOUT });
-	struct waiting w = { 0 };
-	uint64_t generation = 1;
-	json_t *old;
-	char *text;
-
-	kv_get(kv, CONF_KEY, on_kv, &w);
-	while (!w.done)
-		http_run(loop, STEP);
-	old =
-	    json_loadb(w.value.p != NULL ? w.value.p : "", w.value.n, 0, NULL);
-	if (old != NULL)
-		generation = 1 +
-		    (uint64_t)json_integer_value(
-			json_object_get(old, "generation"));
-	json_decref(old);
-	text = head_text(f, generation);
-	w.done = false;
-	kv_cas(kv,
-	    &(struct kv_cas_opts){
-		CONF_KEY, w.found ? w.revision : 0, str_from(text), 0 },
-	    on_kv, &w);
-	while (!w.done)
-		http_run(loop, STEP);
-	free(text);
-	buf_free(&w.value);
-	kv_free(kv);
-	http_free(loop);
-	if (w.status != KV_OK) {
-		fprintf(stderr, "sequoiactl: not applied: try again\n");
-		return EXIT_UNREACHED;
+	for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++) {
+		const struct command *c = &commands[i];
+
+		if (strcmp(c->name, o->command) != 0)
+			continue;
+		if (c->dir && o->change.dir == NULL) {
+			fprintf(
+			    stderr, "sequoiactl: %s: name a folder\n", c->name);
+			return EXIT_USAGE;
+		}
+		return c->run(&o->change);
 	}
-	printf("generation %llu\n", (unsigned long long)generation);
-	return EXIT_DONE;
+	fprintf(stderr, "sequoiactl: %s: no such command: see --help\n",
+	    o->command);
+	return EXIT_USAGE;
 }
 
 int
 main(int argc, char **argv)
 {
 	struct argp argp = { options, parse, "COMMAND [DIR]",
-		"Commands: check DIR, apply DIR." };
-	struct options o = { .kv = "127.0.0.1:2379" };
-	struct folder f = { 0 };
-	struct err e = { 0 };
-	int rc;
-
+		"Commands: check DIR, apply DIR, diff DIR, pull DIR, show, "
+		"audit." };
+	const char *user = getenv("USER");
+	struct options o = {
+		.change = {
+		    .kv = "127.0.0.1:2379",
+		    .sequoiad = "127.0.0.1:8081",
+		    .who = user != NULL ? user : "unknown",
+		    .base = BASE_UNSET,
+		},
+	};
+
+	argp_err_exit_status = EXIT_USAGE;
 	argp_parse(&argp, argc, argv, 0, NULL, &o);
-	if (o.command == NULL || o.arg == NULL) {
-		fprintf(stderr, "sequoiactl: write check DIR or apply DIR\n");
-		return EXIT_USAGE;
-	}
-	if (check(o.arg, &f, &e) != 0) {
-		fprintf(stderr, "sequoiactl: %s\n", e.text);
-		rc = EXIT_REFUSED;
-	} else if (strcmp(o.command, "apply") == 0) {
-		rc = apply(&o, &f);
-	} else {
-		printf("%s: good\n", o.arg);
-		rc = EXIT_DONE;
-	}
-	folder_free(&f);
-	return rc;
+	return run(&o);
 }
--- /dev/null
+++ b/ctl/session.c
@@ -0,0 +1,161 @@
+#include "ctl/session.h"
+#include "base/rng.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define STEP       (5 * USEC_PER_MSEC)
+#define KV_TIMEOUT (2 * USEC_PER_SEC)
+#define READ_TIME  (10 * USEC_PER_SEC)
+#define MAX_ENDPOINTS 8
+
+static void
+on_changed(void *arg)
+{
+	(void)arg;
+}
+
+static void
+on_done(void *arg, const struct alog_done *d)
+{
+	struct session *s = arg;
+
+	s->decided = true;
+	s->done = *d;
+}
+
+static void
+on_refused(void *arg, const struct err *e)
+{
+	struct session *s = arg;
+
+	s->refused = *e;
+}
+
+static void
+on_kv(void *arg, const struct kv_result *r)
+{
+	struct session *s = arg;
+
+	s->answered = true;
+	s->status = r->status;
+	s->found = r->found;
+	buf_clear(&s->value);
+	buf_put(&s->value, r->value);
+}
+
+static struct kv *
+open_kv(struct http_loop *loop, const char *text)
+{
+	const char *endpoints[MAX_ENDPOINTS];
+	struct str rest = str_from(text);
+	struct str part;
+	size_t n = 0;
+	struct kv *kv;
+
+	while (n < MAX_ENDPOINTS && str_cut(&rest, ' ', &part)) {
+		if (part.n > 0)
+			endpoints[n++] = str_dup(part);
+	}
+	kv = kv_new(&(struct kv_opts){
+	    .loop = loop,
+	    .endpoints = endpoints,
+	    .n_endpoints = n,
+	    .timeout = KV_TIMEOUT,
+	});
+	while (n > 0)
+		free((char *)endpoints[--n]);
+	return kv;
+}
+
+static void
+step(struct session *s)
+{
+	http_run(s->loop, STEP);
+	conflog_tick(s->log, clock_now());
+}
+
+static bool
+is_read(const struct session *s)
+{
+	return conflog_ready(s->log) &&
+	    confstate_missing(conflog_state(s->log)) == NULL;
+}
+
+int
+session_open(struct session *s, const struct session_opts *o, struct err *e)
+{
+	usec_t until = clock_now() + READ_TIME;
+
+	memset(s, 0, sizeof(*s));
+	s->loop = http_new();
+	s->kv = open_kv(s->loop, o->kv);
+	s->log = conflog_new(&(struct conflog_opts){
+	    .kv = s->kv,
+	    .incarnation = rng_entropy(),
+	    .changed = on_changed,
+	    .done = on_done,
+	    .refused = on_refused,
+	    .record = o->record,
+	    .record_arg = o->arg,
+	    .arg = s,
+	});
+	while (!is_read(s) && conflog_error(s->log) == NULL &&
+	    clock_now() < until)
+		step(s);
+	if (conflog_error(s->log) != NULL) {
+		*e = *conflog_error(s->log);
+		return EXIT_REFUSED;
+	}
+	if (s->refused.kind != ERR_OK) {
+		*e = s->refused;
+		return EXIT_REFUSED;
+	}
+	if (is_read(s))
+		return EXIT_DONE;
+	err_set(e, ERR_KV,
+	    "%s: the key-value service does not answer: check the address "
+	    "(--kv) and the service",
+	    o->kv);
+	return EXIT_UNREACHED;
+}
+
+bool
+session_wait(struct session *s, const bool *flag, usec_t most)
+{
+	usec_t until = clock_now() + most;
+
+	while (!*flag && clock_now() < until)
+		step(s);
+	return *flag;
+}
+
+bool
+session_put_body(struct session *s, const struct conffile *x)
+{
+	s->answered = false;
+	conflog_put_body(s->log, x, on_kv, s);
+	session_wait(s, &s->answered, 2 * KV_TIMEOUT);
+	return s->answered && s->status == KV_OK;
+}
+
+bool
+session_get_body(struct session *s, const char *hash, struct buf *out)
+{
+	s->answered = false;
+	conflog_get_body(s->log, hash, on_kv, s);
+	session_wait(s, &s->answered, 2 * KV_TIMEOUT);
+	if (!s->answered || s->status != KV_OK || !s->found)
+		return false;
+	buf_put(out, str_of(&s->value));
+	return true;
+}
+
+void
+session_close(struct session *s)
+{
+	kv_free(s->kv);
+	conflog_free(s->log);
+	http_free(s->loop);
+	buf_free(&s->value);
+}
--- /dev/null
+++ b/entry/fetcher.c
@@ -0,0 +1,103 @@
+#include "entry/fetcher.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define FETCH_TIMEOUT (500 * USEC_PER_MSEC)
+
+struct fetcher {
+	struct fetcher_opts o;
+	pthread_t thread;
+	pthread_mutex_t lock;
+	pthread_cond_t news;
+	bool busy;
+	bool stopping;
+	char addr[MAX_ADDR_BYTES];
+	char name[HASH_HEX_LEN + 1];
+};
+
+static void
+fetch(struct fetcher *f)
+{
+	struct mail *m = mail_new(MAIL_FETCHED);
+	peer_query q = {
+		.kind = PEER_GET_VALUE,
+		.name = f->name,
+		.workspace = "",
+	};
+	peer_result r;
+
+	snprintf(m->fetched.name, sizeof(m->fetched.name), "%s", f->name);
+	if (rpc_fetch(f->o.rpc, f->addr, &q, FETCH_TIMEOUT, &r) == 0) {
+		m->fetched.found = r.found != 0;
+		m->fetched.revision = r.revision;
+		buf_put(&m->fetched.value,
+		    (struct str){ r.value.value_val, r.value.value_len });
+		rpc_result_free(&r);
+	}
+	inbox_put(f->o.inbox, m);
+	f->o.wake(f->o.arg);
+}
+
+static void *
+run(void *arg)
+{
+	struct fetcher *f = arg;
+
+	pthread_mutex_lock(&f->lock);
+	while (!f->stopping) {
+		if (!f->busy) {
+			pthread_cond_wait(&f->news, &f->lock);
+			continue;
+		}
+		pthread_mutex_unlock(&f->lock);
+		fetch(f);
+		pthread_mutex_lock(&f->lock);
+		f->busy = false;
+	}
+	pthread_mutex_unlock(&f->lock);
+	return NULL;
+}
+
+struct fetcher *
+fetcher_start(const struct fetcher_opts *o)
+{
+	struct fetcher *f = xcalloc(1, sizeof(*f));
+
+	f->o = *o;
+	pthread_mutex_init(&f->lock, NULL);
+	pthread_cond_init(&f->news, NULL);
+	pthread_create(&f->thread, NULL, run, f);
+	return f;
+}
+
+bool
+fetcher_ask(struct fetcher *f, const char *addr, const char *name)
+{
+	bool free_now;
+
+	pthread_mutex_lock(&f->lock);
+	free_now = !f->busy;
+	if (free_now) {
+		f->busy = true;
+		snprintf(f->addr, sizeof(f->addr), "%s", addr);
+		snprintf(f->name, sizeof(f->name), "%s", name);
+		pthread_cond_signal(&f->news);
+	}
+	pthread_mutex_unlock(&f->lock);
+	return free_now;
+}
+
+void
+fetcher_stop(struct fetcher *f)
+{
+	pthread_mutex_lock(&f->lock);
+	f->stopping = true;
+	pthread_cond_signal(&f->news);
+	pthread_mutex_unlock(&f->lock);
+	pthread_join(f->thread, NULL);
+	pthread_cond_destroy(&f->news);
+	pthread_mutex_destroy(&f->lock);
+	free(f);
+}
--- a/entry/rpc.h
+++ b/entry/rpc.h
@@ -22,8 +22,11 @@
 	const char *addr; /* IP:PORT */
 	const char *fleet_key;
 	uint64_t incarnation;
-	/* A letter came in; called on the RPC thread. */
-	void (*deliver)(void *arg, const peer_letter *l);
+	/*
+	 * A letter came in; called on the RPC thread.  The callee may take it
+	 * over by copying the structure and zeroing the original.
+	 */
+	void (*deliver)(void *arg, peer_letter *l);
 	/*
 	 * A query came in; called on the RPC thread.  The strings of r are
 	 * allocated with malloc.
--- a/entry/sequoiad.c
+++ b/entry/sequoiad.c
@@ -119,10 +119,18 @@
 	    .keep_bytes = s->keep_bytes,
 	});
 	d->snaps = snaps_new();
-	d->control = control_new(&(struct control_opts){
-	    .settings = s,
-	    .snaps = d->snaps,
-	});
+	d->control = control_new(
+	    &(struct control_opts){
+		.settings = s,
+		.snaps = d->snaps,
+		.records = d->records,
+		.incarnation = incarnation,
+	    },
+	    &e);
+	if (d->control == NULL) {
+		fprintf(stderr, "sequoiad: %s\n", e.text);
+		return e.kind;
+	}
 	d->traffic = traffic_new(&(struct traffic_opts){
 	    .records = d->records,
 	    .domain = s->failure_domain,
--- a/kernel/event.c
+++ b/kernel/event.c
@@ -12,8 +12,20 @@
 	buf_free(&c->answer);
 }
 
-static void
-clear(struct action *x)
+struct action *
+actions_add(struct actions *a, enum action_kind kind)
+{
+	if (a->n == a->cap) {
+		a->cap = a->cap > 0 ? 2 * a->cap : 8;
+		a->v = xrealloc(a->v, a->cap, sizeof(*a->v));
+	}
+	memset(&a->v[a->n], 0, sizeof(a->v[a->n]));
+	a->v[a->n].kind = kind;
+	return &a->v[a->n++];
+}
+
+void
+action_clear(struct action *x)
 {
 	switch (x->kind) {
 	case ACTION_CALL:
@@ -37,23 +49,11 @@
 	}
 }
 
-struct action *
-actions_add(struct actions *a, enum action_kind kind)
-{
-	if (a->n == a->cap) {
-		a->cap = a->cap > 0 ? 2 * a->cap : 8;
-		a->v = xrealloc(a->v, a->cap, sizeof(*a->v));
-	}
-	memset(&a->v[a->n], 0, sizeof(a->v[a->n]));
-	a->v[a->n].kind = kind;
-	return &a->v[a->n++];
-}
-
 void
 actions_clear(struct actions *a)
 {
 	for (size_t i = 0; i < a->n; i++)
-		clear(&a->v[i]);
+		action_clear(&a->v[i]);
 	a->n = 0;
 }
 
--- a/kernel/event.h
+++ b/kernel/event.h
@@ -195,6 +195,8 @@
 
 /* Appends a zeroed action and returns it; valid until the next append. */
 struct action *actions_add(struct actions *a, enum action_kind kind);
+/* Frees what one action owns. */
+void action_clear(struct action *x);
 /* Frees what the actions own and empties the list. */
 void actions_clear(struct actions *a);
 void actions_free(struct actions *a);
