Claims over the log: one run of a non-repeatable call

Cause: keyed requests ended unknown, as no claim was kept. Change: entry/claimer carries claims, refusals and settlements to their shard's log, through its writer if it answers; a delivery that finds a claim taken waits up to 2 s for the first one's end; a claim granted too late is settled as not run; in an outage a claim is unavailable after 0.3 s.

--- a/ctl/audit.c
+++ b/ctl/audit.c
@@ -24,8 +24,8 @@
 	for (size_t i = 0; i < r->n_files; i++)
 		printf("    file %s %s\n", r->files[i].name,
 		    *r->files[i].hash == '\0'      ? "removed"
-		        : *r->files[i].was == '\0' ? "added"
-		                                   : "changed");
+			: *r->files[i].was == '\0' ? "added"
+						   : "changed");
 	confkeys_text(&r->keys, &keys);
 	if (keys.n > 0)
 		printf("%.*s", STR_FMT(str_of(&keys)));
--- a/ctl/change.c
+++ b/ctl/change.c
@@ -44,8 +44,8 @@
 }
 
 static struct confstate_apply
-describe(const struct change_opts *o, const struct conffiles *files,
-    const char *id)
+describe(
+    const struct change_opts *o, const struct conffiles *files, const char *id)
 {
 	uint64_t base = o->base;
 
@@ -98,8 +98,8 @@
 }
 
 static void
-print_applied(const struct change_opts *o, const struct confrecord *r,
-    const char *result)
+print_applied(
+    const struct change_opts *o, const struct confrecord *r, const char *result)
 {
 	if (o->json) {
 		printf("{\"result\":\"%s\",\"generation\":%llu,"
@@ -108,8 +108,8 @@
 		    r->change_id != NULL ? r->change_id : "");
 		return;
 	}
-	printf("%s: generation %llu\n", result,
-	    (unsigned long long)r->generation);
+	printf(
+	    "%s: generation %llu\n", result, (unsigned long long)r->generation);
 }
 
 /* Says the refusal and keeps it in the audit trail, if that can be done. */
@@ -127,8 +127,8 @@
 {
 	if (strcmp(conffiles_hash(mine, x->name), x->hash) == 0)
 		return 0;
-	fprintf(stderr, "sequoiactl: %s: taken over into the folder\n",
-	    x->name);
+	fprintf(
+	    stderr, "sequoiactl: %s: taken over into the folder\n", x->name);
 	return folder_write(o->dir, x->name, str_of(&x->body), e);
 }
 
@@ -222,15 +222,15 @@
 	bool again = true;
 	int rc = EXIT_DONE;
 
-	snprintf(id, sizeof(id), "%016llx",
-	    (unsigned long long)rng_entropy());
+	snprintf(id, sizeof(id), "%016llx", (unsigned long long)rng_entropy());
 	for (int i = 0; again && i < MAX_REPLANS; i++)
 		rc = try_apply(s, o, files,
 		    o->change_id != NULL ? o->change_id : id, &again);
 	if (!again)
 		return rc;
-	fprintf(stderr, "sequoiactl: overtaken by other changes %d times: "
-	                "run the command again\n",
+	fprintf(stderr,
+	    "sequoiactl: overtaken by other changes %d times: "
+	    "run the command again\n",
 	    MAX_REPLANS);
 	return EXIT_REFUSED;
 }
@@ -292,7 +292,7 @@
 	rc = session_open(&s, &(struct session_opts){ .kv = o->kv }, &e);
 	if (rc == EXIT_DONE &&
 	    conffiles_diff(&conflog_state(s.log)->files, &files, &keys, &e) !=
-	        0)
+		0)
 		rc = EXIT_REFUSED;
 	if (rc == EXIT_DONE) {
 		confkeys_text(&keys, &text);
@@ -310,8 +310,8 @@
 
 /* Goes back from the present files to those of an older generation. */
 static bool
-rewind_files(const struct confstate *s, uint64_t generation,
-    struct conffiles *out)
+rewind_files(
+    const struct confstate *s, uint64_t generation, struct conffiles *out)
 {
 	if (generation > s->generation ||
 	    (generation < s->generation && generation < s->reach))
@@ -338,8 +338,9 @@
 	if (ok)
 		printf("; file %s\n%.*s", x->name, STR_FMT(str_of(&body)));
 	else
-		fprintf(stderr, "sequoiactl: %s: its body can't be read: try "
-		                "again\n",
+		fprintf(stderr,
+		    "sequoiactl: %s: its body can't be read: try "
+		    "again\n",
 		    x->name);
 	buf_free(&body);
 	return ok ? EXIT_DONE : EXIT_UNREACHED;
@@ -398,8 +399,7 @@
 	}
 	if (rc == EXIT_DONE) {
 		folder_note_base(o->dir, st->generation);
-		printf("generation %llu\n",
-		    (unsigned long long)st->generation);
+		printf("generation %llu\n", (unsigned long long)st->generation);
 	}
 out:
 	session_close(&s);
@@ -421,9 +421,9 @@
 	struct err e = { 0 };
 	int rc = session_open(&s,
 	    &(struct session_opts){
-	        .kv = o->kv,
-	        .record = on_record,
-	        .arg = (void *)o,
+		.kv = o->kv,
+		.record = on_record,
+		.arg = (void *)o,
 	    },
 	    &e);
 
--- a/ctl/change.h
+++ b/ctl/change.h
@@ -9,12 +9,12 @@
 struct change_opts {
 	const char *kv;
 	const char *dir;
-	const char *who;        /* for the audit trail */
-	const char *change_id;  /* NULL: a new one */
-	uint64_t base;          /* BASE_UNSET: the folder's own note of it */
-	uint64_t generation;    /* of show; 0: the present one */
+	const char *who;       /* for the audit trail */
+	const char *change_id; /* NULL: a new one */
+	uint64_t base;         /* BASE_UNSET: the folder's own note of it */
+	uint64_t generation;   /* of show; 0: the present one */
 	bool wait;
-	const char *sequoiad;   /* operators' address to ask when waiting */
+	const char *sequoiad; /* operators' address to ask when waiting */
 	bool json;
 };
 
--- a/ctl/fleet.c
+++ b/ctl/fleet.c
@@ -6,10 +6,10 @@
 #include <string.h>
 #include <unistd.h>
 
-#define WAIT_MOST  (30 * USEC_PER_SEC)
-#define WAIT_STEP  (100 * USEC_PER_MSEC)
-#define RUN_STEP   (20 * USEC_PER_MSEC)
-#define GET_TIME   (2 * USEC_PER_SEC)
+#define WAIT_MOST (30 * USEC_PER_SEC)
+#define WAIT_STEP (100 * USEC_PER_MSEC)
+#define RUN_STEP  (20 * USEC_PER_MSEC)
+#define GET_TIME  (2 * USEC_PER_SEC)
 
 struct exchange {
 	bool done;
@@ -49,13 +49,13 @@
 	buf_printf(&url, "http://%s%s", rq->addr, rq->path);
 	http_start(loop,
 	    &(struct http_opts){
-	        .method = rq->method,
-	        .url = url.p,
-	        .body = rq->body,
-	        .headers = rq->headers,
-	        .timeout = rq->timeout,
-	        .handler = on_http,
-	        .arg = &x,
+		.method = rq->method,
+		.url = url.p,
+		.body = rq->body,
+		.headers = rq->headers,
+		.timeout = rq->timeout,
+		.handler = on_http,
+		.arg = &x,
 	    });
 	while (!x.done)
 		http_run(loop, RUN_STEP);
@@ -71,10 +71,10 @@
 	json_t *o = NULL;
 	int status = fleet_call(
 	    &(struct fleet_request){
-	        .method = "GET",
-	        .addr = addr,
-	        .path = path,
-	        .timeout = GET_TIME,
+		.method = "GET",
+		.addr = addr,
+		.path = path,
+		.timeout = GET_TIME,
 	    },
 	    &out);
 
@@ -99,8 +99,9 @@
 		json_int_t g =
 		    json_integer_value(json_object_get(m, "generation"));
 
-		if (state == NULL || (strcmp(state, "live") != 0 &&
-		    strcmp(state, "draining") != 0))
+		if (state == NULL ||
+		    (strcmp(state, "live") != 0 &&
+			strcmp(state, "draining") != 0))
 			continue;
 		++*live;
 		if ((uint64_t)g >= generation)
@@ -119,8 +120,7 @@
 
 	while (clock_now() - began < WAIT_MOST) {
 		if (count(addr, generation, &live, &have) && have == live) {
-			printf("in force on %zu sequoiads after %.2f s\n",
-			    live,
+			printf("in force on %zu sequoiads after %.2f s\n", live,
 			    (double)(clock_now() - began) / USEC_PER_SEC);
 			return EXIT_DONE;
 		}
--- a/ctl/session.c
+++ b/ctl/session.c
@@ -4,9 +4,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define STEP       (5 * USEC_PER_MSEC)
-#define KV_TIMEOUT (2 * USEC_PER_SEC)
-#define READ_TIME  (10 * USEC_PER_SEC)
+#define STEP          (5 * USEC_PER_MSEC)
+#define KV_TIMEOUT    (2 * USEC_PER_SEC)
+#define READ_TIME     (10 * USEC_PER_SEC)
 #define MAX_ENDPOINTS 8
 
 static void
@@ -100,8 +100,8 @@
 	    .record_arg = o->arg,
 	    .arg = s,
 	});
-	while (!is_read(s) && conflog_error(s->log) == NULL &&
-	    clock_now() < until)
+	while (
+	    !is_read(s) && conflog_error(s->log) == NULL && clock_now() < until)
 		step(s);
 	if (conflog_error(s->log) != NULL) {
 		*e = *conflog_error(s->log);
--- a/ctl/session.h
+++ b/ctl/session.h
@@ -9,7 +9,7 @@
 
 enum exit_code {
 	EXIT_DONE = 0,
-	EXIT_REFUSED = 1,  /* the input or the present state speaks against it */
+	EXIT_REFUSED = 1, /* the input or the present state speaks against it */
 	EXIT_USAGE = 2,
 	EXIT_UNREACHED = 3 /* the platform or a sequoiad did not answer */
 };
@@ -30,15 +30,15 @@
 };
 
 struct session_opts {
-	const char *kv;   /* endpoints, IP:PORT, separated by blanks */
+	const char *kv; /* endpoints, IP:PORT, separated by blanks */
 	/* Every record since the first one kept; NULL: only the state. */
 	void (*record)(void *arg, const json_t *payload);
 	void *arg;
 };
 
 /* Opens and reads the log; an exit code, and e unless it is EXIT_DONE. */
-int session_open(struct session *s, const struct session_opts *o,
-    struct err *e);
+int session_open(
+    struct session *s, const struct session_opts *o, struct err *e);
 /* Runs until *flag or the time is up; returns *flag. */
 bool session_wait(struct session *s, const bool *flag, usec_t most);
 /* Writes the body of a file; false when the service did not confirm. */
--- a/entry/control.c
+++ b/entry/control.c
@@ -1,5 +1,6 @@
 #include "entry/control.h"
 #include "base/log.h"
+#include "entry/claimer.h"
 #include "entry/fetcher.h"
 #include "plat/conflog.h"
 #include "plat/hosts.h"
@@ -27,6 +28,7 @@
 	struct kv *kv;
 	struct hosts *hosts;
 	struct conflog *conflog;
+	struct claimer *claimer;
 	struct conf *conf;
 	uint64_t refused; /* generation whose refusal was logged */
 	bool draining;
@@ -44,6 +46,7 @@
 
 	conf_unref(c->conf);
 	c->conf = conf;
+	claimer_retention(c->claimer, conf->fleet.claim_retention);
 	atomic_store(&c->generation, conf->generation);
 	snaps_publish(c->o.snaps,
 	    &(struct snap){ .conf = conf, .draining = c->draining });
@@ -165,15 +168,11 @@
 }
 
 static void
-on_claim(struct control *c, const struct action *a)
+on_decided(void *arg, const struct event_claim *ev)
 {
-	if (a->kind == ACTION_SETTLE)
-		return;
-	traffic_claimed(c->traffic,
-	    &(struct event_claim){
-		.req = a->claim.req,
-		.result = CLAIM_UNAVAILABLE,
-	    });
+	struct control *c = arg;
+
+	traffic_claimed(c->traffic, ev);
 }
 
 static void
@@ -184,9 +183,11 @@
 	while ((m = inbox_take(c->inbox)) != NULL) {
 		switch (m->kind) {
 		case MAIL_CLAIM:
-			on_claim(c, &m->action);
+			claimer_ask(c->claimer, m->action.kind,
+			    &m->action.claim, clock_now());
 			break;
 		case MAIL_LETTER:
+			claimer_letter(c->claimer, &m->letter, clock_now());
 			break;
 		case MAIL_FETCHED:
 			if (m->fetched.found)
@@ -213,6 +214,7 @@
 		hosts_read(c->hosts);
 	}
 	conflog_tick(c->conflog, now);
+	claimer_tick(c->claimer, now);
 	atomic_store(&c->kv_calls, kv_calls(c->kv));
 }
 
@@ -302,6 +304,13 @@
 		control_free(c);
 		return NULL;
 	}
+	c->claimer = claimer_new(&(struct claimer_opts){
+	    .kv = c->kv,
+	    .rpc = c->rpc,
+	    .incarnation = o->incarnation,
+	    .decided = on_decided,
+	    .arg = c,
+	});
 	c->fetcher = fetcher_start(&(struct fetcher_opts){
 	    .rpc = c->rpc,
 	    .inbox = c->inbox,
@@ -382,6 +391,8 @@
 	hosts_free(c->hosts);
 	kv_free(c->kv);
 	conflog_free(c->conflog);
+	if (c->claimer != NULL)
+		claimer_free(c->claimer);
 	inbox_free(c->inbox);
 	http_free(c->loop);
 	conf_unref(c->conf);
--- a/entry/fetcher.h
+++ b/entry/fetcher.h
@@ -12,8 +12,8 @@
 
 struct fetcher_opts {
 	struct rpc *rpc;
-	struct inbox *inbox;       /* gets MAIL_FETCHED */
-	void (*wake)(void *arg);   /* called after that */
+	struct inbox *inbox;     /* gets MAIL_FETCHED */
+	void (*wake)(void *arg); /* called after that */
 	void *arg;
 };
 
--- a/entry/inbox.h
+++ b/entry/inbox.h
@@ -26,8 +26,8 @@
 	struct mail *next;
 	enum mail_kind kind;
 	union {
-		struct action action;  /* MAIL_CLAIM; owned */
-		peer_letter letter;    /* MAIL_LETTER; owned */
+		struct action action; /* MAIL_CLAIM; owned */
+		peer_letter letter;   /* MAIL_LETTER; owned */
 		struct mail_fetched fetched;
 	};
 };
--- a/kernel/claims.c
+++ b/kernel/claims.c
@@ -262,6 +262,8 @@
 		v->outcome = (enum outcome)e->outcome;
 		v->answer = str_from(e->answer);
 	}
+	if (v->result == CLAIM_TAKEN && e != NULL)
+		v->holder = e->holder;
 	return record;
 }
 
--- a/kernel/claims.h
+++ b/kernel/claims.h
@@ -22,6 +22,7 @@
 	enum claim_result result;
 	enum outcome outcome; /* CLAIM_TAKEN_DONE */
 	struct str answer;    /* CLAIM_TAKEN_DONE; until the next fold */
+	uint64_t holder;      /* CLAIM_TAKEN: incarnation of the sequoiad */
 };
 
 struct claims;
--- a/kernel/conf.c
+++ b/kernel/conf.c
@@ -66,8 +66,6 @@
 
 static const struct conf_key keys[] = {
 	POLICY_OF(CONF_POLICY, 0),
-	{ CONF_FLEET, "claim_shards", CONF_U32, AT(conf_fleet, claim_shards), 1,
-	    1024, "8", "logs", "Logs that claims are spread over.", NULL },
 	{ CONF_FLEET, "claim_retention_s", CONF_SEC,
 	    AT(conf_fleet, claim_retention), 10, 86400 * 31, "3600", "s",
 	    "How long a claim is kept; older keys are refused.", NULL },
--- a/kernel/conf.h
+++ b/kernel/conf.h
@@ -95,7 +95,6 @@
 
 /* What holds for the fleet as a whole. */
 struct conf_fleet {
-	uint32_t claim_shards;
 	usec_t claim_retention;
 	uint32_t claim_answer_bytes;
 	usec_t sunset; /* 0: none */
--- a/plat/conflog.c
+++ b/plat/conflog.c
@@ -31,7 +31,7 @@
 	pthread_mutex_t lock; /* of the following */
 	uint64_t head_revision;
 	struct buf head;
-	GHashTable *bodies;   /* hash -> GString of what is in force */
+	GHashTable *bodies; /* hash -> GString of what is in force */
 };
 
 static int
@@ -59,8 +59,7 @@
 	struct err e = { 0 };
 
 	(void)serial;
-	if (confstate_fold(&c->state, payload, &e) < 0 &&
-	    c->o.refused != NULL)
+	if (confstate_fold(&c->state, payload, &e) < 0 && c->o.refused != NULL)
 		c->o.refused(c->o.arg, &e);
 }
 
@@ -78,8 +77,7 @@
 	struct conflog *c = arg;
 	struct err e = { 0 };
 
-	if (confstate_restore(&c->state, state, &e) < 0 &&
-	    c->o.refused != NULL)
+	if (confstate_restore(&c->state, state, &e) < 0 && c->o.refused != NULL)
 		c->o.refused(c->o.arg, &e);
 }
 
@@ -118,8 +116,8 @@
 static void
 cache_bodies(struct conflog *c)
 {
-	GHashTable *fresh = g_hash_table_new_full(g_str_hash, g_str_equal,
-	    g_free, (GDestroyNotify)g_bytes_unref);
+	GHashTable *fresh = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
 
 	for (size_t i = 0; i < c->state.files.n; i++) {
 		const struct conffile *x = &c->state.files.v[i];
@@ -234,10 +232,9 @@
 
 	c->o = *o;
 	pthread_mutex_init(&c->lock, NULL);
-	c->fetches =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
-	c->bodies = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-	    (GDestroyNotify)g_bytes_unref);
+	c->fetches = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
+	c->bodies = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
 	c->io = logio_new(&(struct logio_opts){
 	    .kv = o->kv,
 	    .log = {
@@ -306,8 +303,8 @@
 }
 
 void
-conflog_put_body(struct conflog *c, const struct conffile *x, kv_done done,
-    void *arg)
+conflog_put_body(
+    struct conflog *c, const struct conffile *x, kv_done done, void *arg)
 {
 	struct buf key = { 0 };
 
@@ -337,8 +334,8 @@
 }
 
 bool
-conflog_missing(const struct conflog *c, usec_t now,
-    char name[CONFLOG_NAME_BYTES])
+conflog_missing(
+    const struct conflog *c, usec_t now, char name[CONFLOG_NAME_BYTES])
 {
 	const struct conffile *x = confstate_missing(&c->state);
 
@@ -350,8 +347,8 @@
 }
 
 bool
-conflog_read(struct conflog *c, const char *name, uint64_t *revision,
-    struct buf *out)
+conflog_read(
+    struct conflog *c, const char *name, uint64_t *revision, struct buf *out)
 {
 	GBytes *body;
 	gsize n;
--- a/plat/conflog.h
+++ b/plat/conflog.h
@@ -15,7 +15,7 @@
 #define CONFLOG_NAME_BYTES (HASH_HEX_LEN + 1)
 
 /* The answer of alog's admit when another record came first. */
-#define CONFLOG_OVERTAKEN 1
+#define CONFLOG_OVERTAKEN  1
 
 struct conflog;
 
@@ -50,21 +50,21 @@
 /* Appends a change; done is called with the tag. */
 int conflog_append(struct conflog *c, uint64_t tag, const struct confrecord *r);
 /* Writes the body of a file under its hash, before its record is appended. */
-void conflog_put_body(struct conflog *c, const struct conffile *x,
-    kv_done done, void *arg);
+void conflog_put_body(
+    struct conflog *c, const struct conffile *x, kv_done done, void *arg);
 
-void conflog_get_body(struct conflog *c, const char *hash, kv_done done,
-    void *arg);
+void conflog_get_body(
+    struct conflog *c, const char *hash, kv_done done, void *arg);
 
 /* A document that came from a peer; what does not fit is dropped. */
 void conflog_offer(struct conflog *c, const char *name, uint64_t revision,
     struct str value, usec_t now);
 /* The name of a document that is missing for a while, or false. */
-bool conflog_missing(const struct conflog *c, usec_t now,
-    char name[CONFLOG_NAME_BYTES]);
+bool conflog_missing(
+    const struct conflog *c, usec_t now, char name[CONFLOG_NAME_BYTES]);
 /* A copy of a document for a peer; from any thread. */
-bool conflog_read(struct conflog *c, const char *name, uint64_t *revision,
-    struct buf *out);
+bool conflog_read(
+    struct conflog *c, const char *name, uint64_t *revision, struct buf *out);
 void conflog_free(struct conflog *c);
 
 #endif
--- a/plat/logio.c
+++ b/plat/logio.c
@@ -4,10 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define FIRST_PAUSE    (20 * USEC_PER_MSEC)
-#define LONGEST_PAUSE  (1 * USEC_PER_SEC)
-#define REFRESH        (10 * USEC_PER_SEC) /* in case the watch is silent */
-#define WATCH_LIFE     (60 * USEC_PER_SEC) /* then it is made anew */
+#define FIRST_PAUSE   (20 * USEC_PER_MSEC)
+#define LONGEST_PAUSE (1 * USEC_PER_SEC)
+#define REFRESH       (10 * USEC_PER_SEC) /* in case the watch is silent */
+#define WATCH_LIFE    (60 * USEC_PER_SEC) /* then it is made anew */
 
 /* A request of the log that waits for its turn or for its answer. */
 struct job {
@@ -19,16 +19,16 @@
 struct logio {
 	struct logio_opts o;
 	struct alog *log;
-	GQueue held;       /* jobs that wait until not_before */
-	GQueue open;       /* jobs whose answer is awaited */
-	GQueue lost;       /* jobs without an answer, until not_before */
-	usec_t pause;      /* after the next lost answer */
-	double swaps;      /* left in the bucket */
+	GQueue held;  /* jobs that wait until not_before */
+	GQueue open;  /* jobs whose answer is awaited */
+	GQueue lost;  /* jobs without an answer, until not_before */
+	usec_t pause; /* after the next lost answer */
+	double swaps; /* left in the bucket */
 	usec_t filled_at;
 	usec_t now;
 	bool follow;
-	uint64_t watch;    /* 0: none */
-	usec_t watch_at;   /* when it began, or may begin again */
+	uint64_t watch;  /* 0: none */
+	usec_t watch_at; /* when it began, or may begin again */
 	usec_t refresh_at;
 	uint64_t head_seen;
 };
@@ -85,12 +85,15 @@
 	l->now = clock_now();
 	if (r->status == KV_UNKNOWN || r->status == KV_REFUSED) {
 		j->not_before = l->now + l->pause;
+		if (l->failing_at == 0)
+			l->failing_at = l->now;
 		if (l->pause < LONGEST_PAUSE)
 			l->pause *= 2;
 		g_queue_push_tail(&l->lost, j);
 		return;
 	}
 	l->pause = FIRST_PAUSE;
+	l->failing_at = 0;
 	a.status = r->status == KV_CONFLICT ? ALOG_CONFLICT : ALOG_OK;
 	if (j->rq.kind == ALOG_GET && !r->found)
 		a.status = ALOG_MISSING;
@@ -287,6 +290,12 @@
 	logio_pump(l, now);
 }
 
+usec_t
+logio_failing(const struct logio *l, usec_t now)
+{
+	return l->failing_at != 0 ? now - l->failing_at : 0;
+}
+
 static void
 free_queue(GQueue *q)
 {
--- a/plat/logio.h
+++ b/plat/logio.h
@@ -38,8 +38,10 @@
 /* Whether to keep a watch on the head. */
 void logio_follow(struct logio *l, bool follow);
 /* A head that came another way, for example from a peer. */
-void logio_offer(struct logio *l, uint64_t revision, struct str value,
-    usec_t now);
+void logio_offer(
+    struct logio *l, uint64_t revision, struct str value, usec_t now);
+/* How long the service has not answered this log; 0 if it does. */
+usec_t logio_failing(const struct logio *l, usec_t now);
 void logio_free(struct logio *l);
 
 #endif
