--- /dev/null
+++ b/kernel/admit.c
@@ -0,0 +1,185 @@
+#include "kernel/admit.h"
+#include "kernel/ending.h"
+#include "kernel/flow.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Percentile of each stage's time that a new request must have left. */
+#define ARRIVAL_PERCENT 50
+/* The same for a request that waits or has done some of its stages. */
+#define LATER_PERCENT 10
+
+/* Time that a new call of the workspace would wait for a service. */
+static usec_t
+queue_wait(const struct request *rq, size_t stage)
+{
+	const struct service_state *s = rq->services[stage];
+	const struct conf_policy *p = &rq->pipeline->stages[stage].policy;
+
+	return (usec_t)(s->gap *
+	    queue_ahead(&s->queue, p->fair != 0 ? rq->workspace->name : "",
+		rq->workspace->weight));
+}
+
+/* Time that the stages from the present one on need, by a percentile. */
+static usec_t
+time_needed(const struct request *rq, unsigned percent)
+{
+	usec_t sum = 0;
+
+	for (size_t i = rq->stage; i < rq->pipeline->n_stages; i++)
+		sum += quant_get(&rq->stats[i]->whole, percent, 0);
+	return sum;
+}
+
+bool
+admit_still(struct kernel *k, struct request *rq)
+{
+	if (state_at(rq)->policy.admission == 0 || rq->effect_sent)
+		return true;
+	if (k->now + time_needed(rq, LATER_PERCENT) <= rq->deadline)
+		return true;
+	ending_give_up(k, rq, ERR_NO_TIME, "the stages left need more time",
+	    MIN_RETRY_WAIT);
+	return false;
+}
+
+static void
+admit(struct kernel *k, struct request *rq)
+{
+	usec_t need;
+	usec_t wait = 0;
+	usec_t retry = MIN_RETRY_WAIT;
+
+	if (k->draining) {
+		ending_give_up(k, rq, ERR_DRAINING, NULL, 0);
+		return;
+	}
+	if (limit_admit(&k->limits, rq->workspace, k->now, &retry) != 0) {
+		ending_give_up(
+		    k, rq, ERR_OVER_LIMIT, rq->workspace->name, retry);
+		return;
+	}
+	rq->admitted = true;
+	if (rq->pipeline->stages[0].policy.admission != 0) {
+		need = time_needed(rq, ARRIVAL_PERCENT);
+		for (size_t i = 0; i < rq->pipeline->n_stages; i++)
+			wait += queue_wait(rq, i);
+		if (k->now + need + wait > rq->deadline) {
+			retry = wait > MIN_RETRY_WAIT ? wait : MIN_RETRY_WAIT;
+			ending_give_up(k, rq, ERR_NO_TIME,
+			    "the stages need more time than is allowed", retry);
+			return;
+		}
+	}
+	flow_start_stage(k, rq);
+}
+
+static bool
+sunset_passed(usec_t sunset, usec_t wall)
+{
+	return sunset > 0 && wall >= sunset;
+}
+
+/* The name of what has been shut down by now, or NULL. */
+static const char *
+shut_down(const struct conf *c, const struct conf_pipeline *p, usec_t wall)
+{
+	if (sunset_passed(p->sunset, wall) ||
+	    sunset_passed(c->fleet.sunset, wall))
+		return "";
+	for (size_t i = 0; i < p->n_stages; i++) {
+		if (sunset_passed(p->stages[i].service->sunset, wall))
+			return p->stages[i].service->name;
+	}
+	return NULL;
+}
+
+/* Why no request can be made of it, or ERR_OK. */
+static enum err_kind
+check(const struct kernel *k, const struct event_arrive *ev,
+    const struct conf_pipeline *p, const struct conf_workspace *w)
+{
+	if (k->conf == NULL)
+		return ERR_NOT_READY;
+	if (w == NULL)
+		return ERR_BAD_TOKEN;
+	if (p == NULL || !conf_grants(p, w))
+		return ERR_NO_PIPELINE;
+	if (p->keyed && ev->key.n == 0)
+		return ERR_KEY_MISSING;
+	if (p->keyed && ev->key.n > MAX_KEY_BYTES)
+		return ERR_KEY_BAD;
+	return ERR_OK;
+}
+
+static struct request *
+new_request(struct kernel *k, const struct event_arrive *ev,
+    const struct conf_pipeline *p, const struct conf_workspace *w)
+{
+	struct request *rq = xcalloc(1, sizeof(*rq));
+	usec_t time = p->deadline;
+
+	if (ev->timeout > 0 && ev->timeout < time)
+		time = ev->timeout;
+	rq->handle = ev->req;
+	rq->id = str_dup(ev->id);
+	rq->conf = conf_ref(k->conf);
+	rq->pipeline = p;
+	rq->workspace = w;
+	if (p->keyed)
+		snprintf(rq->key, sizeof(rq->key), "%.*s", STR_FMT(ev->key));
+	rq->attempt = ev->attempt > 0 ? ev->attempt : 1;
+	rq->body_hash = hash_u64(ev->body, 0);
+	rq->arrived = k->now;
+	rq->deadline = k->now + time;
+	rq->stream = ev->stream;
+	rq->added = json_object();
+	for (size_t i = 0; i < p->n_stages; i++) {
+		rq->stats[i] = state_stage(k, p, i);
+		rq->services[i] = state_service(k, p->stages[i].service);
+		rq->listed[i] = state_listed(k, p->stages[i].service);
+	}
+	g_hash_table_insert(k->requests, &rq->handle, rq);
+	return rq;
+}
+
+void
+admit_arrive(struct kernel *k, const struct event_arrive *ev)
+{
+	const struct conf_pipeline *p = NULL;
+	const struct conf_workspace *w = NULL;
+	const char *shut;
+	struct request *rq;
+	enum err_kind bad;
+	json_t *document;
+
+	if (g_hash_table_contains(k->requests, &ev->req))
+		return;
+	k->stats.requests++;
+	if (k->conf != NULL) {
+		p = conf_pipeline(k->conf, ev->pipeline);
+		w = conf_workspace(k->conf, ev->workspace);
+	}
+	bad = check(k, ev, p, w);
+	if (bad != ERR_OK) {
+		ending_reject(k, ev, bad, "");
+		return;
+	}
+	document =
+	    json_loadb(ev->body.n > 0 ? ev->body.p : "", ev->body.n, 0, NULL);
+	if (!json_is_object(document)) {
+		json_decref(document);
+		ending_reject(k, ev, ERR_BAD_JSON, "not a JSON object");
+		return;
+	}
+	rq = new_request(k, ev, p, w);
+	rq->document = document;
+	state_note(k, rq, NOTE_ARRIVED, NULL, NULL);
+	shut = shut_down(k->conf, p, ev->wall);
+	if (shut != NULL)
+		ending_give_up(k, rq, ERR_SUNSET, shut, 0);
+	else
+		admit(k, rq);
+}
--- a/kernel/answer.c
+++ b/kernel/answer.c
@@ -44,6 +44,15 @@
 	}
 }
 
+void
+answer_salt(const struct conf_workspace *w, struct buf *out)
+{
+	if (*w->salt != '\0')
+		buf_printf(out, "salt:%s", w->salt);
+	else
+		buf_printf(out, "workspace:%s", w->name);
+}
+
 enum parse_state
 answer_status(struct stage_answer *a, int status)
 {
@@ -81,7 +90,7 @@
 		return PARSE_BAD;
 	}
 	id = json_string_value(json_object_get(o, "call_id"));
-	if (id != NULL && strcmp(id, c->call_id) != 0) {
+	if (id != NULL && c->call_id != NULL && strcmp(id, c->call_id) != 0) {
 		json_decref(o);
 		return PARSE_FOREIGN;
 	}
--- a/kernel/budget.c
+++ b/kernel/budget.c
@@ -1,6 +1,13 @@
 #include "kernel/budget.h"
 
 #define BURST_CALLS 50.0 /* the most that is saved up */
+#define START_CALLS 2.0
+
+void
+budget_init(struct budget *b)
+{
+	b->calls = START_CALLS;
+}
 
 void
 budget_earn(struct budget *b, uint32_t percent)
@@ -11,10 +18,16 @@
 }
 
 bool
-budget_spend(struct budget *b)
+budget_spend(struct budget *b, double rest)
 {
-	if (b->calls < 1.0)
+	if (b->calls < 1.0 + rest)
 		return false;
 	b->calls -= 1.0;
 	return true;
 }
+
+void
+budget_return(struct budget *b)
+{
+	b->calls += 1.0;
+}
--- a/kernel/budget.h
+++ b/kernel/budget.h
@@ -13,9 +13,13 @@
 	double calls;
 };
 
+/* A small reserve, so that the first failures can be retried. */
+void budget_init(struct budget *b);
 /* A first call was sent. */
 void budget_earn(struct budget *b, uint32_t percent);
-/* Whether an extra call may be sent; if so it is paid for. */
-bool budget_spend(struct budget *b);
+/* Whether an extra call may be sent and leave the rest; if so it is paid. */
+bool budget_spend(struct budget *b, double rest);
+/* A call that was paid for could not be sent. */
+void budget_return(struct budget *b);
 
 #endif
--- a/kernel/call.c
+++ b/kernel/call.c
@@ -7,32 +7,39 @@
 
 /* Bytes of the prompt that name its prefix for affinity. */
 #define PREFIX_BYTES 256
+/* Weight of the newest gap between ends of calls in their average. */
+#define GAP_WEIGHT   0.05
+/* The longest that a look-up may take. */
+#define LOOKUP_TIME  USEC_PER_SEC
 
 static usec_t
-later_stages(struct kernel *k, const struct request *rq)
+later_stages(const struct request *rq)
 {
 	usec_t sum = 0;
 
 	for (size_t i = rq->stage + 1; i < rq->pipeline->n_stages; i++)
-		sum += quant_get(&state_stage(k, rq, i)->whole, 50, 0);
+		sum += quant_get(&rq->stats[i]->whole, 50, 0);
 	return sum;
 }
 
 /* Time that a call may take, from what is left for the request. */
 static usec_t
-call_time(struct kernel *k, const struct request *rq)
+call_time(const struct kernel *k, const struct request *rq, enum call_role role)
 {
 	const struct conf_stage *s = state_at(rq);
 	usec_t left = rq->deadline - k->now;
 	usec_t kept;
 
+	if (role == CALL_LOOKUP)
+		return LOOKUP_TIME;
+	/* The answer is waited for beyond the deadline, to settle the claim. */
 	if (s->repeatable == 0)
-		return left;
+		return left + LINGER;
 	switch ((enum split)s->policy.split) {
 	case SPLIT_EVEN:
 		return left / (usec_t)(rq->pipeline->n_stages - rq->stage);
 	case SPLIT_QUANTILE:
-		kept = later_stages(k, rq);
+		kept = later_stages(rq);
 		return kept < left / 2 ? left - kept : left / 2;
 	case SPLIT_NONE:
 		break;
@@ -44,8 +51,8 @@
 affinity_of(const struct request *rq)
 {
 	const struct conf_stage *s = state_at(rq);
-	const struct conf_workspace *w = rq->workspace;
 	struct buf prompt = { 0 };
+	struct buf salt = { 0 };
 	uint64_t h;
 
 	if (!s->service->kind->streams)
@@ -53,19 +60,21 @@
 	answer_prompt(s, rq->document, &prompt);
 	if (prompt.n > PREFIX_BYTES)
 		prompt.n = PREFIX_BYTES;
-	h = hash_u64(str_of(&prompt),
-	    hash_u64(str_from(*w->salt != '\0' ? w->salt : w->name), 0));
+	answer_salt(rq->workspace, &salt);
+	h = hash_u64(str_of(&prompt), hash_u64(str_of(&salt), 0));
 	buf_free(&prompt);
+	buf_free(&salt);
 	return h != 0 ? h : 1;
 }
 
 static int
-choose(struct kernel *k, struct request *rq, const char **reason)
+choose(struct kernel *k, const struct request *rq, enum call_role role,
+    const char **reason)
 {
 	const struct conf_stage *s = state_at(rq);
 	struct pick p = {
 		.targets = &k->targets,
-		.service = state_listed(k, s->service),
+		.service = rq->listed[rq->stage],
 		.now = k->now,
 		.rng = &k->rng,
 		.affinity = affinity_of(rq),
@@ -73,11 +82,12 @@
 		.policy = &s->policy,
 		.concurrency = s->service->concurrency,
 		.avoid = rq->tried,
-		.n_avoid = rq->n_tried,
+		.n_avoid = rq->n_tried < MAX_CALLS_PER_REQ ? rq->n_tried
+							   : MAX_CALLS_PER_REQ,
 	};
 	int i = s->policy.balance->choose(&p);
 
-	if (i < 0 && p.n_avoid > 0) {
+	if (i < 0 && p.n_avoid > 0 && role != CALL_HEDGE) {
 		p.n_avoid = 0;
 		i = s->policy.balance->choose(&p);
 	}
@@ -135,7 +145,8 @@
 	a->call.req = c->rq->handle;
 	snprintf(a->call.addr, sizeof(a->call.addr), "%s", x->addr);
 	a->call.timeout = c->timeout_at - k->now;
-	a->call.fresh = s->repeatable == 0 || x->fresh_until > k->now;
+	a->call.fresh = s->repeatable == 0 || x->fresh_until > k->now ||
+	    c->role == CALL_RETRY || c->role == CALL_RESUME;
 	a->call.once = s->repeatable == 0 && c->role != CALL_LOOKUP;
 	if (c->role == CALL_LOOKUP) {
 		a->call.method = METHOD_GET;
@@ -153,7 +164,7 @@
 static void
 count(struct kernel *k, struct request *rq, enum call_role role)
 {
-	struct stage_stats *st = state_stage(k, rq, rq->stage);
+	struct stage_stats *st = rq->stats[rq->stage];
 
 	k->stats.calls++;
 	rq->sent++;
@@ -188,7 +199,7 @@
 
 	if (rq->n_calls == MAX_CALLS_PER_REQ)
 		return NULL;
-	i = choose(k, rq, &reason);
+	i = choose(k, rq, role, &reason);
 	if (i < 0)
 		return NULL;
 	c = xcalloc(1, sizeof(*c));
@@ -199,11 +210,10 @@
 	c->role = role;
 	c->started = k->now;
 	c->progress_at = k->now;
-	c->timeout_at = k->now + call_time(k, rq);
+	c->timeout_at = k->now + call_time(k, rq, role);
 	c->answer.load = -1;
 	rq->calls[rq->n_calls++] = c;
-	if (rq->n_tried < MAX_CALLS_PER_REQ)
-		rq->tried[rq->n_tried++] = i;
+	rq->tried[rq->n_tried++ % MAX_CALLS_PER_REQ] = i;
 	g_hash_table_insert(k->calls, &c->id, c);
 	targets_started(&k->targets, i);
 	count(k, rq, role);
@@ -229,7 +239,7 @@
 		return CALL_DONE;
 	case PARSE_REFUSED:
 		if (c->answer.leaving)
-			targets_leaving(&k->targets, c->target);
+			targets_leaving(&k->targets, c->target, k->now);
 		return CALL_REFUSED;
 	case PARSE_FOREIGN:
 		k->stats.foreign_answers++;
@@ -246,6 +256,9 @@
 	const struct stage_ops *ops = state_at(c->rq)->service->kind;
 	struct stage_call sc = describe(c);
 
+	/* It answers what the first call did, under that call's id. */
+	if (c->role == CALL_LOOKUP)
+		sc.call_id = NULL;
 	if (c->answer.body.n + bytes.n > MAX_ANSWER_BYTES)
 		return CALL_BROKEN;
 	buf_put(&c->answer.body, bytes);
@@ -254,18 +267,31 @@
 	return verdict(k, c, ops->feed(&sc, &c->answer, c->status, end));
 }
 
+/* Counts a duration, and how the target compares with the usual one. */
+static void
+time_call(struct kernel *k, const struct call *c, struct quant *q)
+{
+	usec_t usual = quant_get(q, 50, 0);
+	usec_t took = k->now - c->started;
+
+	if (usual > 0)
+		targets_timed(&k->targets, c->target,
+		    (double)took / (double)usual, k->now);
+	quant_add(q, took);
+}
+
 void
 call_take_tokens(struct kernel *k, struct call *c)
 {
 	struct request *rq = c->rq;
-	struct stage_stats *st = state_stage(k, rq, rq->stage);
+	struct stage_stats *st = rq->stats[rq->stage];
 	uint32_t fresh = c->answer.tokens - c->passed;
 
 	if (fresh == 0)
 		return;
-	if (rq->tokens == 0)
-		quant_add(&st->first, k->now - c->started);
-	else if (c->passed > 0)
+	if (c->passed == 0)
+		time_call(k, c, &st->first);
+	else
 		quant_add(&st->gap, (k->now - c->progress_at) / fresh);
 	c->progress_at = k->now;
 	c->passed = c->answer.tokens;
@@ -282,6 +308,24 @@
 	buf_clear(&c->answer.text);
 }
 
+/* A call of the present service has ended, so that another may start. */
+static void
+note_room(struct kernel *k, const struct request *rq)
+{
+	struct service_state *s = rq->services[rq->stage];
+
+	s->room = true;
+	k->room = true;
+	if (s->queue.n == 0) {
+		s->ended_at = 0;
+		return;
+	}
+	if (s->ended_at > 0)
+		s->gap +=
+		    ((double)(k->now - s->ended_at) - s->gap) * GAP_WEIGHT;
+	s->ended_at = k->now;
+}
+
 void
 call_close(struct kernel *k, struct call *c)
 {
@@ -294,6 +338,7 @@
 		}
 	}
 	targets_ended(&k->targets, c->target);
+	note_room(k, rq);
 	g_hash_table_remove(k->calls, &c->id);
 	answer_free(&c->answer);
 	free(c);
@@ -309,11 +354,38 @@
 	call_close(k, c);
 }
 
+void
+call_succeeded(struct kernel *k, struct call *c)
+{
+	struct stage_stats *st = c->rq->stats[c->rq->stage];
+
+	targets_succeeded(&k->targets, c->target, k->now);
+	if (c->role == CALL_LOOKUP)
+		return;
+	if (state_at(c->rq)->service->kind->streams)
+		quant_add(&st->whole, k->now - c->started);
+	else
+		time_call(k, c, &st->whole);
+}
+
+void
+call_outrun(struct kernel *k, struct call *c)
+{
+	struct quant *q = state_first_sign(c->rq);
+	usec_t usual = quant_get(q, 50, 0);
+
+	/* It would have taken longer still. */
+	if (usual > 0 && c->passed == 0 && k->now - c->started > usual)
+		targets_timed(&k->targets, c->target,
+		    (double)(k->now - c->started) / (double)usual, k->now);
+	call_cancel(k, c, "another call was first");
+}
+
 bool
-call_possible(struct kernel *k, const struct conf_service *s)
+call_possible(const struct kernel *k, const struct request *rq)
 {
 	const struct service_targets *st =
-	    &k->targets.services[state_listed(k, s)];
+	    &k->targets.services[rq->listed[rq->stage]];
 
 	for (size_t i = 0; i < st->n; i++) {
 		if (k->targets.v[st->members[i]].state == TARGET_LIVE)
--- a/kernel/call.h
+++ b/kernel/call.h
@@ -30,7 +30,11 @@
 void call_close(struct kernel *k, struct call *c);
 /* Tells the driver to give it up, then closes it. */
 void call_cancel(struct kernel *k, struct call *c, const char *why);
-/* Whether the service has any target that is not leaving. */
-bool call_possible(struct kernel *k, const struct conf_service *s);
+/* Takes the time of a successful call into the statistics. */
+void call_succeeded(struct kernel *k, struct call *c);
+/* Gives up a call that another one of its stage has overtaken. */
+void call_outrun(struct kernel *k, struct call *c);
+/* Whether the present service has any target that is not leaving. */
+bool call_possible(const struct kernel *k, const struct request *rq);
 
 #endif
--- /dev/null
+++ b/kernel/ending.c
@@ -0,0 +1,262 @@
+#include "kernel/ending.h"
+#include "kernel/call.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define REFUSAL_TIME (300 * USEC_PER_MSEC)
+
+static void
+leave_queue(struct request *rq)
+{
+	if (rq->node.waiting)
+		queue_remove(
+		    &rq->services[rq->stage]->queue, &rq->node, false);
+}
+
+/* The part of what the stages merged that the pipeline gives to callers. */
+static json_t *
+pick_answer(const struct request *rq)
+{
+	const struct names *keep = &rq->pipeline->answer;
+	json_t *o;
+
+	if (keep->n == 0)
+		return json_incref(rq->added);
+	o = json_object();
+	for (size_t i = 0; i < keep->n; i++) {
+		json_t *v = json_object_get(rq->document, keep->v[i]);
+
+		if (v != NULL)
+			json_object_set(o, keep->v[i], v);
+	}
+	return o;
+}
+
+void
+ending_fill_claim(const struct request *rq, struct action_claim *c)
+{
+	c->req = rq->handle;
+	buf_put(&c->request_id, str_from(rq->id));
+	buf_put(&c->workspace, str_from(rq->workspace->name));
+	buf_put(&c->pipeline, str_from(rq->pipeline->name));
+	memcpy(c->key, rq->key, sizeof(c->key));
+	c->attempt = rq->attempt;
+	c->body_hash = rq->body_hash;
+}
+
+void
+ending_settle(struct kernel *k, const struct request *rq, enum outcome o,
+    const struct buf *answer)
+{
+	struct action *a = actions_add(k->out, ACTION_SETTLE);
+
+	ending_fill_claim(rq, &a->claim);
+	a->claim.outcome = rq->effect_sent ? o : OUTCOME_NOT_RUN;
+	if (answer != NULL)
+		buf_put(&a->claim.answer, str_of(answer));
+}
+
+static void
+count_end(struct kernel *k, const struct request *rq, const struct ending *e)
+{
+	k->stats.outcomes[e->outcome]++;
+	if (e->error != ERR_OK)
+		k->stats.errors[-e->error]++;
+	if (e->outcome == OUTCOME_COMPLETE && k->now <= rq->deadline)
+		k->stats.deadline_met++;
+}
+
+static void
+tell(struct kernel *k, struct request *rq, const struct ending *e,
+    const struct buf *body)
+{
+	struct action *a = actions_add(k->out, ACTION_ANSWER);
+
+	a->answer.req = rq->handle;
+	a->answer.outcome = e->outcome;
+	a->answer.error = e->error;
+	a->answer.retry_after = e->retry_after;
+	snprintf(a->answer.detail, sizeof(a->answer.detail), "%s",
+	    e->detail != NULL ? e->detail : "");
+	if (body != NULL)
+		buf_put(&a->answer.body, str_of(body));
+	trace_write(&rq->trace, &a->answer.trace);
+	if (!rq->told)
+		count_end(k, rq, e);
+	rq->told = true;
+}
+
+static void
+release(struct kernel *k, struct request *rq)
+{
+	if (rq->admitted)
+		limit_release(&k->limits, rq->workspace->name);
+	rq->admitted = false;
+}
+
+void
+ending_conclude(struct kernel *k, struct request *rq, const struct ending *e)
+{
+	struct buf body = { 0 };
+
+	leave_queue(rq);
+	while (rq->n_calls > 0)
+		call_cancel(k, rq->calls[0], "request ended");
+	state_note(k, rq, NOTE_ENDED, outcome_name(e->outcome), NULL);
+	if (e->outcome == OUTCOME_COMPLETE)
+		answer_dump(pick_answer(rq), &body);
+	tell(k, rq, e, e->outcome == OUTCOME_COMPLETE ? &body : NULL);
+	if (rq->claim == CLAIM_HELD)
+		ending_settle(k, rq, e->outcome, &body);
+	buf_free(&body);
+	release(k, rq);
+	if (rq->state == REQUEST_CLAIMING) {
+		rq->state = REQUEST_OVER;
+		rq->deadline = k->now + LINGER;
+	} else {
+		g_hash_table_remove(k->requests, &rq->handle);
+	}
+}
+
+/* Asks that the refusal be kept before a keyed caller is told not-run. */
+static void
+refuse_keyed(struct kernel *k, struct request *rq, const struct ending *e)
+{
+	struct action *a = actions_add(k->out, ACTION_REFUSE);
+
+	leave_queue(rq);
+	state_note(k, rq, NOTE_REFUSED, err_name(e->error), NULL);
+	ending_fill_claim(rq, &a->claim);
+	a->claim.patience = REFUSAL_TIME;
+	rq->state = REQUEST_REFUSING;
+	rq->refusal = e->error;
+	rq->retry_after = e->retry_after;
+	rq->deadline = k->now + 2 * REFUSAL_TIME;
+	snprintf(rq->refusal_detail, sizeof(rq->refusal_detail), "%s",
+	    e->detail != NULL ? e->detail : "");
+}
+
+/* What can be said of a request that ends now without an answer. */
+static enum outcome
+outcome_now(const struct request *rq)
+{
+	if (state_effect_open(rq))
+		return OUTCOME_UNKNOWN;
+	if (rq->sent > 0)
+		return OUTCOME_FAILED;
+	if (rq->state == REQUEST_CLAIMING)
+		return OUTCOME_UNKNOWN;
+	return OUTCOME_NOT_RUN;
+}
+
+void
+ending_give_up(struct kernel *k, struct request *rq, enum err_kind error,
+    const char *detail, usec_t retry_after)
+{
+	struct ending e = { outcome_now(rq), error, detail, retry_after };
+
+	if (e.outcome == OUTCOME_NOT_RUN && *rq->key != '\0' &&
+	    rq->claim == CLAIM_NONE)
+		refuse_keyed(k, rq, &e);
+	else
+		ending_conclude(k, rq, &e);
+}
+
+void
+ending_complete(struct kernel *k, struct request *rq)
+{
+	struct ending e = { OUTCOME_COMPLETE, ERR_OK, NULL, 0 };
+
+	ending_conclude(k, rq, &e);
+}
+
+void
+ending_linger(struct kernel *k, struct request *rq)
+{
+	struct ending e = { OUTCOME_UNKNOWN, ERR_DEADLINE,
+		"the call was sent and its answer has not come", 0 };
+
+	tell(k, rq, &e, NULL);
+	rq->deadline = k->now + LINGER;
+	for (size_t i = 0; i < rq->n_calls; i++)
+		rq->calls[i]->timeout_at = rq->deadline;
+}
+
+void
+ending_refusal(
+    struct kernel *k, struct request *rq, const struct event_claim *ev)
+{
+	struct ending e = { OUTCOME_UNKNOWN, rq->refusal, rq->refusal_detail,
+		rq->retry_after };
+
+	switch (ev->result) {
+	case CLAIM_REFUSED:
+	case CLAIM_BARRED:
+		e.outcome = OUTCOME_NOT_RUN;
+		break;
+	case CLAIM_TAKEN_DONE:
+		ending_again(k, rq, ev);
+		return;
+	case CLAIM_TAKEN:
+		e.error = ERR_CLAIM_TAKEN;
+		break;
+	case CLAIM_REUSED:
+		e.error = ERR_KEY_REUSED;
+		break;
+	case CLAIM_OLD:
+		e.error = ERR_KEY_OLD;
+		break;
+	case CLAIM_GRANTED:
+	case CLAIM_UNAVAILABLE:
+		e.detail = "the refusal could not be kept";
+		break;
+	}
+	ending_conclude(k, rq, &e);
+}
+
+void
+ending_again(
+    struct kernel *k, struct request *rq, const struct event_claim *ev)
+{
+	struct ending e = { ev->outcome, ERR_OK, "an earlier delivery's end",
+		0 };
+	json_t *o = json_loadb(
+	    ev->answer.n > 0 ? ev->answer.p : "", ev->answer.n, 0, NULL);
+
+	if (ev->outcome == OUTCOME_COMPLETE && json_is_object(o)) {
+		json_object_update(rq->document, o);
+		json_decref(rq->added);
+		rq->added = json_incref(o);
+	} else if (ev->outcome == OUTCOME_COMPLETE) {
+		e.outcome = OUTCOME_UNKNOWN;
+		e.error = ERR_ANSWER_LOST;
+	} else {
+		e.error = ERR_CLAIM_TAKEN;
+	}
+	if (e.outcome == OUTCOME_NOT_RUN && rq->sent > 0)
+		e.outcome = OUTCOME_FAILED;
+	json_decref(o);
+	ending_conclude(k, rq, &e);
+}
+
+void
+ending_reject(struct kernel *k, const struct event_arrive *ev,
+    enum err_kind error, const char *detail)
+{
+	struct action *a = actions_add(k->out, ACTION_ANSWER);
+	bool named = ev->key.n > 0 && ev->key.n <= MAX_KEY_BYTES;
+
+	a->answer.req = ev->req;
+	a->answer.outcome = OUTCOME_NOT_RUN;
+	/* Another delivery of the key may have come where it was accepted. */
+	if (named &&
+	    (error == ERR_NOT_READY || error == ERR_BAD_TOKEN ||
+		error == ERR_NO_PIPELINE))
+		a->answer.outcome = OUTCOME_UNKNOWN;
+	a->answer.error = error;
+	snprintf(a->answer.detail, sizeof(a->answer.detail), "%s", detail);
+	buf_put(&a->answer.trace, STR("[]"));
+	k->stats.outcomes[a->answer.outcome]++;
+	k->stats.errors[-error]++;
+}
--- a/kernel/flow.h
+++ b/kernel/flow.h
@@ -1,22 +1,27 @@
 /*
- * The course of a request: admission, stages, claims, retries, hedges, and
- * the one outcome that its caller is told.
+ * The course of a request through its stages: calls, claims, retries, and
+ * what follows from each answer.
+ *
+ * Every function here may end and free the request that it is given.
  */
 #ifndef KERNEL_FLOW_H
 #define KERNEL_FLOW_H
 
-#include "kernel/state.h"
+#include "kernel/call.h"
 
-void flow_arrive(struct kernel *k, const struct event_arrive *ev);
+void flow_start_stage(struct kernel *k, struct request *rq);
+/* Sends the next call of the present stage, or queues the request. */
+void flow_dispatch(struct kernel *k, struct request *rq);
 void flow_gone(struct kernel *k, struct request *rq);
 void flow_claim(
     struct kernel *k, struct request *rq, const struct event_claim *ev);
 /* A part of a call's answer came, or its end. */
 void flow_answer(struct kernel *k, struct call *c, struct str bytes, bool end);
 void flow_fail(struct kernel *k, struct call *c, enum call_failure why);
-/* Deadlines, hedges and silent calls of one request. */
-void flow_tick(struct kernel *k, struct request *rq);
-/* Sends what waits for services, as far as targets can take it. */
+/* A call has ended without a usable answer: retries, looks up or gives up. */
+void flow_lose_call(
+    struct kernel *k, struct call *c, enum call_verdict v, const char *why);
+/* Sends what waits for services that may have got room. */
 void flow_pump(struct kernel *k);
 void flow_free(struct request *rq);
 
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -1,6 +1,7 @@
 #include "kernel/kernel.h"
-#include "kernel/call.h"
+#include "kernel/admit.h"
 #include "kernel/flow.h"
+#include "kernel/watch.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -28,16 +29,16 @@
 }
 
 struct stage_stats *
-state_stage(struct kernel *k, const struct request *rq, size_t stage)
+state_stage(struct kernel *k, const struct conf_pipeline *p, size_t stage)
 {
 	char name[2 * MAX_NAME_BYTES + 2];
 	struct stage_stats *st;
 
-	snprintf(name, sizeof(name), "%s.%s", rq->pipeline->name,
-	    rq->pipeline->stages[stage].name);
+	snprintf(name, sizeof(name), "%s.%s", p->name, p->stages[stage].name);
 	st = g_hash_table_lookup(k->stages, name);
 	if (st == NULL) {
 		st = xcalloc(1, sizeof(*st));
+		budget_init(&st->budget);
 		g_hash_table_insert(k->stages, g_strdup(name), st);
 	}
 	return st;
@@ -61,6 +62,21 @@
 	return &rq->pipeline->stages[rq->stage];
 }
 
+bool
+state_effect_open(const struct request *rq)
+{
+	return (rq->effect_sent || rq->claim == CLAIM_FOREIGN) &&
+	    !rq->effect_done;
+}
+
+struct quant *
+state_first_sign(const struct request *rq)
+{
+	struct stage_stats *st = rq->stats[rq->stage];
+
+	return state_at(rq)->service->kind->streams ? &st->first : &st->whole;
+}
+
 uint32_t
 state_listed(struct kernel *k, const struct conf_service *s)
 {
@@ -113,7 +129,9 @@
 		return;
 	targets_loaded(&k->targets, i, ev->load.load, k->now);
 	if (ev->load.leaving)
-		targets_leaving(&k->targets, i);
+		targets_leaving(&k->targets, i, k->now);
+	else
+		targets_staying(&k->targets, i);
 }
 
 /* Requests may end while the others are looked at, so handles are copied. */
@@ -133,7 +151,7 @@
 		struct request *rq = g_hash_table_lookup(k->requests, &all[i]);
 
 		if (rq != NULL)
-			flow_tick(k, rq);
+			watch_request(k, rq);
 	}
 	free(all);
 }
@@ -169,6 +187,13 @@
 	}
 }
 
+static void
+room_anywhere(struct kernel *k)
+{
+	k->room = true;
+	k->room_anywhere = true;
+}
+
 struct kernel *
 kernel_new(const struct kernel_opts *o)
 {
@@ -199,7 +224,7 @@
 	k->out = out;
 	switch (ev->kind) {
 	case EVENT_ARRIVE:
-		flow_arrive(k, &ev->arrive);
+		admit_arrive(k, &ev->arrive);
 		break;
 	case EVENT_GONE:
 		rq = g_hash_table_lookup(k->requests, &ev->gone.req);
@@ -218,12 +243,16 @@
 		on_call(k, ev);
 		break;
 	case EVENT_CONF:
+		room_anywhere(k);
 		on_conf(k, ev->conf.conf);
 		break;
 	case EVENT_TARGETS:
-		targets_update(&k->targets, ev->targets.v, ev->targets.n);
+		room_anywhere(k);
+		targets_update(
+		    &k->targets, ev->targets.v, ev->targets.n, k->now);
 		break;
 	case EVENT_LOAD:
+		room_anywhere(k);
 		on_load(k, ev);
 		break;
 	case EVENT_SHARES:
@@ -233,6 +262,7 @@
 		k->draining = true;
 		break;
 	case EVENT_TICK:
+		room_anywhere(k);
 		tick_all(k);
 		break;
 	}
--- a/kernel/limit.c
+++ b/kernel/limit.c
@@ -43,6 +43,9 @@
 
 	if (cap < 1.0)
 		cap = 1.0;
+	/* Without a limit nothing is owed when one is set later. */
+	if (rate <= 0)
+		first = true;
 	*bucket = first ? cap : *bucket + rate * seconds;
 	if (*bucket > cap)
 		*bucket = cap;
--- a/kernel/pick.c
+++ b/kernel/pick.c
@@ -53,7 +53,7 @@
 cost(const struct pick *p, int i)
 {
 	const struct target *x = &p->targets->v[i];
-	double c = targets_score(x, p->now);
+	double c = targets_cost(x, p->now);
 
 	if (p->policy->prefer_domain != 0 && p->domain != NULL &&
 	    strcmp(x->domain, p->domain) != 0)
@@ -65,9 +65,12 @@
 pick_two(struct pick *p)
 {
 	int a = pick_random(p);
-	int b = a < 0 ? -1 : pick_random(p);
+	int b;
 
 	if (a < 0)
 		return -1;
+	b = pick_random(p);
+	if (b == a)
+		b = pick_random(p);
 	return cost(p, b) < cost(p, a) ? b : a;
 }
--- a/kernel/plug.h
+++ b/kernel/plug.h
@@ -18,7 +18,7 @@
 	const struct conf_pipeline *pipeline;
 	const struct conf_stage *stage;
 	const struct conf_workspace *workspace;
-	const char *call_id;
+	const char *call_id; /* NULL: answers may carry any */
 	const char *request_id;
 	struct str key;     /* idempotency key, empty if none */
 	json_t *document;   /* borrowed */
--- a/kernel/plug/affinity.c
+++ b/kernel/plug/affinity.c
@@ -6,6 +6,19 @@
  */
 #include "kernel/pick.h"
 
+#define MIX_ADDR   0x9e3779b97f4a7c15U
+#define MIX_PREFIX 0xd1b54a32d192ed03U
+
+/* Places an address hash in the order of a prefix. */
+static uint64_t
+mix(uint64_t addr, uint64_t prefix)
+{
+	unsigned __int128 m =
+	    (unsigned __int128)(addr ^ MIX_ADDR) * (prefix ^ MIX_PREFIX);
+
+	return (uint64_t)m ^ (uint64_t)(m >> 64);
+}
+
 /* The two best of the rendezvous order among those that may be chosen. */
 static void
 first_two(const struct pick *p, int out[2])
@@ -16,8 +29,7 @@
 	out[0] = out[1] = -1;
 	for (size_t j = 0; j < s->n; j++) {
 		int i = (int)s->members[j];
-		uint64_t h =
-		    hash_u64(str_from(p->targets->v[i].addr), p->affinity);
+		uint64_t h = mix(p->targets->v[i].hash, p->affinity);
 
 		if ((out[1] >= 0 && h <= best[1]) || !pick_may(p, i))
 			continue;
@@ -45,13 +57,12 @@
 	if (p->affinity == 0 || other < 0)
 		return other;
 	first_two(p, pair);
-	a = targets_score(&p->targets->v[pair[0]], p->now);
-	b = pair[1] < 0 ? a : targets_score(&p->targets->v[pair[1]], p->now);
+	a = targets_cost(&p->targets->v[pair[0]], p->now);
+	b = pair[1] < 0 ? a : targets_cost(&p->targets->v[pair[1]], p->now);
 	if (b + p->policy->imbalance < a)
 		pair[0] = pair[1];
-	a = targets_score(&p->targets->v[pair[0]], p->now);
-	if (targets_score(&p->targets->v[other], p->now) +
-		p->policy->imbalance <
+	a = targets_cost(&p->targets->v[pair[0]], p->now);
+	if (targets_cost(&p->targets->v[other], p->now) + p->policy->imbalance <
 	    a) {
 		p->reason = "prefix holder too busy";
 		return other;
--- a/kernel/plug/generate.c
+++ b/kernel/plug/generate.c
@@ -7,22 +7,23 @@
 build(const struct stage_call *c, struct buf *out)
 {
 	struct buf prompt = { 0 };
-	const char *salt = *c->workspace->salt != '\0' ? c->workspace->salt
-						       : c->workspace->name;
+	struct buf salt = { 0 };
 	json_t *o;
 
+	answer_salt(c->workspace, &salt);
 	answer_prompt(c->stage, c->document, &prompt);
 	o = json_pack("{s:s, s:s%, s:i, s:b, s:i, s:s, s:s}", "model",
 	    c->stage->service->model, "prompt",
 	    prompt.p != NULL ? prompt.p : "", prompt.n, "max_tokens",
 	    (int)c->stage->max_tokens, "stream", 1, "priority",
-	    (int)c->priority, "cache_salt", salt, "request_id", c->call_id);
+	    (int)c->priority, "cache_salt", salt.p, "request_id", c->call_id);
 	if (c->resumed_tokens > 0)
 		json_object_set_new(o, "resume",
 		    json_pack("{s:i, s:s%}", "tokens", (int)c->resumed_tokens,
 			"text", c->resumed.p, c->resumed.n));
 	answer_dump(o, out);
 	buf_free(&prompt);
+	buf_free(&salt);
 }
 
 static int
@@ -53,7 +54,8 @@
 
 	buf_put(&whole, c->resumed);
 	buf_put(&whole, str_of(&a->text));
-	a->document = json_pack("{s:s%}", c->stage->output, whole.p, whole.n);
+	a->document = json_pack("{s:s%}", c->stage->output,
+	    whole.p != NULL ? whole.p : "", whole.n);
 	buf_free(&whole);
 }
 
--- a/kernel/queue.h
+++ b/kernel/queue.h
@@ -9,14 +9,16 @@
 #include "base/clock.h"
 #include "kernel/limits.h"
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 /* Embedded in what waits. */
 struct queue_node {
-	struct queue_node *next;
-	usec_t order; /* smaller goes first within the lane */
+	usec_t order;    /* smaller goes first within the lane */
+	uint64_t number; /* the earlier one goes first among equals */
+	GSequenceIter *at;
 	uint32_t lane;
 	bool waiting;
 };
@@ -25,7 +27,8 @@
 	char name[MAX_NAME_BYTES + 1];
 	double vtime; /* service received, divided by weight */
 	uint32_t weight;
-	struct queue_node *head;
+	GSequence *nodes;
+	size_t n;
 };
 
 struct queue {
@@ -33,6 +36,7 @@
 	size_t n_lanes;
 	size_t n;
 	double vtime; /* of the lane served last */
+	uint64_t pushed;
 };
 
 struct queue_entry {
@@ -47,6 +51,9 @@
 struct queue_node *queue_peek(struct queue *q);
 /* Takes a node out; served: its lane is charged for it. */
 void queue_remove(struct queue *q, struct queue_node *n, bool served);
+/* How many would be served before a new entry of the workspace. */
+double queue_ahead(
+    const struct queue *q, const char *workspace, uint32_t weight);
 void queue_free(struct queue *q);
 
 #endif
--- a/kernel/state.h
+++ b/kernel/state.h
@@ -1,5 +1,6 @@
 /*
- * The kernel's state, seen by kernel.c, flow.c and call.c only.
+ * The kernel's state, seen by the course of requests only: kernel.c, admit.c,
+ * flow.c, watch.c, ending.c and call.c.
  *
  * A request owns its calls; a call refers to one target by index until it is
  * closed.  Both are found by number in hash tables.
@@ -16,6 +17,9 @@
 
 #include <glib.h>
 
+/* A request whose caller was told goes on this long to settle its claim. */
+#define LINGER (30 * USEC_PER_SEC)
+
 /* What is known of a stage from its past calls. */
 struct stage_stats {
 	struct quant whole; /* time of a successful call */
@@ -26,8 +30,9 @@
 
 struct service_state {
 	struct queue queue;
-	double rate; /* calls ended per second, while calls waited */
-	usec_t ended_at;
+	double gap;      /* time between ends of calls, while calls waited */
+	usec_t ended_at; /* 0: no call has ended since the queue was empty */
+	bool room;       /* a call has ended since the queue was looked at */
 };
 
 enum request_state {
@@ -89,15 +94,17 @@
 	json_t *document;
 	json_t *added; /* what the stages merged */
 	size_t stage;
-	usec_t stage_began;
+	struct stage_stats *stats[MAX_STAGES];      /* by stage */
+	struct service_state *services[MAX_STAGES]; /* by stage */
+	uint32_t listed[MAX_STAGES]; /* services in the target table */
 	struct call *calls[MAX_CALLS_PER_REQ];
 	size_t n_calls;
-	uint32_t sent;  /* calls of all stages */
-	uint32_t extra; /* calls of this stage after the first */
-	bool hedged;    /* in this stage */
-	int tried[MAX_CALLS_PER_REQ];
-	size_t n_tried;
-	struct buf text; /* generated in this stage so far */
+	uint32_t sent;                /* calls of all stages */
+	uint32_t extra;               /* calls of this stage after the first */
+	bool hedged;                  /* in this stage */
+	int tried[MAX_CALLS_PER_REQ]; /* the latest targets of this stage */
+	size_t n_tried;               /* calls of this stage */
+	struct buf text;              /* generated in this stage so far */
 	uint32_t tokens;
 	enum err_kind refusal; /* REQUEST_REFUSING: what to tell */
 	char refusal_detail[160];
@@ -118,16 +125,22 @@
 	GHashTable *stages;   /* "pipeline.stage" -> struct stage_stats */
 	GHashTable *services; /* name -> struct service_state */
 	uint64_t next_call;
+	bool room;          /* some service may have got room */
+	bool room_anywhere; /* every service may have */
 	bool draining;
 	struct kernel_stats stats;
 	struct actions *out; /* of the step under way */
 };
 
 struct stage_stats *state_stage(
-    struct kernel *k, const struct request *rq, size_t stage);
+    struct kernel *k, const struct conf_pipeline *p, size_t stage);
 struct service_state *state_service(
     struct kernel *k, const struct conf_service *s);
 const struct conf_stage *state_at(const struct request *rq);
+/* Whether a non-repeatable call may have had an effect that is not known. */
+bool state_effect_open(const struct request *rq);
+/* The time until a call of the present stage shows its first sign. */
+struct quant *state_first_sign(const struct request *rq);
 /* The index of a service in the target table. */
 uint32_t state_listed(struct kernel *k, const struct conf_service *s);
 /* Adds a note on the request's present stage. */
--- a/kernel/targets.c
+++ b/kernel/targets.c
@@ -12,33 +12,84 @@
 #define ASIDE_FIRST      (1 * USEC_PER_SEC)
 #define ASIDE_MOST_STEPS 4 /* doublings: at most 16 s */
 #define FRESH_AFTER_FAIL (5 * USEC_PER_SEC)
+#define LEFT_HOLD        (30 * USEC_PER_SEC)
+#define SLOW_WEIGHT      0.2  /* of the newest call in the slowness */
+#define SLOW_MOST        20.0 /* bound on one call's ratio */
+#define SLOW_FROM        1.5  /* smaller differences are noise */
+#define SLOW_HALF_LIFE   (10 * USEC_PER_SEC)
+
+/* The first target with this address, or -1. */
+static int
+find_first(const struct targets *t, const char *addr)
+{
+	if (t->by_addr == NULL)
+		return -1;
+	return GPOINTER_TO_INT(g_hash_table_lookup(t->by_addr, addr)) - 1;
+}
 
 static int
 find_in(const struct targets *t, uint32_t service, const char *addr)
 {
-	const struct service_targets *s = &t->services[service];
+	int i = find_first(t, addr);
+
+	while (i >= 0 && t->v[i].service != service)
+		i = t->v[i].same;
+	return i;
+}
 
-	for (size_t i = 0; i < s->n; i++) {
-		if (strcmp(t->v[s->members[i]].addr, addr) == 0)
-			return (int)s->members[i];
+static void
+set_first(struct targets *t, const char *addr, int i)
+{
+	if (t->by_addr == NULL)
+		t->by_addr = g_hash_table_new_full(
+		    g_str_hash, g_str_equal, g_free, NULL);
+	if (i < 0)
+		g_hash_table_remove(t->by_addr, addr);
+	else
+		g_hash_table_replace(
+		    t->by_addr, g_strdup(addr), GINT_TO_POINTER(i + 1));
+}
+
+static void
+unlink_addr(struct targets *t, int gone)
+{
+	const char *addr = t->v[gone].addr;
+	int i = find_first(t, addr);
+
+	if (i == gone) {
+		set_first(t, addr, t->v[gone].same);
+		return;
 	}
-	return -1;
+	while (t->v[i].same != gone)
+		i = t->v[i].same;
+	t->v[i].same = t->v[gone].same;
 }
 
 /* A slot that no call refers to any more, or a new one. */
 static uint32_t
 take_slot(struct targets *t)
 {
-	for (size_t i = 0; i < t->n; i++) {
-		if (t->v[i].state == TARGET_GONE && t->v[i].in_flight == 0)
-			return (uint32_t)i;
+	if (t->n_spare > 0)
+		return t->spare[--t->n_spare];
+	if (t->n == t->cap) {
+		t->cap = t->cap > 0 ? 2 * t->cap : 16;
+		t->v = xrealloc(t->v, t->cap, sizeof(*t->v));
 	}
-	t->v = xrealloc(t->v, t->n + 1, sizeof(*t->v));
 	return (uint32_t)t->n++;
 }
 
+static void
+spare_slot(struct targets *t, uint32_t i)
+{
+	if (t->n_spare == t->spare_cap) {
+		t->spare_cap = t->spare_cap > 0 ? 2 * t->spare_cap : 16;
+		t->spare = xrealloc(t->spare, t->spare_cap, sizeof(*t->spare));
+	}
+	t->spare[t->n_spare++] = i;
+}
+
 static uint32_t
-add(struct targets *t, uint32_t service, const char *addr, const char *domain)
+add(struct targets *t, uint32_t service, const char *addr)
 {
 	struct service_targets *s = &t->services[service];
 	uint32_t i = take_slot(t);
@@ -46,19 +97,20 @@
 
 	memset(x, 0, sizeof(*x));
 	snprintf(x->addr, sizeof(x->addr), "%s", addr);
-	snprintf(x->domain, sizeof(x->domain), "%s", domain);
+	x->hash = hash_u64(str_from(x->addr), 0);
 	x->service = service;
-	s->members = xrealloc(s->members, s->n + 1, sizeof(*s->members));
+	x->slow = 1.0F;
+	x->same = find_first(t, x->addr);
+	set_first(t, x->addr, (int)i);
+	if (s->n == s->cap) {
+		s->cap = s->cap > 0 ? 2 * s->cap : 16;
+		s->members = xrealloc(s->members, s->cap, sizeof(*s->members));
+	}
+	x->member = (uint32_t)s->n;
 	s->members[s->n++] = i;
 	return i;
 }
 
-static void
-drop_member(struct service_targets *s, size_t at)
-{
-	s->members[at] = s->members[--s->n];
-}
-
 static void
 leave_aside(struct targets *t, struct target *x)
 {
@@ -68,49 +120,53 @@
 	}
 }
 
+/* Takes a target out of the table; its slot is free once its calls end. */
 static void
-put(struct targets *t, const struct listed_target *l, bool fixed)
+drop(struct targets *t, uint32_t i)
 {
+	struct target *x = &t->v[i];
+	struct service_targets *s = &t->services[x->service];
+
+	x->state = TARGET_GONE;
+	leave_aside(t, x);
+	unlink_addr(t, (int)i);
+	s->members[x->member] = s->members[--s->n];
+	t->v[s->members[x->member]].member = x->member;
+	if (x->in_flight == 0)
+		spare_slot(t, i);
+}
+
+static struct target *
+put(struct targets *t, const struct listed_target *l)
+{
+	char addr[MAX_ADDR_BYTES];
 	uint32_t service = targets_service(t, str_from(l->service));
-	int i = find_in(t, service, l->addr);
+	int i;
 
+	snprintf(addr, sizeof(addr), "%s", l->addr);
+	i = find_in(t, service, addr);
 	if (i < 0)
-		i = (int)add(t, service, l->addr, l->domain);
-	t->v[i].state = l->state;
-	t->v[i].fixed = fixed;
+		i = (int)add(t, service, addr);
 	snprintf(t->v[i].domain, sizeof(t->v[i].domain), "%s", l->domain);
+	return &t->v[i];
 }
 
-/* Removes the members of one origin that the last reading did not name. */
+/* Removes the members that nothing names any more. */
 static void
-sweep(struct targets *t, bool fixed)
+sweep(struct targets *t)
 {
 	for (size_t s = 0; s < t->n_services; s++) {
 		struct service_targets *st = &t->services[s];
 
-		for (size_t i = 0; i < st->n;) {
-			struct target *x = &t->v[st->members[i]];
+		for (size_t i = st->n; i-- > 0;) {
+			const struct target *x = &t->v[st->members[i]];
 
-			if (x->state == TARGET_GONE && x->fixed == fixed) {
-				leave_aside(t, x);
-				drop_member(st, i);
-			} else {
-				i++;
-			}
+			if (!x->fixed && !x->listed)
+				drop(t, st->members[i]);
 		}
 	}
 }
 
-/* Marks all members of one origin as gone until the reading names them. */
-static void
-mark(struct targets *t, bool fixed)
-{
-	for (size_t i = 0; i < t->n; i++) {
-		if (t->v[i].fixed == fixed)
-			t->v[i].state = TARGET_GONE;
-	}
-}
-
 static bool
 may_set_aside(const struct service_targets *s, const struct conf_policy *p)
 {
@@ -135,38 +191,68 @@
 }
 
 void
-targets_update(struct targets *t, const struct listed_target *v, size_t n)
+targets_update(
+    struct targets *t, const struct listed_target *v, size_t n, usec_t now)
 {
-	mark(t, false);
+	for (size_t i = 0; i < t->n; i++) {
+		struct target *x = &t->v[i];
+
+		x->listed = false;
+		if (x->fixed && x->state != TARGET_GONE)
+			x->state =
+			    x->left_until > now ? TARGET_LEAVING : TARGET_LIVE;
+	}
 	for (size_t i = 0; i < n; i++) {
-		if (v[i].state != TARGET_GONE)
-			put(t, &v[i], false);
+		struct target *x;
+
+		if (v[i].state == TARGET_GONE)
+			continue;
+		x = put(t, &v[i]);
+		x->listed = true;
+		x->state = v[i].state;
+		if (x->left_until > now)
+			x->state = TARGET_LEAVING;
 	}
-	sweep(t, false);
+	sweep(t);
+}
+
+/* Reads IP:PORT/FAILURE-DOMAIN. */
+static struct target *
+put_fixed(struct targets *t, const struct conf_service *s, const char *text)
+{
+	struct listed_target l = { .state = TARGET_LIVE };
+	struct str rest = str_from(text);
+	struct str addr = { NULL, 0 };
+
+	str_cut(&rest, '/', &addr);
+	snprintf(l.service, sizeof(l.service), "%s",
+	    *s->listed != '\0' ? s->listed : s->name);
+	snprintf(l.addr, sizeof(l.addr), "%.*s", STR_FMT(addr));
+	snprintf(l.domain, sizeof(l.domain), "%.*s", STR_FMT(rest));
+	return put(t, &l);
 }
 
 void
 targets_conf(struct targets *t, const struct conf *c)
 {
-	mark(t, true);
+	for (size_t i = 0; i < t->n; i++)
+		t->v[i].fixed = false;
 	for (size_t i = 0; i < c->n_services; i++) {
 		const struct conf_service *s = c->services[i];
 
-		for (size_t j = 0; j < s->targets.n; j++) {
-			struct listed_target l = { .state = TARGET_LIVE };
-			struct str rest = str_from(s->targets.v[j]);
-			struct str addr = { NULL, 0 };
-
-			str_cut(&rest, '/', &addr);
-			snprintf(l.service, sizeof(l.service), "%s",
-			    *s->listed != '\0' ? s->listed : s->name);
-			snprintf(l.addr, sizeof(l.addr), "%.*s", STR_FMT(addr));
-			snprintf(
-			    l.domain, sizeof(l.domain), "%.*s", STR_FMT(rest));
-			put(t, &l, true);
-		}
+		for (size_t j = 0; j < s->targets.n; j++)
+			put_fixed(t, s, s->targets.v[j])->fixed = true;
 	}
-	sweep(t, true);
+	sweep(t);
+}
+
+/* What is known of its slowness, which fades towards the usual time. */
+static double
+slowness(const struct target *x, usec_t now)
+{
+	double age = (double)(now - x->slow_at) / SLOW_HALF_LIFE;
+
+	return 1 + ((double)x->slow - 1) * exp2(-age);
 }
 
 void
@@ -179,7 +265,11 @@
 void
 targets_ended(struct targets *t, int i)
 {
-	t->v[i].in_flight--;
+	struct target *x = &t->v[i];
+
+	x->in_flight--;
+	if (x->in_flight == 0 && x->state == TARGET_GONE)
+		spare_slot(t, (uint32_t)i);
 }
 
 void
@@ -189,10 +279,15 @@
 
 	x->fail_rate -= x->fail_rate * FAIL_WEIGHT;
 	x->fails = 0;
+	/* A call from before the pause says nothing about now. */
+	if (x->aside_until > now)
+		return;
 	x->trial = false;
-	if (x->aside_until <= now) {
+	if (x->aside_until != 0) {
 		leave_aside(t, x);
-		x->aside_count = 0;
+		x->fail_rate = 0;
+	} else if (x->aside_count > 0) {
+		x->aside_count--;
 	}
 }
 
@@ -207,6 +302,9 @@
 	x->fail_rate += (1 - x->fail_rate) * FAIL_WEIGHT;
 	x->fails++;
 	x->fresh_until = now + FRESH_AFTER_FAIL;
+	/* Calls from before the pause don't make it longer. */
+	if (x->aside_until > now || x->state == TARGET_GONE)
+		return;
 	if (x->fails < FAILS_IN_A_ROW && x->fail_rate < FAIL_RATE_MAX &&
 	    !x->trial)
 		return;
@@ -232,21 +330,41 @@
 }
 
 void
-targets_leaving(struct targets *t, int i)
+targets_timed(struct targets *t, int i, double ratio, usec_t now)
 {
-	if (t->v[i].state == TARGET_LIVE)
-		t->v[i].state = TARGET_LEAVING;
+	struct target *x = &t->v[i];
+	double old = slowness(x, now);
+
+	if (ratio > SLOW_MOST)
+		ratio = SLOW_MOST;
+	x->slow = (float)(old + (ratio - old) * SLOW_WEIGHT);
+	x->slow_at = now;
+}
+
+void
+targets_leaving(struct targets *t, int i, usec_t now)
+{
+	if (t->v[i].state == TARGET_GONE)
+		return;
+	t->v[i].state = TARGET_LEAVING;
+	t->v[i].left_until = now + LEFT_HOLD;
+}
+
+void
+targets_staying(struct targets *t, int i)
+{
+	t->v[i].left_until = 0;
 }
 
 int
 targets_find(const struct targets *t, struct str addr)
 {
-	for (size_t i = 0; i < t->n; i++) {
-		if (t->v[i].state != TARGET_GONE &&
-		    str_eq(str_from(t->v[i].addr), addr))
-			return (int)i;
-	}
-	return -1;
+	char text[MAX_ADDR_BYTES];
+
+	if (addr.n >= sizeof(text))
+		return -1;
+	snprintf(text, sizeof(text), "%.*s", STR_FMT(addr));
+	return find_first(t, text);
 }
 
 double
@@ -257,12 +375,23 @@
 	return x->in_flight + (double)x->others * exp2(-age);
 }
 
+double
+targets_cost(const struct target *x, usec_t now)
+{
+	double slow = slowness(x, now);
+
+	return (targets_score(x, now) + 1) * (slow > SLOW_FROM ? slow : 1);
+}
+
 void
 targets_free(struct targets *t)
 {
 	for (size_t i = 0; i < t->n_services; i++)
 		free(t->services[i].members);
+	if (t->by_addr != NULL)
+		g_hash_table_destroy(t->by_addr);
 	free(t->services);
+	free(t->spare);
 	free(t->v);
 	*t = (struct targets){ 0 };
 }
--- a/kernel/targets.h
+++ b/kernel/targets.h
@@ -10,12 +10,20 @@
 
 #include "kernel/event.h"
 
+#include <glib.h>
+
 struct target {
 	char addr[MAX_ADDR_BYTES];
 	char domain[MAX_NAME_BYTES + 1];
+	uint64_t hash;    /* of the address */
 	uint32_t service; /* index of its service */
+	uint32_t member;  /* its place among the service's members */
+	int same;         /* another target with the same address, or -1 */
 	enum target_state state;
-	bool fixed;         /* from the configuration, not the host list */
+	bool fixed;  /* named by the configuration */
+	bool listed; /* named by the host list */
+	usec_t
+	    left_until; /* it said that it is leaving: LIVE is not believed */
 	uint32_t in_flight; /* calls of this process */
 	float others;       /* load of other processes at loaded_at */
 	usec_t loaded_at;
@@ -23,8 +31,10 @@
 	uint32_t fails;       /* in a row */
 	usec_t aside_until;   /* 0: not set aside */
 	uint32_t aside_count; /* times in a row, for the growing pause */
-	bool trial;           /* back from being set aside, not yet trusted */
-	usec_t fresh_until;   /* old connections to it are not used */
+	float slow; /* moving ratio of its calls' times to the usual one */
+	usec_t slow_at;
+	bool trial;         /* back from being set aside, not yet trusted */
+	usec_t fresh_until; /* old connections to it are not used */
 	uint64_t calls;
 };
 
@@ -32,6 +42,7 @@
 	char name[MAX_NAME_BYTES + 1]; /* as the host list names it */
 	uint32_t *members;             /* indices of targets not gone */
 	size_t n;
+	size_t cap;
 	uint32_t next;  /* for round robin */
 	uint32_t aside; /* how many are set aside */
 };
@@ -39,6 +50,11 @@
 struct targets {
 	struct target *v;
 	size_t n;
+	size_t cap;
+	uint32_t *spare; /* slots that no call refers to */
+	size_t n_spare;
+	size_t spare_cap;
+	GHashTable *by_addr; /* address -> index + 1 of the first target */
 	struct service_targets *services;
 	size_t n_services;
 };
@@ -46,7 +62,8 @@
 /* The index of a service in the table; it is added if new. */
 uint32_t targets_service(struct targets *t, struct str listed);
 /* Takes a reading of the host list; what it lacks is gone. */
-void targets_update(struct targets *t, const struct listed_target *v, size_t n);
+void targets_update(
+    struct targets *t, const struct listed_target *v, size_t n, usec_t now);
 /* Takes the fixed targets of the configuration. */
 void targets_conf(struct targets *t, const struct conf *c);
 /* A call started, or ended with or without success. */
@@ -57,12 +74,21 @@
     struct targets *t, int i, usec_t now, const struct conf_policy *p);
 /* A load report; own calls under way are taken off it. */
 void targets_loaded(struct targets *t, int i, uint32_t load, usec_t now);
-/* The target said that it is leaving. */
-void targets_leaving(struct targets *t, int i);
+/* How long a call took, as a multiple of the usual time. */
+void targets_timed(struct targets *t, int i, double ratio, usec_t now);
+/*
+ * The target said that it is leaving.  The host list lags, so that it can
+ * only call the target live again after a while.
+ */
+void targets_leaving(struct targets *t, int i, usec_t now);
+/* The target said that it is not leaving. */
+void targets_staying(struct targets *t, int i);
 /* The index of the target with this address, or -1. */
 int targets_find(const struct targets *t, struct str addr);
 /* Calls under way at the target, as far as known now. */
 double targets_score(const struct target *x, usec_t now);
+/* What one more call would wait for, with the target's slowness. */
+double targets_cost(const struct target *x, usec_t now);
 void targets_free(struct targets *t);
 
 #endif
