Golden sessions of the kernel in virtual time

A request told unknown at its deadline frees its place in the limit of requests in flight; call names keep their number with long request ids.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 DESTDIR ?=
 PREFIX ?= /usr/local
 
-.PHONY: all deps build check demo lint format format-check install clean
+.PHONY: all deps build check demo lint format format-check golden fuzz \
+    install clean
 
 all: build
 
@@ -30,6 +31,10 @@
 check: build-check
 	@ctest --test-dir build/check --output-on-failure -j4
 
+# Rewrites the golden files from what the kernel does now.
+golden: build-check
+	GOLDEN_WRITE=1 build/check/tests/kernel/test_golden
+
 format:
 	clang-format -i $(SRCS)
 
--- a/kernel/admit.c
+++ b/kernel/admit.c
@@ -8,7 +8,7 @@
 /* Percentile of each stage's time that a new request must have left. */
 #define ARRIVAL_PERCENT 50
 /* The same for a request that waits or has done some of its stages. */
-#define LATER_PERCENT 10
+#define LATER_PERCENT   10
 
 /* Time that a new call of the workspace would wait for a service. */
 static usec_t
--- a/kernel/call.c
+++ b/kernel/call.c
@@ -9,6 +9,8 @@
 #define PREFIX_BYTES 256
 /* Weight of the newest gap between ends of calls in their average. */
 #define GAP_WEIGHT   0.05
+/* So much of a request's id stands in the names of its calls. */
+#define MAX_ID_BYTES 80
 /* The longest that a look-up may take. */
 #define LOOKUP_TIME  USEC_PER_SEC
 
@@ -204,7 +206,8 @@
 		return NULL;
 	c = xcalloc(1, sizeof(*c));
 	c->id = ++k->next_call;
-	snprintf(c->name, sizeof(c->name), "%s.%u", rq->id, rq->sent);
+	snprintf(c->name, sizeof(c->name), "%.*s.%u", MAX_ID_BYTES, rq->id,
+	    rq->sent);
 	c->rq = rq;
 	c->target = i;
 	c->role = role;
--- a/kernel/ending.c
+++ b/kernel/ending.c
@@ -10,8 +10,7 @@
 leave_queue(struct request *rq)
 {
 	if (rq->node.waiting)
-		queue_remove(
-		    &rq->services[rq->stage]->queue, &rq->node, false);
+		queue_remove(&rq->services[rq->stage]->queue, &rq->node, false);
 }
 
 /* The part of what the stages merged that the pipeline gives to callers. */
@@ -178,6 +177,7 @@
 		"the call was sent and its answer has not come", 0 };
 
 	tell(k, rq, &e, NULL);
+	release(k, rq);
 	rq->deadline = k->now + LINGER;
 	for (size_t i = 0; i < rq->n_calls; i++)
 		rq->calls[i]->timeout_at = rq->deadline;
@@ -216,8 +216,7 @@
 }
 
 void
-ending_again(
-    struct kernel *k, struct request *rq, const struct event_claim *ev)
+ending_again(struct kernel *k, struct request *rq, const struct event_claim *ev)
 {
 	struct ending e = { ev->outcome, ERR_OK, "an earlier delivery's end",
 		0 };
--- a/kernel/flow.c
+++ b/kernel/flow.c
@@ -185,6 +185,7 @@
 	struct request *rq = c->rq;
 	const struct conf_stage *s = state_at(rq);
 	bool effect = s->repeatable == 0 && c->role != CALL_LOOKUP;
+	bool again;
 
 	k->stats.failed_calls++;
 	state_note(k, rq, NOTE_CALL_FAILED, why, k->targets.v[c->target].addr);
@@ -197,8 +198,10 @@
 		return;
 	/* An open effect is looked up or left alone, never sent again. */
 	if (state_effect_open(rq) && *s->service->lookup == '\0')
-		fail_stage(k, rq, v);
-	else if ((effect && v == CALL_BROKEN) || may_retry(rq, v))
+		again = false;
+	else
+		again = (effect && v == CALL_BROKEN) || may_retry(rq, v);
+	if (again)
 		flow_dispatch(k, rq);
 	else
 		fail_stage(k, rq, v);
--- a/kernel/queue.c
+++ b/kernel/queue.c
@@ -68,15 +68,15 @@
 {
 	const struct queue_lane *best = NULL;
 
-	if (q->n == 0)
-		return NULL;
 	for (size_t i = 0; i < q->n_lanes; i++) {
 		const struct queue_lane *l = &q->lanes[i];
 
 		if (l->n > 0 && (best == NULL || l->vtime < best->vtime))
 			best = l;
 	}
-	return g_sequence_get(g_sequence_get_begin_iter(best->nodes));
+	return best == NULL
+	    ? NULL
+	    : g_sequence_get(g_sequence_get_begin_iter(best->nodes));
 }
 
 void
--- a/kernel/watch.c
+++ b/kernel/watch.c
@@ -3,9 +3,9 @@
 #include "kernel/ending.h"
 #include "kernel/flow.h"
 
-#define MIN_STALL   (250 * USEC_PER_MSEC)
-#define STALL_GAPS  20 /* times the 99th percentile between tokens */
-#define STALL_WHOLE 4  /* times the 99th percentile of a call */
+#define MIN_STALL     (250 * USEC_PER_MSEC)
+#define STALL_GAPS    20 /* times the 99th percentile between tokens */
+#define STALL_WHOLE   4  /* times the 99th percentile of a call */
 /* Extra calls that hedges leave to retries. */
 #define RETRY_RESERVE 2.0
 
--- /dev/null
+++ b/tests/kernel/session.c
@@ -0,0 +1,653 @@
+#include "tests/kernel/session.h"
+#include "kernel/kernel.h"
+#include "tests/kernel/show.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_PENDING 4096
+#define MAX_RULES   64
+#define DEFAULT_MS  20
+
+enum rule_kind {
+	RULE_TARGET,
+	RULE_CLAIM,
+	RULE_REFUSAL
+};
+
+struct rule {
+	enum rule_kind kind;
+	char what[MAX_ADDR_BYTES]; /* address prefix or claim result */
+	char mode[16];
+	usec_t latency;
+	usec_t gap;
+	uint32_t tokens;
+	uint32_t cut;
+	uint32_t times; /* left; 0 once it is used up */
+	enum outcome outcome;
+	char answer[256];
+};
+
+/* A script line or an event that happens later. */
+struct pending {
+	usec_t at;
+	uint64_t order;
+	struct event event;
+	char *text; /* owned: the line, or the event's bytes */
+	bool line;
+};
+
+struct session {
+	struct kernel *k;
+	struct pending pending[MAX_PENDING];
+	size_t n;
+	uint64_t order;
+	struct rule rules[MAX_RULES];
+	size_t n_rules;
+	usec_t now;
+	bool stopped;
+	bool quiet[MAX_PENDING]; /* by call: of a request that leaves no text */
+	GPtrArray *names; /* of requests, in the order of their handles */
+	struct actions actions;
+	struct buf *out;
+};
+
+static const char *const results[] = { "granted", "refused", "taken-done",
+	"taken", "barred", "reused", "old", "unavailable" };
+
+static int
+index_of(const char *const *names, size_t n, struct str word)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (str_eq(str_from(names[i]), word))
+			return (int)i;
+	}
+	g_error("no such word: %.*s", STR_FMT(word));
+	return -1;
+}
+
+static enum claim_result
+result_of(struct str word)
+{
+	return (enum claim_result)index_of(
+	    results, G_N_ELEMENTS(results), word);
+}
+
+/* The value of "key=value" in the rest of a line; body= and answer= go last. */
+static struct str
+field(struct str line, const char *key)
+{
+	struct str want = str_from(key);
+	struct str word;
+
+	while (str_cut(&line, ' ', &word)) {
+		bool last = str_prefix(word, STR("body=")) ||
+		    str_prefix(word, STR("answer="));
+
+		if (str_prefix(word, want) && word.n > want.n &&
+		    word.p[want.n] == '=') {
+			word.p += want.n + 1;
+			word.n -= want.n + 1;
+			if (last && line.p != NULL)
+				word.n = (size_t)(line.p + line.n - word.p);
+			return word;
+		}
+		if (last)
+			break;
+	}
+	return (struct str){ NULL, 0 };
+}
+
+static uint64_t
+number(struct str line, const char *key, uint64_t fallback)
+{
+	struct str s = field(line, key);
+	uint64_t v = fallback;
+
+	if (s.p != NULL && !str_u64(s, &v))
+		g_error("not a number: %.*s", STR_FMT(s));
+	return v;
+}
+
+static usec_t
+msec(struct str line, const char *key, uint64_t fallback)
+{
+	return (usec_t)number(line, key, fallback) * USEC_PER_MSEC;
+}
+
+static struct pending *
+later(struct session *s, usec_t at, char *text)
+{
+	struct pending *p = &s->pending[s->n++];
+
+	g_assert_cmpuint(s->n, <, MAX_PENDING);
+	*p = (struct pending){ .at = at, .order = s->order++, .text = text };
+	return p;
+}
+
+static void
+later_call(
+    struct session *s, usec_t at, enum event_kind kind, uint64_t call, int x)
+{
+	struct event *ev = &later(s, at, NULL)->event;
+
+	ev->kind = kind;
+	switch (kind) {
+	case EVENT_HEAD:
+		ev->head.call = call;
+		ev->head.status = x;
+		break;
+	case EVENT_FAIL:
+		ev->fail.call = call;
+		ev->fail.why = (enum call_failure)x;
+		break;
+	default:
+		ev->end.call = call;
+		break;
+	}
+}
+
+static void
+later_chunk(struct session *s, usec_t at, uint64_t call, char *text)
+{
+	struct pending *p = later(s, at, text);
+
+	p->event.kind = EVENT_CHUNK;
+	p->event.chunk.call = call;
+	p->event.chunk.bytes = str_from(text);
+}
+
+static uint64_t
+call_of(const struct event *ev)
+{
+	switch (ev->kind) {
+	case EVENT_HEAD:
+		return ev->head.call;
+	case EVENT_CHUNK:
+		return ev->chunk.call;
+	case EVENT_END:
+		return ev->end.call;
+	case EVENT_FAIL:
+		return ev->fail.call;
+	default:
+		return 0;
+	}
+}
+
+static void
+drop_pending(struct session *s, size_t i)
+{
+	g_free(s->pending[i].text);
+	s->pending[i] = s->pending[--s->n];
+}
+
+static void
+cancel(struct session *s, uint64_t call)
+{
+	for (size_t i = s->n; i-- > 0;) {
+		if (!s->pending[i].line &&
+		    call_of(&s->pending[i].event) == call)
+			drop_pending(s, i);
+	}
+}
+
+static const struct rule *
+find_rule(struct session *s, enum rule_kind kind, const char *addr)
+{
+	static const struct rule fallback = { .mode = "ok",
+		.latency = DEFAULT_MS * USEC_PER_MSEC,
+		.gap = DEFAULT_MS * USEC_PER_MSEC,
+		.tokens = 3 };
+
+	for (size_t i = s->n_rules; i-- > 0;) {
+		struct rule *r = &s->rules[i];
+
+		if (r->kind != kind || r->times == 0 ||
+		    (kind == RULE_TARGET && !g_str_has_prefix(addr, r->what)))
+			continue;
+		r->times--;
+		return r;
+	}
+	return &fallback;
+}
+
+/* The events of a streamed completion. */
+static void
+play_stream(struct session *s, const struct rule *r, uint64_t call,
+    json_t *body, const char *id)
+{
+	json_t *resume = json_object_get(body, "resume");
+	uint32_t from =
+	    (uint32_t)json_integer_value(json_object_get(resume, "tokens"));
+	usec_t at = s->now + r->latency;
+	bool cut = strcmp(r->mode, "cut") == 0;
+
+	for (uint32_t i = from; i < (cut ? r->cut : r->tokens); i++) {
+		later_chunk(s, at, call,
+		    g_strdup_printf("data: {\"id\": \"%s\", \"choices\": "
+				    "[{\"text\": \"t%u \"}]}\n\n",
+			id, i));
+		at += r->gap;
+	}
+	if (cut) {
+		later_call(s, at, EVENT_FAIL, call, FAILURE_BROKEN);
+		return;
+	}
+	later_chunk(s, at, call,
+	    g_strdup_printf("data: {\"id\": \"%s\", \"choices\": [{\"text\": "
+			    "\"\", \"finish_reason\": \"stop\"}], \"load\": 1}"
+			    "\n\ndata: [DONE]\n\n",
+		id));
+	later_call(s, at, EVENT_END, call, 0);
+}
+
+/* The events of one JSON object as answer. */
+static void
+play_object(struct session *s, const struct rule *r,
+    const struct action_call *c, json_t *body, const char *id)
+{
+	const char *stage = json_string_value(json_object_get(body, "stage"));
+	usec_t at = s->now + r->latency;
+
+	later_chunk(s, at, c->call,
+	    stage != NULL
+		? g_strdup_printf("{\"call_id\": \"%s\", \"load\": 1, "
+				  "\"document\": {\"%s\": \"by %s\"}}",
+		      id, stage, c->addr)
+		: g_strdup_printf(
+		      "{\"call_id\": \"%s\", \"by\": \"%s\"}", id, c->addr));
+	later_call(s, at, EVENT_END, c->call, 0);
+}
+
+/* What a target answers to a call, by the rule that matches it. */
+static void
+play_call(struct session *s, const struct action_call *c)
+{
+	const struct rule *r = find_rule(s, RULE_TARGET, c->addr);
+	json_t *body =
+	    json_loadb(c->body.p != NULL ? c->body.p : "", c->body.n, 0, NULL);
+	bool stream = json_object_get(body, "prompt") != NULL;
+	const char *id = json_string_value(
+	    json_object_get(body, stream ? "request_id" : "call_id"));
+	usec_t at = s->now + r->latency;
+
+	if (strcmp(r->mode, "silent") == 0)
+		goto out;
+	if (strcmp(r->mode, "fail") == 0 || strcmp(r->mode, "refuse") == 0) {
+		later_call(s, at, EVENT_FAIL, c->call,
+		    strcmp(r->mode, "fail") == 0 ? FAILURE_BROKEN
+						 : FAILURE_CONNECT);
+		goto out;
+	}
+	if (strcmp(r->mode, "ok") == 0 || strcmp(r->mode, "cut") == 0 ||
+	    strcmp(r->mode, "foreign") == 0) {
+		later_call(s, at, EVENT_HEAD, c->call, 200);
+		if (id == NULL || strcmp(r->mode, "foreign") == 0)
+			id = "another";
+		if (stream)
+			play_stream(s, r, c->call, body, id);
+		else
+			play_object(s, r, c, body, id);
+		goto out;
+	}
+	later_call(s, at, EVENT_HEAD, c->call,
+	    strcmp(r->mode, "absent") == 0      ? 404
+		: strcmp(r->mode, "error") == 0 ? 500
+						: 503);
+	later_chunk(
+	    s, at, c->call, g_strdup_printf("{\"error\": \"%s\"}", r->mode));
+	later_call(s, at, EVENT_END, c->call, 0);
+out:
+	json_decref(body);
+}
+
+static void
+play_claim(struct session *s, const struct action *a)
+{
+	bool claim = a->kind == ACTION_CLAIM;
+	const struct rule *r =
+	    find_rule(s, claim ? RULE_CLAIM : RULE_REFUSAL, "");
+	enum claim_result result = claim ? CLAIM_GRANTED : CLAIM_REFUSED;
+	struct pending *p;
+
+	if (*r->what != '\0')
+		result = result_of(str_from(r->what));
+	p = later(s, s->now + r->latency, g_strdup(r->answer));
+	p->event.kind = EVENT_CLAIM;
+	p->event.claim.req = a->claim.req;
+	p->event.claim.result = result;
+	p->event.claim.outcome = r->outcome;
+	p->event.claim.answer = str_from(p->text);
+}
+
+static const char *
+name_of(const struct session *s, uint64_t req)
+{
+	return g_ptr_array_index(s->names, req - 1);
+}
+
+/* Whether an action belongs to a request that leaves no text. */
+static bool
+is_quiet(struct session *s, const struct action *a)
+{
+	switch (a->kind) {
+	case ACTION_CALL:
+		g_assert_cmpuint(a->call.call, <, MAX_PENDING);
+		s->quiet[a->call.call] = *name_of(s, a->call.req) == '~';
+		return s->quiet[a->call.call];
+	case ACTION_CANCEL:
+		return s->quiet[a->cancel.call];
+	case ACTION_CLAIM:
+	case ACTION_REFUSE:
+	case ACTION_SETTLE:
+		return *name_of(s, a->claim.req) == '~';
+	case ACTION_PIECE:
+		return *name_of(s, a->piece.req) == '~';
+	case ACTION_ANSWER:
+		return *name_of(s, a->answer.req) == '~';
+	}
+	return false;
+}
+
+static void
+act(struct session *s, const struct action *a)
+{
+	if (!is_quiet(s, a)) {
+		buf_printf(s->out, "%8.1f ", (double)s->now / USEC_PER_MSEC);
+		show_action(a, s->names, s->out);
+	}
+	if (a->kind == ACTION_CALL)
+		play_call(s, &a->call);
+	else if (a->kind == ACTION_CANCEL)
+		cancel(s, a->cancel.call);
+	else if (a->kind == ACTION_CLAIM || a->kind == ACTION_REFUSE)
+		play_claim(s, a);
+}
+
+static void
+step(struct session *s, const struct event *ev)
+{
+	kernel_step(s->k, s->now, ev, &s->actions);
+	for (size_t i = 0; i < s->actions.n; i++)
+		act(s, &s->actions.v[i]);
+	actions_clear(&s->actions);
+}
+
+static void
+set_conf(struct session *s, struct str file)
+{
+	g_autofree char *path = g_strndup(file.p, file.n);
+	struct event ev = { .kind = EVENT_CONF };
+	struct ini set = { 0 };
+	struct buf text = { 0 };
+	struct err e = { 0 };
+
+	if (ini_slurp(path, &text, &e) != 0 ||
+	    ini_add(&set, path, str_of(&text), &e) != 0 ||
+	    (ev.conf.conf = conf_read(&set, 1, &e)) == NULL)
+		g_error("%s", e.text);
+	step(s, &ev);
+	conf_unref(ev.conf.conf);
+	ini_free(&set);
+	buf_free(&text);
+}
+
+/* SERVICE ADDR/DOMAIN[=leaving] ... + SERVICE ... */
+static void
+set_targets(struct session *s, struct str rest)
+{
+	GArray *list = g_array_new(false, true, sizeof(struct listed_target));
+	struct event ev = { .kind = EVENT_TARGETS };
+	struct str service = { NULL, 0 };
+	struct str word;
+
+	while (str_cut(&rest, ' ', &word)) {
+		struct listed_target t = { 0 };
+		struct str addr;
+		struct str domain;
+
+		if (service.n == 0) {
+			service = word;
+			continue;
+		}
+		if (str_eq(word, STR("+"))) {
+			service.n = 0;
+			continue;
+		}
+		str_cut(&word, '/', &addr);
+		str_cut(&word, '=', &domain);
+		g_snprintf(
+		    t.service, sizeof(t.service), "%.*s", STR_FMT(service));
+		g_snprintf(t.addr, sizeof(t.addr), "%.*s", STR_FMT(addr));
+		g_snprintf(t.domain, sizeof(t.domain), "%.*s", STR_FMT(domain));
+		t.state = word.n > 0 ? TARGET_LEAVING : TARGET_LIVE;
+		g_array_append_val(list, t);
+	}
+	ev.targets.v = (struct listed_target *)(void *)list->data;
+	ev.targets.n = list->len;
+	step(s, &ev);
+	g_array_free(list, true);
+}
+
+static void
+add_rule(struct session *s, enum rule_kind kind, struct str what, struct str l)
+{
+	static const char *const outcomes[] = { "complete", "not-run", "failed",
+		"unknown" };
+	struct rule *r = &s->rules[s->n_rules++];
+	struct str mode = field(l, "mode");
+	struct str o = field(l, "outcome");
+
+	g_assert_cmpuint(s->n_rules, <, MAX_RULES);
+	r->kind = kind;
+	g_snprintf(r->what, sizeof(r->what), "%.*s",
+	    STR_FMT(str_eq(what, STR("*")) ? STR("") : what));
+	g_snprintf(r->mode, sizeof(r->mode), "%.*s",
+	    STR_FMT(mode.n > 0 ? mode : STR("ok")));
+	r->latency =
+	    msec(l, kind == RULE_TARGET ? "latency" : "delay", DEFAULT_MS);
+	r->gap = msec(l, "gap", DEFAULT_MS);
+	r->tokens = (uint32_t)number(l, "tokens", 3);
+	r->cut = (uint32_t)number(l, "cut", 1);
+	r->times = (uint32_t)number(l, "times", UINT32_MAX);
+	if (o.n > 0)
+		r->outcome = (enum outcome)index_of(outcomes, 4, o);
+	g_snprintf(
+	    r->answer, sizeof(r->answer), "%.*s", STR_FMT(field(l, "answer")));
+}
+
+static void
+arrive(struct session *s, struct str name, struct str l, uint64_t count)
+{
+	struct event ev = { .kind = EVENT_ARRIVE };
+
+	if (count > 1)
+		later(s, s->now + msec(l, "every", DEFAULT_MS),
+		    g_strdup_printf("arrive %.*s count=%u %.*s", STR_FMT(name),
+			(unsigned)count - 1, STR_FMT(l)))
+		    ->line = true;
+	g_ptr_array_add(s->names, g_strndup(name.p, name.n));
+	ev.arrive = (struct event_arrive){
+		.req = s->names->len,
+		.id = name,
+		.workspace = field(l, "ws"),
+		.pipeline = field(l, "pipe"),
+		.key = field(l, "key"),
+		.attempt = (uint32_t)number(l, "attempt", 1),
+		.timeout = msec(l, "timeout", 0),
+		.wall = (usec_t)number(l, "wall", 0) * USEC_PER_SEC,
+		.stream = field(l, "stream").n > 0,
+		.body = field(l, "body"),
+	};
+	step(s, &ev);
+}
+
+static uint64_t
+handle_of(const struct session *s, struct str name)
+{
+	for (guint i = 0; i < s->names->len; i++) {
+		if (str_eq(str_from(g_ptr_array_index(s->names, i)), name))
+			return i + 1;
+	}
+	g_error("no such request: %.*s", STR_FMT(name));
+	return 0;
+}
+
+/* Lines that are one plain event: its word, its subject and what follows. */
+static void
+plain_event(struct session *s, struct str verb, struct str what, struct str l)
+{
+	struct event ev = { .kind = EVENT_DRAIN };
+	uint64_t n = 0;
+
+	if (str_eq(verb, STR("gone"))) {
+		ev.kind = EVENT_GONE;
+		ev.gone.req = handle_of(s, what);
+	} else if (str_eq(verb, STR("claim"))) {
+		ev.kind = EVENT_CLAIM;
+		ev.claim.req = handle_of(s, what);
+		ev.claim.result = result_of(l);
+	} else if (str_eq(verb, STR("load"))) {
+		struct str word;
+
+		ev.kind = EVENT_LOAD;
+		ev.load.addr = what;
+		ev.load.leaving = field(l, "leaving").n > 0;
+		str_cut(&l, ' ', &word);
+		g_assert_true(str_u64(word, &n));
+		ev.load.load = (uint32_t)n;
+	} else if (str_eq(verb, STR("end")) || str_eq(verb, STR("fail"))) {
+		g_assert_true(str_u64(what, &n));
+		ev.kind = str_eq(verb, STR("end")) ? EVENT_END : EVENT_FAIL;
+		if (ev.kind == EVENT_END)
+			ev.end.call = n;
+		else
+			ev.fail.call = n;
+	} else if (!str_eq(verb, STR("drain"))) {
+		g_error("no such line: %.*s", STR_FMT(verb));
+	}
+	step(s, &ev);
+}
+
+static void
+run_line(struct session *s, struct str l)
+{
+	struct str whole = l;
+	struct str verb = { NULL, 0 };
+	struct str what = { NULL, 0 };
+
+	str_cut(&l, ' ', &verb);
+	if (str_eq(verb, STR("targets"))) {
+		set_targets(s, l);
+		return;
+	}
+	str_cut(&l, ' ', &what);
+	if (str_eq(verb, STR("target"))) {
+		add_rule(s, RULE_TARGET, what, l);
+		return;
+	}
+	if (str_eq(verb, STR("claims"))) {
+		add_rule(s, RULE_CLAIM, what, l);
+		return;
+	}
+	if (str_eq(verb, STR("refusals"))) {
+		add_rule(s, RULE_REFUSAL, what, l);
+		return;
+	}
+	if (what.n == 0 || *what.p != '~')
+		buf_printf(s->out, "%8.1f > %.*s\n",
+		    (double)s->now / USEC_PER_MSEC, STR_FMT(whole));
+	if (str_eq(verb, STR("arrive")))
+		arrive(s, what, l, number(l, "count", 1));
+	else if (str_eq(verb, STR("conf")))
+		set_conf(s, what);
+	else if (str_eq(verb, STR("stop")))
+		s->stopped = true;
+	else
+		plain_event(s, verb, what, l);
+}
+
+/* Runs until the script's stop, or until nothing is left to happen. */
+static void
+run(struct session *s)
+{
+	static const struct event tick = { .kind = EVENT_TICK };
+
+	while (!s->stopped && (s->n > 0 || kernel_busy(s->k) > 0)) {
+		usec_t wake = kernel_wake(s->k, s->now);
+		size_t first = 0;
+		struct pending p;
+
+		for (size_t i = 1; i < s->n; i++) {
+			const struct pending *x = &s->pending[i];
+
+			if (x->at < s->pending[first].at ||
+			    (x->at == s->pending[first].at &&
+				x->order < s->pending[first].order))
+				first = i;
+		}
+		if (s->n == 0 || s->pending[first].at > wake) {
+			s->now = wake;
+			step(s, &tick);
+			continue;
+		}
+		p = s->pending[first];
+		s->pending[first] = s->pending[--s->n];
+		s->now = p.at > s->now ? p.at : s->now;
+		if (p.line)
+			run_line(s, str_from(p.text));
+		else
+			step(s, &p.event);
+		g_free(p.text);
+	}
+}
+
+static void
+read_line(struct session *s, struct str l, struct kernel_opts *o)
+{
+	struct str verb;
+	struct str what;
+	uint64_t ms;
+
+	l = str_trim(l);
+	if (l.n == 0 || *l.p == '#' || !str_cut(&l, ' ', &verb))
+		return;
+	if (str_eq(verb, STR("seed"))) {
+		g_assert_true(str_u64(l, &o->seed));
+		return;
+	}
+	str_cut(&l, ' ', &what);
+	if (!str_eq(verb, STR("at")) || !str_u64(what, &ms))
+		g_error("no such line: %.*s", STR_FMT(verb));
+	later(s, (usec_t)ms * USEC_PER_MSEC, g_strndup(l.p, l.n))->line = true;
+}
+
+void
+session_run(const char *file, struct buf *out)
+{
+	struct kernel_opts o = { 1, "a" };
+	struct session *s = g_new0(struct session, 1);
+	struct buf text = { 0 };
+	struct err e = { 0 };
+	struct str rest;
+	struct str line;
+
+	if (ini_slurp(file, &text, &e) != 0)
+		g_error("%s", e.text);
+	s->out = out;
+	s->names = g_ptr_array_new_with_free_func(g_free);
+	rest = str_of(&text);
+	while (str_cut(&rest, '\n', &line))
+		read_line(s, line, &o);
+	s->k = kernel_new(&o);
+	run(s);
+	while (s->n > 0)
+		drop_pending(s, 0);
+	kernel_free(s->k);
+	actions_free(&s->actions);
+	g_ptr_array_free(s->names, true);
+	buf_free(&text);
+	g_free(s);
+}
--- /dev/null
+++ b/tests/kernel/test_golden.c
@@ -0,0 +1,78 @@
+/*
+ * Golden sessions: each tests/golden/NAME.session must give NAME.golden byte
+ * for byte.  With GOLDEN_WRITE=1 in the environment the latter are rewritten.
+ */
+#include "tests/kernel/session.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FOLDER "tests/golden"
+
+/* Prints the lines around the first difference. */
+static void
+print_difference(const char *want, const char *got)
+{
+	g_auto(GStrv) w = g_strsplit(want, "\n", -1);
+	g_auto(GStrv) g = g_strsplit(got, "\n", -1);
+	guint same = 0;
+
+	while (
+	    w[same] != NULL && g[same] != NULL && strcmp(w[same], g[same]) == 0)
+		same++;
+	for (guint i = same > 3 ? same - 3 : 0; i < same; i++)
+		g_printerr("  %s\n", w[i]);
+	for (guint i = same; i < same + 5 && i < g_strv_length(w); i++)
+		g_printerr("- %s\n", w[i]);
+	for (guint i = same; i < same + 5 && i < g_strv_length(g); i++)
+		g_printerr("+ %s\n", g[i]);
+}
+
+static void
+test_session(gconstpointer arg)
+{
+	const char *name = arg;
+	g_autofree char *script = g_strdup_printf(FOLDER "/%s.session", name);
+	g_autofree char *golden = g_strdup_printf(FOLDER "/%s.golden", name);
+	g_autofree char *want = NULL;
+	struct buf got = { 0 };
+
+	session_run(script, &got);
+	if (getenv("GOLDEN_WRITE") != NULL)
+		g_assert_true(
+		    g_file_set_contents(golden, got.p, (gssize)got.n, NULL));
+	if (!g_file_get_contents(golden, &want, NULL, NULL))
+		want = g_strdup("");
+	if (strcmp(want, got.p) != 0) {
+		print_difference(want, got.p);
+		g_test_fail();
+	}
+	buf_free(&got);
+}
+
+int
+main(int argc, char **argv)
+{
+	GDir *dir = g_dir_open(FOLDER, 0, NULL);
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	const char *file;
+	int rc;
+
+	g_test_init(&argc, &argv, NULL);
+	while ((file = g_dir_read_name(dir)) != NULL) {
+		if (g_str_has_suffix(file, ".session"))
+			g_ptr_array_add(
+			    names, g_strndup(file, strlen(file) - 8));
+	}
+	for (guint i = 0; i < names->len; i++) {
+		const char *name = g_ptr_array_index(names, i);
+		g_autofree char *path = g_strdup_printf("/golden/%s", name);
+
+		g_test_add_data_func(path, name, test_session);
+	}
+	rc = g_test_run();
+	g_dir_close(dir);
+	g_ptr_array_free(names, true);
+	return rc;
+}
