--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,11 @@
 golden: build-check
 	GOLDEN_WRITE=1 build/check/tests/kernel/test_golden
 
+# More seeds of random events than make check tries.
+FUZZ_SEEDS ?= 20000
+fuzz: build-check
+	FUZZ_SEEDS=$(FUZZ_SEEDS) build/check/tests/kernel/test_fuzz_kernel
+
 format:
 	clang-format -i $(SRCS)
 
--- a/kernel/targets.c
+++ b/kernel/targets.c
@@ -344,16 +344,17 @@
 void
 targets_leaving(struct targets *t, int i, usec_t now)
 {
-	if (t->v[i].state == TARGET_GONE)
-		return;
-	t->v[i].state = TARGET_LEAVING;
-	t->v[i].left_until = now + LEFT_HOLD;
+	for (i = find_first(t, t->v[i].addr); i >= 0; i = t->v[i].same) {
+		t->v[i].state = TARGET_LEAVING;
+		t->v[i].left_until = now + LEFT_HOLD;
+	}
 }
 
 void
 targets_staying(struct targets *t, int i)
 {
-	t->v[i].left_until = 0;
+	for (i = find_first(t, t->v[i].addr); i >= 0; i = t->v[i].same)
+		t->v[i].left_until = 0;
 }
 
 int
--- a/kernel/targets.h
+++ b/kernel/targets.h
@@ -77,8 +77,8 @@
 /* How long a call took, as a multiple of the usual time. */
 void targets_timed(struct targets *t, int i, double ratio, usec_t now);
 /*
- * The target said that it is leaving.  The host list lags, so that it can
- * only call the target live again after a while.
+ * The target said that it is leaving, in whatever service.  The host list lags,
+ * so that it can only call the target live again after a while.
  */
 void targets_leaving(struct targets *t, int i, usec_t now);
 /* The target said that it is not leaving. */
