Tables of cases for the policies; both prefix holders share the bound

Quantiles, budget, limits, queue, set-aside, choice, none to choose from, ten thousand runners, returning and leaving targets. The table of ten thousand showed that the second holder of a prefix got one call only before load went before affinity: each holder is now held to the same bound.

--- a/kernel/plug/affinity.c
+++ b/kernel/plug/affinity.c
@@ -1,8 +1,8 @@
 /*
- * Balancing by prompt prefix: the first two targets of a rendezvous order of
- * the prefix share its calls, so that a prefix is kept on two runners and not
- * on all.  When both are busier than a random choice by more than the bound,
- * load goes before affinity.
+ * Balancing by prompt prefix: calls go to the first target of a rendezvous
+ * order of the prefix, or to the second while the first is busier than a
+ * choice by load by more than the bound.  When both are, load goes before
+ * affinity.  So a prefix is kept on two runners at most and not on all.
  */
 #include "kernel/pick.h"
 
@@ -48,27 +48,26 @@
 static int
 choose_affinity(struct pick *p)
 {
+	static const char *const reasons[] = { "prefix holder",
+		"second prefix holder" };
 	int pair[2];
 	int other = pick_two(p);
-	double a;
-	double b;
+	double most;
 
 	p->reason = "less loaded of two";
 	if (p->affinity == 0 || other < 0)
 		return other;
 	first_two(p, pair);
-	a = targets_cost(&p->targets->v[pair[0]], p->now);
-	b = pair[1] < 0 ? a : targets_cost(&p->targets->v[pair[1]], p->now);
-	if (b + p->policy->imbalance < a)
-		pair[0] = pair[1];
-	a = targets_cost(&p->targets->v[pair[0]], p->now);
-	if (targets_cost(&p->targets->v[other], p->now) + p->policy->imbalance <
-	    a) {
-		p->reason = "prefix holder too busy";
-		return other;
+	most =
+	    targets_cost(&p->targets->v[other], p->now) + p->policy->imbalance;
+	for (int i = 0; i < 2 && pair[i] >= 0; i++) {
+		if (targets_cost(&p->targets->v[pair[i]], p->now) <= most) {
+			p->reason = reasons[i];
+			return pair[i];
+		}
 	}
-	p->reason = "prefix holder";
-	return pair[0];
+	p->reason = "prefix holders too busy";
+	return other;
 }
 
 static struct balance_ops affinity = { "affinity", choose_affinity, NULL };
--- /dev/null
+++ b/tests/kernel/test_policy.c
@@ -0,0 +1,527 @@
+/* Tables of cases for what the decisions are made of. */
+#include "base/rng.h"
+#include "kernel/budget.h"
+#include "kernel/limit.h"
+#include "kernel/pick.h"
+#include "kernel/quant.h"
+#include "kernel/queue.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define MSEC USEC_PER_MSEC
+#define MANY 10000
+
+static void
+test_quant(void)
+{
+	static const struct {
+		usec_t each;
+		unsigned n;
+		unsigned percent;
+		usec_t least;
+		usec_t most;
+	} cases[] = {
+		{ 20 * MSEC, 7, 50, 1, 1 }, /* too few: the fallback */
+		{ 20 * MSEC, 8, 50, 20 * MSEC, 25 * MSEC },
+		{ 20 * MSEC, 5000, 99, 20 * MSEC, 25 * MSEC },
+		{ 0, 100, 50, 0, 200 },
+		{ -5, 100, 50, 0, 200 },
+		{ 100 * USEC_PER_SEC, 100, 50, 99 * USEC_PER_SEC,
+		    USEC_PER_SEC * 1000 },
+		{ INT64_MAX / 2, 100, 99, USEC_PER_SEC, INT64_MAX },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct quant q = { 0 };
+		usec_t v;
+
+		for (unsigned j = 0; j < cases[i].n; j++)
+			quant_add(&q, cases[i].each);
+		v = quant_get(&q, cases[i].percent, 1);
+		g_assert_cmpint(v, >=, cases[i].least);
+		g_assert_cmpint(v, <=, cases[i].most);
+	}
+}
+
+/* The recent past outweighs what was before. */
+static void
+test_quant_decay(void)
+{
+	struct quant q = { 0 };
+
+	for (int i = 0; i < 2000; i++)
+		quant_add(&q, 10 * MSEC);
+	for (int i = 0; i < 2000; i++)
+		quant_add(&q, 100 * MSEC);
+	g_assert_cmpint(quant_get(&q, 50, 0), >=, 100 * MSEC);
+}
+
+static void
+test_budget(void)
+{
+	static const struct {
+		unsigned firsts;
+		uint32_t percent;
+		unsigned most; /* extra calls */
+	} cases[] = {
+		{ 0, 10, 2 },
+		{ 100, 10, 12 },
+		{ 10000, 10, 1002 },
+		{ 1000, 0, 2 },
+		{ 10, 100, 12 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct budget b;
+		unsigned extra = 0;
+
+		budget_init(&b);
+		for (unsigned j = 0; j < cases[i].firsts; j++) {
+			budget_earn(&b, cases[i].percent);
+			extra += budget_spend(&b, 0) ? 1 : 0;
+		}
+		while (budget_spend(&b, 0))
+			extra++;
+		g_assert_cmpuint(extra, <=, cases[i].most);
+		g_assert_cmpuint(extra + 1, >=, cases[i].most);
+		g_assert_false(budget_spend(&b, 2));
+		budget_return(&b);
+		g_assert_false(budget_spend(&b, 2));
+	}
+}
+
+static void
+test_limit(void)
+{
+	static const struct {
+		uint32_t per_second;
+		uint32_t in_flight;
+		uint32_t tokens;
+		uint32_t sequoiads;
+		uint32_t ppm;
+		unsigned tried; /* at once */
+		unsigned passed;
+	} cases[] = {
+		{ 0, 0, 0, 1, 0, 100, 100 }, { 10, 0, 0, 1, 0, 100, 10 },
+		{ 90, 0, 0, 9, 0, 100, 10 }, { 90, 0, 0, 9, 500000, 100, 45 },
+		{ 0, 4, 0, 1, 0, 100, 4 },
+		{ 0, 4, 0, 9, 0, 100, 1 }, /* never less than one */
+		{ 0, 18, 0, 0, 0, 100, 18 },
+		{ 0, 0, 100, 1, 0, 100, 100 }, /* tokens are charged after */
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct conf_workspace w = { .name = (char *)"yard",
+			.requests_per_second = cases[i].per_second,
+			.requests_in_flight = cases[i].in_flight,
+			.tokens_per_second = cases[i].tokens };
+		struct limits l = { .sequoiads = cases[i].sequoiads };
+		unsigned passed = 0;
+		usec_t retry = 0;
+
+		limit_set_share(&l, STR("yard"), cases[i].ppm);
+		for (unsigned j = 0; j < cases[i].tried; j++) {
+			if (limit_admit(&l, &w, 5, &retry) == 0)
+				passed++;
+			else
+				g_assert_cmpint(retry, >, 0);
+		}
+		g_assert_cmpuint(passed, ==, cases[i].passed);
+		g_assert_cmpuint(
+		    limit_demand(&l, STR("yard")), ==, cases[i].tried);
+		limit_free(&l);
+	}
+}
+
+/* A limit that is set later starts full; a clock that goes back is borne. */
+static void
+test_limit_later(void)
+{
+	struct conf_workspace w = { .name = (char *)"yard" };
+	struct limits l = { .sequoiads = 1 };
+	usec_t retry = 0;
+
+	for (int i = 0; i < MANY; i++) {
+		g_assert_cmpint(
+		    limit_admit(&l, &w, USEC_PER_SEC, &retry), ==, 0);
+		limit_charge(&l, "yard", 100);
+		limit_release(&l, "yard");
+	}
+	w.requests_per_second = 10;
+	w.tokens_per_second = 10;
+	g_assert_cmpint(limit_admit(&l, &w, 0, &retry), ==, ERR_OVER_LIMIT);
+	g_assert_cmpint(limit_admit(&l, &w, 12 * USEC_PER_SEC, &retry), ==, 0);
+	limit_release(&l, "yard");
+	limit_release(&l, "yard");
+	g_assert_cmpuint(l.v[0].in_flight, ==, 0);
+	limit_free(&l);
+}
+
+/* Which lanes are served, in order, from entries that wait at once. */
+static void
+test_queue(void)
+{
+	static const struct {
+		const char *pushed;  /* a lane's letter, and its order */
+		uint32_t weights[2]; /* of a and b */
+		const char *served;
+	} cases[] = {
+		{ "a3a1a2", { 1, 1 }, "a1a2a3" },
+		{ "a1a1b1", { 1, 1 }, "a1b1a1" },
+		{ "a1a2a3a4b1b2", { 1, 1 }, "a1b1a2b2a3a4" },
+		{ "a1a2a3a4b1b2", { 2, 1 }, "a1b1a2a3b2a4" },
+		{ "a1b1", { 0, 0 }, "a1b1" },
+		{ "", { 1, 1 }, "" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct queue_node nodes[8] = { 0 };
+		struct queue q = { 0 };
+		struct queue_node *n;
+		GString *served = g_string_new("");
+
+		for (size_t j = 0; cases[i].pushed[2 * j] != '\0'; j++) {
+			char lane[2] = { cases[i].pushed[2 * j], '\0' };
+
+			queue_push(&q,
+			    &(struct queue_entry){ &nodes[j], lane,
+				cases[i].weights[lane[0] - 'a'],
+				cases[i].pushed[2 * j + 1] - '0' });
+		}
+		while ((n = queue_peek(&q)) != NULL) {
+			g_string_append_printf(served, "%s%d",
+			    q.lanes[n->lane].name, (int)n->order);
+			queue_remove(&q, n, true);
+		}
+		g_assert_cmpstr(served->str, ==, cases[i].served);
+		g_assert_cmpuint(q.n, ==, 0);
+		g_string_free(served, true);
+		queue_free(&q);
+	}
+}
+
+static void
+test_queue_ahead(void)
+{
+	static const struct {
+		unsigned a;
+		unsigned b;
+		uint32_t weight; /* of a newcomer in lane b; a has 10 */
+		double ahead;
+	} cases[] = {
+		{ 0, 0, 10, 0 },
+		{ 100, 0, 10, 1 }, /* one turn of the flooding lane */
+		{ 100, 0, 1, 10 }, /* ten of its turns */
+		{ 100, 0, 0, 10 }, /* no weight counts as one */
+		{ 100, 3, 10, 7 }, /* 3 of its own, 4 turns of the other */
+		{ 2, 50, 10, 52 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		static struct queue_node nodes[200];
+		struct queue q = { 0 };
+
+		memset(nodes, 0, sizeof(nodes));
+		for (unsigned j = 0; j < cases[i].a + cases[i].b; j++)
+			queue_push(&q,
+			    &(struct queue_entry){
+				&nodes[j], j < cases[i].a ? "a" : "b", 10, 1 });
+		g_assert_cmpfloat(
+		    queue_ahead(&q, "b", cases[i].weight), ==, cases[i].ahead);
+		queue_free(&q);
+	}
+}
+
+static void
+fill_targets(struct targets *t, size_t n, usec_t now)
+{
+	struct listed_target *v = g_new0(struct listed_target, n);
+
+	for (size_t i = 0; i < n; i++) {
+		g_strlcpy(v[i].service, "s", sizeof(v[i].service));
+		g_snprintf(v[i].addr, sizeof(v[i].addr), "10.0.%zu.%zu:80",
+		    i / 250, i % 250);
+		g_strlcpy(
+		    v[i].domain, i % 2 > 0 ? "b" : "a", sizeof(v[i].domain));
+	}
+	targets_update(t, v, n, now);
+	g_free(v);
+}
+
+static const struct conf_policy usual = {
+	.set_aside = 1, .set_aside_cap = 40, .imbalance = 4
+};
+
+/* A run of failures (f), successes (s) and seconds (.) of one target. */
+static void
+test_aside(void)
+{
+	static const struct {
+		size_t n;
+		uint32_t cap;
+		const char *run;
+		bool chosen; /* may it be chosen at the end */
+	} cases[] = {
+		{ 5, 40, "ff", true },
+		{ 5, 40, "fff", false },
+		{ 5, 40, "fssf", true },
+		{ 5, 40, "fsfsf", false }, /* half of its calls */
+		{ 5, 40, "fff..", true },
+		{ 5, 40, "fff..f", false },  /* the trial failed */
+		{ 5, 40, "fff..f.", false }, /* a longer pause */
+		{ 5, 40, "fff..f..", true },
+		{ 5, 40, "fff..sff", true },    /* trusted again */
+		{ 5, 40, "fffffffff..", true }, /* late ones don't lengthen */
+		{ 5, 0, "fffff", true },
+		{ 1, 40, "fffff", true }, /* the cap spares the only one */
+		{ 1, 100, "fffff", false },
+		{ 2, 40, "fffff", true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct conf_policy policy = usual;
+		struct targets t = { 0 };
+		struct pick p = { .targets = &t, .policy = &policy };
+
+		policy.set_aside_cap = cases[i].cap;
+		fill_targets(&t, cases[i].n, 0);
+		for (const char *c = cases[i].run; *c != '\0'; c++) {
+			if (*c == 'f')
+				targets_failed(&t, 0, p.now, &policy);
+			else if (*c == 's')
+				targets_succeeded(&t, 0, p.now);
+			else
+				p.now += USEC_PER_SEC;
+		}
+		g_test_message("%s", cases[i].run);
+		g_assert_true(pick_may(&p, 0) == cases[i].chosen);
+		targets_free(&t);
+	}
+}
+
+/* At most the cap is set aside, whatever fails; after a pause one call. */
+static void
+test_aside_cap(void)
+{
+	struct targets t = { 0 };
+	struct pick p = { .targets = &t, .policy = &usual };
+	unsigned out = 0;
+
+	fill_targets(&t, 100, 0);
+	for (int i = 0; i < 100; i++) {
+		for (int j = 0; j < 5; j++)
+			targets_failed(&t, i, 0, &usual);
+		out += pick_may(&p, i) ? 0 : 1;
+	}
+	g_assert_cmpuint(out, ==, 40);
+	p.now = 2 * USEC_PER_SEC;
+	g_assert_true(pick_may(&p, 0));
+	targets_started(&t, 0);
+	g_assert_false(pick_may(&p, 0));
+	targets_succeeded(&t, 0, p.now);
+	g_assert_true(pick_may(&p, 0));
+	targets_free(&t);
+}
+
+/* The share of 1000 calls that the first target gets, one after another. */
+static unsigned
+share_of_first(const char *balance, struct pick *p)
+{
+	const struct balance_ops *ops = balance_find(str_from(balance));
+	unsigned first = 0;
+
+	for (int i = 0; i < 1000; i++)
+		first += ops->choose(p) == 0 ? 1 : 0;
+	return first;
+}
+
+static void
+test_choice(void)
+{
+	static const struct {
+		const char *balance;
+		size_t n;
+		uint32_t in_flight; /* of the first target */
+		double ratio;       /* of its calls' times */
+		const char *domain; /* own; the first is in "a" */
+		unsigned least;
+		unsigned most;
+	} cases[] = {
+		{ "two-choice", 1, 0, 1, NULL, 1000, 1000 },
+		{ "two-choice", 2, 0, 1, NULL, 300, 700 },
+		{ "two-choice", 10, 0, 1, NULL, 50, 200 },
+		{ "two-choice", 10, 1, 1, NULL, 0, 60 },
+		{ "two-choice", 10, 0, 5, NULL, 0, 60 }, /* slow */
+		{ "two-choice", 10, 0, 1, "a", 100, 250 },
+		{ "two-choice", 10, 1, 1, "a", 0, 60 }, /* gives way to load */
+		{ "round-robin", 10, 9, 5, NULL, 100, 100 },
+		{ "affinity", 1, 50, 9, NULL, 1000, 1000 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct conf_policy policy = usual;
+		struct targets t = { 0 };
+		struct rng rng;
+		struct pick p = { .targets = &t,
+			.policy = &policy,
+			.rng = &rng,
+			.affinity = 7,
+			.domain = cases[i].domain };
+		unsigned got;
+
+		rng_init(&rng, 1);
+		policy.prefer_domain = cases[i].domain != NULL;
+		fill_targets(&t, cases[i].n, 0);
+		for (uint32_t j = 0; j < cases[i].in_flight; j++)
+			targets_started(&t, 0);
+		for (int j = 0; j < 20; j++)
+			targets_timed(&t, 0, cases[i].ratio, 0);
+		got = share_of_first(cases[i].balance, &p);
+		g_test_message("case %zu: %u", i, got);
+		g_assert_cmpuint(got, >=, cases[i].least);
+		g_assert_cmpuint(got, <=, cases[i].most);
+		targets_free(&t);
+	}
+}
+
+/* Nobody can be chosen: none at all, all aside, all busy, all avoided. */
+static void
+test_no_choice(void)
+{
+	static const char *const names[] = { "two-choice", "round-robin",
+		"affinity", "auto" };
+	static const int avoid[] = { 0, 1, 2 };
+	struct conf_policy policy = usual;
+	struct rng rng;
+
+	rng_init(&rng, 1);
+	policy.set_aside_cap = 100;
+	for (size_t i = 0; i < G_N_ELEMENTS(names) * 4; i++) {
+		const struct balance_ops *ops =
+		    balance_find(str_from(names[i / 4]));
+		struct targets t = { 0 };
+		struct pick p = { .targets = &t,
+			.policy = &policy,
+			.rng = &rng,
+			.affinity = 7 };
+
+		p.service = targets_service(&t, STR("s"));
+		if (i % 4 > 0)
+			fill_targets(&t, 3, 0);
+		for (int j = 0; j < 3; j++) {
+			for (int f = 0; f < 3 && i % 4 == 1; f++)
+				targets_failed(&t, j, 0, &policy);
+			if (i % 4 == 2)
+				targets_started(&t, j);
+		}
+		p.concurrency = i % 4 == 2 ? 1 : 0;
+		p.avoid = avoid;
+		p.n_avoid = i % 4 == 3 ? 3 : 0;
+		g_assert_cmpint(ops->choose(&p), ==, -1);
+		targets_free(&t);
+	}
+}
+
+/* Ten thousand runners come, change their places in the list, and go. */
+static void
+test_many(void)
+{
+	struct targets t = { 0 };
+	struct rng rng;
+	struct pick p = { .targets = &t, .policy = &usual, .rng = &rng };
+	const struct balance_ops *ops = balance_find(STR("affinity"));
+	int holders[2] = { -1, -1 };
+
+	rng_init(&rng, 1);
+	for (int i = 0; i < 20; i++)
+		fill_targets(&t, i % 2 > 0 ? MANY : MANY / 2, i);
+	g_assert_cmpuint(t.n, ==, MANY);
+	g_assert_cmpuint(t.services[0].n, ==, MANY);
+	g_assert_cmpint(targets_find(&t, STR("10.0.39.249:80")), >=, 0);
+	g_assert_cmpint(targets_find(&t, STR("10.0.40.0:80")), ==, -1);
+	p.affinity = 7;
+	for (int i = 0; i < 50; i++) {
+		int at = ops->choose(&p);
+
+		targets_started(&t, at);
+		if (holders[0] < 0)
+			holders[0] = at;
+		else if (at != holders[0] && holders[1] < 0)
+			holders[1] = at;
+		if (i < 8)
+			g_assert_true(at == holders[0] || at == holders[1]);
+	}
+	/* The bound on the imbalance sends the rest elsewhere. */
+	g_assert_cmpuint(t.v[holders[0]].in_flight, <, 10);
+	targets_free(&t);
+}
+
+/* A target that goes and returns while a call is under way is another one. */
+static void
+test_return(void)
+{
+	struct targets t = { 0 };
+
+	fill_targets(&t, 2, 0);
+	targets_started(&t, 1);
+	fill_targets(&t, 1, 0);
+	g_assert_cmpint(t.v[1].state, ==, TARGET_GONE);
+	fill_targets(&t, 2, 0);
+	g_assert_cmpuint(t.n, ==, 3);
+	g_assert_cmpint(targets_find(&t, STR("10.0.0.1:80")), ==, 2);
+	targets_ended(&t, 1);
+	fill_targets(&t, 3, 0);
+	g_assert_cmpuint(t.n, ==, 3);
+	targets_free(&t);
+}
+
+/* When the host list may call a target live that said it leaves. */
+static void
+test_leaving(void)
+{
+	static const struct {
+		usec_t after;
+		bool stays; /* it said so meanwhile */
+		enum target_state state;
+	} cases[] = {
+		{ 0, false, TARGET_LEAVING },
+		{ 29 * USEC_PER_SEC, false, TARGET_LEAVING },
+		{ 30 * USEC_PER_SEC, false, TARGET_LIVE },
+		{ 1, true, TARGET_LIVE },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct targets t = { 0 };
+
+		fill_targets(&t, 1, 0);
+		targets_leaving(&t, 0, 0);
+		g_assert_cmpint(t.v[0].state, ==, TARGET_LEAVING);
+		if (cases[i].stays)
+			targets_staying(&t, 0);
+		fill_targets(&t, 1, cases[i].after);
+		g_assert_cmpint(t.v[0].state, ==, cases[i].state);
+		targets_free(&t);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/policy/quant", test_quant);
+	g_test_add_func("/policy/quant-decay", test_quant_decay);
+	g_test_add_func("/policy/budget", test_budget);
+	g_test_add_func("/policy/limit", test_limit);
+	g_test_add_func("/policy/limit-later", test_limit_later);
+	g_test_add_func("/policy/queue", test_queue);
+	g_test_add_func("/policy/queue-ahead", test_queue_ahead);
+	g_test_add_func("/policy/aside", test_aside);
+	g_test_add_func("/policy/aside-cap", test_aside_cap);
+	g_test_add_func("/policy/choice", test_choice);
+	g_test_add_func("/policy/no-choice", test_no_choice);
+	g_test_add_func("/policy/many", test_many);
+	g_test_add_func("/policy/return", test_return);
+	g_test_add_func("/policy/leaving", test_leaving);
+	return g_test_run();
+}
