--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,12 @@
 DESTDIR ?=
 PREFIX ?= /usr/local
 
+<<<<<<< HEAD
 .PHONY: all deps build check demo lint peer format format-check install clean
+=======
+.PHONY: all deps build check demo lint format format-check golden fuzz \
+    install clean
+>>>>>>> policy
 
 all: build
 
@@ -30,6 +35,15 @@
 check: build-check
 	@ctest --test-dir build/check --output-on-failure -j4
 
+# Rewrites the golden files from what the kernel does now.
+golden: build-check
+	GOLDEN_WRITE=1 build/check/tests/kernel/test_golden
+
+# More seeds of random events than make check tries.
+FUZZ_SEEDS ?= 20000
+fuzz: build-check
+	FUZZ_SEEDS=$(FUZZ_SEEDS) build/check/tests/kernel/test_fuzz_kernel
+
 format:
 	clang-format -i $(SRCS)
 
--- a/plat/logio.c
+++ b/plat/logio.c
@@ -22,6 +22,7 @@
 	GQueue held;  /* jobs that wait until not_before */
 	GQueue open;  /* jobs whose answer is awaited */
 	GQueue lost;  /* jobs without an answer, until not_before */
+	usec_t failing_at; /* since when; 0: it answers */
 	usec_t pause; /* after the next lost answer */
 	double swaps; /* left in the bucket */
 	usec_t filled_at;
