--- a/Makefile
+++ b/Makefile
@@ -7,12 +7,8 @@
 DESTDIR ?=
 PREFIX ?= /usr/local
 
-<<<<<<< HEAD
-.PHONY: all deps build check demo lint peer format format-check install clean
-=======
-.PHONY: all deps build check demo lint format format-check golden fuzz \
+.PHONY: all deps build check demo lint peer format format-check golden fuzz \
     install clean
->>>>>>> policy
 
 all: build
 
--- a/entry/claimer.c
+++ b/entry/claimer.c
@@ -8,17 +8,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SEAL_BYTES     (16 * 1024)
-#define BATCH_BYTES    (128 * 1024)
-#define FORWARD_TIME   (200 * USEC_PER_MSEC) /* then the own swap is tried */
-#define SETTLE_REPEAT  (2 * USEC_PER_SEC)
-#define SETTLE_MOST    (120 * USEC_PER_SEC)
-#define TAKEN_WAIT     (2 * USEC_PER_SEC) /* for a running delivery's end */
-#define TAKEN_REFRESH  (200 * USEC_PER_MSEC)
-#define OUTAGE_AFTER   (1 * USEC_PER_SEC) /* of a silent service */
-#define OUTAGE_TIME    (300 * USEC_PER_MSEC) /* that a claim then waits */
-#define EXPIRE_EVERY   (1 * USEC_PER_SEC)
-#define SHARD_KEY      "sequoia/claims/%02u"
+#define SEAL_BYTES    (16 * 1024)
+#define BATCH_BYTES   (128 * 1024)
+#define FORWARD_TIME  (200 * USEC_PER_MSEC) /* then the own swap is tried */
+#define SETTLE_REPEAT (2 * USEC_PER_SEC)
+#define SETTLE_MOST   (120 * USEC_PER_SEC)
+#define TAKEN_WAIT    (2 * USEC_PER_SEC) /* for a running delivery's end */
+#define TAKEN_REFRESH (200 * USEC_PER_MSEC)
+#define OUTAGE_AFTER  (1 * USEC_PER_SEC)    /* of a silent service */
+#define OUTAGE_TIME   (300 * USEC_PER_MSEC) /* that a claim then waits */
+#define EXPIRE_EVERY  (1 * USEC_PER_SEC)
+#define SHARD_KEY     "sequoia/claims/%02u"
 
 enum ask_state {
 	ASK_FORWARDED, /* the writer's verdict is awaited */
@@ -30,15 +30,15 @@
 struct ask {
 	uint64_t number;
 	enum ask_state state;
-	struct claim claim;   /* its strings point into text */
+	struct claim claim; /* its strings point into text */
 	struct buf text[5];
-	uint64_t req;         /* of the kernel; 0: a peer's or an own settlement */
-	uint64_t peer_number; /* of the peer's ask */
+	uint64_t req; /* of the kernel; 0: a peer's or an own settlement */
+	uint64_t peer_number;      /* of the peer's ask */
 	char peer[MAX_ADDR_BYTES]; /* empty: not a peer's */
 	usec_t asked_at;
-	usec_t until;         /* then it is unavailable */
-	usec_t step_until;    /* then the next way is tried */
-	bool abandoned;       /* the asker has been told unavailable */
+	usec_t until;      /* then it is unavailable */
+	usec_t step_until; /* then the next way is tried */
+	bool abandoned;    /* the asker has been told unavailable */
 };
 
 struct shard {
@@ -138,8 +138,7 @@
 }
 
 static void
-tell_peer(struct claimer *c, const struct ask *a,
-    const struct claim_verdict *v)
+tell_peer(struct claimer *c, const struct ask *a, const struct claim_verdict *v)
 {
 	peer_body b = { .kind = PEER_VERDICT };
 	peer_verdict *p = &b.peer_body_u.verdict;
@@ -165,10 +164,10 @@
 		c->counts.unavailable++;
 	c->o.decided(c->o.arg,
 	    &(struct event_claim){
-	        .req = a->req,
-	        .result = v->result,
-	        .outcome = v->outcome,
-	        .answer = v->answer,
+		.req = a->req,
+		.result = v->result,
+		.outcome = v->outcome,
+		.answer = v->answer,
 	    });
 }
 
@@ -239,8 +238,8 @@
 	a->state = ASK_APPENDED;
 	c->counts.local++;
 	payload = claim_pack(&a->claim);
-	if (alog_append(logio_log(s->io), a->number,
-	        claims_conflict(&a->claim), clock_wall(), payload) != 0) {
+	if (alog_append(logio_log(s->io), a->number, claims_conflict(&a->claim),
+		clock_wall(), payload) != 0) {
 		v.result = CLAIM_UNAVAILABLE;
 		finish(c, a, &v);
 	}
@@ -302,8 +301,7 @@
 	p->patience_ms = (u_int)((a->until - c->now) / USEC_PER_MSEC);
 	a->state = ASK_FORWARDED;
 	a->step_until = c->now +
-	    (a->claim.step == CLAIM_STEP_SETTLE ? SETTLE_REPEAT
-						: FORWARD_TIME);
+	    (a->claim.step == CLAIM_STEP_SETTLE ? SETTLE_REPEAT : FORWARD_TIME);
 	c->counts.forwarded++;
 	rpc_send(c->o.rpc, addr, &b);
 }
@@ -374,7 +372,7 @@
 		if (c->now >= a->until && a->state != ASK_APPENDED)
 			finish(c, a,
 			    &(struct claim_verdict){
-			        .result = CLAIM_UNAVAILABLE });
+				.result = CLAIM_UNAVAILABLE });
 		return;
 	}
 	if (c->now >= a->until || is_outage(c, a)) {
@@ -401,8 +399,7 @@
 		const struct ask *a = p;
 
 		if (a->state == ASK_WAITING)
-			alog_refresh(
-			    logio_log(shard_of(c, &a->claim)->io));
+			alog_refresh(logio_log(shard_of(c, &a->claim)->io));
 	}
 }
 
@@ -434,8 +431,8 @@
 
 	c->o = *o;
 	c->now = clock_now();
-	c->asks = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-	    free_ask);
+	c->asks =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_ask);
 	for (unsigned i = 0; i < CLAIM_SHARDS; i++)
 		c->shards[i].c = c;
 	return c;
@@ -449,8 +446,8 @@
 }
 
 void
-claimer_members(struct claimer *c, const struct claimer_member *v, size_t n,
-    uint64_t self)
+claimer_members(
+    struct claimer *c, const struct claimer_member *v, size_t n, uint64_t self)
 {
 	c->self = self;
 	c->n_members = n;
@@ -487,8 +484,7 @@
 	c->counts.asked++;
 	if (cl.answer.n > MAX_CLAIM_ANSWER)
 		cl.answer.n = 0;
-	a = new_ask(c, &cl,
-	    kind == ACTION_SETTLE ? SETTLE_MOST : x->patience);
+	a = new_ask(c, &cl, kind == ACTION_SETTLE ? SETTLE_MOST : x->patience);
 	a->req = kind == ACTION_SETTLE ? 0 : x->req;
 	start(c, a);
 }
--- a/entry/claimer.h
+++ b/entry/claimer.h
@@ -28,29 +28,29 @@
 };
 
 struct claimer_member {
-	uint64_t id;          /* hash of its name */
+	uint64_t id; /* hash of its name */
 	uint64_t incarnation;
-	const char *rpc;      /* IP:PORT */
+	const char *rpc; /* IP:PORT */
 };
 
 struct claimer_counts {
-	uint64_t asked;       /* claims, refusals and settlements of this process */
+	uint64_t asked; /* claims, refusals and settlements of this process */
 	uint64_t forwarded;
 	uint64_t local;
 	uint64_t unavailable;
 	uint64_t kv_requests;
 	uint64_t swaps;
 	uint64_t conflicts;
-	size_t pending;       /* not decided or not kept yet */
-	size_t claims;        /* in memory */
+	size_t pending; /* not decided or not kept yet */
+	size_t claims;  /* in memory */
 	size_t bytes;
 };
 
 struct claimer *claimer_new(const struct claimer_opts *o);
 void claimer_retention(struct claimer *c, usec_t retention);
 /* The live sequoiads, this one among them, and its own id. */
-void claimer_members(struct claimer *c, const struct claimer_member *v,
-    size_t n, uint64_t self);
+void claimer_members(
+    struct claimer *c, const struct claimer_member *v, size_t n, uint64_t self);
 /* A CLAIM, REFUSE or SETTLE of the kernel's. */
 void claimer_ask(struct claimer *c, enum action_kind kind,
     const struct action_claim *a, usec_t now);
--- a/plat/logio.c
+++ b/plat/logio.c
@@ -19,12 +19,12 @@
 struct logio {
 	struct logio_opts o;
 	struct alog *log;
-	GQueue held;  /* jobs that wait until not_before */
-	GQueue open;  /* jobs whose answer is awaited */
-	GQueue lost;  /* jobs without an answer, until not_before */
+	GQueue held;       /* jobs that wait until not_before */
+	GQueue open;       /* jobs whose answer is awaited */
+	GQueue lost;       /* jobs without an answer, until not_before */
 	usec_t failing_at; /* since when; 0: it answers */
-	usec_t pause; /* after the next lost answer */
-	double swaps; /* left in the bucket */
+	usec_t pause;      /* after the next lost answer */
+	double swaps;      /* left in the bucket */
 	usec_t filled_at;
 	usec_t now;
 	bool follow;
