--- a/entry/claimer.h
+++ b/entry/claimer.h
@@ -53,7 +53,7 @@
     struct claimer *c, const struct claimer_member *v, size_t n, uint64_t self);
 /* A CLAIM, REFUSE or SETTLE of the kernel's. */
 void claimer_ask(struct claimer *c, enum action_kind kind,
-    const struct action_claim *a, usec_t now);
+    const struct action_claim *x, usec_t now);
 /* PEER_CLAIM and PEER_VERDICT of other sequoiads. */
 void claimer_letter(struct claimer *c, const peer_letter *l, usec_t now);
 void claimer_tick(struct claimer *c, usec_t now);
--- a/entry/sequoiad.c
+++ b/entry/sequoiad.c
@@ -14,8 +14,9 @@
 #include <unistd.h>
 #include <urcu/urcu-memb.h>
 
-#define OPTION_BASE 1000 /* argp keys of the settings' options */
-#define DRAIN_STEP  (20 * USEC_PER_MSEC)
+#define OPTION_BASE      1000 /* argp keys of the settings' options */
+#define INCARNATION_BITS 12   /* random ones below the wall clock */
+#define DRAIN_STEP       (20 * USEC_PER_MSEC)
 
 const char *argp_program_version = "sequoiad " SEQUOIA_VERSION;
 
@@ -105,11 +106,19 @@
 	signal(SIGPIPE, SIG_IGN);
 }
 
+/* Higher after each restart, and never that of another process. */
+static uint64_t
+make_incarnation(void)
+{
+	return (uint64_t)clock_wall() << INCARNATION_BITS |
+	    (rng_entropy() & ((1U << INCARNATION_BITS) - 1));
+}
+
 static int
 start(struct daemon *d)
 {
 	struct settings *s = &d->settings;
-	uint64_t incarnation = rng_entropy();
+	uint64_t incarnation = make_incarnation();
 	struct err e = { 0 };
 
 	d->records = records_new(&(struct records_opts){
@@ -134,7 +143,7 @@
 	d->traffic = traffic_new(&(struct traffic_opts){
 	    .records = d->records,
 	    .domain = s->failure_domain,
-	    .seed = incarnation,
+	    .seed = rng_entropy(),
 	    .claim = control_claim,
 	    .arg = d->control,
 	});
