Kernel: shares of workspace limits that move with demand

Change: shares grants half of a limit on demand through each workspace's rendezvous owner, in grants that run out; the other half is even. The bound, its conditions and the proof stand in the header.

--- /dev/null
+++ b/kernel/shares.c
@@ -0,0 +1,489 @@
+#include "kernel/shares.h"
+#include "base/hash.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LEAST_INTERVAL (1 * USEC_PER_SEC)
+#define CHANGE_PERCENT 10 /* of the need, to be reported before renewal */
+#define FIRST_SPREAD   10 /* first reports come this much denser */
+
+void
+shares_init(
+    struct shares *s, usec_t now, const char *self, uint64_t incarnation)
+{
+	*s = (struct shares){
+		.number = incarnation,
+		.known = 1,
+		.since = now,
+		.seen_at = now,
+	};
+	snprintf(s->self, sizeof(s->self), "%s", self);
+}
+
+void
+shares_free(struct shares *s)
+{
+	for (size_t i = 0; i < s->n; i++)
+		free(s->v[i].holders);
+	free(s->v);
+	free(s->vanished);
+	free(s->live);
+	*s = (struct shares){ 0 };
+}
+
+/* Time between two reports when all known ones report. */
+static usec_t
+longest_interval(uint32_t known)
+{
+	usec_t t = (usec_t)known * USEC_PER_SEC / SHARES_REPORTS;
+
+	return t > LEAST_INTERVAL ? t : LEAST_INTERVAL;
+}
+
+usec_t
+shares_ttl(uint32_t known)
+{
+	usec_t t = longest_interval(known) * 3 / 2;
+
+	return t > SHARES_TTL_LEAST ? t : SHARES_TTL_LEAST;
+}
+
+usec_t
+shares_hold(uint32_t known)
+{
+	return shares_ttl(known) + SHARES_DETECT;
+}
+
+static uint32_t
+even_floor(const struct shares *s)
+{
+	return SHARES_FLOOR / s->known;
+}
+
+static uint64_t
+id_hash(const char *id)
+{
+	return hash_u64(str_from(id), 0);
+}
+
+/* Sets the owner; the time counts from when this process sees itself so. */
+static void
+choose_owner(const struct shares *s, struct shares_workspace *w, usec_t now)
+{
+	uint64_t seed = id_hash(w->name);
+	uint64_t most = 0;
+	const char *best = "";
+
+	for (uint32_t i = 0; i < s->n_live; i++) {
+		uint64_t h = hash_u64(str_from(s->live[i]), seed);
+
+		if (best[0] == '\0' || h > most) {
+			most = h;
+			best = s->live[i];
+		}
+	}
+	if (strcmp(best, w->owner) == 0)
+		return;
+	snprintf(w->owner, sizeof(w->owner), "%s", best);
+	w->owned_since = now;
+	w->n_holders = 0;
+	if (w->next_at > now + LEAST_INTERVAL)
+		w->next_at = now + LEAST_INTERVAL;
+	w->renew_at = w->next_at;
+}
+
+static int
+compare_names(const void *key, const void *entry)
+{
+	const struct shares_workspace *w = entry;
+
+	return str_cmp(*(const struct str *)key, str_from(w->name));
+}
+
+static struct shares_workspace *
+find(const struct shares *s, struct str name)
+{
+	if (s->n == 0)
+		return NULL;
+	return bsearch(&name, s->v, s->n, sizeof(s->v[0]), compare_names);
+}
+
+/* Since when this process has owned a workspace that is new to it. */
+static usec_t
+owned_since(const struct shares *s, const struct shares_workspace *w)
+{
+	uint64_t seed = id_hash(w->name);
+	uint64_t own = hash_u64(str_from(s->self), seed);
+	usec_t since = s->since;
+
+	for (size_t i = 0; i < s->n_vanished; i++) {
+		const struct shares_vanished *x = &s->vanished[i];
+
+		if (hash_u64(str_from(x->id), seed) > own && x->at > since)
+			since = x->at;
+	}
+	return since;
+}
+
+static struct shares_workspace *
+insert(struct shares *s, struct str name, usec_t now)
+{
+	struct shares_workspace *w;
+	size_t i = s->n;
+	usec_t spread = longest_interval(s->known) / FIRST_SPREAD;
+
+	s->v = xrealloc(s->v, s->n + 1, sizeof(s->v[0]));
+	for (; i > 0 && str_cmp(name, str_from(s->v[i - 1].name)) < 0; i--)
+		s->v[i] = s->v[i - 1];
+	s->n++;
+	w = &s->v[i];
+	*w = (struct shares_workspace){ 0 };
+	snprintf(w->name, sizeof(w->name), "%.*s", STR_FMT(name));
+	choose_owner(s, w, now);
+	w->owned_since = owned_since(s, w);
+	w->next_at =
+	    now + (usec_t)(hash_u64(name, id_hash(s->self)) % (uint64_t)spread);
+	w->renew_at = w->next_at;
+	return w;
+}
+
+/* After a pause, what this process granted may long have been granted anew. */
+static void
+notice_pause(struct shares *s, usec_t now)
+{
+	if (s->seen_at > 0 && now - s->seen_at > SHARES_DETECT / 2) {
+		s->part = 0;
+		s->part_at = 0;
+		s->since = now;
+		for (size_t i = 0; i < s->n; i++)
+			s->v[i].owned_since = now;
+	}
+	s->seen_at = now;
+}
+
+/* The part falls at once and rises after the hold. */
+static void
+adjust_part(struct shares *s, usec_t now)
+{
+	if (s->n_live <= s->part) {
+		s->part = s->n_live;
+		s->part_at = 0;
+		return;
+	}
+	if (s->part_at == 0) {
+		s->part_at = now + shares_hold(s->known);
+		s->part_next = s->n_live;
+	}
+	if (s->n_live < s->part_next)
+		s->part_next = s->n_live;
+	if (now < s->part_at)
+		return;
+	s->part = s->part_next;
+	s->part_at = 0;
+}
+
+static void
+forget_vanished(struct shares *s, usec_t now)
+{
+	for (size_t i = s->n_vanished; i > 0; i--) {
+		if (now - s->vanished[i - 1].at > shares_hold(s->known))
+			s->vanished[i - 1] = s->vanished[--s->n_vanished];
+	}
+}
+
+/* Notes who is not among the sorted ids any more. */
+static void
+note_vanished(struct shares *s, usec_t now, const char *const *ids, size_t n)
+{
+	size_t j = 0;
+
+	forget_vanished(s, now);
+	for (size_t i = 0; i < s->n_live; i++) {
+		struct shares_vanished *x;
+
+		while (j < n && strcmp(ids[j], s->live[i]) < 0)
+			j++;
+		if (j < n && strcmp(ids[j], s->live[i]) == 0)
+			continue;
+		s->vanished = xrealloc(
+		    s->vanished, s->n_vanished + 1, sizeof(*s->vanished));
+		x = &s->vanished[s->n_vanished++];
+		memcpy(x->id, s->live[i], sizeof(x->id));
+		x->at = now;
+	}
+}
+
+void
+shares_live(struct shares *s, usec_t now, const char *const *ids, size_t n,
+    uint32_t known)
+{
+	notice_pause(s, now);
+	note_vanished(s, now, ids, n);
+	s->live = xrealloc(s->live, n + 1, sizeof(s->live[0]));
+	for (size_t i = 0; i < n; i++)
+		snprintf(s->live[i], sizeof(s->live[i]), "%s", ids[i]);
+	s->n_live = (uint32_t)n;
+	s->known = known > n ? known : (uint32_t)n;
+	if (s->known == 0)
+		s->known = 1;
+	adjust_part(s, now);
+	for (size_t i = 0; i < s->n; i++)
+		choose_owner(s, &s->v[i], now);
+}
+
+void
+shares_want(struct shares *s, usec_t now, struct str workspace, uint32_t ppm)
+{
+	struct shares_workspace *w = find(s, workspace);
+
+	if (w == NULL && ppm <= even_floor(s))
+		return;
+	if (w == NULL)
+		w = insert(s, workspace, now);
+	w->want = ppm < SHARES_WANT_MOST ? ppm : SHARES_WANT_MOST;
+}
+
+static uint32_t
+need(const struct shares *s, const struct shares_workspace *w)
+{
+	uint32_t base = even_floor(s);
+
+	return w->want > base ? w->want - base : 0;
+}
+
+static uint32_t
+held(const struct shares_workspace *w, usec_t now)
+{
+	return now < w->expires ? w->holding : 0;
+}
+
+static bool
+is_due(const struct shares *s, const struct shares_workspace *w, usec_t now)
+{
+	uint32_t x = need(s, w);
+	uint32_t moved = x > w->told ? x - w->told : w->told - x;
+
+	if (now < w->next_at || (x == 0 && w->told == 0 && held(w, now) == 0))
+		return false;
+	return now >= w->renew_at ||
+	    moved > (uint64_t)w->told * CHANGE_PERCENT / 100;
+}
+
+/* Lowers what is held to the need before the owner is told of it. */
+static void
+claim(struct shares *s, struct shares_workspace *w, usec_t now,
+    struct shares_report *r)
+{
+	struct shares_claim *c = &r->v[r->n++];
+
+	w->holding = held(w, now);
+	w->told = need(s, w);
+	if (w->holding > w->told)
+		w->holding = w->told;
+	snprintf(c->workspace, sizeof(c->workspace), "%s", w->name);
+	c->need = w->told;
+	c->holding = w->holding;
+	w->number = r->number;
+	w->sent_at = now;
+	w->next_at = now + SHARES_REPLY_MAX;
+	w->renew_at = w->next_at;
+}
+
+static bool
+collect(struct shares *s, usec_t now, struct shares_report *r,
+    char owner[MAX_NAME_BYTES + 1])
+{
+	r->n = 0;
+	r->number = s->number + 1;
+	snprintf(r->from, sizeof(r->from), "%s", s->self);
+	for (size_t i = 0; i < s->n && r->n < SHARES_BATCH; i++) {
+		struct shares_workspace *w = &s->v[i];
+
+		if (w->owner[0] == '\0' || !is_due(s, w, now))
+			continue;
+		if (r->n == 0)
+			snprintf(owner, MAX_NAME_BYTES + 1, "%s", w->owner);
+		if (strcmp(owner, w->owner) == 0)
+			claim(s, w, now, r);
+	}
+	if (r->n > 0)
+		s->number++;
+	return r->n > 0;
+}
+
+bool
+shares_due(struct shares *s, usec_t now, struct shares_report *r,
+    char owner[MAX_NAME_BYTES + 1])
+{
+	struct shares_reply own;
+
+	notice_pause(s, now);
+	adjust_part(s, now);
+	while (collect(s, now, r, owner)) {
+		if (strcmp(owner, s->self) != 0)
+			return true;
+		shares_receive(s, now, r, &own);
+		shares_reply(s, now, &own);
+	}
+	return false;
+}
+
+static struct shares_holder *
+holder(struct shares_workspace *w, uint64_t id)
+{
+	struct shares_holder *h;
+
+	for (size_t i = 0; i < w->n_holders; i++) {
+		if (w->holders[i].id == id)
+			return &w->holders[i];
+	}
+	w->holders = xrealloc(w->holders, w->n_holders + 1, sizeof(*h));
+	h = &w->holders[w->n_holders++];
+	*h = (struct shares_holder){ .id = id };
+	return h;
+}
+
+static void
+drop_ended(struct shares_workspace *w, usec_t now)
+{
+	for (size_t i = w->n_holders; i > 0; i--) {
+		if (now >= w->holders[i - 1].until)
+			w->holders[i - 1] = w->holders[--w->n_holders];
+	}
+}
+
+/* What holder h may get now. */
+static uint32_t
+grant_for(const struct shares *s, const struct shares_workspace *w,
+    const struct shares_holder *h)
+{
+	uint64_t part = (uint64_t)SHARES_POOL * s->part / s->known;
+	uint64_t needs = 0;
+	uint64_t others = 0;
+	uint64_t fair = h->need;
+
+	for (size_t i = 0; i < w->n_holders; i++) {
+		needs += w->holders[i].need;
+		if (&w->holders[i] != h)
+			others += w->holders[i].reserved;
+	}
+	if (needs > part)
+		fair = h->need * part / needs;
+	if (others >= part)
+		return 0;
+	return (uint32_t)(fair < part - others ? fair : part - others);
+}
+
+/* While a new owner or part is on hold, holders keep what they have. */
+static uint32_t
+renewal_for(const struct shares *s, const struct shares_workspace *w,
+    const struct shares_holder *h, uint32_t holding)
+{
+	uint64_t part = (uint64_t)SHARES_POOL * s->n_live / s->known;
+	uint64_t others = 0;
+
+	for (size_t i = 0; i < w->n_holders; i++) {
+		if (&w->holders[i] != h)
+			others += w->holders[i].reserved;
+	}
+	if (others >= part)
+		return 0;
+	return holding < part - others ? holding : (uint32_t)(part - others);
+}
+
+static void
+grant(struct shares *s, struct shares_workspace *w, usec_t now,
+    const struct shares_report *r, const struct shares_claim *c,
+    struct shares_reply *out)
+{
+	struct shares_holder *h;
+	struct shares_grant *g;
+	uint32_t ppm;
+
+	drop_ended(w, now);
+	h = holder(w, id_hash(r->from));
+	if (r->number <= h->number)
+		return;
+	h->number = r->number;
+	h->need = c->need;
+	h->reserved = c->holding;
+	if (now - w->owned_since < shares_hold(s->known))
+		ppm = renewal_for(s, w, h, c->holding);
+	else
+		ppm = grant_for(s, w, h);
+	h->reserved = ppm > c->holding ? ppm : c->holding;
+	h->until = now + shares_hold(s->known);
+	g = &out->v[out->n++];
+	snprintf(g->workspace, sizeof(g->workspace), "%s", w->name);
+	g->ppm = ppm;
+}
+
+/* Reports are spread so that an owner takes a bounded number a second. */
+static uint32_t
+next_report(const struct shares *s)
+{
+	size_t reporters = 0;
+	usec_t t;
+	usec_t most = longest_interval(s->known);
+
+	for (size_t i = 0; i < s->n; i++)
+		reporters += s->v[i].n_holders;
+	t = (usec_t)reporters * USEC_PER_SEC / SHARES_REPORTS;
+	if (t < LEAST_INTERVAL)
+		t = LEAST_INTERVAL;
+	return (uint32_t)((t < most ? t : most) / USEC_PER_MSEC);
+}
+
+void
+shares_receive(struct shares *s, usec_t now, const struct shares_report *r,
+    struct shares_reply *out)
+{
+	notice_pause(s, now);
+	adjust_part(s, now);
+	*out = (struct shares_reply){
+		.number = r->number,
+		.ttl_ms = (uint32_t)(shares_ttl(s->known) / USEC_PER_MSEC),
+	};
+	for (size_t i = 0; i < r->n && i < SHARES_BATCH; i++) {
+		struct str name = str_from(r->v[i].workspace);
+		struct shares_workspace *w = find(s, name);
+
+		if (w == NULL)
+			w = insert(s, name, now);
+		if (strcmp(w->owner, s->self) == 0)
+			grant(s, w, now, r, &r->v[i], out);
+	}
+	out->next_ms = next_report(s);
+}
+
+void
+shares_reply(struct shares *s, usec_t now, const struct shares_reply *r)
+{
+	for (size_t i = 0; i < r->n && i < SHARES_BATCH; i++) {
+		struct shares_workspace *w =
+		    find(s, str_from(r->v[i].workspace));
+		usec_t ttl = (usec_t)r->ttl_ms * USEC_PER_MSEC;
+
+		if (w == NULL || w->number != r->number ||
+		    now - w->sent_at > SHARES_REPLY_MAX)
+			continue;
+		w->holding = r->v[i].ppm;
+		w->expires = w->sent_at + ttl;
+		w->next_at = w->sent_at + (usec_t)r->next_ms * USEC_PER_MSEC;
+		w->renew_at = w->sent_at + ttl / 2;
+		/* A share below the need is worth asking again. */
+		if (w->holding < w->told || w->renew_at < w->next_at)
+			w->renew_at = w->next_at;
+	}
+}
+
+uint32_t
+shares_ppm(const struct shares *s, usec_t now, struct str workspace)
+{
+	const struct shares_workspace *w = find(s, workspace);
+	uint32_t ppm = even_floor(s) + (w == NULL ? 0 : held(w, now));
+
+	return ppm > 0 ? ppm : 1;
+}
--- /dev/null
+++ b/kernel/shares.h
@@ -0,0 +1,152 @@
+/*
+ * How the limits of a workspace are divided over the live sequoiads.
+ *
+ * Half of a limit is divided evenly over all known sequoiads (the floor).
+ * The other half, the pool, is granted on demand by the workspace's owner,
+ * the first live sequoiad in rendezvous order; a grant runs out unless it is
+ * renewed.  Only workspaces whose demand passes the floor are reported, each
+ * owner spreads its reports to SHARES_REPORTS a second, and a report or reply
+ * names at most SHARES_BATCH workspaces: cost does not grow with the fleet.
+ * Set aside: even shares alone (they don't move), shares agreed through the
+ * key-value service (a write per move), one owner for all workspaces (its
+ * reports grow with the fleet).
+ *
+ * Bound: the shares of all processes add up to at most the whole limit, if
+ *  (a) a change of who lives or is reached shows in every view that it
+ *      concerns within SHARES_DETECT, and
+ *  (b) all count the same known sequoiads: live ones and those gone for less
+ *      than a split may last.
+ * A process that others don't count yet adds its floor, half the limit
+ * divided by the known; that is the slack, once for each that joined within
+ * the last seconds.  While (a) is broken, a second owner may grant the pool
+ * again: at most half the limit for each.
+ *
+ * Proof.  Floors add up to half by (b).  Pool: a holder has one grant; it
+ * ends ttl after the report was sent, on the holder's clock, and a reply is
+ * taken only for the newest report.  The owner reserves it from a later time
+ * for ttl + SHARES_DETECT, and grants no more than is not reserved; so one
+ * owner never exceeds its part, pool * live / known.  Owners in separate parts
+ * of the network have parts that add up to the pool.  An owner's part falls at
+ * once and rises only after shares_hold = ttl + SHARES_DETECT; a new owner
+ * only renews what its holders still have for that long.  By (a), the former
+ * owner has by then seen the change and its grants above its part have ended.
+ *
+ * With the owner out of reach each process keeps its last share until its
+ * grant runs out, and then the floor.
+ */
+#ifndef KERNEL_SHARES_H
+#define KERNEL_SHARES_H
+
+#include "base/clock.h"
+#include "base/str.h"
+#include "kernel/limits.h"
+
+#define SHARES_WHOLE     1000000U /* millionths: the limit itself */
+#define SHARES_FLOOR     500000U  /* divided evenly */
+#define SHARES_POOL      (SHARES_WHOLE - SHARES_FLOOR)
+#define SHARES_BATCH     16
+#define SHARES_REPORTS   20 /* that an owner takes a second */
+#define SHARES_DETECT    (10 * USEC_PER_SEC)
+#define SHARES_REPLY_MAX (2 * USEC_PER_SEC) /* later replies are dropped */
+#define SHARES_TTL_LEAST (10 * USEC_PER_SEC)
+#define SHARES_WANT_MOST (4 * SHARES_WHOLE)
+
+struct shares_claim {
+	char workspace[MAX_NAME_BYTES + 1];
+	uint32_t need;    /* ppm above the floor */
+	uint32_t holding; /* ppm that the sender may still use */
+};
+
+/* From a holder to the owner of all workspaces that it names. */
+struct shares_report {
+	char from[MAX_NAME_BYTES + 1];
+	uint64_t number; /* grows, also over restarts of the sender */
+	struct shares_claim v[SHARES_BATCH];
+	size_t n;
+};
+
+struct shares_grant {
+	char workspace[MAX_NAME_BYTES + 1];
+	uint32_t ppm;
+};
+
+struct shares_reply {
+	uint64_t number; /* of the report */
+	uint32_t ttl_ms;
+	uint32_t next_ms; /* earliest next report */
+	struct shares_grant v[SHARES_BATCH];
+	size_t n;
+};
+
+/* A holder as its owner sees it. */
+struct shares_holder {
+	uint64_t id; /* hash of its name */
+	uint64_t number;
+	uint32_t need;
+	uint32_t reserved;
+	usec_t until;
+};
+
+struct shares_workspace {
+	char name[MAX_NAME_BYTES + 1];
+	char owner[MAX_NAME_BYTES + 1];
+	usec_t owned_since; /* valid if this process is the owner */
+	struct shares_holder *holders;
+	size_t n_holders;
+	uint32_t want;
+	uint32_t holding;
+	usec_t expires; /* of holding */
+	uint32_t told;  /* need in the last report */
+	uint64_t number;
+	usec_t sent_at;
+	usec_t next_at;
+	usec_t renew_at;
+};
+
+/* A sequoiad that was live lately: it may have owned workspaces. */
+struct shares_vanished {
+	char id[MAX_NAME_BYTES + 1];
+	usec_t at;
+};
+
+struct shares {
+	char self[MAX_NAME_BYTES + 1];
+	uint64_t number;
+	char (*live)[MAX_NAME_BYTES + 1]; /* sorted */
+	uint32_t n_live;
+	struct shares_vanished *vanished; /* within the hold */
+	size_t n_vanished;
+	uint32_t known;
+	uint32_t part; /* live ones that this process grants for */
+	uint32_t part_next;
+	usec_t part_at; /* 0: no rise is pending */
+	usec_t since;   /* start, or the end of the last pause */
+	usec_t seen_at; /* last event: a gap means this process was paused */
+	struct shares_workspace *v; /* sorted by name */
+	size_t n;
+};
+
+/* The incarnation must be higher after each restart. */
+void shares_init(
+    struct shares *s, usec_t now, const char *self, uint64_t incarnation);
+/* Life of a grant, and how long a new owner only renews. */
+usec_t shares_ttl(uint32_t known);
+usec_t shares_hold(uint32_t known);
+/* Who lives, sorted; known counts also those that may be split off. */
+void shares_live(struct shares *s, usec_t now, const char *const *ids, size_t n,
+    uint32_t known);
+/* Share of the limit (ppm) that this process would use now; may pass it. */
+void shares_want(
+    struct shares *s, usec_t now, struct str workspace, uint32_t ppm);
+/* The next report that is due, to the sequoiad owner; false: none now. */
+bool shares_due(struct shares *s, usec_t now, struct shares_report *r,
+    char owner[MAX_NAME_BYTES + 1]);
+/* A report came in; workspaces owned by others are left out of the reply. */
+void shares_receive(struct shares *s, usec_t now, const struct shares_report *r,
+    struct shares_reply *out);
+void shares_reply(struct shares *s, usec_t now, const struct shares_reply *r);
+/* The share in force now (ppm, at least 1). */
+uint32_t shares_ppm(const struct shares *s, usec_t now, struct str workspace);
+void shares_free(struct shares *s);
+
+#endif
--- /dev/null
+++ b/tests/kernel/test_shares.c
@@ -0,0 +1,336 @@
+/* Shares of a workspace's limit over a small fleet in virtual time. */
+#include "base/rng.h"
+#include "kernel/shares.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#define NODES      9
+#define STEP       (250 * USEC_PER_MSEC)
+#define VIEW_LAG   (13 * USEC_PER_SEC) /* below SHARES_DETECT */
+#define FAULT_MOST 40                  /* seconds */
+#define WORKSPACE  STR("large")
+
+struct node {
+	struct shares s;
+	char id[MAX_NAME_BYTES + 1];
+	bool dead;
+	usec_t paused_until;
+	int side;
+	bool sees[NODES];
+	usec_t differs_since[NODES];
+	usec_t lag[NODES];
+	uint32_t want;
+	uint32_t reports;
+};
+
+struct fleet {
+	struct node v[NODES];
+	struct rng rng;
+	usec_t now;
+	bool faults;
+	usec_t next_fault;
+	uint64_t most; /* highest sum of shares, ppm */
+};
+
+static bool
+runs(const struct fleet *f, const struct node *x)
+{
+	return !x->dead && f->now >= x->paused_until;
+}
+
+static bool
+reaches(const struct fleet *f, int i, int j)
+{
+	return runs(f, &f->v[i]) && runs(f, &f->v[j]) &&
+	    f->v[i].side == f->v[j].side;
+}
+
+static void
+tell_live(struct fleet *f, struct node *x)
+{
+	const char *ids[NODES];
+	size_t n = 0;
+
+	for (int j = 0; j < NODES; j++) {
+		if (x->sees[j])
+			ids[n++] = f->v[j].id;
+	}
+	shares_live(&x->s, f->now, ids, n, NODES);
+}
+
+static void
+start(struct fleet *f, int i)
+{
+	struct node *x = &f->v[i];
+
+	shares_init(&x->s, f->now, x->id, (uint64_t)f->now);
+	for (int j = 0; j < NODES; j++)
+		x->sees[j] = true;
+	tell_live(f, x);
+}
+
+/* A view follows what is reached after a lag of its own. */
+static void
+update_view(struct fleet *f, int i)
+{
+	struct node *x = &f->v[i];
+	bool changed = false;
+
+	for (int j = 0; j < NODES; j++) {
+		if (i == j || x->sees[j] == reaches(f, i, j)) {
+			x->differs_since[j] = 0;
+		} else if (x->differs_since[j] == 0) {
+			x->differs_since[j] = f->now;
+			x->lag[j] = (usec_t)rng_below(&f->rng, VIEW_LAG);
+		} else if (f->now - x->differs_since[j] > x->lag[j]) {
+			x->sees[j] = !x->sees[j];
+			changed = true;
+		}
+	}
+	if (changed)
+		tell_live(f, x);
+}
+
+static int
+index_of(const char *id)
+{
+	return id[1] - '0';
+}
+
+static void
+step_node(struct fleet *f, int i)
+{
+	struct node *x = &f->v[i];
+	struct shares_report r;
+	struct shares_reply reply;
+	char owner[MAX_NAME_BYTES + 1];
+
+	update_view(f, i);
+	shares_want(&x->s, f->now, WORKSPACE, x->want);
+	while (shares_due(&x->s, f->now, &r, owner)) {
+		int j = index_of(owner);
+
+		x->reports++;
+		if (!reaches(f, i, j) || rng_below(&f->rng, 20) == 0)
+			continue;
+		shares_receive(&f->v[j].s, f->now, &r, &reply);
+		if (rng_below(&f->rng, 20) != 0)
+			shares_reply(&x->s, f->now, &reply);
+	}
+}
+
+static void
+fault(struct fleet *f)
+{
+	int i = (int)rng_below(&f->rng, NODES);
+	struct node *x = &f->v[i];
+
+	switch (rng_below(&f->rng, 4)) {
+	case 0:
+		if (x->dead)
+			start(f, i);
+		else
+			shares_free(&x->s);
+		x->dead = !x->dead;
+		break;
+	case 1:
+		x->paused_until = f->now +
+		    (usec_t)(1 + rng_below(&f->rng, 60)) * USEC_PER_SEC;
+		break;
+	case 2:
+		for (int j = 0; j < NODES; j++)
+			f->v[j].side = (int)rng_below(&f->rng, 3);
+		break;
+	default:
+		for (int j = 0; j < NODES; j++)
+			f->v[j].side = 0;
+		break;
+	}
+	f->next_fault = f->now +
+	    (usec_t)(1 + rng_below(&f->rng, FAULT_MOST)) * USEC_PER_SEC;
+}
+
+static void
+run(struct fleet *f, usec_t time)
+{
+	for (usec_t end = f->now + time; f->now < end; f->now += STEP) {
+		uint64_t sum = 0;
+
+		if (f->faults && f->now >= f->next_fault)
+			fault(f);
+		for (int i = 0; i < NODES; i++) {
+			if (runs(f, &f->v[i]))
+				step_node(f, i);
+		}
+		for (int i = 0; i < NODES; i++) {
+			if (!f->v[i].dead)
+				sum +=
+				    shares_ppm(&f->v[i].s, f->now, WORKSPACE);
+		}
+		if (sum > f->most)
+			f->most = sum;
+	}
+}
+
+static void
+fleet_init(struct fleet *f, uint64_t seed)
+{
+	memset(f, 0, sizeof(*f));
+	f->now = USEC_PER_SEC;
+	rng_init(&f->rng, seed);
+	for (int i = 0; i < NODES; i++)
+		snprintf(f->v[i].id, sizeof(f->v[i].id), "n%d", i);
+	for (int i = 0; i < NODES; i++)
+		start(f, i);
+}
+
+static void
+fleet_free(struct fleet *f)
+{
+	for (int i = 0; i < NODES; i++) {
+		if (!f->v[i].dead)
+			shares_free(&f->v[i].s);
+	}
+}
+
+static void
+test_moves(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t want[NODES];
+		uint32_t least[NODES];
+		bool reports;
+	} cases[] = {
+		{ "all within the floor", { 50000, 50000, 50000 },
+		    { 55555, 55555, 55555, 55555 }, false },
+		{ "one hot", { 900000 }, { 500000, 55555 }, true },
+		{ "two hot, unevenly", { 600000, 300000 },
+		    { 320000, 160000, 55555 }, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fleet f;
+
+		g_test_message("%s", cases[i].name);
+		fleet_init(&f, 1);
+		for (int j = 0; j < NODES; j++)
+			f.v[j].want = cases[i].want[j];
+		run(&f, 60 * USEC_PER_SEC);
+		for (int j = 0; j < NODES; j++)
+			g_assert_cmpuint(
+			    shares_ppm(&f.v[j].s, f.now, WORKSPACE), >=,
+			    cases[i].least[j]);
+		g_assert_true((f.v[0].reports > 0) == cases[i].reports);
+		g_assert_cmpuint(f.most, <=, SHARES_WHOLE);
+
+		/* Demand moves to the last one. */
+		for (int j = 0; j < NODES; j++)
+			f.v[j].want = j == NODES - 1 ? 900000 : 0;
+		run(&f, 10 * USEC_PER_SEC);
+		g_assert_cmpuint(
+		    shares_ppm(&f.v[NODES - 1].s, f.now, WORKSPACE), >=,
+		    500000);
+		g_assert_cmpuint(f.most, <=, SHARES_WHOLE);
+		fleet_free(&f);
+	}
+}
+
+/* The owner dies: shares stay until others take over, and never add up. */
+static void
+test_owner_change(void)
+{
+	struct fleet f;
+	uint32_t before;
+	int owner;
+	int hot;
+
+	fleet_init(&f, 2);
+	for (int j = 0; j < NODES; j++)
+		f.v[j].want = 200000;
+	run(&f, 60 * USEC_PER_SEC);
+	owner = index_of(f.v[0].s.v[0].owner);
+	hot = owner == 0 ? 1 : 0;
+	before = shares_ppm(&f.v[hot].s, f.now, WORKSPACE);
+	shares_free(&f.v[owner].s);
+	f.v[owner].dead = true;
+	run(&f, 3 * USEC_PER_SEC);
+	g_assert_cmpuint(shares_ppm(&f.v[hot].s, f.now, WORKSPACE), ==, before);
+	run(&f, 60 * USEC_PER_SEC);
+	g_assert_cmpint(index_of(f.v[hot].s.v[0].owner), !=, owner);
+	g_assert_cmpuint(
+	    shares_ppm(&f.v[hot].s, f.now, WORKSPACE), >=, before - 10000);
+	g_assert_cmpuint(f.most, <=, SHARES_WHOLE);
+	fleet_free(&f);
+}
+
+/* A reply to an older report, or one that comes late, changes nothing. */
+static void
+test_stale_reply(void)
+{
+	struct fleet f;
+	struct shares_report r;
+	struct shares_reply reply = {
+		.ttl_ms = 10000, .next_ms = 1000, .n = 1
+	};
+	char owner[MAX_NAME_BYTES + 1];
+	struct node *x;
+
+	fleet_init(&f, 3);
+	snprintf(reply.v[0].workspace, sizeof(reply.v[0].workspace), "large");
+	reply.v[0].ppm = 400000;
+	x = &f.v[0];
+	shares_want(&x->s, f.now, WORKSPACE, 900000);
+	f.now += USEC_PER_SEC;
+	if (!shares_due(&x->s, f.now, &r, owner)) {
+		x = &f.v[1];
+		shares_want(&x->s, f.now, WORKSPACE, 900000);
+		f.now += USEC_PER_SEC;
+		g_assert_true(shares_due(&x->s, f.now, &r, owner));
+	}
+	reply.number = r.number - 1;
+	shares_reply(&x->s, f.now, &reply);
+	g_assert_cmpuint(shares_ppm(&x->s, f.now, WORKSPACE), ==, 55555);
+	reply.number = r.number;
+	shares_reply(&x->s, f.now + SHARES_REPLY_MAX + 1, &reply);
+	g_assert_cmpuint(shares_ppm(&x->s, f.now, WORKSPACE), ==, 55555);
+	shares_reply(&x->s, f.now, &reply);
+	g_assert_cmpuint(shares_ppm(&x->s, f.now, WORKSPACE), ==, 455555);
+	f.now += 10 * USEC_PER_SEC;
+	g_assert_cmpuint(shares_ppm(&x->s, f.now, WORKSPACE), ==, 55555);
+	fleet_free(&f);
+}
+
+/* Kills, restarts, pauses, splits and lost messages, two and more at once. */
+static void
+test_faults(void)
+{
+	for (uint64_t seed = 1; seed <= 40; seed++) {
+		struct fleet f;
+
+		fleet_init(&f, seed);
+		f.faults = true;
+		for (int k = 0; k < 20; k++) {
+			for (int j = 0; j < NODES; j++)
+				f.v[j].want =
+				    (uint32_t)rng_below(&f.rng, 800000);
+			run(&f, 30 * USEC_PER_SEC);
+		}
+		g_test_message("seed %d: most %d ppm", (int)seed, (int)f.most);
+		g_assert_cmpuint(f.most, <=, SHARES_WHOLE);
+		fleet_free(&f);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/shares/moves", test_moves);
+	g_test_add_func("/shares/owner-change", test_owner_change);
+	g_test_add_func("/shares/stale-reply", test_stale_reply);
+	g_test_add_func("/shares/faults", test_faults);
+	return g_test_run();
+}
