Kernel: membership and gossip between sequoiads

Change: member holds the table with its order of news; gossip decides whom to write to and what, detects silence with confirmation by others, and carries the rumour of a generation and of leaving targets. Tables that differ are found by 16 digests and answered with what differs.

--- /dev/null
+++ b/kernel/gossip.c
@@ -0,0 +1,587 @@
+#include "kernel/gossip.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PICK_TRIES    24
+#define CONTACT_TRIES 8
+#define CONTACT_RATE  4 /* contacts that the whole fleet tries in a round */
+#define CHECK_AFTER   (1 * USEC_PER_SEC)
+#define CHECKERS      2
+#define FAVOUR_TIME   (3 * USEC_PER_SEC)
+#define PAUSE         (2 * USEC_PER_SEC)
+#define BUSY_TIME     (5 * USEC_PER_SEC) /* after a new generation */
+#define SUSPECT_BASE  (3 * USEC_PER_SEC)
+#define SUSPECT_STEP  (300 * USEC_PER_MSEC) /* for each doubling */
+#define FEWER_PART    32                    /* fewer by this part: far fewer */
+#define ROTATING      1
+#define LEAVING_TIMES 24
+
+enum near {
+	NEAR_OWN,
+	NEAR_REMOTE,
+	NEAR_ANY
+};
+
+void
+gossip_init(
+    struct gossip *g, const struct member_info *self, uint64_t seed, usec_t now)
+{
+	*g = (struct gossip){ 0 };
+	member_init(&g->members, self, now);
+	rng_init(&g->rng, seed);
+	g->watched = g_ptr_array_new();
+}
+
+static void
+free_contacts(struct gossip *g)
+{
+	for (size_t i = 0; i < g->n_contacts; i++)
+		free(g->contacts[i]);
+	free(g->contacts);
+	g->contacts = NULL;
+	g->n_contacts = 0;
+}
+
+void
+gossip_free(struct gossip *g)
+{
+	free_contacts(g);
+	g_ptr_array_free(g->watched, TRUE);
+	member_free(&g->members);
+}
+
+void
+gossip_contacts(struct gossip *g, const char *const *addrs, size_t n)
+{
+	free_contacts(g);
+	g->contacts = xcalloc(n + 1, sizeof(char *));
+	for (size_t i = 0; i < n; i++)
+		g->contacts[i] = str_dup(str_from(addrs[i]));
+	g->n_contacts = n;
+}
+
+usec_t
+gossip_suspect_time(size_t n)
+{
+	usec_t t = SUSPECT_BASE;
+
+	for (; n > 1; n /= 2)
+		t += SUSPECT_STEP;
+	return t;
+}
+
+static size_t
+text_bytes(const char *c)
+{
+	return 4 + (strlen(c) + 3) / 4 * 4;
+}
+
+static size_t
+info_bytes(const struct member_info *x)
+{
+	return text_bytes(x->id) + text_bytes(x->rpc) +
+	    text_bytes(x->operators) + text_bytes(x->domain) + 8 + 8 + 4;
+}
+
+static size_t
+leaving_bytes(const struct gossip_leaving *x)
+{
+	return text_bytes(x->service) + text_bytes(x->addr) + 4;
+}
+
+size_t
+gossip_bytes(const struct gossip_message *m)
+{
+	size_t n = info_bytes(&m->self) + 8 + sizeof(m->digests) + 4 + 4 +
+	    text_bytes(m->holder) + text_bytes(m->check) +
+	    text_bytes(m->reached) + 4 + 4;
+
+	for (size_t i = 0; i < m->n_infos; i++)
+		n += info_bytes(&m->infos[i]);
+	for (size_t i = 0; i < m->n_leaving; i++)
+		n += leaving_bytes(&m->leaving[i]);
+	return n;
+}
+
+static void
+expire_leaving(struct gossip *g, usec_t now)
+{
+	for (size_t i = g->n_leaving; i > 0; i--) {
+		if (now >= g->leaving[i - 1].until)
+			g->leaving[i - 1] = g->leaving[--g->n_leaving];
+	}
+}
+
+static void
+note_leaving(
+    struct gossip *g, usec_t until, const char *service, const char *addr)
+{
+	struct leaving *x;
+
+	for (size_t i = 0; i < g->n_leaving; i++) {
+		x = &g->leaving[i];
+		if (strcmp(x->addr, addr) == 0 &&
+		    strcmp(x->service, service) == 0)
+			return;
+	}
+	if (g->n_leaving == LEAVING_MOST)
+		return;
+	x = &g->leaving[g->n_leaving++];
+	*x = (struct leaving){ .until = until, .news_left = LEAVING_TIMES };
+	snprintf(x->service, sizeof(x->service), "%s", service);
+	snprintf(x->addr, sizeof(x->addr), "%s", addr);
+	g->leaving_version++;
+}
+
+void
+gossip_leaving(
+    struct gossip *g, usec_t now, const char *service, const char *addr)
+{
+	expire_leaving(g, now);
+	note_leaving(g, now + LEAVING_KEEP, service, addr);
+}
+
+static void
+watch(struct gossip *g, struct member *m)
+{
+	if (m->watched)
+		return;
+	m->watched = true;
+	g_ptr_array_add(g->watched, m);
+}
+
+/* Adds an entry if it fits into what is left of the bytes. */
+static bool
+add_info(struct gossip *g, struct gossip_message *m, struct member *x,
+    bool full, size_t *bytes)
+{
+	struct member_info *info = &m->infos[m->n_infos];
+	size_t n;
+
+	if (m->n_infos == GOSSIP_INFOS)
+		return false;
+	member_info(&g->members, x, info);
+	if (!full) {
+		info->rpc[0] = '\0';
+		info->operators[0] = '\0';
+		info->domain[0] = '\0';
+	}
+	n = info_bytes(info);
+	if (n > *bytes)
+		return false;
+	*bytes -= n;
+	m->n_infos++;
+	return true;
+}
+
+static void
+add_leaving(
+    struct gossip *g, usec_t now, struct gossip_message *m, size_t *bytes)
+{
+	expire_leaving(g, now);
+	for (size_t i = g->n_leaving; i > 0 && m->n_leaving < GOSSIP_LEAVING;
+	     i--) {
+		struct leaving *x = &g->leaving[i - 1];
+		struct gossip_leaving *y = &m->leaving[m->n_leaving];
+
+		if (x->news_left == 0)
+			continue;
+		snprintf(y->service, sizeof(y->service), "%s", x->service);
+		snprintf(y->addr, sizeof(y->addr), "%s", x->addr);
+		y->left_ms = (uint32_t)((x->until - now) / USEC_PER_MSEC);
+		if (leaving_bytes(y) > *bytes)
+			return;
+		*bytes -= leaving_bytes(y);
+		x->news_left--;
+		m->n_leaving++;
+	}
+}
+
+/* The newest news; what was sent goes behind what was not. */
+static bool
+add_news(
+    struct gossip *g, GQueue *news, struct gossip_message *m, size_t *bytes)
+{
+	for (guint k = g_queue_get_length(news); k > 0; k--) {
+		struct member *x = g_queue_peek_head(news);
+
+		if (!add_info(g, m, x, x->full, bytes))
+			return false;
+		if (--x->news_left > 0) {
+			g_queue_unlink(news, x->news);
+			g_queue_push_tail_link(news, x->news);
+		} else {
+			g_queue_delete_link(news, x->news);
+			x->news = NULL;
+		}
+	}
+	return true;
+}
+
+/* A run of members from a random place, in full. */
+static void
+add_rotating(struct gossip *g, struct gossip_message *m, size_t *bytes)
+{
+	struct members *t = &g->members;
+	size_t at = rng_below(&g->rng, t->n);
+
+	for (size_t i = 0; i < ROTATING && i < t->n; i++) {
+		struct member *x = t->v[(at + i) % t->n];
+
+		if (x != t->self && x->state != MEMBER_LEFT &&
+		    !add_info(g, m, x, true, bytes))
+			return;
+	}
+}
+
+/* Members of those parts of the table in which the other one differs. */
+static void
+add_differing(struct gossip *g, struct gossip_message *m,
+    const struct gossip_message *other, size_t *bytes)
+{
+	struct members *t = &g->members;
+	size_t at = rng_below(&g->rng, t->n);
+
+	for (size_t i = 0; i < t->n; i++) {
+		struct member *x = t->v[(at + i) % t->n];
+
+		if (t->digests[x->bucket] != other->digests[x->bucket] &&
+		    x != t->self && x->state != MEMBER_LEFT &&
+		    !add_info(g, m, x, true, bytes))
+			return;
+	}
+}
+
+/* Starts a message with what every message says. */
+static void
+begin(struct gossip *g, struct gossip_send *out, const char *rpc, bool answer)
+{
+	struct members *t = &g->members;
+
+	snprintf(out->rpc, sizeof(out->rpc), "%s", rpc);
+	out->m.n_infos = 0;
+	out->m.n_leaving = 0;
+	out->m.check[0] = '\0';
+	out->m.reached[0] = '\0';
+	out->m.answer = answer;
+	out->m.generation = t->generation;
+	memcpy(out->m.holder, t->holder, sizeof(out->m.holder));
+	out->m.up = (uint32_t)t->n_up;
+	memcpy(out->m.digests, t->digests, sizeof(t->digests));
+	member_info(t, t->self, &out->m.self);
+}
+
+/* Fills a message; to is NULL for an address of which no more is known. */
+static void
+fill(struct gossip *g, usec_t now, struct gossip_message *m, struct member *to)
+{
+	size_t bytes = GOSSIP_BYTES - gossip_bytes(m);
+
+	if (to != NULL && to->state >= MEMBER_SUSPECT)
+		add_info(g, m, to, true, &bytes);
+	add_leaving(g, now, m, &bytes);
+	if (add_news(g, &g->members.news, m, &bytes) &&
+	    add_news(g, &g->members.joins, m, &bytes))
+		add_rotating(g, m, &bytes);
+}
+
+/* Answers a message: more to one that knows fewer or others. */
+static void
+answer(struct gossip *g, usec_t now, const struct gossip_message *asked,
+    struct member *to, struct gossip_send *out)
+{
+	const struct members *t = &g->members;
+	size_t bytes = GOSSIP_DIFF_BYTES;
+
+	begin(g, out, member_rpc(to), false);
+	fill(g, now, &out->m, to);
+	if (memcmp(asked->digests, t->digests, sizeof(t->digests)) == 0)
+		return;
+	if (asked->up + asked->up / FEWER_PART + 1 < t->n_up)
+		bytes = GOSSIP_PAGE_BYTES;
+	bytes -= gossip_bytes(&out->m);
+	add_differing(g, &out->m, asked, &bytes);
+}
+
+static void
+ask(struct gossip *g, usec_t now, struct member *to, struct gossip_send *out)
+{
+	begin(g, out, member_rpc(to), true);
+	fill(g, now, &out->m, to);
+}
+
+/* Asks a member that is blamed if it stays silent. */
+static void
+probe(struct gossip *g, usec_t now, struct member *to, struct gossip_send *out)
+{
+	ask(g, now, to, out);
+	if (to->asked == 0 && to->state < MEMBER_SUSPECT) {
+		to->asked = now;
+		watch(g, to);
+	}
+}
+
+static struct member *
+pick(struct gossip *g, enum near near, const struct member *other)
+{
+	struct members *t = &g->members;
+
+	for (int i = 0; i < PICK_TRIES; i++) {
+		struct member *m = t->v[rng_below(&g->rng, t->n)];
+		bool own = m->domain == t->self->domain;
+
+		if (m == t->self || m == other || m->state >= MEMBER_GONE)
+			continue;
+		if (near == NEAR_ANY || own == (near == NEAR_OWN))
+			return m;
+	}
+	return near == NEAR_ANY ? NULL : pick(g, NEAR_ANY, other);
+}
+
+static bool
+is_busy(const struct gossip *g, usec_t now)
+{
+	if (g->members.news.length > 0 ||
+	    now - g->members.self->changed < BUSY_TIME)
+		return true;
+	for (size_t i = 0; i < g->n_leaving; i++) {
+		if (g->leaving[i].news_left > 0)
+			return true;
+	}
+	return false;
+}
+
+/* An address or a gone member that may be back, at a bounded rate. */
+static size_t
+try_contact(struct gossip *g, usec_t now, struct gossip_send *out)
+{
+	struct members *t = &g->members;
+	struct member *m;
+
+	if (rng_below(&g->rng, t->n_up) >= CONTACT_RATE)
+		return 0;
+	for (int i = 0; i < CONTACT_TRIES && g->n_contacts > 0; i++) {
+		const char *rpc =
+		    g->contacts[rng_below(&g->rng, g->n_contacts)];
+
+		m = member_at(t, rpc);
+		if (m != NULL && (m == t->self || m->state != MEMBER_GONE))
+			continue;
+		begin(g, out, rpc, true);
+		fill(g, now, &out->m, m);
+		return 1;
+	}
+	for (int i = 0; i < CONTACT_TRIES; i++) {
+		m = t->v[rng_below(&g->rng, t->n)];
+		if (m->state != MEMBER_GONE)
+			continue;
+		ask(g, now, m, out);
+		return 1;
+	}
+	return 0;
+}
+
+/* After a pause of this process the silence of others proves nothing. */
+static void
+notice_pause(struct gossip *g, usec_t now)
+{
+	usec_t gap = now - g->round_at;
+
+	if (g->round_at > 0 && gap > PAUSE) {
+		for (guint i = 0; i < g->watched->len; i++) {
+			struct member *m = g_ptr_array_index(g->watched, i);
+
+			m->asked = 0;
+			m->checked = false;
+			if (m->state == MEMBER_SUSPECT)
+				m->changed += gap;
+		}
+	}
+	g->round_at = now;
+}
+
+/* Asks a silent one again, and once through others. */
+static size_t
+check(struct gossip *g, usec_t now, struct member *m, struct gossip_send *out)
+{
+	size_t n = 0;
+
+	ask(g, now, m, &out[n++]);
+	if (m->checked || now - m->asked < CHECK_AFTER)
+		return n;
+	m->checked = true;
+	for (int i = 0; i < CHECKERS; i++) {
+		struct member *x = pick(g, NEAR_ANY, m);
+
+		if (x == NULL)
+			break;
+		begin(g, &out[n], member_rpc(x), false);
+		snprintf(out[n].m.check, sizeof(out[n].m.check), "%s", m->text);
+		fill(g, now, &out[n++].m, x);
+	}
+	return n;
+}
+
+/* Whether the member is to be watched on. */
+static bool
+judge(struct gossip *g, usec_t now, struct member *m)
+{
+	switch ((enum member_state)m->state) {
+	case MEMBER_LIVE:
+	case MEMBER_DRAINING:
+		if (m->asked != 0 && now - m->asked >= GOSSIP_SILENT)
+			member_silent(&g->members, now, m, MEMBER_SUSPECT);
+		return m->asked != 0 || m->state == MEMBER_SUSPECT;
+	case MEMBER_SUSPECT:
+		if (now - m->changed < gossip_suspect_time(g->members.n))
+			return true;
+		member_silent(&g->members, now, m, MEMBER_GONE);
+		return false;
+	case MEMBER_GONE:
+	case MEMBER_LEFT:
+		break;
+	}
+	return false;
+}
+
+static size_t
+review(struct gossip *g, usec_t now, struct gossip_send *out, size_t most)
+{
+	size_t n = 0;
+
+	for (guint i = g->watched->len; i > 0; i--) {
+		struct member *m = g_ptr_array_index(g->watched, i - 1);
+
+		if (!judge(g, now, m)) {
+			m->watched = false;
+			g_ptr_array_remove_index_fast(g->watched, i - 1);
+		} else if (m->asked != 0 && n + 1 + CHECKERS <= most) {
+			n += check(g, now, m, out + n);
+		}
+	}
+	return n;
+}
+
+size_t
+gossip_round(struct gossip *g, usec_t now, struct gossip_send out[GOSSIP_SENDS])
+{
+	static const enum near where[] = { NEAR_OWN, NEAR_REMOTE, NEAR_ANY };
+	size_t fanout = GOSSIP_FANOUT + (is_busy(g, now) ? 1 : 0);
+	struct member *last = NULL;
+	size_t n = 0;
+
+	notice_pause(g, now);
+	member_sweep(&g->members, now);
+	n = review(g, now, out, GOSSIP_SENDS - fanout - 1);
+	for (size_t i = 0; i < fanout; i++) {
+		struct member *m = pick(g, where[i], last);
+
+		if (m == NULL)
+			break;
+		probe(g, now, m, &out[n++]);
+		last = m;
+	}
+	return n + try_contact(g, now, &out[n]);
+}
+
+static void
+take_news(struct gossip *g, usec_t now, const struct gossip_message *m)
+{
+	for (size_t i = 0; i < m->n_infos && i < GOSSIP_INFOS; i++) {
+		struct member *x;
+
+		if (!member_update(&g->members, now, &m->infos[i]))
+			continue;
+		x = member_find(&g->members, m->infos[i].id);
+		if (x != NULL && x->state == MEMBER_SUSPECT)
+			watch(g, x);
+	}
+	expire_leaving(g, now);
+	for (size_t i = 0; i < m->n_leaving && i < GOSSIP_LEAVING; i++) {
+		const struct gossip_leaving *x = &m->leaving[i];
+		usec_t left = (usec_t)x->left_ms * USEC_PER_MSEC;
+
+		if (left > LEAVING_KEEP)
+			left = LEAVING_KEEP;
+		note_leaving(g, now + left, x->service, x->addr);
+	}
+	member_rumour(&g->members, m->generation, m->holder);
+}
+
+static void
+answered(struct member *m)
+{
+	m->asked = 0;
+	m->checked = false;
+}
+
+/* Tries to reach a member for another; its answer is passed on. */
+static size_t
+do_favour(struct gossip *g, usec_t now, struct member *asker, const char *id,
+    struct gossip_send *out)
+{
+	struct member *x = member_find(&g->members, id);
+
+	if (x == NULL || x == g->members.self)
+		return 0;
+	for (int i = 0; i < GOSSIP_FAVOURS; i++) {
+		struct gossip_favour *f = &g->favours[i];
+
+		if (f->until > now)
+			continue;
+		*f = (struct gossip_favour){ asker, x, now + FAVOUR_TIME };
+		ask(g, now, x, out);
+		return 1;
+	}
+	return 0;
+}
+
+static size_t
+pass_on(struct gossip *g, usec_t now, const struct member *from,
+    struct gossip_send *out)
+{
+	for (int i = 0; i < GOSSIP_FAVOURS; i++) {
+		struct gossip_favour *f = &g->favours[i];
+
+		if (f->until <= now || f->subject != from)
+			continue;
+		f->until = 0;
+		begin(g, out, member_rpc(f->asker), false);
+		snprintf(
+		    out->m.reached, sizeof(out->m.reached), "%s", from->text);
+		fill(g, now, &out->m, f->asker);
+		return 1;
+	}
+	return 0;
+}
+
+size_t
+gossip_receive(struct gossip *g, usec_t now, const struct gossip_message *m,
+    struct gossip_send out[GOSSIP_ANSWERS])
+{
+	struct members *t = &g->members;
+	struct member *from;
+	struct member *reached;
+	size_t n = 0;
+
+	member_update(t, now, &m->self);
+	take_news(g, now, m);
+	from = member_find(t, m->self.id);
+	if (from == NULL || from == t->self)
+		return 0;
+	reached = member_find(t, m->reached);
+	if (reached != NULL)
+		answered(reached);
+	if (m->self.incarnation == from->incarnation) {
+		from->heard = now;
+		answered(from);
+		n += pass_on(g, now, from, out);
+	}
+	if (m->check[0] != '\0')
+		n += do_favour(g, now, from, m->check, out + n);
+	if (m->answer)
+		answer(g, now, m, from, &out[n++]);
+	return n;
+}
--- /dev/null
+++ b/kernel/member.c
@@ -0,0 +1,429 @@
+#include "kernel/member.h"
+#include "base/hash.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define NEWS_PER_DOUBLING 2 /* messages with a piece of news, per log2(n) */
+#define NEWS_LEAST        4
+
+/* The index of an id, or where it belongs. */
+static size_t
+position(const struct members *t, const char *id, bool *found)
+{
+	size_t lo = 0;
+	size_t hi = t->n;
+
+	*found = false;
+	while (lo < hi) {
+		size_t mid = (lo + hi) / 2;
+		int c = strcmp(t->v[mid]->text, id);
+
+		if (c == 0) {
+			*found = true;
+			return mid;
+		}
+		if (c < 0)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo;
+}
+
+struct member *
+member_find(const struct members *t, const char *id)
+{
+	bool found;
+	size_t i = position(t, id, &found);
+
+	return found ? t->v[i] : NULL;
+}
+
+const char *
+member_rpc(const struct member *m)
+{
+	return m->text + m->rpc_at;
+}
+
+struct member *
+member_at(const struct members *t, const char *rpc)
+{
+	return g_hash_table_lookup(t->by_rpc, rpc);
+}
+
+static uint8_t
+domain_index(struct members *t, const char *domain)
+{
+	for (size_t i = 0; i < t->n_domains; i++) {
+		if (strcmp(t->domains[i], domain) == 0)
+			return (uint8_t)i;
+	}
+	if (t->n_domains == MEMBER_DOMAINS)
+		return MEMBER_DOMAINS - 1;
+	t->domains[t->n_domains] = str_dup(str_from(domain));
+	return (uint8_t)t->n_domains++;
+}
+
+static void
+drop_address(struct members *t, struct member *m)
+{
+	if (m->text != NULL && member_at(t, member_rpc(m)) == m)
+		g_hash_table_remove(t->by_rpc, member_rpc(m));
+}
+
+/* Takes over id and addresses; the newest member has an address. */
+static void
+set_text(struct members *t, struct member *m, const struct member_info *info)
+{
+	size_t id = strlen(info->id) + 1;
+	size_t rpc = strlen(info->rpc) + 1;
+	size_t ops = strlen(info->operators) + 1;
+	char *text = xcalloc(1, id + rpc + ops);
+
+	memcpy(text, info->id, id);
+	memcpy(text + id, info->rpc, rpc);
+	memcpy(text + id + rpc, info->operators, ops);
+	drop_address(t, m);
+	free(m->text);
+	m->text = text;
+	m->rpc_at = (uint8_t)id;
+	m->operators_at = (uint8_t)(id + rpc);
+	m->domain = domain_index(t, info->domain);
+	t->live_stale = true;
+	g_hash_table_replace(t->by_rpc, text + id, m);
+}
+
+static struct member *
+insert(struct members *t, const struct member_info *info)
+{
+	struct member *m = xcalloc(1, sizeof(*m));
+	bool found;
+	size_t i = position(t, info->id, &found);
+
+	set_text(t, m, info);
+	m->bucket = hash_u64(str_from(info->id), 0) % MEMBER_BUCKETS;
+	t->v = xrealloc(t->v, t->n + 1, sizeof(void *));
+	for (size_t j = t->n; j > i; j--)
+		t->v[j] = t->v[j - 1];
+	t->v[i] = m;
+	t->n++;
+	return m;
+}
+
+GQueue *
+member_queue(struct members *t, const struct member *m)
+{
+	return m->full ? &t->joins : &t->news;
+}
+
+static void
+drop_news(struct members *t, struct member *m)
+{
+	if (m->news != NULL)
+		g_queue_delete_link(member_queue(t, m), m->news);
+	m->news = NULL;
+}
+
+/* A change of state is urgent; of a join the digests remind as well. */
+static void
+spread(struct members *t, struct member *m, bool full)
+{
+	uint8_t times = NEWS_LEAST;
+
+	for (size_t n = t->n; n > 1 && !full; n /= 2)
+		times += NEWS_PER_DOUBLING;
+	drop_news(t, m);
+	m->full = full;
+	m->news_left = times;
+	g_queue_push_head(member_queue(t, m), m);
+	m->news = member_queue(t, m)->head;
+}
+
+/* Counts a member in or out of those that are up. */
+static void
+count_up(struct members *t, const struct member *m, bool up)
+{
+	uint64_t h = hash_u64(str_from(m->text), 0);
+
+	t->digests[m->bucket] ^= (uint16_t)(h >> 32);
+	if (up)
+		t->n_up++;
+	else
+		t->n_up--;
+}
+
+static bool
+counts_as_live(const struct member *m)
+{
+	return m->state < MEMBER_GONE && !m->draining;
+}
+
+static void
+set_state(
+    struct members *t, usec_t now, struct member *m, enum member_state state)
+{
+	bool was = counts_as_live(m);
+
+	t->n_left -= m->state == MEMBER_LEFT ? 1 : 0;
+	t->n_left += state == MEMBER_LEFT ? 1 : 0;
+	if ((m->state < MEMBER_GONE) != (state < MEMBER_GONE))
+		count_up(t, m, state < MEMBER_GONE);
+	m->state = (uint8_t)state;
+	if (state == MEMBER_LIVE || state == MEMBER_DRAINING)
+		m->draining = state == MEMBER_DRAINING;
+	m->changed = now;
+	m->asked = 0;
+	m->checked = false;
+	if (was != counts_as_live(m)) {
+		t->live_stale = true;
+		t->version++;
+	}
+}
+
+void
+member_init(struct members *t, const struct member_info *self, usec_t now)
+{
+	*t = (struct members){ .live_stale = true, .version = 1 };
+	t->by_rpc = g_hash_table_new(g_str_hash, g_str_equal);
+	t->self = insert(t, self);
+	count_up(t, t->self, true);
+	t->self->incarnation = self->incarnation;
+	t->self->heard = now;
+	spread(t, t->self, true);
+}
+
+static void
+free_member(struct member *m)
+{
+	free(m->text);
+	free(m);
+}
+
+void
+member_free(struct members *t)
+{
+	g_queue_clear(&t->news);
+	g_queue_clear(&t->joins);
+	g_hash_table_destroy(t->by_rpc);
+	for (size_t i = 0; i < t->n; i++)
+		free_member(t->v[i]);
+	for (size_t i = 0; i < t->n_domains; i++)
+		free(t->domains[i]);
+	free(t->v);
+	free(t->live);
+	*t = (struct members){ 0 };
+}
+
+void
+member_info(
+    const struct members *t, const struct member *m, struct member_info *out)
+{
+	*out = (struct member_info){
+		.incarnation = m->incarnation,
+		.generation = m->generation,
+		.state = m->state,
+	};
+	snprintf(out->id, sizeof(out->id), "%s", m->text);
+	snprintf(out->rpc, sizeof(out->rpc), "%s", member_rpc(m));
+	snprintf(out->operators, sizeof(out->operators), "%s",
+	    m->text + m->operators_at);
+	snprintf(out->domain, sizeof(out->domain), "%s", t->domains[m->domain]);
+}
+
+/* Others' news of this process: refuted, unless a newer one has its id. */
+static bool
+update_self(struct members *t, usec_t now, const struct member_info *info)
+{
+	struct member *m = t->self;
+
+	if (info->incarnation > m->incarnation) {
+		t->superseded = true;
+		return false;
+	}
+	if (info->incarnation < m->incarnation ||
+	    info->state < MEMBER_SUSPECT || m->state == MEMBER_LEFT)
+		return false;
+	m->incarnation++;
+	m->changed = now;
+	spread(t, m, false);
+	return true;
+}
+
+static bool
+is_newer(const struct member_info *info, const struct member *m)
+{
+	if (info->incarnation != m->incarnation)
+		return info->incarnation > m->incarnation;
+	return info->state > m->state;
+}
+
+void
+member_rumour(struct members *t, uint64_t generation, const char *rpc)
+{
+	if (generation <= t->generation || rpc[0] == '\0')
+		return;
+	t->generation = generation;
+	snprintf(t->holder, sizeof(t->holder), "%s", rpc);
+}
+
+static void
+raise_generation(
+    struct members *t, struct member *m, const struct member_info *info)
+{
+	if (info->rpc[0] != '\0' && info->incarnation >= m->incarnation)
+		m->generation = info->generation > m->generation ||
+			info->incarnation > m->incarnation
+		    ? info->generation
+		    : m->generation;
+	member_rumour(t, info->generation, info->rpc);
+}
+
+static bool
+update_new(struct members *t, usec_t now, const struct member_info *info)
+{
+	struct member *m;
+
+	/* Of one that is over nothing is to be done, nor said. */
+	if (info->rpc[0] == '\0' || info->state >= MEMBER_GONE)
+		return false;
+	m = insert(t, info);
+	count_up(t, m, true);
+	m->incarnation = info->incarnation;
+	raise_generation(t, m, info);
+	t->version++;
+	set_state(t, now, m, info->state);
+	spread(t, m, true);
+	return true;
+}
+
+bool
+member_update(struct members *t, usec_t now, const struct member_info *info)
+{
+	struct member *m = member_find(t, info->id);
+	bool moved;
+
+	if (m == NULL)
+		return update_new(t, now, info);
+	if (m == t->self)
+		return update_self(t, now, info);
+	if (!is_newer(info, m)) {
+		raise_generation(t, m, info);
+		return false;
+	}
+	raise_generation(t, m, info);
+	moved = info->rpc[0] != '\0' &&
+	    (strcmp(info->rpc, member_rpc(m)) != 0 ||
+		strcmp(info->operators, m->text + m->operators_at) != 0 ||
+		strcmp(info->domain, t->domains[m->domain]) != 0);
+	if (moved)
+		set_text(t, m, info);
+	m->incarnation = info->incarnation;
+	set_state(t, now, m, info->state);
+	spread(t, m, moved);
+	return true;
+}
+
+void
+member_generation(struct members *t, usec_t now, uint64_t generation)
+{
+	if (generation <= t->self->generation)
+		return;
+	t->self->generation = generation;
+	t->self->changed = now;
+	if (generation >= t->generation)
+		snprintf(
+		    t->holder, sizeof(t->holder), "%s", member_rpc(t->self));
+	if (generation > t->generation)
+		t->generation = generation;
+}
+
+void
+member_drain(struct members *t, usec_t now)
+{
+	if (t->self->state != MEMBER_LIVE)
+		return;
+	set_state(t, now, t->self, MEMBER_DRAINING);
+	spread(t, t->self, false);
+}
+
+void
+member_leave(struct members *t, usec_t now)
+{
+	set_state(t, now, t->self, MEMBER_LEFT);
+	spread(t, t->self, false);
+}
+
+void
+member_silent(
+    struct members *t, usec_t now, struct member *m, enum member_state state)
+{
+	set_state(t, now, m, state);
+	spread(t, m, false);
+}
+
+static bool
+is_over(const struct member *m, usec_t now)
+{
+	usec_t keep =
+	    m->state == MEMBER_LEFT ? MEMBER_LEFT_KEEP : MEMBER_GONE_KEEP;
+
+	return m->state >= MEMBER_GONE && !m->watched &&
+	    now - m->changed > keep;
+}
+
+void
+member_sweep(struct members *t, usec_t now)
+{
+	struct member *m;
+
+	t->sweep = (t->sweep + 1) % t->n;
+	m = t->v[t->sweep];
+	if (m == t->self || !is_over(m, now))
+		return;
+	for (size_t i = t->sweep; i + 1 < t->n; i++)
+		t->v[i] = t->v[i + 1];
+	t->n--;
+	t->n_left -= m->state == MEMBER_LEFT ? 1 : 0;
+	t->sweep = 0;
+	drop_news(t, m);
+	drop_address(t, m);
+	free_member(m);
+}
+
+const char *const *
+member_live(struct members *t, size_t *n)
+{
+	if (t->live_stale) {
+		t->live = xrealloc(t->live, t->n, sizeof(*t->live));
+		t->n_live = 0;
+		for (size_t i = 0; i < t->n; i++) {
+			if (counts_as_live(t->v[i]))
+				t->live[t->n_live++] = t->v[i]->text;
+		}
+		t->live_stale = false;
+	}
+	*n = t->n_live;
+	return t->live;
+}
+
+uint32_t
+member_known(const struct members *t)
+{
+	return (uint32_t)(t->n - t->n_left);
+}
+
+const char *
+member_source(const struct members *t, uint64_t generation, uint64_t random)
+{
+	for (size_t i = 0; i < t->n; i++) {
+		const struct member *m = t->v[(random + i) % t->n];
+
+		if (m != t->self && m->state < MEMBER_SUSPECT &&
+		    m->generation >= generation)
+			return member_rpc(m);
+	}
+	return generation <= t->generation && t->holder[0] != '\0' ? t->holder
+								   : NULL;
+}
--- /dev/null
+++ b/tests/kernel/test_member.c
@@ -0,0 +1,420 @@
+/* Membership and gossip: cases of news, and small fleets in virtual time. */
+#include "kernel/gossip.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DOMAINS   4
+#define MOST      200
+#define LOSS      10
+#define PORT_BASE 1000
+
+static struct member_info
+info(const char *id, uint64_t incarnation, enum member_state state)
+{
+	struct member_info x = {
+		.incarnation = incarnation,
+		.state = state,
+	};
+
+	snprintf(x.id, sizeof(x.id), "%s", id);
+	snprintf(x.rpc, sizeof(x.rpc), "127.0.0.1:%s", id + 1);
+	snprintf(x.operators, sizeof(x.operators), "127.0.1.1:%s", id + 1);
+	snprintf(
+	    x.domain, sizeof(x.domain), "domain-%d", atoi(id + 1) % DOMAINS);
+	return x;
+}
+
+static void
+test_news(void)
+{
+	static const struct {
+		const char *name;
+		const char *id;
+		uint64_t incarnation;
+		enum member_state state;
+		bool news;
+		uint64_t after_incarnation;
+		enum member_state after;
+	} cases[] = {
+		{ "the same again", "n2", 10, MEMBER_LIVE, false, 10,
+		    MEMBER_LIVE },
+		{ "suspicion", "n2", 10, MEMBER_SUSPECT, true, 10,
+		    MEMBER_SUSPECT },
+		{ "old suspicion", "n2", 9, MEMBER_GONE, false, 10,
+		    MEMBER_LIVE },
+		{ "live does not refute gone", "n3", 10, MEMBER_LIVE, false, 10,
+		    MEMBER_GONE },
+		{ "a higher incarnation does", "n3", 11, MEMBER_LIVE, true, 11,
+		    MEMBER_LIVE },
+		{ "left is final", "n3", 10, MEMBER_LEFT, true, 10,
+		    MEMBER_LEFT },
+		{ "suspicion of this process is refuted", "n1", 10,
+		    MEMBER_SUSPECT, true, 11, MEMBER_LIVE },
+		{ "an older suspicion needs nothing", "n1", 9, MEMBER_GONE,
+		    false, 10, MEMBER_LIVE },
+		{ "a newer process with this id", "n1", 12, MEMBER_LIVE, false,
+		    10, MEMBER_LIVE },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct members t;
+		struct member_info x = info("n1", 10, MEMBER_LIVE);
+		const struct member *m;
+
+		g_test_message("%s", cases[i].name);
+		member_init(&t, &x, 0);
+		x = info("n2", 10, MEMBER_LIVE);
+		g_assert_true(member_update(&t, 0, &x));
+		x = info("n3", 10, MEMBER_LIVE);
+		g_assert_true(member_update(&t, 0, &x));
+		x = info("n3", 10, MEMBER_GONE);
+		g_assert_true(member_update(&t, 0, &x));
+		x = info(cases[i].id, cases[i].incarnation, cases[i].state);
+		g_assert_true(member_update(&t, 1, &x) == cases[i].news);
+		m = member_find(&t, cases[i].id);
+		g_assert_cmpuint(
+		    m->incarnation, ==, cases[i].after_incarnation);
+		g_assert_cmpint(m->state, ==, cases[i].after);
+		g_assert_true(t.superseded == (cases[i].incarnation == 12));
+		member_free(&t);
+	}
+}
+
+static void
+test_live_list(void)
+{
+	static const char *const ids[] = { "n5", "n3", "n9", "n1", "n7" };
+	struct members t;
+	struct member_info x = info("n4", 1, MEMBER_LIVE);
+	size_t n;
+	uint64_t version;
+
+	member_init(&t, &x, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+		x = info(ids[i], 1, MEMBER_LIVE);
+		member_update(&t, 0, &x);
+	}
+	for (size_t i = 1; i < 6; i++)
+		g_assert_cmpstr(
+		    member_live(&t, &n)[i - 1], <, member_live(&t, &n)[i]);
+	g_assert_cmpuint(n, ==, 6);
+	version = t.version;
+	x = info("n5", 1, MEMBER_SUSPECT);
+	member_update(&t, 0, &x);
+	g_assert_cmpuint(t.version, ==, version);
+	x = info("n3", 1, MEMBER_DRAINING);
+	member_update(&t, 0, &x);
+	x = info("n9", 1, MEMBER_LEFT);
+	member_update(&t, 0, &x);
+	member_live(&t, &n);
+	g_assert_cmpuint(n, ==, 4);
+	g_assert_cmpuint(t.version, >, version);
+	g_assert_cmpuint(member_known(&t), ==, 5);
+	for (int i = 0; i < 10; i++)
+		member_sweep(&t, MEMBER_LEFT_KEEP + 1);
+	g_assert_null(member_find(&t, "n9"));
+	g_assert_cmpuint(member_known(&t), ==, 5);
+	/* Table, text, and the entries of the two indexes. */
+	g_assert_cmpuint(sizeof(struct member) + 64 + 8 + 32, <=, MEMBER_BYTES);
+	member_free(&t);
+}
+
+struct letter {
+	int to;
+	struct gossip_message m;
+};
+
+struct fleet {
+	struct gossip v[MOST];
+	bool down[MOST]; /* dead or paused */
+	int side[MOST];
+	int n;
+	usec_t now;
+	struct rng rng;
+	GArray *letters;
+	uint64_t bytes;
+	uint64_t messages;
+};
+
+static void
+post(struct fleet *f, int from, const struct gossip_send *out, size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		int to = atoi(strchr(out[i].rpc, ':') + 1) - PORT_BASE;
+		struct letter l = { to, out[i].m };
+		size_t bytes = gossip_bytes(&out[i].m);
+
+		g_assert_cmpuint(bytes, <=, GOSSIP_PAGE_BYTES);
+		f->bytes += bytes;
+		f->messages++;
+		if (f->side[to] == f->side[from] && !f->down[to] &&
+		    rng_below(&f->rng, 100) >= LOSS)
+			g_array_append_val(f->letters, l);
+	}
+}
+
+/* Everyone's round, then the letters until all are answered. */
+static void
+round_of_all(struct fleet *f)
+{
+	static struct gossip_send out[GOSSIP_SENDS];
+
+	for (int i = 0; i < f->n; i++) {
+		if (!f->down[i])
+			post(f, i, out, gossip_round(&f->v[i], f->now, out));
+	}
+	while (f->letters->len > 0) {
+		GArray *now = f->letters;
+
+		f->letters = g_array_new(FALSE, FALSE, sizeof(struct letter));
+		for (guint i = 0; i < now->len; i++) {
+			const struct letter *l =
+			    &g_array_index(now, struct letter, i);
+
+			post(f, l->to, out,
+			    gossip_receive(&f->v[l->to], f->now, &l->m, out));
+		}
+		g_array_free(now, TRUE);
+	}
+	f->now += GOSSIP_ROUND;
+}
+
+static void
+rounds(struct fleet *f, int n)
+{
+	for (int i = 0; i < n; i++)
+		round_of_all(f);
+}
+
+static void
+start(struct fleet *f, int i, uint64_t incarnation)
+{
+	static const char *const contacts[] = { "127.0.0.1:1000",
+		"127.0.0.1:1001", "127.0.0.1:1002" };
+	char id[16];
+	struct member_info x;
+
+	snprintf(id, sizeof(id), "n%d", PORT_BASE + i);
+	x = info(id, incarnation, MEMBER_LIVE);
+	gossip_init(&f->v[i], &x, (uint64_t)i + 1, f->now);
+	gossip_contacts(&f->v[i], contacts, G_N_ELEMENTS(contacts));
+}
+
+static struct fleet *
+fleet_new(int n, uint64_t seed)
+{
+	struct fleet *f = xcalloc(1, sizeof(*f));
+
+	f->n = n;
+	f->now = 100 * USEC_PER_SEC;
+	rng_init(&f->rng, seed);
+	f->letters = g_array_new(FALSE, FALSE, sizeof(struct letter));
+	for (int i = 0; i < n; i++)
+		start(f, i, 1);
+	return f;
+}
+
+static void
+fleet_free(struct fleet *f)
+{
+	for (int i = 0; i < f->n; i++)
+		gossip_free(&f->v[i]);
+	g_array_free(f->letters, TRUE);
+	free(f);
+}
+
+/* How many of those that are up see so many live ones. */
+static int
+seeing(struct fleet *f, size_t live)
+{
+	int count = 0;
+
+	for (int i = 0; i < f->n; i++) {
+		size_t n;
+
+		member_live(&f->v[i].members, &n);
+		count += !f->down[i] && n == live;
+	}
+	return count;
+}
+
+/* Runs until all that are up see so many, for at most some rounds. */
+static int
+until_seeing(struct fleet *f, int live, int bound)
+{
+	int taken = 0;
+
+	while (seeing(f, (size_t)live) < live && taken < bound) {
+		round_of_all(f);
+		taken++;
+	}
+	g_assert_cmpint(seeing(f, (size_t)live), ==, live);
+	return taken;
+}
+
+static const struct {
+	int n;
+	int join;   /* rounds until all know all */
+	int spread; /* rounds until news is everywhere */
+	int detect; /* rounds until a dead one is gone everywhere */
+} sizes[] = {
+	{ 9, 60, 8, 28 },
+	{ 27, 80, 10, 30 },
+	{ 200, 160, 14, 34 },
+};
+
+static void
+check_spread(struct fleet *f, int bound)
+{
+	int reached = 0;
+	int taken = 0;
+
+	member_generation(&f->v[1].members, f->now, 7);
+	gossip_leaving(&f->v[2], f->now, "lm", "127.0.0.1:9");
+	while (reached < 2 * f->n && taken < bound) {
+		round_of_all(f);
+		taken++;
+		reached = 0;
+		for (int i = 0; i < f->n; i++) {
+			reached += f->v[i].members.generation == 7;
+			reached += f->v[i].n_leaving == 1;
+		}
+	}
+	g_test_message(
+	    "%d sequoiads: news everywhere in %d rounds", f->n, taken);
+	g_assert_cmpint(reached, ==, 2 * f->n);
+	for (int i = 0; i < f->n; i++)
+		g_assert_cmpstr(member_source(&f->v[i].members, 7, 5), ==,
+		    "127.0.0.1:1001");
+}
+
+static void
+test_fleet(void)
+{
+	for (size_t k = 0; k < G_N_ELEMENTS(sizes); k++) {
+		struct fleet *f = fleet_new(sizes[k].n, k + 1);
+		int n = f->n;
+
+		g_test_message("%d sequoiads: joined in %d rounds", n,
+		    until_seeing(f, n, sizes[k].join));
+		check_spread(f, sizes[k].spread);
+
+		/* Loss alone makes nobody gone; the cost stays bounded. */
+		rounds(f, 40);
+		f->bytes = 0;
+		f->messages = 0;
+		for (int i = 0; i < 60; i++) {
+			round_of_all(f);
+			g_assert_cmpint(seeing(f, (size_t)n), ==, n);
+		}
+		g_test_message("%d sequoiads: %d bytes in %.1f messages sent "
+			       "a round and node",
+		    n, (int)(f->bytes / 60 / (uint64_t)n),
+		    (double)f->messages / 60 / n);
+		g_assert_cmpuint(
+		    f->bytes / 60 / (uint64_t)n, <=, 8 * GOSSIP_BYTES);
+
+		f->down[3] = true;
+		g_test_message("%d sequoiads: one gone in %d rounds", n,
+		    until_seeing(f, n - 1, sizes[k].detect));
+
+		/* It comes back under a higher incarnation. */
+		f->down[3] = false;
+		gossip_free(&f->v[3]);
+		start(f, 3, 2);
+		until_seeing(f, n, sizes[k].join);
+		fleet_free(f);
+	}
+}
+
+static void
+test_paused(void)
+{
+	struct fleet *f = fleet_new(27, 5);
+
+	rounds(f, 80);
+	f->down[4] = true;
+	rounds(f, 60);
+	g_assert_cmpint(seeing(f, 26), ==, 26);
+	f->down[5] = true;
+	rounds(f, 60);
+	g_assert_cmpint(seeing(f, 25), ==, 25);
+
+	/* It still holds the dead one for live; nobody believes that. */
+	f->down[4] = false;
+	for (int i = 0; i < 40; i++) {
+		round_of_all(f);
+		for (int j = 0; j < f->n; j++) {
+			const struct member *m =
+			    member_find(&f->v[j].members, "n1005");
+
+			if (j != 4 && j != 5)
+				g_assert_cmpint(m->state, ==, MEMBER_GONE);
+		}
+	}
+	g_assert_cmpint(seeing(f, 26), ==, 26);
+	g_assert_cmpuint(f->v[4].members.self->incarnation, >, 1);
+	fleet_free(f);
+}
+
+static void
+test_split(void)
+{
+	struct fleet *f = fleet_new(27, 6);
+
+	rounds(f, 80);
+	for (int i = 0; i < 10; i++)
+		f->side[i] = 1;
+	rounds(f, 60);
+	g_assert_cmpint(seeing(f, 10), ==, 10);
+	g_assert_cmpint(seeing(f, 17), ==, 17);
+	g_assert_cmpuint(member_known(&f->v[0].members), ==, 27);
+	for (int i = 0; i < 10; i++)
+		f->side[i] = 0;
+	rounds(f, 80);
+	g_assert_cmpint(seeing(f, 27), ==, 27);
+	fleet_free(f);
+}
+
+static void
+test_stops(void)
+{
+	struct fleet *f = fleet_new(9, 7);
+
+	rounds(f, 60);
+	member_drain(&f->v[2].members, f->now);
+	rounds(f, 10);
+	g_assert_cmpint(seeing(f, 8), ==, 9);
+	member_leave(&f->v[2].members, f->now);
+	rounds(f, 10);
+	f->down[2] = true;
+	rounds(f, 30);
+	for (int i = 0; i < 9; i++)
+		g_assert_true(f->down[i] ||
+		    member_find(&f->v[i].members, "n1002")->state ==
+			MEMBER_LEFT);
+	/* A target's leaving is told for a bounded time. */
+	gossip_leaving(&f->v[0], f->now, "lm", "127.0.0.1:9");
+	rounds(f, 8);
+	g_assert_cmpuint(f->v[5].n_leaving, ==, 1);
+	rounds(f, (int)(LEAVING_KEEP / GOSSIP_ROUND) + 2);
+	for (int i = 0; i < 9; i++)
+		g_assert_true(f->down[i] || f->v[i].n_leaving == 0);
+	fleet_free(f);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/member/news", test_news);
+	g_test_add_func("/member/live-list", test_live_list);
+	g_test_add_func("/member/fleet", test_fleet);
+	g_test_add_func("/member/paused", test_paused);
+	g_test_add_func("/member/split", test_split);
+	g_test_add_func("/member/stops", test_stops);
+	return g_test_run();
+}
