--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 
 # Generates the XDR code anew.
 peer:
-	cd entry && rpcgen -C -M -h -o peer.h peer.x && \
+	cd entry && rm -f peer.h peer_xdr.c && rpcgen -C -M -h -o peer.h peer.x && \
 	    rpcgen -C -M -c -o peer_xdr.c peer.x
 
 demo: build
--- /dev/null
+++ b/entry/gossiper.c
@@ -0,0 +1,229 @@
+#include "entry/gossiper.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_CONTACTS 128
+
+struct gossiper {
+	struct gossiper_opts o;
+	struct gossip state;
+	usec_t round_at;
+	struct gossip_send *sends;
+	struct gossip_message *in;
+};
+
+/* The XDR form borrows the strings of the message. */
+static void
+member_out(const struct member_info *x, peer_member *p)
+{
+	p->id = (char *)x->id;
+	p->rpc = (char *)x->rpc;
+	p->operators = (char *)x->operators;
+	p->domain = (char *)x->domain;
+	p->incarnation = x->incarnation;
+	p->generation = x->generation;
+	p->state = (int)x->state;
+}
+
+static bool
+copy(char *out, size_t cap, const char *in)
+{
+	return snprintf(out, cap, "%s", in) < (int)cap;
+}
+
+static bool
+member_in(const peer_member *p, struct member_info *x)
+{
+	x->incarnation = p->incarnation;
+	x->generation = p->generation;
+	x->state = (enum member_state)p->state;
+	return p->state >= MEMBER_LIVE && p->state <= MEMBER_LEFT &&
+	    copy(x->id, sizeof(x->id), p->id) &&
+	    copy(x->rpc, sizeof(x->rpc), p->rpc) &&
+	    copy(x->operators, sizeof(x->operators), p->operators) &&
+	    copy(x->domain, sizeof(x->domain), p->domain);
+}
+
+static void
+send(struct gossiper *g, const struct gossip_send *s)
+{
+	const struct gossip_message *m = &s->m;
+	peer_member infos[GOSSIP_INFOS];
+	peer_leaving leaving[GOSSIP_LEAVING];
+	peer_body b = { .kind = PEER_GOSSIP };
+	peer_gossip *p = &b.peer_body_u.gossip;
+
+	member_out(&m->self, &p->self);
+	p->generation = m->generation;
+	p->holder = (char *)m->holder;
+	p->up = m->up;
+	memcpy(p->digests, m->digests, sizeof(p->digests));
+	p->answer = m->answer;
+	p->check = (char *)m->check;
+	p->reached = (char *)m->reached;
+	for (size_t i = 0; i < m->n_infos; i++)
+		member_out(&m->infos[i], &infos[i]);
+	for (size_t i = 0; i < m->n_leaving; i++) {
+		leaving[i].service = (char *)m->leaving[i].service;
+		leaving[i].addr = (char *)m->leaving[i].addr;
+		leaving[i].left_ms = m->leaving[i].left_ms;
+	}
+	p->infos.infos_val = infos;
+	p->infos.infos_len = (u_int)m->n_infos;
+	p->leaving.leaving_val = leaving;
+	p->leaving.leaving_len = (u_int)m->n_leaving;
+	rpc_send(g->o.rpc, s->rpc, &b);
+}
+
+static bool
+receive(const peer_gossip *p, struct gossip_message *m)
+{
+	memset(m, 0, sizeof(*m));
+	if (!member_in(&p->self, &m->self) ||
+	    !copy(m->holder, sizeof(m->holder), p->holder) ||
+	    !copy(m->check, sizeof(m->check), p->check) ||
+	    !copy(m->reached, sizeof(m->reached), p->reached))
+		return false;
+	m->generation = p->generation;
+	m->up = p->up;
+	memcpy(m->digests, p->digests, sizeof(m->digests));
+	m->answer = p->answer != 0;
+	for (u_int i = 0; i < p->infos.infos_len; i++) {
+		if (!member_in(&p->infos.infos_val[i], &m->infos[i]))
+			return false;
+		m->n_infos++;
+	}
+	for (u_int i = 0; i < p->leaving.leaving_len; i++) {
+		const peer_leaving *x = &p->leaving.leaving_val[i];
+		struct gossip_leaving *y = &m->leaving[i];
+
+		if (!copy(y->service, sizeof(y->service), x->service) ||
+		    !copy(y->addr, sizeof(y->addr), x->addr))
+			return false;
+		y->left_ms = x->left_ms;
+		m->n_leaving++;
+	}
+	return true;
+}
+
+static void
+fill_self(const struct gossiper_opts *o, struct member_info *x)
+{
+	const struct settings *s = o->settings;
+
+	memset(x, 0, sizeof(*x));
+	copy(x->id, sizeof(x->id), s->id);
+	copy(x->rpc, sizeof(x->rpc), s->rpc);
+	copy(x->operators, sizeof(x->operators), s->operators);
+	copy(x->domain, sizeof(x->domain), s->failure_domain);
+	x->incarnation = o->incarnation;
+}
+
+struct gossiper *
+gossiper_new(const struct gossiper_opts *o)
+{
+	struct gossiper *g = xcalloc(1, sizeof(*g));
+	struct member_info self;
+
+	g->o = *o;
+	g->sends = xcalloc(GOSSIP_SENDS, sizeof(*g->sends));
+	g->in = xcalloc(1, sizeof(*g->in));
+	fill_self(o, &self);
+	gossip_init(&g->state, &self, o->seed, o->now);
+	gossiper_listed(g, NULL, 0);
+	return g;
+}
+
+void
+gossiper_listed(struct gossiper *g, const char *const *addrs, size_t n)
+{
+	const char *all[MAX_CONTACTS];
+	struct str rest = str_from(g->o.settings->peers);
+	struct str part;
+	size_t from_settings;
+	size_t total = 0;
+
+	while (total < MAX_CONTACTS && str_cut(&rest, ' ', &part)) {
+		if (part.n > 0)
+			all[total++] = str_dup(part);
+	}
+	from_settings = total;
+	for (size_t i = 0; i < n && total < MAX_CONTACTS; i++)
+		all[total++] = addrs[i];
+	gossip_contacts(&g->state, all, total);
+	for (size_t i = 0; i < from_settings; i++)
+		free((char *)all[i]);
+}
+
+void
+gossiper_generation(struct gossiper *g, uint64_t generation, usec_t now)
+{
+	member_generation(&g->state.members, now, generation);
+}
+
+void
+gossiper_drain(struct gossiper *g, usec_t now)
+{
+	member_drain(&g->state.members, now);
+}
+
+/* Runs a round at once, whatever the time. */
+static void
+round_now(struct gossiper *g, usec_t now)
+{
+	size_t n = gossip_round(&g->state, now, g->sends);
+
+	g->round_at = now;
+	for (size_t i = 0; i < n; i++)
+		send(g, &g->sends[i]);
+}
+
+void
+gossiper_leave(struct gossiper *g, usec_t now)
+{
+	member_leave(&g->state.members, now);
+	round_now(g, now);
+}
+
+void
+gossiper_leaving(struct gossiper *g, const char *service, const char *addr,
+    usec_t now)
+{
+	gossip_leaving(&g->state, now, service, addr);
+}
+
+void
+gossiper_letter(struct gossiper *g, const peer_letter *l, usec_t now)
+{
+	size_t n;
+
+	if (!receive(&l->body.peer_body_u.gossip, g->in))
+		return;
+	n = gossip_receive(&g->state, now, g->in, g->sends);
+	for (size_t i = 0; i < n; i++)
+		send(g, &g->sends[i]);
+}
+
+void
+gossiper_tick(struct gossiper *g, usec_t now)
+{
+	if (now - g->round_at >= GOSSIP_ROUND)
+		round_now(g, now);
+}
+
+struct gossip *
+gossiper_state(struct gossiper *g)
+{
+	return &g->state;
+}
+
+void
+gossiper_free(struct gossiper *g)
+{
+	gossip_free(&g->state);
+	free(g->sends);
+	free(g->in);
+	free(g);
+}
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -15,14 +15,51 @@
 #endif
 
 #define PEER_NAME_MAX 48
-#define PEER_BODY_MAX 60000
 #define PEER_VALUE_MAX 9437184
-#define PEER_MEMBERS_MAX 128
-#define PEER_LEAVING_MAX 64
+#define PEER_MEMBERS_MAX 32
+#define PEER_LEAVING_MAX 4
 #define PEER_BATCH_MAX 16
 
 typedef char *peer_name;
 
+struct peer_member {
+	peer_name id;
+	peer_name rpc;
+	peer_name operators;
+	peer_name domain;
+	u_quad_t incarnation;
+	u_quad_t generation;
+	int state;
+};
+typedef struct peer_member peer_member;
+
+struct peer_leaving {
+	peer_name service;
+	peer_name addr;
+	u_int left_ms;
+};
+typedef struct peer_leaving peer_leaving;
+
+struct peer_gossip {
+	peer_member self;
+	u_quad_t generation;
+	peer_name holder;
+	u_int up;
+	char digests[32];
+	bool_t answer;
+	peer_name check;
+	peer_name reached;
+	struct {
+		u_int infos_len;
+		peer_member *infos_val;
+	} infos;
+	struct {
+		u_int leaving_len;
+		peer_leaving *leaving_val;
+	} leaving;
+};
+typedef struct peer_gossip peer_gossip;
+
 struct peer_claim {
 	u_quad_t ask;
 	int step;
@@ -98,10 +135,7 @@
 struct peer_body {
 	peer_kind kind;
 	union {
-		struct {
-			u_int gossip_len;
-			char *gossip_val;
-		} gossip;
+		peer_gossip gossip;
 		peer_claim claim;
 		peer_verdict verdict;
 		peer_share_report report;
@@ -187,6 +221,9 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_peer_name (XDR *, peer_name*);
+extern  bool_t xdr_peer_member (XDR *, peer_member*);
+extern  bool_t xdr_peer_leaving (XDR *, peer_leaving*);
+extern  bool_t xdr_peer_gossip (XDR *, peer_gossip*);
 extern  bool_t xdr_peer_claim (XDR *, peer_claim*);
 extern  bool_t xdr_peer_verdict (XDR *, peer_verdict*);
 extern  bool_t xdr_peer_share_claim (XDR *, peer_share_claim*);
@@ -203,6 +240,9 @@
 
 #else /* K&R C */
 extern bool_t xdr_peer_name ();
+extern bool_t xdr_peer_member ();
+extern bool_t xdr_peer_leaving ();
+extern bool_t xdr_peer_gossip ();
 extern bool_t xdr_peer_claim ();
 extern bool_t xdr_peer_verdict ();
 extern bool_t xdr_peer_share_claim ();
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -8,14 +8,42 @@
  * with the fleet key.
  */
 const PEER_NAME_MAX = 48;
-const PEER_BODY_MAX = 60000;
 const PEER_VALUE_MAX = 9437184;
-const PEER_MEMBERS_MAX = 128;
-const PEER_LEAVING_MAX = 64;
+const PEER_MEMBERS_MAX = 32;
+const PEER_LEAVING_MAX = 4;
 const PEER_BATCH_MAX = 16;
 
 typedef string peer_name<PEER_NAME_MAX>;
 
+struct peer_member {
+	peer_name id;
+	peer_name rpc;
+	peer_name operators;
+	peer_name domain;
+	unsigned hyper incarnation;
+	unsigned hyper generation;
+	int state;
+};
+
+struct peer_leaving {
+	peer_name service;
+	peer_name addr;
+	unsigned int left_ms;
+};
+
+struct peer_gossip {
+	peer_member self;
+	unsigned hyper generation;
+	peer_name holder;
+	unsigned int up;
+	opaque digests[32];
+	bool answer;
+	peer_name check;
+	peer_name reached;
+	peer_member infos<PEER_MEMBERS_MAX>;
+	peer_leaving leaving<PEER_LEAVING_MAX>;
+};
+
 struct peer_claim {
 	unsigned hyper ask;
 	int step;
@@ -71,7 +99,7 @@
 
 union peer_body switch (peer_kind kind) {
 case PEER_GOSSIP:
-	opaque gossip<PEER_BODY_MAX>;
+	peer_gossip gossip;
 case PEER_CLAIM:
 	peer_claim claim;
 case PEER_VERDICT:
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -15,6 +15,73 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_member (XDR *xdrs, peer_member *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_name (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->rpc))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->operators))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->state))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_leaving (XDR *xdrs, peer_leaving *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->addr))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_gossip (XDR *xdrs, peer_gossip *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_peer_member (xdrs, &objp->self))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->holder))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->up))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->digests, 32))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->answer))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->check))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->reached))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->infos.infos_val, (u_int *) &objp->infos.infos_len, PEER_MEMBERS_MAX,
+		sizeof (peer_member), (xdrproc_t) xdr_peer_member))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, PEER_LEAVING_MAX,
+		sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_claim (XDR *xdrs, peer_claim *objp)
 {
@@ -138,7 +205,7 @@
 		 return FALSE;
 	switch (objp->kind) {
 	case PEER_GOSSIP:
-		 if (!xdr_bytes (xdrs, (char **)&objp->peer_body_u.gossip.gossip_val, (u_int *) &objp->peer_body_u.gossip.gossip_len, PEER_BODY_MAX))
+		 if (!xdr_peer_gossip (xdrs, &objp->peer_body_u.gossip))
 			 return FALSE;
 		break;
 	case PEER_CLAIM:
