Membership, shares of limits and peers' configuration in sequoiad

Cause: each sequoiad stood alone. Change: gossip over sealed letters, sequoiads from settings and host list; leaving targets told to all; the claim writer, the even shares and the few that watch the log follow the live members; limits move by reports to a workspace's owner; a generation that a rumour names is fetched from a peer. Ruled out: taking a holder for dead that the member table does not show yet; a second delivery was then told 409 at once while the first ran (seen once in the trial of two deliveries at once).

--- a/entry/claimer.c
+++ b/entry/claimer.c
@@ -202,7 +202,7 @@
 		if (c->members[i].incarnation == incarnation)
 			return true;
 	}
-	return c->n_members == 0;
+	return false;
 }
 
 /*
@@ -212,12 +212,12 @@
 static bool
 waits(struct claimer *c, struct ask *a, const struct claim_verdict *v)
 {
-	if (a->claim.step != CLAIM_STEP_CLAIM || v->result != CLAIM_TAKEN ||
-	    !is_live(c, v->holder))
+	if (a->claim.step != CLAIM_STEP_CLAIM || v->result != CLAIM_TAKEN)
 		return false;
 	if (a->state != ASK_WAITING) {
 		a->state = ASK_WAITING;
-		a->step_until = c->now + TAKEN_WAIT;
+		a->step_until = c->now +
+		    (is_live(c, v->holder) ? TAKEN_WAIT : TAKEN_UNKNOWN);
 	}
 	return c->now < a->step_until && c->now < a->until;
 }
--- a/entry/control.c
+++ b/entry/control.c
@@ -1,7 +1,10 @@
 #include "entry/control.h"
 #include "base/log.h"
+#include "base/rng.h"
 #include "entry/claimer.h"
 #include "entry/fetcher.h"
+#include "entry/gossiper.h"
+#include "entry/sharer.h"
 #include "plat/conflog.h"
 #include "plat/hosts.h"
 
@@ -12,10 +15,13 @@
 #include <string.h>
 #include <urcu/urcu-memb.h>
 
-#define HOSTS_TIMEOUT  (2 * USEC_PER_SEC)
-#define TICK           (20 * USEC_PER_MSEC)
-#define ASK_PEER_EVERY (200 * USEC_PER_MSEC)
-#define MAX_ENDPOINTS  8
+#define HOSTS_TIMEOUT    (2 * USEC_PER_SEC)
+#define TICK             (20 * USEC_PER_MSEC)
+#define ASK_PEER_EVERY   (200 * USEC_PER_MSEC)
+#define RUMOUR_PATIENCE  (300 * USEC_PER_MSEC) /* for the own watch */
+#define SEQUOIAD_SERVICE "sequoiad"            /* in the host list */
+#define WATCHERS         32 /* sequoiads that watch the log themselves */
+#define MAX_ENDPOINTS    8
 
 struct control {
 	struct control_opts o;
@@ -29,6 +35,8 @@
 	struct hosts *hosts;
 	struct conflog *conflog;
 	struct claimer *claimer;
+	struct gossiper *gossiper;
+	struct sharer *sharer;
 	struct conf *conf;
 	uint64_t refused; /* generation whose refusal was logged */
 	bool draining;
@@ -36,7 +44,12 @@
 	atomic_ullong kv_calls;
 	atomic_ullong generation;
 	usec_t hosts_at;
-	usec_t asked_at; /* a peer for a document */
+	usec_t asked_at;       /* a peer for a document */
+	usec_t behind_since;   /* a newer generation was heard of; 0: no */
+	uint64_t members_seen; /* version of the member table */
+	uint64_t leaving_seen; /* version of the list of leaving targets */
+	struct listed_target *listed; /* last reading of the host list */
+	size_t n_listed;
 };
 
 static void
@@ -51,6 +64,7 @@
 	snaps_publish(c->o.snaps,
 	    &(struct snap){ .conf = conf, .draining = c->draining });
 	traffic_conf(c->traffic, conf);
+	gossiper_generation(c->gossiper, conf->generation, clock_now());
 	buf_printf(&n, "%llu", (unsigned long long)conf->generation);
 	LOG(LOG_LVL_NOTICE, "config-in-force", { "generation", str_of(&n) });
 	buf_free(&n);
@@ -85,12 +99,61 @@
 	LOG(LOG_LVL_ERR, "config-refused", { "detail", str_from(e->text) });
 }
 
+/* A target that others have seen leaving is leaving here too. */
+static bool
+is_left(const struct gossip *g, const struct listed_target *x)
+{
+	for (size_t i = 0; i < g->n_leaving; i++) {
+		if (strcmp(g->leaving[i].addr, x->addr) == 0 &&
+		    strcmp(g->leaving[i].service, x->service) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Hands the host list on, with what gossip tells of leaving targets. */
 static void
-on_hosts(void *arg, const struct listed_target *v, size_t n)
+hand_on_targets(struct control *c)
 {
-	struct control *c = arg;
+	const struct gossip *g = gossiper_state(c->gossiper);
+	struct listed_target *v = xcalloc(c->n_listed, sizeof(*v));
+	size_t n = 0;
 
+	c->leaving_seen = g->leaving_version;
+	for (size_t i = 0; i < c->n_listed; i++) {
+		if (strcmp(c->listed[i].service, SEQUOIAD_SERVICE) == 0)
+			continue;
+		v[n] = c->listed[i];
+		if (is_left(g, &v[n]))
+			v[n].state = TARGET_LEAVING;
+		n++;
+	}
 	traffic_targets(c->traffic, v, n);
+	free(v);
+}
+
+/* Tells others of targets that the list shows leaving, and of sequoiads. */
+static void
+on_hosts(void *arg, const struct listed_target *v, size_t n)
+{
+	struct control *c = arg;
+	const char **peers = xcalloc(n, sizeof(*peers));
+	size_t n_peers = 0;
+
+	free(c->listed);
+	c->listed = xcalloc(n, sizeof(*v));
+	c->n_listed = n;
+	for (size_t i = 0; i < n; i++) {
+		c->listed[i] = v[i];
+		if (strcmp(v[i].service, SEQUOIAD_SERVICE) == 0)
+			peers[n_peers++] = v[i].addr;
+		else if (v[i].state == TARGET_LEAVING)
+			gossiper_leaving(
+			    c->gossiper, v[i].service, v[i].addr, clock_now());
+	}
+	gossiper_listed(c->gossiper, peers, n_peers);
+	free(peers);
+	hand_on_targets(c);
 }
 
 static void
@@ -175,6 +238,33 @@
 	traffic_claimed(c->traffic, ev);
 }
 
+static void
+on_letter(struct control *c, const peer_letter *l)
+{
+	usec_t now = clock_now();
+
+	switch (l->body.kind) {
+	case PEER_GOSSIP:
+		gossiper_letter(c->gossiper, l, now);
+		break;
+	case PEER_CLAIM:
+	case PEER_VERDICT:
+		claimer_letter(c->claimer, l, now);
+		break;
+	case PEER_SHARE_REPORT:
+	case PEER_SHARE_REPLY:
+		sharer_letter(c->sharer, l, now);
+		break;
+	}
+}
+
+static void
+start_drain(struct control *c)
+{
+	c->draining = true;
+	gossiper_drain(c->gossiper, clock_now());
+}
+
 static void
 take_mail(struct control *c)
 {
@@ -187,7 +277,7 @@
 			    &m->action.claim, clock_now());
 			break;
 		case MAIL_LETTER:
-			claimer_letter(c->claimer, &m->letter, clock_now());
+			on_letter(c, &m->letter);
 			break;
 		case MAIL_FETCHED:
 			if (m->fetched.found)
@@ -196,13 +286,93 @@
 				    str_of(&m->fetched.value), clock_now());
 			break;
 		case MAIL_DRAIN:
-			c->draining = true;
+			start_drain(c);
 			break;
 		}
 		mail_free(m);
 	}
 }
 
+/* Asks a peer for what the own watch has not brought for a while. */
+static void
+ask_peer(struct control *c, usec_t now)
+{
+	const struct members *m = &gossiper_state(c->gossiper)->members;
+	uint64_t have = conflog_state(c->conflog)->generation;
+	char name[CONFLOG_NAME_BYTES] = "head";
+	const char *addr;
+	bool missing = conflog_missing(c->conflog, now, name);
+
+	if (m->generation <= have)
+		c->behind_since = 0;
+	else if (c->behind_since == 0)
+		c->behind_since = now;
+	if (!missing &&
+	    (c->behind_since == 0 || now - c->behind_since < RUMOUR_PATIENCE))
+		return;
+	if (now - c->asked_at < ASK_PEER_EVERY)
+		return;
+	addr = member_source(m, missing ? have : m->generation, rng_entropy());
+	if (addr != NULL && fetcher_ask(c->fetcher, addr, name))
+		c->asked_at = now;
+}
+
+/* Whether this process is among the few that watch the log themselves. */
+static bool
+is_watcher(const struct control *c, const char *const *ids, size_t n)
+{
+	uint64_t mine = hash_u64(str_from(c->o.settings->id), 1);
+	size_t before = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		if (hash_u64(str_from(ids[i]), 1) < mine)
+			before++;
+	}
+	return before < WATCHERS;
+}
+
+/* The live members have changed: writers, shares and watchers follow. */
+static void
+on_members(struct control *c, usec_t now)
+{
+	struct members *m = &gossiper_state(c->gossiper)->members;
+	size_t n;
+	const char *const *ids = member_live(m, &n);
+	struct claimer_member *v = xcalloc(n, sizeof(*v));
+	struct str self = str_from(c->o.settings->id);
+	size_t found = 0;
+
+	c->members_seen = m->version;
+	for (size_t i = 0; i < n; i++) {
+		const struct member *x = member_find(m, ids[i]);
+
+		if (x == NULL)
+			continue;
+		v[found].id = hash_u64(str_from(ids[i]), 0);
+		v[found].incarnation = x->incarnation;
+		v[found++].rpc = member_rpc(x);
+	}
+	claimer_members(c->claimer, v, found, hash_u64(self, 0));
+	conflog_follow(c->conflog, is_watcher(c, ids, n));
+	sharer_members(c->sharer, m, now);
+	free(v);
+}
+
+static void
+tick_fleet(struct control *c, usec_t now)
+{
+	struct gossip *g = gossiper_state(c->gossiper);
+
+	gossiper_tick(c->gossiper, now);
+	if (g->members.version != c->members_seen)
+		on_members(c, now);
+	if (g->leaving_version != c->leaving_seen)
+		hand_on_targets(c);
+	ask_peer(c, now);
+	if (c->conf != NULL)
+		sharer_tick(c->sharer, c->conf, c->traffic, &g->members, now);
+}
+
 static void
 tick(struct control *c, usec_t now)
 {
@@ -215,6 +385,7 @@
 	}
 	conflog_tick(c->conflog, now);
 	claimer_tick(c->claimer, now);
+	tick_fleet(c, now);
 	atomic_store(&c->kv_calls, kv_calls(c->kv));
 }
 
@@ -229,6 +400,7 @@
 		take_mail(c);
 		tick(c, clock_now());
 	}
+	gossiper_leave(c->gossiper, clock_now());
 	urcu_memb_unregister_thread();
 	return NULL;
 }
@@ -311,6 +483,20 @@
 	    .decided = on_decided,
 	    .arg = c,
 	});
+	c->gossiper = gossiper_new(&(struct gossiper_opts){
+	    .settings = o->settings,
+	    .rpc = c->rpc,
+	    .incarnation = o->incarnation,
+	    .seed = rng_entropy(),
+	    .now = clock_now(),
+	});
+	c->sharer = sharer_new(&(struct sharer_opts){
+	    .rpc = c->rpc,
+	    .id = o->settings->id,
+	    .incarnation = o->incarnation,
+	    .now = clock_now(),
+	});
+	c->members_seen = UINT64_MAX;
 	c->fetcher = fetcher_start(&(struct fetcher_opts){
 	    .rpc = c->rpc,
 	    .inbox = c->inbox,
@@ -377,12 +563,10 @@
 control_stop(struct control *c)
 {
 	fetcher_stop(c->fetcher);
-	c->fetcher = NULL;
-	rpc_stop(c->rpc);
-	c->rpc = NULL;
 	atomic_store(&c->stopping, true);
 	http_wake(c->loop);
 	pthread_join(c->thread, NULL);
+	rpc_stop(c->rpc);
 }
 
 void
@@ -391,8 +575,12 @@
 	hosts_free(c->hosts);
 	kv_free(c->kv);
 	conflog_free(c->conflog);
-	if (c->claimer != NULL)
+	if (c->claimer != NULL) {
 		claimer_free(c->claimer);
+		gossiper_free(c->gossiper);
+		sharer_free(c->sharer);
+	}
+	free(c->listed);
 	inbox_free(c->inbox);
 	http_free(c->loop);
 	conf_unref(c->conf);
--- a/entry/gossiper.c
+++ b/entry/gossiper.c
@@ -47,7 +47,7 @@
 }
 
 static void
-send(struct gossiper *g, const struct gossip_send *s)
+send_message(struct gossiper *g, const struct gossip_send *s)
 {
 	const struct gossip_message *m = &s->m;
 	peer_member infos[GOSSIP_INFOS];
@@ -177,7 +177,7 @@
 
 	g->round_at = now;
 	for (size_t i = 0; i < n; i++)
-		send(g, &g->sends[i]);
+		send_message(g, &g->sends[i]);
 }
 
 void
@@ -188,8 +188,8 @@
 }
 
 void
-gossiper_leaving(struct gossiper *g, const char *service, const char *addr,
-    usec_t now)
+gossiper_leaving(
+    struct gossiper *g, const char *service, const char *addr, usec_t now)
 {
 	gossip_leaving(&g->state, now, service, addr);
 }
@@ -203,7 +203,7 @@
 		return;
 	n = gossip_receive(&g->state, now, g->in, g->sends);
 	for (size_t i = 0; i < n; i++)
-		send(g, &g->sends[i]);
+		send_message(g, &g->sends[i]);
 }
 
 void
--- a/entry/gossiper.h
+++ b/entry/gossiper.h
@@ -27,8 +27,8 @@
 /* Says goodbye to some others. */
 void gossiper_leave(struct gossiper *g, usec_t now);
 /* A target said that it is leaving. */
-void gossiper_leaving(struct gossiper *g, const char *service,
-    const char *addr, usec_t now);
+void gossiper_leaving(
+    struct gossiper *g, const char *service, const char *addr, usec_t now);
 void gossiper_letter(struct gossiper *g, const peer_letter *l, usec_t now);
 void gossiper_tick(struct gossiper *g, usec_t now);
 struct gossip *gossiper_state(struct gossiper *g);
--- /dev/null
+++ b/entry/sharer.c
@@ -0,0 +1,236 @@
+#include "entry/sharer.h"
+#include "kernel/shares.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MEASURE_EVERY (500 * USEC_PER_MSEC)
+#define REPORTS_A_TICK 8
+
+/* What a workspace had used at the last measurement. */
+struct usage {
+	uint64_t arrived;
+	uint64_t tokens;
+};
+
+struct sharer {
+	struct sharer_opts o;
+	struct shares state;
+	GHashTable *usage; /* workspace -> struct usage, owned */
+	usec_t measured_at;
+	uint32_t live;
+};
+
+struct sharer *
+sharer_new(const struct sharer_opts *o)
+{
+	struct sharer *s = xcalloc(1, sizeof(*s));
+
+	s->o = *o;
+	s->usage = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
+	shares_init(&s->state, o->now, o->id, o->incarnation);
+	return s;
+}
+
+void
+sharer_members(struct sharer *s, struct members *m, usec_t now)
+{
+	size_t n;
+	const char *const *ids = member_live(m, &n);
+
+	s->live = (uint32_t)n;
+	shares_live(&s->state, now, ids, n, member_known(m));
+}
+
+static struct usage *
+usage_of(struct sharer *s, const char *workspace)
+{
+	struct usage *u = g_hash_table_lookup(s->usage, workspace);
+
+	if (u == NULL) {
+		u = xcalloc(1, sizeof(*u));
+		g_hash_table_insert(s->usage, g_strdup(workspace), u);
+	}
+	return u;
+}
+
+/* Part of a limit that an amount makes, in millionths. */
+static uint32_t
+part(double amount, uint32_t limit)
+{
+	double ppm = limit > 0 ? amount / limit * SHARES_WHOLE : 0;
+
+	return ppm < SHARES_WANT_MOST ? (uint32_t)ppm : SHARES_WANT_MOST;
+}
+
+/* The largest part that the workspace would use of any of its limits. */
+static uint32_t
+wanted(const struct conf_workspace *w, const struct traffic_limit *x,
+    const struct usage *u, double seconds)
+{
+	uint32_t most =
+	    part((double)(x->arrived - u->arrived) / seconds,
+	        w->requests_per_second);
+	uint32_t tokens = part((double)(x->tokens - u->tokens) / seconds,
+	    w->tokens_per_second);
+	uint32_t flight = part(x->in_flight, w->requests_in_flight);
+
+	if (tokens > most)
+		most = tokens;
+	return flight > most ? flight : most;
+}
+
+static void
+measure(struct sharer *s, const struct conf *conf, struct traffic *t,
+    usec_t now)
+{
+	double seconds = (double)(now - s->measured_at) / USEC_PER_SEC;
+	struct traffic_report r;
+	struct share *out;
+	size_t n = 0;
+
+	s->measured_at = now;
+	traffic_report(t, &r);
+	out = xcalloc(r.n_limits, sizeof(*out));
+	for (size_t i = 0; i < r.n_limits; i++) {
+		const struct traffic_limit *x = &r.limits[i];
+		struct usage *u = usage_of(s, x->workspace);
+		struct str name = str_from(x->workspace);
+		const struct conf_workspace *w = conf_workspace(conf, name);
+
+		if (w == NULL)
+			continue;
+		shares_want(&s->state, now, name, wanted(w, x, u, seconds));
+		u->arrived = x->arrived;
+		u->tokens = x->tokens;
+		out[n].workspace = name;
+		out[n++].ppm = shares_ppm(&s->state, now, name);
+	}
+	traffic_shares(t, s->live > 0 ? s->live : 1, out, n);
+	free(out);
+	traffic_report_free(&r);
+}
+
+static void
+send_report(struct sharer *s, const struct shares_report *r, const char *rpc)
+{
+	peer_share_claim claims[SHARES_BATCH];
+	peer_body b = { .kind = PEER_SHARE_REPORT };
+	peer_share_report *p = &b.peer_body_u.report;
+
+	p->number = r->number;
+	p->claims.claims_val = claims;
+	p->claims.claims_len = (u_int)r->n;
+	for (size_t i = 0; i < r->n; i++) {
+		claims[i].workspace = (char *)r->v[i].workspace;
+		claims[i].need = r->v[i].need;
+		claims[i].holding = r->v[i].holding;
+	}
+	rpc_send(s->o.rpc, rpc, &b);
+}
+
+static void
+report_due(struct sharer *s, struct members *m, usec_t now)
+{
+	struct shares_report r;
+	char owner[MAX_NAME_BYTES + 1];
+
+	for (int i = 0; i < REPORTS_A_TICK; i++) {
+		const struct member *to;
+
+		if (!shares_due(&s->state, now, &r, owner))
+			return;
+		to = member_find(m, owner);
+		if (to != NULL)
+			send_report(s, &r, member_rpc(to));
+	}
+}
+
+void
+sharer_tick(struct sharer *s, const struct conf *conf, struct traffic *t,
+    struct members *m, usec_t now)
+{
+	if (now - s->measured_at < MEASURE_EVERY)
+		return;
+	measure(s, conf, t, now);
+	report_due(s, m, now);
+}
+
+static void
+send_reply(struct sharer *s, const struct shares_reply *r, const char *rpc)
+{
+	peer_grant grants[SHARES_BATCH];
+	peer_body b = { .kind = PEER_SHARE_REPLY };
+	peer_share_reply *p = &b.peer_body_u.reply;
+
+	p->number = r->number;
+	p->ttl_ms = r->ttl_ms;
+	p->next_ms = r->next_ms;
+	p->grants.grants_val = grants;
+	p->grants.grants_len = (u_int)r->n;
+	for (size_t i = 0; i < r->n; i++) {
+		grants[i].workspace = (char *)r->v[i].workspace;
+		grants[i].ppm = r->v[i].ppm;
+	}
+	rpc_send(s->o.rpc, rpc, &b);
+}
+
+static void
+on_report(struct sharer *s, const peer_letter *l, usec_t now)
+{
+	const peer_share_report *p = &l->body.peer_body_u.report;
+	struct shares_report r = { .number = p->number };
+	struct shares_reply out = { 0 };
+
+	snprintf(r.from, sizeof(r.from), "%s", l->from);
+	for (u_int i = 0; i < p->claims.claims_len; i++) {
+		const peer_share_claim *x = &p->claims.claims_val[i];
+		struct shares_claim *y = &r.v[r.n++];
+
+		snprintf(y->workspace, sizeof(y->workspace), "%s",
+		    x->workspace);
+		y->need = x->need;
+		y->holding = x->holding;
+	}
+	shares_receive(&s->state, now, &r, &out);
+	send_reply(s, &out, l->rpc);
+}
+
+static void
+on_reply(struct sharer *s, const peer_letter *l, usec_t now)
+{
+	const peer_share_reply *p = &l->body.peer_body_u.reply;
+	struct shares_reply r = {
+		.number = p->number,
+		.ttl_ms = p->ttl_ms,
+		.next_ms = p->next_ms,
+	};
+
+	for (u_int i = 0; i < p->grants.grants_len; i++) {
+		struct shares_grant *y = &r.v[r.n++];
+
+		snprintf(y->workspace, sizeof(y->workspace), "%s",
+		    p->grants.grants_val[i].workspace);
+		y->ppm = p->grants.grants_val[i].ppm;
+	}
+	shares_reply(&s->state, now, &r);
+}
+
+void
+sharer_letter(struct sharer *s, const peer_letter *l, usec_t now)
+{
+	if (l->body.kind == PEER_SHARE_REPORT)
+		on_report(s, l, now);
+	else
+		on_reply(s, l, now);
+}
+
+void
+sharer_free(struct sharer *s)
+{
+	shares_free(&s->state);
+	g_hash_table_destroy(s->usage);
+	free(s);
+}
--- a/entry/traffic.c
+++ b/entry/traffic.c
@@ -207,6 +207,22 @@
 	}
 }
 
+static void
+copy_limits(const struct limits *l, struct traffic_report *r)
+{
+	r->limits = xcalloc(l->n, sizeof(*r->limits));
+	r->n_limits = l->n;
+	for (size_t i = 0; i < l->n; i++) {
+		struct traffic_limit *x = &r->limits[i];
+
+		memcpy(x->workspace, l->v[i].workspace, sizeof(x->workspace));
+		x->arrived = l->v[i].arrived;
+		x->tokens = l->v[i].charged;
+		x->in_flight = l->v[i].in_flight;
+		x->share = l->v[i].share;
+	}
+}
+
 static void
 write_report(struct traffic *t)
 {
@@ -228,8 +244,9 @@
 		    sizeof(x->service));
 		r.n_targets++;
 	}
+	copy_limits(kernel_limits(t->kernel), &r);
 	pthread_mutex_lock(&t->report_lock);
-	free(t->report.targets);
+	traffic_report_free(&t->report);
 	t->report = r;
 	pthread_mutex_unlock(&t->report_lock);
 }
@@ -406,15 +423,26 @@
 	return atomic_load(&t->busy);
 }
 
+/* A copy of n items; never NULL. */
+static void *
+copy_of(const void *v, size_t n, size_t size)
+{
+	void *p = xcalloc(n, size);
+
+	if (n > 0)
+		memcpy(p, v, n * size);
+	return p;
+}
+
 void
 traffic_report(struct traffic *t, struct traffic_report *out)
 {
 	pthread_mutex_lock(&t->report_lock);
 	*out = t->report;
-	out->targets = xcalloc(out->n_targets, sizeof(*out->targets));
-	if (out->n_targets > 0)
-		memcpy(out->targets, t->report.targets,
-		    out->n_targets * sizeof(*out->targets));
+	out->targets =
+	    copy_of(t->report.targets, out->n_targets, sizeof(*out->targets));
+	out->limits =
+	    copy_of(t->report.limits, out->n_limits, sizeof(*out->limits));
 	pthread_mutex_unlock(&t->report_lock);
 }
 
@@ -422,6 +450,7 @@
 traffic_report_free(struct traffic_report *r)
 {
 	free(r->targets);
+	free(r->limits);
 	*r = (struct traffic_report){ 0 };
 }
 
@@ -443,7 +472,7 @@
 	http_free(t->loop);
 	kernel_free(t->kernel);
 	actions_free(&t->actions);
-	free(t->report.targets);
+	traffic_report_free(&t->report);
 	pthread_mutex_destroy(&t->report_lock);
 	free(t);
 }
--- a/entry/traffic.h
+++ b/entry/traffic.h
@@ -30,11 +30,22 @@
 	struct target t;
 };
 
+/* What a workspace has used since start. */
+struct traffic_limit {
+	char workspace[MAX_NAME_BYTES + 1];
+	uint64_t arrived;
+	uint64_t tokens;
+	uint32_t in_flight;
+	uint32_t share; /* millionths; 0: the even share */
+};
+
 /* A copy of what the thread knows, renewed a few times a second. */
 struct traffic_report {
 	struct kernel_stats stats;
 	struct traffic_target *targets;
 	size_t n_targets;
+	struct traffic_limit *limits;
+	size_t n_limits;
 	size_t busy;
 	usec_t at;
 };
--- a/kernel/limit.c
+++ b/kernel/limit.c
@@ -81,7 +81,7 @@
 	struct limit *x = find(l, str_from(w->name));
 	double flight = part(l, x, w->requests_in_flight);
 
-	x->demand++;
+	x->arrived++;
 	fill_all(l, x, w, now);
 	if (w->requests_in_flight > 0 && x->in_flight >= flight &&
 	    x->in_flight > 0) {
@@ -115,7 +115,10 @@
 void
 limit_charge(struct limits *l, const char *workspace, uint32_t tokens)
 {
-	find(l, str_from(workspace))->tokens -= tokens;
+	struct limit *x = find(l, str_from(workspace));
+
+	x->tokens -= tokens;
+	x->charged += tokens;
 }
 
 void
@@ -124,16 +127,6 @@
 	find(l, workspace)->share = ppm;
 }
 
-uint32_t
-limit_demand(struct limits *l, struct str workspace)
-{
-	struct limit *x = find(l, workspace);
-	uint32_t n = x->demand;
-
-	x->demand = 0;
-	return n;
-}
-
 void
 limit_free(struct limits *l)
 {
--- a/kernel/limit.h
+++ b/kernel/limit.h
@@ -19,8 +19,9 @@
 	double tokens;   /* left in the bucket of tokens a second */
 	usec_t filled_at;
 	uint32_t in_flight;
-	uint32_t share;  /* millionths; 0: the even share */
-	uint32_t demand; /* requests since the last limit_demand */
+	uint32_t share;   /* millionths; 0: the even share */
+	uint64_t arrived; /* requests since start, admitted or not */
+	uint64_t charged; /* tokens since start */
 };
 
 struct limits {
@@ -37,8 +38,6 @@
 /* Generated tokens are charged afterwards; the bucket may go below zero. */
 void limit_charge(struct limits *l, const char *workspace, uint32_t tokens);
 void limit_set_share(struct limits *l, struct str workspace, uint32_t ppm);
-/* Requests that arrived since the last call, admitted or not. */
-uint32_t limit_demand(struct limits *l, struct str workspace);
 void limit_free(struct limits *l);
 
 #endif
--- a/tests/kernel/test_policy.c
+++ b/tests/kernel/test_policy.c
@@ -128,8 +128,7 @@
 				g_assert_cmpint(retry, >, 0);
 		}
 		g_assert_cmpuint(passed, ==, cases[i].passed);
-		g_assert_cmpuint(
-		    limit_demand(&l, STR("yard")), ==, cases[i].tried);
+		g_assert_cmpuint(l.v[0].arrived, ==, cases[i].tried);
 		limit_free(&l);
 	}
 }
