Explore: decisions must agree with the log, prefixes are sealed

Cause: trials with faults put into a scratch copy of the log showed two that the exploration let pass: an own swap that is not recognised (hidden by the claims, which grant the same delivery twice) and a seal that drops records appended meanwhile. Change: a denied record must not be in the log, none may be there or be completed twice, and one scenario has only one writer that seals.

--- a/tests/kernel/explore_writer.c
+++ b/tests/kernel/explore_writer.c
@@ -122,6 +122,7 @@
 {
 	struct claim cl = ask_claim(&scenario->asks[d->tag], (unsigned)d->tag);
 
+	g_assert_false(w->out->answered[d->tag]);
 	w->out->answered[d->tag] = true;
 	w->out->result[d->tag] = claims_verdict(w->claims, &cl, d).result;
 	if (d->result == ALOG_ACCEPTED)
@@ -148,7 +149,8 @@
 		keep_from };
 	struct alog_opts o = { .key = HEAD_KEY,
 		.incarnation = w->self + 1,
-		.seal_bytes = scenario->seal ? 1 : ALOG_MAX_PAYLOAD,
+		.seal_bytes =
+		    w->self < scenario->sealers ? 1 : ALOG_MAX_PAYLOAD,
 		.batch_bytes = ALOG_MAX_PAYLOAD,
 		.ops = &ops,
 		.arg = w };
--- a/tests/kernel/explore_writer.h
+++ b/tests/kernel/explore_writer.h
@@ -35,7 +35,7 @@
 	struct ask asks[N_REQUESTS];
 	uint8_t early;    /* so many are asked before anything else happens */
 	bool old_segment; /* start with records that retention drops */
-	bool seal;
+	uint8_t sealers;  /* so many writers seal all they can */
 	uint8_t losses;
 	uint8_t repeats;
 	uint8_t watches;
--- a/tests/kernel/test_alog_explore.c
+++ b/tests/kernel/test_alog_explore.c
@@ -12,6 +12,7 @@
 #define MAX_KEYS     10
 #define MAX_DEPTH    128
 #define KEY_K        "017f22e2-79b0-7cc3-98c4-dc0c0c07398f"
+#define KEY_M        "017f22e2-79b0-7cc3-98c4-dc0c0c073991"
 #define KEY_L        "017f22e2-79b0-7cc3-98c4-dc0c0c073990"
 
 enum message_kind {
@@ -52,6 +53,7 @@
 
 static const struct scenario *scenario;
 static GHashTable *visited;
+static uint16_t payloads[N_REQUESTS];
 static const char *violation;
 static size_t ends;
 static const char *trace[MAX_DEPTH];
@@ -172,13 +174,23 @@
 		if (s > 1 && n->folded[s - 1] == 0 && w->truth[s - 1] == 0)
 			violate("serials are not dense");
 	}
-	for (unsigned i = 0; i < N_REQUESTS; i++) {
-		if (n->accepted[i] != 0 &&
-		    scenario->variant != VARIANT_NUMBERED &&
-		    w->truth[n->accepted[i]] !=
-			ask_payload(&scenario->asks[i], i))
-			violate("an accepted record is not in the log");
-	}
+}
+
+/* A decision must agree with what has been in the log, where it is once. */
+static void
+check_request(const struct world *w, const struct node *n, unsigned i)
+{
+	uint16_t payload = payloads[i];
+	unsigned times = 0;
+
+	for (size_t s = 1; s < MAX_SERIAL; s++)
+		times += w->truth[s] == payload;
+	if (times > 1)
+		violate("a record is in the log twice");
+	if (n->accepted[i] != 0 && w->truth[n->accepted[i]] != payload)
+		violate("an accepted record is not in the log");
+	if (n->answered[i] && n->accepted[i] == 0 && times > 0)
+		violate("a record was denied and is in the log");
 }
 
 static bool
@@ -234,6 +246,10 @@
 	for (size_t i = 0; i < N_WRITERS; i++)
 		check_writer(w, writers_node(w->nodes[i]));
 	for (unsigned i = 0; i < N_REQUESTS; i++) {
+		if (scenario->variant != VARIANT_NUMBERED)
+			check_request(w,
+			    writers_node(w->nodes[scenario->asks[i].writer]),
+			    i);
 		for (unsigned j = 0; j < N_REQUESTS; j++)
 			check_pair(w, i, j);
 	}
@@ -410,12 +426,18 @@
 	return memcmp(a, b, sizeof(struct world)) == 0;
 }
 
-#define OLD_RECORD "{\"s\":1,\"w\":\"x\",\"n\":1,\"t\":0,\"p\":{\"o\":1}}"
+/* Long enough that the newest record alone makes sealing due. */
+#define OLD_PAYLOAD \
+	"{\"old\":" \
+	"\"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\"}"
 #define OLD_HEAD                                                        \
 	"{\"version\":1,\"serial\":2,\"first\":1,\"newest\":[{\"s\":2," \
-	"\"w\":\"x\",\"n\":2,\"t\":1645557742000000,\"p\":{\"o\":2}}]," \
-	"\"segments\":[{\"name\":\"log/x\",\"first\":1,\"last\":1,"     \
+	"\"w\":\"x\",\"n\":2,\"t\":1645557742000000,\"p\":" OLD_PAYLOAD \
+	"}],\"segments\":[{\"name\":\"log/x\",\"first\":1,\"last\":1,"  \
 	"\"time\":0}]}"
+#define OLD_SEGMENT                                                        \
+	"{\"version\":1,\"newest\":[{\"s\":1,\"w\":\"x\",\"n\":1,\"t\":0," \
+	"\"p\":" OLD_PAYLOAD "}]}"
 
 /* A log whose first segment retention is about to drop. */
 static void
@@ -424,9 +446,8 @@
 	w->store[0] = (struct slot){ intern(STR(HEAD_KEY)),
 		intern(STR(OLD_HEAD)), ++w->revision };
 	w->store[1] = (struct slot){ intern(STR("log/x")),
-		intern(STR("{\"version\":1,\"newest\":[" OLD_RECORD "]}")),
-		++w->revision };
-	w->truth[1] = intern(STR("{\"o\":1}"));
+		intern(STR(OLD_SEGMENT)), ++w->revision };
+	w->truth[1] = intern(STR(OLD_PAYLOAD));
 	witness_head(w, w->store[0].value);
 }
 
@@ -443,6 +464,8 @@
 	ends = 0;
 	visited = g_hash_table_new_full(world_hash, world_equal, g_free, NULL);
 	writers_begin(s);
+	for (unsigned i = 0; i < N_REQUESTS; i++)
+		payloads[i] = ask_payload(&s->asks[i], i);
 	w.losses = s->losses;
 	w.repeats = s->repeats;
 	w.watches = s->watches;
@@ -495,11 +518,15 @@
 		{ "sealing and retention", VARIANT_LOG,
 		    { CLAIM(0, KEY_K, 1), CLAIM(1, KEY_K, 1),
 			CLAIM(1, KEY_L, 1) },
-		    .early = 2, .old_segment = true, .seal = true },
+		    .early = 2, .old_segment = true, .sealers = 2 },
+		{ "only one seals", VARIANT_LOG,
+		    { CLAIM(0, KEY_K, 1), REFUSE(1, KEY_M, 1),
+			CLAIM(1, KEY_L, 1) },
+		    .early = 2, .old_segment = true, .sealers = 1 },
 		{ "sealing and retention, losses", VARIANT_LOG,
 		    { CLAIM(0, KEY_K, 1), CLAIM(1, KEY_K, 1),
 			REFUSE(0, KEY_K, 1) },
-		    .early = 3, .old_segment = true, .seal = true,
+		    .early = 3, .old_segment = true, .sealers = 2,
 		    .losses = 1 },
 	};
 
