Claims: a key that any host may have forgotten stays old

Cause: what is old followed the host's present retention alone. Change: the boundary of old keys never goes back; a head notes the time before which records were dropped and each log is told it before admit is asked; without a known retention nothing is dropped or old.

--- a/kernel/alog.h
+++ b/kernel/alog.h
@@ -88,6 +88,11 @@
 	void (*restore)(void *arg, const json_t *state);
 	/* Optional: segments with only older records are dropped. */
 	usec_t (*keep_from)(void *arg);
+	/*
+	 * Optional: some process has dropped records from before this time.
+	 * Told before admit is asked at a head where it holds.
+	 */
+	void (*dropped)(void *arg, usec_t from);
 };
 
 struct alog_opts {
--- a/kernel/alog_doc.c
+++ b/kernel/alog_doc.c
@@ -141,6 +141,12 @@
 	return get_u64(head, "first");
 }
 
+usec_t
+alog_doc_from(const json_t *head)
+{
+	return (usec_t)get_u64(head, "from");
+}
+
 uint64_t
 alog_doc_newest_first(const json_t *head)
 {
@@ -309,5 +315,7 @@
 		    json_integer((json_int_t)get_u64(s, "last") + 1));
 		json_array_remove(l, 0);
 	}
+	if (json_array_size(names) > 0 && keep_from > alog_doc_from(head))
+		json_object_set_new(head, "from", json_integer(keep_from));
 	return names;
 }
--- a/kernel/alog_doc.h
+++ b/kernel/alog_doc.h
@@ -3,12 +3,13 @@
  *
  * Head: {"version", "serial", "first", "newest": [record...],
  *        "segments": [{"name", "first", "last", "time"}...],
- *        "snapshot": {"serial", "state"}}
+ *        "from", "snapshot": {"serial", "state"}}
  * Segment: {"version", "newest": [record...]}
  * Record: {"s": serial, "w": writer, "n": its swap's number, "t": time,
  *          "p": payload}
  *
  * "serial" is that of the last record, "first" that of the first one kept.
+ * "from", if there, is the time before which records have been dropped.
  * Serials are dense: segments and then newest cover first..serial.
  * A document that was read is checked, so the accessors can't fail.
  */
@@ -39,6 +40,8 @@
 
 uint64_t alog_doc_serial(const json_t *head);
 uint64_t alog_doc_first(const json_t *head);
+/* The time before which records may have been dropped; 0: none. */
+usec_t alog_doc_from(const json_t *head);
 /* The serial of the first record in newest; serial + 1 if there is none. */
 uint64_t alog_doc_newest_first(const json_t *head);
 /* Bytes that the newest records and the list of segments take. */
@@ -68,8 +71,8 @@
 /* Sets the snapshot as of the head's serial; takes over state. */
 void alog_doc_set_snapshot(json_t *head, json_t *state);
 /*
- * Takes segments whose records are all older than keep_from off the list and
- * returns their names as an array.
+ * Takes segments whose records are all older than keep_from off the list,
+ * notes that time in the head, and returns their names as an array.
  */
 json_t *alog_doc_expire(json_t *head, usec_t keep_from);
 
--- a/kernel/alog_fold.c
+++ b/kernel/alog_fold.c
@@ -81,6 +81,8 @@
 bool
 alog_fold_catch_up(struct alog *l)
 {
+	if (l->o.ops->dropped != NULL)
+		l->o.ops->dropped(l->o.arg, alog_doc_from(l->head));
 	while (l->serial < alog_doc_serial(l->head)) {
 		uint64_t want = l->serial + 1;
 		const char *name;
--- a/kernel/claims.c
+++ b/kernel/claims.c
@@ -36,8 +36,7 @@
 struct claims {
 	GHashTable *entries;
 	size_t answer_bytes;
-	usec_t wall;
-	usec_t retention;
+	usec_t old_before; /* keys made earlier are old; never goes back */
 	usec_t swept;
 };
 
@@ -110,7 +109,7 @@
 static usec_t
 keep_from(const struct claims *c)
 {
-	return c->wall - c->retention - KEEP_MARGIN;
+	return c->old_before - KEEP_MARGIN;
 }
 
 static gboolean
@@ -130,12 +129,13 @@
 void
 claims_tick(struct claims *c, usec_t wall, usec_t retention)
 {
-	if (wall > c->wall)
-		c->wall = wall;
-	c->retention = retention;
-	if (c->wall - c->swept < retention / SWEEP_FRACTION)
+	if (retention == 0)
 		return;
-	c->swept = c->wall;
+	if (wall - retention > c->old_before)
+		c->old_before = wall - retention;
+	if (c->old_before - c->swept < retention / SWEEP_FRACTION)
+		return;
+	c->swept = c->old_before;
 	g_hash_table_foreach_remove(c->entries, is_forgotten, c);
 }
 
@@ -234,7 +234,9 @@
 static bool
 is_old(const struct claims *c, const struct claim *cl)
 {
-	return uuid7_check(cl->key, c->wall, c->retention) == ERR_KEY_OLD;
+	struct entry id;
+
+	return entry_id(cl, &id) && uuid7_time(id.uuid) < c->old_before;
 }
 
 bool
@@ -378,10 +380,21 @@
 	return keep_from(arg);
 }
 
+/* Claims of keys from up to the margin after dropped records may be gone. */
+static void
+dropped(void *arg, usec_t from)
+{
+	struct claims *c = arg;
+
+	if (from > 0 && from + KEEP_MARGIN > c->old_before)
+		c->old_before = from + KEEP_MARGIN;
+}
+
 const struct alog_ops claims_ops = {
 	.admit = admit,
 	.apply = apply,
 	.keep_from = oldest_kept,
+	.dropped = dropped,
 };
 
 size_t
--- a/kernel/claims.h
+++ b/kernel/claims.h
@@ -10,7 +10,8 @@
  *  - The same delivery (holder, request id and attempt) asking again gets the
  *    same decision.
  *  - A key older than the retention is never granted, so that claims may be
- *    forgotten after it.
+ *    forgotten after it.  Nor is one whose claim some host may have forgotten
+ *    under a shorter retention.
  */
 #ifndef KERNEL_CLAIMS_H
 #define KERNEL_CLAIMS_H
@@ -33,9 +34,10 @@
 struct claims *claims_new(void);
 void claims_free(struct claims *c);
 /*
- * Sets the time since the Unix epoch and the retention, and forgets keys that
- * every host takes for old.  To be called before the first record and then
- * every second or so; time never goes back.
+ * Sets the time since the Unix epoch and the retention (0: not known yet, so
+ * nothing is forgotten) and forgets keys that every host takes for old.  To be
+ * called before the first record and then every second or so.  What was old
+ * once stays so, whatever becomes of time and retention.
  */
 void claims_tick(struct claims *c, usec_t wall, usec_t retention);
 
--- a/tests/kernel/explore_writer.c
+++ b/tests/kernel/explore_writer.c
@@ -117,6 +117,12 @@
 	return claims_ops.keep_from(((struct writer *)arg)->claims);
 }
 
+static void
+dropped(void *arg, usec_t from)
+{
+	claims_ops.dropped(((struct writer *)arg)->claims, from);
+}
+
 static void
 finish(struct writer *w, const struct alog_done *d)
 {
@@ -145,8 +151,10 @@
 static void
 log_happens(struct writer *w, const struct happening *h)
 {
-	static const struct alog_ops ops = { admit, apply, NULL, NULL,
-		keep_from };
+	static const struct alog_ops ops = { .admit = admit,
+		.apply = apply,
+		.keep_from = keep_from,
+		.dropped = dropped };
 	struct alog_opts o = { .key = HEAD_KEY,
 		.incarnation = w->self + 1,
 		.seal_bytes =
--- a/tests/kernel/test_alog.c
+++ b/tests/kernel/test_alog.c
@@ -29,6 +29,7 @@
 	struct store *store;
 	GString *folded;
 	usec_t keep_from;
+	usec_t dropped;
 	int result[MAX_TAGS];
 	int code;
 };
@@ -134,8 +135,19 @@
 	return ((struct host *)arg)->keep_from;
 }
 
-static const struct alog_ops plain = { admit, apply, NULL, NULL, keep_from };
-static const struct alog_ops kept = { admit, apply, snapshot, restore, NULL };
+static void
+dropped(void *arg, usec_t from)
+{
+	((struct host *)arg)->dropped = from;
+}
+
+static const struct alog_ops plain = { .admit = admit,
+	.apply = apply,
+	.keep_from = keep_from,
+	.dropped = dropped };
+static const struct alog_ops kept = {
+	.admit = admit, .apply = apply, .snapshot = snapshot, .restore = restore
+};
 
 static void
 host_start(struct host *h, struct store *s, uint64_t incarnation,
@@ -379,6 +391,7 @@
 	pump(&late, "");
 	g_assert_cmpuint(alog_serial(late.log), ==, alog_serial(h.log));
 	g_assert_true(g_str_has_suffix(late.folded->str, "ghijklm"));
+	g_assert_cmpint(late.dropped, ==, RECENT);
 	g_assert_true(g_str_has_suffix(h.folded->str, late.folded->str));
 	host_stop(&h);
 	host_stop(&late);
--- a/tests/kernel/test_claims.c
+++ b/tests/kernel/test_claims.c
@@ -168,6 +168,43 @@
 	claims_free(c);
 }
 
+/* A key that one host may have forgotten is old for all, for good. */
+static void
+test_floor(void)
+{
+	static const struct {
+		const char *name;
+		usec_t wall[2]; /* after MADE, with its retention */
+		usec_t retention[2];
+		usec_t dropped; /* after MADE; 0: nothing */
+		enum claim_result want;
+	} cases[] = {
+		{ "retention not known", { RETENTION }, { 0 }, 0,
+		    CLAIM_GRANTED },
+		{ "retention raised", { RETENTION + 1, RETENTION + 1 },
+		    { RETENTION, 2 * RETENTION }, 0, CLAIM_OLD },
+		{ "clock set back", { RETENTION + 1, 0 },
+		    { RETENTION, RETENTION }, 0, CLAIM_OLD },
+		{ "dropped by another host", { 0, 0 }, { 0, RETENTION }, 1,
+		    CLAIM_OLD },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct claims *c = claims_new();
+		struct ask ask = CLAIM(1, 1, CLAIM_GRANTED);
+		struct claim cl = to_claim(&ask);
+
+		for (size_t j = 0; j < 2; j++)
+			claims_tick(
+			    c, MADE + cases[i].wall[j], cases[i].retention[j]);
+		if (cases[i].dropped > 0)
+			claims_ops.dropped(c, MADE + cases[i].dropped);
+		g_test_message("%s", cases[i].name);
+		g_assert_cmpint(run(c, &cl).result, ==, cases[i].want);
+		claims_free(c);
+	}
+}
+
 static void
 test_memory(void)
 {
@@ -220,6 +257,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/claims/decisions", test_decisions);
 	g_test_add_func("/claims/retention", test_retention);
+	g_test_add_func("/claims/floor", test_floor);
 	g_test_add_func("/claims/memory", test_memory);
 	g_test_add_func("/claims/unpack", test_unpack);
 	g_test_add_func("/claims/writer", test_writer);
