--- a/tests/kernel/explore_writer.c
+++ b/tests/kernel/explore_writer.c
@@ -117,11 +117,18 @@
 	return claims_ops.keep_from(((struct writer *)arg)->claims);
 }
 
+static void
+dropped(void *arg, usec_t from)
+{
+	claims_ops.dropped(((struct writer *)arg)->claims, from);
+}
+
 static void
 finish(struct writer *w, const struct alog_done *d)
 {
 	struct claim cl = ask_claim(&scenario->asks[d->tag], (unsigned)d->tag);
 
+	g_assert_false(w->out->answered[d->tag]);
 	w->out->answered[d->tag] = true;
 	w->out->result[d->tag] = claims_verdict(w->claims, &cl, d).result;
 	if (d->result == ALOG_ACCEPTED)
@@ -144,11 +151,14 @@
 static void
 log_happens(struct writer *w, const struct happening *h)
 {
-	static const struct alog_ops ops = { admit, apply, NULL, NULL,
-		keep_from };
+	static const struct alog_ops ops = { .admit = admit,
+		.apply = apply,
+		.keep_from = keep_from,
+		.dropped = dropped };
 	struct alog_opts o = { .key = HEAD_KEY,
 		.incarnation = w->self + 1,
-		.seal_bytes = scenario->seal ? 1 : ALOG_MAX_PAYLOAD,
+		.seal_bytes =
+		    w->self < scenario->sealers ? 1 : ALOG_MAX_PAYLOAD,
 		.batch_bytes = ALOG_MAX_PAYLOAD,
 		.ops = &ops,
 		.arg = w };
