--- a/entry/claimer.c
+++ b/entry/claimer.c
@@ -13,7 +13,8 @@
 #define FORWARD_TIME  (200 * USEC_PER_MSEC) /* then the own swap is tried */
 #define SETTLE_REPEAT (2 * USEC_PER_SEC)
 #define SETTLE_MOST   (120 * USEC_PER_SEC)
-#define TAKEN_WAIT    (2 * USEC_PER_SEC) /* for a running delivery's end */
+#define TAKEN_WAIT    (2 * USEC_PER_SEC)    /* for a running delivery's end */
+#define TAKEN_UNKNOWN (500 * USEC_PER_MSEC) /* if its host is not known */
 #define TAKEN_REFRESH (200 * USEC_PER_MSEC)
 #define OUTAGE_AFTER  (1 * USEC_PER_SEC)    /* of a silent service */
 #define OUTAGE_TIME   (300 * USEC_PER_MSEC) /* that a claim then waits */
--- a/entry/sharer.c
+++ b/entry/sharer.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MEASURE_EVERY (500 * USEC_PER_MSEC)
+#define MEASURE_EVERY  (500 * USEC_PER_MSEC)
 #define REPORTS_A_TICK 8
 
 /* What a workspace had used at the last measurement. */
@@ -70,11 +70,10 @@
 wanted(const struct conf_workspace *w, const struct traffic_limit *x,
     const struct usage *u, double seconds)
 {
-	uint32_t most =
-	    part((double)(x->arrived - u->arrived) / seconds,
-	        w->requests_per_second);
-	uint32_t tokens = part((double)(x->tokens - u->tokens) / seconds,
-	    w->tokens_per_second);
+	uint32_t most = part((double)(x->arrived - u->arrived) / seconds,
+	    w->requests_per_second);
+	uint32_t tokens = part(
+	    (double)(x->tokens - u->tokens) / seconds, w->tokens_per_second);
 	uint32_t flight = part(x->in_flight, w->requests_in_flight);
 
 	if (tokens > most)
@@ -83,8 +82,8 @@
 }
 
 static void
-measure(struct sharer *s, const struct conf *conf, struct traffic *t,
-    usec_t now)
+measure(
+    struct sharer *s, const struct conf *conf, struct traffic *t, usec_t now)
 {
 	double seconds = (double)(now - s->measured_at) / USEC_PER_SEC;
 	struct traffic_report r;
@@ -189,8 +188,8 @@
 		const peer_share_claim *x = &p->claims.claims_val[i];
 		struct shares_claim *y = &r.v[r.n++];
 
-		snprintf(y->workspace, sizeof(y->workspace), "%s",
-		    x->workspace);
+		snprintf(
+		    y->workspace, sizeof(y->workspace), "%s", x->workspace);
 		y->need = x->need;
 		y->holding = x->holding;
 	}
--- a/entry/sharer.h
+++ b/entry/sharer.h
@@ -23,8 +23,8 @@
 /* Who lives has changed. */
 void sharer_members(struct sharer *s, struct members *m, usec_t now);
 /* Measures demand and sends reports that are due. */
-void sharer_tick(struct sharer *s, const struct conf *conf,
-    struct traffic *t, struct members *m, usec_t now);
+void sharer_tick(struct sharer *s, const struct conf *conf, struct traffic *t,
+    struct members *m, usec_t now);
 /* PEER_SHARE_REPORT and PEER_SHARE_REPLY. */
 void sharer_letter(struct sharer *s, const peer_letter *l, usec_t now);
 void sharer_free(struct sharer *s);
