--- a/kernel/gossip.c
+++ b/kernel/gossip.c
@@ -1,4 +1,4 @@
-#include "kernel/gossip.h"
+#include "kernel/gossip_fill.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -14,8 +14,6 @@
 #define BUSY_TIME     (5 * USEC_PER_SEC) /* after a new generation */
 #define SUSPECT_BASE  (3 * USEC_PER_SEC)
 #define SUSPECT_STEP  (300 * USEC_PER_MSEC) /* for each doubling */
-#define FEWER_PART    32                    /* fewer by this part: far fewer */
-#define ROTATING      1
 #define LEAVING_TIMES 24
 
 enum near {
@@ -72,41 +70,8 @@
 	return t;
 }
 
-static size_t
-text_bytes(const char *c)
-{
-	return 4 + (strlen(c) + 3) / 4 * 4;
-}
-
-static size_t
-info_bytes(const struct member_info *x)
-{
-	return text_bytes(x->id) + text_bytes(x->rpc) +
-	    text_bytes(x->operators) + text_bytes(x->domain) + 8 + 8 + 4;
-}
-
-static size_t
-leaving_bytes(const struct gossip_leaving *x)
-{
-	return text_bytes(x->service) + text_bytes(x->addr) + 4;
-}
-
-size_t
-gossip_bytes(const struct gossip_message *m)
-{
-	size_t n = info_bytes(&m->self) + 8 + sizeof(m->digests) + 4 + 4 +
-	    text_bytes(m->holder) + text_bytes(m->check) +
-	    text_bytes(m->reached) + 4 + 4;
-
-	for (size_t i = 0; i < m->n_infos; i++)
-		n += info_bytes(&m->infos[i]);
-	for (size_t i = 0; i < m->n_leaving; i++)
-		n += leaving_bytes(&m->leaving[i]);
-	return n;
-}
-
-static void
-expire_leaving(struct gossip *g, usec_t now)
+void
+gossip_expire(struct gossip *g, usec_t now)
 {
 	for (size_t i = g->n_leaving; i > 0; i--) {
 		if (now >= g->leaving[i - 1].until)
@@ -139,7 +104,7 @@
 gossip_leaving(
     struct gossip *g, usec_t now, const char *service, const char *addr)
 {
-	expire_leaving(g, now);
+	gossip_expire(g, now);
 	note_leaving(g, now + LEAVING_KEEP, service, addr);
 }
 
@@ -152,164 +117,11 @@
 	g_ptr_array_add(g->watched, m);
 }
 
-/* Adds an entry if it fits into what is left of the bytes. */
-static bool
-add_info(struct gossip *g, struct gossip_message *m, struct member *x,
-    bool full, size_t *bytes)
-{
-	struct member_info *info = &m->infos[m->n_infos];
-	size_t n;
-
-	if (m->n_infos == GOSSIP_INFOS)
-		return false;
-	member_info(&g->members, x, info);
-	if (!full) {
-		info->rpc[0] = '\0';
-		info->operators[0] = '\0';
-		info->domain[0] = '\0';
-	}
-	n = info_bytes(info);
-	if (n > *bytes)
-		return false;
-	*bytes -= n;
-	m->n_infos++;
-	return true;
-}
-
-static void
-add_leaving(
-    struct gossip *g, usec_t now, struct gossip_message *m, size_t *bytes)
-{
-	expire_leaving(g, now);
-	for (size_t i = g->n_leaving; i > 0 && m->n_leaving < GOSSIP_LEAVING;
-	     i--) {
-		struct leaving *x = &g->leaving[i - 1];
-		struct gossip_leaving *y = &m->leaving[m->n_leaving];
-
-		if (x->news_left == 0)
-			continue;
-		snprintf(y->service, sizeof(y->service), "%s", x->service);
-		snprintf(y->addr, sizeof(y->addr), "%s", x->addr);
-		y->left_ms = (uint32_t)((x->until - now) / USEC_PER_MSEC);
-		if (leaving_bytes(y) > *bytes)
-			return;
-		*bytes -= leaving_bytes(y);
-		x->news_left--;
-		m->n_leaving++;
-	}
-}
-
-/* The newest news; what was sent goes behind what was not. */
-static bool
-add_news(
-    struct gossip *g, GQueue *news, struct gossip_message *m, size_t *bytes)
-{
-	for (guint k = g_queue_get_length(news); k > 0; k--) {
-		struct member *x = g_queue_peek_head(news);
-
-		if (!add_info(g, m, x, x->full, bytes))
-			return false;
-		if (--x->news_left > 0) {
-			g_queue_unlink(news, x->news);
-			g_queue_push_tail_link(news, x->news);
-		} else {
-			g_queue_delete_link(news, x->news);
-			x->news = NULL;
-		}
-	}
-	return true;
-}
-
-/* A run of members from a random place, in full. */
-static void
-add_rotating(struct gossip *g, struct gossip_message *m, size_t *bytes)
-{
-	struct members *t = &g->members;
-	size_t at = rng_below(&g->rng, t->n);
-
-	for (size_t i = 0; i < ROTATING && i < t->n; i++) {
-		struct member *x = t->v[(at + i) % t->n];
-
-		if (x != t->self && x->state != MEMBER_LEFT &&
-		    !add_info(g, m, x, true, bytes))
-			return;
-	}
-}
-
-/* Members of those parts of the table in which the other one differs. */
-static void
-add_differing(struct gossip *g, struct gossip_message *m,
-    const struct gossip_message *other, size_t *bytes)
-{
-	struct members *t = &g->members;
-	size_t at = rng_below(&g->rng, t->n);
-
-	for (size_t i = 0; i < t->n; i++) {
-		struct member *x = t->v[(at + i) % t->n];
-
-		if (t->digests[x->bucket] != other->digests[x->bucket] &&
-		    x != t->self && x->state != MEMBER_LEFT &&
-		    !add_info(g, m, x, true, bytes))
-			return;
-	}
-}
-
-/* Starts a message with what every message says. */
-static void
-begin(struct gossip *g, struct gossip_send *out, const char *rpc, bool answer)
-{
-	struct members *t = &g->members;
-
-	snprintf(out->rpc, sizeof(out->rpc), "%s", rpc);
-	out->m.n_infos = 0;
-	out->m.n_leaving = 0;
-	out->m.check[0] = '\0';
-	out->m.reached[0] = '\0';
-	out->m.answer = answer;
-	out->m.generation = t->generation;
-	memcpy(out->m.holder, t->holder, sizeof(out->m.holder));
-	out->m.up = (uint32_t)t->n_up;
-	memcpy(out->m.digests, t->digests, sizeof(t->digests));
-	member_info(t, t->self, &out->m.self);
-}
-
-/* Fills a message; to is NULL for an address of which no more is known. */
-static void
-fill(struct gossip *g, usec_t now, struct gossip_message *m, struct member *to)
-{
-	size_t bytes = GOSSIP_BYTES - gossip_bytes(m);
-
-	if (to != NULL && to->state >= MEMBER_SUSPECT)
-		add_info(g, m, to, true, &bytes);
-	add_leaving(g, now, m, &bytes);
-	if (add_news(g, &g->members.news, m, &bytes) &&
-	    add_news(g, &g->members.joins, m, &bytes))
-		add_rotating(g, m, &bytes);
-}
-
-/* Answers a message: more to one that knows fewer or others. */
-static void
-answer(struct gossip *g, usec_t now, const struct gossip_message *asked,
-    struct member *to, struct gossip_send *out)
-{
-	const struct members *t = &g->members;
-	size_t bytes = GOSSIP_DIFF_BYTES;
-
-	begin(g, out, member_rpc(to), false);
-	fill(g, now, &out->m, to);
-	if (memcmp(asked->digests, t->digests, sizeof(t->digests)) == 0)
-		return;
-	if (asked->up + asked->up / FEWER_PART + 1 < t->n_up)
-		bytes = GOSSIP_PAGE_BYTES;
-	bytes -= gossip_bytes(&out->m);
-	add_differing(g, &out->m, asked, &bytes);
-}
-
 static void
 ask(struct gossip *g, usec_t now, struct member *to, struct gossip_send *out)
 {
-	begin(g, out, member_rpc(to), true);
-	fill(g, now, &out->m, to);
+	gossip_begin(g, out, member_rpc(to), true);
+	gossip_fill(g, now, &out->m, to);
 }
 
 /* Asks a member that is blamed if it stays silent. */
@@ -369,8 +181,8 @@
 		m = member_at(t, rpc);
 		if (m != NULL && (m == t->self || m->state != MEMBER_GONE))
 			continue;
-		begin(g, out, rpc, true);
-		fill(g, now, &out->m, m);
+		gossip_begin(g, out, rpc, true);
+		gossip_fill(g, now, &out->m, m);
 		return 1;
 	}
 	for (int i = 0; i < CONTACT_TRIES; i++) {
@@ -417,9 +229,9 @@
 
 		if (x == NULL)
 			break;
-		begin(g, &out[n], member_rpc(x), false);
+		gossip_begin(g, &out[n], member_rpc(x), false);
 		snprintf(out[n].m.check, sizeof(out[n].m.check), "%s", m->text);
-		fill(g, now, &out[n++].m, x);
+		gossip_fill(g, now, &out[n++].m, x);
 	}
 	return n;
 }
@@ -498,7 +310,7 @@
 		if (x != NULL && x->state == MEMBER_SUSPECT)
 			watch(g, x);
 	}
-	expire_leaving(g, now);
+	gossip_expire(g, now);
 	for (size_t i = 0; i < m->n_leaving && i < GOSSIP_LEAVING; i++) {
 		const struct gossip_leaving *x = &m->leaving[i];
 		usec_t left = (usec_t)x->left_ms * USEC_PER_MSEC;
@@ -548,10 +360,10 @@
 		if (f->until <= now || f->subject != from)
 			continue;
 		f->until = 0;
-		begin(g, out, member_rpc(f->asker), false);
+		gossip_begin(g, out, member_rpc(f->asker), false);
 		snprintf(
 		    out->m.reached, sizeof(out->m.reached), "%s", from->text);
-		fill(g, now, &out->m, f->asker);
+		gossip_fill(g, now, &out->m, f->asker);
 		return 1;
 	}
 	return 0;
@@ -582,6 +394,6 @@
 	if (m->check[0] != '\0')
 		n += do_favour(g, now, from, m->check, out + n);
 	if (m->answer)
-		answer(g, now, m, from, &out[n++]);
+		gossip_answer(g, now, m, from, &out[n++]);
 	return n;
 }
--- a/kernel/member.c
+++ b/kernel/member.c
@@ -191,7 +191,7 @@
 	count_up(t, t->self, true);
 	t->self->incarnation = self->incarnation;
 	t->self->heard = now;
-	spread(t, t->self, true);
+	t->self->changed = now;
 }
 
 static void
@@ -247,7 +247,6 @@
 		return false;
 	m->incarnation++;
 	m->changed = now;
-	spread(t, m, false);
 	return true;
 }
 
@@ -345,14 +344,12 @@
 	if (t->self->state != MEMBER_LIVE)
 		return;
 	set_state(t, now, t->self, MEMBER_DRAINING);
-	spread(t, t->self, false);
 }
 
 void
 member_leave(struct members *t, usec_t now)
 {
 	set_state(t, now, t->self, MEMBER_LEFT);
-	spread(t, t->self, false);
 }
 
 void
--- a/kernel/member.h
+++ b/kernel/member.h
@@ -99,7 +99,10 @@
 /* Takes news of a member; false if it is not newer than what is known. */
 bool member_update(
     struct members *t, usec_t now, const struct member_info *info);
-/* This process has another generation in force, drains, or leaves. */
+/*
+ * This process has another generation in force, drains, or leaves.  Every
+ * message names its sender's state, so this needs no news.
+ */
 void member_generation(struct members *t, usec_t now, uint64_t generation);
 void member_drain(struct members *t, usec_t now);
 void member_leave(struct members *t, usec_t now);
