Test the reports that one owner takes at the target size

Cause: the cost of shares had been argued but not run. Change: a case with 1,400 holders whose demand keeps moving.

--- a/tests/kernel/test_shares.c
+++ b/tests/kernel/test_shares.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define NODES      9
@@ -324,6 +325,53 @@
 	}
 }
 
+#define HOLDERS  1400
+/* Whole turns of all holders, in seconds. */
+#define MEASURED (5 * HOLDERS / SHARES_REPORTS)
+#define WARM_UP  200
+
+/* The demand of all at the target size moves at once, again and again. */
+static void
+test_cost(void)
+{
+	static const char *const ids[] = { "owner" };
+	struct shares *v = xcalloc(HOLDERS, sizeof(*v));
+	struct shares owner;
+	struct shares_report r;
+	struct shares_reply reply;
+	char to[MAX_NAME_BYTES + 1];
+	usec_t now = USEC_PER_SEC;
+	int reports = 0;
+
+	shares_init(&owner, now, "owner", 1);
+	shares_live(&owner, now, ids, 1, HOLDERS);
+	for (int i = 0; i < HOLDERS; i++) {
+		g_autofree char *id = g_strdup_printf("n%d", i);
+
+		shares_init(&v[i], now, id, 1);
+		shares_live(&v[i], now, ids, 1, HOLDERS);
+	}
+	for (int t = 0; t < WARM_UP + MEASURED; t++, now += USEC_PER_SEC) {
+		shares_due(&owner, now, &r, to);
+		for (int i = 0; i < HOLDERS; i++) {
+			shares_want(&v[i], now, WORKSPACE,
+			    t / 10 % 2 == 0 ? 2000 : 4000);
+			if (!shares_due(&v[i], now, &r, to))
+				continue;
+			reports += t >= WARM_UP;
+			shares_receive(&owner, now, &r, &reply);
+			shares_reply(&v[i], now, &reply);
+		}
+	}
+	g_test_message("%d holders: %d reports in %d s to one owner", HOLDERS,
+	    reports, (int)MEASURED);
+	g_assert_cmpint(reports, <=, MEASURED * SHARES_REPORTS);
+	for (int i = 0; i < HOLDERS; i++)
+		shares_free(&v[i]);
+	shares_free(&owner);
+	free(v);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -332,5 +380,6 @@
 	g_test_add_func("/shares/owner-change", test_owner_change);
 	g_test_add_func("/shares/stale-reply", test_stale_reply);
 	g_test_add_func("/shares/faults", test_faults);
+	g_test_add_func("/shares/cost", test_cost);
 	return g_test_run();
 }
