--- a/tests/kernel/test_member.c
+++ b/tests/kernel/test_member.c
@@ -360,6 +360,45 @@
 	fleet_free(f);
 }
 
+/* Silence counts only while this process could have heard. */
+static void
+test_silence(void)
+{
+	static const struct {
+		const char *name;
+		int rounds;
+		usec_t pause;
+		enum member_state state;
+	} cases[] = {
+		{ "asked just now", 2, 0, MEMBER_LIVE },
+		{ "asked for long", 8, 0, MEMBER_SUSPECT },
+		{ "a pause", 2, 60 * USEC_PER_SEC, MEMBER_LIVE },
+		{ "confirmed", 24, 0, MEMBER_GONE },
+		{ "a pause while suspect", 8, 60 * USEC_PER_SEC,
+		    MEMBER_SUSPECT },
+	};
+	static struct gossip_send out[GOSSIP_SENDS];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct gossip g;
+		struct member_info x = info("n1", 1, MEMBER_LIVE);
+		usec_t now = USEC_PER_SEC;
+
+		g_test_message("%s", cases[i].name);
+		gossip_init(&g, &x, 1, now);
+		x = info("n2", 1, MEMBER_LIVE);
+		member_update(&g.members, now, &x);
+		for (int k = 0; k < cases[i].rounds; k++) {
+			gossip_round(&g, now, out);
+			now += GOSSIP_ROUND;
+		}
+		gossip_round(&g, now + cases[i].pause, out);
+		g_assert_cmpint(
+		    member_find(&g.members, "n2")->state, ==, cases[i].state);
+		gossip_free(&g);
+	}
+}
+
 static void
 test_split(void)
 {
@@ -414,6 +453,7 @@
 	g_test_add_func("/member/live-list", test_live_list);
 	g_test_add_func("/member/fleet", test_fleet);
 	g_test_add_func("/member/paused", test_paused);
+	g_test_add_func("/member/silence", test_silence);
 	g_test_add_func("/member/split", test_split);
 	g_test_add_func("/member/stops", test_stops);
 	return g_test_run();
--- a/tests/kernel/test_orders.c
+++ b/tests/kernel/test_orders.c
@@ -271,6 +271,37 @@
 	orders_free(&w.o);
 }
 
+/* A new sender waits for the last answer: that one may be of a failure. */
+static void
+test_reads_all_first(void)
+{
+	struct world w;
+	struct orders_action a;
+	struct orders_action last = { 0 };
+	int reads = 0;
+
+	set_up(&w, FENCING_HONOURED, 20);
+	want(&w, "v2");
+	w.engines[RUNNERS - 1].fails = true;
+	snprintf(w.engines[RUNNERS - 1].loading, MAX_NAME_BYTES, "v2");
+	orders_lease(&w.o, w.now, true, 7, w.now + LEASE_TTL);
+	for (orders_next(&w.o, w.now, &a); a.kind == ORDERS_READ;
+	     orders_next(&w.o, w.now, &a)) {
+		reads++;
+		if (engine_at(&w, a.addr) == &w.engines[RUNNERS - 1])
+			last = a;
+		else
+			answer_read(&w, &a);
+	}
+	g_assert_cmpint(reads, ==, RUNNERS);
+	g_assert_cmpint(a.kind, ==, ORDERS_NOTHING);
+	answer_read(&w, &last);
+	g_assert_cmpint(w.o.halt, ==, HALT_LOAD_FAILED);
+	orders_next(&w.o, w.now, &a);
+	g_assert_cmpint(a.kind, ==, ORDERS_NOTHING);
+	orders_free(&w.o);
+}
+
 /* An engine has seen a newer sender: the older one stops. */
 static void
 test_fenced(void)
@@ -295,6 +326,7 @@
 	g_test_add_func("/orders/rolls", test_rolls);
 	g_test_add_func("/orders/failed-version", test_failed_version);
 	g_test_add_func("/orders/lapsed-lease", test_lapsed_lease);
+	g_test_add_func("/orders/reads-all-first", test_reads_all_first);
 	g_test_add_func("/orders/fenced", test_fenced);
 	return g_test_run();
 }
