Orders to engines: one sender a service, by a lease

Cause: the plan of orders had no driver. Change: entry/orderer takes the lease, reads and orders runners on the control loop, looks at the lease right before each order, logs a halt.

--- a/entry/control.c
+++ b/entry/control.c
@@ -4,6 +4,7 @@
 #include "entry/claimer.h"
 #include "entry/fetcher.h"
 #include "entry/gossiper.h"
+#include "entry/orderer.h"
 #include "entry/sharer.h"
 #include "plat/conflog.h"
 #include "plat/hosts.h"
@@ -37,6 +38,7 @@
 	struct claimer *claimer;
 	struct gossiper *gossiper;
 	struct sharer *sharer;
+	struct orderer *orderer;
 	struct conf *conf;
 	uint64_t refused; /* generation whose refusal was logged */
 	bool draining;
@@ -65,6 +67,9 @@
 	    &(struct snap){ .conf = conf, .draining = c->draining });
 	traffic_conf(c->traffic, conf);
 	gossiper_generation(c->gossiper, conf->generation, clock_now());
+	orderer_conf(c->orderer, conf);
+	orderer_targets(c->orderer, c->listed, c->n_listed);
+	c->members_seen = UINT64_MAX;
 	buf_printf(&n, "%llu", (unsigned long long)conf->generation);
 	LOG(LOG_LVL_NOTICE, "config-in-force", { "generation", str_of(&n) });
 	buf_free(&n);
@@ -129,6 +134,7 @@
 		n++;
 	}
 	traffic_targets(c->traffic, v, n);
+	orderer_targets(c->orderer, v, n);
 	free(v);
 }
 
@@ -263,6 +269,7 @@
 {
 	c->draining = true;
 	gossiper_drain(c->gossiper, clock_now());
+	orderer_release(c->orderer);
 }
 
 static void
@@ -355,6 +362,7 @@
 	claimer_members(c->claimer, v, found, hash_u64(self, 0));
 	conflog_follow(c->conflog, is_watcher(c, ids, n));
 	sharer_members(c->sharer, m, now);
+	orderer_members(c->orderer, ids, n);
 	free(v);
 }
 
@@ -385,6 +393,7 @@
 	}
 	conflog_tick(c->conflog, now);
 	claimer_tick(c->claimer, now);
+	orderer_tick(c->orderer, now);
 	tick_fleet(c, now);
 	atomic_store(&c->kv_calls, kv_calls(c->kv));
 }
@@ -496,6 +505,11 @@
 	    .incarnation = o->incarnation,
 	    .now = clock_now(),
 	});
+	c->orderer = orderer_new(&(struct orderer_opts){
+	    .kv = c->kv,
+	    .loop = c->loop,
+	    .id = o->settings->id,
+	});
 	c->members_seen = UINT64_MAX;
 	c->fetcher = fetcher_start(&(struct fetcher_opts){
 	    .rpc = c->rpc,
@@ -572,6 +586,8 @@
 void
 control_free(struct control *c)
 {
+	if (c->orderer != NULL)
+		orderer_free(c->orderer);
 	hosts_free(c->hosts);
 	kv_free(c->kv);
 	conflog_free(c->conflog);
--- /dev/null
+++ b/entry/orderer.c
@@ -0,0 +1,597 @@
+#include "entry/orderer.h"
+#include "base/hash.h"
+#include "base/log.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LEASE_TTL   (10 * USEC_PER_SEC)
+#define RENEW_EVERY (3 * USEC_PER_SEC)
+#define LEASE_RETRY (2 * USEC_PER_SEC)
+#define READ_TIME   (2 * USEC_PER_SEC)
+#define ORDERS_PATH "/v1/orders"
+#define LEASE_KEY   "sequoia/orders/"
+
+enum lease_step {
+	LEASE_NONE,
+	LEASE_GRANTING, /* the lease is asked for */
+	LEASE_TAKING,   /* the key is being created under it */
+	LEASE_HELD
+};
+
+/* The orders of one service. */
+struct service_orders {
+	struct orderer *o;
+	char *name;
+	char *listed;
+	struct orders state;
+	bool mine;        /* this sequoiad should hold the lease */
+	enum lease_step step;
+	int64_t lease;
+	int64_t revision;
+	usec_t asked_at;  /* when the lease or its renewal was asked for */
+	usec_t retry_at;
+	bool renewing;
+	unsigned calls;   /* HTTP and key-value calls under way */
+	bool dropped;     /* no longer in the configuration */
+};
+
+/* A reading or an order on its way. */
+struct exchange {
+	struct service_orders *s;
+	enum orders_action_kind kind;
+	char addr[MAX_ADDR_BYTES];
+	uint64_t http;
+	int status;
+	struct buf body;
+};
+
+struct orderer {
+	struct orderer_opts o;
+	GHashTable *services;  /* name -> struct service_orders, owned */
+	GHashTable *exchanges; /* set of struct exchange, owned */
+	usec_t now;
+};
+
+static void
+free_exchange(gpointer p)
+{
+	struct exchange *x = p;
+
+	http_cancel(x->s->o->o.loop, x->http);
+	buf_free(&x->body);
+	free(x);
+}
+
+static void
+free_service(gpointer p)
+{
+	struct service_orders *s = p;
+
+	orders_free(&s->state);
+	free(s->name);
+	free(s->listed);
+	free(s);
+}
+
+static void
+lease_key(const struct service_orders *s, struct buf *out)
+{
+	buf_printf(out, "%s%s", LEASE_KEY, s->name);
+}
+
+static void
+lose_lease(struct service_orders *s)
+{
+	s->step = LEASE_NONE;
+	s->retry_at = s->o->now + LEASE_RETRY;
+	orders_lease(&s->state, s->o->now, false, 0, 0);
+}
+
+static void
+on_taken(void *arg, const struct kv_result *r)
+{
+	struct service_orders *s = arg;
+
+	s->calls--;
+	s->o->now = clock_now();
+	if (r->status != KV_OK) {
+		/* An unknown end leaves a key that runs out with its lease. */
+		kv_lease_revoke(s->o->o.kv, s->lease, NULL, NULL);
+		lose_lease(s);
+		return;
+	}
+	s->step = LEASE_HELD;
+	s->revision = r->mod_revision;
+	orders_lease(&s->state, s->o->now, true, (uint64_t)s->revision,
+	    s->asked_at + LEASE_TTL);
+	LOG(LOG_LVL_NOTICE, "orders-lease-held",
+	    { "service", str_from(s->name) });
+}
+
+static void
+on_granted(void *arg, const struct kv_result *r)
+{
+	struct service_orders *s = arg;
+	struct buf key = { 0 };
+
+	s->calls--;
+	s->o->now = clock_now();
+	if (r->status != KV_OK || r->lease == 0) {
+		lose_lease(s);
+		return;
+	}
+	s->lease = r->lease;
+	s->step = LEASE_TAKING;
+	s->calls++;
+	lease_key(s, &key);
+	kv_cas(s->o->o.kv,
+	    &(struct kv_cas_opts){
+	        .key = str_of(&key),
+	        .value = str_from(s->o->o.id),
+	        .lease = s->lease,
+	    },
+	    on_taken, s);
+	buf_free(&key);
+}
+
+static void
+on_renewed(void *arg, const struct kv_result *r)
+{
+	struct service_orders *s = arg;
+
+	s->calls--;
+	s->renewing = false;
+	s->o->now = clock_now();
+	if (s->step != LEASE_HELD)
+		return;
+	if (r->status == KV_OK)
+		orders_lease(&s->state, s->o->now, true,
+		    (uint64_t)s->revision, s->asked_at + LEASE_TTL);
+	else if (r->status == KV_REFUSED)
+		lose_lease(s);
+}
+
+static void
+keep_lease(struct service_orders *s)
+{
+	usec_t now = s->o->now;
+
+	switch (s->step) {
+	case LEASE_NONE:
+		if (!s->mine || now < s->retry_at)
+			return;
+		s->step = LEASE_GRANTING;
+		s->asked_at = now;
+		s->calls++;
+		kv_lease_grant(s->o->o.kv, LEASE_TTL, on_granted, s);
+		break;
+	case LEASE_HELD:
+		if (now >= s->asked_at + LEASE_TTL) {
+			lose_lease(s);
+		} else if (!s->renewing && now - s->asked_at >= RENEW_EVERY) {
+			s->renewing = true;
+			s->asked_at = now;
+			s->calls++;
+			kv_lease_keepalive(s->o->o.kv, s->lease, on_renewed,
+			    s);
+		}
+		break;
+	case LEASE_GRANTING:
+	case LEASE_TAKING:
+		break;
+	}
+}
+
+static void
+copy(char *out, size_t cap, const json_t *o, const char *key)
+{
+	const char *text = json_string_value(json_object_get(o, key));
+
+	snprintf(out, cap, "%s", text != NULL ? text : "");
+}
+
+static int
+compare_strings(const void *a, const void *b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* The names of a list, sorted and separated by blanks. */
+static void
+join_sorted(const json_t *list, char *out, size_t cap)
+{
+	size_t n = json_array_size(list);
+	const char **v = xcalloc(n, sizeof(*v));
+	struct buf all = { 0 };
+	size_t got = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		const char *t = json_string_value(json_array_get(list, i));
+
+		if (t != NULL)
+			v[got++] = t;
+	}
+	if (got > 0)
+		qsort(v, got, sizeof(*v), compare_strings);
+	for (size_t i = 0; i < got; i++)
+		buf_printf(&all, "%s%s", i > 0 ? " " : "", v[i]);
+	snprintf(out, cap, "%.*s", STR_FMT(str_of(&all)));
+	buf_free(&all);
+	free(v);
+}
+
+static void
+read_state(struct service_orders *s, const char *addr, const json_t *o)
+{
+	const json_t *model = json_array_get(json_object_get(o, "models"), 0);
+	const char *error = json_string_value(json_object_get(o, "error"));
+	enum orders_report report = ORDERS_LOADING;
+	struct orders_state have = { 0 };
+
+	copy(have.model, sizeof(have.model), model, "name");
+	copy(have.version, sizeof(have.version), model, "version");
+	copy(have.role, sizeof(have.role), o, "role");
+	join_sorted(json_object_get(o, "adapters"), have.adapters,
+	    sizeof(have.adapters));
+	if (error != NULL && *error != '\0')
+		report = ORDERS_FAILED;
+	else if (json_is_true(json_object_get(o, "ready")))
+		report = ORDERS_READY;
+	orders_read(&s->state, s->o->now, addr, report, &have);
+}
+
+static void
+finish_reading(struct service_orders *s, const struct exchange *x, bool whole)
+{
+	json_t *o = NULL;
+
+	if (whole && x->status == 200)
+		o = json_loadb(x->body.p, x->body.n, 0, NULL);
+	if (o != NULL)
+		read_state(s, x->addr, o);
+	else
+		orders_read(&s->state, s->o->now, x->addr, ORDERS_SILENT,
+		    NULL);
+	json_decref(o);
+}
+
+static void
+finish_order(struct service_orders *s, const struct exchange *x, bool whole)
+{
+	enum orders_reply r = ORDERS_REFUSED;
+
+	if (!whole || x->status >= 500)
+		r = ORDERS_LOST;
+	else if (x->status == 409)
+		r = ORDERS_FENCED;
+	else if (x->status < 300)
+		r = ORDERS_ACCEPTED;
+	orders_replied(&s->state, s->o->now, x->addr, r);
+}
+
+static void
+on_http(void *arg, const struct http_event *ev)
+{
+	struct exchange *x = arg;
+	struct service_orders *s = x->s;
+
+	switch (ev->kind) {
+	case HTTP_HEAD:
+		x->status = ev->status;
+		return;
+	case HTTP_CHUNK:
+		buf_put(&x->body, ev->bytes);
+		return;
+	case HTTP_END:
+	case HTTP_FAIL:
+		break;
+	}
+	s->calls--;
+	s->o->now = clock_now();
+	if (x->kind == ORDERS_READ)
+		finish_reading(s, x, ev->kind == HTTP_END);
+	else
+		finish_order(s, x, ev->kind == HTTP_END);
+	g_hash_table_remove(s->o->exchanges, x);
+}
+
+static void
+order_body(const struct orders_action *a, struct buf *out)
+{
+	json_t *adapters = json_array();
+	struct str rest = str_from(a->wanted.adapters);
+	struct str part;
+	json_t *o;
+	char *text;
+
+	while (str_cut(&rest, ' ', &part)) {
+		if (part.n > 0)
+			json_array_append_new(adapters,
+			    json_stringn(part.p, part.n));
+	}
+	o = json_pack("{s:I, s:[{s:s, s:s}], s:o}", "fence",
+	    (json_int_t)a->fencing, "models", "name", a->wanted.model,
+	    "version", a->wanted.version, "adapters", adapters);
+	if (*a->wanted.role != '\0')
+		json_object_set_new(o, "role", json_string(a->wanted.role));
+	text = json_dumps(o, JSON_COMPACT);
+	buf_put(out, str_from(text));
+	free(text);
+	json_decref(o);
+}
+
+static void
+start(struct service_orders *s, const struct orders_action *a)
+{
+	struct exchange *x = xcalloc(1, sizeof(*x));
+	struct buf url = { 0 };
+	struct buf body = { 0 };
+	bool order = a->kind == ORDERS_SEND;
+	usec_t left = a->not_after - s->o->now;
+	usec_t most = s->state.opts.order_timeout;
+
+	x->s = s;
+	x->kind = a->kind;
+	snprintf(x->addr, sizeof(x->addr), "%s", a->addr);
+	if (order)
+		order_body(a, &body);
+	buf_printf(&url, "http://%s%s", a->addr, ORDERS_PATH);
+	g_hash_table_add(s->o->exchanges, x);
+	s->calls++;
+	x->http = http_start(s->o->o.loop,
+	    &(struct http_opts){
+	        .method = order ? "POST" : "GET",
+	        .url = url.p,
+	        .body = str_of(&body),
+	        .timeout = !order ? READ_TIME : left < most ? left : most,
+	        .fresh = order,
+	        .handler = on_http,
+	        .arg = x,
+	    });
+	buf_free(&url);
+	buf_free(&body);
+}
+
+static void
+run(struct service_orders *s)
+{
+	struct orders_action a;
+	struct buf line = { 0 };
+
+	for (orders_next(&s->state, s->o->now, &a); a.kind != ORDERS_NOTHING;
+	     orders_next(&s->state, s->o->now, &a)) {
+		if (a.kind == ORDERS_SEND &&
+		    !orders_may_send(&s->state, &a, clock_now()))
+			orders_replied(&s->state, s->o->now, a.addr,
+			    ORDERS_LOST);
+		else
+			start(s, &a);
+	}
+	if (orders_halted(&s->state, &line))
+		LOG(LOG_LVL_ERR, "orders-halted",
+		    { "service", str_from(s->name) },
+		    { "detail", str_of(&line) });
+	buf_free(&line);
+}
+
+static struct orders_opts
+options(const struct conf_service *c)
+{
+	return (struct orders_opts){
+		.loading_cap = c->loading_cap,
+		.fencing = (enum fencing)c->fencing,
+		.order_timeout = c->order_timeout,
+		.lease_ttl = LEASE_TTL,
+	};
+}
+
+static struct service_orders *
+add(struct orderer *o, const struct conf_service *c)
+{
+	struct service_orders *s = xcalloc(1, sizeof(*s));
+	struct orders_opts opts = options(c);
+
+	s->o = o;
+	s->name = str_dup(str_from(c->name));
+	orders_init(&s->state, &opts);
+	g_hash_table_insert(o->services, s->name, s);
+	return s;
+}
+
+static void
+set_wanted(struct service_orders *s, const struct conf_service *c)
+{
+	struct orders_state wanted;
+	struct orders_opts opts = options(c);
+
+	free(s->listed);
+	s->listed = str_dup(
+	    str_from(*c->listed != '\0' ? c->listed : c->name));
+	s->dropped = false;
+	orders_tune(&s->state, &opts);
+	orders_wanted(c, &wanted);
+	orders_want(&s->state, &wanted);
+}
+
+static void
+give_back(struct service_orders *s)
+{
+	if (s->step == LEASE_HELD)
+		kv_lease_revoke(s->o->o.kv, s->lease, NULL, NULL);
+	lose_lease(s);
+}
+
+struct orderer *
+orderer_new(const struct orderer_opts *opts)
+{
+	struct orderer *o = xcalloc(1, sizeof(*o));
+
+	o->o = *opts;
+	o->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+	    free_service);
+	o->exchanges = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+	    free_exchange, NULL);
+	return o;
+}
+
+void
+orderer_conf(struct orderer *o, const struct conf *c)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, o->services);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		((struct service_orders *)p)->dropped = true;
+	for (size_t i = 0; i < c->n_services; i++) {
+		const struct conf_service *x = c->services[i];
+		struct service_orders *s;
+
+		if (x->orders == 0 || x->enabled == 0)
+			continue;
+		s = g_hash_table_lookup(o->services, x->name);
+		if (s == NULL)
+			s = add(o, x);
+		set_wanted(s, x);
+	}
+}
+
+void
+orderer_targets(struct orderer *o, const struct listed_target *v, size_t n)
+{
+	const char **addrs = xcalloc(n, sizeof(*addrs));
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, o->services);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct service_orders *s = p;
+		size_t found = 0;
+
+		for (size_t i = 0; i < n; i++) {
+			if (v[i].state == TARGET_LIVE &&
+			    strcmp(v[i].service, s->listed) == 0)
+				addrs[found++] = v[i].addr;
+		}
+		orders_runners(&s->state, addrs, found);
+	}
+	free(addrs);
+}
+
+/* Whether this sequoiad is the first in the service's rendezvous order. */
+static bool
+is_first(const struct orderer *o, const char *service, const char *const *ids,
+    size_t n)
+{
+	uint64_t seed = hash_u64(str_from(service), 0);
+	uint64_t mine = hash_u64(str_from(o->o.id), seed);
+	bool there = false;
+
+	for (size_t i = 0; i < n; i++) {
+		if (strcmp(ids[i], o->o.id) == 0)
+			there = true;
+		else if (hash_u64(str_from(ids[i]), seed) > mine)
+			return false;
+	}
+	return there;
+}
+
+void
+orderer_members(struct orderer *o, const char *const *ids, size_t n)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, o->services);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct service_orders *s = p;
+
+		s->mine = is_first(o, s->name, ids, n);
+	}
+}
+
+/* A service that is gone is forgotten when nothing of it is under way. */
+static bool
+forget(struct service_orders *s)
+{
+	if (!s->dropped)
+		return false;
+	if (s->step == LEASE_HELD)
+		give_back(s);
+	return s->calls == 0 && s->step == LEASE_NONE;
+}
+
+void
+orderer_tick(struct orderer *o, usec_t now)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	o->now = now;
+	g_hash_table_iter_init(&it, o->services);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct service_orders *s = p;
+
+		if (forget(s)) {
+			g_hash_table_iter_remove(&it);
+			continue;
+		}
+		if (s->step == LEASE_HELD && !s->mine)
+			give_back(s);
+		keep_lease(s);
+		if (!s->dropped)
+			run(s);
+	}
+}
+
+void
+orderer_release(struct orderer *o)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, o->services);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct service_orders *s = p;
+
+		s->mine = false;
+		if (s->step == LEASE_HELD)
+			give_back(s);
+	}
+}
+
+size_t
+orderer_views(const struct orderer *o, struct orderer_view *out, size_t most)
+{
+	GHashTableIter it;
+	gpointer p;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&it, o->services);
+	while (n < most && g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct service_orders *s = p;
+
+		out[n++] = (struct orderer_view){
+			.service = s->name,
+			.held = s->step == LEASE_HELD,
+			.fencing = (uint64_t)s->revision,
+			.runners = s->state.n,
+			.right = s->state.counts[RUNNER_RIGHT],
+			.halt = s->state.halt,
+			.halt_addr = s->state.halt_addr,
+		};
+	}
+	return n;
+}
+
+void
+orderer_free(struct orderer *o)
+{
+	g_hash_table_destroy(o->exchanges);
+	g_hash_table_destroy(o->services);
+	free(o);
+}
--- a/plat/kv.c
+++ b/plat/kv.c
@@ -195,7 +195,8 @@
 	} else {
 		if (o != NULL)
 			read_result(p->op, o, &r, &value);
-		p->done(p->arg, &r);
+		if (p->done != NULL)
+			p->done(p->arg, &r);
 	}
 	buf_free(&value);
 	json_decref(o);
--- a/plat/kv.h
+++ b/plat/kv.h
@@ -65,6 +65,7 @@
 };
 
 struct kv *kv_new(const struct kv_opts *o);
+/* done may be NULL in all calls that take one. */
 void kv_get(struct kv *kv, struct str key, kv_done done, void *arg);
 /* All keys that start with the prefix. */
 void kv_list(struct kv *kv, struct str prefix, kv_listed done, void *arg);
