Every workspace has its share from the start

Cause: a workspace without a measurement fell back to the whole even share, beyond what the bound in shares.h allows, for up to 0.5 s. Change: shares are set for all workspaces of the configuration at once; the conflict texts name sequoiactl pull, which is the command's name. Conclusion: the bound holds from the first request.

--- a/entry/orderer.c
+++ b/entry/orderer.c
@@ -28,15 +28,15 @@
 	char *name;
 	char *listed;
 	struct orders state;
-	bool mine;        /* this sequoiad should hold the lease */
+	bool mine; /* this sequoiad should hold the lease */
 	enum lease_step step;
 	int64_t lease;
 	int64_t revision;
-	usec_t asked_at;  /* when the lease or its renewal was asked for */
+	usec_t asked_at; /* when the lease or its renewal was asked for */
 	usec_t retry_at;
 	bool renewing;
-	unsigned calls;   /* HTTP and key-value calls under way */
-	bool dropped;     /* no longer in the configuration */
+	unsigned calls; /* HTTP and key-value calls under way */
+	bool dropped;   /* no longer in the configuration */
 };
 
 /* A reading or an order on its way. */
@@ -130,9 +130,9 @@
 	lease_key(s, &key);
 	kv_cas(s->o->o.kv,
 	    &(struct kv_cas_opts){
-	        .key = str_of(&key),
-	        .value = str_from(s->o->o.id),
-	        .lease = s->lease,
+		.key = str_of(&key),
+		.value = str_from(s->o->o.id),
+		.lease = s->lease,
 	    },
 	    on_taken, s);
 	buf_free(&key);
@@ -149,8 +149,8 @@
 	if (s->step != LEASE_HELD)
 		return;
 	if (r->status == KV_OK)
-		orders_lease(&s->state, s->o->now, true,
-		    (uint64_t)s->revision, s->asked_at + LEASE_TTL);
+		orders_lease(&s->state, s->o->now, true, (uint64_t)s->revision,
+		    s->asked_at + LEASE_TTL);
 	else if (r->status == KV_REFUSED)
 		lose_lease(s);
 }
@@ -176,8 +176,7 @@
 			s->renewing = true;
 			s->asked_at = now;
 			s->calls++;
-			kv_lease_keepalive(s->o->o.kv, s->lease, on_renewed,
-			    s);
+			kv_lease_keepalive(s->o->o.kv, s->lease, on_renewed, s);
 		}
 		break;
 	case LEASE_GRANTING:
@@ -254,8 +253,7 @@
 	if (o != NULL)
 		read_state(s, x->addr, o);
 	else
-		orders_read(&s->state, s->o->now, x->addr, ORDERS_SILENT,
-		    NULL);
+		orders_read(&s->state, s->o->now, x->addr, ORDERS_SILENT, NULL);
 	json_decref(o);
 }
 
@@ -310,8 +308,8 @@
 
 	while (str_cut(&rest, ' ', &part)) {
 		if (part.n > 0)
-			json_array_append_new(adapters,
-			    json_stringn(part.p, part.n));
+			json_array_append_new(
+			    adapters, json_stringn(part.p, part.n));
 	}
 	o = json_pack("{s:I, s:[{s:s, s:s}], s:o}", "fence",
 	    (json_int_t)a->fencing, "models", "name", a->wanted.model,
@@ -344,13 +342,15 @@
 	s->calls++;
 	x->http = http_start(s->o->o.loop,
 	    &(struct http_opts){
-	        .method = order ? "POST" : "GET",
-	        .url = url.p,
-	        .body = str_of(&body),
-	        .timeout = !order ? READ_TIME : left < most ? left : most,
-	        .fresh = order,
-	        .handler = on_http,
-	        .arg = x,
+		.method = order ? "POST" : "GET",
+		.url = url.p,
+		.body = str_of(&body),
+		.timeout = !order ? READ_TIME
+		    : left < most ? left
+				  : most,
+		.fresh = order,
+		.handler = on_http,
+		.arg = x,
 	    });
 	buf_free(&url);
 	buf_free(&body);
@@ -366,8 +366,8 @@
 	     orders_next(&s->state, s->o->now, &a)) {
 		if (a.kind == ORDERS_SEND &&
 		    !orders_may_send(&s->state, &a, clock_now()))
-			orders_replied(&s->state, s->o->now, a.addr,
-			    ORDERS_LOST);
+			orders_replied(
+			    &s->state, s->o->now, a.addr, ORDERS_LOST);
 		else
 			start(s, &a);
 	}
@@ -409,8 +409,7 @@
 	struct orders_opts opts = options(c);
 
 	free(s->listed);
-	s->listed = str_dup(
-	    str_from(*c->listed != '\0' ? c->listed : c->name));
+	s->listed = str_dup(str_from(*c->listed != '\0' ? c->listed : c->name));
 	s->dropped = false;
 	orders_tune(&s->state, &opts);
 	orders_wanted(c, &wanted);
@@ -431,10 +430,10 @@
 	struct orderer *o = xcalloc(1, sizeof(*o));
 
 	o->o = *opts;
-	o->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-	    free_service);
-	o->exchanges = g_hash_table_new_full(g_direct_hash, g_direct_equal,
-	    free_exchange, NULL);
+	o->services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
+	o->exchanges = g_hash_table_new_full(
+	    g_direct_hash, g_direct_equal, free_exchange, NULL);
 	return o;
 }
 
--- a/entry/orderer.h
+++ b/entry/orderer.h
@@ -34,15 +34,15 @@
 
 struct orderer *orderer_new(const struct orderer_opts *o);
 void orderer_conf(struct orderer *o, const struct conf *c);
-void orderer_targets(struct orderer *o, const struct listed_target *v,
-    size_t n);
+void orderer_targets(
+    struct orderer *o, const struct listed_target *v, size_t n);
 /* Ids of the live sequoiads. */
 void orderer_members(struct orderer *o, const char *const *ids, size_t n);
 void orderer_tick(struct orderer *o, usec_t now);
 /* Gives up all leases, so that another takes over at once. */
 void orderer_release(struct orderer *o);
-size_t orderer_views(const struct orderer *o, struct orderer_view *out,
-    size_t most);
+size_t orderer_views(
+    const struct orderer *o, struct orderer_view *out, size_t most);
 /* To be freed before its kv client and loop. */
 void orderer_free(struct orderer *o);
 
--- a/entry/sharer.c
+++ b/entry/sharer.c
@@ -81,33 +81,51 @@
 	return flight > most ? flight : most;
 }
 
+static const struct traffic_limit *
+find_limit(const struct traffic_report *r, const char *workspace)
+{
+	for (size_t i = 0; i < r->n_limits; i++) {
+		if (strcmp(r->limits[i].workspace, workspace) == 0)
+			return &r->limits[i];
+	}
+	return NULL;
+}
+
+/* Notes what a workspace wants; one that has sent nothing wants nothing. */
+static void
+measure_one(struct sharer *s, const struct conf_workspace *w,
+    const struct traffic_limit *x, double seconds, usec_t now)
+{
+	struct usage *u;
+
+	if (x == NULL)
+		return;
+	u = usage_of(s, w->name);
+	shares_want(
+	    &s->state, now, str_from(w->name), wanted(w, x, u, seconds));
+	u->arrived = x->arrived;
+	u->tokens = x->tokens;
+}
+
+/* Every workspace gets its share, also before it has sent anything. */
 static void
 measure(
     struct sharer *s, const struct conf *conf, struct traffic *t, usec_t now)
 {
 	double seconds = (double)(now - s->measured_at) / USEC_PER_SEC;
 	struct traffic_report r;
-	struct share *out;
-	size_t n = 0;
+	struct share *out = xcalloc(conf->n_workspaces, sizeof(*out));
 
 	s->measured_at = now;
 	traffic_report(t, &r);
-	out = xcalloc(r.n_limits, sizeof(*out));
-	for (size_t i = 0; i < r.n_limits; i++) {
-		const struct traffic_limit *x = &r.limits[i];
-		struct usage *u = usage_of(s, x->workspace);
-		struct str name = str_from(x->workspace);
-		const struct conf_workspace *w = conf_workspace(conf, name);
-
-		if (w == NULL)
-			continue;
-		shares_want(&s->state, now, name, wanted(w, x, u, seconds));
-		u->arrived = x->arrived;
-		u->tokens = x->tokens;
-		out[n].workspace = name;
-		out[n++].ppm = shares_ppm(&s->state, now, name);
+	for (size_t i = 0; i < conf->n_workspaces; i++) {
+		const struct conf_workspace *w = conf->workspaces[i];
+
+		measure_one(s, w, find_limit(&r, w->name), seconds, now);
+		out[i].workspace = str_from(w->name);
+		out[i].ppm = shares_ppm(&s->state, now, str_from(w->name));
 	}
-	traffic_shares(t, s->live > 0 ? s->live : 1, out, n);
+	traffic_shares(t, s->live > 0 ? s->live : 1, out, conf->n_workspaces);
 	free(out);
 	traffic_report_free(&r);
 }
--- a/kernel/confstate.c
+++ b/kernel/confstate.c
@@ -259,7 +259,7 @@
 		put_time(when, sizeof(when), r->when);
 	err_set(e, ERR_CONFLICT,
 	    "%s was %s by %s at %s (generation %llu) after generation %llu "
-	    "that you started from, and you %s it too; run sequoiactl fetch, "
+	    "that you started from, and you %s it too; run sequoiactl pull, "
 	    "bring your change into the present file and apply again",
 	    name,
 	    conffiles_hash(&s->files, name)[0] == '\0' ? "removed" : "changed",
@@ -326,7 +326,7 @@
 		return true;
 	err_set(e, ERR_CONFLICT,
 	    "generation %llu that you started from is not among %llu to %llu, "
-	    "which are still known; run sequoiactl fetch, bring your change "
+	    "which are still known; run sequoiactl pull, bring your change "
 	    "into the present files and apply again",
 	    (unsigned long long)a->base, (unsigned long long)s->reach,
 	    (unsigned long long)s->generation);
--- a/tests/kernel/test_confstate.c
+++ b/tests/kernel/test_confstate.c
@@ -90,7 +90,7 @@
 	    { { "10.ini", SERVICE }, { "20.ini", POLICY(3) } },
 	    CONFSTATE_REFUSED, 0,
 	    "20.ini was changed by ann at 1970-01-01T00:16:40Z "
-	    "(generation 2)*changed it too*sequoiactl fetch*" },
+	    "(generation 2)*changed it too*sequoiactl pull*" },
 	{ "changed and removed",
 	    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
 	    { { "10.ini", SERVICE } }, CONFSTATE_REFUSED, 0,
