Early refusal that holds under overload: measured, mended, measured

Cause: at 150% of what the runners can do (virtual time, two stages, 30 s, deadline 1 s) only 81.5 of 100 requests a second were complete in time and 25% of the calls went to requests that failed; with one workspace flooding 88.2 and 39%. Admission kept the queue so long that a median request ended just at its deadline, saw all lanes as one, did not see requests still at earlier stages, and took its averages up from zero.

Change: while others wait, a new request must fit with the 95th percentile; the wait is a third longer than measured; each lane has its own gap between services and counts the requests that are still to come; averages start at the first sample; a request that waits is given up when the median of the stages left no longer fits.

--- a/kernel/admit.c
+++ b/kernel/admit.c
@@ -7,19 +7,33 @@
 
 /* Percentile of each stage's time that a new request must have left. */
 #define ARRIVAL_PERCENT 50
+/* A wait counts as longer by one part in so many: others come meanwhile. */
+#define WAIT_MARGIN     3
+/* The same while others wait, whose place it would take. */
+#define BUSY_PERCENT    95
 /* The same for a request that waits or has done some of its stages. */
-#define LATER_PERCENT   10
+#define LATER_PERCENT   50
 
-/* Time that a new call of the workspace would wait for a service. */
+/*
+ * Time that a new request would wait for the services of its stages.  While
+ * it waits for one, the backlog of the next gets shorter.
+ */
 static usec_t
-queue_wait(const struct request *rq, size_t stage)
+waits(const struct request *rq)
 {
-	const struct service_state *s = rq->services[stage];
-	const struct conf_policy *p = &rq->pipeline->stages[stage].policy;
+	usec_t passed = 0;
+	usec_t sum = 0;
+
+	for (size_t i = 0; i < rq->pipeline->n_stages; i++) {
+		const struct service_state *s = rq->services[i];
+		usec_t backlog = queue_backlog(&s->queue, rq->lanes[i], s->gap);
+		usec_t wait = backlog > passed ? backlog - passed : 0;
 
-	return (usec_t)(s->gap *
-	    queue_ahead(&s->queue, p->fair != 0 ? rq->workspace->name : "",
-		rq->workspace->weight));
+		sum += wait;
+		passed +=
+		    wait + quant_get(&rq->stats[i]->whole, ARRIVAL_PERCENT, 0);
+	}
+	return sum;
 }
 
 /* Time that the stages from the present one on need, by a percentile. */
@@ -45,11 +59,21 @@
 	return false;
 }
 
+/* Counts the request at the services of its later stages. */
+static void
+expect(struct request *rq)
+{
+	for (size_t i = 1; i < rq->pipeline->n_stages; i++)
+		queue_expect(&rq->services[i]->queue, rq->lanes[i]);
+	rq->expected = rq->pipeline->n_stages;
+	rq->reached = 1;
+}
+
 static void
 admit(struct kernel *k, struct request *rq)
 {
 	usec_t need;
-	usec_t wait = 0;
+	usec_t wait;
 	usec_t retry = MIN_RETRY_WAIT;
 
 	if (k->draining) {
@@ -63,16 +87,17 @@
 	}
 	rq->admitted = true;
 	if (rq->pipeline->stages[0].policy.admission != 0) {
-		need = time_needed(rq, ARRIVAL_PERCENT);
-		for (size_t i = 0; i < rq->pipeline->n_stages; i++)
-			wait += queue_wait(rq, i);
-		if (k->now + need + wait > rq->deadline) {
+		wait = waits(rq);
+		need =
+		    time_needed(rq, wait > 0 ? BUSY_PERCENT : ARRIVAL_PERCENT);
+		if (k->now + need + wait + wait / WAIT_MARGIN > rq->deadline) {
 			retry = wait > MIN_RETRY_WAIT ? wait : MIN_RETRY_WAIT;
 			ending_give_up(k, rq, ERR_NO_TIME,
 			    "the stages need more time than is allowed", retry);
 			return;
 		}
 	}
+	expect(rq);
 	flow_start_stage(k, rq);
 }
 
@@ -139,6 +164,8 @@
 	for (size_t i = 0; i < p->n_stages; i++) {
 		rq->stats[i] = state_stage(k, p, i);
 		rq->services[i] = state_service(k, p->stages[i].service);
+		rq->lanes[i] = queue_lane(&rq->services[i]->queue,
+		    p->stages[i].policy.fair != 0 ? w->name : "", w->weight);
 		rq->listed[i] = state_listed(k, p->stages[i].service);
 	}
 	g_hash_table_insert(k->requests, &rq->handle, rq);
--- a/kernel/call.c
+++ b/kernel/call.c
@@ -7,8 +7,6 @@
 
 /* Bytes of the prompt that name its prefix for affinity. */
 #define PREFIX_BYTES 256
-/* Weight of the newest gap between ends of calls in their average. */
-#define GAP_WEIGHT   0.05
 /* So much of a request's id stands in the names of its calls. */
 #define MAX_ID_BYTES 80
 /* The longest that a look-up may take. */
@@ -324,8 +322,7 @@
 		return;
 	}
 	if (s->ended_at > 0)
-		s->gap +=
-		    ((double)(k->now - s->ended_at) - s->gap) * GAP_WEIGHT;
+		queue_average(&s->gap, k->now - s->ended_at);
 	s->ended_at = k->now;
 }
 
--- a/kernel/ending.c
+++ b/kernel/ending.c
@@ -10,7 +10,7 @@
 leave_queue(struct request *rq)
 {
 	if (rq->node.waiting)
-		queue_remove(&rq->services[rq->stage]->queue, &rq->node, false);
+		queue_remove(&rq->services[rq->stage]->queue, &rq->node);
 }
 
 /* The part of what the stages merged that the pipeline gives to callers. */
@@ -100,6 +100,7 @@
 	struct buf body = { 0 };
 
 	leave_queue(rq);
+	state_reach(rq, MAX_STAGES);
 	while (rq->n_calls > 0)
 		call_cancel(k, rq->calls[0], "request ended");
 	state_note(k, rq, NOTE_ENDED, outcome_name(e->outcome), NULL);
@@ -125,6 +126,7 @@
 	struct action *a = actions_add(k->out, ACTION_REFUSE);
 
 	leave_queue(rq);
+	state_reach(rq, MAX_STAGES);
 	state_note(k, rq, NOTE_REFUSED, err_name(e->error), NULL);
 	ending_fill_claim(rq, &a->claim);
 	a->claim.patience = REFUSAL_TIME;
--- a/kernel/flow.c
+++ b/kernel/flow.c
@@ -8,17 +8,12 @@
 enqueue(struct kernel *k, struct request *rq)
 {
 	const struct conf_stage *s = state_at(rq);
-	struct queue_entry e = {
-		.node = &rq->node,
-		.workspace = s->policy.fair != 0 ? rq->workspace->name : "",
-		.weight = rq->workspace->weight,
-		.order = s->policy.fair != 0 ? rq->deadline : k->now,
-	};
 
 	rq->state = REQUEST_QUEUED;
 	k->stats.queued++;
 	state_note(k, rq, NOTE_QUEUED, "no target free", NULL);
-	queue_push(&rq->services[rq->stage]->queue, &e);
+	queue_push(&rq->services[rq->stage]->queue, rq->lanes[rq->stage],
+	    &rq->node, s->policy.fair != 0 ? rq->deadline : k->now);
 }
 
 static enum call_role
@@ -90,6 +85,7 @@
 {
 	const struct conf_stage *s = state_at(rq);
 
+	state_reach(rq, rq->stage + 1);
 	rq->extra = 0;
 	rq->hedged = false;
 	rq->n_tried = 0;
@@ -344,7 +340,7 @@
 			rq->state = REQUEST_QUEUED;
 			return;
 		}
-		queue_remove(&s->queue, n, true);
+		queue_serve(&s->queue, n, k->now);
 	}
 }
 
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -84,6 +84,14 @@
 	    &k->targets, str_from(*s->listed != '\0' ? s->listed : s->name));
 }
 
+void
+state_reach(struct request *rq, size_t n)
+{
+	for (; rq->reached < rq->expected && rq->reached < n; rq->reached++)
+		queue_expect_less(
+		    &rq->services[rq->reached]->queue, rq->lanes[rq->reached]);
+}
+
 void
 state_note(const struct kernel *k, struct request *rq, enum note_kind kind,
     const char *why, const char *addr)
--- a/kernel/queue.c
+++ b/kernel/queue.c
@@ -5,17 +5,19 @@
 #include <stdlib.h>
 #include <string.h>
 
-static int
-find_lane(const struct queue *q, const char *name)
+/* Weight of the newest gap in an average of gaps. */
+#define GAP_WEIGHT 0.05
+
+void
+queue_average(double *gap, usec_t newest)
 {
-	for (size_t i = 0; i < q->n_lanes; i++) {
-		if (strcmp(q->lanes[i].name, name) == 0)
-			return (int)i;
-	}
-	return -1;
+	if (*gap <= 0)
+		*gap = (double)newest;
+	else
+		*gap += ((double)newest - *gap) * GAP_WEIGHT;
 }
 
-static int
+static uint32_t
 add_lane(struct queue *q, const char *name)
 {
 	struct queue_lane *l;
@@ -25,7 +27,33 @@
 	memset(l, 0, sizeof(*l));
 	snprintf(l->name, sizeof(l->name), "%s", name);
 	l->nodes = g_sequence_new(NULL);
-	return (int)q->n_lanes++;
+	l->served_at = -1;
+	return (uint32_t)q->n_lanes++;
+}
+
+uint32_t
+queue_lane(struct queue *q, const char *workspace, uint32_t weight)
+{
+	uint32_t i = 0;
+
+	while (i < q->n_lanes && strcmp(q->lanes[i].name, workspace) != 0)
+		i++;
+	if (i == q->n_lanes)
+		i = add_lane(q, workspace);
+	q->lanes[i].weight = weight > 0 ? weight : 1;
+	return i;
+}
+
+void
+queue_expect(struct queue *q, uint32_t lane)
+{
+	q->lanes[lane].expected++;
+}
+
+void
+queue_expect_less(struct queue *q, uint32_t lane)
+{
+	q->lanes[lane].expected--;
 }
 
 static gint
@@ -41,24 +69,18 @@
 }
 
 void
-queue_push(struct queue *q, const struct queue_entry *e)
+queue_push(struct queue *q, uint32_t lane, struct queue_node *n, usec_t order)
 {
-	int lane = find_lane(q, e->workspace);
-	struct queue_lane *l;
+	struct queue_lane *l = &q->lanes[lane];
 
-	if (lane < 0)
-		lane = add_lane(q, e->workspace);
-	l = &q->lanes[lane];
 	/* A lane that was empty has not saved up service for later. */
 	if (l->n == 0 && l->vtime < q->vtime)
 		l->vtime = q->vtime;
-	l->weight = e->weight > 0 ? e->weight : 1;
-	e->node->order = e->order;
-	e->node->number = ++q->pushed;
-	e->node->lane = (uint32_t)lane;
-	e->node->waiting = true;
-	e->node->at =
-	    g_sequence_insert_sorted(l->nodes, e->node, by_order, NULL);
+	n->order = order;
+	n->number = ++q->pushed;
+	n->lane = lane;
+	n->waiting = true;
+	n->at = g_sequence_insert_sorted(l->nodes, n, by_order, NULL);
 	l->n++;
 	q->n++;
 }
@@ -80,7 +102,7 @@
 }
 
 void
-queue_remove(struct queue *q, struct queue_node *n, bool served)
+queue_remove(struct queue *q, struct queue_node *n)
 {
 	struct queue_lane *l = &q->lanes[n->lane];
 
@@ -89,29 +111,57 @@
 	n->waiting = false;
 	l->n--;
 	q->n--;
-	if (served) {
-		q->vtime = l->vtime;
-		l->vtime += 1.0 / l->weight;
-	}
+	if (l->n == 0)
+		l->served_at = -1;
+}
+
+void
+queue_serve(struct queue *q, struct queue_node *n, usec_t now)
+{
+	struct queue_lane *l = &q->lanes[n->lane];
+
+	if (l->served_at >= 0)
+		queue_average(&l->gap, now - l->served_at);
+	l->served_at = now;
+	q->vtime = l->vtime;
+	l->vtime += 1.0 / l->weight;
+	queue_remove(q, n);
+}
+
+static double
+lane_size(const struct queue_lane *l)
+{
+	return (double)l->n + (double)l->expected;
 }
 
 double
-queue_ahead(const struct queue *q, const char *workspace, uint32_t weight)
+queue_ahead(const struct queue *q, uint32_t lane)
 {
-	int own = find_lane(q, workspace);
-	double turns = own < 0 ? 1.0 : (double)q->lanes[own].n + 1.0;
-	double sum = turns - 1.0;
+	const struct queue_lane *own = &q->lanes[lane];
+	double turns = lane_size(own) + 1;
+	double sum = lane_size(own);
 
-	for (size_t i = 0; i < q->n_lanes; i++) {
+	for (uint32_t i = 0; i < q->n_lanes; i++) {
 		const struct queue_lane *l = &q->lanes[i];
-		double share = turns * l->weight / (weight > 0 ? weight : 1);
+		double share = turns * l->weight / own->weight;
 
-		if ((int)i != own)
-			sum += share < (double)l->n ? share : (double)l->n;
+		if (i != lane)
+			sum += share < lane_size(l) ? share : lane_size(l);
 	}
 	return sum;
 }
 
+usec_t
+queue_backlog(const struct queue *q, uint32_t lane, double gap)
+{
+	const struct queue_lane *l = &q->lanes[lane];
+	double by_turns = queue_ahead(q, lane) * gap;
+	double by_lane = lane_size(l) * l->gap;
+
+	/* Others that come meanwhile are seen in the lane's own gaps only. */
+	return (usec_t)(by_lane > by_turns ? by_lane : by_turns);
+}
+
 void
 queue_free(struct queue *q)
 {
--- a/kernel/queue.h
+++ b/kernel/queue.h
@@ -29,6 +29,9 @@
 	uint32_t weight;
 	GSequence *nodes;
 	size_t n;
+	size_t expected;  /* that are still at earlier stages */
+	double gap;       /* time between two of its nodes, while some wait */
+	usec_t served_at; /* -1: it has been empty since */
 };
 
 struct queue {
@@ -39,21 +42,28 @@
 	uint64_t pushed;
 };
 
-struct queue_entry {
-	struct queue_node *node;
-	const char *workspace;
-	uint32_t weight;
-	usec_t order;
-};
-
-void queue_push(struct queue *q, const struct queue_entry *e);
+/* The workspace's lane; it is added if new, and then stays. */
+uint32_t queue_lane(struct queue *q, const char *workspace, uint32_t weight);
+/* A request of the lane will need the service later, or no longer. */
+void queue_expect(struct queue *q, uint32_t lane);
+void queue_expect_less(struct queue *q, uint32_t lane);
+void queue_push(
+    struct queue *q, uint32_t lane, struct queue_node *n, usec_t order);
 /* The node to serve next, still in the queue, or NULL. */
 struct queue_node *queue_peek(struct queue *q);
-/* Takes a node out; served: its lane is charged for it. */
-void queue_remove(struct queue *q, struct queue_node *n, bool served);
-/* How many would be served before a new entry of the workspace. */
-double queue_ahead(
-    const struct queue *q, const char *workspace, uint32_t weight);
+/* Takes a node out that is served now: its lane is charged for it. */
+void queue_serve(struct queue *q, struct queue_node *n, usec_t now);
+/* Takes a node out that is given up. */
+void queue_remove(struct queue *q, struct queue_node *n);
+/* Takes the newest gap into a moving average; 0: none was seen yet. */
+void queue_average(double *gap, usec_t newest);
+/* How many would be served before a new one of the lane. */
+double queue_ahead(const struct queue *q, uint32_t lane);
+/*
+ * Time until those before a new one of the lane are served, waiting and
+ * expected ones, when the service ends a call in every gap.
+ */
+usec_t queue_backlog(const struct queue *q, uint32_t lane, double gap);
 void queue_free(struct queue *q);
 
 #endif
--- a/kernel/state.h
+++ b/kernel/state.h
@@ -96,6 +96,9 @@
 	size_t stage;
 	struct stage_stats *stats[MAX_STAGES];      /* by stage */
 	struct service_state *services[MAX_STAGES]; /* by stage */
+	uint32_t lanes[MAX_STAGES]; /* in the services' queues */
+	size_t reached;             /* stages that are expected no longer */
+	size_t expected; /* of so many, once the request is admitted */
 	uint32_t listed[MAX_STAGES]; /* services in the target table */
 	struct call *calls[MAX_CALLS_PER_REQ];
 	size_t n_calls;
@@ -143,6 +146,8 @@
 struct quant *state_first_sign(const struct request *rq);
 /* The index of a service in the target table. */
 uint32_t state_listed(struct kernel *k, const struct conf_service *s);
+/* The request's first n stages are no longer expected at their services. */
+void state_reach(struct request *rq, size_t n);
 /* Adds a note on the request's present stage. */
 void state_note(const struct kernel *k, struct request *rq, enum note_kind kind,
     const char *why, const char *addr);
--- a/tests/kernel/test_policy.c
+++ b/tests/kernel/test_policy.c
@@ -184,14 +184,14 @@
 			char lane[2] = { cases[i].pushed[2 * j], '\0' };
 
 			queue_push(&q,
-			    &(struct queue_entry){ &nodes[j], lane,
-				cases[i].weights[lane[0] - 'a'],
-				cases[i].pushed[2 * j + 1] - '0' });
+			    queue_lane(
+				&q, lane, cases[i].weights[lane[0] - 'a']),
+			    &nodes[j], cases[i].pushed[2 * j + 1] - '0');
 		}
 		while ((n = queue_peek(&q)) != NULL) {
 			g_string_append_printf(served, "%s%d",
 			    q.lanes[n->lane].name, (int)n->order);
-			queue_remove(&q, n, true);
+			queue_serve(&q, n, 0);
 		}
 		g_assert_cmpstr(served->str, ==, cases[i].served);
 		g_assert_cmpuint(q.n, ==, 0);
@@ -220,14 +220,13 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		static struct queue_node nodes[200];
 		struct queue q = { 0 };
+		uint32_t a = queue_lane(&q, "a", 10);
+		uint32_t b = queue_lane(&q, "b", cases[i].weight);
 
 		memset(nodes, 0, sizeof(nodes));
 		for (unsigned j = 0; j < cases[i].a + cases[i].b; j++)
-			queue_push(&q,
-			    &(struct queue_entry){
-				&nodes[j], j < cases[i].a ? "a" : "b", 10, 1 });
-		g_assert_cmpfloat(
-		    queue_ahead(&q, "b", cases[i].weight), ==, cases[i].ahead);
+			queue_push(&q, j < cases[i].a ? a : b, &nodes[j], 1);
+		g_assert_cmpfloat(queue_ahead(&q, b), ==, cases[i].ahead);
 		queue_free(&q);
 	}
 }
