--- a/kernel/admit.c
+++ b/kernel/admit.c
@@ -5,36 +5,19 @@
 #include <stdio.h>
 #include <string.h>
 
-/* Percentile of each stage's time that a new request must have left. */
-#define ARRIVAL_PERCENT 50
+/* Percentiles of a stage's time that a new request must have left. */
+#define USUAL_PERCENT 50
+#define BUSY_PERCENT  95 /* while others of the workspace wait */
+#define BUSY_SIZE     4  /* so many of them */
+#define IDLE_PERCENT  10
+/* Percentile that a request which waits or has begun must have left. */
+#define LATER_PERCENT 50
+/* A pace counts as slower by this factor: others come meanwhile. */
+#define PACE_MARGIN   1.3
+/* A new call may take so many times what recent ones took. */
+#define RECENT_FACTOR 2
 /* A wait counts as longer by one part in so many: others come meanwhile. */
-#define WAIT_MARGIN     3
-/* The same while others wait, whose place it would take. */
-#define BUSY_PERCENT    95
-/* The same for a request that waits or has done some of its stages. */
-#define LATER_PERCENT   50
-
-/*
- * Time that a new request would wait for the services of its stages.  While
- * it waits for one, the backlog of the next gets shorter.
- */
-static usec_t
-waits(const struct request *rq)
-{
-	usec_t passed = 0;
-	usec_t sum = 0;
-
-	for (size_t i = 0; i < rq->pipeline->n_stages; i++) {
-		const struct service_state *s = rq->services[i];
-		usec_t backlog = queue_backlog(&s->queue, rq->lanes[i], s->gap);
-		usec_t wait = backlog > passed ? backlog - passed : 0;
-
-		sum += wait;
-		passed +=
-		    wait + quant_get(&rq->stats[i]->whole, ARRIVAL_PERCENT, 0);
-	}
-	return sum;
-}
+#define WAIT_MARGIN   3
 
 /* Time that the stages from the present one on need, by a percentile. */
 static usec_t
@@ -59,6 +42,65 @@
 	return false;
 }
 
+/*
+ * Time of a new call where calls wait at the runners: those under way, by the
+ * pace at which they end, but not far beyond what recent ones took.
+ */
+static usec_t
+runner_time(const struct stage_stats *st, const struct service_state *s)
+{
+	double by_pace = ((double)s->calls + 1) * s->pace * PACE_MARGIN;
+	double most = st->recent * RECENT_FACTOR;
+
+	return (usec_t)(by_pace < most ? by_pace : most);
+}
+
+/*
+ * Time that a call of a stage of a new request takes.  While others of its
+ * workspace wait, whose place it would take, that is a high percentile.
+ */
+static usec_t
+work_time(const struct request *rq, size_t i, bool waits)
+{
+	const struct stage_stats *st = rq->stats[i];
+	const struct service_state *s = rq->services[i];
+	usec_t usual = quant_get(&st->whole, USUAL_PERCENT, 0);
+	usec_t now;
+
+	/* With none of ours there, what was seen may be long over. */
+	if (s->calls == 0)
+		return quant_get(&st->whole, IDLE_PERCENT, 0);
+	if (rq->pipeline->stages[i].service->concurrency == 0) {
+		now = runner_time(st, s);
+		return now > usual ? now : usual;
+	}
+	return waits ? quant_get(&st->whole, BUSY_PERCENT, 0) : usual;
+}
+
+/*
+ * Time that a new request takes.  While it waits for one stage, the backlog
+ * of the next gets shorter.
+ */
+static usec_t
+whole_time(const struct request *rq)
+{
+	usec_t passed = 0;
+	usec_t sum = 0;
+
+	for (size_t i = 0; i < rq->pipeline->n_stages; i++) {
+		const struct service_state *s = rq->services[i];
+		usec_t backlog = queue_backlog(&s->queue, rq->lanes[i], s->gap);
+		bool waits = queue_size(&s->queue, rq->lanes[i]) >= BUSY_SIZE;
+		usec_t wait = backlog > passed ? backlog - passed : 0;
+
+		passed += wait + quant_get(&rq->stats[i]->whole, 50, 0);
+		sum += wait + work_time(rq, i, waits);
+		if (waits)
+			sum += wait / WAIT_MARGIN;
+	}
+	return sum;
+}
+
 /* Counts the request at the services of its later stages. */
 static void
 expect(struct request *rq)
@@ -73,7 +115,6 @@
 admit(struct kernel *k, struct request *rq)
 {
 	usec_t need;
-	usec_t wait;
 	usec_t retry = MIN_RETRY_WAIT;
 
 	if (k->draining) {
@@ -87,11 +128,9 @@
 	}
 	rq->admitted = true;
 	if (rq->pipeline->stages[0].policy.admission != 0) {
-		wait = waits(rq);
-		need =
-		    time_needed(rq, wait > 0 ? BUSY_PERCENT : ARRIVAL_PERCENT);
-		if (k->now + need + wait + wait / WAIT_MARGIN > rq->deadline) {
-			retry = wait > MIN_RETRY_WAIT ? wait : MIN_RETRY_WAIT;
+		need = whole_time(rq);
+		if (k->now + need > rq->deadline) {
+			retry = need > MIN_RETRY_WAIT ? need : MIN_RETRY_WAIT;
 			ending_give_up(k, rq, ERR_NO_TIME,
 			    "the stages need more time than is allowed", retry);
 			return;
--- a/kernel/call.c
+++ b/kernel/call.c
@@ -6,11 +6,13 @@
 #include <string.h>
 
 /* Bytes of the prompt that name its prefix for affinity. */
-#define PREFIX_BYTES 256
+#define PREFIX_BYTES  256
 /* So much of a request's id stands in the names of its calls. */
-#define MAX_ID_BYTES 80
+#define MAX_ID_BYTES  80
+/* Weight of the newest call in the average of recent ones. */
+#define RECENT_WEIGHT 0.2
 /* The longest that a look-up may take. */
-#define LOOKUP_TIME  USEC_PER_SEC
+#define LOOKUP_TIME   USEC_PER_SEC
 
 static usec_t
 later_stages(const struct request *rq)
@@ -188,6 +190,13 @@
 	rq->extra++;
 }
 
+static void
+note_start(const struct kernel *k, struct service_state *s)
+{
+	if (s->calls++ == 0)
+		s->paced_at = k->now;
+}
+
 struct call *
 call_send(struct kernel *k, struct request *rq, enum call_role role)
 {
@@ -216,6 +225,7 @@
 	rq->calls[rq->n_calls++] = c;
 	rq->tried[rq->n_tried++ % MAX_CALLS_PER_REQ] = i;
 	g_hash_table_insert(k->calls, &c->id, c);
+	note_start(k, rq->services[rq->stage]);
 	targets_started(&k->targets, i);
 	count(k, rq, role);
 	if (state_at(rq)->repeatable == 0 && role != CALL_LOOKUP) {
@@ -315,6 +325,9 @@
 {
 	struct service_state *s = rq->services[rq->stage];
 
+	s->calls--;
+	queue_average(&s->pace, k->now - s->paced_at);
+	s->paced_at = k->now;
 	s->room = true;
 	k->room = true;
 	if (s->queue.n == 0) {
@@ -354,6 +367,16 @@
 	call_close(k, c);
 }
 
+void
+call_average(const struct kernel *k, const struct call *c)
+{
+	double *recent = &c->rq->stats[c->rq->stage]->recent;
+	double took = (double)(k->now - c->started);
+
+	*recent =
+	    *recent > 0 ? *recent + (took - *recent) * RECENT_WEIGHT : took;
+}
+
 void
 call_succeeded(struct kernel *k, struct call *c)
 {
@@ -362,6 +385,7 @@
 	targets_succeeded(&k->targets, c->target, k->now);
 	if (c->role == CALL_LOOKUP)
 		return;
+	call_average(k, c);
 	if (state_at(c->rq)->service->kind->streams)
 		quant_add(&st->whole, k->now - c->started);
 	else
--- a/kernel/call.h
+++ b/kernel/call.h
@@ -32,6 +32,8 @@
 void call_cancel(struct kernel *k, struct call *c, const char *why);
 /* Takes the time of a successful call into the statistics. */
 void call_succeeded(struct kernel *k, struct call *c);
+/* Takes the time that a call has been under way into the recent average. */
+void call_average(const struct kernel *k, const struct call *c);
 /* Gives up a call that another one of its stage has overtaken. */
 void call_outrun(struct kernel *k, struct call *c);
 /* Whether the present service has any target that is not leaving. */
--- a/kernel/queue.c
+++ b/kernel/queue.c
@@ -1,12 +1,17 @@
 #include "kernel/queue.h"
 #include "base/str.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+/* An empty lane keeps so many turns that it has not used. */
+#define CREDIT_TURNS 8.0
+/* So many nodes must wait for the gaps of their lane to say something. */
+#define GAP_SIZE     4
 /* Weight of the newest gap in an average of gaps. */
-#define GAP_WEIGHT 0.05
+#define GAP_WEIGHT   0.05
 
 void
 queue_average(double *gap, usec_t newest)
@@ -68,14 +73,29 @@
 	return x->number < y->number ? -1 : x->number > y->number;
 }
 
+static double
+lane_size(const struct queue_lane *l)
+{
+	return (double)l->n + (double)l->expected;
+}
+
+/* The virtual time from which an empty lane goes on. */
+static double
+lane_start(const struct queue *q, const struct queue_lane *l)
+{
+	double least = q->vtime - CREDIT_TURNS / l->weight;
+
+	if (l->n > 0 || l->vtime > least)
+		return l->vtime;
+	return least;
+}
+
 void
 queue_push(struct queue *q, uint32_t lane, struct queue_node *n, usec_t order)
 {
 	struct queue_lane *l = &q->lanes[lane];
 
-	/* A lane that was empty has not saved up service for later. */
-	if (l->n == 0 && l->vtime < q->vtime)
-		l->vtime = q->vtime;
+	l->vtime = lane_start(q, l);
 	n->order = order;
 	n->number = ++q->pushed;
 	n->lane = lane;
@@ -128,25 +148,27 @@
 	queue_remove(q, n);
 }
 
-static double
-lane_size(const struct queue_lane *l)
+size_t
+queue_size(const struct queue *q, uint32_t lane)
 {
-	return (double)l->n + (double)l->expected;
+	return q->lanes[lane].n + q->lanes[lane].expected;
 }
 
 double
 queue_ahead(const struct queue *q, uint32_t lane)
 {
 	const struct queue_lane *own = &q->lanes[lane];
-	double turns = lane_size(own) + 1;
 	double sum = lane_size(own);
+	double turn = lane_start(q, own) + sum / own->weight;
 
 	for (uint32_t i = 0; i < q->n_lanes; i++) {
 		const struct queue_lane *l = &q->lanes[i];
-		double share = turns * l->weight / own->weight;
+		double before =
+		    floor((turn - lane_start(q, l)) * l->weight) + 1;
 
-		if (i != lane)
-			sum += share < lane_size(l) ? share : lane_size(l);
+		if (i == lane || before <= 0)
+			continue;
+		sum += before < lane_size(l) ? before : lane_size(l);
 	}
 	return sum;
 }
@@ -156,7 +178,7 @@
 {
 	const struct queue_lane *l = &q->lanes[lane];
 	double by_turns = queue_ahead(q, lane) * gap;
-	double by_lane = lane_size(l) * l->gap;
+	double by_lane = l->n >= GAP_SIZE ? lane_size(l) * l->gap : 0;
 
 	/* Others that come meanwhile are seen in the lane's own gaps only. */
 	return (usec_t)(by_lane > by_turns ? by_lane : by_turns);
--- a/kernel/queue.h
+++ b/kernel/queue.h
@@ -1,6 +1,7 @@
 /*
  * The calls that wait for a service: a lane for each workspace, served by
- * weight (virtual time), the earliest deadline first within a lane.  Without
+ * weight (virtual time), the earliest deadline first within a lane.  A lane
+ * that stays below its share may use some of it later, in a burst.  Without
  * fairness there is one lane, served in order of arrival.
  */
 #ifndef KERNEL_QUEUE_H
@@ -57,6 +58,8 @@
 void queue_remove(struct queue *q, struct queue_node *n);
 /* Takes the newest gap into a moving average; 0: none was seen yet. */
 void queue_average(double *gap, usec_t newest);
+/* How many of the lane wait or are expected. */
+size_t queue_size(const struct queue *q, uint32_t lane);
 /* How many would be served before a new one of the lane. */
 double queue_ahead(const struct queue *q, uint32_t lane);
 /*
--- a/kernel/state.h
+++ b/kernel/state.h
@@ -23,6 +23,7 @@
 /* What is known of a stage from its past calls. */
 struct stage_stats {
 	struct quant whole; /* time of a successful call */
+	double recent;      /* moving average of it; ended at deadlines, too */
 	struct quant first; /* time to the first token */
 	struct quant gap;   /* between tokens */
 	struct budget budget;
@@ -30,6 +31,9 @@
 
 struct service_state {
 	struct queue queue;
+	uint32_t calls; /* under way */
+	double pace; /* time between ends of calls, while some are under way */
+	usec_t paced_at; /* the latest end, or the first start */
 	double gap;      /* time between ends of calls, while calls waited */
 	usec_t ended_at; /* 0: no call has ended since the queue was empty */
 	bool room;       /* a call has ended since the queue was looked at */
--- a/kernel/watch.c
+++ b/kernel/watch.c
@@ -66,6 +66,15 @@
 		budget_return(&rq->stats[rq->stage]->budget);
 }
 
+/* Ends a request that is late; its calls would have taken longer still. */
+static void
+miss_deadline(struct kernel *k, struct request *rq)
+{
+	for (size_t i = 0; i < rq->n_calls; i++)
+		call_average(k, rq->calls[i]);
+	ending_give_up(k, rq, ERR_DEADLINE, state_at(rq)->name, 0);
+}
+
 static void
 deadline_passed(struct kernel *k, struct request *rq)
 {
@@ -79,7 +88,7 @@
 	else if (rq->effect_sent && !rq->effect_done && !rq->told)
 		ending_linger(k, rq);
 	else
-		ending_give_up(k, rq, ERR_DEADLINE, state_at(rq)->name, 0);
+		miss_deadline(k, rq);
 }
 
 void
