Look at all queues every 20 ms, not at each tick

With ten thousand busy runners each look may pass over all of them; calls that end, host lists and loads still have the queues looked at at once.

--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -7,6 +7,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Time brings room, too: loads age and targets return to service. */
+#define LOOK_INTERVAL (20 * USEC_PER_MSEC)
+
 static void
 free_stage(gpointer p)
 {
@@ -270,7 +273,10 @@
 		k->draining = true;
 		break;
 	case EVENT_TICK:
-		room_anywhere(k);
+		if (k->now - k->looked_at >= LOOK_INTERVAL) {
+			room_anywhere(k);
+			k->looked_at = k->now;
+		}
 		tick_all(k);
 		break;
 	}
--- a/kernel/state.h
+++ b/kernel/state.h
@@ -134,6 +134,7 @@
 	uint64_t next_call;
 	bool room;          /* some service may have got room */
 	bool room_anywhere; /* every service may have */
+	usec_t looked_at;   /* when a tick last had all queues looked at */
 	bool draining;
 	struct kernel_stats stats;
 	struct actions *out; /* of the step under way */
