Look up the answer of a completed delivery that was too large to keep

An answer above claim_answer_bytes is not kept with its claim; a later delivery of the key was told unknown though the service could be asked.

--- a/kernel/flow.c
+++ b/kernel/flow.c
@@ -215,6 +215,14 @@
 		ending_conclude(k, rq, &e);
 }
 
+/* Whether an earlier delivery's end is known without a look-up. */
+static bool
+answer_kept(const struct request *rq, const struct event_claim *ev)
+{
+	return ev->outcome != OUTCOME_COMPLETE || ev->answer.n > 0 ||
+	    *state_at(rq)->service->lookup == '\0';
+}
+
 static void
 claim_decided(
     struct kernel *k, struct request *rq, const struct event_claim *ev)
@@ -229,7 +237,12 @@
 		flow_dispatch(k, rq);
 		return;
 	case CLAIM_TAKEN_DONE:
-		ending_again(k, rq, ev);
+		if (answer_kept(rq, ev)) {
+			ending_again(k, rq, ev);
+			return;
+		}
+		rq->claim = CLAIM_FOREIGN;
+		flow_start_stage(k, rq);
 		return;
 	case CLAIM_TAKEN:
 		rq->claim = CLAIM_FOREIGN;
