--- a/kernel/flow.c
+++ b/kernel/flow.c
@@ -8,17 +8,12 @@
 enqueue(struct kernel *k, struct request *rq)
 {
 	const struct conf_stage *s = state_at(rq);
-	struct queue_entry e = {
-		.node = &rq->node,
-		.workspace = s->policy.fair != 0 ? rq->workspace->name : "",
-		.weight = rq->workspace->weight,
-		.order = s->policy.fair != 0 ? rq->deadline : k->now,
-	};
 
 	rq->state = REQUEST_QUEUED;
 	k->stats.queued++;
 	state_note(k, rq, NOTE_QUEUED, "no target free", NULL);
-	queue_push(&rq->services[rq->stage]->queue, &e);
+	queue_push(&rq->services[rq->stage]->queue, rq->lanes[rq->stage],
+	    &rq->node, s->policy.fair != 0 ? rq->deadline : k->now);
 }
 
 static enum call_role
@@ -90,6 +85,7 @@
 {
 	const struct conf_stage *s = state_at(rq);
 
+	state_reach(rq, rq->stage + 1);
 	rq->extra = 0;
 	rq->hedged = false;
 	rq->n_tried = 0;
@@ -219,6 +215,14 @@
 		ending_conclude(k, rq, &e);
 }
 
+/* Whether an earlier delivery's end is known without a look-up. */
+static bool
+answer_kept(const struct request *rq, const struct event_claim *ev)
+{
+	return ev->outcome != OUTCOME_COMPLETE || ev->answer.n > 0 ||
+	    *state_at(rq)->service->lookup == '\0';
+}
+
 static void
 claim_decided(
     struct kernel *k, struct request *rq, const struct event_claim *ev)
@@ -233,7 +237,12 @@
 		flow_dispatch(k, rq);
 		return;
 	case CLAIM_TAKEN_DONE:
-		ending_again(k, rq, ev);
+		if (answer_kept(rq, ev)) {
+			ending_again(k, rq, ev);
+			return;
+		}
+		rq->claim = CLAIM_FOREIGN;
+		flow_start_stage(k, rq);
 		return;
 	case CLAIM_TAKEN:
 		rq->claim = CLAIM_FOREIGN;
@@ -344,7 +353,7 @@
 			rq->state = REQUEST_QUEUED;
 			return;
 		}
-		queue_remove(&s->queue, n, true);
+		queue_serve(&s->queue, n, k->now);
 	}
 }
 
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -7,6 +7,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Time brings room, too: loads age and targets return to service. */
+#define LOOK_INTERVAL (20 * USEC_PER_MSEC)
+
 static void
 free_stage(gpointer p)
 {
@@ -84,6 +87,14 @@
 	    &k->targets, str_from(*s->listed != '\0' ? s->listed : s->name));
 }
 
+void
+state_reach(struct request *rq, size_t n)
+{
+	for (; rq->reached < rq->expected && rq->reached < n; rq->reached++)
+		queue_expect_less(
+		    &rq->services[rq->reached]->queue, rq->lanes[rq->reached]);
+}
+
 void
 state_note(const struct kernel *k, struct request *rq, enum note_kind kind,
     const char *why, const char *addr)
@@ -262,7 +273,10 @@
 		k->draining = true;
 		break;
 	case EVENT_TICK:
-		room_anywhere(k);
+		if (k->now - k->looked_at >= LOOK_INTERVAL) {
+			room_anywhere(k);
+			k->looked_at = k->now;
+		}
 		tick_all(k);
 		break;
 	}
--- a/kernel/queue.c
+++ b/kernel/queue.c
@@ -1,21 +1,28 @@
 #include "kernel/queue.h"
 #include "base/str.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-static int
-find_lane(const struct queue *q, const char *name)
+/* An empty lane keeps so many turns that it has not used. */
+#define CREDIT_TURNS 8.0
+/* So many nodes must wait for the gaps of their lane to say something. */
+#define GAP_SIZE     4
+/* Weight of the newest gap in an average of gaps. */
+#define GAP_WEIGHT   0.05
+
+void
+queue_average(double *gap, usec_t newest)
 {
-	for (size_t i = 0; i < q->n_lanes; i++) {
-		if (strcmp(q->lanes[i].name, name) == 0)
-			return (int)i;
-	}
-	return -1;
+	if (*gap <= 0)
+		*gap = (double)newest;
+	else
+		*gap += ((double)newest - *gap) * GAP_WEIGHT;
 }
 
-static int
+static uint32_t
 add_lane(struct queue *q, const char *name)
 {
 	struct queue_lane *l;
@@ -25,7 +32,33 @@
 	memset(l, 0, sizeof(*l));
 	snprintf(l->name, sizeof(l->name), "%s", name);
 	l->nodes = g_sequence_new(NULL);
-	return (int)q->n_lanes++;
+	l->served_at = -1;
+	return (uint32_t)q->n_lanes++;
+}
+
+uint32_t
+queue_lane(struct queue *q, const char *workspace, uint32_t weight)
+{
+	uint32_t i = 0;
+
+	while (i < q->n_lanes && strcmp(q->lanes[i].name, workspace) != 0)
+		i++;
+	if (i == q->n_lanes)
+		i = add_lane(q, workspace);
+	q->lanes[i].weight = weight > 0 ? weight : 1;
+	return i;
+}
+
+void
+queue_expect(struct queue *q, uint32_t lane)
+{
+	q->lanes[lane].expected++;
+}
+
+void
+queue_expect_less(struct queue *q, uint32_t lane)
+{
+	q->lanes[lane].expected--;
 }
 
 static gint
@@ -40,25 +73,34 @@
 	return x->number < y->number ? -1 : x->number > y->number;
 }
 
-void
-queue_push(struct queue *q, const struct queue_entry *e)
+static double
+lane_size(const struct queue_lane *l)
 {
-	int lane = find_lane(q, e->workspace);
-	struct queue_lane *l;
+	return (double)l->n + (double)l->expected;
+}
+
+/* The virtual time from which an empty lane goes on. */
+static double
+lane_start(const struct queue *q, const struct queue_lane *l)
+{
+	double least = q->vtime - CREDIT_TURNS / l->weight;
 
-	if (lane < 0)
-		lane = add_lane(q, e->workspace);
-	l = &q->lanes[lane];
-	/* A lane that was empty has not saved up service for later. */
-	if (l->n == 0 && l->vtime < q->vtime)
-		l->vtime = q->vtime;
-	l->weight = e->weight > 0 ? e->weight : 1;
-	e->node->order = e->order;
-	e->node->number = ++q->pushed;
-	e->node->lane = (uint32_t)lane;
-	e->node->waiting = true;
-	e->node->at =
-	    g_sequence_insert_sorted(l->nodes, e->node, by_order, NULL);
+	if (l->n > 0 || l->vtime > least)
+		return l->vtime;
+	return least;
+}
+
+void
+queue_push(struct queue *q, uint32_t lane, struct queue_node *n, usec_t order)
+{
+	struct queue_lane *l = &q->lanes[lane];
+
+	l->vtime = lane_start(q, l);
+	n->order = order;
+	n->number = ++q->pushed;
+	n->lane = lane;
+	n->waiting = true;
+	n->at = g_sequence_insert_sorted(l->nodes, n, by_order, NULL);
 	l->n++;
 	q->n++;
 }
@@ -80,7 +122,7 @@
 }
 
 void
-queue_remove(struct queue *q, struct queue_node *n, bool served)
+queue_remove(struct queue *q, struct queue_node *n)
 {
 	struct queue_lane *l = &q->lanes[n->lane];
 
@@ -89,29 +131,59 @@
 	n->waiting = false;
 	l->n--;
 	q->n--;
-	if (served) {
-		q->vtime = l->vtime;
-		l->vtime += 1.0 / l->weight;
-	}
+	if (l->n == 0)
+		l->served_at = -1;
+}
+
+void
+queue_serve(struct queue *q, struct queue_node *n, usec_t now)
+{
+	struct queue_lane *l = &q->lanes[n->lane];
+
+	if (l->served_at >= 0)
+		queue_average(&l->gap, now - l->served_at);
+	l->served_at = now;
+	q->vtime = l->vtime;
+	l->vtime += 1.0 / l->weight;
+	queue_remove(q, n);
+}
+
+size_t
+queue_size(const struct queue *q, uint32_t lane)
+{
+	return q->lanes[lane].n + q->lanes[lane].expected;
 }
 
 double
-queue_ahead(const struct queue *q, const char *workspace, uint32_t weight)
+queue_ahead(const struct queue *q, uint32_t lane)
 {
-	int own = find_lane(q, workspace);
-	double turns = own < 0 ? 1.0 : (double)q->lanes[own].n + 1.0;
-	double sum = turns - 1.0;
+	const struct queue_lane *own = &q->lanes[lane];
+	double sum = lane_size(own);
+	double turn = lane_start(q, own) + sum / own->weight;
 
-	for (size_t i = 0; i < q->n_lanes; i++) {
+	for (uint32_t i = 0; i < q->n_lanes; i++) {
 		const struct queue_lane *l = &q->lanes[i];
-		double share = turns * l->weight / (weight > 0 ? weight : 1);
+		double before =
+		    floor((turn - lane_start(q, l)) * l->weight) + 1;
 
-		if ((int)i != own)
-			sum += share < (double)l->n ? share : (double)l->n;
+		if (i == lane || before <= 0)
+			continue;
+		sum += before < lane_size(l) ? before : lane_size(l);
 	}
 	return sum;
 }
 
+usec_t
+queue_backlog(const struct queue *q, uint32_t lane, double gap)
+{
+	const struct queue_lane *l = &q->lanes[lane];
+	double by_turns = queue_ahead(q, lane) * gap;
+	double by_lane = l->n >= GAP_SIZE ? lane_size(l) * l->gap : 0;
+
+	/* Others that come meanwhile are seen in the lane's own gaps only. */
+	return (usec_t)(by_lane > by_turns ? by_lane : by_turns);
+}
+
 void
 queue_free(struct queue *q)
 {
--- a/kernel/state.h
+++ b/kernel/state.h
@@ -23,6 +23,7 @@
 /* What is known of a stage from its past calls. */
 struct stage_stats {
 	struct quant whole; /* time of a successful call */
+	double recent;      /* moving average of it; ended at deadlines, too */
 	struct quant first; /* time to the first token */
 	struct quant gap;   /* between tokens */
 	struct budget budget;
@@ -30,6 +31,9 @@
 
 struct service_state {
 	struct queue queue;
+	uint32_t calls; /* under way */
+	double pace; /* time between ends of calls, while some are under way */
+	usec_t paced_at; /* the latest end, or the first start */
 	double gap;      /* time between ends of calls, while calls waited */
 	usec_t ended_at; /* 0: no call has ended since the queue was empty */
 	bool room;       /* a call has ended since the queue was looked at */
@@ -96,6 +100,9 @@
 	size_t stage;
 	struct stage_stats *stats[MAX_STAGES];      /* by stage */
 	struct service_state *services[MAX_STAGES]; /* by stage */
+	uint32_t lanes[MAX_STAGES]; /* in the services' queues */
+	size_t reached;             /* stages that are expected no longer */
+	size_t expected; /* of so many, once the request is admitted */
 	uint32_t listed[MAX_STAGES]; /* services in the target table */
 	struct call *calls[MAX_CALLS_PER_REQ];
 	size_t n_calls;
@@ -127,6 +134,7 @@
 	uint64_t next_call;
 	bool room;          /* some service may have got room */
 	bool room_anywhere; /* every service may have */
+	usec_t looked_at;   /* when a tick last had all queues looked at */
 	bool draining;
 	struct kernel_stats stats;
 	struct actions *out; /* of the step under way */
@@ -143,6 +151,8 @@
 struct quant *state_first_sign(const struct request *rq);
 /* The index of a service in the target table. */
 uint32_t state_listed(struct kernel *k, const struct conf_service *s);
+/* The request's first n stages are no longer expected at their services. */
+void state_reach(struct request *rq, size_t n);
 /* Adds a note on the request's present stage. */
 void state_note(const struct kernel *k, struct request *rq, enum note_kind kind,
     const char *why, const char *addr);
