--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,8 @@
 DESTDIR ?=
 PREFIX ?= /usr/local
 
-.PHONY: all deps build check demo lint peer format format-check golden fuzz \
-    install clean
+.PHONY: all deps build check demo lint peer format format-check golden \
+    golden-wire fuzz install clean
 
 all: build
 
@@ -55,6 +55,10 @@
 	cd entry && rm -f peer.h peer_xdr.c && rpcgen -C -M -h -o peer.h peer.x && \
 	    rpcgen -C -M -c -o peer_xdr.c peer.x
 
+# The wire sessions' golden files; a difference shows up in make check.
+golden-wire: build
+	@tests/wire/run.sh build/release --write
+
 demo: build
 	@tests/demo/run.sh build/release
 
--- a/entry/control.c
+++ b/entry/control.c
@@ -63,8 +63,7 @@
 	c->conf = conf;
 	claimer_retention(c->claimer, conf->fleet.claim_retention);
 	atomic_store(&c->generation, conf->generation);
-	snaps_publish(c->o.snaps,
-	    &(struct snap){ .conf = conf, .draining = c->draining });
+	snaps_publish(c->o.snaps, &(struct snap){ .conf = conf });
 	traffic_conf(c->traffic, conf);
 	gossiper_generation(c->gossiper, conf->generation, clock_now());
 	orderer_conf(c->orderer, conf);
@@ -579,7 +578,8 @@
 	fetcher_stop(c->fetcher);
 	atomic_store(&c->stopping, true);
 	http_wake(c->loop);
-	pthread_join(c->thread, NULL);
+	if (c->traffic != NULL)
+		pthread_join(c->thread, NULL);
 	rpc_stop(c->rpc);
 }
 
--- /dev/null
+++ b/entry/intake.c
@@ -0,0 +1,154 @@
+/* Reading a caller's request: token, headers and body. */
+#include "entry/visit.h"
+
+#include <string.h>
+
+#define MAX_ATTEMPT    1000000U
+#define MAX_TIMEOUT_MS 3600000U
+#define CONTINUE       STR("HTTP/1.1 100 Continue\r\n\r\n")
+
+int
+visit_authorize(struct visit *v)
+{
+	const char *auth = mg_get_header(v->conn, "Authorization");
+
+	v->conf = snaps_conf(v->o->snaps);
+	if (v->conf == NULL)
+		return ERR_NOT_READY;
+	if (auth == NULL || strncasecmp(auth, "Bearer ", 7) != 0)
+		return ERR_BAD_TOKEN;
+	v->workspace = conf_token(v->conf, str_trim(str_from(auth + 7)));
+	return v->workspace != NULL ? 0 : ERR_BAD_TOKEN;
+}
+
+bool
+visit_streams(const struct visit *v)
+{
+	const char *accept = mg_get_header(v->conn, "Accept");
+
+	return accept != NULL && strstr(accept, "text/event-stream") != NULL;
+}
+
+bool
+visit_seen(const struct visit *v, size_t *seen)
+{
+	const char *text = mg_get_header(v->conn, "Last-Event-ID");
+	uint64_t n = 0;
+
+	if (text != NULL && !str_u64(str_trim(str_from(text)), &n))
+		return false;
+	*seen = n;
+	return true;
+}
+
+/* Reads a header that holds a whole number from 1; absent: 0. */
+static int
+number_header(const struct visit *v, const char *name, uint64_t most,
+    uint64_t *out, struct buf *detail)
+{
+	const char *text = mg_get_header(v->conn, name);
+
+	*out = 0;
+	if (text == NULL ||
+	    (str_u64(str_trim(str_from(text)), out) && *out > 0 &&
+		*out <= most))
+		return 0;
+	buf_printf(detail, "%s: write a whole number from 1 to %llu", name,
+	    (unsigned long long)most);
+	return ERR_BAD_HEADER;
+}
+
+static int
+too_large(const struct visit *v, struct buf *detail)
+{
+	buf_printf(
+	    detail, "a body has at most %u bytes", v->o->settings->max_body);
+	return ERR_TOO_LARGE;
+}
+
+/* Reads what is on the connection until the body ends or is too large. */
+static int
+pull_body(const struct visit *v, struct buf *out, struct buf *detail)
+{
+	char part[8192];
+	int n;
+
+	while ((n = mg_read(v->conn, part, sizeof(part))) > 0) {
+		buf_put(out, (struct str){ part, (size_t)n });
+		if (out->n > v->o->settings->max_body)
+			return too_large(v, detail);
+	}
+	if (n < 0 ||
+	    (v->info->content_length >= 0 &&
+		out->n < (size_t)v->info->content_length)) {
+		buf_put(detail,
+		    STR("the body ended early, came too slowly or has a bad "
+			"chunk"));
+		return ERR_SLOW_BODY;
+	}
+	return 0;
+}
+
+static int
+read_body(struct visit *v, struct buf *out, struct buf *detail)
+{
+	const char *expect = mg_get_header(v->conn, "Expect");
+	struct guard_body b = { .info = v->info,
+		.until = clock_now() + v->o->settings->body_timeout };
+	int rc;
+
+	if (v->info->content_length > (long long)v->o->settings->max_body)
+		return too_large(v, detail);
+	if (expect != NULL && strcasecmp(expect, "100-continue") == 0)
+		mg_write(v->conn, CONTINUE.p, CONTINUE.n);
+	guard_enter(v->guard, &b);
+	rc = pull_body(v, out, detail);
+	guard_leave(v->guard, &b);
+	if (b.cut && rc == 0) {
+		buf_put(detail, STR("the body came too slowly"));
+		rc = ERR_SLOW_BODY;
+	}
+	v->body_read = rc == 0;
+	return rc;
+}
+
+static int
+read_key(const struct visit *v, struct buf *out, struct buf *detail)
+{
+	const char *key = mg_get_header(v->conn, "Idempotency-Key");
+
+	if (key == NULL)
+		return 0;
+	if (strlen(key) > MAX_KEY_BYTES) {
+		buf_put(detail, STR("Idempotency-Key: longer than a UUID"));
+		return ERR_KEY_BAD;
+	}
+	buf_put(out, str_from(key));
+	return 0;
+}
+
+int
+visit_read(struct visit *v, struct str pipeline, struct traffic_request *rq,
+    struct buf *detail)
+{
+	uint64_t attempt = 0;
+	uint64_t timeout = 0;
+	int rc = read_key(v, &rq->key, detail);
+
+	if (rc == 0)
+		rc = number_header(
+		    v, "Sequoia-Attempt", MAX_ATTEMPT, &attempt, detail);
+	if (rc == 0)
+		rc = number_header(
+		    v, "Sequoia-Timeout-Ms", MAX_TIMEOUT_MS, &timeout, detail);
+	if (rc == 0)
+		rc = read_body(v, &rq->body, detail);
+	if (rc != 0)
+		return rc;
+	buf_put(&rq->pipeline, pipeline);
+	buf_put(&rq->workspace, str_from(v->workspace->name));
+	rq->attempt = (uint32_t)attempt;
+	rq->timeout = (usec_t)timeout * USEC_PER_MSEC;
+	rq->stream = visit_streams(v);
+	return 0;
+}
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -36,6 +36,7 @@
 enum own {
 	OWN_OUTCOMES,
 	OWN_ERRORS,
+	OWN_REFUSED,
 	OWN_BUSY,
 	OWN_TARGETS,
 	OWN_GENERATION,
@@ -50,6 +51,8 @@
 	    "Requests by the outcome that their caller was told." },
 	[OWN_ERRORS] = { "sequoia_errors_total", "counter",
 	    "Requests by the error that their caller was told." },
+	[OWN_REFUSED] = { "sequoia_refused_total", "counter",
+	    "Requests refused before they reached the kernel, by error." },
 	[OWN_BUSY] = { "sequoia_requests_in_flight", "gauge",
 	    "Requests that have not ended." },
 	[OWN_TARGETS] = { "sequoia_targets", "gauge",
@@ -92,6 +95,16 @@
 		    err_name(-k), (unsigned long long)s->errors[k]);
 }
 
+static void
+put_refused(const struct tally *t, struct buf *out)
+{
+	head(&own[OWN_REFUSED], out);
+	for (int k = 1; k < -ERR_LAST; k++)
+		buf_printf(out, "%s{error=\"%s\"} %llu\n",
+		    own[OWN_REFUSED].name, err_name(-k),
+		    (unsigned long long)atomic_load(&t->refused[k]));
+}
+
 /* One line for each service and state; targets stand grouped by neither. */
 static void
 put_targets(const struct traffic_report *r, struct buf *out)
@@ -130,6 +143,7 @@
 		    (unsigned long long)v);
 	}
 	put_labelled(&in->report->stats, out);
+	put_refused(in->tally, out);
 	put_targets(in->report, out);
 	gauge(&own[OWN_BUSY], (double)in->report->busy, out);
 	gauge(&own[OWN_GENERATION], (double)in->generation, out);
--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -2,10 +2,12 @@
 #ifndef ENTRY_METRICS_H
 #define ENTRY_METRICS_H
 
+#include "entry/tally.h"
 #include "entry/traffic.h"
 
 struct metrics_input {
 	const struct traffic_report *report;
+	const struct tally *tally;
 	uint64_t generation;
 	size_t record_bytes;
 	bool ready;
--- a/entry/ops.c
+++ b/entry/ops.c
@@ -66,6 +66,7 @@
 	traffic_report(ops->o.traffic, &report);
 	in.ready = is_ready(ops, &in.generation);
 	in.record_bytes = records_bytes(ops->o.records);
+	in.tally = ops->o.tally;
 	metrics_write(&in, &out);
 	send_text(conn, 200, str_of(&out));
 	buf_free(&out);
@@ -107,12 +108,27 @@
 	    (json_int_t)generation, "requests_in_flight",
 	    (json_int_t)report.busy, "targets", targets);
 	answer_dump(o, &out);
-	reply_json(conn, 200, str_of(&out));
+	reply_json(&(struct reply){ .conn = conn, .request_id = "" }, 200,
+	    str_of(&out));
 	buf_free(&out);
 	traffic_report_free(&report);
 	return 200;
 }
 
+/* Starts the same drain as SIGTERM, but the process stays. */
+static int
+on_drain(struct mg_connection *conn, void *arg)
+{
+	struct ops *ops = arg;
+	struct reply r = { .conn = conn, .request_id = "", .allow = "POST" };
+
+	if (strcmp(mg_get_request_info(conn)->request_method, "POST") != 0)
+		return reply_refuse(&r, ERR_METHOD, "POST");
+	r.allow = NULL;
+	snaps_drain(ops->o.snaps);
+	return reply_json(&r, 202, STR("{\"draining\":true}"));
+}
+
 static void *
 on_thread(const struct mg_context *ctx, int kind)
 {
@@ -156,6 +172,7 @@
 	mg_set_request_handler(ops->ctx, "/readyz$", on_ready, ops);
 	mg_set_request_handler(ops->ctx, "/metrics$", on_metrics, ops);
 	mg_set_request_handler(ops->ctx, "/status$", on_status, ops);
+	mg_set_request_handler(ops->ctx, "/drain$", on_drain, ops);
 	return ops;
 }
 
--- a/entry/ops.h
+++ b/entry/ops.h
@@ -14,6 +14,7 @@
 	struct snaps *snaps;
 	struct traffic *traffic;
 	struct records *records;
+	const struct tally *tally;
 };
 
 struct ops *ops_start(const struct ops_opts *o, struct err *e);
--- a/entry/reply.c
+++ b/entry/reply.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <time.h>
 
+#define NOT_READY_RETRY (1 * USEC_PER_SEC)
+
 static const char *
 reason(int status)
 {
@@ -25,11 +27,17 @@
 		strftime(date, sizeof(date), "%a, %d %b %Y %H:%M:%S GMT", &tm);
 		buf_printf(out, "Sunset: %s\r\n", date);
 	}
+	if (r->allow != NULL)
+		buf_printf(out, "Allow: %s\r\n", r->allow);
+	if (r->close)
+		buf_put(out, STR("Connection: close\r\n"));
 	if (*r->request_id != '\0')
 		buf_printf(out, "Sequoia-Request-Id: %s\r\n", r->request_id);
 	if (end == NULL)
 		return;
-	buf_printf(out, "Sequoia-Outcome: %s\r\n", outcome_name(end->outcome));
+	if (end->outcome != OUTCOME_NONE)
+		buf_printf(
+		    out, "Sequoia-Outcome: %s\r\n", outcome_name(end->outcome));
 	if (end->retry_after > 0)
 		buf_printf(out, "Retry-After: %lld\r\n",
 		    (long long)((end->retry_after + USEC_PER_SEC - 1) /
@@ -56,6 +64,8 @@
 	put_headers(r, end, &out);
 	buf_put(&out, STR("\r\n"));
 	buf_put(&out, body);
+	if (r->close)
+		mg_disable_connection_keep_alive(r->conn);
 	write_all(r->conn, str_of(&out));
 	buf_free(&out);
 	return status;
@@ -79,10 +89,12 @@
 	json_t *o;
 
 	buf_printf(&type, "urn:sequoiacourse:error:%s", err_name(end->error));
-	o = json_pack("{s:s, s:s, s:i, s:s, s:s, s:s}", "type", type.p, "title",
+	o = json_pack("{s:s, s:s, s:i, s:s, s:s}", "type", type.p, "title",
 	    err_name(end->error), "status", err_status(end->error), "detail",
-	    end->detail, "outcome", outcome_name(end->outcome), "remedy",
-	    err_remedy(end->error));
+	    end->detail, "remedy", err_remedy(end->error));
+	if (end->outcome != OUTCOME_NONE)
+		json_object_set_new(
+		    o, "outcome", json_string(outcome_name(end->outcome)));
 	if (*id != '\0')
 		json_object_set_new(o, "request_id", json_string(id));
 	answer_dump(o, out);
@@ -113,16 +125,20 @@
 {
 	struct record_end end = { .outcome = OUTCOME_NOT_RUN, .error = kind };
 
+	if (r->asks)
+		end.outcome = OUTCOME_NONE;
+	else if (r->keyed)
+		end.outcome = OUTCOME_UNKNOWN;
+	if (kind == ERR_NOT_READY)
+		end.retry_after = NOT_READY_RETRY;
 	snprintf(end.detail, sizeof(end.detail), "%s", detail);
 	return reply_end(r, &end);
 }
 
 int
-reply_json(struct mg_connection *conn, int status, struct str body)
+reply_json(const struct reply *r, int status, struct str body)
 {
-	struct reply r = { conn, "", 0 };
-
-	return respond(&r, status, "application/json", NULL, body);
+	return respond(r, status, "application/json", NULL, body);
 }
 
 bool
@@ -133,9 +149,13 @@
 
 	buf_put(&out,
 	    STR("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-		"Cache-Control: no-store\r\nConnection: close\r\n"));
-	put_headers(r, NULL, &out);
+		"Cache-Control: no-store\r\n"));
+	put_headers(&(struct reply){ .request_id = r->request_id,
+			.sunset = r->sunset,
+			.close = true },
+	    NULL, &out);
 	buf_put(&out, STR("\r\n"));
+	mg_disable_connection_keep_alive(r->conn);
 	n = write_all(r->conn, str_of(&out));
 	buf_free(&out);
 	return n > 0;
--- a/entry/reply.h
+++ b/entry/reply.h
@@ -6,10 +6,17 @@
 
 #include <civetweb.h>
 
+/* In place of an outcome: the answer is not about the request itself. */
+#define OUTCOME_NONE ((enum outcome) - 1)
+
 struct reply {
 	struct mg_connection *conn;
 	const char *request_id; /* may be empty */
 	usec_t sunset;          /* for the Sunset header; 0: none */
+	const char *allow;      /* for the Allow header, may be NULL */
+	bool close;             /* the connection ends after this answer */
+	bool keyed; /* an earlier delivery may have run: refusals say unknown */
+	bool asks;  /* about another request: refusals say no outcome */
 };
 
 /* The body of a complete answer. */
@@ -22,7 +29,7 @@
 int reply_end(const struct reply *r, const struct record_end *end);
 /* A response for a request that was refused before it had a record. */
 int reply_refuse(const struct reply *r, enum err_kind kind, const char *detail);
-int reply_json(struct mg_connection *conn, int status, struct str body);
+int reply_json(const struct reply *r, int status, struct str body);
 /* The head of a stream; false when the caller has gone. */
 bool reply_stream_head(const struct reply *r);
 /* One event; false when the caller has gone. */
--- a/entry/sequoiad.c
+++ b/entry/sequoiad.c
@@ -17,6 +17,9 @@
 #define OPTION_BASE      1000 /* argp keys of the settings' options */
 #define INCARNATION_BITS 12   /* random ones below the wall clock */
 #define DRAIN_STEP       (20 * USEC_PER_MSEC)
+#define SWEEP_STEP       (250 * USEC_PER_MSEC)
+#define EXIT_SETTINGS    2 /* the settings or the addresses can't be used */
+#define QUIET            (200 * USEC_PER_MSEC)
 
 const char *argp_program_version = "sequoiad " SEQUOIA_VERSION;
 
@@ -33,6 +36,10 @@
 	struct traffic *traffic;
 	struct web *web;
 	struct ops *ops;
+	struct tally tally;
+	usec_t drain_at; /* when nothing new is taken; 0: not draining */
+	bool drained;
+	bool working; /* the control and traffic threads run */
 };
 
 static error_t
@@ -114,12 +121,12 @@
 	    (rng_entropy() & ((1U << INCARNATION_BITS) - 1));
 }
 
+/* Makes everything that needs no thread; 0 or an error number with e. */
 static int
-start(struct daemon *d)
+prepare(struct daemon *d, struct err *e)
 {
-	struct settings *s = &d->settings;
+	const struct settings *s = &d->settings;
 	uint64_t incarnation = make_incarnation();
-	struct err e = { 0 };
 
 	d->records = records_new(&(struct records_opts){
 	    .node = (uint32_t)hash_u64(str_from(s->id), 0),
@@ -135,11 +142,9 @@
 		.records = d->records,
 		.incarnation = incarnation,
 	    },
-	    &e);
-	if (d->control == NULL) {
-		fprintf(stderr, "sequoiad: %s\n", e.text);
-		return e.kind;
-	}
+	    e);
+	if (d->control == NULL)
+		return e->kind;
 	d->traffic = traffic_new(&(struct traffic_opts){
 	    .records = d->records,
 	    .domain = s->failure_domain,
@@ -147,74 +152,134 @@
 	    .claim = control_claim,
 	    .arg = d->control,
 	});
-	d->ops = ops_start(
-	    &(struct ops_opts){ s, d->snaps, d->traffic, d->records }, &e);
-	if (d->ops != NULL)
-		d->web = web_start(
-		    &(struct web_opts){ s, d->records, d->snaps, d->traffic },
-		    &e);
-	if (d->web == NULL) {
-		fprintf(stderr, "sequoiad: %s\n", e.text);
-		return e.kind;
-	}
+	return 0;
+}
+
+/* Starts to listen and to work; 0 or an error number with e. */
+static int
+start(struct daemon *d, struct err *e)
+{
+	const struct settings *s = &d->settings;
+
+	if (prepare(d, e) != 0)
+		return e->kind;
+	d->ops = ops_start(&(struct ops_opts){ s, d->snaps, d->traffic,
+			       d->records, &d->tally },
+	    e);
+	if (d->ops == NULL)
+		return e->kind;
+	d->web = web_start(&(struct web_opts){ s, d->records, d->snaps,
+			       d->traffic, &d->tally },
+	    e);
+	if (d->web == NULL)
+		return e->kind;
 	traffic_start(d->traffic);
 	control_start(d->control, d->traffic);
+	d->working = true;
 	LOG(LOG_LVL_NOTICE, "started", { "listen", str_from(s->listen) },
 	    { "failure_domain", str_from(s->failure_domain) });
 	return 0;
 }
 
-/* Not ready at once, nothing new after a while, every request finished. */
+/* Not ready at once; nothing new once the balancer has looked away. */
 static void
-drain(struct daemon *d)
+drain_step(struct daemon *d)
 {
-	struct conf *c = snaps_conf(d->snaps);
+	usec_t now = clock_now();
 
-	LOG(LOG_LVL_NOTICE, "draining", { "cause", STR("signal") });
-	snaps_publish(d->snaps, &(struct snap){ .conf = c, .draining = true });
-	conf_unref(c);
-	usleep((useconds_t)d->settings.drain);
+	if (d->drained || !snaps_draining(d->snaps))
+		return;
+	if (d->drain_at == 0) {
+		d->drain_at = now + d->settings.drain;
+		LOG(LOG_LVL_NOTICE, "draining",
+		    { "id", str_from(d->settings.id) });
+	}
+	if (now < d->drain_at)
+		return;
 	traffic_drain(d->traffic);
-	usleep((useconds_t)DRAIN_STEP);
-	while (traffic_busy(d->traffic) > 0)
+	control_drain(d->control);
+	d->drained = true;
+}
+
+/* Sweeps the callers' side until a signal comes. */
+static void
+run(struct daemon *d, const sigset_t *set)
+{
+	struct timespec step = { 0, (long)(SWEEP_STEP * 1000) };
+
+	while (sigtimedwait(set, NULL, &step) < 0) {
+		web_sweep(d->web, clock_now());
+		drain_step(d);
+	}
+}
+
+/*
+ * Waits until every request has ended and its answer is written, and callers
+ * that were already connected have had time to be answered.
+ */
+static void
+finish(struct daemon *d)
+{
+	usec_t quiet = clock_now();
+
+	while (clock_now() - quiet < QUIET) {
 		usleep((useconds_t)DRAIN_STEP);
+		web_sweep(d->web, clock_now());
+		drain_step(d);
+		if (!d->drained || traffic_busy(d->traffic) > 0 ||
+		    web_busy(d->web) > 0)
+			quiet = clock_now();
+	}
 }
 
+/* Stops and frees what has been started, also after a failed start. */
 static void
 stop(struct daemon *d)
 {
-	web_stop(d->web);
-	ops_stop(d->ops);
-	control_stop(d->control);
-	traffic_stop(d->traffic);
-	traffic_free(d->traffic);
-	control_free(d->control);
+	if (d->web != NULL)
+		web_stop(d->web);
+	if (d->ops != NULL)
+		ops_stop(d->ops);
+	if (d->control != NULL)
+		control_stop(d->control);
+	if (d->working)
+		traffic_stop(d->traffic);
+	if (d->traffic != NULL)
+		traffic_free(d->traffic);
+	if (d->control != NULL)
+		control_free(d->control);
 	snaps_free(d->snaps);
 	records_free(d->records);
-	settings_free(&d->settings);
-	LOG(LOG_LVL_NOTICE, "stopped", { "cause", STR("signal") });
 }
 
 int
 main(int argc, char **argv)
 {
 	struct daemon d = { 0 };
+	struct err e = { 0 };
 	sigset_t set;
-	int got;
+	int rc;
 
 	if (read_options(argc, argv, &d.settings) != 0)
-		return 2;
+		return EXIT_SETTINGS;
 	log_init(
 	    "sequoiad", d.settings.id, (enum log_level)d.settings.log_level);
 	block_signals(&set);
 	urcu_memb_register_thread();
 	mg_init_library(0);
-	if (start(&d) != 0)
-		return 2;
-	sigwait(&set, &got);
-	drain(&d);
+	rc = start(&d, &e);
+	if (rc == 0) {
+		run(&d, &set);
+		snaps_drain(d.snaps);
+		finish(&d);
+	} else {
+		fprintf(stderr, "sequoiad: %s\n", e.text);
+	}
 	stop(&d);
+	if (rc == 0)
+		LOG(LOG_LVL_NOTICE, "stopped", { "cause", STR("signal") });
 	mg_exit_library();
 	urcu_memb_unregister_thread();
-	return 0;
+	settings_free(&d.settings);
+	return rc == 0 ? 0 : EXIT_SETTINGS;
 }
--- a/entry/snap.c
+++ b/entry/snap.c
@@ -1,10 +1,12 @@
 #include "entry/snap.h"
 
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <urcu/urcu-memb.h>
 
 struct snaps {
 	struct snap *now;
+	atomic_bool draining;
 };
 
 static void
@@ -52,15 +54,16 @@
 	return c;
 }
 
+void
+snaps_drain(struct snaps *ss)
+{
+	atomic_store(&ss->draining, true);
+}
+
 bool
 snaps_draining(struct snaps *ss)
 {
-	bool d;
-
-	urcu_memb_read_lock();
-	d = rcu_dereference(ss->now)->draining;
-	urcu_memb_read_unlock();
-	return d;
+	return atomic_load(&ss->draining);
 }
 
 void
--- a/entry/snap.h
+++ b/entry/snap.h
@@ -10,7 +10,6 @@
 
 struct snap {
 	struct conf *conf; /* NULL until the first configuration */
-	bool draining;
 };
 
 struct snaps;
@@ -20,6 +19,8 @@
 void snaps_publish(struct snaps *ss, const struct snap *s);
 /* The configuration in force with a reference for the caller, or NULL. */
 struct conf *snaps_conf(struct snaps *ss);
+/* From now on this process leaves; nothing takes it back. */
+void snaps_drain(struct snaps *ss);
 bool snaps_draining(struct snaps *ss);
 void snaps_free(struct snaps *ss);
 
--- a/entry/web.c
+++ b/entry/web.c
@@ -1,262 +1,104 @@
 #include "entry/web.h"
-#include "base/log.h"
-#include "entry/reply.h"
-#include "kernel/answer.h"
+#include "entry/visit.h"
 
-#include <civetweb.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <urcu/urcu-memb.h>
 
-#define PIPELINES      "/v1/pipelines/"
-#define REQUESTS       "/v1/requests/"
-#define WAIT_STEP      (200 * USEC_PER_MSEC)
-#define READER_GRACE   (2 * USEC_PER_SEC)
-#define MAX_ATTEMPT    1000000U
-#define MAX_TIMEOUT_MS 3600000U
+#define PIPELINES STR("/v1/pipelines/")
+#define REQUESTS  STR("/v1/requests/")
 
 struct web {
 	struct web_opts o;
 	struct mg_context *ctx;
+	struct guard *guard;
+	atomic_uint busy;
+	atomic_uint connections;
 };
 
-/* One caller's request while its worker serves it. */
-struct visit {
-	struct web *w;
-	struct mg_connection *conn;
-	const struct mg_request_info *info;
-	struct conf *conf;
-	const struct conf_workspace *workspace;
-	struct reply reply;
-};
-
-static int
-refuse(const struct visit *v, enum err_kind kind, const char *detail)
+int
+visit_refuse(struct visit *v, enum err_kind kind, const char *detail)
 {
+	atomic_fetch_add(&v->o->tally->refused[-kind], 1);
+	v->reply.close = v->reply.close || !v->body_read;
 	return reply_refuse(&v->reply, kind, detail);
 }
 
-/* Finds the workspace by the bearer token; 0 or an error number. */
-static int
-authorize(struct visit *v)
-{
-	const char *auth = mg_get_header(v->conn, "Authorization");
-
-	v->conf = snaps_conf(v->w->o.snaps);
-	if (v->conf == NULL)
-		return ERR_NOT_READY;
-	if (auth == NULL || strncmp(auth, "Bearer ", 7) != 0)
-		return ERR_BAD_TOKEN;
-	v->workspace = conf_token(v->conf, str_trim(str_from(auth + 7)));
-	return v->workspace != NULL ? 0 : ERR_BAD_TOKEN;
-}
-
-/* Reads a header that holds a whole number; absent: 0. */
-static bool
-number_header(
-    struct mg_connection *conn, const char *name, uint64_t most, uint64_t *out)
+static usec_t
+sunset_of(const struct visit *v, const struct conf_pipeline *p)
 {
-	const char *text = mg_get_header(conn, name);
-
-	*out = 0;
-	if (text == NULL)
-		return true;
-	return str_u64(str_from(text), out) && *out > 0 && *out <= most;
-}
+	usec_t fleet = v->conf->fleet.sunset;
 
-/* Reads the whole body; 0 or an error number. */
-static int
-read_body(const struct visit *v, struct buf *out)
-{
-	const struct settings *s = v->w->o.settings;
-	usec_t until = clock_now() + s->body_timeout;
-	char part[8192];
-	int n;
-
-	if (v->info->content_length > (long long)s->max_body)
-		return ERR_TOO_LARGE;
-	while ((n = mg_read(v->conn, part, sizeof(part))) > 0) {
-		buf_put(out, (struct str){ part, (size_t)n });
-		if (out->n > s->max_body)
-			return ERR_TOO_LARGE;
-		if (clock_now() > until)
-			return ERR_SLOW_BODY;
-	}
-	if (v->info->content_length >= 0 &&
-	    out->n < (size_t)v->info->content_length)
-		return ERR_SLOW_BODY;
-	return 0;
+	if (p->sunset == 0)
+		return fleet;
+	return fleet != 0 && fleet < p->sunset ? fleet : p->sunset;
 }
 
 static bool
-wants_stream(struct mg_connection *conn)
+is_method(const struct visit *v, const char *method)
 {
-	const char *accept = mg_get_header(conn, "Accept");
-
-	return accept != NULL && strstr(accept, "text/event-stream") != NULL;
+	return strcmp(v->info->request_method, method) == 0;
 }
 
-/* Fills a request from the headers; 0 or an error number with detail. */
+/*
+ * Checks all that can be said without the body; 0 or an error number.  After
+ * it, a refusal of a keyed request no longer says not-run: an earlier
+ * delivery of the key may have run, and no refusal is kept.
+ */
 static int
-read_request(const struct visit *v, struct str pipeline,
-    struct traffic_request *rq, const char **detail)
+check_pipeline(struct visit *v, struct str name)
 {
-	const char *key = mg_get_header(v->conn, "Idempotency-Key");
-	uint64_t attempt;
-	uint64_t timeout;
+	const struct conf_pipeline *p;
+	bool keyed = mg_get_header(v->conn, "Idempotency-Key") != NULL;
 	int rc;
 
-	*detail = "";
-	if (!number_header(v->conn, "Sequoia-Attempt", MAX_ATTEMPT, &attempt)) {
-		*detail = "Sequoia-Attempt: write a whole number from 1";
-		return ERR_BAD_HEADER;
-	}
-	if (!number_header(
-		v->conn, "Sequoia-Timeout-Ms", MAX_TIMEOUT_MS, &timeout)) {
-		*detail = "Sequoia-Timeout-Ms: write a whole number from 1";
-		return ERR_BAD_HEADER;
-	}
-	if (key != NULL && strlen(key) > MAX_KEY_BYTES) {
-		*detail = "Idempotency-Key: longer than a UUID";
-		return ERR_KEY_BAD;
+	if (!is_method(v, "POST")) {
+		v->reply.allow = "POST";
+		return ERR_METHOD;
 	}
-	rc = read_body(v, &rq->body);
+	v->reply.keyed = keyed;
+	rc = visit_authorize(v);
 	if (rc != 0)
 		return rc;
-	if (key != NULL)
-		buf_put(&rq->key, str_from(key));
-	buf_put(&rq->pipeline, pipeline);
-	buf_put(&rq->workspace, str_from(v->workspace->name));
-	rq->attempt = (uint32_t)attempt;
-	rq->timeout = (usec_t)timeout * USEC_PER_MSEC;
-	rq->stream = wants_stream(v->conn);
+	p = conf_pipeline(v->conf, name);
+	if (p == NULL || !conf_grants(p, v->workspace))
+		return ERR_NO_PIPELINE;
+	v->reply.keyed = keyed && p->keyed;
+	v->reply.sunset = sunset_of(v, p);
 	return 0;
 }
 
-static bool
-send_piece(const struct visit *v, struct record *r, size_t i)
-{
-	struct buf text = { 0 };
-	struct buf data = { 0 };
-	bool ok;
-
-	record_read(r, i, &text);
-	answer_dump(json_pack("{s:s%}", "text", text.p, text.n), &data);
-	ok = reply_event(&v->reply, i + 1, "token", str_of(&data));
-	buf_free(&text);
-	buf_free(&data);
-	return ok;
-}
-
-static bool
-send_end(
-    const struct visit *v, struct record *r, const struct record_view *view)
-{
-	struct buf data = { 0 };
-	bool complete = view->end.outcome == OUTCOME_COMPLETE;
-	bool ok;
-
-	if (complete)
-		reply_complete_body(record_id(r), &view->end, &data);
-	else
-		reply_problem_body(record_id(r), &view->end, &data);
-	ok = reply_event(&v->reply, view->pieces + 1,
-	    complete ? "answer" : "problem", str_of(&data));
-	buf_free(&data);
-	return ok;
-}
-
-/* Streams from piece number seen on; false when the caller has gone. */
-static bool
-stream(const struct visit *v, struct record *r, size_t seen)
-{
-	struct record_view view;
-	bool ok = reply_stream_head(&v->reply);
-
-	while (ok) {
-		record_wait(r, seen, WAIT_STEP, &view);
-		for (; ok && seen < view.pieces; seen++)
-			ok = send_piece(v, r, seen);
-		if (ok && view.ended)
-			return send_end(v, r, &view);
-		if (ok && seen == view.pieces)
-			ok = mg_write(v->conn, ":\n\n", 3) > 0;
-	}
-	return false;
-}
-
-static int
-wait_whole(const struct visit *v, struct record *r)
-{
-	struct record_view view;
-
-	do {
-		record_wait(r, SIZE_MAX, WAIT_STEP, &view);
-	} while (!view.ended);
-	return reply_end(&v->reply, &view.end);
-}
-
-/* Writes the answer; a caller that has gone may come back for a while. */
-static int
-serve(const struct visit *v, struct record *r, size_t seen, bool streamed)
-{
-	struct record_view view;
-	int status = 200;
-	bool gone = false;
-
-	record_enter(r);
-	if (streamed)
-		gone = !stream(v, r, seen);
-	else
-		status = wait_whole(v, r);
-	if (gone)
-		record_wait(r, SIZE_MAX, READER_GRACE, &view);
-	if (record_leave(r) && gone && !view.ended)
-		traffic_gone(v->w->o.traffic, record_handle(r));
-	return status;
-}
-
-static usec_t
-sunset_of(const struct visit *v, struct str pipeline)
-{
-	const struct conf_pipeline *p = conf_pipeline(v->conf, pipeline);
-	usec_t fleet = v->conf->fleet.sunset;
-
-	if (p == NULL || p->sunset == 0)
-		return fleet;
-	return fleet != 0 && fleet < p->sunset ? fleet : p->sunset;
-}
-
 static int
 post_pipeline(struct visit *v, struct str pipeline)
 {
 	struct traffic_request rq = { 0 };
-	const char *detail;
+	struct buf detail = { 0 };
 	struct record *r;
 	bool streamed;
 	int status;
-	int rc;
+	int rc = check_pipeline(v, pipeline);
 
-	if (strcmp(v->info->request_method, "POST") != 0)
-		return refuse(v, ERR_METHOD, "POST");
-	rc = authorize(v);
-	if (rc != 0)
-		return refuse(v, rc, "");
-	v->reply.sunset = sunset_of(v, pipeline);
-	rc = read_request(v, pipeline, &rq, &detail);
+	if (rc == 0)
+		rc = visit_read(v, pipeline, &rq, &detail);
+	if (rc == ERR_KEY_BAD)
+		v->reply.keyed = false;
 	if (rc != 0) {
-		buf_free(&rq.body);
-		return refuse(v, rc, detail);
+		status = visit_refuse(v, rc, detail.n > 0 ? detail.p : "");
+		goto out;
 	}
 	streamed = rq.stream;
-	r = record_new(v->w->o.records, str_from(v->workspace->name));
+	r = record_new(v->o->records, str_from(v->workspace->name));
 	v->reply.request_id = record_id(r);
 	rq.req = record_handle(r);
 	buf_put(&rq.id, str_from(record_id(r)));
-	traffic_arrive(v->w->o.traffic, &rq);
-	status = serve(v, r, 0, streamed);
+	traffic_arrive(v->o->traffic, &rq);
+	status = visit_serve(v, r, 0, streamed);
 	record_put(r);
+out:
+	buf_free(&rq.body);
+	buf_free(&rq.key);
+	buf_free(&detail);
 	return status;
 }
 
@@ -268,7 +110,7 @@
 	buf_printf(&body, "{\"request_id\":\"%s\",\"trace\":", record_id(r));
 	record_trace(r, &body);
 	buf_putc(&body, '}');
-	reply_json(v->conn, 200, str_of(&body));
+	reply_json(&v->reply, 200, str_of(&body));
 	buf_free(&body);
 	return 200;
 }
@@ -280,70 +122,145 @@
 
 	buf_printf(
 	    &body, "{\"request_id\":\"%s\",\"outcome\":null}", record_id(r));
-	reply_json(v->conn, 202, str_of(&body));
+	reply_json(&v->reply, 202, str_of(&body));
 	buf_free(&body);
 	return 202;
 }
 
+/* Answers with what is known of a request: its trace, stream or end. */
 static int
-get_request(struct visit *v, struct str rest)
+show_request(struct visit *v, struct record *r, struct str part)
 {
 	struct record_view view;
+	size_t seen;
+
+	if (str_eq(part, STR("trace")))
+		return get_trace(v, r);
+	if (part.n > 0)
+		return visit_refuse(v, ERR_NOT_FOUND, "write ID or ID/trace");
+	if (visit_streams(v)) {
+		if (!visit_seen(v, &seen))
+			return visit_refuse(v, ERR_BAD_HEADER,
+			    "Last-Event-ID: write the last event's number");
+		return visit_serve(v, r, seen, true);
+	}
+	record_wait(r, SIZE_MAX, 0, &view);
+	return view.ended ? reply_end(&v->reply, &view.end) : get_running(v, r);
+}
+
+static int
+get_request(struct visit *v, struct str rest)
+{
 	struct record *r;
 	struct str id;
-	uint64_t seen;
 	int status;
-	int rc = authorize(v);
+	int rc;
 
+	v->reply.asks = true;
+	if (!is_method(v, "GET")) {
+		v->reply.allow = "GET";
+		return visit_refuse(v, ERR_METHOD, "GET");
+	}
+	v->body_read = v->info->content_length <= 0;
+	rc = visit_authorize(v);
 	if (rc != 0)
-		return refuse(v, rc, "");
+		return visit_refuse(v, rc, "");
 	str_cut(&rest, '/', &id);
-	r = record_find(v->w->o.records, id, str_from(v->workspace->name));
+	r = record_find(v->o->records, id, str_from(v->workspace->name));
 	if (r == NULL)
-		return refuse(v, ERR_NOT_FOUND, "");
+		return visit_refuse(v, ERR_NOT_FOUND, "");
 	v->reply.request_id = record_id(r);
-	record_wait(r, SIZE_MAX, 0, &view);
-	if (str_eq(rest, STR("trace"))) {
-		status = get_trace(v, r);
-	} else if (wants_stream(v->conn)) {
-		number_header(v->conn, "Last-Event-ID", SIZE_MAX, &seen);
-		status = serve(v, r, seen, true);
-	} else if (view.ended) {
-		status = reply_end(&v->reply, &view.end);
-	} else {
-		status = get_running(v, r);
-	}
+	status = show_request(v, r, rest);
 	record_put(r);
 	return status;
 }
 
-static int
-on_request(struct mg_connection *conn, void *arg)
+static struct str
+after(struct str path, struct str prefix)
+{
+	return (struct str){ path.p + prefix.n, path.n - prefix.n };
+}
+
+/*
+ * Connections are kept open while workers are plenty; a leaving process, or
+ * one whose workers are nearly all taken, ends them after each answer.
+ */
+static bool
+must_close(struct web *w)
 {
-	struct visit v = {
-		.w = arg,
+	return snaps_draining(w->o.snaps) ||
+	    atomic_load(&w->connections) > w->o.settings->workers / 4 * 3;
+}
+
+static struct visit
+visit_of(struct web *w, struct mg_connection *conn)
+{
+	return (struct visit){
+		.o = &w->o,
+		.guard = w->guard,
 		.conn = conn,
 		.info = mg_get_request_info(conn),
-		.reply = { conn, "", 0 },
+		.reply = { .conn = conn,
+		    .request_id = "",
+		    .close = must_close(w) },
 	};
+}
+
+static int
+on_request(struct mg_connection *conn, void *arg)
+{
+	struct web *w = arg;
+	struct visit v = visit_of(w, conn);
 	struct str path = str_from(v.info->local_uri);
 	int status;
 
-	if (str_prefix(path, STR(PIPELINES))) {
-		path.p += sizeof(PIPELINES) - 1;
-		path.n -= sizeof(PIPELINES) - 1;
-		status = post_pipeline(&v, path);
-	} else if (str_prefix(path, STR(REQUESTS))) {
-		path.p += sizeof(REQUESTS) - 1;
-		path.n -= sizeof(REQUESTS) - 1;
-		status = get_request(&v, path);
-	} else {
-		status = refuse(&v, ERR_NOT_FOUND, "no such path");
-	}
+	atomic_fetch_add(&w->busy, 1);
+	if (str_prefix(path, PIPELINES))
+		status = post_pipeline(&v, after(path, PIPELINES));
+	else if (str_prefix(path, REQUESTS))
+		status = get_request(&v, after(path, REQUESTS));
+	else
+		status = visit_refuse(&v, ERR_NOT_FOUND,
+		    "write /v1/pipelines/NAME or /v1/requests/ID");
 	conf_unref(v.conf);
+	atomic_fetch_sub(&w->busy, 1);
 	return status;
 }
 
+/* Requests that CivetWeb itself can't read; their rest is not read either. */
+static int
+on_unreadable(struct mg_connection *conn, int status, const char *message)
+{
+	struct web *w = mg_get_user_data(mg_get_context(conn));
+	struct visit v = visit_of(w, conn);
+	enum err_kind kind = ERR_BAD_HEADER;
+
+	if (status == 413 || status == 431)
+		kind = ERR_TOO_LARGE;
+	else if (status == 408)
+		kind = ERR_SLOW_BODY;
+	visit_refuse(&v, kind, message);
+	return 0;
+}
+
+static int
+on_connection(const struct mg_connection *conn, void **data)
+{
+	struct web *w = mg_get_user_data(mg_get_context(conn));
+
+	(void)data;
+	atomic_fetch_add(&w->connections, 1);
+	return 0;
+}
+
+static void
+on_close(const struct mg_connection *conn)
+{
+	struct web *w = mg_get_user_data(mg_get_context(conn));
+
+	atomic_fetch_sub(&w->connections, 1);
+}
+
 static void *
 on_thread(const struct mg_context *ctx, int kind)
 {
@@ -369,6 +286,9 @@
 	struct mg_callbacks cb = {
 		.init_thread = on_thread,
 		.exit_thread = on_thread_end,
+		.http_error = on_unreadable,
+		.init_connection = on_connection,
+		.connection_closed = on_close,
 	};
 	char workers[16];
 	char body_ms[24];
@@ -381,12 +301,14 @@
 	snprintf(body_ms, sizeof(body_ms), "%lld",
 	    (long long)(o->settings->body_timeout / USEC_PER_MSEC));
 	w->o = *o;
+	w->guard = guard_new();
 	w->ctx = mg_start(&cb, w, options);
 	if (w->ctx == NULL) {
 		err_set(e, ERR_SETTING,
 		    "[sequoiad] listen = %s: can't listen there: write an own "
 		    "address with a free port",
 		    o->settings->listen);
+		guard_free(w->guard);
 		free(w);
 		return NULL;
 	}
@@ -394,9 +316,22 @@
 	return w;
 }
 
+void
+web_sweep(struct web *w, usec_t now)
+{
+	guard_sweep(w->guard, now);
+}
+
+unsigned
+web_busy(struct web *w)
+{
+	return atomic_load(&w->busy);
+}
+
 void
 web_stop(struct web *w)
 {
 	mg_stop(w->ctx);
+	guard_free(w->guard);
 	free(w);
 }
--- a/entry/web.h
+++ b/entry/web.h
@@ -5,6 +5,7 @@
 #include "entry/record.h"
 #include "entry/settings.h"
 #include "entry/snap.h"
+#include "entry/tally.h"
 #include "entry/traffic.h"
 
 struct web;
@@ -14,11 +15,16 @@
 	struct records *records;
 	struct snaps *snaps;
 	struct traffic *traffic;
+	struct tally *tally;
 };
 
 /* Starts to listen; NULL with e when the address can't be used. */
 struct web *web_start(const struct web_opts *o, struct err *e);
-/* Waits until the last answer is written, then closes. */
+/* Ends what takes too long; to be called a few times a second. */
+void web_sweep(struct web *w, usec_t now);
+/* Requests that are being read, waited for or answered. */
+unsigned web_busy(struct web *w);
+/* Closes; answers that are still being written are cut off. */
 void web_stop(struct web *w);
 
 #endif
--- a/tests/kernel/test_alog_explore.c
+++ b/tests/kernel/test_alog_explore.c
@@ -347,7 +347,8 @@
 	base.net[i] = (struct message){ 0 };
 	next = base;
 	arrive(&next, m);
-	visit(&next, depth, arrivals[m.kind]);
+	visit(&next, depth,
+	    arrivals[m.kind <= MESSAGE_STRAY ? m.kind : MESSAGE_NONE]);
 	stray.kind = MESSAGE_STRAY;
 	if (m.kind == MESSAGE_REQUEST && w->repeats > 0) {
 		next = *w;
--- /dev/null
+++ b/tests/wire/run.sh
@@ -0,0 +1,148 @@
+#!/usr/bin/env bash
+# Records what callers and operators see on the wire in whole sessions against
+# the stand-ins and compares it with tests/golden/wire; dates, ids, times and
+# ports are made neutral.  Nothing asserts elapsed times: what has to happen
+# is waited for.  Usage: run.sh BUILD-FOLDER [--write]
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+B=$1
+WRITE=${2:-}
+TMP=$(mktemp -d)
+GOLDEN=tests/golden/wire
+KERB='Authorization: Bearer kerb-token'
+SHOPS='Authorization: Bearer shops-token'
+SSE='Accept: text/event-stream'
+STANDIN=
+DAEMON=
+
+cleanup() {
+	for p in $DAEMON $STANDIN; do kill -TERM "$p" 2>/dev/null || true; done
+	for p in $DAEMON $STANDIN; do wait "$p" || true; done
+	rm -rf "$TMP"
+}
+trap cleanup EXIT
+trap '' PIPE # a server may close before it has read all
+trap 'echo "failed: $BASH_COMMAND (line $LINENO)" >&2' ERR
+set -E
+
+# Ten ports that belong to this build folder and that nobody listens on.
+choose_ports() {
+	local n i
+	n=$(cksum <<<"$PWD/$B" | cut -d' ' -f1)
+	for i in $(seq 0 49); do
+		BASE=$((25000 + (n + i * 7) % 700 * 10))
+		(: <>"/dev/tcp/127.0.0.1/$BASE") 2>/dev/null || return 0
+	done
+	echo "no free ports" >&2
+	return 1
+}
+
+# Waits until a command succeeds; gives up after a minute.
+await() {
+	for _ in $(seq 600); do
+		"$@" >/dev/null 2>&1 && return 0
+		sleep 0.1
+	done
+	echo "never came: $*" >&2
+	cat "$TMP"/*.log >&2
+	return 1
+}
+
+neutral() {
+	tr -d '\r' | sed -E \
+	    -e 's/[0-9a-f]{16}-[0-9a-f]+/REQUEST/g' \
+	    -e 's/"(call_id|number|key)":("[^"]*"|[0-9]+)/"\1":ANY/g' \
+	    -e 's/"ms":[0-9.]+/"ms":MS/g' \
+	    -e 's/^Content-Length: .*/Content-Length: N/' \
+	    -e "s/127\.0\.0\.1:$((BASE / 10))([0-9])/HOST:\1/g"
+}
+
+# Events as one line each; tokens that follow each other are joined, since how
+# many come together differs from run to run.
+events() {
+	awk '/^:/ { getline; next }
+	    /^id: / || (streaming && /^$/) { streaming = 1; next }
+	    /^event: / { kind = $2; next }
+	    /^data: / && kind == "token" {
+		sub(/^data: \{"text":"/, ""); sub(/"\}$/, "")
+		tokens = tokens $0; next }
+	    /^data: / { if (tokens != "") print "token*: " tokens
+		tokens = ""; sub(/^data: /, ""); print kind ": " $0; next }
+	    { print }'
+}
+
+title() { printf '\n== %s\n' "$1"; }
+
+# ask TITLE PATH CURL-ARGUMENTS...
+ask() {
+	title "$1"
+	curl -s -i "${@:3}" "http://127.0.0.1:$BASE$2" | neutral | events
+	echo
+}
+
+# The same to the operators' address.
+ask_ops() {
+	title "$1"
+	curl -s -i "${@:3}" "http://127.0.0.1:$((BASE + 1))$2" | neutral
+	echo
+}
+
+# raw TITLE BYTES...: each part is sent by itself, in one write.
+raw() {
+	local part
+	title "$1"
+	shift
+	exec 9<>"/dev/tcp/127.0.0.1/$BASE"
+	for part in "$@"; do
+		printf "$part" | cat >&9
+	done
+	neutral <&9
+	exec 9>&-
+	echo
+}
+
+admin() { curl -sf -o /dev/null -X POST "http://127.0.0.1:$((BASE + 5))$1"; }
+ready() { curl -sf "http://127.0.0.1:$((BASE + 1))/readyz"; }
+unready() { ! ready; }
+metric() { curl -s "http://127.0.0.1:$((BASE + 1))/metrics" | grep -xF "$1"; }
+settled() { metric "sequoia_requests_in_flight 0"; }
+targets_seen() { metric 'sequoia_targets{service="engine",state="live"} 1'; }
+
+start_standin() {
+	cp -r tests/wire/conf "$TMP/conf"
+	sed "s/BASE/$((BASE / 10))/" tests/wire/standin.ini >"$TMP/standin.ini"
+	"$B/tests/standin/standin" "$TMP/standin.ini" >"$TMP/standin.log" 2>&1 &
+	STANDIN=$!
+	await curl -sf "http://127.0.0.1:$((BASE + 4))/hosts"
+}
+
+start_daemon() {
+	sed "s/BASE/$((BASE / 10))/" tests/wire/sequoiad.ini >"$TMP/sequoiad.ini"
+	"$B/entry/sequoiad" "$TMP/sequoiad.ini" 2>>"$TMP/sequoiad.log" &
+	DAEMON=$!
+	await curl -sf "http://127.0.0.1:$((BASE + 1))/healthz"
+}
+
+apply() {
+	"$B/ctl/sequoiactl" --kv "127.0.0.1:$((BASE + 3))" apply "$TMP/conf"
+}
+
+. tests/wire/sessions.sh
+
+check() {
+	if [ "$WRITE" = --write ]; then
+		cp "$TMP/$1" "$GOLDEN/$1.golden"
+	elif ! diff -u "$GOLDEN/$1.golden" "$TMP/$1"; then
+		echo "differs: $1 (make golden-wire rewrites it)" >&2
+		FAILED=1
+	fi
+}
+
+FAILED=0
+choose_ports
+start_standin
+for s in $SESSIONS; do
+	"session_$s" >"$TMP/$s"
+	check "$s"
+done
+exit $FAILED
--- /dev/null
+++ b/tests/wire/sessions.sh
@@ -0,0 +1,158 @@
+# The sessions of run.sh, in the order in which they run.
+SESSIONS="start bad_input answers gone drain"
+ASK=/v1/pipelines/ask
+POST='POST /v1/pipelines/ask HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer kerb-token\r\n'
+
+# Before the first configuration, and with an address that is taken.
+session_start() {
+	local rc=0
+	start_daemon
+	ask_ops "not ready without a configuration" /readyz
+	ask "a request before it" $ASK -H "$KERB" -d '{}'
+	title "the address is in use"
+	"$B/entry/sequoiad" "$TMP/sequoiad.ini" 2>"$TMP/taken" || rc=$?
+	neutral <"$TMP/taken"
+	echo "exit $rc"
+	apply
+	await ready
+	await targets_seen
+	ask_ops "ready" /readyz
+}
+
+# TITLE|PATH|CURL-ARGUMENT|...
+BAD_INPUT="no such path|/|-HX: y
+no token|$ASK|-d{}
+wrong token|$ASK|-HAuthorization: Bearer nobody|-d{}
+another scheme|$ASK|-HAuthorization: Basic a2VyYg==|-d{}
+method PUT|$ASK|-XPUT|-H$KERB|-d{}
+method GET|$ASK|-H$KERB
+method DELETE on a request|/v1/requests/x|-XDELETE|-H$KERB
+unknown pipeline|/v1/pipelines/none|-H$KERB|-d{}
+pipeline of another workspace|$ASK|-H$SHOPS|-d{}
+a slash in the name|$ASK/more|-H$KERB|-d{}
+bytes that are no text|/v1/pipelines/%ff%fe|-H$KERB|-d{}
+a dot segment|/v1/pipelines/../ask|--path-as-is|-H$KERB|-d{}
+past its shutdown date|/v1/pipelines/over|-H$KERB|-d{}
+empty body|$ASK|-H$KERB|-d
+broken JSON|$ASK|-H$KERB|-d{\"a\":
+JSON that is no object|$ASK|-H$KERB|-d[1]
+body that is no UTF-8|$ASK|-H$KERB|--data-binary|@$TMP/latin1
+large body|$ASK|-H$KERB|--data-binary|@$TMP/large
+large body in chunks|$ASK|-H$KERB|-HTransfer-Encoding: chunked|-HExpect:|--data-binary|@$TMP/large
+attempt 0|$ASK|-H$KERB|-HSequoia-Attempt: 0|-d{}
+negative attempt|$ASK|-H$KERB|-HSequoia-Attempt: -1|-d{}
+attempt that is no number|$ASK|-H$KERB|-HSequoia-Attempt: 1e3|-d{}
+huge timeout|$ASK|-H$KERB|-HSequoia-Timeout-Ms: 99999999999999999999|-d{}
+no key for a booking|/v1/pipelines/book|-H$KERB|-d{}
+a key that is too long|/v1/pipelines/book|-H$KERB|-HIdempotency-Key: 01900000-0000-7000-8000-0000000000000|-d{}
+keyed and broken: it may have run before|/v1/pipelines/book|-H$KERB|-HIdempotency-Key: 01900000-0000-7000-8000-000000000000|-HSequoia-Attempt: x|-d{}
+unknown request|/v1/requests/none|-H$KERB
+header bomb|$ASK|-H$KERB|-H@$TMP/bomb|-d{}"
+
+session_bad_input() {
+	local line args
+	printf '{"a":"\351"}' >"$TMP/latin1"
+	head -c 5000 /dev/zero | tr '\0' ' ' >"$TMP/large"
+	printf 'X: %s\n' "$(head -c 20000 /dev/zero | tr '\0' a)" >"$TMP/bomb"
+	while IFS= read -r line; do
+		IFS='|' read -ra args <<<"$line"
+		[ "${args[-1]}" != -d ] || args+=("")
+		ask "${args[@]}"
+	done <<<"$BAD_INPUT"
+	raw "no HTTP" 'garbage\r\n\r\n'
+	raw "negative length" "$POST"'Content-Length: -5\r\n\r\n{}'
+	raw "length that is no number" "$POST"'Content-Length: two\r\n\r\n{}'
+	raw "chunk of no size" "$POST"'Transfer-Encoding: chunked\r\n\r\nzz\r\n{}'
+	raw "body that never ends" "$POST"'Content-Length: 50\r\n\r\n' '{"a":' '1'
+	raw "chunks that never end" "$POST"'Transfer-Encoding: chunked\r\n\r\n5\r\n{}'
+	drip
+	cut_body
+	raw "two requests in one write" \
+	    "$POST"'Content-Length: 2\r\n\r\n[]'"$POST"'Connection: close\r\nContent-Length: 2\r\n\r\n[]'
+	ask "nothing else is disturbed" $ASK -H "$KERB" -d '{"text":"tin"}'
+}
+
+# A byte at a time, each well within any timeout of a single read.
+drip() {
+	title "body that drips"
+	exec 9<>"/dev/tcp/127.0.0.1/$BASE"
+	printf "$POST"'Content-Length: 4000\r\n\r\n' >&9
+	while printf ' ' >&9 2>/dev/null; do sleep 0.1; done 2>/dev/null &
+	neutral <&9
+	kill $! 2>/dev/null || true
+	wait $! 2>/dev/null || true
+	exec 9>&-
+	echo
+}
+
+# The connection ends in the middle of a body.
+cut_body() {
+	title "body that is cut: counted, nobody to tell"
+	exec 9<>"/dev/tcp/127.0.0.1/$BASE"
+	printf "$POST"'Content-Length: 50\r\n\r\n{"a"' >&9
+	exec 9>&-
+	await metric 'sequoia_refused_total{error="slow-body"} 5'
+	echo counted
+}
+
+session_answers() {
+	local id
+	ask "a whole answer" $ASK -H "$KERB" -d '{"text":"tin"}'
+	ask "a stream" $ASK -H "$KERB" -H "$SSE" -D "$TMP/head" \
+	    -d '{"text":"tin","question":"marker=S1"}'
+	id=$(tr -d '\r' <"$TMP/head" | sed -n 's/^Sequoia-Request-Id: //p')
+	ask "its outcome, asked later" "/v1/requests/$id" -H "$KERB"
+	ask "its stream from the start" "/v1/requests/$id" -H "$KERB" -H "$SSE"
+	ask "its stream from the last event on" "/v1/requests/$id" \
+	    -H "$KERB" -H "$SSE" -H "Last-Event-ID: 8"
+	ask "an event number that is none" "/v1/requests/$id" \
+	    -H "$KERB" -H "$SSE" -H "Last-Event-ID: -1"
+	ask "its trace" "/v1/requests/$id/trace" -H "$KERB"
+	ask "another part of it" "/v1/requests/$id/parts" -H "$KERB"
+	ask "asked by another workspace" "/v1/requests/$id" -H "$SHOPS"
+	ask "asked without a token" "/v1/requests/$id"
+}
+
+# Callers that go away: each one's call is cancelled and counted.
+session_gone() {
+	admin '/target?service=engine&fault=slow&factor=400'
+	for accept in application/json text/event-stream; do
+		curl -s -o /dev/null -H "$KERB" -H "Accept: $accept" -d '{"text":"tin"}' \
+		    "http://127.0.0.1:$BASE$ASK" &
+		await metric 'sequoia_requests_in_flight 1'
+		kill $!
+		wait $! || true
+		await settled
+	done
+	title "two callers went away"
+	curl -s "http://127.0.0.1:$((BASE + 1))/metrics" |
+	    grep -E '"(cancelled|failed)"} |sequoia_cancelled_calls_total [0-9]'
+	admin '/target?service=engine&fault=none'
+	ask "nothing else is disturbed" $ASK -H "$KERB" -d '{"text":"tin"}'
+}
+
+session_drain() {
+	local stream
+	admin '/target?service=engine&fault=slow&factor=250'
+	curl -s -i -H "$KERB" -H "$SSE" -d '{"text":"tin"}' \
+	    "http://127.0.0.1:$BASE$ASK" >"$TMP/stream" &
+	stream=$!
+	await metric 'sequoia_requests_in_flight 1'
+	kill -TERM "$DAEMON"
+	await unready
+	ask_ops "not ready at once" /readyz
+	ask "still served" /v1/pipelines/look -H "$KERB" -d '{"text":"tin"}'
+	kill -TERM "$DAEMON"
+	await draining
+	ask "then nothing new" $ASK -H "$KERB" -d '{"text":"tin"}'
+	wait "$stream"
+	title "the stream from before is whole"
+	neutral <"$TMP/stream" | events
+	wait "$DAEMON" && echo "exit 0"
+	DAEMON=
+}
+
+draining() {
+	[ "$(curl -s -o /dev/null -w '%{http_code}' -H "$KERB" -d '{}' \
+	    "http://127.0.0.1:$BASE/v1/pipelines/look")" != 200 ]
+}
