--- /dev/null
+++ b/ctl/ask.c
@@ -0,0 +1,244 @@
+#include "ctl/ask.h"
+#include "base/rng.h"
+#include "ctl/fleet.h"
+#include "ctl/session.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CALL_MOST   (3600 * USEC_PER_SEC)
+#define DRAIN_MOST  (2 * USEC_PER_SEC)
+#define MAX_HEADERS 6
+
+static const char *
+text(const json_t *o, const char *name)
+{
+	const char *s = json_string_value(json_object_get(o, name));
+
+	return s != NULL ? s : "-";
+}
+
+static void
+print_target(const json_t *t)
+{
+	printf("  %-16s %-21s %-8s %-8s %9lld %8.2f %s\n", text(t, "service"),
+	    text(t, "address"), text(t, "failure_domain"), text(t, "state"),
+	    (long long)json_integer_value(json_object_get(t, "in_flight")),
+	    json_number_value(json_object_get(t, "load")),
+	    json_is_true(json_object_get(t, "set_aside")) ? "set aside" : "");
+}
+
+static void
+print_status(const char *addr, const json_t *o)
+{
+	const json_t *targets = json_object_get(o, "targets");
+
+	printf("%s at %s, failure domain %s: %s, generation %lld, "
+	       "%lld requests in flight\n",
+	    text(o, "id"), addr, text(o, "failure_domain"),
+	    json_is_true(json_object_get(o, "ready")) ? "ready" : "not ready",
+	    (long long)json_integer_value(json_object_get(o, "generation")),
+	    (long long)json_integer_value(
+		json_object_get(o, "requests_in_flight")));
+	if (json_array_size(targets) == 0)
+		return;
+	printf("  %-16s %-21s %-8s %-8s %9s %8s\n", "SERVICE", "TARGET",
+	    "DOMAIN", "STATE", "IN-FLIGHT", "LOAD");
+	for (size_t i = 0; i < json_array_size(targets); i++)
+		print_target(json_array_get(targets, i));
+}
+
+static int
+status_of(const char *addr, bool json)
+{
+	json_t *o = fleet_get(addr, "/status");
+
+	if (o == NULL) {
+		fprintf(stderr,
+		    "sequoiactl: %s: no answer: name the operators' address of "
+		    "a running sequoiad\n",
+		    addr);
+		return EXIT_UNREACHED;
+	}
+	if (json) {
+		json_dumpf(o, stdout, JSON_COMPACT | JSON_SORT_KEYS);
+		putchar('\n');
+	} else {
+		print_status(addr, o);
+	}
+	json_decref(o);
+	return EXIT_DONE;
+}
+
+int
+ask_status(const struct ask_opts *o)
+{
+	int rc = EXIT_DONE;
+
+	if (o->n == 0)
+		return status_of(o->sequoiad, o->json);
+	for (size_t i = 0; i < o->n; i++) {
+		if (status_of(o->args[i], o->json) != EXIT_DONE)
+			rc = EXIT_UNREACHED;
+	}
+	return rc;
+}
+
+/* A UUID of version 7 (RFC 9562) made now. */
+static void
+put_new_key(struct buf *out)
+{
+	uint64_t ms = (uint64_t)(clock_wall() / USEC_PER_MSEC);
+	uint64_t a = rng_entropy();
+	uint64_t b = rng_entropy();
+
+	buf_printf(out, "%08x-%04x-7%03x-%04x-%012llx", (unsigned)(ms >> 16),
+	    (unsigned)(ms & 0xffff), (unsigned)(a & 0xfff),
+	    (unsigned)(0x8000 | (a >> 16 & 0x3fff)),
+	    (unsigned long long)(b & 0xffffffffffff));
+}
+
+static void
+put_header(struct buf *headers, size_t *n, const char *name, const char *value)
+{
+	if (value != NULL)
+		buf_printf(&headers[(*n)++], "%s: %s", name, value);
+}
+
+/* The headers of a call; returns how many. */
+static size_t
+fill_headers(const struct ask_opts *o, struct buf headers[MAX_HEADERS])
+{
+	struct buf key = { 0 };
+	struct buf bearer = { 0 };
+	size_t n = 0;
+
+	buf_printf(&bearer, "Bearer %s", o->token);
+	put_header(headers, &n, "Authorization", bearer.p);
+	if (o->key != NULL && strcmp(o->key, "new") == 0) {
+		put_new_key(&key);
+		fprintf(stderr, "Idempotency-Key: %s\n", key.p);
+	}
+	put_header(headers, &n, "Idempotency-Key", key.n > 0 ? key.p : o->key);
+	put_header(headers, &n, "Sequoia-Attempt", o->attempt);
+	put_header(headers, &n, "Sequoia-Timeout-Ms", o->timeout_ms);
+	put_header(
+	    headers, &n, "Accept", o->stream ? "text/event-stream" : NULL);
+	buf_free(&key);
+	buf_free(&bearer);
+	return n;
+}
+
+static void
+read_input(struct buf *out)
+{
+	char part[4096];
+	size_t n;
+
+	while ((n = fread(part, 1, sizeof(part), stdin)) > 0)
+		buf_put(out, (struct str){ part, n });
+}
+
+/* What an answer means for the exit code. */
+static int
+judge(const struct ask_opts *o, int status, const struct buf *out)
+{
+	if (status == 0) {
+		fprintf(stderr,
+		    "sequoiactl: %s: no answer: the outcome is unknown; with a "
+		    "key, ask again with the same key\n",
+		    o->to);
+		return EXIT_UNREACHED;
+	}
+	if (status != 200 ||
+	    (o->stream && out->n > 0 &&
+		strstr(out->p, "event: answer") == NULL))
+		return EXIT_REFUSED;
+	return EXIT_DONE;
+}
+
+int
+ask_call(const struct ask_opts *o)
+{
+	struct buf headers[MAX_HEADERS] = { { 0 } };
+	const char *list[MAX_HEADERS + 1] = { NULL };
+	struct buf path = { 0 };
+	struct buf body = { 0 };
+	struct buf out = { 0 };
+	size_t n;
+	int status;
+	int rc;
+
+	if (o->n == 0 || o->token == NULL) {
+		fprintf(stderr,
+		    "sequoiactl: call: name a pipeline, and give the token by "
+		    "--token or SEQUOIA_TOKEN\n");
+		return EXIT_USAGE;
+	}
+	if (o->n > 1)
+		buf_put(&body, str_from(o->args[1]));
+	else
+		read_input(&body);
+	n = fill_headers(o, headers);
+	for (size_t i = 0; i < n; i++)
+		list[i] = headers[i].p;
+	buf_printf(&path, "/v1/pipelines/%s", o->args[0]);
+	status = fleet_call(
+	    &(struct fleet_request){
+		.method = "POST",
+		.addr = o->to,
+		.path = path.p,
+		.headers = list,
+		.body = str_of(&body),
+		.timeout = CALL_MOST,
+		.echo = true,
+	    },
+	    &out);
+	putchar('\n');
+	rc = judge(o, status, &out);
+	for (size_t i = 0; i < n; i++)
+		buf_free(&headers[i]);
+	buf_free(&path);
+	buf_free(&body);
+	buf_free(&out);
+	return rc;
+}
+
+int
+ask_drain(const struct ask_opts *o)
+{
+	struct buf out = { 0 };
+	int status;
+
+	if (o->n != 1) {
+		fprintf(stderr,
+		    "sequoiactl: drain: name the operators' address of one "
+		    "sequoiad, IP:PORT\n");
+		return EXIT_USAGE;
+	}
+	status = fleet_call(
+	    &(struct fleet_request){
+		.method = "POST",
+		.addr = o->args[0],
+		.path = "/drain",
+		.body = STR("{}"),
+		.timeout = DRAIN_MOST,
+	    },
+	    &out);
+	buf_free(&out);
+	if (status == 0) {
+		fprintf(stderr,
+		    "sequoiactl: %s: no answer: name the operators' address of "
+		    "a running sequoiad\n",
+		    o->args[0]);
+		return EXIT_UNREACHED;
+	}
+	if (status != 202) {
+		fprintf(stderr, "sequoiactl: %s: answered %d: not draining\n",
+		    o->args[0], status);
+		return EXIT_REFUSED;
+	}
+	printf("%s: draining\n", o->args[0]);
+	return EXIT_DONE;
+}
--- a/ctl/fleet.c
+++ b/ctl/fleet.c
@@ -15,6 +15,7 @@
 	bool done;
 	int status;
 	struct buf *out;
+	bool echo;
 };
 
 static void
@@ -28,6 +29,10 @@
 		break;
 	case HTTP_CHUNK:
 		buf_put(x->out, ev->bytes);
+		if (x->echo) {
+			fwrite(ev->bytes.p, 1, ev->bytes.n, stdout);
+			fflush(stdout);
+		}
 		break;
 	case HTTP_END:
 		x->done = true;
@@ -43,7 +48,7 @@
 fleet_call(const struct fleet_request *rq, struct buf *out)
 {
 	struct http_loop *loop = http_new();
-	struct exchange x = { .out = out };
+	struct exchange x = { .out = out, .echo = rq->echo };
 	struct buf url = { 0 };
 
 	buf_printf(&url, "http://%s%s", rq->addr, rq->path);
--- a/ctl/fleet.h
+++ b/ctl/fleet.h
@@ -14,6 +14,7 @@
 	const char *const *headers; /* or NULL */
 	struct str body;
 	usec_t timeout;
+	bool echo; /* write the answer to standard output as it comes */
 };
 
 /* Carries out one call; the status, or 0 when there was no answer. */
--- a/ctl/sequoiactl.c
+++ b/ctl/sequoiactl.c
@@ -1,5 +1,7 @@
 /* sequoiactl: the operators' command. */
+#include "ctl/ask.h"
 #include "ctl/change.h"
+#include "ctl/tables.h"
 
 #include <argp.h>
 #include <stdio.h>
@@ -8,6 +10,8 @@
 
 const char *argp_program_version = "sequoiactl " SEQUOIA_VERSION;
 
+#define MAX_ARGS 64
+
 enum option_key {
 	OPTION_KV = 'k',
 	OPTION_WHO = 'w',
@@ -16,29 +20,65 @@
 	OPTION_CHANGE_ID,
 	OPTION_GENERATION,
 	OPTION_WAIT,
-	OPTION_JSON
+	OPTION_JSON,
+	OPTION_TO,
+	OPTION_TOKEN,
+	OPTION_KEY,
+	OPTION_ATTEMPT,
+	OPTION_TIMEOUT_MS,
+	OPTION_STREAM
 };
 
 struct options {
 	struct change_opts change;
+	struct ask_opts ask;
 	const char *command;
+	const char *args[MAX_ARGS];
+};
+
+enum command_kind {
+	COMMAND_CHANGE, /* deals with the configuration */
+	COMMAND_ASK,    /* deals with sequoiads */
+	COMMAND_PRINT   /* needs neither */
 };
 
 struct command {
 	const char *name;
-	bool dir; /* takes a folder */
-	int (*run)(const struct change_opts *o);
+	const char *args;
+	const char *doc;
+	enum command_kind kind;
+	union {
+		int (*change)(const struct change_opts *o);
+		int (*ask)(const struct ask_opts *o);
+		void (*print)(struct buf *out);
+	};
 };
 
 static const struct command commands[] = {
-	{ "check", true, change_check },
-	{ "apply", true, change_apply },
-	{ "diff", true, change_diff },
-	{ "pull", true, change_pull },
-	{ "show", false, change_show },
-	{ "audit", false, change_audit },
+	{ "check", "DIR", "Check a folder of configuration", COMMAND_CHANGE,
+	    { .change = change_check } },
+	{ "apply", "DIR", "Make a folder the configuration in force",
+	    COMMAND_CHANGE, { .change = change_apply } },
+	{ "diff", "DIR", "Compare a folder with what is in force",
+	    COMMAND_CHANGE, { .change = change_diff } },
+	{ "pull", "DIR", "Write what is in force into a folder", COMMAND_CHANGE,
+	    { .change = change_pull } },
+	{ "show", "", "Print the configuration in force", COMMAND_CHANGE,
+	    { .change = change_show } },
+	{ "audit", "", "Print who changed what and when", COMMAND_CHANGE,
+	    { .change = change_audit } },
+	{ "status", "[IP:PORT ...]", "Print what sequoiads do and see",
+	    COMMAND_ASK, { .ask = ask_status } },
+	{ "call", "PIPELINE [JSON]", "Send a request and print its answer",
+	    COMMAND_ASK, { .ask = ask_call } },
+	{ "drain", "IP:PORT", "Let a sequoiad finish and take nothing new",
+	    COMMAND_ASK, { .ask = ask_drain } },
+	{ "settings", "", "Print all keys as docs/SETTINGS.md", COMMAND_PRINT,
+	    { .print = tables_write } },
 };
 
+#define N_COMMANDS (sizeof(commands) / sizeof(commands[0]))
+
 static const struct argp_option options[] = {
 	{ "kv", OPTION_KV, "IP:PORT", 0, "The key-value service", 0 },
 	{ "sequoiad", OPTION_SEQUOIAD, "IP:PORT", 0,
@@ -53,6 +93,14 @@
 	{ "wait", OPTION_WAIT, NULL, 0,
 	    "Wait until the change is in force everywhere", 0 },
 	{ "json", OPTION_JSON, NULL, 0, "Write JSON", 0 },
+	{ "to", OPTION_TO, "IP:PORT", 0, "Callers' address, for call", 0 },
+	{ "token", OPTION_TOKEN, "TOKEN", 0,
+	    "The workspace's token, for call (or SEQUOIA_TOKEN)", 0 },
+	{ "key", OPTION_KEY, "UUID", 0,
+	    "Idempotency key, for call; \"new\" makes one", 0 },
+	{ "attempt", OPTION_ATTEMPT, "N", 0, "Attempt number, for call", 0 },
+	{ "timeout-ms", OPTION_TIMEOUT_MS, "MS", 0, "Time limit, for call", 0 },
+	{ "stream", OPTION_STREAM, NULL, 0, "Stream the answer, for call", 0 },
 	{ 0 },
 };
 
@@ -77,6 +125,7 @@
 		return 0;
 	case OPTION_SEQUOIAD:
 		o->change.sequoiad = arg;
+		o->ask.sequoiad = arg;
 		return 0;
 	case OPTION_WHO:
 		o->change.who = arg;
@@ -95,12 +144,31 @@
 		return 0;
 	case OPTION_JSON:
 		o->change.json = true;
+		o->ask.json = true;
+		return 0;
+	case OPTION_TO:
+		o->ask.to = arg;
+		return 0;
+	case OPTION_TOKEN:
+		o->ask.token = arg;
+		return 0;
+	case OPTION_KEY:
+		o->ask.key = arg;
+		return 0;
+	case OPTION_ATTEMPT:
+		o->ask.attempt = arg;
+		return 0;
+	case OPTION_TIMEOUT_MS:
+		o->ask.timeout_ms = arg;
+		return 0;
+	case OPTION_STREAM:
+		o->ask.stream = true;
 		return 0;
 	case ARGP_KEY_ARG:
 		if (o->command == NULL)
 			o->command = arg;
-		else if (o->change.dir == NULL)
-			o->change.dir = arg;
+		else if (o->ask.n < MAX_ARGS)
+			o->args[o->ask.n++] = arg;
 		else
 			argp_error(state, "%s: one argument too many", arg);
 		return 0;
@@ -114,31 +182,72 @@
 }
 
 static int
-run(const struct options *o)
+run_change(const struct command *c, struct options *o)
 {
-	for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++) {
-		const struct command *c = &commands[i];
-
-		if (strcmp(c->name, o->command) != 0)
-			continue;
-		if (c->dir && o->change.dir == NULL) {
-			fprintf(
-			    stderr, "sequoiactl: %s: name a folder\n", c->name);
-			return EXIT_USAGE;
-		}
-		return c->run(&o->change);
+	size_t want = *c->args != '\0' ? 1 : 0;
+
+	if (o->ask.n != want) {
+		fprintf(stderr, "sequoiactl: %s: write %s %s\n", c->name,
+		    c->name, want > 0 ? c->args : "without an argument");
+		return EXIT_USAGE;
+	}
+	o->change.dir = o->args[0];
+	return c->change(&o->change);
+}
+
+static int
+run_print(const struct command *c)
+{
+	struct buf out = { 0 };
+
+	c->print(&out);
+	fwrite(out.p, 1, out.n, stdout);
+	buf_free(&out);
+	return EXIT_DONE;
+}
+
+static int
+run(struct options *o)
+{
+	const struct command *c = commands;
+
+	while (c < commands + N_COMMANDS && strcmp(c->name, o->command) != 0)
+		c++;
+	if (c == commands + N_COMMANDS) {
+		fprintf(stderr, "sequoiactl: %s: no such command: see --help\n",
+		    o->command);
+		return EXIT_USAGE;
+	}
+	switch (c->kind) {
+	case COMMAND_CHANGE:
+		return run_change(c, o);
+	case COMMAND_ASK:
+		o->ask.args = o->args;
+		return c->ask(&o->ask);
+	case COMMAND_PRINT:
+		return run_print(c);
 	}
-	fprintf(stderr, "sequoiactl: %s: no such command: see --help\n",
-	    o->command);
 	return EXIT_USAGE;
 }
 
+/* The list of commands for --help. */
+static void
+put_commands(struct buf *out)
+{
+	buf_put(out, STR("Commands:\n"));
+	for (size_t i = 0; i < N_COMMANDS; i++)
+		buf_printf(out, "  %-9s%-16s %s\n", commands[i].name,
+		    commands[i].args, commands[i].doc);
+	buf_put(out,
+	    STR("\nExit codes: 0 done, 1 refused, 2 wrong usage, 3 not "
+		"reached.\vSee sequoiactl(1)."));
+}
+
 int
 main(int argc, char **argv)
 {
-	struct argp argp = { options, parse, "COMMAND [DIR]",
-		"Commands: check DIR, apply DIR, diff DIR, pull DIR, show, "
-		"audit." };
+	struct buf doc = { 0 };
+	struct argp argp = { options, parse, "COMMAND [ARGUMENT...]" };
 	const char *user = getenv("USER");
 	struct options o = {
 		.change = {
@@ -147,9 +256,19 @@
 		    .who = user != NULL ? user : "unknown",
 		    .base = BASE_UNSET,
 		},
+		.ask = {
+		    .sequoiad = "127.0.0.1:8081",
+		    .to = "127.0.0.1:8080",
+		    .token = getenv("SEQUOIA_TOKEN"),
+		},
 	};
+	int rc;
 
+	put_commands(&doc);
+	argp.doc = doc.p;
 	argp_err_exit_status = EXIT_USAGE;
 	argp_parse(&argp, argc, argv, 0, NULL, &o);
-	return run(&o);
+	rc = run(&o);
+	buf_free(&doc);
+	return rc;
 }
