Stand-in: count the calls of each request, finer network delays

Cause: whether a request told not-run was run could not be seen from outside, and half a millisecond one way could not be given. Change: GET /seen, network_us. Conclusion: the load tool can hold every not-run against the targets.

--- a/tests/standin/admin.c
+++ b/tests/standin/admin.c
@@ -39,6 +39,7 @@
 static const struct getter getters[] = {
 	{ "/kv", kv_counters },
 	{ "/targets", target_counters },
+	{ "/seen", target_seen },
 	{ "/orders", engine_orders },
 };
 
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -19,7 +19,8 @@
  *             latency_ms = 20             base time of a call
  *             batch = 8                   calls that run at once, then FIFO
  *             max_waiting = 64            beyond: 503 {"error":"busy"}
- *             network_ms = 0              one-way delay before and after
+ *             network_ms = 0              one-way delay before and after,
+ *             network_us = 0              to which this is added
  *             load_lag_ms = 0             age of the reported load
  *     engines (kind = generate):
  *             token_ms = 5                at batch size 1
@@ -48,6 +49,7 @@
  *            failure_domain= to say which runners; fail_version=0 ends it
  *   GET  /targets  a list with the counters of each runner
  *   GET  /effects?service=S   {"KEY": count}
+ *   GET  /seen     {"REQUEST": calls that reached a target}
  *   GET  /orders   {"orders": [{address, fence, accepted}], "most_loading"}
  *   POST /reset    the counters, effects and the order log
  *
@@ -154,7 +156,7 @@
 	t->max_waiting = number(s, "max_waiting", 64);
 	t->cache_prefixes = number(s, "cache_prefixes", 64);
 	t->prompt_per_token = number(s, "prompt_us_per_token", 100);
-	t->network = msec(s, "network_ms", 0);
+	t->network = msec(s, "network_ms", 0) + number(s, "network_us", 0);
 	t->load_lag = msec(s, "load_lag_ms", 0);
 	t->honours_fence =
 	    strcmp(text(s, "fencing", "honoured"), "honoured") == 0;
--- a/tests/standin/target.c
+++ b/tests/standin/target.c
@@ -20,6 +20,8 @@
 
 static GPtrArray *runners;
 static GHashTable *by_port;
+static GMutex seen_lock;
+static json_t *seen; /* request id -> calls */
 
 static void
 add_runner(const struct target_conf *conf, unsigned i, struct str domain)
@@ -44,6 +46,7 @@
 target_init(void)
 {
 	runners = g_ptr_array_new();
+	seen = json_object();
 	by_port = g_hash_table_new(NULL, NULL);
 }
 
@@ -270,6 +273,38 @@
 		"{s:i,s:b}", "load", runner_load(r), "leaving", (int)leaving));
 }
 
+/*
+ * Counts the call for its request.  An engine gets the call id only, which is
+ * the request's id, a dot and a number.
+ */
+static void
+note_seen(const struct runner *r, const json_t *body)
+{
+	const char *id = json_string_value(json_object_get(body, "request_id"));
+	char *name = g_strdup(id != NULL ? id : "");
+	char *dot = strrchr(name, '.');
+	json_int_t n;
+
+	if (r->conf->kind == KIND_GENERATE && dot != NULL)
+		*dot = '\0';
+	g_mutex_lock(&seen_lock);
+	n = json_integer_value(json_object_get(seen, name));
+	json_object_set_new(seen, name, json_integer(n + 1));
+	g_mutex_unlock(&seen_lock);
+	g_free(name);
+}
+
+json_t *
+target_seen(void)
+{
+	json_t *copy;
+
+	g_mutex_lock(&seen_lock);
+	copy = json_deep_copy(seen);
+	g_mutex_unlock(&seen_lock);
+	return copy;
+}
+
 static void
 work(
     struct runner *r, struct mg_connection *c, const struct mg_request_info *ri)
@@ -280,6 +315,7 @@
 		web_error(c, 400, "the body is no JSON object");
 		return;
 	}
+	note_seen(r, body);
 	switch (r->conf->kind) {
 	case KIND_GENERATE:
 		engine_generate(r, c, body);
@@ -437,6 +473,9 @@
 {
 	unsigned i;
 
+	g_mutex_lock(&seen_lock);
+	json_object_clear(seen);
+	g_mutex_unlock(&seen_lock);
 	for (i = 0; i < runners->len; i++) {
 		struct runner *r = runners->pdata[i];
 
--- a/tests/standin/target.h
+++ b/tests/standin/target.h
@@ -92,6 +92,8 @@
 /* Does what a POST /target asks for; false when it is not understood. */
 bool target_set_fault(const struct mg_request_info *ri);
 json_t *target_counters(void);
+/* Calls by the request that they belong to. */
+json_t *target_seen(void);
 void target_reset(void);
 
 /*
