Load and fault tool, make measure

Cause: the policies could not be measured. Change: tests/load offers a deployment's mix open-loop from a seed to nine sequoiads, brings faults about, checks every answer against its request and the stand-ins' counts, and prints one table for all seeds and variants.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 DESTDIR ?=
 PREFIX ?= /usr/local
 
-.PHONY: all deps build check demo lint peer format format-check golden fuzz \
+.PHONY: all deps build check demo measure lint peer format format-check golden fuzz \
     install clean
 
 all: build
@@ -58,6 +58,10 @@
 demo: build
 	@tests/demo/run.sh build/release
 
+# By environment: SCENARIO, SEEDS, VARIANTS, ...; see the script.
+measure: build
+	@tests/load/run.sh build/release
+
 install: build
 	DESTDIR=$(DESTDIR) cmake --install build/release
 
--- /dev/null
+++ b/tests/load/direct.c
@@ -0,0 +1,234 @@
+#include "tests/load/direct.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CALL_TIMEOUT (20 * USEC_PER_SEC)
+#define STEP         (1 * USEC_PER_MSEC)
+
+/* Durations of one of the two ways. */
+struct way {
+	GArray *first;
+	GArray *gap;
+	GArray *whole;
+};
+
+/* A call that is waited for; each event with text counts as a token. */
+struct exchange {
+	struct buf body;
+	struct way *way; /* NULL: tokens are not timed */
+	usec_t began;
+	usec_t token_at;
+	bool done;
+};
+
+static void
+note_tokens(struct exchange *x, struct str bytes)
+{
+	usec_t now = clock_now();
+	usec_t d = now - (x->token_at != 0 ? x->token_at : x->began);
+	struct buf b = { 0 };
+
+	buf_put(&b, bytes);
+	if (b.n > 0 && strstr(b.p, "\"text\":\"") != NULL &&
+	    strstr(b.p, "\"stop\"") == NULL &&
+	    strstr(b.p, "event: answer") == NULL) {
+		if (x->token_at == 0)
+			g_array_append_val(x->way->first, d);
+		else
+			g_array_append_val(x->way->gap, d);
+		x->token_at = now;
+	}
+	buf_free(&b);
+}
+
+static void
+on_http(void *arg, const struct http_event *ev)
+{
+	struct exchange *x = arg;
+
+	if (ev->kind == HTTP_CHUNK) {
+		buf_put(&x->body, ev->bytes);
+		if (x->way != NULL)
+			note_tokens(x, ev->bytes);
+	} else if (ev->kind != HTTP_HEAD) {
+		x->done = true;
+	}
+}
+
+static void
+exchange(struct http_loop *l, struct exchange *x, const char *url,
+    const char *const *headers, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	http_start(l,
+	    &(struct http_opts){
+		.method = "POST",
+		.url = url,
+		.body = str_from(text),
+		.headers = headers,
+		.timeout = CALL_TIMEOUT,
+		.handler = on_http,
+		.arg = x,
+	    });
+	while (!x->done)
+		http_run(l, STEP);
+	free(text);
+	json_decref(body);
+}
+
+static json_t *
+make_document(struct plan *p, uint32_t n)
+{
+	struct planned r;
+	struct buf text = { 0 };
+	json_t *o;
+
+	plan_one(p, 0, n, &r);
+	r.mix = &p->mixes[0];
+	plan_text(&r, &text);
+	o = json_pack("{s:s, s:s}", "text", text.p, r.mix->field,
+	    "marker=direct and more");
+	buf_free(&text);
+	return o;
+}
+
+/* The body of a call as docs/PIPELINES.md describes it. */
+static json_t *
+make_call(const struct mix *m, const char *kind, json_t *document)
+{
+	char *passages;
+	json_t *o;
+
+	if (strcmp(kind, "generate") != 0)
+		return json_pack("{s:s, s:s, s:s, s:s, s:O}", "call_id", "d.1",
+		    "request_id", "d", "pipeline", m->pipeline, "stage", kind,
+		    "document", document);
+	passages =
+	    json_dumps(json_object_get(document, "passages"), JSON_COMPACT);
+	o = json_pack("{s:s, s:s++, s:i, s:b, s:s, s:s}", "model", "direct",
+	    "prompt", passages, "\n",
+	    json_string_value(json_object_get(document, m->field)),
+	    "max_tokens", (int)m->tokens, "stream", 1, "cache_salt",
+	    m->workspace, "request_id", "d.1");
+	free(passages);
+	return o;
+}
+
+/* One request straight to the first runner of each service. */
+static void
+go_direct(struct plan *p, struct http_loop *l, json_t *document, struct way *w)
+{
+	struct str rest = str_from(p->mixes[0].calls);
+	struct str part;
+	usec_t began = clock_now();
+	usec_t d;
+
+	while (str_cut(&rest, ' ', &part)) {
+		struct exchange x = { .began = began };
+		char section[64];
+		char url[128];
+		const char *kind;
+		json_t *answer;
+
+		snprintf(
+		    section, sizeof(section), "target %.*s", STR_FMT(part));
+		kind = plan_word(p, section, "kind", NULL);
+		if (strcmp(kind, "generate") == 0)
+			x.way = w;
+		snprintf(url, sizeof(url), "http://%s/v1/%s",
+		    plan_word(p, section, "listen", NULL),
+		    x.way != NULL ? "completions" : kind);
+		exchange(
+		    l, &x, url, NULL, make_call(&p->mixes[0], kind, document));
+		answer = json_loadb(x.body.p, x.body.n, 0, NULL);
+		json_object_update(
+		    document, json_object_get(answer, "document"));
+		json_decref(answer);
+		buf_free(&x.body);
+	}
+	d = clock_now() - began;
+	g_array_append_val(w->whole, d);
+}
+
+static void
+go_path(struct plan *p, struct http_loop *l, json_t *document, struct way *w)
+{
+	const struct mix *m = &p->mixes[0];
+	struct exchange x = { .began = clock_now(), .way = w };
+	char auth[128];
+	char url[128];
+	const char *const headers[] = { auth, "Accept: text/event-stream",
+		NULL };
+	usec_t d;
+
+	snprintf(auth, sizeof(auth), "Authorization: Bearer %s", m->token);
+	snprintf(url, sizeof(url), "http://127.0.0.1:%u/v1/pipelines/%s",
+	    (unsigned)plan_number(p, "run", "port", NULL), m->pipeline);
+	exchange(l, &x, url, headers, json_incref(document));
+	buf_free(&x.body);
+	d = clock_now() - x.began;
+	g_array_append_val(w->whole, d);
+}
+
+static int
+by_time(const void *a, const void *b)
+{
+	usec_t x = *(const usec_t *)a;
+	usec_t y = *(const usec_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static double
+quantile_ms(const GArray *v, double at)
+{
+	guint i = v->len > 0 ? (guint)((v->len - 1) * at) : 0;
+
+	if (v->len == 0)
+		return 0;
+	return (double)g_array_index(v, usec_t, i) / (double)USEC_PER_MSEC;
+}
+
+static json_t *
+show(GArray *v)
+{
+	g_array_sort(v, by_time);
+	return json_pack("{s:i, s:f, s:f}", "n", (int)v->len, "p50_ms",
+	    quantile_ms(v, 0.5), "p95_ms", quantile_ms(v, 0.95));
+}
+
+json_t *
+direct_measure(struct plan *p, struct http_loop *loop, uint32_t n)
+{
+	static const char *const names[] = { "direct", "path" };
+	struct way ways[2];
+	json_t *all = json_object();
+
+	for (int k = 0; k < 2; k++)
+		ways[k] =
+		    (struct way){ g_array_new(FALSE, FALSE, sizeof(usec_t)),
+			    g_array_new(FALSE, FALSE, sizeof(usec_t)),
+			    g_array_new(FALSE, FALSE, sizeof(usec_t)) };
+	for (uint32_t i = 0; i < 2 * n; i++) {
+		json_t *document = make_document(p, i);
+
+		if (i % 2 == 0)
+			go_direct(p, loop, document, &ways[0]);
+		else
+			go_path(p, loop, document, &ways[1]);
+		json_decref(document);
+	}
+	for (int k = 0; k < 2; k++) {
+		json_object_set_new(all, names[k],
+		    json_pack("{s:o, s:o, s:o}", "first_token",
+			show(ways[k].first), "between_tokens",
+			show(ways[k].gap), "whole", show(ways[k].whole)));
+		g_array_free(ways[k].first, TRUE);
+		g_array_free(ways[k].gap, TRUE);
+		g_array_free(ways[k].whole, TRUE);
+	}
+	return all;
+}
--- /dev/null
+++ b/tests/load/plan.h
@@ -0,0 +1,106 @@
+/*
+ * What is offered: the mix of a deployment and, drawn from a seed, when each
+ * request arrives and what it holds.
+ *
+ * Keys of the deployment's INI file beside those of the stand-in:
+ *   [load]  capacity_per_second   requests of the mix that the engines can do
+ *           client_ms             one way between callers and sequoiads
+ *           prefixes              distinct texts of each mix section
+ *   [mix NAME]
+ *           pipeline, workspace, token   what is asked, for whom
+ *           weight                share of the arrivals
+ *           deadline_ms           as in the pipeline
+ *           field                 key of the body that holds the marker
+ *           text_min, text_max    bytes of the shared text
+ *           stream_percent        callers that want a stream
+ *           output, tokens        key of the answer with generated text, or ""
+ *           marked                yes: that text starts with the marker
+ *           effect                stage whose answer echoes the key, or ""
+ *           calls                 services called, one word a call
+ *   [run]   added for one run
+ *           deployment, scenario, variant, seed   name it in the report
+ *           out                   file of the JSON report
+ *           admin                 IP:PORT of the stand-in's admin address
+ *           hosts, port           sequoiads on 127.0.0.1 and on, and the port
+ *                                 of callers; operators' is the next
+ *           percent               arrivals, of the capacity
+ *           warm_s, seconds       time that is not judged, and that is
+ *           callers               this many callers that wait for answers, in
+ *                                 place of arrivals of their own accord
+ *           direct                this many requests one at a time, through
+ *                                 sequoiad and straight to the stand-ins
+ *           surge_factor          more arrivals
+ *           surge_workspace       of one workspace; of all if empty
+ *           surge_from, surge_to  in these judged seconds
+ */
+#ifndef LOAD_PLAN_H
+#define LOAD_PLAN_H
+
+#include "base/clock.h"
+#include "base/ini.h"
+#include "base/rng.h"
+
+struct mix {
+	const char *pipeline;
+	const char *workspace;
+	const char *token;
+	const char *field;
+	const char *output;
+	const char *effect;
+	const char *calls;
+	const char *service; /* of the effect: the last of the calls */
+	uint32_t weight;
+	uint32_t text_min;
+	uint32_t text_max;
+	uint32_t stream_percent;
+	uint32_t tokens;
+	usec_t deadline;
+	bool marked;
+};
+
+struct planned {
+	usec_t at; /* after the start */
+	const struct mix *mix;
+	uint32_t prefix;
+	uint32_t number;
+	bool stream;
+	bool warm; /* arrives while the fleet warms up: not judged */
+};
+
+/* A time in which arrivals are a multiple of what they are else. */
+struct surge {
+	const char *workspace; /* "": of all */
+	double factor;
+	usec_t from;
+	usec_t to;
+};
+
+struct plan {
+	struct ini ini;
+	struct mix *mixes;
+	size_t n_mixes;
+	uint32_t prefixes;
+	double rate;   /* arrivals a second without a surge */
+	usec_t client; /* one way */
+	usec_t warm;
+	usec_t length; /* after the warm-up */
+	struct surge surge;
+	struct rng rng;
+};
+
+/* Reads deployment and run; ends the program when they are not whole. */
+void plan_read(struct plan *p, const char *path);
+/* A key's text; NULL as the fallback: it must be set. */
+const char *plan_word(const struct plan *p, const char *section,
+    const char *key, const char *fallback);
+uint32_t plan_number(const struct plan *p, const char *section, const char *key,
+    const char *fallback);
+/* Draws all arrivals in order of time; freed by the caller. */
+struct planned *plan_draw(struct plan *p, size_t *n);
+/* Draws one request that arrives at a time. */
+void plan_one(struct plan *p, usec_t at, uint32_t n, struct planned *out);
+/* The text that all requests of a prefix share. */
+void plan_text(const struct planned *r, struct buf *out);
+void plan_free(struct plan *p);
+
+#endif
--- /dev/null
+++ b/tests/load/report.c
@@ -0,0 +1,457 @@
+#include "tests/load/report.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FETCH_TIMEOUT (5 * USEC_PER_SEC)
+#define FETCH_STEP    (20 * USEC_PER_MSEC)
+
+/* An answer that is waited for. */
+struct fetch {
+	struct buf body;
+	bool done;
+};
+
+/* Counts of a set of results. */
+struct tally {
+	size_t sent;
+	size_t in_time;
+	size_t late; /* whole, after the deadline */
+	size_t got[GOT_KINDS];
+};
+
+static void
+on_fetch(void *arg, const struct http_event *ev)
+{
+	struct fetch *f = arg;
+
+	if (ev->kind == HTTP_CHUNK)
+		buf_put(&f->body, ev->bytes);
+	else if (ev->kind != HTTP_HEAD)
+		f->done = true;
+}
+
+/* The body that a GET gets; empty when it fails.  The header may be NULL. */
+static struct buf
+fetch(
+    struct http_loop *l, const char *addr, const char *path, const char *header)
+{
+	struct fetch f = { 0 };
+	struct buf url = { 0 };
+
+	buf_printf(&url, "http://%s%s", addr, path);
+	http_start(l,
+	    &(struct http_opts){
+		.url = url.p,
+		.headers = (const char *const[]){ header, NULL },
+		.timeout = FETCH_TIMEOUT,
+		.handler = on_fetch,
+		.arg = &f,
+	    });
+	while (!f.done)
+		http_run(l, FETCH_STEP);
+	buf_free(&url);
+	return f.body;
+}
+
+static json_t *
+fetch_json(const struct report_opts *o, const char *path)
+{
+	struct buf b = fetch(
+	    o->loop, plan_word(o->plan, "run", "admin", NULL), path, NULL);
+	json_t *j = b.n > 0 ? json_loadb(b.p, b.n, 0, NULL) : NULL;
+
+	buf_free(&b);
+	return j;
+}
+
+static const struct result *
+at(const struct report_opts *o, size_t i)
+{
+	return &g_array_index(o->results, struct result, i);
+}
+
+static bool
+in_time(const struct result *r)
+{
+	return r->verdict == GOT_WHOLE && r->taken <= r->r.mix->deadline;
+}
+
+static double
+share(double part, double whole)
+{
+	return whole > 0 ? part / whole : 0;
+}
+
+static int
+by_time(const void *a, const void *b)
+{
+	usec_t x = *(const usec_t *)a;
+	usec_t y = *(const usec_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* Quantiles in milliseconds; sorts the array. */
+static json_t *
+quantiles(GArray *v)
+{
+	static const struct {
+		const char *name;
+		double at;
+	} qs[] = { { "p50", 0.5 }, { "p95", 0.95 }, { "p99", 0.99 },
+		{ "max", 1 } };
+	json_t *o = json_object();
+
+	g_array_sort(v, by_time);
+	for (size_t i = 0; i < G_N_ELEMENTS(qs); i++) {
+		usec_t t = v->len > 0
+		    ? g_array_index(v, usec_t, (guint)((v->len - 1) * qs[i].at))
+		    : 0;
+
+		json_object_set_new(o, qs[i].name,
+		    json_real((double)t / (double)USEC_PER_MSEC));
+	}
+	return o;
+}
+
+/* Quantiles of one duration over the judged results that have it. */
+static json_t *
+durations(const struct report_opts *o, size_t offset, bool whole_only)
+{
+	GArray *v = g_array_new(FALSE, FALSE, sizeof(usec_t));
+	json_t *q;
+
+	for (size_t i = 0; i < o->results->len; i++) {
+		const struct result *r = at(o, i);
+		usec_t t =
+		    *(const usec_t *)(const void *)((const char *)r + offset);
+
+		if (r->r.warm || t == 0 ||
+		    (whole_only && r->verdict != GOT_WHOLE))
+			continue;
+		g_array_append_val(v, t);
+	}
+	q = quantiles(v);
+	g_array_free(v, TRUE);
+	return q;
+}
+
+static json_t *
+tally_json(const struct tally *t)
+{
+	json_t *o =
+	    json_pack("{s:I, s:I, s:I, s:f}", "sent", (json_int_t)t->sent,
+		"in_time", (json_int_t)t->in_time, "late", (json_int_t)t->late,
+		"attainment", share((double)t->in_time, (double)t->sent));
+
+	for (int v = 0; v < GOT_KINDS; v++)
+		json_object_set_new(o, verdict_name((enum verdict)v),
+		    json_integer((json_int_t)t->got[v]));
+	return o;
+}
+
+/* The judged results; of one workspace, or of all if NULL. */
+static json_t *
+count(const struct report_opts *o, const char *workspace)
+{
+	struct tally t = { 0 };
+
+	for (size_t i = 0; i < o->results->len; i++) {
+		const struct result *r = at(o, i);
+
+		if (r->r.warm ||
+		    (workspace != NULL &&
+			strcmp(workspace, r->r.mix->workspace) != 0))
+			continue;
+		t.sent++;
+		t.got[r->verdict]++;
+		if (in_time(r))
+			t.in_time++;
+		else if (r->verdict == GOT_WHOLE)
+			t.late++;
+	}
+	return tally_json(&t);
+}
+
+static json_t *
+count_workspaces(const struct report_opts *o)
+{
+	json_t *all = json_object();
+
+	for (size_t i = 0; i < o->plan->n_mixes; i++) {
+		const char *w = o->plan->mixes[i].workspace;
+
+		if (json_object_get(all, w) == NULL)
+			json_object_set_new(all, w, count(o, w));
+	}
+	return all;
+}
+
+/* Judged requests that did not end whole and in time, by their error. */
+static json_t *
+count_errors(const struct report_opts *o)
+{
+	json_t *all = json_object();
+
+	for (size_t i = 0; i < o->results->len; i++) {
+		const struct result *r = at(o, i);
+		const char *name =
+		    *r->error != '\0' ? r->error : verdict_name(r->verdict);
+
+		if (r->r.warm || in_time(r))
+			continue;
+		json_object_set_new(all, name,
+		    json_integer(
+			json_integer_value(json_object_get(all, name)) + 1));
+	}
+	return all;
+}
+
+/* What sequoiad decided for the first request of each error. */
+static json_t *
+find_traces(const struct report_opts *o)
+{
+	json_t *all = json_object();
+
+	for (size_t i = 0; i < o->results->len; i++) {
+		const struct result *r = at(o, i);
+		const char *name =
+		    *r->error != '\0' ? r->error : verdict_name(r->verdict);
+		char header[128];
+		char path[128];
+		struct buf b;
+
+		if (in_time(r) || *r->id == '\0' ||
+		    json_object_get(all, name) != NULL)
+			continue;
+		snprintf(header, sizeof(header), "Authorization: Bearer %s",
+		    r->r.mix->token);
+		snprintf(path, sizeof(path), "/v1/requests/%s/trace", r->id);
+		b = fetch(o->loop, fleet_address(o->fleet, r->host, false),
+		    path, header);
+		json_object_set_new(
+		    all, name, json_loadb(b.n > 0 ? b.p : "", b.n, 0, NULL));
+		buf_free(&b);
+	}
+	return all;
+}
+
+/* [[sent, in time], ...] by the second of arrival. */
+static json_t *
+count_seconds(const struct report_opts *o)
+{
+	json_t *all = json_array();
+
+	for (usec_t s = 0; s < o->plan->length / USEC_PER_SEC; s++) {
+		json_int_t n[2] = { 0, 0 };
+
+		for (size_t i = 0; i < o->results->len; i++) {
+			const struct result *r = at(o, i);
+
+			if ((r->r.at - o->plan->warm) / USEC_PER_SEC != s ||
+			    r->r.warm)
+				continue;
+			n[0]++;
+			n[1] += in_time(r);
+		}
+		json_array_append_new(all, json_pack("[I, I]", n[0], n[1]));
+	}
+	return all;
+}
+
+/* How often a word stands in a list. */
+static unsigned
+times_in(const char *list, const char *word)
+{
+	struct str rest = str_from(list);
+	struct str part;
+	unsigned n = 0;
+
+	while (str_cut(&rest, ' ', &part))
+		n += str_eq(part, str_from(word));
+	return n;
+}
+
+static void
+add(json_t *o, const char *key, double v)
+{
+	json_object_set_new(
+	    o, key, json_real(json_number_value(json_object_get(o, key)) + v));
+}
+
+/* The counters of the stand-ins summed by service. */
+static json_t *
+sum_services(const json_t *targets)
+{
+	static const char *const keys[] = { "calls", "failed", "cancelled",
+		"tokens", "cached_prompts", "busy_ms",
+		"calls_after_leaving_3s" };
+	json_t *all = json_object();
+	const json_t *x;
+	size_t i;
+
+	json_array_foreach(targets, i, x)
+	{
+		const char *name =
+		    json_string_value(json_object_get(x, "service"));
+		json_t *s = json_object_get(all, name);
+
+		if (s == NULL) {
+			s = json_object();
+			json_object_set_new(all, name, s);
+		}
+		for (size_t k = 0; k < G_N_ELEMENTS(keys); k++)
+			add(s, keys[k],
+			    json_number_value(json_object_get(x, keys[k])));
+	}
+	return all;
+}
+
+/*
+ * Cost of each service for each request that ended whole and in time; a call
+ * is wasted if no such request needed it.  The warm-up counts here too.
+ */
+static json_t *
+cost(const struct report_opts *o)
+{
+	json_t *targets = fetch_json(o, "/targets");
+	json_t *all = sum_services(targets);
+	const char *name;
+	json_t *s;
+	size_t good = 0;
+
+	for (size_t i = 0; i < o->results->len; i++)
+		good += in_time(at(o, i));
+	json_object_foreach(all, name, s)
+	{
+		double calls = json_number_value(json_object_get(s, "calls"));
+		double useful = 0;
+
+		for (size_t i = 0; i < o->results->len; i++) {
+			if (in_time(at(o, i)))
+				useful +=
+				    times_in(at(o, i)->r.mix->calls, name);
+		}
+		json_object_set_new(
+		    s, "wasted", json_real(1 - share(useful, calls)));
+		json_object_set_new(s, "busy_ms_per_good",
+		    json_real(
+			share(json_number_value(json_object_get(s, "busy_ms")),
+			    (double)good)));
+		json_object_set_new(s, "cache_hits",
+		    json_real(share(
+			json_number_value(json_object_get(s, "cached_prompts")),
+			calls)));
+	}
+	json_decref(targets);
+	return all;
+}
+
+/* What callers were told against what the stand-ins saw; all must be 0. */
+static json_t *
+effects(const struct report_opts *o)
+{
+	json_t *seen = fetch_json(o, "/seen");
+	json_t *counts = json_object();
+	json_int_t lost = 0;
+	json_int_t doubled = 0;
+	json_int_t ran = 0;
+
+	for (size_t i = 0; i < o->plan->n_mixes; i++) {
+		const struct mix *m = &o->plan->mixes[i];
+		char path[128];
+
+		if (*m->effect == '\0' ||
+		    json_object_get(counts, m->service) != NULL)
+			continue;
+		snprintf(path, sizeof(path), "/effects?service=%s", m->service);
+		json_object_set_new(counts, m->service, fetch_json(o, path));
+	}
+	for (size_t i = 0; i < o->results->len; i++) {
+		const struct result *r = at(o, i);
+		json_int_t n = json_integer_value(json_object_get(
+		    json_object_get(counts, r->r.mix->service), r->key));
+
+		lost += r->verdict == GOT_WHOLE && *r->key != '\0' && n == 0;
+		doubled += n > 1;
+		ran += r->verdict == GOT_NOT_RUN &&
+		    (n > 0 || json_object_get(seen, r->id) != NULL);
+	}
+	json_decref(seen);
+	json_decref(counts);
+	return json_pack("{s:I, s:I, s:I}", "lost", lost, "doubled", doubled,
+	    "not_run_but_ran", ran);
+}
+
+/* The sequoiads' own counters, summed over those that still live. */
+static json_t *
+own_counters(const struct report_opts *o)
+{
+	static const char *const names[] = { "calls", "retries", "hedges",
+		"resumes", "failed_calls", "silent_calls", "foreign_answers",
+		"cpu_seconds" };
+	json_t *all = json_object();
+
+	for (size_t i = 0; i < fleet_size(o->fleet); i++) {
+		struct buf b = fetch(o->loop,
+		    fleet_address(o->fleet, (int)i, true), "/metrics", NULL);
+
+		for (size_t k = 0; b.n > 0 && k < G_N_ELEMENTS(names); k++) {
+			char line[64];
+			const char *p;
+
+			snprintf(line, sizeof(line), "\nsequoia_%s_total ",
+			    names[k]);
+			p = strstr(b.p, line);
+			add(all, names[k],
+			    p != NULL ? strtod(p + strlen(line), NULL) : 0);
+		}
+		buf_free(&b);
+	}
+	return all;
+}
+
+json_t *
+report_make(const struct report_opts *o)
+{
+	json_t *r = count(o, NULL);
+	GArray *gaps = g_array_copy((GArray *)o->gaps);
+
+	json_object_set_new(r, "seconds",
+	    json_real((double)o->plan->length / (double)USEC_PER_SEC));
+	json_object_set_new(r, "workspaces", count_workspaces(o));
+	json_object_set_new(r, "errors", count_errors(o));
+	json_object_set_new(r, "traces", find_traces(o));
+	json_object_set_new(r, "latency_ms",
+	    durations(o, offsetof(struct result, taken), true));
+	json_object_set_new(r, "first_token_ms",
+	    durations(o, offsetof(struct result, first), true));
+	json_object_set_new(
+	    r, "lag_ms", durations(o, offsetof(struct result, lag), false));
+	json_object_set_new(r, "gap_ms", quantiles(gaps));
+	json_object_set_new(r, "per_second", count_seconds(o));
+	json_object_set_new(r, "sequoiads", own_counters(o));
+	json_object_set_new(r, "services", cost(o));
+	json_object_set_new(r, "effects", effects(o));
+	g_array_free(gaps, TRUE);
+	return r;
+}
+
+void
+report_print(const json_t *report, FILE *out)
+{
+	const char *name;
+	json_t *v;
+
+	json_object_foreach((json_t *)report, name, v)
+	{
+		char *text;
+
+		if (strcmp(name, "per_second") == 0)
+			continue;
+		text = json_dumps(v, JSON_ENCODE_ANY | JSON_REAL_PRECISION(4));
+		fprintf(out, "%-16s %s\n", name, text);
+		free(text);
+	}
+}
--- /dev/null
+++ b/tests/load/run.sh
@@ -0,0 +1,214 @@
+#!/usr/bin/env bash
+# Measures scenarios under load and faults on loopback, one run after another.
+#
+# usage: run.sh BUILD-FOLDER
+# by environment:
+#   SCENARIO    names, or all (the default); see the functions do_NAME below;
+#               callers64 and direct are run only when named
+#   SEEDS       default "1 2 3"
+#   DEPLOYMENTS default "tinback ardcarrig"
+#   VARIANTS    default "default baseline"; also KEY=VALUE,... of [policy]
+#   SECONDS_RUN judged seconds of a run, default 15
+#   OUT         folder for reports and logs, default build/measure
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+B=$1
+SEEDS=${SEEDS:-1 2 3}
+DEPLOYMENTS=${DEPLOYMENTS:-tinback ardcarrig}
+VARIANTS=${VARIANTS:-default baseline}
+SECONDS_RUN=${SECONDS_RUN:-15}
+OUT=${OUT:-build/measure}
+HOSTS=9
+PORT=11080
+WARM=6
+ADMIN=127.0.0.1:13792
+KV=127.0.0.1:13790
+BASELINE='balance=round-robin admission=no fair=no hedge=no set_aside=no
+resume=no stall=no prefer_domain=no split=none retries=1 retry_budget=100'
+ALL='steady burst overload slow_runner half_failing dead_runner domain_gone
+silent lagging_load kv_down two_killed rolling flood leaving slow_and_overload
+domain_and_burst callers64'
+
+TMP=$(mktemp -d)
+declare -A PID
+STANDIN=
+
+# Ends what this script started, by number.
+stop_all() {
+	local p
+	for p in "${PID[@]}" $STANDIN; do kill -KILL "$p" 2>/dev/null || true; done
+	for p in "${PID[@]}" $STANDIN; do wait "$p" 2>/dev/null || true; done
+	PID=()
+	STANDIN=
+}
+trap 'stop_all; rm -rf "$TMP"' EXIT
+
+await() {
+	local _
+	for _ in $(seq 100); do
+		curl -sf -o /dev/null "$1" && return 0
+		sleep 0.1
+	done
+	echo "no answer: $1" >&2
+	return 1
+}
+
+# The settings file of sequoiad $1.
+settings() {
+	local peers='' k domains=(a b c d)
+	for k in $(seq $HOSTS); do peers+="127.0.0.$k:$((PORT + 2)) "; done
+	cat <<-END
+	[sequoiad]
+	id = e$1
+	listen = 127.0.0.$1:$PORT
+	operators = 127.0.0.$1:$((PORT + 1))
+	rpc = 127.0.0.$1:$((PORT + 2))
+	failure_domain = ${domains[$(($1 % 4))]}
+	peers = $peers
+	workers = 600
+	[platform]
+	kv = $KV
+	hosts = 127.0.0.1:13791
+	[fleet]
+	fleet_key = measure-fleet-key-0123456789
+	END
+}
+
+start_sequoiad() {
+	settings "$1" >"$TMP/e$1.ini"
+	"$B/entry/sequoiad" "$TMP/e$1.ini" 2>>"$LOG/e$1.log" &
+	PID[$1]=$!
+}
+
+# The configuration folder of deployment $1 under the policy variant $2.
+configure() {
+	local pair keys=$2
+	rm -rf "$TMP/conf"
+	cp -r "examples/$1" "$TMP/conf"
+	[ "$2" = default ] && keys=''
+	[ "$2" = baseline ] && keys=$BASELINE
+	{
+		echo '[policy]'
+		for pair in ${keys//,/ }; do echo "${pair%%=*} = ${pair#*=}"; done
+	} >"$TMP/conf/90-variant.ini"
+	"$B/ctl/sequoiactl" --kv $KV apply "$TMP/conf" >/dev/null
+}
+
+admin() { curl -sf -o /dev/null -X POST "http://$ADMIN/$1"; }
+engines() { sed -n '/kind = generate/,/^\[/s/^service = //p' "$INI" | head -1; }
+
+# Scenarios.  Each sets RATE and SURGE for load in "before"; what follows
+# runs beside it from the first judged second on.
+before() {
+	RATE=70 SURGE='' CALLERS=0 DIRECT=0 LENGTH=$SECONDS_RUN
+	case $1 in
+	burst) RATE=50 && surge '' 3 5 10 ;;
+	overload | slow_and_overload) RATE=150 LENGTH=30 ;;
+	flood) RATE=50 && surge "$FLOODER" 10 3 13 ;;
+	domain_and_burst) RATE=50 && surge '' 2 5 10 ;;
+	callers64) CALLERS=64 LENGTH=60 ;;
+	direct) DIRECT=100 ;;
+	esac
+}
+# Arrivals of workspace $1 (of all if empty) are $2 times as many from $3 to $4.
+surge() {
+	printf -v SURGE '%s\n' "surge_workspace = $1" "surge_factor = $2" \
+	    "surge_from = $3" "surge_to = $4"
+}
+do_steady() { :; }
+do_callers64() { :; }
+do_direct() { :; }
+do_burst() { :; }
+do_overload() { :; }
+do_flood() { :; }
+do_slow_runner() { admin "target?fault=slow&factor=5&address=$ENGINE"; }
+do_half_failing() { admin "target?fault=fail_half&address=$ENGINE"; }
+do_dead_runner() { admin "target?fault=refuse&address=$ENGINE"; }
+do_domain_gone() { admin "target?fault=refuse&failure_domain=b"; }
+do_silent() { admin "target?fault=silent&address=$ENGINE"; }
+do_lagging_load() { :; }
+do_kv_down() { admin 'kv?mode=down'; }
+do_two_killed() { kill -KILL "${PID[2]}" "${PID[6]}"; }
+do_leaving() {
+	admin "hosts?set=leaving&address=$ENGINE"
+	admin "target?fault=leaving&address=$ENGINE"
+}
+do_slow_and_overload() { do_slow_runner; }
+do_domain_and_burst() { sleep 4; do_domain_gone; }
+# Restarts all nine, one after the other.
+do_rolling() {
+	local i p
+	for i in $(seq $HOSTS); do
+		p=${PID[$i]}
+		kill -TERM "$p"
+		while kill -0 "$p" 2>/dev/null; do sleep 0.1; done
+		start_sequoiad "$i"
+		echo "${PID[$i]}" >>"$TMP/restarted"
+		await "http://127.0.0.$i:$((PORT + 1))/readyz"
+	done
+}
+
+# One run: deployment, scenario, variant, seed.
+run_one() {
+	local i name="$1-$2-${3//[^a-z0-9_]/_}-$4" faults
+	INI=$TMP/deployment.ini
+	LOG=$OUT/$name
+	mkdir -p "$LOG"
+	cp "tests/load/$1.ini" "$INI"
+	[ "$2" = lagging_load ] &&
+	    sed -i 's/^service = /load_lag_ms = 5000\n&/' "$INI"
+	ENGINE=$(sed -n '/kind = generate/,/count/s/^listen = //p' "$INI" | head -1)
+	FLOODER=$(sed -n 's/^; flooder = //p' "$INI")
+	"$B/tests/standin/standin" "$INI" >"$LOG/standin.log" 2>&1 &
+	STANDIN=$!
+	await http://127.0.0.1:13791/hosts
+	configure "$1" "$3"
+	for i in $(seq $HOSTS); do start_sequoiad "$i"; done
+	for i in $(seq $HOSTS); do
+		await "http://127.0.0.$i:$((PORT + 1))/readyz"
+	done
+	sleep 1.2
+	before "$2"
+	: >"$TMP/restarted"
+	(sleep $WARM && "do_$2") &
+	faults=$!
+	cat >>"$INI" <<-END
+	[run]
+	deployment = $1
+	scenario = $2
+	variant = $3
+	seed = $4
+	out = $OUT/$name.json
+	admin = $ADMIN
+	hosts = $HOSTS
+	port = $PORT
+	percent = $RATE
+	warm_s = $WARM
+	seconds = $LENGTH
+	callers = $CALLERS
+	direct = $DIRECT
+	$SURGE
+	END
+	"$B/tests/load/load" "$INI" >"$LOG/load.txt"
+	wait $faults || echo "$name: the fault was not brought about" >&2
+	for i in $(cat "$TMP/restarted"); do kill -KILL "$i" || true; done
+	stop_all
+	grep -h -E '^(attainment|lag_ms|effects|direct |path )' "$LOG/load.txt" |
+	    tr '\n' ' ' | sed "s|^|$name: |"
+	echo
+}
+
+mkdir -p "$OUT"
+[ "${SCENARIO:-all}" = all ] && SCENARIO=$ALL
+FILES=()
+for d in $DEPLOYMENTS; do
+	for s in $SCENARIO; do
+		for v in $VARIANTS; do
+			for seed in $SEEDS; do
+				run_one "$d" "$s" "$v" "$seed"
+				FILES+=("$OUT/$d-$s-${v//[^a-z0-9_]/_}-$seed.json")
+			done
+		done
+	done
+done
+"$B/tests/load/load" --table "${FILES[@]}"
