Close a stream's connection when its answer is whole

Cause: a stream's head says Connection: close, but CivetWeb was not told and kept the connection open until its keep-alive ran out; the answer had no end. Change: tell it.

--- a/entry/reply.c
+++ b/entry/reply.c
@@ -136,6 +136,7 @@
 		"Cache-Control: no-store\r\nConnection: close\r\n"));
 	put_headers(r, NULL, &out);
 	buf_put(&out, STR("\r\n"));
+	mg_disable_connection_keep_alive(r->conn);
 	n = write_all(r->conn, str_of(&out));
 	buf_free(&out);
 	return n > 0;
