--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,22 @@
 DESTDIR ?=
 PREFIX ?= /usr/local
 
-.PHONY: all deps build check demo lint peer format format-check golden \
-    golden-wire fuzz install clean
+.PHONY: all
+.PHONY: build
+.PHONY: build-check
+.PHONY: check
+.PHONY: clean
+.PHONY: demo
+.PHONY: deps
+.PHONY: format
+.PHONY: format-check
+.PHONY: fuzz
+.PHONY: golden
+.PHONY: golden-wire
+.PHONY: install
+.PHONY: lint
+.PHONY: measure
+.PHONY: peer
 
 all: build
 
@@ -62,6 +76,10 @@
 demo: build
 	@tests/demo/run.sh build/release
 
+# By environment: SCENARIO, SEEDS, VARIANTS, ...; see the script.
+measure: build
+	@tests/load/run.sh build/release
+
 install: build
 	DESTDIR=$(DESTDIR) cmake --install build/release
 
