--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 .PHONY: lint
 .PHONY: measure
 .PHONY: peer
+.PHONY: settings-page
 
 all: build
 
@@ -69,6 +70,10 @@
 	cd entry && rm -f peer.h peer_xdr.c && rpcgen -C -M -h -o peer.h peer.x && \
 	    rpcgen -C -M -c -o peer_xdr.c peer.x
 
+# The page of all keys, from the tables in the code.
+settings-page: build
+	build/release/ctl/sequoiactl settings >docs/SETTINGS.md
+
 # The wire sessions' golden files; a difference shows up in make check.
 golden-wire: build
 	@tests/wire/run.sh build/release --write
--- a/entry/reply.c
+++ b/entry/reply.c
@@ -10,7 +10,14 @@
 static const char *
 reason(int status)
 {
-	return mg_get_response_code_text(NULL, status);
+	switch (status) {
+	case 422: /* CivetWeb misspells it */
+		return "Unprocessable Content";
+	case 499: /* not registered */
+		return "Client Closed Request";
+	default:
+		return mg_get_response_code_text(NULL, status);
+	}
 }
 
 /* Sunset (RFC 8594) and Retry-After, where they apply. */
--- a/entry/web.c
+++ b/entry/web.c
@@ -1,5 +1,6 @@
 #include "entry/web.h"
 #include "entry/visit.h"
+#include "kernel/uuid7.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -50,23 +51,28 @@
 check_pipeline(struct visit *v, struct str name)
 {
 	const struct conf_pipeline *p;
-	bool keyed = mg_get_header(v->conn, "Idempotency-Key") != NULL;
+	const char *key = mg_get_header(v->conn, "Idempotency-Key");
 	int rc;
 
 	if (!is_method(v, "POST")) {
 		v->reply.allow = "POST";
 		return ERR_METHOD;
 	}
-	v->reply.keyed = keyed;
+	v->reply.keyed = key != NULL;
 	rc = visit_authorize(v);
 	if (rc != 0)
 		return rc;
 	p = conf_pipeline(v->conf, name);
 	if (p == NULL || !conf_grants(p, v->workspace))
 		return ERR_NO_PIPELINE;
-	v->reply.keyed = keyed && p->keyed;
+	v->reply.keyed = key != NULL && p->keyed;
 	v->reply.sunset = sunset_of(v, p);
-	return 0;
+	if (!p->keyed)
+		return 0;
+	if (key == NULL)
+		return ERR_KEY_MISSING;
+	return uuid7_check(
+	    str_from(key), clock_wall(), v->conf->fleet.claim_retention);
 }
 
 static int
--- /dev/null
+++ b/tests/entry/test_pages.c
@@ -0,0 +1,119 @@
+/* Holds the pages of docs/ against the tables in the code. */
+#include "base/ini.h"
+#include "ctl/tables.h"
+#include "entry/metrics.h"
+
+#include <glib.h>
+#include <string.h>
+
+static const char *const folders[] = { "base", "kernel", "kernel/plug", "plat",
+	"entry", "ctl" };
+
+static char *
+read_page(const char *path)
+{
+	struct buf b = { 0 };
+	char *text;
+
+	g_assert_cmpint(ini_slurp(path, &b, NULL), ==, 0);
+	text = g_strndup(b.p, b.n);
+	buf_free(&b);
+	return text;
+}
+
+/* Fails unless the page's reference has a row for the word. */
+static void
+check_row(const char *page, const char *word)
+{
+	g_autofree char *row = g_strdup_printf("\n| `%s` |", word);
+
+	if (strstr(page, row) == NULL) {
+		g_test_message("docs/OPERATIONS.md has no row for %s", word);
+		g_test_fail();
+	}
+}
+
+static void
+test_settings(void)
+{
+	g_autofree char *page = read_page("docs/SETTINGS.md");
+	struct buf want = { 0 };
+
+	tables_write(&want);
+	/* make settings-page rewrites it. */
+	g_assert_cmpstr(page, ==, want.p);
+	buf_free(&want);
+}
+
+static void
+test_errors(void)
+{
+	g_autofree char *page = read_page("docs/OPERATIONS.md");
+
+	for (int k = 1; k < -ERR_LAST; k++)
+		check_row(page, err_name((enum err_kind) - k));
+}
+
+static void
+test_metrics(void)
+{
+	g_autofree char *page = read_page("docs/OPERATIONS.md");
+	size_t n;
+	const struct metric *m = metrics_all(&n);
+
+	for (size_t i = 0; i < n; i++)
+		check_row(page, m[i].name);
+}
+
+/* The events of warnings and errors in one source file. */
+static size_t
+check_events(const char *page, const char *path)
+{
+	g_autofree char *source = read_page(path);
+	g_autoptr(GRegex) re = g_regex_new(
+	    "LOG_LVL_(?:ERR|WARNING),\\s*\"([a-z-]+)\"", 0, 0, NULL);
+	g_autoptr(GMatchInfo) m = NULL;
+	size_t n = 0;
+
+	g_regex_match(re, source, 0, &m);
+	for (; g_match_info_matches(m); g_match_info_next(m, NULL)) {
+		g_autofree char *event = g_match_info_fetch(m, 1);
+
+		check_row(page, event);
+		n++;
+	}
+	return n;
+}
+
+static void
+test_events(void)
+{
+	g_autofree char *page = read_page("docs/OPERATIONS.md");
+	size_t n = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(folders); i++) {
+		g_autoptr(GDir) d = g_dir_open(folders[i], 0, NULL);
+		const char *name;
+
+		g_assert_nonnull(d);
+		while ((name = g_dir_read_name(d)) != NULL) {
+			g_autofree char *path =
+			    g_build_filename(folders[i], name, NULL);
+
+			if (g_str_has_suffix(name, ".c"))
+				n += check_events(page, path);
+		}
+	}
+	g_assert_cmpuint(n, >, 0);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/pages/settings", test_settings);
+	g_test_add_func("/pages/errors", test_errors);
+	g_test_add_func("/pages/metrics", test_metrics);
+	g_test_add_func("/pages/events", test_events);
+	return g_test_run();
+}
--- a/tests/wire/run.sh
+++ b/tests/wire/run.sh
@@ -71,6 +71,14 @@
 	    { print }'
 }
 
+# A UUID of version 7 made now.
+new_key() {
+	local ms
+	ms=$(printf '%012x' "$(date +%s%3N)")
+	printf '%s-%s-7%03x-8%03x-%012x' "${ms:0:8}" "${ms:8:4}" \
+	    $((RANDOM % 4096)) $((RANDOM % 4096)) $((RANDOM * RANDOM))
+}
+
 title() { printf '\n== %s\n' "$1"; }
 
 # ask TITLE PATH CURL-ARGUMENTS...
