--- a/tests/load/load.c
+++ b/tests/load/load.c
@@ -104,6 +104,7 @@
 	run->results = g_array_new(FALSE, FALSE, sizeof(struct result));
 	run->fleet = fleet_new(&(struct fleet_opts){
 	    .loop = run->loop,
+	    .net = plan_word(p, "run", "net", "127.0.0"),
 	    .n = plan_number(p, "run", "hosts", "1"),
 	    .port = plan_number(p, "run", "port", NULL),
 	});
--- a/tests/load/plan.h
+++ b/tests/load/plan.h
@@ -21,7 +21,8 @@
  *           deployment, scenario, variant, seed   name it in the report
  *           out                   file of the JSON report
  *           admin                 IP:PORT of the stand-in's admin address
- *           hosts, port           sequoiads on 127.0.0.1 and on, and the port
+ *           net                   loopback addresses, 127.0.0
+ *           hosts, port           sequoiads on net.1 and on, and the port
  *                                 of callers; operators' is the next
  *           percent               arrivals, of the capacity
  *           warm_s, seconds       time that is not judged, and that is
