Keep an engine's connection after a whole stream

Cause: after the last event of a stream the call was cancelled, which closed its connection; every generation then made a new one. Change: a cancel says whether the answer was whole; the driver then reads the rest and keeps the connection.

--- a/entry/traffic.c
+++ b/entry/traffic.c
@@ -28,6 +28,7 @@
 	struct traffic *t;
 	uint64_t call;
 	uint64_t http;
+	bool released; /* the kernel wants no more events of it */
 };
 
 struct traffic {
@@ -53,7 +54,13 @@
 	struct carried *c = arg;
 	struct traffic *t = c->t;
 	struct event out = { .kind = EVENT_HEAD };
+	uint64_t call = c->call;
 
+	if (c->released) {
+		if (ev->kind == HTTP_END || ev->kind == HTTP_FAIL)
+			g_hash_table_remove(t->carried, &call);
+		return;
+	}
 	switch (ev->kind) {
 	case HTTP_HEAD:
 		out.head.call = c->call;
@@ -105,12 +112,16 @@
 }
 
 static void
-do_cancel(struct traffic *t, uint64_t call)
+do_cancel(struct traffic *t, uint64_t call, bool whole)
 {
 	struct carried *c = g_hash_table_lookup(t->carried, &call);
 
 	if (c == NULL)
 		return;
+	if (whole) {
+		c->released = true;
+		return;
+	}
 	http_cancel(t->loop, c->http);
 	g_hash_table_remove(t->carried, &call);
 }
@@ -138,7 +149,7 @@
 		do_call(t, &a->call);
 		break;
 	case ACTION_CANCEL:
-		do_cancel(t, a->cancel.call);
+		do_cancel(t, a->cancel.call, a->cancel.whole);
 		break;
 	case ACTION_CLAIM:
 	case ACTION_REFUSE:
--- a/kernel/event.h
+++ b/kernel/event.h
@@ -177,6 +177,8 @@
 		struct action_call call;
 		struct {
 			uint64_t call;
+			bool whole; /* only what follows the answer is given
+				     * up: the connection may be used again */
 		} cancel;
 		struct action_claim claim; /* CLAIM, REFUSE and SETTLE */
 		struct {
--- a/kernel/flow.c
+++ b/kernel/flow.c
@@ -297,6 +297,16 @@
 	}
 }
 
+/* Nothing more is wanted of a call. */
+static void
+give_up_rest(struct kernel *k, const struct call *c, bool whole)
+{
+	struct action *a = actions_add(k->out, ACTION_CANCEL);
+
+	a->cancel.call = c->id;
+	a->cancel.whole = whole;
+}
+
 void
 flow_answer(struct kernel *k, struct call *c, struct str bytes, bool end)
 {
@@ -310,7 +320,7 @@
 		call_take_tokens(k, c);
 	}
 	if (v != CALL_GOING && !end)
-		actions_add(k->out, ACTION_CANCEL)->cancel.call = c->id;
+		give_up_rest(k, c, v == CALL_DONE);
 	switch (v) {
 	case CALL_GOING:
 		break;
