Measure what the parts of a sequoiad cost: make capacity

Cause: docs/CAPACITY.md needs slopes that anybody can measure again. Change: a program over kernel and base prints memory and processor time by size with the line through the figures; a script does the same for whole sequoiads on loopback against the stand-in.

--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 .PHONY: all
 .PHONY: build
 .PHONY: build-check
+.PHONY: capacity
 .PHONY: check
 .PHONY: clean
 .PHONY: demo
@@ -85,6 +86,11 @@
 measure: build
 	@tests/load/run.sh build/release
 
+# Prints what a sequoiad and its parts cost, for docs/CAPACITY.md.
+capacity: build
+	@build/release/tests/capacity/capacity
+	@tests/capacity/fleet.sh build/release
+
 install: build
 	DESTDIR=$(DESTDIR) cmake --install build/release
 
--- /dev/null
+++ b/tests/capacity/capacity.h
@@ -0,0 +1,44 @@
+/*
+ * What the parts of a sequoiad cost, as figures by size and the line through
+ * them.  Memory is what the allocator has handed out; times are processor time.
+ */
+#ifndef TESTS_CAPACITY_H
+#define TESTS_CAPACITY_H
+
+#include "base/clock.h"
+#include "kernel/conf.h"
+
+#define CAPACITY_POINTS 4
+
+/* One quantity measured at several sizes. */
+struct series {
+	const char *what;
+	const char *unit;
+	const char *per; /* what x counts */
+	size_t n;
+	double x[CAPACITY_POINTS];
+	double y[CAPACITY_POINTS];
+};
+
+void series_add(struct series *s, double x, double y);
+/* Prints the figures, slope and intercept by least squares. */
+void series_print(const struct series *s);
+/* Prints one figure. */
+void figure_print(const char *what, double v, const char *unit);
+/* Bytes that the allocator has handed out. */
+double heap_bytes(void);
+/* Microseconds of processor time since start. */
+double cpu_usec(void);
+/* A configuration of that many workspaces around pipeline "p", four stages. */
+struct conf *capacity_conf(size_t workspaces);
+
+void measure_requests(void);
+void measure_targets(void);
+void measure_routing(void);
+void measure_workspaces(void);
+void measure_members(void);
+void measure_gossip(void);
+void measure_claims(void);
+void measure_configuration(void);
+
+#endif
--- /dev/null
+++ b/tests/capacity/fleet.sh
@@ -0,0 +1,150 @@
+#!/usr/bin/env bash
+# Prints what whole sequoiads cost on loopback against the stand-in: memory
+# and processor time in calm by runners known, of a request by its tokens, and
+# the calls to the key-value service by fleet size.
+# Usage: fleet.sh BUILD-FOLDER
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+B=$1
+REQUESTS=600
+AT_ONCE=32
+CALM=10 # seconds
+DIR=$(mktemp -d)
+PIDS=()
+
+cleanup() {
+	for p in "${PIDS[@]}"; do kill -TERM "$p" 2>/dev/null || true; done
+	for p in "${PIDS[@]}"; do wait "$p" 2>/dev/null || true; done
+	rm -rf "$DIR"
+}
+trap cleanup EXIT
+
+# Waits until a URL answers 200; gives up after 10 s.
+await() {
+	for _ in $(seq 100); do
+		curl -sf -o /dev/null "$1" && return 0
+		sleep 0.1
+	done
+	echo "no answer: $1" >&2
+	exit 1
+}
+
+ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
+rss_kb() { awk '/^VmRSS/ {print $2}' "/proc/$1/status"; }
+kv_calls() { curl -sf http://127.0.0.1:23792/kv | grep -o '"calls": *[0-9]*' | grep -o '[0-9]*$'; }
+
+# Slope and intercept of lines "x y" on standard input.
+fit() {
+	awk -v unit="$1" '{n++; x+=$1; y+=$2; xx+=$1*$1; xy+=$1*$2}
+	    END {s=(n*xy-x*y)/(n*xx-x*x);
+	    printf "    fit: %.4g %s, intercept %.4g\n", s, unit, (y-s*x)/n}'
+}
+
+# Starts sequoiad number $1.
+start() {
+	{
+		echo "[sequoiad]"
+		echo "id = c$1"
+		for k in listen:28080 operators:28081 rpc:28082; do
+			echo "${k%:*} = 127.0.1.$1:${k#*:}"
+		done
+		echo "failure_domain = $(echo abcd | cut -c $(($1 % 4 + 1)))"
+		echo "peers = 127.0.1.1:28082 127.0.1.2:28082"
+		echo "drain_ms = 100"
+		printf '[platform]\nkv = 127.0.0.1:23790\n'
+		printf 'hosts = 127.0.0.1:23791\n'
+		printf '[fleet]\nfleet_key = capacity-fleet-key-0123456789\n'
+	} >"$DIR/c$1.ini"
+	"$B/entry/sequoiad" "$DIR/c$1.ini" 2>"$DIR/c$1.log" &
+	PIDS+=($!)
+	await "http://127.0.1.$1:28081/readyz"
+}
+
+# Processor time in microseconds that a process uses in a calm second.
+calm() {
+	local before
+	before=$(ticks "$1")
+	sleep "$CALM"
+	echo $((($(ticks "$1") - before) * 1000000 / $(getconf CLK_TCK) / CALM))
+}
+
+# Adds runners to the host list until there are that many more.
+add_runners() {
+	for i in $(seq "$1" "$2"); do
+		echo "url = http://127.0.0.1:23792/hosts?add=10.9.$((i / 250)).$((i % 250)):8000&service=other-$((i % 20))&failure_domain=a"
+		echo "output = /dev/null"
+	done >"$DIR/add"
+	curl -s -X POST --config "$DIR/add" -d ''
+	sleep 3
+}
+
+requests() {
+	for _ in $(seq "$REQUESTS"); do
+		echo "url = http://127.0.1.1:28080/v1/pipelines/$1"
+		echo "output = /dev/null"
+	done >"$DIR/urls"
+	curl -s -Z --parallel-max "$AT_ONCE" --config "$DIR/urls" \
+	    -H 'Authorization: Bearer depots-token' \
+	    -H 'Accept: text/event-stream' \
+	    -d '{"text":"blue tin","note":"blue tin, 4 l, dented lid"}'
+}
+
+complete() {
+	curl -sf http://127.0.1.1:28081/metrics |
+	    sed -n 's/^sequoia_outcomes_total{outcome="complete"} //p'
+}
+
+mkdir "$DIR/conf"
+cp tests/capacity/pipelines.ini "$DIR/conf/"
+sed 's/^token_ms = 5/token_ms = 1/; s/_ms = 1$/_ms = 0/' \
+    tests/demo/standin.ini >"$DIR/standin.ini"
+"$B/tests/standin/standin" "$DIR/standin.ini" >"$DIR/standin.log" 2>&1 &
+PIDS+=($!)
+await http://127.0.0.1:23791/hosts
+"$B/ctl/sequoiactl" --kv 127.0.0.1:23790 apply "$DIR/conf" >/dev/null
+start 1
+sleep 2
+S=${PIDS[1]}
+
+echo "== a sequoiad under streamed requests of four stages ($REQUESTS each, $AT_ONCE at once)"
+requests t8
+before_rss=$(rss_kb "$S")
+for t in 8 64 256; do
+	c=$(ticks "$S")
+	done_before=$(complete)
+	requests "t$t"
+	sleep 0.5
+	us=$((($(ticks "$S") - c) * 1000000 / $(getconf CLK_TCK) / REQUESTS))
+	echo "$t tokens: $us us of processor time a request," \
+	    "$(($(complete) - done_before)) complete" >&2
+	echo "$t $us"
+done 2>"$DIR/lines" | fit "us per token passed on" >"$DIR/fit"
+cat "$DIR/lines" "$DIR/fit"
+echo "memory: $before_rss KB before, $(rss_kb "$S") KB after"
+
+echo "== a sequoiad in calm, by runners in the host list"
+known=0
+for n in 0 1000 5000 10000; do
+	if [ "$n" -gt "$known" ]; then add_runners $((known + 1)) "$n"; fi
+	known=$n
+	us=$(calm "$S")
+	echo "$n runners more: $us us/s of processor time, $(rss_kb "$S") KB" >&2
+	echo "$n $us"
+done 2>"$DIR/lines" | fit "us/s per runner" >"$DIR/fit"
+cat "$DIR/lines" "$DIR/fit"
+
+echo "== a fleet in calm: calls to the key-value service"
+n=1
+for size in 1 3 9; do
+	while [ "$n" -lt "$size" ]; do
+		n=$((n + 1))
+		start "$n"
+	done
+	sleep 3
+	before=$(kv_calls)
+	sleep "$CALM"
+	echo "$size sequoiads: $((($(kv_calls) - before) * 100 / CALM))" \
+	    "calls in 100 s, $(curl -sf http://127.0.0.1:23792/kv)" >&2
+	echo "$size $((($(kv_calls) - before) * 100 / CALM))"
+done 2>"$DIR/lines" | fit "calls in 100 s per sequoiad" >"$DIR/fit"
+cat "$DIR/lines" "$DIR/fit"
--- /dev/null
+++ b/tests/capacity/logs.c
@@ -0,0 +1,355 @@
+/* What the logs of claims and of the configuration cost. */
+#include "tests/capacity/capacity.h"
+#include "kernel/alog.h"
+#include "kernel/claims.h"
+#include "kernel/confstate.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CLAIM_SEAL   (16 * 1024)
+#define CLAIM_BATCH  (128 * 1024)
+#define CONFIG_SEAL  (32 * 1024)
+#define CONFIG_BATCH (256 * 1024)
+#define IN_A_SWAP    20 /* claims */
+#define CONFIG_FILES 20
+#define ANSWER_BYTES 200
+
+/* A key-value service in memory, with one log on it. */
+struct store {
+	GHashTable *values; /* key -> GString */
+	GHashTable *revisions;
+	uint64_t revision;
+	struct alog *log;
+	double calls;
+	double bytes; /* written */
+};
+
+static uint64_t
+revision_of(const struct store *s, const char *key)
+{
+	return (uint64_t)GPOINTER_TO_SIZE(
+	    g_hash_table_lookup(s->revisions, key));
+}
+
+static void
+free_string(gpointer p)
+{
+	g_string_free(p, TRUE);
+}
+
+static void
+store_open(struct store *s, const struct alog_opts *o)
+{
+	*s = (struct store){ 0 };
+	s->values =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_string);
+	s->revisions =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->log = alog_new(o);
+}
+
+static void
+store_close(struct store *s)
+{
+	alog_free(s->log);
+	g_hash_table_destroy(s->values);
+	g_hash_table_destroy(s->revisions);
+}
+
+static void
+write_value(struct store *s, const struct alog_request *rq)
+{
+	s->revision++;
+	s->bytes += (double)rq->value.n;
+	g_hash_table_replace(s->values, g_strdup(rq->key),
+	    g_string_new_len(rq->value.p, (gssize)rq->value.n));
+	g_hash_table_replace(
+	    s->revisions, g_strdup(rq->key), GSIZE_TO_POINTER(s->revision));
+}
+
+static void
+carry_out(struct store *s, struct alog *l, const struct alog_request *rq)
+{
+	struct alog_answer a = { .id = rq->id, .status = ALOG_OK };
+	const GString *v;
+
+	s->calls++;
+	switch (rq->kind) {
+	case ALOG_GET:
+		v = g_hash_table_lookup(s->values, rq->key);
+		if (v == NULL)
+			a.status = ALOG_MISSING;
+		else
+			a.value = (struct str){ v->str, v->len };
+		break;
+	case ALOG_SWAP:
+	case ALOG_CREATE:
+		write_value(s, rq);
+		break;
+	case ALOG_DELETE:
+		break;
+	}
+	a.revision = revision_of(s, rq->key);
+	alog_answer(l, &a);
+}
+
+/* Carries out all that a log asks for. */
+static void
+drive(struct store *s, struct alog *l)
+{
+	struct alog_request rq;
+	struct alog_done d;
+
+	while (alog_request(l, &rq)) {
+		carry_out(s, l, &rq);
+		alog_request_free(&rq);
+	}
+	while (alog_done(l, &d))
+		g_assert_cmpint(d.result, ==, ALOG_ACCEPTED);
+	g_assert_null(alog_error(l));
+}
+
+static struct str
+head_of(const struct store *s, const char *key)
+{
+	const GString *v = g_hash_table_lookup(s->values, key);
+
+	return (struct str){ v->str, v->len };
+}
+
+static void
+append_claim(struct store *s, uint64_t i, enum claim_step step)
+{
+	char key[40];
+	char request[32];
+	char answer[ANSWER_BYTES + 1];
+	struct claim cl = { .step = step,
+		.workspace = STR("workspace-17"),
+		.pipeline = STR("pipeline-3"),
+		.attempt = 1,
+		.body_hash = i * 0x9e3779b97f4a7c15U,
+		.holder = 0x19a1b2c3d4e5f607U };
+	json_t *payload;
+
+	snprintf(key, sizeof(key), "0190f3a0-%04x-7000-8000-%012" PRIx64,
+	    (unsigned)(i % 65536), i);
+	snprintf(request, sizeof(request), "0a1b2c3d-4e5f-%012" PRIx64, i);
+	memset(answer, 'a', ANSWER_BYTES);
+	answer[ANSWER_BYTES] = '\0';
+	cl.key = str_from(key);
+	cl.request_id = str_from(request);
+	if (step == CLAIM_STEP_SETTLE)
+		cl.answer = str_from(answer);
+	payload = claim_pack(&cl);
+	alog_append(
+	    s->log, 2 * i + step, claims_conflict(&cl), USEC_PER_SEC, payload);
+	json_decref(payload);
+}
+
+static double
+append_claims(struct store *s, uint64_t from, uint64_t to)
+{
+	double before = cpu_usec();
+
+	while (from < to) {
+		uint64_t end = MIN(from + IN_A_SWAP, to);
+
+		for (uint64_t i = from; i < end; i++)
+			append_claim(s, i, CLAIM_STEP_CLAIM);
+		drive(s, s->log);
+		for (uint64_t i = from; i < end; i++)
+			append_claim(s, i, CLAIM_STEP_SETTLE);
+		drive(s, s->log);
+		from = end;
+	}
+	return cpu_usec() - before;
+}
+
+/* A host that takes a shard over reads all of it. */
+static void
+take_over(struct store *s, const struct alog_opts *o, double kept,
+    struct series *reads, struct series *time)
+{
+	struct claims *c = claims_new();
+	struct alog_opts other = *o;
+	double calls = s->calls;
+	double before = cpu_usec();
+	struct alog *l;
+
+	other.incarnation = 2;
+	other.arg = c;
+	l = alog_new(&other);
+	drive(s, l);
+	g_assert_cmpuint(claims_count(c), ==, (size_t)kept);
+	series_add(reads, kept, s->calls - calls);
+	series_add(time, kept, cpu_usec() - before);
+	alog_free(l);
+	claims_free(c);
+}
+
+void
+measure_claims(void)
+{
+	static const uint64_t kept[] = { 1000, 5000, 25000, 100000 };
+	struct series memory = { "memory of kept claims with answers of 200 "
+				 "bytes",
+		"B", "claim" };
+	struct series head = { "head of a shard", "B", "claim kept" };
+	struct series calls = { "calls for a claim and its settlement, "
+				"20 appended at a time",
+		"calls", "claim kept" };
+	struct series written = { "bytes written for a claim", "B",
+		"claim kept" };
+	struct series time = { "processor time of the writer for a claim", "us",
+		"claim kept" };
+	struct series reads = { "reads to take a shard over", "calls",
+		"claim kept" };
+	struct series take = { "processor time to take a shard over", "us",
+		"claim kept" };
+	struct claims *c = claims_new();
+	struct alog_opts o = { .key = "claims",
+		.incarnation = 1,
+		.seal_bytes = CLAIM_SEAL,
+		.batch_bytes = CLAIM_BATCH,
+		.ops = &claims_ops,
+		.arg = c };
+	struct store s;
+	uint64_t from = 0;
+
+	store_open(&s, &o);
+	drive(&s, s.log);
+	for (size_t i = 0; i < G_N_ELEMENTS(kept); i++) {
+		double n = (double)(kept[i] - from);
+		double x = (double)kept[i];
+		double was_calls = s.calls;
+		double was_bytes = s.bytes;
+
+		series_add(&time, x, append_claims(&s, from, kept[i]) / n);
+		series_add(&calls, x, (s.calls - was_calls) / n);
+		series_add(&written, x, (s.bytes - was_bytes) / n);
+		series_add(&memory, x, (double)claims_bytes(c));
+		series_add(&head, x, (double)head_of(&s, o.key).n);
+		take_over(&s, &o, x, &reads, &take);
+		from = kept[i];
+	}
+	store_close(&s);
+	claims_free(c);
+	series_print(&memory);
+	series_print(&head);
+	series_print(&calls);
+	series_print(&written);
+	series_print(&time);
+	series_print(&reads);
+	series_print(&take);
+}
+
+static int
+admit_all(void *arg, const json_t *payload)
+{
+	(void)arg;
+	(void)payload;
+	return 0;
+}
+
+static void
+fold(void *arg, const json_t *payload, uint64_t serial)
+{
+	struct err e;
+
+	(void)serial;
+	if (confstate_fold(arg, payload, &e) < 0)
+		g_error("%s", e.text);
+}
+
+static json_t *
+snapshot(void *arg)
+{
+	return confstate_snapshot(arg);
+}
+
+static void
+restore(void *arg, const json_t *state)
+{
+	struct err e;
+
+	if (confstate_restore(arg, state, &e) < 0)
+		g_error("%s", e.text);
+}
+
+/* A change of two keys in one of the files. */
+static void
+append_change(struct store *s, uint64_t i, char (*hashes)[HASH_HEX_LEN + 1])
+{
+	char name[64];
+	char id[64];
+	struct confkey keys[] = {
+		{ (char *)"workspace workspace-17",
+		    (char *)"requests_per_second", (char *)"200",
+		    (char *)"250" },
+		{ (char *)"workspace workspace-17", (char *)"weight",
+		    (char *)"10", (char *)"12" },
+	};
+	struct confchange file = { .name = name };
+	struct confrecord r = { .generation = i + 1,
+		.who = (char *)"operator@10.0.0.1",
+		.when = USEC_PER_SEC,
+		.change_id = id,
+		.accepted = true,
+		.files = &file,
+		.n_files = 1,
+		.keys = { keys, G_N_ELEMENTS(keys) } };
+	size_t f = i % CONFIG_FILES;
+	json_t *payload;
+
+	snprintf(name, sizeof(name), "%02zu-workspaces.ini", f);
+	snprintf(id, sizeof(id), "0190f3a0-0000-7000-8000-%012" PRIx64, i);
+	snprintf(file.was, sizeof(file.was), "%s", hashes[f]);
+	hash_sha256(str_from(id), hashes[f]);
+	snprintf(file.hash, sizeof(file.hash), "%s", hashes[f]);
+	payload = confrecord_json(&r, true);
+	alog_append(s->log, i, 1, USEC_PER_SEC, payload);
+	json_decref(payload);
+	drive(s, s->log);
+}
+
+void
+measure_configuration(void)
+{
+	static const uint64_t kept[] = { 100, 1000, 5200, 20000 };
+	struct series head = { "head of the configuration log", "B",
+		"change kept" };
+	struct series time = { "writing and folding a change", "us",
+		"change kept" };
+	struct alog_ops ops = { admit_all, fold, snapshot, restore };
+	char hashes[CONFIG_FILES][HASH_HEX_LEN + 1] = { 0 };
+	struct confstate state = { 0 };
+	struct alog_opts o = { .key = "config",
+		.incarnation = 1,
+		.seal_bytes = CONFIG_SEAL,
+		.batch_bytes = CONFIG_BATCH,
+		.ops = &ops,
+		.arg = &state };
+	struct store s;
+	uint64_t i = 0;
+
+	store_open(&s, &o);
+	drive(&s, s.log);
+	for (size_t j = 0; j < G_N_ELEMENTS(kept); j++) {
+		double before = cpu_usec();
+		uint64_t from = i;
+
+		for (; i < kept[j]; i++)
+			append_change(&s, i, hashes);
+		series_add(&time, (double)kept[j],
+		    (cpu_usec() - before) / (double)(kept[j] - from));
+		series_add(
+		    &head, (double)kept[j], (double)head_of(&s, o.key).n);
+	}
+	store_close(&s);
+	confstate_free(&state);
+	series_print(&head);
+	series_print(&time);
+}
--- /dev/null
+++ b/tests/capacity/tables.c
@@ -0,0 +1,194 @@
+/* What is known of runners, workspaces and routing: memory and time. */
+#include "tests/capacity/capacity.h"
+#include "kernel/limit.h"
+#include "kernel/pick.h"
+#include "kernel/shares.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SERVICES 25
+#define CHOICES  2000
+#define UPDATES  5
+
+static struct listed_target *
+list_of(size_t n, size_t services)
+{
+	struct listed_target *v = xcalloc(n, sizeof(*v));
+
+	for (size_t i = 0; i < n; i++) {
+		snprintf(v[i].service, sizeof(v[i].service), "service-%zu",
+		    i % services);
+		snprintf(v[i].addr, sizeof(v[i].addr), "10.%zu.%zu.%zu:8000",
+		    i / 62500, i / 250 % 250, i % 250);
+		snprintf(
+		    v[i].domain, sizeof(v[i].domain), "domain-%zu", i % 10);
+	}
+	return v;
+}
+
+/* The host list as the platform sends it. */
+static char *
+text_of(const struct listed_target *v, size_t n)
+{
+	json_t *a = json_array();
+	char *text;
+
+	for (size_t i = 0; i < n; i++)
+		json_array_append_new(a,
+		    json_pack("{s:s,s:s,s:s,s:s}", "service", v[i].service,
+			"address", v[i].addr, "failure_domain", v[i].domain,
+			"state", "live"));
+	text = json_dumps(a, JSON_COMPACT);
+	json_decref(a);
+	return text;
+}
+
+static double
+time_of_reading(const char *text)
+{
+	double before = cpu_usec();
+
+	for (int i = 0; i < UPDATES; i++)
+		json_decref(json_loads(text, 0, NULL));
+	return (cpu_usec() - before) / UPDATES;
+}
+
+static double
+time_of_update(struct targets *t, const struct listed_target *v, size_t n)
+{
+	double before = cpu_usec();
+
+	for (int i = 0; i < UPDATES; i++)
+		targets_update(t, v, n, USEC_PER_SEC);
+	return (cpu_usec() - before) / UPDATES;
+}
+
+void
+measure_targets(void)
+{
+	static const size_t sizes[] = { 1000, 10000, 20000 };
+	struct series memory = { "memory of the target table", "B", "runner" };
+	struct series bytes = { "host list as JSON", "B", "runner" };
+	struct series reading = { "reading the JSON of a host list", "us",
+		"runner" };
+	struct series update = { "taking an unchanged host list", "us",
+		"runner" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct listed_target *v = list_of(sizes[i], SERVICES);
+		char *text = text_of(v, sizes[i]);
+		struct targets t = { 0 };
+		double before = heap_bytes();
+		double x = (double)sizes[i];
+
+		targets_update(&t, v, sizes[i], USEC_PER_SEC);
+		series_add(&memory, x, heap_bytes() - before);
+		series_add(&update, x, time_of_update(&t, v, sizes[i]));
+		series_add(&bytes, x, (double)strlen(text));
+		series_add(&reading, x, time_of_reading(text));
+		targets_free(&t);
+		free(text);
+		free(v);
+	}
+	series_print(&memory);
+	series_print(&bytes);
+	series_print(&reading);
+	series_print(&update);
+}
+
+static double
+time_of_choice(struct targets *t, const char *policy)
+{
+	struct conf_policy conf = { .prefer_domain = 1, .imbalance = 4 };
+	struct rng rng;
+	struct pick p = { .targets = t,
+		.service = 0,
+		.now = USEC_PER_SEC,
+		.rng = &rng,
+		.domain = "domain-1",
+		.policy = &conf,
+		.concurrency = 64 };
+	const struct balance_ops *ops = balance_find(str_from(policy));
+	double before = cpu_usec();
+
+	rng_init(&rng, 1);
+	for (uint64_t i = 1; i <= CHOICES; i++) {
+		p.affinity = i * 0x9e3779b97f4a7c15U;
+		g_assert_cmpint(ops->choose(&p), >=, 0);
+	}
+	return (cpu_usec() - before) / CHOICES;
+}
+
+void
+measure_routing(void)
+{
+	static const size_t sizes[] = { 20, 400, 10000 };
+	static const char *const policies[] = { "two-choice", "affinity" };
+
+	for (size_t j = 0; j < G_N_ELEMENTS(policies); j++) {
+		struct series s = { "one choice", "us",
+			"runner of the service" };
+		char what[64];
+
+		snprintf(what, sizeof(what), "one choice by %s", policies[j]);
+		s.what = what;
+		for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+			struct listed_target *v = list_of(sizes[i], 1);
+			struct targets t = { 0 };
+
+			targets_update(&t, v, sizes[i], USEC_PER_SEC);
+			series_add(&s, (double)sizes[i],
+			    time_of_choice(&t, policies[j]));
+			targets_free(&t);
+			free(v);
+		}
+		series_print(&s);
+	}
+}
+
+/* Each workspace has admitted a request and wants more than its floor. */
+static void
+use_all(const struct conf *c, struct limits *l, struct shares *s)
+{
+	static const char *const live[] = { "n1", "n2", "n3" };
+	usec_t retry;
+
+	shares_live(
+	    s, USEC_PER_SEC, live, G_N_ELEMENTS(live), G_N_ELEMENTS(live));
+	for (size_t i = 0; i < c->n_workspaces; i++) {
+		limit_admit(l, c->workspaces[i], USEC_PER_SEC, &retry);
+		shares_want(s, USEC_PER_SEC, str_from(c->workspaces[i]->name),
+		    SHARES_WHOLE);
+	}
+}
+
+void
+measure_workspaces(void)
+{
+	static const size_t sizes[] = { 10, 90, 270 };
+	struct series memory = { "configuration, limits and shares", "B",
+		"workspace" };
+	struct series reading = { "reading the configuration", "us",
+		"workspace" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		double heap = heap_bytes();
+		double cpu = cpu_usec();
+		struct conf *c = capacity_conf(sizes[i]);
+		struct limits l = { .sequoiads = 3 };
+		struct shares s;
+
+		series_add(&reading, (double)sizes[i], cpu_usec() - cpu);
+		shares_init(&s, 0, "n1", 1);
+		use_all(c, &l, &s);
+		series_add(&memory, (double)sizes[i], heap_bytes() - heap);
+		shares_free(&s);
+		limit_free(&l);
+		conf_unref(c);
+	}
+	series_print(&memory);
+	series_print(&reading);
+}
