--- a/tests/capacity/fleet.sh
+++ b/tests/capacity/fleet.sh
@@ -31,7 +31,7 @@
 
 ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
 rss_kb() { awk '/^VmRSS/ {print $2}' "/proc/$1/status"; }
-kv_calls() { curl -sf http://127.0.0.1:23792/kv | grep -o '"calls": *[0-9]*' | grep -o '[0-9]*$'; }
+kv_calls() { curl -sf http://127.0.9.100:23792/kv | grep -o '"calls": *[0-9]*' | grep -o '[0-9]*$'; }
 
 # Slope and intercept of lines "x y" on standard input.
 fit() {
@@ -46,18 +46,18 @@
 		echo "[sequoiad]"
 		echo "id = c$1"
 		for k in listen:28080 operators:28081 rpc:28082; do
-			echo "${k%:*} = 127.0.1.$1:${k#*:}"
+			echo "${k%:*} = 127.0.9.$1:${k#*:}"
 		done
 		echo "failure_domain = $(echo abcd | cut -c $(($1 % 4 + 1)))"
-		echo "peers = 127.0.1.1:28082 127.0.1.2:28082"
+		echo "peers = 127.0.9.1:28082 127.0.9.2:28082"
 		echo "drain_ms = 100"
-		printf '[platform]\nkv = 127.0.0.1:23790\n'
-		printf 'hosts = 127.0.0.1:23791\n'
+		printf '[platform]\nkv = 127.0.9.100:23790\n'
+		printf 'hosts = 127.0.9.100:23791\n'
 		printf '[fleet]\nfleet_key = capacity-fleet-key-0123456789\n'
 	} >"$DIR/c$1.ini"
 	"$B/entry/sequoiad" "$DIR/c$1.ini" 2>"$DIR/c$1.log" &
 	PIDS+=($!)
-	await "http://127.0.1.$1:28081/readyz"
+	await "http://127.0.9.$1:28081/readyz"
 }
 
 # Processor time in microseconds that a process uses in a calm second.
@@ -71,7 +71,7 @@
 # Adds runners to the host list until there are that many more.
 add_runners() {
 	for i in $(seq "$1" "$2"); do
-		echo "url = http://127.0.0.1:23792/hosts?add=10.9.$((i / 250)).$((i % 250)):8000&service=other-$((i % 20))&failure_domain=a"
+		echo "url = http://127.0.9.100:23792/hosts?add=10.9.$((i / 250)).$((i % 250)):8000&service=other-$((i % 20))&failure_domain=a"
 		echo "output = /dev/null"
 	done >"$DIR/add"
 	curl -s -X POST --config "$DIR/add" -d ''
@@ -80,28 +80,28 @@
 
 requests() {
 	for _ in $(seq "$REQUESTS"); do
-		echo "url = http://127.0.1.1:28080/v1/pipelines/$1"
+		echo "url = http://127.0.9.1:28080/v1/pipelines/$1"
 		echo "output = /dev/null"
 	done >"$DIR/urls"
-	curl -s -Z --parallel-max "$AT_ONCE" --config "$DIR/urls" \
+	curl -sS -Z --no-progress-meter --parallel-max "$AT_ONCE" --config "$DIR/urls" \
 	    -H 'Authorization: Bearer depots-token' \
 	    -H 'Accept: text/event-stream' \
 	    -d '{"text":"blue tin","note":"blue tin, 4 l, dented lid"}'
 }
 
 complete() {
-	curl -sf http://127.0.1.1:28081/metrics |
+	curl -sf http://127.0.9.1:28081/metrics |
 	    sed -n 's/^sequoia_outcomes_total{outcome="complete"} //p'
 }
 
 mkdir "$DIR/conf"
 cp tests/capacity/pipelines.ini "$DIR/conf/"
-sed 's/^token_ms = 5/token_ms = 1/; s/_ms = 1$/_ms = 0/' \
+sed "s/^token_ms = 5/token_ms = 1/; s/network_ms = 1/network_ms = 0/; s/127.0.0.1/127.0.9.100/" \
     tests/demo/standin.ini >"$DIR/standin.ini"
 "$B/tests/standin/standin" "$DIR/standin.ini" >"$DIR/standin.log" 2>&1 &
 PIDS+=($!)
-await http://127.0.0.1:23791/hosts
-"$B/ctl/sequoiactl" --kv 127.0.0.1:23790 apply "$DIR/conf" >/dev/null
+await http://127.0.9.100:23791/hosts
+"$B/ctl/sequoiactl" --kv 127.0.9.100:23790 apply "$DIR/conf" >/dev/null
 start 1
 sleep 2
 S=${PIDS[1]}
@@ -144,7 +144,7 @@
 	before=$(kv_calls)
 	sleep "$CALM"
 	echo "$size sequoiads: $((($(kv_calls) - before) * 100 / CALM))" \
-	    "calls in 100 s, $(curl -sf http://127.0.0.1:23792/kv)" >&2
+	    "calls in 100 s, $(curl -sf http://127.0.9.100:23792/kv)" >&2
 	echo "$size $((($(kv_calls) - before) * 100 / CALM))"
 done 2>"$DIR/lines" | fit "calls in 100 s per sequoiad" >"$DIR/fit"
 cat "$DIR/lines" "$DIR/fit"
