--- a/tests/capacity/fleet.sh
+++ b/tests/capacity/fleet.sh
@@ -83,7 +83,7 @@
 		echo "url = http://127.0.9.1:28080/v1/pipelines/$1"
 		echo "output = /dev/null"
 	done >"$DIR/urls"
-	curl -sS -Z --no-progress-meter --parallel-max "$AT_ONCE" --config "$DIR/urls" \
+	curl -sS -Z --http1.0 --no-progress-meter --parallel-max "$AT_ONCE" --config "$DIR/urls" \
 	    -H 'Authorization: Bearer depots-token' \
 	    -H 'Accept: text/event-stream' \
 	    -d '{"text":"blue tin","note":"blue tin, 4 l, dented lid"}'
