--- a/tests/capacity/fleet.sh
+++ b/tests/capacity/fleet.sh
@@ -110,6 +110,7 @@
 requests t8
 before_rss=$(rss_kb "$S")
 for t in 8 64 256; do
+	sleep 0.5
 	c=$(ticks "$S")
 	done_before=$(complete)
 	requests "t$t"
