Fleet matters in their own module; what is to be kept outlives a stop

Change: entry/fleet.{c,h} holds members, host list, leaving targets and who watches the log. After the last request the control thread works on for up to 5 s until no claim is pending, then says goodbye. A log that is followed asks each second for the head's revision only. The host list is asked with its entity tag. control_fetch finds the process by the id's first 8 digits. Setting kv_source binds calls to the key-value service to an own address; the stand-in's mode=quiet silences watches while calls work.

--- a/entry/control.c
+++ b/entry/control.c
@@ -3,11 +3,10 @@
 #include "base/rng.h"
 #include "entry/claimer.h"
 #include "entry/fetcher.h"
-#include "entry/gossiper.h"
+#include "entry/fleet.h"
 #include "entry/orderer.h"
 #include "entry/sharer.h"
 #include "plat/conflog.h"
-#include "plat/hosts.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
@@ -16,13 +15,13 @@
 #include <string.h>
 #include <urcu/urcu-memb.h>
 
-#define HOSTS_TIMEOUT    (2 * USEC_PER_SEC)
-#define TICK             (20 * USEC_PER_MSEC)
-#define ASK_PEER_EVERY   (200 * USEC_PER_MSEC)
-#define RUMOUR_PATIENCE  (300 * USEC_PER_MSEC) /* for the own watch */
-#define SEQUOIAD_SERVICE "sequoiad"            /* in the host list */
-#define WATCHERS         32 /* sequoiads that watch the log themselves */
-#define MAX_ENDPOINTS    8
+#define TICK            (20 * USEC_PER_MSEC)
+#define ASK_PEER_EVERY  (200 * USEC_PER_MSEC)
+#define RUMOUR_PATIENCE (300 * USEC_PER_MSEC) /* for the own watch */
+#define FETCH_TIMEOUT   (1 * USEC_PER_SEC)    /* of a peer's record */
+#define FLUSH_TIME      (5 * USEC_PER_SEC)    /* for what is to be kept */
+#define MAX_ENDPOINTS   8
+#define NODE_DIGITS     8 /* of a request id: who made it */
 
 struct control {
 	struct control_opts o;
@@ -33,25 +32,19 @@
 	struct rpc *rpc;
 	struct fetcher *fetcher;
 	struct kv *kv;
-	struct hosts *hosts;
 	struct conflog *conflog;
 	struct claimer *claimer;
-	struct gossiper *gossiper;
+	struct fleet *fleet;
 	struct sharer *sharer;
 	struct orderer *orderer;
 	struct conf *conf;
 	uint64_t refused; /* generation whose refusal was logged */
 	bool draining;
 	atomic_bool stopping;
-	atomic_ullong kv_calls;
-	atomic_ullong generation;
-	usec_t hosts_at;
-	usec_t asked_at;       /* a peer for a document */
-	usec_t behind_since;   /* a newer generation was heard of; 0: no */
-	uint64_t members_seen; /* version of the member table */
-	uint64_t leaving_seen; /* version of the list of leaving targets */
-	struct listed_target *listed; /* last reading of the host list */
-	size_t n_listed;
+	pthread_mutex_t lock; /* of the following */
+	struct control_report report;
+	usec_t asked_at;     /* a peer for a document */
+	usec_t behind_since; /* a newer generation was heard of; 0: no */
 };
 
 static void
@@ -62,13 +55,11 @@
 	conf_unref(c->conf);
 	c->conf = conf;
 	claimer_retention(c->claimer, conf->fleet.claim_retention);
-	atomic_store(&c->generation, conf->generation);
 	snaps_publish(c->o.snaps, &(struct snap){ .conf = conf });
 	traffic_conf(c->traffic, conf);
-	gossiper_generation(c->gossiper, conf->generation, clock_now());
+	fleet_generation(c->fleet, conf->generation, clock_now());
 	orderer_conf(c->orderer, conf);
-	orderer_targets(c->orderer, c->listed, c->n_listed);
-	c->members_seen = UINT64_MAX;
+	fleet_tell_again(c->fleet);
 	buf_printf(&n, "%llu", (unsigned long long)conf->generation);
 	LOG(LOG_LVL_NOTICE, "config-in-force", { "generation", str_of(&n) });
 	buf_free(&n);
@@ -103,64 +94,6 @@
 	LOG(LOG_LVL_ERR, "config-refused", { "detail", str_from(e->text) });
 }
 
-/* A target that others have seen leaving is leaving here too. */
-static bool
-is_left(const struct gossip *g, const struct listed_target *x)
-{
-	for (size_t i = 0; i < g->n_leaving; i++) {
-		if (strcmp(g->leaving[i].addr, x->addr) == 0 &&
-		    strcmp(g->leaving[i].service, x->service) == 0)
-			return true;
-	}
-	return false;
-}
-
-/* Hands the host list on, with what gossip tells of leaving targets. */
-static void
-hand_on_targets(struct control *c)
-{
-	const struct gossip *g = gossiper_state(c->gossiper);
-	struct listed_target *v = xcalloc(c->n_listed, sizeof(*v));
-	size_t n = 0;
-
-	c->leaving_seen = g->leaving_version;
-	for (size_t i = 0; i < c->n_listed; i++) {
-		if (strcmp(c->listed[i].service, SEQUOIAD_SERVICE) == 0)
-			continue;
-		v[n] = c->listed[i];
-		if (is_left(g, &v[n]))
-			v[n].state = TARGET_LEAVING;
-		n++;
-	}
-	traffic_targets(c->traffic, v, n);
-	orderer_targets(c->orderer, v, n);
-	free(v);
-}
-
-/* Tells others of targets that the list shows leaving, and of sequoiads. */
-static void
-on_hosts(void *arg, const struct listed_target *v, size_t n)
-{
-	struct control *c = arg;
-	const char **peers = xcalloc(n, sizeof(*peers));
-	size_t n_peers = 0;
-
-	free(c->listed);
-	c->listed = xcalloc(n, sizeof(*v));
-	c->n_listed = n;
-	for (size_t i = 0; i < n; i++) {
-		c->listed[i] = v[i];
-		if (strcmp(v[i].service, SEQUOIAD_SERVICE) == 0)
-			peers[n_peers++] = v[i].addr;
-		else if (v[i].state == TARGET_LEAVING)
-			gossiper_leaving(
-			    c->gossiper, v[i].service, v[i].addr, clock_now());
-	}
-	gossiper_listed(c->gossiper, peers, n_peers);
-	free(peers);
-	hand_on_targets(c);
-}
-
 static void
 on_deliver(void *arg, peer_letter *l)
 {
@@ -250,7 +183,7 @@
 
 	switch (l->body.kind) {
 	case PEER_GOSSIP:
-		gossiper_letter(c->gossiper, l, now);
+		fleet_letter(c->fleet, l, now);
 		break;
 	case PEER_CLAIM:
 	case PEER_VERDICT:
@@ -267,7 +200,7 @@
 start_drain(struct control *c)
 {
 	c->draining = true;
-	gossiper_drain(c->gossiper, clock_now());
+	fleet_drain(c->fleet, clock_now());
 	orderer_release(c->orderer);
 }
 
@@ -303,7 +236,7 @@
 static void
 ask_peer(struct control *c, usec_t now)
 {
-	const struct members *m = &gossiper_state(c->gossiper)->members;
+	const struct members *m = fleet_members(c->fleet);
 	uint64_t have = conflog_state(c->conflog)->generation;
 	char name[CONFLOG_NAME_BYTES] = "head";
 	const char *addr;
@@ -323,32 +256,27 @@
 		c->asked_at = now;
 }
 
-/* Whether this process is among the few that watch the log themselves. */
-static bool
-is_watcher(const struct control *c, const char *const *ids, size_t n)
+static void
+on_targets(void *arg, const struct listed_target *v, size_t n)
 {
-	uint64_t mine = hash_u64(str_from(c->o.settings->id), 1);
-	size_t before = 0;
+	struct control *c = arg;
 
-	for (size_t i = 0; i < n; i++) {
-		if (hash_u64(str_from(ids[i]), 1) < mine)
-			before++;
-	}
-	return before < WATCHERS;
+	traffic_targets(c->traffic, v, n);
+	orderer_targets(c->orderer, v, n);
 }
 
 /* The live members have changed: writers, shares and watchers follow. */
 static void
-on_members(struct control *c, usec_t now)
+on_members(void *arg, usec_t now)
 {
-	struct members *m = &gossiper_state(c->gossiper)->members;
+	struct control *c = arg;
+	struct members *m = fleet_members(c->fleet);
 	size_t n;
 	const char *const *ids = member_live(m, &n);
 	struct claimer_member *v = xcalloc(n, sizeof(*v));
 	struct str self = str_from(c->o.settings->id);
 	size_t found = 0;
 
-	c->members_seen = m->version;
 	for (size_t i = 0; i < n; i++) {
 		const struct member *x = member_find(m, ids[i]);
 
@@ -359,42 +287,66 @@
 		v[found++].rpc = member_rpc(x);
 	}
 	claimer_members(c->claimer, v, found, hash_u64(self, 0));
-	conflog_follow(c->conflog, is_watcher(c, ids, n));
+	conflog_follow(c->conflog, fleet_watches(c->fleet));
 	sharer_members(c->sharer, m, now);
 	orderer_members(c->orderer, ids, n);
 	free(v);
 }
 
+/* Copies what other threads may ask for. */
 static void
-tick_fleet(struct control *c, usec_t now)
+note_counts(struct control *c)
 {
-	struct gossip *g = gossiper_state(c->gossiper);
+	struct claimer_counts n = claimer_counts(c->claimer);
 
-	gossiper_tick(c->gossiper, now);
-	if (g->members.version != c->members_seen)
-		on_members(c, now);
-	if (g->leaving_version != c->leaving_seen)
-		hand_on_targets(c);
-	ask_peer(c, now);
-	if (c->conf != NULL)
-		sharer_tick(c->sharer, c->conf, c->traffic, &g->members, now);
+	pthread_mutex_lock(&c->lock);
+	c->report.claims = n;
+	c->report.kv_calls = kv_calls(c->kv);
+	c->report.generation = c->conf != NULL ? c->conf->generation : 0;
+	pthread_mutex_unlock(&c->lock);
 }
 
 static void
 tick(struct control *c, usec_t now)
 {
-	usec_t interval =
-	    c->conf != NULL ? c->conf->fleet.host_list_interval : USEC_PER_SEC;
-
-	if (now - c->hosts_at >= interval) {
-		c->hosts_at = now;
-		hosts_read(c->hosts);
-	}
 	conflog_tick(c->conflog, now);
 	claimer_tick(c->claimer, now);
 	orderer_tick(c->orderer, now);
-	tick_fleet(c, now);
-	atomic_store(&c->kv_calls, kv_calls(c->kv));
+	fleet_tick(c->fleet, now,
+	    c->conf != NULL ? c->conf->fleet.host_list_interval : USEC_PER_SEC);
+	ask_peer(c, now);
+	if (c->conf != NULL)
+		sharer_tick(c->sharer, c->conf, c->traffic,
+		    fleet_members(c->fleet), now);
+	note_counts(c);
+}
+
+static void
+turn(struct control *c)
+{
+	http_run(c->loop, TICK);
+	take_mail(c);
+	tick(c, clock_now());
+}
+
+/*
+ * Works on until all settlements are kept and peers' asks are answered, as
+ * long as that is to be expected.
+ */
+static void
+flush(struct control *c)
+{
+	usec_t until = clock_now() + FLUSH_TIME;
+	size_t left;
+
+	do {
+		turn(c);
+		left = claimer_counts(c->claimer).pending;
+	} while (left > 0 && clock_now() < until);
+	if (left > 0)
+		LOG(LOG_LVL_WARNING, "claims-not-kept",
+		    { "remedy",
+			STR("see whether the key-value service answers") });
 }
 
 static void *
@@ -403,12 +355,10 @@
 	struct control *c = arg;
 
 	urcu_memb_register_thread();
-	while (!atomic_load(&c->stopping)) {
-		http_run(c->loop, TICK);
-		take_mail(c);
-		tick(c, clock_now());
-	}
-	gossiper_leave(c->gossiper, clock_now());
+	while (!atomic_load(&c->stopping))
+		turn(c);
+	flush(c);
+	fleet_leave(c->fleet, clock_now());
 	urcu_memb_unregister_thread();
 	return NULL;
 }
@@ -431,6 +381,7 @@
 	    .endpoints = endpoints,
 	    .n_endpoints = n,
 	    .timeout = s->kv_timeout,
+	    .local_addr = *s->kv_source != '\0' ? s->kv_source : NULL,
 	});
 	while (n > 0)
 		free((char *)endpoints[--n]);
@@ -461,16 +412,10 @@
 	struct control *c = xcalloc(1, sizeof(*c));
 
 	c->o = *o;
+	pthread_mutex_init(&c->lock, NULL);
 	c->loop = http_new();
 	c->inbox = inbox_new();
 	c->kv = open_kv(c, o->settings);
-	c->hosts = hosts_new(&(struct hosts_opts){
-	    .loop = c->loop,
-	    .addr = o->settings->hosts,
-	    .timeout = HOSTS_TIMEOUT,
-	    .changed = on_hosts,
-	    .arg = c,
-	});
 	c->conflog = conflog_new(&(struct conflog_opts){
 	    .kv = c->kv,
 	    .incarnation = o->incarnation,
@@ -491,12 +436,14 @@
 	    .decided = on_decided,
 	    .arg = c,
 	});
-	c->gossiper = gossiper_new(&(struct gossiper_opts){
+	c->fleet = fleet_new(&(struct fleet_opts){
 	    .settings = o->settings,
+	    .loop = c->loop,
 	    .rpc = c->rpc,
 	    .incarnation = o->incarnation,
-	    .seed = rng_entropy(),
-	    .now = clock_now(),
+	    .targets = on_targets,
+	    .members = on_members,
+	    .arg = c,
 	});
 	c->sharer = sharer_new(&(struct sharer_opts){
 	    .rpc = c->rpc,
@@ -509,7 +456,6 @@
 	    .loop = c->loop,
 	    .id = o->settings->id,
 	});
-	c->members_seen = UINT64_MAX;
 	c->fetcher = fetcher_start(&(struct fetcher_opts){
 	    .rpc = c->rpc,
 	    .inbox = c->inbox,
@@ -553,23 +499,39 @@
 	http_wake(c->loop);
 }
 
-struct control_report
-control_report(struct control *c)
+void
+control_report(struct control *c, struct control_report *out)
 {
-	return (struct control_report){
-		.rpc = rpc_counts(c->rpc),
-		.kv_calls = atomic_load(&c->kv_calls),
-		.generation = atomic_load(&c->generation),
-	};
+	pthread_mutex_lock(&c->lock);
+	*out = c->report;
+	pthread_mutex_unlock(&c->lock);
+	out->rpc = rpc_counts(c->rpc);
+	out->n_members = fleet_report(c->fleet, &out->members);
+}
+
+void
+control_report_free(struct control_report *r)
+{
+	free(r->members);
 }
 
 int
 control_fetch(struct control *c, const peer_query *q, peer_result *out)
 {
-	(void)c;
-	(void)q;
-	(void)out;
-	return ERR_NOT_FOUND;
+	char addr[MAX_ADDR_BYTES];
+	char node[NODE_DIGITS + 1];
+	int rc;
+
+	snprintf(node, sizeof(node), "%s", q->name);
+	if (!fleet_address(c->fleet, (uint32_t)strtoul(node, NULL, 16), addr) ||
+	    strcmp(addr, c->o.settings->rpc) == 0)
+		return ERR_NOT_FOUND;
+	rc = rpc_fetch(c->rpc, addr, q, FETCH_TIMEOUT, out);
+	if (rc == 0 && !out->found) {
+		rpc_result_free(out);
+		rc = ERR_NOT_FOUND;
+	}
+	return rc;
 }
 
 void
@@ -588,17 +550,16 @@
 {
 	if (c->orderer != NULL)
 		orderer_free(c->orderer);
-	hosts_free(c->hosts);
 	kv_free(c->kv);
 	conflog_free(c->conflog);
 	if (c->claimer != NULL) {
 		claimer_free(c->claimer);
-		gossiper_free(c->gossiper);
+		fleet_free(c->fleet);
 		sharer_free(c->sharer);
 	}
-	free(c->listed);
 	inbox_free(c->inbox);
 	http_free(c->loop);
 	conf_unref(c->conf);
+	pthread_mutex_destroy(&c->lock);
 	free(c);
 }
--- a/entry/control.h
+++ b/entry/control.h
@@ -6,7 +6,8 @@
 #ifndef ENTRY_CONTROL_H
 #define ENTRY_CONTROL_H
 
-#include "entry/rpc.h"
+#include "entry/claimer.h"
+#include "entry/fleet.h"
 #include "entry/settings.h"
 #include "entry/snap.h"
 #include "entry/traffic.h"
@@ -22,8 +23,11 @@
 
 struct control_report {
 	struct rpc_counts rpc;
+	struct claimer_counts claims;
 	uint64_t kv_calls;
 	uint64_t generation;
+	struct member_info *members; /* sorted by id */
+	size_t n_members;
 };
 
 /* Listens for other sequoiads; NULL with e when it can't. */
@@ -35,9 +39,15 @@
     void *arg, enum action_kind kind, const struct action_claim *a);
 /* From any thread. */
 void control_drain(struct control *c);
-struct control_report control_report(struct control *c);
-/* Asks the process that made the request id; see rpc_fetch. */
+/* A copy of what is known, from any thread; see control_report_free. */
+void control_report(struct control *c, struct control_report *out);
+void control_report_free(struct control_report *r);
+/*
+ * Asks the process that made the request id, from any thread; see rpc_fetch.
+ * ERR_NOT_FOUND: there is no such process, or it does not know the request.
+ */
 int control_fetch(struct control *c, const peer_query *q, peer_result *out);
+/* Keeps what is to be kept, says goodbye and ends the threads. */
 void control_stop(struct control *c);
 void control_free(struct control *c);
 
--- /dev/null
+++ b/entry/fleet.c
@@ -0,0 +1,236 @@
+#include "entry/fleet.h"
+#include "base/hash.h"
+#include "base/rng.h"
+#include "entry/gossiper.h"
+#include "plat/hosts.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HOSTS_TIMEOUT    (2 * USEC_PER_SEC)
+#define SEQUOIAD_SERVICE "sequoiad" /* in the host list */
+#define WATCHERS         32 /* sequoiads that watch the log themselves */
+
+struct fleet {
+	struct fleet_opts o;
+	struct hosts *hosts;
+	pthread_mutex_t lock; /* held while the member table changes */
+	struct gossiper *gossiper;
+	struct listed_target *listed; /* last reading of the host list */
+	size_t n_listed;
+	usec_t hosts_at;
+	uint64_t members_seen; /* version of the member table */
+	uint64_t leaving_seen; /* version of the list of leaving targets */
+};
+
+/* A target that others have seen leaving is leaving here too. */
+static bool
+is_left(const struct gossip *g, const struct listed_target *x)
+{
+	for (size_t i = 0; i < g->n_leaving; i++) {
+		if (strcmp(g->leaving[i].addr, x->addr) == 0 &&
+		    strcmp(g->leaving[i].service, x->service) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Hands the host list on, with what gossip tells of leaving targets. */
+static void
+hand_on_targets(struct fleet *f)
+{
+	const struct gossip *g = gossiper_state(f->gossiper);
+	struct listed_target *v = xcalloc(f->n_listed, sizeof(*v));
+	size_t n = 0;
+
+	f->leaving_seen = g->leaving_version;
+	for (size_t i = 0; i < f->n_listed; i++) {
+		if (strcmp(f->listed[i].service, SEQUOIAD_SERVICE) == 0)
+			continue;
+		v[n] = f->listed[i];
+		if (is_left(g, &v[n]))
+			v[n].state = TARGET_LEAVING;
+		n++;
+	}
+	f->o.targets(f->o.arg, v, n);
+	free(v);
+}
+
+/* Tells others of targets that the list shows leaving, and of sequoiads. */
+static void
+on_hosts(void *arg, const struct listed_target *v, size_t n)
+{
+	struct fleet *f = arg;
+	const char **peers = xcalloc(n, sizeof(*peers));
+	size_t n_peers = 0;
+
+	free(f->listed);
+	f->listed = xcalloc(n, sizeof(*v));
+	f->n_listed = n;
+	pthread_mutex_lock(&f->lock);
+	for (size_t i = 0; i < n; i++) {
+		f->listed[i] = v[i];
+		if (strcmp(v[i].service, SEQUOIAD_SERVICE) == 0)
+			peers[n_peers++] = v[i].addr;
+		else if (v[i].state == TARGET_LEAVING)
+			gossiper_leaving(
+			    f->gossiper, v[i].service, v[i].addr, clock_now());
+	}
+	gossiper_listed(f->gossiper, peers, n_peers);
+	pthread_mutex_unlock(&f->lock);
+	free(peers);
+	hand_on_targets(f);
+}
+
+struct fleet *
+fleet_new(const struct fleet_opts *o)
+{
+	struct fleet *f = xcalloc(1, sizeof(*f));
+
+	f->o = *o;
+	pthread_mutex_init(&f->lock, NULL);
+	f->members_seen = UINT64_MAX;
+	f->hosts = hosts_new(&(struct hosts_opts){
+	    .loop = o->loop,
+	    .addr = o->settings->hosts,
+	    .timeout = HOSTS_TIMEOUT,
+	    .changed = on_hosts,
+	    .arg = f,
+	});
+	f->gossiper = gossiper_new(&(struct gossiper_opts){
+	    .settings = o->settings,
+	    .rpc = o->rpc,
+	    .incarnation = o->incarnation,
+	    .seed = rng_entropy(),
+	    .now = clock_now(),
+	});
+	return f;
+}
+
+void
+fleet_tick(struct fleet *f, usec_t now, usec_t interval)
+{
+	const struct gossip *g = gossiper_state(f->gossiper);
+
+	if (now - f->hosts_at >= interval) {
+		f->hosts_at = now;
+		hosts_read(f->hosts);
+	}
+	pthread_mutex_lock(&f->lock);
+	gossiper_tick(f->gossiper, now);
+	pthread_mutex_unlock(&f->lock);
+	if (g->members.version != f->members_seen) {
+		f->members_seen = g->members.version;
+		f->o.members(f->o.arg, now);
+	}
+	if (g->leaving_version != f->leaving_seen)
+		hand_on_targets(f);
+}
+
+void
+fleet_letter(struct fleet *f, const peer_letter *l, usec_t now)
+{
+	pthread_mutex_lock(&f->lock);
+	gossiper_letter(f->gossiper, l, now);
+	pthread_mutex_unlock(&f->lock);
+}
+
+void
+fleet_generation(struct fleet *f, uint64_t generation, usec_t now)
+{
+	pthread_mutex_lock(&f->lock);
+	gossiper_generation(f->gossiper, generation, now);
+	pthread_mutex_unlock(&f->lock);
+}
+
+void
+fleet_drain(struct fleet *f, usec_t now)
+{
+	pthread_mutex_lock(&f->lock);
+	gossiper_drain(f->gossiper, now);
+	pthread_mutex_unlock(&f->lock);
+}
+
+void
+fleet_leave(struct fleet *f, usec_t now)
+{
+	pthread_mutex_lock(&f->lock);
+	gossiper_leave(f->gossiper, now);
+	pthread_mutex_unlock(&f->lock);
+}
+
+void
+fleet_tell_again(struct fleet *f)
+{
+	f->members_seen = UINT64_MAX;
+	if (f->listed != NULL)
+		f->leaving_seen = UINT64_MAX;
+}
+
+struct members *
+fleet_members(struct fleet *f)
+{
+	return &gossiper_state(f->gossiper)->members;
+}
+
+bool
+fleet_watches(struct fleet *f)
+{
+	uint64_t mine = hash_u64(str_from(f->o.settings->id), 1);
+	size_t before = 0;
+	size_t n;
+	const char *const *ids = member_live(fleet_members(f), &n);
+
+	for (size_t i = 0; i < n; i++) {
+		if (hash_u64(str_from(ids[i]), 1) < mine)
+			before++;
+	}
+	return before < WATCHERS;
+}
+
+size_t
+fleet_report(struct fleet *f, struct member_info **v)
+{
+	const struct members *m = fleet_members(f);
+	size_t n;
+
+	pthread_mutex_lock(&f->lock);
+	n = m->n;
+	*v = xcalloc(n, sizeof(**v));
+	for (size_t i = 0; i < n; i++)
+		member_info(m, m->v[i], &(*v)[i]);
+	pthread_mutex_unlock(&f->lock);
+	return n;
+}
+
+bool
+fleet_address(struct fleet *f, uint32_t node, char out[MAX_ADDR_BYTES])
+{
+	const struct members *m = fleet_members(f);
+	bool found = false;
+
+	pthread_mutex_lock(&f->lock);
+	for (size_t i = 0; !found && i < m->n; i++) {
+		struct member_info x;
+
+		member_info(m, m->v[i], &x);
+		if ((uint32_t)hash_u64(str_from(x.id), 0) != node ||
+		    x.state >= MEMBER_GONE)
+			continue;
+		memcpy(out, x.rpc, MAX_ADDR_BYTES);
+		found = true;
+	}
+	pthread_mutex_unlock(&f->lock);
+	return found;
+}
+
+void
+fleet_free(struct fleet *f)
+{
+	hosts_free(f->hosts);
+	gossiper_free(f->gossiper);
+	free(f->listed);
+	pthread_mutex_destroy(&f->lock);
+	free(f);
+}
--- /dev/null
+++ b/entry/fleet.h
@@ -0,0 +1,55 @@
+/*
+ * The fleet as this sequoiad sees it: the other sequoiads, the host list, and
+ * the targets that are leaving.
+ *
+ * All functions belong to the control thread but fleet_report and
+ * fleet_address, which may be called from any.
+ */
+#ifndef ENTRY_FLEET_H
+#define ENTRY_FLEET_H
+
+#include "entry/rpc.h"
+#include "entry/settings.h"
+#include "kernel/event.h"
+#include "kernel/member.h"
+#include "plat/http.h"
+
+struct fleet;
+
+struct fleet_opts {
+	const struct settings *settings;
+	struct http_loop *loop;
+	struct rpc *rpc;
+	uint64_t incarnation;
+	/* The targets have changed; what gossip says of them is in it. */
+	void (*targets)(void *arg, const struct listed_target *v, size_t n);
+	/* The live sequoiads have changed. */
+	void (*members)(void *arg, usec_t now);
+	void *arg;
+};
+
+struct fleet *fleet_new(const struct fleet_opts *o);
+/* Reads the host list every interval, and gossips. */
+void fleet_tick(struct fleet *f, usec_t now, usec_t interval);
+/* PEER_GOSSIP */
+void fleet_letter(struct fleet *f, const peer_letter *l, usec_t now);
+/* This process has a generation in force, drains, or says goodbye. */
+void fleet_generation(struct fleet *f, uint64_t generation, usec_t now);
+void fleet_drain(struct fleet *f, usec_t now);
+void fleet_leave(struct fleet *f, usec_t now);
+/* Targets and members are told once more, as if they had changed. */
+void fleet_tell_again(struct fleet *f);
+struct members *fleet_members(struct fleet *f);
+/* Whether this process is among the few that watch the configuration log. */
+bool fleet_watches(struct fleet *f);
+
+/* A copy of what is known of all members; *v is freed with free. */
+size_t fleet_report(struct fleet *f, struct member_info **v);
+/*
+ * The RPC address of the member whose id has this hash, as it stands in
+ * request ids (see records_opts.node); false if none is up.
+ */
+bool fleet_address(struct fleet *f, uint32_t node, char out[MAX_ADDR_BYTES]);
+void fleet_free(struct fleet *f);
+
+#endif
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -38,6 +38,8 @@
 	    "The key-value service's endpoints." },
 	{ "platform", "kv_timeout_ms", SETTING_MSEC, AT(kv_timeout), 50, 60000,
 	    "1000", "ms", "Time that one call of it may take." },
+	{ "platform", "kv_source", SETTING_TEXT, AT(kv_source), 0, 15, "", "IP",
+	    "The own address that calls to it leave from." },
 	{ "platform", "hosts", SETTING_ADDR, AT(hosts), 0, 0, "", "IP:PORT",
 	    "The host list; empty if there is none." },
 	{ "fleet", "fleet_key", SETTING_TEXT, AT(fleet_key), 16, 256, NULL, "",
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -16,9 +16,10 @@
 	char *operators; /* operators: IP:PORT */
 	char *rpc;       /* other sequoiads: IP:PORT */
 	char *failure_domain;
-	char *peers; /* IP:PORT of other sequoiads, by blanks */
-	char *kv;    /* IP:PORT, by blanks */
-	char *hosts; /* IP:PORT; empty: none */
+	char *peers;     /* IP:PORT of other sequoiads, by blanks */
+	char *kv;        /* IP:PORT, by blanks */
+	char *kv_source; /* IP; empty: the system's choice */
+	char *hosts;     /* IP:PORT; empty: none */
 	char *fleet_key;
 	uint32_t workers;
 	uint32_t max_body;
--- a/plat/hosts.c
+++ b/plat/hosts.c
@@ -11,6 +11,8 @@
 	uint64_t call; /* 0: none under way */
 	int status;
 	struct buf body;
+	struct buf etag;  /* of the last list handed on; empty: none */
+	struct buf offer; /* that of the answer under way */
 	char digest[HASH_HEX_LEN + 1]; /* of the last list handed on */
 };
 
@@ -63,6 +65,8 @@
 	o = json_loadb(h->body.p, h->body.n, 0, NULL);
 	list = json_object_get(o, "hosts");
 	if (json_is_array(list)) {
+		buf_clear(&h->etag);
+		buf_put(&h->etag, str_of(&h->offer));
 		memcpy(h->digest, digest, sizeof(digest));
 		hand_on(h, list);
 	}
@@ -77,6 +81,9 @@
 	switch (ev->kind) {
 	case HTTP_HEAD:
 		h->status = ev->status;
+		buf_clear(&h->offer);
+		if (ev->etag != NULL)
+			buf_printf(&h->offer, "If-None-Match: %s", ev->etag);
 		return;
 	case HTTP_CHUNK:
 		buf_put(&h->body, ev->bytes);
@@ -109,13 +116,18 @@
 void
 hosts_read(struct hosts *h)
 {
+	const char *headers[] = { NULL, NULL };
+
 	if (h->url == NULL || h->call != 0)
 		return;
 	h->status = 0;
+	if (h->etag.n > 0)
+		headers[0] = h->etag.p;
 	buf_clear(&h->body);
 	h->call = http_start(h->o.loop,
 	    &(struct http_opts){
 		.url = h->url,
+		.headers = headers,
 		.timeout = h->o.timeout,
 		.handler = on_http,
 		.arg = h,
@@ -128,6 +140,8 @@
 	if (h->call != 0)
 		http_cancel(h->o.loop, h->call);
 	buf_free(&h->body);
+	buf_free(&h->etag);
+	buf_free(&h->offer);
 	free(h->url);
 	free(h);
 }
--- a/plat/http.c
+++ b/plat/http.c
@@ -113,6 +113,17 @@
 	return g_hash_table_lookup(l->transfers, &id);
 }
 
+/* The entity tag of the answer, or NULL. */
+static const char *
+etag_of(CURL *e)
+{
+	struct curl_header *h;
+
+	if (curl_easy_header(e, "ETag", 0, CURLH_HEADER, -1, &h) != CURLHE_OK)
+		return NULL;
+	return h->value;
+}
+
 /* Hands on the status, once, and the bytes that came in. */
 static void
 hand_on(struct http_loop *l, uint64_t id)
@@ -129,7 +140,9 @@
 		t->head_told = true;
 		curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
 		ev.status = (int)status;
+		ev.etag = etag_of(t->easy);
 		t->handler(t->arg, &ev);
+		ev.etag = NULL;
 		t = find(l, id);
 	}
 	if (t == NULL || t->in.n == 0)
--- a/plat/http.h
+++ b/plat/http.h
@@ -28,6 +28,7 @@
 
 struct http_event {
 	enum http_event_kind kind;
+	const char *etag; /* HTTP_HEAD: the entity tag, or NULL */
 	union {
 		int status;
 		struct str bytes;
--- a/plat/kv.c
+++ b/plat/kv.c
@@ -337,6 +337,15 @@
 	send(kv, OP_GET, "/v3/kv/range", o, arg)->done = done;
 }
 
+void
+kv_revision(struct kv *kv, struct str key, kv_done done, void *arg)
+{
+	json_t *o =
+	    json_pack("{s:o, s:b}", "key", encoded(key), "keys_only", 1);
+
+	send(kv, OP_GET, "/v3/kv/range", o, arg)->done = done;
+}
+
 void
 kv_list(struct kv *kv, struct str prefix, kv_listed done, void *arg)
 {
--- a/plat/kv.h
+++ b/plat/kv.h
@@ -67,6 +67,8 @@
 struct kv *kv_new(const struct kv_opts *o);
 /* done may be NULL in all calls that take one. */
 void kv_get(struct kv *kv, struct str key, kv_done done, void *arg);
+/* As kv_get, without the value: mod_revision is 0 if there is no such key. */
+void kv_revision(struct kv *kv, struct str key, kv_done done, void *arg);
 /* All keys that start with the prefix. */
 void kv_list(struct kv *kv, struct str prefix, kv_listed done, void *arg);
 void kv_cas(
--- a/plat/logio.c
+++ b/plat/logio.c
@@ -6,7 +6,7 @@
 
 #define FIRST_PAUSE   (20 * USEC_PER_MSEC)
 #define LONGEST_PAUSE (1 * USEC_PER_SEC)
-#define REFRESH       (10 * USEC_PER_SEC) /* in case the watch is silent */
+#define CHECK         (1 * USEC_PER_SEC)  /* in case the watch is silent */
 #define WATCH_LIFE    (60 * USEC_PER_SEC) /* then it is made anew */
 
 /* A request of the log that waits for its turn or for its answer. */
@@ -30,7 +30,8 @@
 	bool follow;
 	uint64_t watch;  /* 0: none */
 	usec_t watch_at; /* when it began, or may begin again */
-	usec_t refresh_at;
+	usec_t check_at;
+	bool checking; /* the head's revision is being read */
 	uint64_t head_seen;
 };
 
@@ -206,6 +207,31 @@
 	logio_pump(l, l->now);
 }
 
+static void
+on_checked(void *arg, const struct kv_result *r)
+{
+	struct logio *l = arg;
+
+	l->checking = false;
+	if (r->status != KV_OK ||
+	    (uint64_t)r->mod_revision <= alog_revision(l->log))
+		return;
+	l->now = clock_now();
+	alog_refresh(l->log);
+	logio_pump(l, l->now);
+}
+
+/* Reads only the revision of the head, in case the watch is silent. */
+static void
+check(struct logio *l)
+{
+	if (l->checking || l->now < l->check_at || !alog_ready(l->log))
+		return;
+	l->checking = true;
+	l->check_at = l->now + CHECK;
+	kv_revision(l->o.kv, str_from(l->o.log.key), on_checked, l);
+}
+
 static void
 keep_watch(struct logio *l)
 {
@@ -221,10 +247,8 @@
 		    (int64_t)alog_revision(l->log) + 1, on_watch, l);
 		l->watch_at = l->now;
 	}
-	if (l->follow && l->now >= l->refresh_at) {
-		l->refresh_at = l->now + REFRESH;
-		alog_refresh(l->log);
-	}
+	if (l->follow)
+		check(l);
 }
 
 struct logio *
@@ -239,7 +263,7 @@
 	l->swaps = LOGIO_SWAP_BURST;
 	l->now = clock_now();
 	l->filled_at = l->now;
-	l->refresh_at = l->now + REFRESH;
+	l->check_at = l->now + CHECK;
 	g_queue_init(&l->held);
 	g_queue_init(&l->open);
 	g_queue_init(&l->lost);
--- a/plat/logio.h
+++ b/plat/logio.h
@@ -33,7 +33,7 @@
 struct alog *logio_log(struct logio *l);
 /* Carries out what the log asks for; to be called after each append. */
 void logio_pump(struct logio *l, usec_t now);
-/* Due pauses, the watch, and a reading now and then in case it is silent. */
+/* Due pauses, the watch, and a look each second in case it is silent. */
 void logio_tick(struct logio *l, usec_t now);
 /* Whether to keep a watch on the head. */
 void logio_follow(struct logio *l, bool follow);
--- a/tests/standin/kv.c
+++ b/tests/standin/kv.c
@@ -14,7 +14,8 @@
 	MODE_UP,
 	MODE_DOWN,
 	MODE_SLOW,
-	MODE_HANG
+	MODE_HANG,
+	MODE_QUIET
 };
 
 /* What one source address, or every other one, gets to see. */
@@ -432,6 +433,16 @@
 	return rule_for(from)->mode;
 }
 
+/* Waits, with the lock held, as long as the source's watches are quiet. */
+static enum mode
+wait_while_quiet(const char *from)
+{
+	while (rule_for(from)->mode == MODE_HANG ||
+	    rule_for(from)->mode == MODE_QUIET)
+		g_cond_wait(&moved, &lock);
+	return rule_for(from)->mode;
+}
+
 /* Counts a call in its second; false when it is beyond the limit. */
 static bool
 count_call(bool writes)
@@ -501,7 +512,7 @@
 	json_t *m = NULL;
 
 	g_mutex_lock(&lock);
-	while (m == NULL && wait_while_hanging(from) != MODE_DOWN) {
+	while (m == NULL && wait_while_quiet(from) != MODE_DOWN) {
 		m = take_events(w);
 		if (m != NULL)
 			break;
@@ -675,7 +686,8 @@
 static bool
 mode_of(const char *text, enum mode *mode)
 {
-	static const char *const names[] = { "up", "down", "slow", "hang" };
+	static const char *const names[] = { "up", "down", "slow", "hang",
+		"quiet" };
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(names); i++)
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -34,10 +34,11 @@
  *                                         lowest of all sections counts
  *
  * Calls of the admin address (query parameters; answers are JSON):
- *   POST /kv?mode=up|down|slow|hang&slow_ms=N&lose_answers=N
+ *   POST /kv?mode=up|down|slow|hang|quiet&slow_ms=N&lose_answers=N
  *            &calls_per_second=N&from=ADDRESS   only for clients from there
  *            mode=hang: calls wait, watches are quiet until the mode changes,
- *            and only then do the calls take effect; lose_answers: the next N
+ *            and only then do the calls take effect; mode=quiet: watches are
+ *            quiet, calls work; lose_answers: the next N
  *            writes (no lease renewals) take effect and are not answered
  *   GET  /kv       calls, writes, reads, refused, watches, most_watches,
  *                  calls_last_second, revision
