RPC: letters between sequoiads were never sent

Cause: clnt_call over UDP with no time to wait gives up before it sends, so gossip, forwarded claims and shares never left a process; every sequoiad thought itself alone. Seen by strace: no datagram; each call 'Timed out'. Change: the call is written by libtirpc's XDR routines and sent by sendto; letters that were not sent are not counted.

--- a/entry/rpc.c
+++ b/entry/rpc.c
@@ -18,7 +18,6 @@
 #include <unistd.h>
 
 #define DATAGRAM_BYTES 65000U
-#define MAX_QUERY      65536               /* bytes of one query's record */
 #define SOCKET_LIFE    (30 * USEC_PER_SEC) /* then another port is used */
 #define MAX_QUERY      65536               /* bytes of one query's record */
 #define POLL_MSEC      100
@@ -33,6 +32,8 @@
 	pthread_mutex_t send_lock;
 	int send_fd;
 	usec_t send_fd_at;
+	uint32_t xid;
+	char packet[DATAGRAM_BYTES];
 	atomic_ullong sent_bytes;
 	atomic_ullong received_bytes;
 	atomic_ullong sent;
@@ -294,26 +295,36 @@
 	return r->send_fd;
 }
 
+/*
+ * Writes the call without a client of the RPC library, whose calls with no
+ * time to wait for a reply are not sent at all.
+ */
 static void
 send_sealed(struct rpc *r, const struct sockaddr_in *to, peer_sealed *s)
 {
-	struct timeval once = { 0, 0 };
-	struct sockaddr_in at = *to;
+	struct rpc_msg call = {
+		.rm_xid = ++r->xid,
+		.rm_direction = CALL,
+		.rm_call = {
+			.cb_rpcvers = RPC_MSG_VERSION,
+			.cb_prog = PEER_PROGRAM,
+			.cb_vers = PEER_VERSION,
+			.cb_proc = PEER_DELIVER,
+			.cb_cred = _null_auth,
+			.cb_verf = _null_auth,
+		},
+	};
 	int fd = sending_socket(r);
-	CLIENT *c;
+	XDR x;
 
-	if (fd < 0)
-		return;
-	c = clntudp_bufcreate(&at, PEER_PROGRAM, PEER_VERSION, once, &fd,
-	    DATAGRAM_BYTES, DATAGRAM_BYTES);
-	if (c == NULL)
-		return;
-	/* A call with no time to wait only sends. */
-	clnt_call(c, PEER_DELIVER, (xdrproc_t)xdr_peer_sealed, (char *)s,
-	    no_body, NULL, once);
-	clnt_destroy(c);
-	atomic_fetch_add(&r->sent, 1);
-	atomic_fetch_add(&r->sent_bytes, s->body.body_len);
+	xdrmem_create(&x, r->packet, sizeof(r->packet), XDR_ENCODE);
+	if (fd >= 0 && xdr_callmsg(&x, &call) && xdr_peer_sealed(&x, s) &&
+	    sendto(fd, r->packet, xdr_getpos(&x), MSG_NOSIGNAL,
+		(const struct sockaddr *)to, sizeof(*to)) > 0) {
+		atomic_fetch_add(&r->sent, 1);
+		atomic_fetch_add(&r->sent_bytes, s->body.body_len);
+	}
+	xdr_destroy(&x);
 }
 
 void
