Failure tests at process level; members, limits and counts in /status and /metrics

tests/faults brings about outages, lost answers, pauses, kills, races and stops against the stand-ins and compares what callers were told with the effects. entry/report.{c,h} shows the control thread's counts.

--- a/entry/ops.c
+++ b/entry/ops.c
@@ -1,6 +1,7 @@
 #include "entry/ops.h"
 #include "entry/metrics.h"
 #include "entry/reply.h"
+#include "entry/report.h"
 #include "kernel/answer.h"
 
 #include <stdio.h>
@@ -60,6 +61,7 @@
 {
 	struct ops *ops = arg;
 	struct traffic_report report;
+	struct control_report control;
 	struct metrics_input in = { .report = &report };
 	struct buf out = { 0 };
 
@@ -68,6 +70,9 @@
 	in.record_bytes = records_bytes(ops->o.records);
 	in.tally = ops->o.tally;
 	metrics_write(&in, &out);
+	control_report(ops->o.control, &control);
+	report_metrics(&control, &out);
+	control_report_free(&control);
 	send_text(conn, 200, str_of(&out));
 	buf_free(&out);
 	traffic_report_free(&report);
@@ -92,6 +97,7 @@
 {
 	struct ops *ops = arg;
 	struct traffic_report report;
+	struct control_report control;
 	struct buf out = { 0 };
 	uint64_t generation;
 	bool ready = is_ready(ops, &generation);
@@ -107,6 +113,10 @@
 	    ops->o.settings->failure_domain, "ready", ready, "generation",
 	    (json_int_t)generation, "requests_in_flight",
 	    (json_int_t)report.busy, "targets", targets);
+	control_report(ops->o.control, &control);
+	report_status(&control, o);
+	report_limits(&report, o);
+	control_report_free(&control);
 	answer_dump(o, &out);
 	reply_json(&(struct reply){ .conn = conn, .request_id = "" }, 200,
 	    str_of(&out));
--- a/entry/ops.h
+++ b/entry/ops.h
@@ -2,6 +2,7 @@
 #ifndef ENTRY_OPS_H
 #define ENTRY_OPS_H
 
+#include "entry/control.h"
 #include "entry/record.h"
 #include "entry/settings.h"
 #include "entry/snap.h"
@@ -15,6 +16,7 @@
 	struct traffic *traffic;
 	struct records *records;
 	const struct tally *tally;
+	struct control *control;
 };
 
 struct ops *ops_start(const struct ops_opts *o, struct err *e);
--- a/entry/sequoiad.c
+++ b/entry/sequoiad.c
@@ -164,7 +164,7 @@
 	if (prepare(d, e) != 0)
 		return e->kind;
 	d->ops = ops_start(&(struct ops_opts){ s, d->snaps, d->traffic,
-			       d->records, &d->tally },
+			       d->records, &d->tally, d->control },
 	    e);
 	if (d->ops == NULL)
 		return e->kind;
--- /dev/null
+++ b/tests/faults/fleet.sh
@@ -0,0 +1,316 @@
+# Functions that run the stand-ins and a few sequoiads on loopback, shared by
+# run.sh and measure.sh.  Before it is read: B is the build folder and NET the
+# first three numbers of an own loopback network.  Node N of the fleet has the
+# address $NET.N; all files are in D.
+
+D=$(mktemp -d)
+KV=$NET.100:2379
+HOSTS=$NET.100:2380
+ADMIN=http://$NET.100:2381
+WAIT=${WAIT:-60} # seconds until a state that is waited for is given up
+declare -A PID
+
+cleanup() {
+	local p
+	for p in "${PID[@]}"; do
+		kill -CONT "$p" 2>/dev/null || true
+		kill -KILL "$p" 2>/dev/null || true
+	done
+	wait
+	rm -rf "$D"
+}
+trap cleanup EXIT
+
+fail() {
+	echo "FAILED: $*" >&2
+	tail -n 15 "$D"/*.log >&2
+	exit 1
+}
+
+# until_true WHAT COMMAND...: waits until the command succeeds.
+until_true() {
+	local what=$1 end=$((SECONDS + WAIT))
+	shift
+	until "$@" 2>/dev/null; do
+		((SECONDS < end)) || fail "not in $WAIT s: $what"
+		sleep 0.1
+	done
+}
+
+# kv QUERY, target QUERY, hosts QUERY: sets a fault.
+kv() { curl -sf -o /dev/null -X POST "$ADMIN/kv?$1"; }
+target() { curl -sf -o /dev/null -X POST "$ADMIN/target?$1"; }
+hosts() { curl -sf -o /dev/null -X POST "$ADMIN/hosts?$1"; }
+kv_count() { curl -sf "$ADMIN/kv" | jq ".$1"; }
+# effect SERVICE KEY: how often the service has done it.
+effect() { curl -sf "$ADMIN/effects?service=$1" | jq ".\"$2\" // 0"; }
+# in_flight SERVICE: calls that its runners work on.
+in_flight() {
+	curl -sf "$ADMIN/targets" |
+	    jq "[.[] | select(.service == \"$1\") | .in_flight] | add"
+}
+in_flight_is() { [ "$(in_flight "$1")" "$2" "$3" ]; }
+
+# start_standin [KEY=VALUE of the plain services]...
+start_standin() {
+	local extra
+	extra=$(printf '%s\n' "$@")
+	cat >"$D/standin.ini" <<-END
+	[kv]
+	listen = $KV
+	[hosts]
+	listen = $HOSTS
+	lag_ms = 100
+	[admin]
+	listen = $NET.100:2381
+	[target reblend]
+	kind = encode
+	service = reblend
+	listen = $NET.101:8000
+	count = 3
+	latency_ms = 5
+	failure_domain = a,b,c
+	[target collect]
+	kind = plain
+	service = collect
+	listen = $NET.101:8100
+	count = 3
+	failure_domain = a,b,c
+	$extra
+	[target ledger]
+	kind = plain
+	service = ledger
+	listen = $NET.101:8200
+	count = 3
+	failure_domain = a,b,c
+	$extra
+	[target wattle]
+	kind = generate
+	service = wattle
+	listen = $NET.101:8300
+	count = 3
+	failure_domain = a,b,c
+	token_ms = 5
+	END
+	"$B/tests/standin/standin" "$D/standin.ini" >"$D/standin.log" 2>&1 &
+	PID[standin]=$!
+	until_true "stand-in" kv_count calls >/dev/null
+}
+
+# Two services with calls that may not be repeated, one with a look-up.
+write_conf() {
+	mkdir -p "$1"
+	cat >"$1/10-services.ini" <<-'END'
+	[service reblend]
+	kind = encode
+	[service collect]
+	kind = plain
+	path = /v1/bookings
+	lookup = /v1/bookings/{key}
+	[service ledger]
+	kind = plain
+	path = /v1/entries
+	[service wattle]
+	kind = generate
+	model = wattle-7b
+	END
+	cat >"$1/20-pipelines.ini" <<-'END'
+	[pipeline book]
+	stages = encode book
+	workspaces = w
+	deadline_ms = 4000
+	answer = book
+	[stage book.encode]
+	service = reblend
+	[stage book.book]
+	service = collect
+	repeatable = no
+	[pipeline entry]
+	stages = enter
+	workspaces = w
+	deadline_ms = 4000
+	answer = enter
+	[stage entry.enter]
+	service = ledger
+	repeatable = no
+	[pipeline tell]
+	stages = tell
+	workspaces = w
+	deadline_ms = 20000
+	answer = text
+	[stage tell.tell]
+	service = wattle
+	max_tokens = 400
+	END
+	printf '[workspace w]\ntokens_sha256 = %s\n' \
+	    "$(printf w-token | sha256sum | cut -d' ' -f1)" \
+	    >"$1/30-workspaces.ini"
+}
+
+ctl() { "$B/ctl/sequoiactl" --kv "$KV" "$@"; }
+
+# start_node N [PEER...]: without peers it knows those of nodes 1 to 3.
+start_node() {
+	local n=$1 p peers=
+	shift
+	for p in "${@:-1 2 3}"; do
+		for p in $p; do peers+=" $NET.$p:8082"; done
+	done
+	cat >"$D/e$n.ini" <<-END
+	[sequoiad]
+	id = e$n
+	listen = $NET.$n:8080
+	operators = $NET.$n:8081
+	rpc = $NET.$n:8082
+	failure_domain = d$((n % 3))
+	peers =$peers
+	drain_ms = 200
+	workers = 64
+	[platform]
+	kv = $KV
+	kv_source = $NET.$n
+	hosts = $HOSTS
+	[fleet]
+	fleet_key = ${FLEET_KEY:-faults-fleet-key-0123456789}
+	END
+	"$B/entry/sequoiad" "$D/e$n.ini" 2>>"$D/e$n.log" &
+	PID[$n]=$!
+}
+
+status() { curl -sf -m 5 "http://$NET.$1:8081/status"; }
+metric() {
+	curl -sf -m 5 "http://$NET.$1:8081/metrics" |
+	    sed -n "s/^$2\({.*}\)\? //p" | head -n 1
+}
+ready() { curl -sf -m 5 -o /dev/null "http://$NET.$1:8081/readyz"; }
+generation() { status "$1" | jq .generation; }
+generation_is() { [ "$(generation "$1")" = "$2" ]; }
+# sees N COUNT: node N counts so many live members, itself among them.
+sees() {
+	[ "$(status "$1" |
+	    jq '[.members[] | select(.state == "live")] | length')" = "$2" ]
+}
+# fleet N...: starts these nodes and waits until all are ready and know of
+# each other.
+fleet() {
+	local n
+	for n in "$@"; do start_node "$n" "$*"; done
+	for n in "$@"; do
+		until_true "node $n ready" ready "$n"
+		until_true "node $n sees $#" sees "$n" $#
+	done
+}
+
+# stop_node N: a planned stop, which must end with 0.
+stop_node() {
+	local rc=0
+	kill -TERM "${PID[$1]}"
+	wait "${PID[$1]}" || rc=$?
+	unset "PID[$1]"
+	[ $rc = 0 ] || fail "node $1: exit code $rc after SIGTERM"
+}
+crash_node() {
+	kill -KILL "${PID[$1]}"
+	wait "${PID[$1]}" 2>/dev/null || true
+	unset "PID[$1]"
+}
+
+new_key() {
+	local ms
+	ms=$(printf '%012x' "$(date +%s%3N)")
+	printf '%s-%s-7%03x-8%03x-%04x%04x%04x\n' "${ms:0:8}" "${ms:8:4}" \
+	    $((RANDOM % 4096)) $((RANDOM % 4096)) $RANDOM $RANDOM $RANDOM
+}
+
+# send NODE PIPELINE KEY ATTEMPT [CURL OPTION...]: says the outcome, "none" if
+# there was no answer, "foreign" if it was not that of the key.
+send() {
+	local n=$1 pipe=$2 key=$3 attempt=$4 head body
+	head=$D/head.$BASHPID
+	shift 4
+	body=$(curl -s -m 20 -D "$head" -H 'Authorization: Bearer w-token' \
+	    -H "Idempotency-Key: $key" -H "Sequoia-Attempt: $attempt" "$@" \
+	    -d "{\"text\":\"$key\"}" \
+	    "http://$NET.$n:8080/v1/pipelines/$pipe") || {
+		echo none
+		return
+	}
+	if [[ $body == *'"outcome":"complete"'* && $body != *"\"$key\""* ]]; then
+		echo foreign
+	else
+		tr -d '\r' <"$head" | sed -n 's/^Sequoia-Outcome: //p'
+	fi
+}
+
+service_of() { if [ "$1" = book ]; then echo collect; else echo ledger; fi; }
+
+# deliver PIPELINE KEY TRIES NODE...: a caller that goes from node to node with
+# one key until the answer is complete; what it is told goes into D/told.
+deliver() {
+	local pipe=$1 key=$2 tries=$3 attempt=1 told i
+	shift 3
+	for ((i = 0; i < tries; i++)); do
+		told=$(send "$1" "$pipe" "$key" $attempt)
+		echo "$pipe $key $told" >>"$D/told"
+		case $told in
+		complete | foreign) return ;;
+		not-run)
+			[ "$(effect "$(service_of "$pipe")" "$key")" = 0 ] ||
+			    echo "$key" >>"$D/lies"
+			attempt=$((attempt + 1))
+			;;
+		esac
+		set -- "${@:2}" "$1"
+		sleep 0.2
+	done
+}
+
+# burst COUNT PIPELINE TRIES NODE...: so many callers at once, in the
+# background; those of the last burst are awaited by join.
+CALLERS=()
+burst() {
+	local count=$1 pipe=$2 tries=$3 i
+	shift 3
+	for ((i = 0; i < count; i++)); do
+		deliver "$pipe" "$(new_key)" "$tries" "$@" &
+		CALLERS+=($!)
+		set -- "${@:2}" "$1"
+	done
+}
+join() {
+	wait "${CALLERS[@]}"
+	CALLERS=()
+}
+
+# Compares what callers were told with what the services have done.  Says how
+# many keys ended otherwise than complete.
+check_effects() {
+	local pipe s
+	[ ! -e "$D/lies" ] || fail "told not-run after it ran: $(cat "$D/lies")"
+	! grep -q ' foreign$' "$D/told" || fail "an answer of another request"
+	for pipe in book entry; do
+		s=$(curl -sf "$ADMIN/effects?service=$(service_of $pipe)")
+		echo "$s" | jq -r 'to_entries[] | select(.value > 1) | .key' \
+		    >"$D/doubled"
+		[ ! -s "$D/doubled" ] || fail "doubled: $(cat "$D/doubled")"
+		echo "$s" | jq -r 'keys[]' | sort >"$D/done"
+		grep "^$pipe .* complete$" "$D/told" | cut -d' ' -f2 |
+		    sort -u >"$D/complete" || true
+		[ -z "$(comm -13 "$D/done" "$D/complete")" ] ||
+		    fail "lost: $(comm -13 "$D/done" "$D/complete")"
+		# The last word that each caller heard.
+		awk -v p=$pipe '$1 == p { last[$2] = $3 }
+		    END { for (k in last) if (last[k] == "not-run") print k }' \
+		    "$D/told" | sort >"$D/not-run"
+		[ -z "$(comm -12 "$D/done" "$D/not-run")" ] ||
+		    fail "ran: $(comm -12 "$D/done" "$D/not-run")"
+	done
+}
+# How many keys have not been told complete.
+open_keys() {
+	awk '{ k[$2] = k[$2] || $3 == "complete" }
+	    END { for (x in k) n += !k[x]; print n + 0 }' "$D/told"
+}
+all_complete() {
+	[ "$(open_keys)" = 0 ] || fail "$(open_keys) keys were not completed"
+}
--- /dev/null
+++ b/tests/faults/run.sh
@@ -0,0 +1,512 @@
+#!/usr/bin/env bash
+# Brings about failures of the platform, of sequoiads and of operators, and
+# compares what callers were told with what the services have done.
+# Usage: run.sh BUILD-FOLDER CASE...   or   run.sh --list
+# Each case has an own loopback network; nothing here measures time.
+set -uo pipefail
+[ "${1:-}" = --list ] || B=$(cd "${1:?build folder}" && pwd) || exit 2
+cd "$(dirname "$0")" || exit 2
+
+CASES="kv_down kv_hang kv_slow kv_lost_answers
+kill_after_claim kill_in_call kill_in_group_commit
+pause_before_claim pause_after_claim pause_config
+operators_same_file operators_other_files apply_lost_answer
+peer_silent stranger start_in_outage old_generation quiet_watch
+leaving_target stop_in_work sunset other_node
+outage_and_kill lost_answers_and_pause"
+
+# Few requests at a time, so that the callers' own processes are no burden.
+N=${N:-12}
+
+# The stand-in, the configuration, and three nodes.
+start() {
+	start_standin "$@"
+	write_conf "$D/conf"
+	ctl apply "$D/conf" >/dev/null || fail "apply"
+}
+
+# mixed TRIES NODE...: callers of both services.
+mixed() {
+	burst $N book "$@"
+	burst $N entry "$@"
+}
+some_told() { [ "$(wc -l <"$D/told")" -ge "$1" ]; }
+
+# With the service away nothing new may run, and no claim may be lost.
+outage() {
+	start latency_ms=20
+	fleet 1 2 3
+	mixed 20 1 2 3
+	join
+	all_complete
+	kv "mode=$1"
+	mixed 60 1 2 3
+	until_true "callers told" some_told $((N * 5))
+	kv mode=up
+	join
+	check_effects
+	all_complete
+}
+case_kv_down() { outage down; }
+case_kv_hang() { outage hang; }
+
+case_kv_slow() {
+	start latency_ms=20
+	fleet 1 2 3
+	kv "mode=slow&slow_ms=300"
+	mixed 60 1 2 3
+	join
+	check_effects
+	all_complete
+}
+
+case_kv_lost_answers() {
+	start latency_ms=20
+	fleet 1 2 3
+	for _ in 1 2 3; do
+		kv lose_answers=5
+		mixed 60 1 2 3
+		join
+	done
+	check_effects
+	all_complete
+}
+
+# The claim is in the log, its writer does not know yet, and dies: the call
+# was never sent, so no retry may say more than unknown.
+case_kill_after_claim() {
+	local key before
+	start
+	fleet 1
+	key=$(new_key)
+	before=$(kv_count revision)
+	kv "from=$NET.1&mode=slow&slow_ms=800&lose_answers=1"
+	deliver entry "$key" 1 1 &
+	CALLERS+=($!)
+	until_true "claim kept" claim_kept "$before"
+	crash_node 1
+	join
+	kv "from=$NET.1&mode=up&lose_answers=0"
+	fleet 2
+	deliver entry "$key" 5 2
+	check_effects
+	[ "$(effect ledger "$key")" = 0 ] || fail "the call was sent twice"
+	[ "$(open_keys)" = 1 ] || fail "told complete without an effect"
+	! grep -q not-run "$D/told" || fail "not-run, while the claim stands"
+}
+claim_kept() { [ "$(kv_count revision)" -gt "$1" ]; }
+
+# The call runs and its sequoiad dies: the service's look-up settles it, and
+# without a look-up it stays unknown.
+case_kill_in_call() {
+	start latency_ms=1500
+	fleet 1 2 3
+	burst $N book 1 1
+	burst $N entry 1 1
+	until_true "calls at work" in_flight_is collect -ge 1
+	until_true "calls at work" in_flight_is ledger -ge 1
+	crash_node 1
+	join
+	cut -d' ' -f1,2 "$D/told" | while read -r pipe key; do
+		deliver "$pipe" "$key" 15 2 3 &
+		# Not all at once: unknown ones take their whole patience.
+		while [ "$(jobs -rp | wc -l)" -gt 12 ]; do sleep 0.1; done
+	done
+	until_true "calls done" in_flight_is collect -eq 0
+	sleep 1
+	while read -r pipe key _; do
+		[ "$pipe" = book ] && deliver book "$key" 1 3
+	done < <(sort -u -k1,2 "$D/told")
+	check_effects
+	# What a look-up can tell must have been told.
+	curl -sf "$ADMIN/effects?service=collect" | jq -r 'keys[]' | sort \
+	    >"$D/done"
+	grep '^book .* complete$' "$D/told" | cut -d' ' -f2 | sort -u \
+	    >"$D/complete"
+	[ -z "$(comm -23 "$D/done" "$D/complete")" ] ||
+	    fail "the look-up did not settle: $(comm -23 "$D/done" "$D/complete")"
+	! grep -q '^entry .* not-run$' "$D/told" ||
+	    fail "not-run, while the claim stands"
+}
+
+# Writers die while several claims go into one swap.
+case_kill_in_group_commit() {
+	start latency_ms=20
+	fleet 1 2 3
+	kv "mode=slow&slow_ms=400"
+	mixed 30 2 3
+	until_true "swaps under way" pending 1
+	crash_node 1
+	until_true "swaps under way" pending 2
+	crash_node 2
+	start_node 1
+	start_node 2
+	kv mode=up
+	join
+	check_effects
+}
+pending() { [ "$(metric "$1" sequoia_claims_pending)" -gt 0 ]; }
+
+# Node 1 has requests in its sockets when it is paused; others run them.
+case_pause_before_claim() {
+	start latency_ms=20
+	fleet 1 2 3
+	kill -STOP "${PID[1]}"
+	mixed 1 1 &
+	for _ in $(seq 8); do
+		KEYS+=("$(new_key)")
+		deliver entry "${KEYS[-1]}" 1 1 &
+		CALLERS+=($!)
+	done
+	sleep 1
+	for k in "${KEYS[@]}"; do
+		deliver entry "$k" 20 2 3
+	done
+	kill -CONT "${PID[1]}"
+	join
+	wait %1 2>/dev/null
+	check_effects
+	all_open_done "${KEYS[@]}"
+}
+KEYS=()
+# Each of the keys has been told complete.
+all_open_done() {
+	local k
+	for k in "$@"; do
+		grep -q " $k complete$" "$D/told" || fail "$k is not complete"
+	done
+}
+
+# Node 1 is paused with its claim on the way; the claim takes effect, and the
+# request's time passes before the node goes on.
+case_pause_after_claim() {
+	local before
+	start
+	fleet 1
+	kv "from=$NET.1&mode=slow&slow_ms=800"
+	before=$(kv_count revision)
+	for _ in $(seq 8); do
+		KEYS+=("$(new_key)")
+		deliver entry "${KEYS[-1]}" 1 1 &
+		CALLERS+=($!)
+	done
+	until_true "claim on its way" pending 1
+	kill -STOP "${PID[1]}"
+	until_true "claim kept" claim_kept "$before"
+	fleet_beside_paused
+	for k in "${KEYS[@]}"; do
+		deliver entry "$k" 2 2 &
+		CALLERS+=($!)
+	done
+	sleep 5
+	kill -CONT "${PID[1]}"
+	kv "from=$NET.1&mode=up"
+	join
+	for k in "${KEYS[@]}"; do deliver entry "$k" 10 2 1; done
+	check_effects
+}
+fleet_beside_paused() {
+	start_node 2 1 2
+	until_true "node 2 ready" ready 2
+}
+
+# What a paused node has in force never comes back.
+case_pause_config() {
+	local i g
+	start
+	fleet 1 2 3
+	kill -STOP "${PID[1]}"
+	for i in 2 3 4; do
+		sed -i "s/^max_tokens = .*/max_tokens = 40$i/" \
+		    "$D/conf/20-pipelines.ini"
+		ctl apply "$D/conf" >/dev/null || fail "apply"
+	done
+	until_true "generation at 2" generation_is 2 4
+	until_true "generation at 3" generation_is 3 4
+	sleep 6
+	kill -CONT "${PID[1]}"
+	until_true "generation at 1" generation_is 1 4
+	for i in $(seq 20); do
+		for g in 1 2 3; do
+			generation_is $g 4 || fail "node $g went back"
+		done
+		sleep 0.1
+	done
+}
+
+# two_operators FILE-OF-A FILE-OF-B: both change at once; exit codes in A, B.
+two_operators() {
+	write_conf "$D/a" && write_conf "$D/b"
+	start
+	ctl pull "$D/a" >/dev/null && ctl pull "$D/b" >/dev/null || fail pull
+	printf '; a change of ann\n' >>"$D/a/$1"
+	printf '; a change of bob\n' >>"$D/b/$2"
+	kv "mode=slow&slow_ms=150"
+	ctl --who ann apply "$D/a" >"$D/a.out" 2>&1 &
+	A=$!
+	ctl --who bob apply "$D/b" >"$D/b.out" 2>&1 &
+	B_OPERATOR=$!
+	RC_A=0 RC_B=0
+	wait $A || RC_A=$?
+	wait $B_OPERATOR || RC_B=$?
+	kv mode=up
+	ctl show >"$D/show" || fail "show"
+}
+case_operators_same_file() {
+	two_operators 20-pipelines.ini 20-pipelines.ini
+	[ $((RC_A + RC_B)) = 1 ] || fail "exit codes $RC_A and $RC_B"
+	[ "$(grep -c '; a change of' "$D/show")" = 1 ] || fail "both or none"
+	if [ $RC_A = 1 ]; then
+		grep -q 'bob.*20[0-9][0-9]-' "$D/a.out" || fail "who and when"
+	else
+		grep -q 'ann.*20[0-9][0-9]-' "$D/b.out" || fail "who and when"
+	fi
+	ctl audit >"$D/audit"
+	grep -q ' refused by ' "$D/audit" || fail "the refusal is not kept"
+}
+case_operators_other_files() {
+	two_operators 10-services.ini 20-pipelines.ini
+	[ $((RC_A + RC_B)) = 0 ] || fail "exit codes $RC_A and $RC_B"
+	[ "$(grep -c '; a change of' "$D/show")" = 2 ] || fail "one undone"
+}
+
+# The swap of an apply takes effect and its answer is lost: one generation.
+case_apply_lost_answer() {
+	local before
+	start
+	printf '; one more line\n' >>"$D/conf/20-pipelines.ini"
+	before=$(ctl audit | grep -c accepted)
+	kv lose_answers=2
+	ctl apply "$D/conf" --change-id one >/dev/null || fail "apply"
+	[ "$(ctl audit | grep -c accepted)" = $((before + 1)) ] ||
+	    fail "not one change"
+	ctl apply "$D/conf" --change-id one | grep -q . || fail "the id"
+	[ "$(ctl audit | grep -c accepted)" = $((before + 1)) ] ||
+	    fail "the same change twice"
+}
+
+# A node that hears nothing for long is gone, its keys are served by others,
+# and it comes back.
+case_peer_silent() {
+	start latency_ms=20
+	fleet 1 2 3
+	kill -STOP "${PID[3]}"
+	mixed 60 1 2
+	join
+	check_effects
+	all_complete
+	until_true "node 3 is missed" sees 1 2
+	kill -CONT "${PID[3]}"
+	until_true "node 3 is back" sees 1 3
+	mixed 60 1 2 3
+	join
+	check_effects
+	all_complete
+}
+
+# Another fleet's key: its letters are dropped and counted.
+case_stranger() {
+	start
+	fleet 1
+	FLEET_KEY=another-fleet-key-0123456789 start_node 2 1 2
+	until_true "strangers counted" strangers 1
+	until_true "strangers counted" strangers 2
+	sees 1 1 || fail "a stranger is a member"
+	sees 2 1 || fail "a stranger is a member"
+}
+strangers() { [ "$(metric "$1" sequoia_rpc_strangers_total)" -gt 0 ]; }
+
+# A host that starts while the service is away gets all from its peers.
+case_start_in_outage() {
+	start
+	fleet 1 2
+	kv mode=hang
+	start_node 3
+	until_true "node 3 ready" ready 3
+	until_true "generation at 3" generation_is 3 "$(generation 1)"
+	until_true "node 3 serves" serves 3
+	kv mode=up
+	deliver book "$(new_key)" 20 3
+	check_effects
+	all_complete
+}
+# serves NODE: a request without a claim is answered.
+serves() {
+	[ "$(curl -s -m 20 -H 'Authorization: Bearer w-token' -d '{"text":"a"}' \
+	    "http://$NET.$1:8080/v1/pipelines/tell" |
+	    jq -r .outcome)" = complete ]
+}
+
+# Node 2 sees only an old state of the log and hands it on.
+case_old_generation() {
+	local i
+	start
+	fleet 1 2 3
+	kill -STOP "${PID[1]}" "${PID[2]}"
+	kv "from=$NET.2&mode=hang"
+	printf '; newer\n' >>"$D/conf/20-pipelines.ini"
+	ctl apply "$D/conf" >/dev/null || fail "apply"
+	until_true "generation at 3" generation_is 3 2
+	kill -CONT "${PID[1]}" "${PID[2]}"
+	until_true "generation at 1" generation_is 1 2
+	until_true "generation at 2, from peers" generation_is 2 2
+	for i in $(seq 20); do
+		generation_is 1 2 && generation_is 2 2 && generation_is 3 2 ||
+		    fail "a node went back"
+		sleep 0.1
+	done
+}
+
+# All watches have gone silent for good; new calls work.
+case_quiet_watch() {
+	start
+	fleet 1 2 3
+	kv mode=quiet
+	printf '; unheard\n' >>"$D/conf/20-pipelines.ini"
+	ctl apply "$D/conf" >/dev/null || fail "apply"
+	for i in 1 2 3; do until_true "generation at $i" generation_is $i 2; done
+	kv mode=up
+}
+
+case_leaving_target() {
+	start latency_ms=20
+	fleet 1 2 3
+	hosts "set=leaving&address=$NET.101:8100"
+	hosts "set=leaving&address=$NET.101:8200"
+	sleep 4
+	mixed 20 1 2 3
+	join
+	check_effects
+	all_complete
+	[ "$(curl -sf "$ADMIN/targets" |
+	    jq '[.[].calls_after_leaving_3s] | add')" = 0 ] ||
+	    fail "calls after leaving"
+}
+
+# A planned stop with a long stream and bookings at work cuts off nothing.
+case_stop_in_work() {
+	start latency_ms=1500
+	fleet 1 2 3
+	curl -sN -m 60 -H 'Authorization: Bearer w-token' \
+	    -H 'Accept: text/event-stream' -d '{"text":"long"}' \
+	    "http://$NET.1:8080/v1/pipelines/tell" >"$D/stream" &
+	CALLERS+=($!)
+	mixed 1 1
+	until_true "stream at work" in_flight_is wattle -ge 1
+	until_true "bookings at work" in_flight_is collect -ge 1
+	until_true "entries at work" in_flight_is ledger -ge 1
+	stop_node 1
+	join
+	grep -q '^event: answer' "$D/stream" || fail "the stream was cut off"
+	check_effects
+	! grep -Eq ' (none|unknown|failed)$' "$D/told" ||
+	    fail "cut off: $(grep -Ev ' (complete|not-run)$' "$D/told")"
+	# What it did is settled: another host knows the end.
+	while read -r pipe key told; do
+		[ "$told" = complete ] || continue
+		[ "$(send 2 "$pipe" "$key" 1)" = complete ] ||
+		    fail "$pipe $key was not settled"
+	done < <(sort -u "$D/told")
+	check_effects
+	stop_node 2
+	stop_node 3
+}
+
+# Accepted before the shutdown date: finished; after it: refused for good.
+case_sunset() {
+	local at code
+	start latency_ms=4000
+	fleet 1 2
+	sed -i "s/^deadline_ms = 4000/deadline_ms = 15000/" \
+	    "$D/conf/20-pipelines.ini"
+	at=$(date -u -d '+6 seconds' +%Y-%m-%dT%H:%M:%SZ)
+	sed -i "s/^\[pipeline book\]/&\nsunset = $at/" \
+	    "$D/conf/20-pipelines.ini"
+	ctl apply "$D/conf" >/dev/null || fail "apply"
+	for n in 1 2; do until_true "generation" generation_is $n 2; done
+	burst 6 book 1 1 2
+	until_true "bookings at work" in_flight_is collect -ge 6
+	until_true "the date has come" sunset_answers 1
+	until_true "the date has come" sunset_answers 2
+	join
+	check_effects
+	all_complete
+	[ "$(send 1 book "$(new_key)" 1)" = not-run ] || fail "outcome"
+}
+sunset_answers() {
+	[ "$(curl -s -o /dev/null -w '%{http_code}' \
+	    -H 'Authorization: Bearer w-token' \
+	    -H "Idempotency-Key: $(new_key)" -d '{"text":"late"}' \
+	    "http://$NET.$1:8080/v1/pipelines/book")" = 410 ]
+}
+
+# What one node has done can be asked for at another.
+case_other_node() {
+	local id
+	start
+	fleet 1 2
+	id=$(curl -s -H 'Authorization: Bearer w-token' -d '{"text":"a"}' \
+	    "http://$NET.1:8080/v1/pipelines/tell" | jq -r .request_id)
+	[ "$(curl -s -H 'Authorization: Bearer w-token' \
+	    "http://$NET.2:8080/v1/requests/$id" |
+	    jq -r '.request_id + .outcome')" = "${id}complete" ] ||
+	    fail "no answer from the other node"
+	curl -s -H 'Authorization: Bearer w-token' \
+	    "http://$NET.2:8080/v1/requests/$id/trace" |
+	    jq -e '.trace | length > 0' >/dev/null || fail "no trace"
+	[ "$(curl -s -o /dev/null -w '%{http_code}' \
+	    -H 'Authorization: Bearer w-token' \
+	    "http://$NET.2:8080/v1/requests/${id}0")" = 404 ] ||
+	    fail "a request that never was"
+}
+
+case_outage_and_kill() {
+	start latency_ms=300
+	fleet 1 2 3
+	mixed 60 1 2 3
+	until_true "calls at work" in_flight_is collect -ge 1
+	kv mode=hang
+	crash_node 1
+	until_true "callers told" some_told $N
+	start_node 1
+	until_true "node 1 ready" ready 1
+	kv mode=up
+	join
+	check_effects
+}
+
+case_lost_answers_and_pause() {
+	start latency_ms=100
+	fleet 1 2 3
+	mixed 60 1 2 3
+	kv lose_answers=10
+	until_true "calls at work" in_flight_is collect -ge 1
+	kill -STOP "${PID[2]}"
+	kv lose_answers=10
+	until_true "callers told" some_told $N
+	sleep 5
+	kill -CONT "${PID[2]}"
+	join
+	check_effects
+}
+
+if [ "${1:-}" = --list ]; then
+	echo $CASES
+	exit 0
+fi
+shift
+for name in "${@:-$CASES}"; do
+	for one in $name; do
+		i=$(($(echo $CASES | tr ' ' '\n' | grep -nx "$one" |
+		    cut -d: -f1)))
+		(
+			NET=127.7.$i
+			. ./fleet.sh
+			"case_$one"
+		) || {
+			echo "$one: failed"
+			exit 1
+		}
+		echo "$one: ok"
+	done
+done
