Claims: a claim that a writer may still append is followed to its end

Cause: a forwarded claim that was given up was withdrawn from the own log only; the writer's append could still get in after the outage, granted to a delivery that had been told unavailable. Nobody settled it, and every retry of the key stayed unknown for good (5 of 24 keys in tests/faults kv_down). Change: what was forwarded is never just withdrawn; the own append finds the grant and settles it as not run.

--- a/entry/claimer.c
+++ b/entry/claimer.c
@@ -40,6 +40,7 @@
 	usec_t until;      /* then it is unavailable */
 	usec_t step_until; /* then the next way is tried */
 	bool abandoned;    /* the asker has been told unavailable */
+	bool forwarded;    /* the writer may append it, however late */
 };
 
 struct shard {
@@ -301,6 +302,7 @@
 	p->answer.answer_len = (u_int)a->text[4].n;
 	p->patience_ms = (u_int)((a->until - c->now) / USEC_PER_MSEC);
 	a->state = ASK_FORWARDED;
+	a->forwarded = true;
 	a->step_until = c->now +
 	    (a->claim.step == CLAIM_STEP_SETTLE ? SETTLE_REPEAT : FORWARD_TIME);
 	c->counts.forwarded++;
@@ -332,7 +334,10 @@
 	}
 }
 
-/* Says unavailable; an append under way is followed to its end. */
+/*
+ * Says unavailable.  What may still get into the log is followed to its end,
+ * so that a claim that nobody uses does not stand.
+ */
 static void
 give_up(struct claimer *c, struct ask *a)
 {
@@ -344,7 +349,7 @@
 		finish(c, a, &v);
 		return;
 	}
-	if (a->state == ASK_APPENDED &&
+	if (a->state == ASK_APPENDED && !a->forwarded &&
 	    alog_cancel(logio_log(s->io), a->number)) {
 		finish(c, a, &v);
 		return;
