sequoiactl: a racing operator waits for the other's files, bodies are tried again

Change: session_sync before each plan; bodies are tried 5 times. Conclusion: tests/faults operators_other_files and apply_lost_answer pass.

--- a/ctl/change.c
+++ b/ctl/change.c
@@ -189,6 +189,7 @@
 	int rc = EXIT_DONE;
 
 	*again = false;
+	session_sync(s);
 	confstate_plan(conflog_state(s->log), &a, &p);
 	switch (p.verdict) {
 	case CONFSTATE_MERGED:
--- a/ctl/session.c
+++ b/ctl/session.c
@@ -7,6 +7,7 @@
 #define STEP          (5 * USEC_PER_MSEC)
 #define KV_TIMEOUT    (2 * USEC_PER_SEC)
 #define READ_TIME     (10 * USEC_PER_SEC)
+#define BODY_TRIES    5 /* a body under its hash may be written again */
 #define MAX_ENDPOINTS 8
 
 static void
@@ -120,6 +121,16 @@
 	return EXIT_UNREACHED;
 }
 
+bool
+session_sync(struct session *s)
+{
+	usec_t until = clock_now() + READ_TIME;
+
+	while (!is_read(s) && clock_now() < until)
+		step(s);
+	return is_read(s);
+}
+
 bool
 session_wait(struct session *s, const bool *flag, usec_t most)
 {
@@ -133,22 +144,29 @@
 bool
 session_put_body(struct session *s, const struct conffile *x)
 {
-	s->answered = false;
-	conflog_put_body(s->log, x, on_kv, s);
-	session_wait(s, &s->answered, 2 * KV_TIMEOUT);
-	return s->answered && s->status == KV_OK;
+	for (int i = 0; i < BODY_TRIES; i++) {
+		s->answered = false;
+		conflog_put_body(s->log, x, on_kv, s);
+		session_wait(s, &s->answered, 2 * KV_TIMEOUT);
+		if (s->answered && s->status == KV_OK)
+			return true;
+	}
+	return false;
 }
 
 bool
 session_get_body(struct session *s, const char *hash, struct buf *out)
 {
-	s->answered = false;
-	conflog_get_body(s->log, hash, on_kv, s);
-	session_wait(s, &s->answered, 2 * KV_TIMEOUT);
-	if (!s->answered || s->status != KV_OK || !s->found)
-		return false;
-	buf_put(out, str_of(&s->value));
-	return true;
+	for (int i = 0; i < BODY_TRIES; i++) {
+		s->answered = false;
+		conflog_get_body(s->log, hash, on_kv, s);
+		session_wait(s, &s->answered, 2 * KV_TIMEOUT);
+		if (!s->answered || s->status != KV_OK || !s->found)
+			continue;
+		buf_put(out, str_of(&s->value));
+		return true;
+	}
+	return false;
 }
 
 void
--- a/ctl/session.h
+++ b/ctl/session.h
@@ -41,6 +41,8 @@
     struct session *s, const struct session_opts *o, struct err *e);
 /* Runs until *flag or the time is up; returns *flag. */
 bool session_wait(struct session *s, const bool *flag, usec_t most);
+/* Runs until all that is in force has been read; false if that takes long. */
+bool session_sync(struct session *s);
 /* Writes the body of a file; false when the service did not confirm. */
 bool session_put_body(struct session *s, const struct conffile *x);
 /* Reads the body with this hash; false when it can't be had. */
