--- a/entry/sequoiad.c
+++ b/entry/sequoiad.c
@@ -169,7 +169,7 @@
 	if (d->ops == NULL)
 		return e->kind;
 	d->web = web_start(&(struct web_opts){ s, d->records, d->snaps,
-			       d->traffic, &d->tally },
+			       d->traffic, &d->tally, d->control },
 	    e);
 	if (d->web == NULL)
 		return e->kind;
--- a/entry/web.c
+++ b/entry/web.c
@@ -148,6 +148,64 @@
 	return view.ended ? reply_end(&v->reply, &view.end) : get_running(v, r);
 }
 
+/* The answer of the sequoiad that has the request, as it has it now. */
+static int
+relay(struct visit *v, const char *id, const peer_query *q, peer_result *x)
+{
+	struct str value = { x->value.value_val, x->value.value_len };
+	struct record_end end = {
+		.outcome = (enum outcome)x->outcome,
+		.error = (enum err_kind)x->error,
+		.retry_after = x->retry_after,
+		.body = value,
+	};
+	struct buf body = { 0 };
+	int status = 200;
+
+	snprintf(end.detail, sizeof(end.detail), "%s", x->detail);
+	v->reply.request_id = id;
+	if (q->kind == PEER_GET_REQUEST && x->ended)
+		return reply_end(&v->reply, &end);
+	buf_printf(&body, "{\"request_id\":\"%s\",", id);
+	if (q->kind == PEER_GET_TRACE) {
+		buf_put(&body, STR("\"trace\":"));
+		buf_put(&body, value);
+	} else {
+		buf_put(&body, STR("\"outcome\":null"));
+		status = 202;
+	}
+	buf_putc(&body, '}');
+	reply_json(&v->reply, status, str_of(&body));
+	buf_free(&body);
+	return status;
+}
+
+/* Asks the sequoiad that made the id; a stream is only shown where it runs. */
+static int
+show_elsewhere(struct visit *v, struct str id, struct str part)
+{
+	char text[RECORD_ID_BYTES];
+	peer_query q = {
+		.kind = str_eq(part, STR("trace")) ? PEER_GET_TRACE
+						   : PEER_GET_REQUEST,
+		.name = text,
+		.workspace = v->workspace->name,
+	};
+	peer_result x;
+	int status;
+	int rc;
+
+	if (id.n >= sizeof(text))
+		return visit_refuse(v, ERR_NOT_FOUND, "");
+	snprintf(text, sizeof(text), "%.*s", STR_FMT(id));
+	rc = control_fetch(v->o->control, &q, &x);
+	if (rc != 0)
+		return visit_refuse(v, rc, "");
+	status = relay(v, text, &q, &x);
+	rpc_result_free(&x);
+	return status;
+}
+
 static int
 get_request(struct visit *v, struct str rest)
 {
@@ -168,7 +226,7 @@
 	str_cut(&rest, '/', &id);
 	r = record_find(v->o->records, id, str_from(v->workspace->name));
 	if (r == NULL)
-		return visit_refuse(v, ERR_NOT_FOUND, "");
+		return show_elsewhere(v, id, rest);
 	v->reply.request_id = record_id(r);
 	status = show_request(v, r, rest);
 	record_put(r);
--- a/entry/web.h
+++ b/entry/web.h
@@ -2,6 +2,7 @@
 #ifndef ENTRY_WEB_H
 #define ENTRY_WEB_H
 
+#include "entry/control.h"
 #include "entry/record.h"
 #include "entry/settings.h"
 #include "entry/snap.h"
@@ -16,6 +17,7 @@
 	struct snaps *snaps;
 	struct traffic *traffic;
 	struct tally *tally;
+	struct control *control;
 };
 
 /* Starts to listen; NULL with e when the address can't be used. */
--- a/tests/faults/fleet.sh
+++ b/tests/faults/fleet.sh
@@ -17,12 +17,13 @@
 		kill -KILL "$p" 2>/dev/null || true
 	done
 	wait
-	rm -rf "$D"
+	[ -n "${KEEP:-}" ] || rm -rf "$D"
 }
 trap cleanup EXIT
 
 fail() {
 	echo "FAILED: $*" >&2
+	[ ! -e "$D/told" ] || sort "$D/told" | uniq -c | tail -n 40 >&2
 	tail -n 15 "$D"/*.log >&2
 	exit 1
 }
--- a/tests/faults/run.sh
+++ b/tests/faults/run.sh
@@ -152,7 +152,7 @@
 	start latency_ms=20
 	fleet 1 2 3
 	kill -STOP "${PID[1]}"
-	mixed 1 1 &
+	mixed 1 1
 	for _ in $(seq 8); do
 		KEYS+=("$(new_key)")
 		deliver entry "${KEYS[-1]}" 1 1 &
@@ -164,7 +164,6 @@
 	done
 	kill -CONT "${PID[1]}"
 	join
-	wait %1 2>/dev/null
 	check_effects
 	all_open_done "${KEYS[@]}"
 }
@@ -184,13 +183,14 @@
 	start
 	fleet 1
 	kv "from=$NET.1&mode=slow&slow_ms=800"
-	before=$(kv_count revision)
+	before=$(kv_count writes)
 	for _ in $(seq 8); do
 		KEYS+=("$(new_key)")
 		deliver entry "${KEYS[-1]}" 1 1 &
 		CALLERS+=($!)
 	done
-	until_true "claim on its way" pending 1
+	until_true "claim on its way" claims_sent "$before"
+	before=$(kv_count revision)
 	kill -STOP "${PID[1]}"
 	until_true "claim kept" claim_kept "$before"
 	fleet_beside_paused
@@ -205,6 +205,7 @@
 	for k in "${KEYS[@]}"; do deliver entry "$k" 10 2 1; done
 	check_effects
 }
+claims_sent() { [ "$(kv_count writes)" -gt "$1" ]; }
 fleet_beside_paused() {
 	start_node 2 1 2
 	until_true "node 2 ready" ready 2
@@ -242,9 +243,9 @@
 	printf '; a change of ann\n' >>"$D/a/$1"
 	printf '; a change of bob\n' >>"$D/b/$2"
 	kv "mode=slow&slow_ms=150"
-	ctl --who ann apply "$D/a" >"$D/a.out" 2>&1 &
+	ctl --who ann apply "$D/a" >"$D/ann.log" 2>&1 &
 	A=$!
-	ctl --who bob apply "$D/b" >"$D/b.out" 2>&1 &
+	ctl --who bob apply "$D/b" >"$D/bob.log" 2>&1 &
 	B_OPERATOR=$!
 	RC_A=0 RC_B=0
 	wait $A || RC_A=$?
@@ -257,9 +258,9 @@
 	[ $((RC_A + RC_B)) = 1 ] || fail "exit codes $RC_A and $RC_B"
 	[ "$(grep -c '; a change of' "$D/show")" = 1 ] || fail "both or none"
 	if [ $RC_A = 1 ]; then
-		grep -q 'bob.*20[0-9][0-9]-' "$D/a.out" || fail "who and when"
+		grep -q 'bob.*20[0-9][0-9]-' "$D/ann.log" || fail "who and when"
 	else
-		grep -q 'ann.*20[0-9][0-9]-' "$D/b.out" || fail "who and when"
+		grep -q 'ann.*20[0-9][0-9]-' "$D/bob.log" || fail "who and when"
 	fi
 	ctl audit >"$D/audit"
 	grep -q ' refused by ' "$D/audit" || fail "the refusal is not kept"
@@ -307,7 +308,8 @@
 # Another fleet's key: its letters are dropped and counted.
 case_stranger() {
 	start
-	fleet 1
+	start_node 1 1 2
+	until_true "node 1 ready" ready 1
 	FLEET_KEY=another-fleet-key-0123456789 start_node 2 1 2
 	until_true "strangers counted" strangers 1
 	until_true "strangers counted" strangers 2
