--- a/entry/sequoiad.c
+++ b/entry/sequoiad.c
@@ -164,12 +164,12 @@
 	if (prepare(d, e) != 0)
 		return e->kind;
 	d->ops = ops_start(&(struct ops_opts){ s, d->snaps, d->traffic,
-			       d->records, &d->tally },
+			       d->records, &d->tally, d->control },
 	    e);
 	if (d->ops == NULL)
 		return e->kind;
 	d->web = web_start(&(struct web_opts){ s, d->records, d->snaps,
-			       d->traffic, &d->tally },
+			       d->traffic, &d->tally, d->control },
 	    e);
 	if (d->web == NULL)
 		return e->kind;
