Capacity: the busiest thread of a sequoiad under load

Cause: whether one traffic thread suffices could not be told from a process' total. Change: fleet.sh prints the share of the busiest thread.

--- a/tests/capacity/fleet.sh
+++ b/tests/capacity/fleet.sh
@@ -30,6 +30,12 @@
 }
 
 ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
+# The same of its busiest thread, which under load is the traffic thread.
+thread_ticks() {
+	for t in "/proc/$1"/task/*; do
+		awk '{print $14 + $15}' "$t/stat"
+	done | sort -n | tail -1
+}
 rss_kb() { awk '/^VmRSS/ {print $2}' "/proc/$1/status"; }
 kv_calls() { curl -sf http://127.0.9.100:23792/kv | grep -o '"calls": *[0-9]*' | grep -o '[0-9]*$'; }
 
@@ -69,7 +75,7 @@
 }
 
 # Adds runners to the host list until there are that many more.
-add_runners() {
+add_runners() { # FROM TO
 	for i in $(seq "$1" "$2"); do
 		echo "url = http://127.0.9.100:23792/hosts?add=10.9.$((i / 250)).$((i % 250)):8000&service=other-$((i % 20))&failure_domain=a"
 		echo "output = /dev/null"
@@ -112,11 +118,14 @@
 for t in 8 64 256; do
 	sleep 0.5
 	c=$(ticks "$S")
+	ct=$(thread_ticks "$S")
 	done_before=$(complete)
 	requests "t$t"
 	sleep 0.5
 	us=$((($(ticks "$S") - c) * 1000000 / $(getconf CLK_TCK) / REQUESTS))
+	us_thread=$((($(thread_ticks "$S") - ct) * 1000000 / $(getconf CLK_TCK) / REQUESTS))
 	echo "$t tokens: $us us of processor time a request," \
+	    "$us_thread us of it on the busiest thread," \
 	    "$(($(complete) - done_before)) complete" >&2
 	echo "$t $us"
 done 2>"$DIR/lines" | fit "us per token passed on" >"$DIR/fit"
