HTTP client: event-driven, cost by active transfers

Cause: curl_multi_poll and curl_multi_perform look at every transfer at each wake-up, so that a token cost processor time for all the streams beside it. Change: curl_multi_socket_action on epoll, an eventfd to wake, waits in microseconds.

--- a/plat/http.c
+++ b/plat/http.c
@@ -1,12 +1,18 @@
 #include "plat/http.h"
 
 #include <curl/curl.h>
+#include <err.h>
 #include <glib.h>
 #include <stdlib.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 #define IDLE_CONNECTION_SEC 20L
 #define MAX_IDLE            512L
 #define CONNECT_TIMEOUT     (1 * USEC_PER_SEC)
+#define EVENTS_AT_ONCE      64
+#define NO_TIMER            ((usec_t)-1)
 
 struct transfer {
 	uint64_t id;
@@ -26,6 +32,9 @@
 	GHashTable *transfers; /* id -> struct transfer, owned */
 	GArray *news;          /* ids of transfers with bytes to hand on */
 	uint64_t next;
+	int epoll;
+	int wake;     /* eventfd */
+	usec_t timer; /* when libcurl wants to be called, or NO_TIMER */
 };
 
 static void
@@ -211,14 +220,58 @@
 	}
 }
 
+/* libcurl says what it waits for on a socket. */
+static int
+on_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *known)
+{
+	struct http_loop *l = arg;
+	struct epoll_event ev = { .data.fd = fd };
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		epoll_ctl(l->epoll, EPOLL_CTL_DEL, fd, NULL);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		ev.events |= EPOLLIN;
+	if (what & CURL_POLL_OUT)
+		ev.events |= EPOLLOUT;
+	epoll_ctl(
+	    l->epoll, known != NULL ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, &ev);
+	curl_multi_assign(l->multi, fd, l);
+	return 0;
+}
+
+static int
+on_timer(CURLM *multi, long ms, void *arg)
+{
+	struct http_loop *l = arg;
+
+	(void)multi;
+	l->timer = ms < 0 ? NO_TIMER : clock_now() + ms * USEC_PER_MSEC;
+	return 0;
+}
+
 struct http_loop *
 http_new(void)
 {
 	struct http_loop *l = xcalloc(1, sizeof(*l));
+	struct epoll_event ev = { .events = EPOLLIN };
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
+	l->epoll = epoll_create1(EPOLL_CLOEXEC);
+	l->wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	if (l->epoll < 0 || l->wake < 0)
+		err(1, "no descriptor is left: raise the limit");
+	ev.data.fd = l->wake;
+	epoll_ctl(l->epoll, EPOLL_CTL_ADD, l->wake, &ev);
+	l->timer = NO_TIMER;
 	l->multi = curl_multi_init();
 	curl_multi_setopt(l->multi, CURLMOPT_MAXCONNECTS, MAX_IDLE);
+	curl_multi_setopt(l->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(l->multi, CURLMOPT_SOCKETDATA, l);
+	curl_multi_setopt(l->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+	curl_multi_setopt(l->multi, CURLMOPT_TIMERDATA, l);
 	l->transfers = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_transfer);
 	l->news = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -249,22 +302,66 @@
 	g_hash_table_remove(l->transfers, &call);
 }
 
+/* Calls libcurl when its time has come; gives the time left until then. */
+static usec_t
+run_timer(struct http_loop *l, usec_t wait)
+{
+	usec_t now = clock_now();
+	int running;
+
+	if (l->timer != NO_TIMER && l->timer <= now) {
+		l->timer = NO_TIMER;
+		curl_multi_socket_action(
+		    l->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+		handle_news(l);
+	}
+	if (l->timer != NO_TIMER && l->timer - now < wait)
+		wait = l->timer > now ? l->timer - now : 0;
+	return wait;
+}
+
+static int
+mask_of(uint32_t events)
+{
+	int mask = 0;
+
+	if (events & EPOLLIN)
+		mask |= CURL_CSELECT_IN;
+	if (events & EPOLLOUT)
+		mask |= CURL_CSELECT_OUT;
+	if (events & (EPOLLERR | EPOLLHUP))
+		mask |= CURL_CSELECT_ERR;
+	return mask;
+}
+
 void
 http_run(struct http_loop *l, usec_t wait)
 {
+	struct epoll_event ev[EVENTS_AT_ONCE];
+	struct timespec ts;
+	eventfd_t woken;
 	int running;
-
-	curl_multi_perform(l->multi, &running);
-	handle_news(l);
-	curl_multi_poll(l->multi, NULL, 0, (int)(wait / USEC_PER_MSEC), NULL);
-	curl_multi_perform(l->multi, &running);
+	int n;
+
+	wait = run_timer(l, wait);
+	ts.tv_sec = wait / USEC_PER_SEC;
+	ts.tv_nsec = wait % USEC_PER_SEC * 1000;
+	n = epoll_pwait2(l->epoll, ev, EVENTS_AT_ONCE, &ts, NULL);
+	for (int i = 0; i < n; i++) {
+		if (ev[i].data.fd == l->wake)
+			eventfd_read(l->wake, &woken);
+		else
+			curl_multi_socket_action(l->multi, ev[i].data.fd,
+			    mask_of(ev[i].events), &running);
+	}
 	handle_news(l);
+	run_timer(l, 0);
 }
 
 void
 http_wake(struct http_loop *l)
 {
-	curl_multi_wakeup(l->multi);
+	eventfd_write(l->wake, 1);
 }
 
 size_t
@@ -279,5 +376,7 @@
 	g_hash_table_destroy(l->transfers);
 	g_array_free(l->news, TRUE);
 	curl_multi_cleanup(l->multi);
+	close(l->epoll);
+	close(l->wake);
 	free(l);
 }
