--- a/tests/load/direct.c
+++ b/tests/load/direct.c
@@ -88,6 +88,7 @@
 
 	plan_one(p, 0, n, &r);
 	r.mix = &p->mixes[0];
+	r.prefix = 0; /* one text, which is soon in every cache */
 	plan_text(&r, &text);
 	o = json_pack("{s:s, s:s}", "text", text.p, r.mix->field,
 	    "marker=direct and more");
