Claims: the next writer before an own swap; bodies from peers first

Cause: docs/CAPACITY.md: when a writer is lost, each of 1,260 others opened its shard and read the whole log (930,000 reads at 25,000 claims kept); and each of 1,400 nodes read each changed file from the key-value service. Change: a claim without a verdict goes to the writer that follows in rendezvous order before the own swap, and a writer confirms receipt, so that a slow service does not look like a lost writer. Nodes that do not watch the log ask peers for bodies and turn to the service after 1.5 s.

--- a/entry/claimer.c
+++ b/entry/claimer.c
@@ -10,7 +10,9 @@
 
 #define SEAL_BYTES    (16 * 1024)
 #define BATCH_BYTES   (128 * 1024)
-#define FORWARD_TIME  (200 * USEC_PER_MSEC) /* then the own swap is tried */
+#define FORWARD_TIME  (200 * USEC_PER_MSEC) /* then the next way is tried */
+#define PENDING_TIME  (2 * USEC_PER_SEC)    /* after the writer's receipt */
+#define WRITERS       2 /* of a shard that are asked before the own swap */
 #define SETTLE_REPEAT (2 * USEC_PER_SEC)
 #define SETTLE_MOST   (120 * USEC_PER_SEC)
 #define TAKEN_WAIT    (2 * USEC_PER_SEC)    /* for a running delivery's end */
@@ -39,6 +41,7 @@
 	usec_t asked_at;
 	usec_t until;      /* then it is unavailable */
 	usec_t step_until; /* then the next way is tried */
+	unsigned writers;  /* of the shard that were asked */
 	bool abandoned;    /* the asker has been told unavailable */
 	bool forwarded;    /* the writer may append it, however late */
 };
@@ -140,13 +143,14 @@
 }
 
 static void
-tell_peer(struct claimer *c, const struct ask *a, const struct claim_verdict *v)
+send_verdict(struct claimer *c, const struct ask *a, int result,
+    const struct claim_verdict *v)
 {
 	peer_body b = { .kind = PEER_VERDICT };
 	peer_verdict *p = &b.peer_body_u.verdict;
 
 	p->ask = a->peer_number;
-	p->result = (int)v->result;
+	p->result = result;
 	p->outcome = (int)v->outcome;
 	p->answer.answer_val = (char *)v->answer.p;
 	p->answer.answer_len = (u_int)v->answer.n;
@@ -157,7 +161,7 @@
 tell(struct claimer *c, const struct ask *a, const struct claim_verdict *v)
 {
 	if (*a->peer != '\0') {
-		tell_peer(c, a, v);
+		send_verdict(c, a, (int)v->result, v);
 		return;
 	}
 	if (a->req == 0)
@@ -266,15 +270,31 @@
 	finish(s->c, a, &v);
 }
 
-/* The RPC address of the shard's writer, or NULL if that is this process. */
+/*
+ * The RPC address of the shard's first writer or, for rank 1, of the one that
+ * would follow it; NULL if that is this process or nobody.
+ */
 static const char *
-writer_addr(const struct claimer *c, uint32_t shard)
+writer_addr(const struct claimer *c, uint32_t shard, unsigned rank)
 {
+	uint64_t *ids;
 	uint64_t id;
+	size_t n = c->n_members;
 
-	if (c->n_members == 0)
+	if (n <= rank)
 		return NULL;
-	id = claims_writer(c->ids, c->n_members, shard);
+	ids = xcalloc(n, sizeof(*ids));
+	memcpy(ids, c->ids, n * sizeof(*ids));
+	id = claims_writer(ids, n, shard);
+	for (; rank > 0; rank--) {
+		size_t i = 0;
+
+		while (ids[i] != id)
+			i++;
+		ids[i] = ids[--n];
+		id = claims_writer(ids, n, shard);
+	}
+	free(ids);
 	for (size_t i = 0; i < c->n_members; i++) {
 		if (c->ids[i] == id)
 			return id == c->self ? NULL : c->addrs[i];
@@ -309,16 +329,20 @@
 	rpc_send(c->o.rpc, addr, &b);
 }
 
+/* Asks the next writer of the shard, or swaps the head itself. */
 static void
-start(struct claimer *c, struct ask *a)
+try_next(struct claimer *c, struct ask *a)
 {
+	uint32_t shard = claims_shard(&a->claim, CLAIM_SHARDS);
 	const char *addr =
-	    writer_addr(c, claims_shard(&a->claim, CLAIM_SHARDS));
+	    a->writers < WRITERS ? writer_addr(c, shard, a->writers) : NULL;
 
-	if (addr != NULL)
-		forward(c, a, addr);
-	else
+	if (addr == NULL) {
 		append(c, a);
+		return;
+	}
+	a->writers++;
+	forward(c, a, addr);
 }
 
 static enum claim_step
@@ -385,9 +409,10 @@
 		give_up(c, a);
 		return;
 	}
-	if (a->state == ASK_WAITING ||
-	    (a->state == ASK_FORWARDED && c->now >= a->step_until))
+	if (a->state == ASK_WAITING)
 		append(c, a);
+	else if (a->state == ASK_FORWARDED && c->now >= a->step_until)
+		try_next(c, a);
 }
 
 /* While asks wait for another delivery's end, its log is read again. */
@@ -492,7 +517,7 @@
 		cl.answer.n = 0;
 	a = new_ask(c, &cl, kind == ACTION_SETTLE ? SETTLE_MOST : x->patience);
 	a->req = kind == ACTION_SETTLE ? 0 : x->req;
-	start(c, a);
+	try_next(c, a);
 }
 
 static void
@@ -511,6 +536,7 @@
 		.outcome = (enum outcome)p->outcome,
 		.answer = { p->answer.answer_val, p->answer.answer_len },
 	};
+	uint64_t number;
 	struct ask *a;
 
 	if (p->step < CLAIM_STEP_CLAIM || p->step > CLAIM_STEP_SETTLE ||
@@ -519,7 +545,11 @@
 	a = new_ask(c, &cl, (usec_t)p->patience_ms * USEC_PER_MSEC);
 	a->peer_number = p->ask;
 	snprintf(a->peer, sizeof(a->peer), "%s", l->rpc);
+	number = a->number;
 	append(c, a);
+	if (g_hash_table_contains(c->asks, &number))
+		send_verdict(c, a, PEER_PENDING,
+		    &(struct claim_verdict){ .outcome = OUTCOME_UNKNOWN });
 }
 
 static void
@@ -534,8 +564,11 @@
 		.answer = { p->answer.answer_val, p->answer.answer_len },
 	};
 
-	if (a == NULL || a->state != ASK_FORWARDED ||
-	    p->result < CLAIM_GRANTED || p->result > CLAIM_UNAVAILABLE)
+	if (a == NULL || a->state != ASK_FORWARDED)
+		return;
+	if (p->result == PEER_PENDING)
+		a->step_until = c->now + PENDING_TIME;
+	if (p->result < CLAIM_GRANTED || p->result > CLAIM_UNAVAILABLE)
 		return;
 	if (v.result == CLAIM_UNAVAILABLE)
 		append(c, a);
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -78,6 +78,7 @@
 	u_int patience_ms;
 };
 typedef struct peer_claim peer_claim;
+#define PEER_PENDING -1
 
 struct peer_verdict {
 	u_quad_t ask;
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -59,6 +59,9 @@
 	unsigned int patience_ms;
 };
 
+/* A verdict's result beside those of enum claim_result: it is under way. */
+const PEER_PENDING = -1;
+
 struct peer_verdict {
 	unsigned hyper ask;
 	int result;
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -6,229 +6,223 @@
 #include "peer.h"
 
 bool_t
-xdr_peer_name(XDR *xdrs, peer_name *objp)
+xdr_peer_name (XDR *xdrs, peer_name *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_string(xdrs, objp, PEER_NAME_MAX))
-		return FALSE;
+	 if (!xdr_string (xdrs, objp, PEER_NAME_MAX))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_member(XDR *xdrs, peer_member *objp)
+xdr_peer_member (XDR *xdrs, peer_member *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_peer_name(xdrs, &objp->id))
-		return FALSE;
-	if (!xdr_peer_name(xdrs, &objp->rpc))
-		return FALSE;
-	if (!xdr_peer_name(xdrs, &objp->operators))
-		return FALSE;
-	if (!xdr_peer_name(xdrs, &objp->domain))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->incarnation))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->generation))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->state))
-		return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->rpc))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->operators))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->state))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_leaving(XDR *xdrs, peer_leaving *objp)
+xdr_peer_leaving (XDR *xdrs, peer_leaving *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_peer_name(xdrs, &objp->service))
-		return FALSE;
-	if (!xdr_peer_name(xdrs, &objp->addr))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->left_ms))
-		return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->addr))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_gossip(XDR *xdrs, peer_gossip *objp)
+xdr_peer_gossip (XDR *xdrs, peer_gossip *objp)
 {
 	register int32_t *buf;
 
 	int i;
-	if (!xdr_peer_member(xdrs, &objp->self))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->generation))
-		return FALSE;
-	if (!xdr_peer_name(xdrs, &objp->holder))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->up))
-		return FALSE;
-	if (!xdr_opaque(xdrs, objp->digests, 32))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->answer))
-		return FALSE;
-	if (!xdr_peer_name(xdrs, &objp->check))
-		return FALSE;
-	if (!xdr_peer_name(xdrs, &objp->reached))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->infos.infos_val,
-		(u_int *)&objp->infos.infos_len, PEER_MEMBERS_MAX,
-		sizeof(peer_member), (xdrproc_t)xdr_peer_member))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->leaving.leaving_val,
-		(u_int *)&objp->leaving.leaving_len, PEER_LEAVING_MAX,
-		sizeof(peer_leaving), (xdrproc_t)xdr_peer_leaving))
-		return FALSE;
+	 if (!xdr_peer_member (xdrs, &objp->self))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->holder))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->up))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->digests, 32))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->answer))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->check))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->reached))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->infos.infos_val, (u_int *) &objp->infos.infos_len, PEER_MEMBERS_MAX,
+		sizeof (peer_member), (xdrproc_t) xdr_peer_member))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, PEER_LEAVING_MAX,
+		sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_claim(XDR *xdrs, peer_claim *objp)
+xdr_peer_claim (XDR *xdrs, peer_claim *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->ask))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->step))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->workspace, PEER_NAME_MAX))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->pipeline, PEER_NAME_MAX))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->key, PEER_NAME_MAX))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->attempt))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->body_hash))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->holder))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->request_id, PEER_NAME_MAX))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->outcome))
-		return FALSE;
-	if (!xdr_bytes(xdrs, (char **)&objp->answer.answer_val,
-		(u_int *)&objp->answer.answer_len, 1024))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->patience_ms))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ask))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->workspace, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->pipeline, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->key, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->body_hash))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->holder))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->request_id, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->outcome))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, 1024))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->patience_ms))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_verdict(XDR *xdrs, peer_verdict *objp)
+xdr_peer_verdict (XDR *xdrs, peer_verdict *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->ask))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->result))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->outcome))
-		return FALSE;
-	if (!xdr_bytes(xdrs, (char **)&objp->answer.answer_val,
-		(u_int *)&objp->answer.answer_len, 1024))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ask))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->result))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->outcome))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, 1024))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_share_claim(XDR *xdrs, peer_share_claim *objp)
+xdr_peer_share_claim (XDR *xdrs, peer_share_claim *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_peer_name(xdrs, &objp->workspace))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->need))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->holding))
-		return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->workspace))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->need))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->holding))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_share_report(XDR *xdrs, peer_share_report *objp)
+xdr_peer_share_report (XDR *xdrs, peer_share_report *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->number))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->claims.claims_val,
-		(u_int *)&objp->claims.claims_len, PEER_BATCH_MAX,
-		sizeof(peer_share_claim), (xdrproc_t)xdr_peer_share_claim))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->claims.claims_val, (u_int *) &objp->claims.claims_len, PEER_BATCH_MAX,
+		sizeof (peer_share_claim), (xdrproc_t) xdr_peer_share_claim))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_grant(XDR *xdrs, peer_grant *objp)
+xdr_peer_grant (XDR *xdrs, peer_grant *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_peer_name(xdrs, &objp->workspace))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->ppm))
-		return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->workspace))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ppm))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_share_reply(XDR *xdrs, peer_share_reply *objp)
+xdr_peer_share_reply (XDR *xdrs, peer_share_reply *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->number))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->ttl_ms))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->next_ms))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->grants.grants_val,
-		(u_int *)&objp->grants.grants_len, PEER_BATCH_MAX,
-		sizeof(peer_grant), (xdrproc_t)xdr_peer_grant))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ttl_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->next_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, PEER_BATCH_MAX,
+		sizeof (peer_grant), (xdrproc_t) xdr_peer_grant))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_kind(XDR *xdrs, peer_kind *objp)
+xdr_peer_kind (XDR *xdrs, peer_kind *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_enum(xdrs, (enum_t *)objp))
-		return FALSE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_body(XDR *xdrs, peer_body *objp)
+xdr_peer_body (XDR *xdrs, peer_body *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_peer_kind(xdrs, &objp->kind))
-		return FALSE;
+	 if (!xdr_peer_kind (xdrs, &objp->kind))
+		 return FALSE;
 	switch (objp->kind) {
 	case PEER_GOSSIP:
-		if (!xdr_peer_gossip(xdrs, &objp->peer_body_u.gossip))
-			return FALSE;
+		 if (!xdr_peer_gossip (xdrs, &objp->peer_body_u.gossip))
+			 return FALSE;
 		break;
 	case PEER_CLAIM:
-		if (!xdr_peer_claim(xdrs, &objp->peer_body_u.claim))
-			return FALSE;
+		 if (!xdr_peer_claim (xdrs, &objp->peer_body_u.claim))
+			 return FALSE;
 		break;
 	case PEER_VERDICT:
-		if (!xdr_peer_verdict(xdrs, &objp->peer_body_u.verdict))
-			return FALSE;
+		 if (!xdr_peer_verdict (xdrs, &objp->peer_body_u.verdict))
+			 return FALSE;
 		break;
 	case PEER_SHARE_REPORT:
-		if (!xdr_peer_share_report(xdrs, &objp->peer_body_u.report))
-			return FALSE;
+		 if (!xdr_peer_share_report (xdrs, &objp->peer_body_u.report))
+			 return FALSE;
 		break;
 	case PEER_SHARE_REPLY:
-		if (!xdr_peer_share_reply(xdrs, &objp->peer_body_u.reply))
-			return FALSE;
+		 if (!xdr_peer_share_reply (xdrs, &objp->peer_body_u.reply))
+			 return FALSE;
 		break;
 	default:
 		return FALSE;
@@ -237,152 +231,149 @@
 }
 
 bool_t
-xdr_peer_letter(XDR *xdrs, peer_letter *objp)
+xdr_peer_letter (XDR *xdrs, peer_letter *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_peer_name(xdrs, &objp->from))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->incarnation))
-		return FALSE;
-	if (!xdr_peer_name(xdrs, &objp->rpc))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->sent_ms))
-		return FALSE;
-	if (!xdr_peer_body(xdrs, &objp->body))
-		return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->rpc))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sent_ms))
+		 return FALSE;
+	 if (!xdr_peer_body (xdrs, &objp->body))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_query_kind(XDR *xdrs, peer_query_kind *objp)
+xdr_peer_query_kind (XDR *xdrs, peer_query_kind *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_enum(xdrs, (enum_t *)objp))
-		return FALSE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_query(XDR *xdrs, peer_query *objp)
+xdr_peer_query (XDR *xdrs, peer_query *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_peer_query_kind(xdrs, &objp->kind))
-		return FALSE;
-	if (!xdr_peer_name(xdrs, &objp->from))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->sent_ms))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->name, 256))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->workspace, PEER_NAME_MAX))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->nonce))
-		return FALSE;
+	 if (!xdr_peer_query_kind (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sent_ms))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, 256))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->workspace, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->nonce))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_result(XDR *xdrs, peer_result *objp)
+xdr_peer_result (XDR *xdrs, peer_result *objp)
 {
 	register int32_t *buf;
 
+
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_bool(xdrs, &objp->found))
-				return FALSE;
-			if (!xdr_bool(xdrs, &objp->ended))
-				return FALSE;
-			if (!xdr_int(xdrs, &objp->outcome))
-				return FALSE;
-			if (!xdr_int(xdrs, &objp->error))
-				return FALSE;
+			 if (!xdr_bool (xdrs, &objp->found))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->ended))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->outcome))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->error))
+				 return FALSE;
 
 		} else {
-			IXDR_PUT_BOOL(buf, objp->found);
-			IXDR_PUT_BOOL(buf, objp->ended);
-			IXDR_PUT_LONG(buf, objp->outcome);
-			IXDR_PUT_LONG(buf, objp->error);
+		IXDR_PUT_BOOL(buf, objp->found);
+		IXDR_PUT_BOOL(buf, objp->ended);
+		IXDR_PUT_LONG(buf, objp->outcome);
+		IXDR_PUT_LONG(buf, objp->error);
 		}
-		if (!xdr_string(xdrs, &objp->detail, 256))
-			return FALSE;
-		if (!xdr_quad_t(xdrs, &objp->retry_after))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->revision))
-			return FALSE;
-		if (!xdr_bytes(xdrs, (char **)&objp->value.value_val,
-			(u_int *)&objp->value.value_len, PEER_VALUE_MAX))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->nonce))
-			return FALSE;
+		 if (!xdr_string (xdrs, &objp->detail, 256))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->retry_after))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, PEER_VALUE_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->nonce))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_bool(xdrs, &objp->found))
-				return FALSE;
-			if (!xdr_bool(xdrs, &objp->ended))
-				return FALSE;
-			if (!xdr_int(xdrs, &objp->outcome))
-				return FALSE;
-			if (!xdr_int(xdrs, &objp->error))
-				return FALSE;
+			 if (!xdr_bool (xdrs, &objp->found))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->ended))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->outcome))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->error))
+				 return FALSE;
 
 		} else {
-			objp->found = IXDR_GET_BOOL(buf);
-			objp->ended = IXDR_GET_BOOL(buf);
-			objp->outcome = IXDR_GET_LONG(buf);
-			objp->error = IXDR_GET_LONG(buf);
+		objp->found = IXDR_GET_BOOL(buf);
+		objp->ended = IXDR_GET_BOOL(buf);
+		objp->outcome = IXDR_GET_LONG(buf);
+		objp->error = IXDR_GET_LONG(buf);
 		}
-		if (!xdr_string(xdrs, &objp->detail, 256))
-			return FALSE;
-		if (!xdr_quad_t(xdrs, &objp->retry_after))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->revision))
-			return FALSE;
-		if (!xdr_bytes(xdrs, (char **)&objp->value.value_val,
-			(u_int *)&objp->value.value_len, PEER_VALUE_MAX))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->nonce))
-			return FALSE;
-		return TRUE;
+		 if (!xdr_string (xdrs, &objp->detail, 256))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->retry_after))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, PEER_VALUE_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->nonce))
+			 return FALSE;
+	 return TRUE;
 	}
 
-	if (!xdr_bool(xdrs, &objp->found))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->ended))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->outcome))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->error))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->detail, 256))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->retry_after))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->revision))
-		return FALSE;
-	if (!xdr_bytes(xdrs, (char **)&objp->value.value_val,
-		(u_int *)&objp->value.value_len, PEER_VALUE_MAX))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->nonce))
-		return FALSE;
+	 if (!xdr_bool (xdrs, &objp->found))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->ended))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->outcome))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->error))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->detail, 256))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->retry_after))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, PEER_VALUE_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->nonce))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_sealed(XDR *xdrs, peer_sealed *objp)
+xdr_peer_sealed (XDR *xdrs, peer_sealed *objp)
 {
 	register int32_t *buf;
 
 	int i;
-	if (!xdr_bytes(xdrs, (char **)&objp->body.body_val,
-		(u_int *)&objp->body.body_len, ~0))
-		return FALSE;
-	if (!xdr_opaque(xdrs, objp->mac, 64))
-		return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, ~0))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->mac, 64))
+		 return FALSE;
 	return TRUE;
 }
--- a/plat/conflog.c
+++ b/plat/conflog.c
@@ -11,7 +11,8 @@
 #define SEAL_BYTES  (32 * 1024)
 #define BATCH_BYTES (256 * 1024)
 #define BODY_RETRY  (200 * USEC_PER_MSEC)
-#define MISSING_FOR (300 * USEC_PER_MSEC) /* then a peer is asked */
+#define MISSING_FOR (300 * USEC_PER_MSEC)  /* then a peer is asked */
+#define PEERS_FIRST (1500 * USEC_PER_MSEC) /* for those that do not watch */
 #define MAX_FETCHES 8
 #define AUDIT_KEEP  (14 * 24 * 3600 * USEC_PER_SEC)
 
@@ -27,6 +28,7 @@
 	struct confstate state;
 	GHashTable *fetches; /* hash -> struct fetch, owned */
 	usec_t retry_at;
+	bool follow;          /* watches the head itself */
 	usec_t missing_since; /* 0: nothing is missing */
 	pthread_mutex_t lock; /* of the following */
 	uint64_t head_revision;
@@ -186,7 +188,8 @@
 	}
 	if (c->missing_since == 0)
 		c->missing_since = now;
-	if (now < c->retry_at)
+	if (now < c->retry_at ||
+	    (!c->follow && now - c->missing_since < PEERS_FIRST))
 		return;
 	c->retry_at = now + BODY_RETRY;
 	for (size_t i = 0; i < c->state.files.n; i++) {
@@ -263,6 +266,7 @@
 void
 conflog_follow(struct conflog *c, bool follow)
 {
+	c->follow = follow;
 	logio_follow(c->io, follow);
 }
 
@@ -340,7 +344,7 @@
 	const struct conffile *x = confstate_missing(&c->state);
 
 	if (x == NULL || c->missing_since == 0 ||
-	    now - c->missing_since < MISSING_FOR)
+	    (c->follow && now - c->missing_since < MISSING_FOR))
 		return false;
 	snprintf(name, CONFLOG_NAME_BYTES, "%s", x->hash);
 	return true;
