--- a/tests/faults/fleet.sh
+++ b/tests/faults/fleet.sh
@@ -260,6 +260,7 @@
 			    echo "$key" >>"$D/lies"
 			attempt=$((attempt + 1))
 			;;
+		failed) attempt=$((attempt + 1)) ;;
 		esac
 		set -- "${@:2}" "$1"
 		sleep 0.2
