Claims: a settlement is not dropped by a writer that lags behind

Cause: a process that becomes the writer of a shard decided a settlement by what it had folded; a claim that it had not seen yet was 'old' to it and the settlement was dropped. Change: a settlement of an unseen claim takes a record: if the known head is old the swap fails and it is decided anew, else the record changes nothing.

--- a/kernel/claims.c
+++ b/kernel/claims.c
@@ -211,9 +211,18 @@
 	return false;
 }
 
+/* Whether the claim to be settled may stand in a newer head only. */
+static bool
+is_unseen(const struct entry *e, const struct claim *cl)
+{
+	return e == NULL || (e->state == STATE_REFUSED && cl->attempt > e->bar);
+}
+
 /*
  * The holder settles its own claim once.  Another may add that it completed,
- * as a service's look-up shows, while that is not known.
+ * as a service's look-up shows, while that is not known.  A claim that is not
+ * seen here takes a record: if the head known here is old, the swap fails and
+ * it is decided anew; else the record changes nothing.
  */
 static bool
 decide_settlement(
@@ -221,9 +230,9 @@
 {
 	bool open;
 
-	*r = CLAIM_OLD;
-	if (e == NULL)
-		return false;
+	*r = CLAIM_GRANTED;
+	if (is_unseen(e, cl))
+		return true;
 	open = e->state == STATE_GRANTED ||
 	    (e->state == STATE_SETTLED && e->outcome == OUTCOME_UNKNOWN &&
 		cl->outcome == OUTCOME_COMPLETE);
@@ -369,7 +378,8 @@
 		bar(e, cl.attempt);
 		break;
 	case CLAIM_STEP_SETTLE:
-		settle(c, e, &cl);
+		if (!is_unseen(e, &cl))
+			settle(c, e, &cl);
 		break;
 	}
 }
--- a/kernel/claims.h
+++ b/kernel/claims.h
@@ -48,7 +48,7 @@
 /*
  * Decides by the folded state.  True if it takes a record, after which the
  * result is CLAIM_GRANTED or, for a refusal, CLAIM_REFUSED.  A settlement
- * that stands already is CLAIM_GRANTED, another CLAIM_TAKEN or CLAIM_OLD.
+ * that stands already is CLAIM_GRANTED, another CLAIM_TAKEN.
  */
 bool claims_decide(
     const struct claims *c, const struct claim *cl, struct claim_verdict *v);
