--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -118,15 +118,15 @@
 use_cache(struct engine *e, struct str salt, struct str prompt)
 {
 	struct buf key = { 0 };
-	char hash[HASH_HEX_LEN + 1], *old;
+	char hash[HASH_HEX_LEN + 1];
 	GList *hit;
+	HOLD(&e->lock);
 
 	buf_put(&key, salt);
 	buf_putc(&key, '\0');
 	buf_put(&key, (struct str){ prompt.p, MIN(prompt.n, PREFIX_BYTES) });
 	hash_sha256(str_of(&key), hash);
 	buf_free(&key);
-	g_mutex_lock(&e->lock);
 	hit = g_queue_find_custom(e->cache, hash, (GCompareFunc)strcmp);
 	if (hit != NULL) {
 		g_queue_unlink(e->cache, hit);
@@ -136,42 +136,36 @@
 		add_event(e, true, hash);
 	}
 	if (g_queue_get_length(e->cache) > e->conf->cache_prefixes) {
-		old = g_queue_pop_tail(e->cache);
+		g_autofree char *old = g_queue_pop_tail(e->cache);
+
 		add_event(e, false, old);
-		g_free(old);
 	}
-	g_mutex_unlock(&e->lock);
 	return hit != NULL;
 }
 
 static bool
 has_model(const json_t *models, const char *name)
 {
-	const char *n;
 	json_t *m;
 	size_t i;
 
-	if (json_array_size(models) == 0)
-		return true;
 	json_array_foreach(models, i, m)
 	{
-		n = json_string_value(json_object_get(m, "name"));
-		if (n != NULL && name != NULL && strcmp(n, name) == 0)
+		if (strcmp(web_text(m, "name"), name) == 0)
 			return true;
 	}
-	return false;
+	return json_array_size(models) == 0;
 }
 
 /* Whether the engine can take a completion; answers if it can't. */
 static bool
 can_generate(struct engine *e, struct mg_connection *c, const json_t *body)
 {
-	const char *model = json_string_value(json_object_get(body, "model"));
 	bool ready, known;
 
 	g_mutex_lock(&e->lock);
 	ready = e->ready && strcmp(e->role, "generate") == 0;
-	known = has_model(e->models, model);
+	known = has_model(e->models, web_text(body, "model"));
 	g_mutex_unlock(&e->lock);
 	if (!ready)
 		web_error(c, 503, "not ready");
@@ -199,9 +193,7 @@
 		return;
 	at += strlen("marker=");
 	n = strcspn(at, " \t\r\n\"',;}");
-	n = MIN(n, sizeof(g->marker) - 1);
-	memcpy(g->marker, at, n);
-	g->marker[n] = '\0';
+	g_strlcpy(g->marker, at, MIN(n + 1, sizeof(g->marker)));
 }
 
 static void
@@ -221,29 +213,18 @@
 static void
 gen_swap(struct runner *r, struct gen *g)
 {
-	json_t *a = runner_swap(
+	json_auto_t *a = runner_swap(
 	    r, json_pack("{s:s,s:s}", "id", g->id, "marker", g->marker));
 
 	free(g->id);
 	g->id = str_dup(get_str(a, "id"));
-	g_strlcpy(g->marker, json_string_value(json_object_get(a, "marker")),
-	    sizeof(g->marker));
-	json_decref(a);
+	g_strlcpy(g->marker, web_text(a, "marker"), sizeof(g->marker));
 }
 
 static bool
 send_event(struct mg_connection *c, json_t *event)
 {
-	char *text = json_dumps(event, JSON_COMPACT);
-	struct buf b = { 0 };
-	bool sent;
-
-	buf_printf(&b, "data: %s\n\n", text);
-	sent = web_chunk(c, str_of(&b));
-	buf_free(&b);
-	free(text);
-	json_decref(event);
-	return sent;
+	return web_chunk_json(c, "data: ", event, "\n\n");
 }
 
 static bool
@@ -261,13 +242,13 @@
 static bool
 send_end(struct runner *r, struct mg_connection *c, const struct gen *g)
 {
-	size_t cached = MIN(g->prompt.n, PREFIX_BYTES) / TOKEN_BYTES;
+	size_t cached =
+	    g->cached ? MIN(g->prompt.n, PREFIX_BYTES) / TOKEN_BYTES : 0;
 	json_t *e = json_pack("{s:s,s:[{s:s,s:s}],s:{s:I,s:I,s:I},s:i}", "id",
 	    g->id, "choices", "text", "", "finish_reason", "stop", "usage",
 	    "prompt_tokens", (json_int_t)(g->prompt.n / TOKEN_BYTES),
 	    "completion_tokens", (json_int_t)MAX(g->most - g->first, 0),
-	    "cached_tokens", (json_int_t)(g->cached ? cached : 0), "load",
-	    runner_load(r));
+	    "cached_tokens", (json_int_t)cached, "load", runner_load(r));
 
 	return send_event(c, e) && web_chunk(c, STR("data: [DONE]\n\n")) &&
 	    web_chunk(c, STR(""));
@@ -308,7 +289,7 @@
 			return false;
 		if (!send_token(c, g, n))
 			return false;
-		runner_count(r, &r->tokens, 1);
+		runner_count(r, COUNT_TOKENS);
 	}
 	return true;
 }
@@ -324,15 +305,13 @@
 	sent = !runner_silent(r, c) && web_stream(c, "text/event-stream") &&
 	    send_tokens(r, c, g);
 	runner_leave(r, began);
-	sent = sent && send_end(r, c, g);
-	if (!sent)
-		web_drop(c);
-	if (sent)
-		runner_count(r, &r->completed, 1);
-	else if (runner_fault(r) == FAULT_CUT)
-		runner_count(r, &r->failed, 1);
-	else
-		runner_count(r, &r->cancelled, 1);
+	if (sent && send_end(r, c, g)) {
+		runner_count(r, COUNT_COMPLETED);
+		return;
+	}
+	web_drop(c);
+	runner_count(
+	    r, runner_fault(r) == FAULT_CUT ? COUNT_FAILED : COUNT_CANCELLED);
 }
 
 void
@@ -345,15 +324,17 @@
 	gen_init(&g, body);
 	g.cached = use_cache(r->engine, get_str(body, "cache_salt"), g.prompt);
 	if (g.cached)
-		runner_count(r, &r->cached, 1);
+		runner_count(r, COUNT_CACHED);
 	stream(r, c, &g);
 	free(g.id);
 }
 
-/* The state as GET /v1/orders shows it, with the lock held. */
+/* The state as GET /v1/orders shows it. */
 static json_t *
-json_of_state(const struct engine *e)
+json_of_state(struct engine *e)
 {
+	HOLD(&e->lock);
+
 	return json_pack("{s:I,s:s,s:b,s:O,s:O,s:b,s:s}", "fence", e->fence,
 	    "role", e->role, "ready", (int)e->ready, "models", e->models,
 	    "adapters", e->adapters, "loading", (int)e->loading, "error",
@@ -363,12 +344,9 @@
 static bool
 is_current(struct engine *e, unsigned order)
 {
-	bool current;
+	HOLD(&e->lock);
 
-	g_mutex_lock(&e->lock);
-	current = e->order == order;
-	g_mutex_unlock(&e->lock);
-	return current;
+	return e->order == order;
 }
 
 /* Reads the weights, when the weight store has a slot. */
@@ -397,10 +375,9 @@
 
 	json_array_foreach(models, i, m)
 	{
-		const char *v =
-		    json_string_value(json_object_get(m, "version"));
+		const char *v = web_text(m, "version");
 
-		if (v != NULL && version > 0 && strtol(v, NULL, 10) == version)
+		if (version > 0 && strtol(v, NULL, 10) == version)
 			return true;
 	}
 	return false;
@@ -445,7 +422,7 @@
 	g_thread_unref(g_thread_new("load", load_models, l));
 }
 
-/* Takes an order, with the lock held; false when the fence is too low. */
+/* Takes an order; false when the fence is too low. */
 static bool
 take_order(struct engine *e, const json_t *order)
 {
@@ -453,8 +430,10 @@
 	const char *role = json_string_value(json_object_get(order, "role"));
 	json_t *models = json_object_get(order, "models");
 	json_t *adapters = json_object_get(order, "adapters");
-	bool same = models == NULL || json_equal(models, e->wanted);
+	bool same;
+	HOLD(&e->lock);
 
+	same = models == NULL || json_equal(models, e->wanted);
 	if (e->conf->honours_fence && fence < e->highest)
 		return false;
 	e->fence = fence;
@@ -480,43 +459,27 @@
 static void
 log_order(const struct runner *r, const json_t *order, bool accepted)
 {
-	g_mutex_lock(&store_lock);
+	HOLD(&store_lock);
+
 	json_array_append_new(order_log,
 	    json_pack("{s:s,s:I,s:b}", "address", r->address, "fence",
 		json_integer_value(json_object_get(order, "fence")), "accepted",
 		(int)accepted));
-	g_mutex_unlock(&store_lock);
 }
 
 static void
 post_order(struct runner *r, struct mg_connection *c)
 {
-	struct engine *e = r->engine;
-	json_t *order = web_body(c), *state;
+	json_auto_t *order = web_body(c);
 	bool accepted;
 
 	if (order == NULL) {
 		web_error(c, 400, "the body is no JSON object");
 		return;
 	}
-	g_mutex_lock(&e->lock);
-	accepted = take_order(e, order);
-	state = json_of_state(e);
-	g_mutex_unlock(&e->lock);
+	accepted = take_order(r->engine, order);
 	log_order(r, order, accepted);
-	json_decref(order);
-	web_json(c, accepted ? 202 : 409, state);
-}
-
-static void
-get_state(struct engine *e, struct mg_connection *c)
-{
-	json_t *state;
-
-	g_mutex_lock(&e->lock);
-	state = json_of_state(e);
-	g_mutex_unlock(&e->lock);
-	web_json(c, 200, state);
+	web_json(c, accepted ? 202 : 409, json_of_state(r->engine));
 }
 
 static void
@@ -550,7 +513,7 @@
 	if (web_is(ri, "POST", "/v1/orders"))
 		post_order(r, c);
 	else if (web_is(ri, "GET", "/v1/orders"))
-		get_state(r->engine, c);
+		web_json(c, 200, json_of_state(r->engine));
 	else if (web_is(ri, "GET", "/v1/cache_events"))
 		get_events(r->engine, c, ri);
 	else if (web_is(ri, "POST", "/v1/completions"))
@@ -563,28 +526,25 @@
 void
 engine_fail_version(struct engine *e, long version)
 {
-	g_mutex_lock(&e->lock);
+	HOLD(&e->lock);
+
 	e->fail_version = version;
-	g_mutex_unlock(&e->lock);
 }
 
 json_t *
 engine_orders(void)
 {
-	json_t *o;
+	HOLD(&store_lock);
 
-	g_mutex_lock(&store_lock);
-	o = json_pack("{s:o,s:i}", "orders", json_deep_copy(order_log),
+	return json_pack("{s:o,s:i}", "orders", json_deep_copy(order_log),
 	    "most_loading", (int)most_loading);
-	g_mutex_unlock(&store_lock);
-	return o;
 }
 
 void
 engine_reset(void)
 {
-	g_mutex_lock(&store_lock);
+	HOLD(&store_lock);
+
 	json_array_clear(order_log);
 	most_loading = loading_now;
-	g_mutex_unlock(&store_lock);
 }
--- a/tests/standin/hosts.c
+++ b/tests/standin/hosts.c
@@ -1,6 +1,5 @@
 #include "tests/standin/hosts.h"
 
-#include <glib.h>
 #include <string.h>
 
 enum host_state {
@@ -120,24 +119,12 @@
 	return json_pack("{s:i,s:o}", "revision", revision, "hosts", list);
 }
 
-static void
-send_list(struct mg_connection *c, const char *tag, json_t *list)
-{
-	char *text = json_dumps(list, JSON_COMPACT);
-
-	mg_printf(c,
-	    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-	    "ETag: %s\r\nContent-Length: %zu\r\n\r\n%s",
-	    tag, strlen(text), text);
-	free(text);
-}
-
 void
 hosts_handle(struct mg_connection *c, const struct mg_request_info *ri)
 {
 	const char *had = mg_get_header(c, "If-None-Match");
 	char tag[32];
-	json_t *list;
+	json_auto_t *list = NULL;
 	bool off;
 
 	if (!web_is(ri, "GET", "/hosts")) {
@@ -158,25 +145,19 @@
 		    "Content-Length: 0\r\n\r\n",
 		    tag);
 	else
-		send_list(c, tag, list);
-	json_decref(list);
+		web_tagged(c, tag, json_incref(list));
 }
 
 static bool
 change_state(const char *set, const char *address)
 {
+	static const char *const names[] = { "live", "leaving", "gone" };
 	struct host *h = find(address);
+	int state = web_index(names, G_N_ELEMENTS(names), set);
 
-	if (h == NULL)
-		return false;
-	if (strcmp(set, "live") == 0)
-		plan(h, HOST_LIVE);
-	else if (strcmp(set, "leaving") == 0)
-		plan(h, HOST_LEAVING);
-	else if (strcmp(set, "gone") == 0)
-		plan(h, HOST_GONE);
-	else
+	if (h == NULL || state < 0)
 		return false;
+	plan(h, (enum host_state)state);
 	return true;
 }
 
@@ -184,7 +165,7 @@
 hosts_change(const struct mg_request_info *ri)
 {
 	char set[16], address[64], new[64], service[64], domain[64], mode[16];
-	bool good = true;
+	HOLD(&lock);
 
 	web_query(ri, "set", set, sizeof(set));
 	web_query(ri, "address", address, sizeof(address));
@@ -192,28 +173,24 @@
 	web_query(ri, "service", service, sizeof(service));
 	web_query(ri, "failure_domain", domain, sizeof(domain));
 	web_query(ri, "mode", mode, sizeof(mode));
-	g_mutex_lock(&lock);
 	if (mode[0] != '\0')
 		down = strcmp(mode, "down") == 0;
 	else if (new[0] != '\0' && service[0] != '\0')
 		plan(add(service, new, domain), HOST_LIVE);
 	else
-		good = change_state(set, address);
-	g_mutex_unlock(&lock);
-	return good;
+		return change_state(set, address);
+	return true;
 }
 
 usec_t
 hosts_left_for(const char *address)
 {
 	const struct host *h;
-	usec_t t = 0;
+	HOLD(&lock);
 
-	g_mutex_lock(&lock);
 	settle();
 	h = find(address);
-	if (h != NULL && h->shown != HOST_LIVE)
-		t = clock_now() - h->left_at;
-	g_mutex_unlock(&lock);
-	return t;
+	if (h == NULL || h->shown == HOST_LIVE)
+		return 0;
+	return clock_now() - h->left_at;
 }
--- a/tests/standin/kv.c
+++ b/tests/standin/kv.c
@@ -31,10 +31,13 @@
 	json_t *body;
 };
 
+/* The members of a call's answer; NULL when it has failed, in a. */
+typedef json_t *(*op_fn)(const json_t *req, struct answer *a);
+
 struct op {
 	const char *path;
 	bool writes;
-	void (*run)(const json_t *req, struct answer *a);
+	op_fn run;
 };
 
 struct watch {
@@ -48,12 +51,12 @@
 static GCond moved;
 static GHashTable *rules;
 static struct rule common;
-static unsigned limit;
+static int limit;
 static struct {
-	uint64_t calls, writes, reads, refused;
-	unsigned watches, most_watches;
+	json_int_t calls, writes, reads, refused;
+	int watches, most_watches;
 	usec_t second;
-	unsigned this_second, last_second;
+	int this_second, last_second;
 } seen;
 
 static int64_t
@@ -69,13 +72,9 @@
 static GBytes *
 get_bytes(const json_t *o, const char *name)
 {
-	const char *text = json_string_value(json_object_get(o, name));
 	gsize n = 0;
-	guchar *p;
+	guchar *p = g_base64_decode(web_text(o, name), &n);
 
-	if (text == NULL || text[0] == '\0')
-		return g_bytes_new(NULL, 0);
-	p = g_base64_decode(text, &n);
 	return g_bytes_new_take(p, n);
 }
 
@@ -93,23 +92,23 @@
 {
 	gsize n;
 	const guchar *p = g_bytes_get_data(b, &n);
-	char *text;
+	g_autofree char *text = g_base64_encode(p, n);
 
-	if (n == 0)
-		return;
-	text = g_base64_encode(p, n);
-	json_object_set_new(o, name, json_string(text));
-	g_free(text);
+	if (n > 0)
+		json_object_set_new(o, name, json_string(text));
 }
 
+/* Puts members under the header with the present revision. */
 static json_t *
-with_header(void)
+with_header(json_t *members)
 {
 	json_t *h = json_pack("{s:s,s:s,s:s}", "cluster_id", "1", "member_id",
 	    "1", "raft_term", "1");
+	json_t *o = json_pack("{s:o}", "header", h);
 
 	set_num(h, "revision", store_revision());
-	return json_pack("{s:o}", "header", h);
+	json_object_update_new(o, members);
+	return o;
 }
 
 static json_t *
@@ -127,22 +126,22 @@
 	return o;
 }
 
-static void
+static json_t *
 fail(struct answer *a, int status, int code, const char *text)
 {
-	json_decref(a->body);
 	a->status = status;
 	a->body = json_pack(
 	    "{s:s,s:i,s:s}", "error", text, "code", code, "message", text);
+	return NULL;
 }
 
 /* Checks a put before anything of its call takes effect. */
 static bool
 put_is_good(const json_t *put, struct answer *a)
 {
-	GBytes *key = get_bytes(put, "key"), *value = get_bytes(put, "value");
+	g_autoptr(GBytes) key = get_bytes(put, "key");
+	g_autoptr(GBytes) value = get_bytes(put, "value");
 	int64_t lease = get_num(put, "lease");
-	bool good = false;
 
 	if (g_bytes_get_size(key) == 0)
 		fail(a, 400, 3, "etcdserver: key is not provided");
@@ -150,113 +149,91 @@
 		fail(a, 400, 3, "etcdserver: request is too large");
 	else if (lease != 0 && !store_has_lease(lease))
 		fail(a, 404, 5, "etcdserver: requested lease not found");
-	else
-		good = true;
-	g_bytes_unref(key);
-	g_bytes_unref(value);
-	return good;
+	return a->body == NULL;
 }
 
 static json_t *
-do_put(const json_t *req)
+op_put(const json_t *req, struct answer *a)
 {
-	GBytes *key = get_bytes(req, "key"), *value = get_bytes(req, "value");
+	g_autoptr(GBytes) key = get_bytes(req, "key");
+	g_autoptr(GBytes) value = get_bytes(req, "value");
 	const struct item *old = store_get(key);
-	json_t *out = json_object();
+	json_t *out;
 
+	if (!put_is_good(req, a))
+		return NULL;
+	out = json_object();
 	if (old != NULL && json_is_true(json_object_get(req, "prev_kv")))
 		json_object_set_new(out, "prev_kv", json_of_item(old, false));
 	store_put(key, value, get_num(req, "lease"));
-	g_bytes_unref(key);
-	g_bytes_unref(value);
 	return out;
 }
 
+/* The present states of the keys that a call names. */
+static GPtrArray *
+find_items(const json_t *req)
+{
+	g_autoptr(GBytes) key = get_bytes(req, "key");
+	g_autoptr(GBytes) end = get_bytes(req, "range_end");
+
+	return store_range(key, end);
+}
+
+/* The first n of some states, under a name unless there are none. */
+static void
+set_items(json_t *o, const char *name, const GPtrArray *items, unsigned n,
+    bool keys_only)
+{
+	json_auto_t *list = json_array();
+	unsigned i;
+
+	for (i = 0; i < n; i++)
+		json_array_append_new(
+		    list, json_of_item(items->pdata[i], keys_only));
+	if (n > 0)
+		json_object_set(o, name, list);
+}
+
 static json_t *
-do_range(const json_t *req)
+op_range(const json_t *req, struct answer *a)
 {
-	GBytes *key = get_bytes(req, "key"), *end = get_bytes(req, "range_end");
-	GPtrArray *found = store_range(key, end);
+	g_autoptr(GPtrArray) found = find_items(req);
 	bool keys_only = json_is_true(json_object_get(req, "keys_only"));
 	int64_t most = get_num(req, "limit");
-	json_t *out = json_object(), *kvs = json_array();
-	unsigned i, n = found->len;
+	json_t *out = json_object();
+	unsigned n = found->len;
 
+	(void)a;
 	if (most > 0 && most < n)
 		n = (unsigned)most;
 	if (json_is_true(json_object_get(req, "count_only")))
 		n = 0;
 	else if (n < found->len)
 		json_object_set_new(out, "more", json_true());
-	for (i = 0; i < n; i++)
-		json_array_append_new(
-		    kvs, json_of_item(found->pdata[i], keys_only));
-	if (n > 0)
-		json_object_set(out, "kvs", kvs);
+	set_items(out, "kvs", found, n, keys_only);
 	set_num(out, "count", found->len);
-	json_decref(kvs);
-	g_ptr_array_free(found, TRUE);
-	g_bytes_unref(key);
-	g_bytes_unref(end);
 	return out;
 }
 
 static json_t *
-do_delete(const json_t *req)
+op_delete(const json_t *req, struct answer *a)
 {
-	GBytes *key = get_bytes(req, "key"), *end = get_bytes(req, "range_end");
-	GPtrArray *found = store_range(key, end);
-	json_t *out = json_object(), *old = json_array();
+	g_autoptr(GPtrArray) found = find_items(req);
+	json_t *out = json_object();
 	unsigned i;
 
+	(void)a;
+	set_num(out, "deleted", found->len);
+	if (json_is_true(json_object_get(req, "prev_kv")))
+		set_items(out, "prev_kvs", found, found->len, false);
 	for (i = 0; i < found->len; i++) {
 		const struct item *it = found->pdata[i];
-		GBytes *k = g_bytes_ref(it->key);
 
-		json_array_append_new(old, json_of_item(it, false));
-		store_delete(k);
-		g_bytes_unref(k);
+		store_delete(it->key);
 	}
-	set_num(out, "deleted", found->len);
-	if (json_is_true(json_object_get(req, "prev_kv")))
-		json_object_set(out, "prev_kvs", old);
-	json_decref(old);
-	g_ptr_array_free(found, TRUE);
-	g_bytes_unref(key);
-	g_bytes_unref(end);
 	return out;
 }
 
-/* Finishes a call: its answer, under the header with the new revision. */
-static void
-finish(struct answer *a, json_t *out)
-{
-	if (store_commit())
-		g_cond_broadcast(&moved);
-	a->body = with_header();
-	json_object_update(a->body, out);
-	json_decref(out);
-}
-
-static void
-op_put(const json_t *req, struct answer *a)
-{
-	if (put_is_good(req, a))
-		finish(a, do_put(req));
-}
-
-static void
-op_range(const json_t *req, struct answer *a)
-{
-	finish(a, do_range(req));
-}
-
-static void
-op_delete(const json_t *req, struct answer *a)
-{
-	finish(a, do_delete(req));
-}
-
 static int
 compare_num(int64_t a, int64_t b)
 {
@@ -264,43 +241,37 @@
 }
 
 static int
-compare_target(const json_t *cmp, const struct item *it)
+compare_target(const json_t *cmp, const char *target, const struct item *it)
 {
-	const char *t = json_string_value(json_object_get(cmp, "target"));
-	GBytes *value;
-	int r;
+	g_autoptr(GBytes) value = get_bytes(cmp, "value");
 
-	if (t == NULL || strcmp(t, "VERSION") == 0)
+	if (strcmp(target, "CREATE") == 0)
 		return compare_num(
-		    it ? it->version : 0, get_num(cmp, "version"));
-	if (strcmp(t, "CREATE") == 0)
-		return compare_num(
-		    it ? it->created : 0, get_num(cmp, "create_revision"));
-	if (strcmp(t, "MOD") == 0)
-		return compare_num(
-		    it ? it->modified : 0, get_num(cmp, "mod_revision"));
-	if (strcmp(t, "LEASE") == 0)
-		return compare_num(it ? it->lease : 0, get_num(cmp, "lease"));
-	value = get_bytes(cmp, "value");
-	r = it != NULL ? g_bytes_compare(it->value, value) : -1;
-	g_bytes_unref(value);
-	return r;
+		    it->created, get_num(cmp, "create_revision"));
+	if (strcmp(target, "MOD") == 0)
+		return compare_num(it->modified, get_num(cmp, "mod_revision"));
+	if (strcmp(target, "LEASE") == 0)
+		return compare_num(it->lease, get_num(cmp, "lease"));
+	if (strcmp(target, "VALUE") == 0)
+		return g_bytes_compare(it->value, value);
+	return compare_num(it->version, get_num(cmp, "version"));
 }
 
 static bool
 compare_holds(const json_t *cmp)
 {
-	const char *want = json_string_value(json_object_get(cmp, "result"));
-	const char *t = json_string_value(json_object_get(cmp, "target"));
-	GBytes *key = get_bytes(cmp, "key");
+	static const struct item absent = { 0 };
+	const char *want = web_text(cmp, "result");
+	const char *target = web_text(cmp, "target");
+	g_autoptr(GBytes) key = get_bytes(cmp, "key");
 	const struct item *it = store_get(key);
-	int r = compare_target(cmp, it);
+	int r;
 
-	g_bytes_unref(key);
 	/* etcd: a value comparison never holds for an absent key. */
-	if (it == NULL && t != NULL && strcmp(t, "VALUE") == 0)
+	if (it == NULL && strcmp(target, "VALUE") == 0)
 		return false;
-	if (want == NULL || strcmp(want, "EQUAL") == 0)
+	r = compare_target(cmp, target, it != NULL ? it : &absent);
+	if (*want == '\0' || strcmp(want, "EQUAL") == 0)
 		return r == 0;
 	if (strcmp(want, "GREATER") == 0)
 		return r > 0;
@@ -310,26 +281,34 @@
 }
 
 static json_t *
-do_txn_op(const json_t *op)
-{
-	const json_t *req;
+do_txn_op(const json_t *op, struct answer *a)
+{
+	static const struct {
+		const char *request, *response;
+		op_fn run;
+	} kinds[] = {
+		{ "request_put", "response_put", op_put },
+		{ "request_range", "response_range", op_range },
+		{ "request_delete_range", "response_delete_range", op_delete },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		const json_t *req = json_object_get(op, kinds[i].request);
 
-	if ((req = json_object_get(op, "request_put")) != NULL)
-		return json_pack("{s:o}", "response_put", do_put(req));
-	if ((req = json_object_get(op, "request_range")) != NULL)
-		return json_pack("{s:o}", "response_range", do_range(req));
-	if ((req = json_object_get(op, "request_delete_range")) != NULL)
-		return json_pack(
-		    "{s:o}", "response_delete_range", do_delete(req));
+		if (req != NULL)
+			return json_pack(
+			    "{s:o}", kinds[i].response, kinds[i].run(req, a));
+	}
 	return json_object();
 }
 
-static void
+static json_t *
 op_txn(const json_t *req, struct answer *a)
 {
-	json_t *out = json_object(), *responses = json_array();
+	json_auto_t *responses = json_array();
 	const json_t *branch;
-	json_t *v;
+	json_t *out, *v;
 	bool holds = true;
 	size_t i;
 
@@ -341,58 +320,56 @@
 		const json_t *put = json_object_get(v, "request_put");
 
 		if (put != NULL && !put_is_good(put, a))
-			goto out;
+			return NULL;
 	}
 	json_array_foreach(branch, i, v)
-	    json_array_append_new(responses, do_txn_op(v));
+	    json_array_append_new(responses, do_txn_op(v, a));
+	out = json_object();
 	if (holds)
 		json_object_set_new(out, "succeeded", json_true());
 	if (json_array_size(responses) > 0)
 		json_object_set(out, "responses", responses);
-	finish(a, json_incref(out));
-out:
-	json_decref(out);
-	json_decref(responses);
+	return out;
 }
 
-static void
+/* A lease as calls answer it. */
+static json_t *
+json_of_lease(int64_t id, int64_t ttl)
+{
+	json_t *out = json_object();
+
+	set_num(out, "ID", id);
+	set_num(out, "TTL", ttl);
+	return out;
+}
+
+static json_t *
 op_grant(const json_t *req, struct answer *a)
 {
-	int64_t ttl = get_num(req, "TTL");
+	int64_t ttl = MAX(get_num(req, "TTL"), 1);
 	int64_t id = store_grant(get_num(req, "ID"), ttl);
-	json_t *out;
 
-	if (id == 0) {
-		fail(a, 412, 9, "etcdserver: lease already exists");
-		return;
-	}
-	out = json_object();
-	set_num(out, "ID", id);
-	set_num(out, "TTL", ttl > 0 ? ttl : 1);
-	finish(a, out);
+	if (id == 0)
+		return fail(a, 412, 9, "etcdserver: lease already exists");
+	return json_of_lease(id, ttl);
 }
 
-static void
+static json_t *
 op_keep(const json_t *req, struct answer *a)
 {
 	int64_t id = get_num(req, "ID");
-	json_t *out = json_object();
+	json_t *out = json_of_lease(id, store_keep(id));
 
-	set_num(out, "ID", id);
-	set_num(out, "TTL", store_keep(id));
-	finish(a, out);
-	a->body = json_pack("{s:o}", "result", a->body);
+	(void)a;
+	return json_pack("{s:o}", "result", with_header(out));
 }
 
-static void
+static json_t *
 op_revoke(const json_t *req, struct answer *a)
 {
-	if (!store_revoke(get_num(req, "ID"))) {
-		fail(a, 404, 5, "etcdserver: requested lease not found");
-		return;
-	}
-	g_cond_broadcast(&moved);
-	finish(a, json_object());
+	if (!store_revoke(get_num(req, "ID")))
+		return fail(a, 404, 5, "etcdserver: requested lease not found");
+	return json_object();
 }
 
 static const struct op ops[] = {
@@ -424,23 +401,17 @@
 	return r != NULL ? r : &common;
 }
 
-/* Waits, with the lock held, as long as the source's calls hang. */
+/* Waits, with the lock held, while a source's call or watch gets nothing. */
 static enum mode
-wait_while_hanging(const char *from)
+wait_for_turn(const char *from, bool watch)
 {
-	while (rule_for(from)->mode == MODE_HANG)
-		g_cond_wait(&moved, &lock);
-	return rule_for(from)->mode;
-}
+	enum mode mode = rule_for(from)->mode;
 
-/* Waits, with the lock held, as long as the source's watches are quiet. */
-static enum mode
-wait_while_quiet(const char *from)
-{
-	while (rule_for(from)->mode == MODE_HANG ||
-	    rule_for(from)->mode == MODE_QUIET)
+	while (mode == MODE_HANG || (watch && mode == MODE_QUIET)) {
 		g_cond_wait(&moved, &lock);
-	return rule_for(from)->mode;
+		mode = rule_for(from)->mode;
+	}
+	return mode;
 }
 
 /* Counts a call in its second; false when it is beyond the limit. */
@@ -457,10 +428,8 @@
 	}
 	seen.calls++;
 	seen.this_second++;
-	if (writes)
-		seen.writes++;
-	else
-		seen.reads++;
+	seen.writes += writes;
+	seen.reads += !writes;
 	if (limit == 0 || seen.this_second <= limit)
 		return true;
 	seen.refused++;
@@ -468,13 +437,9 @@
 }
 
 static json_t *
-json_of_watch(json_t *more)
+json_of_watch(json_t *members)
 {
-	json_t *o = with_header();
-
-	json_object_update(o, more);
-	json_decref(more);
-	return json_pack("{s:o}", "result", o);
+	return json_pack("{s:o}", "result", with_header(members));
 }
 
 /* The events that a watch has not had yet, or NULL. */
@@ -510,9 +475,9 @@
 	usec_t every = w->progress ? PROGRESS_ASKED : PROGRESS_OTHERS;
 	usec_t due = clock_now() + every;
 	json_t *m = NULL;
+	HOLD(&lock);
 
-	g_mutex_lock(&lock);
-	while (m == NULL && wait_while_quiet(from) != MODE_DOWN) {
+	while (m == NULL && wait_for_turn(from, true) != MODE_DOWN) {
 		m = take_events(w);
 		if (m != NULL)
 			break;
@@ -522,23 +487,13 @@
 			g_cond_wait_until(
 			    &moved, &lock, g_get_monotonic_time() + WAIT_TICK);
 	}
-	g_mutex_unlock(&lock);
 	return m;
 }
 
 static bool
 send_message(struct mg_connection *c, json_t *m)
 {
-	char *text = json_dumps(m, JSON_COMPACT);
-	struct buf b = { 0 };
-	bool sent;
-
-	buf_printf(&b, "%s\n", text);
-	sent = web_chunk(c, str_of(&b));
-	free(text);
-	buf_free(&b);
-	json_decref(m);
-	return sent;
+	return web_chunk_json(c, "", m, "\n");
 }
 
 /* The first message: created, or cancelled if the history is too short. */
@@ -593,18 +548,20 @@
 run_op(
     const struct op *op, const json_t *req, const char *from, struct answer *a)
 {
-	struct rule *r;
-	bool keep = true;
+	HOLD(&lock);
+	struct rule *r = rule_for(from);
+	json_t *out = op->run(req, a);
 
-	g_mutex_lock(&lock);
-	op->run(req, a);
-	r = rule_for(from);
-	if (op->writes && a->status == 200 && r->lose_answers > 0) {
-		r->lose_answers--;
-		keep = false;
-	}
-	g_mutex_unlock(&lock);
-	return keep;
+	if (store_commit() || op->writes)
+		g_cond_broadcast(&moved);
+	if (op->run == op_keep)
+		a->body = out;
+	else if (out != NULL)
+		a->body = with_header(out);
+	if (!op->writes || a->status != 200 || r->lose_answers == 0)
+		return true;
+	r->lose_answers--;
+	return false;
 }
 
 /* Applies the source's fault; false when the call is not to be run. */
@@ -617,7 +574,7 @@
 
 	g_mutex_lock(&lock);
 	within = count_call(writes);
-	mode = wait_while_hanging(from);
+	mode = wait_for_turn(from, false);
 	slow = rule_for(from)->slow;
 	g_mutex_unlock(&lock);
 	if (mode == MODE_DOWN) {
@@ -627,13 +584,11 @@
 			web_drop(c);
 		return false;
 	}
-	if (!within) {
+	if (!within)
 		web_error(c, 429, "too many calls");
-		return false;
-	}
-	if (mode == MODE_SLOW)
+	else if (mode == MODE_SLOW)
 		web_sleep(slow);
-	return true;
+	return within;
 }
 
 void
@@ -641,11 +596,11 @@
 {
 	const struct op *op = find_op(ri->local_uri);
 	bool watch = strcmp(ri->local_uri, "/v3/watch") == 0;
-	json_t *req = web_body(c);
+	json_auto_t *req = web_body(c);
 	struct answer a = { .status = 200 };
 
 	if (!admit(c, ri->remote_addr, op != NULL && op->writes))
-		goto out;
+		return;
 	if (op == NULL && !watch)
 		web_error(c, 404, "no such call");
 	else if (req == NULL)
@@ -656,9 +611,7 @@
 		web_json(c, a.status, json_incref(a.body));
 	else
 		web_drop(c);
-out:
 	json_decref(a.body);
-	json_decref(req);
 }
 
 static void *
@@ -678,36 +631,24 @@
 kv_init(unsigned calls_per_second)
 {
 	store_init();
-	limit = calls_per_second;
+	limit = (int)calls_per_second;
 	rules = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_thread_unref(g_thread_new("leases", expire_leases, NULL));
 }
 
-static bool
-mode_of(const char *text, enum mode *mode)
-{
-	static const char *const names[] = { "up", "down", "slow", "hang",
-		"quiet" };
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(names); i++)
-		if (strcmp(names[i], text) == 0) {
-			*mode = (enum mode)i;
-			return true;
-		}
-	return text[0] == '\0';
-}
-
 bool
 kv_set_fault(const struct mg_request_info *ri)
 {
-	char mode[16], from[64];
+	static const char *const names[] = { "up", "down", "slow", "hang",
+		"quiet" };
+	char text[16], from[64];
 	struct rule *r = &common;
-	bool good;
+	int mode;
+	HOLD(&lock);
 
-	web_query(ri, "mode", mode, sizeof(mode));
+	web_query(ri, "mode", text, sizeof(text));
 	web_query(ri, "from", from, sizeof(from));
-	g_mutex_lock(&lock);
+	mode = web_index(names, G_N_ELEMENTS(names), text);
 	if (from[0] != '\0') {
 		r = g_hash_table_lookup(rules, from);
 		if (r == NULL) {
@@ -715,36 +656,32 @@
 			g_hash_table_insert(rules, g_strdup(from), r);
 		}
 	}
-	good = mode_of(mode, &r->mode);
+	if (mode >= 0)
+		r->mode = (enum mode)mode;
 	r->slow = USEC_PER_MSEC *
 	    web_query_num(ri, "slow_ms", (long)(r->slow / USEC_PER_MSEC));
 	r->lose_answers = web_query_num(ri, "lose_answers", r->lose_answers);
-	limit = (unsigned)web_query_num(ri, "calls_per_second", limit);
+	limit = (int)web_query_num(ri, "calls_per_second", limit);
 	g_cond_broadcast(&moved);
-	g_mutex_unlock(&lock);
-	return good;
+	return mode >= 0 || text[0] == '\0';
 }
 
 json_t *
 kv_counters(void)
 {
-	json_t *o;
 	usec_t second = clock_now() / USEC_PER_SEC;
-	unsigned last = 0;
+	int last = 0;
+	HOLD(&lock);
 
-	g_mutex_lock(&lock);
 	if (second == seen.second)
 		last = seen.last_second;
 	else if (second == seen.second + 1)
 		last = seen.this_second;
-	o = json_pack("{s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I}", "calls",
-	    (json_int_t)seen.calls, "writes", (json_int_t)seen.writes, "reads",
-	    (json_int_t)seen.reads, "refused", (json_int_t)seen.refused,
-	    "watches", (int)seen.watches, "most_watches",
-	    (int)seen.most_watches, "calls_last_second", (int)last, "revision",
+	return json_pack("{s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I}", "calls",
+	    seen.calls, "writes", seen.writes, "reads", seen.reads, "refused",
+	    seen.refused, "watches", seen.watches, "most_watches",
+	    seen.most_watches, "calls_last_second", last, "revision",
 	    (json_int_t)store_revision());
-	g_mutex_unlock(&lock);
-	return o;
 }
 
 void
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -67,14 +67,13 @@
 #include <unistd.h>
 
 #include "base/ini.h"
-#include "tests/standin/admin.h"
 #include "tests/standin/engine.h"
 #include "tests/standin/hosts.h"
 #include "tests/standin/kv.h"
+#include "tests/standin/stage.h"
 #include "tests/standin/target.h"
 
 #define SMALL_THREADS 32U
-#define N_SERVERS     4
 
 static struct ini ini;
 
@@ -114,12 +113,11 @@
 {
 	static const char *const names[] = { "encode", "retrieve", "rerank",
 		"generate", "plain" };
-	const char *kind = text(section, "kind", "");
-	size_t i;
+	int kind =
+	    web_index(names, G_N_ELEMENTS(names), text(section, "kind", ""));
 
-	for (i = 0; i < G_N_ELEMENTS(names); i++)
-		if (strcmp(names[i], kind) == 0)
-			return (enum target_kind)i;
+	if (kind >= 0)
+		return (enum target_kind)kind;
 	fprintf(stderr, "standin: [%s]: unknown kind\n", section);
 	exit(EXIT_FAILURE);
 }
@@ -214,63 +212,102 @@
 	return r;
 }
 
-static int
-start(const char *targets, struct mg_context *ctx[N_SERVERS])
+static bool
+reset(const struct mg_request_info *ri)
 {
-	const struct {
-		const char *listen;
-		unsigned threads;
-		web_fn fn;
-	} servers[N_SERVERS] = {
-		{ text("kv", "listen", ""), number("threads", "kv", 192),
-		    kv_handle },
-		{ text("hosts", "listen", ""), SMALL_THREADS, hosts_handle },
-		{ text("admin", "listen", ""), SMALL_THREADS, admin_handle },
-		{ targets, number("threads", "targets", 512), target_handle },
-	};
-	int i;
+	(void)ri;
+	kv_reset();
+	target_reset();
+	plain_reset();
+	engine_reset();
+	return true;
+}
+
+static const struct {
+	const char *path;
+	bool (*set)(const struct mg_request_info *ri);
+} setters[] = {
+	{ "/kv", kv_set_fault },
+	{ "/hosts", hosts_change },
+	{ "/target", target_set_fault },
+	{ "/reset", reset },
+};
+
+static const struct {
+	const char *path;
+	json_t *(*get)(void);
+} getters[] = {
+	{ "/kv", kv_counters },
+	{ "/targets", target_counters },
+	{ "/seen", target_seen },
+	{ "/orders", engine_orders },
+};
 
-	for (i = 0; i < N_SERVERS; i++) {
-		if (servers[i].listen[0] == '\0')
+/* What a call of the admin address answers; NULL: it is no such call. */
+static json_t *
+administer(const struct mg_request_info *ri, int *status)
+{
+	char service[64];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(setters); i++) {
+		if (!web_is(ri, "POST", setters[i].path))
 			continue;
-		ctx[i] = web_start(
-		    servers[i].listen, servers[i].threads, servers[i].fn);
-		if (ctx[i] == NULL)
-			return -1;
+		if (setters[i].set(ri))
+			return json_object();
+		*status = 400;
+		return json_pack("{s:s}", "error", "not understood");
 	}
-	return 0;
+	for (i = 0; i < G_N_ELEMENTS(getters); i++)
+		if (web_is(ri, "GET", getters[i].path))
+			return getters[i].get();
+	if (!web_is(ri, "GET", "/effects"))
+		return NULL;
+	web_query(ri, "service", service, sizeof(service));
+	return plain_effects(service);
 }
 
-/* Answers may hang for ever, so that the servers are not stopped in order. */
 static void
-wait_for_end(void)
+admin_handle(struct mg_connection *c, const struct mg_request_info *ri)
 {
-	sigset_t set;
-	int sig;
+	int status = 200;
+	json_t *a = administer(ri, &status);
 
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	sigwait(&set, &sig);
-	_exit(EXIT_SUCCESS);
+	if (a != NULL)
+		web_json(c, status, a);
+	else
+		web_error(c, 404, "no such call");
 }
 
-static void
-block_signals(void)
+static bool
+start(const char *targets)
 {
-	sigset_t set;
+	static struct web_server servers[] = {
+		{ .handle = kv_handle },
+		{ .handle = hosts_handle, .threads = SMALL_THREADS },
+		{ .handle = admin_handle, .threads = SMALL_THREADS },
+		{ .handle = target_handle },
+	};
+	size_t i;
 
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	servers[0].listen = text("kv", "listen", "");
+	servers[0].threads = number("threads", "kv", 192);
+	servers[1].listen = text("hosts", "listen", "");
+	servers[2].listen = text("admin", "listen", "");
+	servers[3].listen = targets;
+	servers[3].threads = number("threads", "targets", 512);
+	for (i = 0; i < G_N_ELEMENTS(servers); i++)
+		if (servers[i].listen[0] != '\0' && !web_start(&servers[i]))
+			return false;
+	return true;
 }
 
 int
 main(int argc, char **argv)
 {
-	struct mg_context *ctx[N_SERVERS] = { NULL };
 	struct buf listen = { 0 };
+	sigset_t set;
+	int sig;
 
 	if (argc != 2) {
 		fprintf(stderr, "usage: standin file.ini\n");
@@ -278,16 +315,19 @@
 	}
 	if (read_file(argv[1]) != 0)
 		return EXIT_FAILURE;
-	block_signals();
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	kv_init(number("kv", "calls_per_second", 0));
 	hosts_init(msec("hosts", "lag_ms", 500));
 	target_init();
 	read_targets(&listen);
-	if (start(listen.p != NULL ? listen.p : "", ctx) != 0)
+	if (!start(listen.p != NULL ? listen.p : ""))
 		return EXIT_FAILURE;
 	printf("ready\n");
 	fflush(stdout);
-	wait_for_end();
-	buf_free(&listen);
-	return EXIT_SUCCESS;
+	sigwait(&set, &sig);
+	/* Answers may hang for ever: the servers are not stopped in order. */
+	_exit(EXIT_SUCCESS);
 }
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -61,22 +61,17 @@
 	return g_tree_lookup(items, key);
 }
 
-static bool
-is_open_end(GBytes *end)
+bool
+store_in_range(GBytes *k, GBytes *key, GBytes *end)
 {
 	gsize n;
 	const char *p = g_bytes_get_data(end, &n);
+	bool open = n == 1 && p[0] == '\0';
 
-	return n == 1 && p[0] == '\0';
-}
-
-bool
-store_in_range(GBytes *k, GBytes *key, GBytes *end)
-{
-	if (g_bytes_get_size(end) == 0)
+	if (n == 0)
 		return g_bytes_equal(k, key);
 	return g_bytes_compare(k, key) >= 0 &&
-	    (is_open_end(end) || g_bytes_compare(k, end) < 0);
+	    (open || g_bytes_compare(k, end) < 0);
 }
 
 GPtrArray *
@@ -152,18 +147,12 @@
 const GPtrArray *
 store_history(int64_t from, unsigned *first)
 {
-	unsigned low = 0, high = history->len;
+	unsigned i = history->len;
 
-	while (low < high) {
-		unsigned mid = low + (high - low) / 2;
-		const struct item *it = history->pdata[mid];
-
-		if (it->modified < from)
-			low = mid + 1;
-		else
-			high = mid;
-	}
-	*first = low;
+	while (i > 0 &&
+	    ((const struct item *)history->pdata[i - 1])->modified >= from)
+		i--;
+	*first = i;
 	return history;
 }
 
@@ -211,7 +200,7 @@
 static void
 delete_keys_of(int64_t id)
 {
-	GPtrArray *keys = g_ptr_array_new();
+	g_autoptr(GPtrArray) keys = g_ptr_array_new();
 	GTreeNode *n = g_tree_node_first(items);
 	unsigned i;
 
@@ -223,7 +212,6 @@
 	}
 	for (i = 0; i < keys->len; i++)
 		store_delete(keys->pdata[i]);
-	g_ptr_array_free(keys, TRUE);
 }
 
 bool
@@ -240,19 +228,15 @@
 store_expire(usec_t now)
 {
 	GHashTableIter it;
-	void *value;
-	int64_t due = 0;
+	struct lease *l;
+	bool any = false;
 
 	g_hash_table_iter_init(&it, leases);
-	while (due == 0 && g_hash_table_iter_next(&it, NULL, &value)) {
-		struct lease *l = value;
-
-		if (l->due <= now)
-			due = l->id;
+	while (g_hash_table_iter_next(&it, NULL, (void **)&l)) {
+		if (l->due > now)
+			continue;
+		any = store_revoke(l->id);
+		g_hash_table_iter_init(&it, leases);
 	}
-	if (due == 0)
-		return false;
-	store_revoke(due);
-	store_expire(now);
-	return true;
+	return any;
 }
--- a/tests/standin/target.c
+++ b/tests/standin/target.c
@@ -4,7 +4,6 @@
 
 #include "tests/standin/engine.h"
 #include "tests/standin/hosts.h"
-#include "tests/standin/plain.h"
 #include "tests/standin/stage.h"
 
 #define SWAP_WAIT   (500 * USEC_PER_MSEC)
@@ -89,21 +88,17 @@
 runner_load(struct runner *r)
 {
 	usec_t then = clock_now() - r->conf->load_lag;
-	unsigned i, back, load = 0;
+	unsigned i;
+	HOLD(&r->lock);
 
-	g_mutex_lock(&r->lock);
-	back = MIN(r->n_loads, LOAD_RING);
-	for (i = 1; i <= back; i++) {
+	for (i = 1; i <= MIN(r->n_loads, LOAD_RING); i++) {
 		const struct load_point *p =
 		    &r->loads[(r->n_loads - i) % LOAD_RING];
 
-		load = p->load;
 		if (p->at <= then)
-			break;
-		load = 0;
+			return (int)p->load;
 	}
-	g_mutex_unlock(&r->lock);
-	return (int)load;
+	return 0;
 }
 
 /* Why a call can't be taken, with the lock held; NULL if it can. */
@@ -134,9 +129,8 @@
 	int status;
 
 	g_mutex_lock(&r->lock);
-	r->calls++;
-	if (left > LATE_AFTER)
-		r->late_calls++;
+	r->counts[COUNT_CALLS]++;
+	r->counts[COUNT_LATE] += left > LATE_AFTER;
 	why = refusal(r, &status);
 	if (why == NULL) {
 		ticket = r->given++;
@@ -144,7 +138,7 @@
 		while (ticket >= r->done + r->conf->batch)
 			g_cond_wait(&r->moved, &r->lock);
 	} else
-		r->failed++;
+		r->counts[COUNT_FAILED]++;
 	g_mutex_unlock(&r->lock);
 	if (why != NULL)
 		web_error(c, status, why);
@@ -154,45 +148,36 @@
 void
 runner_leave(struct runner *r, usec_t began)
 {
-	g_mutex_lock(&r->lock);
+	HOLD(&r->lock);
+
 	r->done++;
 	r->busy += clock_now() - began;
 	note_load(r);
 	g_cond_broadcast(&r->moved);
-	g_mutex_unlock(&r->lock);
 }
 
 unsigned
 runner_running(struct runner *r)
 {
-	uint64_t n;
+	HOLD(&r->lock);
 
-	g_mutex_lock(&r->lock);
-	n = MIN(r->given - r->done, r->conf->batch);
-	g_mutex_unlock(&r->lock);
-	return (unsigned)n;
+	return (unsigned)MIN(r->given - r->done, r->conf->batch);
 }
 
 enum fault
 runner_fault(struct runner *r)
 {
-	enum fault f;
+	HOLD(&r->lock);
 
-	g_mutex_lock(&r->lock);
-	f = r->fault;
-	g_mutex_unlock(&r->lock);
-	return f;
+	return r->fault;
 }
 
 usec_t
 runner_slowed(struct runner *r, usec_t t)
 {
-	usec_t factor;
+	HOLD(&r->lock);
 
-	g_mutex_lock(&r->lock);
-	factor = r->fault == FAULT_SLOW ? r->factor : 1;
-	g_mutex_unlock(&r->lock);
-	return t * factor;
+	return r->fault == FAULT_SLOW ? t * r->factor : t;
 }
 
 json_t *
@@ -200,8 +185,8 @@
 {
 	struct swap mine = { .answer = answer }, *other;
 	gint64 until = g_get_monotonic_time() + SWAP_WAIT;
+	HOLD(&r->lock);
 
-	g_mutex_lock(&r->lock);
 	if (r->fault == FAULT_SWAP && r->swap != NULL) {
 		other = r->swap;
 		r->swap = NULL;
@@ -217,7 +202,6 @@
 		if (!mine.done)
 			r->swap = NULL;
 	}
-	g_mutex_unlock(&r->lock);
 	return mine.answer;
 }
 
@@ -241,11 +225,11 @@
 }
 
 void
-runner_count(struct runner *r, uint64_t *counter, uint64_t n)
+runner_count(struct runner *r, enum count c)
 {
-	g_mutex_lock(&r->lock);
-	*counter += n;
-	g_mutex_unlock(&r->lock);
+	HOLD(&r->lock);
+
+	r->counts[c]++;
 }
 
 void
@@ -253,14 +237,12 @@
 {
 	answer = runner_swap(r, answer);
 	web_sleep(r->conf->network);
-	if (runner_silent(r, c)) {
+	if (runner_silent(r, c))
 		json_decref(answer);
-		return;
-	}
-	if (web_json(c, 200, answer))
-		runner_count(r, &r->completed, 1);
 	else
-		runner_count(r, &r->cancelled, 1);
+		runner_count(r,
+		    web_json(c, 200, answer) ? COUNT_COMPLETED
+					     : COUNT_CANCELLED);
 }
 
 static void
@@ -280,56 +262,42 @@
 static void
 note_seen(const struct runner *r, const json_t *body)
 {
-	const char *id = json_string_value(json_object_get(body, "request_id"));
-	char *name = g_strdup(id != NULL ? id : "");
+	g_autofree char *name = g_strdup(web_text(body, "request_id"));
 	char *dot = strrchr(name, '.');
 	json_int_t n;
+	HOLD(&seen_lock);
 
 	if (r->conf->kind == KIND_GENERATE && dot != NULL)
 		*dot = '\0';
-	g_mutex_lock(&seen_lock);
 	n = json_integer_value(json_object_get(seen, name));
 	json_object_set_new(seen, name, json_integer(n + 1));
-	g_mutex_unlock(&seen_lock);
-	g_free(name);
 }
 
 json_t *
 target_seen(void)
 {
-	json_t *copy;
+	HOLD(&seen_lock);
 
-	g_mutex_lock(&seen_lock);
-	copy = json_deep_copy(seen);
-	g_mutex_unlock(&seen_lock);
-	return copy;
+	return json_deep_copy(seen);
 }
 
 static void
 work(
     struct runner *r, struct mg_connection *c, const struct mg_request_info *ri)
 {
-	json_t *body = web_body(c);
+	json_auto_t *body = web_body(c);
 
 	if (body == NULL) {
 		web_error(c, 400, "the body is no JSON object");
 		return;
 	}
 	note_seen(r, body);
-	switch (r->conf->kind) {
-	case KIND_GENERATE:
+	if (r->conf->kind == KIND_GENERATE)
 		engine_generate(r, c, body);
-		break;
-	case KIND_PLAIN:
+	else if (r->conf->kind == KIND_PLAIN)
 		plain_call(r, c, body);
-		break;
-	case KIND_ENCODE:
-	case KIND_RETRIEVE:
-	case KIND_RERANK:
+	else
 		stage_call(r, c, ri, body);
-		break;
-	}
-	json_decref(body);
 }
 
 static void
@@ -367,69 +335,66 @@
 		route(r, c, ri);
 }
 
-static bool
-fault_of(const char *text, enum fault *f)
-{
-	static const char *const names[] = { "none", "slow", "fail",
-		"fail_half", "silent", "refuse", "swap", "leaving", "cut" };
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(names); i++)
-		if (strcmp(names[i], text) == 0) {
-			*f = (enum fault)i;
-			return true;
-		}
-	return false;
-}
-
 static void
 set_fault(struct runner *r, enum fault f, long factor)
 {
-	g_mutex_lock(&r->lock);
+	HOLD(&r->lock);
+
 	r->fault = f;
 	r->fault_at = clock_now();
 	r->since_fault = 0;
 	r->factor = factor;
 	g_cond_broadcast(&r->moved);
-	g_mutex_unlock(&r->lock);
 }
 
-/* Whether an asked name is absent or is the one that the runner has. */
+/* Whether all that is asked for is the runner's, and anything is asked for. */
 static bool
-matches(const char *asked, const char *has)
+is_asked(const struct runner *r, const struct mg_request_info *ri)
 {
-	return asked[0] == '\0' || strcmp(asked, has) == 0;
+	const struct {
+		const char *name, *has;
+	} parts[] = { { "address", r->address },
+		{ "service", r->conf->service },
+		{ "failure_domain", r->domain } };
+	char asked[64];
+	bool any = false;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(parts); i++) {
+		web_query(ri, parts[i].name, asked, sizeof(asked));
+		if (asked[0] == '\0')
+			continue;
+		if (strcmp(asked, parts[i].has) != 0)
+			return false;
+		any = true;
+	}
+	return any;
 }
 
 bool
 target_set_fault(const struct mg_request_info *ri)
 {
-	char address[64], service[64], domain[64], fault[16];
+	static const char *const names[] = { "none", "slow", "fail",
+		"fail_half", "silent", "refuse", "swap", "leaving", "cut" };
+	long factor = web_query_num(ri, "factor", SLOW_FACTOR);
 	long version = web_query_num(ri, "fail_version", -1);
-	enum fault f = FAULT_NONE;
-	bool known, any = false;
+	char text[16];
+	bool any = false;
 	unsigned i;
+	int f;
 
-	web_query(ri, "address", address, sizeof(address));
-	web_query(ri, "service", service, sizeof(service));
-	web_query(ri, "failure_domain", domain, sizeof(domain));
-	web_query(ri, "fault", fault, sizeof(fault));
-	known = fault_of(fault, &f);
-	if (!known && (fault[0] != '\0' || version < 0))
-		return false;
-	if (address[0] == '\0' && service[0] == '\0' && domain[0] == '\0')
+	web_query(ri, "fault", text, sizeof(text));
+	f = web_index(names, G_N_ELEMENTS(names), text);
+	if (f < 0 && (text[0] != '\0' || version < 0))
 		return false;
 	for (i = 0; i < runners->len; i++) {
 		struct runner *r = runners->pdata[i];
 
-		if (!matches(address, r->address) ||
-		    !matches(service, r->conf->service) ||
-		    !matches(domain, r->domain))
+		if (!is_asked(r, ri))
 			continue;
 		any = true;
-		if (known)
-			set_fault(
-			    r, f, web_query_num(ri, "factor", SLOW_FACTOR));
+		if (f >= 0)
+			set_fault(r, (enum fault)f, factor);
 		if (version >= 0 && r->engine != NULL)
 			engine_fail_version(r->engine, version);
 	}
@@ -439,21 +404,20 @@
 static json_t *
 json_of_runner(struct runner *r)
 {
+	static const char *const names[N_COUNTS] = { "calls", "failed",
+		"completed", "cancelled", "tokens", "cached_prompts",
+		"calls_after_leaving_3s" };
 	json_t *o;
+	size_t i;
+	HOLD(&r->lock);
 
-	g_mutex_lock(&r->lock);
-	o = json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}",
-	    "address", r->address, "service", r->conf->service,
-	    "failure_domain", r->domain, "calls", (json_int_t)r->calls,
-	    "failed", (json_int_t)r->failed, "completed",
-	    (json_int_t)r->completed, "cancelled", (json_int_t)r->cancelled,
-	    "tokens", (json_int_t)r->tokens, "cached_prompts",
-	    (json_int_t)r->cached, "busy_ms",
+	o = json_pack("{s:s,s:s,s:s,s:I,s:I,s:I}", "address", r->address,
+	    "service", r->conf->service, "failure_domain", r->domain, "busy_ms",
 	    (json_int_t)(r->busy / USEC_PER_MSEC), "in_flight",
 	    (json_int_t)(r->given - r->done), "most_in_flight",
-	    (json_int_t)r->most, "calls_after_leaving_3s",
-	    (json_int_t)r->late_calls);
-	g_mutex_unlock(&r->lock);
+	    (json_int_t)r->most);
+	for (i = 0; i < N_COUNTS; i++)
+		json_object_set_new(o, names[i], json_integer(r->counts[i]));
 	return o;
 }
 
@@ -480,8 +444,7 @@
 		struct runner *r = runners->pdata[i];
 
 		g_mutex_lock(&r->lock);
-		r->calls = r->failed = r->completed = r->cancelled = 0;
-		r->tokens = r->cached = r->late_calls = 0;
+		memset(r->counts, 0, sizeof(r->counts));
 		r->most = r->given - r->done;
 		r->busy = 0;
 		g_mutex_unlock(&r->lock);
--- a/tests/standin/target.h
+++ b/tests/standin/target.h
@@ -2,8 +2,6 @@
 #ifndef STANDIN_TARGET_H
 #define STANDIN_TARGET_H
 
-#include <glib.h>
-
 #include "tests/standin/web.h"
 
 #define LOAD_RING 256U
@@ -30,6 +28,17 @@
 	FAULT_CUT
 };
 
+enum count {
+	COUNT_CALLS,
+	COUNT_FAILED,
+	COUNT_COMPLETED,
+	COUNT_CANCELLED,
+	COUNT_TOKENS,
+	COUNT_CACHED,
+	COUNT_LATE,
+	N_COUNTS
+};
+
 /* A [target NAME] section. */
 struct target_conf {
 	enum target_kind kind;
@@ -77,8 +86,7 @@
 	struct swap *swap;
 	struct load_point loads[LOAD_RING];
 	unsigned n_loads;
-	uint64_t calls, failed, completed, cancelled, tokens, cached;
-	uint64_t late_calls;
+	json_int_t counts[N_COUNTS];
 	uint64_t most;
 	usec_t busy;
 };
@@ -116,6 +124,6 @@
 bool runner_silent(struct runner *r, struct mg_connection *c);
 /* Sends an answer after the network's delay and counts it. */
 void runner_answer(struct runner *r, struct mg_connection *c, json_t *answer);
-void runner_count(struct runner *r, uint64_t *counter, uint64_t n);
+void runner_count(struct runner *r, enum count c);
 
 #endif
--- a/tests/standin/web.c
+++ b/tests/standin/web.c
@@ -1,10 +1,8 @@
 #include "tests/standin/web.h"
 
-#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #define BODY_MAX    ((size_t)16 << 20)
 #define READ_SIZE   ((size_t)65536)
@@ -16,9 +14,9 @@
 on_request(struct mg_connection *c)
 {
 	const struct mg_request_info *ri = mg_get_request_info(c);
-	web_fn fn = *(web_fn *)ri->user_data;
+	const struct web_server *s = ri->user_data;
 
-	fn(c, ri);
+	s->handle(c, ri);
 	return 1;
 }
 
@@ -58,32 +56,23 @@
 	return true;
 }
 
-struct mg_context *
-web_start(const char *listen, unsigned threads, web_fn fn)
+bool
+web_start(const struct web_server *s)
 {
 	struct mg_callbacks cb = { .begin_request = on_request,
 		.init_connection = on_open,
 		.connection_closed = on_closed,
 		.log_message = on_log };
-	char n[16];
-	const char *options[] = { "listening_ports", listen, "num_threads", n,
-		"tcp_nodelay", "1", "enable_keep_alive", "yes",
+	g_autofree char *n = g_strdup_printf("%u", s->threads);
+	const char *options[] = { "listening_ports", s->listen, "num_threads",
+		n, "tcp_nodelay", "1", "enable_keep_alive", "yes",
 		"keep_alive_timeout_ms", IDLE_MS, "request_timeout_ms", IDLE_MS,
 		"listen_backlog", BACKLOG, "connection_queue", BACKLOG, NULL };
-	web_fn *data = xcalloc(1, sizeof(*data));
-	struct mg_context *ctx;
 
-	if (!loopback_only(listen)) {
-		fprintf(stderr, "standin: %s is no loopback address\n", listen);
-		free(data);
-		return NULL;
-	}
-	snprintf(n, sizeof(n), "%u", threads);
-	*data = fn;
-	ctx = mg_start(&cb, data, options);
-	if (ctx == NULL)
-		free(data);
-	return ctx;
+	if (loopback_only(s->listen))
+		return mg_start(&cb, (void *)s, options) != NULL;
+	fprintf(stderr, "standin: %s is no loopback address\n", s->listen);
+	return false;
 }
 
 json_t *
@@ -110,8 +99,9 @@
 	return j;
 }
 
-bool
-web_json(struct mg_connection *c, int status, json_t *body)
+static bool
+send_json(
+    struct mg_connection *c, int status, const char *headers, json_t *body)
 {
 	char *text =
 	    json_dumps(body, JSON_COMPACT | JSON_REAL_PRECISION(REAL_DIGITS));
@@ -120,8 +110,9 @@
 
 	buf_printf(&b,
 	    "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
-	    "Content-Length: %zu\r\n\r\n%s",
-	    status, mg_get_response_code_text(c, status), strlen(text), text);
+	    "%sContent-Length: %zu\r\n\r\n%s",
+	    status, mg_get_response_code_text(c, status), headers, strlen(text),
+	    text);
 	sent = mg_write(c, b.p, b.n) == (int)b.n;
 	free(text);
 	json_decref(body);
@@ -129,6 +120,20 @@
 	return sent;
 }
 
+bool
+web_json(struct mg_connection *c, int status, json_t *body)
+{
+	return send_json(c, status, "", body);
+}
+
+bool
+web_tagged(struct mg_connection *c, const char *tag, json_t *body)
+{
+	g_autofree char *header = g_strdup_printf("ETag: %s\r\n", tag);
+
+	return send_json(c, 200, header, body);
+}
+
 void
 web_error(struct mg_connection *c, int status, const char *text)
 {
@@ -165,6 +170,37 @@
 	return sent;
 }
 
+bool
+web_chunk_json(
+    struct mg_connection *c, const char *before, json_t *o, const char *after)
+{
+	char *json = json_dumps(o, JSON_COMPACT);
+	g_autofree char *text = g_strconcat(before, json, after, NULL);
+
+	free(json);
+	json_decref(o);
+	return web_chunk(c, str_from(text));
+}
+
+const char *
+web_text(const json_t *o, const char *name)
+{
+	const char *t = json_string_value(json_object_get(o, name));
+
+	return t != NULL ? t : "";
+}
+
+int
+web_index(const char *const *words, size_t n, const char *word)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (strcmp(words[i], word) == 0)
+			return (int)i;
+	return -1;
+}
+
 void
 web_query(
     const struct mg_request_info *ri, const char *name, char *out, size_t cap)
@@ -204,11 +240,8 @@
 void
 web_sleep(usec_t t)
 {
-	struct timespec ts = { t / USEC_PER_SEC, t % USEC_PER_SEC * 1000 };
-
 	if (t > 0)
-		while (nanosleep(&ts, &ts) < 0 && errno == EINTR)
-			;
+		g_usleep((gulong)t);
 }
 
 void
--- a/tests/standin/web.h
+++ b/tests/standin/web.h
@@ -3,20 +3,31 @@
 #define STANDIN_WEB_H
 
 #include <civetweb.h>
+#include <glib.h>
 #include <jansson.h>
 
 #include "base/clock.h"
 #include "base/str.h"
 
-typedef void (*web_fn)(
-    struct mg_connection *c, const struct mg_request_info *ri);
+/* Holds a GMutex until the end of the block. */
+#define HOLD(lock) \
+	g_autoptr(GMutexLocker) G_GNUC_UNUSED hold = g_mutex_locker_new(lock)
 
-/* Listens on "127.x.y.z:port", or a comma list of them; NULL on failure. */
-struct mg_context *web_start(const char *listen, unsigned threads, web_fn fn);
+struct web_server {
+	const char *listen; /* "127.x.y.z:port", or a comma list of them */
+	unsigned threads;
+	void (*handle)(
+	    struct mg_connection *c, const struct mg_request_info *ri);
+};
+
+/* False on failure; the server's description must stay. */
+bool web_start(const struct web_server *s);
 /* The request's body as a JSON object (owned), or NULL. */
 json_t *web_body(struct mg_connection *c);
 /* Sends one JSON answer; takes over the body.  False when it can't be sent. */
 bool web_json(struct mg_connection *c, int status, json_t *body);
+/* As web_json() with status 200 and an entity tag. */
+bool web_tagged(struct mg_connection *c, const char *tag, json_t *body);
 /* As web_json(), with {"error": text}. */
 void web_error(struct mg_connection *c, int status, const char *text);
 /* Closes the connection without an answer. */
@@ -24,6 +35,13 @@
 /* Opens a streamed answer of the type; false when it can't be sent. */
 bool web_stream(struct mg_connection *c, const char *type);
 bool web_chunk(struct mg_connection *c, struct str s);
+/* Sends JSON between two texts as a chunk; takes over the JSON. */
+bool web_chunk_json(
+    struct mg_connection *c, const char *before, json_t *o, const char *after);
+/* A member's text; "" when it is absent. */
+const char *web_text(const json_t *o, const char *name);
+/* The place of a word among n, or -1. */
+int web_index(const char *const *words, size_t n, const char *word);
 /* A query parameter; "" when it is absent. */
 void web_query(
     const struct mg_request_info *ri, const char *name, char *out, size_t cap);
