--- a/tests/kernel/explore_writer.c
+++ b/tests/kernel/explore_writer.c
@@ -93,34 +93,17 @@
 	return id;
 }
 
-static int
-admit(void *arg, const json_t *payload)
-{
-	return claims_ops.admit(((struct writer *)arg)->claims, payload);
-}
+/* The node of the writer at work. */
+static struct node *at_work;
 
 static void
-apply(void *arg, const json_t *payload, uint64_t serial)
+apply(void *claims, const json_t *payload, uint64_t serial)
 {
-	struct writer *w = arg;
-
 	g_assert_cmpuint(serial, <, MAX_SERIAL);
 	for (uint64_t s = serial; s < MAX_SERIAL; s++)
-		w->out->twice |= w->out->folded[s] != 0;
-	w->out->folded[serial] = intern_json(payload);
-	claims_ops.apply(w->claims, payload, serial);
-}
-
-static usec_t
-keep_from(void *arg)
-{
-	return claims_ops.keep_from(((struct writer *)arg)->claims);
-}
-
-static void
-dropped(void *arg, usec_t from)
-{
-	claims_ops.dropped(((struct writer *)arg)->claims, from);
+		at_work->twice |= at_work->folded[s] != 0;
+	at_work->folded[serial] = intern_json(payload);
+	claims_ops.apply(claims, payload, serial);
 }
 
 static void
@@ -151,17 +134,14 @@
 static void
 log_happens(struct writer *w, const struct happening *h)
 {
-	static const struct alog_ops ops = { .admit = admit,
-		.apply = apply,
-		.keep_from = keep_from,
-		.dropped = dropped };
+	static struct alog_ops ops;
 	struct alog_opts o = { .key = HEAD_KEY,
 		.incarnation = w->self + 1,
 		.seal_bytes =
 		    w->self < scenario->sealers ? 1 : ALOG_MAX_PAYLOAD,
 		.batch_bytes = ALOG_MAX_PAYLOAD,
 		.ops = &ops,
-		.arg = w };
+		.arg = w->claims };
 	struct alog_answer a = { .id = h->id,
 		.status = (enum alog_status)h->status,
 		.revision = h->revision,
@@ -173,6 +153,8 @@
 
 	switch ((enum happening_kind)h->kind) {
 	case HAPPENING_START:
+		ops = claims_ops;
+		ops.apply = apply;
 		w->log = alog_new(&o);
 		break;
 	case HAPPENING_ASK:
@@ -240,7 +222,7 @@
 {
 	json_t *payload = json_loads(interned(value).p, 0, NULL);
 
-	apply(w, payload, w->numbered.next++);
+	apply(w->claims, payload, w->numbered.next++);
 	json_decref(payload);
 }
 
@@ -301,6 +283,7 @@
 		history[n++] = writers_node(at)->why;
 	}
 	w.self = (unsigned)(-1 - at);
+	at_work = out;
 	claims_tick(w.claims, NOW, RETENTION);
 	while (n-- > 0) {
 		out->n_sent = 0;
--- a/tests/kernel/session.c
+++ b/tests/kernel/session.c
@@ -128,52 +128,40 @@
 }
 
 static void
-later_call(
-    struct session *s, usec_t at, enum event_kind kind, uint64_t call, int x)
-{
-	struct event *ev = &later(s, at, NULL)->event;
-
-	ev->kind = kind;
-	switch (kind) {
-	case EVENT_HEAD:
-		ev->head.call = call;
-		ev->head.status = x;
-		break;
-	case EVENT_FAIL:
-		ev->fail.call = call;
-		ev->fail.why = (enum call_failure)x;
-		break;
-	default:
-		ev->end.call = call;
-		break;
-	}
+later_chunk(struct session *s, usec_t at, uint64_t call, char *text)
+{
+	later(s, at, text)->event = (struct event){ .kind = EVENT_CHUNK,
+		.chunk = { call, str_from(text) } };
 }
 
 static void
-later_chunk(struct session *s, usec_t at, uint64_t call, char *text)
+later_end(struct session *s, usec_t at, uint64_t call)
+{
+	later(s, at, NULL)->event =
+	    (struct event){ .kind = EVENT_END, .end = { call } };
+}
+
+static void
+later_fail(struct session *s, usec_t at, uint64_t call, enum call_failure why)
 {
-	struct pending *p = later(s, at, text);
+	later(s, at, NULL)->event =
+	    (struct event){ .kind = EVENT_FAIL, .fail = { call, why } };
+}
 
-	p->event.kind = EVENT_CHUNK;
-	p->event.chunk.call = call;
-	p->event.chunk.bytes = str_from(text);
+static void
+later_head(struct session *s, usec_t at, uint64_t call, int status)
+{
+	later(s, at, NULL)->event =
+	    (struct event){ .kind = EVENT_HEAD, .head = { call, status } };
 }
 
+/* The call of an event; those of calls all begin with its number. */
 static uint64_t
 call_of(const struct event *ev)
 {
-	switch (ev->kind) {
-	case EVENT_HEAD:
-		return ev->head.call;
-	case EVENT_CHUNK:
-		return ev->chunk.call;
-	case EVENT_END:
-		return ev->end.call;
-	case EVENT_FAIL:
-		return ev->fail.call;
-	default:
-		return 0;
-	}
+	bool calls = ev->kind >= EVENT_HEAD && ev->kind <= EVENT_FAIL;
+
+	return calls ? ev->end.call : 0;
 }
 
 static void
@@ -232,7 +220,7 @@
 		at += r->gap;
 	}
 	if (cut) {
-		later_call(s, at, EVENT_FAIL, call, FAILURE_BROKEN);
+		later_fail(s, at, call, FAILURE_BROKEN);
 		return;
 	}
 	later_chunk(s, at, call,
@@ -240,7 +228,7 @@
 			    "\"\", \"finish_reason\": \"stop\"}], \"load\": 1}"
 			    "\n\ndata: [DONE]\n\n",
 		id));
-	later_call(s, at, EVENT_END, call, 0);
+	later_end(s, at, call);
 }
 
 /* The events of one JSON object as answer. */
@@ -258,7 +246,7 @@
 		      id, stage, c->addr)
 		: g_strdup_printf(
 		      "{\"call_id\": \"%s\", \"by\": \"%s\"}", id, c->addr));
-	later_call(s, at, EVENT_END, c->call, 0);
+	later_end(s, at, c->call);
 }
 
 /* What a target answers to a call, by the rule that matches it. */
@@ -276,14 +264,14 @@
 	if (strcmp(r->mode, "silent") == 0)
 		goto out;
 	if (strcmp(r->mode, "fail") == 0 || strcmp(r->mode, "refuse") == 0) {
-		later_call(s, at, EVENT_FAIL, c->call,
+		later_fail(s, at, c->call,
 		    strcmp(r->mode, "fail") == 0 ? FAILURE_BROKEN
 						 : FAILURE_CONNECT);
 		goto out;
 	}
 	if (strcmp(r->mode, "ok") == 0 || strcmp(r->mode, "cut") == 0 ||
 	    strcmp(r->mode, "foreign") == 0) {
-		later_call(s, at, EVENT_HEAD, c->call, 200);
+		later_head(s, at, c->call, 200);
 		if (id == NULL || strcmp(r->mode, "foreign") == 0)
 			id = "another";
 		if (stream)
@@ -292,13 +280,13 @@
 			play_object(s, r, c, body, id);
 		goto out;
 	}
-	later_call(s, at, EVENT_HEAD, c->call,
+	later_head(s, at, c->call,
 	    strcmp(r->mode, "absent") == 0      ? 404
 		: strcmp(r->mode, "error") == 0 ? 500
 						: 503);
 	later_chunk(
 	    s, at, c->call, g_strdup_printf("{\"error\": \"%s\"}", r->mode));
-	later_call(s, at, EVENT_END, c->call, 0);
+	later_end(s, at, c->call);
 out:
 	json_decref(body);
 }
@@ -315,17 +303,15 @@
 	if (*r->what != '\0')
 		result = result_of(str_from(r->what));
 	p = later(s, s->now + r->latency, g_strdup(r->answer));
-	p->event.kind = EVENT_CLAIM;
-	p->event.claim.req = a->claim.req;
-	p->event.claim.result = result;
-	p->event.claim.outcome = r->outcome;
-	p->event.claim.answer = str_from(p->text);
+	p->event = (struct event){ .kind = EVENT_CLAIM,
+		.claim = {
+		    a->claim.req, result, r->outcome, str_from(p->text) } };
 }
 
-static const char *
-name_of(const struct session *s, uint64_t req)
+static bool
+is_quiet_request(const struct session *s, uint64_t req)
 {
-	return g_ptr_array_index(s->names, req - 1);
+	return *show_name(s->names, req) == '~';
 }
 
 /* Whether an action belongs to a request that leaves no text. */
@@ -335,18 +321,18 @@
 	switch (a->kind) {
 	case ACTION_CALL:
 		g_assert_cmpuint(a->call.call, <, MAX_PENDING);
-		s->quiet[a->call.call] = *name_of(s, a->call.req) == '~';
+		s->quiet[a->call.call] = is_quiet_request(s, a->call.req);
 		return s->quiet[a->call.call];
 	case ACTION_CANCEL:
 		return s->quiet[a->cancel.call];
 	case ACTION_CLAIM:
 	case ACTION_REFUSE:
 	case ACTION_SETTLE:
-		return *name_of(s, a->claim.req) == '~';
+		return is_quiet_request(s, a->claim.req);
 	case ACTION_PIECE:
-		return *name_of(s, a->piece.req) == '~';
+		return is_quiet_request(s, a->piece.req);
 	case ACTION_ANSWER:
-		return *name_of(s, a->answer.req) == '~';
+		return is_quiet_request(s, a->answer.req);
 	}
 	return false;
 }
@@ -500,6 +486,7 @@
 plain_event(struct session *s, struct str verb, struct str what, struct str l)
 {
 	struct event ev = { .kind = EVENT_DRAIN };
+	struct str word = { NULL, 0 };
 	uint64_t n = 0;
 
 	if (str_eq(verb, STR("gone"))) {
@@ -510,21 +497,16 @@
 		ev.claim.req = handle_of(s, what);
 		ev.claim.result = result_of(l);
 	} else if (str_eq(verb, STR("load"))) {
-		struct str word;
+		bool leaving = field(l, "leaving").n > 0;
 
-		ev.kind = EVENT_LOAD;
-		ev.load.addr = what;
-		ev.load.leaving = field(l, "leaving").n > 0;
 		str_cut(&l, ' ', &word);
 		g_assert_true(str_u64(word, &n));
-		ev.load.load = (uint32_t)n;
+		ev = (struct event){ .kind = EVENT_LOAD,
+			.load = { what, (uint32_t)n, leaving } };
 	} else if (str_eq(verb, STR("end")) || str_eq(verb, STR("fail"))) {
 		g_assert_true(str_u64(what, &n));
 		ev.kind = str_eq(verb, STR("end")) ? EVENT_END : EVENT_FAIL;
-		if (ev.kind == EVENT_END)
-			ev.end.call = n;
-		else
-			ev.fail.call = n;
+		ev.end.call = n;
 	} else if (!str_eq(verb, STR("drain"))) {
 		g_error("no such line: %.*s", STR_FMT(verb));
 	}
@@ -534,6 +516,9 @@
 static void
 run_line(struct session *s, struct str l)
 {
+	static const char *const rules[] = { [RULE_TARGET] = "target",
+		[RULE_CLAIM] = "claims",
+		[RULE_REFUSAL] = "refusals" };
 	struct str whole = l;
 	struct str verb = { NULL, 0 };
 	struct str what = { NULL, 0 };
@@ -544,16 +529,10 @@
 		return;
 	}
 	str_cut(&l, ' ', &what);
-	if (str_eq(verb, STR("target"))) {
-		add_rule(s, RULE_TARGET, what, l);
-		return;
-	}
-	if (str_eq(verb, STR("claims"))) {
-		add_rule(s, RULE_CLAIM, what, l);
-		return;
-	}
-	if (str_eq(verb, STR("refusals"))) {
-		add_rule(s, RULE_REFUSAL, what, l);
+	for (size_t i = 0; i < G_N_ELEMENTS(rules); i++) {
+		if (!str_eq(verb, str_from(rules[i])))
+			continue;
+		add_rule(s, (enum rule_kind)i, what, l);
 		return;
 	}
 	if (what.n == 0 || *what.p != '~')
--- a/tests/kernel/show.c
+++ b/tests/kernel/show.c
@@ -2,8 +2,8 @@
 
 #include <jansson.h>
 
-static const char *
-name_of(const GPtrArray *names, uint64_t req)
+const char *
+show_name(const GPtrArray *names, uint64_t req)
 {
 	return g_ptr_array_index(names, req - 1);
 }
@@ -38,7 +38,7 @@
 print_call(const struct action_call *c, const GPtrArray *names, struct buf *out)
 {
 	buf_printf(out, "call %llu for %s to %s: %s %s in %lld ms%s%s\n",
-	    (unsigned long long)c->call, name_of(names, c->req), c->addr,
+	    (unsigned long long)c->call, show_name(names, c->req), c->addr,
 	    method_name(c->method), c->path.p,
 	    (long long)(c->timeout / USEC_PER_MSEC), c->fresh ? " fresh" : "",
 	    c->once ? " once" : "");
@@ -51,7 +51,7 @@
     const GPtrArray *names, struct buf *out)
 {
 	buf_printf(out, "%s %s: %s/%s/%s attempt %u", what,
-	    name_of(names, c->req), c->workspace.p, c->pipeline.p, c->key,
+	    show_name(names, c->req), c->workspace.p, c->pipeline.p, c->key,
 	    c->attempt);
 	if (c->answer.n > 0)
 		buf_printf(out, " %s", c->answer.p);
@@ -61,7 +61,7 @@
 print_answer(
     const struct action_answer *a, const GPtrArray *names, struct buf *out)
 {
-	buf_printf(out, "answer to %s: %s", name_of(names, a->req),
+	buf_printf(out, "answer to %s: %s", show_name(names, a->req),
 	    outcome_name(a->outcome));
 	if (a->error != ERR_OK)
 		buf_printf(out, " %s (%s)", err_name(a->error), a->detail);
@@ -97,7 +97,7 @@
 		break;
 	case ACTION_PIECE:
 		buf_printf(out, "piece for %s: \"%s\"\n",
-		    name_of(names, a->piece.req), a->piece.text.p);
+		    show_name(names, a->piece.req), a->piece.text.p);
 		break;
 	case ACTION_ANSWER:
 		print_answer(&a->answer, names, out);
--- a/tests/kernel/show.h
+++ b/tests/kernel/show.h
@@ -6,6 +6,8 @@
 
 #include <glib.h>
 
+/* The name of a request. */
+const char *show_name(const GPtrArray *names, uint64_t req);
 /* Appends an action; names holds those of requests, by handle less 1. */
 void show_action(
     const struct action *a, const GPtrArray *names, struct buf *out);
--- a/tests/kernel/test_alog.c
+++ b/tests/kernel/test_alog.c
@@ -43,19 +43,6 @@
 	g_free(v);
 }
 
-static struct store
-store_new(void)
-{
-	return (struct store){ .keys = g_hash_table_new_full(g_str_hash,
-				   g_str_equal, g_free, value_free) };
-}
-
-static void
-store_free(struct store *s)
-{
-	g_hash_table_destroy(s->keys);
-}
-
 static void
 store_put(struct store *s, const char *key, struct str text)
 {
@@ -186,6 +173,30 @@
 	}
 }
 
+/* A store with two hosts. */
+struct world {
+	struct store s;
+	struct host h;
+	struct host r;
+};
+
+static void
+world_start(struct world *w, size_t seal_bytes, const struct alog_ops *ops)
+{
+	w->s = (struct store){ .keys = g_hash_table_new_full(g_str_hash,
+				   g_str_equal, g_free, value_free) };
+	host_start(&w->h, &w->s, 1, seal_bytes, ops);
+	host_start(&w->r, &w->s, 2, seal_bytes, ops);
+}
+
+static void
+world_stop(struct world *w)
+{
+	host_stop(&w->h);
+	host_stop(&w->r);
+	g_hash_table_destroy(w->s.keys);
+}
+
 /*
  * Carries out all requests.  One character of faults for each: '.' fine,
  * 'b' lost before its effect, 'a' lost after it; fine when there is no more.
@@ -239,74 +250,68 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct store s = store_new();
-		struct host h, r;
+		struct world w;
 		const char *rest = cases[i].faults;
 
-		host_start(&h, &s, 1, NO_SEAL, &plain);
-		host_start(&r, &s, 2, NO_SEAL, &plain);
-		append(&h, 0, "x", 1, RECENT);
+		world_start(&w, NO_SEAL, &plain);
+		append(&w.h, 0, "x", 1, RECENT);
 		if (cases[i].rival) {
 			struct alog_request q[2];
 
-			pump(&r, "");
+			pump(&w.r, "");
 			for (size_t j = 0; j < 2; j++) {
 				struct alog_answer a = { .status = ALOG_LOST };
 
-				g_assert_true(alog_request(h.log, &q[j]));
+				g_assert_true(alog_request(w.h.log, &q[j]));
 				if (rest[j] != 'b')
-					a = store_do(&s, &q[j]);
+					a = store_do(&w.s, &q[j]);
 				a.id = q[j].id;
 				if (rest[j] != '.')
 					a.status = ALOG_LOST;
 				if (j == 1) {
-					append(&r, 0, "r", 2, RECENT);
-					pump(&r, "");
+					append(&w.r, 0, "r", 2, RECENT);
+					pump(&w.r, "");
 				}
-				alog_answer(h.log, &a);
+				alog_answer(w.h.log, &a);
 				alog_request_free(&q[j]);
 			}
 			rest = "";
 		}
-		pump(&h, rest);
-		pump(&r, "");
-		g_assert_cmpint(h.result[0], ==, ALOG_ACCEPTED);
+		pump(&w.h, rest);
+		pump(&w.r, "");
+		g_assert_cmpint(w.h.result[0], ==, ALOG_ACCEPTED);
 		g_assert_cmpuint(
-		    alog_counts(h.log).requests, ==, cases[i].requests);
-		g_assert_cmpstr(h.folded->str, ==, cases[i].log);
-		host_stop(&h);
-		host_stop(&r);
-		store_free(&s);
+		    alog_counts(w.h.log).requests, ==, cases[i].requests);
+		g_assert_cmpstr(w.h.folded->str, ==, cases[i].log);
+		world_stop(&w);
 	}
 }
 
 static void
 test_group(void)
 {
-	struct store s = store_new();
-	struct host h;
+	struct world w;
 	json_t *deny = json_pack("{s:s, s:b}", "name", "d", "deny", 1);
 
-	host_start(&h, &s, 1, NO_SEAL, &plain);
-	pump(&h, "");
-	append(&h, 0, "a", 1, RECENT);
-	append(&h, 1, "b", 2, RECENT);
-	append(&h, 2, "c", 3, RECENT);
-	append(&h, 3, "B", 2, RECENT);
-	append(&h, 4, "w", 4, RECENT);
-	alog_append(h.log, 5, 5, RECENT, deny);
-	g_assert_true(alog_cancel(h.log, 4));
-	g_assert_false(alog_cancel(h.log, 0));
-	pump(&h, "");
-	g_assert_cmpstr(h.folded->str, ==, "abcB");
-	g_assert_cmpint(h.result[4], ==, ALOG_WITHDRAWN);
-	g_assert_cmpint(h.result[5], ==, ALOG_DENIED);
-	g_assert_cmpint(h.code, ==, DENY_CODE);
-	g_assert_cmpuint(alog_counts(h.log).swaps, ==, 3);
-	g_assert_cmpuint(alog_counts(h.log).requests, ==, 4);
+	world_start(&w, NO_SEAL, &plain);
+	pump(&w.h, "");
+	append(&w.h, 0, "a", 1, RECENT);
+	append(&w.h, 1, "b", 2, RECENT);
+	append(&w.h, 2, "c", 3, RECENT);
+	append(&w.h, 3, "B", 2, RECENT);
+	append(&w.h, 4, "w", 4, RECENT);
+	alog_append(w.h.log, 5, 5, RECENT, deny);
+	g_assert_true(alog_cancel(w.h.log, 4));
+	g_assert_false(alog_cancel(w.h.log, 0));
+	pump(&w.h, "");
+	g_assert_cmpstr(w.h.folded->str, ==, "abcB");
+	g_assert_cmpint(w.h.result[4], ==, ALOG_WITHDRAWN);
+	g_assert_cmpint(w.h.result[5], ==, ALOG_DENIED);
+	g_assert_cmpint(w.h.code, ==, DENY_CODE);
+	g_assert_cmpuint(alog_counts(w.h.log).swaps, ==, 3);
+	g_assert_cmpuint(alog_counts(w.h.log).requests, ==, 4);
 	json_decref(deny);
-	host_stop(&h);
-	store_free(&s);
+	world_stop(&w);
 }
 
 /* What the store holds beside the head. */
@@ -344,29 +349,26 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct store s = store_new();
-		struct host h, late, fresh;
-
-		host_start(&h, &s, 1, 1, cases[i].ops);
-		host_start(&late, &s, 2, 1, cases[i].ops);
-		pump(&h, "");
-		append_all(&h, "a", RECENT, cases[i].faults);
-		pump(&late, "");
-		append_all(&h, "bcdefghijklmnop", RECENT, cases[i].faults);
-		g_assert_cmpstr(h.folded->str, ==, "abcdefghijklmnop");
-		g_assert_cmpuint(n_segments(&s), >, 1);
-		alog_refresh(late.log);
-		pump(&late, "");
-		g_assert_cmpstr(late.folded->str, ==, "abcdefghijklmnop");
-		host_start(&fresh, &s, 3, 1, cases[i].ops);
+		struct world w;
+		struct host fresh;
+
+		world_start(&w, 1, cases[i].ops);
+		pump(&w.h, "");
+		append_all(&w.h, "a", RECENT, cases[i].faults);
+		pump(&w.r, "");
+		append_all(&w.h, "bcdefghijklmnop", RECENT, cases[i].faults);
+		g_assert_cmpstr(w.h.folded->str, ==, "abcdefghijklmnop");
+		g_assert_cmpuint(n_segments(&w.s), >, 1);
+		alog_refresh(w.r.log);
+		pump(&w.r, "");
+		g_assert_cmpstr(w.r.folded->str, ==, "abcdefghijklmnop");
+		host_start(&fresh, &w.s, 3, 1, cases[i].ops);
 		pump(&fresh, "");
 		g_assert_cmpstr(fresh.folded->str, ==, "abcdefghijklmnop");
 		g_assert_cmpuint(alog_counts(fresh.log).requests, ==,
-		    cases[i].reads_segments ? n_segments(&s) + 1 : 1);
-		host_stop(&h);
-		host_stop(&late);
+		    cases[i].reads_segments ? n_segments(&w.s) + 1 : 1);
 		host_stop(&fresh);
-		store_free(&s);
+		world_stop(&w);
 	}
 }
 
@@ -374,85 +376,73 @@
 static void
 test_retention(void)
 {
-	struct store s = store_new();
-	struct host h, late;
-
-	host_start(&h, &s, 1, 1, &plain);
-	host_start(&late, &s, 2, 1, &plain);
-	pump(&late, "");
-	append_all(&h, "abcdef", OLD_TIME, "");
-	append_all(&h, "ghijkl", RECENT, "");
-	g_assert_cmpuint(s.deletes, ==, 0);
-	h.keep_from = RECENT;
-	append_all(&h, "m", RECENT, "");
-	g_assert_cmpuint(s.deletes, >, 0);
-	g_assert_cmpuint(n_segments(&s), >, 0);
-	alog_refresh(late.log);
-	pump(&late, "");
-	g_assert_cmpuint(alog_serial(late.log), ==, alog_serial(h.log));
-	g_assert_true(g_str_has_suffix(late.folded->str, "ghijklm"));
-	g_assert_cmpint(late.dropped, ==, RECENT);
-	g_assert_true(g_str_has_suffix(h.folded->str, late.folded->str));
-	host_stop(&h);
-	host_stop(&late);
-	store_free(&s);
+	struct world w;
+
+	world_start(&w, 1, &plain);
+	pump(&w.r, "");
+	append_all(&w.h, "abcdef", OLD_TIME, "");
+	append_all(&w.h, "ghijkl", RECENT, "");
+	g_assert_cmpuint(w.s.deletes, ==, 0);
+	w.h.keep_from = RECENT;
+	append_all(&w.h, "m", RECENT, "");
+	g_assert_cmpuint(w.s.deletes, >, 0);
+	g_assert_cmpuint(n_segments(&w.s), >, 0);
+	alog_refresh(w.r.log);
+	pump(&w.r, "");
+	g_assert_cmpuint(alog_serial(w.r.log), ==, alog_serial(w.h.log));
+	g_assert_true(g_str_has_suffix(w.r.folded->str, "ghijklm"));
+	g_assert_cmpint(w.r.dropped, ==, RECENT);
+	g_assert_true(g_str_has_suffix(w.h.folded->str, w.r.folded->str));
+	world_stop(&w);
 }
 
 /* A segment whose place another writer's took is deleted. */
 static void
 test_orphan(void)
 {
-	struct store s = store_new();
-	struct host h, r;
+	struct world w;
 	struct alog_request q;
 	struct alog_answer a;
 
-	host_start(&h, &s, 1, 1, &plain);
-	host_start(&r, &s, 2, 1, &plain);
-	append_all(&h, "a", RECENT, "");
-	pump(&r, "");
-	append(&h, 1, "b", 1, RECENT);
-	g_assert_true(alog_request(h.log, &q));
+	world_start(&w, 1, &plain);
+	append_all(&w.h, "a", RECENT, "");
+	pump(&w.r, "");
+	append(&w.h, 1, "b", 1, RECENT);
+	g_assert_true(alog_request(w.h.log, &q));
 	g_assert_cmpint(q.kind, ==, ALOG_CREATE);
-	a = store_do(&s, &q);
-	append_all(&r, "z", RECENT, "");
-	alog_answer(h.log, &a);
-	pump(&h, "");
+	a = store_do(&w.s, &q);
+	append_all(&w.r, "z", RECENT, "");
+	alog_answer(w.h.log, &a);
+	pump(&w.h, "");
 	alog_request_free(&q);
-	g_assert_cmpstr(h.folded->str, ==, "azb");
-	g_assert_cmpuint(s.deletes, ==, 1);
-	host_stop(&h);
-	host_stop(&r);
-	store_free(&s);
+	g_assert_cmpstr(w.h.folded->str, ==, "azb");
+	g_assert_cmpuint(w.s.deletes, ==, 1);
+	world_stop(&w);
 }
 
 /* A watch is worth a read; what it repeats or tells late is ignored. */
 static void
 test_watch(void)
 {
-	struct store s = store_new();
-	struct host h, r;
+	struct world w;
 	struct value *v;
 	char *old;
 
-	host_start(&h, &s, 1, NO_SEAL, &plain);
-	host_start(&r, &s, 2, NO_SEAL, &plain);
-	pump(&r, "");
-	append_all(&h, "a", RECENT, "");
-	v = g_hash_table_lookup(s.keys, HEAD);
+	world_start(&w, NO_SEAL, &plain);
+	pump(&w.r, "");
+	append_all(&w.h, "a", RECENT, "");
+	v = g_hash_table_lookup(w.s.keys, HEAD);
 	old = g_strdup(v->text->str);
-	alog_watched(r.log, v->revision, str_from(old));
-	append_all(&h, "b", RECENT, "");
-	v = g_hash_table_lookup(s.keys, HEAD);
-	alog_watched(r.log, v->revision, str_from(v->text->str));
-	alog_watched(r.log, v->revision, str_from(v->text->str));
-	alog_watched(r.log, v->revision - 1, str_from(old));
-	g_assert_cmpstr(r.folded->str, ==, "ab");
-	g_assert_cmpuint(alog_counts(r.log).requests, ==, 1);
+	alog_watched(w.r.log, v->revision, str_from(old));
+	append_all(&w.h, "b", RECENT, "");
+	v = g_hash_table_lookup(w.s.keys, HEAD);
+	alog_watched(w.r.log, v->revision, str_from(v->text->str));
+	alog_watched(w.r.log, v->revision, str_from(v->text->str));
+	alog_watched(w.r.log, v->revision - 1, str_from(old));
+	g_assert_cmpstr(w.r.folded->str, ==, "ab");
+	g_assert_cmpuint(alog_counts(w.r.log).requests, ==, 1);
 	g_free(old);
-	host_stop(&h);
-	host_stop(&r);
-	store_free(&s);
+	world_stop(&w);
 }
 
 #define EMPTY_HEAD                                               \
@@ -487,33 +477,31 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct store s = store_new();
-		struct host h;
-
-		if (cases[i].before != NULL)
-			store_put(&s, HEAD, str_from(cases[i].before));
-		host_start(&h, &s, 1, NO_SEAL, &plain);
-		if (cases[i].before != NULL)
-			pump(&h, "");
+		struct world w;
+
+		world_start(&w, NO_SEAL, &plain);
+		if (cases[i].before != NULL) {
+			store_put(&w.s, HEAD, str_from(cases[i].before));
+			pump(&w.h, "");
+		}
 		if (cases[i].head != NULL)
-			store_put(&s, HEAD, str_from(cases[i].head));
+			store_put(&w.s, HEAD, str_from(cases[i].head));
 		else
-			g_hash_table_remove(s.keys, HEAD);
-		alog_refresh(h.log);
-		append(&h, 0, "a", 1, RECENT);
-		pump(&h, "");
-		g_assert_nonnull(alog_error(h.log));
+			g_hash_table_remove(w.s.keys, HEAD);
+		alog_refresh(w.h.log);
+		append(&w.h, 0, "a", 1, RECENT);
+		pump(&w.h, "");
+		g_assert_nonnull(alog_error(w.h.log));
 		g_assert_nonnull(
-		    strstr(alog_error(h.log)->text, cases[i].error));
-		g_assert_cmpint(h.result[0], ==, ALOG_WITHDRAWN);
-		append(&h, 1, "b", 1, RECENT);
-		alog_refresh(h.log);
-		pump(&h, "");
-		g_assert_cmpint(h.result[1], ==, ALOG_WITHDRAWN);
-		g_assert_cmpuint(s.revision, ==,
+		    strstr(alog_error(w.h.log)->text, cases[i].error));
+		g_assert_cmpint(w.h.result[0], ==, ALOG_WITHDRAWN);
+		append(&w.h, 1, "b", 1, RECENT);
+		alog_refresh(w.h.log);
+		pump(&w.h, "");
+		g_assert_cmpint(w.h.result[1], ==, ALOG_WITHDRAWN);
+		g_assert_cmpuint(w.s.revision, ==,
 		    (cases[i].before != NULL) + (cases[i].head != NULL));
-		host_stop(&h);
-		store_free(&s);
+		world_stop(&w);
 	}
 }
 
@@ -521,28 +509,27 @@
 static void
 test_size(void)
 {
-	struct store s = store_new();
-	struct host h;
+	struct world w;
 	char *text = g_strnfill(ALOG_MAX_PAYLOAD, 'x');
 	json_t *big = json_pack("{s:s}", "name", text);
 	json_t *fits;
 
-	host_start(&h, &s, 1, NO_SEAL, &plain);
-	pump(&h, "");
+	world_start(&w, NO_SEAL, &plain);
+	pump(&w.h, "");
 	g_assert_cmpint(
-	    alog_append(h.log, 0, 0, RECENT, big), ==, ERR_TOO_LARGE);
+	    alog_append(w.h.log, 0, 0, RECENT, big), ==, ERR_TOO_LARGE);
 	text[ALOG_MAX_PAYLOAD / 2] = '\0';
 	fits = json_pack("{s:s}", "name", text);
 	for (uint64_t i = 0; i < MAX_TAGS; i++)
-		g_assert_cmpint(alog_append(h.log, i, i, RECENT, fits), ==, 0);
-	pump(&h, "");
-	g_assert_cmpuint(alog_serial(h.log), ==, MAX_TAGS);
-	g_assert_null(alog_error(h.log));
+		g_assert_cmpint(
+		    alog_append(w.h.log, i, i, RECENT, fits), ==, 0);
+	pump(&w.h, "");
+	g_assert_cmpuint(alog_serial(w.h.log), ==, MAX_TAGS);
+	g_assert_null(alog_error(w.h.log));
 	json_decref(big);
 	json_decref(fits);
 	g_free(text);
-	host_stop(&h);
-	store_free(&s);
+	world_stop(&w);
 }
 
 int
--- a/tests/kernel/test_alog_explore.c
+++ b/tests/kernel/test_alog_explore.c
@@ -487,14 +487,8 @@
 	return violation;
 }
 
-#define CLAIM(w, key, n)                    \
-	{                                   \
-		w, CLAIM_STEP_CLAIM, key, n \
-	}
-#define REFUSE(w, key, n)                    \
-	{                                    \
-		w, CLAIM_STEP_REFUSE, key, n \
-	}
+#define CLAIM(w, key, n)  ((struct ask){ w, CLAIM_STEP_CLAIM, key, n })
+#define REFUSE(w, key, n) ((struct ask){ w, CLAIM_STEP_REFUSE, key, n })
 
 static void
 test_log(void)
--- a/tests/kernel/test_claims.c
+++ b/tests/kernel/test_claims.c
@@ -54,22 +54,12 @@
 	return claims_verdict(c, cl, &d);
 }
 
-#define CLAIM(h, n, want)                    \
-	{                                    \
-		CLAIM_STEP_CLAIM, h, n, want \
-	}
-#define REFUSE(h, n, want)                    \
-	{                                     \
-		CLAIM_STEP_REFUSE, h, n, want \
-	}
-#define SETTLE(h, n, want, out, ans)                       \
-	{                                                  \
-		CLAIM_STEP_SETTLE, h, n, want, out, 0, ans \
-	}
-#define DONE(step, h, n, out, ans)                        \
-	{                                                 \
-		step, h, n, CLAIM_TAKEN_DONE, out, 0, ans \
-	}
+#define CLAIM(h, n, want)  ((struct ask){ CLAIM_STEP_CLAIM, h, n, want })
+#define REFUSE(h, n, want) ((struct ask){ CLAIM_STEP_REFUSE, h, n, want })
+#define SETTLE(h, n, want, out, ans) \
+	((struct ask){ CLAIM_STEP_SETTLE, h, n, want, out, 0, ans })
+#define DONE(step, h, n, out, ans) \
+	((struct ask){ step, h, n, CLAIM_TAKEN_DONE, out, 0, ans })
 
 static void
 test_decisions(void)
--- a/tests/kernel/test_fuzz_kernel.c
+++ b/tests/kernel/test_fuzz_kernel.c
@@ -262,13 +262,11 @@
 {
 	static const int statuses[] = { 200, 200, 200, 200, 201, 404, 500,
 		503 };
-	struct event ev = { .kind = EVENT_HEAD };
+	int status = statuses[below(f, G_N_ELEMENTS(statuses))];
 
-	ev.head.call = id;
-	ev.head.status = statuses[below(f, G_N_ELEMENTS(statuses))];
 	if (id <= f->n_calls && f->calls[id].open)
-		f->calls[id].status = ev.head.status;
-	step(f, &ev);
+		f->calls[id].status = status;
+	step(f, &(struct event){ .kind = EVENT_HEAD, .head = { id, status } });
 }
 
 static void
@@ -277,7 +275,6 @@
 	static const char *const junk[] = { "data: {}\n\n", "{", "\n", "null",
 		"{\"error\": \"busy\"}", "{\"error\": \"leaving\"}",
 		"{\"call_id\": \"x\", \"document\": {}}" };
-	struct event ev = { .kind = EVENT_CHUNK };
 	struct seen_call *x = id <= f->n_calls ? &f->calls[id] : NULL;
 	g_autofree char *text = NULL;
 	unsigned long long req = x != NULL ? x->req : 0;
@@ -293,11 +290,11 @@
 		text = g_strdup_printf("{\"call_id\": \"%s\", \"load\": %d, "
 				       "\"document\": {\"m\": \"for-%llu;\"}}",
 		    x->id, (int)below(f, 9) - 1, req);
-	ev.chunk.call = id;
-	ev.chunk.bytes = str_from(text);
 	if (x != NULL && x->open)
 		g_string_append(x->body, text);
-	step(f, &ev);
+	step(f,
+	    &(struct event){
+		.kind = EVENT_CHUNK, .chunk = { id, str_from(text) } });
 }
 
 /* What the test must know of a call before the kernel learns its end. */
@@ -328,7 +325,6 @@
 static void
 send_end(struct fuzz *f, uint64_t id)
 {
-	struct event ev = { .kind = EVENT_END };
 	const struct seen_call *x = &f->calls[id <= f->n_calls ? id : 0];
 	bool leaving = refused(x, "{\"error\": \"leaving\"}");
 	bool busy = refused(x, "{\"error\": \"busy\"}");
@@ -336,19 +332,16 @@
 	if (leaving)
 		leaves(f, x->target);
 	note_end(f, id, busy || leaving);
-	ev.end.call = id;
-	step(f, &ev);
+	step(f, &(struct event){ .kind = EVENT_END, .end = { id } });
 }
 
 static void
 send_fail(struct fuzz *f, uint64_t id)
 {
-	struct event ev = { .kind = EVENT_FAIL };
+	enum call_failure why = (enum call_failure)below(f, 3);
 
-	ev.fail.call = id;
-	ev.fail.why = (enum call_failure)below(f, 3);
-	note_end(f, id, ev.fail.why == FAILURE_CONNECT);
-	step(f, &ev);
+	note_end(f, id, why == FAILURE_CONNECT);
+	step(f, &(struct event){ .kind = EVENT_FAIL, .fail = { id, why } });
 }
 
 static void
@@ -387,7 +380,6 @@
 list_targets(struct fuzz *f)
 {
 	struct listed_target list[N_TARGETS] = { 0 };
-	struct event ev = { .kind = EVENT_TARGETS };
 	size_t n = 0;
 
 	for (uint32_t i = 0; i < N_TARGETS; i++) {
@@ -408,9 +400,8 @@
 		    t->state == TARGET_LIVE && f->left_until[i] <= f->highest;
 		n++;
 	}
-	ev.targets.v = list;
-	ev.targets.n = n;
-	step(f, &ev);
+	step(f,
+	    &(struct event){ .kind = EVENT_TARGETS, .targets = { list, n } });
 }
 
 static void
@@ -451,7 +442,7 @@
 static void
 random_step(struct fuzz *f)
 {
-	struct event ev = { .kind = EVENT_GONE };
+	uint64_t req;
 
 	switch (below(f, 24)) {
 	case 0 ... 4:
@@ -479,8 +470,8 @@
 			load(f);
 		break;
 	case 20:
-		ev.gone.req = 1 + below(f, f->n_reqs + 2);
-		step(f, &ev);
+		req = 1 + below(f, f->n_reqs + 2);
+		step(f, &(struct event){ .kind = EVENT_GONE, .gone = { req } });
 		break;
 	default:
 		pass_time(f);
@@ -515,11 +506,10 @@
 fuzz_seed(struct conf *conf, uint64_t seed)
 {
 	struct fuzz *f = g_new0(struct fuzz, 1);
-	struct event ev = { .kind = EVENT_CONF };
+	struct event ev = { .kind = EVENT_CONF, .conf = { conf } };
 
 	rng_init(&f->rng, seed);
 	f->k = kernel_new(&(struct kernel_opts){ seed, "a" });
-	ev.conf.conf = conf;
 	step(f, &ev);
 	for (int i = 0; i < STEPS; i++)
 		random_step(f);
--- a/tests/kernel/test_overload.c
+++ b/tests/kernel/test_overload.c
@@ -177,23 +177,19 @@
 end_job(struct load *l, unsigned runner, guint at)
 {
 	struct job j = g_array_index(l->jobs[runner], struct job, at);
-	struct event ev = { .kind = EVENT_HEAD };
 	g_autofree char *text = NULL;
 
 	g_array_remove_index(l->jobs[runner], at);
 	text = g_strdup_printf(
 	    "{\"call_id\": \"%s\", \"load\": %u, \"document\": {}}", j.id,
 	    l->jobs[runner]->len + 1);
-	ev.head.call = j.call;
-	ev.head.status = 200;
-	step(l, j.node, &ev);
-	ev = (struct event){ .kind = EVENT_CHUNK };
-	ev.chunk.call = j.call;
-	ev.chunk.bytes = str_from(text);
-	step(l, j.node, &ev);
-	ev = (struct event){ .kind = EVENT_END };
-	ev.end.call = j.call;
-	step(l, j.node, &ev);
+	step(l, j.node,
+	    &(struct event){ .kind = EVENT_HEAD, .head = { j.call, 200 } });
+	step(l, j.node,
+	    &(struct event){
+		.kind = EVENT_CHUNK, .chunk = { j.call, str_from(text) } });
+	step(
+	    l, j.node, &(struct event){ .kind = EVENT_END, .end = { j.call } });
 }
 
 /* Ends what is due at a runner and starts what waits there. */
@@ -220,16 +216,15 @@
 list_targets(struct load *l, unsigned node)
 {
 	struct listed_target v[RUNNERS] = { 0 };
-	struct event ev = { .kind = EVENT_TARGETS };
 
 	for (unsigned i = 0; i < RUNNERS; i++) {
 		g_strlcpy(v[i].service, i < QUICK ? "quick" : "slow",
 		    sizeof(v[i].service));
 		g_snprintf(v[i].addr, sizeof(v[i].addr), "10.0.%u.1:80", i);
 	}
-	ev.targets.v = v;
-	ev.targets.n = RUNNERS;
-	step(l, node, &ev);
+	step(l, node,
+	    &(struct event){
+		.kind = EVENT_TARGETS, .targets = { v, RUNNERS } });
 }
 
 static bool
@@ -302,11 +297,10 @@
 run(const struct load_case *c, struct conf *conf, uint64_t seed)
 {
 	struct load *l = g_new0(struct load, 1);
-	struct event ev = { .kind = EVENT_CONF };
+	struct event ev = { .kind = EVENT_CONF, .conf = { conf } };
 	usec_t next[N_WORKSPACES] = { 0 };
 
 	l->c = c;
-	ev.conf.conf = conf;
 	rng_init(&l->rng, seed);
 	for (unsigned r = 0; r < RUNNERS; r++)
 		l->jobs[r] = g_array_new(false, false, sizeof(struct job));
--- a/tests/load/direct.c
+++ b/tests/load/direct.c
@@ -1,11 +1,11 @@
 #include "tests/load/direct.h"
+#include "tests/load/samples.h"
 
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
 
 #define CALL_TIMEOUT (20 * USEC_PER_SEC)
-#define STEP         (1 * USEC_PER_MSEC)
 
 /* Durations of one of the two ways. */
 struct way {
@@ -14,18 +14,18 @@
 	GArray *whole;
 };
 
-/* A call that is waited for; each event with text counts as a token. */
+/* A call whose tokens are timed: each event with text counts as one. */
 struct exchange {
-	struct buf body;
-	struct way *way; /* NULL: tokens are not timed */
+	struct fetch fetch; /* goes first */
+	struct way *way;
 	usec_t began;
 	usec_t token_at;
-	bool done;
 };
 
 static void
-note_tokens(struct exchange *x, struct str bytes)
+note_tokens(struct fetch *f, struct str bytes)
 {
+	struct exchange *x = (struct exchange *)f;
 	usec_t now = clock_now();
 	usec_t d = now - (x->token_at != 0 ? x->token_at : x->began);
 	struct buf b = { 0 };
@@ -43,38 +43,20 @@
 	buf_free(&b);
 }
 
-static void
-on_http(void *arg, const struct http_event *ev)
-{
-	struct exchange *x = arg;
-
-	if (ev->kind == HTTP_CHUNK) {
-		buf_put(&x->body, ev->bytes);
-		if (x->way != NULL)
-			note_tokens(x, ev->bytes);
-	} else if (ev->kind != HTTP_HEAD) {
-		x->done = true;
-	}
-}
-
 static void
 exchange(struct http_loop *l, struct exchange *x, const char *url,
     const char *const *headers, json_t *body)
 {
 	char *text = json_dumps(body, JSON_COMPACT);
 
-	http_start(l,
-	    &(struct http_opts){
+	fetch_wait(&x->fetch, l,
+	    (struct http_opts){
 		.method = "POST",
 		.url = url,
 		.body = str_from(text),
 		.headers = headers,
 		.timeout = CALL_TIMEOUT,
-		.handler = on_http,
-		.arg = x,
 	    });
-	while (!x->done)
-		http_run(l, STEP);
 	free(text);
 	json_decref(body);
 }
@@ -128,27 +110,28 @@
 	usec_t d;
 
 	while (str_cut(&rest, ' ', &part)) {
-		struct exchange x = { .began = began };
+		struct exchange x = { .way = w, .began = began };
 		char section[64];
 		char url[128];
 		const char *kind;
+		bool stream;
 		json_t *answer;
 
 		snprintf(
 		    section, sizeof(section), "target %.*s", STR_FMT(part));
 		kind = plan_word(p, section, "kind", NULL);
-		if (strcmp(kind, "generate") == 0)
-			x.way = w;
+		stream = strcmp(kind, "generate") == 0;
+		x.fetch.chunk = stream ? note_tokens : NULL;
 		snprintf(url, sizeof(url), "http://%s/v1/%s",
 		    plan_word(p, section, "listen", NULL),
-		    x.way != NULL ? "completions" : kind);
+		    stream ? "completions" : kind);
 		exchange(
 		    l, &x, url, NULL, make_call(&p->mixes[0], kind, document));
-		answer = json_loadb(x.body.p, x.body.n, 0, NULL);
+		answer = json_loadb(x.fetch.body.p, x.fetch.body.n, 0, NULL);
 		json_object_update(
 		    document, json_object_get(answer, "document"));
 		json_decref(answer);
-		buf_free(&x.body);
+		buf_free(&x.fetch.body);
 	}
 	d = clock_now() - began;
 	g_array_append_val(w->whole, d);
@@ -158,7 +141,7 @@
 go_path(struct plan *p, struct http_loop *l, json_t *document, struct way *w)
 {
 	const struct mix *m = &p->mixes[0];
-	struct exchange x = { .began = clock_now(), .way = w };
+	struct exchange x = { { .chunk = note_tokens }, w, clock_now(), 0 };
 	char auth[128];
 	char url[128];
 	const char *const headers[] = { auth, "Accept: text/event-stream",
@@ -170,44 +153,28 @@
 	    plan_word(p, "run", "net", "127.0.0"),
 	    (unsigned)plan_number(p, "run", "port", NULL), m->pipeline);
 	exchange(l, &x, url, headers, json_incref(document));
-	buf_free(&x.body);
+	buf_free(&x.fetch.body);
 	d = clock_now() - x.began;
 	g_array_append_val(w->whole, d);
 }
 
-static int
-by_time(const void *a, const void *b)
-{
-	usec_t x = *(const usec_t *)a;
-	usec_t y = *(const usec_t *)b;
-
-	return x < y ? -1 : x > y;
-}
-
-static double
-quantile_ms(const GArray *v, double at)
-{
-	guint i = v->len > 0 ? (guint)((v->len - 1) * at) : 0;
-
-	if (v->len == 0)
-		return 0;
-	return (double)g_array_index(v, usec_t, i) / (double)USEC_PER_MSEC;
-}
-
 static json_t *
 show(GArray *v)
 {
-	g_array_sort(v, by_time);
-	return json_pack("{s:i, s:f, s:f}", "n", (int)v->len, "p50_ms",
-	    quantile_ms(v, 0.5), "p95_ms", quantile_ms(v, 0.95));
+	static const struct quantile qs[] = { { "p50_ms", 0.5 },
+		{ "p95_ms", 0.95 } };
+	json_t *o = samples_quantiles(v, qs, G_N_ELEMENTS(qs));
+
+	json_object_set_new(o, "n", json_integer(v->len));
+	g_array_free(v, TRUE);
+	return o;
 }
 
 json_t *
 direct_measure(struct plan *p, struct http_loop *loop, uint32_t n)
 {
-	static const char *const names[] = { "direct", "path" };
 	struct way ways[2];
-	json_t *all = json_object();
+	json_t *all[2];
 
 	for (int k = 0; k < 2; k++)
 		ways[k] =
@@ -223,14 +190,9 @@
 			go_path(p, loop, document, &ways[1]);
 		json_decref(document);
 	}
-	for (int k = 0; k < 2; k++) {
-		json_object_set_new(all, names[k],
-		    json_pack("{s:o, s:o, s:o}", "first_token",
-			show(ways[k].first), "between_tokens",
-			show(ways[k].gap), "whole", show(ways[k].whole)));
-		g_array_free(ways[k].first, TRUE);
-		g_array_free(ways[k].gap, TRUE);
-		g_array_free(ways[k].whole, TRUE);
-	}
-	return all;
+	for (int k = 0; k < 2; k++)
+		all[k] = json_pack("{s:o, s:o, s:o}", "first_token",
+		    show(ways[k].first), "between_tokens", show(ways[k].gap),
+		    "whole", show(ways[k].whole));
+	return json_pack("{s:o, s:o}", "direct", all[0], "path", all[1]);
 }
--- a/tests/load/report.c
+++ b/tests/load/report.c
@@ -1,16 +1,10 @@
 #include "tests/load/report.h"
+#include "tests/load/samples.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #define FETCH_TIMEOUT (5 * USEC_PER_SEC)
-#define FETCH_STEP    (20 * USEC_PER_MSEC)
-
-/* An answer that is waited for. */
-struct fetch {
-	struct buf body;
-	bool done;
-};
 
 /* Counts of a set of results. */
 struct tally {
@@ -20,17 +14,6 @@
 	size_t got[GOT_KINDS];
 };
 
-static void
-on_fetch(void *arg, const struct http_event *ev)
-{
-	struct fetch *f = arg;
-
-	if (ev->kind == HTTP_CHUNK)
-		buf_put(&f->body, ev->bytes);
-	else if (ev->kind != HTTP_HEAD)
-		f->done = true;
-}
-
 /* The body that a GET gets; empty when it fails.  The header may be NULL. */
 static struct buf
 fetch(
@@ -40,16 +23,12 @@
 	struct buf url = { 0 };
 
 	buf_printf(&url, "http://%s%s", addr, path);
-	http_start(l,
-	    &(struct http_opts){
+	fetch_wait(&f, l,
+	    (struct http_opts){
 		.url = url.p,
 		.headers = (const char *const[]){ header, NULL },
 		.timeout = FETCH_TIMEOUT,
-		.handler = on_fetch,
-		.arg = &f,
 	    });
-	while (!f.done)
-		http_run(l, FETCH_STEP);
 	buf_free(&url);
 	return f.body;
 }
@@ -71,6 +50,13 @@
 	return &g_array_index(o->results, struct result, i);
 }
 
+/* The error that a result tells, or else its verdict. */
+static const char *
+error_of(const struct result *r)
+{
+	return *r->error != '\0' ? r->error : verdict_name(r->verdict);
+}
+
 static bool
 in_time(const struct result *r)
 {
@@ -78,41 +64,24 @@
 }
 
 static double
-share(double part, double whole)
+number(const json_t *o, const char *key)
 {
-	return whole > 0 ? part / whole : 0;
+	return json_number_value(json_object_get(o, key));
 }
 
-static int
-by_time(const void *a, const void *b)
+static double
+share(double part, double whole)
 {
-	usec_t x = *(const usec_t *)a;
-	usec_t y = *(const usec_t *)b;
-
-	return x < y ? -1 : x > y;
+	return whole > 0 ? part / whole : 0;
 }
 
-/* Quantiles in milliseconds; sorts the array. */
 static json_t *
 quantiles(GArray *v)
 {
-	static const struct {
-		const char *name;
-		double at;
-	} qs[] = { { "p50", 0.5 }, { "p95", 0.95 }, { "p99", 0.99 },
-		{ "max", 1 } };
-	json_t *o = json_object();
-
-	g_array_sort(v, by_time);
-	for (size_t i = 0; i < G_N_ELEMENTS(qs); i++) {
-		usec_t t = v->len > 0
-		    ? g_array_index(v, usec_t, (guint)((v->len - 1) * qs[i].at))
-		    : 0;
-
-		json_object_set_new(o, qs[i].name,
-		    json_real((double)t / (double)USEC_PER_MSEC));
-	}
-	return o;
+	static const struct quantile qs[] = { { "p50", 0.5 }, { "p95", 0.95 },
+		{ "p99", 0.99 }, { "max", 1 } };
+
+	return samples_quantiles(v, qs, G_N_ELEMENTS(qs));
 }
 
 /* Quantiles of one duration over the judged results that have it. */
@@ -196,8 +165,7 @@
 
 	for (size_t i = 0; i < o->results->len; i++) {
 		const struct result *r = at(o, i);
-		const char *name =
-		    *r->error != '\0' ? r->error : verdict_name(r->verdict);
+		const char *name = error_of(r);
 
 		if (r->r.warm || in_time(r))
 			continue;
@@ -216,8 +184,7 @@
 
 	for (size_t i = 0; i < o->results->len; i++) {
 		const struct result *r = at(o, i);
-		const char *name =
-		    *r->error != '\0' ? r->error : verdict_name(r->verdict);
+		const char *name = error_of(r);
 		char header[128];
 		char path[128];
 		struct buf b;
@@ -276,8 +243,7 @@
 static void
 add(json_t *o, const char *key, double v)
 {
-	json_object_set_new(
-	    o, key, json_real(json_number_value(json_object_get(o, key)) + v));
+	json_object_set_new(o, key, json_real(number(o, key) + v));
 }
 
 /* The counters of the stand-ins summed by service. */
@@ -302,8 +268,7 @@
 			json_object_set_new(all, name, s);
 		}
 		for (size_t k = 0; k < G_N_ELEMENTS(keys); k++)
-			add(s, keys[k],
-			    json_number_value(json_object_get(x, keys[k])));
+			add(s, keys[k], number(x, keys[k]));
 	}
 	return all;
 }
@@ -325,7 +290,7 @@
 		good += in_time(at(o, i));
 	json_object_foreach(all, name, s)
 	{
-		double calls = json_number_value(json_object_get(s, "calls"));
+		double calls = number(s, "calls");
 		double useful = 0;
 
 		for (size_t i = 0; i < o->results->len; i++) {
@@ -333,16 +298,10 @@
 				useful +=
 				    times_in(at(o, i)->r.mix->calls, name);
 		}
-		json_object_set_new(
-		    s, "wasted", json_real(1 - share(useful, calls)));
-		json_object_set_new(s, "busy_ms_per_good",
-		    json_real(
-			share(json_number_value(json_object_get(s, "busy_ms")),
-			    (double)good)));
-		json_object_set_new(s, "cache_hits",
-		    json_real(share(
-			json_number_value(json_object_get(s, "cached_prompts")),
-			calls)));
+		add(s, "wasted", 1 - share(useful, calls));
+		add(s, "busy_ms_per_good",
+		    share(number(s, "busy_ms"), (double)good));
+		add(s, "cache_hits", share(number(s, "cached_prompts"), calls));
 	}
 	json_decref(targets);
 	return all;
--- a/tests/load/table.c
+++ b/tests/load/table.c
@@ -7,7 +7,9 @@
 /* A column: where its number stands in a report, and how it is shown. */
 struct column {
 	const char *title;
-	double (*get)(const json_t *report);
+	const char *member;
+	const char *part;                    /* of the member, unless NULL */
+	double (*get)(const json_t *report); /* if it stands nowhere */
 	double factor;
 	int digits;
 };
@@ -20,12 +22,6 @@
 	return json_number_value(b != NULL ? json_object_get(x, b) : x);
 }
 
-static double
-attainment(const json_t *r)
-{
-	return number(r, "attainment", NULL);
-}
-
 /* The attainment of the worst-served workspace. */
 static double
 worst(const json_t *r)
@@ -41,33 +37,9 @@
 	return least;
 }
 
+/* Sum over the services of a member, times another unless that is NULL. */
 static double
-median_latency(const json_t *r)
-{
-	return number(r, "latency_ms", "p50");
-}
-
-static double
-tail_latency(const json_t *r)
-{
-	return number(r, "latency_ms", "p99");
-}
-
-static double
-first_token(const json_t *r)
-{
-	return number(r, "first_token_ms", "p95");
-}
-
-static double
-between_tokens(const json_t *r)
-{
-	return number(r, "gap_ms", "p95");
-}
-
-/* Sum over the services of a member. */
-static double
-sum(const json_t *r, const char *key)
+sum(const json_t *r, const char *key, const char *weight)
 {
 	const char *name;
 	json_t *s;
@@ -75,29 +47,28 @@
 
 	json_object_foreach(json_object_get(r, "services"), name, s)
 	{
-		n += number(s, key, NULL);
+		n += number(s, key, NULL) *
+		    (weight != NULL ? number(s, weight, NULL) : 1);
 	}
 	return n;
 }
 
+static double
+share(double part, double whole)
+{
+	return whole > 0 ? part / whole : 0;
+}
+
 static double
 busy(const json_t *r)
 {
-	return sum(r, "busy_ms_per_good");
+	return sum(r, "busy_ms_per_good", NULL);
 }
 
 static double
 wasted(const json_t *r)
 {
-	const char *name;
-	json_t *s;
-	double n = 0;
-
-	json_object_foreach(json_object_get(r, "services"), name, s)
-	{
-		n += number(s, "wasted", NULL) * number(s, "calls", NULL);
-	}
-	return sum(r, "calls") > 0 ? n / sum(r, "calls") : 0;
+	return share(sum(r, "wasted", "calls"), sum(r, "calls", NULL));
 }
 
 static double
@@ -112,19 +83,17 @@
 		if (number(s, "tokens", NULL) > 0)
 			calls += number(s, "calls", NULL);
 	}
-	return calls > 0 ? sum(r, "cached_prompts") / calls : 0;
+	return share(sum(r, "cached_prompts", NULL), calls);
 }
 
 static double
 extra(const json_t *r)
 {
-	double calls = number(r, "sequoiads", "calls");
+	double more = number(r, "sequoiads", "retries") +
+	    number(r, "sequoiads", "hedges") +
+	    number(r, "sequoiads", "resumes");
 
-	return calls > 0 ? (number(r, "sequoiads", "retries") +
-			       number(r, "sequoiads", "hedges") +
-			       number(r, "sequoiads", "resumes")) /
-		calls
-			 : 0;
+	return share(more, number(r, "sequoiads", "calls"));
 }
 
 /* Outcomes that are not what the stand-ins saw, and wrong answers. */
@@ -137,25 +106,19 @@
 	    number(r, "effects", "not_run_but_ran");
 }
 
-static double
-lag(const json_t *r)
-{
-	return number(r, "lag_ms", "p99");
-}
-
 static const struct column columns[] = {
-	{ "attained %", attainment, 100, 2 },
-	{ "worst workspace %", worst, 100, 2 },
-	{ "p50 ms", median_latency, 1, 0 },
-	{ "p99 ms", tail_latency, 1, 0 },
-	{ "first token p95 ms", first_token, 1, 0 },
-	{ "between tokens p95 ms", between_tokens, 1, 1 },
-	{ "busy ms/good", busy, 1, 0 },
-	{ "wasted calls %", wasted, 100, 1 },
-	{ "extra calls %", extra, 100, 1 },
-	{ "cache hits %", cache_hits, 100, 0 },
-	{ "wrong", wrong, 1, 0 },
-	{ "own lag p99 ms", lag, 1, 1 },
+	{ "attained %", "attainment", NULL, NULL, 100, 2 },
+	{ "worst workspace %", NULL, NULL, worst, 100, 2 },
+	{ "p50 ms", "latency_ms", "p50", NULL, 1, 0 },
+	{ "p99 ms", "latency_ms", "p99", NULL, 1, 0 },
+	{ "first token p95 ms", "first_token_ms", "p95", NULL, 1, 0 },
+	{ "between tokens p95 ms", "gap_ms", "p95", NULL, 1, 1 },
+	{ "busy ms/good", NULL, NULL, busy, 1, 0 },
+	{ "wasted calls %", NULL, NULL, wasted, 100, 1 },
+	{ "extra calls %", NULL, NULL, extra, 100, 1 },
+	{ "cache hits %", NULL, NULL, cache_hits, 100, 0 },
+	{ "wrong", NULL, NULL, wrong, 1, 0 },
+	{ "own lag p99 ms", "lag_ms", "p99", NULL, 1, 1 },
 };
 
 static bool
@@ -191,7 +154,9 @@
 
 	json_array_foreach(all, i, r)
 	{
-		double x = c->get(r) * c->factor;
+		double x = c->factor *
+		    (c->get != NULL ? c->get(r)
+				    : number(r, c->member, c->part));
 
 		if (same_row(r, like))
 			g_array_append_val(v, x);
