Ask idle runners for their load; leaving targets told onwards; a taken id

Cause: probe_percent was read by nothing. A target that said "leaving" was marked in the traffic thread's table only, so no other sequoiad heard of it, and when the news of a leaving target ran out, the host list was not handed on again: a target that stayed at its address stayed leaving. A sequoiad whose id a newer process uses noticed it and said nothing. Shares counted only sequoiads that had been heard of.

The kernel's new action LEFT says that a target is leaving; control gossips it. The list of leaving targets counts a version also when one runs out. id-taken is logged once and /readyz answers 503. Shares count the larger of the known and the listed sequoiads.

--- a/entry/control.c
+++ b/entry/control.c
@@ -5,6 +5,7 @@
 #include "entry/fetcher.h"
 #include "entry/fleet.h"
 #include "entry/orderer.h"
+#include "entry/prober.h"
 #include "entry/sharer.h"
 #include "plat/conflog.h"
 
@@ -37,6 +38,7 @@
 	struct fleet *fleet;
 	struct sharer *sharer;
 	struct orderer *orderer;
+	struct prober *prober;
 	struct conf *conf;
 	uint64_t refused; /* generation whose refusal was logged */
 	bool draining;
@@ -224,6 +226,10 @@
 				    m->fetched.revision,
 				    str_of(&m->fetched.value), clock_now());
 			break;
+		case MAIL_LEFT:
+			fleet_leaving(c->fleet, m->left.service,
+			    m->left.addr, clock_now());
+			break;
 		case MAIL_DRAIN:
 			start_drain(c);
 			break;
@@ -263,6 +269,7 @@
 
 	traffic_targets(c->traffic, v, n);
 	orderer_targets(c->orderer, v, n);
+	prober_targets(c->prober, v, n);
 }
 
 /* The live members have changed: writers, shares and watchers follow. */
@@ -288,11 +295,32 @@
 	}
 	claimer_members(c->claimer, v, found, hash_u64(self, 0));
 	conflog_follow(c->conflog, fleet_watches(c->fleet));
-	sharer_members(c->sharer, m, now);
+	sharer_members(c->sharer, m, fleet_listed(c->fleet), now);
 	orderer_members(c->orderer, ids, n);
+	prober_members(c->prober, ids, n);
 	free(v);
 }
 
+static void
+on_load(void *arg, const char *addr, uint32_t load, bool leaving)
+{
+	struct control *c = arg;
+
+	traffic_load(c->traffic, addr, load, leaving);
+}
+
+/* A newer process has this one's id: said once, and the balancer looks away. */
+static void
+on_superseded(struct control *c)
+{
+	if (c->draining || snaps_superseded(c->o.snaps))
+		return;
+	snaps_supersede(c->o.snaps);
+	LOG(LOG_LVL_ERR, "id-taken", { "id", str_from(c->o.settings->id) },
+	    { "remedy",
+		STR("give each sequoiad an id of its own, then restart") });
+}
+
 /* Copies what other threads may ask for. */
 static void
 note_counts(struct control *c)
@@ -315,9 +343,13 @@
 	fleet_tick(c->fleet, now,
 	    c->conf != NULL ? c->conf->fleet.host_list_interval : USEC_PER_SEC);
 	ask_peer(c, now);
-	if (c->conf != NULL)
+	if (fleet_members(c->fleet)->superseded)
+		on_superseded(c);
+	if (c->conf != NULL) {
+		prober_tick(c->prober, c->conf, now);
 		sharer_tick(c->sharer, c->conf, c->traffic,
 		    fleet_members(c->fleet), now);
+	}
 	note_counts(c);
 }
 
@@ -456,6 +488,14 @@
 	    .loop = c->loop,
 	    .id = o->settings->id,
 	});
+	c->prober = prober_new(&(struct prober_opts){
+	    .loop = c->loop,
+	    .id = o->settings->id,
+	    .seed = rng_entropy(),
+	    .tally = o->tally,
+	    .told = on_load,
+	    .arg = c,
+	});
 	c->fetcher = fetcher_start(&(struct fetcher_opts){
 	    .rpc = c->rpc,
 	    .inbox = c->inbox,
@@ -492,6 +532,17 @@
 	http_wake(c->loop);
 }
 
+void
+control_left(void *arg, const struct action_left *l)
+{
+	struct control *c = arg;
+	struct mail *m = mail_new(MAIL_LEFT);
+
+	m->left = *l;
+	inbox_put(c->inbox, m);
+	http_wake(c->loop);
+}
+
 void
 control_drain(struct control *c)
 {
@@ -550,6 +601,8 @@
 {
 	if (c->orderer != NULL)
 		orderer_free(c->orderer);
+	if (c->prober != NULL)
+		prober_free(c->prober);
 	kv_free(c->kv);
 	conflog_free(c->conflog);
 	if (c->claimer != NULL) {
--- a/entry/control.h
+++ b/entry/control.h
@@ -10,6 +10,7 @@
 #include "entry/fleet.h"
 #include "entry/settings.h"
 #include "entry/snap.h"
+#include "entry/tally.h"
 #include "entry/traffic.h"
 
 struct control;
@@ -18,6 +19,7 @@
 	const struct settings *settings;
 	struct snaps *snaps;
 	struct records *records;
+	struct tally *tally;
 	uint64_t incarnation;
 };
 
@@ -37,6 +39,8 @@
 /* For traffic_opts.claim; called on the traffic thread. */
 void control_claim(
     void *arg, enum action_kind kind, const struct action_claim *a);
+/* For traffic_opts.left. */
+void control_left(void *arg, const struct action_left *l);
 /* From any thread. */
 void control_drain(struct control *c);
 /* A copy of what is known, from any thread; see control_report_free. */
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -19,6 +19,7 @@
 	struct gossiper *gossiper;
 	struct listed_target *listed; /* last reading of the host list */
 	size_t n_listed;
+	uint32_t n_sequoiads; /* of the listed */
 	usec_t hosts_at;
 	uint64_t members_seen; /* version of the member table */
 	uint64_t leaving_seen; /* version of the list of leaving targets */
@@ -78,6 +79,8 @@
 			    f->gossiper, v[i].service, v[i].addr, clock_now());
 	}
 	gossiper_listed(f->gossiper, peers, n_peers);
+	f->n_sequoiads = (uint32_t)n_peers;
+	f->members_seen = UINT64_MAX;
 	pthread_mutex_unlock(&f->lock);
 	free(peers);
 	hand_on_targets(f);
@@ -168,6 +171,21 @@
 		f->leaving_seen = UINT64_MAX;
 }
 
+void
+fleet_leaving(
+    struct fleet *f, const char *service, const char *addr, usec_t now)
+{
+	pthread_mutex_lock(&f->lock);
+	gossiper_leaving(f->gossiper, service, addr, now);
+	pthread_mutex_unlock(&f->lock);
+}
+
+uint32_t
+fleet_listed(const struct fleet *f)
+{
+	return f->n_sequoiads;
+}
+
 struct members *
 fleet_members(struct fleet *f)
 {
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -39,6 +39,11 @@
 void fleet_leave(struct fleet *f, usec_t now);
 /* Targets and members are told once more, as if they had changed. */
 void fleet_tell_again(struct fleet *f);
+/* A target said that it is leaving: others are told. */
+void fleet_leaving(
+    struct fleet *f, const char *service, const char *addr, usec_t now);
+/* How many sequoiads the host list shows. */
+uint32_t fleet_listed(const struct fleet *f);
 struct members *fleet_members(struct fleet *f);
 /* Whether this process is among the few that watch the configuration log. */
 bool fleet_watches(struct fleet *f);
--- a/entry/inbox.c
+++ b/entry/inbox.c
@@ -67,6 +67,7 @@
 	case MAIL_FETCHED:
 		buf_free(&m->fetched.value);
 		break;
+	case MAIL_LEFT:
 	case MAIL_DRAIN:
 		break;
 	}
--- a/entry/inbox.h
+++ b/entry/inbox.h
@@ -12,6 +12,7 @@
 	MAIL_CLAIM,   /* CLAIM, REFUSE or SETTLE of the kernel's */
 	MAIL_LETTER,  /* from another sequoiad */
 	MAIL_FETCHED, /* a document came from another sequoiad, or did not */
+	MAIL_LEFT,    /* a target said that it is leaving */
 	MAIL_DRAIN    /* nothing new will be taken */
 };
 
@@ -29,6 +30,7 @@
 		struct action action; /* MAIL_CLAIM; owned */
 		peer_letter letter;   /* MAIL_LETTER; owned */
 		struct mail_fetched fetched;
+		struct action_left left;
 	};
 };
 
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -37,6 +37,8 @@
 	OWN_OUTCOMES,
 	OWN_ERRORS,
 	OWN_REFUSED,
+	OWN_PROBES,
+	OWN_FAILED_PROBES,
 	OWN_BUSY,
 	OWN_TARGETS,
 	OWN_GENERATION,
@@ -53,6 +55,10 @@
 	    "Requests by the error that their caller was told." },
 	[OWN_REFUSED] = { "sequoia_refused_total", "counter",
 	    "Requests refused before they reached the kernel, by error." },
+	[OWN_PROBES] = { "sequoia_probes_total", "counter",
+	    "Targets asked for their load." },
+	[OWN_FAILED_PROBES] = { "sequoia_failed_probes_total", "counter",
+	    "Targets asked for their load that did not tell it." },
 	[OWN_BUSY] = { "sequoia_requests_in_flight", "gauge",
 	    "Requests that have not ended." },
 	[OWN_TARGETS] = { "sequoia_targets", "gauge",
@@ -81,6 +87,13 @@
 	buf_printf(out, "%s %.9g\n", m->name, v);
 }
 
+static void
+counter(const struct metric *m, const atomic_ullong *v, struct buf *out)
+{
+	head(m, out);
+	buf_printf(out, "%s %llu\n", m->name, atomic_load(v));
+}
+
 static void
 put_labelled(const struct kernel_stats *s, struct buf *out)
 {
@@ -144,6 +157,8 @@
 	}
 	put_labelled(&in->report->stats, out);
 	put_refused(in->tally, out);
+	counter(&own[OWN_PROBES], &in->tally->probes, out);
+	counter(&own[OWN_FAILED_PROBES], &in->tally->failed_probes, out);
 	put_targets(in->report, out);
 	gauge(&own[OWN_BUSY], (double)in->report->busy, out);
 	gauge(&own[OWN_GENERATION], (double)in->generation, out);
--- a/entry/ops.c
+++ b/entry/ops.c
@@ -30,7 +30,8 @@
 is_ready(struct ops *ops, uint64_t *generation)
 {
 	struct conf *c = snaps_conf(ops->o.snaps);
-	bool ready = c != NULL && !snaps_draining(ops->o.snaps);
+	bool ready = c != NULL && !snaps_draining(ops->o.snaps) &&
+	    !snaps_superseded(ops->o.snaps);
 
 	*generation = c != NULL ? c->generation : 0;
 	conf_unref(c);
--- a/entry/sequoiad.c
+++ b/entry/sequoiad.c
@@ -140,6 +140,7 @@
 		.settings = s,
 		.snaps = d->snaps,
 		.records = d->records,
+		.tally = &d->tally,
 		.incarnation = incarnation,
 	    },
 	    e);
@@ -150,6 +151,7 @@
 	    .domain = s->failure_domain,
 	    .seed = rng_entropy(),
 	    .claim = control_claim,
+	    .left = control_left,
 	    .arg = d->control,
 	});
 	return 0;
--- a/entry/sharer.c
+++ b/entry/sharer.c
@@ -34,14 +34,19 @@
 	return s;
 }
 
+/* One that is listed but was never heard of may still use a share. */
 void
-sharer_members(struct sharer *s, struct members *m, usec_t now)
+sharer_members(
+    struct sharer *s, struct members *m, uint32_t listed, usec_t now)
 {
 	size_t n;
 	const char *const *ids = member_live(m, &n);
+	uint32_t known = member_known(m);
 
+	if (known < listed)
+		known = listed;
 	s->live = (uint32_t)n;
-	shares_live(&s->state, now, ids, n, member_known(m));
+	shares_live(&s->state, now, ids, n, known);
 }
 
 static struct usage *
--- a/entry/sharer.h
+++ b/entry/sharer.h
@@ -20,8 +20,9 @@
 };
 
 struct sharer *sharer_new(const struct sharer_opts *o);
-/* Who lives has changed. */
-void sharer_members(struct sharer *s, struct members *m, usec_t now);
+/* Who lives has changed; listed: sequoiads in the host list. */
+void sharer_members(
+    struct sharer *s, struct members *m, uint32_t listed, usec_t now);
 /* Measures demand and sends reports that are due. */
 void sharer_tick(struct sharer *s, const struct conf *conf, struct traffic *t,
     struct members *m, usec_t now);
--- a/entry/snap.c
+++ b/entry/snap.c
@@ -7,6 +7,7 @@
 struct snaps {
 	struct snap *now;
 	atomic_bool draining;
+	atomic_bool superseded;
 };
 
 static void
@@ -66,6 +67,18 @@
 	return atomic_load(&ss->draining);
 }
 
+void
+snaps_supersede(struct snaps *ss)
+{
+	atomic_store(&ss->superseded, true);
+}
+
+bool
+snaps_superseded(struct snaps *ss)
+{
+	return atomic_load(&ss->superseded);
+}
+
 void
 snaps_free(struct snaps *ss)
 {
--- a/entry/snap.h
+++ b/entry/snap.h
@@ -22,6 +22,9 @@
 /* From now on this process leaves; nothing takes it back. */
 void snaps_drain(struct snaps *ss);
 bool snaps_draining(struct snaps *ss);
+/* A newer process has this one's id; nothing takes it back. */
+void snaps_supersede(struct snaps *ss);
+bool snaps_superseded(struct snaps *ss);
 void snaps_free(struct snaps *ss);
 
 #endif
--- a/entry/tally.h
+++ b/entry/tally.h
@@ -1,4 +1,4 @@
-/* Counts of the requests that were refused before the kernel saw them. */
+/* Counts that the kernel does not keep; written by several threads. */
 #ifndef ENTRY_TALLY_H
 #define ENTRY_TALLY_H
 
@@ -7,7 +7,10 @@
 #include <stdatomic.h>
 
 struct tally {
-	atomic_ullong refused[-ERR_LAST]; /* by -(enum err_kind) */
+	/* Requests that the kernel never saw, by -(enum err_kind). */
+	atomic_ullong refused[-ERR_LAST];
+	atomic_ullong probes; /* targets asked for their load */
+	atomic_ullong failed_probes;
 };
 
 #endif
--- a/entry/traffic.c
+++ b/entry/traffic.c
@@ -163,6 +163,9 @@
 	case ACTION_ANSWER:
 		do_answer(t, &a->answer);
 		break;
+	case ACTION_LEFT:
+		t->o.left(t->o.arg, &a->left);
+		break;
 	}
 }
 
--- a/entry/traffic.h
+++ b/entry/traffic.h
@@ -61,6 +61,8 @@
 	 */
 	void (*claim)(
 	    void *arg, enum action_kind kind, const struct action_claim *c);
+	/* The same: a target said that it is leaving. */
+	void (*left)(void *arg, const struct action_left *l);
 	void *arg;
 };
 
--- a/kernel/call.c
+++ b/kernel/call.c
@@ -237,6 +237,23 @@
 	return c;
 }
 
+void
+call_left(struct kernel *k, int target)
+{
+	const struct targets *t = &k->targets;
+
+	if (!targets_leaving(&k->targets, target, k->now))
+		return;
+	for (int i = targets_find(t, str_from(t->v[target].addr)); i >= 0;
+	     i = t->v[i].same) {
+		struct action_left *a = &actions_add(k->out, ACTION_LEFT)->left;
+
+		memcpy(a->service, t->services[t->v[i].service].name,
+		    sizeof(a->service));
+		memcpy(a->addr, t->v[i].addr, sizeof(a->addr));
+	}
+}
+
 static enum call_verdict
 verdict(struct kernel *k, struct call *c, enum parse_state st)
 {
@@ -250,7 +267,7 @@
 		return CALL_DONE;
 	case PARSE_REFUSED:
 		if (c->answer.leaving)
-			targets_leaving(&k->targets, c->target, k->now);
+			call_left(k, c->target);
 		return CALL_REFUSED;
 	case PARSE_FOREIGN:
 		k->stats.foreign_answers++;
--- a/kernel/call.h
+++ b/kernel/call.h
@@ -36,6 +36,8 @@
 void call_average(const struct kernel *k, const struct call *c);
 /* Gives up a call that another one of its stage has overtaken. */
 void call_outrun(struct kernel *k, struct call *c);
+/* The target said that it is leaving, in whatever service it has. */
+void call_left(struct kernel *k, int target);
 /* Whether the present service has any target that is not leaving. */
 bool call_possible(const struct kernel *k, const struct request *rq);
 
--- a/kernel/conf_table.c
+++ b/kernel/conf_table.c
@@ -75,7 +75,8 @@
 	    "Time between two readings of the host list.", NULL },
 	{ CONF_FLEET, "probe_percent", CONF_U32, AT(conf_fleet, probe_percent),
 	    0, 100, "2", "percent",
-	    "Share of idle runners that are asked for their load each second.",
+	    "Most runners that the whole fleet asks for their load each "
+	    "second.",
 	    NULL },
 
 	{ CONF_SERVICE, "kind", CONF_KIND, AT(conf_service, kind), 0, 0, NULL,
--- a/kernel/event.c
+++ b/kernel/event.c
@@ -45,6 +45,7 @@
 		buf_free(&x->answer.trace);
 		break;
 	case ACTION_CANCEL:
+	case ACTION_LEFT:
 		break;
 	}
 }
--- a/kernel/event.h
+++ b/kernel/event.h
@@ -133,7 +133,8 @@
 	ACTION_REFUSE, /* keep a refusal of the key */
 	ACTION_SETTLE, /* keep how a claimed request ended */
 	ACTION_PIECE,  /* a piece of the answer for a streaming caller */
-	ACTION_ANSWER  /* the request has ended */
+	ACTION_ANSWER, /* the request has ended */
+	ACTION_LEFT    /* a target said that it is leaving: tell others */
 };
 
 struct action_call {
@@ -171,6 +172,11 @@
 	struct buf trace;   /* JSON array of what was decided */
 };
 
+struct action_left {
+	char service[MAX_NAME_BYTES + 1]; /* as the host list names it */
+	char addr[MAX_ADDR_BYTES];
+};
+
 struct action {
 	enum action_kind kind;
 	union {
@@ -186,6 +192,7 @@
 			struct buf text;
 		} piece;
 		struct action_answer answer;
+		struct action_left left;
 	};
 };
 
--- a/kernel/gossip.c
+++ b/kernel/gossip.c
@@ -74,8 +74,10 @@
 gossip_expire(struct gossip *g, usec_t now)
 {
 	for (size_t i = g->n_leaving; i > 0; i--) {
-		if (now >= g->leaving[i - 1].until)
-			g->leaving[i - 1] = g->leaving[--g->n_leaving];
+		if (now < g->leaving[i - 1].until)
+			continue;
+		g->leaving[i - 1] = g->leaving[--g->n_leaving];
+		g->leaving_version++;
 	}
 }
 
--- a/kernel/gossip.h
+++ b/kernel/gossip.h
@@ -86,7 +86,7 @@
 	size_t n_contacts;
 	struct leaving leaving[LEAVING_MOST];
 	size_t n_leaving;
-	uint64_t leaving_version; /* grows with each new one */
+	uint64_t leaving_version; /* grows with each change */
 	struct gossip_favour favours[GOSSIP_FAVOURS];
 	usec_t round_at;
 };
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -140,7 +140,7 @@
 		return;
 	targets_loaded(&k->targets, i, ev->load.load, k->now);
 	if (ev->load.leaving)
-		targets_leaving(&k->targets, i, k->now);
+		call_left(k, i);
 	else
 		targets_staying(&k->targets, i);
 }
--- a/kernel/targets.c
+++ b/kernel/targets.c
@@ -341,13 +341,16 @@
 	x->slow_at = now;
 }
 
-void
+bool
 targets_leaving(struct targets *t, int i, usec_t now)
 {
+	bool news = t->v[i].left_until <= now;
+
 	for (i = find_first(t, t->v[i].addr); i >= 0; i = t->v[i].same) {
 		t->v[i].state = TARGET_LEAVING;
 		t->v[i].left_until = now + LEFT_HOLD;
 	}
+	return news;
 }
 
 void
--- a/kernel/targets.h
+++ b/kernel/targets.h
@@ -78,9 +78,10 @@
 void targets_timed(struct targets *t, int i, double ratio, usec_t now);
 /*
  * The target said that it is leaving, in whatever service.  The host list lags,
- * so that it can only call the target live again after a while.
+ * so that it can only call the target live again after a while.  True if this
+ * is news.
  */
-void targets_leaving(struct targets *t, int i, usec_t now);
+bool targets_leaving(struct targets *t, int i, usec_t now);
 /* The target said that it is not leaving. */
 void targets_staying(struct targets *t, int i);
 /* The index of the target with this address, or -1. */
--- a/tests/kernel/session.c
+++ b/tests/kernel/session.c
@@ -347,6 +347,8 @@
 		return *name_of(s, a->piece.req) == '~';
 	case ACTION_ANSWER:
 		return *name_of(s, a->answer.req) == '~';
+	case ACTION_LEFT:
+		return false;
 	}
 	return false;
 }
--- a/tests/kernel/show.c
+++ b/tests/kernel/show.c
@@ -102,5 +102,9 @@
 	case ACTION_ANSWER:
 		print_answer(&a->answer, names, out);
 		break;
+	case ACTION_LEFT:
+		buf_printf(
+		    out, "left %s of %s\n", a->left.addr, a->left.service);
+		break;
 	}
 }
--- a/tests/kernel/test_fuzz_kernel.c
+++ b/tests/kernel/test_fuzz_kernel.c
@@ -196,6 +196,11 @@
 	case ACTION_ANSWER:
 		saw_answer(f, &a->answer);
 		break;
+	case ACTION_LEFT:
+		g_assert_cmpint(
+		    targets_find(kernel_targets(f->k), str_from(a->left.addr)),
+		    >=, 0);
+		break;
 	}
 }
 
