--- a/tests/kernel/session.c
+++ b/tests/kernel/session.c
@@ -333,6 +333,8 @@
 		return is_quiet_request(s, a->piece.req);
 	case ACTION_ANSWER:
 		return is_quiet_request(s, a->answer.req);
+	case ACTION_LEFT:
+		return false;
 	}
 	return false;
 }
