Capacity: letters between sequoiads; figures named where they are made

Cause: envelopes, reports of shares and claims on the wire had no size; a pipeline held the output of the script open. Change: letters.c; point() in place of series declared twice.

--- a/tests/capacity/capacity.c
+++ b/tests/capacity/capacity.c
@@ -6,22 +6,41 @@
 #include <stdio.h>
 #include <string.h>
 
+#define POINTS 4
+#define SERIES 16
+
+/* A quantity at several sizes. */
+struct series {
+	const char *what;
+	size_t n;
+	double x[POINTS];
+	double y[POINTS];
+};
+
+static struct series all[SERIES];
+
 void
-series_add(struct series *s, double x, double y)
+point(const char *what, double x, double y)
 {
-	g_assert_cmpuint(s->n, <, CAPACITY_POINTS);
+	struct series *s = all;
+
+	while (s->what != NULL && strcmp(s->what, what) != 0)
+		s++;
+	g_assert_true(s < all + SERIES - 1 && s->n < POINTS);
+	s->what = what;
 	s->x[s->n] = x;
 	s->y[s->n++] = y;
 }
 
-void
-series_print(const struct series *s)
+/* Prints the figures with slope and intercept by least squares. */
+static void
+print_series(const struct series *s)
 {
 	double n = (double)s->n;
 	double sx = 0, sy = 0, sxx = 0, sxy = 0;
 	double slope;
 
-	printf("%s, %s:", s->what, s->unit);
+	printf("%s:", s->what);
 	for (size_t i = 0; i < s->n; i++) {
 		printf("  %.0f: %.5g", s->x[i], s->y[i]);
 		sx += s->x[i];
@@ -29,15 +48,12 @@
 		sxx += s->x[i] * s->x[i];
 		sxy += s->x[i] * s->y[i];
 	}
+	printf("\n");
+	if (s->n < 2)
+		return;
 	slope = (n * sxy - sx * sy) / (n * sxx - sx * sx);
-	printf("\n    fit: %.4g %s per %s, intercept %.4g\n", slope, s->unit,
-	    s->per, (sy - slope * sx) / n);
-}
-
-void
-figure_print(const char *what, double v, const char *unit)
-{
-	printf("%s: %.5g %s\n", what, v, unit);
+	printf(
+	    "    slope %.4g, intercept %.4g\n", slope, (sy - slope * sx) / n);
 }
 
 double
@@ -107,6 +123,7 @@
 	{ "workspaces", measure_workspaces },
 	{ "members", measure_members },
 	{ "gossip", measure_gossip },
+	{ "letters", measure_letters },
 	{ "claims", measure_claims },
 	{ "configuration", measure_configuration },
 };
@@ -129,6 +146,9 @@
 			continue;
 		printf("== %s\n", parts[i].name);
 		parts[i].measure();
+		for (const struct series *x = all; x->what != NULL; x++)
+			print_series(x);
+		memset(all, 0, sizeof(all));
 		fflush(stdout);
 	}
 	return 0;
--- a/tests/capacity/capacity.h
+++ b/tests/capacity/capacity.h
@@ -8,23 +8,8 @@
 #include "base/clock.h"
 #include "kernel/conf.h"
 
-#define CAPACITY_POINTS 4
-
-/* One quantity measured at several sizes. */
-struct series {
-	const char *what;
-	const char *unit;
-	const char *per; /* what x counts */
-	size_t n;
-	double x[CAPACITY_POINTS];
-	double y[CAPACITY_POINTS];
-};
-
-void series_add(struct series *s, double x, double y);
-/* Prints the figures, slope and intercept by least squares. */
-void series_print(const struct series *s);
-/* Prints one figure. */
-void figure_print(const char *what, double v, const char *unit);
+/* One figure of a quantity, "what, unit per thing", at size x. */
+void point(const char *what, double x, double y);
 /* Bytes that the allocator has handed out. */
 double heap_bytes(void);
 /* Microseconds of processor time since start. */
@@ -38,6 +23,7 @@
 void measure_workspaces(void);
 void measure_members(void);
 void measure_gossip(void);
+void measure_letters(void);
 void measure_claims(void);
 void measure_configuration(void);
 
--- a/tests/capacity/fleet.c
+++ b/tests/capacity/fleet.c
@@ -133,7 +133,7 @@
 }
 
 static void
-lose_domain(struct fleet *f, struct series *peak, struct series *aware)
+lose_domain(struct fleet *f)
 {
 	double most = 0;
 	int rounds = 0;
@@ -149,27 +149,15 @@
 		if (rounds == 0 && unaware(f) == 0)
 			rounds = r;
 	}
-	series_add(peak, (double)f->n, most);
-	series_add(
-	    aware, (double)f->n, rounds > 0 ? rounds / ROUNDS_A_SEC : -1);
+	point("gossip at most in the loss of a domain, B/s per sequoiad",
+	    (double)f->n, most);
+	point("until all know of the loss, s per sequoiad", (double)f->n,
+	    rounds > 0 ? rounds / ROUNDS_A_SEC : -1);
 }
 
 void
 measure_gossip(void)
 {
-	struct series calm = { "gossip sent by a node in calm, without "
-			       "envelopes",
-		"B/s", "sequoiad" };
-	struct series messages = { "messages sent by a node in calm", "1/s",
-		"sequoiad" };
-	struct series cpu = { "processor time of gossip for a node in calm",
-		"us/s", "sequoiad" };
-	struct series peak = { "the same bytes at their most while a failure "
-			       "domain in ten is lost",
-		"B/s", "sequoiad" };
-	struct series aware = { "until every other node knows all that are "
-				"lost",
-		"s", "sequoiad" };
 
 	for (size_t i = 0; i < FLEET_SIZES; i++) {
 		double n = (double)sizes[i];
@@ -188,23 +176,18 @@
 		}
 		bytes *= ROUNDS_A_SEC / CALM_ROUNDS / n;
 		sent *= ROUNDS_A_SEC / CALM_ROUNDS / n;
-		series_add(&calm, n, bytes);
-		series_add(&messages, n, sent);
-		series_add(&cpu, n, f.cpu * ROUNDS_A_SEC / CALM_ROUNDS / n);
-		lose_domain(&f, &peak, &aware);
+		point("gossip in calm, B/s per sequoiad", n, bytes);
+		point("messages in calm, 1/s per sequoiad", n, sent);
+		point("time of gossip in calm, us/s per sequoiad", n,
+		    f.cpu * ROUNDS_A_SEC / CALM_ROUNDS / n);
+		lose_domain(&f);
 		fleet_stop(&f);
 	}
-	series_print(&calm);
-	series_print(&messages);
-	series_print(&cpu);
-	series_print(&peak);
-	series_print(&aware);
 }
 
 void
 measure_members(void)
 {
-	struct series memory = { "memory of the member table", "B", "peer" };
 
 	for (size_t i = 1; i < FLEET_SIZES; i++) {
 		struct member_info self = info(0);
@@ -217,8 +200,8 @@
 
 			member_update(&t, 0, &other);
 		}
-		series_add(&memory, (double)sizes[i], heap_bytes() - before);
+		point("memory of the member table, B per peer",
+		    (double)sizes[i], heap_bytes() - before);
 		member_free(&t);
 	}
-	series_print(&memory);
 }
--- a/tests/capacity/fleet.sh
+++ b/tests/capacity/fleet.sh
@@ -39,11 +39,12 @@
 rss_kb() { awk '/^VmRSS/ {print $2}' "/proc/$1/status"; }
 kv_calls() { curl -sf http://127.0.9.100:23792/kv | grep -o '"calls": *[0-9]*' | grep -o '[0-9]*$'; }
 
-# Slope and intercept of lines "x y" on standard input.
+# Prints slope and intercept of the lines "x y" in xy, and empties it.
 fit() {
 	awk -v unit="$1" '{n++; x+=$1; y+=$2; xx+=$1*$1; xy+=$1*$2}
 	    END {s=(n*xy-x*y)/(n*xx-x*x);
-	    printf "    fit: %.4g %s, intercept %.4g\n", s, unit, (y-s*x)/n}'
+	    printf "    fit: %.4g %s, intercept %.4g\n", s, unit, (y-s*x)/n}' "$DIR/xy"
+	: >"$DIR/xy"
 }
 
 # Starts sequoiad number $1.
@@ -61,7 +62,7 @@
 		printf 'hosts = 127.0.9.100:23791\n'
 		printf '[fleet]\nfleet_key = capacity-fleet-key-0123456789\n'
 	} >"$DIR/c$1.ini"
-	"$B/entry/sequoiad" "$DIR/c$1.ini" 2>"$DIR/c$1.log" &
+	"$B/entry/sequoiad" "$DIR/c$1.ini" >"$DIR/c$1.log" 2>&1 &
 	PIDS+=($!)
 	await "http://127.0.9.$1:28081/readyz"
 }
@@ -89,7 +90,7 @@
 		echo "url = http://127.0.9.1:28080/v1/pipelines/$1"
 		echo "output = /dev/null"
 	done >"$DIR/urls"
-	curl -sS -Z --http1.0 --no-progress-meter --parallel-max "$AT_ONCE" --config "$DIR/urls" \
+	curl -sS -Z --no-progress-meter --parallel-max "$AT_ONCE" --config "$DIR/urls" \
 	    -H 'Authorization: Bearer depots-token' \
 	    -H 'Accept: text/event-stream' \
 	    -d '{"text":"blue tin","note":"blue tin, 4 l, dented lid"}'
@@ -126,10 +127,10 @@
 	us_thread=$((($(thread_ticks "$S") - ct) * 1000000 / $(getconf CLK_TCK) / REQUESTS))
 	echo "$t tokens: $us us of processor time a request," \
 	    "$us_thread us of it on the busiest thread," \
-	    "$(($(complete) - done_before)) complete" >&2
-	echo "$t $us"
-done 2>"$DIR/lines" | fit "us per token passed on" >"$DIR/fit"
-cat "$DIR/lines" "$DIR/fit"
+	    "$(($(complete) - done_before)) complete"
+	echo "$t $us" >>"$DIR/xy"
+done
+fit "us per token passed on"
 echo "memory: $before_rss KB before, $(rss_kb "$S") KB after"
 
 echo "== a sequoiad in calm, by runners in the host list"
@@ -138,10 +139,10 @@
 	if [ "$n" -gt "$known" ]; then add_runners $((known + 1)) "$n"; fi
 	known=$n
 	us=$(calm "$S")
-	echo "$n runners more: $us us/s of processor time, $(rss_kb "$S") KB" >&2
-	echo "$n $us"
-done 2>"$DIR/lines" | fit "us/s per runner" >"$DIR/fit"
-cat "$DIR/lines" "$DIR/fit"
+	echo "$n runners more: $us us/s of processor time, $(rss_kb "$S") KB"
+	echo "$n $us" >>"$DIR/xy"
+done
+fit "us/s per runner"
 
 echo "== a fleet in calm: calls to the key-value service"
 n=1
@@ -153,8 +154,9 @@
 	sleep 3
 	before=$(kv_calls)
 	sleep "$CALM"
-	echo "$size sequoiads: $((($(kv_calls) - before) * 100 / CALM))" \
-	    "calls in 100 s, $(curl -sf http://127.0.9.100:23792/kv)" >&2
-	echo "$size $((($(kv_calls) - before) * 100 / CALM))"
-done 2>"$DIR/lines" | fit "calls in 100 s per sequoiad" >"$DIR/fit"
-cat "$DIR/lines" "$DIR/fit"
+	calls=$((($(kv_calls) - before) * 10 / CALM))
+	echo "$size sequoiads: $calls calls in 10 s," \
+	    "$(curl -sf http://127.0.9.100:23792/kv)"
+	echo "$size $calls" >>"$DIR/xy"
+done
+fit "calls in 10 s per sequoiad"
--- /dev/null
+++ b/tests/capacity/letters.c
@@ -0,0 +1,65 @@
+/* The size of what sequoiads send each other. */
+#include "tests/capacity/capacity.h"
+#include "entry/peer.h"
+
+#define RPC_BYTES 40 /* call header without credentials */
+#define NET_BYTES 28 /* IP and UDP headers */
+#define MAC_BYTES 64
+
+/* Bytes on the network of a letter with this body. */
+static double
+letter_bytes(const peer_body *body)
+{
+	peer_letter l = { .from = (char *)"entry-0001",
+		.rpc = (char *)"10.1.0.1:7000",
+		.body = *body };
+	peer_sealed s = { .body = { .body_len = (u_int)xdr_sizeof(
+					(xdrproc_t)xdr_peer_letter, &l) } };
+
+	return (
+	    double)(s.body.body_len + 4 + MAC_BYTES + RPC_BYTES + NET_BYTES);
+}
+
+static void
+measure_share_letters(void)
+{
+	peer_share_claim claims[PEER_BATCH_MAX];
+	peer_grant grants[PEER_BATCH_MAX];
+
+	for (u_int i = 0; i < PEER_BATCH_MAX; i++) {
+		claims[i].workspace = (char *)"workspace-17";
+		grants[i].workspace = (char *)"workspace-17";
+	}
+	for (u_int n = 1; n <= PEER_BATCH_MAX; n += PEER_BATCH_MAX - 1) {
+		peer_body b = { .kind = PEER_SHARE_REPORT };
+		peer_body r = { .kind = PEER_SHARE_REPLY };
+
+		b.peer_body_u.report.claims.claims_val = claims;
+		b.peer_body_u.report.claims.claims_len = n;
+		r.peer_body_u.reply.grants.grants_val = grants;
+		r.peer_body_u.reply.grants.grants_len = n;
+		point(
+		    "a report of shares, B per workspace", n, letter_bytes(&b));
+		point("the reply to it, B per workspace", n, letter_bytes(&r));
+	}
+}
+
+void
+measure_letters(void)
+{
+	peer_body claim = { .kind = PEER_CLAIM };
+	peer_body verdict = { .kind = PEER_VERDICT };
+	peer_claim *c = &claim.peer_body_u.claim;
+
+	c->workspace = (char *)"workspace-17";
+	c->pipeline = (char *)"pipeline-3";
+	c->key = (char *)"0190f3a0-0000-7000-8000-000000000001";
+	c->request_id = (char *)"0a1b2c3d4e5f6071-1234";
+	point("a claim to its writer, B", 0, letter_bytes(&claim));
+	point("its verdict, B", 0, letter_bytes(&verdict));
+	point("the envelope of gossip, B", 0,
+	    letter_bytes(&verdict) -
+		(double)xdr_sizeof(
+		    (xdrproc_t)xdr_peer_verdict, &verdict.peer_body_u.verdict));
+	measure_share_letters();
+}
--- a/tests/capacity/logs.c
+++ b/tests/capacity/logs.c
@@ -170,8 +170,7 @@
 
 /* A host that takes a shard over reads all of it. */
 static void
-take_over(struct store *s, const struct alog_opts *o, double kept,
-    struct series *reads, struct series *time)
+take_over(struct store *s, const struct alog_opts *o, double kept)
 {
 	struct claims *c = claims_new();
 	struct alog_opts other = *o;
@@ -184,8 +183,10 @@
 	l = alog_new(&other);
 	drive(s, l);
 	g_assert_cmpuint(claims_count(c), ==, (size_t)kept);
-	series_add(reads, kept, s->calls - calls);
-	series_add(time, kept, cpu_usec() - before);
+	point("reads to take a shard over, calls per claim kept", kept,
+	    s->calls - calls);
+	point("time to take a shard over, us per claim kept", kept,
+	    cpu_usec() - before);
 	alog_free(l);
 	claims_free(c);
 }
@@ -194,21 +195,6 @@
 measure_claims(void)
 {
 	static const uint64_t kept[] = { 1000, 5000, 25000, 100000 };
-	struct series memory = { "memory of kept claims with answers of 200 "
-				 "bytes",
-		"B", "claim" };
-	struct series head = { "head of a shard", "B", "claim kept" };
-	struct series calls = { "calls for a claim and its settlement, "
-				"20 appended at a time",
-		"calls", "claim kept" };
-	struct series written = { "bytes written for a claim", "B",
-		"claim kept" };
-	struct series time = { "processor time of the writer for a claim", "us",
-		"claim kept" };
-	struct series reads = { "reads to take a shard over", "calls",
-		"claim kept" };
-	struct series take = { "processor time to take a shard over", "us",
-		"claim kept" };
 	struct claims *c = claims_new();
 	struct alog_opts o = { .key = "claims",
 		.incarnation = 1,
@@ -227,23 +213,21 @@
 		double was_calls = s.calls;
 		double was_bytes = s.bytes;
 
-		series_add(&time, x, append_claims(&s, from, kept[i]) / n);
-		series_add(&calls, x, (s.calls - was_calls) / n);
-		series_add(&written, x, (s.bytes - was_bytes) / n);
-		series_add(&memory, x, (double)claims_bytes(c));
-		series_add(&head, x, (double)head_of(&s, o.key).n);
-		take_over(&s, &o, x, &reads, &take);
+		point("time of the writer for a claim, us per claim kept", x,
+		    append_claims(&s, from, kept[i]) / n);
+		point("calls for a claim, 20 at a time, calls per claim kept",
+		    x, (s.calls - was_calls) / n);
+		point("bytes written for a claim, B per claim kept", x,
+		    (s.bytes - was_bytes) / n);
+		point("memory of claims kept, B per claim", x,
+		    (double)claims_bytes(c));
+		point("head of a shard, B per claim kept", x,
+		    (double)head_of(&s, o.key).n);
+		take_over(&s, &o, x);
 		from = kept[i];
 	}
 	store_close(&s);
 	claims_free(c);
-	series_print(&memory);
-	series_print(&head);
-	series_print(&calls);
-	series_print(&written);
-	series_print(&time);
-	series_print(&reads);
-	series_print(&take);
 }
 
 static int
@@ -319,10 +303,6 @@
 measure_configuration(void)
 {
 	static const uint64_t kept[] = { 100, 1000, 5200, 20000 };
-	struct series head = { "head of the configuration log", "B",
-		"change kept" };
-	struct series time = { "writing and folding a change", "us",
-		"change kept" };
 	struct alog_ops ops = { admit_all, fold, snapshot, restore };
 	char hashes[CONFIG_FILES][HASH_HEX_LEN + 1] = { 0 };
 	struct confstate state = { 0 };
@@ -343,13 +323,12 @@
 
 		for (; i < kept[j]; i++)
 			append_change(&s, i, hashes);
-		series_add(&time, (double)kept[j],
+		point("writing and folding a change, us per change kept",
+		    (double)kept[j],
 		    (cpu_usec() - before) / (double)(kept[j] - from));
-		series_add(
-		    &head, (double)kept[j], (double)head_of(&s, o.key).n);
+		point("head of the configuration log, B per change kept",
+		    (double)kept[j], (double)head_of(&s, o.key).n);
 	}
 	store_close(&s);
 	confstate_free(&state);
-	series_print(&head);
-	series_print(&time);
 }
--- a/tests/capacity/requests.c
+++ b/tests/capacity/requests.c
@@ -186,14 +186,11 @@
 	return a;
 }
 
-/* Requests that are held at their last stage, with some text generated. */
+/* Requests at their last stage, documents of 1,000 bytes, 100 tokens so far. */
 static void
 measure_held(void)
 {
 	static const size_t held[] = { 100, 400, 1600 };
-	struct series s = { "memory of requests at their fourth stage, 1,000 "
-			    "byte documents, 100 tokens generated",
-		"B", "request" };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(held); i++) {
 		struct bench b;
@@ -207,19 +204,16 @@
 			feed_tokens(&b, &a, 100);
 		}
 		g_assert_cmpuint(kernel_busy(b.k), ==, held[i]);
-		series_add(&s, (double)held[i], heap_bytes() - before);
+		point("memory of held requests, B per request", (double)held[i],
+		    heap_bytes() - before);
 		stop(&b);
 	}
-	series_print(&s);
 }
 
 static void
 measure_time(void)
 {
 	static const size_t tokens[] = { 8, 64, 256 };
-	struct series s = { "processor time of a streamed request of four "
-			    "stages through the kernel",
-		"us", "token" };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(tokens); i++) {
 		struct bench b;
@@ -235,10 +229,10 @@
 		}
 		g_assert_cmpuint(
 		    kernel_stats(b.k)->outcomes[OUTCOME_COMPLETE], ==, TIMED);
-		series_add(&s, (double)tokens[i], b.cpu / TIMED);
+		point("time of a request through the kernel, us per token",
+		    (double)tokens[i], b.cpu / TIMED);
 		stop(&b);
 	}
-	series_print(&s);
 }
 
 void
--- a/tests/capacity/tables.c
+++ b/tests/capacity/tables.c
@@ -70,12 +70,6 @@
 measure_targets(void)
 {
 	static const size_t sizes[] = { 1000, 10000, 20000 };
-	struct series memory = { "memory of the target table", "B", "runner" };
-	struct series bytes = { "host list as JSON", "B", "runner" };
-	struct series reading = { "reading the JSON of a host list", "us",
-		"runner" };
-	struct series update = { "taking an unchanged host list", "us",
-		"runner" };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
 		struct listed_target *v = list_of(sizes[i], SERVICES);
@@ -85,18 +79,18 @@
 		double x = (double)sizes[i];
 
 		targets_update(&t, v, sizes[i], USEC_PER_SEC);
-		series_add(&memory, x, heap_bytes() - before);
-		series_add(&update, x, time_of_update(&t, v, sizes[i]));
-		series_add(&bytes, x, (double)strlen(text));
-		series_add(&reading, x, time_of_reading(text));
+		point("memory of the target table, B per runner", x,
+		    heap_bytes() - before);
+		point("taking an unchanged host list, us per runner", x,
+		    time_of_update(&t, v, sizes[i]));
+		point(
+		    "host list as JSON, B per runner", x, (double)strlen(text));
+		point("reading the JSON of a host list, us per runner", x,
+		    time_of_reading(text));
 		targets_free(&t);
 		free(text);
 		free(v);
 	}
-	series_print(&memory);
-	series_print(&bytes);
-	series_print(&reading);
-	series_print(&update);
 }
 
 static double
@@ -126,26 +120,19 @@
 measure_routing(void)
 {
 	static const size_t sizes[] = { 20, 400, 10000 };
-	static const char *const policies[] = { "two-choice", "affinity" };
-
-	for (size_t j = 0; j < G_N_ELEMENTS(policies); j++) {
-		struct series s = { "one choice", "us",
-			"runner of the service" };
-		char what[64];
-
-		snprintf(what, sizeof(what), "one choice by %s", policies[j]);
-		s.what = what;
-		for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
-			struct listed_target *v = list_of(sizes[i], 1);
-			struct targets t = { 0 };
-
-			targets_update(&t, v, sizes[i], USEC_PER_SEC);
-			series_add(&s, (double)sizes[i],
-			    time_of_choice(&t, policies[j]));
-			targets_free(&t);
-			free(v);
-		}
-		series_print(&s);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct listed_target *v = list_of(sizes[i], 1);
+		struct targets t = { 0 };
+		double x = (double)sizes[i];
+
+		targets_update(&t, v, sizes[i], USEC_PER_SEC);
+		point("a choice by two-choice, us per runner", x,
+		    time_of_choice(&t, "two-choice"));
+		point("a choice by affinity, us per runner", x,
+		    time_of_choice(&t, "affinity"));
+		targets_free(&t);
+		free(v);
 	}
 }
 
@@ -169,10 +156,6 @@
 measure_workspaces(void)
 {
 	static const size_t sizes[] = { 10, 90, 270 };
-	struct series memory = { "configuration, limits and shares", "B",
-		"workspace" };
-	struct series reading = { "reading the configuration", "us",
-		"workspace" };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
 		double heap = heap_bytes();
@@ -181,14 +164,14 @@
 		struct limits l = { .sequoiads = 3 };
 		struct shares s;
 
-		series_add(&reading, (double)sizes[i], cpu_usec() - cpu);
+		point("reading the configuration, us per workspace",
+		    (double)sizes[i], cpu_usec() - cpu);
 		shares_init(&s, 0, "n1", 1);
 		use_all(c, &l, &s);
-		series_add(&memory, (double)sizes[i], heap_bytes() - heap);
+		point("configuration, limits and shares, B per workspace",
+		    (double)sizes[i], heap_bytes() - heap);
 		shares_free(&s);
 		limit_free(&l);
 		conf_unref(c);
 	}
-	series_print(&memory);
-	series_print(&reading);
 }
