Announce the shutdown date of a service too

Cause: the Sunset header named the date of fleet and pipeline only, while a service's own date ends its pipelines as well: found while writing OPERATIONS.md. Change: conf_sunset() gives the earliest date for header and admission. Conclusion: what is announced is what ends.

--- a/entry/web.c
+++ b/entry/web.c
@@ -26,16 +26,6 @@
 	return reply_refuse(&v->reply, kind, detail);
 }
 
-static usec_t
-sunset_of(const struct visit *v, const struct conf_pipeline *p)
-{
-	usec_t fleet = v->conf->fleet.sunset;
-
-	if (p->sunset == 0)
-		return fleet;
-	return fleet != 0 && fleet < p->sunset ? fleet : p->sunset;
-}
-
 static bool
 is_method(const struct visit *v, const char *method)
 {
@@ -52,6 +42,7 @@
 {
 	const struct conf_pipeline *p;
 	const char *key = mg_get_header(v->conn, "Idempotency-Key");
+	const char *what;
 	int rc;
 
 	if (!is_method(v, "POST")) {
@@ -66,7 +57,7 @@
 	if (p == NULL || !conf_grants(p, v->workspace))
 		return ERR_NO_PIPELINE;
 	v->reply.keyed = key != NULL && p->keyed;
-	v->reply.sunset = sunset_of(v, p);
+	v->reply.sunset = conf_sunset(v->conf, p, &what);
 	if (!p->keyed)
 		return 0;
 	if (key == NULL)
--- a/kernel/admit.c
+++ b/kernel/admit.c
@@ -140,26 +140,6 @@
 	flow_start_stage(k, rq);
 }
 
-static bool
-sunset_passed(usec_t sunset, usec_t wall)
-{
-	return sunset > 0 && wall >= sunset;
-}
-
-/* The name of what has been shut down by now, or NULL. */
-static const char *
-shut_down(const struct conf *c, const struct conf_pipeline *p, usec_t wall)
-{
-	if (sunset_passed(p->sunset, wall) ||
-	    sunset_passed(c->fleet.sunset, wall))
-		return "";
-	for (size_t i = 0; i < p->n_stages; i++) {
-		if (sunset_passed(p->stages[i].service->sunset, wall))
-			return p->stages[i].service->name;
-	}
-	return NULL;
-}
-
 /* Why no request can be made of it, or ERR_OK. */
 static enum err_kind
 check(const struct kernel *k, const struct event_arrive *ev,
@@ -217,6 +197,7 @@
 	const struct conf_pipeline *p = NULL;
 	const struct conf_workspace *w = NULL;
 	const char *shut;
+	usec_t sunset;
 	struct request *rq;
 	enum err_kind bad;
 	json_t *document;
@@ -243,8 +224,8 @@
 	rq = new_request(k, ev, p, w);
 	rq->document = document;
 	state_note(k, rq, NOTE_ARRIVED, NULL, NULL);
-	shut = shut_down(k->conf, p, ev->wall);
-	if (shut != NULL)
+	sunset = conf_sunset(k->conf, p, &shut);
+	if (sunset != 0 && ev->wall >= sunset)
 		ending_give_up(k, rq, ERR_SUNSET, shut, 0);
 	else
 		admit(k, rq);
--- a/kernel/conf.c
+++ b/kernel/conf.c
@@ -570,6 +570,26 @@
 	    names_have(&p->workspaces, str_from(w->name));
 }
 
+usec_t
+conf_sunset(
+    const struct conf *c, const struct conf_pipeline *p, const char **what)
+{
+	usec_t first = c->fleet.sunset;
+
+	*what = "";
+	if (p->sunset != 0 && (first == 0 || p->sunset < first))
+		first = p->sunset;
+	for (size_t i = 0; i < p->n_stages; i++) {
+		const struct conf_service *s = p->stages[i].service;
+
+		if (s->sunset != 0 && (first == 0 || s->sunset < first)) {
+			first = s->sunset;
+			*what = s->name;
+		}
+	}
+	return first;
+}
+
 bool
 names_have(const struct names *l, struct str name)
 {
--- a/kernel/conf.h
+++ b/kernel/conf.h
@@ -190,6 +190,12 @@
 const struct conf_workspace *conf_token(const struct conf *c, struct str token);
 /* Whether the pipeline serves the workspace. */
 bool conf_grants(const struct conf_pipeline *p, const struct conf_workspace *w);
+/*
+ * The earliest shutdown date of the fleet, the pipeline and its services, or
+ * 0; *what is the name of the service that it belongs to, else empty.
+ */
+usec_t conf_sunset(
+    const struct conf *c, const struct conf_pipeline *p, const char **what);
 bool names_have(const struct names *l, struct str name);
 
 const struct conf_key *conf_keys(size_t *n);
