--- a/entry/control.c
+++ b/entry/control.c
@@ -227,8 +227,8 @@
 				    str_of(&m->fetched.value), clock_now());
 			break;
 		case MAIL_LEFT:
-			fleet_leaving(c->fleet, m->left.service,
-			    m->left.addr, clock_now());
+			fleet_leaving(c->fleet, m->left.service, m->left.addr,
+			    clock_now());
 			break;
 		case MAIL_DRAIN:
 			start_drain(c);
--- a/entry/prober.c
+++ b/entry/prober.c
@@ -23,8 +23,8 @@
 
 struct prober {
 	struct prober_opts o;
-	uint64_t self;  /* hash of the own id */
-	uint64_t *ids;  /* hashes of the other live sequoiads */
+	uint64_t self; /* hash of the own id */
+	uint64_t *ids; /* hashes of the other live sequoiads */
 	size_t n_ids;
 	struct listed_target *targets;
 	size_t n_targets;
--- a/entry/sharer.c
+++ b/entry/sharer.c
@@ -36,8 +36,7 @@
 
 /* One that is listed but was never heard of may still use a share. */
 void
-sharer_members(
-    struct sharer *s, struct members *m, uint32_t listed, usec_t now)
+sharer_members(struct sharer *s, struct members *m, uint32_t listed, usec_t now)
 {
 	size_t n;
 	const char *const *ids = member_live(m, &n);
