--- a/ctl/change.c
+++ b/ctl/change.c
@@ -249,8 +249,13 @@
 	return rc == 0 ? EXIT_DONE : complain(&e, EXIT_REFUSED);
 }
 
-int
-change_apply(const struct change_opts *o)
+/* What a command does with the folder's files and the log. */
+typedef int (*folder_work)(struct session *s, const struct change_opts *o,
+    const struct conffiles *files);
+
+/* Reads the folder and the log, and works on them. */
+static int
+with_folder(const struct change_opts *o, folder_work work)
 {
 	struct folder f = { 0 };
 	struct conffiles files = { 0 };
@@ -265,7 +270,7 @@
 	to_conffiles(&f, &files);
 	rc = session_open(&s, &(struct session_opts){ .kv = o->kv }, &e);
 	if (rc == EXIT_DONE)
-		rc = apply_files(&s, o, &files);
+		rc = work(&s, o, &files);
 	else
 		complain(&e, rc);
 	session_close(&s);
@@ -274,39 +279,35 @@
 	return rc;
 }
 
-int
-change_diff(const struct change_opts *o)
+static int
+print_diff(struct session *s, const struct change_opts *o,
+    const struct conffiles *files)
 {
-	struct folder f = { 0 };
-	struct conffiles files = { 0 };
 	struct confkeys keys = { 0 };
-	struct session s = { 0 };
 	struct buf text = { 0 };
 	struct err e = { 0 };
-	int rc;
 
-	if (folder_read(&f, o->dir, &e) != 0) {
-		folder_free(&f);
+	(void)o;
+	if (conffiles_diff(&conflog_state(s->log)->files, files, &keys, &e) !=
+	    0)
 		return complain(&e, EXIT_REFUSED);
-	}
-	to_conffiles(&f, &files);
-	rc = session_open(&s, &(struct session_opts){ .kv = o->kv }, &e);
-	if (rc == EXIT_DONE &&
-	    conffiles_diff(&conflog_state(s.log)->files, &files, &keys, &e) !=
-		0)
-		rc = EXIT_REFUSED;
-	if (rc == EXIT_DONE) {
-		confkeys_text(&keys, &text);
-		printf("%.*s", STR_FMT(str_of(&text)));
-	} else {
-		complain(&e, rc);
-	}
+	confkeys_text(&keys, &text);
+	printf("%.*s", STR_FMT(str_of(&text)));
 	buf_free(&text);
 	confkeys_free(&keys);
-	session_close(&s);
-	conffiles_free(&files);
-	folder_free(&f);
-	return rc;
+	return EXIT_DONE;
+}
+
+int
+change_apply(const struct change_opts *o)
+{
+	return with_folder(o, apply_files);
+}
+
+int
+change_diff(const struct change_opts *o)
+{
+	return with_folder(o, print_diff);
 }
 
 /* Goes back from the present files to those of an older generation. */
