--- a/tests/capacity/fleet.c
+++ b/tests/capacity/fleet.c
@@ -8,6 +8,7 @@
 
 #define DOMAINS      10
 #define CALM_ROUNDS  40
+#define WATCHERS     32 /* of the log, as in entry/ */
 #define LOSS_ROUNDS  120
 #define FLEET_SIZES  4
 #define ROUNDS_A_SEC ((double)USEC_PER_SEC / GOSSIP_ROUND)
@@ -155,6 +156,32 @@
 	    rounds > 0 ? rounds / ROUNDS_A_SEC : -1);
 }
 
+/* A new generation that the watchers of the log have, until all know of it. */
+static void
+spread_generation(struct fleet *f)
+{
+	int rounds = 0;
+	size_t heard = 0;
+
+	for (size_t i = 0; i < f->n && i < WATCHERS; i++)
+		member_generation(&f->v[i].members, f->now, 2);
+	while (heard < f->n && rounds < LOSS_ROUNDS) {
+		run_round(f);
+		rounds++;
+		heard = 0;
+		for (size_t i = 0; i < f->n; i++) {
+			struct members *m = &f->v[i].members;
+
+			if (m->generation < 2)
+				continue;
+			heard++;
+			member_generation(m, f->now, 2);
+		}
+	}
+	point("until all have heard of a generation, s per sequoiad",
+	    (double)f->n, rounds / ROUNDS_A_SEC);
+}
+
 void
 measure_gossip(void)
 {
@@ -180,6 +207,7 @@
 		point("messages in calm, 1/s per sequoiad", n, sent);
 		point("time of gossip in calm, us/s per sequoiad", n,
 		    f.cpu * ROUNDS_A_SEC / CALM_ROUNDS / n);
+		spread_generation(&f);
 		lose_domain(&f);
 		fleet_stop(&f);
 	}
--- a/tests/capacity/fleet.sh
+++ b/tests/capacity/fleet.sh
@@ -37,6 +37,8 @@
 	done | sort -n | tail -1
 }
 rss_kb() { awk '/^VmRSS/ {print $2}' "/proc/$1/status"; }
+# A counter of sequoiad 1 by its metric's name.
+metric() { curl -sf http://127.0.9.1:28081/metrics | sed -n "s/^$1 //p"; }
 kv_calls() { curl -sf http://127.0.9.100:23792/kv | grep -o '"calls": *[0-9]*' | grep -o '[0-9]*$'; }
 
 # Prints slope and intercept of the lines "x y" in xy, and empties it.
@@ -153,10 +155,16 @@
 	done
 	sleep 3
 	before=$(kv_calls)
-	sleep "$CALM"
+	sent=$(metric sequoia_rpc_sent_bytes_total)
+	letters=$(metric sequoia_rpc_sent_total)
+	us=$(calm "$S")
+	sent=$((($(metric sequoia_rpc_sent_bytes_total) - sent) / CALM))
+	letters=$((($(metric sequoia_rpc_sent_total) - letters) * 10 / CALM))
 	calls=$((($(kv_calls) - before) * 10 / CALM))
 	echo "$size sequoiads: $calls calls in 10 s," \
 	    "$(curl -sf http://127.0.9.100:23792/kv)"
+	echo "    the first one: $us us/s of processor time, $sent B/s in" \
+	    "$letters letters in 10 s, before seal and headers"
 	echo "$size $calls" >>"$DIR/xy"
 done
 fit "calls in 10 s per sequoiad"
