One reader of INI settings and of test configurations

Cause: the stand-in and the load tool each read their INI file, its words, numbers and sections with code of their own, and three kernel tests each read a configuration.

Change: tests/settings.c for test programs (a bad file or value ends them with the program's name, section and key), tests/kernel/testconf.c for configurations. The stand-in counts calls by second in two places turn by turn instead of by hand; its store's test frees by scope.

--- a/tests/kernel/session.c
+++ b/tests/kernel/session.c
@@ -1,6 +1,7 @@
 #include "tests/kernel/session.h"
 #include "kernel/kernel.h"
 #include "tests/kernel/show.h"
+#include "tests/kernel/testconf.h"
 
 #include <glib.h>
 #include <jansson.h>
@@ -367,19 +368,10 @@
 set_conf(struct session *s, struct str file)
 {
 	g_autofree char *path = g_strndup(file.p, file.n);
-	struct event ev = { .kind = EVENT_CONF };
-	struct ini set = { 0 };
-	struct buf text = { 0 };
-	struct err e = { 0 };
+	struct conf *c = testconf_read(path);
 
-	if (ini_slurp(path, &text, &e) != 0 ||
-	    ini_add(&set, path, str_of(&text), &e) != 0 ||
-	    (ev.conf.conf = conf_read(&set, 1, &e)) == NULL)
-		g_error("%s", e.text);
-	step(s, &ev);
-	conf_unref(ev.conf.conf);
-	ini_free(&set);
-	buf_free(&text);
+	step(s, &(struct event){ .kind = EVENT_CONF, .conf = { c } });
+	conf_unref(c);
 }
 
 /* SERVICE ADDR/DOMAIN[=leaving] ... + SERVICE ... */
--- a/tests/kernel/test_fuzz_kernel.c
+++ b/tests/kernel/test_fuzz_kernel.c
@@ -5,6 +5,7 @@
  */
 #include "base/rng.h"
 #include "kernel/kernel.h"
+#include "tests/kernel/testconf.h"
 
 #include <glib.h>
 #include <stdlib.h>
@@ -542,22 +543,13 @@
 {
 	uint64_t first = setting("FUZZ_FIRST", 1);
 	uint64_t n = setting("FUZZ_SEEDS", SEEDS);
-	struct ini set = { 0 };
-	struct buf text = { 0 };
-	struct err e = { 0 };
-	struct conf *conf = NULL;
-
-	if (ini_slurp("tests/golden/base.ini", &text, &e) != 0 ||
-	    ini_add(&set, "base.ini", str_of(&text), &e) != 0 ||
-	    (conf = conf_read(&set, 1, &e)) == NULL)
-		g_error("%s", e.text);
+	struct conf *conf = testconf_read("tests/golden/base.ini");
+
 	for (uint64_t seed = first; seed < first + n; seed++) {
 		g_test_message("seed %llu", (unsigned long long)seed);
 		fuzz_seed(conf, seed);
 	}
 	conf_unref(conf);
-	ini_free(&set);
-	buf_free(&text);
 }
 
 int
--- a/tests/kernel/test_overload.c
+++ b/tests/kernel/test_overload.c
@@ -5,6 +5,7 @@
  */
 #include "base/rng.h"
 #include "kernel/kernel.h"
+#include "tests/kernel/testconf.h"
 
 #include <glib.h>
 #include <math.h>
@@ -25,8 +26,8 @@
 #define SHORT        USEC_PER_SEC
 #define LONG         (5 * USEC_PER_SEC)
 /* Whether the configuration says how many calls a runner takes. */
-#define KNOWN        "overload.ini"
-#define UNKNOWN      "unknown.ini"
+#define KNOWN        "tests/kernel/overload.ini"
+#define UNKNOWN      "tests/kernel/unknown.ini"
 
 static const char *const workspaces[N_WORKSPACES] = { "yard", "flood" };
 
@@ -276,23 +277,6 @@
 	g_assert_cmpfloat(waste, <=, l->c->most_waste);
 }
 
-static struct conf *
-read_conf(const char *file)
-{
-	g_autofree char *path = g_strdup_printf("tests/kernel/%s", file);
-	struct ini set = { 0 };
-	struct buf text = { 0 };
-	struct conf *c;
-
-	g_assert_cmpint(ini_slurp(path, &text, NULL), ==, 0);
-	g_assert_cmpint(ini_add(&set, path, str_of(&text), NULL), ==, 0);
-	c = conf_read(&set, 1, NULL);
-	g_assert_nonnull(c);
-	ini_free(&set);
-	buf_free(&text);
-	return c;
-}
-
 static void
 run(const struct load_case *c, struct conf *conf, uint64_t seed)
 {
@@ -324,7 +308,7 @@
 test_load(gconstpointer arg)
 {
 	const struct load_case *c = arg;
-	struct conf *conf = read_conf(c->conf);
+	struct conf *conf = testconf_read(c->conf);
 
 	for (uint64_t seed = 1; seed <= 3; seed++)
 		run(c, conf, seed);
--- a/tests/load/direct.c
+++ b/tests/load/direct.c
@@ -119,11 +119,11 @@
 
 		snprintf(
 		    section, sizeof(section), "target %.*s", STR_FMT(part));
-		kind = plan_word(p, section, "kind", NULL);
+		kind = settings_text(&p->ini, section, "kind", NULL);
 		stream = strcmp(kind, "generate") == 0;
 		x.fetch.chunk = stream ? note_tokens : NULL;
 		snprintf(url, sizeof(url), "http://%s/v1/%s",
-		    plan_word(p, section, "listen", NULL),
+		    settings_text(&p->ini, section, "listen", NULL),
 		    stream ? "completions" : kind);
 		exchange(
 		    l, &x, url, NULL, make_call(&p->mixes[0], kind, document));
@@ -150,8 +150,9 @@
 
 	snprintf(auth, sizeof(auth), "Authorization: Bearer %s", m->token);
 	snprintf(url, sizeof(url), "http://%s.1:%u/v1/pipelines/%s",
-	    plan_word(p, "run", "net", "127.0.0"),
-	    (unsigned)plan_number(p, "run", "port", NULL), m->pipeline);
+	    settings_text(&p->ini, "run", "net", "127.0.0"),
+	    (unsigned)settings_number(&p->ini, "run", "port", NULL),
+	    m->pipeline);
 	exchange(l, &x, url, headers, json_incref(document));
 	buf_free(&x.fetch.body);
 	d = clock_now() - x.began;
--- a/tests/load/load.c
+++ b/tests/load/load.c
@@ -85,11 +85,11 @@
 {
 	static const char *const keys[] = { "deployment", "scenario", "variant",
 		"seed", "percent" };
-	const char *out = plan_word(p, "run", "out", "");
+	const char *out = settings_text(&p->ini, "run", "out", "");
 
 	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
 		json_object_set_new(report, keys[i],
-		    json_string(plan_word(p, "run", keys[i], "")));
+		    json_string(settings_text(&p->ini, "run", keys[i], "")));
 	report_print(report, stdout);
 	if (*out != '\0')
 		json_dump_file(report, out, JSON_REAL_PRECISION(9));
@@ -102,13 +102,13 @@
 	const struct plan *p = &run->plan;
 	json_t *report;
 
-	run->waiting = plan_number(p, "run", "callers", "0");
+	run->waiting = settings_number(&p->ini, "run", "callers", "0");
 	run->results = g_array_new(FALSE, FALSE, sizeof(struct result));
 	run->fleet = fleet_new(&(struct fleet_opts){
 	    .loop = run->loop,
-	    .net = plan_word(p, "run", "net", "127.0.0"),
-	    .n = plan_number(p, "run", "hosts", "1"),
-	    .port = plan_number(p, "run", "port", NULL),
+	    .net = settings_text(&p->ini, "run", "net", "127.0.0"),
+	    .n = settings_number(&p->ini, "run", "hosts", "1"),
+	    .port = settings_number(&p->ini, "run", "port", NULL),
 	});
 	run->callers = callers_new(&(struct callers_opts){
 	    .loop = run->loop,
@@ -150,7 +150,7 @@
 	bool punctual;
 
 	plan_read(&run.plan, path);
-	turns = plan_number(&run.plan, "run", "direct", "0");
+	turns = settings_number(&run.plan.ini, "run", "direct", "0");
 	report = turns > 0 ? direct_measure(&run.plan, run.loop, turns)
 			   : run_callers(&run);
 	write_report(&run.plan, report);
--- a/tests/load/plan.c
+++ b/tests/load/plan.c
@@ -8,75 +8,34 @@
 
 #define MAX_RUN (300 * USEC_PER_SEC)
 
-const char *
-plan_word(const struct plan *p, const char *section, const char *key,
-    const char *fallback)
-{
-	const struct ini_entry *e = ini_find(&p->ini, section, key);
-
-	if (e == NULL && fallback == NULL) {
-		fprintf(stderr, "load: [%s] %s is not set\n", section, key);
-		exit(EXIT_FAILURE);
-	}
-	return e != NULL ? e->value : fallback;
-}
-
-uint32_t
-plan_number(const struct plan *p, const char *section, const char *key,
-    const char *fallback)
-{
-	const char *t = plan_word(p, section, key, fallback);
-	uint64_t n;
-
-	if (!str_u64(str_from(t), &n) || n > UINT32_MAX) {
-		fprintf(stderr, "load: [%s] %s = %s is no number\n", section,
-		    key, t);
-		exit(EXIT_FAILURE);
-	}
-	return (uint32_t)n;
-}
-
 static void
-read_mix(const struct plan *p, const char *s, struct mix *m)
+read_mix(const struct ini *ini, const char *s, struct mix *m)
 {
 	const char *last;
 
-	m->pipeline = plan_word(p, s, "pipeline", NULL);
-	m->workspace = plan_word(p, s, "workspace", NULL);
-	m->token = plan_word(p, s, "token", NULL);
-	m->field = plan_word(p, s, "field", "note");
-	m->output = plan_word(p, s, "output", "");
-	m->effect = plan_word(p, s, "effect", "");
-	m->calls = plan_word(p, s, "calls", NULL);
+	m->pipeline = settings_text(ini, s, "pipeline", NULL);
+	m->workspace = settings_text(ini, s, "workspace", NULL);
+	m->token = settings_text(ini, s, "token", NULL);
+	m->field = settings_text(ini, s, "field", "note");
+	m->output = settings_text(ini, s, "output", "");
+	m->effect = settings_text(ini, s, "effect", "");
+	m->calls = settings_text(ini, s, "calls", NULL);
 	last = strrchr(m->calls, ' ');
 	m->service = last != NULL ? last + 1 : m->calls;
-	m->weight = plan_number(p, s, "weight", "1");
-	m->text_min = plan_number(p, s, "text_min", "100");
-	m->text_max = plan_number(p, s, "text_max", "1000");
-	m->stream_percent = plan_number(p, s, "stream_percent", "0");
-	m->tokens = plan_number(p, s, "tokens", "0");
-	m->deadline = plan_number(p, s, "deadline_ms", "5000") * USEC_PER_MSEC;
-	m->marked = strcmp(plan_word(p, s, "marked", "yes"), "yes") == 0;
-}
-
-static bool
-is_first(const struct plan *p, size_t i)
-{
-	const char *s = p->ini.entries[i].section;
-
-	if (!str_prefix(str_from(s), STR("mix ")))
-		return false;
-	for (size_t k = 0; k < i; k++) {
-		if (strcmp(p->ini.entries[k].section, s) == 0)
-			return false;
-	}
-	return true;
+	m->weight = settings_number(ini, s, "weight", "1");
+	m->text_min = settings_number(ini, s, "text_min", "100");
+	m->text_max = settings_number(ini, s, "text_max", "1000");
+	m->stream_percent = settings_number(ini, s, "stream_percent", "0");
+	m->tokens = settings_number(ini, s, "tokens", "0");
+	m->deadline =
+	    settings_number(ini, s, "deadline_ms", "5000") * USEC_PER_MSEC;
+	m->marked = strcmp(settings_text(ini, s, "marked", "yes"), "yes") == 0;
 }
 
 static usec_t
 seconds(const struct plan *p, const char *key)
 {
-	return plan_number(p, "run", key, "0") * USEC_PER_SEC;
+	return settings_number(&p->ini, "run", key, "0") * USEC_PER_SEC;
 }
 
 static void
@@ -88,38 +47,31 @@
 		fprintf(stderr, "load: [run] seconds: the run is too long\n");
 		exit(EXIT_FAILURE);
 	}
-	p->rate = plan_number(p, "load", "capacity_per_second", NULL) *
-	    plan_number(p, "run", "percent", "70") / 100.0;
-	p->surge.workspace = plan_word(p, "run", "surge_workspace", "");
-	p->surge.factor = plan_number(p, "run", "surge_factor", "1");
+	p->rate =
+	    settings_number(&p->ini, "load", "capacity_per_second", NULL) *
+	    settings_number(&p->ini, "run", "percent", "70") / 100.0;
+	p->surge.workspace =
+	    settings_text(&p->ini, "run", "surge_workspace", "");
+	p->surge.factor = settings_number(&p->ini, "run", "surge_factor", "1");
 	p->surge.from = p->warm + seconds(p, "surge_from");
 	p->surge.to = p->warm + seconds(p, "surge_to");
-	rng_init(&p->rng, plan_number(p, "run", "seed", "1"));
+	rng_init(&p->rng, settings_number(&p->ini, "run", "seed", "1"));
 }
 
 void
 plan_read(struct plan *p, const char *path)
 {
-	struct buf b = { 0 };
-	struct err e;
-	int rc = ini_slurp(path, &b, &e);
-
 	*p = (struct plan){ 0 };
-	if (rc == 0)
-		rc = ini_add(&p->ini, path, str_of(&b), &e);
-	buf_free(&b);
-	if (rc != 0) {
-		fprintf(stderr, "load: %s\n", e.text);
-		exit(EXIT_FAILURE);
-	}
+	settings_read(&p->ini, path);
 	p->mixes = xcalloc(p->ini.n, sizeof(*p->mixes));
 	for (size_t i = 0; i < p->ini.n; i++) {
-		if (is_first(p, i))
-			read_mix(p, p->ini.entries[i].section,
+		if (settings_opens(&p->ini, i, "mix "))
+			read_mix(&p->ini, p->ini.entries[i].section,
 			    &p->mixes[p->n_mixes++]);
 	}
-	p->prefixes = plan_number(p, "load", "prefixes", "400");
-	p->client = plan_number(p, "load", "client_ms", "0") * USEC_PER_MSEC;
+	p->prefixes = settings_number(&p->ini, "load", "prefixes", "400");
+	p->client =
+	    settings_number(&p->ini, "load", "client_ms", "0") * USEC_PER_MSEC;
 	read_run(p);
 }
 
--- a/tests/load/plan.h
+++ b/tests/load/plan.h
@@ -38,8 +38,8 @@
 #define LOAD_PLAN_H
 
 #include "base/clock.h"
-#include "base/ini.h"
 #include "base/rng.h"
+#include "tests/settings.h"
 
 struct mix {
 	const char *pipeline;
@@ -91,11 +91,6 @@
 
 /* Reads deployment and run; ends the program when they are not whole. */
 void plan_read(struct plan *p, const char *path);
-/* A key's text; NULL as the fallback: it must be set. */
-const char *plan_word(const struct plan *p, const char *section,
-    const char *key, const char *fallback);
-uint32_t plan_number(const struct plan *p, const char *section, const char *key,
-    const char *fallback);
 /* Draws all arrivals in order of time; freed by the caller. */
 struct planned *plan_draw(struct plan *p, size_t *n);
 /* Draws one request that arrives at a time. */
--- a/tests/load/report.c
+++ b/tests/load/report.c
@@ -36,8 +36,8 @@
 static json_t *
 fetch_json(const struct report_opts *o, const char *path)
 {
-	struct buf b = fetch(
-	    o->loop, plan_word(o->plan, "run", "admin", NULL), path, NULL);
+	struct buf b = fetch(o->loop,
+	    settings_text(&o->plan->ini, "run", "admin", NULL), path, NULL);
 	json_t *j = b.n > 0 ? json_loadb(b.p, b.n, 0, NULL) : NULL;
 
 	buf_free(&b);
--- a/tests/standin/kv.c
+++ b/tests/standin/kv.c
@@ -55,8 +55,11 @@
 static struct {
 	json_int_t calls, writes, reads, refused;
 	int watches, most_watches;
-	usec_t second;
-	int this_second, last_second;
+	/* Calls of the present second and of the one before. */
+	struct {
+		usec_t second;
+		int calls;
+	} rate[2];
 } seen;
 
 static int64_t
@@ -419,18 +422,16 @@
 count_call(bool writes)
 {
 	usec_t second = clock_now() / USEC_PER_SEC;
+	int *now = &seen.rate[second % 2].calls;
 
-	if (second != seen.second) {
-		seen.last_second =
-		    second == seen.second + 1 ? seen.this_second : 0;
-		seen.this_second = 0;
-		seen.second = second;
-	}
+	if (seen.rate[second % 2].second != second)
+		*now = 0;
+	seen.rate[second % 2].second = second;
+	(*now)++;
 	seen.calls++;
-	seen.this_second++;
 	seen.writes += writes;
 	seen.reads += !writes;
-	if (limit == 0 || seen.this_second <= limit)
+	if (limit == 0 || *now <= limit)
 		return true;
 	seen.refused++;
 	return false;
@@ -490,12 +491,6 @@
 	return m;
 }
 
-static bool
-send_message(struct mg_connection *c, json_t *m)
-{
-	return web_chunk_json(c, "", m, "\n");
-}
-
 /* The first message: created, or cancelled if the history is too short. */
 static json_t *
 open_watch(struct watch *w, const json_t *req)
@@ -530,7 +525,7 @@
 	g_mutex_unlock(&lock);
 	if (!web_stream(c, "application/json"))
 		going = false;
-	while (send_message(c, m) && going) {
+	while (web_chunk_json(c, "", m, "\n") && going) {
 		m = next_message(&w, from);
 		if (m == NULL)
 			break;
@@ -669,14 +664,12 @@
 json_t *
 kv_counters(void)
 {
-	usec_t second = clock_now() / USEC_PER_SEC;
+	usec_t second = clock_now() / USEC_PER_SEC - 1;
 	int last = 0;
 	HOLD(&lock);
 
-	if (second == seen.second)
-		last = seen.last_second;
-	else if (second == seen.second + 1)
-		last = seen.this_second;
+	if (seen.rate[second % 2].second == second)
+		last = seen.rate[second % 2].calls;
 	return json_pack("{s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I}", "calls",
 	    seen.calls, "writes", seen.writes, "reads", seen.reads, "refused",
 	    seen.refused, "watches", seen.watches, "most_watches",
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -66,7 +66,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "base/ini.h"
+#include "tests/settings.h"
 #include "tests/standin/engine.h"
 #include "tests/standin/hosts.h"
 #include "tests/standin/kv.h"
@@ -80,30 +80,17 @@
 static const char *
 text(const char *section, const char *key, const char *absent)
 {
-	const struct ini_entry *e = ini_find(&ini, section, key);
-
-	return e != NULL ? e->value : absent;
+	return settings_text(&ini, section, key, absent);
 }
 
-/* A number of the file; one that is no number ends the program. */
 static unsigned
-number(const char *section, const char *key, unsigned absent)
+number(const char *section, const char *key, const char *absent)
 {
-	const struct ini_entry *e = ini_find(&ini, section, key);
-	uint64_t n;
-
-	if (e == NULL)
-		return absent;
-	if (!str_u64(str_from(e->value), &n) || n > UINT32_MAX) {
-		fprintf(stderr, "standin: %s:%d: %s is no number\n", e->file,
-		    e->line, key);
-		exit(EXIT_FAILURE);
-	}
-	return (unsigned)n;
+	return settings_number(&ini, section, key, absent);
 }
 
 static usec_t
-msec(const char *section, const char *key, unsigned absent)
+msec(const char *section, const char *key, const char *absent)
 {
 	return number(section, key, absent) * USEC_PER_MSEC;
 }
@@ -146,41 +133,26 @@
 
 	t->kind = kind_of(s);
 	t->service = text(s, "service", s + strlen("target "));
-	t->count = number(s, "count", 1);
+	t->count = number(s, "count", "1");
 	t->domains = text(s, "failure_domain", "a");
-	t->latency = msec(s, "latency_ms", 20);
-	t->token = msec(s, "token_ms", 5);
-	t->batch = number(s, "batch", 8);
-	t->slowdown_percent = number(s, "batch_slowdown_percent", 3);
-	t->max_waiting = number(s, "max_waiting", 64);
-	t->cache_prefixes = number(s, "cache_prefixes", 64);
-	t->prompt_per_token = number(s, "prompt_us_per_token", 100);
-	t->network = msec(s, "network_ms", 0) + number(s, "network_us", 0);
-	t->load_lag = msec(s, "load_lag_ms", 0);
+	t->latency = msec(s, "latency_ms", "20");
+	t->token = msec(s, "token_ms", "5");
+	t->batch = number(s, "batch", "8");
+	t->slowdown_percent = number(s, "batch_slowdown_percent", "3");
+	t->max_waiting = number(s, "max_waiting", "64");
+	t->cache_prefixes = number(s, "cache_prefixes", "64");
+	t->prompt_per_token = number(s, "prompt_us_per_token", "100");
+	t->network = msec(s, "network_ms", "0") + number(s, "network_us", "0");
+	t->load_lag = msec(s, "load_lag_ms", "0");
 	t->honours_fence =
 	    strcmp(text(s, "fencing", "honoured"), "honoured") == 0;
-	t->load_model = msec(s, "load_model_ms", 500);
+	t->load_model = msec(s, "load_model_ms", "500");
 	t->model = text(s, "model", "");
 	t->version = text(s, "version", "1");
 	read_address(s, t);
 	target_add(t, listen);
 }
 
-/* Whether the entry is the first of a target's section. */
-static bool
-opens_target(size_t i)
-{
-	const struct ini_entry *e = &ini.entries[i];
-	size_t k;
-
-	if (!str_prefix(str_from(e->section), STR("target ")))
-		return false;
-	for (k = 0; k < i; k++)
-		if (strcmp(ini.entries[k].section, e->section) == 0)
-			return false;
-	return true;
-}
-
 static void
 read_targets(struct buf *listen)
 {
@@ -188,30 +160,15 @@
 	size_t i;
 
 	for (i = 0; i < ini.n; i++) {
-		if (!opens_target(i))
+		if (!settings_opens(&ini, i, "target "))
 			continue;
 		read_target(ini.entries[i].section, listen);
-		n = number(ini.entries[i].section, "weight_slots", 2);
+		n = number(ini.entries[i].section, "weight_slots", "2");
 		slots = MIN(slots, n);
 	}
 	engine_init(MAX(slots, 1U));
 }
 
-static int
-read_file(const char *path)
-{
-	struct buf b = { 0 };
-	struct err e;
-	int r = ini_slurp(path, &b, &e);
-
-	if (r == 0)
-		r = ini_add(&ini, path, str_of(&b), &e);
-	if (r != 0)
-		fprintf(stderr, "standin: %s\n", e.text);
-	buf_free(&b);
-	return r;
-}
-
 static bool
 reset(const struct mg_request_info *ri)
 {
@@ -291,11 +248,11 @@
 	size_t i;
 
 	servers[0].listen = text("kv", "listen", "");
-	servers[0].threads = number("threads", "kv", 192);
+	servers[0].threads = number("threads", "kv", "192");
 	servers[1].listen = text("hosts", "listen", "");
 	servers[2].listen = text("admin", "listen", "");
 	servers[3].listen = targets;
-	servers[3].threads = number("threads", "targets", 512);
+	servers[3].threads = number("threads", "targets", "512");
 	for (i = 0; i < G_N_ELEMENTS(servers); i++)
 		if (servers[i].listen[0] != '\0' && !web_start(&servers[i]))
 			return false;
@@ -313,14 +270,13 @@
 		fprintf(stderr, "usage: standin file.ini\n");
 		return EXIT_FAILURE;
 	}
-	if (read_file(argv[1]) != 0)
-		return EXIT_FAILURE;
+	settings_read(&ini, argv[1]);
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	kv_init(number("kv", "calls_per_second", 0));
-	hosts_init(msec("hosts", "lag_ms", 500));
+	kv_init(number("kv", "calls_per_second", "0"));
+	hosts_init(msec("hosts", "lag_ms", "500"));
 	target_init();
 	read_targets(&listen);
 	if (!start(listen.p != NULL ? listen.p : ""))
--- a/tests/standin/test_standin.c
+++ b/tests/standin/test_standin.c
@@ -12,21 +12,18 @@
 static void
 put(const char *key, const char *value, int64_t lease)
 {
-	GBytes *k = bytes(key), *v = bytes(value);
+	g_autoptr(GBytes) k = bytes(key);
+	g_autoptr(GBytes) v = bytes(value);
 
 	store_put(k, v, lease);
-	g_bytes_unref(k);
-	g_bytes_unref(v);
 }
 
 static const struct item *
 get(const char *key)
 {
-	GBytes *k = bytes(key);
-	const struct item *it = store_get(k);
+	g_autoptr(GBytes) k = bytes(key);
 
-	g_bytes_unref(k);
-	return it;
+	return store_get(k);
 }
 
 static void
@@ -47,13 +44,12 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		const struct item *it;
-		GBytes *k = bytes(cases[i].key);
+		g_autoptr(GBytes) k = bytes(cases[i].key);
 
 		if (cases[i].delete)
 			store_delete(k);
 		else
 			put(cases[i].key, "x", 0);
-		g_bytes_unref(k);
 		g_assert_true(store_commit());
 		it = get(cases[i].key);
 		g_assert_true((it == NULL) == cases[i].delete);
@@ -87,14 +83,12 @@
 	put("w/b", "x", 0);
 	store_commit();
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		GBytes *k = bytes(cases[i].key);
-		GBytes *end = g_bytes_new(cases[i].end, cases[i].end_n);
-		GPtrArray *found = store_range(k, end);
+		g_autoptr(GBytes) k = bytes(cases[i].key);
+		g_autoptr(GBytes) end =
+		    g_bytes_new(cases[i].end, cases[i].end_n);
+		g_autoptr(GPtrArray) found = store_range(k, end);
 
 		g_assert_cmpuint(found->len, ==, cases[i].found);
-		g_ptr_array_free(found, TRUE);
-		g_bytes_unref(k);
-		g_bytes_unref(end);
 	}
 }
 
