--- a/entry/web.c
+++ b/entry/web.c
@@ -201,6 +201,7 @@
 	status = relay(v, text, &q, &x);
 	v->reply.request_id = "";
 	rpc_result_free(&x);
+	v->reply.request_id = "";
 	return status;
 }
 
