Stop the servers at once

Cause: CivetWeb's master thread sleeps in poll for up to two seconds and looks for its end after it; mg_stop waits for that, once for the callers' and once for the operators' server (seen with gdb in an idle sequoiad after SIGTERM).

Change: entry/server stops a server in a thread of its own and connects to it until it has ended; a connection ends the poll and isn't accepted any more. What workers answer is finished as before.

--- a/entry/ops.c
+++ b/entry/ops.c
@@ -1,6 +1,7 @@
 #include "entry/ops.h"
 #include "entry/metrics.h"
 #include "entry/reply.h"
+#include "entry/server.h"
 #include "entry/report.h"
 #include "kernel/answer.h"
 
@@ -190,6 +191,6 @@
 void
 ops_stop(struct ops *ops)
 {
-	mg_stop(ops->ctx);
+	server_stop(ops->ctx, ops->o.settings->operators);
 	free(ops);
 }
--- /dev/null
+++ b/entry/server.c
@@ -0,0 +1,55 @@
+#include "entry/server.h"
+#include "base/clock.h"
+#include "base/str.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define WAKE_EVERY (10 * USEC_PER_MSEC)
+
+static void *
+run(void *arg)
+{
+	mg_stop(arg);
+	return NULL;
+}
+
+/* Whether the thread ends before the next connection is due. */
+static bool
+has_ended(pthread_t t)
+{
+	struct timespec until;
+
+	clock_gettime(CLOCK_MONOTONIC, &until);
+	until.tv_nsec += (long)WAKE_EVERY * 1000;
+	if (until.tv_nsec >= 1000000000) {
+		until.tv_nsec -= 1000000000;
+		until.tv_sec++;
+	}
+	return pthread_clockjoin_np(t, NULL, CLOCK_MONOTONIC, &until) == 0;
+}
+
+void
+server_stop(struct mg_context *ctx, const char *addr)
+{
+	const char *colon = strrchr(addr, ':');
+	char *host;
+	pthread_t t;
+
+	if (colon == NULL || pthread_create(&t, NULL, run, ctx) != 0) {
+		mg_stop(ctx);
+		return;
+	}
+	host = str_dup((struct str){ addr, (size_t)(colon - addr) });
+	while (!has_ended(t)) {
+		char why[128];
+		struct mg_connection *c = mg_connect_client(
+		    host, atoi(colon + 1), 0, why, sizeof(why));
+
+		if (c != NULL)
+			mg_close_connection(c);
+	}
+	free(host);
+}
--- a/entry/web.c
+++ b/entry/web.c
@@ -1,4 +1,5 @@
 #include "entry/web.h"
+#include "entry/server.h"
 #include "entry/visit.h"
 #include "kernel/uuid7.h"
 
@@ -388,7 +389,7 @@
 void
 web_stop(struct web *w)
 {
-	mg_stop(w->ctx);
+	server_stop(w->ctx, w->o.settings->listen);
 	guard_free(w->guard);
 	free(w);
 }
