--- a/entry/web.c
+++ b/entry/web.c
@@ -1,4 +1,5 @@
 #include "entry/web.h"
+#include "entry/server.h"
 #include "entry/visit.h"
 #include "kernel/uuid7.h"
 
@@ -201,6 +202,7 @@
 	status = relay(v, text, &q, &x);
 	v->reply.request_id = "";
 	rpc_result_free(&x);
+	v->reply.request_id = "";
 	return status;
 }
 
@@ -387,7 +389,7 @@
 void
 web_stop(struct web *w)
 {
-	mg_stop(w->ctx);
+	server_stop(w->ctx, w->o.settings->listen);
 	guard_free(w->guard);
 	free(w);
 }
