Load tool: a run counts while its own lag's p99 is below 50 ms

Cause: on a machine with a load average of 50 nearly every run was done twice for lags of 10 to 30 ms, which the measured times include anyway. Change: the bound is a hundredth of the shortest usual deadline. Conclusion: none beyond that.

--- a/tests/load/load.c
+++ b/tests/load/load.c
@@ -16,7 +16,7 @@
 #define STEP         (1 * USEC_PER_MSEC)
 #define SETTLE       (500 * USEC_PER_MSEC) /* for cancelled calls to end */
 
-#define LAG_BOUND_MS 10 /* 99 in 100 requests are sent within it, or ... */
+#define LAG_BOUND_MS 50 /* 99 in 100 requests are sent within it, or ... */
 #define EXIT_LATE    3  /* ... the run is no measurement */
 
 struct run {
