sequoiactl status: sequoiads and limits too

Cause: the table showed targets only. Change: members with generation and state, workspaces with their share.

--- a/ctl/ask.c
+++ b/ctl/ask.c
@@ -7,9 +7,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define CALL_MOST   (3600 * USEC_PER_SEC)
-#define DRAIN_MOST  (2 * USEC_PER_SEC)
-#define MAX_HEADERS 6
+#define CALL_MOST       (3600 * USEC_PER_SEC)
+#define DRAIN_MOST      (2 * USEC_PER_SEC)
+#define MAX_HEADERS     6
+#define PPM_PER_PERCENT 10000 /* millionths in a percent */
 
 static const char *
 text(const json_t *o, const char *name)
@@ -19,34 +20,68 @@
 	return s != NULL ? s : "-";
 }
 
+static long long
+number(const json_t *o, const char *name)
+{
+	return (long long)json_integer_value(json_object_get(o, name));
+}
+
 static void
 print_target(const json_t *t)
 {
 	printf("  %-16s %-21s %-8s %-8s %9lld %8.2f %s\n", text(t, "service"),
 	    text(t, "address"), text(t, "failure_domain"), text(t, "state"),
-	    (long long)json_integer_value(json_object_get(t, "in_flight")),
+	    number(t, "in_flight"),
 	    json_number_value(json_object_get(t, "load")),
 	    json_is_true(json_object_get(t, "set_aside")) ? "set aside" : "");
 }
 
 static void
-print_status(const char *addr, const json_t *o)
+print_member(const json_t *m)
+{
+	printf("  %-16s %-21s %-8s %-8s %10lld\n", text(m, "id"),
+	    text(m, "operators"), text(m, "failure_domain"), text(m, "state"),
+	    number(m, "generation"));
+}
+
+static void
+print_limit(const json_t *l)
+{
+	printf("  %-16s %9lld %9lld %9lld %8.1f%%\n", text(l, "workspace"),
+	    number(l, "arrived"), number(l, "tokens"), number(l, "in_flight"),
+	    (double)number(l, "share_ppm") / PPM_PER_PERCENT);
+}
+
+/* A head line and one line for each object, unless there are none. */
+static void
+print_list(const json_t *list, const char *head, void (*print)(const json_t *))
 {
-	const json_t *targets = json_object_get(o, "targets");
+	if (json_array_size(list) == 0)
+		return;
+	puts(head);
+	for (size_t i = 0; i < json_array_size(list); i++)
+		print(json_array_get(list, i));
+}
 
+static void
+print_status(const char *addr, const json_t *o)
+{
 	printf("%s at %s, failure domain %s: %s, generation %lld, "
 	       "%lld requests in flight\n",
 	    text(o, "id"), addr, text(o, "failure_domain"),
 	    json_is_true(json_object_get(o, "ready")) ? "ready" : "not ready",
-	    (long long)json_integer_value(json_object_get(o, "generation")),
-	    (long long)json_integer_value(
-		json_object_get(o, "requests_in_flight")));
-	if (json_array_size(targets) == 0)
-		return;
-	printf("  %-16s %-21s %-8s %-8s %9s %8s\n", "SERVICE", "TARGET",
-	    "DOMAIN", "STATE", "IN-FLIGHT", "LOAD");
-	for (size_t i = 0; i < json_array_size(targets); i++)
-		print_target(json_array_get(targets, i));
+	    number(o, "generation"), number(o, "requests_in_flight"));
+	print_list(json_object_get(o, "members"),
+	    "  SEQUOIAD         OPERATORS             DOMAIN   STATE    "
+	    "GENERATION",
+	    print_member);
+	print_list(json_object_get(o, "limits"),
+	    "  WORKSPACE          ARRIVED    TOKENS IN-FLIGHT     SHARE",
+	    print_limit);
+	print_list(json_object_get(o, "targets"),
+	    "  SERVICE          TARGET                DOMAIN   STATE    "
+	    "IN-FLIGHT     LOAD",
+	    print_target);
 }
 
 static int
