--- a/entry/ops.c
+++ b/entry/ops.c
@@ -8,7 +8,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <urcu/urcu-memb.h>
 
 #define WORKERS "4"
 
@@ -141,31 +140,13 @@
 	return reply_json(&r, 202, STR("{\"draining\":true}"));
 }
 
-static void *
-on_thread(const struct mg_context *ctx, int kind)
-{
-	(void)ctx;
-	(void)kind;
-	urcu_memb_register_thread();
-	return NULL;
-}
-
-static void
-on_thread_end(const struct mg_context *ctx, int kind, void *arg)
-{
-	(void)ctx;
-	(void)kind;
-	(void)arg;
-	urcu_memb_unregister_thread();
-}
-
 struct ops *
 ops_start(const struct ops_opts *o, struct err *e)
 {
 	struct ops *ops = xcalloc(1, sizeof(*ops));
 	struct mg_callbacks cb = {
-		.init_thread = on_thread,
-		.exit_thread = on_thread_end,
+		.init_thread = snaps_thread_begin,
+		.exit_thread = snaps_thread_end,
 	};
 	const char *options[] = { "listening_ports", o->settings->operators,
 		"num_threads", WORKERS, NULL };
--- a/entry/snap.c
+++ b/entry/snap.c
@@ -79,6 +79,24 @@
 	return atomic_load(&ss->superseded);
 }
 
+void *
+snaps_thread_begin(const struct mg_context *ctx, int kind)
+{
+	(void)ctx;
+	(void)kind;
+	urcu_memb_register_thread();
+	return NULL;
+}
+
+void
+snaps_thread_end(const struct mg_context *ctx, int kind, void *arg)
+{
+	(void)ctx;
+	(void)kind;
+	(void)arg;
+	urcu_memb_unregister_thread();
+}
+
 void
 snaps_free(struct snaps *ss)
 {
--- a/entry/snap.h
+++ b/entry/snap.h
@@ -13,6 +13,7 @@
 };
 
 struct snaps;
+struct mg_context;
 
 struct snaps *snaps_new(void);
 /* Publishes a copy of s; the snapshot takes its own reference on conf. */
@@ -25,6 +26,9 @@
 /* A newer process has this one's id; nothing takes it back. */
 void snaps_supersede(struct snaps *ss);
 bool snaps_superseded(struct snaps *ss);
+/* Callbacks of CivetWeb that register its threads with liburcu. */
+void *snaps_thread_begin(const struct mg_context *ctx, int kind);
+void snaps_thread_end(const struct mg_context *ctx, int kind, void *arg);
 void snaps_free(struct snaps *ss);
 
 #endif
--- a/entry/web.c
+++ b/entry/web.c
@@ -6,7 +6,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <urcu/urcu-memb.h>
 
 #define PIPELINES STR("/v1/pipelines/")
 #define REQUESTS  STR("/v1/requests/")
@@ -319,31 +318,13 @@
 	atomic_fetch_sub(&w->connections, 1);
 }
 
-static void *
-on_thread(const struct mg_context *ctx, int kind)
-{
-	(void)ctx;
-	(void)kind;
-	urcu_memb_register_thread();
-	return NULL;
-}
-
-static void
-on_thread_end(const struct mg_context *ctx, int kind, void *arg)
-{
-	(void)ctx;
-	(void)kind;
-	(void)arg;
-	urcu_memb_unregister_thread();
-}
-
 struct web *
 web_start(const struct web_opts *o, struct err *e)
 {
 	struct web *w = xcalloc(1, sizeof(*w));
 	struct mg_callbacks cb = {
-		.init_thread = on_thread,
-		.exit_thread = on_thread_end,
+		.init_thread = snaps_thread_begin,
+		.exit_thread = snaps_thread_end,
 		.http_error = on_unreadable,
 		.init_connection = on_connection,
 		.connection_closed = on_close,
