--- a/tests/faults/fleet.sh
+++ b/tests/faults/fleet.sh
@@ -243,6 +243,13 @@
 	fi
 }
 
+# serves NODE: a request without a claim is answered.
+serves() {
+	[ "$(curl -s -m 20 -H 'Authorization: Bearer w-token' -d '{"text":"a"}' \
+	    "http://$NET.$1:8080/v1/pipelines/tell" |
+	    jq -r .outcome)" = complete ]
+}
+
 service_of() { if [ "$1" = book ]; then echo collect; else echo ledger; fi; }
 
 # deliver PIPELINE KEY TRIES NODE...: a caller that goes from node to node with
--- a/tests/faults/run.sh
+++ b/tests/faults/run.sh
@@ -333,13 +333,6 @@
 	check_effects
 	all_complete
 }
-# serves NODE: a request without a claim is answered.
-serves() {
-	[ "$(curl -s -m 20 -H 'Authorization: Bearer w-token' -d '{"text":"a"}' \
-	    "http://$NET.$1:8080/v1/pipelines/tell" |
-	    jq -r .outcome)" = complete ]
-}
-
 # Node 2 sees only an old state of the log and hands it on.
 case_old_generation() {
 	local i
