sequoiactl reads bodies at once

Cause: those that do not watch the log give peers 1.5 s to offer a body first; sequoiactl has no peers and paid that at each apply (1.54 s for one change). Change: only a conflog with peers waits for them. Conclusion: apply on an idle service sends its first body read at once (strace); figures in docs/MEASUREMENTS.md.

--- a/entry/control.c
+++ b/entry/control.c
@@ -450,6 +450,7 @@
 	c->kv = open_kv(c, o->settings);
 	c->conflog = conflog_new(&(struct conflog_opts){
 	    .kv = c->kv,
+	    .peers = true,
 	    .incarnation = o->incarnation,
 	    .changed = on_conf,
 	    .refused = on_refused,
--- a/plat/conflog.c
+++ b/plat/conflog.c
@@ -189,7 +189,7 @@
 	if (c->missing_since == 0)
 		c->missing_since = now;
 	if (now < c->retry_at ||
-	    (!c->follow && now - c->missing_since < PEERS_FIRST))
+	    (c->o.peers && !c->follow && now - c->missing_since < PEERS_FIRST))
 		return;
 	c->retry_at = now + BODY_RETRY;
 	for (size_t i = 0; i < c->state.files.n; i++) {
--- a/plat/conflog.h
+++ b/plat/conflog.h
@@ -22,6 +22,7 @@
 struct conflog_opts {
 	struct kv *kv;
 	uint64_t incarnation;
+	bool peers; /* other processes may offer bodies: they are asked first */
 	/* The state has moved; bodies may still be missing. */
 	void (*changed)(void *arg);
 	/* An append has been decided; NULL for those who only read. */
