--- a/tests/faults/fleet.sh
+++ b/tests/faults/fleet.sh
@@ -8,7 +8,7 @@
 HOSTS=$NET.100:2380
 ADMIN=http://$NET.100:2381
 WAIT=${WAIT:-60} # seconds until a state that is waited for is given up
-declare -A PID
+declare -gA PID
 
 cleanup() {
 	local p
