Capacity: probes and letters; runners of the script on loopback

Cause: probes of idle runners landed; the script listed addresses beyond loopback, which nothing should ever call.

--- a/tests/capacity/fleet.sh
+++ b/tests/capacity/fleet.sh
@@ -80,7 +80,7 @@
 # Adds runners to the host list until there are that many more.
 add_runners() { # FROM TO
 	for i in $(seq "$1" "$2"); do
-		echo "url = http://127.0.9.100:23792/hosts?add=10.9.$((i / 250)).$((i % 250)):8000&service=other-$((i % 20))&failure_domain=a"
+		echo "url = http://127.0.9.100:23792/hosts?add=127.9.$((i / 250)).$((i % 250)):8000&service=other-$((i % 20))&failure_domain=a"
 		echo "output = /dev/null"
 	done >"$DIR/add"
 	curl -s -X POST --config "$DIR/add" -d ''
