One key-value service in memory for tests of logs

Cause: test_alog and the capacity tool each had a store in memory that carries out a log's requests; the latter compared no revisions.

Change: tests/kernel/logstore.c serves both and compares on every swap.

--- a/tests/capacity/logs.c
+++ b/tests/capacity/logs.c
@@ -1,8 +1,8 @@
 /* What the logs of claims and of the configuration cost. */
 #include "tests/capacity/capacity.h"
-#include "kernel/alog.h"
 #include "kernel/claims.h"
 #include "kernel/confstate.h"
+#include "tests/kernel/logstore.h"
 
 #include <glib.h>
 #include <inttypes.h>
@@ -17,37 +17,16 @@
 #define CONFIG_FILES 20
 #define ANSWER_BYTES 200
 
-/* A key-value service in memory, with one log on it. */
+/* A key-value service with one log on it. */
 struct store {
-	GHashTable *values; /* key -> GString */
-	GHashTable *revisions;
-	uint64_t revision;
+	struct logstore kv;
 	struct alog *log;
-	double calls;
-	double bytes; /* written */
 };
 
-static uint64_t
-revision_of(const struct store *s, const char *key)
-{
-	return (uint64_t)GPOINTER_TO_SIZE(
-	    g_hash_table_lookup(s->revisions, key));
-}
-
-static void
-free_string(gpointer p)
-{
-	g_string_free(p, TRUE);
-}
-
 static void
 store_open(struct store *s, const struct alog_opts *o)
 {
-	*s = (struct store){ 0 };
-	s->values =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_string);
-	s->revisions =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	logstore_init(&s->kv);
 	s->log = alog_new(o);
 }
 
@@ -55,45 +34,7 @@
 store_close(struct store *s)
 {
 	alog_free(s->log);
-	g_hash_table_destroy(s->values);
-	g_hash_table_destroy(s->revisions);
-}
-
-static void
-write_value(struct store *s, const struct alog_request *rq)
-{
-	s->revision++;
-	s->bytes += (double)rq->value.n;
-	g_hash_table_replace(s->values, g_strdup(rq->key),
-	    g_string_new_len(rq->value.p, (gssize)rq->value.n));
-	g_hash_table_replace(
-	    s->revisions, g_strdup(rq->key), GSIZE_TO_POINTER(s->revision));
-}
-
-static void
-carry_out(struct store *s, struct alog *l, const struct alog_request *rq)
-{
-	struct alog_answer a = { .id = rq->id, .status = ALOG_OK };
-	const GString *v;
-
-	s->calls++;
-	switch (rq->kind) {
-	case ALOG_GET:
-		v = g_hash_table_lookup(s->values, rq->key);
-		if (v == NULL)
-			a.status = ALOG_MISSING;
-		else
-			a.value = (struct str){ v->str, v->len };
-		break;
-	case ALOG_SWAP:
-	case ALOG_CREATE:
-		write_value(s, rq);
-		break;
-	case ALOG_DELETE:
-		break;
-	}
-	a.revision = revision_of(s, rq->key);
-	alog_answer(l, &a);
+	logstore_free(&s->kv);
 }
 
 /* Carries out all that a log asks for. */
@@ -101,10 +42,12 @@
 drive(struct store *s, struct alog *l)
 {
 	struct alog_request rq;
+	struct alog_answer a;
 	struct alog_done d;
 
 	while (alog_request(l, &rq)) {
-		carry_out(s, l, &rq);
+		a = logstore_do(&s->kv, &rq);
+		alog_answer(l, &a);
 		alog_request_free(&rq);
 	}
 	while (alog_done(l, &d))
@@ -112,12 +55,10 @@
 	g_assert_null(alog_error(l));
 }
 
-static struct str
-head_of(const struct store *s, const char *key)
+static double
+head_bytes(const struct store *s, const char *key)
 {
-	const GString *v = g_hash_table_lookup(s->values, key);
-
-	return (struct str){ v->str, v->len };
+	return (double)logstore_get(&s->kv, key)->text->len;
 }
 
 static void
@@ -174,7 +115,7 @@
 {
 	struct claims *c = claims_new();
 	struct alog_opts other = *o;
-	double calls = s->calls;
+	double calls = s->kv.calls;
 	double before = cpu_usec();
 	struct alog *l;
 
@@ -184,7 +125,7 @@
 	drive(s, l);
 	g_assert_cmpuint(claims_count(c), ==, (size_t)kept);
 	point("reads to take a shard over, calls per claim kept", kept,
-	    s->calls - calls);
+	    s->kv.calls - calls);
 	point("time to take a shard over, us per claim kept", kept,
 	    cpu_usec() - before);
 	alog_free(l);
@@ -210,19 +151,19 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(kept); i++) {
 		double n = (double)(kept[i] - from);
 		double x = (double)kept[i];
-		double was_calls = s.calls;
-		double was_bytes = s.bytes;
+		double was_calls = s.kv.calls;
+		double was_bytes = (double)s.kv.written;
 
 		point("time of the writer for a claim, us per claim kept", x,
 		    append_claims(&s, from, kept[i]) / n);
 		point("calls for a claim, 20 at a time, calls per claim kept",
-		    x, (s.calls - was_calls) / n);
+		    x, (s.kv.calls - was_calls) / n);
 		point("bytes written for a claim, B per claim kept", x,
-		    (s.bytes - was_bytes) / n);
+		    ((double)s.kv.written - was_bytes) / n);
 		point("memory of claims kept, B per claim", x,
 		    (double)claims_bytes(c));
 		point("head of a shard, B per claim kept", x,
-		    (double)head_of(&s, o.key).n);
+		    head_bytes(&s, o.key));
 		take_over(&s, &o, x);
 		from = kept[i];
 	}
@@ -327,7 +268,7 @@
 		    (double)kept[j],
 		    (cpu_usec() - before) / (double)(kept[j] - from));
 		point("head of the configuration log, B per change kept",
-		    (double)kept[j], (double)head_of(&s, o.key).n);
+		    (double)kept[j], head_bytes(&s, o.key));
 	}
 	store_close(&s);
 	confstate_free(&state);
--- a/tests/kernel/test_alog.c
+++ b/tests/kernel/test_alog.c
@@ -1,5 +1,5 @@
 /* Tables of cases for the append-only log, against a store in memory. */
-#include "kernel/alog.h"
+#include "tests/kernel/logstore.h"
 
 #include <glib.h>
 #include <string.h>
@@ -12,21 +12,10 @@
 #define OLD_TIME  1
 #define RECENT    1000
 
-struct value {
-	uint64_t revision;
-	GString *text;
-};
-
-struct store {
-	GHashTable *keys;
-	uint64_t revision;
-	unsigned deletes;
-};
-
 /* A process with its log; folded holds the names that it has folded. */
 struct host {
 	struct alog *log;
-	struct store *store;
+	struct logstore *store;
 	GString *folded;
 	usec_t keep_from;
 	usec_t dropped;
@@ -34,59 +23,6 @@
 	int code;
 };
 
-static void
-value_free(gpointer p)
-{
-	struct value *v = p;
-
-	g_string_free(v->text, TRUE);
-	g_free(v);
-}
-
-static void
-store_put(struct store *s, const char *key, struct str text)
-{
-	struct value *v = g_new0(struct value, 1);
-
-	v->revision = ++s->revision;
-	v->text = g_string_new_len(text.p, (gssize)text.n);
-	g_hash_table_replace(s->keys, g_strdup(key), v);
-}
-
-static struct alog_answer
-store_do(struct store *s, const struct alog_request *r)
-{
-	const struct value *v = g_hash_table_lookup(s->keys, r->key);
-	struct alog_answer a = { .id = r->id, .status = ALOG_OK };
-
-	switch (r->kind) {
-	case ALOG_GET:
-		if (v == NULL) {
-			a.status = ALOG_MISSING;
-			return a;
-		}
-		a.revision = v->revision;
-		a.value = (struct str){ v->text->str, v->text->len };
-		return a;
-	case ALOG_SWAP:
-	case ALOG_CREATE:
-		if ((v != NULL ? v->revision : 0) != r->revision) {
-			a.status = ALOG_CONFLICT;
-			return a;
-		}
-		g_assert_cmpuint(r->value.n, <, 1024 * 1024);
-		store_put(s, r->key, str_of(&r->value));
-		a.revision = s->revision;
-		return a;
-	case ALOG_DELETE:
-		g_assert_cmpstr(r->key, !=, HEAD);
-		s->deletes++;
-		g_hash_table_remove(s->keys, r->key);
-		return a;
-	}
-	return a;
-}
-
 static int
 admit(void *arg, const json_t *payload)
 {
@@ -137,7 +73,7 @@
 };
 
 static void
-host_start(struct host *h, struct store *s, uint64_t incarnation,
+host_start(struct host *h, struct logstore *s, uint64_t incarnation,
     size_t seal_bytes, const struct alog_ops *ops)
 {
 	struct alog_opts o = { .key = HEAD,
@@ -175,7 +111,7 @@
 
 /* A store with two hosts. */
 struct world {
-	struct store s;
+	struct logstore s;
 	struct host h;
 	struct host r;
 };
@@ -183,8 +119,7 @@
 static void
 world_start(struct world *w, size_t seal_bytes, const struct alog_ops *ops)
 {
-	w->s = (struct store){ .keys = g_hash_table_new_full(g_str_hash,
-				   g_str_equal, g_free, value_free) };
+	logstore_init(&w->s);
 	host_start(&w->h, &w->s, 1, seal_bytes, ops);
 	host_start(&w->r, &w->s, 2, seal_bytes, ops);
 }
@@ -194,7 +129,7 @@
 {
 	host_stop(&w->h);
 	host_stop(&w->r);
-	g_hash_table_destroy(w->s.keys);
+	logstore_free(&w->s);
 }
 
 /*
@@ -211,9 +146,9 @@
 		struct alog_answer a = { .id = r.id, .status = ALOG_LOST };
 
 		if (fault == 'a')
-			store_do(h->store, &r);
+			logstore_do(h->store, &r);
 		else if (fault == '.')
-			a = store_do(h->store, &r);
+			a = logstore_do(h->store, &r);
 		alog_answer(h->log, &a);
 		alog_request_free(&r);
 	}
@@ -264,7 +199,7 @@
 
 				g_assert_true(alog_request(w.h.log, &q[j]));
 				if (rest[j] != 'b')
-					a = store_do(&w.s, &q[j]);
+					a = logstore_do(&w.s, &q[j]);
 				a.id = q[j].id;
 				if (rest[j] != '.')
 					a.status = ALOG_LOST;
@@ -316,7 +251,7 @@
 
 /* What the store holds beside the head. */
 static unsigned
-n_segments(const struct store *s)
+n_segments(const struct logstore *s)
 {
 	return g_hash_table_size(s->keys) - 1;
 }
@@ -410,7 +345,7 @@
 	append(&w.h, 1, "b", 1, RECENT);
 	g_assert_true(alog_request(w.h.log, &q));
 	g_assert_cmpint(q.kind, ==, ALOG_CREATE);
-	a = store_do(&w.s, &q);
+	a = logstore_do(&w.s, &q);
 	append_all(&w.r, "z", RECENT, "");
 	alog_answer(w.h.log, &a);
 	pump(&w.h, "");
@@ -425,17 +360,17 @@
 test_watch(void)
 {
 	struct world w;
-	struct value *v;
+	const struct logvalue *v;
 	char *old;
 
 	world_start(&w, NO_SEAL, &plain);
 	pump(&w.r, "");
 	append_all(&w.h, "a", RECENT, "");
-	v = g_hash_table_lookup(w.s.keys, HEAD);
+	v = logstore_get(&w.s, HEAD);
 	old = g_strdup(v->text->str);
 	alog_watched(w.r.log, v->revision, str_from(old));
 	append_all(&w.h, "b", RECENT, "");
-	v = g_hash_table_lookup(w.s.keys, HEAD);
+	v = logstore_get(&w.s, HEAD);
 	alog_watched(w.r.log, v->revision, str_from(v->text->str));
 	alog_watched(w.r.log, v->revision, str_from(v->text->str));
 	alog_watched(w.r.log, v->revision - 1, str_from(old));
@@ -481,11 +416,11 @@
 
 		world_start(&w, NO_SEAL, &plain);
 		if (cases[i].before != NULL) {
-			store_put(&w.s, HEAD, str_from(cases[i].before));
+			logstore_put(&w.s, HEAD, str_from(cases[i].before));
 			pump(&w.h, "");
 		}
 		if (cases[i].head != NULL)
-			store_put(&w.s, HEAD, str_from(cases[i].head));
+			logstore_put(&w.s, HEAD, str_from(cases[i].head));
 		else
 			g_hash_table_remove(w.s.keys, HEAD);
 		alog_refresh(w.h.log);
