--- a/ctl/change.c
+++ b/ctl/change.c
@@ -392,6 +392,10 @@
 		complain(&e, rc);
 		goto out;
 	}
+	if (folder_make(o->dir, &e) != 0) {
+		rc = complain(&e, EXIT_REFUSED);
+		goto out;
+	}
 	st = conflog_state(s.log);
 	for (size_t i = 0; rc == EXIT_DONE && i < st->files.n; i++) {
 		const struct conffile *x = &st->files.v[i];
--- a/ctl/folder.c
+++ b/ctl/folder.c
@@ -5,9 +5,11 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 
-#define SUFFIX ".ini"
-#define BASE   ".generation" /* not an INI file: never applied */
+#define SUFFIX      ".ini"
+#define FOLDER_MODE 0755
+#define BASE        ".generation" /* not an INI file: never applied */
 
 static bool
 is_ini(const char *name)
@@ -80,6 +82,15 @@
 	return 0;
 }
 
+int
+folder_make(const char *path, struct err *e)
+{
+	if (mkdir(path, FOLDER_MODE) == 0 || errno == EEXIST)
+		return 0;
+	return err_set(e, ERR_IO, "%s: %s: name a folder that can be made",
+	    path, strerror(errno));
+}
+
 int
 folder_write(const char *path, const char *name, struct str body, struct err *e)
 {
--- a/ctl/folder.h
+++ b/ctl/folder.h
@@ -19,6 +19,8 @@
 int folder_read(struct folder *f, const char *path, struct err *e);
 /* Merges the files into one set. */
 int folder_merge(const struct folder *f, struct ini *out, struct err *e);
+/* Makes the folder unless it is there. */
+int folder_make(const char *path, struct err *e);
 /* Replaces one file of the folder. */
 int folder_write(
     const char *path, const char *name, struct str body, struct err *e);
--- a/tests/capacity/logs.c
+++ b/tests/capacity/logs.c
@@ -19,14 +19,34 @@
 
 /* A key-value service with one log on it. */
 struct store {
+<<<<<<< HEAD
 	struct logstore kv;
+=======
+	GHashTable *values; /* key -> GString */
+	uint64_t revision;  /* of the head */
+>>>>>>> pages
 	struct alog *log;
 };
 
+<<<<<<< HEAD
 static void
 store_open(struct store *s, const struct alog_opts *o)
 {
 	logstore_init(&s->kv);
+=======
+static void
+free_string(gpointer p)
+{
+	g_string_free(p, TRUE);
+}
+
+static void
+store_open(struct store *s, const struct alog_opts *o)
+{
+	*s = (struct store){ 0 };
+	s->values =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_string);
+>>>>>>> pages
 	s->log = alog_new(o);
 }
 
@@ -34,7 +54,47 @@
 store_close(struct store *s)
 {
 	alog_free(s->log);
+<<<<<<< HEAD
 	logstore_free(&s->kv);
+=======
+	g_hash_table_destroy(s->values);
+}
+
+static void
+write_value(struct store *s, const struct alog_request *rq)
+{
+	if (rq->kind == ALOG_SWAP)
+		s->revision++;
+	s->bytes += (double)rq->value.n;
+	g_hash_table_replace(s->values, g_strdup(rq->key),
+	    g_string_new_len(rq->value.p, (gssize)rq->value.n));
+}
+
+static void
+carry_out(struct store *s, struct alog *l, const struct alog_request *rq)
+{
+	struct alog_answer a = { .id = rq->id, .status = ALOG_OK };
+	const GString *v;
+
+	s->calls++;
+	switch (rq->kind) {
+	case ALOG_GET:
+		v = g_hash_table_lookup(s->values, rq->key);
+		if (v == NULL)
+			a.status = ALOG_MISSING;
+		else
+			a.value = (struct str){ v->str, v->len };
+		break;
+	case ALOG_SWAP:
+	case ALOG_CREATE:
+		write_value(s, rq);
+		break;
+	case ALOG_DELETE:
+		break;
+	}
+	a.revision = s->revision;
+	alog_answer(l, &a);
+>>>>>>> pages
 }
 
 /* Carries out all that a log asks for. */
