--- a/tests/capacity/logs.c
+++ b/tests/capacity/logs.c
@@ -1,8 +1,8 @@
 /* What the logs of claims and of the configuration cost. */
 #include "tests/capacity/capacity.h"
+#include "kernel/alog.h"
 #include "kernel/claims.h"
 #include "kernel/confstate.h"
-#include "tests/kernel/logstore.h"
 
 #include <glib.h>
 #include <inttypes.h>
@@ -17,23 +17,15 @@
 #define CONFIG_FILES 20
 #define ANSWER_BYTES 200
 
-/* A key-value service with one log on it. */
+/* A key-value service in memory, with one log on it. */
 struct store {
-<<<<<<< HEAD
-	struct logstore kv;
-=======
 	GHashTable *values; /* key -> GString */
 	uint64_t revision;  /* of the head */
->>>>>>> pages
 	struct alog *log;
+	double calls;
+	double bytes; /* written */
 };
 
-<<<<<<< HEAD
-static void
-store_open(struct store *s, const struct alog_opts *o)
-{
-	logstore_init(&s->kv);
-=======
 static void
 free_string(gpointer p)
 {
@@ -46,7 +38,6 @@
 	*s = (struct store){ 0 };
 	s->values =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_string);
->>>>>>> pages
 	s->log = alog_new(o);
 }
 
@@ -54,9 +45,6 @@
 store_close(struct store *s)
 {
 	alog_free(s->log);
-<<<<<<< HEAD
-	logstore_free(&s->kv);
-=======
 	g_hash_table_destroy(s->values);
 }
 
@@ -94,7 +82,6 @@
 	}
 	a.revision = s->revision;
 	alog_answer(l, &a);
->>>>>>> pages
 }
 
 /* Carries out all that a log asks for. */
@@ -102,12 +89,10 @@
 drive(struct store *s, struct alog *l)
 {
 	struct alog_request rq;
-	struct alog_answer a;
 	struct alog_done d;
 
 	while (alog_request(l, &rq)) {
-		a = logstore_do(&s->kv, &rq);
-		alog_answer(l, &a);
+		carry_out(s, l, &rq);
 		alog_request_free(&rq);
 	}
 	while (alog_done(l, &d))
@@ -115,10 +100,12 @@
 	g_assert_null(alog_error(l));
 }
 
-static double
-head_bytes(const struct store *s, const char *key)
+static struct str
+head_of(const struct store *s, const char *key)
 {
-	return (double)logstore_get(&s->kv, key)->text->len;
+	const GString *v = g_hash_table_lookup(s->values, key);
+
+	return (struct str){ v->str, v->len };
 }
 
 static void
@@ -175,7 +162,7 @@
 {
 	struct claims *c = claims_new();
 	struct alog_opts other = *o;
-	double calls = s->kv.calls;
+	double calls = s->calls;
 	double before = cpu_usec();
 	struct alog *l;
 
@@ -185,7 +172,7 @@
 	drive(s, l);
 	g_assert_cmpuint(claims_count(c), ==, (size_t)kept);
 	point("reads to take a shard over, calls per claim kept", kept,
-	    s->kv.calls - calls);
+	    s->calls - calls);
 	point("time to take a shard over, us per claim kept", kept,
 	    cpu_usec() - before);
 	alog_free(l);
@@ -211,19 +198,19 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(kept); i++) {
 		double n = (double)(kept[i] - from);
 		double x = (double)kept[i];
-		double was_calls = s.kv.calls;
-		double was_bytes = (double)s.kv.written;
+		double was_calls = s.calls;
+		double was_bytes = s.bytes;
 
 		point("time of the writer for a claim, us per claim kept", x,
 		    append_claims(&s, from, kept[i]) / n);
 		point("calls for a claim, 20 at a time, calls per claim kept",
-		    x, (s.kv.calls - was_calls) / n);
+		    x, (s.calls - was_calls) / n);
 		point("bytes written for a claim, B per claim kept", x,
-		    ((double)s.kv.written - was_bytes) / n);
+		    (s.bytes - was_bytes) / n);
 		point("memory of claims kept, B per claim", x,
 		    (double)claims_bytes(c));
 		point("head of a shard, B per claim kept", x,
-		    head_bytes(&s, o.key));
+		    (double)head_of(&s, o.key).n);
 		take_over(&s, &o, x);
 		from = kept[i];
 	}
@@ -328,7 +315,7 @@
 		    (double)kept[j],
 		    (cpu_usec() - before) / (double)(kept[j] - from));
 		point("head of the configuration log, B per change kept",
-		    (double)kept[j], head_bytes(&s, o.key));
+		    (double)kept[j], (double)head_of(&s, o.key).n);
 	}
 	store_close(&s);
 	confstate_free(&state);
