Measured: agreement

make measure-agreement on this build; the row of 27 sequoiads is from a run of that part alone, after the settings named too many peers for one line of INI.

--- a/tests/faults/fleet.sh
+++ b/tests/faults/fleet.sh
@@ -192,10 +192,10 @@
 	    jq '[.members[] | select(.state == "live")] | length')" = "$2" ]
 }
 # fleet N...: starts these nodes and waits until all are ready and know of
-# each other.
+# each other; the settings name the first few.
 fleet() {
 	local n
-	for n in "$@"; do start_node "$n" "$*"; done
+	for n in "$@"; do start_node "$n" "${*:1:6}"; done
 	for n in "$@"; do
 		until_true "node $n ready" ready "$n"
 		until_true "node $n sees $#" sees "$n" $#
--- a/tests/faults/measure.sh
+++ b/tests/faults/measure.sh
@@ -77,7 +77,7 @@
 	done >"$D/requests"
 	kv0=$(sum sequoia_claims_kv_calls_total "$n")
 	began=$(now_ms)
-	curl -s --parallel --parallel-max 48 --config "$D/requests"
+	curl -s --parallel --parallel-max 48 --config "$D/requests" 2>/dev/null
 	took=$(($(now_ms) - began))
 	kv1=$(sum sequoia_claims_kv_calls_total "$n")
 	echo "$n $CLAIMS $took $kv0 $kv1" | awk '{ printf \
