Load tool: end only what is still one's own process

Change: a process is ended only if its command line names this run's settings file; the numbers stand in files that a restart replaces.

--- a/tests/load/run.sh
+++ b/tests/load/run.sh
@@ -33,16 +33,30 @@
 domain_and_burst callers64'
 
 TMP=$(mktemp -d)
-declare -A PID
-STANDIN=
+mkdir "$TMP/pids"
 
-# Ends what this script started, by number.
+# Ends process $2 if it is still the one that was started under the name $1:
+# on a busy machine its number may be another's by now.
+end() {
+	local args
+	args=$({ tr '\0' ' ' <"/proc/$2/cmdline"; } 2>/dev/null) || return 0
+	case $args in *"$TMP/$1.ini "*) kill "-$3" "$2" 2>/dev/null || true ;; esac
+}
+
+# Ends what this script started.
 stop_all() {
-	local p
-	for p in "${PID[@]}" $STANDIN; do kill -KILL "$p" 2>/dev/null || true; done
-	for p in "${PID[@]}" $STANDIN; do wait "$p" 2>/dev/null || true; done
-	PID=()
-	STANDIN=
+	local f
+	for f in "$TMP"/pids/*; do
+		[ -e "$f" ] || continue
+		end "${f##*/}" "$(cat "$f")" KILL
+		gone "$(cat "$f")"
+		rm "$f"
+	done
+}
+
+# Waits until process $1 has ended.
+gone() {
+	while grep -qs "$TMP" "/proc/$1/cmdline"; do sleep 0.05; done
 }
 trap 'stop_all; rm -rf "$TMP"' EXIT
 
@@ -80,7 +94,8 @@
 start_sequoiad() {
 	settings "$1" >"$TMP/e$1.ini"
 	"$B/entry/sequoiad" "$TMP/e$1.ini" 2>>"$LOG/e$1.log" &
-	PID[$1]=$!
+	echo $! >"$TMP/pids/e$1"
+	disown
 }
 
 # The configuration folder of deployment $1 under the policy variant $2 for
@@ -148,7 +163,10 @@
 do_silent() { admin "target?fault=silent&address=$ENGINE"; }
 do_lagging_load() { :; }
 do_kv_down() { admin 'kv?mode=down'; }
-do_two_killed() { kill -KILL "${PID[2]}" "${PID[6]}"; }
+do_two_killed() {
+	end e2 "$(cat "$TMP/pids/e2")" KILL
+	end e6 "$(cat "$TMP/pids/e6")" KILL
+}
 do_leaving() {
 	admin "hosts?set=leaving&address=$ENGINE"
 	admin "target?fault=leaving&address=$ENGINE"
@@ -159,11 +177,10 @@
 do_rolling() {
 	local i p
 	for i in $(seq $HOSTS); do
-		p=${PID[$i]}
-		kill -TERM "$p"
-		while kill -0 "$p" 2>/dev/null; do sleep 0.1; done
+		p=$(cat "$TMP/pids/e$i")
+		end "e$i" "$p" TERM
+		gone "$p"
 		start_sequoiad "$i"
-		echo "${PID[$i]}" >>"$TMP/restarted"
 		await "http://$NET.$i:$((PORT + 1))/readyz"
 	done
 }
@@ -180,7 +197,8 @@
 	ENGINE=$(sed -n '/kind = generate/,/count/s/^listen = //p' "$INI" | head -1)
 	FLOODER=$(sed -n 's/^; flooder = //p' "$INI")
 	"$B/tests/standin/standin" "$INI" >"$LOG/standin.log" 2>&1 &
-	STANDIN=$!
+	echo $! >"$TMP/pids/deployment"
+	disown
 	await http://$NET.1:13791/hosts && configure "$1" "$3" "$2" || return 1
 	for i in $(seq $HOSTS); do start_sequoiad "$i"; done
 	for i in $(seq $HOSTS); do
@@ -188,7 +206,6 @@
 	done
 	sleep 1.2
 	before "$2"
-	: >"$TMP/restarted"
 	(sleep $WARM && "do_$2") &
 	faults=$!
 	cat >>"$INI" <<-END
@@ -211,7 +228,6 @@
 	END
 	"$B/tests/load/load" "$INI" >"$LOG/load.txt" || late=$?
 	wait $faults || echo "$name: the fault was not brought about" >&2
-	for i in $(cat "$TMP/restarted"); do kill -KILL "$i" || true; done
 	stop_all
 	grep -h -E '^(attainment|lag_ms|effects|direct |path )' "$LOG/load.txt" |
 	    tr '\n' ' ' | sed "s|^|$name: |"
