Fleet tests choose a loopback network that is free

Cause: two build folders that ran the same case at once shared one network; the second stand-in could not bind, and its case failed at its first apply.

Change: the network follows from the build folder, and one that answers is passed over, as tests/wire does with ports.

Conclusion: sender_paused, which had failed so, passes.

--- a/tests/orders/run.sh
+++ b/tests/orders/run.sh
@@ -8,7 +8,12 @@
 cd "$(dirname "$0")" || exit 2
 CASES="roll halt sender_killed sender_paused leaving probes id_taken limits"
 i=$(echo $CASES | tr ' ' '\n' | grep -nx "${2:?case: $CASES}" | cut -d: -f1)
-NET=127.8.${i:?no such case}
+# A network that belongs to this build folder and that nobody uses.
+n=$(cksum <<<"$B" | cut -d' ' -f1)
+for j in $(seq 0 49); do
+	NET=127.$((20 + (n + j) % 200)).${i:?no such case}
+	(: <>"/dev/tcp/$NET.100/2379") 2>/dev/null || break
+done
 . ../faults/fleet.sh
 TOKEN='Authorization: Bearer w-token'
 
