--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -6,15 +6,17 @@
 #include "base/hash.h"
 #include "base/rng.h"
 
-#define PREFIX_BYTES    ((size_t)256)
-#define TOKEN_BYTES     ((size_t)4)
-#define HIT_DIVISOR     5
-#define DEFAULT_TOKENS  16
-#define CUT_AFTER       3
-#define EVENTS_LATE     USEC_PER_SEC
-#define EVENTS_MAX      10000U
-#define EVENT_DROP_PART 10U
-#define WORD_MAX        128
+#define PREFIX_BYTES     ((size_t)256)
+#define TOKEN_BYTES      ((size_t)4)
+#define HIT_DIVISOR      5
+#define CACHE_PREFIXES   64U
+/* Of a token's time, for each further call in the batch. */
+#define SLOWDOWN_PERCENT 3
+#define DEFAULT_TOKENS   16
+#define EVENTS_LATE      USEC_PER_SEC
+#define EVENTS_MAX       10000U
+#define EVENT_DROP_PART  10U
+#define WORD_MAX         128
 
 struct cache_event {
 	usec_t at;
@@ -27,16 +29,14 @@
 	const struct target_conf *conf;
 	GMutex lock;
 	json_int_t fence;
-	json_int_t highest;
 	char *role;
 	json_t *models;
 	json_t *wanted;
 	json_t *adapters;
 	bool ready;
-	bool loading;
-	const char *error;
+	const char *error; /* of the last load; "": none */
 	unsigned order;
-	long fail_version;
+	struct web_word fail_version;
 	/* Prefix hashes, the latest used first. */
 	GQueue *cache;
 	GArray *events;
@@ -86,8 +86,8 @@
 	e->models = json_array();
 	if (conf->model[0] != '\0')
 		json_array_append_new(e->models,
-		    json_pack("{s:s,s:s}", "name", conf->model, "version",
-			conf->version));
+		    json_pack(
+			"{s:s,s:s}", "name", conf->model, "version", "1"));
 	e->wanted = json_incref(e->models);
 	e->adapters = json_array();
 	e->ready = true;
@@ -131,11 +131,11 @@
 	if (hit != NULL) {
 		g_queue_unlink(e->cache, hit);
 		g_queue_push_head_link(e->cache, hit);
-	} else if (e->conf->cache_prefixes > 0) {
+	} else {
 		g_queue_push_head(e->cache, g_strdup(hash));
 		add_event(e, true, hash);
 	}
-	if (g_queue_get_length(e->cache) > e->conf->cache_prefixes) {
+	if (g_queue_get_length(e->cache) > CACHE_PREFIXES) {
 		g_autofree char *old = g_queue_pop_tail(e->cache);
 
 		add_event(e, false, old);
@@ -143,18 +143,19 @@
 	return hit != NULL;
 }
 
+/* Whether a model has the word as its name, or as its version. */
 static bool
-has_model(const json_t *models, const char *name)
+has_model(const json_t *models, const char *member, const char *word)
 {
 	json_t *m;
 	size_t i;
 
 	json_array_foreach(models, i, m)
 	{
-		if (strcmp(web_text(m, "name"), name) == 0)
+		if (strcmp(web_text(m, member), word) == 0)
 			return true;
 	}
-	return json_array_size(models) == 0;
+	return false;
 }
 
 /* Whether the engine can take a completion; answers if it can't. */
@@ -165,7 +166,8 @@
 
 	g_mutex_lock(&e->lock);
 	ready = e->ready && strcmp(e->role, "generate") == 0;
-	known = has_model(e->models, web_text(body, "model"));
+	known = json_array_size(e->models) == 0 ||
+	    has_model(e->models, "name", web_text(body, "model"));
 	g_mutex_unlock(&e->lock);
 	if (!ready)
 		web_error(c, 503, "not ready");
@@ -258,7 +260,7 @@
 token_time(struct runner *r)
 {
 	usec_t others = (usec_t)runner_running(r) - 1;
-	usec_t percent = 100 + MAX(others, 0) * r->conf->slowdown_percent;
+	usec_t percent = 100 + MAX(others, 0) * SLOWDOWN_PERCENT;
 
 	return runner_slowed(r, r->conf->token) * percent / 100;
 }
@@ -282,11 +284,9 @@
 
 	for (n = g->first; n < g->most; n++) {
 		at += token_time(r);
-		web_sleep_until(at);
+		web_sleep(at - clock_now());
 		if (runner_silent(r, c))
 			return false;
-		if (runner_fault(r) == FAULT_CUT && n >= g->first + CUT_AFTER)
-			return false;
 		if (!send_token(c, g, n))
 			return false;
 		runner_count(r, COUNT_TOKENS);
@@ -305,13 +305,10 @@
 	sent = !runner_silent(r, c) && web_stream(c, "text/event-stream") &&
 	    send_tokens(r, c, g);
 	runner_leave(r, began);
-	if (sent && send_end(r, c, g)) {
-		runner_count(r, COUNT_COMPLETED);
+	if (sent && send_end(r, c, g))
 		return;
-	}
 	web_drop(c);
-	runner_count(
-	    r, runner_fault(r) == FAULT_CUT ? COUNT_FAILED : COUNT_CANCELLED);
+	runner_count(r, COUNT_CANCELLED);
 }
 
 void
@@ -337,8 +334,8 @@
 
 	return json_pack("{s:I,s:s,s:b,s:O,s:O,s:b,s:s}", "fence", e->fence,
 	    "role", e->role, "ready", (int)e->ready, "models", e->models,
-	    "adapters", e->adapters, "loading", (int)e->loading, "error",
-	    e->error);
+	    "adapters", e->adapters, "loading", !e->ready && *e->error == '\0',
+	    "error", e->error);
 }
 
 static bool
@@ -367,22 +364,6 @@
 	g_mutex_unlock(&store_lock);
 }
 
-static bool
-has_version(const json_t *models, long version)
-{
-	json_t *m;
-	size_t i;
-
-	json_array_foreach(models, i, m)
-	{
-		const char *v = web_text(m, "version");
-
-		if (version > 0 && strtol(v, NULL, 10) == version)
-			return true;
-	}
-	return false;
-}
-
 static void *
 load_models(void *arg)
 {
@@ -392,10 +373,9 @@
 	read_weights(l);
 	g_mutex_lock(&e->lock);
 	if (e->order == l->order) {
-		e->loading = false;
 		json_decref(e->models);
 		e->models = json_incref(l->models);
-		e->ready = !has_version(l->models, e->fail_version);
+		e->ready = !has_model(l->models, "version", e->fail_version.s);
 		if (!e->ready)
 			e->error = "load failed";
 	}
@@ -412,7 +392,6 @@
 	struct load *l = g_new0(struct load, 1);
 
 	e->ready = false;
-	e->loading = true;
 	e->error = "";
 	json_decref(e->models);
 	e->models = json_array();
@@ -434,10 +413,9 @@
 	HOLD(&e->lock);
 
 	same = models == NULL || json_equal(models, e->wanted);
-	if (e->conf->honours_fence && fence < e->highest)
+	if (e->conf->honours_fence && fence < e->fence)
 		return false;
 	e->fence = fence;
-	e->highest = MAX(e->highest, fence);
 	if (role != NULL) {
 		g_free(e->role);
 		e->role = g_strdup(role);
@@ -446,7 +424,7 @@
 		json_decref(e->adapters);
 		e->adapters = json_deep_copy(adapters);
 	}
-	if (same && (e->ready || e->loading))
+	if (same && (e->ready || *e->error == '\0'))
 		return true;
 	if (!same) {
 		json_decref(e->wanted);
@@ -524,7 +502,7 @@
 }
 
 void
-engine_fail_version(struct engine *e, long version)
+engine_fail_version(struct engine *e, struct web_word version)
 {
 	HOLD(&e->lock);
 
--- a/tests/standin/engine.h
+++ b/tests/standin/engine.h
@@ -12,8 +12,8 @@
 /* Orders and cache events; false for any other path. */
 bool engine_handle(struct runner *r, struct mg_connection *c,
     const struct mg_request_info *ri);
-/* Loading this version fails from now on; 0 means none. */
-void engine_fail_version(struct engine *e, long version);
+/* Loading this version fails from now on; "0" is never one. */
+void engine_fail_version(struct engine *e, struct web_word version);
 /* {"orders": [...], "most_loading": N} */
 json_t *engine_orders(void);
 void engine_reset(void);
--- a/tests/standin/hosts.c
+++ b/tests/standin/hosts.c
@@ -1,7 +1,11 @@
 #include "tests/standin/hosts.h"
 
+#include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "base/hash.h"
+
 enum host_state {
 	HOST_LIVE,
 	HOST_LEAVING,
@@ -12,19 +16,17 @@
 	char *service;
 	char *address;
 	char *domain;
-	enum host_state shown;
+	/* The state shown until the time of the last change, and after it. */
+	enum host_state before;
+	enum host_state after;
+	usec_t due;
 	/* When the list stopped showing it as live. */
 	usec_t left_at;
-	/* The change under way. */
-	enum host_state next;
-	usec_t due;
 };
 
 static GMutex lock;
 static GPtrArray *hosts;
 static usec_t lag;
-static int revision = 1;
-static bool down;
 
 void
 hosts_init(usec_t hosts_lag)
@@ -47,6 +49,22 @@
 	return NULL;
 }
 
+static enum host_state
+shown(const struct host *h)
+{
+	return clock_now() < h->due ? h->before : h->after;
+}
+
+static void
+plan(struct host *h, enum host_state next)
+{
+	h->before = shown(h);
+	h->after = next;
+	h->due = clock_now() + lag;
+	if (h->before == HOST_LIVE)
+		h->left_at = h->due;
+}
+
 static struct host *
 add(const char *service, const char *address, const char *domain)
 {
@@ -55,7 +73,7 @@
 	if (h == NULL) {
 		h = g_new0(struct host, 1);
 		h->address = g_strdup(address);
-		h->shown = HOST_GONE;
+		h->after = HOST_GONE;
 		g_ptr_array_add(hosts, h);
 	}
 	g_free(h->service);
@@ -68,36 +86,7 @@
 void
 hosts_add(const char *service, const char *address, const char *domain)
 {
-	struct host *h = add(service, address, domain);
-
-	h->shown = h->next = HOST_LIVE;
-}
-
-/* Shows the changes that are past their lag. */
-static void
-settle(void)
-{
-	usec_t now = clock_now();
-	unsigned i;
-
-	for (i = 0; i < hosts->len; i++) {
-		struct host *h = hosts->pdata[i];
-
-		if (h->next == h->shown || h->due > now)
-			continue;
-		if (h->shown == HOST_LIVE)
-			h->left_at = h->due;
-		h->shown = h->next;
-		revision++;
-	}
-}
-
-static void
-plan(struct host *h, enum host_state next)
-{
-	settle();
-	h->next = next;
-	h->due = clock_now() + lag;
+	add(service, address, domain)->after = HOST_LIVE;
 }
 
 static json_t *
@@ -105,40 +94,34 @@
 {
 	json_t *list = json_array();
 	unsigned i;
+	HOLD(&lock);
 
 	for (i = 0; i < hosts->len; i++) {
 		const struct host *h = hosts->pdata[i];
+		enum host_state state = shown(h);
 
-		if (h->shown == HOST_GONE)
+		if (state == HOST_GONE)
 			continue;
 		json_array_append_new(list,
 		    json_pack("{s:s,s:s,s:s,s:s}", "service", h->service,
 			"address", h->address, "failure_domain", h->domain,
-			"state", h->shown == HOST_LIVE ? "live" : "leaving"));
+			"state", state == HOST_LIVE ? "live" : "leaving"));
 	}
-	return json_pack("{s:i,s:o}", "revision", revision, "hosts", list);
+	return json_pack("{s:o}", "hosts", list);
 }
 
 void
 hosts_handle(struct mg_connection *c, const struct mg_request_info *ri)
 {
 	const char *had = mg_get_header(c, "If-None-Match");
-	char tag[32];
-	json_auto_t *list = NULL;
-	bool off;
+	json_auto_t *list = json_of_list();
+	char *text = json_dumps(list, JSON_COMPACT);
+	g_autofree char *tag =
+	    g_strdup_printf("\"%" PRIx64 "\"", hash_u64(str_from(text), 0));
 
-	if (!web_is(ri, "GET", "/hosts")) {
+	free(text);
+	if (!web_is(ri, "GET", "/hosts"))
 		web_error(c, 404, "no such call");
-		return;
-	}
-	g_mutex_lock(&lock);
-	settle();
-	off = down;
-	snprintf(tag, sizeof(tag), "\"%d\"", revision);
-	list = json_of_list();
-	g_mutex_unlock(&lock);
-	if (off)
-		web_error(c, 503, "down");
 	else if (had != NULL && strcmp(had, tag) == 0)
 		mg_printf(c,
 		    "HTTP/1.1 304 Not Modified\r\nETag: %s\r\n"
@@ -148,49 +131,36 @@
 		web_tagged(c, tag, json_incref(list));
 }
 
-static bool
-change_state(const char *set, const char *address)
+bool
+hosts_change(const struct mg_request_info *ri)
 {
 	static const char *const names[] = { "live", "leaving", "gone" };
-	struct host *h = find(address);
-	int state = web_index(names, G_N_ELEMENTS(names), set);
+	struct web_word new = web_query(ri, "add");
+	struct web_word service = web_query(ri, "service");
+	struct host *h = NULL;
+	int state = HOST_LIVE;
+	HOLD(&lock);
 
+	if (new.s[0] == '\0') {
+		h = find(web_query(ri, "address").s);
+		state = web_index(
+		    names, G_N_ELEMENTS(names), web_query(ri, "set").s);
+	} else if (service.s[0] != '\0')
+		h = add(service.s, new.s, web_query(ri, "failure_domain").s);
 	if (h == NULL || state < 0)
 		return false;
 	plan(h, (enum host_state)state);
 	return true;
 }
 
-bool
-hosts_change(const struct mg_request_info *ri)
-{
-	char set[16], address[64], new[64], service[64], domain[64], mode[16];
-	HOLD(&lock);
-
-	web_query(ri, "set", set, sizeof(set));
-	web_query(ri, "address", address, sizeof(address));
-	web_query(ri, "add", new, sizeof(new));
-	web_query(ri, "service", service, sizeof(service));
-	web_query(ri, "failure_domain", domain, sizeof(domain));
-	web_query(ri, "mode", mode, sizeof(mode));
-	if (mode[0] != '\0')
-		down = strcmp(mode, "down") == 0;
-	else if (new[0] != '\0' && service[0] != '\0')
-		plan(add(service, new, domain), HOST_LIVE);
-	else
-		return change_state(set, address);
-	return true;
-}
-
 usec_t
 hosts_left_for(const char *address)
 {
 	const struct host *h;
 	HOLD(&lock);
 
-	settle();
 	h = find(address);
-	if (h == NULL || h->shown == HOST_LIVE)
+	if (h == NULL || shown(h) == HOST_LIVE)
 		return 0;
 	return clock_now() - h->left_at;
 }
--- a/tests/standin/kv.c
+++ b/tests/standin/kv.c
@@ -4,11 +4,10 @@
 
 #include "tests/standin/store.h"
 
-#define VALUE_MAX       ((size_t)1 << 20)
-#define LEASE_TICK      (20 * USEC_PER_MSEC)
-#define PROGRESS_ASKED  USEC_PER_SEC
-#define PROGRESS_OTHERS (10 * USEC_PER_SEC)
-#define WAIT_TICK       (200 * USEC_PER_MSEC)
+#define VALUE_MAX      ((size_t)1 << 20)
+#define LEASE_TICK     (20 * USEC_PER_MSEC)
+#define PROGRESS_EVERY (10 * USEC_PER_SEC)
+#define WAIT_TICK      (200 * USEC_PER_MSEC)
 
 enum mode {
 	MODE_UP,
@@ -25,14 +24,8 @@
 	long lose_answers;
 };
 
-/* What a call answers. */
-struct answer {
-	int status;
-	json_t *body;
-};
-
-/* The members of a call's answer; NULL when it has failed, in a. */
-typedef json_t *(*op_fn)(const json_t *req, struct answer *a);
+/* Gives the members of the answer; on a status other than 200, all of it. */
+typedef json_t *(*op_fn)(const json_t *req, int *status);
 
 struct op {
 	const char *path;
@@ -41,26 +34,19 @@
 };
 
 struct watch {
-	GBytes *key;
-	GBytes *end;
+	char *key;
 	int64_t next;
-	bool progress;
 };
 
 static GMutex lock;
 static GCond moved;
 static GHashTable *rules;
 static struct rule common;
-static int limit;
-static struct {
-	json_int_t calls, writes, reads, refused;
-	int watches, most_watches;
-	/* Calls of the present second and of the one before. */
-	struct {
-		usec_t second;
-		int calls;
-	} rate[2];
-} seen;
+static long limit;
+static json_int_t calls, writes, refused, watches;
+/* The present second and the calls in it. */
+static usec_t second;
+static long in_second;
 
 static int64_t
 get_num(const json_t *o, const char *name)
@@ -72,307 +58,180 @@
 	return json_integer_value(v);
 }
 
-static GBytes *
+/* A member's decoded bytes, with a NUL past their end. */
+static struct buf
 get_bytes(const json_t *o, const char *name)
 {
+	struct buf b = { 0 };
 	gsize n = 0;
-	guchar *p = g_base64_decode(web_text(o, name), &n);
+	g_autofree guchar *p = g_base64_decode(web_text(o, name), &n);
 
-	return g_bytes_new_take(p, n);
+	buf_put(&b, (struct str){ (const char *)p, n });
+	return b;
 }
 
-/* Sets a 64-bit number as text; 0 is left out, as etcd does. */
-static void
-set_num(json_t *o, const char *name, int64_t v)
-{
-	if (v != 0)
-		json_object_set_new(
-		    o, name, json_sprintf("%lld", (long long)v));
-}
-
-static void
-set_bytes(json_t *o, const char *name, GBytes *b)
+/* A 64-bit number as text; 0 is left out, as etcd does. */
+static json_t *
+json_of_num(int64_t v)
 {
-	gsize n;
-	const guchar *p = g_bytes_get_data(b, &n);
-	g_autofree char *text = g_base64_encode(p, n);
-
-	if (n > 0)
-		json_object_set_new(o, name, json_string(text));
+	return v != 0 ? json_sprintf("%lld", (long long)v) : NULL;
 }
 
-/* Puts members under the header with the present revision. */
+/* Puts members, which may be NULL, under the header. */
 static json_t *
 with_header(json_t *members)
 {
-	json_t *h = json_pack("{s:s,s:s,s:s}", "cluster_id", "1", "member_id",
-	    "1", "raft_term", "1");
-	json_t *o = json_pack("{s:o}", "header", h);
+	json_t *o = json_pack(
+	    "{s:{s:o}}", "header", "revision", json_of_num(store_revision()));
 
-	set_num(h, "revision", store_revision());
-	json_object_update_new(o, members);
+	if (members != NULL)
+		json_object_update_new(o, members);
 	return o;
 }
 
 static json_t *
 json_of_item(const struct item *it, bool keys_only)
 {
-	json_t *o = json_object();
-
-	set_bytes(o, "key", it->key);
-	set_num(o, "create_revision", it->created);
-	set_num(o, "mod_revision", it->modified);
-	set_num(o, "version", it->version);
-	set_num(o, "lease", it->lease);
-	if (!keys_only)
-		set_bytes(o, "value", it->value);
-	return o;
-}
+	g_autofree char *key =
+	    g_base64_encode((const guchar *)it->key, strlen(it->key));
 
-static json_t *
-fail(struct answer *a, int status, int code, const char *text)
-{
-	a->status = status;
-	a->body = json_pack(
-	    "{s:s,s:i,s:s}", "error", text, "code", code, "message", text);
-	return NULL;
+	return json_pack("{s:s,s:o*,s:o*,s:o*,s:o*,s:s*}", "key", key,
+	    "create_revision", json_of_num(it->created), "mod_revision",
+	    json_of_num(it->modified), "version", json_of_num(it->version),
+	    "lease", json_of_num(it->lease), "value",
+	    keys_only ? NULL : it->value);
 }
 
-/* Checks a put before anything of its call takes effect. */
-static bool
-put_is_good(const json_t *put, struct answer *a)
+static json_t *
+fail(int *status, int with, const char *text)
 {
-	g_autoptr(GBytes) key = get_bytes(put, "key");
-	g_autoptr(GBytes) value = get_bytes(put, "value");
-	int64_t lease = get_num(put, "lease");
-
-	if (g_bytes_get_size(key) == 0)
-		fail(a, 400, 3, "etcdserver: key is not provided");
-	else if (g_bytes_get_size(value) > VALUE_MAX)
-		fail(a, 400, 3, "etcdserver: request is too large");
-	else if (lease != 0 && !store_has_lease(lease))
-		fail(a, 404, 5, "etcdserver: requested lease not found");
-	return a->body == NULL;
+	*status = with;
+	return json_pack("{s:s}", "error", text);
 }
 
 static json_t *
-op_put(const json_t *req, struct answer *a)
+op_put(const json_t *req, int *status)
 {
-	g_autoptr(GBytes) key = get_bytes(req, "key");
-	g_autoptr(GBytes) value = get_bytes(req, "value");
-	const struct item *old = store_get(key);
-	json_t *out;
+	struct buf key = get_bytes(req, "key");
+	struct buf value = get_bytes(req, "value");
+	int64_t lease = get_num(req, "lease");
+	json_t *out = NULL;
 
-	if (!put_is_good(req, a))
-		return NULL;
-	out = json_object();
-	if (old != NULL && json_is_true(json_object_get(req, "prev_kv")))
-		json_object_set_new(out, "prev_kv", json_of_item(old, false));
-	store_put(key, value, get_num(req, "lease"));
+	if (key.n == 0)
+		out = fail(status, 400, "etcdserver: key is not provided");
+	else if (value.n > VALUE_MAX)
+		out = fail(status, 400, "etcdserver: request is too large");
+	else if (lease != 0 && !store_has_lease(lease))
+		out =
+		    fail(status, 404, "etcdserver: requested lease not found");
+	else
+		store_put(key.p, web_text(req, "value"), lease);
+	buf_free(&key);
+	buf_free(&value);
 	return out;
 }
 
-/* The present states of the keys that a call names. */
-static GPtrArray *
-find_items(const json_t *req)
-{
-	g_autoptr(GBytes) key = get_bytes(req, "key");
-	g_autoptr(GBytes) end = get_bytes(req, "range_end");
-
-	return store_range(key, end);
-}
-
-/* The first n of some states, under a name unless there are none. */
-static void
-set_items(json_t *o, const char *name, const GPtrArray *items, unsigned n,
-    bool keys_only)
-{
-	json_auto_t *list = json_array();
-	unsigned i;
-
-	for (i = 0; i < n; i++)
-		json_array_append_new(
-		    list, json_of_item(items->pdata[i], keys_only));
-	if (n > 0)
-		json_object_set(o, name, list);
-}
-
 static json_t *
-op_range(const json_t *req, struct answer *a)
+op_range(const json_t *req, int *status)
 {
-	g_autoptr(GPtrArray) found = find_items(req);
+	struct buf key = get_bytes(req, "key");
+	struct buf end = get_bytes(req, "range_end");
 	bool keys_only = json_is_true(json_object_get(req, "keys_only"));
-	int64_t most = get_num(req, "limit");
-	json_t *out = json_object();
-	unsigned n = found->len;
-
-	(void)a;
-	if (most > 0 && most < n)
-		n = (unsigned)most;
-	if (json_is_true(json_object_get(req, "count_only")))
-		n = 0;
-	else if (n < found->len)
-		json_object_set_new(out, "more", json_true());
-	set_items(out, "kvs", found, n, keys_only);
-	set_num(out, "count", found->len);
-	return out;
-}
-
-static json_t *
-op_delete(const json_t *req, struct answer *a)
-{
-	g_autoptr(GPtrArray) found = find_items(req);
-	json_t *out = json_object();
+	g_autoptr(GPtrArray) found = store_range(key.p, str_of(&end));
+	json_t *list = json_array();
 	unsigned i;
 
-	(void)a;
-	set_num(out, "deleted", found->len);
-	if (json_is_true(json_object_get(req, "prev_kv")))
-		set_items(out, "prev_kvs", found, found->len, false);
-	for (i = 0; i < found->len; i++) {
-		const struct item *it = found->pdata[i];
-
-		store_delete(it->key);
-	}
-	return out;
+	(void)status;
+	for (i = 0; i < found->len; i++)
+		json_array_append_new(
+		    list, json_of_item(found->pdata[i], keys_only));
+	buf_free(&key);
+	buf_free(&end);
+	return json_pack(
+	    "{s:o,s:o*}", "kvs", list, "count", json_of_num(found->len));
 }
 
-static int
-compare_num(int64_t a, int64_t b)
+static json_t *
+op_delete(const json_t *req, int *status)
 {
-	return (a > b) - (a < b);
-}
+	struct buf key = get_bytes(req, "key");
 
-static int
-compare_target(const json_t *cmp, const char *target, const struct item *it)
-{
-	g_autoptr(GBytes) value = get_bytes(cmp, "value");
-
-	if (strcmp(target, "CREATE") == 0)
-		return compare_num(
-		    it->created, get_num(cmp, "create_revision"));
-	if (strcmp(target, "MOD") == 0)
-		return compare_num(it->modified, get_num(cmp, "mod_revision"));
-	if (strcmp(target, "LEASE") == 0)
-		return compare_num(it->lease, get_num(cmp, "lease"));
-	if (strcmp(target, "VALUE") == 0)
-		return g_bytes_compare(it->value, value);
-	return compare_num(it->version, get_num(cmp, "version"));
+	(void)status;
+	store_delete(key.p);
+	buf_free(&key);
+	return NULL;
 }
 
+/* The one kind of comparison that is served. */
 static bool
-compare_holds(const json_t *cmp)
-{
-	static const struct item absent = { 0 };
-	const char *want = web_text(cmp, "result");
-	const char *target = web_text(cmp, "target");
-	g_autoptr(GBytes) key = get_bytes(cmp, "key");
-	const struct item *it = store_get(key);
-	int r;
-
-	/* etcd: a value comparison never holds for an absent key. */
-	if (it == NULL && strcmp(target, "VALUE") == 0)
-		return false;
-	r = compare_target(cmp, target, it != NULL ? it : &absent);
-	if (*want == '\0' || strcmp(want, "EQUAL") == 0)
-		return r == 0;
-	if (strcmp(want, "GREATER") == 0)
-		return r > 0;
-	if (strcmp(want, "LESS") == 0)
-		return r < 0;
-	return r != 0;
-}
-
-static json_t *
-do_txn_op(const json_t *op, struct answer *a)
+revision_is_equal(const json_t *cmp)
 {
-	static const struct {
-		const char *request, *response;
-		op_fn run;
-	} kinds[] = {
-		{ "request_put", "response_put", op_put },
-		{ "request_range", "response_range", op_range },
-		{ "request_delete_range", "response_delete_range", op_delete },
-	};
-	size_t i;
+	struct buf key = get_bytes(cmp, "key");
+	const struct item *it = store_get(key.p);
+	int64_t modified = it != NULL ? it->modified : 0;
 
-	for (i = 0; i < G_N_ELEMENTS(kinds); i++) {
-		const json_t *req = json_object_get(op, kinds[i].request);
-
-		if (req != NULL)
-			return json_pack(
-			    "{s:o}", kinds[i].response, kinds[i].run(req, a));
-	}
-	return json_object();
+	buf_free(&key);
+	return modified == get_num(cmp, "mod_revision");
 }
 
+/* A transaction of one comparison and one put or range on either branch. */
 static json_t *
-op_txn(const json_t *req, struct answer *a)
-{
-	json_auto_t *responses = json_array();
-	const json_t *branch;
-	json_t *out, *v;
-	bool holds = true;
-	size_t i;
-
-	json_array_foreach(json_object_get(req, "compare"), i, v) holds =
-	    holds && compare_holds(v);
-	branch = json_object_get(req, holds ? "success" : "failure");
-	json_array_foreach(branch, i, v)
-	{
-		const json_t *put = json_object_get(v, "request_put");
+op_txn(const json_t *req, int *status)
+{
+	const json_t *compare = json_object_get(req, "compare");
+	const json_t *cmp = json_array_get(compare, 0);
+	bool holds = revision_is_equal(cmp);
+	const json_t *ops = json_object_get(req, holds ? "success" : "failure");
+	const json_t *op = json_array_get(ops, 0);
+	const json_t *put = json_object_get(op, "request_put");
+	json_t *out;
 
-		if (put != NULL && !put_is_good(put, a))
-			return NULL;
-	}
-	json_array_foreach(branch, i, v)
-	    json_array_append_new(responses, do_txn_op(v, a));
-	out = json_object();
-	if (holds)
-		json_object_set_new(out, "succeeded", json_true());
-	if (json_array_size(responses) > 0)
-		json_object_set(out, "responses", responses);
-	return out;
+	if (json_array_size(compare) != 1 || json_array_size(ops) > 1 ||
+	    strcmp(web_text(cmp, "target"), "MOD") != 0 ||
+	    strcmp(web_text(cmp, "result"), "EQUAL") != 0)
+		return fail(status, 400, "not served here");
+	if (put != NULL)
+		out = op_put(put, status);
+	else
+		out = op_range(json_object_get(op, "request_range"), status);
+	if (*status != 200)
+		return out;
+	return json_pack("{s:b,s:[{s:o*}]}", "succeeded", (int)holds,
+	    "responses", put != NULL ? "response_put" : "response_range", out);
 }
 
 /* A lease as calls answer it. */
 static json_t *
 json_of_lease(int64_t id, int64_t ttl)
 {
-	json_t *out = json_object();
-
-	set_num(out, "ID", id);
-	set_num(out, "TTL", ttl);
-	return out;
+	return json_pack(
+	    "{s:o*,s:o*}", "ID", json_of_num(id), "TTL", json_of_num(ttl));
 }
 
 static json_t *
-op_grant(const json_t *req, struct answer *a)
+op_grant(const json_t *req, int *status)
 {
 	int64_t ttl = MAX(get_num(req, "TTL"), 1);
-	int64_t id = store_grant(get_num(req, "ID"), ttl);
 
-	if (id == 0)
-		return fail(a, 412, 9, "etcdserver: lease already exists");
-	return json_of_lease(id, ttl);
+	(void)status;
+	return json_of_lease(store_grant(ttl), ttl);
 }
 
 static json_t *
-op_keep(const json_t *req, struct answer *a)
+op_keep(const json_t *req, int *status)
 {
 	int64_t id = get_num(req, "ID");
-	json_t *out = json_of_lease(id, store_keep(id));
 
-	(void)a;
-	return json_pack("{s:o}", "result", with_header(out));
+	(void)status;
+	return json_of_lease(id, store_keep(id));
 }
 
 static json_t *
-op_revoke(const json_t *req, struct answer *a)
+op_revoke(const json_t *req, int *status)
 {
-	if (!store_revoke(get_num(req, "ID")))
-		return fail(a, 404, 5, "etcdserver: requested lease not found");
-	return json_object();
+	if (store_revoke(get_num(req, "ID")))
+		return NULL;
+	return fail(status, 404, "etcdserver: requested lease not found");
 }
 
 static const struct op ops[] = {
@@ -419,30 +278,22 @@
 
 /* Counts a call in its second; false when it is beyond the limit. */
 static bool
-count_call(bool writes)
+count_call(bool write)
 {
-	usec_t second = clock_now() / USEC_PER_SEC;
-	int *now = &seen.rate[second % 2].calls;
-
-	if (seen.rate[second % 2].second != second)
-		*now = 0;
-	seen.rate[second % 2].second = second;
-	(*now)++;
-	seen.calls++;
-	seen.writes += writes;
-	seen.reads += !writes;
-	if (limit == 0 || *now <= limit)
+	usec_t now = clock_now() / USEC_PER_SEC;
+
+	if (now != second)
+		in_second = 0;
+	second = now;
+	in_second++;
+	calls++;
+	writes += write;
+	if (limit == 0 || in_second <= limit)
 		return true;
-	seen.refused++;
+	refused++;
 	return false;
 }
 
-static json_t *
-json_of_watch(json_t *members)
-{
-	return json_pack("{s:o}", "result", with_header(members));
-}
-
 /* The events that a watch has not had yet, or NULL. */
 static json_t *
 take_events(struct watch *w)
@@ -453,122 +304,100 @@
 
 	for (; i < h->len; i++) {
 		const struct item *it = h->pdata[i];
-		json_t *e;
 
-		if (!store_in_range(it->key, w->key, w->end))
+		if (strcmp(it->key, w->key) != 0)
 			continue;
-		e = json_pack("{s:o}", "kv", json_of_item(it, false));
-		if (it->deleted)
-			json_object_set_new(e, "type", json_string("DELETE"));
-		json_array_append_new(list, e);
+		json_array_append_new(list,
+		    json_pack("{s:o,s:s*}", "kv", json_of_item(it, false),
+			"type", it->deleted ? "DELETE" : NULL));
 	}
 	w->next = store_revision() + 1;
 	if (json_array_size(list) > 0)
-		return json_of_watch(json_pack("{s:o}", "events", list));
+		return json_pack("{s:o}", "events", list);
 	json_decref(list);
 	return NULL;
 }
 
-/* Waits for the next message of a watch; NULL ends it. */
-static json_t *
-next_message(struct watch *w, const char *from)
+/* Waits for the next message of a watch; false ends it. */
+static bool
+next_message(struct watch *w, const char *from, json_t **m)
 {
-	usec_t every = w->progress ? PROGRESS_ASKED : PROGRESS_OTHERS;
-	usec_t due = clock_now() + every;
-	json_t *m = NULL;
+	usec_t due = clock_now() + PROGRESS_EVERY;
 	HOLD(&lock);
 
-	while (m == NULL && wait_for_turn(from, true) != MODE_DOWN) {
-		m = take_events(w);
-		if (m != NULL)
-			break;
-		if (clock_now() >= due)
-			m = json_of_watch(json_object());
-		else
-			g_cond_wait_until(
-			    &moved, &lock, g_get_monotonic_time() + WAIT_TICK);
-	}
-	return m;
-}
-
-/* The first message: created, or cancelled if the history is too short. */
-static json_t *
-open_watch(struct watch *w, const json_t *req)
-{
-	int64_t start = get_num(req, "start_revision");
-	json_t *more = json_pack("{s:b}", "created", 1);
-
-	w->key = get_bytes(req, "key");
-	w->end = get_bytes(req, "range_end");
-	w->next = start > 0 ? start : store_revision() + 1;
-	w->progress = json_is_true(json_object_get(req, "progress_notify"));
-	if (w->next < store_oldest()) {
-		json_object_set_new(more, "canceled", json_true());
-		set_num(more, "compact_revision", store_oldest());
+	*m = NULL;
+	while (wait_for_turn(from, true) != MODE_DOWN) {
+		*m = take_events(w);
+		if (*m != NULL || clock_now() >= due) {
+			*m = with_header(*m);
+			return true;
+		}
+		g_cond_wait_until(
+		    &moved, &lock, g_get_monotonic_time() + WAIT_TICK);
 	}
-	return json_of_watch(more);
+	return false;
 }
 
 static void
 run_watch(struct mg_connection *c, const json_t *body, const char *from)
 {
 	const json_t *req = json_object_get(body, "create_request");
-	struct watch w;
+	struct buf key = get_bytes(req, "key");
+	struct watch w = { key.p, get_num(req, "start_revision") };
 	json_t *m;
 	bool going;
 
 	g_mutex_lock(&lock);
-	m = open_watch(&w, req);
-	going = w.next >= store_oldest();
-	seen.watches++;
-	seen.most_watches = MAX(seen.most_watches, seen.watches);
+	watches++;
+	if (w.next == 0)
+		w.next = store_revision() + 1;
+	m = with_header(json_pack("{s:b}", "created", 1));
 	g_mutex_unlock(&lock);
-	if (!web_stream(c, "application/json"))
-		going = false;
-	while (web_chunk_json(c, "", m, "\n") && going) {
-		m = next_message(&w, from);
-		if (m == NULL)
-			break;
+	going = web_stream(c, "application/json");
+	while (going) {
+		m = json_pack("{s:o}", "result", m);
+		going = web_chunk_json(c, "", m, "\n") &&
+		    next_message(&w, from, &m);
 	}
 	g_mutex_lock(&lock);
-	seen.watches--;
+	watches--;
 	g_mutex_unlock(&lock);
-	g_bytes_unref(w.key);
-	g_bytes_unref(w.end);
+	buf_free(&key);
 	web_drop(c);
 }
 
-/* Runs a call; false when its answer is to be lost. */
-static bool
-run_op(
-    const struct op *op, const json_t *req, const char *from, struct answer *a)
+/* Runs a call; NULL when its answer is to be lost. */
+static json_t *
+run_op(const struct op *op, const json_t *req, const char *from, int *status)
 {
 	HOLD(&lock);
 	struct rule *r = rule_for(from);
-	json_t *out = op->run(req, a);
+	json_t *a = op->run(req, status);
 
 	if (store_commit() || op->writes)
 		g_cond_broadcast(&moved);
+	if (*status != 200)
+		return a;
+	a = with_header(a);
 	if (op->run == op_keep)
-		a->body = out;
-	else if (out != NULL)
-		a->body = with_header(out);
-	if (!op->writes || a->status != 200 || r->lose_answers == 0)
-		return true;
+		a = json_pack("{s:o}", "result", a);
+	if (!op->writes || r->lose_answers == 0)
+		return a;
 	r->lose_answers--;
-	return false;
+	json_decref(a);
+	return NULL;
 }
 
 /* Applies the source's fault; false when the call is not to be run. */
 static bool
-admit(struct mg_connection *c, const char *from, bool writes)
+admit(struct mg_connection *c, const char *from, bool write)
 {
 	enum mode mode;
 	usec_t slow;
 	bool within;
 
 	g_mutex_lock(&lock);
-	within = count_call(writes);
+	within = count_call(write);
 	mode = wait_for_turn(from, false);
 	slow = rule_for(from)->slow;
 	g_mutex_unlock(&lock);
@@ -590,23 +419,25 @@
 kv_handle(struct mg_connection *c, const struct mg_request_info *ri)
 {
 	const struct op *op = find_op(ri->local_uri);
-	bool watch = strcmp(ri->local_uri, "/v3/watch") == 0;
 	json_auto_t *req = web_body(c);
-	struct answer a = { .status = 200 };
+	json_t *a;
+	int status = 200;
 
 	if (!admit(c, ri->remote_addr, op != NULL && op->writes))
 		return;
-	if (op == NULL && !watch)
-		web_error(c, 404, "no such call");
-	else if (req == NULL)
+	if (req == NULL) {
 		web_error(c, 400, "the body is no JSON object");
-	else if (watch)
+	} else if (strcmp(ri->local_uri, "/v3/watch") == 0) {
 		run_watch(c, req, ri->remote_addr);
-	else if (run_op(op, req, ri->remote_addr, &a))
-		web_json(c, a.status, json_incref(a.body));
-	else
-		web_drop(c);
-	json_decref(a.body);
+	} else if (op == NULL) {
+		web_error(c, 404, "no such call");
+	} else {
+		a = run_op(op, req, ri->remote_addr, &status);
+		if (a != NULL)
+			web_json(c, status, a);
+		else
+			web_drop(c);
+	}
 }
 
 static void *
@@ -626,62 +457,58 @@
 kv_init(unsigned calls_per_second)
 {
 	store_init();
-	limit = (int)calls_per_second;
-	rules = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	limit = calls_per_second;
+	rules = g_hash_table_new(g_str_hash, g_str_equal);
 	g_thread_unref(g_thread_new("leases", expire_leases, NULL));
 }
 
+/* The rule that a fault is set in: that of its source, if it names one. */
+static struct rule *
+rule_to_set(const char *from)
+{
+	if (*from == '\0')
+		return &common;
+	if (!g_hash_table_contains(rules, from))
+		g_hash_table_insert(
+		    rules, g_strdup(from), g_new0(struct rule, 1));
+	return rule_for(from);
+}
+
 bool
 kv_set_fault(const struct mg_request_info *ri)
 {
 	static const char *const names[] = { "up", "down", "slow", "hang",
 		"quiet" };
-	char text[16], from[64];
-	struct rule *r = &common;
-	int mode;
+	struct web_word text = web_query(ri, "mode");
+	int mode = web_index(names, G_N_ELEMENTS(names), text.s);
+	struct rule *r;
 	HOLD(&lock);
 
-	web_query(ri, "mode", text, sizeof(text));
-	web_query(ri, "from", from, sizeof(from));
-	mode = web_index(names, G_N_ELEMENTS(names), text);
-	if (from[0] != '\0') {
-		r = g_hash_table_lookup(rules, from);
-		if (r == NULL) {
-			r = g_new0(struct rule, 1);
-			g_hash_table_insert(rules, g_strdup(from), r);
-		}
-	}
+	r = rule_to_set(web_query(ri, "from").s);
 	if (mode >= 0)
 		r->mode = (enum mode)mode;
 	r->slow = USEC_PER_MSEC *
 	    web_query_num(ri, "slow_ms", (long)(r->slow / USEC_PER_MSEC));
 	r->lose_answers = web_query_num(ri, "lose_answers", r->lose_answers);
-	limit = (int)web_query_num(ri, "calls_per_second", limit);
+	limit = web_query_num(ri, "calls_per_second", limit);
 	g_cond_broadcast(&moved);
-	return mode >= 0 || text[0] == '\0';
+	return mode >= 0 || text.s[0] == '\0';
 }
 
 json_t *
 kv_counters(void)
 {
-	usec_t second = clock_now() / USEC_PER_SEC - 1;
-	int last = 0;
 	HOLD(&lock);
 
-	if (seen.rate[second % 2].second == second)
-		last = seen.rate[second % 2].calls;
-	return json_pack("{s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I}", "calls",
-	    seen.calls, "writes", seen.writes, "reads", seen.reads, "refused",
-	    seen.refused, "watches", seen.watches, "most_watches",
-	    seen.most_watches, "calls_last_second", last, "revision",
+	return json_pack("{s:I,s:I,s:I,s:I,s:I}", "calls", calls, "writes",
+	    writes, "refused", refused, "watches", watches, "revision",
 	    (json_int_t)store_revision());
 }
 
 void
 kv_reset(void)
 {
-	g_mutex_lock(&lock);
-	seen.calls = seen.writes = seen.reads = seen.refused = 0;
-	seen.most_watches = seen.watches;
-	g_mutex_unlock(&lock);
+	HOLD(&lock);
+
+	calls = writes = refused = 0;
 }
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -17,19 +17,18 @@
  *             count = 1                   runners, on the ports that follow
  *             failure_domain = a          comma list, cycled over the runners
  *             latency_ms = 20             base time of a call
- *             batch = 8                   calls that run at once, then FIFO
- *             max_waiting = 64            beyond: 503 {"error":"busy"}
+ *             batch = 8                   calls that run at once, then FIFO;
+ * 503
+ *                                         {"error":"busy"} beyond 64 more
  *             network_ms = 0              one-way delay before and after,
  *             network_us = 0              to which this is added
  *             load_lag_ms = 0             age of the reported load
  *     engines (kind = generate):
  *             token_ms = 5                at batch size 1
- *             batch_slowdown_percent = 3  for each further call in the batch
- *             cache_prefixes = 64         LRU of (cache_salt, 256 bytes)
  *             prompt_us_per_token = 100   a token is 4 bytes
  *             fencing = honoured|ignored
  *             load_model_ms = 500
- *             model = NAME, version = 1   loaded at the start; any if absent
+ *             model = NAME                loaded at the start; any if absent
  *             weight_slots = 2            loads at once over all targets; the
  *                                         lowest of all sections counts
  *
@@ -40,12 +39,10 @@
  *            and only then do the calls take effect; mode=quiet: watches are
  *            quiet, calls work; lose_answers: the next N
  *            writes (no lease renewals) take effect and are not answered
- *   GET  /kv       calls, writes, reads, refused, watches, most_watches,
- *                  calls_last_second, revision
+ *   GET  /kv       calls, writes, refused, watches, revision
  *   POST /hosts?set=live|leaving|gone&address=A
  *   POST /hosts?add=A&service=S&failure_domain=D
- *   POST /hosts?mode=up|down
- *   POST /target?fault=none|slow|fail|fail_half|silent|refuse|swap|leaving|cut
+ *   POST /target?fault=none|slow|fail|fail_half|silent|refuse|swap|leaving
  *            &factor=5&fail_version=N, with any of address=, service= and
  *            failure_domain= to say which runners; fail_version=0 ends it
  *   GET  /targets  a list with the counters of each runner
@@ -54,8 +51,9 @@
  *   GET  /orders   {"orders": [{address, fence, accepted}], "most_loading"}
  *   POST /reset    the counters, effects and the order log
  *
- * A watch gets a progress message (no events) each second if it has asked for
- * progress_notify, else every ten, which is how a closed one is noticed.
+ * A watch is of one key and gets a message without events every ten seconds,
+ * which is how a closed one is noticed.  A transaction has one comparison, of
+ * a modification revision, and one operation, put or range, on each branch.
  * GET /v1/cache_events?after=N of an engine answers {"events": [{"number",
  * "type": "stored"|"removed", "prefix": SHA-256 of salt, NUL, prefix}]}; events
  * show after a second, and one in ten is lost.
@@ -138,9 +136,6 @@
 	t->latency = msec(s, "latency_ms", "20");
 	t->token = msec(s, "token_ms", "5");
 	t->batch = number(s, "batch", "8");
-	t->slowdown_percent = number(s, "batch_slowdown_percent", "3");
-	t->max_waiting = number(s, "max_waiting", "64");
-	t->cache_prefixes = number(s, "cache_prefixes", "64");
 	t->prompt_per_token = number(s, "prompt_us_per_token", "100");
 	t->network = msec(s, "network_ms", "0") + number(s, "network_us", "0");
 	t->load_lag = msec(s, "load_lag_ms", "0");
@@ -148,7 +143,6 @@
 	    strcmp(text(s, "fencing", "honoured"), "honoured") == 0;
 	t->load_model = msec(s, "load_model_ms", "500");
 	t->model = text(s, "model", "");
-	t->version = text(s, "version", "1");
 	read_address(s, t);
 	target_add(t, listen);
 }
@@ -204,7 +198,6 @@
 static json_t *
 administer(const struct mg_request_info *ri, int *status)
 {
-	char service[64];
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(setters); i++) {
@@ -220,8 +213,7 @@
 			return getters[i].get();
 	if (!web_is(ri, "GET", "/effects"))
 		return NULL;
-	web_query(ri, "service", service, sizeof(service));
-	return plain_effects(service);
+	return plain_effects(web_query(ri, "service").s);
 }
 
 static void
--- a/tests/standin/target.c
+++ b/tests/standin/target.c
@@ -10,6 +10,7 @@
 #define SILENT_MOST (300 * USEC_PER_SEC)
 #define LATE_AFTER  (3 * USEC_PER_SEC)
 #define SLOW_FACTOR 5
+#define MAX_WAITING 64U
 
 /* An answer that waits to be exchanged. */
 struct swap {
@@ -66,22 +67,14 @@
 	}
 }
 
-const GPtrArray *
-target_runners(void)
-{
-	return runners;
-}
-
 /* Remembers the load, with the lock held. */
 static void
 note_load(struct runner *r)
 {
 	struct load_point *p = &r->loads[r->n_loads++ % LOAD_RING];
-	uint64_t load = r->given - r->done;
 
 	p->at = clock_now();
-	p->load = (unsigned)load;
-	r->most = MAX(r->most, load);
+	p->load = (unsigned)(r->given - r->done);
 }
 
 int
@@ -105,7 +98,7 @@
 static const char *
 refusal(struct runner *r, int *status)
 {
-	uint64_t room = r->conf->batch + r->conf->max_waiting;
+	uint64_t room = r->conf->batch + MAX_WAITING;
 
 	*status = 503;
 	if (r->fault == FAULT_LEAVING)
@@ -239,10 +232,8 @@
 	web_sleep(r->conf->network);
 	if (runner_silent(r, c))
 		json_decref(answer);
-	else
-		runner_count(r,
-		    web_json(c, 200, answer) ? COUNT_COMPLETED
-					     : COUNT_CANCELLED);
+	else if (!web_json(c, 200, answer))
+		runner_count(r, COUNT_CANCELLED);
 }
 
 static void
@@ -356,15 +347,15 @@
 	} parts[] = { { "address", r->address },
 		{ "service", r->conf->service },
 		{ "failure_domain", r->domain } };
-	char asked[64];
 	bool any = false;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(parts); i++) {
-		web_query(ri, parts[i].name, asked, sizeof(asked));
-		if (asked[0] == '\0')
+		struct web_word asked = web_query(ri, parts[i].name);
+
+		if (asked.s[0] == '\0')
 			continue;
-		if (strcmp(asked, parts[i].has) != 0)
+		if (strcmp(asked.s, parts[i].has) != 0)
 			return false;
 		any = true;
 	}
@@ -375,17 +366,15 @@
 target_set_fault(const struct mg_request_info *ri)
 {
 	static const char *const names[] = { "none", "slow", "fail",
-		"fail_half", "silent", "refuse", "swap", "leaving", "cut" };
+		"fail_half", "silent", "refuse", "swap", "leaving" };
 	long factor = web_query_num(ri, "factor", SLOW_FACTOR);
-	long version = web_query_num(ri, "fail_version", -1);
-	char text[16];
+	struct web_word version = web_query(ri, "fail_version");
+	struct web_word text = web_query(ri, "fault");
+	int f = web_index(names, G_N_ELEMENTS(names), text.s);
 	bool any = false;
 	unsigned i;
-	int f;
 
-	web_query(ri, "fault", text, sizeof(text));
-	f = web_index(names, G_N_ELEMENTS(names), text);
-	if (f < 0 && (text[0] != '\0' || version < 0))
+	if (f < 0 && (text.s[0] != '\0' || version.s[0] == '\0'))
 		return false;
 	for (i = 0; i < runners->len; i++) {
 		struct runner *r = runners->pdata[i];
@@ -395,7 +384,7 @@
 		any = true;
 		if (f >= 0)
 			set_fault(r, (enum fault)f, factor);
-		if (version >= 0 && r->engine != NULL)
+		if (version.s[0] != '\0' && r->engine != NULL)
 			engine_fail_version(r->engine, version);
 	}
 	return any;
@@ -405,17 +394,16 @@
 json_of_runner(struct runner *r)
 {
 	static const char *const names[N_COUNTS] = { "calls", "failed",
-		"completed", "cancelled", "tokens", "cached_prompts",
+		"cancelled", "tokens", "cached_prompts",
 		"calls_after_leaving_3s" };
 	json_t *o;
 	size_t i;
 	HOLD(&r->lock);
 
-	o = json_pack("{s:s,s:s,s:s,s:I,s:I,s:I}", "address", r->address,
-	    "service", r->conf->service, "failure_domain", r->domain, "busy_ms",
+	o = json_pack("{s:s,s:s,s:s,s:I,s:I}", "address", r->address, "service",
+	    r->conf->service, "failure_domain", r->domain, "busy_ms",
 	    (json_int_t)(r->busy / USEC_PER_MSEC), "in_flight",
-	    (json_int_t)(r->given - r->done), "most_in_flight",
-	    (json_int_t)r->most);
+	    (json_int_t)(r->given - r->done));
 	for (i = 0; i < N_COUNTS; i++)
 		json_object_set_new(o, names[i], json_integer(r->counts[i]));
 	return o;
@@ -445,7 +433,6 @@
 
 		g_mutex_lock(&r->lock);
 		memset(r->counts, 0, sizeof(r->counts));
-		r->most = r->given - r->done;
 		r->busy = 0;
 		g_mutex_unlock(&r->lock);
 	}
--- a/tests/standin/target.h
+++ b/tests/standin/target.h
@@ -24,14 +24,12 @@
 	FAULT_SILENT,
 	FAULT_REFUSE,
 	FAULT_SWAP,
-	FAULT_LEAVING,
-	FAULT_CUT
+	FAULT_LEAVING
 };
 
 enum count {
 	COUNT_CALLS,
 	COUNT_FAILED,
-	COUNT_COMPLETED,
 	COUNT_CANCELLED,
 	COUNT_TOKENS,
 	COUNT_CACHED,
@@ -50,16 +48,12 @@
 	usec_t latency;
 	usec_t token;
 	unsigned batch;
-	unsigned slowdown_percent;
-	unsigned max_waiting;
-	unsigned cache_prefixes;
 	usec_t prompt_per_token;
 	usec_t network;
 	usec_t load_lag;
 	bool honours_fence;
 	usec_t load_model;
 	const char *model;
-	const char *version;
 };
 
 struct load_point {
@@ -87,7 +81,6 @@
 	struct load_point loads[LOAD_RING];
 	unsigned n_loads;
 	json_int_t counts[N_COUNTS];
-	uint64_t most;
 	usec_t busy;
 };
 
@@ -95,8 +88,6 @@
 /* Makes the section's runners and lists them; adds their ports to listen. */
 void target_add(const struct target_conf *conf, struct buf *listen);
 void target_handle(struct mg_connection *c, const struct mg_request_info *ri);
-/* All runners, of struct runner. */
-const GPtrArray *target_runners(void);
 /* Does what a POST /target asks for; false when it is not understood. */
 bool target_set_fault(const struct mg_request_info *ri);
 json_t *target_counters(void);
--- a/tests/standin/test_standin.c
+++ b/tests/standin/test_standin.c
@@ -1,31 +1,6 @@
 /* Tables of cases for the stand-in's key-value memory. */
-#include <string.h>
-
 #include "tests/standin/store.h"
 
-static GBytes *
-bytes(const char *text)
-{
-	return g_bytes_new(text, strlen(text));
-}
-
-static void
-put(const char *key, const char *value, int64_t lease)
-{
-	g_autoptr(GBytes) k = bytes(key);
-	g_autoptr(GBytes) v = bytes(value);
-
-	store_put(k, v, lease);
-}
-
-static const struct item *
-get(const char *key)
-{
-	g_autoptr(GBytes) k = bytes(key);
-
-	return store_get(k);
-}
-
 static void
 test_versions(void)
 {
@@ -44,14 +19,13 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		const struct item *it;
-		g_autoptr(GBytes) k = bytes(cases[i].key);
 
 		if (cases[i].delete)
-			store_delete(k);
+			store_delete(cases[i].key);
 		else
-			put(cases[i].key, "x", 0);
+			store_put(cases[i].key, "x", 0);
 		g_assert_true(store_commit());
-		it = get(cases[i].key);
+		it = store_get(cases[i].key);
 		g_assert_true((it == NULL) == cases[i].delete);
 		if (it == NULL)
 			continue;
@@ -78,15 +52,13 @@
 		{ "w/d", "\0", 1, 0 },
 	};
 
-	put("w/c", "x", 0);
-	put("w/a", "x", 0);
-	put("w/b", "x", 0);
+	store_put("w/c", "x", 0);
+	store_put("w/a", "x", 0);
+	store_put("w/b", "x", 0);
 	store_commit();
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		g_autoptr(GBytes) k = bytes(cases[i].key);
-		g_autoptr(GBytes) end =
-		    g_bytes_new(cases[i].end, cases[i].end_n);
-		g_autoptr(GPtrArray) found = store_range(k, end);
+		struct str end = { cases[i].end, cases[i].end_n };
+		g_autoptr(GPtrArray) found = store_range(cases[i].key, end);
 
 		g_assert_cmpuint(found->len, ==, cases[i].found);
 	}
@@ -103,17 +75,17 @@
 		{ 9 * USEC_PER_SEC, true },
 		{ 3600 * USEC_PER_SEC, false },
 	};
-	int64_t id = store_grant(0, 10);
+	int64_t id = store_grant(10);
 	usec_t now = clock_now();
 
-	put("l/a", "x", id);
-	put("l/b", "x", 0);
+	store_put("l/a", "x", id);
+	store_put("l/b", "x", 0);
 	store_commit();
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		g_assert_true(
 		    store_expire(now + cases[i].after) != cases[i].lives);
-		g_assert_true((get("l/a") != NULL) == cases[i].lives);
-		g_assert_nonnull(get("l/b"));
+		g_assert_true((store_get("l/a") != NULL) == cases[i].lives);
+		g_assert_nonnull(store_get("l/b"));
 	}
 	g_assert_cmpint(store_keep(id), ==, 0);
 }
@@ -126,10 +98,10 @@
 	const GPtrArray *h;
 	unsigned first;
 
-	put("h/a", "x", 0);
-	put("h/b", "x", 0);
+	store_put("h/a", "x", 0);
+	store_put("h/b", "x", 0);
 	store_commit();
-	put("h/a", "y", 0);
+	store_put("h/a", "y", 0);
 	store_commit();
 	h = store_history(from, &first);
 	g_assert_cmpuint(h->len - first, ==, 3);
--- a/tests/standin/web.c
+++ b/tests/standin/web.c
@@ -78,25 +78,22 @@
 json_t *
 web_body(struct mg_connection *c)
 {
-	const char *expect = mg_get_header(c, "Expect");
 	struct buf b = { 0 };
 	char *part = xcalloc(1, READ_SIZE);
-	json_t *j = NULL;
+	json_t *j;
 	int n;
 
-	if (expect != NULL)
+	if (mg_get_header(c, "Expect") != NULL)
 		mg_printf(c, "HTTP/1.1 100 Continue\r\n\r\n");
 	while ((n = mg_read(c, part, READ_SIZE)) > 0 && b.n < BODY_MAX)
 		buf_put(&b, (struct str){ part, (size_t)n });
-	if (b.n > 0 && b.n < BODY_MAX)
-		j = json_loadb(b.p, b.n, JSON_ALLOW_NUL, NULL);
-	if (j != NULL && !json_is_object(j)) {
-		json_decref(j);
-		j = NULL;
-	}
+	j = json_loadb(b.p != NULL ? b.p : "", b.n, JSON_ALLOW_NUL, NULL);
 	free(part);
 	buf_free(&b);
-	return j;
+	if (json_is_object(j))
+		return j;
+	json_decref(j);
+	return NULL;
 }
 
 static bool
@@ -201,25 +198,24 @@
 	return -1;
 }
 
-void
-web_query(
-    const struct mg_request_info *ri, const char *name, char *out, size_t cap)
+struct web_word
+web_query(const struct mg_request_info *ri, const char *name)
 {
 	const char *q = ri->query_string;
+	struct web_word w;
 
-	out[0] = '\0';
-	if (q == NULL || mg_get_var(q, strlen(q), name, out, cap) < 0)
-		out[0] = '\0';
+	if (q == NULL || mg_get_var(q, strlen(q), name, w.s, sizeof(w.s)) < 0)
+		w.s[0] = '\0';
+	return w;
 }
 
 long
 web_query_num(const struct mg_request_info *ri, const char *name, long absent)
 {
-	char text[32];
+	struct web_word text = web_query(ri, name);
 	uint64_t n;
 
-	web_query(ri, name, text, sizeof(text));
-	return str_u64(str_from(text), &n) ? (long)n : absent;
+	return str_u64(str_from(text.s), &n) ? (long)n : absent;
 }
 
 bool
@@ -243,9 +239,3 @@
 	if (t > 0)
 		g_usleep((gulong)t);
 }
-
-void
-web_sleep_until(usec_t when)
-{
-	web_sleep(when - clock_now());
-}
--- a/tests/standin/web.h
+++ b/tests/standin/web.h
@@ -13,6 +13,11 @@
 #define HOLD(lock) \
 	g_autoptr(GMutexLocker) G_GNUC_UNUSED hold = g_mutex_locker_new(lock)
 
+/* A short text, NUL-terminated. */
+struct web_word {
+	char s[64];
+};
+
 struct web_server {
 	const char *listen; /* "127.x.y.z:port", or a comma list of them */
 	unsigned threads;
@@ -43,8 +48,7 @@
 /* The place of a word among n, or -1. */
 int web_index(const char *const *words, size_t n, const char *word);
 /* A query parameter; "" when it is absent. */
-void web_query(
-    const struct mg_request_info *ri, const char *name, char *out, size_t cap);
+struct web_word web_query(const struct mg_request_info *ri, const char *name);
 /* A query parameter's number, or the value for absence. */
 long web_query_num(
     const struct mg_request_info *ri, const char *name, long absent);
@@ -53,6 +57,5 @@
 /* When the connection was opened. */
 usec_t web_opened(const struct mg_connection *c);
 void web_sleep(usec_t t);
-void web_sleep_until(usec_t when);
 
 #endif
