Stand-in: an engine's state is the JSON that it shows

Cause: engines, stages and the admin calls repeated fields, handlers and headers. The weight slots of the encoder's section, which sets none, also held the engines of the orders tests to two loads at once. Change: state and cache events are JSON; one handler for stages and plain services, one table of admin calls; only engines' sections count for slots.

--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -16,30 +16,20 @@
 #define EVENTS_LATE      USEC_PER_SEC
 #define EVENTS_MAX       10000U
 #define EVENT_DROP_PART  10U
-#define WORD_MAX         128
-
-struct cache_event {
-	usec_t at;
-	json_int_t number;
-	bool stored;
-	char hash[HASH_HEX_LEN + 1];
-};
 
 struct engine {
 	const struct target_conf *conf;
 	GMutex lock;
-	json_int_t fence;
-	char *role;
-	json_t *models;
+	/* What GET /v1/orders shows. */
+	json_t *state;
+	/* The models of the last order, and that order's number. */
 	json_t *wanted;
-	json_t *adapters;
-	bool ready;
-	const char *error; /* of the last load; "": none */
 	unsigned order;
 	struct web_word fail_version;
 	/* Prefix hashes, the latest used first. */
 	GQueue *cache;
-	GArray *events;
+	/* Cache events, each with the time it was made at. */
+	json_t *events;
 	json_int_t n_events;
 	struct rng rng;
 };
@@ -48,13 +38,11 @@
 struct load {
 	struct engine *e;
 	unsigned order;
-	json_t *models;
 };
 
 /* A stream under way. */
 struct gen {
-	char *id;
-	char marker[WORD_MAX];
+	json_t *who; /* {"id", "marker"} */
 	struct str prompt;
 	long first;
 	long most;
@@ -63,54 +51,46 @@
 
 static GMutex store_lock;
 static GCond store_moved;
-static unsigned slots;
+static unsigned slots = UINT32_MAX;
 static unsigned loading_now;
 static unsigned most_loading;
 static json_t *order_log;
 
-void
-engine_init(unsigned weight_slots)
-{
-	slots = weight_slots;
-	order_log = json_array();
-}
-
 struct engine *
 engine_new(const struct target_conf *conf)
 {
 	struct engine *e = g_new0(struct engine, 1);
 
+	slots = MIN(slots, MAX(conf->weight_slots, 1U));
+	if (order_log == NULL)
+		order_log = json_array();
 	e->conf = conf;
 	g_mutex_init(&e->lock);
-	e->role = g_strdup("generate");
-	e->models = json_array();
+	e->wanted = json_array();
 	if (conf->model[0] != '\0')
-		json_array_append_new(e->models,
+		json_array_append_new(e->wanted,
 		    json_pack(
 			"{s:s,s:s}", "name", conf->model, "version", "1"));
-	e->wanted = json_incref(e->models);
-	e->adapters = json_array();
-	e->ready = true;
-	e->error = "";
+	e->state = json_pack("{s:i,s:s,s:b,s:O,s:[],s:b,s:s}", "fence", 0,
+	    "role", "generate", "ready", 1, "models", e->wanted, "adapters",
+	    "loading", 0, "error", "");
 	e->cache = g_queue_new();
-	e->events = g_array_new(FALSE, FALSE, sizeof(struct cache_event));
+	e->events = json_array();
 	rng_init(&e->rng, conf->port);
 	return e;
 }
 
 static void
-add_event(struct engine *e, bool stored, const char *hash)
+add_event(struct engine *e, const char *type, const char *hash)
 {
-	struct cache_event ev = {
-		.at = clock_now(), .number = ++e->n_events, .stored = stored
-	};
-
+	e->n_events++;
 	if (rng_below(&e->rng, EVENT_DROP_PART) == 0)
 		return;
-	memcpy(ev.hash, hash, sizeof(ev.hash));
-	if (e->events->len >= EVENTS_MAX)
-		g_array_remove_range(e->events, 0, EVENTS_MAX / 2);
-	g_array_append_val(e->events, ev);
+	json_array_append_new(e->events,
+	    json_pack("{s:I,s:s,s:s,s:I}", "number", e->n_events, "type", type,
+		"prefix", hash, "at", (json_int_t)clock_now()));
+	if (json_array_size(e->events) > EVENTS_MAX)
+		json_array_remove(e->events, 0);
 }
 
 /* Looks a prompt up in the prefix cache and puts it there. */
@@ -133,12 +113,12 @@
 		g_queue_push_head_link(e->cache, hit);
 	} else {
 		g_queue_push_head(e->cache, g_strdup(hash));
-		add_event(e, true, hash);
+		add_event(e, "stored", hash);
 	}
 	if (g_queue_get_length(e->cache) > CACHE_PREFIXES) {
 		g_autofree char *old = g_queue_pop_tail(e->cache);
 
-		add_event(e, false, old);
+		add_event(e, "removed", old);
 	}
 	return hit != NULL;
 }
@@ -162,12 +142,15 @@
 static bool
 can_generate(struct engine *e, struct mg_connection *c, const json_t *body)
 {
+	const json_t *models;
 	bool ready, known;
 
 	g_mutex_lock(&e->lock);
-	ready = e->ready && strcmp(e->role, "generate") == 0;
-	known = json_array_size(e->models) == 0 ||
-	    has_model(e->models, "name", web_text(body, "model"));
+	models = json_object_get(e->state, "models");
+	ready = json_is_true(json_object_get(e->state, "ready")) &&
+	    strcmp(web_text(e->state, "role"), "generate") == 0;
+	known = json_array_size(models) == 0 ||
+	    has_model(models, "name", web_text(body, "model"));
 	g_mutex_unlock(&e->lock);
 	if (!ready)
 		web_error(c, 503, "not ready");
@@ -184,18 +167,16 @@
 	return (struct str){ json_string_value(v), json_string_length(v) };
 }
 
-static void
-find_marker(struct gen *g)
+/* The word after "marker=" in a text, or an empty one. */
+static struct str
+find_marker(const char *text)
 {
-	const char *at =
-	    g->prompt.n > 0 ? strstr(g->prompt.p, "marker=") : NULL;
-	size_t n;
+	const char *at = strstr(text, "marker=");
 
 	if (at == NULL)
-		return;
+		return STR("");
 	at += strlen("marker=");
-	n = strcspn(at, " \t\r\n\"',;}");
-	g_strlcpy(g->marker, at, MIN(n + 1, sizeof(g->marker)));
+	return (struct str){ at, strcspn(at, " \t\r\n\"',;}") };
 }
 
 static void
@@ -203,24 +184,13 @@
 {
 	const json_t *resume = json_object_get(body, "resume");
 	const json_t *most = json_object_get(body, "max_tokens");
+	struct str marker = find_marker(web_text(body, "prompt"));
 
 	*g = (struct gen){ .prompt = get_str(body, "prompt") };
-	g->id = str_dup(get_str(body, "request_id"));
+	g->who = json_pack("{s:s,s:s%}", "id", web_text(body, "request_id"),
+	    "marker", marker.p, marker.n);
 	g->first = (long)json_integer_value(json_object_get(resume, "tokens"));
 	g->most = most ? (long)json_integer_value(most) : DEFAULT_TOKENS;
-	find_marker(g);
-}
-
-/* Under the fault, this stream goes on as a concurrent one. */
-static void
-gen_swap(struct runner *r, struct gen *g)
-{
-	json_auto_t *a = runner_swap(
-	    r, json_pack("{s:s,s:s}", "id", g->id, "marker", g->marker));
-
-	free(g->id);
-	g->id = str_dup(get_str(a, "id"));
-	g_strlcpy(g->marker, web_text(a, "marker"), sizeof(g->marker));
 }
 
 static bool
@@ -232,13 +202,13 @@
 static bool
 send_token(struct mg_connection *c, const struct gen *g, long n)
 {
-	json_t *text = n == 0 && g->marker[0] != '\0'
-	    ? json_sprintf("%s ", g->marker)
-	    : json_sprintf("t%ld ", n);
+	const char *marker = web_text(g->who, "marker");
+	json_t *text = n == 0 && *marker != '\0' ? json_sprintf("%s ", marker)
+						 : json_sprintf("t%ld ", n);
 
 	return send_event(c,
-	    json_pack("{s:s,s:[{s:o,s:n}]}", "id", g->id, "choices", "text",
-		text, "finish_reason"));
+	    json_pack("{s:s,s:[{s:o,s:n}]}", "id", web_text(g->who, "id"),
+		"choices", "text", text, "finish_reason"));
 }
 
 static bool
@@ -247,10 +217,11 @@
 	size_t cached =
 	    g->cached ? MIN(g->prompt.n, PREFIX_BYTES) / TOKEN_BYTES : 0;
 	json_t *e = json_pack("{s:s,s:[{s:s,s:s}],s:{s:I,s:I,s:I},s:i}", "id",
-	    g->id, "choices", "text", "", "finish_reason", "stop", "usage",
-	    "prompt_tokens", (json_int_t)(g->prompt.n / TOKEN_BYTES),
-	    "completion_tokens", (json_int_t)MAX(g->most - g->first, 0),
-	    "cached_tokens", (json_int_t)cached, "load", runner_load(r));
+	    web_text(g->who, "id"), "choices", "text", "", "finish_reason",
+	    "stop", "usage", "prompt_tokens",
+	    (json_int_t)(g->prompt.n / TOKEN_BYTES), "completion_tokens",
+	    (json_int_t)MAX(g->most - g->first, 0), "cached_tokens",
+	    (json_int_t)cached, "load", runner_load(r));
 
 	return send_event(c, e) && web_chunk(c, STR("data: [DONE]\n\n")) &&
 	    web_chunk(c, STR(""));
@@ -285,9 +256,7 @@
 	for (n = g->first; n < g->most; n++) {
 		at += token_time(r);
 		web_sleep(at - clock_now());
-		if (runner_silent(r, c))
-			return false;
-		if (!send_token(c, g, n))
+		if (runner_silent(r, c) || !send_token(c, g, n))
 			return false;
 		runner_count(r, COUNT_TOKENS);
 	}
@@ -301,7 +270,7 @@
 	bool sent;
 
 	web_sleep(prompt_time(r, g) + r->conf->network);
-	gen_swap(r, g);
+	g->who = runner_swap(r, g->who);
 	sent = !runner_silent(r, c) && web_stream(c, "text/event-stream") &&
 	    send_tokens(r, c, g);
 	runner_leave(r, began);
@@ -323,19 +292,15 @@
 	if (g.cached)
 		runner_count(r, COUNT_CACHED);
 	stream(r, c, &g);
-	free(g.id);
+	json_decref(g.who);
 }
 
-/* The state as GET /v1/orders shows it. */
 static json_t *
 json_of_state(struct engine *e)
 {
 	HOLD(&e->lock);
 
-	return json_pack("{s:I,s:s,s:b,s:O,s:O,s:b,s:s}", "fence", e->fence,
-	    "role", e->role, "ready", (int)e->ready, "models", e->models,
-	    "adapters", e->adapters, "loading", !e->ready && *e->error == '\0',
-	    "error", e->error);
+	return json_deep_copy(e->state);
 }
 
 static bool
@@ -364,22 +329,31 @@
 	g_mutex_unlock(&store_lock);
 }
 
+/* Sets what an engine shows of its models, with the lock held. */
+static void
+show_models(struct engine *e, json_t *models, bool loading, const char *error)
+{
+	bool ready = !loading && *error == '\0';
+
+	json_object_update_new(e->state,
+	    json_pack("{s:o,s:b,s:b,s:s}", "models", models, "ready",
+		(int)ready, "loading", (int)loading, "error", error));
+}
+
 static void *
 load_models(void *arg)
 {
 	struct load *l = arg;
 	struct engine *e = l->e;
+	bool bad;
 
 	read_weights(l);
 	g_mutex_lock(&e->lock);
-	if (e->order == l->order) {
-		json_decref(e->models);
-		e->models = json_incref(l->models);
-		e->ready = !has_model(l->models, "version", e->fail_version.s);
-		if (!e->ready)
-			e->error = "load failed";
-	}
-	json_decref(l->models);
+	bad = *e->fail_version.s != '\0' &&
+	    has_model(e->wanted, "version", e->fail_version.s);
+	if (e->order == l->order)
+		show_models(e, json_deep_copy(e->wanted), false,
+		    bad ? "load failed" : "");
 	g_mutex_unlock(&e->lock);
 	g_free(l);
 	return NULL;
@@ -391,40 +365,35 @@
 {
 	struct load *l = g_new0(struct load, 1);
 
-	e->ready = false;
-	e->error = "";
-	json_decref(e->models);
-	e->models = json_array();
+	show_models(e, json_array(), true, "");
 	l->e = e;
 	l->order = ++e->order;
-	l->models = json_incref(e->wanted);
 	g_thread_unref(g_thread_new("load", load_models, l));
 }
 
+static json_int_t
+fence_of(const json_t *o)
+{
+	return json_integer_value(json_object_get(o, "fence"));
+}
+
 /* Takes an order; false when the fence is too low. */
 static bool
 take_order(struct engine *e, const json_t *order)
 {
-	json_int_t fence = json_integer_value(json_object_get(order, "fence"));
-	const char *role = json_string_value(json_object_get(order, "role"));
+	static const char *const at_once[] = { "fence", "role", "adapters" };
 	json_t *models = json_object_get(order, "models");
-	json_t *adapters = json_object_get(order, "adapters");
 	bool same;
+	size_t i;
 	HOLD(&e->lock);
 
-	same = models == NULL || json_equal(models, e->wanted);
-	if (e->conf->honours_fence && fence < e->fence)
+	if (e->conf->honours_fence && fence_of(order) < fence_of(e->state))
 		return false;
-	e->fence = fence;
-	if (role != NULL) {
-		g_free(e->role);
-		e->role = g_strdup(role);
-	}
-	if (adapters != NULL) {
-		json_decref(e->adapters);
-		e->adapters = json_deep_copy(adapters);
-	}
-	if (same && (e->ready || *e->error == '\0'))
+	for (i = 0; i < G_N_ELEMENTS(at_once); i++)
+		json_object_set_new(e->state, at_once[i],
+		    json_deep_copy(json_object_get(order, at_once[i])));
+	same = models == NULL || json_equal(models, e->wanted);
+	if (same && *web_text(e->state, "error") == '\0')
 		return true;
 	if (!same) {
 		json_decref(e->wanted);
@@ -441,8 +410,7 @@
 
 	json_array_append_new(order_log,
 	    json_pack("{s:s,s:I,s:b}", "address", r->address, "fence",
-		json_integer_value(json_object_get(order, "fence")), "accepted",
-		(int)accepted));
+		fence_of(order), "accepted", (int)accepted));
 }
 
 static void
@@ -466,21 +434,16 @@
 {
 	long after = web_query_num(ri, "after", 0);
 	usec_t then = clock_now() - EVENTS_LATE;
-	json_t *list = json_array();
-	unsigned i;
+	json_t *list = json_array(), *ev;
+	size_t i;
+	HOLD(&e->lock);
 
-	g_mutex_lock(&e->lock);
-	for (i = 0; i < e->events->len; i++) {
-		const struct cache_event *ev =
-		    &g_array_index(e->events, struct cache_event, i);
-
-		if (ev->number <= after || ev->at > then)
-			continue;
-		json_array_append_new(list,
-		    json_pack("{s:I,s:s,s:s}", "number", ev->number, "type",
-			ev->stored ? "stored" : "removed", "prefix", ev->hash));
+	json_array_foreach(e->events, i, ev)
+	{
+		if (json_integer_value(json_object_get(ev, "at")) <= then &&
+		    json_integer_value(json_object_get(ev, "number")) > after)
+			json_array_append_new(list, json_deep_copy(ev));
 	}
-	g_mutex_unlock(&e->lock);
 	web_json(c, 200, json_pack("{s:o}", "events", list));
 }
 
@@ -510,19 +473,11 @@
 }
 
 json_t *
-engine_orders(void)
+engine_orders(const struct mg_request_info *ri)
 {
+	(void)ri;
 	HOLD(&store_lock);
 
 	return json_pack("{s:o,s:i}", "orders", json_deep_copy(order_log),
 	    "most_loading", (int)most_loading);
 }
-
-void
-engine_reset(void)
-{
-	HOLD(&store_lock);
-
-	json_array_clear(order_log);
-	most_loading = loading_now;
-}
--- a/tests/standin/engine.h
+++ b/tests/standin/engine.h
@@ -4,8 +4,6 @@
 
 #include "tests/standin/target.h"
 
-/* How many runners load from the weight store at once. */
-void engine_init(unsigned weight_slots);
 struct engine *engine_new(const struct target_conf *conf);
 void engine_generate(
     struct runner *r, struct mg_connection *c, const json_t *body);
@@ -15,7 +13,6 @@
 /* Loading this version fails from now on; "0" is never one. */
 void engine_fail_version(struct engine *e, struct web_word version);
 /* {"orders": [...], "most_loading": N} */
-json_t *engine_orders(void);
-void engine_reset(void);
+json_t *engine_orders(const struct mg_request_info *ri);
 
 #endif
--- a/tests/standin/hosts.c
+++ b/tests/standin/hosts.c
@@ -116,19 +116,20 @@
 	const char *had = mg_get_header(c, "If-None-Match");
 	json_auto_t *list = json_of_list();
 	char *text = json_dumps(list, JSON_COMPACT);
-	g_autofree char *tag =
-	    g_strdup_printf("\"%" PRIx64 "\"", hash_u64(str_from(text), 0));
+	uint64_t hash = hash_u64(str_from(text), 0);
+	g_autofree char *tag = g_strdup_printf("\"%" PRIx64 "\"", hash);
+	g_autofree char *header = g_strdup_printf("ETag: %s\r\n", tag);
 
 	free(text);
 	if (!web_is(ri, "GET", "/hosts"))
 		web_error(c, 404, "no such call");
-	else if (had != NULL && strcmp(had, tag) == 0)
+	else if (had == NULL || strcmp(had, tag) != 0)
+		web_send(c, 200, header, json_incref(list));
+	else
 		mg_printf(c,
-		    "HTTP/1.1 304 Not Modified\r\nETag: %s\r\n"
+		    "HTTP/1.1 304 Not Modified\r\n%s"
 		    "Content-Length: 0\r\n\r\n",
-		    tag);
-	else
-		web_tagged(c, tag, json_incref(list));
+		    header);
 }
 
 bool
--- a/tests/standin/kv.c
+++ b/tests/standin/kv.c
@@ -4,7 +4,8 @@
 
 #include "tests/standin/store.h"
 
-#define VALUE_MAX      ((size_t)1 << 20)
+/* A MiB, in base64. */
+#define VALUE_MAX      ((((size_t)1 << 20) + 2) / 3 * 4)
 #define LEASE_TICK     (20 * USEC_PER_MSEC)
 #define PROGRESS_EVERY (10 * USEC_PER_SEC)
 #define WAIT_TICK      (200 * USEC_PER_MSEC)
@@ -34,7 +35,7 @@
 };
 
 struct watch {
-	char *key;
+	const char *key;
 	int64_t next;
 };
 
@@ -58,16 +59,14 @@
 	return json_integer_value(v);
 }
 
-/* A member's decoded bytes, with a NUL past their end. */
-static struct buf
-get_bytes(const json_t *o, const char *name)
+/* A member decoded as a text; owned. */
+static char *
+get_text(const json_t *o, const char *name)
 {
-	struct buf b = { 0 };
 	gsize n = 0;
 	g_autofree guchar *p = g_base64_decode(web_text(o, name), &n);
 
-	buf_put(&b, (struct str){ (const char *)p, n });
-	return b;
+	return g_strndup((const char *)p, n);
 }
 
 /* A 64-bit number as text; 0 is left out, as etcd does. */
@@ -112,32 +111,28 @@
 static json_t *
 op_put(const json_t *req, int *status)
 {
-	struct buf key = get_bytes(req, "key");
-	struct buf value = get_bytes(req, "value");
+	g_autofree char *key = get_text(req, "key");
+	const char *value = web_text(req, "value");
 	int64_t lease = get_num(req, "lease");
-	json_t *out = NULL;
-
-	if (key.n == 0)
-		out = fail(status, 400, "etcdserver: key is not provided");
-	else if (value.n > VALUE_MAX)
-		out = fail(status, 400, "etcdserver: request is too large");
-	else if (lease != 0 && !store_has_lease(lease))
-		out =
-		    fail(status, 404, "etcdserver: requested lease not found");
-	else
-		store_put(key.p, web_text(req, "value"), lease);
-	buf_free(&key);
-	buf_free(&value);
-	return out;
+
+	if (*key == '\0')
+		return fail(status, 400, "etcdserver: key is not provided");
+	if (strlen(value) > VALUE_MAX)
+		return fail(status, 400, "etcdserver: request is too large");
+	if (lease != 0 && !store_has_lease(lease))
+		return fail(
+		    status, 404, "etcdserver: requested lease not found");
+	store_put(key, value, lease);
+	return NULL;
 }
 
 static json_t *
 op_range(const json_t *req, int *status)
 {
-	struct buf key = get_bytes(req, "key");
-	struct buf end = get_bytes(req, "range_end");
+	g_autofree char *key = get_text(req, "key");
+	g_autofree char *end = get_text(req, "range_end");
 	bool keys_only = json_is_true(json_object_get(req, "keys_only"));
-	g_autoptr(GPtrArray) found = store_range(key.p, str_of(&end));
+	g_autoptr(GPtrArray) found = store_range(key, str_from(end));
 	json_t *list = json_array();
 	unsigned i;
 
@@ -145,20 +140,16 @@
 	for (i = 0; i < found->len; i++)
 		json_array_append_new(
 		    list, json_of_item(found->pdata[i], keys_only));
-	buf_free(&key);
-	buf_free(&end);
-	return json_pack(
-	    "{s:o,s:o*}", "kvs", list, "count", json_of_num(found->len));
+	return json_pack("{s:o}", "kvs", list);
 }
 
 static json_t *
 op_delete(const json_t *req, int *status)
 {
-	struct buf key = get_bytes(req, "key");
+	g_autofree char *key = get_text(req, "key");
 
 	(void)status;
-	store_delete(key.p);
-	buf_free(&key);
+	store_delete(key);
 	return NULL;
 }
 
@@ -166,12 +157,10 @@
 static bool
 revision_is_equal(const json_t *cmp)
 {
-	struct buf key = get_bytes(cmp, "key");
-	const struct item *it = store_get(key.p);
-	int64_t modified = it != NULL ? it->modified : 0;
+	g_autofree char *key = get_text(cmp, "key");
+	const struct item *it = store_get(key);
 
-	buf_free(&key);
-	return modified == get_num(cmp, "mod_revision");
+	return get_num(cmp, "mod_revision") == (it != NULL ? it->modified : 0);
 }
 
 /* A transaction of one comparison and one put or range on either branch. */
@@ -342,8 +331,8 @@
 run_watch(struct mg_connection *c, const json_t *body, const char *from)
 {
 	const json_t *req = json_object_get(body, "create_request");
-	struct buf key = get_bytes(req, "key");
-	struct watch w = { key.p, get_num(req, "start_revision") };
+	g_autofree char *key = get_text(req, "key");
+	struct watch w = { key, get_num(req, "start_revision") };
 	json_t *m;
 	bool going;
 
@@ -362,7 +351,6 @@
 	g_mutex_lock(&lock);
 	watches--;
 	g_mutex_unlock(&lock);
-	buf_free(&key);
 	web_drop(c);
 }
 
@@ -454,10 +442,9 @@
 }
 
 void
-kv_init(unsigned calls_per_second)
+kv_init(void)
 {
 	store_init();
-	limit = calls_per_second;
 	rules = g_hash_table_new(g_str_hash, g_str_equal);
 	g_thread_unref(g_thread_new("leases", expire_leases, NULL));
 }
@@ -496,19 +483,12 @@
 }
 
 json_t *
-kv_counters(void)
+kv_counters(const struct mg_request_info *ri)
 {
+	(void)ri;
 	HOLD(&lock);
 
 	return json_pack("{s:I,s:I,s:I,s:I,s:I}", "calls", calls, "writes",
 	    writes, "refused", refused, "watches", watches, "revision",
 	    (json_int_t)store_revision());
 }
-
-void
-kv_reset(void)
-{
-	HOLD(&lock);
-
-	calls = writes = refused = 0;
-}
--- a/tests/standin/stage.c
+++ b/tests/standin/stage.c
@@ -56,60 +56,15 @@
 	return json_pack("{s:o}", "passages", best);
 }
 
-static json_t *
-stage_work(struct runner *r, const json_t *body)
-{
-	const json_t *document = json_object_get(body, "document");
-	json_t *out;
-
-	web_sleep(runner_slowed(r, r->conf->latency));
-	if (r->conf->kind == KIND_ENCODE)
-		out = encode(document);
-	else if (r->conf->kind == KIND_RETRIEVE)
-		out = retrieve(document);
-	else
-		out = rerank(document);
-	return json_pack(
-	    "{s:s,s:o}", "call_id", web_text(body, "call_id"), "document", out);
-}
-
-void
-stage_call(struct runner *r, struct mg_connection *c,
-    const struct mg_request_info *ri, const json_t *body)
-{
-	static const char *const paths[] = { [KIND_ENCODE] = "/v1/encode",
-		[KIND_RETRIEVE] = "/v1/retrieve",
-		[KIND_RERANK] = "/v1/rerank" };
-	usec_t began;
-	json_t *a;
-
-	if (strcmp(paths[r->conf->kind], ri->local_uri) != 0) {
-		web_error(c, 404, "no such call");
-		return;
-	}
-	if (!runner_enter(r, c))
-		return;
-	began = clock_now();
-	a = stage_work(r, body);
-	runner_leave(r, began);
-	json_object_set_new(a, "load", json_integer(runner_load(r)));
-	runner_answer(r, c, a);
-}
-
 /* The service's part of the ledger, with the lock held; borrowed. */
 static json_t *
 part_of(const char *service)
 {
-	json_t *part;
-
 	if (ledger == NULL)
 		ledger = json_object();
-	part = json_object_get(ledger, service);
-	if (part == NULL) {
-		part = json_object();
-		json_object_set_new(ledger, service, part);
-	}
-	return part;
+	if (json_object_get(ledger, service) == NULL)
+		json_object_set_new(ledger, service, json_object());
+	return json_object_get(ledger, service);
 }
 
 /* Makes the effect and gives the answer to it. */
@@ -135,25 +90,53 @@
 	return answer;
 }
 
+static const struct {
+	const char *path; /* NULL: any */
+	json_t *(*run)(const json_t *document);
+} kinds[] = {
+	[KIND_ENCODE] = { "/v1/encode", encode },
+	[KIND_RETRIEVE] = { "/v1/retrieve", retrieve },
+	[KIND_RERANK] = { "/v1/rerank", rerank },
+	[KIND_PLAIN] = { NULL, NULL },
+};
+
+static json_t *
+work(const struct runner *r, const json_t *body)
+{
+	if (r->conf->kind == KIND_PLAIN)
+		return make_effect(r->conf->service, body);
+	return json_pack("{s:s,s:o}", "call_id", web_text(body, "call_id"),
+	    "document",
+	    kinds[r->conf->kind].run(json_object_get(body, "document")));
+}
+
 void
-plain_call(struct runner *r, struct mg_connection *c, const json_t *body)
+stage_call(struct runner *r, struct mg_connection *c,
+    const struct mg_request_info *ri, const json_t *body)
 {
+	const char *path = kinds[r->conf->kind].path;
 	usec_t began, half;
 	json_t *a;
 
+	if (path != NULL && strcmp(path, ri->local_uri) != 0) {
+		web_error(c, 404, "no such call");
+		return;
+	}
 	if (!runner_enter(r, c))
 		return;
 	began = clock_now();
 	half = runner_slowed(r, r->conf->latency) / 2;
 	web_sleep(half);
-	a = make_effect(r->conf->service, body);
+	a = work(r, body);
 	web_sleep(half);
 	runner_leave(r, began);
+	if (r->conf->kind != KIND_PLAIN)
+		json_object_set_new(a, "load", json_integer(runner_load(r)));
 	runner_answer(r, c, a);
 }
 
 void
-plain_lookup(
+stage_lookup(
     struct runner *r, struct mg_connection *c, const struct mg_request_info *ri)
 {
 	const char *slash = strrchr(ri->local_uri, '/');
@@ -171,22 +154,14 @@
 }
 
 json_t *
-plain_effects(const char *service)
+stage_effects(const struct mg_request_info *ri)
 {
+	struct web_word service = web_query(ri, "service");
 	json_t *out = json_object(), *entry;
 	const char *key;
 	HOLD(&lock);
 
-	json_object_foreach(part_of(service), key, entry)
+	json_object_foreach(part_of(service.s), key, entry)
 	    json_object_set(out, key, json_object_get(entry, "count"));
 	return out;
 }
-
-void
-plain_reset(void)
-{
-	HOLD(&lock);
-
-	json_decref(ledger);
-	ledger = NULL;
-}
--- a/tests/standin/stage.h
+++ b/tests/standin/stage.h
@@ -9,13 +9,10 @@
 
 void stage_call(struct runner *r, struct mg_connection *c,
     const struct mg_request_info *ri, const json_t *body);
-
-void plain_call(struct runner *r, struct mg_connection *c, const json_t *body);
-/* GET .../KEY: the first answer that the key had, or 404. */
-void plain_lookup(struct runner *r, struct mg_connection *c,
+/* GET .../KEY of a plain service: the key's first answer, or 404. */
+void stage_lookup(struct runner *r, struct mg_connection *c,
     const struct mg_request_info *ri);
-/* The service's effects, {"KEY": count}. */
-json_t *plain_effects(const char *service);
-void plain_reset(void);
+/* The effects of the service asked for, {"KEY": count}. */
+json_t *stage_effects(const struct mg_request_info *ri);
 
 #endif
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -5,7 +5,6 @@
  *
  * Keys of the INI file, with their defaults:
  *   [kv]      listen = ADDRESS:PORT
- *             calls_per_second = 0        calls beyond get 429; 0: unlimited
  *   [hosts]   listen = ADDRESS:PORT
  *             lag_ms = 500                a change shows after this
  *   [admin]   listen = ADDRESS:PORT
@@ -29,12 +28,13 @@
  *             fencing = honoured|ignored
  *             load_model_ms = 500
  *             model = NAME                loaded at the start; any if absent
- *             weight_slots = 2            loads at once over all targets; the
+ *             weight_slots = 2            loads at once over all engines; the
  *                                         lowest of all sections counts
  *
  * Calls of the admin address (query parameters; answers are JSON):
  *   POST /kv?mode=up|down|slow|hang|quiet&slow_ms=N&lose_answers=N
  *            &calls_per_second=N&from=ADDRESS   only for clients from there
+ *            calls_per_second: calls beyond get 429; 0, as at first: no limit
  *            mode=hang: calls wait, watches are quiet until the mode changes,
  *            and only then do the calls take effect; mode=quiet: watches are
  *            quiet, calls work; lose_answers: the next N
@@ -49,7 +49,7 @@
  *   GET  /effects?service=S   {"KEY": count}
  *   GET  /seen     {"REQUEST": calls that reached a target}
  *   GET  /orders   {"orders": [{address, fence, accepted}], "most_loading"}
- *   POST /reset    the counters, effects and the order log
+ *   POST /reset    the counters of the runners
  *
  * A watch is of one key and gets a message without events every ten seconds,
  * which is how a closed one is noticed.  A transaction has one comparison, of
@@ -142,90 +142,45 @@
 	t->honours_fence =
 	    strcmp(text(s, "fencing", "honoured"), "honoured") == 0;
 	t->load_model = msec(s, "load_model_ms", "500");
+	t->weight_slots = number(s, "weight_slots", "2");
 	t->model = text(s, "model", "");
 	read_address(s, t);
 	target_add(t, listen);
 }
 
-static void
-read_targets(struct buf *listen)
-{
-	unsigned slots = UINT32_MAX, n;
-	size_t i;
-
-	for (i = 0; i < ini.n; i++) {
-		if (!settings_opens(&ini, i, "target "))
-			continue;
-		read_target(ini.entries[i].section, listen);
-		n = number(ini.entries[i].section, "weight_slots", "2");
-		slots = MIN(slots, n);
-	}
-	engine_init(MAX(slots, 1U));
-}
-
-static bool
-reset(const struct mg_request_info *ri)
-{
-	(void)ri;
-	kv_reset();
-	target_reset();
-	plain_reset();
-	engine_reset();
-	return true;
-}
-
+/* The calls of the admin address: a POST sets something, a GET shows it. */
 static const struct {
 	const char *path;
 	bool (*set)(const struct mg_request_info *ri);
-} setters[] = {
-	{ "/kv", kv_set_fault },
-	{ "/hosts", hosts_change },
-	{ "/target", target_set_fault },
-	{ "/reset", reset },
-};
-
-static const struct {
-	const char *path;
-	json_t *(*get)(void);
-} getters[] = {
-	{ "/kv", kv_counters },
-	{ "/targets", target_counters },
-	{ "/seen", target_seen },
-	{ "/orders", engine_orders },
+	json_t *(*get)(const struct mg_request_info *ri);
+} calls[] = {
+	{ "/kv", kv_set_fault, kv_counters },
+	{ "/hosts", hosts_change, NULL },
+	{ "/target", target_set_fault, NULL },
+	{ "/reset", target_reset, NULL },
+	{ "/targets", NULL, target_counters },
+	{ "/seen", NULL, target_seen },
+	{ "/orders", NULL, engine_orders },
+	{ "/effects", NULL, stage_effects },
 };
 
-/* What a call of the admin address answers; NULL: it is no such call. */
-static json_t *
-administer(const struct mg_request_info *ri, int *status)
-{
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(setters); i++) {
-		if (!web_is(ri, "POST", setters[i].path))
-			continue;
-		if (setters[i].set(ri))
-			return json_object();
-		*status = 400;
-		return json_pack("{s:s}", "error", "not understood");
-	}
-	for (i = 0; i < G_N_ELEMENTS(getters); i++)
-		if (web_is(ri, "GET", getters[i].path))
-			return getters[i].get();
-	if (!web_is(ri, "GET", "/effects"))
-		return NULL;
-	return plain_effects(web_query(ri, "service").s);
-}
-
 static void
 admin_handle(struct mg_connection *c, const struct mg_request_info *ri)
 {
-	int status = 200;
-	json_t *a = administer(ri, &status);
-
-	if (a != NULL)
-		web_json(c, status, a);
-	else
+	bool post = strcmp(ri->request_method, "POST") == 0;
+	size_t i = 0;
+
+	while (i < G_N_ELEMENTS(calls) &&
+	    strcmp(calls[i].path, ri->local_uri) != 0)
+		i++;
+	if (i < G_N_ELEMENTS(calls) && !post && calls[i].get != NULL)
+		web_json(c, 200, calls[i].get(ri));
+	else if (i == G_N_ELEMENTS(calls) || !post || calls[i].set == NULL)
 		web_error(c, 404, "no such call");
+	else if (calls[i].set(ri))
+		web_json(c, 200, json_object());
+	else
+		web_error(c, 400, "not understood");
 }
 
 static bool
@@ -256,6 +211,7 @@
 {
 	struct buf listen = { 0 };
 	sigset_t set;
+	size_t i;
 	int sig;
 
 	if (argc != 2) {
@@ -267,10 +223,12 @@
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	kv_init(number("kv", "calls_per_second", "0"));
+	kv_init();
 	hosts_init(msec("hosts", "lag_ms", "500"));
 	target_init();
-	read_targets(&listen);
+	for (i = 0; i < ini.n; i++)
+		if (settings_opens(&ini, i, "target "))
+			read_target(ini.entries[i].section, &listen);
 	if (!start(listen.p != NULL ? listen.p : ""))
 		return EXIT_FAILURE;
 	printf("ready\n");
--- a/tests/standin/target.c
+++ b/tests/standin/target.c
@@ -265,8 +265,9 @@
 }
 
 json_t *
-target_seen(void)
+target_seen(const struct mg_request_info *ri)
 {
+	(void)ri;
 	HOLD(&seen_lock);
 
 	return json_deep_copy(seen);
@@ -285,8 +286,6 @@
 	note_seen(r, body);
 	if (r->conf->kind == KIND_GENERATE)
 		engine_generate(r, c, body);
-	else if (r->conf->kind == KIND_PLAIN)
-		plain_call(r, c, body);
 	else
 		stage_call(r, c, ri, body);
 }
@@ -302,7 +301,7 @@
 	else if (r->engine != NULL && engine_handle(r, c, ri))
 		;
 	else if (get && r->conf->kind == KIND_PLAIN)
-		plain_lookup(r, c, ri);
+		stage_lookup(r, c, ri);
 	else if (get)
 		web_error(c, 404, "no such call");
 	else
@@ -410,8 +409,9 @@
 }
 
 json_t *
-target_counters(void)
+target_counters(const struct mg_request_info *ri)
 {
+	(void)ri;
 	json_t *list = json_array();
 	unsigned i;
 
@@ -420,14 +420,12 @@
 	return list;
 }
 
-void
-target_reset(void)
+bool
+target_reset(const struct mg_request_info *ri)
 {
 	unsigned i;
 
-	g_mutex_lock(&seen_lock);
-	json_object_clear(seen);
-	g_mutex_unlock(&seen_lock);
+	(void)ri;
 	for (i = 0; i < runners->len; i++) {
 		struct runner *r = runners->pdata[i];
 
@@ -436,4 +434,5 @@
 		r->busy = 0;
 		g_mutex_unlock(&r->lock);
 	}
+	return true;
 }
--- a/tests/standin/target.h
+++ b/tests/standin/target.h
@@ -53,6 +53,7 @@
 	usec_t load_lag;
 	bool honours_fence;
 	usec_t load_model;
+	unsigned weight_slots;
 	const char *model;
 };
 
@@ -90,10 +91,11 @@
 void target_handle(struct mg_connection *c, const struct mg_request_info *ri);
 /* Does what a POST /target asks for; false when it is not understood. */
 bool target_set_fault(const struct mg_request_info *ri);
-json_t *target_counters(void);
+json_t *target_counters(const struct mg_request_info *ri);
 /* Calls by the request that they belong to. */
-json_t *target_seen(void);
-void target_reset(void);
+json_t *target_seen(const struct mg_request_info *ri);
+/* Sets the counters of the runners to 0. */
+bool target_reset(const struct mg_request_info *ri);
 
 /*
  * Takes the call into the queue and waits for its turn.  False when it has
--- a/tests/standin/web.c
+++ b/tests/standin/web.c
@@ -23,20 +23,11 @@
 static int
 on_open(const struct mg_connection *c, void **data)
 {
-	usec_t *opened = xcalloc(1, sizeof(*opened));
-
 	(void)c;
-	*opened = clock_now();
-	*data = opened;
+	*data = GSIZE_TO_POINTER(clock_now());
 	return 0;
 }
 
-static void
-on_closed(const struct mg_connection *c)
-{
-	free(mg_get_user_connection_data(c));
-}
-
 static int
 on_log(const struct mg_connection *c, const char *text)
 {
@@ -61,7 +52,6 @@
 {
 	struct mg_callbacks cb = { .begin_request = on_request,
 		.init_connection = on_open,
-		.connection_closed = on_closed,
 		.log_message = on_log };
 	g_autofree char *n = g_strdup_printf("%u", s->threads);
 	const char *options[] = { "listening_ports", s->listen, "num_threads",
@@ -96,9 +86,8 @@
 	return NULL;
 }
 
-static bool
-send_json(
-    struct mg_connection *c, int status, const char *headers, json_t *body)
+bool
+web_send(struct mg_connection *c, int status, const char *headers, json_t *body)
 {
 	char *text =
 	    json_dumps(body, JSON_COMPACT | JSON_REAL_PRECISION(REAL_DIGITS));
@@ -120,15 +109,7 @@
 bool
 web_json(struct mg_connection *c, int status, json_t *body)
 {
-	return send_json(c, status, "", body);
-}
-
-bool
-web_tagged(struct mg_connection *c, const char *tag, json_t *body)
-{
-	g_autofree char *header = g_strdup_printf("ETag: %s\r\n", tag);
-
-	return send_json(c, 200, header, body);
+	return web_send(c, status, "", body);
 }
 
 void
@@ -228,9 +209,7 @@
 usec_t
 web_opened(const struct mg_connection *c)
 {
-	const usec_t *opened = mg_get_user_connection_data(c);
-
-	return opened != NULL ? *opened : 0;
+	return (usec_t)GPOINTER_TO_SIZE(mg_get_user_connection_data(c));
 }
 
 void
--- a/tests/standin/web.h
+++ b/tests/standin/web.h
@@ -31,8 +31,9 @@
 json_t *web_body(struct mg_connection *c);
 /* Sends one JSON answer; takes over the body.  False when it can't be sent. */
 bool web_json(struct mg_connection *c, int status, json_t *body);
-/* As web_json() with status 200 and an entity tag. */
-bool web_tagged(struct mg_connection *c, const char *tag, json_t *body);
+/* As web_json(), with further headers, each with its line end. */
+bool web_send(
+    struct mg_connection *c, int status, const char *headers, json_t *body);
 /* As web_json(), with {"error": text}. */
 void web_error(struct mg_connection *c, int status, const char *text);
 /* Closes the connection without an answer. */
