--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -1,6 +1,5 @@
-#include "tests/standin/engine.h"
+#include "tests/standin/stage.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 #include "base/hash.h"
@@ -95,14 +94,14 @@
 
 /* Looks a prompt up in the prefix cache and puts it there. */
 static bool
-use_cache(struct engine *e, struct str salt, struct str prompt)
+use_cache(struct engine *e, const char *salt, struct str prompt)
 {
 	struct buf key = { 0 };
 	char hash[HASH_HEX_LEN + 1];
 	GList *hit;
 	HOLD(&e->lock);
 
-	buf_put(&key, salt);
+	buf_put(&key, str_from(salt));
 	buf_putc(&key, '\0');
 	buf_put(&key, (struct str){ prompt.p, MIN(prompt.n, PREFIX_BYTES) });
 	hash_sha256(str_of(&key), hash);
@@ -159,14 +158,6 @@
 	return ready && known;
 }
 
-static struct str
-get_str(const json_t *o, const char *name)
-{
-	const json_t *v = json_object_get(o, name);
-
-	return (struct str){ json_string_value(v), json_string_length(v) };
-}
-
 /* The word after "marker=" in a text, or an empty one. */
 static struct str
 find_marker(const char *text)
@@ -186,19 +177,13 @@
 	const json_t *most = json_object_get(body, "max_tokens");
 	struct str marker = find_marker(web_text(body, "prompt"));
 
-	*g = (struct gen){ .prompt = get_str(body, "prompt") };
+	*g = (struct gen){ .prompt = str_from(web_text(body, "prompt")) };
 	g->who = json_pack("{s:s,s:s%}", "id", web_text(body, "request_id"),
 	    "marker", marker.p, marker.n);
 	g->first = (long)json_integer_value(json_object_get(resume, "tokens"));
 	g->most = most ? (long)json_integer_value(most) : DEFAULT_TOKENS;
 }
 
-static bool
-send_event(struct mg_connection *c, json_t *event)
-{
-	return web_chunk_json(c, "data: ", event, "\n\n");
-}
-
 static bool
 send_token(struct mg_connection *c, const struct gen *g, long n)
 {
@@ -206,9 +191,10 @@
 	json_t *text = n == 0 && *marker != '\0' ? json_sprintf("%s ", marker)
 						 : json_sprintf("t%ld ", n);
 
-	return send_event(c,
+	return web_chunk_json(c, "data: ",
 	    json_pack("{s:s,s:[{s:o,s:n}]}", "id", web_text(g->who, "id"),
-		"choices", "text", text, "finish_reason"));
+		"choices", "text", text, "finish_reason"),
+	    "\n\n");
 }
 
 static bool
@@ -223,8 +209,8 @@
 	    (json_int_t)MAX(g->most - g->first, 0), "cached_tokens",
 	    (json_int_t)cached, "load", runner_load(r));
 
-	return send_event(c, e) && web_chunk(c, STR("data: [DONE]\n\n")) &&
-	    web_chunk(c, STR(""));
+	return web_chunk_json(c, "data: ", e, "\n\n") &&
+	    web_chunk(c, STR("data: [DONE]\n\n")) && web_chunk(c, STR(""));
 }
 
 static usec_t
@@ -263,7 +249,8 @@
 	return true;
 }
 
-static void
+/* Takes the stream's turn and all its time; false unless all was sent. */
+static bool
 stream(struct runner *r, struct mg_connection *c, struct gen *g)
 {
 	usec_t began = clock_now();
@@ -274,10 +261,7 @@
 	sent = !runner_silent(r, c) && web_stream(c, "text/event-stream") &&
 	    send_tokens(r, c, g);
 	runner_leave(r, began);
-	if (sent && send_end(r, c, g))
-		return;
-	web_drop(c);
-	runner_count(r, COUNT_CANCELLED);
+	return sent && send_end(r, c, g);
 }
 
 void
@@ -288,10 +272,13 @@
 	if (!can_generate(r->engine, c, body) || !runner_enter(r, c))
 		return;
 	gen_init(&g, body);
-	g.cached = use_cache(r->engine, get_str(body, "cache_salt"), g.prompt);
+	g.cached = use_cache(r->engine, web_text(body, "cache_salt"), g.prompt);
 	if (g.cached)
 		runner_count(r, COUNT_CACHED);
-	stream(r, c, &g);
+	if (!stream(r, c, &g)) {
+		web_drop(c);
+		runner_count(r, COUNT_CANCELLED);
+	}
 	json_decref(g.who);
 }
 
@@ -403,16 +390,6 @@
 	return true;
 }
 
-static void
-log_order(const struct runner *r, const json_t *order, bool accepted)
-{
-	HOLD(&store_lock);
-
-	json_array_append_new(order_log,
-	    json_pack("{s:s,s:I,s:b}", "address", r->address, "fence",
-		fence_of(order), "accepted", (int)accepted));
-}
-
 static void
 post_order(struct runner *r, struct mg_connection *c)
 {
@@ -424,7 +401,11 @@
 		return;
 	}
 	accepted = take_order(r->engine, order);
-	log_order(r, order, accepted);
+	g_mutex_lock(&store_lock);
+	json_array_append_new(order_log,
+	    json_pack("{s:s,s:I,s:b}", "address", r->address, "fence",
+		fence_of(order), "accepted", (int)accepted));
+	g_mutex_unlock(&store_lock);
 	web_json(c, accepted ? 202 : 409, json_of_state(r->engine));
 }
 
--- a/tests/standin/kv.c
+++ b/tests/standin/kv.c
@@ -34,11 +34,6 @@
 	op_fn run;
 };
 
-struct watch {
-	const char *key;
-	int64_t next;
-};
-
 static GMutex lock;
 static GCond moved;
 static GHashTable *rules;
@@ -283,24 +278,24 @@
 	return false;
 }
 
-/* The events that a watch has not had yet, or NULL. */
+/* The changes of a key from *next on, or NULL; moves *next past them. */
 static json_t *
-take_events(struct watch *w)
+take_events(const char *key, int64_t *next)
 {
 	json_t *list = json_array();
 	unsigned i;
-	const GPtrArray *h = store_history(w->next, &i);
+	const GPtrArray *h = store_history(*next, &i);
 
 	for (; i < h->len; i++) {
 		const struct item *it = h->pdata[i];
 
-		if (strcmp(it->key, w->key) != 0)
+		if (strcmp(it->key, key) != 0)
 			continue;
 		json_array_append_new(list,
 		    json_pack("{s:o,s:s*}", "kv", json_of_item(it, false),
 			"type", it->deleted ? "DELETE" : NULL));
 	}
-	w->next = store_revision() + 1;
+	*next = store_revision() + 1;
 	if (json_array_size(list) > 0)
 		return json_pack("{s:o}", "events", list);
 	json_decref(list);
@@ -309,14 +304,14 @@
 
 /* Waits for the next message of a watch; false ends it. */
 static bool
-next_message(struct watch *w, const char *from, json_t **m)
+next_message(const char *key, int64_t *next, const char *from, json_t **m)
 {
 	usec_t due = clock_now() + PROGRESS_EVERY;
 	HOLD(&lock);
 
 	*m = NULL;
 	while (wait_for_turn(from, true) != MODE_DOWN) {
-		*m = take_events(w);
+		*m = take_events(key, next);
 		if (*m != NULL || clock_now() >= due) {
 			*m = with_header(*m);
 			return true;
@@ -332,21 +327,21 @@
 {
 	const json_t *req = json_object_get(body, "create_request");
 	g_autofree char *key = get_text(req, "key");
-	struct watch w = { key, get_num(req, "start_revision") };
+	int64_t next = get_num(req, "start_revision");
 	json_t *m;
 	bool going;
 
 	g_mutex_lock(&lock);
 	watches++;
-	if (w.next == 0)
-		w.next = store_revision() + 1;
+	if (next == 0)
+		next = store_revision() + 1;
 	m = with_header(json_pack("{s:b}", "created", 1));
 	g_mutex_unlock(&lock);
 	going = web_stream(c, "application/json");
 	while (going) {
 		m = json_pack("{s:o}", "result", m);
 		going = web_chunk_json(c, "", m, "\n") &&
-		    next_message(&w, from, &m);
+		    next_message(key, &next, from, &m);
 	}
 	g_mutex_lock(&lock);
 	watches--;
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -65,7 +65,6 @@
 #include <unistd.h>
 
 #include "tests/settings.h"
-#include "tests/standin/engine.h"
 #include "tests/standin/hosts.h"
 #include "tests/standin/kv.h"
 #include "tests/standin/stage.h"
@@ -93,6 +92,13 @@
 	return number(section, key, absent) * USEC_PER_MSEC;
 }
 
+static void
+refuse(const char *section, const char *what)
+{
+	fprintf(stderr, "standin: [%s]: %s\n", section, what);
+	exit(EXIT_FAILURE);
+}
+
 static enum target_kind
 kind_of(const char *section)
 {
@@ -101,27 +107,23 @@
 	int kind =
 	    web_index(names, G_N_ELEMENTS(names), text(section, "kind", ""));
 
-	if (kind >= 0)
-		return (enum target_kind)kind;
-	fprintf(stderr, "standin: [%s]: unknown kind\n", section);
-	exit(EXIT_FAILURE);
+	if (kind < 0)
+		refuse(section, "unknown kind");
+	return (enum target_kind)kind;
 }
 
 /* Splits "ADDRESS:PORT". */
 static void
 read_address(const char *section, struct target_conf *t)
 {
-	const char *listen = text(section, "listen", "");
-	const char *colon = strrchr(listen, ':');
-	uint64_t port = 0;
-
-	if (colon == NULL || !str_u64(str_from(colon + 1), &port) ||
-	    port == 0 || port + t->count > UINT16_MAX + 1U) {
-		fprintf(stderr, "standin: [%s]: bad listen\n", section);
-		exit(EXIT_FAILURE);
-	}
-	t->host = str_dup((struct str){ listen, (size_t)(colon - listen) });
-	t->port = (unsigned)port;
+	struct str port = str_from(text(section, "listen", "")), host;
+	uint64_t n = 0;
+
+	if (!str_cut(&port, ':', &host) || !str_u64(port, &n) || n == 0 ||
+	    n + t->count > UINT16_MAX + 1U)
+		refuse(section, "bad listen");
+	t->host = str_dup(host);
+	t->port = (unsigned)n;
 }
 
 static void
@@ -183,23 +185,21 @@
 		web_error(c, 400, "not understood");
 }
 
+/* Starts the servers, which stay for good. */
 static bool
 start(const char *targets)
 {
-	static struct web_server servers[] = {
-		{ .handle = kv_handle },
-		{ .handle = hosts_handle, .threads = SMALL_THREADS },
-		{ .handle = admin_handle, .threads = SMALL_THREADS },
-		{ .handle = target_handle },
-	};
+	static struct web_server servers[4];
 	size_t i;
 
-	servers[0].listen = text("kv", "listen", "");
-	servers[0].threads = number("threads", "kv", "192");
-	servers[1].listen = text("hosts", "listen", "");
-	servers[2].listen = text("admin", "listen", "");
-	servers[3].listen = targets;
-	servers[3].threads = number("threads", "targets", "512");
+	servers[0] = (struct web_server){ text("kv", "listen", ""),
+		number("threads", "kv", "192"), kv_handle };
+	servers[1] = (struct web_server){ text("hosts", "listen", ""),
+		SMALL_THREADS, hosts_handle };
+	servers[2] = (struct web_server){ text("admin", "listen", ""),
+		SMALL_THREADS, admin_handle };
+	servers[3] = (struct web_server){ targets,
+		number("threads", "targets", "512"), target_handle };
 	for (i = 0; i < G_N_ELEMENTS(servers); i++)
 		if (servers[i].listen[0] != '\0' && !web_start(&servers[i]))
 			return false;
--- a/tests/standin/target.c
+++ b/tests/standin/target.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#include "tests/standin/engine.h"
 #include "tests/standin/hosts.h"
 #include "tests/standin/stage.h"
 
@@ -12,26 +11,20 @@
 #define SLOW_FACTOR 5
 #define MAX_WAITING 64U
 
-/* An answer that waits to be exchanged. */
-struct swap {
-	json_t *answer;
-	bool done;
-};
-
 static GPtrArray *runners;
 static GHashTable *by_port;
 static GMutex seen_lock;
 static json_t *seen; /* request id -> calls */
 
 static void
-add_runner(const struct target_conf *conf, unsigned i, struct str domain)
+add_runner(const struct target_conf *conf, unsigned i, const char *domain)
 {
 	struct runner *r = g_new0(struct runner, 1);
 	unsigned port = conf->port + i;
 
 	r->conf = conf;
 	r->address = g_strdup_printf("%s:%u", conf->host, port);
-	r->domain = str_dup(domain);
+	r->domain = g_strdup(domain);
 	r->factor = 1;
 	g_mutex_init(&r->lock);
 	g_cond_init(&r->moved);
@@ -53,15 +46,11 @@
 void
 target_add(const struct target_conf *conf, struct buf *listen)
 {
-	struct str rest = str_from(conf->domains), domain;
-	unsigned i;
+	g_auto(GStrv) domains = g_strsplit(conf->domains, ",", -1);
+	unsigned i, n = g_strv_length(domains);
 
 	for (i = 0; i < conf->count; i++) {
-		if (!str_cut(&rest, ',', &domain)) {
-			rest = str_from(conf->domains);
-			str_cut(&rest, ',', &domain);
-		}
-		add_runner(conf, i, str_trim(domain));
+		add_runner(conf, i, g_strstrip(domains[i % n]));
 		buf_printf(listen, "%s%s:%u", listen->n > 0 ? "," : "",
 		    conf->host, conf->port + i);
 	}
@@ -176,26 +165,25 @@
 json_t *
 runner_swap(struct runner *r, json_t *answer)
 {
-	struct swap mine = { .answer = answer }, *other;
 	gint64 until = g_get_monotonic_time() + SWAP_WAIT;
+	json_t *other = answer;
 	HOLD(&r->lock);
 
-	if (r->fault == FAULT_SWAP && r->swap != NULL) {
-		other = r->swap;
-		r->swap = NULL;
-		mine.answer = other->answer;
-		other->answer = answer;
-		other->done = true;
+	if (r->fault != FAULT_SWAP || r->swap[1] != NULL)
+		return answer;
+	if (r->swap[0] != NULL) {
+		r->swap[1] = answer;
 		g_cond_broadcast(&r->moved);
-	} else if (r->fault == FAULT_SWAP) {
-		r->swap = &mine;
-		while (
-		    !mine.done && g_cond_wait_until(&r->moved, &r->lock, until))
-			;
-		if (!mine.done)
-			r->swap = NULL;
+		return r->swap[0];
 	}
-	return mine.answer;
+	r->swap[0] = answer;
+	while (
+	    r->swap[1] == NULL && g_cond_wait_until(&r->moved, &r->lock, until))
+		;
+	if (r->swap[1] != NULL)
+		other = r->swap[1];
+	r->swap[0] = r->swap[1] = NULL;
+	return other;
 }
 
 bool
@@ -274,7 +262,7 @@
 }
 
 static void
-work(
+post(
     struct runner *r, struct mg_connection *c, const struct mg_request_info *ri)
 {
 	json_auto_t *body = web_body(c);
@@ -294,18 +282,16 @@
 route(
     struct runner *r, struct mg_connection *c, const struct mg_request_info *ri)
 {
-	bool get = strcmp(ri->request_method, "GET") == 0;
-
 	if (web_is(ri, "GET", "/load"))
 		answer_load(r, c);
 	else if (r->engine != NULL && engine_handle(r, c, ri))
 		;
-	else if (get && r->conf->kind == KIND_PLAIN)
+	else if (strcmp(ri->request_method, "GET") != 0)
+		post(r, c, ri);
+	else if (r->conf->kind == KIND_PLAIN)
 		stage_lookup(r, c, ri);
-	else if (get)
-		web_error(c, 404, "no such call");
 	else
-		work(r, c, ri);
+		web_error(c, 404, "no such call");
 }
 
 void
--- a/tests/standin/target.h
+++ b/tests/standin/target.h
@@ -62,8 +62,6 @@
 	unsigned load;
 };
 
-struct swap;
-
 struct runner {
 	const struct target_conf *conf;
 	char *address;
@@ -78,7 +76,8 @@
 	usec_t fault_at;
 	uint64_t since_fault;
 	long factor;
-	struct swap *swap;
+	/* An answer that waits for another, and that other. */
+	json_t *swap[2];
 	struct load_point loads[LOAD_RING];
 	unsigned n_loads;
 	json_int_t counts[N_COUNTS];
