--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -33,7 +33,7 @@
 	struct rng rng;
 };
 
-/* A loader thread's work. */
+/* A loader's work. */
 struct load {
 	struct engine *e;
 	unsigned order;
@@ -49,36 +49,12 @@
 };
 
 static GMutex store_lock;
-static GCond store_moved;
-static unsigned slots = UINT32_MAX;
-static unsigned loading_now;
-static unsigned most_loading;
+/* As many threads as the weight store has slots. */
+static GThreadPool *loaders;
+static int loading_now;
+static int most_loading;
 static json_t *order_log;
 
-struct engine *
-engine_new(const struct target_conf *conf)
-{
-	struct engine *e = g_new0(struct engine, 1);
-
-	slots = MIN(slots, MAX(conf->weight_slots, 1U));
-	if (order_log == NULL)
-		order_log = json_array();
-	e->conf = conf;
-	g_mutex_init(&e->lock);
-	e->wanted = json_array();
-	if (conf->model[0] != '\0')
-		json_array_append_new(e->wanted,
-		    json_pack(
-			"{s:s,s:s}", "name", conf->model, "version", "1"));
-	e->state = json_pack("{s:i,s:s,s:b,s:O,s:[],s:b,s:s}", "fence", 0,
-	    "role", "generate", "ready", 1, "models", e->wanted, "adapters",
-	    "loading", 0, "error", "");
-	e->cache = g_queue_new();
-	e->events = json_array();
-	rng_init(&e->rng, conf->port);
-	return e;
-}
-
 static void
 add_event(struct engine *e, const char *type, const char *hash)
 {
@@ -290,30 +266,14 @@
 	return json_deep_copy(e->state);
 }
 
-static bool
-is_current(struct engine *e, unsigned order)
-{
-	HOLD(&e->lock);
-
-	return e->order == order;
-}
-
-/* Reads the weights, when the weight store has a slot. */
+/* Counts a loader that begins or ends. */
 static void
-read_weights(const struct load *l)
+count_loading(int change)
 {
-	g_mutex_lock(&store_lock);
-	while (loading_now >= slots)
-		g_cond_wait(&store_moved, &store_lock);
-	loading_now++;
+	HOLD(&store_lock);
+
+	loading_now += change;
 	most_loading = MAX(most_loading, loading_now);
-	g_mutex_unlock(&store_lock);
-	if (is_current(l->e, l->order))
-		web_sleep(l->e->conf->load_model);
-	g_mutex_lock(&store_lock);
-	loading_now--;
-	g_cond_broadcast(&store_moved);
-	g_mutex_unlock(&store_lock);
 }
 
 /* Sets what an engine shows of its models, with the lock held. */
@@ -327,26 +287,33 @@
 		(int)ready, "loading", (int)loading, "error", error));
 }
 
-static void *
-load_models(void *arg)
+/* Reads the weights, unless another order has come before its turn. */
+static void
+load_models(void *arg, void *unused)
 {
 	struct load *l = arg;
 	struct engine *e = l->e;
 	bool bad;
 
-	read_weights(l);
+	(void)unused;
+	count_loading(1);
 	g_mutex_lock(&e->lock);
+	if (e->order == l->order) {
+		g_mutex_unlock(&e->lock);
+		web_sleep(e->conf->load_model);
+		g_mutex_lock(&e->lock);
+	}
 	bad = *e->fail_version.s != '\0' &&
 	    has_model(e->wanted, "version", e->fail_version.s);
 	if (e->order == l->order)
 		show_models(e, json_deep_copy(e->wanted), false,
 		    bad ? "load failed" : "");
 	g_mutex_unlock(&e->lock);
+	count_loading(-1);
 	g_free(l);
-	return NULL;
 }
 
-/* Starts loading the wanted models, with the lock held. */
+/* Queues the wanted models for loading, with the lock held. */
 static void
 start_loading(struct engine *e)
 {
@@ -355,7 +322,7 @@
 	show_models(e, json_array(), true, "");
 	l->e = e;
 	l->order = ++e->order;
-	g_thread_unref(g_thread_new("load", load_models, l));
+	g_thread_pool_push(loaders, l, NULL);
 }
 
 static json_int_t
@@ -390,6 +357,32 @@
 	return true;
 }
 
+struct engine *
+engine_new(const struct target_conf *conf)
+{
+	struct engine *e = g_new0(struct engine, 1);
+
+	if (loaders == NULL) {
+		order_log = json_array();
+		loaders = g_thread_pool_new(load_models, NULL,
+		    (int)MAX(conf->weight_slots, 1), FALSE, NULL);
+	}
+	e->conf = conf;
+	g_mutex_init(&e->lock);
+	e->wanted = json_array();
+	if (conf->model[0] != '\0')
+		json_array_append_new(e->wanted,
+		    json_pack(
+			"{s:s,s:s}", "name", conf->model, "version", "1"));
+	e->state = json_pack("{s:i,s:s,s:b,s:O,s:[],s:b,s:s}", "fence", 0,
+	    "role", "generate", "ready", 1, "models", e->wanted, "adapters",
+	    "loading", 0, "error", "");
+	e->cache = g_queue_new();
+	e->events = json_array();
+	rng_init(&e->rng, conf->port);
+	return e;
+}
+
 static void
 post_order(struct runner *r, struct mg_connection *c)
 {
@@ -460,5 +453,5 @@
 	HOLD(&store_lock);
 
 	return json_pack("{s:o,s:i}", "orders", json_deep_copy(order_log),
-	    "most_loading", (int)most_loading);
+	    "most_loading", most_loading);
 }
--- a/tests/standin/kv.c
+++ b/tests/standin/kv.c
@@ -37,7 +37,6 @@
 static GMutex lock;
 static GCond moved;
 static GHashTable *rules;
-static struct rule common;
 static long limit;
 static json_int_t calls, writes, refused, watches;
 /* The present second and the calls in it. */
@@ -244,7 +243,7 @@
 {
 	struct rule *r = g_hash_table_lookup(rules, from);
 
-	return r != NULL ? r : &common;
+	return r != NULL ? r : g_hash_table_lookup(rules, "");
 }
 
 /* Waits, with the lock held, while a source's call or watch gets nothing. */
@@ -423,6 +422,16 @@
 	}
 }
 
+/* The rule of a source alone; "" stands for all that have none. */
+static struct rule *
+rule_to_set(const char *from)
+{
+	if (!g_hash_table_contains(rules, from))
+		g_hash_table_insert(
+		    rules, g_strdup(from), g_new0(struct rule, 1));
+	return rule_for(from);
+}
+
 static void *
 expire_leases(void *arg)
 {
@@ -441,21 +450,10 @@
 {
 	store_init();
 	rules = g_hash_table_new(g_str_hash, g_str_equal);
+	rule_to_set("");
 	g_thread_unref(g_thread_new("leases", expire_leases, NULL));
 }
 
-/* The rule that a fault is set in: that of its source, if it names one. */
-static struct rule *
-rule_to_set(const char *from)
-{
-	if (*from == '\0')
-		return &common;
-	if (!g_hash_table_contains(rules, from))
-		g_hash_table_insert(
-		    rules, g_strdup(from), g_new0(struct rule, 1));
-	return rule_for(from);
-}
-
 bool
 kv_set_fault(const struct mg_request_info *ri)
 {
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -19,8 +19,7 @@
  *             batch = 8                   calls that run at once, then FIFO;
  * 503
  *                                         {"error":"busy"} beyond 64 more
- *             network_ms = 0              one-way delay before and after,
- *             network_us = 0              to which this is added
+ *             network_ms = 0, network_us = 0   one-way delay: their sum
  *             load_lag_ms = 0             age of the reported load
  *     engines (kind = generate):
  *             token_ms = 5                at batch size 1
@@ -29,7 +28,7 @@
  *             load_model_ms = 500
  *             model = NAME                loaded at the start; any if absent
  *             weight_slots = 2            loads at once over all engines; the
- *                                         lowest of all sections counts
+ *                                         first section counts
  *
  * Calls of the admin address (query parameters; answers are JSON):
  *   POST /kv?mode=up|down|slow|hang|quiet&slow_ms=N&lose_answers=N
