--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -118,20 +118,18 @@
 can_generate(struct engine *e, struct mg_connection *c, const json_t *body)
 {
 	const json_t *models;
-	bool ready, known;
+	HOLD(&e->lock);
 
-	g_mutex_lock(&e->lock);
 	models = json_object_get(e->state, "models");
-	ready = json_is_true(json_object_get(e->state, "ready")) &&
-	    strcmp(web_text(e->state, "role"), "generate") == 0;
-	known = json_array_size(models) == 0 ||
-	    has_model(models, "name", web_text(body, "model"));
-	g_mutex_unlock(&e->lock);
-	if (!ready)
+	if (!json_is_true(json_object_get(e->state, "ready")) ||
+	    strcmp(web_text(e->state, "role"), "generate") != 0)
 		web_error(c, 503, "not ready");
-	else if (!known)
+	else if (json_array_size(models) > 0 &&
+	    !has_model(models, "name", web_text(body, "model")))
 		web_error(c, 404, "no such model");
-	return ready && known;
+	else
+		return true;
+	return false;
 }
 
 /* The word after "marker=" in a text, or an empty one. */
@@ -189,15 +187,6 @@
 	    web_chunk(c, STR("data: [DONE]\n\n")) && web_chunk(c, STR(""));
 }
 
-static usec_t
-token_time(struct runner *r)
-{
-	usec_t others = (usec_t)runner_running(r) - 1;
-	usec_t percent = 100 + MAX(others, 0) * SLOWDOWN_PERCENT;
-
-	return runner_slowed(r, r->conf->token) * percent / 100;
-}
-
 static usec_t
 prompt_time(struct runner *r, const struct gen *g)
 {
@@ -205,7 +194,7 @@
 
 	if (g->cached)
 		t /= HIT_DIVISOR;
-	return runner_slowed(r, r->conf->latency + t);
+	return runner_time(r, r->conf->latency + t, 0);
 }
 
 /* Sends the tokens; false when the client is gone or the stream is cut. */
@@ -216,7 +205,7 @@
 	long n;
 
 	for (n = g->first; n < g->most; n++) {
-		at += token_time(r);
+		at += runner_time(r, r->conf->token, SLOWDOWN_PERCENT);
 		web_sleep(at - clock_now());
 		if (runner_silent(r, c) || !send_token(c, g, n))
 			return false;
--- a/tests/standin/hosts.c
+++ b/tests/standin/hosts.c
@@ -1,4 +1,4 @@
-#include "tests/standin/hosts.h"
+#include "tests/standin/platform.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
--- a/tests/standin/kv.c
+++ b/tests/standin/kv.c
@@ -1,4 +1,4 @@
-#include "tests/standin/kv.h"
+#include "tests/standin/platform.h"
 
 #include <string.h>
 
@@ -31,7 +31,7 @@
 struct op {
 	const char *path;
 	bool writes;
-	op_fn run;
+	op_fn run; /* NULL: a watch */
 };
 
 static GMutex lock;
@@ -225,6 +225,7 @@
 	{ "/v3/lease/grant", true, op_grant },
 	{ "/v3/lease/keepalive", false, op_keep },
 	{ "/v3/lease/revoke", true, op_revoke },
+	{ "/v3/watch", false, NULL },
 };
 
 static const struct op *
@@ -407,12 +408,12 @@
 
 	if (!admit(c, ri->remote_addr, op != NULL && op->writes))
 		return;
-	if (req == NULL) {
+	if (op == NULL) {
+		web_error(c, 404, "no such call");
+	} else if (req == NULL) {
 		web_error(c, 400, "the body is no JSON object");
-	} else if (strcmp(ri->local_uri, "/v3/watch") == 0) {
+	} else if (op->run == NULL) {
 		run_watch(c, req, ri->remote_addr);
-	} else if (op == NULL) {
-		web_error(c, 404, "no such call");
 	} else {
 		a = run_op(op, req, ri->remote_addr, &status);
 		if (a != NULL)
--- a/tests/standin/hosts.h
+++ b/tests/standin/platform.h
@@ -1,9 +1,19 @@
-/* The host list: it shows a change only after a lag. */
-#ifndef STANDIN_HOSTS_H
-#define STANDIN_HOSTS_H
+/*
+ * The platform's services and their faults: the JSON form of etcd's v3 API,
+ * and the host list, which shows a change only after a lag.
+ */
+#ifndef STANDIN_PLATFORM_H
+#define STANDIN_PLATFORM_H
 
 #include "tests/standin/web.h"
 
+void kv_init(void);
+void kv_handle(struct mg_connection *c, const struct mg_request_info *ri);
+/* Sets the fault that a POST /kv asks for; false when it is none. */
+bool kv_set_fault(const struct mg_request_info *ri);
+/* The counters, as GET /kv shows them. */
+json_t *kv_counters(const struct mg_request_info *ri);
+
 void hosts_init(usec_t lag);
 /* Lists a host at once, for the start. */
 void hosts_add(const char *service, const char *address, const char *domain);
--- a/tests/standin/stage.c
+++ b/tests/standin/stage.c
@@ -125,7 +125,7 @@
 	if (!runner_enter(r, c))
 		return;
 	began = clock_now();
-	half = runner_slowed(r, r->conf->latency) / 2;
+	half = runner_time(r, r->conf->latency, 0) / 2;
 	web_sleep(half);
 	a = work(r, body);
 	web_sleep(half);
@@ -142,13 +142,12 @@
 	const char *slash = strrchr(ri->local_uri, '/');
 	const char *key = slash != NULL ? slash + 1 : "";
 	json_t *entry, *a;
+	HOLD(&lock);
 
-	g_mutex_lock(&lock);
 	entry = json_object_get(part_of(r->conf->service), key);
-	a = json_deep_copy(json_object_get(entry, "answer"));
-	g_mutex_unlock(&lock);
+	a = json_object_get(entry, "answer");
 	if (a != NULL)
-		web_json(c, 200, a);
+		web_json(c, 200, json_incref(a));
 	else
 		web_error(c, 404, "no effect with this key");
 }
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -16,9 +16,8 @@
  *             count = 1                   runners, on the ports that follow
  *             failure_domain = a          comma list, cycled over the runners
  *             latency_ms = 20             base time of a call
- *             batch = 8                   calls that run at once, then FIFO;
- * 503
- *                                         {"error":"busy"} beyond 64 more
+ *             batch = 8                   calls that run at once, in order;
+ *                                         beyond 64 more: 503
  *             network_ms = 0, network_us = 0   one-way delay: their sum
  *             load_lag_ms = 0             age of the reported load
  *     engines (kind = generate):
@@ -64,10 +63,8 @@
 #include <unistd.h>
 
 #include "tests/settings.h"
-#include "tests/standin/hosts.h"
-#include "tests/standin/kv.h"
+#include "tests/standin/platform.h"
 #include "tests/standin/stage.h"
-#include "tests/standin/target.h"
 
 #define SMALL_THREADS 32U
 
--- a/tests/standin/target.c
+++ b/tests/standin/target.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "tests/standin/hosts.h"
+#include "tests/standin/platform.h"
 #include "tests/standin/stage.h"
 
 #define SWAP_WAIT   (500 * USEC_PER_MSEC)
@@ -138,14 +138,6 @@
 	g_cond_broadcast(&r->moved);
 }
 
-unsigned
-runner_running(struct runner *r)
-{
-	HOLD(&r->lock);
-
-	return (unsigned)MIN(r->given - r->done, r->conf->batch);
-}
-
 enum fault
 runner_fault(struct runner *r)
 {
@@ -155,10 +147,14 @@
 }
 
 usec_t
-runner_slowed(struct runner *r, usec_t t)
+runner_time(struct runner *r, usec_t t, unsigned percent)
 {
+	uint64_t running;
 	HOLD(&r->lock);
 
+	running = MIN(r->given - r->done, r->conf->batch);
+	if (running > 1)
+		t += t * (usec_t)(running - 1) * percent / 100;
 	return r->fault == FAULT_SLOW ? t * r->factor : t;
 }
 
--- a/tests/standin/target.h
+++ b/tests/standin/target.h
@@ -103,12 +103,10 @@
 bool runner_enter(struct runner *r, struct mg_connection *c);
 /* Ends the turn that began at the time. */
 void runner_leave(struct runner *r, usec_t began);
-/* How many calls run at this moment. */
-unsigned runner_running(struct runner *r);
 /* The load that the runner reports. */
 int runner_load(struct runner *r);
-/* A duration under the present fault. */
-usec_t runner_slowed(struct runner *r, usec_t t);
+/* A duration under the present fault, longer for each further running call. */
+usec_t runner_time(struct runner *r, usec_t t, unsigned percent);
 enum fault runner_fault(struct runner *r);
 /* Exchanges an answer for a concurrent one if the fault is so. */
 json_t *runner_swap(struct runner *r, json_t *answer);
