--- a/tests/standin/hosts.c
+++ b/tests/standin/hosts.c
@@ -70,16 +70,14 @@
 {
 	struct host *h = find(address);
 
-	if (h == NULL) {
-		h = g_new0(struct host, 1);
-		h->address = g_strdup(address);
-		h->after = HOST_GONE;
-		g_ptr_array_add(hosts, h);
-	}
-	g_free(h->service);
-	g_free(h->domain);
+	if (h != NULL)
+		return h;
+	h = g_new0(struct host, 1);
 	h->service = g_strdup(service);
+	h->address = g_strdup(address);
 	h->domain = g_strdup(domain);
+	h->after = HOST_GONE;
+	g_ptr_array_add(hosts, h);
 	return h;
 }
 
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -181,25 +181,17 @@
 		web_error(c, 400, "not understood");
 }
 
-/* Starts the servers, which stay for good. */
 static bool
 start(const char *targets)
 {
-	static struct web_server servers[4];
-	size_t i;
-
-	servers[0] = (struct web_server){ text("kv", "listen", ""),
-		number("threads", "kv", "192"), kv_handle };
-	servers[1] = (struct web_server){ text("hosts", "listen", ""),
-		SMALL_THREADS, hosts_handle };
-	servers[2] = (struct web_server){ text("admin", "listen", ""),
-		SMALL_THREADS, admin_handle };
-	servers[3] = (struct web_server){ targets,
-		number("threads", "targets", "512"), target_handle };
-	for (i = 0; i < G_N_ELEMENTS(servers); i++)
-		if (servers[i].listen[0] != '\0' && !web_start(&servers[i]))
-			return false;
-	return true;
+	return web_start(text("kv", "listen", ""),
+		   number("threads", "kv", "192"), kv_handle) &&
+	    web_start(
+		text("hosts", "listen", ""), SMALL_THREADS, hosts_handle) &&
+	    web_start(
+		text("admin", "listen", ""), SMALL_THREADS, admin_handle) &&
+	    web_start(
+		targets, number("threads", "targets", "512"), target_handle);
 }
 
 int
--- a/tests/standin/target.c
+++ b/tests/standin/target.c
@@ -220,16 +220,6 @@
 		runner_count(r, COUNT_CANCELLED);
 }
 
-static void
-answer_load(struct runner *r, struct mg_connection *c)
-{
-	bool leaving = runner_fault(r) == FAULT_LEAVING;
-
-	web_json(c, 200,
-	    json_pack(
-		"{s:i,s:b}", "load", runner_load(r), "leaving", (int)leaving));
-}
-
 /*
  * Counts the call for its request.  An engine gets the call id only, which is
  * the request's id, a dot and a number.
@@ -279,7 +269,9 @@
     struct runner *r, struct mg_connection *c, const struct mg_request_info *ri)
 {
 	if (web_is(ri, "GET", "/load"))
-		answer_load(r, c);
+		web_json(c, 200,
+		    json_pack("{s:i,s:b}", "load", runner_load(r), "leaving",
+			runner_fault(r) == FAULT_LEAVING));
 	else if (r->engine != NULL && engine_handle(r, c, ri))
 		;
 	else if (strcmp(ri->request_method, "GET") != 0)
--- a/tests/standin/web.c
+++ b/tests/standin/web.c
@@ -14,9 +14,9 @@
 on_request(struct mg_connection *c)
 {
 	const struct mg_request_info *ri = mg_get_request_info(c);
-	const struct web_server *s = ri->user_data;
+	const web_handler *handle = ri->user_data;
 
-	s->handle(c, ri);
+	(*handle)(c, ri);
 	return 1;
 }
 
@@ -48,21 +48,27 @@
 }
 
 bool
-web_start(const struct web_server *s)
+web_start(const char *listen, unsigned threads, web_handler handle)
 {
 	struct mg_callbacks cb = { .begin_request = on_request,
 		.init_connection = on_open,
 		.log_message = on_log };
-	g_autofree char *n = g_strdup_printf("%u", s->threads);
-	const char *options[] = { "listening_ports", s->listen, "num_threads",
-		n, "tcp_nodelay", "1", "enable_keep_alive", "yes",
+	g_autofree char *n = g_strdup_printf("%u", threads);
+	const char *options[] = { "listening_ports", listen, "num_threads", n,
+		"tcp_nodelay", "1", "enable_keep_alive", "yes",
 		"keep_alive_timeout_ms", IDLE_MS, "request_timeout_ms", IDLE_MS,
 		"listen_backlog", BACKLOG, "connection_queue", BACKLOG, NULL };
-
-	if (loopback_only(s->listen))
-		return mg_start(&cb, (void *)s, options) != NULL;
-	fprintf(stderr, "standin: %s is no loopback address\n", s->listen);
-	return false;
+	web_handler *user;
+
+	if (*listen == '\0')
+		return true;
+	if (!loopback_only(listen)) {
+		fprintf(stderr, "standin: %s is no loopback\n", listen);
+		return false;
+	}
+	user = xcalloc(1, sizeof(*user));
+	*user = handle;
+	return mg_start(&cb, user, options) != NULL;
 }
 
 json_t *
--- a/tests/standin/web.h
+++ b/tests/standin/web.h
@@ -18,15 +18,14 @@
 	char s[64];
 };
 
-struct web_server {
-	const char *listen; /* "127.x.y.z:port", or a comma list of them */
-	unsigned threads;
-	void (*handle)(
-	    struct mg_connection *c, const struct mg_request_info *ri);
-};
+typedef void (*web_handler)(
+    struct mg_connection *c, const struct mg_request_info *ri);
 
-/* False on failure; the server's description must stay. */
-bool web_start(const struct web_server *s);
+/*
+ * Serves a comma list of "127.x.y.z:port" for good; none if it is empty.
+ * False on failure.
+ */
+bool web_start(const char *listen, unsigned threads, web_handler handle);
 /* The request's body as a JSON object (owned), or NULL. */
 json_t *web_body(struct mg_connection *c);
 /* Sends one JSON answer; takes over the body.  False when it can't be sent. */
