--- a/tests/standin/kv.c
+++ b/tests/standin/kv.c
@@ -25,8 +25,8 @@
 	long lose_answers;
 };
 
-/* Gives the members of the answer; on a status other than 200, all of it. */
-typedef json_t *(*op_fn)(const json_t *req, int *status);
+/* Sets the members of the answer and gives its status. */
+typedef int (*op_fn)(const json_t *req, json_t *out);
 
 struct op {
 	const char *path;
@@ -95,33 +95,24 @@
 	    keys_only ? NULL : it->value);
 }
 
-static json_t *
-fail(int *status, int with, const char *text)
-{
-	*status = with;
-	return json_pack("{s:s}", "error", text);
-}
-
-static json_t *
-op_put(const json_t *req, int *status)
+static int
+op_put(const json_t *req, json_t *out)
 {
 	g_autofree char *key = get_text(req, "key");
 	const char *value = web_text(req, "value");
 	int64_t lease = get_num(req, "lease");
 
-	if (*key == '\0')
-		return fail(status, 400, "etcdserver: key is not provided");
-	if (strlen(value) > VALUE_MAX)
-		return fail(status, 400, "etcdserver: request is too large");
+	(void)out;
+	if (*key == '\0' || strlen(value) > VALUE_MAX)
+		return 400;
 	if (lease != 0 && !store_has_lease(lease))
-		return fail(
-		    status, 404, "etcdserver: requested lease not found");
+		return 404;
 	store_put(key, value, lease);
-	return NULL;
+	return 200;
 }
 
-static json_t *
-op_range(const json_t *req, int *status)
+static int
+op_range(const json_t *req, json_t *out)
 {
 	g_autofree char *key = get_text(req, "key");
 	g_autofree char *end = get_text(req, "range_end");
@@ -130,21 +121,21 @@
 	json_t *list = json_array();
 	unsigned i;
 
-	(void)status;
 	for (i = 0; i < found->len; i++)
 		json_array_append_new(
 		    list, json_of_item(found->pdata[i], keys_only));
-	return json_pack("{s:o}", "kvs", list);
+	json_object_set_new(out, "kvs", list);
+	return 200;
 }
 
-static json_t *
-op_delete(const json_t *req, int *status)
+static int
+op_delete(const json_t *req, json_t *out)
 {
 	g_autofree char *key = get_text(req, "key");
 
-	(void)status;
+	(void)out;
 	store_delete(key);
-	return NULL;
+	return 200;
 }
 
 /* The one kind of comparison that is served. */
@@ -158,8 +149,8 @@
 }
 
 /* A transaction of one comparison and one put or range on either branch. */
-static json_t *
-op_txn(const json_t *req, int *status)
+static int
+op_txn(const json_t *req, json_t *out)
 {
 	const json_t *compare = json_object_get(req, "compare");
 	const json_t *cmp = json_array_get(compare, 0);
@@ -167,54 +158,51 @@
 	const json_t *ops = json_object_get(req, holds ? "success" : "failure");
 	const json_t *op = json_array_get(ops, 0);
 	const json_t *put = json_object_get(op, "request_put");
-	json_t *out;
+	json_t *inner = json_object();
 
+	json_object_update_new(out,
+	    json_pack("{s:b,s:[{s:o}]}", "succeeded", (int)holds, "responses",
+		put != NULL ? "response_put" : "response_range", inner));
 	if (json_array_size(compare) != 1 || json_array_size(ops) > 1 ||
 	    strcmp(web_text(cmp, "target"), "MOD") != 0 ||
 	    strcmp(web_text(cmp, "result"), "EQUAL") != 0)
-		return fail(status, 400, "not served here");
+		return 400;
 	if (put != NULL)
-		out = op_put(put, status);
-	else
-		out = op_range(json_object_get(op, "request_range"), status);
-	if (*status != 200)
-		return out;
-	return json_pack("{s:b,s:[{s:o*}]}", "succeeded", (int)holds,
-	    "responses", put != NULL ? "response_put" : "response_range", out);
+		return op_put(put, inner);
+	return op_range(json_object_get(op, "request_range"), inner);
 }
 
-/* A lease as calls answer it. */
-static json_t *
-json_of_lease(int64_t id, int64_t ttl)
+static void
+set_lease(json_t *out, int64_t id, int64_t ttl)
 {
-	return json_pack(
-	    "{s:o*,s:o*}", "ID", json_of_num(id), "TTL", json_of_num(ttl));
+	json_object_update_new(out,
+	    json_pack(
+		"{s:o*,s:o*}", "ID", json_of_num(id), "TTL", json_of_num(ttl)));
 }
 
-static json_t *
-op_grant(const json_t *req, int *status)
+static int
+op_grant(const json_t *req, json_t *out)
 {
 	int64_t ttl = MAX(get_num(req, "TTL"), 1);
 
-	(void)status;
-	return json_of_lease(store_grant(ttl), ttl);
+	set_lease(out, store_grant(ttl), ttl);
+	return 200;
 }
 
-static json_t *
-op_keep(const json_t *req, int *status)
+static int
+op_keep(const json_t *req, json_t *out)
 {
 	int64_t id = get_num(req, "ID");
 
-	(void)status;
-	return json_of_lease(id, store_keep(id));
+	set_lease(out, id, store_keep(id));
+	return 200;
 }
 
-static json_t *
-op_revoke(const json_t *req, int *status)
+static int
+op_revoke(const json_t *req, json_t *out)
 {
-	if (store_revoke(get_num(req, "ID")))
-		return NULL;
-	return fail(status, 404, "etcdserver: requested lease not found");
+	(void)out;
+	return store_revoke(get_num(req, "ID")) ? 200 : 404;
 }
 
 static const struct op ops[] = {
@@ -349,26 +337,25 @@
 	web_drop(c);
 }
 
-/* Runs a call; NULL when its answer is to be lost. */
-static json_t *
-run_op(const struct op *op, const json_t *req, const char *from, int *status)
+/* Runs a call; false when its answer is to be lost. */
+static bool
+run_op(const struct op *op, const json_t *req, const char *from, int *status,
+    json_t **out)
 {
 	HOLD(&lock);
 	struct rule *r = rule_for(from);
-	json_t *a = op->run(req, status);
+	json_t *members = json_object();
 
+	*status = op->run(req, members);
 	if (store_commit() || op->writes)
 		g_cond_broadcast(&moved);
-	if (*status != 200)
-		return a;
-	a = with_header(a);
+	*out = with_header(members);
 	if (op->run == op_keep)
-		a = json_pack("{s:o}", "result", a);
-	if (!op->writes || r->lose_answers == 0)
-		return a;
+		*out = json_pack("{s:o}", "result", *out);
+	if (!op->writes || *status != 200 || r->lose_answers == 0)
+		return true;
 	r->lose_answers--;
-	json_decref(a);
-	return NULL;
+	return false;
 }
 
 /* Applies the source's fault; false when the call is not to be run. */
@@ -403,24 +390,21 @@
 {
 	const struct op *op = find_op(ri->local_uri);
 	json_auto_t *req = web_body(c);
-	json_t *a;
-	int status = 200;
+	json_auto_t *out = NULL;
+	int status;
 
 	if (!admit(c, ri->remote_addr, op != NULL && op->writes))
 		return;
-	if (op == NULL) {
+	if (op == NULL)
 		web_error(c, 404, "no such call");
-	} else if (req == NULL) {
+	else if (req == NULL)
 		web_error(c, 400, "the body is no JSON object");
-	} else if (op->run == NULL) {
+	else if (op->run == NULL)
 		run_watch(c, req, ri->remote_addr);
-	} else {
-		a = run_op(op, req, ri->remote_addr, &status);
-		if (a != NULL)
-			web_json(c, status, a);
-		else
-			web_drop(c);
-	}
+	else if (run_op(op, req, ri->remote_addr, &status, &out))
+		web_json(c, status, json_incref(out));
+	else
+		web_drop(c);
 }
 
 /* The rule of a source alone; "" stands for all that have none. */
