--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -53,8 +53,8 @@
  * which is how a closed one is noticed.  A transaction has one comparison, of
  * a modification revision, and one operation, put or range, on each branch.
  * GET /v1/cache_events?after=N of an engine answers {"events": [{"number",
- * "type": "stored"|"removed", "prefix": SHA-256 of salt, NUL, prefix}]}; events
- * show after a second, and one in ten is lost.
+ * "type": "stored"|"removed", "prefix": SHA-256 of salt, NUL, prefix, "at":
+ * usec}]}; events show after a second, and one in ten is lost.
  */
 #include <signal.h>
 #include <stdio.h>
