Tests of the kernel: rows on one line, clean-up by scope

Tables of cases repeated the names of files, prefixes of constants and whole texts in each row; interning of texts was written out although GLib has it as quarks.

--- a/tests/kernel/explore_writer.c
+++ b/tests/kernel/explore_writer.c
@@ -6,9 +6,6 @@
 #define MAX_HISTORY 128
 #define RETENTION   (3600 * USEC_PER_SEC)
 
-static GHashTable *text_ids;
-static GPtrArray *texts;
-
 static const struct scenario *scenario;
 static GArray *nodes;
 static GHashTable *node_ids;
@@ -31,31 +28,17 @@
 uint16_t
 intern(struct str s)
 {
-	char *text = g_strndup(s.p, s.n);
-	gpointer id;
+	g_autofree char *text = g_strndup(s.p, s.n);
+	GQuark id = g_quark_from_string(text);
 
-	if (texts == NULL) {
-		texts = g_ptr_array_new();
-		text_ids = g_hash_table_new(g_str_hash, g_str_equal);
-		g_ptr_array_add(texts, NULL);
-	}
-	id = g_hash_table_lookup(text_ids, text);
-	if (id != NULL) {
-		g_free(text);
-		return (uint16_t)GPOINTER_TO_UINT(id);
-	}
-	g_assert_cmpuint(texts->len, <, UINT16_MAX);
-	g_hash_table_insert(text_ids, text, GUINT_TO_POINTER(texts->len));
-	g_ptr_array_add(texts, text);
-	return (uint16_t)(texts->len - 1);
+	g_assert_cmpuint(id, <, UINT16_MAX);
+	return (uint16_t)id;
 }
 
 struct str
 interned(uint16_t id)
 {
-	if (id == 0)
-		return (struct str){ 0 };
-	return str_from(g_ptr_array_index(texts, id));
+	return id != 0 ? str_from(g_quark_to_string(id)) : (struct str){ 0 };
 }
 
 static struct claim
@@ -75,22 +58,18 @@
 static uint16_t
 intern_json(const json_t *o)
 {
-	char *text = json_dumps(o, JSON_COMPACT);
-	uint16_t id = intern(str_from(text));
+	g_autofree char *text = json_dumps(o, JSON_COMPACT);
 
-	free(text);
-	return id;
+	return intern(str_from(text));
 }
 
 uint16_t
 ask_payload(const struct ask *a, unsigned i)
 {
 	struct claim cl = ask_claim(a, i);
-	json_t *o = claim_pack(&cl);
-	uint16_t id = intern_json(o);
+	json_auto_t *o = claim_pack(&cl);
 
-	json_decref(o);
-	return id;
+	return intern_json(o);
 }
 
 /* The node of the writer at work. */
@@ -220,10 +199,9 @@
 static void
 numbered_fold(struct writer *w, uint16_t value)
 {
-	json_t *payload = json_loads(interned(value).p, 0, NULL);
+	json_auto_t *payload = json_loads(interned(value).p, 0, NULL);
 
 	apply(w->claims, payload, w->numbered.next++);
-	json_decref(payload);
 }
 
 static void
--- a/tests/kernel/test_alog.c
+++ b/tests/kernel/test_alog.c
@@ -159,10 +159,9 @@
 append(struct host *h, uint64_t tag, const char *name, uint64_t conflict,
     usec_t time)
 {
-	json_t *p = json_pack("{s:s}", "name", name);
+	json_auto_t *p = json_pack("{s:s}", "name", name);
 
 	g_assert_cmpint(alog_append(h->log, tag, conflict, time, p), ==, 0);
-	json_decref(p);
 }
 
 static void
@@ -226,7 +225,7 @@
 test_group(void)
 {
 	struct world w;
-	json_t *deny = json_pack("{s:s, s:b}", "name", "d", "deny", 1);
+	json_auto_t *deny = json_pack("{s:s, s:b}", "name", "d", "deny", 1);
 
 	world_start(&w, NO_SEAL, &plain);
 	pump(&w.h, "");
@@ -245,7 +244,6 @@
 	g_assert_cmpint(w.h.code, ==, DENY_CODE);
 	g_assert_cmpuint(alog_counts(w.h.log).swaps, ==, 3);
 	g_assert_cmpuint(alog_counts(w.h.log).requests, ==, 4);
-	json_decref(deny);
 	world_stop(&w);
 }
 
@@ -361,7 +359,7 @@
 {
 	struct world w;
 	const struct logvalue *v;
-	char *old;
+	g_autofree char *old = NULL;
 
 	world_start(&w, NO_SEAL, &plain);
 	pump(&w.r, "");
@@ -376,17 +374,14 @@
 	alog_watched(w.r.log, v->revision - 1, str_from(old));
 	g_assert_cmpstr(w.r.folded->str, ==, "ab");
 	g_assert_cmpuint(alog_counts(w.r.log).requests, ==, 1);
-	g_free(old);
 	world_stop(&w);
 }
 
-#define EMPTY_HEAD                                               \
-	"{\"version\":1,\"serial\":0,\"first\":1,\"newest\":[]," \
-	"\"segments\":[]}"
-#define GAP_HEAD                                                    \
-	"{\"version\":1,\"serial\":3,\"first\":1,\"newest\":[],"    \
-	"\"segments\":[{\"name\":\"log/x\",\"first\":1,\"last\":3," \
-	"\"time\":0}]}"
+#define HEAD_OF(serial, first, segments)                            \
+	"{\"version\":1,\"serial\":" serial ",\"first\":" first "," \
+	"\"newest\":[],\"segments\":[" segments "]}"
+#define EMPTY_HEAD HEAD_OF("0", "1", "")
+#define SEGMENT    "{\"name\":\"log/x\",\"first\":1,\"last\":3,\"time\":0}"
 
 /* What can't be read is refused; nothing is written over it. */
 static void
@@ -400,15 +395,12 @@
 		{ NULL, "{\"version\":2}", "version 2 can't be read" },
 		{ NULL, "nonsense", "not JSON" },
 		{ NULL, "{\"version\":1}", "fields are missing" },
-		{ NULL,
-		    "{\"version\":1,\"serial\":5,\"first\":1,\"newest\":[],"
-		    "\"segments\":[]}",
-		    "fields are missing" },
-		{ NULL, GAP_HEAD, "segment log/x, which is gone" },
+		{ NULL, HEAD_OF("5", "1", ""), "fields are missing" },
+		{ NULL, HEAD_OF("3", "1", SEGMENT),
+		    "segment log/x, which is gone" },
 		{ EMPTY_HEAD, NULL, "its head is gone" },
-		{ "{\"version\":1,\"serial\":3,\"first\":4,\"newest\":[],"
-		  "\"segments\":[]}",
-		    EMPTY_HEAD, "went back from serial 3 to 0" },
+		{ HEAD_OF("3", "4", ""), EMPTY_HEAD,
+		    "went back from serial 3 to 0" },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -445,9 +437,9 @@
 test_size(void)
 {
 	struct world w;
-	char *text = g_strnfill(ALOG_MAX_PAYLOAD, 'x');
-	json_t *big = json_pack("{s:s}", "name", text);
-	json_t *fits;
+	g_autofree char *text = g_strnfill(ALOG_MAX_PAYLOAD, 'x');
+	json_auto_t *big = json_pack("{s:s}", "name", text);
+	json_auto_t *fits = NULL;
 
 	world_start(&w, NO_SEAL, &plain);
 	pump(&w.h, "");
@@ -461,9 +453,6 @@
 	pump(&w.h, "");
 	g_assert_cmpuint(alog_serial(w.h.log), ==, MAX_TAGS);
 	g_assert_null(alog_error(w.h.log));
-	json_decref(big);
-	json_decref(fits);
-	g_free(text);
 	world_stop(&w);
 }
 
--- a/tests/kernel/test_alog_explore.c
+++ b/tests/kernel/test_alog_explore.c
@@ -11,9 +11,9 @@
 #define MAX_MESSAGES 10
 #define MAX_KEYS     10
 #define MAX_DEPTH    128
-#define KEY_K        "017f22e2-79b0-7cc3-98c4-dc0c0c07398f"
-#define KEY_M        "017f22e2-79b0-7cc3-98c4-dc0c0c073991"
-#define KEY_L        "017f22e2-79b0-7cc3-98c4-dc0c0c073990"
+#define K1           "017f22e2-79b0-7cc3-98c4-dc0c0c07398f"
+#define K3           "017f22e2-79b0-7cc3-98c4-dc0c0c073991"
+#define K2           "017f22e2-79b0-7cc3-98c4-dc0c0c073990"
 
 enum message_kind {
 	MESSAGE_NONE,
@@ -118,12 +118,12 @@
 
 	for (size_t i = 0; i < json_array_size(newest); i++) {
 		const json_t *r = json_array_get(newest, i);
-		char *p = json_dumps(json_object_get(r, "p"), JSON_COMPACT);
+		g_autofree char *p =
+		    json_dumps(json_object_get(r, "p"), JSON_COMPACT);
 
 		witness(w,
 		    (uint64_t)json_integer_value(json_object_get(r, "s")),
 		    intern(str_from(p)));
-		free(p);
 	}
 	json_decref(head);
 }
@@ -495,32 +495,25 @@
 {
 	static const struct scenario cases[] = {
 		{ "losses", VARIANT_LOG,
-		    { CLAIM(0, KEY_K, 1), CLAIM(1, KEY_K, 1),
-			REFUSE(1, KEY_K, 1) },
+		    { CLAIM(0, K1, 1), CLAIM(1, K1, 1), REFUSE(1, K1, 1) },
 		    .losses = 1 },
 		{ "two losses", VARIANT_LOG,
-		    { CLAIM(0, KEY_K, 1), REFUSE(1, KEY_K, 1),
-			CLAIM(1, KEY_K, 2) },
+		    { CLAIM(0, K1, 1), REFUSE(1, K1, 1), CLAIM(1, K1, 2) },
 		    .early = 3, .losses = 2 },
 		{ "losses and repeats", VARIANT_LOG,
-		    { CLAIM(0, KEY_K, 1), REFUSE(1, KEY_K, 1),
-			CLAIM(1, KEY_K, 2) },
+		    { CLAIM(0, K1, 1), REFUSE(1, K1, 1), CLAIM(1, K1, 2) },
 		    .early = 3, .losses = 1, .repeats = 1 },
 		{ "watches", VARIANT_LOG,
-		    { CLAIM(0, KEY_K, 1), REFUSE(1, KEY_K, 1),
-			CLAIM(0, KEY_L, 1) },
+		    { CLAIM(0, K1, 1), REFUSE(1, K1, 1), CLAIM(0, K2, 1) },
 		    .watches = 1 },
 		{ "sealing and retention", VARIANT_LOG,
-		    { CLAIM(0, KEY_K, 1), CLAIM(1, KEY_K, 1),
-			CLAIM(1, KEY_L, 1) },
+		    { CLAIM(0, K1, 1), CLAIM(1, K1, 1), CLAIM(1, K2, 1) },
 		    .early = 2, .old_segment = true, .sealers = 2 },
 		{ "only one seals", VARIANT_LOG,
-		    { CLAIM(0, KEY_K, 1), REFUSE(1, KEY_M, 1),
-			CLAIM(1, KEY_L, 1) },
+		    { CLAIM(0, K1, 1), REFUSE(1, K3, 1), CLAIM(1, K2, 1) },
 		    .early = 2, .old_segment = true, .sealers = 1 },
 		{ "sealing and retention, losses", VARIANT_LOG,
-		    { CLAIM(0, KEY_K, 1), CLAIM(1, KEY_K, 1),
-			REFUSE(0, KEY_K, 1) },
+		    { CLAIM(0, K1, 1), CLAIM(1, K1, 1), REFUSE(0, K1, 1) },
 		    .early = 3, .old_segment = true, .sealers = 2,
 		    .losses = 1 },
 	};
@@ -538,12 +531,10 @@
 		const char *found;
 	} cases[] = {
 		{ { "a head put without comparison", VARIANT_BLIND,
-		      { CLAIM(0, KEY_K, 1), CLAIM(1, KEY_K, 1),
-			  CLAIM(1, KEY_L, 1) } },
+		      { CLAIM(0, K1, 1), CLAIM(1, K1, 1), CLAIM(1, K2, 1) } },
 		    "a record was lost: its place was taken" },
 		{ { "numbered segments created if absent", VARIANT_NUMBERED,
-		      { CLAIM(0, KEY_K, 1), CLAIM(1, KEY_K, 1),
-			  CLAIM(1, KEY_L, 1) } },
+		      { CLAIM(0, K1, 1), CLAIM(1, K1, 1), CLAIM(1, K2, 1) } },
 		    "a key was granted twice" },
 	};
 
--- a/tests/kernel/test_claims.c
+++ b/tests/kernel/test_claims.c
@@ -42,7 +42,7 @@
 static struct claim_verdict
 run(struct claims *c, const struct claim *cl)
 {
-	json_t *payload = claim_pack(cl);
+	json_auto_t *payload = claim_pack(cl);
 	int code = claims_ops.admit(c, payload);
 	struct alog_done d = { .result = ALOG_DENIED, .code = code };
 
@@ -50,16 +50,18 @@
 		d.result = ALOG_ACCEPTED;
 		claims_ops.apply(c, payload, 1);
 	}
-	json_decref(payload);
 	return claims_verdict(c, cl, &d);
 }
 
-#define CLAIM(h, n, want)  ((struct ask){ CLAIM_STEP_CLAIM, h, n, want })
-#define REFUSE(h, n, want) ((struct ask){ CLAIM_STEP_REFUSE, h, n, want })
+#define CLAIM(h, n, want) ((struct ask){ CLAIM_STEP_CLAIM, h, n, CLAIM_##want })
+#define REFUSE(h, n, want) \
+	((struct ask){ CLAIM_STEP_REFUSE, h, n, CLAIM_##want })
 #define SETTLE(h, n, want, out, ans) \
-	((struct ask){ CLAIM_STEP_SETTLE, h, n, want, out, 0, ans })
-#define DONE(step, h, n, out, ans) \
-	((struct ask){ step, h, n, CLAIM_TAKEN_DONE, out, 0, ans })
+	((struct ask){               \
+	    CLAIM_STEP_SETTLE, h, n, CLAIM_##want, OUTCOME_##out, 0, ans })
+#define DONE(step, h, n, out, ans)                                \
+	((struct ask){ CLAIM_STEP_##step, h, n, CLAIM_TAKEN_DONE, \
+	    OUTCOME_##out, 0, ans })
 
 static void
 test_decisions(void)
@@ -69,55 +71,49 @@
 		struct ask asks[MAX_STEPS];
 	} cases[] = {
 		{ "two deliveries",
-		    { CLAIM(1, 1, CLAIM_GRANTED), CLAIM(2, 1, CLAIM_TAKEN),
-			CLAIM(2, 2, CLAIM_TAKEN), REFUSE(2, 1, CLAIM_TAKEN) } },
+		    { CLAIM(1, 1, GRANTED), CLAIM(2, 1, TAKEN),
+			CLAIM(2, 2, TAKEN), REFUSE(2, 1, TAKEN) } },
 		{ "the same delivery again",
-		    { CLAIM(1, 1, CLAIM_GRANTED), CLAIM(1, 1, CLAIM_GRANTED),
-			SETTLE(1, 1, CLAIM_GRANTED, OUTCOME_FAILED, NULL),
-			CLAIM(1, 1, CLAIM_GRANTED) } },
+		    { CLAIM(1, 1, GRANTED), CLAIM(1, 1, GRANTED),
+			SETTLE(1, 1, GRANTED, FAILED, NULL),
+			CLAIM(1, 1, GRANTED) } },
 		{ "refused, then a higher attempt",
-		    { REFUSE(1, 2, CLAIM_REFUSED), REFUSE(2, 1, CLAIM_REFUSED),
-			CLAIM(1, 1, CLAIM_BARRED), CLAIM(2, 2, CLAIM_BARRED),
-			CLAIM(2, 3, CLAIM_GRANTED),
-			REFUSE(1, 2, CLAIM_REFUSED) } },
+		    { REFUSE(1, 2, REFUSED), REFUSE(2, 1, REFUSED),
+			CLAIM(1, 1, BARRED), CLAIM(2, 2, BARRED),
+			CLAIM(2, 3, GRANTED), REFUSE(1, 2, REFUSED) } },
 		{ "refused by its holder",
-		    { CLAIM(1, 1, CLAIM_GRANTED), REFUSE(1, 1, CLAIM_REFUSED),
-			CLAIM(1, 1, CLAIM_BARRED),
-			CLAIM(2, 2, CLAIM_GRANTED) } },
+		    { CLAIM(1, 1, GRANTED), REFUSE(1, 1, REFUSED),
+			CLAIM(1, 1, BARRED), CLAIM(2, 2, GRANTED) } },
 		{ "settled as not run",
-		    { CLAIM(1, 1, CLAIM_GRANTED),
-			SETTLE(1, 1, CLAIM_GRANTED, OUTCOME_NOT_RUN, NULL),
-			CLAIM(1, 1, CLAIM_BARRED), CLAIM(2, 2, CLAIM_GRANTED),
-			CLAIM(1, 3, CLAIM_TAKEN) } },
+		    { CLAIM(1, 1, GRANTED),
+			SETTLE(1, 1, GRANTED, NOT_RUN, NULL),
+			CLAIM(1, 1, BARRED), CLAIM(2, 2, GRANTED),
+			CLAIM(1, 3, TAKEN) } },
 		{ "settled with an answer",
-		    { CLAIM(1, 1, CLAIM_GRANTED),
-			SETTLE(1, 1, CLAIM_GRANTED, OUTCOME_COMPLETE, "{}"),
-			DONE(CLAIM_STEP_CLAIM, 2, 1, OUTCOME_COMPLETE, "{}"),
-			DONE(CLAIM_STEP_REFUSE, 2, 2, OUTCOME_COMPLETE, "{}"),
-			SETTLE(1, 1, CLAIM_GRANTED, OUTCOME_FAILED, NULL),
-			DONE(
-			    CLAIM_STEP_CLAIM, 2, 2, OUTCOME_COMPLETE, "{}") } },
+		    { CLAIM(1, 1, GRANTED),
+			SETTLE(1, 1, GRANTED, COMPLETE, "{}"),
+			DONE(CLAIM, 2, 1, COMPLETE, "{}"),
+			DONE(REFUSE, 2, 2, COMPLETE, "{}"),
+			SETTLE(1, 1, GRANTED, FAILED, NULL),
+			DONE(CLAIM, 2, 2, COMPLETE, "{}") } },
 		{ "unknown, then looked up by another",
-		    { CLAIM(1, 1, CLAIM_GRANTED),
-			SETTLE(1, 1, CLAIM_GRANTED, OUTCOME_UNKNOWN, NULL),
-			CLAIM(2, 2, CLAIM_TAKEN),
-			SETTLE(2, 2, CLAIM_TAKEN, OUTCOME_NOT_RUN, NULL),
-			SETTLE(2, 2, CLAIM_GRANTED, OUTCOME_COMPLETE, "{}"),
-			DONE(
-			    CLAIM_STEP_CLAIM, 3, 2, OUTCOME_COMPLETE, "{}") } },
+		    { CLAIM(1, 1, GRANTED),
+			SETTLE(1, 1, GRANTED, UNKNOWN, NULL),
+			CLAIM(2, 2, TAKEN), SETTLE(2, 2, TAKEN, NOT_RUN, NULL),
+			SETTLE(2, 2, GRANTED, COMPLETE, "{}"),
+			DONE(CLAIM, 3, 2, COMPLETE, "{}") } },
 		{ "another body",
-		    { CLAIM(1, 1, CLAIM_GRANTED),
+		    { CLAIM(1, 1, GRANTED),
 			{ CLAIM_STEP_CLAIM, 2, 2, CLAIM_REUSED, 0, 7 },
 			{ CLAIM_STEP_REFUSE, 2, 2, CLAIM_REUSED, 0, 7 } } },
 		{ "a claim that is not seen yet",
-		    { SETTLE(1, 1, CLAIM_GRANTED, OUTCOME_COMPLETE, NULL),
-			CLAIM(2, 1, CLAIM_GRANTED),
-			CLAIM(3, 1, CLAIM_TAKEN) } },
+		    { SETTLE(1, 1, GRANTED, COMPLETE, NULL),
+			CLAIM(2, 1, GRANTED), CLAIM(3, 1, TAKEN) } },
 		{ "a later claim that is not seen yet",
 		    { { CLAIM_STEP_REFUSE, 1, 1, CLAIM_REFUSED, 0, 0 },
-			SETTLE(1, 2, CLAIM_GRANTED, OUTCOME_COMPLETE, NULL),
-			SETTLE(1, 1, CLAIM_TAKEN, OUTCOME_COMPLETE, NULL),
-			CLAIM(2, 2, CLAIM_GRANTED) } },
+			SETTLE(1, 2, GRANTED, COMPLETE, NULL),
+			SETTLE(1, 1, TAKEN, COMPLETE, NULL),
+			CLAIM(2, 2, GRANTED) } },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -147,7 +143,7 @@
 test_retention(void)
 {
 	struct claims *c = claims_new();
-	struct ask ask = CLAIM(1, 1, CLAIM_GRANTED);
+	struct ask ask = CLAIM(1, 1, GRANTED);
 	struct claim cl = to_claim(&ask);
 
 	claims_tick(c, MADE, RETENTION);
@@ -188,7 +184,7 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct claims *c = claims_new();
-		struct ask ask = CLAIM(1, 1, CLAIM_GRANTED);
+		struct ask ask = CLAIM(1, 1, GRANTED);
 		struct claim cl = to_claim(&ask);
 
 		for (size_t j = 0; j < 2; j++)
@@ -221,12 +217,11 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
-		json_t *o = json_loads(bad[i], 0, NULL);
+		json_auto_t *o = json_loads(bad[i], 0, NULL);
 		struct claim cl;
 
 		g_assert_nonnull(o);
 		g_assert_false(claim_unpack(o, &cl));
-		json_decref(o);
 	}
 }
 
--- a/tests/kernel/test_confstate.c
+++ b/tests/kernel/test_confstate.c
@@ -5,21 +5,23 @@
 
 #define SERVICE   "[service s]\nkind = encode\ntargets = 127.0.0.1:1/d\n"
 #define POLICY(n) "[policy]\nretries = " #n "\n"
+#define N_FILES   5
 
-struct text_file {
-	const char *name;
-	const char *body;
-};
+/* The texts of some files, by the place of their names; NULL: no file. */
+static const char *const names[N_FILES] = { "10.ini", "20.ini", "30.ini",
+	"notes.txt", "15.ini" };
 
 static void
-fill(struct conffiles *f, const struct text_file *v)
+fill(struct conffiles *f, const char *const v[N_FILES])
 {
-	for (int i = 0; i < 4 && v[i].name != NULL; i++)
-		conffiles_put(f, v[i].name, str_from(v[i].body));
+	for (size_t i = 0; i < N_FILES; i++) {
+		if (v[i] != NULL)
+			conffiles_put(f, names[i], str_from(v[i]));
+	}
 }
 
 static void
-plan(const struct confstate *s, uint64_t base, const struct text_file *v,
+plan(const struct confstate *s, uint64_t base, const char *const v[N_FILES],
     const char *change, struct confstate_plan *p)
 {
 	struct conffiles f = { 0 };
@@ -41,17 +43,16 @@
 static void
 take(struct confstate *s, const struct confstate_plan *p)
 {
-	json_t *j = confrecord_json(&p->record, true);
+	json_auto_t *j = confrecord_json(&p->record, true);
 
 	g_assert_cmpint(confstate_fold(s, j, NULL), ==, 0);
 	for (size_t i = 0; i < p->files.n; i++)
 		confstate_body(
 		    s, p->files.v[i].hash, str_of(&p->files.v[i].body));
-	json_decref(j);
 }
 
 static void
-apply(struct confstate *s, uint64_t base, const struct text_file *v,
+apply(struct confstate *s, uint64_t base, const char *const v[N_FILES],
     const char *change)
 {
 	struct confstate_plan p;
@@ -63,61 +64,41 @@
 	confstate_plan_free(&p);
 }
 
-static const struct text_file first[4] = {
-	{ "10.ini", SERVICE },
-	{ "20.ini", POLICY(1) },
-};
+static const char *const first[N_FILES] = { SERVICE, POLICY(1) };
 
 /* The second operator started from generation 1, like the first one. */
 static const struct {
 	const char *name;
-	struct text_file ann[4];
-	struct text_file bob[4];
+	const char *ann[N_FILES];
+	const char *bob[N_FILES];
 	enum confstate_verdict verdict;
 	size_t files;
 	const char *error;
 } races[] = {
-	{ "different files", { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
-	    { { "10.ini", SERVICE "concurrency = 3\n" },
-		{ "20.ini", POLICY(1) } },
-	    CONFSTATE_MERGED, 2, "" },
-	{ "a new file beside a change",
-	    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
-	    { { "10.ini", SERVICE }, { "20.ini", POLICY(1) },
-		{ "30.ini", POLICY(3) } },
-	    CONFSTATE_MERGED, 3, "" },
-	{ "the same file", { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
-	    { { "10.ini", SERVICE }, { "20.ini", POLICY(3) } },
+	{ "different files", { SERVICE, POLICY(2) },
+	    { SERVICE "concurrency = 3\n", POLICY(1) }, CONFSTATE_MERGED, 2,
+	    "" },
+	{ "a new file beside a change", { SERVICE, POLICY(2) },
+	    { SERVICE, POLICY(1), POLICY(3) }, CONFSTATE_MERGED, 3, "" },
+	{ "the same file", { SERVICE, POLICY(2) }, { SERVICE, POLICY(3) },
 	    CONFSTATE_REFUSED, 0,
 	    "20.ini was changed by ann at 1970-01-01T00:16:40Z "
 	    "(generation 2)*changed it too*sequoiactl pull*" },
-	{ "changed and removed",
-	    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
-	    { { "10.ini", SERVICE } }, CONFSTATE_REFUSED, 0,
+	{ "changed and removed", { SERVICE, POLICY(2) }, { SERVICE },
+	    CONFSTATE_REFUSED, 0,
 	    "20.ini was changed by ann*you removed it too*" },
-	{ "removed and changed", { { "10.ini", SERVICE } },
-	    { { "10.ini", SERVICE }, { "20.ini", POLICY(3) } },
+	{ "removed and changed", { SERVICE }, { SERVICE, POLICY(3) },
 	    CONFSTATE_REFUSED, 0, "20.ini was removed by ann*" },
-	{ "both the same way",
-	    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
-	    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
-	    CONFSTATE_NOTHING, 2, "" },
-	{ "the same new file",
-	    { { "10.ini", SERVICE }, { "20.ini", POLICY(1) },
-		{ "30.ini", POLICY(2) } },
-	    { { "10.ini", SERVICE }, { "20.ini", POLICY(1) },
-		{ "30.ini", POLICY(3) } },
-	    CONFSTATE_REFUSED, 0, "30.ini was changed by ann*" },
-	{ "the merged result is bad",
-	    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
-	    { { "10.ini", SERVICE }, { "20.ini", POLICY(1) },
-		{ "30.ini", "[policy]\nretrys = 1\n" } },
-	    CONFSTATE_REFUSED, 0, "30.ini:2*" },
-	{ "other files are ignored",
-	    { { "10.ini", SERVICE }, { "20.ini", POLICY(2) } },
-	    { { "10.ini", SERVICE }, { "20.ini", POLICY(1) },
-		{ "notes.txt", "x" } },
+	{ "both the same way", { SERVICE, POLICY(2) }, { SERVICE, POLICY(2) },
 	    CONFSTATE_NOTHING, 2, "" },
+	{ "the same new file", { SERVICE, POLICY(1), POLICY(2) },
+	    { SERVICE, POLICY(1), POLICY(3) }, CONFSTATE_REFUSED, 0,
+	    "30.ini was changed by ann*" },
+	{ "the merged result is bad", { SERVICE, POLICY(2) },
+	    { SERVICE, POLICY(1), "[policy]\nretrys = 1\n" }, CONFSTATE_REFUSED,
+	    0, "30.ini:2*" },
+	{ "other files are ignored", { SERVICE, POLICY(2) },
+	    { SERVICE, POLICY(1), NULL, "x" }, CONFSTATE_NOTHING, 2, "" },
 };
 
 static void
@@ -150,10 +131,7 @@
 {
 	struct confstate s = { 0 };
 	struct confstate_plan p;
-	static const struct text_file more[4] = {
-		{ "10.ini", SERVICE },
-		{ "20.ini", POLICY(2) },
-	};
+	static const char *const more[N_FILES] = { SERVICE, POLICY(2) };
 
 	apply(&s, 0, first, "one");
 	apply(&s, 1, more, "two");
@@ -174,6 +152,12 @@
 	confstate_free(&s);
 }
 
+/* Records as JSON, but with ' for ". */
+#define RECORD(v, generation, result, files)                         \
+	"{'v':" v ",'generation':" generation ",'who':'w','when':1," \
+	"'change':'c','result':'" result "','files':[" files "],'keys':[]}"
+#define FILE_OF(sha256) "{'name':'20.ini','sha256':" sha256 ",'was':null}"
+
 static void
 test_fold(void)
 {
@@ -182,26 +166,13 @@
 		int rc;
 		uint64_t generation;
 	} cases[] = {
-		{ "{'v':1,'generation':2,'who':'w','when':1,'change':'c',"
-		  "'result':'accepted','files':[{'name':'20.ini',"
-		  "'sha256':null,'was':null}],'keys':[]}",
-		    0, 2 },
-		{ "{'v':1,'generation':1,'who':'w','when':1,'change':'c',"
-		  "'result':'accepted','files':[],'keys':[]}",
-		    1, 1 },
-		{ "{'v':1,'generation':3,'who':'w','when':1,'change':'c',"
-		  "'result':'accepted','files':[],'keys':[]}",
-		    ERR_NOT_READY, 1 },
-		{ "{'v':2,'generation':2,'who':'w','when':1,'change':'c',"
-		  "'result':'accepted','files':[],'keys':[]}",
-		    ERR_CONFIG, 1 },
-		{ "{'v':1,'generation':2,'who':'w','when':1,'change':'c',"
-		  "'result':'staged','files':[],'keys':[]}",
-		    ERR_CONFIG, 1 },
-		{ "{'v':1,'generation':2,'who':'w','when':1,'change':'c',"
-		  "'result':'accepted','files':[{'name':'20.ini',"
-		  "'sha256':'12','was':null}],'keys':[]}",
-		    ERR_CONFIG, 1 },
+		{ RECORD("1", "2", "accepted", FILE_OF("null")), 0, 2 },
+		{ RECORD("1", "1", "accepted", ""), 1, 1 },
+		{ RECORD("1", "3", "accepted", ""), ERR_NOT_READY, 1 },
+		{ RECORD("2", "2", "accepted", ""), ERR_CONFIG, 1 },
+		{ RECORD("1", "2", "staged", ""), ERR_CONFIG, 1 },
+		{ RECORD("1", "2", "accepted", FILE_OF("'12'")), ERR_CONFIG,
+		    1 },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -209,7 +180,7 @@
 		struct err e = { 0 };
 		g_autofree char *text =
 		    g_strdelimit(g_strdup(cases[i].record), "'", '"');
-		json_t *j = json_loads(text, 0, NULL);
+		json_auto_t *j = json_loads(text, 0, NULL);
 
 		g_assert_nonnull(j);
 		apply(&s, 0, first, "first");
@@ -217,7 +188,6 @@
 		g_assert_cmpuint(s.generation, ==, cases[i].generation);
 		g_assert_cmpuint(
 		    s.files.n, ==, cases[i].generation == 1 ? 2 : 1);
-		json_decref(j);
 		confstate_free(&s);
 	}
 }
@@ -227,7 +197,7 @@
 {
 	struct confstate s = { 0 };
 	struct confstate t = { 0 };
-	struct text_file v[4] = { { "10.ini", SERVICE } };
+	const char *v[N_FILES] = { SERVICE };
 	json_t *old;
 	json_t *j;
 	struct conf *c;
@@ -239,9 +209,8 @@
 		    g_strdup_printf("[policy]\nretries = %u\n", (int)(g % 3));
 		g_autofree char *change = g_strdup_printf("c%u", (int)g);
 
-		v[1] = (struct text_file){ "20.ini", body };
-		if (g % 3 == 1)
-			v[1].name = "15.ini";
+		v[1] = g % 3 == 1 ? NULL : body;
+		v[4] = g % 3 == 1 ? body : NULL;
 		apply(&s, g, v, change);
 	}
 	j = confstate_snapshot(&s);
--- a/tests/kernel/test_golden.c
+++ b/tests/kernel/test_golden.c
@@ -54,10 +54,9 @@
 int
 main(int argc, char **argv)
 {
-	GDir *dir = g_dir_open(FOLDER, 0, NULL);
-	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	g_autoptr(GDir) dir = g_dir_open(FOLDER, 0, NULL);
+	g_autoptr(GPtrArray) names = g_ptr_array_new_with_free_func(g_free);
 	const char *file;
-	int rc;
 
 	g_test_init(&argc, &argv, NULL);
 	while ((file = g_dir_read_name(dir)) != NULL) {
@@ -71,8 +70,5 @@
 
 		g_test_add_data_func(path, name, test_session);
 	}
-	rc = g_test_run();
-	g_dir_close(dir);
-	g_ptr_array_free(names, true);
-	return rc;
+	return g_test_run();
 }
--- a/tests/kernel/test_member.c
+++ b/tests/kernel/test_member.c
@@ -10,6 +10,11 @@
 #define MOST      200
 #define LOSS      10
 #define PORT_BASE 1000
+/* Short names for tables. */
+#define LIVE      MEMBER_LIVE
+#define SUSPECT   MEMBER_SUSPECT
+#define GONE      MEMBER_GONE
+#define LEFT      MEMBER_LEFT
 
 static struct member_info
 info(const char *id, uint64_t incarnation, enum member_state state)
@@ -39,24 +44,18 @@
 		uint64_t after_incarnation;
 		enum member_state after;
 	} cases[] = {
-		{ "the same again", "n2", 10, MEMBER_LIVE, false, 10,
-		    MEMBER_LIVE },
-		{ "suspicion", "n2", 10, MEMBER_SUSPECT, true, 10,
-		    MEMBER_SUSPECT },
-		{ "old suspicion", "n2", 9, MEMBER_GONE, false, 10,
-		    MEMBER_LIVE },
-		{ "live does not refute gone", "n3", 10, MEMBER_LIVE, false, 10,
-		    MEMBER_GONE },
-		{ "a higher incarnation does", "n3", 11, MEMBER_LIVE, true, 11,
-		    MEMBER_LIVE },
-		{ "left is final", "n3", 10, MEMBER_LEFT, true, 10,
-		    MEMBER_LEFT },
-		{ "suspicion of this process is refuted", "n1", 10,
-		    MEMBER_SUSPECT, true, 11, MEMBER_LIVE },
-		{ "an older suspicion needs nothing", "n1", 9, MEMBER_GONE,
-		    false, 10, MEMBER_LIVE },
-		{ "a newer process with this id", "n1", 12, MEMBER_LIVE, false,
-		    10, MEMBER_LIVE },
+		{ "the same again", "n2", 10, LIVE, false, 10, LIVE },
+		{ "suspicion", "n2", 10, SUSPECT, true, 10, SUSPECT },
+		{ "old suspicion", "n2", 9, GONE, false, 10, LIVE },
+		{ "gone outweighs live", "n3", 10, LIVE, false, 10, GONE },
+		{ "a higher incarnation does", "n3", 11, LIVE, true, 11, LIVE },
+		{ "left is final", "n3", 10, LEFT, true, 10, LEFT },
+		{ "suspicion of itself is refuted", "n1", 10, SUSPECT, true, 11,
+		    LIVE },
+		{ "an older one needs nothing", "n1", 9, GONE, false, 10,
+		    LIVE },
+		{ "a newer process of this id", "n1", 12, LIVE, false, 10,
+		    LIVE },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -370,12 +369,11 @@
 		usec_t pause;
 		enum member_state state;
 	} cases[] = {
-		{ "asked just now", 2, 0, MEMBER_LIVE },
-		{ "asked for long", 8, 0, MEMBER_SUSPECT },
-		{ "a pause", 2, 60 * USEC_PER_SEC, MEMBER_LIVE },
-		{ "confirmed", 24, 0, MEMBER_GONE },
-		{ "a pause while suspect", 8, 60 * USEC_PER_SEC,
-		    MEMBER_SUSPECT },
+		{ "asked just now", 2, 0, LIVE },
+		{ "asked for long", 8, 0, SUSPECT },
+		{ "a pause", 2, 60 * USEC_PER_SEC, LIVE },
+		{ "confirmed", 24, 0, GONE },
+		{ "a pause while suspect", 8, 60 * USEC_PER_SEC, SUSPECT },
 	};
 	static struct gossip_send out[GOSSIP_SENDS];
 
--- a/tests/kernel/test_orders.c
+++ b/tests/kernel/test_orders.c
@@ -13,7 +13,6 @@
 
 /* Runners that load what they are told; the model of an engine. */
 struct engine {
-	char version[MAX_NAME_BYTES + 1];
 	char loading[MAX_NAME_BYTES + 1];
 	usec_t loaded_at;
 	bool fails;
@@ -50,8 +49,6 @@
 	for (int i = 0; i < RUNNERS; i++) {
 		snprintf(addrs[i], sizeof(addrs[i]), "127.0.0.1:%d", i);
 		list[i] = addrs[i];
-		snprintf(
-		    w->engines[i].version, sizeof(w->engines[i].version), "v1");
 	}
 	orders_runners(&w->o, list, RUNNERS);
 }
@@ -75,7 +72,7 @@
 answer_read(struct world *w, const struct orders_action *a)
 {
 	struct engine *x = engine_at(w, a->addr);
-	struct orders_state s = { .model = "m" };
+	struct orders_state s = { .model = "m", .version = "v1" };
 	enum orders_report report = ORDERS_READY;
 
 	if (x->loading[0] != '\0') {
@@ -83,8 +80,6 @@
 		    : x->fails                 ? ORDERS_FAILED
 					       : ORDERS_READY;
 		snprintf(s.version, sizeof(s.version), "%s", x->loading);
-	} else {
-		snprintf(s.version, sizeof(s.version), "%s", x->version);
 	}
 	orders_read(&w->o, w->now, a->addr, report, &s);
 }
--- a/tests/kernel/test_overload.c
+++ b/tests/kernel/test_overload.c
@@ -22,9 +22,6 @@
 #define MAX_REQS     65536
 #define N_WORKSPACES 2
 #define GOOD         (0.95 * PER_SECOND)
-/* Deadlines of requests. */
-#define SHORT        USEC_PER_SEC
-#define LONG         (5 * USEC_PER_SEC)
 /* Whether the configuration says how many calls a runner takes. */
 #define KNOWN        "tests/kernel/overload.ini"
 #define UNKNOWN      "tests/kernel/unknown.ini"
@@ -34,8 +31,8 @@
 struct load_case {
 	const char *name;
 	const char *conf;
-	unsigned nodes; /* sequoiads that share the runners */
-	usec_t deadline;
+	unsigned nodes;            /* sequoiads that share the runners */
+	unsigned deadline;         /* seconds */
 	double rate[N_WORKSPACES]; /* arrivals a second */
 	double least_goodput;      /* complete in time a second, all together */
 	double least_share;        /* of the first workspace's requests */
@@ -68,12 +65,6 @@
 	const struct load_case *c;
 };
 
-static unsigned
-slots(unsigned runner)
-{
-	return runner < QUICK ? 1 : 2;
-}
-
 static usec_t
 service_time(struct load *l, unsigned runner)
 {
@@ -113,12 +104,17 @@
 	}
 }
 
+/* Counts an answer as done, or the request's calls as wasted. */
 static void
-count_done(struct load *l, uint64_t req)
+count(struct load *l, const struct action_answer *a)
 {
-	l->done[l->workspace_of[req]]++;
-	if (l->now <= SECONDS * USEC_PER_SEC)
-		l->done_in_window++;
+	if (a->outcome != OUTCOME_COMPLETE ||
+	    l->now - l->arrived[a->req] > l->c->deadline * USEC_PER_SEC) {
+		l->wasted += l->calls_of[a->req];
+		return;
+	}
+	l->done[l->workspace_of[a->req]]++;
+	l->done_in_window += l->now <= SECONDS * USEC_PER_SEC;
 }
 
 static void
@@ -132,11 +128,7 @@
 		drop_job(l, node, a->cancel.call);
 		break;
 	case ACTION_ANSWER:
-		if (a->answer.outcome == OUTCOME_COMPLETE &&
-		    l->now - l->arrived[a->answer.req] <= l->c->deadline)
-			count_done(l, a->answer.req);
-		else
-			l->wasted += l->calls_of[a->answer.req];
+		count(l, &a->answer);
 		break;
 	default:
 		g_assert_not_reached();
@@ -166,7 +158,7 @@
 	ev.arrive.id = str_from(id);
 	ev.arrive.workspace = str_from(workspaces[workspace]);
 	ev.arrive.pipeline = STR("both");
-	ev.arrive.timeout = l->c->deadline;
+	ev.arrive.timeout = l->c->deadline * USEC_PER_SEC;
 	ev.arrive.body = STR("{}");
 	l->workspace_of[l->n_reqs] = (uint8_t)workspace;
 	l->arrived[l->n_reqs] = l->now;
@@ -198,8 +190,9 @@
 work(struct load *l, unsigned runner)
 {
 	GArray *jobs = l->jobs[runner];
+	guint slots = runner < QUICK ? 1 : 2;
 
-	for (guint i = 0; i < jobs->len && i < slots(runner);) {
+	for (guint i = 0; i < MIN(jobs->len, slots);) {
 		struct job *j = &g_array_index(jobs, struct job, i);
 
 		if (j->end_at == 0)
@@ -319,20 +312,15 @@
 main(int argc, char **argv)
 {
 	static const struct load_case cases[] = {
-		{ "steady", KNOWN, 1, SHORT, { 70, 0 }, 0, 0.999, 0.01, 0 },
-		{ "overload", KNOWN, 1, SHORT, { 150, 0 }, GOOD, 0, 0.05, 0 },
-		{ "flood", KNOWN, 1, SHORT, { 40, 400 }, GOOD, 0.99, 0.05, 0 },
-		{ "slow-runner", KNOWN, 1, SHORT, { 60, 0 }, 0, 0.995, 0.1, 1 },
-		{ "fleet-steady", KNOWN, 9, SHORT, { 70, 0 }, 0, 0.999, 0.01,
-		    0 },
-		{ "fleet-overload", KNOWN, 9, SHORT, { 150, 0 }, GOOD, 0, 0.05,
-		    0 },
-		{ "fleet-flood", KNOWN, 9, LONG, { 40, 400 }, GOOD, 0.99, 0.05,
-		    0 },
-		{ "unknown-steady", UNKNOWN, 9, SHORT, { 70, 0 }, 0, 0.999,
-		    0.01, 0 },
-		{ "unknown-overload", UNKNOWN, 9, LONG, { 150, 0 }, GOOD, 0,
-		    0.05, 0 },
+		{ "steady", KNOWN, 1, 1, { 70 }, 0, 0.999, 0.01 },
+		{ "overload", KNOWN, 1, 1, { 150 }, GOOD, 0, 0.05 },
+		{ "flood", KNOWN, 1, 1, { 40, 400 }, GOOD, 0.99, 0.05 },
+		{ "slow-runner", KNOWN, 1, 1, { 60 }, 0, 0.995, 0.1, 1 },
+		{ "fleet-steady", KNOWN, 9, 1, { 70 }, 0, 0.999, 0.01 },
+		{ "fleet-overload", KNOWN, 9, 1, { 150 }, GOOD, 0, 0.05 },
+		{ "fleet-flood", KNOWN, 9, 5, { 40, 400 }, GOOD, 0.99, 0.05 },
+		{ "unknown-steady", UNKNOWN, 9, 1, { 70 }, 0, 0.999, 0.01 },
+		{ "unknown-overload", UNKNOWN, 9, 5, { 150 }, GOOD, 0, 0.05 },
 	};
 
 	g_test_init(&argc, &argv, NULL);
