--- a/tests/kernel/session.c
+++ b/tests/kernel/session.c
@@ -149,13 +149,6 @@
 	    (struct event){ .kind = EVENT_FAIL, .fail = { call, why } };
 }
 
-static void
-later_head(struct session *s, usec_t at, uint64_t call, int status)
-{
-	later(s, at, NULL)->event =
-	    (struct event){ .kind = EVENT_HEAD, .head = { call, status } };
-}
-
 /* The call of an event; those of calls all begin with its number. */
 static uint64_t
 call_of(const struct event *ev)
@@ -207,13 +200,12 @@
 play_stream(struct session *s, const struct rule *r, uint64_t call,
     json_t *body, const char *id)
 {
-	json_t *resume = json_object_get(body, "resume");
-	uint32_t from =
-	    (uint32_t)json_integer_value(json_object_get(resume, "tokens"));
 	usec_t at = s->now + r->latency;
+	int from = 0;
 	bool cut = strcmp(r->mode, "cut") == 0;
 
-	for (uint32_t i = from; i < (cut ? r->cut : r->tokens); i++) {
+	json_unpack(body, "{s:{s:i}}", "resume", "tokens", &from);
+	for (uint32_t i = (uint32_t)from; i < (cut ? r->cut : r->tokens); i++) {
 		later_chunk(s, at, call,
 		    g_strdup_printf("data: {\"id\": \"%s\", \"choices\": "
 				    "[{\"text\": \"t%u \"}]}\n\n",
@@ -250,46 +242,55 @@
 	later_end(s, at, c->call);
 }
 
+/* The status of a mode whose target takes the call; 0 for the others. */
+static int
+status_of(const char *mode)
+{
+	static const struct {
+		const char *mode;
+		int status;
+	} all[] = { { "ok", 200 }, { "cut", 200 }, { "foreign", 200 },
+		{ "absent", 404 }, { "error", 500 }, { "fail", 0 },
+		{ "refuse", 0 }, { "silent", 0 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(all); i++) {
+		if (strcmp(all[i].mode, mode) == 0)
+			return all[i].status;
+	}
+	return 503;
+}
+
 /* What a target answers to a call, by the rule that matches it. */
 static void
 play_call(struct session *s, const struct action_call *c)
 {
 	const struct rule *r = find_rule(s, RULE_TARGET, c->addr);
-	json_t *body =
+	json_auto_t *body =
 	    json_loadb(c->body.p != NULL ? c->body.p : "", c->body.n, 0, NULL);
 	bool stream = json_object_get(body, "prompt") != NULL;
 	const char *id = json_string_value(
 	    json_object_get(body, stream ? "request_id" : "call_id"));
 	usec_t at = s->now + r->latency;
+	int status = status_of(r->mode);
 
-	if (strcmp(r->mode, "silent") == 0)
-		goto out;
-	if (strcmp(r->mode, "fail") == 0 || strcmp(r->mode, "refuse") == 0) {
+	if (status > 0)
+		later(s, at, NULL)->event = (struct event){ .kind = EVENT_HEAD,
+			.head = { c->call, status } };
+	else if (strcmp(r->mode, "silent") != 0)
 		later_fail(s, at, c->call,
 		    strcmp(r->mode, "fail") == 0 ? FAILURE_BROKEN
 						 : FAILURE_CONNECT);
-		goto out;
+	if (id == NULL || strcmp(r->mode, "foreign") == 0)
+		id = "another";
+	if (status == 200 && stream) {
+		play_stream(s, r, c->call, body, id);
+	} else if (status == 200) {
+		play_object(s, r, c, body, id);
+	} else if (status > 0) {
+		later_chunk(s, at, c->call,
+		    g_strdup_printf("{\"error\": \"%s\"}", r->mode));
+		later_end(s, at, c->call);
 	}
-	if (strcmp(r->mode, "ok") == 0 || strcmp(r->mode, "cut") == 0 ||
-	    strcmp(r->mode, "foreign") == 0) {
-		later_head(s, at, c->call, 200);
-		if (id == NULL || strcmp(r->mode, "foreign") == 0)
-			id = "another";
-		if (stream)
-			play_stream(s, r, c->call, body, id);
-		else
-			play_object(s, r, c, body, id);
-		goto out;
-	}
-	later_head(s, at, c->call,
-	    strcmp(r->mode, "absent") == 0      ? 404
-		: strcmp(r->mode, "error") == 0 ? 500
-						: 503);
-	later_chunk(
-	    s, at, c->call, g_strdup_printf("{\"error\": \"%s\"}", r->mode));
-	later_end(s, at, c->call);
-out:
-	json_decref(body);
 }
 
 static void
--- a/tests/kernel/test_fuzz_kernel.c
+++ b/tests/kernel/test_fuzz_kernel.c
@@ -320,12 +320,8 @@
 static bool
 refused(const struct seen_call *x, const char *answer)
 {
-	struct str body;
-
-	if (!x->open || x->status != 503)
-		return false;
-	body = (struct str){ x->body->str, x->body->len };
-	return str_eq(str_trim(body), str_from(answer));
+	return x->open && x->status == 503 &&
+	    str_eq(str_trim(str_from(x->body->str)), str_from(answer));
 }
 
 static void
@@ -392,7 +388,7 @@
 		struct listed_target *t = &list[n];
 		uint64_t kind = below(f, 8);
 
-		f->live[i] = false;
+		f->live[i] = kind > 1 && f->left_until[i] <= f->highest;
 		f->listed[i] = kind > 0;
 		if (kind == 0) {
 			f->left_until[i] = 0;
@@ -402,8 +398,6 @@
 		target_addr(i, t->addr);
 		g_strlcpy(t->domain, i % 2 > 0 ? "a" : "b", sizeof(t->domain));
 		t->state = kind == 1 ? TARGET_LEAVING : TARGET_LIVE;
-		f->live[i] =
-		    t->state == TARGET_LIVE && f->left_until[i] <= f->highest;
 		n++;
 	}
 	step(f,
--- a/tests/kernel/test_policy.c
+++ b/tests/kernel/test_policy.c
@@ -64,13 +64,8 @@
 		unsigned firsts;
 		uint32_t percent;
 		unsigned most; /* extra calls */
-	} cases[] = {
-		{ 0, 10, 2 },
-		{ 100, 10, 12 },
-		{ 10000, 10, 1002 },
-		{ 1000, 0, 2 },
-		{ 10, 100, 12 },
-	};
+	} cases[] = { { 0, 10, 2 }, { 100, 10, 12 }, { 10000, 10, 1002 },
+		{ 1000, 0, 2 }, { 10, 100, 12 } };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct budget b;
@@ -209,17 +204,9 @@
 		unsigned b;
 		uint32_t weight; /* of lane b; a has 10 */
 		unsigned served; /* before the newcomer comes */
-	} cases[] = {
-		{ 0, 0, 10, 0 },
-		{ 100, 0, 10, 0 },
-		{ 100, 0, 1, 0 },
-		{ 100, 0, 0, 0 },
-		{ 100, 3, 10, 0 },
-		{ 100, 3, 1, 7 },
-		{ 100, 0, 10, 50 },
-		{ 100, 2, 30, 20 },
-		{ 2, 50, 10, 0 },
-	};
+	} cases[] = { { 0, 0, 10, 0 }, { 100, 0, 10, 0 }, { 100, 0, 1, 0 },
+		{ 100, 0, 0, 0 }, { 100, 3, 10, 0 }, { 100, 3, 1, 7 },
+		{ 100, 0, 10, 50 }, { 100, 2, 30, 20 }, { 2, 50, 10, 0 } };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		static struct queue_node nodes[200];
--- a/tests/kernel/test_shares.c
+++ b/tests/kernel/test_shares.c
@@ -48,6 +48,13 @@
 	    f->v[i].side == f->v[j].side;
 }
 
+/* A node's share in force. */
+static uint32_t
+ppm(struct fleet *f, int i)
+{
+	return shares_ppm(&f->v[i].s, f->now, WORKSPACE);
+}
+
 static void
 tell_live(struct fleet *f, struct node *x)
 {
@@ -167,8 +174,7 @@
 		}
 		for (int i = 0; i < NODES; i++) {
 			if (!f->v[i].dead)
-				sum +=
-				    shares_ppm(&f->v[i].s, f->now, WORKSPACE);
+				sum += ppm(f, i);
 		}
 		if (sum > f->most)
 			f->most = sum;
@@ -221,9 +227,7 @@
 			f.v[j].want = cases[i].want[j];
 		run(&f, 60 * USEC_PER_SEC);
 		for (int j = 0; j < NODES; j++)
-			g_assert_cmpuint(
-			    shares_ppm(&f.v[j].s, f.now, WORKSPACE), >=,
-			    cases[i].least[j]);
+			g_assert_cmpuint(ppm(&f, j), >=, cases[i].least[j]);
 		g_assert_true((f.v[0].reports > 0) == cases[i].reports);
 		g_assert_cmpuint(f.most, <=, SHARES_WHOLE);
 
@@ -231,9 +235,7 @@
 		for (int j = 0; j < NODES; j++)
 			f.v[j].want = j == NODES - 1 ? 900000 : 0;
 		run(&f, 10 * USEC_PER_SEC);
-		g_assert_cmpuint(
-		    shares_ppm(&f.v[NODES - 1].s, f.now, WORKSPACE), >=,
-		    500000);
+		g_assert_cmpuint(ppm(&f, NODES - 1), >=, 500000);
 		g_assert_cmpuint(f.most, <=, SHARES_WHOLE);
 		fleet_free(&f);
 	}
@@ -254,15 +256,14 @@
 	run(&f, 60 * USEC_PER_SEC);
 	owner = index_of(f.v[0].s.v[0].owner);
 	hot = owner == 0 ? 1 : 0;
-	before = shares_ppm(&f.v[hot].s, f.now, WORKSPACE);
+	before = ppm(&f, hot);
 	shares_free(&f.v[owner].s);
 	f.v[owner].dead = true;
 	run(&f, 3 * USEC_PER_SEC);
-	g_assert_cmpuint(shares_ppm(&f.v[hot].s, f.now, WORKSPACE), ==, before);
+	g_assert_cmpuint(ppm(&f, hot), ==, before);
 	run(&f, 60 * USEC_PER_SEC);
 	g_assert_cmpint(index_of(f.v[hot].s.v[0].owner), !=, owner);
-	g_assert_cmpuint(
-	    shares_ppm(&f.v[hot].s, f.now, WORKSPACE), >=, before - 10000);
+	g_assert_cmpuint(ppm(&f, hot), >=, before - 10000);
 	g_assert_cmpuint(f.most, <=, SHARES_WHOLE);
 	fleet_free(&f);
 }
@@ -282,25 +283,23 @@
 	fleet_init(&f, 3);
 	snprintf(reply.v[0].workspace, sizeof(reply.v[0].workspace), "large");
 	reply.v[0].ppm = 400000;
-	x = &f.v[0];
-	shares_want(&x->s, f.now, WORKSPACE, 900000);
-	f.now += USEC_PER_SEC;
-	if (!shares_due(&x->s, f.now, &r, owner)) {
-		x = &f.v[1];
+	for (x = f.v; x < f.v + 2; x++) {
 		shares_want(&x->s, f.now, WORKSPACE, 900000);
 		f.now += USEC_PER_SEC;
-		g_assert_true(shares_due(&x->s, f.now, &r, owner));
+		if (shares_due(&x->s, f.now, &r, owner))
+			break;
 	}
+	g_assert_true(x < f.v + 2);
 	reply.number = r.number - 1;
 	shares_reply(&x->s, f.now, &reply);
-	g_assert_cmpuint(shares_ppm(&x->s, f.now, WORKSPACE), ==, 55555);
+	g_assert_cmpuint(ppm(&f, index_of(x->id)), ==, 55555);
 	reply.number = r.number;
 	shares_reply(&x->s, f.now + SHARES_REPLY_MAX + 1, &reply);
-	g_assert_cmpuint(shares_ppm(&x->s, f.now, WORKSPACE), ==, 55555);
+	g_assert_cmpuint(ppm(&f, index_of(x->id)), ==, 55555);
 	shares_reply(&x->s, f.now, &reply);
-	g_assert_cmpuint(shares_ppm(&x->s, f.now, WORKSPACE), ==, 455555);
+	g_assert_cmpuint(ppm(&f, index_of(x->id)), ==, 455555);
 	f.now += 10 * USEC_PER_SEC;
-	g_assert_cmpuint(shares_ppm(&x->s, f.now, WORKSPACE), ==, 55555);
+	g_assert_cmpuint(ppm(&f, index_of(x->id)), ==, 55555);
 	fleet_free(&f);
 }
 
