Tests of the kernel: texts that rows share, clean-up by scope

Rows of test_conf, test_uuid7, test_claims and test_member repeated whole dates, keys and constants and so took two or three lines each. The cases and what they assert are the same; three cases of test_member have shorter names.

--- a/tests/capacity/fleet.c
+++ b/tests/capacity/fleet.c
@@ -185,7 +185,6 @@
 void
 measure_gossip(void)
 {
-
 	for (size_t i = 0; i < FLEET_SIZES; i++) {
 		double n = (double)sizes[i];
 		double bytes = 0;
@@ -216,7 +215,6 @@
 void
 measure_members(void)
 {
-
 	for (size_t i = 1; i < FLEET_SIZES; i++) {
 		struct member_info self = info(0);
 		double before = heap_bytes();
--- a/tests/capacity/requests.c
+++ b/tests/capacity/requests.c
@@ -175,15 +175,15 @@
 	struct answer a = { 0 };
 
 	arrive(b);
-	while (take_call(b, &a) && !a.stream) {
+	while (take_call(b, &a)) {
 		step(b,
 		    &(struct event){
 			.kind = EVENT_HEAD, .head = { a.call, 200 } });
+		if (a.stream)
+			return a;
 		feed_whole(b, &a);
 	}
-	g_assert_true(a.stream);
-	step(b, &(struct event){ .kind = EVENT_HEAD, .head = { a.call, 200 } });
-	return a;
+	g_assert_not_reached();
 }
 
 /* Requests at their last stage, documents of 1,000 bytes, 100 tokens so far. */
--- a/tests/capacity/tables.c
+++ b/tests/capacity/tables.c
@@ -33,17 +33,14 @@
 static char *
 text_of(const struct listed_target *v, size_t n)
 {
-	json_t *a = json_array();
-	char *text;
+	json_auto_t *a = json_array();
 
 	for (size_t i = 0; i < n; i++)
 		json_array_append_new(a,
 		    json_pack("{s:s,s:s,s:s,s:s}", "service", v[i].service,
 			"address", v[i].addr, "failure_domain", v[i].domain,
 			"state", "live"));
-	text = json_dumps(a, JSON_COMPACT);
-	json_decref(a);
-	return text;
+	return json_dumps(a, JSON_COMPACT);
 }
 
 static double
@@ -73,7 +70,7 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
 		struct listed_target *v = list_of(sizes[i], SERVICES);
-		char *text = text_of(v, sizes[i]);
+		g_autofree char *text = text_of(v, sizes[i]);
 		struct targets t = { 0 };
 		double before = heap_bytes();
 		double x = (double)sizes[i];
@@ -88,7 +85,6 @@
 		point("reading the JSON of a host list, us per runner", x,
 		    time_of_reading(text));
 		targets_free(&t);
-		free(text);
 		free(v);
 	}
 }
--- a/tests/kernel/show.c
+++ b/tests/kernel/show.c
@@ -11,7 +11,7 @@
 static void
 print_trace(const struct buf *trace, struct buf *out)
 {
-	json_t *list = json_loadb(trace->p, trace->n, 0, NULL);
+	json_auto_t *list = json_loadb(trace->p, trace->n, 0, NULL);
 	size_t i;
 	json_t *note;
 
@@ -31,7 +31,6 @@
 		}
 		buf_putc(out, '\n');
 	}
-	json_decref(list);
 }
 
 static void
--- a/tests/kernel/test_alog_explore.c
+++ b/tests/kernel/test_alog_explore.c
@@ -76,13 +76,12 @@
 static void
 net_add(struct world *w, struct message m)
 {
-	for (size_t i = 0; i < MAX_MESSAGES; i++) {
-		if (w->net[i].kind != MESSAGE_NONE)
-			continue;
-		w->net[i] = m;
-		return;
-	}
-	g_assert_not_reached();
+	size_t i = 0;
+
+	while (i < MAX_MESSAGES && w->net[i].kind != MESSAGE_NONE)
+		i++;
+	g_assert_cmpuint(i, <, MAX_MESSAGES);
+	w->net[i] = m;
 }
 
 static struct slot *
@@ -113,7 +112,7 @@
 static void
 witness_head(struct world *w, uint16_t value)
 {
-	json_t *head = json_loads(interned(value).p, 0, NULL);
+	json_auto_t *head = json_loads(interned(value).p, 0, NULL);
 	const json_t *newest = json_object_get(head, "newest");
 
 	for (size_t i = 0; i < json_array_size(newest); i++) {
@@ -125,7 +124,6 @@
 		    (uint64_t)json_integer_value(json_object_get(r, "s")),
 		    intern(str_from(p)));
 	}
-	json_decref(head);
 }
 
 /* Carries out a request at the store. */
--- a/tests/kernel/test_claims.c
+++ b/tests/kernel/test_claims.c
@@ -170,16 +170,15 @@
 		usec_t wall[2]; /* after MADE, with its retention */
 		usec_t retention[2];
 		usec_t dropped; /* after MADE; 0: nothing */
-		enum claim_result want;
+		bool old;
 	} cases[] = {
-		{ "retention not known", { RETENTION }, { 0 }, 0,
-		    CLAIM_GRANTED },
+		{ "retention not known", { RETENTION }, { 0 }, 0, false },
 		{ "retention raised", { RETENTION + 1, RETENTION + 1 },
-		    { RETENTION, 2 * RETENTION }, 0, CLAIM_OLD },
+		    { RETENTION, 2 * RETENTION }, 0, true },
 		{ "clock set back", { RETENTION + 1, 0 },
-		    { RETENTION, RETENTION }, 0, CLAIM_OLD },
+		    { RETENTION, RETENTION }, 0, true },
 		{ "dropped by another host", { 0, 0 }, { 0, RETENTION }, 1,
-		    CLAIM_OLD },
+		    true },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -193,7 +192,8 @@
 		if (cases[i].dropped > 0)
 			claims_ops.dropped(c, MADE + cases[i].dropped);
 		g_test_message("%s", cases[i].name);
-		g_assert_cmpint(run(c, &cl).result, ==, cases[i].want);
+		g_assert_cmpint(run(c, &cl).result, ==,
+		    cases[i].old ? CLAIM_OLD : CLAIM_GRANTED);
 		claims_free(c);
 	}
 }
--- a/tests/kernel/test_conf.c
+++ b/tests/kernel/test_conf.c
@@ -3,9 +3,11 @@
 
 #include <glib.h>
 
-#define FLEET    "[fleet]\nsunset = "
-#define PIPELINE "[pipeline p]\nsunset = "
-#define SERVICE  "[service last]\nsunset = "
+/* Seconds of 1970. */
+#define AT(s)       "1970-01-01T00:00:" s "Z\n"
+#define FLEET(s)    "[fleet]\nsunset = " AT(s)
+#define PIPELINE(s) "[pipeline p]\nsunset = " AT(s)
+#define SERVICE(s)  "[service last]\nsunset = " AT(s)
 
 static void
 test_sunset(void)
@@ -21,16 +23,11 @@
 		const char *what;
 	} cases[] = {
 		{ "", 0, "" },
-		{ FLEET "1970-01-01T00:00:30Z\n", 30, "" },
-		{ PIPELINE "1970-01-01T00:00:20Z\n", 20, "" },
-		{ SERVICE "1970-01-01T00:00:10Z\n", 10, "last" },
-		{ FLEET "1970-01-01T00:00:05Z\n" SERVICE
-			"1970-01-01T00:00:10Z\n",
-		    5, "" },
-		{ FLEET "1970-01-01T00:00:30Z\n" PIPELINE
-			"1970-01-01T00:00:20Z\n" SERVICE
-			"1970-01-01T00:00:25Z\n",
-		    20, "" },
+		{ FLEET("30"), 30, "" },
+		{ PIPELINE("20"), 20, "" },
+		{ SERVICE("10"), 10, "last" },
+		{ FLEET("05") SERVICE("10"), 5, "" },
+		{ FLEET("30") PIPELINE("20") SERVICE("25"), 20, "" },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
--- a/tests/kernel/test_confstate.c
+++ b/tests/kernel/test_confstate.c
@@ -198,8 +198,8 @@
 	struct confstate s = { 0 };
 	struct confstate t = { 0 };
 	const char *v[N_FILES] = { SERVICE };
-	json_t *old;
-	json_t *j;
+	json_auto_t *old = NULL;
+	json_auto_t *j = NULL;
 	struct conf *c;
 
 	apply(&s, 0, first, "first");
@@ -230,8 +230,6 @@
 	c = confstate_conf(&t, NULL);
 	g_assert_cmpuint(c->generation, ==, 40);
 	conf_unref(c);
-	json_decref(old);
-	json_decref(j);
 	confstate_free(&s);
 	confstate_free(&t);
 }
--- a/tests/kernel/test_member.c
+++ b/tests/kernel/test_member.c
@@ -50,12 +50,9 @@
 		{ "gone outweighs live", "n3", 10, LIVE, false, 10, GONE },
 		{ "a higher incarnation does", "n3", 11, LIVE, true, 11, LIVE },
 		{ "left is final", "n3", 10, LEFT, true, 10, LEFT },
-		{ "suspicion of itself is refuted", "n1", 10, SUSPECT, true, 11,
-		    LIVE },
-		{ "an older one needs nothing", "n1", 9, GONE, false, 10,
-		    LIVE },
-		{ "a newer process of this id", "n1", 12, LIVE, false, 10,
-		    LIVE },
+		{ "itself is suspected", "n1", 10, SUSPECT, true, 11, LIVE },
+		{ "itself, in the past", "n1", 9, GONE, false, 10, LIVE },
+		{ "a newer self", "n1", 12, LIVE, false, 10, LIVE },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
--- a/tests/kernel/test_uuid7.c
+++ b/tests/kernel/test_uuid7.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 /* The time in the keys below: 2022-02-22T19:22:22Z, the RFC's example. */
+#define KEY       "017f22e2-79b0-7cc3-98c4-dc0c0c07398f"
 #define MADE      (1645557742000 * USEC_PER_MSEC)
 #define RETENTION (3600 * USEC_PER_SEC)
 
@@ -15,15 +16,12 @@
 		usec_t wall;
 		int rc;
 	} cases[] = {
-		{ "017f22e2-79b0-7cc3-98c4-dc0c0c07398f", MADE, 0 },
+		{ KEY, MADE, 0 },
 		{ "017F22E2-79B0-7CC3-98C4-DC0C0C07398F", MADE, 0 },
-		{ "017f22e2-79b0-7cc3-98c4-dc0c0c07398f", MADE + RETENTION, 0 },
-		{ "017f22e2-79b0-7cc3-98c4-dc0c0c07398f", MADE + RETENTION + 1,
-		    ERR_KEY_OLD },
-		{ "017f22e2-79b0-7cc3-98c4-dc0c0c07398f", MADE - UUID7_SKEW,
-		    0 },
-		{ "017f22e2-79b0-7cc3-98c4-dc0c0c07398f", MADE - UUID7_SKEW - 1,
-		    ERR_KEY_BAD },
+		{ KEY, MADE + RETENTION, 0 },
+		{ KEY, MADE + RETENTION + 1, ERR_KEY_OLD },
+		{ KEY, MADE - UUID7_SKEW, 0 },
+		{ KEY, MADE - UUID7_SKEW - 1, ERR_KEY_BAD },
 		{ "017f22e2-79b0-4cc3-98c4-dc0c0c07398f", MADE, ERR_KEY_BAD },
 		{ "017f22e2-79b0-7cc3-c8c4-dc0c0c07398f", MADE, ERR_KEY_BAD },
 		{ "017f22e279b0-7cc3-98c4-dc0c0c07398f0", MADE, ERR_KEY_BAD },
