--- a/tests/kernel/session.c
+++ b/tests/kernel/session.c
@@ -10,6 +10,7 @@
 
 #define MAX_PENDING 4096
 #define MAX_RULES   64
+#define MAX_TARGETS 64
 #define DEFAULT_MS  20
 
 enum rule_kind {
@@ -135,20 +136,6 @@
 		.chunk = { call, str_from(text) } };
 }
 
-static void
-later_end(struct session *s, usec_t at, uint64_t call)
-{
-	later(s, at, NULL)->event =
-	    (struct event){ .kind = EVENT_END, .end = { call } };
-}
-
-static void
-later_fail(struct session *s, usec_t at, uint64_t call, enum call_failure why)
-{
-	later(s, at, NULL)->event =
-	    (struct event){ .kind = EVENT_FAIL, .fail = { call, why } };
-}
-
 /* The call of an event; those of calls all begin with its number. */
 static uint64_t
 call_of(const struct event *ev)
@@ -213,7 +200,8 @@
 		at += r->gap;
 	}
 	if (cut) {
-		later_fail(s, at, call, FAILURE_BROKEN);
+		later(s, at, NULL)->event = (struct event){ .kind = EVENT_FAIL,
+			.fail = { call, FAILURE_BROKEN } };
 		return;
 	}
 	later_chunk(s, at, call,
@@ -221,7 +209,8 @@
 			    "\"\", \"finish_reason\": \"stop\"}], \"load\": 1}"
 			    "\n\ndata: [DONE]\n\n",
 		id));
-	later_end(s, at, call);
+	later(s, at, NULL)->event =
+	    (struct event){ .kind = EVENT_END, .end = { call } };
 }
 
 /* The events of one JSON object as answer. */
@@ -239,7 +228,8 @@
 		      id, stage, c->addr)
 		: g_strdup_printf(
 		      "{\"call_id\": \"%s\", \"by\": \"%s\"}", id, c->addr));
-	later_end(s, at, c->call);
+	later(s, at, NULL)->event =
+	    (struct event){ .kind = EVENT_END, .end = { c->call } };
 }
 
 /* The status of a mode whose target takes the call; 0 for the others. */
@@ -272,14 +262,15 @@
 	    json_object_get(body, stream ? "request_id" : "call_id"));
 	usec_t at = s->now + r->latency;
 	int status = status_of(r->mode);
+	enum call_failure why =
+	    strcmp(r->mode, "fail") == 0 ? FAILURE_BROKEN : FAILURE_CONNECT;
 
 	if (status > 0)
 		later(s, at, NULL)->event = (struct event){ .kind = EVENT_HEAD,
 			.head = { c->call, status } };
 	else if (strcmp(r->mode, "silent") != 0)
-		later_fail(s, at, c->call,
-		    strcmp(r->mode, "fail") == 0 ? FAILURE_BROKEN
-						 : FAILURE_CONNECT);
+		later(s, at, NULL)->event = (struct event){ .kind = EVENT_FAIL,
+			.fail = { c->call, why } };
 	if (id == NULL || strcmp(r->mode, "foreign") == 0)
 		id = "another";
 	if (status == 200 && stream) {
@@ -289,7 +280,8 @@
 	} else if (status > 0) {
 		later_chunk(s, at, c->call,
 		    g_strdup_printf("{\"error\": \"%s\"}", r->mode));
-		later_end(s, at, c->call);
+		later(s, at, NULL)->event =
+		    (struct event){ .kind = EVENT_END, .end = { c->call } };
 	}
 }
 
@@ -379,13 +371,13 @@
 static void
 set_targets(struct session *s, struct str rest)
 {
-	GArray *list = g_array_new(false, true, sizeof(struct listed_target));
-	struct event ev = { .kind = EVENT_TARGETS };
+	struct listed_target list[MAX_TARGETS] = { 0 };
+	size_t n = 0;
 	struct str service = { NULL, 0 };
 	struct str word;
 
 	while (str_cut(&rest, ' ', &word)) {
-		struct listed_target t = { 0 };
+		struct listed_target *t = &list[n];
 		struct str addr;
 		struct str domain;
 
@@ -400,16 +392,16 @@
 		str_cut(&word, '/', &addr);
 		str_cut(&word, '=', &domain);
 		g_snprintf(
-		    t.service, sizeof(t.service), "%.*s", STR_FMT(service));
-		g_snprintf(t.addr, sizeof(t.addr), "%.*s", STR_FMT(addr));
-		g_snprintf(t.domain, sizeof(t.domain), "%.*s", STR_FMT(domain));
-		t.state = word.n > 0 ? TARGET_LEAVING : TARGET_LIVE;
-		g_array_append_val(list, t);
+		    t->service, sizeof(t->service), "%.*s", STR_FMT(service));
+		g_snprintf(t->addr, sizeof(t->addr), "%.*s", STR_FMT(addr));
+		g_snprintf(
+		    t->domain, sizeof(t->domain), "%.*s", STR_FMT(domain));
+		t->state = word.n > 0 ? TARGET_LEAVING : TARGET_LIVE;
+		n++;
+		g_assert_cmpuint(n, <, MAX_TARGETS);
 	}
-	ev.targets.v = (struct listed_target *)(void *)list->data;
-	ev.targets.n = list->len;
-	step(s, &ev);
-	g_array_free(list, true);
+	step(s,
+	    &(struct event){ .kind = EVENT_TARGETS, .targets = { list, n } });
 }
 
 static void
