--- a/tests/entry/test_pages.c
+++ b/tests/entry/test_pages.c
@@ -1,5 +1,4 @@
 /* Holds the pages of docs/ against the tables in the code. */
-#include "base/ini.h"
 #include "ctl/tables.h"
 #include "entry/metrics.h"
 
@@ -12,12 +11,9 @@
 static char *
 read_page(const char *path)
 {
-	struct buf b = { 0 };
-	char *text;
+	char *text = NULL;
 
-	g_assert_cmpint(ini_slurp(path, &b, NULL), ==, 0);
-	text = g_strndup(b.p, b.n);
-	buf_free(&b);
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
 	return text;
 }
 
