--- a/tests/kernel/session.c
+++ b/tests/kernel/session.c
@@ -10,6 +10,7 @@
 
 #define MAX_PENDING 4096
 #define MAX_RULES   64
+#define MAX_TARGETS 64
 #define DEFAULT_MS  20
 
 enum rule_kind {
@@ -135,27 +136,6 @@
 		.chunk = { call, str_from(text) } };
 }
 
-static void
-later_end(struct session *s, usec_t at, uint64_t call)
-{
-	later(s, at, NULL)->event =
-	    (struct event){ .kind = EVENT_END, .end = { call } };
-}
-
-static void
-later_fail(struct session *s, usec_t at, uint64_t call, enum call_failure why)
-{
-	later(s, at, NULL)->event =
-	    (struct event){ .kind = EVENT_FAIL, .fail = { call, why } };
-}
-
-static void
-later_head(struct session *s, usec_t at, uint64_t call, int status)
-{
-	later(s, at, NULL)->event =
-	    (struct event){ .kind = EVENT_HEAD, .head = { call, status } };
-}
-
 /* The call of an event; those of calls all begin with its number. */
 static uint64_t
 call_of(const struct event *ev)
@@ -207,13 +187,12 @@
 play_stream(struct session *s, const struct rule *r, uint64_t call,
     json_t *body, const char *id)
 {
-	json_t *resume = json_object_get(body, "resume");
-	uint32_t from =
-	    (uint32_t)json_integer_value(json_object_get(resume, "tokens"));
 	usec_t at = s->now + r->latency;
+	int from = 0;
 	bool cut = strcmp(r->mode, "cut") == 0;
 
-	for (uint32_t i = from; i < (cut ? r->cut : r->tokens); i++) {
+	json_unpack(body, "{s:{s:i}}", "resume", "tokens", &from);
+	for (uint32_t i = (uint32_t)from; i < (cut ? r->cut : r->tokens); i++) {
 		later_chunk(s, at, call,
 		    g_strdup_printf("data: {\"id\": \"%s\", \"choices\": "
 				    "[{\"text\": \"t%u \"}]}\n\n",
@@ -221,7 +200,8 @@
 		at += r->gap;
 	}
 	if (cut) {
-		later_fail(s, at, call, FAILURE_BROKEN);
+		later(s, at, NULL)->event = (struct event){ .kind = EVENT_FAIL,
+			.fail = { call, FAILURE_BROKEN } };
 		return;
 	}
 	later_chunk(s, at, call,
@@ -229,7 +209,8 @@
 			    "\"\", \"finish_reason\": \"stop\"}], \"load\": 1}"
 			    "\n\ndata: [DONE]\n\n",
 		id));
-	later_end(s, at, call);
+	later(s, at, NULL)->event =
+	    (struct event){ .kind = EVENT_END, .end = { call } };
 }
 
 /* The events of one JSON object as answer. */
@@ -247,7 +228,26 @@
 		      id, stage, c->addr)
 		: g_strdup_printf(
 		      "{\"call_id\": \"%s\", \"by\": \"%s\"}", id, c->addr));
-	later_end(s, at, c->call);
+	later(s, at, NULL)->event =
+	    (struct event){ .kind = EVENT_END, .end = { c->call } };
+}
+
+/* The status of a mode whose target takes the call; 0 for the others. */
+static int
+status_of(const char *mode)
+{
+	static const struct {
+		const char *mode;
+		int status;
+	} all[] = { { "ok", 200 }, { "cut", 200 }, { "foreign", 200 },
+		{ "absent", 404 }, { "error", 500 }, { "fail", 0 },
+		{ "refuse", 0 }, { "silent", 0 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(all); i++) {
+		if (strcmp(all[i].mode, mode) == 0)
+			return all[i].status;
+	}
+	return 503;
 }
 
 /* What a target answers to a call, by the rule that matches it. */
@@ -255,41 +255,34 @@
 play_call(struct session *s, const struct action_call *c)
 {
 	const struct rule *r = find_rule(s, RULE_TARGET, c->addr);
-	json_t *body =
+	json_auto_t *body =
 	    json_loadb(c->body.p != NULL ? c->body.p : "", c->body.n, 0, NULL);
 	bool stream = json_object_get(body, "prompt") != NULL;
 	const char *id = json_string_value(
 	    json_object_get(body, stream ? "request_id" : "call_id"));
 	usec_t at = s->now + r->latency;
-
-	if (strcmp(r->mode, "silent") == 0)
-		goto out;
-	if (strcmp(r->mode, "fail") == 0 || strcmp(r->mode, "refuse") == 0) {
-		later_fail(s, at, c->call,
-		    strcmp(r->mode, "fail") == 0 ? FAILURE_BROKEN
-						 : FAILURE_CONNECT);
-		goto out;
+	int status = status_of(r->mode);
+	enum call_failure why =
+	    strcmp(r->mode, "fail") == 0 ? FAILURE_BROKEN : FAILURE_CONNECT;
+
+	if (status > 0)
+		later(s, at, NULL)->event = (struct event){ .kind = EVENT_HEAD,
+			.head = { c->call, status } };
+	else if (strcmp(r->mode, "silent") != 0)
+		later(s, at, NULL)->event = (struct event){ .kind = EVENT_FAIL,
+			.fail = { c->call, why } };
+	if (id == NULL || strcmp(r->mode, "foreign") == 0)
+		id = "another";
+	if (status == 200 && stream) {
+		play_stream(s, r, c->call, body, id);
+	} else if (status == 200) {
+		play_object(s, r, c, body, id);
+	} else if (status > 0) {
+		later_chunk(s, at, c->call,
+		    g_strdup_printf("{\"error\": \"%s\"}", r->mode));
+		later(s, at, NULL)->event =
+		    (struct event){ .kind = EVENT_END, .end = { c->call } };
 	}
-	if (strcmp(r->mode, "ok") == 0 || strcmp(r->mode, "cut") == 0 ||
-	    strcmp(r->mode, "foreign") == 0) {
-		later_head(s, at, c->call, 200);
-		if (id == NULL || strcmp(r->mode, "foreign") == 0)
-			id = "another";
-		if (stream)
-			play_stream(s, r, c->call, body, id);
-		else
-			play_object(s, r, c, body, id);
-		goto out;
-	}
-	later_head(s, at, c->call,
-	    strcmp(r->mode, "absent") == 0      ? 404
-		: strcmp(r->mode, "error") == 0 ? 500
-						: 503);
-	later_chunk(
-	    s, at, c->call, g_strdup_printf("{\"error\": \"%s\"}", r->mode));
-	later_end(s, at, c->call);
-out:
-	json_decref(body);
 }
 
 static void
@@ -378,13 +371,13 @@
 static void
 set_targets(struct session *s, struct str rest)
 {
-	GArray *list = g_array_new(false, true, sizeof(struct listed_target));
-	struct event ev = { .kind = EVENT_TARGETS };
+	struct listed_target list[MAX_TARGETS] = { 0 };
+	size_t n = 0;
 	struct str service = { NULL, 0 };
 	struct str word;
 
 	while (str_cut(&rest, ' ', &word)) {
-		struct listed_target t = { 0 };
+		struct listed_target *t = &list[n];
 		struct str addr;
 		struct str domain;
 
@@ -399,16 +392,16 @@
 		str_cut(&word, '/', &addr);
 		str_cut(&word, '=', &domain);
 		g_snprintf(
-		    t.service, sizeof(t.service), "%.*s", STR_FMT(service));
-		g_snprintf(t.addr, sizeof(t.addr), "%.*s", STR_FMT(addr));
-		g_snprintf(t.domain, sizeof(t.domain), "%.*s", STR_FMT(domain));
-		t.state = word.n > 0 ? TARGET_LEAVING : TARGET_LIVE;
-		g_array_append_val(list, t);
+		    t->service, sizeof(t->service), "%.*s", STR_FMT(service));
+		g_snprintf(t->addr, sizeof(t->addr), "%.*s", STR_FMT(addr));
+		g_snprintf(
+		    t->domain, sizeof(t->domain), "%.*s", STR_FMT(domain));
+		t->state = word.n > 0 ? TARGET_LEAVING : TARGET_LIVE;
+		n++;
+		g_assert_cmpuint(n, <, MAX_TARGETS);
 	}
-	ev.targets.v = (struct listed_target *)(void *)list->data;
-	ev.targets.n = list->len;
-	step(s, &ev);
-	g_array_free(list, true);
+	step(s,
+	    &(struct event){ .kind = EVENT_TARGETS, .targets = { list, n } });
 }
 
 static void
--- a/tests/kernel/test_alog_explore.c
+++ b/tests/kernel/test_alog_explore.c
@@ -11,9 +11,9 @@
 #define MAX_MESSAGES 10
 #define MAX_KEYS     10
 #define MAX_DEPTH    128
-#define KEY_K        "017f22e2-79b0-7cc3-98c4-dc0c0c07398f"
-#define KEY_M        "017f22e2-79b0-7cc3-98c4-dc0c0c073991"
-#define KEY_L        "017f22e2-79b0-7cc3-98c4-dc0c0c073990"
+#define K1           "017f22e2-79b0-7cc3-98c4-dc0c0c07398f"
+#define K3           "017f22e2-79b0-7cc3-98c4-dc0c0c073991"
+#define K2           "017f22e2-79b0-7cc3-98c4-dc0c0c073990"
 
 enum message_kind {
 	MESSAGE_NONE,
@@ -76,13 +76,12 @@
 static void
 net_add(struct world *w, struct message m)
 {
-	for (size_t i = 0; i < MAX_MESSAGES; i++) {
-		if (w->net[i].kind != MESSAGE_NONE)
-			continue;
-		w->net[i] = m;
-		return;
-	}
-	g_assert_not_reached();
+	size_t i = 0;
+
+	while (i < MAX_MESSAGES && w->net[i].kind != MESSAGE_NONE)
+		i++;
+	g_assert_cmpuint(i, <, MAX_MESSAGES);
+	w->net[i] = m;
 }
 
 static struct slot *
@@ -113,19 +112,18 @@
 static void
 witness_head(struct world *w, uint16_t value)
 {
-	json_t *head = json_loads(interned(value).p, 0, NULL);
+	json_auto_t *head = json_loads(interned(value).p, 0, NULL);
 	const json_t *newest = json_object_get(head, "newest");
 
 	for (size_t i = 0; i < json_array_size(newest); i++) {
 		const json_t *r = json_array_get(newest, i);
-		char *p = json_dumps(json_object_get(r, "p"), JSON_COMPACT);
+		g_autofree char *p =
+		    json_dumps(json_object_get(r, "p"), JSON_COMPACT);
 
 		witness(w,
 		    (uint64_t)json_integer_value(json_object_get(r, "s")),
 		    intern(str_from(p)));
-		free(p);
 	}
-	json_decref(head);
 }
 
 /* Carries out a request at the store. */
@@ -495,32 +493,25 @@
 {
 	static const struct scenario cases[] = {
 		{ "losses", VARIANT_LOG,
-		    { CLAIM(0, KEY_K, 1), CLAIM(1, KEY_K, 1),
-			REFUSE(1, KEY_K, 1) },
+		    { CLAIM(0, K1, 1), CLAIM(1, K1, 1), REFUSE(1, K1, 1) },
 		    .losses = 1 },
 		{ "two losses", VARIANT_LOG,
-		    { CLAIM(0, KEY_K, 1), REFUSE(1, KEY_K, 1),
-			CLAIM(1, KEY_K, 2) },
+		    { CLAIM(0, K1, 1), REFUSE(1, K1, 1), CLAIM(1, K1, 2) },
 		    .early = 3, .losses = 2 },
 		{ "losses and repeats", VARIANT_LOG,
-		    { CLAIM(0, KEY_K, 1), REFUSE(1, KEY_K, 1),
-			CLAIM(1, KEY_K, 2) },
+		    { CLAIM(0, K1, 1), REFUSE(1, K1, 1), CLAIM(1, K1, 2) },
 		    .early = 3, .losses = 1, .repeats = 1 },
 		{ "watches", VARIANT_LOG,
-		    { CLAIM(0, KEY_K, 1), REFUSE(1, KEY_K, 1),
-			CLAIM(0, KEY_L, 1) },
+		    { CLAIM(0, K1, 1), REFUSE(1, K1, 1), CLAIM(0, K2, 1) },
 		    .watches = 1 },
 		{ "sealing and retention", VARIANT_LOG,
-		    { CLAIM(0, KEY_K, 1), CLAIM(1, KEY_K, 1),
-			CLAIM(1, KEY_L, 1) },
+		    { CLAIM(0, K1, 1), CLAIM(1, K1, 1), CLAIM(1, K2, 1) },
 		    .early = 2, .old_segment = true, .sealers = 2 },
 		{ "only one seals", VARIANT_LOG,
-		    { CLAIM(0, KEY_K, 1), REFUSE(1, KEY_M, 1),
-			CLAIM(1, KEY_L, 1) },
+		    { CLAIM(0, K1, 1), REFUSE(1, K3, 1), CLAIM(1, K2, 1) },
 		    .early = 2, .old_segment = true, .sealers = 1 },
 		{ "sealing and retention, losses", VARIANT_LOG,
-		    { CLAIM(0, KEY_K, 1), CLAIM(1, KEY_K, 1),
-			REFUSE(0, KEY_K, 1) },
+		    { CLAIM(0, K1, 1), CLAIM(1, K1, 1), REFUSE(0, K1, 1) },
 		    .early = 3, .old_segment = true, .sealers = 2,
 		    .losses = 1 },
 	};
@@ -538,12 +529,10 @@
 		const char *found;
 	} cases[] = {
 		{ { "a head put without comparison", VARIANT_BLIND,
-		      { CLAIM(0, KEY_K, 1), CLAIM(1, KEY_K, 1),
-			  CLAIM(1, KEY_L, 1) } },
+		      { CLAIM(0, K1, 1), CLAIM(1, K1, 1), CLAIM(1, K2, 1) } },
 		    "a record was lost: its place was taken" },
 		{ { "numbered segments created if absent", VARIANT_NUMBERED,
-		      { CLAIM(0, KEY_K, 1), CLAIM(1, KEY_K, 1),
-			  CLAIM(1, KEY_L, 1) } },
+		      { CLAIM(0, K1, 1), CLAIM(1, K1, 1), CLAIM(1, K2, 1) } },
 		    "a key was granted twice" },
 	};
 
