Fleet tests: a failing case ends the requests in its background

Cause: orders_roll failed once on a busy machine (version 2 not reached in 60 s, cause not found) and then hung until ctest's limit, because cleanup waited for the loop of requests that only a passing case ended.

Change: the loop is among the processes that cleanup ends.

--- a/tests/orders/run.sh
+++ b/tests/orders/run.sh
@@ -113,7 +113,8 @@
 }
 served() {
 	touch "$D/stop"
-	wait "$SERVER"
+	wait "${PID[server]}"
+	unset "PID[server]"
 	[ -s "$D/codes" ] || fail "no request was sent"
 	! grep -vxq 200 "$D/codes" ||
 	    fail "not answered: $(sort "$D/codes" | uniq -c | tr '\n' ' ')"
@@ -131,7 +132,7 @@
 	start
 	until_true "version 1" both_have 1
 	serve 1 2 3 &
-	SERVER=$!
+	PID[server]=$!
 	apply 2
 	until_true "version 2" both_have 2
 	served
@@ -145,7 +146,7 @@
 	until_true "version 1" both_have 1
 	target "service=honoured&fail_version=2"
 	serve 1 2 3 &
-	SERVER=$!
+	PID[server]=$!
 	apply 2
 	until_true "halt" grep -q 'orders-halted.*service="honoured"' "$D"/e?.log
 	until_true "the other service" all_have ignored 2
