--- a/kernel/answer.c
+++ b/kernel/answer.c
@@ -68,6 +68,10 @@
 		a->leaving = true;
 		st = PARSE_REFUSED;
 	}
+	if (error != NULL && strcmp(error, "not ready") == 0) {
+		a->unready = true;
+		st = PARSE_REFUSED;
+	}
 	if (error != NULL && strcmp(error, "busy") == 0)
 		st = PARSE_REFUSED;
 	json_decref(o);
--- a/kernel/flow.c
+++ b/kernel/flow.c
@@ -134,7 +134,7 @@
 
 /* Whether the stage may have a further call, which is then paid for. */
 static bool
-may_retry(const struct request *rq, enum call_verdict v)
+may_retry(const struct request *rq, enum call_verdict v, bool away)
 {
 	const struct conf_stage *s = state_at(rq);
 	const struct conf_policy *p = &s->policy;
@@ -143,7 +143,7 @@
 		return false;
 	if (rq->tokens > 0 && p->resume == 0)
 		return false;
-	return budget_spend(&rq->stats[rq->stage]->budget, 0);
+	return away || budget_spend(&rq->stats[rq->stage]->budget, 0);
 }
 
 /* The non-repeatable call was not taken, so it has had no effect. */
@@ -174,6 +174,22 @@
 		ending_give_up(k, rq, ERR_ANSWER_LOST, s->name, 0);
 }
 
+/* Whether the call has cost its target nothing: it was not even taken up. */
+static bool
+is_away(const struct call *c, enum call_verdict v)
+{
+	return v == CALL_REFUSED &&
+	    (c->status == 0 || c->answer.leaving || c->answer.unready);
+}
+
+static enum target_fault
+fault_of(const struct call *c, enum call_verdict v)
+{
+	if (v == CALL_REFUSED)
+		return FAULT_AWAY;
+	return c->cut ? FAULT_CUT : FAULT_ANSWER;
+}
+
 void
 flow_lose_call(
     struct kernel *k, struct call *c, enum call_verdict v, const char *why)
@@ -181,12 +197,14 @@
 	struct request *rq = c->rq;
 	const struct conf_stage *s = state_at(rq);
 	bool effect = s->repeatable == 0 && c->role != CALL_LOOKUP;
+	bool away = is_away(c, v);
 	bool again;
 
 	k->stats.failed_calls++;
 	state_note(k, rq, NOTE_CALL_FAILED, why, k->targets.v[c->target].addr);
-	if (v == CALL_BROKEN)
-		targets_failed(&k->targets, c->target, k->now, &s->policy);
+	if (v == CALL_BROKEN || (away && !c->answer.leaving))
+		targets_failed(
+		    &k->targets, c->target, k->now, &s->policy, fault_of(c, v));
 	if (v == CALL_REFUSED && effect)
 		undo_effect(rq);
 	call_close(k, c);
@@ -196,7 +214,7 @@
 	if (state_effect_open(rq) && *s->service->lookup == '\0')
 		again = false;
 	else
-		again = (effect && v == CALL_BROKEN) || may_retry(rq, v);
+		again = (effect && v == CALL_BROKEN) || may_retry(rq, v, away);
 	if (again)
 		flow_dispatch(k, rq);
 	else
@@ -341,9 +359,7 @@
 	static const char *const whys[] = { "not connected", "broken",
 		"timeout" };
 
-	if (why == FAILURE_CONNECT)
-		targets_failed(
-		    &k->targets, c->target, k->now, &state_at(c->rq)->policy);
+	c->cut = why == FAILURE_BROKEN && c->status == 0;
 	flow_lose_call(k, c,
 	    why == FAILURE_CONNECT ? CALL_REFUSED : CALL_BROKEN, whys[why]);
 }
--- a/kernel/plug.h
+++ b/kernel/plug.h
@@ -44,6 +44,7 @@
 	uint32_t cached_tokens;
 	int load; /* as reported; -1 if not */
 	bool leaving;
+	bool unready;     /* the target can't serve now */
 	json_t *document; /* what is merged; owned */
 };
 
--- a/kernel/state.h
+++ b/kernel/state.h
@@ -71,7 +71,8 @@
 	usec_t started;
 	usec_t progress_at; /* start, or the last token */
 	usec_t timeout_at;
-	int status;
+	int status;      /* 0: none has come */
+	bool cut;        /* the connection broke before that */
 	uint32_t passed; /* tokens of this call that were taken over */
 	struct stage_answer answer;
 };
--- a/kernel/targets.c
+++ b/kernel/targets.c
@@ -8,7 +8,6 @@
 #define LOAD_HALF_LIFE   (1 * USEC_PER_SEC)
 #define FAIL_WEIGHT      0.2F /* of the newest call in the failure rate */
 #define FAIL_RATE_MAX    0.4F
-#define FAILS_IN_A_ROW   3
 #define ASIDE_FIRST      (1 * USEC_PER_SEC)
 #define ASIDE_MOST_STEPS 4 /* doublings: at most 16 s */
 #define FRESH_AFTER_FAIL (5 * USEC_PER_SEC)
@@ -19,6 +18,13 @@
 #define SLOW_HALF_LIFE   (10 * USEC_PER_SEC)
 
 /* The first target with this address, or -1. */
+/* Failures after which a target is set aside, by how the last one failed. */
+static const uint32_t fails_in_a_row[] = {
+	[FAULT_ANSWER] = 3,
+	[FAULT_CUT] = 1,
+	[FAULT_AWAY] = 1,
+};
+
 static int
 find_first(const struct targets *t, const char *addr)
 {
@@ -292,8 +298,8 @@
 }
 
 void
-targets_failed(
-    struct targets *t, int i, usec_t now, const struct conf_policy *p)
+targets_failed(struct targets *t, int i, usec_t now,
+    const struct conf_policy *p, enum target_fault fault)
 {
 	struct target *x = &t->v[i];
 	struct service_targets *s = &t->services[x->service];
@@ -305,7 +311,7 @@
 	/* Calls from before the pause don't make it longer. */
 	if (x->aside_until > now || x->state == TARGET_GONE)
 		return;
-	if (x->fails < FAILS_IN_A_ROW && x->fail_rate < FAIL_RATE_MAX &&
+	if (x->fails < fails_in_a_row[fault] && x->fail_rate < FAIL_RATE_MAX &&
 	    !x->trial)
 		return;
 	if (x->aside_until == 0) {
--- a/kernel/targets.h
+++ b/kernel/targets.h
@@ -38,6 +38,13 @@
 	uint64_t calls;
 };
 
+/* How a call failed; it decides how soon the target is set aside. */
+enum target_fault {
+	FAULT_ANSWER, /* it answered badly or too late */
+	FAULT_CUT,    /* it closed the connection before it answered */
+	FAULT_AWAY    /* it could not be reached or can't serve now */
+};
+
 struct service_targets {
 	char name[MAX_NAME_BYTES + 1]; /* as the host list names it */
 	uint32_t *members;             /* indices of targets not gone */
@@ -70,8 +77,8 @@
 void targets_started(struct targets *t, int i);
 void targets_ended(struct targets *t, int i);
 void targets_succeeded(struct targets *t, int i, usec_t now);
-void targets_failed(
-    struct targets *t, int i, usec_t now, const struct conf_policy *p);
+void targets_failed(struct targets *t, int i, usec_t now,
+    const struct conf_policy *p, enum target_fault fault);
 /* A load report; own calls under way are taken off it. */
 void targets_loaded(struct targets *t, int i, uint32_t load, usec_t now);
 /* How long a call took, as a multiple of the usual time. */
--- a/tests/kernel/test_policy.c
+++ b/tests/kernel/test_policy.c
@@ -290,7 +290,8 @@
 		fill_targets(&t, cases[i].n, 0);
 		for (const char *c = cases[i].run; *c != '\0'; c++) {
 			if (*c == 'f')
-				targets_failed(&t, 0, p.now, &policy);
+				targets_failed(
+				    &t, 0, p.now, &policy, FAULT_ANSWER);
 			else if (*c == 's')
 				targets_succeeded(&t, 0, p.now);
 			else
@@ -302,6 +303,32 @@
 	}
 }
 
+/* How many failures of a kind set a target aside. */
+static void
+test_aside_faults(void)
+{
+	static const struct {
+		enum target_fault fault;
+		int fails;
+	} cases[] = {
+		{ FAULT_ANSWER, 3 },
+		{ FAULT_CUT, 1 },
+		{ FAULT_AWAY, 1 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct targets t = { 0 };
+		struct pick p = { .targets = &t, .policy = &usual };
+		int n = 0;
+
+		fill_targets(&t, 5, 0);
+		for (; pick_may(&p, 0) && n < 9; n++)
+			targets_failed(&t, 0, 0, &usual, cases[i].fault);
+		g_assert_cmpint(n, ==, cases[i].fails);
+		targets_free(&t);
+	}
+}
+
 /* At most the cap is set aside, whatever fails; after a pause one call. */
 static void
 test_aside_cap(void)
@@ -313,7 +340,7 @@
 	fill_targets(&t, 100, 0);
 	for (int i = 0; i < 100; i++) {
 		for (int j = 0; j < 5; j++)
-			targets_failed(&t, i, 0, &usual);
+			targets_failed(&t, i, 0, &usual, FAULT_ANSWER);
 		out += pick_may(&p, i) ? 0 : 1;
 	}
 	g_assert_cmpuint(out, ==, 40);
@@ -413,7 +440,7 @@
 			fill_targets(&t, 3, 0);
 		for (int j = 0; j < 3; j++) {
 			for (int f = 0; f < 3 && i % 4 == 1; f++)
-				targets_failed(&t, j, 0, &policy);
+				targets_failed(&t, j, 0, &policy, FAULT_ANSWER);
 			if (i % 4 == 2)
 				targets_started(&t, j);
 		}
@@ -519,6 +546,7 @@
 	g_test_add_func("/policy/queue", test_queue);
 	g_test_add_func("/policy/queue-ahead", test_queue_ahead);
 	g_test_add_func("/policy/aside", test_aside);
+	g_test_add_func("/policy/aside-faults", test_aside_faults);
 	g_test_add_func("/policy/aside-cap", test_aside_cap);
 	g_test_add_func("/policy/choice", test_choice);
 	g_test_add_func("/policy/no-choice", test_no_choice);
