sequoiactl: the user's own name in the audit trail

Cause: without USER in the environment every change was by 'unknown'. Change: the name of the user id.

--- a/ctl/sequoiactl.c
+++ b/ctl/sequoiactl.c
@@ -4,9 +4,11 @@
 #include "ctl/tables.h"
 
 #include <argp.h>
+#include <pwd.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 const char *argp_program_version = "sequoiactl " SEQUOIA_VERSION;
 
@@ -248,12 +250,12 @@
 {
 	struct buf doc = { 0 };
 	struct argp argp = { options, parse, "COMMAND [ARGUMENT...]" };
-	const char *user = getenv("USER");
+	const struct passwd *user = getpwuid(getuid());
 	struct options o = {
 		.change = {
 		    .kv = "127.0.0.1:2379",
 		    .sequoiad = "127.0.0.1:8081",
-		    .who = user != NULL ? user : "unknown",
+		    .who = user != NULL ? user->pw_name : "unknown",
 		    .base = BASE_UNSET,
 		},
 		.ask = {
