Wire: wait for the status that is shown; load: its table by jq

Change: the session waits until the status counts the request; the table is made by tests/load/table.jq, jq being in packages.txt already.

--- a/tests/load/load.c
+++ b/tests/load/load.c
@@ -2,8 +2,6 @@
  * load FILE.ini: offers a deployment's mix of requests to a fleet of sequoiads
  * on loopback and reports what came back.  Arrivals are open-loop: drawn ahead
  * from a seed, they do not wait for answers.  plan.h lists the file's keys.
- *
- * load --table FILE...: prints JSON reports as a table.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,7 +9,6 @@
 
 #include "tests/load/direct.h"
 #include "tests/load/report.h"
-#include "tests/load/table.h"
 
 #define STEP         (1 * USEC_PER_MSEC)
 #define SETTLE       (500 * USEC_PER_MSEC) /* for cancelled calls to end */
@@ -164,13 +161,9 @@
 int
 main(int argc, char **argv)
 {
-	if (argc > 2 && strcmp(argv[1], "--table") == 0) {
-		table_print(argv + 2, stdout);
-	} else if (argc == 2) {
-		return run_file(argv[1]);
-	} else {
-		fprintf(stderr, "usage: load FILE.ini | --table FILE...\n");
+	if (argc != 2) {
+		fprintf(stderr, "usage: load FILE.ini\n");
 		return EXIT_FAILURE;
 	}
-	return EXIT_SUCCESS;
+	return run_file(argv[1]);
 }
--- a/tests/load/run.sh
+++ b/tests/load/run.sh
@@ -254,4 +254,4 @@
 		done
 	done
 done
-"$B/tests/load/load" --table "${FILES[@]}"
+jq -rs -f tests/load/table.jq "${FILES[@]}"
--- a/tests/wire/sessions.sh
+++ b/tests/wire/sessions.sh
@@ -132,11 +132,19 @@
 	    sed "s/$key/KEY/"
 }
 
+# Whether the status counts so many requests of kerb.
+status_shows() {
+	"$B/ctl/sequoiactl" status --json "127.0.0.1:$((BASE + 1))" |
+	    jq -e ".limits[] | select(.workspace == \"kerb\").arrived == $1"
+}
+
 session_operators() {
 	run_ctl call --stream ask '{"text":"tin"}'
 	run_ctl call ask '[]'
 	run_ctl call --key=01700000-0000-7000-8000-000000000000 book '{}'
 	await settled
+	# The status is a copy that is renewed a few times a second.
+	await status_shows 4
 	run_ctl status "127.0.0.1:$((BASE + 1))" |
 	    sed -E 's/(live +)[0-9]+ +[0-9.]+ /\1N N/'
 	run_ctl status 127.0.0.1:9
