kv_source must be an IP number; keys of the tools in Markdown

Change: a settings type for IP numbers; the lists stand in README.md files of tests/standin and tests/load; the parts are gone.

--- a/ctl/tables.c
+++ b/ctl/tables.c
@@ -71,6 +71,8 @@
 		return "text";
 	case SETTING_ADDR:
 		return "address";
+	case SETTING_IP:
+		return "IP number";
 	case SETTING_ADDRS:
 		return "addresses";
 	case SETTING_U32:
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -38,7 +38,7 @@
 	    "The key-value service's endpoints." },
 	{ "platform", "kv_timeout_ms", SETTING_MSEC, AT(kv_timeout), 50, 60000,
 	    "1000", "ms", "Time that one call of it may take." },
-	{ "platform", "kv_source", SETTING_TEXT, AT(kv_source), 0, 15, "", "IP",
+	{ "platform", "kv_source", SETTING_IP, AT(kv_source), 0, 0, "", "IP",
 	    "The own address that calls to it leave from." },
 	{ "platform", "hosts", SETTING_ADDR, AT(hosts), 0, 0, "", "IP:PORT",
 	    "The host list; empty if there is none." },
@@ -65,12 +65,19 @@
 	    o->line, k->section, k->name, found, want);
 }
 
+static bool
+is_ip(const char *text)
+{
+	struct in_addr ip;
+
+	return inet_pton(AF_INET, text, &ip) == 1;
+}
+
 static bool
 is_addr(struct str s)
 {
 	char text[64];
 	char *colon;
-	struct in_addr ip;
 	uint64_t port;
 
 	if (s.n >= sizeof(text))
@@ -80,8 +87,8 @@
 	if (colon == NULL)
 		return false;
 	*colon = '\0';
-	return inet_pton(AF_INET, text, &ip) == 1 &&
-	    str_u64(str_from(colon + 1), &port) && port > 0 && port < 65536;
+	return is_ip(text) && str_u64(str_from(colon + 1), &port) && port > 0 &&
+	    port < 65536;
 }
 
 static bool
@@ -113,6 +120,8 @@
 	if (k->type == SETTING_ADDR && (t.n > 0 || k->fallback == NULL) &&
 	    !is_addr(t))
 		return fault(e, k, o, text, "an IP number and port, IP:PORT");
+	if (k->type == SETTING_IP && t.n > 0 && !is_ip(text))
+		return fault(e, k, o, text, "an IP number, or nothing");
 	if (k->type == SETTING_ADDRS && !are_addrs(t))
 		return fault(e, k, o, text, "IP:PORT separated by blanks");
 	free(*at);
@@ -214,7 +223,7 @@
 	for (size_t i = 0; i < N_KEYS; i++) {
 		if (keys[i].type == SETTING_TEXT ||
 		    keys[i].type == SETTING_ADDR ||
-		    keys[i].type == SETTING_ADDRS)
+		    keys[i].type == SETTING_IP || keys[i].type == SETTING_ADDRS)
 			free(*(char **)(void *)((char *)s + keys[i].offset));
 	}
 	*s = (struct settings){ 0 };
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -34,6 +34,7 @@
 enum setting_type {
 	SETTING_TEXT,
 	SETTING_ADDR,  /* IP:PORT, or empty if the fallback is */
+	SETTING_IP,    /* an IP number, or empty */
 	SETTING_ADDRS, /* IP:PORT separated by blanks */
 	SETTING_U32,
 	SETTING_MSEC
--- a/tests/load/load.c
+++ b/tests/load/load.c
@@ -1,7 +1,7 @@
 /*
  * load FILE.ini: offers a deployment's mix of requests to a fleet of sequoiads
  * on loopback and reports what came back.  Arrivals are open-loop: drawn ahead
- * from a seed, they do not wait for answers.  plan.h lists the file's keys.
+ * from a seed, they do not wait for answers.  README.md lists the file's keys.
  */
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/load/plan.h
+++ b/tests/load/plan.h
@@ -1,38 +1,6 @@
 /*
  * What is offered: the mix of a deployment and, drawn from a seed, when each
- * request arrives and what it holds.
- *
- * Keys of the deployment's INI file beside those of the stand-in:
- *   [load]  capacity_per_second   requests of the mix that the engines can do
- *           client_ms             one way between callers and sequoiads
- *           prefixes              distinct texts of each mix section
- *   [mix NAME]
- *           pipeline, workspace, token   what is asked, for whom
- *           weight                share of the arrivals
- *           deadline_ms           as in the pipeline
- *           field                 key of the body that holds the marker
- *           text_min, text_max    bytes of the shared text
- *           stream_percent        callers that want a stream
- *           output, tokens        key of the answer with generated text, or ""
- *           marked                yes: that text starts with the marker
- *           effect                stage whose answer echoes the key, or ""
- *           calls                 services called, one word a call
- *   [run]   added for one run
- *           deployment, scenario, variant, seed   name it in the report
- *           out                   file of the JSON report
- *           admin                 IP:PORT of the stand-in's admin address
- *           net                   loopback addresses, 127.0.0
- *           hosts, port           sequoiads on net.1 and on, and the port
- *                                 of callers; operators' is the next
- *           percent               arrivals, of the capacity
- *           warm_s, seconds       time that is not judged, and that is
- *           callers               this many callers that wait for answers, in
- *                                 place of arrivals of their own accord
- *           direct                this many requests one at a time, through
- *                                 sequoiad and straight to the stand-ins
- *           surge_factor          more arrivals
- *           surge_workspace       of one workspace; of all if empty
- *           surge_from, surge_to  in these judged seconds
+ * request arrives and what it holds.  README.md lists the keys of its file.
  */
 #ifndef LOAD_PLAN_H
 #define LOAD_PLAN_H
--- a/tests/load/report.c
+++ b/tests/load/report.c
@@ -14,10 +14,9 @@
 	size_t got[GOT_KINDS];
 };
 
-/* The body that a GET gets; empty when it fails.  The header may be NULL. */
+/* The body that a GET gets; empty when it fails. */
 static struct buf
-fetch(
-    struct http_loop *l, const char *addr, const char *path, const char *header)
+fetch(struct http_loop *l, const char *addr, const char *path)
 {
 	struct fetch f = { 0 };
 	struct buf url = { 0 };
@@ -26,7 +25,6 @@
 	fetch_wait(&f, l,
 	    (struct http_opts){
 		.url = url.p,
-		.headers = (const char *const[]){ header, NULL },
 		.timeout = FETCH_TIMEOUT,
 	    });
 	buf_free(&url);
@@ -36,8 +34,8 @@
 static json_t *
 fetch_json(const struct report_opts *o, const char *path)
 {
-	struct buf b = fetch(o->loop,
-	    settings_text(&o->plan->ini, "run", "admin", NULL), path, NULL);
+	struct buf b = fetch(
+	    o->loop, settings_text(&o->plan->ini, "run", "admin", NULL), path);
 	json_t *j = b.n > 0 ? json_loadb(b.p, b.n, 0, NULL) : NULL;
 
 	buf_free(&b);
@@ -176,57 +174,6 @@
 	return all;
 }
 
-/* What sequoiad decided for the first request of each error. */
-static json_t *
-find_traces(const struct report_opts *o)
-{
-	json_t *all = json_object();
-
-	for (size_t i = 0; i < o->results->len; i++) {
-		const struct result *r = at(o, i);
-		const char *name = error_of(r);
-		char header[128];
-		char path[128];
-		struct buf b;
-
-		if (in_time(r) || *r->id == '\0' ||
-		    json_object_get(all, name) != NULL)
-			continue;
-		snprintf(header, sizeof(header), "Authorization: Bearer %s",
-		    r->r.mix->token);
-		snprintf(path, sizeof(path), "/v1/requests/%s/trace", r->id);
-		b = fetch(o->loop, fleet_address(o->fleet, r->host, false),
-		    path, header);
-		json_object_set_new(
-		    all, name, json_loadb(b.n > 0 ? b.p : "", b.n, 0, NULL));
-		buf_free(&b);
-	}
-	return all;
-}
-
-/* [[sent, in time], ...] by the second of arrival. */
-static json_t *
-count_seconds(const struct report_opts *o)
-{
-	json_t *all = json_array();
-
-	for (usec_t s = 0; s < o->plan->length / USEC_PER_SEC; s++) {
-		json_int_t n[2] = { 0, 0 };
-
-		for (size_t i = 0; i < o->results->len; i++) {
-			const struct result *r = at(o, i);
-
-			if ((r->r.at - o->plan->warm) / USEC_PER_SEC != s ||
-			    r->r.warm)
-				continue;
-			n[0]++;
-			n[1] += in_time(r);
-		}
-		json_array_append_new(all, json_pack("[I, I]", n[0], n[1]));
-	}
-	return all;
-}
-
 /* How often a word stands in a list. */
 static unsigned
 times_in(const char *list, const char *word)
@@ -353,8 +300,8 @@
 	json_t *all = json_object();
 
 	for (size_t i = 0; i < fleet_size(o->fleet); i++) {
-		struct buf b = fetch(o->loop,
-		    fleet_address(o->fleet, (int)i, true), "/metrics", NULL);
+		struct buf b = fetch(
+		    o->loop, fleet_address(o->fleet, (int)i, true), "/metrics");
 
 		for (size_t k = 0; b.n > 0 && k < G_N_ELEMENTS(names); k++) {
 			char line[64];
@@ -381,7 +328,6 @@
 	    json_real((double)o->plan->length / (double)USEC_PER_SEC));
 	json_object_set_new(r, "workspaces", count_workspaces(o));
 	json_object_set_new(r, "errors", count_errors(o));
-	json_object_set_new(r, "traces", find_traces(o));
 	json_object_set_new(r, "latency_ms",
 	    durations(o, offsetof(struct result, taken), true));
 	json_object_set_new(r, "first_token_ms",
@@ -389,7 +335,6 @@
 	json_object_set_new(
 	    r, "lag_ms", durations(o, offsetof(struct result, lag), false));
 	json_object_set_new(r, "gap_ms", quantiles(gaps));
-	json_object_set_new(r, "per_second", count_seconds(o));
 	json_object_set_new(r, "sequoiads", own_counters(o));
 	json_object_set_new(r, "services", cost(o));
 	json_object_set_new(r, "effects", effects(o));
@@ -407,8 +352,6 @@
 	{
 		char *text;
 
-		if (strcmp(name, "per_second") == 0)
-			continue;
 		text = json_dumps(v, JSON_ENCODE_ANY | JSON_REAL_PRECISION(4));
 		fprintf(out, "%-16s %s\n", name, text);
 		free(text);
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -1,60 +1,6 @@
 /*
  * standin FILE.ini: stands in for everything that the system talks to, on
- * loopback addresses only: an etcd-like key-value service, the host list and
- * any number of targets.  Everything is in memory.  SIGTERM or SIGINT ends it.
- *
- * Keys of the INI file, with their defaults:
- *   [kv]      listen = ADDRESS:PORT
- *   [hosts]   listen = ADDRESS:PORT
- *             lag_ms = 500                a change shows after this
- *   [admin]   listen = ADDRESS:PORT
- *   [threads] kv = 192, targets = 512   connections served at once
- *   [target NAME]
- *             kind = encode|retrieve|rerank|generate|plain
- *             service = NAME              in the host list
- *             listen = ADDRESS:PORT       of the first runner
- *             count = 1                   runners, on the ports that follow
- *             failure_domain = a          comma list, cycled over the runners
- *             latency_ms = 20             base time of a call
- *             batch = 8                   calls that run at once, in order;
- *                                         beyond 64 more: 503
- *             network_ms = 0, network_us = 0   one-way delay: their sum
- *             load_lag_ms = 0             age of the reported load
- *     engines (kind = generate):
- *             token_ms = 5                at batch size 1
- *             prompt_us_per_token = 100   a token is 4 bytes
- *             fencing = honoured|ignored
- *             load_model_ms = 500
- *             model = NAME                loaded at the start; any if absent
- *             weight_slots = 2            loads at once over all engines; the
- *                                         first section counts
- *
- * Calls of the admin address (query parameters; answers are JSON):
- *   POST /kv?mode=up|down|slow|hang|quiet&slow_ms=N&lose_answers=N
- *            &calls_per_second=N&from=ADDRESS   only for clients from there
- *            calls_per_second: calls beyond get 429; 0, as at first: no limit
- *            mode=hang: calls wait, watches are quiet until the mode changes,
- *            and only then do the calls take effect; mode=quiet: watches are
- *            quiet, calls work; lose_answers: the next N
- *            writes (no lease renewals) take effect and are not answered
- *   GET  /kv       calls, writes, refused, watches, revision
- *   POST /hosts?set=live|leaving|gone&address=A
- *   POST /hosts?add=A&service=S&failure_domain=D
- *   POST /target?fault=none|slow|fail|fail_half|silent|refuse|swap|leaving
- *            &factor=5&fail_version=N, with any of address=, service= and
- *            failure_domain= to say which runners; fail_version=0 ends it
- *   GET  /targets  a list with the counters of each runner
- *   GET  /effects?service=S   {"KEY": count}
- *   GET  /seen     {"REQUEST": calls that reached a target}
- *   GET  /orders   {"orders": [{address, fence, accepted}], "most_loading"}
- *   POST /reset    the counters of the runners
- *
- * A watch is of one key and gets a message without events every ten seconds,
- * which is how a closed one is noticed.  A transaction has one comparison, of
- * a modification revision, and one operation, put or range, on each branch.
- * GET /v1/cache_events?after=N of an engine answers {"events": [{"number",
- * "type": "stored"|"removed", "prefix": SHA-256 of salt, NUL, prefix, "at":
- * usec}]}; events show after a second, and one in ten is lost.
+ * loopback addresses only.  README.md lists its keys and its admin calls.
  */
 #include <signal.h>
 #include <stdio.h>
