--- a/entry/control.c
+++ b/entry/control.c
@@ -195,6 +195,10 @@
 	case PEER_SHARE_REPLY:
 		sharer_letter(c->sharer, l, now);
 		break;
+	case PEER_PIECE_ASK:
+	case PEER_PIECE_REPLY:
+	case PEER_PIECE_FREE:
+		break; /* hosts that relay by route send them */
 	}
 }
 
@@ -233,6 +237,8 @@
 		case MAIL_DRAIN:
 			start_drain(c);
 			break;
+		case MAIL_VIEW:
+			break; /* never sent to this thread */
 		}
 		mail_free(m);
 	}
--- /dev/null
+++ b/entry/course.c
@@ -0,0 +1,265 @@
+#include "entry/request.h"
+#include "base/log.h"
+#include "platform/stage.h"
+
+#include <string.h>
+
+#define MAX_STAGE_TRIES 3 /* asks for one stage of one request */
+
+/* The argument of an ask, which owns it. */
+struct course_ask {
+	struct request *r;
+	uint32_t stage;
+};
+
+static void start_ready(struct request *r);
+
+static bool
+is_wanted(const struct request *r, uint32_t i)
+{
+	return i < r->facts.n_pieces && r->facts.pieces[i] > 0;
+}
+
+static void
+append(struct buf *list, struct str handles)
+{
+	if (handles.n == 0)
+		return;
+	if (list->n > 0)
+		buf_putc(list, ',');
+	buf_put(list, handles);
+}
+
+/* Whether all stages that a stage follows are done. */
+static bool
+is_ready(const struct request *r, uint32_t i)
+{
+	for (uint32_t k = 0; k < r->route->n_stages; k++) {
+		if ((r->route->stages[i].after >> k & 1) && is_wanted(r, k) &&
+		    !r->stages[k].done)
+			return false;
+	}
+	return true;
+}
+
+static struct str
+service_name(const struct request *r, uint32_t stage)
+{
+	return str_from(routes_service_at(
+	    r->routes, r->route->stages[stage].service)
+		->name);
+}
+
+static void
+release_stage(struct request *r, uint32_t i)
+{
+	asks_release(r->parts->asks, service_name(r, i),
+	    str_of(&r->stages[i].handles));
+	buf_clear(&r->stages[i].handles);
+}
+
+/* Frees results whose every follower is done. */
+static void
+release_used(struct request *r)
+{
+	for (uint32_t i = 0; i < r->route->n_stages; i++) {
+		bool used = !r->route->stages[i].last;
+
+		for (uint32_t k = 0; k < r->route->n_stages; k++) {
+			if ((r->route->stages[k].after >> i & 1) &&
+			    is_wanted(r, k) && !r->stages[k].done)
+				used = false;
+		}
+		if (used && r->stages[i].done)
+			release_stage(r, i);
+	}
+}
+
+static void
+take_handles(struct request *r, uint32_t stage, const peer_piece_reply *reply)
+{
+	struct stage_progress *s = &r->stages[stage];
+
+	buf_clear(&s->handles);
+	for (u_int i = 0; i < reply->made.made_len; i++) {
+		const peer_piece_made *m = &reply->made.made_val[i];
+
+		if (m->outcome == PIECE_MADE)
+			append(&s->handles, str_from(m->handle));
+	}
+}
+
+static int
+worst_outcome(const peer_piece_reply *reply, uint32_t n)
+{
+	int worst = reply->made.made_len == n ? PIECE_MADE : PIECE_FAILED;
+
+	for (u_int i = 0; i < reply->made.made_len; i++) {
+		int o = reply->made.made_val[i].outcome;
+
+		if (o != PIECE_MADE && worst != PIECE_GONE)
+			worst = o;
+	}
+	return worst;
+}
+
+/* A piece was not made: whether and what to make again. */
+static void
+on_unmade(struct request *r, uint32_t stage, int outcome)
+{
+	struct stage_progress *s = &r->stages[stage];
+
+	release_stage(r, stage);
+	LOG(LOG_LVL_NOTICE, "stage-failed", { "request", r->facts.id },
+	    { "stage", service_name(r, stage) },
+	    { "outcome",
+		str_from(outcome == PIECE_LATE      ? "late"
+			: outcome == PIECE_GONE     ? "input gone"
+			: outcome == PIECE_NO_ROOM  ? "no room"
+						    : "failed") });
+	if (outcome == PIECE_LATE || ++s->tries >= MAX_STAGE_TRIES) {
+		request_reject(r,
+		    &(struct rejection){ ERR_NO_TIME, USEC_PER_SEC / 2,
+			"a stage could not be made in time" });
+		return;
+	}
+	if (outcome == PIECE_GONE) {
+		course_restart(r);
+		return;
+	}
+	start_ready(r);
+}
+
+static void
+on_reply(void *arg, const peer_piece_reply *reply)
+{
+	struct course_ask *c = arg;
+	struct request *r = c->r;
+	uint32_t stage = c->stage;
+	int outcome;
+
+	r->stages[stage].ask = 0;
+	if (reply->refused) {
+		request_reject(r,
+		    &(struct rejection){ ERR_NO_TIME,
+			(usec_t)reply->wait_ms * USEC_PER_MSEC,
+			"a stage has no room in time" });
+		return;
+	}
+	take_handles(r, stage, reply);
+	outcome = worst_outcome(reply, r->facts.pieces[stage]);
+	if (outcome != PIECE_MADE) {
+		on_unmade(r, stage, outcome);
+		return;
+	}
+	r->stages[stage].done = true;
+	release_used(r);
+	start_ready(r);
+}
+
+static void
+start_stage(struct request *r, uint32_t i)
+{
+	struct course_ask *c = xcalloc(1, sizeof(*c));
+	struct buf inputs = { 0 };
+
+	for (uint32_t k = 0; k < r->route->n_stages; k++) {
+		if (r->route->stages[i].after >> k & 1)
+			append(&inputs, str_of(&r->stages[k].handles));
+	}
+	c->r = r;
+	c->stage = i;
+	r->stages[i].ask = asks_start(r->parts->asks,
+	    &(struct ask_opts){
+		.service = service_name(r, i),
+		.id = r->facts.id,
+		.stage = i,
+		.n = r->facts.pieces[i],
+		.key = r->facts.piece_key,
+		.inputs = str_of(&inputs),
+		.deadline = r->end,
+		.aim = r->aim,
+		.rank = r->rank > 0 ? (uint32_t)r->rank : 0,
+		.handler = on_reply,
+		.arg = c,
+	    });
+	buf_free(&inputs);
+}
+
+static void
+collect_inputs(struct request *r)
+{
+	buf_clear(&r->inputs);
+	for (uint32_t i = 0; i < r->route->n_stages; i++) {
+		if (r->route->stages[i].last)
+			append(&r->inputs, str_of(&r->stages[i].handles));
+	}
+}
+
+/* Starts what can start; with all done the request itself is sent. */
+static void
+start_ready(struct request *r)
+{
+	bool all = true;
+
+	for (uint32_t i = 0; i < r->route->n_stages; i++) {
+		struct stage_progress *s = &r->stages[i];
+
+		if (!is_wanted(r, i) || s->done)
+			continue;
+		all = false;
+		if (s->ask == 0 && is_ready(r, i))
+			start_stage(r, i);
+	}
+	if (!all)
+		return;
+	collect_inputs(r);
+	forward_start(r);
+}
+
+void
+course_start(struct request *r)
+{
+	start_ready(r);
+}
+
+static void
+cancel_asks(struct request *r)
+{
+	for (uint32_t i = 0; i < ROUTE_MAX_STAGES; i++) {
+		if (r->stages[i].ask != 0)
+			asks_cancel(r->parts->asks, r->stages[i].ask);
+		r->stages[i].ask = 0;
+	}
+}
+
+void
+course_restart(struct request *r)
+{
+	cancel_asks(r);
+	for (uint32_t i = 0; i < r->route->n_stages; i++) {
+		if (r->stages[i].done || r->stages[i].handles.n > 0)
+			release_stage(r, i);
+		r->stages[i].done = false;
+	}
+	start_ready(r);
+}
+
+void
+course_release(struct request *r)
+{
+	for (uint32_t i = 0; i < r->route->n_stages; i++) {
+		if (r->stages[i].handles.n > 0)
+			release_stage(r, i);
+	}
+}
+
+void
+course_cancel(struct request *r)
+{
+	cancel_asks(r);
+	course_release(r);
+	for (uint32_t i = 0; i < ROUTE_MAX_STAGES; i++)
+		buf_free(&r->stages[i].handles);
+	buf_free(&r->inputs);
+}
--- /dev/null
+++ b/entry/door.c
@@ -0,0 +1,490 @@
+#include "entry/door.h"
+#include "base/log.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BACKLOG 1024
+/* What a caller may send ahead while its request is under way. */
+#define READ_AHEAD (64 * 1024)
+/* An answer that nobody takes for so long means that the path is gone. */
+#define SILENT_MS 5000
+/* For a refused caller to read the answer before its bytes are reset. */
+#define LINGER (1 * USEC_PER_SEC)
+
+struct door_request {
+	struct door *door;
+	struct bufferevent *bev;
+	struct event *timer;
+	struct httpmsg in;
+	usec_t arrived;
+	void (*gone)(void *arg);
+	void *arg;
+	bool busy;    /* a request is with its handler */
+	bool chunked; /* its answer is being written */
+	bool closing; /* ends when everything is written */
+	bool continued;
+	bool lingering; /* everything is written; what comes is dropped */
+	GList link;
+};
+
+struct door {
+	struct door_opts o;
+	struct evconnlistener *listener;
+	GQueue conns;
+	bool draining;
+	struct door_counts counts;
+};
+
+static void
+free_conn(struct door_request *q)
+{
+	q->door->counts.open--;
+	g_queue_unlink(&q->door->conns, &q->link);
+	event_free(q->timer);
+	bufferevent_free(q->bev);
+	httpmsg_free(&q->in);
+	free(q);
+}
+
+static void
+set_timer(struct door_request *q, usec_t t)
+{
+	struct timeval tv = { t / USEC_PER_SEC, t % USEC_PER_SEC };
+
+	evtimer_add(q->timer, &tv);
+}
+
+static const char *
+reason_of(int status)
+{
+	return http_status_str((enum http_status)status);
+}
+
+/*
+ * Everything is written.  A close with unread bytes would reset the connection
+ * and may take the answer with it, so a caller that still sends is heard out.
+ */
+static void
+half_close(struct door_request *q)
+{
+	struct evbuffer *in = bufferevent_get_input(q->bev);
+
+	if (q->in.state == HTTPMSG_DONE && evbuffer_get_length(in) == 0) {
+		free_conn(q);
+		return;
+	}
+	q->lingering = true;
+	evbuffer_drain(in, evbuffer_get_length(in));
+	shutdown(bufferevent_getfd(q->bev), SHUT_WR);
+	set_timer(q, LINGER);
+}
+
+/* Closes once everything is written. */
+static void
+close_after_write(struct door_request *q)
+{
+	q->closing = true;
+	if (evbuffer_get_length(bufferevent_get_output(q->bev)) == 0)
+		half_close(q);
+	else
+		set_timer(q, SILENT_MS * USEC_PER_MSEC);
+}
+
+static void
+refuse(struct door_request *q, int status, const char *why)
+{
+	q->door->counts.malformed++;
+	log_text(LOG_LVL_NOTICE, "request-malformed", "%d: %s", status, why);
+	q->busy = true;
+	door_answer(q, &(struct door_answer){ .status = status, .close = true });
+}
+
+/* What the parser lets through and yet could be read in two ways. */
+static const char *
+ambiguity(const struct httpmsg *m)
+{
+	struct str target = httpmsg_target(m);
+	size_t hosts = 0;
+
+	if (target.n == 0 || target.p[0] != '/')
+		return "the target is not a path";
+	if (m->parser.method == HTTP_CONNECT)
+		return "CONNECT is not served";
+	for (size_t i = 0; i < m->n_fields; i++) {
+		struct httpmsg_field f = httpmsg_field(m, i);
+
+		if (memchr(f.value.p, '\n', f.value.n) != NULL ||
+		    memchr(f.value.p, '\r', f.value.n) != NULL)
+			return "a field spans lines";
+		if (httpmsg_same_name(f.name, STR("Host")))
+			hosts++;
+		if (httpmsg_same_name(f.name, STR("Transfer-Encoding")) &&
+		    !httpmsg_same_name(f.value, STR("chunked")))
+			return "an unknown transfer encoding";
+	}
+	return hosts == 1 ? NULL : "not one Host field";
+}
+
+/* Whether the request's head and size are acceptable so far. */
+static bool
+check_head(struct door_request *q)
+{
+	const struct door_limits *l = &q->door->o.limits;
+	const char *why = ambiguity(&q->in);
+
+	if (why != NULL) {
+		refuse(q, 400, why);
+		return false;
+	}
+	if (evbuffer_get_length(q->in.body) > l->body_bytes ||
+	    ((q->in.parser.flags & F_CONTENTLENGTH) &&
+		q->in.parser.content_length != ULLONG_MAX &&
+		q->in.parser.content_length > l->body_bytes)) {
+		refuse(q, 413, "the body exceeds its limit");
+		return false;
+	}
+	if (!q->continued && q->in.state == HTTPMSG_BODY &&
+	    httpmsg_has_token(&q->in, STR("Expect"), STR("100-continue"))) {
+		static const char go[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+		q->continued = true;
+		bufferevent_write(q->bev, go, sizeof(go) - 1);
+	}
+	return true;
+}
+
+static void
+on_whole(struct door_request *q)
+{
+	event_del(q->timer);
+	q->busy = true;
+	q->door->counts.requests++;
+	/* Reading goes on, so that a close is noticed. */
+	bufferevent_setwatermark(q->bev, EV_READ, 0, READ_AHEAD);
+	q->door->o.request(q->door->o.arg, q);
+}
+
+static void
+read_on(struct door_request *q)
+{
+	const struct door_limits *l = &q->door->o.limits;
+	struct evbuffer *in = bufferevent_get_input(q->bev);
+	bool fresh = !q->in.started && q->in.head_bytes == 0;
+
+	if (evbuffer_get_length(in) == 0)
+		return;
+	if (fresh) {
+		q->arrived = clock_now();
+		q->in.head_limit = l->head_bytes;
+		set_timer(q, l->head_timeout);
+	}
+	httpmsg_feed(&q->in, in);
+	if (q->in.state == HTTPMSG_BAD) {
+		refuse(q, q->in.head_too_large ? 431 : 400,
+		    q->in.head_too_large ? "the head exceeds its limit"
+					 : "it can't be parsed");
+		return;
+	}
+	if (q->in.state == HTTPMSG_HEAD)
+		return;
+	if (q->in.head_bytes > l->head_bytes &&
+	    q->in.head_bytes > l->head_bytes +
+		    evbuffer_get_length(q->in.body)) {
+		refuse(q, 431, "the head exceeds its limit");
+		return;
+	}
+	if (check_head(q) && q->in.state == HTTPMSG_DONE)
+		on_whole(q);
+}
+
+static void
+on_readable(struct bufferevent *bev, void *arg)
+{
+	struct door_request *q = arg;
+	struct evbuffer *in = bufferevent_get_input(bev);
+
+	if (q->lingering)
+		evbuffer_drain(in, evbuffer_get_length(in));
+	else if (!q->busy && !q->closing)
+		read_on(q);
+}
+
+static void
+on_written(struct bufferevent *bev, void *arg)
+{
+	struct door_request *q = arg;
+
+	(void)bev;
+	if (q->closing && !q->lingering)
+		half_close(q);
+}
+
+/* The caller has closed, or the path to it is broken. */
+static void
+on_change(struct bufferevent *bev, short what, void *arg)
+{
+	struct door_request *q = arg;
+
+	(void)bev;
+	(void)what;
+	if (q->busy && !q->closing && q->gone != NULL) {
+		q->door->counts.gone++;
+		q->gone(q->arg);
+	}
+	free_conn(q);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct door_request *q = arg;
+
+	(void)fd;
+	(void)what;
+	if (!q->closing && q->in.started)
+		refuse(q, 408, "it did not come in time");
+	else
+		free_conn(q);
+}
+
+static void
+on_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa,
+    int n, void *arg)
+{
+	struct door *d = arg;
+	struct door_request *q = xcalloc(1, sizeof(*q));
+	int on = 1;
+	int silent = SILENT_MS;
+
+	(void)l;
+	(void)sa;
+	(void)n;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent, sizeof(silent));
+	q->door = d;
+	q->bev = bufferevent_socket_new(
+	    d->o.base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	q->timer = evtimer_new(d->o.base, on_timer, q);
+	httpmsg_init(&q->in, HTTP_REQUEST, d->o.limits.head_bytes);
+	q->link.data = q;
+	g_queue_push_tail_link(&d->conns, &q->link);
+	d->counts.connections++;
+	d->counts.open++;
+	bufferevent_setcb(q->bev, on_readable, on_written, on_change, q);
+	bufferevent_enable(q->bev, EV_READ | EV_WRITE);
+	set_timer(q, d->o.limits.idle_timeout);
+}
+
+static void
+on_accept_error(struct evconnlistener *l, void *arg)
+{
+	(void)l;
+	(void)arg;
+	log_text(LOG_LVL_WARNING, "accept-failed", "%s", strerror(errno));
+}
+
+static bool
+parse_addr(const char *text, struct sockaddr_in *out)
+{
+	g_autofree char *ip = g_strdup(text);
+	char *colon = strrchr(ip, ':');
+
+	if (colon == NULL)
+		return false;
+	*colon = '\0';
+	*out = (struct sockaddr_in){ .sin_family = AF_INET };
+	out->sin_port = htons((uint16_t)atoi(colon + 1));
+	return inet_pton(AF_INET, ip, &out->sin_addr) == 1;
+}
+
+struct door *
+door_new(const struct door_opts *o, struct err *e)
+{
+	struct door *d = xcalloc(1, sizeof(*d));
+	struct sockaddr_in sa;
+
+	d->o = *o;
+	g_queue_init(&d->conns);
+	if (parse_addr(o->addr, &sa))
+		d->listener = evconnlistener_new_bind(o->base, on_accept, d,
+		    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
+			LEV_OPT_CLOSE_ON_EXEC,
+		    BACKLOG, (struct sockaddr *)&sa, sizeof(sa));
+	if (d->listener == NULL) {
+		err_set(e, ERR_IO, "can't listen on %s: %s", o->addr,
+		    strerror(errno));
+		free(d);
+		return NULL;
+	}
+	evconnlistener_set_error_cb(d->listener, on_accept_error);
+	return d;
+}
+
+void
+door_limits(struct door *d, const struct door_limits *l)
+{
+	d->o.limits = *l;
+}
+
+const struct httpmsg *
+door_message(const struct door_request *q)
+{
+	return &q->in;
+}
+
+usec_t
+door_arrived(const struct door_request *q)
+{
+	return q->arrived;
+}
+
+void
+door_own(struct door_request *q, void (*gone)(void *arg), void *arg)
+{
+	q->gone = gone;
+	q->arg = arg;
+}
+
+static void
+next_request(struct door_request *q)
+{
+	q->busy = false;
+	q->chunked = false;
+	q->continued = false;
+	q->gone = NULL;
+	httpmsg_reset(&q->in);
+	bufferevent_setwatermark(q->bev, EV_READ, 0, 0);
+	if (evbuffer_get_length(bufferevent_get_input(q->bev)) > 0)
+		bufferevent_trigger(
+		    q->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+	else
+		set_timer(q, q->door->o.limits.idle_timeout);
+}
+
+static void
+finish(struct door_request *q, bool close)
+{
+	q->gone = NULL;
+	if (close || q->closing)
+		close_after_write(q);
+	else
+		next_request(q);
+}
+
+void
+door_answer(struct door_request *q, const struct door_answer *a)
+{
+	struct evbuffer *out = bufferevent_get_output(q->bev);
+	bool keep = !a->close && !q->door->draining &&
+	    httpmsg_keep_alive(&q->in);
+	bool head = q->in.parser.method == HTTP_HEAD;
+
+	q->chunked = a->chunked && q->in.parser.http_minor > 0;
+	if (a->chunked && !q->chunked)
+		keep = false;
+	evbuffer_add_printf(
+	    out, "HTTP/1.1 %d %s\r\n", a->status, reason_of(a->status));
+	if (a->fields != NULL)
+		evbuffer_add(out, a->fields, strlen(a->fields));
+	if (q->chunked)
+		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n");
+	else if (!a->chunked && a->status != 204 && a->status != 304)
+		evbuffer_add_printf(out, "Content-Length: %zu\r\n", a->body.n);
+	evbuffer_add_printf(out, "%s\r\n", keep ? "" : "Connection: close\r\n");
+	if (!head && !a->chunked)
+		evbuffer_add(out, a->body.p, a->body.n);
+	if (!a->chunked)
+		finish(q, !keep);
+}
+
+void
+door_write(struct door_request *q, struct evbuffer *bytes)
+{
+	struct evbuffer *out = bufferevent_get_output(q->bev);
+	size_t n = evbuffer_get_length(bytes);
+
+	if (n == 0)
+		return;
+	if (q->chunked)
+		evbuffer_add_printf(out, "%zx\r\n", n);
+	evbuffer_add_buffer(out, bytes);
+	if (q->chunked)
+		evbuffer_add(out, "\r\n", 2);
+}
+
+void
+door_end(struct door_request *q)
+{
+	bool keep =
+	    q->chunked && !q->door->draining && httpmsg_keep_alive(&q->in);
+
+	if (q->chunked)
+		evbuffer_add(
+		    bufferevent_get_output(q->bev), "0\r\n\r\n", 5);
+	finish(q, !keep);
+}
+
+void
+door_abort(struct door_request *q)
+{
+	struct linger reset = { 1, 0 };
+
+	/* Without a length only a reset tells that the answer is not whole. */
+	if (!q->chunked)
+		setsockopt(bufferevent_getfd(q->bev), SOL_SOCKET, SO_LINGER,
+		    &reset, sizeof(reset));
+	q->gone = NULL;
+	evbuffer_drain(bufferevent_get_input(q->bev),
+	    evbuffer_get_length(bufferevent_get_input(q->bev)));
+	close_after_write(q);
+}
+
+size_t
+door_backlog(const struct door_request *q)
+{
+	return evbuffer_get_length(bufferevent_get_output(q->bev));
+}
+
+void
+door_drain(struct door *d)
+{
+	d->draining = true;
+}
+
+void
+door_close_idle(struct door *d)
+{
+	GList *next;
+
+	for (GList *l = d->conns.head; l != NULL; l = next) {
+		struct door_request *q = l->data;
+
+		next = l->next;
+		if (!q->busy && !q->closing && !q->in.started &&
+		    evbuffer_get_length(bufferevent_get_input(q->bev)) == 0)
+			free_conn(q);
+	}
+}
+
+struct door_counts
+door_counts(const struct door *d)
+{
+	return d->counts;
+}
+
+void
+door_free(struct door *d)
+{
+	evconnlistener_free(d->listener);
+	while (d->conns.head != NULL)
+		free_conn(d->conns.head->data);
+	free(d);
+}
--- /dev/null
+++ b/entry/forward.c
@@ -0,0 +1,410 @@
+#include "entry/request.h"
+#include "base/log.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* Many round trips between failure domains, a quarter of a short deadline. */
+#define CONNECT_TIMEOUT (150 * USEC_PER_MSEC)
+/* A call with less time left can't be answered over two network paths. */
+#define LEAST_LEFT (8 * USEC_PER_MSEC)
+#define MAX_UNSENT 4 /* connections that fail before the request is given up */
+
+/* A caller that takes nothing while so much waits is broken off. */
+#define MAX_BACKLOG ((size_t)4 * 1024 * 1024)
+#define RETRY_AFTER (300 * USEC_PER_MSEC) /* when targets refused a request */
+#define MAX_INPUT_LOSSES 2
+/* Ranks from here on share the last engine priority. */
+#define MAX_PRIORITY 9
+
+static void on_answer(void *arg, enum dial_event ev, const struct httpmsg *m);
+static void send_call(struct request *r);
+
+static struct target *
+target_of(struct request *r)
+{
+	return loads_find(&r->parts->loads, r->target_id);
+}
+
+static void
+fill_wish(const struct request *r, struct loads_wish *w)
+{
+	const struct request_facts *f = &r->facts;
+	struct str rest = str_of(&r->inputs);
+	struct str addr = { NULL, 0 };
+
+	*w = (struct loads_wish){
+		.service = str_from(r->service->name),
+		.engine = r->service->has_engine,
+		.n_tried = r->n_tried,
+	};
+	for (size_t i = 0; i < r->n_tried; i++)
+		w->tried[i] = str_from(r->tried[i]);
+	/* The last part is the request's own; the one before is shared. */
+	if (f->n_parts >= 2) {
+		w->prefix = f->parts[f->n_parts - 2].hash;
+		for (size_t i = 0; i + 1 < f->n_parts; i++)
+			w->shared_tokens += f->parts[i].tokens;
+	}
+	if (rest.n > 0 && str_cut(&rest, '/', &addr))
+		w->near_addr = addr;
+}
+
+/* The request is over for lack of a target that takes it. */
+static void
+give_up(struct request *r, enum err_kind kind, const char *cause)
+{
+	bool not_run = !r->may_have_run || route_repeatable(r->route);
+
+	/* "Not run" is promised only where it is known. */
+	if (r->may_have_run && kind == ERR_NO_TARGET)
+		kind = ERR_TARGET_FAILED;
+	request_reject(r,
+	    &(struct rejection){ kind,
+		not_run && !r->may_have_run ? RETRY_AFTER : 0, cause });
+}
+
+static void
+end_target(struct request *r, bool sound)
+{
+	struct target *t = target_of(r);
+
+	r->call = NULL;
+	if (t == NULL)
+		return;
+	loads_ended(t);
+	if (sound)
+		loads_sound(t);
+	else
+		loads_failed(t, clock_now());
+}
+
+static bool
+may_repeat(struct request *r)
+{
+	return r->sends < r->route->attempts &&
+	    r->n_tried < LOADS_MAX_TRIED &&
+	    r->end - clock_now() > LEAST_LEFT &&
+	    repeats_spend(
+		request_repeats(r), &r->parts->rule, clock_now());
+}
+
+/* A send that ran nothing: another target, or the caller comes back. */
+static void
+after_refusal(struct request *r, const char *cause)
+{
+	LOG(LOG_LVL_INFO, "call-refused", { "request", r->facts.id },
+	    { "target", str_from(r->target_id) }, { "cause", str_from(cause) });
+	if (may_repeat(r)) {
+		send_call(r);
+		return;
+	}
+	give_up(r, ERR_NO_TARGET, cause);
+}
+
+/* Breaks off an answer of which the caller already has a part. */
+static void
+break_off(struct request *r, const char *cause)
+{
+	LOG(LOG_LVL_NOTICE, "stream-broken", { "request", r->facts.id },
+	    { "target", str_from(r->target_id) }, { "cause", str_from(cause) });
+	door_abort(r->door);
+	request_done(r, "broken-off");
+}
+
+/* A send that may have run and has no whole answer. */
+static void
+after_loss(struct request *r, const char *cause)
+{
+	bool again = route_repeatable(r->route) && may_repeat(r);
+
+	LOG(LOG_LVL_NOTICE, "call-lost", { "request", r->facts.id },
+	    { "target", str_from(r->target_id) }, { "cause", str_from(cause) },
+	    { "again", again ? STR("yes") : STR("no") });
+	if (again) {
+		sse_restart(&r->sse);
+		send_call(r);
+	} else if (r->head_written) {
+		break_off(r, cause);
+	} else {
+		give_up(r, ERR_ANSWER_LOST, cause);
+	}
+}
+
+static void
+write_head(struct request *r, const struct httpmsg *m, struct str body,
+    bool chunked)
+{
+	struct buf fields = { 0 };
+
+	platform_answer_fields(&fields, m);
+	door_answer(r->door,
+	    &(struct door_answer){
+		.status = r->answer_status,
+		.fields = fields.p,
+		.body = body,
+		.chunked = chunked,
+	    });
+	buf_free(&fields);
+	r->head_written = true;
+}
+
+/* Passes the whole events on that have come. */
+static void
+pass_events(struct request *r, const struct httpmsg *m)
+{
+	size_t n = evbuffer_get_length(m->body);
+	struct buf whole = { 0 };
+	struct evbuffer *out;
+
+	if (n == 0)
+		return;
+	sse_feed(&r->sse,
+	    (struct str){ (const char *)evbuffer_pullup(m->body, -1), n },
+	    &whole);
+	evbuffer_drain(m->body, n);
+	if (whole.n == 0)
+		return;
+	if (!r->head_written) {
+		write_head(r, m, STR(""), true);
+		course_release(r);
+	}
+	out = evbuffer_new();
+	evbuffer_add(out, whole.p, whole.n);
+	door_write(r->door, out);
+	evbuffer_free(out);
+	buf_free(&whole);
+}
+
+static void
+on_head(struct request *r, const struct httpmsg *m)
+{
+	struct target *t = target_of(r);
+
+	platform_answer(m, &r->answer);
+	r->answer_status = m->parser.status_code;
+	if (t == NULL)
+		return;
+	if (r->answer.has_load)
+		loads_report(t, r->answer.running, r->answer.waiting,
+		    clock_now());
+	if (r->answer.other_target)
+		loads_left(&r->parts->loads, t);
+}
+
+static bool
+is_success(const struct request *r)
+{
+	return r->answer_status >= 200 && r->answer_status < 300;
+}
+
+static bool
+is_stream(const struct request *r)
+{
+	return r->route->kind == ROUTE_STREAM && is_success(r) &&
+	    r->answer.sealed && !r->answer.encoded;
+}
+
+static void
+on_bytes(struct request *r, const struct httpmsg *m)
+{
+	struct dial_call *call = r->call;
+
+	if (is_stream(r))
+		pass_events(r, m);
+	else if (evbuffer_get_length(m->body) <= MAX_ANSWER_BYTES)
+		return;
+	if (!is_stream(r) || door_backlog(r->door) > MAX_BACKLOG) {
+		end_target(r, true);
+		dial_cancel(call);
+		after_loss(r, "the answer is too large");
+	}
+}
+
+static void
+end_stream(struct request *r, const struct httpmsg *m)
+{
+	pass_events(r, m);
+	if (!sse_at_boundary(&r->sse) || r->sse.gap) {
+		end_target(r, false);
+		after_loss(r, "the stream ends within an event");
+		return;
+	}
+	end_target(r, true);
+	if (!r->head_written)
+		write_head(r, m, STR(""), true);
+	door_end(r->door);
+	request_done(r, "complete");
+}
+
+/* The answer of a target, whole. */
+static void
+pass_answer(struct request *r, const struct httpmsg *m)
+{
+	size_t n = evbuffer_get_length(m->body);
+	struct str body = { (const char *)evbuffer_pullup(m->body, -1), n };
+
+	write_head(r, m, body, false);
+	request_done(r, is_success(r) ? "complete" : "target-error");
+}
+
+static void
+on_whole(struct request *r, const struct httpmsg *m)
+{
+	if (r->answer.not_run) {
+		end_target(r, r->answer_status != 503);
+		if (r->answer_status == 409 &&
+		    r->input_losses++ < MAX_INPUT_LOSSES)
+			course_restart(r);
+		else
+			after_refusal(r, "the target refused the call");
+		return;
+	}
+	r->may_have_run = true;
+	if (r->answer.encoded || (is_success(r) && !r->answer.sealed)) {
+		end_target(r, false);
+		after_loss(r, "the answer is not the target's");
+		return;
+	}
+	if (is_stream(r)) {
+		end_stream(r, m);
+		return;
+	}
+	end_target(r, r->answer_status < 500);
+	if (r->head_written) {
+		break_off(r, "the target that resumed the stream failed");
+		return;
+	}
+	if (r->answer_status >= 500 && r->route->kind == ROUTE_IDEMPOTENT &&
+	    may_repeat(r)) {
+		send_call(r);
+		return;
+	}
+	pass_answer(r, m);
+}
+
+static void
+on_answer(void *arg, enum dial_event ev, const struct httpmsg *m)
+{
+	struct request *r = arg;
+
+	switch (ev) {
+	case DIAL_HEAD:
+		on_head(r, m);
+		return;
+	case DIAL_BYTES:
+		on_bytes(r, m);
+		return;
+	case DIAL_END:
+		on_whole(r, m);
+		return;
+	case DIAL_UNSENT:
+		end_target(r, false);
+		r->sends--;
+		if (r->n_tried < MAX_UNSENT)
+			send_call(r);
+		else
+			give_up(r, ERR_NO_TARGET, "no target accepts");
+		return;
+	case DIAL_BROKEN:
+	case DIAL_GARBLED:
+		r->may_have_run = true;
+		end_target(r, false);
+		after_loss(r, "the connection broke");
+		return;
+	}
+}
+
+static void
+put_head(struct request *r, struct buf *head, usec_t left, size_t body_bytes)
+{
+	int priority = -1;
+
+	if (r->service->has_engine)
+		priority = r->rank < MAX_PRIORITY ? r->rank : MAX_PRIORITY;
+	platform_call_head(head, door_message(r->door),
+	    &(struct call_facts){
+		.left = left,
+		.target_id = str_from(r->target_id),
+		.workspace = r->holder != NULL ? str_from(r->holder->name)
+					       : STR(""),
+		.inputs = str_of(&r->inputs),
+		.priority = priority,
+		.resumes = r->sse.has_id || r->facts.resumes,
+		.last_event =
+		    r->sse.has_id ? r->sse.last_id : r->facts.last_event,
+	    },
+	    body_bytes);
+}
+
+static void
+start_call(struct request *r, struct target *t, usec_t left)
+{
+	const struct httpmsg *m = door_message(r->door);
+	size_t n = evbuffer_get_length(m->body);
+	struct evbuffer *body = evbuffer_new();
+	struct buf head = { 0 };
+
+	/* The request keeps its bytes, for another target. */
+	if (n > 0)
+		evbuffer_add(body, evbuffer_pullup(m->body, -1), n);
+	put_head(r, &head, left, n);
+	r->call = dial_start(r->parts->dialer,
+	    &(struct dial_opts){
+		.addr = str_from(t->entry.addr),
+		.head = str_of(&head),
+		.body = body,
+		.echo_name = platform_echo_name(),
+		.echo = r->facts.id,
+		.head_only = m->parser.method == HTTP_HEAD,
+		.connect_timeout = CONNECT_TIMEOUT,
+		.handler = on_answer,
+		.arg = r,
+	    });
+	evbuffer_free(body);
+	buf_free(&head);
+}
+
+static void
+send_call(struct request *r)
+{
+	usec_t now = clock_now();
+	usec_t left = r->end - now;
+	struct loads_wish w;
+	struct target *t;
+
+	fill_wish(r, &w);
+	t = loads_choose(&r->parts->loads, &w, now);
+	if (t == NULL || left < LEAST_LEFT) {
+		give_up(r, ERR_NO_TARGET,
+		    t == NULL ? "no target is left" : "no time is left");
+		return;
+	}
+	g_strlcpy(r->target_id, t->entry.id, sizeof(r->target_id));
+	if (r->n_tried < LOADS_MAX_TRIED)
+		g_strlcpy(r->tried[r->n_tried++], t->entry.id,
+		    sizeof(r->tried[0]));
+	r->sends++;
+	r->sent_at = now;
+	loads_sent(t);
+	start_call(r, t, left);
+	if (r->call == NULL)
+		on_answer(r, DIAL_UNSENT, NULL);
+}
+
+void
+forward_start(struct request *r)
+{
+	send_call(r);
+}
+
+void
+forward_cancel(struct request *r)
+{
+	struct dial_call *call = r->call;
+
+	if (call == NULL)
+		return;
+	end_target(r, true);
+	dial_cancel(call);
+}
--- a/entry/inbox.c
+++ b/entry/inbox.c
@@ -67,6 +67,9 @@
 	case MAIL_FETCHED:
 		buf_free(&m->fetched.value);
 		break;
+	case MAIL_VIEW:
+		view_free(m->view);
+		break;
 	case MAIL_LEFT:
 	case MAIL_DRAIN:
 		break;
--- a/entry/inbox.h
+++ b/entry/inbox.h
@@ -1,11 +1,13 @@
 /*
- * The control thread's inbox: messages that other threads leave for it, taken
- * in the order in which they came.
+ * A thread's inbox: messages that other threads leave for it, taken in the
+ * order in which they came.  The control thread, the steward and the relay
+ * have one each.
  */
 #ifndef ENTRY_INBOX_H
 #define ENTRY_INBOX_H
 
 #include "entry/peer.h"
+#include "entry/view.h"
 #include "kernel/event.h"
 
 enum mail_kind {
@@ -13,7 +15,8 @@
 	MAIL_LETTER,  /* from another sequoiad */
 	MAIL_FETCHED, /* a document came from another sequoiad, or did not */
 	MAIL_LEFT,    /* a target said that it is leaving */
-	MAIL_DRAIN    /* nothing new will be taken */
+	MAIL_DRAIN,   /* nothing new will be taken */
+	MAIL_VIEW     /* of the steward, to the relay */
 };
 
 struct mail_fetched {
@@ -31,6 +34,7 @@
 		peer_letter letter;   /* MAIL_LETTER; owned */
 		struct mail_fetched fetched;
 		struct action_left left;
+		struct view *view; /* owned */
 	};
 };
 
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -123,6 +123,51 @@
 	} grants;
 };
 typedef struct peer_share_reply peer_share_reply;
+#define PEER_HANDLE_MAX 96
+#define PEER_PIECES_MAX 64
+
+struct peer_piece_ask {
+	u_quad_t ask;
+	peer_name service;
+	char *id;
+	u_int stage;
+	struct {
+		u_int pieces_len;
+		u_int *pieces_val;
+	} pieces;
+	char *key;
+	char *inputs;
+	u_int left_ms;
+	int aim_left_ms;
+	u_int rank;
+	u_int weight;
+	bool_t cancelled;
+};
+typedef struct peer_piece_ask peer_piece_ask;
+
+struct peer_piece_made {
+	u_int piece;
+	int outcome;
+	char *handle;
+};
+typedef struct peer_piece_made peer_piece_made;
+
+struct peer_piece_reply {
+	u_quad_t ask;
+	bool_t refused;
+	u_int wait_ms;
+	struct {
+		u_int made_len;
+		peer_piece_made *made_val;
+	} made;
+};
+typedef struct peer_piece_reply peer_piece_reply;
+
+struct peer_piece_free {
+	peer_name service;
+	char *handles;
+};
+typedef struct peer_piece_free peer_piece_free;
 
 enum peer_kind {
 	PEER_GOSSIP = 1,
@@ -130,6 +175,9 @@
 	PEER_VERDICT = 3,
 	PEER_SHARE_REPORT = 4,
 	PEER_SHARE_REPLY = 5,
+	PEER_PIECE_ASK = 6,
+	PEER_PIECE_REPLY = 7,
+	PEER_PIECE_FREE = 8,
 };
 typedef enum peer_kind peer_kind;
 
@@ -141,6 +189,9 @@
 		peer_verdict verdict;
 		peer_share_report report;
 		peer_share_reply reply;
+		peer_piece_ask piece_ask;
+		peer_piece_reply piece_reply;
+		peer_piece_free piece_free;
 	} peer_body_u;
 };
 typedef struct peer_body peer_body;
@@ -231,6 +282,10 @@
 extern  bool_t xdr_peer_share_report (XDR *, peer_share_report*);
 extern  bool_t xdr_peer_grant (XDR *, peer_grant*);
 extern  bool_t xdr_peer_share_reply (XDR *, peer_share_reply*);
+extern  bool_t xdr_peer_piece_ask (XDR *, peer_piece_ask*);
+extern  bool_t xdr_peer_piece_made (XDR *, peer_piece_made*);
+extern  bool_t xdr_peer_piece_reply (XDR *, peer_piece_reply*);
+extern  bool_t xdr_peer_piece_free (XDR *, peer_piece_free*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
 extern  bool_t xdr_peer_body (XDR *, peer_body*);
 extern  bool_t xdr_peer_letter (XDR *, peer_letter*);
@@ -250,6 +305,10 @@
 extern bool_t xdr_peer_share_report ();
 extern bool_t xdr_peer_grant ();
 extern bool_t xdr_peer_share_reply ();
+extern bool_t xdr_peer_piece_ask ();
+extern bool_t xdr_peer_piece_made ();
+extern bool_t xdr_peer_piece_reply ();
+extern bool_t xdr_peer_piece_free ();
 extern bool_t xdr_peer_kind ();
 extern bool_t xdr_peer_body ();
 extern bool_t xdr_peer_letter ();
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -92,12 +92,54 @@
 	peer_grant grants<PEER_BATCH_MAX>;
 };
 
+const PEER_HANDLE_MAX = 96;
+const PEER_PIECES_MAX = 64;
+
+/* Pieces of one stage of one request, from its host to the stage's home. */
+struct peer_piece_ask {
+	unsigned hyper ask;
+	peer_name service;
+	string id<128>;         /* of the caller's attempt */
+	unsigned int stage;
+	unsigned int pieces<PEER_PIECES_MAX>; /* their numbers */
+	string key<128>;        /* of stages that follow none */
+	string inputs<16384>;   /* of the others: handles, by commas */
+	unsigned int left_ms;   /* of the caller's time */
+	int aim_left_ms;        /* until it is late */
+	unsigned int rank;
+	unsigned int weight;    /* worth of a piece, in thousandths */
+	bool cancelled;         /* the results are not wanted any more */
+};
+
+struct peer_piece_made {
+	unsigned int piece;
+	int outcome;
+	string handle<PEER_HANDLE_MAX>;
+};
+
+/* With nothing made it says that the ask has come. */
+struct peer_piece_reply {
+	unsigned hyper ask;
+	bool refused;           /* none is made: come back in wait_ms */
+	unsigned int wait_ms;
+	peer_piece_made made<PEER_PIECES_MAX>;
+};
+
+/* Results that were used, to the stage's home. */
+struct peer_piece_free {
+	peer_name service;
+	string handles<16384>;  /* by commas */
+};
+
 enum peer_kind {
 	PEER_GOSSIP = 1,
 	PEER_CLAIM = 2,
 	PEER_VERDICT = 3,
 	PEER_SHARE_REPORT = 4,
-	PEER_SHARE_REPLY = 5
+	PEER_SHARE_REPLY = 5,
+	PEER_PIECE_ASK = 6,
+	PEER_PIECE_REPLY = 7,
+	PEER_PIECE_FREE = 8
 };
 
 union peer_body switch (peer_kind kind) {
@@ -111,6 +153,12 @@
 	peer_share_report report;
 case PEER_SHARE_REPLY:
 	peer_share_reply reply;
+case PEER_PIECE_ASK:
+	peer_piece_ask piece_ask;
+case PEER_PIECE_REPLY:
+	peer_piece_reply piece_reply;
+case PEER_PIECE_FREE:
+	peer_piece_free piece_free;
 };
 
 struct peer_letter {
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -186,6 +186,157 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_piece_ask (XDR *xdrs, peer_piece_ask *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->ask))
+			 return FALSE;
+		 if (!xdr_peer_name (xdrs, &objp->service))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->id, 128))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->stage))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->pieces.pieces_val, (u_int *) &objp->pieces.pieces_len, PEER_PIECES_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->key, 128))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->inputs, 16384))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->left_ms))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->aim_left_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rank))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->weight))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->cancelled))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->left_ms);
+			IXDR_PUT_LONG(buf, objp->aim_left_ms);
+			IXDR_PUT_U_LONG(buf, objp->rank);
+			IXDR_PUT_U_LONG(buf, objp->weight);
+			IXDR_PUT_BOOL(buf, objp->cancelled);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->ask))
+			 return FALSE;
+		 if (!xdr_peer_name (xdrs, &objp->service))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->id, 128))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->stage))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->pieces.pieces_val, (u_int *) &objp->pieces.pieces_len, PEER_PIECES_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->key, 128))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->inputs, 16384))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->left_ms))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->aim_left_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rank))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->weight))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->cancelled))
+				 return FALSE;
+		} else {
+			objp->left_ms = IXDR_GET_U_LONG(buf);
+			objp->aim_left_ms = IXDR_GET_LONG(buf);
+			objp->rank = IXDR_GET_U_LONG(buf);
+			objp->weight = IXDR_GET_U_LONG(buf);
+			objp->cancelled = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->ask))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->id, 128))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->stage))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->pieces.pieces_val, (u_int *) &objp->pieces.pieces_len, PEER_PIECES_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->key, 128))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->inputs, 16384))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->aim_left_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rank))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->weight))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->cancelled))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_piece_made (XDR *xdrs, peer_piece_made *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->piece))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->outcome))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->handle, PEER_HANDLE_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_piece_reply (XDR *xdrs, peer_piece_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->ask))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->refused))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->made.made_val, (u_int *) &objp->made.made_len, PEER_PIECES_MAX,
+		sizeof (peer_piece_made), (xdrproc_t) xdr_peer_piece_made))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_piece_free (XDR *xdrs, peer_piece_free *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->handles, 16384))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_kind (XDR *xdrs, peer_kind *objp)
 {
@@ -224,6 +375,18 @@
 		 if (!xdr_peer_share_reply (xdrs, &objp->peer_body_u.reply))
 			 return FALSE;
 		break;
+	case PEER_PIECE_ASK:
+		 if (!xdr_peer_piece_ask (xdrs, &objp->peer_body_u.piece_ask))
+			 return FALSE;
+		break;
+	case PEER_PIECE_REPLY:
+		 if (!xdr_peer_piece_reply (xdrs, &objp->peer_body_u.piece_reply))
+			 return FALSE;
+		break;
+	case PEER_PIECE_FREE:
+		 if (!xdr_peer_piece_free (xdrs, &objp->peer_body_u.piece_free))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- /dev/null
+++ b/entry/relay.h
@@ -0,0 +1,39 @@
+/*
+ * The relay: takes requests by host and path, and sends each through the
+ * stages of its route to a target and the answer back.
+ *
+ * One thread runs it all on one event loop: the callers' connections, the
+ * calls to targets, and the home of stage services.  Facts come from the
+ * steward as whole views.
+ */
+#ifndef ENTRY_RELAY_H
+#define ENTRY_RELAY_H
+
+#include "base/err.h"
+#include "entry/rpc.h"
+#include "entry/settings.h"
+#include "entry/view.h"
+
+struct relay;
+struct steward;
+
+struct relay_opts {
+	const struct settings *settings;
+	uint64_t incarnation;
+};
+
+struct relay *relay_new(const struct relay_opts *o, struct err *e);
+/* Starts the thread; letters go out through the steward. */
+void relay_start(struct relay *r, struct steward *s);
+/* From any thread; the relay owns the view. */
+void relay_view(struct relay *r, struct view *v);
+/* From any thread; takes the letter over and zeroes it. */
+void relay_letter(struct relay *r, peer_letter *l);
+/* Not ready from now on; open requests and connections are still served. */
+void relay_drain(struct relay *r);
+/* Requests under way, from any thread. */
+size_t relay_busy(const struct relay *r);
+void relay_stop(struct relay *r);
+void relay_free(struct relay *r);
+
+#endif
--- /dev/null
+++ b/entry/relay_page.c
@@ -0,0 +1,77 @@
+#include "entry/relay_page.h"
+
+#include <inttypes.h>
+
+/* Upper bounds in milliseconds, from a lookup to the longest generation. */
+static const int bounds_ms[HISTOGRAM_BOUNDS] = { 10, 30, 100, 300, 600, 1000,
+	2000, 4000, 8000, 16000 };
+
+void
+relay_histogram_add(struct relay_histogram *h, usec_t took)
+{
+	size_t i = 0;
+
+	while (i < HISTOGRAM_BOUNDS && took > bounds_ms[i] * USEC_PER_MSEC)
+		i++;
+	h->counts[i]++;
+	h->n++;
+	h->sum_seconds += (double)took / (double)USEC_PER_SEC;
+}
+
+static void
+put(struct buf *out, const char *name, uint64_t v)
+{
+	buf_printf(out, "sequoia_%s %" PRIu64 "\n", name, v);
+}
+
+static void
+put_histogram(struct buf *out, const struct relay_histogram *h)
+{
+	uint64_t sum = 0;
+
+	for (size_t i = 0; i < HISTOGRAM_BOUNDS; i++) {
+		sum += h->counts[i];
+		buf_printf(out,
+		    "sequoia_request_seconds_bucket{le=\"%g\"} %" PRIu64 "\n",
+		    bounds_ms[i] / 1000.0, sum);
+	}
+	buf_printf(out,
+	    "sequoia_request_seconds_bucket{le=\"+Inf\"} %" PRIu64 "\n", h->n);
+	buf_printf(out, "sequoia_request_seconds_sum %.3f\n", h->sum_seconds);
+	put(out, "request_seconds_count", h->n);
+}
+
+void
+relay_page(struct buf *out, const struct relay_page *p)
+{
+	put(out, "ready", p->ready);
+	put(out, "requests_in_progress", p->busy);
+	put(out, "requests_total", p->counts->arrived);
+	put(out, "requests_complete_total", p->counts->complete);
+	put(out, "requests_failed_total", p->counts->failed);
+	put(out, "requests_caller_gone_total", p->counts->gone);
+	for (int i = 1; i < -ERR_LAST; i++) {
+		if (p->counts->rejected[i] > 0)
+			buf_printf(out,
+			    "sequoia_requests_rejected_total{error=\"%s\"} "
+			    "%" PRIu64 "\n",
+			    err_name((enum err_kind)-i),
+			    p->counts->rejected[i]);
+	}
+	put_histogram(out, &p->counts->latency);
+	put(out, "caller_connections", p->door.open);
+	put(out, "requests_malformed_total", p->door.malformed);
+	put(out, "calls_total", p->dial.calls);
+	put(out, "target_connections_total", p->dial.connections);
+	put(out, "stray_answers_total", p->dial.stray);
+	put(out, "stage_calls_total", p->home.calls);
+	put(out, "stage_pieces_total", p->home.pieces);
+	put(out, "stage_pieces_waiting", p->home.waiting);
+	put(out, "stage_asks_refused_total", p->home.refused);
+	put(out, "stage_pieces_repeated_total", p->home.repeats);
+	put(out, "config_version", p->steward.version);
+	put(out, "store_away", p->steward.store_away);
+	put(out, "store_calls_total", p->steward.store_calls);
+	put(out, "peer_letters_sent_total", p->steward.rpc.sent);
+	put(out, "peer_letters_received_total", p->steward.rpc.received);
+}
--- /dev/null
+++ b/entry/relayd.h
@@ -0,0 +1,16 @@
+/* The daemon of a host that relays by route, from start to stop. */
+#ifndef ENTRY_RELAYD_H
+#define ENTRY_RELAYD_H
+
+#include "entry/settings.h"
+
+#include <signal.h>
+
+/*
+ * Runs until SIGTERM or SIGINT, which must be blocked and in set; 0 or an
+ * error number with e when it can't start.
+ */
+int relayd_run(const struct settings *s, uint64_t incarnation,
+    const sigset_t *set, struct err *e);
+
+#endif
--- a/entry/sequoiad.c
+++ b/entry/sequoiad.c
@@ -3,6 +3,7 @@
 #include "base/rng.h"
 #include "entry/control.h"
 #include "entry/ops.h"
+#include "entry/relayd.h"
 #include "entry/web.h"
 
 #include <argp.h>
@@ -11,6 +12,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 #include <urcu/urcu-memb.h>
 
@@ -254,6 +256,26 @@
 	records_free(d->records);
 }
 
+/* Serves pipelines until a signal comes. */
+static int
+serve_pipelines(struct daemon *d, const sigset_t *set, struct err *e)
+{
+	int rc;
+
+	urcu_memb_register_thread();
+	mg_init_library(0);
+	rc = start(d, e);
+	if (rc == 0) {
+		run(d, set);
+		snaps_drain(d->snaps);
+		finish(d);
+	}
+	stop(d);
+	mg_exit_library();
+	urcu_memb_unregister_thread();
+	return rc;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -267,21 +289,17 @@
 	log_init(
 	    "sequoiad", d.settings.id, (enum log_level)d.settings.log_level);
 	block_signals(&set);
-	urcu_memb_register_thread();
-	mg_init_library(0);
-	rc = start(&d, &e);
-	if (rc == 0) {
-		run(&d, &set);
-		snaps_drain(d.snaps);
-		finish(&d);
+	if (strcmp(d.settings.form, "routes") == 0) {
+		sigaddset(&set, SIGHUP);
+		pthread_sigmask(SIG_BLOCK, &set, NULL);
+		rc = relayd_run(&d.settings, make_incarnation(), &set, &e);
 	} else {
-		fprintf(stderr, "sequoiad: %s\n", e.text);
+		rc = serve_pipelines(&d, &set, &e);
 	}
-	stop(&d);
-	if (rc == 0)
+	if (rc != 0)
+		fprintf(stderr, "sequoiad: %s\n", e.text);
+	else
 		LOG(LOG_LVL_NOTICE, "stopped", { "cause", STR("signal") });
-	mg_exit_library();
-	urcu_memb_unregister_thread();
 	settings_free(&d.settings);
 	return rc == 0 ? 0 : EXIT_SETTINGS;
 }
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -23,12 +23,17 @@
 	char *fleet_key;
 	uint32_t workers;
 	uint32_t max_body;
+	char *form; /* of the platform: "etcd" or "routes" */
 	usec_t kv_timeout;
 	usec_t drain;
 	usec_t keep;
 	uint32_t keep_bytes;
 	usec_t body_timeout;
 	uint32_t log_level;
+	usec_t grace;
+	uint32_t retry_percent;
+	uint32_t retry_slack;
+	usec_t retry_window;
 };
 
 enum setting_type {
--- /dev/null
+++ b/entry/view.c
@@ -0,0 +1,14 @@
+#include "entry/view.h"
+
+#include <stdlib.h>
+
+void
+view_free(struct view *v)
+{
+	if (v == NULL)
+		return;
+	routes_unref(v->routes);
+	g_array_unref(v->targets);
+	g_array_unref(v->peers);
+	free(v);
+}
--- /dev/null
+++ b/kernel/batch.h
@@ -0,0 +1,50 @@
+/*
+ * Pieces of stages that wait for a call to a target, and which of them go
+ * together next.
+ *
+ * A call costs much and a piece little, so what waits goes into one call when
+ * a target is free, up to the batch; several free targets share what waits.
+ * Load pattern: more pieces come than the targets can make.  Then the order
+ * decides: requests that can still be on time go first, by rank and by the
+ * time that they have left; those that are late already follow, and what can
+ * no longer be done before its deadline is dropped.
+ */
+#ifndef KERNEL_BATCH_H
+#define KERNEL_BATCH_H
+
+#include "kernel/routes.h"
+
+struct batch_item {
+	void *owner;     /* the ask; pieces of one owner stay together */
+	uint32_t piece;
+	usec_t aim;      /* an answer after that is late */
+	usec_t deadline; /* and after that worth nothing */
+	uint32_t rank;   /* 0 is the most urgent */
+	uint32_t weight; /* worth of the piece, in thousandths */
+	usec_t queued;
+};
+
+struct batch {
+	GArray *items; /* struct batch_item that wait */
+	struct pool_shape shape;
+	double call_usec; /* measured: work of a call beside its pieces */
+	double item_usec; /* measured: work of a piece */
+};
+
+void batch_init(struct batch *b, const struct pool_shape *shape);
+void batch_add(struct batch *b, const struct batch_item *it);
+/* Removes the pieces of an owner. */
+void batch_drop(struct batch *b, const void *owner);
+/*
+ * Moves the pieces of the next call to out, a GArray of struct batch_item;
+ * free_targets: how many could take a call now, this one too.
+ */
+void batch_take(
+    struct batch *b, usec_t now, uint32_t free_targets, GArray *out);
+/* How long pieces that come now wait until they are made, roughly. */
+usec_t batch_wait(const struct batch *b, uint32_t targets, uint32_t pieces);
+/* A call of n pieces took so long at its target. */
+void batch_measured(struct batch *b, uint32_t n, usec_t took);
+void batch_free(struct batch *b);
+
+#endif
--- /dev/null
+++ b/kernel/loads.c
@@ -0,0 +1,280 @@
+#include "kernel/loads.h"
+#include "base/hash.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ASIDE_FIRST (500 * USEC_PER_MSEC) /* a restart takes about as long */
+#define ASIDE_MOST  (8 * USEC_PER_SEC)    /* of a target that stays broken */
+/* Engines read about so many tokens of a prompt in a millisecond. */
+#define TOKENS_PER_MS 100.0
+/* What one more running request costs the others, in milliseconds. */
+#define RUNNING_MS 4.0
+/* What a request that waits for a slot costs, in milliseconds. */
+#define WAITING_MS 40.0
+/* A report is older than the calls that it tells of by then. */
+#define REPORT_LIFE (2 * USEC_PER_SEC)
+/* Of fetching large inputs from another failure domain, in milliseconds. */
+#define FAR_INPUTS_MS 15.0
+/* Of a call into another failure domain: one way there and back. */
+#define FAR_MS 2.0
+
+void
+loads_init(struct loads *l, const char *domain, uint64_t seed)
+{
+	*l = (struct loads){ 0 };
+	g_strlcpy(l->domain, domain, sizeof(l->domain));
+	rng_init(&l->rng, seed);
+	l->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
+	l->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+	    (GDestroyNotify)g_ptr_array_unref);
+}
+
+/* Lists the usable targets by service anew. */
+static void
+index_services(struct loads *l)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_remove_all(l->by_service);
+	g_hash_table_iter_init(&it, l->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct target *t = p;
+		GPtrArray *same;
+
+		if (!t->listed || t->left || t->entry.leaving)
+			continue;
+		same = g_hash_table_lookup(l->by_service, t->entry.service);
+		if (same == NULL) {
+			same = g_ptr_array_new();
+			g_hash_table_insert(
+			    l->by_service, g_strdup(t->entry.service), same);
+		}
+		g_ptr_array_add(same, t);
+	}
+}
+
+void
+loads_update(struct loads *l, const GArray *targets)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, l->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		((struct target *)p)->listed = false;
+	for (guint i = 0; i < targets->len; i++) {
+		const struct target_entry *e =
+		    &g_array_index(targets, struct target_entry, i);
+		struct target *t = g_hash_table_lookup(l->by_id, e->id);
+
+		if (t == NULL) {
+			t = xcalloc(1, sizeof(*t));
+			t->entry = *e;
+			g_hash_table_insert(l->by_id, t->entry.id, t);
+		}
+		if (e->born_ms != t->entry.born_ms) {
+			/* The same id started anew: nothing of before holds. */
+			t->left = false;
+			t->failures = 0;
+			t->aside_until = 0;
+		}
+		t->entry = *e;
+		t->listed = true;
+	}
+	g_hash_table_iter_init(&it, l->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct target *t = p;
+
+		if (!t->listed && t->in_flight == 0)
+			g_hash_table_iter_remove(&it);
+	}
+	index_services(l);
+}
+
+struct target *
+loads_find(struct loads *l, const char *id)
+{
+	return g_hash_table_lookup(l->by_id, id);
+}
+
+const GPtrArray *
+loads_of(const struct loads *l, const char *service)
+{
+	return g_hash_table_lookup(l->by_service, service);
+}
+
+static bool
+was_tried(const struct loads_wish *w, const struct target *t)
+{
+	for (size_t i = 0; i < w->n_tried; i++) {
+		if (str_eq(w->tried[i], str_from(t->entry.id)))
+			return true;
+	}
+	return false;
+}
+
+static double
+active(const struct target *t, usec_t now)
+{
+	double reported =
+	    now - t->reported_at < REPORT_LIFE ? t->reported : 0;
+	double seen = reported + t->sent_since;
+
+	return seen > t->in_flight ? seen : t->in_flight;
+}
+
+/* The domain of the target at an address, or NULL. */
+static const char *
+domain_at(const struct loads *l, struct str addr)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, l->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct target *t = p;
+
+		if (str_eq(str_from(t->entry.addr), addr))
+			return t->entry.domain;
+	}
+	return NULL;
+}
+
+/* Rendezvous weight: which target keeps the parts that begin with prefix. */
+static uint64_t
+affinity(uint64_t prefix, const struct target *t)
+{
+	return hash_u64(str_from(t->entry.id), prefix);
+}
+
+static const struct target *
+keeper(const GPtrArray *all, const struct loads_wish *w)
+{
+	const struct target *best = NULL;
+
+	for (guint i = 0; w->prefix != 0 && i < all->len; i++) {
+		const struct target *t = all->pdata[i];
+
+		if (best == NULL ||
+		    affinity(w->prefix, t) > affinity(w->prefix, best))
+			best = t;
+	}
+	return best;
+}
+
+/* Predicted milliseconds until the answer begins, beside what is equal. */
+static double
+cost(const struct loads *l, const struct loads_wish *w, const struct target *t,
+    const struct target *kept, const char *near, usec_t now)
+{
+	double n = active(t, now);
+	double slots = t->entry.slots > 0 ? t->entry.slots : 1;
+	double ms = strcmp(t->entry.domain, l->domain) == 0 ? 0 : FAR_MS;
+
+	if (!w->engine)
+		return ms + 20.0 * n / slots;
+	ms += n * RUNNING_MS;
+	if (n >= slots)
+		ms += (n - slots + 1) * WAITING_MS;
+	if (t != kept)
+		ms += w->shared_tokens / TOKENS_PER_MS;
+	if (near != NULL && strcmp(near, t->entry.domain) != 0)
+		ms += FAR_INPUTS_MS;
+	return ms;
+}
+
+static struct target *
+choose_from(struct loads *l, const struct loads_wish *w, const GPtrArray *all,
+    bool aside, usec_t now)
+{
+	const struct target *kept = keeper(all, w);
+	const char *near =
+	    w->near_addr.n > 0 ? domain_at(l, w->near_addr) : NULL;
+	struct target *best = NULL;
+	double least = 0;
+
+	for (guint i = 0; i < all->len; i++) {
+		struct target *t = all->pdata[i];
+		double c;
+
+		if (was_tried(w, t) || (!aside && now < t->aside_until))
+			continue;
+		c = cost(l, w, t, kept, near, now) + rng_unit(&l->rng);
+		if (best == NULL || c < least) {
+			best = t;
+			least = c;
+		}
+	}
+	return best;
+}
+
+struct target *
+loads_choose(struct loads *l, const struct loads_wish *w, usec_t now)
+{
+	g_autofree char *name = g_strndup(w->service.p, w->service.n);
+	const GPtrArray *all = loads_of(l, name);
+	struct target *t;
+
+	if (all == NULL)
+		return NULL;
+	t = choose_from(l, w, all, false, now);
+	return t != NULL ? t : choose_from(l, w, all, true, now);
+}
+
+void
+loads_sent(struct target *t)
+{
+	t->in_flight++;
+	t->sent_since++;
+}
+
+void
+loads_ended(struct target *t)
+{
+	if (t->in_flight > 0)
+		t->in_flight--;
+}
+
+void
+loads_report(struct target *t, uint32_t running, uint32_t waiting, usec_t now)
+{
+	t->reported = running + waiting;
+	t->reported_at = now;
+	t->sent_since = 0;
+}
+
+void
+loads_sound(struct target *t)
+{
+	t->failures = 0;
+	t->aside_until = 0;
+}
+
+void
+loads_failed(struct target *t, usec_t now)
+{
+	usec_t aside = ASIDE_FIRST;
+
+	for (uint32_t i = 0; i < t->failures && aside < ASIDE_MOST; i++)
+		aside *= 2;
+	t->failures++;
+	t->aside_until = now + (aside < ASIDE_MOST ? aside : ASIDE_MOST);
+}
+
+void
+loads_left(struct loads *l, struct target *t)
+{
+	if (t->left)
+		return;
+	t->left = true;
+	index_services(l);
+}
+
+void
+loads_free(struct loads *l)
+{
+	g_hash_table_destroy(l->by_service);
+	g_hash_table_destroy(l->by_id);
+}
--- /dev/null
+++ b/kernel/loads.h
@@ -0,0 +1,72 @@
+/*
+ * What this host knows of the load of each target, and the choice among the
+ * targets of a service.
+ *
+ * Reports ride on answers and are old when they come; so each target's load
+ * is its last report and the calls of this host that were sent since.  Load
+ * patterns: many hosts that read the same reports would all choose the same
+ * target, so ties are broken at random and a prompt's shared parts decide
+ * before small differences in load; a target that fails is set aside, unless
+ * that would leave none.
+ */
+#ifndef KERNEL_LOADS_H
+#define KERNEL_LOADS_H
+
+#include "base/rng.h"
+#include "kernel/roster.h"
+#include "kernel/routes.h"
+
+#define LOADS_MAX_TRIED 8
+
+struct target {
+	struct target_entry entry;
+	bool listed;       /* in the newest view */
+	bool left;         /* it said itself that it leaves, or is another */
+	uint32_t in_flight; /* calls of this host */
+	uint32_t sent_since; /* since the last report */
+	uint32_t reported; /* running and waiting */
+	usec_t reported_at;
+	uint32_t failures; /* in a row */
+	usec_t aside_until;
+};
+
+struct loads {
+	GHashTable *by_id;      /* id -> struct target */
+	GHashTable *by_service; /* name -> GPtrArray of usable struct target */
+	char domain[64];        /* of this host */
+	struct rng rng;
+};
+
+struct loads_wish {
+	struct str service;
+	bool engine;
+	uint32_t slots;       /* of an engine */
+	uint64_t prefix;      /* hash of the largest shared part; 0: none */
+	uint32_t shared_tokens; /* that a target may have kept */
+	struct str near_addr; /* where large inputs lie; or empty */
+	struct str tried[LOADS_MAX_TRIED]; /* ids not to use again */
+	size_t n_tried;
+};
+
+void loads_init(struct loads *l, const char *domain, uint64_t seed);
+/* A newer list of targets; struct target_entry. */
+void loads_update(struct loads *l, const GArray *targets);
+/* The best target for a wish, or NULL if there is none to use. */
+struct target *loads_choose(
+    struct loads *l, const struct loads_wish *w, usec_t now);
+struct target *loads_find(struct loads *l, const char *id);
+/* Usable targets of a service; an array of struct target, or NULL. */
+const GPtrArray *loads_of(const struct loads *l, const char *service);
+
+void loads_sent(struct target *t);
+void loads_ended(struct target *t);
+void loads_report(struct target *t, uint32_t running, uint32_t waiting,
+    usec_t now);
+/* An answer of its own came, or a call failed for its sake. */
+void loads_sound(struct target *t);
+void loads_failed(struct target *t, usec_t now);
+/* It takes nothing new from now on. */
+void loads_left(struct loads *l, struct target *t);
+void loads_free(struct loads *l);
+
+#endif
--- /dev/null
+++ b/kernel/repeats.h
@@ -0,0 +1,42 @@
+/*
+ * The budget of repeated calls to a service, shared by the whole fleet.
+ *
+ * In any window the fleet may send a share of its requests once more, and a
+ * fixed number beside.  Without a message between hosts: each host spends the
+ * share of its own requests and an equal part of the fixed number, so the sum
+ * holds whatever each host hears.  Load pattern: many calls fail at once, and
+ * a retry for each would multiply the load on what is left.
+ */
+#ifndef KERNEL_REPEATS_H
+#define KERNEL_REPEATS_H
+
+#include "base/clock.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define REPEATS_SLOTS 12
+
+struct repeats_rule {
+	double ratio;   /* repeats for each request */
+	double slack;   /* repeats beside, of the whole fleet */
+	usec_t window;
+	uint32_t hosts; /* that share the slack; at least 1 */
+};
+
+struct repeats {
+	struct {
+		int64_t at; /* number of the slot's time */
+		uint32_t requests;
+		uint32_t repeats;
+	} slots[REPEATS_SLOTS];
+};
+
+/* A request to the service came. */
+void repeats_request(
+    struct repeats *r, const struct repeats_rule *rule, usec_t now);
+/* Whether a call may be repeated now; if so it is counted. */
+bool repeats_spend(
+    struct repeats *r, const struct repeats_rule *rule, usec_t now);
+
+#endif
--- /dev/null
+++ b/kernel/roster.c
@@ -0,0 +1,146 @@
+#include "kernel/roster.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct slot {
+	struct target_entry t;
+	bool seen;    /* by the whole reading under way */
+	bool missing; /* its entry went and it is kept for now */
+};
+
+void
+roster_init(struct roster *r)
+{
+	*r = (struct roster){ 0 };
+	r->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
+}
+
+static bool
+same(const struct target_entry *a, const struct target_entry *b)
+{
+	return strcmp(a->service, b->service) == 0 &&
+	    strcmp(a->addr, b->addr) == 0 &&
+	    strcmp(a->domain, b->domain) == 0 && a->slots == b->slots &&
+	    a->leaving == b->leaving && a->born_ms == b->born_ms;
+}
+
+void
+roster_put(struct roster *r, const struct target_entry *t)
+{
+	struct slot *s = g_hash_table_lookup(r->by_id, t->id);
+
+	if (s == NULL) {
+		s = xcalloc(1, sizeof(*s));
+		memcpy(s->t.id, t->id, sizeof(t->id));
+		g_hash_table_insert(r->by_id, s->t.id, s);
+	}
+	s->seen = true;
+	s->missing = false;
+	if (same(&s->t, t))
+		return;
+	s->t = *t;
+	r->version++;
+}
+
+static bool
+in_grace(const struct roster *r, usec_t now)
+{
+	return r->store_away || now < r->grace_until;
+}
+
+void
+roster_remove(struct roster *r, struct str id, usec_t now)
+{
+	g_autofree char *key = g_strndup(id.p, id.n);
+	struct slot *s = g_hash_table_lookup(r->by_id, key);
+
+	if (s == NULL)
+		return;
+	if (in_grace(r, now) && !s->t.leaving) {
+		s->missing = true;
+		return;
+	}
+	g_hash_table_remove(r->by_id, key);
+	r->version++;
+}
+
+void
+roster_begin(struct roster *r)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, r->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((struct slot *)v)->seen = false;
+}
+
+void
+roster_finish(struct roster *r, usec_t now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, r->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct slot *s = v;
+
+		if (s->seen)
+			continue;
+		if (in_grace(r, now) && !s->t.leaving) {
+			s->missing = true;
+			continue;
+		}
+		g_hash_table_iter_remove(&it);
+		r->version++;
+	}
+}
+
+void
+roster_store(struct roster *r, bool away, usec_t now)
+{
+	if (r->store_away && !away)
+		r->grace_until = now + ROSTER_GRACE;
+	r->store_away = away;
+}
+
+usec_t
+roster_tick(struct roster *r, usec_t now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	if (r->store_away || r->grace_until == 0)
+		return 0;
+	if (now < r->grace_until)
+		return r->grace_until;
+	r->grace_until = 0;
+	g_hash_table_iter_init(&it, r->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		if (!((struct slot *)v)->missing)
+			continue;
+		g_hash_table_iter_remove(&it);
+		r->version++;
+	}
+	return 0;
+}
+
+GArray *
+roster_list(const struct roster *r)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct target_entry));
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, r->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		g_array_append_val(out, ((struct slot *)v)->t);
+	return out;
+}
+
+void
+roster_free(struct roster *r)
+{
+	g_hash_table_destroy(r->by_id);
+}
--- /dev/null
+++ b/kernel/routes.c
@@ -0,0 +1,249 @@
+#include "kernel/routes.h"
+#include "base/hash.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SPLIT_SEED 7 /* of the hash that spreads requests over shares */
+
+struct key {
+	struct str text;
+	char bytes[];
+};
+
+static guint
+hash_key(gconstpointer p)
+{
+	const struct key *k = p;
+
+	return (guint)hash_u64(k->text, 1);
+}
+
+/* In time that does not depend on where the keys differ. */
+static gboolean
+same_key(gconstpointer a, gconstpointer b)
+{
+	const struct key *x = a;
+	const struct key *y = b;
+	unsigned char diff = 0;
+
+	if (x->text.n != y->text.n)
+		return FALSE;
+	for (size_t i = 0; i < x->text.n; i++)
+		diff |= (unsigned char)(x->text.p[i] ^ y->text.p[i]);
+	return diff == 0;
+}
+
+static void
+free_service(gpointer p)
+{
+	free(((struct service *)p)->name);
+}
+
+static void
+free_holder(gpointer p)
+{
+	struct key_holder *h = p;
+
+	free(h->name);
+	free(h);
+}
+
+void
+route_free(struct route *r)
+{
+	free(r->name);
+	free(r->host);
+	free(r->prefix);
+	free(r->shares);
+	free(r);
+}
+
+static void
+free_route(gpointer p)
+{
+	route_free(p);
+}
+
+static void
+free_hosts(gpointer p)
+{
+	g_ptr_array_unref(p);
+}
+
+struct routes *
+routes_new(void)
+{
+	struct routes *t = xcalloc(1, sizeof(*t));
+
+	t->routes = g_ptr_array_new_with_free_func(free_route);
+	t->services = g_array_new(FALSE, TRUE, sizeof(struct service));
+	g_array_set_clear_func(t->services, free_service);
+	t->holders = g_ptr_array_new_with_free_func(free_holder);
+	t->hosts =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_hosts);
+	t->keys = g_hash_table_new_full(hash_key, same_key, free, NULL);
+	t->refs = 1;
+	return t;
+}
+
+void
+routes_add(struct routes *t, struct route *r)
+{
+	g_ptr_array_add(t->routes, r);
+}
+
+int
+routes_service(const struct routes *t, struct str name)
+{
+	for (guint i = 0; i < t->services->len; i++) {
+		if (str_eq(str_from(routes_service_at(t, i)->name), name))
+			return (int)i;
+	}
+	return -1;
+}
+
+const struct service *
+routes_service_at(const struct routes *t, uint32_t i)
+{
+	return &g_array_index(t->services, struct service, i);
+}
+
+void
+routes_add_key(struct routes *t, struct str key, struct key_holder *h)
+{
+	struct key *k = xcalloc(1, sizeof(*k) + key.n + 1);
+
+	memcpy(k->bytes, key.p, key.n);
+	k->text = (struct str){ k->bytes, key.n };
+	g_hash_table_insert(t->keys, k, h);
+}
+
+static gint
+longest_first(gconstpointer a, gconstpointer b)
+{
+	const struct route *x = *(struct route *const *)a;
+	const struct route *y = *(struct route *const *)b;
+	size_t n = strlen(x->prefix);
+	size_t m = strlen(y->prefix);
+
+	return n < m ? 1 : n > m ? -1 : 0;
+}
+
+static void
+mark_last_stages(struct route *r)
+{
+	uint32_t followed = 0;
+
+	for (size_t i = 0; i < r->n_stages; i++)
+		followed |= r->stages[i].after;
+	for (size_t i = 0; i < r->n_stages; i++)
+		r->stages[i].last = (followed >> i & 1) == 0;
+}
+
+void
+routes_seal(struct routes *t)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	for (guint i = 0; i < t->routes->len; i++) {
+		struct route *r = t->routes->pdata[i];
+		GPtrArray *same = g_hash_table_lookup(t->hosts, r->host);
+
+		mark_last_stages(r);
+		if (same == NULL) {
+			same = g_ptr_array_new();
+			g_hash_table_insert(t->hosts, r->host, same);
+		}
+		g_ptr_array_add(same, r);
+	}
+	g_hash_table_iter_init(&it, t->hosts);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		g_ptr_array_sort(v, longest_first);
+}
+
+struct routes *
+routes_ref(struct routes *t)
+{
+	if (t != NULL)
+		g_atomic_int_inc(&t->refs);
+	return t;
+}
+
+void
+routes_unref(struct routes *t)
+{
+	if (t == NULL || !g_atomic_int_dec_and_test(&t->refs))
+		return;
+	g_hash_table_destroy(t->hosts);
+	g_hash_table_destroy(t->keys);
+	g_ptr_array_unref(t->routes);
+	g_ptr_array_unref(t->holders);
+	g_array_unref(t->services);
+	free(t);
+}
+
+const struct route *
+routes_find(const struct routes *t, struct str host, struct str target)
+{
+	const char *query = memchr(target.p, '?', target.n);
+	const char *port = memchr(host.p, ':', host.n);
+	g_autofree char *name = NULL;
+	const GPtrArray *same;
+
+	if (query != NULL)
+		target.n = (size_t)(query - target.p);
+	if (port != NULL)
+		host.n = (size_t)(port - host.p);
+	name = g_ascii_strdown(host.p, (gssize)host.n);
+	same = g_hash_table_lookup(t->hosts, name);
+	for (guint i = 0; same != NULL && i < same->len; i++) {
+		const struct route *r = same->pdata[i];
+
+		if (str_prefix(target, str_from(r->prefix)))
+			return r;
+	}
+	return NULL;
+}
+
+const struct key_holder *
+routes_holder(const struct routes *t, struct str key)
+{
+	struct key k = { .text = key };
+
+	if (key.p == NULL || key.n == 0)
+		return NULL;
+	return g_hash_table_lookup(t->keys, &k);
+}
+
+uint32_t
+route_pick_service(const struct route *r, struct str id)
+{
+	uint64_t total = 0;
+	uint64_t at;
+	size_t i = 0;
+
+	for (size_t k = 0; k < r->n_shares; k++)
+		total += r->shares[k].weight;
+	if (total == 0)
+		return r->shares[0].service;
+	at = hash_u64(id, SPLIT_SEED) % total;
+	while (at >= r->shares[i].weight)
+		at -= r->shares[i++].weight;
+	return r->shares[i].service;
+}
+
+bool
+route_repeatable(const struct route *r)
+{
+	switch (r->kind) {
+	case ROUTE_IDEMPOTENT:
+		return true;
+	case ROUTE_ONCE:
+		return false;
+	case ROUTE_STREAM:
+		return r->resumable;
+	}
+	return false;
+}
--- /dev/null
+++ b/kernel/routes.h
@@ -0,0 +1,124 @@
+/*
+ * The route table: which requests are served, by which service, for whom.
+ *
+ * One table is one version of the operators' configuration, immutable once it
+ * is sealed and shared by reference count.  Look-ups take a hash and a walk
+ * over the prefixes of one host.
+ */
+#ifndef KERNEL_ROUTES_H
+#define KERNEL_ROUTES_H
+
+#include "base/clock.h"
+#include "base/str.h"
+
+#include <glib.h>
+
+#define ROUTE_MAX_STAGES 8
+#define RANK_NONE        (-1)
+
+enum route_kind {
+	ROUTE_IDEMPOTENT,
+	ROUTE_ONCE,  /* a request runs at most once */
+	ROUTE_STREAM /* as ROUTE_ONCE unless it may be resumed */
+};
+
+/* A stage whose pieces are made before the request itself can run. */
+struct route_stage {
+	uint32_t service;
+	uint32_t after; /* bit i: it needs the results of stage i */
+	uint64_t bytes; /* of one result, roughly */
+	bool last;      /* no stage follows: the request takes its results */
+};
+
+struct route_share {
+	uint32_t service;
+	uint32_t weight;
+};
+
+struct route {
+	char *name;
+	char *host;
+	char *prefix; /* begins and ends with a slash */
+	enum route_kind kind;
+	bool resumable;
+	bool open;     /* no key is needed */
+	uint32_t attempts;
+	int rank;      /* 0 is the most urgent */
+	usec_t timeout;
+	usec_t objective; /* to the whole answer, of a stream to its first event */
+	usec_t gap;       /* longest pause between events that is on time */
+	struct route_share *shares;
+	size_t n_shares;
+	struct route_stage stages[ROUTE_MAX_STAGES];
+	size_t n_stages;
+};
+
+/* How a target of a stage service takes pieces. */
+struct pool_shape {
+	uint32_t slots; /* calls at the same time */
+	uint32_t queue; /* calls that may wait */
+	uint32_t batch; /* pieces a call */
+	usec_t call;    /* work of a call beside its pieces */
+	usec_t item;    /* work of a piece, roughly */
+	usec_t keep;    /* how long a result is kept */
+	uint64_t room;  /* bytes for results */
+};
+
+struct engine_shape {
+	uint32_t slots;
+	uint64_t tokens; /* memory */
+};
+
+struct service {
+	char *name;
+	uint32_t max_conns; /* of one target, from all callers */
+	bool has_pool;
+	bool has_engine;
+	struct pool_shape pool;
+	struct engine_shape engine;
+};
+
+struct key_holder {
+	char *name;
+	int rank; /* goes before the route's, or RANK_NONE */
+};
+
+struct routes {
+	uint64_t version;
+	GPtrArray *routes;   /* struct route */
+	GArray *services;    /* struct service */
+	GPtrArray *holders;  /* struct key_holder: workspaces */
+	GHashTable *hosts;   /* host -> GPtrArray of struct route, longest first */
+	GHashTable *keys;    /* struct str -> struct key_holder */
+	bool keyed;          /* requests carry keys */
+	size_t head_bytes;   /* limits of requests */
+	size_t body_bytes;
+	usec_t head_timeout;
+	usec_t idle_timeout;
+	gint refs;
+};
+
+struct routes *routes_new(void);
+/* Takes over r. */
+void routes_add(struct routes *t, struct route *r);
+/* The index of a service by name, or -1. */
+int routes_service(const struct routes *t, struct str name);
+void routes_add_key(struct routes *t, struct str key, struct key_holder *h);
+/* Builds the look-ups; nothing is added after that. */
+void routes_seal(struct routes *t);
+struct routes *routes_ref(struct routes *t);
+void routes_unref(struct routes *t);
+
+/* The route with the longest prefix of the target's path, or NULL. */
+const struct route *routes_find(
+    const struct routes *t, struct str host, struct str target);
+/* Whose key it is, or NULL; keys are compared in constant time. */
+const struct key_holder *routes_holder(const struct routes *t, struct str key);
+/* The service that a request goes to; the same id gives the same one. */
+uint32_t route_pick_service(const struct route *r, struct str id);
+/* Whether a request that has been sent may be sent again. */
+bool route_repeatable(const struct route *r);
+const struct service *routes_service_at(const struct routes *t, uint32_t i);
+void route_free(struct route *r);
+
+#endif
--- /dev/null
+++ b/plat/dial.c
@@ -0,0 +1,470 @@
+#include "plat/dial.h"
+#include "base/log.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <event2/bufferevent.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define MAX_HEAD_BYTES 65536 /* of an answer: eight times the usual servers' */
+/* Below the shortest idle timeout in common servers, 5 s. */
+#define IDLE_MAX (4 * USEC_PER_SEC)
+/* A Keep-Alive timeout may run out while a request is on its way. */
+#define IDLE_MARGIN (500 * USEC_PER_MSEC)
+/* Unacknowledged bytes for so long mean that the path is gone. */
+#define SILENT_MS 3000
+
+struct conn {
+	struct dialer *d;
+	struct bufferevent *bev;
+	struct event *connect_timer;
+	struct httpmsg in;
+	struct dial_call *call; /* NULL: idle */
+	char *addr;
+	usec_t idle_since;
+	usec_t idle_max;
+	bool connected;
+	bool used;
+	bool in_handler; /* the call's handler is running */
+	bool dead;       /* cancelled meanwhile */
+	GList link; /* in the pool of its address while idle */
+};
+
+struct dial_call {
+	struct conn *conn;
+	dial_handler handler;
+	void *arg;
+	struct buf echo_name;
+	struct buf echo;
+	bool head_told;
+	bool head_only;
+};
+
+struct dialer {
+	struct event_base *base;
+	GHashTable *idle; /* address -> GQueue of struct conn, newest first */
+	struct dial_counts counts;
+};
+
+static void
+free_queue(gpointer p)
+{
+	g_free(p);
+}
+
+struct dialer *
+dialer_new(struct event_base *base)
+{
+	struct dialer *d = xcalloc(1, sizeof(*d));
+
+	d->base = base;
+	d->idle =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, free, free_queue);
+	return d;
+}
+
+static GQueue *
+pool_of(struct dialer *d, const char *addr)
+{
+	GQueue *q = g_hash_table_lookup(d->idle, addr);
+
+	if (q == NULL) {
+		q = g_new0(GQueue, 1);
+		g_hash_table_insert(d->idle, str_dup(str_from(addr)), q);
+	}
+	return q;
+}
+
+static void
+free_conn(struct conn *c)
+{
+	if (c->call == NULL && c->used)
+		g_queue_unlink(pool_of(c->d, c->addr), &c->link);
+	if (c->connect_timer != NULL)
+		event_free(c->connect_timer);
+	bufferevent_free(c->bev);
+	httpmsg_free(&c->in);
+	free(c->addr);
+	free(c);
+}
+
+static void
+free_call(struct dial_call *k)
+{
+	buf_free(&k->echo_name);
+	buf_free(&k->echo);
+	free(k);
+}
+
+/* Ends the call that the connection carries, and the connection. */
+static void
+fail(struct conn *c, enum dial_event ev)
+{
+	struct dial_call *k = c->call;
+
+	free_conn(c);
+	if (k == NULL)
+		return;
+	k->handler(k->arg, ev, NULL);
+	free_call(k);
+}
+
+/* How long the target keeps an idle connection, as its answer says. */
+static usec_t
+idle_limit(const struct httpmsg *m)
+{
+	struct str v = httpmsg_get(m, STR("Keep-Alive"));
+	struct str part;
+	uint64_t sec;
+
+	while (v.p != NULL && str_cut(&v, ',', &part)) {
+		part = str_trim(part);
+		if (!str_prefix(part, STR("timeout=")))
+			continue;
+		part.p += sizeof("timeout=") - 1;
+		part.n -= sizeof("timeout=") - 1;
+		if (str_u64(part, &sec) && (usec_t)sec * USEC_PER_SEC < IDLE_MAX)
+			return (usec_t)sec * USEC_PER_SEC - IDLE_MARGIN;
+	}
+	return IDLE_MAX;
+}
+
+static void
+keep(struct conn *c)
+{
+	c->call = NULL;
+	c->used = true;
+	c->idle_since = clock_now();
+	c->idle_max = idle_limit(&c->in);
+	httpmsg_reset(&c->in);
+	c->link.data = c;
+	g_queue_push_head_link(pool_of(c->d, c->addr), &c->link);
+}
+
+static void
+finish(struct conn *c, bool reusable)
+{
+	struct dial_call *k = c->call;
+	struct evbuffer *in = bufferevent_get_input(c->bev);
+
+	/* The handler reads the message, so the connection outlives it. */
+	c->call = NULL;
+	c->used = false;
+	k->handler(k->arg, DIAL_END, &c->in);
+	free_call(k);
+	if (evbuffer_get_length(in) > 0) {
+		c->d->counts.stray++;
+		reusable = false;
+	}
+	/* An early answer: the target has not read the whole call. */
+	if (evbuffer_get_length(bufferevent_get_output(c->bev)) > 0)
+		reusable = false;
+	if (reusable)
+		keep(c);
+	else
+		free_conn(c);
+}
+
+/* Hands an event on; false if the handler has cancelled the call. */
+static bool
+tell(struct conn *c, enum dial_event ev)
+{
+	struct dial_call *k = c->call;
+
+	c->in_handler = true;
+	k->handler(k->arg, ev, &c->in);
+	c->in_handler = false;
+	if (!c->dead)
+		return true;
+	free_conn(c);
+	return false;
+}
+
+/* Whether the whole head answers another call. */
+static bool
+is_stray(const struct conn *c)
+{
+	const struct dial_call *k = c->call;
+	struct str got;
+
+	if (k->echo_name.n == 0)
+		return false;
+	got = httpmsg_get(&c->in, str_of(&k->echo_name));
+	return got.p != NULL && !str_eq(got, str_of(&k->echo));
+}
+
+static void
+on_message(struct conn *c)
+{
+	struct dial_call *k = c->call;
+
+	if (c->in.state == HTTPMSG_BAD) {
+		fail(c, k->head_told ? DIAL_BROKEN : DIAL_GARBLED);
+		return;
+	}
+	if (c->in.state == HTTPMSG_HEAD)
+		return;
+	if (!k->head_told && is_stray(c)) {
+		if (c->in.state != HTTPMSG_DONE)
+			return;
+		c->d->counts.stray++;
+		httpmsg_reset(&c->in);
+		c->in.body_allowed = !k->head_only;
+		httpmsg_feed(&c->in, bufferevent_get_input(c->bev));
+		on_message(c);
+		return;
+	}
+	if (!k->head_told) {
+		k->head_told = true;
+		if (!tell(c, DIAL_HEAD))
+			return;
+	}
+	if (c->in.state == HTTPMSG_DONE) {
+		finish(c, httpmsg_keep_alive(&c->in));
+		return;
+	}
+	if (evbuffer_get_length(c->in.body) > 0)
+		tell(c, DIAL_BYTES);
+}
+
+static void
+on_readable(struct bufferevent *bev, void *arg)
+{
+	struct conn *c = arg;
+
+	if (c->call == NULL) {
+		c->d->counts.stray++;
+		free_conn(c);
+		return;
+	}
+	httpmsg_feed(&c->in, bufferevent_get_input(bev));
+	on_message(c);
+}
+
+static void
+on_change(struct bufferevent *bev, short what, void *arg)
+{
+	struct conn *c = arg;
+
+	(void)bev;
+	if (what & BEV_EVENT_CONNECTED) {
+		c->connected = true;
+		event_del(c->connect_timer);
+		return;
+	}
+	if (c->call == NULL) {
+		free_conn(c);
+		return;
+	}
+	if (!c->connected) {
+		fail(c, DIAL_UNSENT);
+		return;
+	}
+	if ((what & BEV_EVENT_EOF) && c->in.state == HTTPMSG_BODY) {
+		httpmsg_eof(&c->in);
+		if (c->in.state == HTTPMSG_DONE) {
+			on_message(c);
+			return;
+		}
+	}
+	fail(c, DIAL_BROKEN);
+}
+
+static void
+on_connect_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	struct conn *c = arg;
+
+	(void)fd;
+	(void)what;
+	if (!c->connected)
+		fail(c, DIAL_UNSENT);
+}
+
+static bool
+parse_addr(struct str addr, struct sockaddr_in *out)
+{
+	char text[64];
+	char *colon;
+
+	if (addr.n >= sizeof(text))
+		return false;
+	memcpy(text, addr.p, addr.n);
+	text[addr.n] = '\0';
+	colon = strrchr(text, ':');
+	if (colon == NULL)
+		return false;
+	*colon = '\0';
+	*out = (struct sockaddr_in){ .sin_family = AF_INET };
+	out->sin_port = htons((uint16_t)atoi(colon + 1));
+	return inet_pton(AF_INET, text, &out->sin_addr) == 1;
+}
+
+static void
+set_socket_options(int fd)
+{
+	int on = 1;
+	int silent = SILENT_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent, sizeof(silent));
+}
+
+static struct conn *
+open_conn(struct dialer *d, const struct dial_opts *o)
+{
+	struct conn *c;
+	struct sockaddr_in sa;
+	struct timeval tv = { o->connect_timeout / USEC_PER_SEC,
+		o->connect_timeout % USEC_PER_SEC };
+	int fd;
+
+	if (!parse_addr(o->addr, &sa))
+		return NULL;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0) {
+		log_text(LOG_LVL_WARNING, "no-socket", "%s", strerror(errno));
+		return NULL;
+	}
+	set_socket_options(fd);
+	c = xcalloc(1, sizeof(*c));
+	c->d = d;
+	c->addr = str_dup(o->addr);
+	httpmsg_init(&c->in, HTTP_RESPONSE, MAX_HEAD_BYTES);
+	c->bev = bufferevent_socket_new(
+	    d->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	bufferevent_setcb(c->bev, on_readable, NULL, on_change, c);
+	c->connect_timer = evtimer_new(d->base, on_connect_timeout, c);
+	evtimer_add(c->connect_timer, &tv);
+	d->counts.connections++;
+	if (bufferevent_socket_connect(
+		c->bev, (struct sockaddr *)&sa, sizeof(sa)) != 0) {
+		free_conn(c);
+		return NULL;
+	}
+	return c;
+}
+
+/* The most recently used idle connection that is still sound, or NULL. */
+static struct conn *
+take_idle(struct dialer *d, const char *addr, usec_t now)
+{
+	GQueue *q = pool_of(d, addr);
+	struct conn *c;
+	char byte;
+
+	while ((c = g_queue_peek_head(q)) != NULL) {
+		ssize_t n = recv(bufferevent_getfd(c->bev), &byte, 1,
+		    MSG_PEEK | MSG_DONTWAIT);
+
+		if (now - c->idle_since < c->idle_max && n < 0 &&
+		    (errno == EAGAIN || errno == EWOULDBLOCK)) {
+			g_queue_unlink(q, &c->link);
+			return c;
+		}
+		free_conn(c);
+	}
+	return NULL;
+}
+
+struct dial_call *
+dial_start(struct dialer *d, const struct dial_opts *o)
+{
+	struct dial_call *k;
+	g_autofree char *addr = g_strndup(o->addr.p, o->addr.n);
+	struct conn *c = take_idle(d, addr, clock_now());
+
+	if (c == NULL)
+		c = open_conn(d, o);
+	if (c == NULL)
+		return NULL;
+	k = xcalloc(1, sizeof(*k));
+	k->conn = c;
+	k->handler = o->handler;
+	k->arg = o->arg;
+	k->head_only = o->head_only;
+	buf_put(&k->echo_name, o->echo_name);
+	buf_put(&k->echo, o->echo);
+	c->call = k;
+	c->in.body_allowed = !o->head_only;
+	d->counts.calls++;
+	bufferevent_write(c->bev, o->head.p, o->head.n);
+	if (o->body != NULL)
+		bufferevent_write_buffer(c->bev, o->body);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+	return k;
+}
+
+void
+dial_cancel(struct dial_call *k)
+{
+	struct conn *c = k->conn;
+
+	c->call = NULL;
+	c->used = false;
+	free_call(k);
+	if (c->in_handler)
+		c->dead = true;
+	else
+		free_conn(c);
+}
+
+void
+dial_forget(struct dialer *d, struct str addr)
+{
+	g_autofree char *text = g_strndup(addr.p, addr.n);
+	GQueue *q = g_hash_table_lookup(d->idle, text);
+
+	while (q != NULL && q->head != NULL)
+		free_conn(q->head->data);
+}
+
+void
+dialer_sweep(struct dialer *d, usec_t now)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, d->idle);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		GQueue *q = p;
+
+		while (q->tail != NULL) {
+			struct conn *c = q->tail->data;
+
+			if (now - c->idle_since < c->idle_max)
+				break;
+			free_conn(c);
+		}
+		if (q->head == NULL)
+			g_hash_table_iter_remove(&it);
+	}
+}
+
+struct dial_counts
+dialer_counts(const struct dialer *d)
+{
+	return d->counts;
+}
+
+void
+dialer_free(struct dialer *d)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, d->idle);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		GQueue *q = p;
+
+		while (q->head != NULL)
+			free_conn(q->head->data);
+	}
+	g_hash_table_destroy(d->idle);
+	free(d);
+}
--- a/plat/kv.c
+++ b/plat/kv.c
@@ -1,4 +1,5 @@
 #include "plat/kv.h"
+#include "platform/store.h"
 
 #include <glib.h>
 #include <inttypes.h>
@@ -10,7 +11,8 @@
 
 enum op {
 	OP_GET,
-	OP_LIST,
+	OP_RANGE,
+	OP_WAIT,
 	OP_CAS,
 	OP_PUT,
 	OP_DELETE,
@@ -39,7 +41,7 @@
 	struct buf body;
 	union {
 		kv_done done;
-		kv_listed listed;
+		kv_changed_many many;
 		kv_changed changed;
 	};
 	void *arg;
@@ -143,7 +145,8 @@
 	case OP_PUT:
 		r->mod_revision = r->revision;
 		break;
-	case OP_LIST:
+	case OP_RANGE:
+	case OP_WAIT:
 	case OP_DELETE:
 	case OP_REVOKE:
 	case OP_WATCH:
@@ -151,28 +154,26 @@
 	}
 }
 
+/* The outcome of a range or wait. */
 static void
-give_list(const struct pending *p, const json_t *o)
+give_changes(const struct pending *p, bool whole)
 {
-	const json_t *kvs = json_object_get(o, "kvs");
-	size_t n = json_array_size(kvs);
-	struct kv_entry *v = xcalloc(n, sizeof(*v));
-	struct buf *bufs = xcalloc(2 * n, sizeof(*bufs));
-
-	for (size_t i = 0; i < n; i++) {
-		const json_t *kv = json_array_get(kvs, i);
-
-		bufs[2 * i] = decoded(json_object_get(kv, "key"));
-		bufs[2 * i + 1] = decoded(json_object_get(kv, "value"));
-		v[i].key = str_of(&bufs[2 * i]);
-		v[i].value = str_of(&bufs[2 * i + 1]);
-		v[i].mod_revision = number(kv, "mod_revision");
+	struct kv_changes c = { 0 };
+	enum kv_status st = KV_UNKNOWN;
+
+	if (whole && p->status == 200) {
+		bool ok = p->op == OP_RANGE
+		    ? store_read_range(str_of(&p->body), &c)
+		    : store_read_watch(str_of(&p->body), &c);
+
+		st = ok ? KV_OK : KV_UNKNOWN;
+	} else if (whole && p->status == 410) {
+		st = KV_NO_HISTORY;
+	} else if (whole && (p->status == 429 || p->status == 503)) {
+		st = KV_REFUSED;
 	}
-	p->listed(p->arg, KV_OK, v, n);
-	for (size_t i = 0; i < 2 * n; i++)
-		buf_free(&bufs[i]);
-	free(bufs);
-	free(v);
+	p->many(p->arg, st, st == KV_OK ? &c : NULL);
+	store_changes_free(&c);
 }
 
 static void
@@ -187,17 +188,10 @@
 		    p->body.p, p->body.n, JSON_DISABLE_EOF_CHECK, NULL);
 	if (whole && (p->status == 429 || p->status == 400))
 		r.status = KV_REFUSED;
-	if (p->op == OP_LIST) {
-		if (o != NULL)
-			give_list(p, o);
-		else
-			p->listed(p->arg, r.status, NULL, 0);
-	} else {
-		if (o != NULL)
-			read_result(p->op, o, &r, &value);
-		if (p->done != NULL)
-			p->done(p->arg, &r);
-	}
+	if (o != NULL)
+		read_result(p->op, o, &r, &value);
+	if (p->done != NULL)
+		p->done(p->arg, &r);
 	buf_free(&value);
 	json_decref(o);
 }
@@ -277,38 +271,52 @@
 	g_hash_table_steal(kv->open, &call);
 	if (p->op == OP_WATCH)
 		p->changed(p->arg, &(struct kv_watched){ .closed = true });
+	else if (p->op == OP_RANGE || p->op == OP_WAIT)
+		give_changes(p, ev->kind == HTTP_END);
 	else
 		give(p, ev->kind == HTTP_END);
 	free_pending(p);
 }
 
-/* Sends one call; the object is released. */
+/* Starts one call; body is empty for a GET. */
 static struct pending *
-send(struct kv *kv, enum op op, const char *path, json_t *o, void *arg)
+start(struct kv *kv, enum op op, struct str path, struct str body,
+    usec_t timeout, void *arg)
 {
 	struct pending *p = xcalloc(1, sizeof(*p));
 	struct buf url = { 0 };
-	char *text = json_dumps(o, JSON_COMPACT);
 
 	p->kv = kv;
 	p->op = op;
 	p->arg = arg;
-	buf_printf(&url, "http://%s%s", kv->endpoints[kv->at], path);
+	buf_printf(
+	    &url, "http://%s%.*s", kv->endpoints[kv->at], STR_FMT(path));
 	kv->calls++;
 	p->call = http_start(kv->loop,
 	    &(struct http_opts){
-		.method = "POST",
+		.method = body.n > 0 ? "POST" : "GET",
 		.url = url.p,
-		.body = str_from(text),
-		.timeout = op == OP_WATCH ? 0 : kv->timeout,
+		.body = body,
+		.timeout = timeout,
 		.local_addr = kv->local_addr,
 		.handler = on_http,
 		.arg = p,
 	    });
 	g_hash_table_insert(kv->open, &p->call, p);
+	buf_free(&url);
+	return p;
+}
+
+/* Sends one call of etcd's form; the object is released. */
+static struct pending *
+send(struct kv *kv, enum op op, const char *path, json_t *o, void *arg)
+{
+	char *text = json_dumps(o, JSON_COMPACT);
+	struct pending *p = start(kv, op, str_from(path), str_from(text),
+	    op == OP_WATCH ? 0 : kv->timeout, arg);
+
 	free(text);
 	json_decref(o);
-	buf_free(&url);
 	return p;
 }
 
@@ -347,17 +355,27 @@
 }
 
 void
-kv_list(struct kv *kv, struct str prefix, kv_listed done, void *arg)
+kv_range(struct kv *kv, struct str prefix, struct str after,
+    kv_changed_many done, void *arg)
 {
-	struct buf end = { 0 };
-	json_t *o;
+	struct buf path = { 0 };
+
+	store_range_path(&path, prefix, after);
+	start(kv, OP_RANGE, str_of(&path), STR(""), kv->timeout, arg)->many =
+	    done;
+	buf_free(&path);
+}
+
+void
+kv_wait(struct kv *kv, struct str prefix, int64_t after, usec_t wait,
+    kv_changed_many done, void *arg)
+{
+	struct buf path = { 0 };
 
-	buf_put(&end, prefix);
-	end.p[end.n - 1]++;
-	o = json_pack("{s:o, s:o}", "key", encoded(prefix), "range_end",
-	    encoded(str_of(&end)));
-	buf_free(&end);
-	send(kv, OP_LIST, "/v3/kv/range", o, arg)->listed = done;
+	store_watch_path(&path, prefix, after, wait);
+	start(kv, OP_WAIT, str_of(&path), STR(""), wait + kv->timeout, arg)
+	    ->many = done;
+	buf_free(&path);
 }
 
 void
--- a/plat/kv.h
+++ b/plat/kv.h
@@ -1,6 +1,8 @@
 /*
- * Client of the platform's key-value service: the JSON form of etcd's v3 API
- * over HTTP.  All calls are asynchronous on an http_loop.
+ * Client of the platform's key-value service.  All calls are asynchronous on
+ * an http_loop.  The service speaks one of two forms (enum kv_form): the JSON
+ * form of etcd's v3 API, or that of platform/store.h, whose calls are kv_range
+ * and kv_wait.
  *
  * A write whose answer is lost ends in KV_UNKNOWN: it may or may not have
  * taken effect.
@@ -17,7 +19,13 @@
 	KV_OK,
 	KV_CONFLICT, /* the comparison failed; nothing was written */
 	KV_REFUSED,  /* the service said no, and nothing was written */
-	KV_UNKNOWN   /* no usable answer */
+	KV_NO_HISTORY, /* of a wait: the changes since then are not kept */
+	KV_UNKNOWN     /* no usable answer */
+};
+
+enum kv_form {
+	KV_FORM_ETCD,
+	KV_FORM_PLATFORM
 };
 
 struct kv_result {
@@ -30,15 +38,24 @@
 	struct str value;
 };
 
-struct kv_entry {
-	struct str key;
-	struct str value;
-	int64_t mod_revision;
+struct kv_change {
+	struct buf key;
+	struct buf value;
+	int64_t revision;
+	bool deleted;
+};
+
+struct kv_changes {
+	struct kv_change *v;
+	size_t n;
+	int64_t as_of; /* the store's revision */
+	bool more;     /* of a range: another page follows */
 };
 
 typedef void (*kv_done)(void *arg, const struct kv_result *r);
-typedef void (*kv_listed)(
-    void *arg, enum kv_status st, const struct kv_entry *v, size_t n);
+/* c is NULL unless the status is KV_OK. */
+typedef void (*kv_changed_many)(
+    void *arg, enum kv_status st, const struct kv_changes *c);
 /* key: changed key; deleted: it is gone.  closed: the watch has ended. */
 struct kv_watched {
 	bool closed;
@@ -55,6 +72,7 @@
 	size_t n_endpoints;
 	usec_t timeout;         /* of one call */
 	const char *local_addr; /* source address, or NULL */
+	enum kv_form form;
 };
 
 struct kv_cas_opts {
@@ -69,8 +87,13 @@
 void kv_get(struct kv *kv, struct str key, kv_done done, void *arg);
 /* As kv_get, without the value: mod_revision is 0 if there is no such key. */
 void kv_revision(struct kv *kv, struct str key, kv_done done, void *arg);
-/* All keys that start with the prefix. */
-void kv_list(struct kv *kv, struct str prefix, kv_listed done, void *arg);
+/* A page of the items under a prefix, behind a key. */
+void kv_range(struct kv *kv, struct str prefix, struct str after,
+    kv_changed_many done, void *arg);
+/* The changes under a prefix after a revision, once there are some or the
+ * wait is over. */
+void kv_wait(struct kv *kv, struct str prefix, int64_t after, usec_t wait,
+    kv_changed_many done, void *arg);
 void kv_cas(
     struct kv *kv, const struct kv_cas_opts *c, kv_done done, void *arg);
 void kv_put(struct kv *kv, struct str key, struct str value, int64_t lease,
