--- a/entry/asks.c
+++ b/entry/asks.c
@@ -165,7 +165,7 @@
 	a->body.inputs = str_dup(o->inputs);
 	a->body.stage = o->stage;
 	a->body.rank = o->rank;
-	a->body.weight = o->weight;
+	a->body.bytes = o->bytes;
 	a->body.pieces.pieces_len = o->n;
 	a->body.pieces.pieces_val = xcalloc(o->n, sizeof(u_int));
 	for (uint32_t i = 0; i < o->n; i++)
--- a/entry/asks.h
+++ b/entry/asks.h
@@ -32,9 +32,9 @@
 	struct str key;
 	struct str inputs;
 	usec_t deadline;
-	usec_t aim;
+	usec_t aim; /* the results are late after that */
 	uint32_t rank;
-	uint32_t weight;
+	uint64_t bytes; /* of one result */
 	/* Called once, unless the ask is cancelled; never from asks_start. */
 	ask_handler handler;
 	void *arg; /* owned by the ask: freed with free() */
--- a/entry/course.c
+++ b/entry/course.c
@@ -5,6 +5,10 @@
 #include <string.h>
 
 #define MAX_STAGE_TRIES 3 /* asks for one stage of one request */
+/* Of a prompt until its first token: reading it, a network path, a step. */
+#define FIRST_TOKEN (150 * USEC_PER_MSEC)
+/* Part of a batch that a call holds as a rule. */
+#define USUAL_FILL 0.4
 
 /* The argument of an ask, which owns it. */
 struct course_ask {
@@ -42,6 +46,65 @@
 	return true;
 }
 
+/* How many stages follow a stage, at the longest. */
+static uint32_t
+height(const struct request *r, uint32_t i)
+{
+	uint32_t most = 0;
+
+	for (uint32_t k = i + 1; k < r->route->n_stages; k++) {
+		if ((r->route->stages[k].after >> i & 1) && is_wanted(r, k)) {
+			uint32_t n = 1 + height(r, k);
+
+			most = n > most ? n : most;
+		}
+	}
+	return most;
+}
+
+/*
+ * Whether a stage need not start yet: others with more stages behind them are
+ * not done.  Results that are made early only take room at their maker.
+ */
+static bool
+can_wait(const struct request *r, uint32_t i)
+{
+	uint32_t mine = height(r, i);
+
+	for (uint32_t k = 0; k < r->route->n_stages; k++) {
+		if (is_wanted(r, k) && !r->stages[k].done &&
+		    height(r, k) > mine)
+			return true;
+	}
+	return false;
+}
+
+static usec_t
+usual_call(const struct request *r, uint32_t stage)
+{
+	const struct pool_shape *p =
+	    &routes_service_at(r->routes, r->route->stages[stage].service)
+		 ->pool;
+
+	return p->call + (usec_t)(USUAL_FILL * (double)(p->batch * p->item));
+}
+
+/* What is still to be done after a stage until the first token. */
+static usec_t
+time_behind(const struct request *r, uint32_t i)
+{
+	usec_t most = 0;
+
+	for (uint32_t k = i + 1; k < r->route->n_stages; k++) {
+		if ((r->route->stages[k].after >> i & 1) && is_wanted(r, k)) {
+			usec_t t = usual_call(r, k) + time_behind(r, k);
+
+			most = t > most ? t : most;
+		}
+	}
+	return most > 0 ? most : FIRST_TOKEN;
+}
+
 static struct str
 service_name(const struct request *r, uint32_t stage)
 {
@@ -178,7 +241,8 @@
 		.key = r->facts.piece_key,
 		.inputs = str_of(&inputs),
 		.deadline = r->end,
-		.aim = r->aim,
+		.aim = r->aim - time_behind(r, i),
+		.bytes = r->route->stages[i].bytes,
 		.rank = r->rank > 0 ? (uint32_t)r->rank : 0,
 		.handler = on_reply,
 		.arg = c,
@@ -208,7 +272,7 @@
 		if (!is_wanted(r, i) || s->done)
 			continue;
 		all = false;
-		if (s->ask == 0 && is_ready(r, i))
+		if (s->ask == 0 && is_ready(r, i) && !can_wait(r, i))
 			start_stage(r, i);
 	}
 	if (!all)
--- a/entry/door.c
+++ b/entry/door.c
@@ -222,8 +222,9 @@
 {
 	struct door_request *q = arg;
 
-	(void)bev;
-	if (q->closing && !q->lingering)
+	/* A callback from before the answer may come after it. */
+	if (q->closing && !q->lingering &&
+	    evbuffer_get_length(bufferevent_get_output(bev)) == 0)
 		half_close(q);
 }
 
--- a/entry/home.c
+++ b/entry/home.c
@@ -2,6 +2,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "kernel/batch.h"
+#include "kernel/room.h"
 #include "platform/request.h"
 #include "platform/stage.h"
 
@@ -14,8 +15,10 @@
 #define CALL_PATIENCE 5
 /* How long an answered ask is told again. */
 #define KEEP_REPLY (4 * USEC_PER_SEC)
-/* Results that were used wait for the next call to their maker so long. */
-#define FREE_EVERY (400 * USEC_PER_MSEC)
+/* Results that were used are freed together so often: room is short. */
+#define FREE_EVERY (40 * USEC_PER_MSEC)
+/* Part of the room that is used: sizes are rough, and frees take their time. */
+#define ROOM_SHARE 0.95
 #define MAX_PIECE_SENDS 3
 /* A refused caller comes back when what waits now is done, spread by half. */
 #define RETRY_SPREAD_MS 400
@@ -31,6 +34,7 @@
 	struct buf piece_key;
 	struct buf inputs;
 	uint32_t stage;
+	uint64_t bytes; /* of one result */
 	usec_t deadline;
 	uint32_t n;
 	uint32_t left; /* pieces without a result */
@@ -38,6 +42,7 @@
 	uint32_t pieces[PEER_PIECES_MAX];
 	uint8_t sends[PEER_PIECES_MAX];
 	struct piece_result results[PEER_PIECES_MAX];
+	bool made[PEER_PIECES_MAX]; /* has its result */
 	bool replied;
 	bool refused;
 	bool cancelled;
@@ -58,6 +63,8 @@
 	struct dial_call *dial;
 	struct event *timer;
 	char target_id[64];
+	char addr[64];
+	uint64_t bytes; /* reserved for its results */
 	GArray *items; /* struct batch_item; owner: struct ask */
 	usec_t started;
 	bool answered; /* its head came */
@@ -78,6 +85,7 @@
 	GHashTable *calls;  /* struct stage_call */
 	GHashTable *used;   /* address -> struct used */
 	GHashTable *last;   /* target id -> hash of its last results */
+	struct room room;
 	struct home_counts counts;
 	GPtrArray *unsaid; /* asks of this host that are answered */
 	struct event *say; /* tells it from the loop, not from within its ask */
@@ -197,11 +205,22 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_used);
 	h->last =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	room_init(&h->room);
 	h->unsaid = g_ptr_array_new();
 	h->say = event_new(o->base, -1, EV_PERSIST, on_say, h);
 	return h;
 }
 
+/* Frees the results of an ask that is not answered with them. */
+static void
+release_made(struct home *h, const struct ask *a)
+{
+	for (uint32_t i = 0; i < a->n; i++) {
+		if (a->made[i] && a->results[i].outcome == PIECE_MADE)
+			home_release(h, str_from(a->results[i].handle));
+	}
+}
+
 static void
 finish_ask(struct home *h, struct ask *a, usec_t now)
 {
@@ -211,6 +230,8 @@
 	a->replied_at = now;
 	if (a->pool != NULL)
 		batch_drop(&a->pool->batch, a);
+	if (a->refused || a->cancelled)
+		release_made(h, a);
 	if (a->cancelled)
 		return;
 	if (a->from != NULL) {
@@ -230,7 +251,7 @@
 		.aim = now + (usec_t)x->aim_left_ms * USEC_PER_MSEC,
 		.deadline = a->deadline,
 		.rank = x->rank,
-		.weight = x->weight,
+		.bytes = a->bytes,
 		.queued = now,
 	};
 
@@ -290,6 +311,7 @@
 	a->number = x->ask;
 	a->pool = p;
 	a->stage = x->stage;
+	a->bytes = x->bytes;
 	a->deadline = now + (usec_t)x->left_ms * USEC_PER_MSEC;
 	a->n = x->pieces.pieces_len;
 	a->left = a->n;
@@ -347,7 +369,17 @@
 {
 	struct ask *a = it->owner;
 
+	if (res->outcome == PIECE_MADE)
+		room_hold(&h->room, res->handle, a->bytes,
+		    now + a->pool->batch.shape.keep);
+	if (a->replied) {
+		/* Nobody waits for it any more. */
+		if (res->outcome == PIECE_MADE)
+			home_release(h, str_from(res->handle));
+		return;
+	}
 	a->results[it->piece] = *res;
+	a->made[it->piece] = true;
 	if (a->left > 0)
 		a->left--;
 	if (a->left == 0 || res->outcome != PIECE_MADE)
@@ -393,6 +425,7 @@
 free_stage_call(struct stage_call *k)
 {
 	g_hash_table_remove(k->home->calls, k);
+	room_unreserve(&k->home->room, k->addr, k->bytes);
 	let_go(k->home, k->items);
 	event_free(k->timer);
 	g_array_unref(k->items);
@@ -575,7 +608,7 @@
 }
 
 static void
-put_calls(const struct stage_call *k, struct buf *body, usec_t now)
+put_calls(struct stage_call *k, struct buf *body, usec_t now)
 {
 	struct piece_call *v = xcalloc(k->items->len, sizeof(*v));
 
@@ -585,6 +618,7 @@
 		struct ask *a = it->owner;
 
 		a->in_calls++;
+		k->bytes += a->bytes;
 		v[i] = (struct piece_call){
 			.id = str_of(&a->id),
 			.stage = a->stage,
@@ -614,8 +648,10 @@
 	k->items = items;
 	k->started = now;
 	g_strlcpy(k->target_id, t->entry.id, sizeof(k->target_id));
+	g_strlcpy(k->addr, t->entry.addr, sizeof(k->addr));
 	k->timer = evtimer_new(h->o.base, on_call_timeout, k);
 	put_calls(k, &body, now);
+	room_reserve(&h->room, k->addr, k->bytes);
 	g_hash_table_add(h->calls, k);
 	loads_sent(t);
 	h->counts.calls++;
@@ -632,19 +668,41 @@
 	evtimer_add(k->timer, &tv);
 }
 
-/* A usable target without a call of this home, or NULL. */
+/* Bytes that a target has for further results. */
+static uint64_t
+room_left(struct home *h, const struct pool *p, const char *addr, usec_t now)
+{
+	uint64_t room = (uint64_t)(ROOM_SHARE * (double)p->batch.shape.room);
+	uint64_t used = room_used(&h->room, addr, now);
+
+	return used < room ? room - used : 0;
+}
+
+/*
+ * The usable target without a call of this home that has the most room and
+ * was not passed over; NULL if there is none.
+ */
 static struct target *
-free_target(struct home *h, const char *service, usec_t now)
+free_target(struct home *h, const struct pool *p, uint64_t least, usec_t now,
+    uint64_t *room)
 {
-	const GPtrArray *all = loads_of(h->o.loads, service);
+	const GPtrArray *all = loads_of(h->o.loads, p->service);
+	struct target *best = NULL;
 
+	*room = 0;
 	for (guint i = 0; all != NULL && i < all->len; i++) {
 		struct target *t = all->pdata[i];
+		uint64_t left;
 
-		if (t->in_flight == 0 && now >= t->aside_until)
-			return t;
+		if (t->in_flight > 0 || now < t->aside_until)
+			continue;
+		left = room_left(h, p, t->entry.addr, now);
+		if (left < least || (best != NULL && left <= *room))
+			continue;
+		best = t;
+		*room = left;
 	}
-	return NULL;
+	return best;
 }
 
 /* Drops the asks whose time is over. */
@@ -666,20 +724,38 @@
 	}
 }
 
+/* Bytes of the smallest result that waits. */
+static uint64_t
+least_bytes(const struct batch *b)
+{
+	uint64_t least = UINT64_MAX;
+
+	for (guint i = 0; i < b->items->len; i++) {
+		uint64_t n =
+		    g_array_index(b->items, struct batch_item, i).bytes;
+
+		if (n < least)
+			least = n;
+	}
+	return least;
+}
+
 static void
 serve_pool(struct home *h, struct pool *p, usec_t now)
 {
 	struct target *t;
 	uint32_t free_ones;
+	uint64_t room;
 
 	drop_late(h, p, now);
 	while (p->batch.items->len > 0 &&
-	    (t = free_target(h, p->service, now)) != NULL) {
+	    (t = free_target(h, p, least_bytes(&p->batch), now, &room)) !=
+		NULL) {
 		GArray *items =
 		    g_array_new(FALSE, FALSE, sizeof(struct batch_item));
 
 		usable_targets(h, p->service, now, &free_ones);
-		batch_take(&p->batch, now, free_ones, items);
+		batch_take(&p->batch, now, free_ones, room, items);
 		start_call(h, p, t, items, now);
 	}
 }
@@ -758,6 +834,7 @@
 			buf_putc(&u->handles, ',');
 		}
 		buf_put(&u->handles, one);
+		room_free_result(&h->room, one);
 	}
 }
 
@@ -809,6 +886,7 @@
 	g_hash_table_destroy(h->last);
 	event_free(h->say);
 	g_ptr_array_unref(h->unsaid);
+	room_clear(&h->room);
 	routes_unref(h->routes);
 	free(h);
 }
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -140,7 +140,7 @@
 	u_int left_ms;
 	int aim_left_ms;
 	u_int rank;
-	u_int weight;
+	u_quad_t bytes;
 	bool_t cancelled;
 };
 typedef struct peer_piece_ask peer_piece_ask;
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -107,7 +107,7 @@
 	unsigned int left_ms;   /* of the caller's time */
 	int aim_left_ms;        /* until it is late */
 	unsigned int rank;
-	unsigned int weight;    /* worth of a piece, in thousandths */
+	unsigned hyper bytes;   /* of one result, roughly */
 	bool cancelled;         /* the results are not wanted any more */
 };
 
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -208,7 +208,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->inputs, 16384))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->left_ms))
 				 return FALSE;
@@ -216,17 +216,16 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->rank))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->weight))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->cancelled))
-				 return FALSE;
+
 		} else {
-			IXDR_PUT_U_LONG(buf, objp->left_ms);
-			IXDR_PUT_LONG(buf, objp->aim_left_ms);
-			IXDR_PUT_U_LONG(buf, objp->rank);
-			IXDR_PUT_U_LONG(buf, objp->weight);
-			IXDR_PUT_BOOL(buf, objp->cancelled);
+		IXDR_PUT_U_LONG(buf, objp->left_ms);
+		IXDR_PUT_LONG(buf, objp->aim_left_ms);
+		IXDR_PUT_U_LONG(buf, objp->rank);
 		}
+		 if (!xdr_u_quad_t (xdrs, &objp->bytes))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->cancelled))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->ask))
@@ -244,7 +243,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->inputs, 16384))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->left_ms))
 				 return FALSE;
@@ -252,17 +251,16 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->rank))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->weight))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->cancelled))
-				 return FALSE;
+
 		} else {
-			objp->left_ms = IXDR_GET_U_LONG(buf);
-			objp->aim_left_ms = IXDR_GET_LONG(buf);
-			objp->rank = IXDR_GET_U_LONG(buf);
-			objp->weight = IXDR_GET_U_LONG(buf);
-			objp->cancelled = IXDR_GET_BOOL(buf);
+		objp->left_ms = IXDR_GET_U_LONG(buf);
+		objp->aim_left_ms = IXDR_GET_LONG(buf);
+		objp->rank = IXDR_GET_U_LONG(buf);
 		}
+		 if (!xdr_u_quad_t (xdrs, &objp->bytes))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->cancelled))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -287,7 +285,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->rank))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->weight))
+	 if (!xdr_u_quad_t (xdrs, &objp->bytes))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->cancelled))
 		 return FALSE;
--- a/kernel/batch.c
+++ b/kernel/batch.c
@@ -3,7 +3,7 @@
 /* Fewer pieces than this share of a call's own cost are not split up. */
 #define SPLIT_SHARE 0.25
 /* Rank shifts the order by so much: a less urgent one waits for others. */
-#define RANK_STEP (300 * USEC_PER_MSEC)
+#define RANK_STEP (700 * USEC_PER_MSEC)
 /* Weight of a new measurement in the running mean. */
 #define SMOOTH 0.1
 
@@ -80,16 +80,26 @@
 }
 
 void
-batch_take(struct batch *b, usec_t now, uint32_t free_targets, GArray *out)
+batch_take(struct batch *b, usec_t now, uint32_t free_targets, uint64_t room,
+    GArray *out)
 {
 	uint32_t n = call_size(b, free_targets > 0 ? free_targets : 1);
 	usec_t earliest = now + call_time(b, n);
+	guint kept = 0;
 
-	if (n == 0)
-		return;
 	g_array_sort_with_data(b->items, by_urgency, &earliest);
-	g_array_append_vals(out, b->items->data, n);
-	g_array_remove_range(b->items, 0, n);
+	for (guint i = 0; i < b->items->len; i++) {
+		struct batch_item it =
+		    g_array_index(b->items, struct batch_item, i);
+
+		if (out->len < n && it.bytes <= room) {
+			room -= it.bytes;
+			g_array_append_val(out, it);
+		} else {
+			g_array_index(b->items, struct batch_item, kept++) = it;
+		}
+	}
+	g_array_set_size(b->items, kept);
 }
 
 usec_t
--- a/kernel/batch.h
+++ b/kernel/batch.h
@@ -6,8 +6,9 @@
  * a target is free, up to the batch; several free targets share what waits.
  * Load pattern: more pieces come than the targets can make.  Then the order
  * decides: requests that can still be on time go first, by rank and by the
- * time that they have left; those that are late already follow, and what can
- * no longer be done before its deadline is dropped.
+ * time that they have left; those that are late already follow.  Results take
+ * room at their maker until they are used: a piece without room would be
+ * refused at its turn, so it is not sent.
  */
 #ifndef KERNEL_BATCH_H
 #define KERNEL_BATCH_H
@@ -20,7 +21,7 @@
 	usec_t aim;      /* an answer after that is late */
 	usec_t deadline; /* and after that worth nothing */
 	uint32_t rank;   /* 0 is the most urgent */
-	uint32_t weight; /* worth of the piece, in thousandths */
+	uint64_t bytes;  /* of its result */
 	usec_t queued;
 };
 
@@ -37,10 +38,11 @@
 void batch_drop(struct batch *b, const void *owner);
 /*
  * Moves the pieces of the next call to out, a GArray of struct batch_item;
- * free_targets: how many could take a call now, this one too.
+ * free_targets: how many could take a call now, this one too; room: bytes
+ * that its target has for results.  What does not fit waits on.
  */
-void batch_take(
-    struct batch *b, usec_t now, uint32_t free_targets, GArray *out);
+void batch_take(struct batch *b, usec_t now, uint32_t free_targets,
+    uint64_t room, GArray *out);
 /* How long pieces that come now wait until they are made, roughly. */
 usec_t batch_wait(const struct batch *b, uint32_t targets, uint32_t pieces);
 /* A call of n pieces took so long at its target. */
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -15,7 +15,7 @@
 /* A report is older than the calls that it tells of by then. */
 #define REPORT_LIFE (2 * USEC_PER_SEC)
 /* Of fetching large inputs from another failure domain, in milliseconds. */
-#define FAR_INPUTS_MS 15.0
+#define FAR_INPUTS_MS 40.0
 /* Of a call into another failure domain: one way there and back. */
 #define FAR_MS 2.0
 
--- /dev/null
+++ b/kernel/room.c
@@ -0,0 +1,139 @@
+#include "kernel/room.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct held {
+	uint64_t bytes;
+	usec_t expires;
+};
+
+struct maker {
+	uint64_t reserved;
+	uint64_t held_bytes;
+	usec_t oldest; /* earliest expiry, or later */
+	GHashTable *held; /* handle -> struct held */
+};
+
+static void
+free_maker(gpointer p)
+{
+	struct maker *m = p;
+
+	g_hash_table_destroy(m->held);
+	free(m);
+}
+
+void
+room_init(struct room *r)
+{
+	r->makers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_maker);
+}
+
+static struct maker *
+maker_of(struct room *r, const char *addr)
+{
+	struct maker *m = g_hash_table_lookup(r->makers, addr);
+
+	if (m != NULL)
+		return m;
+	m = xcalloc(1, sizeof(*m));
+	m->held =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_hash_table_insert(r->makers, g_strdup(addr), m);
+	return m;
+}
+
+/* The address part of a handle; freed with g_free. */
+static char *
+address_of(struct str handle)
+{
+	struct str addr = handle;
+
+	str_cut(&handle, '/', &addr);
+	return g_strndup(addr.p, addr.n);
+}
+
+static void
+expire(struct maker *m, usec_t now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	if (now < m->oldest)
+		return;
+	m->oldest = INT64_MAX;
+	g_hash_table_iter_init(&it, m->held);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct held *h = v;
+
+		if (h->expires > now) {
+			if (h->expires < m->oldest)
+				m->oldest = h->expires;
+			continue;
+		}
+		m->held_bytes -= h->bytes;
+		g_hash_table_iter_remove(&it);
+	}
+}
+
+uint64_t
+room_used(struct room *r, const char *addr, usec_t now)
+{
+	struct maker *m = maker_of(r, addr);
+
+	expire(m, now);
+	return m->reserved + m->held_bytes;
+}
+
+void
+room_reserve(struct room *r, const char *addr, uint64_t bytes)
+{
+	maker_of(r, addr)->reserved += bytes;
+}
+
+void
+room_unreserve(struct room *r, const char *addr, uint64_t bytes)
+{
+	struct maker *m = maker_of(r, addr);
+
+	m->reserved -= bytes < m->reserved ? bytes : m->reserved;
+}
+
+void
+room_hold(struct room *r, const char *handle, uint64_t bytes, usec_t expires)
+{
+	g_autofree char *addr = address_of(str_from(handle));
+	struct maker *m = maker_of(r, addr);
+	struct held *h = g_new0(struct held, 1);
+
+	if (g_hash_table_contains(m->held, handle))
+		room_free_result(r, str_from(handle));
+	h->bytes = bytes;
+	h->expires = expires;
+	m->held_bytes += bytes;
+	if (g_hash_table_size(m->held) == 0 || expires < m->oldest)
+		m->oldest = expires;
+	g_hash_table_insert(m->held, g_strdup(handle), h);
+}
+
+void
+room_free_result(struct room *r, struct str handle)
+{
+	g_autofree char *addr = address_of(handle);
+	g_autofree char *key = g_strndup(handle.p, handle.n);
+	struct maker *m = maker_of(r, addr);
+	const struct held *h = g_hash_table_lookup(m->held, key);
+
+	if (h == NULL)
+		return;
+	m->held_bytes -= h->bytes;
+	g_hash_table_remove(m->held, key);
+}
+
+void
+room_clear(struct room *r)
+{
+	g_hash_table_destroy(r->makers);
+}
