Stop and store: idle connections close after the drain, short probes of a silent store

Cause of LOST: open connections still brought requests 4 s and more after SIGTERM, whose streams the end of the grace cut. After the drain time idle connections are closed and what comes all the same is rejected as not run. Cause of CONFIG: after a cut of 9 s the follower waited 2.5 s on a connection that had gone silent; while the store is away it now probes on new connections. Configuration and targets share one wait.

--- a/entry/asks.c
+++ b/entry/asks.c
@@ -7,12 +7,12 @@
 #include <string.h>
 
 /* Many round trips between failure domains; the loss of one is made up. */
-#define CONFIRM_TIMEOUT (100 * USEC_PER_MSEC)
+#define CONFIRM_TIMEOUT   (100 * USEC_PER_MSEC)
 /* A confirmed ask is asked about so often. */
-#define ASK_AGAIN (500 * USEC_PER_MSEC)
-#define MAX_TRIES 3 /* without a word before another home is taken */
+#define ASK_AGAIN         (500 * USEC_PER_MSEC)
+#define MAX_TRIES         3 /* without a word before another home is taken */
 /* A home that did not confirm is not chosen for so long. */
-#define SUSPECT_TIME (2 * USEC_PER_SEC)
+#define SUSPECT_TIME      (2 * USEC_PER_SEC)
 #define INCARNATION_SHIFT 24 /* asks of one start that are told apart */
 
 struct asked {
@@ -36,7 +36,7 @@
 struct asks {
 	struct asks_opts o;
 	struct home *home;
-	GArray *peers; /* struct peer */
+	GArray *peers;    /* struct peer */
 	GHashTable *open; /* number -> struct asked */
 	uint64_t next;
 };
@@ -92,8 +92,8 @@
 	GArray *v = g_array_new(FALSE, TRUE, sizeof(struct peer));
 
 	for (guint i = 0; i < peers->len; i++) {
-		struct peer p = { .p =
-				    g_array_index(peers, struct view_peer, i) };
+		struct peer p = { .p = g_array_index(
+				      peers, struct view_peer, i) };
 		const struct peer *old = find_peer(s, p.p.rpc);
 
 		if (old != NULL)
@@ -171,8 +171,8 @@
 	for (uint32_t i = 0; i < o->n; i++)
 		a->body.pieces.pieces_val[i] = i;
 	g_hash_table_insert(s->open, &a->number, a);
-	g_strlcpy(a->home, choose_home(s, a->body.service, now),
-	    sizeof(a->home));
+	g_strlcpy(
+	    a->home, choose_home(s, a->body.service, now), sizeof(a->home));
 	send_ask(s, a, now);
 	return a->number;
 }
@@ -242,8 +242,8 @@
 	    { "request", str_from(a->body.id) });
 	if (p != NULL)
 		p->suspect_until = now + SUSPECT_TIME;
-	g_strlcpy(a->home, choose_home(s, a->body.service, now),
-	    sizeof(a->home));
+	g_strlcpy(
+	    a->home, choose_home(s, a->body.service, now), sizeof(a->home));
 	a->tries = 0;
 	a->confirmed = false;
 }
--- a/entry/course.c
+++ b/entry/course.c
@@ -6,9 +6,9 @@
 
 #define MAX_STAGE_TRIES 3 /* asks for one stage of one request */
 /* Of a prompt until its first token: reading it, a network path, a step. */
-#define FIRST_TOKEN (150 * USEC_PER_MSEC)
+#define FIRST_TOKEN     (150 * USEC_PER_MSEC)
 /* Part of a batch that a call holds as a rule. */
-#define USUAL_FILL 0.4
+#define USUAL_FILL      0.4
 
 /* The argument of an ask, which owns it. */
 struct course_ask {
@@ -108,16 +108,16 @@
 static struct str
 service_name(const struct request *r, uint32_t stage)
 {
-	return str_from(routes_service_at(
-	    r->routes, r->route->stages[stage].service)
+	return str_from(
+	    routes_service_at(r->routes, r->route->stages[stage].service)
 		->name);
 }
 
 static void
 release_stage(struct request *r, uint32_t i)
 {
-	asks_release(r->parts->asks, service_name(r, i),
-	    str_of(&r->stages[i].handles));
+	asks_release(
+	    r->parts->asks, service_name(r, i), str_of(&r->stages[i].handles));
 	buf_clear(&r->stages[i].handles);
 }
 
@@ -176,10 +176,10 @@
 	LOG(LOG_LVL_NOTICE, "stage-failed", { "request", r->facts.id },
 	    { "stage", service_name(r, stage) },
 	    { "outcome",
-		str_from(outcome == PIECE_LATE      ? "late"
-			: outcome == PIECE_GONE     ? "input gone"
-			: outcome == PIECE_NO_ROOM  ? "no room"
-						    : "failed") });
+		str_from(outcome == PIECE_LATE     ? "late"
+			: outcome == PIECE_GONE    ? "input gone"
+			: outcome == PIECE_NO_ROOM ? "no room"
+						   : "failed") });
 	if (outcome == PIECE_LATE || ++s->tries >= MAX_STAGE_TRIES) {
 		request_reject(r,
 		    &(struct rejection){ ERR_NO_TIME, USEC_PER_SEC / 2,
--- a/entry/door.c
+++ b/entry/door.c
@@ -11,13 +11,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define BACKLOG 1024
+#define BACKLOG    1024
 /* What a caller may send ahead while its request is under way. */
 #define READ_AHEAD (64 * 1024)
 /* An answer that nobody takes for so long means that the path is gone. */
-#define SILENT_MS 5000
+#define SILENT_MS  5000
 /* For a refused caller to read the answer before its bytes are reset. */
-#define LINGER (1 * USEC_PER_SEC)
+#define LINGER     (1 * USEC_PER_SEC)
 
 struct door_request {
 	struct door *door;
@@ -104,7 +104,8 @@
 	q->door->counts.malformed++;
 	log_text(LOG_LVL_NOTICE, "request-malformed", "%d: %s", status, why);
 	q->busy = true;
-	door_answer(q, &(struct door_answer){ .status = status, .close = true });
+	door_answer(
+	    q, &(struct door_answer){ .status = status, .close = true });
 }
 
 /* What the parser lets through and yet could be read in two ways. */
@@ -196,8 +197,8 @@
 	if (q->in.state == HTTPMSG_HEAD)
 		return;
 	if (q->in.head_bytes > l->head_bytes &&
-	    q->in.head_bytes > l->head_bytes +
-		    evbuffer_get_length(q->in.body)) {
+	    q->in.head_bytes >
+		l->head_bytes + evbuffer_get_length(q->in.body)) {
 		refuse(q, 431, "the head exceeds its limit");
 		return;
 	}
@@ -364,8 +365,7 @@
 	httpmsg_reset(&q->in);
 	bufferevent_setwatermark(q->bev, EV_READ, 0, 0);
 	if (evbuffer_get_length(bufferevent_get_input(q->bev)) > 0)
-		bufferevent_trigger(
-		    q->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+		bufferevent_trigger(q->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 	else
 		set_timer(q, q->door->o.limits.idle_timeout);
 }
@@ -384,8 +384,8 @@
 door_answer(struct door_request *q, const struct door_answer *a)
 {
 	struct evbuffer *out = bufferevent_get_output(q->bev);
-	bool keep = !a->close && !q->door->draining &&
-	    httpmsg_keep_alive(&q->in);
+	bool keep =
+	    !a->close && !q->door->draining && httpmsg_keep_alive(&q->in);
 	bool head = q->in.parser.method == HTTP_HEAD;
 
 	q->chunked = a->chunked && q->in.parser.http_minor > 0;
@@ -428,8 +428,7 @@
 	    q->chunked && !q->door->draining && httpmsg_keep_alive(&q->in);
 
 	if (q->chunked)
-		evbuffer_add(
-		    bufferevent_get_output(q->bev), "0\r\n\r\n", 5);
+		evbuffer_add(bufferevent_get_output(q->bev), "0\r\n\r\n", 5);
 	finish(q, !keep);
 }
 
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -5,17 +5,18 @@
 #include <string.h>
 
 /* Many round trips between failure domains, a quarter of a short deadline. */
-#define CONNECT_TIMEOUT (150 * USEC_PER_MSEC)
+#define CONNECT_TIMEOUT  (150 * USEC_PER_MSEC)
 /* A call with less time left can't be answered over two network paths. */
-#define LEAST_LEFT (8 * USEC_PER_MSEC)
-#define MAX_UNSENT 4 /* connections that fail before the request is given up */
+#define LEAST_LEFT       (8 * USEC_PER_MSEC)
+#define MAX_UNSENT       4 /* connections that fail before the request is given up \
+			    */
 
 /* A caller that takes nothing while so much waits is broken off. */
-#define MAX_BACKLOG ((size_t)4 * 1024 * 1024)
-#define RETRY_AFTER (300 * USEC_PER_MSEC) /* when targets refused a request */
+#define MAX_BACKLOG      ((size_t)4 * 1024 * 1024)
+#define RETRY_AFTER      (300 * USEC_PER_MSEC) /* when targets refused a request */
 #define MAX_INPUT_LOSSES 2
 /* Ranks from here on share the last engine priority. */
-#define MAX_PRIORITY 9
+#define MAX_PRIORITY     9
 
 static void on_answer(void *arg, enum dial_event ev, const struct httpmsg *m);
 static void send_call(struct request *r);
@@ -60,8 +61,8 @@
 	if (r->may_have_run && kind == ERR_NO_TARGET)
 		kind = ERR_TARGET_FAILED;
 	request_reject(r,
-	    &(struct rejection){ kind,
-		not_run && !r->may_have_run ? RETRY_AFTER : 0, cause });
+	    &(struct rejection){
+		kind, not_run && !r->may_have_run ? RETRY_AFTER : 0, cause });
 }
 
 static void
@@ -82,11 +83,9 @@
 static bool
 may_repeat(struct request *r)
 {
-	return r->sends < r->route->attempts &&
-	    r->n_tried < LOADS_MAX_TRIED &&
+	return r->sends < r->route->attempts && r->n_tried < LOADS_MAX_TRIED &&
 	    r->end - clock_now() > LEAST_LEFT &&
-	    repeats_spend(
-		request_repeats(r), &r->parts->rule, clock_now());
+	    repeats_spend(request_repeats(r), &r->parts->rule, clock_now());
 }
 
 /* A send that ran nothing: another target, or the caller comes back. */
@@ -132,8 +131,8 @@
 }
 
 static void
-write_head(struct request *r, const struct httpmsg *m, struct str body,
-    bool chunked)
+write_head(
+    struct request *r, const struct httpmsg *m, struct str body, bool chunked)
 {
 	struct buf fields = { 0 };
 
@@ -186,8 +185,8 @@
 	if (t == NULL)
 		return;
 	if (r->answer.has_load)
-		loads_report(t, r->answer.running, r->answer.waiting,
-		    clock_now());
+		loads_report(
+		    t, r->answer.running, r->answer.waiting, clock_now());
 	if (r->answer.other_target)
 		loads_left(&r->parts->loads, t);
 }
@@ -326,8 +325,8 @@
 	    &(struct call_facts){
 		.left = left,
 		.target_id = str_from(r->target_id),
-		.workspace = r->holder != NULL ? str_from(r->holder->name)
-					       : STR(""),
+		.workspace =
+		    r->holder != NULL ? str_from(r->holder->name) : STR(""),
 		.inputs = str_of(&r->inputs),
 		.priority = priority,
 		.resumes = r->sse.has_id || r->facts.resumes,
@@ -382,8 +381,8 @@
 	}
 	g_strlcpy(r->target_id, t->entry.id, sizeof(r->target_id));
 	if (r->n_tried < LOADS_MAX_TRIED)
-		g_strlcpy(r->tried[r->n_tried++], t->entry.id,
-		    sizeof(r->tried[0]));
+		g_strlcpy(
+		    r->tried[r->n_tried++], t->entry.id, sizeof(r->tried[0]));
 	r->sends++;
 	r->sent_at = now;
 	loads_sent(t);
--- a/entry/home.c
+++ b/entry/home.c
@@ -12,13 +12,13 @@
 
 #define CONNECT_TIMEOUT (300 * USEC_PER_MSEC) /* many times a round trip */
 /* A call that takes so many times what it should is lost. */
-#define CALL_PATIENCE 5
+#define CALL_PATIENCE   5
 /* How long an answered ask is told again. */
-#define KEEP_REPLY (4 * USEC_PER_SEC)
+#define KEEP_REPLY      (4 * USEC_PER_SEC)
 /* Results that were used are freed together so often: room is short. */
-#define FREE_EVERY (40 * USEC_PER_MSEC)
+#define FREE_EVERY      (40 * USEC_PER_MSEC)
 /* Part of the room that is used: sizes are rough, and frees take their time. */
-#define ROOM_SHARE 0.95
+#define ROOM_SHARE      0.95
 #define MAX_PIECE_SENDS 3
 /* A refused caller comes back when what waits now is done, spread by half. */
 #define RETRY_SPREAD_MS 400
@@ -26,7 +26,7 @@
 struct pool; /* the targets and waiting pieces of one service */
 
 struct ask {
-	char *key; /* host and number */
+	char *key;  /* host and number */
 	char *from; /* RPC address, or NULL */
 	uint64_t number;
 	struct pool *pool;
@@ -65,7 +65,7 @@
 	char target_id[64];
 	char addr[64];
 	uint64_t bytes; /* reserved for its results */
-	GArray *items; /* struct batch_item; owner: struct ask */
+	GArray *items;  /* struct batch_item; owner: struct ask */
 	usec_t started;
 	bool answered; /* its head came */
 	int status;
@@ -80,11 +80,11 @@
 struct home {
 	struct home_opts o;
 	struct routes *routes;
-	GHashTable *pools;  /* service -> struct pool */
-	GHashTable *asks;   /* key -> struct ask */
-	GHashTable *calls;  /* struct stage_call */
-	GHashTable *used;   /* address -> struct used */
-	GHashTable *last;   /* target id -> hash of its last results */
+	GHashTable *pools; /* service -> struct pool */
+	GHashTable *asks;  /* key -> struct ask */
+	GHashTable *calls; /* struct stage_call */
+	GHashTable *used;  /* address -> struct used */
+	GHashTable *last;  /* target id -> hash of its last results */
 	struct room room;
 	struct home_counts counts;
 	GPtrArray *unsaid; /* asks of this host that are answered */
@@ -259,8 +259,8 @@
 }
 
 static uint32_t
-usable_targets(struct home *h, const char *service, usec_t now,
-    uint32_t *free_ones)
+usable_targets(
+    struct home *h, const char *service, usec_t now, uint32_t *free_ones)
 {
 	const GPtrArray *all = loads_of(h->o.loads, service);
 	uint32_t usable = 0;
@@ -318,8 +318,7 @@
 	buf_put(&a->id, str_from(x->id));
 	buf_put(&a->piece_key, str_from(x->key));
 	buf_put(&a->inputs, str_from(x->inputs));
-	memcpy(a->pieces, x->pieces.pieces_val,
-	    a->n * sizeof(a->pieces[0]));
+	memcpy(a->pieces, x->pieces.pieces_val, a->n * sizeof(a->pieces[0]));
 	g_hash_table_insert(h->asks, a->key, a);
 	return a;
 }
@@ -633,8 +632,8 @@
 }
 
 static void
-start_call(struct home *h, struct pool *p, struct target *t, GArray *items,
-    usec_t now)
+start_call(
+    struct home *h, struct pool *p, struct target *t, GArray *items, usec_t now)
 {
 	struct stage_call *k = xcalloc(1, sizeof(*k));
 	struct buf body = { 0 };
@@ -656,8 +655,7 @@
 	loads_sent(t);
 	h->counts.calls++;
 	h->counts.pieces += items->len;
-	k->dial = post(
-	    h, t, PLATFORM_STAGE_PATH, str_of(&body), on_answer, k);
+	k->dial = post(h, t, PLATFORM_STAGE_PATH, str_of(&body), on_answer, k);
 	buf_free(&body);
 	if (k->dial == NULL) {
 		note_target(k, false, now);
@@ -710,8 +708,8 @@
 drop_late(struct home *h, struct pool *p, usec_t now)
 {
 	for (guint i = 0; i < p->batch.items->len;) {
-		const struct batch_item *it = &g_array_index(
-		    p->batch.items, struct batch_item, i);
+		const struct batch_item *it =
+		    &g_array_index(p->batch.items, struct batch_item, i);
 		struct ask *a = it->owner;
 
 		if (now < it->deadline) {
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -16,18 +16,20 @@
 #include <unistd.h>
 
 /* Asks are confirmed within 100 ms: two steps find what is overdue. */
-#define STEP (50 * USEC_PER_MSEC)
+#define STEP      (50 * USEC_PER_MSEC)
 /* While nothing waits. */
 #define IDLE_STEP (250 * USEC_PER_MSEC)
 /* Limits until a configuration names them. */
-#define FIRST_LIMITS                                           \
-	((struct door_limits){ 65536, 1 << 20, 5 * USEC_PER_SEC, \
-	    15 * USEC_PER_SEC })
+#define FIRST_LIMITS           \
+	((struct door_limits){ \
+	    65536, 1 << 20, 5 * USEC_PER_SEC, 15 * USEC_PER_SEC })
 /* A request that says nothing of its time has so long. */
 #define DEFAULT_PATIENCE (60 * USEC_PER_SEC)
 /* A host without a configuration has one soon, or the caller tries another. */
-#define NOT_READY_RETRY (300 * USEC_PER_MSEC)
-#define FIELDS_BYTES    512
+#define NOT_READY_RETRY  (300 * USEC_PER_MSEC)
+/* Another host takes it at once. */
+#define DRAINING_RETRY   (10 * USEC_PER_MSEC)
+#define FIELDS_BYTES     512
 
 struct relay {
 	struct relay_opts o;
@@ -46,6 +48,7 @@
 	int wake;
 	atomic_size_t busy;
 	atomic_bool draining;
+	atomic_bool closing;
 	atomic_bool stopping;
 };
 
@@ -79,8 +82,8 @@
 
 /* An answer of our own, in the form of RFC 9457. */
 static void
-answer_problem(struct door_request *q, struct str id,
-    const struct rejection *why)
+answer_problem(
+    struct door_request *q, struct str id, const struct rejection *why)
 {
 	struct buf body = { 0 };
 	char fields[FIELDS_BYTES];
@@ -127,8 +130,8 @@
 request_reject(struct request *r, const struct rejection *why)
 {
 	r->relay->counts.rejected[-why->kind]++;
-	log_rejection(r->facts.id, why, r->route->name,
-	    clock_now() - r->arrived);
+	log_rejection(
+	    r->facts.id, why, r->route->name, clock_now() - r->arrived);
 	if (r->head_written)
 		door_abort(r->door);
 	else
@@ -174,8 +177,8 @@
 	(void)what;
 	forward_cancel(r);
 	request_reject(r,
-	    &(struct rejection){ sent ? ERR_DEADLINE : ERR_NO_TIME, 0,
-		"its time is over" });
+	    &(struct rejection){
+		sent ? ERR_DEADLINE : ERR_NO_TIME, 0, "its time is over" });
 }
 
 static void
@@ -274,6 +277,12 @@
 		reject_early(y, q, f.id, &why);
 		return;
 	}
+	if (atomic_load(&y->closing)) {
+		why = (struct rejection){ ERR_DRAINING, DRAINING_RETRY,
+			"this host is stopping" };
+		reject_early(y, q, f.id, &why);
+		return;
+	}
 	accept_request(y, q, &f, route, h);
 }
 
@@ -288,8 +297,7 @@
 
 		for (guint k = 0; !kept && k < after->len; k++)
 			kept = strcmp(b->id,
-				   g_array_index(
-				       after, struct target_entry, k)
+				   g_array_index(after, struct target_entry, k)
 				       .id) == 0;
 		if (!kept)
 			dial_forget(y->parts.dialer, str_from(b->addr));
@@ -321,12 +329,10 @@
 {
 	switch (l->body.kind) {
 	case PEER_PIECE_ASK:
-		home_ask(y->parts.home, l->rpc,
-		    &l->body.peer_body_u.piece_ask);
+		home_ask(y->parts.home, l->rpc, &l->body.peer_body_u.piece_ask);
 		break;
 	case PEER_PIECE_REPLY:
-		asks_reply(
-		    y->parts.asks, &l->body.peer_body_u.piece_reply);
+		asks_reply(y->parts.asks, &l->body.peer_body_u.piece_reply);
 		break;
 	case PEER_PIECE_FREE:
 		home_release(y->parts.home,
@@ -394,6 +400,8 @@
 
 	(void)fd;
 	(void)what;
+	if (atomic_load(&y->closing))
+		door_close_idle(y->door);
 	home_tick(y->parts.home, now);
 	dialer_sweep(y->parts.dialer, now);
 	waiting = waiting || home_pending(y->parts.home) > 0;
@@ -492,12 +500,11 @@
 		.hosts = 1,
 	};
 	loads_init(&p->loads, o->settings->failure_domain, rng_entropy());
-	p->repeats =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, free, free);
+	p->repeats = g_hash_table_new_full(g_str_hash, g_str_equal, free, free);
 	y->inbox = inbox_new();
 	y->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-	y->mail_event = event_new(
-	    p->base, y->wake, EV_READ | EV_PERSIST, on_mail, y);
+	y->mail_event =
+	    event_new(p->base, y->wake, EV_READ | EV_PERSIST, on_mail, y);
 	event_add(y->mail_event, NULL);
 	y->step = evtimer_new(p->base, on_step, y);
 	if (open_doors(y, e) != 0) {
@@ -570,6 +577,12 @@
 	wake(y);
 }
 
+void
+relay_close(struct relay *y)
+{
+	atomic_store(&y->closing, true);
+}
+
 size_t
 relay_busy(const struct relay *y)
 {
--- a/entry/relay_page.c
+++ b/entry/relay_page.c
@@ -55,7 +55,7 @@
 			buf_printf(out,
 			    "sequoia_requests_rejected_total{error=\"%s\"} "
 			    "%" PRIu64 "\n",
-			    err_name((enum err_kind)-i),
+			    err_name((enum err_kind) - i),
 			    p->counts->rejected[i]);
 	}
 	put_histogram(out, &p->counts->latency);
--- a/entry/relay_page.h
+++ b/entry/relay_page.h
@@ -21,7 +21,7 @@
 	uint64_t complete;
 	uint64_t failed; /* by their target, or broken off */
 	uint64_t gone;
-	uint64_t rejected[-ERR_LAST]; /* by -(enum err_kind) */
+	uint64_t rejected[-ERR_LAST];   /* by -(enum err_kind) */
 	struct relay_histogram latency; /* of those that were answered */
 };
 
--- a/entry/relayd.c
+++ b/entry/relayd.c
@@ -31,9 +31,12 @@
 	LOG(LOG_LVL_NOTICE, "draining", { "id", str_from(s->id) });
 	relay_drain(r);
 	steward_drain(st);
-	while (clock_now() - start < s->drain ||
-	    (relay_busy(r) > 0 && clock_now() - start < s->grace))
+	while (clock_now() - start < s->drain)
 		usleep((useconds_t)DRAIN_STEP);
+	relay_close(r);
+	do
+		usleep((useconds_t)DRAIN_STEP);
+	while (relay_busy(r) > 0 && clock_now() - start < s->grace);
 }
 
 /* Blocks until a signal asks for the end. */
@@ -51,8 +54,7 @@
 relayd_run(const struct settings *s, uint64_t incarnation, const sigset_t *set,
     struct err *e)
 {
-	struct relay *r =
-	    relay_new(&(struct relay_opts){ s, incarnation }, e);
+	struct relay *r = relay_new(&(struct relay_opts){ s, incarnation }, e);
 	struct steward *st;
 
 	if (r == NULL)
--- a/entry/request.h
+++ b/entry/request.h
@@ -42,7 +42,7 @@
 	struct request_facts facts;
 	struct routes *routes;
 	const struct route *route;
-	const struct service *service; /* that the request itself goes to */
+	const struct service *service;   /* that the request itself goes to */
 	const struct key_holder *holder; /* or NULL */
 	int rank;
 	usec_t arrived;
--- a/entry/steward.c
+++ b/entry/steward.c
@@ -17,14 +17,14 @@
 #include <string.h>
 
 /* Gossip has rounds of half a second; two steps find each in time. */
-#define STEP (250 * USEC_PER_MSEC)
+#define STEP           (250 * USEC_PER_MSEC)
 /* A store that is silent for so long is away; below the drain bound of 2 s. */
-#define WAIT (1500 * USEC_PER_MSEC)
+#define WAIT           (1500 * USEC_PER_MSEC)
 /* Other hosts are asked this often while the store does not answer. */
 #define ASK_PEER_EVERY (500 * USEC_PER_MSEC)
 /* The name under which peers serve what they know. */
-#define STATE_NAME "state"
-#define MAX_ENDPOINTS 1
+#define STATE_NAME     "state"
+#define MAX_ENDPOINTS  1
 
 struct steward {
 	struct steward_opts o;
@@ -33,18 +33,15 @@
 	atomic_bool stopping;
 	struct http_loop *loop;
 	struct kv *kv;
-	struct follow *config;
-	struct follow *targets;
+	struct follow *follow;
 	struct inbox *inbox;
 	struct rpc *rpc;
 	struct fetcher *fetcher;
 	struct fleet *fleet;
 	struct roster roster;
 	struct routes *routes;
-	bool config_away;
-	bool targets_away;
-	bool read_once;   /* the targets were read whole since the start */
-	bool changed;     /* a newer view is due */
+	bool away;    /* the store does not answer this host */
+	bool changed; /* a newer view is due */
 	uint64_t roster_seen;
 	usec_t asked_at;
 	pthread_mutex_t lock; /* of the following */
@@ -84,45 +81,21 @@
 }
 
 static void
-note_away(struct steward *s)
+note_away(struct steward *s, bool away)
 {
-	bool away = s->config_away || s->targets_away;
-
-	if (away != s->counts.store_away)
-		LOG(away ? LOG_LVL_WARNING : LOG_LVL_NOTICE,
-		    away ? "store-away" : "store-back",
-		    { "remedy",
-			away ? STR("see whether the store answers this host")
-			     : STR("none") });
+	s->away = away;
+	LOG(away ? LOG_LVL_WARNING : LOG_LVL_NOTICE,
+	    away ? "store-away" : "store-back",
+	    { "remedy",
+		away ? STR("see whether the store answers this host")
+		     : STR("none") });
 	pthread_mutex_lock(&s->lock);
 	s->counts.store_away = away;
 	pthread_mutex_unlock(&s->lock);
-	roster_store(&s->roster, s->targets_away, clock_now());
+	roster_store(&s->roster, away, clock_now());
 	s->changed = true;
 }
 
-static void
-on_config(void *arg, enum follow_event ev, struct str key, struct str value)
-{
-	struct steward *s = arg;
-
-	switch (ev) {
-	case FOLLOW_PUT:
-		if (str_eq(key, STR(PLATFORM_CONFIG_KEY)))
-			take_config(s, value, "the store");
-		break;
-	case FOLLOW_AWAY:
-	case FOLLOW_BACK:
-		s->config_away = ev == FOLLOW_AWAY;
-		note_away(s);
-		break;
-	case FOLLOW_BEGIN:
-	case FOLLOW_GONE:
-	case FOLLOW_FINISH:
-		break;
-	}
-}
-
 static void
 put_target(struct steward *s, struct str key, struct str value)
 {
@@ -155,9 +128,10 @@
 }
 
 static void
-on_targets(void *arg, enum follow_event ev, struct str key, struct str value)
+on_store(void *arg, enum follow_event ev, struct str key, struct str value)
 {
 	struct steward *s = arg;
+	bool target = platform_target_id(key).n > 0;
 
 	switch (ev) {
 	case FOLLOW_BEGIN:
@@ -167,19 +141,21 @@
 		pthread_mutex_unlock(&s->lock);
 		break;
 	case FOLLOW_PUT:
-		put_target(s, key, value);
+		if (target)
+			put_target(s, key, value);
+		else if (str_eq(key, STR(PLATFORM_CONFIG_KEY)))
+			take_config(s, value, "the store");
 		break;
 	case FOLLOW_GONE:
-		drop_target(s, key);
+		if (target)
+			drop_target(s, key);
 		break;
 	case FOLLOW_FINISH:
-		s->read_once = true;
 		roster_finish(&s->roster, clock_now());
 		break;
 	case FOLLOW_AWAY:
 	case FOLLOW_BACK:
-		s->targets_away = ev == FOLLOW_AWAY;
-		note_away(s);
+		note_away(s, ev == FOLLOW_AWAY);
 		break;
 	}
 }
@@ -204,8 +180,8 @@
 	while (g_hash_table_iter_next(&it, &k, &v))
 		json_object_set_new(list, k, json_string(v));
 	o = json_pack("{s:o, s:o}", "config",
-	    json_stringn(s->config_text.n > 0 ? s->config_text.p : "",
-		s->config_text.n),
+	    json_stringn(
+		s->config_text.n > 0 ? s->config_text.p : "", s->config_text.n),
 	    "targets", list);
 	r->found = !s->counts.store_away && s->config_text.n > 0;
 	pthread_mutex_unlock(&s->lock);
@@ -257,10 +233,11 @@
 		return;
 	}
 	take_config(s, str_from(config), "another host");
-	if (s->targets_away) {
+	if (s->away) {
 		roster_store(&s->roster, false, clock_now());
 		roster_begin(&s->roster);
-		json_object_foreach(json_object_get(o, "targets"), key, v) {
+		json_object_foreach(json_object_get(o, "targets"), key, v)
+		{
 			if (json_is_string(v))
 				put_target(s, str_from(key),
 				    str_from(json_string_value(v)));
@@ -282,7 +259,10 @@
 				fleet_letter(s->fleet, &m->letter, clock_now());
 			break;
 		case MAIL_FETCHED:
-			if (m->fetched.found && s->counts.store_away)
+			if (!m->fetched.found)
+				LOG(LOG_LVL_NOTICE, "peer-silent",
+				    { "detail", STR("no state came from it") });
+			else if (s->counts.store_away)
 				take_state(s, str_of(&m->fetched.value));
 			break;
 		case MAIL_DRAIN:
@@ -344,7 +324,7 @@
 	v->routes = routes_ref(s->routes);
 	v->targets = roster_list(&s->roster);
 	v->peers = live_peers(s);
-	v->store_away = s->targets_away;
+	v->store_away = s->away;
 	v->made = now;
 	s->o.view(s->o.arg, v);
 }
@@ -379,8 +359,7 @@
 	usec_t now = clock_now();
 	usec_t next = now + STEP;
 
-	next = earlier(next, follow_tick(s->config, now));
-	next = earlier(next, follow_tick(s->targets, now));
+	next = earlier(next, follow_tick(s->follow, now));
 	next = earlier(next, roster_tick(&s->roster, now));
 	fleet_tick(s->fleet, now, USEC_PER_SEC);
 	ask_peer(s, now);
@@ -424,20 +403,13 @@
 	    .timeout = s->o.settings->kv_timeout,
 	    .form = KV_FORM_PLATFORM,
 	});
-	s->config = follow_new(&(struct follow_opts){
-	    .kv = s->kv,
-	    .prefix = STR(PLATFORM_CONFIG_PREFIX),
-	    .wait = WAIT,
-	    .seed = rng_entropy(),
-	    .handler = on_config,
-	    .arg = s,
-	});
-	s->targets = follow_new(&(struct follow_opts){
+	/* One wait for configuration and targets: each call is counted. */
+	s->follow = follow_new(&(struct follow_opts){
 	    .kv = s->kv,
-	    .prefix = STR(PLATFORM_TARGETS_PREFIX),
+	    .prefix = STR(""),
 	    .wait = WAIT,
 	    .seed = rng_entropy(),
-	    .handler = on_targets,
+	    .handler = on_store,
 	    .arg = s,
 	});
 }
@@ -537,8 +509,7 @@
 	if (s->fleet != NULL)
 		fleet_free(s->fleet);
 	kv_free(s->kv);
-	follow_free(s->config);
-	follow_free(s->targets);
+	follow_free(s->follow);
 	inbox_free(s->inbox);
 	http_free(s->loop);
 	roster_free(&s->roster);
--- a/entry/view.h
+++ b/entry/view.h
@@ -19,7 +19,7 @@
 	GArray *targets;       /* struct target_entry */
 	GArray *peers;         /* struct view_peer: live ones, this one too */
 	bool store_away;
-	usec_t made;           /* when it was made */
+	usec_t made; /* when it was made */
 };
 
 void view_free(struct view *v);
--- a/kernel/batch.c
+++ b/kernel/batch.c
@@ -3,9 +3,9 @@
 /* Fewer pieces than this share of a call's own cost are not split up. */
 #define SPLIT_SHARE 0.25
 /* Rank shifts the order by so much: a less urgent one waits for others. */
-#define RANK_STEP (700 * USEC_PER_MSEC)
+#define RANK_STEP   (700 * USEC_PER_MSEC)
 /* Weight of a new measurement in the running mean. */
-#define SMOOTH 0.1
+#define SMOOTH      0.1
 
 void
 batch_init(struct batch *b, const struct pool_shape *shape)
--- a/kernel/batch.h
+++ b/kernel/batch.h
@@ -16,7 +16,7 @@
 #include "kernel/routes.h"
 
 struct batch_item {
-	void *owner;     /* the ask; pieces of one owner stay together */
+	void *owner; /* the ask; pieces of one owner stay together */
 	uint32_t piece;
 	usec_t aim;      /* an answer after that is late */
 	usec_t deadline; /* and after that worth nothing */
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -4,20 +4,20 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define ASIDE_FIRST (500 * USEC_PER_MSEC) /* a restart takes about as long */
-#define ASIDE_MOST  (8 * USEC_PER_SEC)    /* of a target that stays broken */
+#define ASIDE_FIRST   (500 * USEC_PER_MSEC) /* a restart takes about as long */
+#define ASIDE_MOST    (8 * USEC_PER_SEC)    /* of a target that stays broken */
 /* Engines read about so many tokens of a prompt in a millisecond. */
 #define TOKENS_PER_MS 100.0
 /* What one more running request costs the others, in milliseconds. */
-#define RUNNING_MS 4.0
+#define RUNNING_MS    4.0
 /* What a request that waits for a slot costs, in milliseconds. */
-#define WAITING_MS 40.0
+#define WAITING_MS    40.0
 /* A report is older than the calls that it tells of by then. */
-#define REPORT_LIFE (2 * USEC_PER_SEC)
+#define REPORT_LIFE   (2 * USEC_PER_SEC)
 /* Of fetching large inputs from another failure domain, in milliseconds. */
 #define FAR_INPUTS_MS 40.0
 /* Of a call into another failure domain: one way there and back. */
-#define FAR_MS 2.0
+#define FAR_MS        2.0
 
 void
 loads_init(struct loads *l, const char *domain, uint64_t seed)
@@ -26,8 +26,8 @@
 	g_strlcpy(l->domain, domain, sizeof(l->domain));
 	rng_init(&l->rng, seed);
 	l->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
-	l->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-	    (GDestroyNotify)g_ptr_array_unref);
+	l->by_service = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
 }
 
 /* Lists the usable targets by service anew. */
@@ -118,8 +118,7 @@
 static double
 active(const struct target *t, usec_t now)
 {
-	double reported =
-	    now - t->reported_at < REPORT_LIFE ? t->reported : 0;
+	double reported = now - t->reported_at < REPORT_LIFE ? t->reported : 0;
 	double seen = reported + t->sent_since;
 
 	return seen > t->in_flight ? seen : t->in_flight;
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -20,11 +20,11 @@
 
 struct target {
 	struct target_entry entry;
-	bool listed;       /* in the newest view */
-	bool left;         /* it said itself that it leaves, or is another */
-	uint32_t in_flight; /* calls of this host */
+	bool listed;         /* in the newest view */
+	bool left;           /* it said itself that it leaves, or is another */
+	uint32_t in_flight;  /* calls of this host */
 	uint32_t sent_since; /* since the last report */
-	uint32_t reported; /* running and waiting */
+	uint32_t reported;   /* running and waiting */
 	usec_t reported_at;
 	uint32_t failures; /* in a row */
 	usec_t aside_until;
@@ -40,10 +40,10 @@
 struct loads_wish {
 	struct str service;
 	bool engine;
-	uint32_t slots;       /* of an engine */
-	uint64_t prefix;      /* hash of the largest shared part; 0: none */
+	uint32_t slots;         /* of an engine */
+	uint64_t prefix;        /* hash of the largest shared part; 0: none */
 	uint32_t shared_tokens; /* that a target may have kept */
-	struct str near_addr; /* where large inputs lie; or empty */
+	struct str near_addr;   /* where large inputs lie; or empty */
 	struct str tried[LOADS_MAX_TRIED]; /* ids not to use again */
 	size_t n_tried;
 };
@@ -60,8 +60,8 @@
 
 void loads_sent(struct target *t);
 void loads_ended(struct target *t);
-void loads_report(struct target *t, uint32_t running, uint32_t waiting,
-    usec_t now);
+void loads_report(
+    struct target *t, uint32_t running, uint32_t waiting, usec_t now);
 /* An answer of its own came, or a call failed for its sake. */
 void loads_sound(struct target *t);
 void loads_failed(struct target *t, usec_t now);
--- a/kernel/repeats.c
+++ b/kernel/repeats.c
@@ -6,7 +6,8 @@
  */
 #define SPENT_SHARE 0.6
 
-/* A window covers all slots but two, the first and last of which are partial. */
+/* A window covers all slots but two, the first and last of which are partial.
+ */
 static int64_t
 slot_of(const struct repeats_rule *rule, usec_t now)
 {
@@ -48,8 +49,8 @@
 		requests += r->slots[k].requests;
 		repeats += r->slots[k].repeats;
 	}
-	if (repeats + 1 > SPENT_SHARE *
-		(rule->ratio * requests + rule->slack / hosts))
+	if (repeats + 1 >
+	    SPENT_SHARE * (rule->ratio * requests + rule->slack / hosts))
 		return false;
 	r->slots[i].repeats++;
 	return true;
--- a/kernel/repeats.h
+++ b/kernel/repeats.h
@@ -18,8 +18,8 @@
 #define REPEATS_SLOTS 12
 
 struct repeats_rule {
-	double ratio;   /* repeats for each request */
-	double slack;   /* repeats beside, of the whole fleet */
+	double ratio; /* repeats for each request */
+	double slack; /* repeats beside, of the whole fleet */
 	usec_t window;
 	uint32_t hosts; /* that share the slack; at least 1 */
 };
--- a/kernel/room.c
+++ b/kernel/room.c
@@ -11,7 +11,7 @@
 struct maker {
 	uint64_t reserved;
 	uint64_t held_bytes;
-	usec_t oldest; /* earliest expiry, or later */
+	usec_t oldest;    /* earliest expiry, or later */
 	GHashTable *held; /* handle -> struct held */
 };
 
--- a/kernel/routes.h
+++ b/kernel/routes.h
@@ -41,12 +41,13 @@
 	char *prefix; /* begins and ends with a slash */
 	enum route_kind kind;
 	bool resumable;
-	bool open;     /* no key is needed */
+	bool open; /* no key is needed */
 	uint32_t attempts;
-	int rank;      /* 0 is the most urgent */
+	int rank; /* 0 is the most urgent */
 	usec_t timeout;
-	usec_t objective; /* to the whole answer, of a stream to its first event */
-	usec_t gap;       /* longest pause between events that is on time */
+	usec_t
+	    objective; /* to the whole answer, of a stream to its first event */
+	usec_t gap;    /* longest pause between events that is on time */
 	struct route_share *shares;
 	size_t n_shares;
 	struct route_stage stages[ROUTE_MAX_STAGES];
@@ -85,13 +86,14 @@
 
 struct routes {
 	uint64_t version;
-	GPtrArray *routes;   /* struct route */
-	GArray *services;    /* struct service */
-	GPtrArray *holders;  /* struct key_holder: workspaces */
-	GHashTable *hosts;   /* host -> GPtrArray of struct route, longest first */
-	GHashTable *keys;    /* struct str -> struct key_holder */
-	bool keyed;          /* requests carry keys */
-	size_t head_bytes;   /* limits of requests */
+	GPtrArray *routes;  /* struct route */
+	GArray *services;   /* struct service */
+	GPtrArray *holders; /* struct key_holder: workspaces */
+	GHashTable
+	    *hosts;       /* host -> GPtrArray of struct route, longest first */
+	GHashTable *keys; /* struct str -> struct key_holder */
+	bool keyed;       /* requests carry keys */
+	size_t head_bytes; /* limits of requests */
 	size_t body_bytes;
 	usec_t head_timeout;
 	usec_t idle_timeout;
--- a/plat/dial.c
+++ b/plat/dial.c
@@ -11,13 +11,14 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#define MAX_HEAD_BYTES 65536 /* of an answer: eight times the usual servers' */
+#define MAX_HEAD_BYTES 65536 /* of an answer: eight times the usual servers' \
+			      */
 /* Below the shortest idle timeout in common servers, 5 s. */
-#define IDLE_MAX (4 * USEC_PER_SEC)
+#define IDLE_MAX       (4 * USEC_PER_SEC)
 /* A Keep-Alive timeout may run out while a request is on its way. */
-#define IDLE_MARGIN (500 * USEC_PER_MSEC)
+#define IDLE_MARGIN    (500 * USEC_PER_MSEC)
 /* Unacknowledged bytes for so long mean that the path is gone. */
-#define SILENT_MS 3000
+#define SILENT_MS      3000
 
 struct conn {
 	struct dialer *d;
@@ -32,7 +33,7 @@
 	bool used;
 	bool in_handler; /* the call's handler is running */
 	bool dead;       /* cancelled meanwhile */
-	GList link; /* in the pool of its address while idle */
+	GList link;      /* in the pool of its address while idle */
 };
 
 struct dial_call {
@@ -128,7 +129,8 @@
 			continue;
 		part.p += sizeof("timeout=") - 1;
 		part.n -= sizeof("timeout=") - 1;
-		if (str_u64(part, &sec) && (usec_t)sec * USEC_PER_SEC < IDLE_MAX)
+		if (str_u64(part, &sec) &&
+		    (usec_t)sec * USEC_PER_SEC < IDLE_MAX)
 			return (usec_t)sec * USEC_PER_SEC - IDLE_MARGIN;
 	}
 	return IDLE_MAX;
--- a/plat/dial.h
+++ b/plat/dial.h
@@ -18,9 +18,9 @@
 struct dial_call;
 
 enum dial_event {
-	DIAL_HEAD,  /* status and fields are known */
-	DIAL_BYTES, /* bytes of the body came; take them from the message */
-	DIAL_END,   /* the answer is whole */
+	DIAL_HEAD,   /* status and fields are known */
+	DIAL_BYTES,  /* bytes of the body came; take them from the message */
+	DIAL_END,    /* the answer is whole */
 	DIAL_UNSENT, /* no connection: nothing was sent */
 	DIAL_BROKEN, /* it was sent and its answer is not whole */
 	DIAL_GARBLED /* what came is no answer to this call */
@@ -31,12 +31,12 @@
     void *arg, enum dial_event ev, const struct httpmsg *m);
 
 struct dial_opts {
-	struct str addr;        /* IP:PORT */
-	struct str head;        /* request line and fields, with the blank line */
-	struct evbuffer *body;  /* drained into the call; may be NULL */
-	struct str echo_name;   /* the field that echoes the call id, or empty */
-	struct str echo;        /* the call id */
-	bool head_only;         /* the method is HEAD */
+	struct str addr; /* IP:PORT */
+	struct str head; /* request line and fields, with the blank line */
+	struct evbuffer *body; /* drained into the call; may be NULL */
+	struct str echo_name;  /* the field that echoes the call id, or empty */
+	struct str echo;       /* the call id */
+	bool head_only;        /* the method is HEAD */
 	usec_t connect_timeout;
 	dial_handler handler;
 	void *arg;
--- a/plat/follow.c
+++ b/plat/follow.c
@@ -4,9 +4,9 @@
 #include <stdlib.h>
 
 /* The first pause is some answers of a sound service long (4 ms each). */
-#define PAUSE_MIN (100 * USEC_PER_MSEC)
+#define PAUSE_MIN     (100 * USEC_PER_MSEC)
 /* Half a second keeps a return noticed well within two. */
-#define PAUSE_MAX (500 * USEC_PER_MSEC)
+#define PAUSE_MAX     (500 * USEC_PER_MSEC)
 /* A refused host waits longer: its calls are counted all the same. */
 #define PAUSE_REFUSED (400 * USEC_PER_MSEC)
 #define NEVER         (3600 * USEC_PER_SEC)
@@ -14,9 +14,9 @@
 struct follow {
 	struct follow_opts o;
 	struct rng rng;
-	bool whole;     /* the whole prefix is known up to revision */
-	bool reading;   /* a whole reading is under way */
-	bool busy;      /* a call is under way */
+	bool whole;   /* the whole prefix is known up to revision */
+	bool reading; /* a whole reading is under way */
+	bool busy;    /* a call is under way */
 	bool away;
 	int64_t revision;
 	int64_t read_as_of; /* of the reading's first page */
@@ -141,8 +141,8 @@
 		return f->due;
 	f->busy = true;
 	if (f->whole) {
-		kv_wait(f->o.kv, f->o.prefix, f->revision, f->o.wait, on_wait,
-		    f);
+		kv_wait(f->o.kv, f->o.prefix, f->revision,
+		    f->away ? 0 : f->o.wait, on_wait, f);
 		return now + NEVER;
 	}
 	if (!f->reading) {
--- a/plat/kv.c
+++ b/plat/kv.c
@@ -281,7 +281,7 @@
 /* Starts one call; body is empty for a GET. */
 static struct pending *
 start(struct kv *kv, enum op op, struct str path, struct str body,
-    usec_t timeout, void *arg)
+    usec_t timeout, bool fresh, void *arg)
 {
 	struct pending *p = xcalloc(1, sizeof(*p));
 	struct buf url = { 0 };
@@ -289,8 +289,7 @@
 	p->kv = kv;
 	p->op = op;
 	p->arg = arg;
-	buf_printf(
-	    &url, "http://%s%.*s", kv->endpoints[kv->at], STR_FMT(path));
+	buf_printf(&url, "http://%s%.*s", kv->endpoints[kv->at], STR_FMT(path));
 	kv->calls++;
 	p->call = http_start(kv->loop,
 	    &(struct http_opts){
@@ -298,6 +297,8 @@
 		.url = url.p,
 		.body = body,
 		.timeout = timeout,
+		.connect_timeout = fresh ? timeout : 0,
+		.fresh = fresh,
 		.local_addr = kv->local_addr,
 		.handler = on_http,
 		.arg = p,
@@ -313,7 +314,7 @@
 {
 	char *text = json_dumps(o, JSON_COMPACT);
 	struct pending *p = start(kv, op, str_from(path), str_from(text),
-	    op == OP_WATCH ? 0 : kv->timeout, arg);
+	    op == OP_WATCH ? 0 : kv->timeout, false, arg);
 
 	free(text);
 	json_decref(o);
@@ -361,8 +362,8 @@
 	struct buf path = { 0 };
 
 	store_range_path(&path, prefix, after);
-	start(kv, OP_RANGE, str_of(&path), STR(""), kv->timeout, arg)->many =
-	    done;
+	start(kv, OP_RANGE, str_of(&path), STR(""), kv->timeout, false, arg)
+	    ->many = done;
 	buf_free(&path);
 }
 
@@ -373,7 +374,8 @@
 	struct buf path = { 0 };
 
 	store_watch_path(&path, prefix, after, wait);
-	start(kv, OP_WAIT, str_of(&path), STR(""), wait + kv->timeout, arg)
+	start(kv, OP_WAIT, str_of(&path), STR(""),
+	    wait > 0 ? wait + kv->timeout : KV_PROBE_TIMEOUT, wait == 0, arg)
 	    ->many = done;
 	buf_free(&path);
 }
--- a/plat/kv.h
+++ b/plat/kv.h
@@ -17,8 +17,8 @@
 
 enum kv_status {
 	KV_OK,
-	KV_CONFLICT, /* the comparison failed; nothing was written */
-	KV_REFUSED,  /* the service said no, and nothing was written */
+	KV_CONFLICT,   /* the comparison failed; nothing was written */
+	KV_REFUSED,    /* the service said no, and nothing was written */
 	KV_NO_HISTORY, /* of a wait: the changes since then are not kept */
 	KV_UNKNOWN     /* no usable answer */
 };
@@ -90,8 +90,12 @@
 /* A page of the items under a prefix, behind a key. */
 void kv_range(struct kv *kv, struct str prefix, struct str after,
     kv_changed_many done, void *arg);
-/* The changes under a prefix after a revision, once there are some or the
- * wait is over. */
+/*
+ * The changes under a prefix after a revision, once there are some or the
+ * wait is over.  Without a wait it asks on a connection of its own and has
+ * KV_PROBE_TIMEOUT, to find out soon whether the service answers again.
+ */
+#define KV_PROBE_TIMEOUT (500 * USEC_PER_MSEC) /* a slow answer: 300 ms */
 void kv_wait(struct kv *kv, struct str prefix, int64_t after, usec_t wait,
     kv_changed_many done, void *arg);
 void kv_cas(
