Placement by what has to be moved

Cause: each piece of a third stage fetches all results of the second, 1.4 MB a request, and large results of the first lay far from the engine that keeps the prompt; small shared parts were read again since a few running requests outweighed them. A piece now prefers the failure domain of its inputs, or of the prompt's keeper, by the bytes; it waits up to 200 ms for that. Ruled out: placing the generation by its inputs (2 MB cost a sixth of a prompt's shared parts that are read again).

--- a/entry/asks.c
+++ b/entry/asks.c
@@ -51,6 +51,7 @@
 	free(a->body.id);
 	free(a->body.key);
 	free(a->body.inputs);
+	free(a->body.domain);
 	free(a->body.pieces.pieces_val);
 	free(a);
 }
@@ -166,6 +167,7 @@
 	a->body.stage = o->stage;
 	a->body.rank = o->rank;
 	a->body.bytes = o->bytes;
+	a->body.domain = str_dup(o->domain);
 	a->body.pieces.pieces_len = o->n;
 	a->body.pieces.pieces_val = xcalloc(o->n, sizeof(u_int));
 	for (uint32_t i = 0; i < o->n; i++)
--- a/entry/asks.h
+++ b/entry/asks.h
@@ -34,7 +34,8 @@
 	usec_t deadline;
 	usec_t aim; /* the results are late after that */
 	uint32_t rank;
-	uint64_t bytes; /* of one result */
+	uint64_t bytes;    /* of one result */
+	struct str domain; /* where they are best made; or empty */
 	/* Called once, unless the ask is cancelled; never from asks_start. */
 	ask_handler handler;
 	void *arg; /* owned by the ask: freed with free() */
--- a/entry/course.c
+++ b/entry/course.c
@@ -9,6 +9,8 @@
 #define FIRST_TOKEN     (150 * USEC_PER_MSEC)
 /* Part of a batch that a call holds as a rule. */
 #define USUAL_FILL      0.4
+/* Less is moved anywhere in no time. */
+#define MOVED_BYTES     200000
 
 /* The argument of an ask, which owns it. */
 struct course_ask {
@@ -220,6 +222,53 @@
 	start_ready(r);
 }
 
+uint64_t
+course_input_bytes(const struct request *r)
+{
+	uint64_t n = 0;
+
+	for (uint32_t i = 0; i < r->route->n_stages; i++) {
+		if (r->route->stages[i].last && is_wanted(r, i))
+			n += r->facts.pieces[i] * r->route->stages[i].bytes;
+	}
+	return n;
+}
+
+/* Bytes that one piece of a stage takes as its inputs. */
+static uint64_t
+piece_input_bytes(const struct request *r, uint32_t i)
+{
+	uint64_t n = 0;
+
+	for (uint32_t k = 0; k < i; k++) {
+		if ((r->route->stages[i].after >> k & 1) && is_wanted(r, k))
+			n += r->facts.pieces[k] * r->route->stages[k].bytes;
+	}
+	return n;
+}
+
+/*
+ * Where a stage's pieces are best made: by their inputs, or else by the target
+ * that will take the results, whichever is more to move.
+ */
+static const char *
+best_domain(const struct request *r, uint32_t i, struct str inputs)
+{
+	uint64_t in = r->facts.pieces[i] * piece_input_bytes(r, i);
+	uint64_t out = r->facts.pieces[i] * r->route->stages[i].bytes;
+	struct loads_wish w;
+	struct str addr;
+
+	if (in < MOVED_BYTES && out < MOVED_BYTES)
+		return "";
+	if (in >= out && inputs.n > 0 && str_cut(&inputs, '/', &addr))
+		return loads_domain_at(&r->parts->loads, addr);
+	if (!r->route->stages[i].last)
+		return "";
+	forward_wish(r, &w);
+	return loads_keeper_domain(&r->parts->loads, &w);
+}
+
 static void
 start_stage(struct request *r, uint32_t i)
 {
@@ -243,6 +292,7 @@
 		.deadline = r->end,
 		.aim = r->aim - time_behind(r, i),
 		.bytes = r->route->stages[i].bytes,
+		.domain = str_from(best_domain(r, i, str_of(&inputs))),
 		.rank = r->rank > 0 ? (uint32_t)r->rank : 0,
 		.handler = on_reply,
 		.arg = c,
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -5,11 +5,12 @@
 #include <string.h>
 
 /* Many round trips between failure domains, a quarter of a short deadline. */
-#define CONNECT_TIMEOUT  (150 * USEC_PER_MSEC)
+#define CONNECT_TIMEOUT (150 * USEC_PER_MSEC)
 /* A call with less time left can't be answered over two network paths. */
-#define LEAST_LEFT       (8 * USEC_PER_MSEC)
-#define MAX_UNSENT       4 /* connections that fail before the request is given up \
-			    */
+#define LEAST_LEFT      (8 * USEC_PER_MSEC)
+#define MAX_UNSENT                                                \
+	4 /* connections that fail before the request is given up \
+	   */
 
 /* A caller that takes nothing while so much waits is broken off. */
 #define MAX_BACKLOG      ((size_t)4 * 1024 * 1024)
@@ -27,8 +28,8 @@
 	return loads_find(&r->parts->loads, r->target_id);
 }
 
-static void
-fill_wish(const struct request *r, struct loads_wish *w)
+void
+forward_wish(const struct request *r, struct loads_wish *w)
 {
 	const struct request_facts *f = &r->facts;
 	struct str rest = str_of(&r->inputs);
@@ -49,6 +50,7 @@
 	}
 	if (rest.n > 0 && str_cut(&rest, '/', &addr))
 		w->near_addr = addr;
+	w->input_bytes = course_input_bytes(r);
 }
 
 /* The request is over for lack of a target that takes it. */
@@ -372,7 +374,7 @@
 	struct loads_wish w;
 	struct target *t;
 
-	fill_wish(r, &w);
+	forward_wish(r, &w);
 	t = loads_choose(&r->parts->loads, &w, now);
 	if (t == NULL || left < LEAST_LEFT) {
 		give_up(r, ERR_NO_TARGET,
--- a/entry/home.c
+++ b/entry/home.c
@@ -35,6 +35,7 @@
 	struct buf inputs;
 	uint32_t stage;
 	uint64_t bytes; /* of one result */
+	uint32_t domain;
 	usec_t deadline;
 	uint32_t n;
 	uint32_t left; /* pieces without a result */
@@ -252,6 +253,7 @@
 		.deadline = a->deadline,
 		.rank = x->rank,
 		.bytes = a->bytes,
+		.domain = a->domain,
 		.queued = now,
 	};
 
@@ -300,6 +302,14 @@
 	return false;
 }
 
+/* 0 is anywhere. */
+static uint32_t
+domain_hash(const char *domain)
+{
+	return *domain != '\0' ? (uint32_t)hash_u64(str_from(domain), 9) | 1
+			       : 0;
+}
+
 static struct ask *
 new_ask(struct home *h, char *key, const char *from, const peer_piece_ask *x,
     struct pool *p, usec_t now)
@@ -312,6 +322,7 @@
 	a->pool = p;
 	a->stage = x->stage;
 	a->bytes = x->bytes;
+	a->domain = domain_hash(x->domain);
 	a->deadline = now + (usec_t)x->left_ms * USEC_PER_MSEC;
 	a->n = x->pieces.pieces_len;
 	a->left = a->n;
@@ -677,30 +688,28 @@
 }
 
 /*
- * The usable target without a call of this home that has the most room and
- * was not passed over; NULL if there is none.
+ * Fills the next call of a target; with only_near nothing that is best made
+ * in another failure domain.
  */
-static struct target *
-free_target(struct home *h, const struct pool *p, uint64_t least, usec_t now,
-    uint64_t *room)
+static void
+serve_target(struct home *h, struct pool *p, struct target *t, bool only_near,
+    usec_t now)
 {
-	const GPtrArray *all = loads_of(h->o.loads, p->service);
-	struct target *best = NULL;
-
-	*room = 0;
-	for (guint i = 0; all != NULL && i < all->len; i++) {
-		struct target *t = all->pdata[i];
-		uint64_t left;
+	GArray *items = g_array_new(FALSE, FALSE, sizeof(struct batch_item));
+	uint32_t free_ones;
 
-		if (t->in_flight > 0 || now < t->aside_until)
-			continue;
-		left = room_left(h, p, t->entry.addr, now);
-		if (left < least || (best != NULL && left <= *room))
-			continue;
-		best = t;
-		*room = left;
-	}
-	return best;
+	usable_targets(h, p->service, now, &free_ones);
+	batch_take(&p->batch, now, free_ones,
+	    &(struct batch_target){
+		.domain = domain_hash(t->entry.domain),
+		.room = room_left(h, p, t->entry.addr, now),
+		.only_near = only_near,
+	    },
+	    items);
+	if (items->len > 0)
+		start_call(h, p, t, items, now);
+	else
+		g_array_unref(items);
 }
 
 /* Drops the asks whose time is over. */
@@ -722,39 +731,25 @@
 	}
 }
 
-/* Bytes of the smallest result that waits. */
-static uint64_t
-least_bytes(const struct batch *b)
-{
-	uint64_t least = UINT64_MAX;
-
-	for (guint i = 0; i < b->items->len; i++) {
-		uint64_t n =
-		    g_array_index(b->items, struct batch_item, i).bytes;
-
-		if (n < least)
-			least = n;
-	}
-	return least;
-}
-
+/*
+ * Serves each target that is free, first with what lies near it: so what has
+ * a free target in its own failure domain does not go to another one.
+ */
 static void
 serve_pool(struct home *h, struct pool *p, usec_t now)
 {
-	struct target *t;
-	uint32_t free_ones;
-	uint64_t room;
+	const GPtrArray *all = loads_of(h->o.loads, p->service);
 
 	drop_late(h, p, now);
-	while (p->batch.items->len > 0 &&
-	    (t = free_target(h, p, least_bytes(&p->batch), now, &room)) !=
-		NULL) {
-		GArray *items =
-		    g_array_new(FALSE, FALSE, sizeof(struct batch_item));
-
-		usable_targets(h, p->service, now, &free_ones);
-		batch_take(&p->batch, now, free_ones, room, items);
-		start_call(h, p, t, items, now);
+	for (int pass = 0; all != NULL && pass < 2; pass++) {
+		for (guint i = 0; i < all->len; i++) {
+			struct target *t = all->pdata[i];
+
+			if (p->batch.items->len == 0)
+				return;
+			if (t->in_flight == 0 && now >= t->aside_until)
+				serve_target(h, p, t, pass == 0, now);
+		}
 	}
 }
 
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -141,6 +141,7 @@
 	int aim_left_ms;
 	u_int rank;
 	u_quad_t bytes;
+	peer_name domain;
 	bool_t cancelled;
 };
 typedef struct peer_piece_ask peer_piece_ask;
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -108,6 +108,7 @@
 	int aim_left_ms;        /* until it is late */
 	unsigned int rank;
 	unsigned hyper bytes;   /* of one result, roughly */
+	peer_name domain;       /* where they are best made; or empty */
 	bool cancelled;         /* the results are not wanted any more */
 };
 
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -224,6 +224,8 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->bytes))
 			 return FALSE;
+		 if (!xdr_peer_name (xdrs, &objp->domain))
+			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->cancelled))
 			 return FALSE;
 		return TRUE;
@@ -259,6 +261,8 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->bytes))
 			 return FALSE;
+		 if (!xdr_peer_name (xdrs, &objp->domain))
+			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->cancelled))
 			 return FALSE;
 	 return TRUE;
@@ -287,6 +291,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->bytes))
 		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->domain))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->cancelled))
 		 return FALSE;
 	return TRUE;
--- a/entry/request.h
+++ b/entry/request.h
@@ -86,12 +86,16 @@
 void course_start(struct request *r);
 /* A result that the request needs is gone: the stages are made again. */
 void course_restart(struct request *r);
+/* Bytes of the results that the request itself takes, roughly. */
+uint64_t course_input_bytes(const struct request *r);
 /* The results are not needed any more. */
 void course_release(struct request *r);
 void course_cancel(struct request *r);
 
 /* forward.c: sends the request to a target and its answer back. */
 void forward_start(struct request *r);
+/* What the request looks for in a target. */
+void forward_wish(const struct request *r, struct loads_wish *w);
 void forward_cancel(struct request *r);
 
 #endif
--- a/kernel/batch.c
+++ b/kernel/batch.c
@@ -4,6 +4,8 @@
 #define SPLIT_SHARE 0.25
 /* Rank shifts the order by so much: a less urgent one waits for others. */
 #define RANK_STEP   (700 * USEC_PER_MSEC)
+/* A piece waits so long for a target where its inputs are. */
+#define NEAR_STEP   (200 * USEC_PER_MSEC)
 /* Weight of a new measurement in the running mean. */
 #define SMOOTH      0.1
 
@@ -43,17 +45,36 @@
 	return (usec_t)(b->call_usec + b->item_usec * n);
 }
 
+/* For whom and when the order is made. */
+struct order {
+	usec_t earliest; /* a call that starts now ends then */
+	uint32_t domain;
+};
+
+static bool
+is_far(const struct batch_item *it, uint32_t domain)
+{
+	return it->domain != 0 && it->domain != domain;
+}
+
+static usec_t
+due(const struct batch_item *it, const struct order *o)
+{
+	return it->aim + it->rank * RANK_STEP +
+	    (is_far(it, o->domain) ? NEAR_STEP : 0);
+}
+
 /* On time before late; then by the time left, shifted by rank. */
 static gint
 by_urgency(gconstpointer a, gconstpointer b, gpointer arg)
 {
 	const struct batch_item *x = a;
 	const struct batch_item *y = b;
-	const usec_t *earliest = arg;
-	bool x_late = x->aim < *earliest;
-	bool y_late = y->aim < *earliest;
-	usec_t p = x->aim + x->rank * RANK_STEP;
-	usec_t q = y->aim + y->rank * RANK_STEP;
+	const struct order *o = arg;
+	bool x_late = x->aim < o->earliest;
+	bool y_late = y->aim < o->earliest;
+	usec_t p = due(x, o);
+	usec_t q = due(y, o);
 
 	if (x_late != y_late)
 		return x_late ? 1 : -1;
@@ -80,19 +101,21 @@
 }
 
 void
-batch_take(struct batch *b, usec_t now, uint32_t free_targets, uint64_t room,
-    GArray *out)
+batch_take(struct batch *b, usec_t now, uint32_t free_targets,
+    const struct batch_target *t, GArray *out)
 {
 	uint32_t n = call_size(b, free_targets > 0 ? free_targets : 1);
-	usec_t earliest = now + call_time(b, n);
+	struct order o = { now + call_time(b, n), t->domain };
+	uint64_t room = t->room;
 	guint kept = 0;
 
-	g_array_sort_with_data(b->items, by_urgency, &earliest);
+	g_array_sort_with_data(b->items, by_urgency, &o);
 	for (guint i = 0; i < b->items->len; i++) {
 		struct batch_item it =
 		    g_array_index(b->items, struct batch_item, i);
 
-		if (out->len < n && it.bytes <= room) {
+		if (out->len < n && it.bytes <= room &&
+		    !(t->only_near && is_far(&it, t->domain))) {
 			room -= it.bytes;
 			g_array_append_val(out, it);
 		} else {
--- a/kernel/batch.h
+++ b/kernel/batch.h
@@ -22,6 +22,7 @@
 	usec_t deadline; /* and after that worth nothing */
 	uint32_t rank;   /* 0 is the most urgent */
 	uint64_t bytes;  /* of its result */
+	uint32_t domain; /* hash of where it is best made; 0: anywhere */
 	usec_t queued;
 };
 
@@ -38,11 +39,17 @@
 void batch_drop(struct batch *b, const void *owner);
 /*
  * Moves the pieces of the next call to out, a GArray of struct batch_item;
- * free_targets: how many could take a call now, this one too; room: bytes
- * that its target has for results.  What does not fit waits on.
+ * free_targets: how many could take a call now, this one too.  What does not
+ * fit into the target's room waits on; what is best made in another failure
+ * domain goes behind what is not, by a while.
  */
+struct batch_target {
+	uint32_t domain; /* hash of its failure domain */
+	uint64_t room;
+	bool only_near; /* takes nothing that is best made elsewhere */
+};
 void batch_take(struct batch *b, usec_t now, uint32_t free_targets,
-    uint64_t room, GArray *out);
+    const struct batch_target *t, GArray *out);
 /* How long pieces that come now wait until they are made, roughly. */
 usec_t batch_wait(const struct batch *b, uint32_t targets, uint32_t pieces);
 /* A call of n pieces took so long at its target. */
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -6,16 +6,20 @@
 
 #define ASIDE_FIRST   (500 * USEC_PER_MSEC) /* a restart takes about as long */
 #define ASIDE_MOST    (8 * USEC_PER_SEC)    /* of a target that stays broken */
-/* Engines read about so many tokens of a prompt in a millisecond. */
-#define TOKENS_PER_MS 100.0
+/*
+ * An engine reads some 100 tokens of a prompt in a millisecond, and holds up
+ * all its other requests meanwhile: shared parts that are read again count
+ * four times.
+ */
+#define TOKENS_PER_MS 25.0
 /* What one more running request costs the others, in milliseconds. */
 #define RUNNING_MS    4.0
 /* What a request that waits for a slot costs, in milliseconds. */
 #define WAITING_MS    40.0
 /* A report is older than the calls that it tells of by then. */
 #define REPORT_LIFE   (2 * USEC_PER_SEC)
-/* Of fetching large inputs from another failure domain, in milliseconds. */
-#define FAR_INPUTS_MS 40.0
+/* Of fetching a megabyte from another failure domain, in milliseconds. */
+#define FAR_MB_MS     6.0
 /* Of a call into another failure domain: one way there and back. */
 #define FAR_MS        2.0
 
@@ -124,9 +128,8 @@
 	return seen > t->in_flight ? seen : t->in_flight;
 }
 
-/* The domain of the target at an address, or NULL. */
-static const char *
-domain_at(const struct loads *l, struct str addr)
+const char *
+loads_domain_at(const struct loads *l, struct str addr)
 {
 	GHashTableIter it;
 	gpointer p;
@@ -138,7 +141,7 @@
 		if (str_eq(str_from(t->entry.addr), addr))
 			return t->entry.domain;
 	}
-	return NULL;
+	return "";
 }
 
 /* Rendezvous weight: which target keeps the parts that begin with prefix. */
@@ -163,6 +166,16 @@
 	return best;
 }
 
+const char *
+loads_keeper_domain(const struct loads *l, const struct loads_wish *w)
+{
+	g_autofree char *name = g_strndup(w->service.p, w->service.n);
+	const GPtrArray *all = loads_of(l, name);
+	const struct target *t = all != NULL ? keeper(all, w) : NULL;
+
+	return t != NULL ? t->entry.domain : "";
+}
+
 /* Predicted milliseconds until the answer begins, beside what is equal. */
 static double
 cost(const struct loads *l, const struct loads_wish *w, const struct target *t,
@@ -179,8 +192,8 @@
 		ms += (n - slots + 1) * WAITING_MS;
 	if (t != kept)
 		ms += w->shared_tokens / TOKENS_PER_MS;
-	if (near != NULL && strcmp(near, t->entry.domain) != 0)
-		ms += FAR_INPUTS_MS;
+	if (*near != '\0' && strcmp(near, t->entry.domain) != 0)
+		ms += FAR_MB_MS * (double)w->input_bytes / 1e6;
 	return ms;
 }
 
@@ -190,7 +203,7 @@
 {
 	const struct target *kept = keeper(all, w);
 	const char *near =
-	    w->near_addr.n > 0 ? domain_at(l, w->near_addr) : NULL;
+	    w->near_addr.n > 0 ? loads_domain_at(l, w->near_addr) : "";
 	struct target *best = NULL;
 	double least = 0;
 
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -43,7 +43,8 @@
 	uint32_t slots;         /* of an engine */
 	uint64_t prefix;        /* hash of the largest shared part; 0: none */
 	uint32_t shared_tokens; /* that a target may have kept */
-	struct str near_addr;   /* where large inputs lie; or empty */
+	struct str near_addr; /* where the first of its inputs lies; or empty */
+	uint64_t input_bytes;
 	struct str tried[LOADS_MAX_TRIED]; /* ids not to use again */
 	size_t n_tried;
 };
@@ -54,6 +55,11 @@
 /* The best target for a wish, or NULL if there is none to use. */
 struct target *loads_choose(
     struct loads *l, const struct loads_wish *w, usec_t now);
+/* The domain of the target that keeps a prompt's shared parts, or "". */
+const char *loads_keeper_domain(
+    const struct loads *l, const struct loads_wish *w);
+/* The domain of the target at an address, or "". */
+const char *loads_domain_at(const struct loads *l, struct str addr);
 struct target *loads_find(struct loads *l, const char *id);
 /* Usable targets of a service; an array of struct target, or NULL. */
 const GPtrArray *loads_of(const struct loads *l, const char *service);
