--- a/entry/home.c
+++ b/entry/home.c
@@ -19,6 +19,10 @@
 #define FREE_EVERY      (40 * USEC_PER_MSEC)
 /* Part of the room that is used: sizes are rough, and frees take their time. */
 #define ROOM_SHARE      0.95
+/* Inputs are used so long before they expire at their makers. */
+#define INPUT_MARGIN (400 * USEC_PER_MSEC)
+/* A piece that is late already waits so long for room; then it is refused. */
+#define LATE_PATIENCE   (10 * USEC_PER_SEC)
 #define MAX_PIECE_SENDS 3
 /* A refused caller comes back when what waits now is done, spread by half. */
 #define RETRY_SPREAD_MS 400
@@ -36,7 +40,7 @@
 	uint32_t stage;
 	uint64_t bytes; /* of one result */
 	uint32_t domain;
-	usec_t deadline;
+	usec_t deadline; /* of the start of its pieces' calls */
 	uint32_t n;
 	uint32_t left; /* pieces without a result */
 	uint32_t in_calls;
@@ -44,9 +48,11 @@
 	uint8_t sends[PEER_PIECES_MAX];
 	struct piece_result results[PEER_PIECES_MAX];
 	bool made[PEER_PIECES_MAX]; /* has its result */
+	bool inputs_gone; /* at the deadline, which is not the caller's */
 	bool replied;
 	bool refused;
 	bool cancelled;
+	bool released; /* its results are not wanted any more */
 	uint32_t wait_ms;
 	usec_t replied_at;
 };
@@ -214,8 +220,11 @@
 
 /* Frees the results of an ask that is not answered with them. */
 static void
-release_made(struct home *h, const struct ask *a)
+release_made(struct home *h, struct ask *a)
 {
+	if (a->released)
+		return;
+	a->released = true;
 	for (uint32_t i = 0; i < a->n; i++) {
 		if (a->made[i] && a->results[i].outcome == PIECE_MADE)
 			home_release(h, str_from(a->results[i].handle));
@@ -252,6 +261,7 @@
 		.aim = now + (usec_t)x->aim_left_ms * USEC_PER_MSEC,
 		.deadline = a->deadline,
 		.rank = x->rank,
+		.progress = x->stage,
 		.bytes = a->bytes,
 		.domain = a->domain,
 		.queued = now,
@@ -310,6 +320,32 @@
 			       : 0;
 }
 
+/* When the inputs of a piece may be gone at their makers. */
+static usec_t
+inputs_expire(const peer_piece_ask *x, const struct pool *p, usec_t now)
+{
+	if (*x->inputs == '\0' || p == NULL)
+		return INT64_MAX;
+	return now + p->batch.shape.keep - INPUT_MARGIN;
+}
+
+/* When a piece that still waits is given up. */
+static usec_t
+latest_start(const peer_piece_ask *x, const struct pool *p, usec_t now)
+{
+	usec_t at = now + (usec_t)x->left_ms * USEC_PER_MSEC;
+	usec_t late =
+	    now + (usec_t)x->aim_left_ms * USEC_PER_MSEC + LATE_PATIENCE;
+
+	if (late < now + LATE_PATIENCE / 2)
+		late = now + LATE_PATIENCE / 2;
+	if (late < at)
+		at = late;
+	if (inputs_expire(x, p, now) < at)
+		at = inputs_expire(x, p, now);
+	return at;
+}
+
 static struct ask *
 new_ask(struct home *h, char *key, const char *from, const peer_piece_ask *x,
     struct pool *p, usec_t now)
@@ -323,7 +359,8 @@
 	a->stage = x->stage;
 	a->bytes = x->bytes;
 	a->domain = domain_hash(x->domain);
-	a->deadline = now + (usec_t)x->left_ms * USEC_PER_MSEC;
+	a->deadline = latest_start(x, p, now);
+	a->inputs_gone = a->deadline == inputs_expire(x, p, now);
 	a->n = x->pieces.pieces_len;
 	a->left = a->n;
 	buf_put(&a->id, str_from(x->id));
@@ -337,10 +374,13 @@
 static void
 cancel_ask(struct home *h, struct ask *a, usec_t now)
 {
-	if (a == NULL || a->replied)
+	if (a == NULL)
 		return;
 	a->cancelled = true;
-	finish_ask(h, a, now);
+	if (a->replied)
+		release_made(h, a); /* the reply crossed it */
+	else
+		finish_ask(h, a, now);
 }
 
 void
@@ -712,6 +752,16 @@
 		g_array_unref(items);
 }
 
+/* The time of an ask is over, or that of its inputs: these are made anew. */
+static void
+give_up(struct home *h, struct ask *a, uint32_t piece, usec_t now)
+{
+	a->refused = !a->inputs_gone;
+	a->results[piece].outcome = PIECE_GONE;
+	release_made(h, a);
+	finish_ask(h, a, now);
+}
+
 /* Drops the asks whose time is over. */
 static void
 drop_late(struct home *h, struct pool *p, usec_t now)
@@ -725,8 +775,7 @@
 			i++;
 			continue;
 		}
-		a->refused = true;
-		finish_ask(h, a, now); /* removes all its pieces */
+		give_up(h, a, it->piece, now); /* removes all its pieces */
 		i = 0;
 	}
 }
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -29,6 +29,10 @@
 #define NOT_READY_RETRY  (300 * USEC_PER_MSEC)
 /* Another host takes it at once. */
 #define DRAINING_RETRY   (10 * USEC_PER_MSEC)
+/* A stream goes on for about so long behind its first event. */
+#define STREAM_TIME (2 * USEC_PER_SEC)
+/* Before the end, so that the last answers get through. */
+#define LAST_ANSWERS (400 * USEC_PER_MSEC)
 #define FIELDS_BYTES     512
 
 struct relay {
@@ -48,7 +52,7 @@
 	int wake;
 	atomic_size_t busy;
 	atomic_bool draining;
-	atomic_bool closing;
+	atomic_llong end; /* of this process; 0: not stopping */
 	atomic_bool stopping;
 };
 
@@ -239,6 +243,18 @@
 	answer_problem(q, id, why);
 }
 
+/* Whether a request that comes now ends before this process does. */
+static bool
+ends_in_time(const struct relay *y, const struct route *r, usec_t now)
+{
+	usec_t end = atomic_load(&((struct relay *)y)->end);
+	usec_t need = 2 * r->objective;
+
+	if (r->kind == ROUTE_STREAM)
+		need += STREAM_TIME;
+	return end == 0 || now + need < end - LAST_ANSWERS;
+}
+
 static void
 on_request(void *arg, struct door_request *q)
 {
@@ -277,7 +293,7 @@
 		reject_early(y, q, f.id, &why);
 		return;
 	}
-	if (atomic_load(&y->closing)) {
+	if (!ends_in_time(y, route, clock_now())) {
 		why = (struct rejection){ ERR_DRAINING, DRAINING_RETRY,
 			"this host is stopping" };
 		reject_early(y, q, f.id, &why);
@@ -389,6 +405,29 @@
 		log_text(LOG_LVL_ERR, "wake-failed", "the relay's eventfd");
 }
 
+/* Closes idle connections, and at last what has not been sent anywhere. */
+static void
+stop_step(struct relay *y, usec_t now)
+{
+	usec_t end = atomic_load(&y->end);
+	GList *next;
+
+	if (end == 0)
+		return;
+	door_close_idle(y->door);
+	if (now < end - LAST_ANSWERS)
+		return;
+	for (GList *l = y->requests.head; l != NULL; l = next) {
+		struct request *r = l->data;
+
+		next = l->next;
+		if (r->call == NULL && !r->may_have_run)
+			request_reject(r,
+			    &(struct rejection){ ERR_DRAINING, DRAINING_RETRY,
+				"this host is stopping" });
+	}
+}
+
 static void
 on_step(evutil_socket_t fd, short what, void *arg)
 {
@@ -400,8 +439,7 @@
 
 	(void)fd;
 	(void)what;
-	if (atomic_load(&y->closing))
-		door_close_idle(y->door);
+	stop_step(y, now);
 	home_tick(y->parts.home, now);
 	dialer_sweep(y->parts.dialer, now);
 	waiting = waiting || home_pending(y->parts.home) > 0;
@@ -578,9 +616,9 @@
 }
 
 void
-relay_close(struct relay *y)
+relay_close(struct relay *y, usec_t end)
 {
-	atomic_store(&y->closing, true);
+	atomic_store(&y->end, end);
 }
 
 size_t
--- a/entry/relay.h
+++ b/entry/relay.h
@@ -31,9 +31,11 @@
 void relay_letter(struct relay *r, peer_letter *l);
 /* Not ready from now on; open requests and connections are still served. */
 void relay_drain(struct relay *r);
-/* The balancer has looked away: idle connections close, requests that come
- * all the same are rejected unless they end soon. */
-void relay_close(struct relay *r);
+/*
+ * The balancer has looked away and the process ends at the given time: idle
+ * connections close, and requests that can't end until then are rejected.
+ */
+void relay_close(struct relay *r, usec_t end);
 /* Requests under way, from any thread. */
 size_t relay_busy(const struct relay *r);
 void relay_stop(struct relay *r);
--- a/entry/relayd.c
+++ b/entry/relayd.c
@@ -33,7 +33,7 @@
 	steward_drain(st);
 	while (clock_now() - start < s->drain)
 		usleep((useconds_t)DRAIN_STEP);
-	relay_close(r);
+	relay_close(r, start + s->grace);
 	do
 		usleep((useconds_t)DRAIN_STEP);
 	while (relay_busy(r) > 0 && clock_now() - start < s->grace);
--- a/kernel/batch.c
+++ b/kernel/batch.c
@@ -78,6 +78,8 @@
 
 	if (x_late != y_late)
 		return x_late ? 1 : -1;
+	if (x_late && x->progress != y->progress)
+		return x->progress > y->progress ? -1 : 1;
 	if (p != q)
 		return p < q ? -1 : 1;
 	if (x->owner != y->owner)
--- a/kernel/batch.h
+++ b/kernel/batch.h
@@ -6,7 +6,8 @@
  * a target is free, up to the batch; several free targets share what waits.
  * Load pattern: more pieces come than the targets can make.  Then the order
  * decides: requests that can still be on time go first, by rank and by the
- * time that they have left; those that are late already follow.  Results take
+ * time that they have left; those that are late already follow, the furthest
+ * on first.  Results take
  * room at their maker until they are used: a piece without room would be
  * refused at its turn, so it is not sent.
  */
@@ -21,6 +22,7 @@
 	usec_t aim;      /* an answer after that is late */
 	usec_t deadline; /* and after that worth nothing */
 	uint32_t rank;   /* 0 is the most urgent */
+	uint32_t progress; /* stages that are done already */
 	uint64_t bytes;  /* of its result */
 	uint32_t domain; /* hash of where it is best made; 0: anywhere */
 	usec_t queued;
