--- a/base/log.c
+++ b/base/log.c
@@ -1,35 +1,221 @@
 #include "base/log.h"
 
+#include <inttypes.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <time.h>
 #include <unistd.h>
 
-#define FACILITY_DAEMON 3
+/* Two seconds of lines at the rate of one event. */
+#define RING_BYTES     ((size_t)128 * 1024)
+/* Lines that come meanwhile go out in one write. */
+#define GATHER_USEC    50000
+#define MAX_EVENTS     64 /* whose rates are kept apart */
+#define FINISH_SECONDS 1  /* for a reader that is slow or stuck */
 
-static char log_program[32] = "sequoia";
-static char log_host[128] = "-";
-static enum log_level log_most = LOG_LVL_INFO;
+struct event_rate {
+	const char *event; /* by address: events are literals */
+	time_t second;
+	uint32_t lines;
+};
 
-/* Escapes what RFC 5424 wants escaped, and control characters. */
+static struct {
+	pthread_mutex_t lock;
+	pthread_cond_t news;
+	pthread_t writer;
+	bool running;
+	bool stopping;
+	struct buf ring; /* lines that wait for the writer */
+	uint64_t dropped;
+	uint64_t told; /* of the dropped ones */
+	struct event_rate rates[MAX_EVENTS];
+	char host[128];
+	enum log_level most;
+} state = {
+	.lock = PTHREAD_MUTEX_INITIALIZER,
+	.news = PTHREAD_COND_INITIALIZER,
+	.host = "-",
+	.most = LOG_LVL_INFO,
+};
+
+static const char *
+level_name(enum log_level lvl)
+{
+	switch (lvl) {
+	case LOG_LVL_ERR:
+		return "error";
+	case LOG_LVL_WARNING:
+		return "warning";
+	case LOG_LVL_NOTICE:
+		return "notice";
+	case LOG_LVL_INFO:
+		return "info";
+	case LOG_LVL_DEBUG:
+		break;
+	}
+	return "debug";
+}
+
+/* Escapes quotes and backslashes; control characters become blanks. */
 static void
 put_value(struct buf *b, struct str v)
 {
 	for (size_t i = 0; i < v.n; i++) {
 		char c = v.p[i];
 
-		if (c == '"' || c == '\\' || c == ']')
+		if (c == '"' || c == '\\')
 			buf_putc(b, '\\');
 		buf_putc(b, (unsigned char)c < ' ' ? ' ' : c);
 	}
 }
 
+static void
+put_start(struct buf *b, enum log_level lvl, const char *event)
+{
+	struct timespec ts;
+	struct tm tm;
+	char when[32];
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	gmtime_r(&ts.tv_sec, &tm);
+	strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
+	buf_printf(b, "time=%s.%03ldZ level=%s host=%s event=%s", when,
+	    ts.tv_nsec / 1000000, level_name(lvl), state.host, event);
+}
+
+/* Writes all of it; false when nobody can take it. */
+static bool
+write_all(struct str s)
+{
+	while (s.n > 0) {
+		ssize_t n = write(STDOUT_FILENO, s.p, s.n);
+
+		if (n <= 0)
+			return false;
+		s.p += n;
+		s.n -= (size_t)n;
+	}
+	return true;
+}
+
+/* Takes what is in the ring; the lock is held. */
+static struct buf
+take_ring(void)
+{
+	struct buf out = state.ring;
+
+	state.ring = (struct buf){ 0 };
+	if (state.dropped > state.told) {
+		put_start(&out, LOG_LVL_WARNING, "log-lines-dropped");
+		buf_printf(&out, " lines=\"%" PRIu64 "\"\n",
+		    state.dropped - state.told);
+		state.told = state.dropped;
+	}
+	return out;
+}
+
+static void *
+run_writer(void *arg)
+{
+	struct buf out;
+
+	(void)arg;
+	pthread_mutex_lock(&state.lock);
+	while (!state.stopping || state.ring.n > 0) {
+		if (state.ring.n == 0) {
+			pthread_cond_wait(&state.news, &state.lock);
+			continue;
+		}
+		if (!state.stopping) {
+			pthread_mutex_unlock(&state.lock);
+			usleep(GATHER_USEC);
+			pthread_mutex_lock(&state.lock);
+		}
+		out = take_ring();
+		pthread_mutex_unlock(&state.lock);
+		if (!write_all(str_of(&out)))
+			state.most = LOG_LVL_ERR;
+		buf_free(&out);
+		pthread_mutex_lock(&state.lock);
+	}
+	pthread_mutex_unlock(&state.lock);
+	return NULL;
+}
+
 void
-log_init(const char *program, const char *host, enum log_level most)
+log_init(const char *host, enum log_level most)
 {
-	snprintf(log_program, sizeof(log_program), "%s", program);
-	snprintf(log_host, sizeof(log_host), "%s", host);
-	log_most = most;
+	snprintf(state.host, sizeof(state.host), "%s", host);
+	state.most = most;
+	state.stopping = false;
+	state.running =
+	    pthread_create(&state.writer, NULL, run_writer, NULL) == 0;
+}
+
+void
+log_finish(void)
+{
+	struct timespec until;
+
+	if (!state.running)
+		return;
+	pthread_mutex_lock(&state.lock);
+	state.stopping = true;
+	pthread_cond_signal(&state.news);
+	pthread_mutex_unlock(&state.lock);
+	clock_gettime(CLOCK_REALTIME, &until);
+	until.tv_sec += FINISH_SECONDS;
+	if (pthread_timedjoin_np(state.writer, NULL, &until) == 0)
+		state.running = false;
+}
+
+uint64_t
+log_dropped(void)
+{
+	uint64_t n;
+
+	pthread_mutex_lock(&state.lock);
+	n = state.dropped;
+	pthread_mutex_unlock(&state.lock);
+	return n;
+}
+
+/* Whether the event has had its lines of this second; the lock is held. */
+static bool
+is_above_rate(const char *event)
+{
+	time_t now = time(NULL);
+	struct event_rate *r = NULL;
+
+	for (size_t i = 0; r == NULL && i < MAX_EVENTS; i++) {
+		if (state.rates[i].event == event ||
+		    state.rates[i].event == NULL)
+			r = &state.rates[i];
+	}
+	if (r == NULL)
+		return false;
+	r->event = event;
+	if (r->second != now) {
+		r->second = now;
+		r->lines = 0;
+	}
+	return ++r->lines > LOG_EVENT_RATE;
+}
+
+static void
+put_line(enum log_level lvl, const char *event, struct str line)
+{
+	pthread_mutex_lock(&state.lock);
+	if ((lvl > LOG_LVL_ERR && is_above_rate(event)) ||
+	    state.ring.n + line.n > RING_BYTES) {
+		state.dropped++;
+	} else {
+		buf_put(&state.ring, line);
+		pthread_cond_signal(&state.news);
+	}
+	pthread_mutex_unlock(&state.lock);
 }
 
 void
@@ -37,26 +223,20 @@
     enum log_level lvl, const char *event, const struct log_field *fields)
 {
 	struct buf b = { 0 };
-	struct timespec ts;
-	struct tm tm;
-	char when[32];
 
-	if (lvl > log_most)
+	if (lvl > state.most)
 		return;
-	clock_gettime(CLOCK_REALTIME, &ts);
-	gmtime_r(&ts.tv_sec, &tm);
-	strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
-	buf_printf(&b, "<%d>1 %s.%03ldZ %s %s %d %s -",
-	    FACILITY_DAEMON * 8 + (int)lvl, when, ts.tv_nsec / 1000000,
-	    log_host, log_program, (int)getpid(), event);
+	put_start(&b, lvl, event);
 	for (; fields->key != NULL; fields++) {
 		buf_printf(&b, " %s=\"", fields->key);
 		put_value(&b, fields->value);
 		buf_putc(&b, '"');
 	}
 	buf_putc(&b, '\n');
-	if (write(STDERR_FILENO, b.p, b.n) < 0)
-		log_most = LOG_LVL_ERR;
+	if (state.running)
+		put_line(lvl, event, str_of(&b));
+	else
+		write_all(str_of(&b));
 	buf_free(&b);
 }
 
@@ -66,6 +246,8 @@
 	struct buf b = { 0 };
 	va_list ap;
 
+	if (lvl > state.most)
+		return;
 	va_start(ap, fmt);
 	buf_vprintf(&b, fmt, ap);
 	va_end(ap);
--- a/base/log.h
+++ b/base/log.h
@@ -1,13 +1,20 @@
 /*
- * Structured log lines on standard error, in the form of syslog (RFC 5424):
- *   <PRI>1 TIME HOST sequoiad PID EVENT - key="value" ...
+ * Structured log lines on standard output:
+ *   time=T level=L host=H event=E key="value" ...
  * The event is a fixed word; everything that varies is a field.
+ *
+ * Lines go through a bounded ring to one writer thread, so that no caller
+ * waits for whoever reads them.  A line that finds the ring full, or that is
+ * above its event's rate, is dropped and counted; the count is logged.
  */
 #ifndef BASE_LOG_H
 #define BASE_LOG_H
 
 #include "base/str.h"
 
+/* Lines of one event and second; errors are never sampled. */
+#define LOG_EVENT_RATE 200
+
 enum log_level {
 	LOG_LVL_ERR = 3,
 	LOG_LVL_WARNING = 4,
@@ -21,8 +28,12 @@
 	struct str value;
 };
 
-/* Names the program and the host in every later line. */
-void log_init(const char *program, const char *host, enum log_level most);
+/* Names the host in every later line, and starts the writer. */
+void log_init(const char *host, enum log_level most);
+/* Writes out what is in the ring and ends the writer. */
+void log_finish(void);
+/* Lines that were dropped since the start. */
+uint64_t log_dropped(void);
 
 /* Writes one line; fields end at the first with a NULL key. */
 void log_fields(
--- a/ctl/fleet.c
+++ b/ctl/fleet.c
@@ -1,5 +1,6 @@
 #include "ctl/fleet.h"
 #include "ctl/session.h"
+#include "plat/http.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/ctl/session.c
+++ b/ctl/session.c
@@ -1,5 +1,6 @@
 #include "ctl/session.h"
 #include "base/rng.h"
+#include "plat/http.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/entry/asks.c
+++ b/entry/asks.c
@@ -175,6 +175,11 @@
 	g_hash_table_insert(s->open, &a->number, a);
 	g_strlcpy(
 	    a->home, choose_home(s, a->body.service, now), sizeof(a->home));
+	log_text(LOG_LVL_INFO, "stage-asked",
+	    "request %s: stage %u, %u pieces of %s, home %s, made in %s",
+	    a->body.id, o->stage, o->n, a->body.service,
+	    *a->home != '\0' ? a->home : "here",
+	    *a->body.domain != '\0' ? a->body.domain : "any domain");
 	send_ask(s, a, now);
 	return a->number;
 }
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -2,6 +2,7 @@
 #include "base/log.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 /* Many round trips between failure domains, a quarter of a short deadline. */
@@ -366,6 +367,24 @@
 	buf_free(&head);
 }
 
+/* What decided for a target, and how old it is. */
+static void
+log_choice(const struct request *r, const struct target *t, usec_t left)
+{
+	char load[64];
+	char ms[32];
+
+	snprintf(load, sizeof(load), "%u here, %u reported %" PRId64 " ms ago",
+	    t->in_flight, t->reported,
+	    t->reported_at > 0 ? (r->sent_at - t->reported_at) / USEC_PER_MSEC
+			       : -1);
+	snprintf(ms, sizeof(ms), "%" PRId64, left / USEC_PER_MSEC);
+	LOG(LOG_LVL_INFO, "call-sent", { "request", r->facts.id },
+	    { "target", str_from(t->entry.id) },
+	    { "service", str_from(t->entry.service) },
+	    { "load", str_from(load) }, { "left_ms", str_from(ms) });
+}
+
 static void
 send_call(struct request *r)
 {
@@ -387,6 +406,7 @@
 		    r->tried[r->n_tried++], t->entry.id, sizeof(r->tried[0]));
 	r->sends++;
 	r->sent_at = now;
+	log_choice(r, t, left);
 	loads_sent(t);
 	start_call(r, t, left);
 	if (r->call == NULL)
--- a/entry/home.c
+++ b/entry/home.c
@@ -20,7 +20,7 @@
 /* Part of the room that is used: sizes are rough, and frees take their time. */
 #define ROOM_SHARE      0.95
 /* Inputs are used so long before they expire at their makers. */
-#define INPUT_MARGIN (400 * USEC_PER_MSEC)
+#define INPUT_MARGIN    (400 * USEC_PER_MSEC)
 /* A piece that is late already waits so long for room; then it is refused. */
 #define LATE_PATIENCE   (10 * USEC_PER_SEC)
 #define MAX_PIECE_SENDS 3
@@ -309,6 +309,12 @@
 	    : (uint32_t)(wait / USEC_PER_MSEC / 2 +
 		  hash_u64(str_of(&a->id), 0) % RETRY_SPREAD_MS);
 	h->counts.refused++;
+	log_text(LOG_LVL_INFO, "stage-refused",
+	    "request %.*s: %u pieces wait, %u usable targets, %" PRId64
+	    " ms until they are made",
+	    STR_FMT(str_of(&a->id)),
+	    a->pool != NULL ? a->pool->batch.items->len : 0, usable,
+	    wait / USEC_PER_MSEC);
 	return false;
 }
 
--- a/entry/orderer.c
+++ b/entry/orderer.c
@@ -1,6 +1,7 @@
 #include "entry/orderer.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "plat/http.h"
 
 #include <glib.h>
 #include <jansson.h>
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -30,9 +30,9 @@
 /* Another host takes it at once. */
 #define DRAINING_RETRY   (10 * USEC_PER_MSEC)
 /* A stream goes on for about so long behind its first event. */
-#define STREAM_TIME (2 * USEC_PER_SEC)
+#define STREAM_TIME      (2 * USEC_PER_SEC)
 /* Before the end, so that the last answers get through. */
-#define LAST_ANSWERS (400 * USEC_PER_MSEC)
+#define LAST_ANSWERS     (400 * USEC_PER_MSEC)
 #define FIELDS_BYTES     512
 
 struct relay {
@@ -130,6 +130,23 @@
 	    { "cause", str_from(why->cause) }, { "waited_ms", str_from(ms) });
 }
 
+static void
+log_end(const struct request *r, const char *outcome, usec_t took)
+{
+	char ms[32];
+	char sends[16];
+	char version[24];
+
+	snprintf(ms, sizeof(ms), "%" PRId64, took / USEC_PER_MSEC);
+	snprintf(sends, sizeof(sends), "%u", r->sends);
+	snprintf(version, sizeof(version), "%" PRIu64, r->routes->version);
+	LOG(LOG_LVL_INFO, "request-ended", { "request", r->facts.id },
+	    { "route", str_from(r->route->name) },
+	    { "outcome", str_from(outcome) },
+	    { "target", str_from(r->target_id) }, { "sends", str_from(sends) },
+	    { "config", str_from(version) }, { "took_ms", str_from(ms) });
+}
+
 void
 request_reject(struct request *r, const struct rejection *why)
 {
@@ -154,8 +171,7 @@
 	else
 		c->failed++;
 	relay_histogram_add(&c->latency, took);
-	LOG(LOG_LVL_DEBUG, "request-ended", { "request", r->facts.id },
-	    { "outcome", str_from(outcome) });
+	log_end(r, outcome, took);
 	free_request(r);
 }
 
@@ -325,6 +341,10 @@
 {
 	const struct routes *t = v->routes;
 
+	log_text(LOG_LVL_INFO, "view-in-force",
+	    "version %" PRIu64 ", %u targets, %u hosts, store %s",
+	    t != NULL ? t->version : 0, v->targets->len, v->peers->len,
+	    v->store_away ? "away" : "answering");
 	loads_update(&y->parts.loads, v->targets);
 	asks_peers(y->parts.asks, v->peers);
 	y->parts.rule.hosts = v->peers->len > 0 ? v->peers->len : 1;
--- a/entry/relay_page.c
+++ b/entry/relay_page.c
@@ -1,4 +1,5 @@
 #include "entry/relay_page.h"
+#include "base/log.h"
 
 #include <inttypes.h>
 
@@ -72,6 +73,7 @@
 	put(out, "config_version", p->steward.version);
 	put(out, "store_away", p->steward.store_away);
 	put(out, "store_calls_total", p->steward.store_calls);
+	put(out, "log_lines_dropped_total", log_dropped());
 	put(out, "peer_letters_sent_total", p->steward.rpc.sent);
 	put(out, "peer_letters_received_total", p->steward.rpc.received);
 }
--- a/entry/request.h
+++ b/entry/request.h
@@ -62,7 +62,7 @@
 	char tried[LOADS_MAX_TRIED][64];
 	size_t n_tried;
 	uint32_t sends;
-	usec_t sent_at;
+	usec_t sent_at;    /* the last send */
 	bool may_have_run; /* a send whose answer did not say "not run" */
 	struct answer_facts answer;
 	int answer_status;
--- a/entry/sequoiad.c
+++ b/entry/sequoiad.c
@@ -106,11 +106,13 @@
 
 /* Signals are taken by sigwait in the main thread only. */
 static void
-block_signals(sigset_t *set)
+block_signals(sigset_t *set, bool reload)
 {
 	sigemptyset(set);
 	sigaddset(set, SIGTERM);
 	sigaddset(set, SIGINT);
+	if (reload)
+		sigaddset(set, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, set, NULL);
 	signal(SIGPIPE, SIG_IGN);
 }
@@ -282,16 +284,15 @@
 	struct daemon d = { 0 };
 	struct err e = { 0 };
 	sigset_t set;
+	bool routes;
 	int rc;
 
 	if (read_options(argc, argv, &d.settings) != 0)
 		return EXIT_SETTINGS;
-	log_init(
-	    "sequoiad", d.settings.id, (enum log_level)d.settings.log_level);
-	block_signals(&set);
-	if (strcmp(d.settings.form, "routes") == 0) {
-		sigaddset(&set, SIGHUP);
-		pthread_sigmask(SIG_BLOCK, &set, NULL);
+	routes = strcmp(d.settings.form, "routes") == 0;
+	block_signals(&set, routes);
+	log_init(d.settings.id, (enum log_level)d.settings.log_level);
+	if (routes) {
 		rc = relayd_run(&d.settings, make_incarnation(), &set, &e);
 	} else {
 		rc = serve_pipelines(&d, &set, &e);
@@ -300,6 +301,7 @@
 		fprintf(stderr, "sequoiad: %s\n", e.text);
 	else
 		LOG(LOG_LVL_NOTICE, "stopped", { "cause", STR("signal") });
+	log_finish();
 	settings_free(&d.settings);
 	return rc == 0 ? 0 : EXIT_SETTINGS;
 }
--- a/entry/steward.c
+++ b/entry/steward.c
@@ -84,11 +84,12 @@
 note_away(struct steward *s, bool away)
 {
 	s->away = away;
-	LOG(away ? LOG_LVL_WARNING : LOG_LVL_NOTICE,
-	    away ? "store-away" : "store-back",
-	    { "remedy",
-		away ? STR("see whether the store answers this host")
-		     : STR("none") });
+	if (away)
+		LOG(LOG_LVL_WARNING, "store-away",
+		    { "remedy",
+			STR("see whether the store answers this host") });
+	else
+		LOG(LOG_LVL_NOTICE, "store-back", { "cause", STR("answered") });
 	pthread_mutex_lock(&s->lock);
 	s->counts.store_away = away;
 	pthread_mutex_unlock(&s->lock);
--- a/kernel/batch.c
+++ b/kernel/batch.c
@@ -3,7 +3,7 @@
 /* Fewer pieces than this share of a call's own cost are not split up. */
 #define SPLIT_SHARE 0.25
 /* Rank shifts the order by so much: a less urgent one waits for others. */
-#define RANK_STEP   (700 * USEC_PER_MSEC)
+#define RANK_STEP   (2000 * USEC_PER_MSEC)
 /* A piece waits so long for a target where its inputs are. */
 #define NEAR_STEP   (200 * USEC_PER_MSEC)
 /* Weight of a new measurement in the running mean. */
--- a/plat/httpmsg.c
+++ b/plat/httpmsg.c
@@ -1,5 +1,6 @@
 #include "plat/httpmsg.h"
 
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -66,11 +67,29 @@
 	return 0;
 }
 
+/* Whether a name is a token (RFC 9110, 5.6.2); the parser lets blanks pass. */
+static bool
+is_token(struct str s)
+{
+	for (size_t i = 0; i < s.n; i++) {
+		if (!g_ascii_isalnum(s.p[i]) &&
+		    strchr("!#$%&'*+-.^_`|~", s.p[i]) == NULL)
+			return false;
+	}
+	return s.n > 0;
+}
+
 static int
 on_head(http_parser *p)
 {
 	struct httpmsg *m = owner(p);
 
+	if (p->http_major != 1)
+		return -1;
+	for (size_t i = 0; i < m->n_fields; i++) {
+		if (!is_token(httpmsg_field(m, i).name))
+			return -1;
+	}
 	if (m->parser.type == HTTP_RESPONSE && p->status_code < 200)
 		return 0; /* interim; the answer follows */
 	m->state = HTTPMSG_BODY;
--- a/plat/kv.c
+++ b/plat/kv.c
@@ -1,4 +1,5 @@
 #include "plat/kv.h"
+#include "plat/http.h"
 #include "platform/store.h"
 
 #include <glib.h>
--- a/plat/kv.h
+++ b/plat/kv.h
@@ -10,9 +10,10 @@
 #ifndef PLAT_KV_H
 #define PLAT_KV_H
 
+#include "base/clock.h"
 #include "base/err.h"
-#include "plat/http.h"
 
+struct http_loop;
 struct kv;
 
 enum kv_status {
--- a/tests/demo/run.sh
+++ b/tests/demo/run.sh
@@ -35,7 +35,7 @@
 cp -r examples/tinback "$LOG/config"
 ctl --kv 127.0.0.1:23790 apply "$LOG/config"
 for i in 1 2 3; do
-	"$B/entry/sequoiad" "tests/demo/e$i.ini" 2>"$LOG/e$i" &
+	"$B/entry/sequoiad" "tests/demo/e$i.ini" >"$LOG/e$i" 2>&1 &
 	PIDS+=($!)
 done
 for i in 1 2 3; do await "http://127.0.0.$i:18081/readyz"; done
--- a/tests/entry/test_pages.c
+++ b/tests/entry/test_pages.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 static const char *const folders[] = { "base", "kernel", "kernel/plug", "plat",
-	"entry", "ctl" };
+	"platform", "entry", "ctl" };
 
 static char *
 read_page(const char *path)
@@ -61,13 +61,35 @@
 		check_row(page, m[i].name);
 }
 
-/* The events of warnings and errors in one source file. */
+/* The metrics of hosts that relay by route. */
+static void
+test_relay_metrics(void)
+{
+	g_autofree char *page = read_page("docs/OPERATIONS.md");
+	g_autofree char *source = read_page("entry/relay_page.c");
+	g_autoptr(GRegex) re =
+	    g_regex_new("(?:put\\(out, \"|sequoia_)([a-z_]+)", 0, 0, NULL);
+	g_autoptr(GMatchInfo) m = NULL;
+	size_t n = 0;
+
+	g_regex_match(re, source, 0, &m);
+	for (; g_match_info_matches(m); g_match_info_next(m, NULL), n++) {
+		g_autofree char *name = g_match_info_fetch(m, 1);
+		g_autofree char *full = g_strdup_printf("sequoia_%s", name);
+
+		check_row(page, full);
+	}
+	g_assert_cmpuint(n, >, 20);
+}
+
+/* The events in one source file, of every level. */
 static size_t
 check_events(const char *page, const char *path)
 {
 	g_autofree char *source = read_page(path);
 	g_autoptr(GRegex) re = g_regex_new(
-	    "LOG_LVL_(?:ERR|WARNING),\\s*\"([a-z-]+)\"", 0, 0, NULL);
+	    "LOG_LVL_(?:ERR|WARNING|NOTICE|INFO|DEBUG),\\s*\"([a-z-]+)\"", 0, 0,
+	    NULL);
 	g_autoptr(GMatchInfo) m = NULL;
 	size_t n = 0;
 
@@ -110,6 +132,7 @@
 	g_test_add_func("/pages/settings", test_settings);
 	g_test_add_func("/pages/errors", test_errors);
 	g_test_add_func("/pages/metrics", test_metrics);
+	g_test_add_func("/pages/relay-metrics", test_relay_metrics);
 	g_test_add_func("/pages/events", test_events);
 	return g_test_run();
 }
--- a/tests/faults/fleet.sh
+++ b/tests/faults/fleet.sh
@@ -174,7 +174,7 @@
 	[fleet]
 	fleet_key = ${FLEET_KEY:-faults-fleet-key-0123456789}
 	END
-	"$B/entry/sequoiad" "$D/e$n.ini" 2>>"$D/e$n.log" &
+	"$B/entry/sequoiad" "$D/e$n.ini" >>"$D/e$n.log" 2>&1 &
 	PID[$n]=$!
 }
 
--- /dev/null
+++ b/tests/kernel/test_relay_decisions.c
@@ -0,0 +1,690 @@
+/* Tables of cases for the decisions of the relay, in virtual time. */
+#include "kernel/batch.h"
+#include "kernel/loads.h"
+#include "kernel/repeats.h"
+#include "kernel/room.h"
+#include "kernel/roster.h"
+#include "kernel/routes.h"
+#include "kernel/sse.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MS USEC_PER_MSEC
+
+/* Routes. */
+
+static struct route *
+make_route(const char *name, const char *host, const char *prefix)
+{
+	struct route *r = xcalloc(1, sizeof(*r));
+
+	r->name = str_dup(str_from(name));
+	r->host = str_dup(str_from(host));
+	r->prefix = str_dup(str_from(prefix));
+	r->shares = xcalloc(2, sizeof(*r->shares));
+	r->shares[0] = (struct route_share){ 0, 90 };
+	r->shares[1] = (struct route_share){ 1, 10 };
+	r->n_shares = 2;
+	return r;
+}
+
+static struct routes *
+make_routes(void)
+{
+	struct routes *t = routes_new();
+	struct key_holder *h = xcalloc(1, sizeof(*h));
+
+	h->name = str_dup(STR("yard"));
+	g_ptr_array_add(t->holders, h);
+	routes_add_key(t, STR("k-1"), h);
+	routes_add(t, make_route("all", "a.example", "/"));
+	routes_add(t, make_route("long", "a.example", "/x/y/"));
+	routes_add(t, make_route("short", "a.example", "/x/"));
+	routes_add(t, make_route("other", "b.example", "/x/"));
+	routes_seal(t);
+	return t;
+}
+
+static void
+test_routes_find(void)
+{
+	static const struct {
+		const char *host, *target, *want;
+	} cases[] = {
+		{ "a.example", "/x/y/z", "long" },
+		{ "a.example", "/x/y/", "long" },
+		{ "a.example", "/x/y", "short" },
+		{ "a.example", "/x/yy/", "short" },
+		{ "a.example", "/x", "all" },
+		{ "a.example", "/q?/x/y/", "all" },
+		{ "A.Example:80", "/x/y/?a=b", "long" },
+		{ "b.example", "/x/", "other" },
+		{ "b.example", "/", NULL },
+		{ "c.example", "/x/", NULL },
+		{ "", "/x/", NULL },
+	};
+	struct routes *t = make_routes();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const struct route *r = routes_find(
+		    t, str_from(cases[i].host), str_from(cases[i].target));
+
+		g_assert_cmpstr(r != NULL ? r->name : NULL, ==, cases[i].want);
+	}
+	routes_unref(t);
+}
+
+static void
+test_routes_holder(void)
+{
+	static const struct {
+		const char *key;
+		bool known;
+	} cases[] = { { "k-1", true }, { "k-2", false }, { "k-", false },
+		{ "k-11", false }, { "", false } };
+	struct routes *t = make_routes();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		g_assert_cmpint(
+		    routes_holder(t, str_from(cases[i].key)) != NULL, ==,
+		    cases[i].known);
+	g_assert_null(routes_holder(t, (struct str){ NULL, 0 }));
+	routes_unref(t);
+}
+
+/* A split keeps its weights, and each id always goes the same way. */
+static void
+test_routes_split(void)
+{
+	struct routes *t = make_routes();
+	const struct route *r = routes_find(t, STR("a.example"), STR("/"));
+	int second = 0;
+
+	for (int i = 0; i < 10000; i++) {
+		char id[16];
+		uint32_t s;
+
+		snprintf(id, sizeof(id), "id-%d", i);
+		s = route_pick_service(r, str_from(id));
+		g_assert_cmpuint(s, ==, route_pick_service(r, str_from(id)));
+		second += s == 1;
+	}
+	g_assert_cmpint(second, >, 850);
+	g_assert_cmpint(second, <, 1150);
+	routes_unref(t);
+}
+
+static void
+test_routes_repeatable(void)
+{
+	static const struct {
+		enum route_kind kind;
+		bool resumable, want;
+	} cases[] = { { ROUTE_IDEMPOTENT, false, true },
+		{ ROUTE_ONCE, false, false }, { ROUTE_ONCE, true, false },
+		{ ROUTE_STREAM, false, false }, { ROUTE_STREAM, true, true } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct route r = { .kind = cases[i].kind,
+			.resumable = cases[i].resumable };
+
+		g_assert_cmpint(route_repeatable(&r), ==, cases[i].want);
+	}
+}
+
+/* Roster. */
+
+static struct target_entry
+entry(const char *id, bool leaving)
+{
+	struct target_entry t = { .slots = 4, .leaving = leaving };
+
+	g_strlcpy(t.id, id, sizeof(t.id));
+	g_strlcpy(t.service, "s", sizeof(t.service));
+	g_strlcpy(t.addr, "10.0.0.1:80", sizeof(t.addr));
+	g_strlcpy(t.domain, "d", sizeof(t.domain));
+	return t;
+}
+
+/*
+ * One target's entry goes; is it still listed, by the state of the store and
+ * the time since its return?
+ */
+static void
+test_roster_missing(void)
+{
+	static const struct {
+		bool was_away, back, leaving;
+		usec_t gone_at, look_at; /* after the return, or the start */
+		bool listed;
+	} cases[] = {
+		{ false, false, false, 0, 0, false },
+		{ true, false, false, 0, 60000 * MS, true },
+		{ true, true, false, 100 * MS, 1900 * MS, true },
+		{ true, true, false, 100 * MS, 2100 * MS, false },
+		{ true, true, false, 2100 * MS, 2100 * MS, false },
+		{ true, true, true, 100 * MS, 200 * MS, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct roster r;
+		struct target_entry t = entry("i-1", cases[i].leaving);
+		usec_t now = 1000 * MS;
+		GArray *list;
+
+		roster_init(&r);
+		roster_put(&r, &t);
+		if (cases[i].was_away)
+			roster_store(&r, true, now);
+		if (cases[i].back)
+			roster_store(&r, false, now);
+		roster_remove(&r, STR("i-1"), now + cases[i].gone_at);
+		roster_tick(&r, now + cases[i].look_at);
+		list = roster_list(&r);
+		g_assert_cmpuint(list->len, ==, cases[i].listed ? 1 : 0);
+		g_array_unref(list);
+		roster_free(&r);
+	}
+}
+
+/* A whole reading removes what it does not show, and only that. */
+static void
+test_roster_reading(void)
+{
+	struct roster r;
+	struct target_entry a = entry("i-1", false);
+	struct target_entry b = entry("i-2", false);
+	GArray *list;
+
+	roster_init(&r);
+	roster_put(&r, &a);
+	roster_put(&r, &b);
+	roster_begin(&r);
+	roster_put(&r, &b);
+	roster_finish(&r, 0);
+	list = roster_list(&r);
+	g_assert_cmpuint(list->len, ==, 1);
+	g_assert_cmpstr(
+	    g_array_index(list, struct target_entry, 0).id, ==, "i-2");
+	g_array_unref(list);
+	/* It was away, and is back within the grace: never gone. */
+	roster_store(&r, true, 0);
+	roster_remove(&r, STR("i-2"), 10);
+	roster_store(&r, false, 20);
+	roster_put(&r, &b);
+	roster_tick(&r, 20 + ROSTER_GRACE);
+	list = roster_list(&r);
+	g_assert_cmpuint(list->len, ==, 1);
+	g_array_unref(list);
+	roster_free(&r);
+}
+
+/* Repeats. */
+
+/*
+ * Hosts whose calls all fail repeat as often as they may; in no window do all
+ * together go beyond the budget of the fleet.
+ */
+static void
+test_repeats_bound(void)
+{
+	static const struct {
+		uint32_t hosts, requests_a_second, lasts;
+	} cases[] = { { 1, 100, 30 }, { 9, 12, 30 }, { 9, 0, 30 },
+		{ 80, 6, 40 }, { 3, 500, 25 } };
+
+	for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
+		struct repeats_rule rule = { .ratio = 0.2,
+			.slack = 58,
+			.window = 10 * USEC_PER_SEC,
+			.hosts = cases[c].hosts };
+		struct repeats *v = xcalloc(cases[c].hosts, sizeof(*v));
+		uint32_t steps = cases[c].lasts * 10;
+		uint32_t *spent = xcalloc(steps, sizeof(*spent));
+		uint32_t *asked = xcalloc(steps, sizeof(*asked));
+
+		for (uint32_t s = 0; s < steps; s++) {
+			usec_t now = (usec_t)s * 100 * MS;
+
+			for (uint32_t h = 0; h < cases[c].hosts; h++) {
+				uint32_t n =
+				    cases[c].requests_a_second * (s + 1) / 10 -
+				    cases[c].requests_a_second * s / 10;
+
+				for (uint32_t k = 0; k < n; k++)
+					repeats_request(&v[h], &rule, now);
+				asked[s] += n;
+				for (uint32_t k = 0; k <= n; k++)
+					spent[s] +=
+					    repeats_spend(&v[h], &rule, now);
+			}
+		}
+		for (uint32_t s = 0; s + 100 <= steps; s++) {
+			double sum = 0;
+			double requests = 0;
+
+			for (uint32_t k = s; k < s + 100; k++) {
+				sum += spent[k];
+				requests += asked[k];
+			}
+			g_assert_cmpfloat(sum, <=, 0.2 * requests + 58);
+		}
+		free(v);
+		free(spent);
+		free(asked);
+	}
+}
+
+/* Room. */
+
+static void
+test_room(void)
+{
+	struct room r;
+
+	room_init(&r);
+	g_assert_cmpuint(room_used(&r, "m:1", 0), ==, 0);
+	room_reserve(&r, "m:1", 100);
+	g_assert_cmpuint(room_used(&r, "m:1", 0), ==, 100);
+	room_hold(&r, "m:1/a", 40, 1000);
+	room_hold(&r, "m:1/b", 60, 2000);
+	room_unreserve(&r, "m:1", 100);
+	g_assert_cmpuint(room_used(&r, "m:1", 0), ==, 100);
+	g_assert_cmpuint(room_used(&r, "m:2", 0), ==, 0);
+	/* Told twice, held once. */
+	room_hold(&r, "m:1/a", 40, 1000);
+	g_assert_cmpuint(room_used(&r, "m:1", 0), ==, 100);
+	room_free_result(&r, STR("m:1/zz"));
+	room_free_result(&r, STR("m:1/a"));
+	room_free_result(&r, STR("m:1/a"));
+	g_assert_cmpuint(room_used(&r, "m:1", 0), ==, 60);
+	g_assert_cmpuint(room_used(&r, "m:1", 1999), ==, 60);
+	g_assert_cmpuint(room_used(&r, "m:1", 2000), ==, 0);
+	room_unreserve(&r, "m:1", 100);
+	g_assert_cmpuint(room_used(&r, "m:1", 2000), ==, 0);
+	room_clear(&r);
+}
+
+/* Batches. */
+
+static const struct pool_shape shape = { .slots = 1,
+	.queue = 2,
+	.batch = 10,
+	.call = 240 * MS,
+	.item = 20 * MS,
+	.keep = 4000 * MS,
+	.room = 12000000 };
+
+struct piece_case {
+	const char *name;
+	int aim_ms, rank, progress, domain;
+	uint64_t bytes;
+};
+
+/* Which pieces a target takes, in order. */
+static void
+test_batch_order(void)
+{
+	static const struct {
+		struct piece_case v[4];
+		size_t n;
+		uint64_t room;
+		bool only_near;
+		const char *want;
+	} cases[] = {
+		/* The tighter aim first, of the same rank. */
+		{ { { "a", 2000, 0, 0, 0, 1 }, { "b", 1000, 0, 0, 0, 1 } }, 2,
+		    100, false, "ba" },
+		/* An urgent one with time before a less urgent one. */
+		{ { { "a", 1000, 2, 0, 0, 1 }, { "b", 2500, 0, 0, 0, 1 } }, 2,
+		    100, false, "ba" },
+		/* What is late follows what can be on time. */
+		{ { { "a", 100, 0, 0, 0, 1 }, { "b", 1000, 2, 0, 0, 1 } }, 2,
+		    100, false, "ba" },
+		/* Of late ones the furthest on first. */
+		{ { { "a", -500, 0, 0, 0, 1 }, { "b", -400, 0, 2, 0, 1 },
+		      { "c", 50, 0, 1, 0, 1 } },
+		    3, 100, false, "bca" },
+		/* What has no room waits, the others go. */
+		{ { { "a", 1000, 0, 0, 0, 90 }, { "b", 1100, 0, 0, 0, 20 },
+		      { "c", 1200, 0, 0, 0, 10 } },
+		    3, 100, false, "ac" },
+		/* What lies elsewhere waits for its own failure domain. */
+		{ { { "a", 1000, 0, 0, 5, 1 }, { "b", 1100, 0, 0, 7, 1 } }, 2,
+		    100, false, "ba" },
+		{ { { "a", 1000, 0, 0, 5, 1 }, { "b", 1100, 0, 0, 7, 1 } }, 2,
+		    100, true, "b" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct batch b;
+		GArray *out =
+		    g_array_new(FALSE, FALSE, sizeof(struct batch_item));
+		usec_t now = 100000 * MS;
+		char got[8] = "";
+
+		batch_init(&b, &shape);
+		for (size_t k = 0; k < cases[i].n; k++) {
+			const struct piece_case *p = &cases[i].v[k];
+			struct batch_item it = { .owner = (void *)p->name,
+				.aim = now + p->aim_ms * MS,
+				.deadline = now + 9000 * MS,
+				.rank = (uint32_t)p->rank,
+				.progress = (uint32_t)p->progress,
+				.domain = (uint32_t)p->domain,
+				.bytes = p->bytes };
+
+			batch_add(&b, &it);
+		}
+		batch_take(&b, now, 1,
+		    &(struct batch_target){ .domain = 7,
+			.room = cases[i].room,
+			.only_near = cases[i].only_near },
+		    out);
+		for (guint k = 0; k < out->len; k++)
+			strcat(got,
+			    g_array_index(out, struct batch_item, k).owner);
+		g_test_message("case %zu", i);
+		g_assert_cmpstr(got, ==, cases[i].want);
+		g_assert_cmpuint(out->len + b.items->len, ==, cases[i].n);
+		g_array_unref(out);
+		batch_free(&b);
+	}
+}
+
+static void
+test_batch_size(void)
+{
+	static const struct {
+		uint32_t waiting, free_targets, want;
+	} cases[] = { { 1, 5, 1 }, { 3, 5, 3 }, { 10, 2, 5 }, { 10, 1, 10 },
+		{ 40, 1, 10 }, { 40, 5, 8 }, { 12, 5, 4 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct batch b;
+		GArray *out =
+		    g_array_new(FALSE, FALSE, sizeof(struct batch_item));
+
+		batch_init(&b, &shape);
+		for (uint32_t k = 0; k < cases[i].waiting; k++)
+			batch_add(&b,
+			    &(struct batch_item){
+				.owner = &b, .piece = k, .aim = 9000 * MS });
+		batch_take(&b, 0, cases[i].free_targets,
+		    &(struct batch_target){ .room = UINT64_MAX }, out);
+		g_assert_cmpuint(out->len, ==, cases[i].want);
+		g_array_unref(out);
+		batch_free(&b);
+	}
+}
+
+/*
+ * Load at its worst: twice what the targets can make, a third of it urgent,
+ * for 20 s.  The targets stay in full calls, and nearly all of the urgent
+ * pieces, which fit, are made in time.
+ */
+static void
+test_batch_overload(void)
+{
+	enum {
+		TARGETS = 5,
+		STEP = 10
+	};
+	struct batch b;
+	usec_t busy_until[TARGETS] = { 0 };
+	uint32_t calls = 0;
+	uint32_t pieces = 0;
+	uint32_t urgent = 0;
+	uint32_t urgent_in_time = 0;
+	/* 10 pieces a call of 440 ms on 5 targets: 113 a second. */
+	double rate = 2 * 113.0;
+	double due = 0;
+	uint32_t made = 0;
+
+	batch_init(&b, &shape);
+	for (usec_t now = 0; now < 20000 * MS; now += STEP * MS) {
+		for (due += rate * STEP / 1000; due >= 1; due--, made++) {
+			struct batch_item it = { .owner = &b,
+				.piece = made,
+				.queued = now,
+				.aim = now + 1500 * MS,
+				.deadline = now + 9000 * MS,
+				.rank = made % 3 == 0 ? 0 : 2 };
+
+			urgent += it.rank == 0;
+			batch_add(&b, &it);
+		}
+		for (int t = 0; t < TARGETS; t++) {
+			GArray *out;
+
+			if (now < busy_until[t])
+				continue;
+			out = g_array_new(
+			    FALSE, FALSE, sizeof(struct batch_item));
+			batch_take(&b, now, 1,
+			    &(struct batch_target){ .room = UINT64_MAX }, out);
+			busy_until[t] =
+			    now + (240 + 20 * (usec_t)out->len) * MS;
+			calls += out->len > 0;
+			pieces += out->len;
+			for (guint k = 0; k < out->len; k++) {
+				const struct batch_item *it =
+				    &g_array_index(out, struct batch_item, k);
+
+				urgent_in_time +=
+				    it->rank == 0 && busy_until[t] <= it->aim;
+			}
+			g_array_unref(out);
+		}
+	}
+	g_assert_cmpfloat((double)pieces / calls, >, 9.0);
+	g_assert_cmpfloat((double)urgent_in_time / urgent, >, 0.9);
+	batch_free(&b);
+}
+
+/* Loads. */
+
+struct load_case {
+	const char *id, *domain;
+	uint32_t in_flight, reported;
+	bool leaving, aside, tried;
+};
+
+static void
+test_loads_choose(void)
+{
+	static const struct {
+		struct load_case v[3];
+		size_t n;
+		const char *want;
+	} cases[] = {
+		{ { { "a", "d1", 5, 0, false, false, false },
+		      { "b", "d1", 0, 0, false, false, false } },
+		    2, "b" },
+		{ { { "a", "d1", 0, 6, false, false, false },
+		      { "b", "d1", 1, 0, false, false, false } },
+		    2, "b" },
+		{ { { "a", "d1", 0, 0, true, false, false },
+		      { "b", "d1", 4, 0, false, false, false } },
+		    2, "b" },
+		{ { { "a", "d1", 0, 0, false, true, false },
+		      { "b", "d1", 4, 0, false, false, false } },
+		    2, "b" },
+		{ { { "a", "d1", 0, 0, false, false, true },
+		      { "b", "d1", 4, 0, false, false, false } },
+		    2, "b" },
+		/* Set aside is better than none. */
+		{ { { "a", "d1", 0, 0, false, true, false } }, 1, "a" },
+		{ { { "a", "d1", 0, 0, false, true, true } }, 1, NULL },
+		{ { { "a", "d1", 0, 0, true, false, false } }, 1, NULL },
+		/* The own failure domain, all else equal. */
+		{ { { "a", "d2", 0, 0, false, false, false },
+		      { "b", "d1", 0, 0, false, false, false } },
+		    2, "b" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct loads l;
+		struct loads_wish w = { .service = STR("s") };
+		GArray *list =
+		    g_array_new(FALSE, FALSE, sizeof(struct target_entry));
+		struct target *t;
+		usec_t now = 10000 * MS;
+
+		loads_init(&l, "d1", 1);
+		for (size_t k = 0; k < cases[i].n; k++) {
+			const struct load_case *c = &cases[i].v[k];
+			struct target_entry e = entry(c->id, c->leaving);
+
+			g_strlcpy(e.domain, c->domain, sizeof(e.domain));
+			g_array_append_val(list, e);
+		}
+		loads_update(&l, list);
+		for (size_t k = 0; k < cases[i].n; k++) {
+			const struct load_case *c = &cases[i].v[k];
+
+			t = loads_find(&l, c->id);
+			t->in_flight = c->in_flight;
+			loads_report(t, c->reported, 0, now);
+			if (c->aside)
+				loads_failed(t, now);
+			if (c->tried)
+				w.tried[w.n_tried++] = str_from(c->id);
+		}
+		t = loads_choose(&l, &w, now);
+		g_assert_cmpstr(
+		    t != NULL ? t->entry.id : NULL, ==, cases[i].want);
+		g_array_unref(list);
+		loads_free(&l);
+	}
+}
+
+/* Equal prompts go to one target until it is much busier than the others. */
+static void
+test_loads_affinity(void)
+{
+	struct loads l;
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct target_entry));
+	struct loads_wish w = { .service = STR("s"),
+		.engine = true,
+		.slots = 48,
+		.prefix = 77,
+		.shared_tokens = 5000 };
+	struct target *first;
+
+	loads_init(&l, "d", 1);
+	for (int i = 0; i < 9; i++) {
+		char id[8];
+		struct target_entry e;
+
+		snprintf(id, sizeof(id), "i-%d", i);
+		e = entry(id, false);
+		e.slots = 48;
+		g_array_append_val(list, e);
+	}
+	loads_update(&l, list);
+	first = loads_choose(&l, &w, 0);
+	for (int i = 0; i < 20; i++)
+		g_assert_true(loads_choose(&l, &w, 0) == first);
+	first->in_flight = 60;
+	g_assert_true(loads_choose(&l, &w, 0) != first);
+	first->in_flight = 0;
+	loads_left(&l, first);
+	g_assert_true(loads_choose(&l, &w, 0) != first);
+	g_array_unref(list);
+	loads_free(&l);
+}
+
+/* A target that started anew under its id is as good as a new one. */
+static void
+test_loads_restart(void)
+{
+	struct loads l;
+	struct target_entry e = entry("i-1", false);
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct target_entry));
+	struct loads_wish w = { .service = STR("s") };
+
+	loads_init(&l, "d", 1);
+	e.born_ms = 1;
+	g_array_append_val(list, e);
+	loads_update(&l, list);
+	loads_left(&l, loads_find(&l, "i-1"));
+	g_assert_null(loads_choose(&l, &w, 0));
+	loads_update(&l, list);
+	g_assert_null(loads_choose(&l, &w, 0));
+	g_array_index(list, struct target_entry, 0).born_ms = 2;
+	loads_update(&l, list);
+	g_assert_nonnull(loads_choose(&l, &w, 0));
+	g_array_unref(list);
+	loads_free(&l);
+}
+
+/* Streams. */
+
+static void
+test_sse(void)
+{
+	static const struct {
+		const char *in, *out;
+		uint64_t last;
+		bool boundary, gap;
+	} cases[] = {
+		{ "id: 1\ndata: a\n\n", "id: 1\ndata: a\n\n", 1, true, false },
+		{ "id: 1\ndata: a\n\nid: 2\nda", "id: 1\ndata: a\n\n", 1, false,
+		    false },
+		{ "id:1\n\nid:2\n\n", "id:1\n\nid:2\n\n", 2, true, false },
+		{ "id: 1\n\nid: 3\n\n", "id: 1\n\nid: 3\n\n", 3, true, true },
+		{ "id: 7\r\ndata: x\r\n\r\n", "id: 7\r\ndata: x\r\n\r\n", 7,
+		    true, false },
+		{ "data: no id\n\n", "data: no id\n\n", 0, true, false },
+		{ "", "", 0, true, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		/* In pieces of every size the result is the same. */
+		for (size_t step = 1; step <= 40; step++) {
+			struct sse s = { 0 };
+			struct buf out = { 0 };
+			struct str in = str_from(cases[i].in);
+
+			for (size_t at = 0; at < in.n; at += step) {
+				size_t n = in.n - at < step ? in.n - at : step;
+
+				sse_feed(
+				    &s, (struct str){ in.p + at, n }, &out);
+			}
+			g_assert_true(
+			    str_eq(str_of(&out), str_from(cases[i].out)));
+			g_assert_cmpuint(s.last_id, ==, cases[i].last);
+			g_assert_cmpint(
+			    sse_at_boundary(&s), ==, cases[i].boundary);
+			g_assert_cmpint(s.gap, ==, cases[i].gap);
+			sse_free(&s);
+			buf_free(&out);
+		}
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/routes/find", test_routes_find);
+	g_test_add_func("/routes/holder", test_routes_holder);
+	g_test_add_func("/routes/split", test_routes_split);
+	g_test_add_func("/routes/repeatable", test_routes_repeatable);
+	g_test_add_func("/roster/missing", test_roster_missing);
+	g_test_add_func("/roster/reading", test_roster_reading);
+	g_test_add_func("/repeats/bound", test_repeats_bound);
+	g_test_add_func("/room", test_room);
+	g_test_add_func("/batch/order", test_batch_order);
+	g_test_add_func("/batch/size", test_batch_size);
+	g_test_add_func("/batch/overload", test_batch_overload);
+	g_test_add_func("/loads/choose", test_loads_choose);
+	g_test_add_func("/loads/affinity", test_loads_affinity);
+	g_test_add_func("/loads/restart", test_loads_restart);
+	g_test_add_func("/sse", test_sse);
+	return g_test_run();
+}
--- a/tests/load/run.sh
+++ b/tests/load/run.sh
@@ -93,7 +93,7 @@
 
 start_sequoiad() {
 	settings "$1" >"$TMP/e$1.ini"
-	"$B/entry/sequoiad" "$TMP/e$1.ini" 2>>"$LOG/e$1.log" &
+	"$B/entry/sequoiad" "$TMP/e$1.ini" >>"$LOG/e$1.log" 2>&1 &
 	echo $! >"$TMP/pids/e$1"
 	disown
 }
--- a/tests/orders/run.sh
+++ b/tests/orders/run.sh
@@ -271,7 +271,7 @@
 	start
 	sed "s/$NET.1:808\([012]\)/$NET.4:808\1/" "$D/e1.ini" >"$D/e4.ini"
 	sed -i "s/^peers =.*/peers = $NET.2:8082/" "$D/e4.ini"
-	"$B/entry/sequoiad" "$D/e4.ini" 2>>"$D/e4.log" &
+	"$B/entry/sequoiad" "$D/e4.ini" >>"$D/e4.log" 2>&1 &
 	PID[4]=$!
 	until_true "the newer one is ready" ready 4
 	until_true "the older one has noticed" taken
--- /dev/null
+++ b/tests/plat/test_httpmsg.c
@@ -0,0 +1,157 @@
+/* Tables of HTTP/1.1 messages: what is whole, and what is refused. */
+#include "plat/httpmsg.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define R "POST /p HTTP/1.1\r\nHost: h\r\n"
+
+struct message_case {
+	const char *text;
+	enum httpmsg_state state;
+	const char *body;
+	size_t left; /* bytes of the next message */
+};
+
+static const struct message_case requests[] = {
+	{ R "Content-Length: 2\r\n\r\nhi", HTTPMSG_DONE, "hi", 0 },
+	{ R "Content-Length: 2\r\n\r\nhiGET", HTTPMSG_DONE, "hi", 3 },
+	{ R "Content-Length: 2\r\n\r\nh", HTTPMSG_BODY, "h", 0 },
+	{ R "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+	    HTTPMSG_DONE, "hi", 0 },
+	{ R "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX-T: 1\r\n\r\n",
+	    HTTPMSG_DONE, "hi", 0 },
+	{ R "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", HTTPMSG_BODY, "hi",
+	    0 },
+	/* What could be read in two ways. */
+	{ R "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	    HTTPMSG_BAD, NULL, 0 },
+	{ R "Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi", HTTPMSG_BAD,
+	    NULL, 0 },
+	{ R "Content-Length: +2\r\n\r\nhi", HTTPMSG_BAD, NULL, 0 },
+	{ R "Content-Length: 2x\r\n\r\nhi", HTTPMSG_BAD, NULL, 0 },
+	{ R "Content-Length : 2\r\n\r\nhi", HTTPMSG_BAD, NULL, 0 },
+	{ R "Transfer-Encoding: chunked\r\n\r\nzz\r\n", HTTPMSG_BAD, NULL, 0 },
+	{ "GET /p HTTP/9.9\r\n\r\n", HTTPMSG_BAD, NULL, 0 },
+	{ "odd\r\n\r\n", HTTPMSG_BAD, NULL, 0 },
+	{ "GET /a/../b%2f?x HTTP/1.1\r\nHost: h\r\n\r\n", HTTPMSG_DONE, "", 0 },
+	{ "GET /p HTTP/1.1\r\nHo", HTTPMSG_HEAD, "", 0 },
+};
+
+static const struct message_case answers[] = {
+	{ "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", HTTPMSG_DONE, "hi",
+	    0 },
+	{ "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi extra", HTTPMSG_DONE,
+	    "hi", 6 },
+	{ "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	    HTTPMSG_DONE, "", 0 },
+	{ "HTTP/1.1 204 No\r\n\r\n", HTTPMSG_DONE, "", 0 },
+	/* Without a length it ends with its connection. */
+	{ "HTTP/1.1 200 OK\r\n\r\nhi", HTTPMSG_BODY, "hi", 0 },
+	{ "\x01\x02 no answer", HTTPMSG_BAD, NULL, 0 },
+};
+
+static void
+check(const struct message_case *c, enum http_parser_type type, size_t step)
+{
+	struct evbuffer *in = evbuffer_new();
+	struct httpmsg m;
+	size_t n = strlen(c->text);
+
+	httpmsg_init(&m, type, 8192);
+	for (size_t at = 0; at < n; at += step) {
+		evbuffer_add(in, c->text + at, n - at < step ? n - at : step);
+		httpmsg_feed(&m, in);
+	}
+	if (m.state != c->state)
+		g_test_message("in steps of %zu: %s", step, c->text);
+	g_assert_cmpint(m.state, ==, c->state);
+	if (c->body != NULL) {
+		size_t have = evbuffer_get_length(m.body);
+
+		g_assert_cmpuint(have, ==, strlen(c->body));
+		if (have > 0)
+			g_assert_cmpmem(
+			    evbuffer_pullup(m.body, -1), have, c->body, have);
+		g_assert_cmpuint(evbuffer_get_length(in), ==, c->left);
+	}
+	evbuffer_free(in);
+	httpmsg_free(&m);
+}
+
+static void
+test_messages(void)
+{
+	for (size_t step = 1; step < 200; step++) {
+		for (size_t i = 0; i < G_N_ELEMENTS(requests); i++)
+			check(&requests[i], HTTP_REQUEST, step);
+		for (size_t i = 0; i < G_N_ELEMENTS(answers); i++)
+			check(&answers[i], HTTP_RESPONSE, step);
+	}
+}
+
+/* Only an answer without a length is whole with the end of its connection. */
+static void
+test_eof(void)
+{
+	static const struct {
+		const char *text;
+		enum httpmsg_state state;
+	} cases[] = {
+		{ "HTTP/1.1 200 OK\r\n\r\nhi", HTTPMSG_DONE },
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi",
+		    HTTPMSG_BAD },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "2\r\nhi\r\n",
+		    HTTPMSG_BAD },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct evbuffer *in = evbuffer_new();
+		struct httpmsg m;
+
+		httpmsg_init(&m, HTTP_RESPONSE, 8192);
+		evbuffer_add(in, cases[i].text, strlen(cases[i].text));
+		httpmsg_feed(&m, in);
+		httpmsg_eof(&m);
+		g_assert_cmpint(m.state, ==, cases[i].state);
+		evbuffer_free(in);
+		httpmsg_free(&m);
+	}
+}
+
+static void
+test_limits(void)
+{
+	struct evbuffer *in = evbuffer_new();
+	struct httpmsg m;
+
+	httpmsg_init(&m, HTTP_REQUEST, 100);
+	evbuffer_add_printf(in, "GET /%0200d", 1);
+	httpmsg_feed(&m, in);
+	g_assert_cmpint(m.state, ==, HTTPMSG_BAD);
+	g_assert_true(m.head_too_large);
+	httpmsg_free(&m);
+	evbuffer_drain(in, evbuffer_get_length(in));
+	httpmsg_init(&m, HTTP_REQUEST, 1 << 20);
+	evbuffer_add_printf(in, "GET / HTTP/1.1\r\n");
+	for (int i = 0; i <= HTTPMSG_MAX_FIELDS; i++)
+		evbuffer_add_printf(in, "A: b\r\n");
+	evbuffer_add_printf(in, "\r\n");
+	httpmsg_feed(&m, in);
+	g_assert_cmpint(m.state, ==, HTTPMSG_BAD);
+	g_assert_true(m.head_too_large);
+	httpmsg_free(&m);
+	evbuffer_free(in);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/messages", test_messages);
+	g_test_add_func("/eof", test_eof);
+	g_test_add_func("/limits", test_limits);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/platform/test_platform.c
@@ -0,0 +1,374 @@
+/* Tables of documents and heads of the platform, sound and unsound. */
+#include "platform/config.h"
+#include "platform/request.h"
+#include "platform/stage.h"
+#include "platform/store.h"
+#include "platform/target.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LIMITS                                                        \
+	"\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":1000," \
+	"\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}"
+#define SERVICES                                                           \
+	"\"Services\":[{\"Name\":\"s\",\"MaxConns\":9},{\"Name\":\"p\","   \
+	"\"MaxConns\":9,\"Pieces\":{\"Slots\":1,\"Queue\":2,\"Batch\":18," \
+	"\"CallMs\":240.0,\"ItemMs\":11.0,\"HeadroomMb\":22.0,"            \
+	"\"HandleS\":4.0}}]"
+#define ROUTE(more)                                                  \
+	"{\"Name\":\"r\",\"Host\":\"A.example\",\"Prefix\":\"/x/\"," \
+	"\"TimeoutMs\":1200.5,\"SloMs\":100,\"Attempts\":2," more "}"
+#define DOC(routes)                                                       \
+	"{\"Version\":7," SERVICES "," LIMITS ",\"Routes\":[" routes "]," \
+	"\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[\"k\",5],"             \
+	"\"Priority\":1},{\"Name\":5}]}"
+
+static void
+test_config_routes(void)
+{
+	static const struct {
+		const char *json;
+		int routes; /* -1: the document can't be used */
+	} cases[] = {
+		{ DOC(ROUTE("\"Kind\":\"idempotent\",\"Service\":\"s\"")), 1 },
+		{ DOC(ROUTE("\"Kind\":\"streaming\",\"Service\":\"s\","
+			    "\"Stages\":[{\"Service\":\"p\",\"After\":[],"
+			    "\"Bytes\":10}]")),
+		    1 },
+		{ DOC(ROUTE("\"Kind\":\"odd\",\"Service\":\"s\"")), 0 },
+		{ DOC(ROUTE("\"Kind\":\"idempotent\",\"Service\":\"no\"")), 0 },
+		{ DOC(ROUTE("\"Kind\":5,\"Service\":\"s\"")), 0 },
+		{ DOC(ROUTE("\"Kind\":\"streaming\",\"Service\":\"s\","
+			    "\"Stages\":[{\"Service\":\"s\",\"After\":[],"
+			    "\"Bytes\":10}]")),
+		    0 },
+		{ DOC(ROUTE("\"Kind\":\"streaming\",\"Service\":\"s\","
+			    "\"Stages\":[{\"Service\":\"p\",\"After\":[0],"
+			    "\"Bytes\":10}]")),
+		    0 },
+		{ DOC("5,{}," ROUTE("\"Kind\":\"non_idempotent\","
+				    "\"Split\":[{\"Service\":\"s\","
+				    "\"Weight\":3}]")),
+		    1 },
+		{ "{\"Version\":7}", -1 },
+		{ "{\"Version\":-1," SERVICES "," LIMITS ",\"Routes\":[]}",
+		    -1 },
+		{ "[]", -1 },
+		{ "{", -1 },
+		{ "", -1 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct err e = { 0 };
+		struct routes *t = platform_config(str_from(cases[i].json), &e);
+
+		if (cases[i].routes < 0) {
+			g_assert_null(t);
+			g_assert_cmpint(e.kind, ==, ERR_CONFIG);
+			continue;
+		}
+		g_assert_nonnull(t);
+		g_assert_cmpuint(t->routes->len, ==, (guint)cases[i].routes);
+		routes_unref(t);
+	}
+}
+
+static void
+test_config_fields(void)
+{
+	struct err e = { 0 };
+	struct routes *t = platform_config(
+	    STR(DOC(ROUTE("\"Kind\":\"streaming\",\"Service\":\"s\","
+			  "\"CanResume\":true,\"Public\":true,"
+			  "\"GapTargetMs\":300,\"Stages\":[{\"Service\":\"p\","
+			  "\"After\":[],\"Bytes\":10},{\"Service\":\"p\","
+			  "\"After\":[0],\"Bytes\":20}]"))),
+	    &e);
+	const struct route *r;
+
+	g_assert_nonnull(t);
+	r = routes_find(t, STR("a.EXAMPLE"), STR("/x/1"));
+	g_assert_nonnull(r);
+	g_assert_cmpuint(t->version, ==, 7);
+	g_assert_cmpint(r->kind, ==, ROUTE_STREAM);
+	g_assert_true(r->resumable && r->open);
+	g_assert_cmpint(r->timeout, ==, 1200500);
+	g_assert_cmpint(r->gap, ==, 300000);
+	g_assert_cmpuint(r->attempts, ==, 2);
+	g_assert_cmpuint(r->stages[1].after, ==, 1);
+	g_assert_false(r->stages[0].last);
+	g_assert_true(r->stages[1].last);
+	g_assert_cmpint(
+	    routes_service_at(t, 1)->pool.keep, ==, 4 * USEC_PER_SEC);
+	g_assert_cmpstr(routes_holder(t, STR("k"))->name, ==, "t");
+	g_assert_cmpint(routes_holder(t, STR("k"))->rank, ==, 1);
+	g_assert_true(t->keyed);
+	g_assert_cmpuint(t->body_bytes, ==, 1000);
+	routes_unref(t);
+}
+
+static void
+test_target(void)
+{
+	static const struct {
+		const char *key, *json;
+		bool ok, leaving;
+	} cases[] = {
+		{ "servers/i-1",
+		    "{\"Service\":\"s\",\"Addr\":\"10.0.0.1:80\","
+		    "\"Zone\":\"a\",\"Slots\":4,\"State\":\"ready\","
+		    "\"born\":1700000000000,\"Seq\":4}",
+		    true, false },
+		{ "servers/i-1",
+		    "{\"Service\":\"s\",\"Addr\":\"10.0.0.1:80\","
+		    "\"Zone\":\"a\",\"Slots\":4,\"State\":\"draining\"}",
+		    true, true },
+		{ "servers/i-1",
+		    "{\"Service\":\"s\",\"Addr\":\"10.0.0.1:80\","
+		    "\"Zone\":\"a\",\"Slots\":4,\"State\":\"odd\"}",
+		    false, false },
+		{ "servers/i-1",
+		    "{\"Service\":\"s\",\"Addr\":\"nowhere\",\"Zone\":\"a\","
+		    "\"Slots\":4,\"State\":\"ready\"}",
+		    false, false },
+		{ "servers/i-1",
+		    "{\"Service\":5,\"Addr\":\"10.0.0.1:80\",\"Zone\":\"a\","
+		    "\"Slots\":4,\"State\":\"ready\"}",
+		    false, false },
+		{ "servers/i-1",
+		    "{\"Service\":\"s\",\"Addr\":\"10.0.0.1:80\","
+		    "\"Zone\":\"a\",\"State\":\"ready\"}",
+		    false, false },
+		{ "servers/", "{}", false, false },
+		{ "other/i-1", "{}", false, false },
+		{ "servers/i-1", "\xff\xfe", false, false },
+		{ "servers/i-1", "", false, false },
+		{ "servers/i-1", "[1]", false, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct target_entry t;
+		bool ok = platform_target(
+		    str_from(cases[i].key), str_from(cases[i].json), &t);
+
+		g_assert_cmpint(ok, ==, cases[i].ok);
+		if (ok)
+			g_assert_cmpint(t.leaving, ==, cases[i].leaving);
+	}
+}
+
+static void
+parse(struct httpmsg *m, enum http_parser_type type, const char *text)
+{
+	struct evbuffer *in = evbuffer_new();
+
+	httpmsg_init(m, type, 65536);
+	evbuffer_add(in, text, strlen(text));
+	httpmsg_feed(m, in);
+	evbuffer_free(in);
+}
+
+#define HEAD "POST /x/%2f/../?q HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: ab\r\n"
+
+static void
+test_request(void)
+{
+	static const struct {
+		const char *more;
+		bool ok;
+		size_t n_pieces;
+		uint32_t tokens;
+		size_t n_parts;
+	} cases[] = {
+		{ "", true, 0, 0, 0 },
+		{ "X-Pieces: 1,4,6\r\n", true, 3, 0, 0 },
+		{ "X-Pieces: 0,x\r\n", false, 1, 0, 0 },
+		{ "X-Pieces: 1,1,1,1,1,1,1,1,1\r\n", false, 8, 0, 0 },
+		{ "X-Token-Count: 1460,80\r\n"
+		  "X-Prefix-Hash: 5c:800,91:410,e4:250\r\n",
+		    true, 0, 1460, 3 },
+		{ "X-Token-Count: odd\r\nX-Prefix-Hash: 5c\r\n", true, 0, 0,
+		    0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = g_strconcat(
+		    HEAD, cases[i].more, "Content-Length: 0\r\n\r\n", NULL);
+		struct httpmsg m;
+		struct request_facts f;
+
+		parse(&m, HTTP_REQUEST, text);
+		g_assert_cmpint(m.state, ==, HTTPMSG_DONE);
+		g_assert_cmpint(platform_request(&m, &f), ==, cases[i].ok);
+		g_assert_cmpuint(f.n_pieces, ==, cases[i].n_pieces);
+		g_assert_cmpuint(f.prompt_tokens, ==, cases[i].tokens);
+		g_assert_cmpuint(f.n_parts, ==, cases[i].n_parts);
+		httpmsg_free(&m);
+	}
+}
+
+/* What the target gets: all that is the caller's, and ours in its place. */
+static void
+test_call_head(void)
+{
+	static const char text[] = HEAD
+	    "X-Api-Key: secret\r\nX-Tenant: forged\r\nX-Hold: h\r\n"
+	    "X-Pin-Ms: 5\r\nX-Kv-Backup: b\r\nKv-From: f\r\nX-Inputs: i\r\n"
+	    "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nX-Own: kept\r\n"
+	    "X-Deadline-Ms: 900\r\nContent-Length: 2\r\n\r\nhi";
+	struct httpmsg m;
+	struct buf out = { 0 };
+
+	parse(&m, HTTP_REQUEST, text);
+	platform_call_head(&out, &m,
+	    &(struct call_facts){ .left = 700 * USEC_PER_MSEC,
+		.target_id = STR("i-1"),
+		.workspace = STR("t"),
+		.inputs = STR("a/1,b/2"),
+		.priority = -1 },
+	    2);
+	g_assert_cmpstr(out.p, ==,
+	    "POST /x/%2f/../?q HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: ab\r\n"
+	    "X-Own: kept\r\nX-Deadline-Ms: 700\r\nX-Expect-Runner: i-1\r\n"
+	    "X-Tenant: t\r\nX-Inputs: a/1,b/2\r\nContent-Length: 2\r\n\r\n");
+	buf_free(&out);
+	httpmsg_free(&m);
+}
+
+static void
+test_answer(void)
+{
+	static const struct {
+		const char *head;
+		bool not_run, sealed, other, load;
+	} cases[] = {
+		{ "200 OK\r\nX-Runner-Seal: a\r\nX-Runner-Load: 3,0,8", false,
+		    true, false, true },
+		{ "503 No\r\nX-Not-Executed: 1", true, false, false, false },
+		{ "421 No\r\nX-Runner-Id: b", true, false, true, false },
+		{ "500 No\r\nX-Runner-Load: 3,x,8", false, false, false,
+		    false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = g_strconcat("HTTP/1.1 ", cases[i].head,
+		    "\r\nContent-Length: 0\r\n\r\n", NULL);
+		struct httpmsg m;
+		struct answer_facts f;
+
+		parse(&m, HTTP_RESPONSE, text);
+		platform_answer(&m, &f);
+		g_assert_cmpint(f.not_run, ==, cases[i].not_run);
+		g_assert_cmpint(f.sealed, ==, cases[i].sealed);
+		g_assert_cmpint(f.other_target, ==, cases[i].other);
+		g_assert_cmpint(f.has_load, ==, cases[i].load);
+		httpmsg_free(&m);
+	}
+}
+
+static void
+test_stage(void)
+{
+	static const struct {
+		const char *json;
+		size_t n;
+		bool ok;
+	} cases[] = {
+		{ "{\"Items\":[{\"Handle\":\"a:1/x\"},{\"Reason\":\"gone\"}]}",
+		    2, true },
+		{ "{\"Items\":[{\"Handle\":\"a:1/x\"}]}", 2, false },
+		{ "{\"Items\":[{\"Handle\":5}]}", 1, false },
+		{ "{\"Items\":[{\"Handle\":\"a,b\"}]}", 1, false },
+		{ "{\"Items\":[{}]}", 1, false },
+		{ "{}", 0, false },
+		{ "x", 1, false },
+	};
+	struct buf out = { 0 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct piece_result v[2];
+
+		g_assert_cmpint(platform_stage_results(
+				    str_from(cases[i].json), v, cases[i].n),
+		    ==, cases[i].ok);
+		if (!cases[i].ok)
+			continue;
+		g_assert_cmpint(v[0].outcome, ==, PIECE_MADE);
+		g_assert_cmpstr(v[0].handle, ==, "a:1/x");
+		g_assert_cmpint(v[1].outcome, ==, PIECE_GONE);
+	}
+	platform_stage_body(&out,
+	    (const struct piece_call[]){ { .id = STR("e"),
+					     .stage = 0,
+					     .piece = 2,
+					     .left = 900 * USEC_PER_MSEC,
+					     .key = STR("k") },
+		{ .id = STR("f"),
+		    .stage = 2,
+		    .piece = 0,
+		    .left = 5 * USEC_PER_MSEC,
+		    .inputs = STR("a/1,b/2") } },
+	    2);
+	g_assert_cmpstr(out.p, ==,
+	    "{\"Items\":[{\"Id\":\"e\",\"Stage\":0,\"Piece\":2,"
+	    "\"RemainingMs\":900,\"Key\":\"k\"},{\"Id\":\"f\",\"Stage\":2,"
+	    "\"Piece\":0,\"RemainingMs\":5,\"Inputs\":[\"a/1\",\"b/2\"]}]}");
+	buf_free(&out);
+}
+
+static void
+test_store(void)
+{
+	static const struct {
+		const char *json;
+		bool ok;
+		size_t n;
+	} cases[] = {
+		{ "{\"events\":[{\"Key\":\"a\",\"Value\":\"eHk=\",\"Rev\":4},"
+		  "{\"Key\":\"b\",\"Rev\":5,\"Tombstone\":true}],\"AsOf\":5}",
+		    true, 2 },
+		{ "{\"events\":[{\"Key\":5,\"Rev\":4},{\"Key\":\"b\","
+		  "\"Rev\":5,\"Tombstone\":true}],\"AsOf\":5}",
+		    true, 1 },
+		{ "{\"events\":[]}", false, 0 },
+		{ "{\"AsOf\":5}", false, 0 },
+		{ "no", false, 0 },
+	};
+	struct buf path = { 0 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct kv_changes c;
+
+		g_assert_cmpint(store_read_watch(str_from(cases[i].json), &c),
+		    ==, cases[i].ok);
+		g_assert_cmpuint(c.n, ==, cases[i].n);
+		if (cases[i].n == 2)
+			g_assert_cmpstr(c.v[0].value.p, ==, "xy");
+		store_changes_free(&c);
+	}
+	store_range_path(&path, STR("a b/"), STR("a b/&c"));
+	g_assert_cmpstr(
+	    path.p, ==, "/api/kv-range?Prefix=a%20b/&After=a%20b/%26c");
+	buf_clear(&path);
+	store_watch_path(&path, STR(""), 7, 1500 * USEC_PER_MSEC);
+	g_assert_cmpstr(
+	    path.p, ==, "/api/kv-watch?Prefix=&After=7&WaitMs=1500");
+	buf_free(&path);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/config/routes", test_config_routes);
+	g_test_add_func("/config/fields", test_config_fields);
+	g_test_add_func("/target", test_target);
+	g_test_add_func("/request", test_request);
+	g_test_add_func("/call-head", test_call_head);
+	g_test_add_func("/answer", test_answer);
+	g_test_add_func("/stage", test_stage);
+	g_test_add_func("/store", test_store);
+	return g_test_run();
+}
--- a/tests/wire/run.sh
+++ b/tests/wire/run.sh
@@ -126,7 +126,7 @@
 
 start_daemon() {
 	sed "s/BASE/$((BASE / 10))/" tests/wire/sequoiad.ini >"$TMP/sequoiad.ini"
-	"$B/entry/sequoiad" "$TMP/sequoiad.ini" 2>>"$TMP/sequoiad.log" &
+	"$B/entry/sequoiad" "$TMP/sequoiad.ini" >>"$TMP/sequoiad.log" 2>&1 &
 	DAEMON=$!
 	await curl -sf "http://127.0.0.1:$((BASE + 1))/healthz"
 }
