Wire sessions of the relay before a stand-in of the platform

A process test: store, targets and callers on loopback. It found, and the commit mends: the log read a request's id after the door had freed it (a broken stream), fields over several lines were joined and passed on, and a head over its limit passed if it came in few pieces.

--- a/entry/door.c
+++ b/entry/door.c
@@ -196,12 +196,6 @@
 	}
 	if (q->in.state == HTTPMSG_HEAD)
 		return;
-	if (q->in.head_bytes > l->head_bytes &&
-	    q->in.head_bytes >
-		l->head_bytes + evbuffer_get_length(q->in.body)) {
-		refuse(q, 431, "the head exceeds its limit");
-		return;
-	}
 	if (check_head(q) && q->in.state == HTTPMSG_DONE)
 		on_whole(q);
 }
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -108,10 +108,12 @@
 static void
 break_off(struct request *r, const char *cause)
 {
+	struct door_request *q = r->door;
+
 	LOG(LOG_LVL_NOTICE, "stream-broken", { "request", r->facts.id },
 	    { "target", str_from(r->target_id) }, { "cause", str_from(cause) });
-	door_abort(r->door);
 	request_done(r, "broken-off");
+	door_abort(q);
 }
 
 /* A send that may have run and has no whole answer. */
@@ -133,9 +135,9 @@
 	}
 }
 
+/* The head of a stream's answer; its events follow. */
 static void
-write_head(
-    struct request *r, const struct httpmsg *m, struct str body, bool chunked)
+write_head(struct request *r, const struct httpmsg *m)
 {
 	struct buf fields = { 0 };
 
@@ -144,8 +146,7 @@
 	    &(struct door_answer){
 		.status = r->answer_status,
 		.fields = fields.p,
-		.body = body,
-		.chunked = chunked,
+		.chunked = true,
 	    });
 	buf_free(&fields);
 	r->head_written = true;
@@ -168,7 +169,7 @@
 	if (whole.n == 0)
 		return;
 	if (!r->head_written) {
-		write_head(r, m, STR(""), true);
+		write_head(r, m);
 		course_release(r);
 	}
 	out = evbuffer_new();
@@ -226,6 +227,8 @@
 static void
 end_stream(struct request *r, const struct httpmsg *m)
 {
+	struct door_request *q;
+
 	pass_events(r, m);
 	if (!sse_at_boundary(&r->sse) || r->sse.gap) {
 		end_target(r, false);
@@ -234,20 +237,29 @@
 	}
 	end_target(r, true);
 	if (!r->head_written)
-		write_head(r, m, STR(""), true);
-	door_end(r->door);
+		write_head(r, m);
+	q = r->door;
 	request_done(r, "complete");
+	door_end(q);
 }
 
 /* The answer of a target, whole. */
 static void
 pass_answer(struct request *r, const struct httpmsg *m)
 {
-	size_t n = evbuffer_get_length(m->body);
-	struct str body = { (const char *)evbuffer_pullup(m->body, -1), n };
+	struct door_request *q = r->door;
+	struct buf fields = { 0 };
+	struct door_answer a = {
+		.status = r->answer_status,
+		.body = { (const char *)evbuffer_pullup(m->body, -1),
+		    evbuffer_get_length(m->body) },
+	};
 
-	write_head(r, m, body, false);
+	platform_answer_fields(&fields, m);
+	a.fields = fields.p;
 	request_done(r, is_success(r) ? "complete" : "target-error");
+	door_answer(q, &a);
+	buf_free(&fields);
 }
 
 static void
--- a/entry/request.h
+++ b/entry/request.h
@@ -77,8 +77,12 @@
 	const char *cause;
 };
 
-/* relay.c: ends the request and frees it. */
+/* relay.c: answers the request with an error and frees it. */
 void request_reject(struct request *r, const struct rejection *why);
+/*
+ * Notes the end of a request and frees it.  The door's side is ended after
+ * that: with it go the bytes that the facts borrow.
+ */
 void request_done(struct request *r, const char *outcome);
 struct repeats *request_repeats(struct request *r);
 
--- a/plat/httpmsg.c
+++ b/plat/httpmsg.c
@@ -156,9 +156,35 @@
 	m->target_n = 0;
 	m->n_fields = 0;
 	m->in_value = false;
+	m->line_start = false;
+	m->scanned = false;
 	evbuffer_drain(m->body, evbuffer_get_length(m->body));
 }
 
+/*
+ * Counts the bytes of the head.  False if it is too large, or if a line of it
+ * begins with a blank: the parser would join that to the field before.
+ */
+static bool
+scan_head(struct httpmsg *m, struct str s)
+{
+	for (size_t i = 0; i < s.n && !m->scanned; i++) {
+		char c = s.p[i];
+
+		if (++m->head_bytes > m->head_limit) {
+			m->head_too_large = true;
+			return false;
+		}
+		if (m->line_start && (c == ' ' || c == '\t'))
+			return false;
+		if (m->line_start && c == '\n')
+			m->scanned = true;
+		if (c != '\r')
+			m->line_start = c == '\n';
+	}
+	return true;
+}
+
 /* One contiguous piece; false when nothing more is to be taken. */
 static bool
 feed_piece(struct httpmsg *m, struct evbuffer *in)
@@ -168,10 +194,13 @@
 
 	if (evbuffer_peek(in, -1, NULL, &v, 1) < 1 || v.iov_len == 0)
 		return false;
+	if (m->state == HTTPMSG_HEAD &&
+	    !scan_head(m, (struct str){ v.iov_base, v.iov_len })) {
+		m->state = HTTPMSG_BAD;
+		return false;
+	}
 	used =
 	    http_parser_execute(&m->parser, &callbacks, v.iov_base, v.iov_len);
-	if (m->state == HTTPMSG_HEAD || m->head_bytes == 0)
-		m->head_bytes += used;
 	if (m->state == HTTPMSG_DONE) {
 		http_parser_pause(&m->parser, 0);
 		evbuffer_drain(in, used);
@@ -180,10 +209,6 @@
 	evbuffer_drain(in, used);
 	if (HTTP_PARSER_ERRNO(&m->parser) != HPE_OK || m->parser.upgrade)
 		m->state = HTTPMSG_BAD;
-	if (m->state == HTTPMSG_HEAD && m->head_bytes > m->head_limit) {
-		m->head_too_large = true;
-		m->state = HTTPMSG_BAD;
-	}
 	return m->state != HTTPMSG_BAD;
 }
 
--- a/plat/httpmsg.h
+++ b/plat/httpmsg.h
@@ -3,7 +3,8 @@
  *
  * The same reader serves both directions.  It stops after each message, so
  * that bytes which follow stay in the evbuffer; it refuses what could be read
- * in two ways (two lengths, a length beside chunks, a malformed chunk).
+ * in two ways (two lengths, a length beside chunks, a malformed chunk, a field
+ * over several lines).
  */
 #ifndef PLAT_HTTPMSG_H
 #define PLAT_HTTPMSG_H
@@ -30,7 +31,7 @@
 struct httpmsg {
 	struct http_parser parser;
 	enum httpmsg_state state;
-	size_t head_bytes; /* read so far; the whole head's once it is whole */
+	size_t head_bytes; /* read so far */
 	size_t head_limit;
 	bool head_too_large;
 	bool started;      /* a byte of this message has come */
@@ -42,6 +43,8 @@
 	} at[HTTPMSG_MAX_FIELDS];
 	size_t n_fields;
 	bool in_value;
+	bool line_start;       /* the next byte of the head begins a line */
+	bool scanned;          /* the head's last line has come */
 	struct evbuffer *body; /* what came and was not taken */
 };
 
--- /dev/null
+++ b/tests/relay/rig.c
@@ -0,0 +1,212 @@
+#include "tests/relay/rig.h"
+#include "plat/httpmsg.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define KEY "key-of-yard"
+
+/* A host does not outlive a test that aborts. */
+static void
+end_with_parent(gpointer arg)
+{
+	(void)arg;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
+void
+rig_start_host(struct rig_host *h)
+{
+	g_autofree char *ini = g_strdup_printf("%s/%s.ini", h->dir, h->id);
+	g_autofree char *log = g_strdup_printf("%s/%s.log", h->dir, h->id);
+	g_autofree char *text = g_strdup_printf(
+	    "[sequoiad]\nid = %s\nlisten = 127.0.0.1:%u\n"
+	    "operators = 127.0.0.1:%u\nrpc = 127.0.0.1:%u\n"
+	    "failure_domain = d1\npeers = 127.0.0.1:%u\ndrain_ms = 500\n"
+	    "grace_ms = 4000\n[platform]\nform = routes\nkv = 127.0.0.1:%u\n"
+	    "[fleet]\nfleet_key = a fleet key of the tests\n",
+	    h->id, h->port, h->port + 1, h->port + 2,
+	    h->seed != 0 ? h->seed + 2 : h->port + 2, h->store);
+	g_autoptr(GError) e = NULL;
+	const char *argv[] = { "/bin/sh", "-c",
+		"exec \"$0\" \"$1\" >>\"$2\" 2>&1", g_getenv("SEQUOIAD"), ini,
+		log, NULL };
+	GPid pid;
+
+	g_assert_true(g_file_set_contents(ini, text, -1, NULL));
+	g_assert_true(g_spawn_async(NULL, (char **)argv, NULL,
+	    G_SPAWN_DO_NOT_REAP_CHILD, end_with_parent, NULL, &pid, &e));
+	h->pid = pid;
+}
+
+int
+rig_reap(struct rig_host *h)
+{
+	int status = 0;
+
+	while (waitpid(h->pid, &status, 0) < 0 && errno == EINTR)
+		;
+	h->pid = 0;
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+static int
+connect_to(uint16_t port)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET,
+		.sin_port = htons(port),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (connect(fd, (struct sockaddr *)&at, sizeof(at)) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+/* Reads until the end of the connection, or the time. */
+static void
+read_all(int fd, usec_t until, struct buf *out, bool *eof)
+{
+	char bytes[4096];
+
+	for (;;) {
+		usec_t left = until - clock_now();
+		struct pollfd p = { .fd = fd, .events = POLLIN };
+		ssize_t n;
+
+		if (left <= 0 ||
+		    poll(&p, 1, (int)(left / USEC_PER_MSEC) + 1) < 1)
+			return;
+		n = read(fd, bytes, sizeof(bytes));
+		if (n <= 0) {
+			*eof = n == 0;
+			return;
+		}
+		buf_put(out, (struct str){ bytes, (size_t)n });
+	}
+}
+
+void
+rig_talk(uint16_t port, struct str bytes, int ms, struct rig_answer *out)
+{
+	usec_t until = clock_now() + ms * USEC_PER_MSEC;
+	struct buf all = { 0 };
+	struct httpmsg m;
+	struct evbuffer *in = evbuffer_new();
+	bool eof = false;
+	int fd = connect_to(port);
+
+	memset(out, 0, sizeof(*out));
+	httpmsg_init(&m, HTTP_RESPONSE, 65536);
+	if (fd >= 0) {
+		if (send(fd, bytes.p, bytes.n, MSG_NOSIGNAL) > 0)
+			read_all(fd, until, &all, &eof);
+		close(fd);
+	}
+	evbuffer_add(in, all.p, all.n);
+	httpmsg_feed(&m, in);
+	if (eof)
+		httpmsg_eof(&m);
+	if (m.state != HTTPMSG_HEAD && m.state != HTTPMSG_BAD)
+		out->status = m.parser.status_code;
+	else if (all.n > 12)
+		out->status = atoi(all.p + 9);
+	out->whole = m.state == HTTPMSG_DONE;
+	buf_put(&out->body,
+	    (struct str){ (const char *)evbuffer_pullup(m.body, -1),
+		evbuffer_get_length(m.body) });
+	out->head = all;
+	evbuffer_free(in);
+	httpmsg_free(&m);
+}
+
+void
+rig_answer_free(struct rig_answer *a)
+{
+	buf_free(&a->body);
+	buf_free(&a->head);
+}
+
+char *
+rig_request(const struct rig_request *q)
+{
+	g_autofree char *script = q->script != NULL
+	    ? g_strdup_printf("X-Test: %s\r\n", q->script)
+	    : g_strdup("");
+
+	return g_strdup_printf("POST %s HTTP/1.1\r\nHost: a.example\r\n"
+			       "X-Attempt-Id: %s\r\nX-Api-Key: %s\r\n"
+			       "X-Deadline-Ms: %d\r\n%s%s%s"
+			       "Content-Length: 4\r\n\r\nbody",
+	    q->path, q->id, q->key != NULL ? q->key : KEY,
+	    q->deadline_ms > 0 ? q->deadline_ms : 5000, script,
+	    q->more != NULL ? q->more : "",
+	    q->keep ? "" : "Connection: close\r\n");
+}
+
+bool
+rig_wait_ready(const struct rig_host *h, int seconds)
+{
+	usec_t until = clock_now() + seconds * USEC_PER_SEC;
+
+	while (clock_now() < until) {
+		struct rig_answer a;
+		int status;
+
+		rig_talk(h->port + 1,
+		    STR("GET /readyz HTTP/1.1\r\nHost: x\r\n"
+			"Connection: close\r\n\r\n"),
+		    1000, &a);
+		status = a.status;
+		rig_answer_free(&a);
+		if (status == 200)
+			return true;
+		g_usleep(50000);
+	}
+	return false;
+}
+
+char *
+rig_config(int version, const char *extra_route)
+{
+#define R(name, prefix, kind, service, more)                                 \
+	"{\"Name\":\"" name "\",\"Host\":\"a.example\",\"Prefix\":\"" prefix \
+	"\",\"Kind\":\"" kind "\",\"TimeoutMs\":8000,\"SloMs\":1000,"        \
+	"\"Attempts\":2,\"Service\":\"" service "\"" more "}"
+	return g_strdup_printf(
+	    "{\"Version\":%d,\"Routes\":[" R("safe", "/safe/", "idempotent",
+		"plain", "") "," R("once", "/once/", "non_idempotent", "plain",
+		"") "," R("stream", "/stream/", "streaming", "engine",
+		",\"CanResume\":true") "," R("stream-once", "/stream-once/",
+		"streaming", "engine",
+		"") "," R("staged", "/stream/staged/", "streaming", "engine",
+		",\"Stages\":[{\"Service\":\"pool\",\"After\":[],"
+		"\"Bytes\":1000},{\"Service\":\"pool\",\"After\":[0],"
+		"\"Bytes\":1000}]") "%s],"
+				    "\"Services\":[{\"Name\":\"plain\","
+				    "\"MaxConns\":99},{\"Name\":\"engine\","
+				    "\"MaxConns\":99,\"Engine\":{\"Slots\":4,"
+				    "\"KvTokens\":9000}},{\"Name\":\"pool\","
+				    "\"MaxConns\":99,\"Pieces\":{\"Slots\":1,"
+				    "\"Queue\":2,\"Batch\":8,\"CallMs\":60,"
+				    "\"ItemMs\":4,\"HeadroomMb\":1,"
+				    "\"HandleS\":4}}],\"Limits\":{"
+				    "\"MaxHeaderBytes\":8192,"
+				    "\"MaxBodyBytes\":10000,"
+				    "\"HeaderTimeoutMs\":1000,"
+				    "\"IdleTimeoutMs\":15000},\"Tenants\":[{"
+				    "\"Name\":\"yard\",\"ApiKeys\":[\"" KEY
+				    "\"]}]}",
+	    version, extra_route != NULL ? extra_route : "");
+#undef R
+}
