--- a/entry/home.c
+++ b/entry/home.c
@@ -252,22 +252,18 @@
 	event_active(h->say, EV_TIMEOUT, 0);
 }
 
-static void
-queue_piece(struct ask *a, uint32_t i, const peer_piece_ask *x, usec_t now)
+static struct batch_item
+make_item(struct ask *a, const peer_piece_ask *x, usec_t now)
 {
-	struct batch_item it = {
+	return (struct batch_item){
 		.owner = a,
-		.piece = i,
 		.aim = now + (usec_t)x->aim_left_ms * USEC_PER_MSEC,
 		.deadline = a->deadline,
 		.rank = x->rank,
-		.progress = x->stage,
 		.bytes = a->bytes,
 		.domain = a->domain,
 		.queued = now,
 	};
-
-	batch_add(&a->pool->batch, &it);
 }
 
 static uint32_t
@@ -290,18 +286,22 @@
 	return usable;
 }
 
-/* Whether the pieces can be made in time; else the ask is refused. */
+/*
+ * Whether the pieces will be made in time; else the ask is refused.  Work that
+ * has begun is not refused for want of room: its earlier stages would be lost.
+ */
 static bool
-admit(struct home *h, struct ask *a, usec_t now)
+admit(struct home *h, struct ask *a, const struct batch_item *it, usec_t now)
 {
 	uint32_t free_ones;
 	uint32_t usable = a->pool == NULL
 	    ? 0
 	    : usable_targets(h, a->pool->service, now, &free_ones);
-	usec_t wait =
-	    usable > 0 ? batch_wait(&a->pool->batch, usable, a->n) : 0;
+	usec_t wait = 0;
 
-	if (usable > 0 && now + wait < a->deadline)
+	if (usable > 0)
+		wait = batch_expect(&a->pool->batch, usable, it, now) - now;
+	if (usable > 0 && (a->inputs.n > 0 || now + wait < a->deadline))
 		return true;
 	a->refused = true;
 	a->wait_ms = usable == 0
@@ -396,6 +396,7 @@
 	char *key = g_strdup_printf(
 	    "%s/%" PRIu64, from != NULL ? from : "", (uint64_t)x->ask);
 	struct ask *a = g_hash_table_lookup(h->asks, key);
+	struct batch_item it;
 	struct pool *p;
 
 	if (a != NULL || x->cancelled) {
@@ -408,12 +409,13 @@
 	}
 	p = pool_of(h, x->service);
 	a = new_ask(h, key, from, x, p, now);
-	if (!admit(h, a, now)) {
+	it = make_item(a, x, now);
+	if (!admit(h, a, &it, now)) {
 		finish_ask(h, a, now);
 		return;
 	}
-	for (uint32_t i = 0; i < a->n; i++)
-		queue_piece(a, i, x, now);
+	for (; it.piece < a->n; it.piece++)
+		batch_add(&p->batch, &it);
 	if (from != NULL)
 		send_reply(h, a);
 	home_tick(h, now);
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -681,6 +681,8 @@
 	g_hash_table_destroy(p->repeats);
 	event_free(y->mail_event);
 	event_free(y->step);
+	/* Lets go of what deferred callbacks still hold. */
+	event_base_loop(p->base, EVLOOP_NONBLOCK);
 	event_base_free(p->base);
 	view_free(y->view);
 	inbox_free(y->inbox);
--- a/kernel/batch.c
+++ b/kernel/batch.c
@@ -2,8 +2,14 @@
 
 /* Fewer pieces than this share of a call's own cost are not split up. */
 #define SPLIT_SHARE 0.25
-/* Rank shifts the order by so much: a less urgent one waits for others. */
+/* Each rank counts as so much more time until a piece is late. */
 #define RANK_STEP   (2000 * USEC_PER_MSEC)
+/* Ranks that a piece loses by being late. */
+#define LATE_RANKS  6.0
+/* Share of the targets that is left to less urgent pieces at the least. */
+#define LEAST_SHARE 0.1
+/* Time over which rates of arrival are smoothed. */
+#define RATE_SPAN   (2 * USEC_PER_SEC)
 /* A piece waits so long for a target where its inputs are. */
 #define NEAR_STEP   (200 * USEC_PER_MSEC)
 /* Weight of a new measurement in the running mean. */
@@ -18,10 +24,33 @@
 	b->item_usec = (double)shape->item;
 }
 
+/* Rates of arrival fade with the time since they were counted. */
+static double
+fade(const struct batch *b, usec_t now)
+{
+	double t = (double)(now - b->rates_at) / (double)RATE_SPAN;
+
+	return t < 1 ? 1 - t : 0;
+}
+
+/* An exponential mean of the pieces that come in a second. */
+static void
+note_arrival(struct batch *b, const struct batch_item *it)
+{
+	uint32_t rank = it->rank < BATCH_RANKS ? it->rank : BATCH_RANKS - 1;
+	double keep = fade(b, it->queued);
+
+	for (uint32_t i = 0; i < BATCH_RANKS; i++)
+		b->rates[i] *= keep;
+	b->rates[rank] += (double)USEC_PER_SEC / (double)RATE_SPAN;
+	b->rates_at = it->queued;
+}
+
 void
 batch_add(struct batch *b, const struct batch_item *it)
 {
 	g_array_append_vals(b->items, it, 1);
+	note_arrival(b, it);
 }
 
 void
@@ -57,29 +86,25 @@
 	return it->domain != 0 && it->domain != domain;
 }
 
+/* When its turn is due, in comparison with others. */
 static usec_t
 due(const struct batch_item *it, const struct order *o)
 {
-	return it->aim + it->rank * RANK_STEP +
+	double ranks = it->rank + (it->aim < o->earliest ? LATE_RANKS : 0);
+
+	return it->aim + (usec_t)(ranks * RANK_STEP) +
 	    (is_far(it, o->domain) ? NEAR_STEP : 0);
 }
 
-/* On time before late; then by the time left, shifted by rank. */
 static gint
 by_urgency(gconstpointer a, gconstpointer b, gpointer arg)
 {
 	const struct batch_item *x = a;
 	const struct batch_item *y = b;
 	const struct order *o = arg;
-	bool x_late = x->aim < o->earliest;
-	bool y_late = y->aim < o->earliest;
 	usec_t p = due(x, o);
 	usec_t q = due(y, o);
 
-	if (x_late != y_late)
-		return x_late ? 1 : -1;
-	if (x_late && x->progress != y->progress)
-		return x->progress > y->progress ? -1 : 1;
 	if (p != q)
 		return p < q ? -1 : 1;
 	if (x->owner != y->owner)
@@ -127,18 +152,35 @@
 	g_array_set_size(b->items, kept);
 }
 
+/* Pieces a second that come and go before those of a rank. */
+static double
+rate_before(const struct batch *b, uint32_t rank, usec_t now)
+{
+	double sum = 0;
+
+	for (uint32_t i = 0; i < rank && i < BATCH_RANKS; i++)
+		sum += b->rates[i];
+	return sum * fade(b, now);
+}
+
 usec_t
-batch_wait(const struct batch *b, uint32_t targets, uint32_t pieces)
+batch_expect(const struct batch *b, uint32_t targets,
+    const struct batch_item *it, usec_t now)
 {
-	uint32_t n = b->items->len + pieces;
-	double rounds;
-
-	if (targets == 0)
-		return 3600 * USEC_PER_SEC;
-	rounds = (double)n / ((double)b->shape.batch * targets);
-	if (rounds < 1)
-		return call_time(b, (n + targets - 1) / targets);
-	return (usec_t)(rounds * (double)call_time(b, b->shape.batch));
+	struct order o = { now + call_time(b, 1), it->domain };
+	double full = (double)call_time(b, b->shape.batch) / USEC_PER_SEC;
+	double can = targets * b->shape.batch / full;
+	double left = can - rate_before(b, it->rank, now);
+	usec_t mine = due(it, &o);
+	uint32_t before = 0;
+
+	for (guint i = 0; i < b->items->len; i++)
+		before += due(&g_array_index(b->items, struct batch_item, i),
+			      &o) < mine;
+	if (left < LEAST_SHARE * can)
+		left = LEAST_SHARE * can;
+	return now + call_time(b, b->shape.batch / 2) +
+	    (usec_t)(before / left * USEC_PER_SEC);
 }
 
 void
--- a/kernel/batch.h
+++ b/kernel/batch.h
@@ -5,11 +5,13 @@
  * A call costs much and a piece little, so what waits goes into one call when
  * a target is free, up to the batch; several free targets share what waits.
  * Load pattern: more pieces come than the targets can make.  Then the order
- * decides: requests that can still be on time go first, by rank and by the
- * time that they have left; those that are late already follow, the furthest
- * on first.  Results take
- * room at their maker until they are used: a piece without room would be
- * refused at its turn, so it is not sent.
+ * decides: by the time until a piece is late, each rank counting as a while
+ * more and being late as six ranks.  So what can be on time goes first, and
+ * what has waited long enough goes before everything.  A piece whose turn would
+ * not come before its deadline, by what waits before it and by the rate of what
+ * will come before it, is refused when it comes.  Results take room at their
+ * maker until they are used: a piece without room would be refused at its turn,
+ * so it is not sent.
  */
 #ifndef KERNEL_BATCH_H
 #define KERNEL_BATCH_H
@@ -22,15 +24,18 @@
 	usec_t aim;      /* an answer after that is late */
 	usec_t deadline; /* and after that worth nothing */
 	uint32_t rank;   /* 0 is the most urgent */
-	uint32_t progress; /* stages that are done already */
 	uint64_t bytes;  /* of its result */
 	uint32_t domain; /* hash of where it is best made; 0: anywhere */
 	usec_t queued;
 };
 
+#define BATCH_RANKS 4 /* less urgent ones count as the last */
+
 struct batch {
 	GArray *items; /* struct batch_item that wait */
 	struct pool_shape shape;
+	double rates[BATCH_RANKS]; /* pieces a second that come, by rank */
+	usec_t rates_at;
 	double call_usec; /* measured: work of a call beside its pieces */
 	double item_usec; /* measured: work of a piece */
 };
@@ -52,8 +57,9 @@
 };
 void batch_take(struct batch *b, usec_t now, uint32_t free_targets,
     const struct batch_target *t, GArray *out);
-/* How long pieces that come now wait until they are made, roughly. */
-usec_t batch_wait(const struct batch *b, uint32_t targets, uint32_t pieces);
+/* When a piece like this would be made, if it were added now. */
+usec_t batch_expect(const struct batch *b, uint32_t targets,
+    const struct batch_item *it, usec_t now);
 /* A call of n pieces took so long at its target. */
 void batch_measured(struct batch *b, uint32_t n, usec_t took);
 void batch_free(struct batch *b);
