Results leave their makers earlier; a stopping home hands over; calls are written to connected sockets only

Inputs are freed 80 ms after the last call that takes them began; not for 3 s after the hosts changed, when two homes may send to one target. Cause (stops): a stopping home kept its queue, beside the new home; it now hands over what has not begun, and results of a home that was given up are freed. A request is now written only when that callback has run.

--- a/entry/asks.c
+++ b/entry/asks.c
@@ -215,8 +215,44 @@
 	rpc_send(s->o.rpc, home, &body);
 }
 
+/* Sends an ask to the next home; the present one is passed over for a while. */
+static void
+move_on(struct asks *s, struct asked *a, usec_t now)
+{
+	for (guint i = 0; i < s->peers->len; i++) {
+		struct peer *p = &g_array_index(s->peers, struct peer, i);
+
+		if (strcmp(p->p.rpc, a->home) == 0 ||
+		    (*a->home == '\0' && strcmp(p->p.id, s->o.self) == 0))
+			p->suspect_until = now + SUSPECT_TIME;
+	}
+	g_strlcpy(
+	    a->home, choose_home(s, a->body.service, now), sizeof(a->home));
+	a->tries = 0;
+	a->confirmed = false;
+}
+
+/* Results of a home that was given up meanwhile: another one made them too. */
+static void
+drop_made(struct asks *s, const char *from, const peer_piece_reply *r)
+{
+	peer_body body = { .kind = PEER_PIECE_FREE };
+	struct buf handles = { 0 };
+
+	for (u_int i = 0; i < r->made.made_len; i++) {
+		if (handles.n > 0)
+			buf_putc(&handles, ',');
+		buf_put(&handles, str_from(r->made.made_val[i].handle));
+	}
+	body.peer_body_u.piece_free.service = "";
+	body.peer_body_u.piece_free.handles = handles.p;
+	if (handles.n > 0)
+		rpc_send(s->o.rpc, from, &body);
+	buf_free(&handles);
+}
+
 void
-asks_reply(struct asks *s, const peer_piece_reply *r)
+asks_reply(struct asks *s, const char *from, const peer_piece_reply *r)
 {
 	uint64_t number = r->ask;
 	struct asked *a = g_hash_table_lookup(s->open, &number);
@@ -225,6 +261,15 @@
 
 	if (a == NULL)
 		return;
+	if (from != NULL && strcmp(from, a->home) != 0) {
+		drop_made(s, from, r);
+		return;
+	}
+	if (r->moved) {
+		move_on(s, a, clock_now());
+		send_ask(s, a, clock_now());
+		return;
+	}
 	if (!r->refused && r->made.made_len == 0) {
 		a->confirmed = true;
 		a->tries = 0;
@@ -238,23 +283,6 @@
 	free(arg);
 }
 
-/* Another home takes over an ask whose home is silent. */
-static void
-fail_over(struct asks *s, struct asked *a, usec_t now)
-{
-	struct peer *p = find_peer(s, a->home);
-
-	LOG(LOG_LVL_WARNING, "home-silent", { "home", str_from(a->home) },
-	    { "service", str_from(a->body.service) },
-	    { "request", str_from(a->body.id) });
-	if (p != NULL)
-		p->suspect_until = now + SUSPECT_TIME;
-	g_strlcpy(
-	    a->home, choose_home(s, a->body.service, now), sizeof(a->home));
-	a->tries = 0;
-	a->confirmed = false;
-}
-
 bool
 asks_tick(struct asks *s, usec_t now)
 {
@@ -277,8 +305,13 @@
 			a->sent = now;
 			continue;
 		}
-		if (a->tries >= MAX_TRIES)
-			fail_over(s, a, now);
+		if (a->tries >= MAX_TRIES) {
+			LOG(LOG_LVL_WARNING, "home-silent",
+			    { "home", str_from(a->home) },
+			    { "service", str_from(a->body.service) },
+			    { "request", str_from(a->body.id) });
+			move_on(s, a, now);
+		}
 		a->tries++;
 		a->confirmed = false;
 		send_ask(s, a, now);
--- a/entry/home.c
+++ b/entry/home.c
@@ -19,6 +19,13 @@
 #define FREE_EVERY      (40 * USEC_PER_MSEC)
 /* Part of the room that is used: sizes are rough, and frees take their time. */
 #define ROOM_SHARE      0.95
+/* A call has fetched its inputs by then: links take a few ms a megabyte. */
+#define FETCH_TIME      (80 * USEC_PER_MSEC)
+/*
+ * After a change of the hosts two homes may send to the same targets; a call
+ * may then wait at its target, and its inputs are kept until it ends.
+ */
+#define UNSETTLED_TIME  (3 * USEC_PER_SEC)
 /* Inputs are used so long before they expire at their makers. */
 #define INPUT_MARGIN    (400 * USEC_PER_MSEC)
 /* A piece that is late already waits so long for room; then it is refused. */
@@ -44,6 +51,8 @@
 	uint32_t n;
 	uint32_t left; /* pieces without a result */
 	uint32_t in_calls;
+	uint32_t started;  /* pieces that do not wait */
+	usec_t fetched_at; /* when its inputs are not needed any more; 0: no */
 	uint32_t pieces[PEER_PIECES_MAX];
 	uint8_t sends[PEER_PIECES_MAX];
 	struct piece_result results[PEER_PIECES_MAX];
@@ -51,6 +60,7 @@
 	bool inputs_gone; /* at the deadline, which is not the caller's */
 	bool replied;
 	bool refused;
+	bool moved;
 	bool cancelled;
 	bool released; /* its results are not wanted any more */
 	uint32_t wait_ms;
@@ -93,6 +103,8 @@
 	GHashTable *used;  /* address -> struct used */
 	GHashTable *last;  /* target id -> hash of its last results */
 	struct room room;
+	usec_t unsettled_until;
+	bool draining;
 	struct home_counts counts;
 	GPtrArray *unsaid; /* asks of this host that are answered */
 	struct event *say; /* tells it from the loop, not from within its ask */
@@ -170,9 +182,11 @@
 
 	r->ask = a->number;
 	r->refused = a->refused;
+	r->moved = a->moved;
 	r->wait_ms = a->wait_ms;
 	r->made.made_val = made;
-	for (uint32_t i = 0; a->replied && !a->refused && i < a->n; i++) {
+	for (uint32_t i = 0; a->replied && !a->refused && !a->moved && i < a->n;
+	     i++) {
 		made[i].piece = a->pieces[i];
 		made[i].outcome = (int)a->results[i].outcome;
 		made[i].handle = (char *)a->results[i].handle;
@@ -240,7 +254,7 @@
 	a->replied_at = now;
 	if (a->pool != NULL)
 		batch_drop(&a->pool->batch, a);
-	if (a->refused || a->cancelled)
+	if (a->refused || a->moved || a->cancelled)
 		release_made(h, a);
 	if (a->cancelled)
 		return;
@@ -409,8 +423,10 @@
 	}
 	p = pool_of(h, x->service);
 	a = new_ask(h, key, from, x, p, now);
+	/* Its own asks come back only if there is no other home. */
+	a->moved = h->draining && from != NULL;
 	it = make_item(a, x, now);
-	if (!admit(h, a, &it, now)) {
+	if (a->moved || !admit(h, a, &it, now)) {
 		finish_ask(h, a, now);
 		return;
 	}
@@ -462,6 +478,8 @@
 			continue;
 		}
 		h->counts.repeats += counts;
+		a->started--;
+		a->fetched_at = 0;
 		batch_add(&k->pool->batch, &it);
 	}
 }
@@ -677,6 +695,9 @@
 
 		a->in_calls++;
 		k->bytes += a->bytes;
+		if (++a->started == a->n && a->inputs.n > 0 &&
+		    now >= k->home->unsettled_until)
+			a->fetched_at = now + FETCH_TIME;
 		v[i] = (struct piece_call){
 			.id = str_of(&a->id),
 			.stage = a->stage,
@@ -810,6 +831,14 @@
 	}
 }
 
+/* All calls that take them have fetched the inputs of an ask. */
+static void
+release_inputs(struct home *h, struct ask *a)
+{
+	a->fetched_at = 0;
+	h->o.fetched(h->o.arg, str_of(&a->inputs));
+}
+
 static void
 sweep_asks(struct home *h, usec_t now)
 {
@@ -818,11 +847,13 @@
 
 	g_hash_table_iter_init(&it, h->asks);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const struct ask *a = v;
+		struct ask *a = v;
 
 		if (a->replied && a->in_calls == 0 &&
 		    now - a->replied_at > KEEP_REPLY)
 			g_hash_table_iter_remove(&it);
+		else if (a->fetched_at != 0 && now >= a->fetched_at)
+			release_inputs(h, a);
 	}
 }
 
@@ -874,6 +905,8 @@
 
 		if (!str_cut(&rest, '/', &addr))
 			continue;
+		/* Also what another home has made, and not held here. */
+		room_free_result(&h->room, one);
 		key = g_strndup(addr.p, addr.n);
 		u = g_hash_table_lookup(h->used, key);
 		if (u == NULL) {
@@ -884,7 +917,31 @@
 			buf_putc(&u->handles, ',');
 		}
 		buf_put(&u->handles, one);
-		room_free_result(&h->room, one);
+	}
+}
+
+void
+home_unsettle(struct home *h, usec_t now)
+{
+	h->unsettled_until = now + UNSETTLED_TIME;
+}
+
+void
+home_drain(struct home *h)
+{
+	GHashTableIter it;
+	gpointer v;
+	usec_t now = clock_now();
+
+	h->draining = true;
+	g_hash_table_iter_init(&it, h->asks);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct ask *a = v;
+
+		if (a->replied || a->started > 0)
+			continue;
+		a->moved = true;
+		finish_ask(h, a, now);
 	}
 }
 
--- a/entry/home.h
+++ b/entry/home.h
@@ -21,6 +21,8 @@
 	struct rpc *rpc;
 	/* The reply to an ask of this host's own. */
 	void (*reply)(void *arg, const peer_piece_reply *r);
+	/* Results of another service that were fetched by this home's calls. */
+	void (*fetched)(void *arg, struct str handles);
 	void *arg;
 };
 
@@ -41,6 +43,10 @@
 void home_release(struct home *h, struct str handles);
 /* Starts calls for what waits, drops what is too late; call it regularly. */
 void home_tick(struct home *h, usec_t now);
+/* The hosts have changed: for a while others may still act as homes. */
+void home_unsettle(struct home *h, usec_t now);
+/* This host is leaving: what has not begun goes to the next home. */
+void home_drain(struct home *h);
 /* Asks that are not answered yet. */
 size_t home_pending(const struct home *h);
 struct home_counts home_counts(const struct home *h);
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -156,6 +156,7 @@
 struct peer_piece_reply {
 	u_quad_t ask;
 	bool_t refused;
+	bool_t moved;
 	u_int wait_ms;
 	struct {
 		u_int made_len;
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -122,6 +122,7 @@
 struct peer_piece_reply {
 	unsigned hyper ask;
 	bool refused;           /* none is made: come back in wait_ms */
+	bool moved;             /* none is made: ask the next home */
 	unsigned int wait_ms;
 	peer_piece_made made<PEER_PIECES_MAX>;
 };
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -317,10 +317,57 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->ask))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->refused))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->moved))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->refused);
+		IXDR_PUT_BOOL(buf, objp->moved);
+		IXDR_PUT_U_LONG(buf, objp->wait_ms);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->made.made_val, (u_int *) &objp->made.made_len, PEER_PIECES_MAX,
+			sizeof (peer_piece_made), (xdrproc_t) xdr_peer_piece_made))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->ask))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->refused))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->moved))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+
+		} else {
+		objp->refused = IXDR_GET_BOOL(buf);
+		objp->moved = IXDR_GET_BOOL(buf);
+		objp->wait_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->made.made_val, (u_int *) &objp->made.made_len, PEER_PIECES_MAX,
+			sizeof (peer_piece_made), (xdrproc_t) xdr_peer_piece_made))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->ask))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->refused))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->moved))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wait_ms))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->made.made_val, (u_int *) &objp->made.made_len, PEER_PIECES_MAX,
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -336,6 +336,13 @@
 	}
 }
 
+static bool
+same_peers(const GArray *a, const GArray *b)
+{
+	return a->len == b->len &&
+	    memcmp(a->data, b->data, a->len * sizeof(struct view_peer)) == 0;
+}
+
 static void
 take_view(struct relay *y, struct view *v)
 {
@@ -346,6 +353,8 @@
 	    t != NULL ? t->version : 0, v->targets->len, v->peers->len,
 	    v->store_away ? "away" : "answering");
 	loads_update(&y->parts.loads, v->targets);
+	if (y->view == NULL || !same_peers(y->view->peers, v->peers))
+		home_unsettle(y->parts.home, clock_now());
 	asks_peers(y->parts.asks, v->peers);
 	y->parts.rule.hosts = v->peers->len > 0 ? v->peers->len : 1;
 	if (t != NULL) {
@@ -368,7 +377,8 @@
 		home_ask(y->parts.home, l->rpc, &l->body.peer_body_u.piece_ask);
 		break;
 	case PEER_PIECE_REPLY:
-		asks_reply(y->parts.asks, &l->body.peer_body_u.piece_reply);
+		asks_reply(
+		    y->parts.asks, l->rpc, &l->body.peer_body_u.piece_reply);
 		break;
 	case PEER_PIECE_FREE:
 		home_release(y->parts.home,
@@ -404,6 +414,7 @@
 			break;
 		case MAIL_DRAIN:
 			door_drain(y->door);
+			home_drain(y->parts.home);
 			break;
 		case MAIL_CLAIM:
 		case MAIL_FETCHED:
@@ -473,7 +484,27 @@
 {
 	struct relay *y = arg;
 
-	asks_reply(y->parts.asks, r);
+	asks_reply(y->parts.asks, NULL, r);
+}
+
+/* Tells each maker's home of the results that are not needed any more. */
+static void
+on_fetched(void *arg, struct str handles)
+{
+	struct relay *y = arg;
+	struct str one;
+
+	while (handles.n > 0 && str_cut(&handles, ',', &one)) {
+		struct str rest = one;
+		struct str addr;
+		const char *service;
+
+		if (!str_cut(&rest, '/', &addr))
+			continue;
+		service = loads_service_at(&y->parts.loads, addr);
+		if (*service != '\0')
+			asks_release(y->parts.asks, str_from(service), one);
+	}
 }
 
 /* Readiness and metrics. */
@@ -599,6 +630,7 @@
 	    .loads = &p->loads,
 	    .rpc = steward_rpc(s),
 	    .reply = on_local_reply,
+	    .fetched = on_fetched,
 	    .arg = y,
 	});
 	asks_set_home(p->asks, p->home);
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -128,8 +128,8 @@
 	return seen > t->in_flight ? seen : t->in_flight;
 }
 
-const char *
-loads_domain_at(const struct loads *l, struct str addr)
+static const struct target *
+target_at(const struct loads *l, struct str addr)
 {
 	GHashTableIter it;
 	gpointer p;
@@ -138,10 +138,26 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const struct target *t = p;
 
-		if (str_eq(str_from(t->entry.addr), addr))
-			return t->entry.domain;
+		if (t->listed && str_eq(str_from(t->entry.addr), addr))
+			return t;
 	}
-	return "";
+	return NULL;
+}
+
+const char *
+loads_domain_at(const struct loads *l, struct str addr)
+{
+	const struct target *t = target_at(l, addr);
+
+	return t != NULL ? t->entry.domain : "";
+}
+
+const char *
+loads_service_at(const struct loads *l, struct str addr)
+{
+	const struct target *t = target_at(l, addr);
+
+	return t != NULL ? t->entry.service : "";
 }
 
 /* Rendezvous weight: which target keeps the parts that begin with prefix. */
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -60,6 +60,8 @@
     const struct loads *l, const struct loads_wish *w);
 /* The domain of the target at an address, or "". */
 const char *loads_domain_at(const struct loads *l, struct str addr);
+/* The service of the target at an address, or "". */
+const char *loads_service_at(const struct loads *l, struct str addr);
 struct target *loads_find(struct loads *l, const char *id);
 /* Usable targets of a service; an array of struct target, or NULL. */
 const GPtrArray *loads_of(const struct loads *l, const char *service);
--- a/kernel/room.c
+++ b/kernel/room.c
@@ -118,7 +118,7 @@
 	g_hash_table_insert(m->held, g_strdup(handle), h);
 }
 
-void
+bool
 room_free_result(struct room *r, struct str handle)
 {
 	g_autofree char *addr = address_of(handle);
@@ -127,9 +127,10 @@
 	const struct held *h = g_hash_table_lookup(m->held, key);
 
 	if (h == NULL)
-		return;
+		return false;
 	m->held_bytes -= h->bytes;
 	g_hash_table_remove(m->held, key);
+	return true;
 }
 
 void
--- a/kernel/room.h
+++ b/kernel/room.h
@@ -27,7 +27,8 @@
 /* A result (ADDR/ID) is held until it is freed, or expires. */
 void room_hold(
     struct room *r, const char *handle, uint64_t bytes, usec_t expires);
-void room_free_result(struct room *r, struct str handle);
+/* False if it was not held. */
+bool room_free_result(struct room *r, struct str handle);
 void room_clear(struct room *r);
 
 #endif
--- a/plat/dial.c
+++ b/plat/dial.c
@@ -11,21 +11,23 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#define MAX_HEAD_BYTES 65536 /* of an answer: eight times the usual servers' \
-			      */
+#define MAX_HEAD_BYTES                                        \
+	65536 /* of an answer: eight times the usual servers' \
+	       */
 /* Below the shortest idle timeout in common servers, 5 s. */
-#define IDLE_MAX       (4 * USEC_PER_SEC)
+#define IDLE_MAX    (4 * USEC_PER_SEC)
 /* A Keep-Alive timeout may run out while a request is on its way. */
-#define IDLE_MARGIN    (500 * USEC_PER_MSEC)
+#define IDLE_MARGIN (500 * USEC_PER_MSEC)
 /* Unacknowledged bytes for so long mean that the path is gone. */
-#define SILENT_MS      3000
+#define SILENT_MS   3000
 
 struct conn {
 	struct dialer *d;
 	struct bufferevent *bev;
 	struct event *connect_timer;
 	struct httpmsg in;
-	struct dial_call *call; /* NULL: idle */
+	struct evbuffer *unsent; /* what waits for the connection */
+	struct dial_call *call;  /* NULL: idle */
 	char *addr;
 	usec_t idle_since;
 	usec_t idle_max;
@@ -90,6 +92,7 @@
 		event_free(c->connect_timer);
 	bufferevent_free(c->bev);
 	httpmsg_free(&c->in);
+	evbuffer_free(c->unsent);
 	free(c->addr);
 	free(c);
 }
@@ -253,10 +256,10 @@
 {
 	struct conn *c = arg;
 
-	(void)bev;
 	if (what & BEV_EVENT_CONNECTED) {
 		c->connected = true;
 		event_del(c->connect_timer);
+		bufferevent_write_buffer(bev, c->unsent);
 		return;
 	}
 	if (c->call == NULL) {
@@ -337,6 +340,7 @@
 	c = xcalloc(1, sizeof(*c));
 	c->d = d;
 	c->addr = str_dup(o->addr);
+	c->unsent = evbuffer_new();
 	httpmsg_init(&c->in, HTTP_RESPONSE, MAX_HEAD_BYTES);
 	c->bev = bufferevent_socket_new(
 	    d->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
@@ -380,6 +384,7 @@
 	struct dial_call *k;
 	g_autofree char *addr = g_strndup(o->addr.p, o->addr.n);
 	struct conn *c = take_idle(d, addr, clock_now());
+	struct evbuffer *out;
 
 	if (c == NULL)
 		c = open_conn(d, o);
@@ -395,9 +400,14 @@
 	c->call = k;
 	c->in.body_allowed = !o->head_only;
 	d->counts.calls++;
-	bufferevent_write(c->bev, o->head.p, o->head.n);
+	/*
+	 * Nothing is handed to a socket that may still be connecting: only so
+	 * does a connection that was given up mean that nothing was sent.
+	 */
+	out = c->connected ? bufferevent_get_output(c->bev) : c->unsent;
+	evbuffer_add(out, o->head.p, o->head.n);
 	if (o->body != NULL)
-		bufferevent_write_buffer(c->bev, o->body);
+		evbuffer_add_buffer(out, o->body);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 	return k;
 }
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -296,9 +296,9 @@
 	/* Told twice, held once. */
 	room_hold(&r, "m:1/a", 40, 1000);
 	g_assert_cmpuint(room_used(&r, "m:1", 0), ==, 100);
-	room_free_result(&r, STR("m:1/zz"));
-	room_free_result(&r, STR("m:1/a"));
-	room_free_result(&r, STR("m:1/a"));
+	g_assert_false(room_free_result(&r, STR("m:1/zz")));
+	g_assert_true(room_free_result(&r, STR("m:1/a")));
+	g_assert_false(room_free_result(&r, STR("m:1/a")));
 	g_assert_cmpuint(room_used(&r, "m:1", 0), ==, 60);
 	g_assert_cmpuint(room_used(&r, "m:1", 1999), ==, 60);
 	g_assert_cmpuint(room_used(&r, "m:1", 2000), ==, 0);
