In larger fleets six hosts follow the store and tell the others

From 16 hosts on six follow the store, and each other host hears of changes from two of them by letters with the revisions they span; a gap is fetched, silence of 1.5 s makes a host follow by itself.

--- a/entry/control.c
+++ b/entry/control.c
@@ -198,6 +198,7 @@
 	case PEER_PIECE_ASK:
 	case PEER_PIECE_REPLY:
 	case PEER_PIECE_FREE:
+	case PEER_FEED:
 		break; /* hosts that relay by route send them */
 	}
 }
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -170,6 +170,28 @@
 	char *handles;
 };
 typedef struct peer_piece_free peer_piece_free;
+#define PEER_FEED_ITEMS 64
+
+struct peer_feed_item {
+	char *key;
+	bool_t deleted;
+	bool_t large;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+typedef struct peer_feed_item peer_feed_item;
+
+struct peer_feed {
+	quad_t from;
+	quad_t to;
+	struct {
+		u_int items_len;
+		peer_feed_item *items_val;
+	} items;
+};
+typedef struct peer_feed peer_feed;
 
 enum peer_kind {
 	PEER_GOSSIP = 1,
@@ -180,6 +202,7 @@
 	PEER_PIECE_ASK = 6,
 	PEER_PIECE_REPLY = 7,
 	PEER_PIECE_FREE = 8,
+	PEER_FEED = 9,
 };
 typedef enum peer_kind peer_kind;
 
@@ -194,6 +217,7 @@
 		peer_piece_ask piece_ask;
 		peer_piece_reply piece_reply;
 		peer_piece_free piece_free;
+		peer_feed feed;
 	} peer_body_u;
 };
 typedef struct peer_body peer_body;
@@ -288,6 +312,8 @@
 extern  bool_t xdr_peer_piece_made (XDR *, peer_piece_made*);
 extern  bool_t xdr_peer_piece_reply (XDR *, peer_piece_reply*);
 extern  bool_t xdr_peer_piece_free (XDR *, peer_piece_free*);
+extern  bool_t xdr_peer_feed_item (XDR *, peer_feed_item*);
+extern  bool_t xdr_peer_feed (XDR *, peer_feed*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
 extern  bool_t xdr_peer_body (XDR *, peer_body*);
 extern  bool_t xdr_peer_letter (XDR *, peer_letter*);
@@ -311,6 +337,8 @@
 extern bool_t xdr_peer_piece_made ();
 extern bool_t xdr_peer_piece_reply ();
 extern bool_t xdr_peer_piece_free ();
+extern bool_t xdr_peer_feed_item ();
+extern bool_t xdr_peer_feed ();
 extern bool_t xdr_peer_kind ();
 extern bool_t xdr_peer_body ();
 extern bool_t xdr_peer_letter ();
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -133,6 +133,23 @@
 	string handles<16384>;  /* by commas */
 };
 
+const PEER_FEED_ITEMS = 64;
+
+/* An item of the platform's store as it changed. */
+struct peer_feed_item {
+	string key<256>;
+	bool deleted;
+	bool large;             /* its value is to be fetched */
+	opaque value<32768>;
+};
+
+/* The changes after one revision of the store up to another. */
+struct peer_feed {
+	hyper from;
+	hyper to;
+	peer_feed_item items<PEER_FEED_ITEMS>;
+};
+
 enum peer_kind {
 	PEER_GOSSIP = 1,
 	PEER_CLAIM = 2,
@@ -141,7 +158,8 @@
 	PEER_SHARE_REPLY = 5,
 	PEER_PIECE_ASK = 6,
 	PEER_PIECE_REPLY = 7,
-	PEER_PIECE_FREE = 8
+	PEER_PIECE_FREE = 8,
+	PEER_FEED = 9
 };
 
 union peer_body switch (peer_kind kind) {
@@ -161,6 +179,8 @@
 	peer_piece_reply piece_reply;
 case PEER_PIECE_FREE:
 	peer_piece_free piece_free;
+case PEER_FEED:
+	peer_feed feed;
 };
 
 struct peer_letter {
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -388,6 +388,37 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_feed_item (XDR *xdrs, peer_feed_item *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->key, 256))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->deleted))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->large))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, 32768))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_feed (XDR *xdrs, peer_feed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->to))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, PEER_FEED_ITEMS,
+		sizeof (peer_feed_item), (xdrproc_t) xdr_peer_feed_item))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_kind (XDR *xdrs, peer_kind *objp)
 {
@@ -438,6 +469,10 @@
 		 if (!xdr_peer_piece_free (xdrs, &objp->peer_body_u.piece_free))
 			 return FALSE;
 		break;
+	case PEER_FEED:
+		 if (!xdr_peer_feed (xdrs, &objp->peer_body_u.feed))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -389,6 +389,7 @@
 	case PEER_VERDICT:
 	case PEER_SHARE_REPORT:
 	case PEER_SHARE_REPLY:
+	case PEER_FEED:
 		break; /* the steward's */
 	}
 }
--- a/entry/steward.c
+++ b/entry/steward.c
@@ -5,6 +5,7 @@
 #include "entry/fetcher.h"
 #include "entry/fleet.h"
 #include "entry/inbox.h"
+#include "kernel/feeders.h"
 #include "plat/follow.h"
 #include "platform/config.h"
 #include "platform/target.h"
@@ -17,14 +18,20 @@
 #include <string.h>
 
 /* Gossip has rounds of half a second; two steps find each in time. */
-#define STEP           (250 * USEC_PER_MSEC)
+#define STEP             (250 * USEC_PER_MSEC)
 /* A store that is silent for so long is away; below the drain bound of 2 s. */
-#define WAIT           (1500 * USEC_PER_MSEC)
+#define WAIT             (1500 * USEC_PER_MSEC)
 /* Other hosts are asked this often while the store does not answer. */
-#define ASK_PEER_EVERY (500 * USEC_PER_MSEC)
+#define ASK_PEER_EVERY   (500 * USEC_PER_MSEC)
+/* A host that follows the store tells the others at least so often. */
+#define FEED_EVERY       (500 * USEC_PER_MSEC)
+/* A host that hears of no one for so long follows the store itself. */
+#define FEED_SILENCE     (1500 * USEC_PER_MSEC)
+/* Larger values are fetched; a letter with some of them still fits. */
+#define FEED_VALUE_BYTES 4000
 /* The name under which peers serve what they know. */
-#define STATE_NAME     "state"
-#define MAX_ENDPOINTS  1
+#define STATE_NAME       "state"
+#define MAX_ENDPOINTS    1
 
 struct steward {
 	struct steward_opts o;
@@ -44,6 +51,8 @@
 	bool changed; /* a newer view is due */
 	uint64_t roster_seen;
 	usec_t asked_at;
+	usec_t fed_at;        /* when another host last told of the store */
+	usec_t feed_at;       /* when this one last told others */
 	pthread_mutex_t lock; /* of the following */
 	struct buf config_text;
 	GHashTable *target_texts; /* key -> value as it stands in the store */
@@ -161,6 +170,113 @@
 	}
 }
 
+/* Sends a letter to the hosts that hear of the store from this one. */
+static void
+send_feed(struct steward *s, const peer_body *body)
+{
+	struct members *m = fleet_members(s->fleet);
+	const char *self = s->o.settings->id;
+	size_t n;
+	const char *const *ids = member_live(m, &n);
+
+	s->feed_at = clock_now();
+	if (n < FEEDERS_LEAST || !feeders_follows(ids, n, self))
+		return;
+	for (size_t i = 0; i < n; i++) {
+		const struct member *x = member_find(m, ids[i]);
+
+		if (x != NULL && feeders_feeds(ids, n, self, ids[i]))
+			rpc_send(s->rpc, member_rpc(x), body);
+	}
+}
+
+/* Changes that the store told this host of, for others. */
+static void
+on_batch(void *arg, int64_t after, const struct kv_changes *c)
+{
+	struct steward *s = arg;
+	peer_feed_item items[PEER_FEED_ITEMS];
+	peer_body body = { .kind = PEER_FEED };
+	peer_feed *f = &body.peer_body_u.feed;
+
+	if (c->n == 0)
+		return;
+	memset(items, 0, sizeof(items));
+	f->to = c->as_of;
+	f->items.items_val = items;
+	/* What does not fit shows as a gap, and is fetched. */
+	f->from = c->n <= PEER_FEED_ITEMS ? after : c->as_of;
+	f->items.items_len = c->n <= PEER_FEED_ITEMS ? (u_int)c->n : 0;
+	for (u_int i = 0; i < f->items.items_len; i++) {
+		const struct kv_change *x = &c->v[i];
+
+		items[i].key = x->key.p;
+		items[i].deleted = x->deleted;
+		items[i].large = x->value.n > FEED_VALUE_BYTES;
+		if (!items[i].large && !x->deleted) {
+			items[i].value.value_val = x->value.p;
+			items[i].value.value_len = (u_int)x->value.n;
+		}
+	}
+	send_feed(s, &body);
+}
+
+/* Says that nothing has changed. */
+static void
+feed_tick(struct steward *s, usec_t now)
+{
+	peer_body body = { .kind = PEER_FEED };
+	int64_t revision = follow_revision(s->follow);
+
+	if (s->away || revision == 0 || now - s->feed_at < FEED_EVERY)
+		return;
+	body.peer_body_u.feed.from = revision;
+	body.peer_body_u.feed.to = revision;
+	send_feed(s, &body);
+}
+
+/* Whether another host tells this one of the store. */
+static bool
+is_fed(struct steward *s, usec_t now)
+{
+	size_t n;
+	const char *const *ids = member_live(fleet_members(s->fleet), &n);
+
+	return now - s->fed_at < FEED_SILENCE &&
+	    !feeders_follows(ids, n, s->o.settings->id);
+}
+
+static void on_store(
+    void *arg, enum follow_event ev, struct str key, struct str value);
+
+static void
+take_feed(struct steward *s, const peer_letter *l, usec_t now)
+{
+	const peer_feed *f = &l->body.peer_body_u.feed;
+	int64_t known = follow_revision(s->follow);
+	bool whole = known >= f->from;
+
+	for (u_int i = 0; whole && i < f->items.items_len; i++)
+		whole = !f->items.items_val[i].large;
+	if (known == 0)
+		return; /* the first reading is this host's own */
+	s->fed_at = now;
+	if (f->to <= known)
+		return;
+	if (!whole) {
+		fetcher_ask(s->fetcher, l->rpc, STATE_NAME);
+		return;
+	}
+	for (u_int i = 0; i < f->items.items_len; i++) {
+		const peer_feed_item *x = &f->items.items_val[i];
+
+		on_store(s, x->deleted ? FOLLOW_GONE : FOLLOW_PUT,
+		    str_from(x->key),
+		    (struct str){ x->value.value_val, x->value.value_len });
+	}
+	follow_adopt(s->follow, f->to);
+}
+
 /* What this host knows, for one that the store turns away. */
 static void
 on_fetch(void *arg, const peer_query *q, peer_result *r)
@@ -180,7 +296,8 @@
 	g_hash_table_iter_init(&it, s->target_texts);
 	while (g_hash_table_iter_next(&it, &k, &v))
 		json_object_set_new(list, k, json_string(v));
-	o = json_pack("{s:o, s:o}", "config",
+	o = json_pack("{s:I, s:o, s:o}", "revision",
+	    (json_int_t)s->counts.revision, "config",
 	    json_stringn(
 		s->config_text.n > 0 ? s->config_text.p : "", s->config_text.n),
 	    "targets", list);
@@ -210,6 +327,7 @@
 	case PEER_VERDICT:
 	case PEER_SHARE_REPORT:
 	case PEER_SHARE_REPLY:
+	case PEER_FEED:
 		break;
 	}
 	m = mail_new(MAIL_LETTER);
@@ -225,6 +343,7 @@
 {
 	json_t *o = json_loadb(text.p, text.n, 0, NULL);
 	const char *config = json_string_value(json_object_get(o, "config"));
+	int64_t revision = json_integer_value(json_object_get(o, "revision"));
 	const char *key;
 	json_t *v;
 
@@ -234,7 +353,7 @@
 		return;
 	}
 	take_config(s, str_from(config), "another host");
-	if (s->away) {
+	if (s->away || revision > follow_revision(s->follow)) {
 		roster_store(&s->roster, false, clock_now());
 		roster_begin(&s->roster);
 		json_object_foreach(json_object_get(o, "targets"), key, v)
@@ -244,6 +363,8 @@
 				    str_from(json_string_value(v)));
 		}
 		roster_finish(&s->roster, clock_now());
+		if (!s->away)
+			follow_adopt(s->follow, revision);
 	}
 	json_decref(o);
 }
@@ -258,12 +379,14 @@
 		case MAIL_LETTER:
 			if (m->letter.body.kind == PEER_GOSSIP)
 				fleet_letter(s->fleet, &m->letter, clock_now());
+			else if (m->letter.body.kind == PEER_FEED)
+				take_feed(s, &m->letter, clock_now());
 			break;
 		case MAIL_FETCHED:
 			if (!m->fetched.found)
 				LOG(LOG_LVL_NOTICE, "peer-silent",
 				    { "detail", STR("no state came from it") });
-			else if (s->counts.store_away)
+			else
 				take_state(s, str_of(&m->fetched.value));
 			break;
 		case MAIL_DRAIN:
@@ -360,16 +483,19 @@
 	usec_t now = clock_now();
 	usec_t next = now + STEP;
 
-	next = earlier(next, follow_tick(s->follow, now));
+	if (!is_fed(s, now))
+		next = earlier(next, follow_tick(s->follow, now));
 	next = earlier(next, roster_tick(&s->roster, now));
 	fleet_tick(s->fleet, now, USEC_PER_SEC);
 	ask_peer(s, now);
+	feed_tick(s, now);
 	publish(s, now);
 	http_run(s->loop, next > now ? next - now : 0);
 	take_mail(s);
 	publish(s, clock_now());
 	pthread_mutex_lock(&s->lock);
 	s->counts.store_calls = kv_calls(s->kv);
+	s->counts.revision = follow_revision(s->follow);
 	pthread_mutex_unlock(&s->lock);
 }
 
@@ -411,6 +537,7 @@
 	    .wait = WAIT,
 	    .seed = rng_entropy(),
 	    .handler = on_store,
+	    .batch = on_batch,
 	    .arg = s,
 	});
 }
--- a/entry/steward.h
+++ b/entry/steward.h
@@ -27,6 +27,7 @@
 	struct rpc_counts rpc;
 	uint64_t store_calls;
 	uint64_t version;
+	int64_t revision; /* of the store, up to which all is known */
 	bool store_away;
 };
 
--- /dev/null
+++ b/kernel/feeders.h
@@ -0,0 +1,27 @@
+/*
+ * Who follows the platform's store itself, and who hears of it from whom.
+ *
+ * In a small fleet every host follows the store.  In a larger one FEEDERS
+ * hosts do, and tell the others: the calls to the store then do not grow with
+ * the fleet.  Each other host has FEEDERS_EACH of them, by rendezvous hashing
+ * over the live hosts; hosts that disagree on who lives only feed one twice, or
+ * leave one to follow the store by itself.
+ */
+#ifndef KERNEL_FEEDERS_H
+#define KERNEL_FEEDERS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#define FEEDERS       6
+#define FEEDERS_EACH  2
+/* Smaller fleets are not worth the delay of another host. */
+#define FEEDERS_LEAST 16
+
+/* ids: the live hosts.  Whether a host follows the store itself. */
+bool feeders_follows(const char *const *ids, size_t n, const char *id);
+/* Whether a host that follows the store tells another one of it. */
+bool feeders_feeds(
+    const char *const *ids, size_t n, const char *feeder, const char *fed);
+
+#endif
--- a/plat/follow.c
+++ b/plat/follow.c
@@ -117,6 +117,8 @@
 	case KV_OK:
 		answered(f);
 		hand_on(f, c);
+		if (f->o.batch != NULL)
+			f->o.batch(f->o.arg, f->revision, c);
 		if (c->as_of > f->revision)
 			f->revision = c->as_of;
 		break;
@@ -153,6 +155,20 @@
 	return now + NEVER;
 }
 
+int64_t
+follow_revision(const struct follow *f)
+{
+	return f->whole ? f->revision : 0;
+}
+
+void
+follow_adopt(struct follow *f, int64_t revision)
+{
+	if (revision > f->revision)
+		f->revision = revision;
+	f->whole = true;
+}
+
 void
 follow_free(struct follow *f)
 {
--- a/plat/follow.h
+++ b/plat/follow.h
@@ -29,12 +29,18 @@
 	uint64_t seed;
 	void (*handler)(
 	    void *arg, enum follow_event ev, struct str key, struct str value);
+	/* All changes after a revision up to c->as_of; or NULL. */
+	void (*batch)(void *arg, int64_t after, const struct kv_changes *c);
 	void *arg;
 };
 
 struct follow *follow_new(const struct follow_opts *o);
 /* Starts what is due; returns when to call it again. */
 usec_t follow_tick(struct follow *f, usec_t now);
+/* The revision up to which everything is known; 0: nothing whole yet. */
+int64_t follow_revision(const struct follow *f);
+/* Everything up to a revision is known from elsewhere. */
+void follow_adopt(struct follow *f, int64_t revision);
 void follow_free(struct follow *f);
 
 #endif
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -1,5 +1,6 @@
 /* Tables of cases for the decisions of the relay, in virtual time. */
 #include "kernel/batch.h"
+#include "kernel/feeders.h"
 #include "kernel/loads.h"
 #include "kernel/repeats.h"
 #include "kernel/room.h"
@@ -718,6 +719,35 @@
 	}
 }
 
+/* Every host follows the store, or hears of it from two that do. */
+static void
+test_feeders(void)
+{
+	static const size_t sizes[] = { 1, 9, 15, 16, 59, 80, 300 };
+
+	for (size_t c = 0; c < G_N_ELEMENTS(sizes); c++) {
+		size_t n = sizes[c];
+		const char **ids = xcalloc(n, sizeof(*ids));
+		size_t follow = 0;
+
+		for (size_t i = 0; i < n; i++)
+			ids[i] = g_strdup_printf("host-%zu", i);
+		for (size_t i = 0; i < n; i++) {
+			size_t from = 0;
+
+			follow += feeders_follows(ids, n, ids[i]);
+			for (size_t k = 0; k < n; k++)
+				from += feeders_feeds(ids, n, ids[k], ids[i]);
+			g_assert_cmpuint(from, ==,
+			    feeders_follows(ids, n, ids[i]) ? 0 : FEEDERS_EACH);
+		}
+		g_assert_cmpuint(follow, ==, n < FEEDERS_LEAST ? n : FEEDERS);
+		for (size_t i = 0; i < n; i++)
+			g_free((char *)ids[i]);
+		free(ids);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -737,6 +767,7 @@
 	g_test_add_func("/loads/choose", test_loads_choose);
 	g_test_add_func("/loads/affinity", test_loads_affinity);
 	g_test_add_func("/loads/restart", test_loads_restart);
+	g_test_add_func("/feeders", test_feeders);
 	g_test_add_func("/sse", test_sse);
 	return g_test_run();
 }
