--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 .PHONY: golden-wire
 .PHONY: install
 .PHONY: lint
-.PHONY: measure measure-agreement faults
+.PHONY: measure measure-agreement faults soak
 .PHONY: peer
 .PHONY: settings-page
 
@@ -50,6 +50,14 @@
 	@for i in $$(seq $(ROUNDS)); do \
 	    tests/faults/run.sh build/release || exit 1; done
 
+# Fresh seeds of the fault soak, one after the other.
+SEEDS ?= 5
+SOAK_SECONDS ?= 20
+soak: build-check
+	@for i in $$(seq $(SEEDS)); do \
+	    SEQUOIAD=build/check/entry/sequoiad build/check/tests/soak/soak \
+	        $$(od -An -N4 -tu4 /dev/urandom) $(SOAK_SECONDS) || exit 1; done
+
 measure-agreement: build
 	@tests/faults/measure.sh build/release
 
--- a/entry/home.c
+++ b/entry/home.c
@@ -1,26 +1,15 @@
-#include "entry/home.h"
+#include "entry/home_state.h"
 #include "base/hash.h"
 #include "base/log.h"
-#include "kernel/batch.h"
-#include "kernel/room.h"
-#include "platform/request.h"
-#include "platform/stage.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define CONNECT_TIMEOUT (300 * USEC_PER_MSEC) /* many times a round trip */
-/* A call that takes so many times what it should is lost. */
-#define CALL_PATIENCE   5
 /* How long an answered ask is told again. */
 #define KEEP_REPLY      (4 * USEC_PER_SEC)
-/* Results that were used are freed together so often: room is short. */
-#define FREE_EVERY      (40 * USEC_PER_MSEC)
 /* Part of the room that is used: sizes are rough, and frees take their time. */
 #define ROOM_SHARE      0.95
-/* A call has fetched its inputs by then: links take a few ms a megabyte. */
-#define FETCH_TIME      (80 * USEC_PER_MSEC)
 /*
  * After a change of the hosts two homes may send to the same targets; a call
  * may then wait at its target, and its inputs are kept until it ends.
@@ -30,86 +19,9 @@
 #define INPUT_MARGIN    (400 * USEC_PER_MSEC)
 /* A piece that is late already waits so long for room; then it is refused. */
 #define LATE_PATIENCE   (10 * USEC_PER_SEC)
-#define MAX_PIECE_SENDS 3
 /* A refused caller comes back when what waits now is done, spread by half. */
 #define RETRY_SPREAD_MS 400
 
-struct pool; /* the targets and waiting pieces of one service */
-
-struct ask {
-	char *key;  /* host and number */
-	char *from; /* RPC address, or NULL */
-	uint64_t number;
-	struct pool *pool;
-	struct buf id;
-	struct buf piece_key;
-	struct buf inputs;
-	uint32_t stage;
-	uint64_t bytes; /* of one result */
-	uint32_t domain;
-	usec_t deadline; /* of the start of its pieces' calls */
-	uint32_t n;
-	uint32_t left; /* pieces without a result */
-	uint32_t in_calls;
-	uint32_t started;  /* pieces that do not wait */
-	usec_t fetched_at; /* when its inputs are not needed any more; 0: no */
-	uint32_t pieces[PEER_PIECES_MAX];
-	uint8_t sends[PEER_PIECES_MAX];
-	struct piece_result results[PEER_PIECES_MAX];
-	bool made[PEER_PIECES_MAX]; /* has its result */
-	bool inputs_gone; /* at the deadline, which is not the caller's */
-	bool replied;
-	bool refused;
-	bool moved;
-	bool cancelled;
-	bool released; /* its results are not wanted any more */
-	uint32_t wait_ms;
-	usec_t replied_at;
-};
-
-struct pool {
-	struct home *home;
-	char *service;
-	struct batch batch;
-	usec_t deadline_seen; /* earliest deadline that may be over */
-};
-
-struct stage_call {
-	struct home *home;
-	struct pool *pool;
-	struct dial_call *dial;
-	struct event *timer;
-	char target_id[64];
-	char addr[64];
-	uint64_t bytes; /* reserved for its results */
-	GArray *items;  /* struct batch_item; owner: struct ask */
-	usec_t started;
-	bool answered; /* its head came */
-	int status;
-	bool not_run;
-};
-
-struct used {
-	struct buf handles;
-	usec_t since;
-};
-
-struct home {
-	struct home_opts o;
-	struct routes *routes;
-	GHashTable *pools; /* service -> struct pool */
-	GHashTable *asks;  /* key -> struct ask */
-	GHashTable *calls; /* struct stage_call */
-	GHashTable *used;  /* address -> struct used */
-	GHashTable *last;  /* target id -> hash of its last results */
-	struct room room;
-	usec_t unsettled_until;
-	bool draining;
-	struct home_counts counts;
-	GPtrArray *unsaid; /* asks of this host that are answered */
-	struct event *say; /* tells it from the loop, not from within its ask */
-};
-
 static void
 free_ask(gpointer p)
 {
@@ -145,8 +57,21 @@
 void
 home_routes(struct home *h, struct routes *routes)
 {
+	GHashTableIter it;
+	gpointer v;
+
 	routes_unref(h->routes);
 	h->routes = routes_ref(routes);
+	g_hash_table_iter_init(&it, h->pools);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct pool *p = v;
+		int at = routes_service(routes, str_from(p->service));
+
+		if (at >= 0 &&
+		    routes_service_at(routes, (uint32_t)at)->has_pool)
+			p->batch.shape =
+			    routes_service_at(routes, (uint32_t)at)->pool;
+	}
 }
 
 static struct pool *
@@ -245,8 +170,8 @@
 	}
 }
 
-static void
-finish_ask(struct home *h, struct ask *a, usec_t now)
+void
+home_finish(struct home *h, struct ask *a, usec_t now)
 {
 	if (a->replied)
 		return;
@@ -400,7 +325,7 @@
 	if (a->replied)
 		release_made(h, a); /* the reply crossed it */
 	else
-		finish_ask(h, a, now);
+		home_finish(h, a, now);
 }
 
 void
@@ -427,7 +352,7 @@
 	a->moved = h->draining && from != NULL;
 	it = make_item(a, x, now);
 	if (a->moved || !admit(h, a, &it, now)) {
-		finish_ask(h, a, now);
+		home_finish(h, a, now);
 		return;
 	}
 	for (; it.piece < a->n; it.piece++)
@@ -437,315 +362,6 @@
 	home_tick(h, now);
 }
 
-static void
-set_result(struct home *h, const struct batch_item *it,
-    const struct piece_result *res, usec_t now)
-{
-	struct ask *a = it->owner;
-
-	if (res->outcome == PIECE_MADE)
-		room_hold(&h->room, res->handle, a->bytes,
-		    now + a->pool->batch.shape.keep);
-	if (a->replied) {
-		/* Nobody waits for it any more. */
-		if (res->outcome == PIECE_MADE)
-			home_release(h, str_from(res->handle));
-		return;
-	}
-	a->results[it->piece] = *res;
-	a->made[it->piece] = true;
-	if (a->left > 0)
-		a->left--;
-	if (a->left == 0 || res->outcome != PIECE_MADE)
-		finish_ask(h, a, now);
-}
-
-/* The call made nothing: its pieces wait again, or fail. */
-static void
-send_again(struct home *h, struct stage_call *k, bool counts, usec_t now)
-{
-	for (guint i = 0; i < k->items->len; i++) {
-		struct batch_item it =
-		    g_array_index(k->items, struct batch_item, i);
-		struct ask *a = it.owner;
-
-		if (a->replied)
-			continue;
-		if (counts && ++a->sends[it.piece] >= MAX_PIECE_SENDS) {
-			set_result(h, &it,
-			    &(struct piece_result){ .outcome = PIECE_FAILED },
-			    now);
-			continue;
-		}
-		h->counts.repeats += counts;
-		a->started--;
-		a->fetched_at = 0;
-		batch_add(&k->pool->batch, &it);
-	}
-}
-
-/* Frees an ask that is answered and held by no call. */
-static void
-let_go(struct home *h, GArray *items)
-{
-	(void)h;
-	for (guint i = 0; i < items->len; i++) {
-		struct ask *a =
-		    g_array_index(items, struct batch_item, i).owner;
-
-		a->in_calls--;
-	}
-}
-
-static void
-free_stage_call(struct stage_call *k)
-{
-	g_hash_table_remove(k->home->calls, k);
-	room_unreserve(&k->home->room, k->addr, k->bytes);
-	let_go(k->home, k->items);
-	event_free(k->timer);
-	g_array_unref(k->items);
-	free(k);
-}
-
-/* Whether the results were already those of the target's last answer. */
-static bool
-is_repeated(struct home *h, const char *target, struct str body)
-{
-	uint64_t hash = hash_u64(body, 5);
-	uint64_t *last = g_hash_table_lookup(h->last, target);
-
-	if (last != NULL && *last == hash)
-		return true;
-	if (last == NULL) {
-		last = g_new0(uint64_t, 1);
-		g_hash_table_insert(h->last, g_strdup(target), last);
-	}
-	*last = hash;
-	return false;
-}
-
-/* Reads the answer; false if it can't be one to this call. */
-static bool
-take_results(struct stage_call *k, struct evbuffer *body, usec_t now)
-{
-	size_t n = evbuffer_get_length(body);
-	struct str text = { (const char *)evbuffer_pullup(body, -1), n };
-	struct piece_result *v;
-	bool ok = false;
-
-	if (k->status != 200 || n == 0 ||
-	    is_repeated(k->home, k->target_id, text))
-		return false;
-	v = xcalloc(k->items->len, sizeof(*v));
-	ok = platform_stage_results(text, v, k->items->len);
-	for (guint i = 0; ok && i < k->items->len; i++)
-		set_result(k->home,
-		    &g_array_index(k->items, struct batch_item, i), &v[i], now);
-	free(v);
-	return ok;
-}
-
-static void
-note_target(struct stage_call *k, bool sound, usec_t now)
-{
-	struct target *t = loads_find(k->home->o.loads, k->target_id);
-
-	if (t == NULL)
-		return;
-	loads_ended(t);
-	if (sound)
-		loads_sound(t);
-	else
-		loads_failed(t, now);
-}
-
-static void
-end_call(struct stage_call *k, bool ok, bool not_run, const char *why)
-{
-	struct home *h = k->home;
-	usec_t now = clock_now();
-
-	note_target(k, ok, now);
-	if (!ok) {
-		LOG(LOG_LVL_NOTICE, "stage-call-failed",
-		    { "target", str_from(k->target_id) },
-		    { "service", str_from(k->pool->service) },
-		    { "cause", str_from(why) });
-		send_again(h, k, !not_run, now);
-	} else {
-		batch_measured(
-		    &k->pool->batch, k->items->len, now - k->started);
-	}
-	free_stage_call(k);
-	home_tick(h, now);
-}
-
-static void
-on_head(struct stage_call *k, const struct httpmsg *m)
-{
-	struct answer_facts f;
-	struct target *t = loads_find(k->home->o.loads, k->target_id);
-
-	platform_answer(m, &f);
-	k->status = m->parser.status_code;
-	k->not_run = f.not_run;
-	if (t != NULL && f.other_target)
-		loads_left(k->home->o.loads, t);
-}
-
-static void
-on_answer(void *arg, enum dial_event ev, const struct httpmsg *m)
-{
-	struct stage_call *k = arg;
-
-	switch (ev) {
-	case DIAL_HEAD:
-		on_head(k, m);
-		return;
-	case DIAL_BYTES:
-		return;
-	case DIAL_END:
-		if (k->not_run)
-			end_call(k, false, true, "the target is full");
-		else
-			end_call(k, take_results(k, m->body, clock_now()),
-			    false, "the answer is not one to this call");
-		return;
-	case DIAL_UNSENT:
-		end_call(k, false, true, "no connection");
-		return;
-	case DIAL_BROKEN:
-	case DIAL_GARBLED:
-		end_call(k, false, false, "the connection broke");
-		return;
-	}
-}
-
-static void
-on_call_timeout(evutil_socket_t fd, short what, void *arg)
-{
-	struct stage_call *k = arg;
-
-	(void)fd;
-	(void)what;
-	dial_cancel(k->dial);
-	end_call(k, false, false, "no answer in time");
-}
-
-static void
-on_freed(void *arg, enum dial_event ev, const struct httpmsg *m)
-{
-	(void)arg;
-	(void)m;
-	if (ev != DIAL_HEAD && ev != DIAL_BYTES && ev != DIAL_END)
-		log_text(LOG_LVL_DEBUG, "free-failed",
-		    "results expire by themselves");
-}
-
-static struct dial_call *
-post(struct home *h, const struct target *t, const char *path, struct str body,
-    dial_handler handler, void *arg)
-{
-	struct buf head = { 0 };
-	struct evbuffer *b = evbuffer_new();
-	struct dial_call *d;
-
-	evbuffer_add(b, body.p, body.n);
-	platform_own_head(&head, str_from(t->entry.addr), path,
-	    str_from(t->entry.id), body.n);
-	d = dial_start(h->o.dialer,
-	    &(struct dial_opts){
-		.addr = str_from(t->entry.addr),
-		.head = str_of(&head),
-		.body = b,
-		.connect_timeout = CONNECT_TIMEOUT,
-		.handler = handler,
-		.arg = arg,
-	    });
-	evbuffer_free(b);
-	buf_free(&head);
-	return d;
-}
-
-/* Frees the used results at a target before its next call makes more. */
-static void
-flush_used(struct home *h, const struct target *t)
-{
-	struct used *u = g_hash_table_lookup(h->used, t->entry.addr);
-	struct buf body = { 0 };
-
-	if (u == NULL)
-		return;
-	platform_free_body(&body, str_of(&u->handles));
-	post(h, t, PLATFORM_FREE_PATH, str_of(&body), on_freed, NULL);
-	buf_free(&body);
-	g_hash_table_remove(h->used, t->entry.addr);
-}
-
-static void
-put_calls(struct stage_call *k, struct buf *body, usec_t now)
-{
-	struct piece_call *v = xcalloc(k->items->len, sizeof(*v));
-
-	for (guint i = 0; i < k->items->len; i++) {
-		const struct batch_item *it =
-		    &g_array_index(k->items, struct batch_item, i);
-		struct ask *a = it->owner;
-
-		a->in_calls++;
-		k->bytes += a->bytes;
-		if (++a->started == a->n && a->inputs.n > 0 &&
-		    now >= k->home->unsettled_until)
-			a->fetched_at = now + FETCH_TIME;
-		v[i] = (struct piece_call){
-			.id = str_of(&a->id),
-			.stage = a->stage,
-			.piece = a->pieces[it->piece],
-			.left = a->deadline - now,
-			.key = str_of(&a->piece_key),
-			.inputs = str_of(&a->inputs),
-		};
-	}
-	platform_stage_body(body, v, k->items->len);
-	free(v);
-}
-
-static void
-start_call(
-    struct home *h, struct pool *p, struct target *t, GArray *items, usec_t now)
-{
-	struct stage_call *k = xcalloc(1, sizeof(*k));
-	struct buf body = { 0 };
-	usec_t most = CALL_PATIENCE *
-	    (usec_t)(p->batch.call_usec + p->batch.item_usec * items->len);
-	struct timeval tv = { most / USEC_PER_SEC, most % USEC_PER_SEC };
-
-	flush_used(h, t);
-	k->home = h;
-	k->pool = p;
-	k->items = items;
-	k->started = now;
-	g_strlcpy(k->target_id, t->entry.id, sizeof(k->target_id));
-	g_strlcpy(k->addr, t->entry.addr, sizeof(k->addr));
-	k->timer = evtimer_new(h->o.base, on_call_timeout, k);
-	put_calls(k, &body, now);
-	room_reserve(&h->room, k->addr, k->bytes);
-	g_hash_table_add(h->calls, k);
-	loads_sent(t);
-	h->counts.calls++;
-	h->counts.pieces += items->len;
-	k->dial = post(h, t, PLATFORM_STAGE_PATH, str_of(&body), on_answer, k);
-	buf_free(&body);
-	if (k->dial == NULL) {
-		note_target(k, false, now);
-		send_again(h, k, false, now);
-		free_stage_call(k);
-		return;
-	}
-	evtimer_add(k->timer, &tv);
-}
-
 /* Bytes that a target has for further results. */
 static uint64_t
 room_left(struct home *h, const struct pool *p, const char *addr, usec_t now)
@@ -776,7 +392,7 @@
 	    },
 	    items);
 	if (items->len > 0)
-		start_call(h, p, t, items, now);
+		home_call(h, p, t, items, now);
 	else
 		g_array_unref(items);
 }
@@ -788,7 +404,7 @@
 	a->refused = !a->inputs_gone;
 	a->results[piece].outcome = PIECE_GONE;
 	release_made(h, a);
-	finish_ask(h, a, now);
+	home_finish(h, a, now);
 }
 
 /* Drops the asks whose time is over. */
@@ -857,28 +473,6 @@
 	}
 }
 
-static void
-flush_old_used(struct home *h, usec_t now)
-{
-	GHashTableIter it;
-	gpointer p;
-
-	g_hash_table_iter_init(&it, h->pools);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		const struct pool *x = p;
-		const GPtrArray *all = loads_of(h->o.loads, x->service);
-
-		for (guint i = 0; all != NULL && i < all->len; i++) {
-			const struct target *t = all->pdata[i];
-			const struct used *u =
-			    g_hash_table_lookup(h->used, t->entry.addr);
-
-			if (u != NULL && now - u->since > FREE_EVERY)
-				flush_used(h, t);
-		}
-	}
-}
-
 void
 home_tick(struct home *h, usec_t now)
 {
@@ -889,35 +483,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &p))
 		serve_pool(h, p, now);
 	sweep_asks(h, now);
-	flush_old_used(h, now);
-}
-
-void
-home_release(struct home *h, struct str handles)
-{
-	struct str one;
-
-	while (handles.n > 0 && str_cut(&handles, ',', &one)) {
-		struct str rest = one;
-		struct str addr;
-		struct used *u;
-		g_autofree char *key = NULL;
-
-		if (!str_cut(&rest, '/', &addr))
-			continue;
-		/* Also what another home has made, and not held here. */
-		room_free_result(&h->room, one);
-		key = g_strndup(addr.p, addr.n);
-		u = g_hash_table_lookup(h->used, key);
-		if (u == NULL) {
-			u = xcalloc(1, sizeof(*u));
-			u->since = clock_now();
-			g_hash_table_insert(h->used, g_strdup(key), u);
-		} else {
-			buf_putc(&u->handles, ',');
-		}
-		buf_put(&u->handles, one);
-	}
+	home_flush_used(h, now);
 }
 
 void
@@ -941,7 +507,7 @@
 		if (a->replied || a->started > 0)
 			continue;
 		a->moved = true;
-		finish_ask(h, a, now);
+		home_finish(h, a, now);
 	}
 }
 
@@ -974,18 +540,7 @@
 void
 home_free(struct home *h)
 {
-	GHashTableIter it;
-	gpointer p;
-
-	g_hash_table_iter_init(&it, h->calls);
-	while (g_hash_table_iter_next(&it, &p, NULL)) {
-		struct stage_call *k = p;
-
-		dial_cancel(k->dial);
-		event_free(k->timer);
-		g_array_unref(k->items);
-		free(k);
-	}
+	home_end_calls(h);
 	g_hash_table_destroy(h->calls);
 	g_hash_table_destroy(h->asks);
 	g_hash_table_destroy(h->pools);
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -2,6 +2,7 @@
 #include "base/log.h"
 #include "base/rng.h"
 #include "entry/inbox.h"
+#include "entry/relay_answer.h"
 #include "entry/relay_page.h"
 #include "entry/request.h"
 #include "entry/steward.h"
@@ -33,7 +34,6 @@
 #define STREAM_TIME      (2 * USEC_PER_SEC)
 /* Before the end, so that the last answers get through. */
 #define LAST_ANSWERS     (400 * USEC_PER_MSEC)
-#define FIELDS_BYTES     512
 
 struct relay {
 	struct relay_opts o;
@@ -84,79 +84,16 @@
 	return x;
 }
 
-/* An answer of our own, in the form of RFC 9457. */
-static void
-answer_problem(
-    struct door_request *q, struct str id, const struct rejection *why)
-{
-	struct buf body = { 0 };
-	char fields[FIELDS_BYTES];
-	int n;
-
-	buf_printf(&body,
-	    "{\"type\":\"urn:sequoiacourse:%s\",\"status\":%d,"
-	    "\"detail\":\"%s\",\"remedy\":\"%s\"}\n",
-	    err_name(why->kind), err_status(why->kind), why->cause,
-	    err_remedy(why->kind));
-	n = snprintf(fields, sizeof(fields),
-	    "Content-Type: application/problem+json\r\n");
-	if (id.n > 0 && id.n < 128)
-		n += snprintf(fields + n, sizeof(fields) - (size_t)n,
-		    "%.*s: %.*s\r\n", STR_FMT(platform_echo_name()),
-		    STR_FMT(id));
-	if (why->retry_after > 0)
-		snprintf(fields + n, sizeof(fields) - (size_t)n,
-		    "Retry-After: %.3f\r\n",
-		    (double)why->retry_after / (double)USEC_PER_SEC);
-	door_answer(q,
-	    &(struct door_answer){
-		.status = err_status(why->kind),
-		.fields = fields,
-		.body = str_of(&body),
-	    });
-	buf_free(&body);
-}
-
-static void
-log_rejection(struct str id, const struct rejection *why, const char *route,
-    usec_t waited)
-{
-	char ms[32];
-
-	snprintf(ms, sizeof(ms), "%" PRId64, waited / USEC_PER_MSEC);
-	LOG(LOG_LVL_NOTICE, "request-rejected", { "request", id },
-	    { "route", str_from(route) },
-	    { "error", str_from(err_name(why->kind)) },
-	    { "cause", str_from(why->cause) }, { "waited_ms", str_from(ms) });
-}
-
-static void
-log_end(const struct request *r, const char *outcome, usec_t took)
-{
-	char ms[32];
-	char sends[16];
-	char version[24];
-
-	snprintf(ms, sizeof(ms), "%" PRId64, took / USEC_PER_MSEC);
-	snprintf(sends, sizeof(sends), "%u", r->sends);
-	snprintf(version, sizeof(version), "%" PRIu64, r->routes->version);
-	LOG(LOG_LVL_INFO, "request-ended", { "request", r->facts.id },
-	    { "route", str_from(r->route->name) },
-	    { "outcome", str_from(outcome) },
-	    { "target", str_from(r->target_id) }, { "sends", str_from(sends) },
-	    { "config", str_from(version) }, { "took_ms", str_from(ms) });
-}
-
 void
 request_reject(struct request *r, const struct rejection *why)
 {
 	r->relay->counts.rejected[-why->kind]++;
-	log_rejection(
+	relay_log_rejection(
 	    r->facts.id, why, r->route->name, clock_now() - r->arrived);
 	if (r->head_written)
 		door_abort(r->door);
 	else
-		answer_problem(r->door, r->facts.id, why);
+		relay_problem(r->door, r->facts.id, why);
 	free_request(r);
 }
 
@@ -171,7 +108,7 @@
 	else
 		c->failed++;
 	relay_histogram_add(&c->latency, took);
-	log_end(r, outcome, took);
+	relay_log_end(r, outcome, took);
 	free_request(r);
 }
 
@@ -255,8 +192,8 @@
     const struct rejection *why)
 {
 	y->counts.rejected[-why->kind]++;
-	log_rejection(id, why, "", 0);
-	answer_problem(q, id, why);
+	relay_log_rejection(id, why, "", 0);
+	relay_problem(q, id, why);
 }
 
 /* Whether a request that comes now ends before this process does. */
@@ -520,7 +457,7 @@
 	int status = 404;
 
 	if (str_eq(target, STR("/readyz")) ||
-	    str_eq(target, STR("/api/readyz"))) {
+	    str_eq(target, STR(PLATFORM_READY_PATH))) {
 		status = ready ? 200 : 503;
 		buf_put(&body, ready ? STR("ready\n") : STR("not ready\n"));
 	} else if (str_eq(target, STR("/metrics"))) {
--- /dev/null
+++ b/entry/relay_answer.c
@@ -0,0 +1,70 @@
+#include "entry/relay_answer.h"
+#include "base/log.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+
+#define FIELDS_BYTES 512
+
+/* An answer of our own, in the form of RFC 9457. */
+void
+relay_problem(
+    struct door_request *q, struct str id, const struct rejection *why)
+{
+	struct buf body = { 0 };
+	char fields[FIELDS_BYTES];
+	int n;
+
+	buf_printf(&body,
+	    "{\"type\":\"urn:sequoiacourse:%s\",\"status\":%d,"
+	    "\"detail\":\"%s\",\"remedy\":\"%s\"}\n",
+	    err_name(why->kind), err_status(why->kind), why->cause,
+	    err_remedy(why->kind));
+	n = snprintf(fields, sizeof(fields),
+	    "Content-Type: application/problem+json\r\n");
+	if (id.n > 0 && id.n < 128)
+		n += snprintf(fields + n, sizeof(fields) - (size_t)n,
+		    "%.*s: %.*s\r\n", STR_FMT(platform_echo_name()),
+		    STR_FMT(id));
+	if (why->retry_after > 0)
+		snprintf(fields + n, sizeof(fields) - (size_t)n,
+		    "Retry-After: %.3f\r\n",
+		    (double)why->retry_after / (double)USEC_PER_SEC);
+	door_answer(q,
+	    &(struct door_answer){
+		.status = err_status(why->kind),
+		.fields = fields,
+		.body = str_of(&body),
+	    });
+	buf_free(&body);
+}
+
+void
+relay_log_rejection(struct str id, const struct rejection *why,
+    const char *route, usec_t waited)
+{
+	char ms[32];
+
+	snprintf(ms, sizeof(ms), "%" PRId64, waited / USEC_PER_MSEC);
+	LOG(LOG_LVL_NOTICE, "request-rejected", { "request", id },
+	    { "route", str_from(route) },
+	    { "error", str_from(err_name(why->kind)) },
+	    { "cause", str_from(why->cause) }, { "waited_ms", str_from(ms) });
+}
+
+void
+relay_log_end(const struct request *r, const char *outcome, usec_t took)
+{
+	char ms[32];
+	char sends[16];
+	char version[24];
+
+	snprintf(ms, sizeof(ms), "%" PRId64, took / USEC_PER_MSEC);
+	snprintf(sends, sizeof(sends), "%u", r->sends);
+	snprintf(version, sizeof(version), "%" PRIu64, r->routes->version);
+	LOG(LOG_LVL_INFO, "request-ended", { "request", r->facts.id },
+	    { "route", str_from(r->route->name) },
+	    { "outcome", str_from(outcome) },
+	    { "target", str_from(r->target_id) }, { "sends", str_from(sends) },
+	    { "config", str_from(version) }, { "took_ms", str_from(ms) });
+}
--- a/tests/relay/rig.c
+++ b/tests/platform/rig.c
@@ -1,4 +1,4 @@
-#include "tests/relay/rig.h"
+#include "tests/platform/rig.h"
 #include "plat/httpmsg.h"
 
 #include <arpa/inet.h>
--- a/tests/relay/rig.h
+++ b/tests/platform/rig.h
@@ -1,8 +1,8 @@
 /* A sequoiad process before a world, and callers of it, for tests. */
-#ifndef TESTS_RELAY_RIG_H
-#define TESTS_RELAY_RIG_H
+#ifndef TESTS_PLATFORM_RIG_H
+#define TESTS_PLATFORM_RIG_H
 
-#include "tests/relay/world.h"
+#include "tests/platform/world.h"
 
 #include <sys/types.h>
 
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -358,6 +358,42 @@
 	buf_free(&path);
 }
 
+/* The platform's names stand in platform/ only. */
+static void
+test_names(void)
+{
+	static const char *const folders[] = { "base", "kernel", "kernel/plug",
+		"plat", "entry", "ctl" };
+	g_autoptr(GRegex) re = g_regex_new(
+	    "X-(?:Attempt|Runner|Expect|Not-Executed|Tenant|Api-Key|Piece|"
+	    "Inputs|Prefix|Token|Deadline|Request-Priority|Hold|Pin|Kv)|"
+	    "Kv-|/api/|kv-(?:txn|range|watch|lease)|stage-(?:run|free)|"
+	    "op/config|servers/|NodeName|HeadroomMb|ItemMs|CallMs|"
+	    "non_idempotent|Last-Event-Id",
+	    0, 0, NULL);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(folders); i++) {
+		g_autoptr(GDir) d = g_dir_open(folders[i], 0, NULL);
+		const char *name;
+
+		while ((name = g_dir_read_name(d)) != NULL) {
+			g_autofree char *path =
+			    g_build_filename(folders[i], name, NULL);
+			g_autofree char *text = NULL;
+
+			if (!g_str_has_suffix(name, ".c") &&
+			    !g_str_has_suffix(name, ".h"))
+				continue;
+			g_assert_true(
+			    g_file_get_contents(path, &text, NULL, NULL));
+			if (g_regex_match(re, text, 0, NULL)) {
+				g_test_message("%s", path);
+				g_test_fail();
+			}
+		}
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -370,5 +406,6 @@
 	g_test_add_func("/answer", test_answer);
 	g_test_add_func("/stage", test_stage);
 	g_test_add_func("/store", test_store);
+	g_test_add_func("/names", test_names);
 	return g_test_run();
 }
--- a/tests/relay/world.c
+++ b/tests/platform/world.c
@@ -1,4 +1,4 @@
-#include "tests/relay/world.h"
+#include "tests/platform/world.h"
 #include "plat/httpmsg.h"
 
 #include <arpa/inet.h>
--- a/tests/relay/world.h
+++ b/tests/platform/world.h
@@ -3,8 +3,8 @@
  * thread of the test's process.  Functions may be called from the test's
  * thread; each takes the world's lock.
  */
-#ifndef TESTS_RELAY_WORLD_H
-#define TESTS_RELAY_WORLD_H
+#ifndef TESTS_PLATFORM_WORLD_H
+#define TESTS_PLATFORM_WORLD_H
 
 #include "base/clock.h"
 #include "base/str.h"
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -10,7 +10,7 @@
  * configuration, a leaving target gets nothing, and a stop cuts nothing off.
  */
 #include "base/rng.h"
-#include "tests/relay/rig.h"
+#include "tests/platform/rig.h"
 #include "tests/soak/proxy.h"
 
 #include <pthread.h>
