Due times of a chain by what stages usually take; quick successions of configurations are read once

Cause (load): a stage's due time left out that the stages behind it wait too; under overload requests came to their third stage without time left. Means of what was measured, of requests that could be on time, replace the calls' own work. The newest is read, with pauses; a gap or a large value is read at the store itself.

--- a/entry/course.c
+++ b/entry/course.c
@@ -81,14 +81,16 @@
 	return false;
 }
 
+/* How long a stage takes, from the ask to its results. */
 static usec_t
-usual_call(const struct request *r, uint32_t stage)
+usual_stage(const struct request *r, uint32_t stage)
 {
-	const struct pool_shape *p =
-	    &routes_service_at(r->routes, r->route->stages[stage].service)
-		 ->pool;
+	const struct service *s =
+	    routes_service_at(r->routes, r->route->stages[stage].service);
+	double fill = USUAL_FILL * (double)(s->pool.batch * s->pool.item);
 
-	return p->call + (usec_t)(USUAL_FILL * (double)(p->batch * p->item));
+	return usual_time(
+	    &r->parts->times, s->name, s->pool.call + (usec_t)fill);
 }
 
 /* What is still to be done after a stage until the first token. */
@@ -99,12 +101,14 @@
 
 	for (uint32_t k = i + 1; k < r->route->n_stages; k++) {
 		if ((r->route->stages[k].after >> i & 1) && is_wanted(r, k)) {
-			usec_t t = usual_call(r, k) + time_behind(r, k);
+			usec_t t = usual_stage(r, k) + time_behind(r, k);
 
 			most = t > most ? t : most;
 		}
 	}
-	return most > 0 ? most : FIRST_TOKEN;
+	return most > 0
+	    ? most
+	    : usual_time(&r->parts->times, r->service->name, FIRST_TOKEN);
 }
 
 static struct str
@@ -195,6 +199,23 @@
 	start_ready(r);
 }
 
+/*
+ * Only stages that could be on time count: the others wait behind them, as
+ * long as need be.
+ */
+static void
+note_time(struct request *r, uint32_t stage)
+{
+	const struct stage_progress *s = &r->stages[stage];
+
+	if (s->hopeful)
+		usual_note(&r->parts->times,
+		    routes_service_at(
+			r->routes, r->route->stages[stage].service)
+			->name,
+		    clock_now() - s->asked_at);
+}
+
 static void
 on_reply(void *arg, const peer_piece_reply *reply)
 {
@@ -217,6 +238,7 @@
 		on_unmade(r, stage, outcome);
 		return;
 	}
+	note_time(r, stage);
 	r->stages[stage].done = true;
 	release_used(r);
 	start_ready(r);
@@ -281,6 +303,9 @@
 	}
 	c->r = r;
 	c->stage = i;
+	r->stages[i].asked_at = clock_now();
+	r->stages[i].hopeful = r->stages[i].asked_at + usual_stage(r, i) <
+	    r->aim - time_behind(r, i);
 	r->stages[i].ask = asks_start(r->parts->asks,
 	    &(struct ask_opts){
 		.service = service_name(r, i),
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -171,6 +171,8 @@
 	if (!r->head_written) {
 		write_head(r, m);
 		course_release(r);
+		usual_note(&r->parts->times, r->service->name,
+		    clock_now() - r->sent_at);
 	}
 	out = evbuffer_new();
 	evbuffer_add(out, whole.p, whole.n);
--- a/entry/home.c
+++ b/entry/home.c
@@ -359,7 +359,7 @@
 		batch_add(&p->batch, &it);
 	if (from != NULL)
 		send_reply(h, a);
-	home_tick(h, now);
+	home_serve(h, p, now);
 }
 
 /* Bytes that a target has for further results. */
@@ -429,12 +429,11 @@
  * Serves each target that is free, first with what lies near it: so what has
  * a free target in its own failure domain does not go to another one.
  */
-static void
-serve_pool(struct home *h, struct pool *p, usec_t now)
+void
+home_serve(struct home *h, struct pool *p, usec_t now)
 {
 	const GPtrArray *all = loads_of(h->o.loads, p->service);
 
-	drop_late(h, p, now);
 	for (int pass = 0; all != NULL && pass < 2; pass++) {
 		for (guint i = 0; i < all->len; i++) {
 			struct target *t = all->pdata[i];
@@ -480,8 +479,10 @@
 	gpointer p;
 
 	g_hash_table_iter_init(&it, h->pools);
-	while (g_hash_table_iter_next(&it, NULL, &p))
-		serve_pool(h, p, now);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		drop_late(h, p, now);
+		home_serve(h, p, now);
+	}
 	sweep_asks(h, now);
 	home_flush_used(h, now);
 }
--- a/entry/home.h
+++ b/entry/home.h
@@ -41,7 +41,7 @@
 void home_ask(struct home *h, const char *from, const peer_piece_ask *a);
 /* Results that were used; they are freed with the next call to their maker. */
 void home_release(struct home *h, struct str handles);
-/* Starts calls for what waits, drops what is too late; call it regularly. */
+/* Drops what is too late, forgets what is over; call it regularly. */
 void home_tick(struct home *h, usec_t now);
 /* The hosts have changed: for a while others may still act as homes. */
 void home_unsettle(struct home *h, usec_t now);
--- a/entry/home_calls.c
+++ b/entry/home_calls.c
@@ -142,6 +142,7 @@
 end_call(struct stage_call *k, bool ok, bool not_run, const char *why)
 {
 	struct home *h = k->home;
+	struct pool *p = k->pool;
 	usec_t now = clock_now();
 
 	note_target(k, ok, now);
@@ -156,7 +157,7 @@
 		    &k->pool->batch, k->items->len, now - k->started);
 	}
 	free_stage_call(k);
-	home_tick(h, now);
+	home_serve(h, p, now);
 }
 
 static void
--- a/entry/home_state.h
+++ b/entry/home_state.h
@@ -84,7 +84,9 @@
 	struct event *say; /* tells it from the loop, not from within its ask */
 };
 
-/* home.c: answers the ask, once. */
+/* home.c: starts the calls for which a target is free. */
+void home_serve(struct home *h, struct pool *p, usec_t now);
+/* Answers the ask, once. */
 void home_finish(struct home *h, struct ask *a, usec_t now);
 
 /* home_calls.c: takes over items, an array of struct batch_item. */
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -528,6 +528,7 @@
 	};
 	loads_init(&p->loads, o->settings->failure_domain, rng_entropy());
 	p->repeats = g_hash_table_new_full(g_str_hash, g_str_equal, free, free);
+	usual_init(&p->times);
 	y->inbox = inbox_new();
 	y->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	y->mail_event =
@@ -649,6 +650,7 @@
 	dialer_free(p->dialer);
 	loads_free(&p->loads);
 	g_hash_table_destroy(p->repeats);
+	usual_free(&p->times);
 	event_free(y->mail_event);
 	event_free(y->step);
 	/* Lets go of what deferred callbacks still hold. */
--- a/entry/request.h
+++ b/entry/request.h
@@ -12,6 +12,7 @@
 #include "kernel/repeats.h"
 #include "kernel/routes.h"
 #include "kernel/sse.h"
+#include "kernel/usual.h"
 #include "plat/dial.h"
 #include "platform/request.h"
 
@@ -26,10 +27,13 @@
 	struct home *home;
 	struct repeats_rule rule;
 	GHashTable *repeats; /* service -> struct repeats */
+	struct usual times;  /* of stages and first events, by service */
 };
 
 struct stage_progress {
 	uint64_t ask; /* under way; 0: none */
+	usec_t asked_at;
+	bool hopeful; /* it could be on time when it was asked for */
 	bool done;
 	uint32_t tries;
 	struct buf handles; /* of its results, by commas */
--- a/entry/steward.c
+++ b/entry/steward.c
@@ -29,6 +29,10 @@
 #define FEED_SILENCE     (1500 * USEC_PER_MSEC)
 /* Larger values are fetched; a letter with some of them still fits. */
 #define FEED_VALUE_BYTES 4000
+/* Reading configurations pauses so many times what the last one took. */
+#define READ_SHARE       3
+/* But not longer: they are to be in force within 2 s. */
+#define READ_PAUSE       (500 * USEC_PER_MSEC)
 /* The name under which peers serve what they know. */
 #define STATE_NAME       "state"
 #define MAX_ENDPOINTS    1
@@ -47,18 +51,36 @@
 	struct fleet *fleet;
 	struct roster roster;
 	struct routes *routes;
-	bool away;    /* the store does not answer this host */
-	bool changed; /* a newer view is due */
+	bool away;              /* the store does not answer this host */
+	bool changed;           /* a newer view is due */
+	struct buf config_next; /* is to be read; empty: none */
+	const char *config_source;
+	usec_t config_at;   /* when one was read */
+	usec_t config_cost; /* what that took */
 	uint64_t roster_seen;
 	usec_t asked_at;
-	usec_t fed_at;        /* when another host last told of the store */
-	usec_t feed_at;       /* when this one last told others */
+	bool behind;    /* a wait at the store will bring what is missing */
+	usec_t fed_at;  /* when another host last told of the store */
+	usec_t feed_at; /* when this one last told others */
 	pthread_mutex_t lock; /* of the following */
 	struct buf config_text;
 	GHashTable *target_texts; /* key -> value as it stands in the store */
 	struct steward_counts counts;
 };
 
+/*
+ * Keeps the newest text of the configuration.  Versions that come in quick
+ * succession are not read one by one: a large one takes a small host a tenth
+ * of a second.
+ */
+static void
+note_config(struct steward *s, struct str text, const char *source)
+{
+	buf_clear(&s->config_next);
+	buf_put(&s->config_next, text);
+	s->config_source = source;
+}
+
 /* Puts a configuration in force unless it is older. */
 static void
 take_config(struct steward *s, struct str text, const char *source)
@@ -154,7 +176,7 @@
 		if (target)
 			put_target(s, key, value);
 		else if (str_eq(key, STR(PLATFORM_CONFIG_KEY)))
-			take_config(s, value, "the store");
+			note_config(s, value, "the store");
 		break;
 	case FOLLOW_GONE:
 		if (target)
@@ -199,6 +221,7 @@
 	peer_body body = { .kind = PEER_FEED };
 	peer_feed *f = &body.peer_body_u.feed;
 
+	s->behind = false;
 	if (c->n == 0)
 		return;
 	memset(items, 0, sizeof(items));
@@ -242,7 +265,7 @@
 	size_t n;
 	const char *const *ids = member_live(fleet_members(s->fleet), &n);
 
-	return now - s->fed_at < FEED_SILENCE &&
+	return !s->behind && now - s->fed_at < FEED_SILENCE &&
 	    !feeders_follows(ids, n, s->o.settings->id);
 }
 
@@ -264,7 +287,7 @@
 	if (f->to <= known)
 		return;
 	if (!whole) {
-		fetcher_ask(s->fetcher, l->rpc, STATE_NAME);
+		s->behind = true;
 		return;
 	}
 	for (u_int i = 0; i < f->items.items_len; i++) {
@@ -352,7 +375,7 @@
 		json_decref(o);
 		return;
 	}
-	take_config(s, str_from(config), "another host");
+	note_config(s, str_from(config), "another host");
 	if (s->away || revision > follow_revision(s->follow)) {
 		roster_store(&s->roster, false, clock_now());
 		roster_begin(&s->roster);
@@ -471,6 +494,24 @@
 	(void)n;
 }
 
+/*
+ * Reads the configuration that came last.  After one that took long the next
+ * waits, so that reading takes a quarter of the time at the most.
+ */
+static void
+read_config(struct steward *s, usec_t now)
+{
+	usec_t pause = READ_SHARE * s->config_cost;
+
+	if (s->config_next.n == 0 ||
+	    now - s->config_at < (pause < READ_PAUSE ? pause : READ_PAUSE))
+		return;
+	take_config(s, str_of(&s->config_next), s->config_source);
+	buf_clear(&s->config_next);
+	s->config_at = clock_now();
+	s->config_cost = s->config_at - now;
+}
+
 static usec_t
 earlier(usec_t a, usec_t b)
 {
@@ -488,10 +529,12 @@
 	next = earlier(next, roster_tick(&s->roster, now));
 	fleet_tick(s->fleet, now, USEC_PER_SEC);
 	ask_peer(s, now);
+	read_config(s, now);
 	feed_tick(s, now);
 	publish(s, now);
 	http_run(s->loop, next > now ? next - now : 0);
 	take_mail(s);
+	read_config(s, clock_now());
 	publish(s, clock_now());
 	pthread_mutex_lock(&s->lock);
 	s->counts.store_calls = kv_calls(s->kv);
@@ -644,6 +687,7 @@
 	routes_unref(s->routes);
 	g_hash_table_destroy(s->target_texts);
 	buf_free(&s->config_text);
+	buf_free(&s->config_next);
 	pthread_mutex_destroy(&s->lock);
 	free(s);
 }
