--- a/ctl/tables.c
+++ b/ctl/tables.c
@@ -75,6 +75,8 @@
 		return "IP number";
 	case SETTING_ADDRS:
 		return "addresses";
+	case SETTING_MILLI:
+		return "number";
 	case SETTING_U32:
 	case SETTING_MSEC:
 		return "whole number";
--- a/entry/asks.c
+++ b/entry/asks.c
@@ -1,6 +1,7 @@
 #include "entry/asks.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "kernel/homes.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -111,11 +112,12 @@
 {
 	uint64_t seed = hash_u64(str_from(service), 3);
 	const struct peer *best = NULL;
-	uint64_t most = 0;
+	double most = 0;
 
 	for (guint i = 0; i < s->peers->len; i++) {
 		const struct peer *p = &g_array_index(s->peers, struct peer, i);
-		uint64_t w = hash_u64(str_from(p->p.id), seed);
+		double w = homes_weight(
+		    hash_u64(str_from(p->p.id), seed), p->p.capacity);
 
 		if (now < p->suspect_until || (best != NULL && w <= most))
 			continue;
--- a/entry/gossiper.c
+++ b/entry/gossiper.c
@@ -24,6 +24,7 @@
 	p->domain = (char *)x->domain;
 	p->incarnation = x->incarnation;
 	p->generation = x->generation;
+	p->capacity = x->capacity;
 	p->state = (int)x->state;
 }
 
@@ -38,6 +39,7 @@
 {
 	x->incarnation = p->incarnation;
 	x->generation = p->generation;
+	x->capacity = p->capacity;
 	x->state = (enum member_state)p->state;
 	return p->state >= MEMBER_LIVE && p->state <= MEMBER_LEFT &&
 	    copy(x->id, sizeof(x->id), p->id) &&
@@ -119,6 +121,7 @@
 	copy(x->operators, sizeof(x->operators), s->operators);
 	copy(x->domain, sizeof(x->domain), s->failure_domain);
 	x->incarnation = o->incarnation;
+	x->capacity = s->cpu_share;
 }
 
 struct gossiper *
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -29,6 +29,7 @@
 	peer_name domain;
 	u_quad_t incarnation;
 	u_quad_t generation;
+	u_int capacity;
 	int state;
 };
 typedef struct peer_member peer_member;
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -22,6 +22,7 @@
 	peer_name domain;
 	unsigned hyper incarnation;
 	unsigned hyper generation;
+	unsigned int capacity;  /* thousandths of a core; 0: not told */
 	int state;
 };
 
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -32,6 +32,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->generation))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->capacity))
+		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->state))
 		 return FALSE;
 	return TRUE;
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -1,6 +1,7 @@
 #include "entry/settings.h"
 
 #include <arpa/inet.h>
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,6 +19,8 @@
 	    "Where other sequoiads reach it (UDP and TCP)." },
 	{ "sequoiad", "failure_domain", SETTING_TEXT, AT(failure_domain), 1, 48,
 	    NULL, "", "The failure domain of its host." },
+	{ "sequoiad", "cpu_share", SETTING_MILLI, AT(cpu_share), 1, 64000,
+	    "1.0", "cores", "Its part of a core: homes go to larger hosts." },
 	{ "sequoiad", "peers", SETTING_ADDRS, AT(peers), 0, 0, "",
 	    "IP:PORT ...", "RPC addresses of some other sequoiads." },
 	{ "sequoiad", "workers", SETTING_U32, AT(workers), 1, 4000, "256",
@@ -139,6 +142,24 @@
 	return 0;
 }
 
+static int
+store_milli(struct settings *s, const struct setting_key *k, const char *text,
+    const struct origin *o, struct err *e)
+{
+	char *end;
+	double v = g_ascii_strtod(text, &end) * 1000;
+	char want[96];
+
+	if (*end != '\0' || end == text || !(v >= (double)k->min) ||
+	    v > (double)k->max) {
+		snprintf(want, sizeof(want), "a number from %g to %g",
+		    (double)k->min / 1000, (double)k->max / 1000);
+		return fault(e, k, o, text, want);
+	}
+	*(uint32_t *)(void *)((char *)s + k->offset) = (uint32_t)v;
+	return 0;
+}
+
 static int
 store(struct settings *s, const struct setting_key *k, const char *text,
     const struct origin *o, struct err *e)
@@ -147,6 +168,8 @@
 	char want[96];
 	uint64_t v;
 
+	if (k->type == SETTING_MILLI)
+		return store_milli(s, k, text, o, e);
 	if (k->type != SETTING_U32 && k->type != SETTING_MSEC)
 		return store_text(s, k, text, o, e);
 	if (!str_u64(str_from(text), &v) || v < k->min || v > k->max) {
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -16,10 +16,11 @@
 	char *operators; /* operators: IP:PORT */
 	char *rpc;       /* other sequoiads: IP:PORT */
 	char *failure_domain;
-	char *peers;     /* IP:PORT of other sequoiads, by blanks */
-	char *kv;        /* IP:PORT, by blanks */
-	char *kv_source; /* IP; empty: the system's choice */
-	char *hosts;     /* IP:PORT; empty: none */
+	uint32_t cpu_share; /* thousandths of a core */
+	char *peers;        /* IP:PORT of other sequoiads, by blanks */
+	char *kv;           /* IP:PORT, by blanks */
+	char *kv_source;    /* IP; empty: the system's choice */
+	char *hosts;        /* IP:PORT; empty: none */
 	char *fleet_key;
 	uint32_t workers;
 	uint32_t max_body;
@@ -42,6 +43,7 @@
 	SETTING_IP,    /* an IP number, or empty */
 	SETTING_ADDRS, /* IP:PORT separated by blanks */
 	SETTING_U32,
+	SETTING_MILLI, /* a decimal number, kept in thousandths */
 	SETTING_MSEC
 };
 
--- a/entry/steward.c
+++ b/entry/steward.c
@@ -453,6 +453,7 @@
 			continue;
 		g_strlcpy(p.id, ids[i], sizeof(p.id));
 		g_strlcpy(p.rpc, member_rpc(x), sizeof(p.rpc));
+		p.capacity = x->capacity;
 		g_array_append_val(out, p);
 	}
 	return out;
--- a/entry/view.h
+++ b/entry/view.h
@@ -12,6 +12,7 @@
 struct view_peer {
 	char id[MAX_NAME_BYTES + 1];
 	char rpc[MAX_ADDR_BYTES];
+	uint32_t capacity; /* thousandths of a core */
 };
 
 struct view {
--- a/kernel/gossip_fill.c
+++ b/kernel/gossip_fill.c
@@ -16,7 +16,7 @@
 info_bytes(const struct member_info *x)
 {
 	return text_bytes(x->id) + text_bytes(x->rpc) +
-	    text_bytes(x->operators) + text_bytes(x->domain) + 8 + 8 + 4;
+	    text_bytes(x->operators) + text_bytes(x->domain) + 8 + 8 + 4 + 4;
 }
 
 static size_t
--- a/kernel/member.c
+++ b/kernel/member.c
@@ -95,6 +95,15 @@
 	g_hash_table_replace(t->by_rpc, text + id, m);
 }
 
+static void
+take_capacity(struct member *m, const struct member_info *info)
+{
+	if (info->capacity > 0)
+		m->capacity =
+		    (uint16_t)(info->capacity < UINT16_MAX ? info->capacity
+							   : UINT16_MAX);
+}
+
 static struct member *
 insert(struct members *t, const struct member_info *info)
 {
@@ -103,6 +112,7 @@
 	size_t i = position(t, info->id, &found);
 
 	set_text(t, m, info);
+	take_capacity(m, info);
 	m->bucket = hash_u64(str_from(info->id), 0) % MEMBER_BUCKETS;
 	t->v = xrealloc(t->v, t->n + 1, sizeof(void *));
 	for (size_t j = t->n; j > i; j--)
@@ -223,6 +233,7 @@
 	*out = (struct member_info){
 		.incarnation = m->incarnation,
 		.generation = m->generation,
+		.capacity = m->capacity,
 		.state = m->state,
 	};
 	snprintf(out->id, sizeof(out->id), "%s", m->text);
@@ -307,6 +318,7 @@
 		return update_new(t, now, info);
 	if (m == t->self)
 		return update_self(t, now, info);
+	take_capacity(m, info);
 	if (!is_newer(info, m)) {
 		raise_generation(t, m, info);
 		return false;
--- a/kernel/member.h
+++ b/kernel/member.h
@@ -41,6 +41,7 @@
 	char domain[MAX_NAME_BYTES + 1];
 	uint64_t incarnation;
 	uint64_t generation; /* of the configuration that it has in force */
+	uint32_t capacity;   /* thousandths of a core; 0: not told */
 	enum member_state state;
 };
 
@@ -52,6 +53,7 @@
 	usec_t heard;   /* last message of its own */
 	usec_t asked;   /* first message without an answer; 0: none */
 	usec_t changed; /* last change of state */
+	uint16_t capacity;
 	uint8_t rpc_at;
 	uint8_t operators_at;
 	uint8_t domain;
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -1,6 +1,8 @@
 /* Tables of cases for the decisions of the relay, in virtual time. */
 #include "kernel/batch.h"
+#include "base/hash.h"
 #include "kernel/feeders.h"
+#include "kernel/homes.h"
 #include "kernel/loads.h"
 #include "kernel/repeats.h"
 #include "kernel/room.h"
@@ -748,6 +750,38 @@
 	}
 }
 
+/* Homes fall on hosts by the square of their size. */
+static void
+test_homes(void)
+{
+	static const uint32_t sizes[] = { 120, 120, 250, 500, 0 };
+	static const double squares[] = { 144, 144, 625, 2500, 625 };
+	int wins[G_N_ELEMENTS(sizes)] = { 0 };
+	double sum = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		sum += squares[i];
+	for (int s = 0; s < 20000; s++) {
+		size_t best = 0;
+		double most = 0;
+
+		for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+			g_autofree char *id = g_strdup_printf("%zu", i);
+			double w = homes_weight(
+			    hash_u64(str_from(id), (uint64_t)s), sizes[i]);
+
+			if (w > most) {
+				most = w;
+				best = i;
+			}
+		}
+		wins[best]++;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		g_assert_cmpfloat_with_epsilon(
+		    wins[i] / 20000.0, squares[i] / sum, 0.02);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -768,6 +802,7 @@
 	g_test_add_func("/loads/affinity", test_loads_affinity);
 	g_test_add_func("/loads/restart", test_loads_restart);
 	g_test_add_func("/feeders", test_feeders);
+	g_test_add_func("/homes", test_homes);
 	g_test_add_func("/sse", test_sse);
 	return g_test_run();
 }
