--- a/entry/forward.c
+++ b/entry/forward.c
@@ -7,6 +7,11 @@
 
 /* Many round trips between failure domains, a quarter of a short deadline. */
 #define CONNECT_TIMEOUT (150 * USEC_PER_MSEC)
+/*
+ * Targets may drop idle connections without notice; a call that can't be
+ * repeated would be lost on one, so it takes only one that was just used.
+ */
+#define ONCE_IDLE       (300 * USEC_PER_MSEC)
 /* A call with less time left can't be answered over two network paths. */
 #define LEAST_LEFT      (8 * USEC_PER_MSEC)
 #define MAX_UNSENT                                                \
@@ -374,6 +379,7 @@
 		.echo = r->facts.id,
 		.head_only = m->parser.method == HTTP_HEAD,
 		.connect_timeout = CONNECT_TIMEOUT,
+		.max_idle = route_repeatable(r->route) ? 0 : ONCE_IDLE,
 		.handler = on_answer,
 		.arg = r,
 	    });
--- a/plat/dial.c
+++ b/plat/dial.c
@@ -358,14 +358,19 @@
 
 /* The most recently used idle connection that is still sound, or NULL. */
 static struct conn *
-take_idle(struct dialer *d, const char *addr, usec_t now)
+take_idle(struct dialer *d, const char *addr, usec_t max_idle, usec_t now)
 {
 	GQueue *q = pool_of(d, addr);
 	struct conn *c;
 	char byte;
 
 	while ((c = g_queue_peek_head(q)) != NULL) {
-		ssize_t n = recv(bufferevent_getfd(c->bev), &byte, 1,
+		ssize_t n;
+
+		/* The others have been idle for longer. */
+		if (max_idle > 0 && now - c->idle_since > max_idle)
+			return NULL;
+		n = recv(bufferevent_getfd(c->bev), &byte, 1,
 		    MSG_PEEK | MSG_DONTWAIT);
 
 		if (now - c->idle_since < c->idle_max && n < 0 &&
@@ -383,7 +388,7 @@
 {
 	struct dial_call *k;
 	g_autofree char *addr = g_strndup(o->addr.p, o->addr.n);
-	struct conn *c = take_idle(d, addr, clock_now());
+	struct conn *c = take_idle(d, addr, o->max_idle, clock_now());
 	struct evbuffer *out;
 
 	if (c == NULL)
--- a/plat/dial.h
+++ b/plat/dial.h
@@ -38,6 +38,7 @@
 	struct str echo;       /* the call id */
 	bool head_only;        /* the method is HEAD */
 	usec_t connect_timeout;
+	usec_t max_idle; /* of a connection in use before; 0: the usual */
 	dial_handler handler;
 	void *arg;
 };
--- a/tests/platform/test_relay.c
+++ b/tests/platform/test_relay.c
@@ -180,6 +180,36 @@
 	rig_answer_free(&a);
 }
 
+/*
+ * Targets that drop idle connections without notice reset what comes next on
+ * them: what may run once does not go there.
+ */
+static void
+test_dropped_idle(void)
+{
+	struct rig_answer a;
+
+	for (int i = 0; i < 12; i++) {
+		g_autofree char *id = g_strdup_printf("safe-drop-%d", i);
+		g_autofree char *q = rig_request(&(struct rig_request){
+		    .path = "/safe/1", .id = id, .script = "drop-next" });
+
+		rig_talk(host.port, str_from(q), PATIENCE * 1000, &a);
+		g_assert_cmpint(a.status, ==, 200);
+		rig_answer_free(&a);
+	}
+	g_usleep(700000);
+	for (int i = 0; i < 4; i++) {
+		g_autofree char *id = g_strdup_printf("once-drop-%d", i);
+		g_autofree char *q = rig_request(
+		    &(struct rig_request){ .path = "/once/1", .id = id });
+
+		rig_talk(host.port, str_from(q), PATIENCE * 1000, &a);
+		g_assert_cmpint(a.status, ==, 200);
+		rig_answer_free(&a);
+	}
+}
+
 /* What the target sees: the caller's bytes, and our fields in their place. */
 static void
 test_head_at_target(void)
@@ -442,6 +472,7 @@
 	g_test_add_func("/relay/large-head", test_large_head);
 	g_test_add_func("/relay/pipelined", test_pipelined);
 	g_test_add_func("/relay/head-at-target", test_head_at_target);
+	g_test_add_func("/relay/dropped-idle", test_dropped_idle);
 	g_test_add_func("/relay/stages", test_stages);
 	g_test_add_func("/relay/deadline", test_deadline);
 	g_test_add_func("/relay/caller-gone", test_caller_gone);
--- a/tests/platform/world.c
+++ b/tests/platform/world.c
@@ -46,6 +46,7 @@
 	uint32_t event;          /* next of a stream */
 	uint32_t events;
 	bool working;
+	bool doomed;   /* what comes next resets it */
 	int64_t after; /* of a wait */
 	struct buf later;
 };
@@ -329,6 +330,9 @@
 		answer(c, 200, "", STR("not the target's"));
 	} else if (strcmp(s, "500") == 0) {
 		answer(c, 500, fields, STR("failed"));
+	} else if (strcmp(s, "drop-next") == 0) {
+		c->doomed = true;
+		answer(c, 200, fields, str_from(c->attempt));
 	} else if (strcmp(s, "late") == 0) {
 		/* Its answer, and once more while the next call waits. */
 		buf_printf(&c->later,
@@ -415,7 +419,7 @@
 	struct str id = httpmsg_get(&c->in, STR("X-Attempt-Id"));
 
 	c->working = true;
-	if (c->target->stopped) {
+	if (c->target->stopped || c->doomed) {
 		reset_conn(c);
 		return;
 	}
