Large configurations go packed from host to host

Hosts of 10 Mbit/s fell silent, homes among them. Ruled out: processors (0.12 cores busy at half), reading the JSON (0.1 s). Now feeders are chosen by processor and link, a version goes packed by zlib from feeder to fed host (a tenth), of several the newest only, and rumours of a newer version are followed.

--- a/entry/asks.c
+++ b/entry/asks.c
@@ -10,7 +10,7 @@
 /* Many round trips between failure domains; the loss of one is made up. */
 #define CONFIRM_TIMEOUT   (100 * USEC_PER_MSEC)
 /* A confirmed ask is asked about so often. */
-#define ASK_AGAIN         (500 * USEC_PER_MSEC)
+#define ASK_AGAIN         (1 * USEC_PER_SEC)
 #define MAX_TRIES         3 /* without a word before another home is taken */
 /* A home that did not confirm is not chosen for so long. */
 #define SUSPECT_TIME      (2 * USEC_PER_SEC)
@@ -308,10 +308,14 @@
 			continue;
 		}
 		if (a->tries >= MAX_TRIES) {
-			LOG(LOG_LVL_WARNING, "home-silent",
-			    { "home", str_from(a->home) },
-			    { "service", str_from(a->body.service) },
-			    { "request", str_from(a->body.id) });
+			const struct peer *p = find_peer(s, a->home);
+
+			/* Said once, not for each ask that waits there. */
+			if (p != NULL && now >= p->suspect_until)
+				LOG(LOG_LVL_WARNING, "home-silent",
+				    { "home", str_from(a->home) },
+				    { "service", str_from(a->body.service) },
+				    { "request", str_from(a->body.id) });
 			move_on(s, a, now);
 		}
 		a->tries++;
--- a/entry/fetcher.c
+++ b/entry/fetcher.c
@@ -4,7 +4,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#define FETCH_TIMEOUT (500 * USEC_PER_MSEC)
+/* A packed configuration takes half a second on a busy link of 10 Mbit/s. */
+#define FETCH_TIMEOUT (1500 * USEC_PER_MSEC)
 
 struct fetcher {
 	struct fetcher_opts o;
--- a/entry/gossiper.c
+++ b/entry/gossiper.c
@@ -1,4 +1,5 @@
 #include "entry/gossiper.h"
+#include "kernel/homes.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -121,7 +122,7 @@
 	copy(x->operators, sizeof(x->operators), s->operators);
 	copy(x->domain, sizeof(x->domain), s->failure_domain);
 	x->incarnation = o->incarnation;
-	x->capacity = s->cpu_share;
+	x->capacity = homes_capacity(s->cpu_share, s->link_mbps);
 }
 
 struct gossiper *
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -21,6 +21,8 @@
 	    NULL, "", "The failure domain of its host." },
 	{ "sequoiad", "cpu_share", SETTING_MILLI, AT(cpu_share), 1, 64000,
 	    "1.0", "cores", "Its part of a core: homes go to larger hosts." },
+	{ "sequoiad", "link_mbps", SETTING_MILLI, AT(link_mbps), 1, 1000000000,
+	    "1000", "Mbit/s", "Its link to the network." },
 	{ "sequoiad", "peers", SETTING_ADDRS, AT(peers), 0, 0, "",
 	    "IP:PORT ...", "RPC addresses of some other sequoiads." },
 	{ "sequoiad", "workers", SETTING_U32, AT(workers), 1, 4000, "256",
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -17,6 +17,7 @@
 	char *rpc;       /* other sequoiads: IP:PORT */
 	char *failure_domain;
 	uint32_t cpu_share; /* thousandths of a core */
+	uint32_t link_mbps; /* thousandths of a Mbit/s */
 	char *peers;        /* IP:PORT of other sequoiads, by blanks */
 	char *kv;           /* IP:PORT, by blanks */
 	char *kv_source;    /* IP; empty: the system's choice */
--- a/entry/steward.c
+++ b/entry/steward.c
@@ -1,6 +1,7 @@
 #include "entry/steward.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "base/pack.h"
 #include "base/rng.h"
 #include "entry/fetcher.h"
 #include "entry/fleet.h"
@@ -35,6 +36,15 @@
 #define READ_PAUSE       (500 * USEC_PER_MSEC)
 /* The name under which peers serve what they know. */
 #define STATE_NAME       "state"
+/* And the configuration alone, packed. */
+#define CONFIG_NAME      "config"
+#define FROM_STORE       "the store"
+/* Fetches from other hosts before the store is asked. */
+#define CONFIG_TRIES     3
+/* For the ways by which a configuration comes as a rule. */
+#define RUMOUR_PATIENCE  (700 * USEC_PER_MSEC)
+#define MAX_STATE_BYTES  ((size_t)64 * 1024 * 1024)
+#define MAX_CONFIG_BYTES ((size_t)16 * 1024 * 1024)
 #define MAX_ENDPOINTS    1
 
 struct steward {
@@ -59,6 +69,12 @@
 	usec_t config_cost; /* what that took */
 	uint64_t roster_seen;
 	usec_t asked_at;
+	uint32_t config_failures; /* fetches in a row */
+	usec_t rumour_at;    /* when a newer version was heard of; 0: none */
+	bool config_wanted;  /* a newer one is to be read at the store */
+	bool config_reading; /* that is under way */
+	char config_holder[MAX_ADDR_BYTES]; /* a host that has it */
+	struct buf config_packed; /* under the lock; empty: to be made */
 	bool behind;    /* a wait at the store will bring what is missing */
 	usec_t fed_at;  /* when another host last told of the store */
 	usec_t feed_at; /* when this one last told others */
@@ -68,6 +84,17 @@
 	struct steward_counts counts;
 };
 
+/* What other hosts may fetch, also before it is read here. */
+static void
+serve_config(struct steward *s, struct str text)
+{
+	pthread_mutex_lock(&s->lock);
+	buf_clear(&s->config_text);
+	buf_put(&s->config_text, text);
+	buf_clear(&s->config_packed);
+	pthread_mutex_unlock(&s->lock);
+}
+
 /*
  * Keeps the newest text of the configuration.  Versions that come in quick
  * succession are not read one by one: a large one takes a small host a tenth
@@ -103,9 +130,9 @@
 	routes_unref(s->routes);
 	s->routes = r;
 	s->changed = true;
+	if (strcmp(source, FROM_STORE) != 0)
+		serve_config(s, text);
 	pthread_mutex_lock(&s->lock);
-	buf_clear(&s->config_text);
-	buf_put(&s->config_text, text);
 	s->counts.version = r->version;
 	pthread_mutex_unlock(&s->lock);
 	fleet_generation(s->fleet, r->version, clock_now());
@@ -159,6 +186,13 @@
 	roster_remove(&s->roster, platform_target_id(key), clock_now());
 }
 
+static void
+on_config(struct steward *s, struct str text)
+{
+	serve_config(s, text);
+	note_config(s, text, FROM_STORE);
+}
+
 static void
 on_store(void *arg, enum follow_event ev, struct str key, struct str value)
 {
@@ -176,7 +210,7 @@
 		if (target)
 			put_target(s, key, value);
 		else if (str_eq(key, STR(PLATFORM_CONFIG_KEY)))
-			note_config(s, value, "the store");
+			on_config(s, value);
 		break;
 	case FOLLOW_GONE:
 		if (target)
@@ -192,6 +226,25 @@
 	}
 }
 
+/* The live hosts; freed with g_free, the ids are the members' own. */
+static struct feeder_host *
+live_hosts(struct steward *s, size_t *n)
+{
+	struct members *m = fleet_members(s->fleet);
+	size_t most;
+	const char *const *ids = member_live(m, &most);
+	struct feeder_host *v = g_new0(struct feeder_host, most + 1);
+
+	*n = 0;
+	for (size_t i = 0; i < most; i++) {
+		const struct member *x = member_find(m, ids[i]);
+
+		if (x != NULL)
+			v[(*n)++] = (struct feeder_host){ ids[i], x->capacity };
+	}
+	return v;
+}
+
 /* Sends a letter to the hosts that hear of the store from this one. */
 static void
 send_feed(struct steward *s, const peer_body *body)
@@ -199,16 +252,15 @@
 	struct members *m = fleet_members(s->fleet);
 	const char *self = s->o.settings->id;
 	size_t n;
-	const char *const *ids = member_live(m, &n);
+	g_autofree struct feeder_host *v = live_hosts(s, &n);
 
 	s->feed_at = clock_now();
-	if (n < FEEDERS_LEAST || !feeders_follows(ids, n, self))
+	if (n < FEEDERS_LEAST || !feeders_follows(v, n, self))
 		return;
 	for (size_t i = 0; i < n; i++) {
-		const struct member *x = member_find(m, ids[i]);
-
-		if (x != NULL && feeders_feeds(ids, n, self, ids[i]))
-			rpc_send(s->rpc, member_rpc(x), body);
+		if (feeders_feeds(v, n, self, v[i].id))
+			rpc_send(
+			    s->rpc, member_rpc(member_find(m, v[i].id)), body);
 	}
 }
 
@@ -263,12 +315,15 @@
 is_fed(struct steward *s, usec_t now)
 {
 	size_t n;
-	const char *const *ids = member_live(fleet_members(s->fleet), &n);
+	g_autofree struct feeder_host *v = NULL;
 
-	return !s->behind && now - s->fed_at < FEED_SILENCE &&
-	    !feeders_follows(ids, n, s->o.settings->id);
+	if (s->behind || now - s->fed_at >= FEED_SILENCE)
+		return false;
+	v = live_hosts(s, &n);
+	return !feeders_follows(v, n, s->o.settings->id);
 }
 
+static void take_packed_config(struct steward *s, bool found, struct str bytes);
 static void on_store(
     void *arg, enum follow_event ev, struct str key, struct str value);
 
@@ -280,7 +335,8 @@
 	bool whole = known >= f->from;
 
 	for (u_int i = 0; whole && i < f->items.items_len; i++)
-		whole = !f->items.items_val[i].large;
+		whole = !f->items.items_val[i].large ||
+		    strcmp(f->items.items_val[i].key, PLATFORM_CONFIG_KEY) == 0;
 	if (known == 0)
 		return; /* the first reading is this host's own */
 	s->fed_at = now;
@@ -293,6 +349,12 @@
 	for (u_int i = 0; i < f->items.items_len; i++) {
 		const peer_feed_item *x = &f->items.items_val[i];
 
+		if (x->large) {
+			s->config_wanted = true;
+			g_strlcpy(
+			    s->config_holder, l->rpc, sizeof(s->config_holder));
+			continue;
+		}
 		on_store(s, x->deleted ? FOLLOW_GONE : FOLLOW_PUT,
 		    str_from(x->key),
 		    (struct str){ x->value.value_val, x->value.value_len });
@@ -300,6 +362,23 @@
 	follow_adopt(s->follow, f->to);
 }
 
+/* The configuration, packed once for all that ask. */
+static void
+give_config(struct steward *s, peer_result *r)
+{
+	pthread_mutex_lock(&s->lock);
+	if (s->config_packed.n == 0 && s->config_text.n > 0)
+		pack(str_of(&s->config_text), &s->config_packed);
+	r->found = s->config_packed.n > 0;
+	if (r->found) {
+		r->value.value_val = xcalloc(1, s->config_packed.n);
+		memcpy(
+		    r->value.value_val, s->config_packed.p, s->config_packed.n);
+		r->value.value_len = (u_int)s->config_packed.n;
+	}
+	pthread_mutex_unlock(&s->lock);
+}
+
 /* What this host knows, for one that the store turns away. */
 static void
 on_fetch(void *arg, const peer_query *q, peer_result *r)
@@ -311,6 +390,8 @@
 	gpointer k;
 	gpointer v;
 
+	if (q->kind == PEER_GET_VALUE && strcmp(q->name, CONFIG_NAME) == 0)
+		give_config(s, r);
 	if (q->kind != PEER_GET_VALUE || strcmp(q->name, STATE_NAME) != 0) {
 		json_decref(list);
 		return;
@@ -327,8 +408,13 @@
 	r->found = !s->counts.store_away && s->config_text.n > 0;
 	pthread_mutex_unlock(&s->lock);
 	if (r->found) {
-		r->value.value_val = json_dumps(o, JSON_COMPACT);
-		r->value.value_len = (u_int)strlen(r->value.value_val);
+		char *text = json_dumps(o, JSON_COMPACT);
+		struct buf packed = { 0 };
+
+		pack(str_from(text), &packed);
+		r->value.value_val = packed.p;
+		r->value.value_len = (u_int)packed.n;
+		free(text);
 	}
 	json_decref(o);
 }
@@ -362,9 +448,12 @@
 
 /* A peer's knowledge, which is as good as a whole reading. */
 static void
-take_state(struct steward *s, struct str text)
+take_state(struct steward *s, struct str bytes)
 {
-	json_t *o = json_loadb(text.p, text.n, 0, NULL);
+	struct buf text = { 0 };
+	json_t *o = unpack(bytes, MAX_STATE_BYTES, &text)
+	    ? json_loadb(text.p, text.n, 0, NULL)
+	    : NULL;
 	const char *config = json_string_value(json_object_get(o, "config"));
 	int64_t revision = json_integer_value(json_object_get(o, "revision"));
 	const char *key;
@@ -373,6 +462,7 @@
 	if (config == NULL) {
 		log_text(LOG_LVL_WARNING, "peer-state", "not readable");
 		json_decref(o);
+		buf_free(&text);
 		return;
 	}
 	note_config(s, str_from(config), "another host");
@@ -390,6 +480,7 @@
 			follow_adopt(s->follow, revision);
 	}
 	json_decref(o);
+	buf_free(&text);
 }
 
 static void
@@ -406,7 +497,10 @@
 				take_feed(s, &m->letter, clock_now());
 			break;
 		case MAIL_FETCHED:
-			if (!m->fetched.found)
+			if (strcmp(m->fetched.name, CONFIG_NAME) == 0)
+				take_packed_config(s, m->fetched.found,
+				    str_of(&m->fetched.value));
+			else if (!m->fetched.found)
 				LOG(LOG_LVL_NOTICE, "peer-silent",
 				    { "detail", STR("no state came from it") });
 			else
@@ -513,6 +607,85 @@
 	s->config_cost = s->config_at - now;
 }
 
+static void
+on_config_item(void *arg, enum kv_status st, const struct kv_changes *c)
+{
+	struct steward *s = arg;
+
+	s->config_reading = false;
+	if (st == KV_OK && c->n > 0) {
+		note_config(s, str_of(&c->v[0].value), FROM_STORE);
+		return;
+	}
+	/* The own wait finds out whether the store is away. */
+	s->behind = true;
+	s->config_wanted = true;
+}
+
+/* The configuration has come from another host; else the store has it. */
+static void
+take_packed_config(struct steward *s, bool found, struct str bytes)
+{
+	struct buf text = { 0 };
+
+	s->config_reading = false;
+	s->config_holder[0] = '\0';
+	if (found && unpack(bytes, MAX_CONFIG_BYTES, &text)) {
+		s->config_failures = 0;
+		note_config(s, str_of(&text), "another host");
+	} else {
+		s->config_wanted = true;
+		if (++s->config_failures < CONFIG_TRIES)
+			g_strlcpy(s->config_holder,
+			    fleet_members(s->fleet)->holder,
+			    sizeof(s->config_holder));
+	}
+	buf_free(&text);
+}
+
+/* Others have had a newer configuration in force for a while. */
+static void
+hear_rumour(struct steward *s, usec_t now)
+{
+	const struct members *m = fleet_members(s->fleet);
+	uint64_t mine = s->routes != NULL ? s->routes->version : 0;
+
+	if (m->generation <= mine) {
+		s->rumour_at = 0;
+	} else if (s->rumour_at == 0) {
+		s->rumour_at = now;
+	} else if (now - s->rumour_at > RUMOUR_PATIENCE) {
+		s->rumour_at = now;
+		s->config_wanted = true;
+		g_strlcpy(
+		    s->config_holder, m->holder, sizeof(s->config_holder));
+	}
+}
+
+/*
+ * Gets a large configuration from the host that told of it, packed, or else
+ * from the store.  Load pattern: versions of 800 KB in quick succession; read
+ * by every host they fill the store's link for seconds.  Of several only the
+ * newest is read.
+ */
+static void
+fetch_config(struct steward *s, usec_t now)
+{
+	hear_rumour(s, now);
+	if (!s->config_wanted || s->config_reading || s->config_next.n > 0)
+		return;
+	if (s->config_holder[0] != '\0') {
+		if (!fetcher_ask(s->fetcher, s->config_holder, CONFIG_NAME))
+			return; /* it is busy; again at the next step */
+		s->config_wanted = false;
+		s->config_reading = true;
+		return;
+	}
+	s->config_wanted = false;
+	s->config_reading = true;
+	kv_read(s->kv, STR(PLATFORM_CONFIG_KEY), on_config_item, s);
+}
+
 static usec_t
 earlier(usec_t a, usec_t b)
 {
@@ -531,6 +704,7 @@
 	fleet_tick(s->fleet, now, USEC_PER_SEC);
 	ask_peer(s, now);
 	read_config(s, now);
+	fetch_config(s, now);
 	feed_tick(s, now);
 	publish(s, now);
 	http_run(s->loop, next > now ? next - now : 0);
@@ -689,6 +863,7 @@
 	g_hash_table_destroy(s->target_texts);
 	buf_free(&s->config_text);
 	buf_free(&s->config_next);
+	buf_free(&s->config_packed);
 	pthread_mutex_destroy(&s->lock);
 	free(s);
 }
--- a/kernel/feeders.h
+++ b/kernel/feeders.h
@@ -12,16 +12,22 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #define FEEDERS       6
 #define FEEDERS_EACH  2
 /* Smaller fleets are not worth the delay of another host. */
 #define FEEDERS_LEAST 16
 
-/* ids: the live hosts.  Whether a host follows the store itself. */
-bool feeders_follows(const char *const *ids, size_t n, const char *id);
+struct feeder_host {
+	const char *id;
+	uint32_t capacity; /* larger hosts are chosen first (kernel/homes.h) */
+};
+
+/* v: the live hosts.  Whether a host follows the store itself. */
+bool feeders_follows(const struct feeder_host *v, size_t n, const char *id);
 /* Whether a host that follows the store tells another one of it. */
 bool feeders_feeds(
-    const char *const *ids, size_t n, const char *feeder, const char *fed);
+    const struct feeder_host *v, size_t n, const char *feeder, const char *fed);
 
 #endif
--- a/kernel/homes.c
+++ b/kernel/homes.c
@@ -4,6 +4,19 @@
 
 #define UNKNOWN_CAPACITY 250 /* thousandths of a core: a usual entry host */
 
+/* A home's letters and a configuration of 500 KB fill a link of 10 Mbit/s. */
+#define CPU_PER_LINK     0.012
+
+uint32_t
+homes_capacity(uint32_t cpu, uint32_t link)
+{
+	double most = CPU_PER_LINK * link;
+
+	if (most < cpu)
+		return most < 1 ? 1 : (uint32_t)most;
+	return cpu;
+}
+
 double
 homes_weight(uint64_t hash, uint32_t capacity)
 {
--- a/kernel/homes.h
+++ b/kernel/homes.h
@@ -11,6 +11,11 @@
 
 #include <stdint.h>
 
+/*
+ * What a host is told to have: its processor (thousandths of a core), or what
+ * its link (thousandths of a Mbit/s) can keep busy.
+ */
+uint32_t homes_capacity(uint32_t cpu, uint32_t link);
 /* hash: of host and service; capacity: thousandths of a core, 0: unknown. */
 double homes_weight(uint64_t hash, uint32_t capacity);
 
--- a/plat/kv.c
+++ b/plat/kv.c
@@ -12,6 +12,7 @@
 
 enum op {
 	OP_GET,
+	OP_READ,
 	OP_RANGE,
 	OP_WAIT,
 	OP_CAS,
@@ -146,6 +147,7 @@
 	case OP_PUT:
 		r->mod_revision = r->revision;
 		break;
+	case OP_READ:
 	case OP_RANGE:
 	case OP_WAIT:
 	case OP_DELETE:
@@ -155,7 +157,17 @@
 	}
 }
 
-/* The outcome of a range or wait. */
+static bool
+read_changes(const struct pending *p, struct kv_changes *c)
+{
+	if (p->op == OP_READ)
+		return store_read_item(str_of(&p->body), c);
+	if (p->op == OP_RANGE)
+		return store_read_range(str_of(&p->body), c);
+	return store_read_watch(str_of(&p->body), c);
+}
+
+/* The outcome of a read, range or wait. */
 static void
 give_changes(const struct pending *p, bool whole)
 {
@@ -163,11 +175,7 @@
 	enum kv_status st = KV_UNKNOWN;
 
 	if (whole && p->status == 200) {
-		bool ok = p->op == OP_RANGE
-		    ? store_read_range(str_of(&p->body), &c)
-		    : store_read_watch(str_of(&p->body), &c);
-
-		st = ok ? KV_OK : KV_UNKNOWN;
+		st = read_changes(p, &c) ? KV_OK : KV_UNKNOWN;
 	} else if (whole && p->status == 410) {
 		st = KV_NO_HISTORY;
 	} else if (whole && (p->status == 429 || p->status == 503)) {
@@ -272,7 +280,7 @@
 	g_hash_table_steal(kv->open, &call);
 	if (p->op == OP_WATCH)
 		p->changed(p->arg, &(struct kv_watched){ .closed = true });
-	else if (p->op == OP_RANGE || p->op == OP_WAIT)
+	else if (p->op == OP_READ || p->op == OP_RANGE || p->op == OP_WAIT)
 		give_changes(p, ev->kind == HTTP_END);
 	else
 		give(p, ev->kind == HTTP_END);
@@ -356,6 +364,17 @@
 	send(kv, OP_GET, "/v3/kv/range", o, arg)->done = done;
 }
 
+void
+kv_read(struct kv *kv, struct str key, kv_changed_many done, void *arg)
+{
+	struct buf path = { 0 };
+
+	store_item_path(&path, key);
+	start(kv, OP_READ, str_of(&path), STR(""), KV_READ_TIMEOUT, false, arg)
+	    ->many = done;
+	buf_free(&path);
+}
+
 void
 kv_range(struct kv *kv, struct str prefix, struct str after,
     kv_changed_many done, void *arg)
--- a/plat/kv.h
+++ b/plat/kv.h
@@ -88,6 +88,9 @@
 void kv_get(struct kv *kv, struct str key, kv_done done, void *arg);
 /* As kv_get, without the value: mod_revision is 0 if there is no such key. */
 void kv_revision(struct kv *kv, struct str key, kv_done done, void *arg);
+/* One item as it is now; nothing if there is none.  It may be large. */
+#define KV_READ_TIMEOUT (4 * USEC_PER_SEC) /* 1 MB on a link of 10 Mbit/s */
+void kv_read(struct kv *kv, struct str key, kv_changed_many done, void *arg);
 /* A page of the items under a prefix, behind a key. */
 void kv_range(struct kv *kv, struct str prefix, struct str after,
     kv_changed_many done, void *arg);
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -729,24 +729,26 @@
 
 	for (size_t c = 0; c < G_N_ELEMENTS(sizes); c++) {
 		size_t n = sizes[c];
-		const char **ids = xcalloc(n, sizeof(*ids));
+		struct feeder_host *v = xcalloc(n, sizeof(*v));
 		size_t follow = 0;
 
 		for (size_t i = 0; i < n; i++)
-			ids[i] = g_strdup_printf("host-%zu", i);
+			v[i] = (struct feeder_host){ g_strdup_printf(
+							 "host-%zu", i),
+				i % 3 == 0 ? 120 : 500 };
 		for (size_t i = 0; i < n; i++) {
 			size_t from = 0;
 
-			follow += feeders_follows(ids, n, ids[i]);
+			follow += feeders_follows(v, n, v[i].id);
 			for (size_t k = 0; k < n; k++)
-				from += feeders_feeds(ids, n, ids[k], ids[i]);
+				from += feeders_feeds(v, n, v[k].id, v[i].id);
 			g_assert_cmpuint(from, ==,
-			    feeders_follows(ids, n, ids[i]) ? 0 : FEEDERS_EACH);
+			    feeders_follows(v, n, v[i].id) ? 0 : FEEDERS_EACH);
 		}
 		g_assert_cmpuint(follow, ==, n < FEEDERS_LEAST ? n : FEEDERS);
 		for (size_t i = 0; i < n; i++)
-			g_free((char *)ids[i]);
-		free(ids);
+			g_free((char *)v[i].id);
+		free(v);
 	}
 }
 
