--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,7 +1,8 @@
 /*
  * A fault soak: several sequoiads as processes before a stand-in of the
  * platform, callers that never stop, and faults from outside in random
- * series that overlap.  Usage: soak [SEED [SECONDS]]
+ * series that overlap.  Usage: soak [SEED [SECONDS [HOSTS]]]
+ * With 16 hosts or more some hear of the store from others.
  *
  * Checked while it runs and after it: what may run once ran at most once; what
  * was refused with "not run" never ran; an answer that is whole is that of its
@@ -22,14 +23,16 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-#define HOSTS        4
+#define MAX_HOSTS    24
+#define FEW_HOSTS    4 /* unless the command line says more */
 #define TARGETS      9
 #define CALLERS      8
 #define STORE_PORT   22900
 #define TARGET_PORT  22910 /* and what its proxy listens on */
 #define PROXY_PORT   22930
 #define HOST_PORT    22960
-#define CALM_SECONDS 15 /* within which all must be well after the faults */
+#define LINK_PORT    23100 /* from hosts to the store */
+#define CALM_SECONDS 15    /* within which all must be well after the faults */
 /* The drain bound of the platform's pages, and the stand-in's own delay. */
 #define DRAIN_BOUND  (2500 * USEC_PER_MSEC)
 #define MAX_REFUSED  20000
@@ -42,8 +45,9 @@
 
 static struct world *world;
 static struct proxy *proxy;
-static struct rig_host hosts[HOSTS];
-static int host_links[HOSTS]; /* to the store */
+static struct rig_host hosts[MAX_HOSTS];
+static int n_hosts = FEW_HOSTS;
+static int host_links[MAX_HOSTS]; /* to the store */
 static int target_links[TARGETS];
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static atomic_bool stopping;
@@ -53,7 +57,7 @@
 static atomic_ulong complete;
 static char (*refused)[32]; /* ids that were told "not run" */
 static int n_refused;
-static uint64_t versions[HOSTS]; /* seen of each process */
+static uint64_t versions[MAX_HOSTS]; /* seen of each process */
 static int version = 1;
 
 static const struct world_target targets[TARGETS] = {
@@ -154,7 +158,8 @@
 	    .more = kinds[kind].more,
 	    .deadline_ms = 2000 });
 	atomic_fetch_add(&sent, 1);
-	rig_talk(hosts[rng_below(&c->rng, HOSTS)].port, str_from(q), 3000, &a);
+	rig_talk(
+	    hosts[rng_below(&c->rng, n_hosts)].port, str_from(q), 3000, &a);
 	check_answer(&a, id, kind, in_calm);
 	rig_answer_free(&a);
 }
@@ -223,7 +228,7 @@
 static void
 strike(struct rng *r)
 {
-	int h = (int)rng_below(r, HOSTS);
+	int h = (int)rng_below(r, n_hosts);
 	int t = (int)rng_below(r, TARGETS);
 	int link = rng_below(r, 2) == 0 ? host_links[h] : target_links[t];
 
@@ -274,7 +279,7 @@
 static void
 heal(struct rng *r, bool all)
 {
-	for (int i = 0; i < HOSTS; i++) {
+	for (int i = 0; i < n_hosts; i++) {
 		if (all || rng_below(r, 3) == 0)
 			proxy_set(proxy, host_links[i], PROXY_NONE);
 	}
@@ -320,7 +325,7 @@
 {
 	usec_t until = clock_now() + CALM_SECONDS * USEC_PER_SEC;
 
-	for (int i = 0; i < HOSTS; i++) {
+	for (int i = 0; i < n_hosts; i++) {
 		int round = 0;
 
 		while (!serves_all(i, round++) && clock_now() < until)
@@ -368,18 +373,18 @@
 		world_add_target(world, &targets[i]);
 	}
 	put_config();
-	for (int i = 0; i < HOSTS; i++) {
+	for (int i = 0; i < n_hosts; i++) {
 		struct rig_host *h = &hosts[i];
 
 		h->port = (uint16_t)(HOST_PORT + 4 * i);
-		h->store = (uint16_t)(HOST_PORT - 1 - i);
+		h->store = (uint16_t)(LINK_PORT + i);
 		h->seed = HOST_PORT;
 		snprintf(h->id, sizeof(h->id), "h%d", i + 1);
 		g_strlcpy(h->dir, dir, sizeof(h->dir));
 		host_links[i] = proxy_link(proxy, h->store, STORE_PORT);
 		rig_start_host(h);
 	}
-	for (int i = 0; i < HOSTS; i++) {
+	for (int i = 0; i < n_hosts; i++) {
 		if (!rig_wait_ready(&hosts[i], CALM_SECONDS))
 			violation("a host does not become ready", hosts[i].id);
 	}
@@ -397,7 +402,7 @@
 		strike(&r);
 		if (rng_below(&r, 3) == 0)
 			heal(&r, false);
-		check_version((int)rng_below(&r, HOSTS));
+		check_version((int)rng_below(&r, n_hosts));
 		g_usleep(100000 + rng_below(&r, 400000));
 	}
 	heal(&r, true);
@@ -406,7 +411,7 @@
 static void
 stop_all(struct caller *callers)
 {
-	for (int i = 0; i < HOSTS; i++) {
+	for (int i = 0; i < n_hosts; i++) {
 		kill(hosts[i].pid, SIGTERM);
 		if (rig_reap(&hosts[i]) != 0)
 			violation(
@@ -424,6 +429,9 @@
 	int seconds = argc > 2 ? atoi(argv[2]) : 20;
 	struct caller callers[CALLERS];
 
+	if (argc > 3 && atoi(argv[3]) > 0 && atoi(argv[3]) <= MAX_HOSTS)
+		n_hosts = atoi(argv[3]);
+
 	signal(SIGPIPE, SIG_IGN);
 	open_all();
 	for (int i = 0; i < CALLERS; i++) {
