--- a/entry/door.c
+++ b/entry/door.c
@@ -478,7 +478,9 @@
 door_free(struct door *d)
 {
 	evconnlistener_free(d->listener);
-	while (d->conns.head != NULL)
-		free_conn(d->conns.head->data);
+	for (GList *l = d->conns.head, *next; l != NULL; l = next) {
+		next = l->next;
+		free_conn(l->data);
+	}
 	free(d);
 }
--- a/entry/home.h
+++ b/entry/home.h
@@ -38,7 +38,7 @@
 /* The configuration in force, for the shapes of services. */
 void home_routes(struct home *h, struct routes *routes);
 /* from: the asking host's RPC address, or NULL for this host. */
-void home_ask(struct home *h, const char *from, const peer_piece_ask *a);
+void home_ask(struct home *h, const char *from, const peer_piece_ask *x);
 /* Results that were used; they are freed with the next call to their maker. */
 void home_release(struct home *h, struct str handles);
 /* Drops what is too late, forgets what is over; call it regularly. */
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -277,7 +277,9 @@
 same_peers(const GArray *a, const GArray *b)
 {
 	return a->len == b->len &&
-	    memcmp(a->data, b->data, a->len * sizeof(struct view_peer)) == 0;
+	    (a->len == 0 ||
+		memcmp(a->data, b->data, a->len * sizeof(struct view_peer)) ==
+		    0);
 }
 
 static void
@@ -633,9 +635,10 @@
 {
 	struct relay_parts *p = &y->parts;
 
-	while (y->requests.head != NULL) {
-		struct request *r = y->requests.head->data;
+	for (GList *l = y->requests.head, *next; l != NULL; l = next) {
+		struct request *r = l->data;
 
+		next = l->next;
 		forward_cancel(r);
 		free_request(r);
 	}
--- a/entry/steward_feed.c
+++ b/entry/steward_feed.c
@@ -100,12 +100,15 @@
 steward_is_fed(struct steward *s, usec_t now)
 {
 	size_t n;
-	g_autofree struct feeder_host *v = NULL;
+	struct feeder_host *v;
+	bool follows;
 
 	if (s->behind || now - s->fed_at >= FEED_SILENCE)
 		return false;
 	v = live_hosts(s, &n);
-	return !feeders_follows(v, n, s->o.settings->id);
+	follows = feeders_follows(v, n, s->o.settings->id);
+	g_free(v);
+	return !follows;
 }
 
 void
--- a/plat/dial.c
+++ b/plat/dial.c
@@ -361,12 +361,13 @@
 take_idle(struct dialer *d, const char *addr, usec_t max_idle, usec_t now)
 {
 	GQueue *q = pool_of(d, addr);
-	struct conn *c;
 	char byte;
 
-	while ((c = g_queue_peek_head(q)) != NULL) {
+	for (GList *l = q->head, *next; l != NULL; l = next) {
+		struct conn *c = l->data;
 		ssize_t n;
 
+		next = l->next;
 		/* The others have been idle for longer. */
 		if (max_idle > 0 && now - c->idle_since > max_idle)
 			return NULL;
@@ -436,9 +437,12 @@
 {
 	g_autofree char *text = g_strndup(addr.p, addr.n);
 	GQueue *q = g_hash_table_lookup(d->idle, text);
+	GList *next;
 
-	while (q != NULL && q->head != NULL)
-		free_conn(q->head->data);
+	for (GList *l = q != NULL ? q->head : NULL; l != NULL; l = next) {
+		next = l->next;
+		free_conn(l->data);
+	}
 }
 
 void
@@ -451,9 +455,10 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		GQueue *q = p;
 
-		while (q->tail != NULL) {
-			struct conn *c = q->tail->data;
+		for (GList *l = q->tail, *before; l != NULL; l = before) {
+			struct conn *c = l->data;
 
+			before = l->prev;
 			if (now - c->idle_since < c->idle_max)
 				break;
 			free_conn(c);
@@ -479,8 +484,10 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		GQueue *q = p;
 
-		while (q->head != NULL)
-			free_conn(q->head->data);
+		for (GList *l = q->head, *next; l != NULL; l = next) {
+			next = l->next;
+			free_conn(l->data);
+		}
 	}
 	g_hash_table_destroy(d->idle);
 	free(d);
--- a/plat/dial.h
+++ b/plat/dial.h
@@ -52,7 +52,7 @@
 struct dialer *dialer_new(struct event_base *base);
 struct dial_call *dial_start(struct dialer *d, const struct dial_opts *o);
 /* Closes the call's connection; its handler is not called again. */
-void dial_cancel(struct dial_call *c);
+void dial_cancel(struct dial_call *k);
 /* Closes idle connections to an address whose target has gone. */
 void dial_forget(struct dialer *d, struct str addr);
 /* Closes connections that have been idle for too long; call it regularly. */
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -388,8 +388,9 @@
 			.only_near = cases[i].only_near },
 		    out);
 		for (guint k = 0; k < out->len; k++)
-			strcat(got,
-			    g_array_index(out, struct batch_item, k).owner);
+			g_strlcat(got,
+			    g_array_index(out, struct batch_item, k).owner,
+			    sizeof(got));
 		g_test_message("case %zu", i);
 		g_assert_cmpstr(got, ==, cases[i].want);
 		g_assert_cmpuint(out->len + b.items->len, ==, cases[i].n);
@@ -493,13 +494,13 @@
 	uint32_t urgent = 0;
 	uint32_t urgent_in_time = 0;
 	/* 10 pieces a call of 440 ms on 5 targets: 113 a second. */
-	double rate = 2 * 113.0;
-	double due = 0;
+	uint32_t rate = 2 * 113;
+	uint32_t due = 0; /* thousandths of a piece */
 	uint32_t made = 0;
 
 	batch_init(&b, &shape);
 	for (usec_t now = 0; now < 20000 * MS; now += STEP * MS) {
-		for (due += rate * STEP / 1000; due >= 1; due--, made++) {
+		for (due += rate * STEP; due >= 1000; due -= 1000, made++) {
 			struct batch_item it = { .owner = &b,
 				.piece = made,
 				.queued = now,
--- a/tests/platform/world.c
+++ b/tests/platform/world.c
@@ -806,8 +806,8 @@
 	pthread_mutex_unlock(&w->lock);
 	event_active(w->kick, EV_TIMEOUT, 0);
 	pthread_join(w->thread, NULL);
-	while (w->conns->len > 0)
-		free_conn(w->conns->pdata[0]);
+	for (guint i = w->conns->len; i-- > 0;)
+		free_conn(w->conns->pdata[i]);
 	for (size_t i = 0; i < w->n_targets; i++) {
 		evconnlistener_free(w->targets[i]->listener);
 		free(w->targets[i]);
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -46,7 +46,7 @@
 void world_put(struct world *w, const char *key, const char *value);
 void world_delete(struct world *w, const char *key);
 /* Starts a target and enters it in the store. */
-void world_add_target(struct world *w, const struct world_target *t);
+void world_add_target(struct world *w, const struct world_target *o);
 /* Enters it as leaving, and as ready. */
 void world_drain_target(struct world *w, const char *id);
 void world_ready_target(struct world *w, const char *id);
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -162,8 +162,8 @@
 		if (k->moved)
 			move(x);
 	}
-	while (k->reset && k->pairs->len > 0)
-		free_pair(k->pairs->pdata[0], true);
+	for (guint i = k->reset ? k->pairs->len : 0; i-- > 0;)
+		free_pair(k->pairs->pdata[i], true);
 	k->reset = k->silence = k->moved = false;
 }
 
@@ -259,8 +259,8 @@
 	event_active(p->kick, EV_TIMEOUT, 0);
 	pthread_join(p->thread, NULL);
 	for (int i = 0; i < p->n_links; i++) {
-		while (p->links[i].pairs->len > 0)
-			free_pair(p->links[i].pairs->pdata[0], false);
+		for (guint k = p->links[i].pairs->len; k-- > 0;)
+			free_pair(p->links[i].pairs->pdata[k], false);
 		g_ptr_array_unref(p->links[i].pairs);
 		evconnlistener_free(p->links[i].listener);
 	}
