--- a/entry/door.c
+++ b/entry/door.c
@@ -1,5 +1,6 @@
 #include "entry/door.h"
 #include "base/log.h"
+#include "plat/addr.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -287,20 +288,6 @@
 	log_text(LOG_LVL_WARNING, "accept-failed", "%s", strerror(errno));
 }
 
-static bool
-parse_addr(const char *text, struct sockaddr_in *out)
-{
-	g_autofree char *ip = g_strdup(text);
-	char *colon = strrchr(ip, ':');
-
-	if (colon == NULL)
-		return false;
-	*colon = '\0';
-	*out = (struct sockaddr_in){ .sin_family = AF_INET };
-	out->sin_port = htons((uint16_t)atoi(colon + 1));
-	return inet_pton(AF_INET, ip, &out->sin_addr) == 1;
-}
-
 struct door *
 door_new(const struct door_opts *o, struct err *e)
 {
@@ -309,7 +296,7 @@
 
 	d->o = *o;
 	g_queue_init(&d->conns);
-	if (parse_addr(o->addr, &sa))
+	if (addr_parse(str_from(o->addr), &sa))
 		d->listener = evconnlistener_new_bind(o->base, on_accept, d,
 		    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
 			LEV_OPT_CLOSE_ON_EXEC,
--- a/entry/rpc.c
+++ b/entry/rpc.c
@@ -1,6 +1,7 @@
 #include "entry/rpc.h"
 #include "base/hash.h"
 #include "base/rng.h"
+#include "plat/addr.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -46,22 +47,6 @@
 /* The dispatch routine of the RPC library gets no argument of its own. */
 static struct rpc *the_rpc;
 
-static bool
-parse_addr(const char *text, struct sockaddr_in *out)
-{
-	char ip[64];
-	const char *colon = strrchr(text, ':');
-
-	if (colon == NULL || (size_t)(colon - text) >= sizeof(ip))
-		return false;
-	memcpy(ip, text, (size_t)(colon - text));
-	ip[colon - text] = '\0';
-	memset(out, 0, sizeof(*out));
-	out->sin_family = AF_INET;
-	out->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
-	return inet_pton(AF_INET, ip, &out->sin_addr) == 1;
-}
-
 /* The XDR form of no argument and no result. */
 static bool_t
 no_body(XDR *x, ...)
@@ -261,7 +246,7 @@
 	r->o = *o;
 	r->send_fd = -1;
 	pthread_mutex_init(&r->send_lock, NULL);
-	if (!parse_addr(o->addr, &at) || !listen_both(r, &at)) {
+	if (!addr_parse(str_from(o->addr), &at) || !listen_both(r, &at)) {
 		err_set(e, ERR_SETTING,
 		    "[sequoiad] rpc = %s: can't listen there: write an own "
 		    "address with a free port",
@@ -288,7 +273,7 @@
 		return r->send_fd;
 	if (r->send_fd >= 0)
 		close(r->send_fd);
-	parse_addr(r->o.addr, &at);
+	addr_parse(str_from(r->o.addr), &at);
 	at.sin_port = 0;
 	r->send_fd = bind_socket(&at, SOCK_DGRAM);
 	r->send_fd_at = now;
@@ -340,7 +325,7 @@
 		.body = *body,
 	};
 
-	if (!parse_addr(addr, &to))
+	if (!addr_parse(str_from(addr), &to))
 		return;
 	if (seal(r, (xdrproc_t)xdr_peer_letter, &l, &s)) {
 		pthread_mutex_lock(&r->send_lock);
@@ -409,7 +394,7 @@
 	ask.from = (char *)r->o.id;
 	ask.sent_ms = clock_wall() / USEC_PER_MSEC;
 	ask.nonce = rng_entropy();
-	if (!parse_addr(addr, &to) ||
+	if (!addr_parse(str_from(addr), &to) ||
 	    !seal(r, (xdrproc_t)xdr_peer_query, &ask, &sealed))
 		goto out;
 	fd = connect_in_time(&to, timeout);
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -40,7 +40,6 @@
 struct loads_wish {
 	struct str service;
 	bool engine;
-	uint32_t slots;         /* of an engine */
 	uint64_t prefix;        /* hash of the largest shared part; 0: none */
 	uint32_t shared_tokens; /* that a target may have kept */
 	struct str near_addr; /* where the first of its inputs lies; or empty */
--- a/plat/dial.c
+++ b/plat/dial.c
@@ -1,5 +1,6 @@
 #include "plat/dial.h"
 #include "base/log.h"
+#include "plat/addr.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -291,25 +292,6 @@
 		fail(c, DIAL_UNSENT);
 }
 
-static bool
-parse_addr(struct str addr, struct sockaddr_in *out)
-{
-	char text[64];
-	char *colon;
-
-	if (addr.n >= sizeof(text))
-		return false;
-	memcpy(text, addr.p, addr.n);
-	text[addr.n] = '\0';
-	colon = strrchr(text, ':');
-	if (colon == NULL)
-		return false;
-	*colon = '\0';
-	*out = (struct sockaddr_in){ .sin_family = AF_INET };
-	out->sin_port = htons((uint16_t)atoi(colon + 1));
-	return inet_pton(AF_INET, text, &out->sin_addr) == 1;
-}
-
 static void
 set_socket_options(int fd)
 {
@@ -329,7 +311,7 @@
 		o->connect_timeout % USEC_PER_SEC };
 	int fd;
 
-	if (!parse_addr(o->addr, &sa))
+	if (!addr_parse(o->addr, &sa))
 		return NULL;
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0) {
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -624,7 +624,6 @@
 	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct target_entry));
 	struct loads_wish w = { .service = STR("s"),
 		.engine = true,
-		.slots = 48,
 		.prefix = 77,
 		.shared_tokens = 5000 };
 	struct target *first;
--- a/tests/plat/test_httpmsg.c
+++ b/tests/plat/test_httpmsg.c
@@ -1,4 +1,5 @@
 /* Tables of HTTP/1.1 messages: what is whole, and what is refused. */
+#include "plat/addr.h"
 #include "plat/httpmsg.h"
 
 #include <glib.h>
@@ -149,6 +150,26 @@
 	evbuffer_free(in);
 }
 
+static void
+test_addr(void)
+{
+	static const struct {
+		const char *text;
+		bool ok;
+	} cases[] = { { "127.0.0.1:80", true }, { "10.1.2.3:65535", true },
+		{ "127.0.0.1", false }, { "127.0.0.1:", false },
+		{ "127.0.0.1:65536", false }, { "host:80", false },
+		{ "127.0.0.1:8x", false }, { ":80", false }, { "", false },
+		{ "127.0.0.1127.0.0.1:80", false } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct sockaddr_in a;
+
+		g_assert_cmpint(
+		    addr_parse(str_from(cases[i].text), &a), ==, cases[i].ok);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -156,5 +177,6 @@
 	g_test_add_func("/messages", test_messages);
 	g_test_add_func("/eof", test_eof);
 	g_test_add_func("/limits", test_limits);
+	g_test_add_func("/addr", test_addr);
 	return g_test_run();
 }
