--- a/entry/asks.c
+++ b/entry/asks.c
@@ -129,6 +129,12 @@
 	return best->p.rpc;
 }
 
+const char *
+asks_home(struct asks *s, const char *service)
+{
+	return choose_home(s, service, clock_now());
+}
+
 static uint32_t
 left_ms(usec_t until, usec_t now)
 {
--- a/entry/asks.h
+++ b/entry/asks.h
@@ -46,6 +46,8 @@
 void asks_set_home(struct asks *s, struct home *h);
 /* The live hosts; struct view_peer. */
 void asks_peers(struct asks *s, const GArray *peers);
+/* The RPC address of a service's home now; empty for this host. */
+const char *asks_home(struct asks *s, const char *service);
 /* Returns the ask's number. */
 uint64_t asks_start(struct asks *s, const struct ask_opts *o);
 void asks_cancel(struct asks *s, uint64_t ask);
--- a/entry/home.c
+++ b/entry/home.c
@@ -93,6 +93,8 @@
 	p->home = h;
 	p->service = str_dup(str_from(service));
 	batch_init(&p->batch, &s->pool);
+	g_strlcpy(p->owner, h->o.owner(h->o.arg, service), sizeof(p->owner));
+	p->unsettled_until = clock_now() + UNSETTLED_TIME;
 	g_hash_table_insert(h->pools, p->service, p);
 	return p;
 }
@@ -490,7 +492,19 @@
 void
 home_unsettle(struct home *h, usec_t now)
 {
-	h->unsettled_until = now + UNSETTLED_TIME;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, h->pools);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct pool *p = v;
+		const char *owner = h->o.owner(h->o.arg, p->service);
+
+		if (strcmp(owner, p->owner) == 0)
+			continue;
+		g_strlcpy(p->owner, owner, sizeof(p->owner));
+		p->unsettled_until = now + UNSETTLED_TIME;
+	}
 }
 
 void
--- a/entry/home.h
+++ b/entry/home.h
@@ -21,6 +21,8 @@
 	struct rpc *rpc;
 	/* The reply to an ask of this host's own. */
 	void (*reply)(void *arg, const peer_piece_reply *r);
+	/* Who is the home of a service now; empty for this host. */
+	const char *(*owner)(void *arg, const char *service);
 	/* Results of another service that were fetched by this home's calls. */
 	void (*fetched)(void *arg, struct str handles);
 	void *arg;
@@ -43,7 +45,10 @@
 void home_release(struct home *h, struct str handles);
 /* Drops what is too late, forgets what is over; call it regularly. */
 void home_tick(struct home *h, usec_t now);
-/* The hosts have changed: for a while others may still act as homes. */
+/*
+ * The hosts have changed: where the home of a service has moved, another host
+ * may still act as its home for a while.
+ */
 void home_unsettle(struct home *h, usec_t now);
 /* This host is leaving: what has not begun goes to the next home. */
 void home_drain(struct home *h);
--- a/entry/home_calls.c
+++ b/entry/home_calls.c
@@ -275,7 +275,7 @@
 		a->in_calls++;
 		k->bytes += a->bytes;
 		if (++a->started == a->n && a->inputs.n > 0 &&
-		    now >= k->home->unsettled_until)
+		    now >= k->pool->unsettled_until)
 			a->fetched_at = now + FETCH_TIME;
 		v[i] = (struct piece_call){
 			.id = str_of(&a->id),
--- a/entry/home_state.h
+++ b/entry/home_state.h
@@ -7,6 +7,7 @@
 
 #include "entry/home.h"
 #include "kernel/batch.h"
+#include "kernel/limits.h"
 #include "kernel/room.h"
 #include "platform/stage.h"
 
@@ -47,6 +48,8 @@
 	struct home *home;
 	char *service;
 	struct batch batch;
+	char owner[MAX_ADDR_BYTES]; /* its home, as this host sees it */
+	usec_t unsettled_until;
 };
 
 struct stage_call {
@@ -77,7 +80,6 @@
 	GHashTable *used;  /* address -> struct used */
 	GHashTable *last;  /* target id -> hash of its last results */
 	struct room room;
-	usec_t unsettled_until;
 	bool draining;
 	struct home_counts counts;
 	GPtrArray *unsaid; /* asks of this host that are answered */
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -273,15 +273,6 @@
 	}
 }
 
-static bool
-same_peers(const GArray *a, const GArray *b)
-{
-	return a->len == b->len &&
-	    (a->len == 0 ||
-		memcmp(a->data, b->data, a->len * sizeof(struct view_peer)) ==
-		    0);
-}
-
 static void
 take_view(struct relay *y, struct view *v)
 {
@@ -292,9 +283,8 @@
 	    t != NULL ? t->version : 0, v->targets->len, v->peers->len,
 	    v->store_away ? "away" : "answering");
 	loads_update(&y->parts.loads, v->targets);
-	if (y->view == NULL || !same_peers(y->view->peers, v->peers))
-		home_unsettle(y->parts.home, clock_now());
 	asks_peers(y->parts.asks, v->peers);
+	home_unsettle(y->parts.home, clock_now());
 	y->parts.rule.hosts = v->peers->len > 0 ? v->peers->len : 1;
 	if (t != NULL) {
 		door_limits(y->door,
@@ -427,6 +417,14 @@
 	asks_reply(y->parts.asks, NULL, r);
 }
 
+static const char *
+on_owner(void *arg, const char *service)
+{
+	struct relay *y = arg;
+
+	return asks_home(y->parts.asks, service);
+}
+
 /* Tells each maker's home of the results that are not needed any more. */
 static void
 on_fetched(void *arg, struct str handles)
@@ -571,6 +569,7 @@
 	    .loads = &p->loads,
 	    .rpc = steward_rpc(s),
 	    .reply = on_local_reply,
+	    .owner = on_owner,
 	    .fetched = on_fetched,
 	    .arg = y,
 	});
