--- a/tests/orders/run.sh
+++ b/tests/orders/run.sh
@@ -92,7 +92,7 @@
 # The node that last took the lease of a service, or nothing.
 sender() {
 	grep -h "orders-lease-held.*service=\"$1\"" "$D"/e?.log | sort |
-	    tail -n 1 | sed -n 's/^[^ ]* [^ ]* e\([0-9]\) .*/\1/p'
+	    tail -n 1 | sed -n 's/.* host=e\([0-9]\) .*/\1/p'
 }
 orders() { curl -sf "$ADMIN/orders" | jq -r "$1"; }
 
