A stopping home serves its own asks that come back

Cause: home_drain hands over what has not begun; when every other host is silent for the moment, the host's own ask came back to its own home, which found it handed over and said so again, without end: the stack overflowed at SIGTERM and everything was cut. Test: relay/stop with staged requests, which overflowed before.

--- a/entry/home.c
+++ b/entry/home.c
@@ -340,6 +340,11 @@
 	struct batch_item it;
 	struct pool *p;
 
+	if (a != NULL && a->moved && from == NULL) {
+		/* It has come back: there is no other home. */
+		g_hash_table_remove(h->asks, key);
+		a = NULL;
+	}
 	if (a != NULL || x->cancelled) {
 		free(key);
 		if (x->cancelled)
