A rejection never promises "not run" for a request that may have run

Whatever path a request is given up on, its status is made true in one place: where a send may have run, what would be 503 is 502 and has no Retry-After. Before, only the path through the targets did so. Test: safe-cut-refuse.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -63,14 +63,7 @@
 static void
 give_up(struct request *r, enum err_kind kind, const char *cause)
 {
-	bool not_run = !r->may_have_run || route_repeatable(r->route);
-
-	/* "Not run" is promised only where it is known. */
-	if (r->may_have_run && kind == ERR_NO_TARGET)
-		kind = ERR_TARGET_FAILED;
-	request_reject(r,
-	    &(struct rejection){
-		kind, not_run && !r->may_have_run ? RETRY_AFTER : 0, cause });
+	request_reject(r, &(struct rejection){ kind, RETRY_AFTER, cause });
 }
 
 static void
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -84,16 +84,32 @@
 	return x;
 }
 
+/* A status that promises "not run" is only given where that is known. */
+static struct rejection
+true_rejection(const struct request *r, const struct rejection *why)
+{
+	struct rejection out = *why;
+
+	if (!r->may_have_run)
+		return out;
+	if (err_status(out.kind) == HTTP_STATUS_SERVICE_UNAVAILABLE)
+		out.kind = ERR_TARGET_FAILED;
+	out.retry_after = 0;
+	return out;
+}
+
 void
 request_reject(struct request *r, const struct rejection *why)
 {
-	r->relay->counts.rejected[-why->kind]++;
+	struct rejection told = true_rejection(r, why);
+
+	r->relay->counts.rejected[-told.kind]++;
 	relay_log_rejection(
-	    r->facts.id, why, r->route->name, clock_now() - r->arrived);
+	    r->facts.id, &told, r->route->name, clock_now() - r->arrived);
 	if (r->head_written)
 		door_abort(r->door);
 	else
-		relay_problem(r->door, r->facts.id, why);
+		relay_problem(r->door, r->facts.id, &told);
 	free_request(r);
 }
 
@@ -255,7 +271,7 @@
 	accept_request(y, q, &f, route, h);
 }
 
-/* Callers' connections to hosts that left are closed with their targets. */
+/* Connections to targets that are not listed any more are closed. */
 static void
 forget_left(struct relay *y, const GArray *before, const GArray *after)
 {
--- a/tests/platform/test_relay.c
+++ b/tests/platform/test_relay.c
@@ -51,6 +51,8 @@
 	/* Refused without running. */
 	{ "/once/1", "once-no", "refuse", 503, 0, NULL, false },
 	{ "/once/1", "once-again", "refuse-once", 200, 1, "once-again", false },
+	/* It ran once, and was then refused: that is no "not run". */
+	{ "/safe/1", "safe-cut-refuse", "cut-refuse", 502, 1, NULL, false },
 	/* An answer that comes again before the next one. */
 	{ "/safe/1", "safe-late", "late", 200, 1, "safe-late", false },
 	{ "/safe/1", "safe-late-2", "late", 200, 1, "safe-late-2", false },
--- a/tests/platform/world.c
+++ b/tests/platform/world.c
@@ -305,7 +305,7 @@
 	const char *s = c->script;
 
 	seal_fields(c, fields, sizeof(fields));
-	if (strcmp(s, "cut") == 0) {
+	if (strcmp(s, "cut") == 0 || strcmp(s, "cut-refuse") == 0) {
 		reset_conn(c);
 	} else if (strcmp(s, "half") == 0) {
 		evbuffer_add_printf(out,
@@ -401,7 +401,8 @@
 	g_strlcpy(s->head, head.p, sizeof(s->head));
 	buf_free(&head);
 	if (strcmp(c->script, "refuse") == 0 ||
-	    (strcmp(c->script, "refuse-once") == 0 && s->arrivals == 1)) {
+	    (strcmp(c->script, "refuse-once") == 0 && s->arrivals == 1) ||
+	    (strcmp(c->script, "cut-refuse") == 0 && s->arrivals == 2)) {
 		answer(c, 503, "X-Not-Executed: 1\r\n", STR(""));
 		return false;
 	}
