--- a/entry/asks.c
+++ b/entry/asks.c
@@ -2,7 +2,6 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "kernel/homes.h"
-#include "kernel/inflow.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -15,8 +14,6 @@
 #define MAX_TRIES         3 /* without a word before another home is taken */
 /* A home that did not confirm is not chosen for so long. */
 #define SUSPECT_TIME      (2 * USEC_PER_SEC)
-/* What a home says of its load counts for so long: some of its letters. */
-#define SHARES_VALID      (1 * USEC_PER_SEC)
 #define INCARNATION_SHIFT 24 /* asks of one start that are told apart */
 
 struct asked {
@@ -37,18 +34,11 @@
 	usec_t suspect_until;
 };
 
-/* What a service's home last said of the requests that may begin. */
-struct said_shares {
-	uint8_t percent[INFLOW_RANKS];
-	usec_t at;
-};
-
 struct asks {
 	struct asks_opts o;
 	struct home *home;
 	GArray *peers;    /* struct peer */
 	GHashTable *open; /* number -> struct asked */
-	GHashTable *said; /* service -> struct said_shares */
 	uint64_t next;
 };
 
@@ -76,7 +66,6 @@
 	s->peers = g_array_new(FALSE, TRUE, sizeof(struct peer));
 	s->open = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_asked);
-	s->said = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
 	s->next = o->incarnation << INCARNATION_SHIFT;
 	return s;
 }
@@ -185,7 +174,6 @@
 	a->body.inputs = str_dup(o->inputs);
 	a->body.stage = o->stage;
 	a->body.rank = o->rank;
-	a->body.stands_for = (u_int)(100 * o->stands_for);
 	a->body.bytes = o->bytes;
 	a->body.domain = str_dup(o->domain);
 	a->body.pieces.pieces_len = o->n;
@@ -271,29 +259,6 @@
 	buf_free(&handles);
 }
 
-static void
-note_shares(struct asks *s, const char *service, const peer_piece_reply *r)
-{
-	struct said_shares *v = g_hash_table_lookup(s->said, service);
-
-	if (v == NULL) {
-		v = xcalloc(1, sizeof(*v));
-		g_hash_table_insert(s->said, g_strdup(service), v);
-	}
-	memcpy(v->percent, r->shares, sizeof(v->percent));
-	v->at = clock_now();
-}
-
-double
-asks_share(struct asks *s, const char *service, uint32_t rank)
-{
-	const struct said_shares *v = g_hash_table_lookup(s->said, service);
-
-	if (v == NULL || clock_now() - v->at > SHARES_VALID)
-		return 1;
-	return v->percent[MIN(rank, INFLOW_RANKS - 1)] / 100.0;
-}
-
 void
 asks_reply(struct asks *s, const char *from, const peer_piece_reply *r)
 {
@@ -308,8 +273,6 @@
 		drop_made(s, from, r);
 		return;
 	}
-	if (!r->moved)
-		note_shares(s, a->body.service, r);
 	if (r->moved) {
 		move_on(s, a, clock_now());
 		send_ask(s, a, clock_now());
@@ -372,7 +335,6 @@
 asks_free(struct asks *s)
 {
 	g_hash_table_destroy(s->open);
-	g_hash_table_destroy(s->said);
 	g_array_unref(s->peers);
 	free(s);
 }
--- a/entry/asks.h
+++ b/entry/asks.h
@@ -34,7 +34,6 @@
 	usec_t deadline;
 	usec_t aim; /* the results are late after that */
 	uint32_t rank;
-	double stands_for; /* begun and refused requests, 1 or more */
 	uint64_t bytes;    /* of one result */
 	struct str domain; /* where they are best made; or empty */
 	/* Called once, unless the ask is cancelled; never from asks_start. */
@@ -49,8 +48,6 @@
 void asks_peers(struct asks *s, const GArray *peers);
 /* The RPC address of a service's home now; empty for this host. */
 const char *asks_home(struct asks *s, const char *service);
-/* The share of requests of a rank that may begin, by a stage's service. */
-double asks_share(struct asks *s, const char *service, uint32_t rank);
 /* Returns the ask's number. */
 uint64_t asks_start(struct asks *s, const struct ask_opts *o);
 void asks_cancel(struct asks *s, uint64_t ask);
--- a/entry/course.c
+++ b/entry/course.c
@@ -1,5 +1,4 @@
 #include "entry/request.h"
-#include "base/hash.h"
 #include "base/log.h"
 #include "platform/stage.h"
 
@@ -12,12 +11,6 @@
 #define USUAL_FILL      0.4
 /* Less is moved anywhere in no time. */
 #define MOVED_BYTES     200000
-/* A refused caller comes back after this, and up to as much later: bursts last
- * some seconds. */
-#define LOAD_RETRY      (1 * USEC_PER_SEC)
-/* A request counts for twenty at the most. */
-#define LEAST_TOLD      0.05
-#define INFLOW_SEED     17 /* sets the draw apart from other uses of ids */
 
 /* The argument of an ask, which owns it. */
 struct course_ask {
@@ -179,52 +172,6 @@
 	return worst;
 }
 
-static uint32_t
-ask_rank(const struct request *r)
-{
-	return r->rank > 0 ? (uint32_t)r->rank : 0;
-}
-
-/* The least share of requests like this that one of its stages can take. */
-static double
-least_share(const struct request *r)
-{
-	double least = 1;
-
-	for (uint32_t i = 0; i < r->route->n_stages; i++) {
-		double share;
-
-		if (!is_wanted(r, i))
-			continue;
-		share = asks_share(
-		    r->parts->asks, service_name(r, i).p, ask_rank(r));
-		least = share < least ? share : least;
-	}
-	return least;
-}
-
-/* Whether it is among those for which its stages have room, by its id. */
-static bool
-may_begin(struct request *r)
-{
-	double share = least_share(r);
-	uint64_t draw = hash_u64(r->facts.id, INFLOW_SEED) % 10000;
-
-	r->stands_for = 1 / (share > LEAST_TOLD ? share : LEAST_TOLD);
-	return (double)draw < share * 10000;
-}
-
-static void
-refuse_load(struct request *r)
-{
-	usec_t spread = (usec_t)(hash_u64(r->facts.id, INFLOW_SEED + 1) %
-	    (uint64_t)LOAD_RETRY);
-
-	request_reject(r,
-	    &(struct rejection){ ERR_NO_TIME, LOAD_RETRY + spread,
-		"its stages are given more than they can make" });
-}
-
 /* A piece was not made: whether and what to make again. */
 static void
 on_unmade(struct request *r, uint32_t stage, int outcome)
@@ -235,9 +182,10 @@
 	LOG(LOG_LVL_NOTICE, "stage-failed", { "request", r->facts.id },
 	    { "stage", service_name(r, stage) },
 	    { "outcome",
-		str_from(outcome == PIECE_LATE  ? "late"
-			: outcome == PIECE_GONE ? "input gone"
-						: "failed") });
+		str_from(outcome == PIECE_LATE     ? "late"
+			: outcome == PIECE_GONE    ? "input gone"
+			: outcome == PIECE_NO_ROOM ? "no room"
+						   : "failed") });
 	if (outcome == PIECE_LATE || ++s->tries >= MAX_STAGE_TRIES) {
 		request_reject(r,
 		    &(struct rejection){ ERR_NO_TIME, USEC_PER_SEC / 2,
@@ -245,10 +193,7 @@
 		return;
 	}
 	if (outcome == PIECE_GONE) {
-		if (may_begin(r))
-			course_restart(r);
-		else
-			refuse_load(r);
+		course_restart(r);
 		return;
 	}
 	start_ready(r);
@@ -373,8 +318,7 @@
 		.aim = r->aim - time_behind(r, i),
 		.bytes = r->route->stages[i].bytes,
 		.domain = str_from(best_domain(r, i, str_of(&inputs))),
-		.rank = ask_rank(r),
-		.stands_for = r->stands_for,
+		.rank = r->rank > 0 ? (uint32_t)r->rank : 0,
 		.handler = on_reply,
 		.arg = c,
 	    });
@@ -415,10 +359,7 @@
 void
 course_start(struct request *r)
 {
-	if (may_begin(r))
-		start_ready(r);
-	else
-		refuse_load(r);
+	start_ready(r);
 }
 
 static void
--- a/entry/home.c
+++ b/entry/home.c
@@ -19,8 +19,6 @@
 #define INPUT_MARGIN    (400 * USEC_PER_MSEC)
 /* A piece that is late already waits so long for room; then it is refused. */
 #define LATE_PATIENCE   (10 * USEC_PER_SEC)
-/* How often it is reckoned which share of requests may begin. */
-#define SHARES_EVERY    (50 * USEC_PER_MSEC)
 /* A refused caller comes back when what waits now is done, spread by half. */
 #define RETRY_SPREAD_MS 400
 
@@ -101,50 +99,6 @@
 	return p;
 }
 
-static uint32_t
-usable_targets(
-    struct home *h, const char *service, usec_t now, uint32_t *free_ones)
-{
-	const GPtrArray *all = loads_of(h->o.loads, service);
-	uint32_t usable = 0;
-
-	*free_ones = 0;
-	for (guint i = 0; all != NULL && i < all->len; i++) {
-		const struct target *t = all->pdata[i];
-
-		if (now < t->aside_until)
-			continue;
-		usable++;
-		if (t->in_flight == 0)
-			(*free_ones)++;
-	}
-	return usable;
-}
-
-/* Which share of the requests of each rank may begin, by this stage. */
-static void
-update_shares(struct pool *p, usec_t now)
-{
-	struct inflow_state s = { 0 };
-	double shares[INFLOW_RANKS];
-	uint32_t free_ones;
-	uint32_t usable = usable_targets(p->home, p->service, now, &free_ones);
-
-	if (now - p->shares_at < SHARES_EVERY)
-		return;
-	p->shares_at = now;
-	s.capacity = batch_capacity(&p->batch, usable);
-	for (guint i = 0; i < p->batch.items->len; i++) {
-		uint32_t rank =
-		    g_array_index(p->batch.items, struct batch_item, i).rank;
-
-		s.waiting[MIN(rank, INFLOW_RANKS - 1)]++;
-	}
-	inflow_shares(&p->inflow, &s, now, shares);
-	for (int i = 0; i < INFLOW_RANKS; i++)
-		p->shares[i] = (uint8_t)(100 * shares[i]);
-}
-
 /* Tells the asking host where the ask stands. */
 static void
 send_reply(struct home *h, const struct ask *a)
@@ -157,11 +111,6 @@
 	r->refused = a->refused;
 	r->moved = a->moved;
 	r->wait_ms = a->wait_ms;
-	memset(r->shares, 100, sizeof(r->shares));
-	if (a->pool != NULL) {
-		update_shares(a->pool, clock_now());
-		memcpy(r->shares, a->pool->shares, sizeof(r->shares));
-	}
 	r->made.made_val = made;
 	for (uint32_t i = 0; a->replied && !a->refused && !a->moved && i < a->n;
 	     i++) {
@@ -258,6 +207,26 @@
 	};
 }
 
+static uint32_t
+usable_targets(
+    struct home *h, const char *service, usec_t now, uint32_t *free_ones)
+{
+	const GPtrArray *all = loads_of(h->o.loads, service);
+	uint32_t usable = 0;
+
+	*free_ones = 0;
+	for (guint i = 0; all != NULL && i < all->len; i++) {
+		const struct target *t = all->pdata[i];
+
+		if (now < t->aside_until)
+			continue;
+		usable++;
+		if (t->in_flight == 0)
+			(*free_ones)++;
+	}
+	return usable;
+}
+
 /*
  * Whether the pieces will be made in time; else the ask is refused.  Work that
  * has begun is not refused for want of room: its earlier stages would be lost.
@@ -389,9 +358,6 @@
 	/* Its own asks come back only if there is no other home. */
 	a->moved = h->draining && from != NULL;
 	it = make_item(a, x, now);
-	if (p != NULL && !a->moved)
-		inflow_note(
-		    &p->inflow, x->rank, a->n, x->stands_for / 100.0, now);
 	if (a->moved || !admit(h, a, &it, now)) {
 		home_finish(h, a, now);
 		return;
--- a/entry/home_calls.c
+++ b/entry/home_calls.c
@@ -15,17 +15,6 @@
 #define FETCH_TIME      (80 * USEC_PER_MSEC)
 #define MAX_PIECE_SENDS 3
 
-/* A piece that was not made waits again. */
-static void
-wait_again(struct stage_call *k, const struct batch_item *it)
-{
-	struct ask *a = it->owner;
-
-	a->started--;
-	a->fetched_at = 0;
-	batch_add(&k->pool->batch, it);
-}
-
 static void
 set_result(struct home *h, const struct batch_item *it,
     const struct piece_result *res, usec_t now)
@@ -67,7 +56,9 @@
 			continue;
 		}
 		h->counts.repeats += counts;
-		wait_again(k, &it);
+		a->started--;
+		a->fetched_at = 0;
+		batch_add(&k->pool->batch, &it);
 	}
 }
 
@@ -89,9 +80,6 @@
 {
 	g_hash_table_remove(k->home->calls, k);
 	room_unreserve(&k->home->room, k->addr, k->bytes);
-	if (k->no_room > 0)
-		room_full(&k->home->room, k->addr, k->pool->batch.shape.room,
-		    clock_now());
 	let_go(k->home, k->items);
 	event_free(k->timer);
 	g_array_unref(k->items);
@@ -115,17 +103,6 @@
 	return false;
 }
 
-/* The maker holds more than is known here: the piece goes elsewhere. */
-static void
-no_room(struct stage_call *k, const struct batch_item *it)
-{
-	const struct ask *a = it->owner;
-
-	k->no_room++;
-	if (!a->replied)
-		wait_again(k, it);
-}
-
 /* Reads the answer; false if it can't be one to this call. */
 static bool
 take_results(struct stage_call *k, struct evbuffer *body, usec_t now)
@@ -140,15 +117,9 @@
 		return false;
 	v = xcalloc(k->items->len, sizeof(*v));
 	ok = platform_stage_results(text, v, k->items->len);
-	for (guint i = 0; ok && i < k->items->len; i++) {
-		const struct batch_item *it =
-		    &g_array_index(k->items, struct batch_item, i);
-
-		if (v[i].outcome != PIECE_NO_ROOM)
-			set_result(k->home, it, &v[i], now);
-		else
-			no_room(k, it);
-	}
+	for (guint i = 0; ok && i < k->items->len; i++)
+		set_result(k->home,
+		    &g_array_index(k->items, struct batch_item, i), &v[i], now);
 	free(v);
 	return ok;
 }
@@ -185,10 +156,6 @@
 		batch_measured(
 		    &k->pool->batch, k->items->len, now - k->started);
 	}
-	if (k->no_room > 0)
-		log_text(LOG_LVL_NOTICE, "stage-no-room",
-		    "target %s of %s: %u pieces wait again", k->target_id,
-		    k->pool->service, k->no_room);
 	free_stage_call(k);
 	home_serve(h, p, now);
 }
--- a/entry/home_state.h
+++ b/entry/home_state.h
@@ -7,7 +7,6 @@
 
 #include "entry/home.h"
 #include "kernel/batch.h"
-#include "kernel/inflow.h"
 #include "kernel/limits.h"
 #include "kernel/room.h"
 #include "platform/stage.h"
@@ -49,9 +48,6 @@
 	struct home *home;
 	char *service;
 	struct batch batch;
-	struct inflow inflow;
-	uint8_t shares[INFLOW_RANKS]; /* percent, as last reckoned */
-	usec_t shares_at;
 	char owner[MAX_ADDR_BYTES]; /* its home, as this host sees it */
 	usec_t unsettled_until;
 };
@@ -67,7 +63,6 @@
 	GArray *items;  /* struct batch_item; owner: struct ask */
 	usec_t started;
 	int status;
-	uint32_t no_room; /* pieces that the target had no room for */
 	bool not_run;
 };
 
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -14,11 +14,11 @@
 extern "C" {
 #endif
 
-#define PEER_NAME_MAX 48
-#define PEER_VALUE_MAX 9437184
+#define PEER_NAME_MAX    48
+#define PEER_VALUE_MAX   9437184
 #define PEER_MEMBERS_MAX 32
 #define PEER_LEAVING_MAX 4
-#define PEER_BATCH_MAX 16
+#define PEER_BATCH_MAX   16
 
 typedef char *peer_name;
 
@@ -143,7 +143,6 @@
 	u_int rank;
 	u_quad_t bytes;
 	peer_name domain;
-	u_int stands_for;
 	bool_t cancelled;
 };
 typedef struct peer_piece_ask peer_piece_ask;
@@ -160,7 +159,6 @@
 	bool_t refused;
 	bool_t moved;
 	u_int wait_ms;
-	char shares[4];
 	struct {
 		u_int made_len;
 		peer_piece_made *made_val;
@@ -281,74 +279,74 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define PEER_DELIVER 1
-extern  enum clnt_stat peer_deliver_1(peer_sealed *, void *, CLIENT *);
-extern  bool_t peer_deliver_1_svc(peer_sealed *, void *, struct svc_req *);
+extern enum clnt_stat peer_deliver_1(peer_sealed *, void *, CLIENT *);
+extern bool_t peer_deliver_1_svc(peer_sealed *, void *, struct svc_req *);
 #define PEER_FETCH 2
-extern  enum clnt_stat peer_fetch_1(peer_sealed *, peer_sealed *, CLIENT *);
-extern  bool_t peer_fetch_1_svc(peer_sealed *, peer_sealed *, struct svc_req *);
-extern int peer_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+extern enum clnt_stat peer_fetch_1(peer_sealed *, peer_sealed *, CLIENT *);
+extern bool_t peer_fetch_1_svc(peer_sealed *, peer_sealed *, struct svc_req *);
+extern int peer_program_1_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define PEER_DELIVER 1
-extern  enum clnt_stat peer_deliver_1();
-extern  bool_t peer_deliver_1_svc();
-#define PEER_FETCH 2
-extern  enum clnt_stat peer_fetch_1();
-extern  bool_t peer_fetch_1_svc();
-extern int peer_program_1_freeresult ();
+extern enum clnt_stat peer_deliver_1();
+extern bool_t peer_deliver_1_svc();
+#define PEER_FETCH   2
+extern enum clnt_stat peer_fetch_1();
+extern bool_t peer_fetch_1_svc();
+extern int peer_program_1_freeresult();
 #endif /* K&R C */
 
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_peer_name (XDR *, peer_name*);
-extern  bool_t xdr_peer_member (XDR *, peer_member*);
-extern  bool_t xdr_peer_leaving (XDR *, peer_leaving*);
-extern  bool_t xdr_peer_gossip (XDR *, peer_gossip*);
-extern  bool_t xdr_peer_claim (XDR *, peer_claim*);
-extern  bool_t xdr_peer_verdict (XDR *, peer_verdict*);
-extern  bool_t xdr_peer_share_claim (XDR *, peer_share_claim*);
-extern  bool_t xdr_peer_share_report (XDR *, peer_share_report*);
-extern  bool_t xdr_peer_grant (XDR *, peer_grant*);
-extern  bool_t xdr_peer_share_reply (XDR *, peer_share_reply*);
-extern  bool_t xdr_peer_piece_ask (XDR *, peer_piece_ask*);
-extern  bool_t xdr_peer_piece_made (XDR *, peer_piece_made*);
-extern  bool_t xdr_peer_piece_reply (XDR *, peer_piece_reply*);
-extern  bool_t xdr_peer_piece_free (XDR *, peer_piece_free*);
-extern  bool_t xdr_peer_feed_item (XDR *, peer_feed_item*);
-extern  bool_t xdr_peer_feed (XDR *, peer_feed*);
-extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
-extern  bool_t xdr_peer_body (XDR *, peer_body*);
-extern  bool_t xdr_peer_letter (XDR *, peer_letter*);
-extern  bool_t xdr_peer_query_kind (XDR *, peer_query_kind*);
-extern  bool_t xdr_peer_query (XDR *, peer_query*);
-extern  bool_t xdr_peer_result (XDR *, peer_result*);
-extern  bool_t xdr_peer_sealed (XDR *, peer_sealed*);
+extern bool_t xdr_peer_name(XDR *, peer_name *);
+extern bool_t xdr_peer_member(XDR *, peer_member *);
+extern bool_t xdr_peer_leaving(XDR *, peer_leaving *);
+extern bool_t xdr_peer_gossip(XDR *, peer_gossip *);
+extern bool_t xdr_peer_claim(XDR *, peer_claim *);
+extern bool_t xdr_peer_verdict(XDR *, peer_verdict *);
+extern bool_t xdr_peer_share_claim(XDR *, peer_share_claim *);
+extern bool_t xdr_peer_share_report(XDR *, peer_share_report *);
+extern bool_t xdr_peer_grant(XDR *, peer_grant *);
+extern bool_t xdr_peer_share_reply(XDR *, peer_share_reply *);
+extern bool_t xdr_peer_piece_ask(XDR *, peer_piece_ask *);
+extern bool_t xdr_peer_piece_made(XDR *, peer_piece_made *);
+extern bool_t xdr_peer_piece_reply(XDR *, peer_piece_reply *);
+extern bool_t xdr_peer_piece_free(XDR *, peer_piece_free *);
+extern bool_t xdr_peer_feed_item(XDR *, peer_feed_item *);
+extern bool_t xdr_peer_feed(XDR *, peer_feed *);
+extern bool_t xdr_peer_kind(XDR *, peer_kind *);
+extern bool_t xdr_peer_body(XDR *, peer_body *);
+extern bool_t xdr_peer_letter(XDR *, peer_letter *);
+extern bool_t xdr_peer_query_kind(XDR *, peer_query_kind *);
+extern bool_t xdr_peer_query(XDR *, peer_query *);
+extern bool_t xdr_peer_result(XDR *, peer_result *);
+extern bool_t xdr_peer_sealed(XDR *, peer_sealed *);
 
 #else /* K&R C */
-extern bool_t xdr_peer_name ();
-extern bool_t xdr_peer_member ();
-extern bool_t xdr_peer_leaving ();
-extern bool_t xdr_peer_gossip ();
-extern bool_t xdr_peer_claim ();
-extern bool_t xdr_peer_verdict ();
-extern bool_t xdr_peer_share_claim ();
-extern bool_t xdr_peer_share_report ();
-extern bool_t xdr_peer_grant ();
-extern bool_t xdr_peer_share_reply ();
-extern bool_t xdr_peer_piece_ask ();
-extern bool_t xdr_peer_piece_made ();
-extern bool_t xdr_peer_piece_reply ();
-extern bool_t xdr_peer_piece_free ();
-extern bool_t xdr_peer_feed_item ();
-extern bool_t xdr_peer_feed ();
-extern bool_t xdr_peer_kind ();
-extern bool_t xdr_peer_body ();
-extern bool_t xdr_peer_letter ();
-extern bool_t xdr_peer_query_kind ();
-extern bool_t xdr_peer_query ();
-extern bool_t xdr_peer_result ();
-extern bool_t xdr_peer_sealed ();
+extern bool_t xdr_peer_name();
+extern bool_t xdr_peer_member();
+extern bool_t xdr_peer_leaving();
+extern bool_t xdr_peer_gossip();
+extern bool_t xdr_peer_claim();
+extern bool_t xdr_peer_verdict();
+extern bool_t xdr_peer_share_claim();
+extern bool_t xdr_peer_share_report();
+extern bool_t xdr_peer_grant();
+extern bool_t xdr_peer_share_reply();
+extern bool_t xdr_peer_piece_ask();
+extern bool_t xdr_peer_piece_made();
+extern bool_t xdr_peer_piece_reply();
+extern bool_t xdr_peer_piece_free();
+extern bool_t xdr_peer_feed_item();
+extern bool_t xdr_peer_feed();
+extern bool_t xdr_peer_kind();
+extern bool_t xdr_peer_body();
+extern bool_t xdr_peer_letter();
+extern bool_t xdr_peer_query_kind();
+extern bool_t xdr_peer_query();
+extern bool_t xdr_peer_result();
+extern bool_t xdr_peer_sealed();
 
 #endif /* K&R C */
 
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -110,7 +110,6 @@
 	unsigned int rank;
 	unsigned hyper bytes;   /* of one result, roughly */
 	peer_name domain;       /* where they are best made; or empty */
-	unsigned int stands_for; /* begun and refused requests, in percent */
 	bool cancelled;         /* the results are not wanted any more */
 };
 
@@ -126,7 +125,6 @@
 	bool refused;           /* none is made: come back in wait_ms */
 	bool moved;             /* none is made: ask the next home */
 	unsigned int wait_ms;
-	opaque shares[4];       /* of requests that may begin, percent by rank */
 	peer_piece_made made<PEER_PIECES_MAX>;
 };
 
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -228,8 +228,6 @@
 			 return FALSE;
 		 if (!xdr_peer_name (xdrs, &objp->domain))
 			 return FALSE;
-		 if (!xdr_u_int (xdrs, &objp->stands_for))
-			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->cancelled))
 			 return FALSE;
 		return TRUE;
@@ -267,8 +265,6 @@
 			 return FALSE;
 		 if (!xdr_peer_name (xdrs, &objp->domain))
 			 return FALSE;
-		 if (!xdr_u_int (xdrs, &objp->stands_for))
-			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->cancelled))
 			 return FALSE;
 	 return TRUE;
@@ -299,8 +295,6 @@
 		 return FALSE;
 	 if (!xdr_peer_name (xdrs, &objp->domain))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->stands_for))
-		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->cancelled))
 		 return FALSE;
 	return TRUE;
@@ -325,7 +319,6 @@
 {
 	register int32_t *buf;
 
-	int i;
 
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->ask))
@@ -344,8 +337,6 @@
 		IXDR_PUT_BOOL(buf, objp->moved);
 		IXDR_PUT_U_LONG(buf, objp->wait_ms);
 		}
-		 if (!xdr_opaque (xdrs, objp->shares, 4))
-			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->made.made_val, (u_int *) &objp->made.made_len, PEER_PIECES_MAX,
 			sizeof (peer_piece_made), (xdrproc_t) xdr_peer_piece_made))
 			 return FALSE;
@@ -367,8 +358,6 @@
 		objp->moved = IXDR_GET_BOOL(buf);
 		objp->wait_ms = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_opaque (xdrs, objp->shares, 4))
-			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->made.made_val, (u_int *) &objp->made.made_len, PEER_PIECES_MAX,
 			sizeof (peer_piece_made), (xdrproc_t) xdr_peer_piece_made))
 			 return FALSE;
@@ -383,8 +372,6 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wait_ms))
 		 return FALSE;
-	 if (!xdr_opaque (xdrs, objp->shares, 4))
-		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->made.made_val, (u_int *) &objp->made.made_len, PEER_PIECES_MAX,
 		sizeof (peer_piece_made), (xdrproc_t) xdr_peer_piece_made))
 		 return FALSE;
--- a/entry/request.h
+++ b/entry/request.h
@@ -49,7 +49,6 @@
 	const struct service *service;   /* that the request itself goes to */
 	const struct key_holder *holder; /* or NULL */
 	int rank;
-	double stands_for; /* requests like it, with those refused; 1 or more */
 	usec_t arrived;
 	usec_t aim; /* an answer after that is late */
 	usec_t end; /* of the caller's patience and the route's timeout */
--- a/kernel/batch.c
+++ b/kernel/batch.c
@@ -163,20 +163,13 @@
 	return sum * fade(b, now);
 }
 
-double
-batch_capacity(const struct batch *b, uint32_t targets)
-{
-	double full = (double)call_time(b, b->shape.batch) / USEC_PER_SEC;
-
-	return targets * b->shape.batch / full;
-}
-
 usec_t
 batch_expect(const struct batch *b, uint32_t targets,
     const struct batch_item *it, usec_t now)
 {
 	struct order o = { now + call_time(b, 1), it->domain };
-	double can = batch_capacity(b, targets);
+	double full = (double)call_time(b, b->shape.batch) / USEC_PER_SEC;
+	double can = targets * b->shape.batch / full;
 	double left = can - rate_before(b, it->rank, now);
 	usec_t mine = due(it, &o);
 	uint32_t before = 0;
--- a/kernel/batch.h
+++ b/kernel/batch.h
@@ -57,8 +57,6 @@
 };
 void batch_take(struct batch *b, usec_t now, uint32_t free_targets,
     const struct batch_target *t, GArray *out);
-/* Pieces a second that so many targets make in full calls. */
-double batch_capacity(const struct batch *b, uint32_t targets);
 /* When a piece like this would be made, if it were added now. */
 usec_t batch_expect(const struct batch *b, uint32_t targets,
     const struct batch_item *it, usec_t now);
--- a/kernel/room.c
+++ b/kernel/room.c
@@ -3,9 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* What a maker holds for others fades in so long: it is used, or expires. */
-#define UNKNOWN_TIME (2 * USEC_PER_SEC)
-
 struct held {
 	uint64_t bytes;
 	usec_t expires;
@@ -14,8 +11,6 @@
 struct maker {
 	uint64_t reserved;
 	uint64_t held_bytes;
-	uint64_t unknown; /* held for others when it was last full */
-	usec_t full_at;
 	usec_t oldest;    /* earliest expiry, or later */
 	GHashTable *held; /* handle -> struct held */
 };
@@ -83,36 +78,13 @@
 	}
 }
 
-/* What a maker holds that was not made here, by when it was last full. */
-static uint64_t
-unknown_left(const struct maker *m, usec_t now)
-{
-	usec_t left = m->full_at + UNKNOWN_TIME - now;
-
-	if (m->unknown == 0 || left <= 0)
-		return 0;
-	return (uint64_t)((double)m->unknown * (double)left / UNKNOWN_TIME);
-}
-
 uint64_t
 room_used(struct room *r, const char *addr, usec_t now)
 {
 	struct maker *m = maker_of(r, addr);
 
 	expire(m, now);
-	return m->reserved + m->held_bytes + unknown_left(m, now);
-}
-
-void
-room_full(struct room *r, const char *addr, uint64_t size, usec_t now)
-{
-	struct maker *m = maker_of(r, addr);
-	uint64_t known;
-
-	expire(m, now);
-	known = m->reserved + m->held_bytes;
-	m->unknown = known < size ? size - known : 0;
-	m->full_at = now;
+	return m->reserved + m->held_bytes;
 }
 
 void
--- a/kernel/room.h
+++ b/kernel/room.h
@@ -4,9 +4,7 @@
  * A result takes room at its maker from the call that makes it until it is
  * freed or expires.  Load pattern: results that wait for their request's other
  * stages fill the makers, which then refuse new pieces; so what is reserved
- * and held is counted before a call is sent.  A home that takes over from one
- * that was lost does not know what the makers hold: it learns it from the first
- * refusal of each.
+ * and held is counted before a call is sent.
  */
 #ifndef KERNEL_ROOM_H
 #define KERNEL_ROOM_H
@@ -23,8 +21,6 @@
 void room_init(struct room *r);
 /* Bytes reserved or held at a maker now. */
 uint64_t room_used(struct room *r, const char *addr, usec_t now);
-/* A maker with room for size bytes has refused a result for want of it. */
-void room_full(struct room *r, const char *addr, uint64_t size, usec_t now);
 /* A call whose results take so many bytes is sent, and has ended. */
 void room_reserve(struct room *r, const char *addr, uint64_t bytes);
 void room_unreserve(struct room *r, const char *addr, uint64_t bytes);
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -2,8 +2,10 @@
 #include "kernel/batch.h"
 #include "base/hash.h"
 #include "kernel/feeders.h"
+#include "kernel/homes.h"
 #include "kernel/loads.h"
 #include "kernel/repeats.h"
+#include "kernel/room.h"
 #include "kernel/roster.h"
 #include "kernel/routes.h"
 #include "kernel/sse.h"
@@ -280,6 +282,34 @@
 
 /* Room. */
 
+static void
+test_room(void)
+{
+	struct room r;
+
+	room_init(&r);
+	g_assert_cmpuint(room_used(&r, "m:1", 0), ==, 0);
+	room_reserve(&r, "m:1", 100);
+	g_assert_cmpuint(room_used(&r, "m:1", 0), ==, 100);
+	room_hold(&r, "m:1/a", 40, 1000);
+	room_hold(&r, "m:1/b", 60, 2000);
+	room_unreserve(&r, "m:1", 100);
+	g_assert_cmpuint(room_used(&r, "m:1", 0), ==, 100);
+	g_assert_cmpuint(room_used(&r, "m:2", 0), ==, 0);
+	/* Told twice, held once. */
+	room_hold(&r, "m:1/a", 40, 1000);
+	g_assert_cmpuint(room_used(&r, "m:1", 0), ==, 100);
+	g_assert_false(room_free_result(&r, STR("m:1/zz")));
+	g_assert_true(room_free_result(&r, STR("m:1/a")));
+	g_assert_false(room_free_result(&r, STR("m:1/a")));
+	g_assert_cmpuint(room_used(&r, "m:1", 0), ==, 60);
+	g_assert_cmpuint(room_used(&r, "m:1", 1999), ==, 60);
+	g_assert_cmpuint(room_used(&r, "m:1", 2000), ==, 0);
+	room_unreserve(&r, "m:1", 100);
+	g_assert_cmpuint(room_used(&r, "m:1", 2000), ==, 0);
+	room_clear(&r);
+}
+
 /* Batches. */
 
 static const struct pool_shape shape = { .slots = 1,
@@ -722,6 +752,62 @@
 	}
 }
 
+/* How often a host of each of these sizes is chosen, in 20,000 services. */
+static void
+count_homes(const uint32_t *sizes, size_t n, int *wins)
+{
+	for (int s = 0; s < 20000; s++) {
+		size_t best = 0;
+		double most = 0;
+
+		for (size_t i = 0; i < n; i++) {
+			g_autofree char *id = g_strdup_printf("%zu", i);
+			double w = homes_weight(
+			    hash_u64(str_from(id), (uint64_t)s), sizes[i]);
+
+			if (w > most) {
+				most = w;
+				best = i;
+			}
+		}
+		wins[best]++;
+	}
+}
+
+/* Homes fall on hosts by the fourth power of their size. */
+static void
+test_homes(void)
+{
+	static const uint32_t sizes[] = { 120, 120, 250, 500, 0 };
+	static const double weights[] = { 0.053, 0.053, 1, 16, 1 };
+	int wins[G_N_ELEMENTS(sizes)] = { 0 };
+	double sum = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		sum += weights[i];
+	count_homes(sizes, G_N_ELEMENTS(sizes), wins);
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		g_assert_cmpfloat_with_epsilon(
+		    wins[i] / 20000.0, weights[i] / sum, 0.02);
+}
+
+/* A fleet of 8 large and 72 small hosts: one home in twenty is small at most.
+ */
+static void
+test_homes_of_small_hosts(void)
+{
+	uint32_t sizes[80];
+	int wins[G_N_ELEMENTS(sizes)] = { 0 };
+	int small = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		sizes[i] = i < 8 ? 500 : 120;
+	count_homes(sizes, G_N_ELEMENTS(sizes), wins);
+	for (size_t i = 8; i < G_N_ELEMENTS(sizes); i++)
+		small += wins[i];
+	g_assert_cmpint(small, <, 20000 / 20);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -733,6 +819,7 @@
 	g_test_add_func("/roster/missing", test_roster_missing);
 	g_test_add_func("/roster/reading", test_roster_reading);
 	g_test_add_func("/repeats/bound", test_repeats_bound);
+	g_test_add_func("/room", test_room);
 	g_test_add_func("/batch/order", test_batch_order);
 	g_test_add_func("/batch/size", test_batch_size);
 	g_test_add_func("/batch/expect", test_batch_expect);
@@ -741,6 +828,8 @@
 	g_test_add_func("/loads/affinity", test_loads_affinity);
 	g_test_add_func("/loads/restart", test_loads_restart);
 	g_test_add_func("/feeders", test_feeders);
+	g_test_add_func("/homes/sizes", test_homes);
+	g_test_add_func("/homes/small", test_homes_of_small_hosts);
 	g_test_add_func("/sse", test_sse);
 	return g_test_run();
 }
