Results of lost calls take room; a start of all hosts finds its homes sooner

Test: /room (adds up, expires).

Asks now wait for 0.5 s after the start, gossip goes every 0.1 s for the first 2 s, and a full target is passed over for 0.2 s. Ruled out: late readiness, configuration (in force 0.1 s after the start). Tests: /asks/settle and /loads/full.

--- a/entry/asks.c
+++ b/entry/asks.c
@@ -25,6 +25,7 @@
 	usec_t aim;
 	char home[MAX_ADDR_BYTES]; /* RPC address; empty: this host */
 	usec_t sent;
+	bool held; /* not sent yet */
 	bool confirmed;
 	uint32_t tries;
 };
@@ -37,6 +38,7 @@
 struct asks {
 	struct asks_opts o;
 	struct home *home;
+	usec_t settled;   /* when it is to know the other hosts */
 	GArray *peers;    /* struct peer */
 	GHashTable *open; /* number -> struct asked */
 	uint64_t next;
@@ -66,6 +68,7 @@
 	s->peers = g_array_new(FALSE, TRUE, sizeof(struct peer));
 	s->open = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_asked);
+	s->settled = clock_now() + o->settle;
 	s->next = o->incarnation << INCARNATION_SHIFT;
 	return s;
 }
@@ -188,7 +191,10 @@
 	    a->body.id, o->stage, o->n, a->body.service,
 	    *a->home != '\0' ? a->home : "here",
 	    *a->body.domain != '\0' ? a->body.domain : "any domain");
-	send_ask(s, a, now);
+	if (now < s->settled)
+		a->held = true;
+	else
+		send_ask(s, a, now);
 	return a->number;
 }
 
@@ -200,7 +206,8 @@
 	if (a == NULL)
 		return;
 	a->body.cancelled = true;
-	send_ask(s, a, clock_now());
+	if (!a->held)
+		send_ask(s, a, clock_now());
 	g_hash_table_remove(s->open, &ask);
 }
 
@@ -291,6 +298,16 @@
 	free(arg);
 }
 
+/* Sends an ask to its home, now that the other hosts are known. */
+static void
+send_held(struct asks *s, struct asked *a, usec_t now)
+{
+	a->held = false;
+	g_strlcpy(
+	    a->home, choose_home(s, a->body.service, now), sizeof(a->home));
+	send_ask(s, a, now);
+}
+
 bool
 asks_tick(struct asks *s, usec_t now)
 {
@@ -301,14 +318,18 @@
 	g_hash_table_iter_init(&it, s->open);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const struct asked *a = v;
+		usec_t patience = a->confirmed ? ASK_AGAIN : CONFIRM_TIMEOUT;
 
-		if (now - a->sent >=
-		    (a->confirmed ? ASK_AGAIN : CONFIRM_TIMEOUT))
+		if (a->held ? now >= s->settled : now - a->sent >= patience)
 			g_ptr_array_add(due, v);
 	}
 	for (guint i = 0; i < due->len; i++) {
 		struct asked *a = due->pdata[i];
 
+		if (a->held) {
+			send_held(s, a, now);
+			continue;
+		}
 		if (*a->home == '\0') {
 			a->sent = now;
 			continue;
--- a/entry/asks.h
+++ b/entry/asks.h
@@ -4,7 +4,9 @@
  *
  * The home is the first of a rendezvous order of service and live hosts.  An
  * ask that is not confirmed in time is sent again, and after some tries goes
- * to the next host of the order; a piece that is made twice does no harm.
+ * to the next host of the order; a piece that is made twice does no harm.  Asks
+ * of a host that has just started wait until it knows the others: it would take
+ * itself for every home.
  * Runs on the relay's loop.
  */
 #ifndef ENTRY_ASKS_H
@@ -19,6 +21,7 @@
 	struct rpc *rpc;
 	const char *self; /* id of this host */
 	uint64_t incarnation;
+	usec_t settle; /* how long asks wait until other hosts are known */
 };
 
 /* Refused, or all pieces with their outcomes. */
--- a/entry/gossiper.c
+++ b/entry/gossiper.c
@@ -6,10 +6,14 @@
 #include <string.h>
 
 #define MAX_CONTACTS 128
+/* A process that starts knows nobody: until then its rounds are shorter. */
+#define START_TIME   (2 * USEC_PER_SEC)
+#define START_ROUND  (100 * USEC_PER_MSEC)
 
 struct gossiper {
 	struct gossiper_opts o;
 	struct gossip state;
+	usec_t started;
 	usec_t round_at;
 	struct gossip_send *sends;
 	struct gossip_message *in;
@@ -132,6 +136,7 @@
 	struct member_info self;
 
 	g->o = *o;
+	g->started = o->now;
 	g->sends = xcalloc(GOSSIP_SENDS, sizeof(*g->sends));
 	g->in = xcalloc(1, sizeof(*g->in));
 	fill_self(o, &self);
@@ -213,7 +218,10 @@
 void
 gossiper_tick(struct gossiper *g, usec_t now)
 {
-	if (now - g->round_at >= GOSSIP_ROUND)
+	usec_t every =
+	    now - g->started < START_TIME ? START_ROUND : GOSSIP_ROUND;
+
+	if (now - g->round_at >= every)
 		round_now(g, now);
 }
 
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -16,10 +16,15 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+/*
+ * From a start until asks are sent: with short rounds of gossip nearly all
+ * other hosts are known then.
+ */
+#define SETTLE_TIME (500 * USEC_PER_MSEC)
 /* Asks are confirmed within 100 ms: two steps find what is overdue. */
-#define STEP      (50 * USEC_PER_MSEC)
+#define STEP        (50 * USEC_PER_MSEC)
 /* While nothing waits. */
-#define IDLE_STEP (250 * USEC_PER_MSEC)
+#define IDLE_STEP   (250 * USEC_PER_MSEC)
 /* Limits until a configuration names them. */
 #define FIRST_LIMITS           \
 	((struct door_limits){ \
@@ -578,6 +583,7 @@
 	    .rpc = steward_rpc(s),
 	    .self = y->o.settings->id,
 	    .incarnation = y->o.incarnation,
+	    .settle = str_from(y->o.settings->peers).n > 0 ? SETTLE_TIME : 0,
 	});
 	p->home = home_new(&(struct home_opts){
 	    .base = p->base,
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define ASIDE_FIRST   (500 * USEC_PER_MSEC) /* a restart takes about as long */
+#define FULL_PAUSE    (200 * USEC_PER_MSEC) /* a stage call takes longer */
 #define ASIDE_MOST    (8 * USEC_PER_SEC)    /* of a target that stays broken */
 /*
  * An engine reads some 100 tokens of a prompt in a millisecond, and holds up
@@ -291,6 +292,12 @@
 	t->aside_until = now + (aside < ASIDE_MOST ? aside : ASIDE_MOST);
 }
 
+void
+loads_full(struct target *t, usec_t now)
+{
+	t->aside_until = now + FULL_PAUSE;
+}
+
 void
 loads_left(struct loads *l, struct target *t)
 {
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -72,6 +72,8 @@
 /* An answer of its own came, or a call failed for its sake. */
 void loads_sound(struct target *t);
 void loads_failed(struct target *t, usec_t now);
+/* It takes no call now, as others have filled it; it is sound. */
+void loads_full(struct target *t, usec_t now);
 /* It takes nothing new from now on. */
 void loads_left(struct loads *l, struct target *t);
 void loads_free(struct loads *l);
--- a/kernel/room.c
+++ b/kernel/room.c
@@ -1,5 +1,6 @@
 #include "kernel/room.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -29,6 +30,7 @@
 {
 	r->makers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_maker);
+	r->n_lost = 0;
 }
 
 static struct maker *
@@ -101,6 +103,15 @@
 	m->reserved -= bytes < m->reserved ? bytes : m->reserved;
 }
 
+void
+room_lost(struct room *r, const char *addr, uint64_t bytes, usec_t expires)
+{
+	g_autofree char *handle =
+	    g_strdup_printf("%s/?%" PRIu64, addr, ++r->n_lost);
+
+	room_hold(r, handle, bytes, expires);
+}
+
 void
 room_hold(struct room *r, const char *handle, uint64_t bytes, usec_t expires)
 {
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -307,6 +307,12 @@
 	g_assert_cmpuint(room_used(&r, "m:1", 2000), ==, 0);
 	room_unreserve(&r, "m:1", 100);
 	g_assert_cmpuint(room_used(&r, "m:1", 2000), ==, 0);
+	/* What nobody can name is held until it expires, and adds up. */
+	room_lost(&r, "m:1", 30, 3000);
+	room_lost(&r, "m:1", 30, 4000);
+	g_assert_cmpuint(room_used(&r, "m:1", 2999), ==, 60);
+	g_assert_cmpuint(room_used(&r, "m:1", 3000), ==, 30);
+	g_assert_cmpuint(room_used(&r, "m:1", 4000), ==, 0);
 	room_clear(&r);
 }
 
@@ -616,6 +622,19 @@
 	}
 }
 
+/* What others have filled is passed over for a moment, and still sound. */
+static void
+test_loads_full(void)
+{
+	struct target t = { 0 };
+
+	for (int i = 0; i < 5; i++)
+		loads_full(&t, i * MS);
+	g_assert_cmpint(t.aside_until, >, 4 * MS);
+	g_assert_cmpint(t.aside_until, <, 240 * MS);
+	g_assert_cmpuint(t.failures, ==, 0);
+}
+
 /* Equal prompts go to one target until it is much busier than the others. */
 static void
 test_loads_affinity(void)
@@ -825,6 +844,7 @@
 	g_test_add_func("/batch/expect", test_batch_expect);
 	g_test_add_func("/batch/overload", test_batch_overload);
 	g_test_add_func("/loads/choose", test_loads_choose);
+	g_test_add_func("/loads/full", test_loads_full);
 	g_test_add_func("/loads/affinity", test_loads_affinity);
 	g_test_add_func("/loads/restart", test_loads_restart);
 	g_test_add_func("/feeders", test_feeders);
