A host keeps no more idle connections to a target than its part

Cause: a target accepts MaxConns connections of all hosts together and resets what is beyond.

Tests: /dial/kept (without the change it waits for ever at the second case), /loads/conn-share.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -373,6 +373,8 @@
 		.head_only = m->parser.method == HTTP_HEAD,
 		.connect_timeout = CONNECT_TIMEOUT,
 		.max_idle = route_repeatable(r->route) ? 0 : ONCE_IDLE,
+		.max_kept = loads_conn_share(
+		    r->service->max_conns, r->parts->rule.hosts),
 		.handler = on_answer,
 		.arg = r,
 	    });
--- a/entry/home_calls.c
+++ b/entry/home_calls.c
@@ -125,7 +125,7 @@
 }
 
 static void
-note_target(struct stage_call *k, bool sound, bool full, usec_t now)
+note_target(struct stage_call *k, bool sound, usec_t now)
 {
 	struct target *t = loads_find(k->home->o.loads, k->target_id);
 
@@ -134,7 +134,7 @@
 	loads_ended(t);
 	if (sound)
 		loads_sound(t);
-	else if (full)
+	else if (k->not_run)
 		loads_full(t, now);
 	else
 		loads_failed(t, now);
@@ -147,7 +147,7 @@
 	struct pool *p = k->pool;
 	usec_t now = clock_now();
 
-	note_target(k, ok, k->not_run, now);
+	note_target(k, ok, now);
 	if (!ok) {
 		LOG(LOG_LVL_NOTICE, "stage-call-failed",
 		    { "target", str_from(k->target_id) },
@@ -322,7 +322,7 @@
 	k->dial = post(h, t, PLATFORM_STAGE_PATH, str_of(&body), on_answer, k);
 	buf_free(&body);
 	if (k->dial == NULL) {
-		note_target(k, false, false, now);
+		note_target(k, false, now);
 		send_again(h, k, false, now);
 		free_stage_call(k);
 		return;
--- a/kernel/homes.h
+++ b/kernel/homes.h
@@ -2,10 +2,10 @@
  * The weight of a host in the choice of a service's home: rendezvous hashing in
  * which a host's chance grows with the fourth power of its capacity.
  *
- * Load pattern: a home takes some 0.07 cores and 3 Mbit/s at a thousand pieces
- * a second.  On the smallest hosts that is most of what they have: the whole
- * service waits for them, and in a burst they look lost to those who ask.  In a
- * fleet of nine small hosts to one that is four times as large, the square
+ * Load pattern: a home takes some 0.07 cores and a few Mbit/s at a thousand
+ * pieces a second.  On the smallest hosts that is most of what they have: the
+ * whole service waits for them, and in a burst they look lost to those who ask.
+ * In a fleet of nine small hosts to one that is four times as large, the square
  * gives two in five homes to small hosts, the fourth power one in thirty.
  */
 #ifndef KERNEL_HOMES_H
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -298,6 +298,16 @@
 	t->aside_until = now + FULL_PAUSE;
 }
 
+uint32_t
+loads_conn_share(uint32_t max_conns, uint32_t hosts)
+{
+	uint32_t share = max_conns / (hosts > 0 ? hosts : 1);
+
+	if (max_conns > 0 && share == 0)
+		share = 1;
+	return share;
+}
+
 void
 loads_left(struct loads *l, struct target *t)
 {
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -72,6 +72,11 @@
 /* An answer of its own came, or a call failed for its sake. */
 void loads_sound(struct target *t);
 void loads_failed(struct target *t, usec_t now);
+/*
+ * How many idle connections a host keeps to a target that accepts so many of
+ * all hosts together: its part, and one at the least; 0: any number.
+ */
+uint32_t loads_conn_share(uint32_t max_conns, uint32_t hosts);
 /* It takes no call now, as others have filled it; it is sound. */
 void loads_full(struct target *t, usec_t now);
 /* It takes nothing new from now on. */
--- a/plat/dial.c
+++ b/plat/dial.c
@@ -32,6 +32,7 @@
 	char *addr;
 	usec_t idle_since;
 	usec_t idle_max;
+	uint32_t max_kept; /* of its last call */
 	bool connected;
 	bool used;
 	bool in_handler; /* the call's handler is running */
@@ -140,16 +141,28 @@
 	return IDLE_MAX;
 }
 
+/* Closes the oldest idle connections until no more than so many are left. */
+static void
+shed_idle(GQueue *q, uint32_t most)
+{
+	while (q->length > most)
+		free_conn(q->tail->data);
+}
+
 static void
 keep(struct conn *c)
 {
+	GQueue *q = pool_of(c->d, c->addr);
+
 	c->call = NULL;
 	c->used = true;
 	c->idle_since = clock_now();
 	c->idle_max = idle_limit(&c->in);
 	httpmsg_reset(&c->in);
 	c->link.data = c;
-	g_queue_push_head_link(pool_of(c->d, c->addr), &c->link);
+	g_queue_push_head_link(q, &c->link);
+	if (c->max_kept > 0)
+		shed_idle(q, c->max_kept);
 }
 
 static void
@@ -374,10 +387,14 @@
 	struct conn *c = take_idle(d, addr, o->max_idle, clock_now());
 	struct evbuffer *out;
 
-	if (c == NULL)
+	if (c == NULL) {
+		if (o->max_kept > 0)
+			shed_idle(pool_of(d, addr), o->max_kept - 1);
 		c = open_conn(d, o);
+	}
 	if (c == NULL)
 		return NULL;
+	c->max_kept = o->max_kept;
 	k = xcalloc(1, sizeof(*k));
 	k->conn = c;
 	k->handler = o->handler;
--- a/plat/dial.h
+++ b/plat/dial.h
@@ -5,6 +5,10 @@
  * once: never again on another connection, whatever becomes of this one.
  * Bytes that come while a connection is idle close it, and an answer whose
  * echoed call id is another call's is skipped.
+ *
+ * Load pattern: a target accepts so many connections of all hosts together and
+ * resets what is beyond that, with the calls on them.  So a caller can say how
+ * many idle ones are kept; the oldest are closed before a new one is opened.
  */
 #ifndef PLAT_DIAL_H
 #define PLAT_DIAL_H
@@ -38,7 +42,8 @@
 	struct str echo;       /* the call id */
 	bool head_only;        /* the method is HEAD */
 	usec_t connect_timeout;
-	usec_t max_idle; /* of a connection in use before; 0: the usual */
+	usec_t max_idle;   /* of a connection in use before; 0: the usual */
+	uint32_t max_kept; /* idle connections to the address; 0: any number */
 	dial_handler handler;
 	void *arg;
 };
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -635,6 +635,29 @@
 	g_assert_cmpuint(t.failures, ==, 0);
 }
 
+static void
+test_loads_conn_share(void)
+{
+	static const struct {
+		uint32_t max_conns;
+		uint32_t hosts;
+		uint32_t want;
+	} cases[] = {
+		{ 0, 80, 0 },
+		{ 110, 80, 1 },
+		{ 210, 80, 2 },
+		{ 110, 1, 110 },
+		{ 110, 0, 110 },
+		{ 110, 500, 1 },
+		{ 110, 110, 1 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		g_assert_cmpuint(
+		    loads_conn_share(cases[i].max_conns, cases[i].hosts), ==,
+		    cases[i].want);
+}
+
 /* Equal prompts go to one target until it is much busier than the others. */
 static void
 test_loads_affinity(void)
@@ -810,8 +833,7 @@
 		    wins[i] / 20000.0, weights[i] / sum, 0.02);
 }
 
-/* A fleet of 8 large and 72 small hosts: one home in twenty is small at most.
- */
+/* With 8 large and 72 small hosts one home in twenty is small at most. */
 static void
 test_homes_of_small_hosts(void)
 {
@@ -845,6 +867,7 @@
 	g_test_add_func("/batch/overload", test_batch_overload);
 	g_test_add_func("/loads/choose", test_loads_choose);
 	g_test_add_func("/loads/full", test_loads_full);
+	g_test_add_func("/loads/conn-share", test_loads_conn_share);
 	g_test_add_func("/loads/affinity", test_loads_affinity);
 	g_test_add_func("/loads/restart", test_loads_restart);
 	g_test_add_func("/feeders", test_feeders);
--- /dev/null
+++ b/tests/plat/test_dial.c
@@ -0,0 +1,172 @@
+/* Idle connections to a target are kept up to a bound. */
+#include "plat/dial.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <string.h>
+
+#define ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+#define HEAD   "GET / HTTP/1.1\r\nHost: t\r\n\r\n"
+
+/* A target that answers each request and counts its connections. */
+struct server {
+	struct event_base *base;
+	struct evconnlistener *listener;
+	char addr[32];
+	int open;
+	int accepted;
+	int most;
+	int ended; /* calls */
+};
+
+static void
+on_server_bytes(struct bufferevent *b, void *arg)
+{
+	struct evbuffer *in = bufferevent_get_input(b);
+
+	(void)arg;
+	while (evbuffer_get_length(in) >= sizeof(HEAD) - 1) {
+		evbuffer_drain(in, sizeof(HEAD) - 1);
+		bufferevent_write(b, ANSWER, sizeof(ANSWER) - 1);
+	}
+}
+
+static void
+on_server_event(struct bufferevent *b, short what, void *arg)
+{
+	struct server *s = arg;
+
+	(void)what;
+	s->open--;
+	bufferevent_free(b);
+}
+
+static void
+on_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa,
+    int len, void *arg)
+{
+	struct server *s = arg;
+	struct bufferevent *b =
+	    bufferevent_socket_new(s->base, fd, BEV_OPT_CLOSE_ON_FREE);
+
+	(void)l;
+	(void)sa;
+	(void)len;
+	s->accepted++;
+	s->open++;
+	s->most = MAX(s->most, s->open);
+	bufferevent_setcb(b, on_server_bytes, NULL, on_server_event, s);
+	bufferevent_enable(b, EV_READ | EV_WRITE);
+}
+
+static void
+open_server(struct server *s)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(sa);
+
+	memset(s, 0, sizeof(*s));
+	s->base = event_base_new();
+	s->listener = evconnlistener_new_bind(s->base, on_accept, s,
+	    LEV_OPT_CLOSE_ON_FREE, -1, (struct sockaddr *)&sa, sizeof(sa));
+	g_assert_nonnull(s->listener);
+	getsockname(
+	    evconnlistener_get_fd(s->listener), (struct sockaddr *)&sa, &len);
+	g_snprintf(
+	    s->addr, sizeof(s->addr), "127.0.0.1:%d", ntohs(sa.sin_port));
+}
+
+static void
+on_answer(void *arg, enum dial_event ev, const struct httpmsg *m)
+{
+	struct server *s = arg;
+
+	(void)m;
+	g_assert_cmpint(ev, !=, DIAL_BROKEN);
+	g_assert_cmpint(ev, !=, DIAL_UNSENT);
+	s->ended += ev == DIAL_END;
+}
+
+static void
+call(struct server *s, struct dialer *d, usec_t max_idle, uint32_t max_kept)
+{
+	g_assert_nonnull(dial_start(d,
+	    &(struct dial_opts){
+		.addr = str_from(s->addr),
+		.head = STR(HEAD),
+		.connect_timeout = 10 * USEC_PER_SEC,
+		.max_idle = max_idle,
+		.max_kept = max_kept,
+		.handler = on_answer,
+		.arg = s,
+	    }));
+}
+
+/* What is idle now has been so for longer than that after the call. */
+static void
+wait_past(usec_t idle)
+{
+	usec_t start = clock_now();
+
+	while (idle > 0 && clock_now() - start <= idle)
+		g_usleep(1000);
+}
+
+static void
+test_kept(void)
+{
+	static const struct {
+		const char *name;
+		int rounds;
+		int at_once; /* calls of a round */
+		usec_t max_idle;
+		uint32_t max_kept;
+		int open; /* in the end */
+		int most;
+	} cases[] = {
+		{ "any number", 1, 5, 0, 0, 5, 5 },
+		{ "bounded after a burst", 1, 5, 0, 2, 2, 5 },
+		{ "one is used again", 5, 1, 0, 1, 1, 1 },
+		/* Each call wants a fresh one; the old one is closed first. */
+		{ "fresh ones replace old ones", 5, 1, 1, 1, 1, 2 },
+		{ "fresh ones beside old ones", 5, 1, 1, 3, 3, 4 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct server s;
+		struct dialer *d;
+
+		g_test_message("%s", cases[i].name);
+		open_server(&s);
+		d = dialer_new(s.base);
+		for (int k = 0; k < cases[i].rounds; k++) {
+			for (int n = 0; n < cases[i].at_once; n++)
+				call(&s, d, cases[i].max_idle,
+				    cases[i].max_kept);
+			while (s.ended < (k + 1) * cases[i].at_once)
+				event_base_loop(s.base, EVLOOP_ONCE);
+			wait_past(cases[i].max_idle);
+		}
+		while (s.open > cases[i].open)
+			event_base_loop(s.base, EVLOOP_ONCE);
+		g_assert_cmpint(s.open, ==, cases[i].open);
+		g_assert_cmpint(s.most, <=, cases[i].most);
+		dialer_free(d);
+		evconnlistener_free(s.listener);
+		event_base_free(s.base);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/dial/kept", test_kept);
+	return g_test_run();
+}
