--- a/plat/dial.c
+++ b/plat/dial.c
@@ -145,8 +145,12 @@
 static void
 shed_idle(GQueue *q, uint32_t most)
 {
-	while (q->length > most)
-		free_conn(q->tail->data);
+	while (q->length > most) {
+		struct conn *c = g_queue_pop_tail_link(q)->data;
+
+		c->used = false; /* not among the idle ones any more */
+		free_conn(c);
+	}
 }
 
 static void
--- a/tests/entry/test_asks.c
+++ b/tests/entry/test_asks.c
@@ -14,13 +14,18 @@
 	int replies;
 };
 
+/* The argument of an ask, which owns it. */
+struct waiter {
+	struct rig *rig;
+};
+
 static void
 on_reply(void *arg, const peer_piece_reply *r)
 {
-	struct rig **g = arg;
+	struct waiter *w = arg;
 
 	g_assert_true(r->refused);
-	(*g)->replies++;
+	w->rig->replies++;
 }
 
 static void
@@ -76,9 +81,9 @@
 static uint64_t
 ask(struct rig *g)
 {
-	struct rig **arg = xcalloc(1, sizeof(*arg));
+	struct waiter *w = xcalloc(1, sizeof(*w));
 
-	*arg = g;
+	w->rig = g;
 	return asks_start(g->asks,
 	    &(struct ask_opts){
 		.service = STR("s"),
@@ -88,7 +93,7 @@
 		.deadline = clock_now() + 2 * SETTLE,
 		.aim = clock_now() + 2 * SETTLE,
 		.handler = on_reply,
-		.arg = arg,
+		.arg = w,
 	    });
 }
 
