--- a/tests/plat/test_dial.c
+++ b/tests/plat/test_dial.c
@@ -158,6 +158,9 @@
 		g_assert_cmpint(s.open, ==, cases[i].open);
 		g_assert_cmpint(s.most, <=, cases[i].most);
 		dialer_free(d);
+		while (s.open > 0)
+			event_base_loop(s.base, EVLOOP_ONCE);
+		event_base_loop(s.base, EVLOOP_NONBLOCK);
 		evconnlistener_free(s.listener);
 		event_base_free(s.base);
 	}
