The hosts that follow the store are chosen once a letter

Cause: feeders_feeds ranked all hosts anew for each of them, and send_feed asked it for every host: the third power of the fleet, twice a second and at each change, on six hosts. Found on reading the change.

feeders_choose picks the six once; what each is asked then is a walk over six. send_feed walks the live members itself, without a list of its own. The test keeps its assertions and calls the new form.

--- a/entry/steward_feed.c
+++ b/entry/steward_feed.c
@@ -2,6 +2,7 @@
 #include "kernel/feeders.h"
 #include "platform/config.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /* A host that follows the store tells the others at least so often. */
@@ -11,23 +12,23 @@
 /* Larger values are fetched; a letter with some of them still fits. */
 #define FEED_VALUE_BYTES 4000
 
-/* The live hosts; freed with g_free, the ids are the members' own. */
-static struct feeder_host *
-live_hosts(struct steward *s, size_t *n)
+static void
+choose_feeders(struct steward *s, struct feeders *out)
 {
 	struct members *m = fleet_members(s->fleet);
 	size_t most;
 	const char *const *ids = member_live(m, &most);
-	struct feeder_host *v = g_new0(struct feeder_host, most + 1);
+	struct feeder_host *v = xcalloc(most, sizeof(*v));
+	size_t n = 0;
 
-	*n = 0;
 	for (size_t i = 0; i < most; i++) {
 		const struct member *x = member_find(m, ids[i]);
 
 		if (x != NULL)
-			v[(*n)++] = (struct feeder_host){ ids[i], x->capacity };
+			v[n++] = (struct feeder_host){ ids[i], x->capacity };
 	}
-	return v;
+	feeders_choose(out, v, n);
+	free(v);
 }
 
 /* Sends a letter to the hosts that hear of the store from this one. */
@@ -36,16 +37,19 @@
 {
 	struct members *m = fleet_members(s->fleet);
 	const char *self = s->o.settings->id;
+	struct feeders f;
 	size_t n;
-	g_autofree struct feeder_host *v = live_hosts(s, &n);
+	const char *const *ids = member_live(m, &n);
 
 	s->feed_at = clock_now();
-	if (n < FEEDERS_LEAST || !feeders_follows(v, n, self))
+	choose_feeders(s, &f);
+	if (f.all || !feeders_follows(&f, self))
 		return;
 	for (size_t i = 0; i < n; i++) {
-		if (feeders_feeds(v, n, self, v[i].id))
-			rpc_send(
-			    s->rpc, member_rpc(member_find(m, v[i].id)), body);
+		const struct member *x = member_find(m, ids[i]);
+
+		if (x != NULL && feeders_feeds(&f, self, ids[i]))
+			rpc_send(s->rpc, member_rpc(x), body);
 	}
 }
 
@@ -99,16 +103,12 @@
 bool
 steward_is_fed(struct steward *s, usec_t now)
 {
-	size_t n;
-	struct feeder_host *v;
-	bool follows;
+	struct feeders f;
 
 	if (s->behind || now - s->fed_at >= FEED_SILENCE)
 		return false;
-	v = live_hosts(s, &n);
-	follows = feeders_follows(v, n, s->o.settings->id);
-	g_free(v);
-	return !follows;
+	choose_feeders(s, &f);
+	return !feeders_follows(&f, s->o.settings->id);
 }
 
 void
--- a/kernel/feeders.c
+++ b/kernel/feeders.c
@@ -12,41 +12,55 @@
 	return homes_weight(hash_u64(str_from(h->id), RANK_SEED), h->capacity);
 }
 
-/* How many hosts are chosen before one. */
-static size_t
-before(const struct feeder_host *v, size_t n, const char *id)
+bool
+feeders_follows(const struct feeders *f, const char *id)
 {
-	double mine = 0;
-	size_t count = 0;
+	for (size_t i = 0; i < f->n; i++) {
+		if (strcmp(f->ids[i], id) == 0)
+			return true;
+	}
+	return f->all;
+}
+
+/* The next host to choose. */
+static const struct feeder_host *
+heaviest_other(const struct feeders *f, const struct feeder_host *v, size_t n)
+{
+	const struct feeder_host *best = NULL;
+	double most = 0;
 
 	for (size_t i = 0; i < n; i++) {
-		if (strcmp(v[i].id, id) == 0)
-			mine = weight(&v[i]);
+		double w = weight(&v[i]);
+
+		if (feeders_follows(f, v[i].id) || (best != NULL && w <= most))
+			continue;
+		best = &v[i];
+		most = w;
 	}
-	for (size_t i = 0; i < n; i++)
-		count += weight(&v[i]) > mine;
-	return count;
+	return best;
 }
 
-bool
-feeders_follows(const struct feeder_host *v, size_t n, const char *id)
+void
+feeders_choose(struct feeders *f, const struct feeder_host *v, size_t n)
 {
-	return n < FEEDERS_LEAST || before(v, n, id) < FEEDERS;
+	const struct feeder_host *next;
+
+	*f = (struct feeders){ .all = n < FEEDERS_LEAST };
+	while (!f->all && f->n < FEEDERS &&
+	    (next = heaviest_other(f, v, n)) != NULL)
+		f->ids[f->n++] = next->id;
 }
 
 bool
-feeders_feeds(
-    const struct feeder_host *v, size_t n, const char *feeder, const char *fed)
+feeders_feeds(const struct feeders *f, const char *feeder, const char *fed)
 {
 	uint64_t seed = hash_u64(str_from(fed), RANK_SEED);
 	uint64_t mine = hash_u64(str_from(feeder), seed);
 	size_t count = 0;
 
-	if (n < FEEDERS_LEAST || feeders_follows(v, n, fed) ||
-	    !feeders_follows(v, n, feeder))
+	if (f->all || feeders_follows(f, fed) || !feeders_follows(f, feeder))
 		return false;
-	for (size_t i = 0; i < n; i++)
-		count += hash_u64(str_from(v[i].id), seed) < mine &&
-		    feeders_follows(v, n, v[i].id);
+	for (size_t i = 0; i < f->n; i++)
+		count += hash_u64(str_from(f->ids[i]), seed) < mine;
 	return count < FEEDERS_EACH;
 }
--- a/kernel/feeders.h
+++ b/kernel/feeders.h
@@ -24,10 +24,19 @@
 	uint32_t capacity; /* larger hosts are chosen first (kernel/homes.h) */
 };
 
-/* v: the live hosts.  Whether a host follows the store itself. */
-bool feeders_follows(const struct feeder_host *v, size_t n, const char *id);
+/* The hosts that follow the store; ids are those of the live hosts. */
+struct feeders {
+	bool all; /* a small fleet */
+	const char *ids[FEEDERS];
+	size_t n;
+};
+
+/* Chooses them among the live hosts. */
+void feeders_choose(struct feeders *f, const struct feeder_host *v, size_t n);
+/* Whether a host follows the store itself. */
+bool feeders_follows(const struct feeders *f, const char *id);
 /* Whether a host that follows the store tells another one of it. */
 bool feeders_feeds(
-    const struct feeder_host *v, size_t n, const char *feeder, const char *fed);
+    const struct feeders *f, const char *feeder, const char *fed);
 
 #endif
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -773,19 +773,21 @@
 		size_t n = sizes[c];
 		struct feeder_host *v = xcalloc(n, sizeof(*v));
 		size_t follow = 0;
+		struct feeders f;
 
 		for (size_t i = 0; i < n; i++)
 			v[i] = (struct feeder_host){ g_strdup_printf(
 							 "host-%zu", i),
 				i % 3 == 0 ? 120 : 500 };
+		feeders_choose(&f, v, n);
 		for (size_t i = 0; i < n; i++) {
 			size_t from = 0;
 
-			follow += feeders_follows(v, n, v[i].id);
+			follow += feeders_follows(&f, v[i].id);
 			for (size_t k = 0; k < n; k++)
-				from += feeders_feeds(v, n, v[k].id, v[i].id);
+				from += feeders_feeds(&f, v[k].id, v[i].id);
 			g_assert_cmpuint(from, ==,
-			    feeders_follows(v, n, v[i].id) ? 0 : FEEDERS_EACH);
+			    feeders_follows(&f, v[i].id) ? 0 : FEEDERS_EACH);
 		}
 		g_assert_cmpuint(follow, ==, n < FEEDERS_LEAST ? n : FEEDERS);
 		for (size_t i = 0; i < n; i++)
