--- a/entry/asks.c
+++ b/entry/asks.c
@@ -79,13 +79,15 @@
 	s->home = h;
 }
 
+/* The host at an RPC address; empty for this one. */
 static struct peer *
 find_peer(struct asks *s, const char *rpc)
 {
 	for (guint i = 0; i < s->peers->len; i++) {
 		struct peer *p = &g_array_index(s->peers, struct peer, i);
 
-		if (strcmp(p->p.rpc, rpc) == 0)
+		if (*rpc != '\0' ? strcmp(p->p.rpc, rpc) == 0
+				 : strcmp(p->p.id, s->o.self) == 0)
 			return p;
 	}
 	return NULL;
@@ -94,19 +96,23 @@
 void
 asks_peers(struct asks *s, const GArray *peers)
 {
-	GArray *v = g_array_new(FALSE, TRUE, sizeof(struct peer));
+	g_autoptr(GArray) before = s->peers;
 
+	s->peers = g_array_new(FALSE, TRUE, sizeof(struct peer));
 	for (guint i = 0; i < peers->len; i++) {
 		struct peer p = { .p = g_array_index(
 				      peers, struct view_peer, i) };
-		const struct peer *old = find_peer(s, p.p.rpc);
 
-		if (old != NULL)
-			p.suspect_until = old->suspect_until;
-		g_array_append_val(v, p);
+		g_array_append_val(s->peers, p);
+	}
+	for (guint i = 0; i < before->len; i++) {
+		const struct peer *old = &g_array_index(before, struct peer, i);
+		struct peer *p =
+		    old->suspect_until != 0 ? find_peer(s, old->p.rpc) : NULL;
+
+		if (p != NULL)
+			p->suspect_until = old->suspect_until;
 	}
-	g_array_unref(s->peers);
-	s->peers = v;
 }
 
 /* The RPC address of the service's home; empty for this host. */
@@ -132,6 +138,13 @@
 	return best->p.rpc;
 }
 
+static void
+set_home(struct asks *s, struct asked *a, usec_t now)
+{
+	g_strlcpy(
+	    a->home, choose_home(s, a->body.service, now), sizeof(a->home));
+}
+
 const char *
 asks_home(struct asks *s, const char *service)
 {
@@ -184,8 +197,7 @@
 	for (uint32_t i = 0; i < o->n; i++)
 		a->body.pieces.pieces_val[i] = i;
 	g_hash_table_insert(s->open, &a->number, a);
-	g_strlcpy(
-	    a->home, choose_home(s, a->body.service, now), sizeof(a->home));
+	set_home(s, a, now);
 	log_text(LOG_LVL_INFO, "stage-asked",
 	    "request %s: stage %u, %u pieces of %s, home %s, made in %s",
 	    a->body.id, o->stage, o->n, a->body.service,
@@ -212,11 +224,10 @@
 }
 
 void
-asks_release(struct asks *s, struct str service, struct str handles)
+asks_release(struct asks *s, const char *service, struct str handles)
 {
-	g_autofree char *name = g_strndup(service.p, service.n);
 	g_autofree char *list = g_strndup(handles.p, handles.n);
-	const char *home = choose_home(s, name, clock_now());
+	const char *home = choose_home(s, service, clock_now());
 	peer_body body = { .kind = PEER_PIECE_FREE };
 
 	if (handles.n == 0)
@@ -225,7 +236,7 @@
 		home_release(s->home, handles);
 		return;
 	}
-	body.peer_body_u.piece_free.service = name;
+	body.peer_body_u.piece_free.service = (char *)service;
 	body.peer_body_u.piece_free.handles = list;
 	rpc_send(s->o.rpc, home, &body);
 }
@@ -234,15 +245,11 @@
 static void
 move_on(struct asks *s, struct asked *a, usec_t now)
 {
-	for (guint i = 0; i < s->peers->len; i++) {
-		struct peer *p = &g_array_index(s->peers, struct peer, i);
+	struct peer *p = find_peer(s, a->home);
 
-		if (strcmp(p->p.rpc, a->home) == 0 ||
-		    (*a->home == '\0' && strcmp(p->p.id, s->o.self) == 0))
-			p->suspect_until = now + SUSPECT_TIME;
-	}
-	g_strlcpy(
-	    a->home, choose_home(s, a->body.service, now), sizeof(a->home));
+	if (p != NULL)
+		p->suspect_until = now + SUSPECT_TIME;
+	set_home(s, a, now);
 	a->tries = 0;
 	a->confirmed = false;
 }
@@ -303,8 +310,7 @@
 send_held(struct asks *s, struct asked *a, usec_t now)
 {
 	a->held = false;
-	g_strlcpy(
-	    a->home, choose_home(s, a->body.service, now), sizeof(a->home));
+	set_home(s, a, now);
 	send_ask(s, a, now);
 }
 
--- a/entry/asks.h
+++ b/entry/asks.h
@@ -55,7 +55,7 @@
 uint64_t asks_start(struct asks *s, const struct ask_opts *o);
 void asks_cancel(struct asks *s, uint64_t ask);
 /* Results that were used: handles by commas. */
-void asks_release(struct asks *s, struct str service, struct str handles);
+void asks_release(struct asks *s, const char *service, struct str handles);
 /* from: the RPC address of the home, or NULL for this host's own. */
 void asks_reply(struct asks *s, const char *from, const peer_piece_reply *r);
 /* Sends again what was not confirmed; false if nothing waits. */
--- a/entry/course.c
+++ b/entry/course.c
@@ -111,12 +111,11 @@
 	    : usual_time(&r->parts->times, r->service->name, FIRST_TOKEN);
 }
 
-static struct str
+static const char *
 service_name(const struct request *r, uint32_t stage)
 {
-	return str_from(
-	    routes_service_at(r->routes, r->route->stages[stage].service)
-		->name);
+	return routes_service_at(r->routes, r->route->stages[stage].service)
+	    ->name;
 }
 
 static void
@@ -180,7 +179,7 @@
 
 	release_stage(r, stage);
 	LOG(LOG_LVL_NOTICE, "stage-failed", { "request", r->facts.id },
-	    { "stage", service_name(r, stage) },
+	    { "stage", str_from(service_name(r, stage)) },
 	    { "outcome",
 		str_from(outcome == PIECE_LATE     ? "late"
 			: outcome == PIECE_GONE    ? "input gone"
@@ -209,10 +208,7 @@
 	const struct stage_progress *s = &r->stages[stage];
 
 	if (s->hopeful)
-		usual_note(&r->parts->times,
-		    routes_service_at(
-			r->routes, r->route->stages[stage].service)
-			->name,
+		usual_note(&r->parts->times, service_name(r, stage),
 		    clock_now() - s->asked_at);
 }
 
@@ -308,7 +304,7 @@
 	    r->aim - time_behind(r, i);
 	r->stages[i].ask = asks_start(r->parts->asks,
 	    &(struct ask_opts){
-		.service = service_name(r, i),
+		.service = str_from(service_name(r, i)),
 		.id = r->facts.id,
 		.stage = i,
 		.n = r->facts.pieces[i],
--- a/entry/door.c
+++ b/entry/door.c
@@ -2,7 +2,6 @@
 #include "base/log.h"
 #include "plat/addr.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -42,7 +42,7 @@
 	struct str addr = { NULL, 0 };
 
 	*w = (struct loads_wish){
-		.service = str_from(r->service->name),
+		.service = r->service->name,
 		.engine = r->service->has_engine,
 		.n_tried = r->n_tried,
 	};
@@ -69,16 +69,9 @@
 static void
 end_target(struct request *r, bool sound)
 {
-	struct target *t = target_of(r);
-
 	r->call = NULL;
-	if (t == NULL)
-		return;
-	loads_ended(t);
-	if (sound)
-		loads_sound(t);
-	else
-		loads_failed(t, clock_now());
+	loads_ended(&r->parts->loads, r->target_id,
+	    sound ? LOADS_SOUND : LOADS_FAILED, clock_now());
 }
 
 static bool
--- a/entry/home.c
+++ b/entry/home.c
@@ -207,24 +207,20 @@
 	};
 }
 
-static uint32_t
-usable_targets(
-    struct home *h, const char *service, usec_t now, uint32_t *free_ones)
+static bool
+is_free(const struct target *t, usec_t now)
 {
-	const GPtrArray *all = loads_of(h->o.loads, service);
-	uint32_t usable = 0;
+	return t->in_flight == 0 && now >= t->aside_until;
+}
 
-	*free_ones = 0;
-	for (guint i = 0; all != NULL && i < all->len; i++) {
-		const struct target *t = all->pdata[i];
+static uint32_t
+usable_targets(const GPtrArray *all, usec_t now)
+{
+	uint32_t n = 0;
 
-		if (now < t->aside_until)
-			continue;
-		usable++;
-		if (t->in_flight == 0)
-			(*free_ones)++;
-	}
-	return usable;
+	for (guint i = 0; all != NULL && i < all->len; i++)
+		n += now >= ((const struct target *)all->pdata[i])->aside_until;
+	return n;
 }
 
 /*
@@ -234,10 +230,9 @@
 static bool
 admit(struct home *h, struct ask *a, const struct batch_item *it, usec_t now)
 {
-	uint32_t free_ones;
 	uint32_t usable = a->pool == NULL
 	    ? 0
-	    : usable_targets(h, a->pool->service, now, &free_ones);
+	    : usable_targets(loads_of(h->o.loads, a->pool->service), now);
 	usec_t wait = 0;
 
 	if (usable > 0)
@@ -380,17 +375,16 @@
 }
 
 /*
- * Fills the next call of a target; with only_near nothing that is best made
- * in another failure domain.
+ * Fills the next call of a target, one of so many that are free; with
+ * only_near nothing that is best made in another failure domain.  False if
+ * there is nothing for it.
  */
-static void
-serve_target(struct home *h, struct pool *p, struct target *t, bool only_near,
-    usec_t now)
+static bool
+serve_target(struct home *h, struct pool *p, struct target *t,
+    uint32_t free_ones, bool only_near, usec_t now)
 {
 	GArray *items = g_array_new(FALSE, FALSE, sizeof(struct batch_item));
-	uint32_t free_ones;
 
-	usable_targets(h, p->service, now, &free_ones);
 	batch_take(&p->batch, now, free_ones,
 	    &(struct batch_target){
 		.domain = domain_hash(t->entry.domain),
@@ -398,10 +392,12 @@
 		.only_near = only_near,
 	    },
 	    items);
-	if (items->len > 0)
-		home_call(h, p, t, items, now);
-	else
+	if (items->len == 0) {
 		g_array_unref(items);
+		return false;
+	}
+	home_call(h, p, t, items, now);
+	return true;
 }
 
 /* The time of an ask is over, or that of its inputs: these are made anew. */
@@ -440,15 +436,19 @@
 home_serve(struct home *h, struct pool *p, usec_t now)
 {
 	const GPtrArray *all = loads_of(h->o.loads, p->service);
+	uint32_t free_ones = 0;
 
+	for (guint i = 0; all != NULL && i < all->len; i++)
+		free_ones += is_free(all->pdata[i], now);
 	for (int pass = 0; all != NULL && pass < 2; pass++) {
 		for (guint i = 0; i < all->len; i++) {
 			struct target *t = all->pdata[i];
 
 			if (p->batch.items->len == 0)
 				return;
-			if (t->in_flight == 0 && now >= t->aside_until)
-				serve_target(h, p, t, pass == 0, now);
+			if (is_free(t, now) &&
+			    serve_target(h, p, t, free_ones, pass == 0, now))
+				free_ones--;
 		}
 	}
 }
@@ -461,37 +461,43 @@
 	h->o.fetched(h->o.arg, str_of(&a->inputs));
 }
 
-static void
+/* True while an ask is not answered. */
+static bool
 sweep_asks(struct home *h, usec_t now)
 {
 	GHashTableIter it;
 	gpointer v;
+	bool waiting = false;
 
 	g_hash_table_iter_init(&it, h->asks);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct ask *a = v;
 
+		waiting = waiting || !a->replied;
 		if (a->replied && a->in_calls == 0 &&
 		    now - a->replied_at > KEEP_REPLY)
 			g_hash_table_iter_remove(&it);
 		else if (a->fetched_at != 0 && now >= a->fetched_at)
 			release_inputs(h, a);
 	}
+	return waiting;
 }
 
-void
+bool
 home_tick(struct home *h, usec_t now)
 {
 	GHashTableIter it;
 	gpointer p;
+	bool waiting;
 
 	g_hash_table_iter_init(&it, h->pools);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		drop_late(h, p, now);
 		home_serve(h, p, now);
 	}
-	sweep_asks(h, now);
+	waiting = sweep_asks(h, now);
 	home_flush_used(h, now);
+	return waiting;
 }
 
 void
@@ -531,19 +537,6 @@
 	}
 }
 
-size_t
-home_pending(const struct home *h)
-{
-	GHashTableIter it;
-	gpointer v;
-	size_t n = 0;
-
-	g_hash_table_iter_init(&it, h->asks);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		n += !((const struct ask *)v)->replied;
-	return n;
-}
-
 struct home_counts
 home_counts(const struct home *h)
 {
--- a/entry/home.h
+++ b/entry/home.h
@@ -43,8 +43,8 @@
 void home_ask(struct home *h, const char *from, const peer_piece_ask *x);
 /* Results that were used; they are freed with the next call to their maker. */
 void home_release(struct home *h, struct str handles);
-/* Drops what is too late, forgets what is over; call it regularly. */
-void home_tick(struct home *h, usec_t now);
+/* Drops what is late, forgets what is over; false if nothing waits. */
+bool home_tick(struct home *h, usec_t now);
 /*
  * The hosts have changed: where the home of a service has moved, another host
  * may still act as its home for a while.
@@ -52,8 +52,6 @@
 void home_unsettle(struct home *h, usec_t now);
 /* This host is leaving: what has not begun goes to the next home. */
 void home_drain(struct home *h);
-/* Asks that are not answered yet. */
-size_t home_pending(const struct home *h);
 struct home_counts home_counts(const struct home *h);
 void home_free(struct home *h);
 
--- a/entry/home_calls.c
+++ b/entry/home_calls.c
@@ -127,17 +127,11 @@
 static void
 note_target(struct stage_call *k, bool sound, usec_t now)
 {
-	struct target *t = loads_find(k->home->o.loads, k->target_id);
-
-	if (t == NULL)
-		return;
-	loads_ended(t);
-	if (sound)
-		loads_sound(t);
-	else if (k->not_run)
-		loads_full(t, now);
-	else
-		loads_failed(t, now);
+	loads_ended(k->home->o.loads, k->target_id,
+	    sound            ? LOADS_SOUND
+		: k->not_run ? LOADS_FULL
+			     : LOADS_FAILED,
+	    now);
 }
 
 static void
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -278,18 +278,14 @@
 
 /* Connections to targets that are not listed any more are closed. */
 static void
-forget_left(struct relay *y, const GArray *before, const GArray *after)
+forget_left(struct relay *y, const GArray *before)
 {
 	for (guint i = 0; i < before->len; i++) {
 		const struct target_entry *b =
 		    &g_array_index(before, struct target_entry, i);
-		bool kept = false;
+		const struct target *t = loads_find(&y->parts.loads, b->id);
 
-		for (guint k = 0; !kept && k < after->len; k++)
-			kept = strcmp(b->id,
-				   g_array_index(after, struct target_entry, k)
-				       .id) == 0;
-		if (!kept)
+		if (t == NULL || !t->listed)
 			dial_forget(y->parts.dialer, str_from(b->addr));
 	}
 }
@@ -314,7 +310,7 @@
 		home_routes(y->parts.home, v->routes);
 	}
 	if (y->view != NULL)
-		forget_left(y, y->view->targets, v->targets);
+		forget_left(y, y->view->targets);
 	view_free(y->view);
 	y->view = v;
 }
@@ -422,9 +418,8 @@
 	(void)fd;
 	(void)what;
 	stop_step(y, now);
-	home_tick(y->parts.home, now);
+	waiting = home_tick(y->parts.home, now) || waiting;
 	dialer_sweep(y->parts.dialer, now);
-	waiting = waiting || home_pending(y->parts.home) > 0;
 	next = waiting ? STEP : IDLE_STEP;
 	tv = (struct timeval){ next / USEC_PER_SEC, next % USEC_PER_SEC };
 	evtimer_add(y->step, &tv);
@@ -462,7 +457,7 @@
 			continue;
 		service = loads_service_at(&y->parts.loads, addr);
 		if (*service != '\0')
-			asks_release(y->parts.asks, str_from(service), one);
+			asks_release(y->parts.asks, service, one);
 	}
 }
 
--- a/entry/steward.c
+++ b/entry/steward.c
@@ -105,21 +105,14 @@
 
 /* What this host knows, for one that the store turns away. */
 static void
-on_fetch(void *arg, const peer_query *q, peer_result *r)
+give_state(struct steward *s, peer_result *r)
 {
-	struct steward *s = arg;
 	json_t *o;
 	json_t *list = json_object();
 	GHashTableIter it;
 	gpointer k;
 	gpointer v;
 
-	if (q->kind == PEER_GET_VALUE && strcmp(q->name, CONFIG_NAME) == 0)
-		steward_give_config(s, r);
-	if (q->kind != PEER_GET_VALUE || strcmp(q->name, STATE_NAME) != 0) {
-		json_decref(list);
-		return;
-	}
 	pthread_mutex_lock(&s->lock);
 	g_hash_table_iter_init(&it, s->target_texts);
 	while (g_hash_table_iter_next(&it, &k, &v))
@@ -143,6 +136,19 @@
 	json_decref(o);
 }
 
+static void
+on_fetch(void *arg, const peer_query *q, peer_result *r)
+{
+	struct steward *s = arg;
+
+	if (q->kind != PEER_GET_VALUE)
+		return;
+	if (strcmp(q->name, CONFIG_NAME) == 0)
+		steward_give_config(s, r);
+	else if (strcmp(q->name, STATE_NAME) == 0)
+		give_state(s, r);
+}
+
 static void
 on_deliver(void *arg, peer_letter *l)
 {
@@ -247,7 +253,7 @@
 {
 	const char *addr;
 
-	if (!s->counts.store_away || now - s->asked_at < ASK_PEER_EVERY)
+	if (!s->away || now - s->asked_at < ASK_PEER_EVERY)
 		return;
 	addr = member_source(fleet_members(s->fleet),
 	    s->routes != NULL ? s->routes->version : 1, rng_entropy());
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -31,23 +31,27 @@
 	g_strlcpy(l->domain, domain, sizeof(l->domain));
 	rng_init(&l->rng, seed);
 	l->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
+	l->by_addr = g_hash_table_new(g_str_hash, g_str_equal);
 	l->by_service = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
 }
 
-/* Lists the usable targets by service anew. */
+/* Lists the targets by address, and the usable ones by service, anew. */
 static void
-index_services(struct loads *l)
+index_targets(struct loads *l)
 {
 	GHashTableIter it;
 	gpointer p;
 
+	g_hash_table_remove_all(l->by_addr);
 	g_hash_table_remove_all(l->by_service);
 	g_hash_table_iter_init(&it, l->by_id);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct target *t = p;
 		GPtrArray *same;
 
+		if (t->listed)
+			g_hash_table_insert(l->by_addr, t->entry.addr, t);
 		if (!t->listed || t->left || t->entry.leaving)
 			continue;
 		same = g_hash_table_lookup(l->by_service, t->entry.service);
@@ -95,7 +99,7 @@
 		if (!t->listed && t->in_flight == 0)
 			g_hash_table_iter_remove(&it);
 	}
-	index_services(l);
+	index_targets(l);
 }
 
 struct target *
@@ -132,17 +136,13 @@
 static const struct target *
 target_at(const struct loads *l, struct str addr)
 {
-	GHashTableIter it;
-	gpointer p;
+	char key[sizeof(((struct target_entry *)NULL)->addr)];
 
-	g_hash_table_iter_init(&it, l->by_id);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		const struct target *t = p;
-
-		if (t->listed && str_eq(str_from(t->entry.addr), addr))
-			return t;
-	}
-	return NULL;
+	if (addr.n >= sizeof(key))
+		return NULL;
+	memcpy(key, addr.p, addr.n);
+	key[addr.n] = '\0';
+	return g_hash_table_lookup(l->by_addr, key);
 }
 
 const char *
@@ -186,8 +186,7 @@
 const char *
 loads_keeper_domain(const struct loads *l, const struct loads_wish *w)
 {
-	g_autofree char *name = g_strndup(w->service.p, w->service.n);
-	const GPtrArray *all = loads_of(l, name);
+	const GPtrArray *all = loads_of(l, w->service);
 	const struct target *t = all != NULL ? keeper(all, w) : NULL;
 
 	return t != NULL ? t->entry.domain : "";
@@ -242,8 +241,7 @@
 struct target *
 loads_choose(struct loads *l, const struct loads_wish *w, usec_t now)
 {
-	g_autofree char *name = g_strndup(w->service.p, w->service.n);
-	const GPtrArray *all = loads_of(l, name);
+	const GPtrArray *all = loads_of(l, w->service);
 	struct target *t;
 
 	if (all == NULL)
@@ -259,13 +257,6 @@
 	t->sent_since++;
 }
 
-void
-loads_ended(struct target *t)
-{
-	if (t->in_flight > 0)
-		t->in_flight--;
-}
-
 void
 loads_report(struct target *t, uint32_t running, uint32_t waiting, usec_t now)
 {
@@ -274,13 +265,6 @@
 	t->sent_since = 0;
 }
 
-void
-loads_sound(struct target *t)
-{
-	t->failures = 0;
-	t->aside_until = 0;
-}
-
 void
 loads_failed(struct target *t, usec_t now)
 {
@@ -298,6 +282,29 @@
 	t->aside_until = now + FULL_PAUSE;
 }
 
+void
+loads_ended(struct loads *l, const char *id, enum loads_end how, usec_t now)
+{
+	struct target *t = loads_find(l, id);
+
+	if (t == NULL)
+		return;
+	if (t->in_flight > 0)
+		t->in_flight--;
+	switch (how) {
+	case LOADS_SOUND:
+		t->failures = 0;
+		t->aside_until = 0;
+		break;
+	case LOADS_FULL:
+		loads_full(t, now);
+		break;
+	case LOADS_FAILED:
+		loads_failed(t, now);
+		break;
+	}
+}
+
 uint32_t
 loads_conn_share(uint32_t max_conns, uint32_t hosts)
 {
@@ -314,12 +321,13 @@
 	if (t->left)
 		return;
 	t->left = true;
-	index_services(l);
+	index_targets(l);
 }
 
 void
 loads_free(struct loads *l)
 {
 	g_hash_table_destroy(l->by_service);
+	g_hash_table_destroy(l->by_addr);
 	g_hash_table_destroy(l->by_id);
 }
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -32,13 +32,14 @@
 
 struct loads {
 	GHashTable *by_id;      /* id -> struct target */
+	GHashTable *by_addr;    /* address -> listed struct target */
 	GHashTable *by_service; /* name -> GPtrArray of usable struct target */
 	char domain[64];        /* of this host */
 	struct rng rng;
 };
 
 struct loads_wish {
-	struct str service;
+	const char *service;
 	bool engine;
 	uint64_t prefix;        /* hash of the largest shared part; 0: none */
 	uint32_t shared_tokens; /* that a target may have kept */
@@ -66,19 +67,24 @@
 const GPtrArray *loads_of(const struct loads *l, const char *service);
 
 void loads_sent(struct target *t);
-void loads_ended(struct target *t);
 void loads_report(
     struct target *t, uint32_t running, uint32_t waiting, usec_t now);
-/* An answer of its own came, or a call failed for its sake. */
-void loads_sound(struct target *t);
+enum loads_end {
+	LOADS_SOUND, /* an answer of its own came */
+	LOADS_FULL, /* it took no call, as others have filled it; it is sound */
+	LOADS_FAILED /* the call failed for its sake */
+};
+/* A call of this host is over; a target that is not known is passed over. */
+void loads_ended(
+    struct loads *l, const char *id, enum loads_end how, usec_t now);
+/* What the latter two do to a target. */
+void loads_full(struct target *t, usec_t now);
 void loads_failed(struct target *t, usec_t now);
 /*
  * How many idle connections a host keeps to a target that accepts so many of
  * all hosts together: its part, and one at the least; 0: any number.
  */
 uint32_t loads_conn_share(uint32_t max_conns, uint32_t hosts);
-/* It takes no call now, as others have filled it; it is sound. */
-void loads_full(struct target *t, usec_t now);
 /* It takes nothing new from now on. */
 void loads_left(struct loads *l, struct target *t);
 void loads_free(struct loads *l);
--- a/plat/dial.c
+++ b/plat/dial.c
@@ -2,7 +2,6 @@
 #include "base/log.h"
 #include "plat/addr.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <event2/bufferevent.h>
 #include <glib.h>
@@ -440,12 +439,9 @@
 {
 	g_autofree char *text = g_strndup(addr.p, addr.n);
 	GQueue *q = g_hash_table_lookup(d->idle, text);
-	GList *next;
 
-	for (GList *l = q != NULL ? q->head : NULL; l != NULL; l = next) {
-		next = l->next;
-		free_conn(l->data);
-	}
+	if (q != NULL)
+		shed_idle(q, 0);
 }
 
 void
@@ -484,14 +480,8 @@
 	gpointer p;
 
 	g_hash_table_iter_init(&it, d->idle);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		GQueue *q = p;
-
-		for (GList *l = q->head, *next; l != NULL; l = next) {
-			next = l->next;
-			free_conn(l->data);
-		}
-	}
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		shed_idle(p, 0);
 	g_hash_table_destroy(d->idle);
 	free(d);
 }
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -588,7 +588,7 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct loads l;
-		struct loads_wish w = { .service = STR("s") };
+		struct loads_wish w = { .service = "s" };
 		GArray *list =
 		    g_array_new(FALSE, FALSE, sizeof(struct target_entry));
 		struct target *t;
@@ -664,7 +664,7 @@
 {
 	struct loads l;
 	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct target_entry));
-	struct loads_wish w = { .service = STR("s"),
+	struct loads_wish w = { .service = "s",
 		.engine = true,
 		.prefix = 77,
 		.shared_tokens = 5000 };
@@ -700,7 +700,7 @@
 	struct loads l;
 	struct target_entry e = entry("i-1", false);
 	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct target_entry));
-	struct loads_wish w = { .service = STR("s") };
+	struct loads_wish w = { .service = "s" };
 
 	loads_init(&l, "d", 1);
 	e.born_ms = 1;
