--- a/ctl/settings_page.c
+++ b/ctl/settings_page.c
@@ -37,8 +37,8 @@
 	const char *name;
 	const char *kind;
 	const char *words; /* the allowed words, or NULL */
-	uint64_t min;
-	uint64_t max; /* 0: the page shows no bounds */
+	double min;
+	double max; /* 0: the page shows no bounds */
 	const char *unit;
 	const char *default_text; /* NULL: the key must be set */
 	const char *doc;
@@ -51,8 +51,7 @@
 	if (r->words != NULL && *r->words != '\0')
 		buf_printf(out, ": %s", r->words);
 	if (r->max > 0)
-		buf_printf(out, ", %llu to %llu", (unsigned long long)r->min,
-		    (unsigned long long)r->max);
+		buf_printf(out, ", %.12g to %.12g", r->min, r->max);
 	if (r->unit != NULL && *r->unit != '\0')
 		buf_printf(out, " (%s)", r->unit);
 	if (r->default_text == NULL)
@@ -77,9 +76,10 @@
 	case SETTING_ADDRS:
 		return "addresses";
 	case SETTING_MILLI:
+	case SETTING_MSEC:
+	case SETTING_SEC:
 		return "number";
 	case SETTING_U32:
-	case SETTING_MSEC:
 		return "whole number";
 	}
 	return "";
@@ -128,8 +128,8 @@
 		    &(struct row){
 			.name = k[i].name,
 			.kind = setting_kind(k[i].type),
-			.min = k[i].min,
-			.max = k[i].max,
+			.min = (double)k[i].min / setting_scale(k[i].type),
+			.max = (double)k[i].max / setting_scale(k[i].type),
 			.unit = k[i].unit,
 			.default_text = k[i].default_text,
 			.doc = k[i].doc,
@@ -160,8 +160,8 @@
 			.name = k[i].name,
 			.kind = conf_kind(k[i].type),
 			.words = k[i].words,
-			.min = k[i].min,
-			.max = bounded ? k[i].max : 0,
+			.min = (double)k[i].min,
+			.max = bounded ? (double)k[i].max : 0,
 			.unit = k[i].unit,
 			.default_text = k[i].default_text,
 			.doc = k[i].doc,
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -13,10 +13,12 @@
 /* Longest sleep: half a gossip round, so that no round starts late. */
 #define MAX_LOOP_SLEEP      (250 * USEC_PER_MSEC)
 /*
- * How long the store holds a long poll open; below the drain bound of 2 s.  If
- * the call fails or its timeout passes too, the store is unavailable.
+ * Longest and shortest time that the store holds a long poll open.  In between,
+ * the poll and its call's timeout end within the time that a leaving target
+ * leaves (target_drain_ms), as a silent store shows only then.
  */
-#define STORE_TIMEOUT       (1500 * USEC_PER_MSEC)
+#define POLL_TIME_MAX       (1500 * USEC_PER_MSEC)
+#define POLL_TIME_MIN       (500 * USEC_PER_MSEC)
 /* Interval of state fetches from peers while the store is unavailable. */
 #define PEER_FETCH_INTERVAL (500 * USEC_PER_MSEC)
 /* The document name under which peers serve configuration and targets. */
@@ -378,6 +380,16 @@
 	http_wake(d->loop);
 }
 
+static usec_t
+poll_time(const struct settings *s)
+{
+	usec_t t = s->target_drain - s->kv_timeout;
+
+	if (t > POLL_TIME_MAX)
+		return POLL_TIME_MAX;
+	return t > POLL_TIME_MIN ? t : POLL_TIME_MIN;
+}
+
 static void
 open_store(struct discovery *d)
 {
@@ -394,7 +406,7 @@
 	d->watcher = watcher_new(&(struct watcher_opts){
 	    .kv = d->kv,
 	    .prefix = STR(""),
-	    .poll_timeout = STORE_TIMEOUT,
+	    .poll_timeout = poll_time(d->o.settings),
 	    .seed = rng_entropy(),
 	    .handler = discovery_on_store_event,
 	    .batch = discovery_forward_batch,
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -546,8 +546,8 @@
 	p->base = event_base_new();
 	p->dialer = dialer_new(p->base);
 	p->quota_rule = (struct retry_quota_rule){
-		.ratio = o->settings->retry_percent / 100.0,
-		.slack = o->settings->retry_slack,
+		.ratio = o->settings->retry_ratio / 1000.0,
+		.slack = o->settings->retry_slack / 1000.0,
 		.window = o->settings->retry_window,
 		.hosts = 1,
 	};
--- a/entry/relayd.c
+++ b/entry/relayd.c
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #define DRAIN_POLL_INTERVAL (50 * USEC_PER_MSEC)
+/* The process ends this long before the platform would kill it. */
+#define KILL_MARGIN         (700 * USEC_PER_MSEC)
 
 static void
 on_view(void *arg, struct view *v)
@@ -21,22 +23,23 @@
 
 /*
  * Keeps serving until the load balancer has stopped routing here (drain_ms) and
- * no request is in flight, or until the grace period (grace_ms) ends.
+ * no request is in flight, or until the grace period (grace_s) is nearly over.
  */
 static void
 drain(const struct settings *settings, struct relay *r, struct discovery *d)
 {
 	usec_t start = clock_now();
+	usec_t exit_at = start + settings->grace - KILL_MARGIN;
 
 	LOG(LOG_LVL_NOTICE, "draining", { "id", str_from(settings->id) });
 	relay_drain(r);
 	discovery_drain(d);
-	while (clock_now() - start < settings->drain)
+	while (clock_now() - start < settings->drain && clock_now() < exit_at)
 		usleep((useconds_t)DRAIN_POLL_INTERVAL);
-	relay_set_exit_time(r, start + settings->grace);
+	relay_set_exit_time(r, exit_at);
 	do
 		usleep((useconds_t)DRAIN_POLL_INTERVAL);
-	while (relay_busy(r) > 0 && clock_now() - start < settings->grace);
+	while (relay_busy(r) > 0 && clock_now() < exit_at);
 }
 
 /* Blocks until a signal other than SIGHUP arrives. */
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -47,9 +47,10 @@
 	    "Memory for ended requests that can be queried." },
 	{ "sequoiad", "log_level", SETTING_U32, OFFSET(log_level), 3, 7, "6",
 	    "", "The least severe syslog level that is logged." },
-	{ "sequoiad", "grace_ms", SETTING_MSEC, OFFSET(grace), 0, 600000,
-	    "7500", "ms",
-	    "Time after SIGTERM until the process ends, with form = routes." },
+	{ "sequoiad", "grace_s", SETTING_SEC, OFFSET(grace), 1000, 600000, "8",
+	    "s",
+	    "Time after SIGTERM at which the platform kills the process, with "
+	    "form = routes; it ends itself shortly before." },
 	{ "platform", "form", SETTING_TEXT, OFFSET(form), 1, 16, "etcd", "",
 	    "Interface of the platform: etcd (pipelines) or routes." },
 	{ "platform", "kv", SETTING_ADDRS, OFFSET(kv), 0, 0, NULL,
@@ -61,15 +62,17 @@
 	    "IP", "Local address of the calls to the key-value service." },
 	{ "platform", "hosts", SETTING_ADDR, OFFSET(hosts), 0, 0, "", "IP:PORT",
 	    "Address of the host list; empty if there is none." },
-	{ "routes", "retry_percent", SETTING_U32, OFFSET(retry_percent), 0, 100,
-	    "20", "%",
-	    "Retries allowed, as a percentage of a service's requests." },
-	{ "routes", "retry_slack", SETTING_U32, OFFSET(retry_slack), 0, 1000000,
-	    "50", "calls",
+	{ "routes", "retry_ratio", SETTING_MILLI, OFFSET(retry_ratio), 0, 1000,
+	    "0.2", "", "Retries allowed for each request to a service." },
+	{ "routes", "retry_slack", SETTING_MILLI, OFFSET(retry_slack), 0,
+	    1000000000, "50", "calls",
 	    "Retries allowed in addition per window, for the whole fleet." },
-	{ "routes", "retry_window_ms", SETTING_MSEC, OFFSET(retry_window), 1000,
-	    600000, "10000", "ms",
-	    "The window of retry_percent and retry_slack." },
+	{ "routes", "retry_window_s", SETTING_SEC, OFFSET(retry_window), 1000,
+	    600000, "10", "s", "The window of retry_ratio and retry_slack." },
+	{ "routes", "target_drain_ms", SETTING_MSEC, OFFSET(target_drain), 500,
+	    600000, "2000", "ms",
+	    "Time after which a target that reported its leave gets no new "
+	    "calls." },
 	{ "fleet", "fleet_key", SETTING_TEXT, OFFSET(fleet_key), 16, 256, NULL,
 	    "", "The secret that authenticates the sequoiads to each other." },
 };
@@ -159,21 +162,40 @@
 	return 0;
 }
 
+double
+setting_scale(enum setting_type t)
+{
+	return t == SETTING_MILLI || t == SETTING_SEC ? 1000 : 1;
+}
+
+/* Whether the text is digits with at most one decimal point. */
+static bool
+is_decimal(const char *text)
+{
+	return *text != '\0' && strspn(text, "0123456789.") == strlen(text) &&
+	    strchr(text, '.') == strrchr(text, '.') && strcmp(text, ".") != 0;
+}
+
+/* Stores a decimal number; min and max are in thousandths or milliseconds. */
 static int
-store_milli(struct settings *s, const struct setting_key *k, const char *text,
+store_decimal(struct settings *s, const struct setting_key *k, const char *text,
     const struct origin *o, struct err *e)
 {
-	char *end;
-	double v = g_ascii_strtod(text, &end) * 1000;
+	void *at = (char *)s + k->offset;
+	double scale = setting_scale(k->type);
+	double v = g_ascii_strtod(text, NULL) * scale;
 	char expected[96];
 
-	if (*end != '\0' || end == text || !(v >= (double)k->min) ||
-	    v > (double)k->max) {
-		snprintf(expected, sizeof(expected), "a number from %g to %g",
-		    (double)k->min / 1000, (double)k->max / 1000);
+	if (!is_decimal(text) || v < (double)k->min || v > (double)k->max) {
+		snprintf(expected, sizeof(expected),
+		    "a number from %.12g to %.12g", (double)k->min / scale,
+		    (double)k->max / scale);
 		return set_invalid(e, k, o, text, expected);
 	}
-	*(uint32_t *)(void *)((char *)s + k->offset) = (uint32_t)v;
+	if (k->type == SETTING_MILLI)
+		*(uint32_t *)at = (uint32_t)v;
+	else
+		*(usec_t *)at = (usec_t)(v * USEC_PER_MSEC);
 	return 0;
 }
 
@@ -185,9 +207,10 @@
 	char expected[96];
 	uint64_t v;
 
-	if (k->type == SETTING_MILLI)
-		return store_milli(s, k, text, o, e);
-	if (k->type != SETTING_U32 && k->type != SETTING_MSEC)
+	if (k->type == SETTING_MILLI || k->type == SETTING_SEC ||
+	    k->type == SETTING_MSEC)
+		return store_decimal(s, k, text, o, e);
+	if (k->type != SETTING_U32)
 		return store_text(s, k, text, o, e);
 	if (!str_parse_u64(str_from(text), &v) || v < k->min || v > k->max) {
 		snprintf(expected, sizeof(expected),
@@ -195,10 +218,7 @@
 		    (unsigned long long)k->min, (unsigned long long)k->max);
 		return set_invalid(e, k, o, text, expected);
 	}
-	if (k->type == SETTING_U32)
-		*(uint32_t *)at = (uint32_t)v;
-	else
-		*(usec_t *)at = (usec_t)v * USEC_PER_MSEC;
+	*(uint32_t *)at = (uint32_t)v;
 	return 0;
 }
 
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -34,9 +34,10 @@
 	usec_t body_timeout;
 	uint32_t log_level;
 	usec_t grace;
-	uint32_t retry_percent;
-	uint32_t retry_slack;
+	uint32_t retry_ratio; /* thousandths */
+	uint32_t retry_slack; /* thousandths of a call */
 	usec_t retry_window;
+	usec_t target_drain;
 };
 
 enum setting_type {
@@ -46,7 +47,8 @@
 	SETTING_ADDRS, /* IP:PORT, separated by spaces */
 	SETTING_U32,
 	SETTING_MILLI, /* a decimal number, stored in thousandths */
-	SETTING_MSEC   /* milliseconds, stored as usec_t */
+	SETTING_MSEC,  /* decimal milliseconds, stored as usec_t */
+	SETTING_SEC    /* decimal seconds, stored as usec_t */
 };
 
 struct setting_key {
@@ -54,6 +56,7 @@
 	const char *name;
 	enum setting_type type;
 	size_t offset;
+	/* Bounds, in units of the key's value divided by setting_scale. */
 	uint64_t min;
 	uint64_t max;
 	const char *default_text; /* NULL: the key must be set */
@@ -70,5 +73,7 @@
     struct settings *s, const char *path, const char *const *v, struct err *e);
 void settings_free(struct settings *s);
 const struct setting_key *settings_keys(size_t *n);
+/* Number of steps of a key's bounds in one unit of its value. */
+double setting_scale(enum setting_type t);
 
 #endif
--- a/tests/platform/harness.c
+++ b/tests/platform/harness.c
@@ -35,7 +35,7 @@
 	    "[sequoiad]\nid = %s\nlisten = 127.0.0.1:%u\n"
 	    "operators = 127.0.0.1:%u\nrpc = 127.0.0.1:%u\n"
 	    "failure_domain = d1\npeers = 127.0.0.1:%u\ndrain_ms = 500\n"
-	    "grace_ms = 4000\n[platform]\nform = routes\nkv = 127.0.0.1:%u\n"
+	    "grace_s = 4.7\n[platform]\nform = routes\nkv = 127.0.0.1:%u\n"
 	    "[fleet]\nfleet_key = a fleet key of the tests\n",
 	    h->id, h->port, h->port + 1, h->port + 2,
 	    h->seed_port != 0 ? h->seed_port + 2 : h->port + 2, h->store_port);
