--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -1,6 +1,7 @@
 #include "entry/coordinator_state.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "kernel/overload/retry_after.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -31,11 +32,12 @@
  * refused.
  */
 #define LATE_WAIT             (10 * USEC_PER_SEC)
-/*
- * A refused job is to be retried after half of the expected wait, plus a jitter
- * of up to this.
- */
-#define RETRY_JITTER_MS       400
+/* Interval of the log lines on the load of a service's queue. */
+#define LOAD_REPORT_TIME      (1 * USEC_PER_SEC)
+/* A target with less than this part of its result space is called full. */
+#define FULL_PART             10
+/* Retry-After while a service has no usable target. */
+#define NO_TARGET_RETRY       (1 * USEC_PER_SEC)
 
 static void
 free_coordinator_job(gpointer p)
@@ -242,6 +244,16 @@
 	return n;
 }
 
+/* Marks a job as refused; wait: expected time until it would be done. */
+static void
+refuse_job(struct coordinator *c, struct coordinator_job *j, usec_t wait)
+{
+	j->refused = true;
+	j->wait_ms = (uint32_t)(retry_after(wait, hash_u64(str_of(&j->id), 0)) /
+	    USEC_PER_MSEC);
+	c->counts.refused++;
+}
+
 /*
  * Returns whether the pieces will be done in time; otherwise marks the job as
  * refused.  A job with inputs is not refused for lack of capacity, because the
@@ -258,14 +270,10 @@
 
 	if (usable > 0)
 		wait = batch_estimate(&j->pool->batch, usable, it, now) - now;
+	j->wait_ms = (uint32_t)(wait / USEC_PER_MSEC);
 	if (usable > 0 && (j->inputs.n > 0 || now + wait < j->deadline))
 		return true;
-	j->refused = true;
-	j->wait_ms = usable == 0
-	    ? 1000
-	    : (uint32_t)(wait / USEC_PER_MSEC / 2 +
-		  hash_u64(str_of(&j->id), 0) % RETRY_JITTER_MS);
-	c->counts.refused++;
+	refuse_job(c, j, usable > 0 ? wait : NO_TARGET_RETRY);
 	log_text(LOG_LVL_INFO, "stage-refused",
 	    "request %.*s: %u pieces wait, %u usable targets, %" PRId64
 	    " ms until they are done",
@@ -296,7 +304,8 @@
 static usec_t
 latest_start(const peer_piece_ask *msg, const struct pool *p, usec_t now)
 {
-	usec_t latest = now + (usec_t)msg->left_ms * USEC_PER_MSEC;
+	usec_t latest = now + (usec_t)msg->left_ms * USEC_PER_MSEC -
+	    (p != NULL ? batch_min_duration(&p->batch) : 0);
 	usec_t late_limit =
 	    now + (usec_t)msg->aim_left_ms * USEC_PER_MSEC + LATE_WAIT;
 
@@ -436,12 +445,36 @@
 end_overdue(struct coordinator *c, struct coordinator_job *j, uint32_t piece,
     usec_t now)
 {
-	j->refused = !j->input_expiry;
-	j->results[piece].outcome = PIECE_INPUT_LOST;
+	if (j->input_expiry)
+		j->results[piece].outcome = PIECE_INPUT_LOST;
+	else
+		refuse_job(c, j, 0);
 	release_results(c, j);
 	coordinator_finish_job(c, j, now);
 }
 
+/* Refuses the jobs whose turn can't come before their deadline. */
+static void
+refuse_hopeless(struct coordinator *c, struct pool *p, usec_t now)
+{
+	g_autoptr(GPtrArray) owners = g_ptr_array_new();
+
+	batch_hopeless(&p->batch,
+	    count_usable(loads_usable(c->o.loads, p->service), now), now,
+	    owners);
+	for (guint i = 0; i < owners->len; i++) {
+		struct coordinator_job *j = owners->pdata[i];
+
+		log_text(LOG_LVL_INFO, "stage-hopeless",
+		    "request %.*s: %u pieces wait, latest start in %" PRId64
+		    " ms",
+		    STR_FMT(str_of(&j->id)), p->batch.items->len,
+		    (j->deadline - now) / USEC_PER_MSEC);
+		refuse_job(c, j, j->deadline - now);
+		coordinator_finish_job(c, j, now);
+	}
+}
+
 /* Ends the jobs whose deadline has passed. */
 static void
 refuse_overdue(struct coordinator *c, struct pool *p, usec_t now)
@@ -474,7 +507,9 @@
 
 	for (guint i = 0; all != NULL && i < all->len; i++)
 		n_free += is_free(all->pdata[i], now);
-	for (int pass = 0; all != NULL && pass < 2; pass++) {
+	if (n_free == 0 || p->batch.items->len == 0)
+		return;
+	for (int pass = 0; pass < 2; pass++) {
 		for (guint i = 0; i < all->len; i++) {
 			struct target_load *t = all->pdata[i];
 
@@ -522,6 +557,40 @@
 	return waiting;
 }
 
+/* Logs the load of a pool in which pieces wait. */
+static void
+report_load(struct coordinator *c, struct pool *p, usec_t now)
+{
+	const GPtrArray *all = loads_usable(c->o.loads, p->service);
+	uint32_t busy = 0;
+	uint32_t aside = 0;
+	uint32_t full = 0;
+
+	if (now - p->reported_at < LOAD_REPORT_TIME)
+		return;
+	p->reported_at = now;
+	for (guint i = 0; all != NULL && i < all->len; i++) {
+		const struct target_load *t = all->pdata[i];
+
+		if (t->in_flight > 0)
+			busy++;
+		else if (now < t->aside_until)
+			aside++;
+		else if (free_result_bytes(c, p, t->entry.addr, now) <
+		    p->batch.config.result_bytes / FULL_PART)
+			full++;
+	}
+	if (p->batch.items->len > 0)
+		log_text(LOG_LVL_INFO, "stage-load",
+		    "service %s: %u pieces wait; %u targets, %u busy, %u set "
+		    "aside, %u without space; %u calls with %u pieces since "
+		    "the last report",
+		    p->service, p->batch.items->len, all != NULL ? all->len : 0,
+		    busy, aside, full, p->calls, p->pieces);
+	p->calls = 0;
+	p->pieces = 0;
+}
+
 bool
 coordinator_tick(struct coordinator *c, usec_t now)
 {
@@ -532,6 +601,8 @@
 	g_hash_table_iter_init(&it, c->pools);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		refuse_overdue(c, p, now);
+		refuse_hopeless(c, p, now);
+		report_load(c, p, now);
 		coordinator_start_calls(c, p, now);
 	}
 	waiting = sweep_jobs(c, now);
--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -7,21 +7,38 @@
 #include <string.h>
 
 /* Covers many round trips. */
-#define CONNECT_TIMEOUT     (300 * USEC_PER_MSEC)
-/*
- * A call that takes this many times its expected duration is considered lost.
- */
-#define CALL_TIMEOUT_FACTOR 5
+#define CONNECT_TIMEOUT  (300 * USEC_PER_MSEC)
 /*
  * Interval at which used results are freed in one call; short, as result space
  * is scarce.
  */
-#define FREE_INTERVAL       (40 * USEC_PER_MSEC)
+#define FREE_INTERVAL    (40 * USEC_PER_MSEC)
 /*
  * Time after which a call has fetched its inputs: links take a few ms per MB.
  */
-#define INPUT_FETCH_TIME    (80 * USEC_PER_MSEC)
-#define MAX_PIECE_SENDS     3
+#define INPUT_FETCH_TIME (80 * USEC_PER_MSEC)
+#define MAX_PIECE_SENDS  3
+/* A target without space counts as full for this part of its results' life. */
+#define FULL_TTL_SHARE   4
+
+/*
+ * The target had no space for a piece although the results known here leave
+ * some: others are stored there too, as those of a previous coordinator.  It is
+ * full until some of them expire.
+ */
+static void
+fill_result_space(struct batch_call *call, usec_t now)
+{
+	struct result_space *r = &call->coordinator->result_space;
+	const struct pool_config *config = &call->pool->batch.config;
+	/* The call's own reservation ends with the call. */
+	uint64_t used = result_space_used(r, call->addr, now) - call->bytes;
+
+	if (used < config->result_bytes)
+		result_space_hold_lost(r, call->addr,
+		    config->result_bytes - used,
+		    now + config->result_ttl / FULL_TTL_SHARE);
+}
 
 static void
 set_result(struct coordinator *c, const struct batch_item *it,
@@ -47,31 +64,39 @@
 }
 
 /*
- * Queues the pieces of a call that produced nothing again, or fails them after
- * MAX_PIECE_SENDS calls.
+ * Queues a piece that was not produced again, or fails it after MAX_PIECE_SENDS
+ * calls.  Returns whether it waits again.
  */
-static void
-requeue_items(
-    struct coordinator *c, struct batch_call *call, bool count_send, usec_t now)
+static bool
+requeue_item(struct batch_call *call, const struct batch_item *item,
+    bool count_send, usec_t now)
 {
-	for (guint i = 0; i < call->items->len; i++) {
-		struct batch_item it =
-		    g_array_index(call->items, struct batch_item, i);
-		struct coordinator_job *j = it.owner;
+	struct batch_item it = *item;
+	struct coordinator_job *j = it.owner;
 
-		if (j->replied)
-			continue;
-		if (count_send && ++j->sends[it.piece] >= MAX_PIECE_SENDS) {
-			set_result(c, &it,
-			    &(struct piece_result){ .outcome = PIECE_FAILED },
-			    now);
-			continue;
-		}
-		c->counts.retries += count_send;
-		j->started--;
-		j->release_inputs_at = 0;
-		batch_add(&call->pool->batch, &it);
+	if (j->replied)
+		return false;
+	if (count_send && ++j->sends[it.piece] >= MAX_PIECE_SENDS) {
+		set_result(call->coordinator, &it,
+		    &(struct piece_result){ .outcome = PIECE_FAILED }, now);
+		return false;
 	}
+	call->coordinator->counts.retries += count_send;
+	j->started--;
+	j->release_inputs_at = 0;
+	it.queued = now;
+	batch_add(&call->pool->batch, &it);
+	return true;
+}
+
+/* Queues the pieces of a call that produced nothing again. */
+static void
+requeue_items(struct batch_call *call, bool count_send, usec_t now)
+{
+	for (guint i = 0; i < call->items->len; i++)
+		requeue_item(call,
+		    &g_array_index(call->items, struct batch_item, i),
+		    count_send, now);
 }
 
 /* Takes the items out of their jobs' counts of pieces in calls. */
@@ -123,6 +148,7 @@
 	size_t n = evbuffer_get_length(body);
 	struct str text = { (const char *)evbuffer_pullup(body, -1), n };
 	struct piece_result *v;
+	bool no_space = false;
 	bool ok = false;
 
 	if (call->status != 200 || n == 0 ||
@@ -130,10 +156,19 @@
 		return false;
 	v = xcalloc(call->items->len, sizeof(*v));
 	ok = platform_stage_results(text, v, call->items->len);
-	for (guint i = 0; ok && i < call->items->len; i++)
-		set_result(call->coordinator,
-		    &g_array_index(call->items, struct batch_item, i), &v[i],
-		    now);
+	for (guint i = 0; ok && i < call->items->len; i++) {
+		const struct batch_item *it =
+		    &g_array_index(call->items, struct batch_item, i);
+
+		call->n_made += v[i].outcome == PIECE_DONE;
+		if (v[i].outcome == PIECE_NO_SPACE)
+			no_space =
+			    requeue_item(call, it, true, now) || no_space;
+		else
+			set_result(call->coordinator, it, &v[i], now);
+	}
+	if (no_space)
+		fill_result_space(call, now);
 	free(v);
 	return ok;
 }
@@ -164,10 +199,10 @@
 		if (!not_run)
 			result_space_hold_lost(&c->result_space, call->addr,
 			    call->bytes, now + p->batch.config.result_ttl);
-		requeue_items(c, call, !not_run, now);
+		requeue_items(call, !not_run, now);
 	} else {
 		batch_record(
-		    &call->pool->batch, call->items->len, now - call->started);
+		    &call->pool->batch, call->n_made, now - call->started);
 	}
 	free_batch_call(call);
 	coordinator_start_calls(c, p, now);
@@ -312,8 +347,7 @@
 {
 	struct batch_call *call = xcalloc(1, sizeof(*call));
 	struct buf body = { 0 };
-	usec_t timeout = CALL_TIMEOUT_FACTOR *
-	    (usec_t)(p->batch.call_usec + p->batch.item_usec * items->len);
+	usec_t timeout = batch_call_timeout(&p->batch, items->len);
 	struct timeval tv = { timeout / USEC_PER_SEC, timeout % USEC_PER_SEC };
 
 	flush_frees(c, t);
@@ -330,12 +364,14 @@
 	loads_sent(t);
 	c->counts.calls++;
 	c->counts.pieces += items->len;
+	p->calls++;
+	p->pieces += items->len;
 	call->dial = post(
 	    c, t, PLATFORM_STAGE_RUN_PATH, str_of(&body), on_dial_event, call);
 	buf_free(&body);
 	if (call->dial == NULL) {
 		report_target(call, false, now);
-		requeue_items(c, call, false, now);
+		requeue_items(call, false, now);
 		free_batch_call(call);
 		return;
 	}
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -6,9 +6,9 @@
 #define ENTRY_COORDINATOR_STATE_H
 
 #include "entry/coordinator.h"
-#include "kernel/batch.h"
+#include "kernel/overload/batch.h"
 #include "kernel/bounds.h"
-#include "kernel/result_space.h"
+#include "kernel/overload/result_space.h"
 #include "platform/stage.h"
 
 struct pool; /* waiting pieces of one service */
@@ -53,6 +53,10 @@
 	/* RPC address of the service's coordinator in this host's view. */
 	char coordinator_addr[MAX_ADDR_BYTES];
 	usec_t handover_until;
+	/* Since the last report of the pool's load. */
+	usec_t reported_at;
+	uint32_t calls;
+	uint32_t pieces;
 };
 
 struct batch_call {
@@ -65,6 +69,7 @@
 	uint64_t bytes; /* result space reserved for the call */
 	GArray *items;  /* struct batch_item; owner: struct coordinator_job */
 	usec_t started;
+	uint32_t n_made; /* pieces with a result */
 	int status;
 	bool not_run;
 };
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -42,6 +42,13 @@
 #define STREAM_DURATION         (2 * USEC_PER_SEC)
 /* Requests end this long before the exit, so that the last responses arrive. */
 #define EXIT_MARGIN             (400 * USEC_PER_MSEC)
+/*
+ * Repetitions of stage work that one host allows itself: this share of its
+ * requests, and this many more in each window.
+ */
+#define STAGE_REPEAT_RATIO      0.2
+#define STAGE_REPEAT_SLACK      2
+#define STAGE_REPEAT_WINDOW     (5 * USEC_PER_SEC)
 
 struct relay {
 	struct relay_opts o;
@@ -554,7 +561,14 @@
 	loads_init(&p->loads, o->settings->failure_domain, rng_entropy());
 	p->retry_quotas =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, free, free);
+	p->stage_quota_rule = (struct retry_quota_rule){
+		.ratio = STAGE_REPEAT_RATIO,
+		.slack = STAGE_REPEAT_SLACK,
+		.window = STAGE_REPEAT_WINDOW,
+		.hosts = 1,
+	};
 	durations_init(&p->durations);
+	stage_waits_init(&p->stage_waits);
 	y->inbox = inbox_new();
 	y->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	y->inbox_event =
@@ -590,6 +604,7 @@
 	    .incarnation = y->o.incarnation,
 	    .peer_wait =
 		str_from(y->o.settings->peers).n > 0 ? PEER_WAIT_TIME : 0,
+	    .waits = &p->stage_waits,
 	});
 	p->coordinator = coordinator_new(&(struct coordinator_opts){
 	    .base = p->base,
@@ -681,6 +696,7 @@
 	loads_free(&p->loads);
 	g_hash_table_destroy(p->retry_quotas);
 	durations_free(&p->durations);
+	stage_waits_free(&p->stage_waits);
 	event_free(y->inbox_event);
 	event_free(y->tick);
 	/* Frees the objects that deferred callbacks still hold. */
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -10,10 +10,12 @@
 #include "entry/stage_jobs.h"
 #include "entry/httpd.h"
 #include "kernel/loads.h"
-#include "kernel/retry_quota.h"
+#include "kernel/overload/retry_quota.h"
 #include "kernel/routes.h"
 #include "kernel/sse.h"
-#include "kernel/durations.h"
+#include "kernel/overload/chain.h"
+#include "kernel/overload/durations.h"
+#include "kernel/overload/stage_waits.h"
 #include "plat/dial.h"
 #include "platform/request.h"
 
@@ -33,6 +35,11 @@
 	 * by service name.
 	 */
 	struct durations durations;
+	/* Waits at the stage services, as their coordinators report them. */
+	struct stage_waits stage_waits;
+	/* Quota of repeated stage work, for all stage services together. */
+	struct retry_quota stage_quota;
+	struct retry_quota_rule stage_quota_rule;
 };
 
 struct stage_progress {
--- a/entry/stage_jobs.c
+++ b/entry/stage_jobs.c
@@ -16,6 +16,13 @@
 #define STATUS_INTERVAL   (1 * USEC_PER_SEC)
 /* Sends without an acknowledgement before the next coordinator is chosen. */
 #define MAX_UNACKED_SENDS 3
+/*
+ * A coordinator that was heard within this time is alive: it is not replaced,
+ * as two coordinators would send calls to the same targets.
+ */
+#define ALIVE_TIME        (500 * USEC_PER_MSEC)
+/* A job at a live coordinator is resent at doubling intervals up to this. */
+#define MAX_ACK_TIMEOUT   (800 * USEC_PER_MSEC)
 /* How long a coordinator that did not acknowledge a job is not chosen. */
 #define SUSPECT_DURATION  (2 * USEC_PER_SEC)
 /* Number of low bits of a job number, which count the jobs of one process. */
@@ -38,6 +45,7 @@
 struct peer {
 	struct view_peer p;
 	usec_t suspect_until;
+	usec_t heard_at; /* last reply to a job; 0: none */
 };
 
 struct stage_jobs {
@@ -113,11 +121,14 @@
 	for (guint i = 0; i < old_peers->len; i++) {
 		const struct peer *old =
 		    &g_array_index(old_peers, struct peer, i);
-		struct peer *p =
-		    old->suspect_until != 0 ? find_peer(s, old->p.rpc) : NULL;
+		struct peer *p = old->suspect_until != 0 || old->heard_at != 0
+		    ? find_peer(s, old->p.rpc)
+		    : NULL;
 
-		if (p != NULL)
+		if (p != NULL) {
 			p->suspect_until = old->suspect_until;
+			p->heard_at = old->heard_at;
+		}
 	}
 }
 
@@ -128,13 +139,21 @@
 	uint64_t seed = hash_u64(str_from(service), 3);
 	const struct peer *best = NULL;
 	double best_weight = 0;
+	uint32_t largest = 0;
 
+	for (guint i = 0; i < s->peers->len; i++) {
+		const struct peer *p = &g_array_index(s->peers, struct peer, i);
+
+		if (now >= p->suspect_until && p->p.capacity > largest)
+			largest = p->p.capacity;
+	}
 	for (guint i = 0; i < s->peers->len; i++) {
 		const struct peer *p = &g_array_index(s->peers, struct peer, i);
 		double weight = rendezvous_weight(
 		    hash_u64(str_from(p->p.id), seed), p->p.capacity);
 
 		if (now < p->suspect_until ||
+		    !rendezvous_is_large(p->p.capacity, largest) ||
 		    (best != NULL && weight <= best_weight))
 			continue;
 		best = p;
@@ -295,9 +314,12 @@
 {
 	uint64_t number = r->ask;
 	struct pending_job *j = g_hash_table_lookup(s->open, &number);
+	struct peer *peer = from != NULL ? find_peer(s, from) : NULL;
 	stage_job_handler handler;
 	void *arg;
 
+	if (peer != NULL)
+		peer->heard_at = clock_now();
 	if (j == NULL)
 		return;
 	if (from != NULL && strcmp(from, j->coordinator) != 0) {
@@ -312,6 +334,10 @@
 	if (!r->refused && r->made.made_len == 0) {
 		j->acked = true;
 		j->tries = 0;
+		if (r->wait_ms > 0)
+			stage_waits_report(s->o.waits, j->body.service,
+			    j->body.rank, (usec_t)r->wait_ms * USEC_PER_MSEC,
+			    clock_now());
 		return;
 	}
 	handler = j->handler;
@@ -331,6 +357,28 @@
 	send_job(s, j, now);
 }
 
+static bool
+is_alive(struct stage_jobs *s, const char *coordinator, usec_t now)
+{
+	const struct peer *p = find_peer(s, coordinator);
+
+	return p != NULL && p->heard_at != 0 && now - p->heard_at < ALIVE_TIME;
+}
+
+/* Time after which a job is sent again. */
+static usec_t
+resend_time(const struct pending_job *j)
+{
+	usec_t t = ACK_TIMEOUT;
+
+	if (j->acked)
+		return STATUS_INTERVAL;
+	for (uint32_t i = MAX_UNACKED_SENDS;
+	     i < j->tries && t < MAX_ACK_TIMEOUT; i++)
+		t *= 2;
+	return t < MAX_ACK_TIMEOUT ? t : MAX_ACK_TIMEOUT;
+}
+
 bool
 stage_jobs_tick(struct stage_jobs *s, usec_t now)
 {
@@ -341,10 +389,9 @@
 	g_hash_table_iter_init(&it, s->open);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const struct pending_job *j = v;
-		usec_t timeout = j->acked ? STATUS_INTERVAL : ACK_TIMEOUT;
 
 		if (j->deferred ? now >= s->peer_wait_end
-				: now - j->sent_at >= timeout)
+				: now - j->sent_at >= resend_time(j))
 			g_ptr_array_add(due, v);
 	}
 	for (guint i = 0; i < due->len; i++) {
@@ -358,7 +405,8 @@
 			j->sent_at = now;
 			continue;
 		}
-		if (j->tries >= MAX_UNACKED_SENDS) {
+		if (j->tries >= MAX_UNACKED_SENDS &&
+		    !is_alive(s, j->coordinator, now)) {
 			const struct peer *p = find_peer(s, j->coordinator);
 
 			/*
--- a/entry/stage_jobs.h
+++ b/entry/stage_jobs.h
@@ -16,6 +16,7 @@
 
 #include "entry/coordinator.h"
 #include "entry/view.h"
+#include "kernel/overload/stage_waits.h"
 
 struct stage_jobs;
 
@@ -24,6 +25,7 @@
 	const char *self; /* id of this host */
 	uint64_t incarnation;
 	usec_t peer_wait; /* how long jobs are held back after the start */
+	struct stage_waits *waits; /* takes the coordinators' reports */
 };
 
 /* Called with the reply: a refusal, or the outcomes of all pieces. */
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -1,8 +1,11 @@
 /* Runs the stages of a request in the order of their dependencies. */
 #include "entry/relay_request.h"
+#include "base/hash.h"
 #include "base/log.h"
+#include "kernel/overload/retry_after.h"
 #include "platform/stage.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #define MAX_STAGE_TRIES    3 /* jobs submitted for one stage of one request */
@@ -40,89 +43,53 @@
 	buf_put(list, handles);
 }
 
-/* Returns whether all stages that this stage depends on are done. */
-static bool
-is_ready(const struct relay_request *r, uint32_t i)
+static const struct service *
+service_of(const struct relay_request *r, uint32_t stage)
 {
-	for (uint32_t k = 0; k < r->route->n_stages; k++) {
-		if ((r->route->stages[i].after >> k & 1) && has_pieces(r, k) &&
-		    !r->stages[k].done)
-			return false;
-	}
-	return true;
+	return routes_service_at(r->routes, r->route->stages[stage].service);
 }
 
-/* Returns the length of the longest chain of stages that depend on stage i. */
-static uint32_t
-height(const struct relay_request *r, uint32_t i)
-{
-	uint32_t longest = 0;
-
-	for (uint32_t k = i + 1; k < r->route->n_stages; k++) {
-		if ((r->route->stages[k].after >> i & 1) && has_pieces(r, k)) {
-			uint32_t n = 1 + height(r, k);
-
-			longest = n > longest ? n : longest;
-		}
-	}
-	return longest;
-}
-
-/*
- * Returns whether a stage can be delayed because stages with a longer chain of
- * dependents are not done.  Results that are produced early only occupy space
- * at their producer.
- */
-static bool
-can_wait(const struct relay_request *r, uint32_t i)
+static const char *
+service_name(const struct relay_request *r, uint32_t stage)
 {
-	uint32_t own_height = height(r, i);
-
-	for (uint32_t k = 0; k < r->route->n_stages; k++) {
-		if (has_pieces(r, k) && !r->stages[k].done &&
-		    height(r, k) > own_height)
-			return true;
-	}
-	return false;
+	return service_of(r, stage)->name;
 }
 
-/* Returns the expected time from submitting a stage's job to its results. */
-static usec_t
-expected_stage_time(const struct relay_request *r, uint32_t stage)
+static uint32_t
+stage_rank(const struct relay_request *r)
 {
-	const struct service *s =
-	    routes_service_at(r->routes, r->route->stages[stage].service);
-	double fill =
-	    TYPICAL_FILL * (double)(s->pool.batch * s->pool.item_cost);
-
-	return durations_estimate(
-	    &r->shared->durations, s->name, s->pool.call_cost + (usec_t)fill);
+	return r->rank > 0 ? (uint32_t)r->rank : 0;
 }
 
-/* Returns the expected time from the end of a stage to the first token. */
-static usec_t
-expected_time_after(const struct relay_request *r, uint32_t i)
+/* Describes the stages of a request to the decisions of kernel/overload. */
+static void
+describe_chain(const struct relay_request *r, usec_t now, struct chain *c)
 {
-	usec_t longest = 0;
-
-	for (uint32_t k = i + 1; k < r->route->n_stages; k++) {
-		if ((r->route->stages[k].after >> i & 1) && has_pieces(r, k)) {
-			usec_t t = expected_stage_time(r, k) +
-			    expected_time_after(r, k);
-
-			longest = t > longest ? t : longest;
-		}
+	*c = (struct chain){
+		.n = (uint32_t)r->route->n_stages,
+		.min_first_event = FIRST_TOKEN_TIME,
+		.typical_first_event = durations_estimate(
+		    &r->shared->durations, r->service->name, FIRST_TOKEN_TIME),
+	};
+	for (uint32_t i = 0; i < c->n; i++) {
+		const struct service *s = service_of(r, i);
+		const struct pool_config *p = &s->pool;
+		double fill = TYPICAL_FILL * (double)(p->batch * p->item_cost);
+
+		c->stages[i] = (struct chain_stage){
+			.needed = has_pieces(r, i),
+			.done = r->stages[i].done,
+			.started = r->stages[i].job != 0,
+			.after = r->route->stages[i].after,
+			.min_time = p->call_cost + p->item_cost,
+			.typical_time =
+			    durations_estimate(&r->shared->durations, s->name,
+				p->call_cost + (usec_t)fill),
+			.wait = stage_waits_get(&r->shared->stage_waits,
+			    s->name, stage_rank(r), now),
+			.result_ttl = p->result_ttl,
+		};
 	}
-	return longest > 0 ? longest
-			   : durations_estimate(&r->shared->durations,
-				 r->service->name, FIRST_TOKEN_TIME);
-}
-
-static const char *
-service_name(const struct relay_request *r, uint32_t stage)
-{
-	return routes_service_at(r->routes, r->route->stages[stage].service)
-	    ->name;
 }
 
 static void
@@ -179,6 +146,34 @@
 	return worst;
 }
 
+static usec_t
+usec_until(usec_t t)
+{
+	usec_t now = clock_now();
+
+	return t > now ? t - now : 0;
+}
+
+/* Rejects a request that needs about the given time in its stages. */
+static void
+reject_stages(struct relay_request *r, usec_t wait, const char *cause)
+{
+	relay_request_reject(r,
+	    &(struct rejection){ ERR_NO_TIME,
+		retry_after(wait, hash_u64(r->info.id, 0)), cause });
+}
+
+/*
+ * Takes one repetition of stage work from the quota; false if none is left.
+ * Without a quota, failed work would add to the load that made it fail.
+ */
+static bool
+may_repeat_work(struct relay_request *r)
+{
+	return retry_quota_spend(
+	    &r->shared->stage_quota, &r->shared->stage_quota_rule, clock_now());
+}
+
 /*
  * Decides after a failed piece whether the request fails and which stages run
  * again.
@@ -197,15 +192,19 @@
 			: outcome == PIECE_NO_SPACE   ? "no room"
 						      : "failed") });
 	if (outcome == PIECE_EXPIRED || ++s->tries >= MAX_STAGE_TRIES) {
-		relay_request_reject(r,
-		    &(struct rejection){ ERR_NO_TIME, USEC_PER_SEC / 2,
-			"a stage could not be made in time" });
+		reject_stages(r, usec_until(r->deadline),
+		    "a stage could not be made in time");
 		return;
 	}
 	if (outcome == PIECE_INPUT_LOST) {
 		stages_restart(r);
 		return;
 	}
+	if (!may_repeat_work(r)) {
+		reject_stages(r, usec_until(r->deadline),
+		    "a stage failed and the quota of repeated work is spent");
+		return;
+	}
 	start_ready_stages(r);
 }
 
@@ -233,6 +232,8 @@
 
 	r->stages[stage].job = 0;
 	if (reply->refused) {
+		LOG(LOG_LVL_INFO, "stage-refused", { "request", r->info.id },
+		    { "stage", str_from(service_name(r, stage)) });
 		relay_request_reject(r,
 		    &(struct rejection){ ERR_NO_TIME,
 			(usec_t)reply->wait_ms * USEC_PER_MSEC,
@@ -300,10 +301,11 @@
 }
 
 static void
-start_stage(struct relay_request *r, uint32_t i)
+start_stage(struct relay_request *r, uint32_t i, const struct chain *c)
 {
 	struct stage_job_arg *arg = xcalloc(1, sizeof(*arg));
 	struct buf inputs = { 0 };
+	usec_t after = chain_typical_after(c, i);
 
 	for (uint32_t k = 0; k < r->route->n_stages; k++) {
 		if (r->route->stages[i].after >> k & 1)
@@ -313,8 +315,8 @@
 	arg->stage = i;
 	r->stages[i].submitted_at = clock_now();
 	r->stages[i].feasible =
-	    r->stages[i].submitted_at + expected_stage_time(r, i) <
-	    r->soft_deadline - expected_time_after(r, i);
+	    r->stages[i].submitted_at + c->stages[i].typical_time <
+	    r->soft_deadline - after;
 	r->stages[i].job = stage_jobs_submit(r->shared->stage_jobs,
 	    &(struct stage_job_opts){
 		.service = str_from(service_name(r, i)),
@@ -323,11 +325,11 @@
 		.n = r->info.pieces[i],
 		.key = r->info.piece_key,
 		.inputs = str_of(&inputs),
-		.deadline = r->deadline,
-		.soft_deadline = r->soft_deadline - expected_time_after(r, i),
+		.deadline = r->deadline - chain_min_after(c, i),
+		.soft_deadline = r->soft_deadline - after,
 		.bytes = r->route->stages[i].bytes,
 		.domain = str_from(preferred_domain(r, i, str_of(&inputs))),
-		.rank = r->rank > 0 ? (uint32_t)r->rank : 0,
+		.rank = stage_rank(r),
 		.handler = on_reply,
 		.arg = arg,
 	    });
@@ -344,6 +346,26 @@
 	}
 }
 
+/* Ends a request whose remaining stages no longer fit; returns whether so. */
+static bool
+end_unservable(struct relay_request *r, const struct chain *c, usec_t now)
+{
+	usec_t excess;
+	enum chain_verdict v = chain_check(c, r->deadline - now, &excess);
+
+	if (v == CHAIN_FITS)
+		return false;
+	log_text(LOG_LVL_INFO, "chain-rejected",
+	    "request %.*s: its stages would end %" PRId64 " ms %s",
+	    STR_FMT(r->info.id), excess / USEC_PER_MSEC,
+	    v == CHAIN_NO_TIME ? "after its deadline"
+			       : "after the results they need have expired");
+	reject_stages(r,
+	    v == CHAIN_NO_TIME ? r->deadline - now + excess : excess,
+	    "its stages would not end in time");
+	return true;
+}
+
 /*
  * Starts all stages that are ready; once all are done, sends the request
  * itself.
@@ -351,16 +373,22 @@
 static void
 start_ready_stages(struct relay_request *r)
 {
+	usec_t now = clock_now();
 	bool all_done = true;
+	struct chain c;
 
+	describe_chain(r, now, &c);
+	if (end_unservable(r, &c, now))
+		return;
 	for (uint32_t i = 0; i < r->route->n_stages; i++) {
 		struct stage_progress *s = &r->stages[i];
 
 		if (!has_pieces(r, i) || s->done)
 			continue;
 		all_done = false;
-		if (s->job == 0 && is_ready(r, i) && !can_wait(r, i))
-			start_stage(r, i);
+		if (s->job == 0 && chain_is_ready(&c, i) &&
+		    !chain_can_wait(&c, i))
+			start_stage(r, i, &c);
 	}
 	if (!all_done)
 		return;
@@ -371,6 +399,8 @@
 void
 stages_start(struct relay_request *r)
 {
+	retry_quota_request(
+	    &r->shared->stage_quota, &r->shared->stage_quota_rule, clock_now());
 	start_ready_stages(r);
 }
 
@@ -394,6 +424,12 @@
 			release_stage(r, i);
 		r->stages[i].done = false;
 	}
+	if (!may_repeat_work(r)) {
+		reject_stages(r, usec_until(r->deadline),
+		    "results were lost and the quota of repeated work is "
+		    "spent");
+		return;
+	}
 	start_ready_stages(r);
 }
 
--- /dev/null
+++ b/kernel/overload/batch.c
@@ -0,0 +1,405 @@
+#include "kernel/overload/batch.h"
+
+/*
+ * Pieces that cost less than this share of a call's own cost are not split over
+ * several calls.
+ */
+#define SPLIT_SHARE         0.25
+/* Time that each rank adds to the sort time. */
+#define RANK_STEP           (2000 * USEC_PER_MSEC)
+/* Ranks that are added to a late piece. */
+#define LATE_RANKS          6.0
+/* Minimum share of the targets for less urgent pieces. */
+#define MIN_SHARE           0.1
+/* Time over which arrival rates are smoothed. */
+#define RATE_SPAN           (2 * USEC_PER_SEC)
+/* Time that a piece waits for a target in the domain of its inputs. */
+#define LOCAL_WAIT          (200 * USEC_PER_MSEC)
+/* The measured costs are within this factor of the configured ones. */
+#define MAX_COST_FACTOR     4.0
+/* A call is lost after this many times its expected duration. */
+#define CALL_TIMEOUT_FACTOR 5
+/* Weight of a new sample in the moving average. */
+#define AVERAGE_WEIGHT      0.1
+/*
+ * A piece is hopeless if its turn comes too late even in this share of the
+ * estimated wait: the estimate must be clearly over the time that is left.
+ */
+#define SURE_SHARE          0.75
+
+void
+batch_init(struct batch *b, const struct pool_config *config)
+{
+	b->items = g_array_new(FALSE, FALSE, sizeof(struct batch_item));
+	b->config = *config;
+	b->call_usec = (double)config->call_cost;
+	b->item_usec = (double)config->item_cost;
+	b->throughput = (struct throughput){ 0 };
+}
+
+/* Factor by which the arrival rates have decayed since the last arrival. */
+static double
+decay(const struct batch *b, usec_t now)
+{
+	double t = (double)(now - b->rates_at) / (double)RATE_SPAN;
+
+	return t < 1 ? 1 - t : 0;
+}
+
+/* Updates the moving average of arriving pieces per second. */
+static void
+record_arrival(struct batch *b, const struct batch_item *it)
+{
+	uint32_t rank = it->rank < BATCH_RANKS ? it->rank : BATCH_RANKS - 1;
+	double factor = decay(b, it->queued);
+
+	for (uint32_t i = 0; i < BATCH_RANKS; i++)
+		b->rates[i] *= factor;
+	b->rates[rank] += (double)USEC_PER_SEC / (double)RATE_SPAN;
+	b->rates_at = it->queued;
+}
+
+void
+batch_add(struct batch *b, const struct batch_item *it)
+{
+	if (b->items->len == 0)
+		throughput_idle(&b->throughput, it->queued);
+	g_array_append_vals(b->items, it, 1);
+	record_arrival(b, it);
+}
+
+void
+batch_remove_owner(struct batch *b, const void *owner)
+{
+	guint kept = 0;
+
+	for (guint i = 0; i < b->items->len; i++) {
+		struct batch_item it =
+		    g_array_index(b->items, struct batch_item, i);
+
+		if (it.owner != owner)
+			g_array_index(b->items, struct batch_item, kept++) = it;
+	}
+	g_array_set_size(b->items, kept);
+}
+
+static usec_t
+call_duration(const struct batch *b, uint32_t n)
+{
+	return (usec_t)(b->call_usec + b->item_usec * n);
+}
+
+/* Context of a comparison by sort_time(). */
+struct sort_ctx {
+	usec_t earliest; /* end of a call that starts now */
+	uint32_t domain;
+};
+
+static bool
+is_remote(const struct batch_item *it, uint32_t domain)
+{
+	return it->domain != 0 && it->domain != domain;
+}
+
+/* Time by which pieces are sorted. */
+static usec_t
+sort_time(const struct batch_item *it, const struct sort_ctx *ctx)
+{
+	double ranks =
+	    it->rank + (it->soft_deadline < ctx->earliest ? LATE_RANKS : 0);
+
+	return it->soft_deadline + (usec_t)(ranks * RANK_STEP) +
+	    (is_remote(it, ctx->domain) ? LOCAL_WAIT : 0);
+}
+
+/* A waiting piece with its sort time, which is computed once. */
+struct sort_entry {
+	usec_t time;
+	uint32_t index; /* in the array of waiting pieces */
+};
+
+static bool
+goes_before(const struct batch *b, const struct sort_entry *x,
+    const struct sort_entry *y)
+{
+	const struct batch_item *p;
+	const struct batch_item *q;
+
+	if (x->time != y->time)
+		return x->time < y->time;
+	p = &g_array_index(b->items, struct batch_item, x->index);
+	q = &g_array_index(b->items, struct batch_item, y->index);
+	return p->owner != q->owner ? p->owner < q->owner : p->piece < q->piece;
+}
+
+static void
+sift_down(const struct batch *b, struct sort_entry *heap, guint n, guint i)
+{
+	for (;;) {
+		guint first = i;
+		guint left = 2 * i + 1;
+		struct sort_entry tmp;
+
+		if (left < n && goes_before(b, &heap[left], &heap[first]))
+			first = left;
+		if (left + 1 < n &&
+		    goes_before(b, &heap[left + 1], &heap[first]))
+			first = left + 1;
+		if (first == i)
+			return;
+		tmp = heap[i];
+		heap[i] = heap[first];
+		heap[first] = tmp;
+		i = first;
+	}
+}
+
+/*
+ * Returns the waiting pieces as a heap, the most urgent on top; free with
+ * g_free.  A call takes few of many pieces, so they are not sorted as a whole.
+ */
+static struct sort_entry *
+heap_by_urgency(const struct batch *b, const struct sort_ctx *ctx)
+{
+	guint n = b->items->len;
+	struct sort_entry *heap = g_new(struct sort_entry, n);
+
+	for (guint i = 0; i < n; i++)
+		heap[i] =
+		    (struct sort_entry){ sort_time(&g_array_index(b->items,
+						       struct batch_item, i),
+					     ctx),
+			    i };
+	for (guint i = n / 2; i-- > 0;)
+		sift_down(b, heap, n, i);
+	return heap;
+}
+
+/* Removes the most urgent piece from a heap of *n and returns its index. */
+static uint32_t
+heap_pop(const struct batch *b, struct sort_entry *heap, guint *n)
+{
+	uint32_t index = heap[0].index;
+
+	heap[0] = heap[--*n];
+	sift_down(b, heap, *n, 0);
+	return index;
+}
+
+static uint32_t
+call_size(const struct batch *b, uint32_t free_targets)
+{
+	uint32_t waiting = b->items->len;
+	uint32_t min_size =
+	    (uint32_t)(SPLIT_SHARE * b->call_usec / b->item_usec) + 1;
+	uint32_t share = (waiting + free_targets - 1) / free_targets;
+
+	if (share < min_size)
+		share = min_size;
+	if (share > b->config.batch)
+		share = b->config.batch;
+	return share < waiting ? share : waiting;
+}
+
+/* Removes the pieces whose owner is NULL. */
+static void
+compact(struct batch *b)
+{
+	guint kept = 0;
+
+	for (guint i = 0; i < b->items->len; i++) {
+		const struct batch_item *it =
+		    &g_array_index(b->items, struct batch_item, i);
+
+		if (it->owner == NULL)
+			continue;
+		if (kept != i)
+			g_array_index(b->items, struct batch_item, kept) = *it;
+		kept++;
+	}
+	g_array_set_size(b->items, kept);
+}
+
+/* Whether the target can take the piece now. */
+static bool
+fits(const struct batch_item *it, const struct batch_target *t,
+    uint64_t free_bytes)
+{
+	return it->bytes <= free_bytes &&
+	    !(t->local_only && is_remote(it, t->domain));
+}
+
+static bool
+any_fits(const struct batch *b, const struct batch_target *t)
+{
+	for (guint i = 0; i < b->items->len; i++) {
+		if (fits(&g_array_index(b->items, struct batch_item, i), t,
+			t->free_bytes))
+			return true;
+	}
+	return false;
+}
+
+void
+batch_take(struct batch *b, usec_t now, uint32_t free_targets,
+    const struct batch_target *t, GArray *out)
+{
+	uint32_t n = call_size(b, free_targets > 0 ? free_targets : 1);
+	struct sort_ctx ctx = { now + call_duration(b, n), t->domain };
+	uint64_t free_bytes = t->free_bytes;
+	guint left = b->items->len;
+	struct sort_entry *heap;
+
+	if (!any_fits(b, t))
+		return;
+	heap = heap_by_urgency(b, &ctx);
+	while (left > 0 && out->len < n) {
+		struct batch_item *it = &g_array_index(
+		    b->items, struct batch_item, heap_pop(b, heap, &left));
+
+		if (!fits(it, t, free_bytes))
+			continue;
+		free_bytes -= it->bytes;
+		g_array_append_vals(out, it, 1);
+		it->owner = NULL;
+	}
+	g_free(heap);
+	compact(b);
+	throughput_add(&b->throughput, out->len, now);
+	if (b->items->len == 0)
+		throughput_idle(&b->throughput, now);
+}
+
+/* Pieces per second that the targets can take. */
+static double
+capacity(const struct batch *b, uint32_t targets, usec_t now)
+{
+	double full_call =
+	    (double)call_duration(b, b->config.batch) / USEC_PER_SEC;
+
+	return throughput_rate(
+	    &b->throughput, now, targets * b->config.batch / full_call);
+}
+
+/* Arriving pieces per second that go before those of a rank. */
+static double
+rate_before(const struct batch *b, uint32_t rank, usec_t now)
+{
+	double sum = 0;
+
+	for (uint32_t i = 0; i < rank && i < BATCH_RANKS; i++)
+		sum += b->rates[i];
+	return sum * decay(b, now);
+}
+
+/* Pieces per second that are left for a rank of the capacity all. */
+static double
+spare_rate(const struct batch *b, double all, uint32_t rank, usec_t now)
+{
+	double spare = all - rate_before(b, rank, now);
+
+	return spare > MIN_SHARE * all ? spare : MIN_SHARE * all;
+}
+
+void
+batch_hopeless(struct batch *b, uint32_t targets, usec_t now, GPtrArray *owners)
+{
+	double per_second = capacity(b, targets > 0 ? targets : 1, now);
+	struct sort_ctx ctx = { now + call_duration(b, 1), 0 };
+	guint left = b->items->len;
+	usec_t longest = (usec_t)(SURE_SHARE * left /
+	    spare_rate(b, per_second, BATCH_RANKS, now) * USEC_PER_SEC);
+	usec_t earliest = INT64_MAX;
+	struct sort_entry *heap;
+	uint32_t before = 0;
+
+	for (guint i = 0; i < left; i++) {
+		const struct batch_item *it =
+		    &g_array_index(b->items, struct batch_item, i);
+
+		if (it->deadline < earliest)
+			earliest = it->deadline;
+	}
+	if (left == 0 || now + longest < earliest)
+		return;
+	heap = heap_by_urgency(b, &ctx);
+	while (left > 0) {
+		const struct batch_item *it = &g_array_index(
+		    b->items, struct batch_item, heap_pop(b, heap, &left));
+		usec_t wait = (usec_t)(SURE_SHARE * before /
+		    spare_rate(b, per_second, it->rank, now) * USEC_PER_SEC);
+		bool known = owners->len > 0 &&
+		    owners->pdata[owners->len - 1] == it->owner;
+
+		if (!known && now + wait < it->deadline)
+			before++;
+		else if (!known)
+			g_ptr_array_add(owners, it->owner);
+	}
+	g_free(heap);
+}
+
+usec_t
+batch_min_duration(const struct batch *b)
+{
+	return call_duration(b, 1);
+}
+
+usec_t
+batch_estimate(const struct batch *b, uint32_t targets,
+    const struct batch_item *it, usec_t now)
+{
+	struct sort_ctx ctx = { now + call_duration(b, 1), it->domain };
+	double spare = spare_rate(b, capacity(b, targets, now), it->rank, now);
+	usec_t own_time = sort_time(it, &ctx);
+	uint32_t before = 0;
+
+	for (guint i = 0; i < b->items->len; i++)
+		before +=
+		    sort_time(&g_array_index(b->items, struct batch_item, i),
+			&ctx) < own_time;
+	return now + call_duration(b, b->config.batch / 2) +
+	    (usec_t)(before / spare * USEC_PER_SEC);
+}
+
+static double
+clamp(double v, double min, double max)
+{
+	return v < min ? min : v > max ? max : v;
+}
+
+void
+batch_record(struct batch *b, uint32_t n, usec_t duration)
+{
+	double expected = (double)call_duration(b, n);
+	double call = (double)b->config.call_cost;
+	double item = (double)b->config.item_cost;
+	double factor;
+
+	if (n == 0 || expected <= 0)
+		return;
+	/* One slow target must not stop admission. */
+	factor = clamp(
+	    (double)duration / expected, 1 / MAX_COST_FACTOR, MAX_COST_FACTOR);
+	factor = 1 + AVERAGE_WEIGHT * (factor - 1);
+	b->call_usec = clamp(b->call_usec * factor, call / MAX_COST_FACTOR,
+	    call * MAX_COST_FACTOR);
+	b->item_usec = clamp(b->item_usec * factor, item / MAX_COST_FACTOR,
+	    item * MAX_COST_FACTOR);
+}
+
+usec_t
+batch_call_timeout(const struct batch *b, uint32_t n)
+{
+	usec_t configured = b->config.call_cost + b->config.item_cost * n;
+	usec_t measured = call_duration(b, n);
+
+	return CALL_TIMEOUT_FACTOR *
+	    (measured > configured ? measured : configured);
+}
+
+void
+batch_free(struct batch *b)
+{
+	g_array_unref(b->items);
+}
--- a/kernel/batch.h
+++ b/kernel/overload/batch.h
@@ -11,22 +11,25 @@
  *
  * Load pattern: more pieces arrive than the targets can process.  A new piece
  * whose turn would not come before its deadline, given the pieces before it and
- * the rate of more urgent arrivals, is then refused at once.  Results take
- * space at their producer until they are used; a piece without space would be
- * refused there, so it is not sent.
+ * the rate of more urgent arrivals, is then refused at once.  A waiting piece
+ * whose turn no longer comes in time, as more urgent ones have arrived or the
+ * targets have become slower, is refused when that is known, not when its
+ * deadline has passed.  Results take space at their producer until they are
+ * used; a piece without space would be refused there, so it is not sent.
  *
  * Times are in microseconds.  A batch belongs to one thread.
  */
-#ifndef KERNEL_BATCH_H
-#define KERNEL_BATCH_H
+#ifndef KERNEL_OVERLOAD_BATCH_H
+#define KERNEL_OVERLOAD_BATCH_H
 
+#include "kernel/overload/throughput.h"
 #include "kernel/routes.h"
 
 struct batch_item {
 	void *owner; /* the stage job; its pieces stay together */
 	uint32_t piece;
 	usec_t soft_deadline; /* a result after this time is late */
-	usec_t deadline;      /* a result after this time is worthless */
+	usec_t deadline;      /* latest start of its call */
 	uint32_t rank;        /* 0 is the most urgent */
 	uint64_t bytes;       /* size of the result */
 	uint32_t domain;      /* hash of the domain of its inputs; 0: any */
@@ -42,9 +45,11 @@
 	usec_t rates_at;
 	double call_usec; /* measured cost of a call without its pieces */
 	double item_usec; /* measured cost of a piece */
+	struct throughput throughput; /* pieces moved into calls */
 };
 
 void batch_init(struct batch *b, const struct pool_config *config);
+/* Adds a piece; its queued time is the present time. */
 void batch_add(struct batch *b, const struct batch_item *it);
 /* Removes the pieces of a stage job. */
 void batch_remove_owner(struct batch *b, const void *owner);
@@ -65,8 +70,23 @@
 /* Estimates when a piece like this would be done if it were added now. */
 usec_t batch_estimate(const struct batch *b, uint32_t targets,
     const struct batch_item *it, usec_t now);
-/* Updates the measured costs with the duration of a call of n pieces. */
+/*
+ * Collects the owners of the pieces whose calls can't start by their deadline,
+ * given the pieces that go before them.
+ */
+void batch_hopeless(
+    struct batch *b, uint32_t targets, usec_t now, GPtrArray *owners);
+/* Shortest time that a call takes. */
+usec_t batch_min_duration(const struct batch *b);
+/*
+ * Updates the measured costs with the duration of a call in which n pieces were
+ * produced.  A call whose inputs are gone is answered at once; it says nothing
+ * about the cost of work, so a call without any piece is not counted, and the
+ * costs stay within a factor of the configured ones.
+ */
 void batch_record(struct batch *b, uint32_t n, usec_t duration);
+/* Time after which a call of n pieces is considered lost. */
+usec_t batch_call_timeout(const struct batch *b, uint32_t n);
 void batch_free(struct batch *b);
 
 #endif
--- a/kernel/durations.c
+++ b/kernel/overload/durations.c
@@ -1,4 +1,4 @@
-#include "kernel/durations.h"
+#include "kernel/overload/durations.h"
 
 /* Weight of a new sample: the average follows about ten of them. */
 #define AVERAGE_WEIGHT 0.1
--- a/kernel/durations.h
+++ b/kernel/overload/durations.h
@@ -9,8 +9,8 @@
  *
  * A struct durations has no lock: one thread owns it.
  */
-#ifndef KERNEL_DURATIONS_H
-#define KERNEL_DURATIONS_H
+#ifndef KERNEL_OVERLOAD_DURATIONS_H
+#define KERNEL_OVERLOAD_DURATIONS_H
 
 #include "base/clock.h"
 
--- a/kernel/result_space.c
+++ b/kernel/overload/result_space.c
@@ -1,4 +1,4 @@
-#include "kernel/result_space.h"
+#include "kernel/overload/result_space.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
--- a/kernel/result_space.h
+++ b/kernel/overload/result_space.h
@@ -12,8 +12,8 @@
  * Producers are named by address (IP:PORT).  Times are in microseconds.  The
  * table has no locks: one thread owns it.
  */
-#ifndef KERNEL_RESULT_SPACE_H
-#define KERNEL_RESULT_SPACE_H
+#ifndef KERNEL_OVERLOAD_RESULT_SPACE_H
+#define KERNEL_OVERLOAD_RESULT_SPACE_H
 
 #include "base/clock.h"
 #include "base/str.h"
--- /dev/null
+++ b/kernel/overload/retry_after.c
@@ -0,0 +1,16 @@
+#include "kernel/overload/retry_after.h"
+
+/* Shortest range over which callers are spread. */
+#define MIN_SPREAD (400 * USEC_PER_MSEC)
+/* The range as a share of the expected wait. */
+#define SPREAD     0.25
+
+usec_t
+retry_after(usec_t wait, uint64_t id_hash)
+{
+	usec_t spread = (usec_t)(SPREAD * (double)wait);
+
+	if (spread < MIN_SPREAD)
+		spread = MIN_SPREAD;
+	return wait / 2 + (usec_t)(id_hash % (uint64_t)spread);
+}
--- a/kernel/retry_quota.c
+++ b/kernel/overload/retry_quota.c
@@ -1,4 +1,4 @@
-#include "kernel/retry_quota.h"
+#include "kernel/overload/retry_quota.h"
 
 /*
  * Share of the quota that is used.  A restarted host doesn't know what it spent
--- a/kernel/retry_quota.h
+++ b/kernel/overload/retry_quota.h
@@ -10,8 +10,8 @@
  *
  * A struct retry_quota has no lock: one thread owns it.
  */
-#ifndef KERNEL_RETRY_QUOTA_H
-#define KERNEL_RETRY_QUOTA_H
+#ifndef KERNEL_OVERLOAD_RETRY_QUOTA_H
+#define KERNEL_OVERLOAD_RETRY_QUOTA_H
 
 #include "base/clock.h"
 
--- a/kernel/rendezvous.c
+++ b/kernel/rendezvous.c
@@ -32,3 +32,9 @@
 
 	return -(c * c * c * c) / log(u);
 }
+
+bool
+rendezvous_is_large(uint32_t capacity, uint32_t largest)
+{
+	return 2 * (capacity > 0 ? capacity : UNKNOWN_CAPACITY) >= largest;
+}
--- a/kernel/rendezvous.h
+++ b/kernel/rendezvous.h
@@ -12,6 +12,7 @@
 #ifndef KERNEL_RENDEZVOUS_H
 #define KERNEL_RENDEZVOUS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /*
@@ -24,5 +25,10 @@
  * capacity is in thousandths of a core, 0 if unknown.
  */
 double rendezvous_weight(uint64_t hash, uint32_t capacity);
+/*
+ * Whether a host may be chosen, given the largest capacity of all: one of less
+ * than half of it is not, however its hash falls.
+ */
+bool rendezvous_is_large(uint32_t capacity, uint32_t largest);
 
 #endif
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -3,13 +3,13 @@
  * roster of targets, the fleet's retry quota, result space, batches of work
  * items, the choice among targets, event streams, feeders and coordinators.
  */
-#include "kernel/batch.h"
+#include "kernel/overload/batch.h"
 #include "base/hash.h"
 #include "kernel/feeders.h"
 #include "kernel/rendezvous.h"
 #include "kernel/loads.h"
-#include "kernel/retry_quota.h"
-#include "kernel/result_space.h"
+#include "kernel/overload/retry_quota.h"
+#include "kernel/overload/result_space.h"
 #include "kernel/roster.h"
 #include "kernel/routes.h"
 #include "kernel/sse.h"
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -43,6 +43,8 @@
  */
 #define DRAIN_BOUND       (2500 * USEC_PER_MSEC)
 #define MAX_REFUSED       20000
+#define WATCH_INTERVAL    (50 * USEC_PER_MSEC)
+#define PAUSE_LIMIT       (500 * USEC_PER_MSEC)
 
 struct caller {
 	pthread_t thread;
@@ -421,6 +423,34 @@
 	g_free(dir);
 }
 
+/*
+ * Reports the times in which this process, which runs the platform's stand-in,
+ * the proxy and the callers, did not run itself.  A play with such a pause
+ * after the faults shows answers cut off, as the targets were silent.
+ */
+static void *
+watch_pauses(void *arg)
+{
+	usec_t start = clock_now();
+	usec_t last = start;
+
+	(void)arg;
+	while (!atomic_load(&stopping)) {
+		usec_t now;
+
+		g_usleep(WATCH_INTERVAL);
+		now = clock_now();
+		if (now - last > PAUSE_LIMIT)
+			printf("PAUSE: the soak's process did not run for "
+			       "%lld ms, from %lld ms after its start\n",
+			    (long long)((now - last) / USEC_PER_MSEC),
+			    (long long)((last - start) / USEC_PER_MSEC));
+		fflush(stdout);
+		last = now;
+	}
+	return NULL;
+}
+
 static void
 run_faults(uint64_t seed, int seconds)
 {
@@ -458,6 +488,7 @@
 	uint64_t seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
 	int seconds = argc > 2 ? atoi(argv[2]) : 20;
 	struct caller callers[CALLERS];
+	pthread_t watch;
 
 	if (argc > 3 && atoi(argv[3]) > 0 && atoi(argv[3]) <= MAX_HOSTS)
 		n_hosts = atoi(argv[3]);
@@ -470,6 +501,7 @@
 		pthread_create(
 		    &callers[i].thread, NULL, run_caller, &callers[i]);
 	}
+	pthread_create(&watch, NULL, watch_pauses, NULL);
 	run_faults(seed, seconds);
 	put_config();
 	check_recovery();
@@ -477,6 +509,7 @@
 	g_usleep(4 * USEC_PER_SEC);
 	check_drain();
 	stop_all(callers);
+	pthread_join(watch, NULL);
 	if (fakeplat_count_duplicates(platform) > 0)
 		report_violation("requests ran twice", "once");
 	check_refused();
