Fleet start: hosts learn the fleet from a list in the store

Change: the first feeder writes the list of hosts to the store (kernel/host_list; key sequoia/hosts) when it has changed and stayed so for 2 s; a host that starts has it from its first listing. The feed leaves the list out. A poll that returned changes is followed by the next one after 100 ms.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -94,6 +94,8 @@
 			put_target(d, key, value);
 		else if (str_eq(key, STR(PLATFORM_CONFIG_KEY)))
 			discovery_config_from_store(d, value);
+		else if (str_eq(key, STR(HOSTS_KEY)))
+			discovery_read_hosts(d, value);
 		break;
 	case WATCHER_DELETE:
 		if (target)
@@ -350,6 +352,7 @@
 	discovery_apply_config(d, now);
 	discovery_fetch_config(d, now);
 	discovery_feed_heartbeat(d, now);
+	discovery_write_hosts(d, now);
 	publish(d, now);
 	http_run(d->loop, next > now ? next - now : 0);
 	process_inbox(d);
--- a/entry/discovery_feed.c
+++ b/entry/discovery_feed.c
@@ -63,6 +63,7 @@
 	peer_feed_item items[PEER_FEED_ITEMS];
 	peer_body body = { .kind = PEER_FEED };
 	peer_feed *f = &body.peer_body_u.feed;
+	u_int n = 0;
 
 	d->feed_gap = false;
 	if (c->n == 0)
@@ -72,18 +73,22 @@
 	f->items.items_val = items;
 	/* A batch that is too large appears as a gap: receivers then poll. */
 	f->from = c->n <= PEER_FEED_ITEMS ? after : c->as_of;
-	f->items.items_len = c->n <= PEER_FEED_ITEMS ? (u_int)c->n : 0;
-	for (u_int i = 0; i < f->items.items_len; i++) {
+	for (size_t i = 0; i < c->n && c->n <= PEER_FEED_ITEMS; i++) {
 		const struct kv_change *x = &c->v[i];
 
-		items[i].key = x->key.p;
-		items[i].deleted = x->deleted;
-		items[i].large = x->value.n > MAX_FEED_VALUE_BYTES;
-		if (!items[i].large && !x->deleted) {
-			items[i].value.value_val = x->value.p;
-			items[i].value.value_len = (u_int)x->value.n;
+		/* Receivers learn of other hosts by gossip. */
+		if (str_eq(str_of(&x->key), STR(HOSTS_KEY)))
+			continue;
+		items[n].key = x->key.p;
+		items[n].deleted = x->deleted;
+		items[n].large = x->value.n > MAX_FEED_VALUE_BYTES;
+		if (!items[n].large && !x->deleted) {
+			items[n].value.value_val = x->value.p;
+			items[n].value.value_len = (u_int)x->value.n;
 		}
+		n++;
 	}
+	f->items.items_len = n;
 	send_feed(d, &body);
 }
 
@@ -101,6 +106,21 @@
 	send_feed(d, &body);
 }
 
+bool
+discovery_is_first_feeder(struct discovery *d)
+{
+	struct feeders f;
+	const char *self = d->o.settings->id;
+	const char *const *live;
+	size_t n;
+
+	choose_feeders(d, &f);
+	if (!f.all)
+		return f.n > 0 && strcmp(f.ids[0], self) == 0;
+	live = member_live(fleet_members(d->fleet), &n);
+	return n > 0 && strcmp(live[0], self) == 0;
+}
+
 bool
 discovery_has_feeder(struct discovery *d, usec_t now)
 {
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -13,6 +13,7 @@
 #include "entry/fleet.h"
 #include "entry/inbox.h"
 #include "entry/discovery.h"
+#include "kernel/host_list.h"
 #include "plat/watcher.h"
 
 #include <pthread.h>
@@ -52,6 +53,7 @@
 	char config_holder[MAX_ADDR_BYTES]; /* peer to fetch from, or empty */
 	/* Guarded by lock; empty: not compressed yet. */
 	struct buf config_compressed;
+	struct host_list_writer hosts;
 	bool feed_gap; /* changes are missing that only a long poll returns */
 	usec_t feed_received_at;
 	usec_t feed_sent_at;
@@ -93,8 +95,19 @@
     void *arg, int64_t after, const struct kv_changes *c);
 /* Sends an empty feed datagram when FEED_INTERVAL has passed. */
 void discovery_feed_heartbeat(struct discovery *d, usec_t now);
+/*
+ * The list of the fleet's hosts in the store (discovery_hosts.c): a host that
+ * starts learns all others from its first listing.
+ */
+#define HOSTS_KEY "sequoia/hosts"
+void discovery_read_hosts(struct discovery *d, struct str text);
+/* Writes the list when it has changed; call it regularly. */
+void discovery_write_hosts(struct discovery *d, usec_t now);
+
 /* Whether this host relies on feeders instead of polling the store. */
 bool discovery_has_feeder(struct discovery *d, usec_t now);
+/* Whether this host is the first of the feeders, or of a small fleet. */
+bool discovery_is_first_feeder(struct discovery *d);
 /* Applies a PEER_FEED datagram. */
 void discovery_on_feed(struct discovery *d, const peer_letter *l, usec_t now);
 
--- a/kernel/member.c
+++ b/kernel/member.c
@@ -296,21 +296,35 @@
 	member_note_generation(t, info->generation, info->rpc);
 }
 
-static bool
-update_new(struct members *t, usec_t now, const struct member_info *info)
+static struct member *
+add_member(struct members *t, usec_t now, const struct member_info *info)
 {
-	struct member *m;
+	struct member *m = insert(t, info);
 
-	/* Unknown members are added and gossiped only while they are up. */
-	if (info->rpc[0] == '\0' || info->state >= MEMBER_GONE)
-		return false;
-	m = insert(t, info);
 	update_up_count(t, m, true);
 	m->incarnation = info->incarnation;
 	raise_generation(t, m, info);
 	t->version++;
 	set_state(t, now, m, info->state);
-	queue_update(t, m, true);
+	return m;
+}
+
+static bool
+update_new(struct members *t, usec_t now, const struct member_info *info)
+{
+	/* Unknown members are added and gossiped only while they are up. */
+	if (info->rpc[0] == '\0' || info->state >= MEMBER_GONE)
+		return false;
+	queue_update(t, add_member(t, now, info), true);
+	return true;
+}
+
+bool
+member_learn(struct members *t, usec_t now, const struct member_info *info)
+{
+	if (info->rpc[0] == '\0' || member_find(t, info->id) != NULL)
+		return false;
+	add_member(t, now, info)->heard_at = now;
 	return true;
 }
 
--- a/kernel/member.h
+++ b/kernel/member.h
@@ -104,6 +104,13 @@
 /* Applies an update of a member; false if it is not newer than the table. */
 bool member_update(
     struct members *t, usec_t now, const struct member_info *info);
+/*
+ * Adds a member that is not known yet, from a list that may be old.  No update
+ * is queued: the other members learn of it from the same list or from itself.
+ * Returns false if the member is known.
+ */
+bool member_learn(
+    struct members *t, usec_t now, const struct member_info *info);
 /*
  * Sets that this process has another generation in force, drains or leaves.
  * No update is queued, because every message carries its sender's state.
--- a/plat/kv.c
+++ b/plat/kv.c
@@ -12,6 +12,7 @@
 
 enum op {
 	OP_GET,
+	OP_PUT_ITEM,
 	OP_GET_ITEM,
 	OP_RANGE,
 	OP_POLL,
@@ -148,6 +149,7 @@
 	case OP_PUT:
 		r->mod_revision = r->revision;
 		break;
+	case OP_PUT_ITEM:
 	case OP_GET_ITEM:
 	case OP_RANGE:
 	case OP_POLL:
@@ -382,6 +384,19 @@
 	buf_free(&path);
 }
 
+void
+kv_put_item(struct kv *kv, struct str key, struct str value,
+    kv_result_handler done, void *arg)
+{
+	struct buf body = { 0 };
+
+	store_write_body(&body, key, value);
+	begin_call(kv, OP_PUT_ITEM, STR(STORE_WRITE_PATH), str_of(&body),
+	    KV_GET_ITEM_TIMEOUT, false, arg)
+	    ->done = done;
+	buf_free(&body);
+}
+
 void
 kv_range(struct kv *kv, struct str prefix, struct str after,
     kv_changes_handler done, void *arg)
--- a/plat/kv.h
+++ b/plat/kv.h
@@ -118,6 +118,9 @@
  */
 void kv_poll(struct kv *kv, struct str prefix, int64_t after, usec_t wait,
     kv_changes_handler done, void *arg);
+/* Writes one item, as KV_FORM_PLATFORM. */
+void kv_put_item(struct kv *kv, struct str key, struct str value,
+    kv_result_handler done, void *arg);
 void kv_cas(struct kv *kv, const struct kv_cas_opts *c, kv_result_handler done,
     void *arg);
 void kv_put(struct kv *kv, struct str key, struct str value, int64_t lease,
--- a/plat/watcher.c
+++ b/plat/watcher.c
@@ -7,6 +7,12 @@
 #define BACKOFF_MIN     (100 * USEC_PER_MSEC)
 /* Keeps the time to notice that the service is back well below 2 s. */
 #define BACKOFF_MAX     (500 * USEC_PER_MSEC)
+/*
+ * Shortest time from a poll that returned changes to the next one.  A poll ends
+ * with the first change; while many targets register, each host would call once
+ * for each of them.
+ */
+#define CHANGE_INTERVAL (100 * USEC_PER_MSEC)
 /* Longer, because the service counts refused calls against its limit too. */
 #define BACKOFF_REFUSED (400 * USEC_PER_MSEC)
 /* Returned while a call is in flight: its completion sets the next time. */
@@ -120,6 +126,8 @@
 	switch (st) {
 	case KV_OK:
 		call_ok(w);
+		if (c->n > 0)
+			w->next_at = clock_now() + CHANGE_INTERVAL;
 		deliver_changes(w, c);
 		if (w->o.batch != NULL)
 			w->o.batch(w->o.arg, w->revision, c);
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -203,6 +203,44 @@
 	buf_free(&out);
 }
 
+/* Writes an item; the caller holds the lock. */
+static void
+put_item(struct fakeplat *plat, const char *key, const char *value)
+{
+	struct item *x = g_new0(struct item, 1);
+
+	x->value = g_strdup(value);
+	x->rev = ++plat->rev;
+	g_hash_table_replace(plat->items, g_strdup(key), x);
+	event_active(plat->wakeup, EV_TIMEOUT, 0);
+}
+
+/* Writes the items of a transaction's Puts. */
+static void
+write_puts(struct conn *c)
+{
+	struct evbuffer *body = c->request.body;
+	size_t n = evbuffer_get_length(body);
+	json_t *o =
+	    json_loadb((const char *)evbuffer_pullup(body, -1), n, 0, NULL);
+	const json_t *puts = json_object_get(o, "Puts");
+	const json_t *p;
+	size_t i;
+
+	json_array_foreach(puts, i, p)
+	{
+		gsize len = 0;
+		g_autofree guchar *raw = g_base64_decode(
+		    json_string_value(json_object_get(p, "Value")), &len);
+		g_autofree char *value = g_strndup((const char *)raw, len);
+
+		put_item(c->plat, json_string_value(json_object_get(p, "Key")),
+		    value);
+	}
+	json_decref(o);
+	send_response(c, 200, "", STR("{}"));
+}
+
 static void
 serve_store(struct conn *c)
 {
@@ -223,6 +261,10 @@
 	case FAKEPLAT_STORE_OK:
 		break;
 	}
+	if (str_eq(url, STR("/api/kv-txn"))) {
+		write_puts(c);
+		return;
+	}
 	if (!str_has_prefix(url, STR("/api/kv-watch"))) {
 		write_items(c->plat, "Items", 0, false, &out);
 		send_response(c, 200, "", str_of(&out));
@@ -676,14 +718,9 @@
 static void
 set_item(struct fakeplat *plat, const char *key, const char *value)
 {
-	struct item *x = g_new0(struct item, 1);
-
-	x->value = g_strdup(value);
 	pthread_mutex_lock(&plat->lock);
-	x->rev = ++plat->rev;
-	g_hash_table_replace(plat->items, g_strdup(key), x);
+	put_item(plat, key, value);
 	pthread_mutex_unlock(&plat->lock);
-	event_active(plat->wakeup, EV_TIMEOUT, 0);
 }
 
 void
