--- a/kernel/overload/batch.c
+++ b/kernel/overload/batch.c
@@ -168,7 +168,7 @@
 heap_by_urgency(const struct batch *b, const struct sort_ctx *ctx)
 {
 	guint n = b->items->len;
-	struct sort_entry *heap = g_new(struct sort_entry, n);
+	struct sort_entry *heap = g_new0(struct sort_entry, n);
 
 	for (guint i = 0; i < n; i++)
 		heap[i] =
