Overload: reject only what is surely too late; missing space is short

(2) Jobs were refused as hopeless beside queues that drained in a second, as the least urgent were taken to get a tenth of the capacity for good; the same wait was reported to the hosts, which rejected new chains for it.

Change: only the missing bytes count, for about the time of a call. The reported wait, and admission, look at the pieces before a job now (batch_least_wait); a fifth of the capacity is surely left for the less urgent. A call that was not full for want of pieces counts as capacity. A job whose inputs expire in the queue is refused, as its chain would meet the same queue.

--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -276,7 +276,10 @@
 
 	if (usable > 0)
 		wait = batch_estimate(&j->pool->batch, usable, it, now) - now;
-	j->wait_ms = (uint32_t)(wait / USEC_PER_MSEC);
+	if (usable > 0)
+		j->wait_ms = (uint32_t)(batch_least_wait(
+					    &j->pool->batch, usable, it, now) /
+		    USEC_PER_MSEC);
 	if (usable > 0 &&
 	    (j->inputs.n > 0 || batch_admits(&j->pool->batch, usable, it, now)))
 		return true;
@@ -339,7 +342,6 @@
 	j->bytes = msg->bytes;
 	j->domain = domain_hash(msg->domain);
 	j->deadline = latest_start(msg, p, now);
-	j->input_expiry = j->deadline == input_expiry(msg, p, now);
 	j->n = msg->pieces.pieces_len;
 	j->missing = j->n;
 	buf_put(&j->id, str_from(msg->id));
@@ -443,23 +445,6 @@
 	return true;
 }
 
-/*
- * Ends a job at its deadline.  If the deadline is the expiry of its inputs, it
- * is answered with PIECE_INPUT_LOST, so that the inputs are produced again;
- * otherwise it is refused.
- */
-static void
-end_overdue(struct coordinator *c, struct coordinator_job *j, uint32_t piece,
-    usec_t now)
-{
-	if (j->input_expiry)
-		j->results[piece].outcome = PIECE_INPUT_LOST;
-	else
-		refuse_job(c, j, 0);
-	release_results(c, j);
-	coordinator_finish_job(c, j, now);
-}
-
 /* Refuses the jobs whose turn can't come before their deadline. */
 static void
 refuse_hopeless(struct coordinator *c, struct pool *p, usec_t now)
@@ -481,7 +466,10 @@
 	}
 }
 
-/* Ends the jobs whose deadline has passed. */
+/*
+ * Refuses the jobs whose deadline has passed, also if it was the expiry of
+ * their inputs: a chain that began again would meet the same queue.
+ */
 static void
 refuse_overdue(struct coordinator *c, struct pool *p, usec_t now)
 {
@@ -494,8 +482,8 @@
 			i++;
 			continue;
 		}
-		end_overdue(
-		    c, j, it->piece, now); /* removes all pieces of the job */
+		refuse_job(c, j, 0);
+		coordinator_finish_job(c, j, now); /* removes all its pieces */
 		i = 0;
 	}
 }
--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -18,26 +18,17 @@
  */
 #define INPUT_FETCH_TIME (80 * USEC_PER_MSEC)
 #define MAX_PIECE_SENDS  3
-/* A target without space counts as full for this part of its results' life. */
-#define FULL_TTL_SHARE   4
 
 /*
- * The target had no space for a piece although the results known here leave
- * some: others are stored there too, as those of a previous coordinator.  It is
- * full until some of them expire.
+ * The target had no space for pieces although the results known here leave
+ * some: sizes are estimates, and results of a previous coordinator are stored
+ * there too.  The missing space counts as used for about the time of a call.
  */
 static void
-fill_result_space(struct batch_call *call, usec_t now)
+hold_missing_space(struct batch_call *call, uint64_t bytes, usec_t now)
 {
-	struct result_space *r = &call->coordinator->result_space;
-	const struct pool_config *config = &call->pool->batch.config;
-	/* The call's own reservation ends with the call. */
-	uint64_t used = result_space_used(r, call->addr, now) - call->bytes;
-
-	if (used < config->result_bytes)
-		result_space_hold_lost(r, call->addr,
-		    config->result_bytes - used,
-		    now + config->result_ttl / FULL_TTL_SHARE);
+	result_space_hold_lost(&call->coordinator->result_space, call->addr,
+	    bytes, now + call->pool->batch.config.call_cost);
 }
 
 static void
@@ -65,7 +56,7 @@
 
 /*
  * Queues a piece that was not produced again, or fails it after MAX_PIECE_SENDS
- * calls.  Returns whether it waits again.
+ * calls.
  */
 static bool
 requeue_item(struct batch_call *call, const struct batch_item *item,
@@ -148,7 +139,7 @@
 	size_t n = evbuffer_get_length(body);
 	struct str text = { (const char *)evbuffer_pullup(body, -1), n };
 	struct piece_result *v;
-	bool no_space = false;
+	uint64_t missing = 0;
 	bool ok = false;
 
 	if (call->status != 200 || n == 0 ||
@@ -161,14 +152,14 @@
 		    &g_array_index(call->items, struct batch_item, i);
 
 		call->n_made += v[i].outcome == PIECE_DONE;
-		if (v[i].outcome == PIECE_NO_SPACE)
-			no_space =
-			    requeue_item(call, it, true, now) || no_space;
-		else
+		if (v[i].outcome == PIECE_NO_SPACE) {
+			missing += it->bytes;
+			requeue_item(call, it, true, now);
+		} else
 			set_result(call->coordinator, it, &v[i], now);
 	}
-	if (no_space)
-		fill_result_space(call, now);
+	if (missing > 0)
+		hold_missing_space(call, missing, now);
 	free(v);
 	return ok;
 }
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -35,8 +35,6 @@
 	uint8_t sends[PEER_PIECES_MAX]; /* failed calls of each piece */
 	struct piece_result results[PEER_PIECES_MAX];
 	bool has_result[PEER_PIECES_MAX];
-	/* The deadline is the expiry of the inputs, not the caller's. */
-	bool input_expiry;
 	bool replied;
 	bool refused;
 	bool moved; /* answered: the next coordinator has to take the job */
--- a/kernel/overload/batch.c
+++ b/kernel/overload/batch.c
@@ -21,6 +21,11 @@
 #define CALL_TIMEOUT_FACTOR 5
 /* Weight of a new sample in the moving average. */
 #define AVERAGE_WEIGHT      0.1
+/*
+ * Share of the capacity that is surely left for less urgent pieces: how long
+ * more urgent ones keep arriving is not known.
+ */
+#define SURE_MIN_SHARE      0.2
 /*
  * A piece is hopeless if its turn comes too late even in this share of the
  * estimated wait: the estimate must be clearly over the time that is left.
@@ -246,6 +251,20 @@
 	return false;
 }
 
+/*
+ * Returns how many pieces the time of a call could have served.  A call that
+ * was not full because no more pieces waited says that there is capacity left;
+ * one of less than the size aimed at had no space for more results.
+ */
+static uint32_t
+taken_capacity(const struct batch *b, uint32_t taken, uint32_t size)
+{
+	if (taken < size)
+		return taken;
+	return (uint32_t)(b->config.batch * (double)call_duration(b, taken) /
+	    (double)call_duration(b, b->config.batch));
+}
+
 void
 batch_take(struct batch *b, usec_t now, uint32_t free_targets,
     const struct batch_target *t, GArray *out)
@@ -271,7 +290,7 @@
 	}
 	g_free(heap);
 	compact(b);
-	throughput_add(&b->throughput, out->len, now);
+	throughput_add(&b->throughput, taken_capacity(b, out->len, n), now);
 	if (b->items->len == 0)
 		throughput_idle(&b->throughput, now);
 }
@@ -300,11 +319,12 @@
 
 /* Pieces per second that are left for a rank of the capacity all. */
 static double
-spare_rate(const struct batch *b, double all, uint32_t rank, usec_t now)
+spare_rate(const struct batch *b, double all, uint32_t rank, double min_share,
+    usec_t now)
 {
 	double spare = all - rate_before(b, rank, now);
 
-	return spare > MIN_SHARE * all ? spare : MIN_SHARE * all;
+	return spare > min_share * all ? spare : min_share * all;
 }
 
 /* Arrivals of the ranks before this one go before the piece. */
@@ -321,7 +341,8 @@
 	struct sort_ctx ctx = { now + call_duration(b, 1), 0 };
 	guint left = b->items->len;
 	usec_t longest = (usec_t)(SURE_SHARE * left /
-	    spare_rate(b, per_second, BATCH_RANKS, now) * USEC_PER_SEC);
+	    spare_rate(b, per_second, BATCH_RANKS, SURE_MIN_SHARE, now) *
+	    USEC_PER_SEC);
 	usec_t earliest = INT64_MAX;
 	struct sort_entry *heap;
 	uint32_t before = 0;
@@ -340,7 +361,8 @@
 		const struct batch_item *it = &g_array_index(
 		    b->items, struct batch_item, heap_pop(b, heap, &left));
 		usec_t wait = (usec_t)(SURE_SHARE * before /
-		    spare_rate(b, per_second, rank_after(it, &ctx), now) *
+		    spare_rate(b, per_second, rank_after(it, &ctx),
+			SURE_MIN_SHARE, now) *
 		    USEC_PER_SEC);
 		bool known = owners->len > 0 &&
 		    owners->pdata[owners->len - 1] == it->owner;
@@ -359,12 +381,11 @@
 	return call_duration(b, 1);
 }
 
-usec_t
-batch_estimate(const struct batch *b, uint32_t targets,
-    const struct batch_item *it, usec_t now)
+/* Number of waiting pieces that go before this one. */
+static uint32_t
+count_before(const struct batch *b, const struct batch_item *it, usec_t now)
 {
 	struct sort_ctx ctx = { now + call_duration(b, 1), it->domain };
-	double spare = spare_rate(b, capacity(b, targets, now), it->rank, now);
 	usec_t own_time = sort_time(it, &ctx);
 	uint32_t before = 0;
 
@@ -372,8 +393,18 @@
 		before +=
 		    sort_time(&g_array_index(b->items, struct batch_item, i),
 			&ctx) < own_time;
+	return before;
+}
+
+usec_t
+batch_estimate(const struct batch *b, uint32_t targets,
+    const struct batch_item *it, usec_t now)
+{
+	double spare =
+	    spare_rate(b, capacity(b, targets, now), it->rank, MIN_SHARE, now);
+
 	return now + call_duration(b, b->config.batch / 2) +
-	    (usec_t)(before / spare * USEC_PER_SEC);
+	    (usec_t)(count_before(b, it, now) / spare * USEC_PER_SEC);
 }
 
 static double
@@ -412,11 +443,21 @@
 	    (measured > configured ? measured : configured);
 }
 
+usec_t
+batch_least_wait(const struct batch *b, uint32_t targets,
+    const struct batch_item *it, usec_t now)
+{
+	uint32_t before = count_before(b, it, now);
+
+	return batch_min_duration(b) +
+	    (usec_t)(before / capacity(b, targets, now) * USEC_PER_SEC);
+}
+
 bool
 batch_admits(const struct batch *b, uint32_t targets,
     const struct batch_item *it, usec_t now)
 {
-	usec_t wait = batch_estimate(b, targets, it, now) - now;
+	usec_t wait = batch_least_wait(b, targets, it, now);
 
 	return now + (usec_t)(SURE_SHARE * (double)wait) < it->deadline;
 }
--- a/kernel/overload/batch.h
+++ b/kernel/overload/batch.h
@@ -73,6 +73,12 @@
 /* Estimates when a piece like this would be done if it were added now. */
 usec_t batch_estimate(const struct batch *b, uint32_t targets,
     const struct batch_item *it, usec_t now);
+/*
+ * Shortest time until a piece like this would be done: after the pieces that
+ * wait before it now, without those that will arrive.
+ */
+usec_t batch_least_wait(const struct batch *b, uint32_t targets,
+    const struct batch_item *it, usec_t now);
 /* Whether a new piece's turn may come before its deadline. */
 bool batch_admits(const struct batch *b, uint32_t targets,
     const struct batch_item *it, usec_t now);
