--- a/kernel/overload/spill.c
+++ b/kernel/overload/spill.c
@@ -1,14 +1,14 @@
 #include "kernel/overload/spill.h"
 
 /* Targets of a service in each domain, on average, for it to be split. */
-#define SPLIT_TARGETS          5.5
+#define SPLIT_TARGETS      5.5
 /* It stays split down to this average. */
-#define STAY_SPLIT_TARGETS     3.0
+#define STAY_SPLIT_TARGETS 3.0
 /*
  * Another domain must be faster by this: its results cross domains, and the
  * reports of the waits are old.
  */
-#define SPILL_MARGIN           (250 * USEC_PER_MSEC)
+#define SPILL_MARGIN       (250 * USEC_PER_MSEC)
 
 bool
 spill_is_split(uint32_t targets, uint32_t domains, bool was_split)
