test_relay: wait for the host to have polled the target's drain

Cause: test_leaving took six calls in a row at p2 as a sign that the host knows that p1 drains. A host that doesn't know it yet may send six calls to p2 as well; the next call then went to p1 and was served (200 instead of 503). Since polls that return changes are 200 ms apart, the host learns of a change up to 200 ms after it. The test now waits until the host polls for what follows the change, and from then on allows no call at p1 at all.

--- a/tests/platform/test_relay.c
+++ b/tests/platform/test_relay.c
@@ -392,6 +392,12 @@
 	g_assert_true(new_route_is_served());
 }
 
+static bool
+host_is_synced(void)
+{
+	return fakeplat_is_synced(platform);
+}
+
 static bool
 only_p2_serves(void)
 {
@@ -426,7 +432,8 @@
 	struct fakeplat_attempt s;
 
 	fakeplat_drain_target(platform, "p1");
-	g_assert_true(wait_until(only_p2_serves));
+	g_assert_true(wait_until(host_is_synced));
+	g_assert_true(only_p2_serves());
 	fakeplat_replace_target(platform, "p2", "p2-next");
 	harness_exchange(host.port, str_from(q), TIMEOUT_SECONDS * 1000, &a);
 	g_assert_cmpint(a.status, ==, 503);
