stage_jobs: only the first acknowledgement reports a wait

Cause: a status query of an acknowledged job is answered with the wait that was known at its submission; the host recorded it as a new report, so waits looked as long as they had been seconds ago. /stage_jobs/repeated-ack fails on the old code (1,020,093 us left instead of 999,975 after 20 ms). Also: the host's log line for a refused stage is stage-no-room, as the coordinator's line is named stage-refused.

--- a/entry/stage_jobs.c
+++ b/entry/stage_jobs.c
@@ -382,9 +382,12 @@
 		return;
 	}
 	if (!r->refused && r->made.made_len == 0) {
+		/* Later acknowledgements repeat the wait of the first one. */
+		bool first = !j->acked;
+
 		j->acked = true;
 		j->tries = 0;
-		if (r->wait_ms > 0)
+		if (first && r->wait_ms > 0)
 			stage_waits_report(s->o.waits, j->body.service,
 			    j->domain, j->body.rank,
 			    (usec_t)r->wait_ms * USEC_PER_MSEC, clock_now());
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -262,7 +262,7 @@
 
 	r->stages[stage].job = 0;
 	if (reply->refused) {
-		LOG(LOG_LVL_INFO, "stage-refused", { "request", r->info.id },
+		LOG(LOG_LVL_INFO, "stage-no-room", { "request", r->info.id },
 		    { "stage", str_from(service_name(r, stage)) });
 		relay_request_reject(r,
 		    &(struct rejection){ ERR_NO_TIME,
--- a/tests/entry/test_stage_jobs.c
+++ b/tests/entry/test_stage_jobs.c
@@ -1,7 +1,7 @@
 /*
- * Tests that a host that has just started does not submit its stage jobs before
- * it knows the other hosts.  Without this wait the host would consider itself
- * the coordinator of every service.
+ * Tests of the stage jobs of a host: a host that has just started does not
+ * submit them before it knows the other hosts (it would consider itself the
+ * coordinator of every service), and what acknowledgements report.
  */
 #include "entry/stage_jobs.h"
 
@@ -146,10 +146,32 @@
 	}
 }
 
+/* A repeated acknowledgement repeats an old wait and is not a new report. */
+static void
+test_repeated_ack(void)
+{
+	struct fixture g;
+	peer_piece_reply ack = { .wait_ms = 1000 };
+	usec_t first;
+	usec_t now;
+
+	open_fixture(&g, PEER_WAIT);
+	ack.ask = submit_job(&g);
+	stage_jobs_reply(g.jobs, NULL, &ack);
+	now = clock_now();
+	first = stage_waits_get(&g.waits, "s", "", 0, now);
+	g_assert_cmpint(first, >, 0);
+	g_usleep(20000);
+	stage_jobs_reply(g.jobs, NULL, &ack);
+	g_assert_cmpint(stage_waits_get(&g.waits, "s", "", 0, now), ==, first);
+	close_fixture(&g);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/stage_jobs/peer-wait", test_peer_wait);
+	g_test_add_func("/stage_jobs/repeated-ack", test_repeated_ack);
 	return g_test_run();
 }
