Overload: callers that come back count from their first attempt

A request that is rejected after seconds comes back; each attempt got a new soft deadline, though the objective counts from the caller's first one. So callers that were late already took the place of those that could be served on time. Ruled out: jobs of the middle stage that are ended as hopeless.

Change: kernel/overload/caller_age estimates the age of a caller from the time that it has left and the times that are usual on its route, learned while no caller of the route is rejected. The model has the estimate, callers with spread deadlines, and the policies all-without-age and true-age as an oracle.

--- a/entry/relay.c
+++ b/entry/relay.c
@@ -111,6 +111,8 @@
 	struct rejection adjusted = adjust_rejection(r, why);
 
 	r->relay->counts.rejected[-adjusted.kind]++;
+	caller_age_rejected(
+	    &r->shared->caller_age, r->route->name, clock_now());
 	relay_answer_log_rejection(
 	    r->info.id, &adjusted, r->route->name, clock_now() - r->arrived);
 	if (r->head_written)
@@ -198,7 +200,6 @@
 	    routes_service_at(r->routes, route_pick_service(route, info->id));
 	r->rank = effective_rank(route, caller_key);
 	r->arrived = httpd_arrived(q);
-	r->soft_deadline = r->arrived + route->objective;
 	r->deadline = r->arrived +
 	    (route->timeout > 0 && route->timeout < budget ? route->timeout
 							   : budget);
@@ -556,9 +557,8 @@
 	loads_init(&p->loads, o->settings->failure_domain, rng_entropy());
 	p->retry_quotas =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, free, free);
-	stages_init_quota(p);
+	stages_init(p);
 	durations_init(&p->durations);
-	stage_waits_init(&p->stage_waits);
 	y->inbox = inbox_new();
 	y->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	y->inbox_event =
@@ -687,7 +687,7 @@
 	loads_free(&p->loads);
 	g_hash_table_destroy(p->retry_quotas);
 	durations_free(&p->durations);
-	stage_waits_free(&p->stage_waits);
+	stages_free(p);
 	event_free(y->inbox_event);
 	event_free(y->tick);
 	/* Frees the objects that deferred callbacks still hold. */
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -15,6 +15,7 @@
 #include "kernel/sse.h"
 #include "kernel/overload/chain.h"
 #include "kernel/overload/durations.h"
+#include "kernel/overload/caller_age.h"
 #include "kernel/overload/stage_waits.h"
 #include "plat/dial.h"
 #include "platform/request.h"
@@ -37,6 +38,8 @@
 	struct durations durations;
 	/* Waits at the stage services, as their coordinators report them. */
 	struct stage_waits stage_waits;
+	/* How long ago the callers of a route sent their first attempt. */
+	struct caller_age caller_age;
 	/* Quota of repeated stage work, for all stage services together. */
 	struct retry_quota stage_quota;
 	struct retry_quota_rule stage_quota_rule;
@@ -110,8 +113,9 @@
 void relay_request_done(struct relay_request *r, const char *outcome);
 struct retry_quota *relay_request_retry_quota(struct relay_request *r);
 
-/* Sets the rule of the quota of repeated stage work (stages.c). */
-void stages_init_quota(struct relay_shared *shared);
+/* Prepares what the stages of all requests share (stages.c). */
+void stages_init(struct relay_shared *shared);
+void stages_free(struct relay_shared *shared);
 /* Runs the stages, then sends the request to its target (stages.c). */
 void stages_start(struct relay_request *r);
 /* Runs the stages again after a result that the request needs was lost. */
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -465,8 +465,10 @@
 }
 
 void
-stages_init_quota(struct relay_shared *shared)
+stages_init(struct relay_shared *shared)
 {
+	stage_waits_init(&shared->stage_waits);
+	caller_age_init(&shared->caller_age);
 	shared->stage_quota_rule = (struct retry_quota_rule){
 		.ratio = STAGE_REPEAT_RATIO,
 		.slack = STAGE_REPEAT_SLACK,
@@ -475,9 +477,33 @@
 	};
 }
 
+void
+stages_free(struct relay_shared *shared)
+{
+	stage_waits_free(&shared->stage_waits);
+	caller_age_free(&shared->caller_age);
+}
+
+/* The objective counts from the caller's first attempt. */
+static usec_t
+soft_deadline(const struct relay_request *r)
+{
+	usec_t age = 0;
+
+	if (r->info.deadline_budget > 0 && r->route->n_stages > 0)
+		age = caller_age_estimate(&r->shared->caller_age,
+		    r->route->name, r->info.deadline_budget, clock_now());
+	if (age > 0)
+		log_text(LOG_LVL_DEBUG, "caller-back",
+		    "request %.*s: first sent at least %" PRId64 " ms ago",
+		    STR_FMT(r->info.id), age / USEC_PER_MSEC);
+	return r->arrived + r->route->objective - age;
+}
+
 void
 stages_start(struct relay_request *r)
 {
+	r->soft_deadline = soft_deadline(r);
 	retry_quota_request(
 	    &r->shared->stage_quota, &r->shared->stage_quota_rule, clock_now());
 	start_ready_stages(r);
--- a/kernel/overload/retry_after.c
+++ b/kernel/overload/retry_after.c
@@ -12,5 +12,5 @@
 
 	if (spread < MIN_SPREAD)
 		spread = MIN_SPREAD;
-	return wait / 2 + (usec_t)(id_hash % (uint64_t)spread);
+	return wait + (usec_t)(id_hash % (uint64_t)spread);
 }
--- a/kernel/overload/retry_after.h
+++ b/kernel/overload/retry_after.h
@@ -3,8 +3,8 @@
  *
  * Load pattern: a burst is rejected within a short time.  If all callers come
  * back after the same time, they are the next burst; so the times are spread,
- * by a hash of the request's id.  A caller comes back after half of the
- * expected wait: its deadline passes meanwhile too.
+ * by a hash of the request's id.  A caller that comes back before the expected
+ * wait has passed finds the same queue and is rejected again.
  */
 #ifndef KERNEL_OVERLOAD_RETRY_AFTER_H
 #define KERNEL_OVERLOAD_RETRY_AFTER_H
--- a/model/scenario.h
+++ b/model/scenario.h
@@ -1,13 +1,16 @@
 /*
- * A load scenario of the model, read from an INI file:
+ * A load scenario of the model, read from an INI file.
  *
- *   [run]            seconds, window (s), seed, report_delay_ms
- *   [service NAME]   targets, batch, call_ms, item_ms, result_bytes, ttl_ms
- *   [kind NAME]      rate (1/s), soft_ms, deadline_ms, rank, retries,
- *                    patient (no: comes back at once), first_event_ms, stages
- * (SERVICE:PIECES:BYTES ..., one after the other) [fault NAME]     at_s, for_s
- * and one of kind = NAME, x = FACTOR     arrivals multiplied service = NAME,
- * slow = F, share = S   slow targets service = NAME, crash = yes, share = S
+ * [run]: seconds, window (s), seed, report_delay_ms.
+ *
+ * [service NAME]: targets, batch, call_ms, item_ms, result_bytes, ttl_ms.
+ *
+ * [kind NAME]: rate (1/s), soft_ms, deadline_ms, deadline_spread (callers wait
+ * for up to this share less), rank, retries, patient (no: comes back at once),
+ * first_event_ms, stages (SERVICE:PIECES:BYTES ..., one after the other).
+ *
+ * [fault NAME]: at_s, for_s, and one of: kind, x (arrivals are multiplied);
+ * service, slow, share (slow targets); service, crash = yes, share.
  *
  * All times are in microseconds once read.
  */
@@ -39,6 +42,7 @@
 	double rate; /* requests per second */
 	usec_t soft_deadline;
 	usec_t deadline;
+	double deadline_spread;
 	uint32_t rank;
 	uint32_t retries;
 	bool impatient; /* comes back at once, whatever Retry-After says */
--- a/model/sequoia_model.c
+++ b/model/sequoia_model.c
@@ -29,6 +29,9 @@
 	{ "chain", SIM_CHAIN },
 	{ "hopeless", SIM_HOPELESS },
 	{ "quota", SIM_QUOTA },
+	{ "age", SIM_AGE },
+	{ "all-without-age", SIM_ALL & ~SIM_AGE },
+	{ "true-age", SIM_ALL | SIM_TRUE_AGE },
 };
 
 static bool
@@ -152,7 +155,8 @@
 		if (!find_policy(names[i], &ignored)) {
 			fprintf(stderr,
 			    "sequoia-model: --policy %s: write all, none, "
-			    "chain, hopeless or quota\n",
+			    "chain, hopeless, quota, age, all-without-age or "
+			    "true-age\n",
 			    names[i]);
 			goto out;
 		}
--- a/model/sim.c
+++ b/model/sim.c
@@ -110,6 +110,7 @@
 	usec_t left = r->deadline - m->now;
 
 	release_inputs(m, r, false);
+	caller_age_rejected(&m->ages, sim_kind(m, r)->name, m->now);
 	COUNT(m, r, rejections);
 	count(m, r, offsetof(struct sim_counts, reject_time),
 	    m->now - r->arrived);
@@ -225,7 +226,7 @@
 
 	return (struct batch_item){ .owner = j,
 		.soft_deadline =
-		    r->soft_deadline - chain_typical_after(c, r->stage),
+		    r->host_soft_deadline - chain_typical_after(c, r->stage),
 		.deadline = j->deadline,
 		.rank = k->rank,
 		.bytes = k->stages[r->stage].bytes,
@@ -308,10 +309,25 @@
 	return x;
 }
 
+static usec_t
+host_soft_deadline(struct sim *m, const struct request *r)
+{
+	const struct model_kind *k = sim_kind(m, r);
+	usec_t age = 0;
+
+	if ((m->policies & SIM_TRUE_AGE) != 0)
+		return r->soft_deadline;
+	if ((m->policies & SIM_AGE) != 0)
+		age = caller_age_estimate(
+		    &m->ages, k->name, r->deadline - m->now, m->now);
+	return m->now + k->soft_deadline - age;
+}
+
 static void
 arrive(struct sim *m, struct request *r)
 {
 	r->arrived = m->now;
+	r->host_soft_deadline = host_soft_deadline(m, r);
 	r->stage = 0;
 	r->tries = 0;
 	retry_quota_request(&m->quota, &m->quota_rule, m->now);
@@ -333,7 +349,10 @@
 			r->number = m->requests->len;
 			r->first_arrival = m->now;
 			r->soft_deadline = m->now + kind->soft_deadline;
-			r->deadline = m->now + kind->deadline;
+			r->deadline = m->now +
+			    (usec_t)((double)kind->deadline *
+				(1 -
+				    kind->deadline_spread * rng_unit(&m->rng)));
 			r->inputs =
 			    g_array_new(FALSE, FALSE, sizeof(struct result));
 			g_ptr_array_add(m->requests, r);
@@ -448,6 +467,7 @@
 	rng_init(&m->rng, s->seed);
 	result_space_init(&m->space);
 	stage_waits_init(&m->waits);
+	caller_age_init(&m->ages);
 	m->quota_rule = (struct retry_quota_rule){ REPEAT_RATIO, REPEAT_SLACK,
 		REPEAT_WINDOW, 1 };
 	m->due = g_sequence_new(g_free);
@@ -478,6 +498,7 @@
 	g_ptr_array_unref(m->jobs);
 	g_ptr_array_unref(m->requests);
 	stage_waits_free(&m->waits);
+	caller_age_free(&m->ages);
 	result_space_free(&m->space);
 }
 
--- a/model/sim_state.h
+++ b/model/sim_state.h
@@ -7,6 +7,7 @@
 
 #include "base/rng.h"
 #include "kernel/overload/batch.h"
+#include "kernel/overload/caller_age.h"
 #include "kernel/overload/result_space.h"
 #include "kernel/overload/retry_quota.h"
 #include "kernel/overload/stage_waits.h"
@@ -29,6 +30,7 @@
 	usec_t first_arrival;
 	usec_t arrived;
 	usec_t soft_deadline;
+	usec_t host_soft_deadline; /* as the host assumes it */
 	usec_t deadline;
 	uint32_t stage; /* in progress */
 	uint32_t tries; /* jobs of this stage */
@@ -84,6 +86,7 @@
 	struct pool pools[MODEL_MAX_SERVICES];
 	struct result_space space;
 	struct stage_waits waits;
+	struct caller_age ages;
 	struct retry_quota quota;
 	struct retry_quota_rule quota_rule;
 	GQueue reports;  /* struct report */
--- a/tests/model/test_model.c
+++ b/tests/model/test_model.c
@@ -27,6 +27,7 @@
 	{ SCENARIOS "kinds_burst.ini", 3, 20 },
 	{ SCENARIOS "lost_inputs.ini", 6, 11 },
 	{ SCENARIOS "power_back.ini", 6, 7 },
+	{ SCENARIOS "returning_callers.ini", 8, 16 },
 	{ SCENARIOS "slow_stage.ini", 8, 14 },
 };
 
@@ -113,6 +114,35 @@
 	}
 }
 
+/* Of each kind at least this share of the oracle's is served on time. */
+#define ORACLE_SHARE 0.9
+
+/*
+ * Callers that come back count from their first attempt, nearly as well as if
+ * their ages were known.
+ */
+static void
+test_returning_callers(void)
+{
+	struct scenario s;
+	struct sim_result r;
+	struct sim_result oracle;
+	struct err e = { 0 };
+
+	g_assert_cmpint(
+	    scenario_read(&s, SCENARIOS "returning_callers.ini", &e), ==, 0);
+	sim_run(&s, SIM_ALL, &r);
+	sim_run(&s, SIM_ALL | SIM_TRUE_AGE, &oracle);
+	for (uint32_t i = 0; i < s.n_kinds; i++) {
+		g_test_message("%s: on time %.3f, oracle %.3f", s.kinds[i].name,
+		    on_time(&r.kinds[i]), on_time(&oracle.kinds[i]));
+		g_assert_cmpfloat(on_time(&r.kinds[i]), >=,
+		    ORACLE_SHARE * on_time(&oracle.kinds[i]));
+	}
+	sim_result_free(&r);
+	sim_result_free(&oracle);
+}
+
 /* The same scenario gives the same result, byte for byte. */
 static void
 test_repeatable(void)
@@ -176,6 +206,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/model/replays", test_replays);
+	g_test_add_func("/model/returning-callers", test_returning_callers);
 	g_test_add_func("/model/repeatable", test_repeatable);
 	g_test_add_func("/model/bad-scenarios", test_bad_scenarios);
 	return g_test_run();
