Coordinators: one silence counts once, and not for the restarted host

Each unanswered job doubled the time for which the silent host is not chosen (8 s at once), and jobs sent before the restart but given up after it blamed the new process. Its first answers were refusals, as it knew no targets for some 20 ms.

Change: kernel/overload/suspicion holds the rule, out of entry/: a silence counts once, for the incarnation that was asked. Jobs at a restarted coordinator are sent again as soon as its restart is known. A host that has just started and knows no targets leaves jobs of others unanswered; they are sent again.

--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -36,6 +36,8 @@
 #define LOAD_REPORT_TIME      (1 * USEC_PER_SEC)
 /* A target with less than this part of its result space is called full. */
 #define FULL_PART             10
+/* Time within which a host that starts learns the targets. */
+#define START_TIME            (1 * USEC_PER_SEC)
 /* Retry-After while a service has no usable target. */
 #define NO_TARGET_RETRY       (1 * USEC_PER_SEC)
 
@@ -162,6 +164,7 @@
 	struct coordinator *c = xcalloc(1, sizeof(*c));
 
 	c->o = *o;
+	c->started = clock_now();
 	c->pools =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
 	c->jobs = g_hash_table_new_full(
@@ -364,6 +367,13 @@
 		coordinator_finish_job(c, j, now);
 }
 
+/* Whether this host has just started and knows no targets yet. */
+static bool
+is_starting(const struct coordinator *c, usec_t now)
+{
+	return now - c->started < START_TIME && loads_is_empty(c->o.loads);
+}
+
 void
 coordinator_submit(
     struct coordinator *c, const char *from, const peer_piece_ask *msg)
@@ -388,6 +398,10 @@
 			send_reply(c, j);
 		return;
 	}
+	if (from != NULL && is_starting(c, now)) {
+		free(key); /* the sender will try again */
+		return;
+	}
 	p = pool_of(c, msg->service);
 	j = new_job(c, key, from, msg, p, now);
 	/*
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -87,6 +87,7 @@
 	GHashTable *last_responses; /* target id -> hash of the last response */
 	struct result_space result_space; /* of all targets */
 	bool draining;
+	usec_t started;
 	struct coordinator_counts counts;
 	/* Jobs of this host (struct coordinator_job) to be answered. */
 	GPtrArray *local_replies;
--- a/entry/stage_jobs.c
+++ b/entry/stage_jobs.c
@@ -1,6 +1,7 @@
 #include "entry/stage_jobs.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "kernel/overload/suspicion.h"
 #include "kernel/rendezvous.h"
 
 #include <inttypes.h>
@@ -17,19 +18,8 @@
 #define STATUS_INTERVAL   (1 * USEC_PER_SEC)
 /* Sends without an acknowledgement before the next coordinator is chosen. */
 #define MAX_UNACKED_SENDS 3
-/*
- * A coordinator that was heard within this time is alive: it is not replaced,
- * as two coordinators would send calls to the same targets.
- */
-#define ALIVE_TIME        (500 * USEC_PER_MSEC)
 /* A job at a live coordinator is resent at doubling intervals up to this. */
 #define MAX_ACK_TIMEOUT   (800 * USEC_PER_MSEC)
-/*
- * How long a coordinator that did not acknowledge a job is not chosen; doubled
- * each time while nothing is heard from it.
- */
-#define SUSPECT_TIME      (2 * USEC_PER_SEC)
-#define MAX_SUSPECT_TIME  (8 * USEC_PER_SEC)
 /* Number of low bits of a job number, which count the jobs of one process. */
 #define INCARNATION_SHIFT 24
 
@@ -42,6 +32,7 @@
 	usec_t soft_deadline;
 	char domain[MAX_NAME_BYTES + 1];  /* of the coordinator; or empty */
 	char coordinator[MAX_ADDR_BYTES]; /* RPC address; empty: this host */
+	uint64_t incarnation;             /* of the coordinator */
 	usec_t sent_at;
 	bool deferred; /* not sent yet */
 	bool acked;
@@ -50,9 +41,7 @@
 
 struct peer {
 	struct view_peer p;
-	usec_t suspect_until;
-	usec_t suspect_time; /* how long it was suspect last; 0: heard since */
-	usec_t heard_at;     /* last reply to a job; 0: none */
+	struct suspicion suspicion;
 };
 
 struct stage_jobs {
@@ -113,6 +102,31 @@
 	return NULL;
 }
 
+/*
+ * A coordinator that has restarted does not know its jobs: they are sent again
+ * at the next tick.
+ */
+static void
+resend_to_restarted(struct stage_jobs *s)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, s->open);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct pending_job *j = v;
+		const struct peer *p = find_peer(s, j->coordinator);
+
+		if (j->deferred || *j->coordinator == '\0' || p == NULL ||
+		    p->p.incarnation == j->incarnation)
+			continue;
+		j->incarnation = p->p.incarnation;
+		j->acked = false;
+		j->tries = 0;
+		j->sent_at = 0;
+	}
+}
+
 void
 stage_jobs_set_peers(struct stage_jobs *s, const GArray *peers)
 {
@@ -123,29 +137,29 @@
 		struct peer p = { .p = g_array_index(
 				      peers, struct view_peer, i) };
 
+		p.suspicion.incarnation = p.p.incarnation;
 		g_array_append_val(s->peers, p);
 	}
 	for (guint i = 0; i < old_peers->len; i++) {
 		const struct peer *old =
 		    &g_array_index(old_peers, struct peer, i);
-		struct peer *p = old->suspect_until != 0 || old->heard_at != 0
+		struct peer *p =
+		    old->suspicion.until != 0 || old->suspicion.heard_at != 0
 		    ? find_peer(s, old->p.rpc)
 		    : NULL;
 
 		/* A host that has restarted since is not suspect. */
-		if (p != NULL && p->p.incarnation == old->p.incarnation) {
-			p->suspect_until = old->suspect_until;
-			p->suspect_time = old->suspect_time;
-			p->heard_at = old->heard_at;
-		}
+		if (p != NULL && p->p.incarnation == old->p.incarnation)
+			p->suspicion = old->suspicion;
 	}
+	resend_to_restarted(s);
 }
 
 /* Whether a host may coordinate; an empty domain stands for all. */
 static bool
 can_coordinate(const struct peer *p, const char *domain, usec_t now)
 {
-	return now >= p->suspect_until &&
+	return !suspicion_is_suspect(&p->suspicion, now) &&
 	    (*domain == '\0' || strcmp(p->p.domain, domain) == 0);
 }
 
@@ -198,9 +212,13 @@
 static void
 assign_coordinator(struct stage_jobs *s, struct pending_job *j, usec_t now)
 {
+	const struct peer *p;
+
 	g_strlcpy(j->coordinator,
 	    choose_coordinator(s, j->body.service, j->domain, now),
 	    sizeof(j->coordinator));
+	p = find_peer(s, j->coordinator);
+	j->incarnation = p != NULL ? p->p.incarnation : 0;
 }
 
 const char *
@@ -313,24 +331,19 @@
 
 /*
  * Assigns a job to the next coordinator; the current one is not chosen for a
- * while.
+ * while.  Returns whether it has become suspect by this job.
  */
-static void
+static bool
 fail_over(struct stage_jobs *s, struct pending_job *j, usec_t now)
 {
 	struct peer *p = find_peer(s, j->coordinator);
+	bool suspect = p != NULL &&
+	    suspicion_unanswered(&p->suspicion, j->incarnation, now);
 
-	if (p != NULL) {
-		p->suspect_time = 2 * p->suspect_time;
-		if (p->suspect_time < SUSPECT_TIME)
-			p->suspect_time = SUSPECT_TIME;
-		if (p->suspect_time > MAX_SUSPECT_TIME)
-			p->suspect_time = MAX_SUSPECT_TIME;
-		p->suspect_until = now + p->suspect_time;
-	}
 	assign_coordinator(s, j, now);
 	j->tries = 0;
 	j->acked = false;
+	return suspect;
 }
 
 /*
@@ -366,10 +379,8 @@
 	stage_job_handler handler;
 	void *arg;
 
-	if (peer != NULL) {
-		peer->heard_at = clock_now();
-		peer->suspect_time = 0;
-	}
+	if (peer != NULL)
+		suspicion_heard(&peer->suspicion, clock_now());
 	if (j == NULL)
 		return;
 	if (from != NULL && strcmp(from, j->coordinator) != 0) {
@@ -415,7 +426,7 @@
 {
 	const struct peer *p = find_peer(s, coordinator);
 
-	return p != NULL && p->heard_at != 0 && now - p->heard_at < ALIVE_TIME;
+	return p != NULL && suspicion_is_alive(&p->suspicion, now);
 }
 
 /* Time after which a job is sent again. */
@@ -460,18 +471,13 @@
 		}
 		if (j->tries >= MAX_UNACKED_SENDS &&
 		    !is_alive(s, j->coordinator, now)) {
-			const struct peer *p = find_peer(s, j->coordinator);
+			g_autofree char *silent = g_strdup(j->coordinator);
 
-			/*
-			 * Logged once, not for each job assigned to the
-			 * coordinator.
-			 */
-			if (p != NULL && now >= p->suspect_until)
+			if (fail_over(s, j, now))
 				LOG(LOG_LVL_WARNING, "home-silent",
-				    { "home", str_from(j->coordinator) },
+				    { "home", str_from(silent) },
 				    { "service", str_from(j->body.service) },
 				    { "request", str_from(j->body.id) });
-			fail_over(s, j, now);
 		}
 		j->tries++;
 		j->acked = false;
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -154,6 +154,12 @@
 	index_domains(l);
 }
 
+bool
+loads_is_empty(const struct loads *l)
+{
+	return g_hash_table_size(l->by_id) == 0;
+}
+
 void
 loads_update(struct loads *l, const GArray *targets)
 {
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -69,6 +69,8 @@
 void loads_init(struct loads *l, const char *domain, uint64_t seed);
 /* Updates the targets from a newer list of struct target_entry. */
 void loads_update(struct loads *l, const GArray *targets);
+/* Whether no target has been listed so far. */
+bool loads_is_empty(const struct loads *l);
 /*
  * Returns the target with the lowest cost, or NULL if the service has none.
  * Targets that are set aside are used only if there are no others.
