Stages: end before callers of a stream leave

Callers abandon a stream that has no event for the longest of 2 s, four objectives and eight event gaps (PROTOCOL); the stages were planned for the request's deadline of 12 s, so nothing was hopeless.

--- a/entry/stages.c
+++ b/entry/stages.c
@@ -176,6 +176,17 @@
 	return worst;
 }
 
+/* Latest time at which the first event, or the answer, is of use. */
+static usec_t
+start_deadline(const struct relay_request *r)
+{
+	usec_t limit = r->route->first_event_limit;
+
+	if (limit > 0 && r->arrived + limit < r->deadline)
+		return r->arrived + limit;
+	return r->deadline;
+}
+
 static usec_t
 usec_until(usec_t t)
 {
@@ -222,7 +233,7 @@
 			: outcome == PIECE_NO_SPACE   ? "no room"
 						      : "failed") });
 	if (outcome == PIECE_EXPIRED || ++s->tries >= MAX_STAGE_TRIES) {
-		reject_stages(r, usec_until(r->deadline),
+		reject_stages(r, usec_until(start_deadline(r)),
 		    "a stage could not be made in time");
 		return;
 	}
@@ -231,7 +242,7 @@
 		return;
 	}
 	if (!may_repeat_work(r)) {
-		reject_stages(r, usec_until(r->deadline),
+		reject_stages(r, usec_until(start_deadline(r)),
 		    "a stage failed and the quota of repeated work is spent");
 		return;
 	}
@@ -392,7 +403,7 @@
 		.n = r->info.pieces[i],
 		.key = r->info.piece_key,
 		.inputs = str_of(&inputs),
-		.deadline = r->deadline - chain_min_after(c, i),
+		.deadline = start_deadline(r) - chain_min_after(c, i),
 		.soft_deadline = r->soft_deadline - after,
 		.bytes = r->route->stages[i].bytes,
 		/* The targets of a split service are all in one domain. */
@@ -419,7 +430,7 @@
 end_unservable(struct relay_request *r, const struct chain *c, usec_t now)
 {
 	usec_t excess;
-	enum chain_verdict v = chain_check(c, r->deadline - now, &excess);
+	enum chain_verdict v = chain_check(c, start_deadline(r) - now, &excess);
 
 	if (v == CHAIN_FITS)
 		return false;
@@ -429,7 +440,7 @@
 	    v == CHAIN_NO_TIME ? "after its deadline"
 			       : "after the results they need have expired");
 	reject_stages(r,
-	    v == CHAIN_NO_TIME ? r->deadline - now + excess : excess,
+	    v == CHAIN_NO_TIME ? start_deadline(r) - now + excess : excess,
 	    "its stages would not end in time");
 	return true;
 }
@@ -530,7 +541,7 @@
 		r->stages[i].done = false;
 	}
 	if (!may_repeat_work(r)) {
-		reject_stages(r, usec_until(r->deadline),
+		reject_stages(r, usec_until(start_deadline(r)),
 		    "results were lost and the quota of repeated work is "
 		    "spent");
 		return;
--- a/kernel/routes.h
+++ b/kernel/routes.h
@@ -52,6 +52,8 @@
 	 */
 	usec_t objective;
 	usec_t max_event_gap; /* longest pause between events that is on time */
+	/* Callers abandon a stream without an event after this; 0: never. */
+	usec_t first_event_limit;
 	struct route_share *shares;
 	size_t n_shares;
 	struct route_stage stages[ROUTE_MAX_STAGES];
--- a/model/scenario.c
+++ b/model/scenario.c
@@ -172,6 +172,7 @@
 	const struct ini_entry *x = ini_find(ini, section, "stages");
 	const struct ini_entry *patient = ini_find(ini, section, "patient");
 	double soft = 0, deadline = 0, rank = 0, retries = 0, event = 150;
+	double limit = 0;
 	const struct number v[] = {
 		{ "rate", 0, 1e6, &k->rate, true },
 		{ "soft_ms", 1, 600000, &soft, true },
@@ -179,6 +180,7 @@
 		{ "rank", 0, 9, &rank, false },
 		{ "retries", 0, 10, &retries, false },
 		{ "first_event_ms", 1, 600000, &event, false },
+		{ "first_event_limit_ms", 0, 600000, &limit, false },
 		{ "deadline_spread", 0, 0.9, &k->deadline_spread, false },
 	};
 	int rc = read_numbers(ini, path, section, v, G_N_ELEMENTS(v), e);
@@ -194,6 +196,7 @@
 	k->rank = (uint32_t)rank;
 	k->retries = (uint32_t)retries;
 	k->first_event = msec(event);
+	k->first_event_limit = msec(limit);
 	k->impatient = patient != NULL && strcmp(patient->value, "no") == 0;
 	s->n_kinds++;
 	return x != NULL ? read_stages(s, k, x, e) : 0;
--- a/model/scenario.h
+++ b/model/scenario.h
@@ -7,7 +7,8 @@
  *
  * [kind NAME]: rate (1/s), soft_ms, deadline_ms, deadline_spread (callers wait
  * for up to this share less), rank, retries, patient (no: comes back at once),
- * first_event_ms, stages (SERVICE:PIECES:BYTES ..., one after the other).
+ * first_event_ms, first_event_limit_ms (callers leave after this without an
+ * event), stages (SERVICE:PIECES:BYTES ..., one after the other).
  *
  * [fault NAME]: at_s, for_s, and one of: kind, x (arrivals are multiplied);
  * service, slow, share (slow targets); service, crash = yes, share.
@@ -43,6 +44,7 @@
 	usec_t soft_deadline;
 	usec_t deadline;
 	double deadline_spread;
+	usec_t first_event_limit; /* 0: callers wait until their deadline */
 	uint32_t rank;
 	uint32_t retries;
 	bool impatient; /* comes back at once, whatever Retry-After says */
--- a/model/sequoia_model.c
+++ b/model/sequoia_model.c
@@ -31,6 +31,7 @@
 	{ "quota", SIM_QUOTA },
 	{ "age", SIM_AGE },
 	{ "all-without-age", SIM_ALL & ~SIM_AGE },
+	{ "all-without-limit", SIM_ALL & ~SIM_LIMIT },
 	{ "true-age", SIM_ALL | SIM_TRUE_AGE },
 };
 
@@ -155,8 +156,8 @@
 		if (!find_policy(names[i], &ignored)) {
 			fprintf(stderr,
 			    "sequoia-model: --policy %s: write all, none, "
-			    "chain, hopeless, quota, age, all-without-age or "
-			    "true-age\n",
+			    "chain, hopeless, quota, age, all-without-age, "
+			    "all-without-limit or true-age\n",
 			    names[i]);
 			goto out;
 		}
--- a/model/sim.c
+++ b/model/sim.c
@@ -32,13 +32,14 @@
 }
 
 static void
-add_due(struct sim *m, struct request *r, usec_t at, bool first_event)
+add_due(struct sim *m, struct request *r, usec_t at, enum due_kind kind)
 {
 	struct due *d = g_new0(struct due, 1);
 
 	d->at = at;
 	d->request = r;
-	d->first_event = first_event;
+	d->kind = kind;
+	d->attempt = r->attempts;
 	g_sequence_insert_sorted(m->due, d, by_time, NULL);
 }
 
@@ -122,7 +123,7 @@
 		    m->now +
 			(after < left / RETURN_SHARE ? after
 						     : left / RETURN_SHARE),
-		    false);
+		    DUE_RETURN);
 		return;
 	}
 	r->ended = true;
@@ -233,6 +234,17 @@
 		.queued = m->now };
 }
 
+static usec_t
+start_deadline(const struct sim *m, const struct request *r)
+{
+	usec_t limit = sim_kind(m, r)->first_event_limit;
+
+	if ((m->policies & SIM_LIMIT) != 0 && limit > 0 &&
+	    r->arrived + limit < r->deadline)
+		return r->arrived + limit;
+	return r->deadline;
+}
+
 static void
 submit_stage(struct sim *m, struct request *r)
 {
@@ -247,19 +259,21 @@
 
 	describe_chain(m, r, &c);
 	if ((m->policies & SIM_CHAIN) != 0 &&
-	    chain_check(&c, r->deadline - m->now, &wait) != CHAIN_FITS) {
+	    chain_check(&c, start_deadline(m, r) - m->now, &wait) !=
+		CHAIN_FITS) {
 		reject(m, r, wait);
 		return;
 	}
 	if (r->stage == k->n_stages) {
-		add_due(m, r, m->now + k->first_event, true);
+		add_due(m, r, m->now + k->first_event, DUE_FIRST_EVENT);
 		return;
 	}
 	j = g_new0(struct job, 1);
 	j->request = r;
+	r->job = j;
 	j->missing = g->pieces;
 	j->results = g_array_new(FALSE, FALSE, sizeof(struct result));
-	j->deadline = r->deadline - chain_min_after(&c, r->stage) -
+	j->deadline = start_deadline(m, r) - chain_min_after(&c, r->stage) -
 	    batch_min_duration(&p->batch);
 	expiry = m->now + p->service->pool.result_ttl - INPUT_MARGIN;
 	if (r->stage > 0 && expiry < j->deadline)
@@ -330,6 +344,10 @@
 	r->host_soft_deadline = host_soft_deadline(m, r);
 	r->stage = 0;
 	r->tries = 0;
+	r->attempts++;
+	if (sim_kind(m, r)->first_event_limit > 0)
+		add_due(m, r, m->now + sim_kind(m, r)->first_event_limit,
+		    DUE_LEAVE);
 	retry_quota_request(&m->quota, &m->quota_rule, m->now);
 	submit_stage(m, r);
 }
@@ -362,7 +380,27 @@
 	}
 }
 
-/* First events and callers that come back. */
+/* A caller that has no event yet leaves; it may come back at once. */
+static void
+leave(struct sim *m, struct request *r)
+{
+	struct job *j = r->job;
+
+	if (j == NULL || j->ended)
+		return;
+	end_job(m, j);
+	release(m, sim_kind(m, r)->stages[r->stage].service, j->results, false);
+	release_inputs(m, r, false);
+	if (r->returns < sim_kind(m, r)->retries && m->now < r->deadline) {
+		r->returns++;
+		arrive(m, r);
+		return;
+	}
+	r->ended = true;
+	COUNT(m, r, rejected);
+	COUNT(m, r, held);
+}
+
 static void
 handle_due(struct sim *m)
 {
@@ -374,10 +412,15 @@
 		if (d.at > m->now)
 			return;
 		g_sequence_remove(it);
-		if (!d.first_event) {
+		if (d.kind == DUE_RETURN) {
 			arrive(m, r);
 			continue;
 		}
+		if (d.kind == DUE_LEAVE) {
+			if (d.attempt == r->attempts)
+				leave(m, r);
+			continue;
+		}
 		release_inputs(m, r, true);
 		r->ended = true;
 		if (m->now <= r->soft_deadline)
--- a/model/sim.h
+++ b/model/sim.h
@@ -18,9 +18,10 @@
 	SIM_HOPELESS = 2, /* batch_hopeless in the coordinator */
 	SIM_QUOTA = 4,    /* a quota of repeated stage work */
 	SIM_AGE = 8,      /* caller_age_estimate for callers that come back */
-	SIM_ALL = 15,
+	SIM_LIMIT = 16,   /* stages end before the caller leaves */
+	SIM_ALL = 31,
 	/* The ages of callers are known, as no real host knows them. */
-	SIM_TRUE_AGE = 16
+	SIM_TRUE_AGE = 32
 };
 
 struct sim_counts {
--- a/model/sim_state.h
+++ b/model/sim_state.h
@@ -35,7 +35,9 @@
 	uint32_t stage; /* in progress */
 	uint32_t tries; /* jobs of this stage */
 	uint32_t returns;
-	GArray *inputs; /* struct result, of the stage before */
+	uint32_t attempts;
+	struct job *job; /* last one */
+	GArray *inputs;  /* struct result, of the stage before */
 	bool ended;
 };
 
@@ -62,11 +64,17 @@
 	struct target *targets;
 };
 
-/* A time at which a caller comes back, or a request has its first event. */
+enum due_kind {
+	DUE_FIRST_EVENT,
+	DUE_RETURN, /* of a rejected caller */
+	DUE_LEAVE   /* of a caller that has no event yet */
+};
+
 struct due {
 	usec_t at;
 	struct request *request;
-	bool first_event;
+	enum due_kind kind;
+	uint32_t attempt; /* of the caller */
 };
 
 struct report {
--- a/tests/model/test_model.c
+++ b/tests/model/test_model.c
@@ -25,6 +25,7 @@
 	{ SCENARIOS "crashed_stage.ini", 8, 16 },
 	{ SCENARIOS "impatient.ini", 6, 14 },
 	{ SCENARIOS "kinds_burst.ini", 3, 20 },
+	{ SCENARIOS "leaving_callers.ini", 8, 14 },
 	{ SCENARIOS "lost_inputs.ini", 6, 11 },
 	{ SCENARIOS "power_back.ini", 6, 7 },
 	{ SCENARIOS "returning_callers.ini", 8, 16 },
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -100,6 +100,7 @@
 	g_assert_true(r->resumable && r->open);
 	g_assert_cmpint(r->timeout, ==, 1200500);
 	g_assert_cmpint(r->max_event_gap, ==, 300000);
+	g_assert_cmpint(r->first_event_limit, ==, 2400000);
 	g_assert_cmpuint(r->attempts, ==, 2);
 	g_assert_cmpuint(r->stages[1].after, ==, 1);
 	g_assert_false(r->stages[0].last);
@@ -402,12 +403,48 @@
 	}
 }
 
+/* Callers leave a stream without an event after the longest of three times. */
+static void
+test_first_event_limit(void)
+{
+	static const struct {
+		const char *kind;
+		int objective_ms, gap_ms;
+		usec_t limit;
+	} cases[] = {
+		{ "streaming", 100, 100, 2000 * USEC_PER_MSEC },
+		{ "streaming", 1200, 300, 4800 * USEC_PER_MSEC },
+		{ "streaming", 500, 300, 2400 * USEC_PER_MSEC },
+		{ "idempotent", 1200, 300, 0 },
+		{ "non_idempotent", 1200, 300, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = g_strdup_printf(
+		    "{\"Version\":7," SERVICES "," LIMITS ",\"Routes\":["
+		    "{\"Name\":\"r\",\"Host\":\"a.example\",\"Prefix\":\"/\","
+		    "\"TimeoutMs\":9000,\"SloMs\":%d,\"Attempts\":2,"
+		    "\"Kind\":\"%s\",\"GapTargetMs\":%d,"
+		    "\"Service\":\"s\"}],\"Tenants\":[]}",
+		    cases[i].objective_ms, cases[i].kind, cases[i].gap_ms);
+		struct err e = { 0 };
+		struct routes *t = platform_config_parse(str_from(text), &e);
+
+		g_assert_nonnull(t);
+		g_assert_cmpint(routes_find(t, STR("a.example"), STR("/"))
+				    ->first_event_limit,
+		    ==, cases[i].limit);
+		routes_unref(t);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/config/routes", test_config_routes);
 	g_test_add_func("/config/fields", test_config_fields);
+	g_test_add_func("/config/first-event-limit", test_first_event_limit);
 	g_test_add_func("/target", test_target);
 	g_test_add_func("/request", test_request);
 	g_test_add_func("/call-head", test_call_head);
