Members: a restart that was too short to be noticed is passed on

An incarnation that is higher by more than denials explain counts as a change of the live members. /member/restart fails on the old code.

--- a/kernel/member.c
+++ b/kernel/member.c
@@ -7,6 +7,11 @@
 
 #define SENDS_PER_DOUBLING 2 /* sends of an update, per log2(n) */
 #define MIN_UPDATE_SENDS   4
+/*
+ * A member raises its incarnation by one to deny that it is gone; a new process
+ * starts with a much higher one.
+ */
+#define MAX_DENIALS        1000
 
 /* The index of an id, or the index at which to insert it. */
 static size_t
@@ -350,6 +355,9 @@
 		strcmp(info->domain, t->domains[m->domain]) != 0);
 	if (addr_changed)
 		set_text(t, m, info);
+	/* Others learn of a restart that was too short to be noticed. */
+	if (info->incarnation > m->incarnation + MAX_DENIALS)
+		t->version++;
 	m->incarnation = info->incarnation;
 	set_state(t, now, m, info->state);
 	queue_update(t, m, addr_changed);
--- a/kernel/member.h
+++ b/kernel/member.h
@@ -84,7 +84,7 @@
 	const char **live;
 	size_t n_live;
 	bool live_stale;
-	uint64_t version;    /* grows when the live members change */
+	uint64_t version;    /* grows when a live member changes or restarts */
 	uint64_t generation; /* highest known configuration generation */
 	char holder[MAX_ADDR_BYTES]; /* RPC address of a member that has it */
 	bool superseded;             /* a newer process has this process's id */
--- a/tests/kernel/test_member.c
+++ b/tests/kernel/test_member.c
@@ -93,6 +93,39 @@
 	}
 }
 
+/*
+ * A restart that is too short to be noticed as a failure is passed on, as what
+ * others know of the old process is out of date; a denial is not.
+ */
+static void
+test_restart(void)
+{
+	static const struct {
+		const char *name;
+		uint64_t incarnation;
+		bool passed_on;
+	} cases[] = {
+		{ "denied that it is gone", 11, false },
+		{ "restarted", 10 + (1 << 20), true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct members t;
+		struct member_info x = info("n1", 10, MEMBER_LIVE);
+		uint64_t version;
+
+		g_test_message("%s", cases[i].name);
+		member_init(&t, &x, 0);
+		x = info("n2", 10, MEMBER_LIVE);
+		g_assert_true(member_update(&t, 0, &x));
+		version = t.version;
+		x = info("n2", cases[i].incarnation, MEMBER_LIVE);
+		g_assert_true(member_update(&t, 1, &x));
+		g_assert_true((t.version > version) == cases[i].passed_on);
+		member_free(&t);
+	}
+}
+
 static void
 test_live_list(void)
 {
@@ -476,6 +509,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/member/update", test_update);
+	g_test_add_func("/member/restart", test_restart);
 	g_test_add_func("/member/live-list", test_live_list);
 	g_test_add_func("/member/fleet", test_fleet);
 	g_test_add_func("/member/paused", test_paused);
