Overload: Retry-After within the caller's time; one rule for callers that leave

Cause, found in reading the change once more: rejections whose wait is the time left (a hopeless job, failed stages, a chain that does not fit) told the caller to come back when its time is over, since Retry-After is the whole wait. It is limited to half of what the caller has left now. The time at which callers leave a stream stood in entry/ and once more in the model, so its replay did not cover the product's rule: chain_deadline has it. Tests: /retry-after/within, /chain/deadline.

--- a/entry/relay.c
+++ b/entry/relay.c
@@ -111,8 +111,7 @@
 	struct rejection adjusted = adjust_rejection(r, why);
 
 	r->relay->counts.rejected[-adjusted.kind]++;
-	caller_age_rejected(
-	    &r->shared->caller_age, r->route->name, clock_now());
+	stages_rejected(r, &adjusted);
 	relay_answer_log_rejection(
 	    r->info.id, &adjusted, r->route->name, clock_now() - r->arrived);
 	if (r->head_written)
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -116,6 +116,11 @@
 /* Prepares what the stages of all requests share (stages.c). */
 void stages_init(struct relay_shared *shared);
 void stages_free(struct relay_shared *shared);
+/*
+ * Notes that the caller of a rejected request may come back, and limits its
+ * Retry-After to the time that it has left (stages.c).
+ */
+void stages_rejected(const struct relay_request *r, struct rejection *why);
 /* Runs the stages, then sends the request to its target (stages.c). */
 void stages_start(struct relay_request *r);
 /* Runs the stages again after a result that the request needs was lost. */
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -176,15 +176,11 @@
 	return worst;
 }
 
-/* Latest time at which the first event, or the answer, is of use. */
 static usec_t
 start_deadline(const struct relay_request *r)
 {
-	usec_t limit = r->route->first_event_limit;
-
-	if (limit > 0 && r->arrived + limit < r->deadline)
-		return r->arrived + limit;
-	return r->deadline;
+	return chain_deadline(
+	    r->arrived, r->route->first_event_limit, r->deadline);
 }
 
 static usec_t
@@ -495,6 +491,17 @@
 	caller_age_free(&shared->caller_age);
 }
 
+void
+stages_rejected(const struct relay_request *r, struct rejection *why)
+{
+	usec_t now = clock_now();
+
+	caller_age_rejected(&r->shared->caller_age, r->route->name, now);
+	if (r->info.deadline_budget > 0)
+		why->retry_after = retry_after_within(why->retry_after,
+		    r->arrived + r->info.deadline_budget - now);
+}
+
 /* The objective counts from the caller's first attempt. */
 static usec_t
 soft_deadline(const struct relay_request *r)
--- a/kernel/overload/chain.c
+++ b/kernel/overload/chain.c
@@ -107,6 +107,14 @@
 	return time_after(c, i, TIME_MIN);
 }
 
+usec_t
+chain_deadline(usec_t arrived, usec_t first_event_limit, usec_t deadline)
+{
+	if (first_event_limit > 0 && arrived + first_event_limit < deadline)
+		return arrived + first_event_limit;
+	return deadline;
+}
+
 /* Returns by how much the results of stage i would miss stage k, or 0. */
 static usec_t
 expiry_excess(const struct chain *c, uint32_t i, uint32_t k)
--- a/kernel/overload/chain.h
+++ b/kernel/overload/chain.h
@@ -46,6 +46,14 @@
 usec_t chain_typical_after(const struct chain *c, uint32_t i);
 usec_t chain_min_after(const struct chain *c, uint32_t i);
 
+/*
+ * Latest useful time of the first event, or of the answer: the request's
+ * deadline, or before it the time at which callers leave a stream that has no
+ * event yet (first_event_limit after the arrival; 0: they don't).
+ */
+usec_t chain_deadline(
+    usec_t arrived, usec_t first_event_limit, usec_t deadline);
+
 enum chain_verdict {
 	CHAIN_FITS,
 	CHAIN_NO_TIME, /* the rest takes longer than the time left */
--- a/kernel/overload/retry_after.c
+++ b/kernel/overload/retry_after.c
@@ -14,3 +14,11 @@
 		spread = MIN_SPREAD;
 	return wait + (usec_t)(id_hash % (uint64_t)spread);
 }
+
+usec_t
+retry_after_within(usec_t after, usec_t time_left)
+{
+	usec_t limit = time_left > 0 ? time_left / 2 : 0;
+
+	return after < limit ? after : limit;
+}
--- a/model/sim.c
+++ b/model/sim.c
@@ -115,6 +115,7 @@
 	COUNT(m, r, rejections);
 	count(m, r, offsetof(struct sim_counts, reject_time),
 	    m->now - r->arrived);
+	after = retry_after_within(after, left);
 	if (sim_kind(m, r)->impatient)
 		after = SIM_STEP;
 	if (r->returns < sim_kind(m, r)->retries && left > 0) {
@@ -239,10 +240,8 @@
 {
 	usec_t limit = sim_kind(m, r)->first_event_limit;
 
-	if ((m->policies & SIM_LIMIT) != 0 && limit > 0 &&
-	    r->arrived + limit < r->deadline)
-		return r->arrived + limit;
-	return r->deadline;
+	return chain_deadline(r->arrived,
+	    (m->policies & SIM_LIMIT) != 0 ? limit : 0, r->deadline);
 }
 
 static void
--- a/tests/kernel/test_chain.c
+++ b/tests/kernel/test_chain.c
@@ -226,6 +226,45 @@
 	}
 }
 
+/* A caller is never told to come back when its time is over. */
+static void
+test_retry_after_within(void)
+{
+	static const struct {
+		int after_ms, left_ms, expected_ms;
+	} cases[] = {
+		{ 500, 4000, 500 },
+		{ 4000, 4000, 2000 },
+		{ 20000, 4000, 2000 },
+		{ 500, 0, 0 },
+		{ 500, -10, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		g_assert_cmpint(retry_after_within(cases[i].after_ms * MS,
+				    cases[i].left_ms * MS),
+		    ==, cases[i].expected_ms * MS);
+}
+
+/* Callers of a stream leave before their deadline, others don't. */
+static void
+test_chain_deadline(void)
+{
+	static const struct {
+		int limit_ms, deadline_ms, expected_ms;
+	} cases[] = {
+		{ 4400, 13000, 5400 },
+		{ 4400, 5000, 5000 },
+		{ 0, 13000, 13000 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		g_assert_cmpint(
+		    chain_deadline(1000 * MS, cases[i].limit_ms * MS,
+			cases[i].deadline_ms * MS),
+		    ==, cases[i].expected_ms * MS);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -236,5 +275,7 @@
 	g_test_add_func("/throughput", test_throughput);
 	g_test_add_func("/call-costs", test_call_costs);
 	g_test_add_func("/retry-after", test_retry_after);
+	g_test_add_func("/retry-after/within", test_retry_after_within);
+	g_test_add_func("/chain/deadline", test_chain_deadline);
 	return g_test_run();
 }
