Calls: a silent target or connection no longer holds a call to its deadline

Traced: proxy_silence leaves a target's open connections silent, and the relay has no limit on the wait for a response, so each call on such a connection waited until its caller left. The check fails when a second silent connection is taken. The soak prints the request that is not served now.

A call that may be made again is given up when its response has not begun within a limit that follows the measured times of the service, and made again elsewhere on a new connection, within the quota of retries; the target's idle connections are closed (kernel/overload/response_wait.h).

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -39,6 +39,8 @@
     void *arg, enum dial_event ev, const struct httpmsg *m);
 static void send_call(struct relay_request *r);
 
+static void on_no_response(evutil_socket_t fd, short what, void *arg);
+
 static struct target_load *
 target_of(struct relay_request *r)
 {
@@ -81,10 +83,19 @@
 	    r, &(struct rejection){ kind, RETRY_AFTER, cause });
 }
 
+static void
+stop_waiting(struct relay_request *r)
+{
+	if (r->response_timer != NULL)
+		event_free(r->response_timer);
+	r->response_timer = NULL;
+}
+
 static void
 report_call_end(struct relay_request *r, bool healthy)
 {
 	r->call = NULL;
+	stop_waiting(r);
 	loads_ended(&r->shared->loads, r->target_id,
 	    healthy ? LOADS_OK : LOADS_FAILED, clock_now());
 }
@@ -199,6 +210,9 @@
 {
 	struct target_load *t = target_of(r);
 
+	stop_waiting(r);
+	response_wait_answered(&r->shared->response_wait, r->service->name,
+	    clock_now() - r->sent_at);
 	platform_response_parse(m, &r->response);
 	r->response_status = m->parser.status_code;
 	if (t == NULL)
@@ -369,6 +383,30 @@
 	    body_bytes);
 }
 
+/* Other connections may be silent too after one was. */
+static usec_t
+max_idle_time(const struct relay_request *r)
+{
+	if (r->silences > 0)
+		return 1;
+	return route_repeatable(r->route) ? 0 : UNREPEATABLE_MAX_IDLE;
+}
+
+/* Limits the wait for the response of a call that may be made again. */
+static void
+start_waiting(struct relay_request *r, usec_t left)
+{
+	usec_t limit = response_wait_limit(&r->shared->response_wait,
+	    r->service->name, r->route->objective, left);
+	struct timeval tv = { limit / USEC_PER_SEC, limit % USEC_PER_SEC };
+
+	if (limit == 0 || r->call == NULL || !route_repeatable(r->route) ||
+	    r->sends >= r->route->attempts)
+		return;
+	r->response_timer = evtimer_new(r->shared->base, on_no_response, r);
+	evtimer_add(r->response_timer, &tv);
+}
+
 static void
 start_call(struct relay_request *r, struct target_load *t, usec_t left)
 {
@@ -390,8 +428,7 @@
 		.call_id = r->info.id,
 		.head_only = m->parser.method == HTTP_HEAD,
 		.connect_timeout = CONNECT_TIMEOUT,
-		.max_idle_time =
-		    route_repeatable(r->route) ? 0 : UNREPEATABLE_MAX_IDLE,
+		.max_idle_time = max_idle_time(r),
 		.max_idle_conns = loads_conn_share(
 		    r->service->max_conns, r->shared->quota_rule.hosts),
 		.handler = on_dial_event,
@@ -399,6 +436,7 @@
 	    });
 	evbuffer_free(body);
 	buf_free(&head);
+	start_waiting(r, left);
 }
 
 /* Logs what decided the choice of a target, and how old its load report is. */
@@ -448,6 +486,36 @@
 		on_dial_event(r, DIAL_UNSENT, NULL);
 }
 
+/*
+ * The response has not begun in time: makes the call again elsewhere, or goes
+ * on waiting if that is not possible.
+ */
+static void
+on_no_response(evutil_socket_t fd, short what, void *arg)
+{
+	struct relay_request *r = arg;
+	struct target_load *t = target_of(r);
+	struct dial_call *call = r->call;
+
+	(void)fd;
+	(void)what;
+	stop_waiting(r);
+	if (!can_retry(r))
+		return;
+	log_text(LOG_LVL_NOTICE, "call-silent",
+	    "request %.*s: no response of target %s within %" PRId64 " ms",
+	    STR_FMT(r->info.id), r->target_id,
+	    (clock_now() - r->sent_at) / USEC_PER_MSEC);
+	response_wait_given_up(&r->shared->response_wait, r->service->name);
+	if (t != NULL)
+		dial_close_idle(r->shared->dialer, str_from(t->entry.addr));
+	report_call_end(r, false);
+	dial_cancel(call);
+	r->may_have_run = true;
+	r->silences++;
+	send_call(r);
+}
+
 void
 forward_start(struct relay_request *r)
 {
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -558,6 +558,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, free, free);
 	stages_init(p);
 	durations_init(&p->durations);
+	response_wait_init(&p->response_wait);
 	y->inbox = inbox_new();
 	y->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	y->inbox_event =
@@ -686,6 +687,7 @@
 	loads_free(&p->loads);
 	g_hash_table_destroy(p->retry_quotas);
 	durations_free(&p->durations);
+	response_wait_free(&p->response_wait);
 	stages_free(p);
 	event_free(y->inbox_event);
 	event_free(y->tick);
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -16,6 +16,7 @@
 #include "kernel/overload/chain.h"
 #include "kernel/overload/durations.h"
 #include "kernel/overload/caller_age.h"
+#include "kernel/overload/response_wait.h"
 #include "kernel/overload/stage_waits.h"
 #include "plat/dial.h"
 #include "platform/request.h"
@@ -36,6 +37,8 @@
 	 * by service name.
 	 */
 	struct durations durations;
+	/* How long calls wait for their responses, by service name. */
+	struct response_wait response_wait;
 	/* Waits at the stage services, as their coordinators report them. */
 	struct stage_waits stage_waits;
 	/* How long ago the callers of a route sent their first attempt. */
@@ -87,7 +90,9 @@
 	char tried[LOADS_MAX_TRIED][64];
 	size_t n_tried;
 	uint32_t sends;
-	usec_t sent_at; /* time of the last call */
+	usec_t sent_at;               /* time of the last call */
+	struct event *response_timer; /* NULL: the call waits without limit */
+	uint32_t silences;            /* calls given up without a response */
 	/* A call was sent whose response did not say "not run". */
 	bool may_have_run;
 	struct response_info response;
--- /dev/null
+++ b/kernel/overload/response_wait.h
@@ -0,0 +1,41 @@
+/*
+ * How long a call waits for its response to begin before it is given up and
+ * made again at another target, by service.
+ *
+ * Load patterns: open connections go silent without a reset while new ones
+ * work, or a target never answers part of its calls although its health check
+ * is good.  Without a limit such a call waits until its caller leaves.  In a
+ * burst, however, all calls wait for long, and a limit that is too short
+ * repeats work that is still in progress.  So the limit follows the times
+ * that calls of the service have lately taken and how much these differ, and it
+ * doubles with each call that is given up, until one is answered in time.
+ *
+ * Times are in microseconds.  The table belongs to one thread.
+ */
+#ifndef KERNEL_OVERLOAD_RESPONSE_WAIT_H
+#define KERNEL_OVERLOAD_RESPONSE_WAIT_H
+
+#include "base/clock.h"
+
+#include <glib.h>
+
+struct response_wait {
+	GHashTable *by_service; /* name -> struct response_times */
+};
+
+void response_wait_init(struct response_wait *w);
+/* The response to a call began after the given time. */
+void response_wait_answered(
+    struct response_wait *w, const char *service, usec_t time);
+/* A call was given up. */
+void response_wait_given_up(struct response_wait *w, const char *service);
+/*
+ * Returns how long a call waits whose answer is wanted within objective; 0 if
+ * it waits until its deadline, as too little of time_left would be left for
+ * another call.
+ */
+usec_t response_wait_limit(const struct response_wait *w, const char *service,
+    usec_t objective, usec_t time_left);
+void response_wait_free(struct response_wait *w);
+
+#endif
--- /dev/null
+++ b/tests/kernel/test_response_wait.c
@@ -0,0 +1,126 @@
+/*
+ * Tests of the time that a call waits for its response to begin: silent
+ * connections must not hold their calls, and a burst in which all calls take
+ * longer must not be made worse by calls that are made again.
+ */
+#include "base/rng.h"
+#include "kernel/overload/response_wait.h"
+
+#include <stdbool.h>
+
+#define MS(n)        ((usec_t)(n)*USEC_PER_MSEC)
+#define CALLS        2000
+#define PLAY_SEED    7
+#define MAX_REPEATED 20 /* one call in a hundred */
+
+struct limit_case {
+	const char *name;
+	usec_t times[4]; /* of calls answered; until the first 0 */
+	uint32_t given_up;
+	usec_t objective, time_left;
+	usec_t least, most;
+};
+
+static const struct limit_case limits[] = {
+	{ "unknown service", { 0 }, 0, MS(1000), MS(5000), MS(1000), MS(2500) },
+	{ "even times", { MS(200), MS(200), MS(200), MS(200) }, 0, MS(1000),
+	    MS(5000), MS(500), MS(600) },
+	{ "short objective", { MS(20), MS(20), MS(20), MS(20) }, 0, MS(100),
+	    MS(600), MS(200), MS(300) },
+	{ "slow service", { MS(2000), MS(2000), MS(2000) }, 0, MS(1000),
+	    MS(12000), MS(4000), MS(8000) },
+	{ "given up twice", { MS(200), MS(200), MS(200), MS(200) }, 2, MS(1000),
+	    MS(5000), MS(2000), MS(2400) },
+	{ "no time for another call", { MS(200), MS(200), MS(200), MS(200) }, 0,
+	    MS(1000), MS(600), 0, 0 },
+	{ "given up too often", { MS(200), MS(200), MS(200), MS(200) }, 9,
+	    MS(1000), MS(5000), 0, 0 },
+};
+
+static void
+test_limit(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(limits); i++) {
+		const struct limit_case *c = &limits[i];
+		struct response_wait w;
+		usec_t limit;
+
+		g_test_message("%s", c->name);
+		response_wait_init(&w);
+		for (size_t k = 0;
+		     k < G_N_ELEMENTS(c->times) && c->times[k] > 0; k++)
+			response_wait_answered(&w, "s", c->times[k]);
+		for (uint32_t k = 0; k < c->given_up; k++)
+			response_wait_given_up(&w, "s");
+		limit =
+		    response_wait_limit(&w, "s", c->objective, c->time_left);
+		g_assert_cmpint(limit, >=, c->least);
+		g_assert_cmpint(limit, <=, c->most);
+		response_wait_free(&w);
+	}
+}
+
+struct load_case {
+	const char *name;
+	usec_t calm, peak; /* time to the first event before and in the burst */
+	double silent;     /* share of the calls that are never answered */
+};
+
+static const struct load_case loads[] = {
+	{ "calm", MS(200), MS(200), 0 },
+	{ "times rise to ten times as long", MS(200), MS(2000), 0 },
+	{ "times rise to thirty times as long", MS(100), MS(3000), 0 },
+	{ "silent connections", MS(200), MS(200), 0.05 },
+	{ "silent connections in a burst", MS(200), MS(1500), 0.05 },
+};
+
+/*
+ * Plays calls whose times rise over the first half and fall over the second.
+ * Calls that would be answered are given up rarely, silent ones always.
+ */
+static void
+test_load(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(loads); i++) {
+		const struct load_case *c = &loads[i];
+		struct response_wait w;
+		struct rng r;
+		int repeated = 0;
+		int held = 0;
+
+		g_test_message("%s", c->name);
+		rng_init(&r, PLAY_SEED);
+		response_wait_init(&w);
+		for (int k = 0; k < CALLS; k++) {
+			double part = k < CALLS / 2 ? 2.0 * k / CALLS
+						    : 2.0 - 2.0 * k / CALLS;
+			double mean = (double)c->calm +
+			    part * (double)(c->peak - c->calm);
+			usec_t time = (usec_t)(mean * (0.5 + rng_unit(&r)));
+			bool silent = rng_unit(&r) < c->silent;
+			usec_t limit =
+			    response_wait_limit(&w, "s", MS(1200), MS(12000));
+
+			if (limit > 0 && (silent || time > limit)) {
+				response_wait_given_up(&w, "s");
+				repeated += !silent;
+			} else if (silent) {
+				held++;
+			} else {
+				response_wait_answered(&w, "s", time);
+			}
+		}
+		g_assert_cmpint(repeated, <=, MAX_REPEATED);
+		g_assert_cmpint(held, ==, 0);
+		response_wait_free(&w);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/response_wait/limit", test_limit);
+	g_test_add_func("/response_wait/load", test_load);
+	return g_test_run();
+}
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -356,9 +356,10 @@
  *   refuse       refuses every arrival as not executed
  *   refuse-once  refuses the first arrival as not executed
  *   slow         responds after 2000 ms
+ *   mute         never responds to the first arrival, also of a stream
  *
  * A second run of an attempt gets a normal response, except with 500.  A stream
- * has the behavior break: a reset after two events.
+ * also has the behavior break: a reset after two events.
  */
 static void
 respond_plain(struct conn *c)
@@ -503,7 +504,7 @@
 		return;
 	}
 	snprintf(c->attempt, sizeof(c->attempt), "%.*s", STR_FMT(id));
-	if (!admit_call(c))
+	if (!admit_call(c) || strcmp(c->behavior, "mute") == 0)
 		return;
 	if (str_has_prefix(url, STR("/stream")))
 		start_stream(c);
--- a/tests/platform/test_relay.c
+++ b/tests/platform/test_relay.c
@@ -64,6 +64,12 @@
 	{ "/safe/1", "safe-late-2", "late", 200, 1, "safe-late-2", false },
 	{ "/safe/1", "safe-late-3", NULL, 200, 1, "safe-late-3", false },
 	{ "/safe/1", "safe-late-4", NULL, 200, 1, "safe-late-4", false },
+	/*
+	 * A call without a response is made again if that is safe, on a new
+	 * connection.
+	 */
+	{ "/safe/1", "safe-mute", "mute", 200, 2, "safe-mute", false },
+	{ "/stream/1", "s-mute", "mute", 200, 2, EVENTS("s-mute"), false },
 	/* A broken stream is resumed if its route can resume. */
 	{ "/stream/1", "s-1", NULL, 200, 1, EVENTS("s-1"), false },
 	{ "/stream/1", "s-2", "break", 200, 2, EVENTS("s-2"), false },
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -320,7 +320,10 @@
 		fakeplat_set_store_mode(platform, FAKEPLAT_STORE_OK);
 }
 
-/* Returns whether a host serves every kind of request, and the newest route. */
+/*
+ * Returns whether a host serves every kind of request, and the newest route;
+ * prints the request that it doesn't serve.
+ */
 static bool
 serves_all(int i, int attempt)
 {
@@ -338,9 +341,16 @@
 		    .id = id,
 		    .extra_fields = newest ? NULL : kinds[k].extra_fields });
 		struct harness_response a;
+		usec_t start = clock_now();
 
 		harness_exchange(hosts[i].port, str_from(q), 3000, &a);
 		ok = a.status == 200 && a.complete;
+		if (!ok)
+			printf("%s: %s is not served: status %d after "
+			       "%lld ms, %zu bytes\n",
+			    hosts[i].id, id, a.status,
+			    (long long)((clock_now() - start) / USEC_PER_MSEC),
+			    a.raw.n);
 		harness_response_free(&a);
 	}
 	return ok;
