Calls: a stream that stalls is resumed elsewhere; a repeated call takes a new connection

A stream that may be resumed is now continued at another target when the next event does not come within a limit that follows the measured pauses; request-ended says when the first event came and the longest pause.

A call that failed no longer counts as running at its target for ever. Tests: /relay/answers (s-stall), /loads/failed-call.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -32,6 +32,11 @@
 /* Retry-After when targets refused a request. */
 #define RETRY_AFTER           (300 * USEC_PER_MSEC)
 #define MAX_INPUT_LOSSES      2
+/*
+ * Pauses of a stream that are on time, in the time within which an event is
+ * wanted.  A stream that pauses for longer is late already.
+ */
+#define EVENT_GAPS            4
 /* Ranks of at least this value share the last engine priority. */
 #define MAX_PRIORITY          9
 
@@ -176,6 +181,49 @@
 	r->head_written = true;
 }
 
+/*
+ * Limits the wait for the next bytes of a call that may be made again; times
+ * are those of the wait, objective what the caller wants.
+ */
+static void
+start_waiting(struct relay_request *r, const struct response_wait *times,
+    usec_t objective, usec_t left)
+{
+	usec_t limit =
+	    response_wait_limit(times, r->service->name, objective, left);
+	struct timeval tv = { limit / USEC_PER_SEC, limit % USEC_PER_SEC };
+
+	if (limit == 0 || r->call == NULL || !route_repeatable(r->route) ||
+	    r->sends >= r->route->attempts) {
+		stop_waiting(r);
+		return;
+	}
+	if (r->response_timer == NULL)
+		r->response_timer =
+		    evtimer_new(r->shared->base, on_no_response, r);
+	evtimer_add(r->response_timer, &tv);
+}
+
+/* Events have arrived: records the wait for them and limits the next one. */
+static void
+note_events(struct relay_request *r)
+{
+	struct relay_shared *s = r->shared;
+	usec_t now = clock_now();
+	bool first = r->last_event_at < r->sent_at;
+	usec_t waited = now - (first ? r->sent_at : r->last_event_at);
+
+	response_wait_answered(first ? &s->response_wait : &s->event_wait,
+	    r->service->name, waited);
+	if (r->events_at == 0)
+		r->events_at = now;
+	else if (now - r->last_event_at > r->longest_pause)
+		r->longest_pause = now - r->last_event_at;
+	r->last_event_at = now;
+	start_waiting(r, &s->event_wait, EVENT_GAPS * r->route->max_event_gap,
+	    r->deadline - now);
+}
+
 /* Passes on the events that have arrived completely. */
 static void
 pass_events(struct relay_request *r, const struct httpmsg *m)
@@ -192,6 +240,7 @@
 	evbuffer_drain(m->body, n);
 	if (events.n == 0)
 		return;
+	note_events(r);
 	if (!r->head_written) {
 		write_head(r, m);
 		stages_release(r);
@@ -205,16 +254,31 @@
 	buf_free(&events);
 }
 
+static bool
+is_success(const struct relay_request *r)
+{
+	return r->response_status >= 200 && r->response_status < 300;
+}
+
+static bool
+is_stream(const struct relay_request *r)
+{
+	return r->route->kind == ROUTE_STREAM && is_success(r) &&
+	    r->response.has_signature && !r->response.encoded;
+}
+
 static void
 on_head(struct relay_request *r, const struct httpmsg *m)
 {
 	struct target_load *t = target_of(r);
 
-	stop_waiting(r);
-	response_wait_answered(&r->shared->response_wait, r->service->name,
-	    clock_now() - r->sent_at);
 	platform_response_parse(m, &r->response);
 	r->response_status = m->parser.status_code;
+	if (!is_stream(r)) {
+		stop_waiting(r);
+		response_wait_answered(&r->shared->response_wait,
+		    r->service->name, clock_now() - r->sent_at);
+	}
 	if (t == NULL)
 		return;
 	if (r->response.has_load)
@@ -224,19 +288,6 @@
 		loads_mark_leaving(&r->shared->loads, t);
 }
 
-static bool
-is_success(const struct relay_request *r)
-{
-	return r->response_status >= 200 && r->response_status < 300;
-}
-
-static bool
-is_stream(const struct relay_request *r)
-{
-	return r->route->kind == ROUTE_STREAM && is_success(r) &&
-	    r->response.has_signature && !r->response.encoded;
-}
-
 static void
 on_body_data(struct relay_request *r, const struct httpmsg *m)
 {
@@ -383,30 +434,18 @@
 	    body_bytes);
 }
 
-/* Other connections may be silent too after one was. */
+/*
+ * Idle connections may be dropped or silent without notice, so a call is made
+ * again on a new one.
+ */
 static usec_t
 max_idle_time(const struct relay_request *r)
 {
-	if (r->silences > 0)
+	if (r->sends > 1)
 		return 1;
 	return route_repeatable(r->route) ? 0 : UNREPEATABLE_MAX_IDLE;
 }
 
-/* Limits the wait for the response of a call that may be made again. */
-static void
-start_waiting(struct relay_request *r, usec_t left)
-{
-	usec_t limit = response_wait_limit(&r->shared->response_wait,
-	    r->service->name, r->route->objective, left);
-	struct timeval tv = { limit / USEC_PER_SEC, limit % USEC_PER_SEC };
-
-	if (limit == 0 || r->call == NULL || !route_repeatable(r->route) ||
-	    r->sends >= r->route->attempts)
-		return;
-	r->response_timer = evtimer_new(r->shared->base, on_no_response, r);
-	evtimer_add(r->response_timer, &tv);
-}
-
 static void
 start_call(struct relay_request *r, struct target_load *t, usec_t left)
 {
@@ -436,7 +475,7 @@
 	    });
 	evbuffer_free(body);
 	buf_free(&head);
-	start_waiting(r, left);
+	start_waiting(r, &r->shared->response_wait, r->route->objective, left);
 }
 
 /* Logs what decided the choice of a target, and how old its load report is. */
@@ -487,8 +526,8 @@
 }
 
 /*
- * The response has not begun in time: makes the call again elsewhere, or goes
- * on waiting if that is not possible.
+ * The response has not begun, or its next event has not come, in time: makes
+ * the call again elsewhere, or goes on waiting if that is not possible.
  */
 static void
 on_no_response(evutil_socket_t fd, short what, void *arg)
@@ -496,6 +535,8 @@
 	struct relay_request *r = arg;
 	struct target_load *t = target_of(r);
 	struct dial_call *call = r->call;
+	bool begun = r->last_event_at >= r->sent_at;
+	usec_t since = begun ? r->last_event_at : r->sent_at;
 
 	(void)fd;
 	(void)what;
@@ -503,16 +544,18 @@
 	if (!can_retry(r))
 		return;
 	log_text(LOG_LVL_NOTICE, "call-silent",
-	    "request %.*s: no response of target %s within %" PRId64 " ms",
+	    "request %.*s: target %s sent nothing for %" PRId64 " ms",
 	    STR_FMT(r->info.id), r->target_id,
-	    (clock_now() - r->sent_at) / USEC_PER_MSEC);
-	response_wait_given_up(&r->shared->response_wait, r->service->name);
+	    (clock_now() - since) / USEC_PER_MSEC);
+	response_wait_given_up(
+	    begun ? &r->shared->event_wait : &r->shared->response_wait,
+	    r->service->name);
 	if (t != NULL)
 		dial_close_idle(r->shared->dialer, str_from(t->entry.addr));
 	report_call_end(r, false);
 	dial_cancel(call);
 	r->may_have_run = true;
-	r->silences++;
+	sse_restart(&r->sse);
 	send_call(r);
 }
 
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -559,6 +559,7 @@
 	stages_init(p);
 	durations_init(&p->durations);
 	response_wait_init(&p->response_wait);
+	response_wait_init(&p->event_wait);
 	y->inbox = inbox_new();
 	y->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	y->inbox_event =
@@ -688,6 +689,7 @@
 	g_hash_table_destroy(p->retry_quotas);
 	durations_free(&p->durations);
 	response_wait_free(&p->response_wait);
+	response_wait_free(&p->event_wait);
 	stages_free(p);
 	event_free(y->inbox_event);
 	event_free(y->tick);
--- a/entry/relay_answer.c
+++ b/entry/relay_answer.c
@@ -57,15 +57,23 @@
     const struct relay_request *r, const char *outcome, usec_t took)
 {
 	char ms[32];
+	char first[32];
+	char pause[32];
 	char sends[16];
 	char version[24];
 
 	snprintf(ms, sizeof(ms), "%" PRId64, took / USEC_PER_MSEC);
+	snprintf(first, sizeof(first), "%" PRId64,
+	    r->events_at > 0 ? (r->events_at - r->arrived) / USEC_PER_MSEC
+			     : -1);
+	snprintf(
+	    pause, sizeof(pause), "%" PRId64, r->longest_pause / USEC_PER_MSEC);
 	snprintf(sends, sizeof(sends), "%u", r->sends);
 	snprintf(version, sizeof(version), "%" PRIu64, r->routes->version);
 	LOG(LOG_LVL_INFO, "request-ended", { "request", r->info.id },
 	    { "route", str_from(r->route->name) },
 	    { "outcome", str_from(outcome) },
 	    { "target", str_from(r->target_id) }, { "sends", str_from(sends) },
-	    { "config", str_from(version) }, { "took_ms", str_from(ms) });
+	    { "config", str_from(version) }, { "first_ms", str_from(first) },
+	    { "pause_ms", str_from(pause) }, { "took_ms", str_from(ms) });
 }
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -37,8 +37,12 @@
 	 * by service name.
 	 */
 	struct durations durations;
-	/* How long calls wait for their responses, by service name. */
+	/*
+	 * How long calls wait for their responses, and streams for the next
+	 * event, by service name.
+	 */
 	struct response_wait response_wait;
+	struct response_wait event_wait;
 	/* Waits at the stage services, as their coordinators report them. */
 	struct stage_waits stage_waits;
 	/* How long ago the callers of a route sent their first attempt. */
@@ -92,7 +96,9 @@
 	uint32_t sends;
 	usec_t sent_at;               /* time of the last call */
 	struct event *response_timer; /* NULL: the call waits without limit */
-	uint32_t silences;            /* calls given up without a response */
+	usec_t events_at;             /* first event; 0: none */
+	usec_t last_event_at;
+	usec_t longest_pause; /* between events */
 	/* A call was sent whose response did not say "not run". */
 	bool may_have_run;
 	struct response_info response;
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -409,6 +409,9 @@
 		loads_full(t, now);
 		break;
 	case LOADS_FAILED:
+		/* No report will follow that takes the call into account. */
+		if (t->sent_since > 0)
+			t->sent_since--;
 		loads_failed(t, now);
 		break;
 	}
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -667,6 +667,48 @@
 	g_assert_cmpuint(t.failures, ==, 0);
 }
 
+/*
+ * A call that failed brings no load report; counted as running for ever, it
+ * would keep calls away from a target that is healthy again.
+ */
+static void
+test_loads_failed_call(void)
+{
+	static const struct {
+		enum loads_result result;
+		bool reported; /* a load report came before the end */
+		uint32_t sent_since;
+	} rows[] = {
+		{ LOADS_OK, true, 0 },
+		{ LOADS_FAILED, true, 0 },
+		{ LOADS_FAILED, false, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct loads l;
+		GArray *targets =
+		    g_array_new(FALSE, TRUE, sizeof(struct target_entry));
+		struct target_entry e = { .id = "t",
+			.addr = "1.1.1.1:1",
+			.service = "s",
+			.domain = "d" };
+		struct target_load *t;
+
+		g_array_append_val(targets, e);
+		loads_init(&l, "d", 1);
+		loads_update(&l, targets);
+		t = loads_find(&l, "t");
+		loads_sent(t);
+		if (rows[i].reported)
+			loads_report(t, 1, 0, 1);
+		loads_ended(&l, "t", rows[i].result, 2);
+		g_assert_cmpuint(t->sent_since, ==, rows[i].sent_since);
+		g_assert_cmpuint(t->in_flight, ==, 0);
+		loads_free(&l);
+		g_array_unref(targets);
+	}
+}
+
 /*
  * Idle connections to a target are divided among the hosts, at least one each.
  */
@@ -918,6 +960,7 @@
 	g_test_add_func("/batch/overload", test_batch_overload);
 	g_test_add_func("/loads/choose", test_loads_choose);
 	g_test_add_func("/loads/full", test_loads_full);
+	g_test_add_func("/loads/failed-call", test_loads_failed_call);
 	g_test_add_func("/loads/conn-share", test_loads_conn_share);
 	g_test_add_func("/loads/affinity", test_loads_affinity);
 	g_test_add_func("/loads/restart", test_loads_restart);
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -306,6 +306,8 @@
 		reset_conn(c);
 		return;
 	}
+	if (strcmp(c->behavior, "stall") == 0 && c->next_event == 3)
+		return;
 	if (c->next_event > c->n_events) {
 		evbuffer_add(out, "0\r\n\r\n", 5);
 		await_request(c);
@@ -359,7 +361,8 @@
  *   mute         never responds to the first arrival, also of a stream
  *
  * A second run of an attempt gets a normal response, except with 500.  A stream
- * also has the behavior break: a reset after two events.
+ * also has the behaviors break, a reset after two events, and stall, no more
+ * bytes after two events.
  */
 static void
 respond_plain(struct conn *c)
--- a/tests/platform/test_relay.c
+++ b/tests/platform/test_relay.c
@@ -73,6 +73,7 @@
 	/* A broken stream is resumed if its route can resume. */
 	{ "/stream/1", "s-1", NULL, 200, 1, EVENTS("s-1"), false },
 	{ "/stream/1", "s-2", "break", 200, 2, EVENTS("s-2"), false },
+	{ "/stream/1", "s-stall", "stall", 200, 2, EVENTS("s-stall"), false },
 	{ "/stream-once/1", "once-s", "break", 200, 1,
 	    "id: 1\ndata: once-s\n\nid: 2\ndata: once-s\n\n", true },
 };
