Stages: slow targets take only what fast ones have no room for; starts wait for less

A host that starts knows all others once it has read the list in the store: stage jobs no longer wait 0.5 s then (/stage_jobs/peer-wait).

--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -433,29 +433,73 @@
 	return used < usable ? usable - used : 0;
 }
 
+/* The targets of a pool when calls are started. */
+struct pool_targets {
+	const GPtrArray *all;
+	struct target_speeds speeds;
+	uint32_t fast_free; /* that are free and not slow */
+};
+
+static struct pool_targets
+pool_targets(const struct coordinator *c, const struct pool *p, usec_t now)
+{
+	struct pool_targets x = { .all = coordinator_targets(c, p) };
+	guint len = x.all != NULL ? x.all->len : 0;
+	g_autofree double *slowness = g_new0(double, len + 1);
+	uint32_t unmeasured = 0;
+	size_t n = 0;
+
+	for (guint i = 0; i < len; i++) {
+		const struct target_load *t = x.all->pdata[i];
+
+		if (now < t->aside_until)
+			continue;
+		if (t->speed.measured_at != 0)
+			slowness[n++] = t->speed.slowness;
+		else
+			unmeasured++;
+	}
+	x.speeds = target_speeds_of(slowness, n, unmeasured);
+	for (guint i = 0; i < len; i++) {
+		const struct target_load *t = x.all->pdata[i];
+
+		x.fast_free += is_free(t, now) &&
+		    !target_speed_is_slow(&t->speed, &x.speeds);
+	}
+	return x;
+}
+
 /*
- * Starts the next call to a target, one of n_free free targets; with
- * local_only, without pieces that prefer another failure domain.  Returns false
- * if there is nothing to send.
+ * Starts the next call to a free target; with local_only, without pieces that
+ * prefer another failure domain.  Returns false if there is nothing to send.
  */
 static bool
 serve_target(struct coordinator *c, struct pool *p, struct target_load *t,
-    uint32_t n_free, bool local_only, usec_t now)
+    const struct pool_targets *x, bool local_only, usec_t now)
 {
 	GArray *items = g_array_new(FALSE, FALSE, sizeof(struct batch_item));
+	uint32_t n_free = x->fast_free > 0 ? x->fast_free : 1;
+	usec_t call = batch_next_duration(&p->batch, n_free);
+	double slowness = target_speed_relative(&t->speed, &x->speeds);
+	enum target_use use = target_speed_use(&t->speed, &x->speeds, call,
+	    batch_backlog(&p->batch, x->speeds.fast), now);
 
 	batch_take(&p->batch, now, n_free,
 	    &(struct batch_target){
 		.domain = domain_hash(t->entry.domain),
 		.free_bytes = free_result_bytes(c, p, t->entry.addr, now),
 		.local_only = local_only,
+		.use = use,
+		.slower_by = use == TARGET_USE
+		    ? 0
+		    : (usec_t)((slowness - 1) * (double)call),
 	    },
 	    items);
 	if (items->len == 0) {
 		g_array_unref(items);
 		return false;
 	}
-	coordinator_call(c, p, t, items, now);
+	coordinator_call(c, p, t, use == TARGET_USE ? 1 : slowness, items, now);
 	return true;
 }
 
@@ -510,22 +554,22 @@
 void
 coordinator_start_calls(struct coordinator *c, struct pool *p, usec_t now)
 {
-	const GPtrArray *all = coordinator_targets(c, p);
-	uint32_t n_free = 0;
+	struct pool_targets x;
 
-	for (guint i = 0; all != NULL && i < all->len; i++)
-		n_free += is_free(all->pdata[i], now);
-	if (n_free == 0 || p->batch.items->len == 0)
+	if (p->batch.items->len == 0)
 		return;
+	x = pool_targets(c, p, now);
 	for (int pass = 0; pass < 2; pass++) {
-		for (guint i = 0; i < all->len; i++) {
-			struct target_load *t = all->pdata[i];
+		for (guint i = 0; x.all != NULL && i < x.all->len; i++) {
+			struct target_load *t = x.all->pdata[i];
 
 			if (p->batch.items->len == 0)
 				return;
 			if (is_free(t, now) &&
-			    serve_target(c, p, t, n_free, pass == 0, now))
-				n_free--;
+			    serve_target(c, p, t, &x, pass == 0, now) &&
+			    x.fast_free > 0 &&
+			    !target_speed_is_slow(&t->speed, &x.speeds))
+				x.fast_free--;
 		}
 	}
 }
--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -174,6 +174,32 @@
 	    now);
 }
 
+/* Records for the target what a call that produced n pieces took. */
+static void
+record_speed(struct batch_call *call, uint32_t n, usec_t now)
+{
+	const struct pool_config *config = &call->pool->batch.config;
+	struct target_load *t =
+	    loads_find(call->coordinator->o.loads, call->target_id);
+
+	if (t != NULL)
+		target_speed_record(&t->speed,
+		    config->call_cost + config->item_cost * n,
+		    now - call->started, now);
+}
+
+/* Records what the call took; of a slow target only for itself. */
+static void
+record_duration(struct batch_call *call, usec_t now)
+{
+	if (call->n_made == 0)
+		return;
+	if (!call->slow)
+		batch_record(
+		    &call->pool->batch, call->n_made, now - call->started);
+	record_speed(call, call->n_made, now);
+}
+
 static void
 end_call(struct batch_call *call, bool ok, bool not_run, const char *why)
 {
@@ -192,8 +218,7 @@
 			    call->bytes, now + p->batch.config.result_ttl);
 		requeue_items(call, !not_run, now);
 	} else {
-		batch_record(
-		    &call->pool->batch, call->n_made, now - call->started);
+		record_duration(call, now);
 	}
 	free_batch_call(call);
 	coordinator_start_calls(c, p, now);
@@ -249,6 +274,8 @@
 	(void)fd;
 	(void)what;
 	dial_cancel(call->dial);
+	/* It would have taken longer; without this it stays unknown. */
+	record_speed(call, call->items->len, clock_now());
 	end_call(call, false, false, "no response in time");
 }
 
@@ -334,11 +361,12 @@
 
 void
 coordinator_call(struct coordinator *c, struct pool *p, struct target_load *t,
-    GArray *items, usec_t now)
+    double slowness, GArray *items, usec_t now)
 {
 	struct batch_call *call = xcalloc(1, sizeof(*call));
 	struct buf body = { 0 };
-	usec_t timeout = batch_call_timeout(&p->batch, items->len);
+	usec_t timeout = (usec_t)(slowness *
+	    (double)batch_call_timeout(&p->batch, items->len));
 	struct timeval tv = { timeout / USEC_PER_SEC, timeout % USEC_PER_SEC };
 
 	flush_frees(c, t);
@@ -346,6 +374,7 @@
 	call->pool = p;
 	call->items = items;
 	call->started = now;
+	call->slow = slowness > 1;
 	g_strlcpy(call->target_id, t->entry.id, sizeof(call->target_id));
 	g_strlcpy(call->addr, t->entry.addr, sizeof(call->addr));
 	call->timer = evtimer_new(c->o.base, on_call_timeout, call);
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -68,6 +68,7 @@
 	GArray *items;  /* struct batch_item; owner: struct coordinator_job */
 	usec_t started;
 	uint32_t n_made; /* pieces with a result */
+	bool slow;       /* its target was known to be slow */
 	int status;
 	bool not_run;
 };
@@ -108,11 +109,12 @@
     struct coordinator *c, struct coordinator_job *j, usec_t now);
 
 /*
- * Sends a call for items, an array of struct batch_item that it takes over
+ * Sends a call for items, an array of struct batch_item that it takes over, to
+ * a target that is slower than others by the factor slowness
  * (coordinator_calls.c).
  */
 void coordinator_call(struct coordinator *c, struct pool *p,
-    struct target_load *t, GArray *items, usec_t now);
+    struct target_load *t, double slowness, GArray *items, usec_t now);
 /* Sends the frees of results that have waited long enough. */
 void coordinator_flush_frees(struct coordinator *c, usec_t now);
 /* Cancels all calls. */
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -25,6 +25,11 @@
 #define STATE_NAME          "state"
 #define MAX_STATE_BYTES     ((size_t)64 * 1024 * 1024)
 #define MAX_ENDPOINTS       1
+/*
+ * Shortest time between views that differ in their hosts only: when the whole
+ * fleet starts, gossip brings news of it every few milliseconds.
+ */
+#define HOSTS_VIEW_INTERVAL (100 * USEC_PER_MSEC)
 
 static void
 set_store_unavailable(struct discovery *d, bool unavailable)
@@ -103,6 +108,9 @@
 		break;
 	case WATCHER_LIST_END:
 		roster_finish(&d->roster, clock_now());
+		/* In a large fleet the next changes come from a feeder. */
+		if (d->feed_received_at == 0)
+			d->feed_received_at = clock_now();
 		break;
 	case WATCHER_UNAVAILABLE:
 	case WATCHER_AVAILABLE:
@@ -303,14 +311,19 @@
 {
 	struct view *v;
 
-	if (!d->view_dirty && d->roster.version == d->published_roster)
+	if (!d->view_dirty && d->roster.version == d->published_roster &&
+	    (!d->hosts_dirty ||
+		now - d->view_published_at < HOSTS_VIEW_INTERVAL))
 		return;
 	d->view_dirty = false;
+	d->hosts_dirty = false;
+	d->view_published_at = now;
 	d->published_roster = d->roster.version;
 	v = xcalloc(1, sizeof(*v));
 	v->routes = routes_ref(d->routes);
 	v->targets = roster_list(&d->roster);
 	v->peers = live_peers(d);
+	v->hosts_listed = d->hosts_listed;
 	v->store_unavailable = d->store_unavailable;
 	v->created_at = now;
 	d->o.publish_view(d->o.arg, v);
@@ -322,7 +335,7 @@
 	struct discovery *d = arg;
 
 	(void)now;
-	d->view_dirty = true;
+	d->hosts_dirty = true;
 }
 
 /* A host that relays by route takes its targets from the store only. */
@@ -356,6 +369,9 @@
 	discovery_feed_heartbeat(d, now);
 	discovery_write_hosts(d, now);
 	publish(d, now);
+	if (d->hosts_dirty)
+		next =
+		    earlier(next, d->view_published_at + HOSTS_VIEW_INTERVAL);
 	http_run(d->loop, next > now ? next - now : 0);
 	process_inbox(d);
 	discovery_apply_config(d, clock_now());
--- a/entry/discovery_hosts.c
+++ b/entry/discovery_hosts.c
@@ -9,8 +9,9 @@
 	    host_list_read(fleet_members(d->fleet), text, clock_now());
 
 	host_list_stored(&d->hosts, text);
-	if (n.learned > 0)
+	if (n.learned > 0 || !d->hosts_listed)
 		d->view_dirty = true;
+	d->hosts_listed = true;
 	if (n.learned > 0 || n.malformed > 0)
 		log_text(n.malformed > 0 ? LOG_LVL_WARNING : LOG_LVL_INFO,
 		    "hosts-learned",
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -37,8 +37,10 @@
 	struct fleet *fleet;
 	struct roster roster;
 	struct routes *routes;
-	bool store_unavailable;   /* the store does not answer this host */
-	bool view_dirty;          /* a new view must be published */
+	bool store_unavailable; /* the store does not answer this host */
+	bool view_dirty;        /* a new view must be published */
+	bool hosts_dirty;       /* only the hosts have changed */
+	usec_t view_published_at;
 	struct buf queued_config; /* to be applied; empty: none */
 	const char *queued_source;
 	usec_t config_applied_at;
@@ -54,6 +56,7 @@
 	/* Guarded by lock; empty: not compressed yet. */
 	struct buf config_compressed;
 	struct host_list_writer hosts;
+	bool hosts_listed;
 	bool feed_gap; /* changes are missing that only a long poll returns */
 	usec_t feed_received_at;
 	usec_t feed_sent_at;
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -183,14 +183,14 @@
 
 /*
  * Limits the wait for the next bytes of a call that may be made again; times
- * are those of the wait, objective what the caller wants.
+ * are those of the wait, the others as in response_wait_limit.
  */
 static void
 start_waiting(struct relay_request *r, const struct response_wait *times,
-    usec_t objective, usec_t left)
+    usec_t objective, usec_t extra, usec_t left)
 {
-	usec_t limit =
-	    response_wait_limit(times, r->service->name, objective, left);
+	usec_t limit = response_wait_limit(
+	    times, r->service->name, objective, extra, left);
 	struct timeval tv = { limit / USEC_PER_SEC, limit % USEC_PER_SEC };
 
 	if (limit == 0 || r->call == NULL || !route_repeatable(r->route) ||
@@ -221,7 +221,7 @@
 		r->longest_pause = now - r->last_event_at;
 	r->last_event_at = now;
 	start_waiting(r, &s->event_wait, EVENT_GAPS * r->route->max_event_gap,
-	    r->deadline - now);
+	    0, r->deadline - now);
 }
 
 /* Passes on the events that have arrived completely. */
@@ -475,7 +475,8 @@
 	    });
 	evbuffer_free(body);
 	buf_free(&head);
-	start_waiting(r, &r->shared->response_wait, r->route->objective, left);
+	start_waiting(r, &r->shared->response_wait, r->route->objective,
+	    response_wait_prompt(r->info.prompt_tokens), left);
 }
 
 /* Logs what decided the choice of a target, and how old its load report is. */
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -305,7 +305,7 @@
 	    t != NULL ? t->version : 0, v->targets->len, v->peers->len,
 	    v->store_unavailable ? "away" : "answering");
 	loads_update(&y->shared.loads, v->targets);
-	stage_jobs_set_peers(y->shared.stage_jobs, v->peers);
+	stage_jobs_set_peers(y->shared.stage_jobs, v->peers, v->hosts_listed);
 	coordinator_hosts_changed(y->shared.coordinator, clock_now());
 	y->shared.quota_rule.hosts = v->peers->len > 0 ? v->peers->len : 1;
 	if (t != NULL) {
--- a/entry/stage_jobs.c
+++ b/entry/stage_jobs.c
@@ -128,7 +128,7 @@
 }
 
 void
-stage_jobs_set_peers(struct stage_jobs *s, const GArray *peers)
+stage_jobs_set_peers(struct stage_jobs *s, const GArray *peers, bool complete)
 {
 	g_autoptr(GArray) old_peers = s->peers;
 
@@ -152,6 +152,8 @@
 		if (p != NULL && p->p.incarnation == old->p.incarnation)
 			p->suspicion = old->suspicion;
 	}
+	if (complete)
+		s->peer_wait_end = 0;
 	resend_to_restarted(s);
 }
 
--- a/entry/stage_jobs.h
+++ b/entry/stage_jobs.h
@@ -58,7 +58,8 @@
 /* Sets this host's own coordinator. */
 void stage_jobs_set_coordinator(struct stage_jobs *s, struct coordinator *c);
 /* Sets the live hosts, an array of struct view_peer. */
-void stage_jobs_set_peers(struct stage_jobs *s, const GArray *peers);
+void stage_jobs_set_peers(
+    struct stage_jobs *s, const GArray *peers, bool complete);
 /*
  * Returns the RPC address of a service's current coordinator, in a domain if
  * that is not empty; empty for this host.
--- a/entry/view.h
+++ b/entry/view.h
@@ -22,6 +22,8 @@
 	GArray *targets;       /* struct target_entry */
 	/* The live hosts, including this one (struct view_peer). */
 	GArray *peers;
+	/* The list of the fleet's hosts has been read from the store. */
+	bool hosts_listed;
 	bool store_unavailable;
 	usec_t created_at;
 };
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -187,6 +187,7 @@
 			t->leaving = false;
 			t->failures = 0;
 			t->aside_until = 0;
+			t->speed = (struct target_speed){ 0 };
 		}
 		t->entry = *e;
 		t->listed = true;
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -15,6 +15,7 @@
 #define KERNEL_LOADS_H
 
 #include "base/rng.h"
+#include "kernel/overload/target_speed.h"
 #include "kernel/roster.h"
 #include "kernel/routes.h"
 
@@ -33,7 +34,8 @@
 	uint32_t sent_since; /* calls of this host since the last report */
 	uint32_t reported;   /* running and waiting calls in the last report */
 	usec_t reported_at;
-	uint32_t failures; /* in a row */
+	struct target_speed speed; /* of its stage calls */
+	uint32_t failures;         /* in a row */
 	usec_t aside_until;
 };
 
--- a/kernel/overload/batch.c
+++ b/kernel/overload/batch.c
@@ -9,6 +9,8 @@
 #define RANK_STEP           (2000 * USEC_PER_MSEC)
 /* Ranks that are added to a late piece. */
 #define LATE_RANKS          6.0
+/* Pieces of a call that shows whether a target is still slow. */
+#define PROBE_PIECES        4
 /* Minimum share of the targets for less urgent pieces. */
 #define MIN_SHARE           0.1
 /* Time over which arrival rates are smoothed. */
@@ -104,6 +106,7 @@
 struct sort_ctx {
 	usec_t earliest; /* end of a call that starts now */
 	uint32_t domain;
+	bool least_urgent_first;
 };
 
 static bool
@@ -119,8 +122,10 @@
 	double ranks =
 	    it->rank + (it->soft_deadline < ctx->earliest ? LATE_RANKS : 0);
 
-	return it->soft_deadline + (usec_t)(ranks * RANK_STEP) +
+	usec_t time = it->soft_deadline + (usec_t)(ranks * RANK_STEP) +
 	    (is_remote(it, ctx->domain) ? LOCAL_WAIT : 0);
+
+	return ctx->least_urgent_first ? -time : time;
 }
 
 /* A waiting piece with its sort time, which is computed once. */
@@ -234,18 +239,19 @@
 /* Whether the target can take the piece now. */
 static bool
 fits(const struct batch_item *it, const struct batch_target *t,
-    uint64_t free_bytes)
+    uint64_t free_bytes, usec_t now)
 {
 	return it->bytes <= free_bytes &&
-	    !(t->local_only && is_remote(it, t->domain));
+	    !(t->local_only && is_remote(it, t->domain)) &&
+	    (t->slower_by == 0 || now + t->slower_by < it->deadline);
 }
 
 static bool
-any_fits(const struct batch *b, const struct batch_target *t)
+any_fits(const struct batch *b, const struct batch_target *t, usec_t now)
 {
 	for (guint i = 0; i < b->items->len; i++) {
 		if (fits(&g_array_index(b->items, struct batch_item, i), t,
-			t->free_bytes))
+			t->free_bytes, now))
 			return true;
 	}
 	return false;
@@ -270,19 +276,22 @@
     const struct batch_target *t, GArray *out)
 {
 	uint32_t n = call_size(b, free_targets > 0 ? free_targets : 1);
-	struct sort_ctx ctx = { now + call_duration(b, n), t->domain };
+	struct sort_ctx ctx = { now + call_duration(b, n), t->domain,
+		t->use == TARGET_USE_LAST || t->use == TARGET_USE_PROBE };
 	uint64_t free_bytes = t->free_bytes;
 	guint left = b->items->len;
 	struct sort_entry *heap;
 
-	if (!any_fits(b, t))
+	if (t->use == TARGET_LEAVE || !any_fits(b, t, now))
 		return;
+	if (t->use == TARGET_USE_PROBE && n > PROBE_PIECES)
+		n = PROBE_PIECES;
 	heap = heap_by_urgency(b, &ctx);
 	while (left > 0 && out->len < n) {
 		struct batch_item *it = &g_array_index(
 		    b->items, struct batch_item, heap_pop(b, heap, &left));
 
-		if (!fits(it, t, free_bytes))
+		if (!fits(it, t, free_bytes, now))
 			continue;
 		free_bytes -= it->bytes;
 		g_array_append_vals(out, it, 1);
@@ -306,6 +315,22 @@
 	    &b->throughput, now, targets * b->config.batch / full_call);
 }
 
+usec_t
+batch_backlog(const struct batch *b, uint32_t targets)
+{
+	usec_t full_call = call_duration(b, b->config.batch);
+
+	if (targets == 0)
+		return INT64_MAX;
+	return b->items->len * full_call / (targets * b->config.batch);
+}
+
+usec_t
+batch_next_duration(const struct batch *b, uint32_t free_targets)
+{
+	return call_duration(b, call_size(b, free_targets));
+}
+
 /* Arriving pieces per second that go before those of a rank. */
 static double
 rate_before(const struct batch *b, uint32_t rank, usec_t now)
@@ -338,7 +363,7 @@
 batch_hopeless(struct batch *b, uint32_t targets, usec_t now, GPtrArray *owners)
 {
 	double per_second = capacity(b, targets > 0 ? targets : 1, now);
-	struct sort_ctx ctx = { now + call_duration(b, 1), 0 };
+	struct sort_ctx ctx = { .earliest = now + call_duration(b, 1) };
 	guint left = b->items->len;
 	usec_t longest = (usec_t)(SURE_SHARE * left /
 	    spare_rate(b, per_second, BATCH_RANKS, SURE_MIN_SHARE, now) *
@@ -385,7 +410,8 @@
 static uint32_t
 count_before(const struct batch *b, const struct batch_item *it, usec_t now)
 {
-	struct sort_ctx ctx = { now + call_duration(b, 1), it->domain };
+	struct sort_ctx ctx = { .earliest = now + call_duration(b, 1),
+		.domain = it->domain };
 	usec_t own_time = sort_time(it, &ctx);
 	uint32_t before = 0;
 
--- a/kernel/overload/batch.h
+++ b/kernel/overload/batch.h
@@ -22,6 +22,7 @@
 #ifndef KERNEL_OVERLOAD_BATCH_H
 #define KERNEL_OVERLOAD_BATCH_H
 
+#include "kernel/overload/target_speed.h"
 #include "kernel/overload/throughput.h"
 #include "kernel/routes.h"
 
@@ -61,6 +62,8 @@
 	uint32_t domain; /* hash of its failure domain */
 	uint64_t free_bytes;
 	bool local_only; /* takes no pieces with inputs in another domain */
+	enum target_use use;
+	usec_t slower_by; /* additional time of its calls */
 };
 /*
  * Moves the pieces of the next call to out, a GArray of struct batch_item.
@@ -70,6 +73,13 @@
  */
 void batch_take(struct batch *b, usec_t now, uint32_t free_targets,
     const struct batch_target *t, GArray *out);
+/*
+ * Time in which a number of fast targets take all pieces that wait; as long as
+ * there is.  0 targets take none.
+ */
+usec_t batch_backlog(const struct batch *b, uint32_t targets);
+/* Duration of a call that shares the waiting pieces with other free targets. */
+usec_t batch_next_duration(const struct batch *b, uint32_t free_targets);
 /* Estimates when a piece like this would be done if it were added now. */
 usec_t batch_estimate(const struct batch *b, uint32_t targets,
     const struct batch_item *it, usec_t now);
--- a/kernel/overload/response_wait.c
+++ b/kernel/overload/response_wait.c
@@ -5,13 +5,13 @@
 #define DEVIATION_WEIGHT 0.25
 /* Mean deviations above the average that few calls exceed. */
 #define DEVIATIONS       6
-/* Smallest limit, as a part of the objective. */
-#define OBJECTIVE_PART   2
 /* Covers the retransmission of a lost packet. */
 #define MIN_LIMIT        (250 * USEC_PER_MSEC)
 /* Factor of the smallest limit while no call has been answered. */
-#define UNKNOWN_FACTOR   4
+#define UNKNOWN_FACTOR   2
 #define MAX_DOUBLINGS    4
+/* Prompt tokens that a slow engine under load reads per millisecond. */
+#define PROMPT_RATE      20
 
 struct response_times {
 	double average;
@@ -68,11 +68,11 @@
 
 usec_t
 response_wait_limit(const struct response_wait *w, const char *service,
-    usec_t objective, usec_t time_left)
+    usec_t objective, usec_t extra, usec_t time_left)
 {
 	const struct response_times *t =
 	    g_hash_table_lookup(w->by_service, service);
-	usec_t limit = objective / OBJECTIVE_PART;
+	usec_t limit = objective;
 	usec_t usual;
 
 	if (limit < MIN_LIMIT)
@@ -83,14 +83,21 @@
 	} else {
 		usual = (usec_t)(t->average + t->deviation);
 		if (limit < t->average + DEVIATIONS * t->deviation)
-			limit = (usec_t)(t->average +
-			    DEVIATIONS * t->deviation);
+			limit =
+			    (usec_t)(t->average + DEVIATIONS * t->deviation);
 	}
+	limit += extra;
 	if (t != NULL)
 		limit <<= t->given_up;
 	return limit + usual < time_left ? limit : 0;
 }
 
+usec_t
+response_wait_prompt(uint32_t tokens)
+{
+	return (usec_t)tokens * USEC_PER_MSEC / PROMPT_RATE;
+}
+
 void
 response_wait_free(struct response_wait *w)
 {
--- a/kernel/overload/response_wait.h
+++ b/kernel/overload/response_wait.h
@@ -5,8 +5,9 @@
  * Load patterns: open connections go silent without a reset while new ones
  * work, or a target never answers part of its calls although its health check
  * is good.  Without a limit such a call waits until its caller leaves.  In a
- * burst, however, all calls wait for long, and a limit that is too short
- * repeats work that is still in progress.  So the limit follows the times
+ * burst, however, all calls wait for long, and a long prompt takes longer than
+ * others before its first event; a limit that is too short repeats work that is
+ * still in progress.  So the limit follows the times
  * that calls of the service have lately taken and how much these differ, and it
  * doubles with each call that is given up, until one is answered in time.
  *
@@ -30,12 +31,14 @@
 /* A call was given up. */
 void response_wait_given_up(struct response_wait *w, const char *service);
 /*
- * Returns how long a call waits whose answer is wanted within objective; 0 if
- * it waits until its deadline, as too little of time_left would be left for
- * another call.
+ * Returns how long a call waits whose answer is wanted within objective, and
+ * that needs extra more than others of the service; 0 if it waits until its
+ * deadline, as too little of time_left would be left for another call.
  */
 usec_t response_wait_limit(const struct response_wait *w, const char *service,
-    usec_t objective, usec_t time_left);
+    usec_t objective, usec_t extra, usec_t time_left);
+/* Longest time in which an engine reads a prompt. */
+usec_t response_wait_prompt(uint32_t tokens);
 void response_wait_free(struct response_wait *w);
 
 #endif
--- a/model/sequoia_model.c
+++ b/model/sequoia_model.c
@@ -32,6 +32,7 @@
 	{ "age", SIM_AGE },
 	{ "all-without-age", SIM_ALL & ~SIM_AGE },
 	{ "all-without-limit", SIM_ALL & ~SIM_LIMIT },
+	{ "all-without-speed", SIM_ALL & ~SIM_TARGET_SPEED },
 	{ "true-age", SIM_ALL | SIM_TRUE_AGE },
 };
 
--- a/model/sim.h
+++ b/model/sim.h
@@ -19,7 +19,8 @@
 	SIM_QUOTA = 4,    /* a quota of repeated stage work */
 	SIM_AGE = 8,      /* caller_age_estimate for callers that come back */
 	SIM_LIMIT = 16,   /* stages end before the caller leaves */
-	SIM_ALL = 31,
+	SIM_TARGET_SPEED = 64, /* target_speed_use for slow targets */
+	SIM_ALL = 31 | SIM_TARGET_SPEED,
 	/* The ages of callers are known, as no real host knows them. */
 	SIM_TRUE_AGE = 32
 };
--- a/model/sim_state.h
+++ b/model/sim_state.h
@@ -55,7 +55,9 @@
 	uint32_t incarnation;
 	usec_t started;
 	usec_t give_up_at; /* the coordinator considers the call lost */
-	GArray *items;     /* struct batch_item; NULL: no call */
+	struct target_speed speed;
+	bool known_slow; /* at the start of its call */
+	GArray *items;   /* struct batch_item; NULL: no call */
 };
 
 struct pool {
--- a/plat/watcher.c
+++ b/plat/watcher.c
@@ -4,19 +4,24 @@
 #include <stdlib.h>
 
 /* Several response times of a healthy service (4 ms each). */
-#define BACKOFF_MIN     (100 * USEC_PER_MSEC)
+#define BACKOFF_MIN      (100 * USEC_PER_MSEC)
 /* Keeps the time to notice that the service is back well below 2 s. */
-#define BACKOFF_MAX     (500 * USEC_PER_MSEC)
+#define BACKOFF_MAX      (500 * USEC_PER_MSEC)
 /*
  * Shortest time from a poll that returned changes to the next one.  A poll ends
  * with the first change; while many targets register, each host would call once
  * for each of them.
  */
-#define CHANGE_INTERVAL (200 * USEC_PER_MSEC)
+#define CHANGE_INTERVAL  (200 * USEC_PER_MSEC)
 /* Longer, because the service counts refused calls against its limit too. */
-#define BACKOFF_REFUSED (400 * USEC_PER_MSEC)
+#define BACKOFF_REFUSED  (400 * USEC_PER_MSEC)
+/*
+ * From the first listing to the first poll: many hosts start together, and by
+ * then most of them have learned of a host that forwards changes.
+ */
+#define FIRST_POLL_DELAY (500 * USEC_PER_MSEC)
 /* Returned while a call is in flight: its completion sets the next time. */
-#define NEVER           (3600 * USEC_PER_SEC)
+#define NEVER            (3600 * USEC_PER_SEC)
 
 struct watcher {
 	struct watcher_opts o;
@@ -113,6 +118,8 @@
 	}
 	w->listing = false;
 	w->synced = true;
+	if (w->revision == 0)
+		w->next_at = clock_now() + FIRST_POLL_DELAY;
 	w->revision = w->list_revision;
 	notify(w, WATCHER_LIST_END);
 }
--- a/tests/model/test_model.c
+++ b/tests/model/test_model.c
@@ -30,6 +30,7 @@
 	{ SCENARIOS "power_back.ini", 6, 7 },
 	{ SCENARIOS "returning_callers.ini", 8, 16 },
 	{ SCENARIOS "slow_stage.ini", 8, 14 },
+	{ SCENARIOS "slow_targets.ini", 8, 18 },
 };
 
 /* Sums the windows of a span of time, of one kind or of all (kind < 0). */
@@ -144,6 +145,30 @@
 	sim_result_free(&oracle);
 }
 
+/*
+ * Slow targets beside fast ones that have room left: their calls must not make
+ * requests late.
+ */
+static void
+test_slow_targets(void)
+{
+	struct scenario s;
+	struct sim_result r;
+	struct sim_counts before;
+	struct sim_counts during;
+	struct err e = { 0 };
+
+	g_assert_cmpint(
+	    scenario_read(&s, SCENARIOS "slow_targets.ini", &e), ==, 0);
+	sim_run(&s, SIM_ALL, &r);
+	before = sum(&s, &r, 0, 8 * USEC_PER_SEC, -1);
+	during = sum(&s, &r, 8 * USEC_PER_SEC, 18 * USEC_PER_SEC, -1);
+	g_test_message("on time %.3f before, %.3f with slow targets",
+	    on_time(&before), on_time(&during));
+	g_assert_cmpfloat(on_time(&during), >=, RECOVERED * on_time(&before));
+	sim_result_free(&r);
+}
+
 /* The same scenario gives the same result, byte for byte. */
 static void
 test_repeatable(void)
@@ -208,6 +233,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/model/replays", test_replays);
 	g_test_add_func("/model/returning-callers", test_returning_callers);
+	g_test_add_func("/model/slow-targets", test_slow_targets);
 	g_test_add_func("/model/repeatable", test_repeatable);
 	g_test_add_func("/model/bad-scenarios", test_bad_scenarios);
 	return g_test_run();
