--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -613,17 +613,22 @@
 static void
 report_load(struct coordinator *c, struct pool *p, usec_t now)
 {
-	const GPtrArray *all = coordinator_targets(c, p);
+	struct pool_targets x;
+	const GPtrArray *all;
 	uint32_t busy = 0;
 	uint32_t aside = 0;
 	uint32_t full = 0;
+	uint32_t slow = 0;
 
 	if (now - p->reported_at < LOAD_REPORT_TIME)
 		return;
 	p->reported_at = now;
+	x = pool_targets(c, p, now);
+	all = x.all;
 	for (guint i = 0; all != NULL && i < all->len; i++) {
 		const struct target_load *t = all->pdata[i];
 
+		slow += target_speed_is_slow(&t->speed, &x.speeds);
 		if (t->in_flight > 0)
 			busy++;
 		else if (now < t->aside_until)
@@ -635,10 +640,10 @@
 	if (p->batch.items->len > 0)
 		log_text(LOG_LVL_INFO, "stage-load",
 		    "service %s: %u pieces wait; %u targets, %u busy, %u set "
-		    "aside, %u without space; %u calls with %u pieces since "
-		    "the last report",
+		    "aside, %u without space, %u slow; %u calls with %u pieces "
+		    "since the last report",
 		    p->service, p->batch.items->len, all != NULL ? all->len : 0,
-		    busy, aside, full, p->calls, p->pieces);
+		    busy, aside, full, slow, p->calls, p->pieces);
 	p->calls = 0;
 	p->pieces = 0;
 }
--- a/entry/coordinator.h
+++ b/entry/coordinator.h
@@ -37,6 +37,7 @@
 
 struct coordinator_counts {
 	uint64_t calls;
+	uint64_t slow_calls; /* to targets known to be slow */
 	uint64_t pieces;
 	uint64_t refused; /* jobs */
 	uint64_t retries; /* pieces sent again in another call */
--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -383,6 +383,7 @@
 	g_hash_table_add(c->calls, call);
 	loads_sent(t);
 	c->counts.calls++;
+	c->counts.slow_calls += call->slow;
 	c->counts.pieces += items->len;
 	p->calls++;
 	p->pieces += items->len;
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -548,6 +548,7 @@
 	    "request %.*s: target %s sent nothing for %" PRId64 " ms",
 	    STR_FMT(r->info.id), r->target_id,
 	    (clock_now() - since) / USEC_PER_MSEC);
+	r->shared->silent_calls++;
 	response_wait_given_up(
 	    begun ? &r->shared->event_wait : &r->shared->response_wait,
 	    r->service->name);
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -493,6 +493,7 @@
 			.counts = &y->counts,
 			.httpd = httpd_counts(y->httpd),
 			.dial = dialer_counts(y->shared.dialer),
+			.silent_calls = y->shared.silent_calls,
 			.coordinator =
 			    coordinator_counts(y->shared.coordinator),
 			.discovery = discovery_counts(y->discovery),
--- a/entry/relay_metrics.c
+++ b/entry/relay_metrics.c
@@ -68,7 +68,9 @@
 	put(out, "calls_total", p->dial.calls);
 	put(out, "target_connections_total", p->dial.connections);
 	put(out, "stray_answers_total", p->dial.stray);
+	put(out, "silent_calls_total", p->silent_calls);
 	put(out, "stage_calls_total", p->coordinator.calls);
+	put(out, "stage_slow_calls_total", p->coordinator.slow_calls);
 	put(out, "stage_pieces_total", p->coordinator.pieces);
 	put(out, "stage_pieces_waiting", p->coordinator.waiting);
 	put(out, "stage_asks_refused_total", p->coordinator.refused);
--- a/entry/relay_metrics.h
+++ b/entry/relay_metrics.h
@@ -31,6 +31,7 @@
 	struct dial_counts dial;
 	struct coordinator_counts coordinator;
 	struct discovery_counts discovery;
+	uint64_t silent_calls;
 	size_t busy;
 	bool ready;
 };
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -43,6 +43,7 @@
 	 */
 	struct response_wait response_wait;
 	struct response_wait event_wait;
+	uint64_t silent_calls; /* given up */
 	/* Waits at the stage services, as their coordinators report them. */
 	struct stage_waits stage_waits;
 	/* How long ago the callers of a route sent their first attempt. */
