--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -433,6 +433,16 @@
 	return used < usable ? usable - used : 0;
 }
 
+static bool
+any_free(const GPtrArray *all, usec_t now)
+{
+	for (guint i = 0; all != NULL && i < all->len; i++) {
+		if (is_free(all->pdata[i], now))
+			return true;
+	}
+	return false;
+}
+
 /* The targets of a pool when calls are started. */
 struct pool_targets {
 	const GPtrArray *all;
@@ -478,28 +488,24 @@
     const struct pool_targets *x, bool local_only, usec_t now)
 {
 	GArray *items = g_array_new(FALSE, FALSE, sizeof(struct batch_item));
-	uint32_t n_free = x->fast_free > 0 ? x->fast_free : 1;
-	usec_t call = batch_next_duration(&p->batch, n_free);
-	double slowness = target_speed_relative(&t->speed, &x->speeds);
-	enum target_use use = target_speed_use(&t->speed, &x->speeds, call,
-	    batch_backlog(&p->batch, x->speeds.fast), now);
-
-	batch_take(&p->batch, now, n_free,
-	    &(struct batch_target){
+	struct batch_target take = {
 		.domain = domain_hash(t->entry.domain),
 		.free_bytes = free_result_bytes(c, p, t->entry.addr, now),
 		.local_only = local_only,
-		.use = use,
-		.slower_by = use == TARGET_USE
-		    ? 0
-		    : (usec_t)((slowness - 1) * (double)call),
-	    },
-	    items);
+	};
+
+	batch_plan_speed(
+	    &p->batch, &t->speed, &x->speeds, x->fast_free, now, &take);
+	batch_take(&p->batch, now, x->fast_free, &take, items);
 	if (items->len == 0) {
 		g_array_unref(items);
 		return false;
 	}
-	coordinator_call(c, p, t, use == TARGET_USE ? 1 : slowness, items, now);
+	coordinator_call(c, p, t,
+	    take.use == TARGET_USE
+		? 1
+		: target_speed_relative(&t->speed, &x->speeds),
+	    items, now);
 	return true;
 }
 
@@ -556,7 +562,8 @@
 {
 	struct pool_targets x;
 
-	if (p->batch.items->len == 0)
+	if (p->batch.items->len == 0 ||
+	    !any_free(coordinator_targets(c, p), now))
 		return;
 	x = pool_targets(c, p, now);
 	for (int pass = 0; pass < 2; pass++) {
--- a/kernel/overload/batch.c
+++ b/kernel/overload/batch.c
@@ -315,8 +315,9 @@
 	    &b->throughput, now, targets * b->config.batch / full_call);
 }
 
-usec_t
-batch_backlog(const struct batch *b, uint32_t targets)
+/* Time in which a number of fast targets take all pieces that wait. */
+static usec_t
+backlog(const struct batch *b, uint32_t targets)
 {
 	usec_t full_call = call_duration(b, b->config.batch);
 
@@ -325,10 +326,18 @@
 	return b->items->len * full_call / (targets * b->config.batch);
 }
 
-usec_t
-batch_next_duration(const struct batch *b, uint32_t free_targets)
+void
+batch_plan_speed(const struct batch *b, const struct target_speed *speed,
+    const struct target_speeds *all, uint32_t free_targets, usec_t now,
+    struct batch_target *t)
 {
-	return call_duration(b, call_size(b, free_targets));
+	usec_t call =
+	    call_duration(b, call_size(b, free_targets > 0 ? free_targets : 1));
+	double excess = target_speed_relative(speed, all) - 1;
+
+	t->use = target_speed_use(speed, all, call, backlog(b, all->fast), now);
+	if (t->use != TARGET_USE)
+		t->slower_by = (usec_t)(excess * (double)call);
 }
 
 /* Arriving pieces per second that go before those of a rank. */
--- a/kernel/overload/batch.h
+++ b/kernel/overload/batch.h
@@ -74,12 +74,12 @@
 void batch_take(struct batch *b, usec_t now, uint32_t free_targets,
     const struct batch_target *t, GArray *out);
 /*
- * Time in which a number of fast targets take all pieces that wait; as long as
- * there is.  0 targets take none.
+ * Sets what a free target is to be used for, given its speed and that of all
+ * targets; free_targets is the number of free ones that are not slow.
  */
-usec_t batch_backlog(const struct batch *b, uint32_t targets);
-/* Duration of a call that shares the waiting pieces with other free targets. */
-usec_t batch_next_duration(const struct batch *b, uint32_t free_targets);
+void batch_plan_speed(const struct batch *b, const struct target_speed *speed,
+    const struct target_speeds *all, uint32_t free_targets, usec_t now,
+    struct batch_target *t);
 /* Estimates when a piece like this would be done if it were added now. */
 usec_t batch_estimate(const struct batch *b, uint32_t targets,
     const struct batch_item *it, usec_t now);
--- a/kernel/overload/target_speed.c
+++ b/kernel/overload/target_speed.c
@@ -2,8 +2,11 @@
 
 #include <stdlib.h>
 
-/* A target is slow if its calls take this many times as long as most. */
-#define SLOW_FACTOR    1.7
+/*
+ * A target is slow if its calls take this many times as long as most.  Targets
+ * differ in speed, and the pieces of a service in work: that is not slow.
+ */
+#define SLOW_FACTOR    2.5
 /* Weight of a new sample: a target turns slow within two calls. */
 #define SAMPLE_WEIGHT  0.5
 /* Bounds a single sample, which may be an outlier. */
--- a/model/sim_calls.c
+++ b/model/sim_calls.c
@@ -106,24 +106,6 @@
 	return target_speeds_of(slowness, n, unmeasured);
 }
 
-/* What a free target takes; slow targets are like others without the policy. */
-static void
-plan_use(const struct sim *m, const struct pool *p, const struct target *t,
-    const struct target_speeds *speeds, uint32_t n_free,
-    struct batch_target *out)
-{
-	usec_t call = batch_next_duration(&p->batch, n_free);
-
-	if (!(m->policies & SIM_TARGET_SPEED))
-		return;
-	out->use = target_speed_use(&t->speed, speeds, call,
-	    batch_backlog(&p->batch, speeds->fast), m->now);
-	if (out->use != TARGET_USE)
-		out->slower_by =
-		    (usec_t)((target_speed_relative(&t->speed, speeds) - 1) *
-			(double)call);
-}
-
 static void
 start_call(struct sim *m, uint32_t service, uint32_t target,
     const struct target_speeds *speeds, uint32_t n_free)
@@ -140,7 +122,9 @@
 	used = result_space_used(&m->space, addr, m->now);
 	if (used < config->result_bytes)
 		take.free_bytes = config->result_bytes - used;
-	plan_use(m, p, t, speeds, n_free, &take);
+	if (m->policies & SIM_TARGET_SPEED)
+		batch_plan_speed(
+		    &p->batch, &t->speed, speeds, n_free, m->now, &take);
 	batch_take(&p->batch, m->now, n_free, &take, items);
 	if (items->len == 0) {
 		g_array_unref(items);
