--- a/entry/forward.c
+++ b/entry/forward.c
@@ -33,8 +33,8 @@
 #define RETRY_AFTER           (300 * USEC_PER_MSEC)
 #define MAX_INPUT_LOSSES      2
 /*
- * Pauses of a stream that are on time, in the time within which an event is
- * wanted.  A stream that pauses for longer is late already.
+ * The next event of a stream is wanted within this many of the longest pauses
+ * that are on time.  A stream that pauses for longer is late already.
  */
 #define EVENT_GAPS            4
 /* Ranks of at least this value share the last engine priority. */
@@ -182,8 +182,8 @@
 }
 
 /*
- * Limits the wait for the next bytes of a call that may be made again; times
- * are those of the wait, the others as in response_wait_limit.
+ * Limits the wait for the next bytes of a call that may be made again.  times:
+ * the measured waits of this kind; the others as in response_wait_limit.
  */
 static void
 start_waiting(struct relay_request *r, const struct response_wait *times,
