--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -254,6 +254,12 @@
 	c->counts.refused++;
 }
 
+const GPtrArray *
+coordinator_targets(const struct coordinator *c, const struct pool *p)
+{
+	return loads_usable_in(c->o.loads, p->service, c->o.loads->domain);
+}
+
 /*
  * Returns whether the pieces will be done in time; otherwise marks the job as
  * refused.  A job with inputs is not refused for lack of capacity, because the
@@ -265,13 +271,14 @@
 {
 	uint32_t usable = j->pool == NULL
 	    ? 0
-	    : count_usable(loads_usable(c->o.loads, j->pool->service), now);
+	    : count_usable(coordinator_targets(c, j->pool), now);
 	usec_t wait = 0;
 
 	if (usable > 0)
 		wait = batch_estimate(&j->pool->batch, usable, it, now) - now;
 	j->wait_ms = (uint32_t)(wait / USEC_PER_MSEC);
-	if (usable > 0 && (j->inputs.n > 0 || now + wait < j->deadline))
+	if (usable > 0 &&
+	    (j->inputs.n > 0 || batch_admits(&j->pool->batch, usable, it, now)))
 		return true;
 	refuse_job(c, j, usable > 0 ? wait : NO_TARGET_RETRY);
 	log_text(LOG_LVL_INFO, "stage-refused",
@@ -459,9 +466,8 @@
 {
 	g_autoptr(GPtrArray) owners = g_ptr_array_new();
 
-	batch_hopeless(&p->batch,
-	    count_usable(loads_usable(c->o.loads, p->service), now), now,
-	    owners);
+	batch_hopeless(&p->batch, count_usable(coordinator_targets(c, p), now),
+	    now, owners);
 	for (guint i = 0; i < owners->len; i++) {
 		struct coordinator_job *j = owners->pdata[i];
 
@@ -502,7 +508,7 @@
 void
 coordinator_start_calls(struct coordinator *c, struct pool *p, usec_t now)
 {
-	const GPtrArray *all = loads_usable(c->o.loads, p->service);
+	const GPtrArray *all = coordinator_targets(c, p);
 	uint32_t n_free = 0;
 
 	for (guint i = 0; all != NULL && i < all->len; i++)
@@ -561,7 +567,7 @@
 static void
 report_load(struct coordinator *c, struct pool *p, usec_t now)
 {
-	const GPtrArray *all = loads_usable(c->o.loads, p->service);
+	const GPtrArray *all = coordinator_targets(c, p);
 	uint32_t busy = 0;
 	uint32_t aside = 0;
 	uint32_t full = 0;
--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -387,7 +387,7 @@
 	g_hash_table_iter_init(&it, c->pools);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const struct pool *pool = p;
-		const GPtrArray *all = loads_usable(c->o.loads, pool->service);
+		const GPtrArray *all = coordinator_targets(c, pool);
 
 		for (guint i = 0; all != NULL && i < all->len; i++) {
 			const struct target_load *t = all->pdata[i];
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -101,6 +101,9 @@
 
 /* Starts calls to all free targets while pieces wait (coordinator.c). */
 void coordinator_start_calls(struct coordinator *c, struct pool *p, usec_t now);
+/* Targets of the pool that this coordinator calls (coordinator.c). */
+const GPtrArray *coordinator_targets(
+    const struct coordinator *c, const struct pool *p);
 /* Answers the job unless that has been done (coordinator.c). */
 void coordinator_finish_job(
     struct coordinator *c, struct coordinator_job *j, usec_t now);
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -290,7 +290,9 @@
 			continue;
 		g_strlcpy(p.id, ids[i], sizeof(p.id));
 		g_strlcpy(p.rpc, member_rpc(x), sizeof(p.rpc));
+		g_strlcpy(p.domain, m->domains[x->domain], sizeof(p.domain));
 		p.capacity = x->capacity;
+		p.incarnation = x->incarnation;
 		g_array_append_val(out, p);
 	}
 	return out;
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -42,14 +42,6 @@
 #define STREAM_DURATION         (2 * USEC_PER_SEC)
 /* Requests end this long before the exit, so that the last responses arrive. */
 #define EXIT_MARGIN             (400 * USEC_PER_MSEC)
-/*
- * Repetitions of stage work that one host allows itself: this share of its
- * requests, and this many more in each window.
- */
-#define STAGE_REPEAT_RATIO      0.2
-#define STAGE_REPEAT_SLACK      2
-#define STAGE_REPEAT_WINDOW     (5 * USEC_PER_SEC)
-
 struct relay {
 	struct relay_opts o;
 	struct relay_shared shared;
@@ -453,7 +445,10 @@
 {
 	struct relay *y = arg;
 
-	return stage_jobs_coordinator(y->shared.stage_jobs, service);
+	const struct loads *l = &y->shared.loads;
+	const char *domain = loads_domains(l, service) != NULL ? l->domain : "";
+
+	return stage_jobs_coordinator(y->shared.stage_jobs, service, domain);
 }
 
 /* Reports unneeded results to the coordinators of their producers' services. */
@@ -561,12 +556,7 @@
 	loads_init(&p->loads, o->settings->failure_domain, rng_entropy());
 	p->retry_quotas =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, free, free);
-	p->stage_quota_rule = (struct retry_quota_rule){
-		.ratio = STAGE_REPEAT_RATIO,
-		.slack = STAGE_REPEAT_SLACK,
-		.window = STAGE_REPEAT_WINDOW,
-		.hosts = 1,
-	};
+	stages_init_quota(p);
 	durations_init(&p->durations);
 	stage_waits_init(&p->stage_waits);
 	y->inbox = inbox_new();
@@ -605,6 +595,7 @@
 	    .peer_wait =
 		str_from(y->o.settings->peers).n > 0 ? PEER_WAIT_TIME : 0,
 	    .waits = &p->stage_waits,
+	    .loads = &p->loads,
 	});
 	p->coordinator = coordinator_new(&(struct coordinator_opts){
 	    .base = p->base,
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -110,6 +110,8 @@
 void relay_request_done(struct relay_request *r, const char *outcome);
 struct retry_quota *relay_request_retry_quota(struct relay_request *r);
 
+/* Sets the rule of the quota of repeated stage work (stages.c). */
+void stages_init_quota(struct relay_shared *shared);
 /* Runs the stages, then sends the request to its target (stages.c). */
 void stages_start(struct relay_request *r);
 /* Runs the stages again after a result that the request needs was lost. */
--- a/entry/stage_jobs.c
+++ b/entry/stage_jobs.c
@@ -4,6 +4,7 @@
 #include "kernel/rendezvous.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -23,8 +24,12 @@
 #define ALIVE_TIME        (500 * USEC_PER_MSEC)
 /* A job at a live coordinator is resent at doubling intervals up to this. */
 #define MAX_ACK_TIMEOUT   (800 * USEC_PER_MSEC)
-/* How long a coordinator that did not acknowledge a job is not chosen. */
-#define SUSPECT_DURATION  (2 * USEC_PER_SEC)
+/*
+ * How long a coordinator that did not acknowledge a job is not chosen; doubled
+ * each time while nothing is heard from it.
+ */
+#define SUSPECT_TIME      (2 * USEC_PER_SEC)
+#define MAX_SUSPECT_TIME  (8 * USEC_PER_SEC)
 /* Number of low bits of a job number, which count the jobs of one process. */
 #define INCARNATION_SHIFT 24
 
@@ -35,6 +40,7 @@
 	void *arg;
 	usec_t deadline;
 	usec_t soft_deadline;
+	char domain[MAX_NAME_BYTES + 1];  /* of the coordinator; or empty */
 	char coordinator[MAX_ADDR_BYTES]; /* RPC address; empty: this host */
 	usec_t sent_at;
 	bool deferred; /* not sent yet */
@@ -45,7 +51,8 @@
 struct peer {
 	struct view_peer p;
 	usec_t suspect_until;
-	usec_t heard_at; /* last reply to a job; 0: none */
+	usec_t suspect_time; /* how long it was suspect last; 0: heard since */
+	usec_t heard_at;     /* last reply to a job; 0: none */
 };
 
 struct stage_jobs {
@@ -125,34 +132,58 @@
 		    ? find_peer(s, old->p.rpc)
 		    : NULL;
 
-		if (p != NULL) {
+		/* A host that has restarted since is not suspect. */
+		if (p != NULL && p->p.incarnation == old->p.incarnation) {
 			p->suspect_until = old->suspect_until;
+			p->suspect_time = old->suspect_time;
 			p->heard_at = old->heard_at;
 		}
 	}
 }
 
-/* Returns the RPC address of the service's coordinator; empty for this host. */
-static const char *
-choose_coordinator(struct stage_jobs *s, const char *service, usec_t now)
+/* Whether a host may coordinate; an empty domain stands for all. */
+static bool
+can_coordinate(const struct peer *p, const char *domain, usec_t now)
+{
+	return now >= p->suspect_until &&
+	    (*domain == '\0' || strcmp(p->p.domain, domain) == 0);
+}
+
+/* Returns the largest capacity of the hosts that may coordinate; 0: none. */
+static uint32_t
+largest_capacity(const struct stage_jobs *s, const char *domain, usec_t now)
 {
-	uint64_t seed = hash_u64(str_from(service), 3);
-	const struct peer *best = NULL;
-	double best_weight = 0;
 	uint32_t largest = 0;
 
 	for (guint i = 0; i < s->peers->len; i++) {
 		const struct peer *p = &g_array_index(s->peers, struct peer, i);
 
-		if (now >= p->suspect_until && p->p.capacity > largest)
+		if (can_coordinate(p, domain, now) && p->p.capacity > largest)
 			largest = p->p.capacity;
 	}
+	return largest;
+}
+
+/* Returns the RPC address of the service's coordinator; empty for this host. */
+static const char *
+choose_coordinator(
+    struct stage_jobs *s, const char *service, const char *domain, usec_t now)
+{
+	uint64_t seed = hash_u64(str_from(service), 3);
+	const struct peer *best = NULL;
+	double best_weight = 0;
+	uint32_t largest = largest_capacity(s, domain, now);
+
+	if (largest == 0 && *domain != '\0') {
+		domain = "";
+		largest = largest_capacity(s, domain, now);
+	}
 	for (guint i = 0; i < s->peers->len; i++) {
 		const struct peer *p = &g_array_index(s->peers, struct peer, i);
 		double weight = rendezvous_weight(
 		    hash_u64(str_from(p->p.id), seed), p->p.capacity);
 
-		if (now < p->suspect_until ||
+		if (!can_coordinate(p, domain, now) ||
 		    !rendezvous_is_large(p->p.capacity, largest) ||
 		    (best != NULL && weight <= best_weight))
 			continue;
@@ -167,14 +198,16 @@
 static void
 assign_coordinator(struct stage_jobs *s, struct pending_job *j, usec_t now)
 {
-	g_strlcpy(j->coordinator, choose_coordinator(s, j->body.service, now),
+	g_strlcpy(j->coordinator,
+	    choose_coordinator(s, j->body.service, j->domain, now),
 	    sizeof(j->coordinator));
 }
 
 const char *
-stage_jobs_coordinator(struct stage_jobs *s, const char *service)
+stage_jobs_coordinator(
+    struct stage_jobs *s, const char *service, const char *domain)
 {
-	return choose_coordinator(s, service, clock_now());
+	return choose_coordinator(s, service, domain, clock_now());
 }
 
 static uint32_t
@@ -209,6 +242,8 @@
 	j->arg = o->arg;
 	j->deadline = o->deadline;
 	j->soft_deadline = o->soft_deadline;
+	snprintf(j->domain, sizeof(j->domain), "%.*s",
+	    STR_FMT(o->coordinator_domain));
 	j->body.ask = j->number;
 	j->body.service = str_dup(o->service);
 	j->body.id = str_dup(o->id);
@@ -255,11 +290,18 @@
     struct stage_jobs *s, const char *service, struct str handles)
 {
 	g_autofree char *list = g_strndup(handles.p, handles.n);
-	const char *coordinator = choose_coordinator(s, service, clock_now());
+	struct str rest = handles;
+	struct str addr = { NULL, 0 };
+	const char *domain = "";
+	const char *coordinator;
 	peer_body body = { .kind = PEER_PIECE_FREE };
 
 	if (handles.n == 0)
 		return;
+	if (loads_domains(s->o.loads, service) != NULL &&
+	    str_cut(&rest, '/', &addr))
+		domain = loads_domain_at(s->o.loads, addr);
+	coordinator = choose_coordinator(s, service, domain, clock_now());
 	if (*coordinator == '\0') {
 		coordinator_release(s->coordinator, handles);
 		return;
@@ -278,8 +320,14 @@
 {
 	struct peer *p = find_peer(s, j->coordinator);
 
-	if (p != NULL)
-		p->suspect_until = now + SUSPECT_DURATION;
+	if (p != NULL) {
+		p->suspect_time = 2 * p->suspect_time;
+		if (p->suspect_time < SUSPECT_TIME)
+			p->suspect_time = SUSPECT_TIME;
+		if (p->suspect_time > MAX_SUSPECT_TIME)
+			p->suspect_time = MAX_SUSPECT_TIME;
+		p->suspect_until = now + p->suspect_time;
+	}
 	assign_coordinator(s, j, now);
 	j->tries = 0;
 	j->acked = false;
@@ -318,8 +366,10 @@
 	stage_job_handler handler;
 	void *arg;
 
-	if (peer != NULL)
+	if (peer != NULL) {
 		peer->heard_at = clock_now();
+		peer->suspect_time = 0;
+	}
 	if (j == NULL)
 		return;
 	if (from != NULL && strcmp(from, j->coordinator) != 0) {
@@ -336,8 +386,8 @@
 		j->tries = 0;
 		if (r->wait_ms > 0)
 			stage_waits_report(s->o.waits, j->body.service,
-			    j->body.rank, (usec_t)r->wait_ms * USEC_PER_MSEC,
-			    clock_now());
+			    j->domain, j->body.rank,
+			    (usec_t)r->wait_ms * USEC_PER_MSEC, clock_now());
 		return;
 	}
 	handler = j->handler;
--- a/entry/stage_jobs.h
+++ b/entry/stage_jobs.h
@@ -26,6 +26,7 @@
 	uint64_t incarnation;
 	usec_t peer_wait; /* how long jobs are held back after the start */
 	struct stage_waits *waits; /* takes the coordinators' reports */
+	const struct loads *loads; /* tells which services are split */
 };
 
 /* Called with the reply: a refusal, or the outcomes of all pieces. */
@@ -33,6 +34,8 @@
 
 struct stage_job_opts {
 	struct str service;
+	/* Domain of the coordinator, of a service that is split; else empty. */
+	struct str coordinator_domain;
 	struct str id;
 	uint32_t stage;
 	uint32_t n; /* number of pieces; they are numbered from 0 */
@@ -57,10 +60,11 @@
 /* Sets the live hosts, an array of struct view_peer. */
 void stage_jobs_set_peers(struct stage_jobs *s, const GArray *peers);
 /*
- * Returns the RPC address of a service's current coordinator; empty for this
- * host.
+ * Returns the RPC address of a service's current coordinator, in a domain if
+ * that is not empty; empty for this host.
  */
-const char *stage_jobs_coordinator(struct stage_jobs *s, const char *service);
+const char *stage_jobs_coordinator(
+    struct stage_jobs *s, const char *service, const char *domain);
 /* Returns the number of the job. */
 uint64_t stage_jobs_submit(
     struct stage_jobs *s, const struct stage_job_opts *o);
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -3,21 +3,32 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "kernel/overload/retry_after.h"
+#include "kernel/overload/spill.h"
 #include "platform/stage.h"
 
 #include <inttypes.h>
 #include <string.h>
 
-#define MAX_STAGE_TRIES    3 /* jobs submitted for one stage of one request */
+#define MAX_STAGE_TRIES     3 /* jobs submitted for one stage of one request */
 /*
  * Initial estimate from a prompt to its first token: prompt processing, one
  * network path and one decoding step.
  */
-#define FIRST_TOKEN_TIME   (150 * USEC_PER_MSEC)
+#define FIRST_TOKEN_TIME    (150 * USEC_PER_MSEC)
 /* Typical fraction of the batch size that a call holds. */
-#define TYPICAL_FILL       0.4
+#define TYPICAL_FILL        0.4
 /* Smaller inputs and results transfer quickly to any failure domain. */
-#define MIN_LOCALITY_BYTES 200000
+#define MIN_LOCALITY_BYTES  200000
+
+#define MAX_SPILL_DOMAINS   16
+
+/*
+ * Repetitions of stage work that one host allows itself: this share of its
+ * requests, and this many more in each window.
+ */
+#define STAGE_REPEAT_RATIO  0.2
+#define STAGE_REPEAT_SLACK  2
+#define STAGE_REPEAT_WINDOW (5 * USEC_PER_SEC)
 
 /* Callback argument of a stage job, which owns it. */
 struct stage_job_arg {
@@ -61,6 +72,26 @@
 	return r->rank > 0 ? (uint32_t)r->rank : 0;
 }
 
+/* Returns the shortest wait reported for a stage service, in any domain. */
+static usec_t
+shortest_wait(const struct relay_request *r, const char *service, usec_t now)
+{
+	const GPtrArray *domains = loads_domains(&r->shared->loads, service);
+	usec_t shortest = INT64_MAX;
+
+	for (guint i = 0; domains != NULL && i < domains->len; i++) {
+		const struct loads_domain *d = domains->pdata[i];
+		usec_t wait = stage_waits_get(&r->shared->stage_waits, service,
+		    d->name, stage_rank(r), now);
+
+		shortest = wait < shortest ? wait : shortest;
+	}
+	if (domains != NULL)
+		return shortest;
+	return stage_waits_get(
+	    &r->shared->stage_waits, service, "", stage_rank(r), now);
+}
+
 /* Describes the stages of a request to the decisions of kernel/overload. */
 static void
 describe_chain(const struct relay_request *r, usec_t now, struct chain *c)
@@ -85,8 +116,7 @@
 			.typical_time =
 			    durations_estimate(&r->shared->durations, s->name,
 				p->call_cost + (usec_t)fill),
-			.wait = stage_waits_get(&r->shared->stage_waits,
-			    s->name, stage_rank(r), now),
+			.wait = shortest_wait(r, s->name, now),
 			.result_ttl = p->result_ttl,
 		};
 	}
@@ -300,17 +330,53 @@
 	return loads_affinity_domain(&r->shared->loads, &query);
 }
 
+/*
+ * Returns the failure domain whose coordinator gets a stage's job, or "" if the
+ * service is not split.
+ */
+static const char *
+coordinator_domain(const struct relay_request *r, uint32_t i,
+    const char *preferred, const struct chain *c)
+{
+	const char *service = service_name(r, i);
+	const GPtrArray *domains = loads_domains(&r->shared->loads, service);
+	struct spill_domain v[MAX_SPILL_DOMAINS];
+	size_t home = 0;
+	size_t n = 0;
+
+	if (domains == NULL)
+		return "";
+	if (*preferred == '\0')
+		preferred = r->shared->loads.domain;
+	for (guint k = 0; k < domains->len && n < MAX_SPILL_DOMAINS; k++, n++) {
+		const struct loads_domain *d = domains->pdata[k];
+
+		v[n].name = d->name;
+		v[n].wait = stage_waits_get(&r->shared->stage_waits, service,
+		    d->name, stage_rank(r), clock_now());
+		if (strcmp(d->name, preferred) == 0)
+			home = n;
+	}
+	return v[spill_choose(v, n, home, c->stages[i].min_time,
+		     hash_u64(r->info.id, i + 1))]
+	    .name;
+}
+
 static void
 start_stage(struct relay_request *r, uint32_t i, const struct chain *c)
 {
 	struct stage_job_arg *arg = xcalloc(1, sizeof(*arg));
 	struct buf inputs = { 0 };
 	usec_t after = chain_typical_after(c, i);
+	const char *preferred;
+	const char *domain;
 
 	for (uint32_t k = 0; k < r->route->n_stages; k++) {
 		if (r->route->stages[i].after >> k & 1)
 			append(&inputs, str_of(&r->stages[k].handles));
 	}
+	preferred = preferred_domain(r, i, str_of(&inputs));
+	domain = coordinator_domain(r, i, preferred, c);
 	arg->r = r;
 	arg->stage = i;
 	r->stages[i].submitted_at = clock_now();
@@ -320,6 +386,7 @@
 	r->stages[i].job = stage_jobs_submit(r->shared->stage_jobs,
 	    &(struct stage_job_opts){
 		.service = str_from(service_name(r, i)),
+		.coordinator_domain = str_from(domain),
 		.id = r->info.id,
 		.stage = i,
 		.n = r->info.pieces[i],
@@ -328,7 +395,8 @@
 		.deadline = r->deadline - chain_min_after(c, i),
 		.soft_deadline = r->soft_deadline - after,
 		.bytes = r->route->stages[i].bytes,
-		.domain = str_from(preferred_domain(r, i, str_of(&inputs))),
+		/* The targets of a split service are all in one domain. */
+		.domain = *domain != '\0' ? STR("") : str_from(preferred),
 		.rank = stage_rank(r),
 		.handler = on_reply,
 		.arg = arg,
@@ -396,6 +464,17 @@
 	forward_start(r);
 }
 
+void
+stages_init_quota(struct relay_shared *shared)
+{
+	shared->stage_quota_rule = (struct retry_quota_rule){
+		.ratio = STAGE_REPEAT_RATIO,
+		.slack = STAGE_REPEAT_SLACK,
+		.window = STAGE_REPEAT_WINDOW,
+		.hosts = 1,
+	};
+}
+
 void
 stages_start(struct relay_request *r)
 {
--- a/entry/view.h
+++ b/entry/view.h
@@ -12,7 +12,9 @@
 struct view_peer {
 	char id[MAX_NAME_BYTES + 1];
 	char rpc[MAX_ADDR_BYTES];
+	char domain[MAX_NAME_BYTES + 1];
 	uint32_t capacity; /* thousandths of a core */
+	uint64_t incarnation;
 };
 
 struct view {
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -1,5 +1,6 @@
 #include "kernel/loads.h"
 #include "base/hash.h"
+#include "kernel/overload/spill.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -33,6 +34,95 @@
 	l->by_addr = g_hash_table_new(g_str_hash, g_str_equal);
 	l->by_service = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+	l->domains = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+}
+
+static void
+free_domain(gpointer p)
+{
+	struct loads_domain *d = p;
+
+	g_ptr_array_unref(d->targets);
+	g_free(d);
+}
+
+static gint
+by_name(gconstpointer a, gconstpointer b)
+{
+	const struct loads_domain *const *x = a;
+	const struct loads_domain *const *y = b;
+
+	return strcmp((*x)->name, (*y)->name);
+}
+
+static struct loads_domain *
+find_domain(const GPtrArray *v, const char *name)
+{
+	for (guint i = 0; v != NULL && i < v->len; i++) {
+		struct loads_domain *d = v->pdata[i];
+
+		if (strcmp(d->name, name) == 0)
+			return d;
+	}
+	return NULL;
+}
+
+static void
+add_to_domain(GPtrArray *v, struct target_load *t)
+{
+	struct loads_domain *d = find_domain(v, t->entry.domain);
+
+	if (d == NULL) {
+		d = g_new0(struct loads_domain, 1);
+		g_strlcpy(d->name, t->entry.domain, sizeof(d->name));
+		d->targets = g_ptr_array_new();
+		g_ptr_array_add(v, d);
+	}
+	g_ptr_array_add(d->targets, t);
+}
+
+/* Groups the usable targets of the services that are split by domain. */
+static void
+index_domains(struct loads *l)
+{
+	GHashTableIter it;
+	gpointer name;
+	gpointer p;
+
+	g_autoptr(GHashTable) old = l->domains;
+
+	l->domains = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+	g_hash_table_iter_init(&it, l->by_service);
+	while (g_hash_table_iter_next(&it, &name, &p)) {
+		const GPtrArray *all = p;
+		GPtrArray *v = g_ptr_array_new_with_free_func(free_domain);
+
+		for (guint i = 0; i < all->len; i++)
+			add_to_domain(v, all->pdata[i]);
+		g_ptr_array_sort(v, by_name);
+		if (spill_is_split(
+			all->len, v->len, g_hash_table_contains(old, name)))
+			g_hash_table_insert(l->domains, g_strdup(name), v);
+		else
+			g_ptr_array_unref(v);
+	}
+}
+
+const GPtrArray *
+loads_domains(const struct loads *l, const char *service)
+{
+	return g_hash_table_lookup(l->domains, service);
+}
+
+const GPtrArray *
+loads_usable_in(const struct loads *l, const char *service, const char *domain)
+{
+	const struct loads_domain *d =
+	    find_domain(loads_domains(l, service), domain);
+
+	return d != NULL ? d->targets : loads_usable(l, service);
 }
 
 /* Rebuilds the index by address and that of usable targets by service. */
@@ -61,6 +151,7 @@
 		}
 		g_ptr_array_add(usable, t);
 	}
+	index_domains(l);
 }
 
 void
@@ -339,6 +430,7 @@
 void
 loads_free(struct loads *l)
 {
+	g_hash_table_destroy(l->domains);
 	g_hash_table_destroy(l->by_service);
 	g_hash_table_destroy(l->by_addr);
 	g_hash_table_destroy(l->by_id);
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -42,10 +42,18 @@
 	GHashTable *by_addr; /* address -> listed struct target_load */
 	/* name -> GPtrArray of usable struct target_load */
 	GHashTable *by_service;
+	/* name -> GPtrArray of struct loads_domain, sorted by name */
+	GHashTable *domains;
 	char domain[64]; /* of this host */
 	struct rng rng;
 };
 
+/* The usable targets of a service in one failure domain. */
+struct loads_domain {
+	char name[64];
+	GPtrArray *targets; /* struct target_load */
+};
+
 /* What a call needs from its target. */
 struct loads_query {
 	const char *service;
@@ -77,6 +85,17 @@
 struct target_load *loads_find(struct loads *l, const char *id);
 /* Usable targets of a service as struct target_load, or NULL. */
 const GPtrArray *loads_usable(const struct loads *l, const char *service);
+/*
+ * The domains of a service that is split by failure domain (struct
+ * loads_domain), or NULL if it is not split (kernel/overload/spill.h).
+ */
+const GPtrArray *loads_domains(const struct loads *l, const char *service);
+/*
+ * Usable targets of a service for a coordinator in a domain: those of the
+ * domain if the service is split and has targets there, else all.
+ */
+const GPtrArray *loads_usable_in(
+    const struct loads *l, const char *service, const char *domain);
 
 /* Counts a call that was sent to the target. */
 void loads_sent(struct target_load *t);
--- a/kernel/overload/batch.c
+++ b/kernel/overload/batch.c
@@ -35,6 +35,8 @@
 	b->call_usec = (double)config->call_cost;
 	b->item_usec = (double)config->item_cost;
 	b->throughput = (struct throughput){ 0 };
+	b->last_owner = NULL;
+	b->n_owners = 0;
 }
 
 /* Factor by which the arrival rates have decayed since the last arrival. */
@@ -65,6 +67,10 @@
 	if (b->items->len == 0)
 		throughput_idle(&b->throughput, it->queued);
 	g_array_append_vals(b->items, it, 1);
+	b->n_owners += it->owner != b->last_owner;
+	b->last_owner = it->owner;
+	g_array_index(b->items, struct batch_item, b->items->len - 1).order =
+	    b->n_owners;
 	record_arrival(b, it);
 }
 
@@ -129,7 +135,7 @@
 		return x->time < y->time;
 	p = &g_array_index(b->items, struct batch_item, x->index);
 	q = &g_array_index(b->items, struct batch_item, y->index);
-	return p->owner != q->owner ? p->owner < q->owner : p->piece < q->piece;
+	return p->order != q->order ? p->order < q->order : p->piece < q->piece;
 }
 
 static void
@@ -301,6 +307,13 @@
 	return spare > MIN_SHARE * all ? spare : MIN_SHARE * all;
 }
 
+/* Arrivals of the ranks before this one go before the piece. */
+static uint32_t
+rank_after(const struct batch_item *it, const struct sort_ctx *ctx)
+{
+	return it->soft_deadline < ctx->earliest ? BATCH_RANKS : it->rank;
+}
+
 void
 batch_hopeless(struct batch *b, uint32_t targets, usec_t now, GPtrArray *owners)
 {
@@ -327,7 +340,8 @@
 		const struct batch_item *it = &g_array_index(
 		    b->items, struct batch_item, heap_pop(b, heap, &left));
 		usec_t wait = (usec_t)(SURE_SHARE * before /
-		    spare_rate(b, per_second, it->rank, now) * USEC_PER_SEC);
+		    spare_rate(b, per_second, rank_after(it, &ctx), now) *
+		    USEC_PER_SEC);
 		bool known = owners->len > 0 &&
 		    owners->pdata[owners->len - 1] == it->owner;
 
@@ -398,6 +412,15 @@
 	    (measured > configured ? measured : configured);
 }
 
+bool
+batch_admits(const struct batch *b, uint32_t targets,
+    const struct batch_item *it, usec_t now)
+{
+	usec_t wait = batch_estimate(b, targets, it, now) - now;
+
+	return now + (usec_t)(SURE_SHARE * (double)wait) < it->deadline;
+}
+
 void
 batch_free(struct batch *b)
 {
--- a/kernel/overload/batch.h
+++ b/kernel/overload/batch.h
@@ -34,6 +34,7 @@
 	uint64_t bytes;       /* size of the result */
 	uint32_t domain;      /* hash of the domain of its inputs; 0: any */
 	usec_t queued;        /* time of arrival in the queue */
+	uint64_t order; /* set by batch_add: that of its owner's arrival */
 };
 
 #define BATCH_RANKS 4 /* higher ranks count as the last one */
@@ -46,6 +47,8 @@
 	double call_usec; /* measured cost of a call without its pieces */
 	double item_usec; /* measured cost of a piece */
 	struct throughput throughput; /* pieces moved into calls */
+	const void *last_owner;       /* of the piece added last */
+	uint64_t n_owners;
 };
 
 void batch_init(struct batch *b, const struct pool_config *config);
@@ -70,6 +73,9 @@
 /* Estimates when a piece like this would be done if it were added now. */
 usec_t batch_estimate(const struct batch *b, uint32_t targets,
     const struct batch_item *it, usec_t now);
+/* Whether a new piece's turn may come before its deadline. */
+bool batch_admits(const struct batch *b, uint32_t targets,
+    const struct batch_item *it, usec_t now);
 /*
  * Collects the owners of the pieces whose calls can't start by their deadline,
  * given the pieces that go before them.
--- a/kernel/overload/stage_waits.c
+++ b/kernel/overload/stage_waits.c
@@ -1,6 +1,6 @@
 #include "kernel/overload/stage_waits.h"
 
-struct service_waits {
+struct queue_waits {
 	struct {
 		usec_t wait;
 		usec_t at;
@@ -10,10 +10,16 @@
 void
 stage_waits_init(struct stage_waits *w)
 {
-	w->by_service =
+	w->by_queue =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
+static char *
+queue_key(const char *service, const char *domain)
+{
+	return g_strconcat(service, "\t", domain, NULL);
+}
+
 static uint32_t
 slot_of(uint32_t rank)
 {
@@ -21,25 +27,26 @@
 }
 
 void
-stage_waits_report(struct stage_waits *w, const char *service, uint32_t rank,
-    usec_t wait, usec_t now)
+stage_waits_report(struct stage_waits *w, const char *service,
+    const char *domain, uint32_t rank, usec_t wait, usec_t now)
 {
-	struct service_waits *s = g_hash_table_lookup(w->by_service, service);
+	g_autofree char *key = queue_key(service, domain);
+	struct queue_waits *s = g_hash_table_lookup(w->by_queue, key);
 
 	if (s == NULL) {
-		s = g_new0(struct service_waits, 1);
-		g_hash_table_insert(w->by_service, g_strdup(service), s);
+		s = g_new0(struct queue_waits, 1);
+		g_hash_table_insert(w->by_queue, g_strdup(key), s);
 	}
 	s->ranks[slot_of(rank)].wait = wait;
 	s->ranks[slot_of(rank)].at = now;
 }
 
 usec_t
-stage_waits_get(
-    const struct stage_waits *w, const char *service, uint32_t rank, usec_t now)
+stage_waits_get(const struct stage_waits *w, const char *service,
+    const char *domain, uint32_t rank, usec_t now)
 {
-	const struct service_waits *s =
-	    g_hash_table_lookup(w->by_service, service);
+	g_autofree char *key = queue_key(service, domain);
+	const struct queue_waits *s = g_hash_table_lookup(w->by_queue, key);
 	usec_t left;
 
 	if (s == NULL)
@@ -52,5 +59,5 @@
 void
 stage_waits_free(struct stage_waits *w)
 {
-	g_hash_table_destroy(w->by_service);
+	g_hash_table_destroy(w->by_queue);
 }
--- a/plat/watcher.c
+++ b/plat/watcher.c
@@ -12,7 +12,7 @@
  * with the first change; while many targets register, each host would call once
  * for each of them.
  */
-#define CHANGE_INTERVAL (100 * USEC_PER_MSEC)
+#define CHANGE_INTERVAL (200 * USEC_PER_MSEC)
 /* Longer, because the service counts refused calls against its limit too. */
 #define BACKOFF_REFUSED (400 * USEC_PER_MSEC)
 /* Returned while a call is in flight: its completion sets the next time. */
