--- a/entry/forward.c
+++ b/entry/forward.c
@@ -142,6 +142,27 @@
 	httpd_abort(q);
 }
 
+/* Logs a lost call with the parts of its prompt and how far its answer came. */
+static void
+log_lost_call(const struct relay_request *r, const char *cause, bool again)
+{
+	struct buf parts = { 0 };
+	char events[24];
+
+	for (size_t i = 0; i < r->info.n_parts; i++) {
+		if (i > 0)
+			buf_putc(&parts, ',');
+		buf_put(&parts, r->info.parts[i].id);
+	}
+	snprintf(events, sizeof(events), "%" PRIu64,
+	    r->sse.events - r->events_before);
+	LOG(LOG_LVL_NOTICE, "call-lost", { "request", r->info.id },
+	    { "target", str_from(r->target_id) }, { "cause", str_from(cause) },
+	    { "again", again ? STR("yes") : STR("no") },
+	    { "events", str_from(events) }, { "parts", str_of(&parts) });
+	buf_free(&parts);
+}
+
 /*
  * Handles a call that may have run and has no complete response: retries it if
  * it may be repeated, else fails the request.
@@ -151,9 +172,8 @@
 {
 	bool again = route_repeatable(r->route) && can_retry(r);
 
-	LOG(LOG_LVL_NOTICE, "call-lost", { "request", r->info.id },
-	    { "target", str_from(r->target_id) }, { "cause", str_from(cause) },
-	    { "again", again ? STR("yes") : STR("no") });
+	r->shared->lost_calls++;
+	log_lost_call(r, cause, again);
 	if (again) {
 		sse_restart(&r->sse);
 		send_call(r);
@@ -519,6 +539,7 @@
 		    r->tried[r->n_tried++], t->entry.id, sizeof(r->tried[0]));
 	r->sends++;
 	r->sent_at = now;
+	r->events_before = r->sse.events;
 	log_choice(r, t, left);
 	loads_sent(t);
 	start_call(r, t, left);
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -494,6 +494,7 @@
 			.httpd = httpd_counts(y->httpd),
 			.dial = dialer_counts(y->shared.dialer),
 			.silent_calls = y->shared.silent_calls,
+			.lost_calls = y->shared.lost_calls,
 			.coordinator =
 			    coordinator_counts(y->shared.coordinator),
 			.discovery = discovery_counts(y->discovery),
--- a/entry/relay_metrics.h
+++ b/entry/relay_metrics.h
@@ -32,6 +32,7 @@
 	struct coordinator_counts coordinator;
 	struct discovery_counts discovery;
 	uint64_t silent_calls;
+	uint64_t lost_calls;
 	size_t busy;
 	bool ready;
 };
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -44,6 +44,7 @@
 	struct response_wait response_wait;
 	struct response_wait event_wait;
 	uint64_t silent_calls; /* given up */
+	uint64_t lost_calls;   /* sent, without a complete response */
 	/* Waits at the stage services, as their coordinators report them. */
 	struct stage_waits stage_waits;
 	/* How long ago the callers of a route sent their first attempt. */
@@ -97,6 +98,7 @@
 	uint32_t sends;
 	usec_t sent_at;               /* time of the last call */
 	struct event *response_timer; /* NULL: the call waits without limit */
+	uint64_t events_before;       /* the last call: events of earlier ones */
 	usec_t events_at;             /* first event; 0: none */
 	usec_t last_event_at;
 	usec_t longest_pause; /* between events */
