Test that fails: a part of prompts that crashes engines keeps reaching them

Four hosts, six engines of the fake platform, sound requests that share the first part and a subject with the crashing ones.

--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -17,6 +17,7 @@
 #include <glib.h>
 
 #define FAKEPLAT_MAX_TARGETS 16
+#define FAKEPLAT_MAX_CRASHES 512
 
 struct fakeplat;
 
@@ -65,6 +66,17 @@
 /* Puts a target with another id at the same address. */
 void fakeplat_replace_target(
     struct fakeplat *plat, const char *id, const char *new_id);
+/*
+ * From now on a target crashes when it begins the stream of a request that has
+ * this part in its prompt, before the last one: it resets its connections,
+ * refuses new ones, and is back after a while under another id.
+ */
+void fakeplat_set_crash_part(struct fakeplat *plat, const char *part);
+/* Returns the number of crashes, with their times in order. */
+size_t fakeplat_crashes(
+    struct fakeplat *plat, usec_t times[FAKEPLAT_MAX_CRASHES]);
+/* Returns how many requests with the part reached targets after a time. */
+uint32_t fakeplat_crash_part_arrivals(struct fakeplat *plat, usec_t after);
 /* Returns false if no target has received the attempt. */
 bool fakeplat_get_attempt(
     struct fakeplat *plat, const char *attempt, struct fakeplat_attempt *out);
--- /dev/null
+++ b/tests/platform/test_crashing_part.c
@@ -0,0 +1,229 @@
+/*
+ * A part of prompts that crashes each target that begins an answer on it:
+ * several hosts, a fake platform, sound requests and requests with the part at
+ * all hosts.
+ */
+#include "tests/platform/harness.h"
+
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STORE_PORT      21700
+#define TARGET_PORT     21701
+#define HOST_PORT       21720
+#define HOSTS           4
+#define TARGETS         6
+#define TIMEOUT_SECONDS 15
+#define CRASH_PART      "bad"
+/* The platform's bounds: StableMs, the crash and the requests allowed. */
+#define STABLE_TIME     (3 * USEC_PER_SEC)
+#define BOUND_CRASH     5
+#define ALLOWED_LATER   3
+/* Sound requests that are counted after the bound of the last crash. */
+#define COUNTED_TIME    (3 * USEC_PER_SEC)
+#define SOUND_INTERVAL  (60 * USEC_PER_MSEC)
+#define CRASH_INTERVAL  (200 * USEC_PER_MSEC)
+#define DEADLINE_MS     2000
+
+struct caller {
+	pthread_t thread;
+	int number;
+	bool sound;
+};
+
+static struct fakeplat *platform;
+static struct harness_host hosts[HOSTS];
+static atomic_bool stopping;
+static atomic_bool crashing; /* requests with the part are sent */
+static atomic_bool counting; /* sound requests are counted */
+static atomic_uint n_sound;
+static atomic_uint n_served;
+
+static void
+send_request(struct caller *c, int n)
+{
+	bool counted = atomic_load(&counting);
+	g_autofree char *id = g_strdup_printf(
+	    "s-%s-%d-%d", c->sound ? "sound" : "bad", c->number, n);
+	/* Sound requests share the first part and a subject with the others. */
+	g_autofree char *fields = g_strdup_printf(
+	    "X-Token-Count: 320,20\r\n"
+	    "X-Prefix-Hash: first:100,subject%d:100%s,u%d.%d:20\r\n",
+	    c->sound ? n % 4 : 0, c->sound ? "" : "," CRASH_PART ":100",
+	    c->number, n);
+	g_autofree char *q =
+	    harness_format(&(struct harness_request){ .path = "/stream/1",
+		.id = id,
+		.extra_fields = fields,
+		.deadline_ms = DEADLINE_MS });
+	struct harness_response a;
+
+	harness_exchange(hosts[(c->number + n) % HOSTS].port, str_from(q),
+	    2 * DEADLINE_MS, &a);
+	if (c->sound && counted) {
+		atomic_fetch_add(&n_sound, 1);
+		if (a.status == 200 && a.complete)
+			atomic_fetch_add(&n_served, 1);
+	}
+	harness_response_free(&a);
+}
+
+static void *
+run_caller(void *arg)
+{
+	struct caller *c = arg;
+
+	for (int n = 0; !atomic_load(&stopping); n++) {
+		if (c->sound || atomic_load(&crashing))
+			send_request(c, n);
+		g_usleep((gulong)(c->sound ? SOUND_INTERVAL : CRASH_INTERVAL));
+	}
+	return NULL;
+}
+
+static void
+start_host(struct harness_host *h)
+{
+	harness_start_host(h);
+	g_assert_true(harness_wait_ready(h, TIMEOUT_SECONDS));
+}
+
+static void
+start_fleet(void)
+{
+	static const char *const ids[TARGETS] = { "e1", "e2", "e3", "e4", "e5",
+		"e6" };
+	g_autofree char *c = harness_config(1, NULL);
+	g_autofree char *dir = g_dir_make_tmp("crashing-part-XXXXXX", NULL);
+
+	platform = fakeplat_start(STORE_PORT);
+	for (int i = 0; i < TARGETS; i++)
+		fakeplat_add_target(platform,
+		    &(struct fakeplat_target){ .id = ids[i],
+			.service = "engine",
+			.domain = "d1",
+			.port = (uint16_t)(TARGET_PORT + i) });
+	fakeplat_put(platform, "op/config", c);
+	for (int i = 0; i < HOSTS; i++) {
+		struct harness_host *h = &hosts[i];
+
+		h->port = (uint16_t)(HOST_PORT + 4 * i);
+		h->store_port = STORE_PORT;
+		h->seed_port = HOST_PORT;
+		snprintf(h->id, sizeof(h->id), "h%d", i + 1);
+		g_strlcpy(h->dir, dir, sizeof(h->dir));
+		start_host(h);
+	}
+}
+
+static void
+kill_host(struct harness_host *h)
+{
+	kill(h->pid, SIGKILL);
+	harness_wait_exit(h);
+}
+
+/* Time of the crash that bounds begin at, or of the last if there are fewer. */
+static usec_t
+bound_crash(void)
+{
+	usec_t times[FAKEPLAT_MAX_CRASHES];
+	size_t n = fakeplat_crashes(platform, times);
+
+	g_assert_cmpuint(n, >, 0);
+	return times[(n < BOUND_CRASH ? n : BOUND_CRASH) - 1];
+}
+
+static void
+wait_past_bound(usec_t time)
+{
+	usec_t until;
+
+	while ((until = bound_crash() + time) > clock_now())
+		g_usleep(50000);
+}
+
+static void
+check_arrivals(const char *when)
+{
+	usec_t times[FAKEPLAT_MAX_CRASHES];
+	size_t n = fakeplat_crashes(platform, times);
+	uint32_t later = n < BOUND_CRASH
+	    ? 0
+	    : fakeplat_crash_part_arrivals(
+		  platform, times[BOUND_CRASH - 1] + STABLE_TIME);
+
+	g_test_message("%s: %zu crashes, %u requests later", when, n, later);
+	g_assert_cmpuint(later, <=, ALLOWED_LATER);
+}
+
+/*
+ * Requests with the part stop reaching targets, from any host, also from hosts
+ * that have restarted; sound requests that share the other parts are served.
+ */
+static void
+test_fleet(void)
+{
+	fakeplat_set_crash_part(platform, CRASH_PART);
+	g_usleep(USEC_PER_SEC);
+	atomic_store(&crashing, true);
+	g_usleep(USEC_PER_SEC);
+	wait_past_bound(2 * STABLE_TIME);
+	check_arrivals("in the running fleet");
+	atomic_store(&counting, true);
+	g_usleep((gulong)COUNTED_TIME);
+	atomic_store(&counting, false);
+	g_test_message("%u sound requests, %u served", atomic_load(&n_sound),
+	    atomic_load(&n_served));
+	g_assert_cmpuint(atomic_load(&n_sound), >=, 20);
+	g_assert_cmpuint(2 * atomic_load(&n_served), >=, atomic_load(&n_sound));
+
+	kill_host(&hosts[1]);
+	start_host(&hosts[1]);
+	g_usleep((gulong)STABLE_TIME);
+	check_arrivals("after the restart of a host");
+
+	for (int i = 0; i < HOSTS; i++)
+		kill_host(&hosts[i]);
+	for (int i = 0; i < HOSTS; i++)
+		start_host(&hosts[i]);
+	g_usleep((gulong)STABLE_TIME);
+	check_arrivals("after the restart of all hosts");
+}
+
+static void
+stop_fleet(struct caller *v, int n)
+{
+	atomic_store(&stopping, true);
+	for (int i = 0; i < n; i++)
+		pthread_join(v[i].thread, NULL);
+	for (int i = 0; i < HOSTS; i++) {
+		kill(hosts[i].pid, SIGTERM);
+		g_assert_cmpint(harness_wait_exit(&hosts[i]), ==, 0);
+	}
+	fakeplat_stop(platform);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct caller callers[2 * HOSTS];
+	int rc;
+
+	g_test_init(&argc, &argv, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	start_fleet();
+	for (int i = 0; i < 2 * HOSTS; i++) {
+		callers[i] = (struct caller){ .number = i, .sound = i < HOSTS };
+		pthread_create(
+		    &callers[i].thread, NULL, run_caller, &callers[i]);
+	}
+	g_test_add_func("/crashing-part/fleet", test_fleet);
+	rc = g_test_run();
+	stop_fleet(callers, 2 * HOSTS);
+	return rc;
+}
