--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -98,8 +98,8 @@
 	uint32_t sends;
 	usec_t sent_at;               /* time of the last call */
 	struct event *response_timer; /* NULL: the call waits without limit */
-	uint64_t events_before;       /* the last call: events of earlier ones */
-	usec_t events_at;             /* first event; 0: none */
+	uint64_t events_before; /* the last call: events of earlier ones */
+	usec_t events_at;       /* first event; 0: none */
 	usec_t last_event_at;
 	usec_t longest_pause; /* between events */
 	/* A call was sent whose response did not say "not run". */
