Prompt parts that crash targets are found by the fleet and quarantined

Cause: a lost call was blamed on its target only. Each host set that target aside and sent the request, and all later ones with the same part of the prompt, to the next target. With nine hosts each saw a few of the crashes only, so none could have told the part from the others.

Change: a host reports calls that were lost before their answers began, with a target that refuses connections, to three collectors; these blame the parts that were there at three crashes at different times and in different prompts and that no target has answered since (kernel/crash_suspects). The set is quarantined at all hosts for ten minutes (kernel/quarantine): each set is an item of the store, so hosts that restart know it, and collectors send it to the others. Requests with all parts of it are rejected at once with 503; answers on sound parts take these out of the set.

--- a/base/err.c
+++ b/base/err.c
@@ -78,6 +78,9 @@
 	INFO(ERR_METHOD) = { "method", 405,
 	    "Use the method that the Allow header names." },
 	INFO(ERR_IO) = { "io", 500, "Check the file or connection named." },
+	INFO(ERR_QUARANTINED) = { "quarantined", 503,
+	    "Change the prompt: targets crash on a part of it; the quarantine "
+	    "ends after Retry-After." },
 };
 
 static const struct err_info *
--- a/base/err.h
+++ b/base/err.h
@@ -41,7 +41,8 @@
 	ERR_NOT_READY = -28,
 	ERR_METHOD = -29,
 	ERR_IO = -30,
-	ERR_LAST = -31
+	ERR_QUARANTINED = -31,
+	ERR_LAST = -32
 };
 
 /* How a request ended, as reported to its caller. */
--- a/entry/control.c
+++ b/entry/control.c
@@ -206,6 +206,9 @@
 	case PEER_PIECE_REPLY:
 	case PEER_PIECE_FREE:
 	case PEER_FEED:
+	case PEER_CRASH:
+	case PEER_ANSWERED:
+	case PEER_QUARANTINE:
 		break; /* sent only by hosts that relay by route */
 	}
 }
--- /dev/null
+++ b/entry/crash_reports.h
@@ -0,0 +1,38 @@
+/*
+ * Reports to the collectors (kernel/crash_suspects.h) which calls were lost
+ * with a target that crashed, and which parts of prompts targets have answered.
+ *
+ * A call lost before its answer began is reported once its target refuses
+ * connections: a connection may also break by itself.  Answers are reported
+ * only for parts that are under suspicion.  Runs on the relay's thread.
+ */
+#ifndef ENTRY_CRASH_REPORTS_H
+#define ENTRY_CRASH_REPORTS_H
+
+#include "entry/discovery.h"
+
+#include <event2/event.h>
+
+struct crash_reports;
+
+struct crash_reports_opts {
+	struct event_base *base;
+	struct discovery *discovery;
+	const char *self; /* id of this host */
+	const char *self_rpc;
+};
+
+struct crash_reports *crash_reports_new(const struct crash_reports_opts *o);
+/* Sets the live hosts (struct view_peer) and the quarantined parts. */
+void crash_reports_set_view(struct crash_reports *c, const struct view *v);
+/* A call to the target at addr was lost before its answer had begun. */
+void crash_reports_lost(struct crash_reports *c, const char *target,
+    const char *addr, const struct part_set *parts);
+/* A target has begun to answer, and goes on. */
+void crash_reports_answered(
+    struct crash_reports *c, const struct part_set *parts);
+/* Number of crashes reported by this host. */
+uint64_t crash_reports_count(const struct crash_reports *c);
+void crash_reports_free(struct crash_reports *c);
+
+#endif
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -90,6 +90,7 @@
 	switch (ev) {
 	case WATCHER_LIST_BEGIN:
 		roster_begin(&d->roster);
+		quarantine_list_begin(&d->quarantine, clock_now());
 		pthread_mutex_lock(&d->lock);
 		g_hash_table_remove_all(d->target_values);
 		pthread_mutex_unlock(&d->lock);
@@ -101,10 +102,14 @@
 			discovery_config_from_store(d, value);
 		else if (str_eq(key, STR(HOSTS_KEY)))
 			discovery_read_hosts(d, value);
+		else
+			discovery_quarantine_item(d, key, value, false);
 		break;
 	case WATCHER_DELETE:
 		if (target)
 			remove_target(d, key);
+		else
+			discovery_quarantine_item(d, key, STR(""), true);
 		break;
 	case WATCHER_LIST_END:
 		roster_finish(&d->roster, clock_now());
@@ -119,25 +124,37 @@
 	}
 }
 
-/* Serves configuration and targets to a peer that cannot reach the store. */
-static void
-serve_state(struct discovery *d, peer_result *r)
+/* Returns a JSON object of a table of strings. */
+static json_t *
+string_map(GHashTable *t)
 {
-	json_t *o;
-	json_t *list = json_object();
+	json_t *o = json_object();
 	GHashTableIter it;
 	gpointer k;
 	gpointer v;
 
-	pthread_mutex_lock(&d->lock);
-	g_hash_table_iter_init(&it, d->target_values);
+	g_hash_table_iter_init(&it, t);
 	while (g_hash_table_iter_next(&it, &k, &v))
-		json_object_set_new(list, k, json_string(v));
-	o = json_pack("{s:I, s:o, s:o}", "revision",
+		json_object_set_new(o, k, json_string(v));
+	return o;
+}
+
+/*
+ * Serves configuration, targets and quarantined parts to a peer that cannot
+ * reach the store.
+ */
+static void
+serve_state(struct discovery *d, peer_result *r)
+{
+	json_t *o;
+
+	pthread_mutex_lock(&d->lock);
+	o = json_pack("{s:I, s:o, s:o, s:o}", "revision",
 	    (json_int_t)d->counts.revision, "config",
 	    json_stringn(
 		d->config_text.n > 0 ? d->config_text.p : "", d->config_text.n),
-	    "targets", list);
+	    "targets", string_map(d->target_values), "quarantine",
+	    string_map(d->quarantine_values));
 	r->found = !d->counts.store_unavailable && d->config_text.n > 0;
 	pthread_mutex_unlock(&d->lock);
 	if (r->found) {
@@ -183,6 +200,9 @@
 	case PEER_SHARE_REPORT:
 	case PEER_SHARE_REPLY:
 	case PEER_FEED:
+	case PEER_CRASH:
+	case PEER_ANSWERED:
+	case PEER_QUARANTINE:
 		break;
 	}
 	m = inbox_msg_new(INBOX_DATAGRAM);
@@ -213,6 +233,12 @@
 		return;
 	}
 	discovery_queue_config(d, str_from(config), "another host");
+	json_object_foreach(json_object_get(o, "quarantine"), key, v)
+	{
+		if (json_is_string(v))
+			discovery_read_quarantine(d, str_from(key),
+			    str_from(json_string_value(v)), false);
+	}
 	if (d->store_unavailable || revision > watcher_revision(d->watcher)) {
 		roster_set_store_unavailable(&d->roster, false, clock_now());
 		roster_begin(&d->roster);
@@ -243,6 +269,8 @@
 				    d->fleet, &m->datagram, clock_now());
 			else if (m->datagram.body.kind == PEER_FEED)
 				discovery_on_feed(d, &m->datagram, clock_now());
+			else
+				discovery_on_quarantine(d, &m->datagram.body);
 			break;
 		case INBOX_FETCHED:
 			if (strcmp(m->fetched.name, CONFIG_NAME) == 0)
@@ -325,6 +353,7 @@
 	v->peers = live_peers(d);
 	v->hosts_listed = d->hosts_listed;
 	v->store_unavailable = d->store_unavailable;
+	v->quarantine = quarantine_copy(&d->quarantine);
 	v->created_at = now;
 	d->o.publish_view(d->o.arg, v);
 }
@@ -368,6 +397,7 @@
 	discovery_fetch_config(d, now);
 	discovery_feed_heartbeat(d, now);
 	discovery_write_hosts(d, now);
+	discovery_send_quarantine(d, now);
 	publish(d, now);
 	if (d->hosts_dirty)
 		next =
@@ -375,6 +405,7 @@
 	http_run(d->loop, next > now ? next - now : 0);
 	process_inbox(d);
 	discovery_apply_config(d, clock_now());
+	discovery_send_quarantine(d, clock_now());
 	publish(d, clock_now());
 	pthread_mutex_lock(&d->lock);
 	d->counts.store_calls = kv_calls(d->kv);
@@ -444,7 +475,11 @@
 	pthread_mutex_init(&d->lock, NULL);
 	d->target_values =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	d->quarantine_values =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	roster_init(&d->roster);
+	quarantine_init(&d->quarantine);
+	crash_suspects_init(&d->suspects);
 	d->loop = http_new();
 	d->inbox = inbox_new();
 	open_store(d);
@@ -506,6 +541,12 @@
 	return c;
 }
 
+void
+discovery_receive(struct discovery *d, peer_letter *l)
+{
+	on_deliver(d, l);
+}
+
 void
 discovery_drain(struct discovery *d)
 {
@@ -536,6 +577,9 @@
 	roster_free(&d->roster);
 	routes_unref(d->routes);
 	g_hash_table_destroy(d->target_values);
+	g_hash_table_destroy(d->quarantine_values);
+	quarantine_free(&d->quarantine);
+	crash_suspects_free(&d->suspects);
 	buf_free(&d->config_text);
 	buf_free(&d->queued_config);
 	buf_free(&d->config_compressed);
--- a/entry/discovery.h
+++ b/entry/discovery.h
@@ -40,6 +40,11 @@
 struct discovery *discovery_new(const struct discovery_opts *o, struct err *e);
 void discovery_start(struct discovery *d);
 struct rpc *discovery_rpc(struct discovery *d);
+/*
+ * Handles a datagram that this host sends to itself, on any thread; takes over
+ * what it owns and zeroes it.
+ */
+void discovery_receive(struct discovery *d, peer_letter *l);
 struct discovery_counts discovery_counts(struct discovery *d);
 /* Announces the drain, so that peers choose other coordinators. */
 void discovery_drain(struct discovery *d);
--- a/entry/discovery_feed.c
+++ b/entry/discovery_feed.c
@@ -21,14 +21,15 @@
 	struct members *m = fleet_members(d->fleet);
 	size_t n_live;
 	const char *const *ids = member_live(m, &n_live);
-	struct feeder_host *v = xcalloc(n_live, sizeof(*v));
+	struct rendezvous_host *v = xcalloc(n_live, sizeof(*v));
 	size_t n = 0;
 
 	for (size_t i = 0; i < n_live; i++) {
 		const struct member *x = member_find(m, ids[i]);
 
 		if (x != NULL)
-			v[n++] = (struct feeder_host){ ids[i], x->capacity };
+			v[n++] =
+			    (struct rendezvous_host){ ids[i], x->capacity };
 	}
 	feeders_choose(out, v, n);
 	free(v);
--- /dev/null
+++ b/entry/discovery_quarantine.c
@@ -0,0 +1,283 @@
+/*
+ * Gathers the reports of crashed targets, decides which parts of prompts are
+ * quarantined (kernel/crash_suspects.h), and keeps these the same at all hosts
+ * and in the store (kernel/quarantine.h).
+ */
+#include "entry/discovery_state.h"
+#include "base/log.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ITEM_PREFIX "sequoia/quarantine/"
+
+/* Rank of this host among the collectors; CRASH_COLLECTORS: it is none. */
+static uint32_t
+collector_rank(struct discovery *d)
+{
+	struct members *m = fleet_members(d->fleet);
+	size_t n_live;
+	const char *const *ids = member_live(m, &n_live);
+	struct rendezvous_host *v = xcalloc(n_live, sizeof(*v));
+	const char *chosen[CRASH_COLLECTORS];
+	size_t n = 0;
+	uint32_t rank = 0;
+
+	for (size_t i = 0; i < n_live; i++) {
+		const struct member *x = member_find(m, ids[i]);
+
+		if (x != NULL)
+			v[n++] =
+			    (struct rendezvous_host){ ids[i], x->capacity };
+	}
+	n = crash_collectors(v, n, chosen);
+	while (rank < n && strcmp(chosen[rank], d->o.settings->id) != 0)
+		rank++;
+	free(v);
+	return rank < n ? rank : CRASH_COLLECTORS;
+}
+
+/* Publishes a change to the relay and to the peers that fetch the state. */
+static void
+quarantine_changed(struct discovery *d)
+{
+	const struct quarantine *q = &d->quarantine;
+
+	pthread_mutex_lock(&d->lock);
+	g_hash_table_remove_all(d->quarantine_values);
+	for (guint i = 0; i < q->entries->len; i++) {
+		const struct quarantine_entry *e =
+		    &g_array_index(q->entries, struct quarantine_entry, i);
+		struct buf value = { 0 };
+
+		quarantine_write(e, &value);
+		g_hash_table_insert(
+		    d->quarantine_values, g_strdup(e->id), g_strdup(value.p));
+		buf_free(&value);
+	}
+	pthread_mutex_unlock(&d->lock);
+	d->view_dirty = true;
+}
+
+static void
+log_quarantine(const struct quarantine_entry *e, const char *source)
+{
+	struct buf value = { 0 };
+
+	quarantine_write(e, &value);
+	if (e->parts.n == 0)
+		log_text(LOG_LVL_NOTICE, "quarantine-lifted", "%s, %s", e->id,
+		    source);
+	else
+		log_text(LOG_LVL_WARNING, "parts-quarantined",
+		    "%s, %s: %zu parts, for %" PRId64 " s: %s", e->id, source,
+		    e->parts.n, e->length_ms / 1000, value.p);
+	buf_free(&value);
+}
+
+void
+discovery_read_quarantine(
+    struct discovery *d, struct str id, struct str value, bool from_store)
+{
+	g_autofree char *text = g_strndup(id.p, id.n);
+
+	switch (quarantine_read(
+	    &d->quarantine, id, value, from_store, clock_now())) {
+	case QUARANTINE_UNCHANGED:
+		break;
+	case QUARANTINE_MALFORMED:
+		log_text(LOG_LVL_WARNING, "quarantine-malformed",
+		    "%s from %s: \"%.*s\" is not version, end, length and "
+		    "parts; ignored",
+		    text, from_store ? FROM_STORE : "another host",
+		    STR_FMT(value));
+		break;
+	case QUARANTINE_CHANGED:
+		log_quarantine(quarantine_find(&d->quarantine, id),
+		    from_store ? FROM_STORE : "another host");
+		quarantine_changed(d);
+		break;
+	}
+}
+
+void
+discovery_quarantine_item(
+    struct discovery *d, struct str key, struct str value, bool deleted)
+{
+	if (!str_has_prefix(key, STR(ITEM_PREFIX)))
+		return;
+	key.p += sizeof(ITEM_PREFIX) - 1;
+	key.n -= sizeof(ITEM_PREFIX) - 1;
+	if (!deleted) {
+		discovery_read_quarantine(d, key, value, true);
+	} else if (quarantine_delete(&d->quarantine, key)) {
+		log_text(LOG_LVL_NOTICE, "quarantine-lifted",
+		    "%.*s, deleted in the store", STR_FMT(key));
+		quarantine_changed(d);
+	}
+}
+
+static void
+read_prompt(const peer_prompt *p, struct part_set *out)
+{
+	*out = (struct part_set){ 0 };
+	for (u_int i = 0; i < p->parts.parts_len; i++)
+		part_set_add(out, p->parts.parts_val[i]);
+}
+
+static void
+begin_quarantine(
+    struct discovery *d, const struct part_set *parts, const char *why)
+{
+	log_quarantine(quarantine_begin(&d->quarantine, parts,
+			   clock_wall() / USEC_PER_MSEC, clock_now()),
+	    why);
+	quarantine_changed(d);
+}
+
+/*
+ * Adds a call that was lost with its target, unless it explains the crash: its
+ * parts are quarantined, or were until lately and are again from now on.
+ */
+static void
+add_crash_call(
+    struct discovery *d, const char *target, const struct part_set *parts)
+{
+	int64_t now_ms = clock_wall() / USEC_PER_MSEC;
+	const struct quarantine_entry *ended =
+	    quarantine_match_ended(&d->quarantine, parts, now_ms);
+
+	if (ended != NULL) {
+		struct part_set again = ended->parts;
+
+		begin_quarantine(d, &again, "crashed a target again");
+	}
+	if (quarantine_match(&d->quarantine, parts, now_ms) != NULL)
+		crash_suspects_explain(&d->suspects, target, clock_now());
+	else
+		crash_suspects_add(&d->suspects, target, parts, clock_now());
+}
+
+static void
+on_crash(struct discovery *d, const peer_crash *c)
+{
+	struct part_set parts;
+	uint32_t crashes;
+
+	log_text(LOG_LVL_NOTICE, "target-crashed",
+	    "%s, with %u calls that had no answer", c->target,
+	    c->calls.calls_len);
+	for (u_int i = 0; i < c->calls.calls_len; i++) {
+		read_prompt(&c->calls.calls_val[i], &parts);
+		add_crash_call(d, c->target, &parts);
+	}
+	while ((crashes = crash_suspects_blame(&d->suspects, &parts)) > 0) {
+		g_autofree char *why =
+		    g_strdup_printf("%u targets crashed", crashes);
+
+		begin_quarantine(d, &parts, why);
+	}
+}
+
+static void
+on_answered(struct discovery *d, const peer_prompt *p)
+{
+	struct part_set parts;
+
+	read_prompt(p, &parts);
+	crash_suspects_answered(&d->suspects, &parts);
+	if (!quarantine_answered(&d->quarantine, &parts, clock_now()))
+		return;
+	log_text(LOG_LVL_NOTICE, "quarantine-narrowed",
+	    "targets have answered on %zu parts", parts.n);
+	quarantine_changed(d);
+}
+
+void
+discovery_on_quarantine(struct discovery *d, const peer_body *body)
+{
+	switch (body->kind) {
+	case PEER_CRASH:
+		on_crash(d, &body->peer_body_u.crash);
+		break;
+	case PEER_ANSWERED:
+		on_answered(d, &body->peer_body_u.answered);
+		break;
+	case PEER_QUARANTINE:
+		discovery_read_quarantine(d,
+		    str_from(body->peer_body_u.quarantine.id),
+		    str_from(body->peer_body_u.quarantine.value), false);
+		break;
+	case PEER_GOSSIP:
+	case PEER_CLAIM:
+	case PEER_VERDICT:
+	case PEER_SHARE_REPORT:
+	case PEER_SHARE_REPLY:
+	case PEER_PIECE_ASK:
+	case PEER_PIECE_REPLY:
+	case PEER_PIECE_FREE:
+	case PEER_FEED:
+		break; /* not about quarantined parts */
+	}
+}
+
+/* Sends an entry to all other hosts, and to the store if that answers. */
+static void
+send_entry(struct discovery *d, const struct quarantine_entry *e)
+{
+	struct members *m = fleet_members(d->fleet);
+	peer_body body = { .kind = PEER_QUARANTINE };
+	struct buf value = { 0 };
+	size_t n;
+	const char *const *ids = member_live(m, &n);
+
+	quarantine_write(e, &value);
+	body.peer_body_u.quarantine.id = (char *)e->id;
+	body.peer_body_u.quarantine.value = value.p;
+	for (size_t i = 0; i < n; i++) {
+		const struct member *x = member_find(m, ids[i]);
+
+		if (x != NULL && strcmp(ids[i], d->o.settings->id) != 0)
+			rpc_send(d->rpc, member_rpc(x), &body);
+	}
+	if (!d->store_unavailable) {
+		g_autofree char *key = g_strconcat(ITEM_PREFIX, e->id, NULL);
+
+		kv_put_item(d->kv, str_from(key), str_of(&value), NULL, NULL);
+	}
+	buf_free(&value);
+}
+
+/* Forgets entries that have ended long ago. */
+static void
+forget_ended(struct discovery *d, bool delete_stored)
+{
+	const struct quarantine_entry *e;
+
+	while ((e = quarantine_next_ended(
+		    &d->quarantine, clock_wall() / USEC_PER_MSEC)) != NULL) {
+		g_autofree char *key = g_strconcat(ITEM_PREFIX, e->id, NULL);
+
+		if (delete_stored)
+			kv_delete_item(d->kv, str_from(key), NULL, NULL);
+		quarantine_delete(&d->quarantine, str_from(e->id));
+		quarantine_changed(d);
+	}
+}
+
+void
+discovery_send_quarantine(struct discovery *d, usec_t now)
+{
+	const struct quarantine_entry *e;
+	uint32_t rank;
+
+	if (d->quarantine.entries->len == 0)
+		return;
+	rank = collector_rank(d);
+	forget_ended(d, rank == 0 && !d->store_unavailable);
+	if (rank == CRASH_COLLECTORS)
+		return;
+	while ((e = quarantine_next_due(&d->quarantine, rank, now)) != NULL)
+		send_entry(d, e);
+}
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -1,7 +1,8 @@
 /*
  * State shared by the discovery files: discovery.c runs the thread and handles
  * store events and targets, discovery_config.c receives, applies and serves
- * configurations, discovery_feed.c forwards store changes between hosts.
+ * configurations, discovery_feed.c forwards store changes between hosts,
+ * discovery_quarantine.c finds and shares the quarantined parts of prompts.
  *
  * All functions run on the discovery thread, except discovery_serve_config,
  * which runs on the RPC thread.
@@ -13,7 +14,9 @@
 #include "entry/fleet.h"
 #include "entry/inbox.h"
 #include "entry/discovery.h"
+#include "kernel/crash_suspects.h"
 #include "kernel/host_list.h"
+#include "kernel/quarantine.h"
 #include "plat/watcher.h"
 
 #include <pthread.h>
@@ -57,12 +60,15 @@
 	struct buf config_compressed;
 	struct host_list_writer hosts;
 	bool hosts_listed;
+	struct quarantine quarantine;
+	struct crash_suspects suspects;
 	bool feed_gap; /* changes are missing that only a long poll returns */
 	usec_t feed_received_at;
 	usec_t feed_sent_at;
 	pthread_mutex_t lock; /* guards the members below */
 	struct buf config_text;
-	GHashTable *target_values; /* key -> value as stored */
+	GHashTable *target_values;     /* key -> value as stored */
+	GHashTable *quarantine_values; /* id -> value */
 	struct discovery_counts counts;
 };
 
@@ -107,6 +113,23 @@
 /* Writes the list when it has changed; call it regularly. */
 void discovery_write_hosts(struct discovery *d, usec_t now);
 
+/*
+ * The quarantined parts of prompts (discovery_quarantine.c): handles an item of
+ * the store that is written or deleted; other keys are ignored.
+ */
+void discovery_quarantine_item(
+    struct discovery *d, struct str key, struct str value, bool deleted);
+/* Takes a quarantine from the store or from another host. */
+void discovery_read_quarantine(
+    struct discovery *d, struct str id, struct str value, bool from_store);
+/* Handles PEER_CRASH, PEER_ANSWERED and PEER_QUARANTINE. */
+void discovery_on_quarantine(struct discovery *d, const peer_body *body);
+/*
+ * Sends quarantines to the other hosts and the store, and ends them, when due;
+ * call it regularly.
+ */
+void discovery_send_quarantine(struct discovery *d, usec_t now);
+
 /* Whether this host relies on feeders instead of polling the store. */
 bool discovery_has_feeder(struct discovery *d, usec_t now);
 /* Whether this host is the first of the feeders, or of a small fleet. */
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -52,6 +52,13 @@
 	return loads_find(&r->shared->loads, r->target_id);
 }
 
+/* Number of events that the last call has got. */
+static uint64_t
+call_events(const struct relay_request *r)
+{
+	return r->sse.events - r->events_before;
+}
+
 void
 forward_query(const struct relay_request *r, struct loads_query *query)
 {
@@ -154,8 +161,7 @@
 			buf_putc(&parts, ',');
 		buf_put(&parts, r->info.parts[i].id);
 	}
-	snprintf(events, sizeof(events), "%" PRIu64,
-	    r->sse.events - r->events_before);
+	snprintf(events, sizeof(events), "%" PRIu64, call_events(r));
 	LOG(LOG_LVL_NOTICE, "call-lost", { "request", r->info.id },
 	    { "target", str_from(r->target_id) }, { "cause", str_from(cause) },
 	    { "again", again ? STR("yes") : STR("no") },
@@ -171,9 +177,13 @@
 on_answer_lost(struct relay_request *r, const char *cause)
 {
 	bool again = route_repeatable(r->route) && can_retry(r);
+	const struct target_load *t = target_of(r);
 
 	r->shared->lost_calls++;
 	log_lost_call(r, cause, again);
+	if (t != NULL && call_events(r) < CRASH_BEGUN_EVENTS)
+		crash_reports_lost(r->shared->crash_reports, r->target_id,
+		    t->entry.addr, &r->parts);
 	if (again) {
 		sse_restart(&r->sse);
 		send_call(r);
@@ -244,6 +254,16 @@
 	    0, r->deadline - now);
 }
 
+/* Notes once per call that the target answers on the parts of the prompt. */
+static void
+note_answer(struct relay_request *r)
+{
+	if (r->answer_reported)
+		return;
+	r->answer_reported = true;
+	crash_reports_answered(r->shared->crash_reports, &r->parts);
+}
+
 /* Passes on the events that have arrived completely. */
 static void
 pass_events(struct relay_request *r, const struct httpmsg *m)
@@ -261,6 +281,8 @@
 	if (events.n == 0)
 		return;
 	note_events(r);
+	if (call_events(r) >= CRASH_BEGUN_EVENTS)
+		note_answer(r);
 	if (!r->head_written) {
 		write_head(r, m);
 		stages_release(r);
@@ -336,6 +358,8 @@
 		return;
 	}
 	report_call_end(r, true);
+	if (call_events(r) > 0)
+		note_answer(r);
 	if (!r->head_written)
 		write_head(r, m);
 	q = r->httpd_req;
@@ -357,6 +381,8 @@
 
 	platform_response_fields(&fields, m);
 	a.fields = fields.p;
+	if (is_success(r))
+		note_answer(r);
 	relay_request_done(r, is_success(r) ? "complete" : "target-error");
 	httpd_respond(q, &a);
 	buf_free(&fields);
@@ -525,7 +551,12 @@
 	usec_t left = r->deadline - now;
 	struct loads_query query;
 	struct target_load *t;
+	struct rejection why;
 
+	if (relay_quarantined(r->shared, &r->parts, &why)) {
+		relay_request_reject(r, &why);
+		return;
+	}
 	forward_query(r, &query);
 	t = loads_choose(&r->shared->loads, &query, now);
 	if (t == NULL || left < MIN_TIME_LEFT) {
@@ -540,6 +571,7 @@
 	r->sends++;
 	r->sent_at = now;
 	r->events_before = r->sse.events;
+	r->answer_reported = false;
 	log_choice(r, t, left);
 	loads_sent(t);
 	start_call(r, t, left);
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -14,11 +14,11 @@
 extern "C" {
 #endif
 
-#define PEER_NAME_MAX    48
-#define PEER_VALUE_MAX   9437184
+#define PEER_NAME_MAX 48
+#define PEER_VALUE_MAX 9437184
 #define PEER_MEMBERS_MAX 32
 #define PEER_LEAVING_MAX 4
-#define PEER_BATCH_MAX   16
+#define PEER_BATCH_MAX 16
 
 typedef char *peer_name;
 
@@ -193,6 +193,31 @@
 	} items;
 };
 typedef struct peer_feed peer_feed;
+#define PEER_PARTS_MAX 32
+#define PEER_CRASH_CALLS_MAX 64
+
+struct peer_prompt {
+	struct {
+		u_int parts_len;
+		u_quad_t *parts_val;
+	} parts;
+};
+typedef struct peer_prompt peer_prompt;
+
+struct peer_crash {
+	peer_name target;
+	struct {
+		u_int calls_len;
+		peer_prompt *calls_val;
+	} calls;
+};
+typedef struct peer_crash peer_crash;
+
+struct peer_quarantine {
+	peer_name id;
+	char *value;
+};
+typedef struct peer_quarantine peer_quarantine;
 
 enum peer_kind {
 	PEER_GOSSIP = 1,
@@ -204,6 +229,9 @@
 	PEER_PIECE_REPLY = 7,
 	PEER_PIECE_FREE = 8,
 	PEER_FEED = 9,
+	PEER_CRASH = 10,
+	PEER_ANSWERED = 11,
+	PEER_QUARANTINE = 12,
 };
 typedef enum peer_kind peer_kind;
 
@@ -219,6 +247,9 @@
 		peer_piece_reply piece_reply;
 		peer_piece_free piece_free;
 		peer_feed feed;
+		peer_crash crash;
+		peer_prompt answered;
+		peer_quarantine quarantine;
 	} peer_body_u;
 };
 typedef struct peer_body peer_body;
@@ -279,74 +310,80 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define PEER_DELIVER 1
-extern enum clnt_stat peer_deliver_1(peer_sealed *, void *, CLIENT *);
-extern bool_t peer_deliver_1_svc(peer_sealed *, void *, struct svc_req *);
+extern  enum clnt_stat peer_deliver_1(peer_sealed *, void *, CLIENT *);
+extern  bool_t peer_deliver_1_svc(peer_sealed *, void *, struct svc_req *);
 #define PEER_FETCH 2
-extern enum clnt_stat peer_fetch_1(peer_sealed *, peer_sealed *, CLIENT *);
-extern bool_t peer_fetch_1_svc(peer_sealed *, peer_sealed *, struct svc_req *);
-extern int peer_program_1_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
+extern  enum clnt_stat peer_fetch_1(peer_sealed *, peer_sealed *, CLIENT *);
+extern  bool_t peer_fetch_1_svc(peer_sealed *, peer_sealed *, struct svc_req *);
+extern int peer_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define PEER_DELIVER 1
-extern enum clnt_stat peer_deliver_1();
-extern bool_t peer_deliver_1_svc();
-#define PEER_FETCH   2
-extern enum clnt_stat peer_fetch_1();
-extern bool_t peer_fetch_1_svc();
-extern int peer_program_1_freeresult();
+extern  enum clnt_stat peer_deliver_1();
+extern  bool_t peer_deliver_1_svc();
+#define PEER_FETCH 2
+extern  enum clnt_stat peer_fetch_1();
+extern  bool_t peer_fetch_1_svc();
+extern int peer_program_1_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern bool_t xdr_peer_name(XDR *, peer_name *);
-extern bool_t xdr_peer_member(XDR *, peer_member *);
-extern bool_t xdr_peer_leaving(XDR *, peer_leaving *);
-extern bool_t xdr_peer_gossip(XDR *, peer_gossip *);
-extern bool_t xdr_peer_claim(XDR *, peer_claim *);
-extern bool_t xdr_peer_verdict(XDR *, peer_verdict *);
-extern bool_t xdr_peer_share_claim(XDR *, peer_share_claim *);
-extern bool_t xdr_peer_share_report(XDR *, peer_share_report *);
-extern bool_t xdr_peer_grant(XDR *, peer_grant *);
-extern bool_t xdr_peer_share_reply(XDR *, peer_share_reply *);
-extern bool_t xdr_peer_piece_ask(XDR *, peer_piece_ask *);
-extern bool_t xdr_peer_piece_made(XDR *, peer_piece_made *);
-extern bool_t xdr_peer_piece_reply(XDR *, peer_piece_reply *);
-extern bool_t xdr_peer_piece_free(XDR *, peer_piece_free *);
-extern bool_t xdr_peer_feed_item(XDR *, peer_feed_item *);
-extern bool_t xdr_peer_feed(XDR *, peer_feed *);
-extern bool_t xdr_peer_kind(XDR *, peer_kind *);
-extern bool_t xdr_peer_body(XDR *, peer_body *);
-extern bool_t xdr_peer_letter(XDR *, peer_letter *);
-extern bool_t xdr_peer_query_kind(XDR *, peer_query_kind *);
-extern bool_t xdr_peer_query(XDR *, peer_query *);
-extern bool_t xdr_peer_result(XDR *, peer_result *);
-extern bool_t xdr_peer_sealed(XDR *, peer_sealed *);
+extern  bool_t xdr_peer_name (XDR *, peer_name*);
+extern  bool_t xdr_peer_member (XDR *, peer_member*);
+extern  bool_t xdr_peer_leaving (XDR *, peer_leaving*);
+extern  bool_t xdr_peer_gossip (XDR *, peer_gossip*);
+extern  bool_t xdr_peer_claim (XDR *, peer_claim*);
+extern  bool_t xdr_peer_verdict (XDR *, peer_verdict*);
+extern  bool_t xdr_peer_share_claim (XDR *, peer_share_claim*);
+extern  bool_t xdr_peer_share_report (XDR *, peer_share_report*);
+extern  bool_t xdr_peer_grant (XDR *, peer_grant*);
+extern  bool_t xdr_peer_share_reply (XDR *, peer_share_reply*);
+extern  bool_t xdr_peer_piece_ask (XDR *, peer_piece_ask*);
+extern  bool_t xdr_peer_piece_made (XDR *, peer_piece_made*);
+extern  bool_t xdr_peer_piece_reply (XDR *, peer_piece_reply*);
+extern  bool_t xdr_peer_piece_free (XDR *, peer_piece_free*);
+extern  bool_t xdr_peer_feed_item (XDR *, peer_feed_item*);
+extern  bool_t xdr_peer_feed (XDR *, peer_feed*);
+extern  bool_t xdr_peer_prompt (XDR *, peer_prompt*);
+extern  bool_t xdr_peer_crash (XDR *, peer_crash*);
+extern  bool_t xdr_peer_quarantine (XDR *, peer_quarantine*);
+extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
+extern  bool_t xdr_peer_body (XDR *, peer_body*);
+extern  bool_t xdr_peer_letter (XDR *, peer_letter*);
+extern  bool_t xdr_peer_query_kind (XDR *, peer_query_kind*);
+extern  bool_t xdr_peer_query (XDR *, peer_query*);
+extern  bool_t xdr_peer_result (XDR *, peer_result*);
+extern  bool_t xdr_peer_sealed (XDR *, peer_sealed*);
 
 #else /* K&R C */
-extern bool_t xdr_peer_name();
-extern bool_t xdr_peer_member();
-extern bool_t xdr_peer_leaving();
-extern bool_t xdr_peer_gossip();
-extern bool_t xdr_peer_claim();
-extern bool_t xdr_peer_verdict();
-extern bool_t xdr_peer_share_claim();
-extern bool_t xdr_peer_share_report();
-extern bool_t xdr_peer_grant();
-extern bool_t xdr_peer_share_reply();
-extern bool_t xdr_peer_piece_ask();
-extern bool_t xdr_peer_piece_made();
-extern bool_t xdr_peer_piece_reply();
-extern bool_t xdr_peer_piece_free();
-extern bool_t xdr_peer_feed_item();
-extern bool_t xdr_peer_feed();
-extern bool_t xdr_peer_kind();
-extern bool_t xdr_peer_body();
-extern bool_t xdr_peer_letter();
-extern bool_t xdr_peer_query_kind();
-extern bool_t xdr_peer_query();
-extern bool_t xdr_peer_result();
-extern bool_t xdr_peer_sealed();
+extern bool_t xdr_peer_name ();
+extern bool_t xdr_peer_member ();
+extern bool_t xdr_peer_leaving ();
+extern bool_t xdr_peer_gossip ();
+extern bool_t xdr_peer_claim ();
+extern bool_t xdr_peer_verdict ();
+extern bool_t xdr_peer_share_claim ();
+extern bool_t xdr_peer_share_report ();
+extern bool_t xdr_peer_grant ();
+extern bool_t xdr_peer_share_reply ();
+extern bool_t xdr_peer_piece_ask ();
+extern bool_t xdr_peer_piece_made ();
+extern bool_t xdr_peer_piece_reply ();
+extern bool_t xdr_peer_piece_free ();
+extern bool_t xdr_peer_feed_item ();
+extern bool_t xdr_peer_feed ();
+extern bool_t xdr_peer_prompt ();
+extern bool_t xdr_peer_crash ();
+extern bool_t xdr_peer_quarantine ();
+extern bool_t xdr_peer_kind ();
+extern bool_t xdr_peer_body ();
+extern bool_t xdr_peer_letter ();
+extern bool_t xdr_peer_query_kind ();
+extern bool_t xdr_peer_query ();
+extern bool_t xdr_peer_result ();
+extern bool_t xdr_peer_sealed ();
 
 #endif /* K&R C */
 
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -153,6 +153,29 @@
 	peer_feed_item items<PEER_FEED_ITEMS>;
 };
 
+const PEER_PARTS_MAX = 32;
+const PEER_CRASH_CALLS_MAX = 64;
+
+/* The parts of a prompt, as hashes of their ids. */
+struct peer_prompt {
+	unsigned hyper parts<PEER_PARTS_MAX>;
+};
+
+/*
+ * A target has crashed with calls that had no answer yet; sent to the hosts
+ * that collect such reports.
+ */
+struct peer_crash {
+	peer_name target;
+	peer_prompt calls<PEER_CRASH_CALLS_MAX>;
+};
+
+/* An item of the quarantined parts (kernel/quarantine.h). */
+struct peer_quarantine {
+	peer_name id;
+	string value<1024>;
+};
+
 enum peer_kind {
 	PEER_GOSSIP = 1,
 	PEER_CLAIM = 2,
@@ -162,7 +185,10 @@
 	PEER_PIECE_ASK = 6,
 	PEER_PIECE_REPLY = 7,
 	PEER_PIECE_FREE = 8,
-	PEER_FEED = 9
+	PEER_FEED = 9,
+	PEER_CRASH = 10,
+	PEER_ANSWERED = 11,
+	PEER_QUARANTINE = 12
 };
 
 union peer_body switch (peer_kind kind) {
@@ -184,6 +210,12 @@
 	peer_piece_free piece_free;
 case PEER_FEED:
 	peer_feed feed;
+case PEER_CRASH:
+	peer_crash crash;
+case PEER_ANSWERED:
+	peer_prompt answered;   /* a target has answered on these parts */
+case PEER_QUARANTINE:
+	peer_quarantine quarantine;
 };
 
 struct peer_letter {
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -421,6 +421,42 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_prompt (XDR *xdrs, peer_prompt *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, PEER_PARTS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_crash (XDR *xdrs, peer_crash *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_name (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, PEER_CRASH_CALLS_MAX,
+		sizeof (peer_prompt), (xdrproc_t) xdr_peer_prompt))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_quarantine (XDR *xdrs, peer_quarantine *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_name (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->value, 1024))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_kind (XDR *xdrs, peer_kind *objp)
 {
@@ -475,6 +511,18 @@
 		 if (!xdr_peer_feed (xdrs, &objp->peer_body_u.feed))
 			 return FALSE;
 		break;
+	case PEER_CRASH:
+		 if (!xdr_peer_crash (xdrs, &objp->peer_body_u.crash))
+			 return FALSE;
+		break;
+	case PEER_ANSWERED:
+		 if (!xdr_peer_prompt (xdrs, &objp->peer_body_u.answered))
+			 return FALSE;
+		break;
+	case PEER_QUARANTINE:
+		 if (!xdr_peer_quarantine (xdrs, &objp->peer_body_u.quarantine))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -105,13 +105,32 @@
 	return out;
 }
 
+bool
+relay_quarantined(const struct relay_shared *s, const struct part_set *parts,
+    struct rejection *why)
+{
+	int64_t now_ms = clock_wall() / USEC_PER_MSEC;
+	const struct quarantine_entry *e = s->quarantine != NULL
+	    ? quarantine_match(s->quarantine, parts, now_ms)
+	    : NULL;
+
+	if (e == NULL)
+		return false;
+	*why = (struct rejection){ ERR_QUARANTINED,
+		(e->until_ms - now_ms) * USEC_PER_MSEC,
+		"targets crash on a part of its prompt" };
+	return true;
+}
+
 void
 relay_request_reject(struct relay_request *r, const struct rejection *why)
 {
 	struct rejection adjusted = adjust_rejection(r, why);
 
 	r->relay->counts.rejected[-adjusted.kind]++;
-	stages_rejected(r, &adjusted);
+	/* The caller of a quarantined request had better not come back. */
+	if (why->kind != ERR_QUARANTINED)
+		stages_rejected(r, &adjusted);
 	relay_answer_log_rejection(
 	    r->info.id, &adjusted, r->route->name, clock_now() - r->arrived);
 	if (r->head_written)
@@ -178,6 +197,16 @@
 	return key != NULL && key->rank != RANK_NONE ? key->rank : route->rank;
 }
 
+static struct part_set
+prompt_parts(const struct request_info *info)
+{
+	struct part_set out = { 0 };
+
+	for (size_t i = 0; i < info->n_parts; i++)
+		part_set_add(&out, info->parts[i].hash);
+	return out;
+}
+
 /* Creates the state of an accepted request and starts its stages. */
 static void
 accept_request(struct relay *y, struct httpd_request *q,
@@ -195,6 +224,7 @@
 	r->routes = routes_ref(y->view->routes);
 	r->route = route;
 	r->caller_key = caller_key;
+	r->parts = prompt_parts(info);
 	r->service =
 	    routes_service_at(r->routes, route_pick_service(route, info->id));
 	r->rank = effective_rank(route, caller_key);
@@ -242,6 +272,7 @@
 	const struct route *route;
 	const struct key_owner *caller_key = NULL;
 	struct rejection why = { ERR_OK, 0, "" };
+	struct part_set parts;
 
 	y->counts.arrived++;
 	if (!platform_request_parse(httpd_message(q), &info)) {
@@ -271,6 +302,11 @@
 		reject_early(y, q, info.id, &why);
 		return;
 	}
+	parts = prompt_parts(&info);
+	if (relay_quarantined(&y->shared, &parts, &why)) {
+		reject_early(y, q, info.id, &why);
+		return;
+	}
 	if (!ends_in_time(y, route, clock_now())) {
 		why = (struct rejection){ ERR_DRAINING, DRAINING_RETRY,
 			"this host is stopping" };
@@ -295,6 +331,29 @@
 	}
 }
 
+/*
+ * Rejects the requests that are quarantined by now, also those whose targets
+ * have not begun to answer: when they begin, they crash.
+ */
+static void
+reject_quarantined(struct relay *y)
+{
+	GList *next;
+
+	for (GList *l = y->requests.head; l != NULL; l = next) {
+		struct relay_request *r = l->data;
+		struct rejection why;
+
+		next = l->next;
+		if (r->sse.events > 0 ||
+		    !relay_quarantined(&y->shared, &r->parts, &why))
+			continue;
+		r->may_have_run = r->may_have_run || r->call != NULL;
+		forward_cancel(r);
+		relay_request_reject(r, &why);
+	}
+}
+
 static void
 apply_view(struct relay *y, struct view *v)
 {
@@ -318,6 +377,10 @@
 		close_delisted(y, y->view->targets);
 	view_free(y->view);
 	y->view = v;
+	y->shared.quarantine = &v->quarantine;
+	crash_reports_set_view(y->shared.crash_reports, v);
+	if (v->quarantine.entries->len > 0)
+		reject_quarantined(y);
 }
 
 static void
@@ -342,6 +405,9 @@
 	case PEER_SHARE_REPORT:
 	case PEER_SHARE_REPLY:
 	case PEER_FEED:
+	case PEER_CRASH:
+	case PEER_ANSWERED:
+	case PEER_QUARANTINE:
 		break; /* handled by the discovery thread */
 	}
 }
@@ -495,6 +561,10 @@
 			.dial = dialer_counts(y->shared.dialer),
 			.silent_calls = y->shared.silent_calls,
 			.lost_calls = y->shared.lost_calls,
+			.crashes = crash_reports_count(y->shared.crash_reports),
+			.quarantines = y->shared.quarantine != NULL
+			    ? y->shared.quarantine->entries->len
+			    : 0,
 			.coordinator =
 			    coordinator_counts(y->shared.coordinator),
 			.discovery = discovery_counts(y->discovery),
@@ -611,6 +681,12 @@
 	    .arg = y,
 	});
 	stage_jobs_set_coordinator(p->stage_jobs, p->coordinator);
+	p->crash_reports = crash_reports_new(&(struct crash_reports_opts){
+	    .base = p->base,
+	    .discovery = d,
+	    .self = y->o.settings->id,
+	    .self_rpc = y->o.settings->rpc,
+	});
 	y->started = true;
 	pthread_create(&y->thread, NULL, run, y);
 }
@@ -686,6 +762,8 @@
 		coordinator_free(p->coordinator);
 	if (p->stage_jobs != NULL)
 		stage_jobs_free(p->stage_jobs);
+	if (p->crash_reports != NULL)
+		crash_reports_free(p->crash_reports);
 	dialer_free(p->dialer);
 	loads_free(&p->loads);
 	g_hash_table_destroy(p->retry_quotas);
--- a/entry/relay_metrics.c
+++ b/entry/relay_metrics.c
@@ -70,6 +70,8 @@
 	put(out, "stray_answers_total", p->dial.stray);
 	put(out, "silent_calls_total", p->silent_calls);
 	put(out, "lost_calls_total", p->lost_calls);
+	put(out, "target_crashes_total", p->crashes);
+	put(out, "quarantines", p->quarantines);
 	put(out, "stage_calls_total", p->coordinator.calls);
 	put(out, "stage_slow_calls_total", p->coordinator.slow_calls);
 	put(out, "stage_pieces_total", p->coordinator.pieces);
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -7,8 +7,10 @@
 #ifndef ENTRY_RELAY_REQUEST_H
 #define ENTRY_RELAY_REQUEST_H
 
+#include "entry/crash_reports.h"
 #include "entry/stage_jobs.h"
 #include "entry/httpd.h"
+#include "kernel/crash_suspects.h"
 #include "kernel/loads.h"
 #include "kernel/overload/retry_quota.h"
 #include "kernel/routes.h"
@@ -52,6 +54,8 @@
 	/* Quota of repeated stage work, for all stage services together. */
 	struct retry_quota stage_quota;
 	struct retry_quota_rule stage_quota_rule;
+	struct crash_reports *crash_reports;
+	const struct quarantine *quarantine; /* of the view; NULL: none yet */
 };
 
 struct stage_progress {
@@ -74,7 +78,8 @@
 	const struct service *service;
 	/* NULL if the request has no known API key. */
 	const struct key_owner *caller_key;
-	int rank; /* 0 is the most urgent */
+	struct part_set parts; /* of the prompt */
+	int rank;              /* 0 is the most urgent */
 	usec_t arrived;
 	usec_t soft_deadline; /* a later response counts as late */
 	/*
@@ -99,6 +104,7 @@
 	usec_t sent_at;               /* time of the last call */
 	struct event *response_timer; /* NULL: the call waits without limit */
 	uint64_t events_before; /* the last call: events of earlier ones */
+	bool answer_reported;   /* the last call's answer has begun */
 	usec_t events_at;       /* first event; 0: none */
 	usec_t last_event_at;
 	usec_t longest_pause; /* between events */
@@ -118,6 +124,12 @@
 	const char *cause;  /* sent to the caller and logged */
 };
 
+/*
+ * Whether a request with these parts is quarantined; if so, sets why it is
+ * rejected (relay.c).
+ */
+bool relay_quarantined(const struct relay_shared *s,
+    const struct part_set *parts, struct rejection *why);
 /* Answers the request with an error and frees it (relay.c). */
 void relay_request_reject(struct relay_request *r, const struct rejection *why);
 /*
--- a/entry/view.c
+++ b/entry/view.c
@@ -10,5 +10,6 @@
 	routes_unref(v->routes);
 	g_array_unref(v->targets);
 	g_array_unref(v->peers);
+	quarantine_free(&v->quarantine);
 	free(v);
 }
--- a/entry/view.h
+++ b/entry/view.h
@@ -6,6 +6,7 @@
 #define ENTRY_VIEW_H
 
 #include "kernel/bounds.h"
+#include "kernel/quarantine.h"
 #include "kernel/roster.h"
 #include "kernel/routes.h"
 
@@ -25,6 +26,7 @@
 	/* The list of the fleet's hosts has been read from the store. */
 	bool hosts_listed;
 	bool store_unavailable;
+	struct quarantine quarantine;
 	usec_t created_at;
 };
 
--- a/kernel/feeders.h
+++ b/kernel/feeders.h
@@ -11,21 +11,13 @@
 #ifndef KERNEL_FEEDERS_H
 #define KERNEL_FEEDERS_H
 
-#include <stdbool.h>
-#include <stddef.h>
-#include <stdint.h>
+#include "kernel/rendezvous.h"
 
 #define FEEDERS_MAX       6
 #define FEEDERS_PER_HOST  2
 /* In smaller fleets the delay through another host is not worthwhile. */
 #define FEEDERS_MIN_FLEET 16
 
-struct feeder_host {
-	const char *id;
-	/* Larger hosts are more likely to be chosen (kernel/rendezvous.h). */
-	uint32_t capacity;
-};
-
 /* Hosts that watch the store.  The ids point to those of the live hosts. */
 struct feeders {
 	bool all; /* small fleet: all hosts watch the store */
@@ -34,7 +26,8 @@
 };
 
 /* Chooses the feeders among the live hosts. */
-void feeders_choose(struct feeders *f, const struct feeder_host *v, size_t n);
+void feeders_choose(
+    struct feeders *f, const struct rendezvous_host *v, size_t n);
 /* Whether a host watches the store itself. */
 bool feeders_watches(const struct feeders *f, const char *id);
 /* Whether feeder watches the store and forwards its changes to receiver. */
--- a/kernel/rendezvous.c
+++ b/kernel/rendezvous.c
@@ -1,4 +1,5 @@
 #include "kernel/rendezvous.h"
+#include "base/hash.h"
 
 #include <math.h>
 
@@ -38,3 +39,41 @@
 {
 	return 2 * (capacity > 0 ? capacity : UNKNOWN_CAPACITY) >= largest;
 }
+
+/* Whether the array has this pointer. */
+static bool
+is_chosen(const char *const *ids, size_t n, const char *id)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (ids[i] == id)
+			return true;
+	}
+	return false;
+}
+
+size_t
+rendezvous_choose(const struct rendezvous_host *v, size_t n, uint64_t seed,
+    const char **out, size_t max)
+{
+	size_t n_out = 0;
+
+	while (n_out < max && n_out < n) {
+		const char *best = NULL;
+		double max_weight = 0;
+
+		for (size_t i = 0; i < n; i++) {
+			double w = rendezvous_weight(
+			    hash_u64(str_from(v[i].id), seed), v[i].capacity);
+
+			if (is_chosen(out, n_out, v[i].id) ||
+			    (best != NULL && w <= max_weight))
+				continue;
+			best = v[i].id;
+			max_weight = w;
+		}
+		if (best == NULL)
+			break;
+		out[n_out++] = best;
+	}
+	return n_out;
+}
--- a/kernel/rendezvous.h
+++ b/kernel/rendezvous.h
@@ -13,8 +13,14 @@
 #define KERNEL_RENDEZVOUS_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
+struct rendezvous_host {
+	const char *id;
+	uint32_t capacity; /* thousandths of a core; 0: unknown */
+};
+
 /*
  * Returns the capacity of a host in thousandths of a core: its processor, or
  * what its link (thousandths of a Mbit/s) can keep busy, whichever is less.
@@ -30,5 +36,12 @@
  * than half of it is not, however its hash falls.
  */
 bool rendezvous_is_large(uint32_t capacity, uint32_t largest);
+/*
+ * Writes the ids of the hosts with the largest weights for a purpose, which the
+ * seed tells from others, at most max; returns their number.  The first is the
+ * one with the largest weight.
+ */
+size_t rendezvous_choose(const struct rendezvous_host *v, size_t n,
+    uint64_t seed, const char **out, size_t max);
 
 #endif
--- a/plat/kv.c
+++ b/plat/kv.c
@@ -397,6 +397,18 @@
 	buf_free(&body);
 }
 
+void
+kv_delete_item(struct kv *kv, struct str key, kv_result_handler done, void *arg)
+{
+	struct buf body = { 0 };
+
+	store_delete_body(&body, key);
+	begin_call(kv, OP_PUT_ITEM, STR(STORE_WRITE_PATH), str_of(&body),
+	    KV_GET_ITEM_TIMEOUT, false, arg)
+	    ->done = done;
+	buf_free(&body);
+}
+
 void
 kv_range(struct kv *kv, struct str prefix, struct str after,
     kv_changes_handler done, void *arg)
--- a/plat/kv.h
+++ b/plat/kv.h
@@ -2,7 +2,8 @@
  * Client of the platform's key-value service.  All calls are asynchronous on
  * an http_loop and belong to its thread.  The service has one of two interfaces
  * (enum kv_form): the JSON gateway of etcd's v3 API, or the interface of
- * platform/store.h, to which kv_get_item, kv_range and kv_poll belong.
+ * platform/store.h, to which kv_get_item, kv_range, kv_poll, kv_put_item and
+ * kv_delete_item belong.
  *
  * A write without a usable response ends in KV_UNKNOWN: it may or may not have
  * taken effect.
@@ -121,6 +122,9 @@
 /* Writes one item, as KV_FORM_PLATFORM. */
 void kv_put_item(struct kv *kv, struct str key, struct str value,
     kv_result_handler done, void *arg);
+/* Deletes one item, as KV_FORM_PLATFORM. */
+void kv_delete_item(
+    struct kv *kv, struct str key, kv_result_handler done, void *arg);
 void kv_cas(struct kv *kv, const struct kv_cas_opts *c, kv_result_handler done,
     void *arg);
 void kv_put(struct kv *kv, struct str key, struct str value, int64_t lease,
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -851,13 +851,13 @@
 
 	for (size_t c = 0; c < G_N_ELEMENTS(sizes); c++) {
 		size_t n = sizes[c];
-		struct feeder_host *v = xcalloc(n, sizeof(*v));
+		struct rendezvous_host *v = xcalloc(n, sizeof(*v));
 		size_t n_watching = 0;
 		struct feeders f;
 
 		for (size_t i = 0; i < n; i++)
-			v[i] = (struct feeder_host){ g_strdup_printf(
-							 "host-%zu", i),
+			v[i] = (struct rendezvous_host){ g_strdup_printf(
+							     "host-%zu", i),
 				i % 3 == 0 ? 120 : 500 };
 		feeders_choose(&f, v, n);
 		for (size_t i = 0; i < n; i++) {
--- a/tests/platform/test_crashing_part.c
+++ b/tests/platform/test_crashing_part.c
@@ -141,9 +141,7 @@
 static void
 wait_past_bound(usec_t time)
 {
-	usec_t until;
-
-	while ((until = bound_crash() + time) > clock_now())
+	while (bound_crash() + time > clock_now())
 		g_usleep(50000);
 }
 
