--- a/entry/forward.c
+++ b/entry/forward.c
@@ -309,6 +309,29 @@
 	    r->response.has_signature && !r->response.encoded;
 }
 
+/* Logs the limit that a target names for itself when it changes. */
+static void
+note_limit(const struct relay_request *r, struct target_load *t)
+{
+	if (r->response.malformed_limit) {
+		if (!t->bad_limit)
+			log_text(LOG_LVL_WARNING, "target-limit-malformed",
+			    "%s: \"%.*s\" is not a decimal number; the limit "
+			    "of before stays, %.3f",
+			    t->entry.id, STR_FMT(r->response.limit_text),
+			    t->limit);
+		t->bad_limit = true;
+		return;
+	}
+	t->bad_limit = false;
+	if (r->response.limit == t->limit)
+		return;
+	log_text(LOG_LVL_NOTICE, "target-limit",
+	    "%s of %s: %.3f requests a second, %.3f before", t->entry.id,
+	    t->entry.service, r->response.limit, t->limit);
+	t->limit = r->response.limit;
+}
+
 static void
 on_head(struct relay_request *r, const struct httpmsg *m)
 {
@@ -328,6 +351,8 @@
 		    t, r->response.running, r->response.waiting, clock_now());
 	if (r->response.misdirected)
 		loads_mark_leaving(&r->shared->loads, t);
+	else
+		note_limit(r, t);
 }
 
 static void
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -36,6 +36,8 @@
 	usec_t reported_at;
 	struct target_speed speed; /* of its stage calls */
 	uint32_t failures;         /* in a row */
+	double limit;              /* named by the target; 0: none */
+	bool bad_limit;            /* its last answer named a malformed one */
 	usec_t aside_until;
 };
 
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -277,6 +277,56 @@
 	}
 }
 
+static void
+test_limit(void)
+{
+	static const struct {
+		const char *value; /* NULL: no field */
+		double limit;
+		bool malformed;
+	} cases[] = {
+		{ NULL, 0, false },
+		{ "1", 1, false },
+		{ "2.5", 2.5, false },
+		{ "1.", 1, false },
+		{ " 12 ", 12, false },
+		{ "1000000000", 1e9, false },
+		/* A limit of 0 would never be seen to end. */
+		{ "0", TARGET_LIMIT_MIN, false },
+		{ "0.001", TARGET_LIMIT_MIN, false },
+		{ "", 0, true },
+		{ "-1", 0, true },
+		{ "+1", 0, true },
+		{ "1e3", 0, true },
+		{ "0x10", 0, true },
+		{ "nan", 0, true },
+		{ "inf", 0, true },
+		{ ".", 0, true },
+		{ ".5", 0, true },
+		{ "1.2.3", 0, true },
+		{ "1,5", 0, true },
+		{ "1 2", 0, true },
+		{ "99999999999999999999999999999999", 0, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = cases[i].value == NULL
+		    ? g_strdup("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		    : g_strdup_printf("HTTP/1.1 200 OK\r\nServer-Limit: %s\r\n"
+				      "Content-Length: 0\r\n\r\n",
+			  cases[i].value);
+		struct httpmsg m;
+		struct response_info f;
+
+		parse(&m, HTTP_RESPONSE, text);
+		platform_response_parse(&m, &f);
+		g_test_message("%s", text);
+		g_assert_cmpfloat(f.limit, ==, cases[i].limit);
+		g_assert_cmpint(f.malformed_limit, ==, cases[i].malformed);
+		httpmsg_free(&m);
+	}
+}
+
 static void
 test_stage(void)
 {
@@ -449,6 +499,7 @@
 	g_test_add_func("/request", test_request);
 	g_test_add_func("/call-head", test_call_head);
 	g_test_add_func("/response", test_response);
+	g_test_add_func("/limit", test_limit);
 	g_test_add_func("/stage", test_stage);
 	g_test_add_func("/store", test_store);
 	g_test_add_func("/names", test_names);
