--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -30,6 +30,8 @@
 	struct evconnlistener *listener;
 	uint32_t next_handle;
 	usec_t last_call;
+	const char *limit; /* that it names; or NULL */
+	GArray *arrivals;  /* usec_t, of all requests */
 	uint32_t restarts;
 	struct event *restart_timer; /* after a crash */
 };
@@ -331,13 +333,26 @@
 
 /* Calls to targets. */
 
+/* Formats the field of the target's limit; empty if it has none. */
+static void
+format_limit(const struct target *t, char *out, size_t n)
+{
+	if (t->limit == NULL)
+		out[0] = '\0';
+	else
+		snprintf(out, n, "Server-Limit: %s\r\n", t->limit);
+}
+
 static void
 format_fields(struct conn *c, char *out, size_t n)
 {
+	char limit[64];
+
+	format_limit(c->target, limit, sizeof(limit));
 	snprintf(out, n,
 	    "X-Attempt-Id: %s\r\nX-Runner-Seal: s.%s\r\n"
-	    "X-Runner-Load: 1,0,4\r\n",
-	    c->attempt, c->target->id);
+	    "X-Runner-Load: 1,0,4\r\n%s",
+	    c->attempt, c->target->id, limit);
 }
 
 static void
@@ -533,7 +548,10 @@
 	struct str url = httpmsg_url(&c->request);
 	struct str id = httpmsg_get(&c->request, STR("X-Attempt-Id"));
 
+	usec_t now = clock_now();
+
 	c->busy = true;
+	g_array_append_val(c->target->arrivals, now);
 	if (c->target->stopped || c->reset_next) {
 		reset_conn(c);
 		return;
@@ -585,9 +603,11 @@
 		crash(c->target);
 	} else if (strcmp(c->behavior, "stage") == 0) {
 		struct buf body = c->delayed;
+		char limit[64];
 
+		format_limit(c->target, limit, sizeof(limit));
 		c->delayed = (struct buf){ 0 };
-		send_response(c, 200, "", str_of(&body));
+		send_response(c, 200, limit, str_of(&body));
 		buf_free(&body);
 	} else if (str_has_prefix(httpmsg_url(&c->request), STR("/stream"))) {
 		send_event(c);
@@ -845,6 +865,7 @@
 	t->plat = plat;
 	t->config = *o;
 	g_strlcpy(t->id, o->id, sizeof(t->id));
+	t->arrivals = g_array_new(FALSE, FALSE, sizeof(usec_t));
 	t->listener = listen_at(plat, o->port, on_target_conn, t);
 	t->restart_timer = evtimer_new(plat->base, on_restart, t);
 	pthread_mutex_lock(&plat->lock);
@@ -873,6 +894,45 @@
 	set_target_state(plat, id, "ready");
 }
 
+void
+fakeplat_set_limit(struct fakeplat *plat, const char *id, const char *text)
+{
+	pthread_mutex_lock(&plat->lock);
+	find_target(plat, id)->limit = text;
+	pthread_mutex_unlock(&plat->lock);
+}
+
+uint32_t
+fakeplat_most_arrivals(
+    struct fakeplat *plat, const char *id, usec_t after, usec_t span)
+{
+	const GArray *v;
+	uint32_t most = 0;
+	guint first = 0;
+
+	pthread_mutex_lock(&plat->lock);
+	v = find_target(plat, id)->arrivals;
+	for (guint i = 0; i < v->len; i++) {
+		usec_t t = g_array_index(v, usec_t, i);
+
+		if (t <= after) {
+			first = i + 1;
+			continue;
+		}
+		while (t - g_array_index(v, usec_t, first) >= span)
+			first++;
+		most = i - first + 1 > most ? i - first + 1 : most;
+	}
+	pthread_mutex_unlock(&plat->lock);
+	return most;
+}
+
+uint32_t
+fakeplat_arrivals(struct fakeplat *plat, const char *id, usec_t after)
+{
+	return fakeplat_most_arrivals(plat, id, after, INT64_MAX);
+}
+
 void
 fakeplat_set_crash_part(struct fakeplat *plat, const char *part)
 {
@@ -998,6 +1058,7 @@
 		if (plat->targets[i]->listener != NULL)
 			evconnlistener_free(plat->targets[i]->listener);
 		event_free(plat->targets[i]->restart_timer);
+		g_array_unref(plat->targets[i]->arrivals);
 		free(plat->targets[i]);
 	}
 	evconnlistener_free(plat->listener);
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -66,6 +66,17 @@
 /* Puts a target with another id at the same address. */
 void fakeplat_replace_target(
     struct fakeplat *plat, const char *id, const char *new_id);
+/*
+ * The target names this limit in its answers from now on; NULL: none.  The text
+ * must outlive the platform.
+ */
+void fakeplat_set_limit(
+    struct fakeplat *plat, const char *id, const char *text);
+/* Returns how many requests of any kind reached the target after a time. */
+uint32_t fakeplat_arrivals(struct fakeplat *plat, const char *id, usec_t after);
+/* Returns the most requests that reached it in any span of this length. */
+uint32_t fakeplat_most_arrivals(
+    struct fakeplat *plat, const char *id, usec_t after, usec_t span);
 /*
  * From now on a target crashes when it begins the stream of a request that has
  * this part in its prompt, before the last one: it resets its connections,
