Limits that targets name hold for the whole fleet

What the users saw: a back end that had named a limit of 1 request a second got 12 to 15 requests in 4 s, allowed 11. Callers noticed nothing.

Cause: the field Server-Limit was not read; targets were chosen by load, prefix and failure domain, and a limited target looks idle. Reading it at each host alone would not do: a rate kept by every host lets nine times the limit through.

Change: kernel/overload/target_limit. A few owners, chosen by rendezvous hashing, two for each request a second of the limit, use even parts of nine tenths of it; all other hosts use other targets. An owner tells the others the limit and its end. A coordinator keeps to the whole limit, as it alone calls its stage targets; frees of results count. With all targets at their limits a request is rejected at once.

--- a/entry/control.c
+++ b/entry/control.c
@@ -209,6 +209,7 @@
 	case PEER_CRASH:
 	case PEER_ANSWERED:
 	case PEER_QUARANTINE:
+	case PEER_LIMIT:
 		break; /* sent only by hosts that relay by route */
 	}
 }
--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -233,18 +233,29 @@
 static bool
 is_free(const struct target_load *t, usec_t now)
 {
-	return t->in_flight == 0 && now >= t->aside_until;
+	return t->in_flight == 0 && now >= t->aside_until &&
+	    target_limit_allows(&t->limit, now);
 }
 
+/* Targets that take calls one after the other; those with a limit if no other.
+ */
 static uint32_t
 count_usable(const GPtrArray *all, usec_t now)
 {
 	uint32_t n = 0;
+	uint32_t n_limited = 0;
+
+	for (guint i = 0; all != NULL && i < all->len; i++) {
+		const struct target_load *t = all->pdata[i];
 
-	for (guint i = 0; all != NULL && i < all->len; i++)
-		n += now >=
-		    ((const struct target_load *)all->pdata[i])->aside_until;
-	return n;
+		if (now < t->aside_until)
+			continue;
+		if (t->limit.rate > 0)
+			n_limited++;
+		else
+			n++;
+	}
+	return n > 0 ? n : n_limited;
 }
 
 /* Marks a job as refused; wait: expected time until it would be done. */
--- a/entry/coordinator.h
+++ b/entry/coordinator.h
@@ -10,6 +10,7 @@
 #define ENTRY_COORDINATOR_H
 
 #include "entry/rpc.h"
+#include "entry/target_limits.h"
 #include "kernel/loads.h"
 #include "plat/dial.h"
 
@@ -19,6 +20,7 @@
 	struct event_base *base;
 	struct dialer *dialer;
 	struct loads *loads;
+	struct target_limits *target_limits;
 	struct rpc *rpc;
 	/* Receives the reply to a job of this host. */
 	void (*reply)(void *arg, const peer_piece_reply *r);
--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -234,8 +234,13 @@
 	platform_response_parse(m, &f);
 	call->status = m->parser.status_code;
 	call->not_run = f.not_executed;
-	if (t != NULL && f.misdirected)
+	if (t == NULL)
+		return;
+	if (f.misdirected)
 		loads_mark_leaving(call->coordinator->o.loads, t);
+	else
+		target_limits_answered(call->coordinator->o.target_limits, t,
+		    &f, call->started, true);
 }
 
 static void
@@ -369,7 +374,10 @@
 	    (double)batch_call_timeout(&p->batch, items->len));
 	struct timeval tv = { timeout / USEC_PER_SEC, timeout % USEC_PER_SEC };
 
-	flush_frees(c, t);
+	/* With a limit, each request to the target takes the place of a call.
+	 */
+	if (t->limit.rate == 0)
+		flush_frees(c, t);
 	call->coordinator = c;
 	call->pool = p;
 	call->items = items;
@@ -381,7 +389,7 @@
 	write_calls(call, &body, now);
 	result_space_reserve(&c->result_space, call->addr, call->bytes);
 	g_hash_table_add(c->calls, call);
-	loads_sent(t);
+	loads_sent(t, now);
 	c->counts.calls++;
 	c->counts.slow_calls += call->slow;
 	c->counts.pieces += items->len;
@@ -411,12 +419,15 @@
 		const GPtrArray *all = coordinator_targets(c, pool);
 
 		for (guint i = 0; all != NULL && i < all->len; i++) {
-			const struct target_load *t = all->pdata[i];
+			struct target_load *t = all->pdata[i];
 			const struct pending_frees *u = g_hash_table_lookup(
 			    c->pending_frees, t->entry.addr);
 
-			if (u != NULL && now - u->oldest > FREE_INTERVAL)
-				flush_frees(c, t);
+			if (u == NULL || now - u->oldest <= FREE_INTERVAL ||
+			    !target_limit_allows(&t->limit, now))
+				continue;
+			target_limit_sent(&t->limit, now);
+			flush_frees(c, t);
 		}
 	}
 }
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -192,7 +192,8 @@
 	case PEER_PIECE_ASK:
 	case PEER_PIECE_REPLY:
 	case PEER_PIECE_FREE:
-		d->o.stage_datagram(d->o.arg, l);
+	case PEER_LIMIT:
+		d->o.relay_datagram(d->o.arg, l);
 		return;
 	case PEER_GOSSIP:
 	case PEER_CLAIM:
--- a/entry/discovery.h
+++ b/entry/discovery.h
@@ -21,10 +21,10 @@
 	/* Called on the discovery thread; the callee owns the view. */
 	void (*publish_view)(void *arg, struct view *v);
 	/*
-	 * Called on the RPC thread for PEER_PIECE_* datagrams, with the
-	 * ownership rules of rpc_opts.deliver.
+	 * Called on the RPC thread for PEER_PIECE_* and PEER_LIMIT datagrams,
+	 * with the ownership rules of rpc_opts.deliver.
 	 */
-	void (*stage_datagram)(void *arg, peer_letter *l);
+	void (*relay_datagram)(void *arg, peer_letter *l);
 	void *arg;
 };
 
--- a/entry/discovery_quarantine.c
+++ b/entry/discovery_quarantine.c
@@ -218,6 +218,7 @@
 	case PEER_PIECE_REPLY:
 	case PEER_PIECE_FREE:
 	case PEER_FEED:
+	case PEER_LIMIT:
 		break; /* not about quarantined parts */
 	}
 }
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -3,7 +3,9 @@
  * response back to the caller.
  */
 #include "entry/relay_request.h"
+#include "base/hash.h"
 #include "base/log.h"
+#include "kernel/overload/retry_after.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -309,29 +311,6 @@
 	    r->response.has_signature && !r->response.encoded;
 }
 
-/* Logs the limit that a target names for itself when it changes. */
-static void
-note_limit(const struct relay_request *r, struct target_load *t)
-{
-	if (r->response.malformed_limit) {
-		if (!t->bad_limit)
-			log_text(LOG_LVL_WARNING, "target-limit-malformed",
-			    "%s: \"%.*s\" is not a decimal number; the limit "
-			    "of before stays, %.3f",
-			    t->entry.id, STR_FMT(r->response.limit_text),
-			    t->limit);
-		t->bad_limit = true;
-		return;
-	}
-	t->bad_limit = false;
-	if (r->response.limit == t->limit)
-		return;
-	log_text(LOG_LVL_NOTICE, "target-limit",
-	    "%s of %s: %.3f requests a second, %.3f before", t->entry.id,
-	    t->entry.service, r->response.limit, t->limit);
-	t->limit = r->response.limit;
-}
-
 static void
 on_head(struct relay_request *r, const struct httpmsg *m)
 {
@@ -352,7 +331,8 @@
 	if (r->response.misdirected)
 		loads_mark_leaving(&r->shared->loads, t);
 	else
-		note_limit(r, t);
+		target_limits_answered(r->shared->target_limits, t,
+		    &r->response, r->sent_at, false);
 }
 
 static void
@@ -569,6 +549,23 @@
 	    { "load", str_from(load) }, { "left_ms", str_from(ms) });
 }
 
+/* Rejects a request for which there is no target, or else no time. */
+static void
+reject_unsent(struct relay_request *r, bool no_target, usec_t now)
+{
+	usec_t wait =
+	    loads_limit_wait(&r->shared->loads, r->service->name, now);
+
+	if (no_target && wait > 0)
+		relay_request_reject(r,
+		    &(struct rejection){ ERR_NO_TARGET,
+			retry_after(wait, hash_u64(r->info.id, 0)),
+			"the limits that the targets name are used up" });
+	else
+		fail_request(r, ERR_NO_TARGET,
+		    no_target ? "no target is left" : "no time is left");
+}
+
 static void
 send_call(struct relay_request *r)
 {
@@ -585,8 +582,7 @@
 	forward_query(r, &query);
 	t = loads_choose(&r->shared->loads, &query, now);
 	if (t == NULL || left < MIN_TIME_LEFT) {
-		fail_request(r, ERR_NO_TARGET,
-		    t == NULL ? "no target is left" : "no time is left");
+		reject_unsent(r, t == NULL, now);
 		return;
 	}
 	g_strlcpy(r->target_id, t->entry.id, sizeof(r->target_id));
@@ -598,7 +594,7 @@
 	r->events_before = r->sse.events;
 	r->answer_reported = false;
 	log_choice(r, t, left);
-	loads_sent(t);
+	loads_sent(t, now);
 	start_call(r, t, left);
 	if (r->call == NULL)
 		on_dial_event(r, DIAL_UNSENT, NULL);
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -219,6 +219,13 @@
 };
 typedef struct peer_quarantine peer_quarantine;
 
+struct peer_limit {
+	peer_name target;
+	u_quad_t micro_rate;
+	u_int age_ms;
+};
+typedef struct peer_limit peer_limit;
+
 enum peer_kind {
 	PEER_GOSSIP = 1,
 	PEER_CLAIM = 2,
@@ -232,6 +239,7 @@
 	PEER_CRASH = 10,
 	PEER_ANSWERED = 11,
 	PEER_QUARANTINE = 12,
+	PEER_LIMIT = 13,
 };
 typedef enum peer_kind peer_kind;
 
@@ -250,6 +258,7 @@
 		peer_crash crash;
 		peer_prompt answered;
 		peer_quarantine quarantine;
+		peer_limit limit;
 	} peer_body_u;
 };
 typedef struct peer_body peer_body;
@@ -349,6 +358,7 @@
 extern  bool_t xdr_peer_prompt (XDR *, peer_prompt*);
 extern  bool_t xdr_peer_crash (XDR *, peer_crash*);
 extern  bool_t xdr_peer_quarantine (XDR *, peer_quarantine*);
+extern  bool_t xdr_peer_limit (XDR *, peer_limit*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
 extern  bool_t xdr_peer_body (XDR *, peer_body*);
 extern  bool_t xdr_peer_letter (XDR *, peer_letter*);
@@ -377,6 +387,7 @@
 extern bool_t xdr_peer_prompt ();
 extern bool_t xdr_peer_crash ();
 extern bool_t xdr_peer_quarantine ();
+extern bool_t xdr_peer_limit ();
 extern bool_t xdr_peer_kind ();
 extern bool_t xdr_peer_body ();
 extern bool_t xdr_peer_letter ();
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -176,6 +176,13 @@
 	string value<1024>;
 };
 
+/* The limit that a target named for itself (kernel/overload/target_limit.h). */
+struct peer_limit {
+	peer_name target;
+	unsigned hyper micro_rate; /* millionths of a request a second; 0: none */
+	unsigned int age_ms;       /* since the target named it */
+};
+
 enum peer_kind {
 	PEER_GOSSIP = 1,
 	PEER_CLAIM = 2,
@@ -188,7 +195,8 @@
 	PEER_FEED = 9,
 	PEER_CRASH = 10,
 	PEER_ANSWERED = 11,
-	PEER_QUARANTINE = 12
+	PEER_QUARANTINE = 12,
+	PEER_LIMIT = 13
 };
 
 union peer_body switch (peer_kind kind) {
@@ -216,6 +224,8 @@
 	peer_prompt answered;   /* a target has answered on these parts */
 case PEER_QUARANTINE:
 	peer_quarantine quarantine;
+case PEER_LIMIT:
+	peer_limit limit;
 };
 
 struct peer_letter {
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -457,6 +457,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_limit (XDR *xdrs, peer_limit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_name (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->micro_rate))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_kind (XDR *xdrs, peer_kind *objp)
 {
@@ -523,6 +537,10 @@
 		 if (!xdr_peer_quarantine (xdrs, &objp->peer_body_u.quarantine))
 			 return FALSE;
 		break;
+	case PEER_LIMIT:
+		 if (!xdr_peer_limit (xdrs, &objp->peer_body_u.limit))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -365,6 +365,7 @@
 	    v->store_unavailable ? "away" : "answering");
 	loads_update(&y->shared.loads, v->targets);
 	stage_jobs_set_peers(y->shared.stage_jobs, v->peers, v->hosts_listed);
+	target_limits_set_hosts(y->shared.target_limits, v->peers, clock_now());
 	coordinator_hosts_changed(y->shared.coordinator, clock_now());
 	y->shared.quota_rule.hosts = v->peers->len > 0 ? v->peers->len : 1;
 	if (t != NULL) {
@@ -399,6 +400,10 @@
 		coordinator_release(y->shared.coordinator,
 		    str_from(d->body.peer_body_u.piece_free.handles));
 		break;
+	case PEER_LIMIT:
+		target_limits_receive(
+		    y->shared.target_limits, &d->body.peer_body_u.limit);
+		break;
 	case PEER_GOSSIP:
 	case PEER_CLAIM:
 	case PEER_VERDICT:
@@ -493,6 +498,7 @@
 	shutdown_tick(y, now);
 	waiting = coordinator_tick(y->shared.coordinator, now) || waiting;
 	dialer_sweep(y->shared.dialer, now);
+	target_limits_tick(y->shared.target_limits, now);
 	next = waiting ? TICK_INTERVAL : IDLE_TICK_INTERVAL;
 	tv = (struct timeval){ next / USEC_PER_SEC, next % USEC_PER_SEC };
 	evtimer_add(y->tick, &tv);
@@ -561,6 +567,8 @@
 			.dial = dialer_counts(y->shared.dialer),
 			.silent_calls = y->shared.silent_calls,
 			.lost_calls = y->shared.lost_calls,
+			.limited_targets =
+			    target_limits_count(y->shared.target_limits),
 			.crashes = crash_reports_count(y->shared.crash_reports),
 			.quarantines = y->shared.quarantine != NULL
 			    ? y->shared.quarantine->entries->len
@@ -670,10 +678,16 @@
 	    .waits = &p->stage_waits,
 	    .loads = &p->loads,
 	});
+	p->target_limits = target_limits_new(&(struct target_limits_opts){
+	    .loads = &p->loads,
+	    .rpc = discovery_rpc(d),
+	    .self = y->o.settings->id,
+	});
 	p->coordinator = coordinator_new(&(struct coordinator_opts){
 	    .base = p->base,
 	    .dialer = p->dialer,
 	    .loads = &p->loads,
+	    .target_limits = p->target_limits,
 	    .rpc = discovery_rpc(d),
 	    .reply = on_local_reply,
 	    .find_coordinator = on_find_coordinator,
@@ -764,6 +778,8 @@
 		stage_jobs_free(p->stage_jobs);
 	if (p->crash_reports != NULL)
 		crash_reports_free(p->crash_reports);
+	if (p->target_limits != NULL)
+		target_limits_free(p->target_limits);
 	dialer_free(p->dialer);
 	loads_free(&p->loads);
 	g_hash_table_destroy(p->retry_quotas);
--- a/entry/relay_metrics.h
+++ b/entry/relay_metrics.h
@@ -33,6 +33,7 @@
 	struct discovery_counts discovery;
 	uint64_t silent_calls;
 	uint64_t lost_calls;
+	size_t limited_targets;
 	uint64_t crashes;
 	size_t quarantines;
 	size_t busy;
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -9,6 +9,7 @@
 
 #include "entry/crash_reports.h"
 #include "entry/stage_jobs.h"
+#include "entry/target_limits.h"
 #include "entry/httpd.h"
 #include "kernel/crash_suspects.h"
 #include "kernel/loads.h"
@@ -54,6 +55,7 @@
 	/* Quota of repeated stage work, for all stage services together. */
 	struct retry_quota stage_quota;
 	struct retry_quota_rule stage_quota_rule;
+	struct target_limits *target_limits;
 	struct crash_reports *crash_reports;
 	const struct quarantine *quarantine; /* of the view; NULL: none yet */
 };
--- a/entry/relayd.c
+++ b/entry/relayd.c
@@ -67,7 +67,7 @@
 		.settings = s,
 		.incarnation = incarnation,
 		.publish_view = on_view,
-		.stage_datagram = on_datagram,
+		.relay_datagram = on_datagram,
 		.arg = r,
 	    },
 	    e);
--- /dev/null
+++ b/entry/target_limits.c
@@ -0,0 +1,180 @@
+#include "entry/target_limits.h"
+#include "base/log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define MICRO 1e6
+
+struct target_limits {
+	struct target_limits_opts o;
+	GArray *peers; /* struct view_peer */
+	/*
+	 * Ids of the targets that have a limit, or had one lately; a set of
+	 * strings.
+	 */
+	GHashTable *limited;
+};
+
+struct target_limits *
+target_limits_new(const struct target_limits_opts *o)
+{
+	struct target_limits *x = xcalloc(1, sizeof(*x));
+
+	x->o = *o;
+	x->peers = g_array_new(FALSE, TRUE, sizeof(struct view_peer));
+	x->limited =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return x;
+}
+
+/* Whether the hosts are those of before, so that the shares stay. */
+static bool
+same_hosts(const struct target_limits *x, const GArray *peers)
+{
+	bool same = x->peers->len == peers->len;
+
+	for (guint i = 0; same && i < peers->len; i++) {
+		const struct view_peer *a =
+		    &g_array_index(x->peers, struct view_peer, i);
+		const struct view_peer *b =
+		    &g_array_index(peers, struct view_peer, i);
+
+		same = strcmp(a->id, b->id) == 0 && a->capacity == b->capacity;
+	}
+	return same;
+}
+
+void
+target_limits_set_hosts(
+    struct target_limits *x, const GArray *peers, usec_t now)
+{
+	bool same = same_hosts(x, peers);
+	struct rendezvous_host *v;
+
+	g_array_set_size(x->peers, 0);
+	g_array_append_vals(x->peers, peers->data, peers->len);
+	if (same)
+		return;
+	v = xcalloc(peers->len, sizeof(*v));
+	for (guint i = 0; i < peers->len; i++) {
+		const struct view_peer *p =
+		    &g_array_index(x->peers, struct view_peer, i);
+
+		v[i] = (struct rendezvous_host){ p->id, p->capacity };
+	}
+	loads_set_hosts(x->o.loads, v, peers->len, x->o.self, now);
+	free(v);
+}
+
+static void
+tell(struct target_limits *x, const struct target_load *t, usec_t now)
+{
+	peer_body body = { .kind = PEER_LIMIT };
+	peer_limit *m = &body.peer_body_u.limit;
+
+	m->target = (char *)t->entry.id;
+	m->micro_rate = (uint64_t)(t->limit.rate * MICRO);
+	m->age_ms = (u_int)((now - t->limit.named_at) / USEC_PER_MSEC);
+	for (guint i = 0; i < x->peers->len; i++) {
+		const struct view_peer *p =
+		    &g_array_index(x->peers, struct view_peer, i);
+
+		if (strcmp(p->id, x->o.self) != 0)
+			rpc_send(x->o.rpc, p->rpc, &body);
+	}
+}
+
+static void
+limit_changed(struct target_limits *x, struct target_load *t, double before,
+    const char *source, usec_t now)
+{
+	loads_limit_changed(x->o.loads, t, now);
+	g_hash_table_add(x->limited, g_strdup(t->entry.id));
+	log_text(LOG_LVL_NOTICE, "target-limit",
+	    "%s of %s, %s: %.3f requests a second, %.3f before, %.3f of them "
+	    "here",
+	    t->entry.id, t->entry.service, source, t->limit.rate, before,
+	    t->limit.share);
+}
+
+void
+target_limits_answered(struct target_limits *x, struct target_load *t,
+    const struct response_info *response, usec_t sent_at, bool only_here)
+{
+	double before = t->limit.rate;
+	usec_t now = clock_now();
+
+	if (response->malformed_limit) {
+		if (!t->bad_limit)
+			log_text(LOG_LVL_WARNING, "target-limit-malformed",
+			    "%s: \"%.*s\" is not a decimal number; the limit "
+			    "of before stays, %.3f",
+			    t->entry.id, STR_FMT(response->limit_text), before);
+		t->bad_limit = true;
+		return;
+	}
+	t->bad_limit = false;
+	t->limit.only_here = only_here;
+	if (!target_limit_answered(&t->limit, response->limit, sent_at, now))
+		return;
+	limit_changed(x, t, before, "its answer", now);
+	if (target_limit_tells(&t->limit, now))
+		tell(x, t, now);
+}
+
+void
+target_limits_receive(struct target_limits *x, const peer_limit *m)
+{
+	struct target_load *t = loads_find(x->o.loads, m->target);
+	usec_t now = clock_now();
+	double before;
+
+	if (t == NULL)
+		return;
+	before = t->limit.rate;
+	if (target_limit_told(&t->limit, (double)m->micro_rate / MICRO,
+		now - (usec_t)m->age_ms * USEC_PER_MSEC, now))
+		limit_changed(x, t, before, "another host", now);
+}
+
+void
+target_limits_tick(struct target_limits *x, usec_t now)
+{
+	GHashTableIter it;
+	gpointer id;
+
+	g_hash_table_iter_init(&it, x->limited);
+	while (g_hash_table_iter_next(&it, &id, NULL)) {
+		struct target_load *t = loads_find(x->o.loads, id);
+
+		if (t != NULL && target_limit_tells(&t->limit, now))
+			tell(x, t, now);
+		if (t == NULL || target_limit_is_over(&t->limit, now))
+			g_hash_table_iter_remove(&it);
+	}
+}
+
+size_t
+target_limits_count(const struct target_limits *x)
+{
+	GHashTableIter it;
+	gpointer id;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&it, x->limited);
+	while (g_hash_table_iter_next(&it, &id, NULL)) {
+		const struct target_load *t = loads_find(x->o.loads, id);
+
+		n += t != NULL && t->limit.rate > 0;
+	}
+	return n;
+}
+
+void
+target_limits_free(struct target_limits *x)
+{
+	g_hash_table_destroy(x->limited);
+	g_array_unref(x->peers);
+	free(x);
+}
--- /dev/null
+++ b/entry/target_limits.h
@@ -0,0 +1,41 @@
+/*
+ * The limits that targets name in their answers: notes them, and tells and
+ * hears them from the other hosts (kernel/overload/target_limit.h).
+ *
+ * Runs on the relay's thread.
+ */
+#ifndef ENTRY_TARGET_LIMITS_H
+#define ENTRY_TARGET_LIMITS_H
+
+#include "entry/rpc.h"
+#include "entry/view.h"
+#include "kernel/loads.h"
+#include "platform/request.h"
+
+struct target_limits;
+
+struct target_limits_opts {
+	struct loads *loads;
+	struct rpc *rpc;
+	const char *self; /* id of this host */
+};
+
+struct target_limits *target_limits_new(const struct target_limits_opts *o);
+/* Sets the live hosts, an array of struct view_peer. */
+void target_limits_set_hosts(
+    struct target_limits *x, const GArray *peers, usec_t now);
+/*
+ * A target has answered a request that was sent at a time.  only_here: no other
+ * host sends to the target.
+ */
+void target_limits_answered(struct target_limits *x, struct target_load *t,
+    const struct response_info *response, usec_t sent_at, bool only_here);
+/* Handles a PEER_LIMIT datagram. */
+void target_limits_receive(struct target_limits *x, const peer_limit *m);
+/* Tells the other hosts what is due; call it regularly. */
+void target_limits_tick(struct target_limits *x, usec_t now);
+/* Number of targets with a limit. */
+size_t target_limits_count(const struct target_limits *x);
+void target_limits_free(struct target_limits *x);
+
+#endif
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -36,6 +36,45 @@
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
 	l->domains = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+	l->host_ids = g_ptr_array_new_with_free_func(g_free);
+}
+
+static void
+free_hosts(struct loads *l)
+{
+	g_ptr_array_set_size(l->host_ids, 0);
+	g_free((struct rendezvous_host *)l->hosts.v);
+}
+
+void
+loads_limit_changed(const struct loads *l, struct target_load *t, usec_t now)
+{
+	target_limit_share(&t->limit, t->entry.id, &l->hosts, now);
+}
+
+void
+loads_set_hosts(struct loads *l, const struct rendezvous_host *v, size_t n,
+    const char *self, usec_t now)
+{
+	struct rendezvous_host *copy = g_new(struct rendezvous_host, n + 1);
+	GHashTableIter it;
+	gpointer p;
+
+	free_hosts(l);
+	for (size_t i = 0; i < n; i++) {
+		char *id = g_strdup(v[i].id);
+
+		g_ptr_array_add(l->host_ids, id);
+		copy[i] = (struct rendezvous_host){ id, v[i].capacity };
+	}
+	l->hosts = (struct target_limit_hosts){ copy, n, self };
+	g_hash_table_iter_init(&it, l->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct target_load *t = p;
+
+		if (t->limit.rate > 0)
+			loads_limit_changed(l, t, now);
+	}
 }
 
 static void
@@ -188,6 +227,8 @@
 			t->failures = 0;
 			t->aside_until = 0;
 			t->speed = (struct target_speed){ 0 };
+			t->limit = (struct target_limit){ 0 };
+			t->bad_limit = false;
 		}
 		t->entry = *e;
 		t->listed = true;
@@ -334,6 +375,7 @@
 		double c;
 
 		if (already_tried(q, t) ||
+		    !target_limit_allows(&t->limit, now) ||
 		    (!use_set_aside && now < t->aside_until))
 			continue;
 		c = cost(l, q, t, preferred, input_domain, now) +
@@ -358,11 +400,27 @@
 	return t != NULL ? t : choose_cheapest(l, q, all, true, now);
 }
 
+usec_t
+loads_limit_wait(const struct loads *l, const char *service, usec_t now)
+{
+	const GPtrArray *all = loads_usable(l, service);
+	usec_t shortest = INT64_MAX;
+
+	for (guint i = 0; all != NULL && i < all->len; i++) {
+		const struct target_load *t = all->pdata[i];
+		usec_t wait = target_limit_wait(&t->limit, now);
+
+		shortest = wait < shortest ? wait : shortest;
+	}
+	return shortest < INT64_MAX ? shortest : 0;
+}
+
 void
-loads_sent(struct target_load *t)
+loads_sent(struct target_load *t, usec_t now)
 {
 	t->in_flight++;
 	t->sent_since++;
+	target_limit_sent(&t->limit, now);
 }
 
 void
@@ -440,6 +498,8 @@
 void
 loads_free(struct loads *l)
 {
+	free_hosts(l);
+	g_ptr_array_unref(l->host_ids);
 	g_hash_table_destroy(l->domains);
 	g_hash_table_destroy(l->by_service);
 	g_hash_table_destroy(l->by_addr);
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -15,6 +15,7 @@
 #define KERNEL_LOADS_H
 
 #include "base/rng.h"
+#include "kernel/overload/target_limit.h"
 #include "kernel/overload/target_speed.h"
 #include "kernel/roster.h"
 #include "kernel/routes.h"
@@ -36,8 +37,8 @@
 	usec_t reported_at;
 	struct target_speed speed; /* of its stage calls */
 	uint32_t failures;         /* in a row */
-	double limit;              /* named by the target; 0: none */
-	bool bad_limit;            /* its last answer named a malformed one */
+	struct target_limit limit;
+	bool bad_limit; /* its last answer named a malformed one */
 	usec_t aside_until;
 };
 
@@ -50,6 +51,9 @@
 	GHashTable *domains;
 	char domain[64]; /* of this host */
 	struct rng rng;
+	/* The live hosts, among which limits of targets are shared. */
+	GPtrArray *host_ids;
+	struct target_limit_hosts hosts;
 };
 
 /* The usable targets of a service in one failure domain. */
@@ -73,6 +77,9 @@
 void loads_init(struct loads *l, const char *domain, uint64_t seed);
 /* Updates the targets from a newer list of struct target_entry. */
 void loads_update(struct loads *l, const GArray *targets);
+/* Sets the live hosts; self is the id of this one. */
+void loads_set_hosts(struct loads *l, const struct rendezvous_host *v, size_t n,
+    const char *self, usec_t now);
 /* Whether no target has been listed so far. */
 bool loads_is_empty(const struct loads *l);
 /*
@@ -103,8 +110,20 @@
 const GPtrArray *loads_usable_in(
     const struct loads *l, const char *service, const char *domain);
 
+/*
+ * Time until a target of the service may be sent a request, if the limits of
+ * all of them are used up; else 0.
+ */
+usec_t loads_limit_wait(const struct loads *l, const char *service, usec_t now);
+/*
+ * The limit of the target has changed, or what this host may use of it
+ * (kernel/overload/target_limit.h).
+ */
+void loads_limit_changed(
+    const struct loads *l, struct target_load *t, usec_t now);
+
 /* Counts a call that was sent to the target. */
-void loads_sent(struct target_load *t);
+void loads_sent(struct target_load *t, usec_t now);
 /* Records a load report: calls running and waiting at the target. */
 void loads_report(
     struct target_load *t, uint32_t running, uint32_t waiting, usec_t now);
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -698,7 +698,7 @@
 		loads_init(&l, "d", 1);
 		loads_update(&l, targets);
 		t = loads_find(&l, "t");
-		loads_sent(t);
+		loads_sent(t, 0);
 		if (rows[i].reported)
 			loads_report(t, 1, 0, 1);
 		loads_ended(&l, "t", rows[i].result, 2);
