Quarantine: what the store lacks is written soon after its return; parts are blamed once per batch

With the store away the pause until the next write had doubled to 8 s, and a host that restarted in it let the part through again: test_crashing_part with the store away during the crashes, one more crash and 2 requests later than the bound (allowed 3). The test plays three cases now and takes the number of hosts. With 20 hosts the second case still shows a crash after the store's return: six crashes within two moments are not blamed yet.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -46,6 +46,8 @@
 	d->counts.store_unavailable = unavailable;
 	pthread_mutex_unlock(&d->lock);
 	roster_set_store_unavailable(&d->roster, unavailable, clock_now());
+	if (!unavailable)
+		quarantine_store_back(&d->quarantine, clock_now());
 	d->view_dirty = true;
 }
 
@@ -405,6 +407,7 @@
 		    earlier(next, d->view_published_at + HOSTS_VIEW_INTERVAL);
 	http_run(d->loop, next > now ? next - now : 0);
 	process_inbox(d);
+	discovery_blame_parts(d);
 	discovery_apply_config(d, clock_now());
 	discovery_send_quarantine(d, clock_now());
 	publish(d, clock_now());
--- a/entry/discovery_quarantine.c
+++ b/entry/discovery_quarantine.c
@@ -163,7 +163,6 @@
 on_crash(struct discovery *d, const peer_crash *c)
 {
 	struct part_set parts;
-	uint32_t crashes;
 
 	log_text(LOG_LVL_NOTICE, "target-crashed",
 	    "%s, with %u calls that had no answer", c->target,
@@ -172,6 +171,18 @@
 		read_prompt(&c->calls.calls_val[i], &parts);
 		add_crash_call(d, c->target, &parts);
 	}
+	d->crashes_reported = true;
+}
+
+void
+discovery_blame_parts(struct discovery *d)
+{
+	struct part_set parts;
+	uint32_t crashes;
+
+	if (!d->crashes_reported)
+		return;
+	d->crashes_reported = false;
 	while ((crashes = crash_suspects_blame(&d->suspects, &parts)) > 0) {
 		g_autofree char *why =
 		    g_strdup_printf("%u targets crashed", crashes);
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -62,6 +62,7 @@
 	bool hosts_listed;
 	struct quarantine quarantine;
 	struct crash_suspects suspects;
+	bool crashes_reported; /* since the parts to blame were looked for */
 	bool feed_gap; /* changes are missing that only a long poll returns */
 	usec_t feed_received_at;
 	usec_t feed_sent_at;
@@ -124,6 +125,11 @@
     struct discovery *d, struct str id, struct str value, bool from_store);
 /* Handles PEER_CRASH, PEER_ANSWERED and PEER_QUARANTINE. */
 void discovery_on_quarantine(struct discovery *d, const peer_body *body);
+/*
+ * Quarantines the parts that reported crashes are to be blamed on; call it
+ * after datagrams were handled.
+ */
+void discovery_blame_parts(struct discovery *d);
 /*
  * Sends quarantines to the other hosts and the store, and ends them, when due;
  * call it regularly.
--- a/kernel/quarantine.c
+++ b/kernel/quarantine.c
@@ -268,17 +268,24 @@
 }
 
 void
-quarantine_list_begin(struct quarantine *q, usec_t now)
+quarantine_store_back(struct quarantine *q, usec_t now)
 {
 	for (guint i = 0; i < q->entries->len; i++) {
 		struct quarantine_entry *e = entry_at(q, i);
 
-		e->stored = false;
 		e->sent_at = now;
 		e->send_pause = SEND_PAUSE_MIN;
 	}
 }
 
+void
+quarantine_list_begin(struct quarantine *q, usec_t now)
+{
+	for (guint i = 0; i < q->entries->len; i++)
+		entry_at(q, i)->stored = false;
+	quarantine_store_back(q, now);
+}
+
 void
 quarantine_write(const struct quarantine_entry *e, struct buf *out)
 {
--- a/kernel/quarantine.h
+++ b/kernel/quarantine.h
@@ -88,6 +88,8 @@
     const struct quarantine *q, struct str id);
 /* The item was deleted in the store. */
 bool quarantine_delete(struct quarantine *q, struct str id);
+/* The store answers again: what it doesn't have is due to be sent. */
+void quarantine_store_back(struct quarantine *q, usec_t now);
 /* A full listing of the store begins, which names the items that it has. */
 void quarantine_list_begin(struct quarantine *q, usec_t now);
 void quarantine_write(const struct quarantine_entry *e, struct buf *out);
--- a/tests/kernel/test_quarantine.c
+++ b/tests/kernel/test_quarantine.c
@@ -236,6 +236,10 @@
 	/* The pause doubles. */
 	g_assert_null(quarantine_next_due(&q, 0, SEC(3)));
 	g_assert_nonnull(quarantine_next_due(&q, 0, SEC(4)));
+	/* Not when the store answers again. */
+	quarantine_store_back(&q, SEC(5));
+	g_assert_null(quarantine_next_due(&q, 0, SEC(5)));
+	g_assert_nonnull(quarantine_next_due(&q, 0, SEC(6)));
 	pass_on(&q, &store, true);
 	pass_on(&store, &q, true);
 	g_assert_null(quarantine_next_due(&q, 0, SEC(100)));
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -938,6 +938,8 @@
 {
 	pthread_mutex_lock(&plat->lock);
 	plat->crash_part = part;
+	plat->n_crashes = 0;
+	g_array_set_size(plat->crash_part_arrivals, 0);
 	pthread_mutex_unlock(&plat->lock);
 }
 
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -80,7 +80,8 @@
 /*
  * From now on a target crashes when it begins the stream of a request that has
  * this part in its prompt, before the last one: it resets its connections,
- * refuses new ones, and is back after a while under another id.
+ * refuses new ones, and is back after a while under another id.  Crashes and
+ * arrivals are counted from here on.
  */
 void fakeplat_set_crash_part(struct fakeplat *plat, const char *part);
 /* Returns the number of crashes, with their times in order. */
--- a/tests/platform/test_crashing_part.c
+++ b/tests/platform/test_crashing_part.c
@@ -2,6 +2,11 @@
  * A part of prompts that crashes each target that begins an answer on it:
  * several hosts, a fake platform, sound requests and requests with the part at
  * all hosts.
+ *
+ *   Usage: test_crashing_part [HOSTS]
+ *
+ * With 16 hosts or more, some receive the changes of the store from other
+ * hosts.
  */
 #include "tests/platform/harness.h"
 
@@ -15,10 +20,11 @@
 #define STORE_PORT      21700
 #define TARGET_PORT     21701
 #define HOST_PORT       21720
-#define HOSTS           4
+#define DEFAULT_HOSTS   4 /* without an argument */
+#define MAX_HOSTS       24
+#define CALLERS         8 /* half of them send sound requests */
 #define TARGETS         6
 #define TIMEOUT_SECONDS 15
-#define CRASH_PART      "bad"
 /* The platform's bounds: StableMs, the crash and the requests allowed. */
 #define STABLE_TIME     (3 * USEC_PER_SEC)
 #define BOUND_CRASH     5
@@ -35,26 +41,53 @@
 	bool sound;
 };
 
+static const struct crash_case {
+	const char *name;
+	const char *part;
+	bool first;      /* the part is the first of the prompt */
+	bool store_away; /* from before the crashes until the requests end */
+	bool restarts;   /* of one host, then of all */
+} cases[] = {
+	{ "the store answers", "bad", false, false, true },
+	{ "the store is away", "worse", false, true, true },
+	{ "the first part", "worst", true, false, false },
+};
+
 static struct fakeplat *platform;
-static struct harness_host hosts[HOSTS];
+static struct harness_host hosts[MAX_HOSTS];
+static int n_hosts = DEFAULT_HOSTS;
+static _Atomic(const struct crash_case *) current;
 static atomic_bool stopping;
 static atomic_bool crashing; /* requests with the part are sent */
 static atomic_bool counting; /* sound requests are counted */
 static atomic_uint n_sound;
 static atomic_uint n_served;
 
+/* Sound requests share the other parts of the requests with the crashing part.
+ */
+static char *
+format_prompt(const struct caller *c, const struct crash_case *x, int n)
+{
+	if (c->sound)
+		return g_strdup_printf(
+		    "first:100,subject%d:100,u%d.%d:20", n % 4, c->number, n);
+	if (x->first)
+		return g_strdup_printf(
+		    "%s:100,subject0:100,u%d.%d:20", x->part, c->number, n);
+	return g_strdup_printf(
+	    "first:100,subject0:100,%s:100,u%d.%d:20", x->part, c->number, n);
+}
+
 static void
 send_request(struct caller *c, int n)
 {
+	const struct crash_case *x = atomic_load(&current);
 	bool counted = atomic_load(&counting);
 	g_autofree char *id = g_strdup_printf(
-	    "s-%s-%d-%d", c->sound ? "sound" : "bad", c->number, n);
-	/* Sound requests share the first part and a subject with the others. */
+	    "s-%s-%d-%d", c->sound ? "sound" : x->part, c->number, n);
+	g_autofree char *prompt = format_prompt(c, x, n);
 	g_autofree char *fields = g_strdup_printf(
-	    "X-Token-Count: 320,20\r\n"
-	    "X-Prefix-Hash: first:100,subject%d:100%s,u%d.%d:20\r\n",
-	    c->sound ? n % 4 : 0, c->sound ? "" : "," CRASH_PART ":100",
-	    c->number, n);
+	    "X-Token-Count: 320,20\r\nX-Prefix-Hash: %s\r\n", prompt);
 	g_autofree char *q =
 	    harness_format(&(struct harness_request){ .path = "/stream/1",
 		.id = id,
@@ -62,7 +95,7 @@
 		.deadline_ms = DEADLINE_MS });
 	struct harness_response a;
 
-	harness_exchange(hosts[(c->number + n) % HOSTS].port, str_from(q),
+	harness_exchange(hosts[(c->number + n) % n_hosts].port, str_from(q),
 	    2 * DEADLINE_MS, &a);
 	if (c->sound && counted) {
 		atomic_fetch_add(&n_sound, 1);
@@ -108,7 +141,7 @@
 			.domain = "d1",
 			.port = (uint16_t)(TARGET_PORT + i) });
 	fakeplat_put(platform, "op/config", c);
-	for (int i = 0; i < HOSTS; i++) {
+	for (int i = 0; i < n_hosts; i++) {
 		struct harness_host *h = &hosts[i];
 
 		h->port = (uint16_t)(HOST_PORT + 4 * i);
@@ -159,19 +192,11 @@
 	g_assert_cmpuint(later, <=, ALLOWED_LATER);
 }
 
-/*
- * Requests with the part stop reaching targets, from any host, also from hosts
- * that have restarted; sound requests that share the other parts are served.
- */
 static void
-test_fleet(void)
+check_sound(void)
 {
-	fakeplat_set_crash_part(platform, CRASH_PART);
-	g_usleep(USEC_PER_SEC);
-	atomic_store(&crashing, true);
-	g_usleep(USEC_PER_SEC);
-	wait_past_bound(2 * STABLE_TIME);
-	check_arrivals("in the running fleet");
+	atomic_store(&n_sound, 0);
+	atomic_store(&n_served, 0);
 	atomic_store(&counting, true);
 	g_usleep((gulong)COUNTED_TIME);
 	atomic_store(&counting, false);
@@ -179,27 +204,66 @@
 	    atomic_load(&n_served));
 	g_assert_cmpuint(atomic_load(&n_sound), >=, 20);
 	g_assert_cmpuint(2 * atomic_load(&n_served), >=, atomic_load(&n_sound));
+}
 
+static void
+check_restarts(void)
+{
 	kill_host(&hosts[1]);
 	start_host(&hosts[1]);
 	g_usleep((gulong)STABLE_TIME);
 	check_arrivals("after the restart of a host");
-
-	for (int i = 0; i < HOSTS; i++)
+	for (int i = 0; i < n_hosts; i++)
 		kill_host(&hosts[i]);
-	for (int i = 0; i < HOSTS; i++)
-		start_host(&hosts[i]);
+	for (int i = 0; i < n_hosts; i++)
+		harness_start_host(&hosts[i]);
+	for (int i = 0; i < n_hosts; i++)
+		g_assert_true(harness_wait_ready(&hosts[i], TIMEOUT_SECONDS));
 	g_usleep((gulong)STABLE_TIME);
 	check_arrivals("after the restart of all hosts");
 }
 
+/*
+ * Requests with the part stop reaching targets, from any host, also from hosts
+ * that have restarted; sound requests that share the other parts are served.
+ */
+static void
+run_case(const struct crash_case *x)
+{
+	g_test_message("%s", x->name);
+	fakeplat_set_crash_part(platform, x->part);
+	atomic_store(&current, x);
+	g_usleep(USEC_PER_SEC);
+	if (x->store_away)
+		fakeplat_set_store_mode(platform, FAKEPLAT_STORE_SILENT);
+	atomic_store(&crashing, true);
+	g_usleep(USEC_PER_SEC);
+	wait_past_bound(2 * STABLE_TIME);
+	check_arrivals("in the running fleet");
+	fakeplat_set_store_mode(platform, FAKEPLAT_STORE_OK);
+	if (x->store_away)
+		g_usleep((gulong)STABLE_TIME);
+	check_sound();
+	if (x->restarts)
+		check_restarts();
+	atomic_store(&crashing, false);
+	g_usleep(2 * DEADLINE_MS * USEC_PER_MSEC);
+}
+
+static void
+test_fleet(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		run_case(&cases[i]);
+}
+
 static void
-stop_fleet(struct caller *v, int n)
+stop_fleet(struct caller *v)
 {
 	atomic_store(&stopping, true);
-	for (int i = 0; i < n; i++)
+	for (int i = 0; i < CALLERS; i++)
 		pthread_join(v[i].thread, NULL);
-	for (int i = 0; i < HOSTS; i++) {
+	for (int i = 0; i < n_hosts; i++) {
 		kill(hosts[i].pid, SIGTERM);
 		g_assert_cmpint(harness_wait_exit(&hosts[i]), ==, 0);
 	}
@@ -209,19 +273,25 @@
 int
 main(int argc, char **argv)
 {
-	struct caller callers[2 * HOSTS];
+	struct caller callers[CALLERS];
 	int rc;
 
 	g_test_init(&argc, &argv, NULL);
+	if (argc > 1)
+		n_hosts = atoi(argv[1]);
+	g_assert_cmpint(n_hosts, >, 1);
+	g_assert_cmpint(n_hosts, <=, MAX_HOSTS);
 	signal(SIGPIPE, SIG_IGN);
+	atomic_store(&current, &cases[0]);
 	start_fleet();
-	for (int i = 0; i < 2 * HOSTS; i++) {
-		callers[i] = (struct caller){ .number = i, .sound = i < HOSTS };
+	for (int i = 0; i < CALLERS; i++) {
+		callers[i] =
+		    (struct caller){ .number = i, .sound = i < CALLERS / 2 };
 		pthread_create(
 		    &callers[i].thread, NULL, run_caller, &callers[i]);
 	}
 	g_test_add_func("/crashing-part/fleet", test_fleet);
 	rc = g_test_run();
-	stop_fleet(callers, 2 * HOSTS);
+	stop_fleet(callers);
 	return rc;
 }
