Quarantine: parts that targets answered before take more evidence, new ones less

And a part that is in most prompts could have been blamed if all targets of a service crash one after the other for another reason.

Cause: the evidence needed was the same for a part never seen before as for one that targets had answered thousands of times. Now each host remembers the parts that targets answered lately and says which of the parts of a crash are among them. New parts are blamed after five crashes at two moments too; parts answered before after six crashes over 1.5 s, and for ten seconds first.

--- a/entry/crash_reports.c
+++ b/entry/crash_reports.c
@@ -15,6 +15,8 @@
 #define ANSWER_INTERVAL (500 * USEC_PER_MSEC)
 /* With more parts under suspicion, all are forgotten. */
 #define MAX_SUSPECTS    4096
+/* Answered parts in each of the two tables; the older one is then dropped. */
+#define MAX_ANSWERED    4096
 
 /* The calls lost with a target, while it is checked. */
 struct pending_crash {
@@ -36,7 +38,9 @@
 	GHashTable *pending;     /* target -> struct pending_crash */
 	GHashTable *suspects;    /* part -> struct suspect_part */
 	GHashTable *quarantined; /* set of the parts of all quarantines */
-	GArray *peers;           /* struct view_peer */
+	GHashTable *answered;    /* set of parts that targets answered lately */
+	GHashTable *answered_before;
+	GArray *peers; /* struct view_peer */
 	uint64_t n_crashes;
 };
 
@@ -51,6 +55,19 @@
 	free(x);
 }
 
+static GHashTable *
+new_set(void)
+{
+	return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+}
+
+static void
+add_to_set(GHashTable *set, uint64_t part)
+{
+	if (!g_hash_table_contains(set, &part))
+		g_hash_table_add(set, g_memdup2(&part, sizeof(part)));
+}
+
 struct crash_reports *
 crash_reports_new(const struct crash_reports_opts *o)
 {
@@ -61,8 +78,9 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pending);
 	c->suspects =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
-	c->quarantined =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	c->quarantined = new_set();
+	c->answered = new_set();
+	c->answered_before = new_set();
 	c->peers = g_array_new(FALSE, TRUE, sizeof(struct view_peer));
 	return c;
 }
@@ -78,8 +96,7 @@
 		    v->quarantine.entries, struct quarantine_entry, i);
 
 		for (size_t k = 0; k < e->parts.n; k++)
-			g_hash_table_add(c->quarantined,
-			    g_memdup2(&e->parts.v[k], sizeof(e->parts.v[k])));
+			add_to_set(c->quarantined, e->parts.v[k]);
 	}
 }
 
@@ -162,6 +179,37 @@
 	s->reported_at = 0;
 }
 
+static bool
+was_answered(const struct crash_reports *c, uint64_t part)
+{
+	return g_hash_table_contains(c->answered, &part) ||
+	    g_hash_table_contains(c->answered_before, &part);
+}
+
+/* Lists the parts of a crash that targets answered before. */
+static void
+write_known(const struct pending_crash *p, peer_crash *out)
+{
+	GHashTable *known = new_set();
+	GHashTableIter it;
+	gpointer part;
+	u_int n = 0;
+
+	for (u_int i = 0; i < p->n_calls; i++) {
+		for (size_t k = 0; k < p->calls[i].n; k++) {
+			if (was_answered(p->owner, p->calls[i].v[k]))
+				add_to_set(known, p->calls[i].v[k]);
+		}
+	}
+	out->known.known_val =
+	    xcalloc(PEER_KNOWN_MAX, sizeof(out->known.known_val[0]));
+	g_hash_table_iter_init(&it, known);
+	while (n < PEER_KNOWN_MAX && g_hash_table_iter_next(&it, &part, NULL))
+		out->known.known_val[n++] = *(uint64_t *)part;
+	out->known.known_len = n;
+	g_hash_table_destroy(known);
+}
+
 static void
 report_crash(struct pending_crash *p)
 {
@@ -174,6 +222,7 @@
 	crash->calls.calls_val =
 	    xcalloc(p->n_calls, sizeof(crash->calls.calls_val[0]));
 	crash->calls.calls_len = p->n_calls;
+	write_known(p, crash);
 	for (u_int i = 0; i < p->n_calls; i++) {
 		write_prompt(&p->calls[i], &crash->calls.calls_val[i]);
 		for (size_t k = 0; k < p->calls[i].n; k++)
@@ -246,13 +295,30 @@
 	return true;
 }
 
+/* Remembers that targets have answered on these parts. */
+static void
+remember(struct crash_reports *c, const struct part_set *parts, uint64_t own)
+{
+	if (g_hash_table_size(c->answered) >= MAX_ANSWERED) {
+		g_hash_table_destroy(c->answered_before);
+		c->answered_before = c->answered;
+		c->answered = new_set();
+	}
+	for (size_t i = 0; i < parts->n; i++) {
+		if (parts->v[i] != own)
+			add_to_set(c->answered, parts->v[i]);
+	}
+}
+
 void
-crash_reports_answered(struct crash_reports *c, const struct part_set *parts)
+crash_reports_answered(
+    struct crash_reports *c, const struct part_set *parts, uint64_t own)
 {
 	struct part_set known = { 0 };
 	peer_body body = { .kind = PEER_ANSWERED };
 	usec_t now;
 
+	remember(c, parts, own);
 	if (g_hash_table_size(c->suspects) == 0 &&
 	    g_hash_table_size(c->quarantined) == 0)
 		return;
@@ -279,6 +345,8 @@
 	g_hash_table_destroy(c->pending);
 	g_hash_table_destroy(c->suspects);
 	g_hash_table_destroy(c->quarantined);
+	g_hash_table_destroy(c->answered);
+	g_hash_table_destroy(c->answered_before);
 	g_array_unref(c->peers);
 	free(c);
 }
--- a/entry/crash_reports.h
+++ b/entry/crash_reports.h
@@ -28,9 +28,12 @@
 /* A call to the target at addr was lost before its answer had begun. */
 void crash_reports_lost(struct crash_reports *c, const char *target,
     const char *addr, const struct part_set *parts);
-/* A target has begun to answer, and goes on. */
+/*
+ * A target has begun to answer, and goes on.  own: the part that belongs to the
+ * request alone.
+ */
 void crash_reports_answered(
-    struct crash_reports *c, const struct part_set *parts);
+    struct crash_reports *c, const struct part_set *parts, uint64_t own);
 /* Number of crashes reported by this host. */
 uint64_t crash_reports_count(const struct crash_reports *c);
 void crash_reports_free(struct crash_reports *c);
--- a/entry/discovery_quarantine.c
+++ b/entry/discovery_quarantine.c
@@ -127,10 +127,10 @@
 }
 
 static void
-begin_quarantine(
-    struct discovery *d, const struct part_set *parts, const char *why)
+begin_quarantine(struct discovery *d, const struct part_set *parts,
+    int64_t first_ms, const char *why)
 {
-	log_quarantine(quarantine_begin(&d->quarantine, parts,
+	log_quarantine(quarantine_begin(&d->quarantine, parts, first_ms,
 			   clock_wall() / USEC_PER_MSEC, clock_now()),
 	    why);
 	quarantine_changed(d);
@@ -151,7 +151,8 @@
 	if (ended != NULL) {
 		struct part_set again = ended->parts;
 
-		begin_quarantine(d, &again, "crashed a target again");
+		begin_quarantine(
+		    d, &again, ended->length_ms, "crashed a target again");
 	}
 	if (quarantine_match(&d->quarantine, parts, now_ms) != NULL)
 		crash_suspects_explain(&d->suspects, target, clock_now());
@@ -164,6 +165,10 @@
 {
 	struct part_set parts;
 
+	for (u_int i = 0; i < c->known.known_len; i++) {
+		parts = (struct part_set){ { c->known.known_val[i] }, 1 };
+		crash_suspects_known(&d->suspects, &parts);
+	}
 	log_text(LOG_LVL_NOTICE, "target-crashed",
 	    "%s, with %u calls that had no answer", c->target,
 	    c->calls.calls_len);
@@ -177,17 +182,17 @@
 void
 discovery_blame_parts(struct discovery *d)
 {
-	struct part_set parts;
-	uint32_t crashes;
+	struct crash_blame b;
 
 	if (!d->crashes_reported)
 		return;
 	d->crashes_reported = false;
-	while ((crashes = crash_suspects_blame(&d->suspects, &parts)) > 0) {
-		g_autofree char *why =
-		    g_strdup_printf("%u targets crashed", crashes);
+	while (crash_suspects_blame(&d->suspects, &b)) {
+		g_autofree char *why = g_strdup_printf("%u targets crashed%s",
+		    b.crashes, b.known ? ", parts were answered before" : "");
 
-		begin_quarantine(d, &parts, why);
+		begin_quarantine(d, &b.parts,
+		    b.known ? QUARANTINE_KNOWN_MS : QUARANTINE_FIRST_MS, why);
 	}
 }
 
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -260,10 +260,13 @@
 static void
 note_answer(struct relay_request *r)
 {
+	size_t n = r->info.n_parts;
+
 	if (r->answer_reported)
 		return;
 	r->answer_reported = true;
-	crash_reports_answered(r->shared->crash_reports, &r->parts);
+	crash_reports_answered(r->shared->crash_reports, &r->parts,
+	    n > 0 ? r->info.parts[n - 1].hash : 0);
 }
 
 /* Passes on the events that have arrived completely. */
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -195,6 +195,7 @@
 typedef struct peer_feed peer_feed;
 #define PEER_PARTS_MAX 32
 #define PEER_CRASH_CALLS_MAX 64
+#define PEER_KNOWN_MAX 256
 
 struct peer_prompt {
 	struct {
@@ -210,6 +211,10 @@
 		u_int calls_len;
 		peer_prompt *calls_val;
 	} calls;
+	struct {
+		u_int known_len;
+		u_quad_t *known_val;
+	} known;
 };
 typedef struct peer_crash peer_crash;
 
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -155,6 +155,7 @@
 
 const PEER_PARTS_MAX = 32;
 const PEER_CRASH_CALLS_MAX = 64;
+const PEER_KNOWN_MAX = 256;
 
 /* The parts of a prompt, as hashes of their ids. */
 struct peer_prompt {
@@ -168,6 +169,8 @@
 struct peer_crash {
 	peer_name target;
 	peer_prompt calls<PEER_CRASH_CALLS_MAX>;
+	/* Those of the parts that targets answered before. */
+	unsigned hyper known<PEER_KNOWN_MAX>;
 };
 
 /* An item of the quarantined parts (kernel/quarantine.h). */
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -442,6 +442,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, PEER_CRASH_CALLS_MAX,
 		sizeof (peer_prompt), (xdrproc_t) xdr_peer_prompt))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->known.known_val, (u_int *) &objp->known.known_len, PEER_KNOWN_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/kernel/crash_suspects.c
+++ b/kernel/crash_suspects.c
@@ -12,9 +12,26 @@
  */
 #define MOMENT           (100 * USEC_PER_MSEC)
 /* From here on a set is blamed although another explains as much. */
-#define BLAME_REGARDLESS (2 * CRASH_BLAME_MIN)
+#define BLAME_REGARDLESS 6
+/* Different prompts, and crashes, until a part is blamed. */
+#define BLAME_PROMPTS    3
+/* Crashes until a single prompt, sent again and again, is blamed. */
+#define BLAME_SINGLE     5
+#define MAX_KNOWN        8192
+
+/* What it takes to blame a part: any of these. */
+static const struct evidence {
+	bool known;
+	uint32_t crashes;
+	uint32_t moments;
+	usec_t span; /* between the first crash and the last */
+} evidences[] = {
+	{ false, BLAME_PROMPTS, 3, 0 },
+	{ false, 5, 2, 0 },
+	{ true, 6, 3, 1500 * USEC_PER_MSEC },
+};
 
-#define COLLECTOR_SEED   23
+#define COLLECTOR_SEED 23
 
 struct crash {
 	char target[64];
@@ -27,20 +44,16 @@
 /* A part, and the crashes that it was present at. */
 struct candidate {
 	uint64_t part;
+	bool known;
+	const struct crash *first;
 	const struct crash *last;
 	uint32_t crashes;
 	uint32_t moments;
 	usec_t moment_at;
-	uint64_t prompts[CRASH_BLAME_MIN]; /* hashes of different ones */
+	uint64_t prompts[BLAME_PROMPTS]; /* hashes of different ones */
 	size_t n_prompts;
 };
 
-/* Parts that came together, as the cause of the crashes they were at. */
-struct cause {
-	struct part_set parts;
-	uint32_t crashes;
-};
-
 size_t
 crash_collectors(const struct rendezvous_host *v, size_t n,
     const char *out[CRASH_COLLECTORS])
@@ -61,6 +74,8 @@
 crash_suspects_init(struct crash_suspects *s)
 {
 	s->crashes = g_ptr_array_new_with_free_func(free_crash);
+	s->known =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 }
 
 static void
@@ -118,6 +133,16 @@
 	explain(crash_of(s, target, now));
 }
 
+void
+crash_suspects_known(struct crash_suspects *s, const struct part_set *parts)
+{
+	if (g_hash_table_size(s->known) + parts->n > MAX_KNOWN)
+		g_hash_table_remove_all(s->known);
+	for (size_t i = 0; i < parts->n; i++)
+		g_hash_table_add(
+		    s->known, g_memdup2(&parts->v[i], sizeof(parts->v[i])));
+}
+
 void
 crash_suspects_answered(struct crash_suspects *s, const struct part_set *parts)
 {
@@ -140,19 +165,21 @@
 		if (x->prompts[i] == hash)
 			return;
 	}
-	if (x->n_prompts < CRASH_BLAME_MIN)
+	if (x->n_prompts < BLAME_PROMPTS)
 		x->prompts[x->n_prompts++] = hash;
 }
 
 static void
-count_part(GHashTable *all, uint64_t part, const struct crash *c,
-    const struct part_set *call)
+count_part(const struct crash_suspects *s, GHashTable *all, uint64_t part,
+    const struct crash *c, const struct part_set *call)
 {
 	struct candidate *x = g_hash_table_lookup(all, &part);
 
 	if (x == NULL) {
 		x = g_new0(struct candidate, 1);
 		x->part = part;
+		x->known = g_hash_table_contains(s->known, &part);
+		x->first = c;
 		g_hash_table_insert(all, &x->part, x);
 	}
 	count_prompt(x, call);
@@ -179,7 +206,7 @@
 		for (size_t k = 0; k < c->n_calls; k++) {
 			for (size_t p = 0; p < c->calls[k].n; p++)
 				count_part(
-				    all, c->calls[k].v[p], c, &c->calls[k]);
+				    s, all, c->calls[k].v[p], c, &c->calls[k]);
 		}
 	}
 	return all;
@@ -232,16 +259,40 @@
 static bool
 is_eligible(const struct candidate *x)
 {
-	return x->moments >= CRASH_BLAME_MIN &&
-	    x->crashes >= (x->n_prompts < CRASH_BLAME_MIN ? CRASH_BLAME_SINGLE
-							  : CRASH_BLAME_MIN);
+	if (x->n_prompts < BLAME_PROMPTS && x->crashes < BLAME_SINGLE)
+		return false;
+	for (size_t i = 0; i < G_N_ELEMENTS(evidences); i++) {
+		const struct evidence *e = &evidences[i];
+
+		if (x->known == e->known && x->crashes >= e->crashes &&
+		    x->moments >= e->moments &&
+		    x->last->at - x->first->at >= e->span)
+			return true;
+	}
+	return false;
 }
 
-/* Returns the causes that explain enough crashes (struct cause). */
+static struct crash_blame
+make_cause(const struct crash_suspects *s, const struct candidate *x)
+{
+	struct crash_blame out = { common_parts(s, x->part), x->crashes,
+		x->known };
+	struct part_set known = { 0 };
+
+	for (size_t i = 0; i < out.parts.n; i++) {
+		if (g_hash_table_contains(s->known, &out.parts.v[i]))
+			part_set_add(&known, out.parts.v[i]);
+	}
+	if (!x->known)
+		part_set_subtract(&out.parts, &known);
+	return out;
+}
+
+/* Returns the causes that explain enough crashes (struct crash_blame). */
 static GArray *
 find_causes(const struct crash_suspects *s)
 {
-	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct cause));
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct crash_blame));
 	GHashTable *all = count_parts(s);
 	GHashTableIter it;
 	gpointer p;
@@ -249,66 +300,73 @@
 	g_hash_table_iter_init(&it, all);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const struct candidate *x = p;
-		struct cause cause;
+		struct crash_blame cause;
 
 		if (!is_eligible(x))
 			continue;
-		cause.parts = common_parts(s, x->part);
-		cause.crashes = x->crashes;
+		cause = make_cause(s, x);
 		g_array_append_val(out, cause);
 	}
 	g_hash_table_destroy(all);
 	return out;
 }
 
+/* Whether a is the better explanation: known parts come last. */
+static bool
+is_better(const struct crash_blame *a, const struct crash_blame *b)
+{
+	if (a->known != b->known)
+		return b->known;
+	if (a->crashes != b->crashes)
+		return a->crashes > b->crashes;
+	return a->parts.n > b->parts.n;
+}
+
 /* Returns NULL if there is none, or none can be told from the others yet. */
-static const struct cause *
+static const struct crash_blame *
 best_cause(const struct crash_suspects *s, const GArray *causes)
 {
-	const struct cause *best = NULL;
+	const struct crash_blame *v = (const void *)causes->data;
+	const struct crash_blame *best = NULL;
 
 	for (guint i = 0; i < causes->len; i++) {
-		const struct cause *x = &g_array_index(causes, struct cause, i);
-
-		if (best == NULL || x->crashes > best->crashes ||
-		    (x->crashes == best->crashes && x->parts.n > best->parts.n))
-			best = x;
+		if (best == NULL || is_better(&v[i], best))
+			best = &v[i];
 	}
 	for (guint i = 0; best != NULL && i < causes->len; i++) {
-		const struct cause *x = &g_array_index(causes, struct cause, i);
-
-		if (x->crashes == best->crashes &&
-		    !part_set_includes(&best->parts, &x->parts) &&
+		if (v[i].known == best->known &&
+		    v[i].crashes == best->crashes &&
+		    !part_set_includes(&best->parts, &v[i].parts) &&
 		    best->crashes < BLAME_REGARDLESS &&
-		    share_a_crash(s, &x->parts, &best->parts))
+		    share_a_crash(s, &v[i].parts, &best->parts))
 			return NULL;
 	}
 	return best;
 }
 
-uint32_t
-crash_suspects_blame(struct crash_suspects *s, struct part_set *out)
+bool
+crash_suspects_blame(struct crash_suspects *s, struct crash_blame *out)
 {
 	GArray *causes = find_causes(s);
-	const struct cause *best = best_cause(s, causes);
-	uint32_t crashes = 0;
+	const struct crash_blame *best = best_cause(s, causes);
+	bool found = best != NULL;
 
-	*out = (struct part_set){ 0 };
-	if (best == NULL)
+	*out = (struct crash_blame){ 0 };
+	if (!found)
 		goto out;
-	*out = best->parts;
-	crashes = best->crashes;
+	*out = *best;
 	for (guint i = 0; i < s->crashes->len; i++) {
-		if (is_at(s->crashes->pdata[i], out))
+		if (is_at(s->crashes->pdata[i], &out->parts))
 			explain(s->crashes->pdata[i]);
 	}
 out:
 	g_array_unref(causes);
-	return crashes;
+	return found;
 }
 
 void
 crash_suspects_free(struct crash_suspects *s)
 {
 	g_ptr_array_unref(s->crashes);
+	g_hash_table_destroy(s->known);
 }
--- a/kernel/crash_suspects.h
+++ b/kernel/crash_suspects.h
@@ -4,10 +4,12 @@
  * Load pattern: requests that share a part of their prompts come at all hosts,
  * and each target that begins an answer on one crashes.  Sound requests share
  * the other parts, wait on the same targets and end with them; one host sees
- * only some of the crashes; many targets may crash at once for another reason.
- * So the calls without an answer at a crash are gathered from all hosts.  A
- * part is to blame if it was among them in several crashes at different times,
- * and no target has answered a request with it since.
+ * only some of the crashes; many targets, or all, may crash within a second for
+ * another reason.  So the calls without an answer at a crash are gathered from
+ * all hosts.  A part is to blame if it was among them in several crashes at
+ * different times, and no target has answered a request with it since.  A part
+ * that targets answered before the crashes needs more evidence, over a longer
+ * time.
  *
  * Parts that came together in all these calls are blamed as a set, as none of
  * them can be told from the others yet.  A crash is blamed on one set only, so
@@ -27,13 +29,6 @@
 
 #include <glib.h>
 
-/*
- * Crashes, moments apart from each other, and different prompts until a part
- * is blamed.
- */
-#define CRASH_BLAME_MIN    3
-/* Crashes until a single prompt, sent again and again, is blamed. */
-#define CRASH_BLAME_SINGLE 5
 /* Calls of one crash that are kept. */
 #define CRASH_MAX_CALLS    64
 /* An answer has begun for certain with this many events. */
@@ -44,6 +39,14 @@
 
 struct crash_suspects {
 	GPtrArray *crashes; /* struct crash, oldest first */
+	GHashTable *known;  /* parts that were answered before; a set */
+};
+
+/* Parts to blame for crashes. */
+struct crash_blame {
+	struct part_set parts;
+	uint32_t crashes;
+	bool known; /* targets had answered on all of them before */
 };
 
 /* Chooses the collectors among the live hosts; returns their number. */
@@ -60,14 +63,14 @@
 /* The crash of a target has a known cause: its calls are not suspect. */
 void crash_suspects_explain(
     struct crash_suspects *s, const char *target, usec_t now);
+/* Targets answered on these parts before a crash. */
+void crash_suspects_known(
+    struct crash_suspects *s, const struct part_set *parts);
 /* Targets have answered on these parts: they are not to blame. */
 void crash_suspects_answered(
     struct crash_suspects *s, const struct part_set *parts);
-/*
- * Returns the number of crashes that the given parts are now blamed for, and
- * forgets these; 0 if there is nothing to blame.
- */
-uint32_t crash_suspects_blame(struct crash_suspects *s, struct part_set *out);
+/* Returns whether parts are to blame, and forgets the crashes they explain. */
+bool crash_suspects_blame(struct crash_suspects *s, struct crash_blame *out);
 void crash_suspects_free(struct crash_suspects *s);
 
 #endif
--- a/kernel/quarantine.c
+++ b/kernel/quarantine.c
@@ -139,7 +139,7 @@
 
 const struct quarantine_entry *
 quarantine_begin(struct quarantine *q, const struct part_set *parts,
-    int64_t now_ms, usec_t now)
+    int64_t first_ms, int64_t now_ms, usec_t now)
 {
 	char id[QUARANTINE_ID_BYTES];
 	struct quarantine_entry *e;
@@ -150,8 +150,8 @@
 		e = add_entry(q, str_from(id));
 	if (is_in_force(e, now_ms) && part_set_equal(&e->parts, parts))
 		return e;
-	e->length_ms = has_ended_lately(e, now_ms) ? 2 * e->length_ms
-						   : QUARANTINE_FIRST_MS;
+	e->length_ms =
+	    has_ended_lately(e, now_ms) ? 2 * e->length_ms : first_ms;
 	if (e->length_ms > QUARANTINE_LONGEST_MS)
 		e->length_ms = QUARANTINE_LONGEST_MS;
 	e->until_ms = now_ms + e->length_ms;
--- a/kernel/quarantine.h
+++ b/kernel/quarantine.h
@@ -29,7 +29,9 @@
 #include <glib.h>
 
 #define QUARANTINE_MAX        64
+/* First length, and that of parts which targets answered before. */
 #define QUARANTINE_FIRST_MS   ((int64_t)600 * 1000)
+#define QUARANTINE_KNOWN_MS   ((int64_t)10 * 1000)
 #define QUARANTINE_LONGEST_MS ((int64_t)4 * 3600 * 1000)
 #define QUARANTINE_MAX_BYTES  700 /* of an item's value */
 #define QUARANTINE_ID_BYTES   17
@@ -69,9 +71,12 @@
  */
 const struct quarantine_entry *quarantine_match_ended(
     const struct quarantine *q, const struct part_set *parts, int64_t now_ms);
-/* Quarantines a set, for longer if it has been before. */
+/*
+ * Quarantines a set, for first_ms or, if it has been lately, for longer than
+ * then.
+ */
 const struct quarantine_entry *quarantine_begin(struct quarantine *q,
-    const struct part_set *parts, int64_t now_ms, usec_t now);
+    const struct part_set *parts, int64_t first_ms, int64_t now_ms, usec_t now);
 /*
  * Targets have answered a request with these parts: lifts the entries that it
  * has all parts of, and takes the parts out of the others.  Returns whether
