Relay: a stream without framing that ends before its first event is lost

What callers could see: an answer with neither length nor chunks whose target crashes before the first event was passed on as a complete, empty stream. Cause: the end of such a connection counted as the end of the stream unless it was within an event. Test: /relay/answers, s-empty, got an empty body before; with s-open, s-cut, once-c and once-e it passes now.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -365,6 +365,12 @@
 		on_answer_lost(r, "the stream ends within an event");
 		return;
 	}
+	/* The target may have crashed before it wrote anything. */
+	if (call_events(r) == 0 && !httpmsg_has_end(m)) {
+		report_call_end(r, false);
+		on_answer_lost(r, "the stream ends without an event");
+		return;
+	}
 	report_call_end(r, true);
 	if (call_events(r) > 0)
 		note_answer(r);
--- a/plat/httpmsg.c
+++ b/plat/httpmsg.c
@@ -234,6 +234,12 @@
 		m->state = HTTPMSG_BAD;
 }
 
+bool
+httpmsg_has_end(const struct httpmsg *m)
+{
+	return (m->parser.flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
+}
+
 bool
 httpmsg_keep_alive(const struct httpmsg *m)
 {
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -19,6 +19,9 @@
 #define STAGE_CALL_MS     60 /* duration of a stage call without pieces */
 #define STAGE_PIECE_MS    4  /* added by each piece */
 #define MAX_BEHAVIOR      32
+/* Answers without end: what is written at once, and in all. */
+#define ENDLESS_CHUNK     ((size_t)256 * 1024)
+#define ENDLESS_BYTES     ((size_t)64 * 1024 * 1024)
 #define CRASH_DELAY_MS    50 /* from the arrival to the begin of an answer */
 #define CRASH_DOWN_MS     1500
 
@@ -55,6 +58,7 @@
 	bool reset_next;     /* the next request resets the connection */
 	int64_t watch_after; /* revision of a long poll */
 	struct buf delayed;  /* response to send later */
+	size_t endless_sent; /* bytes of an answer without end */
 };
 
 struct fakeplat {
@@ -355,6 +359,62 @@
 	    c->attempt, c->target->id, limit);
 }
 
+/* Writes more of an answer without end. */
+static void
+send_endless(struct conn *c)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+	const char *unit = strcmp(c->behavior, "endless-interim") == 0
+	    ? "HTTP/1.1 102 Processing\r\nX-Pad: x\r\n\r\n"
+	    : "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx";
+
+	while (evbuffer_get_length(out) < ENDLESS_CHUNK &&
+	    c->endless_sent < ENDLESS_BYTES) {
+		evbuffer_add(out, unit, strlen(unit));
+		c->endless_sent += strlen(unit);
+	}
+	arm_timer(c, 1);
+}
+
+/* Begins an answer without end. */
+static void
+start_endless(struct conn *c)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+	char fields[512];
+
+	format_fields(c, fields, sizeof(fields));
+	if (strcmp(c->behavior, "endless-head") == 0)
+		evbuffer_add_printf(out, "HTTP/1.1 200 OK\r\nX-Pad: ");
+	else if (strcmp(c->behavior, "endless-body") == 0)
+		evbuffer_add_printf(out, "HTTP/1.1 200 OK\r\n%s\r\n", fields);
+	send_endless(c);
+}
+
+/* Sends the next event of a stream that ends with its connection. */
+static void
+send_open_event(struct conn *c)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+	bool ends = c->next_event > c->n_events ||
+	    strcmp(c->behavior, "open-empty") == 0;
+
+	if (!ends && strcmp(c->behavior, "open-cut") == 0 &&
+	    c->next_event == 3) {
+		evbuffer_add_printf(out, "id: 3\nda");
+		ends = true;
+	}
+	if (ends) {
+		strcpy(c->behavior, "close");
+		arm_timer(c, 5);
+		return;
+	}
+	evbuffer_add_printf(
+	    out, "id: %u\ndata: %s\n\n", c->next_event, c->attempt);
+	c->next_event++;
+	arm_timer(c, EVENT_INTERVAL_MS);
+}
+
 static void
 send_event(struct conn *c)
 {
@@ -362,6 +422,18 @@
 	char data[256];
 	int n;
 
+	if (str_has_prefix(str_from(c->behavior), STR("open"))) {
+		send_open_event(c);
+		return;
+	}
+	if (strcmp(c->behavior, "endless") == 0 && c->next_event == 3) {
+		evbuffer_add_printf(
+		    out, "%zx\r\nid: 3\ndata: ", 2 * ENDLESS_BYTES);
+		strcpy(c->behavior, "endless-event");
+		send_endless(c);
+		return;
+	}
+
 	if (strcmp(c->behavior, "break") == 0 && c->next_event == 3) {
 		reset_conn(c);
 		return;
@@ -397,8 +469,11 @@
 	format_fields(c, fields, sizeof(fields));
 	evbuffer_add_printf(bufferevent_get_output(c->bev),
 	    "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
-	    "Transfer-Encoding: chunked\r\n\r\n",
-	    fields);
+	    "%s\r\n",
+	    fields,
+	    str_has_prefix(str_from(c->behavior), STR("open"))
+		? ""
+		: "Transfer-Encoding: chunked\r\n");
 	send_event(c);
 }
 
@@ -419,10 +494,20 @@
  *   refuse-once  refuses the first arrival as not executed
  *   slow         responds after 2000 ms
  *   mute         never responds to the first arrival, also of a stream
+ *   endless-head, endless-body, endless-garbage, endless-interim
+ *                sends bytes without end: in a header field, in a body
+ *                without length, that are no response, or that are interim
+ *                responses
  *
  * A second run of an attempt gets a normal response, except with 500.  A stream
- * also has the behaviors break, a reset after two events, and stall, no more
- * bytes after two events.
+ * also has these behaviors:
+ *
+ *   break        resets the connection after two events
+ *   stall        sends no more bytes after two events
+ *   endless      sends an event without end, after two events
+ *   open         has neither length nor chunks, ends with the connection
+ *   open-cut     as open, and ends within the third event
+ *   open-empty   as open, and ends before the first event
  */
 static void
 respond_plain(struct conn *c)
@@ -455,6 +540,8 @@
 		await_request(c);
 	} else if (strcmp(s, "unsealed") == 0) {
 		send_response(c, 200, "", STR("not the target's"));
+	} else if (str_has_prefix(str_from(s), STR("endless-"))) {
+		start_endless(c);
 	} else if (strcmp(s, "500") == 0) {
 		send_response(c, 500, fields, STR("failed"));
 	} else if (strcmp(s, "drop-next") == 0) {
@@ -601,6 +688,8 @@
 		free_conn(c);
 	} else if (strcmp(c->behavior, "crash") == 0) {
 		crash(c->target);
+	} else if (c->endless_sent > 0) {
+		send_endless(c);
 	} else if (strcmp(c->behavior, "stage") == 0) {
 		struct buf body = c->delayed;
 		char limit[64];
--- a/tests/platform/test_relay.c
+++ b/tests/platform/test_relay.c
@@ -13,6 +13,8 @@
 #define TARGET_PORT     21910
 #define HOST_PORT       21930
 #define TIMEOUT_SECONDS 15 /* for any expected event */
+/* Each answer is complete well before the deadline of its request, 5 s. */
+#define ANSWER_TIME     (4500 * USEC_PER_MSEC)
 
 static struct fakeplat *platform;
 static struct harness_host host = {
@@ -76,6 +78,17 @@
 	{ "/stream/1", "s-stall", "stall", 200, 2, EVENTS("s-stall"), false },
 	{ "/stream-once/1", "once-s", "break", 200, 1,
 	    "id: 1\ndata: once-s\n\nid: 2\ndata: once-s\n\n", true },
+	/*
+	 * A stream without length and chunks ends with its connection, and is
+	 * broken if that is within an event or before the first one.
+	 */
+	{ "/stream/1", "s-open", "open", 200, 1, EVENTS("s-open"), false },
+	{ "/stream/1", "s-cut", "open-cut", 200, 2, EVENTS("s-cut"), false },
+	{ "/stream/1", "s-empty", "open-empty", 200, 2, EVENTS("s-empty"),
+	    false },
+	{ "/stream-once/1", "once-c", "open-cut", 200, 1,
+	    "id: 1\ndata: once-c\n\nid: 2\ndata: once-c\n\n", true },
+	{ "/stream-once/1", "once-e", "open-empty", 502, 1, NULL, false },
 };
 
 static void
@@ -87,12 +100,17 @@
 		    .path = c->path, .id = c->id, .behavior = c->behavior });
 		struct harness_response a;
 		struct fakeplat_attempt s;
+		usec_t start;
 
 		g_test_message("%s", c->id);
+		start = clock_now();
 		harness_exchange(
 		    host.port, str_from(q), TIMEOUT_SECONDS * 1000, &a);
 		g_assert_cmpint(a.status, ==, c->status);
 		g_assert_cmpint(a.complete, ==, !c->incomplete);
+		g_print(
+		    "%s %ld ms\n", c->id, (long)(clock_now() - start) / 1000);
+		g_assert_cmpint(clock_now() - start, <, ANSWER_TIME);
 		if (c->body != NULL)
 			g_assert_cmpstr(a.body.p, ==, c->body);
 		if (c->status == 503)
