Soak: limits of targets, and a seeded play of crashing parts with failing hosts

The soak sets and clears limits among its faults and checks at its end that targets with a limit of 1 get at most 11 requests in 4 s. test_crashing_part HOSTS SEED kills, stops and pauses hosts and lets the store fail while targets crash, and checks the calm after it.

--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -905,7 +905,9 @@
 find_target(struct fakeplat *plat, const char *id)
 {
 	for (size_t i = 0; i < plat->n_targets; i++) {
-		if (strcmp(plat->targets[i]->id, id) == 0)
+		const struct target *t = plat->targets[i];
+
+		if (strcmp(t->id, id) == 0 || strcmp(t->config.id, id) == 0)
 			return plat->targets[i];
 	}
 	g_assert_not_reached();
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -52,7 +52,10 @@
     struct fakeplat *plat, enum fakeplat_store_mode mode);
 void fakeplat_put(struct fakeplat *plat, const char *key, const char *value);
 void fakeplat_delete(struct fakeplat *plat, const char *key);
-/* Starts a target and writes its entry to the store. */
+/*
+ * Starts a target and writes its entry to the store.  Other functions find it
+ * by this id also after a crash, when it has another.
+ */
 void fakeplat_add_target(
     struct fakeplat *plat, const struct fakeplat_target *o);
 /* Writes the target's entry to the store with the state draining. */
--- a/tests/platform/test_crashing_part.c
+++ b/tests/platform/test_crashing_part.c
@@ -3,11 +3,13 @@
  * several hosts, a fake platform, sound requests and requests with the part at
  * all hosts.
  *
- *   Usage: test_crashing_part [HOSTS]
+ *   Usage: test_crashing_part [HOSTS [SEED]]
  *
  * With 16 hosts or more, some receive the changes of the store from other
- * hosts.
+ * hosts.  With a seed, hosts are killed, stopped and paused and the store fails
+ * at random while targets crash; what is checked begins when all is calm again.
  */
+#include "base/rng.h"
 #include "tests/platform/harness.h"
 
 #include <pthread.h>
@@ -34,6 +36,10 @@
 #define SOUND_INTERVAL  (60 * USEC_PER_MSEC)
 #define CRASH_INTERVAL  (200 * USEC_PER_MSEC)
 #define DEADLINE_MS     2000
+/* With a seed: rounds, each with a part of its own, and how long faults last.
+ */
+#define ROUNDS          4
+#define FAULTS_TIME     (6 * USEC_PER_SEC)
 
 struct caller {
 	pthread_t thread;
@@ -57,6 +63,7 @@
 static struct harness_host hosts[MAX_HOSTS];
 static int n_hosts = DEFAULT_HOSTS;
 static _Atomic(const struct crash_case *) current;
+static uint64_t seed; /* 0: none */
 static atomic_bool stopping;
 static atomic_bool crashing; /* requests with the part are sent */
 static atomic_bool counting; /* sound requests are counted */
@@ -257,6 +264,82 @@
 		run_case(&cases[i]);
 }
 
+static void
+inject_fault(struct rng *r)
+{
+	struct harness_host *h = &hosts[rng_below(r, (uint64_t)n_hosts)];
+
+	switch (rng_below(r, 5)) {
+	case 0:
+		kill_host(h);
+		harness_start_host(h);
+		break;
+	case 1:
+		kill(h->pid, SIGTERM);
+		g_assert_cmpint(harness_wait_exit(h), ==, 0);
+		harness_start_host(h);
+		break;
+	case 2:
+		kill(h->pid, SIGSTOP);
+		g_usleep((gulong)rng_below(r, 1500000));
+		kill(h->pid, SIGCONT);
+		break;
+	case 3:
+		fakeplat_set_store_mode(
+		    platform, (enum fakeplat_store_mode)rng_below(r, 4));
+		break;
+	default:
+		fakeplat_compact(platform);
+		break;
+	}
+}
+
+/*
+ * A part crashes targets while hosts and the store fail; once all is calm, no
+ * more than the allowed requests with it reach targets, and sound ones do.
+ */
+static void
+run_round(struct rng *r, const struct crash_case *x)
+{
+	usec_t until = clock_now() + FAULTS_TIME;
+	uint32_t later;
+
+	fakeplat_set_crash_part(platform, x->part);
+	atomic_store(&current, x);
+	atomic_store(&crashing, true);
+	while (clock_now() < until) {
+		inject_fault(r);
+		g_usleep((gulong)rng_below(r, 700000));
+	}
+	fakeplat_set_store_mode(platform, FAKEPLAT_STORE_OK);
+	for (int i = 0; i < n_hosts; i++)
+		g_assert_true(harness_wait_ready(&hosts[i], TIMEOUT_SECONDS));
+	until = clock_now() + 2 * STABLE_TIME;
+	g_usleep(2 * STABLE_TIME);
+	check_sound();
+	later = fakeplat_crash_part_arrivals(platform, until);
+	g_test_message("%s: %u requests in the calm", x->part, later);
+	g_assert_cmpuint(later, <=, ALLOWED_LATER);
+	atomic_store(&crashing, false);
+	g_usleep(2 * DEADLINE_MS * USEC_PER_MSEC);
+}
+
+static void
+test_faults(void)
+{
+	static const struct crash_case rounds[ROUNDS] = {
+		{ "", "bad1", false, false, false },
+		{ "", "bad2", true, false, false },
+		{ "", "bad3", false, false, false },
+		{ "", "bad4", true, false, false },
+	};
+	struct rng r;
+
+	rng_init(&r, seed);
+	for (size_t i = 0; i < ROUNDS; i++)
+		run_round(&r, &rounds[i]);
+}
+
 static void
 stop_fleet(struct caller *v)
 {
@@ -279,6 +362,8 @@
 	g_test_init(&argc, &argv, NULL);
 	if (argc > 1)
 		n_hosts = atoi(argv[1]);
+	if (argc > 2)
+		seed = g_ascii_strtoull(argv[2], NULL, 10);
 	g_assert_cmpint(n_hosts, >, 1);
 	g_assert_cmpint(n_hosts, <=, MAX_HOSTS);
 	signal(SIGPIPE, SIG_IGN);
@@ -290,7 +375,10 @@
 		pthread_create(
 		    &callers[i].thread, NULL, run_caller, &callers[i]);
 	}
-	g_test_add_func("/crashing-part/fleet", test_fleet);
+	if (seed == 0)
+		g_test_add_func("/crashing-part/fleet", test_fleet);
+	else
+		g_test_add_func("/crashing-part/faults", test_faults);
 	rc = g_test_run();
 	stop_fleet(callers);
 	return rc;
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -42,6 +42,13 @@
  * limit plus the delay of the fake platform.
  */
 #define DRAIN_BOUND       (2500 * USEC_PER_MSEC)
+/*
+ * The platform's bound for a target that names a limit of one request a second:
+ * from LIMIT_DELAY on, at most LIMIT_ALLOWED requests in LIMIT_SPAN.
+ */
+#define LIMIT_DELAY       (3 * USEC_PER_SEC)
+#define LIMIT_SPAN        (4 * USEC_PER_SEC)
+#define LIMIT_ALLOWED     11
 #define MAX_REFUSED       20000
 #define WATCH_INTERVAL    (50 * USEC_PER_MSEC)
 #define PAUSE_LIMIT       (500 * USEC_PER_MSEC)
@@ -95,6 +102,7 @@
 	{ "/stream/staged/1", "st", "X-Pieces: 2,3\r\nX-Piece-Key: pk\r\n",
 	    true, false },
 };
+static const char *const limits[] = { "0.5", "1", "4.5", "x" };
 static const char *const behaviors[] = { NULL, NULL, NULL, "cut", "half",
 	"extra", "late", "refuse-once", "nolength" };
 
@@ -256,7 +264,7 @@
 	int t = (int)rng_below(r, TARGETS);
 	int link = rng_below(r, 2) == 0 ? store_links[h] : target_links[t];
 
-	switch (rng_below(r, 14)) {
+	switch (rng_below(r, 15)) {
 	case 0:
 		proxy_reset(proxy, link);
 		break;
@@ -295,6 +303,10 @@
 	case 11:
 		fakeplat_stop_target(platform, targets[t].id, true);
 		break;
+	case 12:
+		fakeplat_set_limit(platform, targets[t].id,
+		    limits[rng_below(r, G_N_ELEMENTS(limits))]);
+		break;
 	default:
 		put_config();
 		break;
@@ -315,6 +327,7 @@
 		proxy_set_fault(proxy, target_links[i], PROXY_NONE);
 		fakeplat_stop_target(platform, targets[i].id, false);
 		fakeplat_ready_target(platform, targets[i].id);
+		fakeplat_set_limit(platform, targets[i].id, NULL);
 	}
 	if (all || rng_below(r, 2) == 0)
 		fakeplat_set_store_mode(platform, FAKEPLAT_STORE_OK);
@@ -385,6 +398,29 @@
 	fakeplat_ready_target(platform, "p1");
 }
 
+/* Limits that one target of each service names hold for all hosts together. */
+static void
+check_limits(void)
+{
+	static const char *const ids[] = { "p2", "e2", "s2" };
+	usec_t since = clock_now();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+		fakeplat_set_limit(platform, ids[i], "1");
+	g_usleep((gulong)(LIMIT_DELAY + LIMIT_SPAN + USEC_PER_SEC));
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+		uint32_t most = fakeplat_most_arrivals(
+		    platform, ids[i], since + LIMIT_DELAY, LIMIT_SPAN);
+
+		if (most > LIMIT_ALLOWED) {
+			printf("%s: %u requests in 4 s\n", ids[i], most);
+			report_violation(
+			    "a target got more than its limit", ids[i]);
+		}
+		fakeplat_set_limit(platform, ids[i], NULL);
+	}
+}
+
 static void
 check_refused(void)
 {
@@ -518,6 +554,7 @@
 	atomic_store(&faults_over, true);
 	g_usleep(4 * USEC_PER_SEC);
 	check_drain();
+	check_limits();
 	stop_all(callers);
 	pthread_join(watch, NULL);
 	if (fakeplat_count_duplicates(platform) > 0)
