--- a/entry/relay.c
+++ b/entry/relay.c
@@ -29,19 +29,17 @@
 #define INITIAL_LIMITS          \
 	((struct httpd_limits){ \
 	    65536, 1 << 20, 5 * USEC_PER_SEC, 15 * USEC_PER_SEC })
-/* Deadline budget of a request that states none. */
-#define DEFAULT_DEADLINE_BUDGET (60 * USEC_PER_SEC)
 /*
  * Retry-After without a configuration: by then the host has one, or the load
  * balancer has picked another host.
  */
-#define NOT_READY_RETRY         (300 * USEC_PER_MSEC)
+#define NOT_READY_RETRY (300 * USEC_PER_MSEC)
 /* Retry-After while stopping; short, as another host can serve the request. */
-#define DRAINING_RETRY          (10 * USEC_PER_MSEC)
+#define DRAINING_RETRY  (10 * USEC_PER_MSEC)
 /* Typical length of a stream after its first event. */
-#define STREAM_DURATION         (2 * USEC_PER_SEC)
+#define STREAM_DURATION (2 * USEC_PER_SEC)
 /* Requests end this long before the exit, so that the last responses arrive. */
-#define EXIT_MARGIN             (400 * USEC_PER_MSEC)
+#define EXIT_MARGIN     (400 * USEC_PER_MSEC)
 struct relay {
 	struct relay_opts o;
 	struct relay_shared shared;
@@ -52,201 +50,19 @@
 	struct event *inbox_event;
 	struct event *tick;
 	struct view *view;
-	GQueue requests;
-	struct relay_counts counts;
 	pthread_t thread;
 	bool started;
 	int wake_fd;
-	atomic_size_t busy;
 	atomic_bool draining;
 	atomic_llong exit_at; /* exit time of the process; 0: not stopping */
 	atomic_bool stopping;
 };
 
-static void
-free_request(struct relay_request *r)
-{
-	struct relay *y = r->relay;
-
-	stages_cancel(r);
-	event_free(r->timer);
-	sse_free(&r->sse);
-	routes_unref(r->routes);
-	g_queue_unlink(&y->requests, &r->link);
-	atomic_fetch_sub(&y->busy, 1);
-	free(r);
-}
-
-struct retry_quota *
-relay_request_retry_quota(struct relay_request *r)
-{
-	GHashTable *all = r->shared->retry_quotas;
-	struct retry_quota *x = g_hash_table_lookup(all, r->service->name);
-
-	if (x == NULL) {
-		x = xcalloc(1, sizeof(*x));
-		g_hash_table_insert(
-		    all, str_dup(str_from(r->service->name)), x);
-	}
-	return x;
-}
-
-/* Replaces 503 if the request may have run, as 503 promises that it did not. */
-static struct rejection
-adjust_rejection(const struct relay_request *r, const struct rejection *why)
-{
-	struct rejection out = *why;
-
-	if (!r->may_have_run)
-		return out;
-	if (err_status(out.kind) == HTTP_STATUS_SERVICE_UNAVAILABLE)
-		out.kind = ERR_TARGET_FAILED;
-	out.retry_after = 0;
-	return out;
-}
-
-bool
-relay_quarantined(const struct relay_shared *s, const struct part_set *parts,
-    struct rejection *why)
-{
-	int64_t now_ms = clock_wall() / USEC_PER_MSEC;
-	const struct quarantine_entry *e = s->quarantine != NULL
-	    ? quarantine_match(s->quarantine, parts, now_ms)
-	    : NULL;
-
-	if (e == NULL)
-		return false;
-	*why = (struct rejection){ ERR_QUARANTINED,
-		(e->until_ms - now_ms) * USEC_PER_MSEC,
-		"targets crash on a part of its prompt" };
-	return true;
-}
-
-void
-relay_request_reject(struct relay_request *r, const struct rejection *why)
-{
-	struct rejection adjusted = adjust_rejection(r, why);
-
-	r->relay->counts.rejected[-adjusted.kind]++;
-	/* The caller of a quarantined request had better not come back. */
-	if (why->kind != ERR_QUARANTINED)
-		stages_rejected(r, &adjusted);
-	relay_answer_log_rejection(
-	    r->info.id, &adjusted, r->route->name, clock_now() - r->arrived);
-	if (r->head_written)
-		httpd_abort(r->httpd_req);
-	else
-		relay_answer_problem(r->httpd_req, r->info.id, &adjusted);
-	free_request(r);
-}
-
-void
-relay_request_done(struct relay_request *r, const char *outcome)
-{
-	struct relay_counts *c = &r->relay->counts;
-	usec_t took = clock_now() - r->arrived;
-
-	if (strcmp(outcome, "complete") == 0)
-		c->complete++;
-	else
-		c->failed++;
-	relay_histogram_add(&c->latency, took);
-	relay_answer_log_end(r, outcome, took);
-	free_request(r);
-}
-
-static void
-on_caller_closed(void *arg)
-{
-	struct relay_request *r = arg;
-
-	LOG(LOG_LVL_INFO, "caller-gone", { "request", r->info.id });
-	r->relay->counts.caller_gone++;
-	forward_cancel(r);
-	free_request(r);
-}
-
-/* The caller's deadline budget or the route's timeout has run out. */
-static void
-on_deadline(evutil_socket_t fd, short what, void *arg)
-{
-	struct relay_request *r = arg;
-	bool sent = r->call != NULL || r->may_have_run;
-
-	(void)fd;
-	(void)what;
-	forward_cancel(r);
-	relay_request_reject(r,
-	    &(struct rejection){
-		sent ? ERR_DEADLINE : ERR_NO_TIME, 0, "its time is over" });
-}
-
-static void
-set_timer(struct relay_request *r, usec_t now)
-{
-	usec_t left = r->deadline > now ? r->deadline - now : 0;
-	struct timeval tv = { left / USEC_PER_SEC, left % USEC_PER_SEC };
-
-	r->timer = evtimer_new(r->shared->base, on_deadline, r);
-	evtimer_add(r->timer, &tv);
-}
-
-static int
-effective_rank(const struct route *route, const struct key_owner *key)
-{
-	return key != NULL && key->rank != RANK_NONE ? key->rank : route->rank;
-}
-
-static struct part_set
-prompt_parts(const struct request_info *info)
-{
-	struct part_set out = { 0 };
-
-	for (size_t i = 0; i < info->n_parts; i++)
-		part_set_add(&out, info->parts[i].hash);
-	return out;
-}
-
-/* Creates the state of an accepted request and starts its stages. */
-static void
-accept_request(struct relay *y, struct httpd_request *q,
-    const struct request_info *info, const struct route *route,
-    const struct key_owner *caller_key)
-{
-	struct relay_request *r = xcalloc(1, sizeof(*r));
-	usec_t budget = info->deadline_budget > 0 ? info->deadline_budget
-						  : DEFAULT_DEADLINE_BUDGET;
-
-	r->relay = y;
-	r->shared = &y->shared;
-	r->httpd_req = q;
-	r->info = *info;
-	r->routes = routes_ref(y->view->routes);
-	r->route = route;
-	r->caller_key = caller_key;
-	r->parts = prompt_parts(info);
-	r->service =
-	    routes_service_at(r->routes, route_pick_service(route, info->id));
-	r->rank = effective_rank(route, caller_key);
-	r->arrived = httpd_arrived(q);
-	r->deadline = r->arrived +
-	    (route->timeout > 0 && route->timeout < budget ? route->timeout
-							   : budget);
-	r->link.data = r;
-	g_queue_push_tail_link(&y->requests, &r->link);
-	atomic_fetch_add(&y->busy, 1);
-	set_timer(r, clock_now());
-	httpd_on_close(q, on_caller_closed, r);
-	retry_quota_request(
-	    relay_request_retry_quota(r), &y->shared.quota_rule, clock_now());
-	stages_start(r);
-}
-
 static void
 reject_early(struct relay *y, struct httpd_request *q, struct str id,
     const struct rejection *why)
 {
-	y->counts.rejected[-why->kind]++;
+	y->shared.counts.rejected[-why->kind]++;
 	relay_answer_log_rejection(id, why, "", 0);
 	relay_answer_problem(q, id, why);
 }
@@ -274,7 +90,7 @@
 	struct rejection why = { ERR_OK, 0, "" };
 	struct part_set parts;
 
-	y->counts.arrived++;
+	y->shared.counts.arrived++;
 	if (!platform_request_parse(httpd_message(q), &info)) {
 		why = (struct rejection){ ERR_BAD_HEADER, 0,
 			"the attempt's id or the counts of pieces are "
@@ -302,7 +118,7 @@
 		reject_early(y, q, info.id, &why);
 		return;
 	}
-	parts = prompt_parts(&info);
+	parts = relay_prompt_parts(&info);
 	if (relay_quarantined(&y->shared, &parts, &why)) {
 		reject_early(y, q, info.id, &why);
 		return;
@@ -313,7 +129,7 @@
 		reject_early(y, q, info.id, &why);
 		return;
 	}
-	accept_request(y, q, &info, route, caller_key);
+	relay_request_start(&y->shared, q, &info, t, route, caller_key);
 }
 
 /* Closes idle connections to targets that are no longer listed. */
@@ -340,7 +156,7 @@
 {
 	GList *next;
 
-	for (GList *l = y->requests.head; l != NULL; l = next) {
+	for (GList *l = y->shared.requests.head; l != NULL; l = next) {
 		struct relay_request *r = l->data;
 		struct rejection why;
 
@@ -473,7 +289,7 @@
 	httpd_close_idle(y->httpd);
 	if (now < exit_at - EXIT_MARGIN)
 		return;
-	for (GList *l = y->requests.head; l != NULL; l = next) {
+	for (GList *l = y->shared.requests.head; l != NULL; l = next) {
 		struct relay_request *r = l->data;
 
 		next = l->next;
@@ -562,7 +378,7 @@
 		status = 200;
 		relay_metrics(&body,
 		    &(struct relay_metrics){
-			.counts = &y->counts,
+			.counts = &y->shared.counts,
 			.httpd = httpd_counts(y->httpd),
 			.dial = dialer_counts(y->shared.dialer),
 			.silent_calls = y->shared.silent_calls,
@@ -576,7 +392,7 @@
 			.coordinator =
 			    coordinator_counts(y->shared.coordinator),
 			.discovery = discovery_counts(y->discovery),
-			.busy = atomic_load(&y->busy),
+			.busy = atomic_load(&y->shared.busy),
 			.ready = ready,
 		    });
 	}
@@ -624,7 +440,7 @@
 	struct relay_shared *p = &y->shared;
 
 	y->o = *o;
-	g_queue_init(&y->requests);
+	g_queue_init(&y->shared.requests);
 	p->base = event_base_new();
 	p->dialer = dialer_new(p->base);
 	p->quota_rule = (struct retry_quota_rule){
@@ -743,7 +559,7 @@
 size_t
 relay_busy(const struct relay *y)
 {
-	return atomic_load(&((struct relay *)y)->busy);
+	return atomic_load(&((struct relay *)y)->shared.busy);
 }
 
 void
@@ -761,12 +577,12 @@
 {
 	struct relay_shared *p = &y->shared;
 
-	for (GList *l = y->requests.head, *next; l != NULL; l = next) {
+	for (GList *l = y->shared.requests.head, *next; l != NULL; l = next) {
 		struct relay_request *r = l->data;
 
 		next = l->next;
 		forward_cancel(r);
-		free_request(r);
+		relay_request_free(r);
 	}
 	if (y->httpd != NULL)
 		httpd_free(y->httpd);
--- /dev/null
+++ b/entry/relay_request.c
@@ -0,0 +1,187 @@
+/* The life of a caller's request in the relay: start, deadline, end. */
+#include "entry/relay_request.h"
+#include "base/log.h"
+#include "entry/relay_answer.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Deadline budget of a request that states none. */
+#define DEFAULT_DEADLINE_BUDGET (60 * USEC_PER_SEC)
+
+void
+relay_request_free(struct relay_request *r)
+{
+	struct relay_shared *s = r->shared;
+
+	stages_cancel(r);
+	event_free(r->timer);
+	sse_free(&r->sse);
+	routes_unref(r->routes);
+	g_queue_unlink(&s->requests, &r->link);
+	atomic_fetch_sub(&s->busy, 1);
+	free(r);
+}
+
+struct retry_quota *
+relay_request_retry_quota(struct relay_request *r)
+{
+	GHashTable *all = r->shared->retry_quotas;
+	struct retry_quota *x = g_hash_table_lookup(all, r->service->name);
+
+	if (x == NULL) {
+		x = xcalloc(1, sizeof(*x));
+		g_hash_table_insert(
+		    all, str_dup(str_from(r->service->name)), x);
+	}
+	return x;
+}
+
+/* Replaces 503 if the request may have run, as 503 promises that it did not. */
+static struct rejection
+adjust_rejection(const struct relay_request *r, const struct rejection *why)
+{
+	struct rejection out = *why;
+
+	if (!r->may_have_run)
+		return out;
+	if (err_status(out.kind) == HTTP_STATUS_SERVICE_UNAVAILABLE)
+		out.kind = ERR_TARGET_FAILED;
+	out.retry_after = 0;
+	return out;
+}
+
+bool
+relay_quarantined(const struct relay_shared *s, const struct part_set *parts,
+    struct rejection *why)
+{
+	int64_t now_ms = clock_wall() / USEC_PER_MSEC;
+	const struct quarantine_entry *e = s->quarantine != NULL
+	    ? quarantine_match(s->quarantine, parts, now_ms)
+	    : NULL;
+
+	if (e == NULL)
+		return false;
+	*why = (struct rejection){ ERR_QUARANTINED,
+		(e->until_ms - now_ms) * USEC_PER_MSEC,
+		"targets crash on a part of its prompt" };
+	return true;
+}
+
+void
+relay_request_reject(struct relay_request *r, const struct rejection *why)
+{
+	struct rejection adjusted = adjust_rejection(r, why);
+
+	r->shared->counts.rejected[-adjusted.kind]++;
+	/* The caller of a quarantined request had better not come back. */
+	if (why->kind != ERR_QUARANTINED)
+		stages_rejected(r, &adjusted);
+	relay_answer_log_rejection(
+	    r->info.id, &adjusted, r->route->name, clock_now() - r->arrived);
+	if (r->head_written)
+		httpd_abort(r->httpd_req);
+	else
+		relay_answer_problem(r->httpd_req, r->info.id, &adjusted);
+	relay_request_free(r);
+}
+
+void
+relay_request_done(struct relay_request *r, const char *outcome)
+{
+	struct relay_counts *c = &r->shared->counts;
+	usec_t took = clock_now() - r->arrived;
+
+	if (strcmp(outcome, "complete") == 0)
+		c->complete++;
+	else
+		c->failed++;
+	relay_histogram_add(&c->latency, took);
+	relay_answer_log_end(r, outcome, took);
+	relay_request_free(r);
+}
+
+static void
+on_caller_closed(void *arg)
+{
+	struct relay_request *r = arg;
+
+	LOG(LOG_LVL_INFO, "caller-gone", { "request", r->info.id });
+	r->shared->counts.caller_gone++;
+	forward_cancel(r);
+	relay_request_free(r);
+}
+
+/* The caller's deadline budget or the route's timeout has run out. */
+static void
+on_deadline(evutil_socket_t fd, short what, void *arg)
+{
+	struct relay_request *r = arg;
+	bool sent = r->call != NULL || r->may_have_run;
+
+	(void)fd;
+	(void)what;
+	forward_cancel(r);
+	relay_request_reject(r,
+	    &(struct rejection){
+		sent ? ERR_DEADLINE : ERR_NO_TIME, 0, "its time is over" });
+}
+
+static void
+set_timer(struct relay_request *r, usec_t now)
+{
+	usec_t left = r->deadline > now ? r->deadline - now : 0;
+	struct timeval tv = { left / USEC_PER_SEC, left % USEC_PER_SEC };
+
+	r->timer = evtimer_new(r->shared->base, on_deadline, r);
+	evtimer_add(r->timer, &tv);
+}
+
+static int
+effective_rank(const struct route *route, const struct key_owner *key)
+{
+	return key != NULL && key->rank != RANK_NONE ? key->rank : route->rank;
+}
+
+struct part_set
+relay_prompt_parts(const struct request_info *info)
+{
+	struct part_set out = { 0 };
+
+	for (size_t i = 0; i < info->n_parts; i++)
+		part_set_add(&out, info->parts[i].hash);
+	return out;
+}
+
+void
+relay_request_start(struct relay_shared *s, struct httpd_request *q,
+    const struct request_info *info, struct routes *routes,
+    const struct route *route, const struct key_owner *caller_key)
+{
+	struct relay_request *r = xcalloc(1, sizeof(*r));
+	usec_t budget = info->deadline_budget > 0 ? info->deadline_budget
+						  : DEFAULT_DEADLINE_BUDGET;
+
+	r->shared = s;
+	r->httpd_req = q;
+	r->info = *info;
+	r->routes = routes_ref(routes);
+	r->route = route;
+	r->caller_key = caller_key;
+	r->parts = relay_prompt_parts(info);
+	r->service =
+	    routes_service_at(r->routes, route_pick_service(route, info->id));
+	r->rank = effective_rank(route, caller_key);
+	r->arrived = httpd_arrived(q);
+	r->deadline = r->arrived +
+	    (route->timeout > 0 && route->timeout < budget ? route->timeout
+							   : budget);
+	r->link.data = r;
+	g_queue_push_tail_link(&s->requests, &r->link);
+	atomic_fetch_add(&s->busy, 1);
+	set_timer(r, clock_now());
+	httpd_on_close(q, on_caller_closed, r);
+	retry_quota_request(
+	    relay_request_retry_quota(r), &s->quota_rule, clock_now());
+	stages_start(r);
+}
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -1,13 +1,15 @@
 /*
- * A caller's request in the relay: the state that relay.c, stages.c and
- * forward.c share.  The strings in info point into the message of the HTTP
- * server, which lives until the request is answered or its caller has closed
- * the connection.  Runs on the relay's thread; times are in microseconds.
+ * A caller's request in the relay: the state that relay.c, relay_request.c,
+ * stages.c and forward.c share.  The strings in info point into the message of
+ * the HTTP server, which lives until the request is answered or its caller has
+ * closed the connection.  Runs on the relay's thread; times are in
+ * microseconds.
  */
 #ifndef ENTRY_RELAY_REQUEST_H
 #define ENTRY_RELAY_REQUEST_H
 
 #include "entry/crash_reports.h"
+#include "entry/relay_metrics.h"
 #include "entry/stage_jobs.h"
 #include "entry/target_limits.h"
 #include "entry/httpd.h"
@@ -24,11 +26,14 @@
 #include "plat/dial.h"
 #include "platform/request.h"
 
-struct relay;
+#include <stdatomic.h>
 
-/* State shared by relay.c, stages.c and forward.c; owned by relay.c. */
+/* State shared by all requests; owned by relay.c. */
 struct relay_shared {
 	struct event_base *base;
+	GQueue requests;    /* struct relay_request */
+	atomic_size_t busy; /* their number, for other threads */
+	struct relay_counts counts;
 	struct dialer *dialer;
 	struct loads loads;
 	struct stage_jobs *stage_jobs;
@@ -70,7 +75,6 @@
 };
 
 struct relay_request {
-	struct relay *relay;
 	struct relay_shared *shared;
 	struct httpd_request *httpd_req;
 	struct request_info info;
@@ -126,20 +130,28 @@
 	const char *cause;  /* sent to the caller and logged */
 };
 
+/* Creates the state of an accepted request and starts its stages. */
+void relay_request_start(struct relay_shared *s, struct httpd_request *q,
+    const struct request_info *info, struct routes *routes,
+    const struct route *route, const struct key_owner *caller_key);
+/* The parts of a prompt, known by their hashes. */
+struct part_set relay_prompt_parts(const struct request_info *info);
 /*
  * Whether a request with these parts is quarantined; if so, sets why it is
- * rejected (relay.c).
+ * rejected.
  */
 bool relay_quarantined(const struct relay_shared *s,
     const struct part_set *parts, struct rejection *why);
-/* Answers the request with an error and frees it (relay.c). */
+/* Answers the request with an error and frees it. */
 void relay_request_reject(struct relay_request *r, const struct rejection *why);
 /*
- * Counts and logs the end of a request and frees it (relay.c).  Finish the HTTP
+ * Counts and logs the end of a request and frees it.  Finish the HTTP
  * response only afterwards: that frees the bytes that info points to.
  */
 void relay_request_done(struct relay_request *r, const char *outcome);
 struct retry_quota *relay_request_retry_quota(struct relay_request *r);
+/* Frees a request that has no call. */
+void relay_request_free(struct relay_request *r);
 
 /* Prepares what the stages of all requests share (stages.c). */
 void stages_init(struct relay_shared *shared);
