Quarantine: a late write in the store is replaced; operators can list them

A write that the store carries out seconds late put an older version back while the hosts believed the newer one stored: hosts that start would have read the older, wider set. Seeing it, a collector now writes the newer one again (/quarantine/send). GET /quarantines on the operators' address lists those in force (test_crashing_part).

--- a/entry/relay.c
+++ b/entry/relay.c
@@ -359,7 +359,37 @@
 	}
 }
 
-/* Serves readiness probes and metrics on the operators' address. */
+/* Writes the quarantines in force as a JSON array. */
+static void
+list_quarantines(const struct relay *y, struct buf *out)
+{
+	const struct quarantine *q = y->shared.quarantine;
+	int64_t now_ms = clock_wall() / USEC_PER_MSEC;
+	bool first = true;
+
+	buf_putc(out, '[');
+	for (guint i = 0; q != NULL && i < q->entries->len; i++) {
+		const struct quarantine_entry *e =
+		    &g_array_index(q->entries, struct quarantine_entry, i);
+
+		if (e->parts.n == 0 || now_ms >= e->until_ms)
+			continue;
+		buf_printf(out,
+		    "%s{\"id\":\"%s\",\"left_ms\":%" PRId64
+		    ",\"length_ms\":%" PRId64 ",\"parts\":[",
+		    first ? "" : ",", e->id, e->until_ms - now_ms,
+		    e->length_ms);
+		for (size_t k = 0; k < e->parts.n; k++)
+			buf_printf(out, "%s\"%016" PRIx64 "\"",
+			    k > 0 ? "," : "", e->parts.v[k]);
+		buf_put(out, STR("]}"));
+		first = false;
+	}
+	buf_put(out, STR("]\n"));
+}
+
+/* Serves readiness probes, metrics and quarantines on the operators' address.
+ */
 static void
 on_ops(void *arg, struct httpd_request *q)
 {
@@ -368,12 +398,17 @@
 	bool ready = y->view != NULL && y->view->routes != NULL &&
 	    !atomic_load(&y->draining);
 	struct buf body = { 0 };
+	const char *type = "Content-Type: text/plain\r\n";
 	int status = 404;
 
 	if (str_eq(target, STR("/readyz")) ||
 	    str_eq(target, STR(PLATFORM_READY_PATH))) {
 		status = ready ? 200 : 503;
 		buf_put(&body, ready ? STR("ready\n") : STR("not ready\n"));
+	} else if (str_eq(target, STR("/quarantines"))) {
+		status = 200;
+		type = "Content-Type: application/json\r\n";
+		list_quarantines(y, &body);
 	} else if (str_eq(target, STR("/metrics"))) {
 		status = 200;
 		relay_metrics(&body,
@@ -399,7 +434,7 @@
 	httpd_respond(q,
 	    &(struct httpd_response){
 		.status = status,
-		.fields = "Content-Type: text/plain\r\n",
+		.fields = type,
 		.body = str_of(&body),
 	    });
 	buf_free(&body);
--- a/kernel/quarantine.c
+++ b/kernel/quarantine.c
@@ -235,8 +235,15 @@
 	e = find_entry(q, id);
 	if (e == NULL)
 		e = add_entry(q, id);
-	if (e->version > x.version)
+	if (e->version > x.version) {
+		/* A write of before may be carried out late. */
+		if (from_store) {
+			e->stored = false;
+			e->sent_at = now;
+			e->send_pause = SEND_PAUSE_MIN;
+		}
 		return QUARANTINE_UNCHANGED;
+	}
 	if (e->version == x.version) {
 		e->stored = e->stored || from_store;
 		e->sent_at = now;
--- a/tests/kernel/test_quarantine.c
+++ b/tests/kernel/test_quarantine.c
@@ -247,13 +247,42 @@
 	quarantine_list_begin(&q, SEC(100));
 	g_assert_null(quarantine_next_due(&q, 0, SEC(100)));
 	g_assert_nonnull(quarantine_next_due(&q, 0, SEC(101)));
-	/* Another host sends it: this one need not. */
-	pass_on(&store, &q, false);
-	g_assert_null(quarantine_next_due(&q, 1, SEC(4)));
+	pass_on(&q, &store, true);
+	pass_on(&store, &q, true);
+	/* The store carries out a write of before late. */
+	answered(&q, "z");
+	begin(&q, "x", NOW_MS + QUARANTINE_FIRST_MS);
+	pass_on(&q, &store, true);
+	pass_on(&store, &q, true);
+	g_assert_null(quarantine_next_due(&q, 0, SEC(200)));
+	quarantine_free(&store);
+	quarantine_init(&store);
+	begin(&store, "x", NOW_MS);
+	pass_on(&store, &q, true);
+	g_assert_null(quarantine_next_due(&q, 0, SEC(3)));
+	g_assert_nonnull(quarantine_next_due(&q, 0, SEC(4)));
 	quarantine_free(&q);
 	quarantine_free(&store);
 }
 
+/* What another host has sent is sent again only if the store doesn't get it. */
+static void
+test_sent_elsewhere(void)
+{
+	struct quarantine q;
+	struct quarantine other;
+
+	quarantine_init(&q);
+	quarantine_init(&other);
+	begin(&q, "x", NOW_MS);
+	begin(&other, "x", NOW_MS);
+	pass_on(&other, &q, false);
+	g_assert_null(quarantine_next_due(&q, 1, SEC(4)));
+	g_assert_nonnull(quarantine_next_due(&q, 1, SEC(5)));
+	quarantine_free(&q);
+	quarantine_free(&other);
+}
+
 /* Without room the set that ends first gives way. */
 static void
 test_bounds(void)
@@ -284,6 +313,7 @@
 	g_test_add_func("/quarantine/values", test_values);
 	g_test_add_func("/quarantine/agreement", test_agreement);
 	g_test_add_func("/quarantine/send", test_send);
+	g_test_add_func("/quarantine/sent-elsewhere", test_sent_elsewhere);
 	g_test_add_func("/quarantine/bounds", test_bounds);
 	return g_test_run();
 }
--- a/tests/platform/test_crashing_part.c
+++ b/tests/platform/test_crashing_part.c
@@ -199,6 +199,23 @@
 	g_assert_cmpuint(later, <=, ALLOWED_LATER);
 }
 
+/* A host names its quarantines to operators. */
+static void
+check_list(const struct harness_host *h)
+{
+	struct harness_response a;
+
+	harness_exchange(h->port + 1,
+	    STR("GET /quarantines HTTP/1.1\r\nHost: x\r\n"
+		"Connection: close\r\n\r\n"),
+	    1000, &a);
+	g_assert_cmpint(a.status, ==, 200);
+	g_assert_true(g_str_has_prefix(a.body.p, "[{\"id\":\""));
+	g_assert_nonnull(strstr(a.body.p, "\"parts\":[\""));
+	g_assert_true(g_str_has_suffix(a.body.p, "]}]\n"));
+	harness_response_free(&a);
+}
+
 static void
 check_sound(void)
 {
@@ -247,6 +264,8 @@
 	g_usleep(USEC_PER_SEC);
 	wait_past_bound(2 * STABLE_TIME);
 	check_arrivals("in the running fleet");
+	for (int i = 0; i < n_hosts; i++)
+		check_list(&hosts[i]);
 	fakeplat_set_store_mode(platform, FAKEPLAT_STORE_OK);
 	if (x->store_away)
 		g_usleep((gulong)STABLE_TIME);
