--- a/entry/forward.c
+++ b/entry/forward.c
@@ -153,12 +153,16 @@
 	httpd_abort(q);
 }
 
-/* Logs a lost call with the parts of its prompt and how far its answer came. */
+/*
+ * Logs a lost call with its content, the parts of its prompt and how far its
+ * answer came.
+ */
 static void
 log_lost_call(const struct relay_request *r, const char *cause, bool again)
 {
 	struct buf parts = { 0 };
 	char events[24];
+	char content[20];
 
 	for (size_t i = 0; i < r->info.n_parts; i++) {
 		if (i > 0)
@@ -166,10 +170,12 @@
 		buf_put(&parts, r->info.parts[i].id);
 	}
 	snprintf(events, sizeof(events), "%" PRIu64, call_events(r));
+	snprintf(content, sizeof(content), "%016" PRIx64, r->content);
 	LOG(LOG_LVL_NOTICE, "call-lost", { "request", r->info.id },
 	    { "target", str_from(r->target_id) }, { "cause", str_from(cause) },
 	    { "again", again ? STR("yes") : STR("no") },
-	    { "events", str_from(events) }, { "parts", str_of(&parts) });
+	    { "events", str_from(events) }, { "content", str_from(content) },
+	    { "parts", str_of(&parts) });
 	buf_free(&parts);
 }
 
--- a/entry/relay_request.c
+++ b/entry/relay_request.c
@@ -1,5 +1,6 @@
 /* The life of a caller's request in the relay: start, deadline, end. */
 #include "entry/relay_request.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "entry/relay_answer.h"
 
@@ -8,6 +9,7 @@
 
 /* Deadline budget of a request that states none. */
 #define DEFAULT_DEADLINE_BUDGET (60 * USEC_PER_SEC)
+#define CONTENT_HASH_SEED       29
 
 void
 relay_request_free(struct relay_request *r)
@@ -143,6 +145,21 @@
 	return key != NULL && key->rank != RANK_NONE ? key->rank : route->rank;
 }
 
+uint64_t
+relay_request_content(const struct httpd_request *q,
+    const struct request_info *info, const struct key_owner *caller_key)
+{
+	const struct httpmsg *m = httpd_message(q);
+	struct str body = { (const char *)evbuffer_pullup(m->body, -1),
+		evbuffer_get_length(m->body) };
+	uint64_t hash = hash_u64(httpmsg_url(m), CONTENT_HASH_SEED);
+
+	hash = hash_u64(info->host, hash);
+	if (caller_key != NULL)
+		hash = hash_u64(str_from(caller_key->name), hash);
+	return hash_u64(body, hash);
+}
+
 struct part_set
 relay_prompt_parts(const struct request_info *info)
 {
@@ -169,6 +186,7 @@
 	r->route = route;
 	r->caller_key = caller_key;
 	r->parts = relay_prompt_parts(info);
+	r->content = relay_request_content(q, info, caller_key);
 	r->service =
 	    routes_service_at(r->routes, route_pick_service(route, info->id));
 	r->rank = effective_rank(route, caller_key);
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -85,6 +85,7 @@
 	/* NULL if the request has no known API key. */
 	const struct key_owner *caller_key;
 	struct part_set parts; /* of the prompt */
+	uint64_t content;      /* see relay_request_content() */
 	int rank;              /* 0 is the most urgent */
 	usec_t arrived;
 	usec_t soft_deadline; /* a later response counts as late */
@@ -134,6 +135,12 @@
 void relay_request_start(struct relay_shared *s, struct httpd_request *q,
     const struct request_info *info, struct routes *routes,
     const struct route *route, const struct key_owner *caller_key);
+/*
+ * Hash of a request's URL, host, workspace and body: the same whenever the
+ * request comes again, under any attempt id.  caller_key may be NULL.
+ */
+uint64_t relay_request_content(const struct httpd_request *q,
+    const struct request_info *info, const struct key_owner *caller_key);
 /* The parts of a prompt, known by their hashes. */
 struct part_set relay_prompt_parts(const struct request_info *info);
 /*
