Test that fails: a request that crashes targets keeps reaching them

Four hosts, four plain targets and six engines; the request comes again at all hosts, beside sound ones with other bodies. On this code: 16 crashes of plain targets, 16 requests later than StableMs after the third crash, 3 allowed.

--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -78,9 +78,10 @@
 	uint32_t n_pieces;
 	uint32_t n_stage_calls;
 	const char *crash_part; /* NULL: none */
+	const char *crash_body; /* NULL: none */
 	usec_t crashes[FAKEPLAT_MAX_CRASHES];
 	size_t n_crashes;
-	GArray *crash_part_arrivals; /* usec_t */
+	GArray *crash_arrivals; /* usec_t */
 	bool stopping;
 };
 
@@ -144,6 +145,18 @@
 	return false;
 }
 
+static bool
+crashes_target(const struct conn *c)
+{
+	const struct fakeplat *plat = c->plat;
+	struct str body = { (const char *)evbuffer_pullup(c->request.body, -1),
+		evbuffer_get_length(c->request.body) };
+
+	return has_part(c, plat->crash_part) ||
+	    (plat->crash_body != NULL &&
+		str_eq(body, str_from(plat->crash_body)));
+}
+
 static struct fakeplat_attempt *
 get_attempt(struct fakeplat *plat, const char *attempt)
 {
@@ -659,9 +672,9 @@
 	snprintf(c->attempt, sizeof(c->attempt), "%.*s", STR_FMT(id));
 	if (!admit_call(c) || strcmp(c->behavior, "mute") == 0)
 		return;
-	if (has_part(c, c->plat->crash_part)) {
+	if (crashes_target(c)) {
 		g_array_append_val(
-		    c->plat->crash_part_arrivals, c->target->last_call);
+		    c->plat->crash_arrivals, c->target->last_call);
 		strcpy(c->behavior, "crash");
 		arm_timer(c, CRASH_DELAY_MS);
 	} else if (str_has_prefix(url, STR("/stream")))
@@ -865,7 +878,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_item);
 	plat->attempts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	plat->crash_part_arrivals = g_array_new(FALSE, FALSE, sizeof(usec_t));
+	plat->crash_arrivals = g_array_new(FALSE, FALSE, sizeof(usec_t));
 	plat->conns = g_ptr_array_new();
 	plat->listener = listen_at(plat, port, on_store_conn, plat);
 	pthread_create(&plat->thread, NULL, run_loop, plat);
@@ -1025,12 +1038,13 @@
 }
 
 void
-fakeplat_set_crash_part(struct fakeplat *plat, const char *part)
+fakeplat_set_crash(struct fakeplat *plat, const struct fakeplat_crash *x)
 {
 	pthread_mutex_lock(&plat->lock);
-	plat->crash_part = part;
+	plat->crash_part = x->part;
+	plat->crash_body = x->body;
 	plat->n_crashes = 0;
-	g_array_set_size(plat->crash_part_arrivals, 0);
+	g_array_set_size(plat->crash_arrivals, 0);
 	pthread_mutex_unlock(&plat->lock);
 }
 
@@ -1047,14 +1061,13 @@
 }
 
 uint32_t
-fakeplat_crash_part_arrivals(struct fakeplat *plat, usec_t after)
+fakeplat_crash_arrivals(struct fakeplat *plat, usec_t after)
 {
 	uint32_t n = 0;
 
 	pthread_mutex_lock(&plat->lock);
-	for (guint i = 0; i < plat->crash_part_arrivals->len; i++)
-		n +=
-		    g_array_index(plat->crash_part_arrivals, usec_t, i) > after;
+	for (guint i = 0; i < plat->crash_arrivals->len; i++)
+		n += g_array_index(plat->crash_arrivals, usec_t, i) > after;
 	pthread_mutex_unlock(&plat->lock);
 	return n;
 }
@@ -1161,7 +1174,7 @@
 	event_base_free(plat->base);
 	g_hash_table_destroy(plat->items);
 	g_hash_table_destroy(plat->attempts);
-	g_array_unref(plat->crash_part_arrivals);
+	g_array_unref(plat->crash_arrivals);
 	g_ptr_array_unref(plat->conns);
 	pthread_mutex_destroy(&plat->lock);
 	free(plat);
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -80,18 +80,23 @@
 /* Returns the most requests that reached it in any span of this length. */
 uint32_t fakeplat_most_arrivals(
     struct fakeplat *plat, const char *id, usec_t after, usec_t span);
+/* The requests that crash targets; either may be NULL. */
+struct fakeplat_crash {
+	const char *part; /* in the prompt, before the last one */
+	const char *body; /* the whole body */
+};
+
 /*
- * From now on a target crashes when it begins the stream of a request that has
- * this part in its prompt, before the last one: it resets its connections,
- * refuses new ones, and is back after a while under another id.  Crashes and
- * arrivals are counted from here on.
+ * From now on a target crashes when it begins to answer such a request: it
+ * resets its connections, refuses new ones, and is back after a while under
+ * another id.  Crashes and arrivals are counted from here on.
  */
-void fakeplat_set_crash_part(struct fakeplat *plat, const char *part);
+void fakeplat_set_crash(struct fakeplat *plat, const struct fakeplat_crash *x);
 /* Returns the number of crashes, with their times in order. */
 size_t fakeplat_crashes(
     struct fakeplat *plat, usec_t times[FAKEPLAT_MAX_CRASHES]);
-/* Returns how many requests with the part reached targets after a time. */
-uint32_t fakeplat_crash_part_arrivals(struct fakeplat *plat, usec_t after);
+/* Returns how many such requests reached targets after a time. */
+uint32_t fakeplat_crash_arrivals(struct fakeplat *plat, usec_t after);
 /* Returns false if no target has received the attempt. */
 bool fakeplat_get_attempt(
     struct fakeplat *plat, const char *attempt, struct fakeplat_attempt *out);
--- a/tests/platform/harness.c
+++ b/tests/platform/harness.c
@@ -150,15 +150,16 @@
 	g_autofree char *behavior = q->behavior != NULL
 	    ? g_strdup_printf("X-Test: %s\r\n", q->behavior)
 	    : g_strdup("");
+	const char *body = q->body != NULL ? q->body : "body";
 
 	return g_strdup_printf("POST %s HTTP/1.1\r\nHost: a.example\r\n"
 			       "X-Attempt-Id: %s\r\nX-Api-Key: %s\r\n"
 			       "X-Deadline-Ms: %d\r\n%s%s%s"
-			       "Content-Length: 4\r\n\r\nbody",
+			       "Content-Length: %zu\r\n\r\n%s",
 	    q->path, q->id, q->api_key != NULL ? q->api_key : KEY,
 	    q->deadline_ms > 0 ? q->deadline_ms : 5000, behavior,
 	    q->extra_fields != NULL ? q->extra_fields : "",
-	    q->keep_alive ? "" : "Connection: close\r\n");
+	    q->keep_alive ? "" : "Connection: close\r\n", strlen(body), body);
 }
 
 bool
--- a/tests/platform/harness.h
+++ b/tests/platform/harness.h
@@ -53,6 +53,7 @@
 	const char *api_key;  /* NULL: the configured one */
 	int deadline_ms;
 	const char *extra_fields; /* header lines, or NULL */
+	const char *body;         /* NULL: "body" */
 	bool keep_alive;
 };
 
--- a/tests/platform/test_crashing_part.c
+++ b/tests/platform/test_crashing_part.c
@@ -1,7 +1,7 @@
 /*
- * A part of prompts that crashes each target that begins an answer on it:
- * several hosts, a fake platform, sound requests and requests with the part at
- * all hosts.
+ * A part of prompts that crashes each target that begins an answer on it, or a
+ * request that does whenever it comes again: several hosts, a fake platform,
+ * sound requests and crashing ones at all hosts.
  *
  *   Usage: test_crashing_part [HOSTS [SEED]]
  *
@@ -26,10 +26,15 @@
 #define MAX_HOSTS       24
 #define CALLERS         8 /* half of them send sound requests */
 #define TARGETS         6
+#define PLAIN_TARGETS   4
 #define TIMEOUT_SECONDS 15
-/* The platform's bounds: StableMs, the crash and the requests allowed. */
+/*
+ * The platform's bounds: StableMs, the crash that they begin at, by a part or
+ * by a request, and the requests allowed.
+ */
 #define STABLE_TIME     (3 * USEC_PER_SEC)
-#define BOUND_CRASH     5
+#define PART_CRASH      5
+#define REQUEST_CRASH   3
 #define ALLOWED_LATER   3
 /* Sound requests that are counted after the bound of the last crash. */
 #define COUNTED_TIME    (3 * USEC_PER_SEC)
@@ -47,16 +52,32 @@
 	bool sound;
 };
 
-static const struct crash_case {
+struct crash_case {
 	const char *name;
-	const char *part;
+	const char *path;
+	struct fakeplat_crash crash;
 	bool first;      /* the part is the first of the prompt */
 	bool store_away; /* from before the crashes until the requests end */
 	bool restarts;   /* of one host, then of all */
-} cases[] = {
-	{ "the store answers", "bad", false, false, true },
-	{ "the store is away", "worse", false, true, true },
-	{ "the first part", "worst", true, false, false },
+};
+
+static const struct crash_case part_cases[] = {
+	{ "the store answers", "/stream/1", { .part = "bad" }, false, false,
+	    true },
+	{ "the store is away", "/stream/1", { .part = "worse" }, false, true,
+	    true },
+	{ "the first part", "/stream/1", { .part = "worst" }, true, false,
+	    false },
+};
+
+static const struct crash_case request_cases[] = {
+	{ "an idempotent request", "/safe/1", { .body = "bad" }, false, false,
+	    true },
+	{ "the store is away", "/safe/1", { .body = "worse" }, false, true,
+	    false },
+	{ "a request that must not be repeated", "/once/1", { .body = "worst" },
+	    false, false, false },
+	{ "a stream", "/stream/1", { .body = "ill" }, false, false, false },
 };
 
 static struct fakeplat *platform;
@@ -75,14 +96,23 @@
 static char *
 format_prompt(const struct caller *c, const struct crash_case *x, int n)
 {
-	if (c->sound)
+	if (c->sound || x->crash.part == NULL)
 		return g_strdup_printf(
 		    "first:100,subject%d:100,u%d.%d:20", n % 4, c->number, n);
 	if (x->first)
-		return g_strdup_printf(
-		    "%s:100,subject0:100,u%d.%d:20", x->part, c->number, n);
-	return g_strdup_printf(
-	    "first:100,subject0:100,%s:100,u%d.%d:20", x->part, c->number, n);
+		return g_strdup_printf("%s:100,subject0:100,u%d.%d:20",
+		    x->crash.part, c->number, n);
+	return g_strdup_printf("first:100,subject0:100,%s:100,u%d.%d:20",
+	    x->crash.part, c->number, n);
+}
+
+/* Requests have different bodies, except those that crash targets by theirs. */
+static char *
+format_body(const struct caller *c, const struct crash_case *x, int n)
+{
+	if (!c->sound && x->crash.body != NULL)
+		return g_strdup(x->crash.body);
+	return g_strdup_printf("b%d.%d", c->number, n);
 }
 
 static void
@@ -90,15 +120,22 @@
 {
 	const struct crash_case *x = atomic_load(&current);
 	bool counted = atomic_load(&counting);
-	g_autofree char *id = g_strdup_printf(
-	    "s-%s-%d-%d", c->sound ? "sound" : x->part, c->number, n);
+	g_autofree char *id = g_strdup_printf("s-%s-%d-%d",
+	    c->sound                    ? "sound"
+		: x->crash.part != NULL ? x->crash.part
+					: x->crash.body,
+	    c->number, n);
 	g_autofree char *prompt = format_prompt(c, x, n);
-	g_autofree char *fields = g_strdup_printf(
-	    "X-Token-Count: 320,20\r\nX-Prefix-Hash: %s\r\n", prompt);
+	g_autofree char *fields = g_str_has_prefix(x->path, "/stream")
+	    ? g_strdup_printf(
+		  "X-Token-Count: 320,20\r\nX-Prefix-Hash: %s\r\n", prompt)
+	    : g_strdup("");
+	g_autofree char *body = format_body(c, x, n);
 	g_autofree char *q =
-	    harness_format(&(struct harness_request){ .path = "/stream/1",
+	    harness_format(&(struct harness_request){ .path = x->path,
 		.id = id,
 		.extra_fields = fields,
+		.body = body,
 		.deadline_ms = DEADLINE_MS });
 	struct harness_response a;
 
@@ -135,16 +172,16 @@
 static void
 start_fleet(void)
 {
-	static const char *const ids[TARGETS] = { "e1", "e2", "e3", "e4", "e5",
-		"e6" };
+	static const char *const ids[] = { "e1", "e2", "e3", "e4", "e5", "e6",
+		"p1", "p2", "p3", "p4" };
 	g_autofree char *c = harness_config(1, NULL);
 	g_autofree char *dir = g_dir_make_tmp("crashing-part-XXXXXX", NULL);
 
 	platform = fakeplat_start(STORE_PORT);
-	for (int i = 0; i < TARGETS; i++)
+	for (int i = 0; i < TARGETS + PLAIN_TARGETS; i++)
 		fakeplat_add_target(platform,
 		    &(struct fakeplat_target){ .id = ids[i],
-			.service = "engine",
+			.service = i < TARGETS ? "engine" : "plain",
 			.domain = "d1",
 			.port = (uint16_t)(TARGET_PORT + i) });
 	fakeplat_put(platform, "op/config", c);
@@ -167,6 +204,14 @@
 	harness_wait_exit(h);
 }
 
+/* Number of the crash that bounds begin at. */
+static size_t
+bound_number(void)
+{
+	return atomic_load(&current)->crash.part != NULL ? PART_CRASH
+							 : REQUEST_CRASH;
+}
+
 /* Time of the crash that bounds begin at, or of the last if there are fewer. */
 static usec_t
 bound_crash(void)
@@ -175,7 +220,7 @@
 	size_t n = fakeplat_crashes(platform, times);
 
 	g_assert_cmpuint(n, >, 0);
-	return times[(n < BOUND_CRASH ? n : BOUND_CRASH) - 1];
+	return times[MIN(n, bound_number()) - 1];
 }
 
 static void
@@ -190,10 +235,10 @@
 {
 	usec_t times[FAKEPLAT_MAX_CRASHES];
 	size_t n = fakeplat_crashes(platform, times);
-	uint32_t later = n < BOUND_CRASH
+	uint32_t later = n < bound_number()
 	    ? 0
-	    : fakeplat_crash_part_arrivals(
-		  platform, times[BOUND_CRASH - 1] + STABLE_TIME);
+	    : fakeplat_crash_arrivals(
+		  platform, times[bound_number() - 1] + STABLE_TIME);
 
 	g_test_message("%s: %zu crashes, %u requests later", when, n, later);
 	g_assert_cmpuint(later, <=, ALLOWED_LATER);
@@ -255,7 +300,7 @@
 run_case(const struct crash_case *x)
 {
 	g_test_message("%s", x->name);
-	fakeplat_set_crash_part(platform, x->part);
+	fakeplat_set_crash(platform, &x->crash);
 	atomic_store(&current, x);
 	g_usleep(USEC_PER_SEC);
 	if (x->store_away)
@@ -277,10 +322,17 @@
 }
 
 static void
-test_fleet(void)
+test_part(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(part_cases); i++)
+		run_case(&part_cases[i]);
+}
+
+static void
+test_request(void)
 {
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
-		run_case(&cases[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(request_cases); i++)
+		run_case(&request_cases[i]);
 }
 
 static void
@@ -323,7 +375,7 @@
 	usec_t until = clock_now() + FAULTS_TIME;
 	uint32_t later;
 
-	fakeplat_set_crash_part(platform, x->part);
+	fakeplat_set_crash(platform, &x->crash);
 	atomic_store(&current, x);
 	atomic_store(&crashing, true);
 	while (clock_now() < until) {
@@ -336,22 +388,16 @@
 	until = clock_now() + 2 * STABLE_TIME;
 	g_usleep(2 * STABLE_TIME);
 	check_sound();
-	later = fakeplat_crash_part_arrivals(platform, until);
-	g_test_message("%s: %u requests in the calm", x->part, later);
+	later = fakeplat_crash_arrivals(platform, until);
+	g_test_message("%s: %u requests in the calm", x->name, later);
 	g_assert_cmpuint(later, <=, ALLOWED_LATER);
 	atomic_store(&crashing, false);
 	g_usleep(2 * DEADLINE_MS * USEC_PER_MSEC);
 }
 
 static void
-test_faults(void)
+run_rounds(const struct crash_case rounds[ROUNDS])
 {
-	static const struct crash_case rounds[ROUNDS] = {
-		{ "", "bad1", false, false, false },
-		{ "", "bad2", true, false, false },
-		{ "", "bad3", false, false, false },
-		{ "", "bad4", true, false, false },
-	};
 	struct rng r;
 
 	rng_init(&r, seed);
@@ -359,6 +405,32 @@
 		run_round(&r, &rounds[i]);
 }
 
+static void
+test_part_faults(void)
+{
+	static const struct crash_case rounds[ROUNDS] = {
+		{ "1", "/stream/1", { .part = "bad1" }, false, false, false },
+		{ "2", "/stream/1", { .part = "bad2" }, true, false, false },
+		{ "3", "/stream/1", { .part = "bad3" }, false, false, false },
+		{ "4", "/stream/1", { .part = "bad4" }, true, false, false },
+	};
+
+	run_rounds(rounds);
+}
+
+static void
+test_request_faults(void)
+{
+	static const struct crash_case rounds[ROUNDS] = {
+		{ "1", "/safe/1", { .body = "bad1" }, false, false, false },
+		{ "2", "/stream/1", { .body = "bad2" }, false, false, false },
+		{ "3", "/once/1", { .body = "bad3" }, false, false, false },
+		{ "4", "/safe/1", { .body = "bad4" }, false, false, false },
+	};
+
+	run_rounds(rounds);
+}
+
 static void
 stop_fleet(struct caller *v)
 {
@@ -386,7 +458,7 @@
 	g_assert_cmpint(n_hosts, >, 1);
 	g_assert_cmpint(n_hosts, <=, MAX_HOSTS);
 	signal(SIGPIPE, SIG_IGN);
-	atomic_store(&current, &cases[0]);
+	atomic_store(&current, &part_cases[0]);
 	start_fleet();
 	for (int i = 0; i < CALLERS; i++) {
 		callers[i] =
@@ -394,10 +466,14 @@
 		pthread_create(
 		    &callers[i].thread, NULL, run_caller, &callers[i]);
 	}
-	if (seed == 0)
-		g_test_add_func("/crashing-part/fleet", test_fleet);
-	else
-		g_test_add_func("/crashing-part/faults", test_faults);
+	if (seed == 0) {
+		g_test_add_func("/crashing-part/fleet", test_part);
+		g_test_add_func("/crashing-request/fleet", test_request);
+	} else {
+		g_test_add_func("/crashing-part/faults", test_part_faults);
+		g_test_add_func(
+		    "/crashing-request/faults", test_request_faults);
+	}
 	rc = g_test_run();
 	stop_fleet(callers);
 	return rc;
