Requests that crash targets are known by their content and quarantined

Callers saw requests of ledger-api refused for most of 20 s: a request crashed all four targets, and each time that they were back. Cause: only the parts of prompts were evidence, so a crash of a plain target had none; a lost call was blamed on its target alone, and the request went to the next. Change: the hash of URL, host, workspace and body is one more part of each request, for reports of crashes and answers, the search for the cause and the quarantine. Contents that targets answered are remembered apart from parts of prompts, as each request has its own. The tests of one program get ports of their own, so that they run at once.

--- a/base/err.c
+++ b/base/err.c
@@ -79,7 +79,9 @@
 	    "Use the method that the Allow header names." },
 	INFO(ERR_IO) = { "io", 500, "Check the file or connection named." },
 	INFO(ERR_QUARANTINED) = { "quarantined", 503,
-	    "Change the prompt: targets crash on a part of it; the quarantine "
+	    "Don't send it again unchanged: targets crash on it, or on a part "
+	    "of its "
+	    "prompt; the quarantine "
 	    "ends after Retry-After." },
 };
 
--- a/entry/crash_reports.c
+++ b/entry/crash_reports.c
@@ -15,7 +15,7 @@
 #define ANSWER_INTERVAL (500 * USEC_PER_MSEC)
 /* With more parts under suspicion, all are forgotten. */
 #define MAX_SUSPECTS    4096
-/* Answered parts in each of the two tables; the older one is then dropped. */
+/* Answered parts in each table of a memory; the older one is then dropped. */
 #define MAX_ANSWERED    4096
 
 /* The calls lost with a target, while it is checked. */
@@ -33,13 +33,19 @@
 	usec_t reported_at;
 };
 
+/* The parts that targets answered lately, as two sets. */
+struct answered_memory {
+	GHashTable *now;
+	GHashTable *before;
+};
+
 struct crash_reports {
 	struct crash_reports_opts o;
 	GHashTable *pending;     /* target -> struct pending_crash */
 	GHashTable *suspects;    /* part -> struct suspect_part */
 	GHashTable *quarantined; /* set of the parts of all quarantines */
-	GHashTable *answered;    /* set of parts that targets answered lately */
-	GHashTable *answered_before;
+	struct answered_memory prompts;
+	struct answered_memory contents;
 	GArray *peers; /* struct view_peer */
 	uint64_t n_crashes;
 };
@@ -68,6 +74,37 @@
 		g_hash_table_add(set, g_memdup2(&part, sizeof(part)));
 }
 
+static struct answered_memory
+new_memory(void)
+{
+	return (struct answered_memory){ new_set(), new_set() };
+}
+
+static void
+free_memory(struct answered_memory *m)
+{
+	g_hash_table_destroy(m->now);
+	g_hash_table_destroy(m->before);
+}
+
+static void
+remember(struct answered_memory *m, uint64_t part)
+{
+	if (g_hash_table_size(m->now) >= MAX_ANSWERED) {
+		g_hash_table_destroy(m->before);
+		m->before = m->now;
+		m->now = new_set();
+	}
+	add_to_set(m->now, part);
+}
+
+static bool
+remembers(const struct answered_memory *m, uint64_t part)
+{
+	return g_hash_table_contains(m->now, &part) ||
+	    g_hash_table_contains(m->before, &part);
+}
+
 struct crash_reports *
 crash_reports_new(const struct crash_reports_opts *o)
 {
@@ -79,8 +116,8 @@
 	c->suspects =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
 	c->quarantined = new_set();
-	c->answered = new_set();
-	c->answered_before = new_set();
+	c->prompts = new_memory();
+	c->contents = new_memory();
 	c->peers = g_array_new(FALSE, TRUE, sizeof(struct view_peer));
 	return c;
 }
@@ -182,8 +219,7 @@
 static bool
 was_answered(const struct crash_reports *c, uint64_t part)
 {
-	return g_hash_table_contains(c->answered, &part) ||
-	    g_hash_table_contains(c->answered_before, &part);
+	return remembers(&c->prompts, part) || remembers(&c->contents, part);
 }
 
 /* Lists the parts of a crash that targets answered before. */
@@ -295,30 +331,29 @@
 	return true;
 }
 
-/* Remembers that targets have answered on these parts. */
 static void
-remember(struct crash_reports *c, const struct part_set *parts, uint64_t own)
+remember_request(struct crash_reports *c, const struct answered_request *r)
 {
-	if (g_hash_table_size(c->answered) >= MAX_ANSWERED) {
-		g_hash_table_destroy(c->answered_before);
-		c->answered_before = c->answered;
-		c->answered = new_set();
-	}
-	for (size_t i = 0; i < parts->n; i++) {
-		if (parts->v[i] != own)
-			add_to_set(c->answered, parts->v[i]);
+	for (size_t i = 0; i < r->parts->n; i++) {
+		uint64_t part = r->parts->v[i];
+
+		if (part == r->content)
+			remember(&c->contents, part);
+		else if (part != r->own)
+			remember(&c->prompts, part);
 	}
 }
 
 void
 crash_reports_answered(
-    struct crash_reports *c, const struct part_set *parts, uint64_t own)
+    struct crash_reports *c, const struct answered_request *r)
 {
+	const struct part_set *parts = r->parts;
 	struct part_set known = { 0 };
 	peer_body body = { .kind = PEER_ANSWERED };
 	usec_t now;
 
-	remember(c, parts, own);
+	remember_request(c, r);
 	if (g_hash_table_size(c->suspects) == 0 &&
 	    g_hash_table_size(c->quarantined) == 0)
 		return;
@@ -345,8 +380,8 @@
 	g_hash_table_destroy(c->pending);
 	g_hash_table_destroy(c->suspects);
 	g_hash_table_destroy(c->quarantined);
-	g_hash_table_destroy(c->answered);
-	g_hash_table_destroy(c->answered_before);
+	free_memory(&c->prompts);
+	free_memory(&c->contents);
 	g_array_unref(c->peers);
 	free(c);
 }
--- a/entry/crash_reports.h
+++ b/entry/crash_reports.h
@@ -1,6 +1,7 @@
 /*
  * Reports to the collectors (kernel/crash_suspects.h) which calls were lost
- * with a target that crashed, and which parts of prompts targets have answered.
+ * with a target that crashed, and which parts of requests targets have
+ * answered.
  *
  * A call lost before its answer began is reported once its target refuses
  * connections: a connection may also break by itself.  Answers are reported
@@ -28,12 +29,16 @@
 /* A call to the target at addr was lost before its answer had begun. */
 void crash_reports_lost(struct crash_reports *c, const char *target,
     const char *addr, const struct part_set *parts);
-/*
- * A target has begun to answer, and goes on.  own: the part that belongs to the
- * request alone.
- */
+
+struct answered_request {
+	const struct part_set *parts;
+	uint64_t content; /* one of the parts */
+	uint64_t own;     /* the part of its prompt that no other has; or 0 */
+};
+
+/* A target has begun to answer, and goes on. */
 void crash_reports_answered(
-    struct crash_reports *c, const struct part_set *parts, uint64_t own);
+    struct crash_reports *c, const struct answered_request *r);
 /* Number of crashes reported by this host. */
 uint64_t crash_reports_count(const struct crash_reports *c);
 void crash_reports_free(struct crash_reports *c);
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -170,7 +170,7 @@
 		buf_put(&parts, r->info.parts[i].id);
 	}
 	snprintf(events, sizeof(events), "%" PRIu64, call_events(r));
-	snprintf(content, sizeof(content), "%016" PRIx64, r->content);
+	snprintf(content, sizeof(content), "%016" PRIx64, r->parts.content);
 	LOG(LOG_LVL_NOTICE, "call-lost", { "request", r->info.id },
 	    { "target", str_from(r->target_id) }, { "cause", str_from(cause) },
 	    { "again", again ? STR("yes") : STR("no") },
@@ -193,7 +193,7 @@
 	log_lost_call(r, cause, again);
 	if (t != NULL && call_events(r) < CRASH_BEGUN_EVENTS)
 		crash_reports_lost(r->shared->crash_reports, r->target_id,
-		    t->entry.addr, &r->parts);
+		    t->entry.addr, &r->parts.all);
 	if (again) {
 		sse_restart(&r->sse);
 		send_call(r);
@@ -264,17 +264,19 @@
 	    0, r->deadline - now);
 }
 
-/* Notes once per call that the target answers on the parts of the prompt. */
+/* Notes once per call that the target answers the request. */
 static void
 note_answer(struct relay_request *r)
 {
-	size_t n = r->info.n_parts;
-
 	if (r->answer_reported)
 		return;
 	r->answer_reported = true;
-	crash_reports_answered(r->shared->crash_reports, &r->parts,
-	    n > 0 ? r->info.parts[n - 1].hash : 0);
+	crash_reports_answered(r->shared->crash_reports,
+	    &(struct answered_request){
+		.parts = &r->parts.all,
+		.content = r->parts.content,
+		.own = r->parts.own,
+	    });
 }
 
 /* Passes on the events that have arrived completely. */
@@ -607,7 +609,7 @@
 	struct target_load *t;
 	struct rejection why;
 
-	if (relay_quarantined(r->shared, &r->parts, &why)) {
+	if (relay_quarantined(r->shared, &r->parts.all, &why)) {
 		relay_request_reject(r, &why);
 		return;
 	}
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -88,7 +88,7 @@
 	const struct route *route;
 	const struct key_owner *caller_key = NULL;
 	struct rejection why = { ERR_OK, 0, "" };
-	struct part_set parts;
+	struct request_parts parts;
 
 	y->shared.counts.arrived++;
 	if (!platform_request_parse(httpd_message(q), &info)) {
@@ -118,8 +118,8 @@
 		reject_early(y, q, info.id, &why);
 		return;
 	}
-	parts = relay_prompt_parts(&info);
-	if (relay_quarantined(&y->shared, &parts, &why)) {
+	parts = relay_request_parts(q, &info, caller_key);
+	if (relay_quarantined(&y->shared, &parts.all, &why)) {
 		reject_early(y, q, info.id, &why);
 		return;
 	}
@@ -129,7 +129,15 @@
 		reject_early(y, q, info.id, &why);
 		return;
 	}
-	relay_request_start(&y->shared, q, &info, t, route, caller_key);
+	relay_request_start(&(struct relay_request_opts){
+	    .shared = &y->shared,
+	    .httpd_req = q,
+	    .info = &info,
+	    .routes = t,
+	    .route = route,
+	    .caller_key = caller_key,
+	    .parts = &parts,
+	});
 }
 
 /* Closes idle connections to targets that are no longer listed. */
@@ -162,7 +170,7 @@
 
 		next = l->next;
 		if (r->sse.events > 0 ||
-		    !relay_quarantined(&y->shared, &r->parts, &why))
+		    !relay_quarantined(&y->shared, &r->parts.all, &why))
 			continue;
 		r->may_have_run = r->may_have_run || r->call != NULL;
 		forward_cancel(r);
--- a/entry/relay_request.c
+++ b/entry/relay_request.c
@@ -66,7 +66,7 @@
 		return false;
 	*why = (struct rejection){ ERR_QUARANTINED,
 		(e->until_ms - now_ms) * USEC_PER_MSEC,
-		"targets crash on a part of its prompt" };
+		"targets crash on this request or a part of its prompt" };
 	return true;
 }
 
@@ -145,9 +145,9 @@
 	return key != NULL && key->rank != RANK_NONE ? key->rank : route->rank;
 }
 
-uint64_t
-relay_request_content(const struct httpd_request *q,
-    const struct request_info *info, const struct key_owner *caller_key)
+static uint64_t
+hash_content(const struct httpd_request *q, const struct request_info *info,
+    const struct key_owner *caller_key)
 {
 	const struct httpmsg *m = httpd_message(q);
 	struct str body = { (const char *)evbuffer_pullup(m->body, -1),
@@ -160,37 +160,43 @@
 	return hash_u64(body, hash);
 }
 
-struct part_set
-relay_prompt_parts(const struct request_info *info)
+struct request_parts
+relay_request_parts(const struct httpd_request *q,
+    const struct request_info *info, const struct key_owner *caller_key)
 {
-	struct part_set out = { 0 };
+	struct request_parts out = {
+		.content = hash_content(q, info, caller_key),
+		.own =
+		    info->n_parts > 0 ? info->parts[info->n_parts - 1].hash : 0,
+	};
 
+	part_set_add(&out.all, out.content);
 	for (size_t i = 0; i < info->n_parts; i++)
-		part_set_add(&out, info->parts[i].hash);
+		part_set_add(&out.all, info->parts[i].hash);
 	return out;
 }
 
 void
-relay_request_start(struct relay_shared *s, struct httpd_request *q,
-    const struct request_info *info, struct routes *routes,
-    const struct route *route, const struct key_owner *caller_key)
+relay_request_start(const struct relay_request_opts *o)
 {
+	struct relay_shared *s = o->shared;
+	const struct request_info *info = o->info;
+	const struct route *route = o->route;
 	struct relay_request *r = xcalloc(1, sizeof(*r));
 	usec_t budget = info->deadline_budget > 0 ? info->deadline_budget
 						  : DEFAULT_DEADLINE_BUDGET;
 
 	r->shared = s;
-	r->httpd_req = q;
+	r->httpd_req = o->httpd_req;
 	r->info = *info;
-	r->routes = routes_ref(routes);
+	r->routes = routes_ref(o->routes);
 	r->route = route;
-	r->caller_key = caller_key;
-	r->parts = relay_prompt_parts(info);
-	r->content = relay_request_content(q, info, caller_key);
+	r->caller_key = o->caller_key;
+	r->parts = *o->parts;
 	r->service =
 	    routes_service_at(r->routes, route_pick_service(route, info->id));
-	r->rank = effective_rank(route, caller_key);
-	r->arrived = httpd_arrived(q);
+	r->rank = effective_rank(route, o->caller_key);
+	r->arrived = httpd_arrived(o->httpd_req);
 	r->deadline = r->arrived +
 	    (route->timeout > 0 && route->timeout < budget ? route->timeout
 							   : budget);
@@ -198,7 +204,7 @@
 	g_queue_push_tail_link(&s->requests, &r->link);
 	atomic_fetch_add(&s->busy, 1);
 	set_timer(r, clock_now());
-	httpd_on_close(q, on_caller_closed, r);
+	httpd_on_close(o->httpd_req, on_caller_closed, r);
 	retry_quota_request(
 	    relay_request_retry_quota(r), &s->quota_rule, clock_now());
 	stages_start(r);
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -65,6 +65,17 @@
 	const struct quarantine *quarantine; /* of the view; NULL: none yet */
 };
 
+/* What a crash of a target may be blamed on. */
+struct request_parts {
+	struct part_set all; /* the content and the parts of the prompt */
+	/*
+	 * Hash of the URL, host, workspace and body: the same whenever the
+	 * request comes again, under any attempt id.
+	 */
+	uint64_t content;
+	uint64_t own; /* the last part of the prompt; 0: it has none */
+};
+
 struct stage_progress {
 	uint64_t job; /* number of the job in progress; 0: none */
 	usec_t submitted_at;
@@ -84,9 +95,8 @@
 	const struct service *service;
 	/* NULL if the request has no known API key. */
 	const struct key_owner *caller_key;
-	struct part_set parts; /* of the prompt */
-	uint64_t content;      /* see relay_request_content() */
-	int rank;              /* 0 is the most urgent */
+	struct request_parts parts;
+	int rank; /* 0 is the most urgent */
 	usec_t arrived;
 	usec_t soft_deadline; /* a later response counts as late */
 	/*
@@ -131,18 +141,21 @@
 	const char *cause;  /* sent to the caller and logged */
 };
 
+struct relay_request_opts {
+	struct relay_shared *shared;
+	struct httpd_request *httpd_req;
+	const struct request_info *info;
+	struct routes *routes;
+	const struct route *route;
+	const struct key_owner *caller_key; /* NULL: no known API key */
+	const struct request_parts *parts;
+};
+
 /* Creates the state of an accepted request and starts its stages. */
-void relay_request_start(struct relay_shared *s, struct httpd_request *q,
-    const struct request_info *info, struct routes *routes,
-    const struct route *route, const struct key_owner *caller_key);
-/*
- * Hash of a request's URL, host, workspace and body: the same whenever the
- * request comes again, under any attempt id.  caller_key may be NULL.
- */
-uint64_t relay_request_content(const struct httpd_request *q,
+void relay_request_start(const struct relay_request_opts *o);
+/* caller_key may be NULL. */
+struct request_parts relay_request_parts(const struct httpd_request *q,
     const struct request_info *info, const struct key_owner *caller_key);
-/* The parts of a prompt, known by their hashes. */
-struct part_set relay_prompt_parts(const struct request_info *info);
 /*
  * Whether a request with these parts is quarantined; if so, sets why it is
  * rejected.
--- a/kernel/crash_suspects.h
+++ b/kernel/crash_suspects.h
@@ -1,8 +1,11 @@
 /*
- * Finds the parts of prompts that crash targets.
+ * Finds the parts of requests that crash targets: of their prompts, or their
+ * content.
  *
- * Load pattern: requests that share a part of their prompts come at all hosts,
- * and each target that begins an answer on one crashes.  Sound requests share
+ * Load pattern: requests that share a part of their prompts, or one request
+ * again and again, come at all hosts, and each target that begins an answer
+ * crashes.  Few targets may all crash at the same moment, and again when they
+ * are back.  Sound requests share
  * the other parts, wait on the same targets and end with them; one host sees
  * only some of the crashes; many targets, or all, may crash within a second for
  * another reason.  So the calls without an answer at a crash are gathered from
--- a/kernel/part_set.h
+++ b/kernel/part_set.h
@@ -1,6 +1,7 @@
 /*
- * Sets of prompt parts, each known by the hash of its id: sorted, without
- * duplicates.  A zeroed set is empty and valid.
+ * Sets of the parts of requests: those of a prompt, each known by the hash of
+ * its id, and the content, known by the hash of URL, host, workspace and body.
+ * Sorted, without duplicates.  A zeroed set is empty and valid.
  */
 #ifndef KERNEL_PART_SET_H
 #define KERNEL_PART_SET_H
--- a/kernel/quarantine.h
+++ b/kernel/quarantine.h
@@ -1,6 +1,7 @@
 /*
- * Quarantined sets of prompt parts: a request that has all parts of one is
- * rejected, as it would crash the target that it is sent to.
+ * Quarantined sets of the parts of requests (kernel/part_set.h): a request that
+ * has all parts of one is rejected, as it would crash the target that it is
+ * sent to.
  *
  * Load pattern: a set is found by one host and must stop requests at all, also
  * at hosts that start later, that don't reach some of the others, or that start
--- a/tests/kernel/test_crash_suspects.c
+++ b/tests/kernel/test_crash_suspects.c
@@ -120,6 +120,13 @@
 		{ STEP_LOST, 1200, "d", "f4" }, { STEP_LOST, 1600, "e", "f5" },
 		{ STEP_BLAME, 1600, NULL, "" }, { STEP_LOST, 2000, "a2", "f6" },
 		{ STEP_BLAME, 2000, NULL, "f" } } },
+	{ "a request crashes all targets at once, and the next one that is "
+	  "back",
+	    { { STEP_LOST, 0, "a", "c" }, { STEP_LOST, 20, "b", "c" },
+		{ STEP_LOST, 30, "d", "c" }, { STEP_LOST, 30, "d", "s" },
+		{ STEP_LOST, 60, "e", "c" }, { STEP_LOST, 60, "e", "t" },
+		{ STEP_BLAME, 60, NULL, "" }, { STEP_LOST, 3500, "a2", "c" },
+		{ STEP_BLAME, 3500, NULL, "c" } } },
 	{ "crashes are forgotten after ten minutes",
 	    { { STEP_LOST, 0, "a", "x1" }, { STEP_LOST, 200, "b", "x2" },
 		{ STEP_LOST, 600300, "c", "x3" },
--- a/tests/platform/test_crashing_part.c
+++ b/tests/platform/test_crashing_part.c
@@ -3,11 +3,12 @@
  * request that does whenever it comes again: several hosts, a fake platform,
  * sound requests and crashing ones at all hosts.
  *
- *   Usage: test_crashing_part [HOSTS [SEED]]
+ *   Usage: test_crashing_part [HOSTS [SEED [PORT]]]
  *
  * With 16 hosts or more, some receive the changes of the store from other
  * hosts.  With a seed, hosts are killed, stopped and paused and the store fails
  * at random while targets crash; what is checked begins when all is calm again.
+ * 0 is no seed.  PORT is the first of PORTS ports on loopback.
  */
 #include "base/rng.h"
 #include "tests/platform/harness.h"
@@ -19,9 +20,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define STORE_PORT      21700
-#define TARGET_PORT     21701
-#define HOST_PORT       21720
+#define DEFAULT_PORT    32020 /* without an argument */
+#define PORTS           120
+/* Offsets of the first port of each kind. */
+#define TARGET_PORTS    1
+#define HOST_PORTS      20
 #define DEFAULT_HOSTS   4 /* without an argument */
 #define MAX_HOSTS       24
 #define CALLERS         8 /* half of them send sound requests */
@@ -85,6 +88,7 @@
 static int n_hosts = DEFAULT_HOSTS;
 static _Atomic(const struct crash_case *) current;
 static uint64_t seed; /* 0: none */
+static int first_port = DEFAULT_PORT;
 static atomic_bool stopping;
 static atomic_bool crashing; /* requests with the part are sent */
 static atomic_bool counting; /* sound requests are counted */
@@ -177,20 +181,20 @@
 	g_autofree char *c = harness_config(1, NULL);
 	g_autofree char *dir = g_dir_make_tmp("crashing-part-XXXXXX", NULL);
 
-	platform = fakeplat_start(STORE_PORT);
+	platform = fakeplat_start((uint16_t)first_port);
 	for (int i = 0; i < TARGETS + PLAIN_TARGETS; i++)
 		fakeplat_add_target(platform,
 		    &(struct fakeplat_target){ .id = ids[i],
 			.service = i < TARGETS ? "engine" : "plain",
 			.domain = "d1",
-			.port = (uint16_t)(TARGET_PORT + i) });
+			.port = (uint16_t)(first_port + TARGET_PORTS + i) });
 	fakeplat_put(platform, "op/config", c);
 	for (int i = 0; i < n_hosts; i++) {
 		struct harness_host *h = &hosts[i];
 
-		h->port = (uint16_t)(HOST_PORT + 4 * i);
-		h->store_port = STORE_PORT;
-		h->seed_port = HOST_PORT;
+		h->port = (uint16_t)(first_port + HOST_PORTS + 4 * i);
+		h->store_port = (uint16_t)first_port;
+		h->seed_port = (uint16_t)(first_port + HOST_PORTS);
 		snprintf(h->id, sizeof(h->id), "h%d", i + 1);
 		g_strlcpy(h->dir, dir, sizeof(h->dir));
 		start_host(h);
@@ -455,6 +459,8 @@
 		n_hosts = atoi(argv[1]);
 	if (argc > 2)
 		seed = g_ascii_strtoull(argv[2], NULL, 10);
+	if (argc > 3)
+		first_port = atoi(argv[3]);
 	g_assert_cmpint(n_hosts, >, 1);
 	g_assert_cmpint(n_hosts, <=, MAX_HOSTS);
 	signal(SIGPIPE, SIG_IGN);
