Crashes: all hosts are asked about a part before it is blamed

Cause: a host reports answers only on parts that it suspects itself, that is after a call of its own was lost. Where several engines crash in series, a part is at three of the crashes by chance, and the hosts that get answers on it say nothing. Change: suspects are kept by service. A collector asks all hosts about the parts of two crashes: they reply which of them targets answered, and how many calls of the service they have counted as answered and lost, and report answers from then on. When nearly nothing is answered, it must be at nearly all of the crashes.

--- a/entry/control.c
+++ b/entry/control.c
@@ -210,6 +210,8 @@
 	case PEER_ANSWERED:
 	case PEER_QUARANTINE:
 	case PEER_LIMIT:
+	case PEER_SUSPECTS:
+	case PEER_KNOWN:
 		break; /* sent only by hosts that relay by route */
 	}
 }
--- a/entry/crash_reports.c
+++ b/entry/crash_reports.c
@@ -31,6 +31,7 @@
 	uint64_t part;
 	uint32_t reports_left;
 	usec_t reported_at;
+	bool asked; /* by a collector: under several crashed targets */
 };
 
 /* The parts that targets answered lately, as two sets. */
@@ -46,7 +47,8 @@
 	GHashTable *quarantined; /* set of the parts of all quarantines */
 	struct answered_memory prompts;
 	struct answered_memory contents;
-	GArray *peers; /* struct view_peer */
+	GHashTable *calls; /* service -> struct call_counts */
+	GArray *peers;     /* struct view_peer */
 	uint64_t n_crashes;
 };
 
@@ -118,6 +120,8 @@
 	c->quarantined = new_set();
 	c->prompts = new_memory();
 	c->contents = new_memory();
+	c->calls =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->peers = g_array_new(FALSE, TRUE, sizeof(struct view_peer));
 	return c;
 }
@@ -200,7 +204,19 @@
 	out->parts.parts_len = (u_int)parts->n;
 }
 
-static void
+static struct call_counts *
+count_calls(struct crash_reports *c, const char *service)
+{
+	struct call_counts *x = g_hash_table_lookup(c->calls, service);
+
+	if (x == NULL) {
+		x = g_new0(struct call_counts, 1);
+		g_hash_table_insert(c->calls, g_strdup(service), x);
+	}
+	return x;
+}
+
+static struct suspect_part *
 suspect(struct crash_reports *c, uint64_t part)
 {
 	struct suspect_part *s = g_hash_table_lookup(c->suspects, &part);
@@ -214,6 +230,7 @@
 	}
 	s->reports_left = ANSWER_REPORTS;
 	s->reported_at = 0;
+	return s;
 }
 
 static bool
@@ -279,20 +296,18 @@
 }
 
 void
-crash_reports_lost(struct crash_reports *c, const char *target,
-    const char *addr, const struct part_set *parts)
+crash_reports_lost(struct crash_reports *c, const struct lost_call *x)
 {
-	struct pending_crash *p = g_hash_table_lookup(c->pending, target);
+	struct pending_crash *p = g_hash_table_lookup(c->pending, x->target);
 
-	if (parts->n == 0)
-		return;
+	count_calls(c, x->service)->lost++;
 	if (p == NULL) {
 		p = xcalloc(1, sizeof(*p));
 		p->owner = c;
-		g_strlcpy(p->target, target, sizeof(p->target));
+		g_strlcpy(p->target, x->target, sizeof(p->target));
 		p->check = port_check_start(&(struct port_check_opts){
 		    .base = c->o.base,
-		    .addr = str_from(addr),
+		    .addr = str_from(x->addr),
 		    .timeout = CHECK_TIMEOUT,
 		    .done = on_checked,
 		    .arg = p,
@@ -306,7 +321,7 @@
 	if (p->n_calls == CRASH_MAX_CALLS)
 		return;
 	p->calls = xrealloc(p->calls, p->n_calls + 1, sizeof(*p->calls));
-	p->calls[p->n_calls++] = *parts;
+	p->calls[p->n_calls++] = *x->parts;
 }
 
 /* Whether an answer on a part is to be reported now; if so, notes it. */
@@ -316,14 +331,13 @@
 	bool quarantined = g_hash_table_contains(c->quarantined, &part);
 	struct suspect_part *s = g_hash_table_lookup(c->suspects, &part);
 
-	if (s == NULL && quarantined) {
-		suspect(c, part);
-		s = g_hash_table_lookup(c->suspects, &part);
-	}
+	if (s == NULL && quarantined)
+		s = suspect(c, part);
 	if (s == NULL ||
 	    (s->reported_at != 0 && now - s->reported_at < ANSWER_INTERVAL))
 		return false;
 	s->reported_at = now;
+	s->asked = false;
 	if (s->reports_left > 0)
 		s->reports_left--;
 	if (s->reports_left == 0 && !quarantined)
@@ -354,6 +368,7 @@
 	usec_t now;
 
 	remember_request(c, r);
+	count_calls(c, r->service)->answered++;
 	if (g_hash_table_size(c->suspects) == 0 &&
 	    g_hash_table_size(c->quarantined) == 0)
 		return;
@@ -368,6 +383,36 @@
 	send_report(c, &body);
 }
 
+void
+crash_reports_asked(struct crash_reports *c, const peer_suspects *q)
+{
+	const struct call_counts *calls = count_calls(c, q->service);
+	struct part_set known = { 0 };
+	peer_body body = { .kind = PEER_KNOWN };
+	peer_known *reply = &body.peer_body_u.known;
+
+	for (u_int i = 0; i < q->parts.parts.parts_len; i++) {
+		uint64_t part = q->parts.parts.parts_val[i];
+
+		suspect(c, part)->asked = true;
+		if (was_answered(c, part))
+			part_set_add(&known, part);
+	}
+	reply->service = str_dup(str_from(q->service));
+	write_prompt(&known, &reply->parts);
+	reply->answered = calls->answered;
+	reply->lost = calls->lost;
+	send_report(c, &body);
+}
+
+bool
+crash_reports_suspect(const struct crash_reports *c, uint64_t part)
+{
+	const struct suspect_part *s = g_hash_table_lookup(c->suspects, &part);
+
+	return s != NULL && s->asked;
+}
+
 uint64_t
 crash_reports_count(const struct crash_reports *c)
 {
@@ -382,6 +427,7 @@
 	g_hash_table_destroy(c->quarantined);
 	free_memory(&c->prompts);
 	free_memory(&c->contents);
+	g_hash_table_destroy(c->calls);
 	g_array_unref(c->peers);
 	free(c);
 }
--- a/entry/crash_reports.h
+++ b/entry/crash_reports.h
@@ -5,7 +5,8 @@
  *
  * A call lost before its answer began is reported once its target refuses
  * connections: a connection may also break by itself.  Answers are reported
- * only for parts that are under suspicion.  Runs on the relay's thread.
+ * only for parts that are under suspicion, here or at a collector.  Runs on the
+ * relay's thread.
  */
 #ifndef ENTRY_CRASH_REPORTS_H
 #define ENTRY_CRASH_REPORTS_H
@@ -26,11 +27,19 @@
 struct crash_reports *crash_reports_new(const struct crash_reports_opts *o);
 /* Sets the live hosts (struct view_peer) and the quarantined parts. */
 void crash_reports_set_view(struct crash_reports *c, const struct view *v);
-/* A call to the target at addr was lost before its answer had begun. */
-void crash_reports_lost(struct crash_reports *c, const char *target,
-    const char *addr, const struct part_set *parts);
+
+struct lost_call {
+	const char *target;
+	const char *addr;
+	const char *service;
+	const struct part_set *parts;
+};
+
+/* A call was lost before its answer had begun. */
+void crash_reports_lost(struct crash_reports *c, const struct lost_call *x);
 
 struct answered_request {
+	const char *service;
 	const struct part_set *parts;
 	uint64_t content; /* one of the parts */
 	uint64_t own;     /* the part of its prompt that no other has; or 0 */
@@ -39,6 +48,14 @@
 /* A target has begun to answer, and goes on. */
 void crash_reports_answered(
     struct crash_reports *c, const struct answered_request *r);
+/*
+ * A collector asks which of the parts targets answered before; answers on them
+ * are reported from now on.
+ */
+void crash_reports_asked(struct crash_reports *c, const peer_suspects *q);
+/* Whether collectors have asked about a part and no target has answered since.
+ */
+bool crash_reports_suspect(const struct crash_reports *c, uint64_t part);
 /* Number of crashes reported by this host. */
 uint64_t crash_reports_count(const struct crash_reports *c);
 void crash_reports_free(struct crash_reports *c);
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -19,6 +19,8 @@
  */
 #define POLL_TIME_MAX       (1500 * USEC_PER_MSEC)
 #define POLL_TIME_MIN       (500 * USEC_PER_MSEC)
+/* Interval in which parts are looked at that wait for replies of the hosts. */
+#define SUSPECTS_INTERVAL   (50 * USEC_PER_MSEC)
 /* Interval of state fetches from peers while the store is unavailable. */
 #define PEER_FETCH_INTERVAL (500 * USEC_PER_MSEC)
 /* The document name under which peers serve configuration and targets. */
@@ -206,6 +208,8 @@
 	case PEER_CRASH:
 	case PEER_ANSWERED:
 	case PEER_QUARANTINE:
+	case PEER_SUSPECTS:
+	case PEER_KNOWN:
 		break;
 	}
 	m = inbox_msg_new(INBOX_DATAGRAM);
@@ -273,7 +277,7 @@
 			else if (m->datagram.body.kind == PEER_FEED)
 				discovery_on_feed(d, &m->datagram, clock_now());
 			else
-				discovery_on_quarantine(d, &m->datagram.body);
+				discovery_on_quarantine(d, &m->datagram);
 			break;
 		case INBOX_FETCHED:
 			if (strcmp(m->fetched.name, CONFIG_NAME) == 0)
@@ -402,6 +406,8 @@
 	discovery_write_hosts(d, now);
 	discovery_send_quarantine(d, now);
 	publish(d, now);
+	if (d->suspects_waiting)
+		next = earlier(next, now + SUSPECTS_INTERVAL);
 	if (d->hosts_dirty)
 		next =
 		    earlier(next, d->view_published_at + HOSTS_VIEW_INTERVAL);
@@ -483,7 +489,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	roster_init(&d->roster);
 	quarantine_init(&d->quarantine);
-	crash_suspects_init(&d->suspects);
+	d->suspects = discovery_new_suspects();
 	d->loop = http_new();
 	d->inbox = inbox_new();
 	open_store(d);
@@ -583,7 +589,7 @@
 	g_hash_table_destroy(d->target_values);
 	g_hash_table_destroy(d->quarantine_values);
 	quarantine_free(&d->quarantine);
-	crash_suspects_free(&d->suspects);
+	g_hash_table_destroy(d->suspects);
 	buf_free(&d->config_text);
 	buf_free(&d->queued_config);
 	buf_free(&d->config_compressed);
--- a/entry/discovery_quarantine.c
+++ b/entry/discovery_quarantine.c
@@ -38,6 +38,34 @@
 	return rank < n ? rank : CRASH_COLLECTORS;
 }
 
+static void
+free_suspects(gpointer p)
+{
+	crash_suspects_free(p);
+	g_free(p);
+}
+
+GHashTable *
+discovery_new_suspects(void)
+{
+	return g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, free_suspects);
+}
+
+/* Returns those of the targets of a service, empty if there are none yet. */
+static struct crash_suspects *
+suspects_of(struct discovery *d, const char *service)
+{
+	struct crash_suspects *s = g_hash_table_lookup(d->suspects, service);
+
+	if (s == NULL) {
+		s = g_new(struct crash_suspects, 1);
+		crash_suspects_init(s);
+		g_hash_table_insert(d->suspects, g_strdup(service), s);
+	}
+	return s;
+}
+
 /* Publishes a change to the relay and to the peers that fetch the state. */
 static void
 quarantine_changed(struct discovery *d)
@@ -144,6 +172,8 @@
 add_crash_call(
     struct discovery *d, const char *target, const struct part_set *parts)
 {
+	struct crash_suspects *s =
+	    suspects_of(d, roster_service(&d->roster, target));
 	int64_t now_ms = clock_wall() / USEC_PER_MSEC;
 	const struct quarantine_entry *ended =
 	    quarantine_match_ended(&d->quarantine, parts, now_ms);
@@ -155,19 +185,21 @@
 		    d, &again, ended->length_ms, "crashed a target again");
 	}
 	if (quarantine_match(&d->quarantine, parts, now_ms) != NULL)
-		crash_suspects_explain(&d->suspects, target, clock_now());
+		crash_suspects_explain(s, target, clock_now());
 	else
-		crash_suspects_add(&d->suspects, target, parts, clock_now());
+		crash_suspects_add(s, target, parts, clock_now());
 }
 
 static void
 on_crash(struct discovery *d, const peer_crash *c)
 {
+	struct crash_suspects *s =
+	    suspects_of(d, roster_service(&d->roster, c->target));
 	struct part_set parts;
 
 	for (u_int i = 0; i < c->known.known_len; i++) {
 		parts = (struct part_set){ { c->known.known_val[i] }, 1 };
-		crash_suspects_known(&d->suspects, &parts);
+		crash_suspects_known(s, &parts);
 	}
 	log_text(LOG_LVL_NOTICE, "target-crashed",
 	    "%s, with %u calls that had no answer", c->target,
@@ -179,30 +211,89 @@
 	d->crashes_reported = true;
 }
 
-void
-discovery_blame_parts(struct discovery *d)
+static void
+send_to_others(struct discovery *d, const peer_body *body)
 {
+	struct members *m = fleet_members(d->fleet);
+	size_t n;
+	const char *const *ids = member_live(m, &n);
+
+	for (size_t i = 0; i < n; i++) {
+		const struct member *x = member_find(m, ids[i]);
+
+		if (x != NULL && strcmp(ids[i], d->o.settings->id) != 0)
+			rpc_send(d->rpc, member_rpc(x), body);
+	}
+}
+
+/* Asks all hosts, also this one, which of the parts they know. */
+static void
+ask_hosts(
+    struct discovery *d, const char *service, const struct part_set *parts)
+{
+	peer_letter l = { .body.kind = PEER_SUSPECTS };
+	peer_suspects *q = &l.body.peer_body_u.suspects;
+	peer_prompt *p = &q->parts;
+
+	q->service = str_dup(str_from(service));
+	p->parts.parts_val = xcalloc(parts->n, sizeof(parts->v[0]));
+	memcpy(p->parts.parts_val, parts->v, parts->n * sizeof(parts->v[0]));
+	p->parts.parts_len = (u_int)parts->n;
+	send_to_others(d, &l.body);
+	l.from = str_dup(str_from(d->o.settings->id));
+	l.rpc = str_dup(str_from(d->o.settings->rpc));
+	d->o.relay_datagram(d->o.arg, &l);
+	xdr_free((xdrproc_t)xdr_peer_letter, (char *)&l);
+}
+
+static void
+blame_parts_of(
+    struct discovery *d, const char *service, struct crash_suspects *s)
+{
+	uint32_t rank = collector_rank(d);
+	usec_t now = clock_now();
+	struct part_set parts;
 	struct crash_blame b;
 
-	if (!d->crashes_reported)
-		return;
-	d->crashes_reported = false;
-	while (crash_suspects_blame(&d->suspects, &b)) {
+	while (crash_suspects_ask(s, rank, now, &parts))
+		ask_hosts(d, service, &parts);
+	while (crash_suspects_blame(s, now, &b)) {
 		g_autofree char *why = g_strdup_printf("%u targets crashed%s",
 		    b.crashes, b.known ? ", parts were answered before" : "");
 
 		begin_quarantine(d, &b.parts,
 		    b.known ? QUARANTINE_KNOWN_MS : QUARANTINE_FIRST_MS, why);
 	}
+	d->suspects_waiting = d->suspects_waiting || s->waiting;
+}
+
+void
+discovery_blame_parts(struct discovery *d)
+{
+	GHashTableIter it;
+	gpointer service;
+	gpointer s;
+
+	if (!d->crashes_reported && !d->suspects_waiting)
+		return;
+	d->crashes_reported = false;
+	d->suspects_waiting = false;
+	g_hash_table_iter_init(&it, d->suspects);
+	while (g_hash_table_iter_next(&it, &service, &s))
+		blame_parts_of(d, service, s);
 }
 
 static void
 on_answered(struct discovery *d, const peer_prompt *p)
 {
 	struct part_set parts;
+	GHashTableIter it;
+	gpointer s;
 
 	read_prompt(p, &parts);
-	crash_suspects_answered(&d->suspects, &parts);
+	g_hash_table_iter_init(&it, d->suspects);
+	while (g_hash_table_iter_next(&it, NULL, &s))
+		crash_suspects_answered(s, &parts);
 	if (!quarantine_answered(&d->quarantine, &parts, clock_now()))
 		return;
 	log_text(LOG_LVL_NOTICE, "quarantine-narrowed",
@@ -210,9 +301,35 @@
 	quarantine_changed(d);
 }
 
+static void
+on_known(struct discovery *d, const char *from, const peer_known *k)
+{
+	struct crash_suspects *s = suspects_of(d, k->service);
+	struct call_counts calls = { k->answered, k->lost };
+	struct part_set parts;
+
+	read_prompt(&k->parts, &parts);
+	crash_suspects_known(s, &parts);
+	crash_suspects_calls(s, from, &calls);
+}
+
+static void
+on_suspects(struct discovery *d, peer_letter *l)
+{
+	const peer_suspects *q = &l->body.peer_body_u.suspects;
+	struct part_set parts;
+
+	read_prompt(&q->parts, &parts);
+	crash_suspects_asked(suspects_of(d, q->service), &parts, clock_now());
+	d->suspects_waiting = true;
+	d->o.relay_datagram(d->o.arg, l);
+}
+
 void
-discovery_on_quarantine(struct discovery *d, const peer_body *body)
+discovery_on_quarantine(struct discovery *d, peer_letter *l)
 {
+	const peer_body *body = &l->body;
+
 	switch (body->kind) {
 	case PEER_CRASH:
 		on_crash(d, &body->peer_body_u.crash);
@@ -225,6 +342,12 @@
 		    str_from(body->peer_body_u.quarantine.id),
 		    str_from(body->peer_body_u.quarantine.value), false);
 		break;
+	case PEER_SUSPECTS:
+		on_suspects(d, l);
+		break;
+	case PEER_KNOWN:
+		on_known(d, l->from, &body->peer_body_u.known);
+		break;
 	case PEER_GOSSIP:
 	case PEER_CLAIM:
 	case PEER_VERDICT:
@@ -243,21 +366,13 @@
 static void
 send_entry(struct discovery *d, const struct quarantine_entry *e)
 {
-	struct members *m = fleet_members(d->fleet);
 	peer_body body = { .kind = PEER_QUARANTINE };
 	struct buf value = { 0 };
-	size_t n;
-	const char *const *ids = member_live(m, &n);
 
 	quarantine_write(e, &value);
 	body.peer_body_u.quarantine.id = (char *)e->id;
 	body.peer_body_u.quarantine.value = value.p;
-	for (size_t i = 0; i < n; i++) {
-		const struct member *x = member_find(m, ids[i]);
-
-		if (x != NULL && strcmp(ids[i], d->o.settings->id) != 0)
-			rpc_send(d->rpc, member_rpc(x), &body);
-	}
+	send_to_others(d, &body);
 	if (!d->store_unavailable) {
 		g_autofree char *key = g_strconcat(ITEM_PREFIX, e->id, NULL);
 
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -61,8 +61,9 @@
 	struct host_list_writer hosts;
 	bool hosts_listed;
 	struct quarantine quarantine;
-	struct crash_suspects suspects;
+	GHashTable *suspects;  /* service -> struct crash_suspects */
 	bool crashes_reported; /* since the parts to blame were looked for */
+	bool suspects_waiting; /* for replies of the hosts */
 	bool feed_gap; /* changes are missing that only a long poll returns */
 	usec_t feed_received_at;
 	usec_t feed_sent_at;
@@ -123,8 +124,13 @@
 /* Takes a quarantine from the store or from another host. */
 void discovery_read_quarantine(
     struct discovery *d, struct str id, struct str value, bool from_store);
-/* Handles PEER_CRASH, PEER_ANSWERED and PEER_QUARANTINE. */
-void discovery_on_quarantine(struct discovery *d, const peer_body *body);
+/* Returns a table of service -> struct crash_suspects. */
+GHashTable *discovery_new_suspects(void);
+/*
+ * Handles PEER_CRASH, PEER_ANSWERED, PEER_QUARANTINE, PEER_SUSPECTS and
+ * PEER_KNOWN; may take over what the datagram owns and zero it.
+ */
+void discovery_on_quarantine(struct discovery *d, peer_letter *l);
 /*
  * Quarantines the parts that reported crashes are to be blamed on; call it
  * after datagrams were handled.
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -192,8 +192,13 @@
 	r->shared->lost_calls++;
 	log_lost_call(r, cause, again);
 	if (t != NULL && call_events(r) < CRASH_BEGUN_EVENTS)
-		crash_reports_lost(r->shared->crash_reports, r->target_id,
-		    t->entry.addr, &r->parts.all);
+		crash_reports_lost(r->shared->crash_reports,
+		    &(struct lost_call){
+			.target = r->target_id,
+			.addr = t->entry.addr,
+			.service = r->service->name,
+			.parts = &r->parts.all,
+		    });
 	if (again) {
 		sse_restart(&r->sse);
 		send_call(r);
@@ -273,6 +278,7 @@
 	r->answer_reported = true;
 	crash_reports_answered(r->shared->crash_reports,
 	    &(struct answered_request){
+		.service = r->service->name,
 		.parts = &r->parts.all,
 		.content = r->parts.content,
 		.own = r->parts.own,
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -231,6 +231,20 @@
 };
 typedef struct peer_limit peer_limit;
 
+struct peer_suspects {
+	char *service;
+	peer_prompt parts;
+};
+typedef struct peer_suspects peer_suspects;
+
+struct peer_known {
+	char *service;
+	peer_prompt parts;
+	u_quad_t answered;
+	u_quad_t lost;
+};
+typedef struct peer_known peer_known;
+
 enum peer_kind {
 	PEER_GOSSIP = 1,
 	PEER_CLAIM = 2,
@@ -245,6 +259,8 @@
 	PEER_ANSWERED = 11,
 	PEER_QUARANTINE = 12,
 	PEER_LIMIT = 13,
+	PEER_SUSPECTS = 14,
+	PEER_KNOWN = 15,
 };
 typedef enum peer_kind peer_kind;
 
@@ -264,6 +280,8 @@
 		peer_prompt answered;
 		peer_quarantine quarantine;
 		peer_limit limit;
+		peer_suspects suspects;
+		peer_known known;
 	} peer_body_u;
 };
 typedef struct peer_body peer_body;
@@ -364,6 +382,8 @@
 extern  bool_t xdr_peer_crash (XDR *, peer_crash*);
 extern  bool_t xdr_peer_quarantine (XDR *, peer_quarantine*);
 extern  bool_t xdr_peer_limit (XDR *, peer_limit*);
+extern  bool_t xdr_peer_suspects (XDR *, peer_suspects*);
+extern  bool_t xdr_peer_known (XDR *, peer_known*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
 extern  bool_t xdr_peer_body (XDR *, peer_body*);
 extern  bool_t xdr_peer_letter (XDR *, peer_letter*);
@@ -393,6 +413,8 @@
 extern bool_t xdr_peer_crash ();
 extern bool_t xdr_peer_quarantine ();
 extern bool_t xdr_peer_limit ();
+extern bool_t xdr_peer_suspects ();
+extern bool_t xdr_peer_known ();
 extern bool_t xdr_peer_kind ();
 extern bool_t xdr_peer_body ();
 extern bool_t xdr_peer_letter ();
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -157,7 +157,7 @@
 const PEER_CRASH_CALLS_MAX = 64;
 const PEER_KNOWN_MAX = 256;
 
-/* The parts of a prompt, as hashes of their ids. */
+/* Parts of a request (kernel/part_set.h). */
 struct peer_prompt {
 	unsigned hyper parts<PEER_PARTS_MAX>;
 };
@@ -186,6 +186,20 @@
 	unsigned int age_ms;       /* since the target named it */
 };
 
+/* Asks which of these parts targets of a service answered before. */
+struct peer_suspects {
+	string service<64>;
+	peer_prompt parts;
+};
+
+struct peer_known {
+	string service<64>;
+	peer_prompt parts;      /* those that targets answered before */
+	/* The sender's calls to the service since it started. */
+	unsigned hyper answered;
+	unsigned hyper lost;
+};
+
 enum peer_kind {
 	PEER_GOSSIP = 1,
 	PEER_CLAIM = 2,
@@ -199,7 +213,9 @@
 	PEER_CRASH = 10,
 	PEER_ANSWERED = 11,
 	PEER_QUARANTINE = 12,
-	PEER_LIMIT = 13
+	PEER_LIMIT = 13,
+	PEER_SUSPECTS = 14,
+	PEER_KNOWN = 15
 };
 
 union peer_body switch (peer_kind kind) {
@@ -229,6 +245,10 @@
 	peer_quarantine quarantine;
 case PEER_LIMIT:
 	peer_limit limit;
+case PEER_SUSPECTS:
+	peer_suspects suspects;
+case PEER_KNOWN:
+	peer_known known;       /* the reply */
 };
 
 struct peer_letter {
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -474,6 +474,34 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_suspects (XDR *xdrs, peer_suspects *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, 64))
+		 return FALSE;
+	 if (!xdr_peer_prompt (xdrs, &objp->parts))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_known (XDR *xdrs, peer_known *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, 64))
+		 return FALSE;
+	 if (!xdr_peer_prompt (xdrs, &objp->parts))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->answered))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->lost))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_kind (XDR *xdrs, peer_kind *objp)
 {
@@ -544,6 +572,14 @@
 		 if (!xdr_peer_limit (xdrs, &objp->peer_body_u.limit))
 			 return FALSE;
 		break;
+	case PEER_SUSPECTS:
+		 if (!xdr_peer_suspects (xdrs, &objp->peer_body_u.suspects))
+			 return FALSE;
+		break;
+	case PEER_KNOWN:
+		 if (!xdr_peer_known (xdrs, &objp->peer_body_u.known))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -224,6 +224,10 @@
 		coordinator_release(y->shared.coordinator,
 		    str_from(d->body.peer_body_u.piece_free.handles));
 		break;
+	case PEER_SUSPECTS:
+		crash_reports_asked(
+		    y->shared.crash_reports, &d->body.peer_body_u.suspects);
+		break;
 	case PEER_LIMIT:
 		target_limits_receive(
 		    y->shared.target_limits, &d->body.peer_body_u.limit);
@@ -237,6 +241,7 @@
 	case PEER_CRASH:
 	case PEER_ANSWERED:
 	case PEER_QUARANTINE:
+	case PEER_KNOWN:
 		break; /* handled by the discovery thread */
 	}
 }
--- a/kernel/crash_suspects.h
+++ b/kernel/crash_suspects.h
@@ -14,6 +14,12 @@
  * that targets answered before the crashes needs more evidence, over a longer
  * time.
  *
+ * Where targets crash again and again for another reason, any part is at some
+ * of the crashes by chance, and most hosts that got answers on it lost no call.
+ * So the collectors ask all hosts about a part before they blame it: whether
+ * targets answered on it, and how many calls were answered and lost meanwhile.
+ * If nearly all calls are lost, it proves nothing that those with the part are.
+ *
  * Parts that came together in all these calls are blamed as a set, as none of
  * them can be told from the others yet.  A crash is blamed on one set only, so
  * requests that only happened to be there are not blamed by and by.  Of two
@@ -21,7 +27,8 @@
  * unless one contains the other: then the larger one is, as it stops fewer
  * requests.
  *
- * Times are in microseconds.  A struct crash_suspects belongs to one thread.
+ * Times are in microseconds.  A struct crash_suspects is for the targets of one
+ * service and belongs to one thread.
  */
 #ifndef KERNEL_CRASH_SUSPECTS_H
 #define KERNEL_CRASH_SUSPECTS_H
@@ -40,9 +47,20 @@
 /* Hosts that gather the reports of all: if one is lost the others have them. */
 #define CRASH_COLLECTORS   3
 
+/* Calls that were answered, and lost without an answer. */
+struct call_counts {
+	uint64_t answered;
+	uint64_t lost;
+};
+
 struct crash_suspects {
-	GPtrArray *crashes; /* struct crash, oldest first */
-	GHashTable *known;  /* parts that were answered before; a set */
+	GPtrArray *crashes;       /* struct crash, oldest first */
+	GHashTable *known;        /* parts that were answered before; a set */
+	GHashTable *asked;        /* part -> struct asked_part */
+	GHashTable *hosts;        /* id -> struct call_counts, as last told */
+	struct call_counts calls; /* of all hosts, since they first told */
+	usec_t asked_at;          /* the last question; 0: none yet */
+	bool waiting; /* call crash_suspects_ask() and _blame() again soon */
 };
 
 /* Parts to blame for crashes. */
@@ -72,8 +90,22 @@
 /* Targets have answered on these parts: they are not to blame. */
 void crash_suspects_answered(
     struct crash_suspects *s, const struct part_set *parts);
+/* A host tells how many calls it has counted since it started. */
+void crash_suspects_calls(struct crash_suspects *s, const char *host,
+    const struct call_counts *calls);
+/*
+ * Writes the parts that all hosts are to be asked about now, and notes that
+ * they are; returns whether there are any.  The collectors have a rank, so that
+ * usually only the first asks.
+ */
+bool crash_suspects_ask(
+    struct crash_suspects *s, uint32_t rank, usec_t now, struct part_set *out);
+/* Another collector asks all hosts about these parts. */
+void crash_suspects_asked(
+    struct crash_suspects *s, const struct part_set *parts, usec_t now);
 /* Returns whether parts are to blame, and forgets the crashes they explain. */
-bool crash_suspects_blame(struct crash_suspects *s, struct crash_blame *out);
+bool crash_suspects_blame(
+    struct crash_suspects *s, usec_t now, struct crash_blame *out);
 void crash_suspects_free(struct crash_suspects *s);
 
 #endif
--- a/kernel/roster.c
+++ b/kernel/roster.c
@@ -126,6 +126,14 @@
 	return 0;
 }
 
+const char *
+roster_service(const struct roster *r, const char *id)
+{
+	const struct roster_entry *s = g_hash_table_lookup(r->by_id, id);
+
+	return s != NULL ? s->t.service : "";
+}
+
 GArray *
 roster_list(const struct roster *r)
 {
--- a/kernel/roster.h
+++ b/kernel/roster.h
@@ -55,6 +55,8 @@
  * when to call it next, or 0.
  */
 usec_t roster_tick(struct roster *r, usec_t now);
+/* Returns the service of a target, or "" if it is not known. */
+const char *roster_service(const struct roster *r, const char *id);
 /* Returns all targets in no particular order; free with g_array_unref. */
 GArray *roster_list(const struct roster *r);
 void roster_free(struct roster *r);
