Calls: a request that is suspect of crashing targets is not made again

Cause: a lost call was made again at once, at the next target, also when the collectors had already asked about its content, so one more target crashed for each request that came. Change: once the hosts have been asked about a content, and no target has answered it since, its lost calls end with an error that promises nothing.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -186,7 +186,11 @@
 static void
 on_answer_lost(struct relay_request *r, const char *cause)
 {
-	bool again = route_repeatable(r->route) && can_retry(r);
+	/* The request may have crashed its targets, and would crash the next.
+	 */
+	bool suspect =
+	    crash_reports_suspect(r->shared->crash_reports, r->parts.content);
+	bool again = route_repeatable(r->route) && !suspect && can_retry(r);
 	const struct target_load *t = target_of(r);
 
 	r->shared->lost_calls++;
