Logs: software versions of targets, and callers that resume streams

Change: the version of a target's store entry is read and call-sent names it; caller-resumes names the stream and the event. An entry without a version stays valid.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -590,6 +590,7 @@
 	LOG(LOG_LVL_INFO, "call-sent", { "request", r->info.id },
 	    { "target", str_from(t->entry.id) },
 	    { "service", str_from(t->entry.service) },
+	    { "version", str_from(t->entry.version) },
 	    { "load", str_from(load) }, { "left_ms", str_from(ms) });
 }
 
--- a/entry/relay_request.c
+++ b/entry/relay_request.c
@@ -4,6 +4,8 @@
 #include "base/log.h"
 #include "entry/relay_answer.h"
 
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -176,6 +178,16 @@
 	return out;
 }
 
+static void
+log_resume(const struct request_info *info)
+{
+	char after[24];
+
+	snprintf(after, sizeof(after), "%" PRIu64, info->last_event);
+	LOG(LOG_LVL_INFO, "caller-resumes", { "request", info->id },
+	    { "stream", info->resumes }, { "after_event", str_from(after) });
+}
+
 void
 relay_request_start(const struct relay_request_opts *o)
 {
@@ -207,5 +219,7 @@
 	httpd_on_close(o->httpd_req, on_caller_closed, r);
 	retry_quota_request(
 	    relay_request_retry_quota(r), &s->quota_rule, clock_now());
+	if (info->is_resume)
+		log_resume(info);
 	stages_start(r);
 }
--- a/kernel/roster.c
+++ b/kernel/roster.c
@@ -21,7 +21,8 @@
 {
 	return strcmp(a->service, b->service) == 0 &&
 	    strcmp(a->addr, b->addr) == 0 &&
-	    strcmp(a->domain, b->domain) == 0 && a->slots == b->slots &&
+	    strcmp(a->domain, b->domain) == 0 &&
+	    strcmp(a->version, b->version) == 0 && a->slots == b->slots &&
 	    a->leaving == b->leaving && a->born_ms == b->born_ms;
 }
 
--- a/kernel/roster.h
+++ b/kernel/roster.h
@@ -27,6 +27,7 @@
 	char service[64];
 	char addr[64]; /* IP:PORT */
 	char domain[64];
+	char version[64]; /* of its software; empty: unknown */
 	uint32_t slots;
 	bool leaving;
 	uint64_t born_ms; /* start as Unix time; 0: unknown */
