--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -432,6 +432,7 @@
 send_event(struct conn *c)
 {
 	struct evbuffer *out = bufferevent_get_output(c->bev);
+	const char *version = c->target->config.version;
 	char data[256];
 	int n;
 
@@ -458,8 +459,9 @@
 		await_request(c);
 		return;
 	}
-	n = snprintf(data, sizeof(data), "id: %u\ndata: %s\n\n", c->next_event,
-	    c->attempt);
+	n = snprintf(data, sizeof(data), "id: %u\ndata: %s%s%s\n\n",
+	    c->next_event, c->attempt, version != NULL ? "@" : "",
+	    version != NULL ? version : "");
 	evbuffer_add_printf(out, "%x\r\n%s\r\n", (unsigned)n, data);
 	c->next_event++;
 	arm_timer(c, EVENT_INTERVAL_MS);
@@ -929,14 +931,16 @@
 static void
 publish_target(struct fakeplat *plat, const struct target *t, const char *state)
 {
+	const char *version = t->config.version;
 	g_autofree char *key = g_strconcat("servers/", t->id, NULL);
 	g_autofree char *v = g_strdup_printf(
 	    "{\"Service\":\"%s\",\"Addr\":\"127.0.0.1:%u\",\"Zone\":\"%s\","
-	    "\"Slots\":4,\"State\":\"%s\",\"born\":1}",
+	    "\"Slots\":4,\"State\":\"%s\",\"born\":1%s%s%s}",
 	    t->config.service,
 	    t->config.published_port != 0 ? t->config.published_port
 					  : t->config.port,
-	    t->config.domain, state);
+	    t->config.domain, state, version != NULL ? ",\"Version\":\"" : "",
+	    version != NULL ? version : "", version != NULL ? "\"" : "");
 
 	put_item(plat, key, v);
 }
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -34,6 +34,8 @@
 	const char *domain;
 	uint16_t port;
 	uint16_t published_port; /* port in its store entry; 0: as port */
+	/* Of its software, also written into each event; NULL: none. */
+	const char *version;
 };
 
 /* What the targets have received of one attempt. */
--- /dev/null
+++ b/tests/platform/test_mixed_versions.c
@@ -0,0 +1,226 @@
+/*
+ * Targets of two software versions in one service: several hosts, a fake
+ * platform, and streams that break and are resumed, by their host or by their
+ * caller at another host.  A stream must have events of one version only.
+ */
+#include "tests/platform/harness.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define STORE_PORT      21300
+#define TARGET_PORT     21301
+#define HOST_PORT       21320
+#define HOSTS           4
+#define TARGETS         6
+#define STREAMS         16
+#define TIMEOUT_SECONDS 15
+#define DEADLINE_MS     3000
+/* A stalled stream is read for this long: its two events arrive by then. */
+#define STALL_READ_MS   250
+/* Hosts know of changed targets, and of each other, by then. */
+#define SETTLE_TIME     (1500 * USEC_PER_MSEC)
+
+enum versions {
+	BOTH,
+	OLD_ONLY,
+	NEW_ONLY
+};
+
+static const struct version_case {
+	const char *name;
+	const char *behavior;  /* of the targets */
+	enum versions begun;   /* at which the streams begin */
+	enum versions resumed; /* that are there when callers resume */
+	bool by_caller;
+	bool kill_host;   /* that began the streams */
+	bool is_rejected; /* none of the streams can go on */
+} cases[] = {
+	{ "resumed-within-an-answer", "break", BOTH, BOTH, false, false,
+	    false },
+	{ "resumed-by-the-caller", "stall", BOTH, BOTH, true, false, false },
+	{ "whose-first-host-was-killed", "stall", BOTH, BOTH, true, true,
+	    false },
+	{ "begun-before-the-other-version", "stall", OLD_ONLY, BOTH, true,
+	    false, false },
+	{ "no-target-of-the-version-left", "stall", OLD_ONLY, NEW_ONLY, true,
+	    false, true },
+};
+
+static struct fakeplat *platform;
+static struct harness_host hosts[HOSTS];
+/* The first half has the old version. */
+static const char *const ids[TARGETS] = { "e1", "e2", "e3", "e4", "e5", "e6" };
+
+static void
+start_fleet(void)
+{
+	g_autofree char *c = harness_config(1, NULL);
+	g_autofree char *dir = g_dir_make_tmp("mixed-versions-XXXXXX", NULL);
+
+	platform = fakeplat_start(STORE_PORT);
+	for (int i = 0; i < TARGETS; i++)
+		fakeplat_add_target(platform,
+		    &(struct fakeplat_target){ .id = ids[i],
+			.service = "engine",
+			.domain = "d1",
+			.port = (uint16_t)(TARGET_PORT + i),
+			.version = i < TARGETS / 2 ? "old" : "new" });
+	fakeplat_put(platform, "op/config", c);
+	for (int i = 0; i < HOSTS; i++) {
+		struct harness_host *h = &hosts[i];
+
+		h->port = (uint16_t)(HOST_PORT + 4 * i);
+		h->store_port = STORE_PORT;
+		h->seed_port = HOST_PORT;
+		snprintf(h->id, sizeof(h->id), "h%d", i + 1);
+		g_strlcpy(h->dir, dir, sizeof(h->dir));
+		harness_start_host(h);
+		g_assert_true(harness_wait_ready(h, TIMEOUT_SECONDS));
+	}
+}
+
+static void
+set_versions(enum versions v)
+{
+	for (int i = 0; i < TARGETS; i++) {
+		enum versions other = i < TARGETS / 2 ? NEW_ONLY : OLD_ONLY;
+
+		if (v == other)
+			fakeplat_drain_target(platform, ids[i]);
+		else
+			fakeplat_ready_target(platform, ids[i]);
+	}
+	g_usleep((gulong)SETTLE_TIME);
+}
+
+struct stream {
+	char id[64];
+	bool old; /* has events of the old version */
+	bool new; /* has events of the new version */
+	bool complete;
+	int status; /* of the last answer */
+};
+
+static void
+read_answer(struct stream *s, const struct harness_response *a)
+{
+	if (a->body.n > 0) {
+		s->old = s->old || strstr(a->body.p, "@old") != NULL;
+		s->new = s->new || strstr(a->body.p, "@new") != NULL;
+	}
+	s->complete = a->status == 200 && a->complete;
+	s->status = a->status;
+}
+
+static void
+begin_stream(struct stream *s, const struct version_case *x, int number)
+{
+	int host = x->kill_host ? 0 : number % HOSTS;
+	g_autofree char *q = NULL;
+	struct harness_response a;
+
+	*s = (struct stream){ 0 };
+	snprintf(s->id, sizeof(s->id), "s-%d-%d", (int)(x - cases), number);
+	q = harness_format(&(struct harness_request){ .path = "/stream/1",
+	    .id = s->id,
+	    .behavior = x->behavior,
+	    .deadline_ms = DEADLINE_MS });
+	harness_exchange(hosts[host].port, str_from(q),
+	    x->by_caller ? STALL_READ_MS : 2 * DEADLINE_MS, &a);
+	read_answer(s, &a);
+	harness_response_free(&a);
+}
+
+static void
+resume_stream(struct stream *s, int number)
+{
+	g_autofree char *id = g_strconcat(s->id, "-again", NULL);
+	g_autofree char *fields =
+	    g_strdup_printf("Last-Event-Id: 2\r\nResumes: %s\r\n", s->id);
+	g_autofree char *q =
+	    harness_format(&(struct harness_request){ .path = "/stream/1",
+		.id = id,
+		.extra_fields = fields,
+		.deadline_ms = DEADLINE_MS });
+	struct harness_response a;
+
+	harness_exchange(hosts[1 + (number + 1) % (HOSTS - 1)].port,
+	    str_from(q), 2 * DEADLINE_MS, &a);
+	read_answer(s, &a);
+	harness_response_free(&a);
+}
+
+static void
+restart_first_host(void)
+{
+	harness_start_host(&hosts[0]);
+	g_assert_true(harness_wait_ready(&hosts[0], TIMEOUT_SECONDS));
+}
+
+static void
+run_case(gconstpointer arg)
+{
+	const struct version_case *x = arg;
+	static struct stream v[STREAMS];
+	int mixed = 0;
+	int complete = 0;
+	int rejected = 0;
+
+	set_versions(x->begun);
+	for (int i = 0; i < STREAMS; i++)
+		begin_stream(&v[i], x, i);
+	if (x->kill_host) {
+		kill(hosts[0].pid, SIGKILL);
+		harness_wait_exit(&hosts[0]);
+	}
+	if (x->resumed != x->begun)
+		set_versions(x->resumed);
+	for (int i = 0; x->by_caller && i < STREAMS; i++)
+		resume_stream(&v[i], i);
+	for (int i = 0; i < STREAMS; i++) {
+		mixed += v[i].old && v[i].new;
+		complete += v[i].complete;
+		rejected += v[i].status == 503;
+	}
+	g_test_message("%d streams of two versions, %d complete, %d rejected",
+	    mixed, complete, rejected);
+	g_assert_cmpint(mixed, ==, 0);
+	if (x->is_rejected)
+		g_assert_cmpint(rejected, ==, STREAMS);
+	else
+		g_assert_cmpint(2 * complete, >=, STREAMS);
+	if (x->kill_host)
+		restart_first_host();
+}
+
+static void
+stop_fleet(void)
+{
+	for (int i = 0; i < HOSTS; i++) {
+		kill(hosts[i].pid, SIGTERM);
+		g_assert_cmpint(harness_wait_exit(&hosts[i]), ==, 0);
+	}
+	fakeplat_stop(platform);
+}
+
+int
+main(int argc, char **argv)
+{
+	int rc;
+
+	g_test_init(&argc, &argv, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	start_fleet();
+	g_test_set_nonfatal_assertions();
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *path =
+		    g_strdup_printf("/mixed-versions/%s", cases[i].name);
+
+		g_test_add_data_func(path, &cases[i], run_case);
+	}
+	rc = g_test_run();
+	stop_fleet();
+	return rc;
+}
