Streams go on only at the software version that began them

Callers saw streams with events of two versions while targets were replaced. Cause: the version of a target was not read; a broken stream went on at any target, within its answer and when its caller took it up at another host. Change: the choice of a target can require a version. The host that resumes a stream knows it; while a service has several versions, a host that begins a stream tells its version to two others, and a host at which a caller resumes one asks (kernel/stream_versions.h). A stream that can't go on is rejected as not run, or aborted if its answer has begun. Ruled out: late or wrong versions as the cause, as streams went on at targets that had been listed for a minute. Messages are new kinds; no message of before has changed.

--- a/entry/control.c
+++ b/entry/control.c
@@ -212,6 +212,9 @@
 	case PEER_LIMIT:
 	case PEER_SUSPECTS:
 	case PEER_KNOWN:
+	case PEER_STREAM:
+	case PEER_STREAM_ASK:
+	case PEER_STREAM_REPLY:
 		break; /* sent only by hosts that relay by route */
 	}
 }
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -197,6 +197,9 @@
 	case PEER_PIECE_REPLY:
 	case PEER_PIECE_FREE:
 	case PEER_LIMIT:
+	case PEER_STREAM:
+	case PEER_STREAM_ASK:
+	case PEER_STREAM_REPLY:
 		d->o.relay_datagram(d->o.arg, l);
 		return;
 	case PEER_GOSSIP:
--- a/entry/discovery_quarantine.c
+++ b/entry/discovery_quarantine.c
@@ -358,6 +358,9 @@
 	case PEER_PIECE_FREE:
 	case PEER_FEED:
 	case PEER_LIMIT:
+	case PEER_STREAM:
+	case PEER_STREAM_ASK:
+	case PEER_STREAM_REPLY:
 		break; /* not about quarantined parts */
 	}
 }
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -73,6 +73,7 @@
 	*query = (struct loads_query){
 		.service = r->service->name,
 		.engine = r->service->has_engine,
+		.version = str_from(r->version),
 		.n_tried = r->n_tried,
 	};
 	for (size_t i = 0; i < r->n_tried; i++)
@@ -289,6 +290,25 @@
 	    });
 }
 
+/* Id of the attempt that brought the first event of the stream. */
+static struct str
+stream_id(const struct relay_request *r)
+{
+	return r->info.is_resume && r->info.resumes.n > 0 ? r->info.resumes
+							  : r->info.id;
+}
+
+/* The stream has its first event: it may go on only at this version. */
+static void
+note_version(struct relay_request *r)
+{
+	if (r->version[0] == '\0')
+		g_strlcpy(r->version, r->call_version, sizeof(r->version));
+	if (r->version[0] != '\0' && route_repeatable(r->route))
+		stream_resumes_begin(r->shared->stream_resumes, stream_id(r),
+		    r->service->name, r->version);
+}
+
 /* Passes on the events that have arrived completely. */
 static void
 pass_events(struct relay_request *r, const struct httpmsg *m)
@@ -305,6 +325,8 @@
 	evbuffer_drain(m->body, n);
 	if (events.n == 0)
 		return;
+	if (r->events_at == 0)
+		note_version(r);
 	note_events(r);
 	if (call_events(r) >= CRASH_BEGUN_EVENTS)
 		note_answer(r);
@@ -411,6 +433,7 @@
 		note_answer(r);
 	if (!r->head_written)
 		write_head(r, m);
+	stream_resumes_end(r->shared->stream_resumes, stream_id(r));
 	q = r->httpd_req;
 	relay_request_done(r, "complete");
 	httpd_end(q);
@@ -634,6 +657,7 @@
 	if (r->n_tried < LOADS_MAX_TRIED)
 		g_strlcpy(
 		    r->tried[r->n_tried++], t->entry.id, sizeof(r->tried[0]));
+	g_strlcpy(r->call_version, t->entry.version, sizeof(r->call_version));
 	r->sends++;
 	r->sent_at = now;
 	r->events_before = r->sse.events;
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -245,6 +245,27 @@
 };
 typedef struct peer_known peer_known;
 
+struct peer_stream {
+	char *id;
+	char *service;
+	char *software;
+};
+typedef struct peer_stream peer_stream;
+
+struct peer_stream_ask {
+	u_quad_t ask;
+	char *id;
+	char *service;
+};
+typedef struct peer_stream_ask peer_stream_ask;
+
+struct peer_stream_reply {
+	u_quad_t ask;
+	char *software;
+	bool_t mixed;
+};
+typedef struct peer_stream_reply peer_stream_reply;
+
 enum peer_kind {
 	PEER_GOSSIP = 1,
 	PEER_CLAIM = 2,
@@ -261,6 +282,9 @@
 	PEER_LIMIT = 13,
 	PEER_SUSPECTS = 14,
 	PEER_KNOWN = 15,
+	PEER_STREAM = 16,
+	PEER_STREAM_ASK = 17,
+	PEER_STREAM_REPLY = 18,
 };
 typedef enum peer_kind peer_kind;
 
@@ -282,6 +306,9 @@
 		peer_limit limit;
 		peer_suspects suspects;
 		peer_known known;
+		peer_stream stream;
+		peer_stream_ask stream_ask;
+		peer_stream_reply stream_reply;
 	} peer_body_u;
 };
 typedef struct peer_body peer_body;
@@ -384,6 +411,9 @@
 extern  bool_t xdr_peer_limit (XDR *, peer_limit*);
 extern  bool_t xdr_peer_suspects (XDR *, peer_suspects*);
 extern  bool_t xdr_peer_known (XDR *, peer_known*);
+extern  bool_t xdr_peer_stream (XDR *, peer_stream*);
+extern  bool_t xdr_peer_stream_ask (XDR *, peer_stream_ask*);
+extern  bool_t xdr_peer_stream_reply (XDR *, peer_stream_reply*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
 extern  bool_t xdr_peer_body (XDR *, peer_body*);
 extern  bool_t xdr_peer_letter (XDR *, peer_letter*);
@@ -415,6 +445,9 @@
 extern bool_t xdr_peer_limit ();
 extern bool_t xdr_peer_suspects ();
 extern bool_t xdr_peer_known ();
+extern bool_t xdr_peer_stream ();
+extern bool_t xdr_peer_stream_ask ();
+extern bool_t xdr_peer_stream_reply ();
 extern bool_t xdr_peer_kind ();
 extern bool_t xdr_peer_body ();
 extern bool_t xdr_peer_letter ();
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -200,6 +200,26 @@
 	unsigned hyper lost;
 };
 
+/* A stream has begun at a target of this version. */
+struct peer_stream {
+	string id<128>;         /* of the caller's attempt */
+	string service<64>;
+	string software<64>;    /* version of the target */
+};
+
+/* Asks for the version of a stream. */
+struct peer_stream_ask {
+	unsigned hyper ask;     /* the sender's number of the question */
+	string id<128>;
+	string service<64>;
+};
+
+struct peer_stream_reply {
+	unsigned hyper ask;
+	string software<64>;    /* empty: not known */
+	bool mixed;             /* the service has had several versions lately */
+};
+
 enum peer_kind {
 	PEER_GOSSIP = 1,
 	PEER_CLAIM = 2,
@@ -215,7 +235,10 @@
 	PEER_QUARANTINE = 12,
 	PEER_LIMIT = 13,
 	PEER_SUSPECTS = 14,
-	PEER_KNOWN = 15
+	PEER_KNOWN = 15,
+	PEER_STREAM = 16,
+	PEER_STREAM_ASK = 17,
+	PEER_STREAM_REPLY = 18
 };
 
 union peer_body switch (peer_kind kind) {
@@ -249,6 +272,12 @@
 	peer_suspects suspects;
 case PEER_KNOWN:
 	peer_known known;       /* the reply */
+case PEER_STREAM:
+	peer_stream stream;
+case PEER_STREAM_ASK:
+	peer_stream_ask stream_ask;
+case PEER_STREAM_REPLY:
+	peer_stream_reply stream_reply;
 };
 
 struct peer_letter {
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -502,6 +502,48 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_stream (XDR *xdrs, peer_stream *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->id, 128))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, 64))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->software, 64))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_stream_ask (XDR *xdrs, peer_stream_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->ask))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->id, 128))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, 64))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_stream_reply (XDR *xdrs, peer_stream_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->ask))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->software, 64))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->mixed))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_kind (XDR *xdrs, peer_kind *objp)
 {
@@ -580,6 +622,18 @@
 		 if (!xdr_peer_known (xdrs, &objp->peer_body_u.known))
 			 return FALSE;
 		break;
+	case PEER_STREAM:
+		 if (!xdr_peer_stream (xdrs, &objp->peer_body_u.stream))
+			 return FALSE;
+		break;
+	case PEER_STREAM_ASK:
+		 if (!xdr_peer_stream_ask (xdrs, &objp->peer_body_u.stream_ask))
+			 return FALSE;
+		break;
+	case PEER_STREAM_REPLY:
+		 if (!xdr_peer_stream_reply (xdrs, &objp->peer_body_u.stream_reply))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -204,6 +204,7 @@
 	y->view = v;
 	y->shared.quarantine = &v->quarantine;
 	crash_reports_set_view(y->shared.crash_reports, v);
+	stream_resumes_set_view(y->shared.stream_resumes, v);
 	if (v->quarantine.entries->len > 0)
 		reject_quarantined(y);
 }
@@ -228,6 +229,11 @@
 		crash_reports_asked(
 		    y->shared.crash_reports, &d->body.peer_body_u.suspects);
 		break;
+	case PEER_STREAM:
+	case PEER_STREAM_ASK:
+	case PEER_STREAM_REPLY:
+		stream_resumes_receive(y->shared.stream_resumes, d);
+		break;
 	case PEER_LIMIT:
 		target_limits_receive(
 		    y->shared.target_limits, &d->body.peer_body_u.limit);
@@ -328,6 +334,7 @@
 	waiting = coordinator_tick(y->shared.coordinator, now) || waiting;
 	dialer_sweep(y->shared.dialer, now);
 	target_limits_tick(y->shared.target_limits, now);
+	stream_resumes_tick(y->shared.stream_resumes, now);
 	next = waiting ? TICK_INTERVAL : IDLE_TICK_INTERVAL;
 	tv = (struct timeval){ next / USEC_PER_SEC, next % USEC_PER_SEC };
 	evtimer_add(y->tick, &tv);
@@ -565,6 +572,11 @@
 	    .self = y->o.settings->id,
 	    .self_rpc = y->o.settings->rpc,
 	});
+	p->stream_resumes = stream_resumes_new(&(struct stream_resumes_opts){
+	    .base = p->base,
+	    .rpc = discovery_rpc(d),
+	    .self = y->o.settings->id,
+	});
 	y->started = true;
 	pthread_create(&y->thread, NULL, run, y);
 }
@@ -642,6 +654,8 @@
 		stage_jobs_free(p->stage_jobs);
 	if (p->crash_reports != NULL)
 		crash_reports_free(p->crash_reports);
+	if (p->stream_resumes != NULL)
+		stream_resumes_free(p->stream_resumes);
 	if (p->target_limits != NULL)
 		target_limits_free(p->target_limits);
 	dialer_free(p->dialer);
--- a/entry/relay_request.c
+++ b/entry/relay_request.c
@@ -12,6 +12,8 @@
 /* Deadline budget of a request that states none. */
 #define DEFAULT_DEADLINE_BUDGET (60 * USEC_PER_SEC)
 #define CONTENT_HASH_SEED       29
+/* Retry-After when nobody knows a stream: another host may. */
+#define RESUME_RETRY            (300 * USEC_PER_MSEC)
 
 void
 relay_request_free(struct relay_request *r)
@@ -19,6 +21,8 @@
 	struct relay_shared *s = r->shared;
 
 	stages_cancel(r);
+	if (r->resume_search != NULL)
+		stream_resumes_cancel(r->resume_search);
 	event_free(r->timer);
 	sse_free(&r->sse);
 	routes_unref(r->routes);
@@ -188,6 +192,42 @@
 	    { "stream", info->resumes }, { "after_event", str_from(after) });
 }
 
+/* The place where the caller's stream may go on is known. */
+static void
+on_resume_place(void *arg, enum resume_place place, const char *version)
+{
+	struct relay_request *r = arg;
+
+	r->resume_search = NULL;
+	if (place == RESUME_NOWHERE) {
+		relay_request_reject(r,
+		    &(struct rejection){ ERR_NO_TARGET, RESUME_RETRY,
+			"the version that began the stream is not known" });
+		return;
+	}
+	if (place == RESUME_AT_VERSION)
+		g_strlcpy(r->version, version, sizeof(r->version));
+	stages_start(r);
+}
+
+/* Finds out where the caller's stream may go on before its stages run. */
+static void
+start_resume(struct relay_request *r)
+{
+	struct resume_search *s;
+
+	log_resume(&r->info);
+	s = stream_resumes_find(r->shared->stream_resumes,
+	    &(struct resume_search_opts){
+		.id = r->info.resumes,
+		.service = r->service->name,
+		.done = on_resume_place,
+		.arg = r,
+	    });
+	if (s != NULL)
+		r->resume_search = s;
+}
+
 void
 relay_request_start(const struct relay_request_opts *o)
 {
@@ -220,6 +260,7 @@
 	retry_quota_request(
 	    relay_request_retry_quota(r), &s->quota_rule, clock_now());
 	if (info->is_resume)
-		log_resume(info);
-	stages_start(r);
+		start_resume(r);
+	else
+		stages_start(r);
 }
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -11,6 +11,7 @@
 #include "entry/crash_reports.h"
 #include "entry/relay_metrics.h"
 #include "entry/stage_jobs.h"
+#include "entry/stream_resumes.h"
 #include "entry/target_limits.h"
 #include "entry/httpd.h"
 #include "kernel/crash_suspects.h"
@@ -62,6 +63,7 @@
 	struct retry_quota_rule stage_quota_rule;
 	struct target_limits *target_limits;
 	struct crash_reports *crash_reports;
+	struct stream_resumes *stream_resumes;
 	const struct quarantine *quarantine; /* of the view; NULL: none yet */
 };
 
@@ -121,8 +123,12 @@
 	usec_t sent_at;               /* time of the last call */
 	struct event *response_timer; /* NULL: the call waits without limit */
 	uint64_t events_before; /* the last call: events of earlier ones */
-	bool answer_reported;   /* the last call's answer has begun */
-	usec_t events_at;       /* first event; 0: none */
+	/* Software versions of the last call's target, and of the stream. */
+	char call_version[STREAM_VERSION_BYTES];
+	char version[STREAM_VERSION_BYTES];  /* empty: any */
+	struct resume_search *resume_search; /* NULL: none */
+	bool answer_reported; /* the last call's answer has begun */
+	usec_t events_at;     /* first event; 0: none */
 	usec_t last_event_at;
 	usec_t longest_pause; /* between events */
 	/* A call was sent whose response did not say "not run". */
--- /dev/null
+++ b/entry/stream_resumes.h
@@ -0,0 +1,60 @@
+/*
+ * Resumed streams: notes the versions of the targets that begin streams, tells
+ * and hears them from other hosts, and finds the version at which a caller's
+ * stream may go on (kernel/stream_versions.h).
+ *
+ * Runs on the relay's thread.
+ */
+#ifndef ENTRY_STREAM_RESUMES_H
+#define ENTRY_STREAM_RESUMES_H
+
+#include "entry/rpc.h"
+#include "entry/view.h"
+#include "kernel/stream_versions.h"
+
+#include <event2/event.h>
+
+struct stream_resumes;
+
+struct stream_resumes_opts {
+	struct event_base *base;
+	struct rpc *rpc;
+	const char *self; /* id of this host */
+};
+
+struct stream_resumes *stream_resumes_new(const struct stream_resumes_opts *o);
+/* Sets the live hosts and the targets. */
+void stream_resumes_set_view(struct stream_resumes *x, const struct view *v);
+/*
+ * A stream has its first event; id is that of the attempt that began it.  Call
+ * it before the caller gets the event.
+ */
+void stream_resumes_begin(struct stream_resumes *x, struct str id,
+    const char *service, const char *version);
+/* A stream is complete. */
+void stream_resumes_end(struct stream_resumes *x, struct str id);
+
+struct resume_search;
+
+struct resume_search_opts {
+	struct str id; /* of the attempt that began the stream; may be empty */
+	const char *service;
+	/*
+	 * Called once unless the search is cancelled, maybe before
+	 * stream_resumes_find() returns; version is set with RESUME_AT_VERSION.
+	 */
+	void (*done)(void *arg, enum resume_place place, const char *version);
+	void *arg;
+};
+
+/* Returns NULL if done has been called. */
+struct resume_search *stream_resumes_find(
+    struct stream_resumes *x, const struct resume_search_opts *o);
+void stream_resumes_cancel(struct resume_search *s);
+/* Handles a PEER_STREAM, PEER_STREAM_ASK or PEER_STREAM_REPLY datagram. */
+void stream_resumes_receive(struct stream_resumes *x, const peer_letter *l);
+void stream_resumes_tick(struct stream_resumes *x, usec_t now);
+/* Searches must have ended. */
+void stream_resumes_free(struct stream_resumes *x);
+
+#endif
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -265,6 +265,13 @@
 	return false;
 }
 
+static bool
+has_version(const struct loads_query *q, const struct target_load *t)
+{
+	return q->version.n == 0 ||
+	    str_eq(q->version, str_from(t->entry.version));
+}
+
 static double
 active_calls(const struct target_load *t, usec_t now)
 {
@@ -374,7 +381,7 @@
 		struct target_load *t = all->pdata[i];
 		double c;
 
-		if (already_tried(q, t) ||
+		if (already_tried(q, t) || !has_version(q, t) ||
 		    !target_limit_allows(&t->limit, now) ||
 		    (!use_set_aside && now < t->aside_until))
 			continue;
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -70,6 +70,7 @@
 	uint32_t shared_tokens; /* tokens that a target may have cached */
 	struct str input_addr;  /* address of the first input; may be empty */
 	uint64_t input_bytes;
+	struct str version; /* of the target's software; empty: any */
 	struct str tried[LOADS_MAX_TRIED]; /* ids of targets not to use again */
 	size_t n_tried;
 };
--- /dev/null
+++ b/kernel/stream_versions.h
@@ -0,0 +1,96 @@
+/*
+ * The software versions of the targets that began streams.  What two versions
+ * write doesn't fit together, so a stream may be resumed only at a target of
+ * the version that began it.
+ *
+ * Load pattern: the targets of a service are replaced by those of another
+ * version, one by one, while targets crash and hosts are killed.  Streams
+ * break, and their callers resume them at any host.  So while a service has
+ * several versions, the host that begins a stream tells its version to a few
+ * others, and the host where it is resumed asks.  While a service has had one
+ * version for as long as a stream may last, nothing is told or asked.
+ *
+ * Times are in microseconds.  A struct stream_versions belongs to one thread.
+ */
+#ifndef KERNEL_STREAM_VERSIONS_H
+#define KERNEL_STREAM_VERSIONS_H
+
+#include "base/clock.h"
+#include "base/str.h"
+
+#include <glib.h>
+
+/* Hosts that are told of a stream, and hosts that are asked about one. */
+#define STREAM_HOLDERS       2
+#define STREAM_ASKED         16
+#define STREAM_VERSION_BYTES 64
+/* Hosts that reply do so within this time. */
+#define STREAM_REPLY_TIME    (100 * USEC_PER_MSEC)
+
+struct stream_version {
+	char *id; /* of the attempt that began the stream */
+	char service[64];
+	char version[STREAM_VERSION_BYTES];
+	usec_t at;
+	bool is_told; /* to other hosts */
+};
+
+struct stream_versions {
+	GHashTable *own;    /* id -> struct stream_version: begun here */
+	GHashTable *others; /* the same, begun at other hosts */
+	/* name -> GHashTable: version -> struct listed_version */
+	GHashTable *services;
+	usec_t started_at;
+};
+
+void stream_versions_init(struct stream_versions *s, usec_t now);
+/* Notes the versions of the targets (struct target_entry). */
+void stream_versions_list(
+    struct stream_versions *s, const GArray *targets, usec_t now);
+/* Whether the service has had targets of several versions lately. */
+bool stream_versions_mixed(
+    const struct stream_versions *s, const char *service, usec_t now);
+/* A stream has begun, here or, as another host tells, there. */
+void stream_versions_begin(struct stream_versions *s, struct str id,
+    const char *service, const char *version, bool own, usec_t now);
+/* A stream that began here is complete. */
+void stream_versions_end(struct stream_versions *s, struct str id);
+/*
+ * Returns a stream of which others are to be told, and notes that they are;
+ * NULL if there is none.
+ */
+const struct stream_version *stream_versions_next_due(
+    struct stream_versions *s, usec_t now);
+/* Returns NULL if the stream is not known. */
+const struct stream_version *stream_versions_find(
+    const struct stream_versions *s, struct str id);
+/* Forgets what is too old; call it regularly. */
+void stream_versions_expire(struct stream_versions *s, usec_t now);
+void stream_versions_free(struct stream_versions *s);
+
+/* Where a stream may be resumed. */
+enum resume_place {
+	RESUME_ANYWHERE,
+	RESUME_AT_VERSION,
+	RESUME_NOWHERE, /* nobody knows its version */
+	RESUME_ASK      /* not known yet: wait for the other hosts' replies */
+};
+
+/* What is known of a stream that a caller resumes. */
+struct resume_query {
+	char version[STREAM_VERSION_BYTES]; /* once it is found */
+	bool found;
+	bool mixed; /* a host that was asked knows several versions */
+	size_t n_asked;
+	size_t n_replied;
+};
+
+/* Decides before other hosts are asked. */
+enum resume_place stream_versions_resume(const struct stream_versions *s,
+    struct str id, const char *service, usec_t now, struct resume_query *out);
+/* Decides with the replies so far; timed_out: no more are waited for. */
+enum resume_place stream_versions_decide(const struct stream_versions *s,
+    const struct resume_query *q, const char *service, bool timed_out,
+    usec_t now);
+
+#endif
--- /dev/null
+++ b/tests/kernel/test_stream_versions.c
@@ -0,0 +1,199 @@
+/* Tests of where a stream may be resumed, by the versions of its service. */
+#include "kernel/loads.h"
+#include "kernel/stream_versions.h"
+
+#include <string.h>
+
+#define SECONDS(t) ((usec_t)(t)*USEC_PER_SEC)
+
+enum step_kind {
+	STEP_END,
+	STEP_LIST,     /* text: the versions of the listed targets */
+	STEP_BEGIN,    /* a stream begins here; text: id and version */
+	STEP_TOLD,     /* another host tells of one */
+	STEP_COMPLETE, /* text: id */
+	STEP_DUE,      /* text: ids to be told to others, "": none */
+	STEP_RESUME,   /* text: id; place: before others are asked */
+	STEP_DECIDE    /* text: what the others reply; place: the decision */
+};
+
+struct step {
+	enum step_kind kind;
+	int at; /* seconds */
+	const char *text;
+	enum resume_place place;
+};
+
+static const struct version_case {
+	const char *name;
+	struct step steps[10];
+} cases[] = {
+	{ "one version for long: nothing is told or asked",
+	    { { STEP_LIST, 0, "1", 0 }, { STEP_BEGIN, 70, "a1", 0 },
+		{ STEP_DUE, 70, "", 0 },
+		{ STEP_RESUME, 70, "b", RESUME_ANYWHERE } } },
+	{ "a stream that is known goes on at its version",
+	    { { STEP_LIST, 0, "12", 0 }, { STEP_BEGIN, 1, "a1", 0 },
+		{ STEP_TOLD, 1, "b2", 0 },
+		{ STEP_RESUME, 2, "a", RESUME_AT_VERSION },
+		{ STEP_RESUME, 2, "b", RESUME_AT_VERSION } } },
+	{ "several versions: streams are told, unknown ones asked about",
+	    { { STEP_LIST, 0, "12", 0 }, { STEP_BEGIN, 70, "a1", 0 },
+		{ STEP_DUE, 70, "a", 0 }, { STEP_DUE, 70, "", 0 },
+		{ STEP_RESUME, 70, "b", RESUME_ASK },
+		{ STEP_DECIDE, 70, "", RESUME_NOWHERE } } },
+	{ "streams begun before the second version are told when it comes",
+	    { { STEP_LIST, 0, "1", 0 }, { STEP_BEGIN, 70, "a1", 0 },
+		{ STEP_BEGIN, 70, "b1", 0 }, { STEP_COMPLETE, 71, "b", 0 },
+		{ STEP_LIST, 72, "12", 0 }, { STEP_DUE, 72, "a", 0 } } },
+	{ "a version that has left counts for as long as its streams may last",
+	    { { STEP_LIST, 0, "12", 0 }, { STEP_LIST, 100, "2", 0 },
+		{ STEP_RESUME, 130, "b", RESUME_ASK },
+		{ STEP_LIST, 200, "2", 0 },
+		{ STEP_RESUME, 200, "b", RESUME_ANYWHERE } } },
+	{ "a host that has just started asks",
+	    { { STEP_LIST, 0, "2", 0 }, { STEP_RESUME, 1, "b", RESUME_ASK },
+		{ STEP_DECIDE, 1, "", RESUME_ANYWHERE },
+		{ STEP_DECIDE, 1, "m", RESUME_NOWHERE },
+		{ STEP_DECIDE, 1, "m1", RESUME_AT_VERSION } } },
+	{ "as long as not all have replied, it waits",
+	    { { STEP_LIST, 0, "12", 0 }, { STEP_DECIDE, 1, ".", RESUME_ASK },
+		{ STEP_DECIDE, 1, "!", RESUME_NOWHERE },
+		{ STEP_DECIDE, 1, ".1", RESUME_AT_VERSION } } },
+	{ "streams are forgotten",
+	    { { STEP_LIST, 0, "12", 0 }, { STEP_BEGIN, 1, "a1", 0 },
+		{ STEP_TOLD, 1, "b2", 0 }, { STEP_RESUME, 62, "a", RESUME_ASK },
+		{ STEP_RESUME, 62, "b", RESUME_ASK } } },
+};
+
+static void
+list(struct stream_versions *s, const char *versions, usec_t now)
+{
+	g_autoptr(GArray) v =
+	    g_array_new(FALSE, TRUE, sizeof(struct target_entry));
+
+	for (; *versions != '\0'; versions++) {
+		struct target_entry e = { .service = "s",
+			.version = { *versions } };
+
+		g_array_append_val(v, e);
+	}
+	stream_versions_list(s, v, now);
+}
+
+/* m: a host knows several versions; a digit: one knows the stream's. */
+static enum resume_place
+decide(struct stream_versions *s, const char *replies, usec_t now)
+{
+	struct resume_query q = { .n_asked = 3, .n_replied = 3 };
+	bool timed_out = false;
+
+	for (; *replies != '\0'; replies++) {
+		switch (*replies) {
+		case '.': /* one has not replied */
+			q.n_replied = 2;
+			break;
+		case '!': /* nor will it */
+			q.n_replied = 2;
+			timed_out = true;
+			break;
+		case 'm':
+			q.mixed = true;
+			break;
+		default:
+			q.found = true;
+			break;
+		}
+	}
+	return stream_versions_decide(s, &q, "s", timed_out, now);
+}
+
+static void
+check_due(struct stream_versions *s, const char *id, usec_t now)
+{
+	const struct stream_version *x = stream_versions_next_due(s, now);
+
+	if (*id == '\0')
+		g_assert_null(x);
+	else
+		g_assert_cmpstr(x->id, ==, id);
+}
+
+static void
+run_step(struct stream_versions *s, const struct step *x)
+{
+	struct str id = { x->text, 1 };
+	usec_t now = SECONDS(x->at);
+	struct resume_query q;
+
+	stream_versions_expire(s, now);
+	switch (x->kind) {
+	case STEP_LIST:
+		list(s, x->text, now);
+		break;
+	case STEP_BEGIN:
+	case STEP_TOLD:
+		stream_versions_begin(
+		    s, id, "s", x->text + 1, x->kind == STEP_BEGIN, now);
+		break;
+	case STEP_COMPLETE:
+		stream_versions_end(s, id);
+		break;
+	case STEP_DUE:
+		check_due(s, x->text, now);
+		break;
+	case STEP_RESUME:
+		g_assert_cmpint(
+		    stream_versions_resume(s, id, "s", now, &q), ==, x->place);
+		break;
+	case STEP_DECIDE:
+		g_assert_cmpint(decide(s, x->text, now), ==, x->place);
+		break;
+	case STEP_END:
+		break;
+	}
+}
+
+static void
+test_cases(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const struct step *x = cases[i].steps;
+		struct stream_versions s;
+
+		g_test_message("%s", cases[i].name);
+		stream_versions_init(&s, 0);
+		for (; x->kind != STEP_END; x++)
+			run_step(&s, x);
+		stream_versions_free(&s);
+	}
+}
+
+/* A target of another version is not chosen, even if no other is left. */
+static void
+test_choice(void)
+{
+	struct target_entry e = { .id = "t", .service = "s", .version = "1" };
+	struct loads_query q = { .service = "s", .version = STR("1") };
+	g_autoptr(GArray) v = g_array_new(FALSE, TRUE, sizeof(e));
+	struct loads l;
+
+	g_array_append_val(v, e);
+	loads_init(&l, "d", 1);
+	loads_update(&l, v);
+	g_assert_nonnull(loads_choose(&l, &q, 0));
+	q.version = STR("2");
+	g_assert_null(loads_choose(&l, &q, 0));
+	q.version = STR("");
+	g_assert_nonnull(loads_choose(&l, &q, 0));
+	loads_free(&l);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/stream-versions/cases", test_cases);
+	g_test_add_func("/stream-versions/choice", test_choice);
+	return g_test_run();
+}
