Streams: a caller that resumes without naming its stream no longer ends the process

Cause: the id of the stream is empty, without bytes, if the caller doesn't name it; the copy of it was NULL and was used as a key. Change: an empty id names no stream, and is asked about as such. Measured: test_mixed_versions, unnamed: hosts ended before; now rejected with two versions, and served with one (one-version-unnamed).

--- a/kernel/stream_versions.c
+++ b/kernel/stream_versions.c
@@ -161,9 +161,13 @@
 const struct stream_version *
 stream_versions_find(const struct stream_versions *s, struct str id)
 {
-	g_autofree char *key = g_strndup(id.p, id.n);
-	const struct stream_version *x = g_hash_table_lookup(s->own, key);
+	g_autofree char *key = NULL;
+	const struct stream_version *x;
 
+	if (id.n == 0)
+		return NULL;
+	key = g_strndup(id.p, id.n);
+	x = g_hash_table_lookup(s->own, key);
 	return x != NULL ? x : g_hash_table_lookup(s->others, key);
 }
 
--- a/kernel/stream_versions.h
+++ b/kernel/stream_versions.h
@@ -61,7 +61,7 @@
  */
 const struct stream_version *stream_versions_next_due(
     struct stream_versions *s, usec_t now);
-/* Returns NULL if the stream is not known. */
+/* Returns NULL if the stream is not known, or the id is empty. */
 const struct stream_version *stream_versions_find(
     const struct stream_versions *s, struct str id);
 /* Forgets what is too old; call it regularly. */
--- a/tests/platform/test_mixed_versions.c
+++ b/tests/platform/test_mixed_versions.c
@@ -38,6 +38,7 @@
 	bool by_caller;
 	bool kill_host;   /* that began the streams */
 	bool is_rejected; /* none of the streams can go on */
+	bool is_unnamed;  /* the caller doesn't name the stream */
 } cases[] = {
 	{ "resumed-within-an-answer", "/stream/1", "break", BOTH, BOTH, false,
 	    false, false },
@@ -47,6 +48,10 @@
 	    true, false },
 	{ "begun-before-the-other-version", "/stream/1", "stall", OLD_ONLY,
 	    BOTH, true, false, false },
+	{ "one-version-unnamed", "/stream/solo/1", "stall", BOTH, BOTH, true,
+	    false, false, true },
+	{ "unnamed", "/stream/1", "stall", BOTH, BOTH, true, false, true,
+	    true },
 	{ "of-a-split-route", "/stream/split/1", "stall", BOTH, BOTH, true,
 	    false, false },
 	{ "no-target-of-the-version-left", "/stream/1", "stall", OLD_ONLY,
@@ -59,17 +64,22 @@
 static const char *const ids[] = { "e1", "e2", "e3", "e4", "e5", "e6", "p1",
 	"p2" };
 
-static const char split_route[] =
+/* A split route, and one to a service with a single version. */
+static const char routes[] =
     ",{\"Name\":\"split\",\"Host\":\"a.example\","
     "\"Prefix\":\"/stream/split/\",\"Kind\":\"streaming\","
     "\"TimeoutMs\":8000,\"SloMs\":1000,\"Attempts\":2,\"CanResume\":true,"
     "\"Split\":[{\"Service\":\"engine\",\"Weight\":1},"
-    "{\"Service\":\"plain\",\"Weight\":1}]}";
+    "{\"Service\":\"plain\",\"Weight\":1}]},"
+    "{\"Name\":\"solo\",\"Host\":\"a.example\","
+    "\"Prefix\":\"/stream/solo/\",\"Kind\":\"streaming\","
+    "\"TimeoutMs\":8000,\"SloMs\":1000,\"Attempts\":2,\"CanResume\":true,"
+    "\"Service\":\"plain\"}";
 
 static void
 start_fleet(void)
 {
-	g_autofree char *c = harness_config(1, split_route);
+	g_autofree char *c = harness_config(1, routes);
 	g_autofree char *dir = g_dir_make_tmp("mixed-versions-XXXXXX", NULL);
 
 	platform = fakeplat_start(STORE_PORT);
@@ -154,8 +164,9 @@
 resume_stream(struct stream *s, const struct version_case *x, int number)
 {
 	g_autofree char *id = g_strconcat(s->id, "-again", NULL);
-	g_autofree char *fields =
-	    g_strdup_printf("Last-Event-Id: 2\r\nResumes: %s\r\n", s->id);
+	g_autofree char *fields = x->is_unnamed
+	    ? g_strdup("Last-Event-Id: 2\r\n")
+	    : g_strdup_printf("Last-Event-Id: 2\r\nResumes: %s\r\n", s->id);
 	g_autofree char *q =
 	    harness_format(&(struct harness_request){ .path = x->path,
 		.id = id,
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -2,17 +2,18 @@
  * Fault soak: several sequoiad processes with a fake platform, callers that
  * send requests continuously, and random overlapping faults from outside.
  *
- *   Usage: soak [SEED [SECONDS [HOSTS]]]
+ *   Usage: soak [SEED [SECONDS [HOSTS [PORT]]]]
  *
  * With 16 hosts or more, some receive the changes of the store from other
- * hosts.
+ * hosts.  PORT is the first of 300 ports on loopback.
  *
  * Checked during the run and after it: a request that may run once runs at
  * most once; a request that was refused as not executed never ran; a complete
- * answer is that of its request; the configuration version of a process never
- * decreases; processes exit with status 0 on SIGTERM.  After the faults every
- * host serves every kind of request with the newest configuration, a leaving
- * target gets no calls, and SIGTERM aborts no answer.
+ * answer is that of its request, a stream of one software version; the
+ * configuration version of a process never decreases; processes exit with
+ * status 0 on SIGTERM.  After the faults every host serves every kind of
+ * request with the newest configuration, a leaving target gets no calls, and
+ * SIGTERM aborts no answer.
  */
 #include "base/rng.h"
 #include "tests/platform/harness.h"
@@ -27,31 +28,32 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-#define MAX_HOSTS         24
-#define DEFAULT_HOSTS     4 /* without the argument HOSTS */
-#define TARGETS           9
-#define CALLERS           8
-#define STORE_PORT        22900
-#define TARGET_PORT       22910
-#define TARGET_PROXY_PORT 22930
-#define HOST_PORT         22960
-#define STORE_PROXY_PORT  23100 /* one for each host */
-#define RECOVERY_SECONDS  15    /* until full service */
+#define MAX_HOSTS        24
+#define DEFAULT_HOSTS    4 /* without the argument HOSTS */
+#define TARGETS          9
+#define CALLERS          8
+#define DEFAULT_PORT     22900 /* without the argument PORT */
+/* Offsets of the first port of each kind. */
+#define TARGET_PORTS     10
+#define TARGET_PROXIES   30
+#define HOST_PORTS       60
+#define STORE_PROXIES    200 /* one for each host */
+#define RECOVERY_SECONDS 15  /* until full service */
 /*
  * Time after which a leaving target gets no calls: the platform's documented
  * limit plus the delay of the fake platform.
  */
-#define DRAIN_BOUND       (2500 * USEC_PER_MSEC)
+#define DRAIN_BOUND      (2500 * USEC_PER_MSEC)
 /*
  * The platform's bound for a target that names a limit of one request a second:
  * from LIMIT_DELAY on, at most LIMIT_ALLOWED requests in LIMIT_SPAN.
  */
-#define LIMIT_DELAY       (3 * USEC_PER_SEC)
-#define LIMIT_SPAN        (4 * USEC_PER_SEC)
-#define LIMIT_ALLOWED     11
-#define MAX_REFUSED       20000
-#define WATCH_INTERVAL    (50 * USEC_PER_MSEC)
-#define PAUSE_LIMIT       (500 * USEC_PER_MSEC)
+#define LIMIT_DELAY      (3 * USEC_PER_SEC)
+#define LIMIT_SPAN       (4 * USEC_PER_SEC)
+#define LIMIT_ALLOWED    11
+#define MAX_REFUSED      20000
+#define WATCH_INTERVAL   (50 * USEC_PER_MSEC)
+#define PAUSE_LIMIT      (500 * USEC_PER_MSEC)
 
 struct caller {
 	pthread_t thread;
@@ -78,17 +80,22 @@
 /* The last configuration version that each process reported. */
 static uint64_t last_versions[MAX_HOSTS];
 static int version = 1;
+static int first_port = DEFAULT_PORT;
 
+/* Software versions of engines. */
+static const char *const versions[] = { "v1", "v2" };
+
+/* Their ports are offsets. */
 static const struct fakeplat_target targets[TARGETS] = {
-	{ "p1", "plain", "d1", TARGET_PORT, TARGET_PROXY_PORT },
-	{ "p2", "plain", "d2", TARGET_PORT + 1, TARGET_PROXY_PORT + 1 },
-	{ "p3", "plain", "d1", TARGET_PORT + 2, TARGET_PROXY_PORT + 2 },
-	{ "e1", "engine", "d1", TARGET_PORT + 3, TARGET_PROXY_PORT + 3 },
-	{ "e2", "engine", "d2", TARGET_PORT + 4, TARGET_PROXY_PORT + 4 },
-	{ "e3", "engine", "d1", TARGET_PORT + 5, TARGET_PROXY_PORT + 5 },
-	{ "s1", "pool", "d1", TARGET_PORT + 6, TARGET_PROXY_PORT + 6 },
-	{ "s2", "pool", "d2", TARGET_PORT + 7, TARGET_PROXY_PORT + 7 },
-	{ "s3", "pool", "d1", TARGET_PORT + 8, TARGET_PROXY_PORT + 8 },
+	{ "p1", "plain", "d1", TARGET_PORTS, TARGET_PROXIES },
+	{ "p2", "plain", "d2", TARGET_PORTS + 1, TARGET_PROXIES + 1 },
+	{ "p3", "plain", "d1", TARGET_PORTS + 2, TARGET_PROXIES + 2 },
+	{ "e1", "engine", "d1", TARGET_PORTS + 3, TARGET_PROXIES + 3, "v1" },
+	{ "e2", "engine", "d2", TARGET_PORTS + 4, TARGET_PROXIES + 4, "v2" },
+	{ "e3", "engine", "d1", TARGET_PORTS + 5, TARGET_PROXIES + 5, "v1" },
+	{ "s1", "pool", "d1", TARGET_PORTS + 6, TARGET_PROXIES + 6 },
+	{ "s2", "pool", "d2", TARGET_PORTS + 7, TARGET_PROXIES + 7 },
+	{ "s3", "pool", "d1", TARGET_PORTS + 8, TARGET_PROXIES + 8 },
 };
 
 static const struct {
@@ -114,15 +121,24 @@
 	fflush(stdout);
 }
 
-static void
-expected_body(const char *id, bool stream, struct buf *out)
+/* Whether a body is that of the request, if a stream of one version. */
+static bool
+is_expected(const struct buf *body, const char *id, bool stream)
 {
-	if (!stream) {
-		buf_put(out, str_from(id));
-		return;
+	bool expected = false;
+
+	if (!stream)
+		return str_eq(str_of(body), str_from(id));
+	for (size_t v = 0; v < G_N_ELEMENTS(versions); v++) {
+		struct buf out = { 0 };
+
+		for (int i = 1; i <= 6; i++)
+			buf_printf(&out, "id: %d\ndata: %s@%s\n\n", i, id,
+			    versions[v]);
+		expected = expected || str_eq(str_of(body), str_of(&out));
+		buf_free(&out);
 	}
-	for (int i = 1; i <= 6; i++)
-		buf_printf(out, "id: %d\ndata: %s\n\n", i, id);
+	return expected;
 }
 
 /* Whether the status guarantees that the request was not executed. */
@@ -136,14 +152,12 @@
 check_answer(const struct harness_response *a, const char *id, size_t kind,
     bool no_faults)
 {
-	struct buf expected = { 0 };
-
-	expected_body(id, kinds[kind].stream, &expected);
 	if (a->status == 200 && a->complete) {
 		atomic_fetch_add(&complete, 1);
-		if (!str_eq(str_of(&a->body), str_of(&expected)))
-			report_violation(
-			    "an answer is that of another request", id);
+		if (!is_expected(&a->body, id, kinds[kind].stream))
+			report_violation("an answer is that of another request "
+					 "or of two versions",
+			    id);
 	}
 	if (is_not_executed(a->status) && kinds[kind].non_idempotent) {
 		pthread_mutex_lock(&lock);
@@ -155,7 +169,6 @@
 		report_violation("an answer was cut off without a fault", id);
 	if (a->status == 401 || a->status == 404 || a->status == 400)
 		report_violation("a valid request was refused", id);
-	buf_free(&expected);
 }
 
 static void
@@ -442,23 +455,27 @@
 
 	printf("logs in %s\n", dir);
 	refused_ids = xcalloc(MAX_REFUSED, sizeof(*refused_ids));
-	platform = fakeplat_start(STORE_PORT);
+	platform = fakeplat_start((uint16_t)first_port);
 	proxy = proxy_start();
 	for (int i = 0; i < TARGETS; i++) {
-		target_links[i] = proxy_link(
-		    proxy, targets[i].published_port, targets[i].port);
-		fakeplat_add_target(platform, &targets[i]);
+		struct fakeplat_target t = targets[i];
+
+		t.port = (uint16_t)(t.port + first_port);
+		t.published_port = (uint16_t)(t.published_port + first_port);
+		target_links[i] = proxy_link(proxy, t.published_port, t.port);
+		fakeplat_add_target(platform, &t);
 	}
 	put_config();
 	for (int i = 0; i < n_hosts; i++) {
 		struct harness_host *h = &hosts[i];
 
-		h->port = (uint16_t)(HOST_PORT + 4 * i);
-		h->store_port = (uint16_t)(STORE_PROXY_PORT + i);
-		h->seed_port = HOST_PORT;
+		h->port = (uint16_t)(first_port + HOST_PORTS + 4 * i);
+		h->store_port = (uint16_t)(first_port + STORE_PROXIES + i);
+		h->seed_port = (uint16_t)(first_port + HOST_PORTS);
 		snprintf(h->id, sizeof(h->id), "h%d", i + 1);
 		g_strlcpy(h->dir, dir, sizeof(h->dir));
-		store_links[i] = proxy_link(proxy, h->store_port, STORE_PORT);
+		store_links[i] =
+		    proxy_link(proxy, h->store_port, (uint16_t)first_port);
 		harness_start_host(h);
 	}
 	for (int i = 0; i < n_hosts; i++) {
@@ -538,6 +555,8 @@
 
 	if (argc > 3 && atoi(argv[3]) > 0 && atoi(argv[3]) <= MAX_HOSTS)
 		n_hosts = atoi(argv[3]);
+	if (argc > 4)
+		first_port = atoi(argv[4]);
 
 	signal(SIGPIPE, SIG_IGN);
 	start_all();
