Streams: only stream routes resume; the evidence against a part has named members

Cause: a request of a plain route with a Last-Event-Id counted as a resumed stream, and would have been rejected in a service of several versions. Change: only routes of streams look for the version. The table of evidence names its members; its values stay.

--- a/entry/discovery_quarantine.c
+++ b/entry/discovery_quarantine.c
@@ -52,7 +52,7 @@
 	    g_str_hash, g_str_equal, g_free, free_suspects);
 }
 
-/* Returns those of the targets of a service, empty if there are none yet. */
+/* Returns the suspects of a service, which are empty at first. */
 static struct crash_suspects *
 suspects_of(struct discovery *d, const char *service)
 {
--- a/entry/relay_request.c
+++ b/entry/relay_request.c
@@ -266,7 +266,7 @@
 	httpd_on_close(o->httpd_req, on_caller_closed, r);
 	retry_quota_request(
 	    relay_request_retry_quota(r), &s->quota_rule, clock_now());
-	if (info->is_resume)
+	if (info->is_resume && route->kind == ROUTE_STREAM)
 		start_resume(r);
 	else
 		stages_start(r);
--- a/kernel/crash_suspects.c
+++ b/kernel/crash_suspects.c
@@ -46,18 +46,45 @@
 	uint32_t moments;
 	usec_t span;  /* between the first crash and the last */
 	double share; /* of all crashes meanwhile */
-	uint64_t
-	    answered; /* calls of the hosts, so that they know most parts */
+	/* Calls answered by all hosts, so that they know most parts. */
+	uint64_t answered;
 	double certainty;
 } evidences[] = {
-	{ false, BLAME_PROMPTS, BLAME_PROMPTS, 3, 3, 0, 0, 0, 7 },
-	{ false, 2, BLAME_PROMPTS, 5, 2, 0, 0, 0, 5 },
+	{ .min_prompts = BLAME_PROMPTS,
+	    .max_prompts = BLAME_PROMPTS,
+	    .crashes = 3,
+	    .moments = 3,
+	    .certainty = 7 },
+	{ .min_prompts = 2,
+	    .max_prompts = BLAME_PROMPTS,
+	    .crashes = 5,
+	    .moments = 2,
+	    .certainty = 5 },
 	/* The part comes so often that nearly nothing is answered. */
-	{ false, 2, BLAME_PROMPTS, 5, 2, 0, 0.9, 100, 0 },
-	{ false, 2, BLAME_PROMPTS, 12, 2, 0, 0.8, 0, 0 },
+	{ .min_prompts = 2,
+	    .max_prompts = BLAME_PROMPTS,
+	    .crashes = 5,
+	    .moments = 2,
+	    .share = 0.9,
+	    .answered = 100 },
+	{ .min_prompts = 2,
+	    .max_prompts = BLAME_PROMPTS,
+	    .crashes = 12,
+	    .moments = 2,
+	    .share = 0.8 },
 	/* More often than a caller and the hosts repeat a sound request. */
-	{ false, 1, 1, BLAME_SINGLE, 2, 0, 0.5, 0, 0 },
-	{ true, 1, BLAME_PROMPTS, 6, 3, 1500 * USEC_PER_MSEC, 0, 0, 9 },
+	{ .min_prompts = 1,
+	    .max_prompts = 1,
+	    .crashes = BLAME_SINGLE,
+	    .moments = 2,
+	    .share = 0.5 },
+	{ .known = true,
+	    .min_prompts = 1,
+	    .max_prompts = BLAME_PROMPTS,
+	    .crashes = 6,
+	    .moments = 3,
+	    .span = 1500 * USEC_PER_MSEC,
+	    .certainty = 9 },
 };
 
 #define COLLECTOR_SEED 23
