--- a/entry/forward.c
+++ b/entry/forward.c
@@ -2,6 +2,7 @@
  * Sends a request to a target, retries it where that is allowed, and passes the
  * response back to the caller.
  */
+#include "entry/relay_answer.h"
 #include "entry/relay_request.h"
 #include "base/hash.h"
 #include "base/log.h"
@@ -154,32 +155,6 @@
 	httpd_abort(q);
 }
 
-/*
- * Logs a lost call with its content, the parts of its prompt and how far its
- * answer came.
- */
-static void
-log_lost_call(const struct relay_request *r, const char *cause, bool again)
-{
-	struct buf parts = { 0 };
-	char events[24];
-	char content[20];
-
-	for (size_t i = 0; i < r->info.n_parts; i++) {
-		if (i > 0)
-			buf_putc(&parts, ',');
-		buf_put(&parts, r->info.parts[i].id);
-	}
-	snprintf(events, sizeof(events), "%" PRIu64, call_events(r));
-	snprintf(content, sizeof(content), "%016" PRIx64, r->parts.content);
-	LOG(LOG_LVL_NOTICE, "call-lost", { "request", r->info.id },
-	    { "target", str_from(r->target_id) }, { "cause", str_from(cause) },
-	    { "again", again ? STR("yes") : STR("no") },
-	    { "events", str_from(events) }, { "content", str_from(content) },
-	    { "parts", str_of(&parts) });
-	buf_free(&parts);
-}
-
 /*
  * Handles a call that may have run and has no complete response: retries it if
  * it may be repeated, else fails the request.
@@ -195,7 +170,7 @@
 	const struct target_load *t = target_of(r);
 
 	r->shared->lost_calls++;
-	log_lost_call(r, cause, again);
+	relay_answer_log_lost(r, cause, call_events(r), again);
 	if (t != NULL && call_events(r) < CRASH_BEGUN_EVENTS)
 		crash_reports_lost(r->shared->crash_reports,
 		    &(struct lost_call){
@@ -590,26 +565,6 @@
 	    response_wait_prompt(r->info.prompt_tokens), left);
 }
 
-/* Logs what decided the choice of a target, and how old its load report is. */
-static void
-log_choice(
-    const struct relay_request *r, const struct target_load *t, usec_t left)
-{
-	char load[64];
-	char ms[32];
-
-	snprintf(load, sizeof(load), "%u here, %u reported %" PRId64 " ms ago",
-	    t->in_flight, t->reported,
-	    t->reported_at > 0 ? (r->sent_at - t->reported_at) / USEC_PER_MSEC
-			       : -1);
-	snprintf(ms, sizeof(ms), "%" PRId64, left / USEC_PER_MSEC);
-	LOG(LOG_LVL_INFO, "call-sent", { "request", r->info.id },
-	    { "target", str_from(t->entry.id) },
-	    { "service", str_from(t->entry.service) },
-	    { "version", str_from(t->entry.version) },
-	    { "load", str_from(load) }, { "left_ms", str_from(ms) });
-}
-
 /* Rejects a request for which there is no target, or else no time. */
 static void
 reject_unsent(struct relay_request *r, bool no_target, usec_t now)
@@ -655,7 +610,7 @@
 	r->sent_at = now;
 	r->events_before = r->sse.events;
 	r->answer_reported = false;
-	log_choice(r, t, left);
+	relay_answer_log_sent(r, t, left);
 	loads_sent(t, now);
 	start_call(r, t, left);
 	if (r->call == NULL)
--- a/entry/relay_answer.c
+++ b/entry/relay_answer.c
@@ -52,6 +52,48 @@
 	    { "cause", str_from(why->cause) }, { "waited_ms", str_from(ms) });
 }
 
+void
+relay_answer_log_sent(
+    const struct relay_request *r, const struct target_load *t, usec_t left)
+{
+	char load[64];
+	char ms[32];
+
+	snprintf(load, sizeof(load), "%u here, %u reported %" PRId64 " ms ago",
+	    t->in_flight, t->reported,
+	    t->reported_at > 0 ? (r->sent_at - t->reported_at) / USEC_PER_MSEC
+			       : -1);
+	snprintf(ms, sizeof(ms), "%" PRId64, left / USEC_PER_MSEC);
+	LOG(LOG_LVL_INFO, "call-sent", { "request", r->info.id },
+	    { "target", str_from(t->entry.id) },
+	    { "service", str_from(t->entry.service) },
+	    { "version", str_from(t->entry.version) },
+	    { "load", str_from(load) }, { "left_ms", str_from(ms) });
+}
+
+void
+relay_answer_log_lost(const struct relay_request *r, const char *cause,
+    uint64_t events, bool again)
+{
+	struct buf parts = { 0 };
+	char n[24];
+	char content[20];
+
+	for (size_t i = 0; i < r->info.n_parts; i++) {
+		if (i > 0)
+			buf_putc(&parts, ',');
+		buf_put(&parts, r->info.parts[i].id);
+	}
+	snprintf(n, sizeof(n), "%" PRIu64, events);
+	snprintf(content, sizeof(content), "%016" PRIx64, r->parts.content);
+	LOG(LOG_LVL_NOTICE, "call-lost", { "request", r->info.id },
+	    { "target", str_from(r->target_id) }, { "cause", str_from(cause) },
+	    { "again", again ? STR("yes") : STR("no") },
+	    { "events", str_from(n) }, { "content", str_from(content) },
+	    { "parts", str_of(&parts) });
+	buf_free(&parts);
+}
+
 void
 relay_answer_log_end(
     const struct relay_request *r, const char *outcome, usec_t took)
--- a/entry/relay_answer.h
+++ b/entry/relay_answer.h
@@ -1,6 +1,6 @@
 /*
- * Responses that the relay generates itself, and the log lines for the end of a
- * request.
+ * Responses that the relay generates itself, and the log lines for the calls
+ * and the end of a request.
  */
 #ifndef ENTRY_RELAY_ANSWER_H
 #define ENTRY_RELAY_ANSWER_H
@@ -12,6 +12,15 @@
     struct httpd_request *q, struct str id, const struct rejection *why);
 void relay_answer_log_rejection(struct str id, const struct rejection *why,
     const char *route, usec_t waited);
+/* Logs what decided the choice of a target, and how old its load report is. */
+void relay_answer_log_sent(
+    const struct relay_request *r, const struct target_load *t, usec_t left);
+/*
+ * Logs a lost call with its content, the parts of its prompt and how many
+ * events it had got.
+ */
+void relay_answer_log_lost(const struct relay_request *r, const char *cause,
+    uint64_t events, bool again);
 void relay_answer_log_end(
     const struct relay_request *r, const char *outcome, usec_t took);
 
