Streams: a host without the store asks before it resumes an unknown stream

Cause: a host that the store did not answer took its list of targets as complete, so it let a stream of an unknown version go on anywhere, and without asking once it had run for a minute. Change: such a host asks, and needs a reply of another host that knows of one version only.

--- a/kernel/stream_versions.c
+++ b/kernel/stream_versions.c
@@ -35,6 +35,7 @@
 	s->others = new_streams();
 	s->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 	    (GDestroyNotify)g_hash_table_unref);
+	s->stale = false;
 	s->started_at = now;
 }
 
@@ -79,8 +80,9 @@
 
 void
 stream_versions_list(
-    struct stream_versions *s, const GArray *targets, usec_t now)
+    struct stream_versions *s, const GArray *targets, bool stale, usec_t now)
 {
+	s->stale = stale;
 	end_list(s, now);
 	for (guint i = 0; i < targets->len; i++) {
 		const struct target_entry *t =
@@ -198,7 +200,7 @@
 		return RESUME_AT_VERSION;
 	}
 	/* A host that has just started may have missed another version. */
-	if (stream_versions_mixed(s, service, now) ||
+	if (s->stale || stream_versions_mixed(s, service, now) ||
 	    now - s->started_at < KEEP_TIME)
 		return RESUME_ASK;
 	return RESUME_ANYWHERE;
@@ -213,9 +215,10 @@
 		return RESUME_AT_VERSION;
 	if (q->n_replied < q->n_asked && !timed_out)
 		return RESUME_ASK;
-	return q->mixed || stream_versions_mixed(s, service, now)
-	    ? RESUME_NOWHERE
-	    : RESUME_ANYWHERE;
+	if (q->mixed || stream_versions_mixed(s, service, now) ||
+	    (s->stale && q->n_replied == 0))
+		return RESUME_NOWHERE;
+	return RESUME_ANYWHERE;
 }
 
 void
--- a/kernel/stream_versions.h
+++ b/kernel/stream_versions.h
@@ -8,7 +8,9 @@
  * break, and their callers resume them at any host.  So while a service has
  * several versions, the host that begins a stream tells its version to a few
  * others, and the host where it is resumed asks.  While a service has had one
- * version for as long as a stream may last, nothing is told or asked.
+ * version for as long as a stream may last, nothing is told or asked.  A host
+ * that the store does not answer asks, as it may not know of a new version; one
+ * that is cut off from the other hosts, too, lets no unknown stream go on.
  *
  * Times are in microseconds.  A struct stream_versions belongs to one thread.
  */
@@ -40,13 +42,17 @@
 	GHashTable *others; /* the same, begun at other hosts */
 	/* name -> GHashTable: version -> struct listed_version */
 	GHashTable *services;
+	bool stale; /* the newest list may lack versions that others know */
 	usec_t started_at;
 };
 
 void stream_versions_init(struct stream_versions *s, usec_t now);
-/* Notes the versions of the targets (struct target_entry). */
+/*
+ * Notes the versions of the targets (struct target_entry).  stale: the store
+ * does not answer this host.
+ */
 void stream_versions_list(
-    struct stream_versions *s, const GArray *targets, usec_t now);
+    struct stream_versions *s, const GArray *targets, bool stale, usec_t now);
 /* Whether the service has had targets of several versions lately. */
 bool stream_versions_mixed(
     const struct stream_versions *s, const char *service, usec_t now);
--- a/tests/kernel/test_stream_versions.c
+++ b/tests/kernel/test_stream_versions.c
@@ -9,6 +9,7 @@
 enum step_kind {
 	STEP_END,
 	STEP_LIST,     /* text: the versions of the listed targets */
+	STEP_STALE,    /* the same, while the store is away */
 	STEP_BEGIN,    /* a stream begins here; text: id and version */
 	STEP_TOLD,     /* another host tells of one */
 	STEP_COMPLETE, /* text: id */
@@ -60,6 +61,13 @@
 	    { { STEP_LIST, 0, "12", 0 }, { STEP_DECIDE, 1, ".", RESUME_ASK },
 		{ STEP_DECIDE, 1, "!", RESUME_NOWHERE },
 		{ STEP_DECIDE, 1, ".1", RESUME_AT_VERSION } } },
+	{ "a host without the store asks, and needs a reply",
+	    { { STEP_LIST, 0, "1", 0 }, { STEP_STALE, 70, "1", 0 },
+		{ STEP_RESUME, 71, "b", RESUME_ASK },
+		{ STEP_DECIDE, 71, "!", RESUME_ANYWHERE },
+		{ STEP_DECIDE, 71, "0", RESUME_NOWHERE },
+		{ STEP_LIST, 72, "1", 0 },
+		{ STEP_RESUME, 72, "b", RESUME_ANYWHERE } } },
 	{ "streams are forgotten",
 	    { { STEP_LIST, 0, "12", 0 }, { STEP_BEGIN, 1, "a1", 0 },
 		{ STEP_TOLD, 1, "b2", 0 }, { STEP_RESUME, 62, "a", RESUME_ASK },
@@ -67,7 +75,7 @@
 };
 
 static void
-list(struct stream_versions *s, const char *versions, usec_t now)
+list(struct stream_versions *s, const char *versions, bool stale, usec_t now)
 {
 	g_autoptr(GArray) v =
 	    g_array_new(FALSE, TRUE, sizeof(struct target_entry));
@@ -78,7 +86,7 @@
 
 		g_array_append_val(v, e);
 	}
-	stream_versions_list(s, v, now);
+	stream_versions_list(s, v, stale, now);
 }
 
 /* m: a host knows several versions; a digit: one knows the stream's. */
@@ -97,6 +105,10 @@
 			q.n_replied = 2;
 			timed_out = true;
 			break;
+		case '0': /* none will */
+			q.n_replied = 0;
+			timed_out = true;
+			break;
 		case 'm':
 			q.mixed = true;
 			break;
@@ -129,7 +141,8 @@
 	stream_versions_expire(s, now);
 	switch (x->kind) {
 	case STEP_LIST:
-		list(s, x->text, now);
+	case STEP_STALE:
+		list(s, x->text, x->kind == STEP_STALE, now);
 		break;
 	case STEP_BEGIN:
 	case STEP_TOLD:
