Discovery: the fetcher outlives the thread that uses it

Cause: a stopping host freed the fetcher and then waited for the discovery thread, which asked the fetcher for a peer's state meanwhile (AddressSanitizer: use after free in fetcher_request, freed by discovery_stop). Change: the discovery thread ends first. Not seen to fail by a test of its own: the window is the rest of one turn of the thread; the soaks play it.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -570,11 +570,12 @@
 void
 discovery_stop(struct discovery *d)
 {
-	fetcher_stop(d->fetcher);
 	atomic_store(&d->stopping, true);
 	http_wake(d->loop);
 	if (d->started)
 		pthread_join(d->thread, NULL);
+	/* The discovery thread uses the fetcher until it ends. */
+	fetcher_stop(d->fetcher);
 	rpc_stop(d->rpc);
 }
 
