--- a/entry/control.c
+++ b/entry/control.c
@@ -619,11 +619,12 @@
 void
 control_stop(struct control *c)
 {
-	fetcher_stop(c->fetcher);
 	atomic_store(&c->stopping, true);
 	http_wake(c->loop);
 	if (c->traffic != NULL)
 		pthread_join(c->thread, NULL);
+	/* The control thread uses the fetcher until it ends. */
+	fetcher_stop(c->fetcher);
 	rpc_stop(c->rpc);
 }
 
