--- a/base/err.c
+++ b/base/err.c
@@ -80,9 +80,7 @@
 	INFO(ERR_IO) = { "io", 500, "Check the file or connection named." },
 	INFO(ERR_QUARANTINED) = { "quarantined", 503,
 	    "Don't send it again unchanged: targets crash on it, or on a part "
-	    "of its "
-	    "prompt; the quarantine "
-	    "ends after Retry-After." },
+	    "of its prompt; the quarantine ends after Retry-After." },
 };
 
 static const struct err_info *
--- a/entry/crash_reports.h
+++ b/entry/crash_reports.h
@@ -53,8 +53,7 @@
  * are reported from now on.
  */
 void crash_reports_asked(struct crash_reports *c, const peer_suspects *q);
-/* Whether collectors have asked about a part and no target has answered since.
- */
+/* Whether a collector has asked about a part that is not answered since. */
 bool crash_reports_suspect(const struct crash_reports *c, uint64_t part);
 /* Number of crashes reported by this host. */
 uint64_t crash_reports_count(const struct crash_reports *c);
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -162,8 +162,7 @@
 static void
 on_answer_lost(struct relay_request *r, const char *cause)
 {
-	/* The request may have crashed its targets, and would crash the next.
-	 */
+	/* A request that crashed its targets would crash the next, too. */
 	bool suspect =
 	    crash_reports_suspect(r->shared->crash_reports, r->parts.content);
 	bool again = route_repeatable(r->route) && !suspect && can_retry(r);
--- a/entry/stream_resumes.c
+++ b/entry/stream_resumes.c
@@ -153,8 +153,7 @@
 ask(struct resume_search *s, struct str id)
 {
 	struct timeval tv = { 0, STREAM_REPLY_TIME };
-	/* The id is empty, with p NULL, if the caller doesn't name the stream.
-	 */
+	/* A caller that doesn't name its stream has an id with p NULL. */
 	g_autofree char *text = g_strndup(id.n > 0 ? id.p : "", id.n);
 	peer_body body = { .kind = PEER_STREAM_ASK };
 	peer_stream_ask *m = &body.peer_body_u.stream_ask;
--- a/kernel/crash_suspects.h
+++ b/kernel/crash_suspects.h
@@ -5,14 +5,13 @@
  * Load pattern: requests that share a part of their prompts, or one request
  * again and again, come at all hosts, and each target that begins an answer
  * crashes.  Few targets may all crash at the same moment, and again when they
- * are back.  Sound requests share
- * the other parts, wait on the same targets and end with them; one host sees
- * only some of the crashes; many targets, or all, may crash within a second for
- * another reason.  So the calls without an answer at a crash are gathered from
- * all hosts.  A part is to blame if it was among them in several crashes at
- * different times, and no target has answered a request with it since.  A part
- * that targets answered before the crashes needs more evidence, over a longer
- * time.
+ * are back.  Sound requests share the other parts, wait on the same targets and
+ * end with them; one host sees only some of the crashes; many targets, or all,
+ * may crash within a second for another reason.  So the calls without an answer
+ * at a crash are gathered from all hosts.  A part is to blame if it was among
+ * them in several crashes at different times, and no target has answered a
+ * request with it since.  A part that targets answered before the crashes needs
+ * more evidence, over a longer time.
  *
  * Where targets crash again and again for another reason, any part is at some
  * of the crashes by chance, and most hosts that got answers on it lost no call.
