Log: a call whose connection to its target fails

A host whose connections to all targets fail looked like targets that fail one by one: only the rejection of the request was logged. connect-failed names the target, its service and how long the attempt took.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -479,6 +479,10 @@
 		on_complete(r, m);
 		return;
 	case DIAL_UNSENT:
+		log_text(LOG_LVL_INFO, "connect-failed",
+		    "request %.*s: target %s of %s after %" PRId64 " ms",
+		    STR_FMT(r->info.id), r->target_id, r->service->name,
+		    (clock_now() - r->sent_at) / USEC_PER_MSEC);
 		report_call_end(r, false);
 		r->sends--;
 		if (r->n_tried < MAX_CONNECT_FAILURES)
