--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -12,13 +12,19 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #define MAX_LINKS 64
 #define DELAY_MS  100
+/* Connections that fill the queue of a listener with a backlog of 0. */
+#define FILLERS   2
 
 struct link {
 	struct proxy *p;
-	struct evconnlistener *listener;
+	struct evconnlistener *listener; /* NULL: not PROXY_ACCEPT */
+	/* Sockets that make connections hang; -1: not PROXY_HANG. */
+	int hanging[1 + FILLERS];
+	uint16_t from;
 	uint16_t to; /* port of the server */
 	enum proxy_fault fault;
 	/* Set by callers, carried out by the proxy's thread. */
@@ -212,26 +218,92 @@
 	return p;
 }
 
+static struct sockaddr_in
+listen_addr(const struct link *k)
+{
+	return (struct sockaddr_in){ .sin_family = AF_INET,
+		.sin_port = htons(k->from),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+}
+
+static void
+start_accepting(struct link *k)
+{
+	struct sockaddr_in addr = listen_addr(k);
+
+	k->listener = evconnlistener_new_bind(k->p->base, on_conn, k,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_THREADSAFE |
+		LEV_OPT_CLOSE_ON_EXEC,
+	    256, (struct sockaddr *)&addr, sizeof(addr));
+	g_assert_nonnull(k->listener);
+}
+
+/* Fills the queue of a listener that never accepts. */
+static void
+start_hanging(struct link *k)
+{
+	struct sockaddr_in addr = listen_addr(k);
+	int one = 1;
+
+	for (int i = 0; i < 1 + FILLERS; i++)
+		k->hanging[i] = socket(
+		    AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	setsockopt(
+	    k->hanging[0], SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	g_assert_cmpint(
+	    bind(k->hanging[0], (struct sockaddr *)&addr, sizeof(addr)), ==, 0);
+	g_assert_cmpint(listen(k->hanging[0], 0), ==, 0);
+	for (int i = 1; i < 1 + FILLERS; i++)
+		connect(
+		    k->hanging[i], (struct sockaddr *)&addr, sizeof(addr));
+}
+
+static void
+stop_listening(struct link *k)
+{
+	if (k->listener != NULL)
+		evconnlistener_free(k->listener);
+	k->listener = NULL;
+	for (int i = 0; i < 1 + FILLERS; i++) {
+		if (k->hanging[i] >= 0)
+			close(k->hanging[i]);
+		k->hanging[i] = -1;
+	}
+}
+
 int
 proxy_link(struct proxy *p, uint16_t from, uint16_t to)
 {
-	struct sockaddr_in addr = { .sin_family = AF_INET,
-		.sin_port = htons(from),
-		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
 	struct link *k = &p->links[p->n_links];
 
 	g_assert_cmpint(p->n_links, <, MAX_LINKS);
 	k->p = p;
+	k->from = from;
 	k->to = to;
+	memset(k->hanging, -1, sizeof(k->hanging));
 	k->sessions = g_ptr_array_new();
-	k->listener = evconnlistener_new_bind(p->base, on_conn, k,
-	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_THREADSAFE |
-		LEV_OPT_CLOSE_ON_EXEC,
-	    256, (struct sockaddr *)&addr, sizeof(addr));
-	g_assert_nonnull(k->listener);
+	start_accepting(k);
 	return p->n_links++;
 }
 
+void
+proxy_set_listen(struct proxy *p, int link, enum proxy_listen how)
+{
+	struct link *k = &p->links[link];
+
+	stop_listening(k);
+	switch (how) {
+	case PROXY_ACCEPT:
+		start_accepting(k);
+		break;
+	case PROXY_REFUSE:
+		break;
+	case PROXY_HANG:
+		start_hanging(k);
+		break;
+	}
+}
+
 void
 proxy_set_fault(struct proxy *p, int link, enum proxy_fault fault)
 {
@@ -270,7 +342,7 @@
 		for (guint k = p->links[i].sessions->len; k-- > 0;)
 			free_session(p->links[i].sessions->pdata[k], false);
 		g_ptr_array_unref(p->links[i].sessions);
-		evconnlistener_free(p->links[i].listener);
+		stop_listening(&p->links[i]);
 	}
 	event_free(p->wakeup);
 	/* Deferred callbacks still hold references to bufferevents. */
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -18,6 +18,13 @@
 	PROXY_FAULTS
 };
 
+/* What happens to new connections of a link. */
+enum proxy_listen {
+	PROXY_ACCEPT,
+	PROXY_REFUSE, /* they are refused */
+	PROXY_HANG    /* they are neither accepted nor refused */
+};
+
 struct proxy;
 
 struct proxy *proxy_start(void);
@@ -27,6 +34,8 @@
  */
 int proxy_link(struct proxy *p, uint16_t from, uint16_t to);
 void proxy_set_fault(struct proxy *p, int link, enum proxy_fault fault);
+/* Open connections of the link stay as they are. */
+void proxy_set_listen(struct proxy *p, int link, enum proxy_listen how);
 /* Resets the open connections of a link. */
 void proxy_reset(struct proxy *p, int link);
 /*
