Calls: a host without a path to its targets calls them by way of another host

Cause: a call was only ever made from the host that has the request or the duty. A host that loses its path took that for the loss of its targets, one by one; as coordinator of a stage service it went on accepting the pieces of the whole fleet, as it answered the other hosts.

A service whose direct calls are all silent is tested with connections. While a path is lost, entry/target_calls makes calls, also those of a coordinator, by way of another host, which says so if it has sent nothing; a connection twice a second finds the path again. Silent calls that may be made again are made again at once, and the targets that the failed connections had set aside are used again.

--- a/entry/coordinator.h
+++ b/entry/coordinator.h
@@ -10,6 +10,7 @@
 #define ENTRY_COORDINATOR_H
 
 #include "entry/rpc.h"
+#include "entry/target_calls.h"
 #include "entry/target_limits.h"
 #include "kernel/loads.h"
 #include "plat/dial.h"
@@ -18,7 +19,7 @@
 
 struct coordinator_opts {
 	struct event_base *base;
-	struct dialer *dialer;
+	struct target_calls *target_calls;
 	struct loads *loads;
 	struct target_limits *target_limits;
 	struct rpc *rpc;
@@ -75,6 +76,11 @@
  * coordinator.
  */
 void coordinator_drain(struct coordinator *c);
+/*
+ * The path to a service is lost: its direct calls, which are silent, are made
+ * again.
+ */
+void coordinator_path_lost(struct coordinator *c, const char *service);
 struct coordinator_counts coordinator_counts(const struct coordinator *c);
 void coordinator_free(struct coordinator *c);
 
--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -280,7 +280,7 @@
 
 	(void)fd;
 	(void)what;
-	dial_cancel(call->dial);
+	target_call_cancel(call->dial);
 	/* It would have taken longer; without this it stays unknown. */
 	record_speed(call, call->items->len, clock_now());
 	end_call(call, false, false, "no response in time");
@@ -297,18 +297,18 @@
 }
 
 /* timeout: as in dial_opts. */
-static struct dial_call *
+static struct target_call *
 post(struct coordinator *c, const struct target_load *t, const char *path,
     struct str body, usec_t timeout, dial_handler handler, void *arg)
 {
 	struct buf head = { 0 };
 	struct evbuffer *b = evbuffer_new();
-	struct dial_call *d;
+	struct target_call *d;
 
 	evbuffer_add(b, body.p, body.n);
 	platform_json_call_head(&head, str_from(t->entry.addr), path,
 	    str_from(t->entry.id), body.n);
-	d = dial_start(c->o.dialer,
+	d = target_call_start(c->o.target_calls, t,
 	    &(struct dial_opts){
 		.addr = str_from(t->entry.addr),
 		.head = str_of(&head),
@@ -467,6 +467,29 @@
 	}
 }
 
+void
+coordinator_path_lost(struct coordinator *c, const char *service)
+{
+	g_autoptr(GPtrArray) silent = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, c->calls);
+	while (g_hash_table_iter_next(&it, &p, NULL)) {
+		struct batch_call *call = p;
+
+		if (strcmp(call->pool->service, service) == 0 &&
+		    target_call_is_direct(call->dial))
+			g_ptr_array_add(silent, call);
+	}
+	for (guint i = 0; i < silent->len; i++) {
+		struct batch_call *call = silent->pdata[i];
+
+		target_call_cancel(call->dial);
+		end_call(call, false, false, "its path is lost");
+	}
+}
+
 void
 coordinator_cancel_calls(struct coordinator *c)
 {
@@ -477,7 +500,7 @@
 	while (g_hash_table_iter_next(&it, &p, NULL)) {
 		struct batch_call *call = p;
 
-		dial_cancel(call->dial);
+		target_call_cancel(call->dial);
 		event_free(call->timer);
 		g_array_unref(call->items);
 		free(call);
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -60,7 +60,7 @@
 struct batch_call {
 	struct coordinator *coordinator;
 	struct pool *pool;
-	struct dial_call *dial;
+	struct target_call *dial;
 	struct event *timer;
 	char target_id[64];
 	char addr[64];
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -336,6 +336,8 @@
 			continue;
 		g_strlcpy(p.id, ids[i], sizeof(p.id));
 		g_strlcpy(p.rpc, member_rpc(x), sizeof(p.rpc));
+		g_strlcpy(
+		    p.operators, member_operators(x), sizeof(p.operators));
 		g_strlcpy(p.domain, m->domains[x->domain], sizeof(p.domain));
 		p.capacity = x->capacity;
 		p.incarnation = x->incarnation;
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -364,7 +364,7 @@
 static void
 on_body_data(struct relay_request *r, const struct httpmsg *m)
 {
-	struct dial_call *call = r->call;
+	struct target_call *call = r->call;
 	const char *cause;
 
 	if (is_stream(r))
@@ -373,7 +373,7 @@
 	if (cause == NULL)
 		return;
 	report_call_end(r, true);
-	dial_cancel(call);
+	target_call_cancel(call);
 	on_answer_lost(r, cause);
 }
 
@@ -547,7 +547,7 @@
 	if (n > 0)
 		evbuffer_add(body, evbuffer_pullup(m->body, -1), n);
 	put_head(r, &head, left, n);
-	r->call = dial_start(r->shared->dialer,
+	r->call = target_call_start(r->shared->target_calls, t,
 	    &(struct dial_opts){
 		.addr = str_from(t->entry.addr),
 		.head = str_of(&head),
@@ -629,7 +629,7 @@
 {
 	struct relay_request *r = arg;
 	struct target_load *t = target_of(r);
-	struct dial_call *call = r->call;
+	struct target_call *call = r->call;
 	bool begun = r->last_event_at >= r->sent_at;
 	usec_t since = begun ? r->last_event_at : r->sent_at;
 
@@ -649,7 +649,7 @@
 	if (t != NULL)
 		dial_close_idle(r->shared->dialer, str_from(t->entry.addr));
 	report_call_end(r, false);
-	dial_cancel(call);
+	target_call_cancel(call);
 	r->may_have_run = true;
 	sse_restart(&r->sse);
 	send_call(r);
@@ -664,10 +664,18 @@
 void
 forward_cancel(struct relay_request *r)
 {
-	struct dial_call *call = r->call;
+	struct target_call *call = r->call;
 
 	if (call == NULL)
 		return;
 	report_call_end(r, true);
-	dial_cancel(call);
+	target_call_cancel(call);
+}
+
+void
+forward_path_lost(struct relay_request *r)
+{
+	if (r->call != NULL && target_call_is_direct(r->call) &&
+	    route_repeatable(r->route))
+		on_no_response(-1, 0, r);
 }
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -29,17 +29,19 @@
 #define INITIAL_LIMITS          \
 	((struct httpd_limits){ \
 	    65536, 1 << 20, 5 * USEC_PER_SEC, 15 * USEC_PER_SEC })
+/* Fields that sequoiad adds to a call: the handles of its inputs. */
+#define CALL_FIELDS_BYTES ((size_t)64 * 1024)
 /*
  * Retry-After without a configuration: by then the host has one, or the load
  * balancer has picked another host.
  */
-#define NOT_READY_RETRY (300 * USEC_PER_MSEC)
+#define NOT_READY_RETRY   (300 * USEC_PER_MSEC)
 /* Retry-After while stopping; short, as another host can serve the request. */
-#define DRAINING_RETRY  (10 * USEC_PER_MSEC)
+#define DRAINING_RETRY    (10 * USEC_PER_MSEC)
 /* Typical length of a stream after its first event. */
-#define STREAM_DURATION (2 * USEC_PER_SEC)
+#define STREAM_DURATION   (2 * USEC_PER_SEC)
 /* Requests end this long before the exit, so that the last responses arrive. */
-#define EXIT_MARGIN     (400 * USEC_PER_MSEC)
+#define EXIT_MARGIN       (400 * USEC_PER_MSEC)
 struct relay {
 	struct relay_opts o;
 	struct relay_shared shared;
@@ -190,12 +192,19 @@
 	loads_update(&y->shared.loads, v->targets);
 	stage_jobs_set_peers(y->shared.stage_jobs, v->peers, v->hosts_listed);
 	target_limits_set_hosts(y->shared.target_limits, v->peers, clock_now());
+	target_calls_set_hosts(y->shared.target_calls, v->peers);
 	coordinator_hosts_changed(y->shared.coordinator, clock_now());
 	y->shared.quota_rule.hosts = v->peers->len > 0 ? v->peers->len : 1;
 	if (t != NULL) {
 		httpd_set_limits(y->httpd,
 		    &(struct httpd_limits){ t->head_bytes, t->body_bytes,
 			t->head_timeout, t->idle_timeout });
+		/* Calls of other hosts come as the body of a request. */
+		httpd_set_limits(y->ops_httpd,
+		    &(struct httpd_limits){ INITIAL_LIMITS.head_bytes,
+			t->head_bytes + t->body_bytes + CALL_FIELDS_BYTES,
+			INITIAL_LIMITS.head_timeout,
+			INITIAL_LIMITS.idle_timeout });
 		coordinator_set_routes(y->shared.coordinator, v->routes);
 	}
 	if (y->view != NULL)
@@ -273,6 +282,7 @@
 			break;
 		case INBOX_DRAIN:
 			httpd_drain(y->httpd);
+			target_calls_drain(y->shared.target_calls);
 			coordinator_drain(y->shared.coordinator);
 			break;
 		case INBOX_CLAIM:
@@ -333,6 +343,7 @@
 	shutdown_tick(y, now);
 	waiting = coordinator_tick(y->shared.coordinator, now) || waiting;
 	dialer_sweep(y->shared.dialer, now);
+	target_calls_tick(y->shared.target_calls, now);
 	target_limits_tick(y->shared.target_limits, now);
 	stream_resumes_tick(y->shared.stream_resumes, now);
 	next = waiting ? TICK_INTERVAL : IDLE_TICK_INTERVAL;
@@ -348,6 +359,22 @@
 	stage_jobs_reply(y->shared.stage_jobs, NULL, r);
 }
 
+static void
+on_path_lost(void *arg, const char *service)
+{
+	struct relay *y = arg;
+	GList *next;
+
+	for (GList *l = y->shared.requests.head; l != NULL; l = next) {
+		struct relay_request *r = l->data;
+
+		next = l->next;
+		if (strcmp(r->service->name, service) == 0)
+			forward_path_lost(r);
+	}
+	coordinator_path_lost(y->shared.coordinator, service);
+}
+
 static const char *
 on_find_coordinator(void *arg, const char *service)
 {
@@ -425,6 +452,9 @@
 	    str_eq(target, STR(PLATFORM_READY_PATH))) {
 		status = ready ? 200 : 503;
 		buf_put(&body, ready ? STR("ready\n") : STR("not ready\n"));
+	} else if (str_has_prefix(target, STR(TARGET_CALLS_URL "?"))) {
+		target_calls_serve(y->shared.target_calls, q);
+		return;
 	} else if (str_eq(target, STR("/quarantines"))) {
 		status = 200;
 		type = "Content-Type: application/json\r\n";
@@ -438,6 +468,8 @@
 			.dial = dialer_counts(y->shared.dialer),
 			.silent_calls = y->shared.silent_calls,
 			.lost_calls = y->shared.lost_calls,
+			.target_calls =
+			    target_calls_counts(y->shared.target_calls),
 			.limited_targets =
 			    target_limits_count(y->shared.target_limits),
 			.crashes = crash_reports_count(y->shared.crash_reports),
@@ -554,10 +586,21 @@
 	    .rpc = discovery_rpc(d),
 	    .self = y->o.settings->id,
 	});
-	p->coordinator = coordinator_new(&(struct coordinator_opts){
+	p->target_calls = target_calls_new(&(struct target_calls_opts){
 	    .base = p->base,
 	    .dialer = p->dialer,
 	    .loads = &p->loads,
+	    .self = y->o.settings->id,
+	    .domain = y->o.settings->failure_domain,
+	    .fleet_key = y->o.settings->fleet_key,
+	    .busy = &p->busy,
+	    .on_path_lost = on_path_lost,
+	    .arg = y,
+	});
+	p->coordinator = coordinator_new(&(struct coordinator_opts){
+	    .base = p->base,
+	    .target_calls = p->target_calls,
+	    .loads = &p->loads,
 	    .target_limits = p->target_limits,
 	    .rpc = discovery_rpc(d),
 	    .reply = on_local_reply,
@@ -637,6 +680,8 @@
 {
 	struct relay_shared *p = &y->shared;
 
+	if (p->target_calls != NULL)
+		target_calls_stop(p->target_calls);
 	for (GList *l = y->shared.requests.head, *next; l != NULL; l = next) {
 		struct relay_request *r = l->data;
 
@@ -659,6 +704,8 @@
 	if (p->target_limits != NULL)
 		target_limits_free(p->target_limits);
 	dialer_free(p->dialer);
+	if (p->target_calls != NULL)
+		target_calls_free(p->target_calls);
 	loads_free(&p->loads);
 	g_hash_table_destroy(p->retry_quotas);
 	durations_free(&p->durations);
--- a/entry/relay_metrics.c
+++ b/entry/relay_metrics.c
@@ -68,6 +68,9 @@
 	put(out, "calls_total", p->dial.calls);
 	put(out, "target_connections_total", p->dial.connections);
 	put(out, "stray_answers_total", p->dial.stray);
+	put(out, "calls_by_host_total", p->target_calls.sent_by_host);
+	put(out, "calls_for_host_total", p->target_calls.made_for_host);
+	put(out, "paths_lost_total", p->target_calls.paths_lost);
 	put(out, "silent_calls_total", p->silent_calls);
 	put(out, "lost_calls_total", p->lost_calls);
 	put(out, "limited_targets", p->limited_targets);
--- a/entry/relay_metrics.h
+++ b/entry/relay_metrics.h
@@ -5,6 +5,7 @@
 #include "entry/httpd.h"
 #include "entry/coordinator.h"
 #include "entry/discovery.h"
+#include "entry/target_calls.h"
 #include "plat/dial.h"
 
 #define HISTOGRAM_BOUNDS 10
@@ -29,6 +30,7 @@
 	const struct relay_counts *counts;
 	struct httpd_counts httpd;
 	struct dial_counts dial;
+	struct target_calls_counts target_calls;
 	struct coordinator_counts coordinator;
 	struct discovery_counts discovery;
 	uint64_t silent_calls;
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -12,6 +12,7 @@
 #include "entry/relay_metrics.h"
 #include "entry/stage_jobs.h"
 #include "entry/stream_resumes.h"
+#include "entry/target_calls.h"
 #include "entry/target_limits.h"
 #include "entry/httpd.h"
 #include "kernel/crash_suspects.h"
@@ -61,6 +62,7 @@
 	/* Quota of repeated stage work, for all stage services together. */
 	struct retry_quota stage_quota;
 	struct retry_quota_rule stage_quota_rule;
+	struct target_calls *target_calls;
 	struct target_limits *target_limits;
 	struct crash_reports *crash_reports;
 	struct stream_resumes *stream_resumes;
@@ -115,7 +117,7 @@
 	uint32_t input_losses;
 
 	/* Used by forward.c. */
-	struct dial_call *call;
+	struct target_call *call;
 	char target_id[64];
 	char tried[LOADS_MAX_TRIED][64];
 	size_t n_tried;
@@ -204,5 +206,10 @@
 /* Fills the query that chooses a target for the request. */
 void forward_query(const struct relay_request *r, struct loads_query *query);
 void forward_cancel(struct relay_request *r);
+/*
+ * The path to the service is lost: a silent direct call is made again, where
+ * that is allowed.
+ */
+void forward_path_lost(struct relay_request *r);
 
 #endif
--- a/entry/view.h
+++ b/entry/view.h
@@ -13,6 +13,7 @@
 struct view_peer {
 	char id[MAX_NAME_BYTES + 1];
 	char rpc[MAX_ADDR_BYTES];
+	char operators[MAX_ADDR_BYTES];
 	char domain[MAX_NAME_BYTES + 1];
 	uint32_t capacity; /* thousandths of a core */
 	uint64_t incarnation;
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -450,6 +450,13 @@
 	t->aside_until = now + (pause < ASIDE_MAX ? pause : ASIDE_MAX);
 }
 
+void
+loads_unset_aside(struct target_load *t)
+{
+	t->failures = 0;
+	t->aside_until = 0;
+}
+
 void
 loads_full(struct target_load *t, usec_t now)
 {
@@ -468,8 +475,7 @@
 		t->in_flight--;
 	switch (result) {
 	case LOADS_OK:
-		t->failures = 0;
-		t->aside_until = 0;
+		loads_unset_aside(t);
 		break;
 	case LOADS_FULL:
 		loads_full(t, now);
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -139,6 +139,8 @@
 /* Set a target aside, as loads_ended() does on LOADS_FULL and LOADS_FAILED. */
 void loads_full(struct target_load *t, usec_t now);
 void loads_failed(struct target_load *t, usec_t now);
+/* Uses a target again that was set aside. */
+void loads_unset_aside(struct target_load *t);
 /*
  * Number of idle connections that a host keeps to a target that accepts
  * max_conns from all hosts together: an even share, at least 1.  0 means any
--- a/kernel/member.c
+++ b/kernel/member.c
@@ -52,6 +52,12 @@
 	return m->text + m->rpc_at;
 }
 
+const char *
+member_operators(const struct member *m)
+{
+	return m->text + m->operators_at;
+}
+
 struct member *
 member_by_rpc(const struct members *t, const char *rpc)
 {
@@ -246,8 +252,8 @@
 	};
 	snprintf(out->id, sizeof(out->id), "%s", m->text);
 	snprintf(out->rpc, sizeof(out->rpc), "%s", member_rpc(m));
-	snprintf(out->operators, sizeof(out->operators), "%s",
-	    m->text + m->operators_at);
+	snprintf(
+	    out->operators, sizeof(out->operators), "%s", member_operators(m));
 	snprintf(out->domain, sizeof(out->domain), "%s", t->domains[m->domain]);
 }
 
@@ -351,7 +357,7 @@
 	raise_generation(t, m, info);
 	addr_changed = info->rpc[0] != '\0' &&
 	    (strcmp(info->rpc, member_rpc(m)) != 0 ||
-		strcmp(info->operators, m->text + m->operators_at) != 0 ||
+		strcmp(info->operators, member_operators(m)) != 0 ||
 		strcmp(info->domain, t->domains[m->domain]) != 0);
 	if (addr_changed)
 		set_text(t, m, info);
--- a/kernel/member.h
+++ b/kernel/member.h
@@ -100,6 +100,7 @@
 void member_info(
     const struct members *t, const struct member *m, struct member_info *out);
 const char *member_rpc(const struct member *m);
+const char *member_operators(const struct member *m);
 
 /* Applies an update of a member; false if it is not newer than the table. */
 bool member_update(
--- a/plat/dial.c
+++ b/plat/dial.c
@@ -36,7 +36,9 @@
 	struct event *connect_timer;
 	struct httpmsg response;
 	struct evbuffer *pending_output; /* to be sent once connected */
-	struct dial_call *call;          /* NULL: idle */
+	struct dial_call *call;          /* NULL: idle, or a test */
+	dial_test_handler test;          /* of a test that goes on; or NULL */
+	void *test_arg;
 	char *addr;
 	usec_t idle_since;
 	usec_t idle_max;
@@ -45,12 +47,13 @@
 	bool pooled;     /* in the idle pool; valid while call is NULL */
 	bool in_handler; /* the call's handler is running */
 	bool cancelled;  /* the handler cancelled the call */
-	GList pool_link; /* in the pool of its address while idle */
+	GList pool_link; /* in the pool of its address, or in the tests */
 };
 
 struct dial_call {
 	struct conn *conn;
 	dial_handler handler;
+	void (*connected)(void *arg); /* or NULL */
 	void *arg;
 	struct buf call_id_name;
 	struct buf call_id;
@@ -60,9 +63,15 @@
 	bool head_only;
 };
 
+struct failed_test {
+	dial_test_handler handler;
+	void *arg;
+};
+
 struct dialer {
 	struct event_base *base;
 	GHashTable *idle; /* address -> GQueue of struct conn, newest first */
+	GQueue tests;     /* struct conn */
 	struct dial_counts counts;
 };
 
@@ -78,6 +87,7 @@
 	struct dialer *d = xcalloc(1, sizeof(*d));
 
 	d->base = base;
+	g_queue_init(&d->tests);
 	d->idle =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, free, free_queue);
 	return d;
@@ -98,7 +108,9 @@
 static void
 free_conn(struct conn *c)
 {
-	if (c->call == NULL && c->pooled)
+	if (c->test != NULL)
+		g_queue_unlink(&c->d->tests, &c->pool_link);
+	else if (c->call == NULL && c->pooled)
 		g_queue_unlink(idle_pool(c->d, c->addr), &c->pool_link);
 	if (c->connect_timer != NULL)
 		event_free(c->connect_timer);
@@ -304,15 +316,49 @@
 	on_message(c);
 }
 
+/* Ends a test: the connection becomes an idle one, or is freed. */
+static void
+end_test(struct conn *c, bool connected)
+{
+	dial_test_handler handler = c->test;
+	void *arg = c->test_arg;
+
+	if (connected) {
+		g_queue_unlink(&c->d->tests, &c->pool_link);
+		c->test = NULL;
+		release_conn(c);
+	} else {
+		free_conn(c);
+	}
+	handler(arg, connected);
+}
+
+static void
+on_connected(struct conn *c)
+{
+	c->connected = true;
+	event_del(c->connect_timer);
+	if (c->test != NULL) {
+		end_test(c, true);
+		return;
+	}
+	bufferevent_write_buffer(c->bev, c->pending_output);
+	if (c->call != NULL && c->call->connected != NULL)
+		c->call->connected(c->call->arg);
+}
+
 static void
 on_event(struct bufferevent *bev, short what, void *arg)
 {
 	struct conn *c = arg;
 
+	(void)bev;
 	if (what & BEV_EVENT_CONNECTED) {
-		c->connected = true;
-		event_del(c->connect_timer);
-		bufferevent_write_buffer(bev, c->pending_output);
+		on_connected(c);
+		return;
+	}
+	if (c->test != NULL) {
+		end_test(c, false);
 		return;
 	}
 	if (c->call == NULL) {
@@ -340,7 +386,9 @@
 
 	(void)fd;
 	(void)what;
-	if (!c->connected)
+	if (c->test != NULL)
+		end_test(c, false);
+	else if (!c->connected)
 		fail_call(c, DIAL_UNSENT);
 }
 
@@ -356,15 +404,14 @@
 }
 
 static struct conn *
-open_conn(struct dialer *d, const struct dial_opts *o)
+open_conn(struct dialer *d, struct str addr, usec_t timeout)
 {
 	struct conn *c;
 	struct sockaddr_in sa;
-	struct timeval tv = { o->connect_timeout / USEC_PER_SEC,
-		o->connect_timeout % USEC_PER_SEC };
+	struct timeval tv = { timeout / USEC_PER_SEC, timeout % USEC_PER_SEC };
 	int fd;
 
-	if (!addr_parse(o->addr, &sa))
+	if (!addr_parse(addr, &sa))
 		return NULL;
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0) {
@@ -374,7 +421,7 @@
 	set_socket_options(fd);
 	c = xcalloc(1, sizeof(*c));
 	c->d = d;
-	c->addr = str_dup(o->addr);
+	c->addr = str_dup(addr);
 	c->pending_output = evbuffer_new();
 	httpmsg_init(&c->response, HTTP_RESPONSE, MAX_HEAD_BYTES);
 	c->bev = bufferevent_socket_new(
@@ -452,7 +499,7 @@
 	if (c == NULL) {
 		if (o->max_idle_conns > 0)
 			trim_idle(idle_pool(d, addr), o->max_idle_conns - 1);
-		c = open_conn(d, o);
+		c = open_conn(d, o->addr, o->connect_timeout);
 	}
 	if (c == NULL)
 		return NULL;
@@ -460,6 +507,7 @@
 	k = xcalloc(1, sizeof(*k));
 	k->conn = c;
 	k->handler = o->handler;
+	k->connected = o->connected;
 	k->arg = o->arg;
 	k->head_only = o->head_only;
 	if (o->timeout > 0)
@@ -495,6 +543,40 @@
 		free_conn(c);
 }
 
+/* Reports a test whose connection could not be started. */
+static void
+on_test_not_started(evutil_socket_t fd, short what, void *arg)
+{
+	struct failed_test *t = arg;
+
+	(void)fd;
+	(void)what;
+	t->handler(t->arg, false);
+	free(t);
+}
+
+void
+dial_test(struct dialer *d, struct str addr, usec_t timeout,
+    dial_test_handler handler, void *arg)
+{
+	struct conn *c = open_conn(d, addr, timeout);
+	struct timeval now = { 0, 0 };
+	struct failed_test *t;
+
+	if (c == NULL) {
+		t = xcalloc(1, sizeof(*t));
+		*t = (struct failed_test){ handler, arg };
+		event_base_once(
+		    d->base, -1, EV_TIMEOUT, on_test_not_started, t, &now);
+		return;
+	}
+	c->test = handler;
+	c->test_arg = arg;
+	c->pool_link.data = c;
+	g_queue_push_tail_link(&d->tests, &c->pool_link);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+}
+
 void
 dial_close_idle(struct dialer *d, struct str addr)
 {
@@ -540,6 +622,8 @@
 	GHashTableIter it;
 	gpointer p;
 
+	while (d->tests.head != NULL)
+		end_test(d->tests.head->data, false);
 	g_hash_table_iter_init(&it, d->idle);
 	while (g_hash_table_iter_next(&it, NULL, &p))
 		trim_idle(p, 0);
--- a/plat/dial.h
+++ b/plat/dial.h
@@ -41,6 +41,9 @@
 typedef void (*dial_handler)(
     void *arg, enum dial_event ev, const struct httpmsg *m);
 
+/* Receives the result of a test; arg is that of dial_test. */
+typedef void (*dial_test_handler)(void *arg, bool connected);
+
 struct dial_opts {
 	struct str addr;       /* IP:PORT */
 	struct str head;       /* request line to blank line, inclusive */
@@ -56,6 +59,11 @@
 	/* The call fails without a complete response after this; 0: never. */
 	usec_t timeout;
 	dial_handler handler;
+	/*
+	 * Called when a new connection has been made for the call, before any
+	 * event; must not cancel the call.  May be NULL.
+	 */
+	void (*connected)(void *arg);
 	void *arg;
 };
 
@@ -70,6 +78,12 @@
 struct dial_call *dial_start(struct dialer *d, const struct dial_opts *o);
 /* Ends a call and closes its connection; its handler is not called again. */
 void dial_cancel(struct dial_call *k);
+/*
+ * Opens a connection to an address and keeps it as an idle one.  The handler is
+ * called once, not from within dial_test.
+ */
+void dial_test(struct dialer *d, struct str addr, usec_t timeout,
+    dial_test_handler handler, void *arg);
 /* Closes the idle connections to an address, as its target is gone. */
 void dial_close_idle(struct dialer *d, struct str addr);
 /* Closes connections that were idle for too long; to be called periodically. */
--- a/tests/platform/test_cut_hosts.c
+++ b/tests/platform/test_cut_hosts.c
@@ -150,10 +150,9 @@
 		    &(struct fakeplat_target){ .id = targets[i].id,
 			.service = targets[i].service,
 			.domain = "d1",
-			.port = (uint16_t)(group == 0
-				? TARGET_PORT + i
-				: PROXY_PORT + GROUP_PORTS * (GROUPS + group) +
-				    i),
+			.port = (uint16_t)(group == 0 ? TARGET_PORT + i
+						      : PROXY_PORT +
+				    GROUP_PORTS * (GROUPS + group) + i),
 			.published_port = at });
 	}
 	fakeplat_put(stores[group], "op/config", config);
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -251,18 +251,16 @@
 	for (int i = 0; i < 1 + FILLERS; i++)
 		k->hanging[i] = socket(
 		    AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-	setsockopt(
-	    k->hanging[0], SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	setsockopt(k->hanging[0], SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	/* The proxy's thread may still hold the listener that was freed. */
-	while (bind(k->hanging[0], (struct sockaddr *)&addr, sizeof(addr)) !=
-	    0) {
+	while (
+	    bind(k->hanging[0], (struct sockaddr *)&addr, sizeof(addr)) != 0) {
 		g_assert_cmpint(clock_now(), <, deadline);
 		g_usleep(1000);
 	}
 	g_assert_cmpint(listen(k->hanging[0], 0), ==, 0);
 	for (int i = 1; i < 1 + FILLERS; i++)
-		connect(
-		    k->hanging[i], (struct sockaddr *)&addr, sizeof(addr));
+		connect(k->hanging[i], (struct sockaddr *)&addr, sizeof(addr));
 }
 
 static void
