--- a/entry/forward.c
+++ b/entry/forward.c
@@ -135,7 +135,8 @@
 on_call_refused(struct relay_request *r, const char *cause)
 {
 	LOG(LOG_LVL_INFO, "call-refused", { "request", r->info.id },
-	    { "target", str_from(r->target_id) }, { "cause", str_from(cause) });
+	    { "target", str_from(r->target_id) }, { "cause", str_from(cause) },
+	    { "retry_after", r->response.rest_text });
 	if (can_retry(r)) {
 		send_call(r);
 		return;
