--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -24,6 +24,8 @@
 #define ENDLESS_BYTES     ((size_t)64 * 1024 * 1024)
 #define CRASH_DELAY_MS    50 /* from the arrival to the begin of an answer */
 #define CRASH_DOWN_MS     1500
+/* A target that asks for a rest may still get what was on its way. */
+#define REST_GRACE        (500 * USEC_PER_MSEC)
 
 struct target {
 	struct fakeplat *plat;
@@ -35,6 +37,8 @@
 	usec_t last_call;
 	const char *limit; /* that it names; or NULL */
 	GArray *arrivals;  /* usec_t, of all requests */
+	const char *rest;  /* Retry-After of all its answers; or NULL */
+	GArray *refusals;  /* usec_t, of the requests turned away for it */
 	uint32_t restarts;
 	struct event *restart_timer; /* after a crash */
 };
@@ -658,6 +662,16 @@
 		reset_conn(c);
 		return;
 	}
+	if (c->target->rest != NULL) {
+		char fields[96];
+
+		snprintf(fields, sizeof(fields),
+		    "X-Not-Executed: 1\r\nRetry-After: %s\r\n",
+		    c->target->rest);
+		g_array_append_val(c->target->refusals, now);
+		send_response(c, 503, fields, STR(""));
+		return;
+	}
 	if (c->delayed.n > 0 && str_has_prefix(url, STR("/"))) {
 		/* The second response to the previous request is sent first. */
 		bufferevent_write(c->bev, c->delayed.p, c->delayed.n);
@@ -974,6 +988,7 @@
 	t->config = *o;
 	g_strlcpy(t->id, o->id, sizeof(t->id));
 	t->arrivals = g_array_new(FALSE, FALSE, sizeof(usec_t));
+	t->refusals = g_array_new(FALSE, FALSE, sizeof(usec_t));
 	t->listener = listen_at(plat, o->port, on_target_conn, t);
 	t->restart_timer = evtimer_new(plat->base, on_restart, t);
 	pthread_mutex_lock(&plat->lock);
@@ -1035,6 +1050,55 @@
 	return most;
 }
 
+void
+fakeplat_set_rest(struct fakeplat *plat, const char *id, const char *text)
+{
+	pthread_mutex_lock(&plat->lock);
+	find_target(plat, id)->rest = text;
+	pthread_mutex_unlock(&plat->lock);
+}
+
+void
+fakeplat_clear_refusals(struct fakeplat *plat)
+{
+	pthread_mutex_lock(&plat->lock);
+	for (size_t i = 0; i < plat->n_targets; i++)
+		g_array_set_size(plat->targets[i]->refusals, 0);
+	pthread_mutex_unlock(&plat->lock);
+}
+
+static uint32_t
+count_between(const GArray *times, usec_t from, usec_t to)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < times->len; i++) {
+		usec_t at = g_array_index(times, usec_t, i);
+
+		n += at > from && at < to;
+	}
+	return n;
+}
+
+uint32_t
+fakeplat_rest_arrivals(struct fakeplat *plat, const char *id, usec_t rest)
+{
+	uint32_t most = 0;
+	const struct target *t;
+
+	pthread_mutex_lock(&plat->lock);
+	t = find_target(plat, id);
+	for (guint i = 0; i < t->refusals->len; i++) {
+		usec_t at = g_array_index(t->refusals, usec_t, i);
+		uint32_t n =
+		    count_between(t->arrivals, at + REST_GRACE, at + rest);
+
+		most = n > most ? n : most;
+	}
+	pthread_mutex_unlock(&plat->lock);
+	return most;
+}
+
 uint32_t
 fakeplat_arrivals(struct fakeplat *plat, const char *id, usec_t after)
 {
@@ -1169,6 +1233,7 @@
 			evconnlistener_free(plat->targets[i]->listener);
 		event_free(plat->targets[i]->restart_timer);
 		g_array_unref(plat->targets[i]->arrivals);
+		g_array_unref(plat->targets[i]->refusals);
 		free(plat->targets[i]);
 	}
 	evconnlistener_free(plat->listener);
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -77,6 +77,19 @@
  */
 void fakeplat_set_limit(
     struct fakeplat *plat, const char *id, const char *text);
+/*
+ * From now on the target turns all requests away with status 503 and this
+ * Retry-After; NULL: it serves again.  The text must outlive the platform.
+ */
+void fakeplat_set_rest(struct fakeplat *plat, const char *id, const char *text);
+/* Forgets which requests were turned away. */
+void fakeplat_clear_refusals(struct fakeplat *plat);
+/*
+ * Returns how many requests reached it at most between half a second after it
+ * turned one away and the end of a rest that begins at that time.
+ */
+uint32_t fakeplat_rest_arrivals(
+    struct fakeplat *plat, const char *id, usec_t rest);
 /* Returns how many requests of any kind reached the target after a time. */
 uint32_t fakeplat_arrivals(struct fakeplat *plat, const char *id, usec_t after);
 /* Returns the most requests that reached it in any span of this length. */
