Calls: a target that asks a host for a rest gets nothing from it until then

Seen by callers and targets: an engine that turned a host away with 503 and Retry-After: 3 got 3 requests from it in that time, all refused (BUDGET).

Cause: the field was not read. A refusal doesn't count as a failure, and a target that has just refused reports a low load, so it was the next choice again.

Change: all answers to calls, those made by way of another host included, are read in entry/target_calls; kernel/loads keeps the end of the rest. Until then the target gets no request of any kind from this host, not as a last resort either (unlike targets that are set aside). Where all targets rest, requests are rejected at once, with the time until the first rest ends. A host that is asked to make a call to a target that rests from it says so, and another one is asked.

--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -234,10 +234,12 @@
 is_free(const struct target_load *t, usec_t now)
 {
 	return t->in_flight == 0 && now >= t->aside_until &&
-	    target_limit_allows(&t->limit, now);
+	    loads_allows(t, now);
 }
 
-/* Targets that take calls one after the other; those with a limit if no other.
+/*
+ * Targets that take calls one after the other; those with a limit or at rest if
+ * there is no other.
  */
 static uint32_t
 count_usable(const GPtrArray *all, usec_t now)
@@ -250,7 +252,7 @@
 
 		if (now < t->aside_until)
 			continue;
-		if (t->limit.rate > 0)
+		if (t->limit.rate > 0 || now < t->rest_until)
 			n_limited++;
 		else
 			n++;
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -134,9 +134,10 @@
 static void
 on_call_refused(struct relay_request *r, const char *cause)
 {
-	LOG(LOG_LVL_INFO, "call-refused", { "request", r->info.id },
-	    { "target", str_from(r->target_id) }, { "cause", str_from(cause) },
-	    { "retry_after", r->response.rest_text });
+	log_text(LOG_LVL_INFO, "call-refused",
+	    "request %.*s: target %s, %s; it asks for a rest of %" PRId64 " ms",
+	    STR_FMT(r->info.id), r->target_id, cause,
+	    r->response.rest / USEC_PER_MSEC);
 	if (can_retry(r)) {
 		send_call(r);
 		return;
@@ -580,7 +581,7 @@
 		relay_request_reject(r,
 		    &(struct rejection){ ERR_NO_TARGET,
 			retry_after(wait, hash_u64(r->info.id, 0)),
-			"the limits that the targets name are used up" });
+			"the limits or rests of the targets forbid it" });
 	else
 		fail_request(r, ERR_NO_TARGET,
 		    no_target ? "no target is left" : "no time is left");
--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -26,6 +26,7 @@
 /* Values of RESULT_FIELD; a host that doesn't make calls sets none. */
 #define ANSWERED        "answered" /* the rest is the target's response */
 #define NO_PATH         "no-path"  /* of the host to the target: not sent */
+#define AT_REST         "at-rest"  /* the target wants nothing of the host */
 #define NOT_SENT        "not-sent"
 #define BROKEN          "broken"
 
@@ -138,6 +139,22 @@
 		loads_unset_aside(all->pdata[i]);
 }
 
+/* A target has answered a call, to this host or by way of another one. */
+static void
+note_answer(struct target_call *k, const struct httpmsg *m)
+{
+	struct target_load *t = loads_find(k->calls->o.loads, k->target);
+	struct response_info answer;
+
+	platform_response_parse(m, &answer);
+	if (t == NULL || answer.rest == 0)
+		return;
+	loads_rest(t, answer.rest, clock_now());
+	log_text(LOG_LVL_INFO, "target-rests",
+	    "%s of %s wants nothing from this host for %" PRId64 " ms",
+	    k->target, k->service, answer.rest / USEC_PER_MSEC);
+}
+
 static void
 free_call(struct target_call *k)
 {
@@ -195,6 +212,8 @@
 
 	if (ev == DIAL_HEAD || ev == DIAL_BODY) {
 		paths_call_heard(&x->paths, k->service, clock_now());
+		if (ev == DIAL_HEAD)
+			note_answer(k, m);
 		k->o.handler(k->o.arg, ev, m);
 		return;
 	}
@@ -243,11 +262,10 @@
 	buf_free(&text);
 }
 
-/* Takes another host after one that could not make the call. */
+/* Takes another host after one that didn't make the call. */
 static void
 try_next_host(struct target_call *k)
 {
-	paths_host_failed(&k->calls->paths, k->host, clock_now());
 	if (!start_by_host(k))
 		finish_call(k, DIAL_UNSENT, NULL);
 }
@@ -262,9 +280,27 @@
 		return NO_PATH;
 	if (str_eq(result, STR(ANSWERED)))
 		return NULL;
+	if (str_eq(result, STR(AT_REST)))
+		return AT_REST;
 	return str_eq(result, STR(NOT_SENT)) ? NOT_SENT : BROKEN;
 }
 
+/* The other host has reported a result other than ANSWERED. */
+static void
+on_host_failure(struct target_call *k)
+{
+	if (strcmp(k->failure, NO_PATH) == 0) {
+		paths_host_failed(&k->calls->paths, k->host, clock_now());
+		try_next_host(k);
+	} else if (strcmp(k->failure, AT_REST) == 0) {
+		try_next_host(k);
+	} else if (strcmp(k->failure, NOT_SENT) == 0) {
+		finish_call(k, DIAL_UNSENT, NULL);
+	} else {
+		finish_call(k, DIAL_BROKEN, NULL);
+	}
+}
+
 static void
 on_host_event(void *arg, enum dial_event ev, const struct httpmsg *m)
 {
@@ -275,6 +311,7 @@
 		k->failure = find_failure(m);
 		if (k->failure != NULL)
 			return;
+		note_answer(k, m);
 		break;
 	case DIAL_BODY:
 		if (k->failure != NULL)
@@ -285,15 +322,10 @@
 			finish_call(k, ev, m);
 			return;
 		}
-		if (strcmp(k->failure, NO_PATH) == 0)
-			try_next_host(k);
-		else
-			finish_call(k,
-			    strcmp(k->failure, NOT_SENT) == 0 ? DIAL_UNSENT
-							      : DIAL_BROKEN,
-			    NULL);
+		on_host_failure(k);
 		return;
 	case DIAL_UNSENT:
+		paths_host_failed(&k->calls->paths, k->host, clock_now());
 		try_next_host(k);
 		return;
 	case DIAL_BROKEN:
@@ -594,7 +626,9 @@
 		return NO_PATH;
 	if (t == NULL || !t->listed || t->leaving || t->entry.leaving)
 		return NOT_SENT;
-	return paths_is_direct(&x->paths, t->entry.service) ? NULL : NO_PATH;
+	if (!paths_is_direct(&x->paths, t->entry.service))
+		return NO_PATH;
+	return clock_now() < t->rest_until ? AT_REST : NULL;
 }
 
 void
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -228,6 +228,7 @@
 			t->aside_until = 0;
 			t->speed = (struct target_speed){ 0 };
 			t->limit = (struct target_limit){ 0 };
+			t->rest_until = 0;
 			t->bad_limit = false;
 		}
 		t->entry = *e;
@@ -382,7 +383,7 @@
 		double c;
 
 		if (already_tried(q, t) || !has_version(q, t) ||
-		    !target_limit_allows(&t->limit, now) ||
+		    !loads_allows(t, now) ||
 		    (!use_set_aside && now < t->aside_until))
 			continue;
 		c = cost(l, q, t, preferred, input_domain, now) +
@@ -417,11 +418,26 @@
 		const struct target_load *t = all->pdata[i];
 		usec_t wait = target_limit_wait(&t->limit, now);
 
+		if (t->rest_until - now > wait)
+			wait = t->rest_until - now;
 		shortest = wait < shortest ? wait : shortest;
 	}
 	return shortest < INT64_MAX ? shortest : 0;
 }
 
+void
+loads_rest(struct target_load *t, usec_t time, usec_t now)
+{
+	if (now + time > t->rest_until)
+		t->rest_until = now + time;
+}
+
+bool
+loads_allows(const struct target_load *t, usec_t now)
+{
+	return now >= t->rest_until && target_limit_allows(&t->limit, now);
+}
+
 void
 loads_sent(struct target_load *t, usec_t now)
 {
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -7,7 +7,9 @@
  * that read the same reports would all choose the same target, so ties are
  * broken at random, and a target that may have cached a prompt's shared parts
  * is preferred unless its load is much higher.  A target that fails is set
- * aside, unless that would leave none.
+ * aside, unless that would leave none.  A target that turns requests away looks
+ * idle, so it would be chosen again at once: if it asks this host for a rest,
+ * it gets nothing until then.
  *
  * A struct loads has no locks: one thread owns it.  Times are in microseconds.
  */
@@ -40,6 +42,8 @@
 	struct target_limit limit;
 	bool bad_limit; /* its last answer named a malformed one */
 	usec_t aside_until;
+	/* The target has asked this host for no request until then. */
+	usec_t rest_until;
 };
 
 struct loads {
@@ -112,8 +116,8 @@
     const struct loads *l, const char *service, const char *domain);
 
 /*
- * Time until a target of the service may be sent a request, if the limits of
- * all of them are used up; else 0.
+ * Time until a target of the service may be sent a request, if the limits or
+ * rests of all of them forbid it now; else 0.
  */
 usec_t loads_limit_wait(const struct loads *l, const char *service, usec_t now);
 /*
@@ -147,6 +151,13 @@
  * number.
  */
 uint32_t loads_conn_share(uint32_t max_conns, uint32_t hosts);
+/*
+ * The target has turned a request of this host away and wants none for a time.
+ * Unlike a target that is set aside, it isn't used as a last resort either.
+ */
+void loads_rest(struct target_load *t, usec_t time, usec_t now);
+/* Whether the target's limit and rest allow a request of this host now. */
+bool loads_allows(const struct target_load *t, usec_t now);
 /* Marks a target that takes no new calls from now on. */
 void loads_mark_leaving(struct loads *l, struct target_load *t);
 void loads_free(struct loads *l);
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -709,6 +709,75 @@
 	}
 }
 
+/*
+ * A target that asks for a rest gets nothing until its end, even if there is no
+ * other target, whatever it or another answer says in between.
+ */
+static void
+test_loads_rest(void)
+{
+	static const struct {
+		const char *name;
+		usec_t rest, again_at, again; /* a second rest */
+		bool other;                   /* there is another target */
+		bool restart; /* the target restarts under its id */
+		usec_t at;
+		const char *chosen; /* or NULL */
+		usec_t wait;
+	} rows[] = {
+		{ "the other target", 2000 * MS, 0, 0, true, false, 1000 * MS,
+		    "u", 0 },
+		{ "no other target", 2000 * MS, 0, 0, false, false, 500 * MS,
+		    NULL, 1500 * MS },
+		{ "over", 2000 * MS, 0, 0, false, false, 2000 * MS, "t", 0 },
+		{ "a shorter rest later", 2000 * MS, 500 * MS, 300 * MS, false,
+		    false, 1500 * MS, NULL, 500 * MS },
+		{ "a longer rest later", 1000 * MS, 500 * MS, 2000 * MS, false,
+		    false, 1500 * MS, NULL, 1000 * MS },
+		{ "restarted", 2000 * MS, 0, 0, false, true, 500 * MS, "t", 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct loads l;
+		g_autoptr(GArray) targets =
+		    g_array_new(FALSE, TRUE, sizeof(struct target_entry));
+		struct target_entry e = { .id = "t",
+			.addr = "1.1.1.1:1",
+			.service = "s",
+			.domain = "d" };
+		struct loads_query q = { .service = "s" };
+		struct target_load *t;
+
+		g_test_message("%s", rows[i].name);
+		g_array_append_val(targets, e);
+		e = (struct target_entry){ .id = "u",
+			.addr = "1.1.1.1:2",
+			.service = "s",
+			.domain = "other" };
+		if (rows[i].other)
+			g_array_append_val(targets, e);
+		loads_init(&l, "d", 1);
+		loads_update(&l, targets);
+		t = loads_find(&l, "t");
+		loads_sent(t, 0);
+		loads_rest(t, rows[i].rest, 0);
+		loads_ended(&l, "t", LOADS_OK, 0);
+		if (rows[i].again > 0)
+			loads_rest(t, rows[i].again, rows[i].again_at);
+		if (rows[i].restart)
+			g_array_index(targets, struct target_entry, 0).born_ms =
+			    7;
+		loads_update(&l, targets);
+		t = loads_choose(&l, &q, rows[i].at);
+		g_assert_cmpstr(
+		    t != NULL ? t->entry.id : NULL, ==, rows[i].chosen);
+		if (!rows[i].other)
+			g_assert_cmpint(loads_limit_wait(&l, "s", rows[i].at),
+			    ==, rows[i].wait);
+		loads_free(&l);
+	}
+}
+
 /*
  * Idle connections to a target are divided among the hosts, at least one each.
  */
@@ -961,6 +1030,7 @@
 	g_test_add_func("/loads/choose", test_loads_choose);
 	g_test_add_func("/loads/full", test_loads_full);
 	g_test_add_func("/loads/failed-call", test_loads_failed_call);
+	g_test_add_func("/loads/rest", test_loads_rest);
 	g_test_add_func("/loads/conn-share", test_loads_conn_share);
 	g_test_add_func("/loads/affinity", test_loads_affinity);
 	g_test_add_func("/loads/restart", test_loads_restart);
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -327,6 +327,41 @@
 	}
 }
 
+/* A Retry-After is the host's to keep only beside a 503. */
+static void
+test_rest(void)
+{
+	static const struct {
+		int status;
+		const char *value;
+		usec_t rest;
+	} cases[] = {
+		{ 503, "3", 3 * USEC_PER_SEC },
+		{ 503, "0.25", 250 * USEC_PER_MSEC },
+		{ 503, "0", 0 },
+		{ 503, "soon", 0 },
+		{ 503, "-1", 0 },
+		{ 503, "99999999999999999999", 86400 * USEC_PER_SEC },
+		{ 429, "3", 0 },
+		{ 200, "3", 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text =
+		    g_strdup_printf("HTTP/1.1 %d X\r\nRetry-After: %s\r\n"
+				    "Content-Length: 0\r\n\r\n",
+			cases[i].status, cases[i].value);
+		struct httpmsg m;
+		struct response_info f;
+
+		parse(&m, HTTP_RESPONSE, text);
+		platform_response_parse(&m, &f);
+		g_test_message("%s", text);
+		g_assert_cmpint(f.rest, ==, cases[i].rest);
+		httpmsg_free(&m);
+	}
+}
+
 static void
 test_stage(void)
 {
@@ -500,6 +535,7 @@
 	g_test_add_func("/call-head", test_call_head);
 	g_test_add_func("/response", test_response);
 	g_test_add_func("/limit", test_limit);
+	g_test_add_func("/rest", test_rest);
 	g_test_add_func("/stage", test_stage);
 	g_test_add_func("/store", test_store);
 	g_test_add_func("/names", test_names);
