Calls: a target that says in its answers that it leaves gets nothing more

The platform's targets say so in all their answers (Server-Leaving); DRAIN holds from the first of them. Only the store's entry, a 421 and other hosts were heard. entry/target_calls marks the target as leaving with its answer.

--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -147,7 +147,14 @@
 	struct response_info answer;
 
 	platform_response_parse(m, &answer);
-	if (t == NULL || answer.rest == 0)
+	if (t == NULL)
+		return;
+	if (answer.leaving && !t->leaving) {
+		log_text(LOG_LVL_INFO, "target-leaving",
+		    "%s of %s says so in its answer", k->target, k->service);
+		loads_mark_leaving(k->calls->o.loads, t);
+	}
+	if (answer.rest == 0)
 		return;
 	loads_rest(t, answer.rest, clock_now());
 	log_text(LOG_LVL_INFO, "target-rests",
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -37,6 +37,7 @@
 	usec_t last_call;
 	const char *limit; /* that it names; or NULL */
 	GArray *arrivals;  /* usec_t, of all requests */
+	bool leaving;      /* says so in all its answers */
 	const char *rest;  /* Retry-After of all its answers; or NULL */
 	GArray *refusals;  /* usec_t, of the requests turned away for it */
 	uint32_t restarts;
@@ -354,26 +355,25 @@
 
 /* Calls to targets. */
 
-/* Formats the field of the target's limit; empty if it has none. */
+/* Formats the fields in which the target tells of itself. */
 static void
-format_limit(const struct target *t, char *out, size_t n)
+format_state(const struct target *t, char *out, size_t n)
 {
-	if (t->limit == NULL)
-		out[0] = '\0';
-	else
-		snprintf(out, n, "Server-Limit: %s\r\n", t->limit);
+	snprintf(out, n, "%s%s%s%s", t->limit != NULL ? "Server-Limit: " : "",
+	    t->limit != NULL ? t->limit : "", t->limit != NULL ? "\r\n" : "",
+	    t->leaving ? "Server-Leaving: 1\r\n" : "");
 }
 
 static void
 format_fields(struct conn *c, char *out, size_t n)
 {
-	char limit[64];
+	char state[96];
 
-	format_limit(c->target, limit, sizeof(limit));
+	format_state(c->target, state, sizeof(state));
 	snprintf(out, n,
 	    "X-Attempt-Id: %s\r\nX-Runner-Seal: s.%s\r\n"
 	    "X-Runner-Load: 1,0,4\r\n%s",
-	    c->attempt, c->target->id, limit);
+	    c->attempt, c->target->id, state);
 }
 
 /* Writes more of an answer without end. */
@@ -721,11 +721,11 @@
 		send_endless(c);
 	} else if (strcmp(c->behavior, "stage") == 0) {
 		struct buf body = c->delayed;
-		char limit[64];
+		char state[96];
 
-		format_limit(c->target, limit, sizeof(limit));
+		format_state(c->target, state, sizeof(state));
 		c->delayed = (struct buf){ 0 };
-		send_response(c, 200, limit, str_of(&body));
+		send_response(c, 200, state, str_of(&body));
 		buf_free(&body);
 	} else if (str_has_prefix(httpmsg_url(&c->request), STR("/stream"))) {
 		send_event(c);
@@ -1058,6 +1058,14 @@
 	pthread_mutex_unlock(&plat->lock);
 }
 
+void
+fakeplat_set_leaving(struct fakeplat *plat, const char *id, bool leaving)
+{
+	pthread_mutex_lock(&plat->lock);
+	find_target(plat, id)->leaving = leaving;
+	pthread_mutex_unlock(&plat->lock);
+}
+
 void
 fakeplat_clear_refusals(struct fakeplat *plat)
 {
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -82,6 +82,11 @@
  * Retry-After; NULL: it serves again.  The text must outlive the platform.
  */
 void fakeplat_set_rest(struct fakeplat *plat, const char *id, const char *text);
+/*
+ * From now on the target says in all its answers whether it leaves; its entry
+ * in the store stays as it is.
+ */
+void fakeplat_set_leaving(struct fakeplat *plat, const char *id, bool leaving);
 /* Forgets which requests were turned away. */
 void fakeplat_clear_refusals(struct fakeplat *plat);
 /*
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -252,6 +252,7 @@
 	static const struct {
 		const char *head;
 		bool not_executed, has_signature, misdirected, has_load;
+		bool leaving;
 	} cases[] = {
 		{ "200 OK\r\nX-Runner-Seal: a\r\nX-Runner-Load: 3,0,8", false,
 		    true, false, true },
@@ -259,6 +260,9 @@
 		{ "421 No\r\nX-Runner-Id: b", true, false, true, false },
 		{ "500 No\r\nX-Runner-Load: 3,x,8", false, false, false,
 		    false },
+		{ "200 OK\r\nServer-Leaving: 1", false, false, false, false,
+		    true },
+		{ "200 OK\r\nServer-Leaving: 0", false, false, false, false },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -273,6 +277,7 @@
 		g_assert_cmpint(f.has_signature, ==, cases[i].has_signature);
 		g_assert_cmpint(f.misdirected, ==, cases[i].misdirected);
 		g_assert_cmpint(f.has_load, ==, cases[i].has_load);
+		g_assert_cmpint(f.leaving, ==, cases[i].leaving);
 		httpmsg_free(&m);
 	}
 }
--- a/tests/platform/test_target_rest.c
+++ b/tests/platform/test_target_rest.c
@@ -2,6 +2,8 @@
  * Targets that turn a host away with 503 and a Retry-After: within that time
  * the host sends them at most the two requests that the platform allows, while
  * other targets serve what it has.  One host, as each has a rest of its own.
+ *
+ * Then targets that say in their answers only that they leave.
  */
 #include "tests/platform/harness.h"
 
@@ -21,6 +23,8 @@
 #define CASE_TIME       (5 * USEC_PER_SEC)
 /* Requests that may reach a target while it rests. */
 #define ALLOWED         2
+/* The platform's bound DrainMs. */
+#define DRAIN_TIME      (2 * USEC_PER_SEC)
 
 static const struct {
 	const char *path, *prefix, *extra_fields;
@@ -151,6 +155,31 @@
 	g_assert_cmpuint(atomic_load(&n_failed), ==, 0);
 }
 
+/* A target whose answers say that it leaves gets nothing after DrainMs. */
+static void
+test_leaving(void)
+{
+	usec_t begun;
+
+	clear_counts();
+	for (size_t i = 0; i < G_N_ELEMENTS(targets); i += 2)
+		fakeplat_set_leaving(platform, targets[i].id, true);
+	g_usleep((gulong)DRAIN_TIME);
+	begun = clock_now();
+	g_usleep((gulong)CASE_TIME / 2);
+	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++) {
+		uint32_t n = fakeplat_arrivals(platform, targets[i].id, begun);
+
+		g_test_message("%s: %u requests", targets[i].id, n);
+		if (i % 2 == 0)
+			g_assert_cmpuint(n, ==, 0);
+		else
+			g_assert_cmpuint(n, >, 0);
+	}
+	g_assert_cmpuint(atomic_load(&n_rejected), ==, 0);
+	g_assert_cmpuint(atomic_load(&n_failed), ==, 0);
+}
+
 static void
 start_fleet(void)
 {
@@ -188,6 +217,7 @@
 
 		g_test_add_data_func(path, &cases[i], run_case);
 	}
+	g_test_add_func("/target-rest/leaving", test_leaving);
 	rc = g_test_run();
 	atomic_store(&stopping, true);
 	for (int i = 0; i < CALLERS; i++)
