--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -121,7 +121,7 @@
 static void
 note_failed(struct target_calls *x, const char *service, const char *target)
 {
-	const GPtrArray *all = loads_usable(x->o.loads, service);
+	const GPtrArray *all;
 	usec_t now = clock_now();
 
 	if (!paths_failed(
@@ -135,6 +135,7 @@
 	if (paths_is_silent(&x->paths, service, now))
 		x->o.on_path_lost(x->o.arg, service);
 	/* The path failed, not the targets. */
+	all = loads_usable(x->o.loads, service);
 	for (guint i = 0; all != NULL && i < all->len; i++)
 		loads_unset_aside(all->pdata[i]);
 }
