--- a/entry/control.c
+++ b/entry/control.c
@@ -215,6 +215,10 @@
 	case PEER_STREAM:
 	case PEER_STREAM_ASK:
 	case PEER_STREAM_REPLY:
+	case PEER_STREAM_RECORD:
+	case PEER_STREAM_RECORDED:
+	case PEER_STREAM_LOOK:
+	case PEER_STREAM_FOUND:
 		break; /* sent only by hosts that relay by route */
 	}
 }
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -106,7 +106,7 @@
 			discovery_config_from_store(d, value);
 		else if (str_eq(key, STR(HOSTS_KEY)))
 			discovery_read_hosts(d, value);
-		else
+		else if (!discovery_stream_item(d, key, value))
 			discovery_quarantine_item(d, key, value, false);
 		break;
 	case WATCHER_DELETE:
@@ -117,6 +117,7 @@
 		break;
 	case WATCHER_LIST_END:
 		roster_finish(&d->roster, clock_now());
+		discovery_streams_listed(d);
 		/* In a large fleet the next changes come from a feeder. */
 		if (d->feed_received_at == 0)
 			d->feed_received_at = clock_now();
@@ -200,6 +201,8 @@
 	case PEER_STREAM:
 	case PEER_STREAM_ASK:
 	case PEER_STREAM_REPLY:
+	case PEER_STREAM_RECORDED:
+	case PEER_STREAM_FOUND:
 		d->o.relay_datagram(d->o.arg, l);
 		return;
 	case PEER_GOSSIP:
@@ -213,6 +216,8 @@
 	case PEER_QUARANTINE:
 	case PEER_SUSPECTS:
 	case PEER_KNOWN:
+	case PEER_STREAM_RECORD:
+	case PEER_STREAM_LOOK:
 		break;
 	}
 	m = inbox_msg_new(INBOX_DATAGRAM);
@@ -279,7 +284,7 @@
 				    d->fleet, &m->datagram, clock_now());
 			else if (m->datagram.body.kind == PEER_FEED)
 				discovery_on_feed(d, &m->datagram, clock_now());
-			else
+			else if (!discovery_on_streams(d, &m->datagram))
 				discovery_on_quarantine(d, &m->datagram);
 			break;
 		case INBOX_FETCHED:
@@ -366,6 +371,7 @@
 	v->hosts_listed = d->hosts_listed;
 	v->store_unavailable = d->store_unavailable;
 	v->quarantine = quarantine_copy(&d->quarantine);
+	v->stream_bases = discovery_copy_bases(d);
 	v->created_at = now;
 	d->o.publish_view(d->o.arg, v);
 }
@@ -410,7 +416,10 @@
 	discovery_feed_heartbeat(d, now);
 	discovery_write_hosts(d, now);
 	discovery_send_quarantine(d, now);
+	discovery_update_bases(d, now);
+	discovery_record_streams(d, now);
 	publish(d, now);
+	next = earlier(next, discovery_record_due(d));
 	if (d->suspects_waiting)
 		next = earlier(next, now + SUSPECTS_INTERVAL);
 	if (d->hosts_dirty)
@@ -418,6 +427,8 @@
 		    earlier(next, d->view_published_at + HOSTS_VIEW_INTERVAL);
 	http_run(d->loop, next > now ? next - now : 0);
 	process_inbox(d);
+	discovery_record_streams(d, clock_now());
+	discovery_look_up_streams(d);
 	discovery_blame_parts(d);
 	discovery_apply_config(d, clock_now());
 	discovery_send_quarantine(d, clock_now());
@@ -495,6 +506,7 @@
 	roster_init(&d->roster);
 	quarantine_init(&d->quarantine);
 	d->suspects = discovery_new_suspects();
+	d->streams = discovery_new_streams();
 	d->loop = http_new();
 	d->inbox = inbox_new();
 	open_store(d);
@@ -596,6 +608,7 @@
 	g_hash_table_destroy(d->quarantine_values);
 	quarantine_free(&d->quarantine);
 	g_hash_table_destroy(d->suspects);
+	discovery_free_streams(d->streams);
 	buf_free(&d->config_text);
 	buf_free(&d->queued_config);
 	buf_free(&d->config_compressed);
--- a/entry/discovery_feed.c
+++ b/entry/discovery_feed.c
@@ -77,8 +77,12 @@
 	for (size_t i = 0; i < c->n && c->n <= PEER_FEED_ITEMS; i++) {
 		const struct kv_change *x = &c->v[i];
 
-		/* Receivers learn of other hosts by gossip. */
-		if (str_eq(str_of(&x->key), STR(HOSTS_KEY)))
+		/*
+		 * Receivers learn of other hosts by gossip, and read recorded
+		 * streams when they need them.
+		 */
+		if (str_eq(str_of(&x->key), STR(HOSTS_KEY)) ||
+		    discovery_is_stream_record(str_of(&x->key)))
 			continue;
 		items[n].key = x->key.p;
 		items[n].deleted = x->deleted;
--- a/entry/discovery_quarantine.c
+++ b/entry/discovery_quarantine.c
@@ -361,6 +361,10 @@
 	case PEER_STREAM:
 	case PEER_STREAM_ASK:
 	case PEER_STREAM_REPLY:
+	case PEER_STREAM_RECORD:
+	case PEER_STREAM_RECORDED:
+	case PEER_STREAM_LOOK:
+	case PEER_STREAM_FOUND:
 		break; /* not about quarantined parts */
 	}
 }
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -2,7 +2,8 @@
  * State shared by the discovery files: discovery.c runs the thread and handles
  * store events and targets, discovery_config.c receives, applies and serves
  * configurations, discovery_feed.c forwards store changes between hosts,
- * discovery_quarantine.c finds and shares the quarantined parts of prompts.
+ * discovery_quarantine.c finds and shares the quarantined parts of prompts,
+ * discovery_streams.c records the versions of streams in the store.
  *
  * All functions run on the discovery thread, except discovery_serve_config,
  * which runs on the RPC thread.
@@ -17,6 +18,7 @@
 #include "kernel/crash_suspects.h"
 #include "kernel/host_list.h"
 #include "kernel/quarantine.h"
+#include "kernel/stream_records.h"
 #include "plat/watcher.h"
 
 #include <pthread.h>
@@ -26,6 +28,8 @@
 #define CONFIG_NAME "config"
 #define FROM_STORE  "the store"
 
+struct stream_store;
+
 struct discovery {
 	struct discovery_opts o;
 	pthread_t thread;
@@ -64,6 +68,7 @@
 	GHashTable *suspects;  /* service -> struct crash_suspects */
 	bool crashes_reported; /* since the parts to blame were looked for */
 	bool suspects_waiting; /* for replies of the hosts */
+	struct stream_store *streams;
 	bool feed_gap; /* changes are missing that only a long poll returns */
 	usec_t feed_received_at;
 	usec_t feed_sent_at;
@@ -142,6 +147,32 @@
  */
 void discovery_send_quarantine(struct discovery *d, usec_t now);
 
+/* Versions of streams in the store (discovery_streams.c). */
+struct stream_store *discovery_new_streams(void);
+void discovery_free_streams(struct stream_store *s);
+/* Returns a table of service -> base version. */
+GHashTable *discovery_copy_bases(const struct discovery *d);
+/*
+ * Handles PEER_STREAM_RECORD and PEER_STREAM_LOOK; returns false for other
+ * datagrams.
+ */
+bool discovery_on_streams(struct discovery *d, const peer_letter *l);
+/* Handles an item of the store that is written; returns false for others. */
+bool discovery_stream_item(
+    struct discovery *d, struct str key, struct str value);
+/* Whether a key of the store is that of recorded streams. */
+bool discovery_is_stream_record(struct str key);
+/* The store has been listed completely. */
+void discovery_streams_listed(struct discovery *d);
+/* Writes records when due; call it after datagrams and regularly. */
+void discovery_record_streams(struct discovery *d, usec_t now);
+/* Returns when the next record is due; 0: none waits. */
+usec_t discovery_record_due(const struct discovery *d);
+/* Looks the streams up that are asked for; call it after datagrams. */
+void discovery_look_up_streams(struct discovery *d);
+/* Keeps the base versions up to date; call it regularly. */
+void discovery_update_bases(struct discovery *d, usec_t now);
+
 /* Whether this host relies on feeders instead of polling the store. */
 bool discovery_has_feeder(struct discovery *d, usec_t now);
 /* Whether this host is the first of the feeders, or of a small fleet. */
--- /dev/null
+++ b/entry/discovery_streams.c
@@ -0,0 +1,401 @@
+/*
+ * Records the versions of streams in the store for all hosts that ask this one,
+ * keeps the base versions there, and looks streams up
+ * (kernel/stream_records.h).
+ */
+#include "entry/discovery_state.h"
+#include "base/log.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define RECORDS_PREFIX "sequoia/streams/"
+#define BASES_KEY      "sequoia/versions"
+/*
+ * Items that a recorder writes in turn.  After a write without an answer it
+ * takes the next one, as the write may take effect seconds later and would
+ * replace a newer value.
+ */
+#define RECORD_ITEMS   (4 * STREAM_RECORD_SLOTS)
+/* Interval in which a write without an answer is repeated. */
+#define RETRY_PAUSE    (200 * USEC_PER_MSEC)
+/* Streams that wait to be recorded; further ones are dropped. */
+#define MAX_WAITING    4096
+#define LIST_INTERVAL  (1 * USEC_PER_SEC)
+
+/* A stream that is to be recorded. */
+struct waiting_stream {
+	char rpc[MAX_ADDR_BYTES]; /* of the host that asks */
+	uint64_t ask;
+	uint64_t hash;
+	char service[64];
+	char version[STREAM_VERSION_BYTES];
+};
+
+/* A stream that the relay of this host looks for. */
+struct waiting_look {
+	uint64_t ask;
+	char *service;
+	struct stream_record_search search;
+};
+
+struct stream_store {
+	struct stream_records records;
+	GArray *waiting; /* struct waiting_stream, not in records */
+	GArray *written; /* the same, in records but not in the store */
+	bool put_in_flight;
+	usec_t put_at;
+	uint32_t item; /* number of the current one */
+	bool dropped;  /* streams, since the last write */
+	struct stream_bases bases;
+	bool bases_changed; /* and are not in the store */
+	bool bases_in_flight;
+	usec_t listed_at;
+	GPtrArray *looks;   /* struct waiting_look, for the next reading */
+	GPtrArray *reading; /* the same, of the reading in progress; or NULL */
+	struct buf last_key;
+};
+
+static void
+free_look(gpointer p)
+{
+	struct waiting_look *k = p;
+
+	g_free(k->service);
+	g_free(k);
+}
+
+struct stream_store *
+discovery_new_streams(void)
+{
+	struct stream_store *s = xcalloc(1, sizeof(*s));
+
+	stream_records_init(&s->records);
+	stream_bases_init(&s->bases);
+	s->waiting = g_array_new(FALSE, TRUE, sizeof(struct waiting_stream));
+	s->written = g_array_new(FALSE, TRUE, sizeof(struct waiting_stream));
+	s->looks = g_ptr_array_new_with_free_func(free_look);
+	return s;
+}
+
+void
+discovery_free_streams(struct stream_store *s)
+{
+	stream_records_free(&s->records);
+	stream_bases_free(&s->bases);
+	g_array_unref(s->waiting);
+	g_array_unref(s->written);
+	g_ptr_array_unref(s->looks);
+	if (s->reading != NULL)
+		g_ptr_array_unref(s->reading);
+	buf_free(&s->last_key);
+	free(s);
+}
+
+GHashTable *
+discovery_copy_bases(const struct discovery *d)
+{
+	GHashTable *out =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	GHashTableIter it;
+	gpointer service;
+	gpointer version;
+
+	g_hash_table_iter_init(&it, d->streams->bases.by_service);
+	while (g_hash_table_iter_next(&it, &service, &version))
+		g_hash_table_insert(out, g_strdup(service), g_strdup(version));
+	return out;
+}
+
+/* Recording. */
+
+/* Tells the hosts whose streams are in the store now. */
+static void
+reply_recorded(struct discovery *d, GArray *streams)
+{
+	uint64_t asks[PEER_RECORDED_MAX];
+	peer_body body = { .kind = PEER_STREAM_RECORDED };
+	peer_stream_recorded *m = &body.peer_body_u.stream_recorded;
+
+	m->asks.asks_val = asks;
+	while (streams->len > 0) {
+		struct waiting_stream first =
+		    g_array_index(streams, struct waiting_stream, 0);
+
+		m->asks.asks_len = 0;
+		for (guint i = streams->len;
+		     i-- > 0 && m->asks.asks_len < PEER_RECORDED_MAX;) {
+			const struct waiting_stream *w =
+			    &g_array_index(streams, struct waiting_stream, i);
+
+			if (strcmp(w->rpc, first.rpc) != 0)
+				continue;
+			asks[m->asks.asks_len++] = w->ask;
+			g_array_remove_index_fast(streams, i);
+		}
+		rpc_send(d->rpc, first.rpc, &body);
+	}
+}
+
+static void
+on_recorded(void *arg, const struct kv_result *r)
+{
+	struct discovery *d = arg;
+	struct stream_store *s = d->streams;
+
+	s->put_in_flight = false;
+	if (r->status == KV_OK) {
+		reply_recorded(d, s->written);
+		return;
+	}
+	log_text(LOG_LVL_NOTICE, "streams-not-recorded",
+	    "%u streams; the write is repeated", s->written->len);
+	s->item++;
+}
+
+/* Moves the waiting streams to the records of the current second. */
+static void
+take_waiting(struct stream_store *s)
+{
+	int64_t second = clock_wall() / USEC_PER_SEC;
+
+	/* Records that are not in the store yet stay with their second. */
+	if (s->written->len > 0)
+		second = s->records.second;
+	else if (second > s->records.second)
+		s->item++;
+	for (guint i = 0; i < s->waiting->len; i++) {
+		const struct waiting_stream *w =
+		    &g_array_index(s->waiting, struct waiting_stream, i);
+
+		stream_records_add(
+		    &s->records, second, w->service, w->version, w->hash);
+		g_array_append_val(s->written, *w);
+	}
+	g_array_set_size(s->waiting, 0);
+	s->records.full = s->records.full || s->dropped;
+	s->dropped = false;
+}
+
+void
+discovery_record_streams(struct discovery *d, usec_t now)
+{
+	struct stream_store *s = d->streams;
+	usec_t pause = s->written->len > 0 ? RETRY_PAUSE : STREAM_RECORD_PAUSE;
+	g_autofree char *key = NULL;
+	struct buf value = { 0 };
+
+	if (s->waiting->len + s->written->len == 0 || s->put_in_flight ||
+	    d->store_unavailable || now - s->put_at < pause)
+		return;
+	take_waiting(s);
+	s->put_in_flight = true;
+	s->put_at = now;
+	key = g_strdup_printf(
+	    RECORDS_PREFIX "%s/%u", d->o.settings->id, s->item % RECORD_ITEMS);
+	stream_records_write(&s->records, &value);
+	kv_put_item(d->kv, str_from(key), str_of(&value), on_recorded, d);
+	buf_free(&value);
+}
+
+usec_t
+discovery_record_due(const struct discovery *d)
+{
+	const struct stream_store *s = d->streams;
+
+	if (s->waiting->len == 0 || s->put_in_flight || d->store_unavailable)
+		return 0;
+	return s->put_at + STREAM_RECORD_PAUSE;
+}
+
+static void
+on_record(struct discovery *d, const char *rpc, const peer_stream_record *m)
+{
+	struct stream_store *s = d->streams;
+	struct waiting_stream w = { .ask = m->ask,
+		.hash = stream_record_hash(str_from(m->id)) };
+
+	if (s->waiting->len >= MAX_WAITING) {
+		s->dropped = true;
+		return;
+	}
+	g_strlcpy(w.rpc, rpc, sizeof(w.rpc));
+	g_strlcpy(w.service, m->service, sizeof(w.service));
+	g_strlcpy(w.version, m->software, sizeof(w.version));
+	g_array_append_val(s->waiting, w);
+}
+
+/* Looking up. */
+
+static void
+reply_found(struct discovery *d, const struct waiting_look *k, bool readable)
+{
+	peer_letter l = { .body.kind = PEER_STREAM_FOUND };
+	peer_stream_found *m = &l.body.peer_body_u.stream_found;
+
+	m->ask = k->ask;
+	m->readable = readable;
+	m->found = k->search.found;
+	m->incomplete = k->search.incomplete;
+	m->software = str_dup(str_from(k->search.version));
+	l.from = str_dup(str_from(d->o.settings->id));
+	l.rpc = str_dup(str_from(d->o.settings->rpc));
+	d->o.relay_datagram(d->o.arg, &l);
+	xdr_free((xdrproc_t)xdr_peer_letter, (char *)&l);
+}
+
+static void
+end_reading(struct discovery *d, bool readable)
+{
+	GPtrArray *looks = d->streams->reading;
+
+	d->streams->reading = NULL;
+	for (guint i = 0; i < looks->len; i++)
+		reply_found(d, looks->pdata[i], readable);
+	g_ptr_array_unref(looks);
+}
+
+static void
+on_page(void *arg, enum kv_status st, const struct kv_changes *c)
+{
+	struct discovery *d = arg;
+	struct stream_store *s = d->streams;
+
+	if (st != KV_OK) {
+		end_reading(d, false);
+		return;
+	}
+	for (size_t i = 0; i < c->n; i++) {
+		for (guint k = 0; k < s->reading->len; k++) {
+			struct waiting_look *look = s->reading->pdata[k];
+
+			stream_record_look(
+			    &look->search, str_of(&c->v[i].value));
+		}
+	}
+	if (!c->more || c->n == 0) {
+		end_reading(d, true);
+		return;
+	}
+	buf_clear(&s->last_key);
+	buf_put(&s->last_key, str_of(&c->v[c->n - 1].key));
+	kv_range(d->kv, STR(RECORDS_PREFIX), str_of(&s->last_key), on_page, d);
+}
+
+void
+discovery_look_up_streams(struct discovery *d)
+{
+	struct stream_store *s = d->streams;
+
+	if (s->looks->len == 0 || s->reading != NULL)
+		return;
+	s->reading = s->looks;
+	s->looks = g_ptr_array_new_with_free_func(free_look);
+	if (d->store_unavailable)
+		end_reading(d, false);
+	else
+		kv_range(d->kv, STR(RECORDS_PREFIX), STR(""), on_page, d);
+}
+
+static void
+on_look(struct discovery *d, const peer_stream_look *m)
+{
+	struct waiting_look *k = g_new0(struct waiting_look, 1);
+
+	k->ask = m->ask;
+	k->service = g_strdup(m->service);
+	k->search = (struct stream_record_search){ .service = k->service,
+		.hash = stream_record_hash(str_from(m->id)),
+		.now = clock_wall() / USEC_PER_SEC };
+	g_ptr_array_add(d->streams->looks, k);
+}
+
+bool
+discovery_on_streams(struct discovery *d, const peer_letter *l)
+{
+	if (l->body.kind == PEER_STREAM_RECORD)
+		on_record(d, l->rpc, &l->body.peer_body_u.stream_record);
+	else if (l->body.kind == PEER_STREAM_LOOK)
+		on_look(d, &l->body.peer_body_u.stream_look);
+	else
+		return false;
+	return true;
+}
+
+/* Base versions. */
+
+bool
+discovery_is_stream_record(struct str key)
+{
+	return str_has_prefix(key, STR(RECORDS_PREFIX));
+}
+
+bool
+discovery_stream_item(struct discovery *d, struct str key, struct str value)
+{
+	if (!str_eq(key, STR(BASES_KEY)))
+		return discovery_is_stream_record(key);
+	stream_bases_read(&d->streams->bases, value);
+	d->streams->bases_changed = false;
+	d->view_dirty = true;
+	return true;
+}
+
+void
+discovery_streams_listed(struct discovery *d)
+{
+	struct stream_bases *b = &d->streams->bases;
+
+	/* Each fleet writes the list of its hosts soon after its start. */
+	if (!b->known)
+		b->new_fleet = !d->hosts_listed;
+	b->known = true;
+}
+
+static void
+on_bases_written(void *arg, const struct kv_result *r)
+{
+	struct discovery *d = arg;
+
+	d->streams->bases_in_flight = false;
+	if (r->status == KV_OK)
+		d->streams->bases_changed = false;
+}
+
+/* Writes the bases to the store when they have changed. */
+static void
+write_bases(struct discovery *d)
+{
+	struct stream_store *s = d->streams;
+	struct buf value = { 0 };
+
+	s->bases_in_flight = true;
+	stream_bases_write(&s->bases, &value);
+	log_text(LOG_LVL_INFO, "stream-versions",
+	    "base versions of the services, %zu bytes", value.n);
+	kv_put_item(d->kv, STR(BASES_KEY), str_of(&value), on_bases_written, d);
+	buf_free(&value);
+}
+
+void
+discovery_update_bases(struct discovery *d, usec_t now)
+{
+	struct stream_store *s = d->streams;
+	g_autoptr(GArray) targets = NULL;
+
+	if (now - s->listed_at < LIST_INTERVAL || d->store_unavailable ||
+	    watcher_revision(d->watcher) == 0)
+		return;
+	s->listed_at = now;
+	targets = roster_list(&d->roster);
+	stream_bases_list(&s->bases, targets, now);
+	if (!discovery_is_first_feeder(d) || s->bases_in_flight)
+		return;
+	if (stream_bases_change(&s->bases, now)) {
+		s->bases_changed = true;
+		d->view_dirty = true;
+	}
+	if (s->bases_changed)
+		write_bases(d);
+}
--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -417,6 +417,15 @@
 		evbuffer_add(out, "\r\n", 2);
 }
 
+void
+httpd_cork(struct httpd_request *q, bool corked)
+{
+	if (corked)
+		bufferevent_disable(q->bev, EV_WRITE);
+	else
+		bufferevent_enable(q->bev, EV_WRITE);
+}
+
 void
 httpd_end(struct httpd_request *q)
 {
--- a/entry/httpd.h
+++ b/entry/httpd.h
@@ -75,6 +75,11 @@
  */
 void httpd_respond(struct httpd_request *q, const struct httpd_response *a);
 void httpd_write(struct httpd_request *q, struct evbuffer *bytes);
+/*
+ * Holds back the bytes of the response that are written from now on, or sends
+ * those that were held back.
+ */
+void httpd_cork(struct httpd_request *q, bool corked);
 /* Ends the chunked body and the request. */
 void httpd_end(struct httpd_request *q);
 /*
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -266,6 +266,39 @@
 };
 typedef struct peer_stream_reply peer_stream_reply;
 
+struct peer_stream_record {
+	u_quad_t ask;
+	char *id;
+	char *service;
+	char *software;
+};
+typedef struct peer_stream_record peer_stream_record;
+#define PEER_RECORDED_MAX 256
+
+struct peer_stream_recorded {
+	struct {
+		u_int asks_len;
+		u_quad_t *asks_val;
+	} asks;
+};
+typedef struct peer_stream_recorded peer_stream_recorded;
+
+struct peer_stream_look {
+	u_quad_t ask;
+	char *id;
+	char *service;
+};
+typedef struct peer_stream_look peer_stream_look;
+
+struct peer_stream_found {
+	u_quad_t ask;
+	bool_t readable;
+	bool_t found;
+	bool_t incomplete;
+	char *software;
+};
+typedef struct peer_stream_found peer_stream_found;
+
 enum peer_kind {
 	PEER_GOSSIP = 1,
 	PEER_CLAIM = 2,
@@ -285,6 +318,10 @@
 	PEER_STREAM = 16,
 	PEER_STREAM_ASK = 17,
 	PEER_STREAM_REPLY = 18,
+	PEER_STREAM_RECORD = 19,
+	PEER_STREAM_RECORDED = 20,
+	PEER_STREAM_LOOK = 21,
+	PEER_STREAM_FOUND = 22,
 };
 typedef enum peer_kind peer_kind;
 
@@ -309,6 +346,10 @@
 		peer_stream stream;
 		peer_stream_ask stream_ask;
 		peer_stream_reply stream_reply;
+		peer_stream_record stream_record;
+		peer_stream_recorded stream_recorded;
+		peer_stream_look stream_look;
+		peer_stream_found stream_found;
 	} peer_body_u;
 };
 typedef struct peer_body peer_body;
@@ -414,6 +455,10 @@
 extern  bool_t xdr_peer_stream (XDR *, peer_stream*);
 extern  bool_t xdr_peer_stream_ask (XDR *, peer_stream_ask*);
 extern  bool_t xdr_peer_stream_reply (XDR *, peer_stream_reply*);
+extern  bool_t xdr_peer_stream_record (XDR *, peer_stream_record*);
+extern  bool_t xdr_peer_stream_recorded (XDR *, peer_stream_recorded*);
+extern  bool_t xdr_peer_stream_look (XDR *, peer_stream_look*);
+extern  bool_t xdr_peer_stream_found (XDR *, peer_stream_found*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
 extern  bool_t xdr_peer_body (XDR *, peer_body*);
 extern  bool_t xdr_peer_letter (XDR *, peer_letter*);
@@ -448,6 +493,10 @@
 extern bool_t xdr_peer_stream ();
 extern bool_t xdr_peer_stream_ask ();
 extern bool_t xdr_peer_stream_reply ();
+extern bool_t xdr_peer_stream_record ();
+extern bool_t xdr_peer_stream_recorded ();
+extern bool_t xdr_peer_stream_look ();
+extern bool_t xdr_peer_stream_found ();
 extern bool_t xdr_peer_kind ();
 extern bool_t xdr_peer_body ();
 extern bool_t xdr_peer_letter ();
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -220,6 +220,39 @@
 	bool mixed;             /* the service has had several versions lately */
 };
 
+/*
+ * A stream has begun, to be recorded in the store (kernel/stream_records.h);
+ * sent to the recorder.
+ */
+struct peer_stream_record {
+	unsigned hyper ask;
+	string id<128>;         /* of the caller's attempt */
+	string service<64>;
+	string software<64>;    /* version of the target */
+};
+
+const PEER_RECORDED_MAX = 256;
+
+/* The streams of these asks are recorded. */
+struct peer_stream_recorded {
+	unsigned hyper asks<PEER_RECORDED_MAX>;
+};
+
+/* A host asks itself what the store says of a stream. */
+struct peer_stream_look {
+	unsigned hyper ask;
+	string id<128>;
+	string service<64>;
+};
+
+struct peer_stream_found {
+	unsigned hyper ask;
+	bool readable;          /* the store has answered */
+	bool found;
+	bool incomplete;        /* records are missing */
+	string software<64>;
+};
+
 enum peer_kind {
 	PEER_GOSSIP = 1,
 	PEER_CLAIM = 2,
@@ -238,7 +271,11 @@
 	PEER_KNOWN = 15,
 	PEER_STREAM = 16,
 	PEER_STREAM_ASK = 17,
-	PEER_STREAM_REPLY = 18
+	PEER_STREAM_REPLY = 18,
+	PEER_STREAM_RECORD = 19,
+	PEER_STREAM_RECORDED = 20,
+	PEER_STREAM_LOOK = 21,
+	PEER_STREAM_FOUND = 22
 };
 
 union peer_body switch (peer_kind kind) {
@@ -278,6 +315,14 @@
 	peer_stream_ask stream_ask;
 case PEER_STREAM_REPLY:
 	peer_stream_reply stream_reply;
+case PEER_STREAM_RECORD:
+	peer_stream_record stream_record;
+case PEER_STREAM_RECORDED:
+	peer_stream_recorded stream_recorded;
+case PEER_STREAM_LOOK:
+	peer_stream_look stream_look;
+case PEER_STREAM_FOUND:
+	peer_stream_found stream_found;
 };
 
 struct peer_letter {
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -544,6 +544,108 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_stream_record (XDR *xdrs, peer_stream_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->ask))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->id, 128))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, 64))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->software, 64))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_stream_recorded (XDR *xdrs, peer_stream_recorded *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->asks.asks_val, (u_int *) &objp->asks.asks_len, PEER_RECORDED_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_stream_look (XDR *xdrs, peer_stream_look *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->ask))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->id, 128))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, 64))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_stream_found (XDR *xdrs, peer_stream_found *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->ask))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->readable))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->found))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->incomplete))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->readable);
+		IXDR_PUT_BOOL(buf, objp->found);
+		IXDR_PUT_BOOL(buf, objp->incomplete);
+		}
+		 if (!xdr_string (xdrs, &objp->software, 64))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->ask))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->readable))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->found))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->incomplete))
+				 return FALSE;
+
+		} else {
+		objp->readable = IXDR_GET_BOOL(buf);
+		objp->found = IXDR_GET_BOOL(buf);
+		objp->incomplete = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_string (xdrs, &objp->software, 64))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->ask))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->readable))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->found))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->incomplete))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->software, 64))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_kind (XDR *xdrs, peer_kind *objp)
 {
@@ -634,6 +736,22 @@
 		 if (!xdr_peer_stream_reply (xdrs, &objp->peer_body_u.stream_reply))
 			 return FALSE;
 		break;
+	case PEER_STREAM_RECORD:
+		 if (!xdr_peer_stream_record (xdrs, &objp->peer_body_u.stream_record))
+			 return FALSE;
+		break;
+	case PEER_STREAM_RECORDED:
+		 if (!xdr_peer_stream_recorded (xdrs, &objp->peer_body_u.stream_recorded))
+			 return FALSE;
+		break;
+	case PEER_STREAM_LOOK:
+		 if (!xdr_peer_stream_look (xdrs, &objp->peer_body_u.stream_look))
+			 return FALSE;
+		break;
+	case PEER_STREAM_FOUND:
+		 if (!xdr_peer_stream_found (xdrs, &objp->peer_body_u.stream_found))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -241,6 +241,8 @@
 	case PEER_STREAM:
 	case PEER_STREAM_ASK:
 	case PEER_STREAM_REPLY:
+	case PEER_STREAM_RECORDED:
+	case PEER_STREAM_FOUND:
 		stream_resumes_receive(y->shared.stream_resumes, d);
 		break;
 	case PEER_LIMIT:
@@ -257,6 +259,8 @@
 	case PEER_ANSWERED:
 	case PEER_QUARANTINE:
 	case PEER_KNOWN:
+	case PEER_STREAM_RECORD:
+	case PEER_STREAM_LOOK:
 		break; /* handled by the discovery thread */
 	}
 }
@@ -617,7 +621,7 @@
 	});
 	p->stream_resumes = stream_resumes_new(&(struct stream_resumes_opts){
 	    .base = p->base,
-	    .rpc = discovery_rpc(d),
+	    .discovery = d,
 	    .self = y->o.settings->id,
 	});
 	y->started = true;
--- a/entry/relay_request.c
+++ b/entry/relay_request.c
@@ -23,6 +23,8 @@
 	stages_cancel(r);
 	if (r->resume_search != NULL)
 		stream_resumes_cancel(r->resume_search);
+	if (r->recording != NULL)
+		stream_resumes_cancel_recording(r->recording);
 	event_free(r->timer);
 	sse_free(&r->sse);
 	routes_unref(r->routes);
@@ -81,6 +83,7 @@
 {
 	struct rejection adjusted = adjust_rejection(r, why);
 
+	forward_uncork(r);
 	r->shared->counts.rejected[-adjusted.kind]++;
 	/* The caller of a quarantined request had better not come back. */
 	if (why->kind != ERR_QUARANTINED)
@@ -100,6 +103,7 @@
 	struct relay_counts *c = &r->shared->counts;
 	usec_t took = clock_now() - r->arrived;
 
+	forward_uncork(r);
 	if (strcmp(outcome, "complete") == 0)
 		c->complete++;
 	else
@@ -116,6 +120,7 @@
 
 	LOG(LOG_LVL_INFO, "caller-gone", { "request", r->info.id });
 	r->shared->counts.caller_gone++;
+	forward_uncork(r);
 	forward_cancel(r);
 	relay_request_free(r);
 }
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -129,6 +129,8 @@
 	char call_version[STREAM_VERSION_BYTES];
 	char version[STREAM_VERSION_BYTES];  /* empty: any */
 	struct resume_search *resume_search; /* NULL: none */
+	/* The response is held back until it is done; NULL: none. */
+	struct stream_recording *recording;
 	bool answer_reported; /* the last call's answer has begun */
 	usec_t events_at;     /* first event; 0: none */
 	usec_t last_event_at;
@@ -206,6 +208,8 @@
 /* Fills the query that chooses a target for the request. */
 void forward_query(const struct relay_request *r, struct loads_query *query);
 void forward_cancel(struct relay_request *r);
+/* Sends what was held back until the stream is recorded. */
+void forward_uncork(struct relay_request *r);
 /*
  * The path to the service is lost: a silent direct call is made again, where
  * that is allowed.
--- a/entry/stream_resumes.c
+++ b/entry/stream_resumes.c
@@ -2,11 +2,16 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "kernel/rendezvous.h"
+#include "kernel/stream_records.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define HOLDER_SEED     31
+#define RECORDER_SEED   41
+/* How long a stream is looked for in the store. */
+#define LOOK_TIME       (700 * USEC_PER_MSEC)
 #define EXPIRE_INTERVAL (1 * USEC_PER_SEC)
 
 struct stream_resumes {
@@ -15,13 +20,27 @@
 	struct stream_versions streams;
 	GHashTable *searches; /* number -> struct resume_search */
 	uint64_t n_searches;
+	GHashTable *recordings; /* number -> struct stream_recording */
+	uint64_t n_recordings;
+	uint64_t n_unrecorded; /* that were not confirmed in time */
 	usec_t expired_at;
 };
 
+struct stream_recording {
+	struct stream_resumes *owner;
+	uint64_t number;
+	struct event *timer;
+	void (*done)(void *arg);
+	void *arg;
+};
+
 struct resume_search {
 	struct stream_resumes *owner;
 	uint64_t number;
+	char *id; /* empty: the caller didn't name its stream */
 	char *service;
+	bool looking;            /* in the store */
+	enum resume_place place; /* by what the hosts know */
 	struct resume_query query;
 	struct event *timer;
 	void (*done)(void *arg, enum resume_place place, const char *version);
@@ -36,6 +55,7 @@
 	x->o = *o;
 	x->peers = g_array_new(FALSE, TRUE, sizeof(struct view_peer));
 	x->searches = g_hash_table_new(g_int64_hash, g_int64_equal);
+	x->recordings = g_hash_table_new(g_int64_hash, g_int64_equal);
 	stream_versions_init(&x->streams, clock_now());
 	return x;
 }
@@ -68,7 +88,7 @@
 	const char **hosts = choose_hosts(x, id, max, n_sent);
 
 	for (size_t i = 0; i < *n_sent; i++)
-		rpc_send(x->o.rpc, hosts[i], body);
+		rpc_send(discovery_rpc(x->o.discovery), hosts[i], body);
 	free(hosts);
 }
 
@@ -97,6 +117,7 @@
 
 	g_array_set_size(x->peers, 0);
 	g_array_append_vals(x->peers, v->peers->data, v->peers->len);
+	stream_versions_set_bases(&x->streams, v->stream_bases);
 	stream_versions_list(
 	    &x->streams, v->targets, v->store_unavailable, now);
 	tell(x, now);
@@ -112,6 +133,100 @@
 	tell(x, now);
 }
 
+/* Returns the address of the host that records streams; NULL: none is known. */
+static const char *
+choose_recorder(const struct stream_resumes *x)
+{
+	struct rendezvous_host *v = xcalloc(x->peers->len + 1, sizeof(*v));
+	const char *out = NULL;
+
+	for (guint i = 0; i < x->peers->len; i++) {
+		const struct view_peer *p =
+		    &g_array_index(x->peers, struct view_peer, i);
+
+		v[i] = (struct rendezvous_host){ p->rpc, p->capacity };
+	}
+	rendezvous_choose(v, x->peers->len, RECORDER_SEED, &out, 1);
+	free(v);
+	return out;
+}
+
+void
+stream_resumes_cancel_recording(struct stream_recording *k)
+{
+	g_hash_table_remove(k->owner->recordings, &k->number);
+	event_free(k->timer);
+	free(k);
+}
+
+static void
+end_recording(struct stream_recording *k)
+{
+	struct stream_recording x = *k;
+
+	stream_resumes_cancel_recording(k);
+	x.done(x.arg);
+}
+
+static void
+on_recording_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	struct stream_recording *k = arg;
+
+	(void)fd;
+	(void)what;
+	k->owner->n_unrecorded++;
+	log_text(LOG_LVL_DEBUG, "stream-unrecorded",
+	    "recording %" PRIu64 " is not confirmed within %" PRId64 " ms",
+	    k->number, STREAM_RECORD_WAIT / USEC_PER_MSEC);
+	end_recording(k);
+}
+
+struct stream_recording *
+stream_resumes_record(struct stream_resumes *x,
+    const struct stream_version *stream, void (*done)(void *arg), void *arg)
+{
+	struct timeval tv = { 0, STREAM_RECORD_WAIT };
+	peer_body body = { .kind = PEER_STREAM_RECORD };
+	peer_stream_record *m = &body.peer_body_u.stream_record;
+	const char *recorder;
+	struct stream_recording *k;
+
+	if (!stream_versions_records(
+		&x->streams, stream->service, stream->version, clock_now()))
+		return NULL;
+	recorder = choose_recorder(x);
+	if (recorder == NULL)
+		return NULL;
+	k = xcalloc(1, sizeof(*k));
+	k->owner = x;
+	k->number = ++x->n_recordings;
+	k->done = done;
+	k->arg = arg;
+	k->timer = evtimer_new(x->o.base, on_recording_timeout, k);
+	evtimer_add(k->timer, &tv);
+	g_hash_table_insert(x->recordings, &k->number, k);
+	m->ask = k->number;
+	m->id = stream->id;
+	m->service = (char *)stream->service;
+	m->software = (char *)stream->version;
+	rpc_send(discovery_rpc(x->o.discovery), recorder, &body);
+	return k;
+}
+
+static void
+on_recorded(struct stream_resumes *x, const peer_stream_recorded *m)
+{
+	for (u_int i = 0; i < m->asks.asks_len; i++) {
+		uint64_t number = m->asks.asks_val[i];
+		struct stream_recording *k =
+		    g_hash_table_lookup(x->recordings, &number);
+
+		if (k != NULL)
+			end_recording(k);
+	}
+}
+
 void
 stream_resumes_end(struct stream_resumes *x, struct str id)
 {
@@ -123,30 +238,98 @@
 {
 	g_hash_table_remove(s->owner->searches, &s->number);
 	event_free(s->timer);
+	free(s->id);
 	free(s->service);
 	free(s);
 }
 
-/* Ends the search if it is decided. */
 static void
+end_search(
+    struct resume_search *s, enum resume_place place, const char *version)
+{
+	struct resume_search x = *s;
+	char copy[STREAM_VERSION_BYTES];
+
+	g_strlcpy(copy, version, sizeof(copy));
+	stream_resumes_cancel(s);
+	x.done(x.arg, place, copy);
+}
+
+/* Looks for a stream in the store that no host knows. */
+static void
+look_up(struct resume_search *s, enum resume_place place)
+{
+	struct timeval tv = { 0, LOOK_TIME };
+	peer_letter l = { .body.kind = PEER_STREAM_LOOK };
+	peer_stream_look *m = &l.body.peer_body_u.stream_look;
+
+	s->looking = true;
+	s->place = place;
+	m->ask = s->number;
+	m->id = str_dup(str_from(s->id));
+	m->service = str_dup(str_from(s->service));
+	l.from = str_dup(STR(""));
+	l.rpc = str_dup(STR(""));
+	discovery_receive(s->owner->o.discovery, &l);
+	xdr_free((xdrproc_t)xdr_peer_letter, (char *)&l);
+	evtimer_add(s->timer, &tv);
+}
+
+/* Ends the search if it is decided by what the hosts know; returns whether. */
+static bool
 decide(struct resume_search *s, bool timed_out)
 {
 	enum resume_place place = stream_versions_decide(
 	    &s->owner->streams, &s->query, s->service, timed_out, clock_now());
-	struct resume_search x = *s;
 
-	if (place == RESUME_ASK)
-		return;
-	stream_resumes_cancel(s);
-	x.done(x.arg, place, x.query.version);
+	if (place == RESUME_ASK || s->looking)
+		return false;
+	if (place != RESUME_AT_VERSION && *s->id != '\0') {
+		look_up(s, place);
+		return false;
+	}
+	end_search(s, place, s->query.version);
+	return true;
+}
+
+/* Ends the search with what the store says, or doesn't say. */
+static void
+decide_by_store(struct resume_search *s, const peer_stream_found *m)
+{
+	struct stream_record_search found = { 0 };
+	char version[STREAM_VERSION_BYTES] = "";
+	enum resume_place place;
+
+	if (m != NULL) {
+		found.found = m->found;
+		found.incomplete = m->incomplete;
+		g_strlcpy(found.version, m->software, sizeof(found.version));
+	}
+	place = stream_record_decide(&found, m != NULL && m->readable,
+	    stream_versions_base(&s->owner->streams, s->service), s->place,
+	    version);
+	log_text(LOG_LVL_INFO, "stream-looked-up",
+	    "stream %s of %s: %s, it goes on at %s", s->id, s->service,
+	    m == NULL || !m->readable ? "the store doesn't answer"
+		: m->found            ? "recorded"
+				      : "not recorded",
+	    place == RESUME_AT_VERSION    ? version
+		: place == RESUME_NOWHERE ? "no version"
+					  : "any version");
+	end_search(s, place, version);
 }
 
 static void
 on_timeout(evutil_socket_t fd, short what, void *arg)
 {
+	struct resume_search *s = arg;
+
 	(void)fd;
 	(void)what;
-	decide(arg, true);
+	if (s->looking)
+		decide_by_store(s, NULL);
+	else
+		decide(s, true);
 }
 
 static void
@@ -181,6 +364,7 @@
 	s = xcalloc(1, sizeof(*s));
 	s->owner = x;
 	s->number = ++x->n_searches;
+	s->id = str_dup(o->id);
 	s->service = str_dup(str_from(o->service));
 	s->query = query;
 	s->done = o->done;
@@ -190,8 +374,7 @@
 	ask(s, o->id);
 	if (s->query.n_asked > 0)
 		return s;
-	decide(s, true);
-	return NULL;
+	return decide(s, true) ? NULL : s;
 }
 
 static void
@@ -206,7 +389,17 @@
 	reply->software = s != NULL ? (char *)s->version : (char *)"";
 	reply->mixed =
 	    stream_versions_mixed(&x->streams, m->service, clock_now());
-	rpc_send(x->o.rpc, rpc, &body);
+	rpc_send(discovery_rpc(x->o.discovery), rpc, &body);
+}
+
+static void
+on_found(struct stream_resumes *x, const peer_stream_found *m)
+{
+	uint64_t number = m->ask;
+	struct resume_search *s = g_hash_table_lookup(x->searches, &number);
+
+	if (s != NULL && s->looking)
+		decide_by_store(s, m);
 }
 
 static void
@@ -217,12 +410,16 @@
 
 	if (s == NULL)
 		return;
+	if (s->looking && m->software[0] == '\0')
+		return;
 	s->query.n_replied++;
 	s->query.mixed = s->query.mixed || m->mixed;
 	if (m->software[0] != '\0') {
 		s->query.found = true;
 		g_strlcpy(
 		    s->query.version, m->software, sizeof(s->query.version));
+		end_search(s, RESUME_AT_VERSION, s->query.version);
+		return;
 	}
 	decide(s, false);
 }
@@ -240,6 +437,10 @@
 		on_ask(x, l->rpc, &b->peer_body_u.stream_ask);
 	else if (b->kind == PEER_STREAM_REPLY)
 		on_reply(x, &b->peer_body_u.stream_reply);
+	else if (b->kind == PEER_STREAM_RECORDED)
+		on_recorded(x, &b->peer_body_u.stream_recorded);
+	else if (b->kind == PEER_STREAM_FOUND)
+		on_found(x, &b->peer_body_u.stream_found);
 }
 
 void
@@ -255,6 +456,7 @@
 stream_resumes_free(struct stream_resumes *x)
 {
 	g_hash_table_destroy(x->searches);
+	g_hash_table_destroy(x->recordings);
 	stream_versions_free(&x->streams);
 	g_array_unref(x->peers);
 	free(x);
--- a/entry/stream_resumes.h
+++ b/entry/stream_resumes.h
@@ -1,14 +1,15 @@
 /*
  * Resumed streams: notes the versions of the targets that begin streams, tells
- * and hears them from other hosts, and finds the version at which a caller's
- * stream may go on (kernel/stream_versions.h).
+ * and hears them from other hosts, has them recorded in the store, and finds
+ * the version at which a caller's stream may go on (kernel/stream_versions.h,
+ * kernel/stream_records.h).
  *
  * Runs on the relay's thread.
  */
 #ifndef ENTRY_STREAM_RESUMES_H
 #define ENTRY_STREAM_RESUMES_H
 
-#include "entry/rpc.h"
+#include "entry/discovery.h"
 #include "entry/view.h"
 #include "kernel/stream_versions.h"
 
@@ -18,7 +19,7 @@
 
 struct stream_resumes_opts {
 	struct event_base *base;
-	struct rpc *rpc;
+	struct discovery *discovery;
 	const char *self; /* id of this host */
 };
 
@@ -31,6 +32,17 @@
  */
 void stream_resumes_begin(struct stream_resumes *x, struct str id,
     const char *service, const char *version);
+struct stream_recording;
+
+/*
+ * Has a stream recorded in the store if that is needed.  done is called once,
+ * when it is recorded or has waited long enough, unless the recording is
+ * cancelled; never from within this function.  Returns NULL if no record is
+ * needed.
+ */
+struct stream_recording *stream_resumes_record(struct stream_resumes *x,
+    const struct stream_version *stream, void (*done)(void *arg), void *arg);
+void stream_resumes_cancel_recording(struct stream_recording *k);
 /* A stream is complete. */
 void stream_resumes_end(struct stream_resumes *x, struct str id);
 
@@ -51,10 +63,10 @@
 struct resume_search *stream_resumes_find(
     struct stream_resumes *x, const struct resume_search_opts *o);
 void stream_resumes_cancel(struct resume_search *s);
-/* Handles a PEER_STREAM, PEER_STREAM_ASK or PEER_STREAM_REPLY datagram. */
+/* Handles a PEER_STREAM* datagram. */
 void stream_resumes_receive(struct stream_resumes *x, const peer_letter *l);
 void stream_resumes_tick(struct stream_resumes *x, usec_t now);
-/* Searches must have ended. */
+/* Searches and recordings must have ended. */
 void stream_resumes_free(struct stream_resumes *x);
 
 #endif
--- a/entry/view.c
+++ b/entry/view.c
@@ -11,5 +11,7 @@
 	g_array_unref(v->targets);
 	g_array_unref(v->peers);
 	quarantine_free(&v->quarantine);
+	if (v->stream_bases != NULL)
+		g_hash_table_unref(v->stream_bases);
 	free(v);
 }
--- a/entry/view.h
+++ b/entry/view.h
@@ -28,6 +28,8 @@
 	bool hosts_listed;
 	bool store_unavailable;
 	struct quarantine quarantine;
+	/* service -> base version (kernel/stream_records.h); strings */
+	GHashTable *stream_bases;
 	usec_t created_at;
 };
 
--- /dev/null
+++ b/kernel/stream_records.c
@@ -0,0 +1,300 @@
+#include "kernel/stream_records.h"
+#include "base/hash.h"
+#include "kernel/roster.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define HASH_SEED      37
+#define FORMAT         "1"
+#define FULL_LINE      "full"
+/*
+ * A base is replaced once no target of it has been listed for this time: longer
+ * than a stream and the pause until its caller resumes it.
+ */
+#define BASE_KEEP_TIME (60 * USEC_PER_SEC)
+
+uint64_t
+stream_record_hash(struct str id)
+{
+	return hash_u64(id, HASH_SEED);
+}
+
+static void
+unref_hashes(gpointer p)
+{
+	g_array_unref(p);
+}
+
+void
+stream_records_init(struct stream_records *r)
+{
+	*r = (struct stream_records){ 0 };
+	r->groups = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, unref_hashes);
+}
+
+void
+stream_records_add(struct stream_records *r, int64_t second,
+    const char *service, const char *version, uint64_t hash)
+{
+	g_autofree char *name = NULL;
+	GArray *hashes;
+
+	if (second > r->second) {
+		g_hash_table_remove_all(r->groups);
+		r->second = second;
+		r->n = 0;
+		r->full = false;
+	}
+	if (r->n >= STREAM_RECORDS_MAX) {
+		r->full = true;
+		return;
+	}
+	name = g_strconcat(service, " ", version, NULL);
+	hashes = g_hash_table_lookup(r->groups, name);
+	if (hashes == NULL) {
+		hashes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+		g_hash_table_insert(r->groups, g_strdup(name), hashes);
+	}
+	g_array_append_val(hashes, hash);
+	r->n++;
+}
+
+void
+stream_records_write(const struct stream_records *r, struct buf *out)
+{
+	GHashTableIter it;
+	gpointer name;
+	gpointer v;
+
+	buf_printf(out, FORMAT " %" PRId64 "\n", r->second);
+	g_hash_table_iter_init(&it, r->groups);
+	while (g_hash_table_iter_next(&it, &name, &v)) {
+		const GArray *hashes = v;
+
+		buf_put(out, str_from(name));
+		for (guint i = 0; i < hashes->len; i++)
+			buf_printf(out, " %016" PRIx64,
+			    g_array_index(hashes, uint64_t, i));
+		buf_putc(out, '\n');
+	}
+	if (r->full)
+		buf_put(out, STR(FULL_LINE "\n"));
+}
+
+void
+stream_records_free(struct stream_records *r)
+{
+	g_hash_table_destroy(r->groups);
+}
+
+/* Looks into the line of a service and version. */
+static void
+look_at_line(struct stream_record_search *s, struct str line)
+{
+	struct str service;
+	struct str version;
+	struct str part;
+	char wanted[17];
+
+	if (!str_cut(&line, ' ', &service) || !str_cut(&line, ' ', &version) ||
+	    version.n >= sizeof(s->version)) {
+		s->incomplete = true;
+		return;
+	}
+	if (!str_eq(service, str_from(s->service)))
+		return;
+	g_snprintf(wanted, sizeof(wanted), "%016" PRIx64, s->hash);
+	while (line.n > 0 && str_cut(&line, ' ', &part)) {
+		if (!str_eq(part, str_from(wanted)))
+			continue;
+		s->found = true;
+		memcpy(s->version, version.p, version.n);
+		s->version[version.n] = '\0';
+	}
+}
+
+void
+stream_record_look(struct stream_record_search *s, struct str value)
+{
+	struct str line;
+	struct str format;
+	uint64_t second;
+
+	if (!str_cut(&value, '\n', &line) || !str_cut(&line, ' ', &format) ||
+	    !str_eq(format, STR(FORMAT)) || !str_parse_u64(line, &second)) {
+		s->incomplete = true;
+		return;
+	}
+	if ((int64_t)second < s->now - STREAM_RECORD_SLOTS)
+		return;
+	while (value.n > 0 && str_cut(&value, '\n', &line)) {
+		if (str_eq(line, STR(FULL_LINE)))
+			s->incomplete = true;
+		else
+			look_at_line(s, line);
+	}
+}
+
+/* Base versions. */
+
+struct listed_alone {
+	char version[STREAM_VERSION_BYTES];
+	usec_t since;
+	bool current; /* in the newest list */
+};
+
+void
+stream_bases_init(struct stream_bases *b)
+{
+	*b = (struct stream_bases){ 0 };
+	b->by_service =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	b->alone =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	b->listed =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+stream_bases_read(struct stream_bases *b, struct str value)
+{
+	struct str line;
+	struct str service;
+
+	b->known = true;
+	g_hash_table_remove_all(b->by_service);
+	while (value.n > 0 && str_cut(&value, '\n', &line)) {
+		if (str_cut(&line, ' ', &service) && line.n > 0 &&
+		    line.n < STREAM_VERSION_BYTES)
+			g_hash_table_insert(b->by_service,
+			    g_strndup(service.p, service.n),
+			    g_strndup(line.p, line.n));
+	}
+}
+
+const char *
+stream_bases_find(const struct stream_bases *b, const char *service)
+{
+	return g_hash_table_lookup(b->by_service, service);
+}
+
+/* Notes a listed target; alone has what is known of the list so far. */
+static void
+note_listed(struct stream_bases *b, const struct target_entry *t, usec_t now)
+{
+	struct listed_alone *x = g_hash_table_lookup(b->alone, t->service);
+	usec_t *at = g_new(usec_t, 1);
+
+	*at = now;
+	g_hash_table_replace(
+	    b->listed, g_strconcat(t->service, " ", t->version, NULL), at);
+	if (x == NULL) {
+		x = g_new0(struct listed_alone, 1);
+		x->since = now;
+		g_strlcpy(x->version, t->version, sizeof(x->version));
+		g_hash_table_insert(b->alone, g_strdup(t->service), x);
+	} else if (strcmp(x->version, t->version) != 0) {
+		/* Alone from now on, unless another target follows. */
+		x->since = now;
+		if (!x->current)
+			g_strlcpy(x->version, t->version, sizeof(x->version));
+	}
+	x->current = true;
+}
+
+void
+stream_bases_list(struct stream_bases *b, const GArray *targets, usec_t now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, b->alone);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((struct listed_alone *)v)->current = false;
+	for (guint i = 0; i < targets->len; i++)
+		note_listed(
+		    b, &g_array_index(targets, struct target_entry, i), now);
+}
+
+/* Whether no stream can be left of another version than the one listed. */
+static bool
+may_change(const struct stream_bases *b, const char *service,
+    const struct listed_alone *x, usec_t now)
+{
+	const char *base = stream_bases_find(b, service);
+	g_autofree char *name = NULL;
+	const usec_t *at;
+
+	if (!x->current || *x->version == '\0')
+		return false;
+	if (base == NULL)
+		return now - x->since >=
+		    (b->new_fleet ? STREAM_BASE_TIME : BASE_KEEP_TIME);
+	if (strcmp(base, x->version) == 0)
+		return false;
+	name = g_strconcat(service, " ", base, NULL);
+	at = g_hash_table_lookup(b->listed, name);
+	return now - x->since >= BASE_KEEP_TIME &&
+	    (at == NULL || now - *at >= BASE_KEEP_TIME);
+}
+
+bool
+stream_bases_change(struct stream_bases *b, usec_t now)
+{
+	GHashTableIter it;
+	gpointer service;
+	gpointer v;
+	bool changed = false;
+
+	g_hash_table_iter_init(&it, b->alone);
+	while (b->known && g_hash_table_iter_next(&it, &service, &v)) {
+		const struct listed_alone *x = v;
+
+		if (!may_change(b, service, x, now))
+			continue;
+		g_hash_table_insert(
+		    b->by_service, g_strdup(service), g_strdup(x->version));
+		changed = true;
+	}
+	return changed;
+}
+
+void
+stream_bases_write(const struct stream_bases *b, struct buf *out)
+{
+	GHashTableIter it;
+	gpointer service;
+	gpointer version;
+
+	g_hash_table_iter_init(&it, b->by_service);
+	while (g_hash_table_iter_next(&it, &service, &version))
+		buf_printf(out, "%s %s\n", (const char *)service,
+		    (const char *)version);
+}
+
+void
+stream_bases_free(struct stream_bases *b)
+{
+	g_hash_table_destroy(b->by_service);
+	g_hash_table_destroy(b->alone);
+	g_hash_table_destroy(b->listed);
+}
+
+enum resume_place
+stream_record_decide(const struct stream_record_search *s, bool readable,
+    const char *base, enum resume_place place,
+    char version[STREAM_VERSION_BYTES])
+{
+	if (readable && s->found) {
+		g_strlcpy(version, s->version, STREAM_VERSION_BYTES);
+		return RESUME_AT_VERSION;
+	}
+	if (base == NULL)
+		return place;
+	if (!readable || s->incomplete)
+		return RESUME_NOWHERE;
+	g_strlcpy(version, base, STREAM_VERSION_BYTES);
+	return RESUME_AT_VERSION;
+}
--- /dev/null
+++ b/kernel/stream_records.h
@@ -0,0 +1,118 @@
+/*
+ * What the store holds of the software versions that began streams, so that it
+ * outlives all hosts at once.
+ *
+ * Load pattern: all hosts are killed while a service has several versions, or
+ * just after the old one has left.  Callers resume their streams at hosts that
+ * know nothing.  A version is needed for each stream, but a write for each
+ * would exceed what the store takes.  So each service has a base version, which
+ * is kept in the store and changes only once no stream of it can be left, and
+ * only streams of other versions are recorded.  One host, the recorder, writes
+ * the records of all hosts, several in one item; a stream's first events wait
+ * for that, but not for long.  There is an item for each second of the last
+ * STREAM_RECORD_SLOTS, which are then written over: records expire without
+ * being deleted.
+ *
+ * The items are text.  That of a second has the lines
+ *
+ *   1 SECOND            the version of the format, and the Unix time
+ *   SERVICE VERSION HASH HASH ...
+ *   full                records are missing
+ *
+ * and that of the base versions has the lines SERVICE VERSION.
+ *
+ * Times are in microseconds; wall clock times are Unix times.
+ */
+#ifndef KERNEL_STREAM_RECORDS_H
+#define KERNEL_STREAM_RECORDS_H
+
+#include "base/clock.h"
+#include "base/str.h"
+#include "kernel/stream_versions.h"
+
+/* Longer than a stream and the pause until its caller resumes it, in s. */
+#define STREAM_RECORD_SLOTS 64
+/* Records of one second; further ones are dropped, and the item says so. */
+#define STREAM_RECORDS_MAX  1000
+/* Shortest time between two writes of the recorder. */
+#define STREAM_RECORD_PAUSE (60 * USEC_PER_MSEC)
+/* The first events of a stream wait for its record at most this long. */
+#define STREAM_RECORD_WAIT  (90 * USEC_PER_MSEC)
+/* In a new fleet, a version that is alone for so long becomes the base. */
+#define STREAM_BASE_TIME    (2 * USEC_PER_SEC)
+
+/* Hash of a stream's id in the records. */
+uint64_t stream_record_hash(struct str id);
+
+/* The records of one second, as the recorder writes them. */
+struct stream_records {
+	int64_t second;     /* 0: none yet */
+	GHashTable *groups; /* "SERVICE VERSION" -> GArray of uint64_t */
+	size_t n;
+	bool full;
+};
+
+void stream_records_init(struct stream_records *r);
+/* Adds a record at a second; records of an earlier second are dropped. */
+void stream_records_add(struct stream_records *r, int64_t second,
+    const char *service, const char *version, uint64_t hash);
+/* Writes the item's value. */
+void stream_records_write(const struct stream_records *r, struct buf *out);
+void stream_records_free(struct stream_records *r);
+
+/* What the items say of one stream. */
+struct stream_record_search {
+	const char *service;
+	uint64_t hash;
+	int64_t now; /* in seconds */
+	bool found;
+	char version[STREAM_VERSION_BYTES];
+	bool incomplete; /* records are missing, or an item is malformed */
+};
+
+/* Looks into an item's value. */
+void stream_record_look(struct stream_record_search *s, struct str value);
+
+/* The base versions of the services. */
+struct stream_bases {
+	GHashTable *by_service; /* name -> version; strings */
+	/* name -> struct listed_alone, of services with one version */
+	GHashTable *alone;
+	/* "SERVICE VERSION" -> usec_t: when it was listed last */
+	GHashTable *listed;
+	bool known; /* the store's item, or its absence, has been read */
+	/*
+	 * No host has been here before, so that no stream can be of a version
+	 * that was not listed.
+	 */
+	bool new_fleet;
+};
+
+void stream_bases_init(struct stream_bases *b);
+/* Reads the store's item; an empty one has no base. */
+void stream_bases_read(struct stream_bases *b, struct str value);
+/* Returns NULL if the service has none. */
+const char *stream_bases_find(
+    const struct stream_bases *b, const char *service);
+/*
+ * Notes the targets (struct target_entry) that are listed now; call it at least
+ * once a second.
+ */
+void stream_bases_list(
+    struct stream_bases *b, const GArray *targets, usec_t now);
+/* Changes the bases that are due; returns whether any has changed. */
+bool stream_bases_change(struct stream_bases *b, usec_t now);
+/* Writes the item's value. */
+void stream_bases_write(const struct stream_bases *b, struct buf *out);
+void stream_bases_free(struct stream_bases *b);
+
+/*
+ * Where a stream goes on that no host knows, by what the store says of it.
+ * readable: the store has answered.  Without a base, place is what the hosts
+ * alone would decide.
+ */
+enum resume_place stream_record_decide(const struct stream_record_search *s,
+    bool readable, const char *base, enum resume_place place,
+    char version[STREAM_VERSION_BYTES]);
+
+#endif
--- a/kernel/stream_versions.c
+++ b/kernel/stream_versions.c
@@ -35,6 +35,7 @@
 	s->others = new_streams();
 	s->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 	    (GDestroyNotify)g_hash_table_unref);
+	s->bases = NULL;
 	s->stale = false;
 	s->started_at = now;
 }
@@ -98,22 +99,49 @@
 	}
 }
 
+void
+stream_versions_set_bases(struct stream_versions *s, GHashTable *bases)
+{
+	if (s->bases != NULL)
+		g_hash_table_unref(s->bases);
+	s->bases = bases != NULL ? g_hash_table_ref(bases) : NULL;
+}
+
+const char *
+stream_versions_base(const struct stream_versions *s, const char *service)
+{
+	return s->bases != NULL ? g_hash_table_lookup(s->bases, service) : NULL;
+}
+
+bool
+stream_versions_records(const struct stream_versions *s, const char *service,
+    const char *version, usec_t now)
+{
+	const char *base = stream_versions_base(s, service);
+
+	return base != NULL ? strcmp(base, version) != 0
+			    : stream_versions_mixed(s, service, now);
+}
+
 bool
 stream_versions_mixed(
     const struct stream_versions *s, const char *service, usec_t now)
 {
 	GHashTable *v = g_hash_table_lookup(s->services, service);
+	const char *base = stream_versions_base(s, service);
 	GHashTableIter it;
+	gpointer version;
 	gpointer p;
-	size_t n = 0;
+	size_t n = base != NULL ? 1 : 0;
 
 	if (v == NULL)
 		return false;
 	g_hash_table_iter_init(&it, v);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
+	while (g_hash_table_iter_next(&it, &version, &p)) {
 		const struct listed_version *x = p;
 
-		n += x->listed || now - x->until < KEEP_TIME;
+		n += (x->listed || now - x->until < KEEP_TIME) &&
+		    (base == NULL || strcmp(base, version) != 0);
 	}
 	return n > 1;
 }
@@ -227,4 +255,5 @@
 	g_hash_table_destroy(s->own);
 	g_hash_table_destroy(s->others);
 	g_hash_table_destroy(s->services);
+	stream_versions_set_bases(s, NULL);
 }
--- a/kernel/stream_versions.h
+++ b/kernel/stream_versions.h
@@ -42,6 +42,8 @@
 	GHashTable *others; /* the same, begun at other hosts */
 	/* name -> GHashTable: version -> struct listed_version */
 	GHashTable *services;
+	/* service -> base version (kernel/stream_records.h); or NULL */
+	GHashTable *bases;
 	bool stale; /* the newest list may lack versions that others know */
 	usec_t started_at;
 };
@@ -53,7 +55,18 @@
  */
 void stream_versions_list(
     struct stream_versions *s, const GArray *targets, bool stale, usec_t now);
-/* Whether the service has had targets of several versions lately. */
+/* Sets the base versions of the services; keeps a reference. */
+void stream_versions_set_bases(struct stream_versions *s, GHashTable *bases);
+/* Returns the base version of a service, or NULL. */
+const char *stream_versions_base(
+    const struct stream_versions *s, const char *service);
+/* Whether a stream that this version begins must be recorded in the store. */
+bool stream_versions_records(const struct stream_versions *s,
+    const char *service, const char *version, usec_t now);
+/*
+ * Whether the service has had targets of several versions lately, its base
+ * version included.
+ */
 bool stream_versions_mixed(
     const struct stream_versions *s, const char *service, usec_t now);
 /* A stream has begun, here or, as another host tells, there. */
--- /dev/null
+++ b/tests/kernel/test_stream_records.c
@@ -0,0 +1,296 @@
+/*
+ * The versions of streams in the store: which streams are found after all hosts
+ * were killed, and when the base version of a service changes while its
+ * targets are replaced.
+ */
+#include "kernel/roster.h"
+#include "kernel/stream_records.h"
+
+#include <string.h>
+
+#define SECOND USEC_PER_SEC
+
+static void
+test_items(void)
+{
+	static const struct {
+		const char *name;
+		const char *service;
+		uint64_t hash;
+		int64_t now;
+		bool found;
+		const char *version;
+	} cases[] = {
+		{ "recorded", "s", 1, 100, true, "v2" },
+		{ "of another version", "s", 2, 130, true, "v3" },
+		{ "not recorded", "s", 3, 100, false, "" },
+		{ "of another service", "t", 1, 100, false, "" },
+		{ "long ago", "s", 1, 100 + STREAM_RECORD_SLOTS + 1, false,
+		    "" },
+		{ "by a clock that is behind", "s", 1, 97, true, "v2" },
+	};
+	struct stream_records r;
+	struct buf value = { 0 };
+
+	stream_records_init(&r);
+	stream_records_add(&r, 99, "s", "v1", 3);
+	/* A new second begins a new item. */
+	stream_records_add(&r, 100, "s", "v2", 1);
+	stream_records_add(&r, 100, "s", "v3", 2);
+	stream_records_add(&r, 100, "t", "v2", 9);
+	stream_records_write(&r, &value);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct stream_record_search s = { .service = cases[i].service,
+			.hash = cases[i].hash,
+			.now = cases[i].now };
+
+		g_test_message("%s", cases[i].name);
+		stream_record_look(&s, str_of(&value));
+		g_assert_cmpint(s.found, ==, cases[i].found);
+		g_assert_cmpstr(s.version, ==, cases[i].version);
+		g_assert_false(s.incomplete);
+	}
+	buf_free(&value);
+	stream_records_free(&r);
+}
+
+static void
+test_full(void)
+{
+	struct stream_records r;
+	struct stream_record_search s = {
+		.service = "s", .hash = STREAM_RECORDS_MAX, .now = 100
+	};
+	struct buf value = { 0 };
+
+	stream_records_init(&r);
+	for (uint64_t i = 0; i < STREAM_RECORDS_MAX + 5; i++)
+		stream_records_add(&r, 100, "s", "v2", i);
+	stream_records_write(&r, &value);
+	stream_record_look(&s, str_of(&value));
+	g_assert_false(s.found);
+	g_assert_true(s.incomplete);
+	buf_free(&value);
+	stream_records_free(&r);
+}
+
+/* Something else has written the item. */
+static void
+test_malformed(void)
+{
+	static const char *const values[] = { "", "x", "1", "1 x\n", "2 100\n",
+		"1 100\ns\n",
+		"1 100\ns "
+		"a-version-that-is-longer-than-any-that-is-"
+		"allowed-in-here-by-far 01\n" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		struct stream_record_search s = {
+			.service = "s", .hash = 1, .now = 100
+		};
+
+		g_test_message("\"%s\"", values[i]);
+		stream_record_look(&s, str_from(values[i]));
+		g_assert_false(s.found);
+		g_assert_true(s.incomplete);
+	}
+}
+
+static const struct {
+	const char *name;
+	bool readable, found, incomplete;
+	const char *base;
+	enum resume_place hosts; /* what the hosts alone would decide */
+	enum resume_place place;
+	const char *version;
+} decisions[] = {
+	{ "recorded", true, true, false, "v1", RESUME_NOWHERE,
+	    RESUME_AT_VERSION, "v2" },
+	{ "recorded, without a base", true, true, false, NULL, RESUME_ANYWHERE,
+	    RESUME_AT_VERSION, "v2" },
+	{ "recorded, others missing", true, true, true, "v1", RESUME_NOWHERE,
+	    RESUME_AT_VERSION, "v2" },
+	{ "not recorded: of the base", true, false, false, "v1",
+	    RESUME_ANYWHERE, RESUME_AT_VERSION, "v1" },
+	{ "its record may be missing", true, false, true, "v1", RESUME_ANYWHERE,
+	    RESUME_NOWHERE, "" },
+	{ "the store doesn't answer", false, false, false, "v1",
+	    RESUME_ANYWHERE, RESUME_NOWHERE, "" },
+	{ "no base, not recorded", true, false, false, NULL, RESUME_NOWHERE,
+	    RESUME_NOWHERE, "" },
+	{ "no base, one version", true, false, false, NULL, RESUME_ANYWHERE,
+	    RESUME_ANYWHERE, "" },
+};
+
+static void
+test_decide(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(decisions); i++) {
+		struct stream_record_search s = {
+			.found = decisions[i].found,
+			.incomplete = decisions[i].incomplete,
+			.version = "v2",
+		};
+		char version[STREAM_VERSION_BYTES] = "";
+
+		g_test_message("%s", decisions[i].name);
+		g_assert_cmpint(
+		    stream_record_decide(&s, decisions[i].readable,
+			decisions[i].base, decisions[i].hosts, version),
+		    ==, decisions[i].place);
+		g_assert_cmpstr(version, ==, decisions[i].version);
+	}
+}
+
+/* The versions that are listed from a second on. */
+struct listing {
+	int from;
+	const char *versions; /* separated by blanks; NULL: end */
+};
+
+static const struct {
+	const char *name;
+	const char *stored; /* the item before; or NULL */
+	bool new_fleet;
+	struct listing listings[4];
+	int at; /* second */
+	const char *base;
+} replays[] = {
+	{ "a new fleet", NULL, true, { { 0, "v1" } }, 3, "v1" },
+	{ "a new fleet, too early", NULL, true, { { 0, "v1" } }, 1, NULL },
+	{ "a new fleet with two versions", NULL, true, { { 0, "v1 v2" } }, 90,
+	    NULL },
+	{ "a fleet that was here before", NULL, false, { { 0, "v1" } }, 30,
+	    NULL },
+	{ "a fleet that was here before, later", NULL, false, { { 0, "v1" } },
+	    61, "v1" },
+	{ "a second version comes", NULL, true, { { 0, "v1" }, { 5, "v1 v2" } },
+	    100, "v1" },
+	{ "and the first one leaves", NULL, true,
+	    { { 0, "v1" }, { 5, "v1 v2" }, { 80, "v2" } }, 139, "v1" },
+	{ "a long time ago", NULL, true,
+	    { { 0, "v1" }, { 5, "v1 v2" }, { 80, "v2" } }, 141, "v2" },
+	{ "and a third one has come meanwhile", NULL, true,
+	    { { 0, "v1" }, { 5, "v2" }, { 30, "v2 v3" }, { 70, "v3" } }, 100,
+	    "v1" },
+	{ "a long time ago, too", NULL, true,
+	    { { 0, "v1" }, { 5, "v2" }, { 30, "v2 v3" }, { 70, "v3" } }, 131,
+	    "v3" },
+	{ "the first version is back", NULL, true,
+	    { { 0, "v1" }, { 5, "v2" }, { 40, "v1 v2" }, { 70, "v2" } }, 120,
+	    "v1" },
+	{ "all hosts were killed when the old one had left", "s v1\n", false,
+	    { { 0, "v2" } }, 59, "v1" },
+	{ "and the old one is forgotten", "s v1\n", false, { { 0, "v2" } }, 61,
+	    "v2" },
+	{ "no target at all", "s v1\n", false, { { 0, "" } }, 100, "v1" },
+};
+
+static void
+list_targets(GArray *targets, const char *versions)
+{
+	g_auto(GStrv) v = g_strsplit(versions, " ", -1);
+
+	g_array_set_size(targets, 0);
+	for (size_t i = 0; v[i] != NULL; i++) {
+		struct target_entry e = { .service = "s" };
+
+		if (*v[i] == '\0')
+			continue;
+		g_strlcpy(e.version, v[i], sizeof(e.version));
+		g_array_append_val(targets, e);
+	}
+}
+
+static void
+test_bases(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(replays); i++) {
+		g_autoptr(GArray) targets =
+		    g_array_new(FALSE, TRUE, sizeof(struct target_entry));
+		struct stream_bases b;
+		struct stream_bases copy;
+		struct buf value = { 0 };
+		size_t next = 0;
+
+		g_test_message("%s", replays[i].name);
+		stream_bases_init(&b);
+		if (replays[i].stored != NULL)
+			stream_bases_read(&b, str_from(replays[i].stored));
+		b.known = true;
+		b.new_fleet = replays[i].new_fleet;
+		for (int t = 0; t <= replays[i].at; t++) {
+			if (next < G_N_ELEMENTS(replays[i].listings) &&
+			    replays[i].listings[next].versions != NULL &&
+			    replays[i].listings[next].from == t)
+				list_targets(targets,
+				    replays[i].listings[next++].versions);
+			stream_bases_list(&b, targets, t * SECOND);
+			stream_bases_change(&b, t * SECOND);
+		}
+		g_assert_cmpstr(
+		    stream_bases_find(&b, "s"), ==, replays[i].base);
+		/* What is written is read again. */
+		stream_bases_write(&b, &value);
+		stream_bases_init(&copy);
+		stream_bases_read(&copy, str_of(&value));
+		g_assert_cmpstr(
+		    stream_bases_find(&copy, "s"), ==, replays[i].base);
+		buf_free(&value);
+		stream_bases_free(&copy);
+		stream_bases_free(&b);
+	}
+}
+
+/* Which streams are recorded, and when a service counts as mixed. */
+static void
+test_records(void)
+{
+	static const struct {
+		const char *name, *base, *listed, *begun;
+		bool records, mixed;
+	} cases[] = {
+		{ "one version", "v1", "v1", "v1", false, false },
+		{ "of the base", "v1", "v1 v2", "v1", false, true },
+		{ "of the other version", "v1", "v1 v2", "v2", true, true },
+		{ "the base has left", "v1", "v2", "v2", true, true },
+		{ "no base, one version", NULL, "v1", "v1", false, false },
+		{ "no base, two versions", NULL, "v1 v2", "v1", true, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autoptr(GArray) targets =
+		    g_array_new(FALSE, TRUE, sizeof(struct target_entry));
+		g_autoptr(GHashTable) bases =
+		    g_hash_table_new(g_str_hash, g_str_equal);
+		struct stream_versions s;
+
+		g_test_message("%s", cases[i].name);
+		stream_versions_init(&s, 0);
+		if (cases[i].base != NULL)
+			g_hash_table_insert(
+			    bases, (char *)"s", (char *)cases[i].base);
+		stream_versions_set_bases(&s, bases);
+		list_targets(targets, cases[i].listed);
+		stream_versions_list(&s, targets, false, SECOND);
+		g_assert_cmpint(
+		    stream_versions_records(&s, "s", cases[i].begun, SECOND),
+		    ==, cases[i].records);
+		g_assert_cmpint(
+		    stream_versions_mixed(&s, "s", SECOND), ==, cases[i].mixed);
+		stream_versions_free(&s);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/stream-records/items", test_items);
+	g_test_add_func("/stream-records/full", test_full);
+	g_test_add_func("/stream-records/malformed", test_malformed);
+	g_test_add_func("/stream-records/decide", test_decide);
+	g_test_add_func("/stream-records/bases", test_bases);
+	g_test_add_func("/stream-records/records", test_records);
+	return g_test_run();
+}
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -234,8 +234,8 @@
 }
 
 static size_t
-write_items(struct fakeplat *plat, const char *list_name, int64_t since,
-    bool with_deleted, struct buf *out)
+write_items(struct fakeplat *plat, const char *list_name, struct str prefix,
+    int64_t since, bool with_deleted, struct buf *out)
 {
 	json_t *v = json_array();
 	json_t *o;
@@ -249,7 +249,8 @@
 	while (g_hash_table_iter_next(&it, &k, &p)) {
 		const struct item *x = p;
 
-		if (x->rev > since && (with_deleted || x->value != NULL))
+		if (x->rev > since && (with_deleted || x->value != NULL) &&
+		    str_has_prefix(str_from(k), prefix))
 			json_array_append_new(v, item_json(k, x));
 	}
 	n = json_array_size(v);
@@ -267,7 +268,7 @@
 {
 	struct buf out = { 0 };
 
-	write_items(c->plat, "events", c->watch_after, true, &out);
+	write_items(c->plat, "events", STR(""), c->watch_after, true, &out);
 	send_response(c, 200, "", str_of(&out));
 	buf_free(&out);
 }
@@ -335,7 +336,8 @@
 		return;
 	}
 	if (!str_has_prefix(url, STR("/api/kv-watch"))) {
-		write_items(c->plat, "Items", 0, false, &out);
+		write_items(c->plat, "Items", query_value(url, "Prefix"), 0,
+		    false, &out);
 		send_response(c, 200, "", str_of(&out));
 		buf_free(&out);
 		return;
