Paths: a host without a path to one service still makes calls to others

A host that had no path to one service was passed over for all services for a second. With one service down everywhere, calls to another, to which only this host had lost its path, found no host.

--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -298,7 +298,8 @@
 on_host_failure(struct target_call *k)
 {
 	if (strcmp(k->failure, NO_PATH) == 0) {
-		paths_host_failed(&k->calls->paths, k->host, clock_now());
+		paths_host_without(
+		    &k->calls->paths, k->host, k->service, clock_now());
 		try_next_host(k);
 	} else if (strcmp(k->failure, AT_REST) == 0) {
 		try_next_host(k);
@@ -350,7 +351,7 @@
 {
 	struct target_calls *x = k->calls;
 	const struct path_host *h = k->hosts_tried < MAX_HOSTS
-	    ? paths_choose_host(&x->paths, clock_now())
+	    ? paths_choose_host(&x->paths, k->service, clock_now())
 	    : NULL;
 	struct dial_opts o = k->o;
 	struct buf head = { 0 };
--- a/kernel/paths.c
+++ b/kernel/paths.c
@@ -24,6 +24,8 @@
 	uint32_t calls;     /* on direct connections */
 	usec_t quiet_since; /* nothing has been heard, or no call was made */
 	usec_t tested_at;
+	/* id of a host without a path -> usec_t: it isn't chosen until then */
+	GHashTable *hosts_without;
 };
 
 static void
@@ -32,6 +34,7 @@
 	struct path_service *s = p;
 
 	g_hash_table_destroy(s->failed);
+	g_hash_table_destroy(s->hosts_without);
 	g_free(s);
 }
 
@@ -55,6 +58,8 @@
 		s = g_new0(struct path_service, 1);
 		s->failed = g_hash_table_new_full(
 		    g_str_hash, g_str_equal, g_free, NULL);
+		s->hosts_without = g_hash_table_new_full(
+		    g_str_hash, g_str_equal, g_free, g_free);
 		g_hash_table_insert(p->services, g_strdup(name), s);
 	}
 	return s;
@@ -83,7 +88,7 @@
 		const struct path_host *old = find_host(p, h.id);
 
 		if (old != NULL && strcmp(old->addr, h.addr) == 0)
-			h.unusable_until = old->unusable_until;
+			h.unreachable_until = old->unreachable_until;
 		g_array_append_val(v, h);
 	}
 	g_array_unref(p->hosts);
@@ -194,8 +199,9 @@
 }
 
 const struct path_host *
-paths_choose_host(struct paths *p, usec_t now)
+paths_choose_host(struct paths *p, const char *service, usec_t now)
 {
+	const struct path_service *s = service_of(p, service);
 	const struct path_host *best = NULL;
 	double best_weight = 0;
 
@@ -204,8 +210,11 @@
 		    &g_array_index(p->hosts, struct path_host, i);
 		double weight = rng_unit(&p->rng) +
 		    (strcmp(h->domain, p->domain) == 0 ? 1 : 0);
+		const usec_t *without =
+		    g_hash_table_lookup(s->hosts_without, h->id);
 
-		if (now < h->unusable_until ||
+		if (now < h->unreachable_until ||
+		    (without != NULL && now < *without) ||
 		    (best != NULL && weight <= best_weight))
 			continue;
 		best = h;
@@ -220,7 +229,18 @@
 	struct path_host *h = find_host(p, id);
 
 	if (h != NULL)
-		h->unusable_until = now + HOST_PAUSE;
+		h->unreachable_until = now + HOST_PAUSE;
+}
+
+void
+paths_host_without(
+    struct paths *p, const char *id, const char *service, usec_t now)
+{
+	usec_t *until = g_new(usec_t, 1);
+
+	*until = now + HOST_PAUSE;
+	g_hash_table_replace(
+	    service_of(p, service)->hosts_without, g_strdup(id), until);
 }
 
 void
--- a/kernel/paths.h
+++ b/kernel/paths.h
@@ -30,7 +30,7 @@
 	char id[MAX_NAME_BYTES + 1];
 	char addr[MAX_ADDR_BYTES]; /* where it takes calls */
 	char domain[MAX_NAME_BYTES + 1];
-	usec_t unusable_until;
+	usec_t unreachable_until;
 };
 
 struct paths {
@@ -72,13 +72,17 @@
  */
 size_t paths_tests_due(struct paths *p, const char *service, usec_t now);
 /*
- * Returns a host by way of which a call can be made, one of this host's failure
- * domain if possible; NULL: none is known to be usable.  Valid until the hosts
- * are set.
+ * Returns a host by way of which a call to the service can be made, one of this
+ * host's failure domain if possible; NULL: none is known to be usable.  Valid
+ * until the hosts are set.
  */
-const struct path_host *paths_choose_host(struct paths *p, usec_t now);
-/* The host can't be reached, or has no path either. */
+const struct path_host *paths_choose_host(
+    struct paths *p, const char *service, usec_t now);
+/* The host can't be reached. */
 void paths_host_failed(struct paths *p, const char *id, usec_t now);
+/* The host has no path to the service either. */
+void paths_host_without(
+    struct paths *p, const char *id, const char *service, usec_t now);
 void paths_free(struct paths *p);
 
 #endif
--- a/tests/kernel/test_paths.c
+++ b/tests/kernel/test_paths.c
@@ -149,21 +149,33 @@
 	struct paths p;
 
 	paths_init(&p, "d1", 1);
-	g_assert_null(paths_choose_host(&p, 0));
+	g_assert_null(paths_choose_host(&p, "a", 0));
 	g_array_append_vals(v, hosts, G_N_ELEMENTS(hosts));
 	paths_set_hosts(&p, v);
 	for (int i = 0; i < 100; i++)
-		g_assert_cmpstr(paths_choose_host(&p, 0)->domain, ==, "d1");
+		g_assert_cmpstr(
+		    paths_choose_host(&p, "a", 0)->domain, ==, "d1");
 	paths_host_failed(&p, "near1", 0);
 	paths_set_hosts(&p, v);
-	h = paths_choose_host(&p, 500 * MS);
+	h = paths_choose_host(&p, "a", 500 * MS);
 	g_assert_cmpstr(h->id, ==, "near2");
 	paths_host_failed(&p, "near2", 0);
-	h = paths_choose_host(&p, 500 * MS);
+	h = paths_choose_host(&p, "a", 500 * MS);
 	g_assert_cmpstr(h->id, ==, "far");
 	paths_host_failed(&p, "far", 0);
-	g_assert_null(paths_choose_host(&p, 500 * MS));
-	g_assert_nonnull(paths_choose_host(&p, 1500 * MS));
+	g_assert_null(paths_choose_host(&p, "a", 500 * MS));
+	/* A host without a path to one service is used for another. */
+	paths_host_without(&p, "far", "a", 1400 * MS);
+	h = paths_choose_host(&p, "b", 1500 * MS);
+	g_assert_nonnull(h);
+	for (int i = 0; i < 100; i++)
+		g_assert_cmpstr(
+		    paths_choose_host(&p, "a", 1500 * MS)->domain, ==, "d1");
+	paths_host_failed(&p, "near1", 1400 * MS);
+	paths_host_failed(&p, "near2", 1400 * MS);
+	g_assert_null(paths_choose_host(&p, "a", 1500 * MS));
+	g_assert_cmpstr(paths_choose_host(&p, "b", 1500 * MS)->id, ==, "far");
+	g_assert_nonnull(paths_choose_host(&p, "a", 2500 * MS));
 	paths_free(&p);
 }
 
