Calls: hosts share the slots of a target that says that it is brittle

The platform's targets may say Server-Brittle: N in their answers: one that has to turn more than N requests away in a second falls over (LIMIT). The field was not read, and each host's own refusals look few to it.

While a target says so, all hosts together have no more calls at it than it has slots (kernel/overload/target_brittle): each has a part, a host that is refused pauses, and the first host that learns of it tells the others (PEER_BRITTLE). A stage target is called by one coordinator, one call after the other; only the pause holds there.

--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -234,7 +234,7 @@
 is_free(const struct target_load *t, usec_t now)
 {
 	return t->in_flight == 0 && now >= t->aside_until &&
-	    loads_allows(t, now);
+	    loads_allows_alone(t, now);
 }
 
 /*
--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -428,7 +428,7 @@
 			    c->pending_frees, t->entry.addr);
 
 			if (u == NULL || now - u->oldest <= FREE_INTERVAL ||
-			    !loads_allows(t, now))
+			    !loads_allows_alone(t, now))
 				continue;
 			target_limit_sent(&t->limit, now);
 			flush_frees(c, t);
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -198,6 +198,7 @@
 	case PEER_PIECE_REPLY:
 	case PEER_PIECE_FREE:
 	case PEER_LIMIT:
+	case PEER_BRITTLE:
 	case PEER_STREAM:
 	case PEER_STREAM_ASK:
 	case PEER_STREAM_REPLY:
--- a/entry/discovery.h
+++ b/entry/discovery.h
@@ -21,9 +21,9 @@
 	/* Called on the discovery thread; the callee owns the view. */
 	void (*publish_view)(void *arg, struct view *v);
 	/*
-	 * Called with PEER_PIECE_*, PEER_LIMIT and PEER_STREAM* datagrams, on
-	 * the RPC thread, and PEER_SUSPECTS, on the discovery thread; with the
-	 * ownership rules of rpc_opts.deliver.
+	 * Called with PEER_PIECE_*, PEER_LIMIT, PEER_BRITTLE and some
+	 * PEER_STREAM* datagrams, on the RPC thread, and PEER_SUSPECTS, on the
+	 * discovery thread; with the ownership rules of rpc_opts.deliver.
 	 */
 	void (*relay_datagram)(void *arg, peer_letter *l);
 	void *arg;
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -231,6 +231,13 @@
 };
 typedef struct peer_limit peer_limit;
 
+struct peer_brittle {
+	peer_name target;
+	u_int refusals;
+	u_int age_ms;
+};
+typedef struct peer_brittle peer_brittle;
+
 struct peer_suspects {
 	char *service;
 	peer_prompt parts;
@@ -322,6 +329,7 @@
 	PEER_STREAM_RECORDED = 20,
 	PEER_STREAM_LOOK = 21,
 	PEER_STREAM_FOUND = 22,
+	PEER_BRITTLE = 23,
 };
 typedef enum peer_kind peer_kind;
 
@@ -350,6 +358,7 @@
 		peer_stream_recorded stream_recorded;
 		peer_stream_look stream_look;
 		peer_stream_found stream_found;
+		peer_brittle brittle;
 	} peer_body_u;
 };
 typedef struct peer_body peer_body;
@@ -450,6 +459,7 @@
 extern  bool_t xdr_peer_crash (XDR *, peer_crash*);
 extern  bool_t xdr_peer_quarantine (XDR *, peer_quarantine*);
 extern  bool_t xdr_peer_limit (XDR *, peer_limit*);
+extern  bool_t xdr_peer_brittle (XDR *, peer_brittle*);
 extern  bool_t xdr_peer_suspects (XDR *, peer_suspects*);
 extern  bool_t xdr_peer_known (XDR *, peer_known*);
 extern  bool_t xdr_peer_stream (XDR *, peer_stream*);
@@ -488,6 +498,7 @@
 extern bool_t xdr_peer_crash ();
 extern bool_t xdr_peer_quarantine ();
 extern bool_t xdr_peer_limit ();
+extern bool_t xdr_peer_brittle ();
 extern bool_t xdr_peer_suspects ();
 extern bool_t xdr_peer_known ();
 extern bool_t xdr_peer_stream ();
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -186,6 +186,16 @@
 	unsigned int age_ms;       /* since the target named it */
 };
 
+/*
+ * A target has said that it falls over if it has to turn more requests away in a
+ * second (kernel/overload/target_brittle.h).
+ */
+struct peer_brittle {
+	peer_name target;
+	unsigned int refusals;  /* 0: it doesn't say so any more */
+	unsigned int age_ms;    /* since the target said so */
+};
+
 /* Asks which of these parts targets of a service answered before. */
 struct peer_suspects {
 	string service<64>;
@@ -275,7 +285,8 @@
 	PEER_STREAM_RECORD = 19,
 	PEER_STREAM_RECORDED = 20,
 	PEER_STREAM_LOOK = 21,
-	PEER_STREAM_FOUND = 22
+	PEER_STREAM_FOUND = 22,
+	PEER_BRITTLE = 23
 };
 
 union peer_body switch (peer_kind kind) {
@@ -323,6 +334,8 @@
 	peer_stream_look stream_look;
 case PEER_STREAM_FOUND:
 	peer_stream_found stream_found;
+case PEER_BRITTLE:
+	peer_brittle brittle;
 };
 
 struct peer_letter {
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -474,6 +474,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_brittle (XDR *xdrs, peer_brittle *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_name (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->refusals))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_suspects (XDR *xdrs, peer_suspects *objp)
 {
@@ -752,6 +766,10 @@
 		 if (!xdr_peer_stream_found (xdrs, &objp->peer_body_u.stream_found))
 			 return FALSE;
 		break;
+	case PEER_BRITTLE:
+		 if (!xdr_peer_brittle (xdrs, &objp->peer_body_u.brittle))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -246,8 +246,8 @@
 		stream_resumes_receive(y->shared.stream_resumes, d);
 		break;
 	case PEER_LIMIT:
-		target_limits_receive(
-		    y->shared.target_limits, &d->body.peer_body_u.limit);
+	case PEER_BRITTLE:
+		target_limits_receive(y->shared.target_limits, &d->body);
 		break;
 	case PEER_GOSSIP:
 	case PEER_CLAIM:
@@ -565,6 +565,7 @@
 	    .base = p->base,
 	    .dialer = p->dialer,
 	    .loads = &p->loads,
+	    .target_limits = p->target_limits,
 	    .self = y->o.settings->id,
 	    .domain = y->o.settings->failure_domain,
 	    .fleet_key = y->o.settings->fleet_key,
--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -101,6 +101,8 @@
 		    "%s of %s says so in its answer", k->target, k->service);
 		loads_mark_leaving(k->calls->o.loads, t);
 	}
+	target_limits_brittle(
+	    k->calls->o.target_limits, t, &answer, k->started_at);
 	if (answer.rest == 0)
 		return;
 	loads_rest(t, answer.rest, clock_now());
@@ -349,6 +351,7 @@
 	struct target_call *k = xcalloc(1, sizeof(*k));
 
 	k->calls = x;
+	k->started_at = clock_now();
 	k->o = *o;
 	k->o.addr = (struct str){ str_dup(o->addr), o->addr.n };
 	k->o.head = (struct str){ str_dup(o->head), o->head.n };
--- a/entry/target_calls.h
+++ b/entry/target_calls.h
@@ -14,6 +14,7 @@
 #define ENTRY_TARGET_CALLS_H
 
 #include "entry/httpd.h"
+#include "entry/target_limits.h"
 #include "entry/view.h"
 #include "kernel/loads.h"
 #include "plat/dial.h"
@@ -30,6 +31,7 @@
 	struct event_base *base;
 	struct dialer *dialer;
 	struct loads *loads;
+	struct target_limits *target_limits;
 	const char *self; /* id of this host */
 	const char *domain;
 	const char *fleet_key;
--- a/entry/target_calls_state.h
+++ b/entry/target_calls_state.h
@@ -41,6 +41,7 @@
 	struct dial_opts o; /* the strings and the body are owned by the call */
 	char service[64];
 	char target[64];
+	usec_t started_at;
 	bool direct;
 	bool direct_only;
 	char host[MAX_NAME_BYTES + 1]; /* that makes the call; or empty */
--- a/entry/target_limits.c
+++ b/entry/target_limits.c
@@ -67,6 +67,18 @@
 	free(v);
 }
 
+static void
+send_to_others(const struct target_limits *x, const peer_body *body)
+{
+	for (guint i = 0; i < x->peers->len; i++) {
+		const struct view_peer *p =
+		    &g_array_index(x->peers, struct view_peer, i);
+
+		if (strcmp(p->id, x->o.self) != 0)
+			rpc_send(x->o.rpc, p->rpc, body);
+	}
+}
+
 static void
 tell(struct target_limits *x, const struct target_load *t, usec_t now)
 {
@@ -76,13 +88,7 @@
 	m->target = (char *)t->entry.id;
 	m->micro_rate = (uint64_t)(t->limit.rate * MICRO);
 	m->age_ms = (u_int)((now - t->limit.named_at) / USEC_PER_MSEC);
-	for (guint i = 0; i < x->peers->len; i++) {
-		const struct view_peer *p =
-		    &g_array_index(x->peers, struct view_peer, i);
-
-		if (strcmp(p->id, x->o.self) != 0)
-			rpc_send(x->o.rpc, p->rpc, &body);
-	}
+	send_to_others(x, &body);
 }
 
 static void
@@ -123,8 +129,60 @@
 		tell(x, t, now);
 }
 
+static void
+log_brittle(const struct target_load *t, const char *source)
+{
+	log_text(LOG_LVL_NOTICE, "target-brittle",
+	    "%s of %s, %s: falls over at more than %u refusals a second (0: no "
+	    "more), %u calls of this host at once",
+	    t->entry.id, t->entry.service, source, t->brittle.refusals,
+	    t->brittle.share);
+}
+
 void
-target_limits_receive(struct target_limits *x, const peer_limit *m)
+target_limits_brittle(struct target_limits *x, struct target_load *t,
+    const struct response_info *response, usec_t sent_at)
+{
+	struct brittle_answer a = {
+		.target = t->entry.id,
+		.slots = t->entry.slots,
+		.refusals = response->brittle,
+		.refused = response->not_executed && !response->misdirected,
+		.sent_at = sent_at,
+	};
+	peer_body body = { .kind = PEER_BRITTLE };
+	peer_brittle *m = &body.peer_body_u.brittle;
+
+	if (!loads_brittle(x->o.loads, t, &a, clock_now()))
+		return;
+	log_brittle(t, "its answer");
+	m->target = (char *)t->entry.id;
+	m->refusals = t->brittle.refusals;
+	send_to_others(x, &body);
+}
+
+static void
+receive_brittle(struct target_limits *x, const peer_brittle *m)
+{
+	struct target_load *t = loads_find(x->o.loads, m->target);
+	uint32_t before;
+
+	if (t == NULL)
+		return;
+	before = t->brittle.refusals;
+	loads_brittle_told(x->o.loads, t,
+	    &(struct brittle_answer){
+		.target = t->entry.id,
+		.slots = t->entry.slots,
+		.refusals = m->refusals,
+	    },
+	    clock_now() - (usec_t)m->age_ms * USEC_PER_MSEC);
+	if (t->brittle.refusals != before)
+		log_brittle(t, "another host");
+}
+
+static void
+receive_limit(struct target_limits *x, const peer_limit *m)
 {
 	struct target_load *t = loads_find(x->o.loads, m->target);
 	usec_t now = clock_now();
@@ -138,6 +196,15 @@
 		limit_changed(x, t, before, "another host", now);
 }
 
+void
+target_limits_receive(struct target_limits *x, const peer_body *body)
+{
+	if (body->kind == PEER_LIMIT)
+		receive_limit(x, &body->peer_body_u.limit);
+	else
+		receive_brittle(x, &body->peer_body_u.brittle);
+}
+
 void
 target_limits_tick(struct target_limits *x, usec_t now)
 {
--- a/entry/target_limits.h
+++ b/entry/target_limits.h
@@ -1,6 +1,7 @@
 /*
- * The limits that targets name in their answers: notes them, and tells and
- * hears them from the other hosts (kernel/overload/target_limit.h).
+ * The limits that targets name in their answers, and targets that say that they
+ * are brittle: notes them, and tells and hears them from the other hosts
+ * (kernel/overload/target_limit.h, kernel/overload/target_brittle.h).
  *
  * Runs on the relay's thread.
  */
@@ -30,8 +31,14 @@
  */
 void target_limits_answered(struct target_limits *x, struct target_load *t,
     const struct response_info *response, usec_t sent_at, bool only_here);
-/* Handles a PEER_LIMIT datagram. */
-void target_limits_receive(struct target_limits *x, const peer_limit *m);
+/*
+ * A target has answered a request that was sent at a time, and says or doesn't
+ * say that it is brittle (kernel/overload/target_brittle.h).
+ */
+void target_limits_brittle(struct target_limits *x, struct target_load *t,
+    const struct response_info *response, usec_t sent_at);
+/* Handles a PEER_LIMIT or PEER_BRITTLE datagram. */
+void target_limits_receive(struct target_limits *x, const peer_body *body);
 /* Tells the other hosts what is due; call it regularly. */
 void target_limits_tick(struct target_limits *x, usec_t now);
 /* Number of targets with a limit. */
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -229,6 +229,7 @@
 			t->speed = (struct target_speed){ 0 };
 			t->limit = (struct target_limit){ 0 };
 			t->rest_until = 0;
+			t->brittle = (struct target_brittle){ 0 };
 			t->bad_limit = false;
 		}
 		t->entry = *e;
@@ -435,7 +436,29 @@
 bool
 loads_allows(const struct target_load *t, usec_t now)
 {
-	return now >= t->rest_until && target_limit_allows(&t->limit, now);
+	return loads_allows_alone(t, now) &&
+	    target_brittle_allows(&t->brittle, t->in_flight, now);
+}
+
+bool
+loads_allows_alone(const struct target_load *t, usec_t now)
+{
+	return now >= t->rest_until && now >= t->brittle.pause_until &&
+	    target_limit_allows(&t->limit, now);
+}
+
+bool
+loads_brittle(const struct loads *l, struct target_load *t,
+    const struct brittle_answer *a, usec_t now)
+{
+	return target_brittle_answered(&t->brittle, a, &l->hosts, now);
+}
+
+void
+loads_brittle_told(const struct loads *l, struct target_load *t,
+    const struct brittle_answer *a, usec_t said_at)
+{
+	target_brittle_told(&t->brittle, a, &l->hosts, said_at);
 }
 
 void
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -17,6 +17,7 @@
 #define KERNEL_LOADS_H
 
 #include "base/rng.h"
+#include "kernel/overload/target_brittle.h"
 #include "kernel/overload/target_limit.h"
 #include "kernel/overload/target_speed.h"
 #include "kernel/roster.h"
@@ -40,6 +41,7 @@
 	struct target_speed speed; /* of its stage calls */
 	uint32_t failures;         /* in a row */
 	struct target_limit limit;
+	struct target_brittle brittle;
 	bool bad_limit; /* its last answer named a malformed one */
 	usec_t aside_until;
 	/* The target has asked this host for no request until then. */
@@ -156,8 +158,22 @@
  * Unlike a target that is set aside, it isn't used as a last resort either.
  */
 void loads_rest(struct target_load *t, usec_t time, usec_t now);
-/* Whether the target's limit and rest allow a request of this host now. */
+/*
+ * Whether the target's limit and rest, and its state if it is brittle, allow a
+ * request of this host now.
+ */
 bool loads_allows(const struct target_load *t, usec_t now);
+/* The same for a host that alone calls the target, one call after the other. */
+bool loads_allows_alone(const struct target_load *t, usec_t now);
+/*
+ * An answer of a target says, or doesn't say, that it is brittle; returns
+ * whether the other hosts are to be told.
+ */
+bool loads_brittle(const struct loads *l, struct target_load *t,
+    const struct brittle_answer *a, usec_t now);
+/* Another host tells what the target said at a time. */
+void loads_brittle_told(const struct loads *l, struct target_load *t,
+    const struct brittle_answer *a, usec_t said_at);
 /* Marks a target that takes no new calls from now on. */
 void loads_mark_leaving(struct loads *l, struct target_load *t);
 void loads_free(struct loads *l);
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -332,6 +332,41 @@
 	}
 }
 
+static void
+test_brittle(void)
+{
+	static const struct {
+		const char *value; /* NULL: no field */
+		uint32_t brittle;
+	} cases[] = {
+		{ NULL, 0 },
+		{ "3", 3 },
+		{ " 12 ", 12 },
+		{ "0", 1 },
+		{ "x", 0 },
+		{ "-2", 0 },
+		{ "99999999999", 1000000 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *field = cases[i].value != NULL
+		    ? g_strdup_printf("Server-Brittle: %s\r\n", cases[i].value)
+		    : g_strdup("");
+		g_autofree char *text =
+		    g_strdup_printf("HTTP/1.1 200 OK\r\n%s"
+				    "Content-Length: 0\r\n\r\n",
+			field);
+		struct httpmsg m;
+		struct response_info f;
+
+		parse(&m, HTTP_RESPONSE, text);
+		platform_response_parse(&m, &f);
+		g_test_message("%s", text);
+		g_assert_cmpuint(f.brittle, ==, cases[i].brittle);
+		httpmsg_free(&m);
+	}
+}
+
 /* A Retry-After is the host's to keep only beside a 503. */
 static void
 test_rest(void)
@@ -540,6 +575,7 @@
 	g_test_add_func("/call-head", test_call_head);
 	g_test_add_func("/response", test_response);
 	g_test_add_func("/limit", test_limit);
+	g_test_add_func("/brittle", test_brittle);
 	g_test_add_func("/rest", test_rest);
 	g_test_add_func("/stage", test_stage);
 	g_test_add_func("/store", test_store);
