Streams: a recorder that restarts does not write over its last records

The recorder numbered its items from 0 at each start, so the streams that were resumed first were recorded over those of before the kill.

An item is named by its second. A recorder writes only after it has listed the store, from the second after the last one that it wrote before, also if its clock has gone back. After a write without an answer it goes on with the next second, as that write may take effect late.

--- a/entry/discovery_streams.c
+++ b/entry/discovery_streams.c
@@ -12,12 +12,8 @@
 
 #define RECORDS_PREFIX "sequoia/streams/"
 #define BASES_KEY      "sequoia/versions"
-/*
- * Items that a recorder writes in turn.  After a write without an answer it
- * takes the next one, as the write may take effect seconds later and would
- * replace a newer value.
- */
-#define RECORD_ITEMS   (4 * STREAM_RECORD_SLOTS)
+/* Items that a recorder writes in turn, one for each second. */
+#define RECORD_ITEMS   (2 * STREAM_RECORD_SLOTS)
 /* Interval in which a write without an answer is repeated. */
 #define RETRY_PAUSE    (200 * USEC_PER_MSEC)
 /* Streams that wait to be recorded; further ones are dropped. */
@@ -46,8 +42,10 @@
 	GArray *written; /* the same, in records but not in the store */
 	bool put_in_flight;
 	usec_t put_at;
-	uint32_t item; /* number of the current one */
-	bool dropped;  /* streams, since the last write */
+	/* Of the newest item that this host had written before it started. */
+	int64_t last_second;
+	bool listed;  /* the store, so that last_second is known */
+	bool dropped; /* streams, since the last write */
 	struct stream_bases bases;
 	bool bases_changed; /* and are not in the store */
 	bool bases_in_flight;
@@ -151,7 +149,11 @@
 	}
 	log_text(LOG_LVL_NOTICE, "streams-not-recorded",
 	    "%u streams; the write is repeated", s->written->len);
-	s->item++;
+	/*
+	 * The write may take effect seconds later, and would replace a newer
+	 * value of its item.
+	 */
+	s->records.second++;
 }
 
 /* Moves the waiting streams to the records of the current second. */
@@ -160,11 +162,11 @@
 {
 	int64_t second = clock_wall() / USEC_PER_SEC;
 
+	if (second <= s->last_second)
+		second = s->last_second + 1;
 	/* Records that are not in the store yet stay with their second. */
 	if (s->written->len > 0)
 		second = s->records.second;
-	else if (second > s->records.second)
-		s->item++;
 	for (guint i = 0; i < s->waiting->len; i++) {
 		const struct waiting_stream *w =
 		    &g_array_index(s->waiting, struct waiting_stream, i);
@@ -187,13 +189,13 @@
 	struct buf value = { 0 };
 
 	if (s->waiting->len + s->written->len == 0 || s->put_in_flight ||
-	    d->store_unavailable || now - s->put_at < pause)
+	    d->store_unavailable || !s->listed || now - s->put_at < pause)
 		return;
 	take_waiting(s);
 	s->put_in_flight = true;
 	s->put_at = now;
-	key = g_strdup_printf(
-	    RECORDS_PREFIX "%s/%u", d->o.settings->id, s->item % RECORD_ITEMS);
+	key = g_strdup_printf(RECORDS_PREFIX "%s/%" PRId64, d->o.settings->id,
+	    s->records.second % RECORD_ITEMS);
 	stream_records_write(&s->records, &value);
 	kv_put_item(d->kv, str_from(key), str_of(&value), on_recorded, d);
 	buf_free(&value);
@@ -331,11 +333,31 @@
 	return str_has_prefix(key, STR(RECORDS_PREFIX));
 }
 
+/* Notes what this host had recorded before it started. */
+static void
+read_own_record(struct discovery *d, struct str key, struct str value)
+{
+	struct stream_store *s = d->streams;
+	g_autofree char *own =
+	    g_strconcat(RECORDS_PREFIX, d->o.settings->id, "/", NULL);
+	int64_t second;
+
+	if (s->listed || !str_has_prefix(key, str_from(own)))
+		return;
+	second = stream_record_second(value);
+	if (second > s->last_second)
+		s->last_second = second;
+}
+
 bool
 discovery_stream_item(struct discovery *d, struct str key, struct str value)
 {
+	if (discovery_is_stream_record(key)) {
+		read_own_record(d, key, value);
+		return true;
+	}
 	if (!str_eq(key, STR(BASES_KEY)))
-		return discovery_is_stream_record(key);
+		return false;
 	stream_bases_read(&d->streams->bases, value);
 	d->streams->bases_changed = false;
 	d->view_dirty = true;
@@ -351,6 +373,7 @@
 	if (!b->known)
 		b->new_fleet = !d->hosts_listed;
 	b->known = true;
+	d->streams->listed = true;
 }
 
 static void
--- a/kernel/stream_records.c
+++ b/kernel/stream_records.c
@@ -115,19 +115,38 @@
 	}
 }
 
-void
-stream_record_look(struct stream_record_search *s, struct str value)
+/* Reads the first line; returns 0 if it is malformed. */
+static int64_t
+read_second(struct str *value)
 {
 	struct str line;
 	struct str format;
 	uint64_t second;
 
-	if (!str_cut(&value, '\n', &line) || !str_cut(&line, ' ', &format) ||
-	    !str_eq(format, STR(FORMAT)) || !str_parse_u64(line, &second)) {
+	if (!str_cut(value, '\n', &line) || !str_cut(&line, ' ', &format) ||
+	    !str_eq(format, STR(FORMAT)) || !str_parse_u64(line, &second) ||
+	    second > INT64_MAX)
+		return 0;
+	return (int64_t)second;
+}
+
+int64_t
+stream_record_second(struct str value)
+{
+	return read_second(&value);
+}
+
+void
+stream_record_look(struct stream_record_search *s, struct str value)
+{
+	int64_t second = read_second(&value);
+	struct str line;
+
+	if (second == 0) {
 		s->incomplete = true;
 		return;
 	}
-	if ((int64_t)second < s->now - STREAM_RECORD_SLOTS)
+	if (second < s->now - STREAM_RECORD_SLOTS)
 		return;
 	while (value.n > 0 && str_cut(&value, '\n', &line)) {
 		if (str_eq(line, STR(FULL_LINE)))
--- a/kernel/stream_records.h
+++ b/kernel/stream_records.h
@@ -9,9 +9,10 @@
  * is kept in the store and changes only once no stream of it can be left, and
  * only streams of other versions are recorded.  One host, the recorder, writes
  * the records of all hosts, several in one item; a stream's first events wait
- * for that, but not for long.  There is an item for each second of the last
- * STREAM_RECORD_SLOTS, which are then written over: records expire without
- * being deleted.
+ * for that, but not for long.  There is an item for each second, and each is
+ * written over after twice STREAM_RECORD_SLOTS: records expire without being
+ * deleted.  A recorder that has restarted goes on after the last second that it
+ * wrote before, as the records of that are still needed.
  *
  * The items are text.  That of a second has the lines
  *
@@ -70,6 +71,8 @@
 	bool incomplete; /* records are missing, or an item is malformed */
 };
 
+/* Returns the second of an item's value; 0: it is malformed. */
+int64_t stream_record_second(struct str value);
 /* Looks into an item's value. */
 void stream_record_look(struct stream_record_search *s, struct str value);
 
--- a/tests/kernel/test_stream_records.c
+++ b/tests/kernel/test_stream_records.c
@@ -93,7 +93,11 @@
 		stream_record_look(&s, str_from(values[i]));
 		g_assert_false(s.found);
 		g_assert_true(s.incomplete);
+		if (i < 5)
+			g_assert_cmpint(
+			    stream_record_second(str_from(values[i])), ==, 0);
 	}
+	g_assert_cmpint(stream_record_second(STR("1 100\ns v 01\n")), ==, 100);
 }
 
 static const struct {
