Streams: another host records while the recorder can't reach the store

A recorder that the store did not answer kept the records, and the streams of all hosts waited 90 ms and went on unrecorded: a duty for the fleet at a host that can't do it.

It refuses now, and one that does not reply within 300 ms is passed over for 2 s; the next host in the order is asked, also after the stream has gone on. A host that the store does not answer has another one look a stream up.

--- a/entry/discovery_streams.c
+++ b/entry/discovery_streams.c
@@ -29,8 +29,9 @@
 	char version[STREAM_VERSION_BYTES];
 };
 
-/* A stream that the relay of this host looks for. */
+/* A stream that a host looks for. */
 struct waiting_look {
+	char rpc[MAX_ADDR_BYTES]; /* of that host */
 	uint64_t ask;
 	char *service;
 	struct stream_record_search search;
@@ -211,6 +212,19 @@
 	return s->put_at + STREAM_RECORD_PAUSE;
 }
 
+/* The store doesn't answer this host: another one has to record the stream. */
+static void
+refuse_record(struct discovery *d, const char *rpc, uint64_t ask)
+{
+	peer_body body = { .kind = PEER_STREAM_RECORDED };
+	peer_stream_recorded *m = &body.peer_body_u.stream_recorded;
+
+	m->refused = true;
+	m->asks.asks_val = &ask;
+	m->asks.asks_len = 1;
+	rpc_send(d->rpc, rpc, &body);
+}
+
 static void
 on_record(struct discovery *d, const char *rpc, const peer_stream_record *m)
 {
@@ -218,6 +232,10 @@
 	struct waiting_stream w = { .ask = m->ask,
 		.hash = stream_record_hash(str_from(m->id)) };
 
+	if (d->store_unavailable) {
+		refuse_record(d, rpc, m->ask);
+		return;
+	}
 	if (s->waiting->len >= MAX_WAITING) {
 		s->dropped = true;
 		return;
@@ -233,18 +251,15 @@
 static void
 reply_found(struct discovery *d, const struct waiting_look *k, bool readable)
 {
-	peer_letter l = { .body.kind = PEER_STREAM_FOUND };
-	peer_stream_found *m = &l.body.peer_body_u.stream_found;
+	peer_body body = { .kind = PEER_STREAM_FOUND };
+	peer_stream_found *m = &body.peer_body_u.stream_found;
 
 	m->ask = k->ask;
 	m->readable = readable;
 	m->found = k->search.found;
 	m->incomplete = k->search.incomplete;
-	m->software = str_dup(str_from(k->search.version));
-	l.from = str_dup(str_from(d->o.settings->id));
-	l.rpc = str_dup(str_from(d->o.settings->rpc));
-	d->o.relay_datagram(d->o.arg, &l);
-	xdr_free((xdrproc_t)xdr_peer_letter, (char *)&l);
+	m->software = (char *)k->search.version;
+	rpc_send(d->rpc, k->rpc, &body);
 }
 
 static void
@@ -301,10 +316,11 @@
 }
 
 static void
-on_look(struct discovery *d, const peer_stream_look *m)
+on_look(struct discovery *d, const char *rpc, const peer_stream_look *m)
 {
 	struct waiting_look *k = g_new0(struct waiting_look, 1);
 
+	g_strlcpy(k->rpc, rpc, sizeof(k->rpc));
 	k->ask = m->ask;
 	k->service = g_strdup(m->service);
 	k->search = (struct stream_record_search){ .service = k->service,
@@ -319,7 +335,7 @@
 	if (l->body.kind == PEER_STREAM_RECORD)
 		on_record(d, l->rpc, &l->body.peer_body_u.stream_record);
 	else if (l->body.kind == PEER_STREAM_LOOK)
-		on_look(d, &l->body.peer_body_u.stream_look);
+		on_look(d, l->rpc, &l->body.peer_body_u.stream_look);
 	else
 		return false;
 	return true;
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -287,6 +287,7 @@
 		u_int asks_len;
 		u_quad_t *asks_val;
 	} asks;
+	bool_t refused;
 };
 typedef struct peer_stream_recorded peer_stream_recorded;
 
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -246,9 +246,10 @@
 /* The streams of these asks are recorded. */
 struct peer_stream_recorded {
 	unsigned hyper asks<PEER_RECORDED_MAX>;
+	bool refused;           /* they are not: the store doesn't answer */
 };
 
-/* A host asks itself what the store says of a stream. */
+/* Asks a host, mostly the sender itself, what the store says of a stream. */
 struct peer_stream_look {
 	unsigned hyper ask;
 	string id<128>;
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -582,6 +582,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->asks.asks_val, (u_int *) &objp->asks.asks_len, PEER_RECORDED_MAX,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->refused))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/entry/relay_request.c
+++ b/entry/relay_request.c
@@ -24,7 +24,7 @@
 	if (r->resume_search != NULL)
 		stream_resumes_cancel(r->resume_search);
 	if (r->recording != NULL)
-		stream_resumes_cancel_recording(r->recording);
+		stream_resumes_leave_recording(r->recording);
 	event_free(r->timer);
 	sse_free(&r->sse);
 	routes_unref(r->routes);
@@ -38,7 +38,7 @@
 {
 	if (r->recording == NULL)
 		return;
-	stream_resumes_cancel_recording(r->recording);
+	stream_resumes_leave_recording(r->recording);
 	r->recording = NULL;
 	httpd_cork(r->httpd_req, false);
 }
--- a/entry/stream_resumes.c
+++ b/entry/stream_resumes.c
@@ -1,6 +1,7 @@
 #include "entry/stream_resumes.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "base/rng.h"
 #include "kernel/rendezvous.h"
 #include "kernel/stream_records.h"
 
@@ -10,6 +11,12 @@
 
 #define HOLDER_SEED     31
 #define RECORDER_SEED   41
+/* Hosts that are asked in turn to record a stream. */
+#define RECORDERS       4
+/* Covers a write at a slow store. */
+#define RECORD_TIMEOUT  (300 * USEC_PER_MSEC)
+/* How long a host that did not record a stream isn't asked to. */
+#define RECORDER_PAUSE  (2 * USEC_PER_SEC)
 /* How long a stream is looked for in the store. */
 #define LOOK_TIME       (700 * USEC_PER_MSEC)
 #define EXPIRE_INTERVAL (1 * USEC_PER_SEC)
@@ -22,15 +29,23 @@
 	uint64_t n_searches;
 	GHashTable *recordings; /* number -> struct stream_recording */
 	uint64_t n_recordings;
-	uint64_t n_unrecorded; /* that were not confirmed in time */
+	/* Address -> usec_t: the host isn't asked to record until then. */
+	GHashTable *failed_recorders;
+	bool store_unavailable; /* to this host */
 	usec_t expired_at;
 };
 
 struct stream_recording {
 	struct stream_resumes *owner;
 	uint64_t number;
-	struct event *timer;
-	void (*done)(void *arg);
+	char *id;
+	char service[64];
+	char version[STREAM_VERSION_BYTES];
+	char recorder[MAX_ADDR_BYTES]; /* that was asked last */
+	uint32_t tries;
+	struct event *hold_timer;  /* until done is called */
+	struct event *retry_timer; /* until another recorder is asked */
+	void (*done)(void *arg);   /* NULL: nobody waits */
 	void *arg;
 };
 
@@ -56,6 +71,8 @@
 	x->peers = g_array_new(FALSE, TRUE, sizeof(struct view_peer));
 	x->searches = g_hash_table_new(g_int64_hash, g_int64_equal);
 	x->recordings = g_hash_table_new(g_int64_hash, g_int64_equal);
+	x->failed_recorders =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	stream_versions_init(&x->streams, clock_now());
 	return x;
 }
@@ -117,6 +134,7 @@
 
 	g_array_set_size(x->peers, 0);
 	g_array_append_vals(x->peers, v->peers->data, v->peers->len);
+	x->store_unavailable = v->store_unavailable;
 	stream_versions_set_bases(&x->streams, v->stream_bases);
 	stream_versions_list(
 	    &x->streams, v->targets, v->store_unavailable, now);
@@ -133,53 +151,113 @@
 	tell(x, now);
 }
 
+/* Whether the host did not record a stream lately. */
+static bool
+has_failed(const struct stream_resumes *x, const char *rpc, usec_t now)
+{
+	const usec_t *until = g_hash_table_lookup(x->failed_recorders, rpc);
+
+	return until != NULL && now < *until;
+}
+
+static void
+recorder_failed(struct stream_resumes *x, const char *rpc, usec_t now)
+{
+	usec_t *until = g_new(usec_t, 1);
+
+	*until = now + RECORDER_PAUSE;
+	g_hash_table_replace(x->failed_recorders, g_strdup(rpc), until);
+}
+
 /* Returns the address of the host that records streams; NULL: none is known. */
 static const char *
-choose_recorder(const struct stream_resumes *x)
+choose_recorder(const struct stream_resumes *x, usec_t now)
 {
 	struct rendezvous_host *v = xcalloc(x->peers->len + 1, sizeof(*v));
-	const char *out = NULL;
+	const char *out[RECORDERS];
+	size_t n;
+	size_t i = 0;
 
-	for (guint i = 0; i < x->peers->len; i++) {
+	for (guint k = 0; k < x->peers->len; k++) {
 		const struct view_peer *p =
-		    &g_array_index(x->peers, struct view_peer, i);
+		    &g_array_index(x->peers, struct view_peer, k);
 
-		v[i] = (struct rendezvous_host){ p->rpc, p->capacity };
+		v[k] = (struct rendezvous_host){ p->rpc, p->capacity };
 	}
-	rendezvous_choose(v, x->peers->len, RECORDER_SEED, &out, 1);
+	n = rendezvous_choose(v, x->peers->len, RECORDER_SEED, out, RECORDERS);
 	free(v);
-	return out;
+	while (i < n && has_failed(x, out[i], now))
+		i++;
+	if (i < n)
+		return out[i];
+	return n > 0 ? out[0] : NULL;
 }
 
-void
-stream_resumes_cancel_recording(struct stream_recording *k)
+static void
+free_recording(struct stream_recording *k)
 {
 	g_hash_table_remove(k->owner->recordings, &k->number);
-	event_free(k->timer);
+	event_free(k->hold_timer);
+	event_free(k->retry_timer);
+	free(k->id);
 	free(k);
 }
 
+/* Lets the stream go on, recorded or not. */
+static void
+release_stream(struct stream_recording *k)
+{
+	void (*done)(void *) = k->done;
+
+	k->done = NULL;
+	evtimer_del(k->hold_timer);
+	if (done != NULL)
+		done(k->arg);
+}
+
+/* Asks the next host to record the stream; ends the recording without one. */
 static void
-end_recording(struct stream_recording *k)
+send_recording(struct stream_recording *k)
 {
-	struct stream_recording x = *k;
+	struct timeval tv = { 0, RECORD_TIMEOUT };
+	const char *recorder = choose_recorder(k->owner, clock_now());
+	peer_body body = { .kind = PEER_STREAM_RECORD };
+	peer_stream_record *m = &body.peer_body_u.stream_record;
 
-	stream_resumes_cancel_recording(k);
-	x.done(x.arg);
+	if (recorder == NULL || k->tries++ >= RECORDERS) {
+		log_text(LOG_LVL_NOTICE, "stream-unrecorded",
+		    "stream %s of %s, version %s: %u hosts asked", k->id,
+		    k->service, k->version, k->tries - 1);
+		release_stream(k);
+		free_recording(k);
+		return;
+	}
+	g_strlcpy(k->recorder, recorder, sizeof(k->recorder));
+	m->ask = k->number;
+	m->id = k->id;
+	m->service = k->service;
+	m->software = k->version;
+	rpc_send(discovery_rpc(k->owner->o.discovery), recorder, &body);
+	evtimer_add(k->retry_timer, &tv);
 }
 
 static void
-on_recording_timeout(evutil_socket_t fd, short what, void *arg)
+on_hold_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	release_stream(arg);
+}
+
+static void
+on_record_timeout(evutil_socket_t fd, short what, void *arg)
 {
 	struct stream_recording *k = arg;
 
 	(void)fd;
 	(void)what;
-	k->owner->n_unrecorded++;
-	log_text(LOG_LVL_DEBUG, "stream-unrecorded",
-	    "recording %" PRIu64 " is not confirmed within %" PRId64 " ms",
-	    k->number, STREAM_RECORD_WAIT / USEC_PER_MSEC);
-	end_recording(k);
+	recorder_failed(k->owner, k->recorder, clock_now());
+	send_recording(k);
 }
 
 struct stream_recording *
@@ -187,33 +265,36 @@
     const struct stream_version *stream, void (*done)(void *arg), void *arg)
 {
 	struct timeval tv = { 0, STREAM_RECORD_WAIT };
-	peer_body body = { .kind = PEER_STREAM_RECORD };
-	peer_stream_record *m = &body.peer_body_u.stream_record;
-	const char *recorder;
+	usec_t now = clock_now();
 	struct stream_recording *k;
 
 	if (!stream_versions_records(
-		&x->streams, stream->service, stream->version, clock_now()))
-		return NULL;
-	recorder = choose_recorder(x);
-	if (recorder == NULL)
+		&x->streams, stream->service, stream->version, now) ||
+	    choose_recorder(x, now) == NULL)
 		return NULL;
 	k = xcalloc(1, sizeof(*k));
 	k->owner = x;
 	k->number = ++x->n_recordings;
+	k->id = str_dup(str_from(stream->id));
+	g_strlcpy(k->service, stream->service, sizeof(k->service));
+	g_strlcpy(k->version, stream->version, sizeof(k->version));
 	k->done = done;
 	k->arg = arg;
-	k->timer = evtimer_new(x->o.base, on_recording_timeout, k);
-	evtimer_add(k->timer, &tv);
+	k->hold_timer = evtimer_new(x->o.base, on_hold_timeout, k);
+	k->retry_timer = evtimer_new(x->o.base, on_record_timeout, k);
 	g_hash_table_insert(x->recordings, &k->number, k);
-	m->ask = k->number;
-	m->id = stream->id;
-	m->service = (char *)stream->service;
-	m->software = (char *)stream->version;
-	rpc_send(discovery_rpc(x->o.discovery), recorder, &body);
+	evtimer_add(k->hold_timer, &tv);
+	send_recording(k);
 	return k;
 }
 
+void
+stream_resumes_leave_recording(struct stream_recording *k)
+{
+	k->done = NULL;
+	evtimer_del(k->hold_timer);
+}
+
 static void
 on_recorded(struct stream_resumes *x, const peer_stream_recorded *m)
 {
@@ -222,8 +303,15 @@
 		struct stream_recording *k =
 		    g_hash_table_lookup(x->recordings, &number);
 
-		if (k != NULL)
-			end_recording(k);
+		if (k == NULL)
+			continue;
+		if (m->refused) {
+			recorder_failed(x, k->recorder, clock_now());
+			send_recording(k);
+		} else {
+			release_stream(k);
+			free_recording(k);
+		}
 	}
 }
 
@@ -255,23 +343,44 @@
 	x.done(x.arg, place, copy);
 }
 
+/*
+ * Returns the address of the host that reads the store: this one, unless the
+ * store doesn't answer it; NULL: none is known.
+ */
+static const char *
+choose_reader(const struct stream_resumes *x)
+{
+	const char *other = NULL;
+
+	for (guint i = 0; i < x->peers->len; i++) {
+		const struct view_peer *p =
+		    &g_array_index(x->peers, struct view_peer, i);
+		bool self = strcmp(p->id, x->o.self) == 0;
+
+		if (self && !x->store_unavailable)
+			return p->rpc;
+		if (!self && (other == NULL || rng_entropy() % 2 == 0))
+			other = p->rpc;
+	}
+	return other;
+}
+
 /* Looks for a stream in the store that no host knows. */
 static void
 look_up(struct resume_search *s, enum resume_place place)
 {
 	struct timeval tv = { 0, LOOK_TIME };
-	peer_letter l = { .body.kind = PEER_STREAM_LOOK };
-	peer_stream_look *m = &l.body.peer_body_u.stream_look;
+	peer_body body = { .kind = PEER_STREAM_LOOK };
+	peer_stream_look *m = &body.peer_body_u.stream_look;
+	const char *reader = choose_reader(s->owner);
 
 	s->looking = true;
 	s->place = place;
 	m->ask = s->number;
-	m->id = str_dup(str_from(s->id));
-	m->service = str_dup(str_from(s->service));
-	l.from = str_dup(STR(""));
-	l.rpc = str_dup(STR(""));
-	discovery_receive(s->owner->o.discovery, &l);
-	xdr_free((xdrproc_t)xdr_peer_letter, (char *)&l);
+	m->id = s->id;
+	m->service = s->service;
+	if (reader != NULL)
+		rpc_send(discovery_rpc(s->owner->o.discovery), reader, &body);
 	evtimer_add(s->timer, &tv);
 }
 
@@ -455,8 +564,17 @@
 void
 stream_resumes_free(struct stream_resumes *x)
 {
+	GHashTableIter it;
+	gpointer k;
+
 	g_hash_table_destroy(x->searches);
+	while (g_hash_table_size(x->recordings) > 0) {
+		g_hash_table_iter_init(&it, x->recordings);
+		g_hash_table_iter_next(&it, NULL, &k);
+		free_recording(k);
+	}
 	g_hash_table_destroy(x->recordings);
+	g_hash_table_destroy(x->failed_recorders);
 	stream_versions_free(&x->streams);
 	g_array_unref(x->peers);
 	free(x);
--- a/entry/stream_resumes.h
+++ b/entry/stream_resumes.h
@@ -36,13 +36,14 @@
 
 /*
  * Has a stream recorded in the store if that is needed.  done is called once,
- * when it is recorded or has waited long enough, unless the recording is
- * cancelled; never from within this function.  Returns NULL if no record is
- * needed.
+ * when it is recorded or has waited long enough; never from within this
+ * function.  Returns NULL if no record is needed.  A host that doesn't record
+ * it in time, as it is cut off from the store, say, is replaced by the next.
  */
 struct stream_recording *stream_resumes_record(struct stream_resumes *x,
     const struct stream_version *stream, void (*done)(void *arg), void *arg);
-void stream_resumes_cancel_recording(struct stream_recording *k);
+/* done is not called any more; the recording goes on. */
+void stream_resumes_leave_recording(struct stream_recording *k);
 /* A stream is complete. */
 void stream_resumes_end(struct stream_resumes *x, struct str id);
 
@@ -66,7 +67,7 @@
 /* Handles a PEER_STREAM* datagram. */
 void stream_resumes_receive(struct stream_resumes *x, const peer_letter *l);
 void stream_resumes_tick(struct stream_resumes *x, usec_t now);
-/* Searches and recordings must have ended. */
+/* Searches must have ended, and nobody may wait for a recording. */
 void stream_resumes_free(struct stream_resumes *x);
 
 #endif
--- a/tests/platform/test_mixed_versions.c
+++ b/tests/platform/test_mixed_versions.c
@@ -4,6 +4,7 @@
  * caller at another host.  A stream must have events of one version only.
  */
 #include "tests/platform/harness.h"
+#include "tests/soak/proxy.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -12,6 +13,7 @@
 #define STORE_PORT         21300
 #define TARGET_PORT        21301
 #define HOST_PORT          21320
+#define PROXY_PORT         21350 /* where a host reaches the store */
 #define HOSTS              4
 #define TARGETS            6
 #define PLAIN_TARGETS      2 /* of another service and version */
@@ -45,6 +47,9 @@
 	bool is_unnamed;   /* the caller doesn't name the stream */
 	bool kill_all;     /* all hosts, at once, before the streams go on */
 	bool old_rejected; /* just the streams of the old version can't go on */
+	/* Bits of the hosts that the store doesn't answer when streams begin.
+	 */
+	unsigned int without_store;
 } cases[] = {
 	{ "resumed-within-an-answer", "/stream/1", "break", BOTH, BOTH, false,
 	    false, false },
@@ -66,6 +71,12 @@
 	    false, false, true },
 	{ "all-hosts-killed-and-one-version-left", "/stream/1", "stall", BOTH,
 	    NEW_LISTED, true, false, false, false, true, true },
+	/* The recorder is one of the hosts without the store, in one of these.
+	 */
+	{ "all-hosts-killed-two-without-the-store", "/stream/1", "stall", BOTH,
+	    BOTH, true, false, false, false, true, false, 3 },
+	{ "all-hosts-killed-two-others-without-the-store", "/stream/1", "stall",
+	    BOTH, BOTH, true, false, false, false, true, false, 12 },
 	{ "all-hosts-killed-of-one-version", "/stream/solo/1", "stall", BOTH,
 	    BOTH, true, false, false, false, true },
 	{ "all-hosts-killed-before-the-other-version", "/stream/1", "stall",
@@ -73,6 +84,7 @@
 };
 
 static struct fakeplat *platform;
+static struct proxy *proxy;
 static struct harness_host hosts[HOSTS];
 /* The first half has the old version. */
 static const char *const ids[] = { "e1", "e2", "e3", "e4", "e5", "e6", "p1",
@@ -105,6 +117,7 @@
 	g_autofree char *dir = g_dir_make_tmp("mixed-versions-XXXXXX", NULL);
 
 	platform = fakeplat_start(STORE_PORT);
+	proxy = proxy_start();
 	for (int i = 0; i < TARGETS + PLAIN_TARGETS; i++)
 		fakeplat_add_target(platform,
 		    &(struct fakeplat_target){ .id = ids[i],
@@ -122,7 +135,8 @@
 		struct harness_host *h = &hosts[i];
 
 		h->port = (uint16_t)(HOST_PORT + 4 * i);
-		h->store_port = STORE_PORT;
+		h->store_port = (uint16_t)(PROXY_PORT + i);
+		proxy_link(proxy, h->store_port, STORE_PORT);
 		h->seed_port = HOST_PORT;
 		snprintf(h->id, sizeof(h->id), "h%d", i + 1);
 		g_strlcpy(h->dir, dir, sizeof(h->dir));
@@ -208,6 +222,15 @@
 	harness_response_free(&a);
 }
 
+/* Cuts the paths of these hosts to the store, and restores the others. */
+static void
+cut_stores(unsigned int cut)
+{
+	for (int i = 0; i < HOSTS; i++)
+		proxy_set_fault(
+		    proxy, i, cut >> i & 1 ? PROXY_CUT_BOTH : PROXY_NONE);
+}
+
 static void
 kill_all_hosts(void)
 {
@@ -245,6 +268,7 @@
 	int expected = 0;
 
 	set_versions(x->begun);
+	cut_stores(x->without_store);
 	for (int i = 0; i < STREAMS; i++)
 		begin_stream(&v[i], x, i);
 	if (x->kill_host) {
@@ -253,6 +277,7 @@
 	}
 	if (x->kill_all)
 		kill_all_hosts();
+	cut_stores(0);
 	for (int i = 0; i < STREAMS; i++)
 		old += v[i].old;
 	if (x->resumed != x->begun)
@@ -287,6 +312,7 @@
 		kill(hosts[i].pid, SIGTERM);
 		g_assert_cmpint(harness_wait_exit(&hosts[i]), ==, 0);
 	}
+	proxy_stop(proxy);
 	fakeplat_stop(platform);
 }
 
