Streams: the choice of the recorder is a decision of the kernel; what the linter found

kernel/stream_recorder has the order of hosts and the pause of one that has failed, with a test. The linter's findings: loops that free what they walk over, a recording that could end before it was returned, branches alike in the reading of a query, three in tests.

--- a/entry/served_calls.c
+++ b/entry/served_calls.c
@@ -145,6 +145,34 @@
 	uint64_t head_only;
 };
 
+/* Reads a value of the query; false if it is malformed. */
+static bool
+read_value(struct call_query *out, struct str name, struct str value)
+{
+	const struct {
+		const char *name;
+		uint64_t *out;
+	} numbers[] = {
+		{ "sent_ms", &out->sent_ms },
+		{ "max_idle", &out->max_idle },
+		{ "max_conns", &out->max_conns },
+		{ "head_only", &out->head_only },
+	};
+
+	if (str_eq(name, STR("target"))) {
+		if (value.n >= sizeof(out->target))
+			return false;
+		memcpy(out->target, value.p, value.n);
+		out->target[value.n] = '\0';
+	}
+	for (size_t i = 0; i < sizeof(numbers) / sizeof(numbers[0]); i++) {
+		if (str_eq(name, str_from(numbers[i].name)) &&
+		    !str_parse_u64(value, numbers[i].out))
+			return false;
+	}
+	return true;
+}
+
 static bool
 parse_query(struct str url, struct call_query *out)
 {
@@ -154,24 +182,7 @@
 	*out = (struct call_query){ 0 };
 	str_cut(&url, '?', &part);
 	while (url.n > 0 && str_cut(&url, '&', &part)) {
-		if (!str_cut(&part, '=', &name))
-			return false;
-		if (str_eq(name, STR("target")))
-			g_strlcpy(out->target, part.p,
-			    part.n + 1 < sizeof(out->target)
-				? part.n + 1
-				: sizeof(out->target));
-		else if (str_eq(name, STR("sent_ms")) &&
-		    !str_parse_u64(part, &out->sent_ms))
-			return false;
-		else if (str_eq(name, STR("max_idle")) &&
-		    !str_parse_u64(part, &out->max_idle))
-			return false;
-		else if (str_eq(name, STR("max_conns")) &&
-		    !str_parse_u64(part, &out->max_conns))
-			return false;
-		else if (str_eq(name, STR("head_only")) &&
-		    !str_parse_u64(part, &out->head_only))
+		if (!str_cut(&part, '=', &name) || !read_value(out, name, part))
 			return false;
 	}
 	return *out->target != '\0';
@@ -269,6 +280,8 @@
 void
 target_calls_end_served(struct target_calls *x)
 {
-	while (x->served.head != NULL)
-		on_asker_closed(x->served.head->data);
+	struct served_call *s;
+
+	while ((s = g_queue_peek_head(&x->served)) != NULL)
+		on_asker_closed(s);
 }
--- a/entry/stream_resumes.c
+++ b/entry/stream_resumes.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "base/rng.h"
 #include "kernel/rendezvous.h"
+#include "kernel/stream_recorder.h"
 #include "kernel/stream_records.h"
 
 #include <inttypes.h>
@@ -10,13 +11,8 @@
 #include <string.h>
 
 #define HOLDER_SEED     31
-#define RECORDER_SEED   41
-/* Hosts that are asked in turn to record a stream. */
-#define RECORDERS       4
 /* Covers a write at a slow store. */
 #define RECORD_TIMEOUT  (300 * USEC_PER_MSEC)
-/* How long a host that did not record a stream isn't asked to. */
-#define RECORDER_PAUSE  (2 * USEC_PER_SEC)
 /* How long a stream is looked for in the store. */
 #define LOOK_TIME       (700 * USEC_PER_MSEC)
 #define EXPIRE_INTERVAL (1 * USEC_PER_SEC)
@@ -29,8 +25,7 @@
 	uint64_t n_searches;
 	GHashTable *recordings; /* number -> struct stream_recording */
 	uint64_t n_recordings;
-	/* Address -> usec_t: the host isn't asked to record until then. */
-	GHashTable *failed_recorders;
+	struct stream_recorder recorder;
 	bool store_unavailable; /* to this host */
 	usec_t expired_at;
 };
@@ -71,8 +66,7 @@
 	x->peers = g_array_new(FALSE, TRUE, sizeof(struct view_peer));
 	x->searches = g_hash_table_new(g_int64_hash, g_int64_equal);
 	x->recordings = g_hash_table_new(g_int64_hash, g_int64_equal);
-	x->failed_recorders =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	stream_recorder_init(&x->recorder);
 	stream_versions_init(&x->streams, clock_now());
 	return x;
 }
@@ -151,46 +145,22 @@
 	tell(x, now);
 }
 
-/* Whether the host did not record a stream lately. */
-static bool
-has_failed(const struct stream_resumes *x, const char *rpc, usec_t now)
-{
-	const usec_t *until = g_hash_table_lookup(x->failed_recorders, rpc);
-
-	return until != NULL && now < *until;
-}
-
-static void
-recorder_failed(struct stream_resumes *x, const char *rpc, usec_t now)
-{
-	usec_t *until = g_new(usec_t, 1);
-
-	*until = now + RECORDER_PAUSE;
-	g_hash_table_replace(x->failed_recorders, g_strdup(rpc), until);
-}
-
 /* Returns the address of the host that records streams; NULL: none is known. */
 static const char *
 choose_recorder(const struct stream_resumes *x, usec_t now)
 {
 	struct rendezvous_host *v = xcalloc(x->peers->len + 1, sizeof(*v));
-	const char *out[RECORDERS];
-	size_t n;
-	size_t i = 0;
+	const char *recorder;
 
-	for (guint k = 0; k < x->peers->len; k++) {
+	for (guint i = 0; i < x->peers->len; i++) {
 		const struct view_peer *p =
-		    &g_array_index(x->peers, struct view_peer, k);
+		    &g_array_index(x->peers, struct view_peer, i);
 
-		v[k] = (struct rendezvous_host){ p->rpc, p->capacity };
+		v[i] = (struct rendezvous_host){ p->rpc, p->capacity };
 	}
-	n = rendezvous_choose(v, x->peers->len, RECORDER_SEED, out, RECORDERS);
+	recorder = stream_recorder_choose(&x->recorder, v, x->peers->len, now);
 	free(v);
-	while (i < n && has_failed(x, out[i], now))
-		i++;
-	if (i < n)
-		return out[i];
-	return n > 0 ? out[0] : NULL;
+	return recorder;
 }
 
 static void
@@ -215,23 +185,14 @@
 		done(k->arg);
 }
 
-/* Asks the next host to record the stream; ends the recording without one. */
 static void
-send_recording(struct stream_recording *k)
+ask_recorder(struct stream_recording *k, const char *recorder)
 {
 	struct timeval tv = { 0, RECORD_TIMEOUT };
-	const char *recorder = choose_recorder(k->owner, clock_now());
 	peer_body body = { .kind = PEER_STREAM_RECORD };
 	peer_stream_record *m = &body.peer_body_u.stream_record;
 
-	if (recorder == NULL || k->tries++ >= RECORDERS) {
-		log_text(LOG_LVL_NOTICE, "stream-unrecorded",
-		    "stream %s of %s, version %s: %u hosts asked", k->id,
-		    k->service, k->version, k->tries - 1);
-		release_stream(k);
-		free_recording(k);
-		return;
-	}
+	k->tries++;
 	g_strlcpy(k->recorder, recorder, sizeof(k->recorder));
 	m->ask = k->number;
 	m->id = k->id;
@@ -241,6 +202,23 @@
 	evtimer_add(k->retry_timer, &tv);
 }
 
+/* Asks the next host to record the stream; ends the recording without one. */
+static void
+ask_next_recorder(struct stream_recording *k)
+{
+	const char *recorder = choose_recorder(k->owner, clock_now());
+
+	if (recorder != NULL && k->tries < STREAM_RECORDERS) {
+		ask_recorder(k, recorder);
+		return;
+	}
+	log_text(LOG_LVL_NOTICE, "stream-unrecorded",
+	    "stream %s of %s, version %s: %u hosts asked", k->id, k->service,
+	    k->version, k->tries);
+	release_stream(k);
+	free_recording(k);
+}
+
 static void
 on_hold_timeout(evutil_socket_t fd, short what, void *arg)
 {
@@ -256,8 +234,8 @@
 
 	(void)fd;
 	(void)what;
-	recorder_failed(k->owner, k->recorder, clock_now());
-	send_recording(k);
+	stream_recorder_failed(&k->owner->recorder, k->recorder, clock_now());
+	ask_next_recorder(k);
 }
 
 struct stream_recording *
@@ -266,11 +244,12 @@
 {
 	struct timeval tv = { 0, STREAM_RECORD_WAIT };
 	usec_t now = clock_now();
+	const char *recorder = choose_recorder(x, now);
 	struct stream_recording *k;
 
-	if (!stream_versions_records(
-		&x->streams, stream->service, stream->version, now) ||
-	    choose_recorder(x, now) == NULL)
+	if (recorder == NULL ||
+	    !stream_versions_records(
+		&x->streams, stream->service, stream->version, now))
 		return NULL;
 	k = xcalloc(1, sizeof(*k));
 	k->owner = x;
@@ -284,7 +263,7 @@
 	k->retry_timer = evtimer_new(x->o.base, on_record_timeout, k);
 	g_hash_table_insert(x->recordings, &k->number, k);
 	evtimer_add(k->hold_timer, &tv);
-	send_recording(k);
+	ask_recorder(k, recorder);
 	return k;
 }
 
@@ -306,8 +285,9 @@
 		if (k == NULL)
 			continue;
 		if (m->refused) {
-			recorder_failed(x, k->recorder, clock_now());
-			send_recording(k);
+			stream_recorder_failed(
+			    &x->recorder, k->recorder, clock_now());
+			ask_next_recorder(k);
 		} else {
 			release_stream(k);
 			free_recording(k);
@@ -574,7 +554,7 @@
 		free_recording(k);
 	}
 	g_hash_table_destroy(x->recordings);
-	g_hash_table_destroy(x->failed_recorders);
+	stream_recorder_free(&x->recorder);
 	stream_versions_free(&x->streams);
 	g_array_unref(x->peers);
 	free(x);
--- /dev/null
+++ b/kernel/stream_recorder.h
@@ -0,0 +1,39 @@
+/*
+ * Which host records the streams of all hosts in the store
+ * (kernel/stream_records.h).
+ *
+ * Load pattern: the recorder is cut off from the store, or is killed, while
+ * streams begin at all hosts.  Each would wait for it and go on unrecorded.  So
+ * a host that did not record a stream is passed over for a while, and the next
+ * one in the rendezvous order is asked.
+ *
+ * Times are in microseconds.  A struct stream_recorder belongs to one thread.
+ */
+#ifndef KERNEL_STREAM_RECORDER_H
+#define KERNEL_STREAM_RECORDER_H
+
+#include "base/clock.h"
+#include "kernel/rendezvous.h"
+
+#include <glib.h>
+
+/* Hosts that are asked in turn to record a stream. */
+#define STREAM_RECORDERS 4
+
+struct stream_recorder {
+	GHashTable *failed; /* id -> usec_t: the host isn't asked until then */
+};
+
+void stream_recorder_init(struct stream_recorder *r);
+/*
+ * Returns the id of the host to ask; if the first STREAM_RECORDERS have all
+ * failed lately, the first of them; NULL: there is no host.
+ */
+const char *stream_recorder_choose(const struct stream_recorder *r,
+    const struct rendezvous_host *v, size_t n, usec_t now);
+/* The host has not recorded a stream. */
+void stream_recorder_failed(
+    struct stream_recorder *r, const char *id, usec_t now);
+void stream_recorder_free(struct stream_recorder *r);
+
+#endif
--- a/plat/dial.c
+++ b/plat/dial.c
@@ -619,11 +619,12 @@
 void
 dialer_free(struct dialer *d)
 {
+	struct conn *test;
 	GHashTableIter it;
 	gpointer p;
 
-	while (d->tests.head != NULL)
-		end_test(d->tests.head->data, false);
+	while ((test = g_queue_peek_head(&d->tests)) != NULL)
+		end_test(test, false);
 	g_hash_table_iter_init(&it, d->idle);
 	while (g_hash_table_iter_next(&it, NULL, &p))
 		trim_idle(p, 0);
--- a/tests/kernel/test_stream_records.c
+++ b/tests/kernel/test_stream_records.c
@@ -4,6 +4,7 @@
  * targets are replaced.
  */
 #include "kernel/roster.h"
+#include "kernel/stream_recorder.h"
 #include "kernel/stream_records.h"
 
 #include <string.h>
@@ -78,11 +79,11 @@
 static void
 test_malformed(void)
 {
-	static const char *const values[] = { "", "x", "1", "1 x\n", "2 100\n",
-		"1 100\ns\n",
-		"1 100\ns "
-		"a-version-that-is-longer-than-any-that-is-"
-		"allowed-in-here-by-far 01\n" };
+	/* The last one has a version that is longer than what is kept. */
+	g_autofree char *long_version =
+	    g_strdup_printf("1 100\ns %0*d 01\n", STREAM_VERSION_BYTES, 0);
+	const char *const values[] = { "", "x", "1", "1 x\n", "2 100\n",
+		"1 100\ns\n", long_version };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
 		struct stream_record_search s = {
@@ -286,6 +287,34 @@
 	}
 }
 
+/* A host that does not record is passed over for a while. */
+static void
+test_recorder(void)
+{
+	static const struct rendezvous_host hosts[] = { { "h1", 250 },
+		{ "h2", 250 }, { "h3", 250 }, { "h4", 250 }, { "h5", 250 } };
+	struct stream_recorder r;
+	const char *seen[STREAM_RECORDERS];
+
+	stream_recorder_init(&r);
+	g_assert_null(stream_recorder_choose(&r, NULL, 0, 0));
+	for (size_t i = 0; i < STREAM_RECORDERS; i++) {
+		seen[i] = stream_recorder_choose(
+		    &r, hosts, G_N_ELEMENTS(hosts), SECOND);
+		for (size_t k = 0; k < i; k++)
+			g_assert_cmpstr(seen[i], !=, seen[k]);
+		stream_recorder_failed(&r, seen[i], SECOND);
+	}
+	/* All have failed; later the first one is asked again. */
+	g_assert_cmpstr(
+	    stream_recorder_choose(&r, hosts, G_N_ELEMENTS(hosts), 2 * SECOND),
+	    ==, seen[0]);
+	g_assert_cmpstr(
+	    stream_recorder_choose(&r, hosts, G_N_ELEMENTS(hosts), 4 * SECOND),
+	    ==, seen[0]);
+	stream_recorder_free(&r);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -296,5 +325,6 @@
 	g_test_add_func("/stream-records/decide", test_decide);
 	g_test_add_func("/stream-records/bases", test_bases);
 	g_test_add_func("/stream-records/records", test_records);
+	g_test_add_func("/stream-records/recorder", test_recorder);
 	return g_test_run();
 }
--- a/tests/kernel/test_target_brittle.c
+++ b/tests/kernel/test_target_brittle.c
@@ -185,8 +185,11 @@
 	start_hosts(b);
 	for (usec_t now = STEP; now < DURATION; now += STEP) {
 		end_calls(b, now);
-		for (offered += per_step; offered >= 1; offered -= 1)
+		offered += per_step;
+		while (offered >= 1) {
+			offered -= 1;
 			send_call(b, (uint32_t)rng_below(&rng, x->hosts), now);
+		}
 	}
 	g_test_message("%u falls, %u calls served of %.0f that the slots take",
 	    b->falls, b->served, capacity);
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -260,7 +260,8 @@
 	}
 	g_assert_cmpint(listen(k->hanging[0], 0), ==, 0);
 	for (int i = 1; i < 1 + FILLERS; i++)
-		connect(k->hanging[i], (struct sockaddr *)&addr, sizeof(addr));
+		(void)connect(
+		    k->hanging[i], (struct sockaddr *)&addr, sizeof(addr));
 }
 
 static void
