--- a/review/2/case.c
+++ b/review/2/case.c
@@ -10,15 +10,15 @@
 
 #define N_HOSTS     2
 #define N_RUNNERS   4
-#define N_CALLERS   1600
-#define WARM_UP_MS  12000
+#define N_CALLERS   200
+#define WARM_UP_MS  8000
 #define RUN_MS      100000
 #define GAP_MS      3700 /* from one SIGTERM to the next */
 #define POLL_MS     20
 #define GRACE_MS    8000
 #define DEADLINE_MS 1500
-#define PAUSE_MIN   6000
-#define PAUSE_MAX   11000 /* IdleTimeoutMs is 15 s */
+#define PAUSE_MIN   3200
+#define PAUSE_MAX   5200 /* IdleTimeoutMs is 15 s */
 
 static const char config[] =
     "{\"Version\":7,\"Routes\":[{\"Name\":\"payout-commit\","
