Connections: log and count those that are closed with unread input

A host that closes a caller's connection by itself left no trace, so a request that waited on it could not be told from one that never came. The log has connection-closed with the cause and the unread bytes; the metrics have sequoia_connections_closed_unread_total.

--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 
 #define BACKLOG         1024
 /* Bytes of pipelined requests that are read while a request is in progress. */
@@ -50,6 +51,17 @@
 	struct httpd_counts counts;
 };
 
+/* Bytes that have arrived and are not parsed. */
+static size_t
+unread_bytes(const struct httpd_request *q)
+{
+	int n = 0;
+
+	if (ioctl(bufferevent_getfd(q->bev), FIONREAD, &n) < 0)
+		n = 0;
+	return evbuffer_get_length(bufferevent_get_input(q->bev)) + (size_t)n;
+}
+
 static void
 free_conn(struct httpd_request *q)
 {
@@ -61,6 +73,20 @@
 	free(q);
 }
 
+/* Closes a connection that is not to serve another request. */
+static void
+close_conn(struct httpd_request *q, const char *why)
+{
+	size_t n = unread_bytes(q);
+
+	if (n > 0) {
+		q->httpd->counts.closed_unread++;
+		log_text(LOG_LVL_NOTICE, "connection-closed",
+		    "%s, with %zu bytes unread", why, n);
+	}
+	free_conn(q);
+}
+
 static void
 set_timer(struct httpd_request *q, usec_t t)
 {
@@ -262,8 +288,10 @@
 	(void)what;
 	if (!q->closing && q->in.started)
 		refuse(q, 408, "the request did not arrive in time");
-	else
+	else if (q->closing)
 		free_conn(q);
+	else
+		close_conn(q, "idle for too long");
 }
 
 static void
@@ -478,7 +506,7 @@
 		next = l->next;
 		if (!q->busy && !q->closing && !q->in.started &&
 		    evbuffer_get_length(bufferevent_get_input(q->bev)) == 0)
-			free_conn(q);
+			close_conn(q, "idle while the host stops");
 	}
 }
 
--- a/entry/httpd.h
+++ b/entry/httpd.h
@@ -53,7 +53,8 @@
 	uint64_t open;
 	uint64_t requests;
 	uint64_t malformed;
-	uint64_t caller_gone; /* callers that closed before the response */
+	uint64_t caller_gone;   /* callers that closed before the response */
+	uint64_t closed_unread; /* closed by the server, with unread input */
 };
 
 /* Starts listening; returns NULL and sets e if addr can't be used. */
--- a/entry/relay_metrics.c
+++ b/entry/relay_metrics.c
@@ -65,6 +65,7 @@
 	put_histogram(out, &p->counts->latency);
 	put(out, "caller_connections", p->httpd.open);
 	put(out, "requests_malformed_total", p->httpd.malformed);
+	put(out, "connections_closed_unread_total", p->httpd.closed_unread);
 	put(out, "calls_total", p->dial.calls);
 	put(out, "target_connections_total", p->dial.connections);
 	put(out, "stray_answers_total", p->dial.stray);
