--- /dev/null
+++ b/tests/entry/test_httpd.c
@@ -0,0 +1,309 @@
+/*
+ * Tests of the server for callers with an event loop that doesn't run for a
+ * while, as in a process that gets no processor time: what arrives meanwhile
+ * and within its limit is answered.
+ */
+#include "entry/httpd.h"
+
+#include <event2/event.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define PORT          24600
+#define ADDR          "127.0.0.1:24600"
+#define IDLE_LIMIT    (1000 * USEC_PER_MSEC)
+#define HEAD_LIMIT    (1000 * USEC_PER_MSEC)
+#define WITHIN_LIMIT  (600 * USEC_PER_MSEC)
+#define PAST_LIMIT    (700 * USEC_PER_MSEC) /* after WITHIN_LIMIT */
+#define ANSWER_TIME   (8 * USEC_PER_SEC)
+#define LONG_BODY     60000
+#define HEAD          "POST / HTTP/1.1\r\nHost: a\r\n"
+#define REQUEST       HEAD "Content-Length: 4\r\n\r\nbody"
+#define CLOSE_REQUEST HEAD "Connection: close\r\nContent-Length: 0\r\n\r\n"
+
+struct server {
+	struct event_base *base;
+	struct httpd *httpd;
+	int requests;
+	int fd; /* of the caller */
+	struct buf received;
+	bool closed;
+};
+
+static void
+on_request(void *arg, struct httpd_request *q)
+{
+	struct server *s = arg;
+
+	s->requests++;
+	httpd_respond(
+	    q, &(struct httpd_response){ .status = 200, .body = STR("ok") });
+}
+
+static void
+open_server(struct server *s)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+		.sin_port = htons(PORT),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	struct err e = { 0 };
+
+	memset(s, 0, sizeof(*s));
+	s->base = event_base_new();
+	s->httpd = httpd_new(
+	    &(struct httpd_opts){
+		.base = s->base,
+		.addr = ADDR,
+		.limits = { 4096, 1 << 20, HEAD_LIMIT, IDLE_LIMIT },
+		.on_request = on_request,
+		.arg = s,
+	    },
+	    &e);
+	g_assert_nonnull(s->httpd);
+	s->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	g_assert_cmpint(
+	    connect(s->fd, (struct sockaddr *)&sa, sizeof(sa)), ==, 0);
+}
+
+static void
+close_server(struct server *s)
+{
+	close(s->fd);
+	httpd_free(s->httpd);
+	event_base_loop(s->base, EVLOOP_NONBLOCK);
+	event_base_free(s->base);
+	buf_free(&s->received);
+}
+
+static void
+receive(struct server *s)
+{
+	char bytes[4096];
+	ssize_t n;
+
+	while ((n = recv(s->fd, bytes, sizeof(bytes), MSG_DONTWAIT)) > 0)
+		buf_put(&s->received, (struct str){ bytes, (size_t)n });
+	s->closed = s->closed || n == 0;
+}
+
+static int
+count_answers(const struct server *s, const char *status)
+{
+	g_autofree char *head = g_strdup_printf("HTTP/1.1 %s", status);
+	int n = 0;
+
+	for (const char *p = s->received.p;
+	     p != NULL && (p = strstr(p, head)) != NULL; p++)
+		n++;
+	return n;
+}
+
+/* Runs the loop until the answers are there, or the connection is closed. */
+static void
+run_until(struct server *s, int answers)
+{
+	usec_t end = clock_now() + ANSWER_TIME;
+
+	while (clock_now() < end && !s->closed &&
+	    count_answers(s, "200") < answers) {
+		event_base_loop(s->base, EVLOOP_NONBLOCK);
+		receive(s);
+		g_usleep(1000);
+	}
+}
+
+static void
+run_for(struct server *s, usec_t t)
+{
+	usec_t end = clock_now() + t;
+
+	while (clock_now() < end) {
+		event_base_loop(s->base, EVLOOP_NONBLOCK);
+		g_usleep(1000);
+	}
+}
+
+static void
+send_text(struct server *s, const char *text)
+{
+	size_t n = strlen(text);
+
+	g_assert_cmpint(send(s->fd, text, n, MSG_NOSIGNAL), ==, (ssize_t)n);
+}
+
+/* What the loop misses while it doesn't run. */
+struct stall_case {
+	const char *name;
+	const char *before; /* sent while the loop runs, or NULL */
+	const char *during; /* sent while it doesn't run */
+	bool long_body;     /* a body follows that takes several reads */
+	bool closes_idle;   /* the idle connections are closed then */
+	int answers;
+};
+
+static const struct stall_case stall_cases[] = {
+	{ "first-request", NULL, REQUEST, false, false, 1 },
+	{ "kept-connection", REQUEST, REQUEST, false, false, 2 },
+	{ "several-reads", REQUEST, HEAD, true, false, 2 },
+	{ "rest-of-request", HEAD, "Content-Length: 4\r\n\r\nbody", false,
+	    false, 1 },
+	{ "rest-in-several-reads", HEAD, "", true, false, 1 },
+	{ "close-idle", REQUEST, REQUEST, false, true, 2 },
+	{ "close-idle-first", NULL, REQUEST, false, true, 1 },
+};
+
+/*
+ * A request that arrives within the limits while the process stands still is
+ * answered, though a timer of its connection is due as well.
+ */
+static void
+test_request_during_stall(gconstpointer arg)
+{
+	const struct stall_case *c = arg;
+	g_autofree char *body = g_strnfill(LONG_BODY, 'b');
+	g_autofree char *head =
+	    g_strdup_printf("Content-Length: %d\r\n\r\n", LONG_BODY);
+	struct server s;
+
+	open_server(&s);
+	run_for(&s, 10 * USEC_PER_MSEC);
+	if (c->before != NULL)
+		send_text(&s, c->before);
+	run_for(&s, WITHIN_LIMIT);
+	send_text(&s, c->during);
+	if (c->long_body) {
+		send_text(&s, head);
+		send_text(&s, body);
+	}
+	g_usleep(c->closes_idle ? 10000 : PAST_LIMIT);
+	if (c->closes_idle) {
+		httpd_drain(s.httpd);
+		httpd_close_idle(s.httpd);
+	}
+	run_until(&s, c->answers);
+	g_assert_cmpint(count_answers(&s, "200"), ==, c->answers);
+	close_server(&s);
+}
+
+/* Limits that change while a connection is idle or a request arrives. */
+struct limit_case {
+	const char *name;
+	const char *before;
+	const char *after; /* sent past the old limit */
+	usec_t factor;     /* new limits: times the old ones */
+	bool closed;       /* without an answer to what is sent after */
+};
+
+static const struct limit_case limit_cases[] = {
+	{ "idle-longer", REQUEST, REQUEST, 10, false },
+	{ "first-longer", "", REQUEST, 10, false },
+	{ "head-longer", HEAD, "Content-Length: 0\r\n\r\n", 10, false },
+	{ "idle-same", REQUEST, NULL, 1, true },
+};
+
+/* A limit that becomes longer holds for the connections that are open. */
+static void
+test_limits_change(gconstpointer arg)
+{
+	const struct limit_case *c = arg;
+	int before = strcmp(c->before, REQUEST) == 0;
+	struct server s;
+
+	open_server(&s);
+	send_text(&s, c->before);
+	run_for(&s, WITHIN_LIMIT);
+	httpd_set_limits(s.httpd,
+	    &(struct httpd_limits){ 4096, 1 << 20, c->factor * HEAD_LIMIT,
+		c->factor * IDLE_LIMIT });
+	run_for(&s, PAST_LIMIT);
+	receive(&s);
+	g_assert_cmpint(s.closed, ==, c->closed);
+	if (c->after != NULL) {
+		send_text(&s, c->after);
+		run_until(&s, before + 1);
+		g_assert_cmpint(count_answers(&s, "200"), ==, before + 1);
+	}
+	close_server(&s);
+}
+
+/*
+ * A server that stops answers the requests that have arrived, also behind one
+ * that it answers then.
+ */
+static void
+test_pipelined_at_stop(void)
+{
+	struct server s;
+
+	open_server(&s);
+	httpd_drain(s.httpd);
+	send_text(&s, REQUEST REQUEST REQUEST);
+	run_until(&s, 3);
+	run_for(&s, 10 * USEC_PER_MSEC);
+	receive(&s);
+	g_assert_cmpint(count_answers(&s, "200"), ==, 3);
+	g_assert_true(s.closed);
+	g_assert_nonnull(strstr(s.received.p, "Connection: close"));
+	close_server(&s);
+}
+
+/* After Connection: close of the caller nothing more is answered. */
+static void
+test_close_of_caller(void)
+{
+	struct server s;
+
+	open_server(&s);
+	send_text(&s, CLOSE_REQUEST REQUEST);
+	run_until(&s, 2);
+	g_assert_cmpint(s.requests, ==, 1);
+	g_assert_true(s.closed);
+	close_server(&s);
+}
+
+/* Bytes that keep arriving don't extend the limit of a request. */
+static void
+test_slow_request(void)
+{
+	usec_t start = clock_now();
+	struct server s;
+
+	open_server(&s);
+	send_text(&s, HEAD);
+	while (!s.closed && clock_now() < start + ANSWER_TIME) {
+		send(s.fd, "X: y\r\n", 6, MSG_NOSIGNAL);
+		run_for(&s, 5 * USEC_PER_MSEC);
+		receive(&s);
+	}
+	g_assert_cmpint(count_answers(&s, "408"), ==, 1);
+	g_assert_cmpint(clock_now() - start, <, 5 * HEAD_LIMIT);
+	close_server(&s);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(stall_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+		    "/httpd/request-during-stall/%s", stall_cases[i].name);
+
+		g_test_add_data_func(
+		    path, &stall_cases[i], test_request_during_stall);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(limit_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+		    "/httpd/limits-change/%s", limit_cases[i].name);
+
+		g_test_add_data_func(path, &limit_cases[i], test_limits_change);
+	}
+	g_test_add_func("/httpd/pipelined-at-stop", test_pipelined_at_stop);
+	g_test_add_func("/httpd/close-of-caller", test_close_of_caller);
+	g_test_add_func("/httpd/slow-request", test_slow_request);
+	return g_test_run();
+}
