Connections: a timer judges a connection only once its input has been read

Callers that sent a whole request within the idle limit saw their connection closed without a byte, if the host's process stood still across the limit: a slow turn of the loop, a quota, a stopped process. Timers of a turn run before the callbacks of its input, and the timer looked only at parsed bytes; the close of idle connections while a host stops didn't look at the socket either. In the same way the rest of a request that had arrived in time was answered with 408.

A due timer now lets the loop read what has arrived, and ends the connection only when nothing is unread. Bytes that keep trickling in don't extend the limit (/httpd/slow-request).

--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -279,6 +279,10 @@
 	free_conn(q);
 }
 
+/*
+ * A timer that is due together with the input runs first: what has arrived is
+ * read before the connection is judged.
+ */
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
@@ -286,7 +290,9 @@
 
 	(void)fd;
 	(void)what;
-	if (!q->closing && q->in.started)
+	if (!q->closing && unread_bytes(q) > 0)
+		set_timer(q, 0);
+	else if (!q->closing && q->in.started)
 		refuse(q, 408, "the request did not arrive in time");
 	else if (q->closing)
 		free_conn(q);
@@ -505,7 +511,7 @@
 
 		next = l->next;
 		if (!q->busy && !q->closing && !q->in.started &&
-		    evbuffer_get_length(bufferevent_get_input(q->bev)) == 0)
+		    unread_bytes(q) == 0)
 			close_conn(q, "idle while the host stops");
 	}
 }
