Connections: longer limits hold for the connections that are open

A caller that keeps to four fifths of the idle limit in force saw its connection closed, if the limit had become longer while the connection was idle: the timer kept the limit that was in force when it was set. The same held for the time in which a request must arrive. A due timer is now judged by the limits in force; a limit that becomes shorter holds from the next wait on, as the caller may not know of it yet. /httpd/limits-change/*-longer (3) failed before.

--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -33,6 +33,7 @@
 	struct event *timer;
 	struct httpmsg in;
 	usec_t arrived;
+	usec_t idle_since; /* while no request has begun */
 	void (*on_close)(void *arg);
 	void *arg;
 	bool busy;      /* a request is being handled */
@@ -95,6 +96,14 @@
 	evtimer_add(q->timer, &tv);
 }
 
+/* The connection waits for its next request from now on. */
+static void
+start_idle(struct httpd_request *q)
+{
+	q->idle_since = clock_now();
+	set_timer(q, q->httpd->o.limits.idle_timeout);
+}
+
 static const char *
 reason_of(int status)
 {
@@ -279,6 +288,20 @@
 	free_conn(q);
 }
 
+/*
+ * How long the connection may go on without further input, by the limits that
+ * are in force now.
+ */
+static usec_t
+time_left(const struct httpd_request *q)
+{
+	const struct httpd_limits *l = &q->httpd->o.limits;
+	usec_t end = q->in.started ? q->arrived + l->head_timeout
+				   : q->idle_since + l->idle_timeout;
+
+	return end - clock_now();
+}
+
 /*
  * A timer that is due together with the input runs first: what has arrived is
  * read before the connection is judged.
@@ -292,6 +315,8 @@
 	(void)what;
 	if (!q->closing && unread_bytes(q) > 0)
 		set_timer(q, 0);
+	else if (!q->closing && time_left(q) > 0)
+		set_timer(q, time_left(q));
 	else if (!q->closing && q->in.started)
 		refuse(q, 408, "the request did not arrive in time");
 	else if (q->closing)
@@ -326,7 +351,7 @@
 	h->counts.open++;
 	bufferevent_setcb(q->bev, on_readable, on_written, on_conn_event, q);
 	bufferevent_enable(q->bev, EV_READ | EV_WRITE);
-	set_timer(q, h->o.limits.idle_timeout);
+	start_idle(q);
 }
 
 static void
@@ -396,8 +421,7 @@
 	bufferevent_setwatermark(q->bev, EV_READ, 0, 0);
 	if (evbuffer_get_length(bufferevent_get_input(q->bev)) > 0)
 		bufferevent_trigger(q->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
-	else
-		set_timer(q, q->httpd->o.limits.idle_timeout);
+	start_idle(q);
 }
 
 static void
