Connections: blank lines before a request don't count as its begin

A caller that ends a body with an extra line break had its next request judged by the arrival of that line: its deadline could be over before it was sent. A request begins with its first byte that is no line break. /httpd/blank-lines failed before.

--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -227,16 +227,18 @@
 {
 	const struct httpd_limits *l = &q->httpd->o.limits;
 	struct evbuffer *in = bufferevent_get_input(q->bev);
-	bool is_new = !q->in.started && q->in.head_bytes == 0;
+	bool started = q->in.started;
 
 	if (evbuffer_get_length(in) == 0)
 		return;
-	if (is_new) {
-		q->arrived = clock_now();
+	if (!started)
 		q->in.head_limit = l->head_bytes;
+	httpmsg_feed(&q->in, in);
+	/* Blank lines before a request don't begin it. */
+	if (!started && q->in.started) {
+		q->arrived = clock_now();
 		set_timer(q, l->head_timeout);
 	}
-	httpmsg_feed(&q->in, in);
 	if (q->in.state == HTTPMSG_BAD) {
 		refuse(q, q->in.head_too_large ? 431 : 400,
 		    q->in.head_too_large
--- a/tests/entry/test_httpd.c
+++ b/tests/entry/test_httpd.c
@@ -30,6 +30,7 @@
 	struct event_base *base;
 	struct httpd *httpd;
 	int requests;
+	usec_t last_arrived;
 	int fd; /* of the caller */
 	struct buf received;
 	bool closed;
@@ -41,6 +42,7 @@
 	struct server *s = arg;
 
 	s->requests++;
+	s->last_arrived = httpd_arrived(q);
 	httpd_respond(
 	    q, &(struct httpd_response){ .status = 200, .body = STR("ok") });
 }
@@ -266,6 +268,25 @@
 	close_server(&s);
 }
 
+/* Blank lines are no request: the time of the next one counts from its bytes.
+ */
+static void
+test_blank_lines(void)
+{
+	usec_t sent;
+	struct server s;
+
+	open_server(&s);
+	send_text(&s, REQUEST "\r\n");
+	run_for(&s, WITHIN_LIMIT);
+	sent = clock_now();
+	send_text(&s, HEAD "Content-Length: 0\r\n\r\n");
+	run_until(&s, 2);
+	g_assert_cmpint(count_answers(&s, "200"), ==, 2);
+	g_assert_cmpint(s.last_arrived, >=, sent);
+	close_server(&s);
+}
+
 /* Bytes that keep arriving don't extend the limit of a request. */
 static void
 test_slow_request(void)
@@ -304,6 +325,7 @@
 	}
 	g_test_add_func("/httpd/pipelined-at-stop", test_pipelined_at_stop);
 	g_test_add_func("/httpd/close-of-caller", test_close_of_caller);
+	g_test_add_func("/httpd/blank-lines", test_blank_lines);
 	g_test_add_func("/httpd/slow-request", test_slow_request);
 	return g_test_run();
 }
