Connections: a stopping host answers the requests that have arrived

A host that drains closed each connection after its next response, and dropped a request that waited behind it: it had been read, and its caller saw a closed connection.

--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -436,12 +436,22 @@
 		next_request(q);
 }
 
+/*
+ * Whether the connection serves another request after this one.  A server that
+ * stops still answers a request that has already arrived.
+ */
+static bool
+may_continue(const struct httpd_request *q)
+{
+	return httpmsg_keep_alive(&q->in) &&
+	    (!q->httpd->draining || unread_bytes(q) > 0);
+}
+
 void
 httpd_respond(struct httpd_request *q, const struct httpd_response *a)
 {
 	struct evbuffer *out = bufferevent_get_output(q->bev);
-	bool keep =
-	    !a->close && !q->httpd->draining && httpmsg_keep_alive(&q->in);
+	bool keep = !a->close && may_continue(q);
 	bool head = q->in.parser.method == HTTP_HEAD;
 
 	q->chunked = a->chunked && q->in.parser.http_minor > 0;
@@ -489,8 +499,7 @@
 void
 httpd_end(struct httpd_request *q)
 {
-	bool keep =
-	    q->chunked && !q->httpd->draining && httpmsg_keep_alive(&q->in);
+	bool keep = q->chunked && may_continue(q);
 
 	if (q->chunked)
 		evbuffer_add(bufferevent_get_output(q->bev), "0\r\n\r\n", 5);
