--- /dev/null
+++ b/tests/platform/test_stopping_host.c
@@ -0,0 +1,263 @@
+/*
+ * Hosts that get SIGTERM while callers use connections that they keep open:
+ * no request that a target has run, and none that the host has read, ends
+ * without an answer.
+ */
+#include "tests/platform/harness.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define STORE_PORT   24610
+#define TARGET_PORT  24611
+#define HOST_PORT    24620
+#define READY_TIME_S 15
+#define CALLERS      200
+#define DRAIN_TIME   (500 * USEC_PER_MSEC) /* drain_ms of the harness */
+#define EXIT_TIME    (8 * USEC_PER_SEC)
+/*
+ * A connection that closes this soon after its request was sent may have
+ * crossed it.
+ */
+#define CROSS_TIME   (200 * USEC_PER_MSEC)
+#define PAUSE_TIME   (300 * USEC_PER_MSEC)
+
+struct caller {
+	int fd;
+	char id[32];
+	usec_t sent; /* 0: not yet */
+	usec_t closed;
+	struct buf received;
+};
+
+struct stop_case {
+	const char *name;
+	const char *path;
+	const char *behavior;
+	usec_t first; /* time of the first request, after SIGTERM */
+	usec_t gap;   /* between two requests */
+	usec_t shift; /* added to the time of the first in each round */
+	int rounds;
+	bool paused; /* the process stands still while they are sent */
+};
+
+static const struct stop_case cases[] = {
+	{ "one-by-one", "/once/1", NULL, DRAIN_TIME - 100 * USEC_PER_MSEC,
+	    3 * USEC_PER_MSEC, 0, 4, false },
+	{ "streams", "/stream/1", NULL, DRAIN_TIME - 100 * USEC_PER_MSEC,
+	    5 * USEC_PER_MSEC, 0, 2, false },
+	/* Each runs for 2 s. */
+	{ "long-requests", "/once/1", "slow", DRAIN_TIME - 100 * USEC_PER_MSEC,
+	    20 * USEC_PER_MSEC, 0, 2, false },
+	/* The host has no request when it decides to end, and gets some. */
+	{ "decision", "/once/1", NULL, DRAIN_TIME, 0, 10 * USEC_PER_MSEC, 12,
+	    true },
+	{ "decision-streams", "/stream/1", NULL, DRAIN_TIME, 0,
+	    10 * USEC_PER_MSEC, 12, true },
+};
+
+static struct fakeplat *platform;
+static struct harness_host host = {
+	.port = HOST_PORT, .id = "h1", .store_port = STORE_PORT
+};
+
+static int
+open_connection(void)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+		.sin_port = htons(HOST_PORT),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	g_assert_cmpint(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), ==, 0);
+	return fd;
+}
+
+static void
+receive(struct caller *c)
+{
+	char bytes[4096];
+	ssize_t n;
+
+	if (c->closed != 0)
+		return;
+	while ((n = recv(c->fd, bytes, sizeof(bytes), MSG_DONTWAIT)) > 0)
+		buf_put(&c->received, (struct str){ bytes, (size_t)n });
+	if (n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK))
+		c->closed = clock_now();
+}
+
+/* Whether the answer has its end. */
+static bool
+is_answered(const struct caller *c)
+{
+	static const char last[] = "0\r\n\r\n";
+	const char *p = c->received.p;
+	const char *body;
+
+	if (p == NULL || (body = strstr(p, "\r\n\r\n")) == NULL)
+		return false;
+	if (strstr(p, "Transfer-Encoding: chunked") != NULL)
+		return g_str_has_suffix(p, last);
+	p = strstr(p, "Content-Length: ");
+	return p != NULL &&
+	    strlen(body + 4) >= (size_t)atoi(p + strlen("Content-Length: "));
+}
+
+static void
+send_request(const struct stop_case *t, struct caller *c)
+{
+	g_autofree char *q =
+	    harness_format(&(struct harness_request){ .path = t->path,
+		.id = c->id,
+		.behavior = t->behavior,
+		.deadline_ms = 3000,
+		.keep_alive = true });
+	size_t n = strlen(q);
+
+	if (send(c->fd, q, n, MSG_NOSIGNAL) == (ssize_t)n)
+		c->sent = clock_now();
+}
+
+/* Sends all requests while the process stands still. */
+static void
+send_in_pause(const struct stop_case *t, struct caller *v, usec_t at)
+{
+	usec_t now = clock_now();
+
+	if (now < at)
+		g_usleep((gulong)(at - now));
+	kill(host.pid, SIGSTOP);
+	for (int i = 0; i < CALLERS; i++) {
+		receive(&v[i]);
+		if (v[i].closed == 0)
+			send_request(t, &v[i]);
+	}
+	g_usleep(PAUSE_TIME);
+	kill(host.pid, SIGCONT);
+}
+
+/* Sends the requests one after the other until the host has ended. */
+static void
+play(const struct stop_case *t, struct caller *v, int round)
+{
+	usec_t start = clock_now();
+	int next = 0;
+
+	if (t->paused) {
+		send_in_pause(t, v, start + t->first + round * t->shift);
+		next = CALLERS;
+	}
+
+	while (clock_now() < start + EXIT_TIME) {
+		usec_t due = start + t->first + next * t->gap;
+		int open = 0;
+
+		for (int i = 0; i < CALLERS; i++) {
+			receive(&v[i]);
+			open += v[i].closed == 0;
+		}
+		if (open == 0)
+			return;
+		if (next < CALLERS && clock_now() >= due) {
+			if (v[next].closed == 0)
+				send_request(t, &v[next]);
+			next++;
+		}
+		g_usleep(200);
+	}
+}
+
+/* Returns how many requests of a round ended without an answer. */
+static int
+count_lost(const struct stop_case *t, const struct caller *v)
+{
+	int lost = 0;
+
+	for (int i = 0; i < CALLERS; i++) {
+		const struct caller *c = &v[i];
+		struct fakeplat_attempt a = { 0 };
+
+		if (c->sent == 0 || is_answered(c))
+			continue;
+		fakeplat_get_attempt(platform, c->id, &a);
+		if (a.runs == 0 && c->closed - c->sent < CROSS_TIME)
+			continue;
+		lost++;
+		g_test_message("%s: %s: runs %u, closed after %d ms", t->name,
+		    c->id, a.runs, (int)((c->closed - c->sent) / 1000));
+	}
+	return lost;
+}
+
+static int
+play_round(const struct stop_case *t, int round)
+{
+	g_autofree struct caller *v = g_new0(struct caller, CALLERS);
+	int lost;
+
+	harness_start_host(&host);
+	g_assert_true(harness_wait_ready(&host, READY_TIME_S));
+	for (int i = 0; i < CALLERS; i++) {
+		snprintf(
+		    v[i].id, sizeof(v[i].id), "%.12s-%d-%d", t->name, round, i);
+		v[i].fd = open_connection();
+	}
+	kill(host.pid, SIGTERM);
+	play(t, v, round);
+	g_assert_cmpint(harness_wait_exit(&host), ==, 0);
+	lost = count_lost(t, v);
+	for (int i = 0; i < CALLERS; i++) {
+		close(v[i].fd);
+		buf_free(&v[i].received);
+	}
+	return lost;
+}
+
+static void
+test_stop(gconstpointer arg)
+{
+	const struct stop_case *t = arg;
+	int lost = 0;
+
+	for (int i = 0; i < t->rounds; i++)
+		lost += play_round(t, i);
+	g_assert_cmpint(lost, ==, 0);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct fakeplat_target targets[] = {
+		{ "p1", "plain", "d1", TARGET_PORT },
+		{ "p2", "plain", "d1", TARGET_PORT + 1 },
+		{ "e1", "engine", "d1", TARGET_PORT + 2 },
+	};
+	g_autofree char *config = harness_config(1, NULL);
+	g_autofree char *dir = g_dir_make_tmp("stopping-XXXXXX", NULL);
+	int rc;
+
+	g_test_init(&argc, &argv, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	g_strlcpy(host.dir, dir, sizeof(host.dir));
+	platform = fakeplat_start(STORE_PORT);
+	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++)
+		fakeplat_add_target(platform, &targets[i]);
+	fakeplat_put(platform, "op/config", config);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *path =
+		    g_strdup_printf("/stopping-host/%s", cases[i].name);
+
+		g_test_add_data_func(path, &cases[i], test_stop);
+	}
+	rc = g_test_run();
+	fakeplat_stop(platform);
+	return rc;
+}
