Stopping: a host ends once no request can come any more

The thread that stops the host saw no request in progress and ended the loop a moment later. Requests that arrived in between on kept connections were passed on and cut off with the process, or read and dropped: callers saw a closed connection for a payment that had run.

The loop itself decides now: it closes idle connections, and when none is open and none waits to be accepted it stops listening and reports that it is finished. From then on no request can come.

--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/ioctl.h>
@@ -536,8 +537,9 @@
 	h->draining = true;
 }
 
-void
-httpd_close_idle(struct httpd *h)
+/* Closes the connections that have no request. */
+static void
+close_idle(struct httpd *h)
 {
 	GList *next;
 
@@ -551,6 +553,29 @@
 	}
 }
 
+/* Whether a connection is established and not accepted yet. */
+static bool
+has_pending_conn(const struct httpd *h)
+{
+	struct pollfd p = { .fd = evconnlistener_get_fd(h->listener),
+		.events = POLLIN };
+
+	return poll(&p, 1, 0) > 0;
+}
+
+bool
+httpd_finish(struct httpd *h)
+{
+	if (h->listener == NULL)
+		return true;
+	close_idle(h);
+	if (h->counts.open > 0 || has_pending_conn(h))
+		return false;
+	evconnlistener_free(h->listener);
+	h->listener = NULL;
+	return true;
+}
+
 struct httpd_counts
 httpd_counts(const struct httpd *h)
 {
@@ -560,7 +585,8 @@
 void
 httpd_free(struct httpd *h)
 {
-	evconnlistener_free(h->listener);
+	if (h->listener != NULL)
+		evconnlistener_free(h->listener);
 	for (GList *l = h->conns.head, *next; l != NULL; l = next) {
 		next = l->next;
 		free_conn(l->data);
--- a/entry/httpd.h
+++ b/entry/httpd.h
@@ -91,10 +91,14 @@
 /* Bytes of the response that are not sent yet. */
 size_t httpd_backlog(const struct httpd_request *q);
 
-/* Closes each connection after its next response. */
+/* Closes each connection after its next response, if it has no more input. */
 void httpd_drain(struct httpd *h);
-/* Closes the connections that have no request. */
-void httpd_close_idle(struct httpd *h);
+/*
+ * Closes the connections that have no request.  Once none is left, neither open
+ * nor to be accepted, stops listening and returns true: no request is lost if
+ * the server is freed then.
+ */
+bool httpd_finish(struct httpd *h);
 struct httpd_counts httpd_counts(const struct httpd *h);
 void httpd_free(struct httpd *h);
 
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -57,6 +57,7 @@
 	int wake_fd;
 	atomic_bool draining;
 	atomic_llong exit_at; /* exit time of the process; 0: not stopping */
+	atomic_bool finished; /* stopping, and no request can come any more */
 	atomic_bool stopping;
 };
 
@@ -310,7 +311,10 @@
 		    "write to the relay's eventfd failed");
 }
 
-/* Closes idle connections; shortly before the exit, rejects unsent requests. */
+/*
+ * Ends the service once no request is left; shortly before the exit, rejects
+ * unsent requests.
+ */
 static void
 shutdown_tick(struct relay *y, usec_t now)
 {
@@ -319,7 +323,8 @@
 
 	if (exit_at == 0)
 		return;
-	httpd_close_idle(y->httpd);
+	if (httpd_finish(y->httpd) && atomic_load(&y->shared.busy) == 0)
+		atomic_store(&y->finished, true);
 	if (now < exit_at - EXIT_MARGIN)
 		return;
 	for (GList *l = y->shared.requests.head; l != NULL; l = next) {
@@ -350,6 +355,7 @@
 	target_calls_tick(y->shared.target_calls, now);
 	target_limits_tick(y->shared.target_limits, now);
 	stream_resumes_tick(y->shared.stream_resumes, now);
+	waiting = waiting || atomic_load(&y->exit_at) != 0;
 	next = waiting ? TICK_INTERVAL : IDLE_TICK_INTERVAL;
 	tv = (struct timeval){ next / USEC_PER_SEC, next % USEC_PER_SEC };
 	evtimer_add(y->tick, &tv);
@@ -635,10 +641,10 @@
 	atomic_store(&y->exit_at, exit_at);
 }
 
-size_t
-relay_busy(const struct relay *y)
+bool
+relay_finished(const struct relay *y)
 {
-	return atomic_load(&((struct relay *)y)->shared.busy);
+	return atomic_load(&((struct relay *)y)->finished);
 }
 
 void
--- a/entry/relay.h
+++ b/entry/relay.h
@@ -46,8 +46,11 @@
  * finish by then are rejected.
  */
 void relay_set_exit_time(struct relay *y, usec_t exit_at);
-/* Requests in progress; may be called from any thread. */
-size_t relay_busy(const struct relay *y);
+/*
+ * Whether the last request has ended after relay_set_exit_time, and none can
+ * come any more; may be called from any thread.
+ */
+bool relay_finished(const struct relay *y);
 void relay_stop(struct relay *y);
 void relay_free(struct relay *y);
 
--- a/entry/relayd.c
+++ b/entry/relayd.c
@@ -39,7 +39,7 @@
 	relay_set_exit_time(r, exit_at);
 	do
 		usleep((useconds_t)DRAIN_POLL_INTERVAL);
-	while (relay_busy(r) > 0 && clock_now() < exit_at);
+	while (!relay_finished(r) && clock_now() < exit_at);
 }
 
 /* Blocks until a signal other than SIGHUP arrives. */
--- a/tests/entry/test_httpd.c
+++ b/tests/entry/test_httpd.c
@@ -185,7 +185,7 @@
 	g_usleep(c->closes_idle ? 10000 : PAST_LIMIT);
 	if (c->closes_idle) {
 		httpd_drain(s.httpd);
-		httpd_close_idle(s.httpd);
+		g_assert_false(httpd_finish(s.httpd));
 	}
 	run_until(&s, c->answers);
 	g_assert_cmpint(count_answers(&s, "200"), ==, c->answers);
