Tests: streams whose target is silent for a while, failing

A stream whose sound target sends nothing for 1.6 s is cancelled and broken off, if the service has no other target, or the others are of another version, at rest, refuse or reset the call; a stream that its target breaks off ends as well, if the others don't take it at once.

--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -22,7 +22,8 @@
 /* Answers without end: what is written at once, and in all. */
 #define ENDLESS_CHUNK     ((size_t)256 * 1024)
 #define ENDLESS_BYTES     ((size_t)64 * 1024 * 1024)
-#define CRASH_DELAY_MS    50 /* from the arrival to the begin of an answer */
+#define PAUSE_MS          1600 /* silence of a target that goes on */
+#define CRASH_DELAY_MS    50   /* from the arrival to the begin of an answer */
 #define CRASH_DOWN_MS     1500
 /* A target that asks for a rest may still get what was on its way. */
 #define REST_GRACE        (500 * USEC_PER_MSEC)
@@ -454,10 +455,17 @@
 		return;
 	}
 
-	if (strcmp(c->behavior, "break") == 0 && c->next_event == 3) {
+	if (str_has_prefix(str_from(c->behavior), STR("break")) &&
+	    c->next_event == 3) {
 		reset_conn(c);
 		return;
 	}
+	if (str_has_prefix(str_from(c->behavior), STR("pause")) &&
+	    c->next_event == 3) {
+		c->behavior[0] = '\0';
+		arm_timer(c, PAUSE_MS);
+		return;
+	}
 	if (strcmp(c->behavior, "stall") == 0 && c->next_event == 3)
 		return;
 	if (c->next_event > c->n_events) {
@@ -639,7 +647,9 @@
 	buf_free(&head);
 	if (strcmp(c->behavior, "refuse") == 0 ||
 	    (strcmp(c->behavior, "refuse-once") == 0 && s->arrivals == 1) ||
-	    (strcmp(c->behavior, "cut-refuse") == 0 && s->arrivals == 2)) {
+	    (strcmp(c->behavior, "cut-refuse") == 0 && s->arrivals == 2) ||
+	    (g_str_has_suffix(c->behavior, "-refuse-2") &&
+		(s->arrivals == 2 || s->arrivals == 3))) {
 		send_response(c, 503, "X-Not-Executed: 1\r\n", STR(""));
 		return false;
 	}
--- /dev/null
+++ b/tests/platform/test_silent_target.c
@@ -0,0 +1,131 @@
+/*
+ * Targets that send nothing for a while and go on, or fail, in the middle of a
+ * stream, while the others take no request: the caller's answer goes on as soon
+ * as a target has it.
+ */
+#include "tests/platform/harness.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define STORE_PORT   24640
+#define TARGET_PORT  24641
+#define HOST_PORT    24650
+#define READY_TIME_S 15
+#define DEADLINE_MS  5000
+#define EVENTS       6
+
+/* What the other targets of the service do. */
+enum others {
+	NONE,
+	HEALTHY,
+	OTHER_VERSION,
+	RESTING,
+	RESETTING
+};
+
+struct silence_case {
+	const char *name;
+	const char *path;
+	const char *behavior; /* fakeplat.c */
+	enum others others;
+	uint32_t max_runs;
+};
+
+static const struct silence_case cases[] = {
+	{ "alone", "/stream/1", "pause", NONE, 2 },
+	{ "others-healthy", "/stream/1", "pause", HEALTHY, 2 },
+	{ "others-of-another-version", "/stream/1", "pause", OTHER_VERSION, 2 },
+	{ "others-at-rest", "/stream/1", "pause", RESTING, 2 },
+	{ "others-refuse", "/stream/1", "pause-refuse-2", HEALTHY, 2 },
+	{ "others-reset", "/stream/1", "pause", RESETTING, 3 },
+	{ "not-resumable", "/stream-once/1", "pause", HEALTHY, 1 },
+	{ "broken-alone", "/stream/1", "break", NONE, 2 },
+	{ "broken-others-refuse", "/stream/1", "break-refuse-2", HEALTHY, 2 },
+	{ "broken-others-at-rest", "/stream/1", "break", RESTING, 2 },
+};
+
+static struct fakeplat *platform;
+static struct harness_host host = {
+	.port = HOST_PORT, .id = "h1", .store_port = STORE_PORT
+};
+
+/* The first target serves the first request, as the other is at rest. */
+static void
+set_others(const struct silence_case *t)
+{
+	fakeplat_set_rest(platform, "e2", t->others == RESTING ? "30" : NULL);
+	fakeplat_stop_target(platform, "e2", t->others == RESETTING);
+}
+
+static void
+check_events(const struct harness_response *a, const char *id)
+{
+	const char *p = a->body.p;
+
+	for (int i = 1; i <= EVENTS; i++) {
+		g_autofree char *event =
+		    g_strdup_printf("id: %d\ndata: %s", i, id);
+
+		p = p != NULL ? strstr(p, event) : NULL;
+		g_assert_nonnull(p);
+	}
+}
+
+static void
+test_silence(gconstpointer arg)
+{
+	const struct silence_case *t = arg;
+	struct fakeplat_target other = { "e2", "engine", "d1", TARGET_PORT + 1,
+		.version = t->others == OTHER_VERSION ? "v2" : "v1" };
+	g_autofree char *q =
+	    harness_format(&(struct harness_request){ .path = t->path,
+		.id = t->name,
+		.behavior = t->behavior,
+		.deadline_ms = DEADLINE_MS });
+	struct harness_response a;
+	struct fakeplat_attempt s;
+	g_autofree char *config = harness_config(1, NULL);
+	g_autofree char *dir = g_dir_make_tmp("silent-XXXXXX", NULL);
+
+	g_strlcpy(host.dir, dir, sizeof(host.dir));
+	platform = fakeplat_start(STORE_PORT);
+	fakeplat_add_target(platform,
+	    &(struct fakeplat_target){
+		"e1", "engine", "d1", TARGET_PORT, .version = "v1" });
+	fakeplat_put(platform, "op/config", config);
+	harness_start_host(&host);
+	g_assert_true(harness_wait_ready(&host, READY_TIME_S));
+	if (t->others != NONE) {
+		fakeplat_add_target(platform, &other);
+		set_others(t);
+	}
+	g_usleep(300000);
+	harness_exchange(host.port, str_from(q), DEADLINE_MS + 1000, &a);
+	g_test_message("%s: status %d, %zu bytes", t->name, a.status, a.body.n);
+	g_assert_cmpint(a.status, ==, 200);
+	g_assert_true(a.complete);
+	check_events(&a, t->name);
+	g_assert_true(fakeplat_get_attempt(platform, t->name, &s));
+	g_assert_cmpint(s.runs, <=, t->max_runs);
+	harness_response_free(&a);
+	kill(host.pid, SIGTERM);
+	g_assert_cmpint(harness_wait_exit(&host), ==, 0);
+	fakeplat_stop(platform);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *path =
+		    g_strdup_printf("/silent-target/%s", cases[i].name);
+
+		g_test_add_data_func(path, &cases[i], test_silence);
+	}
+	return g_test_run();
+}
