Streams: an answer that has begun goes on until a target takes its rest

Callers saw streams cut off although their target was sound: a target that sent nothing for about a second was given up, and if no other target took the rest (none listed, of another version, at rest, full), the answer was broken off. In the same way a stream whose target failed ended with the first refusal of another one.

A silent call is given up only if another target may be asked and the retry quota allows it. A stream that has begun and is not taken at once is sent again after 100 ms, then after twice that, until its deadline: to a target that was not asked yet while the route's attempts allow it, else to one of those that were. Each such call is charged to the retry quota. resume-waits in the log tells of it.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -42,6 +42,12 @@
  * that are on time.  A stream that pauses for longer is late already.
  */
 #define EVENT_GAPS            4
+/*
+ * Time until the next attempt to resume a stream that no target takes; doubled
+ * after each attempt.
+ */
+#define RESUME_INTERVAL       (100 * USEC_PER_MSEC)
+#define RESUME_MAX_DOUBLINGS  4
 /* Ranks of at least this value share the last engine priority. */
 #define MAX_PRIORITY          9
 
@@ -93,14 +99,6 @@
 	query->input_bytes = stages_input_bytes(r);
 }
 
-/* Rejects the request and lets the caller retry after RETRY_AFTER. */
-static void
-fail_request(struct relay_request *r, enum err_kind kind, const char *cause)
-{
-	relay_request_reject(
-	    r, &(struct rejection){ kind, RETRY_AFTER, cause });
-}
-
 static void
 stop_waiting(struct relay_request *r)
 {
@@ -109,6 +107,48 @@
 	r->response_timer = NULL;
 }
 
+static void
+set_response_timer(struct relay_request *r, usec_t t)
+{
+	struct timeval tv = { t / USEC_PER_SEC, t % USEC_PER_SEC };
+
+	if (r->response_timer == NULL)
+		r->response_timer =
+		    evtimer_new(r->shared->base, on_no_response, r);
+	evtimer_add(r->response_timer, &tv);
+}
+
+/*
+ * A stream that has begun is resumed once a target takes it; returns false if
+ * it may not be, or if no time is left.
+ */
+static bool
+resume_later(struct relay_request *r, const char *cause)
+{
+	usec_t wait = RESUME_INTERVAL << r->resume_waits;
+
+	if (!r->head_written || !route_repeatable(r->route) ||
+	    r->deadline - clock_now() <= wait + MIN_TIME_LEFT)
+		return false;
+	if (r->resume_waits < RESUME_MAX_DOUBLINGS)
+		r->resume_waits++;
+	log_text(LOG_LVL_INFO, "resume-waits",
+	    "request %.*s: after %" PRIu64 " events, %s", STR_FMT(r->info.id),
+	    r->sse.events, cause);
+	sse_restart(&r->sse);
+	set_response_timer(r, wait);
+	return true;
+}
+
+/* Rejects the request and lets the caller retry after RETRY_AFTER. */
+static void
+fail_request(struct relay_request *r, enum err_kind kind, const char *cause)
+{
+	if (!resume_later(r, cause))
+		relay_request_reject(
+		    r, &(struct rejection){ kind, RETRY_AFTER, cause });
+}
+
 static void
 report_call_end(struct relay_request *r, bool healthy)
 {
@@ -118,13 +158,25 @@
 	    healthy ? LOADS_OK : LOADS_FAILED, clock_now());
 }
 
+/* Whether the route's attempts and the deadline allow another call. */
 static bool
-can_retry(struct relay_request *r)
+has_attempts(const struct relay_request *r)
 {
 	return r->sends < r->route->attempts && r->n_tried < LOADS_MAX_TRIED &&
-	    r->deadline - clock_now() > MIN_TIME_LEFT &&
-	    retry_quota_spend(relay_request_retry_quota(r),
-		&r->shared->quota_rule, clock_now());
+	    r->deadline - clock_now() > MIN_TIME_LEFT;
+}
+
+static bool
+spend_retry(struct relay_request *r)
+{
+	return retry_quota_spend(
+	    relay_request_retry_quota(r), &r->shared->quota_rule, clock_now());
+}
+
+static bool
+can_retry(struct relay_request *r)
+{
+	return has_attempts(r) && spend_retry(r);
 }
 
 /*
@@ -184,7 +236,8 @@
 		sse_restart(&r->sse);
 		send_call(r);
 	} else if (r->head_written) {
-		abort_stream(r, cause);
+		if (suspect || !resume_later(r, cause))
+			abort_stream(r, cause);
 	} else {
 		fail_request(r, ERR_ANSWER_LOST, cause);
 	}
@@ -217,17 +270,12 @@
 {
 	usec_t limit = response_wait_limit(
 	    times, r->service->name, objective, extra, left);
-	struct timeval tv = { limit / USEC_PER_SEC, limit % USEC_PER_SEC };
 
 	if (limit == 0 || r->call == NULL || !route_repeatable(r->route) ||
-	    r->sends >= r->route->attempts) {
+	    r->sends >= r->route->attempts)
 		stop_waiting(r);
-		return;
-	}
-	if (r->response_timer == NULL)
-		r->response_timer =
-		    evtimer_new(r->shared->base, on_no_response, r);
-	evtimer_add(r->response_timer, &tv);
+	else
+		set_response_timer(r, limit);
 }
 
 /* Events have arrived: records the wait for them and limits the next one. */
@@ -246,6 +294,7 @@
 	else if (now - r->last_event_at > r->longest_pause)
 		r->longest_pause = now - r->last_event_at;
 	r->last_event_at = now;
+	r->resume_waits = 0;
 	start_waiting(r, &s->event_wait, EVENT_GAPS * r->route->max_event_gap,
 	    0, r->deadline - now);
 }
@@ -486,7 +535,7 @@
 		    (clock_now() - r->sent_at) / USEC_PER_MSEC);
 		report_call_end(r, false);
 		r->sends--;
-		if (r->n_tried < MAX_CONNECT_FAILURES)
+		if (r->n_tried < MAX_CONNECT_FAILURES && has_attempts(r))
 			send_call(r);
 		else
 			fail_request(r, ERR_NO_TARGET, "no target accepts");
@@ -576,7 +625,7 @@
 	usec_t wait =
 	    loads_limit_wait(&r->shared->loads, r->service->name, now);
 
-	if (no_target && wait > 0)
+	if (no_target && wait > 0 && !r->head_written)
 		relay_request_reject(r,
 		    &(struct rejection){ ERR_NO_TARGET,
 			retry_after(wait, hash_u64(r->info.id, 0)),
@@ -586,27 +635,47 @@
 		    no_target ? "no target is left" : "no time is left");
 }
 
-static void
-send_call(struct relay_request *r)
+/* Returns a target that the request was not sent to yet, or NULL. */
+static struct target_load *
+choose_target(struct relay_request *r, usec_t now)
 {
-	usec_t now = clock_now();
-	usec_t left = r->deadline - now;
 	struct loads_query query;
-	struct target_load *t;
-	struct rejection why;
 
-	if (relay_quarantined(r->shared, &r->parts.all, &why)) {
-		relay_request_reject(r, &why);
-		return;
-	}
 	forward_query(r, &query);
-	t = loads_choose(&r->shared->loads, &query, now);
-	if (t == NULL || left < MIN_TIME_LEFT) {
-		reject_unsent(r, t == NULL, now);
-		return;
+	return loads_choose(&r->shared->loads, &query, now);
+}
+
+/* Returns a target for a stream that has begun, or NULL. */
+static struct target_load *
+choose_resume_target(struct relay_request *r, usec_t now)
+{
+	struct target_load *t = has_attempts(r) ? choose_target(r, now) : NULL;
+	struct loads_query query;
+
+	if (t != NULL)
+		return t;
+	forward_query(r, &query);
+	query.again = true;
+	return loads_choose(&r->shared->loads, &query, now);
+}
+
+static bool
+was_tried(const struct relay_request *r, const char *target)
+{
+	for (size_t i = 0; i < r->n_tried; i++) {
+		if (strcmp(r->tried[i], target) == 0)
+			return true;
 	}
+	return false;
+}
+
+static void
+send_to(struct relay_request *r, struct target_load *t, usec_t now)
+{
+	usec_t left = r->deadline - now;
+
 	g_strlcpy(r->target_id, t->entry.id, sizeof(r->target_id));
-	if (r->n_tried < LOADS_MAX_TRIED)
+	if (r->n_tried < LOADS_MAX_TRIED && !was_tried(r, t->entry.id))
 		g_strlcpy(
 		    r->tried[r->n_tried++], t->entry.id, sizeof(r->tried[0]));
 	g_strlcpy(r->call_version, t->entry.version, sizeof(r->call_version));
@@ -621,6 +690,50 @@
 		on_dial_event(r, DIAL_UNSENT, NULL);
 }
 
+/* Rejects a request of which a part is quarantined. */
+static bool
+reject_quarantined(struct relay_request *r)
+{
+	struct rejection why;
+
+	if (!relay_quarantined(r->shared, &r->parts.all, &why))
+		return false;
+	relay_request_reject(r, &why);
+	return true;
+}
+
+static void
+send_call(struct relay_request *r)
+{
+	usec_t now = clock_now();
+	struct target_load *t;
+
+	if (reject_quarantined(r))
+		return;
+	t = choose_target(r, now);
+	if (t == NULL || r->deadline - now < MIN_TIME_LEFT)
+		reject_unsent(r, t == NULL, now);
+	else
+		send_to(r, t, now);
+}
+
+/* Sends the rest of a stream that has begun to a target, if one takes it. */
+static void
+resume_stream(struct relay_request *r)
+{
+	usec_t now = clock_now();
+	struct target_load *t;
+
+	stop_waiting(r);
+	if (reject_quarantined(r))
+		return;
+	t = choose_resume_target(r, now);
+	if (t != NULL && spend_retry(r))
+		send_to(r, t, now);
+	else
+		fail_request(r, ERR_NO_TARGET, "no target takes the stream");
+}
+
 /*
  * The response has not begun, or its next event has not come, in time: makes
  * the call again elsewhere, or goes on waiting if that is not possible.
@@ -636,9 +749,18 @@
 
 	(void)fd;
 	(void)what;
+	if (call == NULL) {
+		resume_stream(r);
+		return;
+	}
 	stop_waiting(r);
-	if (!can_retry(r))
+	if (!has_attempts(r))
+		return;
+	/* A target that may go on is not given up for none. */
+	if (choose_target(r, clock_now()) == NULL || !spend_retry(r)) {
+		set_response_timer(r, RESUME_INTERVAL);
 		return;
+	}
 	log_text(LOG_LVL_NOTICE, "call-silent",
 	    "request %.*s: target %s sent nothing for %" PRId64 " ms",
 	    STR_FMT(r->info.id), r->target_id,
--- a/entry/relay_request.c
+++ b/entry/relay_request.c
@@ -26,6 +26,8 @@
 	if (r->recording != NULL)
 		stream_resumes_leave_recording(r->recording);
 	event_free(r->timer);
+	if (r->response_timer != NULL)
+		event_free(r->response_timer);
 	sse_free(&r->sse);
 	routes_unref(r->routes);
 	g_queue_unlink(&s->requests, &r->link);
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -122,8 +122,13 @@
 	char tried[LOADS_MAX_TRIED][64];
 	size_t n_tried;
 	uint32_t sends;
-	usec_t sent_at;               /* time of the last call */
-	struct event *response_timer; /* NULL: the call waits without limit */
+	usec_t sent_at; /* time of the last call */
+	/*
+	 * Limits the wait for the call's next bytes; without a call, the time
+	 * until the stream is resumed.  NULL: none.
+	 */
+	struct event *response_timer;
+	uint32_t resume_waits;  /* since the last event */
 	uint64_t events_before; /* the last call: events of earlier ones */
 	/* Software versions of the last call's target, and of the stream. */
 	char call_version[STREAM_VERSION_BYTES];
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -383,7 +383,7 @@
 		struct target_load *t = all->pdata[i];
 		double c;
 
-		if (already_tried(q, t) || !has_version(q, t) ||
+		if (already_tried(q, t) != q->again || !has_version(q, t) ||
 		    !loads_allows(t, now) ||
 		    (!use_set_aside && now < t->aside_until))
 			continue;
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -77,8 +77,9 @@
 	struct str input_addr;  /* address of the first input; may be empty */
 	uint64_t input_bytes;
 	struct str version; /* of the target's software; empty: any */
-	struct str tried[LOADS_MAX_TRIED]; /* ids of targets not to use again */
+	struct str tried[LOADS_MAX_TRIED]; /* ids of targets */
 	size_t n_tried;
+	bool again; /* only targets that were tried, else only others */
 };
 
 void loads_init(struct loads *l, const char *domain, uint64_t seed);
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -589,6 +589,7 @@
 		struct load_case v[3];
 		size_t n;
 		const char *want;
+		bool again;
 	} cases[] = {
 		{ { { "a", "d1", 5, 0, false, false, false },
 		      { "b", "d1", 0, 0, false, false, false } },
@@ -613,11 +614,22 @@
 		{ { { "a", "d2", 0, 0, false, false, false },
 		      { "b", "d1", 0, 0, false, false, false } },
 		    2, "b" },
+		/* Once more: only the targets that were tried. */
+		{ { { "a", "d1", 9, 0, false, false, true },
+		      { "b", "d1", 0, 0, false, false, false } },
+		    2, "a", true },
+		{ { { "a", "d1", 0, 0, false, true, true },
+		      { "b", "d1", 0, 0, false, false, false } },
+		    2, "a", true },
+		{ { { "a", "d1", 0, 0, true, false, true },
+		      { "b", "d1", 0, 0, false, false, false } },
+		    2, NULL, true },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct loads l;
-		struct loads_query q = { .service = "s" };
+		struct loads_query q = { .service = "s",
+			.again = cases[i].again };
 		GArray *list =
 		    g_array_new(FALSE, FALSE, sizeof(struct target_entry));
 		struct target_load *t;
