Stopping: requests whose time may pass the exit are rejected as not run

Callers whose new connection reached a stopping host lost requests that targets ran: the host took what it expected to end within twice the objective, and cut off with its process what lasted longer. A request that is no stream is taken only if its deadline is over before the exit; the others get 503 at once, with a short Retry-After. /stopping-host/until-the-exit: 70 requests were run and cut off before, none now.

--- a/entry/relay.c
+++ b/entry/relay.c
@@ -70,15 +70,19 @@
 	relay_answer_problem(q, id, why);
 }
 
-/* Whether a request that arrives now will finish before the process exits. */
+/*
+ * Whether a request that arrives now will finish before the process exits: its
+ * deadline is over by then, or a stream of usual length has ended.
+ */
 static bool
-ends_in_time(const struct relay *y, const struct route *r, usec_t now)
+ends_in_time(const struct relay *y, const struct route *r,
+    const struct request_info *info, usec_t now)
 {
 	usec_t exit_at = atomic_load(&((struct relay *)y)->exit_at);
-	usec_t need = 2 * r->objective;
+	usec_t need = r->kind == ROUTE_STREAM
+	    ? 2 * r->objective + STREAM_DURATION
+	    : relay_request_budget(r, info);
 
-	if (r->kind == ROUTE_STREAM)
-		need += STREAM_DURATION;
 	return exit_at == 0 || now + need < exit_at - EXIT_MARGIN;
 }
 
@@ -126,7 +130,7 @@
 		reject_early(y, q, info.id, &why);
 		return;
 	}
-	if (!ends_in_time(y, route, clock_now())) {
+	if (!ends_in_time(y, route, &info, clock_now())) {
 		why = (struct rejection){ ERR_DRAINING, DRAINING_RETRY,
 			"this host is stopping" };
 		reject_early(y, q, info.id, &why);
--- a/entry/relay_request.c
+++ b/entry/relay_request.c
@@ -278,6 +278,16 @@
 		r->resume_search = s;
 }
 
+usec_t
+relay_request_budget(const struct route *route, const struct request_info *info)
+{
+	usec_t budget = info->deadline_budget > 0 ? info->deadline_budget
+						  : DEFAULT_DEADLINE_BUDGET;
+
+	return route->timeout > 0 && route->timeout < budget ? route->timeout
+							     : budget;
+}
+
 void
 relay_request_start(const struct relay_request_opts *o)
 {
@@ -285,8 +295,6 @@
 	const struct request_info *info = o->info;
 	const struct route *route = o->route;
 	struct relay_request *r = xcalloc(1, sizeof(*r));
-	usec_t budget = info->deadline_budget > 0 ? info->deadline_budget
-						  : DEFAULT_DEADLINE_BUDGET;
 
 	r->shared = s;
 	r->httpd_req = o->httpd_req;
@@ -299,9 +307,7 @@
 	    r->routes, route_pick_service(route, relay_stream_id(info)));
 	r->rank = effective_rank(route, o->caller_key);
 	r->arrived = httpd_arrived(o->httpd_req);
-	r->deadline = r->arrived +
-	    (route->timeout > 0 && route->timeout < budget ? route->timeout
-							   : budget);
+	r->deadline = r->arrived + relay_request_budget(route, info);
 	r->link.data = r;
 	g_queue_push_tail_link(&s->requests, &r->link);
 	atomic_fetch_add(&s->busy, 1);
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -166,6 +166,9 @@
 	const struct request_parts *parts;
 };
 
+/* Time that a request on the route has at most, from its arrival. */
+usec_t relay_request_budget(
+    const struct route *route, const struct request_info *info);
 /* Creates the state of an accepted request and starts its stages. */
 void relay_request_start(const struct relay_request_opts *o);
 /* Id of the attempt that began the request's stream: maybe its own. */
--- a/tests/platform/test_stopping_host.c
+++ b/tests/platform/test_stopping_host.c
@@ -46,6 +46,7 @@
 	usec_t shift; /* added to the time of the first in each round */
 	int rounds;
 	bool paused; /* the process stands still while they are sent */
+	bool fresh;  /* each is sent on a new connection */
 };
 
 static const struct stop_case cases[] = {
@@ -56,6 +57,9 @@
 	/* Each runs for 2 s. */
 	{ "long-requests", "/once/1", "slow", DRAIN_TIME - 100 * USEC_PER_MSEC,
 	    20 * USEC_PER_MSEC, 0, 2, false },
+	/* Requests that may run past the exit are rejected as not run. */
+	{ "until-the-exit", "/quick/1", "slow", DRAIN_TIME, 19 * USEC_PER_MSEC,
+	    0, 1, false, true },
 	/* The host has no request when it decides to end, and gets some. */
 	{ "decision", "/once/1", NULL, DRAIN_TIME, 0, 10 * USEC_PER_MSEC, 12,
 	    true },
@@ -68,6 +72,7 @@
 	.port = HOST_PORT, .id = "h1", .store_port = STORE_PORT
 };
 
+/* Returns -1 if the host refuses the connection. */
 static int
 open_connection(void)
 {
@@ -76,8 +81,10 @@
 		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-	g_assert_cmpint(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), ==, 0);
-	return fd;
+	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0)
+		return fd;
+	close(fd);
+	return -1;
 }
 
 static void
@@ -111,6 +118,13 @@
 	    strlen(body + 4) >= (size_t)atoi(p + strlen("Content-Length: "));
 }
 
+static void
+open_caller(struct caller *c)
+{
+	c->fd = open_connection();
+	c->closed = c->fd < 0 ? clock_now() : 0;
+}
+
 static void
 send_request(const struct stop_case *t, struct caller *c)
 {
@@ -164,9 +178,11 @@
 			receive(&v[i]);
 			open += v[i].closed == 0;
 		}
-		if (open == 0)
+		if (open == 0 && (!t->fresh || next == CALLERS))
 			return;
 		if (next < CALLERS && clock_now() >= due) {
+			if (t->fresh)
+				open_caller(&v[next]);
 			if (v[next].closed == 0)
 				send_request(t, &v[next]);
 			next++;
@@ -208,14 +224,18 @@
 	for (int i = 0; i < CALLERS; i++) {
 		snprintf(
 		    v[i].id, sizeof(v[i].id), "%.12s-%d-%d", t->name, round, i);
-		v[i].fd = open_connection();
+		v[i].fd = -1;
+		v[i].closed = 1;
+		if (!t->fresh)
+			open_caller(&v[i]);
 	}
 	kill(host.pid, SIGTERM);
 	play(t, v, round);
 	g_assert_cmpint(harness_wait_exit(&host), ==, 0);
 	lost = count_lost(t, v);
 	for (int i = 0; i < CALLERS; i++) {
-		close(v[i].fd);
+		if (v[i].fd >= 0)
+			close(v[i].fd);
 		buf_free(&v[i].received);
 	}
 	return lost;
@@ -240,7 +260,11 @@
 		{ "p2", "plain", "d1", TARGET_PORT + 1 },
 		{ "e1", "engine", "d1", TARGET_PORT + 2 },
 	};
-	g_autofree char *config = harness_config(1, NULL);
+	g_autofree char *config = harness_config(1,
+	    ",{\"Name\":\"quick\",\"Host\":\"a.example\","
+	    "\"Prefix\":\"/quick/\",\"Kind\":\"non_idempotent\","
+	    "\"TimeoutMs\":3000,\"SloMs\":100,\"Attempts\":1,"
+	    "\"Service\":\"plain\"}");
 	g_autofree char *dir = g_dir_make_tmp("stopping-XXXXXX", NULL);
 	int rc;
 
