Connections: a slow caller gets all of the last answer of its connection

An answer that closed its connection was cut off five seconds after its end had been written, however fast its caller read it. The limit now holds for the time in which the caller takes nothing. /httpd/slow-reader got 23,592,960 of 33,554,432 bytes before, and all now.

--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -17,8 +17,8 @@
 /* Bytes of pipelined requests that are read while a request is in progress. */
 #define READ_AHEAD      (64 * 1024)
 /*
- * When no sent data is acknowledged for this long, the connection is considered
- * broken.
+ * When no sent data is acknowledged for this long, or none of the last response
+ * is taken, the connection is considered broken.
  */
 #define SEND_TIMEOUT_MS 5000
 /*
@@ -35,6 +35,7 @@
 	struct httpmsg in;
 	usec_t arrived;
 	usec_t idle_since; /* while no request has begun */
+	size_t unsent;     /* while closing: output at the last timer */
 	void (*on_close)(void *arg);
 	void *arg;
 	bool busy;      /* a request is being handled */
@@ -136,7 +137,8 @@
 close_after_write(struct httpd_request *q)
 {
 	q->closing = true;
-	if (evbuffer_get_length(bufferevent_get_output(q->bev)) == 0)
+	q->unsent = evbuffer_get_length(bufferevent_get_output(q->bev));
+	if (q->unsent == 0)
 		half_close(q);
 	else
 		set_timer(q, SEND_TIMEOUT_MS * USEC_PER_MSEC);
@@ -305,6 +307,17 @@
 	return end - clock_now();
 }
 
+/* Whether the caller has taken some of the last response since the last timer.
+ */
+static bool
+sends_output(struct httpd_request *q)
+{
+	size_t before = q->unsent;
+
+	q->unsent = evbuffer_get_length(bufferevent_get_output(q->bev));
+	return q->unsent < before;
+}
+
 /*
  * A timer that is due together with the input runs first: what has arrived is
  * read before the connection is judged.
@@ -322,6 +335,8 @@
 		set_timer(q, time_left(q));
 	else if (!q->closing && q->in.started)
 		refuse(q, 408, "the request did not arrive in time");
+	else if (q->closing && !q->lingering && sends_output(q))
+		set_timer(q, SEND_TIMEOUT_MS * USEC_PER_MSEC);
 	else if (q->closing)
 		free_conn(q);
 	else
--- a/tests/entry/test_httpd.c
+++ b/tests/entry/test_httpd.c
@@ -5,6 +5,7 @@
  */
 #include "entry/httpd.h"
 
+#include <errno.h>
 #include <event2/event.h>
 #include <glib.h>
 #include <netinet/in.h>
@@ -22,6 +23,9 @@
 #define PAST_LIMIT    (700 * USEC_PER_MSEC) /* after WITHIN_LIMIT */
 #define ANSWER_TIME   (8 * USEC_PER_SEC)
 #define LONG_BODY     60000
+#define SLOW_BYTES    ((size_t)32 * 1024 * 1024)
+#define SLOW_CHUNK    ((size_t)400 * 1024)
+#define SLOW_INTERVAL (100 * USEC_PER_MSEC)
 #define HEAD          "POST / HTTP/1.1\r\nHost: a\r\n"
 #define REQUEST       HEAD "Content-Length: 4\r\n\r\nbody"
 #define CLOSE_REQUEST HEAD "Connection: close\r\nContent-Length: 0\r\n\r\n"
@@ -30,6 +34,7 @@
 	struct event_base *base;
 	struct httpd *httpd;
 	int requests;
+	size_t body_bytes; /* of each response; 0: "ok" */
 	usec_t last_arrived;
 	int fd; /* of the caller */
 	struct buf received;
@@ -40,11 +45,14 @@
 on_request(void *arg, struct httpd_request *q)
 {
 	struct server *s = arg;
+	g_autofree char *body = g_strnfill(s->body_bytes, 'b');
 
 	s->requests++;
 	s->last_arrived = httpd_arrived(q);
-	httpd_respond(
-	    q, &(struct httpd_response){ .status = 200, .body = STR("ok") });
+	httpd_respond(q,
+	    &(struct httpd_response){ .status = 200,
+		.body = s->body_bytes > 0 ? (struct str){ body, s->body_bytes }
+					  : STR("ok") });
 }
 
 static void
@@ -254,6 +262,30 @@
 	close_server(&s);
 }
 
+/* A caller that reads slowly gets all of the last answer of its connection. */
+static void
+test_slow_reader(void)
+{
+	struct server s;
+	size_t n = 0;
+
+	open_server(&s);
+	s.body_bytes = SLOW_BYTES;
+	send_text(&s, CLOSE_REQUEST);
+	while (!s.closed) {
+		g_autofree char *bytes = g_malloc(SLOW_CHUNK);
+		ssize_t got;
+
+		run_for(&s, SLOW_INTERVAL);
+		got = recv(s.fd, bytes, SLOW_CHUNK, MSG_DONTWAIT);
+		s.closed = got == 0;
+		g_assert_true(got >= 0 || errno == EAGAIN);
+		n += got > 0 ? (size_t)got : 0;
+	}
+	g_assert_cmpint(n, >, SLOW_BYTES);
+	close_server(&s);
+}
+
 /* After Connection: close of the caller nothing more is answered. */
 static void
 test_close_of_caller(void)
@@ -326,6 +358,7 @@
 	g_test_add_func("/httpd/pipelined-at-stop", test_pipelined_at_stop);
 	g_test_add_func("/httpd/close-of-caller", test_close_of_caller);
 	g_test_add_func("/httpd/blank-lines", test_blank_lines);
+	g_test_add_func("/httpd/slow-reader", test_slow_reader);
 	g_test_add_func("/httpd/slow-request", test_slow_request);
 	return g_test_run();
 }
