Tests: answers that arrive while the host stands still, failing

Four of four cases of /silent-target/host-pauses fail: after a pause of the process a request whose answer waits in the socket is sent to another target, or rejected at its deadline.

--- a/tests/platform/test_silent_target.c
+++ b/tests/platform/test_silent_target.c
@@ -74,6 +74,29 @@
 	}
 }
 
+static void
+start_host(const struct fakeplat_target *targets, size_t n)
+{
+	g_autofree char *config = harness_config(1, NULL);
+	g_autofree char *dir = g_dir_make_tmp("silent-XXXXXX", NULL);
+
+	g_strlcpy(host.dir, dir, sizeof(host.dir));
+	platform = fakeplat_start(STORE_PORT);
+	for (size_t i = 0; i < n; i++)
+		fakeplat_add_target(platform, &targets[i]);
+	fakeplat_put(platform, "op/config", config);
+	harness_start_host(&host);
+	g_assert_true(harness_wait_ready(&host, READY_TIME_S));
+}
+
+static void
+stop_host(void)
+{
+	kill(host.pid, SIGTERM);
+	g_assert_cmpint(harness_wait_exit(&host), ==, 0);
+	fakeplat_stop(platform);
+}
+
 static void
 test_silence(gconstpointer arg)
 {
@@ -111,9 +134,77 @@
 	g_assert_true(fakeplat_get_attempt(platform, t->name, &s));
 	g_assert_cmpint(s.runs, <=, t->max_runs);
 	harness_response_free(&a);
-	kill(host.pid, SIGTERM);
-	g_assert_cmpint(harness_wait_exit(&host), ==, 0);
-	fakeplat_stop(platform);
+	stop_host();
+}
+
+/* The host's process stands still while its targets answer. */
+struct pause_case {
+	const char *name;
+	const char *path;
+	const char *behavior;
+	int deadline_ms;
+	int at_ms; /* from the request to the pause */
+	int pause_ms;
+};
+
+static const struct pause_case pause_cases[] = {
+	{ "stream", "/stream/1", NULL, 5000, 60, 2500 },
+	{ "repeatable", "/safe/1", "slow", 6000, 1000, 1800 },
+	{ "past-deadline", "/once/1", "slow", 2400, 1000, 1800 },
+	{ "repeatable-past-deadline", "/safe/1", "slow", 2400, 1000, 1800 },
+};
+
+struct pause_caller {
+	const char *bytes;
+	struct harness_response a;
+};
+
+static gpointer
+run_caller(gpointer arg)
+{
+	struct pause_caller *x = arg;
+
+	harness_exchange(
+	    host.port, str_from(x->bytes), READY_TIME_S * 1000, &x->a);
+	return NULL;
+}
+
+/*
+ * Answers that arrive while the host stands still are passed on, and not asked
+ * for again, though the timers of their requests are due as well.
+ */
+static void
+test_pause(gconstpointer arg)
+{
+	const struct pause_case *t = arg;
+	g_autofree char *q =
+	    harness_format(&(struct harness_request){ .path = t->path,
+		.id = t->name,
+		.behavior = t->behavior,
+		.deadline_ms = t->deadline_ms });
+	static const struct fakeplat_target targets[] = {
+		{ "e1", "engine", "d1", TARGET_PORT },
+		{ "e2", "engine", "d1", TARGET_PORT + 1 },
+		{ "p1", "plain", "d1", TARGET_PORT + 2 },
+		{ "p2", "plain", "d1", TARGET_PORT + 3 },
+	};
+	struct pause_caller x = { .bytes = q };
+	struct fakeplat_attempt s;
+	GThread *thread;
+
+	start_host(targets, G_N_ELEMENTS(targets));
+	thread = g_thread_new("caller", run_caller, &x);
+	g_usleep((gulong)t->at_ms * 1000);
+	kill(host.pid, SIGSTOP);
+	g_usleep((gulong)t->pause_ms * 1000);
+	kill(host.pid, SIGCONT);
+	g_thread_join(thread);
+	g_assert_cmpint(x.a.status, ==, 200);
+	g_assert_true(x.a.complete);
+	g_assert_true(fakeplat_get_attempt(platform, t->name, &s));
+	g_assert_cmpint(s.arrivals, ==, 1);
+	harness_response_free(&x.a);
+	stop_host();
 }
 
 int
@@ -127,5 +218,11 @@
 
 		g_test_add_data_func(path, &cases[i], test_silence);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(pause_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+		    "/silent-target/host-pauses/%s", pause_cases[i].name);
+
+		g_test_add_data_func(path, &pause_cases[i], test_pause);
+	}
 	return g_test_run();
 }
