Calls: a timer judges a call only once its input has been read

The cause of the dropped requests at the connections to targets. After a pause of the process the timers of requests and calls ran before the input that had arrived: answers that waited in the socket were given up as silent and asked for again, which spends retries, or replaced by 504; connections that had been established counted as failed.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -753,6 +753,10 @@
 		resume_stream(r);
 		return;
 	}
+	if (target_call_has_input(call)) {
+		set_response_timer(r, 0);
+		return;
+	}
 	stop_waiting(r);
 	if (!has_attempts(r))
 		return;
--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -1,6 +1,7 @@
 #include "entry/httpd.h"
 #include "base/log.h"
 #include "plat/addr.h"
+#include "plat/unread.h"
 
 #include <errno.h>
 #include <event2/bufferevent.h>
@@ -11,7 +12,6 @@
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/ioctl.h>
 
 #define BACKLOG         1024
 /* Bytes of pipelined requests that are read while a request is in progress. */
@@ -54,17 +54,6 @@
 	struct httpd_counts counts;
 };
 
-/* Bytes that have arrived and are not parsed. */
-static size_t
-unread_bytes(const struct httpd_request *q)
-{
-	int n = 0;
-
-	if (ioctl(bufferevent_getfd(q->bev), FIONREAD, &n) < 0)
-		n = 0;
-	return evbuffer_get_length(bufferevent_get_input(q->bev)) + (size_t)n;
-}
-
 static void
 free_conn(struct httpd_request *q)
 {
@@ -80,7 +69,7 @@
 static void
 close_conn(struct httpd_request *q, const char *why)
 {
-	size_t n = unread_bytes(q);
+	size_t n = unread_bytes(q->bev);
 
 	if (n > 0) {
 		q->httpd->counts.closed_unread++;
@@ -329,7 +318,7 @@
 
 	(void)fd;
 	(void)what;
-	if (!q->closing && unread_bytes(q) > 0)
+	if (!q->closing && unread_bytes(q->bev) > 0)
 		set_timer(q, 0);
 	else if (!q->closing && time_left(q) > 0)
 		set_timer(q, time_left(q));
@@ -460,7 +449,7 @@
 may_continue(const struct httpd_request *q)
 {
 	return httpmsg_keep_alive(&q->in) &&
-	    (!q->httpd->draining || unread_bytes(q) > 0);
+	    (!q->httpd->draining || unread_bytes(q->bev) > 0);
 }
 
 void
@@ -563,7 +552,7 @@
 
 		next = l->next;
 		if (!q->busy && !q->closing && !q->in.started &&
-		    unread_bytes(q) == 0)
+		    unread_bytes(q->bev) == 0)
 			close_conn(q, "idle while the host stops");
 	}
 }
--- a/entry/relay_request.c
+++ b/entry/relay_request.c
@@ -169,9 +169,16 @@
 {
 	struct relay_request *r = arg;
 	bool sent = r->call != NULL || r->may_have_run;
+	struct timeval now = { 0, 0 };
 
 	(void)fd;
 	(void)what;
+	/* An answer that has arrived is passed on. */
+	if (r->call != NULL && target_call_has_input(r->call) &&
+	    r->late_turns++ < DIAL_MAX_LATE_TURNS) {
+		evtimer_add(r->timer, &now);
+		return;
+	}
 	forward_cancel(r);
 	relay_request_reject(r,
 	    &(struct rejection){
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -109,6 +109,7 @@
 	 */
 	usec_t deadline;
 	struct event *timer;
+	uint32_t late_turns; /* of the loop since the deadline */
 	GList link;
 
 	/* Used by stages.c. */
--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -389,6 +389,12 @@
 	dial_cancel(dial);
 }
 
+bool
+target_call_has_input(const struct target_call *k)
+{
+	return dial_has_input(k->dial);
+}
+
 bool
 target_call_is_direct(const struct target_call *k)
 {
--- a/plat/dial.c
+++ b/plat/dial.c
@@ -2,12 +2,14 @@
 #include "base/log.h"
 #include "kernel/bounds.h"
 #include "plat/addr.h"
+#include "plat/unread.h"
 
 #include <errno.h>
 #include <event2/bufferevent.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -59,6 +61,7 @@
 	struct buf call_id;
 	struct event *timer; /* NULL: without a limit of time */
 	size_t stray_bytes;  /* of the body of another call's response */
+	uint32_t late_turns; /* of the loop since its time was over */
 	bool head_delivered;
 	bool head_only;
 };
@@ -379,14 +382,27 @@
 	fail_call(c, DIAL_BROKEN);
 }
 
+/* Whether the connection attempt has ended, with either result. */
+static bool
+has_connect_result(const struct conn *c)
+{
+	struct pollfd p = { .fd = bufferevent_getfd(c->bev),
+		.events = POLLOUT };
+
+	return poll(&p, 1, 0) > 0;
+}
+
 static void
 on_connect_timeout(evutil_socket_t fd, short what, void *arg)
 {
+	struct timeval now = { 0, 0 };
 	struct conn *c = arg;
 
 	(void)fd;
 	(void)what;
-	if (c->test != NULL)
+	if (!c->connected && has_connect_result(c))
+		evtimer_add(c->connect_timer, &now);
+	else if (c->test != NULL)
 		end_test(c, false);
 	else if (!c->connected)
 		fail_call(c, DIAL_UNSENT);
@@ -472,11 +488,15 @@
 static void
 on_call_timeout(evutil_socket_t fd, short what, void *arg)
 {
+	struct timeval now = { 0, 0 };
 	struct dial_call *k = arg;
 
 	(void)fd;
 	(void)what;
-	fail_call(k->conn, DIAL_BROKEN);
+	if (dial_has_input(k) && k->late_turns++ < DIAL_MAX_LATE_TURNS)
+		evtimer_add(k->timer, &now);
+	else
+		fail_call(k->conn, DIAL_BROKEN);
 }
 
 static void
@@ -543,6 +563,12 @@
 		free_conn(c);
 }
 
+bool
+dial_has_input(const struct dial_call *k)
+{
+	return unread_bytes(k->conn->bev) > 0;
+}
+
 /* Reports a test whose connection could not be started. */
 static void
 on_test_not_started(evutil_socket_t fd, short what, void *arg)
--- a/plat/dial.h
+++ b/plat/dial.h
@@ -21,6 +21,8 @@
 
 #include <event2/event.h>
 
+#define DIAL_MAX_LATE_TURNS 16
+
 struct dialer;
 struct dial_call;
 
@@ -78,6 +80,12 @@
 struct dial_call *dial_start(struct dialer *d, const struct dial_opts *o);
 /* Ends a call and closes its connection; its handler is not called again. */
 void dial_cancel(struct dial_call *k);
+/*
+ * Whether bytes of the target have arrived that the handler has not got: a
+ * timer of the caller may be due together with them.  They are delivered within
+ * DIAL_MAX_LATE_TURNS turns of the loop, unless more keep arriving.
+ */
+bool dial_has_input(const struct dial_call *k);
 /*
  * Opens a connection to an address and keeps it as an idle one.  The handler is
  * called once, not from within dial_test.
