Stages: requests may name more than 64 pieces

Cause: new_job() copied as many piece numbers as a job has into an array of 64 in struct coordinator_job; results, counts and send_reply() went beyond their ends too. Nothing before bounded the number. A job for another host didn't fit into its message, was dropped without notice in rpc_send(), and the hosts were taken for silent one after the other, so the job came back to its own host. The same held for inputs over 16 KB and for an attempt's id or a piece key over 128 bytes. A count over 32 bits was cut: pieces were 1.

Evidence: test_stage_pieces on with the sanitizers: "65,0 at host 0, status 0", "coordinator_calls.c:361:22: runtime error: index 64 out of bounds for type 'uint32_t [64]'" at all three hosts, nothing served from there on.

Change: stage_jobs requests the pieces of a job in parts that fit into a message; the job ends with its last part, or with the first that is refused or fails. The coordinator keeps what it knows of a job's pieces in an array of their number. A job whose strings don't fit into a message is coordinated by its own host; a coordinator that is not the service's regular one doesn't release inputs early, as its calls may wait. Freed results are sent in several messages if need be. More than 1,024 pieces of a stage are refused at once with 400: each piece of the next stage names the results of all of them, so the calls of one request would take memory with the square of a number that any caller may send. Calls by way of another host may have 4 MB of input handles, 64 KB before.

Messages are the same: a host with the old build coordinates the parts of new hosts.

Test: test_stage_pieces, 17 counts at three hosts, passes.

--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -48,6 +48,7 @@
 
 	free(j->key);
 	free(j->from);
+	free(j->pieces);
 	buf_free(&j->id);
 	buf_free(&j->piece_key);
 	buf_free(&j->inputs);
@@ -123,7 +124,7 @@
 static void
 send_reply(struct coordinator *c, const struct coordinator_job *j)
 {
-	peer_piece_made made[PEER_PIECES_MAX];
+	peer_piece_made *made = xcalloc(j->n, sizeof(*made));
 	peer_body body = { .kind = PEER_PIECE_REPLY };
 	peer_piece_reply *r = &body.peer_body_u.piece_reply;
 
@@ -134,15 +135,16 @@
 	r->made.made_val = made;
 	for (uint32_t i = 0; j->replied && !j->refused && !j->moved && i < j->n;
 	     i++) {
-		made[i].piece = j->pieces[i];
-		made[i].outcome = (int)j->results[i].outcome;
-		made[i].handle = (char *)j->results[i].handle;
+		made[i].piece = j->pieces[i].number;
+		made[i].outcome = (int)j->pieces[i].result.outcome;
+		made[i].handle = j->pieces[i].result.handle;
 		r->made.made_len++;
 	}
 	if (j->from != NULL)
 		rpc_send(c->o.rpc, j->from, &body);
 	else
 		c->o.reply(c->o.arg, r);
+	free(made);
 }
 
 static void
@@ -189,8 +191,10 @@
 		return;
 	j->released = true;
 	for (uint32_t i = 0; i < j->n; i++) {
-		if (j->has_result[i] && j->results[i].outcome == PIECE_DONE)
-			coordinator_release(c, str_from(j->results[i].handle));
+		const struct job_piece *x = &j->pieces[i];
+
+		if (x->has_result && x->result.outcome == PIECE_DONE)
+			coordinator_release(c, str_from(x->result.handle));
 	}
 }
 
@@ -363,7 +367,9 @@
 	buf_put(&j->id, str_from(msg->id));
 	buf_put(&j->piece_key, str_from(msg->key));
 	buf_put(&j->inputs, str_from(msg->inputs));
-	memcpy(j->pieces, msg->pieces.pieces_val, j->n * sizeof(j->pieces[0]));
+	j->pieces = xcalloc(j->n, sizeof(j->pieces[0]));
+	for (uint32_t i = 0; i < j->n; i++)
+		j->pieces[i].number = msg->pieces.pieces_val[i];
 	g_hash_table_insert(c->jobs, j->key, j);
 	return j;
 }
@@ -411,7 +417,8 @@
 			send_reply(c, j);
 		return;
 	}
-	if (from != NULL && is_starting(c, now)) {
+	if (msg->pieces.pieces_len == 0 ||
+	    (from != NULL && is_starting(c, now))) {
 		free(key); /* the sender will try again */
 		return;
 	}
--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -48,8 +48,8 @@
 			coordinator_release(c, str_from(res->handle));
 		return;
 	}
-	j->results[it->piece] = *res;
-	j->has_result[it->piece] = true;
+	j->pieces[it->piece].result = *res;
+	j->pieces[it->piece].has_result = true;
 	if (j->missing > 0)
 		j->missing--;
 	if (j->missing == 0 || res->outcome != PIECE_DONE)
@@ -69,7 +69,7 @@
 
 	if (j->replied)
 		return false;
-	if (count_send && ++j->sends[it.piece] >= MAX_PIECE_SENDS) {
+	if (count_send && ++j->pieces[it.piece].sends >= MAX_PIECE_SENDS) {
 		set_result(call->coordinator, &it,
 		    &(struct piece_result){ .outcome = PIECE_FAILED }, now);
 		return false;
@@ -340,6 +340,16 @@
 	g_hash_table_remove(c->pending_frees, t->entry.addr);
 }
 
+/*
+ * Whether the calls of this host to the pool's targets begin at once: no other
+ * host calls them.  A call that waits there fetches its inputs later.
+ */
+static bool
+calls_alone(const struct pool *p, usec_t now)
+{
+	return *p->coordinator_addr == '\0' && now >= p->handover_until;
+}
+
 static void
 write_calls(struct batch_call *call, struct buf *body, usec_t now)
 {
@@ -353,12 +363,12 @@
 		j->in_calls++;
 		call->bytes += j->bytes;
 		if (++j->started == j->n && j->inputs.n > 0 &&
-		    now >= call->pool->handover_until)
+		    calls_alone(call->pool, now))
 			j->release_inputs_at = now + INPUT_FETCH_TIME;
 		v[i] = (struct piece_call){
 			.id = str_of(&j->id),
 			.stage = j->stage,
-			.piece = j->pieces[it->piece],
+			.piece = j->pieces[it->piece].number,
 			.remaining = j->deadline - now,
 			.key = str_of(&j->piece_key),
 			.inputs = str_of(&j->inputs),
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -13,6 +13,13 @@
 
 struct pool; /* waiting pieces of one service */
 
+struct job_piece {
+	uint32_t number;
+	uint8_t sends; /* failed calls */
+	bool has_result;
+	struct piece_result result;
+};
+
 struct coordinator_job {
 	char *key;  /* sender's address and job number */
 	char *from; /* RPC address, or NULL */
@@ -25,16 +32,13 @@
 	uint64_t bytes; /* size of one result */
 	uint32_t domain;
 	usec_t deadline; /* latest start of the calls for the job's pieces */
-	uint32_t n;
+	struct job_piece *pieces;
+	uint32_t n;        /* length of pieces */
 	uint32_t missing;  /* pieces without a result */
 	uint32_t in_calls; /* pieces in calls in flight */
 	uint32_t started;  /* pieces in a call or done */
 	/* Time at which the inputs can be released; 0: not set. */
 	usec_t release_inputs_at;
-	uint32_t pieces[PEER_PIECES_MAX];
-	uint8_t sends[PEER_PIECES_MAX]; /* failed calls of each piece */
-	struct piece_result results[PEER_PIECES_MAX];
-	bool has_result[PEER_PIECES_MAX];
 	bool replied;
 	bool refused;
 	bool moved; /* answered: the next coordinator has to take the job */
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -126,6 +126,8 @@
 typedef struct peer_share_reply peer_share_reply;
 #define PEER_HANDLE_MAX 96
 #define PEER_PIECES_MAX 64
+#define PEER_ID_MAX 128
+#define PEER_HANDLES_MAX 16384
 
 struct peer_piece_ask {
 	u_quad_t ask;
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -97,16 +97,18 @@
 
 const PEER_HANDLE_MAX = 96;
 const PEER_PIECES_MAX = 64;
+const PEER_ID_MAX = 128;
+const PEER_HANDLES_MAX = 16384;
 
 /* A stage job: pieces of one stage of a request, sent to its coordinator. */
 struct peer_piece_ask {
 	unsigned hyper ask;
 	peer_name service;
-	string id<128>;         /* id of the caller's attempt */
+	string id<PEER_ID_MAX>; /* id of the caller's attempt */
 	unsigned int stage;
 	unsigned int pieces<PEER_PIECES_MAX>; /* piece numbers */
-	string key<128>;        /* set for stages without input stages */
-	string inputs<16384>;   /* else: handles, separated by commas */
+	string key<PEER_ID_MAX>; /* set for stages without input stages */
+	string inputs<PEER_HANDLES_MAX>; /* else: handles, separated by commas */
 	unsigned int left_ms;   /* until the caller's deadline */
 	int aim_left_ms;        /* until the soft deadline */
 	unsigned int rank;
@@ -133,7 +135,7 @@
 /* Results that may be freed, sent to the stage's coordinator. */
 struct peer_piece_free {
 	peer_name service;
-	string handles<16384>;  /* separated by commas */
+	string handles<PEER_HANDLES_MAX>; /* separated by commas */
 };
 
 const PEER_FEED_ITEMS = 64;
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -199,16 +199,16 @@
 			 return FALSE;
 		 if (!xdr_peer_name (xdrs, &objp->service))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->id, 128))
+		 if (!xdr_string (xdrs, &objp->id, PEER_ID_MAX))
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->stage))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->pieces.pieces_val, (u_int *) &objp->pieces.pieces_len, PEER_PIECES_MAX,
 			sizeof (u_int), (xdrproc_t) xdr_u_int))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->key, 128))
+		 if (!xdr_string (xdrs, &objp->key, PEER_ID_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->inputs, 16384))
+		 if (!xdr_string (xdrs, &objp->inputs, PEER_HANDLES_MAX))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
@@ -236,16 +236,16 @@
 			 return FALSE;
 		 if (!xdr_peer_name (xdrs, &objp->service))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->id, 128))
+		 if (!xdr_string (xdrs, &objp->id, PEER_ID_MAX))
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->stage))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->pieces.pieces_val, (u_int *) &objp->pieces.pieces_len, PEER_PIECES_MAX,
 			sizeof (u_int), (xdrproc_t) xdr_u_int))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->key, 128))
+		 if (!xdr_string (xdrs, &objp->key, PEER_ID_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->inputs, 16384))
+		 if (!xdr_string (xdrs, &objp->inputs, PEER_HANDLES_MAX))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
@@ -274,16 +274,16 @@
 		 return FALSE;
 	 if (!xdr_peer_name (xdrs, &objp->service))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->id, 128))
+	 if (!xdr_string (xdrs, &objp->id, PEER_ID_MAX))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->stage))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->pieces.pieces_val, (u_int *) &objp->pieces.pieces_len, PEER_PIECES_MAX,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->key, 128))
+	 if (!xdr_string (xdrs, &objp->key, PEER_ID_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->inputs, 16384))
+	 if (!xdr_string (xdrs, &objp->inputs, PEER_HANDLES_MAX))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->left_ms))
 		 return FALSE;
@@ -385,7 +385,7 @@
 
 	 if (!xdr_peer_name (xdrs, &objp->service))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->handles, 16384))
+	 if (!xdr_string (xdrs, &objp->handles, PEER_HANDLES_MAX))
 		 return FALSE;
 	return TRUE;
 }
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -29,8 +29,8 @@
 #define INITIAL_LIMITS          \
 	((struct httpd_limits){ \
 	    65536, 1 << 20, 5 * USEC_PER_SEC, 15 * USEC_PER_SEC })
-/* Fields that sequoiad adds to a call: the handles of its inputs. */
-#define CALL_FIELDS_BYTES ((size_t)64 * 1024)
+/* Handles of the inputs of a call; a stage call has them for each piece. */
+#define CALL_FIELDS_BYTES ((size_t)4 * 1024 * 1024)
 /*
  * Retry-After without a configuration: by then the host has one, or the load
  * balancer has picked another host.
@@ -100,8 +100,8 @@
 	y->shared.counts.arrived++;
 	if (!platform_request_parse(httpd_message(q), &info)) {
 		why = (struct rejection){ ERR_BAD_HEADER, 0,
-			"the attempt's id or the counts of pieces are "
-			"missing or malformed" };
+			"the attempt's id or the counts of pieces are missing, "
+			"malformed or over " G_STRINGIFY(ROUTE_MAX_PIECES) };
 		reject_early(y, q, info.id, &why);
 		return;
 	}
--- a/entry/stage_jobs.c
+++ b/entry/stage_jobs.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "kernel/overload/suspicion.h"
 #include "kernel/rendezvous.h"
+#include "platform/stage.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -23,14 +24,26 @@
 /* Number of low bits of a job number, which count the jobs of one process. */
 #define INCARNATION_SHIFT 24
 
-struct pending_job {
-	uint64_t number;
-	struct peer_piece_ask body; /* the strings are owned by the job */
+/* A stage job; its pieces are requested in parts that fit into messages. */
+struct stage_job {
+	uint64_t number; /* of its first part; the other parts follow */
+	uint32_t n_parts;
+	uint32_t unanswered;    /* parts */
+	peer_piece_ask strings; /* owned by the job and used by its parts */
+	GArray *made;           /* peer_piece_made of the answered parts */
 	stage_job_handler handler;
 	void *arg;
 	usec_t deadline;
 	usec_t soft_deadline;
-	char domain[MAX_NAME_BYTES + 1];  /* of the coordinator; or empty */
+	char domain[MAX_NAME_BYTES + 1]; /* of the coordinator; or empty */
+	bool is_local; /* too large for a message: coordinated by this host */
+};
+
+/* A part of a job that has no answer yet. */
+struct pending_job {
+	uint64_t number;
+	struct stage_job *whole;
+	struct peer_piece_ask body;       /* the strings are those of the job */
 	char coordinator[MAX_ADDR_BYTES]; /* RPC address; empty: this host */
 	uint64_t incarnation;             /* of the coordinator */
 	usec_t sent_at;
@@ -49,6 +62,7 @@
 	struct coordinator *coordinator;
 	usec_t peer_wait_end; /* jobs are held back until this time */
 	GArray *peers;        /* struct peer */
+	GHashTable *jobs;     /* number -> struct stage_job */
 	GHashTable *open;     /* number -> struct pending_job */
 	uint64_t next;
 };
@@ -58,16 +72,31 @@
 {
 	struct pending_job *j = p;
 
-	free(j->arg);
-	free(j->body.service);
-	free(j->body.id);
-	free(j->body.key);
-	free(j->body.inputs);
-	free(j->body.domain);
 	free(j->body.pieces.pieces_val);
 	free(j);
 }
 
+static void
+free_made(gpointer p)
+{
+	free(((peer_piece_made *)p)->handle);
+}
+
+static void
+free_stage_job(gpointer p)
+{
+	struct stage_job *w = p;
+
+	free(w->arg);
+	free(w->strings.service);
+	free(w->strings.id);
+	free(w->strings.key);
+	free(w->strings.inputs);
+	free(w->strings.domain);
+	g_array_unref(w->made);
+	free(w);
+}
+
 struct stage_jobs *
 stage_jobs_new(const struct stage_jobs_opts *o)
 {
@@ -75,6 +104,8 @@
 
 	s->o = *o;
 	s->peers = g_array_new(FALSE, TRUE, sizeof(struct peer));
+	s->jobs = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, free_stage_job);
 	s->open = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_pending_job);
 	s->peer_wait_end = clock_now() + o->peer_wait;
@@ -217,7 +248,9 @@
 	const struct peer *p;
 
 	g_strlcpy(j->coordinator,
-	    choose_coordinator(s, j->body.service, j->domain, now),
+	    j->whole->is_local
+		? ""
+		: choose_coordinator(s, j->body.service, j->whole->domain, now),
 	    sizeof(j->coordinator));
 	p = find_peer(s, j->coordinator);
 	j->incarnation = p != NULL ? p->p.incarnation : 0;
@@ -242,8 +275,9 @@
 	peer_body body = { .kind = PEER_PIECE_ASK };
 
 	j->sent_at = now;
-	j->body.left_ms = left_ms(j->deadline, now);
-	j->body.aim_left_ms = (int)((j->soft_deadline - now) / USEC_PER_MSEC);
+	j->body.left_ms = left_ms(j->whole->deadline, now);
+	j->body.aim_left_ms =
+	    (int)((j->whole->soft_deadline - now) / USEC_PER_MSEC);
 	body.peer_body_u.piece_ask = j->body;
 	if (*j->coordinator != '\0')
 		rpc_send(s->o.rpc, j->coordinator, &body);
@@ -251,65 +285,162 @@
 		coordinator_submit(s->coordinator, NULL, &j->body);
 }
 
+/* Whether the job's strings are too long for a message. */
+static bool
+is_too_large(const struct stage_job_opts *o)
+{
+	return o->service.n > PEER_NAME_MAX || o->id.n > PEER_ID_MAX ||
+	    o->key.n > PEER_ID_MAX || o->inputs.n > PEER_HANDLES_MAX ||
+	    o->domain.n > PEER_NAME_MAX;
+}
+
+static struct stage_job *
+new_stage_job(const struct stage_job_opts *o, uint64_t number)
+{
+	struct stage_job *w = xcalloc(1, sizeof(*w));
+
+	w->number = number;
+	w->n_parts = (o->n + PEER_PIECES_MAX - 1) / PEER_PIECES_MAX;
+	w->unanswered = w->n_parts;
+	w->handler = o->handler;
+	w->arg = o->arg;
+	w->deadline = o->deadline;
+	w->soft_deadline = o->soft_deadline;
+	w->is_local = is_too_large(o);
+	snprintf(w->domain, sizeof(w->domain), "%.*s",
+	    STR_FMT(o->coordinator_domain));
+	w->made = g_array_new(FALSE, FALSE, sizeof(peer_piece_made));
+	g_array_set_clear_func(w->made, free_made);
+	w->strings = (peer_piece_ask){
+		.service = str_dup(o->service),
+		.id = str_dup(o->id),
+		.stage = o->stage,
+		.key = str_dup(o->key),
+		.inputs = str_dup(o->inputs),
+		.rank = o->rank,
+		.bytes = o->bytes,
+		.domain = str_dup(o->domain),
+	};
+	return w;
+}
+
+static struct pending_job *
+new_part(struct stage_job *w, uint32_t at, uint32_t n_pieces)
+{
+	struct pending_job *j = xcalloc(1, sizeof(*j));
+	uint32_t first = at * PEER_PIECES_MAX;
+	uint32_t n = n_pieces - first;
+
+	if (n > PEER_PIECES_MAX)
+		n = PEER_PIECES_MAX;
+	j->number = w->number + at;
+	j->whole = w;
+	j->body = w->strings;
+	j->body.ask = j->number;
+	j->body.pieces.pieces_len = n;
+	j->body.pieces.pieces_val = xcalloc(n, sizeof(u_int));
+	for (uint32_t i = 0; i < n; i++)
+		j->body.pieces.pieces_val[i] = first + i;
+	return j;
+}
+
 uint64_t
 stage_jobs_submit(struct stage_jobs *s, const struct stage_job_opts *o)
 {
-	struct pending_job *j = xcalloc(1, sizeof(*j));
+	struct stage_job *w = new_stage_job(o, s->next + 1);
 	usec_t now = clock_now();
 
-	j->number = ++s->next;
-	j->handler = o->handler;
-	j->arg = o->arg;
-	j->deadline = o->deadline;
-	j->soft_deadline = o->soft_deadline;
-	snprintf(j->domain, sizeof(j->domain), "%.*s",
-	    STR_FMT(o->coordinator_domain));
-	j->body.ask = j->number;
-	j->body.service = str_dup(o->service);
-	j->body.id = str_dup(o->id);
-	j->body.key = str_dup(o->key);
-	j->body.inputs = str_dup(o->inputs);
-	j->body.stage = o->stage;
-	j->body.rank = o->rank;
-	j->body.bytes = o->bytes;
-	j->body.domain = str_dup(o->domain);
-	j->body.pieces.pieces_len = o->n;
-	j->body.pieces.pieces_val = xcalloc(o->n, sizeof(u_int));
-	for (uint32_t i = 0; i < o->n; i++)
-		j->body.pieces.pieces_val[i] = i;
-	g_hash_table_insert(s->open, &j->number, j);
-	assign_coordinator(s, j, now);
-	log_text(LOG_LVL_INFO, "stage-asked",
-	    "request %s: stage %u, %u pieces of %s, coordinator %s, "
-	    "preferred domain %s",
-	    j->body.id, o->stage, o->n, j->body.service,
-	    *j->coordinator != '\0' ? j->coordinator : "here",
-	    *j->body.domain != '\0' ? j->body.domain : "any");
-	if (now < s->peer_wait_end)
-		j->deferred = true;
-	else
-		send_job(s, j, now);
-	return j->number;
+	s->next += w->n_parts;
+	g_hash_table_insert(s->jobs, &w->number, w);
+	for (uint32_t i = 0; i < w->n_parts; i++) {
+		struct pending_job *j = new_part(w, i, o->n);
+
+		g_hash_table_insert(s->open, &j->number, j);
+		assign_coordinator(s, j, now);
+		log_text(LOG_LVL_INFO, "stage-asked",
+		    "request %s: stage %u, %u pieces of %s, coordinator %s, "
+		    "preferred domain %s",
+		    j->body.id, o->stage, j->body.pieces.pieces_len,
+		    j->body.service,
+		    *j->coordinator != '\0' ? j->coordinator : "here",
+		    *j->body.domain != '\0' ? j->body.domain : "any");
+		if (now < s->peer_wait_end)
+			j->deferred = true;
+		else
+			send_job(s, j, now);
+	}
+	return w->number;
+}
+
+/* Cancels the parts of a job that have no answer yet. */
+static void
+cancel_parts(struct stage_jobs *s, const struct stage_job *w)
+{
+	for (uint32_t i = 0; i < w->n_parts; i++) {
+		uint64_t number = w->number + i;
+		struct pending_job *j = g_hash_table_lookup(s->open, &number);
+
+		if (j == NULL)
+			continue;
+		j->body.cancelled = true;
+		if (!j->deferred)
+			send_job(s, j, clock_now());
+		g_hash_table_remove(s->open, &number);
+	}
+}
+
+/* Frees the results of the parts that were answered. */
+static void
+release_made(struct stage_jobs *s, const struct stage_job *w)
+{
+	struct buf handles = { 0 };
+
+	for (guint i = 0; i < w->made->len; i++) {
+		struct str handle =
+		    str_from(g_array_index(w->made, peer_piece_made, i).handle);
+
+		if (handles.n > 0 && handle.n > 0)
+			buf_putc(&handles, ',');
+		buf_put(&handles, handle);
+	}
+	stage_jobs_release(s, w->strings.service, str_of(&handles));
+	buf_free(&handles);
 }
 
 void
 stage_jobs_cancel(struct stage_jobs *s, uint64_t job_number)
 {
-	struct pending_job *j = g_hash_table_lookup(s->open, &job_number);
+	struct stage_job *w = g_hash_table_lookup(s->jobs, &job_number);
 
-	if (j == NULL)
+	if (w == NULL)
 		return;
-	j->body.cancelled = true;
-	if (!j->deferred)
-		send_job(s, j, clock_now());
-	g_hash_table_remove(s->open, &job_number);
+	cancel_parts(s, w);
+	release_made(s, w);
+	g_hash_table_remove(s->jobs, &job_number);
+}
+
+/* Removes the first handles, as many as a message holds, from *handles. */
+static struct str
+cut_handles(struct str *handles)
+{
+	struct str first = *handles;
+
+	if (handles->n <= PEER_HANDLES_MAX) {
+		*handles = (struct str){ NULL, 0 };
+		return first;
+	}
+	first.n = PEER_HANDLES_MAX;
+	while (first.n > 0 && handles->p[first.n] != ',')
+		first.n--;
+	handles->p += first.n + 1;
+	handles->n -= first.n + 1;
+	return first;
 }
 
 void
 stage_jobs_release(
     struct stage_jobs *s, const char *service, struct str handles)
 {
-	g_autofree char *list = g_strndup(handles.p, handles.n);
 	struct str rest = handles;
 	struct str addr = { NULL, 0 };
 	const char *domain = "";
@@ -327,8 +458,13 @@
 		return;
 	}
 	body.peer_body_u.piece_free.service = (char *)service;
-	body.peer_body_u.piece_free.handles = list;
-	rpc_send(s->o.rpc, coordinator, &body);
+	while (handles.n > 0) {
+		struct str first = cut_handles(&handles);
+		g_autofree char *list = g_strndup(first.p, first.n);
+
+		body.peer_body_u.piece_free.handles = list;
+		rpc_send(s->o.rpc, coordinator, &body);
+	}
 }
 
 /*
@@ -371,6 +507,52 @@
 	buf_free(&handles);
 }
 
+/* Adds the reply to a part to those before it. */
+static void
+add_made(struct stage_job *w, const peer_piece_reply *r)
+{
+	for (u_int i = 0; i < r->made.made_len; i++) {
+		peer_piece_made m = r->made.made_val[i];
+
+		m.handle = str_dup(str_from(m.handle));
+		g_array_append_val(w->made, m);
+	}
+}
+
+static bool
+all_made(const peer_piece_reply *r)
+{
+	for (u_int i = 0; i < r->made.made_len; i++) {
+		if (r->made.made_val[i].outcome != PIECE_DONE)
+			return false;
+	}
+	return !r->refused;
+}
+
+/*
+ * Handles the final reply to a part.  The job ends with its last part, or with
+ * the first one that is refused or fails.
+ */
+static void
+end_part(struct stage_jobs *s, struct pending_job *j, const peer_piece_reply *r)
+{
+	struct stage_job *w = j->whole;
+	peer_piece_reply all = *r;
+
+	g_hash_table_remove(s->open, &j->number);
+	add_made(w, r);
+	if (--w->unanswered > 0 && all_made(r))
+		return;
+	cancel_parts(s, w);
+	if (r->refused)
+		release_made(s, w);
+	all.made.made_val = &g_array_index(w->made, peer_piece_made, 0);
+	all.made.made_len = r->refused ? 0 : w->made->len;
+	g_hash_table_steal(s->jobs, &w->number);
+	w->handler(w->arg, &all);
+	free_stage_job(w);
+}
+
 void
 stage_jobs_reply(
     struct stage_jobs *s, const char *from, const peer_piece_reply *r)
@@ -378,8 +560,6 @@
 	uint64_t number = r->ask;
 	struct pending_job *j = g_hash_table_lookup(s->open, &number);
 	struct peer *peer = from != NULL ? find_peer(s, from) : NULL;
-	stage_job_handler handler;
-	void *arg;
 
 	if (peer != NULL)
 		suspicion_heard(&peer->suspicion, clock_now());
@@ -402,16 +582,11 @@
 		j->tries = 0;
 		if (first && r->wait_ms > 0)
 			stage_waits_report(s->o.waits, j->body.service,
-			    j->domain, j->body.rank,
+			    j->whole->domain, j->body.rank,
 			    (usec_t)r->wait_ms * USEC_PER_MSEC, clock_now());
 		return;
 	}
-	handler = j->handler;
-	arg = j->arg;
-	j->arg = NULL;
-	g_hash_table_remove(s->open, &number);
-	handler(arg, r);
-	free(arg);
+	end_part(s, j, r);
 }
 
 /* Sends a job that was held back, now that the other hosts are known. */
@@ -492,6 +667,7 @@
 stage_jobs_free(struct stage_jobs *s)
 {
 	g_hash_table_destroy(s->open);
+	g_hash_table_destroy(s->jobs);
 	g_array_unref(s->peers);
 	free(s);
 }
--- a/entry/stage_jobs.h
+++ b/entry/stage_jobs.h
@@ -5,9 +5,11 @@
  * The coordinator is the first live host in the rendezvous order of the
  * service.  A job that is not acknowledged in time is sent again, and after
  * some attempts goes to the next host in the order; producing a piece twice is
- * harmless.  A host that has just started holds its jobs back until it knows
- * the other hosts, as it would otherwise choose itself as the coordinator of
- * every service.
+ * harmless.  The pieces of a job are requested in parts of at most
+ * PEER_PIECES_MAX, as many as a message holds; a job whose inputs don't fit
+ * into a message is coordinated by this host itself.  A host that has just
+ * started holds its jobs back until it knows the other hosts, as it would
+ * otherwise choose itself as the coordinator of every service.
  *
  * Runs on the relay's thread.  Times are in microseconds.
  */
--- a/kernel/routes.h
+++ b/kernel/routes.h
@@ -15,6 +15,7 @@
 #include <glib.h>
 
 #define ROUTE_MAX_STAGES 8
+#define ROUTE_MAX_PIECES 1024 /* of one stage of a request */
 #define RANK_NONE        (-1)
 
 enum route_kind {
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -56,7 +56,7 @@
 	struct bufferevent *bev;
 	struct httpmsg request;
 	struct event *timer;
-	char attempt[128];
+	char attempt[256];
 	char behavior[MAX_BEHAVIOR]; /* X-Test of the request */
 	uint32_t next_event;         /* of a stream; numbered from 1 */
 	uint32_t n_events;
@@ -615,6 +615,18 @@
 	arm_timer(c, STAGE_CALL_MS + STAGE_PIECE_MS * (int)k);
 }
 
+static uint32_t
+count_inputs(const struct httpmsg *m)
+{
+	struct str list = httpmsg_get(m, STR("X-Inputs"));
+	struct str one;
+	uint32_t n = 0;
+
+	while (str_cut(&list, ',', &one))
+		n += one.n > 0;
+	return n;
+}
+
 /* Records the arrival; returns false if the call was refused. */
 static bool
 admit_call(struct conn *c)
@@ -645,6 +657,7 @@
 	}
 	g_strlcpy(s->head, head.p, sizeof(s->head));
 	buf_free(&head);
+	s->n_inputs = count_inputs(&c->request);
 	if (strcmp(c->behavior, "refuse") == 0 ||
 	    (strcmp(c->behavior, "refuse-once") == 0 && s->arrivals == 1) ||
 	    (strcmp(c->behavior, "cut-refuse") == 0 && s->arrivals == 2) ||
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -42,8 +42,9 @@
 struct fakeplat_attempt {
 	uint32_t arrivals;
 	uint32_t runs;
-	char target[64]; /* id of the target that ran it last */
-	char head[2048]; /* URL and header fields of the last arrival */
+	char target[64];   /* id of the target that ran it last */
+	char head[2048];   /* URL and header fields of the last arrival */
+	uint32_t n_inputs; /* handles in X-Inputs of the last arrival */
 	usec_t last_arrival;
 	bool disconnected; /* before the response was sent */
 };
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -190,6 +190,9 @@
 		{ "", true, 0, 0, 0 },
 		{ "X-Pieces: 1,4,6\r\n", true, 3, 0, 0 },
 		{ "X-Pieces: 0,x\r\n", false, 1, 0, 0 },
+		{ "X-Pieces: 66,1024\r\n", true, 2, 0, 0 },
+		{ "X-Pieces: 0,1025\r\n", false, 1, 0, 0 },
+		{ "X-Pieces: 4294967297\r\n", false, 0, 0, 0 },
 		{ "X-Pieces: 1,1,1,1,1,1,1,1,1\r\n", false, 8, 0, 0 },
 		{ "X-Token-Count: 1460,80\r\n"
 		  "X-Prefix-Hash: 5c:800,91:410,e4:250\r\n",
--- /dev/null
+++ b/tests/platform/test_stage_pieces.c
@@ -0,0 +1,176 @@
+/*
+ * Requests that name many pieces of a stage: more than a message between hosts
+ * holds, and more than the limit.  Each is served or refused, by every host,
+ * whether it coordinates the stage or another one does, and no host ends.
+ */
+#include "tests/platform/harness.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define STORE_PORT      24100
+#define TARGET_PORT     24101
+#define HOST_PORT       24120
+#define N_HOSTS         3
+#define TIMEOUT_SECONDS 15
+#define DEADLINE_MS     8000
+#define LONG            "0123456789abcdef0123456789abcdef0123456789abcdef"
+#define LONGER          LONG LONG LONG
+
+static const struct fakeplat_target targets[] = {
+	{ "engine", "engine", "d1", TARGET_PORT },
+	{ "s1", "pool", "d1", TARGET_PORT + 1 },
+	{ "s2", "pool", "d1", TARGET_PORT + 2 },
+	{ "s3", "pool", "d1", TARGET_PORT + 3 },
+	/* Handles of this length fill the messages between hosts. */
+	{ LONG, "pool", "d1", TARGET_PORT + 4 },
+};
+
+static const struct {
+	const char *pieces; /* of two stages; the second needs the first */
+	const char *id;     /* of the attempt, or its begin */
+	const char *key;
+	int status;
+	uint32_t made;
+	uint32_t inputs;
+} cases[] = {
+	{ "40,0", "p", "k", 200, 40, 0 },
+	{ "0,40", "p", "k", 200, 40, 40 },
+	{ "64,0", "p", "k", 200, 64, 0 },
+	{ "64,64", "p", "k", 200, 128, 64 },
+	{ "65,0", "p", "k", 200, 65, 0 },
+	{ "0,65", "p", "k", 200, 65, 65 },
+	{ "66,66", "p", "k", 200, 132, 66 },
+	{ "200,3", "p", "k", 200, 203, 3 },
+	/* The inputs of the second stage don't fit into a message. */
+	{ "600,130", "p", "k", 200, 730, 130 },
+	{ "0,1024", "p", "k", 200, 1024, 1024 },
+	{ "1025,0", "p", "k", 400, 0, 0 },
+	{ "1,1025", "p", "k", 400, 0, 0 },
+	{ "4294967295,0", "p", "k", 400, 0, 0 },
+	/* More than 32 and 64 bits: not 1 and not 0 pieces. */
+	{ "4294967297,0", "p", "k", 400, 0, 0 },
+	{ "18446744073709551616,0", "p", "k", 400, 0, 0 },
+	/* An id and a key that are too long for messages between hosts. */
+	{ "2,2", LONGER, "k", 200, 4, 2 },
+	{ "2,2", "p", LONGER, 200, 4, 2 },
+};
+
+static struct fakeplat *platform;
+static struct harness_host hosts[N_HOSTS];
+
+static void
+send_case(size_t i, int host)
+{
+	g_autofree char *id =
+	    g_strdup_printf("%s-%zu-%d", cases[i].id, i, host);
+	g_autofree char *fields =
+	    g_strdup_printf("X-Pieces: %s\r\nX-Piece-Key: %s\r\n",
+		cases[i].pieces, cases[i].key);
+	g_autofree char *q = harness_format(
+	    &(struct harness_request){ .path = "/stream/staged/1",
+		.id = id,
+		.extra_fields = fields,
+		.deadline_ms = DEADLINE_MS });
+	struct harness_response a;
+	struct fakeplat_attempt s;
+	uint32_t before;
+	uint32_t pieces;
+	uint32_t calls;
+	usec_t start = clock_now();
+
+	g_test_message("%s at host %d", cases[i].pieces, host);
+	fakeplat_piece_counts(platform, &before, &calls);
+	harness_exchange(hosts[host].port, str_from(q), DEADLINE_MS + 1000, &a);
+	fakeplat_piece_counts(platform, &pieces, &calls);
+	fakeplat_get_attempt(platform, id, &s);
+	g_test_message("status %d after %d ms", a.status,
+	    (int)((clock_now() - start) / USEC_PER_MSEC));
+	g_assert_cmpint(a.status, ==, cases[i].status);
+	g_assert_true(a.complete);
+	g_assert_cmpuint(pieces - before, ==, cases[i].made);
+	g_assert_cmpuint(s.n_inputs, ==, cases[i].inputs);
+	harness_response_free(&a);
+}
+
+/* The hosts are still there and have reported no fault of memory. */
+static void
+check_hosts(void)
+{
+	for (int i = 0; i < N_HOSTS; i++) {
+		g_assert_cmpint(kill(hosts[i].pid, 0), ==, 0);
+		g_assert_true(harness_wait_ready(&hosts[i], 1));
+	}
+}
+
+static void
+test_pieces(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (int host = 0; host < N_HOSTS; host++)
+			send_case(i, host);
+		check_hosts();
+	}
+}
+
+/* Pools with calls of 66 pieces and space for the results of all cases. */
+static char *
+make_config(void)
+{
+	g_autofree char *text = harness_config(1, NULL);
+	g_autoptr(GString) s = g_string_new(text);
+
+	g_assert_cmpuint(
+	    g_string_replace(s, "\"Batch\":8", "\"Batch\":66", 0), ==, 1);
+	g_assert_cmpuint(
+	    g_string_replace(s, "\"HeadroomMb\":1", "\"HeadroomMb\":9", 0), ==,
+	    1);
+	return g_string_free(g_steal_pointer(&s), FALSE);
+}
+
+static void
+start_fleet(void)
+{
+	g_autofree char *config = make_config();
+	g_autofree char *dir = g_dir_make_tmp("stage-pieces-XXXXXX", NULL);
+
+	platform = fakeplat_start(STORE_PORT);
+	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++)
+		fakeplat_add_target(platform, &targets[i]);
+	fakeplat_put(platform, "op/config", config);
+	for (int i = 0; i < N_HOSTS; i++) {
+		struct harness_host *h = &hosts[i];
+
+		*h = (struct harness_host){
+			.port = (uint16_t)(HOST_PORT + 10 * i),
+			.store_port = STORE_PORT,
+			.seed_port = HOST_PORT,
+		};
+		snprintf(h->id, sizeof(h->id), "h%d", i);
+		g_strlcpy(h->dir, dir, sizeof(h->dir));
+		harness_start_host(h);
+	}
+	for (int i = 0; i < N_HOSTS; i++)
+		g_assert_true(harness_wait_ready(&hosts[i], TIMEOUT_SECONDS));
+	g_usleep(2 * USEC_PER_SEC);
+}
+
+int
+main(int argc, char **argv)
+{
+	int rc;
+
+	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions();
+	signal(SIGPIPE, SIG_IGN);
+	start_fleet();
+	g_test_add_func("/stage-pieces/counts", test_pieces);
+	rc = g_test_run();
+	for (int i = 0; i < N_HOSTS; i++)
+		kill(hosts[i].pid, SIGTERM);
+	for (int i = 0; i < N_HOSTS; i++)
+		g_assert_cmpint(harness_wait_exit(&hosts[i]), ==, 0);
+	fakeplat_stop(platform);
+	return rc;
+}
