Stop: the relay's last messages don't go through freed memory

Cause: relayd_run() calls discovery_stop(), which freed the struct rpc, before relay_stop() and relay_free(). The relay's thread still ran, and relay_free() cancels the remaining requests: it sends the coordinators what they may free.

Evidence: test_stage_pieces, stop-with-results, before: "heap-use-after-free ... rpc_send entry/rpc.c:325, stage_jobs_release, stages_cancel, relay_request_free, relay_free" at 2 of 2 hosts, exit status 1. Now both end with status 0.

Change: rpc_stop() ends the thread that delivers messages, rpc_free() frees what sends them. discovery_free() and control_free(), which come last, call the latter; the order in relayd_run() stays, as the discovery thread and the RPC thread hand views and messages to the relay until discovery_stop().

--- a/entry/control.c
+++ b/entry/control.c
@@ -647,6 +647,7 @@
 		fleet_free(c->fleet);
 		share_sync_free(c->share_sync);
 	}
+	rpc_free(c->rpc);
 	inbox_free(c->inbox);
 	http_free(c->loop);
 	conf_unref(c->conf);
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -599,6 +599,7 @@
 {
 	if (d->fleet != NULL)
 		fleet_free(d->fleet);
+	rpc_free(d->rpc);
 	kv_free(d->kv);
 	watcher_free(d->watcher);
 	inbox_free(d->inbox);
--- a/entry/discovery.h
+++ b/entry/discovery.h
@@ -49,6 +49,10 @@
 struct discovery_counts discovery_counts(struct discovery *d);
 /* Announces the drain, so that peers choose other coordinators. */
 void discovery_drain(struct discovery *d);
+/*
+ * Ends its threads and callbacks.  The relay may use discovery_rpc() until
+ * discovery_free().
+ */
 void discovery_stop(struct discovery *d);
 void discovery_free(struct discovery *d);
 
--- a/entry/rpc.c
+++ b/entry/rpc.c
@@ -449,9 +449,16 @@
 	pthread_join(r->thread, NULL);
 	svc_destroy(r->udp);
 	svc_destroy(r->tcp);
+	dispatch_rpc = NULL;
+}
+
+void
+rpc_free(struct rpc *r)
+{
+	if (r == NULL)
+		return;
 	if (r->send_fd >= 0)
 		close(r->send_fd);
 	pthread_mutex_destroy(&r->send_lock);
-	dispatch_rpc = NULL;
 	free(r);
 }
--- a/entry/rpc.h
+++ b/entry/rpc.h
@@ -58,6 +58,8 @@
     usec_t timeout, peer_result *out);
 void rpc_result_free(peer_result *r);
 struct rpc_counts rpc_counts(const struct rpc *r);
+/* Ends the delivery of messages; rpc_send() still works. */
 void rpc_stop(struct rpc *r);
+void rpc_free(struct rpc *r);
 
 #endif
--- a/tests/platform/test_stage_pieces.c
+++ b/tests/platform/test_stage_pieces.c
@@ -15,6 +15,7 @@
 #define N_HOSTS         3
 #define TIMEOUT_SECONDS 15
 #define DEADLINE_MS     8000
+#define N_MUTE          4
 #define LONG            "0123456789abcdef0123456789abcdef0123456789abcdef"
 #define LONGER          LONG LONG LONG
 
@@ -94,6 +95,27 @@
 	harness_response_free(&a);
 }
 
+/* Sends a request that its target doesn't answer. */
+static gpointer
+send_mute(gpointer host)
+{
+	static gint number;
+	g_autofree char *id =
+	    g_strdup_printf("mute-%d", g_atomic_int_add(&number, 1));
+	g_autofree char *q = harness_format(
+	    &(struct harness_request){ .path = "/stream/staged/1",
+		.id = id,
+		.behavior = "mute",
+		.extra_fields = "X-Pieces: 1,2\r\nX-Piece-Key: k\r\n",
+		.deadline_ms = DEADLINE_MS });
+	struct harness_response a;
+
+	harness_exchange(hosts[GPOINTER_TO_INT(host)].port, str_from(q),
+	    DEADLINE_MS + 1000, &a);
+	harness_response_free(&a);
+	return NULL;
+}
+
 /* The hosts are still there and have reported no fault of memory. */
 static void
 check_hosts(void)
@@ -114,6 +136,28 @@
 	}
 }
 
+/*
+ * A host that stops with requests at their targets frees the results that they
+ * were sent with: its messages to the coordinators went through memory that was
+ * freed before.
+ */
+static void
+test_stop_with_results(void)
+{
+	for (int host = 0; host < N_HOSTS; host += N_HOSTS - 1) {
+		GThread *t[N_MUTE];
+
+		for (int i = 0; i < N_MUTE; i++)
+			t[i] = g_thread_new(
+			    "mute", send_mute, GINT_TO_POINTER(host));
+		g_usleep(USEC_PER_SEC);
+		kill(hosts[host].pid, SIGTERM);
+		g_assert_cmpint(harness_wait_exit(&hosts[host]), ==, 0);
+		for (int i = 0; i < N_MUTE; i++)
+			g_thread_join(t[i]);
+	}
+}
+
 /* Pools with calls of 66 pieces and space for the results of all cases. */
 static char *
 make_config(void)
@@ -166,11 +210,15 @@
 	signal(SIGPIPE, SIG_IGN);
 	start_fleet();
 	g_test_add_func("/stage-pieces/counts", test_pieces);
+	g_test_add_func(
+	    "/stage-pieces/stop-with-results", test_stop_with_results);
 	rc = g_test_run();
-	for (int i = 0; i < N_HOSTS; i++)
+	for (int i = 0; i < N_HOSTS; i++) {
+		if (hosts[i].pid == 0)
+			continue;
 		kill(hosts[i].pid, SIGTERM);
-	for (int i = 0; i < N_HOSTS; i++)
 		g_assert_cmpint(harness_wait_exit(&hosts[i]), ==, 0);
+	}
 	fakeplat_stop(platform);
 	return rc;
 }
