Stage calls: one request's bytes don't spoil the calls of others

What callers saw: one request whose attempt id or piece key isn't UTF-8 got 503 after three calls, and so did all requests with stages of that service for some time.

Cause: the body of a stage call is JSON. json_stringn() returns NULL for such bytes, json_pack() fails, and the item was left out of the call. The target answered fewer items than were asked for, so the answer "does not belong to this call": all pieces of the call, of any request, were sent again, up to three times, and each target was set aside for it.

Change: bytes that aren't UTF-8 are read as Latin-1 (RFC 9110, 5.5), so that each piece has its item.

The other way: a handle in a target's answer may have control characters, which would end X-Inputs and begin another field of the call to the next target. Such an answer is malformed now (test_platform, /stage; accepted before).

--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -418,6 +418,9 @@
 		{ "{\"Items\":[{\"Handle\":\"a:1/x\"}]}", 2, false },
 		{ "{\"Items\":[{\"Handle\":5}]}", 1, false },
 		{ "{\"Items\":[{\"Handle\":\"a,b\"}]}", 1, false },
+		/* It would end the field that names it to the next target. */
+		{ "{\"Items\":[{\"Handle\":\"a\\r\\nB: c\"}]}", 1, false },
+		{ "{\"Items\":[{\"Handle\":\"a b\"}]}", 1, false },
 		{ "{\"Items\":[{}]}", 1, false },
 		{ "{}", 0, false },
 		{ "x", 1, false },
@@ -442,15 +445,20 @@
 					     .piece = 2,
 					     .remaining = 900 * USEC_PER_MSEC,
 					     .key = STR("k") },
+		/* Bytes that aren't UTF-8 are read as Latin-1. */
+		{ .id = STR("\xfc"), .piece = 1, .key = STR("\xc3\xbc\xff") },
 		{ .id = STR("f"),
 		    .stage = 2,
 		    .piece = 0,
 		    .remaining = 5 * USEC_PER_MSEC,
 		    .inputs = STR("a/1,b/2") } },
-	    2);
+	    3);
 	g_assert_cmpstr(out.p, ==,
 	    "{\"Items\":[{\"Id\":\"e\",\"Stage\":0,\"Piece\":2,"
-	    "\"RemainingMs\":900,\"Key\":\"k\"},{\"Id\":\"f\",\"Stage\":2,"
+	    "\"RemainingMs\":900,\"Key\":\"k\"},"
+	    "{\"Id\":\"\xc3\xbc\",\"Stage\":0,\"Piece\":1,"
+	    "\"RemainingMs\":0,\"Key\":\"\xc3\x83\xc2\xbc\xc3\xbf\"},"
+	    "{\"Id\":\"f\",\"Stage\":2,"
 	    "\"Piece\":0,\"RemainingMs\":5,\"Inputs\":[\"a/1\",\"b/2\"]}]}");
 	buf_free(&out);
 }
--- a/tests/platform/test_stage_pieces.c
+++ b/tests/platform/test_stage_pieces.c
@@ -56,6 +56,9 @@
 	/* An id and a key that are too long for messages between hosts. */
 	{ "2,2", LONGER, "k", 200, 4, 2 },
 	{ "2,2", "p", LONGER, 200, 4, 2 },
+	/* An id and a key that aren't UTF-8, as the calls' bodies are. */
+	{ "2,2", "p\xff", "k", 200, 4, 2 },
+	{ "2,2", "p", "k\xff", 200, 4, 2 },
 };
 
 static struct fakeplat *platform;
