--- a/plat/dial.c
+++ b/plat/dial.c
@@ -165,7 +165,7 @@
 		part.p += sizeof("timeout=") - 1;
 		part.n -= sizeof("timeout=") - 1;
 		if (str_parse_u64(part, &sec) &&
-		    (usec_t)sec * USEC_PER_SEC < DEFAULT_IDLE_MAX)
+		    sec < DEFAULT_IDLE_MAX / USEC_PER_SEC)
 			return (usec_t)sec * USEC_PER_SEC - KEEP_ALIVE_MARGIN;
 	}
 	return DEFAULT_IDLE_MAX;
--- a/tests/plat/test_dial.c
+++ b/tests/plat/test_dial.c
@@ -15,13 +15,18 @@
 #include <string.h>
 
 #define RESPONSE "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-#define HEAD     "GET / HTTP/1.1\r\nHost: t\r\n\r\n"
+/* With more microseconds than 64 bits hold. */
+#define LONG_RESPONSE                                               \
+	"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=18446744073710\r\n" \
+	"Content-Length: 0\r\n\r\n"
+#define HEAD "GET / HTTP/1.1\r\nHost: t\r\n\r\n"
 
 /* A target that responds to each request and counts its connections. */
 struct server {
 	struct event_base *base;
 	struct evconnlistener *listener;
 	char addr[32];
+	const char *response;
 	int n_open;
 	int n_accepted;
 	int max_open;
@@ -32,11 +37,11 @@
 on_server_bytes(struct bufferevent *b, void *arg)
 {
 	struct evbuffer *in = bufferevent_get_input(b);
+	const struct server *s = arg;
 
-	(void)arg;
 	while (evbuffer_get_length(in) >= sizeof(HEAD) - 1) {
 		evbuffer_drain(in, sizeof(HEAD) - 1);
-		bufferevent_write(b, RESPONSE, sizeof(RESPONSE) - 1);
+		bufferevent_write(b, s->response, strlen(s->response));
 	}
 }
 
@@ -76,6 +81,7 @@
 	socklen_t len = sizeof(sa);
 
 	memset(s, 0, sizeof(*s));
+	s->response = RESPONSE;
 	s->base = event_base_new();
 	s->listener = evconnlistener_new_bind(s->base, on_accept, s,
 	    LEV_OPT_CLOSE_ON_FREE, -1, (struct sockaddr *)&sa, sizeof(sa));
@@ -134,10 +140,12 @@
 		uint32_t max_idle_conns;
 		int n_open; /* at the end */
 		int max_open;
+		bool long_idle; /* the target allows a very long idle time */
 	} cases[] = {
 		{ "no limit", 1, 5, 0, 0, 5, 5 },
 		{ "limited after a burst", 1, 5, 0, 2, 2, 5 },
 		{ "an idle connection is reused", 5, 1, 0, 1, 1, 1 },
+		{ "a very long idle time", 5, 1, 0, 1, 1, 1, true },
 		/* Every call closes the old connection and opens a new one. */
 		{ "new connections replace old ones", 5, 1, 1, 1, 1, 2 },
 		{ "new connections beside old ones", 5, 1, 1, 3, 3, 4 },
@@ -149,6 +157,8 @@
 
 		g_test_message("%s", cases[i].name);
 		open_server(&s);
+		if (cases[i].long_idle)
+			s.response = LONG_RESPONSE;
 		d = dialer_new(s.base);
 		for (int k = 0; k < cases[i].rounds; k++) {
 			for (int n = 0; n < cases[i].parallel; n++)
