Calls by way of another host: numbers out of range are refused

What was seen: a request to the operators' address with sent_ms over 2^63 / 1000 has its age computed, in wrapped arithmetic, before its signature is compared.

Evidence: test_relay, foreign-calls, before: no answer, "served_calls.c:197:53: runtime error: signed integer overflow: * 1000".

Change: numbers that the fields' types can't hold make the query malformed. The age of a message between hosts is compared in milliseconds for the same reason.

--- a/entry/rpc.c
+++ b/entry/rpc.c
@@ -103,9 +103,10 @@
 static bool
 is_recent(quad_t sent_ms)
 {
-	usec_t age = clock_wall() - (usec_t)sent_ms * USEC_PER_MSEC;
+	int64_t now_ms = clock_wall() / USEC_PER_MSEC;
+	int64_t max_ms = RPC_MAX_AGE / USEC_PER_MSEC;
 
-	return age < RPC_MAX_AGE && age > -RPC_MAX_AGE;
+	return sent_ms > now_ms - max_ms && sent_ms < now_ms + max_ms;
 }
 
 static void
--- a/entry/served_calls.c
+++ b/entry/served_calls.c
@@ -151,12 +151,13 @@
 {
 	const struct {
 		const char *name;
+		uint64_t max;
 		uint64_t *out;
 	} numbers[] = {
-		{ "sent_ms", &out->sent_ms },
-		{ "max_idle", &out->max_idle },
-		{ "max_conns", &out->max_conns },
-		{ "head_only", &out->head_only },
+		{ "sent_ms", INT64_MAX / USEC_PER_MSEC, &out->sent_ms },
+		{ "max_idle", INT64_MAX, &out->max_idle },
+		{ "max_conns", UINT32_MAX, &out->max_conns },
+		{ "head_only", 1, &out->head_only },
 	};
 
 	if (str_eq(name, STR("target"))) {
@@ -167,7 +168,8 @@
 	}
 	for (size_t i = 0; i < sizeof(numbers) / sizeof(numbers[0]); i++) {
 		if (str_eq(name, str_from(numbers[i].name)) &&
-		    !str_parse_u64(value, numbers[i].out))
+		    (!str_parse_u64(value, numbers[i].out) ||
+			*numbers[i].out > numbers[i].max))
 			return false;
 	}
 	return true;
--- a/tests/platform/test_relay.c
+++ b/tests/platform/test_relay.c
@@ -191,6 +191,38 @@
 	}
 }
 
+/*
+ * Calls that aren't another host's are refused, whatever numbers they have: the
+ * times are compared before the signature is.
+ */
+static void
+test_foreign_calls(void)
+{
+	static const char *const queries[] = {
+		"target=p1",
+		"target=p1&sent_ms=0",
+		"target=p1&sent_ms=9223372036854775807",
+		"target=p1&sent_ms=18446744073709551615",
+		"target=p1&sent_ms=1&max_idle=18446744073709551615",
+		"target=p1&sent_ms=1&max_conns=4294967297",
+		"sent_ms=1",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(queries); i++) {
+		g_autofree char *bytes = g_strdup_printf(
+		    "POST /calls?%s HTTP/1.1\r\nHost: x\r\n"
+		    "Sequoia-Call-Auth: %064d\r\nConnection: close\r\n"
+		    "Content-Length: 0\r\n\r\n",
+		    queries[i], 0);
+		struct harness_response a;
+
+		g_test_message("%s", queries[i]);
+		harness_exchange(host.port + 1, str_from(bytes), 2000, &a);
+		g_assert_cmpint(a.status, ==, 403);
+		harness_response_free(&a);
+	}
+}
+
 static void
 test_large_head(void)
 {
@@ -558,6 +590,7 @@
 	start_platform();
 	g_test_add_func("/relay/answers", test_answers);
 	g_test_add_func("/relay/refused-bytes", test_refused_bytes);
+	g_test_add_func("/relay/foreign-calls", test_foreign_calls);
 	g_test_add_func("/relay/large-head", test_large_head);
 	g_test_add_func("/relay/pipelined", test_pipelined);
 	g_test_add_func("/relay/head-at-target", test_head_at_target);
