Gossip: probes for removed members, and messages with long names

Two faults, both seen in tests only.

A member asks for a probe of another one and is removed from the table (60 s after it left, 2 h after it was lost) before the answer comes: the answer was reported through a pointer to it. test_member, removed-requester, before: "heap-use-after-free ... member_rpc, report_reached, gossip_receive". Probes are kept with the ids now.

Hosts whose names and addresses take up the 320 bytes of a message: the room that was left wrapped, and a message had up to 32 members. test_member, long-names, before: "(3036 <= 1000)". Such a message has room for one member now. Other messages are as before, and an old host reads both.

--- a/kernel/gossip.c
+++ b/kernel/gossip.c
@@ -346,8 +346,8 @@
 
 /* Probes a member on behalf of requester, which is notified of the answer. */
 static size_t
-start_indirect_probe(struct gossip *g, usec_t now, struct member *requester,
-    const char *id, struct gossip_send *out)
+start_indirect_probe(struct gossip *g, usec_t now,
+    const struct member *requester, const char *id, struct gossip_send *out)
 {
 	struct member *x = member_find(&g->members, id);
 
@@ -358,8 +358,10 @@
 
 		if (p->until > now)
 			continue;
-		*p = (struct gossip_indirect_probe){ requester, x,
-			now + INDIRECT_PROBE_TIMEOUT };
+		*p = (struct gossip_indirect_probe){ .until = now +
+			    INDIRECT_PROBE_TIMEOUT };
+		g_strlcpy(p->requester, requester->text, sizeof(p->requester));
+		g_strlcpy(p->subject, x->text, sizeof(p->subject));
 		send_probe(g, now, x, out);
 		return 1;
 	}
@@ -372,14 +374,18 @@
 {
 	for (int i = 0; i < GOSSIP_MAX_INDIRECT_PROBES; i++) {
 		struct gossip_indirect_probe *p = &g->indirect_probes[i];
+		struct member *requester;
 
-		if (p->until <= now || p->subject != from)
+		if (p->until <= now || strcmp(p->subject, from->text) != 0)
 			continue;
 		p->until = 0;
-		gossip_message_begin(g, out, member_rpc(p->requester), false);
+		requester = member_find(&g->members, p->requester);
+		if (requester == NULL)
+			continue;
+		gossip_message_begin(g, out, member_rpc(requester), false);
 		snprintf(
 		    out->m.reached, sizeof(out->m.reached), "%s", from->text);
-		gossip_message_fill(g, now, &out->m, p->requester);
+		gossip_message_fill(g, now, &out->m, requester);
 		return 1;
 	}
 	return 0;
--- a/kernel/gossip.h
+++ b/kernel/gossip.h
@@ -77,10 +77,10 @@
 
 #define GOSSIP_MAX_INDIRECT_PROBES 8
 
-/* A probe of subject on behalf of requester. */
+/* A probe of subject on behalf of requester, by their ids. */
 struct gossip_indirect_probe {
-	struct member *requester;
-	struct member *subject;
+	char requester[MAX_NAME_BYTES + 1];
+	char subject[MAX_NAME_BYTES + 1];
 	usec_t until;
 };
 
--- a/kernel/gossip_message.c
+++ b/kernel/gossip_message.c
@@ -6,6 +6,8 @@
 /* A sender that sees 1/32 fewer members up gets a GOSSIP_PAGE_BYTES answer. */
 #define PAGE_ANSWER_DIVISOR 32
 #define RANDOM_INFOS        1
+/* Room for a member with the longest names, in each message. */
+#define MIN_INFO_BYTES      240
 
 static size_t
 text_bytes(const char *c)
@@ -165,7 +167,9 @@
 gossip_message_fill(
     struct gossip *g, usec_t now, struct gossip_message *m, struct member *to)
 {
-	size_t bytes = GOSSIP_BYTES - gossip_message_bytes(m);
+	size_t used = gossip_message_bytes(m);
+	size_t bytes =
+	    used < GOSSIP_BYTES ? GOSSIP_BYTES - used : MIN_INFO_BYTES;
 
 	if (to != NULL && to->state >= MEMBER_SUSPECT)
 		add_info(g, m, to, true, &bytes);
@@ -182,6 +186,7 @@
 {
 	const struct members *t = &g->members;
 	size_t bytes = GOSSIP_DIFF_BYTES;
+	size_t used;
 
 	gossip_message_begin(g, out, member_rpc(to), false);
 	gossip_message_fill(g, now, &out->m, to);
@@ -189,6 +194,7 @@
 		return;
 	if (received->up + received->up / PAGE_ANSWER_DIVISOR + 1 < t->n_up)
 		bytes = GOSSIP_PAGE_BYTES;
-	bytes -= gossip_message_bytes(&out->m);
+	used = gossip_message_bytes(&out->m);
+	bytes = used < bytes ? bytes - used : 0;
 	add_differing(g, &out->m, received, &bytes);
 }
--- a/tests/kernel/test_member.c
+++ b/tests/kernel/test_member.c
@@ -504,6 +504,84 @@
 	fleet_free(f);
 }
 
+/* A message of one member to another. */
+static struct gossip_message
+message_from(const struct member_info *from)
+{
+	return (struct gossip_message){ .self = *from, .up = 3 };
+}
+
+/*
+ * A member that asked for a probe and has been removed before its answer came:
+ * the answer was reported to freed memory.
+ */
+static void
+test_removed_requester(void)
+{
+	struct member_info self = info("n1", 10, LIVE);
+	struct member_info requester = info("n2", 10, LIVE);
+	struct member_info subject = info("n3", 10, LIVE);
+	struct gossip_send *out = g_new0(struct gossip_send, GOSSIP_MAX_SENDS);
+	struct gossip_message m;
+	struct gossip g;
+	usec_t now = MEMBER_LEFT_RETENTION - USEC_PER_SEC;
+
+	gossip_init(&g, &self, 1, 0);
+	g_assert_true(member_update(&g.members, 0, &requester));
+	g_assert_true(member_update(&g.members, 0, &subject));
+	requester.state = LEFT;
+	g_assert_true(member_update(&g.members, 0, &requester));
+	m = message_from(&requester);
+	strcpy(m.check, subject.id);
+	g_assert_cmpuint(gossip_receive(&g, now, &m, out), ==, 1);
+	for (int i = 0; i < 4; i++) {
+		now += GOSSIP_INTERVAL + 100 * USEC_PER_MSEC;
+		gossip_round(&g, now, out);
+	}
+	g_assert_null(member_find(&g.members, requester.id));
+	m = message_from(&subject);
+	g_assert_cmpuint(gossip_receive(&g, now, &m, out), ==, 0);
+	gossip_free(&g);
+	g_free(out);
+}
+
+/*
+ * Hosts whose names take up all of a message: the size that was left wrapped,
+ * and messages had any number of members.
+ */
+static void
+test_long_names(void)
+{
+	struct member_info self = info("n1", 10, LIVE);
+	struct gossip_send *out = g_new0(struct gossip_send, GOSSIP_MAX_SENDS);
+	struct gossip g;
+	size_t n;
+	size_t n_infos = 0;
+
+	memset(self.id, 'x', sizeof(self.id) - 1);
+	memset(self.rpc, 'r', sizeof(self.rpc) - 1);
+	memset(self.operators, 'o', sizeof(self.operators) - 1);
+	memset(self.domain, 'd', sizeof(self.domain) - 1);
+	gossip_init(&g, &self, 1, 0);
+	member_set_generation(&g.members, 0, 2);
+	for (int i = 0; i < MAX_FLEET; i++) {
+		g_autofree char *id = g_strdup_printf("n%d", i);
+		struct member_info x = info(id, 10, LIVE);
+
+		g_assert_true(member_update(&g.members, 0, &x));
+	}
+	n = gossip_round(&g, USEC_PER_SEC, out);
+	g_assert_cmpuint(n, >, 0);
+	for (size_t i = 0; i < n; i++) {
+		g_assert_cmpuint(
+		    gossip_message_bytes(&out[i].m), <=, GOSSIP_DIFF_BYTES);
+		n_infos += out[i].m.n_infos;
+	}
+	g_assert_cmpuint(n_infos, >, 0);
+	gossip_free(&g);
+	g_free(out);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -516,5 +594,7 @@
 	g_test_add_func("/member/unresponsive", test_unresponsive);
 	g_test_add_func("/member/partition", test_partition);
 	g_test_add_func("/member/departure", test_departure);
+	g_test_add_func("/member/removed-requester", test_removed_requester);
+	g_test_add_func("/member/long-names", test_long_names);
 	return g_test_run();
 }
