Streams: ids that are too long for messages between hosts

What callers saw: a stream whose attempt id has more than 128 bytes could go on at no other host than its first, where a service has two versions: 503 for each resume.

Cause: messages hold ids of 128 bytes. What a host told of such a stream, asked for, or had recorded, was dropped without notice in rpc_send(); the recorders that never answered counted as failed, for other streams as well, for two seconds.

Change: hosts know such a stream by the hash of its id. An old host doesn't find it, as before.

--- a/entry/peer.x
+++ b/entry/peer.x
@@ -214,7 +214,7 @@
 
 /* A stream has begun at a target of this version. */
 struct peer_stream {
-	string id<128>;         /* of the caller's attempt */
+	string id<PEER_ID_MAX>; /* of the caller's attempt */
 	string service<64>;
 	string software<64>;    /* version of the target */
 };
@@ -222,7 +222,7 @@
 /* Asks for the version of a stream. */
 struct peer_stream_ask {
 	unsigned hyper ask;     /* the sender's number of the question */
-	string id<128>;
+	string id<PEER_ID_MAX>;
 	string service<64>;
 };
 
@@ -238,7 +238,7 @@
  */
 struct peer_stream_record {
 	unsigned hyper ask;
-	string id<128>;         /* of the caller's attempt */
+	string id<PEER_ID_MAX>; /* of the caller's attempt */
 	string service<64>;
 	string software<64>;    /* version of the target */
 };
@@ -254,7 +254,7 @@
 /* Asks a host, mostly the sender itself, what the store says of a stream. */
 struct peer_stream_look {
 	unsigned hyper ask;
-	string id<128>;
+	string id<PEER_ID_MAX>;
 	string service<64>;
 };
 
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -521,7 +521,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->id, 128))
+	 if (!xdr_string (xdrs, &objp->id, PEER_ID_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->service, 64))
 		 return FALSE;
@@ -537,7 +537,7 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->ask))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->id, 128))
+	 if (!xdr_string (xdrs, &objp->id, PEER_ID_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->service, 64))
 		 return FALSE;
@@ -565,7 +565,7 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->ask))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->id, 128))
+	 if (!xdr_string (xdrs, &objp->id, PEER_ID_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->service, 64))
 		 return FALSE;
@@ -594,7 +594,7 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->ask))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->id, 128))
+	 if (!xdr_string (xdrs, &objp->id, PEER_ID_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->service, 64))
 		 return FALSE;
--- a/entry/stream_resumes.c
+++ b/entry/stream_resumes.c
@@ -57,6 +57,19 @@
 	void *arg;
 };
 
+/*
+ * Returns the id by which hosts know a stream: one that is too long for their
+ * messages is replaced by its hash.
+ */
+static struct str
+stream_id(struct str id, char hash[HASH_HEX_LEN + 1])
+{
+	if (id.n <= PEER_ID_MAX)
+		return id;
+	hash_sha256(id, hash);
+	return str_from(hash);
+}
+
 struct stream_resumes *
 stream_resumes_new(const struct stream_resumes_opts *o)
 {
@@ -139,9 +152,11 @@
 stream_resumes_begin(struct stream_resumes *x, struct str id,
     const char *service, const char *version)
 {
+	char hash[HASH_HEX_LEN + 1];
 	usec_t now = clock_now();
 
-	stream_versions_begin(&x->streams, id, service, version, true, now);
+	stream_versions_begin(
+	    &x->streams, stream_id(id, hash), service, version, true, now);
 	tell(x, now);
 }
 
@@ -243,6 +258,7 @@
     const struct stream_version *stream, void (*done)(void *arg), void *arg)
 {
 	struct timeval tv = { 0, STREAM_RECORD_WAIT };
+	char hash[HASH_HEX_LEN + 1];
 	usec_t now = clock_now();
 	const char *recorder = choose_recorder(x, now);
 	struct stream_recording *k;
@@ -254,7 +270,7 @@
 	k = xcalloc(1, sizeof(*k));
 	k->owner = x;
 	k->number = ++x->n_recordings;
-	k->id = str_dup(str_from(stream->id));
+	k->id = str_dup(stream_id(str_from(stream->id), hash));
 	g_strlcpy(k->service, stream->service, sizeof(k->service));
 	g_strlcpy(k->version, stream->version, sizeof(k->version));
 	k->done = done;
@@ -298,7 +314,9 @@
 void
 stream_resumes_end(struct stream_resumes *x, struct str id)
 {
-	stream_versions_end(&x->streams, id);
+	char hash[HASH_HEX_LEN + 1];
+
+	stream_versions_end(&x->streams, stream_id(id, hash));
 }
 
 void
@@ -441,9 +459,11 @@
 stream_resumes_find(
     struct stream_resumes *x, const struct resume_search_opts *o)
 {
+	char hash[HASH_HEX_LEN + 1];
+	struct str id = stream_id(o->id, hash);
 	struct resume_query query;
 	enum resume_place place = stream_versions_resume(
-	    &x->streams, o->id, o->service, clock_now(), &query);
+	    &x->streams, id, o->service, clock_now(), &query);
 	struct resume_search *s;
 
 	if (place != RESUME_ASK) {
@@ -453,14 +473,14 @@
 	s = xcalloc(1, sizeof(*s));
 	s->owner = x;
 	s->number = ++x->n_searches;
-	s->id = str_dup(o->id);
+	s->id = str_dup(id);
 	s->service = str_dup(str_from(o->service));
 	s->query = query;
 	s->done = o->done;
 	s->arg = o->arg;
 	s->timer = evtimer_new(x->o.base, on_timeout, s);
 	g_hash_table_insert(x->searches, &s->number, s);
-	ask(s, o->id);
+	ask(s, id);
 	if (s->query.n_asked > 0)
 		return s;
 	return decide(s, true) ? NULL : s;
--- a/tests/platform/test_mixed_versions.c
+++ b/tests/platform/test_mixed_versions.c
@@ -18,6 +18,7 @@
 #define TARGETS            6
 #define PLAIN_TARGETS      2 /* of another service and version */
 #define STREAMS            16
+#define LONG_ID_DIGITS     150
 #define TIMEOUT_SECONDS    15
 #define DEADLINE_MS        3000
 /* A stalled stream is read for this long: its two events arrive by then. */
@@ -50,6 +51,7 @@
 	/* Bits of the hosts that the store doesn't answer when streams begin.
 	 */
 	unsigned int without_store;
+	bool long_ids; /* longer than messages between hosts hold */
 } cases[] = {
 	{ "resumed-within-an-answer", "/stream/1", "break", BOTH, BOTH, false,
 	    false, false },
@@ -57,6 +59,8 @@
 	    false, false },
 	{ "whose-first-host-was-killed", "/stream/1", "stall", BOTH, BOTH, true,
 	    true, false },
+	{ "of-long-ids-whose-first-host-was-killed", "/stream/1", "stall", BOTH,
+	    BOTH, true, true, .long_ids = true },
 	{ "begun-before-the-other-version", "/stream/1", "stall", OLD_ONLY,
 	    BOTH, true, false, false },
 	{ "one-version-unnamed", "/stream/solo/1", "stall", BOTH, BOTH, true,
@@ -163,7 +167,7 @@
 }
 
 struct stream {
-	char id[64];
+	char id[256];
 	bool old;   /* has events of the old version */
 	bool new;   /* has events of the new version */
 	bool other; /* has events of the other service */
@@ -191,7 +195,8 @@
 	struct harness_response a;
 
 	*s = (struct stream){ 0 };
-	snprintf(s->id, sizeof(s->id), "s-%d-%d", (int)(x - cases), number);
+	snprintf(s->id, sizeof(s->id), "s-%d-%0*d", (int)(x - cases),
+	    x->long_ids ? LONG_ID_DIGITS : 1, number);
 	q = harness_format(&(struct harness_request){ .path = x->path,
 	    .id = s->id,
 	    .behavior = x->behavior,
