Messages between hosts: what didn't fit was dropped without notice

What was seen: a target's id may have 63 bytes, messages held names of 48. Hosts that learn of such a target's crash, limit or brittleness told nobody. A batch of changes of the store with 64 items of up to 4,000 bytes doesn't fit into a datagram of 65,000: receivers learned of the gap half a second later, from the next heartbeat. Neither left a line in the log.

Change: the messages on crashes, limits and brittleness hold ids of 64 bytes. An old host rejects a longer id than 48, which it was never told of before. A batch that doesn't fit is sent as a gap at once, as one of more than 64 items is; keys of more than 256 bytes are none of this fleet's. Where messages are copied into arrays, assertions at compile time say that the arrays hold them.

--- a/entry/crash_reports.c
+++ b/entry/crash_reports.c
@@ -18,6 +18,9 @@
 /* Answered parts in each table of a memory; the older one is then dropped. */
 #define MAX_ANSWERED    4096
 
+G_STATIC_ASSERT(CRASH_MAX_CALLS <= PEER_CRASH_CALLS_MAX);
+G_STATIC_ASSERT(PART_SET_MAX <= PEER_PARTS_MAX);
+
 /* The calls lost with a target, while it is checked. */
 struct pending_crash {
 	struct crash_reports *owner;
--- a/entry/discovery_feed.c
+++ b/entry/discovery_feed.c
@@ -9,10 +9,7 @@
 #define FEED_INTERVAL        (500 * USEC_PER_MSEC)
 /* A receiver that gets no feed for this time watches the store itself. */
 #define FEED_TIMEOUT         (1500 * USEC_PER_MSEC)
-/*
- * Larger values are not sent, so that a batch fits into a datagram; receivers
- * fetch them.
- */
+/* Larger values are not sent; receivers fetch them. */
 #define MAX_FEED_VALUE_BYTES 4000
 
 static void
@@ -58,18 +55,12 @@
 }
 
 void
-discovery_forward_batch(void *arg, int64_t after, const struct kv_changes *c)
+discovery_write_feed(peer_feed *f, peer_feed_item items[PEER_FEED_ITEMS],
+    int64_t after, const struct kv_changes *c)
 {
-	struct discovery *d = arg;
-	peer_feed_item items[PEER_FEED_ITEMS];
-	peer_body body = { .kind = PEER_FEED };
-	peer_feed *f = &body.peer_body_u.feed;
 	u_int n = 0;
 
-	d->feed_gap = false;
-	if (c->n == 0)
-		return;
-	memset(items, 0, sizeof(items));
+	memset(items, 0, PEER_FEED_ITEMS * sizeof(items[0]));
 	f->to = c->as_of;
 	f->items.items_val = items;
 	/* A batch that is too large appears as a gap: receivers then poll. */
@@ -79,9 +70,11 @@
 
 		/*
 		 * Receivers learn of other hosts by gossip, and read recorded
-		 * streams when they need them.
+		 * streams when they need them.  No key of this fleet is longer
+		 * than the message's.
 		 */
-		if (str_eq(str_of(&x->key), STR(HOSTS_KEY)) ||
+		if (x->key.n > PEER_KEY_MAX ||
+		    str_eq(str_of(&x->key), STR(HOSTS_KEY)) ||
 		    discovery_is_stream_record(str_of(&x->key)))
 			continue;
 		items[n].key = x->key.p;
@@ -94,6 +87,23 @@
 		n++;
 	}
 	f->items.items_len = n;
+	if (xdr_sizeof((xdrproc_t)xdr_peer_feed, f) <= RPC_MAX_BODY_BYTES)
+		return;
+	f->from = c->as_of;
+	f->items.items_len = 0;
+}
+
+void
+discovery_forward_batch(void *arg, int64_t after, const struct kv_changes *c)
+{
+	struct discovery *d = arg;
+	peer_feed_item items[PEER_FEED_ITEMS];
+	peer_body body = { .kind = PEER_FEED };
+
+	d->feed_gap = false;
+	if (c->n == 0)
+		return;
+	discovery_write_feed(&body.peer_body_u.feed, items, after, c);
 	send_feed(d, &body);
 }
 
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -103,6 +103,9 @@
 /* Answers a peer's configuration fetch. */
 void discovery_serve_config(struct discovery *d, peer_result *r);
 
+/* Fills a feed with the changes after a revision; it borrows their strings. */
+void discovery_write_feed(peer_feed *f, peer_feed_item items[PEER_FEED_ITEMS],
+    int64_t after, const struct kv_changes *c);
 /*
  * The callback watcher_opts.batch: forwards the changes to receivers
  * (discovery_feed.c).
--- a/entry/gossiper.c
+++ b/entry/gossiper.c
@@ -10,6 +10,9 @@
 #define START_PERIOD         (2 * USEC_PER_SEC)
 #define START_ROUND_INTERVAL (100 * USEC_PER_MSEC)
 
+G_STATIC_ASSERT(PEER_MEMBERS_MAX <= GOSSIP_MAX_INFOS);
+G_STATIC_ASSERT(PEER_LEAVING_MAX <= GOSSIP_MAX_LEAVING);
+
 struct gossiper {
 	struct gossiper_opts o;
 	struct gossip state;
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -174,6 +174,7 @@
 };
 typedef struct peer_piece_free peer_piece_free;
 #define PEER_FEED_ITEMS 64
+#define PEER_KEY_MAX 256
 
 struct peer_feed_item {
 	char *key;
@@ -195,6 +196,7 @@
 	} items;
 };
 typedef struct peer_feed peer_feed;
+#define PEER_TARGET_MAX 64
 #define PEER_PARTS_MAX 32
 #define PEER_CRASH_CALLS_MAX 64
 #define PEER_KNOWN_MAX 256
@@ -208,7 +210,7 @@
 typedef struct peer_prompt peer_prompt;
 
 struct peer_crash {
-	peer_name target;
+	char *target;
 	struct {
 		u_int calls_len;
 		peer_prompt *calls_val;
@@ -227,14 +229,14 @@
 typedef struct peer_quarantine peer_quarantine;
 
 struct peer_limit {
-	peer_name target;
+	char *target;
 	u_quad_t micro_rate;
 	u_int age_ms;
 };
 typedef struct peer_limit peer_limit;
 
 struct peer_brittle {
-	peer_name target;
+	char *target;
 	u_int refusals;
 	u_int age_ms;
 };
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -139,10 +139,11 @@
 };
 
 const PEER_FEED_ITEMS = 64;
+const PEER_KEY_MAX = 256;
 
 /* A changed item of the platform's store. */
 struct peer_feed_item {
-	string key<256>;
+	string key<PEER_KEY_MAX>;
 	bool deleted;
 	bool large;             /* the value is omitted: fetch it */
 	opaque value<32768>;
@@ -155,6 +156,7 @@
 	peer_feed_item items<PEER_FEED_ITEMS>;
 };
 
+const PEER_TARGET_MAX = 64;
 const PEER_PARTS_MAX = 32;
 const PEER_CRASH_CALLS_MAX = 64;
 const PEER_KNOWN_MAX = 256;
@@ -169,7 +171,7 @@
  * that collect such reports.
  */
 struct peer_crash {
-	peer_name target;
+	string target<PEER_TARGET_MAX>;
 	peer_prompt calls<PEER_CRASH_CALLS_MAX>;
 	/* Those of the parts that targets answered before. */
 	unsigned hyper known<PEER_KNOWN_MAX>;
@@ -183,7 +185,7 @@
 
 /* The limit that a target named for itself (kernel/overload/target_limit.h). */
 struct peer_limit {
-	peer_name target;
+	string target<PEER_TARGET_MAX>;
 	unsigned hyper micro_rate; /* millionths of a request a second; 0: none */
 	unsigned int age_ms;       /* since the target named it */
 };
@@ -193,7 +195,7 @@
  * second (kernel/overload/target_brittle.h).
  */
 struct peer_brittle {
-	peer_name target;
+	string target<PEER_TARGET_MAX>;
 	unsigned int refusals;  /* 0: it doesn't say so any more */
 	unsigned int age_ms;    /* since the target said so */
 };
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -395,7 +395,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->key, 256))
+	 if (!xdr_string (xdrs, &objp->key, PEER_KEY_MAX))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->deleted))
 		 return FALSE;
@@ -437,7 +437,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_peer_name (xdrs, &objp->target))
+	 if (!xdr_string (xdrs, &objp->target, PEER_TARGET_MAX))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, PEER_CRASH_CALLS_MAX,
 		sizeof (peer_prompt), (xdrproc_t) xdr_peer_prompt))
@@ -465,7 +465,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_peer_name (xdrs, &objp->target))
+	 if (!xdr_string (xdrs, &objp->target, PEER_TARGET_MAX))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->micro_rate))
 		 return FALSE;
@@ -479,7 +479,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_peer_name (xdrs, &objp->target))
+	 if (!xdr_string (xdrs, &objp->target, PEER_TARGET_MAX))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->refusals))
 		 return FALSE;
--- a/entry/rpc.c
+++ b/entry/rpc.c
@@ -1,5 +1,6 @@
 #include "entry/rpc.h"
 #include "base/hash.h"
+#include "base/log.h"
 #include "base/rng.h"
 #include "plat/addr.h"
 
@@ -289,7 +290,7 @@
  * Encodes the call without a client of the RPC library, as that does not send
  * calls with a timeout of zero at all.
  */
-static void
+static bool
 write_call(struct rpc *r, const struct sockaddr_in *to, peer_sealed *s)
 {
 	struct rpc_msg call = {
@@ -306,15 +307,18 @@
 	};
 	int fd = get_send_socket(r);
 	XDR x;
+	bool ok;
 
 	xdrmem_create(&x, r->packet, sizeof(r->packet), XDR_ENCODE);
-	if (fd >= 0 && xdr_callmsg(&x, &call) && xdr_peer_sealed(&x, s) &&
+	ok = xdr_callmsg(&x, &call) && xdr_peer_sealed(&x, s);
+	if (ok && fd >= 0 &&
 	    sendto(fd, r->packet, xdr_getpos(&x), MSG_NOSIGNAL,
 		(const struct sockaddr *)to, sizeof(*to)) > 0) {
 		atomic_fetch_add(&r->sent, 1);
 		atomic_fetch_add(&r->sent_bytes, s->body.body_len);
 	}
 	xdr_destroy(&x);
+	return ok;
 }
 
 void
@@ -330,13 +334,20 @@
 		.body = *body,
 	};
 
+	bool ok;
+
 	if (!addr_parse(str_from(addr), &to))
 		return;
-	if (encode_signed(r, (xdrproc_t)xdr_peer_letter, &l, &s)) {
+	ok = encode_signed(r, (xdrproc_t)xdr_peer_letter, &l, &s);
+	if (ok) {
 		pthread_mutex_lock(&r->send_lock);
-		write_call(r, &to, &s);
+		ok = write_call(r, &to, &s);
 		pthread_mutex_unlock(&r->send_lock);
 	}
+	if (!ok)
+		log_text(LOG_LVL_WARNING, "message-too-large",
+		    "kind %d, %u bytes, for %s: not sent", (int)body->kind,
+		    s.body.body_len, addr);
 	free(s.body.body_val);
 }
 
--- a/entry/rpc.h
+++ b/entry/rpc.h
@@ -14,7 +14,9 @@
 #include "base/err.h"
 #include "entry/peer.h"
 
-#define RPC_MAX_AGE (30 * USEC_PER_SEC)
+/* A datagram holds a peer_body of this size, with what belongs to it. */
+#define RPC_MAX_BODY_BYTES 64000
+#define RPC_MAX_AGE        (30 * USEC_PER_SEC)
 
 struct rpc;
 
--- a/entry/share_sync.c
+++ b/entry/share_sync.c
@@ -9,6 +9,8 @@
 #define MEASURE_INTERVAL     (500 * USEC_PER_MSEC)
 #define MAX_REPORTS_PER_TICK 8
 
+G_STATIC_ASSERT(SHARES_MAX_CLAIMS == PEER_BATCH_MAX);
+
 /* The counters of a workspace at the last measurement. */
 struct usage {
 	uint64_t arrived;
--- a/entry/stage_jobs.c
+++ b/entry/stage_jobs.c
@@ -35,7 +35,7 @@
 	void *arg;
 	usec_t deadline;
 	usec_t soft_deadline;
-	char domain[MAX_NAME_BYTES + 1]; /* of the coordinator; or empty */
+	char domain[64]; /* of the coordinator; or empty */
 	bool is_local; /* too large for a message: coordinated by this host */
 };
 
@@ -221,6 +221,8 @@
 	double best_weight = 0;
 	uint32_t largest = largest_capacity(s, domain, now);
 
+	if (strlen(service) > PEER_NAME_MAX)
+		return ""; /* too long for messages */
 	if (largest == 0 && *domain != '\0') {
 		domain = "";
 		largest = largest_capacity(s, domain, now);
@@ -289,9 +291,8 @@
 static bool
 is_too_large(const struct stage_job_opts *o)
 {
-	return o->service.n > PEER_NAME_MAX || o->id.n > PEER_ID_MAX ||
-	    o->key.n > PEER_ID_MAX || o->inputs.n > PEER_HANDLES_MAX ||
-	    o->domain.n > PEER_NAME_MAX;
+	return o->id.n > PEER_ID_MAX || o->key.n > PEER_ID_MAX ||
+	    o->inputs.n > PEER_HANDLES_MAX || o->domain.n > PEER_NAME_MAX;
 }
 
 static struct stage_job *
