Store: times of records and quarantines that overflow are malformed

What was seen: a quarantine in the store that ends near 2^63 ms has its end and length added, and the end multiplied, beyond 64 bits: it counted as ended, or gave any Retry-After. A record of streams of the second 2^63 - 1 made the host count on from there.

Evidence: before, test_quarantine: "quarantine_read(...) == values[i].result: (1 == 2)", taken for a valid entry; test_stream_records: the second was accepted.

Change: both are malformed from where microseconds don't fit into 64 bits; a malformed quarantine is ignored, and a malformed record makes the look-up incomplete, as before.

--- a/kernel/quarantine.c
+++ b/kernel/quarantine.c
@@ -12,6 +12,8 @@
 #define SEND_PAUSE_MIN (1 * USEC_PER_SEC)
 #define SEND_PAUSE_MAX (30 * USEC_PER_SEC)
 #define HEX_DIGITS     16
+/* In microseconds, and with the longest length added, it fits into 64 bits. */
+#define MAX_TIME_MS    (INT64_MAX / USEC_PER_MSEC - QUARANTINE_LONGEST_MS)
 
 void
 quarantine_init(struct quarantine *q)
@@ -208,7 +210,8 @@
 	struct str part;
 
 	if (!next_number(&value, &e->version) || !next_number(&value, &until) ||
-	    !next_number(&value, &length) || length > QUARANTINE_LONGEST_MS)
+	    !next_number(&value, &length) || length > QUARANTINE_LONGEST_MS ||
+	    until > MAX_TIME_MS)
 		return false;
 	e->until_ms = (int64_t)until;
 	e->length_ms = (int64_t)length;
--- a/kernel/stream_records.c
+++ b/kernel/stream_records.c
@@ -8,6 +8,8 @@
 #define HASH_SEED      37
 #define FORMAT         "1"
 #define FULL_LINE      "full"
+/* Later seconds can't be told in microseconds. */
+#define MAX_SECOND     (INT64_MAX / USEC_PER_SEC)
 /*
  * A base is replaced once no target of it has been listed for this time: longer
  * than a stream and the pause until its caller resumes it.
@@ -125,7 +127,7 @@
 
 	if (!str_cut(value, '\n', &line) || !str_cut(&line, ' ', &format) ||
 	    !str_eq(format, STR(FORMAT)) || !str_parse_u64(line, &second) ||
-	    second > INT64_MAX)
+	    second > MAX_SECOND)
 		return 0;
 	return (int64_t)second;
 }
--- a/tests/kernel/test_quarantine.c
+++ b/tests/kernel/test_quarantine.c
@@ -126,6 +126,9 @@
 	    QUARANTINE_MALFORMED },
 	{ "an end beyond 63 bits", "00000000000000aa",
 	    "1\t18446744073709551615\t600000\t" PARTS_1, QUARANTINE_MALFORMED },
+	/* Its sum with the length wrapped. */
+	{ "an end beyond 63 bits of microseconds", "00000000000000aa",
+	    "1\t9223372036854775807\t600000\t" PARTS_1, QUARANTINE_MALFORMED },
 	{ "too long", "00000000000000aa", "1\t5\t99999999999\t" PARTS_1,
 	    QUARANTINE_MALFORMED },
 	{ "a short part", "00000000000000aa", "1\t5\t600000\t1",
--- a/tests/kernel/test_stream_records.c
+++ b/tests/kernel/test_stream_records.c
@@ -83,7 +83,7 @@
 	g_autofree char *long_version =
 	    g_strdup_printf("1 100\ns %0*d 01\n", STREAM_VERSION_BYTES, 0);
 	const char *const values[] = { "", "x", "1", "1 x\n", "2 100\n",
-		"1 100\ns\n", long_version };
+		"1 9223372036854775807\n", "1 100\ns\n", long_version };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
 		struct stream_record_search s = {
@@ -94,7 +94,7 @@
 		stream_record_look(&s, str_from(values[i]));
 		g_assert_false(s.found);
 		g_assert_true(s.incomplete);
-		if (i < 5)
+		if (i < 6)
 			g_assert_cmpint(
 			    stream_record_second(str_from(values[i])), ==, 0);
 	}
