Targets' answers: a load that an int can't hold is a high one

What was seen: a target whose answer says that its load is 2^32 counted as idle, one of 2^32 - 1 as one that says nothing; counts of tokens wrapped likewise.

Evidence: test_policy, answer-load, before: "(-2 == -1)"; 2^32 gave 0.

Change: answer_count() cuts at INT_MAX; negative counts are none.

--- a/kernel/answer.c
+++ b/kernel/answer.c
@@ -1,5 +1,6 @@
 #include "kernel/answer.h"
 
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -53,6 +54,16 @@
 		buf_printf(out, "workspace:%s", w->name);
 }
 
+int
+answer_count(const json_t *v)
+{
+	json_int_t n = json_integer_value(v);
+
+	if (!json_is_integer(v) || n < 0)
+		return -1;
+	return n < INT_MAX ? (int)n : INT_MAX;
+}
+
 enum parse_state
 answer_status(struct stage_answer *a, int status)
 {
@@ -84,7 +95,6 @@
 {
 	const char *id;
 	json_t *o;
-	json_t *load;
 
 	if (status < 200 || status > 299)
 		return answer_status(a, status);
@@ -98,9 +108,7 @@
 		json_decref(o);
 		return PARSE_OTHER_CALL;
 	}
-	load = json_object_get(o, "load");
-	if (json_is_integer(load))
-		a->load = (int)json_integer_value(load);
+	a->load = answer_count(json_object_get(o, "load"));
 	*out = o;
 	return PARSE_DONE;
 }
--- a/kernel/answer.h
+++ b/kernel/answer.h
@@ -18,6 +18,8 @@
  * cached prompt prefixes unless they are configured with the same salt.
  */
 void answer_salt(const struct conf_workspace *w, struct buf *out);
+/* Returns a whole number, cut at INT_MAX; -1 if it is none, or negative. */
+int answer_count(const json_t *v);
 /*
  * Classifies an answer with an error status: PARSE_REFUSED if the target did
  * not take the call, else PARSE_BAD.  Sets a->leaving and a->not_ready.
--- a/kernel/plugins/generate.c
+++ b/kernel/plugins/generate.c
@@ -26,10 +26,13 @@
 	buf_free(&salt);
 }
 
-static int
-number(json_t *o, const char *key)
+/* Returns a count of tokens; 0 if there is none. */
+static uint32_t
+tokens(const json_t *o, const char *key)
 {
-	return (int)json_integer_value(json_object_get(o, key));
+	int n = answer_count(json_object_get(o, key));
+
+	return n > 0 ? (uint32_t)n : 0;
 }
 
 /* Reads the token counts and the load, which the last event carries. */
@@ -37,14 +40,14 @@
 take_usage(struct stage_answer *a, json_t *event)
 {
 	json_t *usage = json_object_get(event, "usage");
-	json_t *load = json_object_get(event, "load");
+	int load = answer_count(json_object_get(event, "load"));
 
 	if (usage != NULL) {
-		a->prompt_tokens = (uint32_t)number(usage, "prompt_tokens");
-		a->cached_tokens = (uint32_t)number(usage, "cached_tokens");
+		a->prompt_tokens = tokens(usage, "prompt_tokens");
+		a->cached_tokens = tokens(usage, "cached_tokens");
 	}
-	if (json_is_integer(load))
-		a->load = (int)json_integer_value(load);
+	if (load >= 0)
+		a->load = load;
 }
 
 static void
--- a/tests/kernel/test_policy.c
+++ b/tests/kernel/test_policy.c
@@ -4,6 +4,7 @@
  * among targets.
  */
 #include "base/rng.h"
+#include "kernel/answer.h"
 #include "kernel/budget.h"
 #include "kernel/limit.h"
 #include "kernel/pick.h"
@@ -11,11 +12,41 @@
 #include "kernel/queue.h"
 
 #include <glib.h>
+#include <limits.h>
 #include <string.h>
 
 #define MSEC   USEC_PER_MSEC
 #define N_MANY 10000
 
+/* A load that an int can't hold is a high one, not none and not a low one. */
+static void
+test_answer_load(void)
+{
+	static const struct {
+		const char *body;
+		int load;
+	} cases[] = {
+		{ "{}", -1 },
+		{ "{\"load\":7}", 7 },
+		{ "{\"load\":\"7\"}", -1 },
+		{ "{\"load\":-2}", -1 },
+		{ "{\"load\":4294967296}", INT_MAX },
+		{ "{\"load\":9223372036854775807}", INT_MAX },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct stage_call c = { 0 };
+		struct stage_answer a = { .load = -1 };
+		json_t *o;
+
+		buf_put(&a.body, str_from(cases[i].body));
+		g_assert_cmpint(answer_object(&c, &a, 200, &o), ==, PARSE_DONE);
+		g_assert_cmpint(a.load, ==, cases[i].load);
+		json_decref(o);
+		answer_free(&a);
+	}
+}
+
 static void
 test_histogram(void)
 {
@@ -574,6 +605,7 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/policy/answer-load", test_answer_load);
 	g_test_add_func("/policy/histogram", test_histogram);
 	g_test_add_func("/policy/histogram-decay", test_histogram_decay);
 	g_test_add_func("/policy/budget", test_budget);
