Stages: services in more than 16 failure domains

What was seen, in the source only: of a service that is split by failure domain, only the first 16 domains by name were looked at. Pieces that prefer another one went to the first. No layout has as many; no test, as the fake platform has 16 targets and a split service needs 5.5 in each domain.

Change: all domains are looked at.

--- a/entry/stages.c
+++ b/entry/stages.c
@@ -20,8 +20,6 @@
 /* Smaller inputs and results transfer quickly to any failure domain. */
 #define MIN_LOCALITY_BYTES  200000
 
-#define MAX_SPILL_DOMAINS   16
-
 /*
  * Repetitions of stage work that one host allows itself: this share of its
  * requests, and this many more in each window.
@@ -347,24 +345,24 @@
 {
 	const char *service = service_name(r, i);
 	const GPtrArray *domains = loads_domains(&r->shared->loads, service);
-	struct spill_domain v[MAX_SPILL_DOMAINS];
+	g_autofree struct spill_domain *v = NULL;
 	size_t home = 0;
-	size_t n = 0;
 
 	if (domains == NULL)
 		return "";
+	v = g_new(struct spill_domain, domains->len);
 	if (*preferred == '\0')
 		preferred = r->shared->loads.domain;
-	for (guint k = 0; k < domains->len && n < MAX_SPILL_DOMAINS; k++, n++) {
+	for (guint k = 0; k < domains->len; k++) {
 		const struct loads_domain *d = domains->pdata[k];
 
-		v[n].name = d->name;
-		v[n].wait = stage_waits_get(&r->shared->stage_waits, service,
+		v[k].name = d->name;
+		v[k].wait = stage_waits_get(&r->shared->stage_waits, service,
 		    d->name, stage_rank(r), clock_now());
 		if (strcmp(d->name, preferred) == 0)
-			home = n;
+			home = k;
 	}
-	return v[spill_choose(v, n, home, c->stages[i].min_time,
+	return v[spill_choose(v, domains->len, home, c->stages[i].min_time,
 		     hash_u64(r->info.id, i + 1))]
 	    .name;
 }
