Configuration: a workspace's name can't end its header field

What was seen: the name of a workspace goes into X-Tenant of the calls to targets. With a line break it began another field.

--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -26,7 +26,8 @@
 #define DOC(routes)                                                       \
 	"{\"Version\":7," SERVICES "," LIMITS ",\"Routes\":[" routes "]," \
 	"\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[\"k\",5],"             \
-	"\"Priority\":1},{\"Name\":5}]}"
+	"\"Priority\":1},{\"Name\":5},{\"Name\":\"a\\r\\nB: c\","         \
+	"\"ApiKeys\":[\"line\"]}]}"
 
 static void
 test_config_routes(void)
@@ -109,6 +110,8 @@
 	    routes_service_at(t, 1)->pool.result_ttl, ==, 4 * USEC_PER_SEC);
 	g_assert_cmpstr(routes_key_owner(t, STR("k"))->name, ==, "t");
 	g_assert_cmpint(routes_key_owner(t, STR("k"))->rank, ==, 1);
+	/* The name would end its field in calls to targets. */
+	g_assert_null(routes_key_owner(t, STR("line")));
 	g_assert_true(t->keyed);
 	g_assert_cmpuint(t->body_bytes, ==, 1000);
 	routes_unref(t);
