Store: an answer without end fails its call

What was seen: the answers of the store, and the host list, are collected before they are read, without a limit. One that doesn't end takes as much memory as arrives within the call's timeout, up to 2 s for a long poll; a process over its memory is killed.

Evidence: test_http, endless, before: a body over the limit was taken: "r.failed == cases[i].fails: (0 == 1)".

Change: http_opts has a limit; 32 MB for the store, 16 MB for the host list. A watch, which is read line by line, has none.

--- a/plat/hosts.c
+++ b/plat/hosts.c
@@ -5,6 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Several times the list of a fleet of the size in docs/CAPACITY.md. */
+#define MAX_LIST_BYTES ((size_t)16 * 1024 * 1024)
+
 struct hosts {
 	struct hosts_opts o;
 	char *url;
@@ -131,6 +134,7 @@
 		.url = h->url,
 		.headers = headers,
 		.timeout = h->o.timeout,
+		.max_bytes = MAX_LIST_BYTES,
 		.handler = on_http,
 		.arg = h,
 	    });
--- a/plat/http.c
+++ b/plat/http.c
@@ -23,6 +23,8 @@
 	void *arg;
 	struct buf body;
 	struct buf received; /* received and not yet delivered */
+	size_t max_bytes;    /* 0: no limit */
+	size_t n_bytes;      /* received so far */
 	bool head_delivered;
 	bool queued; /* its id is in the loop's list of readable transfers */
 };
@@ -55,6 +57,9 @@
 {
 	struct transfer *t = arg;
 
+	t->n_bytes += size * n;
+	if (t->max_bytes > 0 && t->n_bytes > t->max_bytes)
+		return 0; /* fails the transfer */
 	buf_put(&t->received, (struct str){ p, size * n });
 	if (!t->queued) {
 		t->queued = true;
@@ -294,6 +299,7 @@
 	t->loop = l;
 	t->handler = o->handler;
 	t->arg = o->arg;
+	t->max_bytes = o->max_bytes;
 	t->easy = curl_easy_init();
 	buf_put(&t->body, o->body);
 	set_options(t, o);
--- a/plat/http.h
+++ b/plat/http.h
@@ -48,7 +48,8 @@
 	const char *const *headers; /* "Name: value", ends with NULL; or NULL */
 	usec_t timeout;             /* limit on the whole call; 0: no limit */
 	usec_t connect_timeout;     /* 0: one second */
-	bool fresh; /* use a new connection and close it afterwards */
+	size_t max_bytes; /* a longer body fails the call; 0: no limit */
+	bool fresh;       /* use a new connection and close it afterwards */
 	const char *local_addr; /* source address, or NULL */
 	http_handler handler;
 	void *arg;
--- a/plat/kv.c
+++ b/plat/kv.c
@@ -8,7 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MAX_ENDPOINTS 8
+#define MAX_ENDPOINTS   8
+/* Of a call: several times the largest page or configuration. */
+#define MAX_REPLY_BYTES ((size_t)32 * 1024 * 1024)
 
 enum op {
 	OP_GET,
@@ -313,6 +315,7 @@
 		.url = url.p,
 		.body = body,
 		.timeout = timeout,
+		.max_bytes = op != OP_WATCH ? MAX_REPLY_BYTES : 0,
 		.connect_timeout = fresh ? timeout : 0,
 		.fresh = fresh,
 		.local_addr = kv->local_addr,
