--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -53,19 +53,36 @@
 	d->view_dirty = true;
 }
 
+/* Peers that can't reach the store get no such entry either. */
+static void
+reject_target(struct discovery *d, struct str key, struct str value)
+{
+	g_autofree char *k = g_strndup(key.p, key.n);
+
+	roster_reject(&d->roster, platform_target_id(key), value);
+	pthread_mutex_lock(&d->lock);
+	g_hash_table_remove(d->target_values, k);
+	d->counts.rejected_entries++;
+	pthread_mutex_unlock(&d->lock);
+}
+
 static void
 put_target(struct discovery *d, struct str key, struct str value)
 {
+	struct str id = platform_target_id(key);
 	struct target_entry t;
 
+	/* Each value of an entry is logged and counted once. */
+	if (roster_is_rejected(&d->roster, id, value))
+		return;
+	if (!platform_target_parse(key, value, &t)) {
+		reject_target(d, key, value);
+		return;
+	}
 	pthread_mutex_lock(&d->lock);
 	g_hash_table_insert(d->target_values, g_strndup(key.p, key.n),
 	    g_strndup(value.p, value.n));
 	pthread_mutex_unlock(&d->lock);
-	if (!platform_target_parse(key, value, &t)) {
-		roster_remove(&d->roster, platform_target_id(key), clock_now());
-		return;
-	}
 	if (t.leaving)
 		LOG(LOG_LVL_INFO, "target-leaving", { "id", str_from(t.id) },
 		    { "service", str_from(t.service) });
--- a/entry/discovery.h
+++ b/entry/discovery.h
@@ -32,8 +32,9 @@
 struct discovery_counts {
 	struct rpc_counts rpc;
 	uint64_t store_calls;
-	uint64_t version; /* configuration in force */
-	int64_t revision; /* store changes up to it are applied */
+	uint64_t rejected_entries; /* of targets, that can't be read */
+	uint64_t version;          /* configuration in force */
+	int64_t revision;          /* store changes up to it are applied */
 	bool store_unavailable;
 };
 
--- a/entry/relay_metrics.c
+++ b/entry/relay_metrics.c
@@ -86,6 +86,8 @@
 	put(out, "config_version", p->discovery.version);
 	put(out, "store_away", p->discovery.store_unavailable);
 	put(out, "store_calls_total", p->discovery.store_calls);
+	put(out, "target_entries_rejected_total",
+	    p->discovery.rejected_entries);
 	put(out, "log_lines_dropped_total", log_dropped());
 	put(out, "peer_letters_sent_total", p->discovery.rpc.sent);
 	put(out, "peer_letters_received_total", p->discovery.rpc.received);
--- a/kernel/roster.c
+++ b/kernel/roster.c
@@ -1,19 +1,29 @@
 #include "kernel/roster.h"
+#include "base/hash.h"
 
 #include <stdlib.h>
 #include <string.h>
 
+#define HASH_SEED 41
+
 struct roster_entry {
 	struct target_entry t;
 	bool seen;    /* in the current full listing */
 	bool missing; /* the entry disappeared and is kept for now */
 };
 
+struct rejected_entry {
+	uint64_t hash; /* of its value */
+	bool seen;     /* in the current full listing */
+};
+
 void
 roster_init(struct roster *r)
 {
 	*r = (struct roster){ 0 };
 	r->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
+	r->rejected =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
 }
 
 static bool
@@ -31,6 +41,7 @@
 {
 	struct roster_entry *s = g_hash_table_lookup(r->by_id, t->id);
 
+	g_hash_table_remove(r->rejected, t->id);
 	if (s == NULL) {
 		s = xcalloc(1, sizeof(*s));
 		memcpy(s->t.id, t->id, sizeof(t->id));
@@ -44,6 +55,31 @@
 	r->version++;
 }
 
+void
+roster_reject(struct roster *r, struct str id, struct str value)
+{
+	g_autofree char *key = g_strndup(id.p, id.n);
+	struct rejected_entry *x = xcalloc(1, sizeof(*x));
+
+	x->hash = hash_u64(value, HASH_SEED);
+	x->seen = true;
+	g_hash_table_replace(r->rejected, g_strdup(key), x);
+	if (g_hash_table_remove(r->by_id, key))
+		r->version++;
+}
+
+bool
+roster_is_rejected(struct roster *r, struct str id, struct str value)
+{
+	g_autofree char *key = g_strndup(id.p, id.n);
+	struct rejected_entry *x = g_hash_table_lookup(r->rejected, key);
+
+	if (x == NULL || x->hash != hash_u64(value, HASH_SEED))
+		return false;
+	x->seen = true;
+	return true;
+}
+
 static bool
 in_grace(const struct roster *r, usec_t now)
 {
@@ -56,6 +92,7 @@
 	g_autofree char *key = g_strndup(id.p, id.n);
 	struct roster_entry *s = g_hash_table_lookup(r->by_id, key);
 
+	g_hash_table_remove(r->rejected, key);
 	if (s == NULL)
 		return;
 	if (in_grace(r, now) && !s->t.leaving) {
@@ -75,6 +112,9 @@
 	g_hash_table_iter_init(&it, r->by_id);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		((struct roster_entry *)v)->seen = false;
+	g_hash_table_iter_init(&it, r->rejected);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((struct rejected_entry *)v)->seen = false;
 }
 
 void
@@ -96,6 +136,11 @@
 		g_hash_table_iter_remove(&it);
 		r->version++;
 	}
+	g_hash_table_iter_init(&it, r->rejected);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		if (!((struct rejected_entry *)v)->seen)
+			g_hash_table_iter_remove(&it);
+	}
 }
 
 void
@@ -152,4 +197,5 @@
 roster_free(struct roster *r)
 {
 	g_hash_table_destroy(r->by_id);
+	g_hash_table_destroy(r->rejected);
 }
--- a/kernel/roster.h
+++ b/kernel/roster.h
@@ -6,6 +6,9 @@
  * grace time after its return, are kept until that ends: their targets may only
  * have been unable to renew them.
  *
+ * An entry that can't be read names no target: the target that it named before
+ * is removed at once.
+ *
  * Times are in microseconds.  A roster has no locks: one thread owns it.
  */
 #ifndef KERNEL_ROSTER_H
@@ -34,7 +37,8 @@
 };
 
 struct roster {
-	GHashTable *by_id; /* id -> struct roster_entry */
+	GHashTable *by_id;    /* id -> struct roster_entry */
+	GHashTable *rejected; /* id -> struct rejected_entry */
 	bool store_unavailable;
 	usec_t grace_until; /* end of the grace time; 0: none */
 	uint64_t version;   /* increases when roster_list() changes */
@@ -43,6 +47,10 @@
 void roster_init(struct roster *r);
 /* Adds or updates a target. */
 void roster_put(struct roster *r, const struct target_entry *t);
+/* Notes an entry that can't be read, and removes its target. */
+void roster_reject(struct roster *r, struct str id, struct str value);
+/* Whether this value of an entry was the last one to be rejected. */
+bool roster_is_rejected(struct roster *r, struct str id, struct str value);
 /* Removes a target, or keeps it while the store is unavailable. */
 void roster_remove(struct roster *r, struct str id, usec_t now);
 /* Begin and finish a full listing; entries that it lacks are removed. */
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -236,6 +236,43 @@
 	roster_free(&r);
 }
 
+/*
+ * An entry that another writer has replaced by one that can't be read names no
+ * target from then on, also while missing entries are kept.
+ */
+static void
+test_roster_rejected(void)
+{
+	struct roster r;
+	struct target_entry a = entry("i-1", false);
+	GArray *list;
+
+	roster_init(&r);
+	roster_put(&r, &a);
+	roster_set_store_unavailable(&r, true, 0);
+	g_assert_false(roster_is_rejected(&r, STR("i-1"), STR("odd")));
+	roster_reject(&r, STR("i-1"), STR("odd"));
+	list = roster_list(&r);
+	g_assert_cmpuint(list->len, ==, 0);
+	g_array_unref(list);
+	g_assert_true(roster_is_rejected(&r, STR("i-1"), STR("odd")));
+	g_assert_false(roster_is_rejected(&r, STR("i-1"), STR("odder")));
+	roster_begin(&r);
+	g_assert_true(roster_is_rejected(&r, STR("i-1"), STR("odd")));
+	roster_finish(&r, 0);
+	g_assert_true(roster_is_rejected(&r, STR("i-1"), STR("odd")));
+	roster_begin(&r);
+	roster_finish(&r, 0);
+	g_assert_false(roster_is_rejected(&r, STR("i-1"), STR("odd")));
+	roster_reject(&r, STR("i-1"), STR("odd"));
+	roster_put(&r, &a);
+	list = roster_list(&r);
+	g_assert_cmpuint(list->len, ==, 1);
+	g_array_unref(list);
+	g_assert_false(roster_is_rejected(&r, STR("i-1"), STR("odd")));
+	roster_free(&r);
+}
+
 /* Retry quota. */
 
 /*
@@ -1033,6 +1070,7 @@
 	g_test_add_func("/routes/repeatable", test_routes_repeatable);
 	g_test_add_func("/roster/missing", test_roster_missing);
 	g_test_add_func("/roster/listing", test_roster_listing);
+	g_test_add_func("/roster/rejected", test_roster_rejected);
 	g_test_add_func("/retry-quota/bound", test_retry_quota_bound);
 	g_test_add_func("/result-space", test_result_space);
 	g_test_add_func("/batch/order", test_batch_order);
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <event2/thread.h>
+#include <inttypes.h>
 #include <jansson.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -47,6 +48,8 @@
 
 struct item {
 	char *value; /* NULL: deleted */
+	/* The item as it stands in the store's answers, or NULL. */
+	char *json;
 	int64_t rev;
 };
 
@@ -76,6 +79,7 @@
 	enum fakeplat_store_mode store_mode;
 	int64_t rev;
 	int64_t oldest_rev;   /* changes before it are forgotten */
+	guint page_items;     /* on a page; 0: no limit */
 	GHashTable *items;    /* key -> struct item */
 	GHashTable *attempts; /* attempt -> struct fakeplat_attempt */
 	GPtrArray *conns;
@@ -221,47 +225,86 @@
 	return STR("");
 }
 
-static json_t *
-item_json(const char *key, const struct item *x)
+/* A NUL byte becomes \x01, as in the keys of fakeplat_put_json(). */
+static char *
+unescape(struct str s)
 {
-	g_autofree char *v = NULL;
+	g_autoptr(GString) text = g_string_new_len(s.p, (gssize)s.n);
 
-	if (x->value == NULL)
-		return json_pack("{s:s, s:I, s:b}", "Key", key, "Rev",
-		    (json_int_t)x->rev, "Tombstone", 1);
-	v = g_base64_encode((const guchar *)x->value, strlen(x->value));
-	return json_pack("{s:s, s:s, s:I}", "Key", key, "Value", v, "Rev",
-	    (json_int_t)x->rev);
+	g_string_replace(text, "%00", "%01", 0);
+	return g_uri_unescape_string(text->str, NULL);
 }
 
-static size_t
-write_items(struct fakeplat *plat, const char *list_name, struct str prefix,
-    int64_t since, bool with_deleted, struct buf *out)
+static void
+write_item(const char *key, const struct item *x, struct buf *out)
 {
-	json_t *v = json_array();
+	g_autofree char *v = NULL;
 	json_t *o;
-	GHashTableIter it;
-	gpointer k;
-	gpointer p;
-	size_t n;
 	char *text;
 
-	g_hash_table_iter_init(&it, plat->items);
-	while (g_hash_table_iter_next(&it, &k, &p)) {
-		const struct item *x = p;
-
-		if (x->rev > since && (with_deleted || x->value != NULL) &&
-		    str_has_prefix(str_from(k), prefix))
-			json_array_append_new(v, item_json(k, x));
+	if (x->json != NULL) {
+		buf_put(out, str_from(x->json));
+		return;
+	}
+	if (x->value == NULL) {
+		o = json_pack("{s:s, s:I, s:b}", "Key", key, "Rev",
+		    (json_int_t)x->rev, "Tombstone", 1);
+	} else {
+		v = g_base64_encode((const guchar *)x->value, strlen(x->value));
+		o = json_pack("{s:s, s:s, s:I}", "Key", key, "Value", v, "Rev",
+		    (json_int_t)x->rev);
 	}
-	n = json_array_size(v);
-	o = json_pack("{s:o, s:I, s:b}", list_name, v, "AsOf",
-	    (json_int_t)plat->rev, "MorePages", 0);
 	text = json_dumps(o, JSON_COMPACT);
 	buf_put(out, str_from(text));
 	free(text);
 	json_decref(o);
-	return n;
+}
+
+static int
+compare_keys(gconstpointer a, gconstpointer b)
+{
+	return strcmp(a, b);
+}
+
+/* What a list of items has: those after a key, and changed since. */
+struct item_list {
+	const char *name;
+	struct str prefix;
+	const char *after; /* NULL: from the first */
+	int64_t since;
+	bool with_deleted;
+	guint limit; /* 0: none */
+};
+
+static void
+write_items(
+    const struct fakeplat *plat, const struct item_list *l, struct buf *out)
+{
+	GList *keys =
+	    g_list_sort(g_hash_table_get_keys(plat->items), compare_keys);
+	bool more = false;
+	guint n = 0;
+
+	buf_printf(out, "{\"%s\":[", l->name);
+	for (const GList *k = keys; k != NULL && !more; k = k->next) {
+		const struct item *x =
+		    g_hash_table_lookup(plat->items, k->data);
+
+		if (x->rev <= l->since ||
+		    (!l->with_deleted && x->value == NULL) ||
+		    !str_has_prefix(str_from(k->data), l->prefix) ||
+		    (l->after != NULL && strcmp(k->data, l->after) <= 0))
+			continue;
+		more = l->limit > 0 && n == l->limit;
+		if (more)
+			break;
+		if (n++ > 0)
+			buf_putc(out, ',');
+		write_item(k->data, x, out);
+	}
+	buf_printf(out, "],\"AsOf\":%" PRId64 ",\"MorePages\":%s}", plat->rev,
+	    more ? "true" : "false");
+	g_list_free(keys);
 }
 
 static void
@@ -269,23 +312,35 @@
 {
 	struct buf out = { 0 };
 
-	write_items(c->plat, "events", STR(""), c->watch_after, true, &out);
+	write_items(c->plat,
+	    &(struct item_list){ .name = "events",
+		.since = c->watch_after,
+		.with_deleted = true },
+	    &out);
 	send_response(c, 200, "", str_of(&out));
 	buf_free(&out);
 }
 
 /* Writes an item; the caller holds the lock. */
 static void
-put_item(struct fakeplat *plat, const char *key, const char *value)
+put_json_item(
+    struct fakeplat *plat, const char *key, const char *value, const char *json)
 {
 	struct item *x = g_new0(struct item, 1);
 
 	x->value = g_strdup(value);
+	x->json = g_strdup(json);
 	x->rev = ++plat->rev;
 	g_hash_table_replace(plat->items, g_strdup(key), x);
 	event_active(plat->wakeup, EV_TIMEOUT, 0);
 }
 
+static void
+put_item(struct fakeplat *plat, const char *key, const char *value)
+{
+	put_json_item(plat, key, value, NULL);
+}
+
 /* Writes the items of a transaction's Puts. */
 static void
 write_puts(struct conn *c)
@@ -337,8 +392,14 @@
 		return;
 	}
 	if (!str_has_prefix(url, STR("/api/kv-watch"))) {
-		write_items(c->plat, "Items", query_value(url, "Prefix"), 0,
-		    false, &out);
+		g_autofree char *key = unescape(query_value(url, "After"));
+
+		write_items(c->plat,
+		    &(struct item_list){ .name = "Items",
+			.prefix = query_value(url, "Prefix"),
+			.after = key,
+			.limit = c->plat->page_items },
+		    &out);
 		send_response(c, 200, "", str_of(&out));
 		buf_free(&out);
 		return;
@@ -902,6 +963,7 @@
 	struct item *x = p;
 
 	g_free(x->value);
+	g_free(x->json);
 	g_free(x);
 }
 
@@ -949,6 +1011,35 @@
 	set_item(plat, key, value);
 }
 
+void
+fakeplat_put_json(struct fakeplat *plat, const char *key, const char *json)
+{
+	pthread_mutex_lock(&plat->lock);
+	put_json_item(plat, key, "", json);
+	pthread_mutex_unlock(&plat->lock);
+}
+
+void
+fakeplat_set_page_items(struct fakeplat *plat, unsigned int n)
+{
+	pthread_mutex_lock(&plat->lock);
+	plat->page_items = n;
+	pthread_mutex_unlock(&plat->lock);
+}
+
+char *
+fakeplat_get(struct fakeplat *plat, const char *key)
+{
+	const struct item *x;
+	char *value;
+
+	pthread_mutex_lock(&plat->lock);
+	x = g_hash_table_lookup(plat->items, key);
+	value = g_strdup(x != NULL ? x->value : NULL);
+	pthread_mutex_unlock(&plat->lock);
+	return value;
+}
+
 void
 fakeplat_delete(struct fakeplat *plat, const char *key)
 {
@@ -974,12 +1065,12 @@
 	g_autofree char *key = g_strconcat("servers/", t->id, NULL);
 	g_autofree char *v = g_strdup_printf(
 	    "{\"Service\":\"%s\",\"Addr\":\"127.0.0.1:%u\",\"Zone\":\"%s\","
-	    "\"Slots\":4,\"State\":\"%s\",\"born\":1%s%s%s}",
+	    "\"Version\":\"%s\",\"Slots\":4,\"State\":\"%s\","
+	    "\"ColdLeftMs\":0,\"Seq\":1,\"born\":1}",
 	    t->config.service,
 	    t->config.published_port != 0 ? t->config.published_port
 					  : t->config.port,
-	    t->config.domain, state, version != NULL ? ",\"Version\":\"" : "",
-	    version != NULL ? version : "", version != NULL ? "\"" : "");
+	    t->config.domain, version != NULL ? version : "v1", state);
 
 	put_item(plat, key, v);
 }
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -34,7 +34,7 @@
 	const char *domain;
 	uint16_t port;
 	uint16_t published_port; /* port in its store entry; 0: as port */
-	/* Of its software, also written into each event; NULL: none. */
+	/* Of its software, also in each event; NULL: v1, and in no event. */
 	const char *version;
 };
 
@@ -54,6 +54,16 @@
 void fakeplat_set_store_mode(
     struct fakeplat *plat, enum fakeplat_store_mode mode);
 void fakeplat_put(struct fakeplat *plat, const char *key, const char *value);
+/*
+ * Writes an item that stands in the store's answers as this JSON text, which
+ * may be odd; a NUL byte in its key is \x01 in key.
+ */
+void fakeplat_put_json(
+    struct fakeplat *plat, const char *key, const char *json);
+/* The items of a page; 0: all on one. */
+void fakeplat_set_page_items(struct fakeplat *plat, unsigned int n);
+/* Returns the value of an item, to be freed with g_free, or NULL. */
+char *fakeplat_get(struct fakeplat *plat, const char *key);
 void fakeplat_delete(struct fakeplat *plat, const char *key);
 /*
  * Starts a target and writes its entry to the store.  Other functions find it
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -117,6 +117,19 @@
 	routes_unref(t);
 }
 
+/* An entry with the address, slots and state; more is text or "". */
+#define TARGET(addr, slots, state, more)                              \
+	"{\"Service\":\"s\",\"Addr\":" addr ",\"Zone\":\"a\","        \
+	"\"Version\":\"v1\",\"Slots\":" slots ",\"State\":" state "," \
+	"\"ColdLeftMs\":0,\"Seq\":4" more "}"
+#define AT(addr)         TARGET("\"" addr "\"", "4", "\"ready\"", "")
+#define SLOTS(n)         TARGET("\"10.0.0.1:80\"", n, "\"ready\"", "")
+#define STATE(state)     TARGET("\"10.0.0.1:80\"", "4", state, "")
+#define MORE(more)       TARGET("\"10.0.0.1:80\"", "4", "\"ready\"", "," more)
+/* The later one of two fields of a name counts. */
+#define WITH(key, value) MORE("\"" key "\":" value)
+#define READY            STATE("\"ready\"")
+
 static void
 test_target(void)
 {
@@ -124,36 +137,94 @@
 		const char *key, *json;
 		bool ok, leaving;
 	} cases[] = {
-		{ "servers/i-1",
-		    "{\"Service\":\"s\",\"Addr\":\"10.0.0.1:80\","
-		    "\"Zone\":\"a\",\"Slots\":4,\"State\":\"ready\","
-		    "\"born\":1700000000000,\"Seq\":4}",
+		{ "servers/i-1", READY, true, false },
+		{ "servers/i-1", STATE("\"draining\""), true, true },
+		{ "servers/i-1", STATE("\"odd\""), false, false },
+		{ "servers/i-1", STATE("5"), false, false },
+		{ "servers/i-1", MORE("\"born\":1700000000000"), true, false },
+		/* As in the users' example. */
+		{ "servers/i-7f3a91c2",
+		    "{\"Service\":\"huvo11a\",\"Addr\":\"10.128.0.9:8080\","
+		    "\"Zone\":\"leinster-a\",\"Version\":\"v1\","
+		    "\"Slots\":48,\"State\":\"ready\",\"ColdLeftMs\":0,"
+		    "\"Stage\":\"colocated\",\"Models\":[{\"Name\":\"m\","
+		    "\"Version\":1,\"Adapters\":[]}],\"Seq\":4}",
 		    true, false },
+		{ "servers/i-1", MORE("\"New\":{\"a\":[1.5]}"), true, false },
+		{ "servers/i-1", WITH("ColdLeftMs", "812.5"), true, false },
+		{ "servers/", "{}", false, false },
+		{ "servers/", READY, false, false },
+		{ "other/i-1", "{}", false, false },
+		{ "servers/i-1", "\xff\xfe", false, false },
+		{ "servers/i-1", "", false, false },
+		{ "servers/i-1", "[1]", false, false },
+		{ "servers/i-1", "null", false, false },
+		{ "servers/i-1", READY "x", false, false },
+		/* Fields that are missing. */
 		{ "servers/i-1",
 		    "{\"Service\":\"s\",\"Addr\":\"10.0.0.1:80\","
-		    "\"Zone\":\"a\",\"Slots\":4,\"State\":\"draining\"}",
-		    true, true },
-		{ "servers/i-1",
-		    "{\"Service\":\"s\",\"Addr\":\"10.0.0.1:80\","
-		    "\"Zone\":\"a\",\"Slots\":4,\"State\":\"odd\"}",
+		    "\"Zone\":\"a\",\"Slots\":4,\"State\":\"ready\","
+		    "\"ColdLeftMs\":0,\"Seq\":4}",
 		    false, false },
 		{ "servers/i-1",
-		    "{\"Service\":\"s\",\"Addr\":\"nowhere\",\"Zone\":\"a\","
-		    "\"Slots\":4,\"State\":\"ready\"}",
+		    "{\"Service\":\"s\",\"Addr\":\"10.0.0.1:80\","
+		    "\"Zone\":\"a\",\"Version\":\"v1\",\"State\":\"ready\","
+		    "\"ColdLeftMs\":0,\"Seq\":4}",
 		    false, false },
 		{ "servers/i-1",
-		    "{\"Service\":5,\"Addr\":\"10.0.0.1:80\",\"Zone\":\"a\","
-		    "\"Slots\":4,\"State\":\"ready\"}",
+		    "{\"Service\":\"s\",\"Addr\":\"10.0.0.1:80\","
+		    "\"Zone\":\"a\",\"Version\":\"v1\",\"Slots\":4,"
+		    "\"State\":\"ready\",\"Seq\":4}",
 		    false, false },
 		{ "servers/i-1",
 		    "{\"Service\":\"s\",\"Addr\":\"10.0.0.1:80\","
-		    "\"Zone\":\"a\",\"State\":\"ready\"}",
+		    "\"Zone\":\"a\",\"Version\":\"v1\",\"Slots\":4,"
+		    "\"State\":\"ready\",\"ColdLeftMs\":0}",
 		    false, false },
-		{ "servers/", "{}", false, false },
-		{ "other/i-1", "{}", false, false },
-		{ "servers/i-1", "\xff\xfe", false, false },
-		{ "servers/i-1", "", false, false },
-		{ "servers/i-1", "[1]", false, false },
+		/* Fields of another type. */
+		{ "servers/i-1", WITH("Service", "5"), false, false },
+		{ "servers/i-1", WITH("Version", "1"), false, false },
+		{ "servers/i-1", WITH("Zone", "null"), false, false },
+		{ "servers/i-1", WITH("Seq", "\"4\""), false, false },
+		{ "servers/i-1", WITH("ColdLeftMs", "[]"), false, false },
+		{ "servers/i-1", WITH("born", "\"now\""), false, false },
+		/* Addresses that can't be called. */
+		{ "servers/i-1", AT("nowhere"), false, false },
+		{ "servers/i-1", AT("10.0.0.1"), false, false },
+		{ "servers/i-1", AT("10.0.0.1:"), false, false },
+		{ "servers/i-1", AT("10.0.0.1:0"), false, false },
+		{ "servers/i-1", AT("10.0.0.1:-5"), false, false },
+		{ "servers/i-1", AT("10.0.0.1:65536"), false, false },
+		{ "servers/i-1", AT("10.0.0.1:99999"), false, false },
+		{ "servers/i-1", AT("10.0.0.1:18446744073709551696"), false,
+		    false },
+		{ "servers/i-1", AT("10.0.0.1:80 "), false, false },
+		{ "servers/i-1", AT("no.such.name:80"), false, false },
+		{ "servers/i-1", AT("::1:80"), false, false },
+		{ "servers/i-1", AT("0.0.0.0:80"), false, false },
+		{ "servers/i-1", AT("224.0.0.1:80"), false, false },
+		{ "servers/i-1", AT("255.255.255.255:80"), false, false },
+		{ "servers/i-1", AT("10.0.0.1:65535"), true, false },
+		/* Numbers that are too large or too small. */
+		{ "servers/i-1", SLOTS("0"), false, false },
+		{ "servers/i-1", SLOTS("-1"), false, false },
+		{ "servers/i-1", SLOTS("1.5"), false, false },
+		{ "servers/i-1", SLOTS("4294967295"), false, false },
+		{ "servers/i-1", SLOTS("4294967300"), false, false },
+		{ "servers/i-1", SLOTS("9223372036854775807"), false, false },
+		{ "servers/i-1", SLOTS("99999999999999999999"), false, false },
+		{ "servers/i-1", SLOTS("1e400"), false, false },
+		{ "servers/i-1", MORE("\"born\":-1"), false, false },
+		{ "servers/i-1", MORE("\"born\":9223372036854775807"), false,
+		    false },
+		{ "servers/i-1", MORE("\"born\":1e300"), false, false },
+		/* Names that would break a header field or a stored record. */
+		{ "servers/i-1", WITH("Service", "\"s\\ns\""), false, false },
+		{ "servers/i-1", WITH("Version", "\"v1 v2\""), false, false },
+		{ "servers/i-1", WITH("Zone", "\"a\\u0000\""), false, false },
+		{ "servers/i-1", WITH("Zone", "\"\""), false, false },
+		{ "servers/i\r\nX-Tenant: t", READY, false, false },
+		{ "servers/i 1", READY, false, false },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -161,6 +232,7 @@
 		bool ok = platform_target_parse(
 		    str_from(cases[i].key), str_from(cases[i].json), &t);
 
+		g_test_message("%s %s", cases[i].key, cases[i].json);
 		g_assert_cmpint(ok, ==, cases[i].ok);
 		if (ok)
 			g_assert_cmpint(t.leaving, ==, cases[i].leaving);
