An odd item in the store's answers doesn't stop a host from following it

Callers got 503 for all requests from then on: one key with a NUL byte ("\u0000", which any writer may leave) made each answer that held it unreadable, so a host took the store for unavailable and never completed its list again. A page with only items that can't be read ended the listing early, and all entries behind it were removed. An entry whose value isn't base64 text left its target in force; one with other characters in between was taken for good.

Cause: the parser refuses such a document as a whole; paging went on only from an item that had been read; malformed items were left out, so nobody learned that an entry had become unreadable; g_base64_decode() skips what isn't base64.

The next page begins after the last key of the page, of whatever item; an answer that promises a page without a new key is an error, not the end of the list. The records of streams are paged in the same way.

--- a/entry/discovery_streams.c
+++ b/entry/discovery_streams.c
@@ -279,7 +279,8 @@
 	struct discovery *d = arg;
 	struct stream_store *s = d->streams;
 
-	if (st != KV_OK) {
+	if (st != KV_OK ||
+	    (c->more && str_eq(str_of(&c->last_key), str_of(&s->last_key)))) {
 		end_reading(d, false);
 		return;
 	}
@@ -291,12 +292,12 @@
 			    &look->search, str_of(&c->v[i].value));
 		}
 	}
-	if (!c->more || c->n == 0) {
+	if (!c->more) {
 		end_reading(d, true);
 		return;
 	}
 	buf_clear(&s->last_key);
-	buf_put(&s->last_key, str_of(&c->v[c->n - 1].key));
+	buf_put(&s->last_key, str_of(&c->last_key));
 	kv_range(d->kv, STR(RECORDS_PREFIX), str_of(&s->last_key), on_page, d);
 }
 
@@ -309,6 +310,7 @@
 		return;
 	s->reading = s->looks;
 	s->looks = g_ptr_array_new_with_free_func(free_look);
+	buf_clear(&s->last_key);
 	if (d->store_unavailable)
 		end_reading(d, false);
 	else
--- a/plat/kv.h
+++ b/plat/kv.h
@@ -53,6 +53,8 @@
 	size_t n;
 	int64_t as_of; /* store revision of the response */
 	bool more;     /* kv_range: another page follows */
+	/* kv_range: that of the last item, also of one that is left out. */
+	struct buf last_key;
 };
 
 /* r is valid during the call. */
--- a/plat/watcher.c
+++ b/plat/watcher.c
@@ -96,6 +96,10 @@
 	struct watcher *w = arg;
 
 	w->in_flight = false;
+	/* Without a new key to go on from, the list can't be completed. */
+	if (st == KV_OK && c->more &&
+	    str_eq(str_of(&c->last_key), str_of(&w->last_key)))
+		st = KV_UNKNOWN;
 	if (st != KV_OK) {
 		w->listing = false;
 		call_failed(w, st);
@@ -111,9 +115,9 @@
 		notify(w, WATCHER_LIST_BEGIN);
 	}
 	deliver_changes(w, c);
-	if (c->more && c->n > 0) {
+	if (c->more) {
 		buf_clear(&w->last_key);
-		buf_put(&w->last_key, str_of(&c->v[c->n - 1].key));
+		buf_put(&w->last_key, str_of(&c->last_key));
 		return;
 	}
 	w->listing = false;
--- a/tests/platform/test_odd_entries.c
+++ b/tests/platform/test_odd_entries.c
@@ -49,6 +49,27 @@
 	"",
 };
 
+/* Odd items as they stand in the store's answers. */
+static const struct {
+	const char *key, *json;
+} items[] = {
+	{ "servers/b1",
+	    "{\"Key\":\"servers/b1\",\"Value\":\"%%%\",\"Rev\":9}" },
+	{ "servers/b2", "{\"Key\":\"servers/b2\",\"Value\":7,\"Rev\":9}" },
+	{ "servers/b3", "{\"Key\":\"servers/b3\",\"Rev\":9}" },
+	{ "servers/b4", "{\"Key\":\"servers/b4\",\"Value\":\"\",\"Rev\":-1}" },
+	{ "servers/b5", "7" },
+	{ "servers/b6", "{\"Key\":7,\"Value\":\"\",\"Rev\":9}" },
+	/* It shares a beginning with the entry of a target. */
+	{ "servers/p1\x01",
+	    "{\"Key\":\"servers/p1\\u0000\",\"Value\":\"eA==\",\"Rev\":9}" },
+	{ "servers/p1\x01\x01",
+	    "{\"Key\":\"servers/p1\\u0000\\u0000\",\"Value\":\"eA==\","
+	    "\"Rev\":9}" },
+	/* The last item of all. */
+	{ "zz\x01", "{\"Key\":\"zz\\u0000\",\"Value\":\"eA==\",\"Rev\":9}" },
+};
+
 /* Sends requests to all hosts; returns how many aren't served. */
 static int
 count_failed(void)
@@ -154,8 +175,11 @@
 
 		fakeplat_put(platform, key, values[i]);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(items); i++)
+		fakeplat_put_json(platform, items[i].key, items[i].json);
 }
 
+/* The pages of the listing are full of odd items, and some end with one. */
 static void
 test_listed(void)
 {
@@ -227,6 +251,12 @@
 	check_replaced();
 	fakeplat_put(platform, "servers/p1", "\xff");
 	check_replaced();
+	fakeplat_put_json(platform, "servers/p1",
+	    "{\"Key\":\"servers/p1\",\"Value\":\"%%%\",\"Rev\":9}");
+	check_replaced();
+	fakeplat_put_json(platform, "servers/p1",
+	    "{\"Key\":\"servers/p1\",\"Value\":{},\"Rev\":9}");
+	check_replaced();
 }
 
 int
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -566,6 +566,8 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct kv_changes c;
 
+		g_test_message("%s", cases[i].json);
+
 		g_assert_cmpint(store_read_poll(str_from(cases[i].json), &c),
 		    ==, cases[i].ok);
 		g_assert_cmpuint(c.n, ==, cases[i].n);
@@ -573,6 +575,9 @@
 			g_assert_cmpstr(c.v[0].value.p, ==, "xy");
 		store_changes_free(&c);
 	}
+	store_range_path(&path, STR("a"), STR("a\0b"));
+	g_assert_cmpstr(path.p, ==, "/api/kv-range?Prefix=a&After=a%00b");
+	buf_clear(&path);
 	store_range_path(&path, STR("a b/"), STR("a b/&c"));
 	g_assert_cmpstr(
 	    path.p, ==, "/api/kv-range?Prefix=a%20b/&After=a%20b/%26c");
@@ -583,6 +588,62 @@
 	buf_free(&path);
 }
 
+/*
+ * An odd item of a page is left out or has no value, the others hold, and the
+ * next page begins after it.
+ */
+static void
+test_store_odd_items(void)
+{
+	static const struct {
+		const char *item;
+		bool is_listed; /* with an empty value */
+		struct str last_key;
+	} cases[] = {
+		{ "{\"Key\":\"b\",\"Value\":\"%%%%\",\"Rev\":5}", true,
+		    STR("b") },
+		{ "{\"Key\":\"b\",\"Value\":\"eHk\",\"Rev\":5}", true,
+		    STR("b") },
+		{ "{\"Key\":\"b\",\"Value\":\"=eHk\",\"Rev\":5}", true,
+		    STR("b") },
+		{ "{\"Key\":\"b\",\"Value\":\"eHk=\\u0000\",\"Rev\":5}", true,
+		    STR("b") },
+		{ "{\"Key\":\"b\",\"Value\":7,\"Rev\":5}", true, STR("b") },
+		{ "{\"Key\":\"b\",\"Rev\":5}", true, STR("b") },
+		{ "{\"Key\":\"b\",\"Value\":\"eHk=\"}", true, STR("b") },
+		{ "{\"Key\":\"b\",\"Value\":\"eHk=\",\"Rev\":-1}", true,
+		    STR("b") },
+		{ "{\"Key\":\"b\",\"Rev\":5,\"Tombstone\":1}", true, STR("b") },
+		{ "{\"Key\":\"b\\u0000c\",\"Value\":\"eHk=\",\"Rev\":5}", false,
+		    STR("b\0c") },
+		{ "{\"Key\":7,\"Value\":\"eHk=\",\"Rev\":5}", false, STR("a") },
+		{ "7", false, STR("a") },
+		{ "null", false, STR("a") },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *json = g_strdup_printf(
+		    "{\"Items\":[{\"Key\":\"a\",\"Value\":\"eHk=\","
+		    "\"Rev\":4},%s],\"AsOf\":5,\"MorePages\":true}",
+		    cases[i].item);
+		size_t n = cases[i].is_listed ? 2 : 1;
+		struct kv_changes c;
+
+		g_test_message("%s", json);
+		g_assert_true(store_read_range(str_from(json), &c));
+		g_assert_true(c.more);
+		g_assert_cmpuint(c.n, ==, n);
+		g_assert_cmpstr(c.v[0].value.p, ==, "xy");
+		g_assert_cmpstr(c.v[n - 1].key.p, ==, n > 1 ? "b" : "a");
+		if (n > 1) {
+			g_assert_false(c.v[1].deleted);
+			g_assert_cmpuint(c.v[1].value.n, ==, 0);
+		}
+		g_assert_true(str_eq(str_of(&c.last_key), cases[i].last_key));
+		store_changes_free(&c);
+	}
+}
+
 /* Only platform/ contains the platform's field names, paths and keys. */
 static void
 test_names(void)
@@ -670,6 +731,7 @@
 	g_test_add_func("/rest", test_rest);
 	g_test_add_func("/stage", test_stage);
 	g_test_add_func("/store", test_store);
+	g_test_add_func("/store/odd-items", test_store_odd_items);
 	g_test_add_func("/names", test_names);
 	return g_test_run();
 }
