Peers serve the configuration in force, not one that was refused

A host that started while the store held a configuration that can't be read never became ready: it asked the other hosts, and they served that text, which they had refused themselves.

Cause: a text from the store is served to peers as soon as it arrives, before it is parsed, and stays the one that is served if it is refused. Now the text in force is kept and served again after a refusal. An empty value (also one that can't be read) is refused at once.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -630,6 +630,7 @@
 	discovery_free_streams(d->streams);
 	buf_free(&d->config_text);
 	buf_free(&d->queued_config);
+	buf_free(&d->config_in_force);
 	buf_free(&d->config_compressed);
 	pthread_mutex_destroy(&d->lock);
 	free(d);
--- a/entry/discovery_config.c
+++ b/entry/discovery_config.c
@@ -51,6 +51,9 @@
 	if (r == NULL) {
 		LOG(LOG_LVL_ERR, "config-refused",
 		    { "detail", str_from(e.text) });
+		/* Peers that start now need the one that is in force. */
+		if (strcmp(source, FROM_STORE) == 0)
+			set_served_config(d, str_of(&d->config_in_force));
 		return;
 	}
 	if (d->routes != NULL && r->version <= d->routes->version) {
@@ -62,6 +65,8 @@
 	    r->routes->len);
 	routes_unref(d->routes);
 	d->routes = r;
+	buf_clear(&d->config_in_force);
+	buf_put(&d->config_in_force, text);
 	d->view_dirty = true;
 	if (strcmp(source, FROM_STORE) != 0)
 		set_served_config(d, text);
@@ -74,6 +79,11 @@
 void
 discovery_config_from_store(struct discovery *d, struct str text)
 {
+	if (text.n == 0) {
+		LOG(LOG_LVL_ERR, "config-refused",
+		    { "detail", STR("the value in the store is empty") });
+		return;
+	}
 	set_served_config(d, text);
 	discovery_queue_config(d, text, FROM_STORE);
 }
@@ -120,7 +130,7 @@
 	struct discovery *d = arg;
 
 	d->config_fetch_pending = false;
-	if (st == KV_OK && c->n > 0) {
+	if (st == KV_OK && c->n > 0 && c->v[0].value.n > 0) {
 		discovery_queue_config(d, str_of(&c->v[0].value), FROM_STORE);
 		return;
 	}
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -48,7 +48,8 @@
 	bool view_dirty;        /* a new view must be published */
 	bool hosts_dirty;       /* only the hosts have changed */
 	usec_t view_published_at;
-	struct buf queued_config; /* to be applied; empty: none */
+	struct buf config_in_force; /* empty: none */
+	struct buf queued_config;   /* to be applied; empty: none */
 	const char *queued_source;
 	usec_t config_applied_at;
 	usec_t config_apply_time;  /* duration of the last application */
--- a/tests/platform/test_odd_entries.c
+++ b/tests/platform/test_odd_entries.c
@@ -259,6 +259,22 @@
 	check_replaced();
 }
 
+/*
+ * A host that starts while the stored configuration is odd gets it from another
+ * host.
+ */
+static void
+test_late_host(void)
+{
+	fakeplat_put(platform, "op/config", "{\"Version\":");
+	g_usleep((gulong)SETTLE_TIME);
+	start_host(n_hosts, hosts[0].dir);
+	g_assert_true(harness_wait_ready(&hosts[n_hosts], TIMEOUT_SECONDS));
+	n_hosts++;
+	g_assert_cmpint(count_failed(), ==, 0);
+	check_hosts_follow();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -272,6 +288,7 @@
 	g_test_add_func("/odd-entries/listed", test_listed);
 	g_test_add_func("/odd-entries/watched", test_watched);
 	g_test_add_func("/odd-entries/replaced", test_replaced);
+	g_test_add_func("/odd-entries/late-host", test_late_host);
 	rc = g_test_run();
 	for (int i = 0; i < n_hosts; i++) {
 		kill(hosts[i].pid, SIGTERM);
