--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -117,6 +117,66 @@
 	routes_unref(t);
 }
 
+/* Numbers that are too large are cut: none becomes a small one. */
+static void
+test_config_numbers(void)
+{
+	static const char *const numbers[] = { "4294967296",
+		"9223372036854775807" };
+	static const char *const times[] = { "1e18", "1e300" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		const char *n = numbers[i];
+		const char *ms = times[i];
+		g_autofree char *json = g_strdup_printf(
+		    "{\"Version\":7,\"Services\":[{\"Name\":\"s\","
+		    "\"MaxConns\":%s,\"Engine\":{\"Slots\":%s,"
+		    "\"KvTokens\":9},\"Pieces\":{\"Slots\":%s,"
+		    "\"Queue\":%s,\"Batch\":%s,\"CallMs\":%s,"
+		    "\"ItemMs\":%s,\"HeadroomMb\":%s,\"HandleS\":%s}}],"
+		    "\"Limits\":{\"MaxHeaderBytes\":%s,"
+		    "\"MaxBodyBytes\":%s,\"HeaderTimeoutMs\":%s,"
+		    "\"IdleTimeoutMs\":%s},\"Routes\":[{\"Name\":\"r\","
+		    "\"Host\":\"a.example\",\"Prefix\":\"/x/\","
+		    "\"TimeoutMs\":%s,\"SloMs\":%s,\"Attempts\":%s,"
+		    "\"Kind\":\"streaming\",\"GapTargetMs\":%s,"
+		    "\"Priority\":%s,\"Split\":[{\"Service\":\"s\","
+		    "\"Weight\":%s}],\"Stages\":[{\"Service\":\"s\","
+		    "\"After\":[],\"Bytes\":%s}]}],\"Tenants\":["
+		    "{\"Name\":\"t\",\"ApiKeys\":[\"k\"],\"Priority\":%s}]}",
+		    n, n, n, n, n, ms, ms, ms, ms, n, n, ms, ms, ms, ms, n, ms,
+		    n, n, n, n);
+		struct err e = { 0 };
+		struct routes *t = platform_config_parse(str_from(json), &e);
+		const struct route *r;
+		const struct service *s;
+
+		g_test_message("%s", json);
+		g_assert_nonnull(t);
+		r = routes_find(t, STR("a.example"), STR("/x/1"));
+		g_assert_nonnull(r);
+		s = routes_service_at(t, 0);
+		g_assert_cmpuint(s->max_conns, >=, 1000000);
+		g_assert_cmpuint(s->engine.slots, >=, 1000000);
+		g_assert_cmpuint(s->pool.slots, >=, 1000000);
+		g_assert_cmpuint(s->pool.queue, >=, 1000000);
+		g_assert_cmpuint(s->pool.batch, >=, 1000000);
+		g_assert_cmpuint(s->pool.result_bytes, >=, 1ULL << 32);
+		g_assert_cmpint(s->pool.result_ttl, >=, 86400 * USEC_PER_SEC);
+		g_assert_cmpint(r->objective, >=, 86400 * USEC_PER_SEC);
+		g_assert_cmpint(r->first_event_limit, >, r->objective);
+		g_assert_cmpuint(r->attempts, >=, 1000000);
+		g_assert_cmpint(r->rank, >=, 1000000);
+		g_assert_cmpuint(r->shares[0].weight, >=, 1000000);
+		g_assert_cmpint(
+		    routes_key_owner(t, STR("k"))->rank, >=, 1000000);
+		/* Both are added up. */
+		g_assert_cmpuint(
+		    t->head_bytes + t->body_bytes, <, (uint64_t)1 << 62);
+		routes_unref(t);
+	}
+}
+
 /* An entry with the address, slots and state; more is text or "". */
 #define TARGET(addr, slots, state, more)                              \
 	"{\"Service\":\"s\",\"Addr\":" addr ",\"Zone\":\"a\","        \
@@ -721,6 +781,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/config/routes", test_config_routes);
 	g_test_add_func("/config/fields", test_config_fields);
+	g_test_add_func("/config/numbers", test_config_numbers);
 	g_test_add_func("/config/first-event-limit", test_first_event_limit);
 	g_test_add_func("/target", test_target);
 	g_test_add_func("/request", test_request);
