Quarantines and hosts that another writer left don't overflow

Without sanitizers the sum wraps, and the quarantine is deleted at once.

Cause: the end of a quarantine plus its length overflows, and so does a version that is increased later; both were taken up to 2^63 - 1. An incarnation of 2^64 - 1 in the list of hosts leaves no room for those that a host gives itself when others take it for lost.

Now such values count as malformed. A quarantine whose value in the store can't be read any more is written again by the hosts that know it.

Before, on the parent: kernel/quarantine.c:331:29: runtime error: signed integer overflow: + 600000 cannot be represented in type 'long int' test_values: (quarantine_read(...) == values[i].result): (1 == 2) test_replaced: 'quarantine_next_due(&q, 0, SEC(102))' should not be NULL test_host_list, test_malformed: (n.learned == 0): (1 == 0) After: test_quarantine (8), test_host_list (4) pass.

--- a/kernel/host_list.c
+++ b/kernel/host_list.c
@@ -4,12 +4,14 @@
 #include <inttypes.h>
 #include <string.h>
 
-#define CHECK_INTERVAL (500 * USEC_PER_MSEC)
-#define STABLE_TIME    (2 * USEC_PER_SEC)
-#define WRITE_INTERVAL (5 * USEC_PER_SEC)
-#define HASH_SEED      11
+#define CHECK_INTERVAL  (500 * USEC_PER_MSEC)
+#define STABLE_TIME     (2 * USEC_PER_SEC)
+#define WRITE_INTERVAL  (5 * USEC_PER_SEC)
+#define HASH_SEED       11
 /* The store takes values of up to 1 MB, encoded. */
-#define MAX_LIST_BYTES ((size_t)512 * 1024)
+#define MAX_LIST_BYTES  ((size_t)512 * 1024)
+/* Hosts increase theirs, each time that others take them for lost. */
+#define MAX_INCARNATION (UINT64_MAX - UINT32_MAX)
 
 static bool
 next_field(struct str *line, char *out, size_t size)
@@ -43,6 +45,7 @@
 	    !next_field(&line, x->operators, sizeof(x->operators)) ||
 	    !next_field(&line, x->domain, sizeof(x->domain)) ||
 	    !next_number(&line, &x->incarnation) ||
+	    x->incarnation > MAX_INCARNATION ||
 	    !next_number(&line, &capacity) || capacity > UINT32_MAX ||
 	    line.n > 0)
 		return false;
--- a/kernel/quarantine.c
+++ b/kernel/quarantine.c
@@ -211,7 +211,7 @@
 
 	if (!next_number(&value, &e->version) || !next_number(&value, &until) ||
 	    !next_number(&value, &length) || length > QUARANTINE_LONGEST_MS ||
-	    until > MAX_TIME_MS)
+	    e->version == INT64_MAX || until > MAX_TIME_MS)
 		return false;
 	e->until_ms = (int64_t)until;
 	e->length_ms = (int64_t)length;
@@ -233,9 +233,16 @@
 	struct quarantine_entry *e;
 	uint64_t unused;
 
-	if (!read_part(id, &unused) || !read_value(value, &x))
-		return QUARANTINE_MALFORMED;
 	e = find_entry(q, id);
+	if (!read_part(id, &unused) || !read_value(value, &x)) {
+		if (e != NULL && from_store) {
+			/* Another writer has replaced it. */
+			e->stored = false;
+			e->sent_at = now;
+			e->send_pause = SEND_PAUSE_MIN;
+		}
+		return QUARANTINE_MALFORMED;
+	}
 	if (e == NULL)
 		e = add_entry(q, id);
 	if (e->version > x.version) {
--- a/tests/kernel/test_host_list.c
+++ b/tests/kernel/test_host_list.c
@@ -99,7 +99,9 @@
 	static const char *const lines[] = { "h1", "\t\t\t\t\t",
 		"h1\t10.0.0.1:1\t\td\tx\t5", "h1\t10.0.0.1:1\t\td\t5\t-1",
 		"h1\t10.0.0.1:1\t\td\t5\t5\tmore", "h1\t\t\td\t5\t5",
-		"h1\t10.0.0.1:1\t\td\t5\t99999999999", "\x01\xff\xfe" };
+		"h1\t10.0.0.1:1\t\td\t5\t99999999999",
+		"h1\t10.0.0.1:1\t\td\t18446744073709551615\t5",
+		"\x01\xff\xfe" };
 	struct members t;
 
 	init_fleet(&t, 1, 1);
--- a/tests/kernel/test_quarantine.c
+++ b/tests/kernel/test_quarantine.c
@@ -135,6 +135,10 @@
 	    QUARANTINE_MALFORMED },
 	{ "a part that is no number", "00000000000000aa",
 	    "1\t5\t600000\t000000000000000g", QUARANTINE_MALFORMED },
+	{ "a version that can't be increased", "00000000000000aa",
+	    "9223372036854775807\t5\t600000\t" PARTS_1, QUARANTINE_MALFORMED },
+	{ "an end that can't be renewed", "00000000000000aa",
+	    "1\t9223372036854775807\t600000\t" PARTS_1, QUARANTINE_MALFORMED },
 	{ "a bad id", "aa", "1\t5\t600000\t" PARTS_1, QUARANTINE_MALFORMED },
 	{ "an empty id", "", "1\t5\t600000\t" PARTS_1, QUARANTINE_MALFORMED },
 };
@@ -167,6 +171,22 @@
 	}
 }
 
+/* What another writer has put in the place of an entry is replaced. */
+static void
+test_replaced(void)
+{
+	struct str id = STR("00000000000000aa");
+	struct quarantine q;
+
+	quarantine_init(&q);
+	quarantine_read(&q, id, STR("1\t5\t600000\t" PARTS_1), true, SEC(1));
+	g_assert_null(quarantine_next_due(&q, 0, SEC(100)));
+	g_assert_cmpint(quarantine_read(&q, id, STR("odd"), true, SEC(100)), ==,
+	    QUARANTINE_MALFORMED);
+	g_assert_nonnull(quarantine_next_due(&q, 0, SEC(102)));
+	quarantine_free(&q);
+}
+
 /* Gives all entries of one host to another. */
 static void
 pass_on(const struct quarantine *from, struct quarantine *to, bool from_store)
@@ -314,6 +334,7 @@
 	g_test_add_func("/quarantine/match", test_match);
 	g_test_add_func("/quarantine/again", test_again);
 	g_test_add_func("/quarantine/values", test_values);
+	g_test_add_func("/quarantine/replaced", test_replaced);
 	g_test_add_func("/quarantine/agreement", test_agreement);
 	g_test_add_func("/quarantine/send", test_send);
 	g_test_add_func("/quarantine/sent-elsewhere", test_sent_elsewhere);
