Odd records of streams and odd base versions are replaced

What callers see: with one value under sequoia/streams/ that can't be read, left by another writer, a resumed stream that no host knows can't be looked up (RESUME_NOWHERE), for as long as the value stays. A value of sequoia/versions that can't be read cleared the base versions; without a base, streams may go on at another version. A record with a second of 2^63 - 1 under a host's own name made the host number its records from there when it started again.

Cause: a malformed record counts as one that may hold the stream, which is right for a while only; nobody replaced it. The bases were cleared before the value was read.

Now the first feeder replaces an odd record by one of this second that says that records are missing; it stops to count after a minute, like any record, also for hosts of an older build. Values in a format of a later build are left alone. Bases that can't be read leave the known ones in force, and these are written again.

--- a/entry/discovery_streams.c
+++ b/entry/discovery_streams.c
@@ -360,25 +360,59 @@
 	    g_strconcat(RECORDS_PREFIX, d->o.settings->id, "/", NULL);
 	int64_t second;
 
-	if (s->listed || !str_has_prefix(key, str_from(own)))
+	if (s->listed || !str_has_prefix(key, str_from(own)) ||
+	    stream_record_is_odd(value, clock_wall() / USEC_PER_SEC))
 		return;
 	second = stream_record_second(value);
 	if (second > s->last_second)
 		s->last_second = second;
 }
 
+/*
+ * While a record is odd, streams that no host knows can't be looked up: the
+ * first feeder replaces it by one that ends to count after a while.
+ */
+static void
+replace_odd_record(struct discovery *d, struct str key, struct str value)
+{
+	int64_t now = clock_wall() / USEC_PER_SEC;
+	struct buf lost = { 0 };
+
+	if (!stream_record_is_odd(value, now) || !discovery_is_first_feeder(d))
+		return;
+	LOG(LOG_LVL_WARNING, "stream-record-malformed", { "key", key });
+	stream_record_write_lost(now, &lost);
+	kv_put_item(d->kv, key, str_of(&lost), NULL, NULL);
+	buf_free(&lost);
+}
+
+/* What this host knows takes the place of bases that can't be read. */
+static void
+read_bases(struct discovery *d, struct str value)
+{
+	struct stream_store *s = d->streams;
+
+	if (stream_bases_read(&s->bases, value)) {
+		s->bases_changed = false;
+		d->view_dirty = true;
+		return;
+	}
+	s->bases_changed = g_hash_table_size(s->bases.by_service) > 0;
+	LOG(LOG_LVL_WARNING, "stream-versions-malformed",
+	    { "key", STR(BASES_KEY) });
+}
+
 bool
 discovery_stream_item(struct discovery *d, struct str key, struct str value)
 {
 	if (discovery_is_stream_record(key)) {
 		read_own_record(d, key, value);
+		replace_odd_record(d, key, value);
 		return true;
 	}
 	if (!str_eq(key, STR(BASES_KEY)))
 		return false;
-	stream_bases_read(&d->streams->bases, value);
-	d->streams->bases_changed = false;
-	d->view_dirty = true;
+	read_bases(d, value);
 	return true;
 }
 
--- a/kernel/stream_records.c
+++ b/kernel/stream_records.c
@@ -10,6 +10,8 @@
 #define FULL_LINE      "full"
 /* Later seconds can't be told in microseconds. */
 #define MAX_SECOND     (INT64_MAX / USEC_PER_SEC)
+/* The clocks of two hosts differ by less, in s. */
+#define MAX_AHEAD      3600
 /*
  * A base is replaced once no target of it has been listed for this time: longer
  * than a stream and the pause until its caller resumes it.
@@ -91,6 +93,14 @@
 	g_hash_table_destroy(r->groups);
 }
 
+/* Reads service and version of a line; the hashes are left. */
+static bool
+read_names(struct str *line, struct str *service, struct str *version)
+{
+	return str_cut(line, ' ', service) && str_cut(line, ' ', version) &&
+	    version->n < STREAM_VERSION_BYTES;
+}
+
 /* Looks into the line of a service and version. */
 static void
 look_at_line(struct stream_record_search *s, struct str line)
@@ -100,8 +110,7 @@
 	struct str part;
 	char wanted[17];
 
-	if (!str_cut(&line, ' ', &service) || !str_cut(&line, ' ', &version) ||
-	    version.n >= sizeof(s->version)) {
+	if (!read_names(&line, &service, &version)) {
 		s->incomplete = true;
 		return;
 	}
@@ -138,6 +147,35 @@
 	return read_second(&value);
 }
 
+bool
+stream_record_is_odd(struct str value, int64_t now)
+{
+	struct str rest = value;
+	struct str line;
+	struct str format;
+	struct str version;
+	uint64_t n;
+	int64_t second = read_second(&value);
+
+	if (second == 0)
+		return !str_cut(&rest, ' ', &format) || rest.p == NULL ||
+		    !str_parse_u64(format, &n) || str_eq(format, STR(FORMAT));
+	if (second > now + MAX_AHEAD)
+		return true;
+	while (value.n > 0 && str_cut(&value, '\n', &line)) {
+		if (!str_eq(line, STR(FULL_LINE)) &&
+		    !read_names(&line, &format, &version))
+			return true;
+	}
+	return false;
+}
+
+void
+stream_record_write_lost(int64_t now, struct buf *out)
+{
+	buf_printf(out, FORMAT " %" PRId64 "\n" FULL_LINE "\n", now);
+}
+
 void
 stream_record_look(struct stream_record_search *s, struct str value)
 {
@@ -178,21 +216,31 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
-void
+bool
 stream_bases_read(struct stream_bases *b, struct str value)
 {
+	GHashTable *read =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	bool ok = value.n > 0 || g_hash_table_size(b->by_service) == 0;
 	struct str line;
 	struct str service;
 
 	b->known = true;
-	g_hash_table_remove_all(b->by_service);
-	while (value.n > 0 && str_cut(&value, '\n', &line)) {
-		if (str_cut(&line, ' ', &service) && line.n > 0 &&
-		    line.n < STREAM_VERSION_BYTES)
-			g_hash_table_insert(b->by_service,
+	while (ok && value.n > 0 && str_cut(&value, '\n', &line)) {
+		ok = str_cut(&line, ' ', &service) && service.n > 0 &&
+		    line.n > 0 && line.n < STREAM_VERSION_BYTES;
+		if (ok)
+			g_hash_table_insert(read,
 			    g_strndup(service.p, service.n),
 			    g_strndup(line.p, line.n));
 	}
+	if (ok) {
+		g_hash_table_destroy(b->by_service);
+		b->by_service = read;
+	} else {
+		g_hash_table_destroy(read);
+	}
+	return ok;
 }
 
 const char *
--- a/kernel/stream_records.h
+++ b/kernel/stream_records.h
@@ -73,6 +73,16 @@
 
 /* Returns the second of an item's value; 0: it is malformed. */
 int64_t stream_record_second(struct str value);
+/*
+ * Whether no host writes such a value: it is malformed, or of a time that has
+ * yet to come.  One in a format of another build is not.
+ */
+bool stream_record_is_odd(struct str value, int64_t now);
+/*
+ * Writes the value that takes the place of an odd one: records of this second
+ * may be missing.
+ */
+void stream_record_write_lost(int64_t now, struct buf *out);
 /* Looks into an item's value. */
 void stream_record_look(struct stream_record_search *s, struct str value);
 
@@ -92,8 +102,11 @@
 };
 
 void stream_bases_init(struct stream_bases *b);
-/* Reads the store's item; an empty one has no base. */
-void stream_bases_read(struct stream_bases *b, struct str value);
+/*
+ * Reads the store's item.  Returns false if it is malformed, or empty although
+ * there are bases: these stay as they are.
+ */
+bool stream_bases_read(struct stream_bases *b, struct str value);
 /* Returns NULL if the service has none. */
 const char *stream_bases_find(
     const struct stream_bases *b, const char *service);
--- a/tests/kernel/test_stream_records.c
+++ b/tests/kernel/test_stream_records.c
@@ -101,6 +101,69 @@
 	g_assert_cmpint(stream_record_second(STR("1 100\ns v 01\n")), ==, 100);
 }
 
+/* Which values another writer has left. */
+static void
+test_odd(void)
+{
+	static const struct {
+		const char *value;
+		bool odd;
+	} cases[] = {
+		{ "1 100\ns v1 01\n", false },
+		{ "1 100\ns v1 01\nfull\n", false },
+		{ "1 3700\n", false },
+		/* Of a build to come. */
+		{ "2 100 more\n", false },
+		{ "", true },
+		{ "x", true },
+		{ "9223372036854775807", true },
+		{ "\xff\xfe", true },
+		{ "1 x\n", true },
+		{ "1 100\ns\n", true },
+		{ "1 3701\n", true },
+		{ "1 9223372036854775807\nfull\n", true },
+	};
+	struct stream_record_search s = { .service = "s", .now = 150 };
+	struct buf lost = { 0 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_test_message("\"%s\"", cases[i].value);
+		g_assert_cmpint(
+		    stream_record_is_odd(str_from(cases[i].value), 100), ==,
+		    cases[i].odd);
+	}
+	/* What takes its place counts for as long as records do. */
+	stream_record_write_lost(100, &lost);
+	g_assert_false(stream_record_is_odd(str_of(&lost), 100));
+	stream_record_look(&s, str_of(&lost));
+	g_assert_true(s.incomplete);
+	s = (struct stream_record_search){ .service = "s", .now = 200 };
+	stream_record_look(&s, str_of(&lost));
+	g_assert_false(s.incomplete);
+	buf_free(&lost);
+}
+
+/* Bases that another writer has replaced stay as they are known. */
+static void
+test_odd_bases(void)
+{
+	static const char *const values[] = { "", "x", "\xff\xfe", "s\n",
+		"s \n", " v2\n", "s v2\nx\n" };
+	struct stream_bases b;
+
+	stream_bases_init(&b);
+	g_assert_true(stream_bases_read(&b, STR("")));
+	g_assert_true(stream_bases_read(&b, STR("s v1\n")));
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		g_test_message("\"%s\"", values[i]);
+		g_assert_false(stream_bases_read(&b, str_from(values[i])));
+		g_assert_cmpstr(stream_bases_find(&b, "s"), ==, "v1");
+	}
+	g_assert_true(stream_bases_read(&b, STR("s v2\n")));
+	g_assert_cmpstr(stream_bases_find(&b, "s"), ==, "v2");
+	stream_bases_free(&b);
+}
+
 static const struct {
 	const char *name;
 	bool readable, found, incomplete;
@@ -322,6 +385,8 @@
 	g_test_add_func("/stream-records/items", test_items);
 	g_test_add_func("/stream-records/full", test_full);
 	g_test_add_func("/stream-records/malformed", test_malformed);
+	g_test_add_func("/stream-records/odd", test_odd);
+	g_test_add_func("/stream-records/odd-bases", test_odd_bases);
 	g_test_add_func("/stream-records/decide", test_decide);
 	g_test_add_func("/stream-records/bases", test_bases);
 	g_test_add_func("/stream-records/records", test_records);
--- a/tests/platform/test_odd_entries.c
+++ b/tests/platform/test_odd_entries.c
@@ -20,6 +20,8 @@
 #define TIMEOUT_SECONDS 15
 /* Changes reach all hosts within this time. */
 #define SETTLE_TIME     (1500 * USEC_PER_MSEC)
+/* The list of hosts is written at most every 5 s. */
+#define REWRITE_TIME    (8 * USEC_PER_SEC)
 #define REQUESTS        40
 #define PAGE_ITEMS      3
 
@@ -259,6 +261,68 @@
 	check_replaced();
 }
 
+/* Hosts write again what another writer has replaced. */
+static void
+check_value(const char *key, const char *beginning)
+{
+	usec_t deadline = clock_now() + REWRITE_TIME;
+	g_autofree char *value = fakeplat_get(platform, key);
+
+	while (!g_str_has_prefix(value, beginning) && clock_now() < deadline) {
+		g_usleep(100000);
+		g_free(value);
+		value = fakeplat_get(platform, key);
+	}
+	g_test_message("%s: \"%s\"", key, value);
+	g_assert_true(g_str_has_prefix(value, beginning));
+}
+
+#define ODD_HOSTS                                                       \
+	"h1\t127.0.0.1:99999\t\td1\t18446744073709551615\t4294967295\n" \
+	"h9\tno.such.name:1\t\td1\t18446744073709551615\t1\n"
+
+static void
+test_other_keys(void)
+{
+	static const char *const keys[] = {
+		"sequoia/hosts",
+		"sequoia/versions",
+		"sequoia/streams/h1/3",
+		"sequoia/streams/odd",
+		"sequoia/streams/",
+		"sequoia/quarantine/0123456789abcdef",
+		"sequoia/quarantine/odd",
+		"sequoia/quarantine/",
+		"sequoia/",
+		"servers/",
+		"op/config",
+		"op/",
+		"zz",
+	};
+	static const char *const odd[] = {
+		"",
+		"\xff\xfe\x80",
+		"9223372036854775807",
+		"1 9223372036854775807\nfull\n",
+		"1\t9223372036854775807\t600000\t0123456789abcdef",
+		ODD_HOSTS,
+		"[[[[[[[[",
+		"{\"Version\":9223372036854775807}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		for (size_t k = 0; k < G_N_ELEMENTS(keys); k++)
+			fakeplat_put(platform, keys[k], odd[i]);
+		g_usleep((gulong)SETTLE_TIME);
+		g_test_message("%s", odd[i]);
+		g_assert_cmpint(count_failed(), ==, 0);
+		check_value("sequoia/versions", "plain v1\n");
+		check_value("sequoia/streams/odd", "1 ");
+		check_value("sequoia/hosts", "h1\t127.0.0.1:24212\t");
+	}
+	check_hosts_follow();
+}
+
 /*
  * A host that starts while the stored configuration is odd gets it from another
  * host.
@@ -288,6 +352,7 @@
 	g_test_add_func("/odd-entries/listed", test_listed);
 	g_test_add_func("/odd-entries/watched", test_watched);
 	g_test_add_func("/odd-entries/replaced", test_replaced);
+	g_test_add_func("/odd-entries/other-keys", test_other_keys);
 	g_test_add_func("/odd-entries/late-host", test_late_host);
 	rc = g_test_run();
 	for (int i = 0; i < n_hosts; i++) {
