dial: an extra response that ends with its connection ends the call

Callers waited until their deadline, for a call that can't be answered any more: a target wrote an extra response without a length, with the id of an earlier call, and closed the connection. on_event() completed and skipped that response, but the waiting call stayed on the closed connection. Now the call fails at once (DIAL_BROKEN), like any call whose connection breaks.

The new row of /dial/endless on the code before:

ERROR: test_dial.c:327:test_endless: assertion failed (clock_now() - start < CLOSE_TIMEOUT / 2): (5004259 < 2500000)

It passes now.

--- a/plat/dial.c
+++ b/plat/dial.c
@@ -372,7 +372,9 @@
 		fail_call(c, DIAL_UNSENT);
 		return;
 	}
-	if ((what & BEV_EVENT_EOF) && c->response.state == HTTPMSG_BODY) {
+	/* Without a delivered head, what ends here is another response. */
+	if ((what & BEV_EVENT_EOF) && c->response.state == HTTPMSG_BODY &&
+	    c->call->head_delivered) {
 		httpmsg_eof(&c->response);
 		if (c->response.state == HTTPMSG_DONE) {
 			on_message(c);
--- a/tests/plat/test_dial.c
+++ b/tests/plat/test_dial.c
@@ -185,6 +185,8 @@
 #define ENDLESS_BYTES ((size_t)256 * 1024 * 1024)
 #define ENDLESS_CHUNK ((size_t)64 * 1024)
 #define CALL_TIMEOUT  (200 * USEC_PER_MSEC)
+/* A call whose connection closes ends well before this. */
+#define CLOSE_TIMEOUT (5 * USEC_PER_SEC)
 
 /* A target that answers each request with the same bytes, again and again. */
 struct endless_server {
@@ -192,6 +194,7 @@
 	const char *begin; /* sent once */
 	const char *unit;  /* sent without end; empty: nothing */
 	size_t sent;
+	bool closes; /* when all has been sent */
 	bool begun;
 	bool closed;
 	enum dial_event last;
@@ -209,6 +212,10 @@
 		evbuffer_add(out, s->unit, strlen(s->unit));
 		s->sent += strlen(s->unit);
 	}
+	if (s->closes && s->begun && evbuffer_get_length(out) == 0) {
+		s->closed = true;
+		bufferevent_free(b);
+	}
 }
 
 static void
@@ -220,7 +227,8 @@
 	evbuffer_drain(in, evbuffer_get_length(in));
 	evbuffer_add(bufferevent_get_output(b), s->begin, strlen(s->begin));
 	s->begun = true;
-	on_endless_writable(b, s);
+	if (!s->closes)
+		on_endless_writable(b, s);
 }
 
 static void
@@ -266,6 +274,7 @@
 	static const struct {
 		const char *name, *begin, *unit;
 		enum dial_event end;
+		bool closes;
 	} cases[] = {
 		{ "a status line", "HTTP/1.1 200 ", "O", DIAL_BAD_RESPONSE },
 		{ "a field", "HTTP/1.1 200 OK\r\nX: ", "x", DIAL_BAD_RESPONSE },
@@ -281,11 +290,16 @@
 		{ "the body of another response",
 		    "HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "x", DIAL_BROKEN },
 		{ "nothing", "", "", DIAL_BROKEN },
+		{ "another response that ends with the connection",
+		    "HTTP/1.1 200 OK\r\nId: other\r\n\r\nx", "", DIAL_BROKEN,
+		    true },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct endless_server s = { .begin = cases[i].begin,
-			.unit = cases[i].unit };
+			.unit = cases[i].unit,
+			.closes = cases[i].closes };
+		usec_t start = clock_now();
 		struct sockaddr_in sa = { .sin_family = AF_INET,
 			.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
 		socklen_t len = sizeof(sa);
@@ -310,13 +324,18 @@
 			.call_id_name = STR("Id"),
 			.call_id = STR("this"),
 			.connect_timeout = 10 * USEC_PER_SEC,
-			.timeout = *cases[i].unit == '\0' ? CALL_TIMEOUT : 0,
+			.timeout = cases[i].closes   ? CLOSE_TIMEOUT
+			    : *cases[i].unit == '\0' ? CALL_TIMEOUT
+						     : 0,
 			.handler = on_endless_response,
 			.arg = &s,
 		    }));
 		while (!s.ended)
 			event_base_loop(s.base, EVLOOP_ONCE);
 		g_assert_cmpint(s.last, ==, cases[i].end);
+		if (cases[i].closes)
+			g_assert_cmpint(
+			    clock_now() - start, <, CLOSE_TIMEOUT / 2);
 		g_assert_cmpuint(s.sent, <, ENDLESS_BYTES);
 		while (!s.closed)
 			event_base_loop(s.base, EVLOOP_ONCE);
