dial: bytes that were read on an idle connection are no response

A call without an id took a refusal for its own response that its target had written once more on the idle connection before the call was sent. take_idle() looks at the socket for such bytes, but with BEV_OPT_DEFER_CALLBACKS the loop may have read them already, while on_readable(), which closes the connection, waits for its turn. Now such a connection isn't used either. (Calls with an id tell the response by that.)

/dial/repeated-refusal on the code before, three of three runs:

ERROR: test_dial.c:216:test_repeated_refusal: assertion failed (s.status == 200): (503 == 200)

It passes now, three of three.

--- a/plat/dial.c
+++ b/plat/dial.c
@@ -477,8 +477,10 @@
 		n = recv(bufferevent_getfd(c->bev), &byte, 1,
 		    MSG_PEEK | MSG_DONTWAIT);
 
+		/* What has been read may not have been handled yet. */
 		if (now - c->idle_since < c->idle_max && n < 0 &&
-		    (errno == EAGAIN || errno == EWOULDBLOCK)) {
+		    (errno == EAGAIN || errno == EWOULDBLOCK) &&
+		    evbuffer_get_length(bufferevent_get_input(c->bev)) == 0) {
 			g_queue_unlink(q, &c->pool_link);
 			return c;
 		}
--- a/tests/plat/test_dial.c
+++ b/tests/plat/test_dial.c
@@ -30,7 +30,9 @@
 	int n_open;
 	int n_accepted;
 	int max_open;
-	int n_ended; /* calls */
+	int n_ended;              /* calls */
+	int status;               /* of the last response */
+	struct bufferevent *last; /* connection */
 };
 
 static void
@@ -69,6 +71,7 @@
 	s->n_accepted++;
 	s->n_open++;
 	s->max_open = MAX(s->max_open, s->n_open);
+	s->last = b;
 	bufferevent_setcb(b, on_server_bytes, NULL, on_server_event, s);
 	bufferevent_enable(b, EV_READ | EV_WRITE);
 }
@@ -97,10 +100,10 @@
 {
 	struct server *s = arg;
 
-	(void)m;
 	g_assert_cmpint(ev, !=, DIAL_BROKEN);
 	g_assert_cmpint(ev, !=, DIAL_UNSENT);
 	s->n_ended += ev == DIAL_END;
+	s->status = m->parser.status_code;
 }
 
 static void
@@ -181,6 +184,54 @@
 	}
 }
 
+struct late_call {
+	struct server *s;
+	struct dialer *d;
+};
+
+static void
+start_late_call(evutil_socket_t fd, short what, void *arg)
+{
+	struct late_call *l = arg;
+
+	(void)fd;
+	(void)what;
+	call(l->s, l->d, 0, 0);
+}
+
+/* A refusal that arrives just before a call begins isn't its response. */
+static void
+test_repeated_refusal(void)
+{
+	static const char refusal[] =
+	    "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+	struct server s;
+	struct late_call l = { &s };
+	struct timeval soon = { 0, 1000 };
+
+	open_server(&s);
+	l.d = dialer_new(s.base);
+	call(&s, l.d, 0, 0);
+	while (s.n_ended < 1)
+		event_base_loop(s.base, EVLOOP_ONCE);
+	event_base_loop(s.base, EVLOOP_NONBLOCK);
+	/* One turn of the loop reads the refusal, then begins the call. */
+	g_assert_cmpint(send(bufferevent_getfd(s.last), refusal,
+			    sizeof(refusal) - 1, MSG_NOSIGNAL),
+	    ==, sizeof(refusal) - 1);
+	event_base_once(s.base, -1, EV_TIMEOUT, start_late_call, &l, &soon);
+	g_usleep(5000);
+	while (s.n_ended < 2)
+		event_base_loop(s.base, EVLOOP_ONCE);
+	g_assert_cmpint(s.status, ==, 200);
+	dialer_free(l.d);
+	while (s.n_open > 0)
+		event_base_loop(s.base, EVLOOP_ONCE);
+	event_base_loop(s.base, EVLOOP_NONBLOCK);
+	evconnlistener_free(s.listener);
+	event_base_free(s.base);
+}
+
 /* Bytes that a target sends at most, to which a dialer never reads on. */
 #define ENDLESS_BYTES ((size_t)256 * 1024 * 1024)
 #define ENDLESS_CHUNK ((size_t)64 * 1024)
@@ -352,5 +403,6 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/dial/endless", test_endless);
 	g_test_add_func("/dial/idle-conns", test_idle_conns);
+	g_test_add_func("/dial/repeated-refusal", test_repeated_refusal);
 	return g_test_run();
 }
