coordinator: an earlier answer written once more is not a stage call's

Callers could be answered from other requests' pieces (MIXED). A target wrote an earlier answer, a refusal or results, once more on a kept connection before it answered the next stage call. Stage calls carry no id that the answer echoes, so the earlier answer was taken for the next one's, and the real answer, which came later, for the call after that, on and on.

- dial: a call without an id names the field that must be absent from its response, so a response that echoes a request's id is skipped.
Its connection is closed afterwards unless dial_confirm() was called.
- coordinator: only a response with a handle that was never returned before confirms the call: a refusal, or reasons alone, may be an earlier one's.
A response with a known handle, or with one twice, isn't the call's.
Handles are kept for a minute (kernel/recent_set), connections are used for half of it, so a handle is known for as long as it can be repeated.
So far only the target's very last response was compared.
- Calls that free results confirm at once: their displaced response has no results, so no stage call takes it for its own.
- A host that makes such a call for another one uses a new connection each time and closes it: the asker knows the handles, this host the connections.

Messages between hosts are unchanged. As the answer of a call can't be displaced by a new answer unless an earlier one was accepted in its place, and the connection is closed in that case, results always stay with their call.

--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -176,6 +176,7 @@
 	    g_str_hash, g_str_equal, g_free, free_pending_frees);
 	c->last_responses =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	recent_set_init(&c->handles, HANDLE_MEMORY);
 	result_space_init(&c->result_space);
 	c->local_replies = g_ptr_array_new();
 	c->local_reply_event =
@@ -757,6 +758,7 @@
 	event_free(c->local_reply_event);
 	g_ptr_array_unref(c->local_replies);
 	result_space_free(&c->result_space);
+	recent_set_free(&c->handles);
 	routes_unref(c->routes);
 	free(c);
 }
--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -18,6 +18,7 @@
  */
 #define INPUT_FETCH_TIME (80 * USEC_PER_MSEC)
 #define MAX_PIECE_SENDS  3
+#define HANDLE_HASH_SEED 23
 /* Frees that are not confirmed by then are given up: results expire. */
 #define FREE_TIMEOUT     (5 * USEC_PER_SEC)
 
@@ -134,6 +135,23 @@
 	return false;
 }
 
+/*
+ * Whether each handle is in its first response.  One that was seen before, or
+ * is there twice, names a result of other pieces.
+ */
+static bool
+handles_are_new(
+    struct coordinator *c, const struct piece_result *v, size_t n, usec_t now)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (v[i].outcome == PIECE_DONE &&
+		    !recent_set_add(&c->handles,
+			hash_u64(str_from(v[i].handle), HANDLE_HASH_SEED), now))
+			return false;
+	}
+	return true;
+}
+
 /* Reads the results; false if the response can't belong to this call. */
 static bool
 take_results(struct batch_call *call, struct evbuffer *body, usec_t now)
@@ -148,7 +166,8 @@
 	    is_previous_response(call->coordinator, call->target_id, text))
 		return false;
 	v = xcalloc(call->items->len, sizeof(*v));
-	ok = platform_stage_results(text, v, call->items->len);
+	ok = platform_stage_results(text, v, call->items->len) &&
+	    handles_are_new(call->coordinator, v, call->items->len, now);
 	for (guint i = 0; ok && i < call->items->len; i++) {
 		const struct batch_item *it =
 		    &g_array_index(call->items, struct batch_item, i);
@@ -162,6 +181,9 @@
 	}
 	if (missing > 0)
 		hold_missing_space(call, missing, now);
+	/* Reasons alone are no proof: any earlier response may have them. */
+	if (call->n_made > 0)
+		target_call_confirm(call->dial);
 	free(v);
 	return ok;
 }
@@ -313,7 +335,9 @@
 		.addr = str_from(t->entry.addr),
 		.head = str_of(&head),
 		.body = b,
+		.call_id_name = platform_call_id_name(),
 		.connect_timeout = CONNECT_TIMEOUT,
+		.max_age = HANDLE_MEMORY / 2,
 		.timeout = timeout,
 		.handler = handler,
 		.arg = arg,
@@ -330,12 +354,16 @@
 	struct pending_frees *u =
 	    g_hash_table_lookup(c->pending_frees, t->entry.addr);
 	struct buf body = { 0 };
+	struct target_call *call;
 
 	if (u == NULL)
 		return;
 	platform_stage_free_body(&body, str_of(&u->handles));
-	post(c, t, PLATFORM_STAGE_FREE_PATH, str_of(&body), FREE_TIMEOUT,
+	call = post(c, t, PLATFORM_STAGE_FREE_PATH, str_of(&body), FREE_TIMEOUT,
 	    on_free_dial_event, NULL);
+	/* A later call doesn't take a response without results for its own. */
+	if (call != NULL)
+		target_call_confirm(call);
 	buf_free(&body);
 	g_hash_table_remove(c->pending_frees, t->entry.addr);
 }
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -9,8 +9,12 @@
 #include "kernel/overload/batch.h"
 #include "kernel/bounds.h"
 #include "kernel/overload/result_space.h"
+#include "kernel/recent_set.h"
 #include "platform/stage.h"
 
+/* Handles are known for longer than the connections that they came on live. */
+#define HANDLE_MEMORY (60 * USEC_PER_SEC)
+
 struct pool; /* waiting pieces of one service */
 
 struct job_piece {
@@ -90,6 +94,7 @@
 	GHashTable *calls;          /* struct batch_call */
 	GHashTable *pending_frees;  /* address -> struct pending_frees */
 	GHashTable *last_responses; /* target id -> hash of the last response */
+	struct recent_set handles;  /* hashes of those that were returned */
 	struct result_space result_space; /* of all targets */
 	bool draining;
 	usec_t started;
--- a/entry/served_calls.c
+++ b/entry/served_calls.c
@@ -262,11 +262,12 @@
 	o = (struct dial_opts){
 		.addr = str_from(t->entry.addr),
 		.body = m->body,
-		.call_id_name = id.n > 0 ? platform_call_id_name() : STR(""),
+		.call_id_name = platform_call_id_name(),
 		.call_id = id.n > 0 ? id : STR(""),
 		.head_only = query.head_only != 0,
 		.connect_timeout = CONNECT_TIMEOUT,
-		.max_idle_time = (usec_t)query.max_idle,
+		/* The asker can't know what this host's connections got. */
+		.max_idle_time = id.n > 0 ? (usec_t)query.max_idle : 1,
 		.max_idle_conns = (uint32_t)query.max_conns,
 		.handler = on_served_event,
 		.arg = s,
--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -331,6 +331,9 @@
 	o.addr = str_from(h->addr);
 	o.head = str_of(&head);
 	o.head_only = false;
+	/* The other host checks the responses to calls without an id. */
+	if (o.call_id.n == 0)
+		o.call_id_name = STR("");
 	o.connect_timeout = CONNECT_TIMEOUT;
 	o.max_idle_conns = 0;
 	o.handler = on_host_event;
@@ -389,6 +392,12 @@
 	dial_cancel(dial);
 }
 
+void
+target_call_confirm(struct target_call *k)
+{
+	dial_confirm(k->dial);
+}
+
 bool
 target_call_has_input(const struct target_call *k)
 {
--- a/entry/target_calls.h
+++ b/entry/target_calls.h
@@ -65,6 +65,8 @@
 void target_call_cancel(struct target_call *k);
 /* As dial_has_input. */
 bool target_call_has_input(const struct target_call *k);
+/* As dial_confirm. */
+void target_call_confirm(struct target_call *k);
 /* Whether the call is made on a direct connection. */
 bool target_call_is_direct(const struct target_call *k);
 /* Serves a request of another host for a call, on TARGET_CALLS_URL. */
--- a/plat/dial.c
+++ b/plat/dial.c
@@ -42,6 +42,7 @@
 	dial_test_handler test;          /* of a test that goes on; or NULL */
 	void *test_arg;
 	char *addr;
+	usec_t opened;
 	usec_t idle_since;
 	usec_t idle_max;
 	uint32_t max_idle_conns; /* as set by the last call */
@@ -64,6 +65,7 @@
 	uint32_t late_turns; /* of the loop since its time was over */
 	bool head_delivered;
 	bool head_only;
+	bool confirmed; /* the response is known to be the call's own */
 };
 
 struct failed_test {
@@ -209,6 +211,8 @@
 	c->call = NULL;
 	c->pooled = false;
 	k->handler(k->arg, DIAL_END, &c->response);
+	if (k->call_id_name.n > 0 && k->call_id.n == 0 && !k->confirmed)
+		reusable = false;
 	free_call(k);
 	if (evbuffer_get_length(in) > 0) {
 		c->d->counts.stray++;
@@ -440,6 +444,7 @@
 	c = xcalloc(1, sizeof(*c));
 	c->d = d;
 	c->addr = str_dup(addr);
+	c->opened = clock_now();
 	c->pending_output = evbuffer_new();
 	httpmsg_init(&c->response, HTTP_RESPONSE, MAX_HEAD_BYTES);
 	c->bev = bufferevent_socket_new(
@@ -461,8 +466,9 @@
  * and that has no unread bytes, or returns NULL.
  */
 static struct conn *
-take_idle(struct dialer *d, const char *addr, usec_t max_idle, usec_t now)
+take_idle(struct dialer *d, const char *addr, const struct dial_opts *o)
 {
+	usec_t now = clock_now();
 	GQueue *q = idle_pool(d, addr);
 	char byte;
 
@@ -472,14 +478,16 @@
 
 		next = l->next;
 		/* All further connections have been idle for longer. */
-		if (max_idle > 0 && now - c->idle_since > max_idle)
+		if (o->max_idle_time > 0 &&
+		    now - c->idle_since > o->max_idle_time)
 			return NULL;
 		n = recv(bufferevent_getfd(c->bev), &byte, 1,
 		    MSG_PEEK | MSG_DONTWAIT);
 
 		/* What has been read may not have been handled yet. */
-		if (now - c->idle_since < c->idle_max && n < 0 &&
-		    (errno == EAGAIN || errno == EWOULDBLOCK) &&
+		if (now - c->idle_since < c->idle_max &&
+		    (o->max_age == 0 || now - c->opened <= o->max_age) &&
+		    n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) &&
 		    evbuffer_get_length(bufferevent_get_input(c->bev)) == 0) {
 			g_queue_unlink(q, &c->pool_link);
 			return c;
@@ -517,7 +525,7 @@
 {
 	struct dial_call *k;
 	g_autofree char *addr = g_strndup(o->addr.p, o->addr.n);
-	struct conn *c = take_idle(d, addr, o->max_idle_time, clock_now());
+	struct conn *c = take_idle(d, addr, o);
 	struct evbuffer *out;
 
 	if (c == NULL) {
@@ -573,6 +581,12 @@
 	return unread_bytes(k->conn->bev) > 0;
 }
 
+void
+dial_confirm(struct dial_call *k)
+{
+	k->confirmed = true;
+}
+
 /* Reports a test whose connection could not be started. */
 static void
 on_test_not_started(evutil_socket_t fd, short what, void *arg)
--- a/plat/dial.h
+++ b/plat/dial.h
@@ -4,9 +4,12 @@
  * A dialer and everything it creates belong to the thread of one event loop.
  * A call is sent at most once: it is never retried on another connection.
  * Bytes received on an idle connection close it, and a response that echoes
- * another call's id is skipped.  A target in trouble may send bytes without
- * end: a call fails when its header section, or the body that its handler has
- * not taken, or a skipped response exceeds a limit.
+ * another call's id is skipped.  A call without an id can't tell its response
+ * from an earlier one that the target has written once more: its own response
+ * would then be taken for that of the next call.  So its connection is closed
+ * afterwards, unless dial_confirm() was called.  A target in trouble may send
+ * bytes without end: a call fails when its header section, or the body that its
+ * handler has not taken, or a skipped response exceeds a limit.
  *
  * Load pattern: a target limits the connections of all hosts together and
  * resets those beyond the limit, with the calls on them.  Therefore the idle
@@ -52,11 +55,14 @@
 	struct evbuffer *body; /* moved into the call; NULL: no body */
 	/* Response field that echoes the call's id; empty: not checked. */
 	struct str call_id_name;
-	struct str call_id; /* expected value of the field call_id_name */
-	bool head_only;     /* the method is HEAD: the response has no body */
+	/* Expected value; empty: the call has no id, nor has its response. */
+	struct str call_id;
+	bool head_only; /* the method is HEAD: the response has no body */
 	usec_t connect_timeout;
 	/* A connection idle for longer is not reused; 0: no further limit. */
 	usec_t max_idle_time;
+	/* A connection opened longer ago is not reused; 0: no limit. */
+	usec_t max_age;
 	uint32_t max_idle_conns; /* idle connections to addr; 0: no limit */
 	/* The call fails without a complete response after this; 0: never. */
 	usec_t timeout;
@@ -86,6 +92,11 @@
  * DIAL_MAX_LATE_TURNS turns of the loop, unless more keep arriving.
  */
 bool dial_has_input(const struct dial_call *k);
+/*
+ * The connection of a call without an id may be kept: the response is the
+ * call's own, or that doesn't matter.  Not after DIAL_END.
+ */
+void dial_confirm(struct dial_call *k);
 /*
  * Opens a connection to an address and keeps it as an idle one.  The handler is
  * called once, not from within dial_test.
--- a/tests/plat/test_dial.c
+++ b/tests/plat/test_dial.c
@@ -107,7 +107,7 @@
 }
 
 static void
-call(struct server *s, struct dialer *d, usec_t max_idle_time,
+call(struct server *s, struct dialer *d, usec_t max_idle_time, usec_t max_age,
     uint32_t max_idle_conns)
 {
 	g_assert_nonnull(dial_start(d,
@@ -116,6 +116,7 @@
 		.head = STR(HEAD),
 		.connect_timeout = 10 * USEC_PER_SEC,
 		.max_idle_time = max_idle_time,
+		.max_age = max_age,
 		.max_idle_conns = max_idle_conns,
 		.handler = on_response,
 		.arg = s,
@@ -140,18 +141,21 @@
 		int rounds;
 		int parallel; /* calls of a round */
 		usec_t max_idle_time;
+		usec_t max_age;
 		uint32_t max_idle_conns;
+		int n_accepted;
 		int n_open; /* at the end */
 		int max_open;
 		bool long_idle; /* the target allows a very long idle time */
 	} cases[] = {
-		{ "no limit", 1, 5, 0, 0, 5, 5 },
-		{ "limited after a burst", 1, 5, 0, 2, 2, 5 },
-		{ "an idle connection is reused", 5, 1, 0, 1, 1, 1 },
-		{ "a very long idle time", 5, 1, 0, 1, 1, 1, true },
+		{ "no limit", 1, 5, 0, 0, 0, 5, 5, 5 },
+		{ "limited after a burst", 1, 5, 0, 0, 2, 5, 2, 5 },
+		{ "an idle connection is reused", 5, 1, 0, 0, 1, 1, 1, 1 },
+		{ "a very long idle time", 5, 1, 0, 0, 1, 1, 1, 1, true },
 		/* Every call closes the old connection and opens a new one. */
-		{ "new connections replace old ones", 5, 1, 1, 1, 1, 2 },
-		{ "new connections beside old ones", 5, 1, 1, 3, 3, 4 },
+		{ "new connections replace old ones", 5, 1, 1, 0, 1, 5, 1, 2 },
+		{ "new connections beside old ones", 5, 1, 1, 0, 3, 5, 3, 4 },
+		{ "a connection ages", 5, 1, 0, 1, 3, 5, 1, 2 },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -166,14 +170,16 @@
 		for (int k = 0; k < cases[i].rounds; k++) {
 			for (int n = 0; n < cases[i].parallel; n++)
 				call(&s, d, cases[i].max_idle_time,
-				    cases[i].max_idle_conns);
+				    cases[i].max_age, cases[i].max_idle_conns);
 			while (s.n_ended < (k + 1) * cases[i].parallel)
 				event_base_loop(s.base, EVLOOP_ONCE);
-			wait_longer_than(cases[i].max_idle_time);
+			wait_longer_than(
+			    MAX(cases[i].max_idle_time, cases[i].max_age));
 		}
 		while (s.n_open > cases[i].n_open)
 			event_base_loop(s.base, EVLOOP_ONCE);
 		g_assert_cmpint(s.n_open, ==, cases[i].n_open);
+		g_assert_cmpint(s.n_accepted, ==, cases[i].n_accepted);
 		g_assert_cmpint(s.max_open, <=, cases[i].max_open);
 		dialer_free(d);
 		while (s.n_open > 0)
@@ -196,7 +202,7 @@
 
 	(void)fd;
 	(void)what;
-	call(l->s, l->d, 0, 0);
+	call(l->s, l->d, 0, 0, 0);
 }
 
 /* A refusal that arrives just before a call begins isn't its response. */
@@ -211,7 +217,7 @@
 
 	open_server(&s);
 	l.d = dialer_new(s.base);
-	call(&s, l.d, 0, 0);
+	call(&s, l.d, 0, 0, 0);
 	while (s.n_ended < 1)
 		event_base_loop(s.base, EVLOOP_ONCE);
 	event_base_loop(s.base, EVLOOP_NONBLOCK);
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -16,18 +16,19 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#define EVENT_INTERVAL_MS 20
-#define STAGE_CALL_MS     60 /* duration of a stage call without pieces */
-#define STAGE_PIECE_MS    4  /* added by each piece */
-#define MAX_BEHAVIOR      32
+#define EVENT_INTERVAL_MS  20
+#define STAGE_CALL_MS      60 /* duration of a stage call without pieces */
+#define SLOW_STAGE_CALL_MS 240
+#define STAGE_PIECE_MS     4 /* added by each piece */
+#define MAX_BEHAVIOR       32
 /* Answers without end: what is written at once, and in all. */
-#define ENDLESS_CHUNK     ((size_t)256 * 1024)
-#define ENDLESS_BYTES     ((size_t)64 * 1024 * 1024)
-#define PAUSE_MS          1600 /* silence of a target that goes on */
-#define CRASH_DELAY_MS    50   /* from the arrival to the begin of an answer */
-#define CRASH_DOWN_MS     1500
+#define ENDLESS_CHUNK      ((size_t)256 * 1024)
+#define ENDLESS_BYTES      ((size_t)64 * 1024 * 1024)
+#define PAUSE_MS           1600 /* silence of a target that goes on */
+#define CRASH_DELAY_MS     50   /* from the arrival to the begin of an answer */
+#define CRASH_DOWN_MS      1500
 /* A target that asks for a rest may still get what was on its way. */
-#define REST_GRACE        (500 * USEC_PER_MSEC)
+#define REST_GRACE         (500 * USEC_PER_MSEC)
 
 struct target {
 	struct fakeplat *plat;
@@ -44,6 +45,7 @@
 	GArray *refusals;  /* usec_t, of the requests turned away for it */
 	uint32_t restarts;
 	struct event *restart_timer; /* after a crash */
+	enum fakeplat_repeat repeat;
 };
 
 struct item {
@@ -68,6 +70,8 @@
 	int64_t watch_after; /* revision of a long poll */
 	struct buf delayed;  /* response to send later */
 	size_t endless_sent; /* bytes of an answer without end */
+	uint32_t n_stage_calls;
+	struct buf repeat; /* response to write once more */
 };
 
 struct fakeplat {
@@ -92,6 +96,8 @@
 	usec_t crashes[FAKEPLAT_MAX_CRASHES];
 	size_t n_crashes;
 	GArray *crash_arrivals; /* usec_t */
+	GHashTable *results;    /* handle -> attempt */
+	uint32_t n_mixed;
 	bool stopping;
 };
 
@@ -105,6 +111,7 @@
 	bufferevent_free(c->bev);
 	httpmsg_free(&c->request);
 	buf_free(&c->delayed);
+	buf_free(&c->repeat);
 	free(c);
 }
 
@@ -648,6 +655,60 @@
 	}
 }
 
+/* Counts the results in a comma-separated list that aren't the attempt's. */
+static void
+check_inputs(struct fakeplat *plat, struct str list, const char *attempt)
+{
+	struct str one;
+
+	while (list.n > 0 && str_cut(&list, ',', &one)) {
+		g_autofree char *handle = g_strndup(one.p, one.n);
+		const char *of = g_hash_table_lookup(plat->results, handle);
+
+		plat->n_mixed += of != NULL && strcmp(of, attempt) != 0;
+	}
+}
+
+/*
+ * Refuses each third call of a connection, and writes that refusal again
+ * before the next answer; returns whether the call was refused.
+ */
+static bool
+repeat_refusal(struct conn *c)
+{
+	if (c->target->repeat != FAKEPLAT_REPEAT_REFUSAL)
+		return false;
+	if (c->repeat.n > 0) {
+		bufferevent_write(c->bev, c->repeat.p, c->repeat.n);
+		buf_clear(&c->repeat);
+		return false;
+	}
+	if (++c->n_stage_calls % 3 != 0)
+		return false;
+	buf_put(&c->repeat,
+	    STR("HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\n"
+		"Content-Length: 0\r\n\r\n"));
+	send_response(c, 503, "X-Not-Executed: 1\r\n", STR(""));
+	return true;
+}
+
+/*
+ * Keeps the first answer of a connection, and writes it again before each
+ * fifth one.
+ */
+static void
+repeat_results(struct conn *c, struct str body)
+{
+	if (c->target->repeat != FAKEPLAT_REPEAT_RESULTS)
+		return;
+	if (c->repeat.n == 0)
+		buf_printf(&c->repeat,
+		    "HTTP/1.1 200 X\r\nContent-Length: %zu\r\n\r\n%.*s", body.n,
+		    STR_FMT(body));
+	if (++c->n_stage_calls % 5 == 0)
+		bufferevent_write(c->bev, c->repeat.p, c->repeat.n);
+}
+
 static void
 run_stage(struct conn *c)
 {
@@ -658,12 +719,23 @@
 	json_t *v = json_array();
 	char *text;
 
-	for (size_t i = 0; i < k; i++)
-		json_array_append_new(v,
-		    json_pack("{s:o}", "Handle",
-			json_sprintf("127.0.0.1:%u/%s-%u",
-			    c->target->config.port, c->target->id,
-			    c->target->next_handle++)));
+	for (size_t i = 0; i < k; i++) {
+		const json_t *item =
+		    json_array_get(json_object_get(o, "Items"), i);
+		const char *id = json_string_value(json_object_get(item, "Id"));
+		const json_t *inputs = json_object_get(item, "Inputs");
+		char *handle = g_strdup_printf("127.0.0.1:%u/%s-%u",
+		    c->target->config.port, c->target->id,
+		    c->target->next_handle++);
+
+		for (size_t x = 0; x < json_array_size(inputs); x++)
+			check_inputs(c->plat,
+			    str_from(
+				json_string_value(json_array_get(inputs, x))),
+			    id);
+		json_array_append_new(v, json_pack("{s:s}", "Handle", handle));
+		g_hash_table_replace(c->plat->results, handle, g_strdup(id));
+	}
 	c->plat->n_pieces += (uint32_t)k;
 	c->plat->n_stage_calls++;
 	o = (json_decref(o), json_pack("{s:o}", "Items", v));
@@ -673,7 +745,11 @@
 	free(text);
 	json_decref(o);
 	strcpy(c->behavior, "stage");
-	arm_timer(c, STAGE_CALL_MS + STAGE_PIECE_MS * (int)k);
+	/* Longer than callers pause after a refusal. */
+	arm_timer(c,
+	    (c->target->repeat == FAKEPLAT_REPEAT_REFUSAL ? SLOW_STAGE_CALL_MS
+							  : STAGE_CALL_MS) +
+		STAGE_PIECE_MS * (int)k);
 }
 
 static uint32_t
@@ -727,6 +803,8 @@
 		send_response(c, 503, "X-Not-Executed: 1\r\n", STR(""));
 		return false;
 	}
+	check_inputs(
+	    c->plat, httpmsg_get(&c->request, STR("X-Inputs")), c->attempt);
 	s->runs++;
 	g_strlcpy(s->target, c->target->id, sizeof(s->target));
 	if (s->runs > 1 && strcmp(c->behavior, "500") != 0)
@@ -764,7 +842,8 @@
 		buf_clear(&c->delayed);
 	}
 	if (str_eq(url, STR("/api/stage-run"))) {
-		run_stage(c);
+		if (!repeat_refusal(c))
+			run_stage(c);
 		return;
 	}
 	if (str_eq(url, STR("/api/stage-free"))) {
@@ -811,6 +890,7 @@
 
 		format_state(c->target, state, sizeof(state));
 		c->delayed = (struct buf){ 0 };
+		repeat_results(c, str_of(&body));
 		send_response(c, 200, state, str_of(&body));
 		buf_free(&body);
 	} else if (str_has_prefix(httpmsg_url(&c->request), STR("/stream"))) {
@@ -977,6 +1057,8 @@
 	plat->base = event_base_new();
 	plat->wakeup = event_new(plat->base, -1, EV_PERSIST, on_wakeup, plat);
 	plat->rev = 1;
+	plat->results =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	plat->items =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_item);
 	plat->attempts =
@@ -1133,6 +1215,26 @@
 	set_target_state(plat, id, "ready");
 }
 
+void
+fakeplat_set_repeat(
+    struct fakeplat *plat, const char *id, enum fakeplat_repeat repeat)
+{
+	pthread_mutex_lock(&plat->lock);
+	find_target(plat, id)->repeat = repeat;
+	pthread_mutex_unlock(&plat->lock);
+}
+
+uint32_t
+fakeplat_count_mixed(struct fakeplat *plat)
+{
+	uint32_t n;
+
+	pthread_mutex_lock(&plat->lock);
+	n = plat->n_mixed;
+	pthread_mutex_unlock(&plat->lock);
+	return n;
+}
+
 void
 fakeplat_set_limit(struct fakeplat *plat, const char *id, const char *text)
 {
@@ -1367,6 +1469,7 @@
 	event_base_free(plat->base);
 	g_hash_table_destroy(plat->items);
 	g_hash_table_destroy(plat->attempts);
+	g_hash_table_destroy(plat->results);
 	g_array_unref(plat->crash_arrivals);
 	g_ptr_array_unref(plat->conns);
 	pthread_mutex_destroy(&plat->lock);
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -28,6 +28,13 @@
 	FAKEPLAT_STORE_RESET
 };
 
+/* What a target writes once more, before its answer to a stage call. */
+enum fakeplat_repeat {
+	FAKEPLAT_REPEAT_NONE,
+	FAKEPLAT_REPEAT_REFUSAL, /* its refusal of an earlier stage call */
+	FAKEPLAT_REPEAT_RESULTS  /* its answer to an earlier stage call */
+};
+
 struct fakeplat_target {
 	const char *id;
 	const char *service;
@@ -134,6 +141,14 @@
 /* Returns the numbers of pieces produced and of stage calls. */
 void fakeplat_piece_counts(
     struct fakeplat *plat, uint32_t *pieces, uint32_t *calls);
+/* Applies to each connection by itself. */
+void fakeplat_set_repeat(
+    struct fakeplat *plat, const char *id, enum fakeplat_repeat repeat);
+/*
+ * Returns how many pieces and requests were given a result of another
+ * request.
+ */
+uint32_t fakeplat_count_mixed(struct fakeplat *plat);
 /* Makes the store forget the changes before the current revision. */
 void fakeplat_compact(struct fakeplat *plat);
 /*
