target_calls: a refusal without the call's id doesn't say that it wasn't run

A request that may run once ran at a second target (TWICE); at a service with one target its caller would have been told 'not run' (REFUSED). A target wrote a refusal that names no call, then ran the request. Targets echo the id of the call in all their responses, and a response with another id is skipped, but one with none was taken for the call's own. Now a refusal without the id, to a call with one, ends that call as one that may have run, on direct calls and on those that a host makes for another. Other responses stay as they are: a success needs its signature, and a failure promises nothing.

The fake platform's refusals echo it now, too, as the platform's documentation says.

New rows of /relay/answers; on the code before, both targets run the request (the figures printed by a line added for that run):

# once-other once-other status 200 runs 2 ERROR: test_relay.c:124:test_answers: assertion failed (a.status == c->status): (200 == 502)

They pass now.

--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -158,6 +158,39 @@
 	note_connected(k->calls, k->service);
 }
 
+/*
+ * Whether a response to a call with an id refuses it without that id: an
+ * earlier refusal, written once more, must not stand for a call that runs.
+ */
+static bool
+is_foreign_refusal(const struct target_call *k, const struct httpmsg *m)
+{
+	struct response_info answer;
+
+	if (k->o.call_id.n == 0 || httpmsg_get(m, k->o.call_id_name).p != NULL)
+		return false;
+	platform_response_parse(m, &answer);
+	return answer.not_executed;
+}
+
+/*
+ * Passes on the head of a response, or ends the call if the target may run it
+ * in spite of what the response says.
+ */
+static void
+pass_head(struct target_call *k, const struct httpmsg *m)
+{
+	if (!is_foreign_refusal(k, m)) {
+		note_answer(k, m);
+		k->o.handler(k->o.arg, DIAL_HEAD, m);
+		return;
+	}
+	log_text(LOG_LVL_NOTICE, "refusal-without-id",
+	    "%s of %s refused a call without naming it", k->target, k->service);
+	dial_cancel(k->dial);
+	finish_call(k, DIAL_BROKEN, NULL);
+}
+
 static bool start_by_host(struct target_call *k);
 
 static void
@@ -169,8 +202,9 @@
 	if (ev == DIAL_HEAD || ev == DIAL_BODY) {
 		paths_call_heard(&x->paths, k->service, clock_now());
 		if (ev == DIAL_HEAD)
-			note_answer(k, m);
-		k->o.handler(k->o.arg, ev, m);
+			pass_head(k, m);
+		else
+			k->o.handler(k->o.arg, ev, m);
 		return;
 	}
 	if (ev == DIAL_UNSENT) {
@@ -265,10 +299,9 @@
 	switch (ev) {
 	case DIAL_HEAD:
 		k->failure = find_failure(m);
-		if (k->failure != NULL)
-			return;
-		note_answer(k, m);
-		break;
+		if (k->failure == NULL)
+			pass_head(k, m);
+		return;
 	case DIAL_BODY:
 		if (k->failure != NULL)
 			return;
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -16,6 +16,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#define REFUSAL \
+	"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 #define EVENT_INTERVAL_MS  20
 #define STAGE_CALL_MS      60 /* duration of a stage call without pieces */
 #define SLOW_STAGE_CALL_MS 240
@@ -589,6 +591,7 @@
  *                the connection's next request
  *   refuse       refuses every arrival as not executed
  *   refuse-once  refuses the first arrival as not executed
+ *   refuse-other sends a refusal without an id first, at the first arrival
  *   slow         responds after 2000 ms
  *   mute         never responds to the first arrival, also of a stream
  *   endless-head, endless-body, endless-garbage, endless-interim
@@ -685,9 +688,7 @@
 	}
 	if (++c->n_stage_calls % 3 != 0)
 		return false;
-	buf_put(&c->repeat,
-	    STR("HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\n"
-		"Content-Length: 0\r\n\r\n"));
+	buf_put(&c->repeat, STR(REFUSAL));
 	send_response(c, 503, "X-Not-Executed: 1\r\n", STR(""));
 	return true;
 }
@@ -764,6 +765,18 @@
 	return n;
 }
 
+/* Refuses the call, with the id that it carries, if any. */
+static void
+send_refusal(struct conn *c, int status, const char *fields)
+{
+	struct str id = httpmsg_get(&c->request, STR("X-Attempt-Id"));
+	g_autofree char *all = id.p != NULL
+	    ? g_strdup_printf("X-Attempt-Id: %.*s\r\n%s", STR_FMT(id), fields)
+	    : g_strdup(fields);
+
+	send_response(c, status, all, STR(""));
+}
+
 /* Records the arrival; returns false if the call was refused. */
 static bool
 admit_call(struct conn *c)
@@ -778,7 +791,7 @@
 		snprintf(c->behavior, sizeof(c->behavior), "%.*s",
 		    STR_FMT(behavior));
 	if (want.p != NULL && !str_eq(want, str_from(c->target->id))) {
-		send_response(c, 421, "X-Runner-Id: other\r\n", STR(""));
+		send_refusal(c, 421, "X-Runner-Id: other\r\n");
 		return false;
 	}
 	s = get_attempt(c->plat, c->attempt);
@@ -800,9 +813,11 @@
 	    (strcmp(c->behavior, "cut-refuse") == 0 && s->arrivals == 2) ||
 	    (g_str_has_suffix(c->behavior, "-refuse-2") &&
 		(s->arrivals == 2 || s->arrivals == 3))) {
-		send_response(c, 503, "X-Not-Executed: 1\r\n", STR(""));
+		send_refusal(c, 503, "X-Not-Executed: 1\r\n");
 		return false;
 	}
+	if (strcmp(c->behavior, "refuse-other") == 0 && s->arrivals == 1)
+		evbuffer_add_printf(bufferevent_get_output(c->bev), REFUSAL);
 	check_inputs(
 	    c->plat, httpmsg_get(&c->request, STR("X-Inputs")), c->attempt);
 	s->runs++;
@@ -833,7 +848,7 @@
 		    "X-Not-Executed: 1\r\nRetry-After: %s\r\n",
 		    c->target->rest);
 		g_array_append_val(c->target->refusals, now);
-		send_response(c, 503, fields, STR(""));
+		send_refusal(c, 503, fields);
 		return;
 	}
 	if (c->delayed.n > 0 && str_has_prefix(url, STR("/"))) {
--- a/tests/platform/test_relay.c
+++ b/tests/platform/test_relay.c
@@ -56,6 +56,10 @@
 	/* Refused as not executed. */
 	{ "/once/1", "once-no", "refuse", 503, 0, NULL, false },
 	{ "/once/1", "once-again", "refuse-once", 200, 1, "once-again", false },
+	/* A refusal without the call's id may be an earlier one's. */
+	{ "/once/1", "once-other", "refuse-other", 502, 1, NULL, false },
+	{ "/safe/1", "safe-other", "refuse-other", 200, 2, "safe-other",
+	    false },
 	/*
 	 * Executed by the first call and refused by the second: the caller
 	 * must not get status 503, which says that nothing was executed.
