A stream resumed at a host out of step keeps its version

Callers saw streams that had begun at targets of a new version go on at the old one, if they resumed them at a host that was out of step.

Cause: a host that listed one version took an unknown stream for one of that version without asking, unless it knew that the store was away. It knows so only when a poll ends, up to 2 s after a cut, and not after a standstill.

Now a host always asks the others. It lets an unknown stream go on anywhere only if all that it asked reply, none knows the stream or several versions, and its list was confirmed within 2 s; else the store is read, as before with several versions. Where nobody can say, it refuses, also for a service without a base version. A host whose list isn't confirmed replies as if it knew several versions, which older builds understand; no message or record changes. The host that reads is one that has replied, as another may be dead.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -134,6 +134,7 @@
 		break;
 	case WATCHER_LIST_END:
 		roster_finish(&d->roster, clock_now());
+		d->confirmed_at = clock_now();
 		discovery_streams_listed(d);
 		/* In a large fleet the next changes come from a feeder. */
 		if (d->feed_received_at == 0)
@@ -451,6 +452,7 @@
 	discovery_apply_config(d, clock_now());
 	discovery_send_quarantine(d, clock_now());
 	publish(d, clock_now());
+	atomic_store(&d->published_confirmed_at, d->confirmed_at);
 	pthread_mutex_lock(&d->lock);
 	d->counts.store_calls = kv_calls(d->kv);
 	d->counts.revision = watcher_revision(d->watcher);
@@ -586,6 +588,12 @@
 	return c;
 }
 
+usec_t
+discovery_confirmed_at(struct discovery *d)
+{
+	return atomic_load(&d->published_confirmed_at);
+}
+
 void
 discovery_receive(struct discovery *d, peer_letter *l)
 {
--- a/entry/discovery.h
+++ b/entry/discovery.h
@@ -48,6 +48,11 @@
  */
 void discovery_receive(struct discovery *d, peer_letter *l);
 struct discovery_counts discovery_counts(struct discovery *d);
+/*
+ * Returns the time up to which the published views lack no change of the store;
+ * 0: none is complete.  On any thread.
+ */
+usec_t discovery_confirmed_at(struct discovery *d);
 /* Announces the drain, so that peers choose other coordinators. */
 void discovery_drain(struct discovery *d);
 /*
--- a/entry/discovery_feed.c
+++ b/entry/discovery_feed.c
@@ -101,6 +101,7 @@
 	peer_body body = { .kind = PEER_FEED };
 
 	d->feed_gap = false;
+	d->confirmed_at = clock_now();
 	if (c->n == 0)
 		return;
 	discovery_write_feed(&body.peer_body_u.feed, items, after, c);
@@ -160,6 +161,8 @@
 	if (known == 0)
 		return; /* the first full listing comes from the store */
 	d->feed_received_at = now;
+	if (f->to == known)
+		d->confirmed_at = now;
 	if (f->to <= known)
 		return;
 	if (!complete) {
@@ -180,4 +183,5 @@
 		    (struct str){ x->value.value_val, x->value.value_len });
 	}
 	watcher_set_revision(d->watcher, f->to);
+	d->confirmed_at = now;
 }
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -72,6 +72,8 @@
 	struct stream_store *streams;
 	bool feed_gap; /* changes are missing that only a long poll returns */
 	usec_t feed_received_at;
+	usec_t confirmed_at; /* no change of the store was missing then */
+	_Atomic usec_t published_confirmed_at;
 	usec_t feed_sent_at;
 	pthread_mutex_t lock; /* guards the members below */
 	struct buf config_text;
--- a/entry/stream_resumes.c
+++ b/entry/stream_resumes.c
@@ -26,7 +26,6 @@
 	GHashTable *recordings; /* number -> struct stream_recording */
 	uint64_t n_recordings;
 	struct stream_recorder recorder;
-	bool store_unavailable; /* to this host */
 	usec_t expired_at;
 };
 
@@ -52,6 +51,7 @@
 	bool looking;            /* in the store */
 	enum resume_place place; /* by what the hosts know */
 	struct resume_query query;
+	char replier[MAX_ADDR_BYTES]; /* a host that has replied; or empty */
 	struct event *timer;
 	void (*done)(void *arg, enum resume_place place, const char *version);
 	void *arg;
@@ -141,13 +141,21 @@
 
 	g_array_set_size(x->peers, 0);
 	g_array_append_vals(x->peers, v->peers->data, v->peers->len);
-	x->store_unavailable = v->store_unavailable;
 	stream_versions_set_bases(&x->streams, v->stream_bases);
 	stream_versions_list(
 	    &x->streams, v->targets, v->store_unavailable, now);
 	tell(x, now);
 }
 
+/* Whether this host can rely on its list of the targets. */
+static bool
+is_confirmed(struct stream_resumes *x, usec_t now)
+{
+	stream_versions_confirm(
+	    &x->streams, discovery_confirmed_at(x->o.discovery));
+	return stream_versions_confirmed(&x->streams, now);
+}
+
 void
 stream_resumes_begin(struct stream_resumes *x, struct str id,
     const char *service, const char *version)
@@ -342,25 +350,30 @@
 }
 
 /*
- * Returns the address of the host that reads the store: this one, unless the
- * store doesn't answer it; NULL: none is known.
+ * Returns the address of the host that reads the store: this one if the store
+ * answers it, else one that has replied, else any; NULL: none is known.
  */
 static const char *
-choose_reader(const struct stream_resumes *x)
+choose_reader(const struct resume_search *s)
 {
-	const char *other = NULL;
+	struct stream_resumes *x = s->owner;
+	bool has_replier = s->replier[0] != '\0';
+	const char *other = has_replier ? s->replier : NULL;
+	const char *self = NULL;
 
 	for (guint i = 0; i < x->peers->len; i++) {
 		const struct view_peer *p =
 		    &g_array_index(x->peers, struct view_peer, i);
-		bool self = strcmp(p->id, x->o.self) == 0;
 
-		if (self && !x->store_unavailable)
-			return p->rpc;
-		if (!self && (other == NULL || rng_entropy() % 2 == 0))
+		if (strcmp(p->id, x->o.self) == 0)
+			self = p->rpc;
+		else if (!has_replier &&
+		    (other == NULL || rng_entropy() % 2 == 0))
 			other = p->rpc;
 	}
-	return other;
+	return self != NULL && (other == NULL || is_confirmed(x, clock_now()))
+	    ? self
+	    : other;
 }
 
 /* Looks for a stream in the store that no host knows. */
@@ -370,7 +383,7 @@
 	struct timeval tv = { 0, LOOK_TIME };
 	peer_body body = { .kind = PEER_STREAM_LOOK };
 	peer_stream_look *m = &body.peer_body_u.stream_look;
-	const char *reader = choose_reader(s->owner);
+	const char *reader = choose_reader(s);
 
 	s->looking = true;
 	s->place = place;
@@ -386,12 +399,16 @@
 static bool
 decide(struct resume_search *s, bool timed_out)
 {
-	enum resume_place place = stream_versions_decide(
-	    &s->owner->streams, &s->query, s->service, timed_out, clock_now());
+	usec_t now = clock_now();
+	enum resume_place place;
 
+	is_confirmed(s->owner, now);
+	place = stream_versions_decide(
+	    &s->owner->streams, &s->query, s->service, timed_out, now);
 	if (place == RESUME_ASK || s->looking)
 		return false;
-	if (place != RESUME_AT_VERSION && *s->id != '\0') {
+	if (place == RESUME_LOOK_UP ||
+	    (place == RESUME_NOWHERE && !s->query.is_unnamed)) {
 		look_up(s, place);
 		return false;
 	}
@@ -462,8 +479,8 @@
 	char hash[HASH_HEX_LEN + 1];
 	struct str id = stream_id(o->id, hash);
 	struct resume_query query;
-	enum resume_place place = stream_versions_resume(
-	    &x->streams, id, o->service, clock_now(), &query);
+	enum resume_place place =
+	    stream_versions_resume(&x->streams, id, &query);
 	struct resume_search *s;
 
 	if (place != RESUME_ASK) {
@@ -491,13 +508,14 @@
 {
 	const struct stream_version *s =
 	    stream_versions_find(&x->streams, str_from(m->id));
+	usec_t now = clock_now();
 	peer_body body = { .kind = PEER_STREAM_REPLY };
 	peer_stream_reply *reply = &body.peer_body_u.stream_reply;
 
 	reply->ask = m->ask;
 	reply->software = s != NULL ? (char *)s->version : (char *)"";
-	reply->mixed =
-	    stream_versions_mixed(&x->streams, m->service, clock_now());
+	reply->mixed = !is_confirmed(x, now) ||
+	    stream_versions_mixed(&x->streams, m->service, now);
 	rpc_send(discovery_rpc(x->o.discovery), rpc, &body);
 }
 
@@ -512,7 +530,7 @@
 }
 
 static void
-on_reply(struct stream_resumes *x, const peer_stream_reply *m)
+on_reply(struct stream_resumes *x, const char *rpc, const peer_stream_reply *m)
 {
 	uint64_t number = m->ask;
 	struct resume_search *s = g_hash_table_lookup(x->searches, &number);
@@ -521,6 +539,7 @@
 		return;
 	if (s->looking && m->software[0] == '\0')
 		return;
+	g_strlcpy(s->replier, rpc, sizeof(s->replier));
 	s->query.n_replied++;
 	s->query.mixed = s->query.mixed || m->mixed;
 	if (m->software[0] != '\0') {
@@ -545,7 +564,7 @@
 	else if (b->kind == PEER_STREAM_ASK)
 		on_ask(x, l->rpc, &b->peer_body_u.stream_ask);
 	else if (b->kind == PEER_STREAM_REPLY)
-		on_reply(x, &b->peer_body_u.stream_reply);
+		on_reply(x, l->rpc, &b->peer_body_u.stream_reply);
 	else if (b->kind == PEER_STREAM_RECORDED)
 		on_recorded(x, &b->peer_body_u.stream_recorded);
 	else if (b->kind == PEER_STREAM_FOUND)
--- a/kernel/stream_records.c
+++ b/kernel/stream_records.c
@@ -360,10 +360,10 @@
 		g_strlcpy(version, s->version, STREAM_VERSION_BYTES);
 		return RESUME_AT_VERSION;
 	}
-	if (base == NULL)
-		return place;
 	if (!readable || s->incomplete)
 		return RESUME_NOWHERE;
+	if (base == NULL)
+		return place == RESUME_LOOK_UP ? RESUME_ANYWHERE : place;
 	g_strlcpy(version, base, STREAM_VERSION_BYTES);
 	return RESUME_AT_VERSION;
 }
--- a/kernel/stream_records.h
+++ b/kernel/stream_records.h
@@ -124,8 +124,8 @@
 
 /*
  * Where a stream goes on that no host knows, by what the store says of it.
- * readable: the store has answered.  Without a base, place is what the hosts
- * alone would decide.
+ * readable: the store has answered.  place: what the hosts alone would decide,
+ * RESUME_NOWHERE or RESUME_LOOK_UP.
  */
 enum resume_place stream_record_decide(const struct stream_record_search *s,
     bool readable, const char *base, enum resume_place place,
--- a/kernel/stream_versions.c
+++ b/kernel/stream_versions.c
@@ -36,7 +36,8 @@
 	s->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 	    (GDestroyNotify)g_hash_table_unref);
 	s->bases = NULL;
-	s->stale = false;
+	s->store_unavailable = false;
+	s->confirmed_at = 0;
 	s->started_at = now;
 }
 
@@ -80,10 +81,10 @@
 }
 
 void
-stream_versions_list(
-    struct stream_versions *s, const GArray *targets, bool stale, usec_t now)
+stream_versions_list(struct stream_versions *s, const GArray *targets,
+    bool store_unavailable, usec_t now)
 {
-	s->stale = stale;
+	s->store_unavailable = store_unavailable;
 	end_list(s, now);
 	for (guint i = 0; i < targets->len; i++) {
 		const struct target_entry *t =
@@ -99,6 +100,19 @@
 	}
 }
 
+void
+stream_versions_confirm(struct stream_versions *s, usec_t at)
+{
+	s->confirmed_at = at;
+}
+
+bool
+stream_versions_confirmed(const struct stream_versions *s, usec_t now)
+{
+	return !s->store_unavailable && s->confirmed_at > 0 &&
+	    now - s->confirmed_at <= STREAM_CONFIRM_TIME;
+}
+
 void
 stream_versions_set_bases(struct stream_versions *s, GHashTable *bases)
 {
@@ -216,22 +230,31 @@
 }
 
 enum resume_place
-stream_versions_resume(const struct stream_versions *s, struct str id,
-    const char *service, usec_t now, struct resume_query *out)
+stream_versions_resume(
+    const struct stream_versions *s, struct str id, struct resume_query *out)
 {
 	const struct stream_version *x = stream_versions_find(s, id);
 
-	*out = (struct resume_query){ 0 };
-	if (x != NULL) {
-		out->found = true;
-		g_strlcpy(out->version, x->version, sizeof(out->version));
-		return RESUME_AT_VERSION;
-	}
-	/* A host that has just started may have missed another version. */
-	if (s->stale || stream_versions_mixed(s, service, now) ||
-	    now - s->started_at < KEEP_TIME)
+	*out = (struct resume_query){ .is_unnamed = id.n == 0 };
+	if (x == NULL)
 		return RESUME_ASK;
-	return RESUME_ANYWHERE;
+	out->found = true;
+	g_strlcpy(out->version, x->version, sizeof(out->version));
+	return RESUME_AT_VERSION;
+}
+
+/* Whether this host and those that were asked rule out another version. */
+static bool
+agree_on_version(
+    const struct stream_versions *s, const struct resume_query *q, usec_t now)
+{
+	bool confirmed = stream_versions_confirmed(s, now);
+
+	if (q->is_unnamed)
+		return q->n_replied > 0 || (q->n_asked == 0 && confirmed);
+	/* A host that has just started may have missed another version. */
+	return q->n_asked > 0 && q->n_replied >= q->n_asked && confirmed &&
+	    now - s->started_at >= KEEP_TIME;
 }
 
 enum resume_place
@@ -243,10 +266,11 @@
 		return RESUME_AT_VERSION;
 	if (q->n_replied < q->n_asked && !timed_out)
 		return RESUME_ASK;
-	if (q->mixed || stream_versions_mixed(s, service, now) ||
-	    (s->stale && q->n_replied == 0))
+	if (q->mixed || stream_versions_mixed(s, service, now))
 		return RESUME_NOWHERE;
-	return RESUME_ANYWHERE;
+	if (agree_on_version(s, q, now))
+		return RESUME_ANYWHERE;
+	return q->is_unnamed ? RESUME_NOWHERE : RESUME_LOOK_UP;
 }
 
 void
--- a/kernel/stream_versions.h
+++ b/kernel/stream_versions.h
@@ -8,9 +8,12 @@
  * break, and their callers resume them at any host.  So while a service has
  * several versions, the host that begins a stream tells its version to a few
  * others, and the host where it is resumed asks.  While a service has had one
- * version for as long as a stream may last, nothing is told or asked.  A host
- * that the store does not answer asks, as it may not know of a new version; one
- * that is cut off from the other hosts, too, lets no unknown stream go on.
+ * version for as long as a stream may last, nothing is told.
+ *
+ * A host that is cut off, or whose process stood still, lists one version
+ * although others have joined.  So a list counts only if it was confirmed
+ * lately, and not alone: all hosts that are asked have to agree, or the store
+ * is read.
  *
  * Times are in microseconds.  A struct stream_versions belongs to one thread.
  */
@@ -28,6 +31,8 @@
 #define STREAM_VERSION_BYTES 64
 /* Hosts that reply do so within this time. */
 #define STREAM_REPLY_TIME    (100 * USEC_PER_MSEC)
+/* Longer than a poll of a store that answers, and the pause after it. */
+#define STREAM_CONFIRM_TIME  (2 * USEC_PER_SEC)
 
 struct stream_version {
 	char *id; /* of the attempt that began the stream */
@@ -44,17 +49,22 @@
 	GHashTable *services;
 	/* service -> base version (kernel/stream_records.h); or NULL */
 	GHashTable *bases;
-	bool stale; /* the newest list may lack versions that others know */
+	bool store_unavailable; /* to this host */
+	usec_t confirmed_at;    /* no version was missing in the list then */
 	usec_t started_at;
 };
 
 void stream_versions_init(struct stream_versions *s, usec_t now);
 /*
- * Notes the versions of the targets (struct target_entry).  stale: the store
- * does not answer this host.
+ * Notes the versions of the targets (struct target_entry), and whether the
+ * store answers this host.
  */
-void stream_versions_list(
-    struct stream_versions *s, const GArray *targets, bool stale, usec_t now);
+void stream_versions_list(struct stream_versions *s, const GArray *targets,
+    bool store_unavailable, usec_t now);
+/* The store has confirmed that the list had no change before this time. */
+void stream_versions_confirm(struct stream_versions *s, usec_t at);
+/* Whether the list can be relied on to have all versions. */
+bool stream_versions_confirmed(const struct stream_versions *s, usec_t now);
 /* Sets the base versions of the services; keeps a reference. */
 void stream_versions_set_bases(struct stream_versions *s, GHashTable *bases);
 /* Returns the base version of a service, or NULL. */
@@ -92,21 +102,25 @@
 	RESUME_ANYWHERE,
 	RESUME_AT_VERSION,
 	RESUME_NOWHERE, /* nobody knows its version */
-	RESUME_ASK      /* not known yet: wait for the other hosts' replies */
+	RESUME_ASK,     /* not known yet: wait for the other hosts' replies */
+	/* Anywhere if the store has neither a record nor a base version. */
+	RESUME_LOOK_UP
 };
 
 /* What is known of a stream that a caller resumes. */
 struct resume_query {
 	char version[STREAM_VERSION_BYTES]; /* once it is found */
 	bool found;
-	bool mixed; /* a host that was asked knows several versions */
+	bool is_unnamed; /* it can't be looked up */
+	/* A host that was asked knows several versions, or may not know all. */
+	bool mixed;
 	size_t n_asked;
 	size_t n_replied;
 };
 
 /* Decides before other hosts are asked. */
-enum resume_place stream_versions_resume(const struct stream_versions *s,
-    struct str id, const char *service, usec_t now, struct resume_query *out);
+enum resume_place stream_versions_resume(
+    const struct stream_versions *s, struct str id, struct resume_query *out);
 /* Decides with the replies so far; timed_out: no more are waited for. */
 enum resume_place stream_versions_decide(const struct stream_versions *s,
     const struct resume_query *q, const char *service, bool timed_out,
--- a/tests/kernel/test_stream_versions.c
+++ b/tests/kernel/test_stream_versions.c
@@ -10,6 +10,7 @@
 	STEP_END,
 	STEP_LIST,     /* text: the versions of the listed targets */
 	STEP_STALE,    /* the same, while the store is away */
+	STEP_CONFIRM,  /* the store confirms the list */
 	STEP_BEGIN,    /* a stream begins here; text: id and version */
 	STEP_TOLD,     /* another host tells of one */
 	STEP_COMPLETE, /* text: id */
@@ -29,10 +30,30 @@
 	const char *name;
 	struct step steps[10];
 } cases[] = {
-	{ "one version for long: nothing is told or asked",
+	{ "one version for long: nothing is told, the others have to agree",
 	    { { STEP_LIST, 0, "1", 0 }, { STEP_BEGIN, 70, "a1", 0 },
-		{ STEP_DUE, 70, "", 0 },
-		{ STEP_RESUME, 70, "b", RESUME_ANYWHERE } } },
+		{ STEP_DUE, 70, "", 0 }, { STEP_CONFIRM, 70, "", 0 },
+		{ STEP_RESUME, 70, "b", RESUME_ASK },
+		{ STEP_DECIDE, 70, "", RESUME_ANYWHERE },
+		{ STEP_DECIDE, 70, "!", RESUME_LOOK_UP },
+		{ STEP_DECIDE, 70, "m", RESUME_NOWHERE } } },
+	{ "a list that was not confirmed lately does not count",
+	    { { STEP_LIST, 0, "1", 0 }, { STEP_CONFIRM, 70, "", 0 },
+		{ STEP_DECIDE, 72, "", RESUME_ANYWHERE },
+		{ STEP_DECIDE, 73, "", RESUME_LOOK_UP },
+		{ STEP_CONFIRM, 74, "", 0 },
+		{ STEP_DECIDE, 74, "", RESUME_ANYWHERE } } },
+	{ "a host that is alone looks up",
+	    { { STEP_LIST, 0, "1", 0 }, { STEP_CONFIRM, 70, "", 0 },
+		{ STEP_DECIDE, 70, "a", RESUME_LOOK_UP } } },
+	{ "an unnamed stream can't be looked up",
+	    { { STEP_LIST, 0, "1", 0 }, { STEP_CONFIRM, 70, "", 0 },
+		{ STEP_DECIDE, 70, "u", RESUME_ANYWHERE },
+		{ STEP_DECIDE, 70, "u!", RESUME_ANYWHERE },
+		{ STEP_DECIDE, 70, "u0", RESUME_NOWHERE },
+		{ STEP_DECIDE, 70, "um", RESUME_NOWHERE },
+		{ STEP_DECIDE, 70, "ua", RESUME_ANYWHERE },
+		{ STEP_DECIDE, 73, "ua", RESUME_NOWHERE } } },
 	{ "a stream that is known goes on at its version",
 	    { { STEP_LIST, 0, "12", 0 }, { STEP_BEGIN, 1, "a1", 0 },
 		{ STEP_TOLD, 1, "b2", 0 },
@@ -50,24 +71,27 @@
 	{ "a version that has left counts for as long as its streams may last",
 	    { { STEP_LIST, 0, "12", 0 }, { STEP_LIST, 100, "2", 0 },
 		{ STEP_RESUME, 130, "b", RESUME_ASK },
+		{ STEP_DECIDE, 130, "", RESUME_NOWHERE },
 		{ STEP_LIST, 200, "2", 0 },
-		{ STEP_RESUME, 200, "b", RESUME_ANYWHERE } } },
-	{ "a host that has just started asks",
+		{ STEP_DECIDE, 200, "", RESUME_ANYWHERE } } },
+	{ "a host that has just started looks up",
 	    { { STEP_LIST, 0, "2", 0 }, { STEP_RESUME, 1, "b", RESUME_ASK },
-		{ STEP_DECIDE, 1, "", RESUME_ANYWHERE },
+		{ STEP_DECIDE, 1, "", RESUME_LOOK_UP },
 		{ STEP_DECIDE, 1, "m", RESUME_NOWHERE },
 		{ STEP_DECIDE, 1, "m1", RESUME_AT_VERSION } } },
 	{ "as long as not all have replied, it waits",
 	    { { STEP_LIST, 0, "12", 0 }, { STEP_DECIDE, 1, ".", RESUME_ASK },
 		{ STEP_DECIDE, 1, "!", RESUME_NOWHERE },
 		{ STEP_DECIDE, 1, ".1", RESUME_AT_VERSION } } },
-	{ "a host without the store asks, and needs a reply",
-	    { { STEP_LIST, 0, "1", 0 }, { STEP_STALE, 70, "1", 0 },
+	{ "a host without the store has others look up",
+	    { { STEP_LIST, 0, "1", 0 }, { STEP_LIST, 70, "1", 0 },
+		{ STEP_STALE, 70, "1", 0 },
 		{ STEP_RESUME, 71, "b", RESUME_ASK },
-		{ STEP_DECIDE, 71, "!", RESUME_ANYWHERE },
-		{ STEP_DECIDE, 71, "0", RESUME_NOWHERE },
+		{ STEP_DECIDE, 71, "", RESUME_LOOK_UP },
+		{ STEP_DECIDE, 71, "!", RESUME_LOOK_UP },
+		{ STEP_DECIDE, 71, "0", RESUME_LOOK_UP },
 		{ STEP_LIST, 72, "1", 0 },
-		{ STEP_RESUME, 72, "b", RESUME_ANYWHERE } } },
+		{ STEP_DECIDE, 72, "", RESUME_ANYWHERE } } },
 	{ "streams are forgotten",
 	    { { STEP_LIST, 0, "12", 0 }, { STEP_BEGIN, 1, "a1", 0 },
 		{ STEP_TOLD, 1, "b2", 0 }, { STEP_RESUME, 62, "a", RESUME_ASK },
@@ -87,9 +111,14 @@
 		g_array_append_val(v, e);
 	}
 	stream_versions_list(s, v, stale, now);
+	if (!stale)
+		stream_versions_confirm(s, now);
 }
 
-/* m: a host knows several versions; a digit: one knows the stream's. */
+/*
+ * m: a host knows several versions; a digit: one knows the stream's; u: it is
+ * unnamed.
+ */
 static enum resume_place
 decide(struct stream_versions *s, const char *replies, usec_t now)
 {
@@ -109,6 +138,13 @@
 			q.n_replied = 0;
 			timed_out = true;
 			break;
+		case 'a': /* there are no others */
+			q.n_asked = 0;
+			q.n_replied = 0;
+			break;
+		case 'u':
+			q.is_unnamed = true;
+			break;
 		case 'm':
 			q.mixed = true;
 			break;
@@ -144,6 +180,9 @@
 	case STEP_STALE:
 		list(s, x->text, x->kind == STEP_STALE, now);
 		break;
+	case STEP_CONFIRM:
+		stream_versions_confirm(s, now);
+		break;
 	case STEP_BEGIN:
 	case STEP_TOLD:
 		stream_versions_begin(
@@ -157,7 +196,7 @@
 		break;
 	case STEP_RESUME:
 		g_assert_cmpint(
-		    stream_versions_resume(s, id, "s", now, &q), ==, x->place);
+		    stream_versions_resume(s, id, &q), ==, x->place);
 		break;
 	case STEP_DECIDE:
 		g_assert_cmpint(decide(s, x->text, now), ==, x->place);
