Streams begin at the base version while records are late

Callers whose streams broke off when all hosts were lost got the rest from another software version, if the store had answered no host before.

Cause: a stream of another version than its service's base went on after 90 ms without a record. Once all hosts are gone, a stream without a record is taken for one of the base version.

With the change:

# 0 streams of two versions, 16 complete, 0 rejected, 16 begun, 0 at the old version ok 9 /mixed-versions/of-the-new-version-without-the-store # 0 streams of two versions, 16 complete, 0 rejected, 12 begun, 12 at the old version ok 14 /mixed-versions/all-hosts-killed-while-the-store-is-away

Now a host that waits for a late record begins streams that may be resumed at the base version, if that has targets; a call that another version is about to begin is made again there. The streams whose records are late already are held back until they are recorded. So no caller has events of another version without a record while the base version serves. Hosts ask for a record until it is written. docs/DESIGN.md says what else was considered: a mark of the time up to which records were written can't tell an outage of the store from one of the hosts.

What remains: while the store is away, the base version's targets take all streams that may be resumed, however few they are. A stream that began unrecorded because the base version had no target, and whose hosts are all lost, would be joined if targets of the base version came back within a minute.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -70,6 +70,19 @@
 	return r->sse.events - r->events_before;
 }
 
+/* Returns the version at which the call has to be made; empty: any. */
+static struct str
+call_version(const struct relay_request *r)
+{
+	const char *first = NULL;
+
+	if (r->version[0] == '\0' && r->route->kind == ROUTE_STREAM &&
+	    route_repeatable(r->route) && !r->info.is_resume)
+		first = stream_resumes_first_version(
+		    r->shared->stream_resumes, r->service->name);
+	return str_from(first != NULL ? first : r->version);
+}
+
 void
 forward_query(const struct relay_request *r, struct loads_query *query)
 {
@@ -80,7 +93,7 @@
 	*query = (struct loads_query){
 		.service = r->service->name,
 		.engine = r->service->has_engine,
-		.version = str_from(r->version),
+		.version = call_version(r),
 		.n_tried = r->n_tried,
 	};
 	for (size_t i = 0; i < r->n_tried; i++)
@@ -411,14 +424,42 @@
 	    : NULL;
 }
 
+/*
+ * Makes the call again at the version where the stream has to begin; returns
+ * false if it may begin here.
+ */
+static bool
+begin_elsewhere(struct relay_request *r)
+{
+	struct target_call *call = r->call;
+	struct str version = call_version(r);
+
+	if (r->events_at != 0 || version.n == 0 ||
+	    str_eq(version, str_from(r->call_version)) || !can_retry(r))
+		return false;
+	log_text(LOG_LVL_INFO, "begun-elsewhere",
+	    "request %.*s: not at version %s, as streams of it can't be "
+	    "recorded",
+	    STR_FMT(r->info.id), r->call_version);
+	report_call_end(r, true);
+	target_call_cancel(call);
+	r->may_have_run = true;
+	sse_restart(&r->sse);
+	send_call(r);
+	return true;
+}
+
 static void
 on_body_data(struct relay_request *r, const struct httpmsg *m)
 {
 	struct target_call *call = r->call;
 	const char *cause;
 
-	if (is_stream(r))
+	if (is_stream(r)) {
+		if (begin_elsewhere(r))
+			return;
 		pass_events(r, m);
+	}
 	cause = excess(r, m);
 	if (cause == NULL)
 		return;
--- a/entry/stream_resumes.c
+++ b/entry/stream_resumes.c
@@ -16,6 +16,8 @@
 /* How long a stream is looked for in the store. */
 #define LOOK_TIME       (700 * USEC_PER_MSEC)
 #define EXPIRE_INTERVAL (1 * USEC_PER_SEC)
+/* How long recording counts as out of order after a record was late. */
+#define LATE_TIME       (2 * USEC_PER_SEC)
 
 struct stream_resumes {
 	struct stream_resumes_opts o;
@@ -26,6 +28,7 @@
 	GHashTable *recordings; /* number -> struct stream_recording */
 	uint64_t n_recordings;
 	struct stream_recorder recorder;
+	usec_t late_until; /* records can't be relied on until then */
 	usec_t expired_at;
 };
 
@@ -37,6 +40,8 @@
 	char version[STREAM_VERSION_BYTES];
 	char recorder[MAX_ADDR_BYTES]; /* that was asked last */
 	uint32_t tries;
+	usec_t begun_at;
+	usec_t asked_at;           /* last */
 	struct event *hold_timer;  /* until done is called */
 	struct event *retry_timer; /* until another recorder is asked */
 	void (*done)(void *arg);   /* NULL: nobody waits */
@@ -216,6 +221,7 @@
 	peer_stream_record *m = &body.peer_body_u.stream_record;
 
 	k->tries++;
+	k->asked_at = clock_now();
 	g_strlcpy(k->recorder, recorder, sizeof(k->recorder));
 	m->ask = k->number;
 	m->id = k->id;
@@ -225,29 +231,61 @@
 	evtimer_add(k->retry_timer, &tv);
 }
 
+/* Whether nobody waits for the record or needs it any more. */
+static bool
+is_obsolete(const struct stream_recording *k, usec_t now)
+{
+	return k->done == NULL &&
+	    (now - k->begun_at > STREAM_RECORD_SLOTS * USEC_PER_SEC ||
+		stream_versions_find(&k->owner->streams, str_from(k->id)) ==
+		    NULL);
+}
+
 /* Asks the next host to record the stream; ends the recording without one. */
 static void
 ask_next_recorder(struct stream_recording *k)
 {
-	const char *recorder = choose_recorder(k->owner, clock_now());
+	usec_t now = clock_now();
+	const char *recorder = choose_recorder(k->owner, now);
 
-	if (recorder != NULL && k->tries < STREAM_RECORDERS) {
+	if (k->tries == STREAM_RECORDERS)
+		log_text(LOG_LVL_NOTICE, "stream-unrecorded",
+		    "stream %s of %s, version %s: %u hosts asked", k->id,
+		    k->service, k->version, k->tries);
+	if (recorder != NULL && !is_obsolete(k, now)) {
 		ask_recorder(k, recorder);
 		return;
 	}
-	log_text(LOG_LVL_NOTICE, "stream-unrecorded",
-	    "stream %s of %s, version %s: %u hosts asked", k->id, k->service,
-	    k->version, k->tries);
 	release_stream(k);
 	free_recording(k);
 }
 
+/*
+ * The record is late.  Without it, the stream would be taken for one of the
+ * base version after the loss of all hosts, if that has targets.
+ */
 static void
 on_hold_timeout(evutil_socket_t fd, short what, void *arg)
 {
+	struct timeval tv = { 0, STREAM_RECORD_WAIT };
+	struct stream_recording *k = arg;
+
 	(void)fd;
 	(void)what;
-	release_stream(arg);
+	k->owner->late_until = clock_now() + LATE_TIME;
+	if (stream_versions_base_serves(&k->owner->streams, k->service))
+		evtimer_add(k->hold_timer, &tv);
+	else
+		release_stream(k);
+}
+
+const char *
+stream_resumes_first_version(struct stream_resumes *x, const char *service)
+{
+	return clock_now() < x->late_until &&
+		stream_versions_base_serves(&x->streams, service)
+	    ? stream_versions_base(&x->streams, service)
+	    : NULL;
 }
 
 static void
@@ -258,6 +296,7 @@
 	(void)fd;
 	(void)what;
 	stream_recorder_failed(&k->owner->recorder, k->recorder, clock_now());
+	k->owner->late_until = clock_now() + LATE_TIME;
 	ask_next_recorder(k);
 }
 
@@ -277,6 +316,7 @@
 		return NULL;
 	k = xcalloc(1, sizeof(*k));
 	k->owner = x;
+	k->begun_at = now;
 	k->number = ++x->n_recordings;
 	k->id = str_dup(stream_id(str_from(stream->id), hash));
 	g_strlcpy(k->service, stream->service, sizeof(k->service));
@@ -311,8 +351,12 @@
 		if (m->refused) {
 			stream_recorder_failed(
 			    &x->recorder, k->recorder, clock_now());
-			ask_next_recorder(k);
+			/* Else the timer is waited for. */
+			if (k->tries < STREAM_RECORDERS)
+				ask_next_recorder(k);
 		} else {
+			if (clock_now() - k->asked_at <= STREAM_RECORD_WAIT)
+				x->late_until = 0;
 			release_stream(k);
 			free_recording(k);
 		}
--- a/entry/stream_resumes.h
+++ b/entry/stream_resumes.h
@@ -34,11 +34,18 @@
     const char *service, const char *version);
 struct stream_recording;
 
+/*
+ * Returns the version at which a stream that may be resumed has to begin now,
+ * or NULL if it may be any.
+ */
+const char *stream_resumes_first_version(
+    struct stream_resumes *x, const char *service);
 /*
  * Has a stream recorded in the store if that is needed.  done is called once,
- * when it is recorded or has waited long enough; never from within this
- * function.  Returns NULL if no record is needed.  A host that doesn't record
- * it in time, as it is cut off from the store, say, is replaced by the next.
+ * when it is recorded or, if its service's base version has no target, has
+ * waited long enough; never from within this function.  Returns NULL if no
+ * record is needed.  A host that doesn't record it in time, as it is cut off
+ * from the store, say, is replaced by the next.
  */
 struct stream_recording *stream_resumes_record(struct stream_resumes *x,
     const struct stream_version *stream, void (*done)(void *arg), void *arg);
--- a/kernel/stream_records.h
+++ b/kernel/stream_records.h
@@ -9,10 +9,11 @@
  * is kept in the store and changes only once no stream of it can be left, and
  * only streams of other versions are recorded.  One host, the recorder, writes
  * the records of all hosts, several in one item; a stream's first events wait
- * for that, but not for long.  There is an item for each second, and each is
- * written over after twice STREAM_RECORD_SLOTS: records expire without being
- * deleted.  A recorder that has restarted goes on after the last second that it
- * wrote before, as the records of that are still needed.
+ * for that.  While records are late, streams begin at the base version.  There
+ * is an item for each second, and each is written over after twice
+ * STREAM_RECORD_SLOTS: records expire without being deleted.  A recorder that
+ * has restarted goes on after the last second that it wrote before, as the
+ * records of that are still needed.
  *
  * The items are text.  That of a second has the lines
  *
@@ -37,7 +38,7 @@
 #define STREAM_RECORDS_MAX  1000
 /* Shortest time between two writes of the recorder. */
 #define STREAM_RECORD_PAUSE (60 * USEC_PER_MSEC)
-/* The first events of a stream wait for its record at most this long. */
+/* A record that takes longer is late. */
 #define STREAM_RECORD_WAIT  (90 * USEC_PER_MSEC)
 /* In a new fleet, a version that is alone for so long becomes the base. */
 #define STREAM_BASE_TIME    (2 * USEC_PER_SEC)
--- a/kernel/stream_versions.c
+++ b/kernel/stream_versions.c
@@ -9,6 +9,7 @@
 
 struct listed_version {
 	bool listed;  /* in the newest list */
+	bool serves;  /* by a target that doesn't leave */
 	usec_t until; /* else: was listed until then */
 };
 
@@ -72,6 +73,7 @@
 
 			if (x->listed) {
 				x->listed = false;
+				x->serves = false;
 				x->until = now;
 			} else if (now - x->until > KEEP_TIME) {
 				g_hash_table_iter_remove(&versions);
@@ -97,6 +99,7 @@
 			g_hash_table_insert(v, g_strdup(t->version), x);
 		}
 		x->listed = true;
+		x->serves = x->serves || !t->leaving;
 	}
 }
 
@@ -127,6 +130,18 @@
 	return s->bases != NULL ? g_hash_table_lookup(s->bases, service) : NULL;
 }
 
+bool
+stream_versions_base_serves(
+    const struct stream_versions *s, const char *service)
+{
+	const char *base = stream_versions_base(s, service);
+	GHashTable *v = g_hash_table_lookup(s->services, service);
+	const struct listed_version *x =
+	    base != NULL && v != NULL ? g_hash_table_lookup(v, base) : NULL;
+
+	return x != NULL && x->serves;
+}
+
 bool
 stream_versions_records(const struct stream_versions *s, const char *service,
     const char *version, usec_t now)
--- a/kernel/stream_versions.h
+++ b/kernel/stream_versions.h
@@ -70,6 +70,9 @@
 /* Returns the base version of a service, or NULL. */
 const char *stream_versions_base(
     const struct stream_versions *s, const char *service);
+/* Whether the base version is known and has targets that take new calls. */
+bool stream_versions_base_serves(
+    const struct stream_versions *s, const char *service);
 /* Whether a stream that this version begins must be recorded in the store. */
 bool stream_versions_records(const struct stream_versions *s,
     const char *service, const char *version, usec_t now);
--- a/tests/platform/test_mixed_versions.c
+++ b/tests/platform/test_mixed_versions.c
@@ -71,6 +71,10 @@
 	    false, false },
 	{ "no-target-of-the-version-left", "/stream/1", "stall", OLD_ONLY,
 	    NEW_ONLY, true, false, true },
+	/* Nothing can be recorded, but there is no other version to begin at.
+	 */
+	{ "of-the-new-version-without-the-store", "/stream/1", "stall",
+	    NEW_ONLY, NEW_ONLY, true, true, false, false, false, false, 15 },
 	{ "all-hosts-killed", "/stream/1", "stall", BOTH, BOTH, true, false,
 	    false, false, true },
 	{ "all-hosts-killed-and-one-version-left", "/stream/1", "stall", BOTH,
@@ -81,6 +85,8 @@
 	    BOTH, true, false, false, false, true, false, 3 },
 	{ "all-hosts-killed-two-others-without-the-store", "/stream/1", "stall",
 	    BOTH, BOTH, true, false, false, false, true, false, 12 },
+	{ "all-hosts-killed-while-the-store-is-away", "/stream/1", "stall",
+	    BOTH, BOTH, true, false, false, false, true, false, 15 },
 	{ "all-hosts-killed-of-one-version", "/stream/solo/1", "stall", BOTH,
 	    BOTH, true, false, false, false, true },
 	{ "all-hosts-killed-before-the-other-version", "/stream/1", "stall",
@@ -270,6 +276,7 @@
 	int complete = 0;
 	int rejected = 0;
 	int old = 0;
+	int begun = 0;
 	int expected = 0;
 
 	set_versions(x->begun);
@@ -283,8 +290,10 @@
 	if (x->kill_all)
 		kill_all_hosts();
 	cut_stores(0);
-	for (int i = 0; i < STREAMS; i++)
+	for (int i = 0; i < STREAMS; i++) {
 		old += v[i].old;
+		begun += v[i].old || v[i].new || v[i].other;
+	}
 	if (x->resumed != x->begun)
 		set_versions(x->resumed);
 	if (x->kill_all)
@@ -301,8 +310,9 @@
 	else if (x->old_rejected)
 		expected = old;
 	g_test_message("%d streams of two versions, %d complete, %d rejected, "
-		       "%d begun at the old version",
-	    mixed, complete, rejected, old);
+		       "%d begun, %d at the old version",
+	    mixed, complete, rejected, begun, old);
+	g_assert_cmpint(2 * begun, >=, STREAMS);
 	g_assert_cmpint(mixed, ==, 0);
 	g_assert_cmpint(rejected, ==, expected);
 	g_assert_cmpint(2 * complete, >=, STREAMS - expected);
