loads: what a host knows of a target outlives its entry

Callers saw accepted streams broken off: after a restore of the store from an older copy, hosts sent requests to a target whose answers had said that it leaves, seconds after they had passed such an answer on. A rest asked for, a limit and a state draining were forgotten the same way.

Cause: loads_update() freed a target with no call in flight as soon as a list lacked it, and all that was known of it. The restored store lists it again, under the same id and birth, and it began anew.

Now a target that is missing keeps its state for five minutes, longer than it lives on, unless it restarts (another birth). The entry's Seq tells an older entry from a newer one: an entry that isn't newer than the one that said "draining" doesn't end that, and if a target was missing and comes back with an entry that isn't newer, it is used only if that is still there after the 2 s in which the platform writes again what was written.

The fake platform learns to restore its store, to name its era, to answer 410 to a watch from a revision that it doesn't have, and writes Seq into entries.

--- a/entry/target_limits.c
+++ b/entry/target_limits.c
@@ -233,7 +233,7 @@
 	while (g_hash_table_iter_next(&it, &id, NULL)) {
 		const struct target_load *t = loads_find(x->o.loads, id);
 
-		n += t != NULL && t->limit.rate > 0;
+		n += t != NULL && t->listed && t->limit.rate > 0;
 	}
 	return n;
 }
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -199,8 +199,56 @@
 	return g_hash_table_size(l->by_id) == 0;
 }
 
+/* The target restarted under the same id: its state is out of date. */
+static void
+forget_state(struct target_load *t)
+{
+	t->leaving = false;
+	t->failures = 0;
+	t->aside_until = 0;
+	t->speed = (struct target_speed){ 0 };
+	t->limit = (struct target_limit){ 0 };
+	t->rest_until = 0;
+	t->brittle = (struct target_brittle){ 0 };
+	t->bad_limit = false;
+}
+
+/* Takes over an entry that the newest list has. */
+static void
+set_entry(struct target_load *t, const struct target_entry *e, usec_t now)
+{
+	bool older = e->seq != 0 && e->seq <= t->entry.seq;
+	bool leaving = t->entry.leaving;
+	uint64_t seq = t->entry.seq;
+
+	if (e->born_ms != t->entry.born_ms) {
+		forget_state(t);
+		older = false;
+	}
+	if (older && t->unlisted_at != 0)
+		loads_rest(t, ROSTER_GRACE_TIME, now);
+	t->entry = *e;
+	if (older) {
+		t->entry.seq = seq;
+		t->entry.leaving = leaving || e->leaving;
+	}
+	t->listed = true;
+	t->unlisted_at = 0;
+}
+
+/* Frees a target that has been missing for long, unless it has calls. */
+static bool
+expire(struct target_load *t, usec_t now)
+{
+	if (t->listed)
+		return false;
+	if (t->unlisted_at == 0)
+		t->unlisted_at = now;
+	return t->in_flight == 0 && now - t->unlisted_at >= LOADS_KEEP_TIME;
+}
+
 void
-loads_update(struct loads *l, const GArray *targets)
+loads_update(struct loads *l, const GArray *targets, usec_t now)
 {
 	GHashTableIter it;
 	gpointer p;
@@ -218,28 +266,11 @@
 			t->entry = *e;
 			g_hash_table_insert(l->by_id, t->entry.id, t);
 		}
-		if (e->born_ms != t->entry.born_ms) {
-			/*
-			 * The target restarted under the same id: its state is
-			 * out of date.
-			 */
-			t->leaving = false;
-			t->failures = 0;
-			t->aside_until = 0;
-			t->speed = (struct target_speed){ 0 };
-			t->limit = (struct target_limit){ 0 };
-			t->rest_until = 0;
-			t->brittle = (struct target_brittle){ 0 };
-			t->bad_limit = false;
-		}
-		t->entry = *e;
-		t->listed = true;
+		set_entry(t, e, now);
 	}
 	g_hash_table_iter_init(&it, l->by_id);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		const struct target_load *t = p;
-
-		if (!t->listed && t->in_flight == 0)
+		if (expire(p, now))
 			g_hash_table_iter_remove(&it);
 	}
 	index_targets(l);
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -24,11 +24,14 @@
 #include "kernel/routes.h"
 
 #define LOADS_MAX_TRIED 8
+/* Longer than a target goes on after its entry was removed. */
+#define LOADS_KEEP_TIME (300 * USEC_PER_SEC)
 
 /* A target and its load as this host knows it. */
 struct target_load {
 	struct target_entry entry;
-	bool listed; /* in the newest target list */
+	bool listed;        /* in the newest target list */
+	usec_t unlisted_at; /* when that ended; 0: it hasn't */
 	/*
 	 * The target reported that it is leaving, or another target now has its
 	 * address.
@@ -83,8 +86,18 @@
 };
 
 void loads_init(struct loads *l, const char *domain, uint64_t seed);
-/* Updates the targets from a newer list of struct target_entry. */
-void loads_update(struct loads *l, const GArray *targets);
+/*
+ * Updates the targets from a newer list of struct target_entry.
+ *
+ * A list may be older than one before it: entries lapse while the store is
+ * unavailable, and a store that is restored from a copy lists what was there
+ * some seconds ago.  So what is known of a target holds until it has been
+ * missing for LOADS_KEEP_TIME, or restarts.  An entry that isn't newer than the
+ * one that said that the target leaves doesn't end that; and if a target was
+ * missing and is listed with an entry that isn't newer, it is used only if that
+ * is still there after ROSTER_GRACE_TIME.
+ */
+void loads_update(struct loads *l, const GArray *targets, usec_t now);
 /* Sets the live hosts; self is the id of this one. */
 void loads_set_hosts(struct loads *l, const struct rendezvous_host *v, size_t n,
     const char *self, usec_t now);
--- a/kernel/roster.c
+++ b/kernel/roster.c
@@ -49,8 +49,10 @@
 	}
 	s->seen = true;
 	s->missing = false;
-	if (entries_equal(&s->t, t))
+	if (entries_equal(&s->t, t)) {
+		s->t.seq = t->seq;
 		return;
+	}
 	s->t = *t;
 	r->version++;
 }
--- a/kernel/roster.h
+++ b/kernel/roster.h
@@ -34,6 +34,7 @@
 	uint32_t slots;
 	bool leaving;
 	uint64_t born_ms; /* start as Unix time; 0: unknown */
+	uint64_t seq;     /* rises with each report of the target; 0: unknown */
 };
 
 struct roster {
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -680,7 +680,7 @@
 			g_strlcpy(e.domain, c->domain, sizeof(e.domain));
 			g_array_append_val(list, e);
 		}
-		loads_update(&l, list);
+		loads_update(&l, list, 0);
 		for (size_t k = 0; k < cases[i].n; k++) {
 			const struct load_case *c = &cases[i].v[k];
 
@@ -745,7 +745,7 @@
 
 		g_array_append_val(targets, e);
 		loads_init(&l, "d", 1);
-		loads_update(&l, targets);
+		loads_update(&l, targets, 0);
 		t = loads_find(&l, "t");
 		loads_sent(t, 0);
 		if (rows[i].reported)
@@ -806,7 +806,7 @@
 		if (rows[i].other)
 			g_array_append_val(targets, e);
 		loads_init(&l, "d", 1);
-		loads_update(&l, targets);
+		loads_update(&l, targets, 0);
 		t = loads_find(&l, "t");
 		loads_sent(t, 0);
 		loads_rest(t, rows[i].rest, 0);
@@ -816,7 +816,7 @@
 		if (rows[i].restart)
 			g_array_index(targets, struct target_entry, 0).born_ms =
 			    7;
-		loads_update(&l, targets);
+		loads_update(&l, targets, 0);
 		t = loads_choose(&l, &q, rows[i].at);
 		g_assert_cmpstr(
 		    t != NULL ? t->entry.id : NULL, ==, rows[i].chosen);
@@ -875,7 +875,7 @@
 		e.slots = 48;
 		g_array_append_val(list, e);
 	}
-	loads_update(&l, list);
+	loads_update(&l, list, 0);
 	first = loads_choose(&l, &q, 0);
 	for (int i = 0; i < 20; i++)
 		g_assert_true(loads_choose(&l, &q, 0) == first);
@@ -900,13 +900,13 @@
 	loads_init(&l, "d", 1);
 	e.born_ms = 1;
 	g_array_append_val(list, e);
-	loads_update(&l, list);
+	loads_update(&l, list, 0);
 	loads_mark_leaving(&l, loads_find(&l, "i-1"));
 	g_assert_null(loads_choose(&l, &q, 0));
-	loads_update(&l, list);
+	loads_update(&l, list, 0);
 	g_assert_null(loads_choose(&l, &q, 0));
 	g_array_index(list, struct target_entry, 0).born_ms = 2;
-	loads_update(&l, list);
+	loads_update(&l, list, 0);
 	g_assert_nonnull(loads_choose(&l, &q, 0));
 	g_array_unref(list);
 	loads_free(&l);
--- /dev/null
+++ b/tests/kernel/test_restored_store.c
@@ -0,0 +1,128 @@
+/*
+ * Targets whose entries lapse and come back, as after a restore of the store
+ * from an older copy: what a host had learned of them still holds.
+ */
+#include "kernel/loads.h"
+
+#define SEC USEC_PER_SEC
+
+enum news {
+	NEWS_LEAVING,  /* an answer says that the target leaves */
+	NEWS_REST,     /* an answer asks for a rest of 10 s */
+	NEWS_LIMIT,    /* an answer names a limit of no requests */
+	NEWS_DRAINING, /* a newer entry says that the target leaves */
+	NEWS_NONE
+};
+
+static const struct relisted_case {
+	const char *name;
+	enum news news;
+	usec_t missing;     /* time without an entry; 0: it was there always */
+	uint64_t born, seq; /* of the entry that comes back; before: 5, 20 */
+	usec_t after;       /* time from then on */
+	bool usable;
+} cases[] = {
+	{ "leaving", NEWS_LEAVING, 2 * SEC, 5, 18, 60 * SEC, false },
+	{ "leaving, newer entry", NEWS_LEAVING, 2 * SEC, 5, 25, SEC, false },
+	{ "leaving, no seq", NEWS_LEAVING, 2 * SEC, 5, 0, SEC, false },
+	{ "leaving, born anew", NEWS_LEAVING, 2 * SEC, 6, 1, 1, true },
+	{ "leaving, never missing", NEWS_LEAVING, 0, 5, 18, SEC, false },
+	{ "left long ago", NEWS_LEAVING, 600 * SEC, 5, 25, 1, true },
+	{ "rest", NEWS_REST, 2 * SEC, 5, 25, SEC, false },
+	{ "rest is over", NEWS_REST, 2 * SEC, 5, 25, 9 * SEC, true },
+	{ "rest, born anew", NEWS_REST, 2 * SEC, 6, 1, 1, true },
+	{ "limit", NEWS_LIMIT, 2 * SEC, 5, 25, SEC, false },
+	{ "limit, born anew", NEWS_LIMIT, 2 * SEC, 6, 1, 1, true },
+	{ "draining", NEWS_DRAINING, 0, 5, 20, 60 * SEC, false },
+	{ "draining, missing", NEWS_DRAINING, SEC, 5, 20, 60 * SEC, false },
+	{ "draining, newer entry", NEWS_DRAINING, 0, 5, 25, 1, true },
+	{ "draining, no seq", NEWS_DRAINING, 0, 5, 0, 1, true },
+	{ "draining, born anew", NEWS_DRAINING, 0, 6, 1, 1, true },
+	{ "gone", NEWS_NONE, 2 * SEC, 5, 18, SEC, false },
+	{ "gone, still there", NEWS_NONE, 2 * SEC, 5, 18, 3 * SEC, true },
+	{ "lapsed", NEWS_NONE, 2 * SEC, 5, 25, 1, true },
+	{ "lapsed, no seq", NEWS_NONE, 2 * SEC, 5, 0, 1, true },
+	{ "older entry, never missing", NEWS_NONE, 0, 5, 18, 1, true },
+};
+
+static void
+list(struct loads *l, uint64_t born, uint64_t seq, bool leaving, usec_t now)
+{
+	g_autoptr(GArray) v =
+	    g_array_new(FALSE, TRUE, sizeof(struct target_entry));
+	struct target_entry e = { .id = "i-1",
+		.service = "s",
+		.addr = "10.0.0.1:80",
+		.slots = 4,
+		.born_ms = born,
+		.seq = seq,
+		.leaving = leaving };
+
+	g_array_append_val(v, e);
+	loads_update(l, v, now);
+}
+
+static void
+learn(struct loads *l, enum news news, usec_t now)
+{
+	struct target_load *t = loads_find(l, "i-1");
+
+	switch (news) {
+	case NEWS_LEAVING:
+		loads_mark_leaving(l, t);
+		break;
+	case NEWS_REST:
+		loads_rest(t, 10 * SEC, now);
+		break;
+	case NEWS_LIMIT:
+		target_limit_answered(&t->limit, 1e-6, now, now);
+		loads_limit_changed(l, t, now);
+		break;
+	case NEWS_DRAINING:
+		list(l, 5, 21, true, now);
+		break;
+	case NEWS_NONE:
+		break;
+	}
+}
+
+static void
+test_relisted(void)
+{
+	static const struct rendezvous_host host = { "h1", 250 };
+	struct loads_query q = { .service = "s" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const struct relisted_case *x = &cases[i];
+		g_autoptr(GArray) none =
+		    g_array_new(FALSE, TRUE, sizeof(struct target_entry));
+		struct loads l;
+		usec_t now = SEC;
+
+		loads_init(&l, "d", 1);
+		loads_set_hosts(&l, &host, 1, "h1", now);
+		list(&l, 5, 20, false, now);
+		learn(&l, x->news, now);
+		if (x->missing > 0) {
+			loads_update(&l, none, now);
+			now += x->missing;
+			loads_update(&l, none, now);
+		}
+		list(&l, x->born, x->seq, false, now);
+		now += x->after;
+		list(&l, x->born, x->seq, false, now);
+		g_test_message("%s", x->name);
+		g_assert_cmpint(
+		    loads_choose(&l, &q, now) != NULL, ==, x->usable);
+		loads_free(&l);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions();
+	g_test_add_func("/restored-store/relisted", test_relisted);
+	return g_test_run();
+}
--- a/tests/kernel/test_spill.c
+++ b/tests/kernel/test_spill.c
@@ -101,7 +101,7 @@
 	loads_init(&l, "d1", 1);
 	add_targets(v, "80", 36, 6);
 	add_targets(v, "81", 5, 3);
-	loads_update(&l, v);
+	loads_update(&l, v, 0);
 	g_assert_cmpuint(loads_domains(&l, "80")->len, ==, 6);
 	g_assert_null(loads_domains(&l, "81"));
 	g_assert_null(loads_domains(&l, "82"));
--- a/tests/kernel/test_stream_versions.c
+++ b/tests/kernel/test_stream_versions.c
@@ -232,7 +232,7 @@
 
 	g_array_append_val(v, e);
 	loads_init(&l, "d", 1);
-	loads_update(&l, v);
+	loads_update(&l, v, 0);
 	g_assert_nonnull(loads_choose(&l, &q, 0));
 	q.version = STR("2");
 	g_assert_null(loads_choose(&l, &q, 0));
--- a/tests/kernel/test_target_brittle.c
+++ b/tests/kernel/test_target_brittle.c
@@ -76,7 +76,7 @@
 	}
 	for (uint32_t i = 0; i < b->x->hosts; i++) {
 		loads_init(&b->hosts[i], "d", i + 1);
-		loads_update(&b->hosts[i], targets);
+		loads_update(&b->hosts[i], targets, 0);
 		loads_set_hosts(&b->hosts[i], v, b->x->hosts, ids[i], 0);
 	}
 }
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -48,6 +48,7 @@
 	uint32_t restarts;
 	struct event *restart_timer; /* after a crash */
 	enum fakeplat_repeat repeat;
+	uint32_t seq; /* of its last store entry */
 };
 
 struct item {
@@ -84,9 +85,14 @@
 	struct evconnlistener *listener;
 	enum fakeplat_store_mode store_mode;
 	int64_t rev;
-	int64_t oldest_rev;   /* changes before it are forgotten */
-	guint page_items;     /* on a page; 0: no limit */
-	GHashTable *items;    /* key -> struct item */
+	int64_t oldest_rev; /* changes before it are forgotten */
+	guint page_items;   /* on a page; 0: no limit */
+	GHashTable *items;  /* key -> struct item */
+	GHashTable *copy;   /* the items of the store's last copy, or NULL */
+	int64_t copied_rev;
+	uint32_t era;
+	bool names_era;
+	bool restored;        /* its connections are to be reset */
 	GHashTable *attempts; /* attempt -> struct fakeplat_attempt */
 	GPtrArray *conns;
 	struct target *targets[FAKEPLAT_MAX_TARGETS];
@@ -210,9 +216,10 @@
 {
 	struct evbuffer *out = bufferevent_get_output(c->bev);
 
-	evbuffer_add_printf(out,
-	    "HTTP/1.1 %d X\r\n%sContent-Length: %zu\r\n\r\n", status, fields,
-	    body.n);
+	evbuffer_add_printf(out, "HTTP/1.1 %d X\r\n%s", status, fields);
+	if (c->target == NULL && c->plat->names_era)
+		evbuffer_add_printf(out, "Store-Era: %u\r\n", c->plat->era);
+	evbuffer_add_printf(out, "Content-Length: %zu\r\n\r\n", body.n);
 	evbuffer_add(out, body.p, body.n);
 	await_request(c);
 }
@@ -415,7 +422,8 @@
 	}
 	str_parse_u64(query_value(url, "After"), &n);
 	c->watch_after = (int64_t)n;
-	if (c->watch_after < c->plat->oldest_rev) {
+	if (c->watch_after < c->plat->oldest_rev ||
+	    c->watch_after > c->plat->rev) {
 		send_response(c, 410, "", STR(""));
 		return;
 	}
@@ -1027,6 +1035,13 @@
 	(void)fd;
 	(void)what;
 	pthread_mutex_lock(&plat->lock);
+	for (guint i = plat->conns->len; plat->restored && i-- > 0;) {
+		struct conn *c = plat->conns->pdata[i];
+
+		if (c->target == NULL)
+			reset_conn(c);
+	}
+	plat->restored = false;
 	for (guint i = 0; i < plat->conns->len; i++) {
 		struct conn *c = plat->conns->pdata[i];
 
@@ -1074,6 +1089,7 @@
 	plat->rev = 1;
 	plat->results =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	plat->era = 1;
 	plat->items =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_item);
 	plat->attempts =
@@ -1156,18 +1172,19 @@
 }
 
 static void
-publish_target(struct fakeplat *plat, const struct target *t, const char *state)
+publish_target(struct fakeplat *plat, struct target *t, const char *state)
 {
 	const char *version = t->config.version;
 	g_autofree char *key = g_strconcat("servers/", t->id, NULL);
 	g_autofree char *v = g_strdup_printf(
 	    "{\"Service\":\"%s\",\"Addr\":\"127.0.0.1:%u\",\"Zone\":\"%s\","
 	    "\"Version\":\"%s\",\"Slots\":4,\"State\":\"%s\","
-	    "\"ColdLeftMs\":0,\"Seq\":1,\"born\":1}",
+	    "\"ColdLeftMs\":0,\"Seq\":%u,\"born\":1}",
 	    t->config.service,
 	    t->config.published_port != 0 ? t->config.published_port
 					  : t->config.port,
-	    t->config.domain, version != NULL ? version : "v1", state);
+	    t->config.domain, version != NULL ? version : "v1", state,
+	    ++t->seq);
 
 	put_item(plat, key, v);
 }
@@ -1400,6 +1417,61 @@
 	pthread_mutex_unlock(&plat->lock);
 }
 
+void
+fakeplat_name_era(struct fakeplat *plat)
+{
+	pthread_mutex_lock(&plat->lock);
+	plat->names_era = true;
+	pthread_mutex_unlock(&plat->lock);
+}
+
+static GHashTable *
+copy_items(GHashTable *items)
+{
+	GHashTable *out =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_item);
+	GHashTableIter it;
+	gpointer k;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, items);
+	while (g_hash_table_iter_next(&it, &k, &v)) {
+		const struct item *x = v;
+		struct item *y = g_new0(struct item, 1);
+
+		y->value = g_strdup(x->value);
+		y->rev = x->rev;
+		g_hash_table_insert(out, g_strdup(k), y);
+	}
+	return out;
+}
+
+void
+fakeplat_copy_store(struct fakeplat *plat)
+{
+	pthread_mutex_lock(&plat->lock);
+	if (plat->copy != NULL)
+		g_hash_table_destroy(plat->copy);
+	plat->copy = copy_items(plat->items);
+	plat->copied_rev = plat->rev;
+	pthread_mutex_unlock(&plat->lock);
+}
+
+void
+fakeplat_restore_store(struct fakeplat *plat)
+{
+	pthread_mutex_lock(&plat->lock);
+	g_hash_table_destroy(plat->items);
+	plat->items = copy_items(plat->copy);
+	plat->rev = plat->copied_rev;
+	if (plat->oldest_rev > plat->rev)
+		plat->oldest_rev = plat->rev;
+	plat->era++;
+	plat->restored = true;
+	pthread_mutex_unlock(&plat->lock);
+	event_active(plat->wakeup, EV_TIMEOUT, 0);
+}
+
 void
 fakeplat_stop_target(struct fakeplat *plat, const char *id, bool stopped)
 {
@@ -1483,6 +1555,8 @@
 	event_base_loop(plat->base, EVLOOP_NONBLOCK);
 	event_base_free(plat->base);
 	g_hash_table_destroy(plat->items);
+	if (plat->copy != NULL)
+		g_hash_table_destroy(plat->copy);
 	g_hash_table_destroy(plat->attempts);
 	g_hash_table_destroy(plat->results);
 	g_array_unref(plat->crash_arrivals);
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -151,6 +151,15 @@
 uint32_t fakeplat_count_mixed(struct fakeplat *plat);
 /* Makes the store forget the changes before the current revision. */
 void fakeplat_compact(struct fakeplat *plat);
+/* From now on the store names its era, which begins with 1, in all answers. */
+void fakeplat_name_era(struct fakeplat *plat);
+/* Makes a copy of the store. */
+void fakeplat_copy_store(struct fakeplat *plat);
+/*
+ * Restores the store from its last copy, in the next era: its revision goes
+ * back, and its connections are reset.
+ */
+void fakeplat_restore_store(struct fakeplat *plat);
 /*
  * Returns the number of attempts that ran more than once although their id
  * begins with "once".
--- /dev/null
+++ b/tests/platform/test_store_restore.c
@@ -0,0 +1,207 @@
+/*
+ * The store comes back from a copy some seconds old: its revision goes back and
+ * what was written since is gone.  Hosts must not use targets again that they
+ * know to leave.
+ */
+#include "tests/platform/harness.h"
+
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+
+#define STORE_PORT      24500
+#define TARGET_PORT     24501
+#define HOST_PORT       24520
+#define PORTS_PER_HOST  3
+#define HOSTS           1
+#define CALLERS         36
+#define TIMEOUT_SECONDS 30
+#define DEADLINE_MS     3000
+#define CALL_PAUSE      (30 * USEC_PER_MSEC)
+/* Until all hosts have seen what a target or the store says. */
+#define NOTICE_TIME     (1500 * USEC_PER_MSEC)
+#define AWAY_TIME       (300 * USEC_PER_MSEC)
+#define WATCH_TIME      (2 * USEC_PER_SEC)
+/* The platform's bound DrainMs. */
+#define DRAIN_TIME      (2 * USEC_PER_SEC)
+/* Changes before the restore that are lost, or after it. */
+#define CHANGES         40
+
+enum departure {
+	LEAVES_IN_ANSWERS, /* says so before the restore, its entry is removed
+			    */
+	LEAVES_DRAINING    /* its entry says so before the restore */
+};
+
+static const struct restore_case {
+	const char *name;
+	enum departure departure;
+} cases[] = {
+	{ "leaving-target", LEAVES_IN_ANSWERS },
+	{ "draining-target", LEAVES_DRAINING },
+};
+
+struct caller {
+	pthread_t thread;
+	int number;
+};
+
+static struct fakeplat *platform;
+static struct harness_host hosts[HOSTS];
+static atomic_bool stopping;
+static atomic_int n_hosts;
+static uint32_t n_changes;
+
+static void *
+run_caller(void *arg)
+{
+	const struct caller *c = arg;
+
+	for (int n = 0; !atomic_load(&stopping); n++) {
+		int h = c->number % atomic_load(&n_hosts);
+		g_autofree char *id =
+		    g_strdup_printf("safe-%d-%d", c->number, n);
+		g_autofree char *q = harness_format(&(struct harness_request){
+		    .path = "/safe/1", .id = id, .deadline_ms = DEADLINE_MS });
+		struct harness_response a;
+
+		harness_exchange(
+		    hosts[h].port, str_from(q), 2 * DEADLINE_MS, &a);
+		harness_response_free(&a);
+		g_usleep((gulong)CALL_PAUSE);
+	}
+	return NULL;
+}
+
+static void
+start_host(int i)
+{
+	struct harness_host *h = &hosts[i];
+
+	h->port = (uint16_t)(HOST_PORT + PORTS_PER_HOST * i);
+	h->store_port = STORE_PORT;
+	h->seed_port = HOST_PORT;
+	snprintf(h->id, sizeof(h->id), "h%d", i);
+	if (i > 0)
+		g_strlcpy(h->dir, hosts[0].dir, sizeof(h->dir));
+	harness_start_host(h);
+}
+
+static void
+start_fleet(int n)
+{
+	if (n <= atomic_load(&n_hosts))
+		return;
+	for (int i = atomic_load(&n_hosts); i < n; i++)
+		start_host(i);
+	for (int i = atomic_load(&n_hosts); i < n; i++)
+		g_assert_true(harness_wait_ready(&hosts[i], TIMEOUT_SECONDS));
+	g_usleep(3 * USEC_PER_SEC);
+	atomic_store(&n_hosts, n);
+}
+
+static void
+make_changes(void)
+{
+	for (int i = 0; i < CHANGES; i++) {
+		g_autofree char *key =
+		    g_strdup_printf("op/note-%u", n_changes++);
+
+		fakeplat_put(platform, key, "{}");
+	}
+}
+
+static void
+restore(void)
+{
+	fakeplat_set_store_mode(platform, FAKEPLAT_STORE_RESET);
+	fakeplat_restore_store(platform);
+	g_usleep((gulong)AWAY_TIME);
+	fakeplat_set_store_mode(platform, FAKEPLAT_STORE_OK);
+}
+
+static void
+run_case(gconstpointer arg)
+{
+	const struct restore_case *x = arg;
+	const char *id = x->name;
+	g_autofree char *key = g_strconcat("servers/", id, NULL);
+	usec_t left_at;
+	uint32_t n;
+
+	fakeplat_add_target(platform,
+	    &(struct fakeplat_target){
+		id, "plain", "d1", (uint16_t)(TARGET_PORT + 1 + (x - cases)) });
+	g_usleep((gulong)NOTICE_TIME);
+	g_assert_cmpuint(fakeplat_arrivals(platform, id, 0), >, 0);
+	fakeplat_copy_store(platform);
+	make_changes();
+	fakeplat_set_leaving(platform, id, x->departure == LEAVES_IN_ANSWERS);
+	if (x->departure == LEAVES_DRAINING)
+		fakeplat_drain_target(platform, id);
+	left_at = clock_now();
+	g_usleep((gulong)NOTICE_TIME);
+	if (x->departure == LEAVES_IN_ANSWERS) {
+		fakeplat_delete(platform, key);
+		g_usleep((gulong)NOTICE_TIME);
+	}
+	restore();
+	g_usleep((gulong)(DRAIN_TIME + WATCH_TIME));
+	n = fakeplat_arrivals(platform, id, left_at + DRAIN_TIME);
+	g_test_message("%u requests too late", n);
+	g_assert_cmpuint(n, ==, 0);
+	g_assert_cmpuint(
+	    fakeplat_arrivals(platform, "stays", left_at + DRAIN_TIME), >, 0);
+	fakeplat_delete(platform, key);
+}
+
+static void
+start_platform(void)
+{
+	g_autofree char *c = harness_config(1, NULL);
+	g_autofree char *dir = g_dir_make_tmp("store-restore-XXXXXX", NULL);
+
+	platform = fakeplat_start(STORE_PORT);
+	fakeplat_add_target(platform,
+	    &(struct fakeplat_target){ "stays", "plain", "d1", TARGET_PORT });
+	fakeplat_put(platform, "op/config", c);
+	g_strlcpy(hosts[0].dir, dir, sizeof(hosts[0].dir));
+	start_fleet(1);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct caller callers[CALLERS];
+	int rc;
+
+	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions();
+	signal(SIGPIPE, SIG_IGN);
+	start_platform();
+	for (int i = 0; i < CALLERS; i++) {
+		callers[i].number = i;
+		pthread_create(
+		    &callers[i].thread, NULL, run_caller, &callers[i]);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *path =
+		    g_strconcat("/store-restore/", cases[i].name, NULL);
+
+		g_test_add_data_func(path, &cases[i], run_case);
+	}
+	rc = g_test_run();
+	atomic_store(&stopping, true);
+	for (int i = 0; i < CALLERS; i++)
+		pthread_join(callers[i].thread, NULL);
+	for (int i = 0; i < HOSTS; i++) {
+		if (hosts[i].pid == 0)
+			continue;
+		kill(hosts[i].pid, SIGTERM);
+		g_assert_cmpint(harness_wait_exit(&hosts[i]), ==, 0);
+	}
+	fakeplat_stop(platform);
+	return rc;
+}
