discovery: a restore of the store reaches every host

Callers saw streams broken off: after a restore of the store from an older copy, hosts that get its changes from other hosts never learned that a target's entry was removed, and sent requests to it until it exited.

Cause: revisions go back with the restore. Receivers dropped feeds up to the highest revision they knew, and took the same datagrams as a sign that the feed is current, so they didn't ask the store either. Hosts that poll the store missed it too if the revisions had been given out again before their next poll: then there is no 410, and Store-Era was read nowhere.

Now the watcher lists anew if the era rises (decoded in platform/store), and also without an era if a revision is lower than the one it polled from. A feeder that has done so announces it, for 2 s with its heartbeats, by a feed whose revisions go back (from > to; peer.x is unchanged): receivers list the store, each after a random part of half a second. A build without this takes such a feed for a gap, or for an old one. A feed behind what the receiver knows no longer counts as current, so it polls the store itself after 1.5 s, also if the feeder is of an older build. While a host lists the store, it doesn't serve its half-read state to others. After a restore the targets whose entries are missing have the 2 s that they have after the store's return, and the list of hosts is written again if the copy lacks it.

What a receiver does with a feed is decided in kernel/feeders.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -101,6 +101,19 @@
 	roster_remove(&d->roster, platform_target_id(key), clock_now());
 }
 
+static void
+on_restored(struct discovery *d)
+{
+	d->restores++;
+	d->restored = true;
+	d->hosts.stored = 0;
+	roster_store_restored(&d->roster, clock_now());
+	log_text(LOG_LVL_NOTICE, "store-restored",
+	    "the store continues from an older copy, era %" PRIu64
+	    ": it is listed anew",
+	    watcher_era(d->watcher));
+}
+
 void
 discovery_on_store_event(
     void *arg, enum watcher_event ev, struct str key, struct str value)
@@ -109,6 +122,9 @@
 	bool target = platform_target_id(key).n > 0;
 
 	switch (ev) {
+	case WATCHER_RESTORED:
+		on_restored(d);
+		break;
 	case WATCHER_LIST_BEGIN:
 		roster_begin(&d->roster);
 		quarantine_list_begin(&d->quarantine, clock_now());
@@ -136,6 +152,9 @@
 		roster_finish(&d->roster, clock_now());
 		d->confirmed_at = clock_now();
 		discovery_streams_listed(d);
+		if (d->restored)
+			discovery_announce_restore(d, clock_now());
+		d->restored = false;
 		/* In a large fleet the next changes come from a feeder. */
 		if (d->feed_received_at == 0)
 			d->feed_received_at = clock_now();
@@ -178,7 +197,9 @@
 		d->config_text.n > 0 ? d->config_text.p : "", d->config_text.n),
 	    "targets", string_map(d->target_values), "quarantine",
 	    string_map(d->quarantine_values));
-	r->found = !d->counts.store_unavailable && d->config_text.n > 0;
+	/* Without a revision, the store is being listed. */
+	r->found = !d->counts.store_unavailable && d->counts.revision != 0 &&
+	    d->config_text.n > 0;
 	pthread_mutex_unlock(&d->lock);
 	if (r->found) {
 		char *text = json_dumps(o, JSON_COMPACT);
@@ -523,6 +544,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->quarantine_values =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	d->announced =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	roster_init(&d->roster);
 	quarantine_init(&d->quarantine);
 	d->suspects = discovery_new_suspects();
@@ -631,6 +654,7 @@
 	http_free(d->loop);
 	roster_free(&d->roster);
 	routes_unref(d->routes);
+	g_hash_table_destroy(d->announced);
 	g_hash_table_destroy(d->target_values);
 	g_hash_table_destroy(d->quarantine_values);
 	quarantine_free(&d->quarantine);
--- a/entry/discovery_feed.c
+++ b/entry/discovery_feed.c
@@ -2,6 +2,7 @@
 #include "kernel/feeders.h"
 #include "platform/config.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,6 +12,10 @@
 #define FEED_TIMEOUT         (1500 * USEC_PER_MSEC)
 /* Larger values are not sent; receivers fetch them. */
 #define MAX_FEED_VALUE_BYTES 4000
+/* A restore of the store is announced for this time, as datagrams get lost. */
+#define ANNOUNCE_TIME        (2 * USEC_PER_SEC)
+/* Receivers list the store after a random part of this time. */
+#define LISTING_SPREAD       (500 * USEC_PER_MSEC)
 
 static void
 choose_feeders(struct discovery *d, struct feeders *out)
@@ -108,17 +113,38 @@
 	send_feed(d, &body);
 }
 
+void
+discovery_announce_restore(struct discovery *d, usec_t now)
+{
+	d->announce_until = now + ANNOUNCE_TIME;
+	d->announced_at = 0;
+}
+
+/*
+ * A datagram whose revisions go back announces that the store was restored: its
+ * receiver lists the store anew.  The difference tells one restore from
+ * another: it is the store's era or, if that isn't known, a count.  Receivers
+ * that don't know this take it for a gap, or for an old datagram.
+ */
 void
 discovery_feed_heartbeat(struct discovery *d, usec_t now)
 {
 	peer_body body = { .kind = PEER_FEED };
 	int64_t revision = watcher_revision(d->watcher);
+	uint64_t era = watcher_era(d->watcher);
+	bool announces = now < d->announce_until;
+	usec_t sent_at = announces ? d->announced_at : d->feed_sent_at;
 
 	if (d->store_unavailable || revision == 0 ||
-	    now - d->feed_sent_at < FEED_INTERVAL)
+	    now - sent_at < FEED_INTERVAL)
 		return;
 	body.peer_body_u.feed.from = revision;
 	body.peer_body_u.feed.to = revision;
+	if (announces) {
+		d->announced_at = now;
+		body.peer_body_u.feed.from +=
+		    (int64_t)(era != 0 ? era : d->restores);
+	}
 	send_feed(d, &body);
 }
 
@@ -142,33 +168,40 @@
 {
 	struct feeders f;
 
-	if (d->feed_gap || now - d->feed_received_at >= FEED_TIMEOUT)
+	if (d->feed_gap || watcher_revision(d->watcher) == 0 ||
+	    now - d->feed_received_at >= FEED_TIMEOUT)
 		return false;
 	choose_feeders(d, &f);
 	return !feeders_watches(&f, d->o.settings->id);
 }
 
-void
-discovery_on_feed(struct discovery *d, const peer_letter *l, usec_t now)
+/* Handles a datagram that announces a restore of the store. */
+static void
+on_announcement(struct discovery *d, const peer_letter *l)
 {
 	const peer_feed *f = &l->body.peer_body_u.feed;
-	int64_t known = watcher_revision(d->watcher);
-	bool complete = known >= f->from;
-
-	for (u_int i = 0; complete && i < f->items.items_len; i++)
-		complete = !f->items.items_val[i].large ||
-		    strcmp(f->items.items_val[i].key, PLATFORM_CONFIG_KEY) == 0;
-	if (known == 0)
-		return; /* the first full listing comes from the store */
-	d->feed_received_at = now;
-	if (f->to == known)
-		d->confirmed_at = now;
-	if (f->to <= known)
-		return;
-	if (!complete) {
-		d->feed_gap = true;
+	uint64_t number = (uint64_t)f->from - (uint64_t)f->to;
+	g_autofree char *sender =
+	    g_strdup_printf("%s/%" PRIu64, l->from, (uint64_t)l->incarnation);
+	uint64_t *last = g_hash_table_lookup(d->announced, sender);
+
+	if (watcher_era(d->watcher) >= number ||
+	    (last != NULL && *last == number))
 		return;
+	if (last == NULL) {
+		last = g_new(uint64_t, 1);
+		g_hash_table_insert(
+		    d->announced, g_steal_pointer(&sender), last);
 	}
+	*last = number;
+	watcher_restored(d->watcher, LISTING_SPREAD);
+}
+
+static void
+apply_feed(struct discovery *d, const peer_letter *l)
+{
+	const peer_feed *f = &l->body.peer_body_u.feed;
+
 	for (u_int i = 0; i < f->items.items_len; i++) {
 		const peer_feed_item *x = &f->items.items_val[i];
 
@@ -183,5 +216,45 @@
 		    (struct str){ x->value.value_val, x->value.value_len });
 	}
 	watcher_set_revision(d->watcher, f->to);
-	d->confirmed_at = now;
+}
+
+/* Whether all values are there, or can be fetched from other hosts. */
+static bool
+has_values(const peer_feed *f)
+{
+	for (u_int i = 0; i < f->items.items_len; i++) {
+		const peer_feed_item *x = &f->items.items_val[i];
+
+		if (x->large && strcmp(x->key, PLATFORM_CONFIG_KEY) != 0)
+			return false;
+	}
+	return true;
+}
+
+void
+discovery_on_feed(struct discovery *d, const peer_letter *l, usec_t now)
+{
+	const peer_feed *f = &l->body.peer_body_u.feed;
+
+	switch (feeders_judge(
+	    watcher_revision(d->watcher), f->from, f->to, has_values(f))) {
+	case FEED_APPLY:
+		d->feed_received_at = now;
+		apply_feed(d, l);
+		d->confirmed_at = now;
+		break;
+	case FEED_CURRENT:
+		d->feed_received_at = now;
+		d->confirmed_at = now;
+		break;
+	case FEED_BEHIND:
+		break;
+	case FEED_GAP:
+		d->feed_received_at = now;
+		d->feed_gap = true;
+		break;
+	case FEED_RESTORED:
+		on_announcement(d, l);
+		break;
+	}
 }
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -75,6 +75,12 @@
 	usec_t confirmed_at; /* no change of the store was missing then */
 	_Atomic usec_t published_confirmed_at;
 	usec_t feed_sent_at;
+	bool restored;         /* the store, since its last complete listing */
+	uint64_t restores;     /* of the store that this host has seen */
+	usec_t announce_until; /* tells receivers of the last one until then */
+	usec_t announced_at;
+	/* Incarnation of a feeder -> the last restore that it announced. */
+	GHashTable *announced;
 	pthread_mutex_t lock; /* guards the members below */
 	struct buf config_text;
 	GHashTable *target_values;     /* key -> value as stored */
@@ -115,6 +121,8 @@
  */
 void discovery_forward_batch(
     void *arg, int64_t after, const struct kv_changes *c);
+/* The store was restored from an older copy, and is listed: tells receivers. */
+void discovery_announce_restore(struct discovery *d, usec_t now);
 /* Sends an empty feed datagram when FEED_INTERVAL has passed. */
 void discovery_feed_heartbeat(struct discovery *d, usec_t now);
 /*
--- a/kernel/feeders.c
+++ b/kernel/feeders.c
@@ -37,3 +37,15 @@
 		count += hash_u64(str_from(f->ids[i]), seed) < feeder_hash;
 	return count < FEEDERS_PER_HOST;
 }
+
+enum feed_use
+feeders_judge(int64_t known, int64_t from, int64_t to, bool complete)
+{
+	if (from > to)
+		return FEED_RESTORED;
+	if (known == 0 || to < known)
+		return FEED_BEHIND;
+	if (to == known)
+		return FEED_CURRENT;
+	return known >= from && complete ? FEED_APPLY : FEED_GAP;
+}
--- a/kernel/feeders.h
+++ b/kernel/feeders.h
@@ -34,4 +34,25 @@
 bool feeders_feeds(
     const struct feeders *f, const char *feeder, const char *receiver);
 
+/* What a receiver does with the changes after one revision up to another. */
+enum feed_use {
+	FEED_APPLY,
+	FEED_CURRENT, /* nothing new */
+	/*
+	 * Nothing new, nor a sign that the feed is current: the feeder lags, or
+	 * the store was restored from an older copy and its revisions went
+	 * back.
+	 */
+	FEED_BEHIND,
+	FEED_GAP,     /* changes are missing: they are read from the store */
+	FEED_RESTORED /* announces a restore: the store is listed anew */
+};
+
+/*
+ * known is the revision up to which the receiver knows all changes, 0 if it
+ * hasn't listed the store; complete is set if no change lacks its value.
+ */
+enum feed_use feeders_judge(
+    int64_t known, int64_t from, int64_t to, bool complete);
+
 #endif
--- a/kernel/roster.c
+++ b/kernel/roster.c
@@ -153,6 +153,12 @@
 	r->store_unavailable = unavailable;
 }
 
+void
+roster_store_restored(struct roster *r, usec_t now)
+{
+	r->grace_until = now + ROSTER_GRACE_TIME;
+}
+
 usec_t
 roster_tick(struct roster *r, usec_t now)
 {
--- a/kernel/roster.h
+++ b/kernel/roster.h
@@ -4,7 +4,8 @@
  * A target whose entry disappears while the store is available is removed at
  * once.  Entries that disappear while the store is unavailable, or within the
  * grace time after its return, are kept until that ends: their targets may only
- * have been unable to renew them.
+ * have been unable to renew them.  The same holds after its restore from a
+ * copy.
  *
  * An entry that can't be read names no target: the target that it named before
  * is removed at once.
@@ -60,6 +61,11 @@
 /* The store is unavailable, or available again. */
 void roster_set_store_unavailable(
     struct roster *r, bool unavailable, usec_t now);
+/*
+ * The store was restored from an older copy, which may lack entries of live
+ * targets: begins a grace time.
+ */
+void roster_store_restored(struct roster *r, usec_t now);
 /*
  * Removes kept entries that have not come back after the grace time.  Returns
  * when to call it next, or 0.
--- a/plat/http.c
+++ b/plat/http.c
@@ -19,6 +19,7 @@
 	struct http_loop *loop;
 	CURL *easy;
 	struct curl_slist *headers;
+	const char *field; /* name of the response field to deliver, or NULL */
 	http_handler handler;
 	void *arg;
 	struct buf body;
@@ -128,13 +129,14 @@
 	return g_hash_table_lookup(l->transfers, &id);
 }
 
-/* Returns the ETag of the response, or NULL. */
+/* Returns the value of a field of the response, or NULL. */
 static const char *
-response_etag(CURL *e)
+response_field(CURL *e, const char *name)
 {
 	struct curl_header *h;
 
-	if (curl_easy_header(e, "ETag", 0, CURLH_HEADER, -1, &h) != CURLHE_OK)
+	if (name == NULL ||
+	    curl_easy_header(e, name, 0, CURLH_HEADER, -1, &h) != CURLHE_OK)
 		return NULL;
 	return h->value;
 }
@@ -155,9 +157,11 @@
 		t->head_delivered = true;
 		curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
 		ev.status = (int)status;
-		ev.etag = response_etag(t->easy);
+		ev.etag = response_field(t->easy, "ETag");
+		ev.field = response_field(t->easy, t->field);
 		t->handler(t->arg, &ev);
 		ev.etag = NULL;
+		ev.field = NULL;
 		t = find_transfer(l, id);
 	}
 	if (t == NULL || t->received.n == 0)
@@ -297,6 +301,7 @@
 
 	t->id = ++l->last_id;
 	t->loop = l;
+	t->field = o->field;
 	t->handler = o->handler;
 	t->arg = o->arg;
 	t->max_bytes = o->max_bytes;
--- a/plat/http.h
+++ b/plat/http.h
@@ -29,6 +29,8 @@
 struct http_event {
 	enum http_event_kind kind;
 	const char *etag; /* HTTP_HEAD: the entity tag, or NULL */
+	const char
+	    *field; /* HTTP_HEAD: value of the field asked for, or NULL */
 	union {
 		int status;       /* HTTP_HEAD */
 		struct str bytes; /* HTTP_CHUNK */
@@ -46,10 +48,12 @@
 	const char *url;
 	struct str body;            /* copied */
 	const char *const *headers; /* "Name: value", ends with NULL; or NULL */
-	usec_t timeout;             /* limit on the whole call; 0: no limit */
-	usec_t connect_timeout;     /* 0: one second */
-	size_t max_bytes; /* a longer body fails the call; 0: no limit */
-	bool fresh;       /* use a new connection and close it afterwards */
+	const char
+	    *field;     /* name of a response field to deliver, or NULL; kept */
+	usec_t timeout; /* limit on the whole call; 0: no limit */
+	usec_t connect_timeout; /* 0: one second */
+	size_t max_bytes;       /* a longer body fails the call; 0: no limit */
+	bool fresh; /* use a new connection and close it afterwards */
 	const char *local_addr; /* source address, or NULL */
 	http_handler handler;
 	void *arg;
--- a/plat/kv.c
+++ b/plat/kv.c
@@ -43,7 +43,8 @@
 	struct kv *kv;
 	uint64_t call; /* id of the HTTP call */
 	enum op op;
-	int status; /* HTTP status */
+	int status;   /* HTTP status */
+	uint64_t era; /* that the response names */
 	struct buf body;
 	union {
 		kv_result_handler done;
@@ -181,6 +182,7 @@
 
 	if (complete && p->status == 200) {
 		st = read_changes(p, &c) ? KV_OK : KV_UNKNOWN;
+		c.era = p->era;
 	} else if (complete && p->status == 410) {
 		st = KV_NO_HISTORY;
 	} else if (complete && (p->status == 429 || p->status == 503)) {
@@ -273,6 +275,7 @@
 	switch (ev->kind) {
 	case HTTP_HEAD:
 		p->status = ev->status;
+		p->era = store_read_era(ev->field);
 		return;
 	case HTTP_CHUNK:
 		buf_put(&p->body, ev->bytes);
@@ -319,6 +322,7 @@
 		.connect_timeout = fresh ? timeout : 0,
 		.fresh = fresh,
 		.local_addr = kv->local_addr,
+		.field = STORE_ERA_FIELD,
 		.handler = on_http,
 		.arg = p,
 	    });
--- a/plat/kv.h
+++ b/plat/kv.h
@@ -52,6 +52,7 @@
 	struct kv_change *v;
 	size_t n;
 	int64_t as_of; /* store revision of the response */
+	uint64_t era;  /* of the store (platform/store.h); 0: not known */
 	bool more;     /* kv_range: another page follows */
 	/* kv_range: that of the last item, also of one that is left out. */
 	struct buf last_key;
--- a/plat/watcher.c
+++ b/plat/watcher.c
@@ -30,11 +30,15 @@
 	bool listing; /* a full listing is in progress */
 	bool in_flight;
 	bool unavailable;
+	bool restored; /* since the last complete listing */
+	bool stale;    /* the call in flight is of before a restore */
+	uint64_t era;  /* highest that the service has named; 0: none */
 	int64_t revision;
-	int64_t list_revision; /* revision of the listing's first page */
-	struct buf last_key;   /* last key listed so far */
-	usec_t backoff;        /* delay after the last call; 0: it succeeded */
-	usec_t next_at;        /* earliest time of the next call */
+	int64_t polled_revision; /* from which the last poll was made */
+	int64_t list_revision;   /* revision of the listing's first page */
+	struct buf last_key;     /* last key listed so far */
+	usec_t backoff; /* delay after the last call; 0: it succeeded */
+	usec_t next_at; /* earliest time of the next call */
 };
 
 struct watcher *
@@ -90,10 +94,35 @@
 		    str_of(&c->v[i].key), str_of(&c->v[i].value));
 }
 
+/* Whether an answer shows a later era than those before. */
+static bool
+is_later_era(struct watcher *w, uint64_t era)
+{
+	bool later = w->era != 0 && era > w->era;
+
+	if (era > w->era)
+		w->era = era;
+	return later;
+}
+
+/* What is known is of before a restore: it is listed anew. */
+static void
+note_restored(struct watcher *w)
+{
+	w->synced = false;
+	w->listing = false;
+	if (w->restored)
+		return;
+	w->restored = true;
+	notify(w, WATCHER_RESTORED);
+}
+
 static void
 on_page(void *arg, enum kv_status st, const struct kv_changes *c)
 {
 	struct watcher *w = arg;
+	bool first = w->last_key.n == 0;
+	bool later;
 
 	w->in_flight = false;
 	/* Without a new key to go on from, the list can't be completed. */
@@ -102,11 +131,22 @@
 		st = KV_UNKNOWN;
 	if (st != KV_OK) {
 		w->listing = false;
+		w->stale = false;
 		call_failed(w, st);
 		return;
 	}
 	call_ok(w);
-	if (w->last_key.n == 0) {
+	later = is_later_era(w, c->era);
+	if (w->stale || c->as_of < (first ? w->revision : w->list_revision) ||
+	    later) {
+		note_restored(w);
+		/* A first page is of the restored service. */
+		w->listing = first && !w->stale;
+		w->stale = false;
+		if (!w->listing)
+			return;
+	}
+	if (first) {
 		/*
 		 * Pages are not a consistent snapshot: polling continues from
 		 * the revision of the first page.
@@ -122,6 +162,7 @@
 	}
 	w->listing = false;
 	w->synced = true;
+	w->restored = false;
 	if (w->revision == 0)
 		w->next_at = clock_now() + FIRST_POLL_DELAY;
 	w->revision = w->list_revision;
@@ -134,9 +175,17 @@
 	struct watcher *w = arg;
 
 	w->in_flight = false;
+	if (w->stale) {
+		w->stale = false;
+		return;
+	}
 	switch (st) {
 	case KV_OK:
 		call_ok(w);
+		if (is_later_era(w, c->era) || c->as_of < w->polled_revision) {
+			note_restored(w);
+			break;
+		}
 		if (c->n > 0)
 			w->next_at = clock_now() + CHANGE_INTERVAL;
 		deliver_changes(w, c);
@@ -165,6 +214,7 @@
 	if (now < w->next_at)
 		return w->next_at;
 	w->in_flight = true;
+	w->polled_revision = w->revision;
 	if (w->synced) {
 		kv_poll(w->o.kv, w->o.prefix, w->revision,
 		    w->unavailable ? 0 : w->o.poll_timeout, on_poll, w);
@@ -192,6 +242,24 @@
 	w->synced = true;
 }
 
+void
+watcher_restored(struct watcher *w, usec_t max_delay)
+{
+	usec_t at =
+	    clock_now() + (usec_t)rng_below(&w->rng, (uint64_t)max_delay);
+
+	w->stale = w->in_flight;
+	if (w->next_at < at)
+		w->next_at = at;
+	note_restored(w);
+}
+
+uint64_t
+watcher_era(const struct watcher *w)
+{
+	return w->era;
+}
+
 void
 watcher_free(struct watcher *w)
 {
--- a/plat/watcher.h
+++ b/plat/watcher.h
@@ -4,8 +4,10 @@
  *
  * No change is lost when a long poll fails, is refused or needs changes that
  * the service no longer retains: the watcher polls again from the same revision
- * or lists the whole prefix again.  Failed calls are retried with exponential
- * back-off and jitter.  A watcher belongs to the thread of its kv client.
+ * or lists the whole prefix again.  It also does that if the service was
+ * restored from an older copy, which a higher era shows, or a revision lower
+ * than one known.  Failed calls are retried with exponential back-off and
+ * jitter.  A watcher belongs to the thread of its kv client.
  */
 #ifndef PLAT_WATCHER_H
 #define PLAT_WATCHER_H
@@ -15,6 +17,11 @@
 struct watcher;
 
 enum watcher_event {
+	/*
+	 * The service was restored from an older copy, so its revisions don't
+	 * continue those known: a full listing follows.
+	 */
+	WATCHER_RESTORED,
 	WATCHER_LIST_BEGIN,  /* a full listing begins */
 	WATCHER_PUT,         /* an item was listed or written: key and value */
 	WATCHER_DELETE,      /* an item was deleted: key */
@@ -48,6 +55,13 @@
 int64_t watcher_revision(const struct watcher *w);
 /* Records that all changes up to a revision were received from elsewhere. */
 void watcher_set_revision(struct watcher *w, int64_t revision);
+/*
+ * The service was restored, as another host has seen: lists the whole prefix
+ * again, after a random delay.
+ */
+void watcher_restored(struct watcher *w, usec_t max_delay);
+/* Returns the highest era that the service has named; 0: none. */
+uint64_t watcher_era(const struct watcher *w);
 void watcher_free(struct watcher *w);
 
 #endif
--- a/tests/kernel/test_restored_store.c
+++ b/tests/kernel/test_restored_store.c
@@ -2,6 +2,7 @@
  * Targets whose entries lapse and come back, as after a restore of the store
  * from an older copy: what a host had learned of them still holds.
  */
+#include "kernel/feeders.h"
 #include "kernel/loads.h"
 
 #define SEC USEC_PER_SEC
@@ -118,11 +119,83 @@
 	}
 }
 
+/*
+ * Feeds of changes, as the receivers of a restored store get them: one that is
+ * dropped must not count as a sign that the feed is current.
+ */
+static void
+test_feed(void)
+{
+	static const struct {
+		int64_t known, from, to;
+		bool complete;
+		enum feed_use use;
+	} feeds[] = {
+		{ 100, 100, 102, true, FEED_APPLY },
+		{ 100, 98, 102, true, FEED_APPLY },
+		{ 100, 100, 102, false, FEED_GAP },
+		{ 100, 101, 102, true, FEED_GAP },
+		{ 100, 102, 102, true, FEED_GAP },
+		{ 100, 100, 100, true, FEED_CURRENT },
+		{ 100, 90, 100, true, FEED_CURRENT },
+		{ 100, 60, 60, true, FEED_BEHIND },
+		{ 100, 60, 65, true, FEED_BEHIND },
+		{ 0, 60, 65, true, FEED_BEHIND },
+		{ 100, 62, 60, true, FEED_RESTORED },
+		{ 100, 102, 100, true, FEED_RESTORED },
+		{ 0, 62, 60, true, FEED_RESTORED },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(feeds); i++)
+		g_assert_cmpint(feeders_judge(feeds[i].known, feeds[i].from,
+				    feeds[i].to, feeds[i].complete),
+		    ==, feeds[i].use);
+}
+
+/*
+ * Whether a target that a restored store lacks is listed, by the time since the
+ * restore at which its entry was found missing and at which it is asked for.
+ */
+static void
+test_grace(void)
+{
+	static const struct {
+		bool restored;
+		usec_t missing_at, listed_at;
+		bool listed;
+	} graces[] = {
+		{ true, 0, SEC, true },
+		{ true, 0, 3 * SEC, false },
+		{ true, 3 * SEC, 3 * SEC, false },
+		{ false, 0, 0, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(graces); i++) {
+		struct target_entry e = { .id = "i-1", .service = "s" };
+		struct roster r;
+		usec_t now = SEC;
+		g_autoptr(GArray) v = NULL;
+
+		roster_init(&r);
+		roster_put(&r, &e);
+		if (graces[i].restored)
+			roster_store_restored(&r, now);
+		roster_begin(&r);
+		roster_finish(&r, now + graces[i].missing_at);
+		roster_tick(&r, now + graces[i].listed_at);
+		v = roster_list(&r);
+		g_assert_cmpint(v->len == 1, ==, graces[i].listed);
+		roster_free(&r);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions();
 	g_test_add_func("/restored-store/relisted", test_relisted);
+	g_test_add_func("/restored-store/feed", test_feed);
+	g_test_add_func("/restored-store/grace", test_grace);
 	return g_test_run();
 }
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -705,6 +705,22 @@
 }
 
 /* Only platform/ contains the platform's field names, paths and keys. */
+static void
+test_store_era(void)
+{
+	static const struct {
+		const char *value;
+		uint64_t era;
+	} cases[] = { { "1", 1 }, { " 7 ", 7 }, { NULL, 0 }, { "", 0 },
+		{ "-1", 0 }, { "x", 0 }, { "1.5", 0 },
+		{ "9007199254740992", 9007199254740992 },
+		{ "9007199254740993", 0 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		g_assert_cmpuint(
+		    store_read_era(cases[i].value), ==, cases[i].era);
+}
+
 static void
 test_names(void)
 {
@@ -715,7 +731,7 @@
 	    "Inputs|Prefix|Token|Deadline|Request-Priority|Hold|Pin|Kv)|"
 	    "Kv-|/api/|kv-(?:txn|range|watch|lease)|stage-(?:run|free)|"
 	    "op/config|servers/|NodeName|HeadroomMb|ItemMs|CallMs|"
-	    "non_idempotent|Last-Event-Id",
+	    "non_idempotent|Last-Event-Id|Store-Era",
 	    0, 0, NULL);
 
 	for (size_t i = 0; i < G_N_ELEMENTS(folders); i++) {
@@ -793,6 +809,7 @@
 	g_test_add_func("/stage", test_stage);
 	g_test_add_func("/store", test_store);
 	g_test_add_func("/store/odd-items", test_store_odd_items);
+	g_test_add_func("/store-era", test_store_era);
 	g_test_add_func("/names", test_names);
 	return g_test_run();
 }
--- a/tests/platform/test_store_restore.c
+++ b/tests/platform/test_store_restore.c
@@ -1,7 +1,8 @@
 /*
  * The store comes back from a copy some seconds old: its revision goes back and
  * what was written since is gone.  Hosts must not use targets again that they
- * know to leave.
+ * know to leave, and must learn what changes from then on, also those that get
+ * the changes of the store from other hosts.
  */
 #include "tests/platform/harness.h"
 
@@ -15,7 +16,7 @@
 #define TARGET_PORT     24501
 #define HOST_PORT       24520
 #define PORTS_PER_HOST  3
-#define HOSTS           1
+#define HOSTS           18 /* some get the store's changes from others */
 #define CALLERS         36
 #define TIMEOUT_SECONDS 30
 #define DEADLINE_MS     3000
@@ -24,7 +25,8 @@
 #define NOTICE_TIME     (1500 * USEC_PER_MSEC)
 #define AWAY_TIME       (300 * USEC_PER_MSEC)
 #define WATCH_TIME      (2 * USEC_PER_SEC)
-/* The platform's bound DrainMs. */
+/* The platform's bounds StableMs and DrainMs. */
+#define STABLE_TIME     (3 * USEC_PER_SEC)
 #define DRAIN_TIME      (2 * USEC_PER_SEC)
 /* Changes before the restore that are lost, or after it. */
 #define CHANGES         40
@@ -32,15 +34,21 @@
 enum departure {
 	LEAVES_IN_ANSWERS, /* says so before the restore, its entry is removed
 			    */
-	LEAVES_DRAINING    /* its entry says so before the restore */
+	LEAVES_DRAINING,   /* its entry says so before the restore */
+	LEAVES_AFTER,      /* its entry is removed after the restore */
+	LEAVES_AWAY        /* and before hosts reach the store again */
 };
 
 static const struct restore_case {
 	const char *name;
 	enum departure departure;
+	bool one_host; /* the others haven't started yet */
 } cases[] = {
-	{ "leaving-target", LEAVES_IN_ANSWERS },
-	{ "draining-target", LEAVES_DRAINING },
+	{ "leaving-target", LEAVES_IN_ANSWERS, true },
+	{ "draining-target", LEAVES_DRAINING, true },
+	{ "removed-target", LEAVES_AFTER, false },
+	{ "removed-target-era", LEAVES_AFTER, false },
+	{ "revisions-given-again-era", LEAVES_AWAY, false },
 };
 
 struct caller {
@@ -114,10 +122,15 @@
 }
 
 static void
-restore(void)
+restore(const struct restore_case *x, const char *key)
 {
 	fakeplat_set_store_mode(platform, FAKEPLAT_STORE_RESET);
 	fakeplat_restore_store(platform);
+	if (x->departure == LEAVES_AWAY) {
+		fakeplat_delete(platform, key);
+		make_changes();
+		make_changes();
+	}
 	g_usleep((gulong)AWAY_TIME);
 	fakeplat_set_store_mode(platform, FAKEPLAT_STORE_OK);
 }
@@ -131,6 +144,9 @@
 	usec_t left_at;
 	uint32_t n;
 
+	if (g_str_has_suffix(x->name, "-era"))
+		fakeplat_name_era(platform);
+	start_fleet(x->one_host ? 1 : HOSTS);
 	fakeplat_add_target(platform,
 	    &(struct fakeplat_target){
 		id, "plain", "d1", (uint16_t)(TARGET_PORT + 1 + (x - cases)) });
@@ -147,7 +163,16 @@
 		fakeplat_delete(platform, key);
 		g_usleep((gulong)NOTICE_TIME);
 	}
-	restore();
+	restore(x, key);
+	if (x->departure == LEAVES_AFTER) {
+		g_usleep((gulong)WATCH_TIME);
+		fakeplat_delete(platform, key);
+	}
+	/* What the store acknowledges before it is stable doesn't bind. */
+	if (x->departure == LEAVES_AWAY)
+		g_usleep((gulong)STABLE_TIME);
+	if (x->departure == LEAVES_AFTER || x->departure == LEAVES_AWAY)
+		left_at = clock_now();
 	g_usleep((gulong)(DRAIN_TIME + WATCH_TIME));
 	n = fakeplat_arrivals(platform, id, left_at + DRAIN_TIME);
 	g_test_message("%u requests too late", n);
