discovery: peers don't get an older configuration from a restored store

A caller of a host that started after a restore of the store got 404 on a route that all other hosts served, until the operator's write came again.

Cause: a host serves a configuration to its peers as soon as the store lists it, before it looks at the version. After a restore from an older copy it replaced the text of the version in force by an older one. The new host knew by gossip that a newer version was in force, fetched it from there, and got the older one.

Now a configuration from a listing that is older than the one in force is left out; the one in force was kept before too.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -126,6 +126,7 @@
 		on_restored(d);
 		break;
 	case WATCHER_LIST_BEGIN:
+		d->listing = true;
 		roster_begin(&d->roster);
 		quarantine_list_begin(&d->quarantine, clock_now());
 		pthread_mutex_lock(&d->lock);
@@ -149,6 +150,7 @@
 			discovery_quarantine_item(d, key, STR(""), true);
 		break;
 	case WATCHER_LIST_END:
+		d->listing = false;
 		roster_finish(&d->roster, clock_now());
 		d->confirmed_at = clock_now();
 		discovery_streams_listed(d);
--- a/entry/discovery_config.c
+++ b/entry/discovery_config.c
@@ -76,6 +76,23 @@
 	fleet_set_generation(d->fleet, r->version, clock_now());
 }
 
+/* Whether a configuration is older than the one in force. */
+static bool
+is_older(const struct discovery *d, struct str text)
+{
+	struct err e = { 0 };
+	struct routes *r = platform_config_parse(text, &e);
+	bool older = r != NULL && r->version < d->routes->version;
+
+	if (older)
+		log_text(LOG_LVL_NOTICE, "config-older",
+		    "the store lists version %" PRIu64 ", %" PRIu64
+		    " is in force and stays",
+		    r->version, d->routes->version);
+	routes_unref(r);
+	return older;
+}
+
 void
 discovery_config_from_store(struct discovery *d, struct str text)
 {
@@ -84,6 +101,9 @@
 		    { "detail", STR("the value in the store is empty") });
 		return;
 	}
+	/* A restored store may list one of before; peers get the newer one. */
+	if (d->listing && d->routes != NULL && is_older(d, text))
+		return;
 	set_served_config(d, text);
 	discovery_queue_config(d, text, FROM_STORE);
 }
--- a/tests/platform/test_store_restore.c
+++ b/tests/platform/test_store_restore.c
@@ -57,7 +57,7 @@
 };
 
 static struct fakeplat *platform;
-static struct harness_host hosts[HOSTS];
+static struct harness_host hosts[HOSTS + 1];
 static atomic_bool stopping;
 static atomic_int n_hosts;
 static uint32_t n_changes;
@@ -182,6 +182,46 @@
 	fakeplat_delete(platform, key);
 }
 
+static int
+request_status(const struct harness_host *h, const char *path)
+{
+	g_autofree char *q = harness_format(
+	    &(struct harness_request){ .path = path, .id = "safe-config" });
+	struct harness_response a;
+	int status;
+
+	harness_exchange(h->port, str_from(q), DEADLINE_MS, &a);
+	status = a.status;
+	harness_response_free(&a);
+	return status;
+}
+
+/*
+ * The restored store has an older configuration.  A host that starts then must
+ * get the one that the others have acknowledged from these.
+ */
+static void
+test_config(void)
+{
+	g_autofree char *newer = harness_config(2,
+	    ",{\"Name\":\"new\",\"Host\":\"a.example\",\"Prefix\":\"/new/\","
+	    "\"Kind\":\"idempotent\",\"TimeoutMs\":8000,\"SloMs\":1000,"
+	    "\"Attempts\":2,\"Service\":\"plain\"}");
+
+	start_fleet(1);
+	fakeplat_copy_store(platform);
+	fakeplat_put(platform, "op/config", newer);
+	g_usleep((gulong)NOTICE_TIME);
+	g_assert_cmpint(request_status(&hosts[0], "/new/1"), ==, 200);
+	restore(&cases[0], "");
+	g_usleep((gulong)WATCH_TIME);
+	g_assert_cmpint(request_status(&hosts[0], "/new/1"), ==, 200);
+	start_host(HOSTS);
+	g_assert_true(harness_wait_ready(&hosts[HOSTS], TIMEOUT_SECONDS));
+	g_usleep((gulong)(DRAIN_TIME + WATCH_TIME));
+	g_assert_cmpint(request_status(&hosts[HOSTS], "/new/1"), ==, 200);
+}
+
 static void
 start_platform(void)
 {
@@ -211,6 +251,7 @@
 		pthread_create(
 		    &callers[i].thread, NULL, run_caller, &callers[i]);
 	}
+	g_test_add_func("/store-restore/configuration", test_config);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		g_autofree char *path =
 		    g_strconcat("/store-restore/", cases[i].name, NULL);
@@ -221,7 +262,7 @@
 	atomic_store(&stopping, true);
 	for (int i = 0; i < CALLERS; i++)
 		pthread_join(callers[i].thread, NULL);
-	for (int i = 0; i < HOSTS; i++) {
+	for (int i = 0; i <= HOSTS; i++) {
 		if (hosts[i].pid == 0)
 			continue;
 		kill(hosts[i].pid, SIGTERM);
