loads: an entry without a birth doesn't end what is known of a target

A host would send requests to a leaving target again if an entry of it came without the field `born`, as from another writer: the birth differed, which counted as a restart. Now only an entry that names another birth does that.

test_restored_store before: # leaving, no birth ERROR: assertion failed (loads_choose(&l, &q, now) != NULL == x->usable): (1 == 0) Now it passes.

--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -217,20 +217,21 @@
 static void
 set_entry(struct target_load *t, const struct target_entry *e, usec_t now)
 {
-	bool older = e->seq != 0 && e->seq <= t->entry.seq;
-	bool leaving = t->entry.leaving;
-	uint64_t seq = t->entry.seq;
+	struct target_entry known = t->entry;
+	bool older = e->seq != 0 && e->seq <= known.seq;
 
-	if (e->born_ms != t->entry.born_ms) {
+	if (e->born_ms != 0 && e->born_ms != known.born_ms) {
 		forget_state(t);
 		older = false;
 	}
 	if (older && t->unlisted_at != 0)
 		loads_rest(t, ROSTER_GRACE_TIME, now);
 	t->entry = *e;
+	if (e->born_ms == 0)
+		t->entry.born_ms = known.born_ms;
 	if (older) {
-		t->entry.seq = seq;
-		t->entry.leaving = leaving || e->leaving;
+		t->entry.seq = known.seq;
+		t->entry.leaving = known.leaving || e->leaving;
 	}
 	t->listed = true;
 	t->unlisted_at = 0;
--- a/tests/kernel/test_restored_store.c
+++ b/tests/kernel/test_restored_store.c
@@ -26,6 +26,7 @@
 	{ "leaving", NEWS_LEAVING, 2 * SEC, 5, 18, 60 * SEC, false },
 	{ "leaving, newer entry", NEWS_LEAVING, 2 * SEC, 5, 25, SEC, false },
 	{ "leaving, no seq", NEWS_LEAVING, 2 * SEC, 5, 0, SEC, false },
+	{ "leaving, no birth", NEWS_LEAVING, 2 * SEC, 0, 25, SEC, false },
 	{ "leaving, born anew", NEWS_LEAVING, 2 * SEC, 6, 1, 1, true },
 	{ "leaving, never missing", NEWS_LEAVING, 0, 5, 18, SEC, false },
 	{ "left long ago", NEWS_LEAVING, 600 * SEC, 5, 25, 1, true },
