Stage jobs: a test of jobs in parts

A job of more pieces than a message holds calls its handler once: with the last part, or with the first that fails or is refused, and not when it is cancelled.

--- a/tests/entry/test_stage_jobs.c
+++ b/tests/entry/test_stage_jobs.c
@@ -4,6 +4,7 @@
  * coordinator of every service), and what acknowledgements report.
  */
 #include "entry/stage_jobs.h"
+#include "platform/stage.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -176,11 +177,114 @@
 	close_fixture(&g);
 }
 
+struct part_result {
+	int n_replies;
+	bool refused;
+	u_int n_made;
+};
+
+struct part_arg {
+	struct part_result *result;
+};
+
+static void
+on_part_reply(void *arg, const peer_piece_reply *r)
+{
+	struct part_result *x = ((struct part_arg *)arg)->result;
+
+	x->n_replies++;
+	x->refused = r->refused;
+	x->n_made = r->made.made_len;
+}
+
+/* Replies to a part: n pieces made, one of them failed; n 0: refused. */
+static void
+reply_part(struct fixture *g, uint64_t number, u_int n, bool failed)
+{
+	g_autofree peer_piece_made *made = g_new0(peer_piece_made, n + 1);
+	peer_piece_reply r = { .ask = number, .refused = n == 0 };
+
+	for (u_int i = 0; i < n; i++) {
+		made[i].piece = i;
+		made[i].handle = (char *)"a:1/x";
+	}
+	if (failed)
+		made[0] = (peer_piece_made){ 0, PIECE_FAILED, (char *)"" };
+	r.made.made_val = made;
+	r.made.made_len = n;
+	stage_jobs_reply(g->jobs, NULL, &r);
+}
+
+/*
+ * A job of more pieces than a message holds ends once: with the last of its
+ * parts, or with the first that fails or is refused.
+ */
+static void
+test_parts(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t n;
+		const char *replies; /* by part: d done, f failed, r refused */
+		bool refused;
+		u_int n_made;
+		bool cancelled;
+	} cases[] = {
+		{ "one part", 64, "d", false, 64, false },
+		{ "two parts", 65, "dd", false, 65, false },
+		{ "many parts", 200, "dddd", false, 200, false },
+		{ "the first fails", 65, "f", false, 64, false },
+		{ "the second fails", 65, "df", false, 65, false },
+		{ "the second is refused", 129, "dr", true, 0, false },
+		{ "cancelled before the last", 129, "dd", false, 0, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct part_result x = { 0 };
+		struct part_arg *arg = xcalloc(1, sizeof(*arg));
+		struct fixture g;
+		uint64_t number;
+
+		g_test_message("%s", cases[i].name);
+		open_fixture(&g, PEER_WAIT);
+		arg->result = &x;
+		number = stage_jobs_submit(g.jobs,
+		    &(struct stage_job_opts){ .service = STR("s"),
+			.id = STR("r-1"),
+			.n = cases[i].n,
+			.handler = on_part_reply,
+			.arg = arg });
+		for (uint32_t k = 0; cases[i].replies[k] != '\0'; k++) {
+			u_int n = cases[i].n - 64 * k;
+			char c = cases[i].replies[k];
+
+			g_assert_cmpint(x.n_replies, ==, 0);
+			reply_part(&g, number + k,
+			    c == 'r'     ? 0
+				: n < 64 ? n
+					 : 64,
+			    c == 'f');
+		}
+		if (cases[i].cancelled)
+			stage_jobs_cancel(g.jobs, number);
+		g_assert_cmpint(x.n_replies, ==, !cases[i].cancelled);
+		g_assert_true(x.refused == cases[i].refused);
+		g_assert_cmpuint(x.n_made, ==, cases[i].n_made);
+		/* Nothing is left, and late replies change nothing. */
+		for (uint32_t k = 0; k < 4; k++)
+			reply_part(&g, number + k, 1, false);
+		g_assert_cmpint(x.n_replies, ==, !cases[i].cancelled);
+		g_assert_false(stage_jobs_tick(g.jobs, clock_now()));
+		close_fixture(&g);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/stage_jobs/peer-wait", test_peer_wait);
 	g_test_add_func("/stage_jobs/repeated-ack", test_repeated_ack);
+	g_test_add_func("/stage_jobs/parts", test_parts);
 	return g_test_run();
 }
