--- a/entry/stage_jobs.c
+++ b/entry/stage_jobs.c
@@ -36,7 +36,7 @@
 	usec_t deadline;
 	usec_t soft_deadline;
 	char domain[64]; /* of the coordinator; or empty */
-	bool is_local; /* too large for a message: coordinated by this host */
+	bool is_local;   /* too large for a message: coordinated by this host */
 };
 
 /* A part of a job that has no answer yet. */
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -345,12 +345,12 @@
 {
 	const char *service = service_name(r, i);
 	const GPtrArray *domains = loads_domains(&r->shared->loads, service);
-	g_autofree struct spill_domain *v = NULL;
+	struct spill_domain *v;
 	size_t home = 0;
 
-	if (domains == NULL)
+	if (domains == NULL || domains->len == 0)
 		return "";
-	v = g_new(struct spill_domain, domains->len);
+	v = g_new0(struct spill_domain, domains->len);
 	if (*preferred == '\0')
 		preferred = r->shared->loads.domain;
 	for (guint k = 0; k < domains->len; k++) {
@@ -362,9 +362,10 @@
 		if (strcmp(d->name, preferred) == 0)
 			home = k;
 	}
-	return v[spill_choose(v, domains->len, home, c->stages[i].min_time,
-		     hash_u64(r->info.id, i + 1))]
-	    .name;
+	home = spill_choose(v, domains->len, home, c->stages[i].min_time,
+	    hash_u64(r->info.id, i + 1));
+	g_free(v);
+	return ((const struct loads_domain *)domains->pdata[home])->name;
 }
 
 static void
--- a/tests/kernel/test_member.c
+++ b/tests/kernel/test_member.c
@@ -532,7 +532,7 @@
 	requester.state = LEFT;
 	g_assert_true(member_update(&g.members, 0, &requester));
 	m = message_from(&requester);
-	strcpy(m.check, subject.id);
+	g_strlcpy(m.check, subject.id, sizeof(m.check));
 	g_assert_cmpuint(gossip_receive(&g, now, &m, out), ==, 1);
 	for (int i = 0; i < 4; i++) {
 		now += GOSSIP_INTERVAL + 100 * USEC_PER_MSEC;
