--- a/entry/forward.c
+++ b/entry/forward.c
@@ -1,9 +1,9 @@
 /*
- * Sends a request to a target, retries it where that is allowed, and passes the
- * response back to the caller.
+ * Sends a request to a target, limits the wait for its response, and sends it
+ * again where that is allowed.
  */
+#include "entry/forward_state.h"
 #include "entry/relay_answer.h"
-#include "entry/relay_request.h"
 #include "base/hash.h"
 #include "base/log.h"
 #include "kernel/overload/retry_after.h"
@@ -25,23 +25,8 @@
 #define UNREPEATABLE_MAX_IDLE (300 * USEC_PER_MSEC)
 /* Calls with less time left can't be answered over two network paths. */
 #define MIN_TIME_LEFT         (8 * USEC_PER_MSEC)
-/* Failed connections after which the request is rejected. */
-#define MAX_CONNECT_FAILURES  4
-/*
- * The response to a caller that reads too slowly is aborted when more bytes
- * than this are unsent.
- */
-#define MAX_BACKLOG           ((size_t)4 * 1024 * 1024)
 /* Retry-After when targets refused a request. */
 #define RETRY_AFTER           (300 * USEC_PER_MSEC)
-#define MAX_INPUT_LOSSES      2
-/* A longer event of a stream is not an answer. */
-#define MAX_EVENT_BYTES       ((size_t)1024 * 1024)
-/*
- * The next event of a stream is wanted within this many of the longest pauses
- * that are on time.  A stream that pauses for longer is late already.
- */
-#define EVENT_GAPS            4
 /*
  * Time until the next attempt to resume a stream that no target takes; doubled
  * after each attempt.
@@ -51,28 +36,22 @@
 /* Ranks of at least this value share the last engine priority. */
 #define MAX_PRIORITY          9
 
-static void on_dial_event(
-    void *arg, enum dial_event ev, const struct httpmsg *m);
-static void send_call(struct relay_request *r);
-
 static void on_no_response(evutil_socket_t fd, short what, void *arg);
 
-static struct target_load *
-target_of(struct relay_request *r)
+struct target_load *
+forward_target(struct relay_request *r)
 {
 	return loads_find(&r->shared->loads, r->target_id);
 }
 
-/* Number of events that the last call has got. */
-static uint64_t
-call_events(const struct relay_request *r)
+uint64_t
+forward_call_events(const struct relay_request *r)
 {
 	return r->sse.events - r->events_before;
 }
 
-/* Returns the version at which the call has to be made; empty: any. */
-static struct str
-call_version(const struct relay_request *r)
+struct str
+forward_call_version(const struct relay_request *r)
 {
 	const char *first = NULL;
 
@@ -93,7 +72,7 @@
 	*query = (struct loads_query){
 		.service = r->service->name,
 		.engine = r->service->has_engine,
-		.version = call_version(r),
+		.version = forward_call_version(r),
 		.n_tried = r->n_tried,
 	};
 	for (size_t i = 0; i < r->n_tried; i++)
@@ -112,8 +91,8 @@
 	query->input_bytes = stages_input_bytes(r);
 }
 
-static void
-stop_waiting(struct relay_request *r)
+void
+forward_stop_waiting(struct relay_request *r)
 {
 	if (r->response_timer != NULL)
 		event_free(r->response_timer);
@@ -153,27 +132,25 @@
 	return true;
 }
 
-/* Rejects the request and lets the caller retry after RETRY_AFTER. */
-static void
-fail_request(struct relay_request *r, enum err_kind kind, const char *cause)
+void
+forward_fail(struct relay_request *r, enum err_kind kind, const char *cause)
 {
 	if (!resume_later(r, cause))
 		relay_request_reject(
 		    r, &(struct rejection){ kind, RETRY_AFTER, cause });
 }
 
-static void
-report_call_end(struct relay_request *r, bool healthy)
+void
+forward_call_ended(struct relay_request *r, bool healthy)
 {
 	r->call = NULL;
-	stop_waiting(r);
+	forward_stop_waiting(r);
 	loads_ended(&r->shared->loads, r->target_id,
 	    healthy ? LOADS_OK : LOADS_FAILED, clock_now());
 }
 
-/* Whether the route's attempts and the deadline allow another call. */
-static bool
-has_attempts(const struct relay_request *r)
+bool
+forward_has_attempts(const struct relay_request *r)
 {
 	return r->sends < r->route->attempts && r->n_tried < LOADS_MAX_TRIED &&
 	    r->deadline - clock_now() > MIN_TIME_LEFT;
@@ -186,33 +163,28 @@
 	    relay_request_retry_quota(r), &r->shared->quota_rule, clock_now());
 }
 
-static bool
-can_retry(struct relay_request *r)
+bool
+forward_can_retry(struct relay_request *r)
 {
-	return has_attempts(r) && spend_retry(r);
+	return forward_has_attempts(r) && spend_retry(r);
 }
 
-/*
- * The target refused the call without running it: retries on another target, or
- * rejects the request so that the caller retries later.
- */
-static void
-on_call_refused(struct relay_request *r, const char *cause)
+void
+forward_refused(struct relay_request *r, const char *cause)
 {
 	log_text(LOG_LVL_INFO, "call-refused",
 	    "request %.*s: target %s, %s; it asks for a rest of %" PRId64 " ms",
 	    STR_FMT(r->info.id), r->target_id, cause,
 	    r->response.rest / USEC_PER_MSEC);
-	if (can_retry(r)) {
-		send_call(r);
+	if (forward_can_retry(r)) {
+		forward_send(r);
 		return;
 	}
-	fail_request(r, ERR_NO_TARGET, cause);
+	forward_fail(r, ERR_NO_TARGET, cause);
 }
 
-/* Aborts a response of which the caller already has a part. */
-static void
-abort_stream(struct relay_request *r, const char *cause)
+void
+forward_abort_stream(struct relay_request *r, const char *cause)
 {
 	struct httpd_request *q = r->httpd_req;
 
@@ -222,22 +194,19 @@
 	httpd_abort(q);
 }
 
-/*
- * Handles a call that may have run and has no complete response: retries it if
- * it may be repeated, else fails the request.
- */
-static void
-on_answer_lost(struct relay_request *r, const char *cause)
+void
+forward_lost(struct relay_request *r, const char *cause)
 {
 	/* A request that crashed its targets would crash the next, too. */
 	bool suspect =
 	    crash_reports_suspect(r->shared->crash_reports, r->parts.content);
-	bool again = route_repeatable(r->route) && !suspect && can_retry(r);
-	const struct target_load *t = target_of(r);
+	bool again =
+	    route_repeatable(r->route) && !suspect && forward_can_retry(r);
+	const struct target_load *t = forward_target(r);
 
 	r->shared->lost_calls++;
-	relay_answer_log_lost(r, cause, call_events(r), again);
-	if (t != NULL && call_events(r) < CRASH_BEGUN_EVENTS)
+	relay_answer_log_lost(r, cause, forward_call_events(r), again);
+	if (t != NULL && forward_call_events(r) < CRASH_BEGUN_EVENTS)
 		crash_reports_lost(r->shared->crash_reports,
 		    &(struct lost_call){
 			.target = r->target_id,
@@ -247,349 +216,30 @@
 		    });
 	if (again) {
 		sse_restart(&r->sse);
-		send_call(r);
+		forward_send(r);
 	} else if (r->head_written) {
 		if (suspect || !resume_later(r, cause))
-			abort_stream(r, cause);
+			forward_abort_stream(r, cause);
 	} else {
-		fail_request(r, ERR_ANSWER_LOST, cause);
+		forward_fail(r, ERR_ANSWER_LOST, cause);
 	}
 }
 
-/* Writes the header section of a streamed response; its events follow. */
-static void
-write_head(struct relay_request *r, const struct httpmsg *m)
-{
-	struct buf fields = { 0 };
-
-	platform_response_fields(&fields, m);
-	httpd_respond(r->httpd_req,
-	    &(struct httpd_response){
-		.status = r->response_status,
-		.fields = fields.p,
-		.chunked = true,
-	    });
-	buf_free(&fields);
-	r->head_written = true;
-}
-
-/*
- * Limits the wait for the next bytes of a call that may be made again.  times:
- * the measured waits of this kind; the others as in response_wait_limit.
- */
-static void
-start_waiting(struct relay_request *r, const struct response_wait *times,
-    usec_t objective, usec_t extra, usec_t left)
+void
+forward_start_waiting(struct relay_request *r,
+    const struct response_wait *times, usec_t objective, usec_t extra,
+    usec_t left)
 {
 	usec_t limit = response_wait_limit(
 	    times, r->service->name, objective, extra, left);
 
 	if (limit == 0 || r->call == NULL || !route_repeatable(r->route) ||
 	    r->sends >= r->route->attempts)
-		stop_waiting(r);
+		forward_stop_waiting(r);
 	else
 		set_response_timer(r, limit);
 }
 
-/* Events have arrived: records the wait for them and limits the next one. */
-static void
-note_events(struct relay_request *r)
-{
-	struct relay_shared *s = r->shared;
-	usec_t now = clock_now();
-	bool first = r->last_event_at < r->sent_at;
-	usec_t waited = now - (first ? r->sent_at : r->last_event_at);
-
-	response_wait_answered(first ? &s->response_wait : &s->event_wait,
-	    r->service->name, waited);
-	if (r->events_at == 0)
-		r->events_at = now;
-	else if (now - r->last_event_at > r->longest_pause)
-		r->longest_pause = now - r->last_event_at;
-	r->last_event_at = now;
-	r->resume_waits = 0;
-	start_waiting(r, &s->event_wait, EVENT_GAPS * r->route->max_event_gap,
-	    0, r->deadline - now);
-}
-
-/* Notes once per call that the target answers the request. */
-static void
-note_answer(struct relay_request *r)
-{
-	if (r->answer_reported)
-		return;
-	r->answer_reported = true;
-	crash_reports_answered(r->shared->crash_reports,
-	    &(struct answered_request){
-		.service = r->service->name,
-		.parts = &r->parts.all,
-		.content = r->parts.content,
-		.own = r->parts.own,
-	    });
-}
-
-/* The stream has its first event: it may go on only at this version. */
-static void
-note_version(struct relay_request *r)
-{
-	if (r->version[0] == '\0')
-		g_strlcpy(r->version, r->call_version, sizeof(r->version));
-	if (r->version[0] != '\0' && route_repeatable(r->route))
-		relay_request_record(r);
-}
-
-/* Passes on the events that have arrived completely. */
-static void
-pass_events(struct relay_request *r, const struct httpmsg *m)
-{
-	size_t n = evbuffer_get_length(m->body);
-	struct buf events = { 0 };
-	struct evbuffer *out;
-
-	if (n == 0)
-		return;
-	sse_feed(&r->sse,
-	    (struct str){ (const char *)evbuffer_pullup(m->body, -1), n },
-	    &events);
-	evbuffer_drain(m->body, n);
-	if (events.n == 0)
-		return;
-	if (r->events_at == 0)
-		note_version(r);
-	note_events(r);
-	if (call_events(r) >= CRASH_BEGUN_EVENTS)
-		note_answer(r);
-	if (!r->head_written) {
-		write_head(r, m);
-		stages_release(r);
-		durations_record(&r->shared->durations, r->service->name,
-		    clock_now() - r->sent_at);
-	}
-	out = evbuffer_new();
-	evbuffer_add(out, events.p, events.n);
-	httpd_write(r->httpd_req, out);
-	evbuffer_free(out);
-	buf_free(&events);
-}
-
-static bool
-is_success(const struct relay_request *r)
-{
-	return r->response_status >= 200 && r->response_status < 300;
-}
-
-static bool
-is_stream(const struct relay_request *r)
-{
-	return r->route->kind == ROUTE_STREAM && is_success(r) &&
-	    r->response.has_signature && !r->response.encoded;
-}
-
-static void
-on_head(struct relay_request *r, const struct httpmsg *m)
-{
-	struct target_load *t = target_of(r);
-
-	platform_response_parse(m, &r->response);
-	r->response_status = m->parser.status_code;
-	if (!is_stream(r)) {
-		stop_waiting(r);
-		response_wait_answered(&r->shared->response_wait,
-		    r->service->name, clock_now() - r->sent_at);
-	}
-	if (t == NULL)
-		return;
-	if (r->response.has_load)
-		loads_report(
-		    t, r->response.running, r->response.waiting, clock_now());
-	if (r->response.misdirected)
-		loads_mark_leaving(&r->shared->loads, t);
-	else
-		target_limits_answered(r->shared->target_limits, t,
-		    &r->response, r->sent_at, false);
-}
-
-/* Why the bytes received so far end the call, or NULL. */
-static const char *
-excess(const struct relay_request *r, const struct httpmsg *m)
-{
-	if (!is_stream(r))
-		return evbuffer_get_length(m->body) > MAX_ANSWER_BYTES
-		    ? "the answer is too large"
-		    : NULL;
-	if (r->sse.partial.n > MAX_EVENT_BYTES)
-		return "an event is too large";
-	return httpd_backlog(r->httpd_req) > MAX_BACKLOG
-	    ? "the caller reads too slowly"
-	    : NULL;
-}
-
-/*
- * Makes the call again at the version where the stream has to begin; returns
- * false if it may begin here.
- */
-static bool
-begin_elsewhere(struct relay_request *r)
-{
-	struct target_call *call = r->call;
-	struct str version = call_version(r);
-
-	if (r->events_at != 0 || version.n == 0 ||
-	    str_eq(version, str_from(r->call_version)) || !can_retry(r))
-		return false;
-	log_text(LOG_LVL_INFO, "begun-elsewhere",
-	    "request %.*s: not at version %s, as streams of it can't be "
-	    "recorded",
-	    STR_FMT(r->info.id), r->call_version);
-	report_call_end(r, true);
-	target_call_cancel(call);
-	r->may_have_run = true;
-	sse_restart(&r->sse);
-	send_call(r);
-	return true;
-}
-
-static void
-on_body_data(struct relay_request *r, const struct httpmsg *m)
-{
-	struct target_call *call = r->call;
-	const char *cause;
-
-	if (is_stream(r)) {
-		if (begin_elsewhere(r))
-			return;
-		pass_events(r, m);
-	}
-	cause = excess(r, m);
-	if (cause == NULL)
-		return;
-	report_call_end(r, true);
-	target_call_cancel(call);
-	on_answer_lost(r, cause);
-}
-
-static void
-end_stream(struct relay_request *r, const struct httpmsg *m)
-{
-	struct httpd_request *q;
-
-	pass_events(r, m);
-	if (!sse_between_events(&r->sse) || r->sse.id_gap) {
-		report_call_end(r, false);
-		on_answer_lost(r, "the stream ends within an event");
-		return;
-	}
-	/* The target may have crashed before it wrote anything. */
-	if (call_events(r) == 0 && !httpmsg_has_end(m)) {
-		report_call_end(r, false);
-		on_answer_lost(r, "the stream ends without an event");
-		return;
-	}
-	report_call_end(r, true);
-	if (call_events(r) > 0)
-		note_answer(r);
-	if (!r->head_written)
-		write_head(r, m);
-	stream_resumes_end(
-	    r->shared->stream_resumes, relay_stream_id(&r->info));
-	q = r->httpd_req;
-	relay_request_done(r, "complete");
-	httpd_end(q);
-}
-
-/* Passes on a complete response that is not streamed. */
-static void
-pass_response(struct relay_request *r, const struct httpmsg *m)
-{
-	struct httpd_request *q = r->httpd_req;
-	struct buf fields = { 0 };
-	struct httpd_response a = {
-		.status = r->response_status,
-		.body = { (const char *)evbuffer_pullup(m->body, -1),
-		    evbuffer_get_length(m->body) },
-	};
-
-	platform_response_fields(&fields, m);
-	a.fields = fields.p;
-	if (is_success(r))
-		note_answer(r);
-	relay_request_done(r, is_success(r) ? "complete" : "target-error");
-	httpd_respond(q, &a);
-	buf_free(&fields);
-}
-
-static void
-on_complete(struct relay_request *r, const struct httpmsg *m)
-{
-	if (r->response.not_executed) {
-		report_call_end(r, r->response_status != 503);
-		if (r->response_status == 409 &&
-		    r->input_losses++ < MAX_INPUT_LOSSES)
-			stages_restart(r);
-		else
-			on_call_refused(r, "the target refused the call");
-		return;
-	}
-	r->may_have_run = true;
-	if (r->response.encoded ||
-	    (is_success(r) && !r->response.has_signature)) {
-		report_call_end(r, false);
-		on_answer_lost(r, "the answer is not the target's");
-		return;
-	}
-	if (is_stream(r)) {
-		end_stream(r, m);
-		return;
-	}
-	report_call_end(r, r->response_status < 500);
-	if (r->head_written) {
-		abort_stream(r, "the target that resumed the stream failed");
-		return;
-	}
-	if (r->response_status >= 500 && r->route->kind == ROUTE_IDEMPOTENT &&
-	    can_retry(r)) {
-		send_call(r);
-		return;
-	}
-	pass_response(r, m);
-}
-
-static void
-on_dial_event(void *arg, enum dial_event ev, const struct httpmsg *m)
-{
-	struct relay_request *r = arg;
-
-	switch (ev) {
-	case DIAL_HEAD:
-		on_head(r, m);
-		return;
-	case DIAL_BODY:
-		on_body_data(r, m);
-		return;
-	case DIAL_END:
-		on_complete(r, m);
-		return;
-	case DIAL_UNSENT:
-		log_text(LOG_LVL_INFO, "connect-failed",
-		    "request %.*s: target %s of %s after %" PRId64 " ms",
-		    STR_FMT(r->info.id), r->target_id, r->service->name,
-		    (clock_now() - r->sent_at) / USEC_PER_MSEC);
-		report_call_end(r, false);
-		r->sends--;
-		if (r->n_tried < MAX_CONNECT_FAILURES && has_attempts(r))
-			send_call(r);
-		else
-			fail_request(r, ERR_NO_TARGET, "no target accepts");
-		return;
-	case DIAL_BROKEN:
-	case DIAL_BAD_RESPONSE:
-		r->may_have_run = true;
-		report_call_end(r, false);
-		on_answer_lost(r, "the connection broke");
-		return;
-	}
-}
-
 static void
 put_head(
     struct relay_request *r, struct buf *head, usec_t left, size_t body_bytes)
@@ -650,12 +300,12 @@
 		.max_idle_time = max_idle_time(r),
 		.max_idle_conns = loads_conn_share(
 		    r->service->max_conns, r->shared->quota_rule.hosts),
-		.handler = on_dial_event,
+		.handler = forward_on_event,
 		.arg = r,
 	    });
 	evbuffer_free(body);
 	buf_free(&head);
-	start_waiting(r, &r->shared->response_wait, r->route->objective,
+	forward_start_waiting(r, &r->shared->response_wait, r->route->objective,
 	    response_wait_prompt(r->info.prompt_tokens), left);
 }
 
@@ -672,7 +322,7 @@
 			retry_after(wait, hash_u64(r->info.id, 0)),
 			"the limits or rests of the targets forbid it" });
 	else
-		fail_request(r, ERR_NO_TARGET,
+		forward_fail(r, ERR_NO_TARGET,
 		    no_target ? "no target is left" : "no time is left");
 }
 
@@ -690,7 +340,8 @@
 static struct target_load *
 choose_resume_target(struct relay_request *r, usec_t now)
 {
-	struct target_load *t = has_attempts(r) ? choose_target(r, now) : NULL;
+	struct target_load *t =
+	    forward_has_attempts(r) ? choose_target(r, now) : NULL;
 	struct loads_query query;
 
 	if (t != NULL)
@@ -728,7 +379,7 @@
 	loads_sent(t, now);
 	start_call(r, t, left);
 	if (r->call == NULL)
-		on_dial_event(r, DIAL_UNSENT, NULL);
+		forward_on_event(r, DIAL_UNSENT, NULL);
 }
 
 /* Rejects a request of which a part is quarantined. */
@@ -743,8 +394,8 @@
 	return true;
 }
 
-static void
-send_call(struct relay_request *r)
+void
+forward_send(struct relay_request *r)
 {
 	usec_t now = clock_now();
 	struct target_load *t;
@@ -765,14 +416,14 @@
 	usec_t now = clock_now();
 	struct target_load *t;
 
-	stop_waiting(r);
+	forward_stop_waiting(r);
 	if (reject_quarantined(r))
 		return;
 	t = choose_resume_target(r, now);
 	if (t != NULL && spend_retry(r))
 		send_to(r, t, now);
 	else
-		fail_request(r, ERR_NO_TARGET, "no target takes the stream");
+		forward_fail(r, ERR_NO_TARGET, "no target takes the stream");
 }
 
 /*
@@ -783,7 +434,7 @@
 on_no_response(evutil_socket_t fd, short what, void *arg)
 {
 	struct relay_request *r = arg;
-	struct target_load *t = target_of(r);
+	struct target_load *t = forward_target(r);
 	struct target_call *call = r->call;
 	bool begun = r->last_event_at >= r->sent_at;
 	usec_t since = begun ? r->last_event_at : r->sent_at;
@@ -798,8 +449,8 @@
 		set_response_timer(r, 0);
 		return;
 	}
-	stop_waiting(r);
-	if (!has_attempts(r))
+	forward_stop_waiting(r);
+	if (!forward_has_attempts(r))
 		return;
 	/* A target that may go on is not given up for none. */
 	if (choose_target(r, clock_now()) == NULL || !spend_retry(r)) {
@@ -816,17 +467,17 @@
 	    r->service->name);
 	if (t != NULL)
 		dial_close_idle(r->shared->dialer, str_from(t->entry.addr));
-	report_call_end(r, false);
+	forward_call_ended(r, false);
 	target_call_cancel(call);
 	r->may_have_run = true;
 	sse_restart(&r->sse);
-	send_call(r);
+	forward_send(r);
 }
 
 void
 forward_start(struct relay_request *r)
 {
-	send_call(r);
+	forward_send(r);
 }
 
 void
@@ -836,7 +487,7 @@
 
 	if (call == NULL)
 		return;
-	report_call_end(r, true);
+	forward_call_ended(r, true);
 	target_call_cancel(call);
 }
 
