Late records lead to the base version only if it has the targets for that

With two of 20 targets left at the base version, an outage of the store sent all streams that may be resumed to these two.

Now streams begin there while records are late only if the base version has over a quarter of the targets.

--- a/entry/stream_resumes.c
+++ b/entry/stream_resumes.c
@@ -262,7 +262,7 @@
 
 /*
  * The record is late.  Without it, the stream would be taken for one of the
- * base version after the loss of all hosts, if that has targets.
+ * base version after the loss of all hosts, if that has enough targets.
  */
 static void
 on_hold_timeout(evutil_socket_t fd, short what, void *arg)
@@ -474,8 +474,8 @@
 		g_strlcpy(found.version, m->software, sizeof(found.version));
 	}
 	place = stream_record_decide(&found, m != NULL && m->readable,
-	    stream_versions_base(&s->owner->streams, s->service), s->place,
-	    version);
+	    stream_versions_unrecorded(&s->owner->streams, s->service),
+	    s->place, version);
 	log_text(LOG_LVL_INFO, "stream-looked-up",
 	    "stream %s of %s: %s, it goes on at %s", s->id, s->service,
 	    m == NULL || !m->readable ? "the store doesn't answer"
--- a/entry/stream_resumes.h
+++ b/entry/stream_resumes.h
@@ -42,8 +42,8 @@
     struct stream_resumes *x, const char *service);
 /*
  * Has a stream recorded in the store if that is needed.  done is called once,
- * when it is recorded or, if its service's base version has no target, has
- * waited long enough; never from within this function.  Returns NULL if no
+ * when it is recorded or, if its service's base version has too few targets,
+ * has waited long enough; never from within this function.  Returns NULL if no
  * record is needed.  A host that doesn't record it in time, as it is cut off
  * from the store, say, is replaced by the next.
  */
--- a/kernel/stream_versions.c
+++ b/kernel/stream_versions.c
@@ -4,13 +4,20 @@
 #include <string.h>
 
 /* Longer than a stream and the pause until its caller resumes it. */
-#define KEEP_TIME   (60 * USEC_PER_SEC)
-#define MAX_STREAMS 16384
+#define KEEP_TIME    (60 * USEC_PER_SEC)
+#define MAX_STREAMS  16384
+/*
+ * The base version has enough targets with more than one in four of those that
+ * take new calls.  Streams are resumed later, when it may have fewer, so more
+ * than one in three are asked for then.
+ */
+#define BEGIN_SHARE  4
+#define RESUME_SHARE 3
 
 struct listed_version {
-	bool listed;  /* in the newest list */
-	bool serves;  /* by a target that doesn't leave */
-	usec_t until; /* else: was listed until then */
+	bool listed;        /* in the newest list */
+	usec_t until;       /* else: was listed until then */
+	uint32_t n_serving; /* targets that don't leave */
 };
 
 static void
@@ -73,7 +80,7 @@
 
 			if (x->listed) {
 				x->listed = false;
-				x->serves = false;
+				x->n_serving = 0;
 				x->until = now;
 			} else if (now - x->until > KEEP_TIME) {
 				g_hash_table_iter_remove(&versions);
@@ -99,7 +106,7 @@
 			g_hash_table_insert(v, g_strdup(t->version), x);
 		}
 		x->listed = true;
-		x->serves = x->serves || !t->leaving;
+		x->n_serving += t->leaving ? 0 : 1;
 	}
 }
 
@@ -130,16 +137,40 @@
 	return s->bases != NULL ? g_hash_table_lookup(s->bases, service) : NULL;
 }
 
-bool
-stream_versions_base_serves(
-    const struct stream_versions *s, const char *service)
+/* Whether the base version has more than one of this many targets. */
+static bool
+base_has_share(
+    const struct stream_versions *s, const char *service, uint32_t share)
 {
 	const char *base = stream_versions_base(s, service);
 	GHashTable *v = g_hash_table_lookup(s->services, service);
 	const struct listed_version *x =
 	    base != NULL && v != NULL ? g_hash_table_lookup(v, base) : NULL;
+	GHashTableIter it;
+	gpointer p;
+	uint32_t n = 0;
+
+	if (x == NULL || x->n_serving == 0)
+		return false;
+	g_hash_table_iter_init(&it, v);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		n += ((const struct listed_version *)p)->n_serving;
+	return x->n_serving * share > n;
+}
 
-	return x != NULL && x->serves;
+bool
+stream_versions_base_serves(
+    const struct stream_versions *s, const char *service)
+{
+	return base_has_share(s, service, BEGIN_SHARE);
+}
+
+const char *
+stream_versions_unrecorded(const struct stream_versions *s, const char *service)
+{
+	return base_has_share(s, service, RESUME_SHARE)
+	    ? stream_versions_base(s, service)
+	    : NULL;
 }
 
 bool
--- a/kernel/stream_versions.h
+++ b/kernel/stream_versions.h
@@ -70,9 +70,19 @@
 /* Returns the base version of a service, or NULL. */
 const char *stream_versions_base(
     const struct stream_versions *s, const char *service);
-/* Whether the base version is known and has targets that take new calls. */
+/*
+ * Whether the base version is known and has enough of the targets that take new
+ * calls to begin all streams.
+ */
 bool stream_versions_base_serves(
     const struct stream_versions *s, const char *service);
+/*
+ * Returns the version of a stream without a record, or NULL if it isn't known:
+ * the base version, unless others may have begun streams without recording them
+ * because it has too few targets.
+ */
+const char *stream_versions_unrecorded(
+    const struct stream_versions *s, const char *service);
 /* Whether a stream that this version begins must be recorded in the store. */
 bool stream_versions_records(const struct stream_versions *s,
     const char *service, const char *version, usec_t now);
--- a/tests/kernel/test_stream_versions.c
+++ b/tests/kernel/test_stream_versions.c
@@ -221,6 +221,43 @@
 	}
 }
 
+/* Whether the base version has targets enough for what is not recorded. */
+static void
+test_base_shares(void)
+{
+	static const struct {
+		const char *name, *listed;
+		bool begins, resumes;
+	} shares[] = {
+		{ "alone", "1", true, true },
+		{ "half", "1122", true, true },
+		{ "two in five", "11222", true, true },
+		{ "a third", "122", true, false },
+		{ "a quarter", "1222", false, false },
+		{ "a sixth", "122222", false, false },
+		{ "none left", "22", false, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(shares); i++) {
+		g_autoptr(GHashTable) bases =
+		    g_hash_table_new(g_str_hash, g_str_equal);
+		struct stream_versions s;
+
+		g_test_message("%s", shares[i].name);
+		g_hash_table_insert(bases, "s", "1");
+		stream_versions_init(&s, 0);
+		list(&s, "1", false, 0);
+		list(&s, shares[i].listed, false, SECONDS(1));
+		g_assert_false(stream_versions_base_serves(&s, "s"));
+		stream_versions_set_bases(&s, bases);
+		g_assert_cmpint(
+		    stream_versions_base_serves(&s, "s"), ==, shares[i].begins);
+		g_assert_cmpstr(stream_versions_unrecorded(&s, "s"), ==,
+		    shares[i].resumes ? "1" : NULL);
+		stream_versions_free(&s);
+	}
+}
+
 /* A target of another version is not chosen, even if no other is left. */
 static void
 test_choice(void)
@@ -247,5 +284,6 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/stream-versions/cases", test_cases);
 	g_test_add_func("/stream-versions/choice", test_choice);
+	g_test_add_func("/stream-versions/base-shares", test_base_shares);
 	return g_test_run();
 }
