httpmsg: blank lines before a message don't switch its checks off

Two blank lines before a request were taken for the end of its header section: a folded field, which two parsers may read differently, and a header section over the limit passed the checks. The head begins with the first byte that is no line break. test_httpmsg failed before: state 2 (done) where 3 (malformed) is wanted.

--- a/plat/httpmsg.c
+++ b/plat/httpmsg.c
@@ -118,6 +118,7 @@
 		/* The header section of the next one counts to the limit too.
 		 */
 		m->head_scanned = false;
+		m->head_begun = false;
 	} else {
 		m->state = HTTPMSG_DONE;
 	}
@@ -164,6 +165,7 @@
 	m->in_value = false;
 	m->line_start = false;
 	m->head_scanned = false;
+	m->head_begun = false;
 	evbuffer_drain(m->body, evbuffer_get_length(m->body));
 }
 
@@ -182,6 +184,10 @@
 			m->head_too_large = true;
 			return false;
 		}
+		/* Blank lines before the message don't end its head. */
+		if (!m->head_begun && (c == '\r' || c == '\n'))
+			continue;
+		m->head_begun = true;
 		if (m->line_start && (c == ' ' || c == '\t'))
 			return false;
 		if (m->line_start && c == '\n')
--- a/plat/httpmsg.h
+++ b/plat/httpmsg.h
@@ -45,6 +45,7 @@
 	} spans[HTTPMSG_MAX_FIELDS]; /* positions of the fields in text */
 	size_t n_fields;
 	bool in_value;   /* the last parsed bytes belong to a value */
+	bool head_begun; /* a byte other than a line break was seen */
 	bool line_start; /* the next byte of the header section starts a line */
 	bool head_scanned; /* the header section's final blank line was seen */
 	struct evbuffer *body; /* received, not yet taken by the user */
