Connections: a slow caller gets all of an answer on a kept connection

Callers that took an answer for longer than the idle limit, on a connection that is kept, got a part of it: the idle time counted from when the answer was queued, and neither the idle timer nor a stop looked at output that was not written yet. (Only answers after which the connection closes were safe.) The idle time now begins once the answer is written; until then the caller is given up only if it takes nothing for SEND_TIMEOUT_MS.

--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -35,7 +35,7 @@
 	struct httpmsg in;
 	usec_t arrived;
 	usec_t idle_since; /* while no request has begun */
-	size_t unsent;     /* while closing: output at the last timer */
+	size_t unsent;     /* output at the last timer */
 	void (*on_close)(void *arg);
 	void *arg;
 	bool busy;      /* a request is being handled */
@@ -87,12 +87,24 @@
 	evtimer_add(q->timer, &tv);
 }
 
-/* The connection waits for its next request from now on. */
+static size_t
+output_length(const struct httpd_request *q)
+{
+	return evbuffer_get_length(bufferevent_get_output(q->bev));
+}
+
+/*
+ * The connection waits for its next request from now on, and first for its
+ * caller to take the last response.
+ */
 static void
 start_idle(struct httpd_request *q)
 {
 	q->idle_since = clock_now();
-	set_timer(q, q->httpd->o.limits.idle_timeout);
+	q->unsent = output_length(q);
+	set_timer(q,
+	    q->unsent > 0 ? SEND_TIMEOUT_MS * USEC_PER_MSEC
+			  : q->httpd->o.limits.idle_timeout);
 }
 
 static const char *
@@ -126,7 +138,7 @@
 close_after_write(struct httpd_request *q)
 {
 	q->closing = true;
-	q->unsent = evbuffer_get_length(bufferevent_get_output(q->bev));
+	q->unsent = output_length(q);
 	if (q->unsent == 0)
 		half_close(q);
 	else
@@ -261,10 +273,14 @@
 {
 	struct httpd_request *q = arg;
 
+	(void)bev;
 	/* A deferred callback may arrive after the response was queued. */
-	if (q->closing && !q->lingering &&
-	    evbuffer_get_length(bufferevent_get_output(bev)) == 0)
+	if (output_length(q) > 0)
+		return;
+	if (q->closing && !q->lingering)
 		half_close(q);
+	else if (!q->closing && !q->busy && !q->in.started)
+		start_idle(q);
 }
 
 /* The caller has closed the connection, or it is broken. */
@@ -303,7 +319,7 @@
 {
 	size_t before = q->unsent;
 
-	q->unsent = evbuffer_get_length(bufferevent_get_output(q->bev));
+	q->unsent = output_length(q);
 	return q->unsent < before;
 }
 
@@ -315,19 +331,21 @@
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct httpd_request *q = arg;
+	bool sending =
+	    q->closing ? !q->lingering : !q->in.started && output_length(q) > 0;
 
 	(void)fd;
 	(void)what;
 	if (!q->closing && unread_bytes(q->bev) > 0)
 		set_timer(q, 0);
-	else if (!q->closing && time_left(q) > 0)
-		set_timer(q, time_left(q));
-	else if (!q->closing && q->in.started)
-		refuse(q, 408, "the request did not arrive in time");
-	else if (q->closing && !q->lingering && sends_output(q))
+	else if (sending && sends_output(q))
 		set_timer(q, SEND_TIMEOUT_MS * USEC_PER_MSEC);
-	else if (q->closing)
+	else if (sending || q->closing)
 		free_conn(q);
+	else if (time_left(q) > 0)
+		set_timer(q, time_left(q));
+	else if (q->in.started)
+		refuse(q, 408, "the request did not arrive in time");
 	else
 		close_conn(q, "idle for too long");
 }
@@ -541,7 +559,7 @@
 	h->draining = true;
 }
 
-/* Closes the connections that have no request. */
+/* Closes the connections that have no request and no response to send. */
 static void
 close_idle(struct httpd *h)
 {
@@ -552,7 +570,7 @@
 
 		next = l->next;
 		if (!q->busy && !q->closing && !q->in.started &&
-		    unread_bytes(q->bev) == 0)
+		    unread_bytes(q->bev) == 0 && output_length(q) == 0)
 			close_conn(q, "idle while the host stops");
 	}
 }
--- a/tests/entry/test_httpd.c
+++ b/tests/entry/test_httpd.c
@@ -262,21 +262,39 @@
 	close_server(&s);
 }
 
-/* A caller that reads slowly gets all of the last answer of its connection. */
+/* A caller that takes an answer for longer than the idle limit. */
+struct slow_case {
+	const char *name;
+	const char *request;
+	bool stops; /* the server stops once it has answered */
+};
+
+static const struct slow_case slow_cases[] = {
+	{ "last-answer", CLOSE_REQUEST, false },
+	{ "kept-connection", REQUEST, false },
+	{ "stop", REQUEST, true },
+};
+
+/* A caller that reads slowly gets all of the answer. */
 static void
-test_slow_reader(void)
+test_slow_reader(gconstpointer arg)
 {
+	const struct slow_case *c = arg;
 	struct server s;
 	size_t n = 0;
 
 	open_server(&s);
 	s.body_bytes = SLOW_BYTES;
-	send_text(&s, CLOSE_REQUEST);
+	send_text(&s, c->request);
 	while (!s.closed) {
 		g_autofree char *bytes = g_malloc(SLOW_CHUNK);
 		ssize_t got;
 
 		run_for(&s, SLOW_INTERVAL);
+		if (c->stops && s.requests > 0) {
+			httpd_drain(s.httpd);
+			httpd_finish(s.httpd);
+		}
 		got = recv(s.fd, bytes, SLOW_CHUNK, MSG_DONTWAIT);
 		s.closed = got == 0;
 		g_assert_true(got >= 0 || errno == EAGAIN);
@@ -355,10 +373,15 @@
 
 		g_test_add_data_func(path, &limit_cases[i], test_limits_change);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(slow_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+		    "/httpd/slow-reader/%s", slow_cases[i].name);
+
+		g_test_add_data_func(path, &slow_cases[i], test_slow_reader);
+	}
 	g_test_add_func("/httpd/pipelined-at-stop", test_pipelined_at_stop);
 	g_test_add_func("/httpd/close-of-caller", test_close_of_caller);
 	g_test_add_func("/httpd/blank-lines", test_blank_lines);
-	g_test_add_func("/httpd/slow-reader", test_slow_reader);
 	g_test_add_func("/httpd/slow-request", test_slow_request);
 	return g_test_run();
 }
