Stage calls: a timer judges a call only once its response has been read

After a standstill of the coordinator's process the timer of a stage call ran before the response that had arrived meanwhile: the call was given up, its pieces were produced once more at another target, which was set aside as well, and after three such calls the piece counted as failed. A lost path gave up calls in the same way. Both now read what has arrived first, as the calls of requests do since.

Failed before: /silent-target/host-pauses/stage-call: assertion failed (pieces == t->pieces): (4 == 2)

--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -299,9 +299,16 @@
 on_call_timeout(evutil_socket_t fd, short what, void *arg)
 {
 	struct batch_call *call = arg;
+	struct timeval now = { 0, 0 };
 
 	(void)fd;
 	(void)what;
+	/* A response that has arrived is read first. */
+	if (target_call_has_input(call->dial) &&
+	    call->late_turns++ < DIAL_MAX_LATE_TURNS) {
+		evtimer_add(call->timer, &now);
+		return;
+	}
 	target_call_cancel(call->dial);
 	/* It would have taken longer; without this it stays unknown. */
 	record_speed(call, call->items->len, clock_now());
@@ -517,7 +524,8 @@
 		struct batch_call *call = p;
 
 		if (strcmp(call->pool->service, service) == 0 &&
-		    target_call_is_direct(call->dial))
+		    target_call_is_direct(call->dial) &&
+		    !target_call_has_input(call->dial))
 			g_ptr_array_add(silent, call);
 	}
 	for (guint i = 0; i < silent->len; i++) {
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -79,6 +79,7 @@
 	bool slow;       /* its target was known to be slow */
 	int status;
 	bool not_run;
+	uint32_t late_turns; /* of the loop since its time was over */
 };
 
 struct pending_frees {
--- a/tests/platform/test_silent_target.c
+++ b/tests/platform/test_silent_target.c
@@ -145,6 +145,8 @@
 	int deadline_ms;
 	int at_ms; /* from the request to the pause */
 	int pause_ms;
+	const char *extra_fields;
+	uint32_t pieces; /* of stages */
 };
 
 static const struct pause_case pause_cases[] = {
@@ -152,6 +154,8 @@
 	{ "repeatable", "/safe/1", "slow", 6000, 1000, 1800 },
 	{ "past-deadline", "/once/1", "slow", 2400, 1000, 1800 },
 	{ "repeatable-past-deadline", "/safe/1", "slow", 2400, 1000, 1800 },
+	{ "stage-call", "/stream/staged/1", NULL, 5000, 30, 1500,
+	    "X-Pieces: 2,0\r\nX-Piece-Key: k\r\n", 2 },
 };
 
 struct pause_caller {
@@ -181,18 +185,24 @@
 	    harness_format(&(struct harness_request){ .path = t->path,
 		.id = t->name,
 		.behavior = t->behavior,
+		.extra_fields = t->extra_fields,
 		.deadline_ms = t->deadline_ms });
 	static const struct fakeplat_target targets[] = {
 		{ "e1", "engine", "d1", TARGET_PORT },
 		{ "e2", "engine", "d1", TARGET_PORT + 1 },
 		{ "p1", "plain", "d1", TARGET_PORT + 2 },
 		{ "p2", "plain", "d1", TARGET_PORT + 3 },
+		{ "s1", "pool", "d1", TARGET_PORT + 4 },
+		{ "s2", "pool", "d1", TARGET_PORT + 5 },
 	};
 	struct pause_caller x = { .bytes = q };
 	struct fakeplat_attempt s;
 	GThread *thread;
+	uint32_t pieces;
+	uint32_t calls;
 
 	start_host(targets, G_N_ELEMENTS(targets));
+	g_usleep(USEC_PER_SEC); /* stages wait for other hosts at first */
 	thread = g_thread_new("caller", run_caller, &x);
 	g_usleep((gulong)t->at_ms * 1000);
 	kill(host.pid, SIGSTOP);
@@ -203,6 +213,8 @@
 	g_assert_true(x.a.complete);
 	g_assert_true(fakeplat_get_attempt(platform, t->name, &s));
 	g_assert_cmpint(s.arrivals, ==, 1);
+	fakeplat_piece_counts(platform, &pieces, &calls);
+	g_assert_cmpuint(pieces, ==, t->pieces);
 	harness_response_free(&x.a);
 	stop_host();
 }
