Stopping: requests that still run at the exit get an answer

A host that stopped closed the connections of the requests that targets still ran at its exit, without a byte: the check that a request ends before the exit holds only once the drain is over, so requests of the drain (and before) ran on until the process ended. Calls without an answer are now given up 200 ms before the exit, and their callers are told that the request may have run (502). A response that has begun, or has arrived, goes on until the exit.

Failed before: /stopping-host/past-the-exit: assertion failed (lost == 0): (200 == 0), each closed after about 3.6 s

--- a/entry/relay.c
+++ b/entry/relay.c
@@ -42,6 +42,8 @@
 #define STREAM_DURATION   (2 * USEC_PER_SEC)
 /* Requests end this long before the exit, so that the last responses arrive. */
 #define EXIT_MARGIN       (400 * USEC_PER_MSEC)
+/* Calls without an answer are given up this long before the exit. */
+#define GIVE_UP_MARGIN    (200 * USEC_PER_MSEC)
 struct relay {
 	struct relay_opts o;
 	struct relay_shared shared;
@@ -315,33 +317,43 @@
 		    "write to the relay's eventfd failed");
 }
 
-/*
- * Ends the service once no request is left; shortly before the exit, rejects
- * unsent requests.
- */
+/* Rejects requests shortly before the exit, first those that are unsent. */
 static void
-shutdown_tick(struct relay *y, usec_t now)
+reject_at_exit(struct relay *y, usec_t left)
 {
-	usec_t exit_at = atomic_load(&y->exit_at);
 	GList *next;
 
-	if (exit_at == 0)
-		return;
-	if (httpd_finish(y->httpd) && atomic_load(&y->shared.busy) == 0)
-		atomic_store(&y->finished, true);
-	if (now < exit_at - EXIT_MARGIN)
-		return;
 	for (GList *l = y->shared.requests.head; l != NULL; l = next) {
 		struct relay_request *r = l->data;
+		bool sent = r->call != NULL || r->may_have_run;
 
 		next = l->next;
-		if (r->call == NULL && !r->may_have_run)
-			relay_request_reject(r,
-			    &(struct rejection){ ERR_DRAINING, DRAINING_RETRY,
-				"this host is stopping" });
+		if (sent && (r->head_written || left > GIVE_UP_MARGIN))
+			continue;
+		if (r->call != NULL && target_call_has_input(r->call))
+			continue;
+		r->may_have_run = sent;
+		forward_cancel(r);
+		relay_request_reject(r,
+		    &(struct rejection){ ERR_DRAINING, DRAINING_RETRY,
+			"this host is stopping" });
 	}
 }
 
+/* Ends the service once no request is left. */
+static void
+shutdown_tick(struct relay *y, usec_t now)
+{
+	usec_t exit_at = atomic_load(&y->exit_at);
+
+	if (exit_at == 0)
+		return;
+	if (httpd_finish(y->httpd) && atomic_load(&y->shared.busy) == 0)
+		atomic_store(&y->finished, true);
+	if (exit_at - now <= EXIT_MARGIN)
+		reject_at_exit(y, exit_at - now);
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
--- a/tests/platform/test_stopping_host.c
+++ b/tests/platform/test_stopping_host.c
@@ -45,8 +45,9 @@
 	usec_t gap;   /* between two requests */
 	usec_t shift; /* added to the time of the first in each round */
 	int rounds;
-	bool paused; /* the process stands still while they are sent */
-	bool fresh;  /* each is sent on a new connection */
+	bool paused;     /* the process stands still while they are sent */
+	bool fresh;      /* each is sent on a new connection */
+	int deadline_ms; /* 0: 3000 */
 };
 
 static const struct stop_case cases[] = {
@@ -60,6 +61,9 @@
 	/* Requests that may run past the exit are rejected as not run. */
 	{ "until-the-exit", "/quick/1", "slow", DRAIN_TIME, 19 * USEC_PER_MSEC,
 	    0, 1, false, true },
+	/* Requests of the drain that still run at the exit get an answer. */
+	{ "past-the-exit", "/once/1", "mute", DRAIN_TIME / 2, USEC_PER_MSEC, 0,
+	    1, false, false, 8000 },
 	/* The host has no request when it decides to end, and gets some. */
 	{ "decision", "/once/1", NULL, DRAIN_TIME, 0, 10 * USEC_PER_MSEC, 12,
 	    true },
@@ -132,7 +136,7 @@
 	    harness_format(&(struct harness_request){ .path = t->path,
 		.id = c->id,
 		.behavior = t->behavior,
-		.deadline_ms = 3000,
+		.deadline_ms = t->deadline_ms > 0 ? t->deadline_ms : 3000,
 		.keep_alive = true });
 	size_t n = strlen(q);
 
