Stopping: a host ends only after the stages that it coordinates for others

A host without requests of its own ended after its drain while it coordinated stage calls for another host: they were cancelled with the process, the other host noticed the silence after more than a second, and its caller got 503, or the pieces were produced again. The host now goes on until these jobs are answered, at most until its exit time.

Failed before: /stage-pieces/stop-of-coordinator: host 1 stops: assertion failed (a.status == 200): (503 == 200) assertion failed (pieces - before == N_LONG_JOB): (616 == 600)

--- a/entry/relay.c
+++ b/entry/relay.c
@@ -340,15 +340,19 @@
 	}
 }
 
-/* Ends the service once no request is left. */
+/*
+ * Ends the service once no request is left, and no stage that this host
+ * coordinates for others.
+ */
 static void
-shutdown_tick(struct relay *y, usec_t now)
+shutdown_tick(struct relay *y, bool coordinates, usec_t now)
 {
 	usec_t exit_at = atomic_load(&y->exit_at);
 
 	if (exit_at == 0)
 		return;
-	if (httpd_finish(y->httpd) && atomic_load(&y->shared.busy) == 0)
+	if (httpd_finish(y->httpd) && atomic_load(&y->shared.busy) == 0 &&
+	    !coordinates)
 		atomic_store(&y->finished, true);
 	if (exit_at - now <= EXIT_MARGIN)
 		reject_at_exit(y, exit_at - now);
@@ -360,18 +364,18 @@
 	struct relay *y = arg;
 	usec_t now = clock_now();
 	bool waiting = stage_jobs_tick(y->shared.stage_jobs, now);
+	bool coordinates = coordinator_tick(y->shared.coordinator, now);
 	usec_t next;
 	struct timeval tv;
 
 	(void)fd;
 	(void)what;
-	shutdown_tick(y, now);
-	waiting = coordinator_tick(y->shared.coordinator, now) || waiting;
+	shutdown_tick(y, coordinates, now);
 	dialer_sweep(y->shared.dialer, now);
 	target_calls_tick(y->shared.target_calls, now);
 	target_limits_tick(y->shared.target_limits, now);
 	stream_resumes_tick(y->shared.stream_resumes, now);
-	waiting = waiting || atomic_load(&y->exit_at) != 0;
+	waiting = waiting || coordinates || atomic_load(&y->exit_at) != 0;
 	next = waiting ? TICK_INTERVAL : IDLE_TICK_INTERVAL;
 	tv = (struct timeval){ next / USEC_PER_SEC, next % USEC_PER_SEC };
 	evtimer_add(y->tick, &tv);
--- a/tests/platform/test_stage_pieces.c
+++ b/tests/platform/test_stage_pieces.c
@@ -16,6 +16,7 @@
 #define TIMEOUT_SECONDS 15
 #define DEADLINE_MS     8000
 #define N_MUTE          4
+#define N_LONG_JOB      600
 #define LONG            "0123456789abcdef0123456789abcdef0123456789abcdef"
 #define LONGER          LONG LONG LONG
 
@@ -161,25 +162,92 @@
 	}
 }
 
-/* Pools with calls of 66 pieces and space for the results of all cases. */
+/* Pools with space for the results of all cases. */
 static char *
-make_config(void)
+make_config(int version, int batch)
 {
-	g_autofree char *text = harness_config(1, NULL);
+	g_autofree char *text = harness_config(version, NULL);
+	g_autofree char *calls = g_strdup_printf("\"Batch\":%d", batch);
 	g_autoptr(GString) s = g_string_new(text);
 
-	g_assert_cmpuint(
-	    g_string_replace(s, "\"Batch\":8", "\"Batch\":66", 0), ==, 1);
+	g_assert_cmpuint(g_string_replace(s, "\"Batch\":8", calls, 0), ==, 1);
 	g_assert_cmpuint(
 	    g_string_replace(s, "\"HeadroomMb\":1", "\"HeadroomMb\":9", 0), ==,
 	    1);
 	return g_string_free(g_steal_pointer(&s), FALSE);
 }
 
+static gpointer
+send_long_job(gpointer host)
+{
+	g_autofree char *id = g_strdup_printf("long-%d", GPOINTER_TO_INT(host));
+	g_autofree char *fields =
+	    g_strdup_printf("X-Pieces: %d,0\r\nX-Piece-Key: k\r\n", N_LONG_JOB);
+	g_autofree char *q = harness_format(
+	    &(struct harness_request){ .path = "/stream/staged/1",
+		.id = id,
+		.extra_fields = fields,
+		.deadline_ms = DEADLINE_MS });
+	struct harness_response a;
+
+	harness_exchange(hosts[GPOINTER_TO_INT(host)].port, str_from(q),
+	    DEADLINE_MS + 1000, &a);
+	g_assert_cmpint(a.status, ==, 200);
+	harness_response_free(&a);
+	return NULL;
+}
+
+/* Of all targets with pieces but the first. */
+static void
+set_rests(const char *text)
+{
+	for (size_t i = 2; i < G_N_ELEMENTS(targets); i++)
+		fakeplat_set_rest(platform, targets[i].id, text);
+}
+
+/*
+ * A host that stops while it coordinates a stage for another host does so until
+ * the stage has ended: no piece is produced again by its successor.
+ */
+static void
+test_stop_of_coordinator(void)
+{
+	/* With one target and calls of any size, the second takes 2 s. */
+	g_autofree char *config = make_config(2, N_LONG_JOB);
+
+	fakeplat_put(platform, "op/config", config);
+	set_rests("30");
+	g_usleep(USEC_PER_SEC);
+	for (int host = 0; host < N_HOSTS; host++) {
+		int other = (host + 1) % N_HOSTS;
+		uint32_t before;
+		uint32_t pieces;
+		uint32_t calls;
+		GThread *t;
+
+		fakeplat_piece_counts(platform, &before, &calls);
+		t = g_thread_new(
+		    "long-job", send_long_job, GINT_TO_POINTER(other));
+		g_usleep(600000);
+		kill(hosts[host].pid, SIGTERM);
+		g_thread_join(t);
+		fakeplat_piece_counts(platform, &pieces, &calls);
+		g_test_message(
+		    "host %d stops: %u pieces", host, pieces - before);
+		g_assert_cmpuint(pieces - before, ==, N_LONG_JOB);
+		g_assert_cmpint(harness_wait_exit(&hosts[host]), ==, 0);
+		harness_start_host(&hosts[host]);
+		g_assert_true(
+		    harness_wait_ready(&hosts[host], TIMEOUT_SECONDS));
+		g_usleep(2 * USEC_PER_SEC);
+	}
+	set_rests(NULL);
+}
+
 static void
 start_fleet(void)
 {
-	g_autofree char *config = make_config();
+	g_autofree char *config = make_config(1, 66);
 	g_autofree char *dir = g_dir_make_tmp("stage-pieces-XXXXXX", NULL);
 
 	platform = fakeplat_start(STORE_PORT);
@@ -213,6 +281,8 @@
 	signal(SIGPIPE, SIG_IGN);
 	start_fleet();
 	g_test_add_func("/stage-pieces/counts", test_pieces);
+	g_test_add_func(
+	    "/stage-pieces/stop-of-coordinator", test_stop_of_coordinator);
 	g_test_add_func(
 	    "/stage-pieces/stop-with-results", test_stop_with_results);
 	rc = g_test_run();
