Streams: a failed answer to a resumed call doesn't break the stream off

A stream that had begun was broken off when the target that was to go on with it answered with status 500, though another target, or the same one later, would have taken it. Such an answer is now handled as a lost one: the call is made again within the route's attempts and the quota, else the stream is resumed later. A status below 500 still ends the stream: other targets would answer the same.

Failed before: /silent-target/broken-others-fail: 'a.complete' should be TRUE

--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -265,6 +265,20 @@
 	buf_free(&fields);
 }
 
+/* The target didn't answer with the rest of a stream that has begun. */
+static void
+on_resume_failed(struct relay_request *r)
+{
+	static const char cause[] = "the target that resumed the stream failed";
+
+	if (r->response_status < 500)
+		forward_abort_stream(r, cause);
+	else if (forward_can_retry(r))
+		forward_send(r);
+	else
+		forward_fail(r, ERR_TARGET_FAILED, cause);
+}
+
 static void
 on_complete(struct relay_request *r, const struct httpmsg *m)
 {
@@ -290,8 +304,7 @@
 	}
 	forward_call_ended(r, r->response_status < 500);
 	if (r->head_written) {
-		forward_abort_stream(
-		    r, "the target that resumed the stream failed");
+		on_resume_failed(r);
 		return;
 	}
 	if (r->response_status >= 500 && r->route->kind == ROUTE_IDEMPOTENT &&
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -612,6 +612,7 @@
  *
  *   break        resets the connection after two events
  *   stall        sends no more bytes after two events
+ *   ...-500-2    responds with status 500 to the second arrival
  *   endless      sends an event without end, after two events
  *   open         has neither length nor chunks, ends with the connection
  *   open-cut     as open, and ends within the third event
@@ -824,6 +825,13 @@
 		send_refusal(c, 503, "X-Not-Executed: 1\r\n");
 		return false;
 	}
+	if (g_str_has_suffix(c->behavior, "-500-2") && s->arrivals == 2) {
+		char fields[512];
+
+		format_fields(c, fields, sizeof(fields));
+		send_response(c, 500, fields, STR("failed"));
+		return false;
+	}
 	if (strcmp(c->behavior, "refuse-other") == 0 && s->arrivals == 1)
 		evbuffer_add_printf(bufferevent_get_output(c->bev), REFUSAL);
 	check_inputs(
--- a/tests/platform/test_silent_target.c
+++ b/tests/platform/test_silent_target.c
@@ -44,6 +44,7 @@
 	{ "not-resumable", "/stream-once/1", "pause", HEALTHY, 1 },
 	{ "broken-alone", "/stream/1", "break", NONE, 2 },
 	{ "broken-others-refuse", "/stream/1", "break-refuse-2", HEALTHY, 2 },
+	{ "broken-others-fail", "/stream/1", "break-500-2", HEALTHY, 2 },
 	{ "broken-others-at-rest", "/stream/1", "break", RESTING, 2 },
 };
 
