A stream that lasts for over a minute keeps its version

Callers of a stream of 70 s whose hosts were all lost would get the rest from another software version.

Cause: hosts and store remember a stream for a minute from its first event.

Now a stream is told and recorded again every 20 s while its events pass, by the messages and records that there are. A bound by the longest timeout in force would have changed the keys of the records, and hosts of older builds would not have read those older than 64 s. The base version is as before: it changes only when its targets have been gone for a minute, and so have their streams.

--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -103,6 +103,8 @@
 		return;
 	if (r->events_at == 0)
 		note_version(r);
+	else
+		relay_request_record_again(r);
 	note_events(r);
 	if (forward_call_events(r) >= CRASH_BEGUN_EVENTS)
 		note_answer(r);
--- a/entry/relay_request.c
+++ b/entry/relay_request.c
@@ -54,23 +54,38 @@
 	httpd_cork(r->httpd_req, false);
 }
 
-void
-relay_request_record(struct relay_request *r)
+/* Has the version told and recorded; done may be NULL. */
+static struct stream_recording *
+record_version(struct relay_request *r, void (*done)(void *arg))
 {
 	struct str id = relay_stream_id(&r->info);
 	g_autofree char *text = g_strndup(id.p, id.n);
 	struct stream_version v = { .id = text };
 
+	r->recorded_at = clock_now();
 	stream_resumes_begin(
 	    r->shared->stream_resumes, id, r->service->name, r->version);
 	g_strlcpy(v.service, r->service->name, sizeof(v.service));
 	g_strlcpy(v.version, r->version, sizeof(v.version));
-	r->recording = stream_resumes_record(
-	    r->shared->stream_resumes, &v, on_recorded, r);
+	return stream_resumes_record(r->shared->stream_resumes, &v, done, r);
+}
+
+void
+relay_request_record(struct relay_request *r)
+{
+	r->recording = record_version(r, on_recorded);
 	if (r->recording != NULL)
 		httpd_cork(r->httpd_req, true);
 }
 
+void
+relay_request_record_again(struct relay_request *r)
+{
+	if (r->recorded_at != 0 &&
+	    clock_now() - r->recorded_at >= STREAM_RENEW_TIME)
+		record_version(r, NULL);
+}
+
 struct retry_quota *
 relay_request_retry_quota(struct relay_request *r)
 {
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -137,6 +137,7 @@
 	struct resume_search *resume_search; /* NULL: none */
 	/* The response is held back until it is done; NULL: none. */
 	struct stream_recording *recording;
+	usec_t recorded_at;   /* when the version was noted last; 0: never */
 	bool answer_reported; /* the last call's answer has begun */
 	usec_t events_at;     /* first event; 0: none */
 	usec_t last_event_at;
@@ -196,6 +197,11 @@
  * until the version would survive the loss of all hosts.
  */
 void relay_request_record(struct relay_request *r);
+/*
+ * Notes it again when hosts and store may soon forget it; call it with each
+ * event.
+ */
+void relay_request_record_again(struct relay_request *r);
 /* Sends what is held back. */
 void relay_request_uncork(struct relay_request *r);
 /* Frees a request that has no call. */
--- a/entry/stream_resumes.c
+++ b/entry/stream_resumes.c
@@ -326,7 +326,8 @@
 	k->hold_timer = evtimer_new(x->o.base, on_hold_timeout, k);
 	k->retry_timer = evtimer_new(x->o.base, on_record_timeout, k);
 	g_hash_table_insert(x->recordings, &k->number, k);
-	evtimer_add(k->hold_timer, &tv);
+	if (done != NULL)
+		evtimer_add(k->hold_timer, &tv);
 	ask_recorder(k, recorder);
 	return k;
 }
--- a/kernel/stream_versions.h
+++ b/kernel/stream_versions.h
@@ -29,6 +29,11 @@
 #define STREAM_HOLDERS       2
 #define STREAM_ASKED         16
 #define STREAM_VERSION_BYTES 64
+/*
+ * A stream that goes on is told and recorded again after this time, a third of
+ * that for which hosts and store remember it.
+ */
+#define STREAM_RENEW_TIME    (20 * USEC_PER_SEC)
 /* Hosts that reply do so within this time. */
 #define STREAM_REPLY_TIME    (100 * USEC_PER_MSEC)
 /* Longer than a poll of a store that answers, and the pause after it. */
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -19,6 +19,8 @@
 #define REFUSAL \
 	"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 #define EVENT_INTERVAL_MS  20
+#define LONG_INTERVAL_MS   200
+#define LONG_EVENTS        500
 #define STAGE_CALL_MS      60 /* duration of a stage call without pieces */
 #define SLOW_STAGE_CALL_MS 240
 #define STAGE_PIECE_MS     4 /* added by each piece */
@@ -556,7 +558,9 @@
 	    version != NULL ? version : "");
 	evbuffer_add_printf(out, "%x\r\n%s\r\n", (unsigned)n, data);
 	c->next_event++;
-	arm_timer(c, EVENT_INTERVAL_MS);
+	arm_timer(c,
+	    strcmp(c->behavior, "long") == 0 ? LONG_INTERVAL_MS
+					     : EVENT_INTERVAL_MS);
 }
 
 static void
@@ -569,7 +573,7 @@
 	if (last.p != NULL)
 		str_parse_u64(last, &n);
 	c->next_event = (uint32_t)n + 1;
-	c->n_events = 6;
+	c->n_events = strcmp(c->behavior, "long") == 0 ? LONG_EVENTS : 6;
 	/* A resumed stream is not broken again. */
 	if (n > 0)
 		c->behavior[0] = '\0';
@@ -613,6 +617,7 @@
  *   break        resets the connection after two events
  *   stall        sends no more bytes after two events
  *   ...-500-2    responds with status 500 to the second arrival
+ *   long         sends LONG_EVENTS events, five a second
  *   endless      sends an event without end, after two events
  *   open         has neither length nor chunks, ends with the connection
  *   open-cut     as open, and ends within the third event
--- a/tests/platform/test_mixed_versions.c
+++ b/tests/platform/test_mixed_versions.c
@@ -26,6 +26,10 @@
 /* Hosts know of changed targets, and of each other, by then. */
 #define SETTLE_TIME        (1500 * USEC_PER_MSEC)
 
+/* A stream longer than hosts and store remember it by itself. */
+#define LONG_MS            70000
+#define LONG_TIMEOUT_MS    100000
+
 /* How long the fleet knows one version before the other comes. */
 #define FIRST_VERSION_TIME (5 * USEC_PER_SEC)
 
@@ -115,7 +119,13 @@
     "{\"Name\":\"solo\",\"Host\":\"a.example\","
     "\"Prefix\":\"/stream/solo/\",\"Kind\":\"streaming\","
     "\"TimeoutMs\":8000,\"SloMs\":1000,\"Attempts\":2,\"CanResume\":true,"
-    "\"Service\":\"plain\"}";
+    "\"Service\":\"plain\"},"
+    "{\"Name\":\"long\",\"Host\":\"a.example\","
+    "\"Prefix\":\"/stream/long/\",\"Kind\":\"streaming\","
+    "\"TimeoutMs\":" G_STRINGIFY(
+	LONG_TIMEOUT_MS) ",\"SloMs\":1000,"
+			 "\"Attempts\":2,\"CanResume\":true,\"Service\":"
+			 "\"engine\"}";
 
 static void
 unlist_target(const char *id)
@@ -329,6 +339,61 @@
 		restart_first_host();
 }
 
+static const struct version_case long_case = { "of-over-a-minute",
+	"/stream/long/1", "long", BOTH, BOTH, true };
+static struct stream long_streams[STREAMS];
+
+static gpointer
+run_long_stream(gpointer arg)
+{
+	struct stream *s = arg;
+	g_autofree char *q = NULL;
+	struct harness_response a;
+	int number = (int)(s - long_streams);
+
+	snprintf(s->id, sizeof(s->id), "s-long-%d", number);
+	q = harness_format(&(struct harness_request){ .path = long_case.path,
+	    .id = s->id,
+	    .behavior = long_case.behavior,
+	    .deadline_ms = LONG_TIMEOUT_MS });
+	harness_exchange(hosts[number % HOSTS].port, str_from(q), LONG_MS, &a);
+	read_answer(s, &a);
+	harness_response_free(&a);
+	return NULL;
+}
+
+/* All hosts are killed when streams have lasted for over a minute. */
+static void
+run_long_case(void)
+{
+	GThread *threads[STREAMS];
+	int mixed = 0;
+	int complete = 0;
+	int new = 0;
+
+	set_versions(BOTH);
+	for (int i = 0; i < STREAMS; i++)
+		threads[i] =
+		    g_thread_new(NULL, run_long_stream, &long_streams[i]);
+	for (int i = 0; i < STREAMS; i++)
+		g_thread_join(threads[i]);
+	kill_all_hosts();
+	restart_all_hosts();
+	for (int i = 0; i < STREAMS; i++)
+		resume_stream(&long_streams[i], &long_case, i);
+	for (int i = 0; i < STREAMS; i++) {
+		mixed += long_streams[i].old && long_streams[i].new;
+		complete += long_streams[i].complete;
+		new += long_streams[i].new;
+	}
+	g_test_message("%d streams of two versions, %d complete, %d with "
+		       "events of the new version",
+	    mixed, complete, new);
+	g_assert_cmpint(mixed, ==, 0);
+	g_assert_cmpint(complete, ==, STREAMS);
+	g_assert_cmpint(new, >, 0);
+}
+
 static void
 stop_fleet(void)
 {
@@ -355,6 +420,7 @@
 
 		g_test_add_data_func(path, &cases[i], run_case);
 	}
+	g_test_add_func("/mixed-versions/of-over-a-minute", run_long_case);
 	rc = g_test_run();
 	stop_fleet();
 	return rc;
