discovery: a late state of another host doesn't end a listing

Callers saw requests sent to a target that had left. A host that can't reach the store asks another host for its state. When the reply came after the store's return, and its revision was higher than that of the host's own, which is 0 during a listing, the host took it for a complete listing: it went on from that revision and never listed the store again. After a restore whose revisions were given out again, changes were missing for good.

Now a state is taken only while the store doesn't answer; the watcher's revision comes from the store and from feeds alone.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -278,7 +278,6 @@
 	    ? json_loadb(text.p, text.n, 0, NULL)
 	    : NULL;
 	const char *config = json_string_value(json_object_get(o, "config"));
-	int64_t revision = json_integer_value(json_object_get(o, "revision"));
 	const char *key;
 	json_t *v;
 
@@ -296,7 +295,8 @@
 			discovery_read_quarantine(d, str_from(key),
 			    str_from(json_string_value(v)), false);
 	}
-	if (d->store_unavailable || revision > watcher_revision(d->watcher)) {
+	/* Once the store answers, it is the source. */
+	if (d->store_unavailable) {
 		roster_set_store_unavailable(&d->roster, false, clock_now());
 		roster_begin(&d->roster);
 		json_object_foreach(json_object_get(o, "targets"), key, v)
@@ -306,8 +306,6 @@
 				    str_from(json_string_value(v)));
 		}
 		roster_finish(&d->roster, clock_now());
-		if (!d->store_unavailable)
-			watcher_set_revision(d->watcher, revision);
 	}
 	json_decref(o);
 	buf_free(&text);
--- a/tests/platform/test_peer_state.c
+++ b/tests/platform/test_peer_state.c
@@ -27,16 +27,25 @@
 #define SETTLE_TIME     (2500 * USEC_PER_MSEC)
 #define NOTICE_TIME     (200 * USEC_PER_MSEC)
 #define AWAY_TIME       (3 * USEC_PER_SEC)
-/* The platform's bound DrainMs. */
+#define RESTORE_TIME    (300 * USEC_PER_MSEC)
+/* The listing of a restored store has begun by then, and takes longer. */
+#define LISTING_TIME    (800 * USEC_PER_MSEC)
+/* Changes before the restore, and after it. */
+#define CHANGES         40
+/* The platform's bounds StableMs and DrainMs. */
+#define STABLE_TIME     (3 * USEC_PER_SEC)
 #define DRAIN_TIME      (2 * USEC_PER_SEC)
 #define COUNT_TIME      (4 * USEC_PER_SEC)
 
 static const struct state_case {
 	const char *name;
 	bool era; /* the store names its era */
+	/* The state is of before a restore, and arrives during the listing. */
+	bool restored;
 } cases[] = {
-	{ "older-state", false },
-	{ "older-state-era", true },
+	{ "older-state", false, false },
+	{ "older-state-era", true, false },
+	{ "state-of-before-a-restore", true, true },
 };
 
 static struct fakeplat *platform;
@@ -89,6 +98,54 @@
 	}
 }
 
+static void
+make_changes(int n)
+{
+	for (int i = 0; i < n; i++)
+		fakeplat_put(platform, "op/note", "{}");
+}
+
+static void
+set_links(enum proxy_listen ahead, enum proxy_fault behind)
+{
+	proxy_set_listen(proxy, links[AHEAD], ahead);
+	proxy_set_fault(proxy, links[BEHIND], behind);
+}
+
+/* The removal is in the store only, which is restored. */
+static void
+restore(const char *key)
+{
+	fakeplat_set_page_items(platform, 1);
+	proxy_set_fault(proxy, links[AHEAD], PROXY_DELAY);
+	fakeplat_copy_store(platform);
+	make_changes(CHANGES);
+	g_usleep((gulong)NOTICE_TIME);
+	set_links(PROXY_REFUSE, PROXY_CUT_BOTH);
+	kill(hosts[BEHIND].pid, SIGSTOP);
+	fakeplat_restore_store(platform);
+	fakeplat_delete(platform, key);
+	make_changes(2 * CHANGES);
+	proxy_reset(proxy, links[AHEAD]);
+	g_usleep((gulong)RESTORE_TIME);
+	proxy_set_listen(proxy, links[AHEAD], PROXY_ACCEPT);
+	g_usleep((gulong)LISTING_TIME);
+	kill(hosts[BEHIND].pid, SIGCONT);
+	g_usleep((gulong)STABLE_TIME);
+}
+
+/* The host ahead has seen the removal, and loses the store. */
+static void
+cut(const char *key)
+{
+	set_links(PROXY_ACCEPT, PROXY_CUT_BOTH);
+	g_usleep((gulong)NOTICE_TIME);
+	fakeplat_delete(platform, key);
+	g_usleep((gulong)NOTICE_TIME);
+	set_links(PROXY_REFUSE, PROXY_CUT_BOTH);
+	proxy_reset(proxy, links[AHEAD]);
+}
+
 static void
 run_case(gconstpointer arg)
 {
@@ -104,19 +161,13 @@
 		(uint16_t)(TARGET_PORT + 1 + (x - cases)) });
 	g_usleep((gulong)SETTLE_TIME);
 	g_assert_cmpuint(fakeplat_arrivals(platform, x->name, 0), >, 0);
-	/* The host behind waits for an answer of the store. */
-	proxy_set_fault(proxy, links[BEHIND], PROXY_CUT_BOTH);
-	g_usleep((gulong)NOTICE_TIME);
-	fakeplat_delete(platform, key);
+	if (x->restored)
+		restore(key);
+	else
+		cut(key);
 	left_at = clock_now();
-	g_usleep((gulong)NOTICE_TIME);
-	proxy_set_listen(proxy, links[AHEAD], PROXY_REFUSE);
-	proxy_reset(proxy, links[AHEAD]);
 	g_usleep((gulong)AWAY_TIME);
-	for (int i = 0; i < HOSTS; i++) {
-		proxy_set_fault(proxy, links[i], PROXY_NONE);
-		proxy_set_listen(proxy, links[i], PROXY_ACCEPT);
-	}
+	set_links(PROXY_ACCEPT, PROXY_NONE);
 	g_usleep((gulong)COUNT_TIME);
 	n = fakeplat_arrivals(platform, x->name, left_at + DRAIN_TIME);
 	g_test_message("%u requests too late", n);
