discovery: a host doesn't take an older state than its own from another

A host that can't reach the store took the targets of any other host. One that lagged behind still listed a target whose entry the first had seen removed; that change isn't delivered again after the store's return, so the target stayed. The same could happen with two states taken one after the other.

Now the state says up to which era and revision it was read (kernel/ store_position), and is taken only if it covers what the host knows. States of older builds name no era; they are compared by revision.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -107,6 +107,7 @@
 	d->restores++;
 	d->restored = true;
 	d->hosts.stored = 0;
+	d->peer_position = (struct store_position){ 0 };
 	roster_store_restored(&d->roster, clock_now());
 	log_text(LOG_LVL_NOTICE, "store-restored",
 	    "the store continues from an older copy, era %" PRIu64
@@ -193,8 +194,9 @@
 	json_t *o;
 
 	pthread_mutex_lock(&d->lock);
-	o = json_pack("{s:I, s:o, s:o, s:o}", "revision",
-	    (json_int_t)d->counts.revision, "config",
+	o = json_pack("{s:I, s:I, s:o, s:o, s:o}", "revision",
+	    (json_int_t)d->counts.revision, "era", (json_int_t)d->counts.era,
+	    "config",
 	    json_stringn(
 		d->config_text.n > 0 ? d->config_text.p : "", d->config_text.n),
 	    "targets", string_map(d->target_values), "quarantine",
@@ -269,6 +271,38 @@
 	http_wake(d->loop);
 }
 
+/*
+ * Whether a peer's state, up to a position in the store, is to be taken: once
+ * the store answers, it is the source, and changes that were seen aren't seen
+ * again.
+ */
+static bool
+is_wanted(const struct discovery *d, const struct store_position *p)
+{
+	struct store_position own = watcher_position(d->watcher);
+
+	return d->store_unavailable && store_position_covers(p, &own) &&
+	    store_position_covers(p, &d->peer_position);
+}
+
+/* Replaces the targets by those of a peer's state. */
+static void
+take_targets(struct discovery *d, json_t *targets)
+{
+	const char *key;
+	json_t *v;
+
+	roster_set_store_unavailable(&d->roster, false, clock_now());
+	roster_begin(&d->roster);
+	json_object_foreach(targets, key, v)
+	{
+		if (json_is_string(v))
+			put_target(
+			    d, str_from(key), str_from(json_string_value(v)));
+	}
+	roster_finish(&d->roster, clock_now());
+}
+
 /* Applies a peer's state, which replaces a full listing of the store. */
 static void
 apply_peer_state(struct discovery *d, struct str bytes)
@@ -278,6 +312,10 @@
 	    ? json_loadb(text.p, text.n, 0, NULL)
 	    : NULL;
 	const char *config = json_string_value(json_object_get(o, "config"));
+	struct store_position p = {
+		.era = (uint64_t)json_integer_value(json_object_get(o, "era")),
+		.revision = json_integer_value(json_object_get(o, "revision")),
+	};
 	const char *key;
 	json_t *v;
 
@@ -295,17 +333,9 @@
 			discovery_read_quarantine(d, str_from(key),
 			    str_from(json_string_value(v)), false);
 	}
-	/* Once the store answers, it is the source. */
-	if (d->store_unavailable) {
-		roster_set_store_unavailable(&d->roster, false, clock_now());
-		roster_begin(&d->roster);
-		json_object_foreach(json_object_get(o, "targets"), key, v)
-		{
-			if (json_is_string(v))
-				put_target(d, str_from(key),
-				    str_from(json_string_value(v)));
-		}
-		roster_finish(&d->roster, clock_now());
+	if (is_wanted(d, &p)) {
+		take_targets(d, json_object_get(o, "targets"));
+		d->peer_position = p;
 	}
 	json_decref(o);
 	buf_free(&text);
@@ -477,6 +507,7 @@
 	pthread_mutex_lock(&d->lock);
 	d->counts.store_calls = kv_calls(d->kv);
 	d->counts.revision = watcher_revision(d->watcher);
+	d->counts.era = watcher_era(d->watcher);
 	pthread_mutex_unlock(&d->lock);
 }
 
--- a/entry/discovery.h
+++ b/entry/discovery.h
@@ -35,6 +35,7 @@
 	uint64_t rejected_entries; /* of targets, that can't be read */
 	uint64_t version;          /* configuration in force */
 	int64_t revision;          /* store changes up to it are applied */
+	uint64_t era;              /* of the store; 0: not known */
 	bool store_unavailable;
 };
 
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -55,6 +55,8 @@
 	usec_t config_apply_time;  /* duration of the last application */
 	uint64_t published_roster; /* roster version of the last view */
 	usec_t peer_fetch_at;
+	/* Of the last state taken from another host. */
+	struct store_position peer_position;
 	uint32_t config_fetch_failures; /* consecutive */
 	/* When gossip reported a newer version; 0: none. */
 	usec_t newer_config_at;
--- a/plat/watcher.c
+++ b/plat/watcher.c
@@ -234,6 +234,12 @@
 	return w->synced ? w->revision : 0;
 }
 
+struct store_position
+watcher_position(const struct watcher *w)
+{
+	return (struct store_position){ w->era, w->restored ? 0 : w->revision };
+}
+
 void
 watcher_set_revision(struct watcher *w, int64_t revision)
 {
--- a/plat/watcher.h
+++ b/plat/watcher.h
@@ -12,6 +12,7 @@
 #ifndef PLAT_WATCHER_H
 #define PLAT_WATCHER_H
 
+#include "kernel/store_position.h"
 #include "plat/kv.h"
 
 struct watcher;
@@ -53,6 +54,11 @@
  * complete.
  */
 int64_t watcher_revision(const struct watcher *w);
+/*
+ * Returns how far what was delivered reaches, also while a listing is made that
+ * is not complete.
+ */
+struct store_position watcher_position(const struct watcher *w);
 /* Records that all changes up to a revision were received from elsewhere. */
 void watcher_set_revision(struct watcher *w, int64_t revision);
 /*
--- a/tests/kernel/test_restored_store.c
+++ b/tests/kernel/test_restored_store.c
@@ -4,6 +4,7 @@
  */
 #include "kernel/feeders.h"
 #include "kernel/loads.h"
+#include "kernel/store_position.h"
 
 #define SEC USEC_PER_SEC
 
@@ -153,6 +154,32 @@
 		    ==, feeds[i].use);
 }
 
+/* States of other hosts, as a host takes them that can't reach the store. */
+static void
+test_position(void)
+{
+	static const struct {
+		struct store_position theirs, own;
+		bool covers;
+	} positions[] = {
+		{ { 0, 100 }, { 0, 0 }, true },
+		{ { 0, 100 }, { 0, 100 }, true },
+		{ { 0, 99 }, { 0, 100 }, false },
+		{ { 2, 99 }, { 2, 100 }, false },
+		{ { 2, 100 }, { 2, 99 }, true },
+		{ { 3, 60 }, { 2, 100 }, true },
+		{ { 2, 100 }, { 3, 60 }, false },
+		{ { 2, 100 }, { 3, 0 }, false },
+		{ { 2, 100 }, { 0, 60 }, true },
+		{ { 0, 60 }, { 2, 100 }, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(positions); i++)
+		g_assert_cmpint(store_position_covers(
+				    &positions[i].theirs, &positions[i].own),
+		    ==, positions[i].covers);
+}
+
 /*
  * Whether a target that a restored store lacks is listed, by the time since the
  * restore at which its entry was found missing and at which it is asked for.
@@ -197,6 +224,7 @@
 	g_test_set_nonfatal_assertions();
 	g_test_add_func("/restored-store/relisted", test_relisted);
 	g_test_add_func("/restored-store/feed", test_feed);
+	g_test_add_func("/restored-store/position", test_position);
 	g_test_add_func("/restored-store/grace", test_grace);
 	return g_test_run();
 }
