watcher: a late reply to a poll doesn't undo later changes

A host polls the store itself while its feed is silent. If the feed comes back before the reply, the changes in the reply are older than those of the feed, but they were applied after them: a target whose entry was removed came back for good, as the removal isn't delivered twice. A feeder passed such a reply on as a feed that goes back, which its receivers take for a restore of the store.

Now a reply of before the known revision is dropped.

test_watcher, before: not ok 2 /watcher/later changes fed not ok 3 /watcher/the same change fed after: all three cases pass.

--- a/plat/watcher.c
+++ b/plat/watcher.c
@@ -188,11 +188,14 @@
 		}
 		if (c->n > 0)
 			w->next_at = clock_now() + CHANGE_INTERVAL;
-		deliver_changes(w, c);
+		/* Changes from elsewhere may be later than the reply. */
+		if (c->as_of < w->revision)
+			break;
+		if (c->as_of > w->revision)
+			deliver_changes(w, c);
 		if (w->o.batch != NULL)
 			w->o.batch(w->o.arg, w->revision, c);
-		if (c->as_of > w->revision)
-			w->revision = c->as_of;
+		w->revision = c->as_of;
 		break;
 	case KV_NO_HISTORY:
 		call_ok(w);
