discovery: a fed host notices that the store is back

After an absence of the store of some seconds, hosts that get its changes from other hosts took it for away for good: they had asked it themselves while no feed came, and stopped asking once the feed was back. Such a host fetched the state of another one every half second, reported sequoia_store_away, and didn't trust its list of versions when it resumed streams.

Now a host that takes the store for away goes on asking until it answers.

test_store_restore, /store-restore/away, before: on several of 18 hosts 'takes_store_for_away(&hosts[i])' should be FALSE; after: ok.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -476,7 +476,8 @@
 	usec_t now = clock_now();
 	usec_t next = now + MAX_LOOP_SLEEP;
 
-	if (!discovery_has_feeder(d, now))
+	/* Only a call of its own shows a host that the store is back. */
+	if (d->store_unavailable || !discovery_has_feeder(d, now))
 		next = earlier(next, watcher_tick(d->watcher, now));
 	next = earlier(next, roster_tick(&d->roster, now));
 	fleet_tick(d->fleet, now, USEC_PER_SEC);
--- a/tests/platform/test_store_restore.c
+++ b/tests/platform/test_store_restore.c
@@ -24,6 +24,8 @@
 /* Until all hosts have seen what a target or the store says. */
 #define NOTICE_TIME     (1500 * USEC_PER_MSEC)
 #define AWAY_TIME       (300 * USEC_PER_MSEC)
+/* The calls that wait end, then the feeds are silent, then all hosts ask. */
+#define LONG_AWAY_TIME  (5 * USEC_PER_SEC)
 #define WATCH_TIME      (2 * USEC_PER_SEC)
 /* The platform's bounds StableMs and DrainMs. */
 #define STABLE_TIME     (3 * USEC_PER_SEC)
@@ -222,6 +224,40 @@
 	g_assert_cmpint(request_status(&hosts[HOSTS], "/new/1"), ==, 200);
 }
 
+static bool
+takes_store_for_away(const struct harness_host *h)
+{
+	struct harness_response a;
+	bool away;
+
+	harness_exchange(h->port + 1,
+	    STR("GET /metrics HTTP/1.1\r\nHost: h\r\n"
+		"Connection: close\r\n\r\n"),
+	    DEADLINE_MS, &a);
+	g_assert_cmpint(a.status, ==, 200);
+	away = strstr(a.body.p, "\nsequoia_store_away 0") == NULL;
+	harness_response_free(&a);
+	return away;
+}
+
+/*
+ * All hosts ask a store that is away for longer than a feed may be silent. Once
+ * it is back, those that are fed again must notice it, too.
+ */
+static void
+test_away(void)
+{
+	start_fleet(HOSTS);
+	fakeplat_set_store_mode(platform, FAKEPLAT_STORE_RESET);
+	g_usleep((gulong)LONG_AWAY_TIME);
+	for (int i = 0; i < HOSTS; i++)
+		g_assert_true(takes_store_for_away(&hosts[i]));
+	fakeplat_set_store_mode(platform, FAKEPLAT_STORE_OK);
+	g_usleep((gulong)STABLE_TIME);
+	for (int i = 0; i < HOSTS; i++)
+		g_assert_false(takes_store_for_away(&hosts[i]));
+}
+
 static void
 start_platform(void)
 {
@@ -258,6 +294,7 @@
 
 		g_test_add_data_func(path, &cases[i], run_case);
 	}
+	g_test_add_func("/store-restore/away", test_away);
 	rc = g_test_run();
 	atomic_store(&stopping, true);
 	for (int i = 0; i < CALLERS; i++)
