discovery: a state without an era isn't taken for one of a known era

A host of an earlier build doesn't name the store's era in its state. After a restore it was compared by revision, so a state of before the restore could be taken by a host that had lost the store again.

test_restored_store /position: the case { 0, 200 } against { 2, 100 } fails before, passes after.

--- a/kernel/store_position.c
+++ b/kernel/store_position.c
@@ -4,7 +4,7 @@
 store_position_covers(
     const struct store_position *p, const struct store_position *q)
 {
-	if (p->era != 0 && q->era != 0 && p->era != q->era)
+	if (q->era != 0 && p->era != q->era)
 		return p->era > q->era;
 	return p->revision >= q->revision;
 }
--- a/kernel/store_position.h
+++ b/kernel/store_position.h
@@ -19,8 +19,8 @@
 
 /*
  * Whether a state of the store up to p has all that is known up to q. Revisions
- * of two eras don't compare; if an era isn't known, they are taken to be of the
- * same.
+ * of two eras don't compare, so a state that names none is not taken for one of
+ * a known era.
  */
 bool store_position_covers(
     const struct store_position *p, const struct store_position *q);
--- a/tests/kernel/test_restored_store.c
+++ b/tests/kernel/test_restored_store.c
@@ -172,6 +172,7 @@
 		{ { 2, 100 }, { 3, 0 }, false },
 		{ { 2, 100 }, { 0, 60 }, true },
 		{ { 0, 60 }, { 2, 100 }, false },
+		{ { 0, 200 }, { 2, 100 }, false },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(positions); i++)
