http: timeouts are judged after what has arrived is read

After a standstill of the process past a call's timeout, the store client, the pipelines' calls, the probes and orders to engines gave up answers that had already arrived in the socket.

libcurl checks a transfer's timeout before it reads its socket, also in a socket action for input. http_run now judges the timeouts itself, after the sockets are handled; a transfer whose socket is readable at its deadline may read what had arrived by then, in as many turns as that takes, and no more. libcurl keeps a longer limit on connecting, for a second connection. http_run asks epoll again after EINTR and after a full array of events, as its callers judge their own deadlines next.

test_http, before: not ok /http/standstill/answer not ok /http/standstill/answer of several reads not ok /http/standstill/answer up to the end of the connection after: 8 of 8 cases pass. Four of the new cases passed before too; they keep calls without an answer failing and connections that come up in time.

--- a/plat/http.c
+++ b/plat/http.c
@@ -2,17 +2,28 @@
 
 #include <curl/curl.h>
 #include <err.h>
+#include <errno.h>
 #include <glib.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 #define IDLE_CONN_MAX_SEC 20L
 #define MAX_IDLE_CONNS    512L
 #define CONNECT_TIMEOUT   (1 * USEC_PER_SEC)
 #define MAX_EPOLL_EVENTS  64
+/* How often http_run takes that many events at most. */
+#define MAX_EPOLL_ROUNDS  16
 #define NO_TIMER          ((usec_t)-1)
+#define NO_DEADLINE       INT64_MAX
+/*
+ * libcurl's own limit on connecting is this much longer than the call's; it
+ * holds for a second connection, after a kept one turned out to be closed.
+ */
+#define CURL_MARGIN       (10 * USEC_PER_SEC)
 
 struct transfer {
 	uint64_t id;
@@ -26,6 +37,12 @@
 	struct buf received; /* received and not yet delivered */
 	size_t max_bytes;    /* 0: no limit */
 	size_t n_bytes;      /* received so far */
+	int fd;              /* its socket, or -1 */
+	usec_t end_at;       /* deadline of the call, or NO_DEADLINE */
+	usec_t due_at;       /* end_at, or an earlier limit on connecting */
+	GSequenceIter *due;  /* its place among the loop's deadlines */
+	curl_off_t late_end; /* bytes that had arrived at the deadline */
+	bool late;           /* is past its deadline, and goes on */
 	bool head_delivered;
 	bool queued; /* its id is in the loop's list of readable transfers */
 };
@@ -34,6 +51,7 @@
 	CURLM *multi;
 	GHashTable *transfers; /* id -> struct transfer, owned */
 	GArray *readable;      /* ids of transfers with bytes to deliver */
+	GSequence *deadlines;  /* transfers, ordered by due_at */
 	uint64_t last_id;
 	int epoll_fd;
 	int wake_fd;     /* eventfd, signalled by http_wake() */
@@ -45,6 +63,7 @@
 {
 	struct transfer *t = p;
 
+	g_sequence_remove(t->due);
 	curl_multi_remove_handle(t->loop->multi, t->easy);
 	curl_easy_cleanup(t->easy);
 	curl_slist_free_all(t->headers);
@@ -69,21 +88,20 @@
 	return size * n;
 }
 
-/* Returns at least 1, because libcurl takes 0 as its default or no limit. */
-static long
-to_ms(usec_t t)
+static usec_t
+connect_timeout(const struct http_opts *o)
 {
-	long ms = (long)(t / USEC_PER_MSEC);
-
-	return ms > 0 ? ms : 1;
+	return o->connect_timeout > 0 ? o->connect_timeout : CONNECT_TIMEOUT;
 }
 
+/*
+ * The timeouts of a call are not given to libcurl, which would judge them
+ * before it reads what has arrived.
+ */
 static void
 set_options(struct transfer *t, const struct http_opts *o)
 {
 	CURL *e = t->easy;
-	usec_t connect =
-	    o->connect_timeout > 0 ? o->connect_timeout : CONNECT_TIMEOUT;
 
 	curl_easy_setopt(e, CURLOPT_URL, o->url);
 	curl_easy_setopt(e, CURLOPT_PRIVATE, t);
@@ -91,11 +109,10 @@
 	curl_easy_setopt(e, CURLOPT_PROXY, "");
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_bytes);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, t);
-	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, to_ms(connect));
+	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
+	    (long)((connect_timeout(o) + CURL_MARGIN) / USEC_PER_MSEC));
 	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, IDLE_CONN_MAX_SEC);
 	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-	if (o->timeout > 0)
-		curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, to_ms(o->timeout));
 	if (o->fresh) {
 		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
@@ -174,19 +191,26 @@
 	buf_free(&in);
 }
 
+/* Whether the request may have been sent. */
+static bool
+is_connected(CURL *e)
+{
+	curl_off_t pretransfer = 0;
+
+	curl_easy_getinfo(e, CURLINFO_PRETRANSFER_TIME_T, &pretransfer);
+	return pretransfer > 0;
+}
+
 /* A timeout before the request could be sent is a failure to connect. */
 static enum http_failure
 failure_kind(CURL *e, CURLcode rc)
 {
-	curl_off_t pretransfer = 0;
-
 	if (rc == CURLE_COULDNT_CONNECT || rc == CURLE_INTERFACE_FAILED ||
 	    rc == CURLE_URL_MALFORMAT)
 		return HTTP_CONNECT;
 	if (rc != CURLE_OPERATION_TIMEDOUT)
 		return HTTP_BROKEN;
-	curl_easy_getinfo(e, CURLINFO_PRETRANSFER_TIME_T, &pretransfer);
-	return pretransfer == 0 ? HTTP_CONNECT : HTTP_TIMEOUT;
+	return is_connected(e) ? HTTP_TIMEOUT : HTTP_CONNECT;
 }
 
 static void
@@ -240,8 +264,12 @@
 {
 	struct http_loop *l = arg;
 	struct epoll_event ev = { .data.fd = fd };
+	char *t = NULL;
 
-	(void)easy;
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &t);
+	if (t != NULL)
+		((struct transfer *)(void *)t)->fd =
+		    what == CURL_POLL_REMOVE ? -1 : fd;
 	if (what == CURL_POLL_REMOVE) {
 		epoll_ctl(l->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
 		return 0;
@@ -291,9 +319,32 @@
 	l->transfers = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_transfer);
 	l->readable = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	l->deadlines = g_sequence_new(NULL);
 	return l;
 }
 
+static int
+compare_due(gconstpointer a, gconstpointer b, gpointer arg)
+{
+	const struct transfer *x = a;
+	const struct transfer *y = b;
+
+	(void)arg;
+	return (x->due_at > y->due_at) - (x->due_at < y->due_at);
+}
+
+static void
+start_deadlines(struct transfer *t, const struct http_opts *o)
+{
+	usec_t now = clock_now();
+	usec_t connect_at = now + connect_timeout(o);
+
+	t->end_at = o->timeout > 0 ? now + o->timeout : NO_DEADLINE;
+	t->due_at = connect_at < t->end_at ? connect_at : t->end_at;
+	t->due =
+	    g_sequence_insert_sorted(t->loop->deadlines, t, compare_due, NULL);
+}
+
 uint64_t
 http_start(struct http_loop *l, const struct http_opts *o)
 {
@@ -305,10 +356,12 @@
 	t->handler = o->handler;
 	t->arg = o->arg;
 	t->max_bytes = o->max_bytes;
+	t->fd = -1;
 	t->easy = curl_easy_init();
 	buf_put(&t->body, o->body);
 	set_options(t, o);
 	set_headers(t, o);
+	start_deadlines(t, o);
 	g_hash_table_insert(l->transfers, &t->id, t);
 	curl_multi_add_handle(l->multi, t->easy);
 	return t->id;
@@ -355,28 +408,121 @@
 	return mask;
 }
 
-void
-http_run(struct http_loop *l, usec_t wait)
+/* Handles what is ready on all sockets, after at most the given time. */
+static void
+handle_sockets(struct http_loop *l, usec_t wait)
 {
 	struct epoll_event ev[MAX_EPOLL_EVENTS];
-	struct timespec ts;
+	struct timespec ts = { wait / USEC_PER_SEC,
+		wait % USEC_PER_SEC * 1000 };
 	eventfd_t count;
 	int running;
-	int n;
+	int n = MAX_EPOLL_EVENTS;
+
+	for (int i = 0; n == MAX_EPOLL_EVENTS && i < MAX_EPOLL_ROUNDS; i++) {
+		n = epoll_pwait2(l->epoll_fd, ev, MAX_EPOLL_EVENTS, &ts, NULL);
+		for (int k = 0; k < n; k++) {
+			if (ev[k].data.fd == l->wake_fd)
+				eventfd_read(l->wake_fd, &count);
+			else
+				curl_multi_socket_action(l->multi,
+				    ev[k].data.fd, select_mask(ev[k].events),
+				    &running);
+		}
+		/* A stopped process that goes on gets EINTR and no events. */
+		if (n < 0 && errno == EINTR)
+			n = MAX_EPOLL_EVENTS;
+		ts = (struct timespec){ 0 };
+	}
+}
 
-	wait = run_timer(l, wait);
-	ts.tv_sec = wait / USEC_PER_SEC;
-	ts.tv_nsec = wait % USEC_PER_SEC * 1000;
-	n = epoll_pwait2(l->epoll_fd, ev, MAX_EPOLL_EVENTS, &ts, NULL);
-	for (int i = 0; i < n; i++) {
-		if (ev[i].data.fd == l->wake_fd)
-			eventfd_read(l->wake_fd, &count);
-		else
-			curl_multi_socket_action(l->multi, ev[i].data.fd,
-			    select_mask(ev[i].events), &running);
+/*
+ * Whether a call goes on although its deadline has passed: its connection is
+ * up, or a part of its answer has arrived, which libcurl has not looked at.  It
+ * may read what had arrived by then, and no more.
+ */
+static bool
+has_arrived(struct transfer *t)
+{
+	bool connected = is_connected(t->easy);
+	struct pollfd p = { .fd = t->fd,
+		.events = connected ? POLLIN : POLLOUT };
+	curl_off_t body = 0;
+	long head = 0;
+	int unread = 0;
+
+	if (t->fd < 0 || poll(&p, 1, 0) <= 0)
+		return false;
+	curl_easy_getinfo(t->easy, CURLINFO_SIZE_DOWNLOAD_T, &body);
+	curl_easy_getinfo(t->easy, CURLINFO_HEADER_SIZE, &head);
+	if (!t->late) {
+		ioctl(t->fd, FIONREAD, &unread);
+		/* The end of the connection counts as a byte. */
+		t->late_end = body + head + (unread > 0 ? unread : 1);
+		t->late = true;
+		return true;
+	}
+	return connected && body + head < t->late_end;
+}
+
+static void
+check_deadline(struct http_loop *l, struct transfer *t, usec_t now)
+{
+	if (t->due_at < t->end_at && is_connected(t->easy)) {
+		t->due_at = t->end_at;
+		t->late = false;
+		g_sequence_sort_changed(t->due, compare_due, NULL);
+	}
+	if (t->due_at <= now && !has_arrived(t))
+		finish(l, t, CURLE_OPERATION_TIMEDOUT);
+}
+
+static void
+check_deadlines(struct http_loop *l)
+{
+	usec_t now = clock_now();
+	g_autoptr(GArray) ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+
+	for (GSequenceIter *i = g_sequence_get_begin_iter(l->deadlines);
+	     !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
+		const struct transfer *t = g_sequence_get(i);
+
+		if (t->due_at > now)
+			break;
+		g_array_append_val(ids, t->id);
+	}
+	for (guint i = 0; i < ids->len; i++) {
+		struct transfer *t =
+		    find_transfer(l, g_array_index(ids, uint64_t, i));
+
+		if (t != NULL)
+			check_deadline(l, t, now);
 	}
+}
+
+/* Returns wait, shortened to the time until the next deadline. */
+static usec_t
+until_deadline(const struct http_loop *l, usec_t wait)
+{
+	GSequenceIter *i = g_sequence_get_begin_iter(l->deadlines);
+	const struct transfer *t;
+	usec_t left;
+
+	if (g_sequence_iter_is_end(i))
+		return MAX(wait, 0);
+	t = g_sequence_get(i);
+	left = t->due_at - clock_now();
+	return MAX(MIN(left, wait), 0);
+}
+
+void
+http_run(struct http_loop *l, usec_t wait)
+{
+	wait = run_timer(l, wait);
+	handle_sockets(l, until_deadline(l, wait));
 	deliver_all(l);
 	run_timer(l, 0);
+	check_deadlines(l);
 }
 
 void
@@ -396,6 +542,7 @@
 {
 	g_hash_table_destroy(l->transfers);
 	g_array_free(l->readable, TRUE);
+	g_sequence_free(l->deadlines);
 	curl_multi_cleanup(l->multi);
 	close(l->epoll_fd);
 	close(l->wake_fd);
--- a/plat/http.h
+++ b/plat/http.h
@@ -4,6 +4,8 @@
  * A loop belongs to the thread that runs it; only http_wake may be called from
  * other threads.  Handlers are called from http_run, never from http_start or
  * http_cancel.  After http_cancel the call's handler is not called any more.
+ * A call is given up at its timeout only after what had arrived by then has
+ * been read, however late http_run is.
  */
 #ifndef PLAT_HTTP_H
 #define PLAT_HTTP_H
--- a/tests/plat/test_http.c
+++ b/tests/plat/test_http.c
@@ -1,6 +1,9 @@
 /*
  * An answer without end fails its call: it would take all memory, as the
  * users of http collect an answer before they read it.
+ *
+ * After a standstill of the process past a timeout, what arrived meanwhile is
+ * read before the call is judged, by http and by whoever runs its loop.
  */
 #include "plat/http.h"
 
@@ -11,12 +14,19 @@
 #include <event2/listener.h>
 #include <glib.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #define MAX_BYTES     ((size_t)1024 * 1024)
 /* What the server sends at most. */
 #define ENDLESS_BYTES ((size_t)64 * 1024 * 1024)
 #define CHUNK         ((size_t)64 * 1024)
+#define STANDSTILL    (600 * USEC_PER_MSEC)
+/* A connection that found the backlog full is tried again after 1 s. */
+#define CONNECT_RETRY (1500 * USEC_PER_MSEC)
 
 struct server {
 	struct event_base *base;
@@ -155,10 +165,141 @@
 	}
 }
 
+struct stop_case {
+	const char *name;
+	usec_t timeout;         /* of the call; 0: none */
+	usec_t connect_timeout; /* 0: one second */
+	usec_t judged_after;    /* by who runs the loop; 0: not judged */
+	bool at_connect;        /* stands still while it connects */
+	const char *head;       /* sent in the standstill; NULL: nothing */
+	size_t body_bytes;
+	bool ends_conn;
+	bool answered;
+};
+
+static const struct stop_case stops[] = {
+	{ "answer", 300 * USEC_PER_MSEC, 0, 0, false,
+	    "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n", 100, false,
+	    true },
+	{ "answer of several reads", 300 * USEC_PER_MSEC, 0, 0, false,
+	    "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n", 60000, false,
+	    true },
+	{ "answer up to the end of the connection", 300 * USEC_PER_MSEC, 0, 0,
+	    false, "HTTP/1.1 200 OK\r\n\r\n", 60000, true, true },
+	{ "answer, judged after http_run", 0, 0, 300 * USEC_PER_MSEC, false,
+	    "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n", 100, false,
+	    true },
+	{ "connection", 0, 300 * USEC_PER_MSEC, 0, true,
+	    "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n", 100, false,
+	    true },
+	{ "part of an answer", 300 * USEC_PER_MSEC, 0, 0, false,
+	    "HTTP/1.1 200 OK\r\nContent-Length: 60001\r\n\r\n", 60000, false,
+	    false },
+	{ "no answer", 300 * USEC_PER_MSEC, 0, 0, false, NULL, 0, false,
+	    false },
+};
+
+/* Makes a call; the exit status tells whether it was answered. */
+static void
+run_call(const struct stop_case *x, const char *url)
+{
+	struct http_loop *loop = http_new();
+	struct result r = { 0 };
+	usec_t start = clock_now();
+	bool late = false;
+
+	http_start(loop,
+	    &(struct http_opts){ .url = url,
+		.timeout = x->timeout,
+		.connect_timeout = x->connect_timeout,
+		.handler = on_event,
+		.arg = &r });
+	if (x->at_connect) {
+		http_run(loop, 0);
+		raise(SIGSTOP);
+	}
+	while (!r.ended && !late) {
+		http_run(loop, 5 * USEC_PER_SEC);
+		late = x->judged_after > 0 &&
+		    clock_now() - start > x->judged_after;
+	}
+	_exit(r.ended && !r.failed && r.bytes == x->body_bytes ? 0 : 1);
+}
+
+static void
+send_answer(const struct stop_case *x, int fd)
+{
+	static const char body[MAX_BYTES];
+
+	g_assert_cmpint(
+	    write(fd, x->head, strlen(x->head)), ==, (ssize_t)strlen(x->head));
+	g_assert_cmpint(
+	    write(fd, body, x->body_bytes), ==, (ssize_t)x->body_bytes);
+	if (x->ends_conn)
+		shutdown(fd, SHUT_WR);
+}
+
+static void
+test_standstill(gconstpointer arg)
+{
+	const struct stop_case *x = arg;
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(sa);
+	int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int other = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	g_autofree char *url = NULL;
+	char request[1024];
+	int status = 0;
+	int fd = -1;
+	pid_t pid;
+
+	g_assert_cmpint(
+	    bind(listener, (struct sockaddr *)&sa, sizeof(sa)), ==, 0);
+	g_assert_cmpint(listen(listener, 0), ==, 0);
+	getsockname(listener, (struct sockaddr *)&sa, &len);
+	url = g_strdup_printf("http://127.0.0.1:%d/", ntohs(sa.sin_port));
+	if (x->at_connect)
+		g_assert_cmpint(
+		    connect(other, (struct sockaddr *)&sa, sizeof(sa)), ==, 0);
+	pid = fork();
+	if (pid == 0)
+		run_call(x, url);
+	if (!x->at_connect) {
+		fd = accept(listener, NULL, NULL);
+		g_assert_cmpint(read(fd, request, sizeof(request)), >, 0);
+		kill(pid, SIGSTOP);
+	}
+	waitpid(pid, &status, WUNTRACED);
+	g_assert_true(WIFSTOPPED(status));
+	if (x->at_connect) {
+		close(accept(listener, NULL, NULL));
+		g_usleep((gulong)CONNECT_RETRY);
+		fd = accept(listener, NULL, NULL);
+	}
+	if (x->head != NULL)
+		send_answer(x, fd);
+	g_usleep((gulong)STANDSTILL);
+	kill(pid, SIGCONT);
+	g_assert_cmpint(waitpid(pid, &status, 0), ==, pid);
+	g_assert_true(WIFEXITED(status));
+	g_assert_cmpint(WEXITSTATUS(status), ==, x->answered ? 0 : 1);
+	close(fd);
+	close(other);
+	close(listener);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions();
 	g_test_add_func("/http/endless", test_endless);
+	for (size_t i = 0; i < G_N_ELEMENTS(stops); i++) {
+		g_autofree char *path =
+		    g_strdup_printf("/http/standstill/%s", stops[i].name);
+
+		g_test_add_data_func(path, &stops[i], test_standstill);
+	}
 	return g_test_run();
 }
