relay: a host that stops sends answers to other hosts first

A host that had made a call for another host and got SIGTERM ended as soon as the target had answered it. If the other host was slow to take the answer, it got a part of it and counted the call as broken: its caller got 502 for a request that had run.

The end of a host waited for the callers' server and for calls in progress; the answers to other hosts wait in the operators' server. The host ends now once that server, too, has nothing open, nothing to accept and nothing to send.

--- a/entry/relay.c
+++ b/entry/relay.c
@@ -341,8 +341,8 @@
 }
 
 /*
- * Ends the service once no request is left, and no stage that this host
- * coordinates for others.
+ * Ends the service once no request is left, no stage that this host coordinates
+ * for others, and no answer to another host's call that it has not taken yet.
  */
 static void
 shutdown_tick(struct relay *y, bool coordinates, usec_t now)
@@ -352,7 +352,7 @@
 	if (exit_at == 0)
 		return;
 	if (httpd_finish(y->httpd) && atomic_load(&y->shared.busy) == 0 &&
-	    !coordinates)
+	    !coordinates && httpd_finish(y->ops_httpd))
 		atomic_store(&y->finished, true);
 	if (exit_at - now <= EXIT_MARGIN)
 		reject_at_exit(y, exit_at - now);
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -28,6 +28,8 @@
 /* Answers without end: what is written at once, and in all. */
 #define ENDLESS_CHUNK      ((size_t)256 * 1024)
 #define ENDLESS_BYTES      ((size_t)64 * 1024 * 1024)
+/* More than the buffers of a connection hold. */
+#define LARGE_BYTES        ((size_t)3500 * 1024)
 #define PAUSE_MS           1600 /* silence of a target that goes on */
 #define CRASH_DELAY_MS     50   /* from the arrival to the begin of an answer */
 #define CRASH_DOWN_MS      1500
@@ -605,6 +607,7 @@
  *   refuse-once  refuses the first arrival as not executed
  *   refuse-other sends a refusal without an id first, at the first arrival
  *   slow         responds after 2000 ms
+ *   slow-large   as slow, with a body of LARGE_BYTES
  *   mute         never responds to the first arrival, also of a stream
  *   endless-head, endless-body, endless-garbage, endless-interim
  *                sends bytes without end: in a header field, in a body
@@ -656,6 +659,11 @@
 		send_response(c, 200, "", STR("not the target's"));
 	} else if (str_has_prefix(str_from(s), STR("endless-"))) {
 		start_endless(c);
+	} else if (strcmp(s, "slow-large") == 0) {
+		g_autofree char *body = g_strnfill(LARGE_BYTES, 'x');
+
+		send_response(
+		    c, 200, fields, (struct str){ body, LARGE_BYTES });
 	} else if (strcmp(s, "500") == 0) {
 		send_response(c, 500, fields, STR("failed"));
 	} else if (strcmp(s, "drop-next") == 0) {
@@ -897,7 +905,9 @@
 	} else if (str_has_prefix(url, STR("/stream")))
 		start_stream(c);
 	else
-		arm_timer(c, strcmp(c->behavior, "slow") == 0 ? 2000 : 3);
+		arm_timer(c,
+		    str_has_prefix(str_from(c->behavior), STR("slow")) ? 2000
+								       : 3);
 }
 
 static void
--- a/tests/platform/test_stopping_host.c
+++ b/tests/platform/test_stopping_host.c
@@ -1,7 +1,8 @@
 /*
  * Hosts that get SIGTERM while callers use connections that they keep open:
  * no request that a target has run, and none that the host has read, ends
- * without an answer.
+ * without an answer.  The same holds for calls that a host makes for another
+ * one, which has no path to the targets.
  */
 #include "tests/platform/harness.h"
 
@@ -18,6 +19,11 @@
 #define STORE_PORT   24610
 #define TARGET_PORT  24611
 #define HOST_PORT    24620
+/* The store of the host without a path, whose entries lead nowhere. */
+#define CUT_STORE    25100
+#define CUT_TARGET   25101
+#define CUT_NOWHERE  25105
+#define CUT_HOST     25110
 #define READY_TIME_S 15
 #define CALLERS      200
 #define DRAIN_TIME   (500 * USEC_PER_MSEC) /* drain_ms of the harness */
@@ -28,6 +34,8 @@
  */
 #define CROSS_TIME   (200 * USEC_PER_MSEC)
 #define PAUSE_TIME   (300 * USEC_PER_MSEC)
+/* A slow target has answered, and its host has not reached its exit. */
+#define ANSWER_TIME  (3 * USEC_PER_SEC)
 
 struct caller {
 	int fd;
@@ -78,10 +86,10 @@
 
 /* Returns -1 if the host refuses the connection. */
 static int
-open_connection(void)
+open_connection(uint16_t port)
 {
 	struct sockaddr_in sa = { .sin_family = AF_INET,
-		.sin_port = htons(HOST_PORT),
+		.sin_port = htons(port),
 		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
@@ -125,7 +133,7 @@
 static void
 open_caller(struct caller *c)
 {
-	c->fd = open_connection();
+	c->fd = open_connection(HOST_PORT);
 	c->closed = c->fd < 0 ? clock_now() : 0;
 }
 
@@ -256,6 +264,58 @@
 	g_assert_cmpint(lost, ==, 0);
 }
 
+/*
+ * A host makes a call for another one that stands still, and gets SIGTERM: the
+ * answer that the other host hasn't taken yet is sent before the host ends.
+ */
+static void
+test_slow_asker(void)
+{
+	static const struct stop_case t = {
+		.path = "/once/1", .behavior = "slow-large", .deadline_ms = 8000
+	};
+	struct harness_host asker = { .port = CUT_HOST,
+		.id = "h2",
+		.store_port = CUT_STORE,
+		.seed_port = HOST_PORT };
+	struct caller c = { .id = "slow-asker" };
+	struct fakeplat_attempt a = { 0 };
+	usec_t end;
+
+	g_strlcpy(asker.dir, host.dir, sizeof(asker.dir));
+	harness_start_host(&host);
+	harness_start_host(&asker);
+	g_assert_true(harness_wait_ready(&host, READY_TIME_S));
+	g_assert_true(harness_wait_ready(&asker, READY_TIME_S));
+	g_usleep(USEC_PER_SEC);
+	c.fd = open_connection(CUT_HOST);
+	send_request(&t, &c);
+	end = clock_now() + EXIT_TIME;
+	while (a.runs == 0 && clock_now() < end) {
+		g_usleep(20 * USEC_PER_MSEC);
+		fakeplat_get_attempt(platform, c.id, &a);
+	}
+	kill(asker.pid, SIGSTOP);
+	kill(host.pid, SIGTERM);
+	g_usleep(ANSWER_TIME);
+	kill(asker.pid, SIGCONT);
+	while (c.closed == 0 && !is_answered(&c) && clock_now() < end) {
+		receive(&c);
+		g_usleep(USEC_PER_MSEC);
+	}
+	g_test_message("%u runs, %zu bytes: %.12s", a.runs, c.received.n,
+	    c.received.p != NULL ? c.received.p : "no answer");
+	g_assert_cmpuint(a.runs, ==, 1);
+	g_assert_true(is_answered(&c));
+	g_assert_true(
+	    str_has_prefix(str_of(&c.received), STR("HTTP/1.1 200 ")));
+	kill(asker.pid, SIGTERM);
+	g_assert_cmpint(harness_wait_exit(&host), ==, 0);
+	g_assert_cmpint(harness_wait_exit(&asker), ==, 0);
+	close(c.fd);
+	buf_free(&c.received);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -270,6 +330,7 @@
 	    "\"TimeoutMs\":3000,\"SloMs\":100,\"Attempts\":1,"
 	    "\"Service\":\"plain\"}");
 	g_autofree char *dir = g_dir_make_tmp("stopping-XXXXXX", NULL);
+	struct fakeplat *cut;
 	int rc;
 
 	g_test_init(&argc, &argv, NULL);
@@ -279,13 +340,24 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++)
 		fakeplat_add_target(platform, &targets[i]);
 	fakeplat_put(platform, "op/config", config);
+	cut = fakeplat_start(CUT_STORE);
+	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++) {
+		struct fakeplat_target o = targets[i];
+
+		o.port = (uint16_t)(CUT_TARGET + i);
+		o.published_port = CUT_NOWHERE;
+		fakeplat_add_target(cut, &o);
+	}
+	fakeplat_put(cut, "op/config", config);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		g_autofree char *path =
 		    g_strdup_printf("/stopping-host/%s", cases[i].name);
 
 		g_test_add_data_func(path, &cases[i], test_stop);
 	}
+	g_test_add_func("/stopping-host/slow-asker", test_slow_asker);
 	rc = g_test_run();
 	fakeplat_stop(platform);
+	fakeplat_stop(cut);
 	return rc;
 }
