relay: a stopping host takes a stream only if it ends before the exit

After its drain a host took streams that it expected to last no longer than twice their objective and 2 s. One that lasted longer was cut off at the exit, although its caller could have had it whole elsewhere.

A stream may take all of its time, as any other request: it is taken now only if its deadline, or its route's timeout, is over before the exit. Measured lengths would take some more, but a stream that is cut off is lost to its caller or has to be resumed, while one that is rejected as not run costs it a few milliseconds: its connection closes, and other hosts take it. When all hosts stop at once the answer is true as well.

--- a/entry/relay.c
+++ b/entry/relay.c
@@ -38,8 +38,6 @@
 #define NOT_READY_RETRY   (300 * USEC_PER_MSEC)
 /* Retry-After while stopping; short, as another host can serve the request. */
 #define DRAINING_RETRY    (10 * USEC_PER_MSEC)
-/* Typical length of a stream after its first event. */
-#define STREAM_DURATION   (2 * USEC_PER_SEC)
 /* Requests end this long before the exit, so that the last responses arrive. */
 #define EXIT_MARGIN       (400 * USEC_PER_MSEC)
 /* Calls without an answer are given up this long before the exit. */
@@ -74,18 +72,17 @@
 
 /*
  * Whether a request that arrives now will finish before the process exits: its
- * deadline is over by then, or a stream of usual length has ended.
+ * deadline is over by then.  A stream may take all of its time, and one that is
+ * cut off costs its caller more than one that is sent elsewhere at once.
  */
 static bool
 ends_in_time(const struct relay *y, const struct route *r,
     const struct request_info *info, usec_t now)
 {
 	usec_t exit_at = atomic_load(&((struct relay *)y)->exit_at);
-	usec_t need = r->kind == ROUTE_STREAM
-	    ? 2 * r->objective + STREAM_DURATION
-	    : relay_request_budget(r, info);
 
-	return exit_at == 0 || now + need < exit_at - EXIT_MARGIN;
+	return exit_at == 0 ||
+	    now + relay_request_budget(r, info) < exit_at - EXIT_MARGIN;
 }
 
 static void
--- a/tests/platform/test_stopping_host.c
+++ b/tests/platform/test_stopping_host.c
@@ -72,6 +72,10 @@
 	/* Requests of the drain that still run at the exit get an answer. */
 	{ "past-the-exit", "/once/1", "mute", DRAIN_TIME / 2, USEC_PER_MSEC, 0,
 	    1, false, false, 8000 },
+	/* Streams of a host's last seconds that would last beyond its exit. */
+	{ "long-streams", "/stream/quick/1", "long",
+	    DRAIN_TIME + 100 * USEC_PER_MSEC, 4 * USEC_PER_MSEC, 0, 1, false,
+	    true, 8000 },
 	/* The host has no request when it decides to end, and gets some. */
 	{ "decision", "/once/1", NULL, DRAIN_TIME, 0, 10 * USEC_PER_MSEC, 12,
 	    true },
@@ -328,7 +332,11 @@
 	    ",{\"Name\":\"quick\",\"Host\":\"a.example\","
 	    "\"Prefix\":\"/quick/\",\"Kind\":\"non_idempotent\","
 	    "\"TimeoutMs\":3000,\"SloMs\":100,\"Attempts\":1,"
-	    "\"Service\":\"plain\"}");
+	    "\"Service\":\"plain\"}"
+	    ",{\"Name\":\"quick-stream\",\"Host\":\"a.example\","
+	    "\"Prefix\":\"/stream/quick/\",\"Kind\":\"streaming\","
+	    "\"TimeoutMs\":8000,\"SloMs\":100,\"Attempts\":1,"
+	    "\"CanResume\":true,\"Service\":\"engine\"}");
 	g_autofree char *dir = g_dir_make_tmp("stopping-XXXXXX", NULL);
 	struct fakeplat *cut;
 	int rc;
