sequoiad: a standstill doesn't count as time without requests

In the pipelines' form a process that got SIGTERM ends after 200 ms without requests. If it stood still in that time, the clock went on: the process ended as soon as it ran again, and closed the connections of callers that had sent requests meanwhile.

kernel/stopping decides now when it has been quiet for long enough: if the time between two looks shows that the process stood still, the period begins again, and the workers read what has arrived.

--- a/entry/sequoiad.c
+++ b/entry/sequoiad.c
@@ -5,6 +5,7 @@
 #include "entry/ops.h"
 #include "entry/relayd.h"
 #include "entry/web.h"
+#include "kernel/stopping.h"
 
 #include <argp.h>
 #include <civetweb.h>
@@ -21,7 +22,6 @@
 #define DRAIN_POLL_INTERVAL (20 * USEC_PER_MSEC)
 #define SWEEP_INTERVAL      (250 * USEC_PER_MSEC)
 #define EXIT_SETTINGS       2 /* settings invalid or addresses in use */
-#define QUIET_PERIOD        (200 * USEC_PER_MSEC)
 
 const char *argp_program_version = "sequoiad " SEQUOIA_VERSION;
 
@@ -228,23 +228,26 @@
 	}
 }
 
+static bool
+is_busy(struct daemon *d)
+{
+	return !d->drained || traffic_busy(d->traffic) > 0 ||
+	    web_busy(d->web) > 0;
+}
+
 /*
- * Waits until every request has ended and its response is written, and then for
- * QUIET_PERIOD without requests, so that callers that have just connected are
- * answered too.
+ * Waits until every request has ended and its response is written, and callers
+ * that have just connected are answered too.
  */
 static void
 finish(struct daemon *d)
 {
-	usec_t last_busy = clock_now();
+	struct stopping_quiet quiet = { 0 };
 
-	while (clock_now() - last_busy < QUIET_PERIOD) {
+	while (!stopping_is_quiet(&quiet, is_busy(d), clock_now())) {
 		usleep((useconds_t)DRAIN_POLL_INTERVAL);
 		web_sweep(d->web, clock_now());
 		continue_drain(d);
-		if (!d->drained || traffic_busy(d->traffic) > 0 ||
-		    web_busy(d->web) > 0)
-			last_busy = clock_now();
 	}
 }
 
--- a/tests/faults/run.sh
+++ b/tests/faults/run.sh
@@ -15,7 +15,7 @@
 operators_same_file operators_other_files apply_lost_answer
 peer_silent stranger start_in_outage old_generation quiet_watch
 leaving_target stop_in_work stop_last sunset other_node
-outage_and_kill lost_answers_and_pause"
+outage_and_kill lost_answers_and_pause stop_in_pause"
 
 # Callers in a burst; few, so that their processes don't slow down the machine.
 N=${N:-12}
@@ -469,6 +469,42 @@
 	check_effects
 }
 
+# A node that has refused all after its drain is paused, and gets requests: it
+# must answer them when it goes on.  One that has ended refuses connections.
+case_stop_in_pause() {
+	local at i
+	start
+	for at in 0.25 0.3 0.35; do
+		fleet 1
+		kill -TERM "${PID[1]}"
+		sleep $at
+		kill -STOP "${PID[1]}"
+		for i in $(seq $N); do
+			ask 1 &
+			CALLERS+=($!)
+		done
+		sleep 1
+		kill -CONT "${PID[1]}"
+		join
+		wait "${PID[1]}" || fail "exit code $?"
+		unset "PID[1]"
+	done
+	sort "$D/asked" | uniq -c
+	grep -q '^answered$' "$D/asked" || fail "no answer after the pause"
+	! grep -q '^closed$' "$D/asked" || fail "closed without an answer"
+}
+# ask NODE: sends a request and writes to D/asked what became of it.
+ask() {
+	local rc=0
+	curl -s -o /dev/null -m 20 -H 'Authorization: Bearer w-token' \
+	    -d '{"text":"a"}' "http://$NET.$1:8080/v1/pipelines/tell" || rc=$?
+	case $rc in
+	0) echo answered ;;
+	7) echo refused ;;
+	*) echo closed ;;
+	esac >>"$D/asked"
+}
+
 # Requests accepted before the shutdown date of their pipeline end complete;
 # later requests get 410.
 case_sunset() {
