stream_resumes: count replies that arrived during a standstill

Callers who resumed a stream at a host whose process stood still got 503, or waited for a look at the store, though the other hosts had replied: the timers of the waits for replies, for a record and for a recorder were due together with the replies, which still had to pass through the RPC thread and the relay's inbox.

A timer that runs over 20 ms late now runs 50 ms longer, up to four times in a row; the other threads have handled what arrived by then. The decision is in kernel/reply_wait.

--- a/entry/stream_resumes.c
+++ b/entry/stream_resumes.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "base/rng.h"
 #include "kernel/rendezvous.h"
+#include "kernel/reply_wait.h"
 #include "kernel/stream_recorder.h"
 #include "kernel/stream_records.h"
 
@@ -44,6 +45,8 @@
 	usec_t asked_at;           /* last */
 	struct event *hold_timer;  /* until done is called */
 	struct event *retry_timer; /* until another recorder is asked */
+	struct reply_wait hold;    /* of hold_timer */
+	struct reply_wait retry;   /* of retry_timer */
 	void (*done)(void *arg);   /* NULL: nobody waits */
 	void *arg;
 };
@@ -58,6 +61,7 @@
 	struct resume_query query;
 	char replier[MAX_ADDR_BYTES]; /* a host that has replied; or empty */
 	struct event *timer;
+	struct reply_wait wait; /* of timer */
 	void (*done)(void *arg, enum resume_place place, const char *version);
 	void *arg;
 };
@@ -75,6 +79,31 @@
 	return str_from(hash);
 }
 
+static void
+set_timer(struct event *timer, usec_t t)
+{
+	struct timeval tv = { t / USEC_PER_SEC, t % USEC_PER_SEC };
+
+	evtimer_add(timer, &tv);
+}
+
+static void
+begin_wait(struct event *timer, struct reply_wait *w, usec_t time)
+{
+	set_timer(timer, reply_wait_begin(w, time, clock_now()));
+}
+
+/* Lets a timer that runs go on if replies are still waited for. */
+static bool
+goes_on(struct event *timer, struct reply_wait *w)
+{
+	usec_t left = reply_wait_left(w, clock_now());
+
+	if (left > 0)
+		set_timer(timer, left);
+	return left > 0;
+}
+
 struct stream_resumes *
 stream_resumes_new(const struct stream_resumes_opts *o)
 {
@@ -216,7 +245,6 @@
 static void
 ask_recorder(struct stream_recording *k, const char *recorder)
 {
-	struct timeval tv = { 0, RECORD_TIMEOUT };
 	peer_body body = { .kind = PEER_STREAM_RECORD };
 	peer_stream_record *m = &body.peer_body_u.stream_record;
 
@@ -228,7 +256,7 @@
 	m->service = k->service;
 	m->software = k->version;
 	rpc_send(discovery_rpc(k->owner->o.discovery), recorder, &body);
-	evtimer_add(k->retry_timer, &tv);
+	begin_wait(k->retry_timer, &k->retry, RECORD_TIMEOUT);
 }
 
 /* Whether nobody waits for the record or needs it any more. */
@@ -267,14 +295,15 @@
 static void
 on_hold_timeout(evutil_socket_t fd, short what, void *arg)
 {
-	struct timeval tv = { 0, STREAM_RECORD_WAIT };
 	struct stream_recording *k = arg;
 
 	(void)fd;
 	(void)what;
+	if (goes_on(k->hold_timer, &k->hold))
+		return;
 	k->owner->late_until = clock_now() + LATE_TIME;
 	if (stream_versions_base_serves(&k->owner->streams, k->service))
-		evtimer_add(k->hold_timer, &tv);
+		begin_wait(k->hold_timer, &k->hold, STREAM_RECORD_WAIT);
 	else
 		release_stream(k);
 }
@@ -295,6 +324,8 @@
 
 	(void)fd;
 	(void)what;
+	if (goes_on(k->retry_timer, &k->retry))
+		return;
 	stream_recorder_failed(&k->owner->recorder, k->recorder, clock_now());
 	k->owner->late_until = clock_now() + LATE_TIME;
 	ask_next_recorder(k);
@@ -304,7 +335,6 @@
 stream_resumes_record(struct stream_resumes *x,
     const struct stream_version *stream, void (*done)(void *arg), void *arg)
 {
-	struct timeval tv = { 0, STREAM_RECORD_WAIT };
 	char hash[HASH_HEX_LEN + 1];
 	usec_t now = clock_now();
 	const char *recorder = choose_recorder(x, now);
@@ -327,7 +357,7 @@
 	k->retry_timer = evtimer_new(x->o.base, on_record_timeout, k);
 	g_hash_table_insert(x->recordings, &k->number, k);
 	if (done != NULL)
-		evtimer_add(k->hold_timer, &tv);
+		begin_wait(k->hold_timer, &k->hold, STREAM_RECORD_WAIT);
 	ask_recorder(k, recorder);
 	return k;
 }
@@ -425,7 +455,6 @@
 static void
 look_up(struct resume_search *s, enum resume_place place)
 {
-	struct timeval tv = { 0, LOOK_TIME };
 	peer_body body = { .kind = PEER_STREAM_LOOK };
 	peer_stream_look *m = &body.peer_body_u.stream_look;
 	const char *reader = choose_reader(s);
@@ -437,7 +466,7 @@
 	m->service = s->service;
 	if (reader != NULL)
 		rpc_send(discovery_rpc(s->owner->o.discovery), reader, &body);
-	evtimer_add(s->timer, &tv);
+	begin_wait(s->timer, &s->wait, LOOK_TIME);
 }
 
 /* Ends the search if it is decided by what the hosts know; returns whether. */
@@ -495,6 +524,8 @@
 
 	(void)fd;
 	(void)what;
+	if (goes_on(s->timer, &s->wait))
+		return;
 	if (s->looking)
 		decide_by_store(s, NULL);
 	else
@@ -504,7 +535,6 @@
 static void
 ask(struct resume_search *s, struct str id)
 {
-	struct timeval tv = { 0, STREAM_REPLY_TIME };
 	/* A caller that doesn't name its stream has an id with p NULL. */
 	g_autofree char *text = g_strndup(id.n > 0 ? id.p : "", id.n);
 	peer_body body = { .kind = PEER_STREAM_ASK };
@@ -514,7 +544,7 @@
 	m->id = text;
 	m->service = s->service;
 	send_to(s->owner, id, STREAM_ASKED, &body, &s->query.n_asked);
-	evtimer_add(s->timer, &tv);
+	begin_wait(s->timer, &s->wait, STREAM_REPLY_TIME);
 }
 
 struct resume_search *
--- a/tests/kernel/test_stream_versions.c
+++ b/tests/kernel/test_stream_versions.c
@@ -1,5 +1,6 @@
 /* Tests of where a stream may be resumed, by the versions of its service. */
 #include "kernel/loads.h"
+#include "kernel/reply_wait.h"
 #include "kernel/stream_versions.h"
 
 #include <string.h>
@@ -258,6 +259,40 @@
 	}
 }
 
+/* When a wait of 100 ms ends whose timer runs at these times. */
+static void
+test_reply_waits(void)
+{
+	static const struct {
+		const char *name;
+		int runs_ms[6]; /* 0: end */
+		int end_ms;
+	} waits[] = {
+		{ "in time", { 100 }, 100 },
+		{ "early", { 99, 100 }, 100 },
+		{ "a little late", { 120 }, 120 },
+		{ "after a standstill", { 400, 450 }, 450 },
+		{ "after two", { 400, 600, 650 }, 650 },
+		{ "of a host that stands still again and again",
+		    { 200, 300, 400, 500, 600 }, 600 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(waits); i++) {
+		struct reply_wait w;
+		usec_t left =
+		    reply_wait_begin(&w, 100 * USEC_PER_MSEC, SECONDS(7));
+		const int *run = waits[i].runs_ms;
+
+		g_test_message("%s", waits[i].name);
+		g_assert_cmpint(left, ==, 100 * USEC_PER_MSEC);
+		for (; *run != 0; run++) {
+			left = reply_wait_left(
+			    &w, SECONDS(7) + *run * USEC_PER_MSEC);
+			g_assert_cmpint(left == 0, ==, *run == waits[i].end_ms);
+		}
+	}
+}
+
 /* A target of another version is not chosen, even if no other is left. */
 static void
 test_choice(void)
@@ -283,6 +318,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/stream-versions/cases", test_cases);
+	g_test_add_func("/stream-versions/reply-waits", test_reply_waits);
 	g_test_add_func("/stream-versions/choice", test_choice);
 	g_test_add_func("/stream-versions/base-shares", test_base_shares);
 	return g_test_run();
--- a/tests/platform/test_mixed_versions.c
+++ b/tests/platform/test_mixed_versions.c
@@ -23,6 +23,9 @@
 #define DEADLINE_MS        3000
 /* A stalled stream is read for this long: its two events arrive by then. */
 #define STALL_READ_MS      250
+/* A host has asked the others by then, and still waits for their replies. */
+#define ASK_TIME           (30 * USEC_PER_MSEC)
+#define STILL_TIME         (300 * USEC_PER_MSEC)
 /* Hosts know of changed targets, and of each other, by then. */
 #define SETTLE_TIME        (1500 * USEC_PER_MSEC)
 
@@ -58,6 +61,8 @@
 	unsigned int without_store;
 	bool long_ids;     /* longer than messages between hosts hold */
 	bool any_rejected; /* so may be any stream */
+	/* The host where they go on, while the others reply to it. */
+	bool stands_still;
 } cases[] = {
 	{ "resumed-within-an-answer", "/stream/1", "break", BOTH, BOTH, false,
 	    false, false },
@@ -73,6 +78,9 @@
 	    false, false, true },
 	{ "unnamed", "/stream/1", "stall", BOTH, BOTH, true, false, true,
 	    true },
+	{ "one-version-unnamed-at-a-host-that-stands-still", "/stream/solo/1",
+	    "stall", BOTH, BOTH, true, .is_unnamed = true,
+	    .stands_still = true },
 	{ "of-a-split-route", "/stream/split/1", "stall", BOTH, BOTH, true,
 	    false, false },
 	{ "no-target-of-the-version-left", "/stream/1", "stall", OLD_ONLY,
@@ -230,6 +238,47 @@
 	harness_response_free(&a);
 }
 
+struct exchange {
+	int host;
+	const char *bytes;
+	struct harness_response a;
+};
+
+static gpointer
+run_exchange(gpointer arg)
+{
+	struct exchange *e = arg;
+
+	harness_exchange(
+	    hosts[e->host].port, str_from(e->bytes), 2 * DEADLINE_MS, &e->a);
+	return NULL;
+}
+
+static void
+signal_others(int host, int signal_number)
+{
+	for (int i = 0; i < HOSTS; i++) {
+		if (i != host)
+			kill(hosts[i].pid, signal_number);
+	}
+}
+
+/* The replies of the others arrive while the host stands still. */
+static void
+exchange_at_still_host(struct exchange *e)
+{
+	GThread *thread;
+
+	signal_others(e->host, SIGSTOP);
+	thread = g_thread_new("caller", run_exchange, e);
+	g_usleep((gulong)ASK_TIME);
+	kill(hosts[e->host].pid, SIGSTOP);
+	signal_others(e->host, SIGCONT);
+	g_usleep((gulong)STILL_TIME);
+	kill(hosts[e->host].pid, SIGCONT);
+	g_thread_join(thread);
+}
+
 static void
 resume_stream(struct stream *s, const struct version_case *x, int number)
 {
@@ -242,12 +291,14 @@
 		.id = id,
 		.extra_fields = fields,
 		.deadline_ms = DEADLINE_MS });
-	struct harness_response a;
-
-	harness_exchange(hosts[1 + (number + 1) % (HOSTS - 1)].port,
-	    str_from(q), 2 * DEADLINE_MS, &a);
-	read_answer(s, &a);
-	harness_response_free(&a);
+	struct exchange e = { 1 + (number + 1) % (HOSTS - 1), q };
+
+	if (x->stands_still)
+		exchange_at_still_host(&e);
+	else
+		run_exchange(&e);
+	read_answer(s, &e.a);
+	harness_response_free(&e.a);
 }
 
 /* Cuts the paths of these hosts to the store, and restores the others. */
