stream_resumes: end held streams in time, and drop their events

While the store was away, the first events of streams of another version than the base were held back until the request's deadline. Then they were sent to the caller all the same, before the answer was broken off, and without a record: after a loss of all hosts the callers' streams went on at the base version. The request had no time left for another attempt.

Cause: the end of a request, for whatever reason, sent what was held back.

A request that fails now drops what is held back and answers with a failure. kernel/stream_hold decides when that is: once four hosts have not recorded the stream, or after half of the request's time. The caller then comes again, and begins at the base version. The events are not made again within the same answer: a late record of the stream may still be written, and would name the wrong version.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -188,6 +188,11 @@
 {
 	struct httpd_request *q = r->httpd_req;
 
+	if (r->recording != NULL) {
+		relay_request_reject(
+		    r, &(struct rejection){ ERR_ANSWER_LOST, 0, cause });
+		return;
+	}
 	LOG(LOG_LVL_NOTICE, "stream-broken", { "request", r->info.id },
 	    { "target", str_from(r->target_id) }, { "cause", str_from(cause) });
 	relay_request_done(r, "broken-off");
--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -34,8 +34,9 @@
 	struct event *timer;
 	struct httpmsg in;
 	usec_t arrived;
-	usec_t idle_since; /* while no request has begun */
-	size_t unsent;     /* output at the last timer */
+	usec_t idle_since;     /* while no request has begun */
+	size_t unsent;         /* output at the last timer */
+	struct evbuffer *held; /* output of a corked response; or NULL */
 	void (*on_close)(void *arg);
 	void *arg;
 	bool busy;      /* a request is being handled */
@@ -61,6 +62,8 @@
 	g_queue_unlink(&q->httpd->conns, &q->link);
 	event_free(q->timer);
 	bufferevent_free(q->bev);
+	if (q->held != NULL)
+		evbuffer_free(q->held);
 	httpmsg_free(&q->in);
 	free(q);
 }
@@ -470,10 +473,17 @@
 	    (!q->httpd->draining || unread_bytes(q->bev) > 0);
 }
 
+/* Returns the buffer for the bytes of a response. */
+static struct evbuffer *
+response_output(struct httpd_request *q)
+{
+	return q->held != NULL ? q->held : bufferevent_get_output(q->bev);
+}
+
 void
 httpd_respond(struct httpd_request *q, const struct httpd_response *a)
 {
-	struct evbuffer *out = bufferevent_get_output(q->bev);
+	struct evbuffer *out = response_output(q);
 	bool keep = !a->close && may_continue(q);
 	bool head = q->in.parser.method == HTTP_HEAD;
 
@@ -498,7 +508,7 @@
 void
 httpd_write(struct httpd_request *q, struct evbuffer *bytes)
 {
-	struct evbuffer *out = bufferevent_get_output(q->bev);
+	struct evbuffer *out = response_output(q);
 	size_t n = evbuffer_get_length(bytes);
 
 	if (n == 0)
@@ -513,10 +523,24 @@
 void
 httpd_cork(struct httpd_request *q, bool corked)
 {
-	if (corked)
-		bufferevent_disable(q->bev, EV_WRITE);
-	else
-		bufferevent_enable(q->bev, EV_WRITE);
+	struct evbuffer *held = q->held;
+
+	if (corked == (held != NULL))
+		return;
+	q->held = corked ? evbuffer_new() : NULL;
+	if (held == NULL)
+		return;
+	evbuffer_add_buffer(bufferevent_get_output(q->bev), held);
+	evbuffer_free(held);
+}
+
+void
+httpd_drop_held(struct httpd_request *q)
+{
+	if (q->held != NULL)
+		evbuffer_free(q->held);
+	q->held = NULL;
+	q->chunked = false;
 }
 
 void
@@ -525,7 +549,7 @@
 	bool keep = q->chunked && may_continue(q);
 
 	if (q->chunked)
-		evbuffer_add(bufferevent_get_output(q->bev), "0\r\n\r\n", 5);
+		evbuffer_add(response_output(q), "0\r\n\r\n", 5);
 	finish_response(q, !keep);
 }
 
@@ -550,7 +574,9 @@
 size_t
 httpd_backlog(const struct httpd_request *q)
 {
-	return evbuffer_get_length(bufferevent_get_output(q->bev));
+	size_t held = q->held != NULL ? evbuffer_get_length(q->held) : 0;
+
+	return output_length(q) + held;
 }
 
 void
--- a/entry/httpd.h
+++ b/entry/httpd.h
@@ -81,6 +81,8 @@
  * those that were held back.
  */
 void httpd_cork(struct httpd_request *q, bool corked);
+/* Drops the bytes that are held back; another response may follow. */
+void httpd_drop_held(struct httpd_request *q);
 /* Ends the chunked body and the request. */
 void httpd_end(struct httpd_request *q);
 /*
--- a/entry/relay_request.c
+++ b/entry/relay_request.c
@@ -45,18 +45,42 @@
 	httpd_cork(r->httpd_req, false);
 }
 
+/*
+ * Drops what is held back.  It must not reach the caller, who could resume the
+ * stream at another version.
+ */
 static void
-on_recorded(void *arg)
+drop_held(struct relay_request *r)
+{
+	if (r->recording == NULL)
+		return;
+	stream_resumes_leave_recording(r->recording);
+	r->recording = NULL;
+	httpd_drop_held(r->httpd_req);
+	r->head_written = false;
+}
+
+/* The wait for the record has ended. */
+static void
+on_record(void *arg, bool goes_on)
 {
 	struct relay_request *r = arg;
 
-	r->recording = NULL;
-	httpd_cork(r->httpd_req, false);
+	if (goes_on) {
+		r->recording = NULL;
+		httpd_cork(r->httpd_req, false);
+		return;
+	}
+	forward_cancel(r);
+	r->may_have_run = true;
+	relay_request_reject(r,
+	    &(struct rejection){ ERR_TARGET_FAILED, 0,
+		"the version of the stream can't be recorded" });
 }
 
 /* Has the version told and recorded; done may be NULL. */
 static struct stream_recording *
-record_version(struct relay_request *r, void (*done)(void *arg))
+record_version(struct relay_request *r, void (*done)(void *arg, bool goes_on))
 {
 	struct str id = relay_stream_id(&r->info);
 	g_autofree char *text = g_strndup(id.p, id.n);
@@ -67,13 +91,14 @@
 	    r->shared->stream_resumes, id, r->service->name, r->version);
 	g_strlcpy(v.service, r->service->name, sizeof(v.service));
 	g_strlcpy(v.version, r->version, sizeof(v.version));
-	return stream_resumes_record(r->shared->stream_resumes, &v, done, r);
+	return stream_resumes_record(r->shared->stream_resumes,
+	    &(struct stream_recording_opts){ &v, r->deadline, done, r });
 }
 
 void
 relay_request_record(struct relay_request *r)
 {
-	r->recording = record_version(r, on_recorded);
+	r->recording = record_version(r, on_record);
 	if (r->recording != NULL)
 		httpd_cork(r->httpd_req, true);
 }
@@ -136,7 +161,7 @@
 {
 	struct rejection adjusted = adjust_rejection(r, why);
 
-	relay_request_uncork(r);
+	drop_held(r);
 	r->shared->counts.rejected[-adjusted.kind]++;
 	/* The caller of a quarantined request had better not come back. */
 	if (why->kind != ERR_QUARANTINED)
--- a/entry/stream_resumes.c
+++ b/entry/stream_resumes.c
@@ -4,6 +4,7 @@
 #include "base/rng.h"
 #include "kernel/rendezvous.h"
 #include "kernel/reply_wait.h"
+#include "kernel/stream_hold.h"
 #include "kernel/stream_recorder.h"
 #include "kernel/stream_records.h"
 
@@ -41,13 +42,13 @@
 	char version[STREAM_VERSION_BYTES];
 	char recorder[MAX_ADDR_BYTES]; /* that was asked last */
 	uint32_t tries;
-	usec_t begun_at;
+	struct stream_hold held;
 	usec_t asked_at;           /* last */
 	struct event *hold_timer;  /* until done is called */
 	struct event *retry_timer; /* until another recorder is asked */
 	struct reply_wait hold;    /* of hold_timer */
 	struct reply_wait retry;   /* of retry_timer */
-	void (*done)(void *arg);   /* NULL: nobody waits */
+	void (*done)(void *arg, bool goes_on); /* NULL: nobody waits */
 	void *arg;
 };
 
@@ -230,16 +231,43 @@
 	free(k);
 }
 
-/* Lets the stream go on, recorded or not. */
+/* Ends the wait for the record. */
 static void
-release_stream(struct stream_recording *k)
+end_hold(struct stream_recording *k, bool goes_on)
 {
-	void (*done)(void *) = k->done;
+	void (*done)(void *, bool) = k->done;
 
 	k->done = NULL;
 	evtimer_del(k->hold_timer);
 	if (done != NULL)
-		done(k->arg);
+		done(k->arg, goes_on);
+}
+
+/* Ends the wait for a late record if it has lasted long enough. */
+static void
+judge_hold(struct stream_recording *k)
+{
+	enum stream_hold_action a;
+
+	if (k->done == NULL)
+		return;
+	a = stream_hold_decide(&k->held,
+	    stream_versions_base_serves(&k->owner->streams, k->service),
+	    clock_now());
+	switch (a) {
+	case STREAM_HOLD:
+		break;
+	case STREAM_RELEASE:
+		end_hold(k, true);
+		break;
+	case STREAM_DROP:
+		log_text(LOG_LVL_NOTICE, "stream-dropped",
+		    "stream %s of %s, version %s: its record is late", k->id,
+		    k->service, k->version);
+		k->owner->late_until = clock_now() + LATE_TIME;
+		end_hold(k, false);
+		break;
+	}
 }
 
 static void
@@ -264,7 +292,7 @@
 is_obsolete(const struct stream_recording *k, usec_t now)
 {
 	return k->done == NULL &&
-	    (now - k->begun_at > STREAM_RECORD_SLOTS * USEC_PER_SEC ||
+	    (now - k->held.begun_at > STREAM_RECORD_SLOTS * USEC_PER_SEC ||
 		stream_versions_find(&k->owner->streams, str_from(k->id)) ==
 		    NULL);
 }
@@ -284,7 +312,7 @@
 		ask_recorder(k, recorder);
 		return;
 	}
-	release_stream(k);
+	end_hold(k, true);
 	free_recording(k);
 }
 
@@ -302,10 +330,9 @@
 	if (goes_on(k->hold_timer, &k->hold))
 		return;
 	k->owner->late_until = clock_now() + LATE_TIME;
-	if (stream_versions_base_serves(&k->owner->streams, k->service))
+	judge_hold(k);
+	if (k->done != NULL)
 		begin_wait(k->hold_timer, &k->hold, STREAM_RECORD_WAIT);
-	else
-		release_stream(k);
 }
 
 const char *
@@ -328,13 +355,16 @@
 		return;
 	stream_recorder_failed(&k->owner->recorder, k->recorder, clock_now());
 	k->owner->late_until = clock_now() + LATE_TIME;
+	k->held.n_failed++;
+	judge_hold(k);
 	ask_next_recorder(k);
 }
 
 struct stream_recording *
-stream_resumes_record(struct stream_resumes *x,
-    const struct stream_version *stream, void (*done)(void *arg), void *arg)
+stream_resumes_record(
+    struct stream_resumes *x, const struct stream_recording_opts *o)
 {
+	const struct stream_version *stream = o->stream;
 	char hash[HASH_HEX_LEN + 1];
 	usec_t now = clock_now();
 	const char *recorder = choose_recorder(x, now);
@@ -346,17 +376,17 @@
 		return NULL;
 	k = xcalloc(1, sizeof(*k));
 	k->owner = x;
-	k->begun_at = now;
+	k->held = (struct stream_hold){ now, o->deadline, 0 };
 	k->number = ++x->n_recordings;
 	k->id = str_dup(stream_id(str_from(stream->id), hash));
 	g_strlcpy(k->service, stream->service, sizeof(k->service));
 	g_strlcpy(k->version, stream->version, sizeof(k->version));
-	k->done = done;
-	k->arg = arg;
+	k->done = o->done;
+	k->arg = o->arg;
 	k->hold_timer = evtimer_new(x->o.base, on_hold_timeout, k);
 	k->retry_timer = evtimer_new(x->o.base, on_record_timeout, k);
 	g_hash_table_insert(x->recordings, &k->number, k);
-	if (done != NULL)
+	if (k->done != NULL)
 		begin_wait(k->hold_timer, &k->hold, STREAM_RECORD_WAIT);
 	ask_recorder(k, recorder);
 	return k;
@@ -382,13 +412,15 @@
 		if (m->refused) {
 			stream_recorder_failed(
 			    &x->recorder, k->recorder, clock_now());
+			k->held.n_failed++;
+			judge_hold(k);
 			/* Else the timer is waited for. */
 			if (k->tries < STREAM_RECORDERS)
 				ask_next_recorder(k);
 		} else {
 			if (clock_now() - k->asked_at <= STREAM_RECORD_WAIT)
 				x->late_until = 0;
-			release_stream(k);
+			end_hold(k, true);
 			free_recording(k);
 		}
 	}
--- a/entry/stream_resumes.h
+++ b/entry/stream_resumes.h
@@ -40,15 +40,26 @@
  */
 const char *stream_resumes_first_version(
     struct stream_resumes *x, const char *service);
+struct stream_recording_opts {
+	const struct stream_version *stream;
+	usec_t deadline; /* of its request */
+	/*
+	 * Called once when the stream is recorded or may go on without it
+	 * (kernel/stream_hold.h), else with goes_on false: its events must not
+	 * reach the caller.  Never called from within stream_resumes_record().
+	 * NULL: nobody waits.
+	 */
+	void (*done)(void *arg, bool goes_on);
+	void *arg;
+};
+
 /*
- * Has a stream recorded in the store if that is needed.  done is called once,
- * when it is recorded or, if its service's base version has too few targets,
- * has waited long enough; never from within this function.  Returns NULL if no
- * record is needed.  A host that doesn't record it in time, as it is cut off
- * from the store, say, is replaced by the next.
+ * Has a stream recorded in the store if that is needed; returns NULL if it
+ * isn't.  A host that doesn't record it in time, as it is cut off from the
+ * store, say, is replaced by the next.
  */
-struct stream_recording *stream_resumes_record(struct stream_resumes *x,
-    const struct stream_version *stream, void (*done)(void *arg), void *arg);
+struct stream_recording *stream_resumes_record(
+    struct stream_resumes *x, const struct stream_recording_opts *o);
 /* done is not called any more; the recording goes on. */
 void stream_resumes_leave_recording(struct stream_recording *k);
 /* A stream is complete. */
--- a/tests/kernel/test_stream_records.c
+++ b/tests/kernel/test_stream_records.c
@@ -4,6 +4,7 @@
  * targets are replaced.
  */
 #include "kernel/roster.h"
+#include "kernel/stream_hold.h"
 #include "kernel/stream_recorder.h"
 #include "kernel/stream_records.h"
 
@@ -382,6 +383,38 @@
 	stream_recorder_free(&r);
 }
 
+/* Streams whose records are late, of requests with 3 s. */
+static void
+test_holds(void)
+{
+	static const struct {
+		const char *name;
+		int after_ms;
+		uint32_t n_failed;
+		bool base_serves;
+		enum stream_hold_action action;
+	} holds[] = {
+		{ "late", 90, 0, true, STREAM_HOLD },
+		{ "half of the time", 1499, 3, true, STREAM_HOLD },
+		{ "half of the time is over", 1500, 0, true, STREAM_DROP },
+		{ "all recorders failed", 5, STREAM_RECORDERS, true,
+		    STREAM_DROP },
+		{ "few base targets", 90, 0, false, STREAM_RELEASE },
+		{ "few base targets, later", 2000, STREAM_RECORDERS, false,
+		    STREAM_RELEASE },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(holds); i++) {
+		struct stream_hold h = { SECOND, 4 * SECOND,
+			holds[i].n_failed };
+
+		g_test_message("%s", holds[i].name);
+		g_assert_cmpint(stream_hold_decide(&h, holds[i].base_serves,
+				    SECOND + holds[i].after_ms * USEC_PER_MSEC),
+		    ==, holds[i].action);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -395,5 +428,6 @@
 	g_test_add_func("/stream-records/bases", test_bases);
 	g_test_add_func("/stream-records/records", test_records);
 	g_test_add_func("/stream-records/recorder", test_recorder);
+	g_test_add_func("/stream-records/holds", test_holds);
 	return g_test_run();
 }
--- a/tests/platform/test_mixed_versions.c
+++ b/tests/platform/test_mixed_versions.c
@@ -445,6 +445,80 @@
 	g_assert_cmpint(new, >, 0);
 }
 
+/* Streams that begin just before their hosts find that the store is away. */
+static const struct version_case held_case = { "held-without-the-store",
+	"/stream/1", "long", BOTH, BOTH, true };
+static struct stream held_streams[STREAMS];
+
+/* A caller without an event comes again, as long as it has time. */
+static gpointer
+run_held_stream(gpointer arg)
+{
+	struct stream *s = arg;
+	int number = (int)(s - held_streams);
+	gint64 end = g_get_monotonic_time() + DEADLINE_MS * USEC_PER_MSEC;
+	int left = DEADLINE_MS;
+
+	*s = (struct stream){ 0 };
+	for (int i = 0; left > 0 && !s->old && !s->new; i++) {
+		g_autofree char *q = NULL;
+		struct harness_response a;
+
+		snprintf(s->id, sizeof(s->id), "s-held-%d-%d", number, i);
+		q = harness_format(
+		    &(struct harness_request){ .path = held_case.path,
+			.id = s->id,
+			.behavior = held_case.behavior,
+			.deadline_ms = left });
+		harness_exchange(hosts[number % HOSTS].port, str_from(q),
+		    left + STALL_READ_MS, &a);
+		read_answer(s, &a);
+		harness_response_free(&a);
+		left = (int)((end - g_get_monotonic_time()) / USEC_PER_MSEC);
+	}
+	return NULL;
+}
+
+/*
+ * What is held back until its record is written must not reach the caller
+ * without it, also at the deadline: all hosts may be lost then.
+ */
+static void
+run_held_case(void)
+{
+	GThread *threads[STREAMS];
+	int mixed = 0;
+	int begun = 0;
+	int complete = 0;
+	int new = 0;
+
+	set_versions(BOTH);
+	cut_stores(15);
+	for (int i = 0; i < STREAMS; i++)
+		threads[i] =
+		    g_thread_new(NULL, run_held_stream, &held_streams[i]);
+	for (int i = 0; i < STREAMS; i++)
+		g_thread_join(threads[i]);
+	kill_all_hosts();
+	cut_stores(0);
+	restart_all_hosts();
+	for (int i = 0; i < STREAMS; i++) {
+		struct stream *s = &held_streams[i];
+
+		begun += s->old || s->new;
+		new += s->new;
+		resume_stream(s, &held_case, i);
+		mixed += s->old && s->new;
+		complete += s->complete;
+	}
+	g_test_message("%d streams of two versions, %d begun, %d of them at "
+		       "the new version, %d complete",
+	    mixed, begun, new, complete);
+	g_assert_cmpint(mixed, ==, 0);
+	g_assert_cmpint(begun, ==, STREAMS);
+	g_assert_cmpint(complete, ==, STREAMS);
+}
+
 static void
 stop_fleet(void)
 {
@@ -472,6 +546,8 @@
 		g_test_add_data_func(path, &cases[i], run_case);
 	}
 	g_test_add_func("/mixed-versions/of-over-a-minute", run_long_case);
+	g_test_add_func(
+	    "/mixed-versions/held-without-the-store", run_held_case);
 	rc = g_test_run();
 	stop_fleet();
 	return rc;
