--- a/entry/stream_resumes.c
+++ b/entry/stream_resumes.c
@@ -1,11 +1,7 @@
-#include "entry/stream_resumes.h"
-#include "base/hash.h"
+#include "entry/stream_resumes_state.h"
 #include "base/log.h"
 #include "base/rng.h"
 #include "kernel/rendezvous.h"
-#include "kernel/reply_wait.h"
-#include "kernel/stream_hold.h"
-#include "kernel/stream_recorder.h"
 #include "kernel/stream_records.h"
 
 #include <inttypes.h>
@@ -13,44 +9,9 @@
 #include <string.h>
 
 #define HOLDER_SEED     31
-/* Covers a write at a slow store. */
-#define RECORD_TIMEOUT  (300 * USEC_PER_MSEC)
 /* How long a stream is looked for in the store. */
 #define LOOK_TIME       (700 * USEC_PER_MSEC)
 #define EXPIRE_INTERVAL (1 * USEC_PER_SEC)
-/* How long recording counts as out of order after a record was late. */
-#define LATE_TIME       (2 * USEC_PER_SEC)
-
-struct stream_resumes {
-	struct stream_resumes_opts o;
-	GArray *peers; /* struct view_peer */
-	struct stream_versions streams;
-	GHashTable *searches; /* number -> struct resume_search */
-	uint64_t n_searches;
-	GHashTable *recordings; /* number -> struct stream_recording */
-	uint64_t n_recordings;
-	struct stream_recorder recorder;
-	usec_t late_until; /* records can't be relied on until then */
-	usec_t expired_at;
-};
-
-struct stream_recording {
-	struct stream_resumes *owner;
-	uint64_t number;
-	char *id;
-	char service[64];
-	char version[STREAM_VERSION_BYTES];
-	char recorder[MAX_ADDR_BYTES]; /* that was asked last */
-	uint32_t tries;
-	struct stream_hold held;
-	usec_t asked_at;           /* last */
-	struct event *hold_timer;  /* until done is called */
-	struct event *retry_timer; /* until another recorder is asked */
-	struct reply_wait hold;    /* of hold_timer */
-	struct reply_wait retry;   /* of retry_timer */
-	void (*done)(void *arg, bool goes_on); /* NULL: nobody waits */
-	void *arg;
-};
 
 struct resume_search {
 	struct stream_resumes *owner;
@@ -67,12 +28,8 @@
 	void *arg;
 };
 
-/*
- * Returns the id by which hosts know a stream: one that is too long for their
- * messages is replaced by its hash.
- */
-static struct str
-stream_id(struct str id, char hash[HASH_HEX_LEN + 1])
+struct str
+stream_resumes_id(struct str id, char hash[HASH_HEX_LEN + 1])
 {
 	if (id.n <= PEER_ID_MAX)
 		return id;
@@ -88,15 +45,14 @@
 	evtimer_add(timer, &tv);
 }
 
-static void
-begin_wait(struct event *timer, struct reply_wait *w, usec_t time)
+void
+stream_resumes_wait(struct event *timer, struct reply_wait *w, usec_t time)
 {
 	set_timer(timer, reply_wait_begin(w, time, clock_now()));
 }
 
-/* Lets a timer that runs go on if replies are still waited for. */
-static bool
-goes_on(struct event *timer, struct reply_wait *w)
+bool
+stream_resumes_waits_on(struct event *timer, struct reply_wait *w)
 {
 	usec_t left = reply_wait_left(w, clock_now());
 
@@ -198,240 +154,17 @@
 	char hash[HASH_HEX_LEN + 1];
 	usec_t now = clock_now();
 
-	stream_versions_begin(
-	    &x->streams, stream_id(id, hash), service, version, true, now);
+	stream_versions_begin(&x->streams, stream_resumes_id(id, hash), service,
+	    version, true, now);
 	tell(x, now);
 }
 
-/* Returns the address of the host that records streams; NULL: none is known. */
-static const char *
-choose_recorder(const struct stream_resumes *x, usec_t now)
-{
-	struct rendezvous_host *v = xcalloc(x->peers->len + 1, sizeof(*v));
-	const char *recorder;
-
-	for (guint i = 0; i < x->peers->len; i++) {
-		const struct view_peer *p =
-		    &g_array_index(x->peers, struct view_peer, i);
-
-		v[i] = (struct rendezvous_host){ p->rpc, p->capacity };
-	}
-	recorder = stream_recorder_choose(&x->recorder, v, x->peers->len, now);
-	free(v);
-	return recorder;
-}
-
-static void
-free_recording(struct stream_recording *k)
-{
-	g_hash_table_remove(k->owner->recordings, &k->number);
-	event_free(k->hold_timer);
-	event_free(k->retry_timer);
-	free(k->id);
-	free(k);
-}
-
-/* Ends the wait for the record. */
-static void
-end_hold(struct stream_recording *k, bool goes_on)
-{
-	void (*done)(void *, bool) = k->done;
-
-	k->done = NULL;
-	evtimer_del(k->hold_timer);
-	if (done != NULL)
-		done(k->arg, goes_on);
-}
-
-/* Ends the wait for a late record if it has lasted long enough. */
-static void
-judge_hold(struct stream_recording *k)
-{
-	enum stream_hold_action a;
-
-	if (k->done == NULL)
-		return;
-	a = stream_hold_decide(&k->held,
-	    stream_versions_base_serves(&k->owner->streams, k->service),
-	    clock_now());
-	switch (a) {
-	case STREAM_HOLD:
-		break;
-	case STREAM_RELEASE:
-		end_hold(k, true);
-		break;
-	case STREAM_DROP:
-		log_text(LOG_LVL_NOTICE, "stream-dropped",
-		    "stream %s of %s, version %s: its record is late", k->id,
-		    k->service, k->version);
-		k->owner->late_until = clock_now() + LATE_TIME;
-		end_hold(k, false);
-		break;
-	}
-}
-
-static void
-ask_recorder(struct stream_recording *k, const char *recorder)
-{
-	peer_body body = { .kind = PEER_STREAM_RECORD };
-	peer_stream_record *m = &body.peer_body_u.stream_record;
-
-	k->tries++;
-	k->asked_at = clock_now();
-	g_strlcpy(k->recorder, recorder, sizeof(k->recorder));
-	m->ask = k->number;
-	m->id = k->id;
-	m->service = k->service;
-	m->software = k->version;
-	rpc_send(discovery_rpc(k->owner->o.discovery), recorder, &body);
-	begin_wait(k->retry_timer, &k->retry, RECORD_TIMEOUT);
-}
-
-/* Whether nobody waits for the record or needs it any more. */
-static bool
-is_obsolete(const struct stream_recording *k, usec_t now)
-{
-	return k->done == NULL &&
-	    (now - k->held.begun_at > STREAM_RECORD_SLOTS * USEC_PER_SEC ||
-		stream_versions_find(&k->owner->streams, str_from(k->id)) ==
-		    NULL);
-}
-
-/* Asks the next host to record the stream; ends the recording without one. */
-static void
-ask_next_recorder(struct stream_recording *k)
-{
-	usec_t now = clock_now();
-	const char *recorder = choose_recorder(k->owner, now);
-
-	if (k->tries == STREAM_RECORDERS)
-		log_text(LOG_LVL_NOTICE, "stream-unrecorded",
-		    "stream %s of %s, version %s: %u hosts asked", k->id,
-		    k->service, k->version, k->tries);
-	if (recorder != NULL && !is_obsolete(k, now)) {
-		ask_recorder(k, recorder);
-		return;
-	}
-	end_hold(k, true);
-	free_recording(k);
-}
-
-/*
- * The record is late.  Without it, the stream would be taken for one of the
- * base version after the loss of all hosts, if that has enough targets.
- */
-static void
-on_hold_timeout(evutil_socket_t fd, short what, void *arg)
-{
-	struct stream_recording *k = arg;
-
-	(void)fd;
-	(void)what;
-	if (goes_on(k->hold_timer, &k->hold))
-		return;
-	k->owner->late_until = clock_now() + LATE_TIME;
-	judge_hold(k);
-	if (k->done != NULL)
-		begin_wait(k->hold_timer, &k->hold, STREAM_RECORD_WAIT);
-}
-
-const char *
-stream_resumes_first_version(struct stream_resumes *x, const char *service)
-{
-	return clock_now() < x->late_until &&
-		stream_versions_base_serves(&x->streams, service)
-	    ? stream_versions_base(&x->streams, service)
-	    : NULL;
-}
-
-static void
-on_record_timeout(evutil_socket_t fd, short what, void *arg)
-{
-	struct stream_recording *k = arg;
-
-	(void)fd;
-	(void)what;
-	if (goes_on(k->retry_timer, &k->retry))
-		return;
-	stream_recorder_failed(&k->owner->recorder, k->recorder, clock_now());
-	k->owner->late_until = clock_now() + LATE_TIME;
-	k->held.n_failed++;
-	judge_hold(k);
-	ask_next_recorder(k);
-}
-
-struct stream_recording *
-stream_resumes_record(
-    struct stream_resumes *x, const struct stream_recording_opts *o)
-{
-	const struct stream_version *stream = o->stream;
-	char hash[HASH_HEX_LEN + 1];
-	usec_t now = clock_now();
-	const char *recorder = choose_recorder(x, now);
-	struct stream_recording *k;
-
-	if (recorder == NULL ||
-	    !stream_versions_records(
-		&x->streams, stream->service, stream->version, now))
-		return NULL;
-	k = xcalloc(1, sizeof(*k));
-	k->owner = x;
-	k->held = (struct stream_hold){ now, o->deadline, 0 };
-	k->number = ++x->n_recordings;
-	k->id = str_dup(stream_id(str_from(stream->id), hash));
-	g_strlcpy(k->service, stream->service, sizeof(k->service));
-	g_strlcpy(k->version, stream->version, sizeof(k->version));
-	k->done = o->done;
-	k->arg = o->arg;
-	k->hold_timer = evtimer_new(x->o.base, on_hold_timeout, k);
-	k->retry_timer = evtimer_new(x->o.base, on_record_timeout, k);
-	g_hash_table_insert(x->recordings, &k->number, k);
-	if (k->done != NULL)
-		begin_wait(k->hold_timer, &k->hold, STREAM_RECORD_WAIT);
-	ask_recorder(k, recorder);
-	return k;
-}
-
-void
-stream_resumes_leave_recording(struct stream_recording *k)
-{
-	k->done = NULL;
-	evtimer_del(k->hold_timer);
-}
-
-static void
-on_recorded(struct stream_resumes *x, const peer_stream_recorded *m)
-{
-	for (u_int i = 0; i < m->asks.asks_len; i++) {
-		uint64_t number = m->asks.asks_val[i];
-		struct stream_recording *k =
-		    g_hash_table_lookup(x->recordings, &number);
-
-		if (k == NULL)
-			continue;
-		if (m->refused) {
-			stream_recorder_failed(
-			    &x->recorder, k->recorder, clock_now());
-			k->held.n_failed++;
-			judge_hold(k);
-			/* Else the timer is waited for. */
-			if (k->tries < STREAM_RECORDERS)
-				ask_next_recorder(k);
-		} else {
-			if (clock_now() - k->asked_at <= STREAM_RECORD_WAIT)
-				x->late_until = 0;
-			end_hold(k, true);
-			free_recording(k);
-		}
-	}
-}
-
 void
 stream_resumes_end(struct stream_resumes *x, struct str id)
 {
 	char hash[HASH_HEX_LEN + 1];
 
-	stream_versions_end(&x->streams, stream_id(id, hash));
+	stream_versions_end(&x->streams, stream_resumes_id(id, hash));
 }
 
 void
@@ -498,7 +231,7 @@
 	m->service = s->service;
 	if (reader != NULL)
 		rpc_send(discovery_rpc(s->owner->o.discovery), reader, &body);
-	begin_wait(s->timer, &s->wait, LOOK_TIME);
+	stream_resumes_wait(s->timer, &s->wait, LOOK_TIME);
 }
 
 /* Ends the search if it is decided by what the hosts know; returns whether. */
@@ -556,7 +289,7 @@
 
 	(void)fd;
 	(void)what;
-	if (goes_on(s->timer, &s->wait))
+	if (stream_resumes_waits_on(s->timer, &s->wait))
 		return;
 	if (s->looking)
 		decide_by_store(s, NULL);
@@ -576,7 +309,7 @@
 	m->id = text;
 	m->service = s->service;
 	send_to(s->owner, id, STREAM_ASKED, &body, &s->query.n_asked);
-	begin_wait(s->timer, &s->wait, STREAM_REPLY_TIME);
+	stream_resumes_wait(s->timer, &s->wait, STREAM_REPLY_TIME);
 }
 
 struct resume_search *
@@ -584,7 +317,7 @@
     struct stream_resumes *x, const struct resume_search_opts *o)
 {
 	char hash[HASH_HEX_LEN + 1];
-	struct str id = stream_id(o->id, hash);
+	struct str id = stream_resumes_id(o->id, hash);
 	struct resume_query query;
 	enum resume_place place =
 	    stream_versions_resume(&x->streams, id, &query);
@@ -673,7 +406,7 @@
 	else if (b->kind == PEER_STREAM_REPLY)
 		on_reply(x, l->rpc, &b->peer_body_u.stream_reply);
 	else if (b->kind == PEER_STREAM_RECORDED)
-		on_recorded(x, &b->peer_body_u.stream_recorded);
+		stream_resumes_recorded(x, &b->peer_body_u.stream_recorded);
 	else if (b->kind == PEER_STREAM_FOUND)
 		on_found(x, &b->peer_body_u.stream_found);
 }
@@ -690,15 +423,8 @@
 void
 stream_resumes_free(struct stream_resumes *x)
 {
-	GHashTableIter it;
-	gpointer k;
-
 	g_hash_table_destroy(x->searches);
-	while (g_hash_table_size(x->recordings) > 0) {
-		g_hash_table_iter_init(&it, x->recordings);
-		g_hash_table_iter_next(&it, NULL, &k);
-		free_recording(k);
-	}
+	stream_resumes_free_recordings(x);
 	g_hash_table_destroy(x->recordings);
 	stream_recorder_free(&x->recorder);
 	stream_versions_free(&x->streams);
