resume_wait: when a stream is sent again is decided in kernel/

The waits between attempts to resume a stream that has begun were worked out in entry/forward.c, beside its timers, and only test_silent_target covered them, with processes. They are a decision of their own now, with the same values, and test_response_wait replays them in virtual time: without a target until the deadline, with events in between, and where a stream may not be resumed.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -27,12 +27,6 @@
 #define MIN_TIME_LEFT         (8 * USEC_PER_MSEC)
 /* Retry-After when targets refused a request. */
 #define RETRY_AFTER           (300 * USEC_PER_MSEC)
-/*
- * Time until the next attempt to resume a stream that no target takes; doubled
- * after each attempt.
- */
-#define RESUME_INTERVAL       (100 * USEC_PER_MSEC)
-#define RESUME_MAX_DOUBLINGS  4
 /* Ranks of at least this value share the last engine priority. */
 #define MAX_PRIORITY          9
 
@@ -117,13 +111,13 @@
 static bool
 resume_later(struct relay_request *r, const char *cause)
 {
-	usec_t wait = RESUME_INTERVAL << r->resume_waits;
+	usec_t wait = resume_wait_next(&r->resume_wait,
+	    &(struct resume_stream){ r->head_written,
+		route_repeatable(r->route),
+		r->deadline - clock_now() - MIN_TIME_LEFT });
 
-	if (!r->head_written || !route_repeatable(r->route) ||
-	    r->deadline - clock_now() <= wait + MIN_TIME_LEFT)
+	if (wait == 0)
 		return false;
-	if (r->resume_waits < RESUME_MAX_DOUBLINGS)
-		r->resume_waits++;
 	log_text(LOG_LVL_INFO, "resume-waits",
 	    "request %.*s: after %" PRIu64 " events, %s", STR_FMT(r->info.id),
 	    r->sse.events, cause);
@@ -459,7 +453,7 @@
 		return;
 	/* A target that may go on is not given up for none. */
 	if (choose_target(r, clock_now()) == NULL || !spend_retry(r)) {
-		set_response_timer(r, RESUME_INTERVAL);
+		set_response_timer(r, RESUME_WAIT_FIRST);
 		return;
 	}
 	log_text(LOG_LVL_NOTICE, "call-silent",
--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -54,7 +54,7 @@
 	else if (now - r->last_event_at > r->longest_pause)
 		r->longest_pause = now - r->last_event_at;
 	r->last_event_at = now;
-	r->resume_waits = 0;
+	resume_wait_reset(&r->resume_wait);
 	forward_start_waiting(r, &s->event_wait,
 	    EVENT_GAPS * r->route->max_event_gap, 0, r->deadline - now);
 }
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -24,6 +24,7 @@
 #include "kernel/overload/durations.h"
 #include "kernel/overload/caller_age.h"
 #include "kernel/overload/response_wait.h"
+#include "kernel/overload/resume_wait.h"
 #include "kernel/overload/stage_waits.h"
 #include "plat/dial.h"
 #include "platform/request.h"
@@ -129,7 +130,7 @@
 	 * until the stream is resumed.  NULL: none.
 	 */
 	struct event *response_timer;
-	uint32_t resume_waits;  /* since the last event */
+	struct resume_wait resume_wait;
 	uint64_t events_before; /* the last call: events of earlier ones */
 	/* Software versions of the last call's target, and of the stream. */
 	char call_version[STREAM_VERSION_BYTES];
--- /dev/null
+++ b/kernel/overload/resume_wait.c
@@ -0,0 +1,21 @@
+#include "kernel/overload/resume_wait.h"
+
+#define MAX_DOUBLINGS 4
+
+usec_t
+resume_wait_next(struct resume_wait *w, const struct resume_stream *s)
+{
+	usec_t wait = RESUME_WAIT_FIRST << w->n_doubled;
+
+	if (!s->begun || !s->may_again || s->left <= wait)
+		return 0;
+	if (w->n_doubled < MAX_DOUBLINGS)
+		w->n_doubled++;
+	return wait;
+}
+
+void
+resume_wait_reset(struct resume_wait *w)
+{
+	w->n_doubled = 0;
+}
--- /dev/null
+++ b/kernel/overload/resume_wait.h
@@ -0,0 +1,39 @@
+/*
+ * When a stream that has begun, and whose call has ended early, is sent again.
+ *
+ * Load pattern: a target falls silent or fails in the middle of a stream while
+ * the others are full, at rest, of another version, or fail too.  The caller
+ * has a part of the answer, so the stream is not ended; its rest is sent again
+ * until a target takes it.  Each attempt may reach a target that refuses it, so
+ * the waits double until an event has come.
+ *
+ * Times are in microseconds.
+ */
+#ifndef KERNEL_OVERLOAD_RESUME_WAIT_H
+#define KERNEL_OVERLOAD_RESUME_WAIT_H
+
+#include "base/clock.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Wait for the first attempt, and between looks for another target. */
+#define RESUME_WAIT_FIRST (100 * USEC_PER_MSEC)
+
+struct resume_wait {
+	uint32_t n_doubled;
+};
+
+/* A stream whose call has ended. */
+struct resume_stream {
+	bool begun;     /* the caller has a part of the answer */
+	bool may_again; /* it may be resumed */
+	usec_t left;    /* until an attempt would come too late */
+};
+
+/* Returns the time until the next attempt; 0: the stream ends. */
+usec_t resume_wait_next(struct resume_wait *w, const struct resume_stream *s);
+/* An event has come. */
+void resume_wait_reset(struct resume_wait *w);
+
+#endif
--- a/tests/kernel/test_response_wait.c
+++ b/tests/kernel/test_response_wait.c
@@ -5,6 +5,7 @@
  */
 #include "base/rng.h"
 #include "kernel/overload/response_wait.h"
+#include "kernel/overload/resume_wait.h"
 
 #include <stdbool.h>
 
@@ -122,11 +123,64 @@
 	}
 }
 
+/*
+ * A stream whose call ends at 0: when its rest is sent again, while targets
+ * refuse it, or take it and break it after an event.
+ */
+static const struct resume_case {
+	const char *name;
+	int deadline_ms;
+	int events_ms[2];     /* at which an attempt gets an event; 0: end */
+	bool unbegun, unsafe; /* no event yet; it may not be resumed */
+	int attempts_ms[8];   /* 0: end */
+} resumes[] = {
+	{ "refused until its deadline", 3000, { 0 }, false, false,
+	    { 100, 300, 700, 1500 } },
+	{ "a long deadline", 8000, { 0 }, false, false,
+	    { 100, 300, 700, 1500, 3100, 4700, 6300, 7900 } },
+	{ "events in between", 3000, { 300, 700 }, false, false,
+	    { 100, 300, 400, 600, 1000, 1800 } },
+	{ "no time for an attempt", 100, { 0 }, false, false, { 0 } },
+	{ "time for one", 101, { 0 }, false, false, { 100 } },
+	{ "without an event", 3000, { 0 }, true, false, { 0 } },
+	{ "not to be resumed", 3000, { 0 }, false, true, { 0 } },
+};
+
+static void
+test_resumes(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(resumes); i++) {
+		const struct resume_case *c = &resumes[i];
+		struct resume_wait w = { 0 };
+		struct resume_stream s = { !c->unbegun, !c->unsafe, 0 };
+		usec_t now = 0;
+		size_t n = 0;
+		usec_t wait;
+
+		g_test_message("%s", c->name);
+		for (;;) {
+			s.left = MS(c->deadline_ms) - now;
+			wait = resume_wait_next(&w, &s);
+			if (wait == 0)
+				break;
+			now += wait;
+			g_assert_cmpuint(n, <, G_N_ELEMENTS(c->attempts_ms));
+			g_assert_cmpint(now, ==, MS(c->attempts_ms[n++]));
+			if (now == MS(c->events_ms[0]) ||
+			    now == MS(c->events_ms[1]))
+				resume_wait_reset(&w);
+		}
+		g_assert_true(n == G_N_ELEMENTS(c->attempts_ms) ||
+		    c->attempts_ms[n] == 0);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/response_wait/limit", test_limit);
 	g_test_add_func("/response_wait/load", test_load);
+	g_test_add_func("/response_wait/resumes", test_resumes);
 	return g_test_run();
 }
