dial, relay_request: a large answer that has arrived is read after its deadline

After a standstill past a request's deadline, an answer over 64 KB that waited in full in the host's socket was replaced by 504: input was read in at most 16 turns of the loop, and libevent reads 4 KB in each.

kernel/late_read decides now: after the deadline, turns go on while input is there, 16 in any case and further ones for 200 ms, so that a target that writes without end doesn't hold its caller. The timers of calls in plat/dial and of stage calls had the same limit, and use the same decision.

test_silent_target, host-pauses/large-past-deadline, an answer of 200 KB before: assertion failed (x.a.status == 200): (504 == 200) after: ok; all 17 cases of the test pass

--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -304,8 +304,8 @@
 	(void)fd;
 	(void)what;
 	/* A response that has arrived is read first. */
-	if (target_call_has_input(call->dial) &&
-	    call->late_turns++ < DIAL_MAX_LATE_TURNS) {
+	if (late_read_goes_on(&call->late_read,
+		target_call_has_input(call->dial), clock_now())) {
 		evtimer_add(call->timer, &now);
 		return;
 	}
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -6,6 +6,7 @@
 #define ENTRY_COORDINATOR_STATE_H
 
 #include "entry/coordinator.h"
+#include "kernel/late_read.h"
 #include "kernel/overload/batch.h"
 #include "kernel/bounds.h"
 #include "kernel/overload/result_space.h"
@@ -79,7 +80,7 @@
 	bool slow;       /* its target was known to be slow */
 	int status;
 	bool not_run;
-	uint32_t late_turns; /* of the loop since its time was over */
+	struct late_read late_read;
 };
 
 struct pending_frees {
--- a/entry/relay_request.c
+++ b/entry/relay_request.c
@@ -214,8 +214,9 @@
 	(void)fd;
 	(void)what;
 	/* An answer that has arrived is passed on. */
-	if (r->call != NULL && target_call_has_input(r->call) &&
-	    r->late_turns++ < DIAL_MAX_LATE_TURNS) {
+	if (r->call != NULL &&
+	    late_read_goes_on(
+		&r->late_read, target_call_has_input(r->call), clock_now())) {
 		evtimer_add(r->timer, &now);
 		return;
 	}
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -16,6 +16,7 @@
 #include "entry/target_limits.h"
 #include "entry/httpd.h"
 #include "kernel/crash_suspects.h"
+#include "kernel/late_read.h"
 #include "kernel/loads.h"
 #include "kernel/overload/retry_quota.h"
 #include "kernel/routes.h"
@@ -110,7 +111,7 @@
 	 */
 	usec_t deadline;
 	struct event *timer;
-	uint32_t late_turns; /* of the loop since the deadline */
+	struct late_read late_read; /* of the call, at the deadline */
 	GList link;
 
 	/* Used by stages.c. */
--- a/plat/dial.c
+++ b/plat/dial.c
@@ -1,6 +1,7 @@
 #include "plat/dial.h"
 #include "base/log.h"
 #include "kernel/bounds.h"
+#include "kernel/late_read.h"
 #include "plat/addr.h"
 #include "plat/unread.h"
 
@@ -62,7 +63,7 @@
 	struct buf call_id;
 	struct event *timer; /* NULL: without a limit of time */
 	size_t stray_bytes;  /* of the body of another call's response */
-	uint32_t late_turns; /* of the loop since its time was over */
+	struct late_read late_read;
 	bool head_delivered;
 	bool head_only;
 	bool confirmed; /* the response is known to be the call's own */
@@ -505,7 +506,7 @@
 
 	(void)fd;
 	(void)what;
-	if (dial_has_input(k) && k->late_turns++ < DIAL_MAX_LATE_TURNS)
+	if (late_read_goes_on(&k->late_read, dial_has_input(k), clock_now()))
 		evtimer_add(k->timer, &now);
 	else
 		fail_call(k->conn, DIAL_BROKEN);
--- a/plat/dial.h
+++ b/plat/dial.h
@@ -24,8 +24,6 @@
 
 #include <event2/event.h>
 
-#define DIAL_MAX_LATE_TURNS 16
-
 struct dialer;
 struct dial_call;
 
@@ -88,8 +86,8 @@
 void dial_cancel(struct dial_call *k);
 /*
  * Whether bytes of the target have arrived that the handler has not got: a
- * timer of the caller may be due together with them.  They are delivered within
- * DIAL_MAX_LATE_TURNS turns of the loop, unless more keep arriving.
+ * timer of the caller may be due together with them.  They are delivered in the
+ * next turns of the loop, a few kilobytes in each (kernel/late_read.h).
  */
 bool dial_has_input(const struct dial_call *k);
 /*
--- a/tests/kernel/test_response_wait.c
+++ b/tests/kernel/test_response_wait.c
@@ -4,6 +4,7 @@
  * longer must not be made worse by calls that are made again.
  */
 #include "base/rng.h"
+#include "kernel/late_read.h"
 #include "kernel/overload/response_wait.h"
 #include "kernel/overload/resume_wait.h"
 
@@ -175,6 +176,36 @@
 	}
 }
 
+/* For how long input is read after the deadline, in turns of the loop. */
+static void
+test_late_reads(void)
+{
+	static const struct {
+		const char *name;
+		usec_t turn;
+		uint32_t input,
+		    read; /* turns with input, and those that read */
+	} reads[] = {
+		{ "nothing has arrived", MS(1), 0, 0 },
+		{ "a small answer", MS(1), 3, 3 },
+		{ "a large answer", MS(1), 150, 150 },
+		{ "at a busy host", MS(50), 16, 16 },
+		{ "bytes without end", MS(1), 9999, 200 },
+		{ "the same, at a busy host", MS(50), 9999, 16 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(reads); i++) {
+		struct late_read r = { 0 };
+		uint32_t n = 0;
+
+		g_test_message("%s", reads[i].name);
+		while (late_read_goes_on(&r, n < reads[i].input,
+		    MS(7000) + (usec_t)n * reads[i].turn))
+			n++;
+		g_assert_cmpuint(n, ==, reads[i].read);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -182,5 +213,6 @@
 	g_test_add_func("/response_wait/limit", test_limit);
 	g_test_add_func("/response_wait/load", test_load);
 	g_test_add_func("/response_wait/resumes", test_resumes);
+	g_test_add_func("/response_wait/late-reads", test_late_reads);
 	return g_test_run();
 }
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -60,6 +60,9 @@
 	int64_t rev;
 };
 
+/* Fits into the socket buffer of a host that stands still. */
+#define LARGE_BYTES ((size_t)200 * 1024)
+
 struct conn {
 	struct fakeplat *plat;
 	struct target *target; /* NULL: a connection to the store */
@@ -605,6 +608,7 @@
  *   refuse-once  refuses the first arrival as not executed
  *   refuse-other sends a refusal without an id first, at the first arrival
  *   slow         responds after 2000 ms
+ *   slow-large   the same, with LARGE_BYTES
  *   mute         never responds to the first arrival, also of a stream
  *   endless-head, endless-body, endless-garbage, endless-interim
  *                sends bytes without end: in a header field, in a body
@@ -667,6 +671,11 @@
 		    "HTTP/1.1 200 OK\r\n%sContent-Length: 4\r\n\r\nlate",
 		    fields);
 		send_response(c, 200, fields, str_from(c->attempt));
+	} else if (strcmp(s, "slow-large") == 0) {
+		g_autofree char *body = g_strnfill(LARGE_BYTES, 'x');
+
+		send_response(
+		    c, 200, fields, (struct str){ body, LARGE_BYTES });
 	} else {
 		send_response(c, 200, fields, str_from(c->attempt));
 	}
@@ -897,7 +906,9 @@
 	} else if (str_has_prefix(url, STR("/stream")))
 		start_stream(c);
 	else
-		arm_timer(c, strcmp(c->behavior, "slow") == 0 ? 2000 : 3);
+		arm_timer(c,
+		    str_has_prefix(str_from(c->behavior), STR("slow")) ? 2000
+								       : 3);
 }
 
 static void
--- a/tests/platform/test_silent_target.c
+++ b/tests/platform/test_silent_target.c
@@ -154,6 +154,7 @@
 	{ "stream", "/stream/1", NULL, 5000, 60, 2500 },
 	{ "repeatable", "/safe/1", "slow", 6000, 1000, 1800 },
 	{ "past-deadline", "/once/1", "slow", 2400, 1000, 1800 },
+	{ "large-past-deadline", "/once/1", "slow-large", 2400, 1000, 1800 },
 	{ "repeatable-past-deadline", "/safe/1", "slow", 2400, 1000, 1800 },
 	{ "stage-call", "/stream/staged/1", NULL, 5000, 30, 1500,
 	    "X-Pieces: 2,0\r\nX-Piece-Key: k\r\n", 2 },
