--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -16,6 +16,7 @@
 #include "entry/target_limits.h"
 #include "entry/httpd.h"
 #include "kernel/crash_suspects.h"
+#include "kernel/late_read.h"
 #include "kernel/loads.h"
 #include "kernel/overload/retry_quota.h"
 #include "kernel/routes.h"
@@ -24,6 +25,7 @@
 #include "kernel/overload/durations.h"
 #include "kernel/overload/caller_age.h"
 #include "kernel/overload/response_wait.h"
+#include "kernel/overload/resume_wait.h"
 #include "kernel/overload/stage_waits.h"
 #include "plat/dial.h"
 #include "platform/request.h"
@@ -109,7 +111,7 @@
 	 */
 	usec_t deadline;
 	struct event *timer;
-	uint32_t late_turns; /* of the loop since the deadline */
+	struct late_read late_read; /* of the call, at the deadline */
 	GList link;
 
 	/* Used by stages.c. */
@@ -129,7 +131,7 @@
 	 * until the stream is resumed.  NULL: none.
 	 */
 	struct event *response_timer;
-	uint32_t resume_waits;  /* since the last event */
+	struct resume_wait resume_wait;
 	uint64_t events_before; /* the last call: events of earlier ones */
 	/* Software versions of the last call's target, and of the stream. */
 	char call_version[STREAM_VERSION_BYTES];
--- a/tests/kernel/test_response_wait.c
+++ b/tests/kernel/test_response_wait.c
@@ -4,7 +4,9 @@
  * longer must not be made worse by calls that are made again.
  */
 #include "base/rng.h"
+#include "kernel/late_read.h"
 #include "kernel/overload/response_wait.h"
+#include "kernel/overload/resume_wait.h"
 
 #include <stdbool.h>
 
@@ -122,11 +124,95 @@
 	}
 }
 
+/*
+ * A stream whose call ends at 0: when its rest is sent again, while targets
+ * refuse it, or take it and break it after an event.
+ */
+static const struct resume_case {
+	const char *name;
+	int deadline_ms;
+	int events_ms[2];     /* at which an attempt gets an event; 0: end */
+	bool unbegun, unsafe; /* no event yet; it may not be resumed */
+	int attempts_ms[8];   /* 0: end */
+} resumes[] = {
+	{ "refused until its deadline", 3000, { 0 }, false, false,
+	    { 100, 300, 700, 1500 } },
+	{ "a long deadline", 8000, { 0 }, false, false,
+	    { 100, 300, 700, 1500, 3100, 4700, 6300, 7900 } },
+	{ "events in between", 3000, { 300, 700 }, false, false,
+	    { 100, 300, 400, 600, 1000, 1800 } },
+	{ "no time for an attempt", 100, { 0 }, false, false, { 0 } },
+	{ "time for one", 101, { 0 }, false, false, { 100 } },
+	{ "without an event", 3000, { 0 }, true, false, { 0 } },
+	{ "not to be resumed", 3000, { 0 }, false, true, { 0 } },
+};
+
+static void
+test_resumes(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(resumes); i++) {
+		const struct resume_case *c = &resumes[i];
+		struct resume_wait w = { 0 };
+		struct resume_stream s = { !c->unbegun, !c->unsafe, 0 };
+		usec_t now = 0;
+		size_t n = 0;
+		usec_t wait;
+
+		g_test_message("%s", c->name);
+		for (;;) {
+			s.left = MS(c->deadline_ms) - now;
+			wait = resume_wait_next(&w, &s);
+			if (wait == 0)
+				break;
+			now += wait;
+			g_assert_cmpuint(n, <, G_N_ELEMENTS(c->attempts_ms));
+			g_assert_cmpint(now, ==, MS(c->attempts_ms[n++]));
+			if (now == MS(c->events_ms[0]) ||
+			    now == MS(c->events_ms[1]))
+				resume_wait_reset(&w);
+		}
+		g_assert_true(n == G_N_ELEMENTS(c->attempts_ms) ||
+		    c->attempts_ms[n] == 0);
+	}
+}
+
+/* For how long input is read after the deadline, in turns of the loop. */
+static void
+test_late_reads(void)
+{
+	static const struct {
+		const char *name;
+		usec_t turn;
+		uint32_t input,
+		    read; /* turns with input, and those that read */
+	} reads[] = {
+		{ "nothing has arrived", MS(1), 0, 0 },
+		{ "a small answer", MS(1), 3, 3 },
+		{ "a large answer", MS(1), 150, 150 },
+		{ "at a busy host", MS(50), 16, 16 },
+		{ "bytes without end", MS(1), 9999, 200 },
+		{ "the same, at a busy host", MS(50), 9999, 16 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(reads); i++) {
+		struct late_read r = { 0 };
+		uint32_t n = 0;
+
+		g_test_message("%s", reads[i].name);
+		while (late_read_goes_on(&r, n < reads[i].input,
+		    MS(7000) + (usec_t)n * reads[i].turn))
+			n++;
+		g_assert_cmpuint(n, ==, reads[i].read);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/response_wait/limit", test_limit);
 	g_test_add_func("/response_wait/load", test_load);
+	g_test_add_func("/response_wait/resumes", test_resumes);
+	g_test_add_func("/response_wait/late-reads", test_late_reads);
 	return g_test_run();
 }
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -28,8 +28,10 @@
 /* Answers without end: what is written at once, and in all. */
 #define ENDLESS_CHUNK      ((size_t)256 * 1024)
 #define ENDLESS_BYTES      ((size_t)64 * 1024 * 1024)
+/* Fits into the socket buffer of a host that stands still. */
+#define LARGE_BYTES        ((size_t)200 * 1024)
 /* More than the buffers of a connection hold. */
-#define LARGE_BYTES        ((size_t)3500 * 1024)
+#define HUGE_BYTES         ((size_t)3500 * 1024)
 #define PAUSE_MS           1600 /* silence of a target that goes on */
 #define CRASH_DELAY_MS     50   /* from the arrival to the begin of an answer */
 #define CRASH_DOWN_MS      1500
@@ -607,7 +609,8 @@
  *   refuse-once  refuses the first arrival as not executed
  *   refuse-other sends a refusal without an id first, at the first arrival
  *   slow         responds after 2000 ms
- *   slow-large   as slow, with a body of LARGE_BYTES
+ *   slow-large, slow-huge
+ *                as slow, with a body of LARGE_BYTES, HUGE_BYTES
  *   mute         never responds to the first arrival, also of a stream
  *   endless-head, endless-body, endless-garbage, endless-interim
  *                sends bytes without end: in a header field, in a body
@@ -659,11 +662,6 @@
 		send_response(c, 200, "", STR("not the target's"));
 	} else if (str_has_prefix(str_from(s), STR("endless-"))) {
 		start_endless(c);
-	} else if (strcmp(s, "slow-large") == 0) {
-		g_autofree char *body = g_strnfill(LARGE_BYTES, 'x');
-
-		send_response(
-		    c, 200, fields, (struct str){ body, LARGE_BYTES });
 	} else if (strcmp(s, "500") == 0) {
 		send_response(c, 500, fields, STR("failed"));
 	} else if (strcmp(s, "drop-next") == 0) {
@@ -675,6 +673,12 @@
 		    "HTTP/1.1 200 OK\r\n%sContent-Length: 4\r\n\r\nlate",
 		    fields);
 		send_response(c, 200, fields, str_from(c->attempt));
+	} else if (str_has_prefix(str_from(s), STR("slow-"))) {
+		size_t n =
+		    strcmp(s, "slow-huge") == 0 ? HUGE_BYTES : LARGE_BYTES;
+		g_autofree char *body = g_strnfill(n, 'x');
+
+		send_response(c, 200, fields, (struct str){ body, n });
 	} else {
 		send_response(c, 200, fields, str_from(c->attempt));
 	}
--- a/tests/platform/test_mixed_versions.c
+++ b/tests/platform/test_mixed_versions.c
@@ -23,6 +23,9 @@
 #define DEADLINE_MS        3000
 /* A stalled stream is read for this long: its two events arrive by then. */
 #define STALL_READ_MS      250
+/* A host has asked the others by then, and still waits for their replies. */
+#define ASK_TIME           (30 * USEC_PER_MSEC)
+#define STILL_TIME         (300 * USEC_PER_MSEC)
 /* Hosts know of changed targets, and of each other, by then. */
 #define SETTLE_TIME        (1500 * USEC_PER_MSEC)
 
@@ -58,6 +61,8 @@
 	unsigned int without_store;
 	bool long_ids;     /* longer than messages between hosts hold */
 	bool any_rejected; /* so may be any stream */
+	/* The host where they go on, while the others reply to it. */
+	bool stands_still;
 } cases[] = {
 	{ "resumed-within-an-answer", "/stream/1", "break", BOTH, BOTH, false,
 	    false, false },
@@ -73,6 +78,9 @@
 	    false, false, true },
 	{ "unnamed", "/stream/1", "stall", BOTH, BOTH, true, false, true,
 	    true },
+	{ "one-version-unnamed-at-a-host-that-stands-still", "/stream/solo/1",
+	    "stall", BOTH, BOTH, true, .is_unnamed = true,
+	    .stands_still = true },
 	{ "of-a-split-route", "/stream/split/1", "stall", BOTH, BOTH, true,
 	    false, false },
 	{ "no-target-of-the-version-left", "/stream/1", "stall", OLD_ONLY,
@@ -93,13 +101,17 @@
 	    BOTH, BOTH, true, false, false, false, true, false, 12 },
 	{ "all-hosts-killed-while-the-store-is-away", "/stream/1", "stall",
 	    BOTH, BOTH, true, false, false, false, true, false, 15 },
-	{ "all-hosts-killed-while-the-store-is-away-late-in-a-release",
-	    "/stream/1", "stall", ONE_OLD, ONE_OLD, true, false, false, false,
-	    true, false, 15, .any_rejected = true },
 	{ "all-hosts-killed-of-one-version", "/stream/solo/1", "stall", BOTH,
 	    BOTH, true, false, false, false, true },
 	{ "all-hosts-killed-before-the-other-version", "/stream/1", "stall",
 	    OLD_ONLY, BOTH, true, false, false, false, true },
+	/* The store says for two minutes that records may be missing. */
+	{ "all-hosts-killed-while-the-store-is-away-late-in-a-release",
+	    "/stream/1", "stall", ONE_OLD, ONE_OLD, true, false, false, false,
+	    true, false, 15, .any_rejected = true },
+	{ "all-hosts-killed-late-in-a-release-that-is-taken-back", "/stream/1",
+	    "stall", ONE_OLD, BOTH, true, false, false, false, true, false, 15,
+	    .any_rejected = true },
 };
 
 static struct fakeplat *platform;
@@ -230,6 +242,47 @@
 	harness_response_free(&a);
 }
 
+struct exchange {
+	int host;
+	const char *bytes;
+	struct harness_response a;
+};
+
+static gpointer
+run_exchange(gpointer arg)
+{
+	struct exchange *e = arg;
+
+	harness_exchange(
+	    hosts[e->host].port, str_from(e->bytes), 2 * DEADLINE_MS, &e->a);
+	return NULL;
+}
+
+static void
+signal_others(int host, int signal_number)
+{
+	for (int i = 0; i < HOSTS; i++) {
+		if (i != host)
+			kill(hosts[i].pid, signal_number);
+	}
+}
+
+/* The replies of the others arrive while the host stands still. */
+static void
+exchange_at_still_host(struct exchange *e)
+{
+	GThread *thread;
+
+	signal_others(e->host, SIGSTOP);
+	thread = g_thread_new("caller", run_exchange, e);
+	g_usleep((gulong)ASK_TIME);
+	kill(hosts[e->host].pid, SIGSTOP);
+	signal_others(e->host, SIGCONT);
+	g_usleep((gulong)STILL_TIME);
+	kill(hosts[e->host].pid, SIGCONT);
+	g_thread_join(thread);
+}
+
 static void
 resume_stream(struct stream *s, const struct version_case *x, int number)
 {
@@ -242,12 +295,14 @@
 		.id = id,
 		.extra_fields = fields,
 		.deadline_ms = DEADLINE_MS });
-	struct harness_response a;
-
-	harness_exchange(hosts[1 + (number + 1) % (HOSTS - 1)].port,
-	    str_from(q), 2 * DEADLINE_MS, &a);
-	read_answer(s, &a);
-	harness_response_free(&a);
+	struct exchange e = { 1 + (number + 1) % (HOSTS - 1), q };
+
+	if (x->stands_still)
+		exchange_at_still_host(&e);
+	else
+		run_exchange(&e);
+	read_answer(s, &e.a);
+	harness_response_free(&e.a);
 }
 
 /* Cuts the paths of these hosts to the store, and restores the others. */
@@ -394,6 +449,80 @@
 	g_assert_cmpint(new, >, 0);
 }
 
+/* Streams that begin just before their hosts find that the store is away. */
+static const struct version_case held_case = { "held-without-the-store",
+	"/stream/1", "long", BOTH, BOTH, true };
+static struct stream held_streams[STREAMS];
+
+/* A caller without an event comes again, as long as it has time. */
+static gpointer
+run_held_stream(gpointer arg)
+{
+	struct stream *s = arg;
+	int number = (int)(s - held_streams);
+	gint64 end = g_get_monotonic_time() + DEADLINE_MS * USEC_PER_MSEC;
+	int left = DEADLINE_MS;
+
+	*s = (struct stream){ 0 };
+	for (int i = 0; left > 0 && !s->old && !s->new; i++) {
+		g_autofree char *q = NULL;
+		struct harness_response a;
+
+		snprintf(s->id, sizeof(s->id), "s-held-%d-%d", number, i);
+		q = harness_format(
+		    &(struct harness_request){ .path = held_case.path,
+			.id = s->id,
+			.behavior = held_case.behavior,
+			.deadline_ms = left });
+		harness_exchange(hosts[number % HOSTS].port, str_from(q),
+		    left + STALL_READ_MS, &a);
+		read_answer(s, &a);
+		harness_response_free(&a);
+		left = (int)((end - g_get_monotonic_time()) / USEC_PER_MSEC);
+	}
+	return NULL;
+}
+
+/*
+ * What is held back until its record is written must not reach the caller
+ * without it, also at the deadline: all hosts may be lost then.
+ */
+static void
+run_held_case(void)
+{
+	GThread *threads[STREAMS];
+	int mixed = 0;
+	int begun = 0;
+	int complete = 0;
+	int new = 0;
+
+	set_versions(BOTH);
+	cut_stores(15);
+	for (int i = 0; i < STREAMS; i++)
+		threads[i] =
+		    g_thread_new(NULL, run_held_stream, &held_streams[i]);
+	for (int i = 0; i < STREAMS; i++)
+		g_thread_join(threads[i]);
+	kill_all_hosts();
+	cut_stores(0);
+	restart_all_hosts();
+	for (int i = 0; i < STREAMS; i++) {
+		struct stream *s = &held_streams[i];
+
+		begun += s->old || s->new;
+		new += s->new;
+		resume_stream(s, &held_case, i);
+		mixed += s->old && s->new;
+		complete += s->complete;
+	}
+	g_test_message("%d streams of two versions, %d begun, %d of them at "
+		       "the new version, %d complete",
+	    mixed, begun, new, complete);
+	g_assert_cmpint(mixed, ==, 0);
+	g_assert_cmpint(begun, ==, STREAMS);
+	g_assert_cmpint(complete, ==, STREAMS);
+}
+
 static void
 stop_fleet(void)
 {
@@ -414,13 +543,15 @@
 	signal(SIGPIPE, SIG_IGN);
 	start_fleet();
 	g_test_set_nonfatal_assertions();
+	g_test_add_func(
+	    "/mixed-versions/held-without-the-store", run_held_case);
+	g_test_add_func("/mixed-versions/of-over-a-minute", run_long_case);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		g_autofree char *path =
 		    g_strdup_printf("/mixed-versions/%s", cases[i].name);
 
 		g_test_add_data_func(path, &cases[i], run_case);
 	}
-	g_test_add_func("/mixed-versions/of-over-a-minute", run_long_case);
 	rc = g_test_run();
 	stop_fleet();
 	return rc;
--- a/tests/platform/test_stopping_host.c
+++ b/tests/platform/test_stopping_host.c
@@ -276,7 +276,7 @@
 test_slow_asker(void)
 {
 	static const struct stop_case t = {
-		.path = "/once/1", .behavior = "slow-large", .deadline_ms = 8000
+		.path = "/once/1", .behavior = "slow-huge", .deadline_ms = 8000
 	};
 	struct harness_host asker = { .port = CUT_HOST,
 		.id = "h2",
