discovery: base versions don't go back with a restored store

Callers saw: streams that began at the newer version before a restore of the store, whose hosts were then all lost, went on at the older one.

Cause: after a restore hosts took the base versions of the copy in place of their own, and if the copy had none, nobody wrote those that the hosts knew.

The item counts its changes. Hosts keep bases of a later change than the item's and write them again: the first feeder within a second, the others a second or two later, as the first feeder may have started only since.

--- a/entry/discovery_streams.c
+++ b/entry/discovery_streams.c
@@ -5,6 +5,7 @@
  */
 #include "entry/discovery_state.h"
 #include "base/log.h"
+#include "base/rng.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -19,6 +20,8 @@
 /* Streams that wait to be recorded; further ones are dropped. */
 #define MAX_WAITING    4096
 #define LIST_INTERVAL  (1 * USEC_PER_SEC)
+/* Shortest, and half the longest time until hosts replace older bases. */
+#define BASES_DELAY    (1 * USEC_PER_SEC)
 
 /* A stream that is to be recorded. */
 struct waiting_stream {
@@ -48,7 +51,9 @@
 	bool listed;  /* the store, so that last_second is known */
 	bool dropped; /* streams, since the last write */
 	struct stream_bases bases;
-	bool bases_changed; /* and are not in the store */
+	bool bases_changed;      /* and are not in the store */
+	usec_t rewrite_bases_at; /* unless the first feeder does before */
+	uint64_t bases_read;     /* d->restores when the item was read last */
 	bool bases_in_flight;
 	usec_t listed_at;
 	GPtrArray *looks;   /* struct waiting_look, for the next reading */
@@ -386,20 +391,48 @@
 	buf_free(&lost);
 }
 
-/* What this host knows takes the place of bases that can't be read. */
+/*
+ * The store has no base versions, or others than this host knows: it writes its
+ * own, after a while if others may.
+ */
+static void
+replace_bases(struct discovery *d)
+{
+	struct stream_store *s = d->streams;
+
+	if (s->bases_changed || g_hash_table_size(s->bases.by_service) == 0)
+		return;
+	s->bases_changed = true;
+	s->rewrite_bases_at =
+	    clock_now() + BASES_DELAY + (usec_t)(rng_entropy() % BASES_DELAY);
+}
+
+/*
+ * What this host knows takes the place of bases that can't be read, or that are
+ * older as the store was restored from a copy.
+ */
 static void
 read_bases(struct discovery *d, struct str value)
 {
 	struct stream_store *s = d->streams;
 
-	if (stream_bases_read(&s->bases, value)) {
+	s->bases_read = d->restores;
+	switch (stream_bases_read(&s->bases, value)) {
+	case STREAM_BASES_TAKEN:
 		s->bases_changed = false;
 		d->view_dirty = true;
 		return;
+	case STREAM_BASES_OLDER:
+		log_text(LOG_LVL_NOTICE, "stream-versions-older",
+		    "those of this host stay: change %" PRIu64,
+		    s->bases.changes);
+		break;
+	case STREAM_BASES_MALFORMED:
+		LOG(LOG_LVL_WARNING, "stream-versions-malformed",
+		    { "key", STR(BASES_KEY) });
+		break;
 	}
-	s->bases_changed = g_hash_table_size(s->bases.by_service) > 0;
-	LOG(LOG_LVL_WARNING, "stream-versions-malformed",
-	    { "key", STR(BASES_KEY) });
+	replace_bases(d);
 }
 
 bool
@@ -426,6 +459,8 @@
 		b->new_fleet = !d->hosts_listed;
 	b->known = true;
 	d->streams->listed = true;
+	if (d->restored && d->streams->bases_read != d->restores)
+		replace_bases(d);
 }
 
 static void
@@ -465,12 +500,16 @@
 	s->listed_at = now;
 	targets = roster_list(&d->roster);
 	stream_bases_list(&s->bases, targets, now);
-	if (!discovery_is_first_feeder(d) || s->bases_in_flight)
+	if (s->bases_in_flight)
 		return;
-	if (stream_bases_change(&s->bases, now)) {
-		s->bases_changed = true;
-		d->view_dirty = true;
-	}
-	if (s->bases_changed)
+	if (discovery_is_first_feeder(d)) {
+		if (stream_bases_change(&s->bases, now)) {
+			s->bases_changed = true;
+			d->view_dirty = true;
+		}
+		if (s->bases_changed)
+			write_bases(d);
+	} else if (s->bases_changed && now >= s->rewrite_bases_at) {
 		write_bases(d);
+	}
 }
--- a/kernel/stream_records.c
+++ b/kernel/stream_records.c
@@ -8,6 +8,9 @@
 #define HASH_SEED      37
 #define FORMAT         "1"
 #define FULL_LINE      "full"
+/* In the item of the base versions, in place of a service's name. */
+#define CHANGES_NAME   "#changes"
+#define MAX_CHANGES    ((uint64_t)INT64_MAX)
 /* Later seconds can't be told in microseconds. */
 #define MAX_SECOND     (INT64_MAX / USEC_PER_SEC)
 /* The clocks of two hosts differ by less, in s. */
@@ -216,31 +219,49 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
-bool
+/* Reads a line of the item: a base version, or the number of changes. */
+static bool
+read_base(struct str line, GHashTable *bases, uint64_t *changes)
+{
+	struct str service;
+
+	if (!str_cut(&line, ' ', &service) || service.n == 0 || line.n == 0 ||
+	    line.n >= STREAM_VERSION_BYTES)
+		return false;
+	if (str_eq(service, STR(CHANGES_NAME)))
+		return str_parse_u64(line, changes) && *changes < MAX_CHANGES;
+	g_hash_table_insert(
+	    bases, g_strndup(service.p, service.n), g_strndup(line.p, line.n));
+	return true;
+}
+
+enum stream_bases_result
 stream_bases_read(struct stream_bases *b, struct str value)
 {
 	GHashTable *read =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	bool ok = value.n > 0 || g_hash_table_size(b->by_service) == 0;
+	enum stream_bases_result result =
+	    value.n > 0 || g_hash_table_size(b->by_service) == 0
+	    ? STREAM_BASES_TAKEN
+	    : STREAM_BASES_MALFORMED;
+	uint64_t changes = 0;
 	struct str line;
-	struct str service;
 
 	b->known = true;
-	while (ok && value.n > 0 && str_cut(&value, '\n', &line)) {
-		ok = str_cut(&line, ' ', &service) && service.n > 0 &&
-		    line.n > 0 && line.n < STREAM_VERSION_BYTES;
-		if (ok)
-			g_hash_table_insert(read,
-			    g_strndup(service.p, service.n),
-			    g_strndup(line.p, line.n));
+	while (value.n > 0 && str_cut(&value, '\n', &line)) {
+		if (!read_base(line, read, &changes))
+			result = STREAM_BASES_MALFORMED;
 	}
-	if (ok) {
+	if (result == STREAM_BASES_TAKEN && changes < b->changes)
+		result = STREAM_BASES_OLDER;
+	if (result == STREAM_BASES_TAKEN) {
 		g_hash_table_destroy(b->by_service);
 		b->by_service = read;
+		b->changes = changes;
 	} else {
 		g_hash_table_destroy(read);
 	}
-	return ok;
+	return result;
 }
 
 const char *
@@ -327,6 +348,8 @@
 		    b->by_service, g_strdup(service), g_strdup(x->version));
 		changed = true;
 	}
+	if (changed && b->changes + 1 < MAX_CHANGES)
+		b->changes++;
 	return changed;
 }
 
@@ -337,6 +360,7 @@
 	gpointer service;
 	gpointer version;
 
+	buf_printf(out, CHANGES_NAME " %" PRIu64 "\n", b->changes);
 	g_hash_table_iter_init(&it, b->by_service);
 	while (g_hash_table_iter_next(&it, &service, &version))
 		buf_printf(out, "%s %s\n", (const char *)service,
--- a/kernel/stream_records.h
+++ b/kernel/stream_records.h
@@ -21,7 +21,10 @@
  *   SERVICE VERSION HASH HASH ...
  *   full                records are missing
  *
- * and that of the base versions has the lines SERVICE VERSION.
+ * and that of the base versions has the lines SERVICE VERSION, with "#changes"
+ * and a number that grows with each change as one of them.  A store that is
+ * restored from a copy has the item of before: hosts keep the one with the
+ * higher number, and write it again.
  *
  * Times are in microseconds; wall clock times are Unix times.
  */
@@ -90,6 +93,7 @@
 /* The base versions of the services. */
 struct stream_bases {
 	GHashTable *by_service; /* name -> version; strings */
+	uint64_t changes;       /* of this or other hosts */
 	/* name -> struct listed_alone, of services with one version */
 	GHashTable *alone;
 	/* "SERVICE VERSION" -> usec_t: when it was listed last */
@@ -103,11 +107,16 @@
 };
 
 void stream_bases_init(struct stream_bases *b);
-/*
- * Reads the store's item.  Returns false if it is malformed, or empty although
- * there are bases: these stay as they are.
- */
-bool stream_bases_read(struct stream_bases *b, struct str value);
+enum stream_bases_result {
+	STREAM_BASES_TAKEN,
+	/* The bases stay as they are: */
+	STREAM_BASES_OLDER,
+	STREAM_BASES_MALFORMED /* or empty, although there are bases */
+};
+
+/* Reads the store's item. */
+enum stream_bases_result stream_bases_read(
+    struct stream_bases *b, struct str value);
 /* Returns NULL if the service has none. */
 const char *stream_bases_find(
     const struct stream_bases *b, const char *service);
--- a/tests/kernel/test_stream_records.c
+++ b/tests/kernel/test_stream_records.c
@@ -143,6 +143,39 @@
 	buf_free(&lost);
 }
 
+/* A restored store has the bases of before, also several times over. */
+static void
+test_older_bases(void)
+{
+	static const struct {
+		const char *value;
+		enum stream_bases_result result;
+		const char *base;
+	} cases[] = {
+		{ "s v1\n", STREAM_BASES_TAKEN, "v1" },
+		{ "#changes 2\ns v2\n", STREAM_BASES_TAKEN, "v2" },
+		{ "#changes 1\ns v1\n", STREAM_BASES_OLDER, "v2" },
+		/* Of a build that doesn't count changes. */
+		{ "s v1\n", STREAM_BASES_OLDER, "v2" },
+		{ "s v3\n#changes 2\n", STREAM_BASES_TAKEN, "v3" },
+		{ "#changes x\ns v1\n", STREAM_BASES_MALFORMED, "v3" },
+		{ "#changes 9223372036854775807\ns v1\n",
+		    STREAM_BASES_MALFORMED, "v3" },
+		{ "#changes 3\ns v4\n", STREAM_BASES_TAKEN, "v4" },
+	};
+	struct stream_bases b;
+
+	stream_bases_init(&b);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_test_message("\"%s\"", cases[i].value);
+		g_assert_cmpint(stream_bases_read(&b, str_from(cases[i].value)),
+		    ==, cases[i].result);
+		g_assert_cmpstr(stream_bases_find(&b, "s"), ==, cases[i].base);
+		g_assert_null(stream_bases_find(&b, "#changes"));
+	}
+	stream_bases_free(&b);
+}
+
 /* Bases that another writer has replaced stay as they are known. */
 static void
 test_odd_bases(void)
@@ -152,14 +185,17 @@
 	struct stream_bases b;
 
 	stream_bases_init(&b);
-	g_assert_true(stream_bases_read(&b, STR("")));
-	g_assert_true(stream_bases_read(&b, STR("s v1\n")));
+	g_assert_cmpint(stream_bases_read(&b, STR("")), ==, STREAM_BASES_TAKEN);
+	g_assert_cmpint(
+	    stream_bases_read(&b, STR("s v1\n")), ==, STREAM_BASES_TAKEN);
 	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
 		g_test_message("\"%s\"", values[i]);
-		g_assert_false(stream_bases_read(&b, str_from(values[i])));
+		g_assert_cmpint(stream_bases_read(&b, str_from(values[i])), ==,
+		    STREAM_BASES_MALFORMED);
 		g_assert_cmpstr(stream_bases_find(&b, "s"), ==, "v1");
 	}
-	g_assert_true(stream_bases_read(&b, STR("s v2\n")));
+	g_assert_cmpint(
+	    stream_bases_read(&b, STR("s v2\n")), ==, STREAM_BASES_TAKEN);
 	g_assert_cmpstr(stream_bases_find(&b, "s"), ==, "v2");
 	stream_bases_free(&b);
 }
@@ -391,6 +427,7 @@
 	g_test_add_func("/stream-records/malformed", test_malformed);
 	g_test_add_func("/stream-records/odd", test_odd);
 	g_test_add_func("/stream-records/odd-bases", test_odd_bases);
+	g_test_add_func("/stream-records/older-bases", test_older_bases);
 	g_test_add_func("/stream-records/decide", test_decide);
 	g_test_add_func("/stream-records/bases", test_bases);
 	g_test_add_func("/stream-records/records", test_records);
--- a/tests/platform/test_mixed_versions.c
+++ b/tests/platform/test_mixed_versions.c
@@ -23,6 +23,12 @@
 #define DEADLINE_MS        3000
 /* A stalled stream is read for this long: its two events arrive by then. */
 #define STALL_READ_MS      250
+/* Base versions after a change of that of a service. */
+#define NEWER_BASES        "#changes 1000\nengine new\nplain other\n"
+/* How long the store is away when it is restored. */
+#define AWAY_TIME          (300 * USEC_PER_MSEC)
+/* Hosts have written again by then what a restored store doesn't have. */
+#define REWRITE_TIME       (4 * USEC_PER_SEC)
 /* Hosts know of changed targets, and of each other, by then. */
 #define SETTLE_TIME        (1500 * USEC_PER_MSEC)
 
@@ -58,7 +64,16 @@
 	unsigned int without_store;
 	bool long_ids;     /* longer than messages between hosts hold */
 	bool any_rejected; /* so may be any stream */
+	/* The store is restored from a copy before the hosts are killed. */
+	enum {
+		NOT_RESTORED,
+		WITHOUT_BASE,   /* that has nothing that hosts have written */
+		WITH_OLDER_BASE /* of before the base version has changed */
+	} restored;
 } cases[] = {
+	{ "all-hosts-killed-and-the-base-lost-by-a-restore", "/stream/1",
+	    "stall", OLD_ONLY, NEW_LISTED, true, .kill_all = true,
+	    .old_rejected = true, .restored = WITHOUT_BASE },
 	{ "resumed-within-an-answer", "/stream/1", "break", BOTH, BOTH, false,
 	    false, false },
 	{ "resumed-by-the-caller", "/stream/1", "stall", BOTH, BOTH, true,
@@ -100,6 +115,10 @@
 	    BOTH, true, false, false, false, true },
 	{ "all-hosts-killed-before-the-other-version", "/stream/1", "stall",
 	    OLD_ONLY, BOTH, true, false, false, false, true },
+	/* The last one: the base version is another one from then on. */
+	{ "all-hosts-killed-and-an-older-base-by-a-restore", "/stream/1",
+	    "stall", NEW_ONLY, BOTH, true, .kill_all = true,
+	    .restored = WITH_OLDER_BASE },
 };
 
 static struct fakeplat *platform;
@@ -142,6 +161,7 @@
 	g_autofree char *dir = g_dir_make_tmp("mixed-versions-XXXXXX", NULL);
 
 	platform = fakeplat_start(STORE_PORT);
+	fakeplat_name_era(platform);
 	proxy = proxy_start();
 	for (int i = 0; i < TARGETS + PLAIN_TARGETS; i++)
 		fakeplat_add_target(platform,
@@ -156,6 +176,7 @@
 	for (int i = TARGETS / 2; i < TARGETS; i++)
 		unlist_target(ids[i]);
 	fakeplat_put(platform, "op/config", c);
+	fakeplat_copy_store(platform);
 	for (int i = 0; i < HOSTS; i++) {
 		struct harness_host *h = &hosts[i];
 
@@ -259,6 +280,27 @@
 		    proxy, i, cut >> i & 1 ? PROXY_CUT_BOTH : PROXY_NONE);
 }
 
+static void
+restore_store(void)
+{
+	fakeplat_set_store_mode(platform, FAKEPLAT_STORE_RESET);
+	fakeplat_restore_store(platform);
+	g_usleep((gulong)AWAY_TIME);
+	fakeplat_set_store_mode(platform, FAKEPLAT_STORE_OK);
+	g_usleep((gulong)REWRITE_TIME);
+}
+
+/* Makes the copy of the store, unless an older one is restored. */
+static void
+prepare_copy(const struct version_case *x)
+{
+	if (x->restored != WITH_OLDER_BASE)
+		return;
+	fakeplat_copy_store(platform);
+	fakeplat_put(platform, "sequoia/versions", NEWER_BASES);
+	g_usleep((gulong)SETTLE_TIME);
+}
+
 static void
 kill_all_hosts(void)
 {
@@ -296,7 +338,10 @@
 	int begun = 0;
 	int expected = 0;
 
+	if (x->restored == WITHOUT_BASE)
+		restore_store();
 	set_versions(x->begun);
+	prepare_copy(x);
 	cut_stores(x->without_store);
 	for (int i = 0; i < STREAMS; i++)
 		begin_stream(&v[i], x, i);
@@ -304,6 +349,8 @@
 		kill(hosts[0].pid, SIGKILL);
 		harness_wait_exit(&hosts[0]);
 	}
+	if (x->restored == WITH_OLDER_BASE)
+		restore_store();
 	if (x->kill_all)
 		kill_all_hosts();
 	cut_stores(0);
