--- a/tests/platform/test_mixed_versions.c
+++ b/tests/platform/test_mixed_versions.c
@@ -26,6 +26,12 @@
 /* A host has asked the others by then, and still waits for their replies. */
 #define ASK_TIME           (30 * USEC_PER_MSEC)
 #define STILL_TIME         (300 * USEC_PER_MSEC)
+/* Base versions after a change of that of a service. */
+#define NEWER_BASES        "#changes 1000\nengine new\nplain other\n"
+/* How long the store is away when it is restored. */
+#define AWAY_TIME          (300 * USEC_PER_MSEC)
+/* Hosts have written again by then what a restored store doesn't have. */
+#define REWRITE_TIME       (4 * USEC_PER_SEC)
 /* Hosts know of changed targets, and of each other, by then. */
 #define SETTLE_TIME        (1500 * USEC_PER_MSEC)
 
@@ -63,7 +69,16 @@
 	bool any_rejected; /* so may be any stream */
 	/* The host where they go on, while the others reply to it. */
 	bool stands_still;
+	/* The store is restored from a copy before the hosts are killed. */
+	enum {
+		NOT_RESTORED,
+		WITHOUT_BASE,   /* that has nothing that hosts have written */
+		WITH_OLDER_BASE /* of before the base version has changed */
+	} restored;
 } cases[] = {
+	{ "all-hosts-killed-and-the-base-lost-by-a-restore", "/stream/1",
+	    "stall", OLD_ONLY, NEW_LISTED, true, .kill_all = true,
+	    .old_rejected = true, .restored = WITHOUT_BASE },
 	{ "resumed-within-an-answer", "/stream/1", "break", BOTH, BOTH, false,
 	    false, false },
 	{ "resumed-by-the-caller", "/stream/1", "stall", BOTH, BOTH, true,
@@ -112,6 +127,10 @@
 	{ "all-hosts-killed-late-in-a-release-that-is-taken-back", "/stream/1",
 	    "stall", ONE_OLD, BOTH, true, false, false, false, true, false, 15,
 	    .any_rejected = true },
+	/* By itself: the base version is another one from then on. */
+	{ "all-hosts-killed-and-an-older-base-by-a-restore", "/stream/1",
+	    "stall", NEW_ONLY, BOTH, true, .kill_all = true,
+	    .restored = WITH_OLDER_BASE },
 };
 
 static struct fakeplat *platform;
@@ -154,6 +173,7 @@
 	g_autofree char *dir = g_dir_make_tmp("mixed-versions-XXXXXX", NULL);
 
 	platform = fakeplat_start(STORE_PORT);
+	fakeplat_name_era(platform);
 	proxy = proxy_start();
 	for (int i = 0; i < TARGETS + PLAIN_TARGETS; i++)
 		fakeplat_add_target(platform,
@@ -168,6 +188,7 @@
 	for (int i = TARGETS / 2; i < TARGETS; i++)
 		unlist_target(ids[i]);
 	fakeplat_put(platform, "op/config", c);
+	fakeplat_copy_store(platform);
 	for (int i = 0; i < HOSTS; i++) {
 		struct harness_host *h = &hosts[i];
 
@@ -314,6 +335,27 @@
 		    proxy, i, cut >> i & 1 ? PROXY_CUT_BOTH : PROXY_NONE);
 }
 
+static void
+restore_store(void)
+{
+	fakeplat_set_store_mode(platform, FAKEPLAT_STORE_RESET);
+	fakeplat_restore_store(platform);
+	g_usleep((gulong)AWAY_TIME);
+	fakeplat_set_store_mode(platform, FAKEPLAT_STORE_OK);
+	g_usleep((gulong)REWRITE_TIME);
+}
+
+/* Makes the copy of the store, unless an older one is restored. */
+static void
+prepare_copy(const struct version_case *x)
+{
+	if (x->restored != WITH_OLDER_BASE)
+		return;
+	fakeplat_copy_store(platform);
+	fakeplat_put(platform, "sequoia/versions", NEWER_BASES);
+	g_usleep((gulong)SETTLE_TIME);
+}
+
 static void
 kill_all_hosts(void)
 {
@@ -351,7 +393,10 @@
 	int begun = 0;
 	int expected = 0;
 
+	if (x->restored == WITHOUT_BASE)
+		restore_store();
 	set_versions(x->begun);
+	prepare_copy(x);
 	cut_stores(x->without_store);
 	for (int i = 0; i < STREAMS; i++)
 		begin_stream(&v[i], x, i);
@@ -359,6 +404,8 @@
 		kill(hosts[0].pid, SIGKILL);
 		harness_wait_exit(&hosts[0]);
 	}
+	if (x->restored == WITH_OLDER_BASE)
+		restore_store();
 	if (x->kill_all)
 		kill_all_hosts();
 	cut_stores(0);
