discovery: an older configuration doesn't replace a newer one that waits

Callers of a host could get 404, or the service of before, for a configuration that the host had received. A configuration waits up to 0.5 s until it is applied. One that another host gave meanwhile took its place, whatever its version: the state of a peer that was asked while the store was away, or a fetch that was under way when the store's change came. The newer one was then gone, as the store doesn't deliver a change twice; the host had to learn of it by gossip and fetch it, if another host had it.

A host that read the configuration from the store by itself, after three failed fetches, also went on giving the one of before to others.

Now a configuration that waits stays if what comes is older or can't be used, unless both are changes of the store, which come in order. Only then are both parsed. What a host has read by itself is given to others once it is applied.

test_queued_config, before: # older, of another host ERROR: assertion failed (found != NULL ? found : "" == version): ("6" == "7") 5 of 9 cases fail after: ok 1 /queued-config/queue

--- a/entry/discovery_config.c
+++ b/entry/discovery_config.c
@@ -28,17 +28,49 @@
 	pthread_mutex_unlock(&d->lock);
 }
 
+/* Returns the version of a configuration; 0: it can't be used. */
+static uint64_t
+version_of(struct str text)
+{
+	struct err e = { 0 };
+	struct routes *r = platform_config_parse(text, &e);
+	uint64_t version = r != NULL ? r->version : 0;
+
+	if (r == NULL)
+		LOG(LOG_LVL_ERR, "config-refused",
+		    { "detail", str_from(e.text) });
+	routes_unref(r);
+	return version;
+}
+
+/*
+ * Whether the queued configuration stays.  The store's changes come in their
+ * order; what is read elsewhere may be older than what has come meanwhile.
+ */
+static bool
+is_queued_newer(const struct discovery *d, struct str text, const char *source)
+{
+	if (d->queued_config.n == 0 ||
+	    (strcmp(source, FROM_STORE) == 0 &&
+		strcmp(d->queued_source, FROM_STORE) == 0))
+		return false;
+	return version_of(text) < version_of(str_of(&d->queued_config));
+}
+
 /*
  * Keeps only the newest text.  Versions that arrive in quick succession are
  * not all applied: a small host takes a tenth of a second to apply a large
  * configuration.
  */
-void
+bool
 discovery_queue_config(struct discovery *d, struct str text, const char *source)
 {
+	if (is_queued_newer(d, text, source))
+		return false;
 	buf_clear(&d->queued_config);
 	buf_put(&d->queued_config, text);
 	d->queued_source = source;
+	return true;
 }
 
 /* Parses a configuration and puts it in force if its version is newer. */
@@ -104,8 +136,8 @@
 	/* A restored store may list one of before; peers get the newer one. */
 	if (d->listing && d->routes != NULL && is_older(d, text))
 		return;
-	set_served_config(d, text);
-	discovery_queue_config(d, text, FROM_STORE);
+	if (discovery_queue_config(d, text, FROM_STORE))
+		set_served_config(d, text);
 }
 
 /* Compresses the configuration once for all peers that fetch it. */
@@ -151,7 +183,7 @@
 
 	d->config_fetch_pending = false;
 	if (st == KV_OK && c->n > 0 && c->v[0].value.n > 0) {
-		discovery_queue_config(d, str_of(&c->v[0].value), FROM_STORE);
+		discovery_queue_config(d, str_of(&c->v[0].value), "a read");
 		return;
 	}
 	/* The watcher's long poll detects whether the store is unavailable. */
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -103,8 +103,11 @@
  * (discovery_config.c).
  */
 void discovery_config_from_store(struct discovery *d, struct str text);
-/* Replaces the queued configuration; source appears in the log. */
-void discovery_queue_config(
+/*
+ * Replaces the queued configuration; false if that is newer and stays.  The
+ * source appears in the log.
+ */
+bool discovery_queue_config(
     struct discovery *d, struct str text, const char *source);
 /* Applies the queued configuration when one is due; call it regularly. */
 void discovery_apply_config(struct discovery *d, usec_t now);
