forward: a stream isn't given up while time for an attempt is left

Callers saw a stream broken off with up to 1.6 s of its time left, though a target would have taken its rest. The waits between attempts to resume it double up to 1.6 s, and a wait that didn't fit into the time left ended the stream: with a deadline of 3 s after 1.56 s.

Now such a wait is halved until it fits, down to the first one, 0.1 s.

The fake platform's behavior -refuse-2 takes any number of refusals.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -118,9 +118,12 @@
 resume_later(struct relay_request *r, const char *cause)
 {
 	usec_t wait = RESUME_INTERVAL << r->resume_waits;
+	usec_t left = r->deadline - clock_now() - MIN_TIME_LEFT;
 
-	if (!r->head_written || !route_repeatable(r->route) ||
-	    r->deadline - clock_now() <= wait + MIN_TIME_LEFT)
+	/* What is left may do for an attempt after a shorter wait. */
+	while (wait >= left && wait > RESUME_INTERVAL)
+		wait /= 2;
+	if (!r->head_written || !route_repeatable(r->route) || wait >= left)
 		return false;
 	if (r->resume_waits < RESUME_MAX_DOUBLINGS)
 		r->resume_waits++;
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -616,6 +616,7 @@
  *
  *   break        resets the connection after two events
  *   stall        sends no more bytes after two events
+ *   ...-refuse-N refuses N arrivals after the first one as not executed
  *   ...-500-2    responds with status 500 to the second arrival
  *   long         sends LONG_EVENTS events, five a second
  *   endless      sends an event without end, after two events
@@ -791,6 +792,15 @@
 	send_response(c, status, all, STR(""));
 }
 
+/* The arrivals that are refused after the first one. */
+static uint32_t
+refusals(const char *behavior)
+{
+	const char *p = strstr(behavior, "-refuse-");
+
+	return p != NULL ? (uint32_t)atoi(p + strlen("-refuse-")) : 0;
+}
+
 /* Records the arrival; returns false if the call was refused. */
 static bool
 admit_call(struct conn *c)
@@ -825,8 +835,7 @@
 	if (strcmp(c->behavior, "refuse") == 0 ||
 	    (strcmp(c->behavior, "refuse-once") == 0 && s->arrivals == 1) ||
 	    (strcmp(c->behavior, "cut-refuse") == 0 && s->arrivals == 2) ||
-	    (g_str_has_suffix(c->behavior, "-refuse-2") &&
-		(s->arrivals == 2 || s->arrivals == 3))) {
+	    (s->arrivals > 1 && s->arrivals <= 1 + refusals(c->behavior))) {
 		send_refusal(c, 503, "X-Not-Executed: 1\r\n");
 		return false;
 	}
--- a/tests/platform/test_silent_target.c
+++ b/tests/platform/test_silent_target.c
@@ -32,6 +32,7 @@
 	const char *behavior; /* fakeplat.c */
 	enum others others;
 	uint32_t max_runs;
+	int deadline_ms; /* 0: DEADLINE_MS */
 };
 
 static const struct silence_case cases[] = {
@@ -46,6 +47,8 @@
 	{ "broken-others-refuse", "/stream/1", "break-refuse-2", HEALTHY, 2 },
 	{ "broken-others-fail", "/stream/1", "break-500-2", HEALTHY, 2 },
 	{ "broken-others-at-rest", "/stream/1", "break", RESTING, 2 },
+	/* Attempts after about 160, 360, 760 and 1560 ms are refused. */
+	{ "broken-refuses-long", "/stream/1", "break-refuse-4", NONE, 2, 3000 },
 };
 
 static struct fakeplat *platform;
@@ -104,11 +107,11 @@
 	const struct silence_case *t = arg;
 	struct fakeplat_target other = { "e2", "engine", "d1", TARGET_PORT + 1,
 		.version = t->others == OTHER_VERSION ? "v2" : "v1" };
-	g_autofree char *q =
-	    harness_format(&(struct harness_request){ .path = t->path,
-		.id = t->name,
-		.behavior = t->behavior,
-		.deadline_ms = DEADLINE_MS });
+	g_autofree char *q = harness_format(&(struct harness_request){
+	    .path = t->path,
+	    .id = t->name,
+	    .behavior = t->behavior,
+	    .deadline_ms = t->deadline_ms > 0 ? t->deadline_ms : DEADLINE_MS });
 	struct harness_response a;
 	struct fakeplat_attempt s;
 	g_autofree char *config = harness_config(1, NULL);
