--- a/kernel/overload/resume_wait.c
+++ b/kernel/overload/resume_wait.c
@@ -7,7 +7,10 @@
 {
 	usec_t wait = RESUME_WAIT_FIRST << w->n_doubled;
 
-	if (!s->begun || !s->may_again || s->left <= wait)
+	/* What is left may do for an attempt after a shorter wait. */
+	while (wait >= s->left && wait > RESUME_WAIT_FIRST)
+		wait /= 2;
+	if (!s->begun || !s->may_again || wait >= s->left)
 		return 0;
 	if (w->n_doubled < MAX_DOUBLINGS)
 		w->n_doubled++;
--- a/tests/kernel/test_response_wait.c
+++ b/tests/kernel/test_response_wait.c
@@ -133,14 +133,14 @@
 	int deadline_ms;
 	int events_ms[2];     /* at which an attempt gets an event; 0: end */
 	bool unbegun, unsafe; /* no event yet; it may not be resumed */
-	int attempts_ms[8];   /* 0: end */
+	int attempts_ms[10];  /* 0: end */
 } resumes[] = {
 	{ "refused until its deadline", 3000, { 0 }, false, false,
-	    { 100, 300, 700, 1500 } },
+	    { 100, 300, 700, 1500, 2300, 2700, 2900 } },
 	{ "a long deadline", 8000, { 0 }, false, false,
 	    { 100, 300, 700, 1500, 3100, 4700, 6300, 7900 } },
 	{ "events in between", 3000, { 300, 700 }, false, false,
-	    { 100, 300, 400, 600, 1000, 1800 } },
+	    { 100, 300, 400, 600, 1000, 1800, 2600, 2800, 2900 } },
 	{ "no time for an attempt", 100, { 0 }, false, false, { 0 } },
 	{ "time for one", 101, { 0 }, false, false, { 100 } },
 	{ "without an event", 3000, { 0 }, true, false, { 0 } },
