stopping: what a stopping host takes and gives up is decided in kernel/

Which requests a stopping host takes, which it answers with a failure before its exit, and when it may end were decided in relay.c, with the I/O; no replay in virtual time covered them.

kernel/stopping has these decisions now; relay.c collects what they need. Behaviour is as before. test_stopping replays seven requests beside another one and 200 plays of 300 random requests: a host cuts off only answers that had begun in its drain, and what it takes after the drain ends by itself.

--- a/entry/relay.c
+++ b/entry/relay.c
@@ -6,6 +6,7 @@
 #include "entry/relay_metrics.h"
 #include "entry/relay_request.h"
 #include "entry/discovery.h"
+#include "kernel/stopping.h"
 
 #include <inttypes.h>
 #include <pthread.h>
@@ -38,10 +39,6 @@
 #define NOT_READY_RETRY   (300 * USEC_PER_MSEC)
 /* Retry-After while stopping; short, as another host can serve the request. */
 #define DRAINING_RETRY    (10 * USEC_PER_MSEC)
-/* Requests end this long before the exit, so that the last responses arrive. */
-#define EXIT_MARGIN       (400 * USEC_PER_MSEC)
-/* Calls without an answer are given up this long before the exit. */
-#define GIVE_UP_MARGIN    (200 * USEC_PER_MSEC)
 struct relay {
 	struct relay_opts o;
 	struct relay_shared shared;
@@ -70,19 +67,10 @@
 	relay_answer_problem(q, id, why);
 }
 
-/*
- * Whether a request that arrives now will finish before the process exits: its
- * deadline is over by then.  A stream may take all of its time, and one that is
- * cut off costs its caller more than one that is sent elsewhere at once.
- */
-static bool
-ends_in_time(const struct relay *y, const struct route *r,
-    const struct request_info *info, usec_t now)
+static struct stopping
+stopping_state(struct relay *y)
 {
-	usec_t exit_at = atomic_load(&((struct relay *)y)->exit_at);
-
-	return exit_at == 0 ||
-	    now + relay_request_budget(r, info) < exit_at - EXIT_MARGIN;
+	return (struct stopping){ .exit_at = atomic_load(&y->exit_at) };
 }
 
 static void
@@ -95,6 +83,7 @@
 	const struct key_owner *caller_key = NULL;
 	struct rejection why = { ERR_OK, 0, "" };
 	struct request_parts parts;
+	struct stopping stopping = stopping_state(y);
 
 	y->shared.counts.arrived++;
 	if (!platform_request_parse(httpd_message(q), &info)) {
@@ -129,7 +118,8 @@
 		reject_early(y, q, info.id, &why);
 		return;
 	}
-	if (!ends_in_time(y, route, &info, clock_now())) {
+	if (!stopping_takes(
+		&stopping, relay_request_budget(route, &info), clock_now())) {
 		why = (struct rejection){ ERR_DRAINING, DRAINING_RETRY,
 			"this host is stopping" };
 		reject_early(y, q, info.id, &why);
@@ -314,22 +304,25 @@
 		    "write to the relay's eventfd failed");
 }
 
-/* Rejects requests shortly before the exit, first those that are unsent. */
+/* Answers requests that can't end before the exit, first those not sent. */
 static void
-reject_at_exit(struct relay *y, usec_t left)
+reject_at_exit(struct relay *y, const struct stopping *stopping, usec_t now)
 {
 	GList *next;
 
 	for (GList *l = y->shared.requests.head; l != NULL; l = next) {
 		struct relay_request *r = l->data;
-		bool sent = r->call != NULL || r->may_have_run;
+		struct stopping_request state = {
+			.sent = r->call != NULL || r->may_have_run,
+			.answering = r->head_written,
+			.has_input =
+			    r->call != NULL && target_call_has_input(r->call),
+		};
 
 		next = l->next;
-		if (sent && (r->head_written || left > GIVE_UP_MARGIN))
-			continue;
-		if (r->call != NULL && target_call_has_input(r->call))
+		if (!stopping_gives_up(stopping, &state, now))
 			continue;
-		r->may_have_run = sent;
+		r->may_have_run = state.sent;
 		forward_cancel(r);
 		relay_request_reject(r,
 		    &(struct rejection){ ERR_DRAINING, DRAINING_RETRY,
@@ -337,22 +330,24 @@
 	}
 }
 
-/*
- * Ends the service once no request is left, no stage that this host coordinates
- * for others, and no answer to another host's call that it has not taken yet.
- */
 static void
 shutdown_tick(struct relay *y, bool coordinates, usec_t now)
 {
-	usec_t exit_at = atomic_load(&y->exit_at);
+	struct stopping stopping = stopping_state(y);
+	struct stopping_work work;
 
-	if (exit_at == 0)
+	if (stopping.exit_at == 0)
 		return;
-	if (httpd_finish(y->httpd) && atomic_load(&y->shared.busy) == 0 &&
-	    !coordinates && httpd_finish(y->ops_httpd))
+	work = (struct stopping_work){
+		.callers = !httpd_finish(y->httpd),
+		.calls = atomic_load(&y->shared.busy) > 0,
+		.stages = coordinates,
+	};
+	/* Other hosts get the rest of their answers on the operators' server.
+	 */
+	if (stopping_may_end(&stopping, &work) && httpd_finish(y->ops_httpd))
 		atomic_store(&y->finished, true);
-	if (exit_at - now <= EXIT_MARGIN)
-		reject_at_exit(y, exit_at - now);
+	reject_at_exit(y, &stopping, now);
 }
 
 static void
--- a/tests/kernel/test_stopping.c
+++ b/tests/kernel/test_stopping.c
@@ -2,11 +2,168 @@
  * Replays in virtual time of a process that stops: it must not end with
  * requests that it has not seen, or that it has taken.
  */
+#include "base/rng.h"
 #include "kernel/stopping.h"
 
 #include <glib.h>
 
-#define MS(n) ((usec_t)(n)*USEC_PER_MSEC)
+#define MS(n)    ((usec_t)(n)*USEC_PER_MSEC)
+#define TERM_AT  MS(1000)
+#define DRAIN    MS(2800)
+#define EXIT_AT  (TERM_AT + MS(7300))
+#define TICK     MS(50)
+#define REQUESTS 300
+#define PLAYS    200
+#define SEED     7
+
+enum outcome {
+	OPEN,
+	SERVED,   /* or ended by its deadline */
+	REJECTED, /* as not run */
+	GIVEN_UP, /* answered with a failure, may have run */
+	CUT_OFF
+};
+
+struct request {
+	usec_t arrives;
+	usec_t budget;  /* until its deadline */
+	usec_t sent;    /* times after the arrival; no later than its end */
+	usec_t answers; /* first bytes to the caller */
+	usec_t ends;
+	enum outcome outcome;
+	bool taken;
+};
+
+/* The calls of the host in one tick; returns whether it may end. */
+static bool
+play_tick(struct request *v, size_t n, usec_t now)
+{
+	struct stopping s = { now >= TERM_AT + DRAIN ? EXIT_AT : 0 };
+	struct stopping_work w = { 0 };
+
+	for (size_t i = 0; i < n; i++) {
+		struct request *r = &v[i];
+		usec_t age = now - r->arrives;
+		struct stopping_request state = { .sent = age >= r->sent,
+			.answering = age >= r->answers };
+
+		if (r->outcome != OPEN || age < 0)
+			continue;
+		if (!r->taken && !stopping_takes(&s, r->budget, now)) {
+			r->outcome = REJECTED;
+			continue;
+		}
+		r->taken = true;
+		if (age >= MIN(r->ends, r->budget))
+			r->outcome = SERVED;
+		else if (stopping_gives_up(&s, &state, now))
+			r->outcome = state.sent ? GIVEN_UP : REJECTED;
+		w.calls = w.calls || r->outcome == OPEN;
+	}
+	return stopping_may_end(&s, &w);
+}
+
+/* Plays the requests until the process ends; returns when. */
+static usec_t
+play(struct request *v, size_t n)
+{
+	usec_t now = 0;
+
+	while (!play_tick(v, n, now) && now < EXIT_AT)
+		now += TICK;
+	for (size_t i = 0; i < n; i++) {
+		if (v[i].outcome == OPEN && v[i].taken)
+			v[i].outcome = CUT_OFF;
+	}
+	return now;
+}
+
+/* Each request comes beside one of the drain that ends 7 s after the start. */
+static void
+test_requests(void)
+{
+	static const struct request other = { MS(3000), MS(9000), 0, MS(100),
+		MS(4000), OPEN, false };
+	static const struct {
+		const char *name;
+		struct request r; /* its outcome is the expected one */
+		usec_t ends_at;
+	} cases[] = {
+		{ "before the stop",
+		    { 0, MS(3000), 0, MS(100), MS(2000), SERVED, false },
+		    MS(7000) },
+		{ "longer than the drain",
+		    { MS(3000), MS(9000), 0, MS(100), MS(4800), SERVED, false },
+		    MS(7800) },
+		{ "in time, after the drain",
+		    { MS(4000), MS(3000), 0, MS(100), MS(2000), SERVED, false },
+		    MS(7000) },
+		{ "may pass the exit, after the drain",
+		    { MS(4000), MS(4000), 0, MS(100), MS(2000), REJECTED,
+			false },
+		    MS(7000) },
+		{ "answered too late",
+		    { MS(3000), MS(9000), 0, MS(8000), MS(8000), GIVEN_UP,
+			false },
+		    EXIT_AT - MS(200) },
+		{ "never sent",
+		    { MS(3000), MS(9000), MS(8000), MS(8000), MS(8000),
+			REJECTED, false },
+		    EXIT_AT - MS(400) },
+		{ "a stream that goes on",
+		    { MS(3000), MS(9000), 0, MS(100), MS(8000), CUT_OFF,
+			false },
+		    EXIT_AT },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct request v[] = { other, cases[i].r };
+
+		g_test_message("%s", cases[i].name);
+		v[1].outcome = OPEN;
+		g_assert_cmpint(play(v, 2), ==, cases[i].ends_at);
+		g_assert_cmpint(v[0].outcome, ==, SERVED);
+		g_assert_cmpint(v[1].outcome, ==, cases[i].r.outcome);
+	}
+}
+
+/*
+ * Whatever its requests do, a host that stops cuts off only answers that had
+ * begun in its drain, and what it takes after the drain ends by itself.
+ */
+static void
+test_load(void)
+{
+	struct rng rng;
+
+	rng_init(&rng, SEED);
+	for (int i = 0; i < PLAYS; i++) {
+		struct request v[REQUESTS] = { 0 };
+		usec_t end;
+
+		for (size_t k = 0; k < REQUESTS; k++) {
+			struct request *r = &v[k];
+
+			r->arrives = (usec_t)rng_below(&rng, EXIT_AT);
+			r->budget = (usec_t)rng_below(&rng, MS(12000));
+			r->ends = (usec_t)rng_below(&rng, MS(12000));
+			r->answers =
+			    (usec_t)rng_below(&rng, (uint64_t)r->ends + 1);
+			r->sent =
+			    (usec_t)rng_below(&rng, (uint64_t)r->answers + 1);
+		}
+		end = play(v, REQUESTS);
+		for (size_t k = 0; k < REQUESTS; k++) {
+			const struct request *r = &v[k];
+			bool late = r->arrives > TERM_AT + DRAIN;
+
+			g_assert_false(r->outcome == CUT_OFF &&
+			    (late || end - r->arrives < r->answers));
+			g_assert_false(
+			    late && r->taken && r->outcome != SERVED);
+		}
+	}
+}
 
 /* A request that arrives while the process stands still is seen after it. */
 static void
@@ -54,6 +211,8 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/stopping/requests", test_requests);
+	g_test_add_func("/stopping/load", test_load);
 	g_test_add_func("/stopping/quiet", test_quiet);
 	return g_test_run();
 }
