--- a/plat/http.c
+++ b/plat/http.c
@@ -4,11 +4,9 @@
 #include <err.h>
 #include <errno.h>
 #include <glib.h>
-#include <poll.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
-#include <sys/ioctl.h>
 #include <unistd.h>
 
 #define IDLE_CONN_MAX_SEC 20L
@@ -37,12 +35,9 @@
 	struct buf received; /* received and not yet delivered */
 	size_t max_bytes;    /* 0: no limit */
 	size_t n_bytes;      /* received so far */
-	int fd;              /* its socket, or -1 */
 	usec_t end_at;       /* deadline of the call, or NO_DEADLINE */
 	usec_t due_at;       /* end_at, or an earlier limit on connecting */
 	GSequenceIter *due;  /* its place among the loop's deadlines */
-	curl_off_t late_end; /* bytes that had arrived at the deadline */
-	bool late;           /* is past its deadline, and goes on */
 	bool head_delivered;
 	bool queued; /* its id is in the loop's list of readable transfers */
 };
@@ -264,12 +259,8 @@
 {
 	struct http_loop *l = arg;
 	struct epoll_event ev = { .data.fd = fd };
-	char *t = NULL;
 
-	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &t);
-	if (t != NULL)
-		((struct transfer *)(void *)t)->fd =
-		    what == CURL_POLL_REMOVE ? -1 : fd;
+	(void)easy;
 	if (what == CURL_POLL_REMOVE) {
 		epoll_ctl(l->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
 		return 0;
@@ -356,7 +347,6 @@
 	t->handler = o->handler;
 	t->arg = o->arg;
 	t->max_bytes = o->max_bytes;
-	t->fd = -1;
 	t->easy = curl_easy_init();
 	buf_put(&t->body, o->body);
 	set_options(t, o);
@@ -408,8 +398,11 @@
 	return mask;
 }
 
-/* Handles what is ready on all sockets, after at most the given time. */
-static void
+/*
+ * Handles what is ready on the sockets, after at most the given time; returns
+ * whether it was all.
+ */
+static bool
 handle_sockets(struct http_loop *l, usec_t wait)
 {
 	struct epoll_event ev[MAX_EPOLL_EVENTS];
@@ -434,35 +427,7 @@
 			n = MAX_EPOLL_EVENTS;
 		ts = (struct timespec){ 0 };
 	}
-}
-
-/*
- * Whether a call goes on although its deadline has passed: its connection is
- * up, or a part of its answer has arrived, which libcurl has not looked at.  It
- * may read what had arrived by then, and no more.
- */
-static bool
-has_arrived(struct transfer *t)
-{
-	bool connected = is_connected(t->easy);
-	struct pollfd p = { .fd = t->fd,
-		.events = connected ? POLLIN : POLLOUT };
-	curl_off_t body = 0;
-	long head = 0;
-	int unread = 0;
-
-	if (t->fd < 0 || poll(&p, 1, 0) <= 0)
-		return false;
-	curl_easy_getinfo(t->easy, CURLINFO_SIZE_DOWNLOAD_T, &body);
-	curl_easy_getinfo(t->easy, CURLINFO_HEADER_SIZE, &head);
-	if (!t->late) {
-		ioctl(t->fd, FIONREAD, &unread);
-		/* The end of the connection counts as a byte. */
-		t->late_end = body + head + (unread > 0 ? unread : 1);
-		t->late = true;
-		return true;
-	}
-	return connected && body + head < t->late_end;
+	return n < MAX_EPOLL_EVENTS;
 }
 
 static void
@@ -470,17 +435,15 @@
 {
 	if (t->due_at < t->end_at && is_connected(t->easy)) {
 		t->due_at = t->end_at;
-		t->late = false;
 		g_sequence_sort_changed(t->due, compare_due, NULL);
 	}
-	if (t->due_at <= now && !has_arrived(t))
+	if (t->due_at <= now)
 		finish(l, t, CURLE_OPERATION_TIMEDOUT);
 }
 
 static void
-check_deadlines(struct http_loop *l)
+check_deadlines(struct http_loop *l, usec_t now)
 {
-	usec_t now = clock_now();
 	g_autoptr(GArray) ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 
 	for (GSequenceIter *i = g_sequence_get_begin_iter(l->deadlines);
@@ -515,14 +478,23 @@
 	return MAX(MIN(left, wait), 0);
 }
 
+/*
+ * Deadlines are judged by the time before the sockets are handled: what has
+ * arrived by then has been read, also if the process stands still in between.
+ */
 void
 http_run(struct http_loop *l, usec_t wait)
 {
-	wait = run_timer(l, wait);
-	handle_sockets(l, until_deadline(l, wait));
+	usec_t now;
+	bool all;
+
+	wait = until_deadline(l, run_timer(l, wait));
+	now = clock_now();
+	all = handle_sockets(l, wait);
 	deliver_all(l);
 	run_timer(l, 0);
-	check_deadlines(l);
+	if (all)
+		check_deadlines(l, now);
 }
 
 void
--- a/tests/plat/test_http.c
+++ b/tests/plat/test_http.c
@@ -24,6 +24,8 @@
 /* What the server sends at most. */
 #define ENDLESS_BYTES ((size_t)64 * 1024 * 1024)
 #define CHUNK         ((size_t)64 * 1024)
+#define CALLS         100
+#define CALL_TIME     (2 * USEC_PER_SEC)
 #define STANDSTILL    (600 * USEC_PER_MSEC)
 /* A connection that found the backlog full is tried again after 1 s. */
 #define CONNECT_RETRY (1500 * USEC_PER_MSEC)
@@ -101,6 +103,21 @@
 	r->ended = r->failed || ev->kind == HTTP_END;
 }
 
+static struct evconnlistener *
+start_server(struct server *s, char **url)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(sa);
+	struct evconnlistener *l = evconnlistener_new_bind(s->base, on_accept,
+	    s, LEV_OPT_CLOSE_ON_FREE, -1, (struct sockaddr *)&sa, sizeof(sa));
+
+	g_assert_nonnull(l);
+	getsockname(evconnlistener_get_fd(l), (struct sockaddr *)&sa, &len);
+	*url = g_strdup_printf("http://127.0.0.1:%d/", ntohs(sa.sin_port));
+	return l;
+}
+
 static void
 test_endless(void)
 {
@@ -127,22 +144,12 @@
 		struct server s = { .base = event_base_new(),
 			.head = cases[i].head,
 			.body_bytes = cases[i].body_bytes };
-		struct sockaddr_in sa = { .sin_family = AF_INET,
-			.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
-		socklen_t len = sizeof(sa);
-		struct evconnlistener *l = evconnlistener_new_bind(s.base,
-		    on_accept, &s, LEV_OPT_CLOSE_ON_FREE, -1,
-		    (struct sockaddr *)&sa, sizeof(sa));
-		struct http_loop *loop = http_new();
 		g_autofree char *url = NULL;
+		struct evconnlistener *l = start_server(&s, &url);
+		struct http_loop *loop = http_new();
 		struct result r = { 0 };
 
 		g_test_message("%s", cases[i].name);
-		g_assert_nonnull(l);
-		getsockname(
-		    evconnlistener_get_fd(l), (struct sockaddr *)&sa, &len);
-		url =
-		    g_strdup_printf("http://127.0.0.1:%d/", ntohs(sa.sin_port));
 		http_start(loop,
 		    &(struct http_opts){ .url = url,
 			.timeout = 20 * USEC_PER_SEC,
@@ -165,6 +172,42 @@
 	}
 }
 
+/* More calls are answered while the loop doesn't run than it reads at once. */
+static void
+test_many_answers(void)
+{
+	struct server s = { .base = event_base_new(),
+		.head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" };
+	g_autofree char *url = NULL;
+	struct evconnlistener *l = start_server(&s, &url);
+	struct http_loop *loop = http_new();
+	struct result r[CALLS] = { 0 };
+	int answered = 0;
+
+	for (int i = 0; i < CALLS; i++)
+		http_start(loop,
+		    &(struct http_opts){ .url = url,
+			.timeout = CALL_TIME,
+			.handler = on_event,
+			.arg = &r[i] });
+	for (int i = 0; i < CALLS; i++)
+		http_run(loop, USEC_PER_MSEC);
+	for (int i = 0; i < CALLS; i++) {
+		event_base_loop(s.base, EVLOOP_NONBLOCK);
+		g_usleep(USEC_PER_MSEC);
+	}
+	g_usleep((gulong)CALL_TIME);
+	while (http_active(loop) > 0)
+		http_run(loop, USEC_PER_MSEC);
+	for (int i = 0; i < CALLS; i++)
+		answered += r[i].ended && !r[i].failed;
+	g_assert_cmpint(answered, ==, CALLS);
+	http_free(loop);
+	event_base_loop(s.base, EVLOOP_NONBLOCK);
+	evconnlistener_free(l);
+	event_base_free(s.base);
+}
+
 struct stop_case {
 	const char *name;
 	usec_t timeout;         /* of the call; 0: none */
@@ -175,6 +218,7 @@
 	size_t body_bytes;
 	bool ends_conn;
 	bool answered;
+	bool kept; /* on the connection of another call */
 };
 
 static const struct stop_case stops[] = {
@@ -184,6 +228,9 @@
 	{ "answer of several reads", 300 * USEC_PER_MSEC, 0, 0, false,
 	    "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n", 60000, false,
 	    true },
+	{ "answer on a kept connection", 300 * USEC_PER_MSEC, 0, 0, false,
+	    "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n", 60000, false,
+	    true, true },
 	{ "answer up to the end of the connection", 300 * USEC_PER_MSEC, 0, 0,
 	    false, "HTTP/1.1 200 OK\r\n\r\n", 60000, true, true },
 	{ "answer, judged after http_run", 0, 0, 300 * USEC_PER_MSEC, false,
@@ -208,6 +255,14 @@
 	usec_t start = clock_now();
 	bool late = false;
 
+	if (x->kept) {
+		http_start(loop,
+		    &(struct http_opts){
+			.url = url, .handler = on_event, .arg = &r });
+		while (!r.ended)
+			http_run(loop, USEC_PER_SEC);
+		r = (struct result){ 0 };
+	}
 	http_start(loop,
 	    &(struct http_opts){ .url = url,
 		.timeout = x->timeout,
@@ -268,6 +323,11 @@
 	if (!x->at_connect) {
 		fd = accept(listener, NULL, NULL);
 		g_assert_cmpint(read(fd, request, sizeof(request)), >, 0);
+		if (x->kept) {
+			send_answer(x, fd);
+			g_assert_cmpint(
+			    read(fd, request, sizeof(request)), >, 0);
+		}
 		kill(pid, SIGSTOP);
 	}
 	waitpid(pid, &status, WUNTRACED);
@@ -295,6 +355,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions();
 	g_test_add_func("/http/endless", test_endless);
+	g_test_add_func("/http/many-answers", test_many_answers);
 	for (size_t i = 0; i < G_N_ELEMENTS(stops); i++) {
 		g_autofree char *path =
 		    g_strdup_printf("/http/standstill/%s", stops[i].name);
