--- a/kernel/stream_records.c
+++ b/kernel/stream_records.c
@@ -271,7 +271,7 @@
 	while (g_hash_table_iter_next(&it, &service, NULL)) {
 		const int64_t *last = g_hash_table_lookup(g->seconds, service);
 
-		if (stream_versions_unrecorded(versions, service) != NULL ||
+		if (stream_versions_base_serves(versions, service) ||
 		    !stream_versions_mixed(versions, service, now) ||
 		    (last != NULL && second - *last < STREAM_GAP_RENEW))
 			continue;
