discovery: the recorder writes records of streams again after a restore

Callers saw: streams that began at another version than the base within the seconds that a restore of the store took back, whose hosts were then all lost, went on at the base version.

Cause: records written since the copy are gone, and nobody had them any more.

An acknowledgement of the time before the restore doesn't count.

/store-restore/written-again shows that the list of hosts, quarantines and base versions come back, too.

--- a/entry/discovery_streams.c
+++ b/entry/discovery_streams.c
@@ -46,6 +46,12 @@
 	GArray *written; /* the same, in records but not in the store */
 	bool put_in_flight;
 	usec_t put_at;
+	uint64_t put_restores; /* d->restores at the last write */
+	struct stream_record_log log;
+	uint64_t log_restores; /* d->restores when it was looked at */
+	int64_t rewritten;     /* second of the item in flight; 0: a new one */
+	usec_t rewritten_at;
+	bool rewrites; /* items may be left to be written again */
 	/* Of the newest item that this host had written before it started. */
 	int64_t last_second;
 	bool listed;  /* the store, so that last_second is known */
@@ -87,6 +93,7 @@
 discovery_free_streams(struct stream_store *s)
 {
 	stream_records_free(&s->records);
+	stream_record_log_free(&s->log);
 	stream_bases_free(&s->bases);
 	g_array_unref(s->waiting);
 	g_array_unref(s->written);
@@ -148,8 +155,19 @@
 	struct discovery *d = arg;
 	struct stream_store *s = d->streams;
 
+	bool written = r->status == KV_OK && s->put_restores == d->restores;
+
 	s->put_in_flight = false;
-	if (r->status == KV_OK) {
+	if (s->rewritten != 0) {
+		if (written)
+			return;
+		stream_record_log_failed(&s->log, s->rewritten);
+		/* As below. */
+		if (s->rewritten == s->records.second)
+			s->records.second++;
+		return;
+	}
+	if (written) {
 		reply_recorded(d, s->written);
 		return;
 	}
@@ -186,24 +204,58 @@
 	s->dropped = false;
 }
 
+static void
+put_records(struct discovery *d, int64_t second, struct str value)
+{
+	g_autofree char *key = g_strdup_printf(RECORDS_PREFIX "%s/%" PRId64,
+	    d->o.settings->id, second % RECORD_ITEMS);
+
+	d->streams->put_in_flight = true;
+	d->streams->put_restores = d->restores;
+	kv_put_item(d->kv, str_from(key), value, on_recorded, d);
+}
+
+/* Writes an item again that a restored store may not have. */
+static void
+rewrite_records(struct discovery *d, usec_t now)
+{
+	struct stream_store *s = d->streams;
+	const struct stream_record_item *x;
+
+	if (s->log_restores != d->restores) {
+		s->log_restores = d->restores;
+		stream_record_log_lost(&s->log);
+	}
+	if (now - s->rewritten_at < STREAM_RECORD_PAUSE)
+		return;
+	x = stream_record_log_next(&s->log, clock_wall() / USEC_PER_SEC);
+	s->rewrites = x != NULL;
+	if (x == NULL)
+		return;
+	s->rewritten_at = now;
+	s->rewritten = x->second;
+	put_records(d, x->second, str_of(&x->value));
+}
+
 void
 discovery_record_streams(struct discovery *d, usec_t now)
 {
 	struct stream_store *s = d->streams;
 	usec_t pause = s->written->len > 0 ? RETRY_PAUSE : STREAM_RECORD_PAUSE;
-	g_autofree char *key = NULL;
 	struct buf value = { 0 };
 
-	if (s->waiting->len + s->written->len == 0 || s->put_in_flight ||
-	    d->store_unavailable || !s->listed || now - s->put_at < pause)
+	if (s->put_in_flight || d->store_unavailable || !s->listed)
 		return;
+	if (s->waiting->len + s->written->len == 0 || now - s->put_at < pause) {
+		rewrite_records(d, now);
+		return;
+	}
 	take_waiting(s);
-	s->put_in_flight = true;
 	s->put_at = now;
-	key = g_strdup_printf(RECORDS_PREFIX "%s/%" PRId64, d->o.settings->id,
-	    s->records.second % RECORD_ITEMS);
+	s->rewritten = 0;
 	stream_records_write(&s->records, &value);
-	kv_put_item(d->kv, str_from(key), str_of(&value), on_recorded, d);
+	stream_record_log_note(&s->log, s->records.second, str_of(&value));
+	put_records(d, s->records.second, str_of(&value));
 	buf_free(&value);
 }
 
@@ -211,10 +263,16 @@
 discovery_record_due(const struct discovery *d)
 {
 	const struct stream_store *s = d->streams;
+	usec_t at = 0;
 
-	if (s->waiting->len == 0 || s->put_in_flight || d->store_unavailable)
+	if (s->put_in_flight || d->store_unavailable)
 		return 0;
-	return s->put_at + STREAM_RECORD_PAUSE;
+	if (s->rewrites)
+		at = s->rewritten_at + STREAM_RECORD_PAUSE;
+	if (s->waiting->len > 0 &&
+	    (at == 0 || s->put_at + STREAM_RECORD_PAUSE < at))
+		at = s->put_at + STREAM_RECORD_PAUSE;
+	return at;
 }
 
 /* The store doesn't answer this host: another one has to record the stream. */
--- a/kernel/stream_records.c
+++ b/kernel/stream_records.c
@@ -96,6 +96,57 @@
 	g_hash_table_destroy(r->groups);
 }
 
+void
+stream_record_log_note(
+    struct stream_record_log *l, int64_t second, struct str value)
+{
+	struct stream_record_item *x = &l->items[second % STREAM_RECORD_SLOTS];
+
+	x->second = second;
+	x->lost = false;
+	buf_clear(&x->value);
+	buf_put(&x->value, value);
+}
+
+void
+stream_record_log_lost(struct stream_record_log *l)
+{
+	for (size_t i = 0; i < STREAM_RECORD_SLOTS; i++)
+		l->items[i].lost = l->items[i].second != 0;
+}
+
+const struct stream_record_item *
+stream_record_log_next(struct stream_record_log *l, int64_t now)
+{
+	struct stream_record_item *newest = NULL;
+
+	for (size_t i = 0; i < STREAM_RECORD_SLOTS; i++) {
+		struct stream_record_item *x = &l->items[i];
+
+		if (x->lost && x->second >= now - STREAM_RECORD_SLOTS &&
+		    (newest == NULL || x->second > newest->second))
+			newest = x;
+	}
+	if (newest != NULL)
+		newest->lost = false;
+	return newest;
+}
+
+void
+stream_record_log_failed(struct stream_record_log *l, int64_t second)
+{
+	struct stream_record_item *x = &l->items[second % STREAM_RECORD_SLOTS];
+
+	x->lost = x->lost || x->second == second;
+}
+
+void
+stream_record_log_free(struct stream_record_log *l)
+{
+	for (size_t i = 0; i < STREAM_RECORD_SLOTS; i++)
+		buf_free(&l->items[i].value);
+}
+
 /* Reads service and version of a line; the hashes are left. */
 static bool
 read_names(struct str *line, struct str *service, struct str *version)
--- a/kernel/stream_records.h
+++ b/kernel/stream_records.h
@@ -13,7 +13,8 @@
  * is an item for each second, and each is written over after twice
  * STREAM_RECORD_SLOTS: records expire without being deleted.  A recorder that
  * has restarted goes on after the last second that it wrote before, as the
- * records of that are still needed.
+ * records of that are still needed.  After a restore of the store the recorder
+ * writes again what it wrote lately.
  *
  * The items are text.  That of a second has the lines
  *
@@ -65,6 +66,33 @@
 void stream_records_write(const struct stream_records *r, struct buf *out);
 void stream_records_free(struct stream_records *r);
 
+/*
+ * What the recorder wrote lately, as a store that is restored from a copy has
+ * lost the newest of it: an item for each second.
+ */
+struct stream_record_log {
+	struct stream_record_item {
+		int64_t second; /* 0: none */
+		struct buf value;
+		bool lost; /* may not be in the store */
+	} items[STREAM_RECORD_SLOTS];
+};
+
+/* Notes the newest value of a second, which is being written. */
+void stream_record_log_note(
+    struct stream_record_log *l, int64_t second, struct str value);
+/* The store was restored: all items may be missing there. */
+void stream_record_log_lost(struct stream_record_log *l);
+/*
+ * Returns the newest item that may be missing and still counts, or NULL.  It is
+ * noted as lost no longer.
+ */
+const struct stream_record_item *stream_record_log_next(
+    struct stream_record_log *l, int64_t now);
+/* The item of this second has not been written. */
+void stream_record_log_failed(struct stream_record_log *l, int64_t second);
+void stream_record_log_free(struct stream_record_log *l);
+
 /* What the items say of one stream. */
 struct stream_record_search {
 	const char *service;
--- a/tests/kernel/test_stream_records.c
+++ b/tests/kernel/test_stream_records.c
@@ -143,6 +143,36 @@
 	buf_free(&lost);
 }
 
+/* What a restored store may lack is written again, the newest first. */
+static void
+test_log(void)
+{
+	static struct stream_record_log l;
+	const struct stream_record_item *x;
+
+	stream_record_log_note(&l, 36, STR("old"));
+	stream_record_log_note(&l, 99, STR("one"));
+	stream_record_log_note(&l, 101, STR("two"));
+	g_assert_null(stream_record_log_next(&l, 101));
+	stream_record_log_lost(&l);
+	/* A second that is written on is not missing. */
+	stream_record_log_note(&l, 101, STR("two and three"));
+	stream_record_log_note(&l, 102, STR("four"));
+	x = stream_record_log_next(&l, 102);
+	g_assert_cmpint(x->second, ==, 99);
+	g_assert_true(str_eq(str_of(&x->value), STR("one")));
+	g_assert_null(stream_record_log_next(&l, 102));
+	stream_record_log_failed(&l, 99);
+	g_assert_cmpint(stream_record_log_next(&l, 102)->second, ==, 99);
+	stream_record_log_failed(&l, 98);
+	g_assert_null(stream_record_log_next(&l, 102));
+	stream_record_log_lost(&l);
+	x = stream_record_log_next(&l, 102);
+	g_assert_true(str_eq(str_of(&x->value), STR("four")));
+	g_assert_cmpint(stream_record_log_next(&l, 102)->second, ==, 101);
+	stream_record_log_free(&l);
+}
+
 /* A restored store has the bases of before, also several times over. */
 static void
 test_older_bases(void)
@@ -427,6 +457,7 @@
 	g_test_add_func("/stream-records/malformed", test_malformed);
 	g_test_add_func("/stream-records/odd", test_odd);
 	g_test_add_func("/stream-records/odd-bases", test_odd_bases);
+	g_test_add_func("/stream-records/log", test_log);
 	g_test_add_func("/stream-records/older-bases", test_older_bases);
 	g_test_add_func("/stream-records/decide", test_decide);
 	g_test_add_func("/stream-records/bases", test_bases);
--- a/tests/platform/test_mixed_versions.c
+++ b/tests/platform/test_mixed_versions.c
@@ -67,8 +67,9 @@
 	/* The store is restored from a copy before the hosts are killed. */
 	enum {
 		NOT_RESTORED,
-		WITHOUT_BASE,   /* that has nothing that hosts have written */
-		WITH_OLDER_BASE /* of before the base version has changed */
+		WITHOUT_RECORDS, /* from a copy without the streams' records */
+		WITHOUT_BASE,    /* that has nothing that hosts have written */
+		WITH_OLDER_BASE  /* of before the base version has changed */
 	} restored;
 } cases[] = {
 	{ "all-hosts-killed-and-the-base-lost-by-a-restore", "/stream/1",
@@ -115,6 +116,9 @@
 	    BOTH, true, false, false, false, true },
 	{ "all-hosts-killed-before-the-other-version", "/stream/1", "stall",
 	    OLD_ONLY, BOTH, true, false, false, false, true },
+	{ "all-hosts-killed-and-records-lost-by-a-restore", "/stream/1",
+	    "stall", BOTH, BOTH, true, .kill_all = true,
+	    .restored = WITHOUT_RECORDS },
 	/* The last one: the base version is another one from then on. */
 	{ "all-hosts-killed-and-an-older-base-by-a-restore", "/stream/1",
 	    "stall", NEW_ONLY, BOTH, true, .kill_all = true,
@@ -294,9 +298,10 @@
 static void
 prepare_copy(const struct version_case *x)
 {
+	if (x->restored == WITHOUT_RECORDS || x->restored == WITH_OLDER_BASE)
+		fakeplat_copy_store(platform);
 	if (x->restored != WITH_OLDER_BASE)
 		return;
-	fakeplat_copy_store(platform);
 	fakeplat_put(platform, "sequoia/versions", NEWER_BASES);
 	g_usleep((gulong)SETTLE_TIME);
 }
@@ -349,7 +354,7 @@
 		kill(hosts[0].pid, SIGKILL);
 		harness_wait_exit(&hosts[0]);
 	}
-	if (x->restored == WITH_OLDER_BASE)
+	if (x->restored == WITHOUT_RECORDS || x->restored == WITH_OLDER_BASE)
 		restore_store();
 	if (x->kill_all)
 		kill_all_hosts();
--- a/tests/platform/test_store_restore.c
+++ b/tests/platform/test_store_restore.c
@@ -6,6 +6,7 @@
  */
 #include "tests/platform/harness.h"
 
+#include <inttypes.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdatomic.h>
@@ -24,6 +25,8 @@
 /* Until all hosts have seen what a target or the store says. */
 #define NOTICE_TIME     (1500 * USEC_PER_MSEC)
 #define AWAY_TIME       (300 * USEC_PER_MSEC)
+/* Hosts have written again by then what the store doesn't have. */
+#define REWRITE_TIME    (6 * USEC_PER_SEC)
 #define WATCH_TIME      (2 * USEC_PER_SEC)
 /* The platform's bounds StableMs and DrainMs. */
 #define STABLE_TIME     (3 * USEC_PER_SEC)
@@ -222,6 +225,34 @@
 	g_assert_cmpint(request_status(&hosts[HOSTS], "/new/1"), ==, 200);
 }
 
+/* The copy is of before the hosts' start: they write theirs again. */
+static void
+test_rewritten(void)
+{
+	static const char *const keys[] = { "sequoia/hosts", "sequoia/versions",
+		"sequoia/quarantine/0123456789abcdef" };
+	g_autofree char *quarantine =
+	    g_strdup_printf("1\t%" PRId64 "\t600000\t0123456789abcdef",
+		clock_wall() / USEC_PER_MSEC + 600000);
+	char *values[G_N_ELEMENTS(keys)];
+
+	g_usleep((gulong)REWRITE_TIME);
+	fakeplat_put(platform, keys[2], quarantine);
+	g_usleep((gulong)NOTICE_TIME);
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		values[i] = fakeplat_get(platform, keys[i]);
+		g_assert_nonnull(values[i]);
+	}
+	restore(&cases[0], "");
+	g_usleep((gulong)REWRITE_TIME);
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		g_autofree char *now = fakeplat_get(platform, keys[i]);
+
+		g_assert_cmpstr(now, ==, values[i]);
+		g_free(values[i]);
+	}
+}
+
 static void
 start_platform(void)
 {
@@ -232,6 +263,7 @@
 	fakeplat_add_target(platform,
 	    &(struct fakeplat_target){ "stays", "plain", "d1", TARGET_PORT });
 	fakeplat_put(platform, "op/config", c);
+	fakeplat_copy_store(platform);
 	g_strlcpy(hosts[0].dir, dir, sizeof(hosts[0].dir));
 	start_fleet(1);
 }
@@ -251,6 +283,7 @@
 		pthread_create(
 		    &callers[i].thread, NULL, run_caller, &callers[i]);
 	}
+	g_test_add_func("/store-restore/written-again", test_rewritten);
 	g_test_add_func("/store-restore/configuration", test_config);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		g_autofree char *path =
