result_space: forgets addresses at which nothing is held

Targets name an address in each handle that they return. The table kept an entry for each address ever named, also by a look-up or a free, and results at addresses that nobody asks for didn't expire.

Results expire once a second wherever they are, addresses with nothing reserved or held are dropped, and looking up or freeing adds none.

/result-space before: g_hash_table_size(r.producers) == 1: (1003 == 1) after: ok

--- a/kernel/overload/result_space.c
+++ b/kernel/overload/result_space.c
@@ -4,6 +4,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Interval in which results expire that nobody asks for. */
+#define SWEEP_INTERVAL (1 * USEC_PER_SEC)
+
 struct held_result {
 	uint64_t bytes;
 	usec_t expires;
@@ -31,10 +34,12 @@
 	r->producers = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, free_producer);
 	r->n_lost = 0;
+	r->swept_at = 0;
 }
 
+/* Returns the producer, which is added if it isn't known. */
 static struct producer *
-find_producer(struct result_space *r, const char *addr)
+add_producer(struct result_space *r, const char *addr)
 {
 	struct producer *p = g_hash_table_lookup(r->producers, addr);
 
@@ -80,11 +85,38 @@
 	}
 }
 
+static bool
+is_empty(const struct producer *p)
+{
+	return p->reserved == 0 && g_hash_table_size(p->results) == 0;
+}
+
+static void
+sweep(struct result_space *r, usec_t now)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	if (now - r->swept_at < SWEEP_INTERVAL)
+		return;
+	r->swept_at = now;
+	g_hash_table_iter_init(&it, r->producers);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		expire_results(p, now);
+		if (is_empty(p))
+			g_hash_table_iter_remove(&it);
+	}
+}
+
 uint64_t
 result_space_used(struct result_space *r, const char *addr, usec_t now)
 {
-	struct producer *p = find_producer(r, addr);
+	struct producer *p;
 
+	sweep(r, now);
+	p = g_hash_table_lookup(r->producers, addr);
+	if (p == NULL)
+		return 0;
 	expire_results(p, now);
 	return p->reserved + p->held_bytes;
 }
@@ -92,15 +124,16 @@
 void
 result_space_reserve(struct result_space *r, const char *addr, uint64_t bytes)
 {
-	find_producer(r, addr)->reserved += bytes;
+	add_producer(r, addr)->reserved += bytes;
 }
 
 void
 result_space_release(struct result_space *r, const char *addr, uint64_t bytes)
 {
-	struct producer *p = find_producer(r, addr);
+	struct producer *p = g_hash_table_lookup(r->producers, addr);
 
-	p->reserved -= bytes < p->reserved ? bytes : p->reserved;
+	if (p != NULL)
+		p->reserved -= bytes < p->reserved ? bytes : p->reserved;
 }
 
 void
@@ -118,7 +151,7 @@
     struct result_space *r, const char *handle, uint64_t bytes, usec_t expires)
 {
 	g_autofree char *addr = address_of(str_from(handle));
-	struct producer *p = find_producer(r, addr);
+	struct producer *p = add_producer(r, addr);
 	struct held_result *h = g_new0(struct held_result, 1);
 
 	if (g_hash_table_contains(p->results, handle))
@@ -136,8 +169,9 @@
 {
 	g_autofree char *addr = address_of(handle);
 	g_autofree char *key = g_strndup(handle.p, handle.n);
-	struct producer *p = find_producer(r, addr);
-	const struct held_result *h = g_hash_table_lookup(p->results, key);
+	struct producer *p = g_hash_table_lookup(r->producers, addr);
+	const struct held_result *h =
+	    p != NULL ? g_hash_table_lookup(p->results, key) : NULL;
 
 	if (h == NULL)
 		return false;
--- a/kernel/overload/result_space.h
+++ b/kernel/overload/result_space.h
@@ -9,8 +9,9 @@
  * whose answer was lost count until they expire, as their handles are unknown
  * and nobody can free them.
  *
- * Producers are named by address (IP:PORT).  Times are in microseconds.  The
- * table has no locks: one thread owns it.
+ * Producers are named by address (IP:PORT).  An address is forgotten once
+ * nothing is reserved or held there, as targets may name any in their answers.
+ * Times are in microseconds.  The table has no locks: one thread owns it.
  */
 #ifndef KERNEL_OVERLOAD_RESULT_SPACE_H
 #define KERNEL_OVERLOAD_RESULT_SPACE_H
@@ -23,6 +24,7 @@
 struct result_space {
 	GHashTable *producers; /* address -> struct producer */
 	uint64_t n_lost; /* number of results with lost handles, since start */
+	usec_t swept_at; /* when all producers were looked at */
 };
 
 void result_space_init(struct result_space *r);
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -365,6 +365,21 @@
 	g_assert_cmpuint(result_space_used(&r, "m:1", 2999), ==, 60);
 	g_assert_cmpuint(result_space_used(&r, "m:1", 3000), ==, 30);
 	g_assert_cmpuint(result_space_used(&r, "m:1", 4000), ==, 0);
+	/* Of addresses that answers name, none is kept for ever. */
+	for (int i = 0; i < 1000; i++) {
+		g_autofree char *addr = g_strdup_printf("m:%d", i);
+		g_autofree char *handle = g_strconcat(addr, "/a", NULL);
+
+		result_space_hold(&r, handle, 1, 5000);
+		result_space_reserve(&r, addr, i == 0 ? 7 : 0);
+		g_assert_cmpuint(
+		    result_space_used(&r, "unused", 4000 + i), ==, 0);
+		result_space_free_result(&r, STR("n:1/a"));
+		result_space_release(&r, "n:2", 1);
+	}
+	g_assert_cmpuint(result_space_used(&r, "m:2", 3 * USEC_PER_SEC), ==, 0);
+	g_assert_cmpuint(g_hash_table_size(r.producers), ==, 1);
+	g_assert_cmpuint(result_space_used(&r, "m:0", 3 * USEC_PER_SEC), ==, 7);
 	result_space_free(&r);
 }
 
