quarantine: an item of the store is in force for its length at most

Another writer may put a well-formed item into the store whose end is years away: requests with its parts were rejected until then. The length was bounded, the end was not.

An end further away than the length and 10 minutes for clocks that differ doesn't count yet.

--- a/kernel/quarantine.c
+++ b/kernel/quarantine.c
@@ -12,6 +12,8 @@
 #define SEND_PAUSE_MIN (1 * USEC_PER_SEC)
 #define SEND_PAUSE_MAX (30 * USEC_PER_SEC)
 #define HEX_DIGITS     16
+/* The clocks of two hosts differ by less. */
+#define MAX_SKEW_MS    ((int64_t)600 * 1000)
 /* In microseconds, and with the longest length added, it fits into 64 bits. */
 #define MAX_TIME_MS    (INT64_MAX / USEC_PER_MSEC - QUARANTINE_LONGEST_MS)
 
@@ -42,7 +44,8 @@
 static bool
 is_in_force(const struct quarantine_entry *e, int64_t now_ms)
 {
-	return e->parts.n > 0 && now_ms < e->until_ms;
+	return e->parts.n > 0 && now_ms < e->until_ms &&
+	    e->until_ms - now_ms <= e->length_ms + MAX_SKEW_MS;
 }
 
 /* Whether an entry has ended so lately that one crash renews it. */
--- a/kernel/quarantine.h
+++ b/kernel/quarantine.h
@@ -10,7 +10,8 @@
  * an item replaces the lower.  Of two sets with one version, the parts that
  * both have remain.  A set ends after a while, as targets may have
  * been repaired; if it crashes a target again soon after, it is quarantined at
- * once, for twice as long.
+ * once, for twice as long.  One whose end is further away than its length, as
+ * another writer may invent, is not in force until then.
  *
  * An item's value is text: version, end (Unix time in milliseconds), length in
  * milliseconds, and the parts as 16 hexadecimal digits each, separated by
--- a/tests/kernel/test_quarantine.c
+++ b/tests/kernel/test_quarantine.c
@@ -4,6 +4,7 @@
  */
 #include "kernel/quarantine.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #define SEC(t)  ((usec_t)(t)*USEC_PER_SEC)
@@ -171,6 +172,36 @@
 	}
 }
 
+/* No item of the store is in force for longer than it says. */
+static void
+test_end_far_away(void)
+{
+	static const struct {
+		const char *name;
+		int64_t until_ms;
+		char fate;
+	} cases[] = {
+		{ "its length", NOW_MS + 600000, 'r' },
+		{ "by a clock that is ahead", NOW_MS + 1200000, 'r' },
+		{ "a day", NOW_MS + 86400000, '-' },
+		{ "years", INT64_C(9000000000000000), '-' },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *value = g_strdup_printf(
+		    "1\t%" PRId64 "\t600000\t" PARTS_1, cases[i].until_ms);
+		struct quarantine q;
+
+		g_test_message("%s", cases[i].name);
+		quarantine_init(&q);
+		g_assert_cmpint(quarantine_read(&q, STR("00000000000000aa"),
+				    str_from(value), true, SEC(1)),
+		    ==, QUARANTINE_CHANGED);
+		g_assert_cmpint(fate(&q, "\x01", NOW_MS), ==, cases[i].fate);
+		quarantine_free(&q);
+	}
+}
+
 /* What another writer has put in the place of an entry is replaced. */
 static void
 test_replaced(void)
@@ -334,6 +365,7 @@
 	g_test_add_func("/quarantine/match", test_match);
 	g_test_add_func("/quarantine/again", test_again);
 	g_test_add_func("/quarantine/values", test_values);
+	g_test_add_func("/quarantine/end-far-away", test_end_far_away);
 	g_test_add_func("/quarantine/replaced", test_replaced);
 	g_test_add_func("/quarantine/agreement", test_agreement);
 	g_test_add_func("/quarantine/send", test_send);
