stage_jobs: listed hosts that never answer don't hold a job

Callers saw, with 30 hosts in the store's list that another writer had invented, of more capacity than the real ones: 503 at their deadlines, after 8.0 and 6.1 s, until gossip had found these hosts lost, after 15 to 20 s.

A job went from one silent coordinator to the next, 0.3 s each, and while it did the first ones came due again. After two silent ones in a row a job goes to a host that has answered this one before, or is coordinated here. With capacities above 2^31 no host counted as large, as the double overflowed, and each coordinated its own jobs.

/stage-pieces/invented-hosts before: status 503 after 8002 ms, status 503 after 6075 ms after: all 200, the first 18 after 0.7 to 1.1 s, then 0.23 s /large-hosts before: rendezvous_is_large(UINT32_MAX, UINT32_MAX) should be TRUE after: ok

--- a/entry/stage_jobs.c
+++ b/entry/stage_jobs.c
@@ -20,6 +20,12 @@
 /* Sends without an acknowledgement before the next coordinator is chosen. */
 #define MAX_UNACKED_SENDS 3
 /* A job at a live coordinator is resent at doubling intervals up to this. */
+/*
+ * After so many coordinators in a row that didn't answer, a job goes to one
+ * that has answered this host before, or to this host: hosts that are only
+ * listed may not exist.
+ */
+#define MAX_SILENT        2
 #define MAX_ACK_TIMEOUT   (800 * USEC_PER_MSEC)
 /* Number of low bits of a job number, which count the jobs of one process. */
 #define INCARNATION_SHIFT 24
@@ -50,6 +56,7 @@
 	bool deferred; /* not sent yet */
 	bool acked;
 	uint32_t tries;
+	uint32_t n_silent; /* coordinators that didn't answer */
 };
 
 struct peer {
@@ -188,24 +195,34 @@
 	resend_to_restarted(s);
 }
 
-/* Whether a host may coordinate; an empty domain stands for all. */
+/* Which hosts may coordinate. */
+struct coordinator_choice {
+	const char *domain; /* empty: all */
+	bool known_only;    /* this host, and those that have answered it */
+	usec_t now;
+};
+
 static bool
-can_coordinate(const struct peer *p, const char *domain, usec_t now)
+can_coordinate(const struct stage_jobs *s, const struct peer *p,
+    const struct coordinator_choice *x)
 {
-	return !suspicion_is_suspect(&p->suspicion, now) &&
-	    (*domain == '\0' || strcmp(p->p.domain, domain) == 0);
+	if (x->known_only && p->suspicion.heard_at == 0 &&
+	    strcmp(p->p.id, s->o.self) != 0)
+		return false;
+	return !suspicion_is_suspect(&p->suspicion, x->now) &&
+	    (*x->domain == '\0' || strcmp(p->p.domain, x->domain) == 0);
 }
 
 /* Returns the largest capacity of the hosts that may coordinate; 0: none. */
 static uint32_t
-largest_capacity(const struct stage_jobs *s, const char *domain, usec_t now)
+largest_capacity(const struct stage_jobs *s, const struct coordinator_choice *x)
 {
 	uint32_t largest = 0;
 
 	for (guint i = 0; i < s->peers->len; i++) {
 		const struct peer *p = &g_array_index(s->peers, struct peer, i);
 
-		if (can_coordinate(p, domain, now) && p->p.capacity > largest)
+		if (can_coordinate(s, p, x) && p->p.capacity > largest)
 			largest = p->p.capacity;
 	}
 	return largest;
@@ -214,25 +231,25 @@
 /* Returns the RPC address of the service's coordinator; empty for this host. */
 static const char *
 choose_coordinator(
-    struct stage_jobs *s, const char *service, const char *domain, usec_t now)
+    struct stage_jobs *s, const char *service, struct coordinator_choice x)
 {
 	uint64_t seed = hash_u64(str_from(service), 3);
 	const struct peer *best = NULL;
 	double best_weight = 0;
-	uint32_t largest = largest_capacity(s, domain, now);
+	uint32_t largest = largest_capacity(s, &x);
 
 	if (strlen(service) > PEER_NAME_MAX)
 		return ""; /* too long for messages */
-	if (largest == 0 && *domain != '\0') {
-		domain = "";
-		largest = largest_capacity(s, domain, now);
+	if (largest == 0 && *x.domain != '\0') {
+		x.domain = "";
+		largest = largest_capacity(s, &x);
 	}
 	for (guint i = 0; i < s->peers->len; i++) {
 		const struct peer *p = &g_array_index(s->peers, struct peer, i);
 		double weight = rendezvous_weight(
 		    hash_u64(str_from(p->p.id), seed), p->p.capacity);
 
-		if (!can_coordinate(p, domain, now) ||
+		if (!can_coordinate(s, p, &x) ||
 		    !rendezvous_is_large(p->p.capacity, largest) ||
 		    (best != NULL && weight <= best_weight))
 			continue;
@@ -252,7 +269,9 @@
 	g_strlcpy(j->coordinator,
 	    j->whole->is_local
 		? ""
-		: choose_coordinator(s, j->body.service, j->whole->domain, now),
+		: choose_coordinator(s, j->body.service,
+		      (struct coordinator_choice){
+			  j->whole->domain, j->n_silent >= MAX_SILENT, now }),
 	    sizeof(j->coordinator));
 	p = find_peer(s, j->coordinator);
 	j->incarnation = p != NULL ? p->p.incarnation : 0;
@@ -262,7 +281,8 @@
 stage_jobs_coordinator(
     struct stage_jobs *s, const char *service, const char *domain)
 {
-	return choose_coordinator(s, service, domain, clock_now());
+	return choose_coordinator(s, service,
+	    (struct coordinator_choice){ domain, false, clock_now() });
 }
 
 static uint32_t
@@ -453,7 +473,8 @@
 	if (loads_domains(s->o.loads, service) != NULL &&
 	    str_cut(&rest, '/', &addr))
 		domain = loads_domain_at(s->o.loads, addr);
-	coordinator = choose_coordinator(s, service, domain, clock_now());
+	coordinator = choose_coordinator(s, service,
+	    (struct coordinator_choice){ domain, false, clock_now() });
 	if (*coordinator == '\0') {
 		coordinator_release(s->coordinator, handles);
 		return;
@@ -651,6 +672,7 @@
 		    !is_alive(s, j->coordinator, now)) {
 			g_autofree char *silent = g_strdup(j->coordinator);
 
+			j->n_silent++;
 			if (fail_over(s, j, now))
 				LOG(LOG_LVL_WARNING, "home-silent",
 				    { "home", str_from(silent) },
--- a/kernel/rendezvous.c
+++ b/kernel/rendezvous.c
@@ -37,7 +37,8 @@
 bool
 rendezvous_is_large(uint32_t capacity, uint32_t largest)
 {
-	return 2 * (capacity > 0 ? capacity : UNKNOWN_CAPACITY) >= largest;
+	return (uint64_t)2 * (capacity > 0 ? capacity : UNKNOWN_CAPACITY) >=
+	    largest;
 }
 
 /* Whether the array has this pointer. */
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -330,6 +330,16 @@
 	}
 }
 
+/* Other writers may put any capacity into the list of hosts. */
+static void
+test_large(void)
+{
+	g_assert_true(rendezvous_is_large(UINT32_MAX, UINT32_MAX));
+	g_assert_true(rendezvous_is_large(0, 250));
+	g_assert_false(rendezvous_is_large(250, UINT32_MAX));
+	g_assert_false(rendezvous_is_large(250, 501));
+}
+
 /* Result space. */
 
 static void
@@ -1087,6 +1097,7 @@
 	g_test_add_func("/roster/listing", test_roster_listing);
 	g_test_add_func("/roster/rejected", test_roster_rejected);
 	g_test_add_func("/retry-quota/bound", test_retry_quota_bound);
+	g_test_add_func("/large-hosts", test_large);
 	g_test_add_func("/result-space", test_result_space);
 	g_test_add_func("/batch/order", test_batch_order);
 	g_test_add_func("/batch/size", test_batch_size);
--- a/tests/platform/test_stage_pieces.c
+++ b/tests/platform/test_stage_pieces.c
@@ -17,6 +17,12 @@
 #define DEADLINE_MS     8000
 #define N_MUTE          4
 #define N_LONG_JOB      600
+#define N_INVENTED      30
+#define INVENTED_PORT   25500 /* nothing listens there */
+#define LIST_TIME       (5 * USEC_PER_SEC)
+#define INVENTED_TIME   (20 * USEC_PER_SEC)
+/* Far above that of the real hosts: any would be chosen first. */
+#define INVENTED_SIZE   2000000000U
 #define LONG            "0123456789abcdef0123456789abcdef0123456789abcdef"
 #define LONGER          LONG LONG LONG
 
@@ -140,6 +146,40 @@
 	}
 }
 
+/*
+ * Hosts that another writer has put into the list never answer, as coordinators
+ * or otherwise: requests are served, and the list has the real hosts again.
+ */
+static void
+test_invented_hosts(void)
+{
+	g_autofree char *real = NULL;
+	g_autofree char *now = NULL;
+	g_autoptr(GString) list = NULL;
+	usec_t start;
+
+	/* Hosts write the list once it has been the same for 2 s. */
+	g_usleep(LIST_TIME);
+	start = clock_now();
+	real = fakeplat_get(platform, "sequoia/hosts");
+	list = g_string_new(real);
+	for (int i = 0; i < N_INVENTED; i++)
+		g_string_append_printf(list,
+		    "i%d\t127.0.0.1:%d\t127.0.0.1:%d\td1\t1\t%u\n", i,
+		    INVENTED_PORT + i, INVENTED_PORT + i, INVENTED_SIZE);
+	fakeplat_put(platform, "sequoia/hosts", list->str);
+	for (int n = 0; clock_now() - start < INVENTED_TIME; n++)
+		send_case((size_t)n % 2, n % N_HOSTS);
+	do {
+		g_free(now);
+		g_usleep(USEC_PER_SEC);
+		now = fakeplat_get(platform, "sequoia/hosts");
+	} while (
+	    strcmp(now, real) != 0 && clock_now() - start < 3 * INVENTED_TIME);
+	g_assert_cmpstr(now, ==, real);
+	check_hosts();
+}
+
 /*
  * A host that stops with requests at their targets frees the results that they
  * were sent with: its messages to the coordinators went through memory that was
@@ -281,6 +321,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	start_fleet();
 	g_test_add_func("/stage-pieces/counts", test_pieces);
+	g_test_add_func("/stage-pieces/invented-hosts", test_invented_hosts);
 	g_test_add_func(
 	    "/stage-pieces/stop-of-coordinator", test_stop_of_coordinator);
 	g_test_add_func(
