--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -330,6 +330,16 @@
 	}
 }
 
+/* Other writers may put any capacity into the list of hosts. */
+static void
+test_large(void)
+{
+	g_assert_true(rendezvous_is_large(UINT32_MAX, UINT32_MAX));
+	g_assert_true(rendezvous_is_large(0, 250));
+	g_assert_false(rendezvous_is_large(250, UINT32_MAX));
+	g_assert_false(rendezvous_is_large(250, 501));
+}
+
 /* Result space. */
 
 static void
@@ -365,6 +375,21 @@
 	g_assert_cmpuint(result_space_used(&r, "m:1", 2999), ==, 60);
 	g_assert_cmpuint(result_space_used(&r, "m:1", 3000), ==, 30);
 	g_assert_cmpuint(result_space_used(&r, "m:1", 4000), ==, 0);
+	/* Of addresses that answers name, none is kept for ever. */
+	for (int i = 0; i < 1000; i++) {
+		g_autofree char *addr = g_strdup_printf("m:%d", i);
+		g_autofree char *handle = g_strconcat(addr, "/a", NULL);
+
+		result_space_hold(&r, handle, 1, 5000);
+		result_space_reserve(&r, addr, i == 0 ? 7 : 0);
+		g_assert_cmpuint(
+		    result_space_used(&r, "unused", 4000 + i), ==, 0);
+		result_space_free_result(&r, STR("n:1/a"));
+		result_space_release(&r, "n:2", 1);
+	}
+	g_assert_cmpuint(result_space_used(&r, "m:2", 3 * USEC_PER_SEC), ==, 0);
+	g_assert_cmpuint(g_hash_table_size(r.producers), ==, 1);
+	g_assert_cmpuint(result_space_used(&r, "m:0", 3 * USEC_PER_SEC), ==, 7);
 	result_space_free(&r);
 }
 
@@ -1072,6 +1097,7 @@
 	g_test_add_func("/roster/listing", test_roster_listing);
 	g_test_add_func("/roster/rejected", test_roster_rejected);
 	g_test_add_func("/retry-quota/bound", test_retry_quota_bound);
+	g_test_add_func("/large-hosts", test_large);
 	g_test_add_func("/result-space", test_result_space);
 	g_test_add_func("/batch/order", test_batch_order);
 	g_test_add_func("/batch/size", test_batch_size);
