stages: inputs for the rest of a stream have as long as its next event

Callers saw a stream with stages broken off, seconds before its deadline, when a target was lost after the time in which callers wait for a first event. The inputs are freed with the first event, so the next target refuses the rest (409) and they are made again; but they had to be ready by the time limit of the first event, which was over, and the request was rejected without an attempt.

Now the limit counts from the last event, as callers wait as long for the next one.

test_silent_target, inputs-gone (the target is lost after 4.6 s), before: # status 200, 428 bytes, 2 pieces made ERROR: test_inputs_gone: 'a.complete' should be TRUE after: # status 200, 428 bytes, 4 pieces made ok 1 /silent-target/inputs-gone test_silent_target, test_relay and test_stage_pieces pass.

--- a/entry/stages.c
+++ b/entry/stages.c
@@ -174,11 +174,13 @@
 	return worst;
 }
 
+/* Callers wait as long for the next event as for the first one. */
 static usec_t
 start_deadline(const struct relay_request *r)
 {
-	return chain_deadline(
-	    r->arrived, r->route->first_event_limit, r->deadline);
+	usec_t since = r->head_written ? r->last_event_at : r->arrived;
+
+	return chain_deadline(since, r->route->first_event_limit, r->deadline);
 }
 
 static usec_t
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -21,6 +21,7 @@
 #define EVENT_INTERVAL_MS  20
 #define LONG_INTERVAL_MS   200
 #define LONG_EVENTS        500
+#define LONG_BREAK_EVENT   24
 #define STAGE_CALL_MS      60 /* duration of a stage call without pieces */
 #define SLOW_STAGE_CALL_MS 240
 #define STAGE_PIECE_MS     4 /* added by each piece */
@@ -535,8 +536,10 @@
 		return;
 	}
 
-	if (str_has_prefix(str_from(c->behavior), STR("break")) &&
-	    c->next_event == 3) {
+	if ((str_has_prefix(str_from(c->behavior), STR("break")) &&
+		c->next_event == 3) ||
+	    (str_has_prefix(str_from(c->behavior), STR("long-break")) &&
+		c->next_event == LONG_BREAK_EVENT)) {
 		reset_conn(c);
 		return;
 	}
@@ -559,8 +562,9 @@
 	evbuffer_add_printf(out, "%x\r\n%s\r\n", (unsigned)n, data);
 	c->next_event++;
 	arm_timer(c,
-	    strcmp(c->behavior, "long") == 0 ? LONG_INTERVAL_MS
-					     : EVENT_INTERVAL_MS);
+	    str_has_prefix(str_from(c->behavior), STR("long"))
+		? LONG_INTERVAL_MS
+		: EVENT_INTERVAL_MS);
 }
 
 static void
@@ -573,7 +577,9 @@
 	if (last.p != NULL)
 		str_parse_u64(last, &n);
 	c->next_event = (uint32_t)n + 1;
-	c->n_events = strcmp(c->behavior, "long") == 0 ? LONG_EVENTS : 6;
+	c->n_events = str_has_prefix(str_from(c->behavior), STR("long"))
+	    ? LONG_EVENTS
+	    : 6;
 	/* A resumed stream is not broken again. */
 	if (n > 0)
 		c->behavior[0] = '\0';
@@ -617,8 +623,10 @@
  *   break        resets the connection after two events
  *   stall        sends no more bytes after two events
  *   ...-refuse-N refuses N arrivals after the first one as not executed
+ *   ...-409-2    refuses the second arrival, as its inputs are gone
  *   ...-500-2    responds with status 500 to the second arrival
  *   long         sends LONG_EVENTS events, five a second
+ *   long-break   as long, and resets the connection before LONG_BREAK_EVENT
  *   endless      sends an event without end, after two events
  *   open         has neither length nor chunks, ends with the connection
  *   open-cut     as open, and ends within the third event
@@ -839,6 +847,10 @@
 		send_refusal(c, 503, "X-Not-Executed: 1\r\n");
 		return false;
 	}
+	if (g_str_has_suffix(c->behavior, "-409-2") && s->arrivals == 2) {
+		send_refusal(c, 409, "X-Not-Executed: 1\r\n");
+		return false;
+	}
 	if (g_str_has_suffix(c->behavior, "-500-2") && s->arrivals == 2) {
 		char fields[512];
 
--- a/tests/platform/test_silent_target.c
+++ b/tests/platform/test_silent_target.c
@@ -51,6 +51,14 @@
 	{ "broken-refuses-long", "/stream/1", "break-refuse-4", NONE, 2, 3000 },
 };
 
+/* Streams with a stage that may be resumed. */
+static const char staged_route[] =
+    ",{\"Name\":\"staged-again\",\"Host\":\"a.example\",\"Prefix\":"
+    "\"/stream/staged-again/\",\"Kind\":\"streaming\",\"TimeoutMs\":8000,"
+    "\"SloMs\":500,\"Attempts\":2,\"Service\":\"engine\","
+    "\"CanResume\":true,\"Stages\":[{\"Service\":\"pool\",\"After\":[],"
+    "\"Bytes\":1000}]}";
+
 static struct fakeplat *platform;
 static struct harness_host host = {
 	.port = HOST_PORT, .id = "h1", .store_port = STORE_PORT
@@ -81,7 +89,7 @@
 static void
 start_host(const struct fakeplat_target *targets, size_t n)
 {
-	g_autofree char *config = harness_config(1, NULL);
+	g_autofree char *config = harness_config(1, staged_route);
 	g_autofree char *dir = g_dir_make_tmp("silent-XXXXXX", NULL);
 
 	g_strlcpy(host.dir, dir, sizeof(host.dir));
@@ -223,6 +231,41 @@
 	stop_host();
 }
 
+/*
+ * A stream is broken off later than callers wait for a first event, and the
+ * inputs for its rest have to be made again.
+ */
+static void
+test_inputs_gone(void)
+{
+	static const struct fakeplat_target targets[] = {
+		{ "e1", "engine", "d1", TARGET_PORT },
+		{ "e2", "engine", "d1", TARGET_PORT + 1 },
+		{ "s1", "pool", "d1", TARGET_PORT + 2 },
+	};
+	g_autofree char *q = harness_format(
+	    &(struct harness_request){ .path = "/stream/staged-again/1",
+		.id = "gone",
+		.behavior = "long-break-409-2",
+		.extra_fields = "X-Pieces: 2\r\nX-Piece-Key: k\r\n",
+		.deadline_ms = 8000 });
+	struct harness_response a;
+	uint32_t pieces;
+	uint32_t calls;
+
+	start_host(targets, G_N_ELEMENTS(targets));
+	g_usleep(USEC_PER_SEC); /* stages wait for other hosts at first */
+	harness_exchange(host.port, str_from(q), READY_TIME_S * 1000, &a);
+	fakeplat_piece_counts(platform, &pieces, &calls);
+	g_test_message(
+	    "status %d, %zu bytes, %u pieces made", a.status, a.body.n, pieces);
+	g_assert_cmpint(a.status, ==, 200);
+	g_assert_true(a.complete);
+	g_assert_cmpuint(pieces, ==, 4);
+	harness_response_free(&a);
+	stop_host();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -240,5 +283,6 @@
 
 		g_test_add_data_func(path, &pause_cases[i], test_pause);
 	}
+	g_test_add_func("/silent-target/inputs-gone", test_inputs_gone);
 	return g_test_run();
 }
