loads: an entry of an earlier start doesn't end what is known of a target

A target that has restarted under its id, and then said that it leaves or asked for a rest, got requests again when the store was restored from a copy of before the restart, or another host's state had that entry: the birth differed, which counted as a restart. The entry may also name the version of the process of before, and streams of that version would go on at the new one.

Now only an entry of a later birth than any before ends what is known. One of an earlier birth is handled like one with an older Seq, and is used only if it is still there after the 2 s in which the platform writes again what was written. A target whose own clock was set back across a restart rests for these 2 s, and stays out if it was leaving.

--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -213,18 +213,25 @@
 	t->bad_limit = false;
 }
 
-/* Takes over an entry that the newest list has. */
+/*
+ * Takes over an entry that the newest list has.  One of an earlier start of the
+ * target, as from an older copy of the store, doesn't end what is known of the
+ * later one.
+ */
 static void
 set_entry(struct target_load *t, const struct target_entry *e, usec_t now)
 {
 	struct target_entry known = t->entry;
-	bool older = e->seq != 0 && e->seq <= known.seq;
+	bool earlier = e->born_ms != 0 && e->born_ms < t->born_ms;
+	bool older = earlier || (e->seq != 0 && e->seq <= known.seq);
 
-	if (e->born_ms != 0 && e->born_ms != known.born_ms) {
+	if (e->born_ms > t->born_ms) {
 		forget_state(t);
+		t->born_ms = e->born_ms;
 		older = false;
 	}
-	if (older && t->unlisted_at != 0)
+	if (older &&
+	    (t->unlisted_at != 0 || (earlier && e->born_ms != known.born_ms)))
 		loads_rest(t, ROSTER_GRACE_TIME, now);
 	t->entry = *e;
 	if (e->born_ms == 0)
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -30,6 +30,7 @@
 /* A target and its load as this host knows it. */
 struct target_load {
 	struct target_entry entry;
+	uint64_t born_ms;   /* latest start that an entry named; 0: none did */
 	bool listed;        /* in the newest target list */
 	usec_t unlisted_at; /* when that ended; 0: it hasn't */
 	/*
