member: news of an earlier process don't change a host's capacity

A host that was replaced under its id by one of another size was given back the size of before by late news of the earlier process. Hosts choose coordinators by capacity, so they chose different ones until the next news of the new process.

Now only news of the process that is known, or of a later one, set the capacity.

test_member, capacity, before: ERROR: test_capacity: assertion failed (member_find(&t, "n2")->capacity == cases[i].after): (500 == 250) after: ok 2 /member/capacity

--- a/kernel/member.c
+++ b/kernel/member.c
@@ -349,7 +349,8 @@
 		return update_new(t, now, info);
 	if (m == t->self)
 		return update_self(t, now, info);
-	set_capacity(m, info);
+	if (info->incarnation >= m->incarnation)
+		set_capacity(m, info);
 	if (!is_newer(info, m)) {
 		raise_generation(t, m, info);
 		return false;
--- a/tests/kernel/test_member.c
+++ b/tests/kernel/test_member.c
@@ -93,6 +93,37 @@
 	}
 }
 
+/* A host may come back with another size; news of before don't undo that. */
+static void
+test_capacity(void)
+{
+	static const struct {
+		uint64_t incarnation;
+		uint32_t capacity, after;
+	} cases[] = {
+		{ 10, 0, 250 },
+		{ 10, 500, 500 },
+		{ 11, 500, 500 },
+		{ 9, 500, 250 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct members t;
+		struct member_info x = info("n1", 10, MEMBER_LIVE);
+
+		member_init(&t, &x, 0);
+		x = info("n2", 10, MEMBER_LIVE);
+		x.capacity = 250;
+		member_update(&t, 0, &x);
+		x.incarnation = cases[i].incarnation;
+		x.capacity = cases[i].capacity;
+		member_update(&t, 1, &x);
+		g_assert_cmpuint(
+		    member_find(&t, "n2")->capacity, ==, cases[i].after);
+		member_free(&t);
+	}
+}
+
 /*
  * A restart that is too short to be noticed as a failure is passed on, as what
  * others know of the old process is out of date; a denial is not.
@@ -587,6 +618,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/member/update", test_update);
+	g_test_add_func("/member/capacity", test_capacity);
 	g_test_add_func("/member/restart", test_restart);
 	g_test_add_func("/member/live-list", test_live_list);
 	g_test_add_func("/member/fleet", test_fleet);
