discovery: lapsed entries have their time after a state of another host, too

Callers of a host got 503, or its other targets all of the load, for up to 2 s after the store's return. A host that loses the store takes the state of another one, often of one that hasn't noticed the loss yet; the roster then counted the store as answering. When the store came back, the entries that had lapsed meanwhile were removed at once, though the platform writes them again within 2 s.

Now the grace time begins whenever the store answers this host again.

test_peer_state, entry-lapses, before: # 0 requests ERROR: test_lapse: assertion failed (n > 0): (0 > 0) after: # 60 requests ok 4 /peer-state/entry-lapses The three other cases pass.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -48,8 +48,11 @@
 	d->counts.store_unavailable = unavailable;
 	pthread_mutex_unlock(&d->lock);
 	roster_set_store_unavailable(&d->roster, unavailable, clock_now());
-	if (!unavailable)
+	if (!unavailable) {
+		/* The roster may have been told so by another host's state. */
+		roster_store_restored(&d->roster, clock_now());
 		quarantine_store_back(&d->quarantine, clock_now());
+	}
 	d->view_dirty = true;
 }
 
--- a/kernel/roster.h
+++ b/kernel/roster.h
@@ -62,8 +62,8 @@
 void roster_set_store_unavailable(
     struct roster *r, bool unavailable, usec_t now);
 /*
- * The store was restored from an older copy, which may lack entries of live
- * targets: begins a grace time.
+ * The store was restored from an older copy, or is back: it may lack entries of
+ * live targets.  Begins a grace time.
  */
 void roster_store_restored(struct roster *r, usec_t now);
 /*
--- a/tests/platform/test_peer_state.c
+++ b/tests/platform/test_peer_state.c
@@ -176,6 +176,49 @@
 	    fakeplat_arrivals(platform, "stays", left_at + DRAIN_TIME), >, 0);
 }
 
+static void
+set_stores(enum proxy_listen how)
+{
+	for (int i = 0; i < HOSTS; i++) {
+		proxy_set_listen(proxy, links[i], how);
+		if (how != PROXY_ACCEPT)
+			proxy_reset(proxy, links[i]);
+	}
+}
+
+/*
+ * A host takes the state of another one, which then loses the store too.  An
+ * entry that lapses meanwhile still has its time to come back.
+ */
+static void
+test_lapse(void)
+{
+	static const char key[] = "servers/lapses";
+	g_autofree char *entry = NULL;
+	usec_t back_at;
+	uint32_t n;
+
+	fakeplat_add_target(platform,
+	    &(struct fakeplat_target){ "lapses", "plain", "d1",
+		(uint16_t)(TARGET_PORT + 1 + G_N_ELEMENTS(cases)) });
+	entry = fakeplat_get(platform, key);
+	g_usleep((gulong)SETTLE_TIME);
+	set_links(PROXY_REFUSE, PROXY_NONE);
+	proxy_reset(proxy, links[AHEAD]);
+	g_usleep((gulong)AWAY_TIME);
+	set_stores(PROXY_REFUSE);
+	fakeplat_delete(platform, key);
+	g_usleep((gulong)NOTICE_TIME);
+	set_stores(PROXY_ACCEPT);
+	g_usleep((gulong)LISTING_TIME);
+	back_at = clock_now();
+	g_usleep((gulong)LISTING_TIME);
+	n = fakeplat_arrivals(platform, "lapses", back_at);
+	fakeplat_put(platform, key, entry);
+	g_test_message("%u requests", n);
+	g_assert_cmpuint(n, >, 0);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -197,6 +240,7 @@
 
 		g_test_add_data_func(path, &cases[i], run_case);
 	}
+	g_test_add_func("/peer-state/entry-lapses", test_lapse);
 	rc = g_test_run();
 	atomic_store(&stopping, true);
 	for (int i = 0; i < CALLERS; i++)
