loads: limits that were told of an earlier start of a target don't count

A host that knew that a target had restarted took the limit, or the number of refusals that it bears, of the process of before from hosts that didn't know yet. A host with no share of such a limit sent the target nothing until the others told that it had ended.

Now what was said before the entry with the later birth arrived is dropped.

test_restored_store, told, before: ERROR: test_told: assertion failed (loads_limit_told(t, 1, said_at, now + 2 * SEC) == tellings[i].counts): (1 == 0) ERROR: test_told: assertion failed (t->brittle.refusals > 0 == tellings[i].counts): (1 == 0) after: ok 2 /restored-store/told test_limit_loads, test_target_brittle and test_target_limit pass.

--- a/entry/target_limits.c
+++ b/entry/target_limits.c
@@ -191,7 +191,7 @@
 	if (t == NULL)
 		return;
 	before = t->limit.rate;
-	if (target_limit_told(&t->limit, (double)m->micro_rate / MICRO,
+	if (loads_limit_told(t, (double)m->micro_rate / MICRO,
 		now - (usec_t)m->age_ms * USEC_PER_MSEC, now))
 		limit_changed(x, t, before, "another host", now);
 }
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -227,6 +227,7 @@
 
 	if (e->born_ms > t->born_ms) {
 		forget_state(t);
+		t->restart_at = t->born_ms != 0 ? now : 0;
 		t->born_ms = e->born_ms;
 		older = false;
 	}
@@ -493,11 +494,20 @@
 	return target_brittle_answered(&t->brittle, a, &l->hosts, now);
 }
 
+bool
+loads_limit_told(
+    struct target_load *t, double rate, usec_t named_at, usec_t now)
+{
+	return named_at >= t->restart_at &&
+	    target_limit_told(&t->limit, rate, named_at, now);
+}
+
 void
 loads_brittle_told(const struct loads *l, struct target_load *t,
     const struct brittle_answer *a, usec_t said_at)
 {
-	target_brittle_told(&t->brittle, a, &l->hosts, said_at);
+	if (said_at >= t->restart_at)
+		target_brittle_told(&t->brittle, a, &l->hosts, said_at);
 }
 
 void
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -31,6 +31,7 @@
 struct target_load {
 	struct target_entry entry;
 	uint64_t born_ms;   /* latest start that an entry named; 0: none did */
+	usec_t restart_at;  /* when an entry named a later start; 0: none did */
 	bool listed;        /* in the newest target list */
 	usec_t unlisted_at; /* when that ended; 0: it hasn't */
 	/*
@@ -186,6 +187,12 @@
  */
 bool loads_brittle(const struct loads *l, struct target_load *t,
     const struct brittle_answer *a, usec_t now);
+/*
+ * Another host tells what limit a target named at a time (target_limit.h); it
+ * doesn't count if the target has restarted since.
+ */
+bool loads_limit_told(
+    struct target_load *t, double rate, usec_t named_at, usec_t now);
 /* Another host tells what the target said at a time. */
 void loads_brittle_told(const struct loads *l, struct target_load *t,
     const struct brittle_answer *a, usec_t said_at);
--- a/tests/kernel/test_restored_store.c
+++ b/tests/kernel/test_restored_store.c
@@ -126,6 +126,42 @@
 	}
 }
 
+/* What other hosts tell of a target that has restarted since is dropped. */
+static void
+test_told(void)
+{
+	static const struct rendezvous_host host = { "h1", 250 };
+	static const struct {
+		usec_t said; /* since the restart */
+		uint64_t born;
+		bool counts;
+	} tellings[] = {
+		{ -SEC, 5, true },
+		{ -SEC, 6, false },
+		{ SEC, 6, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(tellings); i++) {
+		struct brittle_answer a = { .target = "i-1", .refusals = 9 };
+		struct target_load *t;
+		struct loads l;
+		usec_t now = 9 * SEC;
+		usec_t said_at = now + tellings[i].said;
+
+		loads_init(&l, "d", 1);
+		loads_set_hosts(&l, &host, 1, "h1", now);
+		list(&l, 5, 20, false, now);
+		list(&l, tellings[i].born, 1, false, now);
+		t = loads_find(&l, "i-1");
+		g_assert_cmpint(loads_limit_told(t, 1, said_at, now + 2 * SEC),
+		    ==, tellings[i].counts);
+		loads_brittle_told(&l, t, &a, said_at);
+		g_assert_cmpint(
+		    t->brittle.refusals > 0, ==, tellings[i].counts);
+		loads_free(&l);
+	}
+}
+
 /*
  * Feeds of changes, as the receivers of a restored store get them: one that is
  * dropped must not count as a sign that the feed is current.
@@ -229,6 +265,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions();
 	g_test_add_func("/restored-store/relisted", test_relisted);
+	g_test_add_func("/restored-store/told", test_told);
 	g_test_add_func("/restored-store/feed", test_feed);
 	g_test_add_func("/restored-store/position", test_position);
 	g_test_add_func("/restored-store/grace", test_grace);
