forward: other targets take a stream whose tried targets are all gone

Callers saw a stream end at its deadline, unfinished, though targets of its version were there. Once the route's attempts were used up, the rest was sent only to targets that had been tried, also when these had left for good.

Now a stream that has begun is sent to another target if the list has none of the tried ones any more. The users' limit of attempts doesn't count targets that have ended.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -339,12 +339,30 @@
 	return loads_choose(&r->shared->loads, &query, now);
 }
 
+/*
+ * Whether no target that the request was sent to is there any more: these don't
+ * count as attempts.
+ */
+static bool
+tried_are_gone(struct relay_request *r)
+{
+	for (size_t i = 0; i < r->n_tried; i++) {
+		const struct target_load *t =
+		    loads_find(&r->shared->loads, r->tried[i]);
+
+		if (t != NULL && t->listed)
+			return false;
+	}
+	return r->n_tried < LOADS_MAX_TRIED;
+}
+
 /* Returns a target for a stream that has begun, or NULL. */
 static struct target_load *
 choose_resume_target(struct relay_request *r, usec_t now)
 {
-	struct target_load *t =
-	    forward_has_attempts(r) ? choose_target(r, now) : NULL;
+	struct target_load *t = forward_has_attempts(r) || tried_are_gone(r)
+	    ? choose_target(r, now)
+	    : NULL;
 	struct loads_query query;
 
 	if (t != NULL)
--- a/tests/platform/test_silent_target.c
+++ b/tests/platform/test_silent_target.c
@@ -266,6 +266,45 @@
 	stop_host();
 }
 
+/*
+ * The targets that a stream was sent to are gone, and its attempts are used up:
+ * the others may take its rest.
+ */
+static void
+test_tried_gone(void)
+{
+	static const struct fakeplat_target targets[] = {
+		{ "e1", "engine", "d1", TARGET_PORT },
+		{ "e2", "engine", "d1", TARGET_PORT + 1 },
+	};
+	/* Attempts until about 760 ms are refused; the next is at 1560 ms. */
+	g_autofree char *q =
+	    harness_format(&(struct harness_request){ .path = "/stream/1",
+		.id = "tried-gone",
+		.behavior = "break-refuse-4",
+		.deadline_ms = DEADLINE_MS });
+	struct pause_caller x = { .bytes = q };
+	struct fakeplat_attempt s;
+	GThread *thread;
+
+	start_host(targets, G_N_ELEMENTS(targets));
+	thread = g_thread_new("caller", run_caller, &x);
+	g_usleep(900000);
+	fakeplat_delete(platform, "servers/e1");
+	fakeplat_delete(platform, "servers/e2");
+	fakeplat_add_target(platform,
+	    &(struct fakeplat_target){ "e3", "engine", "d1", TARGET_PORT + 2 });
+	g_thread_join(thread);
+	g_test_message("status %d, %zu bytes", x.a.status, x.a.body.n);
+	g_assert_cmpint(x.a.status, ==, 200);
+	g_assert_true(x.a.complete);
+	check_events(&x.a, "tried-gone");
+	g_assert_true(fakeplat_get_attempt(platform, "tried-gone", &s));
+	g_assert_cmpstr(s.target, ==, "e3");
+	harness_response_free(&x.a);
+	stop_host();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -284,5 +323,6 @@
 		g_test_add_data_func(path, &pause_cases[i], test_pause);
 	}
 	g_test_add_func("/silent-target/inputs-gone", test_inputs_gone);
+	g_test_add_func("/silent-target/tried-gone", test_tried_gone);
 	return g_test_run();
 }
