--- a/tests/platform/harness.c
+++ b/tests/platform/harness.c
@@ -70,9 +70,10 @@
 	    h->id, h->port, h->port + 1, h->port + 2,
 	    h->seed_port != 0 ? h->seed_port + 2 : h->port + 2, h->store_port);
 	g_autoptr(GError) e = NULL;
+	const char *old = h->old ? g_getenv("SEQUOIAD_OLD") : NULL;
+	const char *program = old != NULL ? old : g_getenv("SEQUOIAD");
 	const char *argv[] = { "/bin/sh", "-c",
-		"exec \"$0\" \"$1\" >>\"$2\" 2>&1", g_getenv("SEQUOIAD"), ini,
-		log, NULL };
+		"exec \"$0\" \"$1\" >>\"$2\" 2>&1", program, ini, log, NULL };
 	GPid pid;
 
 	g_assert_true(g_file_set_contents(ini, text, -1, NULL));
--- a/tests/platform/harness.h
+++ b/tests/platform/harness.h
@@ -16,11 +16,13 @@
 	char dir[256];
 	uint16_t store_port; /* where the host reaches the store */
 	uint16_t seed_port;  /* port (for callers) of a peer to join, or 0 */
+	bool old;            /* runs the older program */
 };
 
 /*
- * Writes the host's settings, starts it and waits until it handles SIGTERM; the
- * environment variable SEQUOIAD names the program.
+ * Writes the host's settings, starts it and waits until it handles SIGTERM.  The
+ * environment variable SEQUOIAD names the program, and SEQUOIAD_OLD the older
+ * one; without it both are the same.
  */
 void harness_start_host(struct harness_host *h);
 /* Waits until GET /readyz succeeds; returns false after the timeout. */
