coordinator: a job that is cancelled after it was given back isn't freed early

A host that stops gives its own jobs to the next coordinator with a reply to itself, sent from the event loop. A cancellation before that reply was taken for the return of the job: the job was freed, and the reply read it. The host could end with all its requests. Now a cancellation frees nothing.

--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -405,7 +405,7 @@
 	struct batch_item it;
 	struct pool *p;
 
-	if (j != NULL && j->moved && from == NULL) {
+	if (j != NULL && j->moved && from == NULL && !msg->cancelled) {
 		/* The job has come back: there is no other coordinator. */
 		g_hash_table_remove(c->jobs, key);
 		j = NULL;
--- a/tests/entry/test_stage_jobs.c
+++ b/tests/entry/test_stage_jobs.c
@@ -4,8 +4,11 @@
  * coordinator of every service), and what acknowledgements report.
  */
 #include "entry/stage_jobs.h"
+#include "entry/target_calls.h"
+#include "platform/config.h"
 #include "platform/stage.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,6 +18,8 @@
 	struct event_base *base;
 	struct loads loads;
 	struct stage_waits waits;
+	struct rpc *rpc;
+	struct target_calls *calls;
 	struct coordinator *coordinator;
 	struct stage_jobs *jobs;
 	int replies;
@@ -55,23 +60,66 @@
 	(void)handles;
 }
 
+static void
+ignore_letter(void *arg, peer_letter *l)
+{
+	(void)arg;
+	(void)l;
+}
+
+static void
+ignore_query(void *arg, const peer_query *q, peer_result *r)
+{
+	(void)arg;
+	(void)q;
+	(void)r;
+}
+
+static void
+ignore_lost_path(void *arg, const char *service)
+{
+	(void)arg;
+	(void)service;
+}
+
 /* A host without routes: its coordinator refuses every job. */
 static void
 open_fixture(struct fixture *g, usec_t peer_wait)
 {
+	struct err e;
+
 	memset(g, 0, sizeof(*g));
 	g->base = event_base_new();
 	loads_init(&g->loads, "", 1);
 	stage_waits_init(&g->waits);
+	g->rpc = rpc_start(
+	    &(struct rpc_opts){
+		.id = "a",
+		.addr = "127.0.0.1:25490",
+		.fleet_key = "key",
+		.deliver = ignore_letter,
+		.fetch = ignore_query,
+	    },
+	    &e);
+	g_assert_nonnull(g->rpc);
+	g->calls = target_calls_new(&(struct target_calls_opts){
+	    .loads = &g->loads,
+	    .self = "a",
+	    .domain = "",
+	    .on_path_lost = ignore_lost_path,
+	});
 	g->coordinator = coordinator_new(&(struct coordinator_opts){
 	    .base = g->base,
+	    .rpc = g->rpc,
+	    .target_calls = g->calls,
 	    .loads = &g->loads,
 	    .reply = on_coordinator_reply,
 	    .find_coordinator = on_find_coordinator,
 	    .inputs_fetched = ignore_fetched_inputs,
 	    .arg = g,
 	});
-	g->jobs = stage_jobs_new(&(struct stage_jobs_opts){ .self = "a",
+	g->jobs = stage_jobs_new(&(struct stage_jobs_opts){ .rpc = g->rpc,
+	    .self = "a",
 	    .incarnation = 1,
 	    .peer_wait = peer_wait,
 	    .waits = &g->waits,
@@ -84,6 +132,9 @@
 {
 	stage_jobs_free(g->jobs);
 	coordinator_free(g->coordinator);
+	target_calls_free(g->calls);
+	rpc_stop(g->rpc);
+	rpc_free(g->rpc);
 	loads_free(&g->loads);
 	stage_waits_free(&g->waits);
 	event_base_free(g->base);
@@ -279,6 +330,97 @@
 	}
 }
 
+#define SERVICE "pool"
+#define OTHER   "127.0.0.1:25491"
+
+static const char config[] =
+    "{\"Version\":1,\"Routes\":[],\"Services\":[{\"Name\":\"" SERVICE
+    "\",\"MaxConns\":9,\"Pieces\":{\"Slots\":1,\"Queue\":2,\"Batch\":8,"
+    "\"CallMs\":60,\"ItemMs\":4,\"HeadroomMb\":1,\"HandleS\":4}}],"
+    "\"Limits\":{\"MaxHeaderBytes\":8192,\"MaxBodyBytes\":10000,"
+    "\"HeaderTimeoutMs\":1000,\"IdleTimeoutMs\":15000},\"Tenants\":[]}";
+
+/* Adds the routes and a target that is busy, so that pieces wait for it. */
+static void
+set_pool(struct fixture *g)
+{
+	struct target_entry t = { .id = "s1", .service = SERVICE };
+	g_autoptr(GArray) v =
+	    g_array_new(FALSE, TRUE, sizeof(struct target_entry));
+	struct err e;
+	struct routes *routes = platform_config_parse(str_from(config), &e);
+
+	g_assert_nonnull(routes);
+	g_strlcpy(t.addr, "127.0.0.1:25492", sizeof(t.addr));
+	g_array_append_val(v, t);
+	loads_update(&g->loads, v, clock_now());
+	loads_sent(loads_find(&g->loads, "s1"), clock_now());
+	coordinator_set_routes(g->coordinator, routes);
+	routes_unref(routes);
+}
+
+/* Adds this host, which coordinates the service, and another one or none. */
+static void
+set_hosts(struct fixture *g, bool other)
+{
+	struct view_peer self = { .id = "a", .rpc = "127.0.0.1:25490" };
+	struct view_peer p = { .rpc = OTHER };
+
+	for (int i = 0; i < 100; i++) {
+		g_autoptr(GArray) v =
+		    g_array_new(FALSE, TRUE, sizeof(struct view_peer));
+
+		snprintf(p.id, sizeof(p.id), "b%d", i);
+		g_array_append_val(v, self);
+		if (other)
+			g_array_append_val(v, p);
+		stage_jobs_set_peers(g->jobs, v, true);
+		if (*stage_jobs_coordinator(g->jobs, SERVICE, "") == '\0')
+			return;
+	}
+	g_assert_not_reached();
+}
+
+static uint64_t
+submit_pieces(struct fixture *g, struct part_result *x)
+{
+	struct part_arg *arg = xcalloc(1, sizeof(*arg));
+
+	arg->result = x;
+	return stage_jobs_submit(g->jobs,
+	    &(struct stage_job_opts){ .service = STR(SERVICE),
+		.id = STR("r-1"),
+		.key = STR("k"),
+		.n = 3,
+		.deadline = clock_now() + PEER_WAIT,
+		.soft_deadline = clock_now() + PEER_WAIT,
+		.handler = on_part_reply,
+		.arg = arg });
+}
+
+/*
+ * A job of this host that is cancelled after its coordinator, the same host,
+ * has given it back, and before that reply is handled.
+ */
+static void
+test_cancelled_drain(void)
+{
+	struct part_result x = { 0 };
+	struct fixture g;
+	uint64_t number;
+
+	open_fixture(&g, 0);
+	set_pool(&g);
+	set_hosts(&g, true);
+	number = submit_pieces(&g, &x);
+	coordinator_drain(g.coordinator);
+	stage_jobs_cancel(g.jobs, number);
+	event_base_loop(g.base, EVLOOP_NONBLOCK);
+	g_assert_cmpint(x.n_replies, ==, 0);
+	g_assert_cmpuint(coordinator_counts(g.coordinator).waiting, ==, 0);
+	close_fixture(&g);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -286,5 +428,6 @@
 	g_test_add_func("/stage_jobs/peer-wait", test_peer_wait);
 	g_test_add_func("/stage_jobs/repeated-ack", test_repeated_ack);
 	g_test_add_func("/stage_jobs/parts", test_parts);
+	g_test_add_func("/stage_jobs/cancelled-drain", test_cancelled_drain);
 	return g_test_run();
 }
