target_calls: a host that makes no calls for others is asked once

A host without a path asks others to make its calls. Hosts of an older build answer 404, which counted like a host without a path: they were asked again each second, for each service, and three of them used up the tries of a call. Now such a host isn't asked for 10 s unless it restarts, and doesn't count as a try. paths_has_way() tells whether any host makes the calls.

test_cut_hosts takes hosts of an older build (SEQUOIAD_OLD_HOSTS).

--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -37,6 +37,7 @@
 		g_strlcpy(h.id, p->id, sizeof(h.id));
 		g_strlcpy(h.addr, p->operators, sizeof(h.addr));
 		g_strlcpy(h.domain, p->domain, sizeof(h.domain));
+		h.incarnation = p->incarnation;
 		g_array_append_val(v, h);
 	}
 	paths_set_hosts(&x->paths, v);
@@ -265,6 +266,8 @@
 {
 	struct str result = httpmsg_get(m, STR(RESULT_FIELD));
 
+	if (result.p == NULL && m->parser.status_code == 404)
+		return UNABLE;
 	if (result.p == NULL || str_eq(result, STR(NO_PATH)))
 		return NO_PATH;
 	if (str_eq(result, STR(ANSWERED)))
@@ -278,11 +281,17 @@
 static void
 on_host_failure(struct target_call *k)
 {
-	if (strcmp(k->failure, NO_PATH) == 0) {
+	if (strcmp(k->failure, UNABLE) == 0) {
+		/* Others may make calls, however many don't. */
+		k->hosts_tried--;
+		paths_host_unable(&k->calls->paths, k->host, clock_now());
+		try_next_host(k);
+	} else if (strcmp(k->failure, NO_PATH) == 0) {
 		paths_host_without(
 		    &k->calls->paths, k->host, k->service, clock_now());
 		try_next_host(k);
 	} else if (strcmp(k->failure, AT_REST) == 0) {
+		k->at_rest = true;
 		try_next_host(k);
 	} else if (strcmp(k->failure, NOT_SENT) == 0) {
 		finish_call(k, DIAL_UNSENT, NULL);
@@ -299,8 +308,10 @@
 	switch (ev) {
 	case DIAL_HEAD:
 		k->failure = find_failure(m);
-		if (k->failure == NULL)
+		if (k->failure == NULL) {
+			paths_host_called(&k->calls->paths, k->service);
 			pass_head(k, m);
+		}
 		return;
 	case DIAL_BODY:
 		if (k->failure != NULL)
@@ -339,8 +350,11 @@
 	char mac[HASH_HEX_LEN + 1];
 	size_t n;
 
-	if (h == NULL)
+	if (h == NULL) {
+		if (!k->at_rest)
+			paths_no_host(&x->paths, k->service);
 		return false;
+	}
 	k->hosts_tried++;
 	k->failure = NULL;
 	g_strlcpy(k->host, h->id, sizeof(k->host));
@@ -437,6 +451,12 @@
 	return dial_has_input(k->dial);
 }
 
+bool
+target_calls_has_way(const struct target_calls *x, const char *service)
+{
+	return paths_has_way(&x->paths, service);
+}
+
 bool
 target_call_is_direct(const struct target_call *k)
 {
--- a/entry/target_calls.h
+++ b/entry/target_calls.h
@@ -67,6 +67,8 @@
 bool target_call_has_input(const struct target_call *k);
 /* As dial_confirm. */
 void target_call_confirm(struct target_call *k);
+/* As paths_has_way. */
+bool target_calls_has_way(const struct target_calls *x, const char *service);
 /* Whether the call is made on a direct connection. */
 bool target_call_is_direct(const struct target_call *k);
 /* Serves a request of another host for a call, on TARGET_CALLS_URL. */
--- a/entry/target_calls_state.h
+++ b/entry/target_calls_state.h
@@ -18,12 +18,14 @@
 #define ID_FIELD        "Sequoia-Call-Id"
 #define RESULT_FIELD    "Sequoia-Call-Result"
 
-/* Values of RESULT_FIELD; a host that doesn't make calls sets none. */
+/* Values of RESULT_FIELD. */
 #define ANSWERED        "answered" /* the rest is the target's response */
 #define NO_PATH         "no-path"  /* of the host to the target: not sent */
 #define AT_REST         "at-rest"  /* the target wants nothing of the host */
 #define NOT_SENT        "not-sent"
 #define BROKEN          "broken"
+/* Stands for 404 without the field: the host makes no calls for others. */
+#define UNABLE          "unable"
 
 struct target_calls {
 	struct target_calls_opts o;
@@ -46,6 +48,7 @@
 	bool direct_only;
 	char host[MAX_NAME_BYTES + 1]; /* that makes the call; or empty */
 	uint32_t hosts_tried;
+	bool at_rest;        /* a host reported AT_REST */
 	const char *failure; /* result other than ANSWERED; or NULL */
 };
 
--- a/kernel/paths.c
+++ b/kernel/paths.c
@@ -15,12 +15,15 @@
 #define SILENCE_TESTS    2
 /* How long a host that failed isn't chosen. */
 #define HOST_PAUSE       (1 * USEC_PER_SEC)
+/* The same for one that makes no calls, unless it restarts. */
+#define UNABLE_PAUSE     (10 * USEC_PER_SEC)
 
 struct path_service {
 	/* Targets that failed since a connection succeeded; a set of ids. */
 	GHashTable *failed;
 	usec_t failed_at; /* the last one */
 	bool lost;
+	bool without_host;  /* no other host makes calls either */
 	uint32_t calls;     /* on direct connections */
 	usec_t quiet_since; /* nothing has been heard, or no call was made */
 	usec_t tested_at;
@@ -87,7 +90,8 @@
 		struct path_host h = g_array_index(hosts, struct path_host, i);
 		const struct path_host *old = find_host(p, h.id);
 
-		if (old != NULL && strcmp(old->addr, h.addr) == 0)
+		if (old != NULL && strcmp(old->addr, h.addr) == 0 &&
+		    old->incarnation == h.incarnation)
 			h.unreachable_until = old->unreachable_until;
 		g_array_append_val(v, h);
 	}
@@ -95,12 +99,26 @@
 	p->hosts = v;
 }
 
+/* A path is back: hosts are tried anew when one is lost again. */
+static void
+clear_without_host(struct paths *p)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, p->services);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((struct path_service *)v)->without_host = false;
+}
+
 bool
 paths_connected(struct paths *p, const char *service, usec_t now)
 {
 	struct path_service *s = service_of(p, service);
 	bool was_lost = p->lost || s->lost;
 
+	if (was_lost)
+		clear_without_host(p);
 	g_hash_table_remove_all(s->failed);
 	s->lost = false;
 	s->quiet_since = now;
@@ -232,6 +250,36 @@
 		h->unreachable_until = now + HOST_PAUSE;
 }
 
+void
+paths_host_unable(struct paths *p, const char *id, usec_t now)
+{
+	struct path_host *h = find_host(p, id);
+
+	if (h != NULL)
+		h->unreachable_until = now + UNABLE_PAUSE;
+}
+
+void
+paths_no_host(struct paths *p, const char *service)
+{
+	service_of(p, service)->without_host = true;
+}
+
+void
+paths_host_called(struct paths *p, const char *service)
+{
+	service_of(p, service)->without_host = false;
+}
+
+bool
+paths_has_way(const struct paths *p, const char *service)
+{
+	const struct path_service *s =
+	    g_hash_table_lookup(p->services, service);
+
+	return s == NULL || !s->without_host || paths_is_direct(p, service);
+}
+
 void
 paths_host_without(
     struct paths *p, const char *id, const char *service, usec_t now)
--- a/kernel/paths.h
+++ b/kernel/paths.h
@@ -30,6 +30,7 @@
 	char id[MAX_NAME_BYTES + 1];
 	char addr[MAX_ADDR_BYTES]; /* where it takes calls */
 	char domain[MAX_NAME_BYTES + 1];
+	uint64_t incarnation; /* changes when the host restarts */
 	usec_t unreachable_until;
 };
 
@@ -80,9 +81,21 @@
     struct paths *p, const char *service, usec_t now);
 /* The host can't be reached. */
 void paths_host_failed(struct paths *p, const char *id, usec_t now);
+/* The host makes no calls for others. */
+void paths_host_unable(struct paths *p, const char *id, usec_t now);
 /* The host has no path to the service either. */
 void paths_host_without(
     struct paths *p, const char *id, const char *service, usec_t now);
+/*
+ * None of the hosts that were tried has made a call to the service, or one has.
+ */
+void paths_no_host(struct paths *p, const char *service);
+void paths_host_called(struct paths *p, const char *service);
+/*
+ * Whether this host can have calls to the service made: on direct connections,
+ * or by way of a host that hasn't been found unable.
+ */
+bool paths_has_way(const struct paths *p, const char *service);
 void paths_free(struct paths *p);
 
 #endif
--- a/tests/kernel/test_paths.c
+++ b/tests/kernel/test_paths.c
@@ -133,9 +133,9 @@
 }
 
 static const struct path_host hosts[] = {
-	{ "near1", "127.0.0.1:1", "d1", 0 },
-	{ "near2", "127.0.0.1:2", "d1", 0 },
-	{ "far", "127.0.0.1:3", "d2", 0 },
+	{ "near1", "127.0.0.1:1", "d1", 1, 0 },
+	{ "near2", "127.0.0.1:2", "d1", 1, 0 },
+	{ "far", "127.0.0.1:3", "d2", 1, 0 },
 };
 
 /* Hosts that fail are passed over for a while, also when hosts are set again.
@@ -176,6 +176,42 @@
 	g_assert_null(paths_choose_host(&p, "a", 1500 * MS));
 	g_assert_cmpstr(paths_choose_host(&p, "b", 1500 * MS)->id, ==, "far");
 	g_assert_nonnull(paths_choose_host(&p, "a", 2500 * MS));
+	/* Hosts that make no calls are passed over until they restart. */
+	for (size_t i = 0; i < G_N_ELEMENTS(hosts); i++)
+		paths_host_unable(&p, hosts[i].id, 2500 * MS);
+	g_assert_null(paths_choose_host(&p, "a", 8000 * MS));
+	g_array_index(v, struct path_host, 1).incarnation = 2;
+	paths_set_hosts(&p, v);
+	h = paths_choose_host(&p, "b", 8000 * MS);
+	g_assert_cmpstr(h->id, ==, "near2");
+	paths_free(&p);
+}
+
+/*
+ * Without a path, a service has no way once no other host makes its calls: not
+ * the others, and only until a path is back or a host makes one.
+ */
+static void
+test_way(void)
+{
+	struct paths p;
+
+	paths_init(&p, "d1", 1);
+	paths_no_host(&p, "a");
+	g_assert_true(paths_has_way(&p, "a"));
+	paths_failed(&p, "a", "a1", 3, 0);
+	paths_failed(&p, "a", "a2", 3, 0);
+	g_assert_false(paths_has_way(&p, "a"));
+	g_assert_true(paths_has_way(&p, "b"));
+	paths_host_called(&p, "a");
+	g_assert_true(paths_has_way(&p, "a"));
+	paths_no_host(&p, "a");
+	paths_connected(&p, "a", 100 * MS);
+	g_assert_true(paths_has_way(&p, "a"));
+	/* Hosts are tried anew when the path is lost again. */
+	paths_failed(&p, "a", "a1", 3, 200 * MS);
+	paths_failed(&p, "a", "a2", 3, 200 * MS);
+	g_assert_true(paths_has_way(&p, "a"));
 	paths_free(&p);
 }
 
@@ -185,5 +221,6 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/paths/replays", test_replays);
 	g_test_add_func("/paths/hosts", test_hosts);
+	g_test_add_func("/paths/way", test_way);
 	return g_test_run();
 }
--- a/tests/platform/test_cut_hosts.c
+++ b/tests/platform/test_cut_hosts.c
@@ -5,6 +5,10 @@
  *
  * There are two groups of hosts.  Each has a store of its own, whose entries
  * name the targets by the addresses of the group's proxy.
+ *
+ * With SEQUOIAD_OLD (tests/platform/harness.h) some hosts run that program,
+ * which may make no calls for others; at those that are cut off nothing is
+ * counted.  SEQUOIAD_OLD_HOSTS has a bit for each of them.
  */
 #include "tests/platform/harness.h"
 #include "tests/soak/proxy.h"
@@ -13,6 +17,7 @@
 #include <signal.h>
 #include <stdatomic.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define GROUPS          2
@@ -83,7 +88,7 @@
 	int number;
 };
 
-struct group_counts {
+struct host_counts {
 	atomic_uint sent;
 	atomic_uint served;
 };
@@ -92,7 +97,7 @@
 static struct proxy *proxy;
 static int links[GROUPS][TARGETS];
 static struct harness_host hosts[HOSTS];
-static struct group_counts counts[GROUPS];
+static struct host_counts counts[HOSTS];
 static atomic_bool counting;
 static atomic_bool stopping;
 
@@ -101,7 +106,7 @@
 {
 	size_t kind = (size_t)c->number % G_N_ELEMENTS(kinds);
 	int host = (c->number / (int)G_N_ELEMENTS(kinds) + n) % HOSTS;
-	struct group_counts *counts_of = &counts[host / GROUP_HOSTS];
+	struct host_counts *counts_of = &counts[host];
 	bool counted = atomic_load(&counting);
 	g_autofree char *id =
 	    g_strdup_printf("%s-%d-%d", kinds[kind].prefix, c->number, n);
@@ -163,6 +168,9 @@
 {
 	g_autofree char *c = harness_config(1, NULL);
 	g_autofree char *dir = g_dir_make_tmp("cut-hosts-XXXXXX", NULL);
+	const char *old = g_getenv("SEQUOIAD_OLD") != NULL
+	    ? g_getenv("SEQUOIAD_OLD_HOSTS")
+	    : NULL;
 
 	proxy = proxy_start();
 	for (int i = 0; i < GROUPS; i++)
@@ -173,6 +181,7 @@
 		h->port = (uint16_t)(HOST_PORT + 4 * i);
 		h->store_port = (uint16_t)(STORE_PORT + i / GROUP_HOSTS);
 		h->seed_port = HOST_PORT;
+		h->old = old != NULL && (atoi(old) >> i & 1) != 0;
 		snprintf(h->id, sizeof(h->id), "h%d", i + 1);
 		g_strlcpy(h->dir, dir, sizeof(h->dir));
 		harness_start_host(h);
@@ -210,6 +219,26 @@
 		proxy_set_listen(proxy, links[x->group][i], PROXY_ACCEPT);
 }
 
+/* Returns the share of the requests that the hosts of a group served. */
+static double
+share_served(int group, bool is_cut)
+{
+	unsigned int sent = 0;
+	unsigned int served = 0;
+
+	for (int i = group * GROUP_HOSTS; i < (group + 1) * GROUP_HOSTS; i++) {
+		g_test_message("%s%s%s: %u of %u served", hosts[i].id,
+		    hosts[i].old ? ", old" : "", is_cut ? ", cut off" : "",
+		    atomic_load(&counts[i].served),
+		    atomic_load(&counts[i].sent));
+		if (hosts[i].old && is_cut)
+			continue;
+		sent += atomic_load(&counts[i].sent);
+		served += atomic_load(&counts[i].served);
+	}
+	return sent > 0 ? (double)served / sent : 1;
+}
+
 static void
 run_case(gconstpointer arg)
 {
@@ -217,7 +246,7 @@
 	double served[GROUPS];
 	int other = 1 - x->group;
 
-	for (int i = 0; i < GROUPS; i++) {
+	for (int i = 0; i < HOSTS; i++) {
 		atomic_store(&counts[i].sent, 0);
 		atomic_store(&counts[i].served, 0);
 	}
@@ -229,15 +258,8 @@
 	/* The last ones that count end by then. */
 	g_usleep((gulong)(DEADLINE_MS * USEC_PER_MSEC));
 	heal(x);
-	for (int i = 0; i < GROUPS; i++) {
-		unsigned int n = atomic_load(&counts[i].sent);
-
-		g_test_message("group %d%s: %u of %u served", i + 1,
-		    i == x->group ? ", cut off" : "",
-		    atomic_load(&counts[i].served), n);
-		g_assert_cmpuint(n, >, 0);
-		served[i] = (double)atomic_load(&counts[i].served) / n;
-	}
+	for (int i = 0; i < GROUPS; i++)
+		served[i] = share_served(i, i == x->group);
 	g_usleep((gulong)HEAL_TIME);
 	/* The users' alert: over a tenth of the requests aren't served. */
 	g_assert_cmpfloat(served[other], >=, 0.9);
