coordinator: jobs go to the next host when there is no way to the targets

A coordinator without a path to the targets of its service, and without a host that makes its calls, kept the jobs of all hosts until their deadlines, or refused them: it answers other hosts, so none replaced it. Staged requests got 503 at every host, though others could do the work.

Now it gives back the jobs that have no piece in a call (stage-moved), and new ones at once. The host that asked passes it over for this service for 2 s, not for others, and tries the next in the order; a job that three gave back, or that no other host takes, stays at its own host, so that jobs don't wander when the targets themselves are gone.

test_stage_jobs, before: 3 pieces wait, not 0 (moved, second case); after: passed.

--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -404,11 +404,13 @@
 	struct coordinator_job *j = g_hash_table_lookup(c->jobs, key);
 	struct batch_item it;
 	struct pool *p;
+	bool stays = false;
 
 	if (j != NULL && j->moved && from == NULL && !msg->cancelled) {
 		/* The job has come back: there is no other coordinator. */
 		g_hash_table_remove(c->jobs, key);
 		j = NULL;
+		stays = true;
 	}
 	if (j != NULL || msg->cancelled) {
 		free(key);
@@ -429,7 +431,9 @@
 	 * This host's own jobs reach it during its drain only if there is no
 	 * other coordinator.
 	 */
-	j->moved = c->draining && from != NULL;
+	j->stays = stays;
+	j->moved = (c->draining && from != NULL) ||
+	    (p != NULL && !stays && !coordinator_has_way(c, p));
 	it = new_item(j, msg, now);
 	if (j->moved || !admit_job(c, j, &it, now)) {
 		coordinator_finish_job(c, j, now);
@@ -685,6 +689,7 @@
 
 	g_hash_table_iter_init(&it, c->pools);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		coordinator_move_jobs(c, p, now);
 		refuse_overdue(c, p, now);
 		refuse_hopeless(c, p, now);
 		report_load(c, p, now);
--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -512,6 +512,38 @@
 	}
 }
 
+bool
+coordinator_has_way(const struct coordinator *c, const struct pool *p)
+{
+	return target_calls_has_way(c->o.target_calls, p->service);
+}
+
+void
+coordinator_move_jobs(struct coordinator *c, struct pool *p, usec_t now)
+{
+	GHashTableIter it;
+	gpointer v;
+	uint32_t n = 0;
+
+	if (coordinator_has_way(c, p))
+		return;
+	g_hash_table_iter_init(&it, c->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct coordinator_job *j = v;
+
+		if (j->pool != p || j->replied || j->stays || j->in_calls > 0)
+			continue;
+		j->moved = true;
+		coordinator_finish_job(c, j, now);
+		n++;
+	}
+	if (n > 0)
+		log_text(LOG_LVL_NOTICE, "stage-moved",
+		    "%u jobs of %s go to the next coordinator: there is no "
+		    "path to its targets",
+		    n, p->service);
+}
+
 void
 coordinator_path_lost(struct coordinator *c, const char *service)
 {
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -46,6 +46,7 @@
 	bool replied;
 	bool refused;
 	bool moved; /* answered: the next coordinator has to take the job */
+	bool stays; /* no other coordinator takes it */
 	bool cancelled;
 	bool released;    /* the results have been released */
 	uint32_t wait_ms; /* of a refused job: time until a retry */
@@ -127,6 +128,13 @@
     struct target_load *t, double slowness, GArray *items, usec_t now);
 /* Sends the frees of results that have waited long enough. */
 void coordinator_flush_frees(struct coordinator *c, usec_t now);
+/* Whether this host can have the pool's targets called. */
+bool coordinator_has_way(const struct coordinator *c, const struct pool *p);
+/*
+ * Gives the jobs of a pool whose targets this host can't have called to the
+ * next coordinator, except those with pieces in calls.
+ */
+void coordinator_move_jobs(struct coordinator *c, struct pool *p, usec_t now);
 /* Cancels all calls. */
 void coordinator_cancel_calls(struct coordinator *c);
 
--- a/entry/stage_jobs.c
+++ b/entry/stage_jobs.c
@@ -21,6 +21,8 @@
 #define MAX_UNACKED_SENDS 3
 /* A job at a live coordinator is resent at doubling intervals up to this. */
 #define MAX_ACK_TIMEOUT   (800 * USEC_PER_MSEC)
+/* Coordinators that may give a job back; then it stays at this host. */
+#define MAX_MOVES         3
 /* Number of low bits of a job number, which count the jobs of one process. */
 #define INCARNATION_SHIFT 24
 
@@ -50,6 +52,7 @@
 	bool deferred; /* not sent yet */
 	bool acked;
 	uint32_t tries;
+	uint32_t moves; /* coordinators that gave it back */
 };
 
 struct peer {
@@ -62,8 +65,9 @@
 	struct coordinator *coordinator;
 	usec_t peer_wait_end; /* jobs are held back until this time */
 	GArray *peers;        /* struct peer */
-	GHashTable *jobs;     /* number -> struct stage_job */
-	GHashTable *open;     /* number -> struct pending_job */
+	struct declined declined;
+	GHashTable *jobs; /* number -> struct stage_job */
+	GHashTable *open; /* number -> struct pending_job */
 	uint64_t next;
 };
 
@@ -108,6 +112,7 @@
 	    g_int64_hash, g_int64_equal, NULL, free_stage_job);
 	s->open = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_pending_job);
+	declined_init(&s->declined);
 	s->peer_wait_end = clock_now() + o->peer_wait;
 	s->next = o->incarnation << INCARNATION_SHIFT;
 	return s;
@@ -190,22 +195,27 @@
 
 /* Whether a host may coordinate; an empty domain stands for all. */
 static bool
-can_coordinate(const struct peer *p, const char *domain, usec_t now)
+can_coordinate(const struct stage_jobs *s, const struct peer *p,
+    const char *service, const char *domain, usec_t now)
 {
 	return !suspicion_is_suspect(&p->suspicion, now) &&
+	    !declined_has(
+		&s->declined, service, p->p.id, p->p.incarnation, now) &&
 	    (*domain == '\0' || strcmp(p->p.domain, domain) == 0);
 }
 
 /* Returns the largest capacity of the hosts that may coordinate; 0: none. */
 static uint32_t
-largest_capacity(const struct stage_jobs *s, const char *domain, usec_t now)
+largest_capacity(const struct stage_jobs *s, const char *service,
+    const char *domain, usec_t now)
 {
 	uint32_t largest = 0;
 
 	for (guint i = 0; i < s->peers->len; i++) {
 		const struct peer *p = &g_array_index(s->peers, struct peer, i);
 
-		if (can_coordinate(p, domain, now) && p->p.capacity > largest)
+		if (can_coordinate(s, p, service, domain, now) &&
+		    p->p.capacity > largest)
 			largest = p->p.capacity;
 	}
 	return largest;
@@ -219,20 +229,20 @@
 	uint64_t seed = hash_u64(str_from(service), 3);
 	const struct peer *best = NULL;
 	double best_weight = 0;
-	uint32_t largest = largest_capacity(s, domain, now);
+	uint32_t largest = largest_capacity(s, service, domain, now);
 
 	if (strlen(service) > PEER_NAME_MAX)
 		return ""; /* too long for messages */
 	if (largest == 0 && *domain != '\0') {
 		domain = "";
-		largest = largest_capacity(s, domain, now);
+		largest = largest_capacity(s, service, domain, now);
 	}
 	for (guint i = 0; i < s->peers->len; i++) {
 		const struct peer *p = &g_array_index(s->peers, struct peer, i);
 		double weight = rendezvous_weight(
 		    hash_u64(str_from(p->p.id), seed), p->p.capacity);
 
-		if (!can_coordinate(p, domain, now) ||
+		if (!can_coordinate(s, p, service, domain, now) ||
 		    !rendezvous_is_large(p->p.capacity, largest) ||
 		    (best != NULL && weight <= best_weight))
 			continue;
@@ -250,7 +260,7 @@
 	const struct peer *p;
 
 	g_strlcpy(j->coordinator,
-	    j->whole->is_local
+	    j->whole->is_local || j->moves >= MAX_MOVES
 		? ""
 		: choose_coordinator(s, j->body.service, j->whole->domain, now),
 	    sizeof(j->coordinator));
@@ -485,6 +495,22 @@
 	return suspect;
 }
 
+/* The coordinator has given a job back: the next one gets it. */
+static void
+move_job(struct stage_jobs *s, struct pending_job *j, usec_t now)
+{
+	const struct peer *p = find_peer(s, j->coordinator);
+
+	if (p != NULL)
+		declined_add(&s->declined, j->body.service, p->p.id,
+		    j->incarnation, now);
+	j->moves++;
+	assign_coordinator(s, j, now);
+	j->tries = 0;
+	j->acked = false;
+	send_job(s, j, now);
+}
+
 /*
  * Frees the results of a coordinator that has been replaced: its successor
  * produces them too.
@@ -571,8 +597,7 @@
 		return;
 	}
 	if (r->moved) {
-		fail_over(s, j, clock_now());
-		send_job(s, j, clock_now());
+		move_job(s, j, clock_now());
 		return;
 	}
 	if (!r->refused && r->made.made_len == 0) {
@@ -669,6 +694,7 @@
 {
 	g_hash_table_destroy(s->open);
 	g_hash_table_destroy(s->jobs);
+	declined_free(&s->declined);
 	g_array_unref(s->peers);
 	free(s);
 }
--- a/kernel/overload/suspicion.h
+++ b/kernel/overload/suspicion.h
@@ -8,6 +8,9 @@
  * a time that is the same for all hosts, however many jobs wait at it, and one
  * that has restarted is not blamed for the silence before.
  *
+ * A host that answers, but has no path to the targets of a service, doesn't
+ * coordinate that service for a while.
+ *
  * Times are in microseconds.
  */
 #ifndef KERNEL_OVERLOAD_SUSPICION_H
@@ -15,6 +18,7 @@
 
 #include "base/clock.h"
 
+#include <glib.h>
 #include <stdbool.h>
 
 struct suspicion {
@@ -37,4 +41,18 @@
 /* Whether the host was heard so lately that it must not be replaced. */
 bool suspicion_is_alive(const struct suspicion *s, usec_t now);
 
+/* Which services hosts don't coordinate, as they gave jobs of them back. */
+struct declined {
+	GHashTable *until; /* hash of service and host -> usec_t */
+};
+
+void declined_init(struct declined *d);
+/* This incarnation of the host has given a job of the service back. */
+void declined_add(struct declined *d, const char *service, const char *host,
+    uint64_t incarnation, usec_t now);
+/* Whether the host must not be chosen for the service. */
+bool declined_has(const struct declined *d, const char *service,
+    const char *host, uint64_t incarnation, usec_t now);
+void declined_free(struct declined *d);
+
 #endif
--- a/tests/entry/test_stage_jobs.c
+++ b/tests/entry/test_stage_jobs.c
@@ -4,7 +4,7 @@
  * coordinator of every service), and what acknowledgements report.
  */
 #include "entry/stage_jobs.h"
-#include "entry/target_calls.h"
+#include "entry/target_calls_state.h"
 #include "platform/config.h"
 #include "platform/stage.h"
 
@@ -359,6 +359,14 @@
 	routes_unref(routes);
 }
 
+/* The path to the only target fails, and no host makes calls to it. */
+static void
+lose_path(struct fixture *g)
+{
+	paths_failed(&g->calls->paths, SERVICE, "s1", 1, clock_now());
+	paths_no_host(&g->calls->paths, SERVICE);
+}
+
 /* Adds this host, which coordinates the service, and another one or none. */
 static void
 set_hosts(struct fixture *g, bool other)
@@ -421,6 +429,66 @@
 	close_fixture(&g);
 }
 
+/*
+ * A coordinator that loses its path, and finds no host that makes its calls,
+ * must not keep its jobs until their deadlines while another host could do
+ * them.
+ */
+static void
+test_moved(void)
+{
+	static const struct {
+		const char *name;
+		bool other;   /* there is another host */
+		bool lost;    /* the path, before the job is submitted */
+		bool after;   /* or after it */
+		bool by_host; /* a host makes the calls */
+		bool moves;
+	} cases[] = {
+		{ "with a path", true, false, false, false, false },
+		{ "lost before the job", true, true, false, false, true },
+		{ "lost while the job waits", true, false, true, false, true },
+		{ "another host makes the calls", true, false, true, true,
+		    false },
+		{ "no other host", false, false, true, false, false },
+		{ "no other host, lost before", false, true, false, false,
+		    false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct part_result x = { 0 };
+		struct fixture g;
+		uint64_t number;
+
+		g_test_message("%s", cases[i].name);
+		open_fixture(&g, 0);
+		set_pool(&g);
+		set_hosts(&g, cases[i].other);
+		if (cases[i].lost)
+			lose_path(&g);
+		number = submit_pieces(&g, &x);
+		if (cases[i].after)
+			lose_path(&g);
+		if (cases[i].by_host)
+			paths_host_called(&g.calls->paths, SERVICE);
+		for (int k = 0; k < 3; k++) {
+			coordinator_tick(g.coordinator, clock_now());
+			event_base_loop(g.base, EVLOOP_NONBLOCK);
+		}
+		g_assert_cmpint(x.n_replies, ==, 0);
+		g_assert_cmpuint(coordinator_counts(g.coordinator).waiting, ==,
+		    cases[i].moves ? 0 : 3);
+		g_assert_cmpstr(stage_jobs_coordinator(g.jobs, SERVICE, ""), ==,
+		    cases[i].moves ? OTHER : "");
+		/* Also while the job is on its way to another coordinator. */
+		lose_path(&g);
+		coordinator_tick(g.coordinator, clock_now());
+		stage_jobs_cancel(g.jobs, number);
+		event_base_loop(g.base, EVLOOP_NONBLOCK);
+		close_fixture(&g);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -429,5 +497,6 @@
 	g_test_add_func("/stage_jobs/repeated-ack", test_repeated_ack);
 	g_test_add_func("/stage_jobs/parts", test_parts);
 	g_test_add_func("/stage_jobs/cancelled-drain", test_cancelled_drain);
+	g_test_add_func("/stage_jobs/moved", test_moved);
 	return g_test_run();
 }
--- a/tests/kernel/test_suspicion.c
+++ b/tests/kernel/test_suspicion.c
@@ -98,10 +98,31 @@
 	}
 }
 
+/* A host that gives jobs of a service back isn't chosen for it, for a while. */
+static void
+test_declined(void)
+{
+	struct declined d;
+
+	declined_init(&d);
+	g_assert_false(declined_has(&d, "a", "h", 1, 0));
+	declined_add(&d, "a", "h", 1, 1000 * MS);
+	g_assert_true(declined_has(&d, "a", "h", 1, 2900 * MS));
+	g_assert_false(declined_has(&d, "b", "h", 1, 2900 * MS));
+	g_assert_false(declined_has(&d, "a", "i", 1, 2900 * MS));
+	g_assert_false(declined_has(&d, "a", "h", 1, 3000 * MS));
+	declined_add(&d, "a", "h", 1, 3000 * MS);
+	g_assert_true(declined_has(&d, "a", "h", 1, 4000 * MS));
+	/* It has restarted. */
+	g_assert_false(declined_has(&d, "a", "h", 2, 4000 * MS));
+	declined_free(&d);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/suspicion", test_replays);
+	g_test_add_func("/suspicion/declined", test_declined);
 	return g_test_run();
 }
