--- a/entry/stage_jobs.c
+++ b/entry/stage_jobs.c
@@ -19,14 +19,16 @@
 #define STATUS_INTERVAL   (1 * USEC_PER_SEC)
 /* Sends without an acknowledgement before the next coordinator is chosen. */
 #define MAX_UNACKED_SENDS 3
-/* A job at a live coordinator is resent at doubling intervals up to this. */
 /*
  * After so many coordinators in a row that didn't answer, a job goes to one
  * that has answered this host before, or to this host: hosts that are only
  * listed may not exist.
  */
 #define MAX_SILENT        2
+/* A job at a live coordinator is resent at doubling intervals up to this. */
 #define MAX_ACK_TIMEOUT   (800 * USEC_PER_MSEC)
+/* Coordinators that may give a job back; then it stays at this host. */
+#define MAX_MOVES         3
 /* Number of low bits of a job number, which count the jobs of one process. */
 #define INCARNATION_SHIFT 24
 
@@ -57,6 +59,7 @@
 	bool acked;
 	uint32_t tries;
 	uint32_t n_silent; /* coordinators that didn't answer */
+	uint32_t moves;    /* coordinators that gave it back */
 };
 
 struct peer {
@@ -69,8 +72,9 @@
 	struct coordinator *coordinator;
 	usec_t peer_wait_end; /* jobs are held back until this time */
 	GArray *peers;        /* struct peer */
-	GHashTable *jobs;     /* number -> struct stage_job */
-	GHashTable *open;     /* number -> struct pending_job */
+	struct declined declined;
+	GHashTable *jobs; /* number -> struct stage_job */
+	GHashTable *open; /* number -> struct pending_job */
 	uint64_t next;
 };
 
@@ -115,6 +119,7 @@
 	    g_int64_hash, g_int64_equal, NULL, free_stage_job);
 	s->open = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_pending_job);
+	declined_init(&s->declined);
 	s->peer_wait_end = clock_now() + o->peer_wait;
 	s->next = o->incarnation << INCARNATION_SHIFT;
 	return s;
@@ -197,6 +202,7 @@
 
 /* Which hosts may coordinate. */
 struct coordinator_choice {
+	const char *service;
 	const char *domain; /* empty: all */
 	bool known_only;    /* this host, and those that have answered it */
 	usec_t now;
@@ -210,6 +216,8 @@
 	    strcmp(p->p.id, s->o.self) != 0)
 		return false;
 	return !suspicion_is_suspect(&p->suspicion, x->now) &&
+	    !declined_has(
+		&s->declined, x->service, p->p.id, p->p.incarnation, x->now) &&
 	    (*x->domain == '\0' || strcmp(p->p.domain, x->domain) == 0);
 }
 
@@ -230,15 +238,14 @@
 
 /* Returns the RPC address of the service's coordinator; empty for this host. */
 static const char *
-choose_coordinator(
-    struct stage_jobs *s, const char *service, struct coordinator_choice x)
+choose_coordinator(struct stage_jobs *s, struct coordinator_choice x)
 {
-	uint64_t seed = hash_u64(str_from(service), 3);
+	uint64_t seed = hash_u64(str_from(x.service), 3);
 	const struct peer *best = NULL;
 	double best_weight = 0;
 	uint32_t largest = largest_capacity(s, &x);
 
-	if (strlen(service) > PEER_NAME_MAX)
+	if (strlen(x.service) > PEER_NAME_MAX)
 		return ""; /* too long for messages */
 	if (largest == 0 && *x.domain != '\0') {
 		x.domain = "";
@@ -267,10 +274,10 @@
 	const struct peer *p;
 
 	g_strlcpy(j->coordinator,
-	    j->whole->is_local
+	    j->whole->is_local || j->moves >= MAX_MOVES
 		? ""
-		: choose_coordinator(s, j->body.service,
-		      (struct coordinator_choice){
+		: choose_coordinator(s,
+		      (struct coordinator_choice){ j->body.service,
 			  j->whole->domain, j->n_silent >= MAX_SILENT, now }),
 	    sizeof(j->coordinator));
 	p = find_peer(s, j->coordinator);
@@ -281,8 +288,8 @@
 stage_jobs_coordinator(
     struct stage_jobs *s, const char *service, const char *domain)
 {
-	return choose_coordinator(s, service,
-	    (struct coordinator_choice){ domain, false, clock_now() });
+	return choose_coordinator(s,
+	    (struct coordinator_choice){ service, domain, false, clock_now() });
 }
 
 static uint32_t
@@ -473,8 +480,8 @@
 	if (loads_domains(s->o.loads, service) != NULL &&
 	    str_cut(&rest, '/', &addr))
 		domain = loads_domain_at(s->o.loads, addr);
-	coordinator = choose_coordinator(s, service,
-	    (struct coordinator_choice){ domain, false, clock_now() });
+	coordinator = choose_coordinator(s,
+	    (struct coordinator_choice){ service, domain, false, clock_now() });
 	if (*coordinator == '\0') {
 		coordinator_release(s->coordinator, handles);
 		return;
@@ -506,6 +513,22 @@
 	return suspect;
 }
 
+/* The coordinator has given a job back: the next one gets it. */
+static void
+move_job(struct stage_jobs *s, struct pending_job *j, usec_t now)
+{
+	const struct peer *p = find_peer(s, j->coordinator);
+
+	if (p != NULL)
+		declined_add(&s->declined, j->body.service, p->p.id,
+		    j->incarnation, now);
+	j->moves++;
+	assign_coordinator(s, j, now);
+	j->tries = 0;
+	j->acked = false;
+	send_job(s, j, now);
+}
+
 /*
  * Frees the results of a coordinator that has been replaced: its successor
  * produces them too.
@@ -592,8 +615,7 @@
 		return;
 	}
 	if (r->moved) {
-		fail_over(s, j, clock_now());
-		send_job(s, j, clock_now());
+		move_job(s, j, clock_now());
 		return;
 	}
 	if (!r->refused && r->made.made_len == 0) {
@@ -691,6 +713,7 @@
 {
 	g_hash_table_destroy(s->open);
 	g_hash_table_destroy(s->jobs);
+	declined_free(&s->declined);
 	g_array_unref(s->peers);
 	free(s);
 }
