http: http_run returns once it has delivered

When libcurl's timer was due, for example on a kept connection after a standstill, http_run delivered what had arrived and then waited for its whole time: whoever runs the loop saw the answer up to 5 s late in the test. It waits no longer after a delivery.

test_http, before: not ok /http/standstill/answer on a kept connection (5009993 < 5000000) not ok /http/standstill/connection (5007676 < 5000000) after: 10 of 10.

--- a/plat/http.c
+++ b/plat/http.c
@@ -231,13 +231,14 @@
 
 /*
  * Delivers received bytes, then the ends of transfers, so that the last bytes
- * of a broken response are not lost.
+ * of a broken response are not lost.  Returns whether there were any.
  */
-static void
+static bool
 deliver_all(struct http_loop *l)
 {
 	CURLMsg *m;
 	int n_queued;
+	bool any = l->readable->len > 0;
 
 	for (guint i = 0; i < l->readable->len; i++)
 		deliver_data(l, g_array_index(l->readable, uint64_t, i));
@@ -248,9 +249,11 @@
 
 		if (m->msg != CURLMSG_DONE)
 			continue;
+		any = true;
 		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &t);
 		finish(l, (struct transfer *)(void *)t, rc);
 	}
+	return any;
 }
 
 /* libcurl's socket callback: sets the events to wait for on a socket. */
@@ -365,7 +368,7 @@
 
 /*
  * Calls libcurl if its timer has expired.  Returns wait, shortened to the time
- * until the timer expires.
+ * until the timer expires, or to 0 if something was delivered.
  */
 static usec_t
 run_timer(struct http_loop *l, usec_t wait)
@@ -377,7 +380,8 @@
 		l->timer_at = NO_TIMER;
 		curl_multi_socket_action(
 		    l->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-		deliver_all(l);
+		if (deliver_all(l))
+			wait = 0;
 	}
 	if (l->timer_at != NO_TIMER && l->timer_at - now < wait)
 		wait = l->timer_at > now ? l->timer_at - now : 0;
--- a/tests/plat/test_http.c
+++ b/tests/plat/test_http.c
@@ -26,6 +26,7 @@
 #define CHUNK         ((size_t)64 * 1024)
 #define CALLS         100
 #define CALL_TIME     (2 * USEC_PER_SEC)
+#define LOOP_WAIT     (5 * USEC_PER_SEC)
 #define STANDSTILL    (600 * USEC_PER_MSEC)
 /* A connection that found the backlog full is tried again after 1 s. */
 #define CONNECT_RETRY (1500 * USEC_PER_MSEC)
@@ -274,7 +275,7 @@
 		raise(SIGSTOP);
 	}
 	while (!r.ended && !late) {
-		http_run(loop, 5 * USEC_PER_SEC);
+		http_run(loop, LOOP_WAIT);
 		late = x->judged_after > 0 &&
 		    clock_now() - start > x->judged_after;
 	}
@@ -307,6 +308,7 @@
 	char request[1024];
 	int status = 0;
 	int fd = -1;
+	usec_t resumed;
 	pid_t pid;
 
 	g_assert_cmpint(
@@ -341,7 +343,9 @@
 		send_answer(x, fd);
 	g_usleep((gulong)STANDSTILL);
 	kill(pid, SIGCONT);
+	resumed = clock_now();
 	g_assert_cmpint(waitpid(pid, &status, 0), ==, pid);
+	g_assert_cmpint(clock_now() - resumed, <, LOOP_WAIT);
 	g_assert_true(WIFEXITED(status));
 	g_assert_cmpint(WEXITSTATUS(status), ==, x->answered ? 0 : 1);
 	close(fd);
