--- a/entry/relay.c
+++ b/entry/relay.c
@@ -343,8 +343,7 @@
 		.calls = atomic_load(&y->shared.busy) > 0,
 		.stages = coordinates,
 	};
-	/* Other hosts get the rest of their answers on the operators' server.
-	 */
+	/* Answers to other hosts are on the operators' server. */
 	if (stopping_may_end(&stopping, &work) && httpd_finish(y->ops_httpd))
 		atomic_store(&y->finished, true);
 	reject_at_exit(y, &stopping, now);
