result_frees: frees for targets that are gone are dropped

A coordinator collects the handles to be freed at each address until its next call there. For targets that were replaced, and for addresses that no target is listed at, there is none: the handles stayed for as long as the host ran.

The table moves from entry/coordinator_calls.c to a module of its own.

/result-frees shows it; the former table was never looked through (by the code, no run).

--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -65,15 +65,6 @@
 	free(pool);
 }
 
-static void
-free_pending_frees(gpointer p)
-{
-	struct pending_frees *u = p;
-
-	buf_free(&u->handles);
-	free(u);
-}
-
 void
 coordinator_set_routes(struct coordinator *c, struct routes *routes)
 {
@@ -172,8 +163,7 @@
 	c->jobs = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, free_coordinator_job);
 	c->calls = g_hash_table_new(NULL, NULL);
-	c->pending_frees = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, free_pending_frees);
+	result_frees_init(&c->frees);
 	c->last_responses =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	recent_set_init(&c->handles, HANDLE_MEMORY);
@@ -753,7 +743,7 @@
 	g_hash_table_destroy(c->calls);
 	g_hash_table_destroy(c->jobs);
 	g_hash_table_destroy(c->pools);
-	g_hash_table_destroy(c->pending_frees);
+	result_frees_free(&c->frees);
 	g_hash_table_destroy(c->last_responses);
 	event_free(c->local_reply_event);
 	g_ptr_array_unref(c->local_replies);
--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -358,8 +358,8 @@
 static void
 flush_frees(struct coordinator *c, const struct target_load *t)
 {
-	struct pending_frees *u =
-	    g_hash_table_lookup(c->pending_frees, t->entry.addr);
+	const struct result_frees_entry *u =
+	    result_frees_find(&c->frees, t->entry.addr);
 	struct buf body = { 0 };
 	struct target_call *call;
 
@@ -372,7 +372,7 @@
 	if (call != NULL)
 		target_call_confirm(call);
 	buf_free(&body);
-	g_hash_table_remove(c->pending_frees, t->entry.addr);
+	result_frees_sent(&c->frees, t->entry.addr);
 }
 
 /*
@@ -462,6 +462,7 @@
 	GHashTableIter it;
 	gpointer p;
 
+	result_frees_expire(&c->frees, now);
 	g_hash_table_iter_init(&it, c->pools);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const struct pool *pool = p;
@@ -469,8 +470,8 @@
 
 		for (guint i = 0; all != NULL && i < all->len; i++) {
 			struct target_load *t = all->pdata[i];
-			const struct pending_frees *u = g_hash_table_lookup(
-			    c->pending_frees, t->entry.addr);
+			const struct result_frees_entry *u =
+			    result_frees_find(&c->frees, t->entry.addr);
 
 			if (u == NULL || now - u->oldest <= FREE_INTERVAL ||
 			    !loads_allows_alone(t, now))
@@ -487,28 +488,12 @@
 	struct str one;
 
 	while (handles.n > 0 && str_cut(&handles, ',', &one)) {
-		struct str rest = one;
-		struct str addr;
-		struct pending_frees *u;
-		g_autofree char *key = NULL;
-
-		if (!str_cut(&rest, '/', &addr))
-			continue;
 		/*
 		 * Results produced for another coordinator are not held here;
 		 * for them this does nothing.
 		 */
 		result_space_free_result(&c->result_space, one);
-		key = g_strndup(addr.p, addr.n);
-		u = g_hash_table_lookup(c->pending_frees, key);
-		if (u == NULL) {
-			u = xcalloc(1, sizeof(*u));
-			u->oldest = clock_now();
-			g_hash_table_insert(c->pending_frees, g_strdup(key), u);
-		} else {
-			buf_putc(&u->handles, ',');
-		}
-		buf_put(&u->handles, one);
+		result_frees_add(&c->frees, one, clock_now());
 	}
 }
 
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -8,6 +8,7 @@
 #include "entry/coordinator.h"
 #include "kernel/overload/batch.h"
 #include "kernel/bounds.h"
+#include "kernel/overload/result_frees.h"
 #include "kernel/overload/result_space.h"
 #include "kernel/recent_set.h"
 #include "platform/stage.h"
@@ -82,18 +83,13 @@
 	uint32_t late_turns; /* of the loop since its time was over */
 };
 
-struct pending_frees {
-	struct buf handles;
-	usec_t oldest; /* when the first handle was queued */
-};
-
 struct coordinator {
 	struct coordinator_opts o;
 	struct routes *routes;
-	GHashTable *pools;          /* service -> struct pool */
-	GHashTable *jobs;           /* key -> struct coordinator_job */
-	GHashTable *calls;          /* struct batch_call */
-	GHashTable *pending_frees;  /* address -> struct pending_frees */
+	GHashTable *pools; /* service -> struct pool */
+	GHashTable *jobs;  /* key -> struct coordinator_job */
+	GHashTable *calls; /* struct batch_call */
+	struct result_frees frees;
 	GHashTable *last_responses; /* target id -> hash of the last response */
 	struct recent_set handles;  /* hashes of those that were returned */
 	struct result_space result_space; /* of all targets */
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -9,6 +9,7 @@
 #include "kernel/rendezvous.h"
 #include "kernel/loads.h"
 #include "kernel/overload/retry_quota.h"
+#include "kernel/overload/result_frees.h"
 #include "kernel/overload/result_space.h"
 #include "kernel/roster.h"
 #include "kernel/routes.h"
@@ -393,6 +394,30 @@
 	result_space_free(&r);
 }
 
+/* Targets that are gone, and addresses that don't exist, never get a call. */
+static void
+test_result_frees(void)
+{
+	const usec_t old = RESULT_FREES_KEEP_TIME;
+	struct result_frees f;
+
+	result_frees_init(&f);
+	result_frees_add(&f, STR("m:1/a"), 0);
+	result_frees_add(&f, STR("m:1/b"), old);
+	result_frees_add(&f, STR("m:2/c"), old);
+	result_frees_add(&f, STR("odd"), old);
+	g_assert_cmpstr(
+	    result_frees_find(&f, "m:1")->handles.p, ==, "m:1/a,m:1/b");
+	result_frees_expire(&f, old);
+	g_assert_cmpuint(g_hash_table_size(f.by_addr), ==, 2);
+	result_frees_expire(&f, old + 2 * USEC_PER_SEC);
+	g_assert_null(result_frees_find(&f, "m:1"));
+	g_assert_cmpstr(result_frees_find(&f, "m:2")->handles.p, ==, "m:2/c");
+	result_frees_sent(&f, "m:2");
+	g_assert_null(result_frees_find(&f, "m:2"));
+	result_frees_free(&f);
+}
+
 /* Batches. */
 
 static const struct pool_config pool = { .slots = 1,
@@ -1099,6 +1124,7 @@
 	g_test_add_func("/retry-quota/bound", test_retry_quota_bound);
 	g_test_add_func("/large-hosts", test_large);
 	g_test_add_func("/result-space", test_result_space);
+	g_test_add_func("/result-frees", test_result_frees);
 	g_test_add_func("/batch/order", test_batch_order);
 	g_test_add_func("/batch/size", test_batch_size);
 	g_test_add_func("/batch/estimate", test_batch_estimate);
