stream_records: the count of changes is the last line of the base versions

A reader that looks at the beginning of the item finds what it found before.

test_odd_entries: base versions that another writer invents without the count are replaced.

--- a/kernel/stream_records.c
+++ b/kernel/stream_records.c
@@ -411,11 +411,11 @@
 	gpointer service;
 	gpointer version;
 
-	buf_printf(out, CHANGES_NAME " %" PRIu64 "\n", b->changes);
 	g_hash_table_iter_init(&it, b->by_service);
 	while (g_hash_table_iter_next(&it, &service, &version))
 		buf_printf(out, "%s %s\n", (const char *)service,
 		    (const char *)version);
+	buf_printf(out, CHANGES_NAME " %" PRIu64 "\n", b->changes);
 }
 
 void
--- a/tests/platform/test_odd_entries.c
+++ b/tests/platform/test_odd_entries.c
@@ -303,6 +303,8 @@
 		"1\t9223372036854775807\t600000\t0123456789abcdef",
 		"h1\t127.0.0.1:99999\t\td1\t18446744073709551615\t5\n",
 		"h9\tno.such.name:1\t\td1\t18446744000000000000\t1\n",
+		/* As base versions: without the count of their changes. */
+		"plain v9\n",
 		"[[[[[[[[",
 		"{\"Version\":9223372036854775807}",
 	};
