result_frees: says what happens to results that are kept for longer

Targets keep results for HandleS of the configuration, which may be more than a minute; results whose frees were dropped end by themselves then.

--- a/kernel/overload/result_frees.h
+++ b/kernel/overload/result_frees.h
@@ -17,7 +17,7 @@
 
 #include <glib.h>
 
-/* Longer than a target keeps a result. */
+/* A target that keeps results for longer frees them by itself at their end. */
 #define RESULT_FREES_KEEP_TIME (60 * USEC_PER_SEC)
 
 struct result_frees {
