--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -51,6 +51,8 @@
 	struct event *restart_timer; /* after a crash */
 	enum fakeplat_repeat repeat;
 	uint32_t seq; /* of its last store entry */
+	uint32_t born;
+	bool reset; /* its connections are to be reset */
 };
 
 struct item {
@@ -1048,13 +1050,15 @@
 	(void)fd;
 	(void)what;
 	pthread_mutex_lock(&plat->lock);
-	for (guint i = plat->conns->len; plat->restored && i-- > 0;) {
+	for (guint i = plat->conns->len; i-- > 0;) {
 		struct conn *c = plat->conns->pdata[i];
 
-		if (c->target == NULL)
+		if (c->target == NULL ? plat->restored : c->target->reset)
 			reset_conn(c);
 	}
 	plat->restored = false;
+	for (size_t i = 0; i < plat->n_targets; i++)
+		plat->targets[i]->reset = false;
 	for (guint i = 0; i < plat->conns->len; i++) {
 		struct conn *c = plat->conns->pdata[i];
 
@@ -1192,12 +1196,12 @@
 	g_autofree char *v = g_strdup_printf(
 	    "{\"Service\":\"%s\",\"Addr\":\"127.0.0.1:%u\",\"Zone\":\"%s\","
 	    "\"Version\":\"%s\",\"Slots\":4,\"State\":\"%s\","
-	    "\"ColdLeftMs\":0,\"Seq\":%u,\"born\":1}",
+	    "\"ColdLeftMs\":0,\"Seq\":%u,\"born\":%u}",
 	    t->config.service,
 	    t->config.published_port != 0 ? t->config.published_port
 					  : t->config.port,
-	    t->config.domain, version != NULL ? version : "v1", state,
-	    ++t->seq);
+	    t->config.domain, version != NULL ? version : "v1", state, ++t->seq,
+	    t->born);
 
 	put_item(plat, key, v);
 }
@@ -1229,6 +1233,7 @@
 	g_assert_cmpuint(plat->n_targets, <, FAKEPLAT_MAX_TARGETS);
 	t->plat = plat;
 	t->config = *o;
+	t->born = 1;
 	g_strlcpy(t->id, o->id, sizeof(t->id));
 	t->arrivals = g_array_new(FALSE, FALSE, sizeof(usec_t));
 	t->refusals = g_array_new(FALSE, FALSE, sizeof(usec_t));
@@ -1493,6 +1498,22 @@
 	pthread_mutex_unlock(&plat->lock);
 }
 
+void
+fakeplat_restart_target(
+    struct fakeplat *plat, const char *id, const char *version)
+{
+	struct target *t;
+
+	pthread_mutex_lock(&plat->lock);
+	t = find_target(plat, id);
+	t->config.version = version;
+	t->born++;
+	t->seq = 0;
+	t->reset = true;
+	pthread_mutex_unlock(&plat->lock);
+	event_active(plat->wakeup, EV_TIMEOUT, 0);
+}
+
 void
 fakeplat_replace_target(
     struct fakeplat *plat, const char *id, const char *new_id)
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -86,6 +86,12 @@
 usec_t fakeplat_last_call(struct fakeplat *plat, const char *id);
 /* A stopped target resets its connections instead of responding. */
 void fakeplat_stop_target(struct fakeplat *plat, const char *id, bool stopped);
+/*
+ * Restarts a target under its id with another version of its software; its
+ * entry in the store stays as it is until its state is written.
+ */
+void fakeplat_restart_target(
+    struct fakeplat *plat, const char *id, const char *version);
 /* Puts a target with another id at the same address. */
 void fakeplat_replace_target(
     struct fakeplat *plat, const char *id, const char *new_id);
--- a/tests/platform/harness.h
+++ b/tests/platform/harness.h
@@ -20,7 +20,7 @@
 };
 
 /*
- * Writes the host's settings, starts it and waits until it handles SIGTERM.  The
+ * Writes the host's settings, starts it and waits until it handles SIGTERM. The
  * environment variable SEQUOIAD names the program, and SEQUOIAD_OLD the older
  * one; without it both are the same.
  */
--- a/tests/platform/test_mixed_versions.c
+++ b/tests/platform/test_mixed_versions.c
@@ -2,6 +2,10 @@
  * Targets of two software versions in one service: several hosts, a fake
  * platform, and streams that break and are resumed, by their host or by their
  * caller at another host.  A stream must have events of one version only.
+ *
+ *   Usage: test_mixed_versions [restarts]
+ *
+ * With restarts, targets also restart under their ids with another version.
  */
 #include "tests/platform/harness.h"
 #include "tests/soak/proxy.h"
@@ -339,6 +343,37 @@
 		restart_first_host();
 }
 
+static const struct version_case restart_case = { "restarted", "/stream/1",
+	"stall", BOTH, BOTH, true };
+
+/*
+ * The targets of the old version restart under their ids with the new one, and
+ * streams of the old version are resumed before their entries arrive.
+ */
+static void
+run_restart_case(void)
+{
+	static struct stream v[STREAMS];
+	int mixed = 0;
+	int begun = 0;
+
+	set_versions(BOTH);
+	for (int i = 0; i < STREAMS; i++) {
+		begin_stream(&v[i], &restart_case, i);
+		begun += v[i].old || v[i].new;
+	}
+	for (int i = 0; i < TARGETS / 2; i++)
+		fakeplat_restart_target(platform, ids[i], "new");
+	for (int i = 0; i < STREAMS; i++) {
+		resume_stream(&v[i], &restart_case, i);
+		mixed += v[i].old && v[i].new;
+	}
+	set_versions(BOTH);
+	g_test_message("%d streams of two versions, %d begun", mixed, begun);
+	g_assert_cmpint(begun, ==, STREAMS);
+	g_assert_cmpint(mixed, ==, 0);
+}
+
 static const struct version_case long_case = { "of-over-a-minute",
 	"/stream/long/1", "long", BOTH, BOTH, true };
 static struct stream long_streams[STREAMS];
@@ -421,6 +456,9 @@
 		g_test_add_data_func(path, &cases[i], run_case);
 	}
 	g_test_add_func("/mixed-versions/of-over-a-minute", run_long_case);
+	/* The last one: no target has the old version any more. */
+	if (argc > 1 && strcmp(argv[1], "restarts") == 0)
+		g_test_add_func("/restarted-target", run_restart_case);
 	rc = g_test_run();
 	stop_fleet();
 	return rc;
