soak: callers keep their connections, and more faults overlap

The soak's callers opened a connection for each request, so it could not see a request that is lost on an open connection. Most callers now keep one, idle for up to four fifths of the idle limit between two requests, and go on sending after SIGTERM until it closes. A whole request that gets neither a complete answer nor a refusal is LOST; what excuses it is in judge.h: the host was killed, the deadline is over, it crossed the host's close and reached no target, the last sixth of the grace period, an idle time beyond the limit, a target that broke the answer off, a pause of the soak's own process.

New faults: standstills of several hosts, restores of the store, odd entries, refusals written once more, targets or a whole service silent for 1.6 s, series of configurations and signals. Restarts and standstills no longer hold up other faults. Configurations change idle limits, objectives and timeouts. Processes that end by themselves are reported.

The faults, the callers and the judge have files of their own. No check is dropped; an answer that is cut off, or a leaving target that gets a call, while the soak's own process (its targets and store) pauses for 0.4 s or more is no fault of a host: the first is excused, the second is judged again, at most twice, as is a host that doesn't serve all within 15 s.

--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,68 @@
+/*
+ * What the parts of the fault soak share: the fleet, the faults, the callers.
+ */
+#ifndef TESTS_SOAK_SOAK_H
+#define TESTS_SOAK_SOAK_H
+
+#include "base/rng.h"
+#include "tests/platform/harness.h"
+#include "tests/soak/judge.h"
+#include "tests/soak/proxy.h"
+
+#include <stdatomic.h>
+
+#define SOAK_MAX_HOSTS JUDGE_MAX_HOSTS
+#define SOAK_TARGETS   9
+
+struct soak_kind {
+	const char *path, *prefix, *extra_fields;
+	bool stream, non_idempotent;
+};
+
+#define SOAK_KINDS 5
+
+extern const struct soak_kind soak_kinds[SOAK_KINDS];
+extern const struct fakeplat_target soak_targets[SOAK_TARGETS];
+
+struct soak {
+	struct fakeplat *platform;
+	struct proxy *proxy;
+	struct harness_host hosts[SOAK_MAX_HOSTS];
+	int n_hosts;
+	int store_links[SOAK_MAX_HOSTS]; /* from each host to the store */
+	int target_links[SOAK_TARGETS];
+	/* The last configuration version that each process reported. */
+	atomic_ullong last_versions[SOAK_MAX_HOSTS];
+	atomic_int version; /* of the newest configuration */
+	bool planned;       /* no unplanned fault of a host or target */
+	/* No fault is active: no answer may be aborted. */
+	atomic_bool faults_over;
+	atomic_bool stopping;
+	atomic_int violations;
+};
+
+extern struct soak soak;
+
+void soak_report(const char *what, const char *id);
+
+/* faults.c */
+
+/* Puts the next configuration, with a route of its own, in force. */
+void faults_put_config(void);
+/* The idle limit of a configuration. */
+usec_t faults_idle_limit(int version);
+/*
+ * Injects faults for some seconds, which overlap, and clears them; check is
+ * called between them.
+ */
+void faults_run(uint64_t seed, int seconds, void (*check)(int host));
+
+/* callers.c */
+
+void callers_start(uint64_t seed);
+/* Waits until the callers have ended, as soak.stopping tells them. */
+void callers_stop(void);
+/* Checks the refused requests, and prints what was sent and excused. */
+void callers_report(uint64_t seed);
+
+#endif
