--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -1,12 +1,10 @@
 #include "entry/discovery_state.h"
 #include "base/log.h"
-#include "base/compress.h"
 #include "base/rng.h"
 #include "platform/config.h"
 #include "platform/target.h"
 
 #include <inttypes.h>
-#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -21,11 +19,6 @@
 #define POLL_TIME_MIN       (500 * USEC_PER_MSEC)
 /* Interval in which parts are looked at that wait for replies of the hosts. */
 #define SUSPECTS_INTERVAL   (50 * USEC_PER_MSEC)
-/* Interval of state fetches from peers while the store is unavailable. */
-#define PEER_FETCH_INTERVAL (500 * USEC_PER_MSEC)
-/* The document name under which peers serve configuration and targets. */
-#define STATE_NAME          "state"
-#define MAX_STATE_BYTES     ((size_t)64 * 1024 * 1024)
 #define MAX_ENDPOINTS       1
 /*
  * Shortest time between views that differ in their hosts only: when the whole
@@ -69,8 +62,8 @@
 	pthread_mutex_unlock(&d->lock);
 }
 
-static void
-put_target(struct discovery *d, struct str key, struct str value)
+void
+discovery_put_target(struct discovery *d, struct str key, struct str value)
 {
 	struct str id = platform_target_id(key);
 	struct target_entry t;
@@ -139,7 +132,7 @@
 		break;
 	case WATCHER_PUT:
 		if (target)
-			put_target(d, key, value);
+			discovery_put_target(d, key, value);
 		else if (str_eq(key, STR(PLATFORM_CONFIG_KEY)))
 			discovery_config_from_store(d, value);
 		else if (str_eq(key, STR(HOSTS_KEY)))
@@ -172,54 +165,6 @@
 	}
 }
 
-/* Returns a JSON object of a table of strings. */
-static json_t *
-string_map(GHashTable *t)
-{
-	json_t *o = json_object();
-	GHashTableIter it;
-	gpointer k;
-	gpointer v;
-
-	g_hash_table_iter_init(&it, t);
-	while (g_hash_table_iter_next(&it, &k, &v))
-		json_object_set_new(o, k, json_string(v));
-	return o;
-}
-
-/*
- * Serves configuration, targets and quarantined parts to a peer that cannot
- * reach the store.
- */
-static void
-serve_state(struct discovery *d, peer_result *r)
-{
-	json_t *o;
-
-	pthread_mutex_lock(&d->lock);
-	o = json_pack("{s:I, s:I, s:o, s:o, s:o}", "revision",
-	    (json_int_t)d->counts.revision, "era", (json_int_t)d->counts.era,
-	    "config",
-	    json_stringn(
-		d->config_text.n > 0 ? d->config_text.p : "", d->config_text.n),
-	    "targets", string_map(d->target_values), "quarantine",
-	    string_map(d->quarantine_values));
-	/* Without a revision, the store is being listed. */
-	r->found = !d->counts.store_unavailable && d->counts.revision != 0 &&
-	    d->config_text.n > 0;
-	pthread_mutex_unlock(&d->lock);
-	if (r->found) {
-		char *text = json_dumps(o, JSON_COMPACT);
-		struct buf compressed = { 0 };
-
-		compress_text(str_from(text), &compressed);
-		r->value.value_val = compressed.p;
-		r->value.value_len = (u_int)compressed.n;
-		free(text);
-	}
-	json_decref(o);
-}
-
 static void
 on_fetch(void *arg, const peer_query *q, peer_result *r)
 {
@@ -230,7 +175,7 @@
 	if (strcmp(q->name, CONFIG_NAME) == 0)
 		discovery_serve_config(d, r);
 	else if (strcmp(q->name, STATE_NAME) == 0)
-		serve_state(d, r);
+		discovery_serve_state(d, r);
 }
 
 static void
@@ -274,76 +219,6 @@
 	http_wake(d->loop);
 }
 
-/*
- * Whether a peer's state, up to a position in the store, is to be taken: once
- * the store answers, it is the source, and changes that were seen aren't seen
- * again.
- */
-static bool
-is_wanted(const struct discovery *d, const struct store_position *p)
-{
-	struct store_position own = watcher_position(d->watcher);
-
-	return d->store_unavailable && store_position_covers(p, &own) &&
-	    store_position_covers(p, &d->peer_position);
-}
-
-/* Replaces the targets by those of a peer's state. */
-static void
-take_targets(struct discovery *d, json_t *targets)
-{
-	const char *key;
-	json_t *v;
-
-	roster_set_store_unavailable(&d->roster, false, clock_now());
-	roster_begin(&d->roster);
-	json_object_foreach(targets, key, v)
-	{
-		if (json_is_string(v))
-			put_target(
-			    d, str_from(key), str_from(json_string_value(v)));
-	}
-	roster_finish(&d->roster, clock_now());
-}
-
-/* Applies a peer's state, which replaces a full listing of the store. */
-static void
-apply_peer_state(struct discovery *d, struct str bytes)
-{
-	struct buf text = { 0 };
-	json_t *o = decompress_text(bytes, MAX_STATE_BYTES, &text)
-	    ? json_loadb(text.p, text.n, 0, NULL)
-	    : NULL;
-	const char *config = json_string_value(json_object_get(o, "config"));
-	struct store_position p = {
-		.era = (uint64_t)json_integer_value(json_object_get(o, "era")),
-		.revision = json_integer_value(json_object_get(o, "revision")),
-	};
-	const char *key;
-	json_t *v;
-
-	if (config == NULL) {
-		log_text(LOG_LVL_WARNING, "peer-state",
-		    "the state from a peer cannot be parsed");
-		json_decref(o);
-		buf_free(&text);
-		return;
-	}
-	discovery_queue_config(d, str_from(config), "another host");
-	json_object_foreach(json_object_get(o, "quarantine"), key, v)
-	{
-		if (json_is_string(v))
-			discovery_read_quarantine(d, str_from(key),
-			    str_from(json_string_value(v)), false);
-	}
-	if (is_wanted(d, &p)) {
-		take_targets(d, json_object_get(o, "targets"));
-		d->peer_position = p;
-	}
-	json_decref(o);
-	buf_free(&text);
-}
-
 static void
 process_inbox(struct discovery *d)
 {
@@ -370,7 +245,8 @@
 					STR("the peer did not return its "
 					    "state") });
 			else
-				apply_peer_state(d, str_of(&m->fetched.value));
+				discovery_take_state(
+				    d, str_of(&m->fetched.value));
 			break;
 		case INBOX_DRAIN:
 			fleet_drain(d->fleet, clock_now());
@@ -384,20 +260,6 @@
 	}
 }
 
-static void
-fetch_from_peer(struct discovery *d, usec_t now)
-{
-	const char *addr;
-
-	if (!d->store_unavailable ||
-	    now - d->peer_fetch_at < PEER_FETCH_INTERVAL)
-		return;
-	addr = member_config_source(fleet_members(d->fleet),
-	    d->routes != NULL ? d->routes->version : 1, rng_entropy());
-	if (addr != NULL && fetcher_request(d->fetcher, addr, STATE_NAME))
-		d->peer_fetch_at = now;
-}
-
 static GArray *
 live_peers(struct discovery *d)
 {
@@ -484,7 +346,7 @@
 		next = earlier(next, watcher_tick(d->watcher, now));
 	next = earlier(next, roster_tick(&d->roster, now));
 	fleet_tick(d->fleet, now, USEC_PER_SEC);
-	fetch_from_peer(d, now);
+	discovery_fetch_state(d, now);
 	discovery_apply_config(d, now);
 	discovery_fetch_config(d, now);
 	discovery_feed_heartbeat(d, now);
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -2,11 +2,12 @@
  * State shared by the discovery files: discovery.c runs the thread and handles
  * store events and targets, discovery_config.c receives, applies and serves
  * configurations, discovery_feed.c forwards store changes between hosts,
+ * discovery_peers.c takes the state of another host while the store is away,
  * discovery_quarantine.c finds and shares the quarantined parts of prompts,
  * discovery_streams.c records the versions of streams in the store.
  *
- * All functions run on the discovery thread, except discovery_serve_config,
- * which runs on the RPC thread.
+ * All functions run on the discovery thread, except discovery_serve_config and
+ * discovery_serve_state, which run on the RPC thread.
  */
 #ifndef ENTRY_DISCOVERY_STATE_H
 #define ENTRY_DISCOVERY_STATE_H
@@ -26,6 +27,8 @@
 
 /* The document name under which peers fetch the configuration alone. */
 #define CONFIG_NAME "config"
+/* The document name under which peers fetch configuration and targets. */
+#define STATE_NAME  "state"
 #define FROM_STORE  "the store"
 
 struct stream_store;
@@ -118,6 +121,19 @@
 /* Answers a peer's configuration fetch. */
 void discovery_serve_config(struct discovery *d, peer_result *r);
 
+/* Adds or updates a target from its entry in the store. */
+void discovery_put_target(
+    struct discovery *d, struct str key, struct str value);
+/*
+ * Serves configuration, targets and quarantined parts to a peer that cannot
+ * reach the store (discovery_peers.c).
+ */
+void discovery_serve_state(struct discovery *d, peer_result *r);
+/* Applies a peer's state, which replaces a full listing of the store. */
+void discovery_take_state(struct discovery *d, struct str bytes);
+/* Fetches a peer's state when due; call it regularly. */
+void discovery_fetch_state(struct discovery *d, usec_t now);
+
 /* Fills a feed with the changes after a revision; it borrows their strings. */
 void discovery_write_feed(peer_feed *f, peer_feed_item items[PEER_FEED_ITEMS],
     int64_t after, const struct kv_changes *c);
