stream_records: a gap holds for the base version beside which it began

After a release the new version becomes the base, and streams begin without a record. If all hosts were lost within two minutes of that, all of these streams were rejected: the store still said that records might be missing, as the base version before had had few targets.

A gap now names the base version of its time and ends with it: a version is the base no more only once it has had no targets for a minute, so streams without a record are of the new one by then. With three versions about one that began beside the old base, 64 s before at most, could be of the third.

--- a/entry/discovery_streams.c
+++ b/entry/discovery_streams.c
@@ -135,12 +135,12 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	GHashTableIter it;
 	gpointer service;
-	gpointer second;
+	gpointer gap;
 
-	g_hash_table_iter_init(&it, d->streams->gaps.seconds);
-	while (g_hash_table_iter_next(&it, &service, &second))
-		g_hash_table_insert(
-		    out, g_strdup(service), g_memdup2(second, sizeof(int64_t)));
+	g_hash_table_iter_init(&it, d->streams->gaps.by_service);
+	while (g_hash_table_iter_next(&it, &service, &gap))
+		g_hash_table_insert(out, g_strdup(service),
+		    g_memdup2(gap, sizeof(struct stream_gap)));
 	return out;
 }
 
@@ -383,6 +383,8 @@
 		for (guint k = 0; k < s->reading->len; k++) {
 			struct waiting_look *look = s->reading->pdata[k];
 
+			look->search.base =
+			    stream_bases_find(&s->bases, look->service);
 			stream_record_look(
 			    &look->search, str_of(&c->v[i].value));
 		}
--- a/entry/stream_recordings.c
+++ b/entry/stream_recordings.c
@@ -75,7 +75,9 @@
 may_release(const struct stream_versions *s, const struct stream_recording *k)
 {
 	return !stream_versions_base_serves(s, k->service) &&
-	    stream_gaps_allow(s->gaps, k->service, clock_wall() / USEC_PER_SEC);
+	    stream_gaps_allow(s->gaps, k->service,
+		stream_versions_base(s, k->service),
+		clock_wall() / USEC_PER_SEC);
 }
 
 /* Ends the wait for a late record if it has lasted long enough. */
--- a/entry/view.h
+++ b/entry/view.h
@@ -30,7 +30,7 @@
 	struct quarantine quarantine;
 	/* service -> base version (kernel/stream_records.h); strings */
 	GHashTable *stream_bases;
-	/* service -> second (struct stream_gaps) */
+	/* service -> struct stream_gap */
 	GHashTable *stream_gaps;
 	usec_t created_at;
 };
--- a/kernel/stream_records.c
+++ b/kernel/stream_records.c
@@ -157,10 +157,26 @@
 
 /* Whether a line, whose names have been read, is that of a gap. */
 static bool
-read_gap(struct str version, struct str rest, uint64_t *second)
+read_gap(struct str version, struct str rest, struct stream_gap *out)
 {
-	return version.n == 0 && str_parse_u64(rest, second) &&
-	    *second <= MAX_SECOND;
+	struct str part;
+	uint64_t second;
+
+	if (version.n != 0 || !str_cut(&rest, ' ', &part) ||
+	    !str_parse_u64(part, &second) || second > MAX_SECOND ||
+	    rest.n >= sizeof(out->base))
+		return false;
+	*out = (struct stream_gap){ .second = (int64_t)second };
+	if (rest.n > 0)
+		memcpy(out->base, rest.p, rest.n);
+	return true;
+}
+
+/* Whether it tells of streams that began beside this base version. */
+static bool
+gap_is_of(const struct stream_gap *g, const char *base)
+{
+	return strcmp(g->base, base != NULL ? base : "") == 0;
 }
 
 /*
@@ -170,7 +186,7 @@
 static void
 look_at_line(struct stream_record_search *s, struct str line, bool expired)
 {
-	uint64_t second;
+	struct stream_gap gap;
 	struct str service;
 	struct str version;
 	struct str part;
@@ -182,8 +198,9 @@
 	}
 	if (!str_eq(service, str_from(s->service)))
 		return;
-	if (read_gap(version, line, &second)) {
-		if ((int64_t)second >= s->now - STREAM_GAP_TIME)
+	if (read_gap(version, line, &gap)) {
+		if (gap.second >= s->now - STREAM_GAP_TIME &&
+		    gap_is_of(&gap, s->base))
 			s->incomplete = true;
 		return;
 	}
@@ -276,17 +293,15 @@
 void
 stream_gaps_init(struct stream_gaps *g)
 {
-	g->seconds =
+	g->by_service =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 static void
-put_gap(struct stream_gaps *g, struct str service, int64_t second)
+put_gap(struct stream_gaps *g, struct str service, const struct stream_gap *gap)
 {
-	int64_t *x = g_new(int64_t, 1);
-
-	*x = second;
-	g_hash_table_replace(g->seconds, g_strndup(service.p, service.n), x);
+	g_hash_table_replace(g->by_service, g_strndup(service.p, service.n),
+	    g_memdup2(gap, sizeof(*gap)));
 }
 
 void
@@ -295,15 +310,15 @@
 	struct str line;
 	struct str service;
 	struct str version;
-	uint64_t second;
+	struct stream_gap gap;
 
-	g_hash_table_remove_all(g->seconds);
+	g_hash_table_remove_all(g->by_service);
 	if (read_second(&value) == 0)
 		return;
 	while (value.n > 0 && str_cut(&value, '\n', &line)) {
 		if (read_names(&line, &service, &version) &&
-		    read_gap(version, line, &second))
-			put_gap(g, service, (int64_t)second);
+		    read_gap(version, line, &gap))
+			put_gap(g, service, &gap);
 	}
 }
 
@@ -316,20 +331,25 @@
 	gpointer p;
 	bool changed = false;
 
-	g_hash_table_iter_init(&it, g->seconds);
+	g_hash_table_iter_init(&it, g->by_service);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		if (*(int64_t *)p < second - STREAM_GAP_TIME)
+		if (((struct stream_gap *)p)->second < second - STREAM_GAP_TIME)
 			g_hash_table_iter_remove(&it);
 	}
 	g_hash_table_iter_init(&it, versions->services);
 	while (g_hash_table_iter_next(&it, &service, NULL)) {
-		const int64_t *last = g_hash_table_lookup(g->seconds, service);
+		const char *base = stream_versions_base(versions, service);
+		const struct stream_gap *last =
+		    g_hash_table_lookup(g->by_service, service);
+		struct stream_gap gap = { .second = second };
 
 		if (stream_versions_base_serves(versions, service) ||
 		    !stream_versions_mixed(versions, service, now) ||
-		    (last != NULL && second - *last < STREAM_GAP_RENEW))
+		    (last != NULL && gap_is_of(last, base) &&
+			second - last->second < STREAM_GAP_RENEW))
 			continue;
-		put_gap(g, str_from(service), second);
+		g_strlcpy(gap.base, base != NULL ? base : "", sizeof(gap.base));
+		put_gap(g, str_from(service), &gap);
 		changed = true;
 	}
 	return changed;
@@ -343,25 +363,33 @@
 	gpointer p;
 
 	buf_printf(out, FORMAT " %" PRId64 "\n", second);
-	g_hash_table_iter_init(&it, g->seconds);
-	while (g_hash_table_iter_next(&it, &service, &p))
-		buf_printf(out, "%s  %" PRId64 "\n", (const char *)service,
-		    *(const int64_t *)p);
+	g_hash_table_iter_init(&it, g->by_service);
+	while (g_hash_table_iter_next(&it, &service, &p)) {
+		const struct stream_gap *gap = p;
+
+		buf_printf(
+		    out, "%s  %" PRId64, (const char *)service, gap->second);
+		if (gap->base[0] != '\0')
+			buf_printf(out, " %s", gap->base);
+		buf_putc(out, '\n');
+	}
 }
 
 bool
-stream_gaps_allow(GHashTable *seconds, const char *service, int64_t second)
+stream_gaps_allow(
+    GHashTable *gaps, const char *service, const char *base, int64_t second)
 {
-	const int64_t *last =
-	    seconds != NULL ? g_hash_table_lookup(seconds, service) : NULL;
+	const struct stream_gap *last =
+	    gaps != NULL ? g_hash_table_lookup(gaps, service) : NULL;
 
-	return last != NULL && second - *last <= STREAM_RECORD_SLOTS;
+	return last != NULL && gap_is_of(last, base) &&
+	    second - last->second <= STREAM_RECORD_SLOTS;
 }
 
 void
 stream_gaps_free(struct stream_gaps *g)
 {
-	g_hash_table_destroy(g->seconds);
+	g_hash_table_destroy(g->by_service);
 }
 
 /* Base versions. */
--- a/kernel/stream_records.h
+++ b/kernel/stream_records.h
@@ -21,7 +21,9 @@
  *   1 SECOND            the version of the format, and the Unix time
  *   SERVICE VERSION HASH HASH ...
  *   full                records are missing
- *   SERVICE  SECOND     of this service, they may be missing since: a gap
+ *   SERVICE  SECOND BASE
+ *                       of this service, they may be missing since, for streams
+ *                       that began beside this base version: a gap
  *
  * and that of the base versions has the lines SERVICE VERSION, with "#changes"
  * and a number that grows with each change as one of them.  A store that is
@@ -104,6 +106,7 @@
 /* What the items say of one stream. */
 struct stream_record_search {
 	const char *service;
+	const char *base; /* version of the service, or NULL */
 	uint64_t hash;
 	int64_t now; /* in seconds */
 	bool found;
@@ -132,8 +135,18 @@
  * on that: after the loss of all hosts, the base version may be back by the
  * time at which a stream is looked up.
  */
+struct stream_gap {
+	int64_t second; /* the newest one */
+	/*
+	 * The base version then; empty: none.  Once another is the base,
+	 * streams without a record are of that: the one before had no targets
+	 * left.
+	 */
+	char base[STREAM_VERSION_BYTES];
+};
+
 struct stream_gaps {
-	GHashTable *seconds; /* service -> int64_t: newest second */
+	GHashTable *by_service; /* name -> struct stream_gap */
 };
 
 void stream_gaps_init(struct stream_gaps *g);
@@ -148,9 +161,12 @@
 /* Writes the item's value. */
 void stream_gaps_write(
     const struct stream_gaps *g, int64_t second, struct buf *out);
-/* Whether a stream of the service may go on without a record. */
+/*
+ * Whether a stream of the service may go on without a record; base: version of
+ * the service, or NULL.
+ */
 bool stream_gaps_allow(
-    GHashTable *seconds, const char *service, int64_t second);
+    GHashTable *gaps, const char *service, const char *base, int64_t second);
 void stream_gaps_free(struct stream_gaps *g);
 
 /* The base versions of the services. */
--- a/kernel/stream_versions.h
+++ b/kernel/stream_versions.h
@@ -54,7 +54,7 @@
 	GHashTable *services;
 	/* service -> base version (kernel/stream_records.h); or NULL */
 	GHashTable *bases;
-	/* service -> second (kernel/stream_records.h); or NULL */
+	/* service -> struct stream_gap (kernel/stream_records.h); or NULL */
 	GHashTable *gaps;
 	bool store_unavailable; /* to this host */
 	usec_t confirmed_at;    /* no version was missing in the list then */
