target_start: streams go to the start of a target that its entry names

Cause: the version of a target is that of its entry, and answers name neither version nor start. A connection ends with the process at its other end, and a report of the target (GET /api/report) names its start. So while a service with an engine has several versions, a stream that may be resumed is sent on a connection over which its target has reported the start that the entry names; each connection is checked once. If the report names another start, streams go to other targets until the entry changes. The call has not been sent then. Targets that answer 404, or name no start, are taken at their entry's word; one that doesn't answer within 500 ms isn't used for the stream.

In the resumed case no target of the old version is left, so just the streams of the new one are completed; the others are rejected as not run.

test_restarted_target has a second case, and expects the streams that can go on to be complete.

--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -286,6 +286,7 @@
 			    false, "the response does not belong to this call");
 		return;
 	case DIAL_UNSENT:
+	case DIAL_UNCHECKED:
 		end_call(call, false, true, "no connection");
 		return;
 	case DIAL_BROKEN:
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -7,6 +7,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "kernel/overload/retry_after.h"
+#include "kernel/target_start.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -56,6 +57,18 @@
 	return str_from(first != NULL ? first : r->version);
 }
 
+bool
+forward_needs_start(const struct relay_request *r)
+{
+	return target_start_matters(&(struct target_start_call){
+	    .may_resume =
+		r->route->kind == ROUTE_STREAM && route_repeatable(r->route),
+	    .reports = r->service->has_engine,
+	    .mixed = stream_resumes_mixed(
+		r->shared->stream_resumes, r->service->name),
+	});
+}
+
 void
 forward_query(const struct relay_request *r, struct loads_query *query)
 {
@@ -67,6 +80,7 @@
 		.service = r->service->name,
 		.engine = r->service->has_engine,
 		.version = forward_call_version(r),
+		.sure_version = forward_needs_start(r),
 		.n_tried = r->n_tried,
 	};
 	for (size_t i = 0; i < r->n_tried; i++)
@@ -299,6 +313,7 @@
 		.max_idle_time = max_idle_time(r),
 		.max_idle_conns = loads_conn_share(
 		    r->service->max_conns, r->shared->quota_rule.hosts),
+		.check.number = forward_needs_start(r) ? t->entry.born_ms : 0,
 		.handler = forward_on_event,
 		.arg = r,
 	    });
--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -333,6 +333,7 @@
 		on_complete(r, m);
 		return;
 	case DIAL_UNSENT:
+	case DIAL_UNCHECKED:
 		log_text(LOG_LVL_INFO, "connect-failed",
 		    "request %.*s: target %s of %s after %" PRId64 " ms",
 		    STR_FMT(r->info.id), r->target_id, r->service->name,
--- a/entry/relay_metrics.c
+++ b/entry/relay_metrics.c
@@ -68,6 +68,7 @@
 	put(out, "connections_closed_unread_total", p->httpd.closed_unread);
 	put(out, "calls_total", p->dial.calls);
 	put(out, "target_connections_total", p->dial.connections);
+	put(out, "target_checks_total", p->dial.checks);
 	put(out, "stray_answers_total", p->dial.stray);
 	put(out, "calls_by_host_total", p->target_calls.sent_by_host);
 	put(out, "calls_for_host_total", p->target_calls.made_for_host);
--- a/entry/served_calls.c
+++ b/entry/served_calls.c
@@ -116,6 +116,7 @@
 		end_served(s, m);
 		return;
 	case DIAL_UNSENT:
+	case DIAL_UNCHECKED:
 		fail_served(s, NOT_SENT);
 		return;
 	case DIAL_BROKEN:
@@ -143,6 +144,7 @@
 	uint64_t max_idle;  /* microseconds */
 	uint64_t max_conns; /* idle connections */
 	uint64_t head_only;
+	uint64_t start; /* that the target must have had; 0: any */
 };
 
 /* Reads a value of the query; false if it is malformed. */
@@ -158,6 +160,7 @@
 		{ "max_idle", INT64_MAX, &out->max_idle },
 		{ "max_conns", UINT32_MAX, &out->max_conns },
 		{ "head_only", 1, &out->head_only },
+		{ "start", UINT64_MAX, &out->start },
 	};
 
 	if (str_eq(name, STR("target"))) {
@@ -269,6 +272,7 @@
 		/* The asker can't know what this host's connections got. */
 		.max_idle_time = id.n > 0 ? (usec_t)query.max_idle : 1,
 		.max_idle_conns = (uint32_t)query.max_conns,
+		.check = { .number = query.start },
 		.handler = on_served_event,
 		.arg = s,
 	};
--- a/entry/stream_resumes.c
+++ b/entry/stream_resumes.c
@@ -139,6 +139,12 @@
 	tell(x, now);
 }
 
+bool
+stream_resumes_mixed(const struct stream_resumes *x, const char *service)
+{
+	return stream_versions_mixed(&x->streams, service, clock_now());
+}
+
 /* Whether this host can rely on its list of the targets. */
 static bool
 is_confirmed(struct stream_resumes *x, usec_t now)
--- a/entry/stream_resumes.h
+++ b/entry/stream_resumes.h
@@ -26,6 +26,8 @@
 struct stream_resumes *stream_resumes_new(const struct stream_resumes_opts *o);
 /* Sets the live hosts and the targets. */
 void stream_resumes_set_view(struct stream_resumes *x, const struct view *v);
+/* Whether the service has had targets of several versions lately. */
+bool stream_resumes_mixed(const struct stream_resumes *x, const char *service);
 /*
  * A stream has its first event; id is that of the attempt that began it.  Call
  * it before the caller gets the event.
--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -1,13 +1,18 @@
 #include "entry/target_calls_state.h"
 #include "base/log.h"
 #include "platform/request.h"
+#include "platform/target.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
 /* Hosts that are tried for a call before it counts as not sent. */
-#define MAX_HOSTS 3
+#define MAX_HOSTS     3
+/* An idle connection may be gone, or a report announce its end. */
+#define MAX_CHECKS    2
+/* A report needs no slot of its target. */
+#define CHECK_TIMEOUT (500 * USEC_PER_MSEC)
 
 struct target_calls *
 target_calls_new(const struct target_calls_opts *o)
@@ -192,8 +197,48 @@
 	finish_call(k, DIAL_BROKEN, NULL);
 }
 
+/* Whether the report over the call's connection names the entry's start. */
+static bool
+accept_report(void *arg, const struct httpmsg *m)
+{
+	struct target_call *k = arg;
+	struct target_load *t = loads_find(k->calls->o.loads, k->target);
+	struct target_report report;
+
+	paths_call_heard(&k->calls->paths, k->service, clock_now());
+	platform_report_parse(m, &report);
+	k->start = target_start_decide(&report, k->o.check.number);
+	if (k->start != TARGET_START_OTHER)
+		return k->start == TARGET_START_LISTED;
+	log_text(LOG_LVL_NOTICE, "target-restarted",
+	    "%s of %s reports its start at %" PRIu64
+	    " ms, its entry at %" PRIu64 " ms",
+	    k->target, k->service, report.born_ms, k->o.check.number);
+	if (t != NULL && t->entry.born_ms == k->o.check.number)
+		loads_saw_start(t, report.born_ms);
+	return false;
+}
+
 static bool start_by_host(struct target_call *k);
 
+/* Makes a call again whose connection has failed its check, or ends it. */
+static void
+on_unchecked(struct target_call *k)
+{
+	end_direct(k);
+	if (k->start != TARGET_START_OTHER && k->checks < MAX_CHECKS &&
+	    clock_now() - k->started_at < CHECK_TIMEOUT) {
+		/* On a new connection. */
+		k->o.max_idle_time = 1;
+		if (target_call_start_direct(k))
+			return;
+	}
+	log_text(LOG_LVL_INFO, "start-unknown",
+	    "%s of %s has not reported the start that its entry names",
+	    k->target, k->service);
+	finish_call(k, DIAL_UNSENT, NULL);
+}
+
 static void
 on_direct_event(void *arg, enum dial_event ev, const struct httpmsg *m)
 {
@@ -208,6 +253,10 @@
 			k->o.handler(k->o.arg, ev, m);
 		return;
 	}
+	if (ev == DIAL_UNCHECKED) {
+		on_unchecked(k);
+		return;
+	}
 	if (ev == DIAL_UNSENT) {
 		end_direct(k);
 		note_failed(x, k->service, k->target);
@@ -223,7 +272,16 @@
 {
 	struct target_calls *x = k->calls;
 	struct dial_opts o = k->o;
+	struct buf head = { 0 };
 
+	if (o.check.number != 0) {
+		k->checks++;
+		k->start = TARGET_START_UNKNOWN;
+		platform_report_head(&head, o.addr);
+		o.check.head = str_of(&head);
+		o.check.timeout = CHECK_TIMEOUT;
+		o.check.accept = accept_report;
+	}
 	o.body = copy_body(k);
 	o.handler = on_direct_event;
 	o.connected = on_connected;
@@ -232,6 +290,7 @@
 	paths_call_begins(&x->paths, k->service, clock_now());
 	k->dial = dial_start(x->o.dialer, &o);
 	evbuffer_free(o.body);
+	buf_free(&head);
 	if (k->dial == NULL)
 		end_direct(k);
 	return k->dial != NULL;
@@ -325,6 +384,7 @@
 		on_host_failure(k);
 		return;
 	case DIAL_UNSENT:
+	case DIAL_UNCHECKED:
 		paths_host_failed(&k->calls->paths, k->host, clock_now());
 		try_next_host(k);
 		return;
@@ -366,9 +426,9 @@
 	n = evbuffer_get_length(o.body);
 	buf_printf(&url,
 	    TARGET_CALLS_URL "?target=%s&sent_ms=%" PRId64 "&max_idle=%" PRId64
-			     "&max_conns=%u&head_only=%d",
+			     "&max_conns=%u&head_only=%d&start=%" PRIu64,
 	    k->target, clock_wall() / USEC_PER_MSEC, k->o.max_idle_time,
-	    k->o.max_idle_conns, k->o.head_only);
+	    k->o.max_idle_conns, k->o.head_only, k->o.check.number);
 	target_calls_sign(x, str_of(&url), k->o.call_id,
 	    (struct str){ (const char *)evbuffer_pullup(o.body, -1), n }, mac);
 	buf_printf(&head,
@@ -378,6 +438,7 @@
 	o.addr = str_from(h->addr);
 	o.head = str_of(&head);
 	o.head_only = false;
+	o.check.number = 0;
 	/* The other host checks the responses to calls without an id. */
 	if (o.call_id.n == 0)
 		o.call_id_name = STR("");
--- a/entry/target_calls.h
+++ b/entry/target_calls.h
@@ -8,6 +8,10 @@
  * call and returns the target's response.  It says so if it has sent nothing.
  * A call is sent to its target at most once, on either way.
  *
+ * A call that needs the start that its target's entry names is sent on a
+ * connection over which the target has reported that start
+ * (kernel/target_start.h); without such a connection it ends with DIAL_UNSENT.
+ *
  * Runs on the relay's thread.
  */
 #ifndef ENTRY_TARGET_CALLS_H
@@ -56,8 +60,9 @@
 /* Makes no further calls for other hosts. */
 void target_calls_drain(struct target_calls *x);
 /*
- * Starts a call to a target; o is as for dial_start, with the target's address.
- * Returns NULL if no connection could be started.
+ * Starts a call to a target; o is as for dial_start, with the target's address;
+ * of its check only the number is set, to the start that the target must have
+ * had, or 0.  Returns NULL if no connection could be started.
  */
 struct target_call *target_call_start(struct target_calls *x,
     const struct target_load *t, const struct dial_opts *o);
--- a/entry/target_calls_state.h
+++ b/entry/target_calls_state.h
@@ -9,6 +9,7 @@
 #include "base/rng.h"
 #include "entry/target_calls.h"
 #include "kernel/paths.h"
+#include "kernel/target_start.h"
 
 /* Covers many round trips between failure domains. */
 #define CONNECT_TIMEOUT (150 * USEC_PER_MSEC)
@@ -48,8 +49,11 @@
 	bool direct_only;
 	char host[MAX_NAME_BYTES + 1]; /* that makes the call; or empty */
 	uint32_t hosts_tried;
-	bool at_rest;        /* a host reported AT_REST */
-	const char *failure; /* result other than ANSWERED; or NULL */
+	/* Of checks of the connection (kernel/target_start.h). */
+	uint32_t checks;
+	enum target_start start; /* as the last one has shown */
+	bool at_rest;            /* a host reported AT_REST */
+	const char *failure;     /* result other than ANSWERED; or NULL */
 };
 
 /* Makes the call on a direct connection; false if none could be started. */
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -237,6 +237,8 @@
 	t->entry = *e;
 	if (e->born_ms == 0)
 		t->entry.born_ms = known.born_ms;
+	if (t->entry.born_ms != known.born_ms)
+		t->seen_born_ms = 0;
 	if (older) {
 		t->entry.seq = known.seq;
 		t->entry.leaving = known.leaving || e->leaving;
@@ -310,6 +312,8 @@
 static bool
 has_version(const struct loads_query *q, const struct target_load *t)
 {
+	if (q->sure_version && t->seen_born_ms != 0)
+		return false;
 	return q->version.n == 0 ||
 	    str_eq(q->version, str_from(t->entry.version));
 }
@@ -587,6 +591,12 @@
 	return share;
 }
 
+void
+loads_saw_start(struct target_load *t, uint64_t born_ms)
+{
+	t->seen_born_ms = born_ms;
+}
+
 void
 loads_mark_leaving(struct loads *l, struct target_load *t)
 {
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -30,8 +30,12 @@
 /* A target and its load as this host knows it. */
 struct target_load {
 	struct target_entry entry;
-	uint64_t born_ms;   /* latest start that an entry named; 0: none did */
-	usec_t restart_at;  /* when an entry named a later start; 0: none did */
+	uint64_t born_ms;  /* latest start that an entry named; 0: none did */
+	usec_t restart_at; /* when an entry named a later start; 0: none did */
+	/*
+	 * Another start than the entry's that the target has reported; 0: none.
+	 */
+	uint64_t seen_born_ms;
 	bool listed;        /* in the newest target list */
 	usec_t unlisted_at; /* when that ended; 0: it hasn't */
 	/*
@@ -82,6 +86,7 @@
 	struct str input_addr;  /* address of the first input; may be empty */
 	uint64_t input_bytes;
 	struct str version; /* of the target's software; empty: any */
+	bool sure_version;  /* its entry must be that of its last start */
 	struct str tried[LOADS_MAX_TRIED]; /* ids of targets */
 	size_t n_tried;
 	bool again; /* only targets that were tried, else only others */
@@ -196,6 +201,11 @@
 /* Another host tells what the target said at a time. */
 void loads_brittle_told(const struct loads *l, struct target_load *t,
     const struct brittle_answer *a, usec_t said_at);
+/*
+ * The target has reported a start that isn't its entry's: its version is
+ * unknown until its entry names another start.
+ */
+void loads_saw_start(struct target_load *t, uint64_t born_ms);
 /* Marks a target that takes no new calls from now on. */
 void loads_mark_leaving(struct loads *l, struct target_load *t);
 void loads_free(struct loads *l);
--- a/plat/dial.c
+++ b/plat/dial.c
@@ -1,13 +1,9 @@
-#include "plat/dial.h"
+#include "plat/dial_state.h"
 #include "base/log.h"
-#include "kernel/bounds.h"
-#include "kernel/late_read.h"
 #include "plat/addr.h"
 #include "plat/unread.h"
 
 #include <errno.h>
-#include <event2/bufferevent.h>
-#include <glib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -17,11 +13,6 @@
 
 /* Limit on a response's header section: eight times that of usual servers. */
 #define MAX_HEAD_BYTES     65536
-/*
- * Limit on the bytes of a body that wait to be taken, and on those of a
- * response to another call.
- */
-#define MAX_UNREAD_BYTES   ((size_t)MAX_ANSWER_BYTES + 65536)
 /* Below the shortest idle timeout of common servers, 5 s. */
 #define DEFAULT_IDLE_MAX   (4 * USEC_PER_SEC)
 /*
@@ -32,55 +23,11 @@
 /* A connection fails if sent bytes stay unacknowledged for this long. */
 #define UNACKED_TIMEOUT_MS 3000
 
-/* A connection to a target, in use by one call or idle in the pool. */
-struct conn {
-	struct dialer *d;
-	struct bufferevent *bev;
-	struct event *connect_timer;
-	struct httpmsg response;
-	struct evbuffer *pending_output; /* to be sent once connected */
-	struct dial_call *call;          /* NULL: idle, or a test */
-	dial_test_handler test;          /* of a test that goes on; or NULL */
-	void *test_arg;
-	char *addr;
-	usec_t opened;
-	usec_t idle_since;
-	usec_t idle_max;
-	uint32_t max_idle_conns; /* as set by the last call */
-	bool connected;
-	bool pooled;     /* in the idle pool; valid while call is NULL */
-	bool in_handler; /* the call's handler is running */
-	bool cancelled;  /* the handler cancelled the call */
-	GList pool_link; /* in the pool of its address, or in the tests */
-};
-
-struct dial_call {
-	struct conn *conn;
-	dial_handler handler;
-	void (*connected)(void *arg); /* or NULL */
-	void *arg;
-	struct buf call_id_name;
-	struct buf call_id;
-	struct event *timer; /* NULL: without a limit of time */
-	size_t stray_bytes;  /* of the body of another call's response */
-	struct late_read late_read;
-	bool head_delivered;
-	bool head_only;
-	bool confirmed; /* the response is known to be the call's own */
-};
-
 struct failed_test {
 	dial_test_handler handler;
 	void *arg;
 };
 
-struct dialer {
-	struct event_base *base;
-	GHashTable *idle; /* address -> GQueue of struct conn, newest first */
-	GQueue tests;     /* struct conn */
-	struct dial_counts counts;
-};
-
 static void
 free_queue(gpointer p)
 {
@@ -132,14 +79,14 @@
 {
 	if (k->timer != NULL)
 		event_free(k->timer);
+	buf_free(&k->check_head);
 	buf_free(&k->call_id_name);
 	buf_free(&k->call_id);
 	free(k);
 }
 
-/* Frees the connection and ends its call, if any, with a failure event. */
-static void
-fail_call(struct conn *c, enum dial_event ev)
+void
+dial_fail_call(struct conn *c, enum dial_event ev)
 {
 	struct dial_call *k = c->call;
 
@@ -243,9 +190,8 @@
 	return false;
 }
 
-/* Whether the response echoes another call's id. */
-static bool
-is_stray(const struct conn *c)
+bool
+dial_is_stray(const struct conn *c)
 {
 	const struct dial_call *k = c->call;
 	struct str echoed;
@@ -256,10 +202,8 @@
 	return echoed.p != NULL && !str_eq(echoed, str_of(&k->call_id));
 }
 
-/* Drops the body of another call's response; returns false if it is too long.
- */
-static bool
-skip_stray(struct conn *c)
+bool
+dial_skip_stray(struct conn *c)
 {
 	struct evbuffer *body = c->response.body;
 
@@ -273,16 +217,20 @@
 {
 	struct dial_call *k = c->call;
 
+	if (c->checking) {
+		dial_check_message(c);
+		return;
+	}
 	if (c->response.state == HTTPMSG_BAD) {
-		fail_call(
+		dial_fail_call(
 		    c, k->head_delivered ? DIAL_BROKEN : DIAL_BAD_RESPONSE);
 		return;
 	}
 	if (c->response.state == HTTPMSG_HEAD)
 		return;
-	if (!k->head_delivered && is_stray(c)) {
-		if (!skip_stray(c)) {
-			fail_call(c, DIAL_BROKEN);
+	if (!k->head_delivered && dial_is_stray(c)) {
+		if (!dial_skip_stray(c)) {
+			dial_fail_call(c, DIAL_BROKEN);
 			return;
 		}
 		if (c->response.state != HTTPMSG_DONE)
@@ -307,7 +255,7 @@
 	    !notify_handler(c, DIAL_BODY))
 		return;
 	if (evbuffer_get_length(c->response.body) > MAX_UNREAD_BYTES)
-		fail_call(c, DIAL_BROKEN);
+		dial_fail_call(c, DIAL_BROKEN);
 }
 
 static void
@@ -341,6 +289,13 @@
 	handler(arg, connected);
 }
 
+void
+dial_send_pending(struct conn *c)
+{
+	c->response.body_allowed = !c->call->head_only;
+	bufferevent_write_buffer(c->bev, c->pending_output);
+}
+
 static void
 on_connected(struct conn *c)
 {
@@ -350,7 +305,10 @@
 		end_test(c, true);
 		return;
 	}
-	bufferevent_write_buffer(c->bev, c->pending_output);
+	if (c->checking)
+		dial_check_begin(c);
+	else if (c->call != NULL)
+		dial_send_pending(c);
 	if (c->call != NULL && c->call->connected != NULL)
 		c->call->connected(c->call->arg);
 }
@@ -374,7 +332,11 @@
 		return;
 	}
 	if (!c->connected) {
-		fail_call(c, DIAL_UNSENT);
+		dial_fail_call(c, DIAL_UNSENT);
+		return;
+	}
+	if (c->checking) {
+		dial_fail_call(c, DIAL_UNCHECKED);
 		return;
 	}
 	/* Without a delivered head, what ends here is another response. */
@@ -386,7 +348,7 @@
 			return;
 		}
 	}
-	fail_call(c, DIAL_BROKEN);
+	dial_fail_call(c, DIAL_BROKEN);
 }
 
 /* Whether the connection attempt has ended, with either result. */
@@ -407,12 +369,18 @@
 
 	(void)fd;
 	(void)what;
-	if (!c->connected && has_connect_result(c))
+	if (c->checking && c->connected) {
+		if (late_read_goes_on(&c->call->late_read,
+			dial_has_input(c->call), clock_now()))
+			evtimer_add(c->connect_timer, &now);
+		else
+			dial_fail_call(c, DIAL_UNCHECKED);
+	} else if (!c->connected && has_connect_result(c))
 		evtimer_add(c->connect_timer, &now);
 	else if (c->test != NULL)
 		end_test(c, false);
 	else if (!c->connected)
-		fail_call(c, DIAL_UNSENT);
+		dial_fail_call(c, DIAL_UNSENT);
 }
 
 static void
@@ -509,7 +477,8 @@
 	if (late_read_goes_on(&k->late_read, dial_has_input(k), clock_now()))
 		evtimer_add(k->timer, &now);
 	else
-		fail_call(k->conn, DIAL_BROKEN);
+		dial_fail_call(
+		    k->conn, k->conn->checking ? DIAL_UNCHECKED : DIAL_BROKEN);
 }
 
 static void
@@ -527,7 +496,6 @@
 	struct dial_call *k;
 	g_autofree char *addr = g_strndup(o->addr.p, o->addr.n);
 	struct conn *c = take_idle(d, addr, o);
-	struct evbuffer *out;
 
 	if (c == NULL) {
 		if (o->max_idle_conns > 0)
@@ -547,17 +515,22 @@
 		start_timer(d, k, o->timeout);
 	buf_put(&k->call_id_name, o->call_id_name);
 	buf_put(&k->call_id, o->call_id);
+	k->check = o->check;
+	buf_put(&k->check_head, o->check.head);
 	c->call = k;
-	c->response.body_allowed = !o->head_only;
+	c->checking = o->check.number != 0 && c->checked != o->check.number;
 	d->counts.calls++;
 	/*
 	 * Nothing is written to the socket until it is connected, so that a
 	 * failed connection attempt guarantees that nothing was sent.
 	 */
-	out = c->connected ? bufferevent_get_output(c->bev) : c->pending_output;
-	evbuffer_add(out, o->head.p, o->head.n);
+	evbuffer_add(c->pending_output, o->head.p, o->head.n);
 	if (o->body != NULL)
-		evbuffer_add_buffer(out, o->body);
+		evbuffer_add_buffer(c->pending_output, o->body);
+	if (c->connected && c->checking)
+		dial_check_begin(c);
+	else if (c->connected)
+		dial_send_pending(c);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 	return k;
 }
--- a/plat/dial.h
+++ b/plat/dial.h
@@ -11,6 +11,10 @@
  * bytes without end: a call fails when its header section, or the body that its
  * handler has not taken, or a skipped response exceeds a limit.
  *
+ * A call may ask for its connection to be checked: a request of the caller's is
+ * sent first, and the call itself only if the caller accepts the response.  A
+ * connection that was checked with the same number before is not checked again.
+ *
  * Load pattern: a target limits the connections of all hosts together and
  * resets those beyond the limit, with the calls on them.  Therefore the idle
  * connections to an address can be limited; the oldest are closed before a new
@@ -32,18 +36,32 @@
 	DIAL_BODY,   /* body bytes have been received; take them from m->body */
 	DIAL_END,    /* the response is complete */
 	DIAL_UNSENT, /* no connection could be made: nothing was sent */
+	/* The check of the connection failed: the call was not sent. */
+	DIAL_UNCHECKED,
 	DIAL_BROKEN, /* sent, but the response is incomplete or malformed */
 	DIAL_BAD_RESPONSE /* the header section is malformed */
 };
 
 /*
- * Receives the events of a call.  DIAL_END, DIAL_UNSENT, DIAL_BROKEN and
- * DIAL_BAD_RESPONSE are final: the call is freed after the handler returns.  m
- * is NULL for DIAL_UNSENT, DIAL_BROKEN and DIAL_BAD_RESPONSE.
+ * Receives the events of a call.  All but DIAL_HEAD and DIAL_BODY are final:
+ * the call is freed after the handler returns.  m is NULL except for DIAL_HEAD,
+ * DIAL_BODY and DIAL_END.
  */
 typedef void (*dial_handler)(
     void *arg, enum dial_event ev, const struct httpmsg *m);
 
+/* A check of a call's connection. */
+struct dial_check {
+	uint64_t number; /* connections that passed it need none; 0: no check */
+	struct str head; /* of the request: request line to blank line */
+	usec_t timeout;  /* from the request to its complete response */
+	/*
+	 * Whether the call may be sent, by the complete response; must not
+	 * cancel the call.
+	 */
+	bool (*accept)(void *arg, const struct httpmsg *m);
+};
+
 /* Receives the result of a test; arg is that of dial_test. */
 typedef void (*dial_test_handler)(void *arg, bool connected);
 
@@ -64,6 +82,7 @@
 	uint32_t max_idle_conns; /* idle connections to addr; 0: no limit */
 	/* The call fails without a complete response after this; 0: never. */
 	usec_t timeout;
+	struct dial_check check;
 	dial_handler handler;
 	/*
 	 * Called when a new connection has been made for the call, before any
@@ -76,6 +95,7 @@
 struct dial_counts {
 	uint64_t calls;
 	uint64_t connections; /* connection attempts */
+	uint64_t checks;      /* of connections */
 	uint64_t stray;       /* responses and bytes that belong to no call */
 };
 
--- /dev/null
+++ b/plat/dial_state.h
@@ -0,0 +1,85 @@
+/*
+ * Connections and calls of a dialer: dial.c makes the calls, dial_check.c
+ * checks the connections on which they are sent.
+ */
+#ifndef PLAT_DIAL_STATE_H
+#define PLAT_DIAL_STATE_H
+
+#include "kernel/bounds.h"
+#include "kernel/late_read.h"
+#include "plat/dial.h"
+
+#include <event2/bufferevent.h>
+#include <glib.h>
+
+/*
+ * Limit on the bytes of a body that wait to be taken, and on those of a
+ * response to another call.
+ */
+#define MAX_UNREAD_BYTES ((size_t)MAX_ANSWER_BYTES + 65536)
+
+/* A connection to a target, in use by one call or idle in the pool. */
+struct conn {
+	struct dialer *d;
+	struct bufferevent *bev;
+	struct event *connect_timer; /* also of the check */
+	struct httpmsg response;
+	/* To be sent once connected and checked. */
+	struct evbuffer *pending_output;
+	uint64_t checked; /* number of the last check that it passed; 0: none */
+	bool checking;    /* before its call is sent */
+	struct dial_call *call; /* NULL: idle, or a test */
+	dial_test_handler test; /* of a test that goes on; or NULL */
+	void *test_arg;
+	char *addr;
+	usec_t opened;
+	usec_t idle_since;
+	usec_t idle_max;
+	uint32_t max_idle_conns; /* as set by the last call */
+	bool connected;
+	bool pooled;     /* in the idle pool; valid while call is NULL */
+	bool in_handler; /* the call's handler is running */
+	bool cancelled;  /* the handler cancelled the call */
+	GList pool_link; /* in the pool of its address, or in the tests */
+};
+
+struct dial_call {
+	struct conn *conn;
+	dial_handler handler;
+	void (*connected)(void *arg); /* or NULL */
+	void *arg;
+	struct dial_check check; /* of the connection, until it has passed */
+	struct buf check_head;
+	struct buf call_id_name;
+	struct buf call_id;
+	struct event *timer; /* NULL: without a limit of time */
+	size_t stray_bytes;  /* of the body of another call's response */
+	struct late_read late_read;
+	bool head_delivered;
+	bool head_only;
+	bool confirmed; /* the response is known to be the call's own */
+};
+
+struct dialer {
+	struct event_base *base;
+	GHashTable *idle; /* address -> GQueue of struct conn, newest first */
+	GQueue tests;     /* struct conn */
+	struct dial_counts counts;
+};
+
+/* Frees the connection and ends its call, if any, with a failure event. */
+void dial_fail_call(struct conn *c, enum dial_event ev);
+/* Whether the response echoes another call's id. */
+bool dial_is_stray(const struct conn *c);
+/* Drops the body of another call's response; returns false if it is too long.
+ */
+bool dial_skip_stray(struct conn *c);
+/* Sends what waits for the connection, as it is connected and checked. */
+void dial_send_pending(struct conn *c);
+
+/* Sends the request that checks the connection of its call. */
+void dial_check_begin(struct conn *c);
+/* Bytes of the response to it have been parsed. */
+void dial_check_message(struct conn *c);
+
+#endif
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -14,6 +14,7 @@
 #include "kernel/roster.h"
 #include "kernel/routes.h"
 #include "kernel/sse.h"
+#include "kernel/target_start.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -962,6 +963,59 @@
 	loads_free(&l);
 }
 
+/*
+ * A target restarts with another version before its entry arrives: its report
+ * shows it, and streams go elsewhere until the entry is there.
+ */
+static void
+test_restart_before_entry(void)
+{
+	static const struct {
+		struct target_report report;
+		enum target_start start;
+		uint64_t next_born; /* of the next entry */
+		bool used_before, used_after;
+	} cases[] = {
+		{ { true, 5 }, TARGET_START_LISTED, 5, true, true },
+		{ { true, 0 }, TARGET_START_LISTED, 5, true, true },
+		{ { false, 0 }, TARGET_START_UNKNOWN, 5, true, true },
+		{ { true, 6 }, TARGET_START_OTHER, 6, false, true },
+		{ { true, 6 }, TARGET_START_OTHER, 5, false, false },
+		{ { true, 6 }, TARGET_START_OTHER, 0, false, false },
+		/* Its clock was set back. */
+		{ { true, 4 }, TARGET_START_OTHER, 4, false, true },
+	};
+	struct loads_query any = { .service = "s" };
+	struct loads_query sure = { .service = "s", .sure_version = true };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autoptr(GArray) list =
+		    g_array_new(FALSE, FALSE, sizeof(struct target_entry));
+		struct target_entry e = entry("i-1", false);
+		struct loads l;
+
+		loads_init(&l, "d", 1);
+		e.born_ms = 5;
+		g_array_append_val(list, e);
+		loads_update(&l, list, 0);
+		g_assert_cmpint(target_start_decide(&cases[i].report, 5), ==,
+		    cases[i].start);
+		if (cases[i].start == TARGET_START_OTHER)
+			loads_saw_start(
+			    loads_find(&l, "i-1"), cases[i].report.born_ms);
+		g_assert_cmpint(loads_choose(&l, &sure, 0) != NULL, ==,
+		    cases[i].used_before);
+		g_assert_nonnull(loads_choose(&l, &any, 0));
+		g_array_index(list, struct target_entry, 0).born_ms =
+		    cases[i].next_born;
+		loads_update(&l, list, USEC_PER_SEC);
+		g_assert_cmpint(
+		    loads_choose(&l, &sure, 4 * USEC_PER_SEC) != NULL, ==,
+		    cases[i].used_after);
+		loads_free(&l);
+	}
+}
+
 /* Event streams. */
 
 static void
@@ -1136,6 +1190,8 @@
 	g_test_add_func("/loads/conn-share", test_loads_conn_share);
 	g_test_add_func("/loads/affinity", test_loads_affinity);
 	g_test_add_func("/loads/restart", test_loads_restart);
+	g_test_add_func(
+	    "/relay/restart-before-entry", test_restart_before_entry);
 	g_test_add_func("/feeders", test_feeders);
 	g_test_add_func("/coordinator/sizes", test_coordinator_sizes);
 	g_test_add_func(
--- a/tests/plat/test_dial.c
+++ b/tests/plat/test_dial.c
@@ -1,7 +1,8 @@
 /*
  * Tests that a dialer keeps idle connections to a target up to a limit, as a
- * target resets connections above its own limit, with the calls on them; and
- * that calls to targets that send bytes without end, or none, fail.
+ * target resets connections above its own limit, with the calls on them; that
+ * calls to targets that send bytes without end, or none, fail; and that a call
+ * is sent only on a connection that has passed its check.
  */
 #include "plat/dial.h"
 
@@ -29,8 +30,10 @@
 	const char *response;
 	int n_open;
 	int n_accepted;
+	int n_requests;
 	int max_open;
 	int n_ended;              /* calls */
+	int n_unchecked;          /* calls that were not sent */
 	int status;               /* of the last response */
 	struct bufferevent *last; /* connection */
 };
@@ -39,9 +42,10 @@
 on_server_bytes(struct bufferevent *b, void *arg)
 {
 	struct evbuffer *in = bufferevent_get_input(b);
-	const struct server *s = arg;
+	struct server *s = arg;
 
 	while (evbuffer_get_length(in) >= sizeof(HEAD) - 1) {
+		s->n_requests++;
 		evbuffer_drain(in, sizeof(HEAD) - 1);
 		bufferevent_write(b, s->response, strlen(s->response));
 	}
@@ -190,6 +194,82 @@
 	}
 }
 
+static bool
+accept_check(void *arg, const struct httpmsg *m)
+{
+	(void)arg;
+	return m->parser.status_code == 200;
+}
+
+static void
+on_checked_response(void *arg, enum dial_event ev, const struct httpmsg *m)
+{
+	struct server *s = arg;
+
+	(void)m;
+	s->n_unchecked += ev == DIAL_UNCHECKED;
+	s->n_ended += ev != DIAL_HEAD && ev != DIAL_BODY;
+}
+
+/* Two calls, one after the other. */
+static void
+test_checks(void)
+{
+	static const struct {
+		const char *name, *response;
+		uint64_t checks[2]; /* their numbers */
+		int n_requests;
+		int n_accepted;
+		int n_unchecked;
+	} cases[] = {
+		{ "no checks", RESPONSE, { 0, 0 }, 2, 1, 0 },
+		{ "one start", RESPONSE, { 5, 5 }, 3, 1, 0 },
+		{ "a pooled connection", RESPONSE, { 0, 5 }, 3, 1, 0 },
+		{ "another start", RESPONSE, { 5, 6 }, 4, 1, 0 },
+		{ "not accepted",
+		    "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", { 5, 5 }, 2,
+		    2, 2 },
+		{ "the connection ends",
+		    "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+		    "Content-Length: 0\r\n\r\n",
+		    { 5, 5 }, 2, 2, 2 },
+		{ "bytes after the response", RESPONSE "x", { 5, 5 }, 2, 2, 2 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct server s;
+		struct dialer *d;
+
+		g_test_message("%s", cases[i].name);
+		open_server(&s);
+		s.response = cases[i].response;
+		d = dialer_new(s.base);
+		for (int n = 0; n < 2; n++) {
+			g_assert_nonnull(dial_start(d,
+			    &(struct dial_opts){
+				.addr = str_from(s.addr),
+				.head = STR(HEAD),
+				.connect_timeout = 10 * USEC_PER_SEC,
+				.check = { cases[i].checks[n], STR(HEAD),
+				    10 * USEC_PER_SEC, accept_check },
+				.handler = on_checked_response,
+				.arg = &s,
+			    }));
+			while (s.n_ended <= n)
+				event_base_loop(s.base, EVLOOP_ONCE);
+		}
+		g_assert_cmpint(s.n_requests, ==, cases[i].n_requests);
+		g_assert_cmpint(s.n_accepted, ==, cases[i].n_accepted);
+		g_assert_cmpint(s.n_unchecked, ==, cases[i].n_unchecked);
+		dialer_free(d);
+		while (s.n_open > 0)
+			event_base_loop(s.base, EVLOOP_ONCE);
+		event_base_loop(s.base, EVLOOP_NONBLOCK);
+		evconnlistener_free(s.listener);
+		event_base_free(s.base);
+	}
+}
+
 struct late_call {
 	struct server *s;
 	struct dialer *d;
@@ -325,9 +405,12 @@
 	s->ended = ev != DIAL_HEAD && ev != DIAL_BODY;
 }
 
+/* A check of the connection reads as little, and its call isn't sent. */
 static void
-test_endless(void)
+test_endless(gconstpointer arg)
 {
+	const struct dial_check check = { GPOINTER_TO_UINT(arg), STR(HEAD),
+		CALL_TIMEOUT, accept_check };
 	static const struct {
 		const char *name, *begin, *unit;
 		enum dial_event end;
@@ -384,12 +467,14 @@
 			.timeout = cases[i].closes   ? CLOSE_TIMEOUT
 			    : *cases[i].unit == '\0' ? CALL_TIMEOUT
 						     : 0,
+			.check = check,
 			.handler = on_endless_response,
 			.arg = &s,
 		    }));
 		while (!s.ended)
 			event_base_loop(s.base, EVLOOP_ONCE);
-		g_assert_cmpint(s.last, ==, cases[i].end);
+		g_assert_cmpint(s.last, ==,
+		    check.number != 0 ? DIAL_UNCHECKED : cases[i].end);
 		if (cases[i].closes)
 			g_assert_cmpint(
 			    clock_now() - start, <, CLOSE_TIMEOUT / 2);
@@ -407,7 +492,11 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func("/dial/endless", test_endless);
+	g_test_add_data_func(
+	    "/dial/endless", GUINT_TO_POINTER(0), test_endless);
+	g_test_add_data_func(
+	    "/dial/endless-checks", GUINT_TO_POINTER(1), test_endless);
+	g_test_add_func("/dial/checks", test_checks);
 	g_test_add_func("/dial/idle-conns", test_idle_conns);
 	g_test_add_func("/dial/repeated-refusal", test_repeated_refusal);
 	return g_test_run();
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -107,6 +107,7 @@
 	struct target *targets[FAKEPLAT_MAX_TARGETS];
 	size_t n_targets;
 	uint32_t n_pieces;
+	uint32_t n_reports;
 	uint32_t n_stage_calls;
 	const char *crash_part; /* NULL: none */
 	const char *crash_body; /* NULL: none */
@@ -883,6 +884,16 @@
 	return true;
 }
 
+static void
+send_report(struct conn *c)
+{
+	g_autofree char *body = g_strdup_printf(
+	    "{\"Stage\":\"colocated\",\"born\":%u}", c->target->born);
+
+	c->plat->n_reports++;
+	send_response(c, 200, "", str_from(body));
+}
+
 static void
 serve_target(struct conn *c)
 {
@@ -912,6 +923,10 @@
 		bufferevent_write(c->bev, c->delayed.p, c->delayed.n);
 		buf_clear(&c->delayed);
 	}
+	if (str_eq(url, STR("/api/report"))) {
+		send_report(c);
+		return;
+	}
 	if (str_eq(url, STR("/api/stage-run"))) {
 		if (!repeat_refusal(c))
 			run_stage(c);
@@ -1549,6 +1564,17 @@
 	event_active(plat->wakeup, EV_TIMEOUT, 0);
 }
 
+uint32_t
+fakeplat_reports(struct fakeplat *plat)
+{
+	uint32_t n;
+
+	pthread_mutex_lock(&plat->lock);
+	n = plat->n_reports;
+	pthread_mutex_unlock(&plat->lock);
+	return n;
+}
+
 void
 fakeplat_replace_target(
     struct fakeplat *plat, const char *id, const char *new_id)
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -92,6 +92,8 @@
  */
 void fakeplat_restart_target(
     struct fakeplat *plat, const char *id, const char *version);
+/* Returns how often targets were asked for their reports. */
+uint32_t fakeplat_reports(struct fakeplat *plat);
 /* Puts a target with another id at the same address. */
 void fakeplat_replace_target(
     struct fakeplat *plat, const char *id, const char *new_id);
--- a/tests/platform/test_cut_hosts.c
+++ b/tests/platform/test_cut_hosts.c
@@ -36,6 +36,10 @@
 #define STABLE_TIME     (3 * USEC_PER_SEC)
 #define COUNT_TIME      (4 * USEC_PER_SEC)
 #define HEAL_TIME       (3 * USEC_PER_SEC)
+#define STREAMS         16
+/* A stalled stream is read for this long: its two events arrive by then. */
+#define STALL_READ_MS   400
+#define NEW_ENGINE      "e3"
 
 static const struct {
 	const char *path, *prefix, *extra_fields;
@@ -267,6 +271,95 @@
 	g_assert_cmpuint(fakeplat_count_duplicates(stores[0]), ==, 0);
 }
 
+/* Engines of another version serve beside the others. */
+static void
+publish_versions(void)
+{
+	for (int i = 0; i < GROUPS; i++) {
+		for (size_t n = 0; n < TARGETS; n++) {
+			const char *id = targets[n].id;
+
+			if (*id != 'e')
+				continue;
+			fakeplat_restart_target(stores[i], id,
+			    strcmp(id, NEW_ENGINE) == 0 ? "new" : "old");
+			fakeplat_ready_target(stores[i], id);
+		}
+	}
+	g_usleep((gulong)HEAL_TIME);
+}
+
+/* Sends a request for a stream; adds to what the caller has of it. */
+static void
+read_stream(int host, const char *id, bool resumes, struct buf *got)
+{
+	g_autofree char *attempt = g_strconcat(id, resumes ? "-2" : "", NULL);
+	g_autofree char *fields = resumes
+	    ? g_strdup_printf("Last-Event-Id: 2\r\nResumes: %s\r\n", id)
+	    : g_strdup("");
+	g_autofree char *q =
+	    harness_format(&(struct harness_request){ .path = "/stream/1",
+		.id = attempt,
+		.behavior = resumes ? NULL : "stall",
+		.extra_fields = fields,
+		.deadline_ms = DEADLINE_MS });
+	struct harness_response a;
+
+	harness_exchange(hosts[host].port, str_from(q),
+	    resumes ? DEADLINE_MS : STALL_READ_MS, &a);
+	buf_put(got, str_of(&a.body));
+	harness_response_free(&a);
+}
+
+static bool
+has_version(const struct buf *got, const char *version)
+{
+	return got->n > 0 && strstr(got->p, version) != NULL;
+}
+
+/*
+ * The hosts that call targets by way of others begin streams, and resume them
+ * when the targets have restarted with another version, before their entries
+ * arrive.
+ */
+static void
+run_restart_case(void)
+{
+	const struct cut_case *x = &cases[3];
+	int first = x->group * GROUP_HOSTS;
+	struct buf got[STREAMS] = { 0 };
+	int begun = 0;
+	int mixed = 0;
+
+	publish_versions();
+	cut(x);
+	g_usleep((gulong)STABLE_TIME);
+	for (int i = 0; i < STREAMS; i++) {
+		g_autofree char *id = g_strdup_printf("r-%d", i);
+
+		read_stream(first, id, false, &got[i]);
+		begun += has_version(&got[i], "@old");
+	}
+	for (size_t n = 0; n < TARGETS; n++) {
+		if (*targets[n].id == 'e')
+			fakeplat_restart_target(
+			    stores[0], targets[n].id, "new");
+	}
+	for (int i = 0; i < STREAMS; i++) {
+		g_autofree char *id = g_strdup_printf("r-%d", i);
+
+		read_stream(first + 1, id, true, &got[i]);
+		mixed += has_version(&got[i], "@old") &&
+		    has_version(&got[i], "@new");
+		buf_free(&got[i]);
+	}
+	heal(x);
+	g_test_message(
+	    "%d streams of the old version, %d of two", begun, mixed);
+	g_assert_cmpint(begun, >=, STREAMS / 4);
+	g_assert_cmpint(mixed, ==, 0);
+}
+
 static void
 stop_fleet(struct caller *v)
 {
@@ -303,6 +396,7 @@
 
 		g_test_add_data_func(path, &cases[i], run_case);
 	}
+	g_test_add_func("/cut-hosts/restarted-targets", run_restart_case);
 	rc = g_test_run();
 	stop_fleet(callers);
 	return rc;
--- a/tests/platform/test_mixed_versions.c
+++ b/tests/platform/test_mixed_versions.c
@@ -455,35 +455,89 @@
 		restart_first_host();
 }
 
-static const struct version_case restart_case = { "restarted", "/stream/1",
-	"stall", BOTH, BOTH, true };
+/* Streams of the two have different ids. */
+static const struct version_case restart_cases[] = {
+	{ "begun", "/stream/1", "stall", BOTH, BOTH, true },
+	{ "resumed", "/stream/1", "stall", BOTH, BOTH, true },
+};
+
+static struct stream restart_streams[STREAMS];
+
+/* Begins streams; returns the number of those of the new version. */
+static int
+begin_restart_streams(const struct version_case *x)
+{
+	int begun = 0;
+	int new = 0;
+
+	for (int i = 0; i < STREAMS; i++) {
+		struct stream *s = &restart_streams[i];
+
+		begin_stream(s, x, i);
+		begun += s->old || s->new;
+		new += s->new;
+	}
+	g_assert_cmpint(begun, ==, STREAMS);
+	return new;
+}
+
+/* Resumes them; returns the number of those that are complete then. */
+static int
+resume_restart_streams(const struct version_case *x)
+{
+	uint32_t n_reports = fakeplat_reports(platform);
+	int mixed = 0;
+	int complete = 0;
+
+	for (int i = 0; i < STREAMS; i++) {
+		struct stream *s = &restart_streams[i];
+
+		resume_stream(s, x, i);
+		mixed += s->old && s->new;
+		complete += s->complete;
+	}
+	g_test_message("%d streams of two versions, %d complete, %u reports",
+	    mixed, complete, fakeplat_reports(platform) - n_reports);
+	g_assert_cmpint(mixed, ==, 0);
+	return complete;
+}
+
+static void
+restart_targets(int n, const char *version)
+{
+	for (int i = 0; i < n; i++)
+		fakeplat_restart_target(platform, ids[i], version);
+}
+
+/*
+ * Targets of the old version restart under their ids with the new one, streams
+ * begin before their entries arrive, and are resumed afterwards.
+ */
+static void
+run_restart_begun_case(void)
+{
+	set_versions(BOTH);
+	restart_targets(TARGETS / 2 - 1, "new");
+	begin_restart_streams(&restart_cases[0]);
+	set_versions(BOTH);
+	g_assert_cmpint(resume_restart_streams(&restart_cases[0]), ==, STREAMS);
+	restart_targets(TARGETS / 2 - 1, "old");
+}
 
 /*
  * The targets of the old version restart under their ids with the new one, and
- * streams of the old version are resumed before their entries arrive.
+ * streams are resumed before their entries arrive.
  */
 static void
 run_restart_case(void)
 {
-	static struct stream v[STREAMS];
-	int mixed = 0;
-	int begun = 0;
+	int new;
 
 	set_versions(BOTH);
-	for (int i = 0; i < STREAMS; i++) {
-		begin_stream(&v[i], &restart_case, i);
-		begun += v[i].old || v[i].new;
-	}
-	for (int i = 0; i < TARGETS / 2; i++)
-		fakeplat_restart_target(platform, ids[i], "new");
-	for (int i = 0; i < STREAMS; i++) {
-		resume_stream(&v[i], &restart_case, i);
-		mixed += v[i].old && v[i].new;
-	}
+	new = begin_restart_streams(&restart_cases[1]);
+	restart_targets(TARGETS / 2, "new");
+	g_assert_cmpint(resume_restart_streams(&restart_cases[1]), ==, new);
 	set_versions(BOTH);
-	g_test_message("%d streams of two versions, %d begun", mixed, begun);
-	g_assert_cmpint(begun, ==, STREAMS);
-	g_assert_cmpint(mixed, ==, 0);
 }
 
 static const struct version_case long_case = { "of-over-a-minute",
@@ -645,8 +699,11 @@
 		g_test_add_data_func(path, &cases[i], run_case);
 	}
 	/* The last one: no target has the old version any more. */
-	if (argc > 1 && strcmp(argv[1], "restarts") == 0)
-		g_test_add_func("/restarted-target", run_restart_case);
+	if (argc > 1 && strcmp(argv[1], "restarts") == 0) {
+		g_test_add_func(
+		    "/restarted-target/begun", run_restart_begun_case);
+		g_test_add_func("/restarted-target/resumed", run_restart_case);
+	}
 	rc = g_test_run();
 	stop_fleet();
 	return rc;
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -425,6 +425,41 @@
 	}
 }
 
+static void
+test_report(void)
+{
+	static const struct {
+		const char *status, *body;
+		struct target_report report;
+	} cases[] = {
+		{ "200 OK", "{\"Busy\":false,\"born\":1700000000000}",
+		    { true, 1700000000000 } },
+		{ "200 OK", "{\"Busy\":false}", { true, 0 } },
+		{ "404 No", "", { true, 0 } },
+		{ "200 OK", "{\"born\":0}", { false, 0 } },
+		{ "200 OK", "{\"born\":1.5}", { false, 0 } },
+		{ "200 OK", "{\"born\":\"now\"}", { false, 0 } },
+		{ "200 OK", "[]", { false, 0 } },
+		{ "200 OK", "", { false, 0 } },
+		{ "503 No", "{\"born\":5}", { false, 0 } },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text =
+		    g_strdup_printf("HTTP/1.1 %s\r\nContent-Length: %zu\r\n\r\n"
+				    "%s",
+			cases[i].status, strlen(cases[i].body), cases[i].body);
+		struct target_report report;
+		struct httpmsg m;
+
+		parse(&m, HTTP_RESPONSE, text);
+		platform_report_parse(&m, &report);
+		g_assert_cmpint(report.readable, ==, cases[i].report.readable);
+		g_assert_cmpuint(report.born_ms, ==, cases[i].report.born_ms);
+		httpmsg_free(&m);
+	}
+}
+
 static void
 test_limit(void)
 {
@@ -804,6 +839,7 @@
 	g_test_add_func("/call-head", test_call_head);
 	g_test_add_func("/response", test_response);
 	g_test_add_func("/limit", test_limit);
+	g_test_add_func("/report", test_report);
 	g_test_add_func("/brittle", test_brittle);
 	g_test_add_func("/rest", test_rest);
 	g_test_add_func("/stage", test_stage);
