stages: a stream that has begun waits for its stages

Callers saw a stream end in the middle: its target broke off, the next one had lost the inputs, and a stage that was to make them again was refused, had no target, or was over the quota of repeated stage work.

Cause: stages.c rejected the request, whatever the caller already had. Only a refusal by the stream's own target was tried again (resume_wait). Besides, after two losses of its inputs a stream went on to other targets without inputs.

A request that can't have its stages now goes through resume_wait, as for its target: the rest of a stream is tried until its deadline, with the same doubling waits. What was made stays; stage work that is made again is charged to the quota once, also when the quota was spent at first. A caller that is still there after the time in which callers leave is served until its deadline.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -104,12 +104,8 @@
 	evtimer_add(r->response_timer, &tv);
 }
 
-/*
- * A stream that has begun is resumed once a target takes it; returns false if
- * it may not be, or if no time is left.
- */
-static bool
-resume_later(struct relay_request *r, const char *cause)
+bool
+forward_resume_later(struct relay_request *r, const char *cause)
 {
 	usec_t wait = resume_wait_next(&r->resume_wait,
 	    &(struct resume_stream){ r->head_written,
@@ -129,7 +125,7 @@
 void
 forward_fail(struct relay_request *r, enum err_kind kind, const char *cause)
 {
-	if (!resume_later(r, cause))
+	if (!forward_resume_later(r, cause))
 		relay_request_reject(
 		    r, &(struct rejection){ kind, RETRY_AFTER, cause });
 }
@@ -217,7 +213,7 @@
 		sse_restart(&r->sse);
 		forward_send(r);
 	} else if (r->head_written) {
-		if (suspect || !resume_later(r, cause))
+		if (suspect || !forward_resume_later(r, cause))
 			forward_abort_stream(r, cause);
 	} else {
 		forward_fail(r, ERR_ANSWER_LOST, cause);
@@ -426,7 +422,10 @@
 		send_to(r, t, now);
 }
 
-/* Sends the rest of a stream that has begun to a target, if one takes it. */
+/*
+ * Sends the rest of a stream that has begun to a target, if one takes it, after
+ * the stages that it needs again.
+ */
 static void
 resume_stream(struct relay_request *r)
 {
@@ -436,6 +435,10 @@
 	forward_stop_waiting(r);
 	if (reject_quarantined(r))
 		return;
+	if (!stages_are_done(r)) {
+		stages_resume(r);
+		return;
+	}
 	t = choose_resume_target(r, now);
 	if (t != NULL && spend_retry(r))
 		send_to(r, t, now);
@@ -494,7 +497,10 @@
 void
 forward_start(struct relay_request *r)
 {
-	forward_send(r);
+	if (r->head_written)
+		resume_stream(r);
+	else
+		forward_send(r);
 }
 
 void
--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -281,14 +281,29 @@
 		forward_fail(r, ERR_TARGET_FAILED, cause);
 }
 
+/* The call was refused, as its inputs are gone. */
+static void
+on_inputs_lost(struct relay_request *r)
+{
+	static const char cause[] = "the inputs are lost again";
+
+	if (r->input_losses++ < MAX_INPUT_LOSSES) {
+		stages_restart(r);
+	} else if (r->head_written) {
+		stages_drop(r);
+		forward_fail(r, ERR_NO_TARGET, cause);
+	} else {
+		forward_refused(r, cause);
+	}
+}
+
 static void
 on_complete(struct relay_request *r, const struct httpmsg *m)
 {
 	if (r->response.not_executed) {
 		forward_call_ended(r, r->response_status != 503);
-		if (r->response_status == 409 &&
-		    r->input_losses++ < MAX_INPUT_LOSSES)
-			stages_restart(r);
+		if (r->response_status == 409)
+			on_inputs_lost(r);
 		else
 			forward_refused(r, "the target refused the call");
 		return;
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -118,6 +118,8 @@
 	struct stage_progress stages[ROUTE_MAX_STAGES];
 	struct buf inputs; /* handles of the request's own inputs */
 	uint32_t input_losses;
+	/* Stage work that comes next is a repetition, not yet charged. */
+	bool repeats_work;
 
 	/* Used by forward.c. */
 	struct target_call *call;
@@ -221,6 +223,14 @@
 void stages_start(struct relay_request *r);
 /* Runs the stages again after a result that the request needs was lost. */
 void stages_restart(struct relay_request *r);
+/* Drops the results; the next stages_resume makes all of them again. */
+void stages_drop(struct relay_request *r);
+bool stages_are_done(const struct relay_request *r);
+/*
+ * Goes on with the stages that aren't done, then sends the request.  The quota
+ * of stage work is charged for what is made again.
+ */
+void stages_resume(struct relay_request *r);
 /* Approximate size in bytes of the request's own inputs. */
 uint64_t stages_input_bytes(const struct relay_request *r);
 /* Frees the results, which are no longer needed. */
@@ -232,6 +242,11 @@
 /* Fills the query that chooses a target for the request. */
 void forward_query(const struct relay_request *r, struct loads_query *query);
 void forward_cancel(struct relay_request *r);
+/*
+ * A stream that has begun is resumed once its stages and a target allow it;
+ * returns false if it may not be, or if no time is left.
+ */
+bool forward_resume_later(struct relay_request *r, const char *cause);
 /*
  * The path to the service is lost: a silent direct call is made again, where
  * that is allowed.
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -174,13 +174,18 @@
 	return worst;
 }
 
-/* Callers wait as long for the next event as for the first one. */
+/*
+ * Callers wait as long for the next event as for the first one; one that is
+ * there after that may wait until its deadline.
+ */
 static usec_t
 start_deadline(const struct relay_request *r)
 {
 	usec_t since = r->head_written ? r->last_event_at : r->arrived;
+	usec_t end =
+	    chain_deadline(since, r->route->first_event_limit, r->deadline);
 
-	return chain_deadline(since, r->route->first_event_limit, r->deadline);
+	return r->head_written && clock_now() >= end ? r->deadline : end;
 }
 
 static usec_t
@@ -191,13 +196,40 @@
 	return t > now ? t - now : 0;
 }
 
-/* Rejects a request that needs about the given time in its stages. */
+static void
+cancel_jobs(struct relay_request *r)
+{
+	for (uint32_t i = 0; i < ROUTE_MAX_STAGES; i++) {
+		if (r->stages[i].job == 0)
+			continue;
+		stage_jobs_cancel(r->shared->stage_jobs, r->stages[i].job);
+		r->stages[i].job = 0;
+		r->repeats_work = true;
+	}
+}
+
+/*
+ * The stages can't be made now: a stream that has begun goes on with them
+ * later, other requests are rejected.
+ */
+static void
+fail_stages(struct relay_request *r, usec_t wait, const char *cause)
+{
+	if (!forward_resume_later(r, cause)) {
+		relay_request_reject(
+		    r, &(struct rejection){ ERR_NO_TIME, wait, cause });
+		return;
+	}
+	cancel_jobs(r);
+	for (uint32_t i = 0; i < r->route->n_stages; i++)
+		r->stages[i].tries = 0;
+}
+
+/* The same, for a request that needs about the given time in its stages. */
 static void
 reject_stages(struct relay_request *r, usec_t wait, const char *cause)
 {
-	relay_request_reject(r,
-	    &(struct rejection){ ERR_NO_TIME,
-		retry_after(wait, hash_u64(r->info.id, 0)), cause });
+	fail_stages(r, retry_after(wait, hash_u64(r->info.id, 0)), cause);
 }
 
 /*
@@ -228,6 +260,7 @@
 			: outcome == PIECE_INPUT_LOST ? "input gone"
 			: outcome == PIECE_NO_SPACE   ? "no room"
 						      : "failed") });
+	r->repeats_work = true;
 	if (outcome == PIECE_EXPIRED || ++s->tries >= MAX_STAGE_TRIES) {
 		reject_stages(r, usec_until(start_deadline(r)),
 		    "a stage could not be made in time");
@@ -237,12 +270,7 @@
 		stages_restart(r);
 		return;
 	}
-	if (!may_repeat_work(r)) {
-		reject_stages(r, usec_until(start_deadline(r)),
-		    "a stage failed and the quota of repeated work is spent");
-		return;
-	}
-	start_ready_stages(r);
+	stages_resume(r);
 }
 
 /*
@@ -271,10 +299,8 @@
 	if (reply->refused) {
 		LOG(LOG_LVL_INFO, "stage-no-room", { "request", r->info.id },
 		    { "stage", str_from(service_name(r, stage)) });
-		relay_request_reject(r,
-		    &(struct rejection){ ERR_NO_TIME,
-			(usec_t)reply->wait_ms * USEC_PER_MSEC,
-			"a stage has no room in time" });
+		fail_stages(r, (usec_t)reply->wait_ms * USEC_PER_MSEC,
+		    "a stage has no room in time");
 		return;
 	}
 	store_handles(r, stage, reply);
@@ -528,19 +554,30 @@
 	start_ready_stages(r);
 }
 
-static void
-cancel_jobs(struct relay_request *r)
+bool
+stages_are_done(const struct relay_request *r)
 {
-	for (uint32_t i = 0; i < ROUTE_MAX_STAGES; i++) {
-		if (r->stages[i].job != 0)
-			stage_jobs_cancel(
-			    r->shared->stage_jobs, r->stages[i].job);
-		r->stages[i].job = 0;
+	for (uint32_t i = 0; i < r->route->n_stages; i++) {
+		if (has_pieces(r, i) && !r->stages[i].done)
+			return false;
 	}
+	return true;
 }
 
 void
-stages_restart(struct relay_request *r)
+stages_resume(struct relay_request *r)
+{
+	if (r->repeats_work && !may_repeat_work(r)) {
+		reject_stages(r, usec_until(start_deadline(r)),
+		    "the quota of repeated stage work is spent");
+		return;
+	}
+	r->repeats_work = false;
+	start_ready_stages(r);
+}
+
+void
+stages_drop(struct relay_request *r)
 {
 	cancel_jobs(r);
 	for (uint32_t i = 0; i < r->route->n_stages; i++) {
@@ -548,13 +585,14 @@
 			release_stage(r, i);
 		r->stages[i].done = false;
 	}
-	if (!may_repeat_work(r)) {
-		reject_stages(r, usec_until(start_deadline(r)),
-		    "results were lost and the quota of repeated work is "
-		    "spent");
-		return;
-	}
-	start_ready_stages(r);
+	r->repeats_work = true;
+}
+
+void
+stages_restart(struct relay_request *r)
+{
+	stages_drop(r);
+	stages_resume(r);
 }
 
 void
