forward: a request goes back to the target that was silent

Callers saw 502: their target sent nothing, the call was given up for another target, that one refused the request, and the first would have gone on.

Cause: the attempts were used up by then, and only streams that had begun were sent again (resume_wait). Two calls at a time are no way out: the second target gives no sign that it has taken a request before it answers, and a request must not run at two targets for long.

A request that was taken from a silent target now goes on as a stream that has begun does: after a wait it goes back to a target that it was sent to, not the one that has just refused it, until its deadline and each time charged to the retry quota. It meets no target beyond the route's attempts. A target that is silent once more may be lost after all: that call is given up for another one that isn't set aside. Requests that crash their targets aren't sent again.

--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -289,7 +289,7 @@
 
 	if (r->input_losses++ < MAX_INPUT_LOSSES) {
 		stages_restart(r);
-	} else if (r->head_written) {
+	} else if (forward_goes_on(r)) {
 		stages_drop(r);
 		forward_fail(r, ERR_NO_TARGET, cause);
 	} else {
--- a/entry/forward_state.h
+++ b/entry/forward_state.h
@@ -21,10 +21,9 @@
 bool forward_can_retry(struct relay_request *r);
 /* Sends the request to a target that was not tried yet, or rejects it. */
 void forward_send(struct relay_request *r);
-/*
- * Rejects the request, unless it is a stream that has begun and may be resumed
- * later.
- */
+/* Whether the request is sent again until its time is over. */
+bool forward_goes_on(const struct relay_request *r);
+/* Rejects the request, unless it goes on later. */
 void forward_fail(
     struct relay_request *r, enum err_kind kind, const char *cause);
 /*
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -130,10 +130,11 @@
 	usec_t sent_at; /* time of the last call */
 	/*
 	 * Limits the wait for the call's next bytes; without a call, the time
-	 * until the stream is resumed.  NULL: none.
+	 * until the request is sent again.  NULL: none.
 	 */
 	struct event *response_timer;
 	struct resume_wait resume_wait;
+	bool given_up;          /* a silent call, for another target */
 	uint64_t events_before; /* the last call: events of earlier ones */
 	/* Software versions of the last call's target, and of the stream. */
 	char call_version[STREAM_VERSION_BYTES];
@@ -243,8 +244,9 @@
 void forward_query(const struct relay_request *r, struct loads_query *query);
 void forward_cancel(struct relay_request *r);
 /*
- * A stream that has begun is resumed once its stages and a target allow it;
- * returns false if it may not be, or if no time is left.
+ * A stream that has begun, or a request that was taken from a silent target, is
+ * sent again once its stages and a target allow it; returns false if it may not
+ * be, or if no time is left.
  */
 bool forward_resume_later(struct relay_request *r, const char *cause);
 /*
--- a/kernel/overload/resume_wait.c
+++ b/kernel/overload/resume_wait.c
@@ -3,14 +3,14 @@
 #define MAX_DOUBLINGS 4
 
 usec_t
-resume_wait_next(struct resume_wait *w, const struct resume_stream *s)
+resume_wait_next(struct resume_wait *w, const struct resume_request *r)
 {
 	usec_t wait = RESUME_WAIT_FIRST << w->n_doubled;
 
 	/* What is left may do for an attempt after a shorter wait. */
-	while (wait >= s->left && wait > RESUME_WAIT_FIRST)
+	while (wait >= r->left && wait > RESUME_WAIT_FIRST)
 		wait /= 2;
-	if (!s->begun || !s->may_again || wait >= s->left)
+	if ((!r->begun && !r->given_up) || !r->may_again || wait >= r->left)
 		return 0;
 	if (w->n_doubled < MAX_DOUBLINGS)
 		w->n_doubled++;
--- a/kernel/overload/resume_wait.h
+++ b/kernel/overload/resume_wait.h
@@ -1,11 +1,14 @@
 /*
- * When a stream that has begun, and whose call has ended early, is sent again.
+ * When a request whose call has ended early is sent again: a stream that has
+ * begun, or a request that was taken from a silent target.
  *
  * Load pattern: a target falls silent or fails in the middle of a stream while
  * the others are full, at rest, of another version, or fail too.  The caller
  * has a part of the answer, so the stream is not ended; its rest is sent again
- * until a target takes it.  Each attempt may reach a target that refuses it, so
- * the waits double until an event has come.
+ * until a target takes it.  A target may also be silent before its answer and
+ * go on a second later; if the others refuse the request, it goes back there.
+ * Each attempt may reach a target that refuses it, so the waits double until an
+ * event has come.
  *
  * Times are in microseconds.
  */
@@ -24,15 +27,16 @@
 	uint32_t n_doubled;
 };
 
-/* A stream whose call has ended. */
-struct resume_stream {
+/* A request whose call has ended. */
+struct resume_request {
 	bool begun;     /* the caller has a part of the answer */
-	bool may_again; /* it may be resumed */
+	bool given_up;  /* a silent call of it, for another target */
+	bool may_again; /* it may be repeated, or resumed */
 	usec_t left;    /* until an attempt would come too late */
 };
 
-/* Returns the time until the next attempt; 0: the stream ends. */
-usec_t resume_wait_next(struct resume_wait *w, const struct resume_stream *s);
+/* Returns the time until the next attempt; 0: the request ends. */
+usec_t resume_wait_next(struct resume_wait *w, const struct resume_request *r);
 /* An event has come. */
 void resume_wait_reset(struct resume_wait *w);
 
