coordinator: jobs of services that it doesn't know yet aren't refused

Callers saw 503 beside a change of the configuration: a host that had it submitted a job of a new stage service to a coordinator that hadn't, and this one refused it with a second of Retry-After.

A job of another host for an unknown service now gets no answer for 150 ms, too short for the coordinator to become suspect, then an acknowledgement, upon which the sender asks again after a second, and then a refusal.

test_stage_jobs /stage_jobs/unknown-service, before: assertion failed (coordinator_counts(g.coordinator).refused == 0): (1 == 0) after: passes.

--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -71,6 +71,7 @@
 	GHashTableIter it;
 	gpointer v;
 
+	unknown_services_changed(&c->unknown, c->routes, routes);
 	routes_unref(c->routes);
 	c->routes = routes_ref(routes);
 	g_hash_table_iter_init(&it, c->pools);
@@ -158,6 +159,7 @@
 
 	c->o = *o;
 	c->started = clock_now();
+	unknown_services_init(&c->unknown);
 	c->pools =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
 	c->jobs = g_hash_table_new_full(
@@ -384,6 +386,29 @@
 	return now - c->started < START_TIME && loads_is_empty(c->o.loads);
 }
 
+/*
+ * Whether a job for an unknown service is refused; else its sender tries again,
+ * as the service may be in a configuration that is on its way.
+ */
+static bool
+refuses_unknown(struct coordinator *c, const char *from,
+    const peer_piece_ask *msg, usec_t now)
+{
+	peer_body body = { .kind = PEER_PIECE_REPLY };
+
+	switch (unknown_services_asked(&c->unknown, msg->service, now)) {
+	case UNKNOWN_NONE:
+		return false;
+	case UNKNOWN_LATER:
+		body.peer_body_u.piece_reply.ask = msg->ask;
+		rpc_send(c->o.rpc, from, &body);
+		return false;
+	case UNKNOWN_REFUSE:
+		break;
+	}
+	return true;
+}
+
 void
 coordinator_submit(
     struct coordinator *c, const char *from, const peer_piece_ask *msg)
@@ -416,6 +441,10 @@
 		return;
 	}
 	p = pool_of(c, msg->service);
+	if (p == NULL && from != NULL && !refuses_unknown(c, from, msg, now)) {
+		free(key);
+		return;
+	}
 	j = new_job(c, key, from, msg, p, now);
 	/*
 	 * This host's own jobs reach it during its drain only if there is no
@@ -754,6 +783,7 @@
 	g_ptr_array_unref(c->local_replies);
 	result_space_free(&c->result_space);
 	recent_set_free(&c->handles);
+	unknown_services_free(&c->unknown);
 	routes_unref(c->routes);
 	free(c);
 }
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -12,6 +12,7 @@
 #include "kernel/overload/result_frees.h"
 #include "kernel/overload/result_space.h"
 #include "kernel/recent_set.h"
+#include "kernel/unknown_services.h"
 #include "platform/stage.h"
 
 /* Handles are known for longer than the connections that they came on live. */
@@ -88,6 +89,7 @@
 struct coordinator {
 	struct coordinator_opts o;
 	struct routes *routes;
+	struct unknown_services unknown;
 	GHashTable *pools; /* service -> struct pool */
 	GHashTable *jobs;  /* key -> struct coordinator_job */
 	GHashTable *calls; /* struct batch_call */
--- a/tests/entry/test_stage_jobs.c
+++ b/tests/entry/test_stage_jobs.c
@@ -228,6 +228,56 @@
 	close_fixture(&g);
 }
 
+/* Sets a configuration with the stage service of the jobs, or without. */
+static void
+set_service(struct fixture *g, bool has)
+{
+	struct routes *t = routes_new();
+	struct service s = { .name = str_dup(STR("s")), .has_pool = true };
+
+	if (has)
+		g_array_append_val(t->services, s);
+	else
+		free(s.name);
+	routes_freeze(t);
+	coordinator_set_routes(g->coordinator, t);
+	routes_unref(t);
+}
+
+/*
+ * Another host has a configuration with a new stage service sooner: its jobs
+ * aren't refused here, unless the service was removed.
+ */
+static void
+test_unknown_service(void)
+{
+	struct target_entry target = { "t1", "other", "127.0.0.1:25892" };
+	g_autoptr(GArray) targets = g_array_new(FALSE, TRUE, sizeof(target));
+	u_int pieces[] = { 0 };
+	peer_piece_ask ask = { .ask = 7,
+		.service = (char *)"s",
+		.id = (char *)"r-1",
+		.key = (char *)"k",
+		.inputs = (char *)"",
+		.domain = (char *)"",
+		.left_ms = 5000,
+		.aim_left_ms = 5000,
+		.pieces = { 1, pieces } };
+	struct fixture g;
+
+	open_fixture(&g, 0);
+	set_service(&g, false);
+	g_array_append_val(targets, target);
+	loads_update(&g.loads, targets, clock_now());
+	coordinator_submit(g.coordinator, "127.0.0.1:25891", &ask);
+	g_assert_cmpuint(coordinator_counts(g.coordinator).refused, ==, 0);
+	set_service(&g, true);
+	set_service(&g, false);
+	coordinator_submit(g.coordinator, "127.0.0.1:25891", &ask);
+	g_assert_cmpuint(coordinator_counts(g.coordinator).refused, ==, 1);
+	close_fixture(&g);
+}
+
 struct part_result {
 	int n_replies;
 	bool refused;
@@ -495,6 +545,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/stage_jobs/peer-wait", test_peer_wait);
 	g_test_add_func("/stage_jobs/repeated-ack", test_repeated_ack);
+	g_test_add_func("/stage_jobs/unknown-service", test_unknown_service);
 	g_test_add_func("/stage_jobs/parts", test_parts);
 	g_test_add_func("/stage_jobs/cancelled-drain", test_cancelled_drain);
 	g_test_add_func("/stage_jobs/moved", test_moved);
