relay: idle connections to a target's former address are closed

A target that restarted under its id at another address was taken for still listed, so idle connections to the old address stayed until they lapsed. Another target may get that address; a call on such a connection that may run once would be lost.

loads_is_there compares the address, too.

--- a/entry/relay.c
+++ b/entry/relay.c
@@ -143,10 +143,8 @@
 	for (guint i = 0; i < old_targets->len; i++) {
 		const struct target_entry *old =
 		    &g_array_index(old_targets, struct target_entry, i);
-		const struct target_load *t =
-		    loads_find(&y->shared.loads, old->id);
 
-		if (t == NULL || !t->listed)
+		if (!loads_is_there(&y->shared.loads, old))
 			dial_close_idle(y->shared.dialer, str_from(old->addr));
 	}
 }
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -199,6 +199,14 @@
 	return g_hash_table_size(l->by_id) == 0;
 }
 
+bool
+loads_is_there(struct loads *l, const struct target_entry *e)
+{
+	const struct target_load *t = loads_find(l, e->id);
+
+	return t != NULL && t->listed && strcmp(t->entry.addr, e->addr) == 0;
+}
+
 /* The target restarted under the same id: its state is out of date. */
 static void
 forget_state(struct target_load *t)
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -119,6 +119,11 @@
 /* Service of the target at an address, or "". */
 const char *loads_service_at(const struct loads *l, struct str addr);
 struct target_load *loads_find(struct loads *l, const char *id);
+/*
+ * Whether the target of an entry is still listed at the entry's address.  If it
+ * isn't, connections to that address may reach another target by now.
+ */
+bool loads_is_there(struct loads *l, const struct target_entry *e);
 /* Usable targets of a service as struct target_load, or NULL. */
 const GPtrArray *loads_usable(const struct loads *l, const char *service);
 /*
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -962,6 +962,44 @@
 	loads_free(&l);
 }
 
+/* Connections to the address of an entry are used while its target is there. */
+static void
+test_loads_address(void)
+{
+	static const struct {
+		const char *name;
+		const char *id;
+		const char *addr;
+		bool there;
+	} cases[] = {
+		{ "as it was", "i-1", "10.0.0.1:80", true },
+		{ "restarted at another address", "i-1", "10.0.0.2:80", false },
+		{ "another target at its address", "i-2", "10.0.0.1:80",
+		    false },
+		{ "gone", "i-2", "10.0.0.2:80", false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct target_entry before = entry("i-1", false);
+		struct target_entry now = entry(cases[i].id, false);
+		g_autoptr(GArray) list =
+		    g_array_new(FALSE, FALSE, sizeof(struct target_entry));
+		struct loads l;
+
+		g_test_message("%s", cases[i].name);
+		loads_init(&l, "d", 1);
+		g_strlcpy(before.addr, "10.0.0.1:80", sizeof(before.addr));
+		g_strlcpy(now.addr, cases[i].addr, sizeof(now.addr));
+		g_array_append_val(list, before);
+		loads_update(&l, list, 0);
+		g_array_index(list, struct target_entry, 0) = now;
+		loads_update(&l, list, 0);
+		g_assert_cmpint(
+		    loads_is_there(&l, &before), ==, cases[i].there);
+		loads_free(&l);
+	}
+}
+
 /* Event streams. */
 
 static void
@@ -1136,6 +1174,7 @@
 	g_test_add_func("/loads/conn-share", test_loads_conn_share);
 	g_test_add_func("/loads/affinity", test_loads_affinity);
 	g_test_add_func("/loads/restart", test_loads_restart);
+	g_test_add_func("/loads/address", test_loads_address);
 	g_test_add_func("/feeders", test_feeders);
 	g_test_add_func("/coordinator/sizes", test_coordinator_sizes);
 	g_test_add_func(
