host_list: a write that failed is repeated

The list counted as stored when its write began. One that the store did not take wasn't repeated until the set of hosts changed, and hosts that started meanwhile knew fewer others.

The list counts as stored when the store has said so. A failed write is logged (hosts-not-written) and repeated after 5 s.

test_host_list /host-list/writes, before: assertion failed (count_writes(&w, &t, 2 * SEC, 20 * SEC, false) == 4): (1 == 4) after: passes.

--- a/entry/discovery_hosts.c
+++ b/entry/discovery_hosts.c
@@ -19,6 +19,17 @@
 		    n.learned, n.malformed);
 }
 
+static void
+on_hosts_written(void *arg, const struct kv_result *r)
+{
+	struct discovery *d = arg;
+
+	host_list_written(&d->hosts, r->status == KV_OK);
+	if (r->status != KV_OK)
+		log_text(LOG_LVL_NOTICE, "hosts-not-written",
+		    "the write of the list of hosts is repeated");
+}
+
 void
 discovery_write_hosts(struct discovery *d, usec_t now)
 {
@@ -29,7 +40,8 @@
 	if (!d->store_unavailable && watcher_revision(d->watcher) != 0 &&
 	    discovery_is_first_feeder(d) &&
 	    host_list_due(&d->hosts, fleet_members(d->fleet), now, &text)) {
-		kv_put_item(d->kv, STR(HOSTS_KEY), str_of(&text), NULL, NULL);
+		kv_put_item(
+		    d->kv, STR(HOSTS_KEY), str_of(&text), on_hosts_written, d);
 		log_text(LOG_LVL_INFO, "hosts-written",
 		    "list of the fleet's hosts, %zu bytes", text.n);
 	}
--- a/kernel/host_list.c
+++ b/kernel/host_list.c
@@ -137,11 +137,20 @@
 		w->seen = hash;
 		w->changed_at = now;
 	}
-	if (hash == w->stored || now - w->changed_at < STABLE_TIME ||
+	if (hash == w->stored || w->writing != 0 ||
+	    now - w->changed_at < STABLE_TIME ||
 	    (w->written_at != 0 && now - w->written_at < WRITE_INTERVAL) ||
 	    out->n > MAX_LIST_BYTES)
 		return false;
-	w->stored = hash;
+	w->writing = hash;
 	w->written_at = now;
 	return true;
 }
+
+void
+host_list_written(struct host_list_writer *w, bool ok)
+{
+	if (ok)
+		w->stored = w->writing;
+	w->writing = 0;
+}
--- a/kernel/host_list.h
+++ b/kernel/host_list.h
@@ -20,7 +20,8 @@
 
 /* When to write the list; a zeroed one is valid. */
 struct host_list_writer {
-	uint64_t stored;   /* hash of the list last read or written */
+	uint64_t stored;   /* hash of the list that the store has */
+	uint64_t writing;  /* hash of the one that is being written; 0: none */
 	uint64_t seen;     /* hash of the hosts at the last check */
 	usec_t changed_at; /* when they became these */
 	usec_t written_at;
@@ -43,9 +44,11 @@
 bool host_list_check_due(struct host_list_writer *w, usec_t now);
 /*
  * On the host that writes the list: returns whether it is to be written now,
- * with its text appended to out.
+ * with its text appended to out.  Its end is told by host_list_written.
  */
 bool host_list_due(
     struct host_list_writer *w, struct members *t, usec_t now, struct buf *out);
+/* A write has ended; one that failed is repeated. */
+void host_list_written(struct host_list_writer *w, bool ok);
 
 #endif
--- a/tests/kernel/test_host_list.c
+++ b/tests/kernel/test_host_list.c
@@ -116,17 +116,20 @@
 	member_free(&t);
 }
 
-/* Returns how often the list is written in a span of time. */
+/* Returns how often the list is written in a span of time, well or not. */
 static int
-count_writes(
-    struct host_list_writer *w, struct members *t, usec_t from, usec_t to)
+count_writes(struct host_list_writer *w, struct members *t, usec_t from,
+    usec_t to, bool ok)
 {
 	int n = 0;
 
 	for (usec_t now = from; now < to; now += SEC / 4) {
 		struct buf text = { 0 };
 
-		n += host_list_due(w, t, now, &text);
+		if (host_list_due(w, t, now, &text)) {
+			n++;
+			host_list_written(w, ok);
+		}
 		buf_free(&text);
 	}
 	return n;
@@ -141,23 +144,25 @@
 	struct buf text = { 0 };
 
 	init_fleet(&t, 20, 1);
-	g_assert_cmpint(count_writes(&w, &t, SEC, 2 * SEC), ==, 0);
-	g_assert_cmpint(count_writes(&w, &t, 2 * SEC, 60 * SEC), ==, 1);
+	g_assert_cmpint(count_writes(&w, &t, SEC, 2 * SEC, true), ==, 0);
+	/* Writes that fail are repeated, every 5 s. */
+	g_assert_cmpint(count_writes(&w, &t, 2 * SEC, 20 * SEC, false), ==, 4);
+	g_assert_cmpint(count_writes(&w, &t, 20 * SEC, 60 * SEC, true), ==, 1);
 	/* A restart alone changes nothing that lasts. */
 	x = host(3, 2);
 	g_assert_true(member_update(&t, 60 * SEC, &x));
-	g_assert_cmpint(count_writes(&w, &t, 60 * SEC, 70 * SEC), ==, 0);
+	g_assert_cmpint(count_writes(&w, &t, 60 * SEC, 70 * SEC, true), ==, 0);
 	/* A new host does; one write for several. */
 	for (int i = 20; i < 30; i++) {
 		x = host(i, 1);
 		g_assert_true(member_update(&t, 70 * SEC, &x));
 	}
-	g_assert_cmpint(count_writes(&w, &t, 70 * SEC, 90 * SEC), ==, 1);
+	g_assert_cmpint(count_writes(&w, &t, 70 * SEC, 90 * SEC, true), ==, 1);
 	/* A host that takes over the writing knows what is stored. */
 	w = (struct host_list_writer){ 0 };
 	host_list_write(&t, &text);
 	host_list_stored(&w, str_of(&text));
-	g_assert_cmpint(count_writes(&w, &t, 90 * SEC, 120 * SEC), ==, 0);
+	g_assert_cmpint(count_writes(&w, &t, 90 * SEC, 120 * SEC, true), ==, 0);
 	buf_free(&text);
 	member_free(&t);
 }
