discovery: base versions that another writer replaces are written again

If another value came to the store after a write of the base versions, and its change was read before the answer to that write, the answer ended the correction: the store kept the other value.

stream_bases_writer counts as written only what was known when the write began; a change read meanwhile makes another write due.

--- a/entry/discovery_streams.c
+++ b/entry/discovery_streams.c
@@ -59,11 +59,10 @@
 	bool listed;  /* the store, so that last_second is known */
 	bool dropped; /* streams, since the last write */
 	struct stream_bases bases;
-	bool bases_changed;      /* and are not in the store */
+	struct stream_bases_writer bases_writer;
 	usec_t rewrite_bases_at; /* unless the first feeder does before */
 	uint64_t bases_read;     /* d->restores when the item was read last */
-	bool bases_in_flight;
-	struct stream_gaps gaps;         /* as the store has them */
+	struct stream_gaps gaps; /* as the store has them */
 	struct stream_versions versions; /* while this is the first feeder */
 	bool gaps_in_flight;
 	usec_t listed_at;
@@ -491,9 +490,9 @@
 {
 	struct stream_store *s = d->streams;
 
-	if (s->bases_changed || g_hash_table_size(s->bases.by_service) == 0)
+	if (g_hash_table_size(s->bases.by_service) == 0 ||
+	    !stream_bases_differ(&s->bases_writer))
 		return;
-	s->bases_changed = true;
 	s->rewrite_bases_at =
 	    clock_now() + BASES_DELAY + (usec_t)(rng_entropy() % BASES_DELAY);
 }
@@ -510,7 +509,7 @@
 	s->bases_read = d->restores;
 	switch (stream_bases_read(&s->bases, value)) {
 	case STREAM_BASES_TAKEN:
-		s->bases_changed = false;
+		stream_bases_taken(&s->bases_writer);
 		d->view_dirty = true;
 		return;
 	case STREAM_BASES_OLDER:
@@ -565,9 +564,7 @@
 {
 	struct discovery *d = arg;
 
-	d->streams->bases_in_flight = false;
-	if (r->status == KV_OK)
-		d->streams->bases_changed = false;
+	stream_bases_written(&d->streams->bases_writer, r->status == KV_OK);
 }
 
 /* Writes the bases to the store when they have changed. */
@@ -577,7 +574,7 @@
 	struct stream_store *s = d->streams;
 	struct buf value = { 0 };
 
-	s->bases_in_flight = true;
+	s->bases_writer.in_flight = true;
 	stream_bases_write(&s->bases, &value);
 	log_text(LOG_LVL_INFO, "stream-versions",
 	    "base versions of the services, %zu bytes", value.n);
@@ -638,16 +635,16 @@
 	stream_bases_list(&s->bases, targets, now);
 	if (discovery_is_first_feeder(d))
 		update_gaps(d, targets, now);
-	if (s->bases_in_flight)
+	if (s->bases_writer.in_flight)
 		return;
 	if (discovery_is_first_feeder(d)) {
 		if (stream_bases_change(&s->bases, now)) {
-			s->bases_changed = true;
+			stream_bases_differ(&s->bases_writer);
 			d->view_dirty = true;
 		}
-		if (s->bases_changed)
+		if (s->bases_writer.due)
 			write_bases(d);
-	} else if (s->bases_changed && now >= s->rewrite_bases_at) {
+	} else if (s->bases_writer.due && now >= s->rewrite_bases_at) {
 		write_bases(d);
 	}
 }
--- a/kernel/stream_records.c
+++ b/kernel/stream_records.c
@@ -556,3 +556,29 @@
 	g_strlcpy(version, base, STREAM_VERSION_BYTES);
 	return RESUME_AT_VERSION;
 }
+
+bool
+stream_bases_differ(struct stream_bases_writer *w)
+{
+	bool news = !w->due || (w->in_flight && !w->again);
+
+	w->due = true;
+	w->again = w->in_flight;
+	return news;
+}
+
+void
+stream_bases_taken(struct stream_bases_writer *w)
+{
+	w->due = false;
+	w->again = false;
+}
+
+void
+stream_bases_written(struct stream_bases_writer *w, bool ok)
+{
+	w->in_flight = false;
+	if (ok)
+		w->due = w->again;
+	w->again = false;
+}
--- a/kernel/stream_records.h
+++ b/kernel/stream_records.h
@@ -195,6 +195,25 @@
 void stream_bases_write(const struct stream_bases *b, struct buf *out);
 void stream_bases_free(struct stream_bases *b);
 
+/*
+ * Whether the item has to be written; a zeroed one is valid.  The store may
+ * have taken another value after a write that is in flight, so only what was
+ * known at its begin counts as written by it.
+ */
+struct stream_bases_writer {
+	bool due;
+	bool in_flight;
+	bool again; /* the store has another value since the write's begin */
+};
+/*
+ * The store has another value than this host, or the bases have changed.
+ * Returns whether this makes a write due.
+ */
+bool stream_bases_differ(struct stream_bases_writer *w);
+/* The bases have been read from the store. */
+void stream_bases_taken(struct stream_bases_writer *w);
+void stream_bases_written(struct stream_bases_writer *w, bool ok);
+
 /*
  * Where a stream goes on that no host knows, by what the store says of it.
  * readable: the store has answered.  place: what the hosts alone would decide,
--- a/tests/kernel/test_stream_records.c
+++ b/tests/kernel/test_stream_records.c
@@ -548,6 +548,67 @@
 	}
 }
 
+/*
+ * Values that the store takes beside a write of the bases: the write is due
+ * again if they may have come after it.
+ */
+static void
+test_bases_writer(void)
+{
+	enum step {
+		END,
+		DIFFER,
+		SEND,
+		TAKEN,
+		WRITTEN,
+		FAILED
+	};
+	static const struct {
+		const char *name;
+		enum step steps[6];
+		bool due;
+	} cases[] = {
+		{ "nothing", { END }, false },
+		{ "not written yet", { DIFFER }, true },
+		{ "written", { DIFFER, SEND, WRITTEN }, false },
+		{ "failed", { DIFFER, SEND, FAILED }, true },
+		{ "another value meanwhile", { DIFFER, SEND, DIFFER, WRITTEN },
+		    true },
+		{ "written again",
+		    { DIFFER, SEND, DIFFER, WRITTEN, SEND, WRITTEN }, false },
+		{ "newer bases meanwhile",
+		    { DIFFER, SEND, DIFFER, TAKEN, WRITTEN }, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct stream_bases_writer w = { 0 };
+
+		g_test_message("%s", cases[i].name);
+		for (size_t k = 0; k < G_N_ELEMENTS(cases[i].steps); k++) {
+			switch (cases[i].steps[k]) {
+			case END:
+				break;
+			case DIFFER:
+				g_assert_true(stream_bases_differ(&w));
+				g_assert_false(stream_bases_differ(&w));
+				break;
+			case SEND:
+				w.in_flight = true;
+				break;
+			case TAKEN:
+				stream_bases_taken(&w);
+				break;
+			case WRITTEN:
+			case FAILED:
+				stream_bases_written(
+				    &w, cases[i].steps[k] == WRITTEN);
+				break;
+			}
+		}
+		g_assert_cmpint(w.due, ==, cases[i].due);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -561,6 +622,7 @@
 	g_test_add_func("/stream-records/older-bases", test_older_bases);
 	g_test_add_func("/stream-records/decide", test_decide);
 	g_test_add_func("/stream-records/bases", test_bases);
+	g_test_add_func("/stream-records/bases-writer", test_bases_writer);
 	g_test_add_func("/stream-records/records", test_records);
 	g_test_add_func("/stream-records/recorder", test_recorder);
 	g_test_add_func("/stream-records/gaps", test_gaps);
