httpd: a closed connection is read until its caller closes it

Callers that sent a request while their connection was being closed lost the rest of the answer before it: a request that arrives after the close resets the connection and discards what its socket still has to send.

Cause: half_close looked at the buffer only, and closed at once if that was empty. The socket, and the path to it, may have more. All connections are now closed by ending the output and reading until the caller closes, for 1 s at most, as after a malformed request.

test_httpd /httpd/request-crosses-close, before: assertion failed (s.received.n > SOCKET_BYTES): (114688 > 1048576) after: passes.

--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -117,19 +117,16 @@
 }
 
 /*
- * Closes a connection whose output is written.  Closing with unread input would
- * reset the connection, and the reset may discard the response before the
- * caller reads it, so input is read and discarded for a while.
+ * Closes a connection whose output is written.  Input that is unread, or still
+ * on its way, would reset a closed connection, and the reset may discard the
+ * response before the caller reads it.  So input is read and discarded until
+ * the caller closes the connection, or for a while.
  */
 static void
 half_close(struct httpd_request *q)
 {
 	struct evbuffer *in = bufferevent_get_input(q->bev);
 
-	if (q->in.state == HTTPMSG_DONE && evbuffer_get_length(in) == 0) {
-		free_conn(q);
-		return;
-	}
 	q->lingering = true;
 	evbuffer_drain(in, evbuffer_get_length(in));
 	shutdown(bufferevent_getfd(q->bev), SHUT_WR);
--- a/tests/entry/test_httpd.c
+++ b/tests/entry/test_httpd.c
@@ -24,6 +24,7 @@
 #define ANSWER_TIME   (8 * USEC_PER_SEC)
 #define LONG_BODY     60000
 #define SLOW_BYTES    ((size_t)32 * 1024 * 1024)
+#define SOCKET_BYTES  ((size_t)1024 * 1024) /* fit into the sockets' buffers */
 #define SLOW_CHUNK    ((size_t)400 * 1024)
 #define SLOW_INTERVAL (100 * USEC_PER_MSEC)
 #define HEAD          "POST / HTTP/1.1\r\nHost: a\r\n"
@@ -318,6 +319,28 @@
 	close_server(&s);
 }
 
+/*
+ * The caller's next request crosses the close of the connection, while a part
+ * of the answer is in the server's socket: the caller still gets all of it.
+ */
+static void
+test_request_crosses_close(void)
+{
+	struct server s;
+
+	open_server(&s);
+	s.body_bytes = SOCKET_BYTES;
+	send_text(&s, CLOSE_REQUEST);
+	run_for(&s, 50 * USEC_PER_MSEC);
+	send_text(&s, REQUEST);
+	run_for(&s, 50 * USEC_PER_MSEC);
+	run_until(&s, 2);
+	g_assert_cmpint(s.requests, ==, 1);
+	g_assert_cmpint(s.received.n, >, SOCKET_BYTES);
+	g_assert_true(s.closed);
+	close_server(&s);
+}
+
 /* Blank lines are no request: the time of the next one counts from its bytes.
  */
 static void
@@ -381,6 +404,8 @@
 	}
 	g_test_add_func("/httpd/pipelined-at-stop", test_pipelined_at_stop);
 	g_test_add_func("/httpd/close-of-caller", test_close_of_caller);
+	g_test_add_func(
+	    "/httpd/request-crosses-close", test_request_crosses_close);
 	g_test_add_func("/httpd/blank-lines", test_blank_lines);
 	g_test_add_func("/httpd/slow-request", test_slow_request);
 	return g_test_run();
