discovery: a configuration isn't lost to a later one that can't be used

Two versions came from the store before the first was applied; the second could not be read, and the first was gone: hosts stayed at the version before both until the next one.

The newest that can be used is put in force; only one that is tried is parsed, so versions in quick succession cost what they did.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -558,7 +558,7 @@
 	g_hash_table_destroy(d->suspects);
 	discovery_free_streams(d->streams);
 	buf_free(&d->config_text);
-	buf_free(&d->queued_config);
+	config_queue_clear(&d->queued_configs);
 	buf_free(&d->config_in_force);
 	buf_free(&d->config_compressed);
 	pthread_mutex_destroy(&d->lock);
--- a/entry/discovery_config.c
+++ b/entry/discovery_config.c
@@ -50,32 +50,32 @@
 static bool
 is_queued_newer(const struct discovery *d, struct str text, const char *source)
 {
-	if (d->queued_config.n == 0 ||
+	const struct queued_config *queued =
+	    config_queue_newest(&d->queued_configs);
+
+	if (queued == NULL ||
 	    (strcmp(source, FROM_STORE) == 0 &&
-		strcmp(d->queued_source, FROM_STORE) == 0))
+		strcmp(queued->source, FROM_STORE) == 0))
 		return false;
-	return version_of(text) < version_of(str_of(&d->queued_config));
+	return version_of(text) < version_of(str_of(&queued->text));
 }
 
-/*
- * Keeps only the newest text.  Versions that arrive in quick succession are
- * not all applied: a small host takes a tenth of a second to apply a large
- * configuration.
- */
 bool
 discovery_queue_config(struct discovery *d, struct str text, const char *source)
 {
 	if (is_queued_newer(d, text, source))
 		return false;
-	buf_clear(&d->queued_config);
-	buf_put(&d->queued_config, text);
-	d->queued_source = source;
+	config_queue_put(&d->queued_configs, text, source);
 	return true;
 }
 
-/* Parses a configuration and puts it in force if its version is newer. */
-static void
-apply_config(struct discovery *d, struct str text, const char *source)
+/*
+ * Parses a configuration and puts it in force if its version is newer; returns
+ * whether it is in force.  served: peers get it already.
+ */
+static bool
+apply_config(
+    struct discovery *d, struct str text, const char *source, bool served)
 {
 	struct err e = { 0 };
 	struct routes *r = platform_config_parse(text, &e);
@@ -86,11 +86,11 @@
 		/* Peers that start now need the one that is in force. */
 		if (strcmp(source, FROM_STORE) == 0)
 			set_served_config(d, str_of(&d->config_in_force));
-		return;
+		return false;
 	}
 	if (d->routes != NULL && r->version <= d->routes->version) {
 		routes_unref(r);
-		return;
+		return false;
 	}
 	log_text(LOG_LVL_NOTICE, "config-in-force",
 	    "version %" PRIu64 " from %s, %u routes", r->version, source,
@@ -100,12 +100,13 @@
 	buf_clear(&d->config_in_force);
 	buf_put(&d->config_in_force, text);
 	d->view_dirty = true;
-	if (strcmp(source, FROM_STORE) != 0)
+	if (!served)
 		set_served_config(d, text);
 	pthread_mutex_lock(&d->lock);
 	d->counts.version = r->version;
 	pthread_mutex_unlock(&d->lock);
 	fleet_set_generation(d->fleet, r->version, clock_now());
+	return true;
 }
 
 /* Whether a configuration is older than the one in force. */
@@ -165,13 +166,21 @@
 discovery_apply_config(struct discovery *d, usec_t now)
 {
 	usec_t pause = APPLY_PAUSE_FACTOR * d->config_apply_time;
+	struct queued_config next;
+	bool in_force = false;
+	bool newest = true;
 
-	if (d->queued_config.n == 0 ||
+	if (config_queue_newest(&d->queued_configs) == NULL ||
 	    now - d->config_applied_at <
 		(pause < MAX_APPLY_PAUSE ? pause : MAX_APPLY_PAUSE))
 		return;
-	apply_config(d, str_of(&d->queued_config), d->queued_source);
-	buf_clear(&d->queued_config);
+	while (!in_force && config_queue_take(&d->queued_configs, &next)) {
+		in_force = apply_config(d, str_of(&next.text), next.source,
+		    newest && strcmp(next.source, FROM_STORE) == 0);
+		buf_free(&next.text);
+		newest = false;
+	}
+	config_queue_clear(&d->queued_configs);
 	d->config_applied_at = clock_now();
 	d->config_apply_time = d->config_applied_at - now;
 }
@@ -245,7 +254,7 @@
 {
 	check_newer_config(d, now);
 	if (!d->config_fetch_due || d->config_fetch_pending ||
-	    d->queued_config.n > 0)
+	    d->queued_configs.n > 0)
 		return;
 	if (d->config_holder[0] != '\0') {
 		if (!fetcher_request(d->fetcher, d->config_holder, CONFIG_NAME))
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -16,6 +16,7 @@
 #include "entry/fleet.h"
 #include "entry/inbox.h"
 #include "entry/discovery.h"
+#include "kernel/config_queue.h"
 #include "kernel/crash_suspects.h"
 #include "kernel/host_list.h"
 #include "kernel/quarantine.h"
@@ -52,8 +53,7 @@
 	bool hosts_dirty;       /* only the hosts have changed */
 	usec_t view_published_at;
 	struct buf config_in_force; /* empty: none */
-	struct buf queued_config;   /* to be applied; empty: none */
-	const char *queued_source;
+	struct config_queue queued_configs;
 	usec_t config_applied_at;
 	usec_t config_apply_time;  /* duration of the last application */
 	uint64_t published_roster; /* roster version of the last view */
@@ -107,12 +107,15 @@
  */
 void discovery_config_from_store(struct discovery *d, struct str text);
 /*
- * Replaces the queued configuration; false if that is newer and stays.  The
- * source appears in the log.
+ * Queues a configuration; false if a newer one is queued.  The source appears
+ * in the log.
  */
 bool discovery_queue_config(
     struct discovery *d, struct str text, const char *source);
-/* Applies the queued configuration when one is due; call it regularly. */
+/*
+ * Applies the newest queued configuration that can be used, when one is due;
+ * call it regularly.
+ */
 void discovery_apply_config(struct discovery *d, usec_t now);
 /* Starts a fetch of a newer configuration when due; call it regularly. */
 void discovery_fetch_config(struct discovery *d, usec_t now);
--- a/tests/entry/test_queued_config.c
+++ b/tests/entry/test_queued_config.c
@@ -65,9 +65,10 @@
 		pthread_mutex_init(&d.lock, NULL);
 		deliver(&d, x->first, x->first_from_store);
 		deliver(&d, x->second, x->second_from_store);
-		assert_version(&d.queued_config, x->queued);
+		assert_version(
+		    &config_queue_newest(&d.queued_configs)->text, x->queued);
 		assert_version(&d.config_text, x->served);
-		buf_free(&d.queued_config);
+		config_queue_clear(&d.queued_configs);
 		buf_free(&d.config_text);
 		buf_free(&d.config_compressed);
 		pthread_mutex_destroy(&d.lock);
--- a/tests/platform/test_odd_entries.c
+++ b/tests/platform/test_odd_entries.c
@@ -130,21 +130,25 @@
 	return ok;
 }
 
-/* Puts a configuration with a new route in force, which shows that hosts
- * follow. */
-static void
-check_hosts_follow(void)
+/* Returns the next configuration, in which the route with the path is new. */
+static char *
+next_config(char **path)
 {
 	static int version = 1;
-	g_autofree char *path = g_strdup_printf("/new%d/", ++version);
-	g_autofree char *route = g_strdup_printf(
+	g_autofree char *route = NULL;
+
+	*path = g_strdup_printf("/new%d/", ++version);
+	route = g_strdup_printf(
 	    ",{\"Name\":\"new\",\"Host\":\"a.example\",\"Prefix\":\"%s\","
 	    "\"Kind\":\"idempotent\",\"TimeoutMs\":2000,\"SloMs\":100,"
 	    "\"Attempts\":2,\"Service\":\"plain\"}",
-	    path);
-	g_autofree char *c = harness_config(version, route);
+	    *path);
+	return harness_config(version, route);
+}
 
-	fakeplat_put(platform, "op/config", c);
+static void
+check_served(const char *path)
+{
 	for (int i = 0; i < n_hosts; i++) {
 		usec_t deadline = clock_now() + 5 * USEC_PER_SEC;
 
@@ -155,6 +159,18 @@
 	}
 }
 
+/* Puts a configuration with a new route in force, which shows that hosts
+ * follow. */
+static void
+check_hosts_follow(void)
+{
+	g_autofree char *path = NULL;
+	g_autofree char *c = next_config(&path);
+
+	fakeplat_put(platform, "op/config", c);
+	check_served(path);
+}
+
 static void
 start_host(int i, const char *dir)
 {
@@ -322,6 +338,30 @@
 	check_hosts_follow();
 }
 
+/*
+ * A configuration and an odd one come with the same answer of the store: the
+ * first is used.
+ */
+static void
+test_replaced_config(void)
+{
+	g_autofree char *path = NULL;
+	g_autofree char *c = next_config(&path);
+	g_autofree char *v = g_base64_encode((const guchar *)c, strlen(c));
+	g_autofree char *json = g_strdup_printf(
+	    "{\"Key\":\"op/config\",\"Value\":\"%s\",\"Rev\":9}", v);
+
+	fakeplat_set_store_mode(platform, FAKEPLAT_STORE_BUSY);
+	/* Items come in the order of their keys. */
+	fakeplat_put_json(platform, "op/a", json);
+	fakeplat_put(platform, "op/config", "{\"Version\":");
+	g_usleep((gulong)SETTLE_TIME);
+	fakeplat_set_store_mode(platform, FAKEPLAT_STORE_OK);
+	check_served(path);
+	fakeplat_delete(platform, "op/a");
+	check_hosts_follow();
+}
+
 /*
  * A host that starts while the stored configuration is odd gets it from another
  * host.
@@ -352,6 +392,7 @@
 	g_test_add_func("/odd-entries/watched", test_watched);
 	g_test_add_func("/odd-entries/replaced", test_replaced);
 	g_test_add_func("/odd-entries/other-keys", test_other_keys);
+	g_test_add_func("/odd-entries/replaced-config", test_replaced_config);
 	g_test_add_func("/odd-entries/late-host", test_late_host);
 	rc = g_test_run();
 	for (int i = 0; i < n_hosts; i++) {
