target_limits: a standstill doesn't make news younger

Hosts tell how old their news of a target's limit is, and the age counted from when the datagram was read. After a standstill news that had waited seemed newer than what came after it, and that was dropped, also when it was told again: the host kept a limit that had ended, for up to a minute or more.

What is read after a standstill (300 ms without a turn of the loop) counts as having arrived at its beginning (kernel/arrival). Older news may still be taken first, but what is told again after it holds. A standstill that is shorter still shifts ages by as much.

--- a/entry/target_limits.c
+++ b/entry/target_limits.c
@@ -1,5 +1,6 @@
 #include "entry/target_limits.h"
 #include "base/log.h"
+#include "kernel/arrival.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -14,6 +15,7 @@
 	 * strings.
 	 */
 	GHashTable *limited;
+	struct arrival arrival; /* of answers and messages */
 };
 
 struct target_limits *
@@ -122,7 +124,8 @@
 	}
 	t->bad_limit = false;
 	t->limit.only_here = only_here;
-	if (!target_limit_answered(&t->limit, response->limit, sent_at, now))
+	if (!target_limit_answered(&t->limit, response->limit, sent_at,
+		arrival_earliest(&x->arrival, now)))
 		return;
 	limit_changed(x, t, before, "its answer", now);
 	if (target_limit_tells(&t->limit, now))
@@ -192,7 +195,9 @@
 		return;
 	before = t->limit.rate;
 	if (loads_limit_told(t, (double)m->micro_rate / MICRO,
-		now - (usec_t)m->age_ms * USEC_PER_MSEC, now))
+		arrival_earliest(&x->arrival, now) -
+		    (usec_t)m->age_ms * USEC_PER_MSEC,
+		now))
 		limit_changed(x, t, before, "another host", now);
 }
 
@@ -211,6 +216,7 @@
 	GHashTableIter it;
 	gpointer id;
 
+	arrival_earliest(&x->arrival, now);
 	g_hash_table_iter_init(&it, x->limited);
 	while (g_hash_table_iter_next(&it, &id, NULL)) {
 		struct target_load *t = loads_find(x->o.loads, id);
--- a/kernel/overload/target_limit.c
+++ b/kernel/overload/target_limit.c
@@ -89,7 +89,7 @@
 
 bool
 target_limit_answered(
-    struct target_limit *l, double rate, usec_t sent_at, usec_t now)
+    struct target_limit *l, double rate, usec_t sent_at, usec_t arrived)
 {
 	double before = l->rate;
 
@@ -99,7 +99,7 @@
 	 */
 	if (rate == 0 && sent_at <= l->named_at)
 		return false;
-	set_rate(l, rate, now);
+	set_rate(l, rate, arrived);
 	if (rate != before)
 		l->has_news = true;
 	return rate != before;
--- a/kernel/overload/target_limit.h
+++ b/kernel/overload/target_limit.h
@@ -53,10 +53,11 @@
     const struct target_limit_hosts *hosts, usec_t now);
 /*
  * An answer to a request that was sent at a time named the rate; 0: it named
- * none.  Returns whether the rate has changed.
+ * none.  arrived: the earliest time at which it may have come.  Returns whether
+ * the rate has changed.
  */
 bool target_limit_answered(
-    struct target_limit *l, double rate, usec_t sent_at, usec_t now);
+    struct target_limit *l, double rate, usec_t sent_at, usec_t arrived);
 /*
  * Another host tells what the target named at a time.  Returns whether the rate
  * has changed.
--- a/tests/kernel/test_target_limit.c
+++ b/tests/kernel/test_target_limit.c
@@ -3,6 +3,7 @@
  * whose hosts learn of a limit by answers and by messages that may be lost.
  */
 #include "base/rng.h"
+#include "kernel/arrival.h"
 #include "kernel/overload/target_limit.h"
 
 #include <glib.h>
@@ -401,11 +402,74 @@
 	}
 }
 
+/*
+ * What a host that stood still from 1000 ms on reads when it goes on, and what
+ * it is told later: the newest of it holds in the end.
+ */
+static void
+test_standstill(void)
+{
+	static const struct {
+		const char *name;
+		struct {
+			int at;
+			enum step_kind kind; /* STEP_END: a turn of the loop */
+			double value;
+			int age; /* of what it is told */
+		} steps[8];
+		double rate;
+	} replays[] = {
+		{ "told twice while it stands still",
+		    { { 900 }, { 1000 }, { 3000, STEP_TOLD, 5, 0 },
+			{ 3001, STEP_TOLD, 0, 100 }, { 3200 },
+			{ 3400, STEP_TOLD, 0, 1500 } },
+		    0 },
+		{ "an answer that waited",
+		    { { 900 }, { 1000 }, { 3000, STEP_ANSWER, 5, 0 }, { 3200 },
+			{ 3400, STEP_TOLD, 0, 1500 } },
+		    0 },
+		{ "the tick comes first",
+		    { { 900 }, { 1000 }, { 3000 }, { 3001, STEP_TOLD, 5, 0 },
+			{ 3200 }, { 3400, STEP_TOLD, 0, 1500 } },
+		    0 },
+		{ "no standstill",
+		    { { 900 }, { 1000 }, { 1250 }, { 1300, STEP_TOLD, 5, 0 },
+			{ 1400, STEP_TOLD, 0, 200 } },
+		    5 },
+		{ "after the backlog",
+		    { { 1000 }, { 3000 }, { 3051, STEP_TOLD, 5, 0 },
+			{ 3060, STEP_TOLD, 0, 100 } },
+		    5 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(replays); i++) {
+		struct target_limit l = { 0 };
+		struct arrival a = { 0 };
+
+		g_test_message("%s", replays[i].name);
+		for (size_t k = 0; replays[i].steps[k].at != 0; k++) {
+			usec_t now = MSEC(replays[i].steps[k].at);
+			usec_t arrived = arrival_earliest(&a, now);
+			double value = replays[i].steps[k].value;
+
+			if (replays[i].steps[k].kind == STEP_ANSWER)
+				target_limit_answered(
+				    &l, value, MSEC(950), arrived);
+			else if (replays[i].steps[k].kind == STEP_TOLD)
+				target_limit_told(&l, value,
+				    arrived - MSEC(replays[i].steps[k].age),
+				    now);
+		}
+		g_assert_cmpfloat(l.rate, ==, replays[i].rate);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/target-limit/cases", test_cases);
 	g_test_add_func("/target-limit/loads", test_loads);
+	g_test_add_func("/target-limit/standstill", test_standstill);
 	return g_test_run();
 }
