discovery: a host gives its state only once entries had their time to lapse

A host that has its store back keeps a target whose entry has lapsed for 2 s, but the state that it gave to others lacked the target: a host whose store was still away dropped it at once, though it was there.

A host that waits for entries to come back doesn't give its state now; others keep theirs until then. test_peer_state: passed 3 of 3.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -374,6 +374,7 @@
 	d->counts.store_calls = kv_calls(d->kv);
 	d->counts.revision = watcher_revision(d->watcher);
 	d->counts.era = watcher_era(d->watcher);
+	d->counts.in_grace = roster_in_grace(&d->roster, clock_now());
 	pthread_mutex_unlock(&d->lock);
 }
 
--- a/entry/discovery.h
+++ b/entry/discovery.h
@@ -37,6 +37,7 @@
 	int64_t revision;          /* store changes up to it are applied */
 	uint64_t era;              /* of the store; 0: not known */
 	bool store_unavailable;
+	bool in_grace; /* entries may be missing of targets that are there */
 };
 
 /* Starts the RPC server; on failure returns NULL and sets e. */
--- a/entry/discovery_peers.c
+++ b/entry/discovery_peers.c
@@ -39,8 +39,8 @@
 	    "targets", string_map(d->target_values), "quarantine",
 	    string_map(d->quarantine_values));
 	/* Without a revision, the store is being listed. */
-	r->found = !d->counts.store_unavailable && d->counts.revision != 0 &&
-	    d->config_text.n > 0;
+	r->found = !d->counts.store_unavailable && !d->counts.in_grace &&
+	    d->counts.revision != 0 && d->config_text.n > 0;
 	pthread_mutex_unlock(&d->lock);
 	if (r->found) {
 		char *text = json_dumps(o, JSON_COMPACT);
--- a/kernel/roster.c
+++ b/kernel/roster.c
@@ -82,8 +82,8 @@
 	return true;
 }
 
-static bool
-in_grace(const struct roster *r, usec_t now)
+bool
+roster_in_grace(const struct roster *r, usec_t now)
 {
 	return r->store_unavailable || now < r->grace_until;
 }
@@ -97,7 +97,7 @@
 	g_hash_table_remove(r->rejected, key);
 	if (s == NULL)
 		return;
-	if (in_grace(r, now) && !s->t.leaving) {
+	if (roster_in_grace(r, now) && !s->t.leaving) {
 		s->missing = true;
 		return;
 	}
@@ -131,7 +131,7 @@
 
 		if (s->seen)
 			continue;
-		if (in_grace(r, now) && !s->t.leaving) {
+		if (roster_in_grace(r, now) && !s->t.leaving) {
 			s->missing = true;
 			continue;
 		}
--- a/kernel/roster.h
+++ b/kernel/roster.h
@@ -66,6 +66,11 @@
  * live targets.  Begins a grace time.
  */
 void roster_store_restored(struct roster *r, usec_t now);
+/*
+ * Whether entries may be missing of targets that are there: until they are
+ * back, or the grace time is over.
+ */
+bool roster_in_grace(const struct roster *r, usec_t now);
 /*
  * Removes kept entries that have not come back after the grace time.  Returns
  * when to call it next, or 0.
