served_calls: answers that end with their connection reach the host that asked

What callers saw: at a host without a path to its targets, 502 for a request that may not be repeated and that a target had run and answered, if the answer had neither a length nor chunks, or had status 204. Requests that may be repeated ran twice.

Cause: the host that makes the call takes an answer that ends with its connection, without a body, for that of a target that has crashed, as the chunks that it sends would hide that. It looked at the bytes that were left when the answer ended; the body had been passed on before. An answer that has no body by its status was taken for one that ends with its connection, too.

Now it notes whether a part of the body has arrived, and httpmsg_has_end() knows answers without a body.

--- a/entry/served_calls.c
+++ b/entry/served_calls.c
@@ -18,6 +18,7 @@
 	struct target_call *call;
 	char target[64];
 	bool head_written;
+	bool has_body; /* a part of the body has arrived */
 	GList link;
 };
 
@@ -44,6 +45,8 @@
 {
 	struct evbuffer *out = evbuffer_new();
 
+	if (evbuffer_get_length(m->body) > 0)
+		s->has_body = true;
 	evbuffer_add_buffer(out, m->body);
 	httpd_write(s->q, out);
 	evbuffer_free(out);
@@ -68,15 +71,15 @@
 {
 	struct httpd_request *q = s->q;
 
+	write_served(s, m);
 	/*
 	 * The chunks would hide that such an answer ends with its connection,
 	 * so that a target that has crashed looks like one that is done.
 	 */
-	if (!httpmsg_has_end(m) && evbuffer_get_length(m->body) == 0) {
+	if (!httpmsg_has_end(m) && !s->has_body) {
 		fail_served(s, BROKEN);
 		return;
 	}
-	write_served(s, m);
 	loads_ended(s->calls->o.loads, s->target, LOADS_OK, clock_now());
 	free_served(s);
 	httpd_end(q);
--- a/plat/httpmsg.c
+++ b/plat/httpmsg.c
@@ -245,7 +245,10 @@
 bool
 httpmsg_has_end(const struct httpmsg *m)
 {
-	return (m->parser.flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
+	return (m->parser.flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0 ||
+	    !m->body_allowed ||
+	    m->parser.status_code == HTTP_STATUS_NO_CONTENT ||
+	    m->parser.status_code == HTTP_STATUS_NOT_MODIFIED;
 }
 
 bool
--- a/plat/httpmsg.h
+++ b/plat/httpmsg.h
@@ -63,8 +63,10 @@
  * response that has no length, and makes any other incomplete body malformed.
  */
 void httpmsg_eof(struct httpmsg *m);
-/* Whether the body ends by its length or its last chunk, not with the
- * connection. */
+/*
+ * Whether the body ends by its length or its last chunk, or there is none by
+ * the status or the method, so that it doesn't end with the connection.
+ */
 bool httpmsg_has_end(const struct httpmsg *m);
 /* Whether the connection may be used for another message. */
 bool httpmsg_keep_alive(const struct httpmsg *m);
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -619,6 +619,25 @@
 	send_event(c);
 }
 
+/* Sends a part of a response and closes or resets the connection. */
+static void
+send_cut_response(struct conn *c, const char *fields)
+{
+	g_autofree char *all = g_strdup_printf(
+	    "HTTP/1.1 200 OK\r\n%sContent-Length: %zu\r\n\r\n%s", fields,
+	    strlen(c->attempt), c->attempt);
+	size_t n = strlen(all);
+	size_t at = number_after(c->behavior, "-at-");
+	size_t missing = number_after(c->behavior, "-end-");
+
+	bufferevent_write(c->bev, all,
+	    strstr(c->behavior, "-end-") != NULL ? n - missing : at);
+	strcpy(c->behavior,
+	    str_has_prefix(str_from(c->behavior), STR("reset")) ? "reset"
+								: "close");
+	arm_timer(c, 5);
+}
+
 /*
  * Responds to a plain request.  Behaviors by the value of X-Test:
  *
@@ -641,6 +660,10 @@
  *   mute         never responds to the first arrival, also of a stream
  *   mute-twice   never responds to the first two that it doesn't refuse
  *   ...-refuse-N refuses N arrivals after the first one as not executed
+ *   cut-at-N, reset-at-N, cut-end-N, reset-end-N
+ *                sends N bytes of the response, or all but N, and closes or
+ *                resets the connection
+ *   no-content   responds with status 204
  *   endless-head, endless-body, endless-garbage, endless-interim
  *                sends bytes without end: in a header field, in a body
  *                without length, that are no response, or that are interim
@@ -653,6 +676,10 @@
  *   stall        sends no more bytes after two events
  *   ...-409-N    refuses the second to Nth arrival, as its inputs are gone
  *   ...-500-2    responds with status 500 to the second arrival
+ *   ...-answer-STATUS
+ *                responds with this status to the second arrival
+ *   ...-answer-STATUS-all
+ *                the same, and to all later ones
  *   long         sends LONG_EVENTS events, five a second
  *   long-break, long-break-at-N
  *                as long, and resets the connection before LONG_BREAK_EVENT,
@@ -679,6 +706,11 @@
 		bufferevent_flush(c->bev, EV_WRITE, BEV_FINISHED);
 		strcpy(c->behavior, "close");
 		arm_timer(c, 5);
+	} else if (strstr(s, "-at-") != NULL || strstr(s, "-end-") != NULL) {
+		send_cut_response(c, fields);
+	} else if (strcmp(s, "no-content") == 0) {
+		evbuffer_add_printf(out, "HTTP/1.1 204 X\r\n%s\r\n", fields);
+		await_request(c);
 	} else if (strcmp(s, "nolength") == 0) {
 		evbuffer_add_printf(
 		    out, "HTTP/1.1 200 OK\r\n%s\r\n%s", fields, c->attempt);
@@ -836,6 +868,17 @@
 	send_response(c, status, all, STR(""));
 }
 
+/* Answers the call with a status, as a target that has run it. */
+static void
+send_failure(struct conn *c, int status)
+{
+	char fields[512];
+
+	format_fields(c, fields, sizeof(fields));
+	send_response(
+	    c, status, fields, status == 204 ? STR("") : STR("failed"));
+}
+
 /* Records the arrival; returns false if the call was refused. */
 static bool
 admit_call(struct conn *c)
@@ -881,10 +924,13 @@
 		return false;
 	}
 	if (g_str_has_suffix(c->behavior, "-500-2") && s->arrivals == 2) {
-		char fields[512];
-
-		format_fields(c, fields, sizeof(fields));
-		send_response(c, 500, fields, STR("failed"));
+		send_failure(c, 500);
+		return false;
+	}
+	if (number_after(c->behavior, "-answer-") > 0 &&
+	    (s->arrivals == 2 ||
+		(s->arrivals > 2 && g_str_has_suffix(c->behavior, "-all")))) {
+		send_failure(c, (int)number_after(c->behavior, "-answer-"));
 		return false;
 	}
 	if (strcmp(c->behavior, "refuse-other") == 0 && s->arrivals == 1)
@@ -985,6 +1031,8 @@
 		reset_conn(c);
 	} else if (strcmp(c->behavior, "close") == 0) {
 		free_conn(c);
+	} else if (strcmp(c->behavior, "reset") == 0) {
+		reset_conn(c);
 	} else if (strcmp(c->behavior, "crash") == 0) {
 		crash(c->target);
 	} else if (c->endless_sent > 0) {
