forward: a success without a stream isn't the rest of one

What callers saw: a stream that had begun and broke off ended as complete after its second event of six, when the next target answered the call for its rest with a signed 204.

Cause: any signed success on a streaming route was taken for a stream, and one that has no body for its end.

Only a response with status 200 is a stream now. Another success that comes for the rest of a stream is a failure of that target: the next one is asked.

--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -127,11 +127,13 @@
 	return r->response_status >= 200 && r->response_status < 300;
 }
 
+/* Other successes, as 204, aren't a stream, nor the rest of one. */
 static bool
 is_stream(const struct relay_request *r)
 {
-	return r->route->kind == ROUTE_STREAM && is_success(r) &&
-	    r->response.has_signature && !r->response.encoded;
+	return r->route->kind == ROUTE_STREAM &&
+	    r->response_status == HTTP_STATUS_OK && r->response.has_signature &&
+	    !r->response.encoded;
 }
 
 static void
@@ -273,7 +275,7 @@
 {
 	static const char cause[] = "the target that resumed the stream failed";
 
-	if (r->response_status < 500)
+	if (r->response_status >= 300 && r->response_status < 500)
 		forward_abort_stream(r, cause);
 	else if (forward_can_retry(r))
 		forward_send(r);
--- a/tests/platform/test_cut_answers.c
+++ b/tests/platform/test_cut_answers.c
@@ -65,6 +65,7 @@
 	const char *behavior;
 } rests[] = {
 	{ "break-answer-200" },
+	{ "break-answer-204" },
 	{ "break-answer-206" },
 	{ "break-answer-500" },
 	{ "break-answer-503" },
@@ -91,14 +92,12 @@
 		.id = id,
 		.behavior = answers[i].behavior,
 		.deadline_ms = DEADLINE_MS });
-	int status = answers[i].complete ? answers[i].status
-	    : safe                       ? 200
-					 : 502;
+	int status = answers[i].complete ? answers[i].status : safe ? 200 : 502;
 	struct harness_response a;
 
 	harness_exchange(hosts[host].port, str_from(q), DEADLINE_MS + 1000, &a);
-	g_test_message("%s: status %d, %u runs", id, a.status,
-	    attempt_of(id).runs);
+	g_test_message(
+	    "%s: status %d, %u runs", id, a.status, attempt_of(id).runs);
 	g_assert_cmpint(a.status, ==, status);
 	g_assert_true(a.complete);
 	if (status == 200)
