forward: an error for the rest of a stream doesn't end it

What callers saw: a stream that had begun and broke off was ended at once when the next target answered the call for its rest with 302, 400 or 404, though other targets were free and had the time. With 500 and 503 it went on.

Cause: a status below 500 was taken for a verdict on the request, as it is for a request that hasn't begun. But the first target had accepted the request: one that rejects its rest is at odds with it.

Such a target isn't asked again, and the others are, within the attempts and the retry quota, as after a 500. Once each target that may be asked has rejected the rest, the stream ends at once instead of at its deadline. That part of the decision is in kernel/overload/resume_wait.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -124,13 +124,83 @@
 	return r->head_written || r->given_up;
 }
 
+void
+forward_rest_rejected(struct relay_request *r)
+{
+	for (size_t i = 0; i < r->n_tried; i++) {
+		if (strcmp(r->tried[i], r->target_id) == 0)
+			r->rejected_rest[i] = true;
+	}
+}
+
+/* Sets the tried targets of a query to those that have rejected the rest. */
+static size_t
+query_rejected(const struct relay_request *r, struct loads_query *query)
+{
+	forward_query(r, query);
+	query->n_tried = 0;
+	for (size_t i = 0; i < r->n_tried; i++) {
+		if (r->rejected_rest[i])
+			query->tried[query->n_tried++] = str_from(r->tried[i]);
+	}
+	return query->n_tried;
+}
+
+/*
+ * Whether no target that the request was sent to is there any more: these don't
+ * count as attempts.
+ */
+static bool
+tried_are_gone(const struct relay_request *r)
+{
+	for (size_t i = 0; i < r->n_tried; i++) {
+		const struct target_load *t =
+		    loads_find(&r->shared->loads, r->tried[i]);
+
+		if (t != NULL && t->listed)
+			return false;
+	}
+	return r->n_tried < LOADS_MAX_TRIED;
+}
+
+/* Whether a target that the request was sent to may take the rest yet. */
+static bool
+has_tried_target(const struct relay_request *r)
+{
+	for (size_t i = 0; i < r->n_tried; i++) {
+		const struct target_load *t =
+		    loads_find(&r->shared->loads, r->tried[i]);
+
+		if (!r->rejected_rest[i] && t != NULL && t->listed)
+			return true;
+	}
+	return false;
+}
+
+/* Whether each target that may be asked for the rest has rejected it. */
+static bool
+is_hopeless(const struct relay_request *r)
+{
+	struct loads_query query;
+
+	if (query_rejected(r, &query) == 0)
+		return false;
+	if (forward_has_attempts(r) || tried_are_gone(r))
+		return !loads_has_other(&r->shared->loads, &query);
+	return !has_tried_target(r);
+}
+
 bool
 forward_resume_later(struct relay_request *r, const char *cause)
 {
 	usec_t wait = resume_wait_next(&r->resume_wait,
-	    &(struct resume_request){ r->head_written, r->given_up,
-		route_repeatable(r->route),
-		r->deadline - clock_now() - MIN_TIME_LEFT });
+	    &(struct resume_request){
+		.begun = r->head_written,
+		.given_up = r->given_up,
+		.may_again = route_repeatable(r->route),
+		.hopeless = is_hopeless(r),
+		.left = r->deadline - clock_now() - MIN_TIME_LEFT,
+	    });
 
 	if (wait == 0)
 		return false;
@@ -366,25 +436,11 @@
 }
 
 /*
- * Whether no target that the request was sent to is there any more: these don't
- * count as attempts.
+ * Returns a target that the request was sent to before the last, or also the
+ * last, or NULL.
  */
-static bool
-tried_are_gone(struct relay_request *r)
-{
-	for (size_t i = 0; i < r->n_tried; i++) {
-		const struct target_load *t =
-		    loads_find(&r->shared->loads, r->tried[i]);
-
-		if (t != NULL && t->listed)
-			return false;
-	}
-	return r->n_tried < LOADS_MAX_TRIED;
-}
-
-/* Returns a target that the request was sent to before the last, or NULL. */
 static struct target_load *
-choose_earlier(struct relay_request *r, usec_t now)
+choose_earlier(struct relay_request *r, bool with_last, usec_t now)
 {
 	struct loads_query query;
 	size_t n = 0;
@@ -392,7 +448,9 @@
 	forward_query(r, &query);
 	query.again = true;
 	for (size_t i = 0; i < query.n_tried; i++) {
-		if (!str_eq(query.tried[i], str_from(r->target_id)))
+		if (!r->rejected_rest[i] &&
+		    (with_last ||
+			!str_eq(query.tried[i], str_from(r->target_id))))
 			query.tried[n++] = query.tried[i];
 	}
 	query.n_tried = n;
@@ -406,14 +464,9 @@
 static struct target_load *
 choose_tried(struct relay_request *r, usec_t now)
 {
-	struct target_load *t = choose_earlier(r, now);
-	struct loads_query query;
+	struct target_load *t = choose_earlier(r, false, now);
 
-	if (t != NULL)
-		return t;
-	forward_query(r, &query);
-	query.again = true;
-	return loads_choose(&r->shared->loads, &query, now);
+	return t != NULL ? t : choose_earlier(r, true, now);
 }
 
 /* Returns a target for a request that goes on, or NULL. */
@@ -435,7 +488,7 @@
 
 	if (forward_has_attempts(r))
 		return choose_target(r, now);
-	t = choose_earlier(r, now);
+	t = choose_earlier(r, false, now);
 	return t != NULL && now >= t->aside_until ? t : NULL;
 }
 
--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -276,8 +276,8 @@
 	static const char cause[] = "the target that resumed the stream failed";
 
 	if (r->response_status >= 300 && r->response_status < 500)
-		forward_abort_stream(r, cause);
-	else if (forward_can_retry(r))
+		forward_rest_rejected(r);
+	if (forward_can_retry(r))
 		forward_send(r);
 	else
 		forward_fail(r, ERR_TARGET_FAILED, cause);
--- a/entry/forward_state.h
+++ b/entry/forward_state.h
@@ -38,6 +38,11 @@
  * it may be repeated, else fails the request.
  */
 void forward_lost(struct relay_request *r, const char *cause);
+/*
+ * The last call's target has answered the rest of a stream with a failure of
+ * the request: other targets are asked, but not this one again.
+ */
+void forward_rest_rejected(struct relay_request *r);
 /* Aborts a response of which the caller already has a part. */
 void forward_abort_stream(struct relay_request *r, const char *cause);
 /*
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -125,6 +125,7 @@
 	struct target_call *call;
 	char target_id[64];
 	char tried[LOADS_MAX_TRIED][64];
+	bool rejected_rest[LOADS_MAX_TRIED]; /* by the tried target */
 	size_t n_tried;
 	uint32_t sends;
 	usec_t sent_at; /* time of the last call */
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -461,6 +461,19 @@
 	return t != NULL ? t : choose_cheapest(l, q, all, true, now);
 }
 
+bool
+loads_has_other(const struct loads *l, const struct loads_query *q)
+{
+	const GPtrArray *all = loads_usable(l, q->service);
+
+	for (guint i = 0; all != NULL && i < all->len; i++) {
+		if (!already_tried(q, all->pdata[i]) &&
+		    has_version(q, all->pdata[i]))
+			return true;
+	}
+	return false;
+}
+
 usec_t
 loads_limit_wait(const struct loads *l, const char *service, usec_t now)
 {
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -116,6 +116,11 @@
  */
 struct target_load *loads_choose(
     struct loads *l, const struct loads_query *q, usec_t now);
+/*
+ * Whether the service has a usable target of the version that was not tried,
+ * also one that takes no calls now.
+ */
+bool loads_has_other(const struct loads *l, const struct loads_query *q);
 /* Domain of the target with affinity for the prompt's shared parts, or "". */
 const char *loads_affinity_domain(
     const struct loads *l, const struct loads_query *q);
--- a/kernel/overload/resume_wait.c
+++ b/kernel/overload/resume_wait.c
@@ -10,7 +10,8 @@
 	/* What is left may do for an attempt after a shorter wait. */
 	while (wait >= r->left && wait > RESUME_WAIT_FIRST)
 		wait /= 2;
-	if ((!r->begun && !r->given_up) || !r->may_again || wait >= r->left)
+	if ((!r->begun && !r->given_up) || !r->may_again || r->hopeless ||
+	    wait >= r->left)
 		return 0;
 	if (w->n_doubled < MAX_DOUBLINGS)
 		w->n_doubled++;
--- a/kernel/overload/resume_wait.h
+++ b/kernel/overload/resume_wait.h
@@ -8,7 +8,8 @@
  * until a target takes it.  A target may also be silent before its answer and
  * go on a second later; if the others refuse the request, it goes back there.
  * Each attempt may reach a target that refuses it, so the waits double until an
- * event has come.
+ * event has come.  Once all targets have rejected the rest for what it is, none
+ * will take it, and the stream ends at once.
  *
  * Times are in microseconds.
  */
@@ -32,6 +33,7 @@
 	bool begun;     /* the caller has a part of the answer */
 	bool given_up;  /* a silent call of it, for another target */
 	bool may_again; /* it may be repeated, or resumed */
+	bool hopeless;  /* each target has rejected the rest of its stream */
 	usec_t left;    /* until an attempt would come too late */
 };
 
