httpd: a response without a body isn't followed by chunks

What callers saw: after the answer to HEAD on a streaming route, five bytes more ("0", a blank line), which belong to no answer. A host that passes a 204 on to another one sent it the same.

Cause: whether a response is sent in chunks was decided without the method and the status, which may forbid a body.

test_cut_answers, head-direct and head-by-host, before: assertion failed (end == "\r\n\r\n"): ("\r\n\r\n0\r\n\r\n" == "\r\n\r\n")

--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -41,6 +41,7 @@
 	void *arg;
 	bool busy;      /* a request is being handled */
 	bool chunked;   /* the response is sent in chunks */
+	bool no_body;   /* it has none, by the status or the method */
 	bool closing;   /* the connection closes once the output is written */
 	bool continued; /* 100 Continue was sent */
 	bool lingering; /* the output is written; input is discarded */
@@ -440,6 +441,7 @@
 {
 	q->busy = false;
 	q->chunked = false;
+	q->no_body = false;
 	q->continued = false;
 	q->on_close = NULL;
 	httpmsg_reset(&q->in);
@@ -483,9 +485,12 @@
 	struct evbuffer *out = response_output(q);
 	bool keep = !a->close && may_continue(q);
 	bool head = q->in.parser.method == HTTP_HEAD;
+	bool bare = a->status == HTTP_STATUS_NO_CONTENT ||
+	    a->status == HTTP_STATUS_NOT_MODIFIED;
 
-	q->chunked = a->chunked && q->in.parser.http_minor > 0;
-	if (a->chunked && !q->chunked)
+	q->no_body = head || bare;
+	q->chunked = a->chunked && !q->no_body && q->in.parser.http_minor > 0;
+	if (a->chunked && !q->chunked && !q->no_body)
 		keep = false;
 	evbuffer_add_printf(
 	    out, "HTTP/1.1 %d %s\r\n", a->status, reason_of(a->status));
@@ -493,10 +498,10 @@
 		evbuffer_add(out, a->fields, strlen(a->fields));
 	if (q->chunked)
 		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n");
-	else if (!a->chunked && a->status != 204 && a->status != 304)
+	else if (!a->chunked && !bare)
 		evbuffer_add_printf(out, "Content-Length: %zu\r\n", a->body.n);
 	evbuffer_add_printf(out, "%s\r\n", keep ? "" : "Connection: close\r\n");
-	if (!head && !a->chunked)
+	if (!q->no_body && !a->chunked)
 		evbuffer_add(out, a->body.p, a->body.n);
 	if (!a->chunked)
 		finish_response(q, !keep);
@@ -508,7 +513,9 @@
 	struct evbuffer *out = response_output(q);
 	size_t n = evbuffer_get_length(bytes);
 
-	if (n == 0)
+	if (q->no_body)
+		evbuffer_drain(bytes, n);
+	if (n == 0 || q->no_body)
 		return;
 	if (q->chunked)
 		evbuffer_add_printf(out, "%zx\r\n", n);
@@ -543,7 +550,7 @@
 void
 httpd_end(struct httpd_request *q)
 {
-	bool keep = q->chunked && may_continue(q);
+	bool keep = (q->chunked || q->no_body) && may_continue(q);
 
 	if (q->chunked)
 		evbuffer_add(response_output(q), "0\r\n\r\n", 5);
--- a/tests/platform/test_cut_answers.c
+++ b/tests/platform/test_cut_answers.c
@@ -206,6 +206,36 @@
 	}
 }
 
+/*
+ * An answer without a body, by its method, isn't followed by chunks: the
+ * caller's connection would hold bytes that are no answer.
+ */
+static void
+test_head_method(gconstpointer arg)
+{
+	static const char *const paths[] = { "/safe/1", "/stream/1" };
+	int host = GPOINTER_TO_INT(arg);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+		g_autofree char *q = g_strdup_printf(
+		    "HEAD %s HTTP/1.1\r\nHost: a.example\r\n"
+		    "X-Attempt-Id: head-%zu-%d\r\nX-Api-Key: key-of-yard\r\n"
+		    "X-Deadline-Ms: %d\r\nConnection: close\r\n\r\n",
+		    paths[i], i, host, DEADLINE_MS);
+		struct harness_response a;
+		const char *end;
+
+		harness_exchange(
+		    hosts[host].port, str_from(q), DEADLINE_MS + 1000, &a);
+		g_test_message("%s: %s", paths[i], a.raw.p);
+		g_assert_cmpint(a.status, ==, 200);
+		end = strstr(a.raw.p, "\r\n\r\n");
+		g_assert_nonnull(end);
+		g_assert_cmpstr(end, ==, "\r\n\r\n");
+		harness_response_free(&a);
+	}
+}
+
 static void
 start_fleet(void)
 {
@@ -255,9 +285,13 @@
 		    g_strdup_printf("/cut-answers/%s", way);
 		g_autofree char *stream =
 		    g_strdup_printf("/cut-answers/rests-%s", way);
+		g_autofree char *head =
+		    g_strdup_printf("/cut-answers/head-%s", way);
 
 		g_test_add_data_func(plain, GINT_TO_POINTER(i), test_answers);
 		g_test_add_data_func(stream, GINT_TO_POINTER(i), test_rests);
+		g_test_add_data_func(
+		    head, GINT_TO_POINTER(i), test_head_method);
 	}
 	rc = g_test_run();
 	for (int i = 0; i < N_HOSTS; i++) {
