discovery: gaps of the records outlive a restore and older writes

What callers saw: nothing yet; found on the paths that keep a state across a restore of the store. The item sequoia/streams/gaps names the services whose streams may have no record. A copy without it, an older item or one that can't be read took the place of what all hosts knew, for up to 20 s. If all hosts were lost by then, a stream without a record would go on at the base version though another had begun it.

Cause: the item was read without a look at its age, as base versions were before they had a count of changes.

An item of an earlier second than the last one isn't taken, nor one that can't be read; the first feeder writes again what it knows, also when a listing after a restore lacks the item. One in the form of a later build stays.

test_store_restore, gaps, with the sequoiad of: test_store_restore.c:332: 'has_gap("newer")' should be TRUE (not listed) :335, :336: replaced by an older item; :339: by one that can't be read Now ok, and test_stream_records, older-gaps.

--- a/entry/discovery_streams.c
+++ b/entry/discovery_streams.c
@@ -65,6 +65,8 @@
 	struct stream_gaps gaps; /* as the store has them */
 	struct stream_versions versions; /* while this is the first feeder */
 	bool gaps_in_flight;
+	bool gaps_due;      /* the store lacks what this host knows of them */
+	uint64_t gaps_read; /* d->restores when the item was read last */
 	usec_t listed_at;
 	GPtrArray *looks;   /* struct waiting_look, for the next reading */
 	GPtrArray *reading; /* the same, of the reading in progress; or NULL */
@@ -527,6 +529,30 @@
 	replace_bases(d);
 }
 
+/*
+ * What this host knows takes the place of gaps that can't be read, or that are
+ * older: the store was restored from a copy, or a late write took effect.
+ */
+static void
+read_gaps(struct discovery *d, struct str key, struct str value)
+{
+	struct stream_store *s = d->streams;
+	bool odd = stream_record_is_odd(value, clock_wall() / USEC_PER_SEC);
+
+	s->gaps_read = d->restores;
+	if (odd && g_hash_table_size(s->gaps.by_service) == 0) {
+		replace_odd_record(d, key, value);
+		return;
+	}
+	if (odd)
+		LOG(LOG_LVL_WARNING, "stream-gaps-malformed", { "key", key });
+	if (!odd && stream_gaps_read(&s->gaps, value))
+		d->view_dirty = true;
+	else if (odd || stream_record_second(value) != 0)
+		s->gaps_due =
+		    true; /* else it is in the form of a later build */
+}
+
 bool
 discovery_stream_item(struct discovery *d, struct str key, struct str value)
 {
@@ -536,9 +562,7 @@
 		return true;
 	}
 	if (str_eq(key, STR(GAPS_KEY))) {
-		stream_gaps_read(&d->streams->gaps, value);
-		replace_odd_record(d, key, value);
-		d->view_dirty = true;
+		read_gaps(d, key, value);
 		return true;
 	}
 	if (!str_eq(key, STR(BASES_KEY)))
@@ -559,6 +583,8 @@
 	d->streams->listed = true;
 	if (d->restored && d->streams->bases_read != d->restores)
 		replace_bases(d);
+	if (d->restored && d->streams->gaps_read != d->restores)
+		d->streams->gaps_due = true;
 }
 
 static void
@@ -591,9 +617,11 @@
 
 	d->streams->gaps_in_flight = false;
 	/* What the store has comes back as a change of the item. */
-	if (r->status != KV_OK)
-		log_text(LOG_LVL_NOTICE, "stream-gaps-not-written",
-		    "the write of " GAPS_KEY " is repeated");
+	if (r->status == KV_OK)
+		return;
+	d->streams->gaps_due = true;
+	log_text(LOG_LVL_NOTICE, "stream-gaps-not-written",
+	    "the write of " GAPS_KEY " is repeated");
 }
 
 /* Has the store say which services have streams without a record. */
@@ -605,15 +633,22 @@
 	int64_t second = clock_wall() / USEC_PER_SEC;
 	struct stream_gaps next;
 	struct buf value = { 0 };
+	bool changed;
 
 	stream_versions_set_bases(&s->versions, bases);
 	stream_versions_list(&s->versions, targets, false, now);
+	/* The clock of the host that wrote the item may be ahead. */
+	if (second < s->gaps.second)
+		second = s->gaps.second;
 	stream_gaps_init(&next);
 	stream_gaps_write(&s->gaps, second, &value);
 	stream_gaps_read(&next, str_of(&value));
 	buf_clear(&value);
-	if (!s->gaps_in_flight && s->listed &&
-	    stream_gaps_update(&next, &s->versions, now, second)) {
+	changed = stream_gaps_update(&next, &s->versions, now, second);
+	if (g_hash_table_size(next.by_service) == 0)
+		s->gaps_due = false;
+	if ((changed || s->gaps_due) && !s->gaps_in_flight && s->listed) {
+		s->gaps_due = false;
 		s->gaps_in_flight = true;
 		stream_gaps_write(&next, second, &value);
 		kv_put_item(
--- a/kernel/stream_records.c
+++ b/kernel/stream_records.c
@@ -293,6 +293,7 @@
 void
 stream_gaps_init(struct stream_gaps *g)
 {
+	g->second = 0;
 	g->by_service =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -304,22 +305,25 @@
 	    g_memdup2(gap, sizeof(*gap)));
 }
 
-void
+bool
 stream_gaps_read(struct stream_gaps *g, struct str value)
 {
 	struct str line;
 	struct str service;
 	struct str version;
 	struct stream_gap gap;
+	int64_t second = read_second(&value);
 
+	if (second < g->second)
+		return false;
+	g->second = second;
 	g_hash_table_remove_all(g->by_service);
-	if (read_second(&value) == 0)
-		return;
 	while (value.n > 0 && str_cut(&value, '\n', &line)) {
 		if (read_names(&line, &service, &version) &&
 		    read_gap(version, line, &gap))
 			put_gap(g, service, &gap);
 	}
+	return true;
 }
 
 bool
--- a/kernel/stream_records.h
+++ b/kernel/stream_records.h
@@ -147,11 +147,15 @@
 
 struct stream_gaps {
 	GHashTable *by_service; /* name -> struct stream_gap */
+	int64_t second;         /* of the item that was read */
 };
 
 void stream_gaps_init(struct stream_gaps *g);
-/* Reads the store's item. */
-void stream_gaps_read(struct stream_gaps *g, struct str value);
+/*
+ * Reads the store's item; returns false if it is older than the one before, as
+ * that of a store that is restored from a copy, and isn't taken.
+ */
+bool stream_gaps_read(struct stream_gaps *g, struct str value);
 /*
  * Notes the gaps of this time, by the listed targets and the base versions, and
  * forgets old ones; returns whether the item has to be written.
--- a/tests/kernel/test_stream_records.c
+++ b/tests/kernel/test_stream_records.c
@@ -495,7 +495,7 @@
 		    stream_gaps_update(&g, &v, SECOND, 1020), ==, gap);
 		stream_gaps_write(&g, 1020, &value);
 		g_assert_false(stream_record_is_odd(str_of(&value), 1020));
-		stream_gaps_read(&read, str_of(&value));
+		g_assert_true(stream_gaps_read(&read, str_of(&value)));
 		/* What is released at the last second is looked up later. */
 		for (int64_t t = 1020; t <= 1150; t++) {
 			const char *base = services[i].base;
@@ -622,6 +622,40 @@
 	}
 }
 
+/* An older item, or one that can't be read, doesn't end the gaps. */
+static void
+test_older_gaps(void)
+{
+	static const struct {
+		const char *name, *value;
+		bool taken;
+		const char *service; /* with a gap then */
+	} rows[] = {
+		{ "first", "1 1000\ns  1000 v1\n", true, "s" },
+		{ "newer", "1 1001\nt  1001 v1\n", true, "t" },
+		{ "the same", "1 1001\nt  1001 v1\n", true, "t" },
+		{ "older", "1 1000\ns  1000 v1\n", false, "t" },
+		{ "malformed", "x", false, "t" },
+		{ "empty", "", false, "t" },
+		{ "of a later build", "2 1002\n", false, "t" },
+		{ "newer, without gaps", "1 1002\n", true, NULL },
+	};
+	struct stream_gaps g;
+
+	stream_gaps_init(&g);
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		g_test_message("%s", rows[i].name);
+		g_assert_cmpint(stream_gaps_read(&g, str_from(rows[i].value)),
+		    ==, rows[i].taken);
+		g_assert_cmpuint(g_hash_table_size(g.by_service), ==,
+		    rows[i].service != NULL);
+		if (rows[i].service != NULL)
+			g_assert_nonnull(
+			    g_hash_table_lookup(g.by_service, rows[i].service));
+	}
+	stream_gaps_free(&g);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -639,6 +673,7 @@
 	g_test_add_func("/stream-records/records", test_records);
 	g_test_add_func("/stream-records/recorder", test_recorder);
 	g_test_add_func("/stream-records/gaps", test_gaps);
+	g_test_add_func("/stream-records/older-gaps", test_older_gaps);
 	g_test_add_func("/stream-records/holds", test_holds);
 	return g_test_run();
 }
--- a/tests/platform/test_store_restore.c
+++ b/tests/platform/test_store_restore.c
@@ -30,6 +30,9 @@
 /* Hosts have written again by then what the store doesn't have. */
 #define REWRITE_TIME    (6 * USEC_PER_SEC)
 #define WATCH_TIME      (2 * USEC_PER_SEC)
+/* The item is looked at each second. */
+#define GAPS_TIME       (3 * USEC_PER_SEC)
+#define GAPS_KEY        "sequoia/streams/gaps"
 /* The platform's bounds StableMs and DrainMs. */
 #define STABLE_TIME     (3 * USEC_PER_SEC)
 #define DRAIN_TIME      (2 * USEC_PER_SEC)
@@ -289,6 +292,53 @@
 	}
 }
 
+/* Writes the item of the gaps with one of a service, noted at a second. */
+static void
+put_gaps(int64_t second, const char *service)
+{
+	g_autofree char *value = g_strdup_printf(
+	    "1 %" PRId64 "\n%s  %" PRId64 " v1\n", second, service, second);
+
+	fakeplat_put(platform, GAPS_KEY, value);
+}
+
+static bool
+has_gap(const char *service)
+{
+	g_autofree char *name = g_strdup_printf("\n%s  ", service);
+	g_autofree char *value = fakeplat_get(platform, GAPS_KEY);
+
+	return value != NULL && strstr(value, name) != NULL;
+}
+
+/*
+ * The services whose streams may have no record are noted in the store.  It is
+ * restored from a copy without that item, an older one takes its place, or one
+ * that can't be read: hosts write again what they know, or all would take such
+ * streams for those of the base version after their loss.
+ */
+static void
+test_gaps(void)
+{
+	int64_t second = clock_wall() / USEC_PER_SEC;
+
+	start_fleet(1);
+	fakeplat_copy_store(platform);
+	put_gaps(second, "newer");
+	g_usleep((gulong)NOTICE_TIME);
+	restore(&cases[0], "");
+	g_assert_false(has_gap("newer"));
+	g_usleep((gulong)GAPS_TIME);
+	g_assert_true(has_gap("newer"));
+	put_gaps(second - 5, "older");
+	g_usleep((gulong)GAPS_TIME);
+	g_assert_true(has_gap("newer"));
+	g_assert_false(has_gap("older"));
+	fakeplat_put(platform, GAPS_KEY, "1 99999999999999\n");
+	g_usleep((gulong)GAPS_TIME);
+	g_assert_true(has_gap("newer"));
+}
+
 static void
 start_platform(void)
 {
@@ -327,6 +377,7 @@
 
 		g_test_add_data_func(path, &cases[i], run_case);
 	}
+	g_test_add_func("/store-restore/gaps", test_gaps);
 	g_test_add_func("/store-restore/away", test_away);
 	rc = g_test_run();
 	atomic_store(&stopping, true);
