--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -826,6 +826,65 @@
 	}
 }
 
+/* Lists from outside that are longer than the arrays that hold them. */
+static void
+test_long_lists(void)
+{
+	static const struct {
+		size_t n;
+		size_t parts; /* of a prompt, that are read */
+		bool stages;  /* a route may have so many */
+	} rows[] = { { 8, 8, true }, { 9, 9, false }, { 31, 31, false },
+		{ 32, 32, false }, { 33, 32, false }, { 4000, 32, false } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		g_autoptr(GString) head = g_string_new(HEAD "X-Prefix-Hash: ");
+		g_autoptr(GString) json = g_string_new(
+		    "{\"Version\":7," SERVICES "," LIMITS ",\"Tenants\":[],"
+		    "\"Routes\":[{\"Name\":\"r\",\"Host\":\"a.example\","
+		    "\"Prefix\":\"/\",\"TimeoutMs\":9000,\"SloMs\":9,"
+		    "\"Attempts\":2,\"Kind\":\"streaming\","
+		    "\"Service\":\"s\",\"Stages\":[");
+		g_autoptr(GString) results = g_string_new("{\"Items\":[");
+		struct piece_result *v = g_new0(struct piece_result, rows[i].n);
+		struct err e = { 0 };
+		struct routes *t;
+		struct request_info f;
+		struct httpmsg m;
+
+		for (size_t k = 0; k < rows[i].n; k++) {
+			const char *comma = k > 0 ? "," : "";
+
+			g_string_append_printf(head, "%s%zx:5", comma, k);
+			g_string_append_printf(json,
+			    "%s{\"Service\":\"p\",\"After\":[],"
+			    "\"Bytes\":1}",
+			    comma);
+			g_string_append_printf(
+			    results, "%s{\"Handle\":\"a:1/%zu\"}", comma, k);
+		}
+		g_string_append(head, "\r\nContent-Length: 0\r\n\r\n");
+		g_string_append(json, "]}]}");
+		g_string_append(results, "]}");
+		parse(&m, HTTP_REQUEST, head->str);
+		g_assert_true(platform_request_parse(&m, &f));
+		g_assert_cmpuint(f.n_parts, ==, rows[i].parts);
+		httpmsg_free(&m);
+		t = platform_config_parse(str_from(json->str), &e);
+		g_assert_nonnull(t);
+		g_assert_cmpint(
+		    routes_find(t, STR("a.example"), STR("/")) != NULL, ==,
+		    rows[i].stages);
+		routes_unref(t);
+		/* For as many pieces, and for one less. */
+		g_assert_true(platform_stage_results(
+		    str_from(results->str), v, rows[i].n));
+		g_assert_false(platform_stage_results(
+		    str_from(results->str), v, rows[i].n - 1));
+		g_free(v);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -847,5 +906,6 @@
 	g_test_add_func("/store/odd-items", test_store_odd_items);
 	g_test_add_func("/store-era", test_store_era);
 	g_test_add_func("/names", test_names);
+	g_test_add_func("/long-lists", test_long_lists);
 	return g_test_run();
 }
