target_calls: a response without the call's id isn't its answer

What callers saw: the answer of another request. A target that wrote an earlier signed success once more on a kept connection, without the id that responses echo, had it passed on to the next request there, also to one that may run once.

Cause: only a refusal without the id was taken for foreign; nothing else tells an earlier success from the call's own.

Every response to a call with an id has to name it (PROTOCOL.md, "Runners"); one that doesn't ends the call, which may have run: repeated if that is safe, else 502.

--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -165,34 +165,46 @@
 }
 
 /*
- * Whether a response to a call with an id refuses it without that id: an
- * earlier refusal, written once more, must not stand for a call that runs.
+ * Whether a response to a call with an id lacks it: an earlier response,
+ * written once more, must not stand for a call that runs, nor give its caller
+ * the answer of another request.
  */
 static bool
-is_foreign_refusal(const struct target_call *k, const struct httpmsg *m)
+is_foreign(const struct target_call *k, const struct httpmsg *m)
+{
+	return k->o.call_id.n > 0 &&
+	    httpmsg_get(m, k->o.call_id_name).p == NULL;
+}
+
+static void
+log_foreign(const struct target_call *k, const struct httpmsg *m)
 {
 	struct response_info answer;
 
-	if (k->o.call_id.n == 0 || httpmsg_get(m, k->o.call_id_name).p != NULL)
-		return false;
 	platform_response_parse(m, &answer);
-	return answer.not_executed;
+	if (answer.not_executed)
+		log_text(LOG_LVL_NOTICE, "refusal-without-id",
+		    "%s of %s refused a call without naming it", k->target,
+		    k->service);
+	else
+		log_text(LOG_LVL_NOTICE, "answer-without-id",
+		    "%s of %s answered a call with status %d without naming it",
+		    k->target, k->service, (int)m->parser.status_code);
 }
 
 /*
- * Passes on the head of a response, or ends the call if the target may run it
- * in spite of what the response says.
+ * Passes on the head of a response, or ends the call, which the target may run,
+ * if the response isn't known to be its own.
  */
 static void
 pass_head(struct target_call *k, const struct httpmsg *m)
 {
-	if (!is_foreign_refusal(k, m)) {
+	if (!is_foreign(k, m)) {
 		note_answer(k, m);
 		k->o.handler(k->o.arg, DIAL_HEAD, m);
 		return;
 	}
-	log_text(LOG_LVL_NOTICE, "refusal-without-id",
-	    "%s of %s refused a call without naming it", k->target, k->service);
+	log_foreign(k, m);
 	dial_cancel(k->dial);
 	finish_call(k, DIAL_BROKEN, NULL);
 }
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -651,6 +651,7 @@
  *   drop-next    responds, and resets the connection at its next request
  *   late         responds, and sends another response before the one to
  *                the connection's next request
+ *   late-bare    as late, but the other response has no X-Attempt-Id
  *   refuse       refuses every arrival as not executed
  *   refuse-once  refuses the first arrival as not executed
  *   refuse-other sends a refusal without an id first, at the first arrival
@@ -732,11 +733,14 @@
 	} else if (strcmp(s, "drop-next") == 0) {
 		c->reset_next = true;
 		send_response(c, 200, fields, str_from(c->attempt));
-	} else if (strcmp(s, "late") == 0) {
+	} else if (str_has_prefix(str_from(s), STR("late"))) {
+		const char *own = strcmp(s, "late-bare") == 0
+		    ? strstr(fields, "X-Runner-Seal")
+		    : fields;
+
 		/* The second response is sent when the next request arrives. */
 		buf_printf(&c->delayed,
-		    "HTTP/1.1 200 OK\r\n%sContent-Length: 4\r\n\r\nlate",
-		    fields);
+		    "HTTP/1.1 200 OK\r\n%sContent-Length: 4\r\n\r\nlate", own);
 		send_response(c, 200, fields, str_from(c->attempt));
 	} else if (str_has_prefix(str_from(s), STR("slow-"))) {
 		size_t n =
--- a/tests/platform/test_relay.c
+++ b/tests/platform/test_relay.c
@@ -13,6 +13,7 @@
 #define TARGET_PORT     21910
 #define HOST_PORT       21930
 #define TIMEOUT_SECONDS 15 /* for any expected event */
+#define BARE_ANSWERS    24
 /* Each answer is complete well before the deadline of its request, 5 s. */
 #define ANSWER_TIME     (4500 * USEC_PER_MSEC)
 
@@ -135,6 +136,37 @@
 	g_assert_cmpuint(fakeplat_count_duplicates(platform), ==, 0);
 }
 
+/*
+ * A target writes an earlier signed success once more, without the id that
+ * responses echo: it must not be taken for the answer of a later request.
+ */
+static void
+test_bare_answers(void)
+{
+	static const char *const paths[] = { "/safe/1", "/once/1" };
+
+	for (int i = 0; i < BARE_ANSWERS; i++) {
+		bool safe = i / 2 % 2 == 0;
+		g_autofree char *id =
+		    g_strdup_printf("%s-bare-%d", safe ? "safe" : "once", i);
+		g_autofree char *q = harness_format(
+		    &(struct harness_request){ .path = paths[!safe],
+			.id = id,
+			.behavior = i % 2 == 0 ? "late-bare" : NULL });
+		struct harness_response a;
+
+		harness_exchange(
+		    host.port, str_from(q), TIMEOUT_SECONDS * 1000, &a);
+		g_test_message("%s: %d %s", id, a.status, a.body.p);
+		if (safe || a.status != 502) {
+			g_assert_cmpint(a.status, ==, 200);
+			g_assert_cmpstr(a.body.p, ==, id);
+		}
+		harness_response_free(&a);
+	}
+	g_assert_cmpuint(fakeplat_count_duplicates(platform), ==, 0);
+}
+
 #define HOST_LINE \
 	"Host: a.example\r\nX-Attempt-Id: w\r\nX-Api-Key: key-of-yard\r\n"
 
@@ -593,6 +625,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	start_platform();
 	g_test_add_func("/relay/answers", test_answers);
+	g_test_add_func("/relay/bare-answers", test_bare_answers);
 	g_test_add_func("/relay/refused-bytes", test_refused_bytes);
 	g_test_add_func("/relay/foreign-calls", test_foreign_calls);
 	g_test_add_func("/relay/large-head", test_large_head);
