--- a/tests/platform/test_stage_pieces.c
+++ b/tests/platform/test_stage_pieces.c
@@ -284,6 +284,66 @@
 	set_rests(NULL);
 }
 
+/* Sends a request with a piece of the new service; it is answered at once. */
+static void
+send_fresh(int host, const char *name, int status)
+{
+	g_autofree char *id = g_strdup_printf("fresh-%s-%d", name, host);
+	g_autofree char *q =
+	    harness_format(&(struct harness_request){ .path = "/stream/fresh/1",
+		.id = id,
+		.extra_fields = "X-Pieces: 2\r\nX-Piece-Key: k\r\n",
+		.deadline_ms = DEADLINE_MS });
+	struct harness_response a;
+	struct fakeplat_attempt s = { 0 };
+	usec_t start = clock_now();
+
+	harness_exchange(hosts[host].port, str_from(q), DEADLINE_MS + 1000, &a);
+	fakeplat_get_attempt(platform, id, &s);
+	g_test_message("%s: status %d after %d ms", id, a.status,
+	    (int)((clock_now() - start) / USEC_PER_MSEC));
+	g_assert_cmpint(a.status, ==, status);
+	g_assert_cmpint(clock_now() - start, <, USEC_PER_SEC);
+	g_assert_cmpuint(s.runs, ==, status == 200);
+	if (status == 503)
+		g_assert_nonnull(strstr(a.raw.p, "\r\nRetry-After: "));
+	harness_response_free(&a);
+}
+
+/*
+ * A configuration names a stage service of which no target is there yet.  A
+ * request that needs it is rejected as not run at once, by each host, and isn't
+ * held until its deadline; once a target is there it is served.
+ */
+static void
+test_new_service(void)
+{
+	static const char route[] =
+	    ",{\"Name\":\"fresh\",\"Host\":\"a.example\",\"Prefix\":"
+	    "\"/stream/fresh/\",\"Kind\":\"streaming\",\"TimeoutMs\":8000,"
+	    "\"SloMs\":1000,\"Attempts\":2,\"Service\":\"engine\","
+	    "\"Stages\":[{\"Service\":\"fresh\",\"After\":[],"
+	    "\"Bytes\":1000}]}";
+	static const char service[] =
+	    "{\"Name\":\"fresh\",\"MaxConns\":99,\"Pieces\":{\"Slots\":1,"
+	    "\"Queue\":2,\"Batch\":8,\"CallMs\":60,\"ItemMs\":4,"
+	    "\"HeadroomMb\":1,\"HandleS\":4}},{\"Name\":\"plain\"";
+	g_autofree char *text = harness_config(3, route);
+	g_autoptr(GString) config = g_string_new(text);
+
+	g_assert_cmpuint(
+	    g_string_replace(config, "{\"Name\":\"plain\"", service, 0), ==, 1);
+	fakeplat_put(platform, "op/config", config->str);
+	g_usleep(USEC_PER_SEC);
+	for (int host = 0; host < N_HOSTS; host++)
+		send_fresh(host, "none", 503);
+	fakeplat_add_target(platform,
+	    &(struct fakeplat_target){ "f1", "fresh", "d1", TARGET_PORT + 5 });
+	g_usleep(USEC_PER_SEC);
+	for (int host = 0; host < N_HOSTS; host++)
+		send_fresh(host, "one", 200);
+}
+
 static void
 start_fleet(void)
 {
@@ -324,6 +384,7 @@
 	g_test_add_func("/stage-pieces/invented-hosts", test_invented_hosts);
 	g_test_add_func(
 	    "/stage-pieces/stop-of-coordinator", test_stop_of_coordinator);
+	g_test_add_func("/stage-pieces/new-service", test_new_service);
 	g_test_add_func(
 	    "/stage-pieces/stop-with-results", test_stop_with_results);
 	rc = g_test_run();
