stream_resumes: streams are recorded anew once the store is restored

What callers saw: streams of two versions. The host that records all streams ended, the store came back from a copy without its records, and all hosts were lost: streams that had begun at the newer version went on at the base version.

Cause: after a restore the recorder alone writes its records again. Other hosts recorded a stream anew only while it ran, every 20 s, and their relays didn't learn of a restore.

A view tells of a restore once the store is listed again; the relay then has the streams that began here and aren't complete recorded by the recorder of now. Those of other hosts aren't: their number would exceed what an item holds.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -151,8 +151,10 @@
 		roster_finish(&d->roster, clock_now());
 		d->confirmed_at = clock_now();
 		discovery_streams_listed(d);
-		if (d->restored)
+		if (d->restored) {
 			discovery_announce_restore(d, clock_now());
+			d->view_dirty = true;
+		}
 		d->restored = false;
 		/* In a large fleet the next changes come from a feeder. */
 		if (d->feed_received_at == 0)
@@ -305,6 +307,8 @@
 	v->peers = live_peers(d);
 	v->hosts_listed = d->hosts_listed;
 	v->store_unavailable = d->store_unavailable;
+	v->restores = d->restored ? d->view_restores : d->restores;
+	d->view_restores = v->restores;
 	v->quarantine = quarantine_copy(&d->quarantine);
 	discovery_copy_streams(d, v);
 	v->created_at = now;
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -80,10 +80,11 @@
 	usec_t confirmed_at; /* no change of the store was missing then */
 	_Atomic usec_t published_confirmed_at;
 	usec_t feed_sent_at;
-	bool listing;          /* a listing of the store is being read */
-	bool restored;         /* the store, since its last complete listing */
-	uint64_t restores;     /* of the store that this host has seen */
-	usec_t announce_until; /* tells receivers of the last one until then */
+	bool listing;           /* a listing of the store is being read */
+	bool restored;          /* the store, since its last complete listing */
+	uint64_t restores;      /* of the store that this host has seen */
+	uint64_t view_restores; /* that are listed, in the last view */
+	usec_t announce_until;  /* tells receivers of the last one until then */
 	usec_t announced_at;
 	/* Incarnation of a feeder -> the last restore that it announced. */
 	GHashTable *announced;
--- a/entry/stream_resumes.c
+++ b/entry/stream_resumes.c
@@ -125,6 +125,22 @@
 	}
 }
 
+/*
+ * The store was restored from a copy.  The recorder writes again what it wrote
+ * lately, unless it has ended since: so streams that aren't complete are
+ * recorded anew.
+ */
+static void
+record_again(struct stream_resumes *x, usec_t now)
+{
+	g_autoptr(GPtrArray) all = stream_versions_to_record(&x->streams, now);
+
+	for (guint i = 0; i < all->len; i++)
+		stream_resumes_record(x,
+		    &(struct stream_recording_opts){
+			.stream = all->pdata[i], .deadline = now });
+}
+
 void
 stream_resumes_set_view(struct stream_resumes *x, const struct view *v)
 {
@@ -137,6 +153,9 @@
 	stream_versions_list(
 	    &x->streams, v->targets, v->store_unavailable, now);
 	tell(x, now);
+	if (v->restores != x->restores)
+		record_again(x, now);
+	x->restores = v->restores;
 }
 
 bool
--- a/entry/stream_resumes_state.h
+++ b/entry/stream_resumes_state.h
@@ -21,6 +21,7 @@
 	struct stream_recorder recorder;
 	usec_t late_until; /* records can't be relied on until then */
 	usec_t expired_at;
+	uint64_t restores; /* of the store, in the last view */
 };
 
 /*
--- a/kernel/stream_versions.c
+++ b/kernel/stream_versions.c
@@ -257,6 +257,24 @@
 	return NULL;
 }
 
+GPtrArray *
+stream_versions_to_record(const struct stream_versions *s, usec_t now)
+{
+	GPtrArray *out = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, s->own);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct stream_version *x = p;
+
+		if (x->version[0] != '\0' &&
+		    stream_versions_records(s, x->service, x->version, now))
+			g_ptr_array_add(out, p);
+	}
+	return out;
+}
+
 const struct stream_version *
 stream_versions_find(const struct stream_versions *s, struct str id)
 {
--- a/kernel/stream_versions.h
+++ b/kernel/stream_versions.h
@@ -112,6 +112,12 @@
  */
 const struct stream_version *stream_versions_next_due(
     struct stream_versions *s, usec_t now);
+/*
+ * Returns the streams that began here, aren't complete and have to be recorded
+ * (struct stream_version); they belong to s.
+ */
+GPtrArray *stream_versions_to_record(
+    const struct stream_versions *s, usec_t now);
 /* Returns NULL if the stream is not known, or the id is empty. */
 const struct stream_version *stream_versions_find(
     const struct stream_versions *s, struct str id);
