target_start: connections are checked while one version is known, too

What callers saw: streams of two versions. The first targets of a new version were old ones that restarted under their ids; until an entry of theirs arrived, streams that were resumed went on at them.

Cause: whether a connection's target is that of the entry was asked only while hosts know several versions of the service, and the restart is what brings the second one.

A stream that may be resumed is now always sent on a connection over which the target has reported its start: one report for each new connection. If no target has the start of its entry, a stream that hasn't begun goes to one all the same, as an outage of the store would hold its entry back; one that has begun doesn't.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -57,22 +57,24 @@
 	return str_from(first != NULL ? first : r->version);
 }
 
-bool
-forward_needs_start(const struct relay_request *r)
-{
-	return target_start_matters(&(struct target_start_call){
-	    .may_resume =
-		r->route->kind == ROUTE_STREAM && route_repeatable(r->route),
-	    .reports = r->service->has_engine,
-	    .mixed = stream_resumes_mixed(
-		r->shared->stream_resumes, r->service->name),
-	});
+static struct target_start_call
+start_query(const struct relay_request *r)
+{
+	return (struct target_start_call){
+		.may_resume = r->route->kind == ROUTE_STREAM &&
+		    route_repeatable(r->route),
+		.reports = r->service->has_engine,
+		.mixed = stream_resumes_mixed(
+		    r->shared->stream_resumes, r->service->name),
+		.has_version = r->version[0] != '\0',
+	};
 }
 
 void
 forward_query(const struct relay_request *r, struct loads_query *query)
 {
 	const struct request_info *info = &r->info;
+	struct target_start_call start = start_query(r);
 	struct str rest = str_of(&r->inputs);
 	struct str addr = { NULL, 0 };
 
@@ -80,7 +82,7 @@
 		.service = r->service->name,
 		.engine = r->service->has_engine,
 		.version = forward_call_version(r),
-		.sure_version = forward_needs_start(r),
+		.sure_version = target_start_matters(&start),
 		.n_tried = r->n_tried,
 	};
 	for (size_t i = 0; i < r->n_tried; i++)
@@ -378,6 +380,7 @@
 start_call(struct relay_request *r, struct target_load *t, usec_t left)
 {
 	const struct httpmsg *m = httpd_message(r->httpd_req);
+	struct target_start_call start = start_query(r);
 	size_t n = evbuffer_get_length(m->body);
 	struct evbuffer *body = evbuffer_new();
 	struct buf head = { 0 };
@@ -398,7 +401,10 @@
 		.max_idle_time = max_idle_time(r),
 		.max_idle_conns = loads_conn_share(
 		    r->service->max_conns, r->shared->quota_rule.hosts),
-		.check.number = forward_needs_start(r) ? t->entry.born_ms : 0,
+		.check.number =
+		    target_start_matters(&start) && t->seen_born_ms == 0
+		    ? t->entry.born_ms
+		    : 0,
 		.handler = forward_on_event,
 		.arg = r,
 	    });
@@ -429,9 +435,15 @@
 static struct target_load *
 choose_target(struct relay_request *r, usec_t now)
 {
+	struct target_start_call start = start_query(r);
 	struct loads_query query;
+	struct target_load *t;
 
 	forward_query(r, &query);
+	t = loads_choose(&r->shared->loads, &query, now);
+	if (t != NULL || target_start_needed(&start))
+		return t;
+	query.sure_version = false;
 	return loads_choose(&r->shared->loads, &query, now);
 }
 
--- a/kernel/target_start.c
+++ b/kernel/target_start.c
@@ -3,7 +3,13 @@
 bool
 target_start_matters(const struct target_start_call *c)
 {
-	return c->may_resume && c->reports && c->mixed;
+	return c->may_resume && c->reports;
+}
+
+bool
+target_start_needed(const struct target_start_call *c)
+{
+	return target_start_matters(c) && (c->mixed || c->has_version);
 }
 
 enum target_start
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -963,6 +963,31 @@
 	loads_free(&l);
 }
 
+/* For which calls the start of a target has to be known. */
+static void
+test_needed_starts(void)
+{
+	static const struct {
+		struct target_start_call call;
+		bool matters, needed;
+	} cases[] = {
+		{ { true, true, true, false }, true, true },
+		{ { true, true, true, true }, true, true },
+		/* The first target of another version may have restarted. */
+		{ { true, true, false, false }, true, false },
+		{ { true, true, false, true }, true, true },
+		{ { false, true, true, true }, false, false },
+		{ { true, false, true, true }, false, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_assert_cmpint(
+		    target_start_matters(&cases[i].call), ==, cases[i].matters);
+		g_assert_cmpint(
+		    target_start_needed(&cases[i].call), ==, cases[i].needed);
+	}
+}
+
 /*
  * A target restarts with another version before its entry arrives: its report
  * shows it, and streams go elsewhere until the entry is there.
@@ -1228,6 +1253,7 @@
 	g_test_add_func("/loads/conn-share", test_loads_conn_share);
 	g_test_add_func("/loads/affinity", test_loads_affinity);
 	g_test_add_func("/loads/restart", test_loads_restart);
+	g_test_add_func("/relay/needed-starts", test_needed_starts);
 	g_test_add_func(
 	    "/relay/restart-before-entry", test_restart_before_entry);
 	g_test_add_func("/loads/address", test_loads_address);
--- a/tests/platform/test_mixed_versions.c
+++ b/tests/platform/test_mixed_versions.c
@@ -3,9 +3,10 @@
  * platform, and streams that break and are resumed, by their host or by their
  * caller at another host.  A stream must have events of one version only.
  *
- *   Usage: test_mixed_versions [restarts]
+ *   Usage: test_mixed_versions [restarts | first-restart]
  *
- * With restarts, targets also restart under their ids with another version.
+ * With restarts, targets also restart under their ids with another version;
+ * with first-restart, before the hosts know of a second one.
  */
 #include "tests/platform/harness.h"
 #include "tests/soak/proxy.h"
@@ -590,6 +591,28 @@
 	set_versions(BOTH);
 }
 
+/*
+ * The first targets of a new version are old ones that restart under their ids:
+ * no host knows of a second version when the streams are resumed.
+ */
+static void
+run_first_restart_case(void)
+{
+	int begun = 0;
+
+	g_assert_cmpint(begin_restart_streams(&restart_cases[0]), ==, 0);
+	restart_targets(TARGETS / 2 - 1, "new");
+	g_assert_cmpint(resume_restart_streams(&restart_cases[0]), ==, STREAMS);
+	/* All have restarted: streams begin all the same. */
+	restart_targets(TARGETS / 2, "new");
+	for (int i = 0; i < STREAMS; i++) {
+		begin_stream(&restart_streams[i], &restart_cases[1], i);
+		begun += restart_streams[i].new;
+	}
+	/* Each host finds it out by a stream that it rejects. */
+	g_assert_cmpint(begun, >=, STREAMS - HOSTS);
+}
+
 static const struct version_case long_case = { "of-over-a-minute",
 	"/stream/long/1", "long", BOTH, BOTH, true };
 static struct stream long_streams[STREAMS];
@@ -749,6 +772,8 @@
 		g_test_add_data_func(path, &cases[i], run_case);
 	}
 	/* The last one: no target has the old version any more. */
+	if (argc > 1 && strcmp(argv[1], "first-restart") == 0)
+		g_test_add_func("/first-restart", run_first_restart_case);
 	if (argc > 1 && strcmp(argv[1], "restarts") == 0) {
 		g_test_add_func(
 		    "/restarted-target/begun", run_restart_begun_case);
