--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -632,9 +632,10 @@
 
 	bufferevent_write(c->bev, all,
 	    strstr(c->behavior, "-end-") != NULL ? n - missing : at);
-	strcpy(c->behavior,
+	g_strlcpy(c->behavior,
 	    str_has_prefix(str_from(c->behavior), STR("reset")) ? "reset"
-								: "close");
+								: "close",
+	    sizeof(c->behavior));
 	arm_timer(c, 5);
 }
 
@@ -1031,12 +1032,10 @@
 	if (c->target == NULL) {
 		if (plat->store_mode == FAKEPLAT_STORE_OK)
 			end_poll(c);
-	} else if (c->target->stopped) {
+	} else if (c->target->stopped || strcmp(c->behavior, "reset") == 0) {
 		reset_conn(c);
 	} else if (strcmp(c->behavior, "close") == 0) {
 		free_conn(c);
-	} else if (strcmp(c->behavior, "reset") == 0) {
-		reset_conn(c);
 	} else if (strcmp(c->behavior, "crash") == 0) {
 		crash(c->target);
 	} else if (c->endless_sent > 0) {
