--- a/entry/discovery_streams.c
+++ b/entry/discovery_streams.c
@@ -549,8 +549,8 @@
 	if (!odd && stream_gaps_read(&s->gaps, value))
 		d->view_dirty = true;
 	else if (odd || stream_record_second(value) != 0)
-		s->gaps_due =
-		    true; /* else it is in the form of a later build */
+		s->gaps_due = true;
+	/* Else the item is in the form of a later build. */
 }
 
 bool
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -57,6 +57,7 @@
 	return str_from(first != NULL ? first : r->version);
 }
 
+/* What decides whether the start of the request's target matters. */
 static struct target_start_call
 start_query(const struct relay_request *r)
 {
