target_calls: a report over a connection says what other answers do

Cause: the refusal of a report, with its Retry-After, was only a report that can't be read, and was asked for once more.

The rest, the leaving and the limits that an answer names are noted from the answer to a report, too, and a target at rest isn't asked again.

--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -218,6 +218,7 @@
 	struct target_report report;
 
 	paths_call_heard(&k->calls->paths, k->service, clock_now());
+	note_answer(k, m);
 	platform_report_parse(m, &report);
 	k->start = target_start_decide(&report, k->o.check.number);
 	if (k->start != TARGET_START_OTHER)
@@ -233,13 +234,22 @@
 
 static bool start_by_host(struct target_call *k);
 
+/* Whether the target wants nothing now, as it may have said in its report. */
+static bool
+is_at_rest(const struct target_call *k)
+{
+	const struct target_load *t = loads_find(k->calls->o.loads, k->target);
+
+	return t != NULL && clock_now() < t->rest_until;
+}
+
 /* Makes a call again whose connection has failed its check, or ends it. */
 static void
 on_unchecked(struct target_call *k)
 {
 	end_direct(k);
 	if (k->start != TARGET_START_OTHER && k->checks < MAX_CHECKS &&
-	    clock_now() - k->started_at < CHECK_TIMEOUT) {
+	    !is_at_rest(k) && clock_now() - k->started_at < CHECK_TIMEOUT) {
 		/* On a new connection. */
 		k->o.max_idle_time = 1;
 		if (target_call_start_direct(k))
