Tests: keys of callers don't repeat

Two callers that sent the same key share one call, so six were never in flight.

Cause: new_key took its random part from RANDOM in a command substitution, where bash seeds it anew from the time and the process id: of three times 6,000 keys, 16, 12 and 8 had the random part of an earlier one.

Change: the random part comes from /dev/urandom; so does that of the wire test.

Measured: of three times 3,000 keys, none repeats. faults_sunset and wire pass.

--- a/tests/faults/fleet.sh
+++ b/tests/faults/fleet.sh
@@ -227,11 +227,14 @@
 	unset "PID[$1]"
 }
 
+# Prints a new key, a UUID of version 7.  Its random part doesn't come from RANDOM,
+# which bash seeds anew, from the time and the process, in each substitution.
 new_key() {
-	local ms
+	local ms r
 	ms=$(printf '%012x' "$(date +%s%3N)")
-	printf '%s-%s-7%03x-8%03x-%04x%04x%04x\n' "${ms:0:8}" "${ms:8:4}" \
-	    $((RANDOM % 4096)) $((RANDOM % 4096)) $RANDOM $RANDOM $RANDOM
+	r=$(od -An -N9 -tx1 /dev/urandom | tr -d ' \n')
+	printf '%s-%s-7%s-8%s-%s\n' "${ms:0:8}" "${ms:8:4}" \
+	    "${r:0:3}" "${r:3:3}" "${r:6:12}"
 }
 
 # send NODE PIPELINE KEY ATTEMPT [CURL OPTION...]: sends a request and prints
--- a/tests/wire/run.sh
+++ b/tests/wire/run.sh
@@ -76,10 +76,11 @@
 
 # Prints an idempotency key: a UUID of version 7 with the current time.
 new_key() {
-	local ms
+	local ms r
 	ms=$(printf '%012x' "$(date +%s%3N)")
-	printf '%s-%s-7%03x-8%03x-%012x' "${ms:0:8}" "${ms:8:4}" \
-	    $((RANDOM % 4096)) $((RANDOM % 4096)) $((RANDOM * RANDOM))
+	r=$(od -An -N9 -tx1 /dev/urandom | tr -d ' \n')
+	printf '%s-%s-7%s-8%s-%s' "${ms:0:8}" "${ms:8:4}" \
+	    "${r:0:3}" "${r:3:3}" "${r:6:12}"
 }
 
 title() { printf '\n== %s\n' "$1"; }
