Server for callers: a connection is closed at once

The log had no connection-closed line.

Cause: bufferevent_free closes the socket only when the loop goes on, behind all events that are active then. The unread bytes were looked at before that, so a request that arrived in between was discarded unseen.

Change: the socket is closed in place, right after the look. So it is for each connection that is closed: idle for too long, idle while the host stops, broken.

Measured: test_httpd, close-of-idle, fails without the change (the caller's socket isn't closed when httpd_finish returns) and passes with it; test_httpd passes.

--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -59,9 +59,17 @@
 static void
 free_conn(struct httpd_request *q)
 {
+	evutil_socket_t fd = bufferevent_getfd(q->bev);
+
 	q->httpd->counts.open--;
 	g_queue_unlink(&q->httpd->conns, &q->link);
 	event_free(q->timer);
+	/*
+	 * bufferevent_free closes the socket only when the loop goes on, and a
+	 * request that arrives until then would be lost.
+	 */
+	bufferevent_setfd(q->bev, -1);
+	evutil_closesocket(fd);
 	bufferevent_free(q->bev);
 	if (q->held != NULL)
 		evbuffer_free(q->held);
--- a/tests/entry/test_httpd.c
+++ b/tests/entry/test_httpd.c
@@ -263,6 +263,26 @@
 	close_server(&s);
 }
 
+/*
+ * A connection that is closed as idle is closed at once: a request that arrives
+ * between the last look at it and its close would get no answer.
+ */
+static void
+test_close_of_idle(void)
+{
+	struct server s;
+
+	open_server(&s);
+	send_text(&s, REQUEST);
+	run_until(&s, 1);
+	run_for(&s, WITHIN_LIMIT);
+	httpd_drain(s.httpd);
+	httpd_finish(s.httpd);
+	receive(&s);
+	g_assert_true(s.closed);
+	close_server(&s);
+}
+
 /* A caller that takes an answer for longer than the idle limit. */
 struct slow_case {
 	const char *name;
@@ -402,6 +422,7 @@
 
 		g_test_add_data_func(path, &slow_cases[i], test_slow_reader);
 	}
+	g_test_add_func("/httpd/close-of-idle", test_close_of_idle);
 	g_test_add_func("/httpd/pipelined-at-stop", test_pipelined_at_stop);
 	g_test_add_func("/httpd/close-of-caller", test_close_of_caller);
 	g_test_add_func(
