Server for callers: a stream that ends in a stop keeps its connection

What callers saw: the next request on a connection, sent after the end of a stream, got the end of the connection in place of an answer while the host stopped, though the stream's head had not announced a close.

Cause: whether the connection goes on was decided again at the stream's end. A host that had begun to stop since then shut it and discarded all input, with no line in the log.

Change: the end does as the head says. The next request gets an answer, whose head announces the close; without one the connection is closed as idle.

Measured: test_httpd, request-after-stream/drain, fails without the change (one answer of two) and passes with it; test_httpd passes.

--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -42,6 +42,7 @@
 	bool busy;      /* a request is being handled */
 	bool chunked;   /* the response is sent in chunks */
 	bool no_body;   /* it has none, by the status or the method */
+	bool keep;      /* the response leaves the connection open */
 	bool closing;   /* the connection closes once the output is written */
 	bool continued; /* 100 Continue was sent */
 	bool lingering; /* the output is written; input is discarded */
@@ -508,6 +509,7 @@
 		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n");
 	else if (!a->chunked && !bare)
 		evbuffer_add_printf(out, "Content-Length: %zu\r\n", a->body.n);
+	q->keep = keep;
 	evbuffer_add_printf(out, "%s\r\n", keep ? "" : "Connection: close\r\n");
 	if (!q->no_body && !a->chunked)
 		evbuffer_add(out, a->body.p, a->body.n);
@@ -558,11 +560,10 @@
 void
 httpd_end(struct httpd_request *q)
 {
-	bool keep = (q->chunked || q->no_body) && may_continue(q);
-
 	if (q->chunked)
 		evbuffer_add(response_output(q), "0\r\n\r\n", 5);
-	finish_response(q, !keep);
+	/* As its head says, even if the server has begun to stop since. */
+	finish_response(q, !q->keep);
 }
 
 void
--- a/tests/entry/test_httpd.c
+++ b/tests/entry/test_httpd.c
@@ -27,6 +27,7 @@
 #define SOCKET_BYTES  ((size_t)1024 * 1024) /* fit into the sockets' buffers */
 #define SLOW_CHUNK    ((size_t)400 * 1024)
 #define SLOW_INTERVAL (100 * USEC_PER_MSEC)
+#define REUSE_TIME    (10 * USEC_PER_MSEC) /* until a caller's next request */
 #define HEAD          "POST / HTTP/1.1\r\nHost: a\r\n"
 #define REQUEST       HEAD "Content-Length: 4\r\n\r\nbody"
 #define CLOSE_REQUEST HEAD "Connection: close\r\nContent-Length: 0\r\n\r\n"
@@ -36,6 +37,8 @@
 	struct httpd *httpd;
 	int requests;
 	size_t body_bytes; /* of each response; 0: "ok" */
+	bool streams;      /* the first response is a stream, kept in stream */
+	struct httpd_request *stream;
 	usec_t last_arrived;
 	int fd; /* of the caller */
 	struct buf received;
@@ -50,6 +53,12 @@
 
 	s->requests++;
 	s->last_arrived = httpd_arrived(q);
+	if (s->streams && s->requests == 1) {
+		s->stream = q;
+		httpd_respond(q,
+		    &(struct httpd_response){ .status = 200, .chunked = true });
+		return;
+	}
 	httpd_respond(q,
 	    &(struct httpd_response){ .status = 200,
 		.body = s->body_bytes > 0 ? (struct str){ body, s->body_bytes }
@@ -283,6 +292,51 @@
 	close_server(&s);
 }
 
+/* When a server stops: before a stream ends, and before the next request. */
+struct stream_case {
+	const char *name;
+	bool finishes; /* also closes idle connections */
+};
+
+static const struct stream_case stream_cases[] = {
+	{ "drain", false },
+};
+
+/*
+ * A stream ends while the server stops, and its head has kept the connection
+ * open: the next request, sent as soon as the end is there, gets an answer.
+ */
+static void
+test_request_after_stream(gconstpointer arg)
+{
+	const struct stream_case *c = arg;
+	struct server s;
+
+	open_server(&s);
+	s.streams = true;
+	send_text(&s, REQUEST);
+	run_until(&s, 1);
+	g_assert_nonnull(s.stream);
+	g_assert_null(strstr(s.received.p, "Connection: close"));
+	httpd_drain(s.httpd);
+	httpd_end(s.stream);
+	while (strstr(s.received.p, "\r\n0\r\n\r\n") == NULL) {
+		event_base_loop(s.base, EVLOOP_NONBLOCK);
+		receive(&s);
+	}
+	run_for(&s, REUSE_TIME);
+	if (c->finishes)
+		httpd_finish(s.httpd);
+	send_text(&s, REQUEST);
+	run_until(&s, 2);
+	g_assert_cmpint(count_answers(&s, "200"), ==, 2);
+	run_for(&s, REUSE_TIME);
+	receive(&s);
+	g_assert_true(s.closed);
+	g_assert_nonnull(strstr(s.received.p, "Connection: close"));
+	close_server(&s);
+}
+
 /* A caller that takes an answer for longer than the idle limit. */
 struct slow_case {
 	const char *name;
@@ -422,6 +476,13 @@
 
 		g_test_add_data_func(path, &slow_cases[i], test_slow_reader);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(stream_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+		    "/httpd/request-after-stream/%s", stream_cases[i].name);
+
+		g_test_add_data_func(
+		    path, &stream_cases[i], test_request_after_stream);
+	}
 	g_test_add_func("/httpd/close-of-idle", test_close_of_idle);
 	g_test_add_func("/httpd/pipelined-at-stop", test_pipelined_at_stop);
 	g_test_add_func("/httpd/close-of-caller", test_close_of_caller);
