Stopping hosts: connections that have just been used stay open

What callers saw: a caller that sent its next request right after an answer, on a connection that a stopping host had kept open for it, got its close instead.

Cause: after the drain each tick closed every connection that had no request at that moment, however short a time before its last answer had ended.

Change: a connection is closed once it has been idle for 100 ms. A request that comes before gets its answer, with Connection: close. The exit time stays; a host whose connections end earlier ends up to 150 ms later.

--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -1,5 +1,6 @@
 #include "entry/httpd.h"
 #include "base/log.h"
+#include "kernel/stopping.h"
 #include "plat/addr.h"
 #include "plat/unread.h"
 
@@ -602,6 +603,7 @@
 static void
 close_idle(struct httpd *h)
 {
+	usec_t now = clock_now();
 	GList *next;
 
 	for (GList *l = h->conns.head; l != NULL; l = next) {
@@ -609,6 +611,7 @@
 
 		next = l->next;
 		if (!q->busy && !q->closing && !q->in.started &&
+		    stopping_closes_idle(now - q->idle_since) &&
 		    unread_bytes(q->bev) == 0 && output_length(q) == 0)
 			close_conn(q, "idle while the host stops");
 	}
--- a/entry/httpd.h
+++ b/entry/httpd.h
@@ -96,9 +96,9 @@
 /* Closes each connection after its next response, if it has no more input. */
 void httpd_drain(struct httpd *h);
 /*
- * Closes the connections that have no request.  Once none is left, neither open
- * nor to be accepted, stops listening and returns true: no request is lost if
- * the server is freed then.
+ * Closes the connections that have had no request for a while.  Once none is
+ * left, neither open nor to be accepted, stops listening and returns true: no
+ * request is lost if the server is freed then.
  */
 bool httpd_finish(struct httpd *h);
 struct httpd_counts httpd_counts(const struct httpd *h);
--- a/kernel/stopping.c
+++ b/kernel/stopping.c
@@ -4,6 +4,7 @@
 #define EXIT_MARGIN    (400 * USEC_PER_MSEC)
 /* Calls without an answer are given up this long before the exit. */
 #define GIVE_UP_MARGIN (200 * USEC_PER_MSEC)
+#define REUSE_PERIOD   (100 * USEC_PER_MSEC)
 #define QUIET_PERIOD   (200 * USEC_PER_MSEC)
 /* After a longer time between two calls the process stood still. */
 #define MAX_STEP       (100 * USEC_PER_MSEC)
@@ -14,6 +15,12 @@
 	return s->exit_at == 0 || now + budget < s->exit_at - EXIT_MARGIN;
 }
 
+bool
+stopping_closes_idle(usec_t idle)
+{
+	return idle >= REUSE_PERIOD;
+}
+
 bool
 stopping_gives_up(
     const struct stopping *s, const struct stopping_request *r, usec_t now)
--- a/kernel/stopping.h
+++ b/kernel/stopping.h
@@ -32,6 +32,13 @@
  */
 bool stopping_takes(const struct stopping *s, usec_t budget, usec_t now);
 
+/*
+ * Whether a connection that has been idle for the given time is closed.  A
+ * caller often sends its next request as soon as it has an answer, or has
+ * connected.
+ */
+bool stopping_closes_idle(usec_t idle);
+
 /* A request in progress. */
 struct stopping_request {
 	bool sent;      /* a target may have run it */
--- a/tests/entry/test_httpd.c
+++ b/tests/entry/test_httpd.c
@@ -300,6 +300,7 @@
 
 static const struct stream_case stream_cases[] = {
 	{ "drain", false },
+	{ "finish", true },
 };
 
 /*
