Stages: a stream that goes on isn't taken for a late caller

Cause: a caller that resumes its stream has less time left than a new one, and was taken for one that had come back after a rejection. So its objective counted as missed already, and its stages went behind those of all new requests, where most had no room in time. Its time was also learned as a usual one of the route.

Change: caller_age_aim counts a stream that goes on as new, and learns nothing from its time.

Measured: test_caller_age, resumed-stream, fails without the condition (an aim 5.5 s before its arrival) and passes with it.

--- a/entry/stages.c
+++ b/entry/stages.c
@@ -533,16 +533,22 @@
 static usec_t
 soft_deadline(const struct relay_request *r)
 {
-	usec_t age = 0;
+	const struct caller_request q = {
+		.arrived = r->arrived,
+		.objective = r->route->objective,
+		.time_left =
+		    r->route->n_stages > 0 ? r->info.deadline_budget : 0,
+		.is_resume = r->info.is_resume,
+	};
+	usec_t aim = caller_age_aim(
+	    &r->shared->caller_age, r->route->name, &q, clock_now());
 
-	if (r->info.deadline_budget > 0 && r->route->n_stages > 0)
-		age = caller_age_estimate(&r->shared->caller_age,
-		    r->route->name, r->info.deadline_budget, clock_now());
-	if (age > 0)
+	if (aim < q.arrived + q.objective)
 		log_text(LOG_LVL_DEBUG, "caller-back",
 		    "request %.*s: first sent at least %" PRId64 " ms ago",
-		    STR_FMT(r->info.id), age / USEC_PER_MSEC);
-	return r->arrived + r->route->objective - age;
+		    STR_FMT(r->info.id),
+		    (q.arrived + q.objective - aim) / USEC_PER_MSEC);
+	return aim;
 }
 
 void
--- a/kernel/overload/caller_age.c
+++ b/kernel/overload/caller_age.c
@@ -1,7 +1,5 @@
 #include "kernel/overload/caller_age.h"
 
-#include <stdbool.h>
-
 /* Times are counted in buckets, each a twentieth longer than the last one. */
 #define BUCKETS     160
 #define FIRST_TIME  (20 * USEC_PER_MSEC)
@@ -132,6 +130,17 @@
 	return age;
 }
 
+usec_t
+caller_age_aim(struct caller_age *a, const char *route,
+    const struct caller_request *q, usec_t now)
+{
+	usec_t age = 0;
+
+	if (q->time_left > 0 && !q->is_resume)
+		age = caller_age_estimate(a, route, q->time_left, now);
+	return q->arrived + q->objective - age;
+}
+
 void
 caller_age_rejected(struct caller_age *a, const char *route, usec_t now)
 {
--- a/kernel/overload/caller_age.h
+++ b/kernel/overload/caller_age.h
@@ -21,6 +21,7 @@
 #include "base/clock.h"
 
 #include <glib.h>
+#include <stdbool.h>
 
 struct caller_age {
 	GHashTable *routes; /* name -> struct route_times */
@@ -33,6 +34,20 @@
  */
 usec_t caller_age_estimate(
     struct caller_age *a, const char *route, usec_t time_left, usec_t now);
+struct caller_request {
+	usec_t arrived;
+	usec_t objective; /* from the first attempt to the first event */
+	usec_t time_left; /* until the caller leaves; 0: not known */
+	bool is_resume;   /* the caller has had events of its stream */
+};
+
+/*
+ * Returns the time after which the request is late.  A stream that goes on
+ * counts as new: its caller has had the first event, and has less time left for
+ * another reason than a rejection.
+ */
+usec_t caller_age_aim(struct caller_age *a, const char *route,
+    const struct caller_request *q, usec_t now);
 /* A caller of the route was rejected and may come back. */
 void caller_age_rejected(struct caller_age *a, const char *route, usec_t now);
 void caller_age_free(struct caller_age *a);
--- a/tests/kernel/test_caller_age.c
+++ b/tests/kernel/test_caller_age.c
@@ -91,6 +91,52 @@
 	}
 }
 
+/*
+ * A stream that goes on after a loss of hosts has less time left than a new
+ * one. Its stages must not go behind those of all new requests, as if it were
+ * late.
+ */
+static void
+test_resumed_stream(void)
+{
+	static const struct {
+		const char *name;
+		usec_t left;
+		bool is_resume;
+		bool is_late;
+		int n; /* callers */
+	} cases[] = {
+		{ "new", 15 * USEC_PER_SEC, false, false, 1 },
+		{ "came back", 6 * USEC_PER_SEC, false, true, 1 },
+		{ "resumed", 6 * USEC_PER_SEC, true, false, 1 },
+		{ "many are resumed", 6 * USEC_PER_SEC, true, false, N_KNOWN },
+		{ "came back after them", 6 * USEC_PER_SEC, false, true, 1 },
+		{ "without a time", 0, false, false, 1 },
+	};
+	struct caller_age a;
+	struct caller_request q = { .objective = 3 * USEC_PER_SEC };
+
+	caller_age_init(&a);
+	for (int i = 0; i < N_KNOWN; i++)
+		caller_age_estimate(&a, "r", 15 * USEC_PER_SEC, i);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		usec_t now = USEC_PER_SEC * (usec_t)(i + 1);
+		usec_t aim = 0;
+
+		g_test_message("%s", cases[i].name);
+		q.arrived = now;
+		q.time_left = cases[i].left;
+		q.is_resume = cases[i].is_resume;
+		for (int k = 0; k < cases[i].n; k++)
+			aim = caller_age_aim(&a, "r", &q, now);
+		if (cases[i].is_late)
+			g_assert_cmpint(aim, <, now);
+		else
+			g_assert_cmpint(aim, ==, now + q.objective);
+	}
+	caller_age_free(&a);
+}
+
 /* The usual time changes: new callers must not count as returned for long. */
 static void
 test_change(void)
@@ -143,6 +189,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/caller_age/estimate", test_estimate);
+	g_test_add_func("/caller_age/resumed-stream", test_resumed_stream);
 	g_test_add_func("/caller_age/change", test_change);
 	g_test_add_func("/caller_age/rejections", test_rejections);
 	return g_test_run();
