Tests: the connection after a stream, without time bounds of its own

request-after-stream took the connection for closed after 10 ms, and called httpd_finish 10 ms after the stream's end, so a pause of the process could fail it. It waits for the close now and calls httpd_finish at once.

--- a/tests/entry/test_httpd.c
+++ b/tests/entry/test_httpd.c
@@ -321,18 +321,18 @@
 	g_assert_null(strstr(s.received.p, "Connection: close"));
 	httpd_drain(s.httpd);
 	httpd_end(s.stream);
-	while (strstr(s.received.p, "\r\n0\r\n\r\n") == NULL) {
+	while (!s.closed && strstr(s.received.p, "\r\n0\r\n\r\n") == NULL) {
 		event_base_loop(s.base, EVLOOP_NONBLOCK);
 		receive(&s);
 	}
-	run_for(&s, REUSE_TIME);
 	if (c->finishes)
 		httpd_finish(s.httpd);
+	else
+		run_for(&s, REUSE_TIME);
 	send_text(&s, REQUEST);
 	run_until(&s, 2);
 	g_assert_cmpint(count_answers(&s, "200"), ==, 2);
-	run_for(&s, REUSE_TIME);
-	receive(&s);
+	run_until(&s, 3);
 	g_assert_true(s.closed);
 	g_assert_nonnull(strstr(s.received.p, "Connection: close"));
 	close_server(&s);
