--- a/entry/httpd.h
+++ b/entry/httpd.h
@@ -93,7 +93,10 @@
 /* Bytes of the response that are not sent yet. */
 size_t httpd_backlog(const struct httpd_request *q);
 
-/* Closes each connection after its next response, if it has no more input. */
+/*
+ * From now on a connection closes after a response whose head follows, if it
+ * has no more input.
+ */
 void httpd_drain(struct httpd *h);
 /*
  * Closes the connections that have had no request for a while.  Once none is
--- a/kernel/overload/caller_age.h
+++ b/kernel/overload/caller_age.h
@@ -34,6 +34,7 @@
  */
 usec_t caller_age_estimate(
     struct caller_age *a, const char *route, usec_t time_left, usec_t now);
+
 struct caller_request {
 	usec_t arrived;
 	usec_t objective; /* from the first attempt to the first event */
