http: who runs the loop judges by what has been read

Change: http_run waits, reads the clock, then handles all that is ready, and returns that time; the loops judge by it. traffic handles its messages after its tick, as they advance the kernel's time.

--- a/ctl/session.c
+++ b/ctl/session.c
@@ -73,8 +73,7 @@
 static void
 run_step(struct session *s)
 {
-	http_run(s->loop, LOOP_STEP);
-	conflog_tick(s->log, clock_now());
+	conflog_tick(s->log, http_run(s->loop, LOOP_STEP));
 }
 
 static bool
--- a/entry/control.c
+++ b/entry/control.c
@@ -390,9 +390,10 @@
 static void
 run_once(struct control *c)
 {
-	http_run(c->loop, TICK);
+	usec_t now = http_run(c->loop, TICK);
+
 	process_inbox(c);
-	tick(c, clock_now());
+	tick(c, now);
 }
 
 /*
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -342,7 +342,7 @@
 static void
 run_once(struct discovery *d)
 {
-	usec_t now = clock_now();
+	usec_t now = http_read_until(d->loop);
 	usec_t next = now + MAX_LOOP_SLEEP;
 
 	/* Only a call of its own shows a host that the store is back. */
@@ -365,20 +365,20 @@
 	if (d->hosts_dirty)
 		next =
 		    earlier(next, d->view_published_at + HOSTS_VIEW_INTERVAL);
-	http_run(d->loop, next > now ? next - now : 0);
+	now = http_run(d->loop, next > now ? next - now : 0);
 	process_inbox(d);
-	discovery_record_streams(d, clock_now());
+	discovery_record_streams(d, now);
 	discovery_look_up_streams(d);
 	discovery_blame_parts(d);
-	discovery_apply_config(d, clock_now());
-	discovery_send_quarantine(d, clock_now());
-	publish(d, clock_now());
+	discovery_apply_config(d, now);
+	discovery_send_quarantine(d, now);
+	publish(d, now);
 	atomic_store(&d->published_confirmed_at, d->confirmed_at);
 	pthread_mutex_lock(&d->lock);
 	d->counts.store_calls = kv_calls(d->kv);
 	d->counts.revision = watcher_revision(d->watcher);
 	d->counts.era = watcher_era(d->watcher);
-	d->counts.in_grace = roster_in_grace(&d->roster, clock_now());
+	d->counts.in_grace = roster_in_grace(&d->roster, now);
 	pthread_mutex_unlock(&d->lock);
 }
 
--- a/entry/traffic.c
+++ b/entry/traffic.c
@@ -47,7 +47,7 @@
 	struct traffic_report report;
 };
 
-static void step(struct traffic *t, const struct event *ev);
+static void step(struct traffic *t, usec_t now, const struct event *ev);
 
 static void
 on_http(void *arg, const struct http_event *ev)
@@ -86,7 +86,7 @@
 		g_hash_table_remove(t->target_calls, &out.fail.call);
 		break;
 	}
-	step(t, &out);
+	step(t, http_read_until(t->loop), &out);
 }
 
 static void
@@ -176,9 +176,9 @@
  * back into step, so one list suffices.
  */
 static void
-step(struct traffic *t, const struct event *ev)
+step(struct traffic *t, usec_t now, const struct event *ev)
 {
-	kernel_step(t->kernel, clock_now(), ev, &t->actions);
+	kernel_step(t->kernel, now, ev, &t->actions);
 	for (size_t i = 0; i < t->actions.n; i++)
 		run_action(t, &t->actions.v[i]);
 	actions_clear(&t->actions);
@@ -221,7 +221,7 @@
 		if (m->stop)
 			t->stopping = true;
 		else
-			step(t, &m->ev);
+			step(t, clock_now(), &m->ev);
 		free_message(m);
 	}
 }
@@ -282,13 +282,13 @@
 		usec_t now = clock_now();
 		usec_t wait = kernel_next_tick(t->kernel, now) - now;
 
-		http_run(t->loop, wait < MAX_WAIT ? wait : MAX_WAIT);
-		handle_messages(t);
-		now = clock_now();
+		now = http_run(t->loop, wait < MAX_WAIT ? wait : MAX_WAIT);
+		/* Messages advance the kernel past what has been read. */
 		if (now - ticked >= DEFAULT_TICK_USEC) {
 			ticked = now;
-			step(t, &(struct event){ .kind = EVENT_TICK });
+			step(t, now, &(struct event){ .kind = EVENT_TICK });
 		}
+		handle_messages(t);
 		if (now - reported >= REPORT_INTERVAL) {
 			reported = now;
 			write_report(t);
--- a/plat/http.c
+++ b/plat/http.c
@@ -51,6 +51,7 @@
 	int epoll_fd;
 	int wake_fd;     /* eventfd, signalled by http_wake() */
 	usec_t timer_at; /* when libcurl's timer expires, or NO_TIMER */
+	usec_t read_until;
 };
 
 static void
@@ -304,6 +305,7 @@
 	ev.data.fd = l->wake_fd;
 	epoll_ctl(l->epoll_fd, EPOLL_CTL_ADD, l->wake_fd, &ev);
 	l->timer_at = NO_TIMER;
+	l->read_until = clock_now();
 	l->multi = curl_multi_init();
 	curl_multi_setopt(l->multi, CURLMOPT_MAXCONNECTS, MAX_IDLE_CONNS);
 	curl_multi_setopt(l->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
@@ -402,22 +404,29 @@
 	return mask;
 }
 
-/*
- * Handles what is ready on the sockets, after at most the given time; returns
- * whether it was all.
- */
-static bool
-handle_sockets(struct http_loop *l, usec_t wait)
+/* Leaves the events to handle_sockets, as epoll reports them again. */
+static void
+wait_for_sockets(struct http_loop *l, usec_t wait)
 {
-	struct epoll_event ev[MAX_EPOLL_EVENTS];
+	struct epoll_event ev;
 	struct timespec ts = { wait / USEC_PER_SEC,
 		wait % USEC_PER_SEC * 1000 };
+
+	if (wait > 0)
+		epoll_pwait2(l->epoll_fd, &ev, 1, &ts, NULL);
+}
+
+/* Handles what is ready on the sockets; returns whether it was all. */
+static bool
+handle_sockets(struct http_loop *l)
+{
+	struct epoll_event ev[MAX_EPOLL_EVENTS];
 	eventfd_t count;
 	int running;
 	int n = MAX_EPOLL_EVENTS;
 
 	for (int i = 0; n == MAX_EPOLL_EVENTS && i < MAX_EPOLL_ROUNDS; i++) {
-		n = epoll_pwait2(l->epoll_fd, ev, MAX_EPOLL_EVENTS, &ts, NULL);
+		n = epoll_wait(l->epoll_fd, ev, MAX_EPOLL_EVENTS, 0);
 		for (int k = 0; k < n; k++) {
 			if (ev[k].data.fd == l->wake_fd)
 				eventfd_read(l->wake_fd, &count);
@@ -429,7 +438,6 @@
 		/* A stopped process that goes on gets EINTR and no events. */
 		if (n < 0 && errno == EINTR)
 			n = MAX_EPOLL_EVENTS;
-		ts = (struct timespec){ 0 };
 	}
 	return n < MAX_EPOLL_EVENTS;
 }
@@ -486,19 +494,25 @@
  * Deadlines are judged by the time before the sockets are handled: what has
  * arrived by then has been read, also if the process stands still in between.
  */
-void
+usec_t
 http_run(struct http_loop *l, usec_t wait)
 {
 	usec_t now;
-	bool all;
 
-	wait = until_deadline(l, run_timer(l, wait));
+	wait_for_sockets(l, until_deadline(l, run_timer(l, wait)));
 	now = clock_now();
-	all = handle_sockets(l, wait);
+	if (handle_sockets(l))
+		l->read_until = now;
 	deliver_all(l);
 	run_timer(l, 0);
-	if (all)
-		check_deadlines(l, now);
+	check_deadlines(l, l->read_until);
+	return l->read_until;
+}
+
+usec_t
+http_read_until(const struct http_loop *l)
+{
+	return l->read_until;
 }
 
 void
--- a/tests/plat/test_http.c
+++ b/tests/plat/test_http.c
@@ -28,6 +28,8 @@
 #define CALL_TIME     (2 * USEC_PER_SEC)
 #define LOOP_WAIT     (5 * USEC_PER_SEC)
 #define STANDSTILL    (600 * USEC_PER_MSEC)
+/* While one of libcurl's timers is due, it reads all sockets. */
+#define CURL_TIMERS   (300 * USEC_PER_MSEC)
 /* A connection that found the backlog full is tried again after 1 s. */
 #define CONNECT_RETRY (1500 * USEC_PER_MSEC)
 
@@ -219,7 +221,8 @@
 	size_t body_bytes;
 	bool ends_conn;
 	bool answered;
-	bool kept; /* on the connection of another call */
+	bool kept;       /* on the connection of another call */
+	bool in_handler; /* stands still in the handler of another call */
 };
 
 static const struct stop_case stops[] = {
@@ -237,6 +240,12 @@
 	{ "answer, judged after http_run", 0, 0, 300 * USEC_PER_MSEC, false,
 	    "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n", 100, false,
 	    true },
+	{ .name = "answer, judged after a stop in a handler",
+	    .judged_after = 600 * USEC_PER_MSEC,
+	    .head = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n",
+	    .body_bytes = 100,
+	    .answered = true,
+	    .in_handler = true },
 	{ "connection", 0, 300 * USEC_PER_MSEC, 0, true,
 	    "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n", 100, false,
 	    true },
@@ -247,15 +256,28 @@
 	    false },
 };
 
+static void
+stop_at_end(void *arg, const struct http_event *ev)
+{
+	on_event(arg, ev);
+	if (ev->kind == HTTP_END)
+		raise(SIGSTOP);
+}
+
 /* Makes a call; the exit status tells whether it was answered. */
 static void
 run_call(const struct stop_case *x, const char *url)
 {
 	struct http_loop *loop = http_new();
 	struct result r = { 0 };
+	struct result other = { 0 };
 	usec_t start = clock_now();
 	bool late = false;
 
+	if (x->in_handler)
+		http_start(loop,
+		    &(struct http_opts){
+			.url = url, .handler = stop_at_end, .arg = &other });
 	if (x->kept) {
 		http_start(loop,
 		    &(struct http_opts){
@@ -275,9 +297,9 @@
 		raise(SIGSTOP);
 	}
 	while (!r.ended && !late) {
-		http_run(loop, LOOP_WAIT);
-		late = x->judged_after > 0 &&
-		    clock_now() - start > x->judged_after;
+		usec_t now = http_run(loop, LOOP_WAIT);
+
+		late = x->judged_after > 0 && now - start > x->judged_after;
 	}
 	_exit(r.ended && !r.failed && r.bytes == x->body_bytes ? 0 : 1);
 }
@@ -308,12 +330,13 @@
 	char request[1024];
 	int status = 0;
 	int fd = -1;
+	int first = -1;
 	usec_t resumed;
 	pid_t pid;
 
 	g_assert_cmpint(
 	    bind(listener, (struct sockaddr *)&sa, sizeof(sa)), ==, 0);
-	g_assert_cmpint(listen(listener, 0), ==, 0);
+	g_assert_cmpint(listen(listener, x->in_handler ? 1 : 0), ==, 0);
 	getsockname(listener, (struct sockaddr *)&sa, &len);
 	url = g_strdup_printf("http://127.0.0.1:%d/", ntohs(sa.sin_port));
 	if (x->at_connect)
@@ -330,7 +353,16 @@
 			g_assert_cmpint(
 			    read(fd, request, sizeof(request)), >, 0);
 		}
-		kill(pid, SIGSTOP);
+		if (x->in_handler) {
+			first = fd;
+			fd = accept(listener, NULL, NULL);
+			g_assert_cmpint(
+			    read(fd, request, sizeof(request)), >, 0);
+			g_usleep((gulong)CURL_TIMERS);
+			send_answer(x, first);
+		} else {
+			kill(pid, SIGSTOP);
+		}
 	}
 	waitpid(pid, &status, WUNTRACED);
 	g_assert_true(WIFSTOPPED(status));
@@ -348,6 +380,7 @@
 	g_assert_cmpint(clock_now() - resumed, <, LOOP_WAIT);
 	g_assert_true(WIFEXITED(status));
 	g_assert_cmpint(WEXITSTATUS(status), ==, x->answered ? 0 : 1);
+	close(first);
 	close(fd);
 	close(other);
 	close(listener);
