Tests: peer-state waits until the removal is seen

The log shows that the host lost the store 140 ms after the entry was removed, before it had seen that: no "target-gone" until the store's return. Such a host has acknowledged nothing, so the requests were allowed. The test waited 200 ms for the removal to be seen, now it waits for its line in the log, and fails without it.

--- a/tests/platform/harness.c
+++ b/tests/platform/harness.c
@@ -83,6 +83,24 @@
 	wait_for_start(pid);
 }
 
+bool
+harness_wait_log(
+    const struct harness_host *h, const char *text, int timeout_seconds)
+{
+	g_autofree char *path = g_strdup_printf("%s/%s.log", h->dir, h->id);
+	usec_t deadline = clock_now() + timeout_seconds * USEC_PER_SEC;
+
+	do {
+		g_autofree char *log = NULL;
+
+		if (g_file_get_contents(path, &log, NULL, NULL) &&
+		    strstr(log, text) != NULL)
+			return true;
+		g_usleep(1000);
+	} while (clock_now() < deadline);
+	return false;
+}
+
 int
 harness_wait_exit(struct harness_host *h)
 {
--- a/tests/platform/harness.h
+++ b/tests/platform/harness.h
@@ -27,6 +27,9 @@
 void harness_start_host(struct harness_host *h);
 /* Waits until GET /readyz succeeds; returns false after the timeout. */
 bool harness_wait_ready(const struct harness_host *h, int timeout_seconds);
+/* Waits until the log has the text; returns false after the timeout. */
+bool harness_wait_log(
+    const struct harness_host *h, const char *text, int timeout_seconds);
 /*
  * Waits until the process ends; returns its exit status, or -1 if a signal
  * killed it.
--- a/tests/platform/test_peer_state.c
+++ b/tests/platform/test_peer_state.c
@@ -136,12 +136,15 @@
 
 /* The host ahead has seen the removal, and loses the store. */
 static void
-cut(const char *key)
+cut(const char *name, const char *key)
 {
+	g_autofree char *gone =
+	    g_strdup_printf("event=target-gone id=\"%s\"", name);
+
 	set_links(PROXY_ACCEPT, PROXY_CUT_BOTH);
 	g_usleep((gulong)NOTICE_TIME);
 	fakeplat_delete(platform, key);
-	g_usleep((gulong)NOTICE_TIME);
+	g_assert_true(harness_wait_log(&hosts[AHEAD], gone, TIMEOUT_SECONDS));
 	set_links(PROXY_REFUSE, PROXY_CUT_BOTH);
 	proxy_reset(proxy, links[AHEAD]);
 }
@@ -164,7 +167,7 @@
 	if (x->restored)
 		restore(key);
 	else
-		cut(key);
+		cut(x->name, key);
 	left_at = clock_now();
 	g_usleep((gulong)AWAY_TIME);
 	set_links(PROXY_ACCEPT, PROXY_NONE);
