--- a/tests/faults/run.sh
+++ b/tests/faults/run.sh
@@ -15,7 +15,7 @@
 operators_same_file operators_other_files apply_lost_answer
 peer_silent stranger start_in_outage old_generation quiet_watch
 leaving_target stop_in_work stop_last sunset other_node
-outage_and_kill lost_answers_and_pause stop_in_pause"
+outage_and_kill lost_answers_and_pause stop_in_pause idle_in_pause"
 
 # Callers in a burst; few, so that their processes don't slow down the machine.
 N=${N:-12}
@@ -505,6 +505,46 @@
 	esac >>"$D/asked"
 }
 
+# A node is paused while its connections are idle, and each gets a request
+# within the idle limit of 5 s: it must answer them when it goes on.
+case_idle_in_pause() {
+	local i
+	start
+	fleet 1
+	for i in $(seq $N); do
+		ask_again 1 4.7 &
+		CALLERS+=($!)
+	done
+	sleep 4.4
+	kill -STOP "${PID[1]}"
+	sleep 2
+	kill -CONT "${PID[1]}"
+	join
+	sort "$D/asked" | uniq -c
+	[ "$(grep -c '^answered$' "$D/asked")" = $N ] ||
+	    fail "closed without an answer"
+}
+# ask_again NODE SECONDS: sends a request, and after this time another one on the
+# same connection, and writes to D/asked what became of the second.
+ask_again() {
+	local line length=0 request
+	request=$'GET /v1/requests/none HTTP/1.1\r\nHost: a\r\n'
+	request+=$'Authorization: Bearer w-token\r\n\r\n'
+	exec 9<>"/dev/tcp/$NET.$1/8080"
+	printf '%s' "$request" >&9
+	while read -r -t 20 line <&9 && [ "$line" != $'\r' ]; do
+		[[ ${line,,} != content-length:* ]] || length=${line//[^0-9]/}
+	done
+	read -r -t 20 -N "$length" line <&9
+	sleep "$2"
+	printf '%s' "$request" >&9
+	if read -r -t 20 line <&9 && [[ $line == HTTP/1.1\ 404* ]]; then
+		echo answered
+	else
+		echo closed
+	fi >>"$D/asked"
+}
+
 # Requests accepted before the shutdown date of their pipeline end complete;
 # later requests get 410.
 case_sunset() {
