--- a/tests/platform/test_crashing_part.c
+++ b/tests/platform/test_crashing_part.c
@@ -13,6 +13,8 @@
 #include "base/rng.h"
 #include "tests/platform/harness.h"
 
+#include <inttypes.h>
+#include <jansson.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdatomic.h>
@@ -339,6 +341,104 @@
 		run_case(&request_cases[i]);
 }
 
+/* The quarantines of a host, as its operators get them; free with json_decref.
+ */
+static json_t *
+list_quarantines(const struct harness_host *h)
+{
+	struct harness_response a;
+	json_t *list;
+
+	harness_exchange(h->port + 1,
+	    STR("GET /quarantines HTTP/1.1\r\nHost: x\r\n"
+		"Connection: close\r\n\r\n"),
+	    1000, &a);
+	list = json_loadb(a.body.p, a.body.n, 0, NULL);
+	harness_response_free(&a);
+	g_assert_true(json_is_array(list));
+	return list;
+}
+
+/* Returns the status that a host answers a request with this body with. */
+static int
+ask(const struct harness_host *h, const char *body)
+{
+	static int number;
+	g_autofree char *id = g_strdup_printf("s-asked-%d", number++);
+	g_autofree char *q =
+	    harness_format(&(struct harness_request){ .path = "/safe/1",
+		.id = id,
+		.body = body,
+		.deadline_ms = DEADLINE_MS });
+	struct harness_response a;
+	int status;
+
+	harness_exchange(h->port, str_from(q), 2 * DEADLINE_MS, &a);
+	status = a.status;
+	harness_response_free(&a);
+	return status;
+}
+
+static void
+check_hosts_answer(const char *body, int status)
+{
+	for (int i = 0; i < n_hosts; i++)
+		g_assert_cmpint(ask(&hosts[i], body), ==, status);
+}
+
+/*
+ * A quarantine that another writer invents in the store rejects its request,
+ * as it can't be told from a real one, and no other; it ends with its item.
+ */
+static void
+test_invented(void)
+{
+	static const char key[] = "sequoia/quarantine/00000000000000aa";
+	static const struct crash_case crash = { "an invented quarantine",
+		"/safe/1", { .body = "rotten" }, false, false, false };
+	const struct crash_case *x = &crash;
+	int64_t longest_ms = 4 * 3600 * 1000;
+	g_autofree char *value = NULL;
+	json_t *list;
+	json_t *one;
+	size_t i;
+
+	fakeplat_set_crash(platform, &x->crash);
+	atomic_store(&current, x);
+	atomic_store(&crashing, true);
+	g_usleep(USEC_PER_SEC);
+	wait_past_bound(STABLE_TIME);
+	atomic_store(&crashing, false);
+	g_usleep(2 * DEADLINE_MS * USEC_PER_MSEC);
+	check_hosts_answer(x->crash.body, 503);
+	fakeplat_set_crash(platform, &(struct fakeplat_crash){ 0 });
+	list = list_quarantines(&hosts[0]);
+	json_array_foreach(list, i, one)
+	{
+		const char *id = json_string_value(json_object_get(one, "id"));
+		g_autofree char *item =
+		    g_strconcat("sequoia/quarantine/", id, NULL);
+
+		fakeplat_delete(platform, item);
+	}
+	one = json_array_get(list, json_array_size(list) - 1);
+	value = g_strdup_printf("9\t%" PRId64 "\t%" PRId64 "\t%s",
+	    clock_wall() / USEC_PER_MSEC + longest_ms, longest_ms,
+	    json_string_value(
+		json_array_get(json_object_get(one, "parts"), 0)));
+	json_decref(list);
+	g_usleep((gulong)STABLE_TIME);
+	check_hosts_answer(x->crash.body, 200);
+	fakeplat_put(platform, key, value);
+	g_usleep((gulong)STABLE_TIME);
+	g_test_message("invented: %s", value);
+	check_hosts_answer(x->crash.body, 503);
+	check_hosts_answer("sound", 200);
+	fakeplat_delete(platform, key);
+	g_usleep((gulong)STABLE_TIME);
+	check_hosts_answer(x->crash.body, 200);
+}
+
 static void
 inject_fault(struct rng *r)
 {
@@ -475,6 +575,7 @@
 	if (seed == 0) {
 		g_test_add_func("/crashing-part/fleet", test_part);
 		g_test_add_func("/crashing-request/fleet", test_request);
+		g_test_add_func("/crashing-request/invented", test_invented);
 	} else {
 		g_test_add_func("/crashing-part/faults", test_part_faults);
 		g_test_add_func(
