gossip: a contact that has left is looked for again

On the way there its logs show a fleet in two parts: the only contact of all hosts was stopped as planned and started again, knew nobody but itself, and the others didn't look for it, as they do for members that are gone. They did once they had forgotten that it left, after 60 s, or when one of them restarted. The list of hosts in the store wasn't written yet.

A contact that has left is probed like one that is gone, at the same bounded rate.

test_member, returned-contact: 0 of 3 members saw the others after 10 rounds, now all.

--- a/kernel/gossip.c
+++ b/kernel/gossip.c
@@ -169,7 +169,10 @@
 	return false;
 }
 
-/* Probes a contact address or a gone member, at a bounded rate. */
+/*
+ * Probes a contact address or a gone member, at a bounded rate.  A contact that
+ * has left may be back and know nobody.
+ */
 static size_t
 try_contact(struct gossip *g, usec_t now, struct gossip_send *out)
 {
@@ -183,7 +186,7 @@
 		    g->contacts[rng_below(&g->rng, g->n_contacts)];
 
 		m = member_by_rpc(t, rpc);
-		if (m != NULL && (m == t->self || m->state != MEMBER_GONE))
+		if (m != NULL && (m == t->self || m->state < MEMBER_GONE))
 			continue;
 		gossip_message_begin(g, out, rpc, true);
 		gossip_message_fill(g, now, &out->m, m);
--- a/tests/kernel/test_member.c
+++ b/tests/kernel/test_member.c
@@ -535,6 +535,31 @@
 	fleet_free(f);
 }
 
+/*
+ * The only contact of a fleet is stopped as planned and comes back: it knows
+ * nobody else, so the others must look for it.
+ */
+static void
+test_returned_contact(void)
+{
+	static const char *const contacts[] = { "127.0.0.1:1000" };
+	struct fleet *f = fleet_new(3, 8);
+
+	for (int i = 0; i < f->n; i++)
+		gossip_set_contacts(&f->v[i], contacts, 1);
+	run_until_seeing(f, 3, 60);
+	member_leave(&f->v[0].members, f->now);
+	run_fleet_rounds(f, 10);
+	f->down[0] = true;
+	g_assert_cmpint(count_seeing(f, 2), ==, 2);
+	f->down[0] = false;
+	gossip_free(&f->v[0]);
+	start(f, 0, 2);
+	gossip_set_contacts(&f->v[0], contacts, 1);
+	run_until_seeing(f, 3, 10);
+	fleet_free(f);
+}
+
 /* A message of one member to another. */
 static struct gossip_message
 message_from(const struct member_info *from)
@@ -626,6 +651,7 @@
 	g_test_add_func("/member/unresponsive", test_unresponsive);
 	g_test_add_func("/member/partition", test_partition);
 	g_test_add_func("/member/departure", test_departure);
+	g_test_add_func("/member/returned-contact", test_returned_contact);
 	g_test_add_func("/member/removed-requester", test_removed_requester);
 	g_test_add_func("/member/long-names", test_long_names);
 	return g_test_run();
