streams: a host that drains alone records its streams

The logs: h4, which knew no other live host, was stopped; while it drained, its list of live hosts was empty, as it isn't one itself. Without a host to record them, its streams of a version other than the base began without a record; resumed at a host that had never heard of them, they were taken for the base version's.

Cause: who records and who reads the records is chosen among the live hosts. Without one, the host does it itself, which goes on as long as it serves.

test_mixed_versions, begun-at-the-last-host-as-it-drains: 9 of 16 streams had two versions, now 0 of 16 in three plays.

--- a/entry/relay.c
+++ b/entry/relay.c
@@ -610,6 +610,7 @@
 	    .base = p->base,
 	    .discovery = d,
 	    .self = y->o.settings->id,
+	    .self_rpc = y->o.settings->rpc,
 	});
 	y->started = true;
 	pthread_create(&y->thread, NULL, run, y);
--- a/entry/stream_recordings.c
+++ b/entry/stream_recordings.c
@@ -30,7 +30,10 @@
 	void *arg;
 };
 
-/* Returns the address of the host that records streams; NULL: none is known. */
+/*
+ * Returns the address of the host that records streams.  A host that drains is
+ * none of the live ones, and records its own streams if it knows no other.
+ */
 static const char *
 choose_recorder(const struct stream_resumes *x, usec_t now)
 {
@@ -45,7 +48,7 @@
 	}
 	recorder = stream_recorder_choose(&x->recorder, v, x->peers->len, now);
 	free(v);
-	return recorder;
+	return recorder != NULL ? recorder : x->o.self_rpc;
 }
 
 static void
@@ -133,7 +136,7 @@
 		    NULL);
 }
 
-/* Asks the next host to record the stream; ends the recording without one. */
+/* Asks the next host to record the stream, or ends the recording. */
 static void
 ask_next_recorder(struct stream_recording *k)
 {
@@ -144,7 +147,7 @@
 		log_text(LOG_LVL_NOTICE, "stream-unrecorded",
 		    "stream %s of %s, version %s: %u hosts asked", k->id,
 		    k->service, k->version, k->tries);
-	if (recorder != NULL && !is_obsolete(k, now)) {
+	if (!is_obsolete(k, now)) {
 		ask_recorder(k, recorder);
 		return;
 	}
@@ -207,8 +210,7 @@
 	const char *recorder = choose_recorder(x, now);
 	struct stream_recording *k;
 
-	if (recorder == NULL ||
-	    !stream_versions_records(
+	if (!stream_versions_records(
 		&x->streams, stream->service, stream->version, now))
 		return NULL;
 	k = xcalloc(1, sizeof(*k));
--- a/entry/stream_resumes.c
+++ b/entry/stream_resumes.c
@@ -217,7 +217,8 @@
 
 /*
  * Returns the address of the host that reads the store: this one if the store
- * answers it, else one that has replied, else any; NULL: none is known.
+ * answers it, else one that has replied, else any.  A host that drains is none
+ * of the live ones, and reads it by itself if it knows no other.
  */
 static const char *
 choose_reader(const struct resume_search *s)
@@ -237,9 +238,9 @@
 		    (other == NULL || rng_entropy() % 2 == 0))
 			other = p->rpc;
 	}
-	return self != NULL && (other == NULL || is_confirmed(x, clock_now()))
-	    ? self
-	    : other;
+	if (other == NULL)
+		return x->o.self_rpc;
+	return self != NULL && is_confirmed(x, clock_now()) ? self : other;
 }
 
 /* Looks for a stream in the store that no host knows. */
@@ -255,8 +256,7 @@
 	m->ask = s->number;
 	m->id = s->id;
 	m->service = s->service;
-	if (reader != NULL)
-		rpc_send(discovery_rpc(s->owner->o.discovery), reader, &body);
+	rpc_send(discovery_rpc(s->owner->o.discovery), reader, &body);
 	stream_resumes_wait(s->timer, &s->wait, LOOK_TIME);
 }
 
--- a/entry/stream_resumes.h
+++ b/entry/stream_resumes.h
@@ -20,7 +20,8 @@
 struct stream_resumes_opts {
 	struct event_base *base;
 	struct discovery *discovery;
-	const char *self; /* id of this host */
+	const char *self;     /* id of this host */
+	const char *self_rpc; /* its address */
 };
 
 struct stream_resumes *stream_resumes_new(const struct stream_resumes_opts *o);
--- a/tests/platform/test_mixed_versions.c
+++ b/tests/platform/test_mixed_versions.c
@@ -77,6 +77,8 @@
 	/* The host where they go on, while the others reply to it. */
 	bool stands_still;
 	bool kill_recorder; /* before the store is restored */
+	/* The streams begin at the last host, while it drains. */
+	bool is_last;
 	/* The store is restored from a copy before the hosts are killed. */
 	enum {
 		NOT_RESTORED,
@@ -127,6 +129,8 @@
 	{ "all-hosts-killed-and-records-of-a-lost-host-by-a-restore",
 	    "/stream/1", "stall", BOTH, BOTH, true, .kill_all = true,
 	    .kill_recorder = true, .restored = WITHOUT_RECORDS },
+	{ "begun-at-the-last-host-as-it-drains", "/stream/1", "stall", BOTH,
+	    BOTH, true, .kill_all = true, .is_last = true },
 	/*
 	 * The base version has few targets: for two minutes from then on, its
 	 * streams can't be told from others that have no record.
@@ -266,7 +270,7 @@
 static void
 begin_stream(struct stream *s, const struct version_case *x, int number)
 {
-	int host = x->kill_host ? 0 : number % HOSTS;
+	int host = x->kill_host || x->is_last ? 0 : number % HOSTS;
 	g_autofree char *q = NULL;
 	struct harness_response a;
 
@@ -437,6 +441,47 @@
 	g_assert_true(harness_wait_ready(&hosts[0], TIMEOUT_SECONDS));
 }
 
+static void
+stop_host(int i)
+{
+	kill(hosts[i].pid, SIGTERM);
+	g_assert_cmpint(harness_wait_exit(&hosts[i]), ==, 0);
+}
+
+struct beginning {
+	struct stream *stream;
+	const struct version_case *x;
+	int number;
+};
+
+static gpointer
+run_beginning(gpointer arg)
+{
+	const struct beginning *b = arg;
+
+	begin_stream(b->stream, b->x, b->number);
+	return NULL;
+}
+
+static void
+begin_at_last_host(struct stream *v, const struct version_case *x)
+{
+	struct beginning b[STREAMS];
+	GThread *threads[STREAMS];
+
+	for (int i = 1; i < HOSTS; i++)
+		stop_host(i);
+	kill(hosts[0].pid, SIGTERM);
+	g_usleep((gulong)ASK_TIME);
+	for (int i = 0; i < STREAMS; i++) {
+		b[i] = (struct beginning){ &v[i], x, i };
+		threads[i] = g_thread_new(NULL, run_beginning, &b[i]);
+	}
+	for (int i = 0; i < STREAMS; i++)
+		g_thread_join(threads[i]);
+	g_assert_cmpint(harness_wait_exit(&hosts[0]), ==, 0);
+}
+
 static void
 run_case(gconstpointer arg)
 {
@@ -455,7 +500,9 @@
 	set_versions(x->begun);
 	prepare_copy(x);
 	cut_stores(x->without_store);
-	for (int i = 0; i < STREAMS; i++)
+	if (x->is_last)
+		begin_at_last_host(v, x);
+	for (int i = 0; !x->is_last && i < STREAMS; i++)
 		begin_stream(&v[i], x, i);
 	if (x->kill_host) {
 		kill(hosts[0].pid, SIGKILL);
