--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -532,13 +532,20 @@
 	return p != NULL ? (uint32_t)atoi(p + strlen(text)) : 0;
 }
 
-/* The event before which "long-break" resets the connection. */
+/* The event before which the stream's connection is reset; 0: none. */
 static uint32_t
-break_event(const char *behavior)
+break_event(const struct conn *c)
 {
-	uint32_t at = number_after(behavior, "-at-");
+	struct str behavior = str_from(c->behavior);
+	uint32_t at = number_after(c->behavior, "-at-");
 
-	return at > 0 ? at : LONG_BREAK_EVENT;
+	if (str_eq(behavior, STR("break-last")))
+		return c->n_events + 1;
+	if (str_has_prefix(behavior, STR("break")))
+		return 3;
+	if (str_has_prefix(behavior, STR("long-break")))
+		return at > 0 ? at : LONG_BREAK_EVENT;
+	return 0;
 }
 
 static void
@@ -561,10 +568,7 @@
 		return;
 	}
 
-	if ((str_has_prefix(str_from(c->behavior), STR("break")) &&
-		c->next_event == 3) ||
-	    (str_has_prefix(str_from(c->behavior), STR("long-break")) &&
-		c->next_event == break_event(c->behavior))) {
+	if (c->next_event == break_event(c)) {
 		reset_conn(c);
 		return;
 	}
@@ -675,6 +679,7 @@
  * also has these behaviors:
  *
  *   break        resets the connection after two events
+ *   break-last   resets it after the last event, before the stream's end
  *   stall        sends no more bytes after two events
  *   ...-409-N    refuses the second to Nth arrival, as its inputs are gone
  *   ...-500-2    responds with status 500 to the second arrival
--- a/tests/platform/test_cut_answers.c
+++ b/tests/platform/test_cut_answers.c
@@ -77,6 +77,8 @@
 	{ "break-answer-500" },
 	{ "break-answer-503" },
 	{ "break-answer-404-all", true },
+	/* No event is left: the rest is an end. */
+	{ "break-last" },
 };
 
 static struct fakeplat_attempt
