--- a/plat/http.h
+++ b/plat/http.h
@@ -67,12 +67,12 @@
 /* Cancels a call; an id of a call that has ended is ignored. */
 void http_cancel(struct http_loop *l, uint64_t call);
 /*
- * Waits at most the given time for events and handles them.  Returns a time by
- * which all that had arrived is read; who takes a missing answer for lost
- * judges by it.
+ * Waits at most the given time for events and handles them.  Returns a time:
+ * all that had arrived by then has been read.  Whether an answer is missing is
+ * to be judged by it.
  */
 usec_t http_run(struct http_loop *l, usec_t wait);
-/* Returns that time, also to handlers, for what they were called for. */
+/* Returns the same time; in a handler, that of its event. */
 usec_t http_read_until(const struct http_loop *l);
 /* Interrupts the wait in http_run; may be called from any thread. */
 void http_wake(struct http_loop *l);
