gossip: a contact that is away for good doesn't hide gone members

Contacts and gone members now take turns by chance, at the same rate as before; if one kind is lacking, the other is probed.

--- a/kernel/gossip.c
+++ b/kernel/gossip.c
@@ -169,31 +169,34 @@
 	return false;
 }
 
-/*
- * Probes a contact address or a gone member, at a bounded rate.  A contact that
- * has left may be back and know nobody.
- */
+/* A contact that has left may be back and know nobody. */
 static size_t
-try_contact(struct gossip *g, usec_t now, struct gossip_send *out)
+probe_contact(struct gossip *g, usec_t now, struct gossip_send *out)
 {
 	struct members *t = &g->members;
-	struct member *m;
 
-	if (rng_below(&g->rng, t->n_up) >= CONTACTS_PER_ROUND)
-		return 0;
 	for (int i = 0; i < CONTACT_TRIES && g->n_contacts > 0; i++) {
 		const char *rpc =
 		    g->contacts[rng_below(&g->rng, g->n_contacts)];
+		struct member *m = member_by_rpc(t, rpc);
 
-		m = member_by_rpc(t, rpc);
 		if (m != NULL && (m == t->self || m->state < MEMBER_GONE))
 			continue;
 		gossip_message_begin(g, out, rpc, true);
 		gossip_message_fill(g, now, &out->m, m);
 		return 1;
 	}
+	return 0;
+}
+
+static size_t
+probe_gone(struct gossip *g, usec_t now, struct gossip_send *out)
+{
+	struct members *t = &g->members;
+
 	for (int i = 0; i < CONTACT_TRIES; i++) {
-		m = t->v[rng_below(&g->rng, t->n)];
+		struct member *m = t->v[rng_below(&g->rng, t->n)];
+
 		if (m->state != MEMBER_GONE)
 			continue;
 		send_probe(g, now, m, out);
@@ -202,6 +205,25 @@
 	return 0;
 }
 
+/*
+ * Probes a contact address or a gone member, at a bounded rate.  Either may be
+ * away for good and must not keep the other from being probed.
+ */
+static size_t
+probe_absent(struct gossip *g, usec_t now, struct gossip_send *out)
+{
+	size_t n;
+
+	if (rng_below(&g->rng, g->members.n_up) >= CONTACTS_PER_ROUND)
+		return 0;
+	if (rng_below(&g->rng, 2) == 0) {
+		n = probe_contact(g, now, out);
+		return n > 0 ? n : probe_gone(g, now, out);
+	}
+	n = probe_gone(g, now, out);
+	return n > 0 ? n : probe_contact(g, now, out);
+}
+
 /*
  * After a pause of this process, missing answers do not show that members
  * failed: restarts the timeouts.
@@ -313,7 +335,7 @@
 		probe(g, now, m, &out[n++]);
 		last = m;
 	}
-	return n + try_contact(g, now, &out[n]);
+	return n + probe_absent(g, now, &out[n]);
 }
 
 static void
--- a/tests/kernel/test_member.c
+++ b/tests/kernel/test_member.c
@@ -560,6 +560,39 @@
 	fleet_free(f);
 }
 
+/*
+ * The only contact of a fleet is away for good, as planned, when the fleet is
+ * cut in two: the parts must find each other by their gone members, whether the
+ * contact is still known or forgotten.
+ */
+static void
+test_partition_without_contact(void)
+{
+	static const char *const contacts[] = { "127.0.0.1:1000" };
+	static const int rounds_away[] = { 10,
+		(int)(MEMBER_LEFT_RETENTION / GOSSIP_INTERVAL) + 10 };
+
+	for (size_t k = 0; k < G_N_ELEMENTS(rounds_away); k++) {
+		struct fleet *f = fleet_new(9, 9);
+
+		for (int i = 0; i < f->n; i++)
+			gossip_set_contacts(&f->v[i], contacts, 1);
+		run_until_seeing(f, 9, 60);
+		member_leave(&f->v[0].members, f->now);
+		run_fleet_rounds(f, 10);
+		f->down[0] = true;
+		run_fleet_rounds(f, rounds_away[k]);
+		for (int i = 1; i < 5; i++)
+			f->partition[i] = 1;
+		run_fleet_rounds(f, 60);
+		g_assert_cmpint(count_seeing(f, 4), ==, 8);
+		for (int i = 1; i < 5; i++)
+			f->partition[i] = 0;
+		run_until_seeing(f, 8, 40);
+		fleet_free(f);
+	}
+}
+
 /* A message of one member to another. */
 static struct gossip_message
 message_from(const struct member_info *from)
@@ -652,6 +685,8 @@
 	g_test_add_func("/member/partition", test_partition);
 	g_test_add_func("/member/departure", test_departure);
 	g_test_add_func("/member/returned-contact", test_returned_contact);
+	g_test_add_func("/member/partition-without-contact",
+	    test_partition_without_contact);
 	g_test_add_func("/member/removed-requester", test_removed_requester);
 	g_test_add_func("/member/long-names", test_long_names);
 	return g_test_run();
