--- a/entry/stream_recordings.c
+++ b/entry/stream_recordings.c
@@ -30,10 +30,7 @@
 	void *arg;
 };
 
-/*
- * Returns the address of the host that records streams.  A host that drains is
- * none of the live ones, and records its own streams if it knows no other.
- */
+/* Returns the address of the host that records streams. */
 static const char *
 choose_recorder(const struct stream_resumes *x, usec_t now)
 {
@@ -46,9 +43,10 @@
 
 		v[i] = (struct rendezvous_host){ p->rpc, p->capacity };
 	}
-	recorder = stream_recorder_choose(&x->recorder, v, x->peers->len, now);
+	recorder = stream_recorder_choose(
+	    &x->recorder, v, x->peers->len, x->o.self_rpc, now);
 	free(v);
-	return recorder != NULL ? recorder : x->o.self_rpc;
+	return recorder;
 }
 
 static void
--- a/kernel/stream_recorder.c
+++ b/kernel/stream_recorder.c
@@ -13,7 +13,7 @@
 
 const char *
 stream_recorder_choose(const struct stream_recorder *r,
-    const struct rendezvous_host *v, size_t n, usec_t now)
+    const struct rendezvous_host *v, size_t n, const char *self, usec_t now)
 {
 	const char *ids[STREAM_RECORDERS];
 	size_t n_ids =
@@ -25,7 +25,7 @@
 		if (until == NULL || now >= *until)
 			return ids[i];
 	}
-	return n_ids > 0 ? ids[0] : NULL;
+	return n_ids > 0 ? ids[0] : self;
 }
 
 void
--- a/kernel/stream_recorder.h
+++ b/kernel/stream_recorder.h
@@ -26,11 +26,12 @@
 
 void stream_recorder_init(struct stream_recorder *r);
 /*
- * Returns the id of the host to ask; if the first STREAM_RECORDERS have all
- * failed lately, the first of them; NULL: there is no host.
+ * Returns the id of the live host to ask; if the first STREAM_RECORDERS have
+ * all failed lately, the first of them.  A host that drains isn't live itself:
+ * self, its id, is returned if it knows no other.
  */
 const char *stream_recorder_choose(const struct stream_recorder *r,
-    const struct rendezvous_host *v, size_t n, usec_t now);
+    const struct rendezvous_host *v, size_t n, const char *self, usec_t now);
 /* The host has not recorded a stream. */
 void stream_recorder_failed(
     struct stream_recorder *r, const char *id, usec_t now);
--- a/tests/kernel/test_stream_records.c
+++ b/tests/kernel/test_stream_records.c
@@ -431,20 +431,21 @@
 	const char *seen[STREAM_RECORDERS];
 
 	stream_recorder_init(&r);
-	g_assert_null(stream_recorder_choose(&r, NULL, 0, 0));
+	g_assert_cmpstr(
+	    stream_recorder_choose(&r, NULL, 0, "self", 0), ==, "self");
 	for (size_t i = 0; i < STREAM_RECORDERS; i++) {
 		seen[i] = stream_recorder_choose(
-		    &r, hosts, G_N_ELEMENTS(hosts), SECOND);
+		    &r, hosts, G_N_ELEMENTS(hosts), "self", SECOND);
 		for (size_t k = 0; k < i; k++)
 			g_assert_cmpstr(seen[i], !=, seen[k]);
 		stream_recorder_failed(&r, seen[i], SECOND);
 	}
 	/* All have failed; later the first one is asked again. */
-	g_assert_cmpstr(
-	    stream_recorder_choose(&r, hosts, G_N_ELEMENTS(hosts), 2 * SECOND),
+	g_assert_cmpstr(stream_recorder_choose(
+			    &r, hosts, G_N_ELEMENTS(hosts), "self", 2 * SECOND),
 	    ==, seen[0]);
-	g_assert_cmpstr(
-	    stream_recorder_choose(&r, hosts, G_N_ELEMENTS(hosts), 4 * SECOND),
+	g_assert_cmpstr(stream_recorder_choose(
+			    &r, hosts, G_N_ELEMENTS(hosts), "self", 4 * SECOND),
 	    ==, seen[0]);
 	stream_recorder_free(&r);
 }
