Tests: a call that nobody answers, judged after http_run

Since http_run returns the time to judge by, the cases with an answer would also pass if that time stood still.

--- a/tests/plat/test_http.c
+++ b/tests/plat/test_http.c
@@ -246,6 +246,8 @@
 	    .body_bytes = 100,
 	    .answered = true,
 	    .in_handler = true },
+	{ .name = "no answer, judged after http_run",
+	    .judged_after = 300 * USEC_PER_MSEC },
 	{ "connection", 0, 300 * USEC_PER_MSEC, 0, true,
 	    "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n", 100, false,
 	    true },
