Hosts that start together hold callers until they are configured

Cause: a process accepts connections as soon as it listens, about 60 ms before its first listing of the store.

Change: connections wait in the listening socket until the first configuration is in force, for 300 ms at most (kernel/overload/start_hold); then a host whose store is away turns requests away as before.

--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -441,6 +441,17 @@
 	h->o.limits = *l;
 }
 
+void
+httpd_accept(struct httpd *h, bool accepts)
+{
+	if (h->listener == NULL)
+		return;
+	if (accepts)
+		evconnlistener_enable(h->listener);
+	else
+		evconnlistener_disable(h->listener);
+}
+
 const struct httpmsg *
 httpd_message(const struct httpd_request *q)
 {
--- a/entry/httpd.h
+++ b/entry/httpd.h
@@ -79,6 +79,10 @@
 /* Starts listening; returns NULL and sets e if addr can't be used. */
 struct httpd *httpd_new(const struct httpd_opts *o, struct err *e);
 void httpd_set_limits(struct httpd *h, const struct httpd_limits *l);
+/*
+ * Takes connections, or leaves those that callers make in the listening socket.
+ */
+void httpd_accept(struct httpd *h, bool accepts);
 
 const struct httpmsg *httpd_message(const struct httpd_request *q);
 /* Time at which the first byte of the request arrived. */
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -8,6 +8,7 @@
 #include "entry/relay_request.h"
 #include "entry/relay_stopping.h"
 #include "entry/discovery.h"
+#include "kernel/overload/start_hold.h"
 
 #include <inttypes.h>
 #include <pthread.h>
@@ -49,6 +50,8 @@
 	struct event *inbox_event;
 	struct event *tick;
 	struct view *view;
+	struct start_hold start_hold;
+	bool accepts; /* callers' connections */
 	pthread_t thread;
 	bool started;
 	int wake_fd;
@@ -193,6 +196,22 @@
 	}
 }
 
+static void
+accept_callers(struct relay *y, usec_t now)
+{
+	char held[32];
+
+	if (y->accepts || !start_hold_is_over(&y->start_hold, now))
+		return;
+	y->accepts = true;
+	httpd_accept(y->httpd, true);
+	snprintf(held, sizeof(held), "%" PRId64,
+	    (now - y->start_hold.started_at) / USEC_PER_MSEC);
+	LOG(LOG_LVL_INFO, "accepting", { "held_ms", str_from(held) },
+	    { "configured",
+		y->start_hold.has_config ? STR("yes") : STR("no") });
+}
+
 static void
 apply_view(struct relay *y, struct view *v)
 {
@@ -219,6 +238,7 @@
 			INITIAL_LIMITS.head_timeout,
 			INITIAL_LIMITS.idle_timeout });
 		coordinator_set_routes(y->shared.coordinator, v->routes);
+		y->start_hold.has_config = true;
 	}
 	if (y->view != NULL)
 		close_delisted(y, y->view->targets);
@@ -229,6 +249,7 @@
 	stream_resumes_set_view(y->shared.stream_resumes, v);
 	if (v->quarantine.entries->len > 0)
 		reject_quarantined(y);
+	accept_callers(y, clock_now());
 }
 
 static void
@@ -364,13 +385,15 @@
 
 	(void)fd;
 	(void)what;
+	y->start_hold.stopping = stops;
+	accept_callers(y, now);
 	stop_tick(y, coordinates, now);
 	host_memory_tick(y->o.memory);
 	dialer_sweep(y->shared.dialer, now);
 	target_calls_tick(y->shared.target_calls, now);
 	target_limits_tick(y->shared.target_limits, now);
 	stream_resumes_tick(y->shared.stream_resumes, now);
-	waiting = waiting || coordinates || stops;
+	waiting = waiting || coordinates || stops || !y->accepts;
 	next = waiting ? TICK_INTERVAL : IDLE_TICK_INTERVAL;
 	tv = (struct timeval){ next / USEC_PER_SEC, next % USEC_PER_SEC };
 	evtimer_add(y->tick, &tv);
@@ -594,6 +617,8 @@
 	    .self_rpc = y->o.settings->rpc,
 	});
 	y->started = true;
+	y->start_hold.started_at = clock_now();
+	httpd_accept(y->httpd, false);
 	pthread_create(&y->thread, NULL, run, y);
 }
 
