Cold targets: a bound for all hosts together, and a share that rises

A target that is cold bears ColdPerS requests a second from all hosts together and crashes at more. ColdLeftMs was checked and thrown away, so every host took a domain that came back for idle. Least urgent requests warm it. Nothing changes without ColdPerS in the configuration.

A cold time below 0 or above 600 s is logged and not used; the entry is.

--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -248,7 +248,7 @@
 
 		if (now < t->aside_until)
 			continue;
-		if (t->limit.rate > 0 || now < t->rest_until)
+		if (loads_is_limited(t, now) || now < t->rest_until)
 			n_limited++;
 		else
 			n++;
--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -447,7 +447,7 @@
 
 	/* With a limit, each request to the target takes the place of a call.
 	 */
-	if (t->limit.rate == 0)
+	if (!loads_is_limited(t, now))
 		flush_frees(c, t);
 	call->coordinator = c;
 	call->pool = p;
@@ -464,7 +464,7 @@
 	write_calls(call, &body, now);
 	result_space_reserve(&c->result_space, call->addr, call->bytes);
 	g_hash_table_add(c->calls, call);
-	loads_sent(t, now);
+	loads_sent_alone(t, now);
 	c->counts.calls++;
 	c->counts.slow_calls += call->slow;
 	c->counts.pieces += items->len;
@@ -502,7 +502,7 @@
 			if (u == NULL || now - u->oldest <= FREE_INTERVAL ||
 			    !loads_allows_alone(t, now))
 				continue;
-			target_limit_sent(&t->limit, now);
+			loads_spend_alone(t, now);
 			flush_frees(c, t);
 		}
 	}
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -83,6 +83,7 @@
 	if (t.leaving)
 		LOG(LOG_LVL_INFO, "target-leaving", { "id", str_from(t.id) },
 		    { "service", str_from(t.service) });
+	t.read_at = clock_now();
 	roster_put(&d->roster, &t);
 }
 
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -72,6 +72,15 @@
 	};
 }
 
+/* From 0, the least urgent of the configuration, to 1. */
+static double
+urgency(const struct relay_request *r)
+{
+	int least = r->shared->least_rank;
+
+	return r->rank < least ? 1 - (double)MAX(r->rank, 0) / least : 0;
+}
+
 void
 forward_query(const struct relay_request *r, struct loads_query *query)
 {
@@ -86,6 +95,7 @@
 		.version = forward_call_version(r),
 		.sure_version = target_start_matters(&start),
 		.n_tried = r->n_tried,
+		.urgency = urgency(r),
 	};
 	for (size_t i = 0; i < r->n_tried; i++)
 		query->tried[i] = str_from(r->tried[i]);
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -193,6 +193,28 @@
 	}
 }
 
+static void
+set_cold_rules(struct relay *y, const struct routes *t)
+{
+	GHashTable *rules =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+
+	for (guint i = 0; i < t->services->len; i++) {
+		const struct service *s = routes_service_at(t, i);
+		struct target_cold_rule rule = {
+			.per_s = s->cold_per_s,
+			.over = y->o.settings->cold_over / 1000.0,
+			.slack = y->o.settings->cold_slack / 1000.0,
+		};
+
+		if (rule.per_s > 0)
+			g_hash_table_replace(rules, g_strdup(s->name),
+			    g_memdup2(&rule, sizeof(rule)));
+	}
+	loads_set_cold_rules(&y->shared.loads, rules);
+	y->shared.least_rank = t->least_rank;
+}
+
 static void
 apply_view(struct relay *y, struct view *v)
 {
@@ -202,6 +224,8 @@
 	    "version %" PRIu64 ", %u targets, %u hosts, store %s",
 	    t != NULL ? t->version : 0, v->targets->len, v->peers->len,
 	    v->store_unavailable ? "away" : "answering");
+	if (t != NULL && (y->view == NULL || y->view->routes != t))
+		set_cold_rules(y, t);
 	loads_update(&y->shared.loads, v->targets, clock_now());
 	stage_jobs_set_peers(y->shared.stage_jobs, v->peers, v->hosts_listed);
 	target_limits_set_hosts(y->shared.target_limits, v->peers, clock_now());
--- a/entry/relay_metrics.c
+++ b/entry/relay_metrics.c
@@ -105,6 +105,7 @@
 	put(out, "silent_calls_total", p->silent_calls);
 	put(out, "lost_calls_total", p->lost_calls);
 	put(out, "limited_targets", p->limited_targets);
+	put(out, "cold_targets", p->cold_targets);
 	put(out, "target_crashes_total", p->crashes);
 	put(out, "quarantines", p->quarantines);
 	put(out, "stage_calls_total", p->coordinator.calls);
--- a/entry/relay_metrics.h
+++ b/entry/relay_metrics.h
@@ -48,6 +48,7 @@
 	uint64_t silent_calls;
 	uint64_t lost_calls;
 	size_t limited_targets;
+	size_t cold_targets;
 	uint64_t crashes;
 	size_t quarantines;
 	size_t busy;
--- a/entry/relay_ops.c
+++ b/entry/relay_ops.c
@@ -35,6 +35,8 @@
 			.target_calls = target_calls_counts(s->target_calls),
 			.limited_targets =
 			    target_limits_count(s->target_limits),
+			.cold_targets =
+			    target_limits_cold_count(s->target_limits),
 			.crashes = crash_reports_count(s->crash_reports),
 			.quarantines = s->quarantine != NULL
 			    ? s->quarantine->entries->len
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -48,6 +48,7 @@
 	struct stage_jobs *stage_jobs;
 	struct coordinator *coordinator;
 	struct retry_quota_rule quota_rule;
+	int least_rank;           /* of the configuration in force */
 	GHashTable *retry_quotas; /* service -> struct retry_quota */
 	/*
 	 * Expected durations of stages and of the time until the first event,
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -85,6 +85,13 @@
 	    600000, "2000", "ms",
 	    "Time after which a target that reported its leave gets no new "
 	    "calls." },
+	{ "routes", "cold_over", SETTING_MILLI, OFFSET(cold_over), 0, 1000000,
+	    "1", "",
+	    "A cold target may get this many times the requests a second that "
+	    "the configuration names for its service, from the whole fleet." },
+	{ "routes", "cold_slack", SETTING_MILLI, OFFSET(cold_slack), 0,
+	    1000000000, "0", "requests",
+	    "Requests that a cold target may get in addition in one second." },
 	{ "fleet", "fleet_key", SETTING_TEXT, OFFSET(fleet_key), 16, 256, NULL,
 	    "", "The secret that authenticates the sequoiads to each other." },
 };
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -39,6 +39,8 @@
 	uint32_t retry_slack; /* thousandths of a call */
 	usec_t retry_window;
 	usec_t target_drain;
+	uint32_t cold_over;  /* thousandths */
+	uint32_t cold_slack; /* thousandths of a request */
 };
 
 enum setting_type {
--- a/entry/target_limits.c
+++ b/entry/target_limits.c
@@ -2,10 +2,13 @@
 #include "base/log.h"
 #include "kernel/arrival.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define MICRO 1e6
+#define MICRO         1e6
+/* How often targets are looked for that have become cold or warm. */
+#define COLD_INTERVAL (500 * USEC_PER_MSEC)
 
 struct target_limits {
 	struct target_limits_opts o;
@@ -16,6 +19,8 @@
 	 */
 	GHashTable *limited;
 	struct arrival arrival; /* of answers and messages */
+	int n_cold;             /* targets */
+	usec_t cold_at;         /* when the targets were last searched for it */
 };
 
 struct target_limits *
@@ -164,6 +169,50 @@
 	send_to_others(x, &body);
 }
 
+static void
+log_cold(struct target_limits *x, const char *source, usec_t now)
+{
+	struct target_load *t;
+
+	while ((t = loads_next_cold_change(x->o.loads, now)) != NULL) {
+		x->n_cold += t->cold_noted ? 1 : -1;
+		if (t->cold_noted)
+			log_text(LOG_LVL_NOTICE, "target-cold",
+			    "%s of %s, %s, %" PRId64
+			    " ms old: cold for %" PRId64 " ms",
+			    t->entry.id, t->entry.service, source,
+			    (now - t->entry.read_at) / USEC_PER_MSEC,
+			    (t->cold.until - now) / USEC_PER_MSEC);
+		else
+			log_text(LOG_LVL_NOTICE, "target-warm", "%s of %s: %s",
+			    t->entry.id, t->entry.service,
+			    t->listed ? "cold no longer; its share rises"
+				      : "no longer listed");
+	}
+}
+
+void
+target_limits_cold(struct target_limits *x, struct target_load *t,
+    const struct response_info *response)
+{
+	usec_t now = clock_now();
+
+	if (response->bad_cold.n > 0)
+		log_text(LOG_LVL_WARNING, "target-cold-malformed",
+		    "%s: \"%.*s\" is no time; it isn't used", t->entry.id,
+		    STR_FMT(response->bad_cold));
+	if (response->cold_left < 0)
+		return;
+	loads_cold(x->o.loads, t, response->cold_left, now);
+	log_cold(x, "its answer", now);
+}
+
+size_t
+target_limits_cold_count(const struct target_limits *x)
+{
+	return (size_t)x->n_cold;
+}
+
 static void
 receive_brittle(struct target_limits *x, const peer_brittle *m)
 {
@@ -217,6 +266,10 @@
 	gpointer id;
 
 	arrival_earliest(&x->arrival, now);
+	if (now - x->cold_at >= COLD_INTERVAL) {
+		x->cold_at = now;
+		log_cold(x, "its entry", now);
+	}
 	g_hash_table_iter_init(&it, x->limited);
 	while (g_hash_table_iter_next(&it, &id, NULL)) {
 		struct target_load *t = loads_find(x->o.loads, id);
--- a/entry/target_limits.h
+++ b/entry/target_limits.h
@@ -31,6 +31,11 @@
  */
 void target_limits_answered(struct target_limits *x, struct target_load *t,
     const struct response_info *response, usec_t sent_at, bool only_here);
+/* A target has answered, and says or doesn't say for how long it is cold. */
+void target_limits_cold(struct target_limits *x, struct target_load *t,
+    const struct response_info *response);
+/* Number of targets that are cold, of services that have a bound for it. */
+size_t target_limits_cold_count(const struct target_limits *x);
 /*
  * A target has answered a request that was sent at a time, and says or doesn't
  * say that it is brittle (kernel/overload/target_brittle.h).
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -37,6 +37,9 @@
 	l->domains = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
 	l->host_ids = g_ptr_array_new_with_free_func(g_free);
+	l->cold_rules =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	target_cold_hosts_init(&l->cold_hosts);
 }
 
 static void
@@ -57,6 +60,7 @@
     const char *self, usec_t now)
 {
 	struct rendezvous_host *copy = g_new(struct rendezvous_host, n + 1);
+	bool known_changed;
 	GHashTableIter it;
 	gpointer p;
 
@@ -68,15 +72,57 @@
 		copy[i] = (struct rendezvous_host){ id, v[i].capacity };
 	}
 	l->hosts = (struct target_limit_hosts){ copy, n, self };
+	known_changed = target_cold_hosts_set(&l->cold_hosts,
+	    (const char *const *)l->host_ids->pdata, n, self, now);
 	g_hash_table_iter_init(&it, l->by_id);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct target_load *t = p;
 
 		if (t->limit.rate > 0)
 			loads_limit_changed(l, t, now);
+		if (known_changed && target_cold_is_bounded(&t->cold, now))
+			target_cold_share(
+			    &t->cold, t->entry.id, &l->cold_hosts);
 	}
 }
 
+void
+loads_set_cold_rules(struct loads *l, GHashTable *rules)
+{
+	g_hash_table_destroy(l->cold_rules);
+	l->cold_rules = rules;
+}
+
+void
+loads_cold(
+    const struct loads *l, struct target_load *t, usec_t left, usec_t now)
+{
+	if (left > 0)
+		target_cold_share(&t->cold, t->entry.id, &l->cold_hosts);
+	target_cold_set(&t->cold, now + left, now);
+}
+
+struct target_load *
+loads_next_cold_change(struct loads *l, usec_t now)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	if (g_hash_table_size(l->cold_rules) == 0)
+		return NULL;
+	g_hash_table_iter_init(&it, l->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct target_load *t = p;
+		bool cold = t->listed && target_cold_is_cold(&t->cold, now);
+
+		if (cold != t->cold_noted) {
+			t->cold_noted = cold;
+			return t;
+		}
+	}
+	return NULL;
+}
+
 static void
 free_domain(gpointer p)
 {
@@ -221,15 +267,36 @@
 	t->bad_limit = false;
 }
 
+/* Takes over from an entry for how long its target is cold. */
+static void
+set_cold(struct loads *l, struct target_load *t, const struct target_entry *e,
+    bool older, usec_t now)
+{
+	const struct target_cold_rule *rule =
+	    g_hash_table_lookup(l->cold_rules, e->service);
+
+	t->cold.rule = rule != NULL ? *rule : (struct target_cold_rule){ 0 };
+	/* One that is listed again says nothing new, an older one may err. */
+	if (rule == NULL || e->cold_left < 0 || e->read_at == t->cold_read_at ||
+	    (older && e->cold_left == 0))
+		return;
+	t->cold_read_at = e->read_at;
+	if (e->cold_left > 0)
+		target_cold_share(&t->cold, t->entry.id, &l->cold_hosts);
+	target_cold_set(&t->cold, e->read_at + e->cold_left, now);
+}
+
 /*
  * Takes over an entry that the newest list has.  One of an earlier start of the
  * target, as from an older copy of the store, doesn't end what is known of the
  * later one.
  */
 static void
-set_entry(struct target_load *t, const struct target_entry *e, usec_t now)
+set_entry(struct loads *l, struct target_load *t, const struct target_entry *e,
+    usec_t now)
 {
 	struct target_entry known = t->entry;
+	bool back = t->unlisted_at != 0;
 	bool earlier = e->born_ms != 0 && e->born_ms < t->born_ms;
 	bool older = earlier || (e->seq != 0 && e->seq <= known.seq);
 
@@ -253,6 +320,11 @@
 	}
 	t->listed = true;
 	t->unlisted_at = 0;
+	set_cold(l, t, e, older, now);
+	if (!back || t->cold.rule.per_s == 0)
+		return;
+	target_cold_share(&t->cold, t->entry.id, &l->cold_hosts);
+	target_cold_appeared(&t->cold, now);
 }
 
 /* Frees a target that has been missing for long, unless it has calls. */
@@ -269,6 +341,7 @@
 void
 loads_update(struct loads *l, const GArray *targets, usec_t now)
 {
+	bool first = loads_is_empty(l);
 	GHashTableIter it;
 	gpointer p;
 
@@ -283,9 +356,10 @@
 		if (t == NULL) {
 			t = xcalloc(1, sizeof(*t));
 			t->entry = *e;
+			t->unlisted_at = first ? 0 : now;
 			g_hash_table_insert(l->by_id, t->entry.id, t);
 		}
-		set_entry(t, e, now);
+		set_entry(l, t, e, now);
 	}
 	g_hash_table_iter_init(&it, l->by_id);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
@@ -409,6 +483,7 @@
 	double slots = t->entry.slots > 0 ? t->entry.slots : 1;
 	double ms = strcmp(t->entry.domain, l->domain) == 0 ? 0 : REMOTE_MS;
 
+	ms += target_cold_cost(&t->cold, q->urgency, now);
 	if (!q->engine)
 		return ms + 20.0 * n_active / slots;
 	ms += n_active * RUNNING_MS;
@@ -483,7 +558,9 @@
 	for (guint i = 0; all != NULL && i < all->len; i++) {
 		const struct target_load *t = all->pdata[i];
 		usec_t wait = target_limit_wait(&t->limit, now);
+		usec_t cold_wait = target_cold_wait(&t->cold, now);
 
+		wait = cold_wait > wait ? cold_wait : wait;
 		if (t->rest_until - now > wait)
 			wait = t->rest_until - now;
 		shortest = wait < shortest ? wait : shortest;
@@ -502,13 +579,21 @@
 loads_allows(const struct target_load *t, usec_t now)
 {
 	return loads_allows_alone(t, now) &&
+	    target_cold_allows(&t->cold, now) &&
 	    target_brittle_allows(&t->brittle, t->in_flight, now);
 }
 
+bool
+loads_is_limited(const struct target_load *t, usec_t now)
+{
+	return t->limit.rate > 0 || target_cold_is_bounded(&t->cold, now);
+}
+
 bool
 loads_allows_alone(const struct target_load *t, usec_t now)
 {
 	return now >= t->rest_until && now >= t->brittle.pause_until &&
+	    target_cold_allows_alone(&t->cold, now) &&
 	    target_limit_allows(&t->limit, now);
 }
 
@@ -535,12 +620,28 @@
 		target_brittle_told(&t->brittle, a, &l->hosts, said_at);
 }
 
+void
+loads_spend_alone(struct target_load *t, usec_t now)
+{
+	target_limit_sent(&t->limit, now);
+	target_cold_sent(&t->cold, true, now);
+}
+
 void
 loads_sent(struct target_load *t, usec_t now)
 {
 	t->in_flight++;
 	t->sent_since++;
 	target_limit_sent(&t->limit, now);
+	target_cold_sent(&t->cold, false, now);
+}
+
+void
+loads_sent_alone(struct target_load *t, usec_t now)
+{
+	t->in_flight++;
+	t->sent_since++;
+	loads_spend_alone(t, now);
 }
 
 void
@@ -631,6 +732,8 @@
 loads_free(struct loads *l)
 {
 	free_hosts(l);
+	target_cold_hosts_free(&l->cold_hosts);
+	g_hash_table_destroy(l->cold_rules);
 	g_ptr_array_unref(l->host_ids);
 	g_hash_table_destroy(l->domains);
 	g_hash_table_destroy(l->by_service);
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -18,6 +18,7 @@
 
 #include "base/rng.h"
 #include "kernel/overload/target_brittle.h"
+#include "kernel/overload/target_cold.h"
 #include "kernel/overload/target_limit.h"
 #include "kernel/overload/target_speed.h"
 #include "kernel/roster.h"
@@ -51,7 +52,10 @@
 	uint32_t failures;         /* in a row */
 	struct target_limit limit;
 	struct target_brittle brittle;
-	bool bad_limit; /* its last answer named a malformed one */
+	struct target_cold cold;
+	usec_t cold_read_at; /* read_at of the entry that cold is from */
+	bool cold_noted;     /* as loads_next_cold_change() returned it */
+	bool bad_limit;      /* its last answer named a malformed one */
 	usec_t aside_until;
 	/* The target has asked this host for no request until then. */
 	usec_t rest_until;
@@ -69,6 +73,9 @@
 	/* The live hosts, among which limits of targets are shared. */
 	GPtrArray *host_ids;
 	struct target_limit_hosts hosts;
+	struct target_cold_hosts cold_hosts;
+	/* service -> struct target_cold_rule, of those with a bound */
+	GHashTable *cold_rules;
 };
 
 /* The usable targets of a service in one failure domain. */
@@ -83,6 +90,7 @@
 	bool engine;            /* the service's targets are model engines */
 	uint64_t prefix;        /* hash of the largest shared part; 0: none */
 	uint32_t shared_tokens; /* tokens that a target may have cached */
+	double urgency;         /* 0 to 1; target_cold_cost() */
 	struct str input_addr;  /* address of the first input; may be empty */
 	uint64_t input_bytes;
 	struct str version; /* of the target's software; empty: any */
@@ -108,6 +116,19 @@
 /* Sets the live hosts; self is the id of this one. */
 void loads_set_hosts(struct loads *l, const struct rendezvous_host *v, size_t n,
     const char *self, usec_t now);
+/*
+ * Sets the services whose cold targets bear few requests, for the lists that
+ * come after: service -> struct target_cold_rule, which l takes over.
+ */
+void loads_set_cold_rules(struct loads *l, GHashTable *rules);
+/* The target says for how long it is cold, or 0. */
+void loads_cold(
+    const struct loads *l, struct target_load *t, usec_t left, usec_t now);
+/*
+ * Returns a target that has become cold, or isn't any more, since this last
+ * returned it; or NULL.
+ */
+struct target_load *loads_next_cold_change(struct loads *l, usec_t now);
 /* Whether no target has been listed so far. */
 bool loads_is_empty(const struct loads *l);
 /*
@@ -162,6 +183,10 @@
 
 /* Counts a call that was sent to the target. */
 void loads_sent(struct target_load *t, usec_t now);
+/* The same for a host that alone calls the target. */
+void loads_sent_alone(struct target_load *t, usec_t now);
+/* Counts a request of such a host that is no call. */
+void loads_spend_alone(struct target_load *t, usec_t now);
 /* Records a load report: calls running and waiting at the target. */
 void loads_report(
     struct target_load *t, uint32_t running, uint32_t waiting, usec_t now);
@@ -189,9 +214,12 @@
  * Unlike a target that is set aside, it isn't used as a last resort either.
  */
 void loads_rest(struct target_load *t, usec_t time, usec_t now);
+/* Whether a limit, or that the target is cold, bounds what may be sent to it.
+ */
+bool loads_is_limited(const struct target_load *t, usec_t now);
 /*
- * Whether the target's limit and rest, and its state if it is brittle, allow a
- * request of this host now.
+ * Whether the target's limit and rest, its state if it is brittle and its time
+ * to become warm allow a request of this host now.
  */
 bool loads_allows(const struct target_load *t, usec_t now);
 /* The same for a host that alone calls the target, one call after the other. */
--- /dev/null
+++ b/kernel/overload/target_cold.h
@@ -0,0 +1,101 @@
+/*
+ * Targets that are cold after a start: they run slowly for a time, bear few
+ * requests a second and crash at more.
+ *
+ * Load patterns: a failure domain comes back whole beside a burst, and its
+ * targets look idle to every host, so the hosts' queues would all be sent to
+ * them at once; a release restarts half of the targets; a target becomes cold
+ * while it is busy.
+ *
+ * The bound is one for all hosts together, and hosts may not hear each other.
+ * So the owners alone send to a cold target, each at most one request in a
+ * period, which is a little more than a second if there are as many hosts as
+ * that needs.  Which hosts are owners follows from the target's id and the
+ * hosts that are known, not from messages.  Owners by two different lists of
+ * hosts keep the bound together, as each list uses half of it.  A host that has
+ * fallen silent stays in the list: if it is only cut off, it still sends.
+ *
+ * A target that is warm again, and one that is listed anew, gets its full share
+ * over some time: the number of owners doubles each second, and when all hosts
+ * are owners, the rate of each.
+ *
+ * Not covered: what is sent before a host learns that a target has become cold.
+ *
+ * Times are in microseconds.  A struct target_cold has no lock.
+ */
+#ifndef KERNEL_OVERLOAD_TARGET_COLD_H
+#define KERNEL_OVERLOAD_TARGET_COLD_H
+
+#include "base/clock.h"
+#include "base/str.h"
+
+#include <glib.h>
+#include <stdbool.h>
+
+/* How long a target's share rises after it has become warm. */
+#define TARGET_COLD_WARM_TIME (6 * USEC_PER_SEC)
+/* Longer times are not taken for a target's own. */
+#define TARGET_COLD_MAX_TIME  (600 * USEC_PER_SEC)
+
+/* What a cold target of a service bears.  A zeroed one sets no bound. */
+struct target_cold_rule {
+	double per_s; /* requests a second; 0: no bound */
+	double over;  /* at most so many times per_s ... */
+	double slack; /* ... and so many requests more, in one second */
+};
+
+/* The hosts that may send to targets. */
+struct target_cold_hosts {
+	GHashTable *known; /* id -> struct known_host */
+	char *self;
+};
+
+/* A zeroed one is of a target that is warm. */
+struct target_cold {
+	struct target_cold_rule rule;
+	usec_t until; /* it is cold until then; 0: it never was */
+	/* Its share rises from then on; 0: it has its full share. */
+	usec_t rises_at;
+	usec_t next_at; /* earliest time of this host's next request */
+	double phase;  /* of a period, at which this host's first one is sent */
+	uint32_t rank; /* of this host among the owners */
+	uint32_t hosts;
+};
+
+void target_cold_hosts_init(struct target_cold_hosts *h);
+/* Sets the live hosts; returns whether the known ones have changed. */
+bool target_cold_hosts_set(struct target_cold_hosts *h, const char *const *ids,
+    size_t n, const char *self, usec_t now);
+void target_cold_hosts_free(struct target_cold_hosts *h);
+
+/* Sets this host's rank for a target, after a change of the hosts. */
+void target_cold_share(struct target_cold *c, const char *target,
+    const struct target_cold_hosts *hosts);
+/*
+ * The target says that it is cold until a time; one that isn't after now says
+ * that it is warm.  Returns whether that differs from what was known.
+ */
+bool target_cold_set(struct target_cold *c, usec_t until, usec_t now);
+/* The target is listed anew: its share rises from now on. */
+void target_cold_appeared(struct target_cold *c, usec_t now);
+/* Whether it is cold, and its service has a bound. */
+bool target_cold_is_cold(const struct target_cold *c, usec_t now);
+/* Whether what may be sent to it is bounded now: it is cold, or has been. */
+bool target_cold_is_bounded(const struct target_cold *c, usec_t now);
+/* Whether this host may send a request now. */
+bool target_cold_allows(const struct target_cold *c, usec_t now);
+/* The same if no other host sends to the target. */
+bool target_cold_allows_alone(const struct target_cold *c, usec_t now);
+/* Counts a request that is sent; alone: no other host sends to the target. */
+void target_cold_sent(struct target_cold *c, bool alone, usec_t now);
+/*
+ * What the target costs a request of an urgency, 0 to 1, beside others, in
+ * milliseconds: a target becomes warm by what is least urgent, and what is
+ * urgent avoids it while it is cold.
+ */
+double target_cold_cost(
+    const struct target_cold *c, double urgency, usec_t now);
+/* Expected time until some host may send a request, or 0. */
+usec_t target_cold_wait(const struct target_cold *c, usec_t now);
+
+#endif
--- a/kernel/roster.c
+++ b/kernel/roster.c
@@ -36,6 +36,14 @@
 	    a->leaving == b->leaving && a->born_ms == b->born_ms;
 }
 
+/* Whether the entry tells nothing new of how long its target is cold. */
+static bool
+same_cold(const struct target_entry *known, const struct target_entry *t)
+{
+	return t->cold_left == known->cold_left &&
+	    (t->cold_left <= 0 || (t->seq != 0 && t->seq == known->seq));
+}
+
 void
 roster_put(struct roster *r, const struct target_entry *t)
 {
@@ -49,7 +57,7 @@
 	}
 	s->seen = true;
 	s->missing = false;
-	if (entries_equal(&s->t, t)) {
+	if (entries_equal(&s->t, t) && same_cold(&s->t, t)) {
 		s->t.seq = t->seq;
 		return;
 	}
--- a/kernel/roster.h
+++ b/kernel/roster.h
@@ -36,6 +36,9 @@
 	bool leaving;
 	uint64_t born_ms; /* start as Unix time; 0: unknown */
 	uint64_t seq;     /* rises with each report of the target; 0: unknown */
+	/* How long the target is cold, from read_at; negative: not known. */
+	usec_t cold_left;
+	usec_t read_at; /* when this host read the entry */
 };
 
 struct roster {
--- a/kernel/routes.c
+++ b/kernel/routes.c
@@ -161,6 +161,18 @@
 	g_ptr_array_add(host_routes, r);
 }
 
+static void
+note_least_rank(struct routes *t)
+{
+	t->least_rank = 0;
+	for (guint i = 0; i < t->routes->len; i++)
+		t->least_rank = MAX(t->least_rank,
+		    ((const struct route *)t->routes->pdata[i])->rank);
+	for (guint i = 0; i < t->owners->len; i++)
+		t->least_rank = MAX(t->least_rank,
+		    ((const struct key_owner *)t->owners->pdata[i])->rank);
+}
+
 void
 routes_freeze(struct routes *t)
 {
@@ -172,6 +184,7 @@
 		mark_last_stages(t->routes->pdata[i]);
 		index_route(t, t->routes->pdata[i]);
 	}
+	note_least_rank(t);
 	/* After the valid ones, which the stable sort leaves in front. */
 	for (guint i = 0; i < t->invalid->len; i++) {
 		struct route *r = t->invalid->pdata[i];
--- a/kernel/routes.h
+++ b/kernel/routes.h
@@ -84,6 +84,7 @@
 struct service {
 	char *name;
 	uint32_t max_conns; /* of one target, from all callers */
+	double cold_per_s;  /* requests a second to a cold target; 0: any */
 	bool has_pool;
 	bool has_engine;
 	struct pool_config pool;
@@ -105,6 +106,7 @@
 	GHashTable *hosts;
 	GHashTable *keys; /* struct str -> struct key_owner */
 	bool keyed;       /* requests carry keys */
+	int least_rank;   /* the largest of all routes and owners */
 	/* Limits of a request's header section and body. */
 	size_t head_bytes;
 	size_t body_bytes;
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -200,6 +200,7 @@
 	static const struct {
 		const char *key, *json;
 		bool ok, leaving;
+		usec_t cold_left;
 	} cases[] = {
 		{ "servers/i-1", READY, true, false },
 		{ "servers/i-1", STATE("\"draining\""), true, true },
@@ -282,6 +283,14 @@
 		{ "servers/i-1", MORE("\"born\":9223372036854775807"), false,
 		    false },
 		{ "servers/i-1", MORE("\"born\":1e300"), false, false },
+		/* Cold times that no target can mean: the rest is used. */
+		{ "servers/i-1", WITH("ColdLeftMs", "-1"), true, false, -1 },
+		{ "servers/i-1", WITH("ColdLeftMs", "1e300"), true, false, -1 },
+		{ "servers/i-1", WITH("ColdLeftMs", "600001"), true, false,
+		    -1 },
+		{ "servers/i-1", WITH("ColdLeftMs", "2500.5"), true, false,
+		    2500500 },
+		{ "servers/i-1", WITH("ColdLeftMs", "\"3\""), false, false },
 		/* Names that would break a header field or a stored record. */
 		{ "servers/i-1", WITH("Service", "\"s\\ns\""), false, false },
 		{ "servers/i-1", WITH("Version", "\"v1 v2\""), false, false },
@@ -298,8 +307,11 @@
 
 		g_test_message("%s %s", cases[i].key, cases[i].json);
 		g_assert_cmpint(ok, ==, cases[i].ok);
-		if (ok)
-			g_assert_cmpint(t.leaving, ==, cases[i].leaving);
+		if (!ok)
+			continue;
+		g_assert_cmpint(t.leaving, ==, cases[i].leaving);
+		if (cases[i].cold_left != 0)
+			g_assert_cmpint(t.cold_left, ==, cases[i].cold_left);
 	}
 }
 
@@ -514,6 +526,37 @@
 	}
 }
 
+static void
+test_cold_response(void)
+{
+	static const struct {
+		const char *value;
+		usec_t cold_left;
+		bool bad;
+	} cases[] = {
+		{ "0", 0, false },
+		{ "1500", 1500000, false },
+		{ "600001", -1, true },
+		{ "-5", -1, true },
+		{ "soon", -1, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text =
+		    g_strdup_printf("HTTP/1.1 200 OK\r\nX-Cold-Ms: %s\r\n"
+				    "Content-Length: 0\r\n\r\n",
+			cases[i].value);
+		struct httpmsg m;
+		struct response_info f;
+
+		parse(&m, HTTP_RESPONSE, text);
+		platform_response_parse(&m, &f);
+		g_assert_cmpint(f.cold_left, ==, cases[i].cold_left);
+		g_assert_cmpint(f.bad_cold.n > 0, ==, cases[i].bad);
+		httpmsg_free(&m);
+	}
+}
+
 static void
 test_brittle(void)
 {
@@ -938,6 +981,7 @@
 	g_test_add_func("/request", test_request);
 	g_test_add_func("/call-head", test_call_head);
 	g_test_add_func("/response", test_response);
+	g_test_add_func("/cold-response", test_cold_response);
 	g_test_add_func("/limit", test_limit);
 	g_test_add_func("/report", test_report);
 	g_test_add_func("/brittle", test_brittle);
