dial: an answer whose connection was reset beside a write isn't complete

A target may answer while its call is being written, and reset the connection. The system reports a reset once: writing got it, and reading then got an end, as if the target had closed in order. Both came in one event, and an answer without a length passed as complete. An end counts only without an error, and once all of the call is written.

--- a/plat/dial.c
+++ b/plat/dial.c
@@ -338,6 +338,17 @@
 		c->call->connected(c->call->arg);
 }
 
+/*
+ * Whether the target has closed the connection after it has got the whole call.
+ * A reset is reported once: if writing gets it, reading gets an end.
+ */
+static bool
+closed_in_order(const struct conn *c, short what)
+{
+	return (what & BEV_EVENT_EOF) != 0 && (what & BEV_EVENT_ERROR) == 0 &&
+	    evbuffer_get_length(bufferevent_get_output(c->bev)) == 0;
+}
+
 static void
 on_event(struct bufferevent *bev, short what, void *arg)
 {
@@ -365,7 +376,7 @@
 		return;
 	}
 	/* Without a delivered head, what ends here is another response. */
-	if ((what & BEV_EVENT_EOF) && c->response.state == HTTPMSG_BODY &&
+	if (closed_in_order(c, what) && c->response.state == HTTPMSG_BODY &&
 	    c->call->head_delivered) {
 		httpmsg_eof(&c->response);
 		if (c->response.state == HTTPMSG_DONE) {
