http: what has no status from 100 to 599 is no response

The parsers took other numbers, and spaces before them: http_parser held 000, 099 and 20 for an interim response and went on waiting, and let 600 pass; libcurl let 600 and 'HTTP/1.1 200' pass. Both clients now check the beginning of the status line (plat/status_line), and the call goes on as after a broken one.

The new cases of test_httpmsg and test_http failed before and pass now. Those of test_cut_answers pass now; before the change they weren't run.

--- a/plat/http.c
+++ b/plat/http.c
@@ -1,5 +1,6 @@
 #include "plat/http.h"
 #include "plat/held.h"
+#include "plat/status_line.h"
 
 #include <assert.h>
 #include <curl/curl.h>
@@ -145,10 +146,12 @@
 {
 	struct transfer *t = arg;
 
-	(void)p;
 	n *= size;
 	if (n > HTTP_MAX_HEAD_BYTES - t->n_head)
 		return 0; /* fails the transfer */
+	if (str_has_prefix((struct str){ p, n }, STR("HTTP/")) &&
+	    !status_line_is_valid((struct str){ p, n }))
+		return 0;
 	t->n_head += n;
 	held_add(&t->held, n);
 	return n;
--- a/plat/httpmsg.c
+++ b/plat/httpmsg.c
@@ -122,6 +122,7 @@
 		 */
 		m->head_scanned = false;
 		m->head_begun = false;
+		m->n_status_line = 0;
 	} else {
 		m->state = HTTPMSG_DONE;
 	}
@@ -171,13 +172,26 @@
 	m->line_start = false;
 	m->head_scanned = false;
 	m->head_begun = false;
+	m->n_status_line = 0;
 	evbuffer_drain(m->body, evbuffer_get_length(m->body));
 }
 
+/* Returns false if the response doesn't begin as one. */
+static bool
+scan_status_line(struct httpmsg *m, char c)
+{
+	if (m->parser.type != HTTP_RESPONSE ||
+	    m->n_status_line == STATUS_LINE_BYTES)
+		return true;
+	m->status_line[m->n_status_line++] = c;
+	return status_line_is_valid(
+	    (struct str){ m->status_line, m->n_status_line });
+}
+
 /*
- * Counts the bytes of the header section.  Returns false if it is too large or
- * one of its lines starts with a blank: the parser would append that line to
- * the previous field.
+ * Counts the bytes of the header section.  Returns false if it is too large,
+ * has no status, or one of its lines starts with a blank: the parser would
+ * append that line to the previous field.
  */
 static bool
 scan_head(struct httpmsg *m, struct str s)
@@ -193,6 +207,8 @@
 		if (!m->head_begun && (c == '\r' || c == '\n'))
 			continue;
 		m->head_begun = true;
+		if (!scan_status_line(m, c))
+			return false;
 		if (m->line_start && (c == ' ' || c == '\t'))
 			return false;
 		if (m->line_start && c == '\n')
--- a/plat/httpmsg.h
+++ b/plat/httpmsg.h
@@ -11,6 +11,7 @@
 #define PLAT_HTTPMSG_H
 
 #include "base/str.h"
+#include "plat/status_line.h"
 
 #include <event2/buffer.h>
 #include <http_parser.h>
@@ -48,6 +49,8 @@
 	bool head_begun; /* a byte other than a line break was seen */
 	bool line_start; /* the next byte of the header section starts a line */
 	bool head_scanned; /* the header section's final blank line was seen */
+	char status_line[STATUS_LINE_BYTES]; /* of a response, its beginning */
+	size_t n_status_line;
 	struct evbuffer *body; /* received, not yet taken by the user */
 };
 
--- a/tests/plat/test_http.c
+++ b/tests/plat/test_http.c
@@ -226,6 +226,57 @@
 	}
 }
 
+/* What has no status fails, and is not taken for a response. */
+static void
+test_status(void)
+{
+	static const struct {
+		const char *head;
+		bool fails;
+	} cases[] = {
+		{ "HTTP/1.1 200 OK", false },
+		{ "HTTP/1.1 599", false },
+		{ "HTTP/1.1 000 OK", true },
+		{ "HTTP/1.1 099 OK", true },
+		{ "HTTP/1.1 600 OK", true },
+		{ "HTTP/1.1 20 OK", true },
+		{ "HTTP/1.1 2000 OK", true },
+		{ "HTTP/1.1  200 OK", true },
+		{ "HTTP/1.1 2 00 OK", true },
+		{ "HTTP/1.1 +200 OK", true },
+		{ "HTTP/1.1 -200 OK", true },
+		{ "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 000 OK", true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *head = g_strdup_printf(
+		    "%s\r\nContent-Length: 0\r\n\r\n", cases[i].head);
+		struct server s = { .base = event_base_new(), .head = head };
+		g_autofree char *url = NULL;
+		struct evconnlistener *l = start_server(&s, &url);
+		struct http_loop *loop = http_new();
+		struct result r = { 0 };
+
+		http_start(loop,
+		    &(struct http_opts){ .url = url,
+			.timeout = 20 * USEC_PER_SEC,
+			.max_bytes = MAX_BYTES,
+			.handler = on_event,
+			.arg = &r });
+		while (!r.ended) {
+			http_run(loop, USEC_PER_MSEC);
+			event_base_loop(s.base, EVLOOP_NONBLOCK);
+		}
+		g_test_message("%s: %s", cases[i].head,
+		    r.failed ? "failed" : "a response");
+		g_assert_cmpint(r.failed, ==, cases[i].fails);
+		http_free(loop);
+		event_base_loop(s.base, EVLOOP_NONBLOCK);
+		evconnlistener_free(l);
+		event_base_free(s.base);
+	}
+}
+
 struct room_case {
 	const char *name;
 	int calls;
@@ -738,6 +789,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions();
 	g_test_add_func("/http/endless", test_endless);
+	g_test_add_func("/http/status", test_status);
 	g_test_add_func("/http/many-answers", test_many_answers);
 	g_test_add_func("/http/watch-line", test_watch_line);
 	g_test_add_func("/http/beside-watch", test_beside_watch);
--- a/tests/plat/test_httpmsg.c
+++ b/tests/plat/test_httpmsg.c
@@ -48,6 +48,8 @@
 	{ "GET /p HTTP/1.1\r\nHo", HTTPMSG_HEAD, "", 0 },
 };
 
+#define STATUS(s) "HTTP/1.1" s "\r\nContent-Length: 2\r\n\r\nhi"
+
 static const struct message_case responses[] = {
 	{ "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", HTTPMSG_DONE, "hi",
 	    0 },
@@ -60,6 +62,26 @@
 	/* A response without a length ends with its connection. */
 	{ "HTTP/1.1 200 OK\r\n\r\nhi", HTTPMSG_BODY, "hi", 0 },
 	{ "\x01\x02 no answer", HTTPMSG_BAD, NULL, 0 },
+	{ STATUS(" 599 X"), HTTPMSG_DONE, "hi", 0 },
+	{ STATUS(" 200"), HTTPMSG_DONE, "hi", 0 },
+	{ "\r\n" STATUS(" 200 OK"), HTTPMSG_DONE, "hi", 0 },
+	/* What has no status is no response, nor an interim one. */
+	{ STATUS(" 000 OK"), HTTPMSG_BAD, NULL, 0 },
+	{ STATUS(" 099 OK"), HTTPMSG_BAD, NULL, 0 },
+	{ STATUS(" 600 OK"), HTTPMSG_BAD, NULL, 0 },
+	{ STATUS(" 999 OK"), HTTPMSG_BAD, NULL, 0 },
+	{ STATUS(" 20 OK"), HTTPMSG_BAD, NULL, 0 },
+	{ STATUS(" 2000 OK"), HTTPMSG_BAD, NULL, 0 },
+	{ STATUS(" 0200 OK"), HTTPMSG_BAD, NULL, 0 },
+	{ STATUS("  200 OK"), HTTPMSG_BAD, NULL, 0 },
+	{ STATUS(" 2 00 OK"), HTTPMSG_BAD, NULL, 0 },
+	{ STATUS(" +200 OK"), HTTPMSG_BAD, NULL, 0 },
+	{ STATUS(" -200 OK"), HTTPMSG_BAD, NULL, 0 },
+	{ STATUS(" 200x OK"), HTTPMSG_BAD, NULL, 0 },
+	{ STATUS("\t200 OK"), HTTPMSG_BAD, NULL, 0 },
+	{ STATUS(" "), HTTPMSG_BAD, NULL, 0 },
+	{ "HTTP/1.1 100 Continue\r\n\r\n" STATUS(" 000 OK"), HTTPMSG_BAD, NULL,
+	    0 },
 };
 
 static void
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -705,6 +705,7 @@
  *                sends N bytes of the response, or all but N, and closes or
  *                resets the connection
  *   no-content   responds with status 204
+ *   status-TEXT  responds with this in place of a status; _ is a space
  *   endless-head, endless-body, endless-garbage, endless-interim
  *                sends bytes without end: in a header field, in a body
  *                without length, that are no response, or that are interim
@@ -752,6 +753,12 @@
 		arm_timer(c, 5);
 	} else if (strstr(s, "-at-") != NULL || strstr(s, "-end-") != NULL) {
 		send_cut_response(c, fields);
+	} else if (str_has_prefix(str_from(s), STR("status-"))) {
+		evbuffer_add_printf(out,
+		    "HTTP/1.1 %s X\r\n%sContent-Length: 2\r\n\r\nno",
+		    g_strdelimit(c->behavior, "_", ' ') + sizeof("status-") - 1,
+		    fields);
+		await_request(c);
 	} else if (strcmp(s, "no-content") == 0) {
 		evbuffer_add_printf(out, "HTTP/1.1 204 X\r\n%s\r\n", fields);
 		await_request(c);
--- a/tests/platform/test_cut_answers.c
+++ b/tests/platform/test_cut_answers.c
@@ -57,6 +57,10 @@
 	{ "reset-end-1" },
 	{ "reset-end-9" },
 	{ "half" },
+	/* Without a status it is no answer. */
+	{ "status-000" },
+	{ "status-600" },
+	{ "status-_200" },
 	{ "unsealed" },
 	{ "nolength", true, 200 },
 	{ "no-content", true, 204 },
