Evacuated failure domains: their targets get nothing more

The operator's evacuation of a domain in the store was not read: hosts went on sending to its targets.

Hosts learn them from the store, from feeds and from the state of other hosts. loads leaves their targets out of the usable ones, so nothing is chosen there for requests, pieces, hedges, resumed streams, tests of paths or calls for other hosts; whether a service is split doesn't change with it.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -126,6 +126,7 @@
 	case WATCHER_LIST_BEGIN:
 		d->listing = true;
 		roster_begin(&d->roster);
+		evacuations_list_begin(&d->evacuations);
 		quarantine_list_begin(&d->quarantine, clock_now());
 		pthread_mutex_lock(&d->lock);
 		g_hash_table_remove_all(d->target_values);
@@ -138,19 +139,21 @@
 			discovery_config_from_store(d, value);
 		else if (str_eq(key, STR(HOSTS_KEY)))
 			discovery_read_hosts(d, value);
-		else if (!discovery_stream_item(d, key, value))
+		else if (!discovery_evacuation_item(d, key, false) &&
+		    !discovery_stream_item(d, key, value))
 			discovery_quarantine_item(d, key, value, false);
 		break;
 	case WATCHER_DELETE:
 		if (target)
 			remove_target(d, key);
-		else
+		else if (!discovery_evacuation_item(d, key, true))
 			discovery_quarantine_item(d, key, STR(""), true);
 		break;
 	case WATCHER_LIST_END:
 		d->listing = false;
 		roster_finish(&d->roster, clock_now());
 		d->confirmed_at = clock_now();
+		discovery_evacuations_listed(d);
 		discovery_streams_listed(d);
 		if (d->restored) {
 			discovery_announce_restore(d, clock_now());
@@ -300,7 +303,9 @@
 {
 	struct view *v;
 
+	discovery_update_evacuations(d, now);
 	if (!d->view_dirty && d->roster.version == d->published_roster &&
+	    d->evacuations.version == d->published_evacuations &&
 	    (!d->hosts_dirty ||
 		now - d->view_published_at < HOSTS_VIEW_INTERVAL))
 		return;
@@ -308,9 +313,11 @@
 	d->hosts_dirty = false;
 	d->view_published_at = now;
 	d->published_roster = d->roster.version;
+	d->published_evacuations = d->evacuations.version;
 	v = xcalloc(1, sizeof(*v));
 	v->routes = routes_ref(d->routes);
 	v->targets = roster_list(&d->roster);
+	v->evacuated = evacuations_domains(&d->evacuations);
 	v->peers = live_peers(d);
 	v->hosts_listed = d->hosts_listed;
 	v->store_unavailable = d->store_unavailable;
@@ -470,11 +477,14 @@
 	pthread_mutex_init(&d->lock, NULL);
 	d->target_values =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	d->evacuated_since =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->quarantine_values =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->announced =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	roster_init(&d->roster);
+	evacuations_init(&d->evacuations);
 	quarantine_init(&d->quarantine);
 	d->suspects = discovery_new_suspects();
 	d->streams = discovery_new_streams();
@@ -592,8 +602,10 @@
 	roster_free(&d->roster);
 	routes_unref(d->routes);
 	g_hash_table_destroy(d->announced);
+	g_hash_table_destroy(d->evacuated_since);
 	g_hash_table_destroy(d->target_values);
 	g_hash_table_destroy(d->quarantine_values);
+	evacuations_free(&d->evacuations);
 	quarantine_free(&d->quarantine);
 	g_hash_table_destroy(d->suspects);
 	discovery_free_streams(d->streams);
--- a/entry/discovery_feed.c
+++ b/entry/discovery_feed.c
@@ -202,6 +202,7 @@
 {
 	const peer_feed *f = &l->body.peer_body_u.feed;
 
+	d->applying_feed = true;
 	for (u_int i = 0; i < f->items.items_len; i++) {
 		const peer_feed_item *x = &f->items.items_val[i];
 
@@ -215,6 +216,7 @@
 		    x->deleted ? WATCHER_DELETE : WATCHER_PUT, str_from(x->key),
 		    (struct str){ x->value.value_val, x->value.value_len });
 	}
+	d->applying_feed = false;
 	watcher_set_revision(d->watcher, f->to);
 }
 
--- a/entry/discovery_peers.c
+++ b/entry/discovery_peers.c
@@ -31,13 +31,14 @@
 	json_t *o;
 
 	pthread_mutex_lock(&d->lock);
-	o = json_pack("{s:I, s:I, s:o, s:o, s:o}", "revision",
+	o = json_pack("{s:I, s:I, s:o, s:o, s:o, s:o}", "revision",
 	    (json_int_t)d->counts.revision, "era", (json_int_t)d->counts.era,
 	    "config",
 	    json_stringn(
 		d->config_text.n > 0 ? d->config_text.p : "", d->config_text.n),
 	    "targets", string_map(d->target_values), "quarantine",
-	    string_map(d->quarantine_values));
+	    string_map(d->quarantine_values), "evacuations",
+	    string_map(d->evacuated_since));
 	/* Without a revision, the store is being listed. */
 	r->found = !d->counts.store_unavailable && !d->counts.in_grace &&
 	    d->counts.revision != 0 && d->config_text.n > 0;
@@ -128,6 +129,8 @@
 			    str_from(json_string_value(v)), false);
 	}
 	if (is_wanted(d, &p)) {
+		discovery_take_evacuations(
+		    d, json_object_get(o, "evacuations"), &p);
 		take_targets(d, json_object_get(o, "targets"));
 		d->peer_position = p;
 	}
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -4,7 +4,8 @@
  * configurations, discovery_feed.c forwards store changes between hosts,
  * discovery_peers.c takes the state of another host while the store is away,
  * discovery_quarantine.c finds and shares the quarantined parts of prompts,
- * discovery_streams.c records the versions of streams in the store.
+ * discovery_streams.c records the versions of streams in the store,
+ * discovery_evacuations.c learns which failure domains are evacuated.
  *
  * All functions run on the discovery thread, except discovery_serve_config and
  * discovery_serve_state, which run on the RPC thread.
@@ -18,6 +19,7 @@
 #include "entry/discovery.h"
 #include "kernel/config_queue.h"
 #include "kernel/crash_suspects.h"
+#include "kernel/evacuations.h"
 #include "kernel/host_list.h"
 #include "kernel/quarantine.h"
 #include "kernel/state_source.h"
@@ -25,6 +27,7 @@
 #include "plat/held.h"
 #include "plat/watcher.h"
 
+#include <jansson.h>
 #include <pthread.h>
 #include <stdatomic.h>
 
@@ -78,6 +81,9 @@
 	struct buf config_compressed;
 	struct host_list_writer hosts;
 	bool hosts_listed;
+	struct evacuations evacuations;
+	uint64_t published_evacuations; /* their version in the last view */
+	bool applying_feed;             /* changes come from another host */
 	struct quarantine quarantine;
 	GHashTable *suspects;  /* service -> struct crash_suspects */
 	bool crashes_reported; /* since the parts to blame were looked for */
@@ -98,6 +104,7 @@
 	GHashTable *announced;
 	pthread_mutex_t lock; /* guards the members below */
 	struct buf config_text;
+	GHashTable *evacuated_since;   /* domain -> Unix time in ms, as text */
 	GHashTable *target_values;     /* key -> value as stored */
 	GHashTable *quarantine_values; /* id -> value */
 	struct discovery_counts counts;
@@ -175,6 +182,23 @@
 /* Writes the list when it has changed; call it regularly. */
 void discovery_write_hosts(struct discovery *d, usec_t now);
 
+/*
+ * The evacuations of failure domains (discovery_evacuations.c): handles an item
+ * of the store that is written or deleted; returns false for other keys.
+ */
+bool discovery_evacuation_item(
+    struct discovery *d, struct str key, bool deleted);
+/* A complete listing of the store has been read. */
+void discovery_evacuations_listed(struct discovery *d);
+/* Logs what has ended; call it before a view is published. */
+void discovery_update_evacuations(struct discovery *d, usec_t now);
+/*
+ * Takes another host's evacuations: a JSON object of domain -> Unix time in
+ * milliseconds, as text; NULL: it sent none, as it is of an older version.
+ */
+void discovery_take_evacuations(
+    struct discovery *d, const json_t *domains, const struct store_position *p);
+
 /*
  * The quarantined parts of prompts (discovery_quarantine.c): handles an item of
  * the store that is written or deleted; other keys are ignored.
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -202,6 +202,7 @@
 	    "version %" PRIu64 ", %u targets, %u hosts, store %s",
 	    t != NULL ? t->version : 0, v->targets->len, v->peers->len,
 	    v->store_unavailable ? "away" : "answering");
+	loads_set_evacuated(&y->shared.loads, v->evacuated);
 	loads_update(&y->shared.loads, v->targets, clock_now());
 	stage_jobs_set_peers(y->shared.stage_jobs, v->peers, v->hosts_listed);
 	target_limits_set_hosts(y->shared.target_limits, v->peers, clock_now());
--- a/entry/served_calls.c
+++ b/entry/served_calls.c
@@ -242,7 +242,8 @@
 {
 	if (x->stopping.signal_at != 0)
 		return NO_PATH;
-	if (t == NULL || !t->listed || t->leaving || t->entry.leaving)
+	if (t == NULL || !t->listed || t->leaving || t->entry.leaving ||
+	    t->evacuated)
 		return NOT_SENT;
 	if (!paths_is_direct(&x->paths, t->entry.service))
 		return NO_PATH;
--- a/entry/view.h
+++ b/entry/view.h
@@ -27,7 +27,8 @@
 	/* The list of the fleet's hosts has been read from the store. */
 	bool hosts_listed;
 	bool store_unavailable;
-	uint64_t restores; /* of the store that this host has seen */
+	GPtrArray *evacuated; /* names of failure domains */
+	uint64_t restores;    /* of the store that this host has seen */
 	struct quarantine quarantine;
 	/* service -> base version (kernel/stream_records.h); strings */
 	GHashTable *stream_bases;
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -36,6 +36,10 @@
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
 	l->domains = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+	l->evacuated =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	l->withheld = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
 	l->host_ids = g_ptr_array_new_with_free_func(g_free);
 }
 
@@ -121,6 +125,28 @@
 	g_ptr_array_add(d->targets, t);
 }
 
+/*
+ * Whether a service is split.  The evacuation of a domain doesn't change that:
+ * hosts that start meanwhile decide as the others have done.
+ */
+static bool
+is_split(const struct loads *l, const char *service, bool was_split)
+{
+	g_autoptr(GPtrArray) domains =
+	    g_ptr_array_new_with_free_func(free_domain);
+	GHashTable *tables[] = { l->by_service, l->withheld };
+	uint32_t n = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(tables); i++) {
+		const GPtrArray *v = g_hash_table_lookup(tables[i], service);
+
+		for (guint k = 0; v != NULL && k < v->len; k++)
+			add_to_domain(domains, v->pdata[k]);
+		n += v != NULL ? v->len : 0;
+	}
+	return spill_is_split(n, domains->len, was_split);
+}
+
 /* Groups the usable targets of the services that are split by domain. */
 static void
 index_domains(struct loads *l)
@@ -141,8 +167,7 @@
 		for (guint i = 0; i < all->len; i++)
 			add_to_domain(v, all->pdata[i]);
 		g_ptr_array_sort(v, by_name);
-		if (spill_is_split(
-			all->len, v->len, g_hash_table_contains(old, name)))
+		if (is_split(l, name, g_hash_table_contains(old, name)))
 			g_hash_table_insert(l->domains, g_strdup(name), v);
 		else
 			g_ptr_array_unref(v);
@@ -164,6 +189,18 @@
 	return d != NULL ? d->targets : loads_usable(l, service);
 }
 
+static void
+add_to_service(GHashTable *table, struct target_load *t)
+{
+	GPtrArray *v = g_hash_table_lookup(table, t->entry.service);
+
+	if (v == NULL) {
+		v = g_ptr_array_new();
+		g_hash_table_insert(table, g_strdup(t->entry.service), v);
+	}
+	g_ptr_array_add(v, t);
+}
+
 /* Rebuilds the index by address and that of usable targets by service. */
 static void
 index_targets(struct loads *l)
@@ -173,26 +210,53 @@
 
 	g_hash_table_remove_all(l->by_addr);
 	g_hash_table_remove_all(l->by_service);
+	g_hash_table_remove_all(l->withheld);
 	g_hash_table_iter_init(&it, l->by_id);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct target_load *t = p;
-		GPtrArray *usable;
 
+		t->evacuated =
+		    g_hash_table_contains(l->evacuated, t->entry.domain);
 		if (t->listed)
 			g_hash_table_insert(l->by_addr, t->entry.addr, t);
-		if (!t->listed || t->leaving || t->entry.leaving)
-			continue;
-		usable = g_hash_table_lookup(l->by_service, t->entry.service);
-		if (usable == NULL) {
-			usable = g_ptr_array_new();
-			g_hash_table_insert(
-			    l->by_service, g_strdup(t->entry.service), usable);
-		}
-		g_ptr_array_add(usable, t);
+		if (t->listed && !t->leaving && !t->entry.leaving)
+			add_to_service(
+			    t->evacuated ? l->withheld : l->by_service, t);
 	}
 	index_domains(l);
 }
 
+void
+loads_set_evacuated(struct loads *l, const GPtrArray *domains)
+{
+	if (domains->len == 0 && g_hash_table_size(l->evacuated) == 0)
+		return;
+	g_hash_table_remove_all(l->evacuated);
+	for (guint i = 0; i < domains->len; i++)
+		g_hash_table_add(l->evacuated, g_strdup(domains->pdata[i]));
+	index_targets(l);
+}
+
+bool
+loads_is_evacuated(const struct loads *l, const char *service)
+{
+	return loads_usable(l, service) == NULL &&
+	    g_hash_table_contains(l->withheld, service);
+}
+
+size_t
+loads_withheld(const struct loads *l)
+{
+	GHashTableIter it;
+	gpointer v;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&it, l->withheld);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		n += ((const GPtrArray *)v)->len;
+	return n;
+}
+
 bool
 loads_is_empty(const struct loads *l)
 {
@@ -632,6 +696,8 @@
 {
 	free_hosts(l);
 	g_ptr_array_unref(l->host_ids);
+	g_hash_table_destroy(l->evacuated);
+	g_hash_table_destroy(l->withheld);
 	g_hash_table_destroy(l->domains);
 	g_hash_table_destroy(l->by_service);
 	g_hash_table_destroy(l->by_addr);
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -43,6 +43,7 @@
 	 * address.
 	 */
 	bool leaving;
+	bool evacuated;      /* its failure domain is (kernel/evacuations.h) */
 	uint32_t in_flight;  /* calls of this host */
 	uint32_t sent_since; /* calls of this host since the last report */
 	uint32_t reported;   /* running and waiting calls in the last report */
@@ -62,6 +63,9 @@
 	GHashTable *by_addr; /* address -> listed struct target_load */
 	/* name -> GPtrArray of usable struct target_load */
 	GHashTable *by_service;
+	GHashTable *evacuated; /* names of failure domains */
+	/* name -> GPtrArray of those that would be usable but for these */
+	GHashTable *withheld;
 	/* name -> GPtrArray of struct loads_domain, sorted by name */
 	GHashTable *domains;
 	char domain[64]; /* of this host */
@@ -108,6 +112,18 @@
 /* Sets the live hosts; self is the id of this one. */
 void loads_set_hosts(struct loads *l, const struct rendezvous_host *v, size_t n,
     const char *self, usec_t now);
+/*
+ * Sets the names of the evacuated failure domains: their targets are not usable
+ * meanwhile, with no exception.
+ */
+void loads_set_evacuated(struct loads *l, const GPtrArray *domains);
+/*
+ * Whether the service has no usable target because the domains of those that it
+ * has are evacuated.
+ */
+bool loads_is_evacuated(const struct loads *l, const char *service);
+/* The targets that would be usable if their domains weren't evacuated. */
+size_t loads_withheld(const struct loads *l);
 /* Whether no target has been listed so far. */
 bool loads_is_empty(const struct loads *l);
 /*
