Evacuated domains: requests that only their targets could serve are rejected

A request whose stages or own service have all their targets in evacuated domains waited for its deadline. It is rejected at its arrival, and those that wait are as the evacuation comes; what has been sent ends as it may. A stage service that is split by domain spreads the requests of an evacuated one over the others, instead of sending all to the first.

GET /status on the operators' address (form = routes), and with it sequoiactl status, show the evacuations in force with age, source and revision; three metrics count them.

--- a/ctl/hostcmd.c
+++ b/ctl/hostcmd.c
@@ -52,6 +52,17 @@
 	    (double)number(l, "share_ppm") / PPM_PER_PERCENT);
 }
 
+static void
+print_evacuation(const json_t *e)
+{
+	printf("  %-16s %9lld s  %-6s %10lld %s\n", text(e, "failure_domain"),
+	    number(e, "age_ms") / 1000, text(e, "source"),
+	    number(e, "revision"),
+	    json_is_true(json_object_get(e, "missing"))
+		? "missing in a restored store"
+		: "");
+}
+
 /* Prints a heading and one line per object; nothing for an empty list. */
 static void
 print_list(
@@ -72,6 +83,9 @@
 	    text(o, "id"), addr, text(o, "failure_domain"),
 	    json_is_true(json_object_get(o, "ready")) ? "ready" : "not ready",
 	    number(o, "generation"), number(o, "requests_in_flight"));
+	print_list(json_object_get(o, "evacuated"),
+	    "  EVACUATED DOMAIN       AGE  SOURCE   REVISION",
+	    print_evacuation);
 	print_list(json_object_get(o, "members"),
 	    "  SEQUOIAD         OPERATORS             DOMAIN   STATE    "
 	    "GENERATION",
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -317,7 +317,7 @@
 	v = xcalloc(1, sizeof(*v));
 	v->routes = routes_ref(d->routes);
 	v->targets = roster_list(&d->roster);
-	v->evacuated = evacuations_domains(&d->evacuations);
+	v->evacuated = evacuations_list(&d->evacuations);
 	v->peers = live_peers(d);
 	v->hosts_listed = d->hosts_listed;
 	v->store_unavailable = d->store_unavailable;
--- a/entry/discovery.h
+++ b/entry/discovery.h
@@ -38,7 +38,6 @@
 	uint64_t version;          /* configuration in force */
 	int64_t revision;          /* store changes up to it are applied */
 	uint64_t era;              /* of the store; 0: not known */
-	size_t evacuations;        /* failure domains */
 	bool store_unavailable;
 	bool in_grace; /* entries may be missing of targets that are there */
 };
--- a/entry/discovery_evacuations.c
+++ b/entry/discovery_evacuations.c
@@ -6,20 +6,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-static const char *
-source_name(enum evacuation_source s)
-{
-	switch (s) {
-	case EVACUATION_STORE:
-		return "the store";
-	case EVACUATION_FEED:
-		return "a feed";
-	case EVACUATION_HOST:
-		return "another host";
-	}
-	return "";
-}
-
 static bool
 has_targets(const struct discovery *d, const char *domain)
 {
@@ -49,7 +35,7 @@
 	}
 	log_text(LOG_LVL_NOTICE, "evacuation-begins",
 	    "%s, from %s, after revision %" PRId64 ", %" PRId64 " ms old",
-	    domain, source_name(o->source), o->revision,
+	    domain, evacuation_source_name(o->source), o->revision,
 	    o->age / USEC_PER_MSEC);
 	/* A listing names the evacuations first. */
 	if (!d->listing && !has_targets(d, domain))
@@ -121,7 +107,6 @@
 		    g_strdup_printf(
 			"%" PRId64, (wall - (now - x->since)) / USEC_PER_MSEC));
 	}
-	d->counts.evacuations = d->evacuations.v->len;
 	pthread_mutex_unlock(&d->lock);
 }
 
@@ -137,7 +122,7 @@
 		log_text(LOG_LVL_NOTICE, "evacuation-ends",
 		    "%s, known from %s, after revision %" PRId64 ", %" PRId64
 		    " ms old%s",
-		    x.domain, source_name(x.origin.source),
+		    x.domain, evacuation_source_name(x.origin.source),
 		    watcher_revision(d->watcher),
 		    (now - x.since) / USEC_PER_MSEC,
 		    x.missing_since != 0 ? ", missing in a restored store"
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -193,6 +193,18 @@
 	}
 }
 
+/* Rejects the requests that no target may take any more. */
+static void
+reject_evacuated(struct relay *y)
+{
+	GList *next;
+
+	for (GList *l = y->shared.requests.head; l != NULL; l = next) {
+		next = l->next;
+		stages_reject_evacuated(l->data);
+	}
+}
+
 static void
 apply_view(struct relay *y, struct view *v)
 {
@@ -225,11 +237,14 @@
 		close_delisted(y, y->view->targets);
 	view_free(y->view);
 	y->view = v;
+	y->shared.evacuated = v->evacuated;
 	y->shared.quarantine = &v->quarantine;
 	crash_reports_set_view(y->shared.crash_reports, v);
 	stream_resumes_set_view(y->shared.stream_resumes, v);
 	if (v->quarantine.entries->len > 0)
 		reject_quarantined(y);
+	if (v->evacuated->len > 0)
+		reject_evacuated(y);
 }
 
 static void
--- a/entry/relay_metrics.c
+++ b/entry/relay_metrics.c
@@ -107,6 +107,9 @@
 	put(out, "limited_targets", p->limited_targets);
 	put(out, "target_crashes_total", p->crashes);
 	put(out, "quarantines", p->quarantines);
+	put(out, "evacuated_domains", p->evacuated_domains);
+	put(out, "evacuated_targets", p->withheld_targets);
+	put(out, "requests_evacuated_total", p->counts->evacuated);
 	put(out, "stage_calls_total", p->coordinator.calls);
 	put(out, "stage_slow_calls_total", p->coordinator.slow_calls);
 	put(out, "stage_pieces_total", p->coordinator.pieces);
--- a/entry/relay_metrics.h
+++ b/entry/relay_metrics.h
@@ -32,6 +32,7 @@
 	uint64_t complete;
 	uint64_t failed; /* requests failed by the target or aborted */
 	uint64_t caller_gone;
+	uint64_t evacuated;             /* rejected, as all their targets are */
 	uint64_t rejected[-ERR_LAST];   /* by -(enum err_kind) */
 	struct relay_histogram latency; /* time until a request was answered */
 	struct relay_stop_counts stop;
@@ -50,6 +51,8 @@
 	size_t limited_targets;
 	uint64_t crashes;
 	size_t quarantines;
+	size_t evacuated_domains;
+	size_t withheld_targets; /* there */
 	size_t busy;
 	bool ready;
 };
--- a/entry/relay_ops.c
+++ b/entry/relay_ops.c
@@ -1,8 +1,50 @@
 #include "entry/relay_ops.h"
 #include "entry/relay_request.h"
 
+#include <jansson.h>
+#include <stdlib.h>
 #include <string.h>
 
+static json_t *
+evacuated_json(const GArray *evacuated)
+{
+	json_t *out = json_array();
+	usec_t now = clock_now();
+
+	for (guint i = 0; evacuated != NULL && i < evacuated->len; i++) {
+		const struct evacuation *x =
+		    &g_array_index(evacuated, struct evacuation, i);
+
+		json_array_append_new(out,
+		    json_pack("{s:s, s:I, s:s, s:I, s:b}", "failure_domain",
+			x->domain, "age_ms",
+			(json_int_t)((now - x->since) / USEC_PER_MSEC),
+			"source", evacuation_source_name(x->origin.source),
+			"revision", (json_int_t)x->origin.revision, "missing",
+			x->missing_since != 0));
+	}
+	return out;
+}
+
+static void
+put_status(const struct relay_ops *o, struct buf *out)
+{
+	const struct loads *l = &o->shared->loads;
+	struct discovery_counts counts = discovery_counts(o->discovery);
+	json_t *status = json_pack("{s:s, s:s, s:b, s:I, s:I, s:I, s:o}", "id",
+	    l->hosts.self != NULL ? l->hosts.self : "", "failure_domain",
+	    l->domain, "ready", o->ready, "generation",
+	    (json_int_t)counts.version, "requests_in_flight",
+	    (json_int_t)atomic_load(&o->shared->busy), "evacuated_targets",
+	    (json_int_t)loads_withheld(l), "evacuated",
+	    evacuated_json(o->shared->evacuated));
+	char *text = json_dumps(status, JSON_COMPACT);
+
+	buf_put(out, str_from(text));
+	free(text);
+	json_decref(status);
+}
+
 void
 relay_ops_serve(const struct relay_ops *o, struct httpd_request *q)
 {
@@ -23,6 +65,10 @@
 		status = 200;
 		type = "Content-Type: application/json\r\n";
 		relay_metrics_quarantines(&body, s->quarantine);
+	} else if (str_eq(target, STR("/status"))) {
+		status = 200;
+		type = "Content-Type: application/json\r\n";
+		put_status(o, &body);
 	} else if (str_eq(target, STR("/metrics"))) {
 		status = 200;
 		relay_metrics(&body,
@@ -39,6 +85,9 @@
 			.quarantines = s->quarantine != NULL
 			    ? s->quarantine->entries->len
 			    : 0,
+			.evacuated_domains =
+			    s->evacuated != NULL ? s->evacuated->len : 0,
+			.withheld_targets = loads_withheld(&s->loads),
 			.coordinator = coordinator_counts(s->coordinator),
 			.discovery = discovery_counts(o->discovery),
 			.memory = host_memory_counts(o->memory),
--- a/entry/relay_ops.h
+++ b/entry/relay_ops.h
@@ -1,6 +1,6 @@
 /*
  * What the relay serves on the operators' address: readiness probes, metrics,
- * quarantines, and calls to targets for other hosts.
+ * its status, quarantines, and calls to targets for other hosts.
  */
 #ifndef ENTRY_RELAY_OPS_H
 #define ENTRY_RELAY_OPS_H
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -73,6 +73,7 @@
 	struct target_limits *target_limits;
 	struct crash_reports *crash_reports;
 	struct stream_resumes *stream_resumes;
+	const GArray *evacuated;             /* of the view; NULL: none yet */
 	const struct quarantine *quarantine; /* of the view; NULL: none yet */
 	struct stop_signal *stop_signal;
 	usec_t drain; /* drain_ms */
@@ -238,6 +239,11 @@
 void stages_rejected(const struct relay_request *r, struct rejection *why);
 /* Runs the stages, then sends the request to its target (stages.c). */
 void stages_start(struct relay_request *r);
+/*
+ * Rejects a request that waits for targets which get nothing, as their failure
+ * domains are evacuated; returns whether it has.
+ */
+bool stages_reject_evacuated(struct relay_request *r);
 /* Runs the stages again after a result that the request needs was lost. */
 void stages_restart(struct relay_request *r);
 /* Drops the results; the next stages_resume makes all of them again. */
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -9,7 +9,10 @@
 #include <inttypes.h>
 #include <string.h>
 
-#define MAX_STAGE_TRIES     3 /* jobs submitted for one stage of one request */
+/* Until an evacuated domain may be back. */
+#define EVACUATED_RETRY     (1 * USEC_PER_SEC)
+#define HOME_SEED           17 /* of the hash that chooses a domain */
+#define MAX_STAGE_TRIES     3  /* jobs submitted for one stage of one request */
 /*
  * Initial estimate from a prompt to its first token: prompt processing, one
  * network path and one decoding step.
@@ -245,6 +248,43 @@
 		retry_after(wait, hash_u64(r->info.id, 0)), cause });
 }
 
+/*
+ * Returns a service whose targets the request needs yet, and of which none may
+ * be used as their failure domains are evacuated; or NULL.
+ */
+static const char *
+evacuated_service(const struct relay_request *r)
+{
+	const struct loads *l = &r->shared->loads;
+
+	for (uint32_t i = 0; i < r->route->n_stages; i++) {
+		if (has_pieces(r, i) && !r->stages[i].done &&
+		    loads_is_evacuated(l, service_name(r, i)))
+			return service_name(r, i);
+	}
+	return loads_is_evacuated(l, r->service->name) ? r->service->name
+						       : NULL;
+}
+
+bool
+stages_reject_evacuated(struct relay_request *r)
+{
+	const char *service = evacuated_service(r);
+
+	/* What has been sent ends as it may. */
+	if (service == NULL || r->first_sent_at != 0)
+		return false;
+	log_text(LOG_LVL_INFO, "evacuated",
+	    "request %.*s: all targets of %s are in evacuated domains",
+	    STR_FMT(r->info.id), service);
+	r->shared->counts.evacuated++;
+	relay_request_reject(r,
+	    &(struct rejection){ ERR_NO_TARGET,
+		retry_after(EVACUATED_RETRY, hash_u64(r->info.id, 0)),
+		"the failure domains of its targets are evacuated" });
+	return true;
+}
+
 /*
  * Takes one repetition of stage work from the quota; false if none is left.
  * Without a quota, failed work would add to the load that made it fail.
@@ -395,13 +435,15 @@
 	const char *service = service_name(r, i);
 	const GPtrArray *domains = loads_domains(&r->shared->loads, service);
 	struct spill_domain *v;
-	size_t home = 0;
+	size_t home;
 
 	if (domains == NULL || domains->len == 0)
 		return "";
 	v = g_new0(struct spill_domain, domains->len);
 	if (*preferred == '\0')
 		preferred = r->shared->loads.domain;
+	/* If that is evacuated: the same one for all stages of a request. */
+	home = (size_t)(hash_u64(r->info.id, HOME_SEED) % domains->len);
 	for (guint k = 0; k < domains->len; k++) {
 		const struct loads_domain *d = domains->pdata[k];
 
@@ -576,6 +618,8 @@
 void
 stages_start(struct relay_request *r)
 {
+	if (stages_reject_evacuated(r))
+		return;
 	r->soft_deadline = soft_deadline(r);
 	retry_quota_request(
 	    &r->shared->stage_quota, &r->shared->stage_quota_rule, clock_now());
--- a/entry/view.c
+++ b/entry/view.c
@@ -10,7 +10,7 @@
 	routes_unref(v->routes);
 	g_array_unref(v->targets);
 	g_array_unref(v->peers);
-	g_ptr_array_unref(v->evacuated);
+	g_array_unref(v->evacuated);
 	quarantine_free(&v->quarantine);
 	if (v->stream_bases != NULL)
 		g_hash_table_unref(v->stream_bases);
--- a/entry/view.h
+++ b/entry/view.h
@@ -6,6 +6,7 @@
 #define ENTRY_VIEW_H
 
 #include "kernel/bounds.h"
+#include "kernel/evacuations.h"
 #include "kernel/quarantine.h"
 #include "kernel/roster.h"
 #include "kernel/routes.h"
@@ -27,8 +28,8 @@
 	/* The list of the fleet's hosts has been read from the store. */
 	bool hosts_listed;
 	bool store_unavailable;
-	GPtrArray *evacuated; /* names of failure domains */
-	uint64_t restores;    /* of the store that this host has seen */
+	GArray *evacuated; /* struct evacuation: those in force */
+	uint64_t restores; /* of the store that this host has seen */
 	struct quarantine quarantine;
 	/* service -> base version (kernel/stream_records.h); strings */
 	GHashTable *stream_bases;
--- a/kernel/evacuations.c
+++ b/kernel/evacuations.c
@@ -127,18 +127,32 @@
 	return n;
 }
 
-GPtrArray *
-evacuations_domains(const struct evacuations *e)
+GArray *
+evacuations_list(const struct evacuations *e)
 {
-	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
+	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct evacuation));
 
 	for (guint i = 0; i < e->v->len; i++) {
 		if (!at(e, i)->ended)
-			g_ptr_array_add(out, g_strdup(at(e, i)->domain));
+			g_array_append_val(out, *at(e, i));
 	}
 	return out;
 }
 
+const char *
+evacuation_source_name(enum evacuation_source s)
+{
+	switch (s) {
+	case EVACUATION_STORE:
+		return "store";
+	case EVACUATION_FEED:
+		return "feed";
+	case EVACUATION_HOST:
+		return "host";
+	}
+	return "";
+}
+
 void
 evacuations_free(struct evacuations *e)
 {
--- a/kernel/evacuations.h
+++ b/kernel/evacuations.h
@@ -73,13 +73,14 @@
 void evacuations_list_end(struct evacuations *e, bool restored, usec_t now);
 /* Ends those that a restored store has lacked for long; call it regularly. */
 void evacuations_tick(struct evacuations *e, usec_t now);
+const char *evacuation_source_name(enum evacuation_source s);
 /* Removes one that has ended, to be logged; false if there is none. */
 bool evacuations_take_ended(struct evacuations *e, struct evacuation *out);
 /* Whether nothing may be sent to the targets of a domain. */
 bool evacuations_has(const struct evacuations *e, const char *domain);
 size_t evacuations_count(const struct evacuations *e);
-/* Returns the names of the domains in force; free with g_ptr_array_unref. */
-GPtrArray *evacuations_domains(const struct evacuations *e);
+/* Returns those in force (struct evacuation); free with g_array_unref. */
+GArray *evacuations_list(const struct evacuations *e);
 void evacuations_free(struct evacuations *e);
 
 #endif
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -227,13 +227,15 @@
 }
 
 void
-loads_set_evacuated(struct loads *l, const GPtrArray *domains)
+loads_set_evacuated(struct loads *l, const GArray *evacuations)
 {
-	if (domains->len == 0 && g_hash_table_size(l->evacuated) == 0)
+	if (evacuations->len == 0 && g_hash_table_size(l->evacuated) == 0)
 		return;
 	g_hash_table_remove_all(l->evacuated);
-	for (guint i = 0; i < domains->len; i++)
-		g_hash_table_add(l->evacuated, g_strdup(domains->pdata[i]));
+	for (guint i = 0; i < evacuations->len; i++)
+		g_hash_table_add(l->evacuated,
+		    g_strdup(g_array_index(evacuations, struct evacuation, i)
+				 .domain));
 	index_targets(l);
 }
 
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -17,6 +17,7 @@
 #define KERNEL_LOADS_H
 
 #include "base/rng.h"
+#include "kernel/evacuations.h"
 #include "kernel/overload/target_brittle.h"
 #include "kernel/overload/target_limit.h"
 #include "kernel/overload/target_speed.h"
@@ -113,10 +114,10 @@
 void loads_set_hosts(struct loads *l, const struct rendezvous_host *v, size_t n,
     const char *self, usec_t now);
 /*
- * Sets the names of the evacuated failure domains: their targets are not usable
- * meanwhile, with no exception.
+ * Sets the evacuations in force (struct evacuation): the targets of their
+ * failure domains are not usable meanwhile, without exception.
  */
-void loads_set_evacuated(struct loads *l, const GPtrArray *domains);
+void loads_set_evacuated(struct loads *l, const GArray *evacuations);
 /*
  * Whether the service has no usable target because the domains of those that it
  * has are evacuated.
--- a/tests/kernel/test_evacuations.c
+++ b/tests/kernel/test_evacuations.c
@@ -147,10 +147,14 @@
 static void
 evacuate(struct loads *l, const char *domains)
 {
-	g_autoptr(GPtrArray) v = g_ptr_array_new_with_free_func(g_free);
+	g_autoptr(GArray) v =
+	    g_array_new(FALSE, TRUE, sizeof(struct evacuation));
+
+	for (const char *d = domains; *d != '\0'; d++) {
+		struct evacuation x = { .domain = { *d } };
 
-	for (const char *d = domains; *d != '\0'; d++)
-		g_ptr_array_add(v, g_strndup(d, 1));
+		g_array_append_val(v, x);
+	}
 	loads_set_evacuated(l, v);
 }
 
