--- a/entry/relay.c
+++ b/entry/relay.c
@@ -196,6 +196,18 @@
 	}
 }
 
+/* Rejects the requests that no target may take any more. */
+static void
+reject_evacuated(struct relay *y)
+{
+	GList *next;
+
+	for (GList *l = y->shared.requests.head; l != NULL; l = next) {
+		next = l->next;
+		stages_reject_evacuated(l->data);
+	}
+}
+
 static void
 accept_callers(struct relay *y, usec_t now)
 {
@@ -245,6 +257,7 @@
 	    v->store_unavailable ? "away" : "answering");
 	if (t != NULL && (y->view == NULL || y->view->routes != t))
 		set_cold_rules(y, t);
+	loads_set_evacuated(&y->shared.loads, v->evacuated);
 	loads_update(&y->shared.loads, v->targets, clock_now());
 	stage_jobs_set_peers(y->shared.stage_jobs, v->peers, v->hosts_listed);
 	target_limits_set_hosts(y->shared.target_limits, v->peers, clock_now());
@@ -268,11 +281,14 @@
 		close_delisted(y, y->view->targets);
 	view_free(y->view);
 	y->view = v;
+	y->shared.evacuated = v->evacuated;
 	y->shared.quarantine = &v->quarantine;
 	crash_reports_set_view(y->shared.crash_reports, v);
 	stream_resumes_set_view(y->shared.stream_resumes, v);
 	if (v->quarantine.entries->len > 0)
 		reject_quarantined(y);
+	if (v->evacuated->len > 0)
+		reject_evacuated(y);
 	accept_callers(y, clock_now());
 }
 
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -17,6 +17,7 @@
 #define KERNEL_LOADS_H
 
 #include "base/rng.h"
+#include "kernel/evacuations.h"
 #include "kernel/overload/target_brittle.h"
 #include "kernel/overload/target_cold.h"
 #include "kernel/overload/target_limit.h"
@@ -44,6 +45,7 @@
 	 * address.
 	 */
 	bool leaving;
+	bool evacuated;      /* its failure domain is (kernel/evacuations.h) */
 	uint32_t in_flight;  /* calls of this host */
 	uint32_t sent_since; /* calls of this host since the last report */
 	uint32_t reported;   /* running and waiting calls in the last report */
@@ -66,6 +68,9 @@
 	GHashTable *by_addr; /* address -> listed struct target_load */
 	/* name -> GPtrArray of usable struct target_load */
 	GHashTable *by_service;
+	GHashTable *evacuated; /* names of failure domains */
+	/* name -> GPtrArray of those that would be usable but for these */
+	GHashTable *withheld;
 	/* name -> GPtrArray of struct loads_domain, sorted by name */
 	GHashTable *domains;
 	char domain[64]; /* of this host */
@@ -129,6 +134,18 @@
  * returned it; or NULL.
  */
 struct target_load *loads_next_cold_change(struct loads *l, usec_t now);
+/*
+ * Sets the evacuations in force (struct evacuation): the targets of their
+ * failure domains are not usable meanwhile, without exception.
+ */
+void loads_set_evacuated(struct loads *l, const GArray *evacuations);
+/*
+ * Whether the service has no usable target because the domains of those that it
+ * has are evacuated.
+ */
+bool loads_is_evacuated(const struct loads *l, const char *service);
+/* The targets that would be usable if their domains weren't evacuated. */
+size_t loads_withheld(const struct loads *l);
 /* Whether no target has been listed so far. */
 bool loads_is_empty(const struct loads *l);
 /*
