loads: the fourth figure of a target's load report

Targets say how long work takes on their machine at this moment; the figure was dropped. response_info.slowness holds it, and target_pace averages it over about a second, as it changes many times in one. No choice uses it yet.

test_platform, test_relay_decisions and test_target_brittle pass.

--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -178,8 +178,8 @@
 		    r->service->name, clock_now() - r->sent_at);
 	}
 	if (t != NULL && r->response.has_load)
-		loads_report(
-		    t, r->response.running, r->response.waiting, clock_now());
+		loads_report(t, r->response.running, r->response.waiting,
+		    r->response.slowness, clock_now());
 	if (t != NULL && r->response.misdirected)
 		loads_mark_leaving(&r->shared->loads, t);
 	else if (t != NULL)
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -214,6 +214,7 @@
 	t->leaving = false;
 	t->failures = 0;
 	t->aside_until = 0;
+	t->pace = (struct target_pace){ 0 };
 	t->speed = (struct target_speed){ 0 };
 	t->limit = (struct target_limit){ 0 };
 	t->rest_until = 0;
@@ -544,12 +545,13 @@
 }
 
 void
-loads_report(
-    struct target_load *t, uint32_t running, uint32_t waiting, usec_t now)
+loads_report(struct target_load *t, uint32_t running, uint32_t waiting,
+    uint32_t slowness, usec_t now)
 {
 	t->reported = running + waiting;
 	t->reported_at = now;
 	t->sent_since = 0;
+	target_pace_reported(&t->pace, slowness, now);
 }
 
 void
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -19,6 +19,7 @@
 #include "base/rng.h"
 #include "kernel/overload/target_brittle.h"
 #include "kernel/overload/target_limit.h"
+#include "kernel/overload/target_pace.h"
 #include "kernel/overload/target_speed.h"
 #include "kernel/roster.h"
 #include "kernel/routes.h"
@@ -47,6 +48,7 @@
 	uint32_t sent_since; /* calls of this host since the last report */
 	uint32_t reported;   /* running and waiting calls in the last report */
 	usec_t reported_at;
+	struct target_pace pace;
 	struct target_speed speed; /* of its stage calls */
 	uint32_t failures;         /* in a row */
 	struct target_limit limit;
@@ -162,9 +164,12 @@
 
 /* Counts a call that was sent to the target. */
 void loads_sent(struct target_load *t, usec_t now);
-/* Records a load report: calls running and waiting at the target. */
-void loads_report(
-    struct target_load *t, uint32_t running, uint32_t waiting, usec_t now);
+/*
+ * Records a load report: calls running and waiting at the target, and how long
+ * work takes there (100: as usual; 0: it doesn't say).
+ */
+void loads_report(struct target_load *t, uint32_t running, uint32_t waiting,
+    uint32_t slowness, usec_t now);
 enum loads_result {
 	LOADS_OK,    /* the target is healthy and answered */
 	LOADS_FULL,  /* refused: full of other hosts' calls, but healthy */
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -737,7 +737,7 @@
 
 			t = loads_find(&l, c->id);
 			t->in_flight = c->in_flight;
-			loads_report(t, c->reported, 0, now);
+			loads_report(t, c->reported, 0, 0, now);
 			if (c->set_aside)
 				loads_failed(t, now);
 			if (c->tried)
@@ -800,7 +800,7 @@
 		t = loads_find(&l, "t");
 		loads_sent(t, 0);
 		if (rows[i].reported)
-			loads_report(t, 1, 0, 1);
+			loads_report(t, 1, 0, 0, 1);
 		loads_ended(&l, "t", rows[i].result, 2);
 		g_assert_cmpuint(t->sent_since, ==, rows[i].sent_since);
 		g_assert_cmpuint(t->in_flight, ==, 0);
--- a/tests/kernel/test_target_brittle.c
+++ b/tests/kernel/test_target_brittle.c
@@ -95,7 +95,7 @@
 
 	snprintf(id, sizeof(id), "%u", c->target);
 	t = loads_find(l, id);
-	loads_report(t, b->running[c->target], b->waiting[c->target], now);
+	loads_report(t, b->running[c->target], b->waiting[c->target], 0, now);
 	if (loads_brittle(l, t, &a, now)) {
 		for (uint32_t i = 0; i < b->x->hosts; i++)
 			loads_brittle_told(&b->hosts[i],
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -395,10 +395,18 @@
 		const char *head;
 		bool not_executed, has_signature, misdirected, has_load;
 		bool leaving;
-		uint32_t running;
+		uint32_t running, slowness;
 	} cases[] = {
 		{ "200 OK\r\nX-Runner-Seal: a\r\nX-Runner-Load: 3,0,8", false,
 		    true, false, true, false, 3 },
+		{ "200 OK\r\nX-Runner-Load: 3,0,8,140", false, false, false,
+		    true, false, 3, 140 },
+		{ "200 OK\r\nX-Runner-Load: 3,0,8,x", false, false, false, true,
+		    false, 3 },
+		{ "200 OK\r\nX-Runner-Load: 3,0,8,-1", false, false, false,
+		    true, false, 3 },
+		{ "200 OK\r\nX-Runner-Load: 3,0,8,4294967396", false, false,
+		    false, true, false, 3, 100000 },
 		/* Not an idle target. */
 		{ "200 OK\r\nX-Runner-Load: 4294967296,0,8", false, false,
 		    false, true, false, 1000000 },
@@ -424,6 +432,7 @@
 		g_assert_cmpint(f.misdirected, ==, cases[i].misdirected);
 		g_assert_cmpint(f.has_load, ==, cases[i].has_load);
 		g_assert_cmpuint(f.running, ==, cases[i].running);
+		g_assert_cmpuint(f.slowness, ==, cases[i].slowness);
 		g_assert_cmpint(f.leaving, ==, cases[i].leaving);
 		httpmsg_free(&m);
 	}
