placement: which engine takes a prompt, and when

One host places the prompts of a failure domain's engines. It predicts the first event from the tokens that an engine still has to read and its measured rate, and keeps a prompt while an engine reads a long one, within its slack.

--- /dev/null
+++ b/kernel/overload/engine_load.c
@@ -0,0 +1,335 @@
+#include "kernel/overload/engine_load.h"
+
+#include <math.h>
+
+/* Rate of an engine while none is measured, in tokens a ms. */
+#define FIRST_RATE      50.0
+#define FIRST_FIRST_MS  20.0
+#define FIRST_RUN_MS    1000.0
+#define FIRST_TOKENS    2000.0
+#define ENGINE_WEIGHT   0.2  /* of a sample in the rate of one engine */
+#define NORM_WEIGHT     0.05 /* of a sample in the averages over all */
+/* A smaller prompt says more about the way to the engine than about reading. */
+#define MIN_RATE_SAMPLE 1000
+/* Bounds a sample, and the rate of an engine, by this factor. */
+#define RATE_BOUND      8.0
+/* What was measured counts in full for this time, and fades within it. */
+#define RATE_TIME       (5 * USEC_PER_SEC)
+/* A report of the requests of others holds for this time. */
+#define REPORT_TIME     (2 * USEC_PER_SEC)
+/*
+ * A report that names no waiting request shows that prompts which were placed
+ * this long before it have been read.
+ */
+#define REPORT_DELAY    (500 * USEC_PER_MSEC)
+/* A prompt that should be read by now takes this part of its time at least. */
+#define LEAST_LEFT      0.1
+/* An engine that is overdue is expected to take half as long again. */
+#define OVERDUE_SHARE   0.5
+#define LEAST_RUN_MS    10.0
+#define ASIDE_FIRST     (250 * USEC_PER_MSEC)
+#define ASIDE_MAX       (4 * USEC_PER_SEC)
+
+struct engine_norms
+engine_norms_init(void)
+{
+	return (struct engine_norms){
+		.rate = FIRST_RATE,
+		.first_ms = FIRST_FIRST_MS,
+		.run_ms = FIRST_RUN_MS,
+		.tokens = FIRST_TOKENS,
+		.prompt_tokens = FIRST_TOKENS,
+	};
+}
+
+struct engine_load *
+engine_load_new(const char *id, uint64_t born_ms)
+{
+	struct engine_load *e = g_new0(struct engine_load, 1);
+
+	g_strlcpy(e->id, id, sizeof(e->id));
+	e->born_ms = born_ms;
+	e->prompts = g_ptr_array_new();
+	prompt_cache_init(&e->cache);
+	return e;
+}
+
+static void
+average(double *x, double sample, double weight)
+{
+	*x += weight * (sample - *x);
+}
+
+/* Tokens that it reads in a ms at its usual pace. */
+static double
+usual_rate(
+    const struct engine_load *e, const struct engine_norms *norms, usec_t now)
+{
+	usec_t over = now - e->rate_at - RATE_TIME;
+
+	if (e->rate_at == 0 || over >= RATE_TIME)
+		return norms->rate;
+	if (over <= 0)
+		return e->rate;
+	return e->rate +
+	    (norms->rate - e->rate) * (double)over / (double)RATE_TIME;
+}
+
+static double
+current_rate(
+    const struct engine_load *e, const struct engine_norms *norms, usec_t now)
+{
+	return usual_rate(e, norms, now) / target_pace_slowness(&e->pace, now);
+}
+
+static double
+ms_until(usec_t t, usec_t now)
+{
+	return (double)(t - now) / (double)USEC_PER_MSEC;
+}
+
+static double
+unread_ms(const struct engine_load *e, double rate, usec_t now)
+{
+	double left = ms_until(e->read_until, now);
+	double least = LEAST_LEFT * (double)e->unread / rate;
+
+	if (e->unread == 0)
+		return 0;
+	if (left < 0)
+		left = -left * OVERDUE_SHARE;
+	return fmax(left, least);
+}
+
+static uint64_t
+memory_of(const struct prompt *p)
+{
+	return (uint64_t)p->request.prompt_tokens + p->request.output_tokens;
+}
+
+static void
+find_streams(struct engine_load *e)
+{
+	e->max_gap = 0;
+	e->n_streams = 0;
+	for (guint i = 0; i < e->prompts->len; i++) {
+		const struct prompt *p = e->prompts->pdata[i];
+		usec_t gap = p->request.max_gap;
+
+		if (gap == 0)
+			continue;
+		e->n_streams++;
+		if (e->max_gap == 0 || gap < e->max_gap)
+			e->max_gap = gap;
+	}
+}
+
+void
+engine_load_add(struct engine_load *e, const struct engine_norms *norms,
+    struct prompt *p, uint64_t kv_tokens, usec_t now)
+{
+	double rate = current_rate(e, norms, now);
+	double ms = unread_ms(e, rate, now);
+
+	p->state = PROMPT_READING;
+	p->engine = e;
+	p->placed_at = now;
+	p->ahead = (uint32_t)fmin(ms * rate, UINT32_MAX);
+	e->read_until =
+	    now + (usec_t)((ms + p->to_read / rate) * (double)USEC_PER_MSEC);
+	e->unread += p->to_read;
+	e->n_reading++;
+	e->memory += memory_of(p);
+	g_ptr_array_add(e->prompts, p);
+	find_streams(e);
+	prompt_cache_use(&e->cache, p->prefixes, p->request.n_parts,
+	    kv_tokens > e->memory ? kv_tokens - e->memory : 0);
+}
+
+static void
+set_read(struct engine_load *e, const struct engine_norms *norms,
+    const struct prompt *p, usec_t now)
+{
+	usec_t all;
+
+	e->unread -= p->to_read;
+	e->n_reading--;
+	all = now +
+	    (usec_t)((double)e->unread / current_rate(e, norms, now) *
+		(double)USEC_PER_MSEC);
+	if (e->read_until > all || e->read_until < now)
+		e->read_until = all;
+}
+
+static void
+measure_rate(struct engine_load *e, struct engine_norms *norms,
+    const struct prompt *p, usec_t now)
+{
+	double tokens = (double)p->to_read + p->ahead;
+	double ms = ms_until(now, p->placed_at);
+	double slowness = target_pace_slowness(&e->pace, now);
+	double rate;
+
+	if (tokens < MIN_RATE_SAMPLE) {
+		average(&norms->first_ms, ms / slowness, NORM_WEIGHT);
+		return;
+	}
+	/* Half at least is reading: the averages may be too high. */
+	rate = tokens * slowness / fmax(ms - norms->first_ms, ms / 2);
+	rate = fmin(
+	    fmax(rate, norms->rate / RATE_BOUND), norms->rate * RATE_BOUND);
+	e->rate = usual_rate(e, norms, now);
+	average(&e->rate, rate, ENGINE_WEIGHT);
+	e->rate_at = now;
+	average(&norms->rate, rate, NORM_WEIGHT);
+}
+
+void
+engine_load_begun(struct engine_load *e, struct engine_norms *norms,
+    struct prompt *p, usec_t now)
+{
+	if (p->state != PROMPT_READING)
+		return;
+	if (now > p->placed_at)
+		measure_rate(e, norms, p, now);
+	average(&norms->tokens, (double)memory_of(p), NORM_WEIGHT);
+	average(&norms->prompt_tokens, p->to_read, NORM_WEIGHT);
+	p->state = PROMPT_RUNNING;
+	p->begun_at = now;
+	e->failures = 0;
+	set_read(e, norms, p, now);
+}
+
+void
+engine_load_completed(struct engine_load *e, struct engine_norms *norms,
+    struct prompt *p, usec_t now)
+{
+	if (p->state == PROMPT_READING)
+		engine_load_begun(e, norms, p, now);
+	else
+		average(
+		    &norms->run_ms, ms_until(now, p->begun_at), NORM_WEIGHT);
+	e->failures = 0;
+	e->aside_until = 0;
+}
+
+void
+engine_load_remove(struct engine_load *e, const struct engine_norms *norms,
+    struct prompt *p, usec_t now)
+{
+	if (p->state == PROMPT_READING) {
+		prompt_cache_drop(
+		    &e->cache, p->prefixes, p->n_cached, p->request.n_parts);
+		set_read(e, norms, p, now);
+	}
+	e->memory -= memory_of(p);
+	g_ptr_array_remove_fast(e->prompts, p);
+	p->engine = NULL;
+	find_streams(e);
+}
+
+/* Prompts whose first event was missed are read. */
+static void
+set_old_read(
+    struct engine_load *e, const struct engine_norms *norms, usec_t now)
+{
+	for (guint i = 0; i < e->prompts->len; i++) {
+		struct prompt *p = e->prompts->pdata[i];
+
+		if (p->state != PROMPT_READING ||
+		    now - p->placed_at < REPORT_DELAY)
+			continue;
+		p->state = PROMPT_RUNNING;
+		p->begun_at = now;
+		set_read(e, norms, p, now);
+	}
+}
+
+void
+engine_load_reported(struct engine_load *e, struct engine_norms *norms,
+    uint32_t running, uint32_t waiting, uint32_t slowness, usec_t now)
+{
+	uint64_t all = (uint64_t)running + waiting;
+	uint32_t others =
+	    all > e->prompts->len ? (uint32_t)(all - e->prompts->len) : 0;
+
+	target_pace_reported(&e->pace, slowness, now);
+	e->reported_waiting =
+	    waiting > e->n_reading ? waiting - e->n_reading : 0;
+	if (e->reported_waiting > others)
+		e->reported_waiting = others;
+	e->reported_running = others - e->reported_waiting;
+	e->reported_at = now;
+	if (waiting == 0)
+		set_old_read(e, norms, now);
+}
+
+void
+engine_load_failed(struct engine_load *e, usec_t now)
+{
+	usec_t pause = ASIDE_FIRST;
+
+	for (uint32_t i = 0; i < e->failures && pause < ASIDE_MAX; i++)
+		pause *= 2;
+	e->failures++;
+	e->aside_until = now + (pause < ASIDE_MAX ? pause : ASIDE_MAX);
+}
+
+void
+engine_load_state(const struct engine_load *e, const struct engine_norms *norms,
+    usec_t now, struct engine_state *out)
+{
+	double rate = current_rate(e, norms, now);
+	bool known = e->reported_at != 0 && now - e->reported_at < REPORT_TIME;
+	uint32_t running = known ? e->reported_running : 0;
+	uint32_t waiting = known ? e->reported_waiting : 0;
+
+	*out = (struct engine_state){
+		.slowness = norms->rate / rate,
+		.rate = rate,
+		.unread_ms = unread_ms(e, rate, now) +
+		    waiting * norms->prompt_tokens / rate,
+		.active = e->prompts->len + running + waiting,
+		.memory =
+		    e->memory + (uint64_t)((running + waiting) * norms->tokens),
+	};
+}
+
+double
+engine_load_next_end_ms(
+    const struct engine_load *e, const struct engine_norms *norms, usec_t now)
+{
+	double least = norms->run_ms;
+
+	for (guint i = 0; i < e->prompts->len; i++) {
+		const struct prompt *p = e->prompts->pdata[i];
+		double left = norms->run_ms;
+
+		if (p->state == PROMPT_RUNNING)
+			left -= ms_until(now, p->begun_at);
+		least = fmin(least, left);
+	}
+	return fmax(least, LEAST_RUN_MS);
+}
+
+uint32_t
+engine_load_longest(const struct engine_load *e)
+{
+	uint32_t longest = 0;
+
+	for (guint i = 0; e->n_reading > 0 && i < e->prompts->len; i++) {
+		const struct prompt *p = e->prompts->pdata[i];
+
+		if (p->state == PROMPT_READING && p->to_read > longest)
+			longest = p->to_read;
+	}
+	return longest;
+}
+
+void
+engine_load_free(struct engine_load *e)
+{
+	prompt_cache_free(&e->cache);
+	g_ptr_array_unref(e->prompts);
+	g_free(e);
+}
--- /dev/null
+++ b/kernel/overload/placement.c
@@ -0,0 +1,841 @@
+#include "kernel/overload/placement.h"
+#include "base/hash.h"
+#include "kernel/overload/engine_load.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A request of each less urgent rank counts as due so much later. */
+#define RANK_TIME      (2 * USEC_PER_SEC)
+/*
+ * A request waits behind more urgent ones, or late behind those that can be on
+ * time, until this part of the time from its aim to its deadline is over.
+ */
+#define MAX_DELAY      0.5
+/* A prompt is long that is read in more than this part of a stream's gap. */
+#define LONG_SHARE     0.25
+/* Part of a stream's gap that is filled with reading beside it. */
+#define READ_SHARE     0.5
+/* A prompt is sent so long before the engine has read those before it. */
+#define LEAD_MS        20.0
+/* Left of the slack when a prompt is sent to an engine that reads others. */
+#define MARGIN_MS      20.0
+/* Cost of a running request to one more, in milliseconds. */
+#define RUNNING_MS     4.0
+/* Share of its reading time by which a prompt delays each stream there. */
+#define READ_COST      0.1
+#define MAX_READ_COST  1.0
+/* Part of its gap that a stream loses at an engine that takes twice as long. */
+#define SLOW_SHARE     0.25
+/* Cost of a megabyte from another failure domain, in milliseconds. */
+#define REMOTE_MB_MS   6.0
+/* Costs that come before all others. */
+#define LATE_COST_MS   1e5
+#define ASIDE_COST_MS  1e7
+/* Requests that are held after all engines were looked at, in one step. */
+#define MAX_LOOKS      64
+/* A target that was limited, or another that may appear, is looked at again. */
+#define RECHECK_TIME   (100 * USEC_PER_MSEC)
+#define MIN_CHECK_TIME (1 * USEC_PER_MSEC)
+#define SWEEP_TIME     (1 * USEC_PER_SEC)
+/* Hosts may be late to say that a request has ended. */
+#define FORGET_TIME    (5 * USEC_PER_SEC)
+#define MIN_FULL_WAIT  (100 * USEC_PER_MSEC)
+
+/* An engine during a step. */
+struct view {
+	struct engine_load *engine;
+	const struct target_load *target;
+	struct engine_state state;
+	double longest_ms; /* of the prompts that are being read */
+	double next_end_ms;
+	uint32_t slots;
+};
+
+struct placement {
+	char *service;
+	char *domain;
+	struct loads *loads;
+	uint32_t slots;
+	uint64_t kv_tokens;
+	struct engine_norms norms;
+	GHashTable *prompts; /* by host and number: struct prompt */
+	GHashTable *engines; /* by id: struct engine_load */
+	GPtrArray *queue;    /* struct prompt, by order */
+	GArray *views;
+	uint64_t number; /* of the last submission */
+	bool changed;    /* since the last step */
+	bool unsorted;
+	usec_t check_at; /* when waiting prompts are looked at again */
+	usec_t swept_at;
+	usec_t now; /* of the last call */
+};
+
+/* How a prompt would fare at an engine. */
+struct look {
+	size_t view;
+	double cost;
+	double first_ms; /* until its first event, once it is sent */
+	double wait_ms;  /* until it is sent */
+	uint32_t to_read;
+	size_t n_cached;
+};
+
+/* The best engines for a prompt. */
+struct choice {
+	bool eligible; /* some engine may take it, at some time */
+	bool has_open;
+	bool has_forced;
+	bool has_next;
+	struct look open;   /* takes it now */
+	struct look forced; /* has a slot, but reads others */
+	struct look next; /* with the earliest first event, also after a wait */
+};
+
+/* Waiting prompts before one, during a step. */
+struct ahead {
+	size_t n;
+	uint64_t tokens;
+	double least_wait_ms; /* of those that were looked at */
+	double rate;          /* of all engines */
+	double slots;
+	size_t looks;
+	uint32_t least_tokens; /* of a prompt that is held */
+};
+
+static guint
+hash_prompt(gconstpointer p)
+{
+	const struct placement_request *q = p;
+
+	return (guint)prompt_cache_hash(q->host, q->ask);
+}
+
+static gboolean
+equal_prompt(gconstpointer a, gconstpointer b)
+{
+	const struct placement_request *x = a;
+	const struct placement_request *y = b;
+
+	return x->host == y->host && x->ask == y->ask;
+}
+
+static void
+free_engine(gpointer p)
+{
+	engine_load_free(p);
+}
+
+struct placement *
+placement_new(const struct placement_opts *o)
+{
+	struct placement *p = g_new0(struct placement, 1);
+
+	p->service = g_strdup(o->service);
+	p->domain = g_strdup(o->domain);
+	p->loads = o->loads;
+	p->slots = o->slots > 0 ? o->slots : 1;
+	p->kv_tokens = o->kv_tokens;
+	p->norms = engine_norms_init();
+	p->prompts =
+	    g_hash_table_new_full(hash_prompt, equal_prompt, NULL, g_free);
+	p->engines =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_engine);
+	p->queue = g_ptr_array_new();
+	p->views = g_array_new(FALSE, FALSE, sizeof(struct view));
+	return p;
+}
+
+static struct prompt *
+find_prompt(const struct placement *p, uint64_t host, uint64_t ask)
+{
+	struct placement_request key;
+
+	key.host = host;
+	key.ask = ask;
+	return g_hash_table_lookup(p->prompts, &key);
+}
+
+/* When the delay of a prompt for the sake of others ends. */
+static usec_t
+latest_order(const struct placement_request *q)
+{
+	usec_t rest = q->deadline - q->aim;
+
+	return q->aim + (rest > 0 ? (usec_t)(MAX_DELAY * (double)rest) : 0);
+}
+
+static usec_t
+order_of(const struct placement_request *q)
+{
+	usec_t latest = latest_order(q);
+	usec_t t = q->aim + (usec_t)(q->rank < 10 ? q->rank : 10) * RANK_TIME;
+
+	return t < latest ? t : latest;
+}
+
+void
+placement_submit(
+    struct placement *p, const struct placement_request *q, usec_t now)
+{
+	struct prompt *x;
+	uint64_t hash = 0;
+
+	p->now = now;
+	if (find_prompt(p, q->host, q->ask) != NULL)
+		return;
+	x = g_new0(struct prompt, 1);
+	x->request = *q;
+	if (x->request.n_parts > PLACEMENT_MAX_PARTS)
+		x->request.n_parts = PLACEMENT_MAX_PARTS;
+	if (x->request.n_tried > LOADS_MAX_TRIED)
+		x->request.n_tried = LOADS_MAX_TRIED;
+	for (size_t i = 0; i < x->request.n_parts; i++) {
+		hash = prompt_cache_hash(hash, q->parts[i].hash);
+		x->prefixes[i] =
+		    (struct prompt_prefix){ hash, q->parts[i].tokens };
+	}
+	x->submitted_at = now;
+	x->order = order_of(q);
+	x->number = ++p->number;
+	g_hash_table_insert(p->prompts, &x->request, x);
+	g_ptr_array_add(p->queue, x);
+	p->unsorted = true;
+	p->changed = true;
+}
+
+static void
+forget(struct placement *p, struct prompt *x, usec_t now)
+{
+	if (x->engine != NULL)
+		engine_load_remove(x->engine, &p->norms, x, now);
+	else
+		g_ptr_array_remove(p->queue, x);
+	g_hash_table_remove(p->prompts, &x->request);
+	p->changed = true;
+}
+
+void
+placement_cancel(struct placement *p, uint64_t host, uint64_t ask)
+{
+	struct prompt *x = find_prompt(p, host, ask);
+
+	if (x != NULL)
+		forget(p, x, p->now);
+}
+
+void
+placement_begun(struct placement *p, uint64_t host, uint64_t ask, usec_t now)
+{
+	struct prompt *x = find_prompt(p, host, ask);
+
+	p->now = now;
+	if (x == NULL || x->engine == NULL)
+		return;
+	engine_load_begun(x->engine, &p->norms, x, now);
+	p->changed = true;
+}
+
+void
+placement_ended(struct placement *p, uint64_t host, uint64_t ask,
+    bool completed, usec_t now)
+{
+	struct prompt *x = find_prompt(p, host, ask);
+
+	p->now = now;
+	if (x == NULL || x->engine == NULL)
+		return;
+	if (!completed)
+		engine_load_failed(x->engine, now);
+	else
+		engine_load_completed(x->engine, &p->norms, x, now);
+	forget(p, x, now);
+}
+
+void
+placement_reported(struct placement *p, const char *target, uint32_t running,
+    uint32_t waiting, uint32_t slowness, usec_t now)
+{
+	struct engine_load *e = g_hash_table_lookup(p->engines, target);
+
+	p->now = now;
+	if (e == NULL)
+		return;
+	engine_load_reported(e, &p->norms, running, waiting, slowness, now);
+	p->changed = true;
+}
+
+/* Forgets the prompts of a host, or those that are over. */
+static void
+forget_all(struct placement *p, const uint64_t *host, usec_t now)
+{
+	GHashTableIter it;
+	gpointer v;
+	g_autoptr(GPtrArray) all = g_ptr_array_new();
+
+	g_hash_table_iter_init(&it, p->prompts);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct prompt *x = v;
+
+		if (host != NULL ? x->request.host == *host
+				 : x->engine != NULL &&
+			    now > x->request.deadline + FORGET_TIME)
+			g_ptr_array_add(all, v);
+	}
+	for (guint i = 0; i < all->len; i++)
+		forget(p, all->pdata[i], now);
+}
+
+void
+placement_host_ended(struct placement *p, uint64_t host, usec_t now)
+{
+	p->now = now;
+	forget_all(p, &host, now);
+}
+
+static const GPtrArray *
+usable(const struct placement *p)
+{
+	return *p->domain != '\0'
+	    ? loads_usable_in(p->loads, p->service, p->domain)
+	    : loads_usable(p->loads, p->service);
+}
+
+/* The engine has ended, and what it ran with it. */
+static void
+remove_engine(struct placement *p, struct engine_load *e, usec_t now)
+{
+	while (e->prompts->len > 0)
+		forget(p, e->prompts->pdata[0], now);
+	g_hash_table_remove(p->engines, e->id);
+}
+
+static struct engine_load *
+engine_of(struct placement *p, const struct target_load *t, usec_t now)
+{
+	struct engine_load *e = g_hash_table_lookup(p->engines, t->entry.id);
+
+	if (e != NULL && t->entry.born_ms > e->born_ms) {
+		if (e->born_ms != 0) {
+			remove_engine(p, e, now);
+			e = NULL;
+		} else {
+			e->born_ms = t->entry.born_ms;
+		}
+	}
+	if (e == NULL) {
+		e = engine_load_new(t->entry.id, t->entry.born_ms);
+		g_hash_table_insert(p->engines, e->id, e);
+	}
+	return e;
+}
+
+static void
+set_view(const struct placement *p, struct view *v, usec_t now)
+{
+	const struct engine_load *e = v->engine;
+
+	engine_load_state(e, &p->norms, now, &v->state);
+	v->slots =
+	    v->target->entry.slots > 0 ? v->target->entry.slots : p->slots;
+	v->next_end_ms = engine_load_next_end_ms(e, &p->norms, now);
+	v->longest_ms = engine_load_longest(e) / v->state.rate;
+}
+
+static void
+set_views(struct placement *p, usec_t now)
+{
+	const GPtrArray *all = usable(p);
+
+	g_array_set_size(p->views, 0);
+	for (guint i = 0; all != NULL && i < all->len; i++) {
+		struct target_load *t = all->pdata[i];
+		struct view v = { .target = t };
+
+		v.engine = engine_of(p, t, now);
+		v.engine->listed = true;
+		set_view(p, &v, now);
+		g_array_append_val(p->views, v);
+	}
+}
+
+/* Drops what is over and engines that are gone. */
+static void
+sweep(struct placement *p, usec_t now)
+{
+	const GPtrArray *all = usable(p);
+	GHashTableIter it;
+	gpointer v;
+
+	if (now - p->swept_at < SWEEP_TIME)
+		return;
+	p->swept_at = now;
+	forget_all(p, NULL, now);
+	g_hash_table_iter_init(&it, p->engines);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((struct engine_load *)v)->listed = false;
+	for (guint i = 0; all != NULL && i < all->len; i++)
+		engine_of(p, all->pdata[i], now)->listed = true;
+	g_hash_table_iter_init(&it, p->engines);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct engine_load *e = v;
+
+		if (!e->listed && e->prompts->len == 0)
+			g_hash_table_iter_remove(&it);
+	}
+}
+
+static int
+by_order(const void *a, const void *b)
+{
+	const struct prompt *x = *(const struct prompt *const *)a;
+	const struct prompt *y = *(const struct prompt *const *)b;
+
+	if (x->order != y->order)
+		return x->order < y->order ? -1 : 1;
+	return x->number < y->number ? -1 : x->number > y->number;
+}
+
+static bool
+was_tried(const struct placement_request *q, const char *id)
+{
+	for (size_t i = 0; i < q->n_tried; i++) {
+		if (strcmp(q->tried[i], id) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool
+is_eligible(const struct placement *p, const struct placement_request *q,
+    const struct target_load *t)
+{
+	if (p->kv_tokens > 0 &&
+	    (uint64_t)q->prompt_tokens + q->output_tokens > p->kv_tokens)
+		return false;
+	return !was_tried(q, t->entry.id) &&
+	    (*q->version == '\0' || strcmp(q->version, t->entry.version) == 0);
+}
+
+static double
+to_ms(usec_t t)
+{
+	return (double)t / (double)USEC_PER_MSEC;
+}
+
+static usec_t
+from_ms(double ms)
+{
+	return (usec_t)(ms * (double)USEC_PER_MSEC);
+}
+
+/* Shortest gap of the streams beside which a prompt would be read. */
+static double
+gap_ms(const struct prompt *x, const struct engine_load *e)
+{
+	usec_t gap = e->max_gap;
+
+	if (gap == 0 || (x->request.max_gap > 0 && x->request.max_gap < gap))
+		gap = x->request.max_gap;
+	return to_ms(gap);
+}
+
+/* Time until the prompts that an engine reads leave room for another. */
+static double
+read_wait_ms(const struct view *v, double own_ms, double gap)
+{
+	double unread = v->state.unread_ms;
+	double room = READ_SHARE * gap - own_ms;
+	bool is_long = own_ms > LONG_SHARE * gap;
+
+	if (gap == 0 || unread <= LEAD_MS)
+		return 0;
+	if ((is_long && v->longest_ms > LONG_SHARE * gap) || room < LEAD_MS)
+		room = LEAD_MS;
+	return unread > room ? unread - room : 0;
+}
+
+/* Time until an engine has a slot and memory for another request. */
+static double
+slot_wait_ms(
+    const struct placement *p, const struct prompt *x, const struct view *v)
+{
+	uint64_t need =
+	    (uint64_t)x->request.prompt_tokens + x->request.output_tokens;
+
+	if (v->state.active < v->slots &&
+	    (p->kv_tokens == 0 || v->state.memory + need <= p->kv_tokens))
+		return 0;
+	return v->next_end_ms;
+}
+
+/* Cost of an engine beyond the time until the first event. */
+static double
+other_cost(const struct placement *p, const struct prompt *x,
+    const struct view *v, double own_ms, usec_t now)
+{
+	const struct engine_load *e = v->engine;
+	double gap = to_ms(e->max_gap);
+	double slow = v->state.slowness - 1;
+	double ms = v->state.active * RUNNING_MS * v->state.slowness;
+
+	ms += own_ms * fmin(e->n_streams * READ_COST, MAX_READ_COST);
+	if (slow > 0)
+		ms += slow * SLOW_SHARE * to_ms(x->request.max_gap);
+	if (e->n_streams > 0 && v->state.unread_ms + own_ms > READ_SHARE * gap)
+		ms += e->n_streams * SLOW_SHARE * gap;
+	if (now < e->aside_until || now < v->target->aside_until)
+		ms += ASIDE_COST_MS;
+	return ms + rng_unit(&p->loads->rng);
+}
+
+static void
+look_at(const struct placement *p, const struct prompt *x, size_t i, usec_t now,
+    struct look *out)
+{
+	const struct view *v = &g_array_index(p->views, struct view, i);
+	const struct placement_request *q = &x->request;
+	uint32_t cached = 0;
+	double own_ms;
+	double read_wait;
+	double slot_wait;
+
+	*out = (struct look){ .view = i };
+	out->n_cached =
+	    prompt_cache_find(&v->engine->cache, x->prefixes, q->n_parts);
+	for (size_t k = 0; k < out->n_cached; k++)
+		cached += q->parts[k].tokens;
+	out->to_read =
+	    q->prompt_tokens > cached ? q->prompt_tokens - cached : 1;
+	own_ms = out->to_read / v->state.rate;
+	out->first_ms =
+	    p->norms.first_ms * v->state.slowness + v->state.unread_ms + own_ms;
+	if (*q->input_domain != '\0' &&
+	    strcmp(q->input_domain, v->target->entry.domain) != 0)
+		out->first_ms += REMOTE_MB_MS * (double)q->input_bytes / 1e6;
+	out->cost = out->first_ms + other_cost(p, x, v, own_ms, now);
+	if (now + from_ms(out->first_ms) > q->aim)
+		out->cost += LATE_COST_MS;
+	slot_wait = slot_wait_ms(p, x, v);
+	read_wait = read_wait_ms(v, own_ms, gap_ms(x, v->engine));
+	out->wait_ms = fmax(slot_wait, read_wait);
+	if (!loads_allows(v->target, now))
+		out->wait_ms = fmax(out->wait_ms,
+		    fmax(to_ms(v->target->rest_until - now),
+			to_ms(RECHECK_TIME)));
+}
+
+static bool
+is_forcible(const struct placement *p, const struct prompt *x,
+    const struct look *k, usec_t now)
+{
+	const struct view *v = &g_array_index(p->views, struct view, k->view);
+
+	return loads_allows(v->target, now) && slot_wait_ms(p, x, v) == 0;
+}
+
+/* When the first event is expected at an engine that takes it later. */
+static double
+later_ms(const struct look *k, const struct view *v)
+{
+	double left = v->state.unread_ms - k->wait_ms;
+
+	/* What it reads meanwhile isn't before the prompt any more. */
+	return k->wait_ms + k->first_ms - v->state.unread_ms + fmax(left, 0);
+}
+
+static void
+choose(const struct placement *p, const struct prompt *x, usec_t now,
+    struct choice *out)
+{
+	*out = (struct choice){ 0 };
+	for (guint i = 0; i < p->views->len; i++) {
+		const struct view *v = &g_array_index(p->views, struct view, i);
+		struct look k;
+
+		if (!is_eligible(p, &x->request, v->target))
+			continue;
+		look_at(p, x, i, now, &k);
+		out->eligible = true;
+		if (k.wait_ms <= 0 &&
+		    (!out->has_open || k.cost < out->open.cost)) {
+			out->has_open = true;
+			out->open = k;
+		}
+		if (k.wait_ms > 0 && is_forcible(p, x, &k, now) &&
+		    (!out->has_forced || k.cost < out->forced.cost)) {
+			out->has_forced = true;
+			out->forced = k;
+		}
+		k.first_ms = later_ms(&k, v);
+		if (now < v->engine->aside_until ||
+		    now < v->target->aside_until)
+			continue;
+		if (!out->has_next || k.first_ms < out->next.first_ms) {
+			out->has_next = true;
+			out->next = k;
+		}
+	}
+	if (!out->has_next && out->has_open) {
+		out->has_next = true;
+		out->next = out->open;
+	}
+}
+
+static void
+send_to(struct placement *p, struct prompt *x, const struct look *k,
+    struct placement_decision *d, usec_t now)
+{
+	struct view *v = &g_array_index(p->views, struct view, k->view);
+
+	d->verdict = PLACEMENT_SEND;
+	g_strlcpy(d->target, v->engine->id, sizeof(d->target));
+	d->first_event = from_ms(k->first_ms);
+	d->to_read = k->to_read;
+	d->reading = (uint32_t)fmin(
+	    v->state.unread_ms * v->state.rate, (double)UINT32_MAX);
+	d->running = v->state.active - v->engine->n_reading;
+	x->to_read = k->to_read;
+	x->n_cached = k->n_cached;
+	engine_load_add(v->engine, &p->norms, x, p->kv_tokens, now);
+	set_view(p, v, now);
+}
+
+static void
+check_by(struct placement *p, usec_t t, usec_t now)
+{
+	if (t < now + MIN_CHECK_TIME)
+		t = now + MIN_CHECK_TIME;
+	if (p->check_at == 0 || t < p->check_at)
+		p->check_at = t;
+}
+
+/* Time in which the engines take the prompts that are before one. */
+static double
+queue_ms(const struct placement *p, const struct ahead *a)
+{
+	double read = a->rate > 0 ? (double)a->tokens / a->rate : 0;
+	double run =
+	    a->slots > 0 ? (double)a->n * p->norms.run_ms / a->slots : 0;
+
+	return fmax(read, run);
+}
+
+static void
+set_full(struct placement_decision *d, double ms)
+{
+	d->verdict = PLACEMENT_FULL;
+	d->wait = from_ms(ms);
+	if (d->wait < MIN_FULL_WAIT)
+		d->wait = MIN_FULL_WAIT;
+}
+
+/*
+ * Whether a prompt that can't be sent now waits: sets *d if it can't be served
+ * at all.
+ */
+static bool
+holds(struct placement *p, struct prompt *x, struct ahead *a, double wait_ms,
+    struct placement_decision *d, usec_t now)
+{
+	double ms = queue_ms(p, a) + wait_ms;
+
+	if (now + from_ms(ms) >= x->request.deadline) {
+		set_full(d, ms);
+		return false;
+	}
+	a->n++;
+	a->tokens += x->request.prompt_tokens;
+	if (x->request.prompt_tokens < a->least_tokens)
+		a->least_tokens = x->request.prompt_tokens;
+	check_by(p, x->request.deadline, now);
+	return true;
+}
+
+/* The prompt can't be on time: it yields to those that can. */
+static void
+set_late(struct placement *p, struct prompt *x)
+{
+	if (x->late)
+		return;
+	x->late = true;
+	x->order = latest_order(&x->request);
+	p->unsorted = true;
+}
+
+/*
+ * When a prompt is sent to an engine that reads others: when its slack is over;
+ * if it would be late there, when it has yielded for long enough.
+ */
+static usec_t
+forced_at(const struct prompt *x, const struct look *k, usec_t now)
+{
+	usec_t aim = x->request.aim;
+
+	if (!x->late && now + from_ms(k->first_ms) <= aim)
+		return aim - from_ms(k->first_ms + MARGIN_MS);
+	return x->order > aim ? x->order : aim;
+}
+
+/*
+ * Decides on a prompt: returns whether it is done with.  While it waits, the
+ * time to look again is noted.
+ */
+static bool
+decide(struct placement *p, struct prompt *x, struct ahead *a,
+    struct placement_decision *d, usec_t now)
+{
+	usec_t aim = x->request.aim;
+	struct choice c;
+	bool in_time;
+
+	choose(p, x, now, &c);
+	if (!c.eligible) {
+		d->verdict = PLACEMENT_NONE;
+		return true;
+	}
+	a->looks++;
+	in_time = c.has_next && now + from_ms(c.next.first_ms) <= aim;
+	if (c.has_open && (!in_time || now + from_ms(c.open.first_ms) <= aim)) {
+		send_to(p, x, &c.open, d, now);
+		return true;
+	}
+	if (!in_time)
+		set_late(p, x);
+	if (c.has_forced && now >= forced_at(x, &c.forced, now)) {
+		send_to(p, x, &c.forced, d, now);
+		return true;
+	}
+	if (c.has_forced)
+		check_by(p, forced_at(x, &c.forced, now), now);
+	if (c.has_next)
+		check_by(p, now + from_ms(c.next.wait_ms), now);
+	else
+		check_by(p, now + RECHECK_TIME, now);
+	if (c.has_next && c.next.first_ms < a->least_wait_ms)
+		a->least_wait_ms = c.next.first_ms;
+	return !holds(p, x, a, c.has_next ? c.next.first_ms : 0, d, now);
+}
+
+static void
+sum_engines(const struct placement *p, struct ahead *a)
+{
+	*a = (struct ahead){ .least_wait_ms = INFINITY,
+		.least_tokens = UINT32_MAX };
+	for (guint i = 0; i < p->views->len; i++) {
+		const struct view *v = &g_array_index(p->views, struct view, i);
+
+		a->rate += v->state.rate;
+		a->slots += v->slots;
+	}
+}
+
+/* Whether prompts like this one have been looked at in vain in this step. */
+static bool
+is_hopeless(const struct prompt *x, const struct ahead *a)
+{
+	return a->looks >= MAX_LOOKS && a->n > 0 &&
+	    x->request.prompt_tokens >= a->least_tokens;
+}
+
+size_t
+placement_step(
+    struct placement *p, struct placement_decision *out, size_t max, usec_t now)
+{
+	struct ahead a;
+	size_t n = 0;
+	guint kept = 0;
+
+	p->now = now;
+	sweep(p, now);
+	p->changed = false;
+	p->check_at = 0;
+	if (p->queue->len == 0)
+		return 0;
+	set_views(p, now);
+	sum_engines(p, &a);
+	if (p->unsorted)
+		qsort(
+		    p->queue->pdata, p->queue->len, sizeof(gpointer), by_order);
+	p->unsorted = false;
+	for (guint i = 0; i < p->queue->len; i++) {
+		struct prompt *x = p->queue->pdata[i];
+		struct placement_decision d = {
+			.host = x->request.host,
+			.ask = x->request.ask,
+		};
+		bool done = false;
+
+		if (n == max)
+			p->changed = true;
+		else if (is_hopeless(x, &a))
+			done = !holds(p, x, &a, a.least_wait_ms, &d, now);
+		else
+			done = decide(p, x, &a, &d, now);
+		if (!done) {
+			p->queue->pdata[kept++] = x;
+			continue;
+		}
+		out[n++] = d;
+		if (d.verdict != PLACEMENT_SEND)
+			g_hash_table_remove(p->prompts, &x->request);
+	}
+	g_ptr_array_set_size(p->queue, (gint)kept);
+	return n;
+}
+
+usec_t
+placement_due(const struct placement *p, usec_t now)
+{
+	if (p->queue->len == 0)
+		return 0;
+	return p->changed || p->check_at == 0 ? now : p->check_at;
+}
+
+usec_t
+placement_wait(const struct placement *p, uint32_t tokens, usec_t now)
+{
+	const GPtrArray *all = usable(p);
+	struct ahead a = { 0 };
+	double least = INFINITY;
+
+	for (guint i = 0; all != NULL && i < all->len; i++) {
+		struct view v = { .target = all->pdata[i] };
+		double ms = p->norms.first_ms + tokens / p->norms.rate;
+
+		v.engine = g_hash_table_lookup(p->engines, v.target->entry.id);
+		a.slots += p->slots;
+		a.rate += p->norms.rate;
+		if (v.engine != NULL) {
+			set_view(p, &v, now);
+			a.rate += v.state.rate - p->norms.rate;
+			ms = p->norms.first_ms * v.state.slowness +
+			    v.state.unread_ms + tokens / v.state.rate;
+			if (v.state.active >= v.slots)
+				ms += v.next_end_ms;
+		}
+		least = fmin(least, ms);
+	}
+	for (guint i = 0; i < p->queue->len; i++) {
+		const struct prompt *x = p->queue->pdata[i];
+
+		a.n++;
+		a.tokens += x->request.prompt_tokens;
+	}
+	return isfinite(least) ? from_ms(least + queue_ms(p, &a)) : 0;
+}
+
+void
+placement_free(struct placement *p)
+{
+	if (p == NULL)
+		return;
+	g_hash_table_destroy(p->prompts);
+	g_hash_table_destroy(p->engines);
+	g_ptr_array_unref(p->queue);
+	g_array_unref(p->views);
+	g_free(p->domain);
+	g_free(p->service);
+	g_free(p);
+}
