--- a/kernel/overload/placement.c
+++ b/kernel/overload/placement.c
@@ -23,9 +23,16 @@
 #define MARGIN_MS      20.0
 /* Cost of a running request to one more, in milliseconds. */
 #define RUNNING_MS     4.0
-/* Share of its reading time by which a prompt delays each stream there. */
-#define READ_COST      0.1
-#define MAX_READ_COST  1.0
+/*
+ * Tokens that are read delay everything at the engine, so their time counts so
+ * many times beyond the delay of the prompt itself.
+ */
+#define READ_COST      3.0
+/*
+ * An engine is slow that takes this many times as long as usual: a prompt
+ * rather waits for another one if it can still be on time.
+ */
+#define SLOW_FACTOR    1.5
 /* Part of its gap that a stream loses at an engine that takes twice as long. */
 #define SLOW_SHARE     0.25
 /* Cost of a megabyte from another failure domain, in milliseconds. */
@@ -480,7 +487,7 @@
 	double slow = v->state.slowness - 1;
 	double ms = v->state.active * RUNNING_MS * v->state.slowness;
 
-	ms += own_ms * fmin(e->n_streams * READ_COST, MAX_READ_COST);
+	ms += own_ms * v->state.rate / p->norms.rate * READ_COST;
 	if (slow > 0)
 		ms += slow * SLOW_SHARE * to_ms(x->request.max_gap);
 	if (e->n_streams > 0 && v->state.unread_ms + own_ms > READ_SHARE * gap)
@@ -678,6 +685,24 @@
 	return x->order > aim ? x->order : aim;
 }
 
+/*
+ * Whether a prompt that an engine may take now is better off elsewhere a little
+ * later: it would be late at that engine, or slow.
+ */
+static bool
+is_better_later(
+    const struct placement *p, const struct choice *c, usec_t aim, usec_t now)
+{
+	const struct view *v =
+	    &g_array_index(p->views, struct view, c->open.view);
+
+	if (now + from_ms(c->open.first_ms) > aim)
+		return true;
+	return v->state.slowness >= SLOW_FACTOR &&
+	    c->next.cost + c->next.wait_ms < c->open.cost &&
+	    now + from_ms(c->next.first_ms + MARGIN_MS) <= aim;
+}
+
 /*
  * Decides on a prompt: returns whether it is done with.  While it waits, the
  * time to look again is noted.
@@ -696,8 +721,9 @@
 		return true;
 	}
 	a->looks++;
-	in_time = c.has_next && now + from_ms(c.next.first_ms) <= aim;
-	if (c.has_open && (!in_time || now + from_ms(c.open.first_ms) <= aim)) {
+	in_time = c.has_next &&
+	    now + from_ms(queue_ms(p, a) + c.next.first_ms) <= aim;
+	if (c.has_open && !(in_time && is_better_later(p, &c, aim, now))) {
 		send_to(p, x, &c.open, d, now);
 		return true;
 	}
