placement, loads: calls that a host has placed by itself, and its veto

The placer has to count what hosts send by their own choice: placement_sent adds such a request to the target as if it had been placed there. loads_takes says whether a host may send to the target that a placer names, and loads_home_domain in which domain a request is best placed.

--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -422,6 +422,41 @@
 	return ms;
 }
 
+/* Whether the target may get the call, if it isn't set aside. */
+static bool
+is_eligible(
+    const struct loads_query *q, const struct target_load *t, usec_t now)
+{
+	return already_tried(q, t) == q->again && has_version(q, t) &&
+	    loads_allows(t, now);
+}
+
+const char *
+loads_home_domain(const struct loads *l, const struct loads_query *q)
+{
+	const char *input_domain =
+	    q->input_addr.n > 0 ? loads_domain_at(l, q->input_addr) : "";
+	double remote_ms = REMOTE_MB_MS * (double)q->input_bytes / 1e6;
+	const char *affinity_domain = loads_affinity_domain(l, q);
+
+	if (*input_domain != '\0' &&
+	    remote_ms > q->shared_tokens / TOKENS_PER_MS)
+		return input_domain;
+	return q->shared_tokens > 0 && *affinity_domain != '\0'
+	    ? affinity_domain
+	    : l->domain;
+}
+
+bool
+loads_takes(const struct loads *l, const struct loads_query *q,
+    const struct target_load *t, usec_t now)
+{
+	const GPtrArray *all = loads_usable(l, q->service);
+
+	return all != NULL && g_ptr_array_find((GPtrArray *)all, t, NULL) &&
+	    is_eligible(q, t, now) && now >= t->aside_until;
+}
+
 static struct target_load *
 choose_cheapest(struct loads *l, const struct loads_query *q,
     const GPtrArray *all, bool use_set_aside, usec_t now)
@@ -436,8 +471,7 @@
 		struct target_load *t = all->pdata[i];
 		double c;
 
-		if (already_tried(q, t) != q->again || !has_version(q, t) ||
-		    !loads_allows(t, now) ||
+		if (!is_eligible(q, t, now) ||
 		    (!use_set_aside && now < t->aside_until))
 			continue;
 		c = cost(l, q, t, preferred, input_domain, now) +
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -126,6 +126,15 @@
 /* Domain of the target with affinity for the prompt's shared parts, or "". */
 const char *loads_affinity_domain(
     const struct loads *l, const struct loads_query *q);
+/*
+ * Domain in which the call had best be made, as far as that depends on its
+ * inputs and shared parts; this host's if they don't matter.
+ */
+const char *loads_home_domain(
+    const struct loads *l, const struct loads_query *q);
+/* Whether loads_choose may choose the target, also if others are better. */
+bool loads_takes(const struct loads *l, const struct loads_query *q,
+    const struct target_load *t, usec_t now);
 /* Domain of the target at an address, or "". */
 const char *loads_domain_at(const struct loads *l, struct str addr);
 /* Service of the target at an address, or "". */
--- a/kernel/overload/placement.c
+++ b/kernel/overload/placement.c
@@ -182,16 +182,16 @@
 	return t < latest ? t : latest;
 }
 
-void
-placement_submit(
-    struct placement *p, const struct placement_request *q, usec_t now)
+/* Returns a new prompt, or NULL if it is known already. */
+static struct prompt *
+add_prompt(struct placement *p, const struct placement_request *q, usec_t now)
 {
 	struct prompt *x;
 	uint64_t hash = 0;
 
 	p->now = now;
 	if (find_prompt(p, q->host, q->ask) != NULL)
-		return;
+		return NULL;
 	x = g_new0(struct prompt, 1);
 	x->request = *q;
 	if (x->request.n_parts > PLACEMENT_MAX_PARTS)
@@ -207,9 +207,20 @@
 	x->order = order_of(q);
 	x->number = ++p->number;
 	g_hash_table_insert(p->prompts, &x->request, x);
+	p->changed = true;
+	return x;
+}
+
+void
+placement_submit(
+    struct placement *p, const struct placement_request *q, usec_t now)
+{
+	struct prompt *x = add_prompt(p, q, now);
+
+	if (x == NULL)
+		return;
 	g_ptr_array_add(p->queue, x);
 	p->unsorted = true;
-	p->changed = true;
 }
 
 static void
@@ -338,6 +349,35 @@
 	return e;
 }
 
+/* Sets which parts of a prompt an engine has cached. */
+static void
+set_cached(struct prompt *x, struct engine_load *e)
+{
+	uint32_t cached = 0;
+
+	x->n_cached =
+	    prompt_cache_find(&e->cache, x->prefixes, x->request.n_parts);
+	for (size_t i = 0; i < x->n_cached; i++)
+		cached += x->request.parts[i].tokens;
+	x->to_read = x->request.prompt_tokens > cached
+	    ? x->request.prompt_tokens - cached
+	    : 1;
+}
+
+void
+placement_sent(struct placement *p, const struct placement_request *q,
+    const char *target, usec_t now)
+{
+	const struct target_load *t = loads_find(p->loads, target);
+	struct engine_load *e = t != NULL ? engine_of(p, t, now) : NULL;
+	struct prompt *x = e != NULL ? add_prompt(p, q, now) : NULL;
+
+	if (x == NULL)
+		return;
+	set_cached(x, e);
+	engine_load_add(e, &p->norms, x, p->kv_tokens, now);
+}
+
 static void
 set_view(const struct placement *p, struct view *v, usec_t now)
 {
--- a/kernel/overload/placement.h
+++ b/kernel/overload/placement.h
@@ -79,6 +79,12 @@
 /* Takes a request; one that is known already is not taken again. */
 void placement_submit(
     struct placement *p, const struct placement_request *q, usec_t now);
+/*
+ * A host has sent a request to a target by its own choice: it runs there as if
+ * it had been placed.
+ */
+void placement_sent(struct placement *p, const struct placement_request *q,
+    const char *target, usec_t now);
 /* Drops a request that waits, or forgets one that was placed. */
 void placement_cancel(struct placement *p, uint64_t host, uint64_t ask);
 /*
