Placer: one host places the requests of all on the engines of a domain

One live host per engine service and failure domain is now asked for the target (entry/placements, entry/placer), and told when a request begins and ends and what targets report. It never holds a request: without a reply in 30 ms, or while the placer is new or silent, the host chooses as before and tells the placer. In force from 17 hosts on (placer_min_hosts, 0: off).

--- a/entry/control.c
+++ b/entry/control.c
@@ -219,6 +219,9 @@
 	case PEER_STREAM_LOOK:
 	case PEER_STREAM_FOUND:
 	case PEER_STREAM_READING:
+	case PEER_PLACE_ASK:
+	case PEER_PLACE_REPLY:
+	case PEER_PLACE_NEWS:
 	case PEER_BRITTLE:
 		break; /* sent only by hosts that relay by route */
 	}
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -199,6 +199,9 @@
 	case PEER_STREAM_RECORDED:
 	case PEER_STREAM_FOUND:
 	case PEER_STREAM_READING:
+	case PEER_PLACE_ASK:
+	case PEER_PLACE_REPLY:
+	case PEER_PLACE_NEWS:
 		d->o.relay_datagram(d->o.arg, l);
 		return;
 	case PEER_GOSSIP:
--- a/entry/discovery_quarantine.c
+++ b/entry/discovery_quarantine.c
@@ -366,6 +366,9 @@
 	case PEER_STREAM_LOOK:
 	case PEER_STREAM_FOUND:
 	case PEER_STREAM_READING:
+	case PEER_PLACE_ASK:
+	case PEER_PLACE_REPLY:
+	case PEER_PLACE_NEWS:
 	case PEER_BRITTLE:
 		break; /* not about quarantined parts */
 	}
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -229,6 +229,7 @@
 {
 	r->call = NULL;
 	forward_stop_waiting(r);
+	forward_place_ended(r, healthy);
 	loads_ended(&r->shared->loads, r->target_id,
 	    healthy ? LOADS_OK : LOADS_FAILED, clock_now());
 }
@@ -551,6 +552,8 @@
 		r->first_sent_at = now;
 	r->events_before = r->sse.events;
 	r->answer_reported = false;
+	r->executed = false;
+	forward_place_sent(r, t);
 	relay_answer_log_sent(r, t, left);
 	loads_sent(t, now);
 	start_call(r, t, left);
@@ -570,8 +573,39 @@
 	return true;
 }
 
+/* Whether the target takes the request that a placer has placed there. */
+static bool
+takes_placed(
+    const struct relay_request *r, const struct target_load *t, usec_t now)
+{
+	struct loads_query query;
+
+	forward_query(r, &query);
+	return loads_takes(&r->shared->loads, &query, t, now) &&
+	    r->deadline - now >= MIN_TIME_LEFT;
+}
+
 void
-forward_send(struct relay_request *r)
+forward_send_placed(struct relay_request *r, const char *target)
+{
+	usec_t now = clock_now();
+	struct target_load *t = loads_find(&r->shared->loads, target);
+
+	if (reject_quarantined(r) || relay_stopping_refuse(r))
+		return;
+	if (t != NULL && takes_placed(r, t, now)) {
+		send_to(r, t, now);
+		return;
+	}
+	placements_ended(
+	    r->shared->placements, r->placement, PLACEMENT_DROPPED);
+	r->placement = 0;
+	r->placed.cause = PLACEMENT_VETOED;
+	forward_send_here(r);
+}
+
+void
+forward_send_here(struct relay_request *r)
 {
 	usec_t now = clock_now();
 	struct target_load *t;
@@ -585,6 +619,15 @@
 		send_to(r, t, now);
 }
 
+void
+forward_send(struct relay_request *r)
+{
+	if (reject_quarantined(r) || relay_stopping_refuse(r))
+		return;
+	if (!forward_place(r))
+		forward_send_here(r);
+}
+
 /*
  * Sends a request that goes on, or the rest of its stream, to a target, if one
  * takes it, after the stages that it needs again.
@@ -598,6 +641,7 @@
 	forward_stop_waiting(r);
 	if (reject_quarantined(r))
 		return;
+	r->placed = (struct placed){ .cause = PLACEMENT_NOT_ASKED };
 	if (!stages_are_done(r)) {
 		stages_resume(r);
 		return;
@@ -658,6 +702,7 @@
 	r->may_have_run = true;
 	r->given_up = true;
 	sse_restart(&r->sse);
+	r->placed = (struct placed){ .cause = PLACEMENT_NOT_ASKED };
 	if (!reject_quarantined(r))
 		send_to(r, instead, now);
 }
--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -54,6 +54,8 @@
 	else if (now - r->last_event_at > r->longest_pause)
 		r->longest_pause = now - r->last_event_at;
 	r->last_event_at = now;
+	if (first)
+		forward_place_begun(r);
 	resume_wait_reset(&r->resume_wait);
 	forward_start_waiting(r, &s->event_wait,
 	    EVENT_GAPS * r->route->max_event_gap, 0, r->deadline - now);
@@ -177,6 +179,13 @@
 		response_wait_answered(&r->shared->response_wait,
 		    r->service->name, clock_now() - r->sent_at);
 	}
+	r->executed = !r->response.not_executed;
+	if (r->response.has_load)
+		placements_reported(r->shared->placements, r->placement,
+		    r->response.running, r->response.waiting,
+		    r->response.slowness);
+	if (r->executed && !is_stream(r))
+		forward_place_begun(r);
 	if (t != NULL && r->response.has_load)
 		loads_report(t, r->response.running, r->response.waiting,
 		    r->response.slowness, clock_now());
--- a/entry/forward_state.h
+++ b/entry/forward_state.h
@@ -24,6 +24,21 @@
  * to this host only, or rejects it.
  */
 void forward_send(struct relay_request *r);
+/*
+ * Sends the request to the target that its placer has decided on, or to one
+ * that this host chooses.
+ */
+void forward_send_placed(struct relay_request *r, const char *target);
+void forward_send_here(struct relay_request *r);
+/*
+ * Asks the placer for a target (forward_place.c); returns false if this host
+ * has to choose it, and sets why.
+ */
+bool forward_place(struct relay_request *r);
+/* Tells the placer that a call is sent, and what has become of it. */
+void forward_place_sent(struct relay_request *r, const struct target_load *t);
+void forward_place_begun(struct relay_request *r);
+void forward_place_ended(struct relay_request *r, bool healthy);
 /* Whether the request is sent again until its time is over. */
 bool forward_goes_on(const struct relay_request *r);
 /* Rejects the request, unless it goes on later. */
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -311,6 +311,124 @@
 };
 typedef struct peer_stream_found peer_stream_found;
 
+typedef char *peer_target;
+#define PEER_TRIED_MAX 8
+#define PEER_PLACE_EVENTS_MAX 64
+#define PEER_PLACE_CALLS_MAX 1024
+
+struct peer_part {
+	u_quad_t hash;
+	u_int tokens;
+};
+typedef struct peer_part peer_part;
+
+struct peer_prompt_size {
+	struct {
+		u_int parts_len;
+		peer_part *parts_val;
+	} parts;
+	u_int prompt_tokens;
+	u_int output_tokens;
+	u_int rank;
+};
+typedef struct peer_prompt_size peer_prompt_size;
+
+enum peer_place_kind {
+	PEER_PLACE_SENT = 1,
+	PEER_PLACE_BEGUN = 2,
+	PEER_PLACE_COMPLETED = 3,
+	PEER_PLACE_LOST = 4,
+	PEER_PLACE_CANCELLED = 5,
+	PEER_PLACE_REPORT = 6,
+};
+typedef enum peer_place_kind peer_place_kind;
+
+struct peer_place_sent {
+	u_quad_t call;
+	peer_target target;
+	peer_prompt_size size;
+	u_int left_ms;
+	u_int max_gap_ms;
+};
+typedef struct peer_place_sent peer_place_sent;
+
+struct peer_place_report {
+	peer_target target;
+	u_int running;
+	u_int waiting;
+	u_int slowness;
+};
+typedef struct peer_place_report peer_place_report;
+
+struct peer_place_fact {
+	peer_place_kind kind;
+	union {
+		peer_place_sent sent;
+		u_quad_t call;
+		peer_place_report report;
+	} peer_place_fact_u;
+};
+typedef struct peer_place_fact peer_place_fact;
+
+struct peer_place_event {
+	u_int age_ms;
+	peer_place_fact fact;
+};
+typedef struct peer_place_event peer_place_event;
+
+struct peer_place_call {
+	u_quad_t call;
+	bool_t begun;
+};
+typedef struct peer_place_call peer_place_call;
+
+struct peer_place_news {
+	peer_target service;
+	peer_name domain;
+	struct {
+		u_int events_len;
+		peer_place_event *events_val;
+	} events;
+	bool_t listed;
+	struct {
+		u_int calls_len;
+		peer_place_call *calls_val;
+	} calls;
+};
+typedef struct peer_place_news peer_place_news;
+
+struct peer_place_ask {
+	u_quad_t call;
+	peer_prompt_size size;
+	int aim_left_ms;
+	u_int left_ms;
+	u_int max_gap_ms;
+	char *software;
+	peer_name input_domain;
+	u_quad_t input_bytes;
+	struct {
+		u_int tried_len;
+		peer_target *tried_val;
+	} tried;
+	peer_place_news news;
+};
+typedef struct peer_place_ask peer_place_ask;
+
+struct peer_place_reply {
+	u_quad_t call;
+	bool_t queued;
+	int verdict;
+	peer_target target;
+	u_int wait_ms;
+	u_int first_event_ms;
+	u_int to_read;
+	u_int reading;
+	u_int running;
+	u_int age_ms;
+	int known_ms;
+};
+typedef struct peer_place_reply peer_place_reply;
+
 enum peer_kind {
 	PEER_GOSSIP = 1,
 	PEER_CLAIM = 2,
@@ -336,6 +454,9 @@
 	PEER_STREAM_FOUND = 22,
 	PEER_BRITTLE = 23,
 	PEER_STREAM_READING = 24,
+	PEER_PLACE_ASK = 25,
+	PEER_PLACE_REPLY = 26,
+	PEER_PLACE_NEWS = 27,
 };
 typedef enum peer_kind peer_kind;
 
@@ -365,6 +486,9 @@
 		peer_stream_look stream_look;
 		peer_stream_found stream_found;
 		peer_brittle brittle;
+		peer_place_ask place_ask;
+		peer_place_reply place_reply;
+		peer_place_news place_news;
 	} peer_body_u;
 };
 typedef struct peer_body peer_body;
@@ -475,6 +599,18 @@
 extern  bool_t xdr_peer_stream_recorded (XDR *, peer_stream_recorded*);
 extern  bool_t xdr_peer_stream_look (XDR *, peer_stream_look*);
 extern  bool_t xdr_peer_stream_found (XDR *, peer_stream_found*);
+extern  bool_t xdr_peer_target (XDR *, peer_target*);
+extern  bool_t xdr_peer_part (XDR *, peer_part*);
+extern  bool_t xdr_peer_prompt_size (XDR *, peer_prompt_size*);
+extern  bool_t xdr_peer_place_kind (XDR *, peer_place_kind*);
+extern  bool_t xdr_peer_place_sent (XDR *, peer_place_sent*);
+extern  bool_t xdr_peer_place_report (XDR *, peer_place_report*);
+extern  bool_t xdr_peer_place_fact (XDR *, peer_place_fact*);
+extern  bool_t xdr_peer_place_event (XDR *, peer_place_event*);
+extern  bool_t xdr_peer_place_call (XDR *, peer_place_call*);
+extern  bool_t xdr_peer_place_news (XDR *, peer_place_news*);
+extern  bool_t xdr_peer_place_ask (XDR *, peer_place_ask*);
+extern  bool_t xdr_peer_place_reply (XDR *, peer_place_reply*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
 extern  bool_t xdr_peer_body (XDR *, peer_body*);
 extern  bool_t xdr_peer_letter (XDR *, peer_letter*);
@@ -514,6 +650,18 @@
 extern bool_t xdr_peer_stream_recorded ();
 extern bool_t xdr_peer_stream_look ();
 extern bool_t xdr_peer_stream_found ();
+extern bool_t xdr_peer_target ();
+extern bool_t xdr_peer_part ();
+extern bool_t xdr_peer_prompt_size ();
+extern bool_t xdr_peer_place_kind ();
+extern bool_t xdr_peer_place_sent ();
+extern bool_t xdr_peer_place_report ();
+extern bool_t xdr_peer_place_fact ();
+extern bool_t xdr_peer_place_event ();
+extern bool_t xdr_peer_place_call ();
+extern bool_t xdr_peer_place_news ();
+extern bool_t xdr_peer_place_ask ();
+extern bool_t xdr_peer_place_reply ();
 extern bool_t xdr_peer_kind ();
 extern bool_t xdr_peer_body ();
 extern bool_t xdr_peer_letter ();
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -269,6 +269,113 @@
 	string software<64>;
 };
 
+typedef string peer_target<PEER_TARGET_MAX>;
+
+const PEER_TRIED_MAX = 8;
+const PEER_PLACE_EVENTS_MAX = 64;
+const PEER_PLACE_CALLS_MAX = 1024;
+
+/* A part of a prompt. */
+struct peer_part {
+	unsigned hyper hash;
+	unsigned int tokens;
+};
+
+/* What an engine reads and writes for a request. */
+struct peer_prompt_size {
+	peer_part parts<PEER_PARTS_MAX>;
+	unsigned int prompt_tokens;
+	unsigned int output_tokens;
+	unsigned int rank;
+};
+
+/* What a host knows of the engines; calls are those of its own. */
+enum peer_place_kind {
+	PEER_PLACE_SENT = 1,      /* a call whose target the host has chosen */
+	PEER_PLACE_BEGUN = 2,     /* its first event has come */
+	PEER_PLACE_COMPLETED = 3, /* it has ended, and its prompt was read */
+	PEER_PLACE_LOST = 4,      /* its target has refused it or failed */
+	PEER_PLACE_CANCELLED = 5, /* its host or caller has dropped it */
+	PEER_PLACE_REPORT = 6     /* an answer has named the target's load */
+};
+
+struct peer_place_sent {
+	unsigned hyper call;
+	peer_target target;
+	peer_prompt_size size;
+	unsigned int left_ms;   /* until the caller's deadline */
+	unsigned int max_gap_ms; /* longest pause between events on time */
+};
+
+struct peer_place_report {
+	peer_target target;
+	unsigned int running;
+	unsigned int waiting;
+	unsigned int slowness;
+};
+
+union peer_place_fact switch (peer_place_kind kind) {
+case PEER_PLACE_SENT:
+	peer_place_sent sent;
+case PEER_PLACE_BEGUN:
+case PEER_PLACE_COMPLETED:
+case PEER_PLACE_LOST:
+case PEER_PLACE_CANCELLED:
+	unsigned hyper call;
+case PEER_PLACE_REPORT:
+	peer_place_report report;
+};
+
+struct peer_place_event {
+	unsigned int age_ms;
+	peer_place_fact fact;
+};
+
+/* A call that runs. */
+struct peer_place_call {
+	unsigned hyper call;
+	bool begun;
+};
+
+/* News for the placer of a service in a failure domain. */
+struct peer_place_news {
+	peer_target service;
+	peer_name domain;       /* empty: all */
+	peer_place_event events<PEER_PLACE_EVENTS_MAX>;
+	/* With listed, all calls of the sender that run there. */
+	bool listed;
+	peer_place_call calls<PEER_PLACE_CALLS_MAX>;
+};
+
+/* Asks the placer where a request is sent. */
+struct peer_place_ask {
+	unsigned hyper call;    /* the sender's number of the call */
+	peer_prompt_size size;
+	int aim_left_ms;        /* until the first event is late */
+	unsigned int left_ms;   /* until the caller's deadline */
+	unsigned int max_gap_ms; /* longest pause between events on time */
+	string software<PEER_TARGET_MAX>; /* of the target; empty: any */
+	peer_name input_domain; /* empty: it has no inputs */
+	unsigned hyper input_bytes;
+	peer_target tried<PEER_TRIED_MAX>;
+	peer_place_news news;   /* names the service and its domain */
+};
+
+/* One per ask, when it arrives and when it is decided. */
+struct peer_place_reply {
+	unsigned hyper call;
+	bool queued;            /* not decided yet; the rest isn't set */
+	int verdict;            /* enum placement_verdict */
+	peer_target target;
+	unsigned int wait_ms;   /* the shortest of a new request */
+	unsigned int first_event_ms;
+	unsigned int to_read;
+	unsigned int reading;
+	unsigned int running;
+	unsigned int age_ms;    /* since the decision */
+	int known_ms;           /* since the last news of the target; -1: none */
+};
+
 enum peer_kind {
 	PEER_GOSSIP = 1,
 	PEER_CLAIM = 2,
@@ -297,7 +404,10 @@
 	 * The sender reads the store for streams that the receiver looks up,
 	 * and items arrive.
 	 */
-	PEER_STREAM_READING = 24
+	PEER_STREAM_READING = 24,
+	PEER_PLACE_ASK = 25,
+	PEER_PLACE_REPLY = 26,
+	PEER_PLACE_NEWS = 27
 };
 
 union peer_body switch (peer_kind kind) {
@@ -349,6 +459,12 @@
 	peer_brittle brittle;
 case PEER_STREAM_READING:
 	void;
+case PEER_PLACE_ASK:
+	peer_place_ask place_ask;
+case PEER_PLACE_REPLY:
+	peer_place_reply place_reply;
+case PEER_PLACE_NEWS:
+	peer_place_news place_news;
 };
 
 struct peer_letter {
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -662,6 +662,359 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_target (XDR *xdrs, peer_target *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, PEER_TARGET_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_part (XDR *xdrs, peer_part *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->hash))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_prompt_size (XDR *xdrs, peer_prompt_size *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, PEER_PARTS_MAX,
+		sizeof (peer_part), (xdrproc_t) xdr_peer_part))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->prompt_tokens))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->output_tokens))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rank))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_place_kind (XDR *xdrs, peer_place_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_place_sent (XDR *xdrs, peer_place_sent *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->call))
+		 return FALSE;
+	 if (!xdr_peer_target (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_peer_prompt_size (xdrs, &objp->size))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->max_gap_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_place_report (XDR *xdrs, peer_place_report *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_target (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slowness))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_place_fact (XDR *xdrs, peer_place_fact *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_place_kind (xdrs, &objp->kind))
+		 return FALSE;
+	switch (objp->kind) {
+	case PEER_PLACE_SENT:
+		 if (!xdr_peer_place_sent (xdrs, &objp->peer_place_fact_u.sent))
+			 return FALSE;
+		break;
+	case PEER_PLACE_BEGUN:
+	case PEER_PLACE_COMPLETED:
+	case PEER_PLACE_LOST:
+	case PEER_PLACE_CANCELLED:
+		 if (!xdr_u_quad_t (xdrs, &objp->peer_place_fact_u.call))
+			 return FALSE;
+		break;
+	case PEER_PLACE_REPORT:
+		 if (!xdr_peer_place_report (xdrs, &objp->peer_place_fact_u.report))
+			 return FALSE;
+		break;
+	default:
+		return FALSE;
+	}
+	return TRUE;
+}
+
+bool_t
+xdr_peer_place_event (XDR *xdrs, peer_place_event *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_peer_place_fact (xdrs, &objp->fact))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_place_call (XDR *xdrs, peer_place_call *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->call))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->begun))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_place_news (XDR *xdrs, peer_place_news *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_target (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->events.events_val, (u_int *) &objp->events.events_len, PEER_PLACE_EVENTS_MAX,
+		sizeof (peer_place_event), (xdrproc_t) xdr_peer_place_event))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->listed))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, PEER_PLACE_CALLS_MAX,
+		sizeof (peer_place_call), (xdrproc_t) xdr_peer_place_call))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_place_ask (XDR *xdrs, peer_place_ask *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->call))
+			 return FALSE;
+		 if (!xdr_peer_prompt_size (xdrs, &objp->size))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_int (xdrs, &objp->aim_left_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->left_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->max_gap_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_LONG(buf, objp->aim_left_ms);
+		IXDR_PUT_U_LONG(buf, objp->left_ms);
+		IXDR_PUT_U_LONG(buf, objp->max_gap_ms);
+		}
+		 if (!xdr_string (xdrs, &objp->software, PEER_TARGET_MAX))
+			 return FALSE;
+		 if (!xdr_peer_name (xdrs, &objp->input_domain))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->input_bytes))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->tried.tried_val, (u_int *) &objp->tried.tried_len, PEER_TRIED_MAX,
+			sizeof (peer_target), (xdrproc_t) xdr_peer_target))
+			 return FALSE;
+		 if (!xdr_peer_place_news (xdrs, &objp->news))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->call))
+			 return FALSE;
+		 if (!xdr_peer_prompt_size (xdrs, &objp->size))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_int (xdrs, &objp->aim_left_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->left_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->max_gap_ms))
+				 return FALSE;
+
+		} else {
+		objp->aim_left_ms = IXDR_GET_LONG(buf);
+		objp->left_ms = IXDR_GET_U_LONG(buf);
+		objp->max_gap_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_string (xdrs, &objp->software, PEER_TARGET_MAX))
+			 return FALSE;
+		 if (!xdr_peer_name (xdrs, &objp->input_domain))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->input_bytes))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->tried.tried_val, (u_int *) &objp->tried.tried_len, PEER_TRIED_MAX,
+			sizeof (peer_target), (xdrproc_t) xdr_peer_target))
+			 return FALSE;
+		 if (!xdr_peer_place_news (xdrs, &objp->news))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->call))
+		 return FALSE;
+	 if (!xdr_peer_prompt_size (xdrs, &objp->size))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->aim_left_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->max_gap_ms))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->software, PEER_TARGET_MAX))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->input_domain))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->input_bytes))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tried.tried_val, (u_int *) &objp->tried.tried_len, PEER_TRIED_MAX,
+		sizeof (peer_target), (xdrproc_t) xdr_peer_target))
+		 return FALSE;
+	 if (!xdr_peer_place_news (xdrs, &objp->news))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_place_reply (XDR *xdrs, peer_place_reply *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->call))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->queued))
+			 return FALSE;
+		 if (!xdr_int (xdrs, &objp->verdict))
+			 return FALSE;
+		 if (!xdr_peer_target (xdrs, &objp->target))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->first_event_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->to_read))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->reading))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->known_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->wait_ms);
+			IXDR_PUT_U_LONG(buf, objp->first_event_ms);
+			IXDR_PUT_U_LONG(buf, objp->to_read);
+			IXDR_PUT_U_LONG(buf, objp->reading);
+			IXDR_PUT_U_LONG(buf, objp->running);
+			IXDR_PUT_U_LONG(buf, objp->age_ms);
+			IXDR_PUT_LONG(buf, objp->known_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->call))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->queued))
+			 return FALSE;
+		 if (!xdr_int (xdrs, &objp->verdict))
+			 return FALSE;
+		 if (!xdr_peer_target (xdrs, &objp->target))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->first_event_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->to_read))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->reading))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->known_ms))
+				 return FALSE;
+		} else {
+			objp->wait_ms = IXDR_GET_U_LONG(buf);
+			objp->first_event_ms = IXDR_GET_U_LONG(buf);
+			objp->to_read = IXDR_GET_U_LONG(buf);
+			objp->reading = IXDR_GET_U_LONG(buf);
+			objp->running = IXDR_GET_U_LONG(buf);
+			objp->age_ms = IXDR_GET_U_LONG(buf);
+			objp->known_ms = IXDR_GET_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->call))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->queued))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->verdict))
+		 return FALSE;
+	 if (!xdr_peer_target (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->first_event_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->to_read))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->reading))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->known_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_kind (XDR *xdrs, peer_kind *objp)
 {
@@ -774,6 +1127,18 @@
 		break;
 	case PEER_STREAM_READING:
 		break;
+	case PEER_PLACE_ASK:
+		 if (!xdr_peer_place_ask (xdrs, &objp->peer_body_u.place_ask))
+			 return FALSE;
+		break;
+	case PEER_PLACE_REPLY:
+		 if (!xdr_peer_place_reply (xdrs, &objp->peer_body_u.place_reply))
+			 return FALSE;
+		break;
+	case PEER_PLACE_NEWS:
+		 if (!xdr_peer_place_news (xdrs, &objp->peer_body_u.place_news))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -206,6 +206,8 @@
 	stage_jobs_set_peers(y->shared.stage_jobs, v->peers, v->hosts_listed);
 	target_limits_set_hosts(y->shared.target_limits, v->peers, clock_now());
 	target_calls_set_hosts(y->shared.target_calls, v->peers);
+	placements_set_peers(y->shared.placements, v->peers);
+	placer_set_hosts(y->shared.placer, v->peers);
 	coordinator_hosts_changed(y->shared.coordinator, clock_now());
 	y->shared.quota_rule.hosts = v->peers->len > 0 ? v->peers->len : 1;
 	if (t != NULL) {
@@ -219,6 +221,7 @@
 			INITIAL_LIMITS.head_timeout,
 			INITIAL_LIMITS.idle_timeout });
 		coordinator_set_routes(y->shared.coordinator, v->routes);
+		placer_set_routes(y->shared.placer, v->routes);
 	}
 	if (y->view != NULL)
 		close_delisted(y, y->view->targets);
@@ -263,6 +266,18 @@
 	case PEER_BRITTLE:
 		target_limits_receive(y->shared.target_limits, &d->body);
 		break;
+	case PEER_PLACE_ASK:
+		placer_ask(y->shared.placer, d->rpc, d->incarnation,
+		    &d->body.peer_body_u.place_ask);
+		break;
+	case PEER_PLACE_REPLY:
+		placements_reply(y->shared.placements, d->rpc,
+		    &d->body.peer_body_u.place_reply);
+		break;
+	case PEER_PLACE_NEWS:
+		placer_news(y->shared.placer, d->incarnation,
+		    &d->body.peer_body_u.place_news);
+		break;
 	case PEER_GOSSIP:
 	case PEER_CLAIM:
 	case PEER_VERDICT:
@@ -369,6 +384,8 @@
 	dialer_sweep(y->shared.dialer, now);
 	target_calls_tick(y->shared.target_calls, now);
 	target_limits_tick(y->shared.target_limits, now);
+	placements_tick(y->shared.placements, now);
+	placer_tick(y->shared.placer, now);
 	stream_resumes_tick(y->shared.stream_resumes, now);
 	waiting = waiting || coordinates || stops;
 	next = waiting ? TICK_INTERVAL : IDLE_TICK_INTERVAL;
@@ -384,6 +401,14 @@
 	stage_jobs_reply(y->shared.stage_jobs, NULL, r);
 }
 
+static void
+on_own_placement(void *arg, const peer_place_reply *r)
+{
+	struct relay *y = arg;
+
+	placements_reply(y->shared.placements, NULL, r);
+}
+
 static void
 on_path_lost(void *arg, const char *service)
 {
@@ -581,6 +606,23 @@
 	    .arg = y,
 	});
 	stage_jobs_set_coordinator(p->stage_jobs, p->coordinator);
+	p->placements = placements_new(&(struct placements_opts){
+	    .base = p->base,
+	    .rpc = discovery_rpc(d),
+	    .loads = &p->loads,
+	    .self = y->o.settings->id,
+	    .incarnation = y->o.incarnation,
+	    .min_hosts = y->o.settings->placer_min_hosts,
+	});
+	p->placer = placer_new(&(struct placer_opts){
+	    .base = p->base,
+	    .rpc = discovery_rpc(d),
+	    .loads = &p->loads,
+	    .incarnation = y->o.incarnation,
+	    .reply = on_own_placement,
+	    .arg = y,
+	});
+	placements_set_placer(p->placements, p->placer);
 	p->crash_reports = crash_reports_new(&(struct crash_reports_opts){
 	    .base = p->base,
 	    .discovery = d,
@@ -667,6 +709,10 @@
 		coordinator_free(p->coordinator);
 	if (p->stage_jobs != NULL)
 		stage_jobs_free(p->stage_jobs);
+	if (p->placer != NULL)
+		placer_free(p->placer);
+	if (p->placements != NULL)
+		placements_free(p->placements);
 	if (p->crash_reports != NULL)
 		crash_reports_free(p->crash_reports);
 	if (p->stream_resumes != NULL)
--- a/entry/relay_answer.c
+++ b/entry/relay_answer.c
@@ -52,10 +52,32 @@
 	    { "cause", str_from(why->cause) }, { "waited_ms", str_from(ms) });
 }
 
+/* Writes how a call got its target. */
+static void
+write_placed(const struct placed *p, char *out, size_t n)
+{
+	char known[32] = "never";
+
+	if (p->cause != PLACEMENT_BY_PLACER) {
+		snprintf(out, n, "here, %s after %" PRId64 " ms",
+		    placement_cause_name(p->cause), p->waited / USEC_PER_MSEC);
+		return;
+	}
+	if (p->known >= 0)
+		snprintf(known, sizeof(known), "%" PRId64 " ms ago",
+		    p->known / USEC_PER_MSEC);
+	snprintf(out, n,
+	    "by %s in %" PRId64 " ms: first event in %" PRId64
+	    " ms, %u tokens to read after %u, %u running, heard %s",
+	    p->host, p->waited / USEC_PER_MSEC, p->first_event / USEC_PER_MSEC,
+	    p->to_read, p->reading, p->running, known);
+}
+
 void
 relay_answer_log_sent(
     const struct relay_request *r, const struct target_load *t, usec_t left)
 {
+	char placed[192];
 	char load[64];
 	char ms[32];
 
@@ -64,11 +86,13 @@
 	    t->reported_at > 0 ? (r->sent_at - t->reported_at) / USEC_PER_MSEC
 			       : -1);
 	snprintf(ms, sizeof(ms), "%" PRId64, left / USEC_PER_MSEC);
+	write_placed(&r->placed, placed, sizeof(placed));
 	LOG(LOG_LVL_INFO, "call-sent", { "request", r->info.id },
 	    { "target", str_from(t->entry.id) },
 	    { "service", str_from(t->entry.service) },
 	    { "version", str_from(t->entry.version) },
-	    { "load", str_from(load) }, { "left_ms", str_from(ms) });
+	    { "load", str_from(load) }, { "placed", str_from(placed) },
+	    { "left_ms", str_from(ms) });
 }
 
 void
--- a/entry/relay_metrics.c
+++ b/entry/relay_metrics.c
@@ -28,21 +28,47 @@
 }
 
 static void
-put_histogram(struct buf *out, const struct relay_histogram *h)
+put_histogram(
+    struct buf *out, const char *name, const struct relay_histogram *h)
 {
 	uint64_t sum = 0;
 
 	for (size_t i = 0; i < HISTOGRAM_BOUNDS; i++) {
 		sum += h->counts[i];
 		buf_printf(out,
-		    "sequoia_request_seconds_bucket{le=\"%g\"} %" PRIu64 "\n",
+		    "sequoia_%s_seconds_bucket{le=\"%g\"} %" PRIu64 "\n", name,
 		    bounds_ms[i] / 1000.0, sum);
 	}
-	buf_printf(out,
-	    "sequoia_request_seconds_bucket{le=\"+Inf\"} %" PRIu64 "\n",
-	    h->total);
-	buf_printf(out, "sequoia_request_seconds_sum %.3f\n", h->sum_seconds);
-	put(out, "request_seconds_count", h->total);
+	buf_printf(out, "sequoia_%s_seconds_bucket{le=\"+Inf\"} %" PRIu64 "\n",
+	    name, h->total);
+	buf_printf(out, "sequoia_%s_seconds_sum %.3f\n", name, h->sum_seconds);
+	buf_printf(
+	    out, "sequoia_%s_seconds_count %" PRIu64 "\n", name, h->total);
+}
+
+static void
+put_placements(struct buf *out, const struct relay_metrics *p)
+{
+	const struct placements_counts *c = &p->placements;
+
+	for (int i = 0; i < PLACEMENT_CAUSES; i++) {
+		if (c->by_cause[i] > 0)
+			buf_printf(out,
+			    "sequoia_placed_calls_total{by=\"%s\"} "
+			    "%" PRIu64 "\n",
+			    placement_cause_name((enum placement_cause)i),
+			    c->by_cause[i]);
+	}
+	put_histogram(out, "placement", &p->counts->placing);
+	put(out, "placements_queued_total", c->queued);
+	put(out, "placements_full_total", c->full);
+	put(out, "placement_news_total", c->news);
+	put(out, "placer_changes_total", c->changes);
+	put(out, "placer_asks_total", p->placer.asks);
+	put(out, "placer_undecided_total", p->placer.none);
+	put(out, "placer_lost_calls_total", p->placer.lost_calls);
+	put(out, "placer_waiting", p->placer.waiting);
+	put(out, "placer_calls", p->placer.calls);
 }
 
 static void
@@ -90,7 +116,7 @@
 			    err_name((enum err_kind) - i),
 			    p->counts->rejected[i]);
 	}
-	put_histogram(out, &p->counts->latency);
+	put_histogram(out, "request", &p->counts->latency);
 	put_stop(out, p);
 	put(out, "caller_connections", p->httpd.open);
 	put(out, "requests_malformed_total", p->httpd.malformed);
@@ -113,6 +139,7 @@
 	put(out, "stage_pieces_waiting", p->coordinator.waiting);
 	put(out, "stage_asks_refused_total", p->coordinator.refused);
 	put(out, "stage_pieces_repeated_total", p->coordinator.retries);
+	put_placements(out, p);
 	put(out, "config_version", p->discovery.version);
 	put(out, "store_away", p->discovery.store_unavailable);
 	put(out, "store_calls_total", p->discovery.store_calls);
--- a/entry/relay_metrics.h
+++ b/entry/relay_metrics.h
@@ -5,6 +5,7 @@
 #include "entry/httpd.h"
 #include "entry/coordinator.h"
 #include "entry/discovery.h"
+#include "entry/placements.h"
 #include "entry/target_calls.h"
 #include "plat/dial.h"
 
@@ -34,6 +35,7 @@
 	uint64_t caller_gone;
 	uint64_t rejected[-ERR_LAST];   /* by -(enum err_kind) */
 	struct relay_histogram latency; /* time until a request was answered */
+	struct relay_histogram placing; /* time until a placer had decided */
 	struct relay_stop_counts stop;
 };
 
@@ -43,6 +45,8 @@
 	struct dial_counts dial;
 	struct target_calls_counts target_calls;
 	struct coordinator_counts coordinator;
+	struct placements_counts placements;
+	struct placer_counts placer;
 	struct discovery_counts discovery;
 	struct held_counts memory;
 	uint64_t silent_calls;
--- a/entry/relay_ops.c
+++ b/entry/relay_ops.c
@@ -40,6 +40,8 @@
 			    ? s->quarantine->entries->len
 			    : 0,
 			.coordinator = coordinator_counts(s->coordinator),
+			.placements = placements_counts(s->placements),
+			.placer = placer_counts(s->placer),
 			.discovery = discovery_counts(o->discovery),
 			.memory = host_memory_counts(o->memory),
 			.busy = atomic_load(&s->busy),
--- a/entry/relay_request.c
+++ b/entry/relay_request.c
@@ -22,6 +22,7 @@
 	struct relay_shared *s = r->shared;
 
 	stages_cancel(r);
+	placements_ended(s->placements, r->placement, PLACEMENT_DROPPED);
 	if (r->resume_search != NULL)
 		stream_resumes_cancel(r->resume_search);
 	if (r->recording != NULL)
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -9,6 +9,7 @@
 #define ENTRY_RELAY_REQUEST_H
 
 #include "entry/crash_reports.h"
+#include "entry/placements.h"
 #include "entry/relay_metrics.h"
 #include "entry/stage_jobs.h"
 #include "entry/stream_resumes.h"
@@ -47,6 +48,8 @@
 	struct loads loads;
 	struct stage_jobs *stage_jobs;
 	struct coordinator *coordinator;
+	struct placements *placements;
+	struct placer *placer;
 	struct retry_quota_rule quota_rule;
 	GHashTable *retry_quotas; /* service -> struct retry_quota */
 	/*
@@ -141,6 +144,13 @@
 	bool rejected_rest[LOADS_MAX_TRIED]; /* by the tried target */
 	size_t n_tried;
 	uint32_t sends;
+	/*
+	 * The placer's number of the call that is being placed, or of the last
+	 * one while it runs; 0: it has none.
+	 */
+	uint64_t placement;
+	struct placed placed; /* the last call */
+	bool executed;        /* the last call's target began to answer it */
 	usec_t sent_at;       /* time of the last call */
 	usec_t first_sent_at; /* of the first one; 0: none */
 	/*
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -85,6 +85,11 @@
 	    600000, "2000", "ms",
 	    "Time after which a target that reported its leave gets no new "
 	    "calls." },
+	{ "routes", "placer_min_hosts", SETTING_U32, OFFSET(placer_min_hosts),
+	    0, 100000, "17", "hosts",
+	    "In fleets of at least so many hosts, one host places the requests "
+	    "of all on the engines of a failure domain; 0: each host always "
+	    "chooses by itself." },
 	{ "fleet", "fleet_key", SETTING_TEXT, OFFSET(fleet_key), 16, 256, NULL,
 	    "", "The secret that authenticates the sequoiads to each other." },
 };
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -39,6 +39,7 @@
 	uint32_t retry_slack; /* thousandths of a call */
 	usec_t retry_window;
 	usec_t target_drain;
+	uint32_t placer_min_hosts;
 };
 
 enum setting_type {
