placement: engines are measured by all first events; a wait is weighed with what it saves

An engine that doesn't say that it is slow is found by its short prompts too. A closed engine's cost is that after the wait, so a prompt no longer takes a slow engine to spare the streams of a fast one.

--- a/kernel/overload/engine_load.c
+++ b/kernel/overload/engine_load.c
@@ -11,10 +11,12 @@
 #define NORM_WEIGHT     0.05 /* of a sample in the averages over all */
 /* A smaller prompt says more about the way to the engine than about reading. */
 #define MIN_RATE_SAMPLE 1000
-/* Bounds a sample, and the rate of an engine, by this factor. */
-#define RATE_BOUND      8.0
+/* A sample of an expected time below this says less. */
+#define FULL_SAMPLE_MS  100.0
+/* Bounds a sample, in expected ones. */
+#define BOUND           8.0
 /* What was measured counts in full for this time, and fades within it. */
-#define RATE_TIME       (5 * USEC_PER_SEC)
+#define MEASURE_TIME    (5 * USEC_PER_SEC)
 /* A report of the requests of others holds for this time. */
 #define REPORT_TIME     (2 * USEC_PER_SEC)
 /*
@@ -60,26 +62,26 @@
 	*x += weight * (sample - *x);
 }
 
-/* Tokens that it reads in a ms at its usual pace. */
+/* How many times as long as at a usual engine first events take here. */
 static double
-usual_rate(
-    const struct engine_load *e, const struct engine_norms *norms, usec_t now)
+slowness(const struct engine_load *e, usec_t now)
 {
-	usec_t over = now - e->rate_at - RATE_TIME;
+	usec_t over = now - e->measured_at - MEASURE_TIME;
 
-	if (e->rate_at == 0 || over >= RATE_TIME)
-		return norms->rate;
+	if (e->measured_at == 0 || over >= MEASURE_TIME)
+		return 1;
 	if (over <= 0)
-		return e->rate;
-	return e->rate +
-	    (norms->rate - e->rate) * (double)over / (double)RATE_TIME;
+		return e->slowness;
+	return e->slowness +
+	    (1 - e->slowness) * (double)over / (double)MEASURE_TIME;
 }
 
 static double
 current_rate(
     const struct engine_load *e, const struct engine_norms *norms, usec_t now)
 {
-	return usual_rate(e, norms, now) / target_pace_slowness(&e->pace, now);
+	return norms->rate / slowness(e, now) /
+	    target_pace_slowness(&e->pace, now);
 }
 
 static double
@@ -161,27 +163,29 @@
 		e->read_until = all;
 }
 
+/* The first event of a prompt has taken so long: updates the averages. */
 static void
-measure_rate(struct engine_load *e, struct engine_norms *norms,
+measure(struct engine_load *e, struct engine_norms *norms,
     const struct prompt *p, usec_t now)
 {
 	double tokens = (double)p->to_read + p->ahead;
-	double ms = ms_until(now, p->placed_at);
-	double slowness = target_pace_slowness(&e->pace, now);
-	double rate;
-
-	if (tokens < MIN_RATE_SAMPLE) {
-		average(&norms->first_ms, ms / slowness, NORM_WEIGHT);
-		return;
-	}
-	/* Half at least is reading: the averages may be too high. */
-	rate = tokens * slowness / fmax(ms - norms->first_ms, ms / 2);
-	rate = fmin(
-	    fmax(rate, norms->rate / RATE_BOUND), norms->rate * RATE_BOUND);
-	e->rate = usual_rate(e, norms, now);
-	average(&e->rate, rate, ENGINE_WEIGHT);
-	e->rate_at = now;
-	average(&norms->rate, rate, NORM_WEIGHT);
+	double ms =
+	    ms_until(now, p->placed_at) / target_pace_slowness(&e->pace, now);
+	double expected = norms->first_ms + tokens / norms->rate;
+	double ratio = fmin(fmax(ms / expected, 1 / BOUND), BOUND);
+	double weight = ENGINE_WEIGHT * fmin(expected / FULL_SAMPLE_MS, 1);
+
+	e->slowness = slowness(e, now);
+	average(&e->slowness, ratio, weight);
+	e->measured_at = now;
+	if (tokens < MIN_RATE_SAMPLE)
+		average(
+		    &norms->first_ms, fmin(ms, expected * BOUND), NORM_WEIGHT);
+	else
+		average(&norms->rate,
+		    fmin(tokens / fmax(ms - norms->first_ms, ms / 2),
+			norms->rate * BOUND),
+		    NORM_WEIGHT);
 }
 
 void
@@ -191,7 +195,7 @@
 	if (p->state != PROMPT_READING)
 		return;
 	if (now > p->placed_at)
-		measure_rate(e, norms, p, now);
+		measure(e, norms, p, now);
 	average(&norms->tokens, (double)memory_of(p), NORM_WEIGHT);
 	average(&norms->prompt_tokens, p->to_read, NORM_WEIGHT);
 	p->state = PROMPT_RUNNING;
--- a/kernel/overload/engine_load.h
+++ b/kernel/overload/engine_load.h
@@ -56,8 +56,9 @@
 	GPtrArray *prompts;
 	struct prompt_cache cache;
 	struct target_pace pace;
-	double rate; /* tokens that it reads in a ms at its usual pace */
-	usec_t rate_at;
+	/* Time until first events beyond the usual, which pace doesn't show. */
+	double slowness;
+	usec_t measured_at; /* 0: never */
 	uint32_t n_reading;
 	uint64_t unread;   /* tokens of prompts that are being read */
 	uint64_t memory;   /* tokens of prompts and outputs */
--- a/kernel/overload/placement.c
+++ b/kernel/overload/placement.c
@@ -19,6 +19,8 @@
 #define READ_SHARE     0.5
 /* A prompt is sent so long before the engine has read those before it. */
 #define LEAD_MS        20.0
+/* Predicted times may be too short by this factor. */
+#define SAFETY         1.25
 /* Left of the slack when a prompt is sent to an engine that reads others. */
 #define MARGIN_MS      20.0
 /* Cost of a running request to one more, in milliseconds. */
@@ -83,6 +85,7 @@
 struct look {
 	size_t view;
 	double cost;
+	double other_cost;
 	double first_ms; /* until its first event, once it is sent */
 	double wait_ms;  /* until it is sent */
 	uint32_t to_read;
@@ -480,23 +483,38 @@
 /* Cost of an engine beyond the time until the first event. */
 static double
 other_cost(const struct placement *p, const struct prompt *x,
-    const struct view *v, double own_ms, usec_t now)
+    const struct view *v, uint32_t to_read, usec_t now)
 {
-	const struct engine_load *e = v->engine;
-	double gap = to_ms(e->max_gap);
 	double slow = v->state.slowness - 1;
 	double ms = v->state.active * RUNNING_MS * v->state.slowness;
 
-	ms += own_ms * v->state.rate / p->norms.rate * READ_COST;
+	ms += to_read / p->norms.rate * READ_COST;
 	if (slow > 0)
 		ms += slow * SLOW_SHARE * to_ms(x->request.max_gap);
-	if (e->n_streams > 0 && v->state.unread_ms + own_ms > READ_SHARE * gap)
-		ms += e->n_streams * SLOW_SHARE * gap;
-	if (now < e->aside_until || now < v->target->aside_until)
+	if (now < v->engine->aside_until || now < v->target->aside_until)
 		ms += ASIDE_COST_MS;
 	return ms + rng_unit(&p->loads->rng);
 }
 
+/* Cost to the streams of an engine that reads for so long. */
+static double
+pause_cost(const struct view *v, double read_ms)
+{
+	double gap = to_ms(v->engine->max_gap);
+
+	return read_ms > READ_SHARE * gap
+	    ? v->engine->n_streams * SLOW_SHARE * gap
+	    : 0;
+}
+
+/* Cost of a first event after a time, which may be too late. */
+static double
+late_cost(const struct prompt *x, double first_ms, usec_t now)
+{
+	return now + from_ms(first_ms * SAFETY) > x->request.aim ? LATE_COST_MS
+								 : 0;
+}
+
 static void
 look_at(const struct placement *p, const struct prompt *x, size_t i, usec_t now,
     struct look *out)
@@ -521,9 +539,10 @@
 	if (*q->input_domain != '\0' &&
 	    strcmp(q->input_domain, v->target->entry.domain) != 0)
 		out->first_ms += REMOTE_MB_MS * (double)q->input_bytes / 1e6;
-	out->cost = out->first_ms + other_cost(p, x, v, own_ms, now);
-	if (now + from_ms(out->first_ms) > q->aim)
-		out->cost += LATE_COST_MS;
+	out->other_cost = other_cost(p, x, v, out->to_read, now);
+	out->cost = out->first_ms + out->other_cost +
+	    pause_cost(v, v->state.unread_ms + own_ms) +
+	    late_cost(x, out->first_ms, now);
 	slot_wait = slot_wait_ms(p, x, v);
 	read_wait = read_wait_ms(v, own_ms, gap_ms(x, v->engine));
 	out->wait_ms = fmax(slot_wait, read_wait);
@@ -542,14 +561,18 @@
 	return loads_allows(v->target, now) && slot_wait_ms(p, x, v) == 0;
 }
 
-/* When the first event is expected at an engine that takes it later. */
-static double
-later_ms(const struct look *k, const struct view *v)
+/* Sets how the prompt fares at an engine that takes it after a wait. */
+static void
+look_later(
+    const struct prompt *x, const struct view *v, struct look *k, usec_t now)
 {
-	double left = v->state.unread_ms - k->wait_ms;
+	double left = fmax(v->state.unread_ms - k->wait_ms, 0);
 
-	/* What it reads meanwhile isn't before the prompt any more. */
-	return k->wait_ms + k->first_ms - v->state.unread_ms + fmax(left, 0);
+	/* What the engine reads meanwhile isn't before the prompt any more. */
+	k->first_ms += k->wait_ms + left - v->state.unread_ms;
+	k->cost = k->first_ms + k->other_cost +
+	    pause_cost(v, left + k->to_read / v->state.rate) +
+	    late_cost(x, k->first_ms, now);
 }
 
 static void
@@ -575,11 +598,11 @@
 			out->has_forced = true;
 			out->forced = k;
 		}
-		k.first_ms = later_ms(&k, v);
 		if (now < v->engine->aside_until ||
 		    now < v->target->aside_until)
 			continue;
-		if (!out->has_next || k.first_ms < out->next.first_ms) {
+		look_later(x, v, &k, now);
+		if (!out->has_next || k.cost < out->next.cost) {
 			out->has_next = true;
 			out->next = k;
 		}
@@ -699,7 +722,7 @@
 	if (now + from_ms(c->open.first_ms) > aim)
 		return true;
 	return v->state.slowness >= SLOW_FACTOR &&
-	    c->next.cost + c->next.wait_ms < c->open.cost &&
+	    c->next.cost < c->open.cost &&
 	    now + from_ms(c->next.first_ms + MARGIN_MS) <= aim;
 }
 
