--- a/kernel/overload/engine_load.c
+++ b/kernel/overload/engine_load.c
@@ -28,7 +28,6 @@
 #define LEAST_LEFT      0.1
 /* An engine that is overdue is expected to take half as long again. */
 #define OVERDUE_SHARE   0.5
-#define LEAST_RUN_MS    10.0
 #define ASIDE_FIRST     (250 * USEC_PER_MSEC)
 #define ASIDE_MAX       (4 * USEC_PER_SEC)
 
@@ -307,13 +306,13 @@
 
 	for (guint i = 0; i < e->prompts->len; i++) {
 		const struct prompt *p = e->prompts->pdata[i];
-		double left = norms->run_ms;
 
 		if (p->state == PROMPT_RUNNING)
-			left -= ms_until(now, p->begun_at);
-		least = fmin(least, left);
+			least = fmin(
+			    least, norms->run_ms - ms_until(now, p->begun_at));
 	}
-	return fmax(least, LEAST_RUN_MS);
+	/* Some run longer than most. */
+	return fmax(least, norms->run_ms / (e->prompts->len + 1));
 }
 
 uint32_t
--- a/kernel/overload/placement.c
+++ b/kernel/overload/placement.c
@@ -7,50 +7,54 @@
 #include <string.h>
 
 /* A request of each less urgent rank counts as due so much later. */
-#define RANK_TIME      (2 * USEC_PER_SEC)
+#define RANK_TIME       (2 * USEC_PER_SEC)
 /*
  * A request waits behind more urgent ones, or late behind those that can be on
  * time, until this part of the time from its aim to its deadline is over.
  */
-#define MAX_DELAY      0.5
+#define MAX_DELAY       0.5
 /* A prompt is long that is read in more than this part of a stream's gap. */
-#define LONG_SHARE     0.25
+#define LONG_SHARE      0.25
 /* Part of a stream's gap that is filled with reading beside it. */
-#define READ_SHARE     0.5
+#define READ_SHARE      0.5
 /* A prompt is sent so long before the engine has read those before it. */
-#define LEAD_MS        20.0
+#define LEAD_MS         20.0
 /* Predicted times may be too short by this factor. */
-#define SAFETY         1.25
+#define SAFETY          1.25
 /* Left of the slack when a prompt is sent to an engine that reads others. */
-#define MARGIN_MS      20.0
+#define MARGIN_MS       20.0
 /* Cost of a running request to one more, in milliseconds. */
-#define RUNNING_MS     4.0
+#define RUNNING_MS      4.0
 /*
  * Tokens that are read delay everything at the engine, so their time counts so
  * many times beyond the delay of the prompt itself.
  */
-#define READ_COST      3.0
+#define READ_COST       3.0
 /*
  * An engine is slow that takes this many times as long as usual: a prompt
  * rather waits for another one if it can still be on time.
  */
-#define SLOW_FACTOR    1.5
+#define SLOW_FACTOR     1.5
 /* Part of its gap that a stream loses at an engine that takes twice as long. */
-#define SLOW_SHARE     0.25
+#define SLOW_SHARE      0.25
 /* Cost of a megabyte from another failure domain, in milliseconds. */
-#define REMOTE_MB_MS   6.0
+#define REMOTE_MB_MS    6.0
 /* Costs that come before all others. */
-#define LATE_COST_MS   1e5
-#define ASIDE_COST_MS  1e7
+#define LATE_COST_MS    1e5
+#define ASIDE_COST_MS   1e7
+/* Share of the tokens that late prompts get while others can be on time. */
+#define LATE_SHARE      0.2
+/* Bounds the tokens that they have not used. */
+#define MAX_LATE_CREDIT 50000.0
 /* Requests that are held after all engines were looked at, in one step. */
-#define MAX_LOOKS      64
+#define MAX_LOOKS       64
 /* A target that was limited, or another that may appear, is looked at again. */
-#define RECHECK_TIME   (100 * USEC_PER_MSEC)
-#define MIN_CHECK_TIME (1 * USEC_PER_MSEC)
-#define SWEEP_TIME     (1 * USEC_PER_SEC)
+#define RECHECK_TIME    (100 * USEC_PER_MSEC)
+#define MIN_CHECK_TIME  (1 * USEC_PER_MSEC)
+#define SWEEP_TIME      (1 * USEC_PER_SEC)
 /* Hosts may be late to say that a request has ended. */
-#define FORGET_TIME    (5 * USEC_PER_SEC)
-#define MIN_FULL_WAIT  (100 * USEC_PER_MSEC)
+#define FORGET_TIME     (5 * USEC_PER_SEC)
+#define MIN_FULL_WAIT   (100 * USEC_PER_MSEC)
 
 /* An engine during a step. */
 struct view {
@@ -60,6 +64,9 @@
 	double longest_ms; /* of the prompts that are being read */
 	double next_end_ms;
 	uint32_t slots;
+	/* Prompts that are held for it in this step. */
+	uint32_t n_awaited;
+	double awaited_ms;
 };
 
 struct placement {
@@ -76,6 +83,8 @@
 	uint64_t number; /* of the last submission */
 	bool changed;    /* since the last step */
 	bool unsorted;
+	double
+	    late_credit; /* tokens that late prompts may take before others */
 	usec_t check_at; /* when waiting prompts are looked at again */
 	usec_t swept_at;
 	usec_t now; /* of the last call */
@@ -114,6 +123,14 @@
 	uint32_t least_tokens; /* of a prompt that is held */
 };
 
+/* A part of the queue, and the decisions on it. */
+struct part {
+	guint from, to;
+	bool overdue; /* only late prompts that have yielded for long enough */
+	struct placement_decision *out;
+	size_t n, max;
+};
+
 static guint
 hash_prompt(gconstpointer p)
 {
@@ -402,6 +419,8 @@
 	const struct prompt *x = *(const struct prompt *const *)a;
 	const struct prompt *y = *(const struct prompt *const *)b;
 
+	if (x->late != y->late)
+		return x->late ? 1 : -1;
 	if (x->order != y->order)
 		return x->order < y->order ? -1 : 1;
 	return x->number < y->number ? -1 : x->number > y->number;
@@ -477,7 +496,7 @@
 	if (v->state.active < v->slots &&
 	    (p->kv_tokens == 0 || v->state.memory + need <= p->kv_tokens))
 		return 0;
-	return v->next_end_ms;
+	return v->next_end_ms * (v->n_awaited + 1);
 }
 
 /* Cost of an engine beyond the time until the first event. */
@@ -545,6 +564,8 @@
 	    late_cost(x, out->first_ms, now);
 	slot_wait = slot_wait_ms(p, x, v);
 	read_wait = read_wait_ms(v, own_ms, gap_ms(x, v->engine));
+	if (read_wait > 0)
+		read_wait += v->awaited_ms;
 	out->wait_ms = fmax(slot_wait, read_wait);
 	if (!loads_allows(v->target, now))
 		out->wait_ms = fmax(out->wait_ms,
@@ -626,6 +647,11 @@
 	d->reading = (uint32_t)fmin(
 	    v->state.unread_ms * v->state.rate, (double)UINT32_MAX);
 	d->running = v->state.active - v->engine->n_reading;
+	if (!x->late)
+		p->late_credit = fmin(
+		    p->late_credit + LATE_SHARE * k->to_read, MAX_LATE_CREDIT);
+	else if (now >= x->order)
+		p->late_credit = fmax(p->late_credit - k->to_read, 0);
 	x->to_read = k->to_read;
 	x->n_cached = k->n_cached;
 	engine_load_add(v->engine, &p->norms, x, p->kv_tokens, now);
@@ -669,7 +695,7 @@
 holds(struct placement *p, struct prompt *x, struct ahead *a, double wait_ms,
     struct placement_decision *d, usec_t now)
 {
-	double ms = queue_ms(p, a) + wait_ms;
+	double ms = fmax(queue_ms(p, a), wait_ms);
 
 	if (now + from_ms(ms) >= x->request.deadline) {
 		set_full(d, ms);
@@ -710,7 +736,8 @@
 
 /*
  * Whether a prompt that an engine may take now is better off elsewhere a little
- * later: it would be late at that engine, or slow.
+ * later: it would be late at that engine, or another will soon be free that is
+ * faster or keeps more of it.  An idle engine takes it now unless it is slow.
  */
 static bool
 is_better_later(
@@ -721,9 +748,20 @@
 
 	if (now + from_ms(c->open.first_ms) > aim)
 		return true;
-	return v->state.slowness >= SLOW_FACTOR &&
-	    c->next.cost < c->open.cost &&
-	    now + from_ms(c->next.first_ms + MARGIN_MS) <= aim;
+	return (v->state.slowness >= SLOW_FACTOR || v->state.active > 0) &&
+	    c->next.wait_ms > 0 && c->next.cost < c->open.cost &&
+	    now + from_ms(c->next.first_ms * SAFETY + MARGIN_MS) <= aim;
+}
+
+/* The prompt is held for an engine. */
+static void
+await(struct placement *p, const struct look *k, usec_t now)
+{
+	struct view *v = &g_array_index(p->views, struct view, k->view);
+
+	v->n_awaited++;
+	v->awaited_ms += k->to_read / v->state.rate;
+	check_by(p, now + from_ms(k->wait_ms), now);
 }
 
 /*
@@ -744,8 +782,7 @@
 		return true;
 	}
 	a->looks++;
-	in_time = c.has_next &&
-	    now + from_ms(queue_ms(p, a) + c.next.first_ms) <= aim;
+	in_time = c.has_next && now + from_ms(c.next.first_ms) <= aim;
 	if (c.has_open && !(in_time && is_better_later(p, &c, aim, now))) {
 		send_to(p, x, &c.open, d, now);
 		return true;
@@ -759,7 +796,7 @@
 	if (c.has_forced)
 		check_by(p, forced_at(x, &c.forced, now), now);
 	if (c.has_next)
-		check_by(p, now + from_ms(c.next.wait_ms), now);
+		await(p, &c.next, now);
 	else
 		check_by(p, now + RECHECK_TIME, now);
 	if (c.has_next && c.next.first_ms < a->least_wait_ms)
@@ -788,13 +825,68 @@
 	    x->request.prompt_tokens >= a->least_tokens;
 }
 
+/* Decides on the prompts of a part of the queue; what is done with is NULL. */
+static void
+decide_part(struct placement *p, struct part *part, struct ahead *a, usec_t now)
+{
+	for (guint i = part->from; i < part->to; i++) {
+		struct prompt *x = p->queue->pdata[i];
+		struct placement_decision d = { 0 };
+		bool done;
+
+		if (x == NULL)
+			continue;
+		if (part->overdue && (now < x->order || p->late_credit <= 0))
+			break;
+		if (part->n == part->max) {
+			p->changed = true;
+			break;
+		}
+		d.host = x->request.host;
+		d.ask = x->request.ask;
+		done = is_hopeless(x, a)
+		    ? !holds(p, x, a, a->least_wait_ms, &d, now)
+		    : decide(p, x, a, &d, now);
+		if (!done && part->overdue)
+			break;
+		if (!done)
+			continue;
+		part->out[part->n++] = d;
+		p->queue->pdata[i] = NULL;
+		if (d.verdict != PLACEMENT_SEND)
+			g_hash_table_remove(p->prompts, &x->request);
+	}
+}
+
+static void
+compact(GPtrArray *v)
+{
+	guint kept = 0;
+
+	for (guint i = 0; i < v->len; i++) {
+		if (v->pdata[i] != NULL)
+			v->pdata[kept++] = v->pdata[i];
+	}
+	g_ptr_array_set_size(v, (gint)kept);
+}
+
+static guint
+first_late(const GPtrArray *v)
+{
+	guint i = 0;
+
+	while (i < v->len && !((const struct prompt *)v->pdata[i])->late)
+		i++;
+	return i;
+}
+
 size_t
 placement_step(
     struct placement *p, struct placement_decision *out, size_t max, usec_t now)
 {
+	struct part part = { .out = out, .max = max };
 	struct ahead a;
-	size_t n = 0;
-	guint kept = 0;
+	guint late;
 
 	p->now = now;
 	sweep(p, now);
@@ -808,30 +900,16 @@
 		qsort(
 		    p->queue->pdata, p->queue->len, sizeof(gpointer), by_order);
 	p->unsorted = false;
-	for (guint i = 0; i < p->queue->len; i++) {
-		struct prompt *x = p->queue->pdata[i];
-		struct placement_decision d = {
-			.host = x->request.host,
-			.ask = x->request.ask,
-		};
-		bool done = false;
-
-		if (n == max)
-			p->changed = true;
-		else if (is_hopeless(x, &a))
-			done = !holds(p, x, &a, a.least_wait_ms, &d, now);
-		else
-			done = decide(p, x, &a, &d, now);
-		if (!done) {
-			p->queue->pdata[kept++] = x;
-			continue;
-		}
-		out[n++] = d;
-		if (d.verdict != PLACEMENT_SEND)
-			g_hash_table_remove(p->prompts, &x->request);
-	}
-	g_ptr_array_set_size(p->queue, (gint)kept);
-	return n;
+	late = first_late(p->queue);
+	part.from = late;
+	part.to = p->queue->len;
+	part.overdue = true;
+	decide_part(p, &part, &a, now);
+	part.overdue = false;
+	part.from = 0;
+	decide_part(p, &part, &a, now);
+	compact(p->queue);
+	return part.n;
 }
 
 usec_t
