--- a/kernel/overload/engine_load.c
+++ b/kernel/overload/engine_load.c
@@ -2,46 +2,19 @@
 
 #include <math.h>
 
-/* Rate of an engine while none is measured, in tokens a ms. */
-#define FIRST_RATE      50.0
-#define FIRST_FIRST_MS  20.0
-#define FIRST_RUN_MS    1000.0
-#define FIRST_TOKENS    2000.0
-#define ENGINE_WEIGHT   0.2  /* of a sample in the rate of one engine */
-#define NORM_WEIGHT     0.05 /* of a sample in the averages over all */
-/* A smaller prompt says more about the way to the engine than about reading. */
-#define MIN_RATE_SAMPLE 1000
-/* A sample of an expected time below this says less. */
-#define FULL_SAMPLE_MS  100.0
-/* Bounds a sample, in expected ones. */
-#define BOUND           8.0
-/* What was measured counts in full for this time, and fades within it. */
-#define MEASURE_TIME    (5 * USEC_PER_SEC)
 /* A report of the requests of others holds for this time. */
-#define REPORT_TIME     (2 * USEC_PER_SEC)
+#define REPORT_TIME   (2 * USEC_PER_SEC)
 /*
  * A report that names no waiting request shows that prompts which were placed
  * this long before it have been read.
  */
-#define REPORT_DELAY    (500 * USEC_PER_MSEC)
+#define REPORT_DELAY  (500 * USEC_PER_MSEC)
 /* A prompt that should be read by now takes this part of its time at least. */
-#define LEAST_LEFT      0.1
+#define LEAST_LEFT    0.1
 /* An engine that is overdue is expected to take half as long again. */
-#define OVERDUE_SHARE   0.5
-#define ASIDE_FIRST     (250 * USEC_PER_MSEC)
-#define ASIDE_MAX       (4 * USEC_PER_SEC)
-
-struct engine_norms
-engine_norms_init(void)
-{
-	return (struct engine_norms){
-		.rate = FIRST_RATE,
-		.first_ms = FIRST_FIRST_MS,
-		.run_ms = FIRST_RUN_MS,
-		.tokens = FIRST_TOKENS,
-		.prompt_tokens = FIRST_TOKENS,
-	};
-}
+#define OVERDUE_SHARE 0.5
+#define ASIDE_FIRST   (250 * USEC_PER_MSEC)
+#define ASIDE_MAX     (4 * USEC_PER_SEC)
 
 struct engine_load *
 engine_load_new(const char *id, uint64_t born_ms)
@@ -55,31 +28,11 @@
 	return e;
 }
 
-static void
-average(double *x, double sample, double weight)
-{
-	*x += weight * (sample - *x);
-}
-
-/* How many times as long as at a usual engine first events take here. */
-static double
-slowness(const struct engine_load *e, usec_t now)
-{
-	usec_t over = now - e->measured_at - MEASURE_TIME;
-
-	if (e->measured_at == 0 || over >= MEASURE_TIME)
-		return 1;
-	if (over <= 0)
-		return e->slowness;
-	return e->slowness +
-	    (1 - e->slowness) * (double)over / (double)MEASURE_TIME;
-}
-
 static double
 current_rate(
     const struct engine_load *e, const struct engine_norms *norms, usec_t now)
 {
-	return norms->rate / slowness(e, now) /
+	return norms->rate / engine_speed_slowness(&e->speed, now) /
 	    target_pace_slowness(&e->pace, now);
 }
 
@@ -162,31 +115,6 @@
 		e->read_until = all;
 }
 
-/* The first event of a prompt has taken so long: updates the averages. */
-static void
-measure(struct engine_load *e, struct engine_norms *norms,
-    const struct prompt *p, usec_t now)
-{
-	double tokens = (double)p->to_read + p->ahead;
-	double ms =
-	    ms_until(now, p->placed_at) / target_pace_slowness(&e->pace, now);
-	double expected = norms->first_ms + tokens / norms->rate;
-	double ratio = fmin(fmax(ms / expected, 1 / BOUND), BOUND);
-	double weight = ENGINE_WEIGHT * fmin(expected / FULL_SAMPLE_MS, 1);
-
-	e->slowness = slowness(e, now);
-	average(&e->slowness, ratio, weight);
-	e->measured_at = now;
-	if (tokens < MIN_RATE_SAMPLE)
-		average(
-		    &norms->first_ms, fmin(ms, expected * BOUND), NORM_WEIGHT);
-	else
-		average(&norms->rate,
-		    fmin(tokens / fmax(ms - norms->first_ms, ms / 2),
-			norms->rate * BOUND),
-		    NORM_WEIGHT);
-}
-
 void
 engine_load_begun(struct engine_load *e, struct engine_norms *norms,
     struct prompt *p, usec_t now)
@@ -194,9 +122,13 @@
 	if (p->state != PROMPT_READING)
 		return;
 	if (now > p->placed_at)
-		measure(e, norms, p, now);
-	average(&norms->tokens, (double)memory_of(p), NORM_WEIGHT);
-	average(&norms->prompt_tokens, p->to_read, NORM_WEIGHT);
+		engine_speed_measured(&e->speed, norms,
+		    (double)p->to_read + p->ahead,
+		    ms_until(now, p->placed_at) /
+			target_pace_slowness(&e->pace, now),
+		    now);
+	engine_norms_add(&norms->tokens, (double)memory_of(p));
+	engine_norms_add(&norms->prompt_tokens, p->to_read);
 	p->state = PROMPT_RUNNING;
 	p->begun_at = now;
 	e->failures = 0;
@@ -210,8 +142,7 @@
 	if (p->state == PROMPT_READING)
 		engine_load_begun(e, norms, p, now);
 	else
-		average(
-		    &norms->run_ms, ms_until(now, p->begun_at), NORM_WEIGHT);
+		engine_norms_add(&norms->run_ms, ms_until(now, p->begun_at));
 	e->failures = 0;
 	e->aside_until = 0;
 }
--- a/kernel/overload/engine_load.h
+++ b/kernel/overload/engine_load.h
@@ -13,6 +13,7 @@
 #define KERNEL_OVERLOAD_ENGINE_LOAD_H
 
 #include "base/clock.h"
+#include "kernel/overload/engine_speed.h"
 #include "kernel/overload/placement.h"
 #include "kernel/overload/prompt_cache.h"
 #include "kernel/overload/target_pace.h"
@@ -40,15 +41,6 @@
 	bool late;        /* it can't be on time any more */
 };
 
-/* Averages over all engines of a service, for those that aren't measured. */
-struct engine_norms {
-	double rate;          /* tokens read in a ms */
-	double first_ms;      /* until the first event, without reading */
-	double run_ms;        /* from the first event to the end */
-	double tokens;        /* of a request, in memory */
-	double prompt_tokens; /* read for a request */
-};
-
 struct engine_load {
 	char id[64];
 	uint64_t born_ms;
@@ -56,9 +48,7 @@
 	GPtrArray *prompts;
 	struct prompt_cache cache;
 	struct target_pace pace;
-	/* Time until first events beyond the usual, which pace doesn't show. */
-	double slowness;
-	usec_t measured_at; /* 0: never */
+	struct engine_speed speed;
 	uint32_t n_reading;
 	uint64_t unread;   /* tokens of prompts that are being read */
 	uint64_t memory;   /* tokens of prompts and outputs */
@@ -72,7 +62,6 @@
 	usec_t aside_until;
 };
 
-struct engine_norms engine_norms_init(void);
 struct engine_load *engine_load_new(const char *id, uint64_t born_ms);
 /* The prompt is sent to the engine. */
 void engine_load_add(struct engine_load *e, const struct engine_norms *norms,
--- a/kernel/overload/placement.c
+++ b/kernel/overload/placement.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 /* A request of each less urgent rank counts as due so much later. */
-#define RANK_TIME       (2 * USEC_PER_SEC)
+#define RANK_TIME       (500 * USEC_PER_MSEC)
 /*
  * A request waits behind more urgent ones, or late behind those that can be on
  * time, until this part of the time from its aim to its deadline is over.
