loads: a host's own choice counts the prompts being read and slow engines

The choice without a placer counted calls only. It counts the tokens of this host's prompts that an engine still reads, and the slowness that the engine reports or that first events show; with neither it is as before.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -86,6 +86,7 @@
 		.version = forward_call_version(r),
 		.sure_version = target_start_matters(&start),
 		.n_tried = r->n_tried,
+		.max_gap = r->route->max_event_gap,
 	};
 	for (size_t i = 0; i < r->n_tried; i++)
 		query->tried[i] = str_from(r->tried[i]);
@@ -224,11 +225,21 @@
 		    r, &(struct rejection){ kind, RETRY_AFTER, cause });
 }
 
+void
+forward_prompt_read(struct relay_request *r, usec_t took)
+{
+	if (r->reading > 0)
+		loads_read(&r->shared->loads, r->target_id, r->reading, took,
+		    clock_now());
+	r->reading = 0;
+}
+
 void
 forward_call_ended(struct relay_request *r, bool healthy)
 {
 	r->call = NULL;
 	forward_stop_waiting(r);
+	forward_prompt_read(r, 0);
 	loads_ended(&r->shared->loads, r->target_id,
 	    healthy ? LOADS_OK : LOADS_FAILED, clock_now());
 }
@@ -553,6 +564,8 @@
 	r->answer_reported = false;
 	relay_answer_log_sent(r, t, left);
 	loads_sent(t, now);
+	r->reading = r->service->has_engine ? r->info.prompt_tokens : 0;
+	loads_reading(t, r->reading);
 	start_call(r, t, left);
 	if (r->call == NULL)
 		forward_on_event(r, DIAL_UNSENT, NULL);
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -143,6 +143,7 @@
 	uint32_t sends;
 	usec_t sent_at;       /* time of the last call */
 	usec_t first_sent_at; /* of the first one; 0: none */
+	uint32_t reading;     /* prompt tokens that the target reads */
 	/*
 	 * Limits the wait for the call's next bytes; without a call, the time
 	 * until the request is sent again.  NULL: none.
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -13,6 +13,11 @@
  * requests meanwhile, so shared parts that are read again count four times.
  */
 #define TOKENS_PER_MS  25.0
+#define READ_COST      4.0
+/* A measured slowness below this may be the load of others. */
+#define SLOW_FACTOR    2.0
+/* Part of its gap that a stream loses at an engine that takes twice as long. */
+#define SLOW_SHARE     0.25
 /* Cost of one more running request to the others, in milliseconds. */
 #define RUNNING_MS     4.0
 /* Cost of a request that waits for a slot, in milliseconds. */
@@ -36,6 +41,8 @@
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
 	l->domains = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+	l->norms =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	l->host_ids = g_ptr_array_new_with_free_func(g_free);
 }
 
@@ -215,6 +222,7 @@
 	t->failures = 0;
 	t->aside_until = 0;
 	t->pace = (struct target_pace){ 0 };
+	t->engine_speed = (struct engine_speed){ 0 };
 	t->speed = (struct target_speed){ 0 };
 	t->limit = (struct target_limit){ 0 };
 	t->rest_until = 0;
@@ -397,6 +405,28 @@
 	return t != NULL ? t->entry.domain : "";
 }
 
+/* Times as long as usual that an engine takes, at least 1. */
+static double
+engine_slowness(const struct target_load *t, usec_t now)
+{
+	double said = target_pace_slowness(&t->pace, now);
+	double measured = engine_speed_slowness(&t->engine_speed, now);
+
+	if (said < 1)
+		said = 1;
+	return measured >= SLOW_FACTOR ? said * measured : said;
+}
+
+/* Prompt tokens that the engines of a service read in a millisecond. */
+static double
+read_rate(const struct loads *l, const char *service)
+{
+	const struct engine_norms *norms =
+	    g_hash_table_lookup(l->norms, service);
+
+	return norms != NULL ? norms->rate : READ_COST * TOKENS_PER_MS;
+}
+
 /*
  * Predicted milliseconds until the answer begins, without the parts that are
  * equal for all targets.
@@ -404,19 +434,24 @@
 static double
 cost(const struct loads *l, const struct loads_query *q,
     const struct target_load *t, const struct target_load *preferred,
-    const char *input_domain, usec_t now)
+    const char *input_domain, double rate, usec_t now)
 {
 	double n_active = active_calls(t, now);
 	double slots = t->entry.slots > 0 ? t->entry.slots : 1;
+	double slow;
 	double ms = strcmp(t->entry.domain, l->domain) == 0 ? 0 : REMOTE_MS;
 
 	if (!q->engine)
 		return ms + 20.0 * n_active / slots;
-	ms += n_active * RUNNING_MS;
+	slow = engine_slowness(t, now);
+	ms += n_active * RUNNING_MS * slow;
 	if (n_active >= slots)
-		ms += (n_active - slots + 1) * WAITING_MS;
+		ms += (n_active - slots + 1) * WAITING_MS * slow;
 	if (t != preferred)
-		ms += q->shared_tokens / TOKENS_PER_MS;
+		ms += q->shared_tokens * READ_COST * slow / rate;
+	ms += (double)t->unread * slow / rate;
+	ms += (slow - 1) * SLOW_SHARE * (double)q->max_gap /
+	    (double)USEC_PER_MSEC;
 	if (*input_domain != '\0' && strcmp(input_domain, t->entry.domain) != 0)
 		ms += REMOTE_MB_MS * (double)q->input_bytes / 1e6;
 	return ms;
@@ -429,6 +464,7 @@
 	const struct target_load *preferred = affinity_target(all, q);
 	const char *input_domain =
 	    q->input_addr.n > 0 ? loads_domain_at(l, q->input_addr) : "";
+	double rate = q->engine ? read_rate(l, q->service) : 1;
 	struct target_load *best = NULL;
 	double lowest = 0;
 
@@ -440,7 +476,7 @@
 		    !loads_allows(t, now) ||
 		    (!use_set_aside && now < t->aside_until))
 			continue;
-		c = cost(l, q, t, preferred, input_domain, now) +
+		c = cost(l, q, t, preferred, input_domain, rate, now) +
 		    rng_unit(&l->rng);
 		if (best == NULL || c < lowest) {
 			best = t;
@@ -554,6 +590,40 @@
 	target_pace_reported(&t->pace, slowness, now);
 }
 
+void
+loads_reading(struct target_load *t, uint32_t tokens)
+{
+	t->unread += tokens;
+}
+
+void
+loads_read(
+    struct loads *l, const char *id, uint32_t tokens, usec_t took, usec_t now)
+{
+	struct target_load *t = loads_find(l, id);
+	struct engine_norms *norms;
+	uint64_t unread;
+
+	if (t == NULL)
+		return;
+	unread = t->unread;
+	t->unread -= tokens < unread ? tokens : unread;
+	if (took <= 0)
+		return;
+	norms = g_hash_table_lookup(l->norms, t->entry.service);
+	if (norms == NULL) {
+		norms = g_new(struct engine_norms, 1);
+		*norms = engine_norms_init();
+		norms->rate = READ_COST * TOKENS_PER_MS;
+		g_hash_table_insert(
+		    l->norms, g_strdup(t->entry.service), norms);
+	}
+	engine_speed_measured(&t->engine_speed, norms, (double)unread,
+	    (double)took / (double)USEC_PER_MSEC /
+		target_pace_slowness(&t->pace, now),
+	    now);
+}
+
 void
 loads_failed(struct target_load *t, usec_t now)
 {
@@ -634,6 +704,7 @@
 {
 	free_hosts(l);
 	g_ptr_array_unref(l->host_ids);
+	g_hash_table_destroy(l->norms);
 	g_hash_table_destroy(l->domains);
 	g_hash_table_destroy(l->by_service);
 	g_hash_table_destroy(l->by_addr);
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -17,6 +17,7 @@
 #define KERNEL_LOADS_H
 
 #include "base/rng.h"
+#include "kernel/overload/engine_speed.h"
 #include "kernel/overload/target_brittle.h"
 #include "kernel/overload/target_limit.h"
 #include "kernel/overload/target_pace.h"
@@ -49,6 +50,8 @@
 	uint32_t reported;   /* running and waiting calls in the last report */
 	usec_t reported_at;
 	struct target_pace pace;
+	struct engine_speed engine_speed;
+	uint64_t unread;           /* prompt tokens of this host's calls */
 	struct target_speed speed; /* of its stage calls */
 	uint32_t failures;         /* in a row */
 	struct target_limit limit;
@@ -66,7 +69,8 @@
 	GHashTable *by_service;
 	/* name -> GPtrArray of struct loads_domain, sorted by name */
 	GHashTable *domains;
-	char domain[64]; /* of this host */
+	GHashTable *norms; /* service -> struct engine_norms */
+	char domain[64];   /* of this host */
 	struct rng rng;
 	/* The live hosts, among which limits of targets are shared. */
 	GPtrArray *host_ids;
@@ -85,7 +89,8 @@
 	bool engine;            /* the service's targets are model engines */
 	uint64_t prefix;        /* hash of the largest shared part; 0: none */
 	uint32_t shared_tokens; /* tokens that a target may have cached */
-	struct str input_addr;  /* address of the first input; may be empty */
+	usec_t max_gap; /* longest pause between events that is on time */
+	struct str input_addr; /* address of the first input; may be empty */
 	uint64_t input_bytes;
 	struct str version; /* of the target's software; empty: any */
 	bool sure_version;  /* its entry must be that of its last start */
@@ -170,6 +175,14 @@
  */
 void loads_report(struct target_load *t, uint32_t running, uint32_t waiting,
     uint32_t slowness, usec_t now);
+/* A call brings an engine a prompt of so many tokens to read. */
+void loads_reading(struct target_load *t, uint32_t tokens);
+/*
+ * The prompt has been read in the time from the call to the first event; took
+ * 0: the call has ended before.  Unknown ids are ignored.
+ */
+void loads_read(
+    struct loads *l, const char *id, uint32_t tokens, usec_t took, usec_t now);
 enum loads_result {
 	LOADS_OK,    /* the target is healthy and answered */
 	LOADS_FULL,  /* refused: full of other hosts' calls, but healthy */
--- a/tests/kernel/engine_replay.c
+++ b/tests/kernel/engine_replay.c
@@ -32,7 +32,7 @@
 	uint32_t output; /* tokens to be produced */
 	uint32_t engine;
 	usec_t arrives; /* at the engine */
-	bool late_gap, read, placed;
+	bool late_gap, read, placed, reading;
 };
 
 struct engine {
@@ -120,10 +120,13 @@
 	struct loads_query q = { .service = "lm",
 		.engine = true,
 		.prefix = r->shared,
-		.shared_tokens = kinds[r->kind].shared };
+		.shared_tokens = kinds[r->kind].shared,
+		.max_gap = MAX_GAP };
 	struct target_load *t = loads_choose(&x->loads[r->host], &q, now);
 
 	loads_sent(t, now);
+	loads_reading(t, kinds[r->kind].shared + kinds[r->kind].own);
+	r->reading = true;
 	put_at(x, r, t->entry.id, now);
 }
 
@@ -220,6 +223,13 @@
 		if (x->o->placers == 0) {
 			struct target_load *t = loads_find(l, id);
 
+			if (n.r->reading)
+				loads_read(l, id,
+				    kinds[n.r->kind].shared +
+					kinds[n.r->kind].own,
+				    n.kind == BEGUN ? now - n.r->sent_at : 0,
+				    now);
+			n.r->reading = false;
 			if (n.kind == BEGUN)
 				loads_report(
 				    t, n.running, n.waiting, n.slowness, now);
