--- a/kernel/overload/engine_load.c
+++ b/kernel/overload/engine_load.c
@@ -2,45 +2,19 @@
 
 #include <math.h>
 
-/* Rate of an engine while none is measured, in tokens a ms. */
-#define FIRST_RATE      50.0
-#define FIRST_FIRST_MS  20.0
-#define FIRST_RUN_MS    1000.0
-#define FIRST_TOKENS    2000.0
-#define ENGINE_WEIGHT   0.2  /* of a sample in the rate of one engine */
-#define NORM_WEIGHT     0.05 /* of a sample in the averages over all */
-/* A smaller prompt says more about the way to the engine than about reading. */
-#define MIN_RATE_SAMPLE 1000
-/* Bounds a sample, and the rate of an engine, by this factor. */
-#define RATE_BOUND      8.0
-/* What was measured counts in full for this time, and fades within it. */
-#define RATE_TIME       (5 * USEC_PER_SEC)
 /* A report of the requests of others holds for this time. */
-#define REPORT_TIME     (2 * USEC_PER_SEC)
+#define REPORT_TIME   (2 * USEC_PER_SEC)
 /*
  * A report that names no waiting request shows that prompts which were placed
  * this long before it have been read.
  */
-#define REPORT_DELAY    (500 * USEC_PER_MSEC)
+#define REPORT_DELAY  (500 * USEC_PER_MSEC)
 /* A prompt that should be read by now takes this part of its time at least. */
-#define LEAST_LEFT      0.1
+#define LEAST_LEFT    0.1
 /* An engine that is overdue is expected to take half as long again. */
-#define OVERDUE_SHARE   0.5
-#define LEAST_RUN_MS    10.0
-#define ASIDE_FIRST     (250 * USEC_PER_MSEC)
-#define ASIDE_MAX       (4 * USEC_PER_SEC)
-
-struct engine_norms
-engine_norms_init(void)
-{
-	return (struct engine_norms){
-		.rate = FIRST_RATE,
-		.first_ms = FIRST_FIRST_MS,
-		.run_ms = FIRST_RUN_MS,
-		.tokens = FIRST_TOKENS,
-		.prompt_tokens = FIRST_TOKENS,
-	};
-}
+#define OVERDUE_SHARE 0.5
+#define ASIDE_FIRST   (250 * USEC_PER_MSEC)
+#define ASIDE_MAX     (4 * USEC_PER_SEC)
 
 struct engine_load *
 engine_load_new(const char *id, uint64_t born_ms)
@@ -54,32 +28,12 @@
 	return e;
 }
 
-static void
-average(double *x, double sample, double weight)
-{
-	*x += weight * (sample - *x);
-}
-
-/* Tokens that it reads in a ms at its usual pace. */
-static double
-usual_rate(
-    const struct engine_load *e, const struct engine_norms *norms, usec_t now)
-{
-	usec_t over = now - e->rate_at - RATE_TIME;
-
-	if (e->rate_at == 0 || over >= RATE_TIME)
-		return norms->rate;
-	if (over <= 0)
-		return e->rate;
-	return e->rate +
-	    (norms->rate - e->rate) * (double)over / (double)RATE_TIME;
-}
-
 static double
 current_rate(
     const struct engine_load *e, const struct engine_norms *norms, usec_t now)
 {
-	return usual_rate(e, norms, now) / target_pace_slowness(&e->pace, now);
+	return norms->rate / engine_speed_slowness(&e->speed, now) /
+	    target_pace_slowness(&e->pace, now);
 }
 
 static double
@@ -161,29 +115,6 @@
 		e->read_until = all;
 }
 
-static void
-measure_rate(struct engine_load *e, struct engine_norms *norms,
-    const struct prompt *p, usec_t now)
-{
-	double tokens = (double)p->to_read + p->ahead;
-	double ms = ms_until(now, p->placed_at);
-	double slowness = target_pace_slowness(&e->pace, now);
-	double rate;
-
-	if (tokens < MIN_RATE_SAMPLE) {
-		average(&norms->first_ms, ms / slowness, NORM_WEIGHT);
-		return;
-	}
-	/* Half at least is reading: the averages may be too high. */
-	rate = tokens * slowness / fmax(ms - norms->first_ms, ms / 2);
-	rate = fmin(
-	    fmax(rate, norms->rate / RATE_BOUND), norms->rate * RATE_BOUND);
-	e->rate = usual_rate(e, norms, now);
-	average(&e->rate, rate, ENGINE_WEIGHT);
-	e->rate_at = now;
-	average(&norms->rate, rate, NORM_WEIGHT);
-}
-
 void
 engine_load_begun(struct engine_load *e, struct engine_norms *norms,
     struct prompt *p, usec_t now)
@@ -191,9 +122,13 @@
 	if (p->state != PROMPT_READING)
 		return;
 	if (now > p->placed_at)
-		measure_rate(e, norms, p, now);
-	average(&norms->tokens, (double)memory_of(p), NORM_WEIGHT);
-	average(&norms->prompt_tokens, p->to_read, NORM_WEIGHT);
+		engine_speed_measured(&e->speed, norms,
+		    (double)p->to_read + p->ahead,
+		    ms_until(now, p->placed_at) /
+			target_pace_slowness(&e->pace, now),
+		    now);
+	engine_norms_add(&norms->tokens, (double)memory_of(p));
+	engine_norms_add(&norms->prompt_tokens, p->to_read);
 	p->state = PROMPT_RUNNING;
 	p->begun_at = now;
 	e->failures = 0;
@@ -207,8 +142,7 @@
 	if (p->state == PROMPT_READING)
 		engine_load_begun(e, norms, p, now);
 	else
-		average(
-		    &norms->run_ms, ms_until(now, p->begun_at), NORM_WEIGHT);
+		engine_norms_add(&norms->run_ms, ms_until(now, p->begun_at));
 	e->failures = 0;
 	e->aside_until = 0;
 }
@@ -303,13 +237,13 @@
 
 	for (guint i = 0; i < e->prompts->len; i++) {
 		const struct prompt *p = e->prompts->pdata[i];
-		double left = norms->run_ms;
 
 		if (p->state == PROMPT_RUNNING)
-			left -= ms_until(now, p->begun_at);
-		least = fmin(least, left);
+			least = fmin(
+			    least, norms->run_ms - ms_until(now, p->begun_at));
 	}
-	return fmax(least, LEAST_RUN_MS);
+	/* Some run longer than most. */
+	return fmax(least, norms->run_ms / (e->prompts->len + 1));
 }
 
 uint32_t
