--- a/entry/forward_place.c
+++ b/entry/forward_place.c
@@ -9,6 +9,7 @@
 
 #include <inttypes.h>
 #include <stdio.h>
+#include <string.h>
 
 #define DOMAIN_SEED 31
 
@@ -44,30 +45,51 @@
 		    STR_FMT(query->tried[i]));
 }
 
+/* Chooses the domain whose placer is asked. */
 static void
-carry_out(struct relay_request *r, const struct placement_result *result)
+choose_domain(struct relay_request *r)
 {
-	switch (result->verdict) {
-	case PLACEMENT_SEND:
-		forward_send_placed(r, result->target);
-		return;
-	case PLACEMENT_FULL:
-		r->placement = 0;
-		if (r->may_have_run)
-			break;
-		log_text(LOG_LVL_INFO, "placement-full",
-		    "request %.*s: a place in %" PRId64 " ms",
-		    STR_FMT(r->info.id), result->wait / USEC_PER_MSEC);
-		relay_request_reject(r,
-		    &(struct rejection){ ERR_NO_TIME,
-			retry_after(result->wait, hash_u64(r->info.id, 0)),
-			"no target can begin to answer in time" });
+	struct loads_query query;
+
+	forward_query(r, &query);
+	g_strlcpy(r->placement_domain,
+	    placements_domain(r->shared->placements, r->service->name,
+		loads_home_domain(&r->shared->loads, &query),
+		hash_u64(r->info.id, DOMAIN_SEED)),
+	    sizeof(r->placement_domain));
+}
+
+static bool ask(struct relay_request *r);
+
+/*
+ * The engines of a domain can't serve the request in time: it goes to another
+ * domain, or back to its caller.
+ */
+static void
+on_full(struct relay_request *r, usec_t wait)
+{
+	char full[sizeof(r->placement_domain)];
+
+	r->placement = 0;
+	g_strlcpy(full, r->placement_domain, sizeof(full));
+	if (!r->placed_elsewhere) {
+		r->placed_elsewhere = true;
+		choose_domain(r);
+		if (strcmp(full, r->placement_domain) != 0 && ask(r))
+			return;
+	}
+	if (r->may_have_run) {
+		forward_send_here(r);
 		return;
-	case PLACEMENT_NONE:
-		r->placement = 0;
-		break;
 	}
-	forward_send_here(r);
+	log_text(LOG_LVL_INFO, "placement-full",
+	    "request %.*s: in %s a place in %" PRId64 " ms",
+	    STR_FMT(r->info.id), *full != '\0' ? full : "all domains",
+	    wait / USEC_PER_MSEC);
+	relay_request_reject(r,
+	    &(struct rejection){ ERR_NO_TIME,
+		retry_after(wait, hash_u64(r->info.id, 0)),
+		"no target can begin to answer in time" });
 }
 
 static void
@@ -77,28 +99,33 @@
 
 	r->placed = result->placed;
 	relay_histogram_add(&r->shared->counts.placing, result->placed.waited);
-	carry_out(r, result);
+	switch (result->verdict) {
+	case PLACEMENT_SEND:
+		forward_send_placed(r, result->target);
+		break;
+	case PLACEMENT_FULL:
+		on_full(r, result->wait);
+		break;
+	case PLACEMENT_NONE:
+		r->placement = 0;
+		forward_send_here(r);
+		break;
+	}
 }
 
-bool
-forward_place(struct relay_request *r)
+/* Asks the placer of the domain that was chosen; false if there is none. */
+static bool
+ask(struct relay_request *r)
 {
-	struct placements *p = r->shared->placements;
 	struct placement_request q;
 	struct loads_query query;
 
-	r->placed = (struct placed){ .cause = PLACEMENT_NOT_ASKED };
-	if (!r->service->has_engine || !placements_in_force(p) || r->way_lost ||
-	    forward_goes_on(r))
-		return false;
 	forward_query(r, &query);
 	fill_request(r, &query, &q);
-	r->placement = placements_ask(p,
+	r->placement = placements_ask(r->shared->placements,
 	    &(struct placement_call_opts){
 		.service = r->service->name,
-		.domain = placements_domain(p, r->service->name,
-		    loads_home_domain(&r->shared->loads, &query),
-		    hash_u64(r->info.id, DOMAIN_SEED)),
+		.domain = r->placement_domain,
 		.request = &q,
 		.handler = on_placed,
 		.arg = r,
@@ -107,6 +134,19 @@
 	return r->placement != 0;
 }
 
+bool
+forward_place(struct relay_request *r)
+{
+	r->placed = (struct placed){ .cause = PLACEMENT_NOT_ASKED };
+	if (!r->service->has_engine ||
+	    !placements_in_force(r->shared->placements) || r->way_lost ||
+	    forward_goes_on(r))
+		return false;
+	r->placed_elsewhere = false;
+	choose_domain(r);
+	return ask(r);
+}
+
 void
 forward_place_sent(struct relay_request *r, const struct target_load *t)
 {
--- a/entry/placer.c
+++ b/entry/placer.c
@@ -225,8 +225,8 @@
 }
 
 static void
-reply_decision(const struct engine_pool *e, const struct placed_call *c,
-    uint32_t prompt_tokens, usec_t now)
+reply_decision(
+    const struct engine_pool *e, const struct placed_call *c, usec_t now)
 {
 	const struct placement_decision *d = &c->decision;
 	peer_place_reply r = {
@@ -241,9 +241,10 @@
 		.known_ms = known_ms(e, d->target, now),
 	};
 
+	/* Waits are compared between domains, whatever the prompt. */
 	r.wait_ms = in_ms(d->verdict == PLACEMENT_FULL
 		? d->wait
-		: placement_wait(e->placement, prompt_tokens, now));
+		: placement_wait(e->placement, 0, now));
 	send_reply(e->placer, c->from, &r);
 }
 
@@ -278,7 +279,7 @@
 	n->placed += d->verdict == PLACEMENT_SEND;
 	n->full += d->verdict == PLACEMENT_FULL;
 	n->none += d->verdict == PLACEMENT_NONE;
-	reply_decision(e, c, d->to_read, now);
+	reply_decision(e, c, now);
 	if (d->verdict != PLACEMENT_SEND)
 		g_hash_table_remove(e->calls, c);
 }
@@ -535,7 +536,7 @@
 	if (m->call == 0) {
 		reply_undecided(p, from, 0, true);
 	} else if (c != NULL && c->decided) {
-		reply_decision(e, c, c->decision.to_read, now);
+		reply_decision(e, c, now);
 	} else if (c != NULL) {
 		c->heard_at = now;
 		reply_undecided(p, from, m->call, true);
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -149,7 +149,9 @@
 	 * one while it runs; 0: it has none.
 	 */
 	uint64_t placement;
-	struct placed placed; /* the last call */
+	char placement_domain[64]; /* whose placer was asked last */
+	bool placed_elsewhere;     /* it was another one than before */
+	struct placed placed;      /* the last call */
 	bool executed;        /* the last call's target began to answer it */
 	usec_t sent_at;       /* time of the last call */
 	usec_t first_sent_at; /* of the first one; 0: none */
