Placer: hosts meet their placers before the first request

One call in forty to sixteen was chosen by its host as it was the first one there: hosts ask each placer now as soon as they know services and hosts, and a placer without calls keeps what it knows for a minute.

--- a/entry/placements.c
+++ b/entry/placements.c
@@ -60,6 +60,7 @@
 struct placements {
 	struct placements_opts o;
 	struct placer *own;
+	struct routes *routes;
 	GArray *peers;       /* struct placer_peer */
 	GHashTable *groups;  /* key -> struct engine_group */
 	GHashTable *calls;   /* number -> struct engine_call */
@@ -143,6 +144,13 @@
 	p->own = own;
 }
 
+void
+placements_set_routes(struct placements *p, struct routes *routes)
+{
+	routes_unref(p->routes);
+	p->routes = routes_ref(routes);
+}
+
 static struct placer_peer *
 find_peer(const struct placements *p, const char *rpc)
 {
@@ -856,6 +864,39 @@
 	set_timer(p, clock_now());
 }
 
+/* Finds out whether the placer of a domain answers, before it is needed. */
+static void
+meet_placer(
+    struct placements *p, const char *service, const char *domain, usec_t now)
+{
+	struct engine_group *g = group_of(p, service, domain);
+	struct placer_peer *x = choose_placer(p, g, now);
+
+	if (x != NULL && !g->is_self &&
+	    placer_use(&x->host, now) != PLACER_WAIT)
+		probe(p, g, x, now);
+}
+
+static void
+meet_placers(struct placements *p, usec_t now)
+{
+	for (guint i = 0; p->routes != NULL && i < p->routes->services->len;
+	     i++) {
+		const struct service *s = routes_service_at(p->routes, i);
+		const GPtrArray *domains = loads_domains(p->o.loads, s->name);
+
+		if (!s->has_engine)
+			continue;
+		if (domains == NULL)
+			meet_placer(p, s->name, "", now);
+		for (guint k = 0; domains != NULL && k < domains->len; k++) {
+			const struct loads_domain *d = domains->pdata[k];
+
+			meet_placer(p, s->name, d->name, now);
+		}
+	}
+}
+
 void
 placements_tick(struct placements *p, usec_t now)
 {
@@ -864,19 +905,14 @@
 
 	if (!placements_in_force(p))
 		return;
+	meet_placers(p, now);
 	g_hash_table_iter_init(&it, p->groups);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct engine_group *g = v;
-		struct placer_peer *x;
 
-		if (g->n_calls == 0 && !g->told_calls)
-			continue;
-		x = choose_placer(p, g, now);
-		if (x == NULL)
-			continue;
-		if (!g->is_self && placer_use(&x->host, now) != PLACER_WAIT)
-			probe(p, g, x, now);
-		if (now - g->listed_at >= LIST_INTERVAL)
+		if ((g->n_calls > 0 || g->told_calls) &&
+		    now - g->listed_at >= LIST_INTERVAL &&
+		    choose_placer(p, g, now) != NULL)
 			send_list(p, g, now);
 	}
 }
@@ -894,6 +930,7 @@
 	g_hash_table_destroy(p->calls);
 	g_hash_table_destroy(p->groups);
 	stage_waits_free(&p->waits);
+	routes_unref(p->routes);
 	g_array_unref(p->peers);
 	g_array_unref(p->own_asks);
 	event_free(p->timer);
--- a/entry/placements.h
+++ b/entry/placements.h
@@ -97,6 +97,8 @@
 struct placements *placements_new(const struct placements_opts *o);
 /* Sets this host's own placer. */
 void placements_set_placer(struct placements *p, struct placer *own);
+/* Sets the configuration in force. */
+void placements_set_routes(struct placements *p, struct routes *routes);
 /* Sets the live hosts, an array of struct view_peer. */
 void placements_set_peers(struct placements *p, const GArray *peers);
 /* Whether requests to engines are placed. */
--- a/entry/placer.c
+++ b/entry/placer.c
@@ -12,10 +12,12 @@
 /* Time in which hosts tell a new placer what they have running. */
 #define LEARN_TIME        (1 * USEC_PER_SEC)
 /*
- * Hosts with calls list them each second, so without any message for this time
- * they have none, or another host has placed meanwhile.
+ * Hosts with calls list them each second, so if none has done so for this time,
+ * another host has placed meanwhile.
  */
-#define UNUSED_TIME       (3 * USEC_PER_SEC)
+#define UNLISTED_TIME     (3 * USEC_PER_SEC)
+/* The same, if there were no calls. */
+#define UNUSED_TIME       (60 * USEC_PER_SEC)
 /* A host that waits for a decision repeats its ask more often. */
 #define ASK_LOST_TIME     (600 * USEC_PER_MSEC)
 /* Messages that are on their way may have passed a list of calls. */
@@ -644,7 +646,9 @@
 		struct engine_pool *e = v;
 
 		cancel_lost_asks(e, now);
-		if (now - e->heard_at > UNUSED_TIME)
+		if (now - e->heard_at > (g_hash_table_size(e->calls) > 0
+						? UNLISTED_TIME
+						: UNUSED_TIME))
 			g_hash_table_iter_remove(&it);
 		else
 			step(e, now);
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -222,6 +222,7 @@
 			INITIAL_LIMITS.idle_timeout });
 		coordinator_set_routes(y->shared.coordinator, v->routes);
 		placer_set_routes(y->shared.placer, v->routes);
+		placements_set_routes(y->shared.placements, v->routes);
 	}
 	if (y->view != NULL)
 		close_delisted(y, y->view->targets);
--- a/tests/platform/harness.c
+++ b/tests/platform/harness.c
@@ -64,17 +64,21 @@
 	g_autofree char *memory = h->memory_mb > 0
 	    ? g_strdup_printf("memory_mb = %d\n", h->memory_mb)
 	    : g_strdup("");
+	g_autofree char *placer = h->placer_min_hosts > 0
+	    ? g_strdup_printf(
+		  "[routes]\nplacer_min_hosts = %d\n", h->placer_min_hosts)
+	    : g_strdup("");
 	g_autofree char *text = g_strdup_printf(
 	    "[sequoiad]\nid = %s\nlisten = 127.0.0.1:%u\n"
 	    "operators = 127.0.0.1:%u\nrpc = 127.0.0.1:%u\n"
 	    "failure_domain = d1\npeers = 127.0.0.1:%u\ndrain_ms = %d\n"
 	    "grace_s = %.3f\n%s[platform]\nform = routes\nkv = 127.0.0.1:%u\n"
-	    "[fleet]\nfleet_key = a fleet key of the tests\n",
+	    "%s[fleet]\nfleet_key = a fleet key of the tests\n",
 	    h->id, h->port, h->port + 1, h->port + 2,
 	    h->seed_port != 0 ? h->seed_port + 2 : h->port + 2,
 	    h->grace_ms > 0 ? h->drain_ms : 500,
-	    h->grace_ms > 0 ? h->grace_ms / 1000.0 : 4.7, memory,
-	    h->store_port);
+	    h->grace_ms > 0 ? h->grace_ms / 1000.0 : 4.7, memory, h->store_port,
+	    placer);
 	g_autoptr(GError) e = NULL;
 	const char *old = h->old ? g_getenv("SEQUOIAD_OLD") : NULL;
 	const char *program = old != NULL ? old : g_getenv("SEQUOIAD");
--- a/tests/platform/harness.h
+++ b/tests/platform/harness.h
@@ -20,6 +20,7 @@
 	int memory_mb;       /* 0: the default */
 	int grace_ms;        /* 0: 4700, and drain_ms is 500 */
 	int drain_ms;
+	int placer_min_hosts; /* 0: the default */
 };
 
 /*
