--- a/tests/kernel/test_placement.c
+++ b/tests/kernel/test_placement.c
@@ -5,6 +5,7 @@
  * the placer must serve as many requests on time, and as many as callers need.
  */
 #include "kernel/overload/placement.h"
+#include "tests/kernel/engine_replay.h"
 
 #include <glib.h>
 #include <string.h>
@@ -204,7 +205,7 @@
 		struct bed b;
 
 		bed_init(&b, 1, 1);
-		d = place(&b, &q, MS(1));
+		place(&b, &q, MS(1));
 		switch ((enum leaving)how) {
 		case CANCEL:
 			placement_cancel(b.placement, 1, 1);
@@ -260,6 +261,267 @@
 	bed_free(&b);
 }
 
+/*
+ * A less urgent request is sent while as many urgent ones come as there are
+ * slots: within the bound that its aim and deadline set.
+ */
+static void
+test_not_starved(void)
+{
+	struct placement_request q;
+	struct placement_decision d;
+	usec_t sent_at = 0;
+	uint64_t oldest = 0;
+	struct bed b;
+
+	bed_init(&b, 1, 1);
+	for (uint64_t k = 0; k < SLOTS; k++) {
+		q = request_of(k, SHORT, 5, 0);
+		place(&b, &q, 0);
+		placement_begun(b.placement, 1, k, MS(1));
+	}
+	q = request_of(1000000, SHORT, 5, MS(1));
+	q.rank = 9;
+	place(&b, &q, MS(1));
+	for (uint64_t k = SLOTS; sent_at == 0 && k < 400; k++) {
+		usec_t now = MS(50) * (usec_t)(k - SLOTS + 1);
+
+		q = request_of(k, SHORT, 5, now);
+		placement_submit(b.placement, &q, now);
+		placement_ended(b.placement, 1, oldest++, true, now);
+		if (placement_step(b.placement, &d, 1, now) == 0)
+			continue;
+		if (d.ask == 1000000)
+			sent_at = now;
+		placement_begun(b.placement, 1, d.ask, now + MS(10));
+	}
+	g_assert_cmpint(sent_at, >, 0);
+	/* Half of the time from its aim to its deadline, and the next slot. */
+	g_assert_cmpint(sent_at, <=, MS(1000) + MS(2500) + MS(200));
+	bed_free(&b);
+}
+
+/* Reports that come and go within a second don't make work follow them. */
+static void
+test_pace(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t percent[2]; /* by turns, every 50 ms for 3 s */
+		double low, high;
+	} cases[] = {
+		{ "nothing said", { 0, 0 }, 1, 1 },
+		{ "as usual", { 100, 100 }, 1, 1 },
+		{ "slow", { 400, 400 }, 3.5, 4 },
+		{ "noise", { 20, 380 }, 1.7, 2.3 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct target_pace p = { 0 };
+
+		g_test_message("%s", cases[i].name);
+		for (int k = 1; k <= 60; k++)
+			target_pace_reported(
+			    &p, cases[i].percent[k % 2], MS(50 * k));
+		g_assert_cmpfloat(
+		    target_pace_slowness(&p, MS(3000)), >=, cases[i].low);
+		g_assert_cmpfloat(
+		    target_pace_slowness(&p, MS(3000)), <=, cases[i].high);
+		g_assert_cmpfloat(target_pace_slowness(&p, MS(60000)), ==, 1);
+	}
+}
+
+/* A host that chooses alone, between engine e0 and one that is idle. */
+static void
+test_alone(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t unread;  /* tokens that e0 reads for this host */
+		uint32_t percent; /* pace of e0 */
+		usec_t took;      /* first events of e0, without unread ones */
+		uint32_t other;   /* calls of this host at e1 */
+		const char *want;
+	} cases[] = {
+		{ "fewer calls", 0, 0, 0, 3, "e0" },
+		{ "a long prompt is read", LONG, 0, 0, 3, "e1" },
+		{ "a short prompt is read", SHORT, 0, 0, 3, "e0" },
+		{ "slow, and says so", 0, 400, 0, 3, "e1" },
+		{ "slow, and doesn't say so", 0, 0, MS(900), 3, "e1" },
+		{ "slow, but the other one is full", 0, 300, 0, 40, "e0" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct loads_query q = {
+			.service = SERVICE, .engine = true, .max_gap = MS(400)
+		};
+		struct target_load *t;
+		struct loads l;
+
+		g_test_message("%s", cases[i].name);
+		loads_init(&l, "d", 1);
+		list_engines(&l, 0, 2, 0);
+		t = loads_find(&l, "e0");
+		for (int k = 0; k < 5; k++) {
+			loads_report(t, 0, 0, cases[i].percent, MS(500 * k));
+			if (cases[i].took == 0)
+				continue;
+			loads_reading(t, LONG);
+			loads_read(
+			    &l, "e0", LONG, cases[i].took, MS(500 * k + 1));
+		}
+		loads_reading(t, cases[i].unread);
+		for (uint32_t k = 0; k < cases[i].other; k++)
+			loads_sent(loads_find(&l, "e1"), MS(2500));
+		t = loads_choose(&l, &q, MS(2500));
+		g_assert_cmpstr(t->entry.id, ==, cases[i].want);
+		loads_free(&l);
+	}
+}
+
+/* A decision while much waits doesn't look at all engines for each request. */
+static void
+test_decision_cost(void)
+{
+	struct placement_decision d[16];
+	struct placement_request q;
+	usec_t cpu;
+	struct bed b;
+
+	bed_init(&b, 30, 1);
+	for (uint64_t k = 0; k < 30 * SLOTS + 1000; k++) {
+		q = request_of(k, SHORT + (uint32_t)(k % 50), k % 100, 0);
+		q.deadline = MS(60000);
+		placement_submit(b.placement, &q, MS(1));
+	}
+	while (placement_step(b.placement, d, 16, MS(1)) == 16)
+		;
+	cpu = clock_cpu();
+	for (usec_t now = MS(2); now < MS(102); now += MS(1))
+		placement_step(b.placement, d, 16, now);
+	cpu = (clock_cpu() - cpu) / 100;
+	g_test_message("%ld us", (long)cpu);
+	/* 300 a second within half of a core, sanitizers included. */
+	g_assert_cmpint(cpu, <, USEC_PER_SEC / 2 / 300 * 5);
+	bed_free(&b);
+}
+
+/* Of what callers need, what a load leaves possible. */
+struct replay_case {
+	const char *name;
+	struct replay_opts opts;
+	double on_time[REPLAY_KINDS]; /* least share; 0: that of hosts alone */
+	bool overload;                /* rank decides which kind is on time */
+};
+
+static double
+on_time(const struct replay_result *r, int kind)
+{
+	return (double)r->kinds[kind].on_time / r->kinds[kind].sent;
+}
+
+/*
+ * Loads below the capacity are served on time but for a twentieth, however they
+ * are mixed, and no stream pauses for longer than its caller allows.
+ */
+static const struct replay_case replays[] = {
+	{ "calm", { .engines = 8, .per_s = { 6, 20 }, .things = 100 },
+	    { 0.95, 0.95 } },
+	{ "long prompts beside short ones",
+	    { .engines = 8, .per_s = { 30, 20 }, .things = 100 },
+	    { 0.95, 0.95 } },
+	{ "short prompts beside long ones",
+	    { .engines = 8, .per_s = { 6, 90 }, .things = 100 },
+	    { 0.95, 0.95 } },
+	{ "more long prompts than can be read",
+	    { .engines = 8, .per_s = { 45, 20 }, .things = 100 }, { 0, 0.95 } },
+	{ "more short prompts than can run",
+	    { .engines = 8, .per_s = { 6, 130 }, .things = 100 }, { 0, 0.95 },
+	    true },
+	{ "a third is slow",
+	    { .engines = 9,
+		.slow = 3,
+		.slow_by = 4,
+		.per_s = { 10, 30 },
+		.things = 100 },
+	    { 0.95, 0.95 } },
+	{ "a third is slow and doesn't say so",
+	    { .engines = 9,
+		.slow = 3,
+		.slow_by = 4,
+		.silent = true,
+		.per_s = { 10, 30 },
+		.things = 100 },
+	    { 0.95, 0.95 } },
+	{ "long prompts, a third is slow",
+	    { .engines = 9,
+		.slow = 3,
+		.slow_by = 4,
+		.per_s = { 25, 20 },
+		.things = 100 },
+	    { 0.95, 0.95 } },
+	{ "short prompts, a third is slow",
+	    { .engines = 9,
+		.slow = 3,
+		.slow_by = 4,
+		.per_s = { 6, 60 },
+		.things = 100 },
+	    { 0.95, 0.95 } },
+	{ "the same long prompts again", { .engines = 8, .per_s = { 40, 40 } },
+	    { 0.95, 0.95 } },
+	{ "a quarter of the engines ends",
+	    { .engines = 8, .lost = 2, .per_s = { 15, 30 }, .things = 100 } },
+	{ "a host ends",
+	    { .engines = 8,
+		.host_lost = true,
+		.per_s = { 20, 40 },
+		.things = 100 },
+	    { 0.95, 0.95 } },
+	{ "times that change within a second",
+	    { .engines = 8, .noise = 0.9, .per_s = { 20, 30 }, .things = 100 },
+	    { 0.95, 0.95 } },
+};
+
+static void
+check_replay(const struct replay_case *c, const struct replay_result *alone,
+    const struct replay_result *r)
+{
+	uint32_t good = 0;
+	uint32_t good_alone = 0;
+
+	for (int k = 0; k < REPLAY_KINDS; k++) {
+		g_test_message("%s, kind %d: %.3f on time, alone %.3f", c->name,
+		    k, on_time(r, k), on_time(alone, k));
+		g_assert_cmpfloat(on_time(r, k), >=, c->on_time[k]);
+		if (c->on_time[k] == 0 && !c->overload)
+			g_assert_cmpfloat(on_time(r, k), >=, on_time(alone, k));
+		good += r->kinds[k].on_time;
+		good_alone += alone->kinds[k].on_time;
+		/* Nothing is held beyond its deadline. */
+		g_assert_cmpint(r->kinds[k].longest_hold, <, MS(8000));
+	}
+	g_assert_cmpuint(good, >=, good_alone);
+	g_assert_cmpint(r->longest_gap, <=, MS(400));
+}
+
+static void
+test_replays(gconstpointer placers)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(replays); i++) {
+		struct replay_opts o = replays[i].opts;
+		struct replay_result alone;
+		struct replay_result r;
+
+		o.seed = 1;
+		if (o.noise == 0)
+			o.noise = 0.3;
+		replay(&o, &alone);
+		o.placers = GPOINTER_TO_UINT(placers);
+		replay(&o, &r);
+		check_replay(&replays[i], &alone, &r);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -268,5 +530,14 @@
 	g_test_add_func("/placement/full", test_full);
 	g_test_add_func("/placement/leaving", test_leaving);
 	g_test_add_func("/placement/cached", test_cached);
+	g_test_add_func("/placement/not-starved", test_not_starved);
+	g_test_add_func("/placement/pace", test_pace);
+	g_test_add_func("/placement/alone", test_alone);
+	g_test_add_func("/placement/decision-cost", test_decision_cost);
+	g_test_add_data_func(
+	    "/placement/replays", GUINT_TO_POINTER(1), test_replays);
+	/* Two hosts that both believe to be the placer. */
+	g_test_add_data_func("/placement/replays-of-two-placers",
+	    GUINT_TO_POINTER(2), test_replays);
 	return g_test_run();
 }
