--- a/kernel/overload/placement.c
+++ b/kernel/overload/placement.c
@@ -1,6 +1,6 @@
 #include "kernel/overload/placement.h"
 #include "base/hash.h"
-#include "kernel/overload/engine_load.h"
+#include "kernel/overload/engine_choice.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -13,35 +13,10 @@
  * time, until this part of the time from its aim to its deadline is over.
  */
 #define MAX_DELAY       0.5
-/* A prompt is long that is read in more than this part of a stream's gap. */
-#define LONG_SHARE      0.25
-/* Part of a stream's gap that is filled with reading beside it. */
-#define READ_SHARE      0.5
-/* A prompt is sent so long before the engine has read those before it. */
-#define LEAD_MS         20.0
-/* Predicted times may be too short by this factor. */
-#define SAFETY          1.25
 /* Left of the slack when a prompt is sent to an engine that reads others. */
 #define MARGIN_MS       20.0
-/* Cost of a running request to one more, in milliseconds. */
-#define RUNNING_MS      4.0
-/*
- * Tokens that are read delay everything at the engine, so their time counts so
- * many times beyond the delay of the prompt itself.
- */
-#define READ_COST       3.0
-/*
- * An engine is slow that takes this many times as long as usual: a prompt
- * rather waits for another one if it can still be on time.
- */
+/* An engine is slow that takes this many times as long as usual. */
 #define SLOW_FACTOR     1.5
-/* Part of its gap that a stream loses at an engine that takes twice as long. */
-#define SLOW_SHARE      0.25
-/* Cost of a megabyte from another failure domain, in milliseconds. */
-#define REMOTE_MB_MS    6.0
-/* Costs that come before all others. */
-#define LATE_COST_MS    1e5
-#define ASIDE_COST_MS   1e7
 /* Share of the tokens that late prompts get while others can be on time. */
 #define LATE_SHARE      0.2
 /* Bounds the tokens that they have not used. */
@@ -56,19 +31,6 @@
 #define FORGET_TIME     (5 * USEC_PER_SEC)
 #define MIN_FULL_WAIT   (100 * USEC_PER_MSEC)
 
-/* An engine during a step. */
-struct view {
-	struct engine_load *engine;
-	const struct target_load *target;
-	struct engine_state state;
-	double longest_ms; /* of the prompts that are being read */
-	double next_end_ms;
-	uint32_t slots;
-	/* Prompts that are held for it in this step. */
-	uint32_t n_awaited;
-	double awaited_ms;
-};
-
 struct placement {
 	char *service;
 	char *domain;
@@ -90,28 +52,6 @@
 	usec_t now; /* of the last call */
 };
 
-/* How a prompt would fare at an engine. */
-struct look {
-	size_t view;
-	double cost;
-	double other_cost;
-	double first_ms; /* until its first event, once it is sent */
-	double wait_ms;  /* until it is sent */
-	uint32_t to_read;
-	size_t n_cached;
-};
-
-/* The best engines for a prompt. */
-struct choice {
-	bool eligible; /* some engine may take it, at some time */
-	bool has_open;
-	bool has_forced;
-	bool has_next;
-	struct look open;   /* takes it now */
-	struct look forced; /* has a slot, but reads others */
-	struct look next; /* with the earliest first event, also after a wait */
-};
-
 /* Waiting prompts before one, during a step. */
 struct ahead {
 	size_t n;
@@ -170,7 +110,7 @@
 	p->engines =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_engine);
 	p->queue = g_ptr_array_new();
-	p->views = g_array_new(FALSE, FALSE, sizeof(struct view));
+	p->views = g_array_new(FALSE, FALSE, sizeof(struct engine_view));
 	return p;
 }
 
@@ -398,18 +338,6 @@
 	engine_load_add(e, &p->norms, x, p->kv_tokens, now);
 }
 
-static void
-set_view(const struct placement *p, struct view *v, usec_t now)
-{
-	const struct engine_load *e = v->engine;
-
-	engine_load_state(e, &p->norms, now, &v->state);
-	v->slots =
-	    v->target->entry.slots > 0 ? v->target->entry.slots : p->slots;
-	v->next_end_ms = engine_load_next_end_ms(e, &p->norms, now);
-	v->longest_ms = engine_load_longest(e) / v->state.rate;
-}
-
 static void
 set_views(struct placement *p, usec_t now)
 {
@@ -418,11 +346,11 @@
 	g_array_set_size(p->views, 0);
 	for (guint i = 0; all != NULL && i < all->len; i++) {
 		struct target_load *t = all->pdata[i];
-		struct view v = { .target = t };
+		struct engine_view v = { .target = t };
 
 		v.engine = engine_of(p, t, now);
 		v.engine->listed = true;
-		set_view(p, &v, now);
+		engine_view_set(&v, &p->norms, p->slots, now);
 		g_array_append_val(p->views, v);
 	}
 }
@@ -466,223 +394,16 @@
 	return x->number < y->number ? -1 : x->number > y->number;
 }
 
-static bool
-was_tried(const struct placement_request *q, const char *id)
-{
-	for (size_t i = 0; i < q->n_tried; i++) {
-		if (strcmp(q->tried[i], id) == 0)
-			return true;
-	}
-	return false;
-}
-
-static bool
-is_eligible(const struct placement *p, const struct placement_request *q,
-    const struct target_load *t)
-{
-	if (p->kv_tokens > 0 &&
-	    (uint64_t)q->prompt_tokens + q->output_tokens > p->kv_tokens)
-		return false;
-	return !was_tried(q, t->entry.id) &&
-	    (*q->version == '\0' || strcmp(q->version, t->entry.version) == 0);
-}
-
-static double
-to_ms(usec_t t)
-{
-	return (double)t / (double)USEC_PER_MSEC;
-}
-
-static usec_t
-from_ms(double ms)
-{
-	return (usec_t)(ms * (double)USEC_PER_MSEC);
-}
-
-/* Shortest gap of the streams beside which a prompt would be read. */
-static double
-gap_ms(const struct prompt *x, const struct engine_load *e)
-{
-	usec_t gap = e->max_gap;
-
-	if (gap == 0 || (x->request.max_gap > 0 && x->request.max_gap < gap))
-		gap = x->request.max_gap;
-	return to_ms(gap);
-}
-
-/* Time until the prompts that an engine reads leave room for another. */
-static double
-read_wait_ms(const struct view *v, double own_ms, double gap)
-{
-	double unread = v->state.unread_ms;
-	double room = READ_SHARE * gap - own_ms;
-	bool is_long = own_ms > LONG_SHARE * gap;
-
-	if (gap == 0 || unread <= LEAD_MS)
-		return 0;
-	if ((is_long && v->longest_ms > LONG_SHARE * gap) || room < LEAD_MS)
-		room = LEAD_MS;
-	return unread > room ? unread - room : 0;
-}
-
-/* Time until an engine has a slot and memory for another request. */
-static double
-slot_wait_ms(
-    const struct placement *p, const struct prompt *x, const struct view *v)
-{
-	uint64_t need =
-	    (uint64_t)x->request.prompt_tokens + x->request.output_tokens;
-
-	if (v->state.active < v->slots &&
-	    (p->kv_tokens == 0 || v->state.memory + need <= p->kv_tokens))
-		return 0;
-	return v->next_end_ms * (v->n_awaited + 1);
-}
-
-/* Cost of an engine beyond the time until the first event. */
-static double
-other_cost(const struct placement *p, const struct prompt *x,
-    const struct view *v, uint32_t to_read, usec_t now)
-{
-	double slow = v->state.slowness - 1;
-	double ms = v->state.active * RUNNING_MS * v->state.slowness;
-
-	ms += to_read / p->norms.rate * READ_COST;
-	if (slow > 0)
-		ms += slow * SLOW_SHARE * to_ms(x->request.max_gap);
-	if (now < v->engine->aside_until || now < v->target->aside_until)
-		ms += ASIDE_COST_MS;
-	return ms + rng_unit(&p->loads->rng);
-}
-
-/* Cost to the streams of an engine that reads for so long. */
-static double
-pause_cost(const struct view *v, double read_ms)
-{
-	double gap = to_ms(v->engine->max_gap);
-
-	return read_ms > READ_SHARE * gap
-	    ? v->engine->n_streams * SLOW_SHARE * gap
-	    : 0;
-}
-
-/* Cost of a first event after a time, which may be too late. */
-static double
-late_cost(const struct prompt *x, double first_ms, usec_t now)
-{
-	return now + from_ms(first_ms * SAFETY) > x->request.aim ? LATE_COST_MS
-								 : 0;
-}
-
-static void
-look_at(const struct placement *p, const struct prompt *x, size_t i, usec_t now,
-    struct look *out)
-{
-	const struct view *v = &g_array_index(p->views, struct view, i);
-	const struct placement_request *q = &x->request;
-	uint32_t cached = 0;
-	double own_ms;
-	double read_wait;
-	double slot_wait;
-
-	*out = (struct look){ .view = i };
-	out->n_cached =
-	    prompt_cache_find(&v->engine->cache, x->prefixes, q->n_parts);
-	for (size_t k = 0; k < out->n_cached; k++)
-		cached += q->parts[k].tokens;
-	out->to_read =
-	    q->prompt_tokens > cached ? q->prompt_tokens - cached : 1;
-	own_ms = out->to_read / v->state.rate;
-	out->first_ms =
-	    p->norms.first_ms * v->state.slowness + v->state.unread_ms + own_ms;
-	if (*q->input_domain != '\0' &&
-	    strcmp(q->input_domain, v->target->entry.domain) != 0)
-		out->first_ms += REMOTE_MB_MS * (double)q->input_bytes / 1e6;
-	out->other_cost = other_cost(p, x, v, out->to_read, now);
-	out->cost = out->first_ms + out->other_cost +
-	    pause_cost(v, v->state.unread_ms + own_ms) +
-	    late_cost(x, out->first_ms, now);
-	slot_wait = slot_wait_ms(p, x, v);
-	read_wait = read_wait_ms(v, own_ms, gap_ms(x, v->engine));
-	if (read_wait > 0)
-		read_wait += v->awaited_ms;
-	out->wait_ms = fmax(slot_wait, read_wait);
-	if (!loads_allows(v->target, now))
-		out->wait_ms = fmax(out->wait_ms,
-		    fmax(to_ms(v->target->rest_until - now),
-			to_ms(RECHECK_TIME)));
-}
-
-static bool
-is_forcible(const struct placement *p, const struct prompt *x,
-    const struct look *k, usec_t now)
-{
-	const struct view *v = &g_array_index(p->views, struct view, k->view);
-
-	return loads_allows(v->target, now) && slot_wait_ms(p, x, v) == 0;
-}
-
-/* Sets how the prompt fares at an engine that takes it after a wait. */
-static void
-look_later(
-    const struct prompt *x, const struct view *v, struct look *k, usec_t now)
-{
-	double left = fmax(v->state.unread_ms - k->wait_ms, 0);
-
-	/* What the engine reads meanwhile isn't before the prompt any more. */
-	k->first_ms += k->wait_ms + left - v->state.unread_ms;
-	k->cost = k->first_ms + k->other_cost +
-	    pause_cost(v, left + k->to_read / v->state.rate) +
-	    late_cost(x, k->first_ms, now);
-}
-
-static void
-choose(const struct placement *p, const struct prompt *x, usec_t now,
-    struct choice *out)
-{
-	*out = (struct choice){ 0 };
-	for (guint i = 0; i < p->views->len; i++) {
-		const struct view *v = &g_array_index(p->views, struct view, i);
-		struct look k;
-
-		if (!is_eligible(p, &x->request, v->target))
-			continue;
-		look_at(p, x, i, now, &k);
-		out->eligible = true;
-		if (k.wait_ms <= 0 &&
-		    (!out->has_open || k.cost < out->open.cost)) {
-			out->has_open = true;
-			out->open = k;
-		}
-		if (k.wait_ms > 0 && is_forcible(p, x, &k, now) &&
-		    (!out->has_forced || k.cost < out->forced.cost)) {
-			out->has_forced = true;
-			out->forced = k;
-		}
-		if (now < v->engine->aside_until ||
-		    now < v->target->aside_until)
-			continue;
-		look_later(x, v, &k, now);
-		if (!out->has_next || k.cost < out->next.cost) {
-			out->has_next = true;
-			out->next = k;
-		}
-	}
-	if (!out->has_next && out->has_open) {
-		out->has_next = true;
-		out->next = out->open;
-	}
-}
-
 static void
-send_to(struct placement *p, struct prompt *x, const struct look *k,
+send_to(struct placement *p, struct prompt *x, const struct engine_look *k,
     struct placement_decision *d, usec_t now)
 {
-	struct view *v = &g_array_index(p->views, struct view, k->view);
+	struct engine_view *v =
+	    &g_array_index(p->views, struct engine_view, k->view);
 
 	d->verdict = PLACEMENT_SEND;
 	g_strlcpy(d->target, v->engine->id, sizeof(d->target));
-	d->first_event = from_ms(k->first_ms);
+	d->first_event = engine_from_ms(k->first_ms);
 	d->to_read = k->to_read;
 	d->reading = (uint32_t)fmin(
 	    v->state.unread_ms * v->state.rate, (double)UINT32_MAX);
@@ -695,7 +416,7 @@
 	x->to_read = k->to_read;
 	x->n_cached = k->n_cached;
 	engine_load_add(v->engine, &p->norms, x, p->kv_tokens, now);
-	set_view(p, v, now);
+	engine_view_set(v, &p->norms, p->slots, now);
 }
 
 static void
@@ -722,7 +443,7 @@
 set_full(struct placement_decision *d, double ms)
 {
 	d->verdict = PLACEMENT_FULL;
-	d->wait = from_ms(ms);
+	d->wait = engine_from_ms(ms);
 	if (d->wait < MIN_FULL_WAIT)
 		d->wait = MIN_FULL_WAIT;
 }
@@ -737,7 +458,7 @@
 {
 	double ms = fmax(queue_ms(p, a), wait_ms);
 
-	if (now + from_ms(ms) >= x->request.deadline) {
+	if (now + engine_from_ms(ms) >= x->request.deadline) {
 		set_full(d, ms);
 		return false;
 	}
@@ -765,12 +486,12 @@
  * if it would be late there, when it has yielded for long enough.
  */
 static usec_t
-forced_at(const struct prompt *x, const struct look *k, usec_t now)
+forced_at(const struct prompt *x, const struct engine_look *k, usec_t now)
 {
 	usec_t aim = x->request.aim;
 
-	if (!x->late && now + from_ms(k->first_ms) <= aim)
-		return aim - from_ms(k->first_ms + MARGIN_MS);
+	if (!x->late && now + engine_from_ms(k->first_ms) <= aim)
+		return aim - engine_from_ms(k->first_ms + MARGIN_MS);
 	return x->order > aim ? x->order : aim;
 }
 
@@ -780,28 +501,31 @@
  * faster or keeps more of it.  An idle engine takes it now unless it is slow.
  */
 static bool
-is_better_later(
-    const struct placement *p, const struct choice *c, usec_t aim, usec_t now)
+is_better_later(const struct placement *p, const struct engine_choice *c,
+    usec_t aim, usec_t now)
 {
-	const struct view *v =
-	    &g_array_index(p->views, struct view, c->open.view);
+	const struct engine_view *v =
+	    &g_array_index(p->views, struct engine_view, c->open.view);
 
-	if (now + from_ms(c->open.first_ms) > aim)
+	if (now + engine_from_ms(c->open.first_ms) > aim)
 		return true;
 	return (v->state.slowness >= SLOW_FACTOR || v->state.active > 0) &&
 	    c->next.wait_ms > 0 && c->next.cost < c->open.cost &&
-	    now + from_ms(c->next.first_ms * SAFETY + MARGIN_MS) <= aim;
+	    now +
+		engine_from_ms(c->next.first_ms * ENGINE_SAFETY + MARGIN_MS) <=
+	    aim;
 }
 
 /* The prompt is held for an engine. */
 static void
-await(struct placement *p, const struct look *k, usec_t now)
+await(struct placement *p, const struct engine_look *k, usec_t now)
 {
-	struct view *v = &g_array_index(p->views, struct view, k->view);
+	struct engine_view *v =
+	    &g_array_index(p->views, struct engine_view, k->view);
 
 	v->n_awaited++;
 	v->awaited_ms += k->to_read / v->state.rate;
-	check_by(p, now + from_ms(k->wait_ms), now);
+	check_by(p, now + engine_from_ms(k->wait_ms), now);
 }
 
 /*
@@ -813,16 +537,23 @@
     struct placement_decision *d, usec_t now)
 {
 	usec_t aim = x->request.aim;
-	struct choice c;
+	struct engine_choice c;
 	bool in_time;
 
-	choose(p, x, now, &c);
+	engine_choose(
+	    &(struct engine_choice_opts){
+		.views = p->views,
+		.norms = &p->norms,
+		.kv_tokens = p->kv_tokens,
+		.rng = &p->loads->rng,
+	    },
+	    x, now, &c);
 	if (!c.eligible) {
 		d->verdict = PLACEMENT_NONE;
 		return true;
 	}
 	a->looks++;
-	in_time = c.has_next && now + from_ms(c.next.first_ms) <= aim;
+	in_time = c.has_next && now + engine_from_ms(c.next.first_ms) <= aim;
 	if (c.has_open && !(in_time && is_better_later(p, &c, aim, now))) {
 		send_to(p, x, &c.open, d, now);
 		return true;
@@ -850,7 +581,8 @@
 	*a = (struct ahead){ .least_wait_ms = INFINITY,
 		.least_tokens = UINT32_MAX };
 	for (guint i = 0; i < p->views->len; i++) {
-		const struct view *v = &g_array_index(p->views, struct view, i);
+		const struct engine_view *v =
+		    &g_array_index(p->views, struct engine_view, i);
 
 		a->rate += v->state.rate;
 		a->slots += v->slots;
@@ -968,14 +700,14 @@
 	double least = INFINITY;
 
 	for (guint i = 0; all != NULL && i < all->len; i++) {
-		struct view v = { .target = all->pdata[i] };
+		struct engine_view v = { .target = all->pdata[i] };
 		double ms = p->norms.first_ms + tokens / p->norms.rate;
 
 		v.engine = g_hash_table_lookup(p->engines, v.target->entry.id);
 		a.slots += p->slots;
 		a.rate += p->norms.rate;
 		if (v.engine != NULL) {
-			set_view(p, &v, now);
+			engine_view_set(&v, &p->norms, p->slots, now);
 			a.rate += v.state.rate - p->norms.rate;
 			ms = p->norms.first_ms * v.state.slowness +
 			    v.state.unread_ms + tokens / v.state.rate;
@@ -990,7 +722,7 @@
 		a.n++;
 		a.tokens += x->request.prompt_tokens;
 	}
-	return isfinite(least) ? from_ms(least + queue_ms(p, &a)) : 0;
+	return isfinite(least) ? engine_from_ms(least + queue_ms(p, &a)) : 0;
 }
 
 void
