--- a/kernel/overload/placement.c
+++ b/kernel/overload/placement.c
@@ -1,5 +1,4 @@
 #include "kernel/overload/placement.h"
-#include "base/hash.h"
 #include "kernel/overload/engine_choice.h"
 
 #include <math.h>
@@ -45,8 +44,8 @@
 	uint64_t number; /* of the last submission */
 	bool changed;    /* since the last step */
 	bool unsorted;
-	double
-	    late_credit; /* tokens that late prompts may take before others */
+	/* Tokens that late prompts may take before others. */
+	double late_credit;
 	usec_t check_at; /* when waiting prompts are looked at again */
 	usec_t swept_at;
 	usec_t now; /* of the last call */
