--- a/entry/forward.c
+++ b/entry/forward.c
@@ -96,6 +96,7 @@
 		.sure_version = target_start_matters(&start),
 		.n_tried = r->n_tried,
 		.urgency = urgency(r),
+		.max_gap = r->route->max_event_gap,
 	};
 	for (size_t i = 0; i < r->n_tried; i++)
 		query->tried[i] = str_from(r->tried[i]);
@@ -234,11 +235,22 @@
 		    r, &(struct rejection){ kind, RETRY_AFTER, cause });
 }
 
+void
+forward_prompt_read(struct relay_request *r, usec_t took)
+{
+	if (r->reading > 0)
+		loads_read(&r->shared->loads, r->target_id, r->reading, took,
+		    clock_now());
+	r->reading = 0;
+}
+
 void
 forward_call_ended(struct relay_request *r, bool healthy)
 {
 	r->call = NULL;
 	forward_stop_waiting(r);
+	forward_prompt_read(r, 0);
+	forward_place_ended(r, healthy);
 	loads_ended(&r->shared->loads, r->target_id,
 	    healthy ? LOADS_OK : LOADS_FAILED, clock_now());
 }
@@ -561,8 +573,12 @@
 		r->first_sent_at = now;
 	r->events_before = r->sse.events;
 	r->answer_reported = false;
+	r->executed = false;
+	forward_place_sent(r, t);
 	relay_answer_log_sent(r, t, left);
 	loads_sent(t, now);
+	r->reading = r->service->has_engine ? r->info.prompt_tokens : 0;
+	loads_reading(t, r->reading);
 	start_call(r, t, left);
 	if (r->call == NULL)
 		forward_on_event(r, DIAL_UNSENT, NULL);
@@ -580,8 +596,39 @@
 	return true;
 }
 
+/* Whether the target takes the request that a placer has placed there. */
+static bool
+takes_placed(
+    const struct relay_request *r, const struct target_load *t, usec_t now)
+{
+	struct loads_query query;
+
+	forward_query(r, &query);
+	return loads_takes(&r->shared->loads, &query, t, now) &&
+	    r->deadline - now >= MIN_TIME_LEFT;
+}
+
 void
-forward_send(struct relay_request *r)
+forward_send_placed(struct relay_request *r, const char *target)
+{
+	usec_t now = clock_now();
+	struct target_load *t = loads_find(&r->shared->loads, target);
+
+	if (reject_quarantined(r) || relay_stopping_refuse(r))
+		return;
+	if (t != NULL && takes_placed(r, t, now)) {
+		send_to(r, t, now);
+		return;
+	}
+	placements_ended(
+	    r->shared->placements, r->placement, PLACEMENT_DROPPED);
+	r->placement = 0;
+	r->placed.cause = PLACEMENT_VETOED;
+	forward_send_here(r);
+}
+
+void
+forward_send_here(struct relay_request *r)
 {
 	usec_t now = clock_now();
 	struct target_load *t;
@@ -595,6 +642,15 @@
 		send_to(r, t, now);
 }
 
+void
+forward_send(struct relay_request *r)
+{
+	if (reject_quarantined(r) || relay_stopping_refuse(r))
+		return;
+	if (!forward_place(r))
+		forward_send_here(r);
+}
+
 /*
  * Sends a request that goes on, or the rest of its stream, to a target, if one
  * takes it, after the stages that it needs again.
@@ -608,6 +664,7 @@
 	forward_stop_waiting(r);
 	if (reject_quarantined(r))
 		return;
+	r->placed = (struct placed){ .cause = PLACEMENT_NOT_ASKED };
 	if (!stages_are_done(r)) {
 		stages_resume(r);
 		return;
@@ -668,6 +725,7 @@
 	r->may_have_run = true;
 	r->given_up = true;
 	sse_restart(&r->sse);
+	r->placed = (struct placed){ .cause = PLACEMENT_NOT_ASKED };
 	if (!reject_quarantined(r))
 		send_to(r, instead, now);
 }
--- a/entry/forward_state.h
+++ b/entry/forward_state.h
@@ -13,6 +13,11 @@
 uint64_t forward_call_events(const struct relay_request *r);
 /* Returns the version at which the call has to be made; empty: any. */
 struct str forward_call_version(const struct relay_request *r);
+/*
+ * Notes that the target has read the prompt, in a time since the call; 0: the
+ * call ends.
+ */
+void forward_prompt_read(struct relay_request *r, usec_t took);
 /* Notes that the call has ended, well or because its target failed. */
 void forward_call_ended(struct relay_request *r, bool healthy);
 /* Whether the route's attempts and the deadline allow another call. */
@@ -24,6 +29,21 @@
  * to this host only, or rejects it.
  */
 void forward_send(struct relay_request *r);
+/*
+ * Sends the request to the target that its placer has decided on, or to one
+ * that this host chooses.
+ */
+void forward_send_placed(struct relay_request *r, const char *target);
+void forward_send_here(struct relay_request *r);
+/*
+ * Asks the placer for a target (forward_place.c); returns false if this host
+ * has to choose it, and sets why.
+ */
+bool forward_place(struct relay_request *r);
+/* Tells the placer that a call is sent, and what has become of it. */
+void forward_place_sent(struct relay_request *r, const struct target_load *t);
+void forward_place_begun(struct relay_request *r);
+void forward_place_ended(struct relay_request *r, bool healthy);
 /* Whether the request is sent again until its time is over. */
 bool forward_goes_on(const struct relay_request *r);
 /* Rejects the request, unless it goes on later. */
--- a/entry/relay_ops.c
+++ b/entry/relay_ops.c
@@ -91,6 +91,8 @@
 			    s->evacuated != NULL ? s->evacuated->len : 0,
 			.withheld_targets = loads_withheld(&s->loads),
 			.coordinator = coordinator_counts(s->coordinator),
+			.placements = placements_counts(s->placements),
+			.placer = placer_counts(s->placer),
 			.discovery = discovery_counts(o->discovery),
 			.memory = host_memory_counts(o->memory),
 			.busy = atomic_load(&s->busy),
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -41,6 +41,7 @@
 	usec_t target_drain;
 	uint32_t cold_over;  /* thousandths */
 	uint32_t cold_slack; /* thousandths of a request */
+	uint32_t placer_min_hosts;
 };
 
 enum setting_type {
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -18,9 +18,11 @@
 
 #include "base/rng.h"
 #include "kernel/evacuations.h"
+#include "kernel/overload/engine_speed.h"
 #include "kernel/overload/target_brittle.h"
 #include "kernel/overload/target_cold.h"
 #include "kernel/overload/target_limit.h"
+#include "kernel/overload/target_pace.h"
 #include "kernel/overload/target_speed.h"
 #include "kernel/roster.h"
 #include "kernel/routes.h"
@@ -50,6 +52,9 @@
 	uint32_t sent_since; /* calls of this host since the last report */
 	uint32_t reported;   /* running and waiting calls in the last report */
 	usec_t reported_at;
+	struct target_pace pace;
+	struct engine_speed engine_speed;
+	uint64_t unread;           /* prompt tokens of this host's calls */
 	struct target_speed speed; /* of its stage calls */
 	uint32_t failures;         /* in a row */
 	struct target_limit limit;
@@ -73,7 +78,8 @@
 	GHashTable *withheld;
 	/* name -> GPtrArray of struct loads_domain, sorted by name */
 	GHashTable *domains;
-	char domain[64]; /* of this host */
+	GHashTable *norms; /* service -> struct engine_norms */
+	char domain[64];   /* of this host */
 	struct rng rng;
 	/* The live hosts, among which limits of targets are shared. */
 	GPtrArray *host_ids;
@@ -96,7 +102,8 @@
 	uint64_t prefix;        /* hash of the largest shared part; 0: none */
 	uint32_t shared_tokens; /* tokens that a target may have cached */
 	double urgency;         /* 0 to 1; target_cold_cost() */
-	struct str input_addr;  /* address of the first input; may be empty */
+	usec_t max_gap; /* longest pause between events that is on time */
+	struct str input_addr; /* address of the first input; may be empty */
 	uint64_t input_bytes;
 	struct str version; /* of the target's software; empty: any */
 	bool sure_version;  /* its entry must be that of its last start */
@@ -162,6 +169,15 @@
 /* Domain of the target with affinity for the prompt's shared parts, or "". */
 const char *loads_affinity_domain(
     const struct loads *l, const struct loads_query *q);
+/*
+ * Domain in which the call had best be made, as far as that depends on its
+ * inputs and shared parts; this host's if they don't matter.
+ */
+const char *loads_home_domain(
+    const struct loads *l, const struct loads_query *q);
+/* Whether loads_choose may choose the target, also if others are better. */
+bool loads_takes(const struct loads *l, const struct loads_query *q,
+    const struct target_load *t, usec_t now);
 /* Domain of the target at an address, or "". */
 const char *loads_domain_at(const struct loads *l, struct str addr);
 /* Service of the target at an address, or "". */
@@ -204,9 +220,20 @@
 void loads_sent_alone(struct target_load *t, usec_t now);
 /* Counts a request of such a host that is no call. */
 void loads_spend_alone(struct target_load *t, usec_t now);
-/* Records a load report: calls running and waiting at the target. */
-void loads_report(
-    struct target_load *t, uint32_t running, uint32_t waiting, usec_t now);
+/*
+ * Records a load report: calls running and waiting at the target, and how long
+ * work takes there (100: as usual; 0: it doesn't say).
+ */
+void loads_report(struct target_load *t, uint32_t running, uint32_t waiting,
+    uint32_t slowness, usec_t now);
+/* A call brings an engine a prompt of so many tokens to read. */
+void loads_reading(struct target_load *t, uint32_t tokens);
+/*
+ * The prompt has been read in the time from the call to the first event; took
+ * 0: the call has ended before.  Unknown ids are ignored.
+ */
+void loads_read(
+    struct loads *l, const char *id, uint32_t tokens, usec_t took, usec_t now);
 enum loads_result {
 	LOADS_OK,    /* the target is healthy and answered */
 	LOADS_FULL,  /* refused: full of other hosts' calls, but healthy */
