--- a/tests/kernel/test_target_cold.c
+++ b/tests/kernel/test_target_cold.c
@@ -155,7 +155,7 @@
 		f->running[c->target]--;
 		loads_ended(c->host, id, LOADS_OK, c->ends_at);
 		t = loads_find(c->host, id);
-		loads_report(t, f->running[c->target], 0, c->ends_at);
+		loads_report(t, f->running[c->target], 0, 0, c->ends_at);
 		g_free(g_queue_pop_head(&f->calls));
 	}
 }
