Soak: a failure domain is evacuated and taken back

During the faults at random, and after them once, with a restore of the store from a copy that lacks it.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -45,6 +45,7 @@
 static usec_t stop_at[SOAK_MAX_HOSTS];
 static bool injecting;
 static struct rng stop_rng;
+static struct rng evacuation_rng;
 
 static const char *const limits[] = { "0.5", "1", "4.5", "x" };
 /* IdleTimeoutMs of successive configurations. */
@@ -387,6 +388,15 @@
 	}
 }
 
+void
+faults_evacuate(bool begins)
+{
+	if (begins)
+		fakeplat_put(soak.platform, SOAK_EVACUATION, "{}");
+	else
+		fakeplat_delete(soak.platform, SOAK_EVACUATION);
+}
+
 /* Clears some of the lasting faults at random, or all of them. */
 static void
 clear_faults(struct rng *r, bool all)
@@ -421,9 +431,12 @@
 
 	rng_init(&r, seed);
 	rng_init(&stop_rng, seed + 1);
+	rng_init(&evacuation_rng, seed + 2);
 	injecting = true;
 	while (clock_now() < deadline) {
 		inject_fault(&r);
+		if (rng_below(&evacuation_rng, 4) == 0)
+			faults_evacuate(rng_below(&evacuation_rng, 2) == 0);
 		if (rng_below(&r, 3) == 0)
 			clear_faults(&r, false);
 		check((int)rng_below(&r, soak.n_hosts));
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -31,8 +31,8 @@
  * a complete answer is that of its request, a stream of one software version;
  * the configuration version of a process never decreases; processes exit with
  * status 0 on SIGTERM.  After the faults every host serves every kind of
- * request with the newest configuration, a leaving target gets no calls, and
- * SIGTERM aborts no answer.
+ * request with the newest configuration, a leaving target gets no calls, nor do
+ * those of an evacuated domain, and SIGTERM aborts no answer.
  */
 #include "tests/platform/load.h"
 #include "tests/soak/soak.h"
@@ -57,7 +57,11 @@
  * Time after which a leaving target gets no calls: the platform's documented
  * limit plus the delay of the fake platform.
  */
+/* The platform's bound EvacuateMs. */
+#define EVACUATE_BOUND   (5 * USEC_PER_SEC)
 #define DRAIN_BOUND      (2500 * USEC_PER_MSEC)
+/* The platform's bound EvacuateMs. */
+#define EVACUATE_BOUND   (5 * USEC_PER_SEC)
 /*
  * The platform's bound for a target that names a limit of one request a second:
  * from LIMIT_DELAY on, at most LIMIT_ALLOWED requests in LIMIT_SPAN.
@@ -254,6 +258,44 @@
 	fakeplat_ready_target(soak.platform, "p1");
 }
 
+/*
+ * A failure domain is evacuated: with many hosts, or in every second seed, the
+ * store is then restored from a copy that lacks it.  Once it is taken back, its
+ * targets are used again.
+ */
+static void
+check_evacuation(void)
+{
+	static const char *const ids[] = { "p2", "e2", "s2" };
+	usec_t at = 0;
+
+	for (int i = 0; i < PAUSE_TRIES; i++) {
+		faults_evacuate(false);
+		copy_store();
+		at = clock_now();
+		faults_evacuate(true);
+		g_usleep((gulong)STABLE_TIME);
+		if (soak.n_hosts >= FED_HOSTS || soak.planned)
+			fakeplat_restore_store(soak.platform);
+		g_usleep((gulong)EVACUATE_BOUND);
+		if (!judge_paused(at, at + EVACUATE_BOUND))
+			break;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+		if (fakeplat_last_call(soak.platform, ids[i]) >
+		    at + EVACUATE_BOUND)
+			soak_report(
+			    "a target of an evacuated domain got a call",
+			    ids[i]);
+	}
+	faults_evacuate(true);
+	faults_evacuate(false);
+	at = clock_now();
+	g_usleep((gulong)EVACUATE_BOUND);
+	if (fakeplat_last_call(soak.platform, "p2") < at)
+		soak_report("an evacuated domain is not used again", "p2");
+}
+
 /* Limits that one target of each service names hold for all hosts together. */
 static void
 check_limits(void)
@@ -432,6 +474,7 @@
 	for (int i = 0; i < soak.n_hosts; i++)
 		check_host(i);
 	check_drain();
+	check_evacuation();
 	check_limits();
 	stop_all();
 	callers_stop();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -61,6 +61,10 @@
  */
 void faults_run(uint64_t seed, int seconds, void (*check)(int host));
 
+/* Evacuates the failure domain of p2, e2 and s2, or takes that back. */
+#define SOAK_EVACUATION "op/evacuate/d2"
+void faults_evacuate(bool begins);
+
 /* loads.c */
 
 /* Returns a comma and the JSON text of its routes, to be freed with g_free. */
