--- a/tests/platform/test_evacuated.c
+++ b/tests/platform/test_evacuated.c
@@ -178,6 +178,25 @@
 	return n;
 }
 
+/* Whether a host shows the domain as evacuated, and counts its targets. */
+static bool
+shows(int host, bool evacuated)
+{
+	static const char query[] =
+	    "GET /status HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+	struct harness_response a;
+	bool ok;
+
+	harness_exchange(
+	    hosts[host].port + 1, str_from(query), DEADLINE_MS, &a);
+	ok = a.status == 200 && a.body.p != NULL &&
+	    (strstr(a.body.p, "{\"failure_domain\":\"d2\"") != NULL) ==
+		evacuated &&
+	    (strstr(a.body.p, "\"evacuated_targets\":3") != NULL) == evacuated;
+	harness_response_free(&a);
+	return ok;
+}
+
 static usec_t
 begin(enum trouble trouble)
 {
@@ -225,6 +244,8 @@
 	g_usleep((gulong)(EVACUATE_TIME + WATCH_TIME));
 	g_assert_cmpuint(count_arrivals("d2", at + EVACUATE_TIME), ==, 0);
 	g_assert_cmpuint(count_arrivals("d1", at + EVACUATE_TIME), >, 0);
+	for (int i = 0; i < HOSTS; i++)
+		g_assert_true(shows(i, true));
 	if (x->trouble == TROUBLE_END_UNSEEN)
 		set_stores(0, PROXY_REFUSE);
 	if (x->trouble == TROUBLE_RESTORE)
@@ -236,6 +257,8 @@
 	at = clock_now();
 	g_usleep((gulong)WATCH_TIME);
 	g_assert_cmpuint(count_arrivals("d2", at), >, 0);
+	for (int i = 0; i < HOSTS; i++)
+		g_assert_true(shows(i, false));
 }
 
 /* Nothing waits for targets that take nothing; odd keys change nothing. */
