Soak: targets become cold, also while they are busy

A target of each service is cold at the end, beside the callers; no second may have more than six requests, the bound of the soak's configuration. Random targets become cold while faults are injected, drawn apart, so that the seeds inject what they did.

--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -63,6 +63,7 @@
 	int stage_ms; /* duration of a stage call; 0: by its pieces */
 	uint32_t seq; /* of its last store entry */
 	uint32_t born;
+	usec_t cold_until;
 	bool reset; /* its connections are to be reset */
 };
 
@@ -1427,16 +1428,17 @@
 publish_target(struct fakeplat *plat, struct target *t, const char *state)
 {
 	const char *version = t->config.version;
+	usec_t cold_left = MAX(t->cold_until - clock_now(), 0);
 	g_autofree char *key = g_strconcat("servers/", t->id, NULL);
 	g_autofree char *v = g_strdup_printf(
 	    "{\"Service\":\"%s\",\"Addr\":\"127.0.0.1:%u\",\"Zone\":\"%s\","
 	    "\"Version\":\"%s\",\"Slots\":4,\"State\":\"%s\","
-	    "\"ColdLeftMs\":0,\"Seq\":%u,\"born\":%u}",
+	    "\"ColdLeftMs\":%" PRId64 ",\"Seq\":%u,\"born\":%u}",
 	    t->config.service,
 	    t->config.published_port != 0 ? t->config.published_port
 					  : t->config.port,
-	    t->config.domain, version != NULL ? version : "v1", state, ++t->seq,
-	    t->born);
+	    t->config.domain, version != NULL ? version : "v1", state,
+	    cold_left / USEC_PER_MSEC, ++t->seq, t->born);
 
 	put_item(plat, key, v);
 }
@@ -1520,6 +1522,18 @@
 	return n;
 }
 
+void
+fakeplat_set_cold(struct fakeplat *plat, const char *id, int ms)
+{
+	struct target *t;
+
+	pthread_mutex_lock(&plat->lock);
+	t = find_target(plat, id);
+	t->cold_until = clock_now() + ms * USEC_PER_MSEC;
+	publish_target(plat, t, "ready");
+	pthread_mutex_unlock(&plat->lock);
+}
+
 void
 fakeplat_set_limit(struct fakeplat *plat, const char *id, const char *text)
 {
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -106,6 +106,8 @@
 /* Puts a target with another id at the same address. */
 void fakeplat_replace_target(
     struct fakeplat *plat, const char *id, const char *new_id);
+/* The target is cold for so many milliseconds, by its entry. */
+void fakeplat_set_cold(struct fakeplat *plat, const char *id, int ms);
 /*
  * The target names this limit in its answers from now on; NULL: none.  The text
  * must outlive the platform.
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -11,6 +11,7 @@
 #define MAX_LATE     (1500 * USEC_PER_MSEC)
 #define STOPS_GAP    (900 * USEC_PER_MSEC) /* at most, between two SIGTERMs */
 #define SOON_TIME    (600 * USEC_PER_MSEC) /* at most, from start to SIGTERM */
+#define MAX_COLD_MS  3000
 
 enum fault {
 	RESET,
@@ -45,6 +46,7 @@
 static usec_t stop_at[SOAK_MAX_HOSTS];
 static bool injecting;
 static struct rng stop_rng;
+static struct rng cold_rng;
 
 static const char *const limits[] = { "0.5", "1", "4.5", "x" };
 /* IdleTimeoutMs of successive configurations. */
@@ -97,6 +99,8 @@
 	g_string_replace(text, "\"IdleTimeoutMs\":15000", idle, 0);
 	g_string_replace(
 	    text, "\"MaxBodyBytes\":10000", "\"MaxBodyBytes\":4194304", 0);
+	g_string_replace(
+	    text, "\"MaxConns\":99", "\"MaxConns\":99,\"ColdPerS\":6", 0);
 	g_string_replace(text, "\"Services\":[",
 	    "\"Services\":[{\"Name\":\"flood\",\"MaxConns\":999},"
 	    "{\"Name\":\"floods\",\"MaxConns\":999},",
@@ -421,9 +425,14 @@
 
 	rng_init(&r, seed);
 	rng_init(&stop_rng, seed + 1);
+	rng_init(&cold_rng, seed + 2);
 	injecting = true;
 	while (clock_now() < deadline) {
 		inject_fault(&r);
+		if (rng_below(&cold_rng, 3) == 0)
+			fakeplat_set_cold(soak.platform,
+			    soak_targets[rng_below(&cold_rng, SOAK_TARGETS)].id,
+			    (int)rng_below(&cold_rng, MAX_COLD_MS));
 		if (rng_below(&r, 3) == 0)
 			clear_faults(&r, false);
 		check((int)rng_below(&r, soak.n_hosts));
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -65,6 +65,13 @@
 #define LIMIT_DELAY      (3 * USEC_PER_SEC)
 #define LIMIT_SPAN       (4 * USEC_PER_SEC)
 #define LIMIT_ALLOWED    11
+/*
+ * The bound of the soak's configuration for a cold target, once the hosts have
+ * read its entry.
+ */
+#define COLD_MS          6000
+#define COLD_DELAY       (1 * USEC_PER_SEC)
+#define COLD_ALLOWED     6
 /* Of a check in which the soak's own process pauses. */
 #define PAUSE_TRIES      3
 #define EXIT_POLL        (10 * USEC_PER_MSEC)
@@ -276,6 +283,29 @@
 	}
 }
 
+/*
+ * One target of each service becomes cold, while it is busy.  Two coordinators
+ * may call the stage service's for a while.
+ */
+static void
+check_cold(void)
+{
+	static const char *const ids[] = { "p3", "e3", "s3" };
+	usec_t since = clock_now();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+		fakeplat_set_cold(soak.platform, ids[i], COLD_MS);
+	g_usleep(COLD_MS * USEC_PER_MSEC);
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+		uint32_t most = fakeplat_most_arrivals(
+		    soak.platform, ids[i], since + COLD_DELAY, USEC_PER_SEC);
+
+		printf("%s: %u requests in 1 s while cold\n", ids[i], most);
+		if (most > COLD_ALLOWED)
+			soak_report("a cold target got too much", ids[i]);
+	}
+}
+
 static void
 start_all(void)
 {
@@ -433,6 +463,7 @@
 		check_host(i);
 	check_drain();
 	check_limits();
+	check_cold();
 	stop_all();
 	callers_stop();
 	pthread_join(watch, NULL);
