Tests: answers that trickle byte by byte

A stream whose target sends bytes but no event is resumed elsewhere, and a plain answer of which a byte comes now and then is answered with 504 at its caller's deadline. Both hold; no test showed it.

--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -38,6 +38,7 @@
 #define LARGE_BYTES        ((size_t)200 * 1024)
 /* More than the buffers of a connection hold. */
 #define HUGE_BYTES         ((size_t)3500 * 1024)
+#define DRIP_MS            50
 #define PAUSE_MS           1600 /* silence of a target that goes on */
 #define CRASH_DELAY_MS     50   /* from the arrival to the begin of an answer */
 #define CRASH_DOWN_MS      1500
@@ -608,6 +609,11 @@
 	}
 	if (strcmp(c->behavior, "stall") == 0 && c->next_event == 3)
 		return;
+	if (strcmp(c->behavior, "drip") == 0 && c->next_event == 3) {
+		evbuffer_add_printf(out, "1\r\n:\r\n");
+		arm_timer(c, DRIP_MS);
+		return;
+	}
 	if (c->next_event > c->n_events) {
 		evbuffer_add(out, "0\r\n\r\n", 5);
 		get_attempt(c->plat, c->attempt)->ended = clock_now();
@@ -706,6 +712,7 @@
  *                sends N bytes of the response, or all but N, and closes or
  *                resets the connection
  *   no-content   responds with status 204
+ *   drip         sends the body byte by byte, one every DRIP_MS
  *   status-TEXT  responds with this in place of a status; _ is a space
  *   endless-head, endless-body, endless-garbage, endless-interim
  *                sends bytes without end: in a header field, in a body
@@ -718,6 +725,7 @@
  *   break        resets the connection after two events
  *   break-last   resets it after the last event, before the stream's end
  *   stall        sends no more bytes after two events
+ *   drip         sends a byte every DRIP_MS after two events, but no event
  *   ...-409-N    refuses the second to Nth arrival, as its inputs are gone
  *   ...-500-2    responds with status 500 to the second arrival
  *   ...-answer-STATUS
@@ -760,6 +768,15 @@
 		    g_strdelimit(c->behavior, "_", ' ') + sizeof("status-") - 1,
 		    fields);
 		await_request(c);
+	} else if (strcmp(s, "drip") == 0) {
+		evbuffer_add_printf(out,
+		    "HTTP/1.1 200 OK\r\n%sContent-Length: 9999\r\n\r\n",
+		    fields);
+		strcpy(c->behavior, "drips");
+		arm_timer(c, DRIP_MS);
+	} else if (strcmp(s, "drips") == 0) {
+		evbuffer_add(out, "x", 1);
+		arm_timer(c, DRIP_MS);
 	} else if (strcmp(s, "no-content") == 0) {
 		evbuffer_add_printf(out, "HTTP/1.1 204 X\r\n%s\r\n", fields);
 		await_request(c);
--- a/tests/platform/test_relay.c
+++ b/tests/platform/test_relay.c
@@ -81,6 +81,8 @@
 	{ "/stream/1", "s-1", NULL, 200, 1, EVENTS("s-1"), false },
 	{ "/stream/1", "s-2", "break", 200, 2, EVENTS("s-2"), false },
 	{ "/stream/1", "s-stall", "stall", 200, 2, EVENTS("s-stall"), false },
+	/* Bytes that are no event put nothing off. */
+	{ "/stream/1", "s-drip", "drip", 200, 2, EVENTS("s-drip"), false },
 	{ "/stream-once/1", "once-s", "break", 200, 1,
 	    "id: 1\ndata: once-s\n\nid: 2\ndata: once-s\n\n", true },
 	/*
@@ -383,20 +385,39 @@
 	harness_response_free(&a);
 }
 
-/* A request that can't end in time is answered at its deadline. */
+/*
+ * A request that can't end in time is answered at its deadline, also while
+ * bytes of its answer arrive.
+ */
 static void
 test_deadline(void)
 {
-	g_autofree char *q =
-	    harness_format(&(struct harness_request){ .path = "/once/1",
-		.id = "once-slow",
-		.behavior = "slow",
-		.deadline_ms = 300 });
-	struct harness_response a;
+	static const struct harness_request slow_ones[] = {
+		{ .path = "/once/1",
+		    .id = "once-slow",
+		    .behavior = "slow",
+		    .deadline_ms = 300 },
+		{ .path = "/once/1",
+		    .id = "once-drip",
+		    .behavior = "drip",
+		    .deadline_ms = 300 },
+		{ .path = "/safe/1",
+		    .id = "safe-drip",
+		    .behavior = "drip",
+		    .deadline_ms = 300 },
+	};
 
-	harness_exchange(host.port, str_from(q), TIMEOUT_SECONDS * 1000, &a);
-	g_assert_cmpint(a.status, ==, 504);
-	harness_response_free(&a);
+	for (size_t i = 0; i < G_N_ELEMENTS(slow_ones); i++) {
+		g_autofree char *q = harness_format(&slow_ones[i]);
+		struct harness_response a;
+		usec_t start = clock_now();
+
+		harness_exchange(
+		    host.port, str_from(q), TIMEOUT_SECONDS * 1000, &a);
+		g_assert_cmpint(a.status, ==, 504);
+		g_assert_cmpint(clock_now() - start, <, ANSWER_TIME);
+		harness_response_free(&a);
+	}
 }
 
 static bool
