Cold targets: owners send what cold targets bear, unlisted hosts are none

Now they cost the least urgent less the fewer hosts are owners. A host that hasn't read the list of the fleet's hosts took itself for an owner of each target; it is none.

--- a/entry/relay.c
+++ b/entry/relay.c
@@ -229,6 +229,7 @@
 	loads_update(&y->shared.loads, v->targets, clock_now());
 	stage_jobs_set_peers(y->shared.stage_jobs, v->peers, v->hosts_listed);
 	target_limits_set_hosts(y->shared.target_limits, v->peers, clock_now());
+	loads_set_hosts_listed(&y->shared.loads, v->hosts_listed, clock_now());
 	target_calls_set_hosts(y->shared.target_calls, v->peers);
 	coordinator_hosts_changed(y->shared.coordinator, clock_now());
 	y->shared.quota_rule.hosts = v->peers->len > 0 ? v->peers->len : 1;
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -86,6 +86,25 @@
 	}
 }
 
+void
+loads_set_hosts_listed(struct loads *l, bool listed, usec_t now)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	if (l->cold_hosts.listed == listed)
+		return;
+	l->cold_hosts.listed = listed;
+	g_hash_table_iter_init(&it, l->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct target_load *t = p;
+
+		if (target_cold_is_bounded(&t->cold, now))
+			target_cold_share(
+			    &t->cold, t->entry.id, &l->cold_hosts);
+	}
+}
+
 void
 loads_set_cold_rules(struct loads *l, GHashTable *rules)
 {
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -116,6 +116,8 @@
 /* Sets the live hosts; self is the id of this one. */
 void loads_set_hosts(struct loads *l, const struct rendezvous_host *v, size_t n,
     const char *self, usec_t now);
+/* Whether the hosts are those of the list in the store, and newer ones. */
+void loads_set_hosts_listed(struct loads *l, bool listed, usec_t now);
 /*
  * Sets the services whose cold targets bear few requests, for the lists that
  * come after: service -> struct target_cold_rule, which l takes over.
--- a/kernel/overload/target_cold.c
+++ b/kernel/overload/target_cold.c
@@ -8,7 +8,10 @@
 #define PHASE_SEED  47
 /* Cost of a cold target to the most urgent requests, in milliseconds. */
 #define URGENT_MS   50.0
-/* What the least urgent requests may cost more at a target that gets warm. */
+/*
+ * What the least urgent requests may cost more at a target to which few of the
+ * hosts send.
+ */
 #define WARMING_MS  50.0
 /* Lists of hosts that may differ and yet keep the bound together. */
 #define LISTS       2.0
@@ -96,8 +99,8 @@
 	GHashTableIter it;
 	gpointer id;
 
-	c->rank = 0;
 	c->hosts = g_hash_table_size(hosts->known);
+	c->rank = hosts->listed ? 0 : c->hosts;
 	if (hosts->self == NULL)
 		return;
 	own = hash_u64(str_from(hosts->self), seed);
@@ -253,10 +256,11 @@
 double
 target_cold_cost(const struct target_cold *c, double urgency, usec_t now)
 {
-	double ms;
+	double others;
 
 	if (!target_cold_is_bounded(c, now))
 		return 0;
-	ms = -(1 - urgency) * WARMING_MS;
-	return target_cold_is_cold(c, now) ? ms + urgency * URGENT_MS : ms;
+	others = 1 - owner_count(c) * growth(c, now) / host_count(c);
+	return (target_cold_is_cold(c, now) ? urgency * URGENT_MS : 0) -
+	    (1 - urgency) * WARMING_MS * fmax(others, 0);
 }
--- a/kernel/overload/target_cold.h
+++ b/kernel/overload/target_cold.h
@@ -48,6 +48,9 @@
 struct target_cold_hosts {
 	GHashTable *known; /* id -> struct known_host */
 	char *self;
+	/* The list of the fleet's hosts has been read: a host that knows few
+	 * others would take itself for an owner. */
+	bool listed;
 };
 
 /* A zeroed one is of a target that is warm. */
@@ -90,8 +93,8 @@
 void target_cold_sent(struct target_cold *c, bool alone, usec_t now);
 /*
  * What the target costs a request of an urgency, 0 to 1, beside others, in
- * milliseconds: a target becomes warm by what is least urgent, and what is
- * urgent avoids it while it is cold.
+ * milliseconds: a target becomes warm by what is least urgent.  Its owners
+ * choose it the rather the fewer they are.
  */
 double target_cold_cost(
     const struct target_cold *c, double urgency, usec_t now);
--- a/tests/kernel/test_target_cold.c
+++ b/tests/kernel/test_target_cold.c
@@ -22,10 +22,11 @@
 static const struct target_cold_rule rule = { 18, 1.5, 5 };
 
 enum view {
-	VIEW_ALL,    /* each host knows all */
-	VIEW_LOST,   /* each has known all, and hears none any more */
-	VIEW_HALVES, /* each half of the hosts has never heard of the other */
-	VIEW_JOINED, /* half of the hosts doesn't know the last ten yet */
+	VIEW_ALL,     /* each host knows all */
+	VIEW_LOST,    /* each has known all, and hears none any more */
+	VIEW_HALVES,  /* each half of the hosts has never heard of the other */
+	VIEW_STARTED, /* each has just started, and knows nobody */
+	VIEW_JOINED,  /* half of the hosts doesn't know the last ten yet */
 };
 
 /* A fleet whose hosts send at once what they get to the targets. */
@@ -56,6 +57,8 @@
 	    250, 1000, 4 },
 	{ "halves that never heard of each other", 74, 60, VIEW_HALVES, 15,
 	    true, 0, 250, 1000, 4 },
+	{ "hosts that have just started", 74, 60, VIEW_STARTED, 15, true, 0,
+	    250, 1000, 0 },
 	{ "hosts that half of the fleet doesn't know yet", 74, 60, VIEW_JOINED,
 	    15, true, 0, 250, 1000, 4 },
 };
@@ -90,6 +93,7 @@
 
 	for (size_t k = 0; k < r->n_hosts; k++) {
 		if ((r->view == VIEW_HALVES && k % 2 != i % 2) ||
+		    (r->view == VIEW_STARTED && k != i) ||
 		    (r->view == VIEW_JOINED && i % 2 == 0 && k != i &&
 			k + 10 >= r->n_hosts))
 			continue;
@@ -273,6 +277,8 @@
 		loads_init(&f->hosts[i], "d", i + 1);
 	for (size_t i = 0; i < r->n_hosts; i++) {
 		set_hosts(r, f, i);
+		loads_set_hosts_listed(
+		    &f->hosts[i], r->view != VIEW_STARTED, 0);
 		loads_set_cold_rules(&f->hosts[i], new_rules());
 	}
 	for (usec_t now = 0; now < END; now += STEP) {
@@ -398,6 +404,7 @@
 		g_test_message("%s", cases[i].name);
 		c.rule.per_s = cases[i].per_s;
 		target_cold_hosts_init(&hosts);
+		hosts.listed = true;
 		target_cold_hosts_set(&hosts, ids, 1, "h", 0);
 		target_cold_share(&c, "t", &hosts);
 		for (const struct step *x = cases[i].steps; x->kind != STEP_END;
