--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -38,6 +38,7 @@
 #define LARGE_BYTES        ((size_t)200 * 1024)
 /* More than the buffers of a connection hold. */
 #define HUGE_BYTES         ((size_t)3500 * 1024)
+#define DRIP_MS            50
 #define PAUSE_MS           1600 /* silence of a target that goes on */
 #define CRASH_DELAY_MS     50   /* from the arrival to the begin of an answer */
 #define CRASH_DOWN_MS      1500
@@ -63,6 +64,7 @@
 	int stage_ms; /* duration of a stage call; 0: by its pieces */
 	uint32_t seq; /* of its last store entry */
 	uint32_t born;
+	usec_t cold_until;
 	bool reset; /* its connections are to be reset */
 };
 
@@ -607,6 +609,11 @@
 	}
 	if (strcmp(c->behavior, "stall") == 0 && c->next_event == 3)
 		return;
+	if (strcmp(c->behavior, "drip") == 0 && c->next_event == 3) {
+		evbuffer_add_printf(out, "1\r\n:\r\n");
+		arm_timer(c, DRIP_MS);
+		return;
+	}
 	if (c->next_event > c->n_events) {
 		evbuffer_add(out, "0\r\n\r\n", 5);
 		get_attempt(c->plat, c->attempt)->ended = clock_now();
@@ -705,6 +712,7 @@
  *                sends N bytes of the response, or all but N, and closes or
  *                resets the connection
  *   no-content   responds with status 204
+ *   drip         sends the body byte by byte, one every DRIP_MS
  *   status-TEXT  responds with this in place of a status; _ is a space
  *   endless-head, endless-body, endless-garbage, endless-interim
  *                sends bytes without end: in a header field, in a body
@@ -717,6 +725,7 @@
  *   break        resets the connection after two events
  *   break-last   resets it after the last event, before the stream's end
  *   stall        sends no more bytes after two events
+ *   drip         sends a byte every DRIP_MS after two events, but no event
  *   ...-409-N    refuses the second to Nth arrival, as its inputs are gone
  *   ...-500-2    responds with status 500 to the second arrival
  *   ...-answer-STATUS
@@ -759,6 +768,15 @@
 		    g_strdelimit(c->behavior, "_", ' ') + sizeof("status-") - 1,
 		    fields);
 		await_request(c);
+	} else if (strcmp(s, "drip") == 0) {
+		evbuffer_add_printf(out,
+		    "HTTP/1.1 200 OK\r\n%sContent-Length: 9999\r\n\r\n",
+		    fields);
+		strcpy(c->behavior, "drips");
+		arm_timer(c, DRIP_MS);
+	} else if (strcmp(s, "drips") == 0) {
+		evbuffer_add(out, "x", 1);
+		arm_timer(c, DRIP_MS);
 	} else if (strcmp(s, "no-content") == 0) {
 		evbuffer_add_printf(out, "HTTP/1.1 204 X\r\n%s\r\n", fields);
 		await_request(c);
@@ -1427,16 +1445,17 @@
 publish_target(struct fakeplat *plat, struct target *t, const char *state)
 {
 	const char *version = t->config.version;
+	usec_t cold_left = MAX(t->cold_until - clock_now(), 0);
 	g_autofree char *key = g_strconcat("servers/", t->id, NULL);
 	g_autofree char *v = g_strdup_printf(
 	    "{\"Service\":\"%s\",\"Addr\":\"127.0.0.1:%u\",\"Zone\":\"%s\","
 	    "\"Version\":\"%s\",\"Slots\":4,\"State\":\"%s\","
-	    "\"ColdLeftMs\":0,\"Seq\":%u,\"born\":%u}",
+	    "\"ColdLeftMs\":%" PRId64 ",\"Seq\":%u,\"born\":%u}",
 	    t->config.service,
 	    t->config.published_port != 0 ? t->config.published_port
 					  : t->config.port,
-	    t->config.domain, version != NULL ? version : "v1", state, ++t->seq,
-	    t->born);
+	    t->config.domain, version != NULL ? version : "v1", state,
+	    cold_left / USEC_PER_MSEC, ++t->seq, t->born);
 
 	put_item(plat, key, v);
 }
@@ -1520,6 +1539,18 @@
 	return n;
 }
 
+void
+fakeplat_set_cold(struct fakeplat *plat, const char *id, int ms)
+{
+	struct target *t;
+
+	pthread_mutex_lock(&plat->lock);
+	t = find_target(plat, id);
+	t->cold_until = clock_now() + ms * USEC_PER_MSEC;
+	publish_target(plat, t, "ready");
+	pthread_mutex_unlock(&plat->lock);
+}
+
 void
 fakeplat_set_limit(struct fakeplat *plat, const char *id, const char *text)
 {
