--- /dev/null
+++ b/entry/placement_groups.c
@@ -0,0 +1,200 @@
+/* The groups of engines, and the hosts that place there. */
+#include "entry/placements_state.h"
+#include "base/log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* How often the choice of a placer is checked. */
+#define CHOICE_TIME (250 * USEC_PER_MSEC)
+
+struct placer_peer *
+placements_find_peer(const struct placements *p, const char *rpc)
+{
+	for (guint i = 0; i < p->peers->len; i++) {
+		struct placer_peer *x =
+		    &g_array_index(p->peers, struct placer_peer, i);
+
+		if (strcmp(x->p.rpc, rpc) == 0)
+			return x;
+	}
+	return NULL;
+}
+
+void
+placements_set_peers(struct placements *p, const GArray *peers)
+{
+	g_autoptr(GArray) before = p->peers;
+	GHashTableIter it;
+	gpointer v;
+
+	p->peers = g_array_new(FALSE, TRUE, sizeof(struct placer_peer));
+	g_array_set_size(p->peers, peers->len);
+	for (guint i = 0; i < peers->len; i++) {
+		struct placer_peer *x =
+		    &g_array_index(p->peers, struct placer_peer, i);
+
+		x->p = g_array_index(peers, struct view_peer, i);
+		x->host = (struct placer_host){
+			.id = x->p.id,
+			.domain = x->p.domain,
+			.capacity = x->p.capacity,
+			.suspicion.incarnation = x->p.incarnation,
+		};
+	}
+	for (guint i = 0; i < before->len; i++) {
+		const struct placer_peer *old =
+		    &g_array_index(before, struct placer_peer, i);
+		struct placer_peer *x = old->host.asked_at != 0
+		    ? placements_find_peer(p, old->p.rpc)
+		    : NULL;
+
+		if (x == NULL || x->p.incarnation != old->p.incarnation)
+			continue;
+		x->host.suspicion = old->host.suspicion;
+		x->host.unanswered = old->host.unanswered;
+		x->host.asked_at = old->host.asked_at;
+	}
+	g_hash_table_iter_init(&it, p->groups);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((struct engine_group *)v)->chosen_at = 0;
+}
+
+static void
+free_event(gpointer e)
+{
+	xdr_free((xdrproc_t)xdr_peer_place_event, e);
+}
+
+GArray *
+placements_new_events(void)
+{
+	GArray *v = g_array_new(FALSE, TRUE, sizeof(peer_place_event));
+
+	g_array_set_clear_func(v, free_event);
+	return v;
+}
+
+void
+placements_free_group(gpointer p)
+{
+	struct engine_group *g = p;
+
+	g_array_unref(g->events);
+	free(g->key);
+	free(g);
+}
+
+struct engine_group *
+placements_group(struct placements *p, const char *service, const char *domain)
+{
+	char *key = g_strconcat(service, "\t", domain, NULL);
+	struct engine_group *g = g_hash_table_lookup(p->groups, key);
+
+	if (g != NULL) {
+		free(key);
+		return g;
+	}
+	g = xcalloc(1, sizeof(*g));
+	g->key = key;
+	g_strlcpy(g->service, service, sizeof(g->service));
+	g_strlcpy(g->domain, domain, sizeof(g->domain));
+	g->events = placements_new_events();
+	g_hash_table_insert(p->groups, g->key, g);
+	return g;
+}
+
+/* Returns the peer that places for a group by now, or NULL. */
+static struct placer_peer *
+find_placer(struct placements *p, const struct engine_group *g, usec_t now)
+{
+	struct placer_host *v = g_new(struct placer_host, p->peers->len + 1);
+	size_t at;
+
+	for (guint i = 0; i < p->peers->len; i++)
+		v[i] = g_array_index(p->peers, struct placer_peer, i).host;
+	at = placer_choose(v, p->peers->len, g->service, g->domain, now);
+	g_free(v);
+	return at < p->peers->len
+	    ? &g_array_index(p->peers, struct placer_peer, at)
+	    : NULL;
+}
+
+/* Returns the peer that places for a group, or NULL. */
+struct placer_peer *
+placements_choose(struct placements *p, struct engine_group *g, usec_t now)
+{
+	struct placer_peer *x;
+
+	if (g->chosen_at != 0 && now - g->chosen_at < CHOICE_TIME)
+		return g->has_placer ? placements_find_peer(p, g->placer)
+				     : NULL;
+	x = find_placer(p, g, now);
+	g->chosen_at = now;
+	g->has_placer = x != NULL;
+	if (x == NULL ||
+	    (strcmp(x->p.rpc, g->placer) == 0 &&
+		x->p.incarnation == g->incarnation))
+		return x;
+	p->counts.changes += *g->placer != '\0';
+	g_strlcpy(g->placer, x->p.rpc, sizeof(g->placer));
+	g->incarnation = x->p.incarnation;
+	g->is_self = strcmp(x->p.id, p->o.self) == 0;
+	log_text(LOG_LVL_INFO, "placer-chosen", "of %s in %s: %s", g->service,
+	    *g->domain != '\0' ? g->domain : "all domains",
+	    g->is_self ? "this host" : g->placer);
+	placements_tell_all(p, g);
+	return x;
+}
+
+/* Asks whether a placer answers, unless that was done a moment ago. */
+void
+placements_probe(struct placements *p, struct engine_group *g,
+    struct placer_peer *x, usec_t now)
+{
+	if (placer_use(&x->host, now) != PLACER_PROBE)
+		return;
+	/* The last one is silent, too. */
+	if (x->host.asked_at != 0 &&
+	    placer_unanswered(&x->host, x->host.asked_at, now)) {
+		log_text(LOG_LVL_NOTICE, "placer-silent", "%s, of %s", x->p.rpc,
+		    g->service);
+		g->chosen_at = 0;
+		return;
+	}
+	placer_asked(&x->host, now);
+	placements_send_ask(p, g, NULL, now);
+}
+
+/* Finds out whether the placer of a domain answers, before it is needed. */
+static void
+meet_placer(
+    struct placements *p, const char *service, const char *domain, usec_t now)
+{
+	struct engine_group *g = placements_group(p, service, domain);
+	struct placer_peer *x = placements_choose(p, g, now);
+
+	if (x != NULL && !g->is_self &&
+	    placer_use(&x->host, now) != PLACER_WAIT)
+		placements_probe(p, g, x, now);
+}
+
+void
+placements_meet(struct placements *p, usec_t now)
+{
+	for (guint i = 0; p->routes != NULL && i < p->routes->services->len;
+	     i++) {
+		const struct service *s = routes_service_at(p->routes, i);
+		const GPtrArray *domains = loads_domains(p->o.loads, s->name);
+
+		if (!s->has_engine)
+			continue;
+		if (domains == NULL)
+			meet_placer(p, s->name, "", now);
+		for (guint k = 0; domains != NULL && k < domains->len; k++) {
+			const struct loads_domain *d = domains->pdata[k];
+
+			meet_placer(p, s->name, d->name, now);
+		}
+	}
+}
--- /dev/null
+++ b/entry/placements_state.h
@@ -0,0 +1,104 @@
+/*
+ * Internal state of the placements: placements.c has the calls and asks of this
+ * host, placement_groups.c the groups of engines and their placers,
+ * placement_news.c the messages.
+ */
+#ifndef ENTRY_PLACEMENTS_STATE_H
+#define ENTRY_PLACEMENTS_STATE_H
+
+#include "entry/placements.h"
+#include "kernel/overload/placement_ask.h"
+
+#include <event2/event.h>
+
+struct placer_peer {
+	struct view_peer p;
+	struct placer_host host; /* points to the strings of p */
+};
+
+/* The engines of a service in a domain, and the host that places there. */
+struct engine_group {
+	char *key;
+	char service[64];
+	char domain[64];
+	bool has_placer;
+	bool is_self;
+	char placer[MAX_ADDR_BYTES]; /* RPC address */
+	uint64_t incarnation;        /* of the placer */
+	usec_t chosen_at;
+	GArray *events; /* peer_place_event that wait to be sent */
+	uint32_t n_calls;
+	bool told_calls; /* the last list wasn't empty */
+	usec_t listed_at;
+};
+
+struct engine_call {
+	uint64_t number;
+	struct engine_group *group;
+	struct placement_request request;
+	placement_handler handler; /* NULL: it isn't waited for */
+	void *arg;
+	struct placement_ask ask;
+	usec_t asked_at;
+	usec_t sent_at; /* the last message */
+	char placer[MAX_ADDR_BYTES];
+	char target[64]; /* empty: not known yet */
+	bool begun;
+};
+
+struct placements {
+	struct placements_opts o;
+	struct placer *own;
+	struct routes *routes;
+	GArray *peers;       /* struct placer_peer */
+	GHashTable *groups;  /* key -> struct engine_group */
+	GHashTable *calls;   /* number -> struct engine_call */
+	GHashTable *waiting; /* set of struct engine_call */
+	struct stage_waits waits;
+	uint64_t n_numbers;
+	usec_t flush_at; /* 0: there are no news */
+	struct event *timer;
+	/* Numbers of calls to ask this host's own placer for. */
+	GArray *own_asks;
+	struct event *own_event;
+	struct placements_counts counts;
+};
+
+/* Sets the timer of the next news and asks. */
+void placements_set_timer(struct placements *p, usec_t now);
+
+/* Returns the host with this RPC address, or NULL. */
+struct placer_peer *placements_find_peer(
+    const struct placements *p, const char *rpc);
+struct engine_group *placements_group(
+    struct placements *p, const char *service, const char *domain);
+void placements_free_group(gpointer group);
+/* Returns an empty array of peer_place_event, which owns their strings. */
+GArray *placements_new_events(void);
+/* Returns the host that places for a group, or NULL. */
+struct placer_peer *placements_choose(
+    struct placements *p, struct engine_group *g, usec_t now);
+/* Asks whether a placer answers, unless that was done a moment ago. */
+void placements_probe(struct placements *p, struct engine_group *g,
+    struct placer_peer *x, usec_t now);
+/* Finds out whether the placers answer, before they are needed. */
+void placements_meet(struct placements *p, usec_t now);
+
+/* Adds an item to the news, which takes over what it points to. */
+void placements_add_fact(
+    struct placements *p, struct engine_group *g, const peer_place_fact *f);
+void placements_add_call_fact(
+    struct placements *p, const struct engine_call *c, peer_place_kind kind);
+/* Tells the placer of a call whose target this host has chosen. */
+void placements_tell_sent(struct placements *p, struct engine_call *c);
+/* Tells a new placer all calls, as it knows none. */
+void placements_tell_all(struct placements *p, struct engine_group *g);
+void placements_flush(struct placements *p);
+/* Tells the placer which calls run. */
+void placements_send_list(
+    struct placements *p, struct engine_group *g, usec_t now);
+/* Sends an ask, with news, to a placer; without a call only to be answered. */
+void placements_send_ask(struct placements *p, struct engine_group *g,
+    const struct engine_call *c, usec_t now);
+
+#endif
--- a/tests/capacity/capacity.c
+++ b/tests/capacity/capacity.c
@@ -128,6 +128,7 @@
 	{ "gossip", measure_gossip },
 	{ "letters", measure_datagrams },
 	{ "claims", measure_claims },
+	{ "placer", measure_placer },
 	{ "configuration", measure_configuration },
 };
 
--- a/tests/capacity/capacity.h
+++ b/tests/capacity/capacity.h
@@ -26,6 +26,7 @@
 void measure_gossip(void);
 void measure_datagrams(void);
 void measure_claims(void);
+void measure_placer(void);
 void measure_configuration(void);
 
 #endif
--- a/tests/capacity/datagrams.c
+++ b/tests/capacity/datagrams.c
@@ -45,6 +45,41 @@
 	}
 }
 
+/* A prompt of this many parts, at a target with a usual id. */
+static void
+measure_place_datagrams(u_int n_parts)
+{
+	peer_part parts[PEER_PARTS_MAX] = { 0 };
+	peer_place_event events[2] = {
+		{ .fact.kind = PEER_PLACE_REPORT },
+		{ .fact.kind = PEER_PLACE_BEGUN },
+	};
+	peer_place_news none = { .service = (char *)"kapu2a",
+		.domain = (char *)"sfx-a" };
+	peer_body ask = { .kind = PEER_PLACE_ASK };
+	peer_body reply = { .kind = PEER_PLACE_REPLY };
+	peer_body news = { .kind = PEER_PLACE_NEWS };
+
+	events[0].fact.peer_place_fact_u.report.target = (char *)"i-296974a3f9";
+	ask.peer_body_u.place_ask = (peer_place_ask){
+		.size = { .parts = { n_parts, parts } },
+		.software = (char *)"",
+		.input_domain = (char *)"sfx-a",
+		.news = none,
+	};
+	reply.peer_body_u.place_reply.target = (char *)"i-296974a3f9";
+	news.peer_body_u.place_news = none;
+	news.peer_body_u.place_news.events.events_len = 2;
+	news.peer_body_u.place_news.events.events_val = events;
+	record_point(
+	    "an ask to a placer, B per part", n_parts, datagram_bytes(&ask));
+	if (n_parts > 1)
+		return;
+	record_point("its reply, B", 0, datagram_bytes(&reply));
+	record_point(
+	    "news of a begin with a load report, B", 0, datagram_bytes(&news));
+}
+
 void
 measure_datagrams(void)
 {
@@ -63,4 +98,6 @@
 		(double)xdr_sizeof(
 		    (xdrproc_t)xdr_peer_verdict, &verdict.peer_body_u.verdict));
 	measure_share_datagrams();
+	measure_place_datagrams(1);
+	measure_place_datagrams(8);
 }
--- a/tests/entry/test_messages.c
+++ b/tests/entry/test_messages.c
@@ -72,6 +72,45 @@
 	}
 }
 
+/* An ask takes the news along, and a list may name many calls. */
+static void
+test_placing(void)
+{
+	g_autofree char *id = text(sizeof((struct target_entry){ 0 }.id) - 1);
+	g_autofree char *domain = text(PEER_NAME_MAX);
+	g_autofree peer_place_event *events =
+	    g_new0(peer_place_event, PEER_PLACE_EVENTS_MAX);
+	g_autofree peer_place_call *calls =
+	    g_new0(peer_place_call, PEER_PLACE_CALLS_MAX);
+	peer_part parts[PEER_PARTS_MAX] = { 0 };
+	peer_prompt_size size = { .parts = { PEER_PARTS_MAX, parts } };
+	char *tried[PEER_TRIED_MAX];
+	peer_place_news news = { .service = id,
+		.domain = domain,
+		.events = { PEER_PLACE_EVENTS_MAX, events } };
+	peer_body ask = { .kind = PEER_PLACE_ASK };
+	peer_body list = { .kind = PEER_PLACE_NEWS };
+
+	for (size_t i = 0; i < PEER_PLACE_EVENTS_MAX; i++) {
+		events[i].fact.kind = PEER_PLACE_SENT;
+		events[i].fact.peer_place_fact_u.sent =
+		    (peer_place_sent){ .target = id, .size = size };
+	}
+	for (size_t i = 0; i < PEER_TRIED_MAX; i++)
+		tried[i] = id;
+	ask.peer_body_u.place_ask = (peer_place_ask){ .size = size,
+		.software = id,
+		.input_domain = domain,
+		.tried = { PEER_TRIED_MAX, tried },
+		.news = news };
+	g_assert_true(fits(&ask));
+	news.listed = true;
+	news.calls.calls_len = PEER_PLACE_CALLS_MAX;
+	news.calls.calls_val = calls;
+	list.peer_body_u.place_news = news;
+	g_assert_true(fits(&list));
+}
+
 /* A batch of changes that doesn't fit is sent as a gap: receivers poll. */
 static void
 test_feed(void)
@@ -122,6 +161,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/messages/targets", test_targets);
+	g_test_add_func("/messages/placing", test_placing);
 	g_test_add_func("/messages/feed", test_feed);
 	return g_test_run();
 }
