Split services: what comes from an evacuated domain is spread over the others

placements_domain sent the requests of a domain without targets to the first domain's placer. spill_home chooses a random one, for placers and coordinators.

--- a/entry/placements.c
+++ b/entry/placements.c
@@ -78,7 +78,7 @@
 {
 	const GPtrArray *domains = loads_domains(p->o.loads, service);
 	struct spill_domain *v;
-	size_t at = 0;
+	size_t at;
 
 	if (domains == NULL || domains->len == 0)
 		return "";
@@ -91,9 +91,8 @@
 		v[i].name = d->name;
 		v[i].wait = stage_waits_get(
 		    &p->waits, service, d->name, 0, clock_now());
-		if (strcmp(d->name, home) == 0)
-			at = i;
 	}
+	at = spill_home(v, domains->len, home, random);
 	at = spill_choose(v, domains->len, at, 0, random);
 	g_free(v);
 	return ((const struct loads_domain *)domains->pdata[at])->name;
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -442,17 +442,16 @@
 	v = g_new0(struct spill_domain, domains->len);
 	if (*preferred == '\0')
 		preferred = r->shared->loads.domain;
-	/* If that is evacuated: the same one for all stages of a request. */
-	home = (size_t)(hash_u64(r->info.id, HOME_SEED) % domains->len);
 	for (guint k = 0; k < domains->len; k++) {
 		const struct loads_domain *d = domains->pdata[k];
 
 		v[k].name = d->name;
 		v[k].wait = stage_waits_get(&r->shared->stage_waits, service,
 		    d->name, stage_rank(r), clock_now());
-		if (strcmp(d->name, preferred) == 0)
-			home = k;
 	}
+	/* The hash is the same for all stages, so that results stay there. */
+	home = spill_home(
+	    v, domains->len, preferred, hash_u64(r->info.id, HOME_SEED));
 	home = spill_choose(v, domains->len, home, c->stages[i].min_time,
 	    hash_u64(r->info.id, i + 1));
 	g_free(v);
--- a/kernel/overload/spill.c
+++ b/kernel/overload/spill.c
@@ -1,5 +1,7 @@
 #include "kernel/overload/spill.h"
 
+#include <string.h>
+
 /* Targets of a service in each domain, on average, for it to be split. */
 #define SPLIT_TARGETS      5.5
 /* It stays split down to this average. */
@@ -27,6 +29,17 @@
 	return wait + SPILL_MARGIN < home->wait;
 }
 
+size_t
+spill_home(
+    const struct spill_domain *v, size_t n, const char *name, uint64_t random)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (strcmp(v[i].name, name) == 0)
+			return i;
+	}
+	return n > 0 ? (size_t)(random % n) : 0;
+}
+
 size_t
 spill_choose(const struct spill_domain *v, size_t n, size_t home,
     usec_t min_wait, uint64_t random)
--- a/kernel/overload/spill.h
+++ b/kernel/overload/spill.h
@@ -33,6 +33,13 @@
 	usec_t wait;
 };
 
+/*
+ * Returns the index of the domain with a name, or a random one if the service
+ * isn't served there, as in one that is evacuated: what comes from there is
+ * spread over the others.
+ */
+size_t spill_home(
+    const struct spill_domain *v, size_t n, const char *name, uint64_t random);
 /*
  * Returns the index of the domain to use.  home is the preferred one's index;
  * random picks among the domains with a clearly shorter wait.
--- a/tests/kernel/test_spill.c
+++ b/tests/kernel/test_spill.c
@@ -35,6 +35,22 @@
 	}
 }
 
+/* The callers of a domain that is away are spread over all others. */
+static void
+test_home(void)
+{
+	static const struct spill_domain v[] = { { "a", 0 }, { "c", 0 },
+		{ "d", 0 } };
+	bool seen[G_N_ELEMENTS(v)] = { false };
+
+	for (uint64_t i = 0; i < 100; i++) {
+		g_assert_cmpuint(spill_home(v, G_N_ELEMENTS(v), "c", i), ==, 1);
+		seen[spill_home(v, G_N_ELEMENTS(v), "b", i)] = true;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(v); i++)
+		g_assert_true(seen[i]);
+}
+
 static void
 test_choose(void)
 {
@@ -117,6 +133,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/spill/is-split", test_is_split);
+	g_test_add_func("/spill/home", test_home);
 	g_test_add_func("/spill/choose", test_choose);
 	g_test_add_func("/spill/targets", test_targets);
 	return g_test_run();
