Evacuations: a listing of the store and the state of a host have marks of their own

The state of another host that came while the store was being listed marked an evacuation as listed: if it had been taken back before the listing, it would have stayed in force until the next one. Found by reading; the table of test_evacuations has the case. test_evacuated, test_peer_state and test_store_restore pass, sanitizer build.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -127,7 +127,7 @@
 	case WATCHER_LIST_BEGIN:
 		d->listing = true;
 		roster_begin(&d->roster);
-		evacuations_list_begin(&d->evacuations);
+		evacuations_list_begin(&d->evacuations, EVACUATION_STORE);
 		quarantine_list_begin(&d->quarantine, clock_now());
 		pthread_mutex_lock(&d->lock);
 		g_hash_table_remove_all(d->target_values);
--- a/entry/discovery_evacuations.c
+++ b/entry/discovery_evacuations.c
@@ -65,11 +65,11 @@
 }
 
 static void
-end_listing(struct discovery *d, bool restored)
+end_listing(struct discovery *d, enum evacuation_source source, bool restored)
 {
 	usec_t now = clock_now();
 
-	evacuations_list_end(&d->evacuations, restored, now);
+	evacuations_list_end(&d->evacuations, source, restored, now);
 	for (guint i = 0; i < d->evacuations.v->len; i++) {
 		const struct evacuation *x =
 		    &g_array_index(d->evacuations.v, struct evacuation, i);
@@ -88,7 +88,7 @@
 void
 discovery_evacuations_listed(struct discovery *d)
 {
-	end_listing(d, d->restored);
+	end_listing(d, EVACUATION_STORE, d->restored);
 }
 
 /* Sets what hosts get that can't reach the store. */
@@ -140,7 +140,7 @@
 
 	if (!json_is_object(domains))
 		return;
-	evacuations_list_begin(&d->evacuations);
+	evacuations_list_begin(&d->evacuations, EVACUATION_HOST);
 	json_object_foreach((json_t *)domains, domain, v)
 	{
 		const char *text = json_string_value(v);
@@ -158,5 +158,5 @@
 		else
 			put(d, domain, &o);
 	}
-	end_listing(d, p->era > watcher_era(d->watcher));
+	end_listing(d, EVACUATION_HOST, p->era > watcher_era(d->watcher));
 }
--- a/kernel/evacuations.c
+++ b/kernel/evacuations.c
@@ -27,6 +27,13 @@
 	return NULL;
 }
 
+/* The mark of a listing that names the evacuation. */
+static bool *
+mark(struct evacuation *x, enum evacuation_source source)
+{
+	return source == EVACUATION_HOST ? &x->in_state : &x->listed;
+}
+
 enum evacuation_result
 evacuations_put(struct evacuations *e, const char *domain,
     const struct evacuation_origin *o, usec_t now)
@@ -35,14 +42,14 @@
 	struct evacuation new = { .origin = *o, .since = now - o->age };
 
 	if (x != NULL) {
-		x->seen = true;
+		*mark(x, o->source) = true;
 		x->missing_since = 0;
 		return EVACUATION_KNOWN;
 	}
 	if (e->v->len >= EVACUATIONS_MAX)
 		return EVACUATION_TOO_MANY;
 	g_strlcpy(new.domain, domain, sizeof(new.domain));
-	new.seen = true;
+	*mark(&new, o->source) = true;
 	g_array_append_val(e->v, new);
 	e->version++;
 	return EVACUATION_BEGINS;
@@ -65,19 +72,20 @@
 }
 
 void
-evacuations_list_begin(struct evacuations *e)
+evacuations_list_begin(struct evacuations *e, enum evacuation_source source)
 {
 	for (guint i = 0; i < e->v->len; i++)
-		at(e, i)->seen = false;
+		*mark(at(e, i), source) = false;
 }
 
 void
-evacuations_list_end(struct evacuations *e, bool restored, usec_t now)
+evacuations_list_end(struct evacuations *e, enum evacuation_source source,
+    bool restored, usec_t now)
 {
 	for (guint i = 0; i < e->v->len; i++) {
 		struct evacuation *x = at(e, i);
 
-		if (x->ended || x->seen || x->missing_since != 0)
+		if (x->ended || *mark(x, source) || x->missing_since != 0)
 			continue;
 		if (restored)
 			x->missing_since = now;
--- a/kernel/evacuations.h
+++ b/kernel/evacuations.h
@@ -44,8 +44,9 @@
 	struct evacuation_origin origin;
 	usec_t since;         /* learned then, less the age */
 	usec_t missing_since; /* a restored store lacks it; 0: it doesn't */
-	bool seen;            /* in the current full listing */
-	bool ended;           /* to be taken with evacuations_take_ended */
+	bool listed;   /* in the listing of the store that is being read */
+	bool in_state; /* in the state of a host that is being read */
+	bool ended;    /* to be taken with evacuations_take_ended */
 };
 
 struct evacuations {
@@ -67,10 +68,13 @@
 void evacuations_remove(struct evacuations *e, const char *domain);
 /*
  * Begin and finish a complete listing, of the store or of another host's state;
- * restored: the store was restored from an older copy since the listing before.
+ * one of a state may come while the store is being listed.  restored: the store
+ * was restored from an older copy since the listing before.
  */
-void evacuations_list_begin(struct evacuations *e);
-void evacuations_list_end(struct evacuations *e, bool restored, usec_t now);
+void evacuations_list_begin(
+    struct evacuations *e, enum evacuation_source source);
+void evacuations_list_end(struct evacuations *e, enum evacuation_source source,
+    bool restored, usec_t now);
 /* Ends those that a restored store has lacked for long; call it regularly. */
 void evacuations_tick(struct evacuations *e, usec_t now);
 const char *evacuation_source_name(enum evacuation_source s);
--- a/tests/kernel/test_evacuations.c
+++ b/tests/kernel/test_evacuations.c
@@ -12,8 +12,8 @@
 
 /*
  * Steps: p puts domain a, P puts b, r removes a; [ and ] begin and finish a
- * listing, } finishes that of a restored store; k passes the time that a
- * missing one is kept, s a second.
+ * listing, } finishes that of a restored store; ( h ) are [ p ] of the state of
+ * another host; k passes the time that a missing one is kept, s a second.
  */
 static const struct evacuation_case {
 	const char *name;
@@ -43,28 +43,44 @@
 	{ "written again and removed unseen", "p[}p[]", "" },
 	{ "the copy has it", "p[p}k", "a" },
 	{ "the copy has one that was removed", "pr[p}", "a" },
+	{ "told by a host", "(h)", "a" },
+	{ "a host knows that it was removed", "p()", "" },
+	{ "told by a host, listed", "(h)[p]", "a" },
+	{ "told by a host, removed since", "(h)[]", "" },
+	{ "told during a listing without it", "[(h)]", "" },
+	{ "told during a listing with it", "[p(h)]", "a" },
+	{ "a host knows the removal during a listing", "[p()]", "" },
 	{ "time alone", "pk", "a" },
 };
 
 static void
 step(struct evacuations *e, char c, usec_t *now)
 {
-	static const struct evacuation_origin o = { 0 };
+	static const struct evacuation_origin store = { 0 };
+	static const struct evacuation_origin host = { EVACUATION_HOST, 0, 0 };
+	bool state = c == '(' || c == ')';
+	enum evacuation_source source =
+	    state ? EVACUATION_HOST : EVACUATION_STORE;
 
 	switch (c) {
 	case 'p':
 	case 'P':
-		evacuations_put(e, c == 'p' ? "a" : "b", &o, *now);
+		evacuations_put(e, c == 'p' ? "a" : "b", &store, *now);
+		break;
+	case 'h':
+		evacuations_put(e, "a", &host, *now);
 		break;
 	case 'r':
 		evacuations_remove(e, "a");
 		break;
 	case '[':
-		evacuations_list_begin(e);
+	case '(':
+		evacuations_list_begin(e, source);
 		break;
 	case ']':
 	case '}':
-		evacuations_list_end(e, c == '}', *now);
+	case ')':
+		evacuations_list_end(e, source, c == '}', *now);
 		break;
 	case 'k':
 		*now += EVACUATION_KEEP_TIME;
