--- a/kernel/overload/target_cold.c
+++ b/kernel/overload/target_cold.c
@@ -19,6 +19,8 @@
 #define USED_PART   0.9
 /* A host's requests arrive at uneven distances: more than a second is kept. */
 #define MIN_PERIOD  1.05
+/* Time in which a host that starts has heard of the others. */
+#define SETTLE_TIME (10 * USEC_PER_SEC)
 /* Time in which the share of a target that is warm again doubles. */
 #define DOUBLE_TIME (1 * USEC_PER_SEC)
 /* A host that isn't listed any more may be cut off, and send, for this long. */
@@ -47,6 +49,8 @@
 	GHashTableIter it;
 	gpointer v;
 
+	if (h->self == NULL)
+		h->since = now;
 	g_free(h->self);
 	h->self = g_strdup(self);
 	g_hash_table_iter_init(&it, h->known);
@@ -100,7 +104,8 @@
 	gpointer id;
 
 	c->hosts = g_hash_table_size(hosts->known);
-	c->rank = hosts->listed ? 0 : c->hosts;
+	c->rank = 0;
+	c->owns_from = hosts->listed ? 0 : hosts->since + SETTLE_TIME;
 	if (hosts->self == NULL)
 		return;
 	own = hash_u64(str_from(hosts->self), seed);
@@ -225,6 +230,8 @@
 bool
 target_cold_allows(const struct target_cold *c, usec_t now)
 {
+	if (now < c->until && now < c->owns_from && c->rule.per_s > 0)
+		return false;
 	return !target_cold_is_bounded(c, now) ||
 	    (c->rank < owner_count(c) * growth(c, now) && now >= c->next_at);
 }
--- a/kernel/overload/target_cold.h
+++ b/kernel/overload/target_cold.h
@@ -48,9 +48,8 @@
 struct target_cold_hosts {
 	GHashTable *known; /* id -> struct known_host */
 	char *self;
-	/* The list of the fleet's hosts has been read: a host that knows few
-	 * others would take itself for an owner. */
-	bool listed;
+	usec_t since; /* when this host first heard of any */
+	bool listed;  /* the list of the fleet's hosts has been read */
 };
 
 /* A zeroed one is of a target that is warm. */
@@ -63,6 +62,9 @@
 	double phase;  /* of a period, at which this host's first one is sent */
 	uint32_t rank; /* of this host among the owners */
 	uint32_t hosts;
+	/* Before, this host knows few others, and would take itself for an
+	 * owner of a cold target. */
+	usec_t owns_from;
 };
 
 void target_cold_hosts_init(struct target_cold_hosts *h);
