Cold targets: owners send a target what all hosts would have sent it

Engines are chosen by the parts of prompts that they hold, so owners, a fifth of the hosts, sent cold targets a fifth of their part. Each now counts its choices, and prefers a target that it has chosen less often than its part, for what is least urgent first.

--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -502,7 +502,6 @@
 	double slots = t->entry.slots > 0 ? t->entry.slots : 1;
 	double ms = strcmp(t->entry.domain, l->domain) == 0 ? 0 : REMOTE_MS;
 
-	ms += target_cold_cost(&t->cold, q->urgency, now);
 	if (!q->engine)
 		return ms + 20.0 * n_active / slots;
 	ms += n_active * RUNNING_MS;
@@ -522,6 +521,11 @@
 	const struct target_load *preferred = affinity_target(all, q);
 	const char *input_domain =
 	    q->input_addr.n > 0 ? loads_domain_at(l, q->input_addr) : "";
+	const struct target_cold_choice choice = {
+		.urgency = q->urgency,
+		.n = l->n_chosen,
+		.targets = all->len,
+	};
 	struct target_load *best = NULL;
 	double lowest = 0;
 
@@ -534,12 +538,17 @@
 		    (!use_set_aside && now < t->aside_until))
 			continue;
 		c = cost(l, q, t, preferred, input_domain, now) +
+		    target_cold_cost(&t->cold, &choice, now) +
 		    rng_unit(&l->rng);
 		if (best == NULL || c < lowest) {
 			best = t;
 			lowest = c;
 		}
 	}
+	if (best != NULL && best->cold.rule.per_s > 0) {
+		l->n_chosen++;
+		target_cold_chosen(&best->cold, &choice);
+	}
 	return best;
 }
 
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -76,6 +76,7 @@
 	struct target_cold_hosts cold_hosts;
 	/* service -> struct target_cold_rule, of those with a bound */
 	GHashTable *cold_rules;
+	uint64_t n_chosen; /* choices of targets of such services */
 };
 
 /* The usable targets of a service in one failure domain. */
--- a/kernel/overload/target_cold.c
+++ b/kernel/overload/target_cold.c
@@ -6,13 +6,8 @@
 
 #define OWNER_SEED  43
 #define PHASE_SEED  47
-/* Cost of a cold target to the most urgent requests, in milliseconds. */
-#define URGENT_MS   50.0
-/*
- * What the least urgent requests may cost more at a target to which few of the
- * hosts send.
- */
-#define WARMING_MS  50.0
+/* What the least urgent requests may cost more at a target that gets warm. */
+#define WARMING_MS  100.0
 /* Lists of hosts that may differ and yet keep the bound together. */
 #define LISTS       2.0
 /* Used part of what a cold target bears. */
@@ -261,13 +256,21 @@
 }
 
 double
-target_cold_cost(const struct target_cold *c, double urgency, usec_t now)
+target_cold_cost(
+    const struct target_cold *c, const struct target_cold_choice *x, usec_t now)
 {
-	double others;
+	double owners;
 
 	if (!target_cold_is_bounded(c, now))
 		return 0;
-	others = 1 - owner_count(c) * growth(c, now) / host_count(c);
-	return (target_cold_is_cold(c, now) ? urgency * URGENT_MS : 0) -
-	    (1 - urgency) * WARMING_MS * fmax(others, 0);
+	owners = owner_count(c) * growth(c, now) / host_count(c);
+	if ((double)(x->n - c->chosen) < (double)x->targets * fmin(owners, 1))
+		return 0;
+	return -(1 - x->urgency) * WARMING_MS;
+}
+
+void
+target_cold_chosen(struct target_cold *c, const struct target_cold_choice *x)
+{
+	c->chosen = x->n;
 }
--- a/kernel/overload/target_cold.h
+++ b/kernel/overload/target_cold.h
@@ -62,6 +62,7 @@
 	double phase;  /* of a period, at which this host's first one is sent */
 	uint32_t rank; /* of this host among the owners */
 	uint32_t hosts;
+	uint64_t chosen; /* target_cold_choice.n when it was chosen last */
 	/* Before, this host knows few others, and would take itself for an
 	 * owner of a cold target. */
 	usec_t owns_from;
@@ -93,13 +94,24 @@
 bool target_cold_allows_alone(const struct target_cold *c, usec_t now);
 /* Counts a request that is sent; alone: no other host sends to the target. */
 void target_cold_sent(struct target_cold *c, bool alone, usec_t now);
+/* A request that chooses among the targets of a service. */
+struct target_cold_choice {
+	double urgency; /* from 0 to 1 */
+	uint64_t n;     /* choices of this host for the service so far */
+	size_t targets; /* of the service */
+};
+
 /*
- * What the target costs a request of an urgency, 0 to 1, beside others, in
- * milliseconds: a target becomes warm by what is least urgent.  Its owners
- * choose it the rather the fewer they are.
+ * What the target costs the request beside others, in milliseconds.  Few hosts
+ * send to a target that gets warm.  So each of them sends more: while it has
+ * chosen the target less often than one of the service's would be by all hosts,
+ * the target costs less, most of all for what is least urgent.
  */
-double target_cold_cost(
-    const struct target_cold *c, double urgency, usec_t now);
+double target_cold_cost(const struct target_cold *c,
+    const struct target_cold_choice *x, usec_t now);
+/* Notes that the request has chosen the target. */
+void target_cold_chosen(
+    struct target_cold *c, const struct target_cold_choice *x);
 /* Expected time until some host may send a request, or 0. */
 usec_t target_cold_wait(const struct target_cold *c, usec_t now);
 
