Placer: vetoes tell of lost targets; the soak has placers

A target that an asking host knows to be gone or aside stays the placer's choice for all others: the veto counts as a lost call there. A wait for half of the caller's time is told apart from a silent placer and doesn't count against it. With two seeds of three the soak's hosts have a placer, and its engines' entries name 64 places: the fake engines take any number, while the placer keeps to what entries name.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -610,8 +610,13 @@
 		send_to(r, t, now);
 		return;
 	}
-	placements_ended(
-	    r->shared->placements, r->placement, PLACEMENT_DROPPED);
+	log_text(LOG_LVL_INFO, "placement-vetoed",
+	    "request %.*s: not to target %s", STR_FMT(r->info.id), target);
+	/* What this host knows of the target the placer may not know. */
+	placements_ended(r->shared->placements, r->placement,
+	    t == NULL || !t->listed || now < t->aside_until
+		? PLACEMENT_LOST
+		: PLACEMENT_DROPPED);
 	r->placement = 0;
 	r->placed.cause = PLACEMENT_VETOED;
 	forward_send_here(r);
--- a/entry/placements.c
+++ b/entry/placements.c
@@ -20,6 +20,7 @@
 	[PLACEMENT_BY_PLACER] = "placer",
 	[PLACEMENT_NO_PLACER] = "no-placer",
 	[PLACEMENT_NO_REPLY] = "no-reply",
+	[PLACEMENT_TOO_LONG] = "too-long",
 	[PLACEMENT_NO_DECISION] = "no-decision",
 	[PLACEMENT_TOO_OLD] = "too-old",
 	[PLACEMENT_VETOED] = "vetoed",
@@ -358,7 +359,7 @@
 	placements_set_timer(p, now);
 }
 
-/* The placer is silent, or another one by now: the host decides. */
+/* The placer is silent: the host decides. */
 static void
 give_up(struct placements *p, struct engine_call *c, usec_t now)
 {
@@ -378,13 +379,16 @@
 {
 	struct engine_group *g = c->group;
 
-	if (strcmp(c->placer, g->placer) != 0 ||
-	    placement_ask_step(&c->ask, now) == PLACEMENT_ASK_GIVE_UP) {
+	if (now >= c->ask.latest) {
+		leave_to_host(p, c, PLACEMENT_TOO_LONG);
+	} else if (strcmp(c->placer, g->placer) != 0) {
+		leave_to_host(p, c, PLACEMENT_NO_PLACER);
+	} else if (placement_ask_step(&c->ask, now) == PLACEMENT_ASK_GIVE_UP) {
 		give_up(p, c, now);
-		return;
+	} else {
+		c->sent_at = now;
+		placements_send_ask(p, g, c, now);
 	}
-	c->sent_at = now;
-	placements_send_ask(p, g, c, now);
 }
 
 static void
--- a/entry/placements.h
+++ b/entry/placements.h
@@ -36,6 +36,7 @@
 	PLACEMENT_BY_PLACER,   /* it hasn't */
 	PLACEMENT_NO_PLACER,   /* none is known to answer */
 	PLACEMENT_NO_REPLY,    /* in time */
+	PLACEMENT_TOO_LONG,    /* it was queued for half of its time */
 	PLACEMENT_NO_DECISION, /* the placer leaves it to the host */
 	PLACEMENT_TOO_OLD,     /* the process stood still meanwhile */
 	PLACEMENT_VETOED,      /* the host knows better than the placer */
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -44,6 +44,7 @@
 	uint16_t published_port; /* port in its store entry; 0: as port */
 	/* Of its software, also in each event; NULL: v1, and in no event. */
 	const char *version;
+	int slots; /* in its entry; 0: 4 */
 };
 
 /* What the targets have received of one attempt. */
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -8,7 +8,8 @@
  * hosts.  PORT is the first of 300 ports on loopback.  With an even seed the
  * work on hosts and targets is planned: no host is killed, no target stops
  * without notice, and connections to targets are not reset or cut; targets may
- * fall silent for a while.
+ * fall silent for a while.  With two seeds of three, one of the hosts places
+ * the requests to engines, and may be lost or stand still like the others.
  *
  * Most callers keep their connections and go on sending until these close.
  * None of their whole requests may end with neither a complete answer nor a
@@ -290,6 +291,8 @@
 	for (int i = 0; i < SOAK_TARGETS; i++) {
 		struct fakeplat_target t = soak_targets[i];
 
+		/* The fake engines take any number of requests at once. */
+		t.slots = 64;
 		t.port = (uint16_t)(t.port + first_port);
 		t.published_port = (uint16_t)(t.published_port + first_port);
 		soak.target_links[i] =
@@ -308,6 +311,8 @@
 		g_strlcpy(h->dir, dir, sizeof(h->dir));
 		soak.store_links[i] =
 		    proxy_link(soak.proxy, h->store_port, (uint16_t)first_port);
+		/* With some seeds a host places the requests of all. */
+		h->placer_min_hosts = soak.seed % 3 != 1 ? 2 : 0;
 		harness_start_host(h);
 	}
 	for (int i = 0; i < soak.n_hosts; i++) {
