placement: reading is spread by what streams have lately met

The choice preferred fast engines and kept parts so much that half of the engines of a domain got no prompts in a second of high load, while others read all the time and their streams paused. What was sent to an engine in the last 300 ms counts against it, by the streams there.

--- a/kernel/overload/engine_choice.c
+++ b/kernel/overload/engine_choice.c
@@ -18,6 +18,10 @@
 #define READ_COST     3.0
 /* Part of its gap that a stream loses at an engine that takes twice as long. */
 #define SLOW_SHARE    0.25
+/* Cost of reading beside a stream, beyond that, as a part of its time. */
+#define PAUSE_COST    0.25
+/* A stream is expected to be late beside more reading than this part. */
+#define PAUSE_SHARE   0.75
 /* Cost of a megabyte from another failure domain, in milliseconds. */
 #define REMOTE_MB_MS  6.0
 /* Costs that come before all others. */
@@ -127,15 +131,22 @@
 	return ms + rng_unit(o->rng);
 }
 
-/* Cost to the streams of an engine that reads for so long. */
+/*
+ * Cost to the streams of an engine, and to that of the prompt, of its reading:
+ * the part of their gap that is filled with what is lately read beside them,
+ * beyond the part that they don't notice.
+ */
 static double
-pause_cost(const struct engine_view *v, double read_ms)
+pause_cost(const struct prompt *x, const struct engine_view *v, double read_ms)
 {
-	double gap = to_ms(v->engine->max_gap);
+	uint32_t streams = v->engine->n_streams + (x->request.max_gap > 0);
+	double gap = gap_ms(x, v->engine);
+	double over = read_ms - LONG_SHARE * gap;
+	double ms = over > 0 ? PAUSE_COST * over : 0;
 
-	return read_ms > READ_SHARE * gap
-	    ? v->engine->n_streams * SLOW_SHARE * gap
-	    : 0;
+	if (read_ms > PAUSE_SHARE * gap)
+		ms += PAUSE_COST * 2 * gap;
+	return streams * ms;
 }
 
 /* Cost of a first event after a time, which may be too late. */
@@ -174,7 +185,8 @@
 		out->first_ms += REMOTE_MB_MS * (double)q->input_bytes / 1e6;
 	out->other_cost = other_cost(o, x, v, out->to_read, now);
 	out->cost = out->first_ms + out->other_cost +
-	    pause_cost(v, v->state.unread_ms + own_ms) +
+	    pause_cost(
+		x, v, fmax(v->state.recent_ms, v->state.unread_ms) + own_ms) +
 	    late_cost(x, out->first_ms, now);
 	slot_wait = slot_wait_ms(o, x, v);
 	read_wait = read_wait_ms(v, own_ms, gap_ms(x, v->engine));
@@ -203,11 +215,13 @@
     struct engine_look *k, usec_t now)
 {
 	double left = fmax(v->state.unread_ms - k->wait_ms, 0);
+	double recent =
+	    engine_load_recent(v->state.recent_ms, engine_from_ms(k->wait_ms));
 
 	/* What the engine reads meanwhile isn't before the prompt any more. */
 	k->first_ms += k->wait_ms + left - v->state.unread_ms;
 	k->cost = k->first_ms + k->other_cost +
-	    pause_cost(v, left + k->to_read / v->state.rate) +
+	    pause_cost(x, v, fmax(recent, left) + k->to_read / v->state.rate) +
 	    late_cost(x, k->first_ms, now);
 }
 
--- a/kernel/overload/engine_load.c
+++ b/kernel/overload/engine_load.c
@@ -13,6 +13,8 @@
 #define LEAST_LEFT    0.1
 /* An engine that is overdue is expected to take half as long again. */
 #define OVERDUE_SHARE 0.5
+/* About the time of some events of a stream beside which prompts are read. */
+#define RECENT_TIME   (300 * USEC_PER_MSEC)
 #define ASIDE_FIRST   (250 * USEC_PER_MSEC)
 #define ASIDE_MAX     (4 * USEC_PER_SEC)
 
@@ -91,6 +93,9 @@
 	p->ahead = (uint32_t)fmin(ms * rate, UINT32_MAX);
 	e->read_until =
 	    now + (usec_t)((ms + p->to_read / rate) * (double)USEC_PER_MSEC);
+	e->recent_ms = engine_load_recent(e->recent_ms, now - e->recent_at) +
+	    p->to_read / rate;
+	e->recent_at = now;
 	e->unread += p->to_read;
 	e->n_reading++;
 	e->memory += memory_of(p);
@@ -209,6 +214,13 @@
 	e->aside_until = now + (pause < ASIDE_MAX ? pause : ASIDE_MAX);
 }
 
+double
+engine_load_recent(double recent_ms, usec_t time)
+{
+	return time > 0 ? recent_ms * exp(-(double)time / (double)RECENT_TIME)
+			: recent_ms;
+}
+
 void
 engine_load_state(const struct engine_load *e, const struct engine_norms *norms,
     usec_t now, struct engine_state *out)
@@ -223,6 +235,8 @@
 		.rate = rate,
 		.unread_ms = unread_ms(e, rate, now) +
 		    waiting * norms->prompt_tokens / rate,
+		.recent_ms =
+		    engine_load_recent(e->recent_ms, now - e->recent_at),
 		.active = e->prompts->len + running + waiting,
 		.memory =
 		    e->memory + (uint64_t)((running + waiting) * norms->tokens),
--- a/kernel/overload/engine_load.h
+++ b/kernel/overload/engine_load.h
@@ -53,7 +53,9 @@
 	uint64_t unread;   /* tokens of prompts that are being read */
 	uint64_t memory;   /* tokens of prompts and outputs */
 	usec_t read_until; /* when they are expected to be read */
-	usec_t max_gap;    /* shortest one of its streams; 0: none */
+	double recent_ms;  /* reading time of prompts lately sent there */
+	usec_t recent_at;
+	usec_t max_gap; /* shortest one of its streams; 0: none */
 	uint32_t n_streams;
 	uint32_t reported_running; /* by others */
 	uint32_t reported_waiting;
@@ -85,12 +87,16 @@
 	double slowness;  /* time that work takes, in times of a usual engine */
 	double rate;      /* tokens read in a ms, now */
 	double unread_ms; /* until all prompts there are read */
-	uint32_t active;  /* requests there, also of others */
-	uint64_t memory;  /* tokens */
+	/* Time of reading that streams there have lately met, or will. */
+	double recent_ms;
+	uint32_t active; /* requests there, also of others */
+	uint64_t memory; /* tokens */
 };
 
 void engine_load_state(const struct engine_load *e,
     const struct engine_norms *norms, usec_t now, struct engine_state *out);
+/* What is left of recent_ms after a time. */
+double engine_load_recent(double recent_ms, usec_t time);
 /* Expected time until a request there ends. */
 double engine_load_next_end_ms(
     const struct engine_load *e, const struct engine_norms *norms, usec_t now);
--- a/tests/kernel/engine_replay.c
+++ b/tests/kernel/engine_replay.c
@@ -7,7 +7,7 @@
 #define HOSTS         24
 #define LENGTH        (10 * USEC_PER_SEC)
 #define DELAY         MS(3) /* of a message */
-#define CHUNK         512   /* prompt tokens that a step reads */
+#define CHUNK         2048  /* prompt tokens that a step reads */
 #define TOKENS_PER_MS 100.0
 #define STEP_MS       3.0
 #define RUNNING_MS    0.1
@@ -432,7 +432,8 @@
 			.waiting = g_ptr_array_new(),
 			.running = g_ptr_array_new(),
 			.parts = g_hash_table_new(NULL, NULL),
-			.slow = i < o->slow ? o->slow_by : 1,
+			.slow = (i < o->slow ? o->slow_by : 1) *
+			    (0.75 + 0.25 * (i % 3)),
 		};
 	}
 	for (uint32_t i = 0; i < HOSTS; i++)
