Placements: groups may be added while they are gone through

News to this host's own placer may decide a waiting request, whose call adds a group: the walks over the groups go by a list of them. test_placer passes.

--- a/entry/placement_groups.c
+++ b/entry/placement_groups.c
@@ -85,6 +85,19 @@
 	free(g);
 }
 
+GPtrArray *
+placements_groups(const struct placements *p)
+{
+	GPtrArray *v = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer g;
+
+	g_hash_table_iter_init(&it, p->groups);
+	while (g_hash_table_iter_next(&it, NULL, &g))
+		g_ptr_array_add(v, g);
+	return v;
+}
+
 struct engine_group *
 placements_group(struct placements *p, const char *service, const char *domain)
 {
--- a/entry/placement_news.c
+++ b/entry/placement_news.c
@@ -160,13 +160,11 @@
 void
 placements_flush(struct placements *p)
 {
-	GHashTableIter it;
-	gpointer v;
+	g_autoptr(GPtrArray) groups = placements_groups(p);
 
 	p->flush_at = 0;
-	g_hash_table_iter_init(&it, p->groups);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		flush_group(p, v);
+	for (guint i = 0; i < groups->len; i++)
+		flush_group(p, groups->pdata[i]);
 }
 
 /* Tells the placer which calls run. */
--- a/entry/placements.c
+++ b/entry/placements.c
@@ -424,15 +424,14 @@
 void
 placements_tick(struct placements *p, usec_t now)
 {
-	GHashTableIter it;
-	gpointer v;
+	g_autoptr(GPtrArray) groups = NULL;
 
 	if (!placements_in_force(p))
 		return;
 	placements_meet(p, now);
-	g_hash_table_iter_init(&it, p->groups);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		struct engine_group *g = v;
+	groups = placements_groups(p);
+	for (guint i = 0; i < groups->len; i++) {
+		struct engine_group *g = groups->pdata[i];
 
 		if ((g->n_calls > 0 || g->told_calls) &&
 		    now - g->listed_at >= LIST_INTERVAL &&
--- a/entry/placements_state.h
+++ b/entry/placements_state.h
@@ -72,6 +72,11 @@
     const struct placements *p, const char *rpc);
 struct engine_group *placements_group(
     struct placements *p, const char *service, const char *domain);
+/*
+ * Returns all groups (struct engine_group).  News to this host's own placer may
+ * add one while they are gone through.
+ */
+GPtrArray *placements_groups(const struct placements *p);
 void placements_free_group(gpointer group);
 /* Returns an empty array of peer_place_event, which owns their strings. */
 GArray *placements_new_events(void);
