placement: a long prompt's time grows faster than its length, and streams bear so much

A prompt of 50,000 tokens took twice the predicted time and was sent beside eight streams, which all paused for longer than their callers allow. The time of a token grows with the prompt, as measured; a stream that would be late counts an eighth of a prompt that would be.

--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -649,10 +649,11 @@
 		norms = g_new(struct engine_norms, 1);
 		*norms = engine_norms_init();
 		norms->rate = READ_COST * TOKENS_PER_MS;
+		norms->read_ms = norms->read_tokens / norms->rate;
 		g_hash_table_insert(
 		    l->norms, g_strdup(t->entry.service), norms);
 	}
-	engine_speed_measured(&t->engine_speed, norms, (double)unread,
+	engine_speed_measured(&t->engine_speed, norms, (double)unread, 0,
 	    (double)took / (double)USEC_PER_MSEC /
 		target_pace_slowness(&t->pace, now),
 	    now);
--- a/kernel/overload/engine_choice.c
+++ b/kernel/overload/engine_choice.c
@@ -20,12 +20,16 @@
 #define SLOW_SHARE    0.25
 /* Cost of reading beside a stream, beyond that, as a part of its time. */
 #define PAUSE_COST    0.25
-/* A stream is expected to be late beside more reading than this part. */
-#define PAUSE_SHARE   0.75
+/* Parts of a gap: with so much reading in it a stream may be late, or is. */
+#define MAY_BE_LATE   1.0
+#define IS_LATE       2.0
+/* Cost of a stream that is late. */
+#define HARM_COST_MS  2000.0
 /* Cost of a megabyte from another failure domain, in milliseconds. */
 #define REMOTE_MB_MS  6.0
-/* Costs that come before all others. */
-#define LATE_COST_MS  1e5
+/* Cost of a prompt that is late: as that of eight streams. */
+#define LATE_COST_MS  16000.0
+/* Cost that comes before all others. */
 #define ASIDE_COST_MS 1e7
 /* A target that takes no call now is looked at again. */
 #define RECHECK_TIME  (100 * USEC_PER_MSEC)
@@ -39,7 +43,7 @@
 	engine_load_state(e, norms, now, &v->state);
 	v->slots = v->target->entry.slots > 0 ? v->target->entry.slots : slots;
 	v->next_end_ms = engine_load_next_end_ms(e, norms, now);
-	v->longest_ms = engine_load_longest(e) / v->state.rate;
+	v->longest_ms = engine_load_longest_ms(e) * v->state.slowness;
 }
 
 static bool
@@ -123,7 +127,7 @@
 	double slow = v->state.slowness - 1;
 	double ms = v->state.active * RUNNING_MS * v->state.slowness;
 
-	ms += to_read / o->norms->rate * READ_COST;
+	ms += engine_read_ms(o->norms, to_read) * READ_COST;
 	if (slow > 0)
 		ms += slow * SLOW_SHARE * to_ms(x->request.max_gap);
 	if (now < v->engine->aside_until || now < v->target->aside_until)
@@ -132,21 +136,29 @@
 }
 
 /*
- * Cost to the streams of an engine, and to that of the prompt, of its reading:
- * the part of their gap that is filled with what is lately read beside them,
- * beyond the part that they don't notice.
+ * Cost to a stream whose caller allows a gap of the reading beside it within
+ * about that time.
  */
 static double
-pause_cost(const struct prompt *x, const struct engine_view *v, double read_ms)
+harm(double read_ms, double gap)
 {
-	uint32_t streams = v->engine->n_streams + (x->request.max_gap > 0);
-	double gap = gap_ms(x, v->engine);
 	double over = read_ms - LONG_SHARE * gap;
-	double ms = over > 0 ? PAUSE_COST * over : 0;
+	double late = (read_ms / gap - MAY_BE_LATE) / (IS_LATE - MAY_BE_LATE);
 
-	if (read_ms > PAUSE_SHARE * gap)
-		ms += PAUSE_COST * 2 * gap;
-	return streams * ms;
+	if (gap == 0 || over <= 0)
+		return 0;
+	return PAUSE_COST * over + HARM_COST_MS * fmin(fmax(late, 0), 1);
+}
+
+/* Cost to the streams of an engine of a prompt that is read after others. */
+static double
+pause_cost(const struct engine_view *v, double before_ms, double own_ms)
+{
+	/* Its streams are slow as well, so they bear less. */
+	double gap = to_ms(v->engine->max_gap) / fmax(v->state.slowness, 1);
+
+	return v->engine->n_streams *
+	    (harm(before_ms + own_ms, gap) - harm(before_ms, gap));
 }
 
 /* Cost of a first event after a time, which may be too late. */
@@ -177,7 +189,8 @@
 		cached += q->parts[k].tokens;
 	out->to_read =
 	    q->prompt_tokens > cached ? q->prompt_tokens - cached : 1;
-	own_ms = out->to_read / v->state.rate;
+	own_ms = engine_read_ms(o->norms, out->to_read) * v->state.slowness;
+	out->own_ms = own_ms;
 	out->first_ms = o->norms->first_ms * v->state.slowness +
 	    v->state.unread_ms + own_ms;
 	if (*q->input_domain != '\0' &&
@@ -186,7 +199,7 @@
 	out->other_cost = other_cost(o, x, v, out->to_read, now);
 	out->cost = out->first_ms + out->other_cost +
 	    pause_cost(
-		x, v, fmax(v->state.recent_ms, v->state.unread_ms) + own_ms) +
+		v, fmax(v->state.recent_ms, v->state.unread_ms), own_ms) +
 	    late_cost(x, out->first_ms, now);
 	slot_wait = slot_wait_ms(o, x, v);
 	read_wait = read_wait_ms(v, own_ms, gap_ms(x, v->engine));
@@ -221,7 +234,7 @@
 	/* What the engine reads meanwhile isn't before the prompt any more. */
 	k->first_ms += k->wait_ms + left - v->state.unread_ms;
 	k->cost = k->first_ms + k->other_cost +
-	    pause_cost(x, v, fmax(recent, left) + k->to_read / v->state.rate) +
+	    pause_cost(v, fmax(recent, left), k->own_ms) +
 	    late_cost(x, k->first_ms, now);
 }
 
--- a/kernel/overload/engine_choice.h
+++ b/kernel/overload/engine_choice.h
@@ -37,6 +37,7 @@
 	double other_cost; /* without the time until its first event */
 	double first_ms;   /* until its first event, once it is sent */
 	double wait_ms;    /* until it is sent */
+	double own_ms;     /* of reading it */
 	uint32_t to_read;
 	size_t n_cached;
 };
--- a/kernel/overload/engine_load.c
+++ b/kernel/overload/engine_load.c
@@ -31,10 +31,9 @@
 }
 
 static double
-current_rate(
-    const struct engine_load *e, const struct engine_norms *norms, usec_t now)
+current_slowness(const struct engine_load *e, usec_t now)
 {
-	return norms->rate / engine_speed_slowness(&e->speed, now) /
+	return engine_speed_slowness(&e->speed, now) *
 	    target_pace_slowness(&e->pace, now);
 }
 
@@ -45,12 +44,12 @@
 }
 
 static double
-unread_ms(const struct engine_load *e, double rate, usec_t now)
+unread_ms(const struct engine_load *e, double slowness, usec_t now)
 {
 	double left = ms_until(e->read_until, now);
-	double least = LEAST_LEFT * (double)e->unread / rate;
+	double least = LEAST_LEFT * e->unread_ms * slowness;
 
-	if (e->unread == 0)
+	if (e->n_reading == 0)
 		return 0;
 	if (left < 0)
 		left = -left * OVERDUE_SHARE;
@@ -84,19 +83,21 @@
 engine_load_add(struct engine_load *e, const struct engine_norms *norms,
     struct prompt *p, uint64_t kv_tokens, usec_t now)
 {
-	double rate = current_rate(e, norms, now);
-	double ms = unread_ms(e, rate, now);
+	double slowness = current_slowness(e, now);
+	double ms = unread_ms(e, slowness, now);
+	double own_ms;
 
 	p->state = PROMPT_READING;
 	p->engine = e;
 	p->placed_at = now;
-	p->ahead = (uint32_t)fmin(ms * rate, UINT32_MAX);
-	e->read_until =
-	    now + (usec_t)((ms + p->to_read / rate) * (double)USEC_PER_MSEC);
-	e->recent_ms = engine_load_recent(e->recent_ms, now - e->recent_at) +
-	    p->to_read / rate;
+	p->read_ms = engine_read_ms(norms, p->to_read);
+	p->before_ms = ms / slowness;
+	own_ms = p->read_ms * slowness;
+	e->read_until = now + (usec_t)((ms + own_ms) * (double)USEC_PER_MSEC);
+	e->recent_ms =
+	    engine_load_recent(e->recent_ms, now - e->recent_at) + own_ms;
 	e->recent_at = now;
-	e->unread += p->to_read;
+	e->unread_ms += p->read_ms;
 	e->n_reading++;
 	e->memory += memory_of(p);
 	g_ptr_array_add(e->prompts, p);
@@ -106,15 +107,15 @@
 }
 
 static void
-set_read(struct engine_load *e, const struct engine_norms *norms,
-    const struct prompt *p, usec_t now)
+set_read(struct engine_load *e, const struct prompt *p, usec_t now)
 {
 	usec_t all;
 
-	e->unread -= p->to_read;
 	e->n_reading--;
+	e->unread_ms =
+	    e->n_reading > 0 ? fmax(e->unread_ms - p->read_ms, 0) : 0;
 	all = now +
-	    (usec_t)((double)e->unread / current_rate(e, norms, now) *
+	    (usec_t)(e->unread_ms * current_slowness(e, now) *
 		(double)USEC_PER_MSEC);
 	if (e->read_until > all || e->read_until < now)
 		e->read_until = all;
@@ -127,8 +128,8 @@
 	if (p->state != PROMPT_READING)
 		return;
 	if (now > p->placed_at)
-		engine_speed_measured(&e->speed, norms,
-		    (double)p->to_read + p->ahead,
+		engine_speed_measured(&e->speed, norms, p->to_read,
+		    p->before_ms,
 		    ms_until(now, p->placed_at) /
 			target_pace_slowness(&e->pace, now),
 		    now);
@@ -137,7 +138,7 @@
 	p->state = PROMPT_RUNNING;
 	p->begun_at = now;
 	e->failures = 0;
-	set_read(e, norms, p, now);
+	set_read(e, p, now);
 }
 
 void
@@ -153,13 +154,12 @@
 }
 
 void
-engine_load_remove(struct engine_load *e, const struct engine_norms *norms,
-    struct prompt *p, usec_t now)
+engine_load_remove(struct engine_load *e, struct prompt *p, usec_t now)
 {
 	if (p->state == PROMPT_READING) {
 		prompt_cache_drop(
 		    &e->cache, p->prefixes, p->n_cached, p->request.n_parts);
-		set_read(e, norms, p, now);
+		set_read(e, p, now);
 	}
 	e->memory -= memory_of(p);
 	g_ptr_array_remove_fast(e->prompts, p);
@@ -169,8 +169,7 @@
 
 /* Prompts whose first event was missed are read. */
 static void
-set_old_read(
-    struct engine_load *e, const struct engine_norms *norms, usec_t now)
+set_old_read(struct engine_load *e, usec_t now)
 {
 	for (guint i = 0; i < e->prompts->len; i++) {
 		struct prompt *p = e->prompts->pdata[i];
@@ -180,13 +179,13 @@
 			continue;
 		p->state = PROMPT_RUNNING;
 		p->begun_at = now;
-		set_read(e, norms, p, now);
+		set_read(e, p, now);
 	}
 }
 
 void
-engine_load_reported(struct engine_load *e, struct engine_norms *norms,
-    uint32_t running, uint32_t waiting, uint32_t slowness, usec_t now)
+engine_load_reported(struct engine_load *e, uint32_t running, uint32_t waiting,
+    uint32_t slowness, usec_t now)
 {
 	uint64_t all = (uint64_t)running + waiting;
 	uint32_t others =
@@ -200,7 +199,7 @@
 	e->reported_running = others - e->reported_waiting;
 	e->reported_at = now;
 	if (waiting == 0)
-		set_old_read(e, norms, now);
+		set_old_read(e, now);
 }
 
 void
@@ -225,16 +224,16 @@
 engine_load_state(const struct engine_load *e, const struct engine_norms *norms,
     usec_t now, struct engine_state *out)
 {
-	double rate = current_rate(e, norms, now);
+	double slowness = current_slowness(e, now);
 	bool known = e->reported_at != 0 && now - e->reported_at < REPORT_TIME;
 	uint32_t running = known ? e->reported_running : 0;
 	uint32_t waiting = known ? e->reported_waiting : 0;
 
 	*out = (struct engine_state){
-		.slowness = norms->rate / rate,
-		.rate = rate,
-		.unread_ms = unread_ms(e, rate, now) +
-		    waiting * norms->prompt_tokens / rate,
+		.slowness = slowness,
+		.unread_ms = unread_ms(e, slowness, now) +
+		    waiting * slowness *
+			engine_read_ms(norms, norms->prompt_tokens),
 		.recent_ms =
 		    engine_load_recent(e->recent_ms, now - e->recent_at),
 		.active = e->prompts->len + running + waiting,
@@ -260,16 +259,16 @@
 	return fmax(least, norms->run_ms / (e->prompts->len + 1));
 }
 
-uint32_t
-engine_load_longest(const struct engine_load *e)
+double
+engine_load_longest_ms(const struct engine_load *e)
 {
-	uint32_t longest = 0;
+	double longest = 0;
 
 	for (guint i = 0; e->n_reading > 0 && i < e->prompts->len; i++) {
 		const struct prompt *p = e->prompts->pdata[i];
 
-		if (p->state == PROMPT_READING && p->to_read > longest)
-			longest = p->to_read;
+		if (p->state == PROMPT_READING)
+			longest = fmax(longest, p->read_ms);
 	}
 	return longest;
 }
--- a/kernel/overload/engine_load.h
+++ b/kernel/overload/engine_load.h
@@ -35,10 +35,12 @@
 	usec_t begun_at;
 	size_t n_cached;  /* parts that the engine kept when it was placed */
 	uint32_t to_read; /* tokens that the engine has to read */
-	uint32_t ahead;   /* tokens that it had to read before them */
-	usec_t order;     /* key of the queue: the lowest one is first */
-	uint64_t number;  /* of its submission */
-	bool late;        /* it can't be on time any more */
+	/* Times at a usual engine: of reading it, and those before it. */
+	double read_ms;
+	double before_ms;
+	usec_t order;    /* key of the queue: the lowest one is first */
+	uint64_t number; /* of its submission */
+	bool late;       /* it can't be on time any more */
 };
 
 struct engine_load {
@@ -50,7 +52,7 @@
 	struct target_pace pace;
 	struct engine_speed speed;
 	uint32_t n_reading;
-	uint64_t unread;   /* tokens of prompts that are being read */
+	double unread_ms;  /* of reading its prompts, at a usual engine */
 	uint64_t memory;   /* tokens of prompts and outputs */
 	usec_t read_until; /* when they are expected to be read */
 	double recent_ms;  /* reading time of prompts lately sent there */
@@ -75,17 +77,15 @@
 void engine_load_completed(struct engine_load *e, struct engine_norms *norms,
     struct prompt *p, usec_t now);
 /* It has left the engine. */
-void engine_load_remove(struct engine_load *e, const struct engine_norms *norms,
-    struct prompt *p, usec_t now);
-void engine_load_reported(struct engine_load *e, struct engine_norms *norms,
-    uint32_t running, uint32_t waiting, uint32_t slowness, usec_t now);
+void engine_load_remove(struct engine_load *e, struct prompt *p, usec_t now);
+void engine_load_reported(struct engine_load *e, uint32_t running,
+    uint32_t waiting, uint32_t slowness, usec_t now);
 /* The engine refused or lost a request. */
 void engine_load_failed(struct engine_load *e, usec_t now);
 
 /* What the engine is doing at a moment, without regard to a request. */
 struct engine_state {
 	double slowness;  /* time that work takes, in times of a usual engine */
-	double rate;      /* tokens read in a ms, now */
 	double unread_ms; /* until all prompts there are read */
 	/* Time of reading that streams there have lately met, or will. */
 	double recent_ms;
@@ -100,8 +100,8 @@
 /* Expected time until a request there ends. */
 double engine_load_next_end_ms(
     const struct engine_load *e, const struct engine_norms *norms, usec_t now);
-/* Tokens of the longest prompt that is being read. */
-uint32_t engine_load_longest(const struct engine_load *e);
+/* Time of the longest prompt that is being read, at a usual engine. */
+double engine_load_longest_ms(const struct engine_load *e);
 void engine_load_free(struct engine_load *e);
 
 #endif
--- a/kernel/overload/engine_speed.c
+++ b/kernel/overload/engine_speed.c
@@ -11,6 +11,9 @@
 #define NORM_WEIGHT     0.05 /* of a sample in the averages over all */
 /* A smaller prompt says more about the way to the engine than about reading. */
 #define MIN_RATE_SAMPLE 1000
+/* Above it, the time of a token grows noticeably with the prompt. */
+#define CURVE_TOKENS    10000.0
+#define MAX_CURVE       1.0
 /* A sample of an expected time below this says less. */
 #define FULL_SAMPLE_MS  100.0
 /* Bounds a sample, in expected ones. */
@@ -23,6 +26,8 @@
 {
 	return (struct engine_norms){
 		.rate = FIRST_RATE,
+		.read_tokens = FIRST_TOKENS,
+		.read_ms = FIRST_TOKENS / FIRST_RATE,
 		.first_ms = FIRST_FIRST_MS,
 		.run_ms = FIRST_RUN_MS,
 		.tokens = FIRST_TOKENS,
@@ -49,23 +54,46 @@
 	    (1 - s->slowness) * (double)over / (double)MEASURE_TIME;
 }
 
+double
+engine_read_ms(const struct engine_norms *norms, double tokens)
+{
+	return tokens / norms->rate *
+	    (1 + norms->curve * tokens / CURVE_TOKENS);
+}
+
+/* Updates the averages by a first event without delay by other prompts. */
+static void
+learn(struct engine_norms *norms, double tokens, double ms)
+{
+	double read_ms = fmax(ms - norms->first_ms, ms / 4);
+	double longer;
+
+	if (tokens < MIN_RATE_SAMPLE) {
+		engine_norms_add(&norms->first_ms, ms);
+	} else if (tokens < CURVE_TOKENS) {
+		/* A quotient of averages, as single samples scatter. */
+		engine_norms_add(&norms->read_tokens,
+		    tokens * (1 + norms->curve * tokens / CURVE_TOKENS));
+		engine_norms_add(&norms->read_ms, read_ms);
+		norms->rate = norms->read_tokens / norms->read_ms;
+	} else {
+		longer = read_ms / (tokens / norms->rate) - 1;
+		engine_norms_add(&norms->curve,
+		    fmin(fmax(longer * CURVE_TOKENS / tokens, 0), MAX_CURVE));
+	}
+}
+
 void
 engine_speed_measured(struct engine_speed *s, struct engine_norms *norms,
-    double tokens, double ms, usec_t now)
+    double tokens, double before_ms, double ms, usec_t now)
 {
-	double expected = norms->first_ms + tokens / norms->rate;
+	double expected =
+	    norms->first_ms + engine_read_ms(norms, tokens) + before_ms;
 	double ratio = fmin(fmax(ms / expected, 1 / BOUND), BOUND);
 	double weight = ENGINE_WEIGHT * fmin(expected / FULL_SAMPLE_MS, 1);
-	double rate;
 
 	s->slowness = engine_speed_slowness(s, now);
 	s->slowness += weight * (ratio - s->slowness);
 	s->measured_at = now;
-	if (tokens < MIN_RATE_SAMPLE) {
-		engine_norms_add(&norms->first_ms, ratio * expected);
-		return;
-	}
-	/* Half at least is reading: the other average may be too high. */
-	rate = tokens / fmax(ratio * expected - norms->first_ms, ms / 2);
-	engine_norms_add(&norms->rate, fmin(rate, norms->rate * BOUND));
+	learn(norms, tokens, ratio * (expected - before_ms));
 }
--- a/kernel/overload/engine_speed.h
+++ b/kernel/overload/engine_speed.h
@@ -15,7 +15,11 @@
 
 /* Averages over all engines of a service. */
 struct engine_norms {
-	double rate;          /* prompt tokens read in a ms */
+	double rate; /* tokens of a short prompt that are read in a ms */
+	/* By how much longer a token of a prompt of 10,000 tokens takes. */
+	double curve;
+	double read_tokens;   /* of a sample of the rate */
+	double read_ms;       /* that they took */
 	double first_ms;      /* until the first event, without reading */
 	double run_ms;        /* from the first event to the end */
 	double tokens;        /* of a request, in memory */
@@ -32,11 +36,16 @@
 /* A sample of an average. */
 void engine_norms_add(double *average, double sample);
 /*
- * A first event took ms at the usual pace of the engine's machine, after so
- * many tokens were read.
+ * Time in which a usual engine reads so many tokens of one prompt: a token
+ * takes the longer the more are before it.
+ */
+double engine_read_ms(const struct engine_norms *norms, double tokens);
+/*
+ * A first event took ms at the usual pace of the engine's machine, after a
+ * prompt of so many tokens was read, and others before it in before_ms.
  */
 void engine_speed_measured(struct engine_speed *s, struct engine_norms *norms,
-    double tokens, double ms, usec_t now);
+    double tokens, double before_ms, double ms, usec_t now);
 /* Times as long as at a usual engine; 1 if none was measured lately. */
 double engine_speed_slowness(const struct engine_speed *s, usec_t now);
 
--- a/kernel/overload/placement.c
+++ b/kernel/overload/placement.c
@@ -186,7 +186,7 @@
 forget(struct placement *p, struct prompt *x, usec_t now)
 {
 	if (x->engine != NULL)
-		engine_load_remove(x->engine, &p->norms, x, now);
+		engine_load_remove(x->engine, x, now);
 	else
 		g_ptr_array_remove(p->queue, x);
 	g_hash_table_remove(p->prompts, &x->request);
@@ -239,7 +239,7 @@
 	p->now = now;
 	if (e == NULL)
 		return;
-	engine_load_reported(e, &p->norms, running, waiting, slowness, now);
+	engine_load_reported(e, running, waiting, slowness, now);
 	p->changed = true;
 }
 
@@ -405,7 +405,8 @@
 	d->first_event = engine_from_ms(k->first_ms);
 	d->to_read = k->to_read;
 	d->reading = (uint32_t)fmin(
-	    v->state.unread_ms * v->state.rate, (double)UINT32_MAX);
+	    v->state.unread_ms * p->norms.rate / v->state.slowness,
+	    (double)UINT32_MAX);
 	d->running = v->state.active - v->engine->n_reading;
 	if (!x->late)
 		p->late_credit = fmin(
@@ -523,7 +524,7 @@
 	    &g_array_index(p->views, struct engine_view, k->view);
 
 	v->n_awaited++;
-	v->awaited_ms += k->to_read / v->state.rate;
+	v->awaited_ms += k->own_ms;
 	check_by(p, now + engine_from_ms(k->wait_ms), now);
 }
 
@@ -583,7 +584,7 @@
 		const struct engine_view *v =
 		    &g_array_index(p->views, struct engine_view, i);
 
-		a->rate += v->state.rate;
+		a->rate += p->norms.rate / v->state.slowness;
 		a->slots += v->slots;
 	}
 }
@@ -700,16 +701,20 @@
 
 	for (guint i = 0; all != NULL && i < all->len; i++) {
 		struct engine_view v = { .target = all->pdata[i] };
-		double ms = p->norms.first_ms + tokens / p->norms.rate;
+		double ms =
+		    p->norms.first_ms + engine_read_ms(&p->norms, tokens);
 
 		v.engine = g_hash_table_lookup(p->engines, v.target->entry.id);
 		a.slots += p->slots;
 		a.rate += p->norms.rate;
 		if (v.engine != NULL) {
 			engine_view_set(&v, &p->norms, p->slots, now);
-			a.rate += v.state.rate - p->norms.rate;
+			a.rate +=
+			    p->norms.rate / v.state.slowness - p->norms.rate;
 			ms = p->norms.first_ms * v.state.slowness +
-			    v.state.unread_ms + tokens / v.state.rate;
+			    v.state.unread_ms +
+			    engine_read_ms(&p->norms, tokens) *
+				v.state.slowness;
 			if (v.state.active >= v.slots)
 				ms += v.next_end_ms;
 		}
