Stages: a piece that its target failed to make is made again, from inputs that are kept

Cause: a coordinator answered a job as failed as soon as a target failed one of its pieces, and had its inputs freed 80 ms after the last call began, before any call ends. The host asked for all pieces again, found the inputs gone and began the request's stages anew.

Change: the coordinator makes just that piece again, at another target, before others of its rank, within three calls and a quota. Fetched results are marked (PEER_PIECE_FETCHED) and give way, the longest fetched first, once over half of a target's usable space is in use; else they stay until the request's host frees them. If an input is gone, only the stages before the failed one run again.

test_stage_pieces, failed-pieces, fails on: 12 pieces for 9 with one failure, 503 with three.

--- a/entry/control.c
+++ b/entry/control.c
@@ -204,6 +204,7 @@
 	case PEER_PIECE_ASK:
 	case PEER_PIECE_REPLY:
 	case PEER_PIECE_FREE:
+	case PEER_PIECE_FETCHED:
 	case PEER_FEED:
 	case PEER_CRASH:
 	case PEER_ANSWERED:
--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -457,21 +457,33 @@
 		coordinator_finish_job(c, j, now);
 		return;
 	}
-	for (; it.piece < j->n; it.piece++)
+	for (; it.piece < j->n; it.piece++) {
+		coordinator_count_piece(p, now);
 		batch_add(&p->batch, &it);
+	}
 	if (from != NULL)
 		coordinator_reply(c, j);
 	coordinator_start_calls(c, p, now);
 }
 
-/* Returns the free result space of a target in bytes. */
+uint64_t
+coordinator_usable_space(const struct pool *p)
+{
+	return (uint64_t)(USABLE_SPACE_FRACTION *
+	    (double)p->batch.config.result_bytes);
+}
+
+/*
+ * Returns the result space of a target in bytes that is free, or is once the
+ * fetched results there have given way.
+ */
 static uint64_t
 free_result_bytes(
     struct coordinator *c, const struct pool *p, const char *addr, usec_t now)
 {
-	uint64_t usable = (uint64_t)(USABLE_SPACE_FRACTION *
-	    (double)p->batch.config.result_bytes);
-	uint64_t used = result_space_used(&c->result_space, addr, now);
+	uint64_t usable = coordinator_usable_space(p);
+	uint64_t used = result_space_used(&c->result_space, addr, now) -
+	    result_space_fetched_bytes(&c->result_space, addr);
 
 	return used < usable ? usable - used : 0;
 }
@@ -526,6 +538,7 @@
 {
 	GArray *items = g_array_new(FALSE, FALSE, sizeof(struct batch_item));
 	struct batch_target take = {
+		.id = coordinator_target_hash(t->entry.id),
 		.domain = domain_hash(t->entry.domain),
 		.free_bytes = free_result_bytes(c, p, t->entry.addr, now),
 		.local_only = local_only,
--- a/entry/coordinator.h
+++ b/entry/coordinator.h
@@ -32,8 +32,8 @@
 	 */
 	const char *(*find_coordinator)(void *arg, const char *service);
 	/*
-	 * Called with results of other services once this coordinator's calls
-	 * have fetched them as inputs.
+	 * Called with results, also of other services, once this coordinator's
+	 * calls have fetched them as inputs.
 	 */
 	void (*inputs_fetched)(void *arg, struct str handles);
 	void *arg;
@@ -45,6 +45,9 @@
 	uint64_t pieces;
 	uint64_t refused;          /* jobs */
 	uint64_t retries;          /* pieces sent again in another call */
+	uint64_t failed;           /* pieces that targets failed to make */
+	uint64_t inputs_gone;      /* pieces whose inputs were gone */
+	uint64_t reclaimed;        /* fetched results that gave way to others */
 	uint64_t waiting;          /* pieces that wait for a call now */
 	uint64_t stop_handed_back; /* jobs that would outlast this host */
 	uint64_t stop_cut;         /* jobs that were left at its exit */
@@ -64,6 +67,11 @@
     struct coordinator *c, const char *from, const peer_piece_ask *msg);
 /* Queues used results to be freed with the next call to their producer. */
 void coordinator_release(struct coordinator *c, struct str handles);
+/*
+ * The calls that use these results have fetched them.  They are kept while
+ * their space isn't needed, as such a call may fail.
+ */
+void coordinator_fetched(struct coordinator *c, struct str handles);
 /*
  * Refuses overdue jobs, starts calls and forgets jobs answered long ago;
  * returns whether any job is pending.
--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -20,6 +20,12 @@
 #define INPUT_FETCH_TIME (80 * USEC_PER_MSEC)
 #define MAX_PIECE_SENDS  3
 #define HANDLE_HASH_SEED 23
+#define TARGET_HASH_SEED 29
+/*
+ * Part of the usable result space up to which fetched results are kept: the
+ * rest is for the next call, and sizes are estimates.
+ */
+#define KEPT_SPACE       0.5
 /* Frees that are not confirmed by then are given up: results expire. */
 #define FREE_TIMEOUT     (5 * USEC_PER_SEC)
 
@@ -35,6 +41,26 @@
 	    bytes, now + call->pool->batch.config.call_cost);
 }
 
+/* Pieces that are made again as their targets failed to make them. */
+static const struct retry_quota_rule repeat_rule = {
+	.ratio = 0.2,
+	.slack = 20,
+	.window = 5 * USEC_PER_SEC,
+	.hosts = 1,
+};
+
+uint32_t
+coordinator_target_hash(const char *id)
+{
+	return (uint32_t)hash_u64(str_from(id), TARGET_HASH_SEED) | 1;
+}
+
+void
+coordinator_count_piece(struct pool *p, usec_t now)
+{
+	retry_quota_request(&p->repeats, &repeat_rule, now);
+}
+
 static void
 set_result(struct coordinator *c, const struct batch_item *it,
     const struct piece_result *res, usec_t now)
@@ -94,6 +120,34 @@
 		    count_send, now);
 }
 
+/*
+ * The target failed to make a piece: another one makes it again, while that
+ * helps.  If most pieces fail, repetitions would only add to the load.
+ */
+static void
+repeat_piece(struct batch_call *call, const struct batch_item *item,
+    const struct piece_result *res, usec_t now)
+{
+	struct coordinator *c = call->coordinator;
+	const struct coordinator_job *j = item->owner;
+	struct batch_item it = *item;
+	bool again = !j->replied &&
+	    retry_quota_spend(&call->pool->repeats, &repeat_rule, now);
+
+	c->counts.failed++;
+	log_text(LOG_LVL_INFO, "stage-piece-failed",
+	    "request %.*s: piece %u of stage %u of %s at %s, after %u other "
+	    "failed calls; %s",
+	    STR_FMT(str_of(&j->id)), j->pieces[it.piece].number, j->stage,
+	    call->pool->service, call->target_id, j->pieces[it.piece].sends,
+	    again ? "made again" : "not made again");
+	it.avoid = coordinator_target_hash(call->target_id);
+	if (again)
+		requeue_item(call, &it, true, now);
+	else
+		set_result(c, &it, res, now);
+}
+
 /* Takes the items out of their jobs' counts of pieces in calls. */
 static void
 leave_calls(struct coordinator *c, GArray *items)
@@ -173,12 +227,26 @@
 		const struct batch_item *it =
 		    &g_array_index(call->items, struct batch_item, i);
 
-		call->n_made += v[i].outcome == PIECE_DONE;
-		if (v[i].outcome == PIECE_NO_SPACE) {
+		switch (v[i].outcome) {
+		case PIECE_NO_SPACE:
 			missing += it->bytes;
 			requeue_item(call, it, true, now);
-		} else
+			break;
+		case PIECE_FAILED:
+			repeat_piece(call, it, &v[i], now);
+			break;
+		case PIECE_INPUT_LOST:
+			call->coordinator->counts.inputs_gone++;
+			set_result(call->coordinator, it, &v[i], now);
+			break;
+		case PIECE_DONE:
+			call->n_made++;
+			set_result(call->coordinator, it, &v[i], now);
+			break;
+		case PIECE_EXPIRED:
 			set_result(call->coordinator, it, &v[i], now);
+			break;
+		}
 	}
 	if (missing > 0)
 		hold_missing_space(call, missing, now);
@@ -399,6 +467,28 @@
 	result_frees_sent(&c->frees, t->entry.addr);
 }
 
+/*
+ * Fetched results at a target give way until its space, with bytes more in use,
+ * is within the part that may be kept.
+ */
+static void
+reclaim_space(struct coordinator *c, const struct pool *p, const char *addr,
+    uint64_t bytes, usec_t now)
+{
+	uint64_t kept =
+	    (uint64_t)(KEPT_SPACE * (double)coordinator_usable_space(p));
+	struct buf handles = { 0 };
+	struct str list;
+	struct str one;
+
+	c->counts.reclaimed += result_space_reclaim(&c->result_space, addr,
+	    bytes < kept ? kept - bytes : 0, now, &handles);
+	list = str_of(&handles);
+	while (list.n > 0 && str_cut(&list, ',', &one))
+		result_frees_add(&c->frees, one, now);
+	buf_free(&handles);
+}
+
 /*
  * Whether the calls of this host to the pool's targets begin at once: no other
  * host calls them.  A call that waits there fetches its inputs later.
@@ -421,7 +511,6 @@
 
 		j->in_calls++;
 		j->calls_end = MAX(j->calls_end, now + call->expected);
-		call->bytes += j->bytes;
 		if (++j->started == j->n && j->inputs.n > 0 &&
 		    calls_alone(call->pool, now))
 			j->release_inputs_at = now + INPUT_FETCH_TIME;
@@ -445,6 +534,9 @@
 	struct batch_call *call = xcalloc(1, sizeof(*call));
 	struct buf body = { 0 };
 
+	for (guint i = 0; i < items->len; i++)
+		call->bytes += g_array_index(items, struct batch_item, i).bytes;
+	reclaim_space(c, p, t->entry.addr, call->bytes, now);
 	/* With a limit, each request to the target takes the place of a call.
 	 */
 	if (t->limit.rate == 0)
@@ -496,9 +588,16 @@
 
 		for (guint i = 0; all != NULL && i < all->len; i++) {
 			struct target_load *t = all->pdata[i];
-			const struct result_frees_entry *u =
-			    result_frees_find(&c->frees, t->entry.addr);
-
+			const struct result_frees_entry *u;
+
+			/*
+			 * Ahead of the next call, whose turn may come before
+			 * the space has been freed.  A target with a limit is
+			 * not asked to free it with each call.
+			 */
+			reclaim_space(c, pool, t->entry.addr,
+			    t->limit.rate > 0 ? UINT64_MAX : 0, now);
+			u = result_frees_find(&c->frees, t->entry.addr);
 			if (u == NULL || now - u->oldest <= FREE_INTERVAL ||
 			    !loads_allows_alone(t, now))
 				continue;
@@ -523,6 +622,15 @@
 	}
 }
 
+void
+coordinator_fetched(struct coordinator *c, struct str handles)
+{
+	struct str one;
+
+	while (handles.n > 0 && str_cut(&handles, ',', &one))
+		result_space_fetched(&c->result_space, one);
+}
+
 bool
 coordinator_has_way(const struct coordinator *c, const struct pool *p)
 {
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -12,6 +12,7 @@
 #include "kernel/bounds.h"
 #include "kernel/overload/result_frees.h"
 #include "kernel/overload/result_space.h"
+#include "kernel/overload/retry_quota.h"
 #include "kernel/recent_set.h"
 #include "kernel/unknown_services.h"
 #include "platform/stage.h"
@@ -63,6 +64,7 @@
 	struct coordinator *coordinator;
 	char *service;
 	struct batch batch;
+	struct retry_quota repeats; /* of pieces that targets failed to make */
 	/* RPC address of the service's coordinator in this host's view. */
 	char coordinator_addr[MAX_ADDR_BYTES];
 	usec_t handover_until;
@@ -160,6 +162,12 @@
     struct target_load *t, double slowness, GArray *items, usec_t now);
 /* Sends the frees of results that have waited long enough. */
 void coordinator_flush_frees(struct coordinator *c, usec_t now);
+/* Counts a new piece towards the quota of repeated ones. */
+void coordinator_count_piece(struct pool *p, usec_t now);
+/* Hash of a target's id; never 0. */
+uint32_t coordinator_target_hash(const char *id);
+/* Space for results that the pool's calls may use at a target. */
+uint64_t coordinator_usable_space(const struct pool *p);
 /* Whether this host can have the pool's targets called. */
 bool coordinator_has_way(const struct coordinator *c, const struct pool *p);
 /*
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -191,6 +191,7 @@
 	case PEER_PIECE_ASK:
 	case PEER_PIECE_REPLY:
 	case PEER_PIECE_FREE:
+	case PEER_PIECE_FETCHED:
 	case PEER_LIMIT:
 	case PEER_BRITTLE:
 	case PEER_STREAM:
--- a/entry/discovery_quarantine.c
+++ b/entry/discovery_quarantine.c
@@ -356,6 +356,7 @@
 	case PEER_PIECE_ASK:
 	case PEER_PIECE_REPLY:
 	case PEER_PIECE_FREE:
+	case PEER_PIECE_FETCHED:
 	case PEER_FEED:
 	case PEER_LIMIT:
 	case PEER_STREAM:
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -336,6 +336,7 @@
 	PEER_STREAM_FOUND = 22,
 	PEER_BRITTLE = 23,
 	PEER_STREAM_READING = 24,
+	PEER_PIECE_FETCHED = 40,
 };
 typedef enum peer_kind peer_kind;
 
@@ -365,6 +366,7 @@
 		peer_stream_look stream_look;
 		peer_stream_found stream_found;
 		peer_brittle brittle;
+		peer_piece_free piece_fetched;
 	} peer_body_u;
 };
 typedef struct peer_body peer_body;
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -133,7 +133,10 @@
 	peer_piece_made made<PEER_PIECES_MAX>;
 };
 
-/* Results that may be freed, sent to the stage's coordinator. */
+/*
+ * Results that may be freed, or whose space may be used if it is needed as the
+ * calls that use them have fetched them; sent to the stage's coordinator.
+ */
 struct peer_piece_free {
 	peer_name service;
 	string handles<PEER_HANDLES_MAX>; /* separated by commas */
@@ -297,7 +300,8 @@
 	 * The sender reads the store for streams that the receiver looks up,
 	 * and items arrive.
 	 */
-	PEER_STREAM_READING = 24
+	PEER_STREAM_READING = 24,
+	PEER_PIECE_FETCHED = 40
 };
 
 union peer_body switch (peer_kind kind) {
@@ -349,6 +353,8 @@
 	peer_brittle brittle;
 case PEER_STREAM_READING:
 	void;
+case PEER_PIECE_FETCHED:
+	peer_piece_free piece_fetched;
 };
 
 struct peer_letter {
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -774,6 +774,10 @@
 		break;
 	case PEER_STREAM_READING:
 		break;
+	case PEER_PIECE_FETCHED:
+		 if (!xdr_peer_piece_free (xdrs, &objp->peer_body_u.piece_fetched))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -247,6 +247,10 @@
 		coordinator_release(y->shared.coordinator,
 		    str_from(d->body.peer_body_u.piece_free.handles));
 		break;
+	case PEER_PIECE_FETCHED:
+		coordinator_fetched(y->shared.coordinator,
+		    str_from(d->body.peer_body_u.piece_fetched.handles));
+		break;
 	case PEER_SUSPECTS:
 		crash_reports_asked(
 		    y->shared.crash_reports, &d->body.peer_body_u.suspects);
@@ -411,7 +415,7 @@
 	return stage_jobs_coordinator(y->shared.stage_jobs, service, domain);
 }
 
-/* Reports unneeded results to the coordinators of their producers' services. */
+/* Reports fetched results to the coordinators of their producers' services. */
 static void
 on_inputs_fetched(void *arg, struct str handles)
 {
@@ -427,7 +431,7 @@
 			continue;
 		service = loads_service_at(&y->shared.loads, addr);
 		if (*service != '\0')
-			stage_jobs_release(y->shared.stage_jobs, service, one);
+			stage_jobs_fetched(y->shared.stage_jobs, service, one);
 	}
 }
 
--- a/entry/relay_metrics.c
+++ b/entry/relay_metrics.c
@@ -113,6 +113,9 @@
 	put(out, "stage_pieces_waiting", p->coordinator.waiting);
 	put(out, "stage_asks_refused_total", p->coordinator.refused);
 	put(out, "stage_pieces_repeated_total", p->coordinator.retries);
+	put(out, "stage_pieces_failed_total", p->coordinator.failed);
+	put(out, "stage_inputs_gone_total", p->coordinator.inputs_gone);
+	put(out, "stage_results_reclaimed_total", p->coordinator.reclaimed);
 	put(out, "config_version", p->discovery.version);
 	put(out, "store_away", p->discovery.store_unavailable);
 	put(out, "store_calls_total", p->discovery.store_calls);
--- a/entry/stage_jobs.c
+++ b/entry/stage_jobs.c
@@ -465,15 +465,15 @@
 	return first;
 }
 
-void
-stage_jobs_release(
-    struct stage_jobs *s, const char *service, struct str handles)
+/* Tells the coordinator of these results that they are free or fetched. */
+static void
+tell_results(struct stage_jobs *s, const char *service, struct str handles,
+    peer_kind kind)
 {
 	struct str rest = handles;
 	struct str addr = { NULL, 0 };
 	const char *domain = "";
 	const char *coordinator;
-	peer_body body = { .kind = PEER_PIECE_FREE };
 
 	if (handles.n == 0)
 		return;
@@ -483,19 +483,40 @@
 	coordinator = choose_coordinator(s,
 	    (struct coordinator_choice){ service, domain, false, clock_now() });
 	if (*coordinator == '\0') {
-		coordinator_release(s->coordinator, handles);
+		if (kind == PEER_PIECE_FETCHED)
+			coordinator_fetched(s->coordinator, handles);
+		else
+			coordinator_release(s->coordinator, handles);
 		return;
 	}
-	body.peer_body_u.piece_free.service = (char *)service;
 	while (handles.n > 0) {
 		struct str first = cut_handles(&handles);
 		g_autofree char *list = g_strndup(first.p, first.n);
+		peer_piece_free f = { (char *)service, list };
+		peer_body body = { .kind = kind };
 
-		body.peer_body_u.piece_free.handles = list;
+		if (kind == PEER_PIECE_FETCHED)
+			body.peer_body_u.piece_fetched = f;
+		else
+			body.peer_body_u.piece_free = f;
 		rpc_send(s->o.rpc, coordinator, &body);
 	}
 }
 
+void
+stage_jobs_release(
+    struct stage_jobs *s, const char *service, struct str handles)
+{
+	tell_results(s, service, handles, PEER_PIECE_FREE);
+}
+
+void
+stage_jobs_fetched(
+    struct stage_jobs *s, const char *service, struct str handles)
+{
+	tell_results(s, service, handles, PEER_PIECE_FETCHED);
+}
+
 /*
  * Assigns a job to the next coordinator; the current one is not chosen for a
  * while.  Returns whether it has become suspect by this job.
--- a/entry/stage_jobs.h
+++ b/entry/stage_jobs.h
@@ -75,6 +75,12 @@
 /* Frees results that were used; handles are separated by commas. */
 void stage_jobs_release(
     struct stage_jobs *s, const char *service, struct str handles);
+/*
+ * The calls that use these results have fetched them: their space is used for
+ * others if it is needed.
+ */
+void stage_jobs_fetched(
+    struct stage_jobs *s, const char *service, struct str handles);
 /*
  * Handles a reply. from: RPC address of the coordinator that sent it, or NULL
  * for this host's own.
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -208,16 +208,21 @@
 	return t > now ? t - now : 0;
 }
 
+static void
+cancel_stage(struct relay_request *r, uint32_t i)
+{
+	if (r->stages[i].job == 0)
+		return;
+	stage_jobs_cancel(r->shared->stage_jobs, r->stages[i].job);
+	r->stages[i].job = 0;
+	r->repeats_work = true;
+}
+
 static void
 cancel_jobs(struct relay_request *r)
 {
-	for (uint32_t i = 0; i < ROUTE_MAX_STAGES; i++) {
-		if (r->stages[i].job == 0)
-			continue;
-		stage_jobs_cancel(r->shared->stage_jobs, r->stages[i].job);
-		r->stages[i].job = 0;
-		r->repeats_work = true;
-	}
+	for (uint32_t i = 0; i < ROUTE_MAX_STAGES; i++)
+		cancel_stage(r, i);
 }
 
 /*
@@ -256,6 +261,29 @@
 	    &r->shared->stage_quota, &r->shared->stage_quota_rule, clock_now());
 }
 
+/*
+ * An input of a stage is gone: the stages before it run again.  Others keep
+ * their results, unless they wait for the same inputs.
+ */
+static void
+restart_before(struct relay_request *r, uint32_t stage)
+{
+	struct chain c;
+	uint32_t before;
+
+	describe_chain(r, clock_now(), &c);
+	before = chain_before(&c, stage);
+	for (uint32_t i = 0; i < r->route->n_stages; i++) {
+		if (chain_before(&c, i) & before && !r->stages[i].done)
+			cancel_stage(r, i);
+		if (!(before >> i & 1))
+			continue;
+		release_stage(r, i);
+		r->stages[i].done = false;
+	}
+	stages_resume(r);
+}
+
 /*
  * Decides after a failed piece whether the request fails and which stages run
  * again.
@@ -280,7 +308,7 @@
 		return;
 	}
 	if (outcome == PIECE_INPUT_LOST) {
-		stages_restart(r);
+		restart_before(r, stage);
 		return;
 	}
 	stages_resume(r);
--- a/kernel/overload/batch.c
+++ b/kernel/overload/batch.c
@@ -15,7 +15,10 @@
 #define MIN_SHARE           0.1
 /* Time over which arrival rates are smoothed. */
 #define RATE_SPAN           (2 * USEC_PER_SEC)
-/* Time that a piece waits for a target in the domain of its inputs. */
+/*
+ * Time that a piece waits for a target in the domain of its inputs, or for
+ * another one than that which failed it.
+ */
 #define LOCAL_WAIT          (200 * USEC_PER_MSEC)
 /* The measured costs are within this factor of the configured ones. */
 #define MAX_COST_FACTOR     4.0
@@ -123,7 +126,8 @@
 	    it->rank + (it->soft_deadline < ctx->earliest ? LATE_RANKS : 0);
 
 	usec_t time = it->soft_deadline + (usec_t)(ranks * RANK_STEP) +
-	    (is_remote(it, ctx->domain) ? LOCAL_WAIT : 0);
+	    (is_remote(it, ctx->domain) ? LOCAL_WAIT : 0) -
+	    (it->avoid != 0 ? RANK_STEP : 0);
 
 	return ctx->least_urgent_first ? -time : time;
 }
@@ -242,6 +246,8 @@
     uint64_t free_bytes, usec_t now)
 {
 	return it->bytes <= free_bytes &&
+	    !(it->avoid != 0 && it->avoid == t->id &&
+		now - it->queued < LOCAL_WAIT) &&
 	    !(t->local_only && is_remote(it, t->domain)) &&
 	    (t->slower_by == 0 || now + t->slower_by < it->deadline);
 }
--- a/kernel/overload/batch.h
+++ b/kernel/overload/batch.h
@@ -34,6 +34,7 @@
 	uint32_t rank;        /* 0 is the most urgent */
 	uint64_t bytes;       /* size of the result */
 	uint32_t domain;      /* hash of the domain of its inputs; 0: any */
+	uint32_t avoid;       /* hash of the target that failed it; 0: none */
 	usec_t queued;        /* time of arrival in the queue */
 	uint64_t order; /* set by batch_add: that of its owner's arrival */
 };
@@ -59,6 +60,7 @@
 void batch_remove_owner(struct batch *b, const void *owner);
 /* A target that can take a call now. */
 struct batch_target {
+	uint32_t id;     /* hash of its id */
 	uint32_t domain; /* hash of its failure domain */
 	uint64_t free_bytes;
 	bool local_only; /* takes no pieces with inputs in another domain */
@@ -69,7 +71,10 @@
  * Moves the pieces of the next call to out, a GArray of struct batch_item.
  * free_targets is the number of targets that could take a call now, including
  * t.  Pieces that don't fit into the target's free_bytes stay; pieces with
- * inputs in another failure domain go behind the others for LOCAL_WAIT.
+ * inputs in another failure domain go behind the others for LOCAL_WAIT, and a
+ * piece waits as long for another target than the one that failed it.  Such a
+ * piece goes before others of its rank: its inputs, and the results of the
+ * other pieces of its job, hold space until it is made.
  */
 void batch_take(struct batch *b, usec_t now, uint32_t free_targets,
     const struct batch_target *t, GArray *out);
--- a/kernel/overload/chain.c
+++ b/kernel/overload/chain.c
@@ -14,6 +14,18 @@
 	return c->stages[i].after >> k & 1;
 }
 
+uint32_t
+chain_before(const struct chain *c, uint32_t i)
+{
+	uint32_t all = 0;
+
+	for (uint32_t k = 0; k < i; k++) {
+		if (needs(c, i, k) && c->stages[k].needed)
+			all |= UINT32_C(1) << k | chain_before(c, k);
+	}
+	return all;
+}
+
 bool
 chain_is_ready(const struct chain *c, uint32_t i)
 {
--- a/kernel/overload/chain.h
+++ b/kernel/overload/chain.h
@@ -35,6 +35,8 @@
 	usec_t typical_first_event;
 };
 
+/* Returns the stages that a stage needs, directly or not; bit i: stage i. */
+uint32_t chain_before(const struct chain *c, uint32_t i);
 /* Whether the stages that a stage needs are done. */
 bool chain_is_ready(const struct chain *c, uint32_t i);
 /*
--- a/kernel/overload/result_space.c
+++ b/kernel/overload/result_space.c
@@ -10,11 +10,13 @@
 struct held_result {
 	uint64_t bytes;
 	usec_t expires;
+	uint64_t fetched; /* in the order in which they were; 0: not */
 };
 
 struct producer {
 	uint64_t reserved;
 	uint64_t held_bytes;
+	uint64_t fetched_bytes; /* of the held ones */
 	usec_t oldest;       /* at or before the earliest expiry of a result */
 	GHashTable *results; /* handle -> struct held_result */
 };
@@ -34,6 +36,7 @@
 	r->producers = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, free_producer);
 	r->n_lost = 0;
+	r->n_fetched = 0;
 	r->swept_at = 0;
 }
 
@@ -62,6 +65,15 @@
 	return g_strndup(addr.p, addr.n);
 }
 
+/* Takes a result that is about to be removed out of the sums. */
+static void
+forget(struct producer *p, const struct held_result *h)
+{
+	p->held_bytes -= h->bytes;
+	if (h->fetched != 0)
+		p->fetched_bytes -= h->bytes;
+}
+
 static void
 expire_results(struct producer *p, usec_t now)
 {
@@ -80,7 +92,7 @@
 				p->oldest = h->expires;
 			continue;
 		}
-		p->held_bytes -= h->bytes;
+		forget(p, h);
 		g_hash_table_iter_remove(&it);
 	}
 }
@@ -175,11 +187,97 @@
 
 	if (h == NULL)
 		return false;
-	p->held_bytes -= h->bytes;
+	forget(p, h);
 	g_hash_table_remove(p->results, key);
 	return true;
 }
 
+void
+result_space_fetched(struct result_space *r, struct str handle)
+{
+	g_autofree char *addr = address_of(handle);
+	g_autofree char *key = g_strndup(handle.p, handle.n);
+	struct producer *p = g_hash_table_lookup(r->producers, addr);
+	struct held_result *h =
+	    p != NULL ? g_hash_table_lookup(p->results, key) : NULL;
+
+	if (h == NULL)
+		return;
+	if (h->fetched == 0)
+		p->fetched_bytes += h->bytes;
+	h->fetched = ++r->n_fetched;
+}
+
+uint64_t
+result_space_fetched_bytes(const struct result_space *r, const char *addr)
+{
+	const struct producer *p = g_hash_table_lookup(r->producers, addr);
+
+	return p != NULL ? p->fetched_bytes : 0;
+}
+
+/* A fetched result, as it is sorted. */
+struct fetched_entry {
+	uint64_t fetched;
+	const char *handle;
+};
+
+static int
+by_fetched(const void *a, const void *b)
+{
+	const struct fetched_entry *x = a;
+	const struct fetched_entry *y = b;
+
+	return (x->fetched > y->fetched) - (x->fetched < y->fetched);
+}
+
+/* Returns the fetched results, first those that were fetched first. */
+static GArray *
+fetched_results(const struct producer *p)
+{
+	GArray *v = g_array_new(FALSE, FALSE, sizeof(struct fetched_entry));
+	GHashTableIter it;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, p->results);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const struct held_result *h = value;
+		struct fetched_entry x = { h->fetched, key };
+
+		if (h->fetched != 0)
+			g_array_append_val(v, x);
+	}
+	g_array_sort(v, by_fetched);
+	return v;
+}
+
+uint32_t
+result_space_reclaim(struct result_space *r, const char *addr, uint64_t limit,
+    usec_t now, struct buf *out)
+{
+	g_autoptr(GArray) v = NULL;
+	struct producer *p;
+	guint n = 0;
+
+	if (result_space_used(r, addr, now) <= limit ||
+	    result_space_fetched_bytes(r, addr) == 0)
+		return 0;
+	p = g_hash_table_lookup(r->producers, addr);
+	v = fetched_results(p);
+	while (n < v->len && p->reserved + p->held_bytes > limit) {
+		const char *handle =
+		    g_array_index(v, struct fetched_entry, n++).handle;
+
+		if (out->n > 0)
+			buf_putc(out, ',');
+		buf_put(out, str_from(handle));
+		forget(p, g_hash_table_lookup(p->results, handle));
+		g_hash_table_remove(p->results, handle);
+	}
+	return n;
+}
+
 void
 result_space_free(struct result_space *r)
 {
--- a/kernel/overload/result_space.h
+++ b/kernel/overload/result_space.h
@@ -9,6 +9,11 @@
  * whose answer was lost count until they expire, as their handles are unknown
  * and nobody can free them.
  *
+ * Results that the calls that use them have fetched are kept, as a call may
+ * have to be made again: a chain whose inputs are gone begins anew.  Load
+ * pattern: few pieces fail while space is scarce.  So fetched results give way,
+ * the longest fetched first, once a call needs their space, and not before.
+ *
  * Producers are named by address (IP:PORT).  An address is forgotten once
  * nothing is reserved or held there, as targets may name any in their answers.
  * Times are in microseconds.  The table has no locks: one thread owns it.
@@ -24,7 +29,8 @@
 struct result_space {
 	GHashTable *producers; /* address -> struct producer */
 	uint64_t n_lost; /* number of results with lost handles, since start */
-	usec_t swept_at; /* when all producers were looked at */
+	uint64_t n_fetched; /* number of results that were fetched */
+	usec_t swept_at;    /* when all producers were looked at */
 };
 
 void result_space_init(struct result_space *r);
@@ -42,6 +48,19 @@
 /* Counts results that may have been produced and whose handles were lost. */
 void result_space_hold_lost(
     struct result_space *r, const char *addr, uint64_t bytes, usec_t expires);
+/* The calls that use a result have fetched it; it is ignored if it is not held.
+ */
+void result_space_fetched(struct result_space *r, struct str handle);
+/* Bytes of the fetched results that are held at a producer. */
+uint64_t result_space_fetched_bytes(
+    const struct result_space *r, const char *addr);
+/*
+ * Gives up fetched results until at most limit bytes are reserved or held at
+ * the producer, or none is left; appends their handles to out, separated by
+ * commas, and returns their number.
+ */
+uint32_t result_space_reclaim(struct result_space *r, const char *addr,
+    uint64_t limit, usec_t now, struct buf *out);
 /* Returns false if the result was not held. */
 bool result_space_free_result(struct result_space *r, struct str handle);
 void result_space_free(struct result_space *r);
--- a/tests/kernel/test_chain.c
+++ b/tests/kernel/test_chain.c
@@ -46,6 +46,10 @@
 	g_assert_false(chain_can_wait(&c, 3));
 	g_assert_cmpint(chain_min_after(&c, 0), ==, 750 * MS);
 	g_assert_cmpint(chain_typical_after(&c, 0), ==, 1100 * MS);
+	/* What a lost input makes run again: not the lone stage. */
+	g_assert_cmpuint(chain_before(&c, 2), ==, 3);
+	g_assert_cmpuint(chain_before(&c, 0), ==, 0);
+	g_assert_cmpuint(chain_before(&c, 3), ==, 0);
 	g_assert_cmpint(chain_min_after(&c, 2), ==, 150 * MS);
 }
 
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -395,6 +395,62 @@
 	result_space_free(&r);
 }
 
+/* Fetched results stay until space is needed, then the oldest give way. */
+static void
+test_fetched_results(void)
+{
+	static const struct {
+		const char *fetched; /* in this order */
+		const char *freed;   /* before that */
+		uint64_t limit;
+		const char *want;
+	} cases[] = {
+		{ "", "", 0, "" },
+		{ "ab", "", 60, "" },
+		{ "ab", "", 59, "m:1/a" },
+		{ "ba", "", 59, "m:1/b" },
+		/* Fetched again by another call: the later time counts. */
+		{ "aba", "", 59, "m:1/b" },
+		{ "cab", "", 31, "m:1/c,m:1/a" },
+		/* Results that no call has fetched yet stay. */
+		{ "b", "", 0, "m:1/b" },
+		{ "abc", "a", 20, "m:1/b,m:1/c" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct result_space r;
+		struct buf out = { 0 };
+		char handle[] = "m:1/x";
+		uint64_t used;
+
+		g_test_message("case %zu", i);
+		result_space_init(&r);
+		result_space_reserve(&r, "m:1", 15);
+		result_space_hold(&r, "m:1/a", 15, 1000);
+		result_space_hold(&r, "m:1/b", 15, 1000);
+		result_space_hold(&r, "m:1/c", 15, 1000);
+		for (const char *p = cases[i].freed; *p != '\0'; p++) {
+			handle[4] = *p;
+			g_assert_true(
+			    result_space_free_result(&r, str_from(handle)));
+		}
+		for (const char *p = cases[i].fetched; *p != '\0'; p++) {
+			handle[4] = *p;
+			result_space_fetched(&r, str_from(handle));
+		}
+		used = result_space_used(&r, "m:1", 0);
+		used -= 15 *
+		    result_space_reclaim(&r, "m:1", cases[i].limit, 0, &out);
+		g_assert_cmpstr(out.n > 0 ? out.p : "", ==, cases[i].want);
+		g_assert_cmpuint(result_space_used(&r, "m:1", 0), ==, used);
+		/* The rest expires, fetched or not. */
+		g_assert_cmpuint(result_space_used(&r, "m:1", 1000), ==, 15);
+		g_assert_cmpuint(result_space_fetched_bytes(&r, "m:1"), ==, 0);
+		buf_free(&out);
+		result_space_free(&r);
+	}
+}
+
 /* Targets that are gone, and addresses that don't exist, never get a call. */
 static void
 test_result_frees(void)
@@ -514,6 +570,37 @@
 	}
 }
 
+/* A piece waits a while for another target than the one that failed it. */
+static void
+test_batch_avoid(void)
+{
+	static const struct {
+		uint32_t target;
+		int wait_ms;
+		guint want;
+	} cases[] = { { 8, 0, 1 }, { 7, 0, 0 }, { 7, 199, 0 }, { 7, 200, 1 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autoptr(GArray) out =
+		    g_array_new(FALSE, FALSE, sizeof(struct batch_item));
+		usec_t now = 1000 * MS;
+		struct batch_item it = { .owner = "a",
+			.deadline = now + 9000 * MS,
+			.queued = now,
+			.avoid = 7 };
+		struct batch b;
+
+		batch_init(&b, &pool);
+		batch_add(&b, &it);
+		batch_take(&b, now + cases[i].wait_ms * MS, 1,
+		    &(struct batch_target){
+			.id = cases[i].target, .free_bytes = 100 },
+		    out);
+		g_assert_cmpuint(out->len, ==, cases[i].want);
+		batch_free(&b);
+	}
+}
+
 /* Waiting items are spread over the free targets, up to full calls. */
 static void
 test_batch_size(void)
@@ -1241,8 +1328,10 @@
 	g_test_add_func("/retry-quota/bound", test_retry_quota_bound);
 	g_test_add_func("/large-hosts", test_large);
 	g_test_add_func("/result-space", test_result_space);
+	g_test_add_func("/result-space/fetched", test_fetched_results);
 	g_test_add_func("/result-frees", test_result_frees);
 	g_test_add_func("/batch/order", test_batch_order);
+	g_test_add_func("/batch/avoid", test_batch_avoid);
 	g_test_add_func("/batch/size", test_batch_size);
 	g_test_add_func("/batch/estimate", test_batch_estimate);
 	g_test_add_func("/batch/overload", test_batch_overload);
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -124,6 +124,8 @@
 	size_t n_crashes;
 	GArray *crash_arrivals; /* usec_t */
 	GHashTable *results;    /* handle -> attempt */
+	GHashTable *freed;      /* handles */
+	uint32_t n_to_fail;     /* pieces with inputs that fail next */
 	uint32_t n_mixed;
 	struct event *ticker;
 	usec_t tick_at; /* last turn of the ticker */
@@ -820,6 +822,36 @@
 		    attempt);
 }
 
+/* Frees the results that a call names. */
+static void
+free_results(struct conn *c)
+{
+	size_t n = evbuffer_get_length(c->request.body);
+	json_t *o = json_loadb(
+	    (const char *)evbuffer_pullup(c->request.body, -1), n, 0, NULL);
+	const json_t *v = json_object_get(o, "Handles");
+
+	for (size_t i = 0; i < json_array_size(v); i++)
+		g_hash_table_add(c->plat->freed,
+		    g_strdup(json_string_value(json_array_get(v, i))));
+	json_decref(o);
+}
+
+/* Returns why a piece with these inputs can't be made, or NULL. */
+static const char *
+piece_fault(struct fakeplat *plat, const json_t *inputs)
+{
+	for (size_t i = 0; i < json_array_size(inputs); i++) {
+		if (g_hash_table_contains(plat->freed,
+			json_string_value(json_array_get(inputs, i))))
+			return "gone";
+	}
+	if (json_array_size(inputs) == 0 || plat->n_to_fail == 0)
+		return NULL;
+	plat->n_to_fail--;
+	return "error";
+}
+
 /*
  * Refuses each third call of a connection, and writes that refusal again
  * before the next answer; returns whether the call was refused.
@@ -875,6 +907,7 @@
 		    json_array_get(json_object_get(o, "Items"), i);
 		const char *id = json_string_value(json_object_get(item, "Id"));
 		const json_t *inputs = json_object_get(item, "Inputs");
+		const char *fault = piece_fault(c->plat, inputs);
 		char *handle = g_strdup_printf("127.0.0.1:%u/%s-%u",
 		    c->target->config.port, c->target->id,
 		    c->target->next_handle++);
@@ -883,7 +916,9 @@
 			check_array(c->plat, inputs, id);
 		checked = inputs;
 		checked_id = id;
-		json_array_append_new(v, json_pack("{s:s}", "Handle", handle));
+		json_array_append_new(v,
+		    json_pack("{s:s}", fault != NULL ? "Reason" : "Handle",
+			fault != NULL ? fault : handle));
 		g_hash_table_replace(c->plat->results, handle, g_strdup(id));
 	}
 	c->plat->n_pieces += (uint32_t)k;
@@ -1057,6 +1092,7 @@
 		return;
 	}
 	if (str_eq(url, STR("/api/stage-free"))) {
+		free_results(c);
 		send_response(c, 200, "", STR("{}"));
 		return;
 	}
@@ -1309,6 +1345,8 @@
 	plat->rev = 1;
 	plat->results =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	plat->freed =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	plat->era = 1;
 	plat->items =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_item);
@@ -1810,6 +1848,14 @@
 	pthread_mutex_unlock(&plat->lock);
 }
 
+void
+fakeplat_fail_pieces(struct fakeplat *plat, uint32_t n)
+{
+	pthread_mutex_lock(&plat->lock);
+	plat->n_to_fail = n;
+	pthread_mutex_unlock(&plat->lock);
+}
+
 uint32_t
 fakeplat_count_duplicates(struct fakeplat *plat)
 {
@@ -1858,6 +1904,7 @@
 		g_hash_table_destroy(plat->copy);
 	g_hash_table_destroy(plat->attempts);
 	g_hash_table_destroy(plat->results);
+	g_hash_table_destroy(plat->freed);
 	g_array_unref(plat->crash_arrivals);
 	g_ptr_array_unref(plat->conns);
 	pthread_mutex_destroy(&plat->lock);
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -160,7 +160,9 @@
 /* Returns false if no target has received the attempt. */
 bool fakeplat_get_attempt(
     struct fakeplat *plat, const char *attempt, struct fakeplat_attempt *out);
-/* Returns the numbers of pieces produced and of stage calls. */
+/* The next n pieces that have inputs fail. */
+void fakeplat_fail_pieces(struct fakeplat *plat, uint32_t n);
+/* Returns the numbers of pieces produced, or failed, and of stage calls. */
 void fakeplat_piece_counts(
     struct fakeplat *plat, uint32_t *pieces, uint32_t *calls);
 /*
--- a/tests/platform/test_stage_pieces.c
+++ b/tests/platform/test_stage_pieces.c
@@ -24,6 +24,8 @@
 /* After a failed play; hosts call targets that were too late again. */
 #define REST_TIME       (3 * USEC_PER_SEC)
 #define N_MUTE          4
+/* Longer than a call needs to fetch its inputs. */
+#define LONG_CALL_MS    300
 #define N_LONG_JOB      600
 #define N_INVENTED      30
 #define INVENTED_PORT   25500 /* nothing listens there */
@@ -195,6 +197,47 @@
 	}
 }
 
+static void
+send_failing(int host)
+{
+	static int number;
+	g_autofree char *id = g_strdup_printf("failing-%d-%d", host, number++);
+	g_autofree char *q = harness_format(
+	    &(struct harness_request){ .path = "/stream/staged/1",
+		.id = id,
+		.extra_fields = "X-Pieces: 4,4\r\nX-Piece-Key: k\r\n",
+		.deadline_ms = DEADLINE_MS });
+	struct harness_response a;
+
+	harness_exchange(hosts[host].port, str_from(q), DEADLINE_MS, &a);
+	g_assert_cmpint(a.status, ==, 200);
+	g_assert_true(a.complete);
+	harness_response_free(&a);
+}
+
+/*
+ * Targets fail single pieces, at the end of their call.  Only these are made
+ * again, from the same inputs: they were freed by then, so that the whole chain
+ * began anew.
+ */
+static void
+test_failed_pieces(void)
+{
+	fakeplat_set_stage_time(platform, NULL, LONG_CALL_MS);
+	for (uint32_t n = 0; n <= 3; n++) {
+		uint32_t before;
+		uint32_t made;
+		uint32_t calls;
+
+		fakeplat_piece_counts(platform, &before, &calls);
+		fakeplat_fail_pieces(platform, n);
+		send_failing((int)n % N_HOSTS);
+		fakeplat_piece_counts(platform, &made, &calls);
+		g_assert_cmpuint(made - before, ==, 4 + 4 + n);
+	}
+	fakeplat_set_stage_time(platform, NULL, 0);
+}
+
 /*
  * Hosts that another writer has put into the list never answer, as coordinators
  * or otherwise: requests are served, and the list has the real hosts again.
@@ -430,6 +473,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	start_fleet();
 	g_test_add_func("/stage-pieces/counts", test_pieces);
+	g_test_add_func("/stage-pieces/failed-pieces", test_failed_pieces);
 	g_test_add_func("/stage-pieces/invented-hosts", test_invented_hosts);
 	g_test_add_func(
 	    "/stage-pieces/stop-of-coordinator", test_stop_of_coordinator);
