--- a/entry/peer.h
+++ b/entry/peer.h
@@ -457,6 +457,7 @@
 	PEER_PLACE_ASK = 25,
 	PEER_PLACE_REPLY = 26,
 	PEER_PLACE_NEWS = 27,
+	PEER_PIECE_FETCHED = 28,
 };
 typedef enum peer_kind peer_kind;
 
@@ -489,6 +490,7 @@
 		peer_place_ask place_ask;
 		peer_place_reply place_reply;
 		peer_place_news place_news;
+		peer_piece_free piece_fetched;
 	} peer_body_u;
 };
 typedef struct peer_body peer_body;
