--- a/entry/peer.x
+++ b/entry/peer.x
@@ -133,7 +133,10 @@
 	peer_piece_made made<PEER_PIECES_MAX>;
 };
 
-/* Results that may be freed, sent to the stage's coordinator. */
+/*
+ * Results that may be freed, or whose space may be used if it is needed as the
+ * calls that use them have fetched them; sent to the stage's coordinator.
+ */
 struct peer_piece_free {
 	peer_name service;
 	string handles<PEER_HANDLES_MAX>; /* separated by commas */
@@ -407,7 +410,8 @@
 	PEER_STREAM_READING = 24,
 	PEER_PLACE_ASK = 25,
 	PEER_PLACE_REPLY = 26,
-	PEER_PLACE_NEWS = 27
+	PEER_PLACE_NEWS = 27,
+	PEER_PIECE_FETCHED = 28
 };
 
 union peer_body switch (peer_kind kind) {
@@ -465,6 +469,8 @@
 	peer_place_reply place_reply;
 case PEER_PLACE_NEWS:
 	peer_place_news place_news;
+case PEER_PIECE_FETCHED:
+	peer_piece_free piece_fetched;
 };
 
 struct peer_letter {
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -1139,6 +1139,10 @@
 		 if (!xdr_peer_place_news (xdrs, &objp->peer_body_u.place_news))
 			 return FALSE;
 		break;
+	case PEER_PIECE_FETCHED:
+		 if (!xdr_peer_piece_free (xdrs, &objp->peer_body_u.piece_fetched))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -600,7 +600,6 @@
 	double slow;
 	double ms = strcmp(t->entry.domain, l->domain) == 0 ? 0 : REMOTE_MS;
 
-	ms += target_cold_cost(&t->cold, q->urgency, now);
 	if (!q->engine)
 		return ms + 20.0 * n_active / slots;
 	slow = engine_slowness(t, now);
@@ -659,6 +658,11 @@
 	const struct target_load *preferred = affinity_target(all, q);
 	const char *input_domain =
 	    q->input_addr.n > 0 ? loads_domain_at(l, q->input_addr) : "";
+	const struct target_cold_choice choice = {
+		.urgency = q->urgency,
+		.n = l->n_chosen,
+		.targets = all->len,
+	};
 	double rate = q->engine ? read_rate(l, q->service) : 1;
 	struct target_load *best = NULL;
 	double lowest = 0;
@@ -671,12 +675,17 @@
 		    (!use_set_aside && now < t->aside_until))
 			continue;
 		c = cost(l, q, t, preferred, input_domain, rate, now) +
+		    target_cold_cost(&t->cold, &choice, now) +
 		    rng_unit(&l->rng);
 		if (best == NULL || c < lowest) {
 			best = t;
 			lowest = c;
 		}
 	}
+	if (best != NULL && best->cold.rule.per_s > 0) {
+		l->n_chosen++;
+		target_cold_chosen(&best->cold, &choice);
+	}
 	return best;
 }
 
@@ -835,10 +844,11 @@
 		norms = g_new(struct engine_norms, 1);
 		*norms = engine_norms_init();
 		norms->rate = READ_COST * TOKENS_PER_MS;
+		norms->read_ms = norms->read_tokens / norms->rate;
 		g_hash_table_insert(
 		    l->norms, g_strdup(t->entry.service), norms);
 	}
-	engine_speed_measured(&t->engine_speed, norms, (double)unread,
+	engine_speed_measured(&t->engine_speed, norms, (double)unread, 0,
 	    (double)took / (double)USEC_PER_MSEC /
 		target_pace_slowness(&t->pace, now),
 	    now);
--- a/kernel/overload/target_cold.c
+++ b/kernel/overload/target_cold.c
@@ -6,19 +6,16 @@
 
 #define OWNER_SEED  43
 #define PHASE_SEED  47
-/* Cost of a cold target to the most urgent requests, in milliseconds. */
-#define URGENT_MS   50.0
-/*
- * What the least urgent requests may cost more at a target to which few of the
- * hosts send.
- */
-#define WARMING_MS  50.0
+/* What the least urgent requests may cost more at a target that gets warm. */
+#define WARMING_MS  100.0
 /* Lists of hosts that may differ and yet keep the bound together. */
 #define LISTS       2.0
 /* Used part of what a cold target bears. */
 #define USED_PART   0.9
 /* A host's requests arrive at uneven distances: more than a second is kept. */
 #define MIN_PERIOD  1.05
+/* Time in which a host that starts has heard of the others. */
+#define SETTLE_TIME (10 * USEC_PER_SEC)
 /* Time in which the share of a target that is warm again doubles. */
 #define DOUBLE_TIME (1 * USEC_PER_SEC)
 /* A host that isn't listed any more may be cut off, and send, for this long. */
@@ -47,6 +44,8 @@
 	GHashTableIter it;
 	gpointer v;
 
+	if (h->self == NULL)
+		h->since = now;
 	g_free(h->self);
 	h->self = g_strdup(self);
 	g_hash_table_iter_init(&it, h->known);
@@ -100,7 +99,8 @@
 	gpointer id;
 
 	c->hosts = g_hash_table_size(hosts->known);
-	c->rank = hosts->listed ? 0 : c->hosts;
+	c->rank = 0;
+	c->owns_from = hosts->listed ? 0 : hosts->since + SETTLE_TIME;
 	if (hosts->self == NULL)
 		return;
 	own = hash_u64(str_from(hosts->self), seed);
@@ -225,6 +225,8 @@
 bool
 target_cold_allows(const struct target_cold *c, usec_t now)
 {
+	if (now < c->until && now < c->owns_from && c->rule.per_s > 0)
+		return false;
 	return !target_cold_is_bounded(c, now) ||
 	    (c->rank < owner_count(c) * growth(c, now) && now >= c->next_at);
 }
@@ -254,13 +256,22 @@
 }
 
 double
-target_cold_cost(const struct target_cold *c, double urgency, usec_t now)
+target_cold_cost(
+    const struct target_cold *c, const struct target_cold_choice *x, usec_t now)
 {
-	double others;
+	double owners;
 
-	if (!target_cold_is_bounded(c, now))
+	/* Hosts that are owners from later on would all be late at once. */
+	if (!target_cold_is_bounded(c, now) || c->rank >= owner_count(c))
 		return 0;
-	others = 1 - owner_count(c) * growth(c, now) / host_count(c);
-	return (target_cold_is_cold(c, now) ? urgency * URGENT_MS : 0) -
-	    (1 - urgency) * WARMING_MS * fmax(others, 0);
+	owners = owner_count(c) * growth(c, now) / host_count(c);
+	if ((double)(x->n - c->chosen) < (double)x->targets * fmin(owners, 1))
+		return 0;
+	return -(1 - x->urgency) * WARMING_MS;
+}
+
+void
+target_cold_chosen(struct target_cold *c, const struct target_cold_choice *x)
+{
+	c->chosen = x->n;
 }
