Placer: queued requests are queried together, and refused when their time is over

A request that waited at its placer repeated its whole ask each 100 ms, and went to an engine that the placer knew to be full after half of its time. A host now queries all its waiting calls of a placer in one message; the ask says how long its host waits, and a request that is still queued then is refused as not run, with the wait that the placer reports.

Asks that were on their way at the same time count once against a silent placer. A list with calls that the placer doesn't know has the host tell all of them, and probes take no news along. An ask that is read after a standstill is answered, not dropped. Waits come with every reply. A placer that stops gives its queue back. A domain without known engines isn't placed in. Unknown verdicts leave the choice to the host, which tries a target without the surer version as before. What hosts and targets have told is forgotten after a time, and timers don't scan what waits.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -591,11 +591,17 @@
 takes_placed(
     const struct relay_request *r, const struct target_load *t, usec_t now)
 {
+	struct target_start_call start = start_query(r);
 	struct loads_query query;
 
+	if (r->deadline - now < MIN_TIME_LEFT)
+		return false;
 	forward_query(r, &query);
-	return loads_takes(&r->shared->loads, &query, t, now) &&
-	    r->deadline - now >= MIN_TIME_LEFT;
+	if (loads_takes(&r->shared->loads, &query, t, now))
+		return true;
+	query.sure_version = false;
+	return !target_start_needed(&start) &&
+	    loads_takes(&r->shared->loads, &query, t, now);
 }
 
 void
--- a/entry/peer.h
+++ b/entry/peer.h
@@ -394,6 +394,10 @@
 		u_int calls_len;
 		peer_place_call *calls_val;
 	} calls;
+	struct {
+		u_int waiting_len;
+		u_quad_t *waiting_val;
+	} waiting;
 };
 typedef struct peer_place_news peer_place_news;
 
@@ -402,6 +406,7 @@
 	peer_prompt_size size;
 	int aim_left_ms;
 	u_int left_ms;
+	u_int latest_ms;
 	u_int max_gap_ms;
 	char *software;
 	peer_name input_domain;
@@ -416,7 +421,10 @@
 
 struct peer_place_reply {
 	u_quad_t call;
+	peer_target service;
+	peer_name domain;
 	bool_t queued;
+	bool_t tell_all;
 	int verdict;
 	peer_target target;
 	u_int wait_ms;
--- a/entry/peer.x
+++ b/entry/peer.x
@@ -345,6 +345,8 @@
 	/* With listed, all calls of the sender that run there. */
 	bool listed;
 	peer_place_call calls<PEER_PLACE_CALLS_MAX>;
+	/* Calls that wait for a decision, and how they stand. */
+	unsigned hyper waiting<PEER_PLACE_CALLS_MAX>;
 };
 
 /* Asks the placer where a request is sent. */
@@ -353,6 +355,7 @@
 	peer_prompt_size size;
 	int aim_left_ms;        /* until the first event is late */
 	unsigned int left_ms;   /* until the caller's deadline */
+	unsigned int latest_ms; /* until the sender waits no longer */
 	unsigned int max_gap_ms; /* longest pause between events on time */
 	string software<PEER_TARGET_MAX>; /* of the target; empty: any */
 	peer_name input_domain; /* empty: it has no inputs */
@@ -361,14 +364,20 @@
 	peer_place_news news;   /* names the service and its domain */
 };
 
-/* One per ask, when it arrives and when it is decided. */
+/*
+ * One per ask, when it arrives and when it is decided.  That of call 0 only
+ * shows that the placer is there.
+ */
 struct peer_place_reply {
 	unsigned hyper call;
-	bool queued;            /* not decided yet; the rest isn't set */
+	peer_target service;
+	peer_name domain;
+	bool queued;            /* not decided yet */
+	bool tell_all;          /* the sender lacks calls of the receiver */
 	int verdict;            /* enum placement_verdict */
 	peer_target target;
 	unsigned int wait_ms;   /* the shortest of a new request */
-	unsigned int first_event_ms;
+	unsigned int first_event_ms; /* until it; of a full placer: until room */
 	unsigned int to_read;
 	unsigned int reading;
 	unsigned int running;
--- a/entry/peer_xdr.c
+++ b/entry/peer_xdr.c
@@ -815,6 +815,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, PEER_PLACE_CALLS_MAX,
 		sizeof (peer_place_call), (xdrproc_t) xdr_peer_place_call))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->waiting.waiting_val, (u_int *) &objp->waiting.waiting_len, PEER_PLACE_CALLS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -829,18 +832,21 @@
 			 return FALSE;
 		 if (!xdr_peer_prompt_size (xdrs, &objp->size))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_int (xdrs, &objp->aim_left_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->left_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->latest_ms))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->max_gap_ms))
 				 return FALSE;
 
 		} else {
 		IXDR_PUT_LONG(buf, objp->aim_left_ms);
 		IXDR_PUT_U_LONG(buf, objp->left_ms);
+		IXDR_PUT_U_LONG(buf, objp->latest_ms);
 		IXDR_PUT_U_LONG(buf, objp->max_gap_ms);
 		}
 		 if (!xdr_string (xdrs, &objp->software, PEER_TARGET_MAX))
@@ -860,18 +866,21 @@
 			 return FALSE;
 		 if (!xdr_peer_prompt_size (xdrs, &objp->size))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_int (xdrs, &objp->aim_left_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->left_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->latest_ms))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->max_gap_ms))
 				 return FALSE;
 
 		} else {
 		objp->aim_left_ms = IXDR_GET_LONG(buf);
 		objp->left_ms = IXDR_GET_U_LONG(buf);
+		objp->latest_ms = IXDR_GET_U_LONG(buf);
 		objp->max_gap_ms = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_string (xdrs, &objp->software, PEER_TARGET_MAX))
@@ -896,6 +905,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->left_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->latest_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->max_gap_ms))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->software, PEER_TARGET_MAX))
@@ -921,10 +932,24 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->call))
 			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->queued))
+		 if (!xdr_peer_target (xdrs, &objp->service))
 			 return FALSE;
-		 if (!xdr_int (xdrs, &objp->verdict))
+		 if (!xdr_peer_name (xdrs, &objp->domain))
 			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->queued))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->tell_all))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->verdict))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->queued);
+		IXDR_PUT_BOOL(buf, objp->tell_all);
+		IXDR_PUT_LONG(buf, objp->verdict);
+		}
 		 if (!xdr_peer_target (xdrs, &objp->target))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
@@ -956,10 +981,24 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->call))
 			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->queued))
+		 if (!xdr_peer_target (xdrs, &objp->service))
 			 return FALSE;
-		 if (!xdr_int (xdrs, &objp->verdict))
+		 if (!xdr_peer_name (xdrs, &objp->domain))
 			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->queued))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->tell_all))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->verdict))
+				 return FALSE;
+
+		} else {
+		objp->queued = IXDR_GET_BOOL(buf);
+		objp->tell_all = IXDR_GET_BOOL(buf);
+		objp->verdict = IXDR_GET_LONG(buf);
+		}
 		 if (!xdr_peer_target (xdrs, &objp->target))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
@@ -992,8 +1031,14 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->call))
 		 return FALSE;
+	 if (!xdr_peer_target (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->domain))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->queued))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->tell_all))
+		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->verdict))
 		 return FALSE;
 	 if (!xdr_peer_target (xdrs, &objp->target))
--- a/entry/placement_news.c
+++ b/entry/placement_news.c
@@ -24,7 +24,7 @@
 	if (p->flush_at != 0)
 		return;
 	p->flush_at = now + NEWS_DELAY;
-	placements_set_timer(p, now);
+	placements_wake_by(p, p->flush_at, now);
 }
 
 void
@@ -131,7 +131,7 @@
 
 	p->counts.news++;
 	if (g->is_self) {
-		placer_news(p->own, p->o.incarnation, m);
+		placer_news(p->own, NULL, p->o.incarnation, m);
 		return;
 	}
 	body.peer_body_u.place_news = *m;
@@ -167,7 +167,6 @@
 		flush_group(p, groups->pdata[i]);
 }
 
-/* Tells the placer which calls run. */
 void
 placements_send_list(struct placements *p, struct engine_group *g, usec_t now)
 {
@@ -198,7 +197,32 @@
 	send_news(p, g, &m);
 }
 
-/* Sends an ask, with news, to a placer; without a call only to be answered. */
+void
+placements_query(struct placements *p, struct engine_group *g, usec_t now)
+{
+	g_autoptr(GArray) waiting = g_array_new(FALSE, FALSE, sizeof(u_quad_t));
+	peer_place_news m = { .service = g->service, .domain = g->domain };
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, p->waiting);
+	while (g_hash_table_iter_next(&it, &v, NULL)) {
+		struct engine_call *c = v;
+		u_quad_t number = c->number;
+
+		if (c->group != g || !c->ask.queued ||
+		    waiting->len == PEER_PLACE_CALLS_MAX)
+			continue;
+		c->ask.seen_at = now;
+		c->sent_at = now;
+		g_array_append_val(waiting, number);
+	}
+	m.waiting.waiting_len = waiting->len;
+	m.waiting.waiting_val = (u_quad_t *)(void *)waiting->data;
+	if (waiting->len > 0)
+		send_news(p, g, &m);
+}
+
 void
 placements_send_ask(struct placements *p, struct engine_group *g,
     const struct engine_call *c, usec_t now)
@@ -216,6 +240,7 @@
 		m->size = size_of(q);
 		m->aim_left_ms = (int)((q->aim - now) / USEC_PER_MSEC);
 		m->left_ms = left_ms(q->deadline, now);
+		m->latest_ms = left_ms(c->ask.latest, now);
 		m->max_gap_ms = ms_of(q->max_gap);
 		m->software = (char *)q->version;
 		m->input_domain = (char *)q->input_domain;
@@ -225,12 +250,14 @@
 		m->tried.tried_len = (u_int)q->n_tried;
 		m->tried.tried_val = tried;
 	}
+	m->news.service = g->service;
+	m->news.domain = g->domain;
 	if (g->is_self) {
-		m->news.service = g->service;
-		m->news.domain = g->domain;
 		placer_ask(p->own, NULL, p->o.incarnation, m);
 	} else {
-		take_events(g, g->events, &m->news);
+		/* A host that may not answer would lose the news. */
+		if (c != NULL)
+			take_events(g, g->events, &m->news);
 		rpc_send(p->o.rpc, g->placer, &body);
 		drop_events(g->events, &m->news);
 	}
--- a/entry/placements.c
+++ b/entry/placements.c
@@ -6,14 +6,17 @@
 #include <string.h>
 
 /* How often a placer gets a list of the calls. */
-#define LIST_INTERVAL (1 * USEC_PER_SEC)
+#define LIST_INTERVAL  (1 * USEC_PER_SEC)
+/* How often the state of requests that wait at a placer is queried. */
+#define QUERY_INTERVAL (100 * USEC_PER_MSEC)
+#define UNUSED_TIME    (60 * USEC_PER_SEC)
 /*
  * Share of the caller's time in which a decision is waited for: the rest is
  * enough for the host's own choice.
  */
-#define WAIT_SHARE    0.5
+#define WAIT_SHARE     0.5
 /* With less time than this the placer isn't asked. */
-#define MIN_WAIT      (50 * USEC_PER_MSEC)
+#define MIN_WAIT       (50 * USEC_PER_MSEC)
 
 static const char *const cause_names[PLACEMENT_CAUSES] = {
 	[PLACEMENT_NOT_ASKED] = "not-asked",
@@ -79,13 +82,14 @@
 {
 	const GPtrArray *domains = loads_domains(p->o.loads, service);
 	struct spill_domain *v;
-	size_t at = 0;
+	size_t at;
 
 	if (domains == NULL || domains->len == 0)
 		return "";
 	if (*home == '\0')
 		home = p->o.loads->domain;
 	v = g_new0(struct spill_domain, domains->len);
+	at = (size_t)(random % domains->len); /* home may have no targets */
 	for (guint i = 0; i < domains->len; i++) {
 		const struct loads_domain *d = domains->pdata[i];
 
@@ -100,27 +104,16 @@
 	return ((const struct loads_domain *)domains->pdata[at])->name;
 }
 
-static usec_t
-earliest(usec_t a, usec_t b)
-{
-	return a < b ? a : b;
-}
-
 void
-placements_set_timer(struct placements *p, usec_t now)
+placements_wake_by(struct placements *p, usec_t at, usec_t now)
 {
-	usec_t due = p->flush_at != 0 ? p->flush_at : INT64_MAX;
 	struct timeval tv;
-	GHashTableIter it;
-	gpointer v;
+	usec_t left = at > now ? at - now : 0;
 
-	g_hash_table_iter_init(&it, p->waiting);
-	while (g_hash_table_iter_next(&it, &v, NULL))
-		due = earliest(due, ((const struct engine_call *)v)->ask.due);
-	if (due == INT64_MAX)
+	if (p->timer_at != 0 && p->timer_at <= at)
 		return;
-	due = due > now ? due - now : 0;
-	tv = (struct timeval){ due / USEC_PER_SEC, due % USEC_PER_SEC };
+	p->timer_at = at;
+	tv = (struct timeval){ left / USEC_PER_SEC, left % USEC_PER_SEC };
 	evtimer_add(p->timer, &tv);
 }
 
@@ -181,7 +174,7 @@
 		placer_asked(&x->host, now);
 		placements_send_ask(p, g, c, now);
 	}
-	placements_set_timer(p, now);
+	placements_wake_by(p, c->ask.due, now);
 	return c->number;
 }
 
@@ -298,19 +291,39 @@
 	finish_ask(p, c, &r, clock_now());
 }
 
+/* The wait that the placer has reported last. */
+static usec_t
+reported_wait(
+    const struct placements *p, const struct engine_group *g, usec_t now)
+{
+	return stage_waits_get(&p->waits, g->service, g->domain, 0, now);
+}
+
+/* The placer has no room for the request before its host stops waiting. */
 static void
-take_decision(
+finish_full(struct placements *p, struct engine_call *c,
+    enum placement_cause cause, usec_t wait)
+{
+	struct placement_result r = {
+		.verdict = PLACEMENT_FULL,
+		.wait = wait,
+		.placed = { .cause = cause, .known = -1 },
+	};
+
+	p->counts.full++;
+	finish_ask(p, c, &r, clock_now());
+}
+
+static void
+carry_out(
     struct placements *p, struct engine_call *c, const peer_place_reply *r)
 {
 	usec_t now = clock_now();
 	struct placement_result result = {
-		.verdict = (enum placement_verdict)r->verdict,
+		.verdict = PLACEMENT_SEND,
 		.target = r->target,
-		.wait = (usec_t)r->wait_ms * USEC_PER_MSEC,
 		.placed = {
-			.cause = r->verdict == PLACEMENT_NONE
-			    ? PLACEMENT_NO_DECISION
-			    : PLACEMENT_BY_PLACER,
+			.cause = PLACEMENT_BY_PLACER,
 			.first_event =
 			    (usec_t)r->first_event_ms * USEC_PER_MSEC,
 			.to_read = r->to_read,
@@ -320,21 +333,60 @@
 		},
 	};
 
-	if (r->verdict != PLACEMENT_NONE)
-		stage_waits_report(&p->waits, c->group->service,
-		    c->group->domain, 0, result.wait, now);
-	if (r->verdict == PLACEMENT_SEND &&
-	    !placement_ask_is_current(
+	if (!placement_ask_is_current(
 		&c->ask, (usec_t)r->age_ms * USEC_PER_MSEC, now)) {
 		leave_to_host(p, c, PLACEMENT_TOO_OLD);
 		return;
 	}
-	if (r->verdict == PLACEMENT_SEND)
-		g_strlcpy(c->target, r->target, sizeof(c->target));
-	p->counts.full += r->verdict == PLACEMENT_FULL;
+	g_strlcpy(c->target, r->target, sizeof(c->target));
 	finish_ask(p, c, &result, now);
 }
 
+static void
+take_decision(
+    struct placements *p, struct engine_call *c, const peer_place_reply *r)
+{
+	switch (r->verdict) {
+	case PLACEMENT_SEND:
+		carry_out(p, c, r);
+		return;
+	case PLACEMENT_FULL:
+		finish_full(p, c, PLACEMENT_BY_PLACER,
+		    (usec_t)r->first_event_ms * USEC_PER_MSEC);
+		return;
+	default:
+		leave_to_host(p, c, PLACEMENT_NO_DECISION);
+		return;
+	}
+}
+
+/* The placer has a call that waits. */
+static void
+note_queued(struct placements *p, struct engine_call *c, usec_t now)
+{
+	p->counts.queued += !c->ask.queued;
+	placement_ask_queued(&c->ask, now);
+	if (p->query_at == 0)
+		p->query_at = now + QUERY_INTERVAL;
+	placements_wake_by(p, p->query_at, now);
+}
+
+/* The placer is there: it has all calls that it was queried for. */
+static void
+note_alive(struct placements *p, struct engine_group *g, usec_t now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, p->waiting);
+	while (g_hash_table_iter_next(&it, &v, NULL)) {
+		struct engine_call *c = v;
+
+		if (c->group == g && c->ask.queued)
+			placement_ask_queued(&c->ask, now);
+	}
+}
+
 void
 placements_reply(
     struct placements *p, const char *from, const peer_place_reply *r)
@@ -343,20 +395,26 @@
 	struct engine_call *c = g_hash_table_lookup(p->calls, &number);
 	struct placer_peer *x =
 	    from != NULL ? placements_find_peer(p, from) : NULL;
+	struct engine_group *g = placements_group(p, r->service, r->domain);
 	usec_t now = clock_now();
 
 	if (x != NULL)
 		placer_heard(&x->host, now);
-	if (c == NULL || c->handler == NULL ||
-	    (from != NULL && strcmp(from, c->placer) != 0))
+	if (from != NULL && strcmp(from, g->placer) != 0)
 		return;
-	if (!r->queued) {
-		take_decision(p, c, r);
+	if (r->queued || r->verdict != PLACEMENT_NONE)
+		stage_waits_report(&p->waits, g->service, g->domain, 0,
+		    (usec_t)r->wait_ms * USEC_PER_MSEC, now);
+	if (r->tell_all)
+		placements_tell_all(p, g);
+	if (r->call == 0)
+		note_alive(p, g, now);
+	if (c == NULL || c->handler == NULL || c->group != g)
 		return;
-	}
-	p->counts.queued += !c->ask.queued;
-	placement_ask_queued(&c->ask, now);
-	placements_set_timer(p, now);
+	if (r->queued)
+		note_queued(p, c, now);
+	else
+		take_decision(p, c, r);
 }
 
 /* The placer is silent: the host decides. */
@@ -379,8 +437,10 @@
 {
 	struct engine_group *g = c->group;
 
-	if (now >= c->ask.latest) {
-		leave_to_host(p, c, PLACEMENT_TOO_LONG);
+	if (now >= c->ask.latest && c->ask.queued) {
+		/* The engines are full: it hasn't run, and may come back. */
+		placements_add_call_fact(p, c, PEER_PLACE_CANCELLED);
+		finish_full(p, c, PLACEMENT_TOO_LONG, reported_wait(p, g, now));
 	} else if (strcmp(c->placer, g->placer) != 0) {
 		leave_to_host(p, c, PLACEMENT_NO_PLACER);
 	} else if (placement_ask_step(&c->ask, now) == PLACEMENT_ASK_GIVE_UP) {
@@ -391,6 +451,38 @@
 	}
 }
 
+/* Queries the calls that wait at placers. */
+static void
+query(struct placements *p, usec_t now)
+{
+	g_autoptr(GPtrArray) groups = placements_groups(p);
+
+	p->query_at = 0;
+	for (guint i = 0; i < groups->len; i++)
+		placements_query(p, groups->pdata[i], now);
+}
+
+/* Sets the timer by what is due next. */
+static void
+set_timer(struct placements *p, usec_t now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	if (p->flush_at != 0)
+		placements_wake_by(p, p->flush_at, now);
+	g_hash_table_iter_init(&it, p->waiting);
+	while (g_hash_table_iter_next(&it, &v, NULL)) {
+		const struct engine_call *c = v;
+
+		placements_wake_by(p, c->ask.due, now);
+		if (c->ask.queued && p->query_at == 0)
+			p->query_at = now + QUERY_INTERVAL;
+	}
+	if (p->query_at != 0)
+		placements_wake_by(p, p->query_at, now);
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
@@ -402,8 +494,11 @@
 
 	(void)fd;
 	(void)what;
+	p->timer_at = 0;
 	if (p->flush_at != 0 && now >= p->flush_at)
 		placements_flush(p);
+	if (p->query_at != 0 && now >= p->query_at)
+		query(p, now);
 	g_hash_table_iter_init(&it, p->waiting);
 	while (g_hash_table_iter_next(&it, &v, NULL)) {
 		const struct engine_call *c = v;
@@ -418,7 +513,18 @@
 		if (c != NULL && c->handler != NULL)
 			step_call(p, c, now);
 	}
-	placements_set_timer(p, clock_now());
+	set_timer(p, clock_now());
+}
+
+/* Whether a group was of a service or domain that is no more. */
+static gboolean
+is_unused(gpointer key, gpointer group, gpointer now)
+{
+	const struct engine_group *g = group;
+
+	(void)key;
+	return g->n_calls == 0 && !g->told_calls && g->events->len == 0 &&
+	    *(const usec_t *)now - g->chosen_at > UNUSED_TIME;
 }
 
 void
@@ -438,6 +544,7 @@
 		    placements_choose(p, g, now) != NULL)
 			placements_send_list(p, g, now);
 	}
+	g_hash_table_foreach_remove(p->groups, is_unused, &now);
 }
 
 struct placements_counts
--- a/entry/placements_state.h
+++ b/entry/placements_state.h
@@ -57,6 +57,8 @@
 	struct stage_waits waits;
 	uint64_t n_numbers;
 	usec_t flush_at; /* 0: there are no news */
+	usec_t query_at; /* of calls that wait; 0: there are none */
+	usec_t timer_at; /* 0: it isn't set */
 	struct event *timer;
 	/* Numbers of calls to ask this host's own placer for. */
 	GArray *own_asks;
@@ -64,8 +66,8 @@
 	struct placements_counts counts;
 };
 
-/* Sets the timer of the next news and asks. */
-void placements_set_timer(struct placements *p, usec_t now);
+/* Has the timer of news and asks run at a time, or before. */
+void placements_wake_by(struct placements *p, usec_t at, usec_t now);
 
 /* Returns the host with this RPC address, or NULL. */
 struct placer_peer *placements_find_peer(
@@ -102,6 +104,8 @@
 /* Tells the placer which calls run. */
 void placements_send_list(
     struct placements *p, struct engine_group *g, usec_t now);
+/* Queries how the calls stand that wait at the placer of a group. */
+void placements_query(struct placements *p, struct engine_group *g, usec_t now);
 /* Sends an ask, with news, to a placer; without a call only to be answered. */
 void placements_send_ask(struct placements *p, struct engine_group *g,
     const struct engine_call *c, usec_t now);
--- a/entry/placer.c
+++ b/entry/placer.c
@@ -25,6 +25,14 @@
 /* An ask that arrived so long ago has been given up. */
 #define MAX_ASK_DELAY     (100 * USEC_PER_MSEC)
 #define DECISIONS_AT_ONCE 16
+/* Between two looks at the requests that wait. */
+#define STEP_INTERVAL     (2 * USEC_PER_MSEC)
+/* How long the wait that hosts are told is used. */
+#define WAIT_TIME         (50 * USEC_PER_MSEC)
+/* A host with calls that tells nothing for so long has ended. */
+#define HOST_SILENT_TIME  (10 * USEC_PER_SEC)
+/* How long it is remembered when a target was heard of. */
+#define KNOWN_TIME        (60 * USEC_PER_SEC)
 
 /* A call that a host asks for, or has made. */
 struct placed_call {
@@ -46,6 +54,10 @@
 	struct placement *placement;
 	GHashTable *calls;    /* set of struct placed_call */
 	GHashTable *known_at; /* target id -> usec_t of the last news of it */
+	GHashTable *told_at;  /* incarnation of a host -> usec_t of its news */
+	usec_t stepped_at;
+	usec_t wait; /* of a new prompt, as told to hosts */
+	usec_t wait_at;
 	usec_t learns_until;
 	usec_t heard_at;
 	struct event *timer;
@@ -57,6 +69,7 @@
 	GHashTable *pools; /* key -> struct engine_pool */
 	GHashTable *hosts; /* set of the incarnations of the live hosts */
 	struct arrival arrival;
+	bool draining;
 	struct placer_counts counts;
 };
 
@@ -95,6 +108,7 @@
 	placement_free(e->placement);
 	g_hash_table_destroy(e->calls);
 	g_hash_table_destroy(e->known_at);
+	g_hash_table_destroy(e->told_at);
 	free(e->key);
 	free(e);
 }
@@ -189,6 +203,8 @@
 	e->calls = g_hash_table_new_full(hash_call, equal_calls, free, NULL);
 	e->known_at =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	e->told_at =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	e->learns_until = now + LEARN_TIME;
 	e->timer = evtimer_new(p->o.base, on_due, e);
 	g_hash_table_insert(p->pools, e->key, e);
@@ -226,16 +242,30 @@
 	return at != NULL ? (int)((now - *at) / USEC_PER_MSEC) : -1;
 }
 
+/* Returns the shortest wait of a new prompt, whatever its length. */
+static usec_t
+new_wait(struct engine_pool *e, usec_t now)
+{
+	if (e->wait_at == 0 || now - e->wait_at >= WAIT_TIME) {
+		e->wait = placement_wait(e->placement, 0, now);
+		e->wait_at = now;
+	}
+	return e->wait;
+}
+
 static void
-reply_decision(
-    const struct engine_pool *e, const struct placed_call *c, usec_t now)
+reply_decision(struct engine_pool *e, const struct placed_call *c, usec_t now)
 {
 	const struct placement_decision *d = &c->decision;
 	peer_place_reply r = {
 		.call = c->number,
+		.service = e->service,
+		.domain = e->domain,
 		.verdict = (int)d->verdict,
 		.target = (char *)d->target,
-		.first_event_ms = in_ms(d->first_event),
+		.wait_ms = in_ms(new_wait(e, now)),
+		.first_event_ms = in_ms(
+		    d->verdict == PLACEMENT_FULL ? d->wait : d->first_event),
 		.to_read = d->to_read,
 		.reading = d->reading,
 		.running = d->running,
@@ -243,26 +273,44 @@
 		.known_ms = known_ms(e, d->target, now),
 	};
 
-	/* Waits are compared between domains, whatever the prompt. */
-	r.wait_ms = in_ms(d->verdict == PLACEMENT_FULL
-		? d->wait
-		: placement_wait(e->placement, 0, now));
 	send_reply(e->placer, c->from, &r);
 }
 
-/* Answers an ask that is not decided here and now. */
+/* Answers that a request waits, or with call 0 that the placer is there. */
+static void
+reply_queued(struct engine_pool *e, const char *from, uint64_t call,
+    bool tell_all, usec_t now)
+{
+	peer_place_reply r = {
+		.call = call,
+		.service = e->service,
+		.domain = e->domain,
+		.queued = true,
+		.tell_all = tell_all,
+		.verdict = PLACEMENT_NONE,
+		.target = (char *)"",
+		.wait_ms = in_ms(new_wait(e, now)),
+		.known_ms = -1,
+	};
+
+	send_reply(e->placer, from, &r);
+}
+
+/* Leaves a request to the host that asks. */
 static void
-reply_undecided(struct placer *p, const char *from, uint64_t call, bool queued)
+reply_none(
+    struct placer *p, const char *from, uint64_t call, const peer_place_news *m)
 {
 	peer_place_reply r = {
 		.call = call,
-		.queued = queued,
+		.service = m->service,
+		.domain = m->domain,
 		.verdict = PLACEMENT_NONE,
 		.target = (char *)"",
 		.known_ms = -1,
 	};
 
-	p->counts.none += !queued;
+	p->counts.none++;
 	send_reply(p, from, &r);
 }
 
@@ -286,28 +334,37 @@
 		g_hash_table_remove(e->calls, c);
 }
 
+static void
+set_timer(struct engine_pool *e, usec_t now)
+{
+	usec_t due = placement_due(e->placement, now);
+	struct timeval tv;
+
+	if (due == 0) {
+		evtimer_del(e->timer);
+		return;
+	}
+	if (due < e->stepped_at + STEP_INTERVAL)
+		due = e->stepped_at + STEP_INTERVAL;
+	due = due > now ? due - now : 0;
+	tv = (struct timeval){ due / USEC_PER_SEC, due % USEC_PER_SEC };
+	evtimer_add(e->timer, &tv);
+}
+
 /* Decides what can be decided, and waits for the rest. */
 static void
 step(struct engine_pool *e, usec_t now)
 {
 	struct placement_decision v[DECISIONS_AT_ONCE];
-	struct timeval tv;
-	usec_t due;
 	size_t n;
 
+	e->stepped_at = now;
 	do {
 		n = placement_step(e->placement, v, DECISIONS_AT_ONCE, now);
 		for (size_t i = 0; i < n; i++)
 			take_decision(e, &v[i], now);
 	} while (n == DECISIONS_AT_ONCE);
-	due = placement_due(e->placement, now);
-	if (due == 0) {
-		evtimer_del(e->timer);
-		return;
-	}
-	due = due > now ? due - now : USEC_PER_MSEC;
-	tv = (struct timeval){ due / USEC_PER_SEC, due % USEC_PER_SEC };
-	evtimer_add(e->timer, &tv);
+	set_timer(e, now);
 }
 
 static void
@@ -330,6 +387,7 @@
 	read_size(&m->size, q);
 	q->aim = now + (usec_t)m->aim_left_ms * USEC_PER_MSEC;
 	q->deadline = now + (usec_t)m->left_ms * USEC_PER_MSEC;
+	q->latest = now + (usec_t)m->latest_ms * USEC_PER_MSEC;
 	q->max_gap = (usec_t)m->max_gap_ms * USEC_PER_MSEC;
 	g_strlcpy(q->version, m->software, sizeof(q->version));
 	g_strlcpy(q->input_domain, m->input_domain, sizeof(q->input_domain));
@@ -369,7 +427,7 @@
 	if (c == NULL || c->decided)
 		return;
 	e->placer->counts.queued++;
-	reply_undecided(e->placer, from, m->call, true);
+	reply_queued(e, from, m->call, false, now);
 }
 
 static void
@@ -465,24 +523,29 @@
 
 /*
  * Compares the calls of a host with its list: the end of a call that it lacks,
- * and the begin of one, may have been lost on the way.
+ * and the begin of one, may have been lost on the way.  Returns whether the
+ * list has calls that aren't known here.
  */
-static void
+static bool
 take_list(
     struct engine_pool *e, uint64_t host, const peer_place_news *m, usec_t now)
 {
 	g_autoptr(GHashTable) listed =
 	    g_hash_table_new(g_int64_hash, g_int64_equal);
 	g_autoptr(GPtrArray) gone = g_ptr_array_new();
+	bool lacks = false;
 	GHashTableIter it;
 	gpointer v;
 
 	for (u_int i = 0; i < m->calls.calls_len; i++) {
 		peer_place_call *x = &m->calls.calls_val[i];
+		struct placed_call *c = find_call(e, host, x->call);
 
 		g_hash_table_add(listed, &x->call);
-		if (x->begun)
-			note_begun(e, find_call(e, host, x->call), now);
+		if (c == NULL)
+			lacks = true;
+		else if (x->begun)
+			note_begun(e, c, now);
 	}
 	g_hash_table_iter_init(&it, e->calls);
 	while (g_hash_table_iter_next(&it, &v, NULL)) {
@@ -501,19 +564,84 @@
 		    c->begun ? PEER_PLACE_COMPLETED : PEER_PLACE_CANCELLED,
 		    now);
 	}
+	return lacks;
 }
 
+/* A host queries the state of calls that wait. */
 static void
-take_news(
-    struct engine_pool *e, uint64_t host, const peer_place_news *m, usec_t now)
+take_waiting(struct engine_pool *e, const char *from, uint64_t host,
+    const peer_place_news *m, usec_t now)
+{
+	for (u_int i = 0; i < m->waiting.waiting_len; i++) {
+		uint64_t number = m->waiting.waiting_val[i];
+		struct placed_call *c = find_call(e, host, number);
+
+		if (c == NULL)
+			reply_none(e->placer, from, number, m);
+		else if (c->decided)
+			reply_decision(e, c, now);
+		else
+			c->heard_at = now;
+	}
+}
+
+static void
+take_news(struct engine_pool *e, const char *from, uint64_t host,
+    const peer_place_news *m, usec_t now)
 {
+	bool lacks = false;
+
 	e->heard_at = now;
+	g_hash_table_replace(e->told_at, g_memdup2(&host, sizeof(host)),
+	    g_memdup2(&now, sizeof(now)));
 	for (u_int i = 0; i < m->events.events_len; i++)
 		take_fact(e, host, &m->events.events_val[i].fact,
 		    now -
 			(usec_t)m->events.events_val[i].age_ms * USEC_PER_MSEC);
 	if (m->listed)
-		take_list(e, host, m, now);
+		lacks = take_list(e, host, m, now);
+	take_waiting(e, from, host, m, now);
+	if (lacks || m->waiting.waiting_len > 0)
+		reply_queued(e, from, 0, lacks, now);
+}
+
+/* Whether the service has targets in the domain, as far as is known here. */
+static bool
+has_domain(const struct placer *p, const char *service, const char *domain)
+{
+	const GPtrArray *v = loads_domains(p->o.loads, service);
+
+	if (*domain == '\0')
+		return true;
+	for (guint i = 0; v != NULL && i < v->len; i++) {
+		const struct loads_domain *d = v->pdata[i];
+
+		if (strcmp(d->name, domain) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Answers an ask for a call. */
+static void
+answer(struct engine_pool *e, const char *from, uint64_t host,
+    const peer_place_ask *m, usec_t now)
+{
+	struct placer *p = e->placer;
+	usec_t delay = now - arrival_earliest(&p->arrival, now);
+	struct placed_call *c = find_call(e, host, m->call);
+
+	if (c != NULL && c->decided) {
+		reply_decision(e, c, now);
+	} else if (c != NULL) {
+		c->heard_at = now;
+		reply_queued(e, from, m->call, false, now);
+	} else if (now < e->learns_until || delay >= MAX_ASK_DELAY ||
+	    p->draining) {
+		reply_none(p, from, m->call, &m->news);
+	} else {
+		submit(e, from, host, m, now);
+	}
 }
 
 void
@@ -521,46 +649,72 @@
     const peer_place_ask *m)
 {
 	usec_t now = clock_now();
-	usec_t delay = now - arrival_earliest(&p->arrival, now);
-	struct engine_pool *e =
-	    pool_of(p, m->news.service, m->news.domain, now);
-	struct placed_call *c;
+	struct engine_pool *e = NULL;
 
 	if (from == NULL)
 		from = "";
 	p->counts.asks++;
+	if (has_domain(p, m->news.service, m->news.domain))
+		e = pool_of(p, m->news.service, m->news.domain, now);
 	if (e == NULL) {
-		reply_undecided(p, from, m->call, false);
-		return;
-	}
-	take_news(e, incarnation, &m->news, now);
-	c = find_call(e, incarnation, m->call);
-	if (m->call == 0) {
-		reply_undecided(p, from, 0, true);
-	} else if (c != NULL && c->decided) {
-		reply_decision(e, c, now);
-	} else if (c != NULL) {
-		c->heard_at = now;
-		reply_undecided(p, from, m->call, true);
-	} else if (now < e->learns_until) {
-		reply_undecided(p, from, m->call, false);
-	} else if (delay < MAX_ASK_DELAY) {
-		submit(e, from, incarnation, m, now);
+		reply_none(p, from, m->call, &m->news);
 		return;
 	}
-	step(e, now);
+	take_news(e, from, incarnation, &m->news, now);
+	if (m->call != 0)
+		answer(e, from, incarnation, m, now);
+	else
+		reply_queued(e, from, 0, false, now);
+	set_timer(e, now);
 }
 
 void
-placer_news(struct placer *p, uint64_t incarnation, const peer_place_news *m)
+placer_news(struct placer *p, const char *from, uint64_t incarnation,
+    const peer_place_news *m)
 {
 	usec_t now = clock_now();
-	struct engine_pool *e = pool_of(p, m->service, m->domain, now);
+	struct engine_pool *e = NULL;
 
+	if (has_domain(p, m->service, m->domain))
+		e = pool_of(p, m->service, m->domain, now);
 	if (e == NULL)
 		return;
-	take_news(e, incarnation, m, now);
-	step(e, now);
+	take_news(e, from != NULL ? from : "", incarnation, m, now);
+	set_timer(e, now);
+}
+
+/* Gives the requests that wait back to their hosts. */
+static void
+leave_calls(struct engine_pool *e)
+{
+	peer_place_news m = { .service = e->service, .domain = e->domain };
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, e->calls);
+	while (g_hash_table_iter_next(&it, &v, NULL)) {
+		struct placed_call *c = v;
+
+		if (c->decided)
+			continue;
+		placement_cancel(e->placement, c->host, c->number);
+		reply_none(e->placer, c->from, c->number, &m);
+		g_hash_table_iter_remove(&it);
+	}
+}
+
+void
+placer_drain(struct placer *p)
+{
+	GHashTableIter it;
+	gpointer e;
+
+	if (p->draining)
+		return;
+	p->draining = true;
+	g_hash_table_iter_init(&it, p->pools);
+	while (g_hash_table_iter_next(&it, NULL, &e))
+		leave_calls(e);
 }
 
 /* Drops the calls of a host that has ended or restarted. */
@@ -587,7 +741,7 @@
 	g_hash_table_iter_init(&it, ended);
 	while (g_hash_table_iter_next(&it, &host, NULL))
 		drop_host(e, *(const uint64_t *)host, now);
-	step(e, now);
+	set_timer(e, now);
 }
 
 void
@@ -634,6 +788,30 @@
 	}
 }
 
+static gboolean
+is_forgotten(gpointer key, gpointer at, gpointer now)
+{
+	(void)key;
+	return *(const usec_t *)now - *(const usec_t *)at > KNOWN_TIME;
+}
+
+/* Drops the calls of hosts that don't list them any more. */
+static void
+drop_silent_hosts(struct engine_pool *e, usec_t now)
+{
+	GHashTableIter it;
+	gpointer host;
+	gpointer at;
+
+	g_hash_table_iter_init(&it, e->told_at);
+	while (g_hash_table_iter_next(&it, &host, &at)) {
+		if (now - *(const usec_t *)at < HOST_SILENT_TIME)
+			continue;
+		drop_host(e, *(const uint64_t *)host, now);
+		g_hash_table_iter_remove(&it);
+	}
+}
+
 void
 placer_tick(struct placer *p, usec_t now)
 {
@@ -646,12 +824,14 @@
 		struct engine_pool *e = v;
 
 		cancel_lost_asks(e, now);
+		drop_silent_hosts(e, now);
+		g_hash_table_foreach_remove(e->known_at, is_forgotten, &now);
 		if (now - e->heard_at > (g_hash_table_size(e->calls) > 0
 						? UNLISTED_TIME
 						: UNUSED_TIME))
 			g_hash_table_iter_remove(&it);
 		else
-			step(e, now);
+			set_timer(e, now);
 	}
 }
 
--- a/entry/placer.h
+++ b/entry/placer.h
@@ -50,9 +50,14 @@
  */
 void placer_ask(struct placer *p, const char *from, uint64_t incarnation,
     const peer_place_ask *m);
-/* A host tells what it has learnt of the engines. */
-void placer_news(
-    struct placer *p, uint64_t incarnation, const peer_place_news *m);
+/* A host tells what it has learnt of the engines; from: as in placer_ask. */
+void placer_news(struct placer *p, const char *from, uint64_t incarnation,
+    const peer_place_news *m);
+/*
+ * The host stops: it decides nothing more, and gives the requests that wait
+ * back to their hosts.
+ */
+void placer_drain(struct placer *p);
 /* Forgets what hosts no longer ask for; call it regularly. */
 void placer_tick(struct placer *p, usec_t now);
 struct placer_counts placer_counts(const struct placer *p);
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -276,7 +276,7 @@
 		    &d->body.peer_body_u.place_reply);
 		break;
 	case PEER_PLACE_NEWS:
-		placer_news(y->shared.placer, d->incarnation,
+		placer_news(y->shared.placer, d->rpc, d->incarnation,
 		    &d->body.peer_body_u.place_news);
 		break;
 	case PEER_GOSSIP:
@@ -347,6 +347,7 @@
 
 	if (stopping->signal_at == 0)
 		return;
+	placer_drain(y->shared.placer);
 	relay_stopping_note(&y->shared);
 	relay_stopping_give_up(&y->shared, now);
 	/* What arrives later would not be taken. */
--- a/kernel/overload/placement_ask.c
+++ b/kernel/overload/placement_ask.c
@@ -8,9 +8,7 @@
 #define REPEAT_TIME    (12 * USEC_PER_MSEC)
 /* A request waits no longer for a silent placer. */
 #define SILENT_TIME    (30 * USEC_PER_MSEC)
-/* How often a request that is queued is sent again to query its state. */
-#define STATUS_TIME    (100 * USEC_PER_MSEC)
-/* Two lost answers to it, and some delay. */
+/* Two lost queries of the state of queued requests, and some delay. */
 #define QUEUED_SILENT  (250 * USEC_PER_MSEC)
 /* Interval of the asks to a host that doesn't answer. */
 #define PROBE_INTERVAL (100 * USEC_PER_MSEC)
@@ -18,6 +16,8 @@
 #define MAX_UNANSWERED 3
 /* The state of the engines is another one after this time. */
 #define MAX_AGE        (100 * USEC_PER_MSEC)
+/* Twice the interval at which the state of queued requests is queried. */
+#define MAX_UNSEEN     (200 * USEC_PER_MSEC)
 #define SEED           5
 
 static bool
@@ -97,8 +97,9 @@
 bool
 placer_unanswered(struct placer_host *h, usec_t asked_at, usec_t now)
 {
-	if (h->suspicion.heard_at >= asked_at)
+	if (h->suspicion.heard_at >= asked_at || asked_at < h->counted_at)
 		return false;
+	h->counted_at = now;
 	h->unanswered++;
 	if (h->unanswered < MAX_UNANSWERED ||
 	    suspicion_is_alive(&h->suspicion, now))
@@ -120,6 +121,7 @@
 {
 	*a = (struct placement_ask){
 		.heard_at = now,
+		.seen_at = now,
 		.latest = latest,
 		.due = earliest(now + REPEAT_TIME, latest),
 	};
@@ -130,7 +132,8 @@
 {
 	a->queued = true;
 	a->heard_at = now;
-	a->due = earliest(now + STATUS_TIME, a->latest);
+	a->seen_at = now;
+	a->due = earliest(now + QUEUED_SILENT, a->latest);
 }
 
 enum placement_ask_step
@@ -141,14 +144,12 @@
 	if (now >= a->latest || now - a->heard_at >= silent)
 		return PLACEMENT_ASK_GIVE_UP;
 	a->due = earliest(a->heard_at + silent, a->latest);
-	if (a->queued)
-		a->due = earliest(now + STATUS_TIME, a->due);
 	return PLACEMENT_ASK_AGAIN;
 }
 
 bool
 placement_ask_is_current(const struct placement_ask *a, usec_t age, usec_t now)
 {
-	/* A step that is overdue shows that the process stood still. */
-	return age < MAX_AGE && now - a->due < MAX_AGE;
+	/* One that wasn't looked at shows that the process stood still. */
+	return age < MAX_AGE && now - a->seen_at < MAX_UNSEEN;
 }
--- a/kernel/overload/placement_ask.h
+++ b/kernel/overload/placement_ask.h
@@ -27,6 +27,7 @@
 	struct suspicion suspicion;
 	uint32_t unanswered; /* asks in a row */
 	usec_t asked_at;
+	usec_t counted_at; /* when the last one was counted */
 };
 
 /*
@@ -48,17 +49,19 @@
 void placer_heard(struct placer_host *h, usec_t now);
 /*
  * An ask of a time was not answered; returns whether the host becomes suspect
- * by that, so that another one places.
+ * by that, so that another one places.  Asks that were on their way at the same
+ * time count once.
  */
 bool placer_unanswered(struct placer_host *h, usec_t asked_at, usec_t now);
 
 /* A request that waits for the placer. */
 struct placement_ask {
 	usec_t
-	    heard_at;  /* since then no answer; at first the time of the ask */
-	usec_t latest; /* it goes on without a decision then */
-	usec_t due;    /* of the next placement_ask_step */
-	bool queued;   /* the placer has it, and decides later */
+	    heard_at;   /* since then no answer; at first the time of the ask */
+	usec_t latest;  /* it goes on without a decision then */
+	usec_t due;     /* of the next placement_ask_step */
+	usec_t seen_at; /* when the process looked at it last */
+	bool queued;    /* the placer has it, and decides later */
 };
 
 enum placement_ask_step {
@@ -68,7 +71,10 @@
 
 /* The request was sent to the placer. */
 void placement_ask_begin(struct placement_ask *a, usec_t latest, usec_t now);
-/* The placer has answered that it decides later. */
+/*
+ * The placer has answered that it decides later, or that it still has the
+ * request.
+ */
 void placement_ask_queued(struct placement_ask *a, usec_t now);
 /* What to do when the ask is due. */
 enum placement_ask_step placement_ask_step(struct placement_ask *a, usec_t now);
--- a/tests/capacity/placer.c
+++ b/tests/capacity/placer.c
@@ -81,7 +81,7 @@
 		.events = { 1, &e } };
 
 	e.fact.peer_place_fact_u.call = call;
-	placer_news(x->placer, 7, &m);
+	placer_news(x->placer, NULL, 7, &m);
 }
 
 static void
--- a/tests/entry/test_placer.c
+++ b/tests/entry/test_placer.c
@@ -196,7 +196,7 @@
 		.prompt_tokens = 400,
 		.output_tokens = 50,
 		.aim = clock_now() + USEC_PER_SEC,
-		.deadline = clock_now() + 5 * USEC_PER_SEC,
+		.deadline = clock_now() + 2 * USEC_PER_SEC,
 	};
 }
 
@@ -223,6 +223,8 @@
 	placements_reply(g->placements, SELF,
 	    &(peer_place_reply){
 		.call = call,
+		.service = (char *)"e",
+		.domain = (char *)"",
 		.queued = queued,
 		.verdict = verdict,
 		.target = (char *)"t0",
@@ -243,6 +245,21 @@
 	answer(g, 0, true, 0, 0);
 }
 
+static int
+verdict_of(char c)
+{
+	switch (c) {
+	case 'f':
+		return PLACEMENT_FULL;
+	case 'n':
+		return PLACEMENT_NONE;
+	case 'x':
+		return 77;
+	default:
+		return PLACEMENT_SEND;
+	}
+}
+
 /*
  * What a request gets, whatever the placer does.  The script: q queued, d a
  * decision, o one that is old, f full, n none, e the request is dropped; a
@@ -271,6 +288,12 @@
 		    PLACEMENT_NO_REPLY },
 		{ "an old decision", "o", 1, PLACEMENT_NONE,
 		    PLACEMENT_TOO_OLD },
+		{ "an unknown verdict", "x", 1, PLACEMENT_NONE,
+		    PLACEMENT_NO_DECISION },
+		{ "queued, and the placer is there", "q9a9a9a9d", 1,
+		    PLACEMENT_SEND, PLACEMENT_BY_PLACER },
+		{ "queued for half of its time", "q9a9a9a9a9a9a9a9a9a9a9a9a9", 1,
+		    PLACEMENT_FULL, PLACEMENT_TOO_LONG },
 		{ "dropped", "e9d", 0, 0, 0 },
 		{ "dropped in the queue", "qe9d", 0, 0, 0 },
 	};
@@ -291,11 +314,10 @@
 				    g.placements, call, PLACEMENT_DROPPED);
 			else if (g_ascii_isdigit(*s))
 				run_for(&g, (*s - '0') * 10 * MS);
+			else if (*s == 'a')
+				answer(&g, 0, true, 0, 0);
 			else
-				answer(&g, call, *s == 'q',
-				    *s == 'f'       ? PLACEMENT_FULL
-					: *s == 'n' ? PLACEMENT_NONE
-						    : PLACEMENT_SEND,
+				answer(&g, call, *s == 'q', verdict_of(*s),
 				    *s == 'o' ? 500 : 0);
 		}
 		g_assert_cmpuint(g.n_results, ==, cases[i].n_results);
@@ -376,7 +398,7 @@
 		.events = { 1, &e } };
 
 	e.fact.peer_place_fact_u.call = call;
-	placer_news(g->placer, host, &m);
+	placer_news(g->placer, NULL, host, &m);
 }
 
 static const peer_place_reply *
@@ -432,10 +454,10 @@
 	g_assert_cmpint(last_reply(&g)->known_ms, >=, 0);
 	g_assert_cmpuint(last_reply(&g)->to_read, <, 400);
 	/* The end of call 4 was lost; the list lacks it. */
-	placer_news(g.placer, 20, &list);
+	placer_news(g.placer, NULL, 20, &list);
 	g_assert_cmpuint(placer_counts(g.placer).calls, ==, 2);
 	pass_time(&g, LEARN_TIME / 2);
-	placer_news(g.placer, 20, &list);
+	placer_news(g.placer, NULL, 20, &list);
 	g_assert_cmpuint(placer_counts(g.placer).calls, ==, 1);
 	g_assert_cmpuint(placer_counts(g.placer).lost_calls, ==, 1);
 	tell_placer(&g, 20, PEER_PLACE_COMPLETED, 5);
