--- a/entry/forward.c
+++ b/entry/forward.c
@@ -226,11 +226,10 @@
 }
 
 void
-forward_prompt_read(struct relay_request *r, usec_t took)
+forward_prompt_read(struct relay_request *r)
 {
 	if (r->reading > 0)
-		loads_read(&r->shared->loads, r->target_id, r->reading, took,
-		    clock_now());
+		loads_read(&r->shared->loads, r->target_id, r->reading);
 	r->reading = 0;
 }
 
@@ -239,7 +238,7 @@
 {
 	r->call = NULL;
 	forward_stop_waiting(r);
-	forward_prompt_read(r, 0);
+	forward_prompt_read(r);
 	loads_ended(&r->shared->loads, r->target_id,
 	    healthy ? LOADS_OK : LOADS_FAILED, clock_now());
 }
@@ -545,6 +544,20 @@
 	return false;
 }
 
+/* Notes what the target reads of the prompt before the first event. */
+static void
+note_reading(struct relay_request *r, struct target_load *t)
+{
+	struct loads_query query;
+
+	r->reading = 0;
+	if (!r->service->has_engine)
+		return;
+	forward_query(r, &query);
+	r->reading =
+	    loads_reading(&r->shared->loads, t, &query, r->info.prompt_tokens);
+}
+
 static void
 send_to(struct relay_request *r, struct target_load *t, usec_t now)
 {
@@ -564,8 +577,7 @@
 	r->answer_reported = false;
 	relay_answer_log_sent(r, t, left);
 	loads_sent(t, now);
-	r->reading = r->service->has_engine ? r->info.prompt_tokens : 0;
-	loads_reading(t, r->reading);
+	note_reading(r, t);
 	start_call(r, t, left);
 	if (r->call == NULL)
 		forward_on_event(r, DIAL_UNSENT, NULL);
--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -114,7 +114,7 @@
 		durations_record(&r->shared->durations, r->service->name,
 		    clock_now() - r->sent_at);
 	}
-	forward_prompt_read(r, clock_now() - r->sent_at);
+	forward_prompt_read(r);
 	out = evbuffer_new();
 	evbuffer_add(out, events.p, events.n);
 	httpd_write(r->httpd_req, out);
--- a/entry/forward_state.h
+++ b/entry/forward_state.h
@@ -13,11 +13,8 @@
 uint64_t forward_call_events(const struct relay_request *r);
 /* Returns the version at which the call has to be made; empty: any. */
 struct str forward_call_version(const struct relay_request *r);
-/*
- * Notes that the target has read the prompt, in a time since the call; 0: the
- * call ends.
- */
-void forward_prompt_read(struct relay_request *r, usec_t took);
+/* Notes that the target has read the prompt, or that the call ends. */
+void forward_prompt_read(struct relay_request *r);
 /* Notes that the call has ended, well or because its target failed. */
 void forward_call_ended(struct relay_request *r, bool healthy);
 /* Whether the route's attempts and the deadline allow another call. */
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -2,6 +2,7 @@
 #include "base/hash.h"
 #include "kernel/overload/spill.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,8 +15,6 @@
  */
 #define TOKENS_PER_MS  25.0
 #define READ_COST      4.0
-/* A measured slowness below this may be the load of others. */
-#define SLOW_FACTOR    2.0
 /* Part of its gap that a stream loses at an engine that takes twice as long. */
 #define SLOW_SHARE     0.25
 /* Cost of one more running request to the others, in milliseconds. */
@@ -41,8 +40,6 @@
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
 	l->domains = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
-	l->norms =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	l->host_ids = g_ptr_array_new_with_free_func(g_free);
 }
 
@@ -222,7 +219,6 @@
 	t->failures = 0;
 	t->aside_until = 0;
 	t->pace = (struct target_pace){ 0 };
-	t->engine_speed = (struct engine_speed){ 0 };
 	t->speed = (struct target_speed){ 0 };
 	t->limit = (struct target_limit){ 0 };
 	t->rest_until = 0;
@@ -405,26 +401,22 @@
 	return t != NULL ? t->entry.domain : "";
 }
 
-/* Times as long as usual that an engine takes, at least 1. */
-static double
-engine_slowness(const struct target_load *t, usec_t now)
-{
-	double said = target_pace_slowness(&t->pace, now);
-	double measured = engine_speed_slowness(&t->engine_speed, now);
-
-	if (said < 1)
-		said = 1;
-	return measured >= SLOW_FACTOR ? said * measured : said;
-}
-
-/* Prompt tokens that the engines of a service read in a millisecond. */
+/*
+ * Cost of what is known of an engine that reports how long work takes there,
+ * beyond the cost of the work itself: its slowness, and what it still reads for
+ * this host.
+ */
 static double
-read_rate(const struct loads *l, const char *service)
+reported_cost(const struct loads_query *q, const struct target_load *t,
+    double work_ms, usec_t now)
 {
-	const struct engine_norms *norms =
-	    g_hash_table_lookup(l->norms, service);
+	double slow = fmax(target_pace_slowness(&t->pace, now), 1);
+	double unread_ms = (double)t->unread / (READ_COST * TOKENS_PER_MS);
+	double gap_ms = (double)q->max_gap / (double)USEC_PER_MSEC;
 
-	return norms != NULL ? norms->rate : READ_COST * TOKENS_PER_MS;
+	if (t->pace.at == 0)
+		return 0;
+	return unread_ms * slow + (slow - 1) * (work_ms + SLOW_SHARE * gap_ms);
 }
 
 /*
@@ -434,24 +426,21 @@
 static double
 cost(const struct loads *l, const struct loads_query *q,
     const struct target_load *t, const struct target_load *preferred,
-    const char *input_domain, double rate, usec_t now)
+    const char *input_domain, usec_t now)
 {
 	double n_active = active_calls(t, now);
 	double slots = t->entry.slots > 0 ? t->entry.slots : 1;
-	double slow;
+	double work;
 	double ms = strcmp(t->entry.domain, l->domain) == 0 ? 0 : REMOTE_MS;
 
 	if (!q->engine)
 		return ms + 20.0 * n_active / slots;
-	slow = engine_slowness(t, now);
-	ms += n_active * RUNNING_MS * slow;
+	work = n_active * RUNNING_MS;
 	if (n_active >= slots)
-		ms += (n_active - slots + 1) * WAITING_MS * slow;
+		work += (n_active - slots + 1) * WAITING_MS;
 	if (t != preferred)
-		ms += q->shared_tokens * READ_COST * slow / rate;
-	ms += (double)t->unread * slow / rate;
-	ms += (slow - 1) * SLOW_SHARE * (double)q->max_gap /
-	    (double)USEC_PER_MSEC;
+		work += q->shared_tokens / TOKENS_PER_MS;
+	ms += work + reported_cost(q, t, work, now);
 	if (*input_domain != '\0' && strcmp(input_domain, t->entry.domain) != 0)
 		ms += REMOTE_MB_MS * (double)q->input_bytes / 1e6;
 	return ms;
@@ -499,7 +488,6 @@
 	const struct target_load *preferred = affinity_target(all, q);
 	const char *input_domain =
 	    q->input_addr.n > 0 ? loads_domain_at(l, q->input_addr) : "";
-	double rate = q->engine ? read_rate(l, q->service) : 1;
 	struct target_load *best = NULL;
 	double lowest = 0;
 
@@ -510,7 +498,7 @@
 		if (!is_eligible(q, t, now) ||
 		    (!use_set_aside && now < t->aside_until))
 			continue;
-		c = cost(l, q, t, preferred, input_domain, rate, now) +
+		c = cost(l, q, t, preferred, input_domain, now) +
 		    rng_unit(&l->rng);
 		if (best == NULL || c < lowest) {
 			best = t;
@@ -624,39 +612,27 @@
 	target_pace_reported(&t->pace, slowness, now);
 }
 
-void
-loads_reading(struct target_load *t, uint32_t tokens)
+uint32_t
+loads_reading(const struct loads *l, struct target_load *t,
+    const struct loads_query *q, uint32_t tokens)
 {
+	const GPtrArray *all = loads_usable(l, q->service);
+	const struct target_load *kept =
+	    all != NULL ? affinity_target(all, q) : NULL;
+
+	if (kept != NULL && kept == t && tokens > q->shared_tokens)
+		tokens -= q->shared_tokens;
 	t->unread += tokens;
+	return tokens;
 }
 
 void
-loads_read(
-    struct loads *l, const char *id, uint32_t tokens, usec_t took, usec_t now)
+loads_read(struct loads *l, const char *id, uint32_t tokens)
 {
 	struct target_load *t = loads_find(l, id);
-	struct engine_norms *norms;
-	uint64_t unread;
 
-	if (t == NULL)
-		return;
-	unread = t->unread;
-	t->unread -= tokens < unread ? tokens : unread;
-	if (took <= 0)
-		return;
-	norms = g_hash_table_lookup(l->norms, t->entry.service);
-	if (norms == NULL) {
-		norms = g_new(struct engine_norms, 1);
-		*norms = engine_norms_init();
-		norms->rate = READ_COST * TOKENS_PER_MS;
-		norms->read_ms = norms->read_tokens / norms->rate;
-		g_hash_table_insert(
-		    l->norms, g_strdup(t->entry.service), norms);
-	}
-	engine_speed_measured(&t->engine_speed, norms, (double)unread, 0,
-	    (double)took / (double)USEC_PER_MSEC /
-		target_pace_slowness(&t->pace, now),
-	    now);
+	if (t != NULL)
+		t->unread -= tokens < t->unread ? tokens : t->unread;
 }
 
 void
@@ -739,7 +715,6 @@
 {
 	free_hosts(l);
 	g_ptr_array_unref(l->host_ids);
-	g_hash_table_destroy(l->norms);
 	g_hash_table_destroy(l->domains);
 	g_hash_table_destroy(l->by_service);
 	g_hash_table_destroy(l->by_addr);
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -17,7 +17,6 @@
 #define KERNEL_LOADS_H
 
 #include "base/rng.h"
-#include "kernel/overload/engine_speed.h"
 #include "kernel/overload/target_brittle.h"
 #include "kernel/overload/target_limit.h"
 #include "kernel/overload/target_pace.h"
@@ -50,7 +49,6 @@
 	uint32_t reported;   /* running and waiting calls in the last report */
 	usec_t reported_at;
 	struct target_pace pace;
-	struct engine_speed engine_speed;
 	uint64_t unread;           /* prompt tokens of this host's calls */
 	struct target_speed speed; /* of its stage calls */
 	uint32_t failures;         /* in a row */
@@ -69,8 +67,7 @@
 	GHashTable *by_service;
 	/* name -> GPtrArray of struct loads_domain, sorted by name */
 	GHashTable *domains;
-	GHashTable *norms; /* service -> struct engine_norms */
-	char domain[64];   /* of this host */
+	char domain[64]; /* of this host */
 	struct rng rng;
 	/* The live hosts, among which limits of targets are shared. */
 	GPtrArray *host_ids;
@@ -184,14 +181,15 @@
  */
 void loads_report(struct target_load *t, uint32_t running, uint32_t waiting,
     uint32_t slowness, usec_t now);
-/* A call brings an engine a prompt of so many tokens to read. */
-void loads_reading(struct target_load *t, uint32_t tokens);
 /*
- * The prompt has been read in the time from the call to the first event; took
- * 0: the call has ended before.  Unknown ids are ignored.
+ * A call brings an engine a prompt of so many tokens.  Returns those that it
+ * probably doesn't keep, which it reads until loads_read() or the end of the
+ * call.
  */
-void loads_read(
-    struct loads *l, const char *id, uint32_t tokens, usec_t took, usec_t now);
+uint32_t loads_reading(const struct loads *l, struct target_load *t,
+    const struct loads_query *q, uint32_t tokens);
+/* They are read.  Unknown ids are ignored. */
+void loads_read(struct loads *l, const char *id, uint32_t tokens);
 enum loads_result {
 	LOADS_OK,    /* the target is healthy and answered */
 	LOADS_FULL,  /* refused: full of other hosts' calls, but healthy */
--- a/kernel/overload/engine_choice.c
+++ b/kernel/overload/engine_choice.c
@@ -170,6 +170,16 @@
 	    : 0;
 }
 
+/*
+ * Whether the target has asked for no rest.  What a host may send of a limit is
+ * that host's to check.
+ */
+static bool
+takes_calls(const struct target_load *t, usec_t now)
+{
+	return now >= t->rest_until && now >= t->brittle.pause_until;
+}
+
 static void
 look_at(const struct engine_choice_opts *o, const struct prompt *x, size_t i,
     usec_t now, struct engine_look *out)
@@ -206,7 +216,7 @@
 	if (read_wait > 0)
 		read_wait += v->awaited_ms;
 	out->wait_ms = fmax(slot_wait, read_wait);
-	if (!loads_allows(v->target, now))
+	if (!takes_calls(v->target, now))
 		out->wait_ms = fmax(out->wait_ms,
 		    fmax(to_ms(v->target->rest_until - now),
 			to_ms(RECHECK_TIME)));
@@ -219,7 +229,7 @@
 	const struct engine_view *v =
 	    &g_array_index(o->views, struct engine_view, k->view);
 
-	return loads_allows(v->target, now) && slot_wait_ms(o, x, v) == 0;
+	return takes_calls(v->target, now) && slot_wait_ms(o, x, v) == 0;
 }
 
 /* Sets how the prompt fares at an engine that takes it after a wait. */
--- a/kernel/overload/engine_load.c
+++ b/kernel/overload/engine_load.c
@@ -15,6 +15,8 @@
 #define OVERDUE_SHARE 0.5
 /* About the time of some events of a stream beside which prompts are read. */
 #define RECENT_TIME   (300 * USEC_PER_MSEC)
+/* Failures of two hosts within this time are the engine's, not a path's. */
+#define FAILURE_TIME  (2 * USEC_PER_SEC)
 #define ASIDE_FIRST   (250 * USEC_PER_MSEC)
 #define ASIDE_MAX     (4 * USEC_PER_SEC)
 
@@ -153,12 +155,31 @@
 	e->aside_until = 0;
 }
 
+/* Parts of a prompt that the engine keeps, or reads for another one. */
+static size_t
+n_shared(const struct engine_load *e, const struct prompt *p)
+{
+	size_t most = p->n_cached;
+
+	for (guint i = 0; i < e->prompts->len; i++) {
+		const struct prompt *x = e->prompts->pdata[i];
+		size_t n = 0;
+
+		while (x != p && n < p->request.n_parts &&
+		    n < x->request.n_parts &&
+		    x->prefixes[n].hash == p->prefixes[n].hash)
+			n++;
+		most = n > most ? n : most;
+	}
+	return most;
+}
+
 void
 engine_load_remove(struct engine_load *e, struct prompt *p, usec_t now)
 {
 	if (p->state == PROMPT_READING) {
 		prompt_cache_drop(
-		    &e->cache, p->prefixes, p->n_cached, p->request.n_parts);
+		    &e->cache, p->prefixes, n_shared(e, p), p->request.n_parts);
 		set_read(e, p, now);
 	}
 	e->memory -= memory_of(p);
@@ -191,6 +212,8 @@
 	uint32_t others =
 	    all > e->prompts->len ? (uint32_t)(all - e->prompts->len) : 0;
 
+	if (now < e->reported_at)
+		return;
 	target_pace_reported(&e->pace, slowness, now);
 	e->reported_waiting =
 	    waiting > e->n_reading ? waiting - e->n_reading : 0;
@@ -203,10 +226,16 @@
 }
 
 void
-engine_load_failed(struct engine_load *e, usec_t now)
+engine_load_failed(struct engine_load *e, uint64_t host, usec_t now)
 {
+	bool other = e->failed_at != 0 && e->failed_host != host &&
+	    now - e->failed_at < FAILURE_TIME;
 	usec_t pause = ASIDE_FIRST;
 
+	e->failed_host = host;
+	e->failed_at = now;
+	if (!other || now < e->aside_until)
+		return;
 	for (uint32_t i = 0; i < e->failures && pause < ASIDE_MAX; i++)
 		pause *= 2;
 	e->failures++;
--- a/kernel/overload/engine_load.h
+++ b/kernel/overload/engine_load.h
@@ -62,7 +62,9 @@
 	uint32_t reported_running; /* by others */
 	uint32_t reported_waiting;
 	usec_t reported_at;
-	uint32_t failures; /* in a row */
+	uint32_t failures; /* pauses in a row */
+	uint64_t failed_host;
+	usec_t failed_at; /* 0: never */
 	usec_t aside_until;
 };
 
@@ -80,8 +82,11 @@
 void engine_load_remove(struct engine_load *e, struct prompt *p, usec_t now);
 void engine_load_reported(struct engine_load *e, uint32_t running,
     uint32_t waiting, uint32_t slowness, usec_t now);
-/* The engine refused or lost a request. */
-void engine_load_failed(struct engine_load *e, usec_t now);
+/*
+ * The engine refused or lost a request of a host.  It is set aside when two
+ * hosts say so, as the fault may be that of one host's path.
+ */
+void engine_load_failed(struct engine_load *e, uint64_t host, usec_t now);
 
 /* What the engine is doing at a moment, without regard to a request. */
 struct engine_state {
--- a/kernel/overload/engine_speed.c
+++ b/kernel/overload/engine_speed.c
@@ -7,7 +7,7 @@
 #define FIRST_FIRST_MS  20.0
 #define FIRST_RUN_MS    1000.0
 #define FIRST_TOKENS    2000.0
-#define ENGINE_WEIGHT   0.2  /* of a sample in the slowness of one engine */
+#define ENGINE_WEIGHT   0.3  /* of a sample in the slowness of one engine */
 #define NORM_WEIGHT     0.05 /* of a sample in the averages over all */
 /* A smaller prompt says more about the way to the engine than about reading. */
 #define MIN_RATE_SAMPLE 1000
@@ -15,7 +15,7 @@
 #define CURVE_TOKENS    10000.0
 #define MAX_CURVE       1.0
 /* A sample of an expected time below this says less. */
-#define FULL_SAMPLE_MS  100.0
+#define FULL_SAMPLE_MS  50.0
 /* Bounds a sample, in expected ones. */
 #define BOUND           8.0
 /* What was measured counts in full for this time, and fades within it. */
--- a/kernel/overload/placement.c
+++ b/kernel/overload/placement.c
@@ -58,8 +58,9 @@
 	double least_wait_ms; /* of those that were looked at */
 	double rate;          /* of all engines */
 	double slots;
-	size_t looks;
+	size_t held;
 	uint32_t least_tokens; /* of a prompt that is held */
+	char version[64];      /* of those that are held */
 };
 
 /* A part of the queue, and the decisions on it. */
@@ -123,11 +124,19 @@
 	return g_hash_table_lookup(p->prompts, &key);
 }
 
+/* When its host waits no longer for a decision. */
+static usec_t
+latest_of(const struct placement_request *q)
+{
+	return q->latest > 0 && q->latest < q->deadline ? q->latest
+							: q->deadline;
+}
+
 /* When the delay of a prompt for the sake of others ends. */
 static usec_t
 latest_order(const struct placement_request *q)
 {
-	usec_t rest = q->deadline - q->aim;
+	usec_t rest = latest_of(q) - q->aim;
 
 	return q->aim + (rest > 0 ? (usec_t)(MAX_DELAY * (double)rest) : 0);
 }
@@ -224,7 +233,7 @@
 	if (x == NULL || x->engine == NULL)
 		return;
 	if (!completed)
-		engine_load_failed(x->engine, now);
+		engine_load_failed(x->engine, host, now);
 	else
 		engine_load_completed(x->engine, &p->norms, x, now);
 	forget(p, x, now);
@@ -274,9 +283,14 @@
 static const GPtrArray *
 usable(const struct placement *p)
 {
-	return *p->domain != '\0'
-	    ? loads_usable_in(p->loads, p->service, p->domain)
-	    : loads_usable(p->loads, p->service);
+	return loads_usable(p->loads, p->service);
+}
+
+/* Whether the engine is one of those that are placed on here. */
+static bool
+is_own(const struct placement *p, const struct target_load *t)
+{
+	return *p->domain == '\0' || strcmp(t->entry.domain, p->domain) == 0;
 }
 
 /* The engine has ended, and what it ran with it. */
@@ -347,6 +361,8 @@
 		struct target_load *t = all->pdata[i];
 		struct engine_view v = { .target = t };
 
+		if (!is_own(p, t))
+			continue;
 		v.engine = engine_of(p, t, now);
 		v.engine->listed = true;
 		engine_view_set(&v, &p->norms, p->slots, now);
@@ -369,8 +385,10 @@
 	g_hash_table_iter_init(&it, p->engines);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		((struct engine_load *)v)->listed = false;
-	for (guint i = 0; all != NULL && i < all->len; i++)
-		engine_of(p, all->pdata[i], now)->listed = true;
+	for (guint i = 0; all != NULL && i < all->len; i++) {
+		if (is_own(p, all->pdata[i]))
+			engine_of(p, all->pdata[i], now)->listed = true;
+	}
 	g_hash_table_iter_init(&it, p->engines);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const struct engine_load *e = v;
@@ -454,19 +472,18 @@
  */
 static bool
 holds(struct placement *p, struct prompt *x, struct ahead *a, double wait_ms,
-    struct placement_decision *d, usec_t now)
+    uint32_t to_read, struct placement_decision *d, usec_t now)
 {
-	double ms = fmax(queue_ms(p, a), wait_ms);
+	usec_t latest = latest_of(&x->request);
+	double ms = fmax(queue_ms(p, a), isfinite(wait_ms) ? wait_ms : 0);
 
-	if (now + engine_from_ms(ms) >= x->request.deadline) {
+	if (now >= latest || now + engine_from_ms(ms) >= latest) {
 		set_full(d, ms);
 		return false;
 	}
 	a->n++;
-	a->tokens += x->request.prompt_tokens;
-	if (x->request.prompt_tokens < a->least_tokens)
-		a->least_tokens = x->request.prompt_tokens;
-	check_by(p, x->request.deadline, now);
+	a->tokens += to_read;
+	check_by(p, latest, now);
 	return true;
 }
 
@@ -481,6 +498,19 @@
 	p->unsorted = true;
 }
 
+/* Notes a prompt that is held although all engines were looked at. */
+static void
+note_held(const struct prompt *x, struct ahead *a)
+{
+	if (a->held == 0)
+		g_strlcpy(a->version, x->request.version, sizeof(a->version));
+	if (strcmp(x->request.version, a->version) != 0)
+		return;
+	a->held++;
+	if (x->request.prompt_tokens < a->least_tokens)
+		a->least_tokens = x->request.prompt_tokens;
+}
+
 /*
  * When a prompt is sent to an engine that reads others: when its slack is over;
  * if it would be late there, when it has yielded for long enough.
@@ -552,7 +582,6 @@
 		d->verdict = PLACEMENT_NONE;
 		return true;
 	}
-	a->looks++;
 	in_time = c.has_next && now + engine_from_ms(c.next.first_ms) <= aim;
 	if (c.has_open && !(in_time && is_better_later(p, &c, aim, now))) {
 		send_to(p, x, &c.open, d, now);
@@ -572,7 +601,11 @@
 		check_by(p, now + RECHECK_TIME, now);
 	if (c.has_next && c.next.first_ms < a->least_wait_ms)
 		a->least_wait_ms = c.next.first_ms;
-	return !holds(p, x, a, c.has_next ? c.next.first_ms : 0, d, now);
+	if (!holds(p, x, a, c.has_next ? c.next.first_ms : 0,
+		c.has_next ? c.next.to_read : x->request.prompt_tokens, d, now))
+		return true;
+	note_held(x, a);
+	return false;
 }
 
 static void
@@ -593,7 +626,8 @@
 static bool
 is_hopeless(const struct prompt *x, const struct ahead *a)
 {
-	return a->looks >= MAX_LOOKS && a->n > 0 &&
+	return a->held >= MAX_LOOKS && x->request.n_tried == 0 &&
+	    strcmp(x->request.version, a->version) == 0 &&
 	    x->request.prompt_tokens >= a->least_tokens;
 }
 
@@ -617,7 +651,8 @@
 		d.host = x->request.host;
 		d.ask = x->request.ask;
 		done = is_hopeless(x, a)
-		    ? !holds(p, x, a, a->least_wait_ms, &d, now)
+		    ? !holds(p, x, a, a->least_wait_ms,
+			  x->request.prompt_tokens, &d, now)
 		    : decide(p, x, a, &d, now);
 		if (!done && part->overdue)
 			break;
@@ -662,6 +697,8 @@
 
 	p->now = now;
 	sweep(p, now);
+	if (!p->changed && now < p->check_at)
+		return 0;
 	p->changed = false;
 	p->check_at = 0;
 	if (p->queue->len == 0)
@@ -704,6 +741,8 @@
 		double ms =
 		    p->norms.first_ms + engine_read_ms(&p->norms, tokens);
 
+		if (!is_own(p, v.target))
+			continue;
 		v.engine = g_hash_table_lookup(p->engines, v.target->entry.id);
 		a.slots += p->slots;
 		a.rate += p->norms.rate;
--- a/kernel/overload/placement.h
+++ b/kernel/overload/placement.h
@@ -38,9 +38,11 @@
 	size_t n_parts;
 	uint32_t prompt_tokens;
 	uint32_t output_tokens;
-	uint32_t rank;    /* 0 is the most urgent */
-	usec_t aim;       /* the first event is late after this */
-	usec_t deadline;  /* the caller leaves at this */
+	uint32_t rank;   /* 0 is the most urgent */
+	usec_t aim;      /* the first event is late after this */
+	usec_t deadline; /* the caller leaves at this */
+	usec_t
+	    latest; /* the host waits no longer for a decision; 0: deadline */
 	usec_t max_gap;   /* longest pause between events that is on time */
 	char version[64]; /* of the target's software; empty: any */
 	char input_domain[64]; /* where its inputs are; empty: it has none */
--- a/tests/kernel/engine_replay.h
+++ b/tests/kernel/engine_replay.h
@@ -35,6 +35,7 @@
 
 struct replay_count {
 	uint32_t sent;
+	uint32_t ended;
 	uint32_t on_time; /* first event and all gaps */
 	uint32_t late_first;
 	uint32_t late_gap;
