--- a/tests/entry/test_placer.c
+++ b/tests/entry/test_placer.c
@@ -292,8 +292,8 @@
 		    PLACEMENT_NO_DECISION },
 		{ "queued, and the placer is there", "q9a9a9a9d", 1,
 		    PLACEMENT_SEND, PLACEMENT_BY_PLACER },
-		{ "queued for half of its time", "q9a9a9a9a9a9a9a9a9a9a9a9a9", 1,
-		    PLACEMENT_FULL, PLACEMENT_TOO_LONG },
+		{ "queued for half of its time", "q9a9a9a9a9a9a9a9a9a9a9a9a9",
+		    1, PLACEMENT_FULL, PLACEMENT_TOO_LONG },
 		{ "dropped", "e9d", 0, 0, 0 },
 		{ "dropped in the queue", "qe9d", 0, 0, 0 },
 	};
