Soak: the faults' evacuation ends with them, any target of the domain shows its return

All lasting faults end before the check of the recovery, and this one does now too; the return is seen at any of the domain's three targets.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -458,4 +458,7 @@
 			advance_for(STEP_TIME);
 	}
 	clear_faults(&r, true);
+	/* Hosts may keep one that a restored store lacks. */
+	faults_evacuate(true);
+	faults_evacuate(false);
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -276,6 +276,7 @@
 {
 	static const char *const ids[] = { "p2", "e2", "s2" };
 	usec_t at = 0;
+	usec_t last = 0;
 
 	for (int i = 0; i < PAUSE_TRIES; i++) {
 		faults_evacuate(false);
@@ -300,8 +301,11 @@
 	faults_evacuate(false);
 	at = clock_now();
 	g_usleep((gulong)EVACUATE_BOUND);
-	if (fakeplat_last_call(soak.platform, "p2") < at)
-		soak_report("an evacuated domain is not used again", "p2");
+	/* A service may have cheaper targets in the hosts' own domain. */
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+		last = MAX(last, fakeplat_last_call(soak.platform, ids[i]));
+	if (last < at)
+		soak_report("an evacuated domain is not used again", "d2");
 }
 
 /* Limits that one target of each service names hold for all hosts together. */
