--- a/tests/platform/test_placing_hosts.c
+++ b/tests/platform/test_placing_hosts.c
@@ -1,7 +1,7 @@
 /*
- * A fleet in which one host places the requests of all on the engines: it is
- * killed, stands still and answers seconds later, or is restarted, while the
- * others go on sending.  No request may be held by it, fail, or run twice.
+ * A fleet in which one host places the requests of all on the engines: it
+ * stands still and answers seconds later, is killed, or stops, while the others
+ * go on sending.  No request may be held by it, fail, or run twice.
  */
 #include "tests/platform/harness.h"
 
@@ -170,28 +170,33 @@
 	g_assert_cmpint(count_placed(from, -1, "here"), ==, 0);
 }
 
-/* The placer stands still for a time, or is killed and started again. */
+/*
+ * The placer gets a signal: it stands still for a time, or ends and is started
+ * again.
+ */
 static void
-run_loss(bool killed)
+run_loss(int signal_number)
 {
 	int placer = find_placer(0);
 	struct harness_host *h = &hosts[placer];
+	bool ends = signal_number != SIGSTOP;
 	size_t from[HOSTS];
 
 	mark_logs(from);
-	kill(h->pid, killed ? SIGKILL : SIGSTOP);
-	if (killed)
-		harness_wait_exit(h);
+	kill(h->pid, signal_number);
 	send_for(4 * USEC_PER_SEC, placer);
 	/* Another one places by then. */
 	g_assert_cmpint(count_placed(from, placer, "here"), >, 0);
 	mark_logs(from);
 	send_for(1 * USEC_PER_SEC, placer);
 	g_assert_cmpint(count_placed(from, placer, "by "), >, 0);
-	if (killed)
+	if (ends) {
+		g_assert_cmpint(harness_wait_exit(h), ==,
+		    signal_number == SIGTERM ? 0 : -1);
 		harness_start_host(h);
-	else
+	} else {
 		kill(h->pid, SIGCONT);
+	}
 	send_for(1 * USEC_PER_SEC, placer);
 	g_assert_true(harness_wait_ready(h, TIMEOUT_SECONDS));
 	send_for(5 * USEC_PER_SEC, -1);
@@ -203,13 +208,19 @@
 static void
 test_paused(void)
 {
-	run_loss(false);
+	run_loss(SIGSTOP);
 }
 
 static void
 test_killed(void)
 {
-	run_loss(true);
+	run_loss(SIGKILL);
+}
+
+static void
+test_stopped(void)
+{
+	run_loss(SIGTERM);
 }
 
 static void
@@ -234,6 +245,7 @@
 	g_test_add_func("/placing-hosts/calm", test_calm);
 	g_test_add_func("/placing-hosts/paused", test_paused);
 	g_test_add_func("/placing-hosts/killed", test_killed);
+	g_test_add_func("/placing-hosts/stopped", test_stopped);
 	rc = g_test_run();
 	stop_fleet();
 	return rc;
