Explain where a request would go, and why

Operators could see only by logs and guesses why a host rejects a request or sends it where it does, after it was sent.

POST /explain of the operators' server takes the head of a request and answers in JSON what would become of it now; sequoiactl explain prints that. The decisions of requests are used: admission is a function of relay_request.c, costs and bars of targets, the check of the chain, the reasons of rejections and the choice of the placer are shared with versions that change nothing.

test_explain explains each of 13 cases (59 requests) and sends the request right after: target, status and Retry-After are those explained, the counters of requests and the pieces of targets stay as before.

--- a/ctl/hostcmd.h
+++ b/ctl/hostcmd.h
@@ -1,10 +1,15 @@
-/* The sequoiactl commands that talk to sequoiads: status, call and drain. */
+/*
+ * The sequoiactl commands that talk to sequoiads: status, call, explain
+ * and drain.
+ */
 #ifndef CTL_HOSTCMD_H
 #define CTL_HOSTCMD_H
 
 #include <stdbool.h>
 #include <stddef.h>
 
+#define HOSTCMD_MAX_FIELDS 64
+
 struct hostcmd_opts {
 	const char *const *args; /* arguments after the command's name */
 	size_t n;                /* number of args */
@@ -18,7 +23,13 @@
 	const char *attempt;    /* Sequoia-Attempt header, or NULL */
 	const char *timeout_ms; /* Sequoia-Timeout-Ms header, or NULL */
 	bool stream;            /* call: request a streamed answer */
-	bool json;              /* status: print JSON */
+	bool json;              /* status, explain: print JSON */
+	/* explain: the file with the request's head, "-": input; or NULL. */
+	const char *file;
+	const char *host; /* explain: the caller's Host; or NULL */
+	/* explain: header lines "Name: value". */
+	const char *fields[HOSTCMD_MAX_FIELDS];
+	size_t n_fields;
 };
 
 /*
@@ -30,6 +41,11 @@
 int hostcmd_status(const struct hostcmd_opts *o);
 /* call PIPELINE [BODY]: sends a request; BODY defaults to standard input. */
 int hostcmd_call(const struct hostcmd_opts *o);
+/*
+ * explain IP:PORT [PATH]: prints what would become of a request at a sequoiad.
+ * Returns EXIT_REFUSED if it would be rejected (explain.c).
+ */
+int hostcmd_explain(const struct hostcmd_opts *o);
 /* drain IP:PORT: starts to drain a sequoiad without waiting for the end. */
 int hostcmd_drain(const struct hostcmd_opts *o);
 
--- a/ctl/sequoiactl.c
+++ b/ctl/sequoiactl.c
@@ -16,6 +16,7 @@
 
 enum option_key {
 	OPTION_KV = 'k',
+	OPTION_HEADER = 'H',
 	OPTION_WHO = 'w',
 	OPTION_SEQUOIAD = 's',
 	OPTION_BASE = 256,
@@ -28,7 +29,9 @@
 	OPTION_KEY,
 	OPTION_ATTEMPT,
 	OPTION_TIMEOUT_MS,
-	OPTION_STREAM
+	OPTION_STREAM,
+	OPTION_FILE,
+	OPTION_HOST
 };
 
 struct options {
@@ -76,6 +79,9 @@
 	    COMMAND_HOST, { .hostcmd = hostcmd_call } },
 	{ "drain", "IP:PORT", "Finish the requests in flight, take no new ones",
 	    COMMAND_HOST, { .hostcmd = hostcmd_drain } },
+	{ "explain", "IP:PORT [PATH]",
+	    "Print what would become of a request, without it", COMMAND_HOST,
+	    { .hostcmd = hostcmd_explain } },
 	{ "settings", "", "Print all keys as docs/SETTINGS.md", COMMAND_LOCAL,
 	    { .print = settings_page_write } },
 };
@@ -104,6 +110,12 @@
 	{ "attempt", OPTION_ATTEMPT, "N", 0, "Attempt number, for call", 0 },
 	{ "timeout-ms", OPTION_TIMEOUT_MS, "MS", 0, "Time limit, for call", 0 },
 	{ "stream", OPTION_STREAM, NULL, 0, "Stream the answer, for call", 0 },
+	{ "file", OPTION_FILE, "FILE", 0,
+	    "The head of a request, for explain; \"-\" reads input", 0 },
+	{ "host", OPTION_HOST, "NAME", 0, "Host of the request, for explain",
+	    0 },
+	{ "header", OPTION_HEADER, "NAME: VALUE", 0,
+	    "A header of the request, for explain", 0 },
 	{ 0 },
 };
 
@@ -167,6 +179,18 @@
 	case OPTION_STREAM:
 		o->hostcmd.stream = true;
 		return 0;
+	case OPTION_FILE:
+		o->hostcmd.file = arg;
+		return 0;
+	case OPTION_HOST:
+		o->hostcmd.host = arg;
+		return 0;
+	case OPTION_HEADER:
+		if (o->hostcmd.n_fields == HOSTCMD_MAX_FIELDS)
+			argp_error(state, "%s: one header too many", arg);
+		else
+			o->hostcmd.fields[o->hostcmd.n_fields++] = arg;
+		return 0;
 	case ARGP_KEY_ARG:
 		if (o->command == NULL)
 			o->command = arg;
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -435,37 +435,77 @@
 	    response_wait_prompt(r->info.prompt_tokens), left);
 }
 
-/* Rejects a request for which there is no target, or else no time. */
-static void
-reject_unsent(struct relay_request *r, bool no_target, usec_t now)
+/* Whether the request can be sent now, to a target that was chosen or NULL. */
+static bool
+can_send(const struct relay_request *r, const struct target_load *t, usec_t now)
+{
+	return t != NULL && r->deadline - now >= MIN_TIME_LEFT;
+}
+
+/* Why a request can't be sent to a target that was chosen, or NULL. */
+static struct rejection
+unsent(const struct relay_request *r, const struct target_load *t, usec_t now)
 {
 	usec_t wait =
 	    loads_limit_wait(&r->shared->loads, r->service->name, now);
 
-	if (no_target && wait > 0 && !forward_goes_on(r))
-		relay_request_reject(r,
-		    &(struct rejection){ ERR_NO_TARGET,
+	if (t == NULL && wait > 0 && !forward_goes_on(r))
+		return (struct rejection){ ERR_NO_TARGET,
 			retry_after(wait, hash_u64(r->info.id, 0)),
-			"the limits or rests of the targets forbid it" });
-	else
-		forward_fail(r, ERR_NO_TARGET,
-		    no_target ? "no target is left" : "no time is left");
+			"the limits or rests of the targets forbid it" };
+	return (struct rejection){ ERR_NO_TARGET, RETRY_AFTER,
+		t == NULL ? "no target is left" : "no time is left" };
+}
+
+/* Rejects a request that can't be sent, unless it goes on later. */
+static void
+reject_unsent(struct relay_request *r, const struct target_load *t, usec_t now)
+{
+	struct rejection why = unsent(r, t, now);
+
+	if (!forward_resume_later(r, why.cause))
+		relay_request_reject(r, &why);
 }
 
-/* Returns a target that the request was not sent to yet, or NULL. */
+/*
+ * Returns a target that the request was not sent to yet, or NULL, by
+ * loads_choose or loads_peek; fills the query that it was chosen by.
+ */
 static struct target_load *
-choose_target(struct relay_request *r, usec_t now)
+choose_by(const struct relay_request *r, struct loads_query *query,
+    struct target_load *(*choose)(
+	struct loads *, const struct loads_query *, usec_t),
+    usec_t now)
 {
 	struct target_start_call start = start_query(r);
-	struct loads_query query;
 	struct target_load *t;
 
-	forward_query(r, &query);
-	t = loads_choose(&r->shared->loads, &query, now);
+	forward_query(r, query);
+	t = choose(&r->shared->loads, query, now);
 	if (t != NULL || target_start_needed(&start))
 		return t;
-	query.sure_version = false;
-	return loads_choose(&r->shared->loads, &query, now);
+	query->sure_version = false;
+	return choose(&r->shared->loads, query, now);
+}
+
+static struct target_load *
+choose_target(struct relay_request *r, usec_t now)
+{
+	struct loads_query query;
+
+	return choose_by(r, &query, loads_choose, now);
+}
+
+const struct target_load *
+forward_peek(const struct relay_request *r, struct loads_query *query,
+    struct rejection *why, usec_t now)
+{
+	const struct target_load *t = choose_by(r, query, loads_peek, now);
+
+	if (can_send(r, t, now))
+		return t;
+	*why = unsent(r, t, now);
+	return NULL;
 }
 
 /*
@@ -641,10 +681,10 @@
 	if (reject_quarantined(r) || relay_stopping_refuse(r))
 		return;
 	t = choose_next(r, now);
-	if (t == NULL || r->deadline - now < MIN_TIME_LEFT)
-		reject_unsent(r, t == NULL, now);
-	else
+	if (can_send(r, t, now))
 		send_to(r, t, now);
+	else
+		reject_unsent(r, t, now);
 }
 
 void
--- a/entry/placement_groups.c
+++ b/entry/placement_groups.c
@@ -98,10 +98,16 @@
 	return v;
 }
 
+static char *
+group_key(const char *service, const char *domain)
+{
+	return g_strconcat(service, "\t", domain, NULL);
+}
+
 struct engine_group *
 placements_group(struct placements *p, const char *service, const char *domain)
 {
-	char *key = g_strconcat(service, "\t", domain, NULL);
+	char *key = group_key(service, domain);
 	struct engine_group *g = g_hash_table_lookup(p->groups, key);
 
 	if (g != NULL) {
@@ -119,30 +125,62 @@
 
 /* Returns the peer that places for a group by now, or NULL. */
 static struct placer_peer *
-find_placer(struct placements *p, const struct engine_group *g, usec_t now)
+find_placer(const struct placements *p, const char *service, const char *domain,
+    usec_t now)
 {
 	struct placer_host *v = g_new(struct placer_host, p->peers->len + 1);
 	size_t at;
 
 	for (guint i = 0; i < p->peers->len; i++)
 		v[i] = g_array_index(p->peers, struct placer_peer, i).host;
-	at = placer_choose(v, p->peers->len, g->service, g->domain, now);
+	at = placer_choose(v, p->peers->len, service, domain, now);
 	g_free(v);
 	return at < p->peers->len
 	    ? &g_array_index(p->peers, struct placer_peer, at)
 	    : NULL;
 }
 
+bool
+placements_is_self(const struct placements *p, const struct placer_peer *x)
+{
+	return strcmp(x->p.id, p->o.self) == 0;
+}
+
+/* Whether the choice of a group's placer need not be checked yet. */
+static bool
+is_chosen(const struct engine_group *g, usec_t now)
+{
+	return g->chosen_at != 0 && now - g->chosen_at < CHOICE_TIME;
+}
+
+/* Returns the placer that was chosen last, or NULL. */
+static struct placer_peer *
+chosen_placer(const struct placements *p, const struct engine_group *g)
+{
+	return g->has_placer ? placements_find_peer(p, g->placer) : NULL;
+}
+
+const struct placer_peer *
+placements_current(const struct placements *p, const char *service,
+    const char *domain, usec_t now)
+{
+	g_autofree char *key = group_key(service, domain);
+	const struct engine_group *g = g_hash_table_lookup(p->groups, key);
+
+	return g != NULL && is_chosen(g, now)
+	    ? chosen_placer(p, g)
+	    : find_placer(p, service, domain, now);
+}
+
 /* Returns the peer that places for a group, or NULL. */
 struct placer_peer *
 placements_choose(struct placements *p, struct engine_group *g, usec_t now)
 {
 	struct placer_peer *x;
 
-	if (g->chosen_at != 0 && now - g->chosen_at < CHOICE_TIME)
-		return g->has_placer ? placements_find_peer(p, g->placer)
-				     : NULL;
-	x = find_placer(p, g, now);
+	if (is_chosen(g, now))
+		return chosen_placer(p, g);
+	x = find_placer(p, g->service, g->domain, now);
 	g->chosen_at = now;
 	g->has_placer = x != NULL;
 	if (x == NULL ||
@@ -152,7 +190,7 @@
 	p->counts.changes += *g->placer != '\0';
 	g_strlcpy(g->placer, x->p.rpc, sizeof(g->placer));
 	g->incarnation = x->p.incarnation;
-	g->is_self = strcmp(x->p.id, p->o.self) == 0;
+	g->is_self = placements_is_self(p, x);
 	log_text(LOG_LVL_INFO, "placer-chosen", "of %s in %s: %s", g->service,
 	    *g->domain != '\0' ? g->domain : "all domains",
 	    g->is_self ? "this host" : g->placer);
--- a/entry/placements.c
+++ b/entry/placements.c
@@ -147,6 +147,32 @@
 	g_hash_table_remove(p->calls, &c->number);
 }
 
+/* The time for which a decision is waited for, at most. */
+static usec_t
+decision_time(usec_t deadline, usec_t now)
+{
+	return (usec_t)(WAIT_SHARE * (double)(deadline - now));
+}
+
+struct placements_view
+placements_peek(const struct placements *p, const char *service,
+    const char *domain, usec_t deadline)
+{
+	usec_t now = clock_now();
+	const struct placer_peer *x =
+	    placements_current(p, service, domain, now);
+	struct placements_view v = { .cause = PLACEMENT_NO_PLACER };
+
+	if (x == NULL)
+		return v;
+	v.is_self = placements_is_self(p, x);
+	g_strlcpy(v.host, x->p.rpc, sizeof(v.host));
+	if (decision_time(deadline, now) >= MIN_WAIT &&
+	    (v.is_self || placer_use(&x->host, now) == PLACER_WAIT))
+		v.cause = PLACEMENT_BY_PLACER;
+	return v;
+}
+
 uint64_t
 placements_ask(struct placements *p, const struct placement_call_opts *o,
     enum placement_cause *cause)
@@ -154,8 +180,7 @@
 	usec_t now = clock_now();
 	struct engine_group *g = placements_group(p, o->service, o->domain);
 	struct placer_peer *x = placements_choose(p, g, now);
-	usec_t left =
-	    (usec_t)(WAIT_SHARE * (double)(o->request->deadline - now));
+	usec_t left = decision_time(o->request->deadline, now);
 	struct engine_call *c;
 
 	*cause = PLACEMENT_NO_PLACER;
--- a/entry/placements.h
+++ b/entry/placements.h
@@ -134,6 +134,18 @@
 void placements_reported(struct placements *p, uint64_t call, uint32_t running,
     uint32_t waiting, uint32_t slowness);
 void placements_count(struct placements *p, enum placement_cause cause);
+
+/* Whom placements_ask would ask. */
+struct placements_view {
+	/* PLACEMENT_BY_PLACER, or why none would be asked. */
+	enum placement_cause cause;
+	bool is_self;              /* the placer is this host's own */
+	char host[MAX_ADDR_BYTES]; /* RPC address of the placer; or empty */
+};
+
+/* Asks nobody and changes nothing. */
+struct placements_view placements_peek(const struct placements *p,
+    const char *service, const char *domain, usec_t deadline);
 /*
  * Handles a reply. from: RPC address of the placer, or NULL for this host's
  * own.
--- a/entry/placements_state.h
+++ b/entry/placements_state.h
@@ -83,6 +83,14 @@
 /* Returns the host that places for a group, or NULL. */
 struct placer_peer *placements_choose(
     struct placements *p, struct engine_group *g, usec_t now);
+/*
+ * Returns the host that placements_choose would return for the group of a
+ * service in a domain, whether or not there is such a group yet; or NULL.
+ */
+const struct placer_peer *placements_current(const struct placements *p,
+    const char *service, const char *domain, usec_t now);
+bool placements_is_self(
+    const struct placements *p, const struct placer_peer *x);
 /* Asks whether a placer answers, unless that was done a moment ago. */
 void placements_probe(struct placements *p, struct engine_group *g,
     struct placer_peer *x, usec_t now);
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -34,11 +34,7 @@
 	    65536, 1 << 20, 5 * USEC_PER_SEC, 15 * USEC_PER_SEC })
 /* Handles of the inputs of a call; a stage call has them for each piece. */
 #define CALL_FIELDS_BYTES ((size_t)4 * 1024 * 1024)
-/*
- * Retry-After without a configuration: by then the host has one, or the load
- * balancer has picked another host.
- */
-#define NOT_READY_RETRY   (300 * USEC_PER_MSEC)
+
 struct relay {
 	struct relay_opts o;
 	struct relay_shared shared;
@@ -74,60 +70,15 @@
 {
 	struct relay *y = arg;
 	struct routes *t = y->view != NULL ? y->view->routes : NULL;
-	struct request_info info;
-	const struct route *route;
-	const struct key_owner *caller_key = NULL;
 	struct rejection why = { ERR_OK, 0, "" };
-	struct request_parts parts;
-	struct stopping_need need;
+	struct admission a;
 	const struct stopping *stopping = relay_stopping_look(&y->shared);
 
 	y->shared.counts.arrived++;
-	if (!platform_request_parse(httpd_message(q), &info)) {
-		why = (struct rejection){ ERR_BAD_HEADER, 0,
-			"the attempt's id or the counts of pieces are missing, "
-			"malformed or over " G_STRINGIFY(ROUTE_MAX_PIECES) };
-		reject_early(y, q, info.id, &why);
-		return;
-	}
-	if (t == NULL) {
-		why = (struct rejection){ ERR_NOT_READY, NOT_READY_RETRY,
-			"no configuration is known yet" };
-		reject_early(y, q, info.id, &why);
-		return;
-	}
-	route = routes_find(t, info.host, httpmsg_url(httpd_message(q)));
-	if (route == NULL &&
-	    routes_is_invalid(t, info.host, httpmsg_url(httpd_message(q)))) {
-		why = (struct rejection){ ERR_NOT_READY, NOT_READY_RETRY,
-			"the configuration of the route is invalid" };
-		reject_early(y, q, info.id, &why);
-		return;
-	}
-	if (route == NULL) {
-		why = (struct rejection){ ERR_NO_PIPELINE, 0,
-			"no route has this host and path" };
-		reject_early(y, q, info.id, &why);
-		return;
-	}
-	caller_key = routes_key_owner(t, info.key);
-	if (t->keyed && !route->open && caller_key == NULL) {
-		why = (struct rejection){ ERR_BAD_TOKEN, 0,
-			"the key is not known" };
-		reject_early(y, q, info.id, &why);
-		return;
-	}
-	parts = relay_request_parts(q, &info, caller_key);
-	if (relay_quarantined(&y->shared, &parts.all, &why)) {
-		reject_early(y, q, info.id, &why);
-		return;
-	}
-	need = relay_stopping_need(&y->shared, route, &info);
-	if (!stopping_takes(stopping, &need, clock_now())) {
-		why = (struct rejection){ ERR_DRAINING, RELAY_DRAINING_RETRY,
-			"this host is stopping" };
-		y->shared.counts.stop.refused++;
-		reject_early(y, q, info.id, &why);
+	if (!relay_request_admit(&y->shared, t, httpd_message(q), &a, &why)) {
+		if (why.kind == ERR_DRAINING)
+			y->shared.counts.stop.refused++;
+		reject_early(y, q, a.info.id, &why);
 		return;
 	}
 	if (stopping->signal_at != 0)
@@ -135,11 +86,12 @@
 	relay_request_start(&(struct relay_request_opts){
 	    .shared = &y->shared,
 	    .httpd_req = q,
-	    .info = &info,
+	    .arrived = httpd_arrived(q),
+	    .info = &a.info,
 	    .routes = t,
-	    .route = route,
-	    .caller_key = caller_key,
-	    .parts = &parts,
+	    .route = a.route,
+	    .caller_key = a.caller_key,
+	    .parts = &a.parts,
 	});
 }
 
@@ -536,6 +488,7 @@
 		.httpd = y->httpd,
 		.discovery = y->discovery,
 		.memory = y->o.memory,
+		.routes = y->view != NULL ? y->view->routes : NULL,
 		.ready = y->view != NULL && y->view->routes != NULL &&
 		    relay_stopping_look(&y->shared)->signal_at == 0,
 	    },
--- a/entry/relay_ops.c
+++ b/entry/relay_ops.c
@@ -1,4 +1,5 @@
 #include "entry/relay_ops.h"
+#include "entry/explain.h"
 #include "entry/relay_request.h"
 
 #include <jansson.h>
@@ -69,6 +70,9 @@
 		status = 200;
 		type = "Content-Type: application/json\r\n";
 		put_status(o, &body);
+	} else if (str_eq(target, STR("/explain"))) {
+		type = "Content-Type: application/json\r\n";
+		status = explain_serve(s, o->routes, httpd_message(q), &body);
 	} else if (str_eq(target, STR("/metrics"))) {
 		status = 200;
 		relay_metrics(&body,
--- a/entry/relay_ops.h
+++ b/entry/relay_ops.h
@@ -1,6 +1,7 @@
 /*
  * What the relay serves on the operators' address: readiness probes, metrics,
- * its status, quarantines, and calls to targets for other hosts.
+ * its status, quarantines, what would become of a request, and calls to targets
+ * for other hosts.
  */
 #ifndef ENTRY_RELAY_OPS_H
 #define ENTRY_RELAY_OPS_H
@@ -12,12 +13,14 @@
 struct discovery;
 struct host_memory;
 struct relay_shared;
+struct routes;
 
 struct relay_ops {
 	struct relay_shared *shared;
 	const struct httpd *httpd; /* for callers */
 	struct discovery *discovery;
 	struct host_memory *memory;
+	struct routes *routes; /* in force; NULL: none yet */
 	bool ready;
 };
 
--- a/entry/relay_request.c
+++ b/entry/relay_request.c
@@ -13,6 +13,11 @@
 /* Deadline budget of a request that states none. */
 #define DEFAULT_DEADLINE_BUDGET (60 * USEC_PER_SEC)
 #define CONTENT_HASH_SEED       29
+/*
+ * Retry-After without a configuration: by then the host has one, or the load
+ * balancer has picked another host.
+ */
+#define NOT_READY_RETRY         (300 * USEC_PER_MSEC)
 /* Retry-After when nobody knows a stream: another host may. */
 #define RESUME_RETRY            (300 * USEC_PER_MSEC)
 
@@ -263,10 +268,9 @@
 }
 
 static uint64_t
-hash_content(const struct httpd_request *q, const struct request_info *info,
+hash_content(const struct httpmsg *m, const struct request_info *info,
     const struct key_owner *caller_key)
 {
-	const struct httpmsg *m = httpd_message(q);
 	struct str body = { (const char *)evbuffer_pullup(m->body, -1),
 		evbuffer_get_length(m->body) };
 	uint64_t hash = hash_u64(httpmsg_url(m), CONTENT_HASH_SEED);
@@ -278,11 +282,11 @@
 }
 
 struct request_parts
-relay_request_parts(const struct httpd_request *q,
-    const struct request_info *info, const struct key_owner *caller_key)
+relay_request_parts(const struct httpmsg *m, const struct request_info *info,
+    const struct key_owner *caller_key)
 {
 	struct request_parts out = {
-		.content = hash_content(q, info, caller_key),
+		.content = hash_content(m, info, caller_key),
 		.own =
 		    info->n_parts > 0 ? info->parts[info->n_parts - 1].hash : 0,
 	};
@@ -356,15 +360,63 @@
 							     : budget;
 }
 
+bool
+relay_request_admit(struct relay_shared *s, const struct routes *routes,
+    const struct httpmsg *m, struct admission *out, struct rejection *why)
+{
+	struct request_info *info = &out->info;
+	struct stopping_need need;
+
+	out->route = NULL;
+	out->caller_key = NULL;
+	if (!platform_request_parse(m, info)) {
+		*why = (struct rejection){ ERR_BAD_HEADER, 0,
+			"the attempt's id or the counts of pieces are missing, "
+			"malformed or over " G_STRINGIFY(ROUTE_MAX_PIECES) };
+		return false;
+	}
+	if (routes == NULL) {
+		*why = (struct rejection){ ERR_NOT_READY, NOT_READY_RETRY,
+			"no configuration is known yet" };
+		return false;
+	}
+	out->route = routes_find(routes, info->host, httpmsg_url(m));
+	if (out->route == NULL &&
+	    routes_is_invalid(routes, info->host, httpmsg_url(m))) {
+		*why = (struct rejection){ ERR_NOT_READY, NOT_READY_RETRY,
+			"the configuration of the route is invalid" };
+		return false;
+	}
+	if (out->route == NULL) {
+		*why = (struct rejection){ ERR_NO_PIPELINE, 0,
+			"no route has this host and path" };
+		return false;
+	}
+	out->caller_key = routes_key_owner(routes, info->key);
+	if (routes->keyed && !out->route->open && out->caller_key == NULL) {
+		*why = (struct rejection){ ERR_BAD_TOKEN, 0,
+			"the key is not known" };
+		return false;
+	}
+	out->parts = relay_request_parts(m, info, out->caller_key);
+	if (relay_quarantined(s, &out->parts.all, why))
+		return false;
+	need = relay_stopping_need(s, out->route, info);
+	if (!stopping_takes(&s->stopping, &need, clock_now())) {
+		*why = (struct rejection){ ERR_DRAINING, RELAY_DRAINING_RETRY,
+			"this host is stopping" };
+		return false;
+	}
+	return true;
+}
+
 void
-relay_request_start(const struct relay_request_opts *o)
+relay_request_init(struct relay_request *r, const struct relay_request_opts *o)
 {
-	struct relay_shared *s = o->shared;
 	const struct request_info *info = o->info;
 	const struct route *route = o->route;
-	struct relay_request *r = xcalloc(1, sizeof(*r));
 
-	r->shared = s;
+	r->shared = o->shared;
 	r->httpd_req = o->httpd_req;
 	r->info = *info;
 	r->routes = routes_ref(o->routes);
@@ -374,8 +426,19 @@
 	r->service = routes_service_at(
 	    r->routes, route_pick_service(route, relay_stream_id(info)));
 	r->rank = effective_rank(route, o->caller_key);
-	r->arrived = httpd_arrived(o->httpd_req);
+	r->arrived = o->arrived;
 	r->deadline = r->arrived + relay_request_budget(route, info);
+}
+
+void
+relay_request_start(const struct relay_request_opts *o)
+{
+	struct relay_shared *s = o->shared;
+	const struct request_info *info = o->info;
+	const struct route *route = o->route;
+	struct relay_request *r = xcalloc(1, sizeof(*r));
+
+	relay_request_init(r, o);
 	r->link.data = r;
 	g_queue_push_tail_link(&s->requests, &r->link);
 	atomic_fetch_add(&s->busy, 1);
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -196,7 +196,8 @@
 
 struct relay_request_opts {
 	struct relay_shared *shared;
-	struct httpd_request *httpd_req;
+	struct httpd_request *httpd_req; /* NULL: it is only explained */
+	usec_t arrived;
 	const struct request_info *info;
 	struct routes *routes;
 	const struct route *route;
@@ -207,12 +208,30 @@
 /* Time that a request on the route has at most, from its arrival. */
 usec_t relay_request_budget(
     const struct route *route, const struct request_info *info);
+
+/* A request as it arrived; its strings point into the message. */
+struct admission {
+	struct request_info info;
+	const struct route *route;          /* NULL: none was found */
+	const struct key_owner *caller_key; /* NULL: no known API key */
+	struct request_parts parts;
+};
+
+/*
+ * Whether the relay takes a request; if not, sets why.  routes may be NULL.
+ * Counts nothing.
+ */
+bool relay_request_admit(struct relay_shared *s, const struct routes *routes,
+    const struct httpmsg *m, struct admission *out, struct rejection *why);
+/* Fills the state that an accepted request has at first, of zeroes. */
+void relay_request_init(
+    struct relay_request *r, const struct relay_request_opts *o);
 /* Creates the state of an accepted request and starts its stages. */
 void relay_request_start(const struct relay_request_opts *o);
 /* Id of the attempt that began the request's stream: maybe its own. */
 struct str relay_stream_id(const struct request_info *info);
 /* caller_key may be NULL. */
-struct request_parts relay_request_parts(const struct httpd_request *q,
+struct request_parts relay_request_parts(const struct httpmsg *m,
     const struct request_info *info, const struct key_owner *caller_key);
 /*
  * Whether a request with these parts is quarantined; if so, sets why it is
@@ -268,6 +287,30 @@
  * of stage work is charged for what is made again.
  */
 void stages_resume(struct relay_request *r);
+
+/* What the stages of a request that has just arrived would do. */
+struct stages_view {
+	struct chain chain;
+	enum chain_verdict verdict;
+	usec_t excess; /* time by which they don't fit */
+	struct stage_view {
+		bool needed;
+		bool starts; /* at once */
+		/* Domain of its coordinator; empty: the service isn't split. */
+		char domain[64];
+		char coordinator[MAX_ADDR_BYTES]; /* empty: this host */
+		usec_t wait;                      /* reported from there */
+	} stages[ROUTE_MAX_STAGES];
+};
+
+/*
+ * Fills the view and returns whether the stages would start, or the request be
+ * sent if it needs none; if not, sets why.  Changes nothing.
+ */
+bool stages_peek(const struct relay_request *r, struct stages_view *v,
+    struct rejection *why);
+/* Limits the Retry-After of a rejected request to the time that it has left. */
+void stages_limit_retry(const struct relay_request *r, struct rejection *why);
 /* Approximate size in bytes of the request's own inputs. */
 uint64_t stages_input_bytes(const struct relay_request *r);
 /* Frees the results, which are no longer needed. */
@@ -278,6 +321,14 @@
 void forward_start(struct relay_request *r);
 /* Fills the query that chooses a target for the request. */
 void forward_query(const struct relay_request *r, struct loads_query *query);
+/*
+ * Returns the target that this host would choose for a first call now, and the
+ * query that it is chosen by; or NULL, and why.  Changes nothing.
+ */
+const struct target_load *forward_peek(const struct relay_request *r,
+    struct loads_query *query, struct rejection *why, usec_t now);
+/* Whom a first call would be placed by; sets only r->placement_domain. */
+struct placements_view forward_peek_place(struct relay_request *r);
 void forward_cancel(struct relay_request *r);
 /*
  * A stream that has begun, or a request that was taken from a silent target, is
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -244,13 +244,20 @@
 		r->stages[i].tries = 0;
 }
 
-/* The same, for a request that needs about the given time in its stages. */
+/* For a request that needs about the given time in its stages. */
+static struct rejection
+stages_rejection(const struct relay_request *r, usec_t wait, const char *cause)
+{
+	return (struct rejection){ ERR_NO_TIME,
+		retry_after(wait, hash_u64(r->info.id, 0)), cause };
+}
+
 static void
 reject_stages(struct relay_request *r, usec_t wait, const char *cause)
 {
-	fail_stages(r,
-	    &(struct rejection){ ERR_NO_TIME,
-		retry_after(wait, hash_u64(r->info.id, 0)), cause });
+	struct rejection why = stages_rejection(r, wait, cause);
+
+	fail_stages(r, &why);
 }
 
 /*
@@ -271,10 +278,19 @@
 						       : NULL;
 }
 
+static struct rejection
+evacuated_rejection(const struct relay_request *r)
+{
+	return (struct rejection){ ERR_NO_TARGET,
+		retry_after(EVACUATED_RETRY, hash_u64(r->info.id, 0)),
+		"the failure domains of its targets are evacuated" };
+}
+
 bool
 stages_reject_evacuated(struct relay_request *r)
 {
 	const char *service = evacuated_service(r);
+	struct rejection why;
 
 	/* What has been sent ends as it may. */
 	if (service == NULL || r->first_sent_at != 0)
@@ -283,10 +299,8 @@
 	    "request %.*s: all targets of %s are in evacuated domains",
 	    STR_FMT(r->info.id), service);
 	r->shared->counts.evacuated++;
-	relay_request_reject(r,
-	    &(struct rejection){ ERR_NO_TARGET,
-		retry_after(EVACUATED_RETRY, hash_u64(r->info.id, 0)),
-		"the failure domains of its targets are evacuated" });
+	why = evacuated_rejection(r);
+	relay_request_reject(r, &why);
 	return true;
 }
 
@@ -539,12 +553,28 @@
 	count_handles(r);
 }
 
+/* Checks the remaining stages of a request; sets why they don't fit. */
+static enum chain_verdict
+check_chain(const struct relay_request *r, const struct chain *c,
+    usec_t *excess, struct rejection *why, usec_t now)
+{
+	usec_t left = start_deadline(r) - now;
+	enum chain_verdict v = chain_check(c, left, excess);
+
+	if (v != CHAIN_FITS)
+		*why = stages_rejection(r,
+		    v == CHAIN_NO_TIME ? left + *excess : *excess,
+		    "its stages would not end in time");
+	return v;
+}
+
 /* Ends a request whose remaining stages no longer fit; returns whether so. */
 static bool
 end_unservable(struct relay_request *r, const struct chain *c, usec_t now)
 {
+	struct rejection why;
 	usec_t excess;
-	enum chain_verdict v = chain_check(c, start_deadline(r) - now, &excess);
+	enum chain_verdict v = check_chain(r, c, &excess, &why, now);
 
 	if (v == CHAIN_FITS)
 		return false;
@@ -553,12 +583,56 @@
 	    STR_FMT(r->info.id), excess / USEC_PER_MSEC,
 	    v == CHAIN_NO_TIME ? "after its deadline"
 			       : "after the results they need have expired");
-	reject_stages(r,
-	    v == CHAIN_NO_TIME ? start_deadline(r) - now + excess : excess,
-	    "its stages would not end in time");
+	fail_stages(r, &why);
 	return true;
 }
 
+/* Whether the next thing that is done with a stage is to start it. */
+static bool
+starts_now(const struct relay_request *r, uint32_t i, const struct chain *c)
+{
+	return r->stages[i].job == 0 && chain_is_ready(c, i) &&
+	    !chain_can_wait(c, i);
+}
+
+static void
+peek_stage(const struct relay_request *r, uint32_t i, const struct chain *c,
+    struct stage_view *v, usec_t now)
+{
+	const char *service = service_name(r, i);
+	struct str inputs = { NULL, 0 };
+
+	v->needed = true;
+	v->starts = starts_now(r, i, c);
+	g_strlcpy(v->domain,
+	    coordinator_domain(r, i, preferred_domain(r, i, inputs), c),
+	    sizeof(v->domain));
+	g_strlcpy(v->coordinator,
+	    stage_jobs_coordinator(r->shared->stage_jobs, service, v->domain),
+	    sizeof(v->coordinator));
+	v->wait = stage_waits_get(
+	    &r->shared->stage_waits, service, v->domain, stage_rank(r), now);
+}
+
+bool
+stages_peek(
+    const struct relay_request *r, struct stages_view *v, struct rejection *why)
+{
+	usec_t now = clock_now();
+
+	*v = (struct stages_view){ 0 };
+	describe_chain(r, now, &v->chain);
+	v->verdict = check_chain(r, &v->chain, &v->excess, why, now);
+	for (uint32_t i = 0; i < v->chain.n; i++) {
+		if (has_pieces(r, i))
+			peek_stage(r, i, &v->chain, &v->stages[i], now);
+	}
+	if (evacuated_service(r) == NULL)
+		return v->verdict == CHAIN_FITS;
+	*why = evacuated_rejection(r);
+	return false;
+}
+
 /*
  * Starts all stages that are ready; once all are done, sends the request
  * itself.
@@ -579,8 +653,7 @@
 		if (!has_pieces(r, i) || s->done)
 			continue;
 		all_done = false;
-		if (s->job == 0 && chain_is_ready(&c, i) &&
-		    !chain_can_wait(&c, i))
+		if (starts_now(r, i, &c))
 			start_stage(r, i, &c);
 	}
 	if (!all_done)
@@ -610,14 +683,19 @@
 }
 
 void
-stages_rejected(const struct relay_request *r, struct rejection *why)
+stages_limit_retry(const struct relay_request *r, struct rejection *why)
 {
-	usec_t now = clock_now();
-
-	caller_age_rejected(&r->shared->caller_age, r->route->name, now);
 	if (r->info.deadline_budget > 0)
 		why->retry_after = retry_after_within(why->retry_after,
-		    r->arrived + r->info.deadline_budget - now);
+		    r->arrived + r->info.deadline_budget - clock_now());
+}
+
+void
+stages_rejected(const struct relay_request *r, struct rejection *why)
+{
+	caller_age_rejected(
+	    &r->shared->caller_age, r->route->name, clock_now());
+	stages_limit_retry(r, why);
 }
 
 /* The objective counts from the caller's first attempt. */
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -273,6 +273,17 @@
 	g_ptr_array_add(v, t);
 }
 
+/* What bars a target from all calls. */
+static enum loads_bar
+list_bar(const struct target_load *t)
+{
+	if (!t->listed)
+		return LOADS_UNLISTED;
+	if (t->leaving || t->entry.leaving)
+		return LOADS_LEAVING;
+	return t->evacuated ? LOADS_EVACUATED : LOADS_FREE;
+}
+
 /* Rebuilds the index by address and that of usable targets by service. */
 static void
 index_targets(struct loads *l)
@@ -286,14 +297,17 @@
 	g_hash_table_iter_init(&it, l->by_id);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct target_load *t = p;
+		enum loads_bar bar;
 
 		t->evacuated =
 		    g_hash_table_contains(l->evacuated, t->entry.domain);
 		if (t->listed)
 			g_hash_table_insert(l->by_addr, t->entry.addr, t);
-		if (t->listed && !t->leaving && !t->entry.leaving)
-			add_to_service(
-			    t->evacuated ? l->withheld : l->by_service, t);
+		bar = list_bar(t);
+		if (bar == LOADS_FREE)
+			add_to_service(l->by_service, t);
+		else if (bar == LOADS_EVACUATED)
+			add_to_service(l->withheld, t);
 	}
 	index_domains(l);
 }
@@ -586,14 +600,38 @@
 	return norms != NULL ? norms->rate : READ_COST * TOKENS_PER_MS;
 }
 
+/* What the costs of all targets of a choice have in common. */
+struct cost_terms {
+	const struct target_load *preferred; /* has affinity; or NULL */
+	const char *input_domain;            /* or empty */
+	double rate; /* read_rate() of the service of an engine */
+	struct target_cold_choice choice;
+};
+
+static struct cost_terms
+cost_terms(
+    const struct loads *l, const struct loads_query *q, const GPtrArray *all)
+{
+	return (struct cost_terms){
+		.preferred = affinity_target(all, q),
+		.input_domain =
+		    q->input_addr.n > 0 ? loads_domain_at(l, q->input_addr) : "",
+		.rate = q->engine ? read_rate(l, q->service) : 1,
+		.choice = {
+			.urgency = q->urgency,
+			.n = l->n_chosen,
+			.targets = all->len,
+		},
+	};
+}
+
 /*
  * Predicted milliseconds until the answer begins, without the parts that are
  * equal for all targets.
  */
 static double
-cost(const struct loads *l, const struct loads_query *q,
-    const struct target_load *t, const struct target_load *preferred,
-    const char *input_domain, double rate, usec_t now)
+answer_cost(const struct loads *l, const struct loads_query *q,
+    const struct target_load *t, const struct cost_terms *x, usec_t now)
 {
 	double n_active = active_calls(t, now);
 	double slots = t->entry.slots > 0 ? t->entry.slots : 1;
@@ -606,23 +644,70 @@
 	ms += n_active * RUNNING_MS * slow;
 	if (n_active >= slots)
 		ms += (n_active - slots + 1) * WAITING_MS * slow;
-	if (t != preferred)
-		ms += q->shared_tokens * READ_COST * slow / rate;
-	ms += (double)t->unread * slow / rate;
+	if (t != x->preferred)
+		ms += q->shared_tokens * READ_COST * slow / x->rate;
+	ms += (double)t->unread * slow / x->rate;
 	ms += (slow - 1) * SLOW_SHARE * (double)q->max_gap /
 	    (double)USEC_PER_MSEC;
-	if (*input_domain != '\0' && strcmp(input_domain, t->entry.domain) != 0)
+	if (*x->input_domain != '\0' &&
+	    strcmp(x->input_domain, t->entry.domain) != 0)
 		ms += REMOTE_MB_MS * (double)q->input_bytes / 1e6;
 	return ms;
 }
 
+static double
+cost(const struct loads *l, const struct loads_query *q,
+    const struct target_load *t, const struct cost_terms *x, usec_t now)
+{
+	return answer_cost(l, q, t, x, now) +
+	    target_cold_cost(&t->cold, &x->choice, now);
+}
+
+/* What bars a target from a request of a host that alone calls it. */
+static enum loads_bar
+bar_alone(const struct target_load *t, usec_t now)
+{
+	if (now < t->rest_until)
+		return LOADS_RESTING;
+	if (now < t->brittle.pause_until)
+		return LOADS_BRITTLE;
+	if (!target_cold_allows_alone(&t->cold, now))
+		return LOADS_COLD;
+	return target_limit_allows(&t->limit, now) ? LOADS_FREE : LOADS_LIMITED;
+}
+
+/* What bars a target from a request of this host. */
+static enum loads_bar
+bar_now(const struct target_load *t, usec_t now)
+{
+	enum loads_bar b = bar_alone(t, now);
+
+	if (b != LOADS_FREE)
+		return b;
+	if (!target_cold_allows(&t->cold, now))
+		return LOADS_COLD;
+	return target_brittle_allows(&t->brittle, t->in_flight, now)
+	    ? LOADS_FREE
+	    : LOADS_BRITTLE;
+}
+
+/* What bars a usable target from the call, if it isn't set aside. */
+static enum loads_bar
+bar_for(const struct loads_query *q, const struct target_load *t, usec_t now)
+{
+	if (already_tried(q, t) != q->again)
+		return LOADS_TRIED;
+	if (!has_version(q, t))
+		return LOADS_VERSION;
+	return bar_now(t, now);
+}
+
 /* Whether the target may get the call, if it isn't set aside. */
 static bool
 is_eligible(
     const struct loads_query *q, const struct target_load *t, usec_t now)
 {
-	return already_tried(q, t) == q->again && has_version(q, t) &&
-	    loads_allows(t, now);
+	return bar_for(q, t, now) == LOADS_FREE;
 }
 
 const char *
@@ -652,18 +737,10 @@
 }
 
 static struct target_load *
-choose_cheapest(struct loads *l, const struct loads_query *q,
-    const GPtrArray *all, bool use_set_aside, usec_t now)
+choose_cheapest(const struct loads *l, const struct loads_query *q,
+    const GPtrArray *all, const struct cost_terms *x, bool use_set_aside,
+    struct rng *rng, usec_t now)
 {
-	const struct target_load *preferred = affinity_target(all, q);
-	const char *input_domain =
-	    q->input_addr.n > 0 ? loads_domain_at(l, q->input_addr) : "";
-	const struct target_cold_choice choice = {
-		.urgency = q->urgency,
-		.n = l->n_chosen,
-		.targets = all->len,
-	};
-	double rate = q->engine ? read_rate(l, q->service) : 1;
 	struct target_load *best = NULL;
 	double lowest = 0;
 
@@ -674,31 +751,116 @@
 		if (!is_eligible(q, t, now) ||
 		    (!use_set_aside && now < t->aside_until))
 			continue;
-		c = cost(l, q, t, preferred, input_domain, rate, now) +
-		    target_cold_cost(&t->cold, &choice, now) +
-		    rng_unit(&l->rng);
+		c = cost(l, q, t, x, now) + rng_unit(rng);
 		if (best == NULL || c < lowest) {
 			best = t;
 			lowest = c;
 		}
 	}
-	if (best != NULL && best->cold.rule.per_s > 0) {
-		l->n_chosen++;
-		target_cold_chosen(&best->cold, &choice);
-	}
 	return best;
 }
 
+static struct target_load *
+choose(const struct loads *l, const struct loads_query *q, const GPtrArray *all,
+    const struct cost_terms *x, struct rng *rng, usec_t now)
+{
+	struct target_load *t = choose_cheapest(l, q, all, x, false, rng, now);
+
+	return t != NULL ? t : choose_cheapest(l, q, all, x, true, rng, now);
+}
+
 struct target_load *
 loads_choose(struct loads *l, const struct loads_query *q, usec_t now)
 {
 	const GPtrArray *all = loads_usable(l, q->service);
+	struct cost_terms x;
 	struct target_load *t;
 
 	if (all == NULL)
 		return NULL;
-	t = choose_cheapest(l, q, all, false, now);
-	return t != NULL ? t : choose_cheapest(l, q, all, true, now);
+	x = cost_terms(l, q, all);
+	t = choose(l, q, all, &x, &l->rng, now);
+	if (t != NULL && t->cold.rule.per_s > 0) {
+		l->n_chosen++;
+		target_cold_chosen(&t->cold, &x.choice);
+	}
+	return t;
+}
+
+struct target_load *
+loads_peek(struct loads *l, const struct loads_query *q, usec_t now)
+{
+	const GPtrArray *all = loads_usable(l, q->service);
+	struct rng rng = l->rng;
+	struct cost_terms x;
+
+	if (all == NULL)
+		return NULL;
+	x = cost_terms(l, q, all);
+	return choose(l, q, all, &x, &rng, now);
+}
+
+static gint
+by_id(gconstpointer a, gconstpointer b)
+{
+	const struct loads_option *x = a;
+	const struct loads_option *y = b;
+
+	return strcmp(x->target->entry.id, y->target->entry.id);
+}
+
+GArray *
+loads_explain(const struct loads *l, const struct loads_query *q, usec_t now)
+{
+	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct loads_option));
+	const GPtrArray *all = loads_usable(l, q->service);
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+	struct cost_terms x = cost_terms(l, q, all != NULL ? all : none);
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, l->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct target_load *t = p;
+		struct loads_option o = { .target = t, .bar = list_bar(t) };
+
+		if (strcmp(t->entry.service, q->service) != 0)
+			continue;
+		if (o.bar == LOADS_FREE)
+			o.bar = bar_for(q, t, now);
+		if (o.bar == LOADS_FREE && now < t->aside_until)
+			o.bar = LOADS_ASIDE;
+		o.cost = cost(l, q, t, &x, now);
+		o.active = active_calls(t, now);
+		o.report_age = t->reported_at > 0 ? now - t->reported_at : -1;
+		if (o.bar == LOADS_RESTING)
+			o.free_in = t->rest_until - now;
+		else if (o.bar == LOADS_ASIDE)
+			o.free_in = t->aside_until - now;
+		g_array_append_val(out, o);
+	}
+	g_array_sort(out, by_id);
+	return out;
+}
+
+const char *
+loads_bar_name(enum loads_bar b)
+{
+	static const char *const names[LOADS_BARS] = {
+		[LOADS_FREE] = "usable",
+		[LOADS_UNLISTED] = "unlisted",
+		[LOADS_LEAVING] = "leaving",
+		[LOADS_EVACUATED] = "evacuated",
+		[LOADS_TRIED] = "tried",
+		[LOADS_VERSION] = "version",
+		[LOADS_RESTING] = "resting",
+		[LOADS_BRITTLE] = "brittle",
+		[LOADS_COLD] = "cold",
+		[LOADS_LIMITED] = "limit",
+		[LOADS_ASIDE] = "set-aside",
+	};
+
+	return names[b];
 }
 
 bool
@@ -743,9 +905,7 @@
 bool
 loads_allows(const struct target_load *t, usec_t now)
 {
-	return loads_allows_alone(t, now) &&
-	    target_cold_allows(&t->cold, now) &&
-	    target_brittle_allows(&t->brittle, t->in_flight, now);
+	return bar_now(t, now) == LOADS_FREE;
 }
 
 bool
@@ -757,9 +917,7 @@
 bool
 loads_allows_alone(const struct target_load *t, usec_t now)
 {
-	return now >= t->rest_until && now >= t->brittle.pause_until &&
-	    target_cold_allows_alone(&t->cold, now) &&
-	    target_limit_allows(&t->limit, now);
+	return bar_alone(t, now) == LOADS_FREE;
 }
 
 bool
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -96,6 +96,32 @@
 	GPtrArray *targets; /* struct target_load */
 };
 
+/* What bars a target from a call. */
+enum loads_bar {
+	LOADS_FREE,
+	LOADS_UNLISTED,  /* it is missing in the newest list */
+	LOADS_LEAVING,   /* it takes no new calls */
+	LOADS_EVACUATED, /* its failure domain is */
+	LOADS_TRIED,     /* the request was sent to it, or wasn't */
+	LOADS_VERSION,   /* its software has another version, or is unsure */
+	LOADS_RESTING,   /* it has asked for no request until later */
+	LOADS_BRITTLE,   /* it bears no more calls or refusals now */
+	LOADS_COLD,      /* it bears few requests until it is warm */
+	LOADS_LIMITED,   /* by the limit that it names */
+	LOADS_ASIDE,     /* after failures: used if there are no others */
+	LOADS_BARS
+};
+
+/* A target of a service, as the choice for a call sees it. */
+struct loads_option {
+	const struct target_load *target;
+	enum loads_bar bar;
+	double cost;       /* in milliseconds; without the random part */
+	double active;     /* calls that it is taken to have */
+	usec_t report_age; /* negative: it has not reported */
+	usec_t free_in;    /* resting or set aside: until its end; else 0 */
+};
+
 /* What a call needs from its target. */
 struct loads_query {
 	const char *service;
@@ -164,6 +190,19 @@
  */
 struct target_load *loads_choose(
     struct loads *l, const struct loads_query *q, usec_t now);
+/*
+ * What loads_choose would return now.  Changes nothing, so that later choices
+ * are as without it.
+ */
+struct target_load *loads_peek(
+    struct loads *l, const struct loads_query *q, usec_t now);
+/*
+ * Returns all targets of the query's service that are known, usable or not, as
+ * struct loads_option, by id.
+ */
+GArray *loads_explain(
+    const struct loads *l, const struct loads_query *q, usec_t now);
+const char *loads_bar_name(enum loads_bar b);
 /*
  * Whether the service has a usable target of the version that was not tried,
  * also one that takes no calls now.
