--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -757,6 +757,103 @@
 	bool leaving, set_aside, tried;
 };
 
+/* Brings the target "a" of the service "s" into the state with this bar. */
+static void
+bar_target(
+    struct loads *l, struct loads_query *q, enum loads_bar bar, usec_t now)
+{
+	struct target_load *t = loads_find(l, "a");
+	g_autoptr(GArray) none =
+	    g_array_new(FALSE, FALSE, sizeof(struct target_entry));
+	g_autoptr(GArray) evacuated =
+	    g_array_new(FALSE, TRUE, sizeof(struct evacuation));
+
+	switch (bar) {
+	case LOADS_FREE:
+	case LOADS_BARS:
+		break;
+	case LOADS_UNLISTED:
+		loads_update(l, none, now);
+		break;
+	case LOADS_LEAVING:
+		loads_mark_leaving(l, t);
+		break;
+	case LOADS_EVACUATED:
+		g_array_set_size(evacuated, 1);
+		g_strlcpy(g_array_index(evacuated, struct evacuation, 0).domain,
+		    t->entry.domain, EVACUATION_DOMAIN_BYTES);
+		loads_set_evacuated(l, evacuated);
+		break;
+	case LOADS_TRIED:
+		q->tried[q->n_tried++] = STR("a");
+		break;
+	case LOADS_VERSION:
+		q->version = STR("another");
+		break;
+	case LOADS_RESTING:
+		loads_rest(t, 500 * MS, now);
+		break;
+	case LOADS_BRITTLE:
+		t->brittle.pause_until = now + 500 * MS;
+		break;
+	case LOADS_COLD:
+		t->cold.rule = (struct target_cold_rule){ .per_s = 1 };
+		t->cold.until = now + 500 * MS;
+		t->cold.next_at = now + 500 * MS;
+		break;
+	case LOADS_LIMITED:
+		t->limit.rate = 1;
+		t->limit.share = 1;
+		t->limit.filled_at = now;
+		break;
+	case LOADS_ASIDE:
+		loads_failed(t, now);
+		break;
+	}
+}
+
+/*
+ * What bars a target is that which the choices go by, and a look at them
+ * changes nothing.
+ */
+static void
+test_loads_bars(void)
+{
+	usec_t now = 10000 * MS;
+
+	for (enum loads_bar bar = LOADS_FREE; bar < LOADS_BARS; bar++) {
+		struct loads_query q = { .service = "s" };
+		g_autoptr(GArray) list =
+		    g_array_new(FALSE, FALSE, sizeof(struct target_entry));
+		g_autoptr(GArray) options = NULL;
+		struct target_entry e = entry("a", false);
+		const struct target_load *t;
+		struct rng rng;
+		struct loads l;
+
+		loads_init(&l, "d1", 1);
+		g_strlcpy(e.domain, "d1", sizeof(e.domain));
+		g_array_append_val(list, e);
+		loads_update(&l, list, 0);
+		bar_target(&l, &q, bar, now);
+		rng = l.rng;
+		options = loads_explain(&l, &q, now);
+		t = loads_peek(&l, &q, now);
+		g_assert_cmpuint(options->len, ==, 1);
+		g_assert_cmpstr(
+		    loads_bar_name(
+			g_array_index(options, struct loads_option, 0).bar),
+		    ==, loads_bar_name(bar));
+		g_assert_cmpint(loads_takes(&l, &q, loads_find(&l, "a"), now),
+		    ==, bar == LOADS_FREE);
+		g_assert_cmpint(
+		    t != NULL, ==, bar == LOADS_FREE || bar == LOADS_ASIDE);
+		g_assert_cmpuint(l.rng.count, ==, rng.count);
+		g_assert_true(loads_choose(&l, &q, now) == t);
+		loads_free(&l);
+	}
+}
+
 static void
 test_loads_choose(void)
 {
@@ -1336,6 +1433,7 @@
 	g_test_add_func("/batch/estimate", test_batch_estimate);
 	g_test_add_func("/batch/overload", test_batch_overload);
 	g_test_add_func("/loads/choose", test_loads_choose);
+	g_test_add_func("/loads/bars", test_loads_bars);
 	g_test_add_func("/loads/full", test_loads_full);
 	g_test_add_func("/loads/failed-call", test_loads_failed_call);
 	g_test_add_func("/loads/rest", test_loads_rest);
