placement: nothing is refused for a run time that wasn't measured

Cause: a placer that has just started takes a second for the time that a stream runs.

Change: until runs are measured they count as short.

--- a/kernel/overload/engine_speed.c
+++ b/kernel/overload/engine_speed.c
@@ -2,10 +2,13 @@
 
 #include <math.h>
 
-/* The averages while nothing is measured. */
+/*
+ * The averages while nothing is measured.  That of the runs is short: a prompt
+ * must not be refused for a wait that nobody knows.
+ */
 #define FIRST_RATE      50.0
 #define FIRST_FIRST_MS  20.0
-#define FIRST_RUN_MS    1000.0
+#define FIRST_RUN_MS    50.0
 #define FIRST_TOKENS    2000.0
 #define ENGINE_WEIGHT   0.3  /* of a sample in the slowness of one engine */
 #define NORM_WEIGHT     0.05 /* of a sample in the averages over all */
