Cold targets: warm ones take calls that have no other target

Cause: for 6 s after a target's cold time only its owners send to it, so that its share rises slowly. A service whose targets were all cold refused the requests of the other hosts meanwhile, though the targets bear them: a soak had "the limits or rests of the targets forbid it" 4 s after two targets were warm.

Change: a choice that finds no free target takes one whose rising share alone bars it, before those that are set aside. The bound while a target is cold stays.

--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -689,6 +689,16 @@
 	return bar_now(t, now);
 }
 
+/* Whether only the slow rise of its share bars a target that is warm again. */
+static bool
+is_warming(const struct loads_query *q, const struct target_load *t, usec_t now)
+{
+	return bar_for(q, t, now) == LOADS_COLD &&
+	    !target_cold_is_cold(&t->cold, now) &&
+	    target_limit_allows(&t->limit, now) &&
+	    target_brittle_allows(&t->brittle, t->in_flight, now);
+}
+
 /* Whether the target may get the call, if it isn't set aside. */
 static bool
 is_eligible(
@@ -723,9 +733,31 @@
 	    is_eligible(q, t, now) && now >= t->aside_until;
 }
 
+/* Which targets a choice takes, if it finds none of the ones before. */
+enum choice_step {
+	CHOOSE_FREE,
+	CHOOSE_WARMING,
+	CHOOSE_SET_ASIDE
+};
+
+static bool
+is_candidate(const struct loads_query *q, const struct target_load *t,
+    enum choice_step step, usec_t now)
+{
+	switch (step) {
+	case CHOOSE_FREE:
+		return is_eligible(q, t, now) && now >= t->aside_until;
+	case CHOOSE_WARMING:
+		return is_warming(q, t, now) && now >= t->aside_until;
+	case CHOOSE_SET_ASIDE:
+		return is_eligible(q, t, now);
+	}
+	return false;
+}
+
 static struct target_load *
 choose_cheapest(const struct loads *l, const struct loads_query *q,
-    const GPtrArray *all, const struct cost_terms *x, bool use_set_aside,
+    const GPtrArray *all, const struct cost_terms *x, enum choice_step step,
     struct rng *rng, usec_t now)
 {
 	struct target_load *best = NULL;
@@ -735,8 +767,7 @@
 		struct target_load *t = all->pdata[i];
 		double c;
 
-		if (!is_eligible(q, t, now) ||
-		    (!use_set_aside && now < t->aside_until))
+		if (!is_candidate(q, t, step, now))
 			continue;
 		c = cost(l, q, t, x, now) + rng_unit(rng);
 		if (best == NULL || c < lowest) {
@@ -751,9 +782,12 @@
 choose(const struct loads *l, const struct loads_query *q, const GPtrArray *all,
     const struct cost_terms *x, struct rng *rng, usec_t now)
 {
-	struct target_load *t = choose_cheapest(l, q, all, x, false, rng, now);
+	struct target_load *t = NULL;
 
-	return t != NULL ? t : choose_cheapest(l, q, all, x, true, rng, now);
+	for (int i = CHOOSE_FREE; t == NULL && i <= CHOOSE_SET_ASIDE; i++)
+		t = choose_cheapest(
+		    l, q, all, x, (enum choice_step)i, rng, now);
+	return t;
 }
 
 struct target_load *
--- a/tests/kernel/test_target_cold.c
+++ b/tests/kernel/test_target_cold.c
@@ -419,11 +419,61 @@
 	}
 }
 
+/*
+ * A target that is warm again takes the calls of all hosts if the service has
+ * no other, and only those of its owners while it is cold or another is free.
+ */
+static void
+test_last_resort(void)
+{
+	static const struct {
+		const char *name;
+		size_t n_targets; /* the first was cold until COLD_TIME */
+		usec_t at;        /* since it became cold */
+		size_t min_hosts; /* that may send a call to it */
+		size_t max_hosts;
+	} cases[] = {
+		{ "cold", 1, COLD_TIME - MSEC(10), 1, 16 },
+		{ "warm, alone", 1, COLD_TIME + MSEC(10), MAX_HOSTS,
+		    MAX_HOSTS },
+		{ "warm, beside another", 2, COLD_TIME + MSEC(10), 0, 16 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct replay r = { .n_hosts = MAX_HOSTS,
+			.n_targets = cases[i].n_targets,
+			.n_cold = 1 };
+		struct fleet *f = xcalloc(1, sizeof(*f));
+		size_t n = 0;
+
+		f->cold_at[0] = COLD_AT;
+		g_test_message("%s", cases[i].name);
+		for (size_t k = 0; k < MAX_HOSTS; k++) {
+			struct loads *l = &f->hosts[k];
+			struct loads_query q = { .service = "s" };
+			struct target_load *t;
+
+			loads_init(l, "d", k + 1);
+			set_hosts(&r, f, k);
+			loads_set_hosts_listed(l, true, 0);
+			loads_set_cold_rules(l, new_rules());
+			list_targets(&r, f, l, COLD_AT);
+			t = loads_choose(l, &q, COLD_AT + cases[i].at);
+			n += t != NULL && strcmp(t->entry.id, "t0") == 0;
+			loads_free(l);
+		}
+		free(f);
+		g_assert_cmpuint(n, >=, cases[i].min_hosts);
+		g_assert_cmpuint(n, <=, cases[i].max_hosts);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/target_cold/cases", test_cases);
+	g_test_add_func("/target_cold/last-resort", test_last_resort);
 	for (size_t i = 0; i < G_N_ELEMENTS(replays); i++) {
 		g_autofree char *path =
 		    g_strdup_printf("/target_cold/%s", replays[i].name);
