--- a/tests/kernel/test_target_cold.c
+++ b/tests/kernel/test_target_cold.c
@@ -432,22 +432,22 @@
 		usec_t at;        /* since it became cold */
 		size_t min_hosts; /* that may send a call to it */
 		size_t max_hosts;
-	} cases[] = {
+	} resorts[] = {
 		{ "cold", 1, COLD_TIME - MSEC(10), 1, 16 },
 		{ "warm, alone", 1, COLD_TIME + MSEC(10), MAX_HOSTS,
 		    MAX_HOSTS },
 		{ "warm, beside another", 2, COLD_TIME + MSEC(10), 0, 16 },
 	};
 
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+	for (size_t i = 0; i < G_N_ELEMENTS(resorts); i++) {
 		struct replay r = { .n_hosts = MAX_HOSTS,
-			.n_targets = cases[i].n_targets,
+			.n_targets = resorts[i].n_targets,
 			.n_cold = 1 };
 		struct fleet *f = xcalloc(1, sizeof(*f));
 		size_t n = 0;
 
 		f->cold_at[0] = COLD_AT;
-		g_test_message("%s", cases[i].name);
+		g_test_message("%s", resorts[i].name);
 		for (size_t k = 0; k < MAX_HOSTS; k++) {
 			struct loads *l = &f->hosts[k];
 			struct loads_query q = { .service = "s" };
@@ -458,13 +458,13 @@
 			loads_set_hosts_listed(l, true, 0);
 			loads_set_cold_rules(l, new_rules());
 			list_targets(&r, f, l, COLD_AT);
-			t = loads_choose(l, &q, COLD_AT + cases[i].at);
+			t = loads_choose(l, &q, COLD_AT + resorts[i].at);
 			n += t != NULL && strcmp(t->entry.id, "t0") == 0;
 			loads_free(l);
 		}
 		free(f);
-		g_assert_cmpuint(n, >=, cases[i].min_hosts);
-		g_assert_cmpuint(n, <=, cases[i].max_hosts);
+		g_assert_cmpuint(n, >=, resorts[i].min_hosts);
+		g_assert_cmpuint(n, <=, resorts[i].max_hosts);
 	}
 }
 
