--- a/entry/placer.c
+++ b/entry/placer.c
@@ -1,8 +1,6 @@
-#include "entry/placer.h"
+#include "entry/placer_state.h"
 #include "base/hash.h"
 #include "base/log.h"
-#include "kernel/arrival.h"
-#include "kernel/overload/placement.h"
 
 #include <event2/event.h>
 #include <inttypes.h>
@@ -20,8 +18,6 @@
 #define UNUSED_TIME       (60 * USEC_PER_SEC)
 /* A host that waits for a decision repeats its ask more often. */
 #define ASK_LOST_TIME     (600 * USEC_PER_MSEC)
-/* Messages that are on their way may have passed a list of calls. */
-#define LIST_MARGIN       (500 * USEC_PER_MSEC)
 /* An ask that arrived so long ago has been given up. */
 #define MAX_ASK_DELAY     (100 * USEC_PER_MSEC)
 #define DECISIONS_AT_ONCE 16
@@ -34,71 +30,8 @@
 /* How long it is remembered when a target was heard of. */
 #define KNOWN_TIME        (60 * USEC_PER_SEC)
 
-/* A call that a host asks for, or has made. */
-struct placed_call {
-	uint64_t host; /* incarnation */
-	uint64_t number;
-	char from[MAX_ADDR_BYTES]; /* RPC address; empty: this host */
-	bool decided;
-	bool begun;
-	usec_t heard_at; /* last ask; once decided, the time of the decision */
-	struct placement_decision decision;
-};
-
-/* The engines of a service in a failure domain. */
-struct engine_pool {
-	struct placer *placer;
-	char *key;
-	char service[64];
-	char domain[64];
-	struct placement *placement;
-	GHashTable *calls;    /* set of struct placed_call */
-	GHashTable *known_at; /* target id -> usec_t of the last news of it */
-	GHashTable *told_at;  /* incarnation of a host -> usec_t of its news */
-	usec_t stepped_at;
-	usec_t wait; /* of a new prompt, as told to hosts */
-	usec_t wait_at;
-	usec_t learns_until;
-	usec_t heard_at;
-	struct event *timer;
-};
-
-struct placer {
-	struct placer_opts o;
-	struct routes *routes;
-	GHashTable *pools; /* key -> struct engine_pool */
-	GHashTable *hosts; /* set of the incarnations of the live hosts */
-	struct arrival arrival;
-	bool draining;
-	struct placer_counts counts;
-};
-
 static void step(struct engine_pool *e, usec_t now);
 
-static guint
-hash_call(gconstpointer v)
-{
-	const struct placed_call *c = v;
-
-	return (guint)(c->host * 31 + c->number);
-}
-
-static gboolean
-equal_calls(gconstpointer a, gconstpointer b)
-{
-	const struct placed_call *x = a;
-	const struct placed_call *y = b;
-
-	return x->host == y->host && x->number == y->number;
-}
-
-static struct placed_call *
-find_call(const struct engine_pool *e, uint64_t host, uint64_t number)
-{
-	return g_hash_table_lookup(
-	    e->calls, &(struct placed_call){ .host = host, .number = number });
-}
-
 static void
 free_pool(gpointer p)
 {
@@ -200,7 +133,7 @@
 	    .slots = s->engine.slots,
 	    .kv_tokens = s->engine.tokens,
 	});
-	e->calls = g_hash_table_new_full(hash_call, equal_calls, free, NULL);
+	e->calls = placer_new_calls();
 	e->known_at =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	e->told_at =
@@ -319,7 +252,7 @@
     struct engine_pool *e, const struct placement_decision *d, usec_t now)
 {
 	struct placer_counts *n = &e->placer->counts;
-	struct placed_call *c = find_call(e, d->host, d->ask);
+	struct placed_call *c = placer_find_call(e, d->host, d->ask);
 
 	if (c == NULL)
 		return;
@@ -367,24 +300,10 @@
 	set_timer(e, now);
 }
 
-static void
-read_size(const peer_prompt_size *m, struct placement_request *q)
-{
-	q->n_parts = m->parts.parts_len;
-	for (size_t i = 0; i < q->n_parts; i++)
-		q->parts[i] = (struct placement_part){
-			.hash = m->parts.parts_val[i].hash,
-			.tokens = m->parts.parts_val[i].tokens,
-		};
-	q->prompt_tokens = m->prompt_tokens;
-	q->output_tokens = m->output_tokens;
-	q->rank = m->rank;
-}
-
 static void
 read_ask(const peer_place_ask *m, struct placement_request *q, usec_t now)
 {
-	read_size(&m->size, q);
+	placer_read_size(&m->size, q);
 	q->aim = now + (usec_t)m->aim_left_ms * USEC_PER_MSEC;
 	q->deadline = now + (usec_t)m->left_ms * USEC_PER_MSEC;
 	q->latest = now + (usec_t)m->latest_ms * USEC_PER_MSEC;
@@ -398,19 +317,6 @@
 		    q->tried[i], m->tried.tried_val[i], sizeof(q->tried[i]));
 }
 
-static struct placed_call *
-add_call(
-    struct engine_pool *e, const char *from, uint64_t host, uint64_t number)
-{
-	struct placed_call *c = xcalloc(1, sizeof(*c));
-
-	c->host = host;
-	c->number = number;
-	g_strlcpy(c->from, from, sizeof(c->from));
-	g_hash_table_add(e->calls, c);
-	return c;
-}
-
 /* Asks the decision for a new call. */
 static void
 submit(struct engine_pool *e, const char *from, uint64_t host,
@@ -420,153 +326,16 @@
 	const struct placed_call *c;
 
 	read_ask(m, &q, now);
-	add_call(e, from, host, m->call)->heard_at = now;
+	placer_add_call(e, from, host, m->call)->heard_at = now;
 	placement_submit(e->placement, &q, now);
 	step(e, now);
-	c = find_call(e, host, m->call);
+	c = placer_find_call(e, host, m->call);
 	if (c == NULL || c->decided)
 		return;
 	e->placer->counts.queued++;
 	reply_queued(e, from, m->call, false, now);
 }
 
-static void
-knows(struct engine_pool *e, const char *target, usec_t now)
-{
-	if (*target != '\0')
-		g_hash_table_replace(e->known_at, g_strdup(target),
-		    g_memdup2(&now, sizeof(now)));
-}
-
-static void
-note_begun(struct engine_pool *e, struct placed_call *c, usec_t now)
-{
-	if (c == NULL || !c->decided || c->begun)
-		return;
-	c->begun = true;
-	knows(e, c->decision.target, now);
-	placement_begun(e->placement, c->host, c->number, now);
-}
-
-/* Ends a call as an event tells. */
-static void
-end_call(struct engine_pool *e, struct placed_call *c, peer_place_kind kind,
-    usec_t now)
-{
-	if (c == NULL)
-		return;
-	if (!c->decided || kind == PEER_PLACE_CANCELLED)
-		placement_cancel(e->placement, c->host, c->number);
-	else
-		placement_ended(e->placement, c->host, c->number,
-		    kind == PEER_PLACE_COMPLETED, now);
-	g_hash_table_remove(e->calls, c);
-}
-
-/* A host has sent a call by its own choice. */
-static void
-note_sent(
-    struct engine_pool *e, uint64_t host, const peer_place_sent *m, usec_t now)
-{
-	struct placement_request q = {
-		.host = host,
-		.ask = m->call,
-		.deadline = now + (usec_t)m->left_ms * USEC_PER_MSEC,
-		.max_gap = (usec_t)m->max_gap_ms * USEC_PER_MSEC,
-	};
-	struct placed_call *c;
-
-	if (find_call(e, host, m->call) != NULL)
-		return;
-	c = add_call(e, "", host, m->call);
-	c->decided = true;
-	c->heard_at = now;
-	g_strlcpy(c->decision.target, m->target, sizeof(c->decision.target));
-	read_size(&m->size, &q);
-	placement_sent(e->placement, &q, m->target, now);
-}
-
-/* Takes what a host has learnt at a time. */
-static void
-take_fact(
-    struct engine_pool *e, uint64_t host, const peer_place_fact *m, usec_t at)
-{
-	struct placed_call *c;
-
-	switch (m->kind) {
-	case PEER_PLACE_SENT:
-		note_sent(e, host, &m->peer_place_fact_u.sent, at);
-		return;
-	case PEER_PLACE_REPORT:
-		knows(e, m->peer_place_fact_u.report.target, at);
-		placement_reported(e->placement,
-		    m->peer_place_fact_u.report.target,
-		    m->peer_place_fact_u.report.running,
-		    m->peer_place_fact_u.report.waiting,
-		    m->peer_place_fact_u.report.slowness, at);
-		return;
-	case PEER_PLACE_BEGUN:
-	case PEER_PLACE_COMPLETED:
-	case PEER_PLACE_LOST:
-	case PEER_PLACE_CANCELLED:
-		break;
-	}
-	c = find_call(e, host, m->peer_place_fact_u.call);
-	if (m->kind == PEER_PLACE_BEGUN) {
-		note_begun(e, c, at);
-		return;
-	}
-	if (c != NULL && m->kind == PEER_PLACE_COMPLETED)
-		knows(e, c->decision.target, at);
-	end_call(e, c, m->kind, at);
-}
-
-/*
- * Compares the calls of a host with its list: the end of a call that it lacks,
- * and the begin of one, may have been lost on the way.  Returns whether the
- * list has calls that aren't known here.
- */
-static bool
-take_list(
-    struct engine_pool *e, uint64_t host, const peer_place_news *m, usec_t now)
-{
-	g_autoptr(GHashTable) listed =
-	    g_hash_table_new(g_int64_hash, g_int64_equal);
-	g_autoptr(GPtrArray) gone = g_ptr_array_new();
-	bool lacks = false;
-	GHashTableIter it;
-	gpointer v;
-
-	for (u_int i = 0; i < m->calls.calls_len; i++) {
-		peer_place_call *x = &m->calls.calls_val[i];
-		struct placed_call *c = find_call(e, host, x->call);
-
-		g_hash_table_add(listed, &x->call);
-		if (c == NULL)
-			lacks = true;
-		else if (x->begun)
-			note_begun(e, c, now);
-	}
-	g_hash_table_iter_init(&it, e->calls);
-	while (g_hash_table_iter_next(&it, &v, NULL)) {
-		struct placed_call *c = v;
-
-		if (c->host == host && c->decided &&
-		    now - c->heard_at > LIST_MARGIN &&
-		    !g_hash_table_contains(listed, &c->number))
-			g_ptr_array_add(gone, c);
-	}
-	for (guint i = 0; i < gone->len; i++) {
-		struct placed_call *c = gone->pdata[i];
-
-		e->placer->counts.lost_calls++;
-		end_call(e, c,
-		    c->begun ? PEER_PLACE_COMPLETED : PEER_PLACE_CANCELLED,
-		    now);
-	}
-	return lacks;
-}
-
 /* A host queries the state of calls that wait. */
 static void
 take_waiting(struct engine_pool *e, const char *from, uint64_t host,
@@ -574,7 +343,7 @@
 {
 	for (u_int i = 0; i < m->waiting.waiting_len; i++) {
 		uint64_t number = m->waiting.waiting_val[i];
-		struct placed_call *c = find_call(e, host, number);
+		struct placed_call *c = placer_find_call(e, host, number);
 
 		if (c == NULL)
 			reply_none(e->placer, from, number, m);
@@ -595,11 +364,11 @@
 	g_hash_table_replace(e->told_at, g_memdup2(&host, sizeof(host)),
 	    g_memdup2(&now, sizeof(now)));
 	for (u_int i = 0; i < m->events.events_len; i++)
-		take_fact(e, host, &m->events.events_val[i].fact,
+		placer_take_fact(e, host, &m->events.events_val[i].fact,
 		    now -
 			(usec_t)m->events.events_val[i].age_ms * USEC_PER_MSEC);
 	if (m->listed)
-		lacks = take_list(e, host, m, now);
+		lacks = placer_take_list(e, host, m, now);
 	take_waiting(e, from, host, m, now);
 	if (lacks || m->waiting.waiting_len > 0)
 		reply_queued(e, from, 0, lacks, now);
@@ -629,7 +398,7 @@
 {
 	struct placer *p = e->placer;
 	usec_t delay = now - arrival_earliest(&p->arrival, now);
-	struct placed_call *c = find_call(e, host, m->call);
+	struct placed_call *c = placer_find_call(e, host, m->call);
 
 	if (c != NULL && c->decided) {
 		reply_decision(e, c, now);
