placement: the first samples of an average count for more

Cause: the time of a first event starts at an assumed 20 ms and moved by a twentieth a sample, so the engine that was used first looked faster than those without a sample, and got every call of an idle service: test_fleet_restart had all of 32 streams at targets of one version in one play of six.

Change: the assumed value counts as a few samples.

--- a/kernel/overload/engine_speed.c
+++ b/kernel/overload/engine_speed.c
@@ -8,6 +8,7 @@
  */
 #define FIRST_RATE      50.0
 #define FIRST_FIRST_MS  20.0
+#define FIRST_COUNT     4
 #define FIRST_RUN_MS    50.0
 #define FIRST_TOKENS    2000.0
 #define ENGINE_WEIGHT   0.3  /* of a sample in the slowness of one engine */
@@ -44,6 +45,20 @@
 	*average += NORM_WEIGHT * (sample - *average);
 }
 
+/*
+ * The first samples count in full: compared with an average that nothing was
+ * measured for, the engine that is used first would look fast, and be used
+ * again.
+ */
+static void
+add_first(struct engine_norms *norms, double ms)
+{
+	double weight =
+	    fmax(NORM_WEIGHT, 1.0 / (FIRST_COUNT + norms->n_first++));
+
+	norms->first_ms += weight * (ms - norms->first_ms);
+}
+
 double
 engine_speed_slowness(const struct engine_speed *s, usec_t now)
 {
@@ -72,7 +87,7 @@
 	double longer;
 
 	if (tokens < MIN_RATE_SAMPLE) {
-		engine_norms_add(&norms->first_ms, ms);
+		add_first(norms, ms);
 	} else if (tokens < CURVE_TOKENS) {
 		/* A quotient of averages, as single samples scatter. */
 		engine_norms_add(&norms->read_tokens,
--- a/kernel/overload/engine_speed.h
+++ b/kernel/overload/engine_speed.h
@@ -13,6 +13,8 @@
 
 #include "base/clock.h"
 
+#include <stdint.h>
+
 /* Averages over all engines of a service. */
 struct engine_norms {
 	double rate; /* tokens of a short prompt that are read in a ms */
@@ -21,6 +23,7 @@
 	double read_tokens;   /* of a sample of the rate */
 	double read_ms;       /* that they took */
 	double first_ms;      /* until the first event, without reading */
+	uint32_t n_first;     /* samples of it */
 	double run_ms;        /* from the first event to the end */
 	double tokens;        /* of a request, in memory */
 	double prompt_tokens; /* read for a request */
--- a/tests/entry/test_placer.c
+++ b/tests/entry/test_placer.c
@@ -11,7 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SELF       "127.0.0.1:25590" /* also stands for the placer */
+#define SELF       "127.0.0.1:25690" /* also stands for the placer */
 #define LEARN_TIME 1100000           /* a bit longer than placers learn */
 #define MS         USEC_PER_MSEC
 
