placement: engines that are as good as equal take turns

Cause: idle engines differ by parts of a millisecond in what was measured of them, and the choice broke ties within one millisecond only, so an idle service used few of its engines.

Change: ties are broken within the cost of one running request.

--- a/kernel/overload/engine_choice.c
+++ b/kernel/overload/engine_choice.c
@@ -9,6 +9,8 @@
 #define READ_SHARE    0.5
 /* A prompt is sent so long before the engine has read those before it. */
 #define LEAD_MS       20.0
+/* Engines that differ by less are as good as equal, and take turns. */
+#define TIE_MS        4.0
 /* Cost of a running request to one more, in milliseconds. */
 #define RUNNING_MS    4.0
 /*
@@ -132,7 +134,7 @@
 		ms += slow * SLOW_SHARE * to_ms(x->request.max_gap);
 	if (now < v->engine->aside_until || now < v->target->aside_until)
 		ms += ASIDE_COST_MS;
-	return ms + rng_unit(o->rng);
+	return ms + rng_unit(o->rng) * TIE_MS;
 }
 
 /*
