--- a/entry/placements.c
+++ b/entry/placements.c
@@ -89,7 +89,6 @@
 	if (*home == '\0')
 		home = p->o.loads->domain;
 	v = g_new0(struct spill_domain, domains->len);
-	at = (size_t)(random % domains->len); /* home may have no targets */
 	for (guint i = 0; i < domains->len; i++) {
 		const struct loads_domain *d = domains->pdata[i];
 
