--- a/kernel/overload/target_cold.h
+++ b/kernel/overload/target_cold.h
@@ -17,7 +17,8 @@
  *
  * A target that is warm again, and one that is listed anew, gets its full share
  * over some time: the number of owners doubles each second, and when all hosts
- * are owners, the rate of each.
+ * are owners, the rate of each.  If a service has no other target, any host may
+ * send to one that is warm again (kernel/loads.c).
  *
  * Not covered: what is sent before a host learns that a target has become cold.
  *
