Cold targets: a choice falls back on warm targets that are set aside

Cause: a warm target whose share still rises was taken as a last resort only if it wasn't set aside, and one that is set aside only if its share had risen: if all were both, requests were rejected.

Change: the last step of a choice takes these too.

--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -750,7 +750,7 @@
 	case CHOOSE_WARMING:
 		return is_warming(q, t, now) && now >= t->aside_until;
 	case CHOOSE_SET_ASIDE:
-		return is_eligible(q, t, now);
+		return is_eligible(q, t, now) || is_warming(q, t, now);
 	}
 	return false;
 }
--- a/tests/kernel/test_target_cold.c
+++ b/tests/kernel/test_target_cold.c
@@ -432,10 +432,13 @@
 		usec_t at;        /* since it became cold */
 		size_t min_hosts; /* that may send a call to it */
 		size_t max_hosts;
+		bool set_aside;
 	} resorts[] = {
 		{ "cold", 1, COLD_TIME - MSEC(10), 1, 16 },
 		{ "warm, alone", 1, COLD_TIME + MSEC(10), MAX_HOSTS,
 		    MAX_HOSTS },
+		{ "warm, alone, set aside", 1, COLD_TIME + MSEC(10), MAX_HOSTS,
+		    MAX_HOSTS, true },
 		{ "warm, beside another", 2, COLD_TIME + MSEC(10), 0, 16 },
 	};
 
@@ -458,6 +461,9 @@
 			loads_set_hosts_listed(l, true, 0);
 			loads_set_cold_rules(l, new_rules());
 			list_targets(&r, f, l, COLD_AT);
+			if (resorts[i].set_aside)
+				loads_failed(loads_find(l, "t0"),
+				    COLD_AT + resorts[i].at);
 			t = loads_choose(l, &q, COLD_AT + resorts[i].at);
 			n += t != NULL && strcmp(t->entry.id, "t0") == 0;
 			loads_free(l);
