placement_ask: a host that stood still doesn't refuse what its placer has decided

Cause: a request whose time at the placer was over was refused as full, also when the host itself had stood still: the decision may have arrived and not been read. The condition, and the times for which a decision is waited for, stood in entry/.

Change: both are in kernel/overload/placement_ask. After a standstill the host chooses by itself, as it does with an old decision.

Measured: test_placement_ask, stood still while it was queued; it has no such verdict to test before. test_placer and test_placement pass.

--- a/entry/placements.c
+++ b/entry/placements.c
@@ -10,13 +10,6 @@
 /* How often the state of requests that wait at a placer is queried. */
 #define QUERY_INTERVAL (100 * USEC_PER_MSEC)
 #define UNUSED_TIME    (60 * USEC_PER_SEC)
-/*
- * Share of the caller's time in which a decision is waited for: the rest is
- * enough for the host's own choice.
- */
-#define WAIT_SHARE     0.5
-/* With less time than this the placer isn't asked. */
-#define MIN_WAIT       (50 * USEC_PER_MSEC)
 
 static const char *const cause_names[PLACEMENT_CAUSES] = {
 	[PLACEMENT_NOT_ASKED] = "not-asked",
@@ -139,13 +132,6 @@
 	g_hash_table_remove(p->calls, &c->number);
 }
 
-/* The time for which a decision is waited for, at most. */
-static usec_t
-decision_time(usec_t deadline, usec_t now)
-{
-	return (usec_t)(WAIT_SHARE * (double)(deadline - now));
-}
-
 struct placements_view
 placements_peek(const struct placements *p, const char *service,
     const char *domain, usec_t deadline)
@@ -159,7 +145,7 @@
 		return v;
 	v.is_self = placements_is_self(p, x);
 	g_strlcpy(v.host, x->p.rpc, sizeof(v.host));
-	if (decision_time(deadline, now) >= MIN_WAIT &&
+	if (placement_ask_time(deadline - now) > 0 &&
 	    (v.is_self || placer_use(&x->host, now) == PLACER_WAIT))
 		v.cause = PLACEMENT_BY_PLACER;
 	return v;
@@ -172,11 +158,11 @@
 	usec_t now = clock_now();
 	struct engine_group *g = placements_group(p, o->service, o->domain);
 	struct placer_peer *x = placements_choose(p, g, now);
-	usec_t left = decision_time(o->request->deadline, now);
+	usec_t left = placement_ask_time(o->request->deadline - now);
 	struct engine_call *c;
 
 	*cause = PLACEMENT_NO_PLACER;
-	if (x == NULL || left < MIN_WAIT)
+	if (x == NULL || left == 0)
 		return 0;
 	if (!g->is_self && placer_use(&x->host, now) != PLACER_WAIT) {
 		placements_probe(p, g, x, now);
@@ -459,18 +445,25 @@
 step_call(struct placements *p, struct engine_call *c, usec_t now)
 {
 	struct engine_group *g = c->group;
+	enum placement_ask_step step = placement_ask_step(&c->ask, now);
 
-	if (now >= c->ask.latest && c->ask.queued) {
-		/* The engines are full: it hasn't run, and may come back. */
+	if (step != PLACEMENT_ASK_FULL && strcmp(c->placer, g->placer) != 0) {
+		leave_to_host(p, c, PLACEMENT_NO_PLACER);
+		return;
+	}
+	switch (step) {
+	case PLACEMENT_ASK_FULL:
+		/* It hasn't run, and may come back. */
 		placements_add_call_fact(p, c, PEER_PLACE_CANCELLED);
 		finish_full(p, c, PLACEMENT_TOO_LONG, reported_wait(p, g, now));
-	} else if (strcmp(c->placer, g->placer) != 0) {
-		leave_to_host(p, c, PLACEMENT_NO_PLACER);
-	} else if (placement_ask_step(&c->ask, now) == PLACEMENT_ASK_GIVE_UP) {
+		break;
+	case PLACEMENT_ASK_GIVE_UP:
 		give_up(p, c, now);
-	} else {
+		break;
+	case PLACEMENT_ASK_AGAIN:
 		c->sent_at = now;
 		placements_send_ask(p, g, c, now);
+		break;
 	}
 }
 
--- a/kernel/overload/placement_ask.c
+++ b/kernel/overload/placement_ask.c
@@ -18,6 +18,9 @@
 #define MAX_AGE        (100 * USEC_PER_MSEC)
 /* Twice the interval at which the state of queued requests is queried. */
 #define MAX_UNSEEN     (200 * USEC_PER_MSEC)
+/* Of a request's time; the rest is enough for the host's own choice. */
+#define WAIT_SHARE     0.5
+#define MIN_WAIT       (50 * USEC_PER_MSEC)
 #define SEED           5
 
 static bool
@@ -116,6 +119,21 @@
 	return a < b ? a : b;
 }
 
+usec_t
+placement_ask_time(usec_t left)
+{
+	usec_t wait = (usec_t)(WAIT_SHARE * (double)left);
+
+	return wait >= MIN_WAIT ? wait : 0;
+}
+
+/* One that wasn't looked at shows that the process stood still. */
+static bool
+was_looked_at(const struct placement_ask *a, usec_t now)
+{
+	return now - a->seen_at < MAX_UNSEEN;
+}
+
 void
 placement_ask_begin(struct placement_ask *a, usec_t latest, usec_t now)
 {
@@ -141,6 +159,8 @@
 {
 	usec_t silent = a->queued ? QUEUED_SILENT : SILENT_TIME;
 
+	if (now >= a->latest && a->queued && was_looked_at(a, now))
+		return PLACEMENT_ASK_FULL;
 	if (now >= a->latest || now - a->heard_at >= silent)
 		return PLACEMENT_ASK_GIVE_UP;
 	a->due = earliest(a->heard_at + silent, a->latest);
@@ -150,6 +170,5 @@
 bool
 placement_ask_is_current(const struct placement_ask *a, usec_t age, usec_t now)
 {
-	/* One that wasn't looked at shows that the process stood still. */
-	return age < MAX_AGE && now - a->seen_at < MAX_UNSEEN;
+	return age < MAX_AGE && was_looked_at(a, now);
 }
--- a/kernel/overload/placement_ask.h
+++ b/kernel/overload/placement_ask.h
@@ -66,9 +66,16 @@
 
 enum placement_ask_step {
 	PLACEMENT_ASK_AGAIN,
-	PLACEMENT_ASK_GIVE_UP /* the placer is silent */
+	PLACEMENT_ASK_GIVE_UP, /* the placer is silent, or this process was */
+	PLACEMENT_ASK_FULL     /* its placer has had no room for it in time */
 };
 
+/*
+ * For how long a request waits for a decision that has so much time left; 0: it
+ * isn't worth asking.
+ */
+usec_t placement_ask_time(usec_t left);
+
 /* The request was sent to the placer. */
 void placement_ask_begin(struct placement_ask *a, usec_t latest, usec_t now);
 /*
--- a/tests/kernel/test_placement_ask.c
+++ b/tests/kernel/test_placement_ask.c
@@ -106,7 +106,9 @@
 		usec_t queued_at; /* 0: never */
 		usec_t queued_again_at;
 		uint32_t repeats;
-		usec_t given_up_at;
+		usec_t ended_at;
+		bool full;
+		usec_t stands_still_from; /* till it ends; 0: never */
 	} cases[] = {
 		{ "silent", 1000 * MS, 0, 0, 1, 30 * MS },
 		{ "little time", 20 * MS, 0, 0, 1, 20 * MS },
@@ -117,11 +119,15 @@
 		{ "its state is told again", 1000 * MS, 5 * MS, 108 * MS, 0,
 		    358 * MS },
 		{ "queued for too long", 150 * MS, 5 * MS, 108 * MS, 0,
-		    150 * MS },
+		    150 * MS, true },
+		/* Its decision may have come, and not been read. */
+		{ "stood still while it was queued", 150 * MS, 5 * MS, 0, 0,
+		    900 * MS, false, 6 * MS },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct placement_ask a;
+		enum placement_ask_step step = PLACEMENT_ASK_AGAIN;
 		uint32_t repeats = 0;
 		usec_t now = 0;
 
@@ -131,15 +137,19 @@
 			if (now == cases[i].queued_at ||
 			    now == cases[i].queued_again_at)
 				placement_ask_queued(&a, now);
-			if (now < a.due)
+			if (now < a.due ||
+			    (cases[i].stands_still_from != 0 &&
+				now >= cases[i].stands_still_from &&
+				now < cases[i].ended_at))
 				continue;
-			if (placement_ask_step(&a, now) ==
-			    PLACEMENT_ASK_GIVE_UP)
+			step = placement_ask_step(&a, now);
+			if (step != PLACEMENT_ASK_AGAIN)
 				break;
 			repeats++;
 		}
 		g_assert_cmpuint(repeats, ==, cases[i].repeats);
-		g_assert_cmpint(now, ==, cases[i].given_up_at);
+		g_assert_cmpint(now, ==, cases[i].ended_at);
+		g_assert_true((step == PLACEMENT_ASK_FULL) == cases[i].full);
 	}
 }
 
