test_explain: results of earlier requests are freed before counters are compared

Cause: the host frees the results of a request with a call of its own, some time after the request has ended.

Change: the test waits until the fake platform has got the frees of all pieces that it made. The comparison stays.

--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -1887,6 +1887,17 @@
 	pthread_mutex_unlock(&plat->lock);
 }
 
+uint32_t
+fakeplat_freed_results(struct fakeplat *plat)
+{
+	uint32_t n;
+
+	pthread_mutex_lock(&plat->lock);
+	n = g_hash_table_size(plat->freed);
+	pthread_mutex_unlock(&plat->lock);
+	return n;
+}
+
 void
 fakeplat_fail_pieces(struct fakeplat *plat, uint32_t n)
 {
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -168,6 +168,8 @@
 /* Returns the numbers of pieces produced, or failed, and of stage calls. */
 void fakeplat_piece_counts(
     struct fakeplat *plat, uint32_t *pieces, uint32_t *calls);
+/* Returns the number of results that were freed. */
+uint32_t fakeplat_freed_results(struct fakeplat *plat);
 /*
  * Returns for how long the thread of the platform didn't get to its events
  * since the last call of this: its targets answered that much later.
--- a/tests/platform/test_explain.c
+++ b/tests/platform/test_explain.c
@@ -403,6 +403,20 @@
 		g_assert_cmpstr(to, ==, target);
 }
 
+/* Waits for the calls that free the results of requests that have ended. */
+static void
+wait_for_frees(void)
+{
+	usec_t end = clock_now() + TIMEOUT_SECONDS * USEC_PER_SEC;
+	uint32_t pieces, calls;
+
+	fakeplat_piece_counts(platform, &pieces, &calls);
+	while (fakeplat_freed_results(platform) < pieces) {
+		g_assert_cmpint(clock_now(), <, end);
+		g_usleep(10 * USEC_PER_MSEC);
+	}
+}
+
 /* Explains a request, then sends it and compares. */
 static void
 play(const struct explain_case *x)
@@ -426,6 +440,7 @@
 
 	if (x->states[0] != NULL)
 		wait_for_states(x->path, x->states);
+	wait_for_frees();
 	before = counters();
 	fakeplat_piece_counts(platform, &pieces[0], &calls[0]);
 	o = explain(q);
