call_pace: calls to stage targets begin apart

Cause: a coordinator sent what waited as soon as a target was free. Targets that became free together took it in small calls, which ended together again, and what arrived meanwhile waited for most of a call.

Change: calls begin apart by their average duration, divided by the number of targets (kernel/overload/call_pace); a call takes all that waits, a full one begins at once. Targets in the domain of the piece that has waited longest come first. A call whose target lacked pieces of its domain, not space, counts as one with capacity left.

test_batch_order sets the time at which its pieces were queued, which is looked at now; what it expects is the same.

--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -60,6 +60,7 @@
 {
 	struct pool *pool = p;
 
+	event_free(pool->next_call);
 	batch_free(&pool->batch);
 	free(pool->service);
 	free(pool);
@@ -86,6 +87,16 @@
 	}
 }
 
+static void
+on_next_call(evutil_socket_t fd, short what, void *arg)
+{
+	struct pool *p = arg;
+
+	(void)fd;
+	(void)what;
+	coordinator_start_calls(p->coordinator, p, clock_now());
+}
+
 static struct pool *
 pool_of(struct coordinator *c, const char *service)
 {
@@ -104,6 +115,7 @@
 	p = xcalloc(1, sizeof(*p));
 	p->coordinator = c;
 	p->service = str_dup(str_from(service));
+	p->next_call = evtimer_new(c->o.base, on_next_call, p);
 	batch_init(&p->batch, &s->pool);
 	g_strlcpy(p->coordinator_addr, c->o.find_coordinator(c->o.arg, service),
 	    sizeof(p->coordinator_addr));
@@ -529,12 +541,13 @@
 }
 
 /*
- * Starts the next call to a free target; with local_only, without pieces that
- * prefer another failure domain.  Returns false if there is nothing to send.
+ * Starts the next call to a free target, one of so many; with local_only,
+ * without pieces that prefer another failure domain.  Returns false if there is
+ * nothing to send.
  */
 static bool
 serve_target(struct coordinator *c, struct pool *p, struct target_load *t,
-    const struct pool_targets *x, bool local_only, usec_t now)
+    const struct pool_targets *x, uint32_t calls, bool local_only, usec_t now)
 {
 	GArray *items = g_array_new(FALSE, FALSE, sizeof(struct batch_item));
 	struct batch_target take = {
@@ -545,13 +558,13 @@
 	};
 	double slowness;
 
-	batch_plan_speed(
-	    &p->batch, &t->speed, &x->speeds, x->fast_free, now, &take);
+	calls = MIN(calls, x->fast_free);
+	batch_plan_speed(&p->batch, &t->speed, &x->speeds, calls, now, &take);
 	slowness = take.use == TARGET_USE
 	    ? 1
 	    : target_speed_relative(&t->speed, &x->speeds);
 	if (coordinator_begins_call(c, p, slowness, now))
-		batch_take(&p->batch, now, x->fast_free, &take, items);
+		batch_take(&p->batch, now, calls, &take, items);
 	if (items->len == 0) {
 		g_array_unref(items);
 		return false;
@@ -603,33 +616,69 @@
 	}
 }
 
+/* Has coordinator_start_calls called when the next call is due. */
+static void
+wait_for_next_call(struct pool *p, const struct pool_targets *x, usec_t now)
+{
+	usec_t due = batch_next_call(&p->batch, x->speeds.fast);
+	struct timeval t = { 0 };
+
+	if (p->batch.items->len == 0 || due <= now)
+		return;
+	t.tv_sec = (due - now) / USEC_PER_SEC;
+	t.tv_usec = (due - now) % USEC_PER_SEC;
+	evtimer_add(p->next_call, &t);
+}
+
+/* The targets that get a call in a pass over all free ones. */
+enum call_pass {
+	PASS_FIRST, /* in the domain of the piece that has waited longest */
+	PASS_LOCAL, /* all, with pieces that don't prefer another domain */
+	PASS_ANY,
+	PASSES
+};
+
+static bool
+is_in_pass(const struct target_load *t, enum call_pass pass, uint32_t first)
+{
+	return pass != PASS_FIRST || domain_hash(t->entry.domain) == first;
+}
+
 /*
- * Starts calls to all free targets, in a first pass only with pieces that
- * prefer the target's failure domain, so that a piece with a free target in its
- * own domain isn't sent to another one.
+ * Starts the calls that are due.  Pieces go to targets in the failure domain
+ * that they prefer, as long as one is free there.
  */
 void
 coordinator_start_calls(struct coordinator *c, struct pool *p, usec_t now)
 {
 	struct pool_targets x;
+	uint32_t first;
+	uint32_t calls;
 
 	if (p->batch.items->len == 0 ||
 	    !any_free(coordinator_targets(c, p), now))
 		return;
 	x = coordinator_pool_targets(c, p, now);
-	for (int pass = 0; pass < 2; pass++) {
+	first = batch_first_domain(&p->batch);
+	calls = batch_calls(&p->batch, x.speeds.fast, now);
+	for (int pass = PASS_FIRST; pass < PASSES; pass++) {
 		for (guint i = 0; x.all != NULL && i < x.all->len; i++) {
 			struct target_load *t = x.all->pdata[i];
 
-			if (p->batch.items->len == 0)
-				return;
-			if (is_free(t, now) &&
-			    serve_target(c, p, t, &x, pass == 0, now) &&
-			    x.fast_free > 0 &&
-			    !target_speed_is_slow(&t->speed, &x.speeds))
-				x.fast_free--;
+			if (calls == 0 || p->batch.items->len == 0)
+				break;
+			if (!is_free(t, now) || !is_in_pass(t, pass, first) ||
+			    !serve_target(
+				c, p, t, &x, calls, pass != PASS_ANY, now) ||
+			    target_speed_is_slow(&t->speed, &x.speeds))
+				continue;
+			x.fast_free -= x.fast_free > 0;
+			calls = calls > 1
+			    ? calls - 1
+			    : batch_calls(&p->batch, x.speeds.fast, now);
 		}
 	}
+	wait_for_next_call(p, &x, now);
 }
 
 /*
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -68,7 +68,8 @@
 	/* RPC address of the service's coordinator in this host's view. */
 	char coordinator_addr[MAX_ADDR_BYTES];
 	usec_t handover_until;
-	usec_t earliest_end; /* in a stop, of a call that begins next */
+	usec_t earliest_end;     /* in a stop, of a call that begins next */
+	struct event *next_call; /* when the next call is due */
 	/* Since the last report of the pool's load. */
 	usec_t reported_at;
 	uint32_t calls;
--- a/kernel/overload/batch.c
+++ b/kernel/overload/batch.c
@@ -45,6 +45,7 @@
 	b->call_usec = (double)config->call_cost;
 	b->item_usec = (double)config->item_cost;
 	b->throughput = (struct throughput){ 0 };
+	b->pace = (struct call_pace){ 0 };
 	b->last_owner = NULL;
 	b->n_owners = 0;
 }
@@ -240,15 +241,16 @@
 	g_array_set_size(b->items, kept);
 }
 
-/* Whether the target can take the piece now. */
+/* Whether a target with so much free space can take the piece now. */
 static bool
-fits(const struct batch_item *it, const struct batch_target *t,
-    uint64_t free_bytes, usec_t now)
+fits(const struct batch *b, const struct batch_item *it,
+    const struct batch_target *t, uint64_t free_bytes, usec_t now)
 {
 	return it->bytes <= free_bytes &&
 	    !(it->avoid != 0 && it->avoid == t->id &&
 		now - it->queued < LOCAL_WAIT) &&
-	    !(t->local_only && is_remote(it, t->domain)) &&
+	    !(t->local_only && is_remote(it, t->domain) &&
+		now - it->queued < call_duration(b, b->config.batch)) &&
 	    (t->slower_by == 0 || now + t->slower_by < it->deadline);
 }
 
@@ -256,7 +258,7 @@
 any_fits(const struct batch *b, const struct batch_target *t, usec_t now)
 {
 	for (guint i = 0; i < b->items->len; i++) {
-		if (fits(&g_array_index(b->items, struct batch_item, i), t,
+		if (fits(b, &g_array_index(b->items, struct batch_item, i), t,
 			t->free_bytes, now))
 			return true;
 	}
@@ -265,18 +267,48 @@
 
 /*
  * Returns how many pieces the time of a call could have served.  A call that
- * was not full because no more pieces waited says that there is capacity left;
- * one of less than the size aimed at had no space for more results.
+ * was not full because no more pieces waited for the target says that there is
+ * capacity left, unless it had no space for more results.
  */
 static uint32_t
-taken_capacity(const struct batch *b, uint32_t taken, uint32_t size)
+taken_capacity(const struct batch *b, uint32_t taken, bool no_space)
 {
-	if (taken < size)
+	if (no_space)
 		return taken;
 	return (uint32_t)(b->config.batch * (double)call_duration(b, taken) /
 	    (double)call_duration(b, b->config.batch));
 }
 
+uint32_t
+batch_calls(const struct batch *b, uint32_t targets, usec_t now)
+{
+	uint32_t full = b->items->len / b->config.batch;
+	uint32_t due = call_pace_calls(&b->pace, targets, now);
+
+	return due > full ? due : full;
+}
+
+usec_t
+batch_next_call(const struct batch *b, uint32_t targets)
+{
+	return call_pace_due(&b->pace, targets);
+}
+
+uint32_t
+batch_first_domain(const struct batch *b)
+{
+	const struct batch_item *first = NULL;
+
+	for (guint i = 0; i < b->items->len; i++) {
+		const struct batch_item *it =
+		    &g_array_index(b->items, struct batch_item, i);
+
+		if (first == NULL || it->queued < first->queued)
+			first = it;
+	}
+	return first != NULL ? first->domain : 0;
+}
+
 void
 batch_take(struct batch *b, usec_t now, uint32_t free_targets,
     const struct batch_target *t, GArray *out)
@@ -287,6 +319,7 @@
 	uint64_t free_bytes = t->free_bytes;
 	guint left = b->items->len;
 	struct sort_entry *heap;
+	bool no_space = false;
 
 	if (t->use == TARGET_LEAVE || !any_fits(b, t, now))
 		return;
@@ -297,7 +330,8 @@
 		struct batch_item *it = &g_array_index(
 		    b->items, struct batch_item, heap_pop(b, heap, &left));
 
-		if (!fits(it, t, free_bytes, now))
+		no_space = no_space || it->bytes > free_bytes;
+		if (!fits(b, it, t, free_bytes, now))
 			continue;
 		free_bytes -= it->bytes;
 		g_array_append_vals(out, it, 1);
@@ -305,7 +339,10 @@
 	}
 	g_free(heap);
 	compact(b);
-	throughput_add(&b->throughput, taken_capacity(b, out->len, n), now);
+	throughput_add(
+	    &b->throughput, taken_capacity(b, out->len, no_space), now);
+	if (out->len > 0 && t->use == TARGET_USE)
+		call_pace_begin(&b->pace, call_duration(b, out->len), now);
 	if (b->items->len == 0)
 		throughput_idle(&b->throughput, now);
 }
--- a/kernel/overload/batch.h
+++ b/kernel/overload/batch.h
@@ -22,6 +22,7 @@
 #ifndef KERNEL_OVERLOAD_BATCH_H
 #define KERNEL_OVERLOAD_BATCH_H
 
+#include "kernel/overload/call_pace.h"
 #include "kernel/overload/target_speed.h"
 #include "kernel/overload/throughput.h"
 #include "kernel/routes.h"
@@ -49,6 +50,7 @@
 	double call_usec; /* measured cost of a call without its pieces */
 	double item_usec; /* measured cost of a piece */
 	struct throughput throughput; /* pieces moved into calls */
+	struct call_pace pace;        /* of calls to targets that aren't slow */
 	const void *last_owner;       /* of the piece added last */
 	uint64_t n_owners;
 };
@@ -63,16 +65,32 @@
 	uint32_t id;     /* hash of its id */
 	uint32_t domain; /* hash of its failure domain */
 	uint64_t free_bytes;
-	bool local_only; /* takes no pieces with inputs in another domain */
+	/*
+	 * Takes no pieces with inputs in another domain, unless they have
+	 * waited for longer than a call takes: there is no target then.
+	 */
+	bool local_only;
 	enum target_use use;
 	usec_t slower_by; /* additional time of its calls */
 };
+/*
+ * Returns how many calls may begin now to the targets that are not slow, of
+ * which there are so many in all; a full call may always begin.
+ */
+uint32_t batch_calls(const struct batch *b, uint32_t targets, usec_t now);
+/* The time before which batch_calls returns 0 as long as no call is full. */
+usec_t batch_next_call(const struct batch *b, uint32_t targets);
+/*
+ * Returns the domain of the inputs of the piece that has waited longest; 0: any
+ * domain, or no piece waits.
+ */
+uint32_t batch_first_domain(const struct batch *b);
 /*
  * Moves the pieces of the next call to out, a GArray of struct batch_item.
- * free_targets is the number of targets that could take a call now, including
- * t.  Pieces that don't fit into the target's free_bytes stay; pieces with
- * inputs in another failure domain go behind the others for LOCAL_WAIT, and a
- * piece waits as long for another target than the one that failed it.  Such a
+ * free_targets is the number of targets that get a call now, including t.
+ * Pieces that don't fit into the target's free_bytes stay; pieces with inputs
+ * in another failure domain go behind the others for LOCAL_WAIT, and a piece
+ * waits as long for another target than the one that failed it.  Such a
  * piece goes before others of its rank: its inputs, and the results of the
  * other pieces of its job, hold space until it is made.
  */
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -549,6 +549,7 @@
 				.deadline = now + 9000 * MS,
 				.rank = (uint32_t)p->rank,
 				.domain = (uint32_t)p->domain,
+				.queued = now,
 				.bytes = p->bytes };
 
 			batch_add(&b, &it);
