Cold targets: calls for other hosts are counted, all answers are read

A host that called a target for another one didn't look whether it is cold, and X-Cold-Ms was read in answers to requests only.

A call for another host is counted once: by the asker, which says so, if it knows that the target is cold, else by the host that makes it, as one of its own, if it is an owner. A refused call is reported as not sent, with the time left, so that the asker learns it and takes another target. X-Cold-Ms is read where all answers of targets pass. One that may have been written before this host learned that the target is cold doesn't end that; a malformed one is logged once.

--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -195,8 +195,6 @@
 	else if (t != NULL)
 		target_limits_answered(r->shared->target_limits, t,
 		    &r->response, r->sent_at, false);
-	if (t != NULL && !r->response.misdirected)
-		target_limits_cold(r->shared->target_limits, t, &r->response);
 	check_head(r, m);
 }
 
--- a/entry/relay_metrics.c
+++ b/entry/relay_metrics.c
@@ -127,6 +127,7 @@
 	put(out, "stray_answers_total", p->dial.stray);
 	put(out, "calls_by_host_total", p->target_calls.sent_by_host);
 	put(out, "calls_for_host_total", p->target_calls.made_for_host);
+	put(out, "calls_for_host_cold_total", p->target_calls.cold_refused);
 	put(out, "paths_lost_total", p->target_calls.paths_lost);
 	put(out, "silent_calls_total", p->silent_calls);
 	put(out, "lost_calls_total", p->lost_calls);
--- a/entry/served_calls.c
+++ b/entry/served_calls.c
@@ -4,6 +4,7 @@
 #include "kernel/memory.h"
 #include "platform/request.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -54,6 +55,19 @@
 	evbuffer_free(out);
 }
 
+/* The target is cold: the asker learns that, and sends the call elsewhere. */
+static void
+respond_cold(struct httpd_request *q, const struct target_load *t)
+{
+	usec_t left = t->cold.until - clock_now();
+	g_autofree char *fields = g_strdup_printf(RESULT_FIELD
+	    ": " NOT_SENT "\r\n" COLD_FIELD ": %" PRId64 "\r\n",
+	    MAX(left, 0) / USEC_PER_MSEC);
+
+	httpd_respond(
+	    q, &(struct httpd_response){ .status = 503, .fields = fields });
+}
+
 /* Ends a call with a failure; result is that of its target. */
 static void
 fail_served_as(
@@ -169,6 +183,7 @@
 	uint64_t max_conns; /* idle connections */
 	uint64_t head_only;
 	uint64_t start; /* that the target must have had; 0: any */
+	uint64_t cold;  /* the asker has counted it as sent to a cold target */
 };
 
 /* Reads a value of the query; false if it is malformed. */
@@ -185,6 +200,7 @@
 		{ "max_conns", UINT32_MAX, &out->max_conns },
 		{ "head_only", 1, &out->head_only },
 		{ "start", UINT64_MAX, &out->start },
+		{ "cold", 1, &out->cold },
 	};
 
 	if (str_eq(name, STR("target"))) {
@@ -275,6 +291,11 @@
 		respond_failure(q, obstacle);
 		return;
 	}
+	if (!loads_serve(t, query.cold != 0, clock_now())) {
+		x->counts.cold_refused++;
+		respond_cold(q, t);
+		return;
+	}
 	s = xcalloc(1, sizeof(*s));
 	s->calls = x;
 	s->q = q;
@@ -283,7 +304,6 @@
 	g_queue_push_tail_link(&x->served, &s->link);
 	atomic_fetch_add(x->o.busy, 1);
 	x->counts.made_for_host++;
-	loads_sent(t, clock_now());
 	httpd_on_close(q, on_asker_closed, s);
 	httpd_on_sent(q, on_sent);
 	o = (struct dial_opts){
--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -109,6 +109,10 @@
 	}
 	target_limits_brittle(
 	    k->calls->o.target_limits, t, &answer, k->started_at);
+	/* An answer without an id may be that to an earlier call. */
+	if (!answer.misdirected)
+		target_limits_cold(k->calls->o.target_limits, t, &answer,
+		    k->o.call_id.n > 0 ? k->started_at : 0);
 	if (answer.rest == 0)
 		return;
 	loads_rest(t, answer.rest, clock_now());
@@ -347,6 +351,18 @@
 	return str_eq(result, STR(NOT_SENT)) ? NOT_SENT : BROKEN;
 }
 
+/* The host hasn't made the call as the target is cold, and says how long. */
+static void
+note_cold(const struct target_call *k, const struct httpmsg *m)
+{
+	struct target_load *t = loads_find(k->calls->o.loads, k->target);
+	uint64_t left_ms;
+
+	if (t != NULL &&
+	    str_parse_u64(httpmsg_get(m, STR(COLD_FIELD)), &left_ms))
+		target_limits_cold_told(k->calls->o.target_limits, t, left_ms);
+}
+
 /* The other host has reported a result other than ANSWERED. */
 static void
 on_host_failure(struct target_call *k)
@@ -390,6 +406,8 @@
 			k->answered = true;
 			paths_host_called(&k->calls->paths, k->service);
 			pass_head(k, m);
+		} else if (strcmp(k->failure, NOT_SENT) == 0) {
+			note_cold(k, m);
 		}
 		return;
 	case DIAL_BODY:
@@ -428,6 +446,8 @@
 	const struct path_host *h = k->hosts_tried < MAX_HOSTS
 	    ? paths_choose_host(&x->paths, k->service, clock_now())
 	    : NULL;
+	const struct target_load *t = loads_find(x->o.loads, k->target);
+	bool cold = t != NULL && target_cold_is_cold(&t->cold, clock_now());
 	struct dial_opts o = k->o;
 	struct buf head = { 0 };
 	struct buf url = { 0 };
@@ -449,9 +469,10 @@
 		n += evbuffer_get_length(o.shared_body);
 	buf_printf(&url,
 	    TARGET_CALLS_URL "?target=%s&sent_ms=%" PRId64 "&max_idle=%" PRId64
-			     "&max_conns=%u&head_only=%d&start=%" PRIu64,
+			     "&max_conns=%u&head_only=%d&start=%" PRIu64
+			     "&cold=%d",
 	    k->target, clock_wall() / USEC_PER_MSEC, k->o.max_idle_time,
-	    k->o.max_idle_conns, k->o.head_only, k->o.check.number);
+	    k->o.max_idle_conns, k->o.head_only, k->o.check.number, cold);
 	target_calls_sign(
 	    x, str_of(&url), k->o.call_id, k->o.head, o.shared_body, mac);
 	buf_printf(&head,
--- a/entry/target_calls.h
+++ b/entry/target_calls.h
@@ -52,6 +52,7 @@
 struct target_calls_counts {
 	uint64_t sent_by_host;  /* calls made by way of another host */
 	uint64_t made_for_host; /* calls made for another host */
+	uint64_t cold_refused;  /* not made, as the target is cold */
 	uint64_t paths_lost;    /* how often a path was lost */
 	uint64_t stop_cut;      /* calls for hosts that the exit ended */
 };
--- a/entry/target_calls_state.h
+++ b/entry/target_calls_state.h
@@ -18,6 +18,8 @@
 #define AUTH_FIELD      "Sequoia-Call-Auth"
 #define ID_FIELD        "Sequoia-Call-Id"
 #define RESULT_FIELD    "Sequoia-Call-Result"
+/* With NOT_SENT: milliseconds for which the target is cold. */
+#define COLD_FIELD      "Sequoia-Call-Cold-Ms"
 
 /* Values of RESULT_FIELD. */
 #define ANSWERED        "answered" /* the rest is the target's response */
--- a/entry/target_limits.c
+++ b/entry/target_limits.c
@@ -1,6 +1,7 @@
 #include "entry/target_limits.h"
 #include "base/log.h"
 #include "kernel/arrival.h"
+#include "kernel/overload/target_cold.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -193,20 +194,37 @@
 
 void
 target_limits_cold(struct target_limits *x, struct target_load *t,
-    const struct response_info *response)
+    const struct response_info *response, usec_t sent_at)
 {
 	usec_t now = clock_now();
 
-	if (response->bad_cold.n > 0)
+	if (response->bad_cold.n > 0 && !t->bad_cold)
 		log_text(LOG_LVL_WARNING, "target-cold-malformed",
 		    "%s: \"%.*s\" is no time; it isn't used", t->entry.id,
 		    STR_FMT(response->bad_cold));
+	t->bad_cold = response->bad_cold.n > 0;
 	if (response->cold_left < 0)
 		return;
-	loads_cold(x->o.loads, t, response->cold_left, now);
+	loads_cold(x->o.loads, t, response->cold_left, sent_at, now);
 	log_cold(x, "its answer", now);
 }
 
+void
+target_limits_cold_told(
+    struct target_limits *x, struct target_load *t, uint64_t left_ms)
+{
+	usec_t now = clock_now();
+
+	if (left_ms > TARGET_COLD_MAX_TIME / USEC_PER_MSEC) {
+		log_text(LOG_LVL_WARNING, "target-cold-malformed",
+		    "%s: another host names %" PRIu64 " ms; it isn't used",
+		    t->entry.id, left_ms);
+		return;
+	}
+	loads_cold(x->o.loads, t, (usec_t)left_ms * USEC_PER_MSEC, 0, now);
+	log_cold(x, "another host", now);
+}
+
 size_t
 target_limits_cold_count(const struct target_limits *x)
 {
--- a/entry/target_limits.h
+++ b/entry/target_limits.h
@@ -31,9 +31,15 @@
  */
 void target_limits_answered(struct target_limits *x, struct target_load *t,
     const struct response_info *response, usec_t sent_at, bool only_here);
-/* A target has answered, and says or doesn't say for how long it is cold. */
+/*
+ * A target has answered, and says or doesn't say for how long it is cold;
+ * sent_at: as for target_cold_answered().
+ */
 void target_limits_cold(struct target_limits *x, struct target_load *t,
-    const struct response_info *response);
+    const struct response_info *response, usec_t sent_at);
+/* Another host tells for how long a target is cold. */
+void target_limits_cold_told(
+    struct target_limits *x, struct target_load *t, uint64_t left_ms);
 /* Number of targets that are cold, of services that have a bound for it. */
 size_t target_limits_cold_count(const struct target_limits *x);
 /*
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -94,62 +94,6 @@
 	}
 }
 
-void
-loads_set_hosts_listed(struct loads *l, bool listed, usec_t now)
-{
-	GHashTableIter it;
-	gpointer p;
-
-	if (l->cold_hosts.listed == listed)
-		return;
-	l->cold_hosts.listed = listed;
-	g_hash_table_iter_init(&it, l->by_id);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		struct target_load *t = p;
-
-		if (target_cold_is_bounded(&t->cold, now))
-			target_cold_share(
-			    &t->cold, t->entry.id, &l->cold_hosts);
-	}
-}
-
-void
-loads_set_cold_rules(struct loads *l, GHashTable *rules)
-{
-	g_hash_table_destroy(l->cold_rules);
-	l->cold_rules = rules;
-}
-
-void
-loads_cold(
-    const struct loads *l, struct target_load *t, usec_t left, usec_t now)
-{
-	if (left > 0)
-		target_cold_share(&t->cold, t->entry.id, &l->cold_hosts);
-	target_cold_set(&t->cold, now + left, now);
-}
-
-struct target_load *
-loads_next_cold_change(struct loads *l, usec_t now)
-{
-	GHashTableIter it;
-	gpointer p;
-
-	if (g_hash_table_size(l->cold_rules) == 0)
-		return NULL;
-	g_hash_table_iter_init(&it, l->by_id);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		struct target_load *t = p;
-		bool cold = t->listed && target_cold_is_cold(&t->cold, now);
-
-		if (cold != t->cold_noted) {
-			t->cold_noted = cold;
-			return t;
-		}
-	}
-	return NULL;
-}
-
 static void
 free_domain(gpointer p)
 {
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -61,6 +61,7 @@
 	usec_t cold_read_at; /* read_at of the entry that cold is from */
 	bool cold_noted;     /* as loads_next_cold_change() returned it */
 	bool bad_limit;      /* its last answer named a malformed one */
+	bool bad_cold;       /* its last answer named a malformed cold time */
 	usec_t aside_until;
 	/* The target has asked this host for no request until then. */
 	usec_t rest_until;
@@ -159,9 +160,9 @@
  * come after: service -> struct target_cold_rule, which l takes over.
  */
 void loads_set_cold_rules(struct loads *l, GHashTable *rules);
-/* The target says for how long it is cold, or 0. */
-void loads_cold(
-    const struct loads *l, struct target_load *t, usec_t left, usec_t now);
+/* An answer of the target says for how long it is cold; target_cold.h. */
+void loads_cold(const struct loads *l, struct target_load *t, usec_t left,
+    usec_t sent_at, usec_t now);
 /*
  * Returns a target that has become cold, or isn't any more, since this last
  * returned it; or NULL.
@@ -255,6 +256,11 @@
 
 /* Counts a call that was sent to the target. */
 void loads_sent(struct target_load *t, usec_t now);
+/*
+ * The same for a call that is made for another host, unless the target is cold
+ * and bears no more; counted: as in target_cold_serves().
+ */
+bool loads_serve(struct target_load *t, bool counted, usec_t now);
 /* The same for a host that alone calls the target. */
 void loads_sent_alone(struct target_load *t, usec_t now);
 /* Counts a request of such a host that is no call. */
--- a/kernel/overload/target_cold.c
+++ b/kernel/overload/target_cold.c
@@ -194,6 +194,8 @@
 		return false;
 	if (cold && was_cold && change < SAME_TIME)
 		return false;
+	if (cold && until > c->until)
+		c->known_at = now;
 	c->until = cold ? until : now;
 	c->rises_at = c->until;
 	if (cold && !was_cold)
@@ -201,6 +203,15 @@
 	return cold != was_cold;
 }
 
+bool
+target_cold_answered(
+    struct target_cold *c, usec_t until, usec_t sent_at, usec_t now)
+{
+	if (until < c->until && sent_at <= c->known_at)
+		return false;
+	return target_cold_set(c, until, now);
+}
+
 void
 target_cold_appeared(struct target_cold *c, usec_t now)
 {
@@ -222,6 +233,20 @@
 	return c->rule.per_s > 0 && !isinf(growth(c, now));
 }
 
+usec_t
+target_cold_owned_for(const struct target_cold *c, usec_t now)
+{
+	double rise;
+	usec_t end;
+
+	if (!target_cold_is_bounded(c, now))
+		return 0;
+	rise = log2(fmax(2, host_count(c) / owner_count(c))) * DOUBLE_TIME;
+	end = MAX(c->until, c->rises_at) +
+	    MIN((usec_t)rise, TARGET_COLD_WARM_TIME);
+	return now < end ? end - now : 0;
+}
+
 bool
 target_cold_allows(const struct target_cold *c, usec_t now)
 {
@@ -237,6 +262,38 @@
 	return !target_cold_is_bounded(c, now) || now >= c->next_at;
 }
 
+/*
+ * Calls that hosts have counted are sent together by a host that has stood
+ * still, so they are bounded here once more.
+ */
+static bool
+serves_counted(struct target_cold *c, usec_t now)
+{
+	size_t most = (size_t)fmax(
+	    1, fmin(floor(budget(&c->rule)), G_N_ELEMENTS(c->served_at)));
+	usec_t *oldest = &c->served_at[c->n_served % most];
+
+	if (c->n_served >= most &&
+	    now - *oldest < (usec_t)(MIN_PERIOD * USEC_PER_SEC))
+		return false;
+	*oldest = now;
+	c->n_served++;
+	return true;
+}
+
+bool
+target_cold_serves(struct target_cold *c, bool counted, usec_t now)
+{
+	if (!target_cold_is_cold(c, now))
+		return true;
+	if (counted)
+		return serves_counted(c, now);
+	if (!target_cold_allows(c, now))
+		return false;
+	target_cold_sent(c, false, now);
+	return true;
+}
+
 void
 target_cold_sent(struct target_cold *c, bool alone, usec_t now)
 {
--- a/kernel/overload/target_cold.h
+++ b/kernel/overload/target_cold.h
@@ -20,6 +20,10 @@
  * are owners, the rate of each.  If a service has no other target, any host may
  * send to one that is warm again (kernel/loads.c).
  *
+ * A host without a path to a target has its calls made by another host.  Each
+ * is counted once: by the host that asks if it knows that the target is cold,
+ * else by the one that makes the call, as one of its own.
+ *
  * Not covered: what is sent before a host learns that a target has become cold.
  *
  * Times are in microseconds.  A struct target_cold has no lock.
@@ -34,9 +38,11 @@
 #include <stdbool.h>
 
 /* How long a target's share rises after it has become warm. */
-#define TARGET_COLD_WARM_TIME (6 * USEC_PER_SEC)
+#define TARGET_COLD_WARM_TIME  (6 * USEC_PER_SEC)
 /* Longer times are not taken for a target's own. */
-#define TARGET_COLD_MAX_TIME  (600 * USEC_PER_SEC)
+#define TARGET_COLD_MAX_TIME   (600 * USEC_PER_SEC)
+/* Calls in about a second that a host makes to a cold target for others. */
+#define TARGET_COLD_MAX_SERVED 32
 
 /* What a cold target of a service bears.  A zeroed one sets no bound. */
 struct target_cold_rule {
@@ -56,7 +62,8 @@
 /* A zeroed one is of a target that is warm. */
 struct target_cold {
 	struct target_cold_rule rule;
-	usec_t until; /* it is cold until then; 0: it never was */
+	usec_t until;    /* it is cold until then; 0: it never was */
+	usec_t known_at; /* when this host last learned of a later until */
 	/* Its share rises from then on; 0: it has its full share. */
 	usec_t rises_at;
 	usec_t next_at; /* earliest time of this host's next request */
@@ -67,6 +74,9 @@
 	/* Before, this host knows few others, and would take itself for an
 	 * owner of a cold target. */
 	usec_t owns_from;
+	/* Calls for hosts that had counted them, as a ring of n_served. */
+	usec_t served_at[TARGET_COLD_MAX_SERVED];
+	uint64_t n_served;
 };
 
 void target_cold_hosts_init(struct target_cold_hosts *h);
@@ -83,16 +93,33 @@
  * that it is warm.  Returns whether that differs from what was known.
  */
 bool target_cold_set(struct target_cold *c, usec_t until, usec_t now);
-/* The target is listed anew: its share rises from now on. */
+/*
+ * The same in an answer to a request that was sent at a time; 0: it may be an
+ * answer to another request.  One that may have been written before what is
+ * known doesn't end the cold time.
+ */
+bool target_cold_answered(
+    struct target_cold *c, usec_t until, usec_t sent_at, usec_t now);
+/* The target is listed anew or taken back: its share rises from now on. */
 void target_cold_appeared(struct target_cold *c, usec_t now);
 /* Whether it is cold, and its service has a bound. */
 bool target_cold_is_cold(const struct target_cold *c, usec_t now);
 /* Whether what may be sent to it is bounded now: it is cold, or has been. */
 bool target_cold_is_bounded(const struct target_cold *c, usec_t now);
+/*
+ * How long yet only owners choose it by themselves and placers leave it out:
+ * until all hosts are owners, and at least for a second of the rise.
+ */
+usec_t target_cold_owned_for(const struct target_cold *c, usec_t now);
 /* Whether this host may send a request now. */
 bool target_cold_allows(const struct target_cold *c, usec_t now);
 /* The same if no other host sends to the target. */
 bool target_cold_allows_alone(const struct target_cold *c, usec_t now);
+/*
+ * Whether this host may make a call for another one, which it counts then;
+ * counted: the other host has done so, as it knows that the target is cold.
+ */
+bool target_cold_serves(struct target_cold *c, bool counted, usec_t now);
 /* Counts a request that is sent; alone: no other host sends to the target. */
 void target_cold_sent(struct target_cold *c, bool alone, usec_t now);
 /* A request that chooses among the targets of a service. */
