Cold targets: shares rise after an evacuation, and placers leave cold engines out

Targets of a domain that was taken back after an evacuation had their full share at once unless they were named cold. Placers knew nothing of cold engines and placed the queue on them, as they look idle; hosts that own none of the target then vetoed that, and the owners never used their part.

The share of a target that is taken back rises as that of one that is listed anew. Placers leave out an engine that is cold, until all hosts are owners; a host first looks whether it would choose such an engine by itself, and the placer counts what it sends. All this holds for services with ColdPerS only.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -705,11 +705,30 @@
 		reject_unsent(r, t, now);
 }
 
+/* Sends the request to a target that placers leave to its owners. */
+static bool
+send_to_owned(struct relay_request *r)
+{
+	usec_t now = clock_now();
+	struct loads_query query;
+	struct target_load *t;
+
+	forward_query(r, &query);
+	t = loads_choose_owned(&r->shared->loads, &query, now);
+	if (!can_send(r, t, now))
+		return false;
+	r->placed = (struct placed){ .cause = PLACEMENT_NOT_ASKED };
+	send_to(r, t, now);
+	return true;
+}
+
 void
 forward_send(struct relay_request *r)
 {
 	if (reject_quarantined(r) || relay_stopping_refuse(r))
 		return;
+	if (forward_is_placed(r) && send_to_owned(r))
+		return;
 	if (!forward_place(r))
 		forward_send_here(r);
 }
--- a/entry/forward_place.c
+++ b/entry/forward_place.c
@@ -134,8 +134,8 @@
 	return r->placement != 0;
 }
 
-static bool
-is_placed(const struct relay_request *r)
+bool
+forward_is_placed(const struct relay_request *r)
 {
 	return r->service->has_engine &&
 	    placements_in_force(r->shared->placements) && !r->way_lost &&
@@ -145,7 +145,7 @@
 struct placements_view
 forward_peek_place(struct relay_request *r)
 {
-	if (!is_placed(r))
+	if (!forward_is_placed(r))
 		return (struct placements_view){ .cause = PLACEMENT_NOT_ASKED };
 	choose_domain(r);
 	return placements_peek(r->shared->placements, r->service->name,
@@ -156,7 +156,7 @@
 forward_place(struct relay_request *r)
 {
 	r->placed = (struct placed){ .cause = PLACEMENT_NOT_ASKED };
-	if (!is_placed(r))
+	if (!forward_is_placed(r))
 		return false;
 	r->placed_elsewhere = false;
 	choose_domain(r);
--- a/entry/forward_state.h
+++ b/entry/forward_state.h
@@ -37,6 +37,8 @@
  * has to choose it, and sets why.
  */
 bool forward_place(struct relay_request *r);
+/* Whether the placer of its service is to decide on the request. */
+bool forward_is_placed(const struct relay_request *r);
 /* Tells the placer that a call is sent, and what has become of it. */
 void forward_place_sent(struct relay_request *r, const struct target_load *t);
 void forward_place_begun(struct relay_request *r);
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -209,7 +209,7 @@
 	    v->store_unavailable ? "away" : "answering");
 	if (t != NULL && (y->view == NULL || y->view->routes != t))
 		set_cold_rules(y, t);
-	loads_set_evacuated(&y->shared.loads, v->evacuated);
+	loads_set_evacuated(&y->shared.loads, v->evacuated, clock_now());
 	loads_update(&y->shared.loads, v->targets, clock_now());
 	stage_jobs_set_peers(y->shared.stage_jobs, v->peers, v->hosts_listed);
 	target_limits_set_hosts(y->shared.target_limits, v->peers, clock_now());
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -253,9 +253,22 @@
 	index_domains(l);
 }
 
+/* The target is used again: its share rises, if its service has a bound. */
+static void
+appeared(const struct loads *l, struct target_load *t, usec_t now)
+{
+	if (t->cold.rule.per_s == 0)
+		return;
+	target_cold_share(&t->cold, t->entry.id, &l->cold_hosts);
+	target_cold_appeared(&t->cold, now);
+}
+
 void
-loads_set_evacuated(struct loads *l, const GArray *evacuations)
+loads_set_evacuated(struct loads *l, const GArray *evacuations, usec_t now)
 {
+	GHashTableIter it;
+	gpointer p;
+
 	if (evacuations->len == 0 && g_hash_table_size(l->evacuated) == 0)
 		return;
 	g_hash_table_remove_all(l->evacuated);
@@ -263,6 +276,14 @@
 		g_hash_table_add(l->evacuated,
 		    g_strdup(g_array_index(evacuations, struct evacuation, i)
 				 .domain));
+	g_hash_table_iter_init(&it, l->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct target_load *t = p;
+
+		if (t->evacuated &&
+		    !g_hash_table_contains(l->evacuated, t->entry.domain))
+			appeared(l, t, now);
+	}
 	index_targets(l);
 }
 
@@ -369,10 +390,8 @@
 	t->listed = true;
 	t->unlisted_at = 0;
 	set_cold(l, t, e, older, now);
-	if (!back || t->cold.rule.per_s == 0)
-		return;
-	target_cold_share(&t->cold, t->entry.id, &l->cold_hosts);
-	target_cold_appeared(&t->cold, now);
+	if (back)
+		appeared(l, t, now);
 }
 
 /* Frees a target that has been missing for long, unless it has calls. */
@@ -752,6 +771,30 @@
 	return t;
 }
 
+static bool
+has_owned(const GPtrArray *all, usec_t now)
+{
+	for (guint i = 0; i < all->len; i++) {
+		const struct target_load *t = all->pdata[i];
+
+		if (target_cold_owned_for(&t->cold, now) > 0)
+			return true;
+	}
+	return false;
+}
+
+struct target_load *
+loads_choose_owned(struct loads *l, const struct loads_query *q, usec_t now)
+{
+	const GPtrArray *all = loads_usable(l, q->service);
+	struct target_load *t;
+
+	if (all == NULL || !has_owned(all, now))
+		return NULL;
+	t = loads_choose(l, q, now);
+	return t != NULL && target_cold_owned_for(&t->cold, now) > 0 ? t : NULL;
+}
+
 struct target_load *
 loads_peek(struct loads *l, const struct loads_query *q, usec_t now)
 {
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -170,9 +170,11 @@
 struct target_load *loads_next_cold_change(struct loads *l, usec_t now);
 /*
  * Sets the evacuations in force (struct evacuation): the targets of their
- * failure domains are not usable meanwhile, without exception.
+ * failure domains are not usable meanwhile, without exception.  The share of
+ * those that are usable again rises from now on.
  */
-void loads_set_evacuated(struct loads *l, const GArray *evacuations);
+void loads_set_evacuated(
+    struct loads *l, const GArray *evacuations, usec_t now);
 /*
  * Whether the service has no usable target because the domains of those that it
  * has are evacuated.
@@ -188,6 +190,12 @@
  */
 struct target_load *loads_choose(
     struct loads *l, const struct loads_query *q, usec_t now);
+/*
+ * The same for a request that a placer could place: returns a target only if it
+ * is cold or its share rises, so that placers leave it to its owners.
+ */
+struct target_load *loads_choose_owned(
+    struct loads *l, const struct loads_query *q, usec_t now);
 /*
  * What loads_choose would return now.  Changes nothing, so that later choices
  * are as without it.
--- a/kernel/overload/engine_choice.c
+++ b/kernel/overload/engine_choice.c
@@ -58,10 +58,13 @@
 	return false;
 }
 
+/* Engines that are cold get the requests that their owners choose them for. */
 static bool
 is_eligible(const struct engine_choice_opts *o,
-    const struct placement_request *q, const struct target_load *t)
+    const struct placement_request *q, const struct target_load *t, usec_t now)
 {
+	if (target_cold_owned_for(&t->cold, now) > 0)
+		return false;
 	if (o->kv_tokens > 0 &&
 	    (uint64_t)q->prompt_tokens + q->output_tokens > o->kv_tokens)
 		return false;
@@ -260,7 +263,7 @@
 		    &g_array_index(o->views, struct engine_view, i);
 		struct engine_look k;
 
-		if (!is_eligible(o, &x->request, v->target))
+		if (!is_eligible(o, &x->request, v->target, now))
 			continue;
 		look_at(o, x, i, now, &k);
 		out->eligible = true;
--- a/kernel/overload/placement.c
+++ b/kernel/overload/placement.c
@@ -757,6 +757,9 @@
 			if (v.state.active >= v.slots)
 				ms += v.next_end_ms;
 		}
+		/* The hosts use it by themselves until then. */
+		ms += (double)target_cold_owned_for(&v.target->cold, now) /
+		    USEC_PER_MSEC;
 		least = fmin(least, ms);
 	}
 	for (guint i = 0; i < p->queue->len; i++) {
--- a/tests/kernel/test_evacuations.c
+++ b/tests/kernel/test_evacuations.c
@@ -171,7 +171,7 @@
 
 		g_array_append_val(v, x);
 	}
-	loads_set_evacuated(l, v);
+	loads_set_evacuated(l, v, SEC);
 }
 
 static const struct choice_case {
--- a/tests/kernel/test_relay_decisions.c
+++ b/tests/kernel/test_relay_decisions.c
@@ -782,7 +782,7 @@
 		g_array_set_size(evacuated, 1);
 		g_strlcpy(g_array_index(evacuated, struct evacuation, 0).domain,
 		    t->entry.domain, EVACUATION_DOMAIN_BYTES);
-		loads_set_evacuated(l, evacuated);
+		loads_set_evacuated(l, evacuated, now);
 		break;
 	case LOADS_TRIED:
 		q->tried[q->n_tried++] = STR("a");
--- a/tests/kernel/test_target_cold.c
+++ b/tests/kernel/test_target_cold.c
@@ -5,6 +5,7 @@
  */
 #include "base/rng.h"
 #include "kernel/loads.h"
+#include "kernel/overload/placement.h"
 
 #include <glib.h>
 #include <stdio.h>
@@ -41,6 +42,14 @@
 	int stagger;     /* milliseconds from one to the next */
 	int per_s;       /* requests of all hosts */
 	int burst_per_s; /* from the time that the first ones are cold */
+	enum trait {
+		NO_TRAIT,
+		BY_WAY,     /* every second host has its calls made by others */
+		BLIND,      /* and doesn't hear that targets are cold */
+		TAKEN_BACK, /* not cold: their domain was evacuated */
+		AGAIN,      /* they become cold once more while warm */
+		PLACED      /* the first host places all requests */
+	} trait;
 };
 
 static const struct replay replays[] = {
@@ -61,10 +70,23 @@
 	    250, 1000 },
 	{ "hosts that half of the fleet doesn't know yet", 74, 60, VIEW_JOINED,
 	    15, true, 0, 250, 1000 },
+	{ "calls for other hosts", 37, 30, VIEW_ALL, 8, true, 0, 120, 500,
+	    BY_WAY },
+	{ "calls for hosts that don't know", 37, 30, VIEW_ALL, 8, true, 0, 120,
+	    1400, BLIND },
+	{ "a domain is taken back beside a burst", 37, 30, VIEW_ALL, 8, false,
+	    0, 120, 1800, TAKEN_BACK },
+	{ "few hosts, a domain is taken back", 3, 8, VIEW_ALL, 2, false, 0, 60,
+	    500, TAKEN_BACK },
+	{ "cold again while busy", 37, 30, VIEW_ALL, 10, true, 0, 400, 400,
+	    AGAIN },
+	{ "a domain comes back cold beside a placer", 37, 30, VIEW_ALL, 8, true,
+	    0, 120, 500, PLACED },
 };
 
 #define COLD_AT   MSEC(5000)
 #define COLD_TIME MSEC(3000)
+#define AGAIN_AT  (COLD_TIME + MSEC(2000)) /* after the first time */
 #define END       MSEC(22000)
 
 struct fleet {
@@ -76,12 +98,16 @@
 	uint32_t running[MAX_TARGETS];
 	GQueue calls; /* struct call, in the order of their ends */
 	size_t refused;
+	struct placement *placement; /* or NULL */
+	uint64_t n_asks;
+	size_t vetoed; /* placed, but not taken by the host */
 };
 
 struct call {
 	usec_t ends_at;
 	struct loads *host;
 	size_t target;
+	uint64_t ask;
 };
 
 static void
@@ -107,6 +133,27 @@
 	}
 }
 
+/* Whether the calls of the host are made by others. */
+static bool
+is_without_path(
+    const struct replay *r, const struct fleet *f, const struct loads *l)
+{
+	return (r->trait == BY_WAY || r->trait == BLIND) &&
+	    (l - f->hosts) % 2 == 1;
+}
+
+static void
+evacuate(struct loads *l, bool evacuated, usec_t now)
+{
+	static const struct evacuation cold = { .domain = "cold" };
+	g_autoptr(GArray) v =
+	    g_array_new(FALSE, TRUE, sizeof(struct evacuation));
+
+	if (evacuated)
+		g_array_append_val(v, cold);
+	loads_set_evacuated(l, v, now);
+}
+
 static void
 list_targets(
     const struct replay *r, struct fleet *f, struct loads *l, usec_t now)
@@ -119,7 +166,17 @@
 		snprintf(e.id, sizeof(e.id), "t%zu", i);
 		snprintf(e.addr, sizeof(e.addr), "10.0.0.%zu:80", i);
 		g_strlcpy(e.service, "s", sizeof(e.service));
-		if (i < r->n_cold && now >= f->cold_at[i]) {
+		if (i < r->n_cold)
+			g_strlcpy(e.domain, "cold", sizeof(e.domain));
+		if (r->trait == TAKEN_BACK ||
+		    (r->trait == BLIND && is_without_path(r, f, l))) {
+			;
+		} else if (r->trait == AGAIN && i < r->n_cold &&
+		    now >= f->cold_at[i] + AGAIN_AT) {
+			e.seq = 3;
+			e.cold_left = COLD_TIME;
+			e.read_at = f->cold_at[i] + AGAIN_AT;
+		} else if (i < r->n_cold && now >= f->cold_at[i]) {
 			e.seq = 2;
 			e.cold_left = COLD_TIME;
 			e.read_at = f->cold_at[i];
@@ -129,6 +186,8 @@
 		}
 		g_array_append_val(all, e);
 	}
+	if (r->trait == TAKEN_BACK)
+		evacuate(l, now >= COLD_AT - MSEC(2000) && now < COLD_AT, now);
 	loads_update(l, all, now);
 	g_array_unref(all);
 }
@@ -158,12 +217,102 @@
 		snprintf(id, sizeof(id), "t%zu", c->target);
 		f->running[c->target]--;
 		loads_ended(c->host, id, LOADS_OK, c->ends_at);
+		if (f->placement != NULL)
+			placement_ended(f->placement,
+			    (uint64_t)(c->host - f->hosts) + 1, c->ask, true,
+			    c->ends_at);
 		t = loads_find(c->host, id);
 		loads_report(t, f->running[c->target], 0, 0, c->ends_at);
 		g_free(g_queue_pop_head(&f->calls));
 	}
 }
 
+static struct placement_request
+request_of(struct fleet *f, const struct loads *l, usec_t now)
+{
+	return (struct placement_request){
+		.host = (uint64_t)(l - f->hosts) + 1,
+		.ask = ++f->n_asks,
+		.prompt_tokens = 300,
+		.output_tokens = 100,
+		.aim = now + MSEC(4000),
+		.deadline = now + MSEC(8000),
+	};
+}
+
+/* The call of a host is made, by way of another if it has no path. */
+static bool
+make_call(const struct replay *r, struct fleet *f, struct loads *l,
+    struct target_load *t, uint64_t ask, usec_t now)
+{
+	size_t i = (size_t)strtoul(t->entry.id + 1, NULL, 10);
+	bool counted = target_cold_is_cold(&t->cold, now);
+	struct call *call;
+
+	loads_sent(t, now);
+	if (is_without_path(r, f, l)) {
+		size_t way = (size_t)(rng_unit(&f->rng) * (double)r->n_hosts);
+		struct target_load *there =
+		    loads_find(&f->hosts[way & ~(size_t)1], t->entry.id);
+
+		if (!there->listed || !loads_serve(there, counted, now)) {
+			loads_ended(l, t->entry.id, LOADS_FAILED, now);
+			loads_cold(l, t,
+			    there->listed ? there->cold.until - now : 0, 0,
+			    now);
+			return false;
+		}
+		loads_ended(
+		    &f->hosts[way & ~(size_t)1], t->entry.id, LOADS_OK, now);
+	}
+	g_assert_cmpuint(f->sent[i], <, MAX_SENT);
+	f->sent_at[i][f->sent[i]++] = now;
+	f->running[i]++;
+	call = g_new(struct call, 1);
+	*call = (struct call){ now + RUN_TIME, l, i, ask };
+	g_queue_push_tail(&f->calls, call);
+	return true;
+}
+
+/* The host chooses by itself, again if the call isn't made. */
+static void
+send_one(const struct replay *r, struct fleet *f, struct loads *l,
+    struct loads_query *q, usec_t now)
+{
+	struct target_load *t;
+
+	while (q->n_tried < LOADS_MAX_TRIED &&
+	    (t = loads_choose(l, q, now)) != NULL) {
+		if (make_call(r, f, l, t, 0, now))
+			return;
+		q->tried[q->n_tried++] = str_from(t->entry.id);
+	}
+	f->refused++;
+}
+
+/* Carries out what the placer has decided. */
+static void
+send_placed(const struct replay *r, struct fleet *f, usec_t now)
+{
+	struct placement_decision d;
+
+	while (placement_step(f->placement, &d, 1, now) > 0) {
+		struct loads *l = &f->hosts[d.host - 1];
+		struct loads_query q = { .service = "s", .engine = true };
+		struct target_load *t = loads_find(l, d.target);
+
+		if (d.verdict == PLACEMENT_SEND && loads_takes(l, &q, t, now)) {
+			make_call(r, f, l, t, d.ask, now);
+			continue;
+		}
+		f->vetoed += d.verdict == PLACEMENT_SEND;
+		if (d.verdict == PLACEMENT_SEND)
+			placement_ended(
+			    f->placement, d.host, d.ask, false, now);
+		send_one(r, f, l, &q, now);
+	}
+}
+
 static void
 send_some(const struct replay *r, struct fleet *f, usec_t now)
 {
@@ -182,23 +331,23 @@
 			.prefix = 1 + (uint64_t)(rng_unit(&f->rng) * PREFIXES),
 			.shared_tokens = 300,
 		};
-		struct target_load *t = loads_choose(l, &q, now);
-		struct call *call;
-		size_t i;
+		struct placement_request x = request_of(f, l, now);
+		struct target_load *t;
 
-		if (t == NULL) {
-			f->refused++;
+		if (f->placement == NULL) {
+			send_one(r, f, l, &q, now);
 			continue;
 		}
-		i = (size_t)strtoul(t->entry.id + 1, NULL, 10);
-		g_assert_cmpuint(f->sent[i], <, MAX_SENT);
-		f->sent_at[i][f->sent[i]++] = now;
-		loads_sent(t, now);
-		f->running[i]++;
-		call = g_new(struct call, 1);
-		*call = (struct call){ now + RUN_TIME, l, i };
-		g_queue_push_tail(&f->calls, call);
+		t = loads_choose_owned(l, &q, now);
+		if (t != NULL) {
+			make_call(r, f, l, t, x.ask, now);
+			placement_sent(f->placement, &x, t->entry.id, now);
+		} else {
+			placement_submit(f->placement, &x, now);
+		}
 	}
+	if (f->placement != NULL)
+		send_placed(r, f, now);
 }
 
 /* The most requests in a second of a span, which is open at its end. */
@@ -236,34 +385,39 @@
 {
 	double bound = rule.per_s * rule.over + rule.slack;
 	double usual = (double)r->burst_per_s / (double)r->n_targets;
+	usec_t cold_time = r->trait == TAKEN_BACK ? 0 : COLD_TIME;
 	size_t cold = 0;
 	size_t warm = 0;
 	size_t others = 0;
 
 	for (size_t i = 0; i < r->n_cold; i++) {
 		usec_t at = f->cold_at[i];
-		size_t most = most_in_second(f, i, at, at + COLD_TIME);
+		size_t most = most_in_second(f, i, at, at + cold_time);
 		/* A second in which its share rises, and one after that. */
 		size_t first =
-		    count(f, i, at + COLD_TIME, at + COLD_TIME + USEC_PER_SEC);
+		    count(f, i, at + cold_time, at + cold_time + USEC_PER_SEC);
 
 		g_test_message(
 		    "t%zu: %zu while cold, %zu in a second, then %zu", i,
 		    count(f, i, at, at + COLD_TIME), most, first);
 		g_assert_cmpuint(most, <=, (size_t)bound);
+		if (r->trait == AGAIN)
+			g_assert_cmpuint(most_in_second(f, i, at + AGAIN_AT,
+					     at + AGAIN_AT + COLD_TIME),
+			    <=, (size_t)bound);
 		g_assert_cmpuint(first, <=, (size_t)(2 * bound));
 		cold += count(f, i, at, at + COLD_TIME);
 		warm += count(f, i, END - 3 * USEC_PER_SEC, END);
 	}
 	for (size_t i = r->n_cold; i < r->n_targets; i++)
 		others += count(f, i, END - 3 * USEC_PER_SEC, END);
-	g_test_message("%zu refused", f->refused);
+	g_test_message("%zu refused, %zu vetoed", f->refused, f->vetoed);
 	g_assert_cmpuint(f->refused, ==, 0);
 	/* Neither empty beside full ones while cold ... */
 	g_assert_cmpfloat((double)cold / (double)r->n_cold, >=,
-	    r->view == VIEW_STARTED
-		? 0
-		: MIN(rule.per_s, usual) / 2 * COLD_TIME / USEC_PER_SEC);
+	    r->view == VIEW_STARTED ? 0
+				    : MIN(rule.per_s, usual) / 2 *
+		    (double)cold_time / USEC_PER_SEC);
 	/* ... nor once they are warm. */
 	g_assert_cmpfloat((double)warm / (double)r->n_cold, >=,
 	    0.7 * (double)others / (double)(r->n_targets - r->n_cold));
@@ -286,6 +440,13 @@
 		    &f->hosts[i], r->view != VIEW_STARTED, 0);
 		loads_set_cold_rules(&f->hosts[i], new_rules());
 	}
+	if (r->trait == PLACED)
+		f->placement = placement_new(&(struct placement_opts){
+		    .service = "s",
+		    .domain = "",
+		    .loads = &f->hosts[0],
+		    .slots = 64,
+		});
 	for (usec_t now = 0; now < END; now += STEP) {
 		for (size_t i = 0; i < r->n_hosts; i++) {
 			if (now == 0 || (now + (usec_t)i * STEP) % LIST == 0)
@@ -296,6 +457,8 @@
 	}
 	end_calls(f, -1);
 	check(r, f);
+	if (f->placement != NULL)
+		placement_free(f->placement);
 	for (size_t i = 0; i < r->n_hosts; i++)
 		loads_free(&f->hosts[i]);
 	free(f);
@@ -306,8 +469,12 @@
 	STEP_COLD, /* value: milliseconds for which the target says it is cold
 		    */
 	STEP_APPEARS,
-	STEP_SEND,  /* value: 1 if a request may be sent, and is; else 0 */
-	STEP_ALONE, /* the same for a host that alone sends to the target */
+	STEP_WARM, /* value: when that was sent whose answer says so */
+	/* value: of 100 calls at once for others that count them, those made */
+	STEP_SERVE,
+	STEP_SERVE_OWN, /* the same, for others that don't */
+	STEP_SEND,      /* value: 1 if a request may be sent, and is; else 0 */
+	STEP_ALONE,     /* the same for a host that alone sends to the target */
 	/* value: at most so many are sent in the next second, and not much less
 	 */
 	STEP_COUNT
@@ -345,6 +512,19 @@
 		{ STEP_COUNT, 7000, 200 } } },
 	{ "a service without a bound", 0,
 	    { { STEP_COLD, 1000, 3000 }, { STEP_COUNT, 1000, 200 } } },
+	{ "an answer ends it", 18,
+	    { { STEP_COLD, 1000, 8000 }, { STEP_WARM, 2000, 1500 },
+		{ STEP_COUNT, 8500, 200 } } },
+	{ "but none to what was sent before", 18,
+	    { { STEP_COLD, 1000, 8000 }, { STEP_WARM, 2000, 900 },
+		{ STEP_COUNT, 7500, 15 } } },
+	{ "a host that stood still, with calls for others", 18,
+	    { { STEP_COLD, 1000, 3000 }, { STEP_SERVE, 2000, 16 },
+		{ STEP_SERVE, 2900, 0 }, { STEP_SERVE, 3100, 16 },
+		{ STEP_SERVE, 4100, 100 } } },
+	{ "calls for others that don't know", 18,
+	    { { STEP_COLD, 1000, 3000 }, { STEP_SERVE_OWN, 2000, 1 },
+		{ STEP_SERVE_OWN, 2001, 0 }, { STEP_SERVE_OWN, 2100, 1 } } },
 	{ "alone", 18,
 	    { { STEP_COLD, 1000, 3000 }, { STEP_ALONE, 1200, 1 },
 		{ STEP_ALONE, 1260, 0 }, { STEP_ALONE, 1270, 1 } } },
@@ -379,6 +559,16 @@
 	case STEP_APPEARS:
 		target_cold_appeared(c, now);
 		break;
+	case STEP_WARM:
+		target_cold_answered(c, now, MSEC(x->value), now);
+		break;
+	case STEP_SERVE:
+	case STEP_SERVE_OWN:
+		n = 0;
+		for (int i = 0; i < 100; i++)
+			n += target_cold_serves(c, x->kind == STEP_SERVE, now);
+		g_assert_cmpint(n, ==, x->value);
+		break;
 	case STEP_SEND:
 	case STEP_ALONE:
 		allowed = alone ? target_cold_allows_alone(c, now)
