--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -61,6 +61,7 @@
 	usec_t cold_read_at; /* read_at of the entry that cold is from */
 	bool cold_noted;     /* as loads_next_cold_change() returned it */
 	bool bad_limit;      /* its last answer named a malformed one */
+	bool bad_cold;       /* its last answer named a malformed cold time */
 	usec_t aside_until;
 	/* The target has asked this host for no request until then. */
 	usec_t rest_until;
@@ -159,9 +160,9 @@
  * come after: service -> struct target_cold_rule, which l takes over.
  */
 void loads_set_cold_rules(struct loads *l, GHashTable *rules);
-/* The target says for how long it is cold, or 0. */
-void loads_cold(
-    const struct loads *l, struct target_load *t, usec_t left, usec_t now);
+/* An answer of the target says for how long it is cold; target_cold.h. */
+void loads_cold(const struct loads *l, struct target_load *t, usec_t left,
+    usec_t sent_at, usec_t now);
 /*
  * Returns a target that has become cold, or isn't any more, since this last
  * returned it; or NULL.
@@ -169,9 +170,11 @@
 struct target_load *loads_next_cold_change(struct loads *l, usec_t now);
 /*
  * Sets the evacuations in force (struct evacuation): the targets of their
- * failure domains are not usable meanwhile, without exception.
+ * failure domains are not usable meanwhile, without exception.  The share of
+ * those that are usable again rises from now on.
  */
-void loads_set_evacuated(struct loads *l, const GArray *evacuations);
+void loads_set_evacuated(
+    struct loads *l, const GArray *evacuations, usec_t now);
 /*
  * Whether the service has no usable target because the domains of those that it
  * has are evacuated.
@@ -187,6 +190,12 @@
  */
 struct target_load *loads_choose(
     struct loads *l, const struct loads_query *q, usec_t now);
+/*
+ * The same for a request that a placer could place: returns a target only if it
+ * is cold or its share rises, so that placers leave it to its owners.
+ */
+struct target_load *loads_choose_owned(
+    struct loads *l, const struct loads_query *q, usec_t now);
 /*
  * What loads_choose would return now.  Changes nothing, so that later choices
  * are as without it.
@@ -255,6 +264,11 @@
 
 /* Counts a call that was sent to the target. */
 void loads_sent(struct target_load *t, usec_t now);
+/*
+ * The same for a call that is made for another host, unless the target is cold
+ * and bears no more; counted: as in target_cold_serves().
+ */
+bool loads_serve(struct target_load *t, bool counted, usec_t now);
 /* The same for a host that alone calls the target. */
 void loads_sent_alone(struct target_load *t, usec_t now);
 /* Counts a request of such a host that is no call. */
