chain: a request whose stages are done isn't sent when no engine can answer in time

It now checks the first event too, once all stages are done, against what no engine undercuts; late requests whose callers still wait are sent as before.

/chain/all-done in test_chain fails without the change.

--- a/entry/stages.c
+++ b/entry/stages.c
@@ -18,6 +18,8 @@
  * network path and one decoding step.
  */
 #define FIRST_TOKEN_TIME    (150 * USEC_PER_MSEC)
+/* Two network paths and one decoding step: no first token comes sooner. */
+#define BEST_FIRST_TOKEN    (25 * USEC_PER_MSEC)
 /* Typical fraction of the batch size that a call holds. */
 #define TYPICAL_FILL        0.4
 /* Smaller inputs and results transfer quickly to any failure domain. */
@@ -102,6 +104,8 @@
 		.min_first_event = FIRST_TOKEN_TIME,
 		.typical_first_event = durations_estimate(
 		    &r->shared->durations, r->service->name, FIRST_TOKEN_TIME),
+		.best_first_event =
+		    r->service->has_engine ? BEST_FIRST_TOKEN : 0,
 	};
 	for (uint32_t i = 0; i < c->n; i++) {
 		const struct service *s = service_of(r, i);
--- a/kernel/overload/chain.c
+++ b/kernel/overload/chain.c
@@ -145,18 +145,24 @@
 chain_check(const struct chain *c, usec_t time_left, usec_t *excess)
 {
 	usec_t longest = 0;
+	bool needed = false;
+	bool all_done = true;
 
 	*excess = 0;
 	for (uint32_t i = 0; i < c->n; i++) {
 		const struct chain_stage *s = &c->stages[i];
 		usec_t t;
 
+		needed = needed || s->needed;
+		all_done = all_done && (!s->needed || s->done);
 		if (!s->needed || s->done || s->started)
 			continue;
 		t = stage_time(s, TIME_REPORTED) +
 		    time_after(c, i, TIME_REPORTED);
 		longest = t > longest ? t : longest;
 	}
+	if (needed && all_done)
+		longest = c->best_first_event;
 	if (longest > time_left) {
 		*excess = longest - time_left;
 		return CHAIN_NO_TIME;
--- a/kernel/overload/chain.h
+++ b/kernel/overload/chain.h
@@ -7,7 +7,9 @@
  * expire in the queue of the stage that takes them, only takes capacity and
  * result space from the others; started again and again, such requests keep the
  * overload up after the burst has ended.  So the rest of the chain is checked
- * before each stage starts, and a chain starts again only if all of it fits.
+ * before each stage starts, and a chain starts again only if all of it fits.  A
+ * request whose stages are done is sent unless its caller is sure to have left
+ * before the first event: a late answer is worth more than its results.
  *
  * Stages are in topological order: a stage only needs earlier ones.  Times are
  * in microseconds.
@@ -33,6 +35,7 @@
 	uint32_t n;
 	usec_t min_first_event; /* from the last results to the first event */
 	usec_t typical_first_event;
+	usec_t best_first_event; /* no engine answers sooner; 0: unknown */
 };
 
 /* Returns the stages that a stage needs, directly or not; bit i: stage i. */
@@ -63,8 +66,9 @@
 };
 
 /*
- * Checks whether the stages that are not done fit into the time left.  Sets
- * *excess to the time by which they do not.
+ * Checks whether the stages that are not done fit into the time left, or the
+ * first event if all of them are done.  Sets *excess to the time by which they
+ * do not.
  */
 enum chain_verdict chain_check(
     const struct chain *c, usec_t time_left, usec_t *excess);
--- a/tests/kernel/test_chain.c
+++ b/tests/kernel/test_chain.c
@@ -97,6 +97,48 @@
 	}
 }
 
+/*
+ * A request whose stages are done: sent 19 ms before its caller leaves, it took
+ * an engine that answered nobody.  It is rejected only if no engine could
+ * answer in time, however long one usually takes.
+ */
+static void
+test_all_done(void)
+{
+	static const struct {
+		bool needed, done;
+		int left, best; /* ms */
+		enum chain_verdict expected;
+		int excess; /* ms */
+	} cases[] = {
+		{ true, true, 19, 30, CHAIN_NO_TIME, 11 },
+		{ true, true, -5, 30, CHAIN_NO_TIME, 35 },
+		{ true, true, 30, 30, CHAIN_FITS, 0 },
+		/* Late for most requests, and still of use. */
+		{ true, true, 100, 30, CHAIN_FITS, 0 },
+		/* Not an engine, or one that isn't known. */
+		{ true, true, 1, 0, CHAIN_FITS, 0 },
+		/* A request without stages has no results to lose. */
+		{ false, false, 19, 30, CHAIN_FITS, 0 },
+		{ true, false, 1049, 30, CHAIN_NO_TIME, 1 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct chain c = three_in_a_row();
+		usec_t excess;
+
+		c.best_first_event = cases[i].best * MS;
+		for (uint32_t k = 0; k < c.n; k++) {
+			c.stages[k].needed = cases[i].needed;
+			c.stages[k].done = cases[i].done;
+		}
+		g_test_message("case %zu", i);
+		g_assert_cmpint(chain_check(&c, cases[i].left * MS, &excess),
+		    ==, cases[i].expected);
+		g_assert_cmpint(excess, ==, cases[i].excess * MS);
+	}
+}
+
 /* A reported wait counts down, so that a host without reports tries again. */
 static void
 test_stage_waits(void)
@@ -275,6 +317,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/chain/order", test_order);
 	g_test_add_func("/chain/check", test_check);
+	g_test_add_func("/chain/all-done", test_all_done);
 	g_test_add_func("/stage-waits", test_stage_waits);
 	g_test_add_func("/throughput", test_throughput);
 	g_test_add_func("/call-costs", test_call_costs);
