--- a/entry/stages.c
+++ b/entry/stages.c
@@ -568,7 +568,9 @@
 	if (v != CHAIN_FITS)
 		*why = stages_rejection(r,
 		    v == CHAIN_NO_TIME ? left + *excess : *excess,
-		    "its stages would not end in time");
+		    stages_are_done(r)
+			? "no target could begin to answer in time"
+			: "its stages would not end in time");
 	return v;
 }
 
@@ -583,8 +585,9 @@
 	if (v == CHAIN_FITS)
 		return false;
 	log_text(LOG_LVL_INFO, "chain-rejected",
-	    "request %.*s: its stages would end %" PRId64 " ms %s",
-	    STR_FMT(r->info.id), excess / USEC_PER_MSEC,
+	    "request %.*s: its %s %" PRId64 " ms %s", STR_FMT(r->info.id),
+	    stages_are_done(r) ? "first event would come" : "stages would end",
+	    excess / USEC_PER_MSEC,
 	    v == CHAIN_NO_TIME ? "after its deadline"
 			       : "after the results they need have expired");
 	fail_stages(r, &why);
