memory: answers of slow receivers are read on while there is room

Cause: with 256 KB unsent to the caller of a stream, its target wasn't read until the caller had taken all of them. A target that cuts off what stays unread for seconds broke the stream of a caller that is slow but sound, while the host had room.

Change: memory_reads_on gives each receiver as much unsent as all of them leave of a quarter of the pool of answers, from 64 KB to 2 MB, and reads on 8 KB below that. While answers wait for room, receivers that have stalled are broken off before slow ones that hold more.

--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -246,7 +246,7 @@
 			return;
 		pass_events(r, m);
 		target_call_keeps(r->call, r->sse.partial.cap);
-		if (httpd_backlog(r->httpd_req) > MEMORY_PAUSE)
+		if (!httpd_takes_more(r->httpd_req, false))
 			target_call_pause(r->call, true);
 	}
 	cause = answer_fault(r, m);
--- a/entry/httpd.c
+++ b/entry/httpd.c
@@ -259,11 +259,11 @@
 	struct httpd_request *q = arg;
 
 	(void)bev;
+	if (q->busy && !q->closing && q->on_sent != NULL)
+		q->on_sent(q->arg);
 	/* A deferred callback may arrive after the response was queued. */
 	if (output_length(q) > 0)
 		return;
-	if (q->busy && !q->closing && q->on_sent != NULL)
-		q->on_sent(q->arg);
 	if (q->closing && !q->lingering)
 		half_close(q);
 	else if (!q->closing && !q->busy && !q->in.started)
--- a/entry/httpd.h
+++ b/entry/httpd.h
@@ -94,7 +94,7 @@
 void httpd_on_close(
     struct httpd_request *q, void (*on_close)(void *arg), void *arg);
 /*
- * on_sent is called, with the arg of httpd_on_close, whenever all that was
+ * on_sent is called, with the arg of httpd_on_close, whenever some of what was
  * written of the response has been sent.
  */
 void httpd_on_sent(struct httpd_request *q, void (*on_sent)(void *arg));
@@ -122,6 +122,11 @@
 void httpd_name(struct httpd_request *q, struct str id, const char *route);
 /* Bytes that the owner keeps for the request besides its message. */
 void httpd_keeps(struct httpd_request *q, size_t n);
+/*
+ * Whether more of the response may be written, although its caller has not
+ * taken all (memory_reads_on); paused: it has been held back.
+ */
+bool httpd_takes_more(const struct httpd_request *q, bool paused);
 /* Bytes of the response that are not sent yet. */
 size_t httpd_backlog(const struct httpd_request *q);
 /* The same, with the bytes that the socket holds. */
--- a/entry/httpd_room.c
+++ b/entry/httpd_room.c
@@ -55,6 +55,15 @@
 	held_watch(&q->in_held, q->in.body);
 	held_watch(&q->out_held, bufferevent_get_output(q->bev));
 	bufferevent_set_max_single_write(q->bev, WRITE_BYTES);
+	/* So that on_sent is called while bytes are left. */
+	bufferevent_setwatermark(q->bev, EV_WRITE, MEMORY_BACKLOG, 0);
+}
+
+bool
+httpd_takes_more(const struct httpd_request *q, bool paused)
+{
+	return httpd_backlog(q) <= MEMORY_BACKLOG &&
+	    held_reads_on(&q->out_held, paused);
 }
 
 void
--- a/entry/relay_request.c
+++ b/entry/relay_request.c
@@ -216,13 +216,13 @@
 	relay_request_free(r);
 }
 
-/* The caller has taken what was written. */
+/* The caller has taken some of what was written. */
 static void
 on_caller_took(void *arg)
 {
 	struct relay_request *r = arg;
 
-	if (r->call != NULL)
+	if (r->call != NULL && httpd_takes_more(r->httpd_req, true))
 		target_call_pause(r->call, false);
 }
 
--- a/entry/served_calls.c
+++ b/entry/served_calls.c
@@ -120,7 +120,7 @@
 		return;
 	case DIAL_BODY:
 		write_served(s, m);
-		if (httpd_backlog(s->q) > MEMORY_PAUSE)
+		if (!httpd_takes_more(s->q, false))
 			target_call_pause(k, true);
 		if (httpd_backlog(s->q) <= MAX_BACKLOG)
 			return;
@@ -141,13 +141,14 @@
 	}
 }
 
-/* The host that asked for the call has taken what was written. */
+/* The host that asked for the call has taken some of what was written. */
 static void
 on_sent(void *arg)
 {
 	struct served_call *s = arg;
 
-	target_call_pause(s->call, false);
+	if (httpd_takes_more(s->q, true))
+		target_call_pause(s->call, false);
 }
 
 /* The host that asked for the call has closed its connection. */
--- a/kernel/memory.c
+++ b/kernel/memory.c
@@ -18,8 +18,6 @@
 #define PART_BYTES       (MEMORY_MEDIUM / 2)
 /* Part of a pool, in sixteenths, that small calls of other hosts may take. */
 #define PEERS_PART       1
-/* With fewer bytes in MOVE_TIME, it gives way to others that are slow, too. */
-#define HUNG_BYTES       ((size_t)1024)
 /* With fewer bytes in MOVE_TIME, an item of unknown length is read slowly. */
 #define SLOW_BYTES       ((size_t)256 * 1024)
 /* How long smaller items pass the first of medium size that waits. */
@@ -250,6 +248,7 @@
 	h->moved = 0;
 	h->moved_since = now;
 	h->slow = false;
+	h->hung = false;
 }
 
 void
--- a/kernel/memory.h
+++ b/kernel/memory.h
@@ -25,7 +25,10 @@
  *   may be faster, if what such holders keep leaves room for a whole item;
  * - smaller items pass one of medium size that waits for a short time only;
  * - a small call of another host, which has admitted its request, has room
- *   beside a full pool, up to a part of it.
+ *   beside a full pool, up to a part of it;
+ * - a target may cut off an answer that isn't read for seconds, so the answer of
+ *   a slow receiver is read on while there is room: each receiver may have as
+ *   much unsent as all of them leave of their part of the pool.
  *
  * Holders that may not read wait in line.  Sizes are in bytes, times in
  * microseconds.
@@ -49,7 +52,7 @@
 /* Lowest bound: an item fits into each pool but that of the store. */
 #define MEMORY_MIN          ((size_t)26 * 1024 * 1024)
 /* With more bytes unsent to one receiver, the rest of its answer waits. */
-#define MEMORY_PAUSE        ((size_t)256 * 1024)
+#define MEMORY_BACKLOG      ((size_t)2 * 1024 * 1024)
 /* Lowest memory of a host, which MEMORY_MIN leaves more than half of. */
 #define MEMORY_HOST_MIN_MB  64
 /* How long a request whose body waits for room is kept. */
@@ -98,6 +101,7 @@
 	size_t moved;
 	usec_t moved_since;
 	bool slow; /* its receiver took almost nothing before that */
+	bool hung; /* and so little that it may have stalled */
 	/* Bytes read of the item, and in which time, without waits. */
 	size_t read;
 	usec_t read_time;
@@ -200,10 +204,17 @@
 /* Retry-After of a refused request. */
 usec_t memory_retry_after(uint64_t salt);
 
+/*
+ * Whether more of an answer is read whose receiver has not taken what h holds;
+ * paused: reading has stopped, and goes on a step below the bound.
+ */
+bool memory_reads_on(
+    const struct memory *m, const struct memory_holder *h, bool paused);
 /*
  * Returns the holder of an answer that is to be broken off, as others wait for
- * room and its receiver takes almost nothing; NULL: none.  To be called often
- * while holders wait.
+ * room and its receiver takes almost nothing; NULL: none.  Receivers that have
+ * stalled go before those that take a little, and larger answers before smaller
+ * ones.  To be called often while holders wait.
  */
 struct memory_holder *memory_slowest(struct memory *m, usec_t now);
 
--- a/plat/held.c
+++ b/plat/held.c
@@ -286,6 +286,19 @@
 	pthread_mutex_unlock(&h->memory->lock);
 }
 
+bool
+held_reads_on(const struct held *h, bool paused)
+{
+	bool reads;
+
+	if (h->memory == NULL)
+		return true;
+	pthread_mutex_lock(&h->memory->lock);
+	reads = memory_reads_on(&h->memory->memory, &h->holder, paused);
+	pthread_mutex_unlock(&h->memory->lock);
+	return reads;
+}
+
 bool
 held_is_waiting(const struct held *h)
 {
--- a/plat/held.h
+++ b/plat/held.h
@@ -101,6 +101,11 @@
 bool held_is_cut(const struct held *h);
 /* Another receiver takes the answer: it is not broken off for the last one. */
 void held_next_receiver(struct held *h);
+/*
+ * As memory_reads_on, of what is unsent of an answer; without a host_memory
+ * true.
+ */
+bool held_reads_on(const struct held *h, bool paused);
 bool held_is_waiting(const struct held *h);
 /* As memory_waited. */
 usec_t held_waited(const struct held *h);
--- a/tests/platform/flood.h
+++ b/tests/platform/flood.h
@@ -17,6 +17,8 @@
 struct flood *flood_start(uint16_t port, size_t n);
 /* Returns how often a request with this id arrived whole. */
 uint32_t flood_arrivals(struct flood *f, const char *id);
+/* How often an answer to it was cut off, as its receiver took nothing. */
+uint32_t flood_cuts(struct flood *f, const char *id);
 void flood_stop(struct flood *f);
 
 #endif
