forward: a call that was cut off unread doesn't count against its target

Cause: a target that cuts off a response which the host has left unread for seconds was taken for a failing one and set aside, though the host or its caller was slow.

Change: dial_unread tells how long a response wasn't read; from MEMORY_UNREAD_TIME on the target's account isn't charged, call-lost names the cause, and sequoia_unread_calls_total counts it.

Not run yet: test_dial_room, test_memory_load (their ports are in use).

--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -370,6 +370,24 @@
 	pass_response(r, m);
 }
 
+/* The connection of the call has ended before its answer. */
+static void
+on_broken(struct relay_request *r)
+{
+	bool unread = target_call_unread(r->call) >= MEMORY_UNREAD_TIME;
+	const char *cause = "the connection broke";
+
+	r->may_have_run = true;
+	r->way_lost = target_call_lost_way(r->call);
+	if (r->way_lost)
+		cause = "the host that made the call has ended";
+	else if (unread)
+		cause = "cut off while its answer wasn't read";
+	r->shared->unread_calls += !r->way_lost && unread;
+	forward_call_ended(r, r->way_lost || unread);
+	forward_lost(r, cause);
+}
+
 void
 forward_on_event(void *arg, enum dial_event ev, const struct httpmsg *m)
 {
@@ -401,12 +419,7 @@
 		return;
 	case DIAL_BROKEN:
 	case DIAL_BAD_RESPONSE:
-		r->may_have_run = true;
-		r->way_lost = target_call_lost_way(r->call);
-		forward_call_ended(r, r->way_lost);
-		forward_lost(r,
-		    r->way_lost ? "the host that made the call has ended"
-				: "the connection broke");
+		on_broken(r);
 		return;
 	}
 }
--- a/entry/relay_metrics.c
+++ b/entry/relay_metrics.c
@@ -130,6 +130,7 @@
 	put(out, "paths_lost_total", p->target_calls.paths_lost);
 	put(out, "silent_calls_total", p->silent_calls);
 	put(out, "lost_calls_total", p->lost_calls);
+	put(out, "unread_calls_total", p->unread_calls);
 	put(out, "limited_targets", p->limited_targets);
 	put(out, "cold_targets", p->cold_targets);
 	put(out, "target_crashes_total", p->crashes);
--- a/entry/relay_metrics.h
+++ b/entry/relay_metrics.h
@@ -52,6 +52,7 @@
 	struct held_counts memory;
 	uint64_t silent_calls;
 	uint64_t lost_calls;
+	uint64_t unread_calls;
 	size_t limited_targets;
 	size_t cold_targets;
 	uint64_t crashes;
--- a/entry/relay_ops.c
+++ b/entry/relay_ops.c
@@ -82,6 +82,7 @@
 			.dial = dialer_counts(s->dialer),
 			.silent_calls = s->silent_calls,
 			.lost_calls = s->lost_calls,
+			.unread_calls = s->unread_calls,
 			.target_calls = target_calls_counts(s->target_calls),
 			.limited_targets =
 			    target_limits_count(s->target_limits),
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -66,6 +66,7 @@
 	struct response_wait event_wait;
 	uint64_t silent_calls; /* given up */
 	uint64_t lost_calls;   /* sent, without a complete response */
+	uint64_t unread_calls; /* of these, while the response wasn't read */
 	/* Waits at the stage services, as their coordinators report them. */
 	struct stage_waits stage_waits;
 	/* How long ago the callers of a route sent their first attempt. */
--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -548,6 +548,12 @@
 	return dial_is_held(k->dial);
 }
 
+usec_t
+target_call_unread(const struct target_call *k)
+{
+	return dial_unread(k->dial);
+}
+
 usec_t
 target_call_waited(const struct target_call *k)
 {
--- a/entry/target_calls.h
+++ b/entry/target_calls.h
@@ -78,8 +78,9 @@
 bool target_call_has_input(const struct target_call *k);
 /* As dial_written_at, of the call to the target or to another host. */
 usec_t target_call_written_at(const struct target_call *k);
-/* As dial_is_held, dial_waited, dial_pause and dial_keeps. */
+/* As dial_is_held, dial_unread, dial_waited, dial_pause and dial_keeps. */
 bool target_call_is_held(const struct target_call *k);
+usec_t target_call_unread(const struct target_call *k);
 usec_t target_call_waited(const struct target_call *k);
 void target_call_pause(struct target_call *k, bool paused);
 void target_call_keeps(struct target_call *k, size_t n);
--- a/kernel/memory.h
+++ b/kernel/memory.h
@@ -53,6 +53,8 @@
 #define MEMORY_MIN          ((size_t)26 * 1024 * 1024)
 /* With more bytes unsent to one receiver, the rest of its answer waits. */
 #define MEMORY_BACKLOG      ((size_t)2 * 1024 * 1024)
+/* An answer unread for so long may be cut off by a target that is sound. */
+#define MEMORY_UNREAD_TIME  (1 * USEC_PER_SEC)
 /* Lowest memory of a host, which MEMORY_MIN leaves more than half of. */
 #define MEMORY_HOST_MIN_MB  64
 /* How long a request whose body waits for room is kept. */
--- a/plat/dial.h
+++ b/plat/dial.h
@@ -132,6 +132,11 @@
  * dial_has_input is true.
  */
 bool dial_is_held(const struct dial_call *k);
+/*
+ * Longest time in which this host didn't read the response, as it had no room
+ * or dial_pause was called; also in the handler of DIAL_BROKEN.
+ */
+usec_t dial_unread(const struct dial_call *k);
 /* How long the response has waited for room. */
 usec_t dial_waited(const struct dial_call *k);
 /* Time at which the last byte of the request went to the system; 0: not yet. */
--- a/plat/dial_room.c
+++ b/plat/dial_room.c
@@ -15,6 +15,24 @@
 #define READ_BYTES  ((size_t)4096)
 #define TURN_BYTES  ((size_t)64 * 1024)
 
+static void
+stop_reading(struct conn *c)
+{
+	bufferevent_disable(c->bev, EV_READ);
+	if (c->call != NULL && c->call->unread_since == 0)
+		c->call->unread_since = clock_now();
+}
+
+static void
+read_on(struct conn *c)
+{
+	bufferevent_enable(c->bev, EV_READ);
+	if (c->call == NULL)
+		return;
+	c->call->unread = dial_unread(c->call);
+	c->call->unread_since = 0;
+}
+
 static void
 go_on(void *arg)
 {
@@ -22,7 +40,7 @@
 
 	c->resumed_at = clock_now();
 	if (!c->paused)
-		bufferevent_enable(c->bev, EV_READ);
+		read_on(c);
 }
 
 void
@@ -92,7 +110,7 @@
 {
 	count_kept(c);
 	if (!held_may_read(&c->held, response_bytes(c)))
-		bufferevent_disable(c->bev, EV_READ);
+		stop_reading(c);
 }
 
 void
@@ -136,12 +154,21 @@
 		return;
 	c->paused = paused;
 	if (paused) {
-		bufferevent_disable(c->bev, EV_READ);
+		stop_reading(c);
 		return;
 	}
 	c->resumed_at = clock_now();
 	if (!held_is_waiting(&c->held))
-		bufferevent_enable(c->bev, EV_READ);
+		read_on(c);
+}
+
+usec_t
+dial_unread(const struct dial_call *k)
+{
+	usec_t now = clock_now();
+	usec_t t = k->unread_since > 0 ? now - k->unread_since : 0;
+
+	return MAX(k->unread, t);
 }
 
 void
--- a/plat/dial_state.h
+++ b/plat/dial_state.h
@@ -61,6 +61,8 @@
 	usec_t written_at;   /* as returned by dial_written_at */
 	size_t stray_bytes;  /* of the body of another call's response */
 	struct late_read late_read;
+	usec_t unread_since; /* the response isn't read; 0: it is */
+	usec_t unread;       /* longest time before that */
 	bool head_delivered;
 	bool head_only;
 	bool confirmed; /* the response is known to be the call's own */
--- a/tests/plat/test_dial_room.c
+++ b/tests/plat/test_dial_room.c
@@ -244,7 +244,9 @@
 	run(f, 1, WAIT_TIME);
 	g_assert_cmpint(f->n_ended, ==, 0);
 	g_assert_true(dial_is_held(k));
+	g_assert_cmpint(dial_unread(k), >=, WAIT_TIME);
 	dial_pause(k, false);
+	g_assert_cmpint(dial_unread(k), >=, WAIT_TIME);
 	run(f, 1, END_TIME);
 	g_assert_cmpint(f->last, ==, DIAL_END);
 	g_assert_cmpuint(f->received, ==, REPLY_BYTES);
