--- a/tests/platform/test_memory_load.c
+++ b/tests/platform/test_memory_load.c
@@ -63,6 +63,8 @@
 static struct harness_host hosts[N_HOSTS];
 static int first_port = DEFAULT_PORT;
 
+static const char slow_reads[] = "reads-slowly";
+
 /* Each has a route and a service of its own. */
 static const struct load_case {
 	const char *name;
@@ -124,9 +126,9 @@
 	{ "30-bodies-by-host", ONCE, NULL, 30, BODY_BYTES, .host = 1,
 	    .min_served = 2 },
 	/* Their targets read 80 KB a second. */
-	{ "slow-uploads", ONCE, "reads-slowly", 20, 240 * 1024,
-	    .min_served = 20, .deadline_ms = SLOW_DEADLINE },
-	{ "120-slow-uploads", ONCE, "reads-slowly", 120, BODY_BYTES },
+	{ "slow-uploads", ONCE, slow_reads, 20, 240 * 1024, .min_served = 20,
+	    .deadline_ms = SLOW_DEADLINE },
+	{ "120-slow-uploads", ONCE, slow_reads, 120, BODY_BYTES },
 	{ "120-answers", ONCE, BYTES_4MB, 120, .answer_bytes = BODY_BYTES,
 	    .min_served = 30 },
 	{ "30-answers-by-host", ONCE, BYTES_4MB, 30, .host = 1,
@@ -455,6 +457,8 @@
 {
 	if (c->at_once)
 		return "at-once";
+	if (c->uncut || c->resumed || c->behavior == slow_reads)
+		return "slow";
 	if (!c->endless)
 		return "callers";
 	return strcmp(c->kind, "streaming") == 0 ? "streams" : "answers";
