--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -372,9 +372,10 @@
 
 /* The connection of the call has ended before its answer. */
 static void
-on_broken(struct relay_request *r)
+on_broken(struct relay_request *r, enum dial_event ev)
 {
-	bool unread = target_call_unread(r->call) >= MEMORY_UNREAD_TIME;
+	bool unread = ev == DIAL_BROKEN &&
+	    target_call_unread(r->call) >= MEMORY_UNREAD_TIME;
 	const char *cause = "the connection broke";
 
 	r->may_have_run = true;
@@ -419,7 +420,7 @@
 		return;
 	case DIAL_BROKEN:
 	case DIAL_BAD_RESPONSE:
-		on_broken(r);
+		on_broken(r, ev);
 		return;
 	}
 }
--- a/entry/served_calls.c
+++ b/entry/served_calls.c
@@ -135,11 +135,13 @@
 		fail_served(s, NOT_SENT);
 		return;
 	case DIAL_BROKEN:
-	case DIAL_BAD_RESPONSE:
 		fail_served_as(s, BROKEN,
 		    target_call_unread(k) >= MEMORY_UNREAD_TIME ? LOADS_OK
 								: LOADS_FAILED);
 		return;
+	case DIAL_BAD_RESPONSE:
+		fail_served(s, BROKEN);
+		return;
 	}
 }
 
--- a/kernel/memory.h
+++ b/kernel/memory.h
@@ -26,9 +26,9 @@
  * - smaller items pass one of medium size that waits for a short time only;
  * - a small call of another host, which has admitted its request, has room
  *   beside a full pool, up to a part of it;
- * - a target may cut off an answer that isn't read for seconds, so the answer
- * of a slow receiver is read on while there is room: each receiver may have as
- *   much unsent as all of them leave of their part of the pool.
+ * - a target may cut off an answer that isn't read for seconds, so that of a
+ *   slow receiver is read on while there is room: each may have as much unsent
+ *   as all of them leave of a part of the pool.
  *
  * Holders that may not read wait in line.  Sizes are in bytes, times in
  * microseconds.
