--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -195,6 +195,7 @@
 	}
 	log_foreign(k, m);
 	dial_cancel(k->dial);
+	k->dial = NULL;
 	finish_call(k, DIAL_BROKEN, NULL);
 }
 
@@ -551,7 +552,7 @@
 usec_t
 target_call_unread(const struct target_call *k)
 {
-	return dial_unread(k->dial);
+	return k->dial != NULL ? dial_unread(k->dial) : 0;
 }
 
 usec_t
