--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -244,7 +244,7 @@
 			return;
 		pass_events(r, m);
 		target_call_keeps(r->call, r->sse.partial.cap);
-		if (httpd_backlog(r->httpd_req) > MEMORY_PAUSE)
+		if (!httpd_takes_more(r->httpd_req, false))
 			target_call_pause(r->call, true);
 	}
 	cause = answer_fault(r, m);
@@ -368,6 +368,25 @@
 	pass_response(r, m);
 }
 
+/* The connection of the call has ended before its answer. */
+static void
+on_broken(struct relay_request *r, enum dial_event ev)
+{
+	bool unread = ev == DIAL_BROKEN &&
+	    target_call_unread(r->call) >= MEMORY_UNREAD_TIME;
+	const char *cause = "the connection broke";
+
+	r->may_have_run = true;
+	r->way_lost = target_call_lost_way(r->call);
+	if (r->way_lost)
+		cause = "the host that made the call has ended";
+	else if (unread)
+		cause = "cut off while its answer wasn't read";
+	r->shared->unread_calls += !r->way_lost && unread;
+	forward_call_ended(r, r->way_lost || unread);
+	forward_lost(r, cause);
+}
+
 void
 forward_on_event(void *arg, enum dial_event ev, const struct httpmsg *m)
 {
@@ -399,12 +418,7 @@
 		return;
 	case DIAL_BROKEN:
 	case DIAL_BAD_RESPONSE:
-		r->may_have_run = true;
-		r->way_lost = target_call_lost_way(r->call);
-		forward_call_ended(r, r->way_lost);
-		forward_lost(r,
-		    r->way_lost ? "the host that made the call has ended"
-				: "the connection broke");
+		on_broken(r, ev);
 		return;
 	}
 }
--- a/entry/served_calls.c
+++ b/entry/served_calls.c
@@ -134,7 +134,7 @@
 		return;
 	case DIAL_BODY:
 		write_served(s, m);
-		if (httpd_backlog(s->q) > MEMORY_PAUSE)
+		if (!httpd_takes_more(s->q, false))
 			target_call_pause(k, true);
 		if (httpd_backlog(s->q) <= MAX_BACKLOG)
 			return;
@@ -149,19 +149,24 @@
 		fail_served(s, NOT_SENT);
 		return;
 	case DIAL_BROKEN:
+		fail_served_as(s, BROKEN,
+		    target_call_unread(k) >= MEMORY_UNREAD_TIME ? LOADS_OK
+								: LOADS_FAILED);
+		return;
 	case DIAL_BAD_RESPONSE:
 		fail_served(s, BROKEN);
 		return;
 	}
 }
 
-/* The host that asked for the call has taken what was written. */
+/* The host that asked for the call has taken some of what was written. */
 static void
 on_sent(void *arg)
 {
 	struct served_call *s = arg;
 
-	target_call_pause(s->call, false);
+	if (httpd_takes_more(s->q, true))
+		target_call_pause(s->call, false);
 }
 
 /* The host that asked for the call has closed its connection. */
