placements: a placer for each group of the engines of a large domain

A placer served all engines of a service in a failure domain. A domain of over 64 engines now divides into groups (kernel/overload/engine_groups); a request asks the group of the engine with affinity for its shared parts, or another one of the domain, then of another domain, with a clearly shorter wait. The domain field of asks and news has the name of the group, "d1#0/2". An undivided domain keeps its name and its placer.

--- a/entry/forward_place.c
+++ b/entry/forward_place.c
@@ -52,11 +52,14 @@
 	struct loads_query query;
 
 	forward_query(r, &query);
-	g_strlcpy(r->placement_domain,
-	    placements_domain(r->shared->placements, r->service->name,
-		loads_home_domain(&r->shared->loads, &query),
-		hash_u64(r->info.id, DOMAIN_SEED)),
-	    sizeof(r->placement_domain));
+	placements_domain(r->shared->placements,
+	    &(struct placements_prompt){
+		.service = r->service->name,
+		.home = loads_home_domain(&r->shared->loads, &query),
+		.prefix = query.shared_tokens > 0 ? query.prefix : 0,
+		.random = hash_u64(r->info.id, DOMAIN_SEED),
+	    },
+	    r->placement_domain);
 }
 
 static bool ask(struct relay_request *r);
@@ -169,6 +172,7 @@
 	struct placements *p = r->shared->placements;
 	struct placement_request q;
 	struct loads_query query;
+	char domain[ENGINE_GROUP_NAME_BYTES];
 
 	if (!r->service->has_engine || !placements_in_force(p))
 		return;
@@ -177,13 +181,11 @@
 		return; /* the placer knows */
 	forward_query(r, &query);
 	fill_request(r, &query, &q);
+	placements_target_domain(p, t, domain);
 	r->placement = placements_sent(p,
 	    &(struct placement_call_opts){
 		.service = r->service->name,
-		.domain =
-		    loads_domains(&r->shared->loads, r->service->name) != NULL
-		    ? t->entry.domain
-		    : "",
+		.domain = domain,
 		.request = &q,
 	    },
 	    t->entry.id);
--- a/entry/placement_groups.c
+++ b/entry/placement_groups.c
@@ -217,7 +217,7 @@
 	placements_send_ask(p, g, NULL, now);
 }
 
-/* Finds out whether the placer of a domain answers, before it is needed. */
+/* Finds out whether the placer of a group answers, before it is needed. */
 static void
 meet_placer(
     struct placements *p, const char *service, const char *domain, usec_t now)
@@ -230,22 +230,34 @@
 		placements_probe(p, g, x, now);
 }
 
+static void
+meet_domain(struct placements *p, const char *service,
+    const struct engine_domain *d, usec_t now)
+{
+	struct engine_group_id g = { .n = placements_n_groups(p, service, d) };
+	char name[ENGINE_GROUP_NAME_BYTES];
+
+	g_strlcpy(g.domain, d->name, sizeof(g.domain));
+	for (; g.index < g.n; g.index++) {
+		engine_group_name(&g, name);
+		meet_placer(p, service, name, now);
+	}
+}
+
 void
 placements_meet(struct placements *p, usec_t now)
 {
 	for (guint i = 0; p->routes != NULL && i < p->routes->services->len;
 	     i++) {
 		const struct service *s = routes_service_at(p->routes, i);
-		const GPtrArray *domains = loads_domains(p->o.loads, s->name);
+		g_autoptr(GArray) domains = NULL;
 
 		if (!s->has_engine)
 			continue;
-		if (domains == NULL)
-			meet_placer(p, s->name, "", now);
-		for (guint k = 0; domains != NULL && k < domains->len; k++) {
-			const struct loads_domain *d = domains->pdata[k];
-
-			meet_placer(p, s->name, d->name, now);
-		}
+		domains = placements_engine_domains(p, s->name);
+		for (guint k = 0; k < domains->len; k++)
+			meet_domain(p, s->name,
+			    &g_array_index(domains, struct engine_domain, k),
+			    now);
 	}
 }
--- a/entry/placements.c
+++ b/entry/placements.c
@@ -43,6 +43,8 @@
 	p->calls =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
 	p->waiting = g_hash_table_new(NULL, NULL);
+	p->engine_counts =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	stage_waits_init(&p->waits);
 	p->timer = evtimer_new(o->base, on_timer, p);
 	p->own_asks = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -69,32 +71,6 @@
 	return p->o.min_hosts > 0 && p->peers->len >= p->o.min_hosts;
 }
 
-const char *
-placements_domain(const struct placements *p, const char *service,
-    const char *home, uint64_t random)
-{
-	const GPtrArray *domains = loads_domains(p->o.loads, service);
-	struct spill_domain *v;
-	size_t at;
-
-	if (domains == NULL || domains->len == 0)
-		return "";
-	if (*home == '\0')
-		home = p->o.loads->domain;
-	v = g_new0(struct spill_domain, domains->len);
-	for (guint i = 0; i < domains->len; i++) {
-		const struct loads_domain *d = domains->pdata[i];
-
-		v[i].name = d->name;
-		v[i].wait = stage_waits_get(
-		    &p->waits, service, d->name, 0, clock_now());
-	}
-	at = spill_home(v, domains->len, home, random);
-	at = spill_choose(v, domains->len, at, 0, random);
-	g_free(v);
-	return ((const struct loads_domain *)domains->pdata[at])->name;
-}
-
 void
 placements_wake_by(struct placements *p, usec_t at, usec_t now)
 {
@@ -550,6 +526,7 @@
 
 	if (!placements_in_force(p))
 		return;
+	placements_count_engines(p, now);
 	placements_meet(p, now);
 	groups = placements_groups(p);
 	for (guint i = 0; i < groups->len; i++) {
@@ -575,6 +552,7 @@
 	g_hash_table_destroy(p->waiting);
 	g_hash_table_destroy(p->calls);
 	g_hash_table_destroy(p->groups);
+	g_hash_table_destroy(p->engine_counts);
 	stage_waits_free(&p->waits);
 	routes_unref(p->routes);
 	g_array_unref(p->peers);
--- a/entry/placements.h
+++ b/entry/placements.h
@@ -15,6 +15,7 @@
 #define ENTRY_PLACEMENTS_H
 
 #include "entry/placer.h"
+#include "kernel/overload/engine_groups.h"
 #include "kernel/overload/placement.h"
 #include "kernel/overload/stage_waits.h"
 
@@ -76,7 +77,7 @@
 
 struct placement_call_opts {
 	const char *service;
-	const char *domain; /* of the placer; empty: the service isn't split */
+	const char *domain; /* as placements_domain writes it */
 	/* Host and number are set here. */
 	const struct placement_request *request;
 	/*
@@ -95,6 +96,14 @@
 	uint64_t news;    /* messages */
 };
 
+/* What decides whose placer a request asks. */
+struct placements_prompt {
+	const char *service;
+	const char *home; /* failure domain; empty: this host's */
+	uint64_t prefix;  /* hash of the shared parts; 0: there are none */
+	uint64_t random;  /* of the request */
+};
+
 struct placements *placements_new(const struct placements_opts *o);
 /* Sets this host's own placer. */
 void placements_set_placer(struct placements *p, struct placer *own);
@@ -105,11 +114,18 @@
 /* Whether requests to engines are placed. */
 bool placements_in_force(const struct placements *p);
 /*
- * The domain whose placer is asked: home, or another one where the wait is
- * clearly shorter; empty if the service isn't split.  random: of the request.
+ * Writes the domain whose placer is asked: home, or another one where the wait
+ * is clearly shorter; empty if the service isn't split.  Of a divided domain it
+ * is the name of a group (kernel/overload/engine_groups.h): that of the engine
+ * with affinity for the prompt's shared parts, or another one with a clearly
+ * shorter wait, which goes before other domains.
+ */
+void placements_domain(const struct placements *p,
+    const struct placements_prompt *q, char out[ENGINE_GROUP_NAME_BYTES]);
+/* Writes the same of an engine of a service that a host has chosen by itself.
  */
-const char *placements_domain(const struct placements *p, const char *service,
-    const char *home, uint64_t random);
+void placements_target_domain(const struct placements *p,
+    const struct target_load *t, char out[ENGINE_GROUP_NAME_BYTES]);
 /*
  * Asks for the target of a call; returns the call's number, or 0 if the host
  * has to choose it by itself, with the cause in *cause.
--- a/entry/placements_state.h
+++ b/entry/placements_state.h
@@ -1,7 +1,8 @@
 /*
  * Internal state of the placements: placements.c has the calls and asks of this
  * host, placement_groups.c the groups of engines and their placers,
- * placement_news.c the messages.
+ * placement_domains.c which group a request asks, placement_news.c the
+ * messages.
  */
 #ifndef ENTRY_PLACEMENTS_STATE_H
 #define ENTRY_PLACEMENTS_STATE_H
@@ -16,11 +17,14 @@
 	struct placer_host host; /* points to the strings of p */
 };
 
-/* The engines of a service in a domain, and the host that places there. */
+/*
+ * The engines of a service in a domain, or a group of them, and the host that
+ * places there.
+ */
 struct engine_group {
 	char *key;
 	char service[64];
-	char domain[64];
+	char domain[ENGINE_GROUP_NAME_BYTES]; /* or name of the group */
 	bool has_placer;
 	bool is_self;
 	char placer[MAX_ADDR_BYTES]; /* RPC address */
@@ -54,6 +58,8 @@
 	GHashTable *groups;  /* key -> struct engine_group */
 	GHashTable *calls;   /* number -> struct engine_call */
 	GHashTable *waiting; /* set of struct engine_call */
+	/* Service and domain -> struct engine_count */
+	GHashTable *engine_counts;
 	struct stage_waits waits;
 	uint64_t n_numbers;
 	usec_t flush_at; /* 0: there are no news */
@@ -99,6 +105,21 @@
 /* Finds out whether the placers answer, before they are needed. */
 void placements_meet(struct placements *p, usec_t now);
 
+/* A failure domain with engines of a service; all of a service not split. */
+struct engine_domain {
+	const char *name;         /* empty: the service isn't split */
+	const GPtrArray *engines; /* struct target_load */
+};
+
+/* Returns an array of struct engine_domain, which points into the loads. */
+GArray *placements_engine_domains(
+    const struct placements *p, const char *service);
+/* Returns the number of groups into which a domain is divided; 1: it isn't. */
+uint32_t placements_n_groups(const struct placements *p, const char *service,
+    const struct engine_domain *d);
+/* Notes how many engines the domains have; call it regularly. */
+void placements_count_engines(struct placements *p, usec_t now);
+
 /* Adds an item to the news, which takes over what it points to. */
 void placements_add_fact(
     struct placements *p, struct engine_group *g, const peer_place_fact *f);
--- a/entry/placer.c
+++ b/entry/placer.c
@@ -111,7 +111,8 @@
 
 /* Returns the pool, or NULL if this host doesn't know the service. */
 static struct engine_pool *
-pool_of(struct placer *p, const char *service, const char *domain, usec_t now)
+pool_of(struct placer *p, const char *service, const char *domain,
+    const struct engine_group_id *group, usec_t now)
 {
 	char *key = g_strconcat(service, "\t", domain, NULL);
 	struct engine_pool *e = g_hash_table_lookup(p->pools, key);
@@ -128,7 +129,9 @@
 	g_strlcpy(e->domain, domain, sizeof(e->domain));
 	e->placement = placement_new(&(struct placement_opts){
 	    .service = e->service,
-	    .domain = e->domain,
+	    .domain = group->domain,
+	    .groups = group->n,
+	    .group = group->index,
 	    .loads = p->o.loads,
 	    .slots = s->engine.slots,
 	    .kv_tokens = s->engine.tokens,
@@ -391,6 +394,20 @@
 	return false;
 }
 
+/* Finds the pool of a domain or of a group of a divided one, or NULL. */
+static struct engine_pool *
+find_pool(struct placer *p, const char *service, const char *domain, usec_t now)
+{
+	struct engine_group_id group = { .n = 1 };
+
+	if (has_domain(p, service, domain))
+		g_strlcpy(group.domain, domain, sizeof(group.domain));
+	else if (!engine_group_parse(domain, &group) ||
+	    !has_domain(p, service, group.domain))
+		return NULL;
+	return pool_of(p, service, domain, &group, now);
+}
+
 /* Answers an ask for a call. */
 static void
 answer(struct engine_pool *e, const char *from, uint64_t host,
@@ -418,13 +435,12 @@
     const peer_place_ask *m)
 {
 	usec_t now = clock_now();
-	struct engine_pool *e = NULL;
+	struct engine_pool *e =
+	    find_pool(p, m->news.service, m->news.domain, now);
 
 	if (from == NULL)
 		from = "";
 	p->counts.asks++;
-	if (has_domain(p, m->news.service, m->news.domain))
-		e = pool_of(p, m->news.service, m->news.domain, now);
 	if (e == NULL) {
 		reply_none(p, from, m->call, &m->news);
 		return;
@@ -442,10 +458,8 @@
     const peer_place_news *m)
 {
 	usec_t now = clock_now();
-	struct engine_pool *e = NULL;
+	struct engine_pool *e = find_pool(p, m->service, m->domain, now);
 
-	if (has_domain(p, m->service, m->domain))
-		e = pool_of(p, m->service, m->domain, now);
 	if (e == NULL)
 		return;
 	take_news(e, from != NULL ? from : "", incarnation, m, now);
--- a/entry/placer_state.h
+++ b/entry/placer_state.h
@@ -7,6 +7,7 @@
 
 #include "entry/placer.h"
 #include "kernel/arrival.h"
+#include "kernel/overload/engine_groups.h"
 #include "kernel/overload/placement.h"
 
 /* A call that a host asks for, or has made. */
@@ -20,12 +21,12 @@
 	struct placement_decision decision;
 };
 
-/* The engines of a service in a failure domain. */
+/* The engines of a service in a failure domain, or a group of them. */
 struct engine_pool {
 	struct placer *placer;
 	char *key;
 	char service[64];
-	char domain[64];
+	char domain[64]; /* or name of a group (engine_groups.h) */
 	struct placement *placement;
 	GHashTable *calls;    /* set of struct placed_call */
 	GHashTable *known_at; /* target id -> usec_t of the last news of it */
--- a/entry/relay_request.h
+++ b/entry/relay_request.h
@@ -151,13 +151,14 @@
 	 * one while it runs; 0: it has none.
 	 */
 	uint64_t placement;
-	char placement_domain[64]; /* whose placer was asked last */
-	bool placed_elsewhere;     /* it was another one than before */
-	struct placed placed;      /* the last call */
-	bool executed;        /* the last call's target began to answer it */
-	usec_t sent_at;       /* time of the last call */
-	usec_t first_sent_at; /* of the first one; 0: none */
-	uint32_t reading;     /* prompt tokens that the target reads */
+	/* Domain or group of engines whose placer was asked last. */
+	char placement_domain[ENGINE_GROUP_NAME_BYTES];
+	bool placed_elsewhere; /* it was another one than before */
+	struct placed placed;  /* the last call */
+	bool executed;         /* the last call's target began to answer it */
+	usec_t sent_at;        /* time of the last call */
+	usec_t first_sent_at;  /* of the first one; 0: none */
+	uint32_t reading;      /* prompt tokens that the target reads */
 	/*
 	 * Limits the wait for the call's next bytes; without a call, the time
 	 * until the request is sent again.  NULL: none.
--- a/kernel/loads.c
+++ b/kernel/loads.c
@@ -1,5 +1,6 @@
 #include "kernel/loads.h"
 #include "base/hash.h"
+#include "kernel/overload/engine_groups.h"
 #include "kernel/overload/spill.h"
 
 #include <math.h>
@@ -460,6 +461,7 @@
 		if (t == NULL) {
 			t = xcalloc(1, sizeof(*t));
 			t->entry = *e;
+			t->group_hash = engine_groups_hash(e->id);
 			t->unlisted_at = first ? 0 : now;
 			g_hash_table_insert(l->by_id, t->entry.id, t);
 		}
@@ -549,16 +551,16 @@
 	return hash_u64(str_from(t->entry.id), prefix);
 }
 
-static const struct target_load *
-affinity_target(const GPtrArray *all, const struct loads_query *q)
+const struct target_load *
+loads_affinity_target(const GPtrArray *targets, uint64_t prefix)
 {
 	const struct target_load *best = NULL;
 
-	for (guint i = 0; q->prefix != 0 && i < all->len; i++) {
-		const struct target_load *t = all->pdata[i];
+	for (guint i = 0; prefix != 0 && i < targets->len; i++) {
+		const struct target_load *t = targets->pdata[i];
 
 		if (best == NULL ||
-		    affinity(q->prefix, t) > affinity(q->prefix, best))
+		    affinity(prefix, t) > affinity(prefix, best))
 			best = t;
 	}
 	return best;
@@ -569,7 +571,7 @@
 {
 	const GPtrArray *all = loads_usable(l, q->service);
 	const struct target_load *t =
-	    all != NULL ? affinity_target(all, q) : NULL;
+	    all != NULL ? loads_affinity_target(all, q->prefix) : NULL;
 
 	return t != NULL ? t->entry.domain : "";
 }
@@ -604,7 +606,7 @@
     const struct loads *l, const struct loads_query *q, const GPtrArray *all)
 {
 	return (struct cost_terms){
-		.preferred = affinity_target(all, q),
+		.preferred = loads_affinity_target(all, q->prefix),
 		.input_domain =
 		    q->input_addr.n > 0 ? loads_domain_at(l, q->input_addr) : "",
 		.choice = {
@@ -1004,7 +1006,7 @@
 {
 	const GPtrArray *all = loads_usable(l, q->service);
 	const struct target_load *kept =
-	    all != NULL ? affinity_target(all, q) : NULL;
+	    all != NULL ? loads_affinity_target(all, q->prefix) : NULL;
 
 	if (kept != NULL && kept == t && tokens > q->shared_tokens)
 		tokens -= q->shared_tokens;
--- a/kernel/loads.h
+++ b/kernel/loads.h
@@ -47,6 +47,7 @@
 	 */
 	bool leaving;
 	bool evacuated;      /* its failure domain is (kernel/evacuations.h) */
+	uint64_t group_hash; /* kernel/overload/engine_groups.h */
 	uint32_t in_flight;  /* calls of this host */
 	uint32_t sent_since; /* calls of this host since the last report */
 	uint32_t reported;   /* running and waiting calls in the last report */
@@ -205,6 +206,12 @@
  * also one that takes no calls now.
  */
 bool loads_has_other(const struct loads *l, const struct loads_query *q);
+/*
+ * Returns which of some targets has affinity for the shared parts of a prompt,
+ * of which prefix is the hash, or NULL.
+ */
+const struct target_load *loads_affinity_target(
+    const GPtrArray *targets, uint64_t prefix);
 /* Domain of the target with affinity for the prompt's shared parts, or "". */
 const char *loads_affinity_domain(
     const struct loads *l, const struct loads_query *q);
--- a/kernel/overload/placement.c
+++ b/kernel/overload/placement.c
@@ -1,5 +1,6 @@
 #include "kernel/overload/placement.h"
 #include "kernel/overload/engine_choice.h"
+#include "kernel/overload/engine_groups.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -32,7 +33,7 @@
 
 struct placement {
 	char *service;
-	char *domain;
+	struct engine_group_id group;
 	struct loads *loads;
 	uint32_t slots;
 	uint64_t kv_tokens;
@@ -100,7 +101,9 @@
 	struct placement *p = g_new0(struct placement, 1);
 
 	p->service = g_strdup(o->service);
-	p->domain = g_strdup(o->domain);
+	g_strlcpy(p->group.domain, o->domain, sizeof(p->group.domain));
+	p->group.n = o->groups > 0 ? o->groups : 1;
+	p->group.index = o->groups > 0 ? o->group : 0;
 	p->loads = o->loads;
 	p->slots = o->slots > 0 ? o->slots : 1;
 	p->kv_tokens = o->kv_tokens;
@@ -283,14 +286,19 @@
 static const GPtrArray *
 usable(const struct placement *p)
 {
-	return loads_usable(p->loads, p->service);
+	return *p->group.domain == '\0'
+	    ? loads_usable(p->loads, p->service)
+	    : loads_usable_in(p->loads, p->service, p->group.domain);
 }
 
 /* Whether the engine is one of those that are placed on here. */
 static bool
 is_own(const struct placement *p, const struct target_load *t)
 {
-	return *p->domain == '\0' || strcmp(t->entry.domain, p->domain) == 0;
+	const char *domain = p->group.domain;
+
+	return (*domain == '\0' || strcmp(t->entry.domain, domain) == 0) &&
+	    engine_group_has(&p->group, t->group_hash);
 }
 
 /* The engine has ended, and what it ran with it. */
@@ -777,7 +785,6 @@
 	g_hash_table_destroy(p->engines);
 	g_ptr_array_unref(p->queue);
 	g_array_unref(p->views);
-	g_free(p->domain);
 	g_free(p->service);
 	g_free(p);
 }
--- a/kernel/overload/placement.h
+++ b/kernel/overload/placement.h
@@ -75,6 +75,10 @@
 	struct loads *loads; /* usable targets, their limits and pauses */
 	uint32_t slots;      /* of an engine */
 	uint64_t kv_tokens;  /* memory of an engine */
+	/* Of a divided domain (kernel/overload/engine_groups.h); 0: it isn't.
+	 */
+	uint32_t groups;
+	uint32_t group; /* whose engines are placed on */
 };
 
 struct placement *placement_new(const struct placement_opts *o);
--- a/kernel/overload/placement_ask.c
+++ b/kernel/overload/placement_ask.c
@@ -1,5 +1,6 @@
 #include "kernel/overload/placement_ask.h"
 #include "base/hash.h"
+#include "kernel/overload/engine_groups.h"
 #include "kernel/rendezvous.h"
 
 #include <string.h>
@@ -53,7 +54,12 @@
 	uint32_t largest = largest_capacity(v, n, domain, now);
 	size_t best = n;
 	double best_weight = 0;
+	struct engine_group_id group;
 
+	if (largest == 0 && engine_group_parse(domain, &group)) {
+		domain = group.domain;
+		largest = largest_capacity(v, n, domain, now);
+	}
 	if (largest == 0 && *domain != '\0') {
 		domain = "";
 		largest = largest_capacity(v, n, domain, now);
--- a/tests/entry/test_placer.c
+++ b/tests/entry/test_placer.c
@@ -1,7 +1,8 @@
 /*
  * Tests of the placer and of the hosts that ask it: what it answers while it
  * learns, when datagrams are lost or late, and when hosts end; and that a
- * request is never held by a placer that is silent, paused or replaced.
+ * request is never held by a placer that is silent, paused or replaced; and
+ * which placer is asked where a domain has many engines.
  */
 #include "entry/placements.h"
 #include "platform/config.h"
@@ -479,6 +480,197 @@
 	close_fixture(&g);
 }
 
+/* Sets n engines in domain a, and some in domain b. */
+static void
+set_engines(struct fixture *g, int n, int n_b)
+{
+	struct target_entry t = { .service = "e", .slots = 4 };
+	g_autoptr(GArray) v = g_array_new(FALSE, TRUE, sizeof(t));
+
+	for (int i = 0; i < n + n_b; i++) {
+		snprintf(t.id, sizeof(t.id), "t%d", i);
+		snprintf(t.addr, sizeof(t.addr), "127.0.0.1:%d", 20000 + i);
+		g_strlcpy(t.domain, i < n ? "a" : "b", sizeof(t.domain));
+		g_array_append_val(v, t);
+	}
+	loads_update(&g->loads, v, clock_now());
+}
+
+static const char *
+domain_of(const struct fixture *g, uint64_t prefix, uint64_t random)
+{
+	char name[ENGINE_GROUP_NAME_BYTES];
+
+	placements_domain(g->placements,
+	    &(struct placements_prompt){
+		.service = "e",
+		.home = "a",
+		.prefix = prefix,
+		.random = random,
+	    },
+	    name);
+	return g_intern_string(name);
+}
+
+/*
+ * Which placer is asked by the number of engines: that of the domain, as
+ * earlier builds do, unless it is divided.
+ */
+static void
+test_division(void)
+{
+	static const struct {
+		int engines, engines_b;
+		const char *names[5]; /* of the groups */
+	} cases[] = {
+		{ 2, 0, { "" } },
+		{ 64, 0, { "" } },
+		{ 65, 0, { "#0/2", "#1/2" } },
+		{ 64, 10, { "a" } },
+		{ 65, 10, { "a#0/2", "a#1/2" } },
+		{ 200, 10, { "a#0/4", "a#1/4", "a#2/4", "a#3/4" } },
+		/* Some are lost. */
+		{ 60, 10, { "a#0/4", "a#1/4", "a#2/4", "a#3/4" } },
+	};
+	struct fixture g;
+	struct err e;
+	struct routes *routes = platform_config_parse(str_from(config), &e);
+
+	open_fixture(&g);
+	set_hosts(&g, 2);
+	placements_set_routes(g.placements, routes);
+	routes_unref(routes);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		bool seen[G_N_ELEMENTS(cases[i].names)] = { false };
+
+		g_test_message(
+		    "%d and %d engines", cases[i].engines, cases[i].engines_b);
+		set_engines(&g, cases[i].engines, cases[i].engines_b);
+		placements_tick(g.placements, clock_now());
+		for (uint64_t k = 1; k < 200; k++) {
+			const char *name = domain_of(&g, k, k);
+			size_t at = 0;
+
+			while (cases[i].names[at] != NULL &&
+			    strcmp(cases[i].names[at], name) != 0)
+				at++;
+			g_assert_nonnull(cases[i].names[at]);
+			seen[at] = true;
+			/* Prompts with the same parts meet. */
+			g_assert_cmpstr(domain_of(&g, k, k + 7), ==, name);
+		}
+		for (size_t k = 0; cases[i].names[k] != NULL; k++)
+			g_assert_true(seen[k]);
+	}
+	close_fixture(&g);
+}
+
+static void
+report_wait(struct fixture *g, const char *name, uint32_t ms)
+{
+	placements_reply(g->placements, NULL,
+	    &(peer_place_reply){
+		.service = (char *)"e",
+		.domain = (char *)name,
+		.queued = true,
+		.target = (char *)"",
+		.wait_ms = ms,
+	    });
+}
+
+/* A long wait is left for another group, and only then for another domain. */
+static void
+test_group_waits(void)
+{
+	struct fixture g;
+	const char *home;
+	const char *other;
+
+	open_fixture(&g);
+	set_hosts(&g, 2);
+	set_engines(&g, 100, 10);
+	home = domain_of(&g, 5, 5);
+	other = strcmp(home, "a#0/2") == 0 ? "a#1/2" : "a#0/2";
+	report_wait(&g, home, 200);
+	g_assert_cmpstr(domain_of(&g, 5, 5), ==, home);
+	report_wait(&g, home, 3000);
+	g_assert_cmpstr(domain_of(&g, 5, 5), ==, other);
+	report_wait(&g, other, 3000);
+	g_assert_cmpstr(domain_of(&g, 5, 5), ==, "b");
+	report_wait(&g, "b", 3000);
+	g_assert_cmpstr(domain_of(&g, 5, 5), ==, home);
+	close_fixture(&g);
+}
+
+/* Asks the placer of a domain or group by its name; returns the verdict. */
+static int
+ask_group(struct fixture *g, const char *name, uint64_t call)
+{
+	placer_ask(g->placer, NULL, 20,
+	    &(peer_place_ask){
+		.call = call,
+		.size = { { 0, NULL }, 400, 50, 0 },
+		.aim_left_ms = 1000,
+		.left_ms = 5000,
+		.software = (char *)"",
+		.input_domain = (char *)"",
+		.news = { .service = (char *)"e", .domain = (char *)name },
+	    });
+	return last_reply(g)->verdict;
+}
+
+/*
+ * A placer places on the engines of the group that is named, whatever number of
+ * groups its own list of engines would give.  A name that it doesn't know is
+ * left to the host, as earlier builds do with all groups.
+ */
+static void
+test_group_names(void)
+{
+	static const struct {
+		const char *name;
+		bool placed;
+	} cases[] = {
+		{ "a", true },
+		{ "a#0/2", true },
+		{ "a#1/2", true },
+		{ "a#3/4", true },
+		{ "#0/2", true },
+		{ "c", false },
+		{ "c#0/2", false },
+		{ "a#2/2", false },
+		{ "a#0/3", false },
+		{ "a#", false },
+	};
+	struct fixture g;
+	char name[ENGINE_GROUP_NAME_BYTES];
+	struct engine_group_id id;
+
+	open_fixture(&g);
+	set_engines(&g, 100, 10);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		ask_group(&g, cases[i].name, 1);
+	pass_time(&g, LEARN_TIME);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const struct target_load *t;
+
+		g_test_message("%s", cases[i].name);
+		g_assert_cmpint(ask_group(&g, cases[i].name, 2 + i), ==,
+		    cases[i].placed ? PLACEMENT_SEND : PLACEMENT_NONE);
+		g_assert_cmpstr(last_reply(&g)->domain, ==, cases[i].name);
+		if (!cases[i].placed)
+			continue;
+		t = loads_find(&g.loads, last_reply(&g)->target);
+		if (engine_group_parse(cases[i].name, &id))
+			g_assert_true(engine_group_has(&id, t->group_hash));
+		/* The host tells the same group of its calls there. */
+		placements_target_domain(g.placements, t, name);
+		if (id.n == 2 && *id.domain != '\0')
+			g_assert_cmpstr(name, ==, cases[i].name);
+	}
+	close_fixture(&g);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -486,5 +678,8 @@
 	g_test_add_func("/placer/asks", test_asks);
 	g_test_add_func("/placer/news", test_news);
 	g_test_add_func("/placer/placer", test_placer);
+	g_test_add_func("/placer/division", test_division);
+	g_test_add_func("/placer/group-waits", test_group_waits);
+	g_test_add_func("/placer/group-names", test_group_names);
 	return g_test_run();
 }
--- a/tests/kernel/engine_replay.c
+++ b/tests/kernel/engine_replay.c
@@ -1,5 +1,7 @@
 #include "tests/kernel/engine_replay.h"
+#include "kernel/overload/engine_groups.h"
 #include "kernel/overload/placement.h"
+#include "kernel/overload/spill.h"
 
 #include <string.h>
 
@@ -30,6 +32,7 @@
 	usec_t sent_at, begun_at, last_event;
 	uint32_t left;   /* prompt tokens to be read */
 	uint32_t output; /* tokens to be produced */
+	uint32_t placer;
 	uint32_t engine;
 	usec_t arrives;   /* at the engine */
 	uint32_t reading; /* tokens, as its host knows */
@@ -64,6 +67,7 @@
 	struct engine *engines;
 	struct loads loads[HOSTS];
 	struct placement *placers[HOSTS];
+	struct spill_domain waits[HOSTS]; /* there, as hosts have heard */
 	GArray *notes;
 	guint next_note;
 	GPtrArray *requests;
@@ -73,10 +77,29 @@
 	bool host_lost;
 };
 
+/* The group of the engine with affinity, or one with a clearly shorter wait. */
+static uint32_t
+choose_group(struct run *x, const struct request *r)
+{
+	const GPtrArray *engines = loads_usable(&x->loads[r->host], "lm");
+	const struct target_load *t = loads_affinity_target(engines, r->shared);
+
+	return (uint32_t)spill_choose(x->waits, x->o->placers,
+	    engine_groups_index(t->group_hash, x->o->placers), 0, r->number);
+}
+
 static struct placement *
 placer_of(struct run *x, const struct request *r)
 {
-	return x->placers[r->host % x->o->placers];
+	return x->placers[r->placer];
+}
+
+/* Hosts hear of the waits with the replies. */
+static void
+tell_waits(struct run *x, usec_t now)
+{
+	for (uint32_t i = 0; x->o->grouped && i < x->o->placers; i++)
+		x->waits[i].wait = placement_wait(x->placers[i], 0, now);
 }
 
 static double
@@ -173,6 +196,10 @@
 			if (x->host_lost && r->host == 0)
 				r->host = 1;
 			x->out->kinds[k].sent++;
+			if (x->o->placers > 0)
+				r->placer = x->o->grouped
+				    ? choose_group(x, r)
+				    : r->host % x->o->placers;
 			if (x->o->placers > 0)
 				ask_placer(x, r, now);
 			else
@@ -239,9 +266,12 @@
 		p = placer_of(x, n.r);
 		if (n.kind == BEGUN) {
 			placement_begun(p, n.r->host + 1, n.r->number, now);
-			for (uint32_t i = 0; i < x->o->placers; i++)
+			for (uint32_t i = 0; i < x->o->placers; i++) {
+				if (x->o->grouped && i != n.r->placer)
+					continue;
 				placement_reported(x->placers[i], id, n.running,
 				    n.waiting, n.slowness, now);
+			}
 		} else {
 			placement_ended(p, n.r->host + 1, n.r->number,
 			    n.kind == ENDED, now);
@@ -438,8 +468,9 @@
 		loads_init(&x->loads[i], "d", o->seed * HOSTS + i);
 	list_engines(x, 0, 0);
 	for (uint32_t i = 0; i < o->placers; i++)
-		x->placers[i] = placement_new(&(struct placement_opts){
-		    "lm", "d", &x->loads[i], SLOTS, KV_TOKENS });
+		x->placers[i] = placement_new(
+		    &(struct placement_opts){ "lm", "d", &x->loads[i], SLOTS,
+			KV_TOKENS, o->grouped ? o->placers : 0, i });
 }
 
 static void
@@ -475,6 +506,8 @@
 		if (now == LENGTH / 2 && o->host_lost)
 			lose_host(&x, now);
 		read_notes(&x, now);
+		if (now % MS(50) == 0)
+			tell_waits(&x, now);
 		if (now < LENGTH)
 			send_requests(&x, now);
 		ask_decisions(&x, now);
--- a/tests/kernel/engine_replay.h
+++ b/tests/kernel/engine_replay.h
@@ -21,6 +21,8 @@
 
 struct replay_opts {
 	uint32_t placers; /* 0: each host chooses alone */
+	/* Each placer has a group of the engines (engine_groups.h). */
+	bool grouped;
 	uint32_t engines;
 	uint32_t slow;  /* engines that take slow_by times as long */
 	double slow_by; /* and say so unless silent is set */
--- a/tests/kernel/test_placement.c
+++ b/tests/kernel/test_placement.c
@@ -8,6 +8,7 @@
 #include "tests/kernel/engine_replay.h"
 
 #include <glib.h>
+#include <inttypes.h>
 #include <string.h>
 
 #define MS(n)     ((usec_t)(n)*USEC_PER_MSEC)
@@ -604,6 +605,65 @@
 	}
 }
 
+/*
+ * Two groups: mostly of 66 engines, about the fewest that are divided; of fewer
+ * under overload, which takes long to replay.
+ */
+static const struct replay_case group_replays[] = {
+	{ "calm", { .engines = 66, .per_s = { 48, 160 }, .things = 300 },
+	    { 0.95, 0.95 } },
+	{ "long prompts beside short ones",
+	    { .engines = 66, .per_s = { 240, 160 }, .things = 300 },
+	    { 0.95, 0.95 } },
+	{ "more long prompts than can be read",
+	    { .engines = 24, .per_s = { 240, 60 }, .things = 100 },
+	    { 0, 0.95 } },
+	{ "a third is slow",
+	    { .engines = 66,
+		.slow = 22,
+		.slow_by = 4,
+		.per_s = { 74, 220 },
+		.things = 300 },
+	    { 0.95, 0.95 } },
+	{ "a third ends",
+	    { .engines = 66,
+		.lost = 22,
+		.per_s = { 80, 160 },
+		.things = 300 } },
+	{ "few shared parts",
+	    { .engines = 66, .per_s = { 200, 160 }, .things = 8 },
+	    { 0.95, 0.95 } },
+};
+
+/* Two groups with a placer each serve as callers need, and as one placer does.
+ */
+static void
+test_groups(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(group_replays); i++) {
+		struct replay_opts o = group_replays[i].opts;
+		struct replay_result alone;
+		struct replay_result one;
+		struct replay_result r;
+
+		o.seed = 1;
+		o.noise = 0.3;
+		replay(&o, &alone);
+		o.placers = 1;
+		replay(&o, &one);
+		o.placers = 2;
+		o.grouped = true;
+		replay(&o, &r);
+		g_test_message("one placer: %.3f, %.3f, %" PRIu64
+			       " tokens, %.0f us; groups: %" PRIu64
+			       " tokens, %.0f us",
+		    on_time(&one, 0), on_time(&one, 1),
+		    one.kinds[0].read + one.kinds[1].read, one.step_us,
+		    r.kinds[0].read + r.kinds[1].read, r.step_us);
+		check_replay(&group_replays[i], &alone, &r);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -623,5 +683,6 @@
 	/* Two hosts that both believe to be the placer. */
 	g_test_add_data_func("/placement/replays-of-two-placers",
 	    GUINT_TO_POINTER(2), test_replays);
+	g_test_add_func("/placement/replays-of-groups", test_groups);
 	return g_test_run();
 }
