capacity: the placer of a group; a placer that decides

The service of this measurement isn't split, so its placer left asks for the domain "d" to the hosts and nothing was decided (seen by the check that is new). It asks for all domains now, and ends if nothing is decided.

--- a/tests/capacity/placer.c
+++ b/tests/capacity/placer.c
@@ -1,9 +1,11 @@
 /* What a placer costs: bytes of its messages, and processor time a request. */
 #include "tests/capacity/capacity.h"
 #include "entry/placer.h"
+#include "kernel/overload/placement.h"
 
 #include <event2/event.h>
 #include <stdio.h>
+#include <stdlib.h>
 
 #define REQUESTS     20000
 #define PER_ENGINE   8 /* requests that run at an engine at a time */
@@ -13,6 +15,7 @@
 
 struct placing {
 	struct placer *placer;
+	const char *domain; /* or name of a group (engine_groups.h) */
 	peer_place_reply reply;
 };
 
@@ -68,7 +71,7 @@
 		.max_gap_ms = 400,
 		.software = (char *)"",
 		.input_domain = (char *)"",
-		.news = { .service = (char *)"e", .domain = (char *)"d" },
+		.news = { .service = (char *)"e", .domain = (char *)x->domain },
 	    });
 }
 
@@ -77,7 +80,7 @@
 {
 	peer_place_event e = { .fact.kind = kind };
 	peer_place_news m = { .service = (char *)"e",
-		.domain = (char *)"d",
+		.domain = (char *)x->domain,
 		.events = { 1, &e } };
 
 	e.fact.peer_place_fact_u.call = call;
@@ -85,11 +88,11 @@
 }
 
 static void
-measure_engines(size_t n)
+measure_engines(const char *what, const char *domain, size_t n)
 {
 	struct event_base *base = event_base_new();
 	struct loads loads;
-	struct placing x = { 0 };
+	struct placing x = { .domain = domain };
 	usec_t end = clock_now() + LEARN_TIME;
 	uint64_t running = n * PER_ENGINE;
 	double begun;
@@ -107,15 +110,19 @@
 		g_usleep(TICK);
 		placer_tick(x.placer, clock_now());
 	}
+	ask(&x, 1);
+	if (x.reply.verdict != PLACEMENT_SEND) {
+		fprintf(stderr, "the placer doesn't decide\n");
+		exit(1);
+	}
 	begun = cpu_usec();
-	for (uint64_t i = 1; i <= REQUESTS; i++) {
+	for (uint64_t i = 2; i <= REQUESTS; i++) {
 		ask(&x, i);
 		tell(&x, PEER_PLACE_BEGUN, i);
 		if (i > running)
 			tell(&x, PEER_PLACE_COMPLETED, i - running);
 	}
-	record_point("a placed request at its placer, us per engine", (double)n,
-	    (cpu_usec() - begun) / REQUESTS);
+	record_point(what, (double)n, (cpu_usec() - begun) / REQUESTS);
 	placer_free(x.placer);
 	loads_free(&loads);
 	event_base_free(base);
@@ -124,8 +131,16 @@
 void
 measure_placer(void)
 {
-	measure_engines(8);
-	measure_engines(28);
-	measure_engines(64);
-	measure_engines(256);
+	static const char one[] =
+	    "a placed request at its placer, us per engine";
+	static const char groups[] =
+	    "a placed request at the placer of a group, us per engine";
+
+	measure_engines(one, "", 8);
+	measure_engines(one, "", 28);
+	measure_engines(one, "", 64);
+	measure_engines(one, "", 256);
+	/* The same number in a group, on average. */
+	measure_engines(groups, "#0/2", 128);
+	measure_engines(groups, "#0/8", 512);
 }
