--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -638,6 +638,20 @@
 	PASSES
 };
 
+/* Whether a target in a domain is free and not slow. */
+static bool
+any_free_in(const struct pool_targets *x, uint32_t domain, usec_t now)
+{
+	for (guint i = 0; x->all != NULL && i < x->all->len; i++) {
+		const struct target_load *t = x->all->pdata[i];
+
+		if (domain_hash(t->entry.domain) == domain && is_free(t, now) &&
+		    !target_speed_is_slow(&t->speed, &x->speeds))
+			return true;
+	}
+	return false;
+}
+
 static bool
 is_in_pass(const struct target_load *t, enum call_pass pass, uint32_t first)
 {
@@ -652,6 +666,7 @@
 coordinator_start_calls(struct coordinator *c, struct pool *p, usec_t now)
 {
 	struct pool_targets x;
+	int pass = PASS_FIRST;
 	uint32_t first;
 	uint32_t calls;
 
@@ -661,7 +676,10 @@
 	x = coordinator_pool_targets(c, p, now);
 	first = batch_first_domain(&p->batch);
 	calls = batch_calls(&p->batch, x.speeds.fast, now);
-	for (int pass = PASS_FIRST; pass < PASSES; pass++) {
+	/* A piece without a target in its domain doesn't wait for one. */
+	if (first != 0 && !any_free_in(&x, first, now))
+		pass = PASS_ANY;
+	for (; pass < PASSES; pass++) {
 		for (guint i = 0; x.all != NULL && i < x.all->len; i++) {
 			struct target_load *t = x.all->pdata[i];
 
--- a/kernel/overload/batch.c
+++ b/kernel/overload/batch.c
@@ -268,12 +268,12 @@
 /*
  * Returns how many pieces the time of a call could have served.  A call that
  * was not full because no more pieces waited for the target says that there is
- * capacity left, unless it had no space for more results.
+ * capacity left, unless the target could not take some that did.
  */
 static uint32_t
-taken_capacity(const struct batch *b, uint32_t taken, bool no_space)
+taken_capacity(const struct batch *b, uint32_t taken, bool short_of_room)
 {
-	if (no_space)
+	if (short_of_room)
 		return taken;
 	return (uint32_t)(b->config.batch * (double)call_duration(b, taken) /
 	    (double)call_duration(b, b->config.batch));
@@ -319,7 +319,7 @@
 	uint64_t free_bytes = t->free_bytes;
 	guint left = b->items->len;
 	struct sort_entry *heap;
-	bool no_space = false;
+	bool refused = false;
 
 	if (t->use == TARGET_LEAVE || !any_fits(b, t, now))
 		return;
@@ -330,17 +330,19 @@
 		struct batch_item *it = &g_array_index(
 		    b->items, struct batch_item, heap_pop(b, heap, &left));
 
-		no_space = no_space || it->bytes > free_bytes;
-		if (!fits(b, it, t, free_bytes, now))
+		if (!fits(b, it, t, free_bytes, now)) {
+			refused = refused ||
+			    !(t->local_only && is_remote(it, t->domain));
 			continue;
+		}
 		free_bytes -= it->bytes;
 		g_array_append_vals(out, it, 1);
 		it->owner = NULL;
 	}
 	g_free(heap);
 	compact(b);
-	throughput_add(
-	    &b->throughput, taken_capacity(b, out->len, no_space), now);
+	throughput_add(&b->throughput,
+	    taken_capacity(b, out->len, refused && out->len < n), now);
 	if (out->len > 0 && t->use == TARGET_USE)
 		call_pace_begin(&b->pace, call_duration(b, out->len), now);
 	if (b->items->len == 0)
