target_calls: a call that is refused as cold doesn't count against its target

A call that was sent while its target was taken for warm was marked as counted when it was rerouted after the target had become cold.

--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -354,13 +354,15 @@
 
 /* The host hasn't made the call as the target is cold, and says how long. */
 static void
-note_cold(const struct target_call *k, const struct httpmsg *m)
+note_cold(struct target_call *k, const struct httpmsg *m)
 {
 	struct target_load *t = loads_find(k->calls->o.loads, k->target);
 	uint64_t left_ms;
 
-	if (t != NULL &&
-	    str_parse_u64(httpmsg_get(m, STR(COLD_FIELD)), &left_ms))
+	if (!str_parse_u64(httpmsg_get(m, STR(COLD_FIELD)), &left_ms))
+		return;
+	k->refused_cold = true;
+	if (t != NULL)
 		target_limits_cold_told(k->calls->o.target_limits, t, left_ms);
 }
 
@@ -447,8 +449,6 @@
 	const struct path_host *h = k->hosts_tried < MAX_HOSTS
 	    ? paths_choose_host(&x->paths, k->service, clock_now())
 	    : NULL;
-	const struct target_load *t = loads_find(x->o.loads, k->target);
-	bool cold = t != NULL && target_cold_is_cold(&t->cold, clock_now());
 	struct dial_opts o = k->o;
 	struct buf head = { 0 };
 	struct buf url = { 0 };
@@ -473,7 +473,7 @@
 			     "&max_conns=%u&head_only=%d&start=%" PRIu64
 			     "&cold=%d",
 	    k->target, clock_wall() / USEC_PER_MSEC, k->o.max_idle_time,
-	    k->o.max_idle_conns, k->o.head_only, k->o.check.number, cold);
+	    k->o.max_idle_conns, k->o.head_only, k->o.check.number, k->cold);
 	target_calls_sign(
 	    x, str_of(&url), k->o.call_id, k->o.head, o.shared_body, mac);
 	buf_printf(&head,
@@ -508,6 +508,7 @@
 
 	k->calls = x;
 	k->started_at = clock_now();
+	k->cold = target_cold_is_cold(&t->cold, k->started_at);
 	k->o = *o;
 	k->o.addr = (struct str){ str_dup(o->addr), o->addr.n };
 	k->o.head = (struct str){ str_dup(o->head), o->head.n };
@@ -612,6 +613,12 @@
 	return k->way_lost;
 }
 
+bool
+target_call_refused_cold(const struct target_call *k)
+{
+	return k->refused_cold;
+}
+
 /* Tests of paths. */
 
 struct path_test {
--- a/entry/target_calls.h
+++ b/entry/target_calls.h
@@ -97,6 +97,11 @@
  * have run it.
  */
 bool target_call_lost_way(const struct target_call *k);
+/*
+ * Whether another host hasn't made the call as its target is cold: the target
+ * has done nothing wrong.
+ */
+bool target_call_refused_cold(const struct target_call *k);
 /* Serves a request of another host for a call, on TARGET_CALLS_URL. */
 void target_calls_serve(struct target_calls *x, struct httpd_request *q);
 /* Tests paths, and ends calls for other hosts; call it regularly. */
--- a/entry/target_calls_state.h
+++ b/entry/target_calls_state.h
@@ -65,6 +65,8 @@
 	const char *failure;     /* result other than ANSWERED; or NULL */
 	bool answered;           /* by the target, by way of a host */
 	bool way_lost;           /* as in target_call_lost_way */
+	bool cold;               /* its target, when the call was counted */
+	bool refused_cold;       /* as in target_call_refused_cold */
 };
 
 /* Makes the call on a direct connection; false if none could be started. */
