--- a/entry/stages.c
+++ b/entry/stages.c
@@ -18,7 +18,7 @@
  * network path and one decoding step.
  */
 #define FIRST_TOKEN_TIME    (150 * USEC_PER_MSEC)
-/* Two network paths and one decoding step: no first token comes sooner. */
+/* Two network paths and one decoding step: hardly any token comes sooner. */
 #define BEST_FIRST_TOKEN    (25 * USEC_PER_MSEC)
 /* Typical fraction of the batch size that a call holds. */
 #define TYPICAL_FILL        0.4
--- a/kernel/overload/chain.h
+++ b/kernel/overload/chain.h
@@ -35,7 +35,8 @@
 	uint32_t n;
 	usec_t min_first_event; /* from the last results to the first event */
 	usec_t typical_first_event;
-	usec_t best_first_event; /* no engine answers sooner; 0: unknown */
+	usec_t
+	    best_first_event; /* hardly any engine answers sooner; 0: unknown */
 };
 
 /* Returns the stages that a stage needs, directly or not; bit i: stage i. */
--- a/plat/dial_room.c
+++ b/plat/dial_room.c
@@ -122,6 +122,10 @@
 	count_kept(c);
 	held_complete(&c->held);
 	bufferevent_enable(c->bev, EV_READ);
+	if (c->call != NULL) {
+		c->call->unread_since = 0;
+		c->call->unread = 0;
+	}
 }
 
 bool
