batch: pieces wait for half of a call's cost for a target near their inputs

Cause: as calls begin apart, some targets are free at most times, and each took pieces of any domain as soon as a call was due.

Change: a target without pieces of its own domain takes others after half of a call's own cost, by when a target of their domain is free if there are some; at once if their domain has no target.

--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -555,6 +555,7 @@
 		.domain = domain_hash(t->entry.domain),
 		.free_bytes = free_result_bytes(c, p, t->entry.addr, now),
 		.local_only = local_only,
+		.remote_wait = x->any_domain ? 0 : batch_remote_wait(&p->batch),
 	};
 	double slowness;
 
@@ -638,15 +639,15 @@
 	PASSES
 };
 
-/* Whether a target in a domain is free and not slow. */
+/* Whether a domain has a target that isn't set aside. */
 static bool
-any_free_in(const struct pool_targets *x, uint32_t domain, usec_t now)
+has_target_in(const struct pool_targets *x, uint32_t domain, usec_t now)
 {
 	for (guint i = 0; x->all != NULL && i < x->all->len; i++) {
 		const struct target_load *t = x->all->pdata[i];
 
-		if (domain_hash(t->entry.domain) == domain && is_free(t, now) &&
-		    !target_speed_is_slow(&t->speed, &x->speeds))
+		if (domain_hash(t->entry.domain) == domain &&
+		    now >= t->aside_until)
 			return true;
 	}
 	return false;
@@ -677,7 +678,8 @@
 	first = batch_first_domain(&p->batch);
 	calls = batch_calls(&p->batch, x.speeds.fast, now);
 	/* A piece without a target in its domain doesn't wait for one. */
-	if (first != 0 && !any_free_in(&x, first, now))
+	x.any_domain = first != 0 && !has_target_in(&x, first, now);
+	if (x.any_domain)
 		pass = PASS_ANY;
 	for (; pass < PASSES; pass++) {
 		for (guint i = 0; x.all != NULL && i < x.all->len; i++) {
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -123,6 +123,8 @@
 	const GPtrArray *all;
 	struct target_speeds speeds;
 	uint32_t fast_free; /* that are free and not slow */
+	/* A piece waits whose domain has no target. */
+	bool any_domain;
 };
 
 struct pool_targets coordinator_pool_targets(
--- a/kernel/overload/batch.c
+++ b/kernel/overload/batch.c
@@ -241,6 +241,23 @@
 	g_array_set_size(b->items, kept);
 }
 
+usec_t
+batch_remote_wait(const struct batch *b)
+{
+	return b->config.call_cost / 2;
+}
+
+/* Whether a piece waits for a target in the domain of its inputs. */
+static bool
+stays_near(const struct batch *b, const struct batch_item *it,
+    const struct batch_target *t, usec_t now)
+{
+	usec_t wait =
+	    t->local_only ? call_duration(b, b->config.batch) : t->remote_wait;
+
+	return is_remote(it, t->domain) && now - it->queued < wait;
+}
+
 /* Whether a target with so much free space can take the piece now. */
 static bool
 fits(const struct batch *b, const struct batch_item *it,
@@ -249,8 +266,7 @@
 	return it->bytes <= free_bytes &&
 	    !(it->avoid != 0 && it->avoid == t->id &&
 		now - it->queued < LOCAL_WAIT) &&
-	    !(t->local_only && is_remote(it, t->domain) &&
-		now - it->queued < call_duration(b, b->config.batch)) &&
+	    !stays_near(b, it, t, now) &&
 	    (t->slower_by == 0 || now + t->slower_by < it->deadline);
 }
 
@@ -331,8 +347,7 @@
 		    b->items, struct batch_item, heap_pop(b, heap, &left));
 
 		if (!fits(b, it, t, free_bytes, now)) {
-			refused = refused ||
-			    !(t->local_only && is_remote(it, t->domain));
+			refused = refused || !stays_near(b, it, t, now);
 			continue;
 		}
 		free_bytes -= it->bytes;
--- a/kernel/overload/batch.h
+++ b/kernel/overload/batch.h
@@ -67,9 +67,11 @@
 	uint64_t free_bytes;
 	/*
 	 * Takes no pieces with inputs in another domain, unless they have
-	 * waited for longer than a call takes: there is no target then.
+	 * waited for longer than a call takes.
 	 */
 	bool local_only;
+	/* Without local_only, takes them after this time. */
+	usec_t remote_wait;
 	enum target_use use;
 	usec_t slower_by; /* additional time of its calls */
 };
@@ -85,6 +87,11 @@
  * domain, or no piece waits.
  */
 uint32_t batch_first_domain(const struct batch *b);
+/*
+ * Time after which a piece doesn't wait for a target in the domain of its
+ * inputs any longer: one would have become free, if there are some.
+ */
+usec_t batch_remote_wait(const struct batch *b);
 /*
  * Moves the pieces of the next call to out, a GArray of struct batch_item.
  * free_targets is the number of targets that get a call now, including t.
--- a/tests/kernel/test_call_pace.c
+++ b/tests/kernel/test_call_pace.c
@@ -259,19 +259,28 @@
 }
 
 /*
- * A piece whose inputs are in a domain without a target is taken elsewhere,
- * though each call finds pieces of the target's own domain.
+ * A piece waits for a target in the domain of its inputs, so that its inputs
+ * don't cross domains, but not for one that isn't there.
  */
 static void
-test_lone_domain(void)
+test_remote_wait(void)
 {
 	const struct pool_config p = {
 		.batch = 10, .call_cost = 240 * MS, .item_cost = 10 * MS
 	};
 	static const struct {
-		usec_t waited;
+		bool local_only;
+		usec_t remote_wait, waited;
 		bool taken;
-	} steps[] = { { 0, false }, { 339 * MS, false }, { 340 * MS, true } };
+	} steps[] = {
+		{ true, 0, 0, false },
+		{ true, 0, 339 * MS, false },
+		{ true, 0, 340 * MS, true },
+		{ false, 120 * MS, 0, false },
+		{ false, 120 * MS, 119 * MS, false },
+		{ false, 120 * MS, 120 * MS, true },
+		{ false, 0, 0, true },
+	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
 		g_autoptr(GArray) out =
@@ -280,6 +289,7 @@
 		struct batch b;
 
 		batch_init(&b, &p);
+		g_assert_cmpint(batch_remote_wait(&b), ==, 120 * MS);
 		batch_add(&b,
 		    &(struct batch_item){
 			.owner = "remote", .domain = 2, .queued = 1000 * MS });
@@ -288,9 +298,11 @@
 			.owner = "local", .domain = 1, .queued = now });
 		batch_take(&b, now, 1,
 		    &(struct batch_target){ .domain = 1,
-			.local_only = true,
+			.local_only = steps[i].local_only,
+			.remote_wait = steps[i].remote_wait,
 			.free_bytes = UINT64_MAX },
 		    out);
+		g_test_message("step %zu", i);
 		g_assert_cmpuint(out->len, ==, 1U + steps[i].taken);
 		batch_free(&b);
 	}
@@ -333,7 +345,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/call-pace/calls", test_calls);
-	g_test_add_func("/call-pace/lone-domain", test_lone_domain);
+	g_test_add_func("/call-pace/remote-wait", test_remote_wait);
 	g_test_add_func("/call-pace/first-domain", test_first_domain);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		g_autofree char *name =
