target_calls: a host whose connection broke isn't asked again at once

Cause: a request whose call by way of another host was lost, as that host was killed, was sent again by way of the same host, on another open connection to it, and lost its second attempt 1 ms later.

Change: such a host counts as unreachable for as long as one that can't be connected to.

--- a/entry/target_calls.c
+++ b/entry/target_calls.c
@@ -432,6 +432,10 @@
 	case DIAL_BROKEN:
 		/* A host that goes on reports what its target has done. */
 		k->way_lost = !k->answered && k->failure == NULL;
+		/* Its other connections may be as dead as this one. */
+		if (k->way_lost)
+			paths_host_failed(
+			    &k->calls->paths, k->host, clock_now());
 		finish_call(k, ev, m);
 		return;
 	case DIAL_BAD_RESPONSE:
