--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -660,8 +660,8 @@
 }
 
 /*
- * Starts the calls that are due.  Pieces go to targets in the failure domain
- * that they prefer, as long as one is free there.
+ * Starts the calls that are due.  Pieces wait for a while for a target in the
+ * failure domain that they prefer, and then go to any.
  */
 void
 coordinator_start_calls(struct coordinator *c, struct pool *p, usec_t now)
--- a/kernel/memory.h
+++ b/kernel/memory.h
@@ -51,7 +51,7 @@
 #define MEMORY_ITEM         ((size_t)MAX_ANSWER_BYTES + MEMORY_SMALL)
 /* Lowest bound: an item fits into each pool but that of the store. */
 #define MEMORY_MIN          ((size_t)26 * 1024 * 1024)
-/* With more bytes unsent to one receiver, the rest of its answer waits. */
+/* The most unsent to one receiver; with more, the rest of its answer waits. */
 #define MEMORY_BACKLOG      ((size_t)2 * 1024 * 1024)
 /* An answer unread for so long may be cut off by a target that is sound. */
 #define MEMORY_UNREAD_TIME  (1 * USEC_PER_SEC)
--- a/kernel/overload/chain.h
+++ b/kernel/overload/chain.h
@@ -8,8 +8,8 @@
  * result space from the others; started again and again, such requests keep the
  * overload up after the burst has ended.  So the rest of the chain is checked
  * before each stage starts, and a chain starts again only if all of it fits.  A
- * request whose stages are done is sent unless its caller is sure to have left
- * before the first event: a late answer is worth more than its results.
+ * request whose stages are done is sent unless its caller will hardly be there
+ * for the first event: a late answer is worth more than its results.
  *
  * Stages are in topological order: a stage only needs earlier ones.  Times are
  * in microseconds.
--- a/kernel/overload/placement_ask.h
+++ b/kernel/overload/placement_ask.h
@@ -33,8 +33,8 @@
 /*
  * Returns the index of the host that places the requests for the targets of a
  * service in a domain (empty: all) or a group of a divided one
- * (kernel/overload/engine_groups.h), or n if there is none.  Each group has
- * another one, as its hash falls, of the hosts in the domain.
+ * (kernel/overload/engine_groups.h), or n if there is none.  The groups of a
+ * domain are spread over its hosts by a hash; two may have the same one.
  */
 size_t placer_choose(const struct placer_host *v, size_t n, const char *service,
     const char *domain, usec_t now);
