Log when a configuration is heard of, fetched, sent and read

The log had one line for a version, once it was in force.

config-heard: by which way, from which host, and whether a fetch was in flight; fetched: what a fetch brought; reply-sent: the same at the host that was asked; store-item, store-changes: what was read of the store. Metrics count fetches, replies and those that failed. No logic is changed.

--- a/entry/discovery_config.c
+++ b/entry/discovery_config.c
@@ -268,6 +268,10 @@
 	} else if (d->newer_config_at == 0) {
 		d->newer_config_at = now;
 	} else if (now - d->newer_config_at > NEWER_CONFIG_DELAY) {
+		log_text(LOG_LVL_INFO, "config-heard",
+		    "version %" PRIu64 " at %s, by gossip%s", m->generation,
+		    m->holder,
+		    d->config_fetch_pending ? ", during a fetch" : "");
 		d->newer_config_at = now;
 		d->config_fetch_due = true;
 		g_strlcpy(
--- a/entry/discovery_feed.c
+++ b/entry/discovery_feed.c
@@ -1,4 +1,5 @@
 #include "entry/discovery_state.h"
+#include "base/log.h"
 #include "kernel/feeders.h"
 #include "platform/config.h"
 
@@ -207,6 +208,10 @@
 		const peer_feed_item *x = &f->items.items_val[i];
 
 		if (x->large) {
+			log_text(LOG_LVL_INFO, "config-heard",
+			    "revision %" PRId64 " from the feed of %s%s",
+			    (int64_t)f->to, l->rpc,
+			    d->config_fetch_pending ? ", during a fetch" : "");
 			d->config_fetch_due = true;
 			g_strlcpy(
 			    d->config_holder, l->rpc, sizeof(d->config_holder));
--- a/entry/relay_metrics.c
+++ b/entry/relay_metrics.c
@@ -158,6 +158,10 @@
 	put(out, "log_lines_dropped_total", log_dropped());
 	put(out, "peer_letters_sent_total", p->discovery.rpc.sent);
 	put(out, "peer_letters_received_total", p->discovery.rpc.received);
+	put(out, "peer_fetches_total", p->discovery.rpc.fetches);
+	put(out, "peer_fetch_failures_total", p->discovery.rpc.fetch_failures);
+	put(out, "peer_replies_total", p->discovery.rpc.replies);
+	put(out, "peer_reply_failures_total", p->discovery.rpc.reply_failures);
 }
 
 void
--- a/entry/rpc.c
+++ b/entry/rpc.c
@@ -8,6 +8,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <inttypes.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
@@ -48,6 +49,8 @@
 	atomic_ullong rejected;
 	atomic_ullong fetches;
 	atomic_ullong fetch_failures;
+	atomic_ullong replies;
+	atomic_ullong reply_failures;
 };
 
 /* The only struct rpc: the RPC library passes no argument to dispatch. */
@@ -133,6 +136,21 @@
 	xdr_free((xdrproc_t)xdr_peer_letter, (char *)&l);
 }
 
+static void
+send_reply(
+    struct rpc *r, SVCXPRT *xprt, const peer_query *q, peer_sealed *reply)
+{
+	usec_t began_at = clock_now();
+	bool ok =
+	    svc_sendreply(xprt, (xdrproc_t)xdr_peer_sealed, (char *)reply);
+
+	atomic_fetch_add(ok ? &r->replies : &r->reply_failures, 1);
+	log_text(LOG_LVL_INFO, "reply-sent",
+	    "\"%s\" for %s: %s, %u bytes in %" PRId64 " ms", q->name, q->from,
+	    ok ? "complete" : "failed", reply->body.body_len,
+	    (clock_now() - began_at) / USEC_PER_MSEC);
+}
+
 static void
 on_query(struct rpc *r, SVCXPRT *xprt, const peer_sealed *s)
 {
@@ -154,8 +172,7 @@
 		if (res.detail == NULL)
 			res.detail = str_dup(STR(""));
 		if (encode_signed(r, (xdrproc_t)xdr_peer_result, &res, &out))
-			svc_sendreply(
-			    xprt, (xdrproc_t)xdr_peer_sealed, (char *)&out);
+			send_reply(r, xprt, &q, &out);
 		else
 			svcerr_systemerr(xprt);
 		free(out.body.body_val);
@@ -441,6 +458,7 @@
 	peer_sealed reply = { 0 };
 	struct buf record = { 0 };
 	uint32_t xid = (uint32_t)rng_entropy();
+	usec_t began_at = clock_now();
 	int rc = ERR_PEER;
 	int fd = -1;
 
@@ -469,6 +487,10 @@
 		close(fd);
 	if (rc != 0)
 		atomic_fetch_add(&r->fetch_failures, 1);
+	log_text(LOG_LVL_INFO, "fetched",
+	    "\"%s\" of %s: %s, %zu bytes in %" PRId64 " ms", o->query->name,
+	    o->addr, rc == 0 ? "complete" : "failed", record.n,
+	    (clock_now() - began_at) / USEC_PER_MSEC);
 	free(sealed.body.body_val);
 	held_drop(o->held, record.n);
 	buf_free(&record);
@@ -493,6 +515,8 @@
 		.rejected = r->rejected,
 		.fetches = r->fetches,
 		.fetch_failures = r->fetch_failures,
+		.replies = r->replies,
+		.reply_failures = r->reply_failures,
 	};
 }
 
--- a/entry/rpc.h
+++ b/entry/rpc.h
@@ -51,6 +51,8 @@
 	uint64_t rejected; /* datagrams and queries */
 	uint64_t fetches;  /* queries sent */
 	uint64_t fetch_failures;
+	uint64_t replies; /* to queries of others, sent whole */
+	uint64_t reply_failures;
 };
 
 /* Listens on UDP and TCP; on failure returns NULL and sets e. */
--- a/plat/kv.c
+++ b/plat/kv.c
@@ -10,9 +10,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MAX_ENDPOINTS   8
+#define MAX_ENDPOINTS    8
 /* Of a call, or a line of a watch: several pages of 1 MB, as base64. */
-#define MAX_REPLY_BYTES ((size_t)8 * 1024 * 1024)
+/* Polls that bring as much are logged. */
+#define LARGE_POLL_BYTES ((size_t)64 * 1024)
+#define MAX_REPLY_BYTES  ((size_t)8 * 1024 * 1024)
 
 enum op {
 	OP_GET,
@@ -50,7 +52,7 @@
 	uint64_t era; /* that the response names */
 	struct buf body;
 	struct held line;  /* OP_WATCH: counts the body */
-	char *prefix;      /* of a range; or NULL */
+	char *prefix;      /* what is read; or NULL */
 	usec_t began_at;   /* a range or poll */
 	usec_t arrived_at; /* the last bytes of its response */
 	union {
@@ -184,9 +186,18 @@
 
 /* Pages are the largest calls: those of all hosts share the store's link. */
 static void
-log_page(const struct pending *p, bool complete, const struct kv_changes *c)
+log_read(const struct pending *p, bool complete, const struct kv_changes *c)
 {
-	log_text(LOG_LVL_INFO, "store-page",
+	const char *event = "store-page";
+
+	if (p->op == OP_GET_ITEM)
+		event = "store-item";
+	else if (p->op == OP_POLL)
+		event = "store-changes";
+	/* Most polls bring little. */
+	if (p->op == OP_POLL && p->body.n < LARGE_POLL_BYTES)
+		return;
+	log_text(LOG_LVL_INFO, event,
 	    "of \"%s\": %s, status %d, %zu items, %zu bytes in %" PRId64 " ms",
 	    p->prefix, complete ? "complete" : "cut", p->status, c->n,
 	    p->body.n, (int64_t)((clock_now() - p->began_at) / USEC_PER_MSEC));
@@ -207,8 +218,7 @@
 	} else if (complete && (p->status == 429 || p->status == 503)) {
 		st = KV_REFUSED;
 	}
-	if (p->op == OP_RANGE)
-		log_page(p, complete, &c);
+	log_read(p, complete, &c);
 	p->changes(p->arg, st, st == KV_OK ? &c : NULL);
 	store_changes_free(&c);
 }
@@ -446,11 +456,14 @@
 kv_get_item(struct kv *kv, struct str key, kv_changes_handler done, void *arg)
 {
 	struct buf path = { 0 };
+	struct pending *p;
 
 	store_item_path(&path, key);
-	begin_call(kv, OP_GET_ITEM, str_of(&path), STR(""), KV_GET_ITEM_TIMEOUT,
-	    false, arg)
-	    ->changes = done;
+	p = begin_call(kv, OP_GET_ITEM, str_of(&path), STR(""),
+	    KV_GET_ITEM_TIMEOUT, false, arg);
+	p->prefix = str_dup(key);
+	p->began_at = clock_now();
+	p->changes = done;
 	buf_free(&path);
 }
 
@@ -513,8 +526,7 @@
 
 	if (p == NULL)
 		return;
-	if (p->op == OP_RANGE)
-		log_page(p, false, &(struct kv_changes){ 0 });
+	log_read(p, false, &(struct kv_changes){ 0 });
 	/* As after a failed call. */
 	kv->current = (kv->current + 1) % kv->n_endpoints;
 	http_cancel(kv->loop, call);
@@ -537,6 +549,7 @@
 	store_poll_path(&path, o->prefix, o->after, o->wait);
 	p = begin_call(kv, OP_POLL, str_of(&path), STR(""),
 	    o->wait + o->timeout, o->wait == 0, arg);
+	p->prefix = str_dup(o->prefix);
 	p->began_at = clock_now();
 	p->arrived_at = p->began_at;
 	p->changes = done;
