Send replies to other hosts without waiting for their receivers

Cause: the RPC library writes a reply to a non-blocking socket in a loop until the receiver has taken it, for up to 2 s, on the one thread that also receives all datagrams. What exceeds the socket's buffer (64 KB on the users' site) so holds up the host that serves it: it used its processor share up, answered no other query, no ask to place or to coordinate, and got no gossip. All six feeders stood still for up to 11 s when the compressed configuration grew to 67 KB; each reply was cut after 65,532 bytes and asked for again.

Change: queries have a server of their own (entry/rpc_server, libevent), on a thread of its own, that keeps what a socket doesn't take. So a slow receiver costs its own connection only.

--- a/entry/fetcher.c
+++ b/entry/fetcher.c
@@ -1,12 +1,10 @@
 #include "entry/fetcher.h"
+#include "kernel/peer_replies.h"
 
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 
-/* A compressed configuration takes 0.5 s on a busy link of 10 Mbit/s. */
-#define FETCH_TIMEOUT (1500 * USEC_PER_MSEC)
-
 struct fetcher {
 	struct fetcher_opts o;
 	pthread_t thread;
@@ -49,7 +47,7 @@
 	if (rpc_fetch(f->o.rpc,
 		&(struct rpc_fetch_opts){ .addr = f->addr,
 		    .query = &q,
-		    .timeout = FETCH_TIMEOUT,
+		    .timeout = PEER_REPLY_SILENCE,
 		    .held = &m->fetched.held },
 		&r) == 0) {
 		m->fetched.replied = true;
--- a/entry/rpc.c
+++ b/entry/rpc.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "base/rng.h"
 #include "entry/rpc_reply.h"
+#include "entry/rpc_server.h"
 #include "plat/addr.h"
 
 #include <arpa/inet.h>
@@ -24,7 +25,6 @@
 #define DATAGRAM_BYTES       65000U
 /* Datagrams are sent from a new port after this time. */
 #define SEND_SOCKET_LIFETIME (30 * USEC_PER_SEC)
-#define MAX_QUERY_BYTES      65536
 /* Of a call with a query, whose strings peer.x bounds. */
 #define MAX_CALL_BYTES       2048
 #define LAST_FRAGMENT        0x80000000U
@@ -36,7 +36,7 @@
 	pthread_t thread;
 	atomic_bool stopping;
 	SVCXPRT *udp;
-	SVCXPRT *tcp;
+	struct rpc_server *server;
 	pthread_mutex_t send_lock;
 	int send_fd;
 	usec_t send_fd_at;
@@ -49,8 +49,6 @@
 	atomic_ullong rejected;
 	atomic_ullong fetches;
 	atomic_ullong fetch_failures;
-	atomic_ullong replies;
-	atomic_ullong reply_failures;
 };
 
 /* The only struct rpc: the RPC library passes no argument to dispatch. */
@@ -136,49 +134,37 @@
 	xdr_free((xdrproc_t)xdr_peer_letter, (char *)&l);
 }
 
-static void
-send_reply(
-    struct rpc *r, SVCXPRT *xprt, const peer_query *q, peer_sealed *reply)
-{
-	usec_t began_at = clock_now();
-	bool ok =
-	    svc_sendreply(xprt, (xdrproc_t)xdr_peer_sealed, (char *)reply);
-
-	atomic_fetch_add(ok ? &r->replies : &r->reply_failures, 1);
-	log_text(LOG_LVL_INFO, "reply-sent",
-	    "\"%s\" for %s: %s, %u bytes in %" PRId64 " ms", q->name, q->from,
-	    ok ? "complete" : "failed", reply->body.body_len,
-	    (clock_now() - began_at) / USEC_PER_MSEC);
-}
-
-static void
-on_query(struct rpc *r, SVCXPRT *xprt, const peer_sealed *s)
+/* Answers a query, on the thread of the server. */
+static enum rpc_answer
+on_query(void *arg, const peer_sealed *s, size_t max_bytes, peer_sealed *reply,
+    struct buf *what)
 {
+	struct rpc *r = arg;
 	peer_query q = { 0 };
 	peer_result res = { 0 };
-	peer_sealed out = { 0 };
+	enum rpc_answer a = RPC_ANSWER_NONE;
 
 	if (!decode_verified(r, s, (xdrproc_t)xdr_peer_query, &q)) {
 		atomic_fetch_add(&r->rejected, 1);
-		svcerr_weakauth(xprt);
-		return;
+		return a;
 	}
 	if (!is_recent(q.sent_ms)) {
 		atomic_fetch_add(&r->rejected, 1);
-		svcerr_weakauth(xprt);
-	} else {
-		r->o.fetch(r->o.arg, &q, &res);
-		res.nonce = q.nonce;
-		if (res.detail == NULL)
-			res.detail = str_dup(STR(""));
-		if (encode_signed(r, (xdrproc_t)xdr_peer_result, &res, &out))
-			send_reply(r, xprt, &q, &out);
-		else
-			svcerr_systemerr(xprt);
-		free(out.body.body_val);
-		rpc_result_free(&res);
+		goto out;
 	}
+	r->o.fetch(r->o.arg, &q, &res);
+	res.nonce = q.nonce;
+	if (res.detail == NULL)
+		res.detail = str_dup(STR(""));
+	buf_printf(what, "\"%s\" for %s", q.name, q.from);
+	if (res.value.value_len > max_bytes)
+		a = RPC_ANSWER_LATER;
+	else if (encode_signed(r, (xdrproc_t)xdr_peer_result, &res, reply))
+		a = RPC_ANSWER_READY;
+	rpc_result_free(&res);
+out:
 	xdr_free((xdrproc_t)xdr_peer_query, (char *)&q);
+	return a;
 }
 
 static void
@@ -190,7 +176,7 @@
 		svc_sendreply(xprt, no_body, NULL);
 		return;
 	}
-	if (rq->rq_proc != PEER_DELIVER && rq->rq_proc != PEER_FETCH) {
+	if (rq->rq_proc != PEER_DELIVER) {
 		svcerr_noproc(xprt);
 		return;
 	}
@@ -199,10 +185,7 @@
 		svcerr_decode(xprt);
 		return;
 	}
-	if (rq->rq_proc == PEER_DELIVER)
-		on_datagram(dispatch_rpc, &s);
-	else
-		on_query(dispatch_rpc, xprt, &s);
+	on_datagram(dispatch_rpc, &s);
 	svc_freeargs(xprt, (xdrproc_t)xdr_peer_sealed, (char *)&s);
 }
 
@@ -248,19 +231,21 @@
 {
 	int udp = bind_socket(at, SOCK_DGRAM);
 	int tcp = udp >= 0 ? bind_socket(at, SOCK_STREAM) : -1;
-	int max_bytes = MAX_QUERY_BYTES;
 
 	if (tcp < 0) {
 		if (udp >= 0)
 			close(udp);
 		return false;
 	}
-	rpc_control(RPC_SVC_CONNMAXREC_SET, &max_bytes);
 	r->udp = svc_dg_create(udp, DATAGRAM_BYTES, DATAGRAM_BYTES);
-	r->tcp = svc_vc_create(tcp, 0, 0);
-	return r->udp != NULL && r->tcp != NULL &&
-	    svc_reg(r->udp, PEER_PROGRAM, PEER_VERSION, dispatch, NULL) != 0 &&
-	    svc_reg(r->tcp, PEER_PROGRAM, PEER_VERSION, dispatch, NULL) != 0;
+	if (r->udp == NULL ||
+	    svc_reg(r->udp, PEER_PROGRAM, PEER_VERSION, dispatch, NULL) == 0) {
+		close(tcp);
+		return false;
+	}
+	r->server = rpc_server_start(&(struct rpc_server_opts){
+	    .fd = tcp, .answer = on_query, .arg = r });
+	return true;
 }
 
 struct rpc *
@@ -507,6 +492,8 @@
 struct rpc_counts
 rpc_counts(const struct rpc *r)
 {
+	struct rpc_server_counts server = rpc_server_counts(r->server);
+
 	return (struct rpc_counts){
 		.sent_bytes = r->sent_bytes,
 		.received_bytes = r->received_bytes,
@@ -515,8 +502,8 @@
 		.rejected = r->rejected,
 		.fetches = r->fetches,
 		.fetch_failures = r->fetch_failures,
-		.replies = r->replies,
-		.reply_failures = r->reply_failures,
+		.replies = server.replies,
+		.reply_failures = server.failures,
 	};
 }
 
@@ -525,8 +512,8 @@
 {
 	atomic_store(&r->stopping, true);
 	pthread_join(r->thread, NULL);
+	rpc_server_stop(r->server);
 	svc_destroy(r->udp);
-	svc_destroy(r->tcp);
 	dispatch_rpc = NULL;
 }
 
@@ -537,6 +524,7 @@
 		return;
 	if (r->send_fd >= 0)
 		close(r->send_fd);
+	rpc_server_free(r->server);
 	pthread_mutex_destroy(&r->send_lock);
 	free(r);
 }
--- a/entry/rpc.h
+++ b/entry/rpc.h
@@ -13,6 +13,7 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "entry/peer.h"
+#include "kernel/peer_replies.h"
 #include "plat/held.h"
 
 /* A datagram holds a peer_body of this size, with what belongs to it. */
@@ -21,7 +22,7 @@
 /* The reply to a query: the largest value, with what belongs to it. */
 #define RPC_MAX_REPLY_BYTES ((size_t)PEER_VALUE_MAX + 512)
 /* Limit on a reply that goes on arriving. */
-#define RPC_MAX_REPLY_TIME  (10 * USEC_PER_SEC)
+#define RPC_MAX_REPLY_TIME  PEER_REPLY_TIME
 
 struct rpc;
 
@@ -36,8 +37,8 @@
 	 */
 	void (*deliver)(void *arg, peer_letter *l);
 	/*
-	 * Fills the result of a query; called on the RPC thread.  The strings
-	 * of r are allocated with malloc.
+	 * Fills the result of a query; called on a thread of its own.  The
+	 * strings of r are allocated with malloc.
 	 */
 	void (*fetch)(void *arg, const peer_query *q, peer_result *r);
 	void *arg;
