A call that can't be started doesn't end the host

Cause: where no connection can be opened, the event DIAL_UNSENT is handled without a call, and target_call_refused_cold() reads it. Change: there is no call then, and its target isn't taken for a failed one, as this host had no descriptor.

--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -408,7 +408,9 @@
 		    "request %.*s: target %s of %s after %" PRId64 " ms",
 		    STR_FMT(r->info.id), r->target_id, r->service->name,
 		    (clock_now() - r->sent_at) / USEC_PER_MSEC);
-		forward_call_ended(r, target_call_refused_cold(r->call));
+		/* Without a call, this host had no connection for it. */
+		forward_call_ended(r,
+		    r->call == NULL || target_call_refused_cold(r->call));
 		r->sends--;
 		if (r->n_tried < MAX_CONNECT_FAILURES &&
 		    forward_has_attempts(r))
