Cancel calls that free results at the exit

Cause: nobody owned the calls that free results. The last turn of the event loop in relay_free() ended those that had timed out meanwhile, when the dialer and the paths were freed. Change: the coordinator keeps them and cancels them with its others; dialer_free() logs calls that are left (calls-left).

--- a/entry/coordinator.c
+++ b/entry/coordinator.c
@@ -177,6 +177,7 @@
 	    g_str_hash, g_str_equal, NULL, free_coordinator_job);
 	c->calls = g_hash_table_new(NULL, NULL);
 	result_frees_init(&c->frees);
+	c->free_calls = g_hash_table_new(NULL, NULL);
 	c->last_responses =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	recent_set_init(&c->handles, HANDLE_MEMORY);
@@ -836,6 +837,7 @@
 	g_hash_table_destroy(c->jobs);
 	g_hash_table_destroy(c->pools);
 	result_frees_free(&c->frees);
+	g_hash_table_destroy(c->free_calls);
 	g_hash_table_destroy(c->last_responses);
 	event_free(c->local_reply_event);
 	g_ptr_array_unref(c->local_replies);
--- a/entry/coordinator_calls.c
+++ b/entry/coordinator_calls.c
@@ -407,14 +407,25 @@
 	end_call(call, false, false, "no response in time");
 }
 
+/* A call that frees results. */
+struct free_call {
+	struct coordinator *coordinator;
+	struct target_call *call;
+};
+
 static void
 on_free_dial_event(void *arg, enum dial_event ev, const struct httpmsg *m)
 {
-	(void)arg;
+	struct free_call *f = arg;
+
 	(void)m;
-	if (ev != DIAL_HEAD && ev != DIAL_BODY && ev != DIAL_END)
+	if (ev == DIAL_HEAD || ev == DIAL_BODY)
+		return;
+	if (ev != DIAL_END)
 		log_text(LOG_LVL_DEBUG, "free-failed",
 		    "results expire by themselves");
+	g_hash_table_remove(f->coordinator->free_calls, f);
+	free(f);
 }
 
 /* timeout: as in dial_opts. */
@@ -453,16 +464,22 @@
 	const struct result_frees_entry *u =
 	    result_frees_find(&c->frees, t->entry.addr);
 	struct buf body = { 0 };
-	struct target_call *call;
+	struct free_call *f;
 
 	if (u == NULL)
 		return;
+	f = xcalloc(1, sizeof(*f));
+	f->coordinator = c;
 	platform_stage_free_body(&body, str_of(&u->handles));
-	call = post(c, t, PLATFORM_STAGE_FREE_PATH, str_of(&body), FREE_TIMEOUT,
-	    on_free_dial_event, NULL);
-	/* A later call doesn't take a response without results for its own. */
-	if (call != NULL)
-		target_call_confirm(call);
+	f->call = post(c, t, PLATFORM_STAGE_FREE_PATH, str_of(&body),
+	    FREE_TIMEOUT, on_free_dial_event, f);
+	if (f->call != NULL) {
+		/* A later call doesn't take a response without results. */
+		target_call_confirm(f->call);
+		g_hash_table_add(c->free_calls, f);
+	} else {
+		free(f);
+	}
 	buf_free(&body);
 	result_frees_sent(&c->frees, t->entry.addr);
 }
@@ -702,4 +719,11 @@
 		g_array_unref(call->items);
 		free(call);
 	}
+	g_hash_table_iter_init(&it, c->free_calls);
+	while (g_hash_table_iter_next(&it, &p, NULL)) {
+		struct free_call *f = p;
+
+		target_call_cancel(f->call);
+		free(f);
+	}
 }
--- a/entry/coordinator_state.h
+++ b/entry/coordinator_state.h
@@ -103,6 +103,7 @@
 	GHashTable *jobs;  /* key -> struct coordinator_job */
 	GHashTable *calls; /* struct batch_call */
 	struct result_frees frees;
+	GHashTable *free_calls;     /* struct free_call, in flight */
 	GHashTable *last_responses; /* target id -> hash of the last response */
 	struct recent_set handles;  /* hashes of those that were returned */
 	struct result_space result_space; /* of all targets */
--- a/plat/dial.c
+++ b/plat/dial.c
@@ -91,6 +91,7 @@
 	buf_free(&k->check_head);
 	buf_free(&k->call_id_name);
 	buf_free(&k->call_id);
+	k->dialer->in_flight--;
 	free(k);
 }
 
@@ -544,6 +545,8 @@
 		return NULL;
 	c->max_idle_conns = o->max_idle_conns;
 	k = xcalloc(1, sizeof(*k));
+	k->dialer = d;
+	d->in_flight++;
 	k->conn = c;
 	k->handler = o->handler;
 	k->connected = o->connected;
@@ -688,6 +691,10 @@
 	GHashTableIter it;
 	gpointer p;
 
+	/* They would end later, when what they use is freed. */
+	if (d->in_flight > 0)
+		log_text(LOG_LVL_ERR, "calls-left",
+		    "%zu calls are in flight at the end", d->in_flight);
 	while ((test = g_queue_peek_head(&d->tests)) != NULL)
 		end_test(test, false);
 	g_hash_table_iter_init(&it, d->idle);
--- a/plat/dial_state.h
+++ b/plat/dial_state.h
@@ -49,6 +49,7 @@
 };
 
 struct dial_call {
+	struct dialer *dialer;
 	struct conn *conn;
 	dial_handler handler;
 	void (*connected)(void *arg); /* or NULL */
@@ -75,6 +76,7 @@
 	struct host_memory *memory;
 	struct held_runner *runner;
 	struct dial_counts counts;
+	size_t in_flight; /* calls */
 };
 
 /* Frees the connection and ends its call, if any, with a failure event. */
--- a/tests/platform/fakeplat.c
+++ b/tests/platform/fakeplat.c
@@ -127,6 +127,7 @@
 	GArray *crash_arrivals; /* usec_t */
 	GHashTable *results;    /* handle -> attempt */
 	GHashTable *freed;      /* handles */
+	bool hangs_frees;       /* calls that free results get no answer */
 	uint32_t n_to_fail;     /* pieces with inputs that fail next */
 	uint32_t n_mixed;
 	struct event *ticker;
@@ -1118,7 +1119,8 @@
 	}
 	if (str_eq(url, STR("/api/stage-free"))) {
 		free_results(c);
-		send_response(c, 200, "", STR("{}"));
+		if (!c->plat->hangs_frees)
+			send_response(c, 200, "", STR("{}"));
 		return;
 	}
 	snprintf(c->attempt, sizeof(c->attempt), "%.*s", STR_FMT(id));
@@ -1887,6 +1889,14 @@
 	pthread_mutex_unlock(&plat->lock);
 }
 
+void
+fakeplat_hang_frees(struct fakeplat *plat, bool hangs)
+{
+	pthread_mutex_lock(&plat->lock);
+	plat->hangs_frees = hangs;
+	pthread_mutex_unlock(&plat->lock);
+}
+
 uint32_t
 fakeplat_freed_results(struct fakeplat *plat)
 {
--- a/tests/platform/fakeplat.h
+++ b/tests/platform/fakeplat.h
@@ -168,6 +168,8 @@
 /* Returns the numbers of pieces produced, or failed, and of stage calls. */
 void fakeplat_piece_counts(
     struct fakeplat *plat, uint32_t *pieces, uint32_t *calls);
+/* From now on, calls that free results get no answer. */
+void fakeplat_hang_frees(struct fakeplat *plat, bool hangs);
 /* Returns the number of results that were freed. */
 uint32_t fakeplat_freed_results(struct fakeplat *plat);
 /*
