Fetch a configuration from any host that has it

A host that heard of a version while it fetched another one lost the notice with that fetch's result and read the store, whose link all hosts share; one whose feeder was silent asked the host that gossip had named first, up to three times for 1.5 s each, before anything else.

Change: kernel/config_fetch keeps the hosts that tell of a version, gives a silent one up after 0.5 s while others are left, asks any that is known to have a newer one next, and the store last. What is heard during a fetch outlasts it. The second feeder's datagram counts as a source.

--- a/entry/control.c
+++ b/entry/control.c
@@ -292,7 +292,8 @@
 		return;
 	addr = member_config_source(
 	    m, missing ? have : m->generation, rng_entropy());
-	if (addr != NULL && fetcher_request(c->fetcher, addr, name))
+	if (addr != NULL &&
+	    fetcher_request(c->fetcher, addr, name, PEER_REPLY_SILENCE))
 		c->peer_fetch_at = now;
 }
 
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -106,6 +106,7 @@
 	d->restored = true;
 	d->hosts.stored = 0;
 	d->peer_position = (struct store_position){ 0 };
+	config_fetch_restored(&d->config_fetch);
 	roster_store_restored(&d->roster, clock_now());
 	log_text(LOG_LVL_NOTICE, "store-restored",
 	    "the store continues from an older copy, era %" PRIu64
--- a/entry/discovery_config.c
+++ b/entry/discovery_config.c
@@ -1,6 +1,7 @@
 #include "entry/discovery_state.h"
 #include "base/log.h"
 #include "base/compress.h"
+#include "base/rng.h"
 #include "platform/config.h"
 
 #include <inttypes.h>
@@ -11,8 +12,6 @@
 #define APPLY_PAUSE_FACTOR 3
 /* Upper bound of the pause: a configuration must be in force within 2 s. */
 #define MAX_APPLY_PAUSE    (500 * USEC_PER_MSEC)
-/* Failed fetches from peers after which the store is queried. */
-#define MAX_CONFIG_FETCHES 3
 /* Lets the watch or the feed deliver a newer version before it is fetched. */
 #define NEWER_CONFIG_DELAY (700 * USEC_PER_MSEC)
 #define MAX_CONFIG_BYTES   ((size_t)16 * 1024 * 1024)
@@ -218,40 +217,27 @@
 on_config_item(void *arg, enum kv_status st, const struct kv_changes *c)
 {
 	struct discovery *d = arg;
+	bool found = st == KV_OK && c->n > 0 && c->v[0].value.n > 0;
 
-	d->config_fetch_pending = false;
-	if (st == KV_OK && c->n > 0 && c->v[0].value.n > 0) {
+	config_fetch_ended(&d->config_fetch, CONFIG_FETCH_STORE, found);
+	if (found)
 		discovery_queue_config(d, str_of(&c->v[0].value), "a read");
-		return;
-	}
-	/* The watcher's long poll detects whether the store is unavailable. */
-	d->feed_gap = true;
-	d->config_fetch_due = true;
+	else
+		/* The watcher's long poll detects whether the store is away. */
+		d->feed_gap = true;
 }
 
-/*
- * After a failed fetch the next one goes to the peer that gossip names or,
- * after MAX_CONFIG_FETCHES failures, to the store.
- */
 void
 discovery_on_config(struct discovery *d, bool found, struct str bytes)
 {
 	struct held held = { 0 };
 	struct buf text = { 0 };
 
-	d->config_fetch_pending = false;
-	d->config_holder[0] = '\0';
-	if (found &&
-	    discovery_read_document(d, bytes, MAX_CONFIG_BYTES, &held, &text)) {
-		d->config_fetch_failures = 0;
+	found = found &&
+	    discovery_read_document(d, bytes, MAX_CONFIG_BYTES, &held, &text);
+	config_fetch_ended(&d->config_fetch, CONFIG_FETCH_HOST, found);
+	if (found)
 		discovery_queue_config(d, str_of(&text), "another host");
-	} else {
-		d->config_fetch_due = true;
-		if (++d->config_fetch_failures < MAX_CONFIG_FETCHES)
-			g_strlcpy(d->config_holder,
-			    fleet_members(d->fleet)->holder,
-			    sizeof(d->config_holder));
-	}
 	buf_free(&text);
 	held_end(&held);
 }
@@ -271,35 +257,47 @@
 		log_text(LOG_LVL_INFO, "config-heard",
 		    "version %" PRIu64 " at %s, by gossip%s", m->generation,
 		    m->holder,
-		    d->config_fetch_pending ? ", during a fetch" : "");
+		    d->config_fetch.in_flight ? ", during a fetch" : "");
 		d->newer_config_at = now;
-		d->config_fetch_due = true;
-		g_strlcpy(
-		    d->config_holder, m->holder, sizeof(d->config_holder));
+		config_fetch_wanted(&d->config_fetch, m->holder);
 	}
 }
 
+/* A host that has a newer version than this one, or NULL. */
+static const char *
+any_source(struct discovery *d)
+{
+	uint64_t current = d->routes != NULL ? d->routes->version : 0;
+
+	return member_config_source(
+	    fleet_members(d->fleet), current + 1, rng_entropy());
+}
+
 /*
- * Fetches the newest configuration, compressed, from the peer that announced
- * it, or from the store if no peer is known.  Load pattern: versions of 800 KB
- * in quick succession, which would saturate the store's link for seconds if
- * every host read them there.
+ * Fetches the newest configuration, compressed, from a host that has it, or
+ * from the store.  Load pattern: versions of 800 KB in quick succession, which
+ * would saturate the store's link for seconds if every host read them there.
  */
 void
 discovery_fetch_config(struct discovery *d, usec_t now)
 {
+	struct config_fetch_step s;
+
 	check_newer_config(d, now);
-	if (!d->config_fetch_due || d->config_fetch_pending ||
-	    d->queued_configs.n > 0)
+	if (!d->config_fetch.due || d->queued_configs.n > 0)
 		return;
-	if (d->config_holder[0] != '\0') {
-		if (!fetcher_request(d->fetcher, d->config_holder, CONFIG_NAME))
-			return; /* another fetch is in flight: retried later */
-		d->config_fetch_due = false;
-		d->config_fetch_pending = true;
+	s = config_fetch_next(&d->config_fetch, any_source(d));
+	switch (s.kind) {
+	case CONFIG_FETCH_NONE:
 		return;
+	case CONFIG_FETCH_HOST:
+		if (!fetcher_request(
+			d->fetcher, s.addr, CONFIG_NAME, s.silence))
+			return; /* another fetch is in flight: retried later */
+		break;
+	case CONFIG_FETCH_STORE:
+		kv_get_item(d->kv, STR(PLATFORM_CONFIG_KEY), on_config_item, d);
+		break;
 	}
-	d->config_fetch_due = false;
-	d->config_fetch_pending = true;
-	kv_get_item(d->kv, STR(PLATFORM_CONFIG_KEY), on_config_item, d);
+	config_fetch_begun(&d->config_fetch, &s);
 }
--- a/entry/discovery_feed.c
+++ b/entry/discovery_feed.c
@@ -198,6 +198,24 @@
 	watcher_restored(d->watcher, LISTING_SPREAD);
 }
 
+/* A feed tells that its sender has a new configuration. */
+static void
+note_config(struct discovery *d, const peer_letter *l)
+{
+	const peer_feed *f = &l->body.peer_body_u.feed;
+
+	log_text(LOG_LVL_INFO, "config-heard",
+	    "revision %" PRId64 " from the feed of %s%s", (int64_t)f->to,
+	    l->rpc, d->config_fetch.in_flight ? ", during a fetch" : "");
+	config_fetch_announced(&d->config_fetch, f->to, l->rpc);
+}
+
+static bool
+is_large_config(const peer_feed_item *x)
+{
+	return x->large && strcmp(x->key, PLATFORM_CONFIG_KEY) == 0;
+}
+
 static void
 apply_feed(struct discovery *d, const peer_letter *l)
 {
@@ -207,24 +225,31 @@
 	for (u_int i = 0; i < f->items.items_len; i++) {
 		const peer_feed_item *x = &f->items.items_val[i];
 
-		if (x->large) {
-			log_text(LOG_LVL_INFO, "config-heard",
-			    "revision %" PRId64 " from the feed of %s%s",
-			    (int64_t)f->to, l->rpc,
-			    d->config_fetch_pending ? ", during a fetch" : "");
-			d->config_fetch_due = true;
-			g_strlcpy(
-			    d->config_holder, l->rpc, sizeof(d->config_holder));
-			continue;
-		}
-		discovery_on_store_event(d,
-		    x->deleted ? WATCHER_DELETE : WATCHER_PUT, str_from(x->key),
-		    (struct str){ x->value.value_val, x->value.value_len });
+		if (is_large_config(x))
+			note_config(d, l);
+		else
+			discovery_on_store_event(d,
+			    x->deleted ? WATCHER_DELETE : WATCHER_PUT,
+			    str_from(x->key),
+			    (struct str){
+				x->value.value_val, x->value.value_len });
 	}
 	d->applying_feed = false;
 	watcher_set_revision(d->watcher, f->to);
 }
 
+/* The other feeder of this host may have what the first one told of. */
+static void
+note_other_source(struct discovery *d, const peer_letter *l)
+{
+	const peer_feed *f = &l->body.peer_body_u.feed;
+
+	for (u_int i = 0; i < f->items.items_len; i++) {
+		if (is_large_config(&f->items.items_val[i]))
+			config_fetch_announced(&d->config_fetch, f->to, l->rpc);
+	}
+}
+
 /* Whether all values are there, or can be fetched from other hosts. */
 static bool
 has_values(const peer_feed *f)
@@ -232,7 +257,7 @@
 	for (u_int i = 0; i < f->items.items_len; i++) {
 		const peer_feed_item *x = &f->items.items_val[i];
 
-		if (x->large && strcmp(x->key, PLATFORM_CONFIG_KEY) != 0)
+		if (x->large && !is_large_config(x))
 			return false;
 	}
 	return true;
@@ -251,6 +276,7 @@
 		d->confirmed_at = now;
 		break;
 	case FEED_CURRENT:
+		note_other_source(d, l);
 		d->feed_received_at = now;
 		d->confirmed_at = now;
 		break;
--- a/entry/discovery_peers.c
+++ b/entry/discovery_peers.c
@@ -151,7 +151,8 @@
 	addr = state_source_choose(&d->state_source,
 	    member_config_source(fleet_members(d->fleet),
 		d->routes != NULL ? d->routes->version : 1, rng_entropy()));
-	if (addr == NULL || !fetcher_request(d->fetcher, addr, STATE_NAME))
+	if (addr == NULL ||
+	    !fetcher_request(d->fetcher, addr, STATE_NAME, PEER_REPLY_SILENCE))
 		return;
 	state_source_asked(&d->state_source, addr);
 	d->peer_fetch_at = now;
--- a/entry/discovery_state.h
+++ b/entry/discovery_state.h
@@ -17,6 +17,7 @@
 #include "entry/fleet.h"
 #include "entry/inbox.h"
 #include "entry/discovery.h"
+#include "kernel/config_fetch.h"
 #include "kernel/config_queue.h"
 #include "kernel/crash_suspects.h"
 #include "kernel/evacuations.h"
@@ -71,12 +72,9 @@
 	struct state_source state_source;
 	/* Of the last state taken from another host. */
 	struct store_position peer_position;
-	uint32_t config_fetch_failures; /* consecutive */
 	/* When gossip reported a newer version; 0: none. */
 	usec_t newer_config_at;
-	bool config_fetch_due;     /* a newer version must be fetched */
-	bool config_fetch_pending; /* a fetch is in flight */
-	char config_holder[MAX_ADDR_BYTES]; /* peer to fetch from, or empty */
+	struct config_fetch config_fetch;
 	/* Guarded by lock; empty: not compressed yet. */
 	struct buf config_compressed;
 	struct host_list_writer hosts;
--- a/entry/fetcher.c
+++ b/entry/fetcher.c
@@ -1,5 +1,4 @@
 #include "entry/fetcher.h"
-#include "kernel/peer_replies.h"
 
 #include <pthread.h>
 #include <stdio.h>
@@ -14,6 +13,7 @@
 	bool stopping;
 	char addr[MAX_ADDR_BYTES];
 	char name[HASH_HEX_LEN + 1];
+	usec_t silence;
 };
 
 /* Moves the value of a result. */
@@ -47,7 +47,7 @@
 	if (rpc_fetch(f->o.rpc,
 		&(struct rpc_fetch_opts){ .addr = f->addr,
 		    .query = &q,
-		    .timeout = PEER_REPLY_SILENCE,
+		    .timeout = f->silence,
 		    .held = &m->fetched.held },
 		&r) == 0) {
 		m->fetched.replied = true;
@@ -93,7 +93,8 @@
 }
 
 bool
-fetcher_request(struct fetcher *f, const char *addr, const char *name)
+fetcher_request(
+    struct fetcher *f, const char *addr, const char *name, usec_t silence)
 {
 	bool idle;
 
@@ -101,6 +102,7 @@
 	idle = !f->busy;
 	if (idle) {
 		f->busy = true;
+		f->silence = silence;
 		snprintf(f->addr, sizeof(f->addr), "%s", addr);
 		snprintf(f->name, sizeof(f->name), "%s", name);
 		pthread_cond_signal(&f->wakeup);
--- a/entry/fetcher.h
+++ b/entry/fetcher.h
@@ -22,8 +22,12 @@
 };
 
 struct fetcher *fetcher_start(const struct fetcher_opts *o);
-/* Starts a fetch from IP:PORT; false while another one is in flight. */
-bool fetcher_request(struct fetcher *f, const char *addr, const char *name);
+/*
+ * Starts a fetch from IP:PORT, which ends if nothing arrives for the time of
+ * silence; false while another one is in flight.
+ */
+bool fetcher_request(
+    struct fetcher *f, const char *addr, const char *name, usec_t silence);
 void fetcher_stop(struct fetcher *f);
 
 #endif
