--- a/entry/forward_response.c
+++ b/entry/forward_response.c
@@ -409,8 +409,8 @@
 		    STR_FMT(r->info.id), r->target_id, r->service->name,
 		    (clock_now() - r->sent_at) / USEC_PER_MSEC);
 		/* Without a call, this host had no connection for it. */
-		forward_call_ended(r,
-		    r->call == NULL || target_call_refused_cold(r->call));
+		forward_call_ended(
+		    r, r->call == NULL || target_call_refused_cold(r->call));
 		r->sends--;
 		if (r->n_tried < MAX_CONNECT_FAILURES &&
 		    forward_has_attempts(r))
