--- a/entry/rpc.c
+++ b/entry/rpc.c
@@ -14,7 +14,6 @@
 #include <poll.h>
 #include <pthread.h>
 #include <rpc/rpc.h>
-#include <rpc/rpc_com.h>
 #include <rpc/svc_dg.h>
 #include <stdatomic.h>
 #include <stdio.h>
--- a/entry/rpc_server.c
+++ b/entry/rpc_server.c
@@ -30,9 +30,10 @@
 	struct event_base *base;
 	struct evconnlistener *listener;
 	struct event *tick;
-	GQueue conns;  /* struct conn */
-	GQueue turns;  /* those of PEER_WAIT_TURN, the longest first */
-	size_t unsent; /* of all replies */
+	GQueue conns; /* struct conn */
+	GQueue
+	    turns; /* those of PEER_WAIT_TURN, in the order of their queries */
+	size_t unsent; /* bytes of all replies */
 	bool accept_failed;
 	atomic_ullong replies;
 	atomic_ullong failures;
@@ -43,10 +44,10 @@
 	struct bufferevent *bev;
 	struct evbuffer *record;
 	bool last;   /* the fragment is the last of the record */
-	size_t left; /* of the fragment */
+	size_t left; /* bytes of the fragment that have not arrived */
 	struct peer_replier state;
-	struct buf what;    /* the reply */
-	size_t reply_bytes; /* of all */
+	struct buf what;    /* describes the reply in the log */
+	size_t reply_bytes; /* of the whole reply, as a record */
 };
 
 static void
