--- a/review/standin-3/cases.c
+++ b/review/standin-3/cases.c
@@ -145,14 +145,14 @@
 case_refused(void)
 {
 	static struct runner runners[] = {
-		{ .id = "i-ledger-1", "ledger", 0, answer_payment },
-		{ .id = "i-ledger-2", "ledger", 0, answer_payment },
-		{ .id = "i-ledger-3", "ledger", 0, answer_payment },
-		{ .id = "i-ledger-4", "ledger", 0, answer_payment },
-		{ .id = "i-ledger-5", "ledger", 0, answer_payment },
-		{ .id = "i-ledger-6", "ledger", 0, answer_payment },
-		{ .id = "i-ledger-7", "ledger", 0, answer_payment },
-		{ .id = "i-ledger-8", "ledger", 0, answer_payment },
+		{ .id = "i-ledger-1", "ledger", 0, false, answer_payment },
+		{ .id = "i-ledger-2", "ledger", 0, false, answer_payment },
+		{ .id = "i-ledger-3", "ledger", 0, false, answer_payment },
+		{ .id = "i-ledger-4", "ledger", 0, false, answer_payment },
+		{ .id = "i-ledger-5", "ledger", 0, false, answer_payment },
+		{ .id = "i-ledger-6", "ledger", 0, false, answer_payment },
+		{ .id = "i-ledger-7", "ledger", 0, false, answer_payment },
+		{ .id = "i-ledger-8", "ledger", 0, false, answer_payment },
 	};
 	int broken = 0, twice = 0, served = 0;
 
@@ -311,8 +311,8 @@
 case_slow(void)
 {
 	static struct runner runners[] = {
-		{ .id = "i-pages-1", "pages", 0, answer_page },
-		{ .id = "i-pages-2", "pages", 0, answer_page },
+		{ .id = "i-pages-1", "pages", 0, false, answer_page },
+		{ .id = "i-pages-2", "pages", 0, false, answer_page },
 	};
 	static struct reader readers[CLIENTS];
 	int sent = 0, broken = 0;
@@ -433,8 +433,8 @@
 case_ids(void)
 {
 	static struct runner runners[] = {
-		{ .id = "i-engine-1", "engine", 0, answer_stream },
-		{ .id = "i-engine-2", "engine", 0, answer_stream },
+		{ .id = "i-engine-1", "engine", 0, false, answer_stream },
+		{ .id = "i-engine-2", "engine", 0, false, answer_stream },
 	};
 	int broken = 0, served = 0;
 
@@ -467,3 +467,157 @@
 	    served, broken, MAX_UNANSWERED);
 	return broken > MAX_UNANSWERED ? 1 : 0;
 }
+
+/* restored: the store is restored from a copy after a runner has left. */
+
+#define DRAIN_MS    2000 /* DrainMs */
+#define STABLE_MS   3000 /* StableMs */
+#define COPY_AGE_MS 1000 /* of the copy when the runner leaves */
+#define RESTORE_MS  1000 /* from then to the restore */
+#define SILENCE_MS  3600 /* three times HeartbeatMs */
+#define SENDERS     12   /* four on each host */
+#define SEND_PAUSE  20000
+#define LULL_HOST   2 /* whose clients pause */
+#define LULL_MARGIN 60
+
+static long long left_at; /* 0: the runner hasn't left */
+static long long restored_at;
+static long long lull_until;
+static volatile bool senders_stop;
+static volatile bool lull;
+static int late_arrivals;    /* later than DrainMs after the runner left */
+static int touched_arrivals; /* of these, from a host in touch */
+
+static bool
+answer_booking(struct runner *r, struct peer *p, struct message *m)
+{
+	char id[64];
+	long long now = now_ms();
+
+	field(m, "X-Attempt-Id", id, sizeof(id));
+	if (r->leaving && now - left_at > DRAIN_MS) {
+		bool touched =
+		    restored_at != 0 && now - restored_at > STABLE_MS;
+
+		pthread_mutex_lock(&ledger_lock);
+		late_arrivals++;
+		touched_arrivals += touched;
+		pthread_mutex_unlock(&ledger_lock);
+		record("%s %s reaches %s %lld ms after it left, %lld ms after "
+		       "the restore",
+		    touched ? "BROKEN  " : "late    ", id, r->id, now - left_at,
+		    restored_at != 0 ? now - restored_at : 0);
+	}
+	usleep(15000);
+	return send_text(p->fd,
+	    "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Runner-Seal: s.%s\r\n"
+	    "X-Runner-Load: 1,0,6\r\n%sContent-Length: 2\r\n\r\nok",
+	    id, id, r->leaving ? "Server-Leaving: 1\r\n" : "");
+}
+
+struct sender {
+	pthread_t thread;
+	int number;
+	int served;
+	int failed;
+};
+
+static void *
+run_sender(void *arg)
+{
+	struct sender *x = arg;
+	int host = x->number % HOSTS;
+
+	for (int n = 0; !senders_stop; n++) {
+		struct peer p;
+		struct message m;
+		char id[64];
+
+		usleep(SEND_PAUSE);
+		if (host == LULL_HOST && lull && now_ms() < lull_until)
+			continue;
+		p = (struct peer){ .fd = connect_to(host_ports[host]) };
+		if (p.fd < 0) {
+			x->failed++;
+			continue;
+		}
+		snprintf(id, sizeof(id), "b%d-%d", x->number, n);
+		if (send_request(
+			p.fd, "POST", id, 600, "Content-Length: 0\r\n") &&
+		    read_head(&p, &m, 1500) && status_of(&m) == 200)
+			x->served++;
+		else
+			x->failed++;
+		close(p.fd);
+	}
+	return NULL;
+}
+
+static void
+sleep_until(long long t)
+{
+	while (now_ms() < t)
+		usleep(1000);
+}
+
+int
+case_restored(void)
+{
+	static struct runner runners[] = {
+		{ .id = "i-collect-1", "collect", 0, false, answer_booking },
+		{ .id = "i-collect-2", "collect", 0, false, answer_booking },
+		{ .id = "i-collect-3", "collect", 0, false, answer_booking },
+		{ .id = "i-collect-4", "collect", 0, false, answer_booking },
+	};
+	static struct sender senders[SENDERS];
+	int served = 0, failed = 0;
+
+	put_config("\"Kind\":\"non_idempotent\",\"TimeoutMs\":600,"
+		   "\"Attempts\":1,\"Service\":\"collect\"",
+	    "{\"Name\":\"collect\",\"HealthPath\":\"/healthz\","
+	    "\"MaxConns\":110}");
+	for (int i = 0; i < 4; i++)
+		runner_start(&runners[i]);
+	if (!hosts_wait_ready())
+		return 2;
+	for (int i = 0; i < SENDERS; i++) {
+		senders[i].number = i;
+		pthread_create(
+		    &senders[i].thread, NULL, run_sender, &senders[i]);
+	}
+	sleep_until(now_ms() + STABLE_MS);
+	store_make_copy();
+	lull_until =
+	    now_ms() + COPY_AGE_MS + RESTORE_MS + STABLE_MS + LULL_MARGIN;
+	lull = true;
+	sleep_until(now_ms() + COPY_AGE_MS);
+	left_at = now_ms();
+	runners[0].leaving = true;
+	store_delete("servers/i-collect-1");
+	record("leaves   i-collect-1: its entry is removed, it serves on");
+	sleep_until(left_at + RESTORE_MS);
+	if (trouble) {
+		store_restore();
+		restored_at = now_ms();
+		record("restore  of the store from a copy of %d ms ago",
+		    COPY_AGE_MS + RESTORE_MS);
+	}
+	sleep_until(left_at + RESTORE_MS + SILENCE_MS);
+	if (trouble) {
+		store_delete("servers/i-collect-1");
+		record("removed  the entry of i-collect-1, which was silent");
+	}
+	sleep_until(now_ms() + 1000);
+	senders_stop = true;
+	for (int i = 0; i < SENDERS; i++) {
+		pthread_join(senders[i].thread, NULL);
+		served += senders[i].served;
+		failed += senders[i].failed;
+	}
+	record("%d served, %d failed; %d requests reached the runner later "
+	       "than %d ms after it left, %d of them from a host in touch",
+	    served, failed, late_arrivals, DRAIN_MS, touched_arrivals);
+	if (served == 0)
+		return 2;
+	return touched_arrivals > 0 || (!trouble && late_arrivals > 0) ? 1 : 0;
+}
--- a/review/standin-3/plat3.c
+++ b/review/standin-3/plat3.c
@@ -30,17 +30,25 @@
 	char value[VALUE_BYTES]; /* base64 text */
 	long revision;
 	long created;
+	bool deleted;
 };
 
-static struct {
-	pthread_mutex_t lock;
-	pthread_cond_t changed;
+struct contents {
 	struct item items[MAX_ITEMS];
 	int n;
 	long revision;
+};
+
+static struct {
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
+	struct contents now;
+	struct contents copy;
+	int era;
 } store = { .lock = PTHREAD_MUTEX_INITIALIZER,
 	.changed = PTHREAD_COND_INITIALIZER,
-	.revision = 100 };
+	.now.revision = 100,
+	.era = 1 };
 
 static pthread_mutex_t record_lock = PTHREAD_MUTEX_INITIALIZER;
 static FILE *record_file;
@@ -347,29 +355,66 @@
 	*out = '\0';
 }
 
+/* Returns the item of a key, which is added if there is room, or NULL. */
+static struct item *
+find_item(const char *key)
+{
+	struct contents *x = &store.now;
+
+	for (int i = 0; i < x->n; i++) {
+		if (strcmp(x->items[i].key, key) == 0)
+			return &x->items[i];
+	}
+	if (x->n == MAX_ITEMS)
+		return NULL;
+	memset(&x->items[x->n], 0, sizeof(x->items[0]));
+	snprintf(x->items[x->n].key, sizeof(x->items[0].key), "%s", key);
+	x->items[x->n].created = x->revision + 1;
+	return &x->items[x->n++];
+}
+
+/* Writes an item; value is its base64 text, or NULL to delete it. */
 static void
 put_encoded(const char *key, const char *value)
 {
-	struct item *x = NULL;
+	struct item *x;
 
 	pthread_mutex_lock(&store.lock);
-	for (int i = 0; i < store.n; i++) {
-		if (strcmp(store.items[i].key, key) == 0)
-			x = &store.items[i];
-	}
-	if (x == NULL && store.n < MAX_ITEMS) {
-		x = &store.items[store.n++];
-		snprintf(x->key, sizeof(x->key), "%s", key);
-		x->created = store.revision + 1;
-	}
+	x = find_item(key);
 	if (x != NULL) {
-		x->revision = ++store.revision;
-		snprintf(x->value, sizeof(x->value), "%s", value);
+		x->revision = ++store.now.revision;
+		x->deleted = value == NULL;
+		snprintf(x->value, sizeof(x->value), "%s",
+		    value != NULL ? value : "");
 	}
 	pthread_cond_broadcast(&store.changed);
 	pthread_mutex_unlock(&store.lock);
 }
 
+void
+store_delete(const char *key)
+{
+	put_encoded(key, NULL);
+}
+
+void
+store_make_copy(void)
+{
+	pthread_mutex_lock(&store.lock);
+	store.copy = store.now;
+	pthread_mutex_unlock(&store.lock);
+}
+
+void
+store_restore(void)
+{
+	pthread_mutex_lock(&store.lock);
+	store.now = store.copy;
+	store.era++;
+	pthread_cond_broadcast(&store.changed);
+	pthread_mutex_unlock(&store.lock);
+}
+
 void
 store_put(const char *key, const char *value)
 {
@@ -382,6 +427,9 @@
 static json_t *
 item_json(const struct item *x)
 {
+	if (x->deleted)
+		return json_pack("{s:s, s:I, s:b}", "Key", x->key, "Rev",
+		    (json_int_t)x->revision, "Tombstone", 1);
 	return json_pack("{s:s, s:s, s:I, s:I, s:i}", "Key", x->key, "Value",
 	    x->value, "Rev", (json_int_t)x->revision, "Created",
 	    (json_int_t)x->created, "Lease", 0);
@@ -389,13 +437,15 @@
 
 /* The items that changed after a revision; the caller holds the lock. */
 static json_t *
-items_after(long revision)
+items_after(long revision, bool with_deleted)
 {
 	json_t *v = json_array();
 
-	for (int i = 0; i < store.n; i++) {
-		if (store.items[i].revision > revision)
-			json_array_append_new(v, item_json(&store.items[i]));
+	for (int i = 0; i < store.now.n; i++) {
+		const struct item *x = &store.now.items[i];
+
+		if (x->revision > revision && (with_deleted || !x->deleted))
+			json_array_append_new(v, item_json(x));
 	}
 	return v;
 }
@@ -409,13 +459,14 @@
 	return p != NULL ? strtol(p + strlen(name), NULL, 10) : -1;
 }
 
+/* Returns the changes, or NULL if the store has no such revision. */
 static json_t *
 watch(const char *head)
 {
 	long after = number_in(head, "After=");
 	long wait = number_in(head, "WaitMs=");
 	struct timespec end;
-	json_t *o;
+	json_t *o = NULL;
 
 	clock_gettime(CLOCK_REALTIME, &end);
 	end.tv_sec += wait / 1000;
@@ -423,11 +474,12 @@
 	end.tv_sec += end.tv_nsec / 1000000000;
 	end.tv_nsec %= 1000000000;
 	pthread_mutex_lock(&store.lock);
-	while (store.revision <= after &&
+	while (store.now.revision == after &&
 	    pthread_cond_timedwait(&store.changed, &store.lock, &end) == 0)
 		;
-	o = json_pack("{s:o, s:I}", "events", items_after(after), "AsOf",
-	    (json_int_t)store.revision);
+	if (store.now.revision >= after)
+		o = json_pack("{s:o, s:I}", "events", items_after(after, true),
+		    "AsOf", (json_int_t)store.now.revision);
 	pthread_mutex_unlock(&store.lock);
 	return o;
 }
@@ -438,8 +490,8 @@
 	json_t *o;
 
 	pthread_mutex_lock(&store.lock);
-	o = json_pack("{s:o, s:b, s:I}", "Items", items_after(0), "MorePages",
-	    0, "AsOf", (json_int_t)store.revision);
+	o = json_pack("{s:o, s:b, s:I}", "Items", items_after(0, false),
+	    "MorePages", 0, "AsOf", (json_int_t)store.now.revision);
 	pthread_mutex_unlock(&store.lock);
 	return o;
 }
@@ -457,7 +509,7 @@
 		    json_string_value(json_object_get(x, "Value")));
 	}
 	json_decref(o);
-	return json_pack("{s:I}", "Rev", (json_int_t)store.revision);
+	return json_pack("{s:I}", "Rev", (json_int_t)store.now.revision);
 }
 
 static void
@@ -469,6 +521,7 @@
 	while (read_head(p, &m, 60000)) {
 		char body[2 * VALUE_BYTES] = "";
 		long got = 0;
+		const char *status = "404 Not Found";
 		json_t *o = NULL;
 		char *text;
 
@@ -487,11 +540,15 @@
 			o = watch(m.head);
 		else if (strncmp(m.head, "POST /api/kv-txn", 16) == 0)
 			o = transact(body);
+		if (o != NULL)
+			status = "200 OK";
+		else if (strstr(m.head, "kv-watch") != NULL)
+			status = "410 Gone";
 		text = o != NULL ? json_dumps(o, JSON_COMPACT) : strdup("{}");
 		send_text(p->fd,
 		    "HTTP/1.1 %s\r\nContent-Type: application/json\r\n"
-		    "Content-Length: %zu\r\n\r\n",
-		    o != NULL ? "200 OK" : "404 Not Found", strlen(text));
+		    "Store-Era: %d\r\nContent-Length: %zu\r\n\r\n",
+		    status, store.era, strlen(text));
 		send_all(p->fd, text, strlen(text));
 		free(text);
 		json_decref(o);
@@ -538,8 +595,8 @@
 	snprintf(entry, sizeof(entry),
 	    "{\"Service\":\"%s\",\"Addr\":\"127.0.0.1:%d\",\"Zone\":\"z1\","
 	    "\"Version\":\"v1\",\"Slots\":6,\"State\":\"ready\","
-	    "\"ColdLeftMs\":0,\"Seq\":1}",
-	    r->service, r->port);
+	    "\"ColdLeftMs\":0,\"Seq\":1,\"born\":%lld}",
+	    r->service, r->port, (long long)time(NULL) * 1000);
 	store_put(key, entry);
 }
 
@@ -592,7 +649,7 @@
 		const char *name;
 		int (*run)(void);
 	} cases[] = { { "refused", case_refused }, { "slow", case_slow },
-		{ "ids", case_ids } };
+		{ "ids", case_ids }, { "restored", case_restored } };
 	const char *text = getenv("TROUBLE");
 	char path[512];
 	FILE *done;
--- a/review/standin-3/plat3.h
+++ b/review/standin-3/plat3.h
@@ -30,6 +30,7 @@
 	char id[32];
 	const char *service;
 	int port;
+	bool leaving; /* says so in its answers */
 	/* Answers a request whose body was read; false closes the connection.
 	 */
 	bool (*answer)(struct runner *r, struct peer *p, struct message *m);
@@ -58,6 +59,10 @@
 /* Starts the store and returns its port. */
 int store_start(void);
 void store_put(const char *key, const char *value);
+void store_delete(const char *key);
+/* Makes a copy of the store; restores it from the copy, in the next era. */
+void store_make_copy(void);
+void store_restore(void);
 /* Starts a runner and writes its entry to the store. */
 void runner_start(struct runner *r);
 
@@ -72,5 +77,6 @@
 int case_refused(void);
 int case_slow(void);
 int case_ids(void);
+int case_restored(void);
 
 #endif
