--- a/review/standin-3/cases.c
+++ b/review/standin-3/cases.c
@@ -496,8 +496,8 @@
 
 	field(m, "X-Attempt-Id", id, sizeof(id));
 	if (r->leaving && now - left_at > DRAIN_MS) {
-		bool touched =
-		    restored_at != 0 && now - restored_at > STABLE_MS;
+		bool touched = store_cut_ms > 0 ||
+		    (restored_at != 0 && now - restored_at > STABLE_MS);
 
 		pthread_mutex_lock(&ledger_lock);
 		late_arrivals++;
@@ -560,41 +560,74 @@
 		usleep(1000);
 }
 
-int
-case_restored(void)
-{
-	static struct runner runners[] = {
-		{ .id = "i-collect-1", "collect", 0, false, answer_booking },
-		{ .id = "i-collect-2", "collect", 0, false, answer_booking },
-		{ .id = "i-collect-3", "collect", 0, false, answer_booking },
-		{ .id = "i-collect-4", "collect", 0, false, answer_booking },
-	};
-	static struct sender senders[SENDERS];
-	int served = 0, failed = 0;
+static struct runner collect[] = {
+	{ .id = "i-collect-1", "collect", 0, false, answer_booking },
+	{ .id = "i-collect-2", "collect", 0, false, answer_booking },
+	{ .id = "i-collect-3", "collect", 0, false, answer_booking },
+	{ .id = "i-collect-4", "collect", 0, false, answer_booking },
+};
+static struct sender senders[SENDERS];
 
+static bool
+start_bookings(void)
+{
 	put_config("\"Kind\":\"non_idempotent\",\"TimeoutMs\":600,"
 		   "\"Attempts\":1,\"Service\":\"collect\"",
 	    "{\"Name\":\"collect\",\"HealthPath\":\"/healthz\","
 	    "\"MaxConns\":110}");
 	for (int i = 0; i < 4; i++)
-		runner_start(&runners[i]);
+		runner_start(&collect[i]);
 	if (!hosts_wait_ready())
-		return 2;
+		return false;
 	for (int i = 0; i < SENDERS; i++) {
 		senders[i].number = i;
 		pthread_create(
 		    &senders[i].thread, NULL, run_sender, &senders[i]);
 	}
-	sleep_until(now_ms() + STABLE_MS);
-	store_make_copy();
-	lull_until =
-	    now_ms() + COPY_AGE_MS + RESTORE_MS + STABLE_MS + LULL_MARGIN;
+	return true;
+}
+
+/* A runner leaves without a report; the clients of one host pause for a time.
+ */
+static void
+leave(int pause_ms)
+{
+	lull_until = now_ms() + pause_ms;
 	lull = true;
 	sleep_until(now_ms() + COPY_AGE_MS);
 	left_at = now_ms();
-	runners[0].leaving = true;
+	collect[0].leaving = true;
 	store_delete("servers/i-collect-1");
 	record("leaves   i-collect-1: its entry is removed, it serves on");
+}
+
+static int
+end_bookings(void)
+{
+	int served = 0, failed = 0;
+
+	senders_stop = true;
+	for (int i = 0; i < SENDERS; i++) {
+		pthread_join(senders[i].thread, NULL);
+		served += senders[i].served;
+		failed += senders[i].failed;
+	}
+	record("%d served, %d failed; %d requests reached the runner later "
+	       "than %d ms after it left, %d of them from a host in touch",
+	    served, failed, late_arrivals, DRAIN_MS, touched_arrivals);
+	if (served == 0)
+		return 2;
+	return touched_arrivals > 0 || (!trouble && late_arrivals > 0) ? 1 : 0;
+}
+
+int
+case_restored(void)
+{
+	if (!start_bookings())
+		return 2;
+	sleep_until(now_ms() + STABLE_MS);
+	store_make_copy();
+	leave(COPY_AGE_MS + RESTORE_MS + STABLE_MS + LULL_MARGIN);
 	sleep_until(left_at + RESTORE_MS);
 	if (trouble) {
 		store_restore();
@@ -608,16 +641,24 @@
 		record("removed  the entry of i-collect-1, which was silent");
 	}
 	sleep_until(now_ms() + 1000);
-	senders_stop = true;
-	for (int i = 0; i < SENDERS; i++) {
-		pthread_join(senders[i].thread, NULL);
-		served += senders[i].served;
-		failed += senders[i].failed;
-	}
-	record("%d served, %d failed; %d requests reached the runner later "
-	       "than %d ms after it left, %d of them from a host in touch",
-	    served, failed, late_arrivals, DRAIN_MS, touched_arrivals);
-	if (served == 0)
+	return end_bookings();
+}
+
+/* cut: the store cuts watches that wait. */
+
+#define CUT_MS   800  /* a watch has waited */
+#define AFTER_MS 6000 /* from the leaving to the end of the pause */
+
+int
+case_cut(void)
+{
+	if (!start_bookings())
 		return 2;
-	return touched_arrivals > 0 || (!trouble && late_arrivals > 0) ? 1 : 0;
+	store_cut_ms = trouble ? CUT_MS : 0;
+	record("store    %s",
+	    trouble ? "cuts watches from now on" : "cuts no watch");
+	sleep_until(now_ms() + STABLE_MS);
+	leave(COPY_AGE_MS + AFTER_MS);
+	sleep_until(lull_until + 1000);
+	return end_bookings();
 }
--- a/review/standin-3/plat3.c
+++ b/review/standin-3/plat3.c
@@ -56,6 +56,7 @@
 
 int host_ports[MAX_HOSTS];
 bool trouble;
+long store_cut_ms;
 
 static void
 fail(const char *what)
@@ -459,24 +460,42 @@
 	return p != NULL ? strtol(p + strlen(name), NULL, 10) : -1;
 }
 
-/* Returns the changes, or NULL if the store has no such revision. */
+static void
+add_ms(struct timespec *t, long ms)
+{
+	t->tv_sec += ms / 1000;
+	t->tv_nsec += ms % 1000 * 1000000;
+	t->tv_sec += t->tv_nsec / 1000000000;
+	t->tv_nsec %= 1000000000;
+}
+
+/*
+ * Returns the changes, or NULL if the store has no such revision; sets whether
+ * the watch is cut.
+ */
 static json_t *
-watch(const char *head)
+watch(const char *head, bool *cut)
 {
 	long after = number_in(head, "After=");
 	long wait = number_in(head, "WaitMs=");
+	struct timespec began;
 	struct timespec end;
 	json_t *o = NULL;
 
-	clock_gettime(CLOCK_REALTIME, &end);
-	end.tv_sec += wait / 1000;
-	end.tv_nsec += wait % 1000 * 1000000;
-	end.tv_sec += end.tv_nsec / 1000000000;
-	end.tv_nsec %= 1000000000;
+	clock_gettime(CLOCK_REALTIME, &began);
+	end = began;
+	add_ms(&end, wait);
+	*cut = false;
 	pthread_mutex_lock(&store.lock);
+	if (store_cut_ms > 0 && wait > store_cut_ms) {
+		*cut = true;
+		end = began;
+		add_ms(&end, store_cut_ms);
+	}
 	while (store.now.revision == after &&
 	    pthread_cond_timedwait(&store.changed, &store.lock, &end) == 0)
 		;
+	*cut = *cut && store.now.revision == after;
 	if (store.now.revision >= after)
 		o = json_pack("{s:o, s:I}", "events", items_after(after, true),
 		    "AsOf", (json_int_t)store.now.revision);
@@ -522,6 +541,7 @@
 		char body[2 * VALUE_BYTES] = "";
 		long got = 0;
 		const char *status = "404 Not Found";
+		bool cut = false;
 		json_t *o = NULL;
 		char *text;
 
@@ -537,9 +557,13 @@
 		if (strncmp(m.head, "GET /api/kv-range", 17) == 0)
 			o = list();
 		else if (strncmp(m.head, "GET /api/kv-watch", 17) == 0)
-			o = watch(m.head);
+			o = watch(m.head, &cut);
 		else if (strncmp(m.head, "POST /api/kv-txn", 16) == 0)
 			o = transact(body);
+		if (cut) {
+			json_decref(o);
+			return;
+		}
 		if (o != NULL)
 			status = "200 OK";
 		else if (strstr(m.head, "kv-watch") != NULL)
@@ -649,7 +673,8 @@
 		const char *name;
 		int (*run)(void);
 	} cases[] = { { "refused", case_refused }, { "slow", case_slow },
-		{ "ids", case_ids }, { "restored", case_restored } };
+		{ "ids", case_ids }, { "restored", case_restored },
+		{ "cut", case_cut } };
 	const char *text = getenv("TROUBLE");
 	char path[512];
 	FILE *done;
--- a/review/standin-3/plat3.h
+++ b/review/standin-3/plat3.h
@@ -63,6 +63,8 @@
 /* Makes a copy of the store; restores it from the copy, in the next era. */
 void store_make_copy(void);
 void store_restore(void);
+/* Waiting watches are cut after this time; 0: they aren't. */
+extern long store_cut_ms;
 /* Starts a runner and writes its entry to the store. */
 void runner_start(struct runner *r);
 
@@ -78,5 +80,6 @@
 int case_slow(void);
 int case_ids(void);
 int case_restored(void);
+int case_cut(void);
 
 #endif
