--- a/review/run-case-3.sh
+++ b/review/run-case-3.sh
@@ -1,10 +1,11 @@
 #!/usr/bin/env bash
-# Usage: run-case-3.sh CASE FOLDER: plays a case of review/standin-3 with three
-# sequoiads and writes FOLDER/record.txt.  Exits with 1 if the rule was broken,
-# 0 if it held, 2 if the case couldn't run.  TROUBLE=0: without the disruption.
+# Usage: run-case-3.sh CASE RECORD: plays a case of review/standin-3 with three
+# sequoiads and writes what happened to the file RECORD.  Exits with 1 if the
+# rule was broken, 0 if it held, 2 if the case couldn't run.  TROUBLE=0: without
+# the disruption.
 cd "$(dirname "$0")/.." || exit 2
 case=$1
-record=$2/record.txt
+record=$2
 tmp=$(mktemp -d) || exit 2
 pids=()
 cleanup() {
